--- /dev/null
+++ b/src/bellweir/__init__.py
@@ -0,0 +1,3 @@
+"""Bellweir: a rollout service for reinforcement learning on live traffic."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/bellweir/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/bellweir/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The newest accepted configuration revision, everywhere, never backwards."""
--- /dev/null
+++ b/src/bellweir/events/__init__.py
@@ -0,0 +1,1 @@
+"""Numbered log events and the logger that writes them."""
--- /dev/null
+++ b/src/bellweir/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The callers', trainers' and operators' HTTP interface."""
--- /dev/null
+++ b/src/bellweir/kernel/__init__.py
@@ -0,0 +1,1 @@
+"""Micro-kernel: service registry, life cycle, bounded executors, clock and signals."""
--- /dev/null
+++ b/src/bellweir/kernel/log_events.py
@@ -0,0 +1,15 @@
+"""Log events of the kernel (BW0001 to BW0099)."""
+
+from bellweir.events.event import Event, Level
+
+NODE_STARTED = Event(1, "node_started", Level.INFO, ("node", "zone"), "All services have started.")
+NODE_DRAINING = Event(
+    2, "node_draining", Level.INFO, ("node",), "A planned stop began; work in hand ends first."
+)
+NODE_STOPPED = Event(3, "node_stopped", Level.INFO, ("node",), "All services have stopped.")
+TASK_FAILED = Event(
+    4, "task_failed", Level.ERROR, ("task", "error"), "A task or submitted call raised."
+)
+TASK_LEFT_RUNNING = Event(
+    5, "task_left_running", Level.ERROR, ("task",), "A task did not end in time at a stop."
+)
--- /dev/null
+++ b/src/bellweir/resources/__init__.py
@@ -0,0 +1,1 @@
+"""The resource API: Policy, WeightVersion, Pool and Comparison."""
--- /dev/null
+++ b/src/bellweir/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of back end, limits, priorities, retries and circuit breaking."""
--- /dev/null
+++ b/src/bellweir/samples/__init__.py
@@ -0,0 +1,1 @@
+"""Training steps: slots, staleness, tail scheduling and delivery."""
--- /dev/null
+++ b/src/bellweir/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Checked settings of a node: models for each concern, loading and findings."""
--- /dev/null
+++ b/src/bellweir/settings/models.py
@@ -0,0 +1,154 @@
+"""Settings of a node: one class for each concern.
+
+Every setting has its meaning, unit and default under it. Unknown keys are findings.
+"""
+
+from pathlib import Path
+
+from pydantic import BaseModel, ConfigDict, Field
+
+
+class Concern(BaseModel):
+    """Base of all concerns: unknown keys refused, immutable."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class NodeIdentity(Concern):
+    """Who and where this node is."""
+
+    name: str
+    """Unique name of the node."""
+    zone: str = "zone-1"
+    """Zone the node runs in."""
+    region: str = "region-1"
+    """Region the zone belongs to."""
+    host: str = "127.0.0.1"
+    """IP number the node listens on and is reached at."""
+    peer_port: int = Field(default=0, ge=0, le=65535)
+    """Port for other nodes, TCP and UDP; 0 lets the system choose."""
+    gateway_port: int = Field(default=0, ge=0, le=65535)
+    """Port for callers, trainers and operators; 0 lets the system choose."""
+    data_folder: Path | None = None
+    """Folder for ledger replicas; none means that the node keeps nothing."""
+    ready_file: Path | None = None
+    """File written with the node's addresses as JSON once it is up; for supervisors."""
+
+
+class PlatformSettings(Concern):
+    """Addresses of the platform's services, `host:port`."""
+
+    object_api: str | None = None
+    machine_list: str | None = None
+    weight_store: str | None = None
+    timeout_s: float = Field(default=5.0, gt=0)
+    """Time-out of a call to the platform's services, in seconds. Default 5."""
+
+
+class MembershipSettings(Concern):
+    """Failure detection."""
+
+    seeds: tuple[str, ...] = ()
+    """Peer addresses, `host:port`, of a few nodes to join through."""
+    probe_period_s: float = Field(default=1.0, gt=0)
+    """Time between two direct probes, in seconds. Default 1."""
+    probe_timeout_s: float = Field(default=0.5, gt=0)
+    """Time after which indirect probes begin, in seconds. Default 0.5."""
+    indirect_probes: int = Field(default=3, ge=0)
+    """Members asked to probe on this node's behalf. Default 3."""
+    suspicion_multiplier: float = Field(default=4.0, gt=0)
+    """A suspect is dead after this many probe periods times log10(members + 1). Default 4."""
+
+
+class ConfigurationSettings(Concern):
+    """Spreading of the configuration."""
+
+    fanout: int = Field(default=4, ge=1)
+    """Peers that a node pushes a change to. Default 4."""
+    anti_entropy_period_s: float = Field(default=2.0, gt=0)
+    """Time between comparisons with a random peer, in seconds. Default 2."""
+
+
+class RoutingSettings(Concern):
+    """Routing over back ends."""
+
+    report_period_s: float = Field(default=0.5, gt=0)
+    """Time between probes of an owned worker, in seconds. Default 0.5."""
+    circuit_failures: int = Field(default=3, ge=1)
+    """Consecutive failures that open a back end's circuit. Default 3."""
+    circuit_open_s: float = Field(default=2.0, gt=0)
+    """Time until a half-open probe, in seconds. Default 2."""
+
+
+class GatewaySettings(Concern):
+    """The HTTP interface."""
+
+    threads: int = Field(default=256, ge=4)
+    """Request threads; each streaming answer holds one. Default 256."""
+    maximum_body_bytes: int = Field(default=1 << 30, ge=1024)
+    """Longest accepted request body, in bytes. Default 1 GiB."""
+    tokens_file: Path | None = None
+    """TOML file of bearer tokens and their roles; none leaves the interface open."""
+
+
+class LedgerSettings(Concern):
+    """The replicated log."""
+
+    shards: int = Field(default=8, ge=1)
+    """Number of shards; fixed for the life of a cluster. Default 8."""
+    replicas: int = Field(default=3, ge=1)
+    """Replicas of each shard, in different zones where possible. Default 3."""
+    heartbeat_s: float = Field(default=0.15, gt=0)
+    """Time between a leader's heartbeats, in seconds. Default 0.15."""
+    election_timeout_s: float = Field(default=1.0, gt=0)
+    """Shortest time without a leader before an election, in seconds. Default 1."""
+    snapshot_entries: int = Field(default=4096, ge=16)
+    """Log entries after which a snapshot is taken. Default 4096."""
+
+
+class SamplesSettings(Concern):
+    """Training steps."""
+
+    concurrency: int = Field(default=128, ge=1)
+    """Generations that one node runs at once for training steps. Default 128."""
+    duplicate_budget: float = Field(default=0.05, ge=0, le=1)
+    """Share of a step's slots that may run twice near its end. Default 0.05."""
+
+
+class WeightsSettings(Concern):
+    """Rolling out weight versions."""
+
+    order_period_s: float = Field(default=0.5, gt=0)
+    """Time between comparisons of orders with what engines hold, in seconds. Default 0.5."""
+
+
+class TrustSettings(Concern):
+    """Keys between nodes."""
+
+    cluster_key_files: tuple[Path, ...] = ()
+    """Files with cluster keys; the first signs, all are accepted. None means an open cluster."""
+
+
+class LogSettings(Concern):
+    """Logs."""
+
+    level: str = Field(default="info", pattern="^(debug|info|warning|error)$")
+    """Lowest level written. Default info."""
+    format: str = Field(default="json", pattern="^(json|console)$")
+    """JSON lines or console. Default json."""
+
+
+class Settings(Concern):
+    """All settings of a node."""
+
+    node: NodeIdentity
+    platform: PlatformSettings = Field(default_factory=PlatformSettings)
+    membership: MembershipSettings = Field(default_factory=MembershipSettings)
+    configuration: ConfigurationSettings = Field(default_factory=ConfigurationSettings)
+    routing: RoutingSettings = Field(default_factory=RoutingSettings)
+    gateway: GatewaySettings = Field(default_factory=GatewaySettings)
+    ledger: LedgerSettings = Field(default_factory=LedgerSettings)
+    samples: SamplesSettings = Field(default_factory=SamplesSettings)
+    weights: WeightsSettings = Field(default_factory=WeightsSettings)
+    trust: TrustSettings = Field(default_factory=TrustSettings)
+    log: LogSettings = Field(default_factory=LogSettings)
--- /dev/null
+++ b/src/bellweir/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics, liveness and readiness."""
--- /dev/null
+++ b/src/bellweir/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Rolling weight versions out to engines by fenced orders."""
--- /dev/null
+++ b/src/bellweir/wire/interface.py
@@ -0,0 +1,78 @@
+"""Typed messages between nodes and the transport that carries them.
+
+A message is a frozen `msgspec.Struct` subclass of `Message`, defined in the package that uses
+it and registered with its handler. On the wire it is a cbor2 map with the message's tag.
+"""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, TypeVar
+
+import msgspec
+from returns.result import Result
+
+
+class Message(msgspec.Struct, frozen=True, tag=True):
+    """Base of every message between nodes; the class name is its tag on the wire."""
+
+
+AnyMessage = TypeVar("AnyMessage", bound=Message)
+
+
+@dataclass(frozen=True)
+class Sender:
+    """The authenticated node at the other end of a connection."""
+
+    node: str
+    address: str
+    """`host:port` where that node accepts peers."""
+
+
+class WireErrorKind(Enum):
+    """Why a request to a peer has no answer."""
+
+    NOT_SENT = "not_sent"
+    """No connection, or no byte written: the peer has not seen it."""
+    NO_ANSWER = "no_answer"
+    """Sent, but the connection broke or the time ran out: the peer may have handled it."""
+    REFUSED = "refused"
+    """The peer has no handler, is overloaded, or its handler failed before it had an effect."""
+
+
+@dataclass(frozen=True)
+class WireError:
+    """A request to a peer that has no answer."""
+
+    kind: WireErrorKind
+    detail: str
+
+
+Handler = Callable[[Sender, Any], Message | None]
+
+
+class Transport(ABC):
+    """Sends messages to peers and hands received ones to their handlers. Service `transport`.
+
+    The transport accepts peers on the node's peer port once all services have started.
+    """
+
+    @abstractmethod
+    def register(self, message_type: type[AnyMessage], handler: Handler) -> None:
+        """Handle messages of one type on the `PEER` executor, off the connection's thread.
+
+        The handler's returned message answers a request; None answers nothing and is only
+        right for one-way messages. A handler that must block long (long polls, replication)
+        passes work on to an executor of its own.
+        """
+
+    @abstractmethod
+    def request(
+        self, address: str, message: Message, timeout_s: float
+    ) -> Result[Message, WireError]:
+        """Send a request to the node at `host:port` and wait for its answer."""
+
+    @abstractmethod
+    def send(self, address: str, message: Message) -> bool:
+        """Queue a one-way message; best effort. False when the peer's queue is full."""
