--- /dev/null
+++ b/src/bellweir_rehearsal/deployments/__init__.py
@@ -0,0 +1,1 @@
+"""Deployments that ship with the kit, as TOML files."""
--- /dev/null
+++ b/src/bellweir_rehearsal/load/__init__.py
@@ -0,0 +1,1 @@
+"""Open-loop load: arrivals, request mixes, and latency histograms."""
--- /dev/null
+++ b/src/bellweir_rehearsal/promises/true_refusals.py
@@ -0,0 +1,60 @@
+"""Promise: a refusal that says "not run" is true."""
+
+from bellweir_rehearsal.promises.evidence import ApplicationRun, Evidence
+from bellweir_rehearsal.promises.verdict import Promise, Verdict
+from bellweir_rehearsal.records.model import CallEnded, CallKind, CallOutcome, CallSent
+
+NOT_RUN = "not_run"
+
+
+def check_true_refusals(evidence: Evidence) -> Verdict:
+    """Look in the back ends' logs for a trace of each request refused as not run."""
+    verdict = Verdict(Promise.TRUE_REFUSALS, required=("refusals as not run",))
+    for call_id, ended in evidence.calls_ended.items():
+        sent = evidence.calls_sent.get(call_id)
+        if sent is None or ended.outcome is not CallOutcome.REFUSED:
+            continue
+        verdict.count("refusals")
+        if ended.run_state is None:
+            verdict.breach(call_id, f"refusal {ended.status} does not say whether it has run")
+        if ended.run_state != NOT_RUN:
+            continue
+        verdict.count("refusals as not run")
+        fault = _trace(sent, ended, evidence)
+        if fault is not None:
+            verdict.breach(call_id, fault)
+    return verdict
+
+
+def _trace(sent: CallSent, ended: CallEnded, evidence: Evidence) -> str | None:
+    if sent.kind is CallKind.COMPLETION:
+        for attempt in evidence.attempts_by_request.get(sent.call_id, []):
+            if attempt.runs:
+                return f"engine {attempt.engine} generated tokens for it ({ended.reason})"
+        return None
+    if sent.idempotency_key is None:
+        for run in evidence.runs_by_target.get(_target(sent), []):
+            return f"worker {run.worker} ran it at {run.time_s:.3f} ({ended.reason})"
+        return None
+    for run in evidence.runs_by_key.get(sent.idempotency_key, []):
+        if run.time_s <= ended.time_s or not _explained(run, sent.idempotency_key, evidence):
+            return (
+                f"worker {run.worker} ran key {sent.idempotency_key} at {run.time_s:.3f}, "
+                f"the refusal came at {ended.time_s:.3f} ({ended.reason})"
+            )
+    return None
+
+
+def _explained(run: ApplicationRun, key: str, evidence: Evidence) -> bool:
+    """Whether another call with this key, not refused as not run, can have led to the run."""
+    for call_id, sent in evidence.calls_sent.items():
+        if sent.idempotency_key != key or sent.time_s > run.time_s:
+            continue
+        ended = evidence.calls_ended.get(call_id)
+        if ended is None or ended.run_state != NOT_RUN:
+            return True
+    return False
+
+
+def _target(sent: CallSent) -> str:
+    return "/" + sent.target.partition("/")[2]
--- /dev/null
+++ b/src/bellweir_rehearsal/topology/__init__.py
@@ -0,0 +1,1 @@
+"""Starts the processes of a deployment on this machine and ends them by their process ids."""
