--- /dev/null
+++ b/src/bellweir/platform/application.py
@@ -0,0 +1,96 @@
+"""Client of an application worker; wire format in docs/PLATFORM.md."""
+
+import http.client
+from collections.abc import Iterator
+
+from returns.result import Failure, Result, Success
+
+from bellweir.platform.answers import decode_answer
+from bellweir.platform.interface import (
+    Application,
+    ApplicationAnswer,
+    ApplicationCall,
+    ApplicationState,
+    ErrorKind,
+    IncompleteBodyError,
+    PlatformError,
+)
+from bellweir.platform.pool import ConnectionPool, HttpCall, OpenAnswer
+
+ATTEMPT_HEADER = "X-Attempt-Id"
+"""Names the attempt, for the worker's log."""
+NOT_RUN_HEADER = "X-Not-Run"
+"""On a 503: the worker has run nothing of the request, and why: `leaving` or `overloaded`."""
+LEAVING_HEADER = "X-Leaving"
+"""On any answer: the worker is leaving."""
+STATE_PATH = "/-/state"
+STATUS_UNAVAILABLE = 503
+
+_REFUSALS = {"leaving": ErrorKind.LEAVING, "overloaded": ErrorKind.OVERLOADED}
+
+
+class HttpApplication(Application):
+    """Speaks to one application worker over a pool of connections."""
+
+    def __init__(self, pool: ConnectionPool) -> None:
+        self._pool = pool
+
+    def send(self, call: ApplicationCall) -> Result[ApplicationAnswer, PlatformError]:
+        """Send one attempt, once; the body of the answer streams under the call's time-out."""
+        headers = _request_headers(call)
+        body = call.body if call.body_length != 0 else None
+        sent = HttpCall(call.method, call.path, call.timeout_s, headers)
+        return self._pool.open(sent, body).bind(_answered)
+
+    def read_ready(self, timeout_s: float) -> Result[ApplicationState, PlatformError]:
+        """Read the worker's own report."""
+        answer = self._pool.call_repeatable(HttpCall("GET", STATE_PATH, timeout_s))
+        return answer.bind(lambda found: decode_answer(found, ApplicationState))
+
+
+def _request_headers(call: ApplicationCall) -> dict[str, str]:
+    merged: dict[str, str] = {}
+    for name, value in call.headers:
+        key = name.title()
+        merged[key] = f"{merged[key]}, {value}" if key in merged else value
+    merged.pop("Content-Length", None)
+    merged[ATTEMPT_HEADER] = call.attempt_id
+    if call.body_length:
+        merged["Content-Length"] = str(call.body_length)
+    return merged
+
+
+def _answered(answer: OpenAnswer) -> Result[ApplicationAnswer, PlatformError]:
+    refused = _refusal(answer)
+    if refused is not None:
+        answer.drop()
+        return Failure(refused)
+    headers = tuple(answer.response.headers.items())
+    leaving = LEAVING_HEADER in answer.response.headers
+    return Success(ApplicationAnswer(answer.status, headers, _body(answer), leaving))
+
+
+def _refusal(answer: OpenAnswer) -> PlatformError | None:
+    if answer.status != STATUS_UNAVAILABLE:
+        return None
+    reason = answer.response.headers.get(NOT_RUN_HEADER)
+    if reason is None:
+        return None
+    kind = _REFUSALS.get(reason, ErrorKind.NOT_RUN)
+    return PlatformError(kind, f"refused by the worker: {reason}", _retry_after_s(answer))
+
+
+def _retry_after_s(answer: OpenAnswer) -> float | None:
+    try:
+        return float(answer.response.headers.get("Retry-After", ""))
+    except ValueError:
+        return None
+
+
+def _body(answer: OpenAnswer) -> Iterator[bytes]:
+    try:
+        yield from answer.read_blocks()
+    except (OSError, http.client.HTTPException, ValueError) as failure:
+        raise IncompleteBodyError(f"answer cut: {failure!r}") from failure
+    finally:
+        answer.finish()
--- a/src/bellweir/platform/interface.py
+++ b/src/bellweir/platform/interface.py
@@ -80,6 +80,10 @@
     deleted: bool
 
 
+MUTATION_ANNOTATION = "bellweir.dev/mutation-id"
+"""Annotation in which a written document carries the id of its write."""
+
+
 class ObjectStore(ABC):
     """The platform's object API with versions and watches; it can serve a few readers only."""
 
--- /dev/null
+++ b/src/bellweir/platform/pool.py
@@ -0,0 +1,265 @@
+"""Pooled HTTP connections to one address, and calls whose failures are typed truthfully.
+
+A failed call is `NOT_RUN` only where that is proved: no connection was made, or not one byte of
+the request was handed to the operating system. Everything later is `UNKNOWN`, also when a
+kept-alive connection turns out to have been closed by the peer: the request may have been read.
+"""
+
+import http.client
+import threading
+import time
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from typing import BinaryIO
+
+from returns.result import Failure, Result, Success
+
+from bellweir.platform.connection import READ_BLOCK_BYTES, CountingConnection
+from bellweir.platform.interface import ErrorKind, PlatformError
+
+IDLE_CONNECTIONS = 64
+"""Idle connections kept for one address."""
+IDLE_LIFETIME_S = 30.0
+"""Idle connections older than this are closed; servers close theirs after a minute or more."""
+MAXIMUM_LINE_BYTES = 8 * 1024 * 1024
+"""Longest line of a streamed answer."""
+MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024
+"""Longest body of an answer that is read whole."""
+
+
+@dataclass(frozen=True)
+class HttpCall:
+    """One HTTP request."""
+
+    method: str
+    path: str
+    timeout_s: float
+    headers: Mapping[str, str] = field(default_factory=dict)
+    body: bytes | None = None
+
+
+@dataclass(frozen=True)
+class HttpAnswer:
+    """A whole HTTP answer."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class OpenAnswer:
+    """An answer whose headers have been read; the body is read from it."""
+
+    def __init__(self, pool: "ConnectionPool", connection: CountingConnection) -> None:
+        self._pool = pool
+        self._connection = connection
+        self._response: http.client.HTTPResponse | None = None
+        self._lock = threading.Lock()
+        self._released = False
+
+    def read_headers(self) -> None:
+        """Read status and headers; raises `OSError` or `HTTPException`."""
+        self._response = self._connection.getresponse()
+
+    @property
+    def response(self) -> http.client.HTTPResponse:
+        """The `http.client` answer."""
+        if self._response is None:
+            raise ConnectionError("no answer yet")
+        return self._response
+
+    @property
+    def status(self) -> int:
+        """HTTP status code."""
+        return self.response.status
+
+    @property
+    def headers(self) -> Mapping[str, str]:
+        """Headers of the answer; of repeated ones the last."""
+        return dict(self.response.headers.items())
+
+    def set_timeout(self, timeout_s: float) -> None:
+        """Let reading go on for this long from now."""
+        self._connection.deadline_socket.deadline_s = time.monotonic() + timeout_s
+
+    def read_lines(self) -> Iterator[bytes]:
+        """Read the body line by line as it arrives, without line ends; raises when it was cut."""
+        pending = b""
+        for block in self.read_blocks():
+            *lines, pending = (pending + block).split(b"\n")
+            if len(pending) > MAXIMUM_LINE_BYTES:
+                raise http.client.LineTooLong("answer line")
+            yield from lines
+        if pending:
+            raise http.client.IncompleteRead(pending)
+
+    def read_blocks(self) -> Iterator[bytes]:
+        """Read the body as it arrives; raises when it was cut."""
+        while block := self.response.read1(READ_BLOCK_BYTES):
+            yield block
+        self._check_length()
+
+    def read_all(self) -> bytes:
+        """Read the whole body, at most `MAXIMUM_ANSWER_BYTES`."""
+        body = self.response.read(MAXIMUM_ANSWER_BYTES + 1)
+        if len(body) > MAXIMUM_ANSWER_BYTES:
+            raise http.client.HTTPException("answer too long")
+        self._check_length()
+        return body
+
+    def _check_length(self) -> None:
+        response = self.response
+        if response.length:
+            raise http.client.IncompleteRead(b"", response.length)
+        if response.length is None and not response.chunked:
+            raise http.client.HTTPException("body has neither a length nor an end marker")
+        if not response.isclosed():
+            response.read()  # releases the connection after the last byte
+
+    def finish(self) -> None:
+        """Give the connection back when the answer was read to its end, else close it."""
+        whole = self._response is not None and self._response.isclosed()
+        if not whole or self.response.will_close:
+            self.drop()
+        elif self._release():
+            self._pool.give_back(self._connection)
+
+    def drop(self) -> None:
+        """Close the connection; from any thread, any number of times."""
+        if self._release():
+            self._pool.forget(self._connection)
+            self._connection.deadline_socket.abort()
+            self._connection.close()
+
+    def _release(self) -> bool:
+        # Only the first to end the answer may touch the connection: once it is back in the
+        # pool, a late `drop` from another thread would cut somebody else's call.
+        with self._lock:
+            released, self._released = self._released, True
+        return not released
+
+
+class ConnectionPool:
+    """Connections to one `host:port`, reused most recent first."""
+
+    def __init__(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        self.address = address
+        self._host = host
+        self._port = int(port)
+        self._lock = threading.Lock()
+        self._idle: list[tuple[CountingConnection, float]] = []
+        self._busy: set[CountingConnection] = set()
+        self._closed = False
+
+    def call(self, call: HttpCall) -> Result[HttpAnswer, PlatformError]:
+        """Make a call and read the whole answer."""
+        match self.open(call, call.body):
+            case Success(opened):
+                return self._read_whole(opened)
+            case failure:
+                return Result.from_failure(failure.failure())
+
+    def call_repeatable(self, call: HttpCall) -> Result[HttpAnswer, PlatformError]:
+        """Make a call that does no harm when it runs twice.
+
+        A kept-alive connection may be closed by the peer just as the request is written, so an
+        unknown outcome is tried once more while time is left.
+        """
+        started_s = time.monotonic()
+        first = self.call(call)
+        if isinstance(first, Success) or first.failure().kind is not ErrorKind.UNKNOWN:
+            return first
+        left_s = call.timeout_s - (time.monotonic() - started_s)
+        if left_s <= 0:
+            return first
+        again = HttpCall(call.method, call.path, left_s, call.headers, call.body)
+        return self.call(again)
+
+    def open(
+        self,
+        call: HttpCall,
+        body: BinaryIO | bytes | None,
+    ) -> Result[OpenAnswer, PlatformError]:
+        """Send a request and read the answer's headers."""
+        deadline_s = time.monotonic() + call.timeout_s
+        try:
+            connection = self._take(deadline_s)
+        except OSError as failure:
+            return Failure(PlatformError(ErrorKind.NOT_RUN, f"no connection: {failure}"))
+        answer = OpenAnswer(self, connection)
+        try:
+            connection.request(call.method, call.path, body, dict(call.headers))
+            answer.read_headers()
+        except (OSError, http.client.HTTPException, ValueError) as failure:
+            written = connection.deadline_socket.bytes_written
+            answer.drop()
+            return Failure(_typed_failure(failure, written))
+        return Success(answer)
+
+    def _read_whole(self, opened: OpenAnswer) -> Result[HttpAnswer, PlatformError]:
+        try:
+            body = opened.read_all()
+        except (OSError, http.client.HTTPException, ValueError) as failure:
+            opened.drop()
+            return Failure(PlatformError(ErrorKind.UNKNOWN, f"answer cut: {failure!r}"))
+        answer = HttpAnswer(opened.status, opened.headers, body)
+        opened.finish()
+        return Success(answer)
+
+    def _take(self, deadline_s: float) -> CountingConnection:
+        connection = self._take_idle() or self._connect(deadline_s)
+        connection.begin_call(deadline_s)
+        with self._lock:
+            if not self._closed:
+                self._busy.add(connection)
+                return connection
+        connection.close()
+        raise ConnectionError("the pool is closed")
+
+    def _connect(self, deadline_s: float) -> CountingConnection:
+        connection = CountingConnection(self._host, self._port)
+        connection.open(deadline_s)
+        return connection
+
+    def _take_idle(self) -> CountingConnection | None:
+        while True:
+            with self._lock:
+                if not self._idle:
+                    return None
+                connection, since_s = self._idle.pop()
+            old = time.monotonic() - since_s > IDLE_LIFETIME_S
+            if not old and not connection.deadline_socket.is_stale():
+                return connection
+            connection.close()
+
+    def give_back(self, connection: CountingConnection) -> None:
+        """Keep a connection whose last answer was read whole."""
+        with self._lock:
+            self._busy.discard(connection)
+            if not self._closed and len(self._idle) < IDLE_CONNECTIONS:
+                self._idle.append((connection, time.monotonic()))
+                return
+        connection.close()
+
+    def forget(self, connection: CountingConnection) -> None:
+        """Stop tracking a connection that its user closes."""
+        with self._lock:
+            self._busy.discard(connection)
+
+    def close(self) -> None:
+        """Close idle connections and abort the calls in hand."""
+        with self._lock:
+            self._closed = True
+            idle, self._idle = self._idle, []
+            busy = list(self._busy)
+        for connection, _ in idle:
+            connection.close()
+        for connection in busy:
+            connection.deadline_socket.abort()
+
+
+def _typed_failure(failure: Exception, bytes_written: int) -> PlatformError:
+    if bytes_written == 0:
+        return PlatformError(ErrorKind.NOT_RUN, f"nothing written: {failure!r}")
+    return PlatformError(ErrorKind.UNKNOWN, f"no answer after a write: {failure!r}")
--- /dev/null
+++ b/src/bellweir/platform/service.py
@@ -0,0 +1,107 @@
+"""The service `platform`: makes and pools the clients of outside systems."""
+
+import threading
+from typing import ClassVar
+
+from bellweir.kernel import names
+from bellweir.kernel.node import Kernel
+from bellweir.kernel.service import Service
+from bellweir.platform.application import HttpApplication
+from bellweir.platform.engine import HttpEngine
+from bellweir.platform.interface import (
+    Application,
+    Engine,
+    MachineList,
+    ObjectStore,
+    PlatformClients,
+    Scorer,
+    WeightStore,
+)
+from bellweir.platform.machine_list import HttpMachineList
+from bellweir.platform.object_api import HttpObjectStore
+from bellweir.platform.pool import ConnectionPool
+from bellweir.platform.scorer import HttpScorer
+from bellweir.platform.weight_store import HttpWeightStore
+from bellweir.settings.models import PlatformSettings, Settings
+
+
+class NoAddressError(LookupError):
+    """The settings name no address for a platform service that is needed."""
+
+
+class HttpPlatformClients(PlatformClients):
+    """Clients over HTTP; one pool of connections for each address."""
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        self._settings = settings
+        self._lock = threading.Lock()
+        self._pools: dict[str, ConnectionPool] = {}
+        self._closed = False
+
+    def object_store(self) -> ObjectStore:
+        """Client of the object API; raises `NoAddressError` when settings name none."""
+        pool = self._pool(_required(self._settings.object_api, "platform.object_api"))
+        return HttpObjectStore(pool, self._settings.timeout_s)
+
+    def machine_list(self) -> MachineList:
+        """Client of the machine list; raises `NoAddressError` when settings name none."""
+        pool = self._pool(_required(self._settings.machine_list, "platform.machine_list"))
+        return HttpMachineList(pool, self._settings.timeout_s)
+
+    def weight_store(self) -> WeightStore:
+        """Client of the weight store; raises `NoAddressError` when settings name none."""
+        pool = self._pool(_required(self._settings.weight_store, "platform.weight_store"))
+        return HttpWeightStore(pool, self._settings.timeout_s)
+
+    def engine(self, address: str) -> Engine:
+        """Client of the engine at `host:port`."""
+        return HttpEngine(self._pool(address), self._settings.timeout_s)
+
+    def application(self, address: str) -> Application:
+        """Client of the application worker at `host:port`."""
+        return HttpApplication(self._pool(address))
+
+    def scorer(self, address: str) -> Scorer:
+        """Client of the scorer at `host:port`."""
+        return HttpScorer(self._pool(address))
+
+    def close(self) -> None:
+        """Close every pooled connection; calls made later fail as not run."""
+        with self._lock:
+            self._closed = True
+            pools = list(self._pools.values())
+        for pool in pools:
+            pool.close()
+
+    def _pool(self, address: str) -> ConnectionPool:
+        with self._lock:
+            pool = self._pools.get(address)
+            if pool is None:
+                pool = ConnectionPool(address)
+                self._pools[address] = pool
+            closed = self._closed
+        if closed:
+            pool.close()
+        return pool
+
+
+class PlatformService(Service, HttpPlatformClients):
+    """The clients as a service of a node."""
+
+    name: ClassVar[str] = names.PLATFORM
+
+    def __init__(self, kernel: Kernel, settings: Settings) -> None:
+        HttpPlatformClients.__init__(self, settings.platform)
+
+    def start(self) -> None:
+        """Do nothing: connections are made when they are needed."""
+
+    def stop(self) -> None:
+        """Close every connection."""
+        self.close()
+
+
+def _required(address: str | None, key: str) -> str:
+    if address is None:
+        raise NoAddressError(f"{key} is not set")
+    return address
