Add training steps on the ledger's interface

A step is a set of slots kept by a ledger state machine: the first commit fills a slot, delivery positions are given once, at hand-over, and aged samples are dropped before that. The leader of a step's shard runs its generations; any node serves the trainers' interface.

--- /dev/null
+++ b/features/samples.feature
@@ -0,0 +1,51 @@
+Feature: Training steps
+  A trainer declares a step of numbered slots and pulls one sample for each slot, once,
+  with the weight versions that produced it.
+
+  Scenario: A step is generated, scored, pulled and acknowledged
+    Given a samples cluster of 2 nodes
+    When a samples step of 3 prompts with 2 samples each and a scorer is declared
+    Then the samples step delivers 6 scored samples, one for each slot
+    And each samples segment list covers all tokens and names version 1
+    And the samples step is complete once all is acknowledged
+
+  Scenario: A repeated pull gives the same samples in the same order
+    Given a samples cluster of 2 nodes
+    When a samples step of 4 prompts with 1 samples each and no scorer is declared
+    Then pulling samples from every cursor again gives the same samples
+
+  Scenario: Declaring a step again
+    Given a samples cluster of 1 nodes
+    When a samples step of 1 prompts with 1 samples each and no scorer is declared
+    Then declaring the same samples step again is no error
+    And declaring it with other samples contents is a conflict
+    And a samples step with several faults reports all of them
+
+  Scenario: A cancelled step ends its generations
+    Given a samples cluster of 1 nodes
+    And samples engines that hold every generation
+    When a samples step of 2 prompts with 2 samples each and no scorer is declared
+    And the samples step is cancelled
+    Then every samples generation is cancelled on its engine
+    And pulling samples from the start says that none will follow
+
+  Scenario: Engines that refuse or break off are tried again
+    Given a samples cluster of 1 nodes
+    And samples engines that first refuse and then break off
+    When a samples step of 2 prompts with 1 samples each and no scorer is declared
+    Then the samples step delivers 2 unscored samples, one for each slot
+
+  Scenario: Another node leads in the middle of a step
+    Given a samples cluster of 2 nodes
+    And samples engines that hold every generation
+    When a samples step of 2 prompts with 2 samples each and no scorer is declared
+    And node-2 leads the samples shards while node-1 is still generating
+    And the samples engines go on
+    Then the samples step delivers 4 unscored samples, one for each slot
+
+  Scenario: A slow scorer holds no generation up
+    Given a samples cluster of 1 nodes that run 1 generations at once
+    And a samples scorer that does not answer
+    When a samples step of 3 prompts with 1 samples each and a scorer is declared
+    Then all 3 samples are filled before one of them is scored
+    And after the samples scorer answers, 3 samples are delivered
--- /dev/null
+++ b/features/steps/samples_steps.py
@@ -0,0 +1,207 @@
+"""Steps of `samples.feature`."""
+
+import threading
+
+from behave import given, then, when
+from returns.result import Failure, Success
+
+from bellweir.samples.interface import (
+    Sample,
+    SampleBatch,
+    StepDeclaration,
+    StepErrorKind,
+    StepState,
+)
+from support.samples_cluster import SamplesCluster
+from support.waiting import wait_until
+
+STEP = "step-1"
+SCORER = "127.0.0.1:1"
+
+
+def start_cluster(context, nodes: int, concurrency: int = 8) -> None:
+    context.cluster = SamplesCluster(nodes, concurrency)
+    context.add_cleanup(context.cluster.stop)
+
+
+def declaration(prompts: int, per_prompt: int, **changes: object) -> StepDeclaration:
+    fields = {
+        "step_id": STEP,
+        "policy": "writer",
+        "prompts": tuple(f"prompt {number}" for number in range(prompts)),
+        "samples_per_prompt": per_prompt,
+        "max_tokens": 100,
+    }
+    return StepDeclaration(**(fields | changes))
+
+
+def declare(context, **changes: object) -> None:
+    context.declaration = declaration(**changes)
+    assert isinstance(context.cluster.any.declare(context.declaration), Success)
+
+
+def pull(context, cursor: int, limit: int = 100, wait_s: float = 10.0) -> SampleBatch:
+    return context.cluster.any.pull(STEP, cursor, limit, wait_s).unwrap()
+
+
+def pull_all(context, count: int) -> list[Sample]:
+    samples: list[Sample] = []
+    while len(samples) < count:
+        batch = pull(context, len(samples))
+        assert batch.samples, f"no further sample after {len(samples)}"
+        assert batch.cursor == len(samples) + len(batch.samples)
+        samples.extend(batch.samples)
+    assert pull(context, count).complete
+    return samples
+
+
+@given("a samples cluster of {nodes:d} nodes")
+def step_cluster(context, nodes):
+    start_cluster(context, nodes)
+
+
+@given("a samples cluster of {nodes:d} nodes that run {concurrency:d} generations at once")
+def step_small_cluster(context, nodes, concurrency):
+    start_cluster(context, nodes, concurrency)
+
+
+@given("samples engines that hold every generation")
+def step_hold(context):
+    context.cluster.engines.hold = threading.Event()
+
+
+@given("samples engines that first refuse and then break off")
+def step_bad_engines(context):
+    context.cluster.engines.refuse = True
+    context.cluster.engines.cut_after_tokens = 2
+
+
+@given("a samples scorer that does not answer")
+def step_hold_scorer(context):
+    context.cluster.platform.scorer(SCORER).hold.clear()
+    context.add_cleanup(context.cluster.platform.scorer(SCORER).hold.set)
+
+
+@when("a samples step of {prompts:d} prompts with {each:d} samples each and a scorer is declared")
+def step_declare_scored(context, prompts, each):
+    declare(context, prompts=prompts, per_prompt=each, scorer=SCORER)
+
+
+@when("a samples step of {prompts:d} prompts with {each:d} samples each and no scorer is declared")
+def step_declare(context, prompts, each):
+    declare(context, prompts=prompts, per_prompt=each)
+
+
+@when("the samples step is cancelled")
+def step_cancel(context):
+    engines = context.cluster.engines
+    wait_until(lambda: len(engines.requests) == 4, "all generations run")
+    assert context.cluster.any.cancel(STEP).unwrap().state is StepState.CANCELLED
+
+
+@when("node-2 leads the samples shards while node-1 is still generating")
+def step_move_leadership(context):
+    engines = context.cluster.engines
+    wait_until(lambda: len(engines.requests) >= 4, "node-1 generates")
+    context.cluster.log.lead_all("node-2")
+    wait_until(lambda: len(engines.requests) >= 8, "node-2 generates too")
+
+
+@when("the samples engines go on")
+def step_go_on(context):
+    context.cluster.engines.hold.set()
+
+
+@then("the samples step delivers {count:d} scored samples, one for each slot")
+def step_scored(context, count):
+    context.samples = pull_all(context, count)
+    assert sorted(sample.slot for sample in context.samples) == list(range(count))
+    assert all(sample.score == float(len(sample.text)) for sample in context.samples)
+
+
+@then("the samples step delivers {count:d} unscored samples, one for each slot")
+def step_unscored(context, count):
+    engines = context.cluster.engines
+    if engines.refuse:
+        wait_until(lambda: len(engines.requests) >= 2, "refused generations")
+        engines.refuse = False
+        seen = len(engines.requests)
+        wait_until(lambda: len(engines.requests) >= seen + 2, "generations that break off")
+        engines.cut_after_tokens = None
+    context.samples = pull_all(context, count)
+    assert sorted(sample.slot for sample in context.samples) == list(range(count))
+
+
+@then("each samples segment list covers all tokens and names version {version:d}")
+def step_segments(context, version):
+    for sample in context.samples:
+        assert [segment.weight_version for segment in sample.segments] == [version]
+        assert sample.segments[0].token_count == len(sample.tokens) == 3
+
+
+@then("the samples step is complete once all is acknowledged")
+def step_acknowledge(context):
+    samples = context.cluster.any
+    assert samples.acknowledge(STEP, 5).unwrap().state is StepState.RUNNING
+    assert samples.acknowledge(STEP, 6).unwrap().state is StepState.COMPLETE
+    assert samples.acknowledge(STEP, 2).unwrap().acknowledged == 6
+    assert samples.acknowledge(STEP, 7).failure().kind is StepErrorKind.INVALID
+
+
+@then("pulling samples from every cursor again gives the same samples")
+def step_repeat(context):
+    samples = pull_all(context, 4)
+    for cursor in range(4):
+        again = pull(context, cursor, limit=1)
+        assert again.samples == (samples[cursor],)
+        assert again.cursor == cursor + 1
+
+
+@then("declaring the same samples step again is no error")
+def step_declare_again(context):
+    assert isinstance(context.cluster.any.declare(context.declaration), Success)
+
+
+@then("declaring it with other samples contents is a conflict")
+def step_conflict(context):
+    other = declaration(prompts=1, per_prompt=2)
+    assert context.cluster.any.declare(other).failure().kind is StepErrorKind.CONFLICT
+
+
+@then("a samples step with several faults reports all of them")
+def step_faults(context):
+    faulty = declaration(prompts=0, per_prompt=0, max_tokens=0, staleness_bound_s=-1.0)
+    answer = context.cluster.any.declare(faulty)
+    assert isinstance(answer, Failure)
+    assert answer.failure().kind is StepErrorKind.INVALID
+    for place in ("prompts", "samples_per_prompt", "max_tokens", "staleness_bound_s"):
+        assert place in answer.failure().detail
+
+
+@then("every samples generation is cancelled on its engine")
+def step_cancelled(context):
+    engines = context.cluster.engines
+    wait_until(
+        lambda: {request.request_id for request in engines.requests} == set(engines.cancelled),
+        "all generations cancelled",
+    )
+
+
+@then("pulling samples from the start says that none will follow")
+def step_none_follow(context):
+    batch = pull(context, 0)
+    assert batch.complete
+    assert not batch.samples
+
+
+@then("all {count:d} samples are filled before one of them is scored")
+def step_filled(context, count):
+    samples = context.cluster.any
+    wait_until(lambda: samples.status(STEP).unwrap().filled == count, "all filled")
+    assert not pull(context, 0, wait_s=0).samples
+
+
+@then("after the samples scorer answers, {count:d} samples are delivered")
+def step_scorer_answers(context, count):
+    context.cluster.platform.scorer(SCORER).hold.set()
+    assert len(pull_all(context, count)) == count
--- /dev/null
+++ b/features/support/fake_services.py
@@ -0,0 +1,244 @@
+"""Small stand-ins for the services that `samples` and `weights` call."""
+
+import threading
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from returns.result import Failure, Result, Success
+
+from bellweir.configuration.interface import (
+    Configuration,
+    ConfigurationListener,
+    ConfigurationSnapshot,
+)
+from bellweir.kernel import names
+from bellweir.kernel.service import Service
+from bellweir.platform.interface import (
+    Application,
+    Engine,
+    ErrorKind,
+    FinishReason,
+    MachineList,
+    ObjectStore,
+    PlatformClients,
+    PlatformError,
+    ScoreCall,
+    Scorer,
+    WeightStore,
+)
+from bellweir.resources.models import (
+    Metadata,
+    Policy,
+    PolicySpec,
+    Pool,
+    PoolSpec,
+    WeightVersion,
+    WeightVersionSpec,
+)
+from bellweir.routing.interface import (
+    ApplicationRequest,
+    Dispatcher,
+    DispatchStatistics,
+    Generation,
+    GenerationChunk,
+    GenerationRequest,
+    Refusal,
+    RefusalReason,
+    RunState,
+)
+
+
+class Idle(Service):
+    """A service without work of its own."""
+
+    dependencies = ()
+
+    def start(self) -> None:
+        pass
+
+    def stop(self) -> None:
+        pass
+
+
+class FakeConfiguration(Idle, Configuration):
+    """A configuration that the test publishes."""
+
+    name = names.CONFIGURATION
+
+    def __init__(self) -> None:
+        self._snapshot = ConfigurationSnapshot(0)
+        self._listeners: list[ConfigurationListener] = []
+
+    def publish(self, policy: str, version: int, pools: tuple[Pool, ...] = ()) -> None:
+        """Name a new version as published and wanted."""
+        versions = dict(self._snapshot.weight_versions)
+        resource_name = f"{policy}-{version}"
+        versions[resource_name] = WeightVersion(
+            metadata=Metadata(name=resource_name),
+            spec=WeightVersionSpec(policy=policy, version=version),
+        )
+        policies = dict(self._snapshot.policies)
+        policies[policy] = Policy(
+            metadata=Metadata(name=policy), spec=PolicySpec(model=policy, version=version)
+        )
+        known_pools = dict(self._snapshot.pools) | {pool.metadata.name: pool for pool in pools}
+        self.put(
+            ConfigurationSnapshot(self._snapshot.revision + 1, policies, versions, known_pools)
+        )
+
+    def put(self, snapshot: ConfigurationSnapshot) -> None:
+        self._snapshot = snapshot
+        for listener in self._listeners:
+            listener(snapshot)
+
+    def current(self) -> ConfigurationSnapshot:
+        return self._snapshot
+
+    def is_ready(self) -> bool:
+        return self._snapshot.revision > 0
+
+    def wait_for(self, revision: int, timeout_s: float) -> bool:
+        return self._snapshot.revision >= revision
+
+    def subscribe(self, listener: ConfigurationListener) -> None:
+        self._listeners.append(listener)
+        if self._snapshot.revision > 0:
+            listener(self._snapshot)
+
+
+def engine_pool(name: str, spec: PoolSpec) -> Pool:
+    return Pool(metadata=Metadata(name=name), spec=spec)
+
+
+@dataclass
+class ScriptedEngines:
+    """What all fake dispatchers of a test do; changed by the test as it goes on."""
+
+    version: int = 1
+    tokens: int = 3
+    refuse: bool = False
+    cut_after_tokens: int | None = None
+    hold: threading.Event | None = None
+    held_prompts: frozenset[str] = frozenset()
+    requests: list[GenerationRequest] = field(default_factory=list)
+    cancelled: list[str] = field(default_factory=list)
+
+    def waits(self, prompt: str) -> bool:
+        if self.hold is None or self.hold.is_set():
+            return False
+        return not self.held_prompts or prompt in self.held_prompts
+
+
+CANCELLED = Refusal(RefusalReason.DRAINING, RunState.RAN, "cancelled")
+CUT = Refusal(RefusalReason.BACKEND_FAILED, RunState.UNKNOWN, "cut by the test")
+NO_BACKEND = Refusal(RefusalReason.NO_BACKEND, RunState.NOT_RUN, "refused by the test")
+
+
+class FakeGeneration(Generation):
+    """One token for each chunk, each by the version that the script then has."""
+
+    def __init__(self, script: ScriptedEngines, request: GenerationRequest) -> None:
+        self._script = script
+        self._request = request
+        self._cancelled = threading.Event()
+
+    def __iter__(self) -> Iterator[Result[GenerationChunk, Refusal]]:
+        first = len(self._request.prefix_tokens)
+        for number in range(first, self._script.tokens):
+            while self._script.waits(self._request.prompt) and not self._cancelled.is_set():
+                self._cancelled.wait(0.005)
+            if self._cancelled.is_set():
+                yield Failure(CANCELLED)
+                return
+            if number == self._script.cut_after_tokens:
+                yield Failure(CUT)
+                return
+            yield Success(self._chunk(number))
+
+    def _chunk(self, number: int) -> GenerationChunk:
+        is_last = number == self._script.tokens - 1
+        return GenerationChunk(
+            tokens=(number,),
+            text=f"{self._request.request_id[:4]}.{number} ",
+            weight_version=self._script.version,
+            worker="engine-1",
+            finish_reason=FinishReason.STOP if is_last else None,
+        )
+
+    def cancel(self) -> None:
+        self._cancelled.set()
+        self._script.cancelled.append(self._request.request_id)
+
+
+class FakeDispatcher(Idle, Dispatcher):
+    """Runs generations by a script."""
+
+    name = names.DISPATCHER
+
+    def __init__(self, script: ScriptedEngines) -> None:
+        self._script = script
+
+    def generate(self, request: GenerationRequest) -> Result[Generation, Refusal]:
+        self._script.requests.append(request)
+        too_old = (request.minimum_version or 0) > self._script.version
+        if self._script.refuse or too_old:
+            return Failure(NO_BACKEND)
+        return Success(FakeGeneration(self._script, request))
+
+    def forward(self, request: ApplicationRequest) -> Result[object, Refusal]:  # type: ignore[override]
+        raise NotImplementedError
+
+    def statistics(self) -> DispatchStatistics:
+        return DispatchStatistics()
+
+
+class FakeScorer(Scorer):
+    """Scores by the length of the text, after failing as often as told."""
+
+    def __init__(self) -> None:
+        self.failures_left = 0
+        self.hold = threading.Event()
+        self.hold.set()
+        self.calls: list[ScoreCall] = []
+
+    def score(self, call: ScoreCall, timeout_s: float) -> Result[float, PlatformError]:
+        self.calls.append(call)
+        self.hold.wait(30)
+        if self.failures_left > 0:
+            self.failures_left -= 1
+            return Failure(PlatformError(ErrorKind.OVERLOADED, "told to fail", 0.01))
+        return Success(float(len(call.text)))
+
+
+class FakePlatform(Idle, PlatformClients):
+    """Scorers and engines by address."""
+
+    name = names.PLATFORM
+
+    def __init__(self) -> None:
+        self.scorers: dict[str, FakeScorer] = {}
+        self.engines: dict[str, Engine] = {}
+        self.store: WeightStore | None = None
+
+    def object_store(self) -> ObjectStore:
+        raise NotImplementedError
+
+    def machine_list(self) -> MachineList:
+        raise NotImplementedError
+
+    def weight_store(self) -> WeightStore:
+        if self.store is None:
+            raise NotImplementedError
+        return self.store
+
+    def engine(self, address: str) -> Engine:
+        return self.engines[address]
+
+    def application(self, address: str) -> Application:
+        raise NotImplementedError
+
+    def scorer(self, address: str) -> Scorer:
+        return self.scorers.setdefault(address, FakeScorer())
+
+    def close(self) -> None:
+        pass
