--- /dev/null
+++ b/src/bellweir/entrypoints/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points: where a node is put together from its services."""
--- a/src/bellweir/events/log.py
+++ b/src/bellweir/events/log.py
@@ -1,5 +1,7 @@
-"""Writes numbered events through structlog."""
+"""Writes numbered events through structlog, as JSON lines or for a console."""
 
+import logging
+import sys
 from typing import Any
 
 import structlog
@@ -7,6 +9,41 @@
 from bellweir.events.event import Event
 
 
+def configure_logs(level: str, output_format: str) -> None:
+    """Set the lowest level written and the format, `json` or `console`; logs go to stderr."""
+    renderer: structlog.typing.Processor = structlog.processors.JSONRenderer()
+    if output_format == "console":
+        renderer = structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            _add_node,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            renderer,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.getLevelName(level.upper())),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+
+
+_process_fields: dict[str, str] = {}
+
+
+def bind_node(node: str) -> None:
+    """Put the node's name on every line that this process writes."""
+    _process_fields["node"] = node
+
+
+def _add_node(
+    _logger: Any, _method: str, fields: structlog.typing.EventDict
+) -> structlog.typing.EventDict:
+    for name, value in _process_fields.items():
+        fields.setdefault(name, value)
+    return fields
+
+
 def emit(event: Event, **fields: Any) -> None:
     """Write one log line for `event` with the given fields."""
     logger = structlog.get_logger()
--- a/src/bellweir/kernel/service.py
+++ b/src/bellweir/kernel/service.py
@@ -20,8 +20,8 @@
     def start(self) -> None:
         """Begin work. Raises an exception when the service cannot run; nothing may be left over."""
 
-    def drain(self, deadline_s: float) -> None:
-        """Refuse new work and wait for the work in hand, at most `deadline_s` seconds."""
+    def drain(self, deadline_s: float) -> None:  # noqa: B027 - most services have nothing in hand
+        """Stop taking new work and wait for the work in hand, at most `deadline_s` seconds."""
 
     @abstractmethod
     def stop(self) -> None:
