--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,34 @@
+"""Hooks around scenarios: a temporary folder, and clean-up of what a scenario started."""
+
+import sys
+import tempfile
+from contextlib import ExitStack
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent))
+
+from hypothesis import HealthCheck, settings
+
+from support.waiting import wait_until
+
+REPOSITORY = Path(__file__).resolve().parent.parent
+
+settings.register_profile(
+    "features",
+    derandomize=True,
+    database=None,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+settings.load_profile("features")
+
+
+def before_scenario(context, scenario):
+    context.repository = REPOSITORY
+    context.wait_until = wait_until
+    context.cleanup = ExitStack()
+    context.folder = Path(context.cleanup.enter_context(tempfile.TemporaryDirectory()))
+
+
+def after_scenario(context, scenario):
+    context.cleanup.close()
--- a/src/bellweir/cli/main.py
+++ b/src/bellweir/cli/main.py
@@ -6,7 +6,9 @@
 
 import cappa
 
+from bellweir.cli.events_command import EventsCommand
 from bellweir.cli.node import NodeCommand
+from bellweir.cli.settings_commands import SettingsCommand
 
 REHEARSE = "rehearse"
 REHEARSAL_MODULE = "bellweir_rehearsal.cli"
@@ -21,7 +23,7 @@
 class Bellweir:
     """The executable."""
 
-    command: cappa.Subcommands[NodeCommand]
+    command: cappa.Subcommands[NodeCommand | SettingsCommand | EventsCommand]
 
 
 def main() -> None:
--- a/src/bellweir/cli/node.py
+++ b/src/bellweir/cli/node.py
@@ -1,16 +1,11 @@
 """`bellweir node`: runs one node."""
 
-import os
 from dataclasses import dataclass
-from pathlib import Path
-from typing import Annotated
 
 import cappa
 
-from bellweir.cli import exit_codes
+from bellweir.cli.settings_commands import Assignments, SettingsFile, load_or_exit
 from bellweir.entrypoints.node import run_node
-from bellweir.settings.findings import SettingsError
-from bellweir.settings.loader import load_settings
 
 
 @cappa.command(
@@ -21,17 +16,10 @@
 class NodeCommand:
     """Run a node."""
 
-    settings: Annotated[
-        Path | None, cappa.Arg(long="--settings", help="TOML file with the node's settings.")
-    ] = None
-    assignments: Annotated[
-        list[str], cappa.Arg(long="--set", help="A setting, KEY.PATH=VALUE; repeatable.")
-    ] = None  # type: ignore[assignment]
+    settings: SettingsFile = None
+    assignments: Assignments = None
 
     def __call__(self) -> None:
         """Load the settings and run the node."""
-        try:
-            loaded = load_settings(self.settings, os.environ, tuple(self.assignments or ()))
-        except SettingsError as failure:
-            raise cappa.Exit(str(failure), code=exit_codes.INVALID) from failure
+        loaded = load_or_exit(self.settings, self.assignments)
         run_node(loaded.settings)
