--- a/src/bellweir/ledger/interface.py
+++ b/src/bellweir/ledger/interface.py
@@ -72,6 +72,13 @@
     def load(self, state: bytes) -> None:
         """Replace the state by a saved one."""
 
+    def recovered(self, at_s: float) -> None:
+        """Note that an operator recovered the shard from a minority at `at_s` (seconds of 1970).
+
+        Commands acknowledged before may be missing from the state. Called on every replica at
+        the same place of the log; must change plain state only. Does nothing by default.
+        """
+
 
 class Ledger(ABC):
     """The replicated log. Service `ledger`."""
@@ -171,3 +178,19 @@
     @abstractmethod
     def look_up(self, key: str, timeout_s: float) -> Result[Claim | None, LedgerError]:
         """What is known of a key."""
+
+
+class SegmentStore(ABC):
+    """Bulk data too large for the log, on the data folders. Service `segments`."""
+
+    @abstractmethod
+    def put(self, key: str, blob: bytes, timeout_s: float) -> Result[str, LedgerError]:
+        """Store a blob on at least two replicas of the key's shard (or all, when it has fewer).
+
+        The returned reference depends only on the contents, so that repeating a put is safe.
+        A failure means that nobody may rely on the blob; parts of it may remain until retention.
+        """
+
+    @abstractmethod
+    def get(self, key: str, reference: str, timeout_s: float) -> Result[bytes, LedgerError]:
+        """Read a blob, checksum verified, from whichever replica of the key's shard holds it."""
