--- a/src/bellweir/ledger/interface.py
+++ b/src/bellweir/ledger/interface.py
@@ -72,7 +72,7 @@
     def load(self, state: bytes) -> None:
         """Replace the state by a saved one."""
 
-    def recovered(self, at_s: float) -> None:
+    def recovered(self, at_s: float) -> None:  # noqa: B027 - most machines need nothing here
         """Note that an operator recovered the shard from a minority at `at_s` (seconds of 1970).
 
         Commands acknowledged before may be missing from the state. Called on every replica at
