Add rollouts of weight versions by fenced orders

What an engine should hold follows from the declared configuration alone; the owner orders the difference, fenced by the configuration revision. One node paces each pool: swaps keep the floor, and weights go from a few reads of the store from engine to engine.

--- /dev/null
+++ b/features/weights.feature
@@ -0,0 +1,36 @@
+Feature: Weight versions on engines
+  A version that a policy names reaches every engine of its pools by fenced orders, while enough
+  engines go on serving.
+
+  Scenario: A new version rolls out above the floor with few reads from the store
+    Given a weights pool of 12 engines with floor 0.5, owned by 3 nodes
+    When weights version 2 is declared
+    Then all weights engines hold version 2
+    And at least 6 weights engines served all the time
+    And at most 3 weights were read from the store
+
+  Scenario: A pool of one engine still gets a new version
+    Given a weights pool of 1 engines with floor 1.0, owned by 1 nodes
+    When weights version 2 is declared
+    Then all weights engines hold version 2
+
+  Scenario: A swap that fails partway is tried again
+    Given a weights pool of 3 engines with floor 0.5, owned by 1 nodes
+    And weights engine-1 fails its next 2 swaps
+    When weights version 2 is declared
+    Then all weights engines hold version 2
+    And weights engine-1 has been ordered 3 times
+
+  Scenario: A version that the store does not hold changes no engine
+    Given a weights pool of 3 engines with floor 0.5, owned by 1 nodes
+    And a weights store without version 2
+    When weights version 2 is declared
+    Then no weights engine is ordered to hold version 2
+    And weights version 3 being declared, all engines hold it
+
+  Scenario: A paused owner does not undo a newer order
+    Given a weights pool of 4 engines with floor 0.5, owned by 2 nodes
+    And node-1 believes that it owns all weights engines and hears of no newer configuration
+    When weights version 2 is declared
+    Then all weights engines hold version 2
+    And no weights engine is ordered back to version 1
--- a/src/bellweir/settings/models.py
+++ b/src/bellweir/settings/models.py
@@ -120,6 +120,12 @@
 
     order_period_s: float = Field(default=0.5, gt=0)
     """Time between comparisons of orders with what engines hold, in seconds. Default 0.5."""
+    store_readers: int = Field(default=3, ge=1)
+    """Engines of a pool that read one version from the weight store at once. Default 3."""
+    fanout: int = Field(default=2, ge=1)
+    """Engines that fetch a version from the same engine at once. Default 2."""
+    permit_s: float = Field(default=30.0, gt=0)
+    """Time after which a swap that came to nothing counts as over, in seconds. Default 30."""
 
 
 class TrustSettings(Concern):
--- /dev/null
+++ b/src/bellweir/weights/engine_watch.py
@@ -0,0 +1,114 @@
+"""What an owner knows of one engine, and which order it would send."""
+
+from dataclasses import dataclass
+
+from bellweir.platform.interface import EngineOrder, EngineState
+from bellweir.weights.messages import WorkerReport
+from bellweir.weights.plan import WorkerTarget
+
+SHORTEST_PAUSE_S = 0.25
+LONGEST_PAUSE_S = 10.0
+
+
+@dataclass
+class EngineWatch:
+    """One engine of this node; used by one thread at a time."""
+
+    target: WorkerTarget
+    wanted_since: int
+    """Configuration revision since which this target stands; orders are fenced at least so."""
+    state: EngineState | None = None
+    failures: int = 0
+    """Failed orders and swaps in a row for this target."""
+    not_before_s: float = 0.0
+    """On the monotonic clock: no further order before this."""
+    counted_error: str | None = None
+    """The swap error that was last counted, so that each failure counts once."""
+
+    def retarget(self, target: WorkerTarget, revision: int) -> None:
+        """Take up a newer configuration; failures of another target don't count any more."""
+        if _contents(target) != _contents(self.target):
+            self.wanted_since = revision
+            self.failures = 0
+            self.not_before_s = 0.0
+            self.counted_error = None
+        self.target = target
+
+    @property
+    def holds_target(self) -> bool:
+        """Whether the engine reports exactly what is wanted."""
+        state = self.state
+        return (
+            state is not None
+            and state.model == self.target.model
+            and state.weight_version == self.target.version
+            and tuple(sorted(state.adapters)) == tuple(sorted(self.target.adapters))
+            and state.role is self.target.role
+        )
+
+    @property
+    def is_fenced_enough(self) -> bool:
+        """Whether the engine would refuse every order from before this target was declared."""
+        if self.state is None:
+            return False
+        return self.state.order_fence[0] >= max(self.wanted_since, self.target.declared_at)
+
+    @property
+    def is_swapping(self) -> bool:
+        """Whether the engine works on an order that it accepted."""
+        state = self.state
+        return state is not None and state.weight_version is None and state.swap_error is None
+
+    def wants_order(self, now_s: float) -> bool:
+        """Whether to send an order now. An engine at work on this order is left to finish."""
+        if self.state is None or self.state.leaving or now_s < self.not_before_s:
+            return False
+        if self.holds_target and self.is_fenced_enough:
+            return False
+        return not (self.is_swapping and self.is_fenced_enough)
+
+    def costs_capacity(self) -> bool:
+        """Whether the order takes the engine out of service for a while."""
+        state = self.state
+        if state is None:
+            return True
+        return (state.model, state.weight_version) != (self.target.model, self.target.version)
+
+    def note_failure(self, now_s: float) -> None:
+        """Wait longer after each failure."""
+        self.failures += 1
+        pause_s = min(LONGEST_PAUSE_S, SHORTEST_PAUSE_S * 2 ** min(self.failures - 1, 10))
+        self.not_before_s = now_s + pause_s
+
+    def order(self, revision: int, sources: tuple[str, ...]) -> EngineOrder:
+        """The order for the target, fenced by the configuration it follows from."""
+        target = self.target
+        return EngineOrder(
+            fence=(revision, target.version),
+            model=target.model,
+            weight_version=target.version,
+            adapters=target.adapters,
+            role=target.role,
+            sources=sources,
+        )
+
+    def report(self, now_s: float, *, is_available: bool) -> WorkerReport:
+        """The engine as the rollout's pacing sees it; `is_available`: the store has the version."""
+        state = self.state
+        is_ready = state is not None and state.ready and state.weight_version is not None
+        wants_swap = self.wants_order(now_s) and self.costs_capacity() and is_available
+        return WorkerReport(
+            worker=self.target.worker,
+            address=self.target.address,
+            zone=self.target.zone,
+            is_ready=is_ready,
+            held_model=state.model if state is not None else None,
+            held_version=state.weight_version if state is not None else None,
+            wanted_model=self.target.model,
+            wanted_version=self.target.version,
+            wants_swap=wants_swap,
+        )
+
+
+def _contents(target: WorkerTarget) -> tuple[object, ...]:
+    return (target.model, target.version, target.adapters, target.role)
