--- /dev/null
+++ b/features/steps/wire_steps.py
@@ -0,0 +1,160 @@
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from behave import given, then, when
+from returns.pipeline import is_successful
+
+from bellweir.wire.interface import Message, WireErrorKind
+from features.support.wire_nodes import Question, QuestionAnswer, WireNode, start_wire_node
+
+REQUEST_TIMEOUT_S = 20.0
+
+
+class NestedQuestion(Message, frozen=True):
+    depth: int
+    home: str
+
+
+class Unhandled(Message, frozen=True):
+    pass
+
+
+class Failing(Message, frozen=True):
+    pass
+
+
+class Slow(Message, frozen=True):
+    pass
+
+
+def _ask(node: WireNode, peer: WireNode, message: Message):
+    return node.transport.request(peer.address, message, REQUEST_TIMEOUT_S)
+
+
+@given("wire nodes alpha and beta with one cluster key")
+def step_two_nodes(context):
+    key = Path(context.temporary_folder) / "cluster.key"
+    key.write_text("a cluster key for the tests")
+    context.wire = {
+        name: start_wire_node(name, (key,), context.add_cleanup) for name in ("alpha", "beta")
+    }
+
+
+@when("wire node alpha asks beta {count:d} numbered questions from {threads:d} threads")
+def step_ask_many(context, count, threads):
+    alpha, beta = context.wire["alpha"], context.wire["beta"]
+    with ThreadPoolExecutor(threads) as pool:
+        context.wire_answers = list(
+            pool.map(lambda number: _ask(alpha, beta, Question(number)), range(count))
+        )
+
+
+@then("every wire answer carries the number of its own question")
+def step_own_answers(context):
+    numbers = [answer.unwrap().number for answer in context.wire_answers]
+    assert numbers == list(range(len(numbers))), numbers
+
+
+@then("the wire handler at beta saw alpha's name and address")
+def step_sender(context):
+    alpha = context.wire["alpha"]
+    senders = context.wire["beta"].senders
+    assert {(sender.node, sender.address) for sender in senders} == {("alpha", alpha.address)}
+
+
+@when("{count:d} wire requests on each side are handled by asking the other side back")
+def step_nested(context, count):
+    alpha, beta = context.wire["alpha"], context.wire["beta"]
+    for node in (alpha, beta):
+
+        def handle(sender, message, node=node):
+            if message.depth == 0:
+                return QuestionAnswer(0)
+            answer = node.transport.request(
+                sender.address, NestedQuestion(message.depth - 1, node.address), REQUEST_TIMEOUT_S
+            )
+            return answer.unwrap()
+
+        node.transport.register(NestedQuestion, handle)
+    with ThreadPoolExecutor(2 * count) as pool:
+        asked = [
+            pool.submit(_ask, source, target, NestedQuestion(2, source.address))
+            for source, target in [(alpha, beta), (beta, alpha)] * count
+        ]
+        context.wire_answers = [future.result() for future in asked]
+
+
+@then("all of the nested wire requests are answered")
+def step_nested_answered(context):
+    failures = [answer for answer in context.wire_answers if not is_successful(answer)]
+    assert not failures, failures[:3]
+
+
+@when("wire node beta stops")
+def step_beta_stops(context):
+    context.wire["beta"].stop()
+
+
+@then("a wire request from alpha to beta fails as not sent")
+def step_not_sent(context):
+    answer = _ask(context.wire["alpha"], context.wire["beta"], Question(1))
+    assert answer.failure().kind is WireErrorKind.NOT_SENT, answer
+
+
+@when("wire node beta stops while it handles alpha's request")
+def step_stop_midway(context):
+    alpha, beta = context.wire["alpha"], context.wire["beta"]
+    handling, release = threading.Event(), threading.Event()
+
+    def handle(_sender, _message):
+        handling.set()
+        release.wait(REQUEST_TIMEOUT_S)
+        return QuestionAnswer(0)
+
+    beta.transport.register(Slow, handle)
+    with ThreadPoolExecutor(2) as pool:
+        asked = pool.submit(_ask, alpha, beta, Slow())
+        assert handling.wait(REQUEST_TIMEOUT_S)
+        stopped = pool.submit(beta.transport.stop)
+        context.wire_answer = asked.result()
+        release.set()
+        stopped.result()
+
+
+@then("that wire request fails as without an answer")
+def step_no_answer(context):
+    assert context.wire_answer.failure().kind is WireErrorKind.NO_ANSWER, context.wire_answer
+
+
+@when("wire node alpha sends beta a message that beta has no handler for")
+def step_unhandled(context):
+    alpha, beta = context.wire["alpha"], context.wire["beta"]
+    _ask(alpha, beta, Question(0)).unwrap()
+    context.wire_connections = beta.accepted_connections()
+    context.wire_answer = _ask(alpha, beta, Unhandled())
+
+
+@when("wire node alpha sends beta a message whose handler raises")
+def step_raising(context):
+    alpha, beta = context.wire["alpha"], context.wire["beta"]
+
+    def handle(_sender, _message):
+        raise ValueError("a failing handler")
+
+    beta.transport.register(Failing, handle)
+    _ask(alpha, beta, Question(0)).unwrap()
+    context.wire_connections = beta.accepted_connections()
+    context.wire_answer = _ask(alpha, beta, Failing())
+
+
+@then("that wire request fails as refused")
+def step_refused(context):
+    assert context.wire_answer.failure().kind is WireErrorKind.REFUSED, context.wire_answer
+
+
+@then("wire node alpha still gets answers from beta over the same connection")
+def step_same_connection(context):
+    alpha, beta = context.wire["alpha"], context.wire["beta"]
+    assert _ask(alpha, beta, Question(7)).unwrap() == QuestionAnswer(7)
+    assert beta.accepted_connections() == context.wire_connections
--- /dev/null
+++ b/features/support/wire_nodes.py
@@ -0,0 +1,65 @@
+"""Nodes that consist of a transport only."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from bellweir.kernel.listeners import bind_listeners
+from bellweir.kernel.node import Kernel
+from bellweir.settings.models import NodeIdentity, Settings, TrustSettings
+from bellweir.wire.interface import Message, Sender
+from bellweir.wire.service import TransportService
+
+
+class Question(Message, frozen=True):
+    number: int
+
+
+class QuestionAnswer(Message, frozen=True):
+    number: int
+
+
+@dataclass
+class WireNode:
+    """A started transport that answers `Question`."""
+
+    kernel: Kernel
+    transport: TransportService
+    senders: list[Sender] = field(default_factory=list)
+    stopped: bool = False
+
+    @property
+    def address(self) -> str:
+        return self.kernel.listeners.peer_address if not self.stopped else self._last_address
+
+    def accepted_connections(self) -> list[int]:
+        """Identities of the connections that peers hold to this node."""
+        return sorted(id(connection) for connection in self.transport._accepted)
+
+    def answer(self, sender: Sender, message: Question) -> QuestionAnswer:
+        self.senders.append(sender)
+        return QuestionAnswer(message.number)
+
+    def stop(self) -> None:
+        if self.stopped:
+            return
+        self._last_address = self.kernel.listeners.peer_address
+        self.stopped = True
+        self.transport.stop()
+        self.kernel.listeners.close()
+        self.kernel.executors.stop()
+
+
+def start_wire_node(
+    name: str, keys: tuple[Path, ...], add_cleanup: Callable[[Callable[[], None]], None]
+) -> WireNode:
+    """Start a node; it is stopped at the end of the scenario."""
+    kernel = Kernel(bind_listeners("127.0.0.1", 0, 0))
+    settings = Settings(
+        node=NodeIdentity(name=name), trust=TrustSettings(cluster_key_files=keys)
+    )
+    node = WireNode(kernel, TransportService(kernel, settings))
+    node.transport.register(Question, node.answer)
+    node.transport.start()
+    add_cleanup(node.stop)
+    return node
--- a/src/bellweir/membership/interface.py
+++ b/src/bellweir/membership/interface.py
@@ -40,7 +40,7 @@
 
     @abstractmethod
     def self_member(self) -> Member:
-        """This node."""
+        """The member that this node is."""
 
     @abstractmethod
     def members(self) -> tuple[Member, ...]:
--- a/src/bellweir/settings/models.py
+++ b/src/bellweir/settings/models.py
@@ -129,6 +129,13 @@
     """Files with cluster keys; the first signs, all are accepted. None means an open cluster."""
 
 
+class NetworkFaultSettings(Concern):
+    """Faults between nodes, for rehearsals only."""
+
+    file: Path | None = None
+    """JSON file of rules, read again when it changes; none, as in service, disturbs nothing."""
+
+
 class LogSettings(Concern):
     """Logs."""
 
@@ -151,4 +158,5 @@
     samples: SamplesSettings = Field(default_factory=SamplesSettings)
     weights: WeightsSettings = Field(default_factory=WeightsSettings)
     trust: TrustSettings = Field(default_factory=TrustSettings)
+    network_faults: NetworkFaultSettings = Field(default_factory=NetworkFaultSettings)
     log: LogSettings = Field(default_factory=LogSettings)
--- /dev/null
+++ b/src/bellweir/wire/handshake.py
@@ -0,0 +1,143 @@
+"""Handshake of a connection: both ends prove a cluster key over both ends' nonces.
+
+Connecting end: `ClientHello`; accepting end: `ServerHello` with its proof; connecting end:
+`ClientProof`; accepting end: `Welcome`. Nothing else is decoded before the proofs are checked,
+and the connecting end counts no byte of a message as sent before the welcome.
+"""
+
+import os
+import socket
+from dataclasses import dataclass
+from typing import TypeVar
+
+import msgspec
+
+from bellweir.wire.frames import (
+    MAXIMUM_HANDSHAKE_FRAME_BYTES,
+    FrameError,
+    decode_struct,
+    encode_struct,
+    read_frame,
+    with_length,
+)
+from bellweir.wire.interface import Sender
+from bellweir.wire.keys import ClusterKeys
+
+PROTOCOL = "bellweir/1"
+"""Name and version of the protocol between nodes; both ends must agree."""
+NONCE_BYTES = 16
+HANDSHAKE_TIMEOUT_S = 5.0
+MAXIMUM_NAME_CHARACTERS = 253
+HandshakeFrame = TypeVar("HandshakeFrame", bound=msgspec.Struct)
+_SERVER_ROLE = b"accepting"
+_CLIENT_ROLE = b"connecting"
+
+
+class HandshakeError(Exception):
+    """The other end is no node of this cluster, or speaks another protocol."""
+
+
+class ClientHello(msgspec.Struct, frozen=True, array_like=True, tag="client_hello"):
+    """First frame of the connecting end."""
+
+    protocol: str
+    node: str
+    address: str
+    """`host:port` where the connecting node accepts peers."""
+    nonce: bytes
+
+
+class ServerHello(msgspec.Struct, frozen=True, array_like=True, tag="server_hello"):
+    """The accepting end's answer with its proof."""
+
+    node: str
+    nonce: bytes
+    proof: bytes
+
+
+class ClientProof(msgspec.Struct, frozen=True, array_like=True, tag="client_proof"):
+    """The connecting end's proof."""
+
+    proof: bytes
+
+
+class Welcome(msgspec.Struct, frozen=True, array_like=True, tag="welcome"):
+    """The accepting end accepts; messages may follow."""
+
+
+@dataclass(frozen=True)
+class LocalNode:
+    """What this node says of itself at a handshake."""
+
+    name: str
+    address: str
+
+
+def connect_handshake(connection: socket.socket, local: LocalNode, keys: ClusterKeys) -> str:
+    """Run the connecting end's part; return the name of the other node.
+
+    Raises `HandshakeError`, or `OSError` as the socket does.
+    """
+    connection.settimeout(HANDSHAKE_TIMEOUT_S)
+    hello = ClientHello(PROTOCOL, local.name, local.address, os.urandom(NONCE_BYTES))
+    try:
+        _write(connection, hello)
+        answer = _read(connection, ServerHello)
+        _check_nonce(answer.nonce)
+        parts = _parts(hello, answer.node, answer.nonce)
+        if not keys.verify(answer.proof, _SERVER_ROLE, *parts):
+            raise HandshakeError("the accepting node proved no cluster key known here")
+        _write(connection, ClientProof(keys.sign(_CLIENT_ROLE, *parts)))
+        _read(connection, Welcome)
+    except FrameError as failure:
+        raise HandshakeError(str(failure)) from failure
+    return answer.node
+
+
+def accept_handshake(connection: socket.socket, local: LocalNode, keys: ClusterKeys) -> Sender:
+    """Run the accepting end's part; return the authenticated node at the other end.
+
+    Raises `HandshakeError`, or `OSError` as the socket does.
+    """
+    connection.settimeout(HANDSHAKE_TIMEOUT_S)
+    try:
+        hello = _read(connection, ClientHello)
+        _check_hello(hello)
+        nonce = os.urandom(NONCE_BYTES)
+        parts = _parts(hello, local.name, nonce)
+        _write(connection, ServerHello(local.name, nonce, keys.sign(_SERVER_ROLE, *parts)))
+        answer = _read(connection, ClientProof)
+        if not keys.verify(answer.proof, _CLIENT_ROLE, *parts):
+            raise HandshakeError("the connecting node proved no cluster key known here")
+        _write(connection, Welcome())
+    except FrameError as failure:
+        raise HandshakeError(str(failure)) from failure
+    return Sender(hello.node, hello.address)
+
+
+def _parts(hello: ClientHello, server: str, server_nonce: bytes) -> tuple[bytes, ...]:
+    names = (hello.protocol, hello.node, hello.address, server)
+    return (hello.nonce, server_nonce, *(name.encode() for name in names))
+
+
+def _check_hello(hello: ClientHello) -> None:
+    if hello.protocol != PROTOCOL:
+        raise HandshakeError(f"protocol {hello.protocol[:32]!r} is not {PROTOCOL!r}")
+    if not 0 < len(hello.node) <= MAXIMUM_NAME_CHARACTERS:
+        raise HandshakeError("a node name out of bounds")
+    if not 0 < len(hello.address) <= MAXIMUM_NAME_CHARACTERS:
+        raise HandshakeError("an address out of bounds")
+    _check_nonce(hello.nonce)
+
+
+def _check_nonce(nonce: bytes) -> None:
+    if len(nonce) != NONCE_BYTES:
+        raise HandshakeError("a nonce of the wrong length")
+
+
+def _write(connection: socket.socket, value: msgspec.Struct) -> None:
+    connection.sendall(with_length(encode_struct(value)))
+
+
+def _read(connection: socket.socket, into: type[HandshakeFrame]) -> HandshakeFrame:
+    return decode_struct(read_frame(connection, MAXIMUM_HANDSHAKE_FRAME_BYTES), into)
