--- a/features/steps/wire_steps.py
+++ b/features/steps/wire_steps.py
@@ -6,7 +6,7 @@
 from returns.pipeline import is_successful
 
 from bellweir.wire.interface import Message, WireErrorKind
-from features.support.wire_nodes import Question, QuestionAnswer, WireNode, start_wire_node
+from support.wire_nodes import Question, QuestionAnswer, WireNode, start_wire_node
 
 REQUEST_TIMEOUT_S = 20.0
 
@@ -34,10 +34,10 @@
 
 @given("wire nodes alpha and beta with one cluster key")
 def step_two_nodes(context):
-    key = Path(context.temporary_folder) / "cluster.key"
+    key = Path(context.folder) / "cluster.key"
     key.write_text("a cluster key for the tests")
     context.wire = {
-        name: start_wire_node(name, (key,), context.add_cleanup) for name in ("alpha", "beta")
+        name: start_wire_node(name, (key,), context.cleanup) for name in ("alpha", "beta")
     }
 
 
--- a/features/support/wire_nodes.py
+++ b/features/support/wire_nodes.py
@@ -1,6 +1,6 @@
 """Nodes that consist of a transport only."""
 
-from collections.abc import Callable
+from contextlib import ExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -50,9 +50,7 @@
         self.kernel.executors.stop()
 
 
-def start_wire_node(
-    name: str, keys: tuple[Path, ...], add_cleanup: Callable[[Callable[[], None]], None]
-) -> WireNode:
+def start_wire_node(name: str, keys: tuple[Path, ...], cleanup: ExitStack) -> WireNode:
     """Start a node; it is stopped at the end of the scenario."""
     kernel = Kernel(bind_listeners("127.0.0.1", 0, 0))
     settings = Settings(
@@ -61,5 +59,5 @@
     node = WireNode(kernel, TransportService(kernel, settings))
     node.transport.register(Question, node.answer)
     node.transport.start()
-    add_cleanup(node.stop)
+    cleanup.callback(node.stop)
     return node
