--- a/features/support/wire_nodes.py
+++ b/features/support/wire_nodes.py
@@ -25,13 +25,10 @@
 
     kernel: Kernel
     transport: TransportService
+    address: str
     senders: list[Sender] = field(default_factory=list)
     stopped: bool = False
 
-    @property
-    def address(self) -> str:
-        return self.kernel.listeners.peer_address if not self.stopped else self._last_address
-
     def accepted_connections(self) -> list[int]:
         """Identities of the connections that peers hold to this node."""
         return sorted(id(connection) for connection in self.transport._accepted)
@@ -43,7 +40,6 @@
     def stop(self) -> None:
         if self.stopped:
             return
-        self._last_address = self.kernel.listeners.peer_address
         self.stopped = True
         self.transport.stop()
         self.kernel.listeners.close()
@@ -56,7 +52,7 @@
     settings = Settings(
         node=NodeIdentity(name=name), trust=TrustSettings(cluster_key_files=keys)
     )
-    node = WireNode(kernel, TransportService(kernel, settings))
+    node = WireNode(kernel, TransportService(kernel, settings), kernel.listeners.peer_address)
     node.transport.register(Question, node.answer)
     node.transport.start()
     cleanup.callback(node.stop)
