--- a/features/support/wire_nodes.py
+++ b/features/support/wire_nodes.py
@@ -49,9 +49,7 @@
 def start_wire_node(name: str, keys: tuple[Path, ...], cleanup: ExitStack) -> WireNode:
     """Start a node; it is stopped at the end of the scenario."""
     kernel = Kernel(bind_listeners("127.0.0.1", 0, 0))
-    settings = Settings(
-        node=NodeIdentity(name=name), trust=TrustSettings(cluster_key_files=keys)
-    )
+    settings = Settings(node=NodeIdentity(name=name), trust=TrustSettings(cluster_key_files=keys))
     node = WireNode(kernel, TransportService(kernel, settings), kernel.listeners.peer_address)
     node.transport.register(Question, node.answer)
     node.transport.start()
