--- a/src/bellweir/settings/models.py
+++ b/src/bellweir/settings/models.py
@@ -120,6 +120,12 @@
 
     order_period_s: float = Field(default=0.5, gt=0)
     """Time between comparisons of orders with what engines hold, in seconds. Default 0.5."""
+    store_readers: int = Field(default=3, ge=1)
+    """Engines of a pool that read one version from the weight store at once. Default 3."""
+    fanout: int = Field(default=2, ge=1)
+    """Engines that fetch a version from the same engine at once. Default 2."""
+    permit_s: float = Field(default=30.0, gt=0)
+    """Time after which a swap that came to nothing counts as over, in seconds. Default 30."""
 
 
 class TrustSettings(Concern):
@@ -129,6 +135,13 @@
     """Files with cluster keys; the first signs, all are accepted. None means an open cluster."""
 
 
+class NetworkFaultSettings(Concern):
+    """Faults between nodes, for rehearsals only."""
+
+    file: Path | None = None
+    """JSON file of rules, read again when it changes; none, as in service, disturbs nothing."""
+
+
 class LogSettings(Concern):
     """Logs."""
 
@@ -151,4 +164,5 @@
     samples: SamplesSettings = Field(default_factory=SamplesSettings)
     weights: WeightsSettings = Field(default_factory=WeightsSettings)
     trust: TrustSettings = Field(default_factory=TrustSettings)
+    network_faults: NetworkFaultSettings = Field(default_factory=NetworkFaultSettings)
     log: LogSettings = Field(default_factory=LogSettings)
