--- a/src/bellweir/settings/models.py
+++ b/src/bellweir/settings/models.py
@@ -56,8 +56,11 @@
     """Time after which indirect probes begin, in seconds. Default 0.5."""
     indirect_probes: int = Field(default=3, ge=0)
     """Members asked to probe on this node's behalf. Default 3."""
-    suspicion_multiplier: float = Field(default=4.0, gt=0)
-    """A suspect is dead after this many probe periods times log10(members + 1). Default 4."""
+    suspicion_multiplier: float = Field(default=1.5, gt=0)
+    """A suspect is dead after this many probe periods times log10(members + 1), and not before
+    two probe periods. Default 1.5."""
+    exchange_period_s: float = Field(default=5.0, gt=0)
+    """Mean time between comparisons of member lists with a random peer, in seconds. Default 5."""
 
 
 class ConfigurationSettings(Concern):
