Report a handler that raised as without an answer

Cause: the transport cannot know what a handler had done before it raised, so calling the request refused claimed a proof that was not there. Change: a refusal says whether a handler had begun; the sender then reports NO_ANSWER. The scenario is stricter than before: it asks for NO_ANSWER.

--- a/features/wire.feature
+++ b/features/wire.feature
@@ -28,8 +28,8 @@
     Then that wire request fails as refused
     And wire node alpha still gets answers from beta over the same connection
 
-  Scenario: A handler that raises refuses the request and harms no other
+  Scenario: A handler that raises may have had an effect, and harms no other request
     Given wire nodes alpha and beta with one cluster key
     When wire node alpha sends beta a message whose handler raises
-    Then that wire request fails as refused
+    Then that wire request fails as without an answer
     And wire node alpha still gets answers from beta over the same connection
--- a/src/bellweir/wire/accepted_connection.py
+++ b/src/bellweir/wire/accepted_connection.py
@@ -135,34 +135,36 @@
         try:
             answer = handler(sender, message)
         except Exception as failure:
-            # One failing handler must not end the connection that other requests share.
+            # One failing handler must not end the connection that other requests share. What it
+            # had done before it failed is not known, so the refusal does not say "no effect".
             emit(
                 HANDLER_FAILED,
                 peer=sender.node,
                 message=type(message).__name__,
                 error=repr(failure),
             )
-            self._refuse(frame, f"the handler failed: {type(failure).__name__}")
+            self._refuse(frame, f"the handler failed: {type(failure).__name__}", handled=True)
             return
         if isinstance(frame, Request):
             self._answer(frame, message, answer)
 
     def _answer(self, frame: Request, message: Message, answer: Message | None) -> None:
         if answer is None:
-            self._refuse(frame, f"{type(message).__name__} has no answer")
+            self._refuse(frame, f"{type(message).__name__} has no answer", handled=True)
             return
         try:
             data = with_length(
                 encode_struct(Answer(frame.number, self._parts.codec.to_plain(answer)))
             )
         except FrameError as failure:
-            self._refuse(frame, str(failure))
+            self._refuse(frame, str(failure), handled=True)
             return
         self._queue.put(QueuedFrame(data))
 
-    def _refuse(self, frame: Request | OneWay, detail: str) -> None:
+    def _refuse(self, frame: Request | OneWay, detail: str, handled: bool = False) -> None:
         if isinstance(frame, Request):
-            self._queue.put(QueuedFrame(with_length(encode_struct(Refusal(frame.number, detail)))))
+            refusal = Refusal(frame.number, handled, detail)
+            self._queue.put(QueuedFrame(with_length(encode_struct(refusal))))
 
     def _write(self, sender: Sender, stopping: threading.Event) -> None:
         try:
--- a/src/bellweir/wire/frames.py
+++ b/src/bellweir/wire/frames.py
@@ -60,9 +60,11 @@
 
 
 class Refusal(Frame, frozen=True, array_like=True, tag="refusal"):
-    """The request of that number had no effect."""
+    """The request of that number has no answer."""
 
     number: int
+    handled: bool
+    """Whether a handler had begun: its effect is then unknown. Otherwise there was none."""
     detail: str
 
 
--- a/src/bellweir/wire/interface.py
+++ b/src/bellweir/wire/interface.py
@@ -36,9 +36,10 @@
     NOT_SENT = "not_sent"
     """No connection, or no byte written: the peer has not seen it."""
     NO_ANSWER = "no_answer"
-    """Sent, but the connection broke or the time ran out: the peer may have handled it."""
+    """Sent, but the connection broke, the time ran out or the handler raised: the peer may have
+    handled it."""
     REFUSED = "refused"
-    """The peer has no handler, is overloaded, or its handler failed before it had an effect."""
+    """The peer has no handler or is overloaded, and its refusal proves that nothing ran."""
 
 
 @dataclass(frozen=True)
--- a/src/bellweir/wire/peer_link.py
+++ b/src/bellweir/wire/peer_link.py
@@ -159,7 +159,8 @@
         if pending is None:
             return  # Its caller's time ran out before.
         if isinstance(frame, Refusal):
-            pending.resolve(Failure(WireError(WireErrorKind.REFUSED, frame.detail)))
+            kind = WireErrorKind.NO_ANSWER if frame.handled else WireErrorKind.REFUSED
+            pending.resolve(Failure(WireError(kind, frame.detail)))
             return
         try:
             answer = self._parts.codec.from_plain(frame.body)
