--- /dev/null
+++ b/src/bellweir/configuration/core.py
@@ -0,0 +1,276 @@
+"""Spreading of the configuration among nodes: push along a tree, and anti-entropy against gaps.
+
+A core needs a transport, a membership and a clock only, and runs as one task, so that many of
+them fit into one process. Cost for each node, with `f` the fan-out, `c` changes a second of `b`
+bytes, `p` the anti-entropy period and `d` the size of a digest:
+
+    sent bytes a second <= f * c * b + c * d + 2 * d / p
+
+A zone's reader sends `c * d` more to each reader it tells: the others of its region and one of
+each other region. Nothing grows with the number of nodes; a zone of `n` nodes is reached in
+`log(n) / log(f)` steps.
+"""
+
+import random
+import threading
+from dataclasses import dataclass
+
+from bellweir.configuration import placement
+from bellweir.configuration.catch_up import CatchUp
+from bellweir.configuration.interface import ConfigurationListener, ConfigurationSnapshot
+from bellweir.configuration.messages import (
+    NOT_LOADED,
+    ConfigurationAnnouncement,
+    ConfigurationDigest,
+    ConfigurationPull,
+    ConfigurationUpdate,
+    SnapshotChunk,
+    SnapshotPull,
+    TableName,
+)
+from bellweir.configuration.snapshots import SnapshotChunks
+from bellweir.configuration.state import ConfigurationState
+from bellweir.configuration.subscription import Subscription
+from bellweir.configuration.table import ApplyOutcome
+from bellweir.kernel.clock import Clock
+from bellweir.membership.interface import Member, Membership, MemberState
+from bellweir.settings.models import ConfigurationSettings
+from bellweir.wire.interface import Message, Sender, Transport
+
+UNLOADED_PERIOD_S = 0.2
+"""Time between two attempts to learn a first configuration from a peer, in seconds."""
+DIGEST_TIMEOUT_S = 1.0
+UPDATE_BYTES = 64 << 10
+"""Documents in one pushed update; a larger change is announced and pulled, in bytes."""
+LEARNING_GRACE_S = 0.05
+"""Time a reader gives its own watch to bring what another reader announced, in seconds."""
+
+
+@dataclass(frozen=True)
+class _Hint:
+    """A peer said to be further than this node."""
+
+    address: str
+    due_s: float
+
+
+class ConfigurationCore:
+    """One node's part in spreading the configuration."""
+
+    def __init__(
+        self,
+        transport: Transport,
+        membership: Membership,
+        clock: Clock,
+        settings: ConfigurationSettings,
+        random_source: random.Random | None = None,
+    ) -> None:
+        self._transport = transport
+        self._membership = membership
+        self._clock = clock
+        self._settings = settings
+        self._random = random_source or random.Random()
+        self._node = membership.self_member().node
+        self.state = ConfigurationState(self._node)
+        self._chunks = SnapshotChunks(self.state)
+        self._catch_up = CatchUp(transport, self.state)
+        self._wake = threading.Event()
+        self._lock = threading.Lock()
+        self._hint: _Hint | None = None
+        self._subscriptions: list[Subscription] = []
+        self._notified: ConfigurationSnapshot | None = None
+        self._forwarded = dict.fromkeys(TableName, NOT_LOADED)
+        self._next_exchange_s = 0.0
+
+    def register_handlers(self) -> None:
+        """Accept messages from peers; once, before the transport accepts any."""
+        self._transport.register(ConfigurationUpdate, self._on_update)
+        self._transport.register(ConfigurationAnnouncement, self._on_announcement)
+        self._transport.register(ConfigurationDigest, self._on_digest)
+        self._transport.register(ConfigurationPull, self._on_pull)
+        self._transport.register(SnapshotPull, self._on_snapshot_pull)
+        self.state.on_advance = self._wake.set
+        self._membership.subscribe(lambda _: self._wake.set())
+
+    def subscribe(self, listener: ConfigurationListener) -> None:
+        """Call `listener` on the core's task with each newest snapshot."""
+        subscription = Subscription(self._node, listener)
+        with self._lock:
+            self._subscriptions.append(subscription)
+            snapshot = self._notified
+        if snapshot is not None:
+            subscription.deliver(snapshot)
+
+    def run(self, stopping: threading.Event) -> None:
+        """The core's one task, until `stopping` is set and `wake` called."""
+        while not stopping.is_set():
+            delay_s = self.step()
+            self._clock.wait(self._wake, delay_s)
+            self._wake.clear()
+
+    def wake(self) -> None:
+        """Have the task look at once, such as at a stop."""
+        self._wake.set()
+
+    def step(self) -> float:
+        """Do all that is due; the seconds until the next step."""
+        self._forward_all()
+        self._notify()
+        self._follow_hint()
+        if self._clock.monotonic_s() >= self._next_exchange_s:
+            self._exchange_with_random_peer()
+            self._next_exchange_s = self._clock.monotonic_s() + self._exchange_period_s()
+        self._forward_all()
+        self._notify()
+        return self._delay_s()
+
+    def catch_up_with_peers(self) -> bool:
+        """Ask a few peers once; whether a configuration is loaded afterwards."""
+        others = self._others()
+        self._random.shuffle(others)
+        for peer in others[: self._settings.fanout]:
+            self._exchange_with(peer)
+        return self.state.loaded
+
+    # --- what is due -------------------------------------------------------------------------
+
+    def _exchange_period_s(self) -> float:
+        if not self.state.loaded:
+            return UNLOADED_PERIOD_S
+        return self._settings.anti_entropy_period_s * self._random.uniform(0.75, 1.25)
+
+    def _delay_s(self) -> float:
+        now_s = self._clock.monotonic_s()
+        due_s = self._next_exchange_s
+        with self._lock:
+            if self._hint is not None:
+                due_s = min(due_s, self._hint.due_s)
+        return max(0.0, due_s - now_s)
+
+    def _forward_all(self) -> None:
+        for table in TableName:
+            self._forward(table)
+
+    def _forward(self, table: TableName) -> None:
+        """Push what is new since the last time to this node's children in the tree."""
+        position = self.state.position(table)
+        after = self._forwarded[table]
+        if position.revision <= after:
+            return
+        self._forwarded[table] = position.revision
+        own = self._membership.self_member()
+        members = self._membership.members()
+        order = placement.zone_order(members, own.zone)
+        targets = placement.children(order, own.node, self._settings.fanout)
+        update = self.state.update_after(table, after)
+        message: Message = self._announcement()
+        if update is not None and _size(update) <= UPDATE_BYTES:
+            message = update
+        for target in targets:
+            self._transport.send(target.peer_address, message)
+        self._announce(own, members, order)
+
+    def _announce(
+        self, own: Member, members: tuple[Member, ...], order: tuple[Member, ...]
+    ) -> None:
+        """Tell other readers (as the zone's reader), and one node at random.
+
+        The random one makes news of a change reach a part of the tree that a dead node cut off
+        without waiting for the period of anti-entropy.
+        """
+        told = list(placement.readers_to_tell(members, own)) if order[:1] == (own,) else []
+        others = [member for member in order if member.node != own.node]
+        if others:
+            told.append(self._random.choice(others))
+        announcement = self._announcement()
+        for target in told:
+            self._transport.send(target.peer_address, announcement)
+
+    def _announcement(self) -> ConfigurationAnnouncement:
+        return ConfigurationAnnouncement(*self.state.positions())
+
+    def _notify(self) -> None:
+        snapshot = self.state.current()
+        if not self.state.loaded or snapshot is self._notified:
+            return
+        with self._lock:
+            self._notified = snapshot
+            subscriptions = tuple(self._subscriptions)
+        for subscription in subscriptions:
+            subscription.deliver(snapshot)
+
+    def _follow_hint(self) -> None:
+        with self._lock:
+            hint = self._hint
+            if hint is None or hint.due_s > self._clock.monotonic_s():
+                return
+            self._hint = None
+        self._exchange(hint.address)
+
+    def _exchange_with_random_peer(self) -> None:
+        others = self._others()
+        if others:
+            self._exchange_with(self._random.choice(others))
+
+    def _others(self) -> list[Member]:
+        states = (MemberState.ALIVE, MemberState.LEAVING)
+        return [
+            member
+            for member in self._membership.members()
+            if member.node != self._node and member.state in states
+        ]
+
+    def _exchange_with(self, peer: Member) -> None:
+        self._exchange(peer.peer_address)
+
+    def _exchange(self, address: str) -> None:
+        """Compare with one peer and pull what it has more; it does likewise by itself."""
+        digest = ConfigurationDigest(*self.state.positions())
+        answer = self._transport.request(address, digest, DIGEST_TIMEOUT_S).value_or(None)
+        if isinstance(answer, ConfigurationDigest):
+            self._catch_up.with_peer(address, TableName.RESOURCES, answer.resources)
+            self._catch_up.with_peer(address, TableName.MACHINES, answer.machines)
+
+    # --- messages from peers -----------------------------------------------------------------
+
+    def _on_update(self, sender: Sender, update: ConfigurationUpdate) -> None:
+        outcome = self.state.apply(update)
+        if outcome in (ApplyOutcome.GAP, ApplyOutcome.DIVERGED):
+            self._take_hint(sender.address, 0.0)
+
+    def _on_announcement(self, sender: Sender, announcement: ConfigurationAnnouncement) -> None:
+        if self._is_behind(announcement):
+            self._take_hint(sender.address, LEARNING_GRACE_S)
+
+    def _on_digest(self, sender: Sender, digest: ConfigurationDigest) -> Message:
+        if self._is_behind(digest):
+            self._take_hint(sender.address, 0.0)
+        return ConfigurationDigest(*self.state.positions())
+
+    def _on_pull(self, sender: Sender, pull: ConfigurationPull) -> Message:
+        update = None if pull.whole else self.state.update_after(pull.table, pull.after)
+        if update is not None and _size(update) <= UPDATE_BYTES:
+            return update
+        return self._chunks.first(pull.table)
+
+    def _on_snapshot_pull(self, sender: Sender, pull: SnapshotPull) -> SnapshotChunk:
+        return self._chunks.chunk(pull.table, pull.revision, pull.chunk)
+
+    def _is_behind(self, theirs: ConfigurationAnnouncement | ConfigurationDigest) -> bool:
+        resources, machines = self.state.positions()
+        return (
+            theirs.resources.revision > resources.revision
+            or theirs.machines.revision > machines.revision
+        )
+
+    def _take_hint(self, address: str, grace_s: float) -> None:
+        """Remember one peer to catch up with; the earliest counts, later ones add nothing."""
+        due_s = self._clock.monotonic_s() + grace_s
+        with self._lock:
+            if self._hint is None or self._hint.due_s > due_s:
+                self._hint = _Hint(address, due_s)
+        self._wake.set()
+
+
+def _size(update: ConfigurationUpdate) -> int:
+    return sum(len(change.document or b"") for change in update.changes)
--- /dev/null
+++ b/src/bellweir/configuration/snapshots.py
@@ -0,0 +1,66 @@
+"""Whole tables cut into chunks for peers that are too far behind for an update."""
+
+import threading
+from dataclasses import dataclass
+
+from bellweir.configuration.messages import Change, SnapshotChunk, TableName, TablePosition
+from bellweir.configuration.state import ConfigurationState
+
+CHUNK_BYTES = 64 << 10
+"""Documents in one chunk, in bytes; one larger document has a chunk of its own."""
+
+
+@dataclass(frozen=True)
+class _Cut:
+    position: TablePosition
+    chunks: tuple[tuple[Change, ...], ...]
+
+
+class SnapshotChunks:
+    """Serves chunks of the last snapshot that a peer began with.
+
+    A peer that asks for a chunk of another revision gets the first chunk of the newest one and
+    starts over: it never mixes two revisions.
+    """
+
+    def __init__(self, state: ConfigurationState) -> None:
+        self._state = state
+        self._lock = threading.Lock()
+        self._cuts: dict[TableName, _Cut] = {}
+
+    def first(self, table: TableName) -> SnapshotChunk:
+        """The first chunk of the table as it is now."""
+        position, entries = self._state.entries(table)
+        with self._lock:
+            cut = self._cuts.get(table)
+            if cut is None or cut.position != position:
+                cut = _Cut(position, _chunks_of(entries))
+                self._cuts[table] = cut
+        return _message(table, cut, 0)
+
+    def chunk(self, table: TableName, revision: int, index: int) -> SnapshotChunk:
+        """A further chunk; the first of the newest when the revision is no longer held."""
+        with self._lock:
+            cut = self._cuts.get(table)
+        if cut is None or cut.position.revision != revision or not 0 <= index < len(cut.chunks):
+            return self.first(table)
+        return _message(table, cut, index)
+
+
+def _message(table: TableName, cut: _Cut, index: int) -> SnapshotChunk:
+    return SnapshotChunk(table, cut.position, index, len(cut.chunks), cut.chunks[index])
+
+
+def _chunks_of(entries: tuple[Change, ...]) -> tuple[tuple[Change, ...], ...]:
+    chunks: list[tuple[Change, ...]] = []
+    chunk: list[Change] = []
+    size = 0
+    for entry in entries:
+        length = len(entry.document or b"")
+        if chunk and size + length > CHUNK_BYTES:
+            chunks.append(tuple(chunk))
+            chunk, size = [], 0
+        chunk.append(entry)
+        size += length
+    chunks.append(tuple(chunk))
+    return tuple(chunks)
--- /dev/null
+++ b/src/bellweir/resources/writer.py
@@ -0,0 +1,248 @@
+"""Compare-and-set writes to the platform's store whose outcome is known also after a lost answer.
+
+Each write carries an id, and each document the ids of its last writes. When an answer is lost,
+the document is read again:
+
+- it carries the id: the write took effect, also if another one followed it;
+- the version to be replaced is still there: the same write is sent again, which is safe, as only
+  one of the two can find that version;
+- it was replaced by writes whose ids reach back to the version that was to be replaced, and the
+  id is not among them: the write has not taken effect, and now never will;
+- otherwise nothing is proved, and the outcome is reported as unknown.
+"""
+
+import uuid
+from collections.abc import Mapping
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from bellweir.events.log import emit
+from bellweir.platform.interface import ErrorKind, ObjectStore, PlatformError, StoredObject
+from bellweir.resources.documents import MUTATIONS_ANNOTATION, conflict_findings
+from bellweir.resources.interface import ResourceError, ResourceErrorKind
+from bellweir.resources.log_events import WRITE_READ_BACK
+
+KEPT_MUTATIONS = 8
+"""Write ids kept in a document."""
+READ_BACK_ATTEMPTS = 4
+
+
+def mutations_of(document: Mapping[str, Any]) -> tuple[str, ...]:
+    """The ids of a document's last writes, newest first."""
+    annotations = document.get("metadata", {}).get("annotations", {})
+    return tuple(str(annotations.get(MUTATIONS_ANNOTATION, "")).split())
+
+
+def _with_mutation(
+    document: Mapping[str, Any], base: StoredObject | None, mutation: str
+) -> dict[str, Any]:
+    earlier = () if base is None else mutations_of(base.document)
+    ids = " ".join((mutation, *earlier)[:KEPT_MUTATIONS])
+    metadata = dict(document["metadata"])
+    metadata["annotations"] = {**metadata.get("annotations", {}), MUTATIONS_ANNOTATION: ids}
+    return {**document, "metadata": metadata}
+
+
+class CompareAndSetWriter:
+    """Writes and deletes objects of the store."""
+
+    def __init__(self, store: ObjectStore) -> None:
+        self._store = store
+
+    def put(
+        self, document: Mapping[str, Any], base: StoredObject | None
+    ) -> Result[StoredObject, ResourceError]:
+        """Write a document over `base`, or create it when there is none."""
+        mutation = uuid.uuid4().hex
+        written = _with_mutation(document, base, mutation)
+        expected = 0 if base is None else base.version
+        answer: Result[StoredObject, PlatformError] = self._store.put(written, expected, mutation)
+        lost = False
+        for _ in range(READ_BACK_ATTEMPTS):
+            match answer:
+                case Success(stored):
+                    return Success(stored)
+                case Failure(failure):
+                    pass
+            if failure.kind not in (ErrorKind.UNKNOWN, ErrorKind.CONFLICT, ErrorKind.NOT_FOUND):
+                # Nothing but a lost answer leaves the first attempt open.
+                return Failure(_unknown(failure) if lost else error_of(failure))
+            lost = lost or failure.kind is ErrorKind.UNKNOWN
+            verdict = self._read_back(written, base, mutation, lost=lost)
+            if verdict is not None:
+                self._log(written, mutation, verdict, lost=lost)
+                return verdict
+            answer = self._store.put(written, expected, mutation)
+        match answer:
+            case Success(stored):
+                return Success(stored)
+            case Failure(failure):
+                return Failure(_unknown(failure))
+        raise AssertionError("a result is a success or a failure")
+
+    def delete(self, base: StoredObject) -> Result[int, ResourceError]:
+        """Delete the version `base`; the success is the store's revision, or one before it."""
+        lost = False
+        for _ in range(READ_BACK_ATTEMPTS):
+            match self._store.delete(base.kind, base.name, base.version):
+                case Success(revision):
+                    return Success(revision)
+                case Failure(failure):
+                    pass
+            lost = lost or failure.kind is ErrorKind.UNKNOWN
+            if failure.kind is ErrorKind.NOT_FOUND and lost:
+                return Success(base.version + 1)
+            if failure.kind is ErrorKind.CONFLICT and lost:
+                return self._changed_or_unknown(base)
+            if failure.kind is ErrorKind.CONFLICT:
+                return Failure(self._conflict(base.document, base))
+            if failure.kind is not ErrorKind.UNKNOWN:
+                return Failure(_unknown(failure) if lost else error_of(failure))
+        return Failure(_unknown(failure))
+
+    def _read_back(
+        self,
+        written: Mapping[str, Any],
+        base: StoredObject | None,
+        mutation: str,
+        *,
+        lost: bool,
+    ) -> Result[StoredObject, ResourceError] | None:
+        """What became of a write; None when it may be sent again."""
+        kind, name = written["kind"], written["metadata"]["name"]
+        match self._store.get(kind, name):
+            case Success(current):
+                return self._judge(current, written, base, mutation, lost=lost)
+            case Failure(failure) if failure.kind is ErrorKind.NOT_FOUND:
+                return Failure(_absent(kind, name, base, lost=lost))
+            case Failure(failure):
+                if not lost:
+                    return Failure(
+                        ResourceError(
+                            ResourceErrorKind.CONFLICT, f"{kind} {name} was changed by another"
+                        )
+                    )
+                return Failure(_unknown(failure))
+        raise AssertionError("a result is a success or a failure")
+
+    def _judge(
+        self,
+        current: StoredObject,
+        written: Mapping[str, Any],
+        base: StoredObject | None,
+        mutation: str,
+        *,
+        lost: bool,
+    ) -> Result[StoredObject, ResourceError] | None:
+        ids = mutations_of(current.document)
+        if mutation in ids:
+            # Taken effect; when other writes followed, the caller gets what they made of it.
+            return Success(current)
+        if base is not None and current.version == base.version:
+            return None
+        if not lost or _reaches_back(ids, base):
+            return Failure(_conflict_error(current, written, base))
+        return Failure(
+            ResourceError(
+                ResourceErrorKind.UNKNOWN,
+                f"the answer was lost, and {current.kind} {current.name} has been written too "
+                "often since to tell whether the write took effect",
+            )
+        )
+
+    def _changed_or_unknown(self, base: StoredObject) -> Result[int, ResourceError]:
+        match self._store.get(base.kind, base.name):
+            case Success(current) if _reaches_back(mutations_of(current.document), base):
+                return Failure(_conflict_error(current, base.document, base))
+            case Failure(failure) if failure.kind is ErrorKind.NOT_FOUND:
+                return Success(base.version + 1)
+        detail = "the answer was lost, and the resource has been written again since"
+        return Failure(ResourceError(ResourceErrorKind.UNKNOWN, detail))
+
+    def _conflict(self, document: Mapping[str, Any], base: StoredObject) -> ResourceError:
+        match self._store.get(base.kind, base.name):
+            case Success(current):
+                return _conflict_error(current, document, base)
+        return ResourceError(
+            ResourceErrorKind.CONFLICT, f"{base.kind} {base.name} was changed by another"
+        )
+
+    def _log(
+        self,
+        written: Mapping[str, Any],
+        mutation: str,
+        verdict: Result[StoredObject, ResourceError],
+        *,
+        lost: bool,
+    ) -> None:
+        if not lost:
+            return
+        match verdict:
+            case Success(_):
+                said = "took effect"
+            case Failure(error):
+                said = error.kind.value
+        name = written["metadata"]["name"]
+        emit(WRITE_READ_BACK, kind=written["kind"], name=name, mutation=mutation, verdict=said)
+
+
+def _reaches_back(ids: tuple[str, ...], base: StoredObject | None) -> bool:
+    """Whether the ids cover every write since `base`: one of them wrote it.
+
+    Nothing covers a creation: it may have been deleted again before another one followed.
+    """
+    if base is None:
+        return False
+    wrote_base = mutations_of(base.document)[:1]
+    return bool(wrote_base) and wrote_base[0] in ids
+
+
+def _conflict_error(
+    current: StoredObject, written: Mapping[str, Any], base: StoredObject | None
+) -> ResourceError:
+    expected = "none" if base is None else str(base.version)
+    findings = conflict_findings(current.document, written)
+    changed = ", ".join(finding.path for finding in findings) or "status only"
+    return ResourceError(
+        ResourceErrorKind.CONFLICT,
+        f"{current.kind} {current.name} is at version {current.version}, the write was for "
+        f"{expected}; changed: {changed}",
+        findings,
+    )
+
+
+def _absent(kind: str, name: str, base: StoredObject | None, *, lost: bool) -> ResourceError:
+    """The error for a write whose object is not there.
+
+    A lost creation is not sent again: it may have taken effect and been deleted since, and a
+    second one would undo that deletion.
+    """
+    if lost:
+        detail = f"the answer was lost, and there is no {kind} {name} now; repeat if still wanted"
+        return ResourceError(ResourceErrorKind.UNKNOWN, detail)
+    if base is None:
+        return ResourceError(ResourceErrorKind.CONFLICT, f"{kind} {name} existed a moment ago")
+    return ResourceError(ResourceErrorKind.NOT_FOUND, f"{kind} {name} was deleted meanwhile")
+
+
+def _unknown(failure: PlatformError) -> ResourceError:
+    return ResourceError(
+        ResourceErrorKind.UNKNOWN,
+        f"the store's answer was lost and could not be read back: {failure.detail}",
+    )
+
+
+_KINDS_OF_ERROR = {
+    ErrorKind.CONFLICT: ResourceErrorKind.CONFLICT,
+    ErrorKind.NOT_FOUND: ResourceErrorKind.NOT_FOUND,
+    ErrorKind.COMPACTED: ResourceErrorKind.COMPACTED,
+    ErrorKind.INVALID: ResourceErrorKind.INVALID,
+    ErrorKind.UNKNOWN: ResourceErrorKind.UNKNOWN,
+}
+
+
+def error_of(failure: PlatformError) -> ResourceError:
+    """The resource error for a store call that surely had no effect."""
+    kind = _KINDS_OF_ERROR.get(failure.kind, ResourceErrorKind.UNAVAILABLE)
+    return ResourceError(kind, failure.detail)
--- a/src/bellweir/settings/models.py
+++ b/src/bellweir/settings/models.py
@@ -65,8 +65,10 @@
 
     fanout: int = Field(default=4, ge=1)
     """Peers that a node pushes a change to. Default 4."""
-    anti_entropy_period_s: float = Field(default=2.0, gt=0)
-    """Time between comparisons with a random peer, in seconds. Default 2."""
+    anti_entropy_period_s: float = Field(default=1.0, gt=0)
+    """Time between comparisons with a random peer, in seconds. Default 1."""
+    machine_list_period_s: float = Field(default=2.0, gt=0)
+    """Time between two readings of the platform's machine list, in seconds. Default 2."""
 
 
 class RoutingSettings(Concern):
