Prove configuration and resource writes against their oracles

State machines in behave steps: configuration nodes under drops, repeats, reordering, splits, lagging lists and compaction, against the store's own history; racing operators with lost answers and late requests, against a compare-and-set oracle.

--- /dev/null
+++ b/features/configuration.feature
@@ -0,0 +1,36 @@
+Feature: Configuration in force everywhere
+  Nodes learn each revision from their zone's reader and from each other, and never go back.
+
+  Scenario: Any mix of faults ends with the newest revision everywhere, and no node goes back
+    Given configuration nodes in 3 zones of 2 regions over a faulty network and store
+    Then no run of the configuration state machine breaks a promise
+
+  Scenario: A change reaches every node of a large zone by pushes alone
+    Given a configuration zone of 43 nodes
+    When the zone's reader reads a new revision and each pushed message arrives once
+    Then the revision is in force on all of the zone's nodes
+    And each configuration node sent at most its fan-out and one announcement
+
+  Scenario: A silent node in the push tree cuts nobody off
+    Given a configuration zone of 43 nodes
+    And a configuration node with children in the push tree is silent and suspected
+    When the zone's reader reads a new revision and each pushed message arrives once
+    Then the revision is in force on all of the zone's nodes
+
+  Scenario: A node started while the store is down learns from a peer
+    Given a configuration zone of 3 nodes with a revision in force
+    And the configuration's store is down
+    When a fresh configuration node joins the zone
+    Then the fresh configuration node has that revision in force
+
+  Scenario: A node with neither store nor peer has no configuration
+    Given a configuration zone of 1 nodes
+    And the configuration's store is down
+    When the configuration node reads and steps
+    Then the configuration node says that it has no configuration
+
+  Scenario: A large configuration reaches a fresh node in chunks
+    Given a configuration zone of 3 nodes with 3000 policies in force
+    When a fresh configuration node joins the zone
+    Then the fresh configuration node has that revision in force
+    And no configuration message was longer than 200000 bytes
--- /dev/null
+++ b/features/resources.feature
@@ -0,0 +1,74 @@
+Feature: Resources with compare-and-set writes
+  Operators write policies, weight versions, pools and comparisons; of two racing ones, one is
+  told of the conflict, and a lost answer is read back.
+
+  Scenario: Racing operators with lost answers against a compare-and-set oracle
+    Given a resource store whose answers are lost and whose requests come late
+    Then no run of the operators' state machine reports an outcome that is not true
+
+  Scenario: All faults of a document are found at once
+    Given a resource node
+    When the resource document below is created
+      """
+      apiVersion: bellweir.dev/v2
+      kind: Pool
+      metadata: {name: Upper}
+      spec:
+        kind: engine
+        strategie: round_robin
+        subsetSize: 0
+        workers: [{name: w, adress: "a:1", zone: z}]
+      """
+    Then the resource findings are
+      | path                    | found                   | allowed                    |
+      | apiVersion              | bellweir.dev/v2         | bellweir.dev/v1            |
+      | metadata.name           | Upper                   | pattern                    |
+      | spec.strategie          | unknown key 'strategie' | did you mean strategy?     |
+      | spec.subsetSize         | 0                       | greater than or equal to 1 |
+      | spec.workers[0].address | nothing                 | required                   |
+      | spec.workers[0].adress  | unknown key 'adress'    | did you mean address?      |
+    And the resource store holds nothing
+
+  Scenario: References are checked against the configuration in force
+    Given a resource node with policy "north"
+    When the resource document below is created
+      """
+      kind: Comparison
+      metadata: {name: test}
+      spec:
+        policy: north
+        arms:
+        - {name: old, policy: nort, share: 1}
+        - {name: new, policy: north, version: 7, share: 1}
+      """
+    Then the resource findings are
+      | path                 | found | allowed                       |
+      | spec.arms[0].policy  | nort  | did you mean north?           |
+      | spec.arms[1].version | 7     | a version of north            |
+
+  Scenario: Of two racing operators one gets a conflict that names what changed
+    Given a resource node with policy "north"
+    When two operators replace resource policy "north" from the same version
+    Then the first resource write succeeds with generation 2
+    And the second resource write is a conflict that names "spec.model"
+
+  Scenario: A policy that is in use is not deleted
+    Given a resource node with policy "north"
+    And a resource pool "pool" that serves "north"
+    When resource policy "north" is deleted
+    Then the resource deletion is refused as in use by "Pool/pool"
+    When resource pool "pool" and then policy "north" are deleted
+    Then the resource store holds nothing
+
+  Scenario: A dry run changes nothing and finds what a write would find
+    Given a resource node with policy "north"
+    When resource policy "north" is patched to model "new" as a dry run
+    Then the dry run shows resource model "new" and generation 2
+    And the resource store is at revision 1
+
+  Scenario: A status report is no change of the spec
+    Given a resource node with policy "north"
+    When resource conditions "Ready" and "InForce" are reported by two reporters
+    Then resource policy "north" has both conditions and generation 1
+    When the same resource condition "Ready" is reported again
+    Then the resource store is at revision 3
--- a/src/bellweir/configuration/catch_up.py
+++ b/src/bellweir/configuration/catch_up.py
@@ -4,9 +4,9 @@
 from bellweir.configuration.messages import (
     Change,
     ConfigurationPull,
+    ConfigurationSnapshotChunk,
+    ConfigurationSnapshotPull,
     ConfigurationUpdate,
-    SnapshotChunk,
-    SnapshotPull,
     TableName,
     TablePosition,
 )
@@ -46,10 +46,10 @@
             outcome = self._state.apply(answer)
             if outcome in (ApplyOutcome.GAP, ApplyOutcome.DIVERGED) and not whole:
                 self._pull(address, table, after, whole=True)
-        elif isinstance(answer, SnapshotChunk) and answer.table is table:
+        elif isinstance(answer, ConfigurationSnapshotChunk) and answer.table is table:
             self._read_snapshot(address, answer)
 
-    def _read_snapshot(self, address: str, first: SnapshotChunk) -> None:
+    def _read_snapshot(self, address: str, first: ConfigurationSnapshotChunk) -> None:
         """Read all chunks of one snapshot and take it over.
 
         The peer starts over with a newer first chunk when it no longer holds the old ones.
@@ -63,13 +63,17 @@
             if chunk.chunk + 1 >= chunk.chunks:
                 self._take_over(address, chunk, entries)
                 return
-            wanted = SnapshotPull(chunk.table, chunk.position.revision, chunk.chunk + 1)
+            wanted = ConfigurationSnapshotPull(
+                chunk.table, chunk.position.revision, chunk.chunk + 1
+            )
             answer = self._transport.request(address, wanted, PULL_TIMEOUT_S).value_or(None)
-            if not isinstance(answer, SnapshotChunk) or not _follows(chunk, answer):
+            if not isinstance(answer, ConfigurationSnapshotChunk) or not _follows(chunk, answer):
                 return
             chunk = answer
 
-    def _take_over(self, address: str, chunk: SnapshotChunk, entries: list[Change]) -> None:
+    def _take_over(
+        self, address: str, chunk: ConfigurationSnapshotChunk, entries: list[Change]
+    ) -> None:
         position = chunk.position
         if self._state.adopt(chunk.table, position.revision, entries, address):
             return
@@ -85,7 +89,7 @@
             self._state.repair(chunk.table, position.revision, entries)
 
 
-def _follows(before: SnapshotChunk, answer: SnapshotChunk) -> bool:
+def _follows(before: ConfigurationSnapshotChunk, answer: ConfigurationSnapshotChunk) -> bool:
     """Whether an answer is the next chunk of the same snapshot, or a new start."""
     if answer.table is not before.table:
         return False
--- a/src/bellweir/configuration/core.py
+++ b/src/bellweir/configuration/core.py
@@ -23,9 +23,9 @@
     ConfigurationAnnouncement,
     ConfigurationDigest,
     ConfigurationPull,
+    ConfigurationSnapshotChunk,
+    ConfigurationSnapshotPull,
     ConfigurationUpdate,
-    SnapshotChunk,
-    SnapshotPull,
     TableName,
 )
 from bellweir.configuration.snapshots import SnapshotChunks
@@ -88,7 +88,7 @@
         self._transport.register(ConfigurationAnnouncement, self._on_announcement)
         self._transport.register(ConfigurationDigest, self._on_digest)
         self._transport.register(ConfigurationPull, self._on_pull)
-        self._transport.register(SnapshotPull, self._on_snapshot_pull)
+        self._transport.register(ConfigurationSnapshotPull, self._on_snapshot_pull)
         self.state.on_advance = self._wake.set
         self._membership.subscribe(lambda _: self._wake.set())
 
@@ -253,7 +253,9 @@
             return update
         return self._chunks.first(pull.table)
 
-    def _on_snapshot_pull(self, sender: Sender, pull: SnapshotPull) -> SnapshotChunk:
+    def _on_snapshot_pull(
+        self, sender: Sender, pull: ConfigurationSnapshotPull
+    ) -> ConfigurationSnapshotChunk:
         return self._chunks.chunk(pull.table, pull.revision, pull.chunk)
 
     def _is_behind(self, theirs: ConfigurationAnnouncement | ConfigurationDigest) -> bool:
--- a/src/bellweir/configuration/messages.py
+++ b/src/bellweir/configuration/messages.py
@@ -74,7 +74,7 @@
     """Ask for a snapshot even where the changes are still kept."""
 
 
-class SnapshotPull(Message, frozen=True):
+class ConfigurationSnapshotPull(Message, frozen=True):
     """Request for a further chunk of a snapshot."""
 
     table: TableName
@@ -82,7 +82,7 @@
     chunk: int
 
 
-class SnapshotChunk(Message, frozen=True):
+class ConfigurationSnapshotChunk(Message, frozen=True):
     """A part of a whole table as of one revision."""
 
     table: TableName
--- a/src/bellweir/configuration/reader.py
+++ b/src/bellweir/configuration/reader.py
@@ -59,28 +59,32 @@
         self._is_reader = is_reader
         self._retry_s = RETRY_SHORTEST_S
         self._reported_unavailable = False
+        self._listed = state.loaded
+        """A configuration learnt from peers is as good a start for a watch as a list."""
 
     def run(self, stopping: threading.Event) -> None:
         """Read until `stopping` is set or this node is no longer the reader."""
         emit(READER_STARTED, node=self._node, zone=self._zone)
-        listed = self._state.loaded
         while self._goes_on(stopping):
-            if not listed:
-                listed = self._list()
-                if not listed:
-                    self._pause(stopping)
-                continue
-            failure = self._watch(stopping)
-            if failure is None:
-                continue
-            listed = failure.kind is not ErrorKind.COMPACTED
-            if listed:
-                self._report_unavailable(failure)
+            if not self.read_once(stopping):
                 self._pause(stopping)
-            else:
-                emit(STORE_COMPACTED, node=self._node, revision=self._revision())
         emit(READER_STOPPED, node=self._node, zone=self._zone)
 
+    def read_once(self, stopping: threading.Event) -> bool:
+        """List, when there is nothing to go on from, or follow one watch; whether it worked."""
+        if not self._listed:
+            self._listed = self._list()
+            return self._listed
+        failure = self._watch(stopping)
+        if failure is None:
+            return True
+        if failure.kind is ErrorKind.COMPACTED:
+            self._listed = False
+            emit(STORE_COMPACTED, node=self._node, revision=self._revision())
+            return True
+        self._report_unavailable(failure)
+        return False
+
     def _goes_on(self, stopping: threading.Event) -> bool:
         return not stopping.is_set() and self._is_reader()
 
--- a/src/bellweir/configuration/snapshots.py
+++ b/src/bellweir/configuration/snapshots.py
@@ -3,7 +3,12 @@
 import threading
 from dataclasses import dataclass
 
-from bellweir.configuration.messages import Change, SnapshotChunk, TableName, TablePosition
+from bellweir.configuration.messages import (
+    Change,
+    ConfigurationSnapshotChunk,
+    TableName,
+    TablePosition,
+)
 from bellweir.configuration.state import ConfigurationState
 
 CHUNK_BYTES = 64 << 10
@@ -28,7 +33,7 @@
         self._lock = threading.Lock()
         self._cuts: dict[TableName, _Cut] = {}
 
-    def first(self, table: TableName) -> SnapshotChunk:
+    def first(self, table: TableName) -> ConfigurationSnapshotChunk:
         """The first chunk of the table as it is now."""
         position, entries = self._state.entries(table)
         with self._lock:
@@ -38,7 +43,7 @@
                 self._cuts[table] = cut
         return _message(table, cut, 0)
 
-    def chunk(self, table: TableName, revision: int, index: int) -> SnapshotChunk:
+    def chunk(self, table: TableName, revision: int, index: int) -> ConfigurationSnapshotChunk:
         """A further chunk; the first of the newest when the revision is no longer held."""
         with self._lock:
             cut = self._cuts.get(table)
@@ -47,8 +52,10 @@
         return _message(table, cut, index)
 
 
-def _message(table: TableName, cut: _Cut, index: int) -> SnapshotChunk:
-    return SnapshotChunk(table, cut.position, index, len(cut.chunks), cut.chunks[index])
+def _message(table: TableName, cut: _Cut, index: int) -> ConfigurationSnapshotChunk:
+    return ConfigurationSnapshotChunk(
+        table, cut.position, index, len(cut.chunks), cut.chunks[index]
+    )
 
 
 def _chunks_of(entries: tuple[Change, ...]) -> tuple[tuple[Change, ...], ...]:
--- a/src/bellweir/resources/preparation.py
+++ b/src/bellweir/resources/preparation.py
@@ -105,12 +105,12 @@
         before = type(resource.spec).model_validate(base.document.get("spec", {}))
     except ValueError:
         return False
-    return before == resource.spec
+    return bool(before == resource.spec)
 
 
 def _labels_differ(base: StoredObject, stored: Mapping[str, Any]) -> bool:
-    before = base.document.get("metadata", {})
-    after = stored["metadata"]
-    return before.get("labels", {}) != after.get("labels", {}) or _public(
-        before.get("annotations", {})
-    ) != after.get("annotations", {})
+    before: Mapping[str, Any] = base.document.get("metadata", {})
+    after: Mapping[str, Any] = stored["metadata"]
+    if before.get("labels", {}) != after.get("labels", {}):
+        return True
+    return bool(_public(before.get("annotations", {})) != after.get("annotations", {}))
--- a/src/bellweir/resources/service.py
+++ b/src/bellweir/resources/service.py
@@ -169,7 +169,9 @@
         """Merge into a resource's status; nothing is written when that changes nothing."""
 
         def attempt(base: StoredObject) -> Result[ResourceDocument, ResourceError]:
-            merged = merged_status(base.document.get("status", {}), status)
+            merged = merged_status(
+                base.document.get("status", {}), status, self._kernel.clock.wall_s()
+            )
             if merged == base.document.get("status", {}):
                 return Success(_stored(base))
             written = {**base.document, "status": merged}
