--- /dev/null
+++ b/src/bellweir/routing/admission.py
@@ -0,0 +1,168 @@
+"""Admission of one class of requests to one pool: concurrency, a short fair queue, deadlines."""
+
+import threading
+from dataclasses import dataclass, field
+from enum import Enum
+
+from returns.result import Failure, Result, Success
+
+from bellweir.kernel.clock import Clock
+from bellweir.resources.models import ClassLimits, RequestClass
+from bellweir.routing.fair_queue import FairQueue
+from bellweir.routing.interface import Refusal, RefusalReason, RunState
+
+HOLD_TIME_WEIGHT = 0.1
+"""Weight of the newest request in the mean hold time."""
+SHORTEST_RETRY_AFTER_S = 0.1
+LONGEST_RETRY_AFTER_S = 30.0
+
+DEFAULT_CLASS_LIMITS = {
+    RequestClass.INTERACTIVE: ClassLimits(),
+    RequestClass.LOOKUP: ClassLimits(),
+    RequestClass.ONCE: ClassLimits(),
+    RequestClass.DRAFT: ClassLimits(concurrency=128, queue=8, timeout_s=600.0),
+}
+"""Limits of classes that a pool's spec does not name. Drafts hardly queue here: training steps
+keep their own queue, and a draft that waits must not hold a request thread."""
+
+
+class _Verdict(Enum):
+    WAITING = "waiting"
+    GRANTED = "granted"
+    DISPLACED = "displaced"
+    GIVEN_UP = "given_up"
+
+
+@dataclass(eq=False)
+class _Waiter:
+    deadline_s: float
+    verdict: _Verdict = _Verdict.WAITING
+    decided: threading.Event = field(default_factory=threading.Event)
+
+
+class Permit:
+    """The right to run one request; release it exactly when the request has ended."""
+
+    def __init__(self, gate: "ClassGate", granted_s: float) -> None:
+        self._gate = gate
+        self._granted_s = granted_s
+        self._released = False
+        self._lock = threading.Lock()
+
+    def release(self) -> None:
+        """Give the place to the next request; releasing twice is no error."""
+        with self._lock:
+            if self._released:
+                return
+            self._released = True
+        self._gate.leave(self._granted_s)
+
+
+class ClassGate:
+    """Admits requests of one class. A waiting request holds nothing but its queue place."""
+
+    def __init__(self, limits: ClassLimits, clock: Clock) -> None:
+        self._limits = limits
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._running = 0
+        self._queue: FairQueue[_Waiter] = FairQueue()
+        self._mean_hold_s = 0.0
+
+    def reconfigure(self, limits: ClassLimits) -> None:
+        """Take over changed limits; requests already admitted or queued keep their places."""
+        with self._lock:
+            self._limits = limits
+            self._grant(self._clock.monotonic_s())
+
+    @property
+    def timeout_s(self) -> float:
+        """Time allowed to a request that brings no deadline."""
+        return self._limits.timeout_s
+
+    @property
+    def running(self) -> int:
+        """Requests admitted and not ended."""
+        return self._running
+
+    @property
+    def queued(self) -> int:
+        """Requests waiting."""
+        return len(self._queue)
+
+    def concurrency(self) -> int:
+        """Requests that may run at once."""
+        return self._limits.concurrency
+
+    def enter(self, caller: str, deadline_s: float) -> Result[Permit, Refusal]:
+        """Wait for a place until the deadline, or refuse at once what cannot be served."""
+        now_s = self._clock.monotonic_s()
+        if deadline_s <= now_s:
+            return Failure(_refusal(RefusalReason.DEADLINE, "the deadline has passed", None))
+        with self._lock:
+            if self._running < self.concurrency() and not len(self._queue):
+                self._running += 1
+                return Success(Permit(self, now_s))
+            refusal = self._make_room(caller, deadline_s - now_s)
+            if refusal is not None:
+                return Failure(refusal)
+            waiter = _Waiter(deadline_s)
+            self._queue.push(caller, waiter)
+        self._clock.wait(waiter.decided, deadline_s - now_s)
+        return self._conclude(caller, waiter)
+
+    def leave(self, granted_s: float) -> None:
+        """End an admitted request; called by its permit."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            self._running -= 1
+            held_s = now_s - granted_s
+            self._mean_hold_s += HOLD_TIME_WEIGHT * (held_s - self._mean_hold_s)
+            self._grant(now_s)
+
+    def _make_room(self, caller: str, left_s: float) -> Refusal | None:
+        expected_s = self._expected_wait_s(len(self._queue) + 1)
+        if expected_s > left_s:
+            detail = f"about {expected_s:.2f} s of queueing, but {left_s:.2f} s to the deadline"
+            return _refusal(RefusalReason.DEADLINE, detail, expected_s)
+        if len(self._queue) < self._limits.queue:
+            return None
+        displaced = self._queue.displace_for(caller)
+        if displaced is None:
+            return _refusal(RefusalReason.OVERLOADED, "the queue is full", expected_s)
+        displaced.verdict = _Verdict.DISPLACED
+        displaced.decided.set()
+        return None
+
+    def _expected_wait_s(self, position: int) -> float:
+        return position * self._mean_hold_s / self.concurrency()
+
+    def _grant(self, now_s: float) -> None:
+        while self._running < self.concurrency():
+            waiter = self._queue.pop()
+            if waiter is None:
+                return
+            if waiter.deadline_s <= now_s:
+                waiter.verdict = _Verdict.GIVEN_UP
+            else:
+                waiter.verdict = _Verdict.GRANTED
+                self._running += 1
+            waiter.decided.set()
+
+    def _conclude(self, caller: str, waiter: _Waiter) -> Result[Permit, Refusal]:
+        with self._lock:
+            # A grant can race with the end of the wait: the verdict under the lock counts.
+            if waiter.verdict is _Verdict.GRANTED:
+                return Success(Permit(self, self._clock.monotonic_s()))
+            self._queue.remove(caller, waiter)
+            expected_s = self._expected_wait_s(len(self._queue) + 1)
+        if waiter.verdict is _Verdict.DISPLACED:
+            detail = "another caller's turn: this one has most places in the queue"
+            return Failure(_refusal(RefusalReason.OVERLOADED, detail, expected_s))
+        return Failure(_refusal(RefusalReason.DEADLINE, "the deadline passed in the queue", None))
+
+
+def _refusal(reason: RefusalReason, detail: str, retry_after_s: float | None) -> Refusal:
+    if retry_after_s is not None:
+        retry_after_s = min(LONGEST_RETRY_AFTER_S, max(SHORTEST_RETRY_AFTER_S, retry_after_s))
+    return Refusal(reason, RunState.NOT_RUN, detail, retry_after_s)
--- /dev/null
+++ b/src/bellweir/routing/attempts.py
@@ -0,0 +1,129 @@
+"""Attempts of one request: bookkeeping on the back end, and the decision to try again."""
+
+import secrets
+import threading
+
+from bellweir.kernel.clock import Clock
+from bellweir.platform.interface import ErrorKind, PlatformError
+from bellweir.routing.backend import Backend
+from bellweir.routing.interface import Refusal, RefusalReason, RunState
+from bellweir.routing.retry_budget import RetryBudget, backoff_s
+
+MAXIMUM_ATTEMPTS = 3
+RETRY_AFTER_S = 1.0
+"""When to come back after a refusal that a probe or a closed circuit may mend."""
+
+UNHEALTHY_KINDS = frozenset({ErrorKind.NOT_RUN, ErrorKind.UNKNOWN})
+FINAL_KINDS = frozenset({ErrorKind.INVALID, ErrorKind.NOT_FOUND})
+"""Errors that another back end would answer with as well."""
+
+
+def new_attempt_id(request_id: str) -> str:
+    """A fresh id, unique for each attempt."""
+    return f"{request_id}/{secrets.token_hex(6)}"
+
+
+class AttemptHold:
+    """An attempt's place on its back end; ended once, from any thread."""
+
+    def __init__(self, backend: Backend, clock: Clock) -> None:
+        self.backend = backend
+        self._clock = clock
+        self._ended = False
+        self._lock = threading.Lock()
+        backend.start_request(clock.monotonic_s())
+
+    def succeed(self) -> None:
+        """End it; the back end has proved healthy."""
+        self._end(healthy=True)
+
+    def abandon(self) -> None:
+        """End it without a word on the back end's health."""
+        self._end(healthy=None)
+
+    def fail(self, error: PlatformError) -> None:
+        """End it after an error of the back end."""
+        if error.kind is ErrorKind.LEAVING:
+            self.backend.mark_leaving("refusal")
+        if error.kind is ErrorKind.NOT_RUN:
+            self.backend.mark_unreachable(self._clock.monotonic_s())
+        self._end(healthy=False if error.kind in UNHEALTHY_KINDS else None, detail=error.detail)
+
+    def _end(self, healthy: bool | None, detail: str = "") -> None:
+        with self._lock:
+            if self._ended:
+                return
+            self._ended = True
+        self.backend.finish_request(self._clock.monotonic_s(), healthy, detail)
+
+
+class RequestAttempts:
+    """What has been tried for one request, and whether it may be tried again."""
+
+    def __init__(self, budget: RetryBudget, clock: Clock, deadline_s: float) -> None:
+        self._budget = budget
+        self._clock = clock
+        self._deadline_s = deadline_s
+        self._failed = 0
+        self._last_error: PlatformError | None = None
+        self.tried: set[str] = set()
+        self.proved_not_run = True
+        self._made_progress = False
+
+    def note_failure(self, backend: Backend, error: PlatformError) -> None:
+        """Note a failed attempt."""
+        self._failed += 1
+        self._last_error = error
+        self.tried.add(backend.name)
+        self.proved_not_run = self.proved_not_run and error.proves_not_run
+
+    def note_progress(self, backend: Backend) -> None:
+        """Note that the failed attempt had brought the request forward: it counts no more."""
+        self._failed = 0
+        self._made_progress = True
+        self.tried = {backend.name}
+
+    def may_retry(self, *, repeatable: bool) -> bool:
+        """Whether another attempt is allowed; takes it from the budget and waits a little.
+
+        A refusal because the back end leaves costs no budget: each back end says it once.
+        An attempt that made progress costs none either: going on repeats no work.
+        """
+        error = self._last_error
+        if error is None or error.kind in FINAL_KINDS:
+            return False
+        if not error.proves_not_run and not repeatable:
+            return False
+        if self._failed == 0 or error.kind is ErrorKind.LEAVING:
+            return not self._past_deadline()
+        if self._failed >= MAXIMUM_ATTEMPTS or not self._budget.withdraw(self._now_s()):
+            return False
+        self._clock.wait(threading.Event(), backoff_s(self._failed))
+        return not self._past_deadline()
+
+    def refusal(self) -> Refusal:
+        """The final answer after the last failed attempt, or when there was none to make."""
+        state = self._run_state()
+        error = self._last_error
+        if self._past_deadline():
+            return Refusal(RefusalReason.DEADLINE, state, "the deadline has passed")
+        if error is None:
+            detail = "no ready back end serves this request"
+            return Refusal(RefusalReason.NO_BACKEND, state, detail, RETRY_AFTER_S)
+        retry_after_s = error.retry_after_s or RETRY_AFTER_S
+        if error.kind in FINAL_KINDS:
+            return Refusal(RefusalReason.INVALID, state, error.detail)
+        if error.kind is ErrorKind.OVERLOADED:
+            return Refusal(RefusalReason.OVERLOADED, state, error.detail, retry_after_s)
+        return Refusal(RefusalReason.BACKEND_FAILED, state, error.detail, retry_after_s)
+
+    def _run_state(self) -> RunState:
+        if self._made_progress:
+            return RunState.RAN
+        return RunState.NOT_RUN if self.proved_not_run else RunState.UNKNOWN
+
+    def _now_s(self) -> float:
+        return self._clock.monotonic_s()
+
+    def _past_deadline(self) -> bool:
+        return self._now_s() >= self._deadline_s
--- /dev/null
+++ b/src/bellweir/routing/backend.py
@@ -0,0 +1,165 @@
+"""What a node knows of one back end: its last report, own requests in flight, its circuit."""
+
+import threading
+from bisect import bisect_right
+from collections import deque
+from dataclasses import dataclass, replace
+
+from bellweir.events.log import emit
+from bellweir.routing.circuit import Circuit
+from bellweir.routing.interface import BackendView
+from bellweir.routing.log_events import BACKEND_LEAVING, CIRCUIT_CLOSED, CIRCUIT_OPENED
+from bellweir.routing.pool_workers import PoolWorker
+
+HISTORY_ENTRIES = 256
+
+
+@dataclass(frozen=True)
+class BackendReport:
+    """A back end's state as probed at `made_s` on this node's monotonic clock."""
+
+    ready: bool
+    leaving: bool
+    load: int
+    """Requests running and waiting on it."""
+    made_s: float
+    weight_version: int | None = None
+    model: str | None = None
+    maximum_batch: int = 0
+    """Requests an engine runs at once; 0 when not known."""
+
+
+class Backend:
+    """One back end of the node's subset; thread-safe, nothing blocks under its lock."""
+
+    def __init__(self, worker: PoolWorker, distance: int, circuit: Circuit) -> None:
+        self.name = worker.name
+        self.address = worker.address
+        self.distance = distance
+        self._worker = worker
+        self._circuit = circuit
+        self._lock = threading.Lock()
+        self._report: BackendReport | None = None
+        self._in_flight = 0
+        self._in_flight_at_report = 0
+        self._history: deque[tuple[float, int]] = deque(maxlen=HISTORY_ENTRIES)
+        self._leaving_said = False
+
+    @property
+    def worker(self) -> PoolWorker:
+        """The back end as configured."""
+        return self._worker
+
+    @property
+    def report(self) -> BackendReport | None:
+        """The newest report; None before the first."""
+        return self._report
+
+    @property
+    def in_flight(self) -> int:
+        """Requests of this node on it."""
+        return self._in_flight
+
+    @property
+    def leaving(self) -> bool:
+        """Whether anyone has said that it leaves: operator, machine list or itself."""
+        report = self._report
+        reported = report is not None and report.leaving
+        return self._worker.leaving or self._leaving_said or reported
+
+    def reconfigure(self, worker: PoolWorker) -> None:
+        """Take over a changed configuration of the same worker at the same address."""
+        if worker.leaving and not self.leaving:
+            emit(BACKEND_LEAVING, worker=self.name, source="configuration")
+        self._worker = worker
+
+    def usable(self, now_s: float) -> bool:
+        """Whether it is ready, not leaving, and its circuit permits a request."""
+        report = self._report
+        if report is None or not report.ready or self.leaving:
+            return False
+        return self._circuit.permits(now_s)
+
+    def load(self) -> int:
+        """Requests on it: the report, corrected by what this node started and ended since."""
+        report = self._report
+        if report is None:
+            return self._in_flight
+        corrected = report.load + self._in_flight - self._in_flight_at_report
+        return max(corrected, self._in_flight)
+
+    def take_report(self, report: BackendReport) -> bool:
+        """Take a report unless a newer one is held; return whether it was taken."""
+        with self._lock:
+            held = self._report
+            if held is not None and report.made_s <= held.made_s:
+                return False
+            if report.leaving and not self.leaving:
+                emit(BACKEND_LEAVING, worker=self.name, source="report")
+            if not report.leaving:
+                self._leaving_said = False
+            self._in_flight_at_report = self._in_flight_at(report.made_s)
+            self._report = report
+            return True
+
+    def mark_unreachable(self, now_s: float) -> None:
+        """Note a failed probe or connection: not ready until a later report says otherwise."""
+        with self._lock:
+            held = self._report
+            if held is None:
+                self._report = BackendReport(ready=False, leaving=False, load=0, made_s=now_s)
+            elif held.made_s <= now_s:
+                self._report = replace(held, ready=False, made_s=now_s)
+
+    def mark_leaving(self, source: str) -> None:
+        """Note that the back end itself has said that it leaves."""
+        if not self.leaving:
+            emit(BACKEND_LEAVING, worker=self.name, source=source)
+        self._leaving_said = True
+
+    def start_request(self, now_s: float) -> None:
+        """Count a request that is about to be sent."""
+        with self._lock:
+            self._in_flight += 1
+            self._history.append((now_s, self._in_flight))
+            self._circuit.on_start(now_s)
+
+    def finish_request(self, now_s: float, healthy: bool | None, detail: str = "") -> None:
+        """Count the end of a request; `healthy` None tells nothing of the back end's health."""
+        opened = closed = False
+        with self._lock:
+            self._in_flight -= 1
+            self._history.append((now_s, self._in_flight))
+            if healthy is None:
+                self._circuit.on_abandoned()
+            elif healthy:
+                closed = self._circuit.on_success()
+            else:
+                opened = self._circuit.on_failure(now_s)
+        if opened:
+            emit(CIRCUIT_OPENED, worker=self.name, detail=detail)
+        if closed:
+            emit(CIRCUIT_CLOSED, worker=self.name)
+
+    def view(self, now_s: float) -> BackendView:
+        """The view that status and metrics show."""
+        report = self._report
+        return BackendView(
+            worker=self.name,
+            address=self.address,
+            pool=self._worker.pool,
+            zone=self._worker.zone,
+            ready=report is not None and report.ready,
+            leaving=self.leaving,
+            weight_version=report.weight_version if report else None,
+            outstanding_here=self._in_flight,
+            reported_load=report.load if report else 0,
+            age_s=now_s - report.made_s if report else float("inf"),
+        )
+
+    def _in_flight_at(self, time_s: float) -> int:
+        """Own requests in flight at an earlier time, from the history."""
+        position = bisect_right(self._history, (time_s, 1 << 62))
+        if position:
+            return self._history[position - 1][1]
+        return 0 if len(self._history) < HISTORY_ENTRIES else self._in_flight
--- /dev/null
+++ b/src/bellweir/routing/forwarding.py
@@ -0,0 +1,191 @@
+"""Forwards application requests: choice of worker, attempts, and the body of the answer."""
+
+from collections.abc import Callable
+from posixpath import normpath
+from urllib.parse import unquote
+
+from returns.result import Failure, Result, Success
+
+from bellweir.kernel.clock import Clock
+from bellweir.platform.interface import (
+    ApplicationAnswer,
+    ApplicationCall,
+    ErrorKind,
+    IncompleteBodyError,
+    PlatformClients,
+    PlatformError,
+)
+from bellweir.resources.models import Pool, RequestClass
+from bellweir.routing.answers import (
+    BUFFERED_ANSWER_BYTES,
+    HeldBody,
+    declared_length,
+    read_whole,
+    with_body,
+)
+from bellweir.routing.attempts import AttemptHold, RequestAttempts, new_attempt_id
+from bellweir.routing.backend import Backend
+from bellweir.routing.counters import DispatchCounters
+from bellweir.routing.interface import ApplicationRequest, Refusal
+from bellweir.routing.pool_runtime import PoolRuntime, PoolRuntimes
+from bellweir.routing.request_body import RequestBody
+from bellweir.routing.views_service import BackendViewsService
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"})
+"""RFC 9110, section 9.2.2."""
+UNSAFE_METHODS = frozenset({"POST", "PUT", "PATCH", "DELETE"})
+
+
+def class_of(request: ApplicationRequest, pool: Pool) -> RequestClass:
+    """The class a request is served in: the pool's `oncePaths` go before the caller's word."""
+    if request.method.upper() in UNSAFE_METHODS and _under(request.path, pool.spec.once_paths):
+        return RequestClass.ONCE
+    return request.request_class
+
+
+def is_repeatable(request: ApplicationRequest, kind: RequestClass, pool: Pool) -> bool:
+    """Whether running it twice does no harm.
+
+    An interactive POST is repeated only when the operator has said by `oncePaths` which paths
+    of this pool must not be.
+    """
+    if kind is RequestClass.ONCE:
+        return False
+    if kind in (RequestClass.LOOKUP, RequestClass.DRAFT):
+        return True
+    return request.method.upper() in IDEMPOTENT_METHODS or bool(pool.spec.once_paths)
+
+
+def _under(path: str, prefixes: tuple[str, ...]) -> bool:
+    """Whether a path lies under one of the prefixes, by whole segments.
+
+    Compared in decoded and normalized form, so that no spelling of a path escapes the rule.
+    """
+    plain = normpath("/" + unquote(path.partition("?")[0]).lstrip("/"))
+    for prefix in prefixes:
+        bare = "/" + prefix.strip("/")
+        if bare == "/" or plain == bare or plain.startswith(bare + "/"):
+            return True
+    return False
+
+
+class Forwarder:
+    """Makes the attempts of application requests."""
+
+    def __init__(
+        self,
+        views: BackendViewsService,
+        runtimes: PoolRuntimes,
+        clients: PlatformClients,
+        clock: Clock,
+        counters: DispatchCounters,
+    ) -> None:
+        self._views = views
+        self._runtimes = runtimes
+        self._clients = clients
+        self._clock = clock
+        self._counters = counters
+
+    def forward(
+        self,
+        request: ApplicationRequest,
+        body: RequestBody,
+        runtime: PoolRuntime,
+        deadline_s: float,
+        *,
+        repeatable: bool,
+        before_send: Callable[[], bool] = lambda: True,
+    ) -> Result[ApplicationAnswer, Refusal]:
+        """Try until an answer comes or no further attempt is allowed.
+
+        `before_send` is asked before each attempt and may forbid it; the refusal then says not
+        run if that is true of all attempts before.
+        """
+        attempts = RequestAttempts(runtime.budget, self._clock, deadline_s)
+        while True:
+            backend = self._choose(runtime, attempts.tried)
+            if backend is None or not before_send():
+                return Failure(attempts.refusal())
+            match self._attempt(request, body, backend, deadline_s):
+                case Success(answer):
+                    runtime.budget.on_success(self._clock.monotonic_s())
+                    return Success(answer)
+                case Failure(error):
+                    attempts.note_failure(backend, error)
+            if not body.replayable or not attempts.may_retry(repeatable=repeatable):
+                return Failure(attempts.refusal())
+
+    def _choose(self, runtime: PoolRuntime, tried: set[str]) -> Backend | None:
+        found = self._views.pools().get(runtime.pool.metadata.name)
+        if found is None:
+            return None
+        now_s = self._clock.monotonic_s()
+        usable = [
+            backend
+            for backend in found.backends
+            if backend.name not in tried and backend.usable(now_s)
+        ]
+        return runtime.strategy.choose(usable, None) if usable else None
+
+    def _attempt(
+        self,
+        request: ApplicationRequest,
+        body: RequestBody,
+        backend: Backend,
+        deadline_s: float,
+    ) -> Result[ApplicationAnswer, PlatformError]:
+        call = ApplicationCall(
+            attempt_id=new_attempt_id(request.request_id),
+            method=request.method,
+            path=request.path,
+            headers=request.headers,
+            body=body.open(),
+            body_length=body.length,
+            timeout_s=max(0.001, deadline_s - self._clock.monotonic_s()),
+        )
+        hold = AttemptHold(backend, self._clock)
+        self._counters.count_attempt()
+        try:
+            sent = self._clients.application(backend.address).send(call)
+        except BaseException:
+            hold.abandon()
+            raise
+        match sent:
+            case Success(answer):
+                return self._take_answer(answer, hold)
+            case Failure(error):
+                hold.fail(error)
+        return sent
+
+    def _take_answer(
+        self, answer: ApplicationAnswer, hold: AttemptHold
+    ) -> Result[ApplicationAnswer, PlatformError]:
+        if answer.leaving:
+            hold.backend.mark_leaving("answer")
+        length = declared_length(answer)
+        if length is None or length > BUFFERED_ANSWER_BYTES:
+            return Success(with_body(answer, HeldBody(answer.body, _ender(hold))))
+        match read_whole(answer, BUFFERED_ANSWER_BYTES):
+            case Success(None):
+                error = PlatformError(ErrorKind.UNKNOWN, "the answer is longer than it declared")
+                hold.fail(error)
+                return Failure(error)
+            case Success(whole):
+                hold.succeed()
+                return Success(with_body(answer, iter((whole,) if whole else ())))
+            case Failure(error):
+                hold.fail(error)
+                return Failure(error)
+        raise AssertionError("a result is a success or a failure")
+
+
+def _ender(hold: AttemptHold) -> Callable[[BaseException | None], None]:
+    def end(failure: BaseException | None) -> None:
+        if failure is None:
+            hold.succeed()
+        elif isinstance(failure, IncompleteBodyError):
+            hold.fail(PlatformError(ErrorKind.UNKNOWN, str(failure)))
+        else:
+            hold.abandon()
+
+    return end
--- /dev/null
+++ b/src/bellweir/routing/generation.py
@@ -0,0 +1,183 @@
+"""A running generation: one gapless stream over as many engine attempts as it takes."""
+
+import threading
+from collections.abc import Callable, Iterator
+
+from returns.result import Failure, Result, Success
+
+from bellweir.events.log import emit
+from bellweir.kernel.clock import Clock
+from bellweir.platform.interface import ErrorKind, FinishReason, PlatformError, TokenChunk
+from bellweir.routing.attempts import RequestAttempts
+from bellweir.routing.counters import CANCELLED, COMPLETED
+from bellweir.routing.generation_attempt import (
+    GenerationRoute,
+    GenerationStarter,
+    RunningAttempt,
+)
+from bellweir.routing.interface import (
+    Generation,
+    GenerationChunk,
+    GenerationRequest,
+    Refusal,
+    RefusalReason,
+    RunState,
+)
+from bellweir.routing.log_events import GENERATION_RESUMED
+
+CUT = PlatformError(ErrorKind.UNKNOWN, "the stream ended without an end marker")
+
+
+class RoutedGeneration(Generation):
+    """Chunks of one request; a cut stream goes on elsewhere from the tokens had.
+
+    Each attempt has its own stream and only the current attempt's stream is read, so late
+    frames of an abandoned attempt never reach the caller.
+    """
+
+    def __init__(
+        self,
+        request: GenerationRequest,
+        route: GenerationRoute,
+        starter: GenerationStarter,
+        attempts: RequestAttempts,
+        first: RunningAttempt,
+        deadline_s: float,
+        clock: Clock,
+        on_end: Callable[[str], None],
+    ) -> None:
+        self._request = request
+        self._route = route
+        self._starter = starter
+        self._attempts = attempts
+        self._attempt = first
+        self._deadline_s = deadline_s
+        self._clock = clock
+        self._on_end = on_end
+        self._had: tuple[int, ...] = ()
+        self._last_version = 0
+        self._lock = threading.Lock()
+        self._ended = False
+        self._cancelled = False
+
+    def __iter__(self) -> Iterator[Result[GenerationChunk, Refusal]]:
+        """Yield chunks to the finish reason, or end with one refusal."""
+        outcome = CANCELLED
+        try:
+            for item in self._items():
+                match item:
+                    case Success(chunk) if chunk.finish_reason is not None:
+                        outcome = COMPLETED
+                    case Failure(refusal):
+                        outcome = refusal.reason.value
+                yield item
+        finally:
+            self._end(outcome)
+
+    def cancel(self) -> None:
+        """Drop the running attempt and give back what the request holds."""
+        with self._lock:
+            self._cancelled = True
+            attempt = self._attempt
+        self._end(CANCELLED)
+        self._starter.cancel(attempt)
+
+    def _items(self) -> Iterator[Result[GenerationChunk, Refusal]]:
+        while True:
+            attempt = self._attempt
+            progress = len(self._had)
+            error = CUT
+            for item in attempt.stream:
+                if self._cancelled:
+                    return
+                match item:
+                    case Success(chunk):
+                        if chunk.finish_reason is FinishReason.CANCELLED:
+                            break  # not asked for here: the engine gave the request up
+                        yield Success(self._accept(chunk, attempt))
+                        if chunk.finish_reason is not None:
+                            attempt.hold.succeed()
+                            return
+                        if self._past_deadline():
+                            yield Failure(self._give_up(attempt))
+                            return
+                    case Failure(found):
+                        error = found
+                        break
+            if self._cancelled:
+                return
+            attempt.hold.fail(error)
+            attempt.stream.close()
+            self._attempts.note_failure(attempt.hold.backend, error)
+            if len(self._had) > progress:
+                self._attempts.note_progress(attempt.hold.backend)
+            if len(self._request.prefix_tokens) + len(self._had) >= self._request.max_tokens:
+                yield Success(self._closing_chunk(attempt))
+                return
+            refusal = self._resume()
+            if refusal is not None:
+                yield Failure(refusal)
+                return
+
+    def _accept(self, chunk: TokenChunk, attempt: RunningAttempt) -> GenerationChunk:
+        self._had += chunk.tokens
+        self._last_version = chunk.weight_version
+        return GenerationChunk(
+            tokens=chunk.tokens,
+            text=chunk.text,
+            weight_version=chunk.weight_version,
+            worker=attempt.hold.backend.name,
+            finish_reason=chunk.finish_reason,
+        )
+
+    def _closing_chunk(self, attempt: RunningAttempt) -> GenerationChunk:
+        """End an answer that had all its tokens when only the end marker was lost."""
+        return GenerationChunk(
+            (), "", self._last_version, attempt.hold.backend.name, FinishReason.LENGTH
+        )
+
+    def _resume(self) -> Refusal | None:
+        """Start the next attempt; a refusal when there is none to make."""
+        while self._attempts.may_retry(repeatable=True):
+            started = self._starter.start(
+                self._request, self._route, self._had, self._deadline_s, self._attempts
+            )
+            match started:
+                case Success(attempt):
+                    self._adopt(attempt)
+                    return None
+                case Failure(None):
+                    break
+        return self._attempts.refusal()
+
+    def _adopt(self, attempt: RunningAttempt) -> None:
+        with self._lock:
+            self._attempt = attempt
+            cancelled = self._cancelled
+        if cancelled:
+            # `cancel` ran between the old attempt's end and here and saw the old one only.
+            self._starter.cancel(attempt)
+            return
+        emit(
+            GENERATION_RESUMED,
+            request=self._request.request_id,
+            worker=attempt.hold.backend.name,
+            tokens=len(self._had),
+        )
+
+    def _give_up(self, attempt: RunningAttempt) -> Refusal:
+        self._starter.cancel(attempt)
+        return Refusal(RefusalReason.DEADLINE, RunState.RAN, "the deadline passed while it ran")
+
+    def _past_deadline(self) -> bool:
+        return self._clock.monotonic_s() >= self._deadline_s
+
+    def _end(self, outcome: str) -> None:
+        with self._lock:
+            if self._ended:
+                return
+            self._ended = True
+            attempt = self._attempt
+        if outcome == CANCELLED:
+            self._starter.cancel(attempt)
+        self._on_end(outcome)
--- /dev/null
+++ b/src/bellweir/routing/generation_attempt.py
@@ -0,0 +1,167 @@
+"""One attempt of a generation: which engine, the call, and its stream."""
+
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+
+from bellweir.kernel.clock import Clock
+from bellweir.kernel.executors import Executors, ExecutorSaturatedError, WorkKind
+from bellweir.platform.interface import (
+    Engine,
+    EngineStream,
+    GenerationCall,
+    PlatformClients,
+    PlatformError,
+)
+from bellweir.resources.models import Pool, RequestClass
+from bellweir.routing.attempts import AttemptHold, RequestAttempts, new_attempt_id
+from bellweir.routing.backend import Backend
+from bellweir.routing.counters import DispatchCounters
+from bellweir.routing.interface import GenerationRequest
+from bellweir.routing.pool_runtime import PoolRuntimes
+from bellweir.routing.views_service import BackendViewsService
+
+ENGINE_PRIORITY = {
+    RequestClass.INTERACTIVE: 0,
+    RequestClass.LOOKUP: 0,
+    RequestClass.ONCE: 0,
+    RequestClass.DRAFT: 10,
+}
+
+
+@dataclass(frozen=True)
+class GenerationRoute:
+    """What a request's policy, after its comparison, asks of an engine."""
+
+    policy: str
+    model: str
+    minimum_version: int | None
+    exact_version: int | None
+
+
+@dataclass(frozen=True)
+class RunningAttempt:
+    """An attempt that an engine has accepted."""
+
+    attempt_id: str
+    engine: Engine
+    stream: EngineStream
+    hold: AttemptHold
+
+
+class GenerationStarter:
+    """Chooses engines and starts attempts on them."""
+
+    def __init__(
+        self,
+        views: BackendViewsService,
+        runtimes: PoolRuntimes,
+        clients: PlatformClients,
+        executors: Executors,
+        clock: Clock,
+        counters: DispatchCounters,
+    ) -> None:
+        self._views = views
+        self._runtimes = runtimes
+        self._clients = clients
+        self._executors = executors
+        self._clock = clock
+        self._counters = counters
+
+    def pools_of(self, policy: str) -> list[Pool]:
+        """The pools whose engines serve a policy, by name."""
+        found = self._views.pools()
+        return [
+            found[name].pool for name in sorted(found) if policy in found[name].pool.spec.policies
+        ]
+
+    def start(
+        self,
+        request: GenerationRequest,
+        route: GenerationRoute,
+        had: tuple[int, ...],
+        deadline_s: float,
+        attempts: RequestAttempts,
+    ) -> Result[RunningAttempt, PlatformError | None]:
+        """Start one attempt after the tokens had; the failure is None when no engine fits."""
+        backend = self._choose(request, route, attempts.tried)
+        if backend is None:
+            return Failure(None)
+        engine = self._clients.engine(backend.address)
+        call = self._call(request, route, had, deadline_s)
+        hold = AttemptHold(backend, self._clock)
+        self._counters.count_attempt()
+        try:
+            started = engine.generate(call)
+        except BaseException:
+            hold.abandon()
+            raise
+        match started:
+            case Success(stream):
+                return Success(RunningAttempt(call.attempt_id, engine, stream, hold))
+            case Failure(error):
+                hold.fail(error)
+                attempts.note_failure(backend, error)
+                return Failure(error)
+        raise AssertionError("a result is a success or a failure")
+
+    def cancel(self, attempt: RunningAttempt) -> None:
+        """Drop an attempt: its connection at once, its work on the engine by a call aside."""
+        attempt.hold.abandon()
+        attempt.stream.close()
+        try:
+            self._executors.submit(WorkKind.BACKGROUND, attempt.engine.cancel, attempt.attempt_id)
+        except (ExecutorSaturatedError, RuntimeError):
+            # The closed connection tells the engine as well; the call only makes it sooner.
+            return
+
+    def _choose(
+        self, request: GenerationRequest, route: GenerationRoute, tried: set[str]
+    ) -> Backend | None:
+        now_s = self._clock.monotonic_s()
+        pools = self._views.pools()
+        for pool in self.pools_of(route.policy):
+            usable = [
+                backend
+                for backend in pools[pool.metadata.name].backends
+                if backend.name not in tried and backend.usable(now_s) and serves(backend, route)
+            ]
+            preferred = [found for found in usable if found.name not in request.avoid_workers]
+            if usable:
+                strategy = self._runtimes.of(pool).strategy
+                return strategy.choose(preferred or usable, request.prompt)
+        return None
+
+    def _call(
+        self,
+        request: GenerationRequest,
+        route: GenerationRoute,
+        had: tuple[int, ...],
+        deadline_s: float,
+    ) -> GenerationCall:
+        return GenerationCall(
+            attempt_id=new_attempt_id(request.request_id),
+            request_id=request.request_id,
+            prompt=request.prompt,
+            prefix_tokens=request.prefix_tokens + had,
+            max_tokens=request.max_tokens,
+            priority=ENGINE_PRIORITY[request.request_class],
+            model=route.model,
+            minimum_version=route.minimum_version,
+            deadline_s=max(0.0, deadline_s - self._clock.monotonic_s()),
+            stop=request.stop,
+            temperature=request.temperature,
+            seed=request.seed,
+        )
+
+
+def serves(backend: Backend, route: GenerationRoute) -> bool:
+    """Whether an engine holds the model in an admissible version."""
+    report = backend.report
+    if report is None or report.weight_version is None:
+        return False
+    if report.model is not None and report.model != route.model:
+        return False
+    if route.exact_version is not None and report.weight_version != route.exact_version:
+        return False
+    return route.minimum_version is None or report.weight_version >= route.minimum_version
--- /dev/null
+++ b/src/bellweir/routing/pool_runtime.py
@@ -0,0 +1,57 @@
+"""What the dispatcher keeps for each pool besides its back ends: strategy, gates, budget."""
+
+import threading
+
+from bellweir.kernel.clock import Clock
+from bellweir.resources.models import ClassLimits, Pool, RequestClass
+from bellweir.routing.admission import DEFAULT_CLASS_LIMITS, ClassGate
+from bellweir.routing.retry_budget import RetryBudget
+from bellweir.routing.strategies import make_strategy
+
+
+class PoolRuntime:
+    """Strategy, class gates and retry budget of one pool."""
+
+    def __init__(self, pool: Pool, clock: Clock) -> None:
+        self.pool = pool
+        self.strategy = make_strategy(pool.spec.strategy)
+        self.budget = RetryBudget(pool.spec.retry_budget, clock.monotonic_s())
+        self.gates = {kind: ClassGate(limits_of(pool, kind), clock) for kind in RequestClass}
+
+    def reconfigure(self, pool: Pool) -> None:
+        """Take over a changed spec; requests in hand keep their places."""
+        if pool.spec.strategy != self.pool.spec.strategy:
+            self.strategy = make_strategy(pool.spec.strategy)
+        self.budget.ratio = pool.spec.retry_budget
+        for kind, gate in self.gates.items():
+            gate.reconfigure(limits_of(pool, kind))
+        self.pool = pool
+
+
+class PoolRuntimes:
+    """The runtimes of all pools, made at first use."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._runtimes: dict[str, PoolRuntime] = {}
+
+    def of(self, pool: Pool) -> PoolRuntime:
+        """The runtime of a pool, in line with the given spec."""
+        name = pool.metadata.name
+        runtime = self._runtimes.get(name)
+        if runtime is not None and runtime.pool is pool:
+            return runtime
+        with self._lock:
+            runtime = self._runtimes.get(name)
+            if runtime is None:
+                runtime = PoolRuntime(pool, self._clock)
+                self._runtimes[name] = runtime
+            elif runtime.pool is not pool:
+                runtime.reconfigure(pool)
+            return runtime
+
+
+def limits_of(pool: Pool, kind: RequestClass) -> ClassLimits:
+    """The pool's limits of a class, or the default ones."""
+    return pool.spec.limits.get(kind, DEFAULT_CLASS_LIMITS[kind])
--- /dev/null
+++ b/src/bellweir/routing/pool_table.py
@@ -0,0 +1,70 @@
+"""The back ends of each pool that this node routes over, kept in line with the configuration."""
+
+import threading
+from dataclasses import dataclass
+
+from bellweir.configuration.interface import ConfigurationSnapshot
+from bellweir.resources.models import Pool
+from bellweir.routing.backend import Backend
+from bellweir.routing.circuit import Circuit
+from bellweir.routing.pool_workers import Location, PoolWorker, subset_of, workers_of
+from bellweir.settings.models import RoutingSettings
+
+
+@dataclass(frozen=True)
+class PoolBackends:
+    """One pool's spec and the back ends of the node's subset."""
+
+    pool: Pool
+    backends: tuple[Backend, ...]
+
+
+class PoolTable:
+    """Immutable lists of back ends by pool, replaced as a whole at each change."""
+
+    def __init__(self, location: Location, settings: RoutingSettings) -> None:
+        self._location = location
+        self._settings = settings
+        self._lock = threading.Lock()
+        self._pools: dict[str, PoolBackends] = {}
+
+    def pools(self) -> dict[str, PoolBackends]:
+        """The pools as of the last change; not to be modified."""
+        return self._pools
+
+    def apply(self, snapshot: ConfigurationSnapshot) -> None:
+        """Take over a snapshot; back ends that stay keep what is known of them."""
+        with self._lock:
+            held = self._pools
+            self._pools = {
+                name: PoolBackends(pool, self._backends_of(pool, snapshot, held.get(name)))
+                for name, pool in snapshot.pools.items()
+            }
+
+    def _backends_of(
+        self, pool: Pool, snapshot: ConfigurationSnapshot, held: PoolBackends | None
+    ) -> tuple[Backend, ...]:
+        workers = workers_of(pool, snapshot.machines)
+        known = {backend.name: backend for backend in held.backends} if held else {}
+        by_name = {worker.name: worker for worker in workers}
+        chosen = list(subset_of(workers, self._location, pool.spec.subset_size))
+        chosen += self._leaving_with_work(by_name, known, {worker.name for worker in chosen})
+        return tuple(self._backend(worker, known.get(worker.name)) for worker in chosen)
+
+    def _leaving_with_work(
+        self, by_name: dict[str, PoolWorker], known: dict[str, Backend], chosen: set[str]
+    ) -> list[PoolWorker]:
+        """Back ends that left the subset but still have requests of this node in hand."""
+        return [
+            by_name.get(name, backend.worker)
+            for name, backend in known.items()
+            if name not in chosen and backend.in_flight > 0
+        ]
+
+    def _backend(self, worker: PoolWorker, known: Backend | None) -> Backend:
+        if known is not None and known.address == worker.address:
+            known.reconfigure(worker)
+            return known
+        circuit = Circuit(self._settings.circuit_failures, self._settings.circuit_open_s)
+        distance = self._location.distance(worker.zone, worker.region)
+        return Backend(worker, distance, circuit)
--- /dev/null
+++ b/src/bellweir/routing/request_body.py
@@ -0,0 +1,92 @@
+"""A request body that knows whether it can be sent again."""
+
+import io
+from typing import BinaryIO, cast
+
+READ_SIZE_BYTES = 64 * 1024
+
+
+class BodyTooLongError(ValueError):
+    """The body is longer than the bound it was read with."""
+
+
+class BodyTruncatedError(ValueError):
+    """The body ended before its declared length."""
+
+
+class _CountingReader(io.RawIOBase):
+    """Passes reads on and notes that there was one; it never closes its source."""
+
+    def __init__(self, source: BinaryIO) -> None:
+        self._source = source
+        self.touched = False
+
+    def readable(self) -> bool:
+        return True
+
+    def readinto(self, buffer: "memoryview | bytearray") -> int:  # type: ignore[override]
+        self.touched = True
+        data = self._source.read(len(buffer))
+        buffer[: len(data)] = data
+        return len(data)
+
+
+class RequestBody:
+    """The body of one request over all its attempts.
+
+    Bytes and seekable files can be sent again, anything else only while nothing was read.
+    """
+
+    def __init__(self, source: BinaryIO | bytes, length: int | None) -> None:
+        self._source = source
+        self.length = length
+        self._reader: _CountingReader | None = None
+        self._start: int | None = None
+        if not isinstance(source, bytes) and source.seekable():
+            self._start = source.tell()
+
+    @property
+    def replayable(self) -> bool:
+        """Whether another attempt would send the same bytes."""
+        if isinstance(self._source, bytes) or self._start is not None:
+            return True
+        return self._reader is None or not self._reader.touched
+
+    def open(self) -> BinaryIO | bytes:
+        """The body for one attempt, from its first byte; only while `replayable`."""
+        source = self._source
+        if isinstance(source, bytes):
+            return source
+        if self._start is not None:
+            source.seek(self._start)
+        self._reader = _CountingReader(source)
+        return cast(BinaryIO, self._reader)
+
+    def read_whole(self, limit_bytes: int) -> bytes:
+        """Read the whole body; from then on it is held as bytes.
+
+        Raises `BodyTooLongError` above the limit and `BodyTruncatedError` when it is short.
+        """
+        if isinstance(self._source, bytes):
+            whole = self._source
+        else:
+            whole = _read_up_to(self._source, limit_bytes, self.length)
+        if len(whole) > limit_bytes:
+            raise BodyTooLongError(f"longer than {limit_bytes} bytes")
+        if self.length is not None and len(whole) < self.length:
+            raise BodyTruncatedError(f"{len(whole)} of {self.length} bytes")
+        self._source = whole
+        self.length = len(whole)
+        return whole
+
+
+def _read_up_to(source: BinaryIO, limit_bytes: int, length: int | None) -> bytes:
+    wanted = limit_bytes + 1 if length is None else min(length, limit_bytes + 1)
+    parts: list[bytes] = []
+    while wanted > 0:
+        part = source.read(min(wanted, READ_SIZE_BYTES))
+        if not part:
+            break
+        parts.append(part)
+        wanted -= len(part)
+    return b"".join(parts)
--- /dev/null
+++ b/src/bellweir/routing/service.py
@@ -0,0 +1,280 @@
+"""Service `dispatcher`: admits requests and serves them on back ends."""
+
+import threading
+from dataclasses import dataclass
+from typing import TypeVar
+
+from returns.result import Failure, Result, Success
+
+from bellweir.configuration.interface import Configuration, ConfigurationSnapshot
+from bellweir.kernel import names
+from bellweir.kernel.node import Kernel
+from bellweir.kernel.service import Service
+from bellweir.ledger.interface import Claims
+from bellweir.platform.interface import ApplicationAnswer, PlatformClients
+from bellweir.resources.models import BackendKind, RequestClass
+from bellweir.routing.admission import Permit
+from bellweir.routing.answers import HeldBody, with_body
+from bellweir.routing.attempts import RETRY_AFTER_S, RequestAttempts
+from bellweir.routing.comparisons import arm_for, comparison_of
+from bellweir.routing.counters import COMPLETED, DispatchCounters
+from bellweir.routing.forwarding import Forwarder, class_of, is_repeatable
+from bellweir.routing.generation import RoutedGeneration
+from bellweir.routing.generation_attempt import GenerationRoute, GenerationStarter
+from bellweir.routing.interface import (
+    ApplicationRequest,
+    Dispatcher,
+    DispatchStatistics,
+    Generation,
+    GenerationRequest,
+    Refusal,
+    RefusalReason,
+    RunState,
+)
+from bellweir.routing.once import OnceRequests
+from bellweir.routing.pool_runtime import PoolRuntime, PoolRuntimes
+from bellweir.routing.request_body import RequestBody
+from bellweir.routing.views_service import BackendViewsService
+from bellweir.settings.models import Settings
+
+_Served = TypeVar("_Served")
+
+
+@dataclass(frozen=True)
+class _Admission:
+    """An admitted request: its place and its deadline."""
+
+    permit: Permit
+    deadline_s: float
+
+
+class DispatcherService(Service, Dispatcher):
+    """Admission, choice of back end, attempts and outcomes of all requests of a node."""
+
+    name = names.DISPATCHER
+    dependencies = (names.PLATFORM, names.CONFIGURATION, names.BACKEND_VIEWS)
+
+    def __init__(self, kernel: Kernel, settings: Settings) -> None:
+        self._kernel = kernel
+        self._clock = kernel.clock
+        self._counters = DispatchCounters()
+        self._runtimes = PoolRuntimes(kernel.clock)
+        self._draining = False
+        self._in_hand = 0
+        self._in_hand_changed = threading.Condition()
+
+    def start(self) -> None:
+        """Find the other services."""
+        registry = self._kernel.registry
+        clients = registry.find(names.PLATFORM, PlatformClients)  # type: ignore[type-abstract]
+        self._configuration = registry.find(names.CONFIGURATION, Configuration)  # type: ignore[type-abstract]
+        views = registry.find(names.BACKEND_VIEWS, BackendViewsService)
+        self._starter = GenerationStarter(
+            views, self._runtimes, clients, self._kernel.executors, self._clock, self._counters
+        )
+        self._forwarder = Forwarder(views, self._runtimes, clients, self._clock, self._counters)
+        self._once = OnceRequests(self._find_claims, self._kernel.executors, self._clock)
+
+    def drain(self, deadline_s: float) -> None:
+        """Refuse new requests and wait for those in hand."""
+        self._draining = True
+        with self._in_hand_changed:
+            self._in_hand_changed.wait_for(lambda: self._in_hand == 0, deadline_s)
+
+    def stop(self) -> None:
+        """Refuse new requests."""
+        self._draining = True
+
+    def statistics(self) -> DispatchStatistics:
+        """Counters since the start."""
+        return self._counters.read()
+
+    def generate(self, request: GenerationRequest) -> Result[Generation, Refusal]:
+        """Admit a generation and start its first attempt; a refusal is final and immediate."""
+        return self._counted(self._generate(request))
+
+    def forward(self, request: ApplicationRequest) -> Result[ApplicationAnswer, Refusal]:
+        """Forward to an application worker: limits, claim (class once), retries."""
+        return self._counted(self._forward(request))
+
+    def _counted(self, outcome: Result[_Served, Refusal]) -> Result[_Served, Refusal]:
+        self._counters.count_request()
+        if isinstance(outcome, Failure):
+            self._counters.count_refusal(outcome.failure())
+        return outcome
+
+    # --- generations --------------------------------------------------------------------------
+
+    def _generate(self, request: GenerationRequest) -> Result[Generation, Refusal]:
+        match self._route(request, self._configuration.current()):
+            case Failure(refusal):
+                return Failure(refusal)
+            case Success(route):
+                pass
+        pools = self._starter.pools_of(route.policy)
+        if not pools:
+            detail = f"no pool serves policy {route.policy!r}"
+            return Failure(_refused(RefusalReason.NO_BACKEND, detail, RETRY_AFTER_S))
+        runtime = self._runtimes.of(pools[0])
+        admitted = self._admit(
+            runtime, request.request_class, request.caller, request.deadline_monotonic_s
+        )
+        match admitted:
+            case Failure(refusal):
+                return Failure(refusal)
+            case Success(admission):
+                return self._start_generation(request, route, runtime, admission)
+        raise AssertionError("a result is a success or a failure")
+
+    def _route(
+        self, request: GenerationRequest, snapshot: ConfigurationSnapshot
+    ) -> Result[GenerationRoute, Refusal]:
+        policy_name, exact_version = request.policy, None
+        comparison = comparison_of(request.policy, snapshot.comparisons.values())
+        if comparison is not None:
+            arm = arm_for(comparison, request.unit or request.caller)
+            policy_name, exact_version = arm.policy, arm.version
+        policy = snapshot.policies.get(policy_name)
+        if policy is None:
+            detail = f"no policy named {policy_name!r}"
+            return Failure(_refused(RefusalReason.NO_SUCH_POLICY, detail, None))
+        return Success(
+            GenerationRoute(policy_name, policy.spec.model, request.minimum_version, exact_version)
+        )
+
+    def _start_generation(
+        self,
+        request: GenerationRequest,
+        route: GenerationRoute,
+        runtime: PoolRuntime,
+        admission: _Admission,
+    ) -> Result[Generation, Refusal]:
+        attempts = RequestAttempts(runtime.budget, self._clock, admission.deadline_s)
+        try:
+            while True:
+                started = self._starter.start(request, route, (), admission.deadline_s, attempts)
+                match started:
+                    case Success(first):
+                        break
+                    case Failure(None):
+                        return self._give_up(admission, attempts.refusal())
+                if not attempts.may_retry(repeatable=True):
+                    return self._give_up(admission, attempts.refusal())
+        except BaseException:
+            self._end(admission)
+            raise
+
+        def on_end(outcome: str) -> None:
+            self._counters.count_outcome(outcome)
+            if outcome == COMPLETED:
+                runtime.budget.on_success(self._clock.monotonic_s())
+            self._end(admission)
+
+        return Success(
+            RoutedGeneration(
+                request,
+                route,
+                self._starter,
+                attempts,
+                first,
+                admission.deadline_s,
+                self._clock,
+                on_end,
+            )
+        )
+
+    # --- applications -------------------------------------------------------------------------
+
+    def _forward(self, request: ApplicationRequest) -> Result[ApplicationAnswer, Refusal]:
+        pool = self._configuration.current().pools.get(request.pool)
+        if pool is None or pool.spec.kind is not BackendKind.APPLICATION:
+            detail = f"no application pool named {request.pool!r}"
+            return Failure(_refused(RefusalReason.NO_SUCH_POOL, detail, None))
+        runtime = self._runtimes.of(pool)
+        kind = class_of(request, pool)
+        admitted = self._admit(runtime, kind, request.caller, request.deadline_monotonic_s)
+        match admitted:
+            case Failure(refusal):
+                return Failure(refusal)
+            case Success(admission):
+                pass
+        try:
+            answered = self._send(request, runtime, kind, admission.deadline_s)
+        except BaseException:
+            self._end(admission)
+            raise
+        match answered:
+            case Success(answer):
+                return Success(self._held(answer, admission))
+            case Failure(refusal):
+                return self._give_up(admission, refusal)
+        raise AssertionError("a result is a success or a failure")
+
+    def _send(
+        self,
+        request: ApplicationRequest,
+        runtime: PoolRuntime,
+        kind: RequestClass,
+        deadline_s: float,
+    ) -> Result[ApplicationAnswer, Refusal]:
+        if kind is not RequestClass.ONCE:
+            body = RequestBody(request.body, request.body_length)
+            repeatable = is_repeatable(request, kind, runtime.pool)
+            return self._forwarder.forward(
+                request, body, runtime, deadline_s, repeatable=repeatable
+            )
+        return self._once.serve(
+            request,
+            runtime.pool,
+            deadline_s,
+            lambda body, check: self._forwarder.forward(
+                request, body, runtime, deadline_s, repeatable=False, before_send=check
+            ),
+        )
+
+    def _held(self, answer: ApplicationAnswer, admission: _Admission) -> ApplicationAnswer:
+        def on_end(failure: BaseException | None) -> None:
+            self._counters.count_outcome(COMPLETED if failure is None else "cut")
+            self._end(admission)
+
+        return with_body(answer, HeldBody(answer.body, on_end))
+
+    # --- admission ----------------------------------------------------------------------------
+
+    def _admit(
+        self, runtime: PoolRuntime, kind: RequestClass, caller: str, deadline_s: float | None
+    ) -> Result[_Admission, Refusal]:
+        if self._draining:
+            detail = "this node is leaving"
+            return Failure(_refused(RefusalReason.DRAINING, detail, RETRY_AFTER_S))
+        gate = runtime.gates[kind]
+        if deadline_s is None:
+            deadline_s = self._clock.monotonic_s() + gate.timeout_s
+        return gate.enter(caller, deadline_s).map(
+            lambda permit: self._begin(_Admission(permit, deadline_s))
+        )
+
+    def _begin(self, admission: _Admission) -> _Admission:
+        with self._in_hand_changed:
+            self._in_hand += 1
+        return admission
+
+    def _end(self, admission: _Admission) -> None:
+        admission.permit.release()
+        with self._in_hand_changed:
+            self._in_hand -= 1
+            self._in_hand_changed.notify_all()
+
+    def _give_up(self, admission: _Admission, refusal: Refusal) -> Failure[Refusal]:
+        self._end(admission)
+        return Failure(refusal)
+
+    def _find_claims(self) -> Claims | None:
+        registry = self._kernel.registry
+        if not registry.has(names.CLAIMS):
+            return None
+        return registry.find(names.CLAIMS, Claims)  # type: ignore[type-abstract]
+
+
+def _refused(reason: RefusalReason, detail: str, retry_after_s: float | None) -> Refusal:
+    return Refusal(reason, RunState.NOT_RUN, detail, retry_after_s)
