Test dispatching: whole streams, true refusals, outages, leaving workers

Cause: the first whole path of routing had no tests. Change: features over in-memory back ends that log what they run, with drawn faults; a back end's own word that it leaves now outlasts late reports that say otherwise.

--- /dev/null
+++ b/features/steps/routing_steps.py
@@ -0,0 +1,270 @@
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import given, then, when
+from hypothesis import given as drawn
+from hypothesis import settings
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+
+from bellweir.platform.interface import FinishReason
+from bellweir.resources.models import RequestClass
+from bellweir.routing.interface import RefusalReason, RunState
+from support.routing_cluster import RoutingCluster, body_of
+from support.routing_fakes import Fault, token_of
+from support.waiting import wait_until
+
+FAULTS = st.lists(st.sampled_from(Fault), max_size=3)
+
+
+def _cluster(context, engines=0, applications=0) -> RoutingCluster:
+    cluster = RoutingCluster(context.cleanup)
+    cluster.add_engines(engines)
+    cluster.add_applications(applications)
+    return cluster
+
+
+def _tokens(request):
+    return tuple(token_of(request.prompt, position) for position in range(request.max_tokens))
+
+
+def _chunks(generation):
+    return [item.unwrap() for item in generation]
+
+
+@given("routing over {engines:d} engines and {applications:d} application workers")
+def step_routing(context, engines, applications):
+    context.cluster = _cluster(context, engines, applications)
+    context.node = context.cluster.add_node()
+
+
+@then("routing streams stay whole for any cuts")
+def step_streams_whole(context):
+    cuts = st.lists(st.lists(st.integers(1, 4), max_size=2), min_size=3, max_size=3)
+
+    @settings(max_examples=40)
+    @drawn(cuts=cuts, tokens=st.integers(1, 20))
+    def whole(cuts, tokens):
+        _await_recovery(context)
+        for engine, after in zip(context.cluster.engines, cuts, strict=True):
+            engine.cut_after[:] = after
+        request = context.cluster.generation_request(tokens)
+        chunks = _chunks(context.node.generate(request).unwrap())
+        assert sum((chunk.tokens for chunk in chunks), ()) == _tokens(request)
+        assert [chunk.finish_reason for chunk in chunks].count(FinishReason.LENGTH) == 1
+        assert chunks[-1].finish_reason is FinishReason.LENGTH
+        for engine in context.cluster.engines:
+            engine.cut_after.clear()
+
+    whole()
+
+
+@when(
+    "routing generates {tokens:d} tokens while the first engine breaks after {cut:d}"
+    " and the others hold version {version:d}"
+)
+def step_versions(context, tokens, cut, version):
+    for engine in context.cluster.engines:
+        engine.cut_after[:] = [cut]
+    generation = iter(context.node.generate(context.cluster.generation_request(tokens)).unwrap())
+    context.chunks = [next(generation).unwrap()]
+    first = context.chunks[0].worker
+    for engine in context.cluster.engines:
+        if engine.name != first:
+            engine.version = version
+            engine.cut_after.clear()
+    context.chunks += [item.unwrap() for item in generation]
+
+
+@then("routing's answer has {old:d} tokens of version 1 and {new:d} of version 2")
+def step_segments(context, old, new):
+    versions = [chunk.weight_version for chunk in context.chunks for _ in chunk.tokens]
+    assert versions == [1] * old + [2] * new, versions
+
+
+def _held_generation(context):
+    context.gate = threading.Event()
+    for engine in context.cluster.engines:
+        engine.gate = context.gate
+    context.request = context.cluster.generation_request()
+    return context.node.generate(context.request).unwrap()
+
+
+@when("routing's caller cancels a stream that is running")
+def step_cancel(context):
+    generation = _held_generation(context)
+    pool = ThreadPoolExecutor(1)
+    context.cleanup.callback(pool.shutdown)
+    context.reading = pool.submit(list, generation)
+    generation.cancel()
+    generation.cancel()
+
+
+@then("routing cancels that attempt on its engine")
+def step_cancelled(context):
+    engine = next(engine for engine in context.cluster.engines if engine.started)
+    attempt = engine.started[0].attempt_id
+    wait_until(lambda: attempt in engine.cancelled, "the engine has been told")
+    assert context.reading.result(20) == []
+
+
+@then("routing has nothing in hand")
+def step_nothing_in_hand(context):
+    views = context.node.backend_views.pools()
+    held = [backend.in_flight for pool in views.values() for backend in pool.backends]
+    assert sum(held) == 0, held
+    gates = context.node._runtimes.of(views["engines"].pool).gates
+    assert all(gate.running == 0 for gate in gates.values())
+
+
+@when("routing drains while a stream is running")
+def step_drain(context):
+    context.generation = _held_generation(context)
+    pool = ThreadPoolExecutor(2)
+    context.cleanup.callback(pool.shutdown)
+    context.reading = pool.submit(_chunks, context.generation)
+    context.drain = pool.submit(context.node.drain, 60.0)
+    wait_until(lambda: context.node._draining, "draining has begun")
+
+
+@then("routing refuses a new request as draining and not run")
+def step_refused_draining(context):
+    refusal = context.node.forward(context.cluster.application_request()).failure()
+    assert (refusal.reason, refusal.run_state) == (RefusalReason.DRAINING, RunState.NOT_RUN)
+    assert refusal.retry_after_s is not None
+
+
+@then("routing's running stream ends whole before the drain does")
+def step_drained(context):
+    assert not context.drain.done()
+    context.gate.set()
+    context.drain.result(20)
+    chunks = context.reading.result(20)
+    assert sum((chunk.tokens for chunk in chunks), ()) == _tokens(context.request)
+
+
+@then("routing answers lookups whole after one fault of any kind")
+def step_lookups(context):
+    for fault in Fault:
+        one_fault = [fault]
+        for application in context.cluster.applications:
+            application.faults = one_fault
+        request = context.cluster.application_request(b"number 7")
+        answer = context.node.forward(request).unwrap()
+        assert body_of(answer) == b"answer to number 7"
+        assert not one_fault
+        _await_recovery(context)
+
+
+def _set_faults(context, faults):
+    for application, chosen in zip(context.cluster.applications, faults, strict=True):
+        application.faults[:] = chosen
+
+
+def _await_recovery(context):
+    """Let probes and half-open trials bring every worker back."""
+    views = context.node.backend_views
+    for pool in views.pools().values():
+        for backend in pool.backends:
+            backend._leaving_said = False
+            backend._circuit.on_success()
+    context.cluster.await_ready(views)
+
+
+@then("routing's refusals of interactive posts tell the truth for any faults")
+def step_truth(context):
+    @settings(max_examples=60)
+    @drawn(faults=st.tuples(FAULTS, FAULTS, FAULTS))
+    def truthful(faults):
+        _await_recovery(context)
+        _set_faults(context, faults)
+        request = context.cluster.application_request(
+            b"unique", request_class=RequestClass.INTERACTIVE
+        )
+        ran_before = _runs(context)
+        outcome = context.node.forward(request)
+        ran = _runs(context) - ran_before
+        assert ran <= 1, "a post that may not be repeated ran twice"
+        match outcome:
+            case Success(answer):
+                assert body_of(answer) == b"answer to unique"
+                assert ran == 1
+            case Failure(refusal):
+                assert refusal.run_state is not RunState.NOT_RUN or ran == 0
+
+    truthful()
+
+
+def _runs(context):
+    return sum(len(application.ran) for application in context.cluster.applications)
+
+
+def _slow_probes(context):
+    """Stop probing, so that only requests notice what has died."""
+    context.node.backend_views._start_probe = lambda _: None
+
+
+@given("routing's worker {name} is dead but not yet noticed")
+def step_dead_worker(context, name):
+    _slow_probes(context)
+    context.cluster.platform.applications[name].dead = True
+
+
+@given("routing's workers are all dead but not yet noticed")
+def step_all_dead(context):
+    _slow_probes(context)
+    for application in context.cluster.applications:
+        application.dead = True
+
+
+@when("routing forwards {count:d} lookups")
+def step_forward_many(context, count):
+    context.before = context.node.statistics().attempts
+    context.outcomes = [
+        context.node.forward(context.cluster.application_request()) for _ in range(count)
+    ]
+
+
+@then("routing has answered all of them with at most {most:d} failed attempt each")
+def step_few_failures(context, most):
+    assert all(isinstance(outcome, Success) for outcome in context.outcomes)
+    attempts = context.node.statistics().attempts - context.before
+    assert attempts <= len(context.outcomes) * (1 + most)
+
+
+@then("routing has refused all of them as not run with fewer than {most:g} attempts each")
+def step_no_amplification(context, most):
+    assert all(outcome.failure().run_state is RunState.NOT_RUN for outcome in context.outcomes)
+    assert all(outcome.failure().retry_after_s for outcome in context.outcomes)
+    attempts = context.node.statistics().attempts - context.before
+    assert attempts < most * len(context.outcomes), attempts
+
+
+@when("routing's worker {name} leaves by {source}")
+def step_leaves(context, name, source):
+    application = context.cluster.platform.applications[name]
+    context.leaver = application
+    if source == "the operator":
+        context.cluster.leaving.add(name)
+        context.cluster.configure()
+        return
+    application.leaving = True
+    if source == "its own answer":
+        _slow_probes(context)
+        for _ in range(3):
+            body_of(context.node.forward(context.cluster.application_request()).unwrap())
+
+
+@then("routing soon sends it nothing new")
+def step_nothing_new(context):
+    views = context.node.backend_views
+
+    def is_out():
+        found = [view for view in views.views("shop") if view.worker == context.leaver.name]
+        return all(view.leaving for view in found)
+
+    wait_until(is_out, "the leaving worker is known to leave")
+    before = context.leaver.attempts
+    for _ in range(20):
+        context.node.forward(context.cluster.application_request()).unwrap()
+    assert context.leaver.attempts == before
--- a/src/bellweir/routing/attempts.py
+++ b/src/bellweir/routing/attempts.py
@@ -41,10 +41,14 @@
         """End it without a word on the back end's health."""
         self._end(healthy=None)
 
+    def note_leaving(self, source: str) -> None:
+        """Note that the back end has said that it leaves."""
+        self.backend.mark_leaving(self._clock.monotonic_s(), source)
+
     def fail(self, error: PlatformError) -> None:
         """End it after an error of the back end."""
         if error.kind is ErrorKind.LEAVING:
-            self.backend.mark_leaving("refusal")
+            self.note_leaving("refusal")
         if error.kind is ErrorKind.NOT_RUN:
             self.backend.mark_unreachable(self._clock.monotonic_s())
         self._end(healthy=False if error.kind in UNHEALTHY_KINDS else None, detail=error.detail)
--- a/src/bellweir/routing/backend.py
+++ b/src/bellweir/routing/backend.py
@@ -12,6 +12,8 @@
 from bellweir.routing.pool_workers import PoolWorker
 
 HISTORY_ENTRIES = 256
+LEAVING_KEPT_S = 5.0
+"""A back end's own word that it leaves outlasts reports that were late for this long."""
 
 
 @dataclass(frozen=True)
@@ -44,6 +46,7 @@
         self._in_flight_at_report = 0
         self._history: deque[tuple[float, int]] = deque(maxlen=HISTORY_ENTRIES)
         self._leaving_said = False
+        self._leaving_said_s = 0.0
 
     @property
     def worker(self) -> PoolWorker:
@@ -96,7 +99,7 @@
                 return False
             if report.leaving and not self.leaving:
                 emit(BACKEND_LEAVING, worker=self.name, source="report")
-            if not report.leaving:
+            if report.made_s > self._leaving_said_s + LEAVING_KEPT_S:
                 self._leaving_said = False
             self._in_flight_at_report = self._in_flight_at(report.made_s)
             self._report = report
@@ -111,10 +114,11 @@
             elif held.made_s <= now_s:
                 self._report = replace(held, ready=False, made_s=now_s)
 
-    def mark_leaving(self, source: str) -> None:
+    def mark_leaving(self, now_s: float, source: str) -> None:
         """Note that the back end itself has said that it leaves."""
         if not self.leaving:
             emit(BACKEND_LEAVING, worker=self.name, source=source)
+        self._leaving_said_s = now_s
         self._leaving_said = True
 
     def start_request(self, now_s: float) -> None:
--- a/src/bellweir/routing/forwarding.py
+++ b/src/bellweir/routing/forwarding.py
@@ -161,7 +161,7 @@
         self, answer: ApplicationAnswer, hold: AttemptHold
     ) -> Result[ApplicationAnswer, PlatformError]:
         if answer.leaving:
-            hold.backend.mark_leaving("answer")
+            hold.note_leaving("answer")
         length = declared_length(answer)
         if length is None or length > BUFFERED_ANSWER_BYTES:
             return Success(with_body(answer, HeldBody(answer.body, _ender(hold))))
