Send lookups until the leaving worker has answered one

Cause: three lookups do not always reach the worker in question: ties are broken at random. Change: the step goes on until that worker has answered. Conclusion: the scenario no longer depends on chance.

--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -251,7 +251,7 @@
     application.leaving = True
     if source == "its own answer":
         _slow_probes(context)
-        for _ in range(3):
+        while not application.attempts:
             body_of(context.node.forward(context.cluster.application_request()).unwrap())
 
 
