--- a/src/bellweir/settings/models.py
+++ b/src/bellweir/settings/models.py
@@ -56,8 +56,11 @@
     """Time after which indirect probes begin, in seconds. Default 0.5."""
     indirect_probes: int = Field(default=3, ge=0)
     """Members asked to probe on this node's behalf. Default 3."""
-    suspicion_multiplier: float = Field(default=4.0, gt=0)
-    """A suspect is dead after this many probe periods times log10(members + 1). Default 4."""
+    suspicion_multiplier: float = Field(default=1.5, gt=0)
+    """A suspect is dead after this many probe periods times log10(members + 1), and not before
+    two probe periods. Default 1.5."""
+    exchange_period_s: float = Field(default=5.0, gt=0)
+    """Mean time between comparisons of member lists with a random peer, in seconds. Default 5."""
 
 
 class ConfigurationSettings(Concern):
@@ -65,8 +68,10 @@
 
     fanout: int = Field(default=4, ge=1)
     """Peers that a node pushes a change to. Default 4."""
-    anti_entropy_period_s: float = Field(default=2.0, gt=0)
-    """Time between comparisons with a random peer, in seconds. Default 2."""
+    anti_entropy_period_s: float = Field(default=1.0, gt=0)
+    """Time between comparisons with a random peer, in seconds. Default 1."""
+    machine_list_period_s: float = Field(default=2.0, gt=0)
+    """Time between two readings of the platform's machine list, in seconds. Default 2."""
 
 
 class RoutingSettings(Concern):
@@ -120,6 +125,12 @@
 
     order_period_s: float = Field(default=0.5, gt=0)
     """Time between comparisons of orders with what engines hold, in seconds. Default 0.5."""
+    store_readers: int = Field(default=3, ge=1)
+    """Engines of a pool that read one version from the weight store at once. Default 3."""
+    fanout: int = Field(default=2, ge=1)
+    """Engines that fetch a version from the same engine at once. Default 2."""
+    permit_s: float = Field(default=30.0, gt=0)
+    """Time after which a swap that came to nothing counts as over, in seconds. Default 30."""
 
 
 class TrustSettings(Concern):
@@ -129,6 +140,13 @@
     """Files with cluster keys; the first signs, all are accepted. None means an open cluster."""
 
 
+class NetworkFaultSettings(Concern):
+    """Faults between nodes, for rehearsals only."""
+
+    file: Path | None = None
+    """JSON file of rules, read again when it changes; none, as in service, disturbs nothing."""
+
+
 class LogSettings(Concern):
     """Logs."""
 
@@ -151,4 +169,5 @@
     samples: SamplesSettings = Field(default_factory=SamplesSettings)
     weights: WeightsSettings = Field(default_factory=WeightsSettings)
     trust: TrustSettings = Field(default_factory=TrustSettings)
+    network_faults: NetworkFaultSettings = Field(default_factory=NetworkFaultSettings)
     log: LogSettings = Field(default_factory=LogSettings)
