Serve the node's HTTP interface

Cause: callers, trainers and operators had no way in. Change: a WSGI application on waitress with one module for each interface (OpenAI's, applications, steps, resources, status), admission by shares of the request threads, bearer tokens from a file, a watch for callers that leave, drain and stop, and metrics kept by a telemetry service.

--- /dev/null
+++ b/src/bellweir/gateway/admission.py
@@ -0,0 +1,173 @@
+"""Shares of the request threads, so that slow kinds of work never take the last ones.
+
+waitress gives each running request, streams included, one thread. Every request enters here with
+its share before it may wait for anything; one over its share is refused at once.
+"""
+
+import threading
+from collections import Counter
+from dataclasses import dataclass
+from enum import Enum
+from types import TracebackType
+
+from bellweir.resources.models import RequestClass
+
+
+class ThreadShare(Enum):
+    """Kinds of work that are bounded apart from each other."""
+
+    INTERACTIVE = "interactive"
+    LOOKUP = "lookup"
+    ONCE = "once"
+    DRAFT = "draft"
+    STREAM = "stream"
+    """Streamed completions and watches of resources."""
+    LONG_POLL = "long_poll"
+    """Trainers waiting for samples."""
+    SYSTEM = "system"
+    """Health, status, operators: short, and never refused."""
+
+
+SHARE_OF_CLASS = {
+    RequestClass.INTERACTIVE: ThreadShare.INTERACTIVE,
+    RequestClass.LOOKUP: ThreadShare.LOOKUP,
+    RequestClass.ONCE: ThreadShare.ONCE,
+    RequestClass.DRAFT: ThreadShare.DRAFT,
+}
+
+LARGEST_SHARES = {
+    ThreadShare.INTERACTIVE: 0.75,
+    ThreadShare.LOOKUP: 0.5,
+    ThreadShare.ONCE: 0.75,
+    ThreadShare.DRAFT: 0.25,
+    ThreadShare.STREAM: 0.8,
+    ThreadShare.LONG_POLL: 0.125,
+}
+"""Largest part of the threads that one share may hold."""
+
+LONG_HELD = frozenset({ThreadShare.DRAFT, ThreadShare.STREAM, ThreadShare.LONG_POLL})
+LARGEST_LONG_HELD = 0.875
+"""Largest part of the threads that the long-held shares may hold together."""
+LARGEST_TOTAL = 0.97
+"""Largest part of the threads that all shares may hold; the rest is for `SYSTEM`."""
+FAIRNESS_FROM = 0.75
+"""Part of the threads in use from which a caller may hold no more than an equal part."""
+
+
+@dataclass(frozen=True)
+class ThreadUse:
+    """Threads in use, for status and metrics."""
+
+    threads: int
+    by_share: dict[str, int]
+    refused: int
+
+
+class Permit:
+    """A place in a share, given back by `release` or at the end of a `with` block."""
+
+    def __init__(self, shares: "ThreadShares", share: ThreadShare, caller: str) -> None:
+        self._shares = shares
+        self.share = share
+        self.caller = caller
+        self._released = False
+
+    def release(self) -> None:
+        """Give the place back; twice is no error."""
+        if not self._released:
+            self._released = True
+            self._shares.leave(self)
+
+    def __enter__(self) -> "Permit":
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        failure: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self.release()
+
+
+class ThreadShares:
+    """Counts the threads held by each share and caller."""
+
+    def __init__(self, threads: int) -> None:
+        self._threads = threads
+        self._lock = threading.Lock()
+        self._held: Counter[ThreadShare] = Counter()
+        self._held_by_caller: Counter[str] = Counter()
+        self._refused = 0
+
+    def enter(self, share: ThreadShare, caller: str) -> Permit | None:
+        """Take a place in a share; None when the request must be refused."""
+        with self._lock:
+            if not self._admits(share, caller):
+                self._refused += 1
+                return None
+            self._held[share] += 1
+            self._held_by_caller[caller] += 1
+        return Permit(self, share, caller)
+
+    def move(self, permit: Permit, share: ThreadShare) -> bool:
+        """Move a held place to another share, once it is known that a request streams or waits.
+
+        False when that share is full; the permit then stays where it was.
+        """
+        with self._lock:
+            self._held[permit.share] -= 1
+            admitted = self._fits(share)
+            if admitted:
+                permit.share = share
+            else:
+                self._refused += 1
+            self._held[permit.share] += 1
+        return admitted
+
+    def leave(self, permit: Permit) -> None:
+        """Give a place back."""
+        with self._lock:
+            self._held[permit.share] -= 1
+            self._held_by_caller[permit.caller] -= 1
+            if not self._held_by_caller[permit.caller]:
+                del self._held_by_caller[permit.caller]
+
+    def use(self) -> ThreadUse:
+        """Threads in use now."""
+        with self._lock:
+            by_share = {share.value: self._held[share] for share in ThreadShare}
+            return ThreadUse(self._threads, by_share, self._refused)
+
+    def held(self) -> int:
+        """Places held now, without `SYSTEM`."""
+        with self._lock:
+            return self._total()
+
+    def _admits(self, share: ThreadShare, caller: str) -> bool:
+        if share is ThreadShare.SYSTEM:
+            return True
+        return self._fits(share) and self._is_fair(caller)
+
+    def _fits(self, share: ThreadShare) -> bool:
+        if share is ThreadShare.SYSTEM:
+            return True
+        if self._total() >= self._part(LARGEST_TOTAL):
+            return False
+        if share in LONG_HELD:
+            long_held = sum(self._held[each] for each in LONG_HELD)
+            if long_held >= self._part(LARGEST_LONG_HELD):
+                return False
+        return self._held[share] < self._part(LARGEST_SHARES[share])
+
+    def _is_fair(self, caller: str) -> bool:
+        if self._total() < self._part(FAIRNESS_FROM):
+            return True
+        callers = len(self._held_by_caller) + (caller not in self._held_by_caller)
+        return self._held_by_caller[caller] < self._threads / callers
+
+    def _total(self) -> int:
+        return self._held.total() - self._held[ThreadShare.SYSTEM]
+
+    def _part(self, fraction: float) -> int:
+        return max(1, int(self._threads * fraction))
--- /dev/null
+++ b/src/bellweir/gateway/applications_api.py
@@ -0,0 +1,104 @@
+"""Pass-through to application pools: `/apps/{pool}/{path}`, any method, bodies streamed."""
+
+from collections.abc import Iterator
+from urllib.parse import unquote
+
+from returns.result import Failure, Success
+
+from bellweir.gateway.context import Context
+from bellweir.gateway.http import BadRequestError, Headers, Request, Response
+from bellweir.gateway.problems import problem_of_refusal, problem_response
+from bellweir.gateway.request_headers import TOKEN, end_to_end, parse_routing_options
+from bellweir.gateway.router import Router
+from bellweir.platform.interface import ApplicationAnswer
+from bellweir.resources.models import RequestClass
+from bellweir.routing.interface import ApplicationRequest, Dispatcher
+
+INTERFACE = "applications"
+PREFIX = "/apps/"
+VIA = "1.1 bellweir"
+"""RFC 9110 section 7.6.3 has an intermediary name itself."""
+
+_NOT_FORWARDED = frozenset({"host", "expect", "content-length", TOKEN.lower()})
+"""The client of the back end writes its own host and framing; the token was for this node."""
+
+
+class ApplicationsApi:
+    """Forwards requests to application pools through the dispatcher."""
+
+    def __init__(self, context: Context, dispatcher: Dispatcher) -> None:
+        self._context = context
+        self._dispatcher = dispatcher
+
+    def add_routes(self, router: Router) -> None:
+        """Add the paths of this interface."""
+        router.add_prefix(INTERFACE, "/apps/{pool}", self.forward)
+
+    def forward(self, request: Request, pool: str) -> Response:
+        """Forward one request and stream the answer back."""
+        options = parse_routing_options(request, self._context.clock, RequestClass.INTERACTIVE)
+        forwarded = ApplicationRequest(
+            request_id=request.request_id,
+            pool=pool,
+            method=request.method,
+            path=_path_below_pool(request, pool),
+            headers=_request_headers(request),
+            body=request.body,
+            body_length=request.body_length,
+            request_class=options.request_class,
+            deadline_monotonic_s=options.deadline_monotonic_s,
+            caller=request.caller.name,
+            idempotency_key=options.idempotency_key,
+        )
+        match self._dispatcher.forward(forwarded):
+            case Success(answer):
+                return _response(answer)
+            case Failure(refusal):
+                return problem_response(problem_of_refusal(refusal), request.request_id)
+        raise AssertionError("a result is a success or a failure")
+
+
+def _path_below_pool(request: Request, pool: str) -> str:
+    """The rest of the path as sent, with its query; percent-escapes stay as they are."""
+    raw_pool, _, rest = request.raw_path.removeprefix(PREFIX).partition("/")
+    if not request.raw_path.startswith(PREFIX) or unquote(raw_pool, "latin-1") != pool:
+        raise BadRequestError("path: the pool's name must not be written with escaped slashes")
+    query = request.raw_query
+    return "/" + rest + ("?" + query if query else "")
+
+
+def _request_headers(request: Request) -> Headers:
+    sent = tuple(
+        (key.removeprefix("HTTP_").replace("_", "-").title(), value)
+        for key, value in request.environ.items()
+        if key.startswith("HTTP_") or key == "CONTENT_TYPE"
+    )
+    kept = [
+        (name, value)
+        for name, value in end_to_end(sent)
+        if name.lower() not in _NOT_FORWARDED
+        and not (name == "Authorization" and request.consumed_authorization)
+    ]
+    kept.append(("Via", VIA))
+    return tuple(kept)
+
+
+def _response(answer: ApplicationAnswer) -> Response:
+    headers = list(end_to_end(answer.headers))
+    return Response(answer.status, headers, chunks=BodyChunks(answer.body))
+
+
+class BodyChunks:
+    """The answer's body; closing it releases the back end's connection."""
+
+    def __init__(self, body: Iterator[bytes]) -> None:
+        self._body = body
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self._body
+
+    def close(self) -> None:
+        """Close the body where it can be closed."""
+        close = getattr(self._body, "close", None)
+        if close is not None:
+            close()
--- /dev/null
+++ b/src/bellweir/gateway/caller_watch.py
@@ -0,0 +1,70 @@
+"""Notices callers that went away while their answer is being made, and cancels the work."""
+
+import threading
+from collections.abc import Callable
+from concurrent.futures import Future
+
+from bellweir.events.log import emit
+from bellweir.gateway.http import Request
+from bellweir.gateway.log_events import CALLER_GONE
+from bellweir.kernel.executors import Executors, ExecutorSaturatedError, WorkKind
+
+LOOK_PERIOD_S = 0.1
+"""Time between two looks at all watched connections; a look at one costs under a microsecond."""
+
+
+class Watched:
+    """A request whose caller is watched until `end`."""
+
+    def __init__(self, request: Request, cancel: Callable[[], None]) -> None:
+        self.request = request
+        self.cancel = cancel
+        self.cancelled = False
+
+
+class CallerWatch:
+    """Looks at the connections of running requests from one task.
+
+    A thread that waits for the next chunk of a generation cannot see that its caller closed the
+    connection; waitress sees it, since its loop reads ahead while a request runs.
+    """
+
+    def __init__(self, executors: Executors) -> None:
+        self._executors = executors
+        self._lock = threading.Lock()
+        self._watched: set[Watched] = set()
+
+    def start(self) -> "Future[None]":
+        """Start looking; ends with the node's executors."""
+        return self._executors.run_task("caller-watch", self._run)
+
+    def begin(self, request: Request, cancel: Callable[[], None]) -> Watched:
+        """Call `cancel` on another thread, once, if the caller leaves before `end`."""
+        watched = Watched(request, cancel)
+        with self._lock:
+            self._watched.add(watched)
+        return watched
+
+    def end(self, watched: Watched) -> None:
+        """Stop watching; ending twice is no error."""
+        with self._lock:
+            self._watched.discard(watched)
+
+    def _run(self, stopping: threading.Event) -> None:
+        while not stopping.wait(LOOK_PERIOD_S):
+            self._look()
+
+    def _look(self) -> None:
+        with self._lock:
+            watched_now = list(self._watched)
+        for watched in watched_now:
+            if not watched.cancelled and watched.request.caller_has_left():
+                self._cancel(watched)
+
+    def _cancel(self, watched: Watched) -> None:
+        try:
+            self._executors.submit(WorkKind.INTERACTIVE, watched.cancel)
+        except ExecutorSaturatedError:
+            return  # the next look tries again
+        watched.cancelled = True
+        emit(CALLER_GONE, request_id=watched.request.request_id)
--- /dev/null
+++ b/src/bellweir/gateway/context.py
@@ -0,0 +1,38 @@
+"""What the interfaces of the gateway share: clock, thread shares, caller watch, metrics."""
+
+from dataclasses import dataclass
+
+from bellweir.gateway.admission import ThreadShare, ThreadShares
+from bellweir.gateway.caller_watch import CallerWatch
+from bellweir.gateway.http import Request
+from bellweir.gateway.problems import Problem
+from bellweir.kernel.clock import Clock
+from bellweir.telemetry.interface import Telemetry
+
+FULL_RETRY_AFTER_S = 1.0
+"""When to come back after a refusal for want of a thread; threads change hands that fast."""
+
+
+@dataclass(frozen=True)
+class Context:
+    """Handed to each interface at its construction."""
+
+    clock: Clock
+    shares: ThreadShares
+    caller_watch: CallerWatch
+    telemetry: Telemetry
+
+    def move_to(self, request: Request, share: ThreadShare) -> bool:
+        """Move the request's thread to another share; False when that one is full."""
+        permit = request.permit
+        return permit is None or self.shares.move(permit, share)
+
+
+def share_full(share: ThreadShare) -> Problem:
+    """The refusal of a request whose share of the threads is full."""
+    return Problem(
+        429,
+        "overloaded",
+        f"all request threads for {share.value} are in use on this node",
+        retry_after_s=FULL_RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/src/bellweir/gateway/http.py
@@ -0,0 +1,174 @@
+"""Requests and responses as the gateway's interfaces see them, above WSGI."""
+
+import http.client
+import uuid
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+from typing import Any, BinaryIO, cast
+from urllib.parse import parse_qs
+
+import msgspec
+
+from bellweir.gateway.admission import Permit
+
+MAXIMUM_JSON_BYTES = 64 << 20
+"""Longest JSON body read into memory; application bodies are passed on without reading them."""
+MAXIMUM_REQUEST_ID_CHARACTERS = 128
+
+Headers = tuple[tuple[str, str], ...]
+Environ = dict[str, Any]
+
+
+class BadRequestError(ValueError):
+    """The request cannot be understood; its message is shown to the caller."""
+
+
+class BodyTooLongError(BadRequestError):
+    """The body is longer than this interface reads."""
+
+
+@dataclass(frozen=True)
+class Caller:
+    """Who sent a request, as far as it is proved."""
+
+    name: str
+    """Name of the bearer token, or the peer's IP number."""
+
+
+@dataclass
+class Request:
+    """One HTTP request."""
+
+    environ: Environ
+    request_id: str
+    caller: Caller
+    permit: Permit | None = None
+    """The request thread it holds."""
+    consumed_authorization: bool = False
+    """Whether `Authorization` held the token for this node, which is not passed on."""
+
+    @property
+    def method(self) -> str:
+        """Method in capitals."""
+        return cast(str, self.environ["REQUEST_METHOD"])
+
+    @property
+    def path(self) -> str:
+        """Path with percent-escapes resolved."""
+        return cast(str, self.environ["PATH_INFO"])
+
+    @property
+    def raw_path(self) -> str:
+        """Path as sent, without query."""
+        target = cast(str, self.environ.get("REQUEST_URI") or self.environ["PATH_INFO"])
+        if not target.startswith("/"):
+            _, _, after_scheme = target.partition("://")
+            target = "/" + after_scheme.partition("/")[2]
+        return target.split("#", 1)[0].split("?", 1)[0]
+
+    @property
+    def raw_query(self) -> str:
+        """Query as sent, without the question mark."""
+        return cast(str, self.environ["QUERY_STRING"])
+
+    def header(self, name: str) -> str | None:
+        """Value of a header, None when it is absent."""
+        key = name.upper().replace("-", "_")
+        if key not in ("CONTENT_TYPE", "CONTENT_LENGTH"):
+            key = "HTTP_" + key
+        return cast("str | None", self.environ.get(key))
+
+    def query(self, name: str) -> str | None:
+        """Last value of a query parameter."""
+        values = parse_qs(self.raw_query, keep_blank_values=True).get(name)
+        return values[-1] if values else None
+
+    def query_number(self, name: str, default: float) -> float:
+        """A query parameter as a number that is not negative; raises `BadRequestError`."""
+        text = self.query(name)
+        if text is None:
+            return default
+        return parse_number(f"query parameter {name}", text)
+
+    @property
+    def body(self) -> BinaryIO:
+        """The body as a file; waitress has received it whole."""
+        return cast(BinaryIO, self.environ["wsgi.input"])
+
+    @property
+    def body_length(self) -> int:
+        """Length of the body in bytes."""
+        return int(self.environ.get("CONTENT_LENGTH") or 0)
+
+    def read_body(self, maximum_bytes: int = MAXIMUM_JSON_BYTES) -> bytes:
+        """Read the body into memory; raises `BodyTooLongError`."""
+        if self.body_length > maximum_bytes:
+            raise BodyTooLongError(f"body of {self.body_length} bytes, allowed {maximum_bytes}")
+        return self.body.read()
+
+    def caller_has_left(self) -> bool:
+        """Whether the caller's connection has closed."""
+        has_left = cast("Callable[[], bool]", self.environ["waitress.client_disconnected"])
+        return has_left()
+
+
+@dataclass
+class Response:
+    """An answer: with `Content-Length` from `body`, or streamed from `chunks`."""
+
+    status: int
+    headers: list[tuple[str, str]] = field(default_factory=list)
+    body: bytes = b""
+    chunks: Iterable[bytes] | None = None
+    """Streams the body; its `close`, where there is one, is always called."""
+
+    @property
+    def status_line(self) -> str:
+        """Status with its reason phrase."""
+        return f"{self.status} {http.client.responses.get(self.status, 'Status')}"
+
+
+def json_response(
+    status: int, content: object, headers: Iterable[tuple[str, str]] = ()
+) -> Response:
+    """An answer with a JSON body."""
+    return Response(
+        status, [("Content-Type", "application/json"), *headers], msgspec.json.encode(content)
+    )
+
+
+def json_lines(items: Iterable[object]) -> Iterator[bytes]:
+    """Encode each item as one line of JSON."""
+    for item in items:
+        yield msgspec.json.encode(item) + b"\n"
+
+
+def request_id_of(environ: Environ) -> str:
+    """The caller's `X-Request-Id` when it is short and printable, otherwise a new one."""
+    given = cast(str, environ.get("HTTP_X_REQUEST_ID", ""))
+    if given and given.isprintable() and len(given) <= MAXIMUM_REQUEST_ID_CHARACTERS:
+        return given
+    return new_request_id()
+
+
+def new_request_id() -> str:
+    """An id for a request that brought none."""
+    return uuid.uuid4().hex
+
+
+def parse_number(what: str, text: str) -> float:
+    """Parse a finite number that is not negative; raises `BadRequestError`."""
+    try:
+        number = float(text)
+    except ValueError:
+        number = -1.0
+    if not 0 <= number < float("inf"):
+        raise BadRequestError(f"{what}: found {text[:40]!r}, allowed a number from 0")
+    return number
+
+
+def parse_integer(what: str, text: str) -> int:
+    """Parse a whole number that is not negative; raises `BadRequestError`."""
+    if not (text.isascii() and text.isdigit() and len(text) <= 18):
+        raise BadRequestError(f"{what}: found {text[:40]!r}, allowed a whole number from 0")
+    return int(text)
--- a/src/bellweir/settings/models.py
+++ b/src/bellweir/settings/models.py
@@ -87,6 +87,9 @@
     """Request threads; each streaming answer holds one. Default 256."""
     maximum_body_bytes: int = Field(default=1 << 30, ge=1024)
     """Longest accepted request body, in bytes. Default 1 GiB."""
+    drain_grace_s: float = Field(default=2.0, ge=0)
+    """Time between reporting not ready and refusing new work at a planned stop, in seconds.
+    Default 2."""
     tokens_file: Path | None = None
     """TOML file of bearer tokens and their roles; none leaves the interface open."""
 
--- a/src/bellweir/telemetry/__init__.py
+++ b/src/bellweir/telemetry/__init__.py
@@ -1,1 +1,1 @@
-"""Metrics, liveness and readiness."""
+"""Prometheus metrics of one node and the interface through which services add to them."""
