--- a/features/environment.py
+++ b/features/environment.py
@@ -1,5 +1,6 @@
 """Hooks around scenarios: a temporary folder, and clean-up of what a scenario started."""
 
+import os
 import sys
 import tempfile
 from contextlib import ExitStack
@@ -7,6 +8,7 @@
 
 sys.path.insert(0, str(Path(__file__).parent))
 
+import structlog
 from hypothesis import HealthCheck, settings
 
 from support.waiting import wait_until
@@ -23,6 +25,11 @@
 settings.load_profile("features")
 
 
+def before_all(context):
+    sink = open(os.devnull, "w", encoding="utf-8")  # noqa: SIM115 - open for the whole run
+    structlog.configure(logger_factory=structlog.PrintLoggerFactory(sink))
+
+
 def before_scenario(context, scenario):
     context.repository = REPOSITORY
     context.wait_until = wait_until
--- a/src/bellweir/entrypoints/node.py
+++ b/src/bellweir/entrypoints/node.py
@@ -8,12 +8,20 @@
 from pathlib import Path
 from types import FrameType
 
+from bellweir.configuration.service import ConfigurationService
 from bellweir.events.log import bind_node, configure_logs, emit
 from bellweir.kernel.listeners import Listeners, bind_listeners
 from bellweir.kernel.log_events import NODE_DRAINING, NODE_STARTED, NODE_STOPPED
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
+from bellweir.membership.ownership import OwnershipService
+from bellweir.membership.service import MembershipService
+from bellweir.platform.service import PlatformService
+from bellweir.resources.service import ResourcesService
+from bellweir.routing.service import DispatcherService
+from bellweir.routing.views_service import BackendViewsService
 from bellweir.settings.models import Settings
+from bellweir.wire.service import TransportService
 
 DRAIN_DEADLINE_S = 120.0
 """Longest wait for work in hand at a planned stop."""
@@ -23,7 +31,16 @@
 
 def service_factories() -> tuple[ServiceFactory, ...]:
     """Return the constructors of all services of a node; the registry orders their start."""
-    return ()
+    return (
+        PlatformService,
+        TransportService,
+        MembershipService,
+        OwnershipService,
+        ConfigurationService,
+        ResourcesService,
+        BackendViewsService,
+        DispatcherService,
+    )
 
 
 class Node:
