Add the ledger: replicated shards, claims and segments, over the transport

Cause: claims, step slots and bulk data need one truth that outlives a process and does not need the platform's store at every step. The kernel's registry says when all services have started, because the log can only be applied once every state machine is registered. Conclusion: eight scenarios pass with whole nodes over a transport in memory.

--- /dev/null
+++ b/features/ledger.feature
@@ -0,0 +1,57 @@
+Feature: The ledger is one truth that outlives a process
+  Commands are appended by majority on replicas in different zones, in one order for each shard.
+
+  Scenario: A ledger of one node takes commands
+    Given a ledger of 1 data nodes and 0 other nodes
+    When ledger items 1 to 5 are appended through node a
+    Then the ledger gives items 1 to 5 through node a
+
+  Scenario: Any node appends and reads, with or without a data folder
+    Given a ledger of 3 data nodes and 1 other nodes
+    When ledger items 1 to 5 are appended through node z
+    And ledger items 6 to 10 are appended through node a
+    Then the ledger gives items 1 to 10 through node z
+    And the ledger gives items 1 to 10 through node c
+
+  Scenario: What was appended outlives every process, and the platform's store
+    Given a ledger of 3 data nodes and 1 other nodes
+    When ledger items 1 to 40 are appended through node a
+    And the ledger's platform store goes down
+    And every ledger node stops and starts again
+    Then the ledger gives items 1 to 40 through node z
+
+  Scenario: A stopped leader hands over and a cut-off one is replaced
+    Given a ledger of 3 data nodes and 1 other nodes
+    When ledger items 1 to 5 are appended through node z
+    And the ledger's leader drains and stops
+    And ledger items 6 to 10 are appended through node z
+    Then the ledger gives items 1 to 10 through node z
+
+  Scenario: Without a majority a command is refused and never applied
+    Given a ledger of 3 data nodes and 1 other nodes
+    When ledger items 1 to 5 are appended through node z
+    And all ledger data nodes but the leader are cut off
+    Then a ledger item 6 through node z has no success
+    When the cut-off ledger nodes are reached again
+    And ledger items 7 to 9 are appended through node z
+    Then the ledger gives items 1 to 9 with or without 6 through node z
+
+  Scenario: A node that lost its disk rejoins as a learner and becomes a voter again
+    Given a ledger of 3 data nodes and 1 other nodes
+    When ledger items 1 to 40 are appended through node z
+    And ledger node a loses its disk and starts again
+    Then node a becomes a ledger voter under its new identity
+    And the ledger's replica on node a holds items 1 to 40
+
+  Scenario: A node that is gone for good is replaced by a spare one
+    Given a ledger of 4 data nodes and 1 other nodes
+    When ledger items 1 to 5 are appended through node z
+    And one follower of the ledger stops for good
+    Then the ledger's voters are 3 nodes that run
+    And the ledger gives items 1 to 5 through node z
+
+  Scenario: Bulk data is read back from another replica
+    Given a ledger of 3 data nodes and 1 other nodes
+    When a ledger segment is put through node z
+    Then the ledger segment is on 2 data nodes
+    And the ledger segment is read through every node
--- /dev/null
+++ b/features/steps/ledger_steps.py
@@ -0,0 +1,210 @@
+"""Steps of the ledger: whole nodes in one process, over a transport in memory."""
+
+import shutil
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+from returns.pipeline import is_successful
+
+from bellweir.membership.interface import MemberState
+from bellweir.settings.models import LedgerSettings
+from features.support.ledger_nodes import (
+    AppendItem,
+    ItemList,
+    MemoryNetwork,
+    MemoryNode,
+    MemoryObjectStore,
+    ReadItems,
+)
+from features.support.waiting import wait_until
+
+KEY = "items"
+TIMEOUT_S = 20.0
+FAST = LedgerSettings(
+    shards=2,
+    heartbeat_s=0.05,
+    election_timeout_s=0.3,
+    snapshot_entries=16,
+    creation_wait_s=20.0,
+    replace_after_s=0.5,
+)
+
+
+class Cluster:
+    def __init__(self, data_nodes, other_nodes):
+        self.folder = Path(tempfile.mkdtemp(prefix="ledger-"))
+        self.network = MemoryNetwork()
+        self.store = MemoryObjectStore()
+        self.settings = FAST.model_copy(update={"replicas": min(3, data_nodes)})
+        self.names = [chr(ord("a") + number) for number in range(data_nodes)]
+        self.names += [chr(ord("z") - number) for number in range(other_nodes)]
+        self.data_names = self.names[:data_nodes]
+        self.nodes = {}
+        for name in self.names:
+            self.start(name)
+
+    def start(self, name):
+        folder = self.folder / name if name in self.data_names else None
+        self.nodes[name] = MemoryNode(name, folder, self.network, self.store, self.settings)
+
+    def stop(self, name):
+        self.nodes.pop(name).stop()
+
+    def leader(self):
+        def found():
+            return [name for name, node in self.nodes.items() if node.ledger.leads(KEY)]
+
+        wait_until(lambda: len(found()) == 1, "the shard has one leader")
+        return found()[0]
+
+    def voters(self):
+        return self.nodes[self.leader()].ledger.replica_nodes(KEY, TIMEOUT_S)
+
+    def close(self):
+        for name in list(self.nodes):
+            self.stop(name)
+        shutil.rmtree(self.folder)
+
+
+def append(cluster, name, item, timeout_s=TIMEOUT_S):
+    return cluster.nodes[name].ledger.submit(KEY, AppendItem(item), timeout_s)
+
+
+def read(cluster, name):
+    reply = cluster.nodes[name].ledger.ask(KEY, ReadItems(), TIMEOUT_S)
+    assert is_successful(reply), reply
+    return list(reply.unwrap().items)
+
+
+@given("a ledger of {data:d} data nodes and {other:d} other nodes")
+def given_cluster(context, data, other):
+    context.cluster = Cluster(data, other)
+    context.add_cleanup(context.cluster.close)
+
+
+@when("ledger items {first:d} to {last:d} are appended through node {name}")
+def when_appended(context, first, last, name):
+    for item in range(first, last + 1):
+        reply = append(context.cluster, name, item)
+        assert is_successful(reply), reply
+
+
+@then("the ledger gives items {first:d} to {last:d} through node {name}")
+def then_items(context, first, last, name):
+    assert read(context.cluster, name) == list(range(first, last + 1))
+
+
+@then("the ledger gives items {first:d} to {last:d} with or without {maybe:d} through node {name}")
+def then_items_maybe(context, first, last, maybe, name):
+    items = read(context.cluster, name)
+    assert [item for item in items if item != maybe] == [
+        item for item in range(first, last + 1) if item != maybe
+    ]
+
+
+@when("the ledger's platform store goes down")
+def when_store_down(context):
+    context.cluster.store.down = True
+
+
+@when("every ledger node stops and starts again")
+def when_all_restart(context):
+    for name in context.cluster.names:
+        context.cluster.stop(name)
+    for name in context.cluster.names:
+        context.cluster.start(name)
+
+
+@when("the ledger's leader drains and stops")
+def when_leader_drains(context):
+    leader = context.cluster.leader()
+    context.cluster.nodes[leader].ledger.drain(TIMEOUT_S)
+    assert not context.cluster.nodes[leader].ledger.leads(KEY)
+    context.cluster.stop(leader)
+
+
+@when("all ledger data nodes but the leader are cut off")
+def when_followers_cut(context):
+    leader = context.cluster.leader()
+    context.cluster.network.cut |= set(context.cluster.data_names) - {leader}
+
+
+@when("the cut-off ledger nodes are reached again")
+def when_reached(context):
+    context.cluster.network.cut.clear()
+
+
+@then("a ledger item {item:d} through node {name} has no success")
+def then_no_success(context, item, name):
+    reply = append(context.cluster, name, item, timeout_s=1.0)
+    assert not is_successful(reply), reply
+
+
+@when("ledger node {name} loses its disk and starts again")
+def when_disk_lost(context, name):
+    context.cluster.stop(name)
+    shutil.rmtree(context.cluster.folder / name)
+    context.cluster.start(name)
+
+
+@then("node {name} becomes a ledger voter under its new identity")
+def then_voter(context, name):
+    cluster = context.cluster
+
+    def is_voter():
+        node = cluster.nodes[name].ledger
+        replica = node._node.replica(node.shard_of(KEY)) if node._node else None
+        settled = replica is not None and replica.own in replica.log.replicas.voters
+        return settled and len(replica.log.replicas.voters) == 3
+
+    wait_until(is_voter, f"{name} is one of three voters")
+
+
+@then("the ledger's replica on node {name} holds items {first:d} to {last:d}")
+def then_replica_holds(context, name, first, last):
+    wanted = list(range(first, last + 1))
+    ledger = context.cluster.nodes[name].ledger
+    wait_until(lambda: ledger.local_machine(KEY, ItemList).items == wanted, "it caught up")
+
+
+@when("one follower of the ledger stops for good")
+def when_follower_gone(context):
+    cluster = context.cluster
+    gone = next(name for name in cluster.voters() if name != cluster.leader())
+    cluster.stop(gone)
+    member = cluster.network.members[gone]
+    cluster.network.members[gone] = member.__class__(
+        **{**member.__dict__, "state": MemberState.DEAD}
+    )
+
+
+@then("the ledger's voters are {count:d} nodes that run")
+def then_voters(context, count):
+    cluster = context.cluster
+
+    def healthy():
+        voters = cluster.voters()
+        return len(voters) == count and set(voters) <= set(cluster.nodes)
+
+    wait_until(healthy, "the lost replica was replaced")
+
+
+@when("a ledger segment is put through node {name}")
+def when_segment(context, name):
+    context.blob = b"tokens" * 1000
+    reply = context.cluster.nodes[name].segments.put(KEY, context.blob, TIMEOUT_S)
+    context.reference = reply.unwrap()
+
+
+@then("the ledger segment is on {count:d} data nodes")
+def then_segment_on(context, count):
+    digest = bytes.fromhex(context.reference)
+    nodes = [context.cluster.nodes[name] for name in context.cluster.data_names]
+    assert sum(node.segments._files.holds(digest) for node in nodes) == count
+
+
+@then("the ledger segment is read through every node")
+def then_segment_read(context):
+    for node in context.cluster.nodes.values():
+        assert node.segments.get(KEY, context.reference, TIMEOUT_S).unwrap() == context.blob
--- /dev/null
+++ b/features/support/ledger_nodes.py
@@ -0,0 +1,289 @@
+"""Ledger nodes over a transport in memory, in one process, with real threads and files."""
+
+import threading
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from bellweir.kernel import names
+from bellweir.kernel.executors import Executors
+from bellweir.kernel.listeners import bind_listeners
+from bellweir.kernel.node import Kernel
+from bellweir.kernel.service import Service
+from bellweir.ledger.claims_service import ClaimsService
+from bellweir.ledger.interface import Command, Query, Reply, StateMachine
+from bellweir.ledger.segments_service import SegmentsService
+from bellweir.ledger.service import LedgerService
+from bellweir.membership.interface import Member, Membership, MemberState
+from bellweir.platform.interface import (
+    ErrorKind,
+    ObjectStore,
+    PlatformClients,
+    PlatformError,
+    StoredObject,
+)
+from bellweir.settings.models import LedgerSettings, NodeIdentity, PlatformSettings, Settings
+from bellweir.wire.interface import (
+    Message,
+    Sender,
+    Transport,
+    WireError,
+    WireErrorKind,
+)
+
+
+class AppendItem(Command, frozen=True, tag=True):
+    item: int
+
+
+class ReadItems(Query, frozen=True, tag=True):
+    pass
+
+
+class Items(Reply, frozen=True, tag=True):
+    items: tuple[int, ...]
+
+
+class ItemList(StateMachine):
+    """A list; the oracle of the ledger's properties. Appending an item twice changes nothing."""
+
+    def __init__(self) -> None:
+        self.items: list[int] = []
+
+    def command_types(self) -> tuple[type[Command], ...]:
+        return (AppendItem,)
+
+    def query_types(self) -> tuple[type[Query], ...]:
+        return (ReadItems,)
+
+    def reply_types(self) -> tuple[type[Reply], ...]:
+        return (Items,)
+
+    def apply(self, command: Any) -> Reply:
+        if command.item not in self.items:
+            self.items.append(command.item)
+        return Items(tuple(self.items))
+
+    def answer(self, query: Query) -> Reply:
+        return Items(tuple(self.items))
+
+    def save(self) -> bytes:
+        return ",".join(map(str, self.items)).encode()
+
+    def load(self, state: bytes) -> None:
+        self.items = [int(item) for item in state.decode().split(",") if item]
+
+
+class MemoryObjectStore(ObjectStore):
+    """Objects with versions and compare-and-set; `down` makes every call fail."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._objects: dict[tuple[str, str], StoredObject] = {}
+        self._revision = 0
+        self.down = False
+
+    def list_objects(self) -> Any:
+        raise NotImplementedError
+
+    def watch(self, from_revision: int, timeout_s: float) -> Any:
+        raise NotImplementedError
+
+    def delete(self, kind: str, name: str, expected_version: int) -> Any:
+        raise NotImplementedError
+
+    def get(self, kind: str, name: str) -> Result[StoredObject, PlatformError]:
+        with self._lock:
+            if self.down:
+                return Failure(PlatformError(ErrorKind.NOT_RUN, "down"))
+            found = self._objects.get((kind, name))
+            if found is None:
+                return Failure(PlatformError(ErrorKind.NOT_FOUND, name))
+            return Success(found)
+
+    def put(
+        self, document: Any, expected_version: int | None, mutation_id: str
+    ) -> Result[StoredObject, PlatformError]:
+        key = (document["kind"], document["metadata"]["name"])
+        with self._lock:
+            if self.down:
+                return Failure(PlatformError(ErrorKind.NOT_RUN, "down"))
+            found = self._objects.get(key)
+            if expected_version not in (None, found.version if found else 0):
+                return Failure(PlatformError(ErrorKind.CONFLICT, "another version"))
+            self._revision += 1
+            stored = StoredObject(*key, self._revision, document)
+            self._objects[key] = stored
+            return Success(stored)
+
+
+class MemoryPlatform(Service, PlatformClients):
+    name = names.PLATFORM
+
+    def __init__(self, store: ObjectStore) -> None:
+        self._store = store
+
+    def start(self) -> None: ...
+    def stop(self) -> None: ...
+    def close(self) -> None: ...
+
+    def object_store(self) -> ObjectStore:
+        return self._store
+
+    def machine_list(self) -> Any:
+        raise NotImplementedError
+
+    def weight_store(self) -> Any:
+        raise NotImplementedError
+
+    def engine(self, address: str) -> Any:
+        raise NotImplementedError
+
+    def application(self, address: str) -> Any:
+        raise NotImplementedError
+
+    def scorer(self, address: str) -> Any:
+        raise NotImplementedError
+
+
+@dataclass
+class MemoryNetwork:
+    """Who can reach whom; addresses are node names."""
+
+    transports: dict[str, "MemoryTransport"] = field(default_factory=dict)
+    members: dict[str, Member] = field(default_factory=dict)
+    cut: set[str] = field(default_factory=set)
+    """Nodes that nobody reaches and that reach nobody."""
+
+    def reaches(self, origin: str, target: str) -> bool:
+        return origin not in self.cut and target not in self.cut and target in self.transports
+
+
+class MemoryTransport(Service, Transport):
+    name = names.TRANSPORT
+
+    def __init__(self, node: str, network: MemoryNetwork) -> None:
+        self._node = node
+        self._network = network
+        self._handlers: dict[type[Message], Callable[[Sender, Any], Message | None]] = {}
+        self._pool = ThreadPoolExecutor(8, thread_name_prefix=f"memory-{node}")
+
+    def start(self) -> None:
+        self._network.transports[self._node] = self
+
+    def stop(self) -> None:
+        self._network.transports.pop(self._node, None)
+        self._pool.shutdown(wait=True, cancel_futures=True)
+
+    def register(self, message_type: type[Any], handler: Any) -> None:
+        self._handlers[message_type] = handler
+
+    def handle(self, origin: str, message: Message) -> Message | None:
+        return self._handlers[type(message)](Sender(origin, origin), message)
+
+    def request(
+        self, address: str, message: Message, timeout_s: float
+    ) -> Result[Message, WireError]:
+        if not self._network.reaches(self._node, address):
+            return Failure(WireError(WireErrorKind.NOT_SENT, "cut"))
+        peer = self._network.transports[address]
+        if type(message) not in peer._handlers:
+            return Failure(WireError(WireErrorKind.REFUSED, "no handler"))
+        answer = peer.handle(self._node, message)
+        if not self._network.reaches(self._node, address) or answer is None:
+            return Failure(WireError(WireErrorKind.NO_ANSWER, "lost"))
+        return Success(answer)
+
+    def send(self, address: str, message: Message) -> bool:
+        if self._network.reaches(self._node, address):
+            peer = self._network.transports[address]
+            if type(message) in peer._handlers:
+                try:
+                    peer._pool.submit(peer.handle, self._node, message)
+                except RuntimeError:
+                    return False
+        return True
+
+
+class MemoryMembership(Service, Membership):
+    name = names.MEMBERSHIP
+
+    def __init__(self, member: Member, network: MemoryNetwork) -> None:
+        self._member = member
+        self._network = network
+
+    def start(self) -> None:
+        self._network.members[self._member.node] = self._member
+
+    def stop(self) -> None: ...
+    def subscribe(self, listener: Any) -> None: ...
+    def announce_leaving(self) -> None: ...
+
+    def self_member(self) -> Member:
+        return self._member
+
+    def members(self) -> tuple[Member, ...]:
+        return tuple(sorted(self._network.members.values(), key=lambda member: member.node))
+
+    def member(self, node: str) -> Member | None:
+        return self._network.members.get(node)
+
+
+class ItemsService(Service):
+    """Registers the list as a state machine."""
+
+    name = "items"
+    dependencies = (names.LEDGER,)
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+
+    def start(self) -> None:
+        self._kernel.registry.find(names.LEDGER, LedgerService).register(ItemList)
+
+    def stop(self) -> None: ...
+
+
+class MemoryNode:
+    """One node with a ledger and claims."""
+
+    def __init__(
+        self,
+        name: str,
+        folder: Path | None,
+        network: MemoryNetwork,
+        store: ObjectStore,
+        ledger: LedgerSettings,
+    ) -> None:
+        identity = NodeIdentity(name=name, zone=f"zone-{name}", data_folder=folder)
+        settings = Settings(
+            node=identity, ledger=ledger, platform=PlatformSettings(object_api="127.0.0.1:1")
+        )
+        self.name = name
+        self.kernel = Kernel(bind_listeners("127.0.0.1", 0, 0), executors=Executors())
+        member = Member(
+            name, name, name, identity.zone, "region", folder is not None, MemberState.ALIVE, 1
+        )
+        self.ledger = LedgerService(self.kernel, settings)
+        self.claims = ClaimsService(self.kernel, settings)
+        self.segments = SegmentsService(self.kernel, settings)
+        for service in (
+            MemoryTransport(name, network),
+            MemoryMembership(member, network),
+            MemoryPlatform(store),
+            self.ledger,
+            self.claims,
+            self.segments,
+            ItemsService(self.kernel),
+        ):
+            self.kernel.registry.register(service)
+        self.kernel.registry.start()
+
+    def stop(self) -> None:
+        self.kernel.registry.stop()
+        self.kernel.executors.stop()
+        self.kernel.listeners.close()
--- a/src/bellweir/kernel/registry.py
+++ b/src/bellweir/kernel/registry.py
@@ -1,5 +1,6 @@
 """Registry in which services find each other by name through typed interfaces."""
 
+import threading
 import time
 from typing import TypeVar
 
@@ -26,6 +27,8 @@
     def __init__(self) -> None:
         self._services: dict[str, Service] = {}
         self._started: list[Service] = []
+        self.all_started = threading.Event()
+        """Set once every service has started, for work that must not begin before."""
 
     def register(self, service: Service) -> None:
         """Add a service under its name. Raises `ValueError` when the name is taken."""
@@ -64,6 +67,7 @@
                 self.stop()
                 raise
             self._started.append(service)
+        self.all_started.set()
 
     def drain(self, deadline_s: float) -> None:
         """Drain the started services, dependants first, sharing one deadline in seconds."""
--- /dev/null
+++ b/src/bellweir/ledger/claims_service.py
@@ -0,0 +1,121 @@
+"""Service `claims`: idempotency keys, kept in the ledger."""
+
+from returns.result import Failure, Result, Success
+
+from bellweir.kernel import names
+from bellweir.kernel.node import Kernel
+from bellweir.kernel.service import Service
+from bellweir.ledger.claims import (
+    ClaimKey,
+    ClaimReply,
+    ClaimsMachine,
+    LookUpClaim,
+    RecordOutcome,
+)
+from bellweir.ledger.interface import (
+    Claim,
+    Claims,
+    ClaimState,
+    Command,
+    Ledger,
+    LedgerError,
+    LedgerErrorKind,
+    RecordedAnswer,
+    Reply,
+)
+from bellweir.membership.interface import Membership, MemberState
+from bellweir.settings.models import Settings
+
+ATTEMPTS_PER_CALL = 3
+"""Claim commands are idempotent, so one whose outcome is unknown is sent again within the time."""
+
+
+class ClaimsService(Service, Claims):
+    """Claims of this node's requests, under its own name as their holder."""
+
+    name = names.CLAIMS
+    dependencies = (names.LEDGER, names.MEMBERSHIP)
+
+    def __init__(self, kernel: Kernel, settings: Settings) -> None:
+        self._kernel = kernel
+        self._node = settings.node.name
+        self._ledger: Ledger
+        self._membership: Membership
+
+    def start(self) -> None:
+        """Register the state machine; find the membership."""
+        registry = self._kernel.registry
+        self._ledger = registry.find(names.LEDGER, Ledger)  # type: ignore[type-abstract]
+        self._ledger.register(ClaimsMachine)
+        self._membership = registry.find(
+            names.MEMBERSHIP,
+            Membership,  # type: ignore[type-abstract]
+        )
+
+    def stop(self) -> None:
+        """Nothing is held here."""
+
+    def claim(
+        self, key: str, fingerprint: str, attempt_id: str, window_s: float, timeout_s: float
+    ) -> Result[Claim, LedgerError]:
+        """Claim a key; sent again with the same attempt id when the outcome was lost."""
+        command = ClaimKey(
+            key, fingerprint, attempt_id, self._node, self._kernel.clock.wall_s(), window_s
+        )
+        return self._submit(key, command, timeout_s).map(self._as_claim)
+
+    def record(
+        self,
+        key: str,
+        attempt_id: str,
+        state: ClaimState,
+        answer: RecordedAnswer | None,
+        timeout_s: float,
+    ) -> Result[Claim, LedgerError]:
+        """Record an attempt's outcome."""
+        now_s = self._kernel.clock.wall_s()
+        command = RecordOutcome(key, attempt_id, state, answer, now_s)
+        return self._submit(key, command, timeout_s).map(self._as_claim)
+
+    def look_up(self, key: str, timeout_s: float) -> Result[Claim | None, LedgerError]:
+        """What is known of a key."""
+        query = LookUpClaim(key, self._kernel.clock.wall_s())
+        match self._ledger.ask(key, query, timeout_s):
+            case Success(ClaimReply(state=None)):
+                return Success(None)
+            case Success(reply):
+                return Success(self._as_claim(reply))
+            case Failure(error):
+                return Failure(error)
+        raise AssertionError("a result is a success or a failure")
+
+    def _submit(self, key: str, command: Command, timeout_s: float) -> Result[Reply, LedgerError]:
+        deadline_s = self._kernel.clock.monotonic_s() + timeout_s
+        unknown: LedgerError | None = None
+        for attempts_left in range(ATTEMPTS_PER_CALL, 0, -1):
+            left_s = deadline_s - self._kernel.clock.monotonic_s()
+            if left_s <= 0:
+                break
+            result = self._ledger.submit(key, command, left_s / attempts_left)
+            match result:
+                case Success(_):
+                    return result
+                case Failure(error) if error.kind is LedgerErrorKind.UNKNOWN:
+                    unknown = error
+        # Once one command may have been appended, a later refusal does not undo it.
+        if unknown is not None:
+            return Failure(unknown)
+        return Failure(LedgerError(LedgerErrorKind.UNAVAILABLE, "no leader found in time"))
+
+    def _as_claim(self, reply: Reply) -> Claim:
+        if not isinstance(reply, ClaimReply) or reply.state is None:
+            return Claim(ClaimState.UNKNOWN)
+        state = reply.state
+        if state is ClaimState.IN_PROGRESS and self._is_dead(reply.holder):
+            # Nobody is left who could record the outcome, and nobody else may ever run it.
+            state = ClaimState.UNKNOWN
+        return Claim(state, reply.answer, reply.holder)
+
+    def _is_dead(self, holder: str | None) -> bool:
+        member = self._membership.member(holder) if holder else None
+        return member is not None and member.state is MemberState.DEAD
--- /dev/null
+++ b/src/bellweir/ledger/journal.py
@@ -0,0 +1,151 @@
+"""What a replica keeps: operations are buffered and made durable in groups.
+
+Callers buffer operations under their own locks and get a ticket; `sync` makes everything up to a
+ticket durable, and whoever comes first does so for all who wait (group commit). The lock held
+during the write is there for nothing else.
+"""
+
+import threading
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from bellweir.ledger.entries import Entry, ReplicaId, ReplicaSet
+
+
+@dataclass(frozen=True)
+class StoredSnapshot:
+    """State of a shard after applying the entry at `index`."""
+
+    index: int
+    term: int
+    replicas: ReplicaSet
+    state: bytes
+
+
+@dataclass(frozen=True)
+class StoredShard:
+    """A shard as found in the files."""
+
+    shard: int
+    generation: int
+    term: int
+    voted_for: ReplicaId | None
+    snapshot: StoredSnapshot | None
+    entries: tuple[Entry, ...]
+
+
+@dataclass(frozen=True)
+class AppendEntries:
+    """Replace everything from the first entry's index on by these entries."""
+
+    shard: int
+    entries: Sequence[Entry]
+
+
+@dataclass(frozen=True)
+class SaveTerm:
+    """Keep a shard's generation, term and vote."""
+
+    shard: int
+    generation: int
+    term: int
+    voted_for: ReplicaId | None
+
+
+@dataclass(frozen=True)
+class SaveSnapshot:
+    """Keep a snapshot and drop the entries up to its index."""
+
+    shard: int
+    snapshot: StoredSnapshot
+
+
+@dataclass(frozen=True)
+class TruncateLog:
+    """Drop the entries from an index on."""
+
+    shard: int
+    from_index: int
+
+
+@dataclass(frozen=True)
+class ForgetShard:
+    """Drop everything of a shard."""
+
+    shard: int
+
+
+Operation = AppendEntries | SaveTerm | SaveSnapshot | TruncateLog | ForgetShard
+
+
+class JournalFailedError(RuntimeError):
+    """A write failed once: what is on disk is not known, so nothing is written any more."""
+
+
+class Journal(ABC):
+    """Durable storage of all replicas of a node."""
+
+    def __init__(self) -> None:
+        self._buffer_lock = threading.Lock()
+        self._buffer: list[Operation] = []
+        self._buffered_ticket = 0
+        self._durable_ticket = 0
+        self._write_lock = threading.Lock()
+        self._failed = False
+
+    @property
+    @abstractmethod
+    def disk(self) -> str:
+        """Identity of the disk; a new one after loss or damage."""
+
+    @abstractmethod
+    def load(self) -> tuple[StoredShard, ...]:
+        """Read everything; called once, before anything is buffered."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Release the files; nothing is buffered any more."""
+
+    @abstractmethod
+    def _write(self, operations: Sequence[Operation]) -> None:
+        """Make the operations durable, all or none, in their order."""
+
+    @property
+    def durable_ticket(self) -> int:
+        """Everything up to this ticket is durable."""
+        return self._durable_ticket
+
+    def buffer(self, operation: Operation) -> int:
+        """Add an operation to the next group; return its ticket. Does no I/O."""
+        with self._buffer_lock:
+            self._buffer.append(operation)
+            self._buffered_ticket += 1
+            return self._buffered_ticket
+
+    def sync(self, ticket: int | None = None) -> int:
+        """Make everything up to `ticket` durable (or everything buffered); return what now is.
+
+        Raises `JournalFailedError` now and for ever once a write has failed: the node must not
+        answer for operations that may be lost.
+        """
+        if ticket is None:
+            with self._buffer_lock:
+                ticket = self._buffered_ticket
+        with self._write_lock:
+            if self._durable_ticket < ticket:
+                self._write_buffered()
+            return self._durable_ticket
+
+    def _write_buffered(self) -> None:
+        if self._failed:
+            raise JournalFailedError("an earlier write to the journal failed")
+        with self._buffer_lock:
+            operations, self._buffer = self._buffer, []
+            ticket = self._buffered_ticket
+        try:
+            self._write(operations)
+        except Exception as failure:
+            self._failed = True
+            raise JournalFailedError(f"write to the journal failed: {failure!r}") from failure
+        self._durable_ticket = ticket
--- /dev/null
+++ b/src/bellweir/ledger/locator.py
@@ -0,0 +1,92 @@
+"""Finds the placement, and the nodes that may lead a shard, from any node."""
+
+import threading
+import time
+
+from returns.result import Success
+
+from bellweir.kernel.clock import Clock
+from bellweir.ledger.keeper import PLACEMENT_TIMEOUT_S, REFRESH_PERIOD_S, PlacementKeeper
+from bellweir.ledger.messages import PlacementAnswer, PlacementRequest
+from bellweir.ledger.placement import Placement
+from bellweir.membership.interface import Membership, MemberState
+from bellweir.wire.interface import Transport
+
+LOOKUP_PAUSE_S = 0.05
+"""Pause between two rounds of asking for the placement."""
+
+
+class PlacementLocator:
+    """A node with a data folder reads its keeper's placement; others ask such nodes for theirs."""
+
+    def __init__(
+        self, membership: Membership, transport: Transport, keeper: PlacementKeeper | None
+    ) -> None:
+        self._membership = membership
+        self._transport = transport
+        self._keeper = keeper
+        self._placement: Placement | None = None
+        self._asked_s = float("-inf")
+        self._pause = threading.Event()
+
+    def placement(self) -> Placement | None:
+        """The placement as known here."""
+        return self._keeper.placement if self._keeper else self._placement
+
+    def shard_count(self) -> int | None:
+        """Number of shards, once known; it never changes."""
+        placement = self.placement()
+        return placement.shard_count if placement else None
+
+    def wait_for_shard_count(self, timeout_s: float, clock: Clock) -> int | None:
+        """Number of shards, asked for until known; None when nobody tells in time."""
+        deadline_s = clock.monotonic_s() + timeout_s
+        while True:
+            count = self.shard_count()
+            if count is not None:
+                return count
+            if clock.monotonic_s() >= deadline_s:
+                return None
+            if self._keeper is None:
+                self._ask()
+            clock.wait(self._pause, LOOKUP_PAUSE_S)
+
+    def replica_nodes(self, shard: int) -> tuple[str, ...]:
+        """Nodes that hold a shard, voters first, as published."""
+        placement = self.placement()
+        if placement is None:
+            return ()
+        return tuple(one.node for one in placement.shards[shard].replicas.everyone)
+
+    def refresh(self) -> None:
+        """Ask for the placement again, on a node that keeps none, if it was long ago."""
+        if self._keeper is None and time.monotonic() - self._asked_s > REFRESH_PERIOD_S:
+            self._ask()
+
+    def candidates(self, shard: int) -> list[str]:
+        """Nodes that may lead a shard: its replicas as published, then all with a data folder."""
+        placement = self.placement()
+        named = [one.node for one in placement.shards[shard].replicas.voters] if placement else []
+        return named + [node for node in self._data_nodes() if node not in named]
+
+    def _data_nodes(self) -> list[str]:
+        return [
+            member.node
+            for member in self._membership.members()
+            if member.has_data_folder and member.state is not MemberState.DEAD
+        ]
+
+    def _ask(self) -> None:
+        self._asked_s = time.monotonic()
+        for node in self._data_nodes():
+            member = self._membership.member(node)
+            if member is None:
+                continue
+            answer = self._transport.request(
+                member.peer_address, PlacementRequest(), PLACEMENT_TIMEOUT_S
+            )
+            match answer:
+                case Success(PlacementAnswer(placement=Placement() as found)):
+                    known = self._placement
+                    self._placement = known.merged(found) if known else found
+                    return
--- /dev/null
+++ b/src/bellweir/ledger/log_events.py
@@ -0,0 +1,84 @@
+"""Log events of the ledger (BW0900 to BW0999)."""
+
+from bellweir.events.event import Event, Level
+
+JOURNAL_DAMAGED = Event(
+    900,
+    "journal_damaged",
+    Level.ERROR,
+    ("folder", "findings"),
+    "The ledger's files are not what was acknowledged; the node rejoins as a learner.",
+)
+LEADER_ELECTED = Event(
+    901, "leader_elected", Level.INFO, ("shard", "term"), "This node now leads a shard."
+)
+LEADER_RESIGNED = Event(
+    902,
+    "leader_resigned",
+    Level.INFO,
+    ("shard", "term", "cause"),
+    "This node no longer leads a shard.",
+)
+APPLY_FAILED = Event(
+    903,
+    "apply_failed",
+    Level.ERROR,
+    ("shard", "index", "error"),
+    "A state machine raised on a command; the caller is told that its outcome is unknown.",
+)
+LEDGER_CREATED = Event(
+    904,
+    "ledger_created",
+    Level.INFO,
+    ("shards", "replicas"),
+    "This node wrote the first placement of the ledger.",
+)
+REPLICAS_CHANGED = Event(
+    905,
+    "replicas_changed",
+    Level.INFO,
+    ("shard", "voters", "learners"),
+    "This node, leading a shard, began a change of the shard's replicas.",
+)
+SHARD_RECOVERED = Event(
+    906,
+    "shard_recovered",
+    Level.WARNING,
+    ("shard", "generation"),
+    "An operator's recovery made this node the only voter of a shard.",
+)
+SHARD_FORGOTTEN = Event(
+    907,
+    "shard_forgotten",
+    Level.WARNING,
+    ("shard", "generation"),
+    "This node dropped its replica of a shard that was recovered without it.",
+)
+PLACEMENT_WRITE_FAILED = Event(
+    908,
+    "placement_write_failed",
+    Level.WARNING,
+    ("detail",),
+    "The placement could not be written to the object store; tried again later.",
+)
+SNAPSHOT_INSTALLED = Event(
+    909,
+    "snapshot_installed",
+    Level.INFO,
+    ("shard", "index"),
+    "A replica took a snapshot from its leader.",
+)
+STEP_FAILED = Event(
+    910,
+    "step_failed",
+    Level.ERROR,
+    ("step", "error"),
+    "A periodic step of the ledger raised; it is tried again.",
+)
+SEGMENT_DAMAGED = Event(
+    911,
+    "segment_damaged",
+    Level.WARNING,
+    ("file", "offset"),
+    "A segment file is torn or damaged there; its blobs are read from other replicas.",
+)
--- /dev/null
+++ b/src/bellweir/ledger/service.py
@@ -0,0 +1,225 @@
+"""Service `ledger`: the replicated log on nodes with a data folder, and the way to it elsewhere."""
+
+import threading
+from pathlib import Path
+
+import xxhash
+from returns.result import Failure, Result
+
+from bellweir.kernel import names
+from bellweir.kernel.node import Kernel
+from bellweir.kernel.service import Service
+from bellweir.ledger.calls import CallClient, CallServer
+from bellweir.ledger.interface import (
+    Command,
+    Ledger,
+    LedgerError,
+    LedgerErrorKind,
+    Query,
+    Reply,
+    StateMachine,
+)
+from bellweir.ledger.keeper import PlacementKeeper
+from bellweir.ledger.locator import PlacementLocator
+from bellweir.ledger.machines import Codec
+from bellweir.ledger.node import LedgerNode, NodeTiming
+from bellweir.ledger.placement import PlacementStore
+from bellweir.ledger.sqlite_journal import SqliteJournal
+from bellweir.ledger.tasks import LedgerTasks
+from bellweir.membership.interface import Membership
+from bellweir.platform.interface import PlatformClients
+from bellweir.settings.models import Settings
+from bellweir.wire.interface import Transport
+
+START_POLL_S = 0.1
+LEDGER_FOLDER = "ledger"
+
+
+class LedgerService(Service, Ledger):
+    """The ledger of one node.
+
+    It serves once all services of the node have started, because by then all state machines are
+    registered and a log can be applied.
+    """
+
+    name = names.LEDGER
+    dependencies = (names.TRANSPORT, names.MEMBERSHIP, names.PLATFORM)
+
+    def __init__(self, kernel: Kernel, settings: Settings) -> None:
+        self._kernel = kernel
+        self._settings = settings
+        self._machine_types: list[type[StateMachine]] = []
+        self._serving = threading.Event()
+        self._journal: SqliteJournal | None = None
+        self._node: LedgerNode | None = None
+        self._tasks: LedgerTasks | None = None
+        self._client: CallClient
+        self._locator: PlacementLocator
+        self._transport: Transport
+        self._membership: Membership
+        self._platform: PlatformClients
+
+    # --- life ---------------------------------------------------------------------------------
+
+    def start(self) -> None:
+        """Find what the ledger needs; it begins to serve when the whole node has started."""
+        registry = self._kernel.registry
+        self._transport = registry.find(
+            names.TRANSPORT,
+            Transport,  # type: ignore[type-abstract]
+        )
+        self._membership = registry.find(
+            names.MEMBERSHIP,
+            Membership,  # type: ignore[type-abstract]
+        )
+        self._platform = registry.find(
+            names.PLATFORM,
+            PlatformClients,  # type: ignore[type-abstract]
+        )
+        self._kernel.executors.run_task("ledger-start", self._begin_serving)
+
+    def _begin_serving(self, stopping: threading.Event) -> None:
+        while not self._kernel.registry.all_started.wait(START_POLL_S):
+            if stopping.is_set():
+                return
+        folder = self._settings.node.data_folder
+        if folder is not None:
+            self._start_replicas(folder / LEDGER_FOLDER)
+        codec = self._node.codec if self._node else Codec(self._machine_types)
+        keeper = self._tasks.keeper if self._tasks else None
+        self._locator = PlacementLocator(self._membership, self._transport, keeper)
+        self._client = CallClient(
+            self._node,
+            codec,
+            self._transport,
+            self._address_of,
+            self._locator.candidates,
+            self._kernel.clock,
+        )
+        self._serving.set()
+
+    def _start_replicas(self, folder: Path) -> None:
+        settings = self._settings.ledger
+        timing = NodeTiming(
+            settings.election_timeout_s, settings.election_timeout_s, settings.snapshot_entries
+        )
+        self._journal = SqliteJournal(folder)
+        node = LedgerNode(
+            self._settings.node.name,
+            self._journal,
+            self._machine_types,
+            self._transport,
+            self._address_of,
+            self._kernel.clock,
+            timing,
+        )
+        node.load()
+        keeper = PlacementKeeper(
+            node,
+            self._placement_store(),
+            self._membership,
+            self._transport,
+            self._kernel.clock,
+            folder,
+            settings,
+        )
+        CallServer(node, self._transport)
+        node.register_handlers()
+        self._node = node
+        self._tasks = LedgerTasks(node, keeper, self._kernel.executors, settings)
+        self._tasks.start()
+
+    def _placement_store(self) -> PlacementStore | None:
+        if self._settings.platform.object_api is None:
+            return None
+        return PlacementStore(self._platform.object_store())
+
+    def drain(self, deadline_s: float) -> None:
+        """Hand over the shards led here."""
+        if self._tasks is not None:
+            self._tasks.hand_over(deadline_s)
+
+    def stop(self) -> None:
+        """End the tasks, then close the files."""
+        if self._tasks is not None:
+            self._tasks.stop()
+        if self._journal is not None:
+            self._journal.close()
+
+    # --- the ledger ---------------------------------------------------------------------------
+
+    def register(self, make: type[StateMachine]) -> None:
+        """Add a state machine class; from a service's `start`."""
+        if self._kernel.registry.all_started.is_set():
+            raise RuntimeError("state machines are registered while the node starts")
+        self._machine_types.append(make)
+
+    def submit(self, key: str, command: Command, timeout_s: float) -> Result[Reply, LedgerError]:
+        """Append a command to the key's shard and return what applying it returned."""
+        return self._call(key, command, timeout_s)
+
+    def ask(self, key: str, query: Query, timeout_s: float) -> Result[Reply, LedgerError]:
+        """Answer a query from the key's shard, linearizably."""
+        return self._call(key, query, timeout_s)
+
+    def _call(
+        self, key: str, value: Command | Query, timeout_s: float
+    ) -> Result[Reply, LedgerError]:
+        started_s = self._kernel.clock.monotonic_s()
+        if not self._serving.wait(timeout_s):
+            return _unavailable("the node is starting")
+        left_s = timeout_s - (self._kernel.clock.monotonic_s() - started_s)
+        shard_count = self._locator.wait_for_shard_count(left_s, self._kernel.clock)
+        if shard_count is None:
+            return _unavailable("no placement of the ledger is known")
+        left_s = timeout_s - (self._kernel.clock.monotonic_s() - started_s)
+        return self._client.call(_shard_of(key, shard_count), value, left_s)
+
+    def leads(self, key: str) -> bool:
+        """Whether this node leads the key's shard, as far as it knows; not a fence."""
+        node = self._node
+        replica = node.replica(self.shard_of(key)) if node else None
+        return replica is not None and node is not None and replica.leader == node.own
+
+    def leader_address(self, key: str) -> str | None:
+        """`host:port` of the peer port of the shard's leader, as last heard."""
+        if not self._serving.is_set():
+            return None
+        leader = self._client.leader_node(self.shard_of(key))
+        return self._address_of(leader) if leader else None
+
+    def local_machine(self, key: str, make: type[StateMachine]) -> StateMachine | None:
+        """The local replica's state machine, for scans by a leader; None without a replica."""
+        replica = self._node.replica(self.shard_of(key)) if self._node else None
+        return replica.machine(make) if replica else None
+
+    def shard_of(self, key: str) -> int:
+        """Number of the key's shard."""
+        known = self._locator.shard_count() if self._serving.is_set() else None
+        return _shard_of(key, known or self._settings.ledger.shards)
+
+    def replica_nodes(self, key: str, timeout_s: float) -> tuple[str, ...]:
+        """Nodes that hold the key's shard, as last heard; none before the ledger is known."""
+        if not self._serving.wait(timeout_s):
+            return ()
+        count = self._locator.wait_for_shard_count(timeout_s, self._kernel.clock)
+        if count is None:
+            return ()
+        self._locator.refresh()
+        shard = _shard_of(key, count)
+        replica = self._node.replica(shard) if self._node else None
+        if replica is not None and replica.log.replicas.voters:
+            return tuple(one.node for one in replica.log.replicas.everyone)
+        return self._locator.replica_nodes(shard)
+
+    def _address_of(self, node: str) -> str | None:
+        member = self._membership.member(node)
+        return member.peer_address if member else None
+
+
+def _shard_of(key: str, shard_count: int) -> int:
+    return xxhash.xxh3_64_intdigest(key.encode()) % shard_count
+
+
+def _unavailable(detail: str) -> Result[Reply, LedgerError]:
+    return Failure(LedgerError(LedgerErrorKind.UNAVAILABLE, detail))
--- /dev/null
+++ b/src/bellweir/ledger/sqlite_journal.py
@@ -0,0 +1,293 @@
+"""The journal in a sqlite3 file on the data folder.
+
+sqlite3 cuts a torn tail by itself, but it drops whatever follows a damaged frame of its
+write-ahead log without a word, and it has no checksum on its pages. So each row carries a
+checksum, indexes must be contiguous, and the number of the last durable group is also written to
+a mark file behind each commit: a database older than its mark, or with a bad row, is damaged.
+A damaged journal keeps what can be proved whole but gets a new disk identity, so that the
+replica rejoins as a learner and refetches the rest from its peers. The ways weighed and their
+figures are in docs/design/ledger.md.
+"""
+
+import os
+import sqlite3
+import struct
+import uuid
+from collections.abc import Sequence
+from pathlib import Path
+
+import msgspec
+import xxhash
+
+from bellweir.events.log import emit
+from bellweir.ledger.entries import Entry, ReplicaId, ReplicaSet
+from bellweir.ledger.journal import (
+    AppendEntries,
+    ForgetShard,
+    Journal,
+    Operation,
+    SaveSnapshot,
+    SaveTerm,
+    StoredShard,
+    StoredSnapshot,
+    TruncateLog,
+)
+from bellweir.ledger.log_events import JOURNAL_DAMAGED
+
+DATABASE_NAME = "ledger.sqlite3"
+MARK_NAME = "ledger.mark"
+MARK_FORMAT = struct.Struct("<QQ")
+"""Number of the last durable group, and the checksum of that number."""
+
+SCHEMA = """
+CREATE TABLE IF NOT EXISTS identity (disk TEXT NOT NULL, last_group INTEGER NOT NULL);
+CREATE TABLE IF NOT EXISTS terms (
+    shard INTEGER PRIMARY KEY, generation INTEGER NOT NULL, term INTEGER NOT NULL,
+    voted_for BLOB NOT NULL, checksum INTEGER NOT NULL);
+CREATE TABLE IF NOT EXISTS snapshots (
+    shard INTEGER PRIMARY KEY, last_index INTEGER NOT NULL, term INTEGER NOT NULL,
+    replicas BLOB NOT NULL, state BLOB NOT NULL, checksum INTEGER NOT NULL);
+CREATE TABLE IF NOT EXISTS entries (
+    shard INTEGER NOT NULL, position INTEGER NOT NULL, term INTEGER NOT NULL,
+    kind INTEGER NOT NULL, payload BLOB NOT NULL, checksum INTEGER NOT NULL,
+    PRIMARY KEY (shard, position)) WITHOUT ROWID;
+"""
+
+
+class JournalDamagedError(Exception):
+    """The files are not what was acknowledged."""
+
+
+class SqliteJournal(Journal):
+    """The journal of one node, in `ledger.sqlite3` of its data folder."""
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__()
+        folder.mkdir(parents=True, exist_ok=True)
+        self._folder = folder
+        self._group = 0
+        self._disk = ""
+        self._mark = os.open(folder / MARK_NAME, os.O_RDWR | os.O_CREAT, 0o600)
+        self._connection: sqlite3.Connection
+
+    @property
+    def disk(self) -> str:
+        """Identity of the disk, known once `load` has run."""
+        return self._disk
+
+    def load(self) -> tuple[StoredShard, ...]:
+        """Read everything; damage is reported, and what is whole is kept under a new identity."""
+        try:
+            self._open()
+            shards, findings = self._read_shards()
+            findings += self._identity_findings()
+        except sqlite3.DatabaseError as failure:
+            return self._start_over(str(failure))
+        if findings:
+            emit(JOURNAL_DAMAGED, folder=str(self._folder), findings=findings)
+            self._keep_under_new_identity(shards)
+        return tuple(shards)
+
+    def close(self) -> None:
+        """Close the files; a second call does nothing."""
+        with self._write_lock:
+            if self._mark >= 0:
+                os.close(self._mark)
+                self._mark = -1
+                self._connection.close()
+
+    def _open(self) -> None:
+        path = self._folder / DATABASE_NAME
+        self._connection = sqlite3.connect(path, isolation_level=None, check_same_thread=False)
+        self._connection.execute("PRAGMA journal_mode=WAL")
+        self._connection.execute("PRAGMA synchronous=FULL")
+        self._connection.executescript(SCHEMA)
+
+    def _start_over(self, cause: str) -> tuple[StoredShard, ...]:
+        emit(JOURNAL_DAMAGED, folder=str(self._folder), findings=[cause])
+        self._connection.close()
+        for suffix in ("", "-wal", "-shm"):
+            path = self._folder / (DATABASE_NAME + suffix)
+            if path.exists():
+                path.replace(path.with_name(f"damaged-{path.name}"))
+        self._open()
+        self._assign_identity()
+        return ()
+
+    def _identity_findings(self) -> list[str]:
+        row = self._connection.execute("SELECT disk, last_group FROM identity").fetchone()
+        marked = self._read_mark()
+        if row is None:
+            had_data = marked is not None
+            self._assign_identity()
+            return ["the database is empty but its mark is not"] if had_data else []
+        self._disk, self._group = str(row[0]), int(row[1])
+        if marked is None:
+            return ["the mark file is missing or damaged"]
+        if marked > self._group:
+            return [f"acknowledged up to group {marked}, found up to {self._group}"]
+        return []
+
+    def _assign_identity(self) -> None:
+        self._disk = uuid.uuid4().hex[:16]
+        self._group = 1
+        with self._connection:
+            self._connection.execute("BEGIN")
+            self._connection.execute("DELETE FROM identity")
+            self._connection.execute("INSERT INTO identity VALUES (?, ?)", (self._disk, 1))
+        self._write_mark()
+
+    def _keep_under_new_identity(self, shards: Sequence[StoredShard]) -> None:
+        with self._connection:
+            self._connection.execute("BEGIN")
+            for table in ("terms", "snapshots", "entries"):
+                self._connection.execute(f"DELETE FROM {table}")
+        self._assign_identity()
+        for stored in shards:
+            self._write(_operations_of(stored))
+
+    # --- reading ------------------------------------------------------------------------------
+
+    def _read_shards(self) -> tuple[list[StoredShard], list[str]]:
+        findings: list[str] = []
+        shards = [
+            self._read_shard(row, findings)
+            for row in self._connection.execute("SELECT * FROM terms ORDER BY shard").fetchall()
+        ]
+        known = {stored.shard for stored in shards}
+        for table in ("snapshots", "entries"):
+            rows = self._connection.execute(f"SELECT DISTINCT shard FROM {table}")
+            findings += [f"shard {row[0]}: no term" for row in rows if row[0] not in known]
+        return shards, findings
+
+    def _read_shard(
+        self, row: tuple[int, int, int, bytes, int], findings: list[str]
+    ) -> StoredShard:
+        shard, generation, term, voted_for, checksum = row
+        if checksum != checksum_of(shard, generation, term, voted_for):
+            findings.append(f"shard {shard}: bad checksum of its term")
+        snapshot = self._read_snapshot(shard, findings)
+        first_index = snapshot.index + 1 if snapshot else 1
+        entries = self._read_entries(shard, first_index, findings)
+        vote = msgspec.msgpack.decode(voted_for, type=ReplicaId | None)
+        return StoredShard(shard, generation, term, vote, snapshot, entries)
+
+    def _read_snapshot(self, shard: int, findings: list[str]) -> StoredSnapshot | None:
+        row = self._connection.execute(
+            "SELECT last_index, term, replicas, state, checksum FROM snapshots WHERE shard = ?",
+            (shard,),
+        ).fetchone()
+        if row is None:
+            return None
+        index, term, replicas, state, checksum = row
+        if checksum != checksum_of(shard, index, term, replicas, state):
+            findings.append(f"shard {shard}: bad checksum of its snapshot")
+            return None
+        return StoredSnapshot(index, term, msgspec.msgpack.decode(replicas, type=ReplicaSet), state)
+
+    def _read_entries(self, shard: int, first_index: int, findings: list[str]) -> tuple[Entry, ...]:
+        entries: list[Entry] = []
+        rows = self._connection.execute(
+            "SELECT position, term, kind, payload, checksum FROM entries "
+            "WHERE shard = ? ORDER BY position",
+            (shard,),
+        )
+        for position, term, kind, payload, checksum in rows:
+            if position != first_index + len(entries):
+                findings.append(f"shard {shard}: entry {first_index + len(entries)} is missing")
+                break
+            if checksum != checksum_of(shard, position, term, kind, payload):
+                findings.append(f"shard {shard}: bad checksum of entry {position}")
+                break
+            entries.append(Entry(position, term, kind, payload))
+        return tuple(entries)
+
+    # --- writing ------------------------------------------------------------------------------
+
+    def _write(self, operations: Sequence[Operation]) -> None:
+        connection = self._connection
+        with connection:
+            connection.execute("BEGIN IMMEDIATE")
+            for operation in operations:
+                self._write_one(operation)
+            connection.execute("UPDATE identity SET last_group = ?", (self._group + 1,))
+        self._group += 1
+        self._write_mark()
+
+    def _write_one(self, operation: Operation) -> None:
+        match operation:
+            case AppendEntries(shard, entries):
+                self._delete_from(shard, entries[0].index)
+                self._connection.executemany(
+                    "INSERT INTO entries VALUES (?, ?, ?, ?, ?, ?)",
+                    [_row_of(shard, entry) for entry in entries],
+                )
+            case SaveTerm(shard, generation, term, voted_for):
+                vote = msgspec.msgpack.encode(voted_for)
+                self._connection.execute(
+                    "INSERT OR REPLACE INTO terms VALUES (?, ?, ?, ?, ?)",
+                    (shard, generation, term, vote, checksum_of(shard, generation, term, vote)),
+                )
+            case SaveSnapshot(shard, snapshot):
+                self._save_snapshot(shard, snapshot)
+            case TruncateLog(shard, from_index):
+                self._delete_from(shard, from_index)
+            case ForgetShard(shard):
+                for table in ("terms", "snapshots", "entries"):
+                    self._connection.execute(f"DELETE FROM {table} WHERE shard = ?", (shard,))
+
+    def _delete_from(self, shard: int, index: int) -> None:
+        self._connection.execute(
+            "DELETE FROM entries WHERE shard = ? AND position >= ?", (shard, index)
+        )
+
+    def _save_snapshot(self, shard: int, snapshot: StoredSnapshot) -> None:
+        replicas = snapshot.replicas.encode()
+        checksum = checksum_of(shard, snapshot.index, snapshot.term, replicas, snapshot.state)
+        self._connection.execute(
+            "INSERT OR REPLACE INTO snapshots VALUES (?, ?, ?, ?, ?, ?)",
+            (shard, snapshot.index, snapshot.term, replicas, snapshot.state, checksum),
+        )
+        self._connection.execute(
+            "DELETE FROM entries WHERE shard = ? AND position <= ?", (shard, snapshot.index)
+        )
+
+    # --- the mark -----------------------------------------------------------------------------
+
+    def _write_mark(self) -> None:
+        # Behind the commit and without a sync of its own: after a crash of the process it is
+        # exact, after a loss of power it can only be too old, never too new.
+        mark = MARK_FORMAT.pack(self._group, checksum_of(self._group) & 0xFFFFFFFF)
+        os.pwrite(self._mark, mark, 0)
+
+    def _read_mark(self) -> int | None:
+        mark = os.pread(self._mark, MARK_FORMAT.size, 0)
+        if len(mark) < MARK_FORMAT.size:
+            return None
+        group, checksum = MARK_FORMAT.unpack(mark)
+        return int(group) if checksum == checksum_of(group) & 0xFFFFFFFF else None
+
+
+def checksum_of(*fields: int | bytes) -> int:
+    """Checksum of a row's fields, as a signed 63-bit number that sqlite3 can hold."""
+    digest = xxhash.xxh3_64()
+    for field in fields:
+        digest.update(field if isinstance(field, bytes) else b"%d;" % field)
+    return digest.intdigest() >> 1
+
+
+def _row_of(shard: int, entry: Entry) -> tuple[int, int, int, int, bytes, int]:
+    index, term, kind, payload = entry.index, entry.term, int(entry.kind), entry.payload
+    checksum = checksum_of(shard, index, term, kind, payload)
+    return (shard, index, term, kind, payload, checksum)
+
+
+def _operations_of(stored: StoredShard) -> list[Operation]:
+    operations: list[Operation] = [
+        SaveTerm(stored.shard, stored.generation, stored.term, stored.voted_for)
+    ]
+    if stored.snapshot is not None:
+        operations.append(SaveSnapshot(stored.shard, stored.snapshot))
+    if stored.entries:
+        operations.append(AppendEntries(stored.shard, stored.entries))
+    return operations
--- a/src/bellweir/settings/models.py
+++ b/src/bellweir/settings/models.py
@@ -104,6 +104,14 @@
     """Shortest time without a leader before an election, in seconds. Default 1."""
     snapshot_entries: int = Field(default=4096, ge=16)
     """Log entries after which a snapshot is taken. Default 4096."""
+    creation_wait_s: float = Field(default=3.0, ge=0)
+    """Time for which the first node waits for others to share a new ledger with, in seconds.
+    Default 3."""
+    replace_after_s: float = Field(default=60.0, gt=0)
+    """Time after which a silent replica is replaced by one on another node, in seconds.
+    Default 60."""
+    segment_retention_s: float = Field(default=172_800.0, gt=0)
+    """Time for which bulk data, such as samples, is kept, in seconds. Default two days."""
 
 
 class SamplesSettings(Concern):
