--- a/features/steps/ledger_steps.py
+++ b/features/steps/ledger_steps.py
@@ -5,10 +5,6 @@
 from pathlib import Path
 
 from behave import given, then, when
-from returns.pipeline import is_successful
-
-from bellweir.membership.interface import MemberState
-from bellweir.settings.models import LedgerSettings
 from features.support.ledger_nodes import (
     AppendItem,
     ItemList,
@@ -18,6 +14,10 @@
     ReadItems,
 )
 from features.support.waiting import wait_until
+from returns.pipeline import is_successful
+
+from bellweir.membership.interface import MemberState
+from bellweir.settings.models import LedgerSettings
 
 KEY = "items"
 TIMEOUT_S = 20.0
