--- a/src/bellweir/settings/models.py
+++ b/src/bellweir/settings/models.py
@@ -56,8 +56,11 @@
     """Time after which indirect probes begin, in seconds. Default 0.5."""
     indirect_probes: int = Field(default=3, ge=0)
     """Members asked to probe on this node's behalf. Default 3."""
-    suspicion_multiplier: float = Field(default=4.0, gt=0)
-    """A suspect is dead after this many probe periods times log10(members + 1). Default 4."""
+    suspicion_multiplier: float = Field(default=1.5, gt=0)
+    """A suspect is dead after this many probe periods times log10(members + 1), and not before
+    two probe periods. Default 1.5."""
+    exchange_period_s: float = Field(default=5.0, gt=0)
+    """Mean time between comparisons of member lists with a random peer, in seconds. Default 5."""
 
 
 class ConfigurationSettings(Concern):
@@ -65,8 +68,10 @@
 
     fanout: int = Field(default=4, ge=1)
     """Peers that a node pushes a change to. Default 4."""
-    anti_entropy_period_s: float = Field(default=2.0, gt=0)
-    """Time between comparisons with a random peer, in seconds. Default 2."""
+    anti_entropy_period_s: float = Field(default=1.0, gt=0)
+    """Time between comparisons with a random peer, in seconds. Default 1."""
+    machine_list_period_s: float = Field(default=2.0, gt=0)
+    """Time between two readings of the platform's machine list, in seconds. Default 2."""
 
 
 class RoutingSettings(Concern):
@@ -107,6 +112,14 @@
     """Shortest time without a leader before an election, in seconds. Default 1."""
     snapshot_entries: int = Field(default=4096, ge=16)
     """Log entries after which a snapshot is taken. Default 4096."""
+    creation_wait_s: float = Field(default=3.0, ge=0)
+    """Time for which the first node waits for others to share a new ledger with, in seconds.
+    Default 3."""
+    replace_after_s: float = Field(default=60.0, gt=0)
+    """Time after which a silent replica is replaced by one on another node, in seconds.
+    Default 60."""
+    segment_retention_s: float = Field(default=172_800.0, gt=0)
+    """Time for which bulk data, such as samples, is kept, in seconds. Default two days."""
 
 
 class SamplesSettings(Concern):
@@ -123,6 +136,12 @@
 
     order_period_s: float = Field(default=0.5, gt=0)
     """Time between comparisons of orders with what engines hold, in seconds. Default 0.5."""
+    store_readers: int = Field(default=3, ge=1)
+    """Engines of a pool that read one version from the weight store at once. Default 3."""
+    fanout: int = Field(default=2, ge=1)
+    """Engines that fetch a version from the same engine at once. Default 2."""
+    permit_s: float = Field(default=30.0, gt=0)
+    """Time after which a swap that came to nothing counts as over, in seconds. Default 30."""
 
 
 class TrustSettings(Concern):
