--- a/src/bellweir/entrypoints/node.py
+++ b/src/bellweir/entrypoints/node.py
@@ -10,17 +10,24 @@
 
 from bellweir.configuration.service import ConfigurationService
 from bellweir.events.log import bind_node, configure_logs, emit
+from bellweir.gateway.service import GatewayService
 from bellweir.kernel.listeners import Listeners, bind_listeners
 from bellweir.kernel.log_events import NODE_DRAINING, NODE_STARTED, NODE_STOPPED
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
+from bellweir.ledger.claims_service import ClaimsService
+from bellweir.ledger.segments_service import SegmentsService
+from bellweir.ledger.service import LedgerService
 from bellweir.membership.ownership import OwnershipService
 from bellweir.membership.service import MembershipService
 from bellweir.platform.service import PlatformService
 from bellweir.resources.service import ResourcesService
 from bellweir.routing.service import DispatcherService
 from bellweir.routing.views_service import BackendViewsService
+from bellweir.samples.service import SamplesService
 from bellweir.settings.models import Settings
+from bellweir.telemetry.service import TelemetryService
+from bellweir.weights.service import WeightsService
 from bellweir.wire.service import TransportService
 
 DRAIN_DEADLINE_S = 120.0
@@ -40,6 +47,13 @@
         ResourcesService,
         BackendViewsService,
         DispatcherService,
+        LedgerService,
+        ClaimsService,
+        SegmentsService,
+        SamplesService,
+        WeightsService,
+        TelemetryService,
+        GatewayService,
     )
 
 
