--- a/src/bellweir/wire/keys.py
+++ b/src/bellweir/wire/keys.py
@@ -11,7 +11,7 @@
 from bellweir.events.log import emit
 from bellweir.wire.log_events import CLUSTER_KEY_UNREADABLE
 
-CHECK_PERIOD_S = 1.0
+CHECK_PERIOD_S = 0.25
 """Time between looks at the files for a change."""
 PROOF_BYTES = 32
 MINIMUM_KEY_BYTES = 16
@@ -40,6 +40,8 @@
         self._lock = threading.Lock()
         self._stamps = self._stamp_all()
         self._keys = self._read_all()
+        self.readings = 1
+        """How often the files have been read."""
         self._next_check_s = time.monotonic() + CHECK_PERIOD_S
 
     @property
@@ -74,6 +76,7 @@
                 return
             self._keys = self._read_all()
             self._stamps = stamps
+            self.readings += 1
         except ClusterKeyError as failure:
             emit(
                 CLUSTER_KEY_UNREADABLE,
--- a/src/bellweir/wire/service.py
+++ b/src/bellweir/wire/service.py
@@ -89,7 +89,7 @@
     def stop(self) -> None:
         """Close every connection; requests that wait fail."""
         self._parts.closing.set()
-        self._listener.close()
+        shut(self._listener)  # Also wakes the accepting task.
         with self._lock:
             links = list(self._links.values())
             accepted = list(self._accepted)
@@ -99,6 +99,13 @@
             connection.close()
         self._pools.stop()
 
+    def close_links(self) -> None:
+        """Close the connections this node opened; the next request opens a new one."""
+        with self._lock:
+            links = list(self._links.values())
+        for link in links:
+            link.close()
+
     def register(self, message_type: type[AnyMessage], handler: Handler) -> None:
         """Handle messages of one type; see the interface."""
         if message_type in self._handlers:
