--- a/src/bellweir/settings/models.py
+++ b/src/bellweir/settings/models.py
@@ -68,8 +68,10 @@
 
     fanout: int = Field(default=4, ge=1)
     """Peers that a node pushes a change to. Default 4."""
-    anti_entropy_period_s: float = Field(default=2.0, gt=0)
-    """Time between comparisons with a random peer, in seconds. Default 2."""
+    anti_entropy_period_s: float = Field(default=1.0, gt=0)
+    """Time between comparisons with a random peer, in seconds. Default 1."""
+    machine_list_period_s: float = Field(default=2.0, gt=0)
+    """Time between two readings of the platform's machine list, in seconds. Default 2."""
 
 
 class RoutingSettings(Concern):
@@ -107,6 +109,14 @@
     """Shortest time without a leader before an election, in seconds. Default 1."""
     snapshot_entries: int = Field(default=4096, ge=16)
     """Log entries after which a snapshot is taken. Default 4096."""
+    creation_wait_s: float = Field(default=3.0, ge=0)
+    """Time for which the first node waits for others to share a new ledger with, in seconds.
+    Default 3."""
+    replace_after_s: float = Field(default=60.0, gt=0)
+    """Time after which a silent replica is replaced by one on another node, in seconds.
+    Default 60."""
+    segment_retention_s: float = Field(default=172_800.0, gt=0)
+    """Time for which bulk data, such as samples, is kept, in seconds. Default two days."""
 
 
 class SamplesSettings(Concern):
