--- a/src/bellweir/configuration/core.py
+++ b/src/bellweir/configuration/core.py
@@ -112,6 +112,12 @@
         """Have the task look at once, such as at a stop."""
         self._wake.set()
 
+    def take_wake(self) -> bool:
+        """Whether `wake` was called since the last time; for a caller that runs `step` itself."""
+        woken = self._wake.is_set()
+        self._wake.clear()
+        return woken
+
     def step(self) -> float:
         """Do all that is due; the seconds until the next step."""
         self._forward_all()
--- a/src/bellweir/membership/interface.py
+++ b/src/bellweir/membership/interface.py
@@ -1,7 +1,7 @@
 """Typed interfaces of membership and worker ownership."""
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -73,3 +73,7 @@
     @abstractmethod
     def owns(self, worker: str) -> bool:
         """Whether this node owns the worker."""
+
+    def owned(self, workers: Iterable[str]) -> list[str]:
+        """Return those of the workers that this node owns; cheap for thousands of them."""
+        return [worker for worker in workers if self.owns(worker)]
--- a/src/bellweir/membership/owner_choice.py
+++ b/src/bellweir/membership/owner_choice.py
@@ -72,10 +72,15 @@
             self._groups.clear()
         self._settle(now_s)
 
-    def owner_of(self, worker: str, place: WorkerPlace, now_s: float) -> str | None:
-        """Return the name of the worker's owner; None without any member."""
+    def version(self, now_s: float) -> int:
+        """Return a number that changes whenever any owner may have changed."""
         if now_s >= self._next_settle_s:
             self._settle(now_s)
+        return self._version
+
+    def owner_of(self, worker: str, place: WorkerPlace, now_s: float) -> str | None:
+        """Return the name of the worker's owner; None without any member."""
+        self.version(now_s)
         owned = self._owners.get(worker)
         if owned is not None and owned.version == self._version and owned.place == place:
             return owned.owner
--- a/src/bellweir/membership/ownership.py
+++ b/src/bellweir/membership/ownership.py
@@ -1,6 +1,6 @@
 """Which node owns which worker. Service `ownership`."""
 
-import threading
+from collections.abc import Iterable
 from typing import ClassVar
 
 from bellweir.configuration.interface import Configuration, ConfigurationSnapshot
@@ -8,7 +8,7 @@
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
 from bellweir.membership.interface import Member, Membership, Ownership
-from bellweir.membership.owner_choice import OwnerChoice, WorkerPlace
+from bellweir.membership.owner_tracker import OwnerTracker, worker_places
 from bellweir.settings.models import Settings
 
 
@@ -20,9 +20,7 @@
 
     def __init__(self, kernel: Kernel, settings: Settings) -> None:
         self._kernel = kernel
-        self._lock = threading.Lock()
-        self._choice = OwnerChoice(settings.node.name, kernel.clock.monotonic_s())
-        self._places: dict[str, WorkerPlace] = {}
+        self._tracker = OwnerTracker(settings.node.name, kernel.clock.monotonic_s())
         self._membership: Membership | None = None
 
     def start(self) -> None:
@@ -42,16 +40,20 @@
     def owner_of(self, worker: str) -> Member:
         """Return the worker's owner; this node when it knows no better."""
         membership = self._members()
-        now_s = self._kernel.clock.monotonic_s()
-        with self._lock:
-            place = self._places.get(worker, WorkerPlace())
-            owner = self._choice.owner_of(worker, place, now_s)
+        owner = self._tracker.owner_of(worker, self._now_s())
         found = membership.member(owner) if owner is not None else None
         return found or membership.self_member()
 
     def owns(self, worker: str) -> bool:
         """Tell whether this node owns the worker."""
-        return self.owner_of(worker).node == self._members().self_member().node
+        return bool(self._tracker.owned((worker,), self._now_s()))
+
+    def owned(self, workers: Iterable[str]) -> list[str]:
+        """Return those of the workers that this node owns."""
+        return self._tracker.owned(workers, self._now_s())
+
+    def _now_s(self) -> float:
+        return self._kernel.clock.monotonic_s()
 
     def _members(self) -> Membership:
         if self._membership is None:
@@ -59,24 +61,7 @@
         return self._membership
 
     def _on_member(self, member: Member) -> None:
-        with self._lock:
-            self._choice.see(member, self._kernel.clock.monotonic_s())
+        self._tracker.see(member, self._now_s())
 
     def _on_configuration(self, snapshot: ConfigurationSnapshot) -> None:
-        places = worker_places(snapshot)
-        with self._lock:
-            self._places = places
-            self._choice.keep_only(places)
-
-
-def worker_places(snapshot: ConfigurationSnapshot) -> dict[str, WorkerPlace]:
-    """Return the place of every worker that the configuration names."""
-    places = {
-        machine.name: WorkerPlace(machine.zone, machine.region)
-        for machine in snapshot.machines.values()
-        if machine.role != "node"
-    }
-    for pool in snapshot.pools.values():
-        for worker in pool.spec.workers:
-            places[worker.name] = WorkerPlace(worker.zone, worker.region)
-    return places
+        self._tracker.take_places(worker_places(snapshot))
