Let stand-ins log what promises are checked against, and keep the store over a restart

The checker needs token ranges by weight version even from an engine that was killed, the refusals, and when a worker began to leave; so each stream chunk and each refusal is now a record written before the bytes leave. The object API can keep its changes in a file. An attempt is checked once more under the scheduler's lock, because a swap may begin between the first look and its start. Engines export and import cached prompt blocks.

--- a/src/bellweir_rehearsal/standins/application.py
+++ b/src/bellweir_rehearsal/standins/application.py
@@ -23,6 +23,7 @@
     StreamBody,
     json_response,
 )
+from bellweir_rehearsal.standins.records import LeavingChanged, WorkRefused
 from bellweir_rehearsal.standins.runlog import Record
 
 LEAVE_PATH = "/-/leave"
@@ -60,6 +61,8 @@
 
     run: int
     attempt_id: str | None
+    request_id: str | None
+    """Header `X-Request-Id`."""
     idempotency_key: str | None
     method: str
     path: str
@@ -110,10 +113,10 @@
             self.set_leaving(leaving=request.path == LEAVE_PATH)
             return json_response(self._state())
         if self._leaving:
-            return _not_run("leaving")
+            return self._refuse(request, "leaving")
         run = self._begin()
         if run is None:
-            return _not_run("overloaded")
+            return self._refuse(request, "overloaded")
         try:
             return self._run(request, run)
         finally:
@@ -122,6 +125,18 @@
     def set_leaving(self, *, leaving: bool) -> None:
         """Refuse new requests, or take them again."""
         self._leaving = leaving
+        self.log.append(LeavingChanged(standin=self.name, leaving=leaving))
+
+    def _refuse(self, request: Request, reason: str) -> Response:
+        self.log.append(
+            WorkRefused(
+                standin=self.name,
+                attempt_id=request.headers.get(ATTEMPT_HEADER.lower()),
+                request_id=request.headers.get("x-request-id"),
+                reason=reason,
+            )
+        )
+        return _not_run(reason)
 
     def _state(self) -> ApplicationState:
         return ApplicationState(self.name, not self._leaving, self._leaving, self._load.running)
@@ -167,6 +182,7 @@
                 standin=self.name,
                 run=run,
                 attempt_id=attempt_id,
+                request_id=request.headers.get("x-request-id"),
                 idempotency_key=request.headers.get("idempotency-key"),
                 method=request.method,
                 path=request.path,
--- a/src/bellweir_rehearsal/standins/base.py
+++ b/src/bellweir_rehearsal/standins/base.py
@@ -16,6 +16,7 @@
 from bellweir.platform.answers import ErrorBody
 from bellweir.platform.interface import ErrorKind
 from bellweir_rehearsal.standins.faults import FaultBoard, FaultKind, FaultOrder
+from bellweir_rehearsal.standins.records import AnswerDropped
 from bellweir_rehearsal.standins.runlog import RunLog
 from bellweir_rehearsal.standins.server import WsgiServer
 
@@ -210,15 +211,20 @@
     def _suffer_after(self, request: Request, response: Response) -> Response:
         call = (request.method, request.path)
         if self.faults.take(FaultKind.ANSWER_LOST, *call):
+            self._log_dropped(request)
             if isinstance(response.body, StreamBody):
                 response.body.close()
             raise ClientDisconnected
         if isinstance(response.body, bytes) and self.faults.take(FaultKind.ANSWER_CUT, *call):
+            self._log_dropped(request)
             cut = StreamBody(_half(response.body), lambda: None)
             length = ("Content-Length", str(len(response.body)))
             return Response(response.status, cut, (*response.headers, length))
         return response
 
+    def _log_dropped(self, request: Request) -> None:
+        self.log.append(AnswerDropped(standin=self.name, method=request.method, path=request.path))
+
     def _control_faults(self, request: Request) -> Response:
         if request.method == "POST":
             try:
@@ -267,8 +273,8 @@
     raise ClientDisconnected
 
 
-def write_ready_file(path: Path, address: str) -> None:
-    """Write the address as JSON, whole at once."""
+def write_ready_file(path: Path, name: str, address: str) -> None:
+    """Write name and address as JSON, whole at once."""
     partial = path.with_suffix(".partial")
-    partial.write_text(json.dumps({"address": address}))
+    partial.write_text(json.dumps({"name": name, "address": address}))
     partial.replace(path)
--- a/src/bellweir_rehearsal/standins/engine.py
+++ b/src/bellweir_rehearsal/standins/engine.py
@@ -29,13 +29,14 @@
     line,
 )
 from bellweir_rehearsal.standins.engine_batch import Batch, BatchLimits, Sequence
+from bellweir_rehearsal.standins.engine_journal import EngineJournal
 from bellweir_rehearsal.standins.engine_options import EngineOptions
 from bellweir_rehearsal.standins.engine_scheduler import EngineScheduler
 from bellweir_rehearsal.standins.engine_weights import EngineWeights
 from bellweir_rehearsal.standins.faults import FaultKind, FaultOrder
 from bellweir_rehearsal.standins.generation import Ending, Generation
+from bellweir_rehearsal.standins.kv_transfer import KvCacheCopy, KvExportCall, KvTransfer
 from bellweir_rehearsal.standins.prefix_cache import CacheEventLog, PrefixCache, block_hashes
-from bellweir_rehearsal.standins.runlog import Record
 from bellweir_rehearsal.standins.token_model import (
     VOCABULARY,
     natural_length,
@@ -48,34 +49,6 @@
 """Calls of this priority or a higher number are drafts."""
 
 
-class GenerationStarted(Record, frozen=True, kw_only=True):
-    """An attempt was accepted."""
-
-    attempt_id: str
-    request_id: str
-    priority: int
-    first_token: int
-    """Tokens had from earlier attempts."""
-
-
-class GenerationEnded(Record, frozen=True, kw_only=True):
-    """An attempt ended."""
-
-    attempt_id: str
-    request_id: str
-    priority: int
-    first_token: int
-    end_token: int
-    """One past the last token it produced."""
-    weight_versions: tuple[int, ...]
-    """Versions that produced its tokens, in order."""
-    outcome: str
-    """`stop`, `length`, `cancelled`, `cut`, or the kind of its error."""
-    prompt_tokens: int
-    cached_prompt_tokens: int
-    preemptions: int
-
-
 @dataclass(frozen=True)
 class _Load:
     time_s: float
@@ -90,6 +63,7 @@
     def __init__(self, options: EngineOptions) -> None:
         super().__init__(options)
         self.options = options
+        self.journal = EngineJournal(options.name, self.log)
         events = CacheEventLog(
             options.event_lag_s, options.event_gap_probability, options.kept_events, options.name
         )
@@ -98,13 +72,14 @@
             options.maximum_batch, options.prefill_chunk_tokens, options.frame_tokens
         )
         self.scheduler = EngineScheduler(
-            Batch(options.times, limits), self.cache, options.time_scale, self._log_end
+            Batch(options.times, limits), self.cache, options.time_scale, self.journal
         )
         self.weights = EngineWeights(
             options, self.log, self.scheduler.set_weights, self._load_fails, self.scheduler.cut_all
         )
         self.scheduler.set_weights(options.initial_version)
         self._relay = SharedBandwidth(options.relay_bytes_per_s * options.time_scale)
+        self.kv = KvTransfer(self.cache, self._relay, self.stopping)
         self._leaving = False
         self._lock = threading.Lock()
         self._loads: deque[_Load] = deque([_Load(time.monotonic(), 0, 0, 0)], maxlen=512)
@@ -127,12 +102,15 @@
             self.scheduler.cut_all()
         else:
             super().inject(order)
+        if order.kind is FaultKind.SLOW_TOKENS:
+            self.scheduler.slow_until(time.monotonic() + order.duration_s, order.factor)
         if order.kind is FaultKind.STALL:
             self.scheduler.stall_until(time.monotonic() + order.duration_s)
 
     def set_leaving(self, *, leaving: bool) -> None:
         """Refuse new attempts, or take them again; those in hand go on."""
         self._leaving = leaving
+        self.journal.leaving(leaving=leaving)
 
     def handle(self, request: Request) -> Response:
         """Answer one call."""
@@ -152,6 +130,12 @@
                 return json_response(self._state())
             case "GET", ["weights", model, version]:
                 return self._give_weights(model, int(version))
+            case "POST", ["kv", "export"]:
+                wanted = msgspec.json.decode(request.body.read(), type=KvExportCall)
+                return json_response(self.kv.export(wanted, self.weights.held()))
+            case "POST", ["kv", "import"]:
+                copy = msgspec.json.decode(request.body.read(), type=KvCacheCopy)
+                return json_response(self.kv.take_in(copy, self.weights.held()))
             case "POST", ["leave" | "return" as word]:
                 self.set_leaving(leaving=word == "leave")
                 return json_response(self._state())
@@ -161,27 +145,26 @@
 
     def _generate(self, request: Request) -> Response:
         call = msgspec.json.decode(request.body.read(), type=GenerationCall)
-        self._check(call)
         generation = self._new_generation(call)
-        self.log.append(
-            GenerationStarted(
-                standin=self.name,
-                attempt_id=call.attempt_id,
-                request_id=call.request_id,
-                priority=call.priority,
-                first_token=len(call.prefix_tokens),
-            )
-        )
-        if generation.sequence.produced >= generation.sequence.final:
-            ending = Ending(reason=generation.finish_reason)
-            generation.end(ending)
-            self._log_end(generation, ending)
-        elif not self.scheduler.submit(generation):
-            raise RefusalError(ErrorKind.INVALID, f"attempt {call.attempt_id} runs already")
+        try:
+            self._check(call)
+            self._begin(generation)
+        except RefusalError as refused:
+            self.journal.refused(call, refused.kind.value)
+            raise
         lines = self._stream(generation, request)
         body = StreamBody(lines, lambda: self._stream_closed(generation))
         return Response(200, body, (LINES_TYPE,))
 
+    def _begin(self, generation: Generation) -> None:
+        if generation.sequence.produced < generation.sequence.final:
+            self.scheduler.submit(generation)
+            return
+        ending = Ending(reason=generation.finish_reason)
+        self.journal.started(generation)
+        generation.end(ending)
+        self.journal.ended(generation, ending)
+
     def _check(self, call: GenerationCall) -> None:
         held = self.weights.held()
         if self._leaving:
@@ -225,14 +208,19 @@
         return longest
 
     def _stream(self, generation: Generation, request: Request) -> Iterator[bytes]:
+        sent = len(generation.call.prefix_tokens)
         while True:
             chunks, ending = generation.take()
             if self.stopping.is_set() or request.client_gone():
                 raise ClientDisconnected
             self.faults.wait_while(FaultKind.HANG)
-            yield from (line(StreamLine(chunk=chunk)) for chunk in chunks)
+            for chunk in chunks:
+                self.journal.produced(generation, sent, chunk)
+                sent += len(chunk.tokens)
+                yield line(StreamLine(chunk=chunk))
             if ending is not None:
-                yield self._last_line(generation, ending)
+                if not _is_finished(chunks):
+                    yield self._last_line(generation, ending)
                 return
             if not chunks:
                 yield line(StreamLine())
@@ -252,29 +240,6 @@
         """Cancel what its client has left; after its end this does nothing."""
         self.scheduler.cancel_generation(generation)
 
-    def _log_end(self, generation: Generation, ending: Ending) -> None:
-        call, sequence = generation.call, generation.sequence
-        outcome = "cut"
-        if ending.error is not None:
-            outcome = ending.error.error
-        elif ending.reason is not None:
-            outcome = ending.reason.value
-        self.log.append(
-            GenerationEnded(
-                standin=self.name,
-                attempt_id=call.attempt_id,
-                request_id=call.request_id,
-                priority=call.priority,
-                first_token=len(call.prefix_tokens),
-                end_token=sequence.produced,
-                weight_versions=tuple(generation.versions),
-                outcome=outcome,
-                prompt_tokens=sequence.prompt_tokens,
-                cached_prompt_tokens=generation.cached_prompt_tokens,
-                preemptions=sequence.preemptions,
-            )
-        )
-
     # --- reports ---
 
     def _state(self) -> EngineState:
@@ -321,6 +286,10 @@
         return Response(200, StreamBody(transfer.lines(), lambda: None), (LINES_TYPE,))
 
 
+def _is_finished(chunks: list[TokenChunk]) -> bool:
+    return bool(chunks) and chunks[-1].finish_reason is not None
+
+
 def _serves(role: EngineRole, priority: int) -> bool:
     if role is EngineRole.INTERACTIVE:
         return priority < DRAFT_PRIORITY
--- a/src/bellweir_rehearsal/standins/engine_scheduler.py
+++ b/src/bellweir_rehearsal/standins/engine_scheduler.py
@@ -4,9 +4,11 @@
 import itertools
 import threading
 import time
-from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
+from typing import Protocol
 
+from bellweir.platform.interface import ErrorKind
+from bellweir_rehearsal.standins.base import RefusalError
 from bellweir_rehearsal.standins.engine_batch import Batch, Plan, Sequence
 from bellweir_rehearsal.standins.generation import (
     CANCELLED,
@@ -22,24 +24,34 @@
 MAXIMUM_DEBT_S = 0.25
 """Wall time that the scheduler may be late and still catch up."""
 
-EndListener = Callable[[Generation, Ending], None]
+
+class GenerationListener(Protocol):
+    """Told of what happens to generations, under the scheduler's lock: it must not call back."""
+
+    def started(self, generation: Generation) -> None:
+        """Note that a generation was accepted."""
+
+    def ended(self, generation: Generation, ending: Ending) -> None:
+        """Note that a generation ended."""
 
 
 class EngineScheduler:
     """Runs generations; `submit`, `cancel` and the swap calls come from other threads."""
 
     def __init__(
-        self, batch: Batch, cache: PrefixCache, time_scale: float, on_end: EndListener
+        self, batch: Batch, cache: PrefixCache, time_scale: float, listener: GenerationListener
     ) -> None:
         self._batch = batch
         self._cache = cache
         self._time_scale = time_scale
-        self._on_end = on_end
+        self._listener = listener
         self._condition = threading.Condition()
         self._generations: dict[Sequence, Generation] = {}
         self._by_attempt: dict[str, Generation] = {}
         self._weight_version: int | None = None
         self._weights_epoch = 0
+        self._slow_until_s = 0.0
+        self._slow_factor = 1.0
         self._stalled_until_s = 0.0
         self._stopping = False
         self._changed = False
@@ -63,16 +75,20 @@
 
     # --- called by request threads ---
 
-    def submit(self, generation: Generation) -> bool:
-        """Add a generation; false when its attempt id is already running here."""
+    def submit(self, generation: Generation) -> None:
+        """Add a generation; raises `RefusalError` when it may not run."""
+        call = generation.call
         with self._condition:
-            if generation.call.attempt_id in self._by_attempt:
-                return False
-            self._by_attempt[generation.call.attempt_id] = generation
+            if call.attempt_id in self._by_attempt:
+                raise RefusalError(ErrorKind.INVALID, f"attempt {call.attempt_id} runs already")
+            if self._weight_version is None or (call.minimum_version or 0) > self._weight_version:
+                # Checked again under the lock: a swap may have begun since the first look.
+                raise RefusalError(ErrorKind.NOT_RUN, "the weights have changed")
+            self._listener.started(generation)
+            self._by_attempt[call.attempt_id] = generation
             self._generations[generation.sequence] = generation
             self._batch.add(generation.sequence)
             self._wake()
-        return True
 
     def cancel(self, attempt_id: str) -> bool:
         """Cancel a generation; false when there is none of that id."""
@@ -120,6 +136,11 @@
             self._stalled_until_s = end_s
             self._wake()
 
+    def slow_until(self, end_s: float, factor: float) -> None:
+        """Take `factor` times as long for each step until a moment of the monotonic clock."""
+        with self._condition:
+            self._slow_until_s, self._slow_factor = end_s, factor
+
     def load(self) -> tuple[int, int]:
         """Return the numbers of running and waiting sequences."""
         with self._condition:
@@ -186,7 +207,10 @@
         now_s = time.monotonic()
         if now_s - self._due_s > MAXIMUM_DEBT_S:
             self._due_s = now_s
-        scaled = (duration_s / self._time_scale for duration_s in plan.durations_s)
+        pace = self._time_scale
+        if now_s < self._slow_until_s:
+            pace /= self._slow_factor
+        scaled = (duration_s / pace for duration_s in plan.durations_s)
         ends_s = list(itertools.accumulate(scaled, initial=self._due_s))[1:]
         steps = plan.steps
         with self._condition:
@@ -218,7 +242,7 @@
         self._generations.pop(generation.sequence, None)
         self._by_attempt.pop(generation.call.attempt_id, None)
         if generation.end(ending):
-            self._on_end(generation, ending)
+            self._listener.ended(generation, ending)
 
     def _wake(self) -> None:
         self._changed = True
--- a/src/bellweir_rehearsal/standins/faults.py
+++ b/src/bellweir_rehearsal/standins/faults.py
@@ -27,6 +27,8 @@
     """Engine: end every running generation without a finish reason."""
     STALL = "stall"
     """Engine: accept calls but generate nothing until the fault ends."""
+    SLOW_TOKENS = "slow_tokens"
+    """Engine: every step takes `factor` times as long."""
     SWAP_FAILS = "swap_fails"
     """Engine: the next swap stops partway and leaves the engine without a version."""
     LAGGING_READS = "lagging_reads"
@@ -44,6 +46,7 @@
     count: int | None = None
     """How many calls it hits at most; all when None."""
     delay_s: float = 0.0
+    factor: float = 1.0
     method: str | None = None
     """Only calls of this HTTP method."""
     path_prefix: str = ""
--- a/src/bellweir_rehearsal/standins/generation.py
+++ b/src/bellweir_rehearsal/standins/generation.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from bellweir.platform.answers import ErrorBody
 from bellweir.platform.interface import (
@@ -91,7 +91,10 @@
                 self._condition.wait(WAIT_S)
             runs, self._ready = self._ready, []
             ending = self._ending
-        return [self._chunk(run) for run in runs], ending
+        chunks = [self._chunk(run) for run in runs]
+        if chunks and ending is not None and ending.reason is not None:
+            chunks[-1] = replace(chunks[-1], finish_reason=ending.reason)
+        return chunks, ending
 
     def _chunk(self, run: _Run) -> TokenChunk:
         tokens = tokens_between(self.call.prompt, self.call.seed, run.first, run.end)
--- a/src/bellweir_rehearsal/standins/object_api.py
+++ b/src/bellweir_rehearsal/standins/object_api.py
@@ -2,9 +2,9 @@
 
 import threading
 import time
-from collections import deque
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -13,8 +13,6 @@
 from bellweir.platform.interface import (
     MUTATION_ANNOTATION,
     ErrorKind,
-    ObjectChange,
-    ObjectList,
     StoredObject,
 )
 from bellweir.platform.object_api import Deletion, WatchLine
@@ -30,14 +28,13 @@
     line,
 )
 from bellweir_rehearsal.standins.faults import FaultKind, FaultOrder
+from bellweir_rehearsal.standins.object_state import Key, ObjectStoreState
 from bellweir_rehearsal.standins.runlog import Record
 
 HEARTBEAT_S = 1.0
 MAXIMUM_WATCH_S = 600.0
 OBJECTS_PREFIX = "/objects/"
 
-Key = tuple[str, str]
-
 
 @dataclass(frozen=True)
 class ObjectApiOptions(StandinOptions):
@@ -48,6 +45,8 @@
     """Changes that a watch can start from; older ones are compacted."""
     maximum_watches: int = 6
     """Watches served at once: it can serve a few readers only."""
+    data_path: Path | None = None
+    """File that keeps the objects over a restart; without one they are in memory only."""
 
 
 class ObjectWrite(Record, frozen=True, kw_only=True):
@@ -70,125 +69,21 @@
     """Watches open now, this one included."""
 
 
-@dataclass(frozen=True)
-class _View:
-    """A state of the store for lagging reads."""
-
-    time_s: float
-    revision: int
-    objects: Mapping[Key, StoredObject]
-
-
-class ObjectStoreState:
-    """Objects, their history and the waiting watches; every write makes a new revision."""
-
-    def __init__(self, kept_changes: int) -> None:
-        self._kept_changes = kept_changes
-        self._condition = threading.Condition()
-        self._objects: dict[Key, StoredObject] = {}
-        self._changes: deque[ObjectChange] = deque()
-        self._compacted_to = 0
-        self._views: deque[_View] = deque([_View(time.monotonic(), 0, {})], maxlen=256)
-
-    @property
-    def revision(self) -> int:
-        """Revision of the last write."""
-        return self._views[-1].revision
-
-    def put(
-        self, kind: str, name: str, document: Mapping[str, Any], expected: int | None
-    ) -> StoredObject:
-        """Write by compare-and-set; `expected` 0 creates, None writes over anything."""
-        with self._condition:
-            found = self._objects.get((kind, name))
-            _check_version(found, expected)
-            stored = StoredObject(kind, name, self.revision + 1, document)
-            self._objects[kind, name] = stored
-            self._record(ObjectChange(stored.version, stored, deleted=False))
-        return stored
-
-    def delete(self, kind: str, name: str, expected: int | None) -> ObjectChange:
-        """Delete by compare-and-set."""
-        with self._condition:
-            found = self._objects.get((kind, name))
-            if found is None:
-                raise RefusalError(ErrorKind.NOT_FOUND, f"no {kind} {name}")
-            _check_version(found, expected)
-            del self._objects[kind, name]
-            change = ObjectChange(self.revision + 1, found, deleted=True)
-            self._record(change)
-        return change
-
-    def _record(self, change: ObjectChange) -> None:
-        self._changes.append(change)
-        while len(self._changes) > self._kept_changes:
-            self._compacted_to = self._changes.popleft().revision
-        view = _View(time.monotonic(), change.revision, dict(self._objects))
-        self._views.append(view)
-        self._condition.notify_all()
-
-    def get(self, kind: str, name: str) -> StoredObject:
-        """Read one object."""
-        with self._condition:
-            found = self._objects.get((kind, name))
-        if found is None:
-            raise RefusalError(ErrorKind.NOT_FOUND, f"no {kind} {name}")
-        return found
-
-    def list_objects(self, lag_s: float) -> ObjectList:
-        """List the objects as they were `lag_s` ago, as far back as views are kept."""
-        view = self._view(lag_s)
-        return ObjectList(view.revision, tuple(view.objects.values()))
-
-    def _view(self, lag_s: float) -> _View:
-        with self._condition:
-            latest_s = time.monotonic() - lag_s
-            old_enough = [view for view in self._views if view.time_s <= latest_s]
-            return old_enough[-1] if old_enough else self._views[0]
-
-    def changes_after(
-        self, revision: int, wait_s: float, lag_s: float
-    ) -> tuple[ObjectChange, ...] | None:
-        """Return changes after a revision, waiting for the first; None when compacted away."""
-        with self._condition:
-            if revision < self._compacted_to:
-                return None
-            if self.revision <= revision:
-                self._condition.wait(wait_s)
-            if revision < self._compacted_to:
-                return None
-            found = tuple(change for change in self._changes if change.revision > revision)
-        if not lag_s:
-            return found
-        shown = self._view(lag_s).revision
-        return tuple(change for change in found if change.revision <= shown)
-
-    def compact(self) -> None:
-        """Forget all changes."""
-        with self._condition:
-            self._changes.clear()
-            self._compacted_to = self.revision
-            self._condition.notify_all()
-
-
-def _check_version(found: StoredObject | None, expected: int | None) -> None:
-    if expected is None:
-        return
-    version = found.version if found is not None else 0
-    if version != expected:
-        raise RefusalError(ErrorKind.CONFLICT, f"version is {version}, expected {expected}")
-
-
 class ObjectApiStandin(Standin):
     """The object API."""
 
     def __init__(self, options: ObjectApiOptions) -> None:
         super().__init__(options)
-        self.state = ObjectStoreState(options.kept_changes)
+        self.state = ObjectStoreState(options.kept_changes, options.data_path)
         self._maximum_watches = options.maximum_watches
         self._watch_lock = threading.Lock()
         self._watches = 0
 
+    def stop(self) -> None:
+        """Cut what is in hand and close the file."""
+        super().stop()
+        self.state.close()
+
     def inject(self, order: FaultOrder) -> None:
         """Put a fault in force; compaction happens at once."""
         if order.kind is FaultKind.COMPACT:
--- a/src/bellweir_rehearsal/standins/process.py
+++ b/src/bellweir_rehearsal/standins/process.py
@@ -17,7 +17,7 @@
     standin.start()
     try:
         if ready_file is not None:
-            write_ready_file(ready_file, standin.address)
+            write_ready_file(ready_file, standin.name, standin.address)
         while not ended.wait(WAKE_PERIOD_S):
             pass
     finally:
