Run the demonstration end to end and check all nine promises

The demonstration starts stand-ins and three nodes, applies resources through the resource API, sends each class of request, streams and a training step, stops a node while calls are in hand and lets a worker leave.

--- a/src/bellweir_rehearsal/callers/caller.py
+++ b/src/bellweir_rehearsal/callers/caller.py
@@ -14,6 +14,7 @@
 )
 from bellweir_rehearsal.callers.directory import NodeAddress, NodeDirectory
 from bellweir_rehearsal.callers.http import CutError, HttpAnswer, HttpClient, NotConnectedError
+from bellweir_rehearsal.callers.in_flight import InFlight
 from bellweir_rehearsal.records.journal import Journal
 from bellweir_rehearsal.records.model import CallEnded, CallKind, CallOutcome, CallSent
 
@@ -22,6 +23,9 @@
 REPEATS_OF_ONCE = 4
 """Calls that a caller makes for one request not to be repeated, all with the same key."""
 REPEAT_PAUSE_S = 0.25
+NOT_RUN = "not_run"
+DRAINING = "draining"
+"""Reason of a refusal by a node that is stopping."""
 
 
 @dataclass(frozen=True)
@@ -62,6 +66,7 @@
         directory: NodeDirectory,
         journal: Journal,
         client: HttpClient,
+        in_flight: InFlight,
         one_way_delay_s: float = 0.0,
     ) -> None:
         self.name = name
@@ -70,13 +75,14 @@
         self._directory = directory
         self._journal = journal
         self._client = client
+        self._in_flight = in_flight
         self._one_way_delay_s = one_way_delay_s
 
     def complete(self, wish: CompletionWish) -> CallEnded | None:
         """Ask for a completion at the first node that can be reached; None when none can."""
         for address in self._directory.in_order_from(self._node, self._zone):
             ended = self._complete_at(address, wish)
-            if ended.outcome is not CallOutcome.NOT_CONNECTED:
+            if not _goes_elsewhere(ended):
                 return ended
         return None
 
@@ -93,7 +99,7 @@
             rotated = nodes[number % len(nodes) :] + nodes[: number % len(nodes)] if nodes else ()
             for address in rotated:
                 ended = self._request_at(address, wish)
-                if ended.outcome is not CallOutcome.NOT_CONNECTED:
+                if not _goes_elsewhere(ended):
                     last = ended
                     break
             if last is not None and last.outcome is CallOutcome.ANSWERED:
@@ -192,14 +198,15 @@
     ) -> HttpAnswer | CallEnded:
         time.sleep(self._one_way_delay_s)
         try:
-            answer = self._client.send(
-                address.gateway_address,
-                method,
-                path,
-                headers=headers,
-                body=body,
-                timeout_s=wish.deadline_ms / 1000 + ANSWER_MARGIN_S,
-            )
+            with self._in_flight.call(address.node):
+                answer = self._client.send(
+                    address.gateway_address,
+                    method,
+                    path,
+                    headers=headers,
+                    body=body,
+                    timeout_s=wish.deadline_ms / 1000 + ANSWER_MARGIN_S,
+                )
         except NotConnectedError as failure:
             return CallEnded(time.time(), call_id, CallOutcome.NOT_CONNECTED, detail=str(failure))
         except CutError as failure:
@@ -215,6 +222,13 @@
         return answer
 
 
+def _goes_elsewhere(ended: CallEnded) -> bool:
+    """Whether a caller asks the next node at once: nothing was sent, or the node is stopping."""
+    if ended.outcome is CallOutcome.NOT_CONNECTED:
+        return True
+    return ended.run_state == NOT_RUN and ended.reason == DRAINING
+
+
 def _read_completion_answer(call_id: str, answer: HttpAnswer, streamed: bool) -> CallEnded:
     if answer.status != 200:
         return _refused(call_id, answer)
--- a/src/bellweir_rehearsal/console.py
+++ b/src/bellweir_rehearsal/console.py
@@ -59,9 +59,9 @@
 
 def _requests_table(result: RunResult) -> Table:
     table = Table(title="Requests by outcome")
-    columns = ("class", "requested", "answered", "refused", "cut", "not sent", "p50 ms", "p99 ms")
+    columns = ("class", "due", "answered", "refused", "cut", "not sent", "p50 ms", "p99 ms")
     for number, name in enumerate(columns):
-        table.add_column(name, justify="left" if number == 0 else "right")
+        table.add_column(name, justify="left" if number == 0 else "right", overflow="fold")
     for entry in result.classes:
         counts = entry.outcomes
         latency = entry.latency
--- a/src/bellweir_rehearsal/demo.py
+++ b/src/bellweir_rehearsal/demo.py
@@ -88,6 +88,16 @@
                 target="writer",
                 streamed_share=0.7,
             ),
+            TrafficClass(
+                name="long streams",
+                kind="completion",
+                request_class="interactive",
+                rate_for_each_s=4,
+                target="writer",
+                median_tokens=800,
+                streamed_share=1.0,
+                deadline_ms=20_000,
+            ),
         ),
         trainers=(
             TrainerLoad(
--- a/src/bellweir_rehearsal/faults/actions.py
+++ b/src/bellweir_rehearsal/faults/actions.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from bellweir_rehearsal.callers.in_flight import InFlight
 from bellweir_rehearsal.callers.operator import Operator
 from bellweir_rehearsal.faults.kinds import FaultKind
 from bellweir_rehearsal.records.journal import Journal
@@ -22,6 +23,9 @@
 SLOW_STORE_S = 1.5
 SLOW_APPLICATION_S = 0.8
 RACE_PAUSE_S = 0.05
+CALLS_IN_HAND = 2
+"""Calls that a node has in hand when it is stopped as planned."""
+CALLS_IN_HAND_TIMEOUT_S = 3.0
 
 
 @dataclass(frozen=True)
@@ -32,6 +36,7 @@
     journal: Journal
     operators: tuple[Operator, Operator]
     pools: PoolWriter
+    in_flight: InFlight
     seed: int
 
 
@@ -123,6 +128,8 @@
 
 def _node_stop(stage: FaultStage, fault: Occurrence) -> End:
     _check_node(stage, fault.target)
+    # A stop of an idle node would prove nothing.
+    stage.in_flight.wait_for_calls(fault.target, CALLS_IN_HAND, CALLS_IN_HAND_TIMEOUT_S)
     stage.cluster.stop_node(fault.target)
     return lambda: stage.cluster.restart_node(fault.target)
 
--- a/src/bellweir_rehearsal/promises/mutations.py
+++ b/src/bellweir_rehearsal/promises/mutations.py
@@ -4,6 +4,7 @@
 They are behind the kit's own switch (`--mutate`) and never touch the service.
 """
 
+import itertools
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from typing import TypeVar
@@ -66,9 +67,7 @@
 
 def _with(evidence: Evidence, old: AnyRecord, *new: AnyRecord) -> Evidence:
     """Put records in the place of one."""
-    index = next(
-        position for position, record in enumerate(evidence.records) if record is old
-    )
+    index = next(position for position, record in enumerate(evidence.records) if record is old)
     records = [*evidence.records[:index], *new, *evidence.records[index + 1 :]]
     return replace(evidence, records=records)
 
@@ -132,9 +131,7 @@
 
 def _sample_twice(evidence: Evidence) -> Evidence:
     sample = _first(evidence.samples)
-    last = max(
-        entry.position for entry in evidence.samples if entry.step_id == sample.step_id
-    )
+    last = max(entry.position for entry in evidence.samples if entry.step_id == sample.step_id)
     again = msgspec.structs.replace(sample, position=last + 1)
     return _with(evidence, sample, sample, again)
 
@@ -220,7 +217,15 @@
         raise NothingToMutateError
     if leaving.worker in {attempt.engine for attempt in evidence.engine_attempts}:
         attempt = EngineAttempt(
-            leaving.worker, "mutation", "mutation", "", None, at_s, 0, "length", (TokenRun(0, 1, 1),)
+            leaving.worker,
+            "mutation",
+            "mutation",
+            "",
+            None,
+            at_s,
+            0,
+            "length",
+            (TokenRun(0, 1, 1),),
         )
         return replace(evidence, engine_attempts=[*evidence.engine_attempts, attempt])
     run = ApplicationRun(leaving.worker, at_s, "mutation", None, "GET", "/mutation?", "")
@@ -256,7 +261,7 @@
     seen = _first(
         later
         for entries in evidence.configurations.values()
-        for earlier, later in zip(entries, entries[1:], strict=False)
+        for earlier, later in itertools.pairwise(entries)
         if earlier.revision > 1
     )
     return _with(evidence, seen, msgspec.structs.replace(seen, revision=1))
--- a/src/bellweir_rehearsal/rehearsal.py
+++ b/src/bellweir_rehearsal/rehearsal.py
@@ -8,6 +8,7 @@
 
 from bellweir_rehearsal.callers.caller import Caller
 from bellweir_rehearsal.callers.http import HttpClient
+from bellweir_rehearsal.callers.in_flight import InFlight
 from bellweir_rehearsal.callers.observer import ConfigurationObserver
 from bellweir_rehearsal.callers.operator import Operator, OperatorError
 from bellweir_rehearsal.faults.actions import FaultStage
@@ -45,6 +46,7 @@
         self._progress = progress
         self._journal = Journal(folder.journal)
         self._client = HttpClient()
+        self._in_flight = InFlight()
         self.cluster = Cluster(plan.deployment, folder, self._journal, plan.settings)
         self._operator = self._operator_named("operator-1")
         self._publisher = Publisher(
@@ -139,6 +141,7 @@
                 self.cluster.directory,
                 self._journal,
                 self._client,
+                self._in_flight,
                 delay_s,
             )
             for address in self.cluster.directory.all_nodes()
@@ -184,6 +187,7 @@
             self._journal,
             (self._operator, self._operator_named("operator-2")),
             PoolWriter(self.cluster, self._operator),
+            self._in_flight,
             self.plan.seed,
         )
         return FaultInjector(stage, self.plan.faults)
