--- a/src/bellweir/entrypoints/node.py
+++ b/src/bellweir/entrypoints/node.py
@@ -11,6 +11,7 @@
 from bellweir.configuration.service import ConfigurationService
 from bellweir.events.log import bind_node, configure_logs, emit
 from bellweir.gateway.service import GatewayService
+from bellweir.kernel import names
 from bellweir.kernel.listeners import Listeners, bind_listeners
 from bellweir.kernel.log_events import NODE_DRAINING, NODE_STARTED, NODE_STOPPED
 from bellweir.kernel.node import Kernel
@@ -18,6 +19,7 @@
 from bellweir.ledger.claims_service import ClaimsService
 from bellweir.ledger.segments_service import SegmentsService
 from bellweir.ledger.service import LedgerService
+from bellweir.membership.interface import Membership
 from bellweir.membership.ownership import OwnershipService
 from bellweir.membership.service import MembershipService
 from bellweir.platform.service import PlatformService
@@ -96,6 +98,8 @@
     def stop(self) -> None:
         """Let the work in hand end, then end every task and close every socket."""
         emit(NODE_DRAINING)
+        # Spread first, so that peers move leadership and ownership away while requests end here.
+        self.kernel.registry.find(names.MEMBERSHIP, Membership).announce_leaving()  # type: ignore[type-abstract]
         self.kernel.registry.drain(DRAIN_DEADLINE_S)
         try:
             self.kernel.registry.stop()
