Prove at most once against a state machine of losses, kills, pauses and repeats

Change: a hypothesis state machine sends requests with few keys through three nodes, with faults of back ends and ledger, a killed node, a pause or a repeat elsewhere at each point, against the back ends' own logs.

--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -5,16 +5,19 @@
 from hypothesis import given as drawn
 from hypothesis import settings
 from hypothesis import strategies as st
+from hypothesis.stateful import run_state_machine_as_test
 from returns.result import Failure, Success
 
 from bellweir.platform.interface import FinishReason
 from bellweir.resources.models import RequestClass
 from bellweir.routing.interface import RefusalReason, RunState
 from support.routing_cluster import RoutingCluster, body_of
-from support.routing_fakes import Fault, token_of
+from support.routing_fakes import TYPED_FAULTS, token_of
+from support.routing_once_machine import use
+from support.routing_once_setting import OnceSetting, recover, stop_probes
 from support.waiting import wait_until
 
-FAULTS = st.lists(st.sampled_from(Fault), max_size=3)
+FAULTS = st.lists(st.sampled_from(TYPED_FAULTS), max_size=3)
 
 
 def _cluster(context, engines=0, applications=0) -> RoutingCluster:
@@ -145,7 +148,7 @@
 
 @then("routing answers lookups whole after one fault of any kind")
 def step_lookups(context):
-    for fault in Fault:
+    for fault in TYPED_FAULTS:
         one_fault = [fault]
         for application in context.cluster.applications:
             application.faults = one_fault
@@ -163,12 +166,8 @@
 
 def _await_recovery(context):
     """Let probes and half-open trials bring every worker back."""
-    views = context.node.backend_views
-    for pool in views.pools().values():
-        for backend in pool.backends:
-            backend._leaving_said = False
-            backend._circuit.on_success()
-    context.cluster.await_ready(views)
+    recover(context.node.backend_views)
+    context.cluster.await_ready(context.node.backend_views)
 
 
 @then("routing's refusals of interactive posts tell the truth for any faults")
@@ -199,20 +198,15 @@
     return sum(len(application.ran) for application in context.cluster.applications)
 
 
-def _slow_probes(context):
-    """Stop probing, so that only requests notice what has died."""
-    context.node.backend_views._start_probe = lambda _: None
-
-
 @given("routing's worker {name} is dead but not yet noticed")
 def step_dead_worker(context, name):
-    _slow_probes(context)
+    stop_probes(context.node.backend_views)
     context.cluster.platform.applications[name].dead = True
 
 
 @given("routing's workers are all dead but not yet noticed")
 def step_all_dead(context):
-    _slow_probes(context)
+    stop_probes(context.node.backend_views)
     for application in context.cluster.applications:
         application.dead = True
 
@@ -250,7 +244,7 @@
         return
     application.leaving = True
     if source == "its own answer":
-        _slow_probes(context)
+        stop_probes(context.node.backend_views)
         while not application.attempts:
             body_of(context.node.forward(context.cluster.application_request()).unwrap())
 
@@ -268,3 +262,16 @@
     for _ in range(20):
         context.node.forward(context.cluster.application_request()).unwrap()
     assert context.leaver.attempts == before
+
+
+@given("routing of once requests over 3 nodes and 3 application workers")
+def step_once(context):
+    context.once = OnceSetting(context.cleanup)
+    context.cluster = context.once.cluster
+
+
+@then("routing runs each key at most once and tells the truth, whatever is lost, killed or paused")
+def step_at_most_once(context):
+    run_state_machine_as_test(
+        use(context.once), settings=settings(max_examples=200, stateful_step_count=20)
+    )
--- a/features/support/routing_cluster.py
+++ b/features/support/routing_cluster.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 
 from bellweir.configuration.interface import ConfigurationSnapshot
+from bellweir.kernel.clock import Clock, SystemClock
+from bellweir.kernel.executors import Executors
 from bellweir.kernel.listeners import bind_listeners
 from bellweir.kernel.node import Kernel
 from bellweir.resources.models import (
@@ -43,6 +45,8 @@
     extra_services: list = field(default_factory=list)
     comparisons: dict = field(default_factory=dict)
     leaving: set = field(default_factory=set)
+    make_executors: type[Executors] = Executors
+    clock: Clock = field(default_factory=SystemClock)
     routing: RoutingSettings = field(default_factory=lambda: RoutingSettings(report_period_s=0.05))
     _revisions: itertools.count = field(default_factory=lambda: itertools.count(1))
     _requests: itertools.count = field(default_factory=itertools.count)
@@ -91,7 +95,9 @@
             configuration.set(snapshot)
 
     def add_node(self) -> DispatcherService:
-        kernel = Kernel(bind_listeners("127.0.0.1", 0, 0))
+        kernel = Kernel(
+            bind_listeners("127.0.0.1", 0, 0), executors=self.make_executors(), clock=self.clock
+        )
         settings = Settings(
             node=NodeIdentity(name=f"node-{len(self.nodes)}", zone="zone-1", region="default"),
             routing=self.routing,
--- a/features/support/routing_fakes.py
+++ b/features/support/routing_fakes.py
@@ -36,6 +36,14 @@
     OVERLOADED = "refused for load"
     LEAVING = "refused because it leaves"
     CUT_BODY = "ran, but the answer's body was cut"
+    RAISED = "ran, but the client raised what it should not"
+
+
+TYPED_FAULTS = tuple(fault for fault in Fault if fault is not Fault.RAISED)
+
+
+class UnexpectedError(Exception):
+    """Raised by a client against its interface."""
 
 
 FAULT_ERRORS = {
@@ -60,16 +68,21 @@
     dead: bool = False
     leaving: bool = False
     on_run: object = None
+    on_written: object = None
 
     def send(self, call):
         self.attempts += 1
         fault = Fault.REFUSED if self.dead else (self.faults.pop(0) if self.faults else None)
         if fault in (Fault.REFUSED, Fault.LOST_REQUEST, Fault.OVERLOADED, Fault.LEAVING):
             return Failure(error_of(fault))
+        if self.on_written is not None:
+            self.on_written()
         body = call.body if isinstance(call.body, bytes) else call.body.read()
         self.ran.append((call.path, body))
         if self.on_run is not None:
             self.on_run(call)
+        if fault is Fault.RAISED:
+            raise UnexpectedError
         if fault is Fault.LOST_ANSWER:
             return Failure(error_of(fault))
         answer = b"answer to " + body
--- /dev/null
+++ b/features/support/routing_once_setting.py
@@ -0,0 +1,107 @@
+"""Three nodes, shared claims and back ends, for requests that must not be repeated."""
+
+from contextlib import ExitStack
+from dataclasses import dataclass
+
+from bellweir.routing.views_service import BackendViewsService
+from support.routing_claims import (
+    Happenings,
+    InlineExecutors,
+    NodeClaims,
+    OffsetClock,
+    Point,
+    SharedClaims,
+)
+from support.routing_cluster import APPLICATION_POOL, RoutingCluster
+
+LONG_TIMEOUT_S = 2000.0
+CLAIM_WINDOW_S = 100.0
+
+
+@dataclass(frozen=True)
+class Run:
+    """One run as a back end logged it."""
+
+    at_s: float
+    request_number: int
+    """Requests are numbered in the order in which they were sent."""
+    path: str
+    body: bytes
+
+
+class OnceSetting:
+    """What all examples of the state machine share; each uses keys of its own."""
+
+    def __init__(self, cleanup: ExitStack, nodes: int = 3) -> None:
+        self.clock = OffsetClock()
+        self.claims = SharedClaims(self.clock)
+        self.happenings = Happenings()
+        self.runs: dict[str, list[Run]] = {}
+        self.faults: list = []
+        self.cluster = RoutingCluster(cleanup, clock=self.clock, make_executors=InlineExecutors)
+        self.cluster.pool_options[APPLICATION_POOL] = {
+            "once_paths": ("/bids",),
+            "claim_window_s": CLAIM_WINDOW_S,
+        }
+        self.cluster.add_applications(3)
+        self.node_claims = []
+        for _ in range(nodes):
+            self.node_claims.append(NodeClaims(self.claims, self.happenings))
+            self.cluster.extra_services = [self.node_claims[-1]]
+            stop_probes(self.cluster.add_node().backend_views)
+        for application in self.cluster.applications:
+            application.faults = self.faults
+            application.on_run = self._ran
+            application.on_written = lambda: self.happenings.reach(Point.BEFORE_RUN)
+
+    def _ran(self, call) -> None:
+        key = dict(call.headers)["Idempotency-Key"]
+        number = int(call.attempt_id.split("/")[0].rpartition("-")[2])
+        run = Run(self.clock.monotonic_s(), number, call.path, call.body)
+        self.runs.setdefault(key, []).append(run)
+        self.happenings.reach(Point.AFTER_RUN)
+
+    def runs_of(self, key: str, path: str, body: bytes, since_s: float) -> list[Run]:
+        """Runs of a request in the last `since_s` seconds."""
+        after_s = self.clock.monotonic_s() - since_s
+        runs = self.runs.get(key, [])
+        return [run for run in runs if (run.path, run.body) == (path, body) and run.at_s >= after_s]
+
+    def deadline_s(self) -> float:
+        return self.clock.monotonic_s() + LONG_TIMEOUT_S
+
+    def kill(self, node: int) -> None:
+        self.node_claims[node].killed = True
+        self.node_claims[node]._check()
+
+    def is_killed(self, node: int) -> bool:
+        return self.node_claims[node].killed
+
+    def reset(self) -> None:
+        self.end_step()
+        for node in self.cluster.nodes:
+            node._runtimes._runtimes.clear()  # retry budgets as at the start
+
+    def end_step(self) -> None:
+        """Replace killed nodes, clear faults, and let every worker be usable again."""
+        self.happenings.at = {}
+        self.faults.clear()
+        self.claims.faults.clear()
+        for node in self.node_claims:
+            node.killed = False
+        for node in self.cluster.nodes:
+            recover(node.backend_views)
+
+
+def stop_probes(views: BackendViewsService) -> None:
+    """Let nothing be probed but by `recover`."""
+    views._start_probe = lambda _: None
+
+
+def recover(views: BackendViewsService) -> None:
+    """Close circuits, forget what back ends have said and probe them, as time would do."""
+    for pool in views.pools().values():
+        for backend in pool.backends:
+            views._probe(backend)
+            backend._leaving_said = False
+            backend._circuit.on_success()
--- a/src/bellweir/routing/forwarding.py
+++ b/src/bellweir/routing/forwarding.py
@@ -94,18 +94,21 @@
         deadline_s: float,
         *,
         repeatable: bool,
-        before_send: Callable[[], bool] = lambda: True,
+        before_send: Callable[[], Refusal | None] = lambda: None,
     ) -> Result[ApplicationAnswer, Refusal]:
         """Try until an answer comes or no further attempt is allowed.
 
-        `before_send` is asked before each attempt and may forbid it; the refusal then says not
-        run if that is true of all attempts before.
+        `before_send` is asked before each attempt and may refuse it. What it says of the run
+        must hold for attempts that were proved not run, as those before it were.
         """
         attempts = RequestAttempts(runtime.budget, self._clock, deadline_s)
         while True:
             backend = self._choose(runtime, attempts.tried)
-            if backend is None or not before_send():
+            if backend is None or self._clock.monotonic_s() >= deadline_s:
                 return Failure(attempts.refusal())
+            refusal = before_send()
+            if refusal is not None:
+                return Failure(refusal)
             match self._attempt(request, body, backend, deadline_s):
                 case Success(answer):
                     runtime.budget.on_success(self._clock.monotonic_s())
--- a/src/bellweir/routing/once.py
+++ b/src/bellweir/routing/once.py
@@ -2,8 +2,9 @@
 
 import hashlib
 import secrets
+import uuid
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from returns.result import Failure, Result, Success
 
@@ -34,10 +35,18 @@
 RECORD_TIMEOUT_S = 2.0
 RECORD_TRIES = 3
 CLAIM_USE_S = 60.0
-"""A claim older than this is not used any more: its holder was paused for long."""
+CLAIM_USE_WINDOW_SHARE = 0.5
+"""A claim older than `CLAIM_USE_S` or than this share of its window is not used any more: a
+holder that was paused for so long may wake up when the key has been given to somebody else."""
+KEY_HEADER = "Idempotency-Key"
+KEY_LIMIT_CHARACTERS = 255
+LOOK_UP_TIMEOUT_S = 0.5
 REPLAYED_HEADER = ("Idempotency-Replayed", "true")
 
-SendOnce = Callable[[RequestBody, Callable[[], bool]], Result[ApplicationAnswer, Refusal]]
+BeforeSend = Callable[[], Refusal | None]
+SendOnce = Callable[
+    [ApplicationRequest, RequestBody, BeforeSend], Result[ApplicationAnswer, Refusal]
+]
 """Makes the attempt; asks the given check right before each send."""
 
 
@@ -70,7 +79,12 @@
             if not pool.spec.generate_keys:
                 detail = "a request that must not be repeated needs an Idempotency-Key"
                 return Failure(Refusal(RefusalReason.KEY_MISSING, RunState.NOT_RUN, detail))
-            key = secrets.token_hex(16)
+            key = fresh_key(self._clock.wall_s())
+            headers = (*request.headers, (KEY_HEADER, key))
+            request = replace(request, headers=headers, idempotency_key=key)
+        if not is_usable_key(key):
+            detail = f"an Idempotency-Key has 1 to {KEY_LIMIT_CHARACTERS} printable characters"
+            return Failure(Refusal(RefusalReason.INVALID, RunState.NOT_RUN, detail))
         body = RequestBody(request.body, request.body_length)
         try:
             fingerprint = fingerprint_of(request, body.read_whole(BODY_LIMIT_BYTES))
@@ -80,12 +94,13 @@
         if claims is None:
             detail = "this node has no ledger"
             return Failure(_ledger_refusal(RunState.NOT_RUN, detail))
-        ledger_key = f"{request.pool}/{key}"
-        holder = _Holder(ledger_key, secrets.token_hex(16), claims)
+        holder = _Holder(ledger_key_of(request), secrets.token_hex(16), claims)
         asked_s = self._clock.monotonic_s()
         match self._claim(holder, fingerprint, pool.spec.claim_window_s, deadline_s):
             case Success(claim) if claim.state is ClaimState.CLAIMED:
-                return self._run(holder, body, asked_s, send)
+                window_s = pool.spec.claim_window_s
+                use_until_s = asked_s + min(CLAIM_USE_S, window_s * CLAIM_USE_WINDOW_SHARE)
+                return self._run(holder, lambda check: send(request, body, check), use_until_s)
             case Success(claim):
                 return _answer_repeat(claim)
             case Failure(error):
@@ -95,6 +110,25 @@
                 return Failure(_ledger_refusal(state, error.detail))
         raise AssertionError("a result is a success or a failure")
 
+    def refuse(self, request: ApplicationRequest, refusal: Refusal) -> Refusal:
+        """What to say of a request that is refused before it is claimed.
+
+        This request has not run, but an earlier one with its key may have: "not run" is said
+        only when the ledger knows of none.
+        """
+        if request.idempotency_key is None or refusal.run_state is not RunState.NOT_RUN:
+            return refusal
+        claims = self._find_claims()
+        if claims is None:
+            return refusal
+        match claims.look_up(ledger_key_of(request), LOOK_UP_TIMEOUT_S):
+            case Success(None):
+                return refusal
+            case Success(Claim(state=ClaimState.NOT_RUN)):
+                return refusal
+        detail = f"{refusal.detail}; whether an earlier request with this key ran is not known"
+        return replace(refusal, run_state=RunState.UNKNOWN, detail=detail)
+
     def _claim(
         self, holder: _Holder, fingerprint: str, window_s: float, deadline_s: float
     ) -> Result[Claim, LedgerError]:
@@ -117,13 +151,19 @@
         return claimed
 
     def _run(
-        self, holder: _Holder, body: RequestBody, asked_s: float, send: SendOnce
+        self,
+        holder: _Holder,
+        send: Callable[[BeforeSend], Result[ApplicationAnswer, Refusal]],
+        use_until_s: float,
     ) -> Result[ApplicationAnswer, Refusal]:
-        def still_usable() -> bool:
-            return self._clock.monotonic_s() - asked_s < CLAIM_USE_S
+        def too_late() -> Refusal | None:
+            if self._clock.monotonic_s() < use_until_s:
+                return None
+            detail = "the node was paused for too long after the claim"
+            return Refusal(RefusalReason.DEADLINE, RunState.NOT_RUN, detail, RETRY_AFTER_S)
 
         try:
-            outcome = send(body, still_usable)
+            outcome = send(too_late)
         except BaseException:
             self._record_aside(holder, ClaimState.UNKNOWN, None)
             raise
@@ -190,6 +230,28 @@
         emit(OUTCOME_NOT_RECORDED, request=holder.ledger_key, detail=detail)
 
 
+def ledger_key_of(request: ApplicationRequest) -> str:
+    """Key of a request's claim: keys of different pools do not meet, those of callers do.
+
+    A caller may come back through another node, address or token; the fingerprint tells two
+    callers with one key apart.
+    """
+    return f"{request.pool}/{request.idempotency_key}"
+
+
+def is_usable_key(key: str) -> bool:
+    """Whether a caller's key is of a length and kind that is kept."""
+    return 0 < len(key) <= KEY_LIMIT_CHARACTERS and key.isprintable()
+
+
+def fresh_key(now_s: float) -> str:
+    """A key for a request without one: a UUID of version 7 (RFC 9562), which tells its age."""
+    milliseconds = int(now_s * 1000) & ((1 << 48) - 1)
+    high = (milliseconds << 16) | (7 << 12) | secrets.randbits(12)
+    low = (0b10 << 62) | secrets.randbits(62)
+    return str(uuid.UUID(int=(high << 64) | low))
+
+
 def fingerprint_of(request: ApplicationRequest, body: bytes) -> str:
     """Digest of what makes a request the same: method, path with query, and body."""
     digest = hashlib.sha256()
--- a/src/bellweir/routing/service.py
+++ b/src/bellweir/routing/service.py
@@ -195,6 +195,8 @@
         admitted = self._admit(runtime, kind, request.caller, request.deadline_monotonic_s)
         match admitted:
             case Failure(refusal):
+                if kind is RequestClass.ONCE:
+                    refusal = self._once.refuse(request, refusal)
                 return Failure(refusal)
             case Success(admission):
                 pass
@@ -227,8 +229,8 @@
             request,
             runtime.pool,
             deadline_s,
-            lambda body, check: self._forwarder.forward(
-                request, body, runtime, deadline_s, repeatable=False, before_send=check
+            lambda keyed, body, check: self._forwarder.forward(
+                keyed, body, runtime, deadline_s, repeatable=False, before_send=check
             ),
         )
 
