Prove the outcomes of platform calls and the engine stand-in

A raw server loses connections at every point and counts what it has read; the property holds outcomes against that count. Ending all faults now also ends a stalled or slowed engine.

--- /dev/null
+++ b/features/steps/platform_outcomes_steps.py
@@ -0,0 +1,197 @@
+"""Steps of `platform_outcomes.feature`."""
+
+from concurrent.futures import ThreadPoolExecutor
+
+import msgspec
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+from returns.result import Success
+
+from bellweir.platform.answers import decode_answer
+from bellweir.platform.pool import ConnectionPool, HttpAnswer, HttpCall
+from support.lossy_server import BODY, LossPoint, LossyServer, TricklingServer
+
+TIMEOUT_S = 5.0
+POST = HttpCall("POST", "/score", TIMEOUT_S, {}, b"0123456789" * 10)
+
+
+def serve(context, server):
+    context.cleanup.callback(server.stop)
+    context.server = server
+    context.pool = ConnectionPool(server.address)
+    context.cleanup.callback(context.pool.close)
+
+
+def outcome_of(result):
+    return "success" if isinstance(result, Success) else result.failure().kind.value
+
+
+class FixedServer(LossyServer):
+    """Answers one given status and body."""
+
+    def __init__(self, status, body):
+        self._fixed = b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body)
+        super().__init__(LossPoint.NOWHERE, healthy_calls=1)
+
+    def _answer(self):
+        return self._fixed
+
+
+class EndlessServer(LossyServer):
+    """Answers a body that ends with the connection alone."""
+
+    def __init__(self):
+        super().__init__(LossPoint.AFTER_THE_REQUEST, healthy_calls=1)
+
+    def _serve(self, connection):
+        self._read_request(connection)
+        connection.sendall(b"HTTP/1.0 200 OK\r\n\r\n" + BODY)
+        self._close(connection)
+
+
+@given("a platform server that has stopped listening")
+def step_stopped(context):
+    serve(context, LossyServer(LossPoint.NOWHERE))
+    context.server.stop()
+
+
+@given("a platform server that closes its connections {point}")
+def step_closes(context, point):
+    chunked = point == LossPoint.BEFORE_THE_END_MARKER.value
+    serve(context, LossyServer(LossPoint(point), chunked=chunked))
+
+
+@given("a platform server that answers {calls:d} call and then closes {point}")
+@given("a platform server that answers {calls:d} calls and then closes {point}")
+def step_answers_then_closes(context, calls, point):
+    serve(context, LossyServer(LossPoint(point), healthy_calls=calls))
+
+
+@given("a platform server that trickles its answer for ever")
+def step_trickles(context):
+    serve(context, TricklingServer(0.05))
+
+
+@given("a platform server whose answer ends with the connection alone")
+def step_endless(context):
+    serve(context, EndlessServer())
+
+
+@given("a platform server that answers status {status:d} with body {body}")
+def step_fixed(context, status, body):
+    serve(context, FixedServer(status, body.encode()))
+
+
+@when("a platform request is sent once to that server")
+def step_send(context):
+    context.outcome = outcome_of(context.pool.call(POST))
+
+
+@when("a platform request is sent once to that server with a deadline of {seconds:f} seconds")
+def step_send_with_deadline(context, seconds):
+    call = HttpCall("POST", "/score", seconds, {}, b"body")
+    context.outcome = outcome_of(context.pool.call(call))
+
+
+@when("a platform request is sent as a write")
+def step_send_write(context):
+    decoded = context.pool.call(POST).bind(
+        lambda answer: decode_answer(answer, dict[str, float], writes=True)
+    )
+    context.outcome = outcome_of(decoded)
+
+
+@when("two platform requests are sent over one connection")
+def step_send_two(context):
+    assert outcome_of(context.pool.call(POST)) == "success"
+    context.outcome = outcome_of(context.pool.call(POST))
+
+
+@when("two platform requests are sent, the second once the connection is closed")
+def step_send_second_later(context):
+    assert outcome_of(context.pool.call(POST)) == "success"
+    context.wait_until(lambda: not context.server._connections, "the server closed")
+    context.outcome = outcome_of(context.pool.call(POST))
+
+
+@when("a platform answer is dropped after its connection has gone to another call")
+def step_late_drop(context):
+    first = context.pool.open(POST, POST.body).unwrap()
+    assert first.read_all() == BODY
+    first.finish()
+    context.second = context.pool.open(POST, POST.body).unwrap()
+    first.drop()
+
+
+@then("the other platform call gets its whole answer")
+def step_second_whole(context):
+    assert context.second.read_all() == BODY
+    assert context.server.requests_read == 2
+    assert len(context.server._connections) == 1, "both calls used one connection"
+
+
+@when("the platform clients are closed while a call waits")
+def step_close_while_waiting(context):
+    with ThreadPoolExecutor(1) as pool:
+        waiting = pool.submit(context.pool.call, POST)
+        context.wait_until(lambda: context.server.requests_read == 1, "the request was read")
+        context.pool.close()
+        context.outcome = outcome_of(waiting.result(timeout=TIMEOUT_S - 1))
+
+
+@when("a platform request is sent after the clients were closed")
+def step_send_after_close(context):
+    context.pool.close()
+    context.outcome = outcome_of(context.pool.call(POST))
+
+
+@then('the platform outcome is "{outcome}"')
+def step_outcome(context, outcome):
+    assert context.outcome == outcome, context.outcome
+
+
+@then("the platform server has read {count:d} requests")
+def step_requests_read(context, count):
+    assert context.server.requests_read == count, context.server.requests_read
+
+
+@then("over losses at any point, by any way of closing, platform outcomes agree with the server")
+def step_property(context):
+    @settings(max_examples=60)
+    @for_all(
+        point=st.sampled_from(LossPoint),
+        chunked=st.booleans(),
+        healthy_calls=st.integers(0, 2),
+        reset=st.booleans(),
+        body=st.sampled_from([b"", b"x", b"y" * 5_000_000]),
+    )
+    def check(point, chunked, healthy_calls, reset, body):
+        server = LossyServer(point, chunked=chunked, healthy_calls=healthy_calls, reset=reset)
+        pool = ConnectionPool(server.address)
+        try:
+            for number in range(healthy_calls + 1):
+                check_one_call(server, pool, body, number < healthy_calls)
+        finally:
+            pool.close()
+            server.stop()
+
+    check()
+
+
+def check_one_call(server, pool, body, healthy):
+    read_before = server.bytes_read
+    result = pool.call(HttpCall("POST", "/x", TIMEOUT_S, {}, body))
+    outcome = outcome_of(result)
+    if healthy or server.point is LossPoint.NOWHERE:
+        assert outcome == "success", outcome
+    elif server.point is LossPoint.BEFORE_THE_END_MARKER and not server.chunked:
+        assert outcome == "success", "the whole length had arrived"
+    else:
+        assert outcome in ("unknown", "not_run"), outcome
+    if outcome == "not_run":
+        assert server.bytes_read == read_before, "a request that was read is called not run"
+    if isinstance(result, Success):
+        answer: HttpAnswer = result.unwrap()
+        assert msgspec.json.decode(answer.body) == {"score": 0.25}
--- a/src/bellweir_rehearsal/standins/base.py
+++ b/src/bellweir_rehearsal/standins/base.py
@@ -233,13 +233,17 @@
                 return _refused(RefusalError(ErrorKind.INVALID, str(failure)))
             self.inject(order)
         elif request.method == "DELETE":
-            self.faults.clear()
+            self.clear_faults()
         return json_response(self.faults.in_force())
 
     def inject(self, order: FaultOrder) -> None:
         """Put a fault in force."""
         self.faults.inject(order)
 
+    def clear_faults(self) -> None:
+        """End all faults."""
+        self.faults.clear()
+
 
 def _request(environ: dict[str, Any]) -> Request:
     headers = {
--- a/src/bellweir_rehearsal/standins/engine.py
+++ b/src/bellweir_rehearsal/standins/engine.py
@@ -107,6 +107,12 @@
         if order.kind is FaultKind.STALL:
             self.scheduler.stall_until(time.monotonic() + order.duration_s)
 
+    def clear_faults(self) -> None:
+        """End all faults."""
+        super().clear_faults()
+        self.scheduler.slow_until(0.0, 1.0)
+        self.scheduler.stall_until(0.0)
+
     def set_leaving(self, *, leaving: bool) -> None:
         """Refuse new attempts, or take them again; those in hand go on."""
         self._leaving = leaving
