--- a/src/bellweir_rehearsal/cli.py
+++ b/src/bellweir_rehearsal/cli.py
@@ -11,10 +11,12 @@
 from rich.console import Console
 
 from bellweir.cli.exit_codes import FAILED, PROMISE_BROKEN
+from bellweir_rehearsal.breach_report import write_breaches
 from bellweir_rehearsal.console import print_result, progress_on
 from bellweir_rehearsal.demo import demo_plan
 from bellweir_rehearsal.rehearsal import Rehearsal
 from bellweir_rehearsal.result import RunResult, write_result
+from bellweir_rehearsal.soak_command import SoakCommand
 from bellweir_rehearsal.standin_commands import (
     ApplicationCommand,
     EngineCommand,
@@ -60,6 +62,7 @@
                 wait_for_interrupt(console, rehearsal)
             result = rehearsal.finish()
         write_result(result, folder.root / "result.json")
+        write_breaches(result, folder)
         if not self.keep_running:
             print_result(console, result)
         exit_for(result)
@@ -102,6 +105,7 @@
 
     command: cappa.Subcommands[
         DemoCommand
+        | SoakCommand
         | EngineCommand
         | ApplicationCommand
         | ObjectApiCommand
