--- a/src/bellweir_rehearsal/cli.py
+++ b/src/bellweir_rehearsal/cli.py
@@ -14,6 +14,7 @@
 from bellweir_rehearsal.breach_report import write_breaches
 from bellweir_rehearsal.console import print_result, progress_on
 from bellweir_rehearsal.demo import demo_plan
+from bellweir_rehearsal.experiment_commands import CompareCommand, RunCommand
 from bellweir_rehearsal.rehearsal import Rehearsal
 from bellweir_rehearsal.result import RunResult, write_result
 from bellweir_rehearsal.soak_command import SoakCommand
@@ -105,6 +106,8 @@
 
     command: cappa.Subcommands[
         DemoCommand
+        | RunCommand
+        | CompareCommand
         | SoakCommand
         | EngineCommand
         | ApplicationCommand
--- a/src/bellweir_rehearsal/console.py
+++ b/src/bellweir_rehearsal/console.py
@@ -30,6 +30,11 @@
         """Show what the run does now."""
         self._bar.update(self._task, completed=share, now=text)
 
+    def entitle(self, title: str) -> "RunProgress":
+        """Show another title from now on; returns itself."""
+        self._bar.update(self._task, description=title, completed=0.0)
+        return self
+
     def stop(self) -> None:
         """Take the bar away for good."""
         self._bar.stop()
