--- a/src/bellweir_rehearsal/faults/schedule.py
+++ b/src/bellweir_rehearsal/faults/schedule.py
@@ -16,8 +16,8 @@
 )
 from bellweir_rehearsal.topology.deployment import Deployment, Part
 
-SHORTEST_GAP_S = 4.0
-LONGEST_GAP_S = 9.0
+SHORTEST_GAP_S = 3.0
+LONGEST_GAP_S = 6.0
 SHORTEST_FAULT_S = 1.0
 LONGEST_FAULT_S = 5.0
 PAIR_SHARE = 0.35
--- a/src/bellweir_rehearsal/promises/staleness.py
+++ b/src/bellweir_rehearsal/promises/staleness.py
@@ -37,6 +37,8 @@
             verdict.breach(sample.sample_id, fault)
         elif _fault(step, oldest, publications, sample.time_s) is not None:
             verdict.count("samples that aged out on their way")
+        elif _fault(step, oldest, publications, sample.pulled_s, grace_s=0.0) is not None:
+            verdict.count("samples pulled while a newer version was spreading")
     return verdict
 
 
@@ -53,15 +55,16 @@
     oldest: int,
     publications: list[WriteAccepted],
     at_s: float,
+    grace_s: float = PUBLICATION_GRACE_S,
 ) -> str | None:
-    known = [entry for entry in publications if entry.time_s + PUBLICATION_GRACE_S <= at_s]
+    known = [entry for entry in publications if entry.time_s + grace_s <= at_s]
     newer = [entry for entry in known if (entry.published_version or 0) > oldest]
     bound = step.staleness_bound_versions
     newest = max((entry.published_version or 0 for entry in newer), default=oldest)
     if bound is not None and newest - oldest > bound:
         return f"version {oldest} at {newest} published: {newest - oldest} behind, bound {bound}"
     if step.staleness_bound_s is not None and newer:
-        age_s = at_s - min(entry.time_s for entry in newer) - PUBLICATION_GRACE_S
+        age_s = at_s - min(entry.time_s for entry in newer) - grace_s
         if age_s > step.staleness_bound_s:
             return f"version {oldest} stale for {age_s:.1f} s, bound {step.staleness_bound_s:g} s"
     return None
--- a/src/bellweir_rehearsal/soak.py
+++ b/src/bellweir_rehearsal/soak.py
@@ -8,6 +8,7 @@
 from bellweir_rehearsal.faults.schedule import random_schedule, targets_of
 from bellweir_rehearsal.load.standard import standard_load
 from bellweir_rehearsal.plan import RunPlan
+from bellweir_rehearsal.promises.verdict import Promise, Ruling
 from bellweir_rehearsal.result import RunResult
 from bellweir_rehearsal.topology.deployment import load_deployment
 
@@ -27,6 +28,8 @@
     faults_by_kind: dict[str, int]
     breaches: dict[str, int]
     """By promise."""
+    unchecked: tuple[str, ...]
+    """Promises that had nothing to check in any bout."""
 
 
 def soak_plans(
@@ -62,6 +65,12 @@
     for result in results:
         for promise in result.promises:
             breaches[promise.promise] += len(promise.breaches)
+    checked = {
+        promise.promise
+        for result in results
+        for promise in result.promises
+        if promise.ruling is not Ruling.NOTHING_CHECKED
+    }
     return SoakTotals(
         bouts=len(results),
         requests=sum(entry.requested for result in results for entry in result.classes),
@@ -69,4 +78,5 @@
         faults=sum(kinds.values()),
         faults_by_kind=dict(sorted(kinds.items())),
         breaches={promise: count for promise, count in breaches.items() if count},
+        unchecked=tuple(entry.name for entry in Promise if entry.name not in checked),
     )
--- a/src/bellweir_rehearsal/soak_command.py
+++ b/src/bellweir_rehearsal/soak_command.py
@@ -9,7 +9,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from bellweir.cli.exit_codes import PROMISE_BROKEN
+from bellweir.cli.exit_codes import FAILED, PROMISE_BROKEN
 from bellweir_rehearsal.breach_report import write_breaches
 from bellweir_rehearsal.console import print_result, progress_on
 from bellweir_rehearsal.faults.kinds import FaultKind
@@ -59,6 +59,9 @@
             console.print(_totals_table(found))
         if found.breaches:
             raise cappa.Exit(code=PROMISE_BROKEN)
+        if found.unchecked:
+            names = ", ".join(found.unchecked)
+            raise cappa.Exit(f"nothing to check in any bout: {names}", code=FAILED)
 
     def _bout(self, console: Console, plan: RunPlan, number: int) -> RunResult:
         root = self.folder / f"seed-{plan.seed}-{plan.deployment.name}"
