Test the checker with broken variants; match refusals by the id of each HTTP request

Cause: a call refused as draining is sent again under another id with the same path, so a run of the second was taken for a run of the first. The worker's log has the request id: match by it.

--- /dev/null
+++ b/features/rehearsal_promises.feature
@@ -0,0 +1,44 @@
+Feature: The rehearsal kit's checker gives a true verdict on each promise
+  The checker reads what stand-ins and callers logged. It says what it checked, and it fails when
+  it had nothing to check. Each promise has deliberately broken variants that it must catch.
+
+  Scenario: The checker holds every promise of an ideal service
+    Given rehearsal evidence of any run of an ideal service
+    Then the checker holds all nine promises with counts
+
+  Scenario: A checker with nothing to check says so
+    Given rehearsal evidence of a run in which nothing happened
+    Then the checker has nothing to check for all nine promises, and the run has not held
+
+  Scenario Outline: The checker catches a broken variant
+    Given rehearsal evidence of any run of an ideal service
+    When the rehearsal mutation <mutation> breaks it
+    Then the checker finds the promise <promise> broken, and names its subject
+
+    Examples:
+      | mutation                | promise          |
+      | wrong-version           | VERSIONS_NAMED   |
+      | unnamed-tokens          | VERSIONS_NAMED   |
+      | stale-sample            | STALENESS_BOUND  |
+      | sample-twice            | EXACTLY_ONCE     |
+      | sample-changed          | EXACTLY_ONCE     |
+      | sample-lost             | EXACTLY_ONCE     |
+      | answer-cut-short        | WHOLE_ANSWERS    |
+      | answers-swapped         | WHOLE_ANSWERS    |
+      | answer-vanished         | WHOLE_ANSWERS    |
+      | false-refusal           | TRUE_REFUSALS    |
+      | false-app-refusal       | TRUE_REFUSALS    |
+      | second-run              | AT_MOST_ONCE     |
+      | work-after-leaving      | LEAVING_BACKENDS |
+      | stop-cuts               | PLANNED_STOPS    |
+      | stop-fails              | PLANNED_STOPS    |
+      | configuration-goes-back | CONFIGURATION    |
+      | configuration-stuck     | CONFIGURATION    |
+      | write-lost              | CONFIGURATION    |
+
+  Scenario: Every promise has a broken variant, and every variant is tested
+    Then the rehearsal mutations are those of the outline and cover all nine promises
+
+  Scenario: A breach is told with the whole story of its id
+    Given a rehearsal folder whose logs name one request among many others
+    Then the story of that request has its lines of every log in order of time, and no others
--- a/src/bellweir_rehearsal/cli.py
+++ b/src/bellweir_rehearsal/cli.py
@@ -10,11 +10,12 @@
 import cappa
 from rich.console import Console
 
-from bellweir.cli.exit_codes import FAILED, PROMISE_BROKEN
+from bellweir.cli.exit_codes import FAILED, PROMISE_BROKEN, USAGE
 from bellweir_rehearsal.breach_report import write_breaches
 from bellweir_rehearsal.console import print_result, progress_on
 from bellweir_rehearsal.demo import demo_plan
 from bellweir_rehearsal.experiment_commands import CompareCommand, RunCommand
+from bellweir_rehearsal.promises.mutations import MUTATIONS, Mutation
 from bellweir_rehearsal.rehearsal import Rehearsal
 from bellweir_rehearsal.result import RunResult, write_result
 from bellweir_rehearsal.soak_command import SoakCommand
@@ -41,6 +42,11 @@
         Path | None, cappa.Arg(long=True, help="Where to keep logs; a temporary folder by default.")
     ] = None
 
+    mutate: Annotated[
+        str | None,
+        cappa.Arg(long=True, help="Break the evidence in a named way, to see the checker notice."),
+    ] = None
+
     def __call__(self) -> None:
         """Run it; the exit code is 5 when a promise broke."""
         console = Console()
@@ -51,6 +57,7 @@
             self._run(console, RunFolder(Path(folder)))
 
     def _run(self, console: Console, folder: RunFolder) -> None:
+        mutation = _mutation_or_exit(self.mutate)
         with (
             progress_on(console, "demo") as progress,
             Rehearsal(demo_plan(), folder, progress) as rehearsal,
@@ -61,7 +68,7 @@
                 progress.stop()
                 print_result(console, rehearsal.check())
                 wait_for_interrupt(console, rehearsal)
-            result = rehearsal.finish()
+            result = rehearsal.finish(mutation)
         write_result(result, folder.root / "result.json")
         write_breaches(result, folder)
         if not self.keep_running:
@@ -69,6 +76,14 @@
         exit_for(result)
 
 
+def _mutation_or_exit(name: str | None) -> Mutation | None:
+    if name is None:
+        return None
+    if name not in MUTATIONS:
+        raise cappa.Exit(f"--mutate: found {name!r}, allowed {', '.join(MUTATIONS)}", code=USAGE)
+    return MUTATIONS[name]
+
+
 def wait_for_interrupt(console: Console, rehearsal: Rehearsal) -> None:
     """Say where to call, and wait for Ctrl-C."""
     address = rehearsal.cluster.directory.all_nodes()[0].gateway_address
--- a/src/bellweir_rehearsal/demo.py
+++ b/src/bellweir_rehearsal/demo.py
@@ -25,7 +25,7 @@
         seed=DEMO_SEED,
         faults=(
             PlannedFault(
-                at_s=4.0, kind=FaultKind.WORKER_LEAVES, duration_s=6.0, target="writers-2"
+                at_s=4.0, kind=FaultKind.WORKER_LEAVES, duration_s=6.0, target="engines-2"
             ),
             PlannedFault(
                 at_s=6.0, kind=FaultKind.NODE_STOP, duration_s=1.0, target="node-zone-c-1"
@@ -42,12 +42,12 @@
         client_delay_ms=1.0,
         staleness_bound_versions=1,
         zones=(Zone(name="zone-a"), Zone(name="zone-b"), Zone(name="zone-c")),
-        policies=(Policy(name="writer", model="writer-model"),),
+        policies=(Policy(name="policy-1", model="model-1"),),
         engine_pools=(
-            EnginePool(name="writers", policies=("writer",), workers=("zone-a", "zone-b")),
+            EnginePool(name="engines", policies=("policy-1",), workers=("zone-a", "zone-b")),
         ),
         application_pools=(
-            ApplicationPool(name="shop", workers=("zone-c",), once_paths=("/orders",)),
+            ApplicationPool(name="application", workers=("zone-c",), once_paths=("/commands",)),
         ),
     )
 
@@ -56,44 +56,44 @@
     return Load(
         traffic=(
             TrafficClass(
-                name="price checks",
+                name="interactive",
                 kind="application",
                 request_class="interactive",
                 rate_for_each_s=8,
-                target="shop",
-                path="/prices",
+                target="application",
+                path="/check",
             ),
             TrafficClass(
-                name="lookups",
+                name="lookup",
                 kind="application",
                 request_class="lookup",
                 rate_for_each_s=8,
-                target="shop",
+                target="application",
                 method="GET",
-                path="/catalog",
+                path="/records",
             ),
             TrafficClass(
-                name="orders",
+                name="once",
                 kind="application",
                 request_class="once",
                 rate_for_each_s=4,
-                target="shop",
-                path="/orders",
+                target="application",
+                path="/commands",
             ),
             TrafficClass(
-                name="completions",
+                name="completion",
                 kind="completion",
                 request_class="interactive",
                 rate_for_each_s=6,
-                target="writer",
+                target="policy-1",
                 streamed_share=0.7,
             ),
             TrafficClass(
-                name="long streams",
+                name="long stream",
                 kind="completion",
                 request_class="interactive",
                 rate_for_each_s=4,
-                target="writer",
+                target="policy-1",
                 median_tokens=800,
                 streamed_share=1.0,
                 deadline_ms=20_000,
@@ -101,7 +101,7 @@
         ),
         trainers=(
             TrainerLoad(
-                policy="writer", prompts_for_each_step=4, max_tokens=80, train_s=1.5, steps=3
+                policy="policy-1", prompts_for_each_step=4, max_tokens=80, train_s=1.5, steps=3
             ),
         ),
     )
--- a/src/bellweir_rehearsal/promises/evidence.py
+++ b/src/bellweir_rehearsal/promises/evidence.py
@@ -74,6 +74,8 @@
     worker: str
     time_s: float
     attempt_id: str
+    request_id: str | None
+    """Id of the caller's request, when it was passed on."""
     idempotency_key: str | None
     method: str
     target: str
@@ -220,6 +222,15 @@
             found[run.target].append(run)
         return found
 
+    @cached_property
+    def runs_by_request(self) -> dict[str, list[ApplicationRun]]:
+        """Application runs by request id."""
+        found: dict[str, list[ApplicationRun]] = defaultdict(list)
+        for run in self.application_runs:
+            if run.request_id is not None:
+                found[run.request_id].append(run)
+        return found
+
     @cached_property
     def runs_by_key(self) -> dict[str, list[ApplicationRun]]:
         """Application runs by idempotency key, those without one left out."""
--- a/src/bellweir_rehearsal/promises/loading.py
+++ b/src/bellweir_rehearsal/promises/loading.py
@@ -87,6 +87,7 @@
                 worker=line["standin"],
                 time_s=line["time_s"],
                 attempt_id=line["attempt_id"],
+                request_id=line["request_id"],
                 idempotency_key=line["idempotency_key"],
                 method=line["method"],
                 target=f"{line['path']}?{line['query']}",
--- a/src/bellweir_rehearsal/promises/mutations.py
+++ b/src/bellweir_rehearsal/promises/mutations.py
@@ -228,7 +228,7 @@
             (TokenRun(0, 1, 1),),
         )
         return replace(evidence, engine_attempts=[*evidence.engine_attempts, attempt])
-    run = ApplicationRun(leaving.worker, at_s, "mutation", None, "GET", "/mutation?", "")
+    run = ApplicationRun(leaving.worker, at_s, "mutation", None, None, "GET", "/mutation?", "")
     return replace(evidence, application_runs=[*evidence.application_runs, run])
 
 
--- a/src/bellweir_rehearsal/promises/true_refusals.py
+++ b/src/bellweir_rehearsal/promises/true_refusals.py
@@ -33,7 +33,9 @@
                 return f"engine {attempt.engine} generated tokens for it ({ended.reason})"
         return None
     if sent.idempotency_key is None:
-        for run in evidence.runs_by_target.get(_target(sent), []):
+        # Each HTTP request has an id of its own: one that was refused may well have been sent
+        # again under another id, with the same contents.
+        for run in evidence.runs_by_request.get(sent.call_id, []):
             return f"worker {run.worker} ran it at {run.time_s:.3f} ({ended.reason})"
         return None
     for run in evidence.runs_by_key.get(sent.idempotency_key, []):
@@ -54,7 +56,3 @@
         if ended is None or ended.run_state != NOT_RUN:
             return True
     return False
-
-
-def _target(sent: CallSent) -> str:
-    return "/" + sent.target.partition("/")[2]
--- a/src/bellweir_rehearsal/rehearsal.py
+++ b/src/bellweir_rehearsal/rehearsal.py
@@ -19,6 +19,7 @@
 from bellweir_rehearsal.plan import RunPlan
 from bellweir_rehearsal.promises.checker import check_promises
 from bellweir_rehearsal.promises.loading import load_evidence
+from bellweir_rehearsal.promises.mutations import Mutation
 from bellweir_rehearsal.publishing import Publisher
 from bellweir_rehearsal.records.journal import Journal
 from bellweir_rehearsal.result import RunResult, summarize
@@ -98,16 +99,22 @@
         for observer in observers:
             observer.result()
 
-    def finish(self) -> RunResult:
+    def finish(self, mutation: Mutation | None = None) -> RunResult:
         """Stop the deployment as planned, check all promises, and return the result."""
         self._report("stopping", 1.0)
         self.cluster.stop()
-        return self.check()
+        return self.check(mutation)
 
-    def check(self) -> RunResult:
-        """Check all promises on what has been logged so far."""
+    def check(self, mutation: Mutation | None = None) -> RunResult:
+        """Check all promises on what has been logged so far.
+
+        A mutation breaks the evidence first, to show that the checker notices; it raises
+        `NothingToMutateError` when the run has no case of it.
+        """
         self._report("checking", 1.0)
         evidence = load_evidence(self.folder)
+        if mutation is not None:
+            evidence = mutation.apply(evidence)
         verdicts = check_promises(evidence)
         return summarize(self.plan, evidence, verdicts, self._load.summaries())
 
