--- a/features/steps/standins_engine_steps.py
+++ b/features/steps/standins_engine_steps.py
@@ -155,9 +155,7 @@
     return read_stream(context.engines.client(name).generate(call).unwrap())
 
 
-@given(
-    'the stand-in engine "{name}" is slow while {count:d} drafts of {tokens:d} tokens fill it'
-)
+@given('the stand-in engine "{name}" is slow while {count:d} drafts of {tokens:d} tokens fill it')
 def step_drafts(context, name, count, tokens):
     standin = context.engines.standins[name]
     standin.inject(FaultOrder(FaultKind.SLOW_TOKENS, duration_s=60.0, factor=SLOW_FACTOR))
