--- a/features/support/standin_engines.py
+++ b/features/support/standin_engines.py
@@ -13,7 +13,7 @@
 
 TIME_SCALE = 20.0
 """Model time runs this much faster than wall time."""
-PROMPT = "window frame of oak "
+PROMPT = "a prompt that is not long "
 
 
 class StandinEngines:
--- a/src/bellweir_rehearsal/standins/object_api.py
+++ b/src/bellweir_rehearsal/standins/object_api.py
@@ -157,7 +157,9 @@
         yield line(WatchLine())
         quiet_since_s = time.monotonic()
         while not self.stopping.is_set() and not request.client_gone():
-            changes = self.state.changes_after(revision, HEARTBEAT_S, self._lag_s())
+            quiet_left_s = quiet_since_s + timeout_s - time.monotonic()
+            wait_s = max(0.0, min(HEARTBEAT_S, quiet_left_s))
+            changes = self.state.changes_after(revision, wait_s, self._lag_s())
             if changes is None:
                 yield line(WatchLine(error=ErrorBody(ErrorKind.COMPACTED.value)))
                 return
--- a/src/bellweir_rehearsal/standins/object_state.py
+++ b/src/bellweir_rehearsal/standins/object_state.py
@@ -37,8 +37,9 @@
         self._views: deque[_View] = deque([_View(time.monotonic(), 0, {})], maxlen=256)
         self._file = ChangeFile(data_path) if data_path is not None else None
         if self._file is not None:
-            for change in self._file.load():
-                self._apply(change)
+            with self._condition:
+                for change in self._file.load():
+                    self._apply(change)
 
     @property
     def revision(self) -> int:
--- a/src/bellweir_rehearsal/standins/scorer.py
+++ b/src/bellweir_rehearsal/standins/scorer.py
@@ -53,6 +53,13 @@
         self._service_time_s = options.service_time_s
         self._slots = threading.BoundedSemaphore(options.concurrency)
 
+    def has_free_slot(self) -> bool:
+        """Whether one more sample could be scored now."""
+        free = self._slots.acquire(blocking=False)
+        if free:
+            self._slots.release()
+        return free
+
     def handle(self, request: Request) -> Response:
         """Answer one call."""
         if (request.method, request.path) != ("POST", "/score"):
--- a/src/bellweir_rehearsal/standins/server.py
+++ b/src/bellweir_rehearsal/standins/server.py
@@ -55,7 +55,6 @@
             self._server.asyncore.loop(
                 timeout=LOOP_TIMEOUT_S, use_poll=True, map=self._sockets, count=1
             )
-        self._server.asyncore.close_all(self._sockets, ignore_all=True)
 
     def stop(self) -> None:
         """Close every socket and end every thread; safe to call twice."""
@@ -65,5 +64,11 @@
         self._server.pull_trigger()
         if self._loop is not None:
             self._loop.result()
+        self._server.socket.close()
+        for channel in list(self._server.active_channels.values()):
+            channel.handle_close()
         self._server.task_dispatcher.shutdown()
+        # Last, since it closes the trigger: a running task may still have pulled it, and its
+        # descriptor must not belong to another file by then.
+        self._server.close()
         self._pool.shutdown()
--- a/src/bellweir_rehearsal/standins/token_model.py
+++ b/src/bellweir_rehearsal/standins/token_model.py
@@ -9,11 +9,10 @@
 import xxhash
 
 _WORDS = """
-north south east west oak pine glass frame hinge panel seal latch red green blue grey
-tractor baler combine plough harrow trailer wheel engine field barn gate stone river
-hill clean worn new old small large light heavy left right upper lower inner outer
-first last price offer quote lot sale bid photo note page line word number with and for
-from window door
+able above again air also apple around back because bird black blue boat both bread bridge
+bring call cloud cold come could day dream earth east even every far field fire first five
+flower form garden give glass good green hand high hill house idea just keep know land late
+leaf light line long moon much near next night north old one open paper
 """
 VOCABULARY = tuple(_WORDS.split())
 CHARACTERS_PER_TOKEN = 4
