Run the state machine of once requests on the ledger's own claims

Cause: the machine ran against claims of the test's own; a fresh node answered 'no such pool' before a configuration had reached it. Change: the nodes use service claims and its state machine over a ledger in memory that loses calls; scenarios for each answer a repeat may get; without a configuration requests are refused as not run with a time to come back.

--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -11,10 +11,11 @@
 from bellweir.platform.interface import FinishReason
 from bellweir.resources.models import RequestClass
 from bellweir.routing.interface import RefusalReason, RunState
+from support.routing_claims import LedgerFault
 from support.routing_cluster import RoutingCluster, body_of
-from support.routing_fakes import TYPED_FAULTS, token_of
+from support.routing_fakes import TYPED_FAULTS, Fault, token_of
 from support.routing_once_machine import use
-from support.routing_once_setting import OnceSetting, recover, stop_probes
+from support.routing_once_setting import CLAIM_WINDOW_S, OnceSetting, recover, stop_probes
 from support.waiting import wait_until
 
 FAULTS = st.lists(st.sampled_from(TYPED_FAULTS), max_size=3)
@@ -275,3 +276,55 @@
     run_state_machine_as_test(
         use(context.once), settings=settings(max_examples=200, stateful_step_count=20)
     )
+
+
+def _bid(context, node, words):
+    """Send a bid in the manner that the words say."""
+    once = context.once
+    if "a window later" in words:
+        once.clock.offset_s += CLAIM_WINDOW_S * 1.5
+    if "answer lost" in words:
+        once.faults.append(Fault.LOST_ANSWER)
+    if "ledger down" in words:
+        once.ledger.faults[:] = [LedgerFault.UNAVAILABLE] * 8
+    for application in once.cluster.applications:
+        application.dead = "workers dead" in words
+    context.cluster.nodes[node]._draining = "draining" in words
+    key = None if "without a key" in words else words.partition("key ")[2][:1]
+    body = b"bid 200" if "for more" in words else b"bid 100"
+    request = once.cluster.application_request(
+        body, path="/bids", idempotency_key=key, deadline_monotonic_s=once.deadline_s(),
+        headers=(("Idempotency-Key", key),) if key else (),
+    )  # fmt: skip
+    outcome = once.cluster.nodes[node].forward(request)
+    once.ledger.faults.clear()
+    for application in once.cluster.applications:
+        application.dead = False
+    for other in once.cluster.nodes:
+        recover(other.backend_views)
+    return outcome
+
+
+@given("routing's pool makes keys")
+def step_makes_keys(context):
+    context.cluster.pool_options["shop"]["generate_keys"] = True
+    context.cluster.configure()
+
+
+@when("routing is sent a bid {first}, and then through another node {second}")
+def step_two_bids(context, first, second):
+    context.outcomes = [_bid(context, 0, first), _bid(context, 1, second)]
+
+
+@then("routing's second answer is {answer} and the bids ran {runs:d} times")
+def step_second_answer(context, answer, runs):
+    match context.outcomes[1]:
+        case Success(found) if answer == "its own":
+            assert ("Idempotency-Replayed", "true") not in found.headers
+        case Success(found):
+            assert answer == "the first's, replayed", found
+            assert ("Idempotency-Replayed", "true") in found.headers
+            assert body_of(found) == body_of(context.outcomes[0].unwrap())
+        case Failure(refusal):
+            assert answer == f"{refusal.reason.value} {refusal.run_state.value}", refusal
+    assert sum(len(found) for found in context.once.runs.values()) == runs
--- a/features/support/routing_claims.py
+++ b/features/support/routing_claims.py
@@ -1,4 +1,4 @@
-"""Claims in memory, as the ledger keeps them, reached through nodes that can be killed."""
+"""A ledger in memory with its own machine of claims, reached through nodes that can be killed."""
 
 import enum
 import time
@@ -12,11 +12,9 @@
 from bellweir.kernel.clock import SystemClock
 from bellweir.kernel.executors import Executors
 from bellweir.kernel.service import Service
-from bellweir.ledger.interface import Claim, Claims, ClaimState, LedgerError, LedgerErrorKind
-
-IN_PROGRESS_LIMIT_S = 120.0
-KEPT_WINDOWS = 8
-"""Windows after which a key is forgotten and may be claimed anew."""
+from bellweir.ledger.claims import ClaimKey, ClaimsMachine
+from bellweir.ledger.interface import Ledger, LedgerError, LedgerErrorKind
+from bellweir.membership.interface import Membership
 
 
 class NodeKilledError(BaseException):
@@ -61,6 +59,9 @@
     def monotonic_s(self) -> float:
         return time.monotonic() + self.offset_s
 
+    def wall_s(self) -> float:
+        return time.time() + self.offset_s
+
     def wait(self, event, timeout_s):
         self.offset_s += timeout_s
         return event.is_set()
@@ -78,67 +79,20 @@
             action()
 
 
-@dataclass
-class Held:
-    fingerprint: str
-    attempt_id: str
-    state: ClaimState
-    claimed_s: float
-    window_s: float
-    answer: object = None
+class SharedLedger:
+    """The one truth that the ledgers of all nodes reach."""
+
+    def __init__(self) -> None:
+        self.machine = ClaimsMachine()
+        self.faults: list = []
 
 
-@dataclass
-class SharedClaims:
-    """The truth that all nodes reach."""
-
-    clock: OffsetClock
-    held: dict[str, Held] = field(default_factory=dict)
-    faults: list = field(default_factory=list)
-
-    def claim(self, key, fingerprint, attempt_id, window_s):
-        held = self.find(key)
-        if held is None or (held.state is ClaimState.NOT_RUN and held.attempt_id != attempt_id):
-            now_s = self.clock.monotonic_s()
-            self.held[key] = Held(fingerprint, attempt_id, ClaimState.CLAIMED, now_s, window_s)
-            return Claim(ClaimState.CLAIMED)
-        if held.fingerprint != fingerprint and not self._expired(held):
-            return Claim(ClaimState.MISMATCH)
-        if held.state is ClaimState.CLAIMED and held.attempt_id == attempt_id:
-            return Claim(ClaimState.CLAIMED)
-        return self.describe(held)
-
-    def record(self, key, attempt_id, state, answer):
-        held = self.find(key)
-        if held is None or held.attempt_id != attempt_id:
-            return Claim(ClaimState.MISMATCH)
-        if held.state in (ClaimState.CLAIMED, ClaimState.UNKNOWN):
-            held.state, held.answer = state, answer
-        return self.describe(held)
-
-    def find(self, key):
-        held = self.held.get(key)
-        kept_s = held.window_s * KEPT_WINDOWS if held else 0.0
-        return held if held and self.clock.monotonic_s() - held.claimed_s <= kept_s else None
-
-    def describe(self, held):
-        if held.state is not ClaimState.NOT_RUN and self._expired(held):
-            return Claim(ClaimState.EXPIRED)
-        if held.state is ClaimState.CLAIMED:
-            late = self.clock.monotonic_s() - held.claimed_s > IN_PROGRESS_LIMIT_S
-            return Claim(ClaimState.UNKNOWN if late else ClaimState.IN_PROGRESS)
-        return Claim(held.state, held.answer)
-
-    def _expired(self, held):
-        return self.clock.monotonic_s() - held.claimed_s > held.window_s
-
-
-class NodeClaims(Service, Claims):
-    """One node's way to the shared claims."""
-
-    name = names.CLAIMS
-
-    def __init__(self, shared: SharedClaims, happenings: Happenings) -> None:
+class NodeLedger(Service, Ledger):
+    """One node's way to the shared truth, until the node is killed."""
+
+    name = names.LEDGER
+
+    def __init__(self, shared: SharedLedger, happenings: Happenings) -> None:
         self._shared = shared
         self._happenings = happenings
         self.killed = False
@@ -149,27 +103,37 @@
     def stop(self):
         pass
 
-    def claim(self, key, fingerprint, attempt_id, window_s, timeout_s):
-        outcome = self._call(lambda: self._shared.claim(key, fingerprint, attempt_id, window_s))
-        self._happenings.reach(Point.CLAIMED)
-        self._check()
-        return outcome
+    def register(self, make):
+        assert make is ClaimsMachine
 
-    def record(self, key, attempt_id, state, answer, timeout_s):
-        outcome = self._call(lambda: self._shared.record(key, attempt_id, state, answer))
-        self._happenings.reach(Point.RECORDED)
-        self._check()
+    def submit(self, key, command, timeout_s):
+        outcome = self._call(lambda: self._shared.machine.apply(command))
+        point = Point.CLAIMED if isinstance(command, ClaimKey) else Point.RECORDED
+        self._happenings.reach(point)
+        self.check()
         return outcome
 
-    def look_up(self, key, timeout_s):
-        def find():
-            held = self._shared.find(key)
-            return None if held is None else self._shared.describe(held)
+    def ask(self, key, query, timeout_s):
+        return self._call(lambda: self._shared.machine.answer(query))
+
+    def leads(self, key):
+        return False
+
+    def leader_address(self, key):
+        return None
+
+    def local_machine(self, key, make):
+        return None
 
-        return self._call(find)
+    def shard_of(self, key):
+        return 0
+
+    def check(self):
+        if self.killed:
+            raise NodeKilledError
 
     def _call(self, take_effect):
-        self._check()
+        self.check()
         fault = self._shared.faults.pop(0) if self._shared.faults else None
         if fault is LedgerFault.UNAVAILABLE:
             return Failure(LedgerError(LedgerErrorKind.UNAVAILABLE, fault.value))
@@ -180,6 +144,29 @@
             return Failure(LedgerError(LedgerErrorKind.UNKNOWN, fault.value))
         return Success(taken)
 
-    def _check(self):
-        if self.killed:
-            raise NodeKilledError
+
+class NobodyDied(Service, Membership):
+    """A membership that has noticed no death yet."""
+
+    name = names.MEMBERSHIP
+
+    def start(self):
+        pass
+
+    def stop(self):
+        pass
+
+    def self_member(self):
+        raise NotImplementedError
+
+    def members(self):
+        return ()
+
+    def member(self, node):
+        return None
+
+    def subscribe(self, listener):
+        pass
+
+    def announce_leaving(self):
+        pass
--- a/features/support/routing_cluster.py
+++ b/features/support/routing_cluster.py
@@ -43,6 +43,8 @@
     configurations: list = field(default_factory=list)
     pool_options: dict = field(default_factory=dict)
     extra_services: list = field(default_factory=list)
+    late_services: list = field(default_factory=list)
+    """Classes of services that need a kernel."""
     comparisons: dict = field(default_factory=dict)
     leaving: set = field(default_factory=set)
     make_executors: type[Executors] = Executors
@@ -107,6 +109,8 @@
         views = BackendViewsService(kernel, settings)
         for service in (self.platform, configuration, views, dispatcher, *self.extra_services):
             kernel.registry.register(service)
+        for make in self.late_services:
+            kernel.registry.register(make(kernel, settings))
         kernel.registry.start()
 
         def stop() -> None:
--- a/features/support/routing_once_machine.py
+++ b/features/support/routing_once_machine.py
@@ -8,10 +8,10 @@
 
 from bellweir.resources.models import RequestClass
 from bellweir.routing.interface import RunState
-from support.routing_claims import KEPT_WINDOWS, LedgerFault, NodeKilledError, Point
+from support.routing_claims import LedgerFault, NodeKilledError, Point
 from support.routing_cluster import body_of
 from support.routing_fakes import Fault, UnexpectedError
-from support.routing_once_setting import CLAIM_WINDOW_S
+from support.routing_once_setting import CLAIM_WINDOW_S, KEPT_WINDOWS
 
 EXAMPLES = itertools.count()
 KEYS = st.integers(0, 2)
@@ -44,7 +44,7 @@
     )  # fmt: skip
     def send(self, key, body, node, path, faults, ledger, point, what, other, pause_s):
         self.setting.faults[:] = faults
-        self.setting.claims.faults[:] = ledger
+        self.setting.ledger.faults[:] = ledger
         if point in (Point.BEFORE_RUN, Point.AFTER_RUN):
             # What is on the wire for longer than a key is kept can't be called back.
             pause_s = min(pause_s, CLAIM_WINDOW_S * 2)
@@ -65,7 +65,7 @@
     def _pause_and_repeat(self, key, body, node, path, pause_s):
         """The node under way is paused; another one gets the same key; then it wakes up."""
         self.setting.clock.offset_s += pause_s
-        self.setting.claims.faults.clear()
+        self.setting.ledger.faults.clear()
         self._submit(key, body, node, path)
 
     def _submit(self, key, body, node, path):
--- a/features/support/routing_once_setting.py
+++ b/features/support/routing_once_setting.py
@@ -3,19 +3,24 @@
 from contextlib import ExitStack
 from dataclasses import dataclass
 
+from bellweir.ledger.claims import TOMBSTONE_WINDOWS
+from bellweir.ledger.claims_service import ClaimsService
 from bellweir.routing.views_service import BackendViewsService
 from support.routing_claims import (
     Happenings,
     InlineExecutors,
-    NodeClaims,
+    NobodyDied,
+    NodeLedger,
     OffsetClock,
     Point,
-    SharedClaims,
+    SharedLedger,
 )
 from support.routing_cluster import APPLICATION_POOL, RoutingCluster
 
 LONG_TIMEOUT_S = 2000.0
 CLAIM_WINDOW_S = 100.0
+KEPT_WINDOWS = 1 + TOMBSTONE_WINDOWS
+"""Windows after which a key is forgotten and may be claimed anew."""
 
 
 @dataclass(frozen=True)
@@ -34,7 +39,7 @@
 
     def __init__(self, cleanup: ExitStack, nodes: int = 3) -> None:
         self.clock = OffsetClock()
-        self.claims = SharedClaims(self.clock)
+        self.ledger = SharedLedger()
         self.happenings = Happenings()
         self.runs: dict[str, list[Run]] = {}
         self.faults: list = []
@@ -44,10 +49,11 @@
             "claim_window_s": CLAIM_WINDOW_S,
         }
         self.cluster.add_applications(3)
-        self.node_claims = []
+        self.node_ledgers = []
         for _ in range(nodes):
-            self.node_claims.append(NodeClaims(self.claims, self.happenings))
-            self.cluster.extra_services = [self.node_claims[-1]]
+            self.node_ledgers.append(NodeLedger(self.ledger, self.happenings))
+            self.cluster.extra_services = [self.node_ledgers[-1], NobodyDied()]
+            self.cluster.late_services = [ClaimsService]
             stop_probes(self.cluster.add_node().backend_views)
         for application in self.cluster.applications:
             application.faults = self.faults
@@ -71,11 +77,11 @@
         return self.clock.monotonic_s() + LONG_TIMEOUT_S
 
     def kill(self, node: int) -> None:
-        self.node_claims[node].killed = True
-        self.node_claims[node]._check()
+        self.node_ledgers[node].killed = True
+        self.node_ledgers[node].check()
 
     def is_killed(self, node: int) -> bool:
-        return self.node_claims[node].killed
+        return self.node_ledgers[node].killed
 
     def reset(self) -> None:
         self.end_step()
@@ -86,8 +92,8 @@
         """Replace killed nodes, clear faults, and let every worker be usable again."""
         self.happenings.at = {}
         self.faults.clear()
-        self.claims.faults.clear()
-        for node in self.node_claims:
+        self.ledger.faults.clear()
+        for node in self.node_ledgers:
             node.killed = False
         for node in self.cluster.nodes:
             recover(node.backend_views)
--- a/src/bellweir/routing/service.py
+++ b/src/bellweir/routing/service.py
@@ -37,6 +37,8 @@
 from bellweir.routing.views_service import BackendViewsService
 from bellweir.settings.models import Settings
 
+NOT_CONFIGURED = "no configuration has reached this node yet"
+
 _Served = TypeVar("_Served")
 
 
@@ -106,6 +108,8 @@
     # --- generations --------------------------------------------------------------------------
 
     def _generate(self, request: GenerationRequest) -> Result[Generation, Refusal]:
+        if not self._configuration.is_ready():
+            return Failure(_refused(RefusalReason.NO_BACKEND, NOT_CONFIGURED, RETRY_AFTER_S))
         match self._route(request, self._configuration.current()):
             case Failure(refusal):
                 return Failure(refusal)
@@ -186,6 +190,8 @@
     # --- applications -------------------------------------------------------------------------
 
     def _forward(self, request: ApplicationRequest) -> Result[ApplicationAnswer, Refusal]:
+        if not self._configuration.is_ready():
+            return Failure(_refused(RefusalReason.NO_BACKEND, NOT_CONFIGURED, RETRY_AFTER_S))
         pool = self._configuration.current().pools.get(request.pool)
         if pool is None or pool.spec.kind is not BackendKind.APPLICATION:
             detail = f"no application pool named {request.pool!r}"
