Prove application requests whole, once and truthfully typed

The property found that the stand-ins decoded a percent-encoded path twice; they now take the path as the server decoded it. Repeated request headers are joined as RFC 9110 says, cookies as RFC 9113 says.

--- a/src/bellweir/platform/application.py
+++ b/src/bellweir/platform/application.py
@@ -25,6 +25,10 @@
 """On any answer: the worker is leaving."""
 STATE_PATH = "/-/state"
 STATUS_UNAVAILABLE = 503
+LIST_SEPARATOR = ", "
+"""Joins the values of a repeated header (RFC 9110, section 5.3)."""
+COOKIE_SEPARATOR = "; "
+"""Joins the values of repeated cookies (RFC 9113, section 8.2.3)."""
 
 _REFUSALS = {"leaving": ErrorKind.LEAVING, "overloaded": ErrorKind.OVERLOADED}
 
@@ -52,7 +56,8 @@
     merged: dict[str, str] = {}
     for name, value in call.headers:
         key = name.title()
-        merged[key] = f"{merged[key]}, {value}" if key in merged else value
+        separator = COOKIE_SEPARATOR if key == "Cookie" else LIST_SEPARATOR
+        merged[key] = f"{merged[key]}{separator}{value}" if key in merged else value
     merged.pop("Content-Length", None)
     merged[ATTEMPT_HEADER] = call.attempt_id
     if call.body_length:
--- a/src/bellweir_rehearsal/standins/application.py
+++ b/src/bellweir_rehearsal/standins/application.py
@@ -29,6 +29,7 @@
 LEAVE_PATH = "/-/leave"
 RETURN_PATH = "/-/return"
 ECHO_PATH = "/echo"
+HEADERS_PATH = "/headers"
 BYTES_PREFIX = "/bytes/"
 BLOCK_BYTES = 64 * 1024
 MAXIMUM_GENERATED_BYTES = 1 << 31
@@ -94,8 +95,8 @@
 class ApplicationStandin(Standin):
     """An application worker.
 
-    `/echo` answers the request's body, `/bytes/N` answers N bytes in chunks, every other path a
-    `RunAnswer`. `POST /-/leave` and `/-/return` take it out of service and back.
+    `/echo` answers the request's body, `/headers` its headers, `/bytes/N` N bytes in chunks, every
+    other path a `RunAnswer`. `POST /-/leave` and `/-/return` take it out of service and back.
     """
 
     def __init__(self, options: ApplicationOptions) -> None:
@@ -168,6 +169,8 @@
             headers += ((LEAVING_HEADER, "1"),)
         if request.path == ECHO_PATH:
             return Response(200, body, (*headers, ("Content-Type", "application/octet-stream")))
+        if request.path == HEADERS_PATH:
+            return Response(200, msgspec.json.encode(request.headers), (*headers, JSON_TYPE))
         if request.path.startswith(BYTES_PREFIX):
             count = min(MAXIMUM_GENERATED_BYTES, int(request.path.removeprefix(BYTES_PREFIX)))
             blocks = StreamBody(generated_bytes(count), lambda: None)
--- a/src/bellweir_rehearsal/standins/base.py
+++ b/src/bellweir_rehearsal/standins/base.py
@@ -8,7 +8,7 @@
 from http import HTTPStatus
 from pathlib import Path
 from typing import Any, BinaryIO
-from urllib.parse import parse_qs, unquote
+from urllib.parse import parse_qs
 
 import msgspec
 from waitress.channel import ClientDisconnected
@@ -256,7 +256,7 @@
             headers[key.replace("_", "-").lower()] = environ[key]
     return Request(
         environ["REQUEST_METHOD"],
-        unquote(environ["PATH_INFO"]),
+        environ["PATH_INFO"].encode("latin-1").decode(errors="replace"),
         environ.get("QUERY_STRING", ""),
         headers,
         environ["wsgi.input"],
--- a/src/bellweir_rehearsal/standins/faults.py
+++ b/src/bellweir_rehearsal/standins/faults.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections import Counter
 from dataclasses import dataclass
 from enum import Enum
 
@@ -66,6 +67,7 @@
     def __init__(self) -> None:
         self._condition = threading.Condition()
         self._active: list[_ActiveFault] = []
+        self._hits: Counter[FaultKind] = Counter()
 
     def inject(self, order: FaultOrder) -> None:
         """Put a fault in force."""
@@ -93,9 +95,15 @@
                 if fault.order.kind is kind and _hits(fault.order, method, path):
                     if fault.left is not None:
                         fault.left -= 1
+                    self._hits[kind] += 1
                     return fault.order
         return None
 
+    def hits(self, kind: FaultKind) -> int:
+        """Return how many calls faults of that kind have hit."""
+        with self._condition:
+            return self._hits[kind]
+
     def wait_while(self, kind: FaultKind, method: str = "", path: str = "") -> None:
         """Wait until no fault of that kind hits this call."""
         while self._wait_once(kind, method, path):
