--- a/features/standins_batch.feature
+++ b/features/standins_batch.feature
@@ -39,6 +39,9 @@
       | d:22      |         | 32.0         | 10 + 22*1          |
       |           | d       | 13.3         | 10 + 1*1 + 23*0.1  |
 
+  Scenario: Stand-in steps planned together take as long as the same steps one by one
+    Then for any stand-in batch the planned steps take as long together as one by one
+
   Scenario: Any stand-in batch ends every sequence whole and serves higher priorities first
     Then any sequence of arrivals, cancellations and steps keeps the stand-in batch's rules
 
--- a/features/steps/standins_batch_steps.py
+++ b/features/steps/standins_batch_steps.py
@@ -106,6 +106,33 @@
         assert abs(float(row["milliseconds"]) - milliseconds) < 1e-6, (row["why"], milliseconds)
 
 
+@then("for any stand-in batch the planned steps take as long together as one by one")
+def step_plan_property(context):
+    sequence = st.tuples(st.integers(1, 300), st.integers(1, 30))
+
+    @settings(max_examples=50)
+    @for_all(sequences=st.lists(sequence, min_size=1, max_size=4))
+    def check(sequences):
+        together, one_by_one = (planned_durations(sequences, steps) for steps in (8, 1))
+        assert len(together) == len(one_by_one)
+        assert all(abs(a - b) < 1e-12 for a, b in zip(together, one_by_one, strict=True))
+
+    check()
+
+
+def planned_durations(sequences, steps_at_once):
+    batch = Batch(TokenTimes(), BatchLimits(4, CHUNK_TOKENS, steps_at_once))
+    for number, (prompt, final) in enumerate(sequences):
+        batch.add(Sequence(str(number), 0, prompt, 0, final))
+    for found in batch.fill():
+        found.prefill_left = found.context
+    durations_s = []
+    while (plan := batch.plan()) is not None:
+        durations_s += plan.durations_s
+        batch.commit(plan, plan.steps)
+    return durations_s
+
+
 @then("any sequence of arrivals, cancellations and steps keeps the stand-in batch's rules")
 def step_batch_property(context):
     arrival = st.tuples(
