Pass on no history across a whole table's span

A table that was replaced by a newer whole one does not know what came and went in between. Its differences were still given to peers and watches that stood inside that span, which would have missed deletions; peers noticed by the checksum, watches did not. Such a position now counts as compacted. Found by the new property over tables.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -5,6 +5,16 @@
     Given configuration nodes in 3 zones of 2 regions over a faulty network and store
     Then no run of the configuration state machine breaks a promise
 
+  Scenario: A table moves forwards only, whatever reaches it in whatever order
+    Given a configuration table and any history of changes
+    Then every mix of lists, watch changes and updates leaves it as the history was at its revision
+    And the changes it passes on lead any earlier revision to its own
+
+  Scenario: A listener that subscribes during a change sees no older snapshot afterwards
+    Given a configuration subscription that was given revision 5
+    When the configuration subscription is given revisions 4, 5, 6 and 3
+    Then the configuration listener saw revisions 5, 5, 6
+
   Scenario: A change reaches every node of a large zone by pushes alone
     Given a configuration zone of 43 nodes
     When the zone's reader reads a new revision and each pushed message arrives once
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -1,15 +1,28 @@
 from behave import given, then, when
+from hypothesis import given as given_property
 from hypothesis import settings
+from hypothesis import strategies as st
 from hypothesis.stateful import run_state_machine_as_test
 
 from bellweir.configuration import placement
+from bellweir.configuration.interface import ConfigurationSnapshot
+from bellweir.configuration.subscription import Subscription
+from bellweir.configuration.table import ApplyOutcome
 from bellweir.membership.interface import MemberState
 from support.configuration_machine import ConfigurationMachine, policy
 from support.configuration_network import ConfigurationNode, MemoryNetwork, member
+from support.configuration_tables import (
+    HISTORIES,
+    changes_between,
+    entries_of,
+    loaded_table,
+    position_of,
+    states_of,
+)
 from support.memory_store import MemoryStore
 
 ZONE = "zone-a"
-EXAMPLES = 120
+EXAMPLES = 250
 STEPS_PER_EXAMPLE = 40
 
 
@@ -144,3 +157,97 @@
 @then("no configuration message was longer than {limit:d} bytes")
 def step_message_size(context, limit):
     assert 0 < context.network.largest <= limit, context.network.largest
+
+
+@given("a configuration table and any history of changes")
+def step_histories(context):
+    context.histories = HISTORIES
+
+
+def _feed(table, history, states, how, after, upto):
+    """Feed the table something true of the history; whether it may advance to `upto`."""
+    if how == "adopt":
+        table.adopt(upto, states[upto].values())
+        return True
+    if how == "append":
+        changes = changes_between(history, upto - 1, upto)
+        if table.revision != upto - 1 and table.revision < upto:
+            return False
+        table.append(upto, changes)
+        return True
+    changes = changes_between(history, after, upto)
+    return table.apply(after, position_of(states, upto), changes)
+
+
+@then("every mix of lists, watch changes and updates leaves it as the history was at its revision")
+def step_table_property(context):
+    feeds = st.lists(
+        st.tuples(st.sampled_from(["adopt", "append", "apply"]), st.integers(0, 8)), max_size=12
+    )
+
+    @settings(max_examples=400)
+    @given_property(context.histories, feeds, st.data())
+    def run(history, feeds, data):
+        states = states_of(history)
+        table = loaded_table()
+        for how, number in feeds:
+            upto = min(number, len(history))
+            after = data.draw(st.integers(0, upto)) if how == "apply" else upto
+            before = table.revision
+            outcome = _feed(table, history, states, how, after, upto)
+            assert table.position == position_of(states, table.revision)
+            if how == "apply":
+                assert outcome is _expected(before, after, upto), (before, after, upto, outcome)
+            elif outcome:
+                assert table.revision == max(before, upto)
+            assert table.revision >= before
+            assert entries_of(table) == states[table.revision]
+
+    run()
+
+
+def _expected(before, after, upto):
+    if upto <= before:
+        return ApplyOutcome.OLD
+    return ApplyOutcome.GAP if after > before else ApplyOutcome.APPLIED
+
+
+@then("the changes it passes on lead any earlier revision to its own")
+def step_pass_on(context):
+    @settings(max_examples=200)
+    @given_property(context.histories, st.integers(0, 8), st.integers(0, 8))
+    def run(history, jump, start):
+        states = states_of(history)
+        sender, receiver = loaded_table(), loaded_table()
+        jump, start = min(jump, len(history)), min(start, len(history))
+        sender.adopt(jump, states[jump].values())
+        for revision in range(jump + 1, len(history) + 1):
+            sender.append(revision, changes_between(history, revision - 1, revision))
+        receiver.adopt(start, states[start].values())
+        changes = sender.changes_after(receiver.revision)
+        if changes is None:
+            assert 0 < start < jump, "only what a whole table stepped over is not passed on"
+            return
+        outcome = receiver.apply(receiver.revision, sender.position, changes)
+        assert outcome is not ApplyOutcome.DIVERGED
+        assert entries_of(receiver) == states[len(history)]
+
+    run()
+
+
+@given("a configuration subscription that was given revision {revision:d}")
+def step_subscription(context, revision):
+    context.heard = []
+    context.subscription = Subscription("node", lambda each: context.heard.append(each.revision))
+    context.subscription.deliver(ConfigurationSnapshot(revision))
+
+
+@when("the configuration subscription is given revisions 4, 5, 6 and 3")
+def step_deliver(context):
+    for revision in (4, 5, 6, 3):
+        context.subscription.deliver(ConfigurationSnapshot(revision))
+
+
+@then("the configuration listener saw revisions 5, 5, 6")
+def step_heard(context):
+    assert context.heard == [5, 5, 6], context.heard
--- a/features/steps/resources_steps.py
+++ b/features/steps/resources_steps.py
@@ -9,7 +9,7 @@
 from support.operators_machine import OperatorsMachine
 from support.resource_node import ResourceNode
 
-EXAMPLES = 100
+EXAMPLES = 300
 STEPS_PER_EXAMPLE = 30
 
 
--- a/features/support/configuration_machine.py
+++ b/features/support/configuration_machine.py
@@ -54,10 +54,7 @@
 
     @rule(name=POLICIES, model=st.integers(0, 99))
     def write(self, name, model):
-        found = self.store.history[-1].get(("Policy", name))
-        version = found.version if found else 0
-        if not self.store.down:
-            self.store.put(policy(name, str(model)), version, "m").unwrap()
+        self.store.overwrite(policy(name, str(model)))
 
     @rule(name=POLICIES)
     def delete(self, name):
@@ -70,6 +67,20 @@
         if name in self.nodes:
             self.nodes[name].read()
 
+    @rule(name=NAMES, during=st.lists(st.sampled_from(["deliver", "write", "step"]), max_size=4))
+    def read_while_more_happens(self, name, during):
+        """Peers' messages arrive and the store goes on while a node reads a list or a watch."""
+        if name not in self.nodes:
+            return
+        happenings = {
+            "deliver": lambda: self.network.queue and self.network.deliver(),
+            "write": lambda: self.store.overwrite(policy("north", str(self.store.revision))),
+            "step": self.nodes[name].step,
+        }
+        self.store.interruptions = [happenings[what] for what in during]
+        self.nodes[name].read()
+        self.store.interruptions = []
+
     @rule(name=NAMES)
     def step(self, name):
         if name in self.nodes:
--- a/features/support/memory_store.py
+++ b/features/support/memory_store.py
@@ -25,15 +25,12 @@
         self.lag = 0
         """Revisions by which lists and watches lag."""
         self.down = False
-        self.lose_answers = 0
-        """Number of coming writes whose answer is lost after they took effect."""
-        self.lose_requests = 0
-        """Number of coming writes that are lost before they take effect."""
-        self.delay_requests = 0
-        """Number of coming writes whose answer is lost and that arrive later, with `land`."""
+        self.fates = []
+        """What becomes of the coming writes, last one first: `taken`, `answer lost`,
+        `request lost`, or `late`: the answer is lost and the write arrives with `land`."""
         self.underway = []
-        self.before_write = []
-        """Calls made right before coming writes: what another operator does in between."""
+        self.interruptions = []
+        """Calls made before the coming calls, last one first: what happens in between."""
 
     @property
     def revision(self):
@@ -45,11 +42,17 @@
     def _shown(self):
         return max(0, self.revision - self.lag)
 
+    def _interrupted(self):
+        if self.interruptions:
+            self.interruptions.pop()()
+
     def list_objects(self):
         if self.down:
             return self._failure(ErrorKind.NOT_RUN)
         shown = self._shown()
-        return Success(ObjectList(shown, tuple(self.history[shown].values())))
+        listing = ObjectList(shown, tuple(self.history[shown].values()))
+        self._interrupted()
+        return Success(listing)
 
     def watch(self, from_revision, timeout_s):
         if self.down:
@@ -60,20 +63,41 @@
             return
         for change in list(self.changes):
             if from_revision < change.revision <= self._shown():
+                self._interrupted()
                 yield Success(change)
 
     def get(self, kind, name):
+        self._interrupted()
         if self.down:
             return self._failure(ErrorKind.NOT_RUN)
         found = self.history[-1].get((kind, name))
         return self._failure(ErrorKind.NOT_FOUND) if found is None else Success(found)
 
     def put(self, document, expected_version, mutation_id):
+        return self._write(lambda: self._put(document, expected_version))
+
+    def delete(self, kind, name, expected_version):
+        return self._write(lambda: self._delete(kind, name, expected_version))
+
+    def _write(self, write):
+        self._interrupted()
         if self.down:
             return self._failure(ErrorKind.NOT_RUN)
-        if self._lost(lambda: self._put(document, expected_version)):
-            return self._failure(ErrorKind.UNKNOWN)
-        return self._put(document, expected_version)
+        fate = self.fates.pop() if self.fates else "taken"
+        if fate == "late":
+            self.underway.append(write)
+        answer = write() if fate in ("taken", "answer lost") else None
+        return answer if fate == "taken" else self._failure(ErrorKind.UNKNOWN)
+
+    def land(self):
+        """Let the oldest late write arrive."""
+        if self.underway:
+            self.underway.pop(0)()
+
+    def overwrite(self, document):
+        """Write over whatever version there is, without interruption."""
+        found = self.history[-1].get((document["kind"], document["metadata"]["name"]))
+        self._put(document, found.version if found else 0).unwrap()
 
     def _put(self, document, expected_version):
         key = (document["kind"], document["metadata"]["name"])
@@ -82,14 +106,7 @@
             return self._failure(ErrorKind.CONFLICT)
         stored = StoredObject(*key, self.revision + 1, copy.deepcopy(dict(document)))
         self._commit(ObjectChange(stored.version, stored, False), {**self.history[-1], key: stored})
-        return self._answer(Success(stored))
-
-    def delete(self, kind, name, expected_version):
-        if self.down:
-            return self._failure(ErrorKind.NOT_RUN)
-        if self._lost(lambda: self._delete(kind, name, expected_version)):
-            return self._failure(ErrorKind.UNKNOWN)
-        return self._delete(kind, name, expected_version)
+        return Success(stored)
 
     def _delete(self, kind, name, expected_version):
         found = self.history[-1].get((kind, name))
@@ -99,35 +116,12 @@
             return self._failure(ErrorKind.CONFLICT)
         rest = {key: value for key, value in self.history[-1].items() if key != (kind, name)}
         self._commit(ObjectChange(self.revision + 1, found, True), rest)
-        return self._answer(Success(self.revision))
-
-    def _lost(self, write):
-        if self.before_write:
-            self.before_write.pop()()
-        if self.delay_requests:
-            self.delay_requests -= 1
-            self.underway.append(write)
-            return True
-        if self.lose_requests:
-            self.lose_requests -= 1
-            return True
-        return False
-
-    def land(self):
-        """Let the oldest delayed write arrive."""
-        if self.underway:
-            self.underway.pop(0)()
+        return Success(self.revision)
 
     def _commit(self, change, state):
         self.changes.append(change)
         self.history.append(state)
 
-    def _answer(self, answer):
-        if self.lose_answers:
-            self.lose_answers -= 1
-            return self._failure(ErrorKind.UNKNOWN)
-        return answer
-
     def compact(self):
         self.compacted_to = self.revision
         self.changes.clear()
--- a/features/support/operators_machine.py
+++ b/features/support/operators_machine.py
@@ -13,6 +13,10 @@
 from support.resource_node import ResourceNode
 
 NAMES = st.sampled_from(["north", "south"])
+ACTIONS = st.integers(0, 4)
+HAPPENINGS = st.integers(0, 4) | st.sampled_from(["land", "store down"])
+BETWEEN = st.lists(st.lists(HAPPENINGS, max_size=3), max_size=5)
+FATES = st.lists(st.sampled_from(["taken", "answer lost", "request lost", "late"]), max_size=4)
 
 
 class OperatorsMachine(RuleBasedStateMachine):
@@ -64,22 +68,27 @@
         actions = [self._create, self._replace, self._patch, self._status, self._delete]
         actions[what](name)
 
-    @rule(what=st.integers(0, 4), name=NAMES)
+    @rule(what=ACTIONS, name=NAMES)
     def operator_acts(self, what, name):
         self._operator(what, name)
 
-    @rule(what=st.integers(0, 4), name=NAMES, other=st.integers(0, 4), times=st.integers(1, 3))
-    def operators_race(self, what, name, other, times):
-        """Another operator acts between this one's read and its write."""
-        self.store.before_write = [lambda: self._operator(other, name)] * times
+    @rule(what=ACTIONS, name=NAMES, between=BETWEEN, fates=FATES)
+    def operators_race(self, what, name, between, fates):
+        """Things happen between the calls that one operator's write makes to the store."""
+        self.store.fates = fates
+        self.store.interruptions = [lambda some=some: self._happen(some, name) for some in between]
         self._operator(what, name)
-        self.store.before_write = []
-
-    @rule(answers=st.integers(0, 2), requests=st.integers(0, 2), delayed=st.integers(0, 2))
-    def lose(self, answers, requests, delayed):
-        self.store.lose_answers = answers
-        self.store.lose_requests = requests
-        self.store.delay_requests = delayed
+        self.store.interruptions = []
+        self.store.fates = []
+
+    def _happen(self, happenings, name):
+        for happening in happenings:
+            if happening == "land":
+                self.store.land()
+            elif happening == "store down":
+                self.store.down = True
+            else:
+                self._operator(happening, name)
 
     @rule()
     def land(self):
--- a/src/bellweir/configuration/table.py
+++ b/src/bellweir/configuration/table.py
@@ -66,6 +66,8 @@
         self._history_bytes = 0
         self._history_start = NOT_LOADED
         """Every change after this revision is in the history."""
+        self._skipped: deque[tuple[int, int]] = deque()
+        """Spans crossed by a whole table: what came and went inside them was never seen."""
 
     @property
     def loaded(self) -> bool:
@@ -99,8 +101,9 @@
     def adopt(self, revision: int, entries: Iterable[Change]) -> tuple[Change, ...] | None:
         """Replace the whole table by a newer one; the differences, or None when it is old.
 
-        The differences enter the history, so that peers and watches go on without a gap. The
-        revision of a deletion is not known then; the table's new one stands for it.
+        The differences enter the history, so that peers and watches that are where this table
+        was, or before, go on without a gap. The revision of a deletion is not known then; the
+        table's new one stands for it.
         """
         if revision <= self.revision:
             return None
@@ -112,7 +115,9 @@
             if (kind, name) not in wanted
         ]
         changes.sort(key=lambda change: change.version)
-        if not self.loaded:
+        if self.loaded:
+            self._skipped.append((self.revision, revision))
+        else:
             self._history_start = revision
         self._commit(revision, changes, keep_history=self.loaded)
         return tuple(changes)
@@ -135,6 +140,8 @@
         """The newest change of each entry after a revision; None when no longer kept."""
         if not self.loaded or revision < self._history_start:
             return None
+        if any(start < revision < end for start, end in self._skipped):
+            return None
         recent = (change for change in self._history if change.version > revision)
         return tuple(newest_of_each(recent).values())
 
@@ -168,8 +175,11 @@
             dropped = self._history.popleft()
             self._history_bytes -= len(dropped.document or b"")
             self._history_start = max(self._history_start, dropped.version)
+        while self._skipped and self._skipped[0][1] <= self._history_start:
+            self._skipped.popleft()
 
     def _forget_history(self) -> None:
         self._history.clear()
+        self._skipped.clear()
         self._history_bytes = 0
         self._history_start = self.revision
