--- /dev/null
+++ b/src/bellweir/routing/once.py
@@ -0,0 +1,309 @@
+"""Requests that must not be repeated: claimed by their key before the single attempt."""
+
+import hashlib
+import secrets
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from returns.result import Failure, Result, Success
+
+from bellweir.events.log import emit
+from bellweir.kernel.clock import Clock
+from bellweir.kernel.executors import Executors, ExecutorSaturatedError, WorkKind
+from bellweir.ledger.interface import (
+    Claim,
+    Claims,
+    ClaimState,
+    LedgerError,
+    LedgerErrorKind,
+    RecordedAnswer,
+)
+from bellweir.platform.interface import ApplicationAnswer
+from bellweir.resources.models import Pool
+from bellweir.routing.answers import read_whole, with_body
+from bellweir.routing.attempts import RETRY_AFTER_S
+from bellweir.routing.interface import ApplicationRequest, Refusal, RefusalReason, RunState
+from bellweir.routing.log_events import OUTCOME_NOT_RECORDED
+from bellweir.routing.request_body import BodyTooLongError, BodyTruncatedError, RequestBody
+
+BODY_LIMIT_BYTES = 1024 * 1024
+"""Longest body of a request that must not be repeated: it is fingerprinted before it is sent."""
+RECORD_LIMIT_BYTES = 256 * 1024
+"""Longest answer kept for repeats; a longer one is passed on, but repeats get no copy."""
+CLAIM_TIMEOUT_S = 2.0
+RECORD_TIMEOUT_S = 2.0
+RECORD_TRIES = 3
+CLAIM_USE_S = 60.0
+CLAIM_USE_WINDOW_SHARE = 0.5
+"""A claim older than `CLAIM_USE_S` or than this share of its window is not used any more: a
+holder that was paused for so long may wake up when the key has been given to somebody else."""
+KEY_HEADER = "Idempotency-Key"
+KEY_LIMIT_CHARACTERS = 255
+LOOK_UP_TIMEOUT_S = 0.5
+REPLAYED_HEADER = ("Idempotency-Replayed", "true")
+
+BeforeSend = Callable[[], Refusal | None]
+SendOnce = Callable[
+    [ApplicationRequest, RequestBody, BeforeSend], Result[ApplicationAnswer, Refusal]
+]
+"""Makes the attempt; asks the given check right before each send."""
+
+
+@dataclass(frozen=True)
+class _Holder:
+    """A claim held by one call."""
+
+    ledger_key: str
+    attempt_id: str
+    claims: Claims
+
+
+class OnceRequests:
+    """Serves requests of class once."""
+
+    def __init__(
+        self, find_claims: Callable[[], Claims | None], executors: Executors, clock: Clock
+    ):
+        self._find_claims = find_claims
+        self._executors = executors
+        self._clock = clock
+
+    def serve(
+        self, request: ApplicationRequest, pool: Pool, deadline_s: float, send: SendOnce
+    ) -> Result[ApplicationAnswer, Refusal]:
+        """Claim, attempt once, record; a repeat gets what is recorded."""
+        key = request.idempotency_key
+        generated = key is None
+        if key is None:
+            if not pool.spec.generate_keys:
+                detail = "a request that must not be repeated needs an Idempotency-Key"
+                return Failure(Refusal(RefusalReason.KEY_MISSING, RunState.NOT_RUN, detail))
+            key = fresh_key(self._clock.wall_s())
+            headers = (*request.headers, (KEY_HEADER, key))
+            request = replace(request, headers=headers, idempotency_key=key)
+        if not is_usable_key(key):
+            detail = f"an Idempotency-Key has 1 to {KEY_LIMIT_CHARACTERS} printable characters"
+            return Failure(Refusal(RefusalReason.INVALID, RunState.NOT_RUN, detail))
+        body = RequestBody(request.body, request.body_length)
+        try:
+            fingerprint = fingerprint_of(request, body.read_whole(BODY_LIMIT_BYTES))
+        except (BodyTooLongError, BodyTruncatedError) as failure:
+            return Failure(Refusal(RefusalReason.INVALID, RunState.NOT_RUN, f"body: {failure}"))
+        claims = self._find_claims()
+        if claims is None:
+            detail = "this node has no ledger"
+            return Failure(_ledger_refusal(RunState.NOT_RUN, detail))
+        holder = _Holder(ledger_key_of(request), secrets.token_hex(16), claims)
+        asked_s = self._clock.monotonic_s()
+        match self._claim(holder, fingerprint, pool.spec.claim_window_s, deadline_s):
+            case Success(claim) if claim.state is ClaimState.CLAIMED:
+                window_s = pool.spec.claim_window_s
+                use_until_s = asked_s + min(CLAIM_USE_S, window_s * CLAIM_USE_WINDOW_SHARE)
+                return self._run(holder, lambda check: send(request, body, check), use_until_s)
+            case Success(claim):
+                return _answer_repeat(claim)
+            case Failure(error):
+                # An earlier request with a key of the caller's may have run, which only the
+                # ledger could tell; with a fresh key there is none.
+                state = RunState.NOT_RUN if generated else RunState.UNKNOWN
+                return Failure(_ledger_refusal(state, error.detail))
+        raise AssertionError("a result is a success or a failure")
+
+    def refuse(self, request: ApplicationRequest, refusal: Refusal) -> Refusal:
+        """What to say of a request that is refused before it is claimed.
+
+        This request has not run, but an earlier one with its key may have: "not run" is said
+        only when the ledger knows of none.
+        """
+        if request.idempotency_key is None or refusal.run_state is not RunState.NOT_RUN:
+            return refusal
+        claims = self._find_claims()
+        if claims is None:
+            return refusal
+        match claims.look_up(ledger_key_of(request), LOOK_UP_TIMEOUT_S):
+            case Success(None):
+                return refusal
+            case Success(Claim(state=ClaimState.NOT_RUN)):
+                return refusal
+        detail = f"{refusal.detail}; whether an earlier request with this key ran is not known"
+        return replace(refusal, run_state=RunState.UNKNOWN, detail=detail)
+
+    def _claim(
+        self, holder: _Holder, fingerprint: str, window_s: float, deadline_s: float
+    ) -> Result[Claim, LedgerError]:
+        """Claim; after a lost answer once more with the same attempt id, which is idempotent."""
+        for last in (False, True):
+            left_s = deadline_s - self._clock.monotonic_s()
+            claimed = holder.claims.claim(
+                holder.ledger_key,
+                fingerprint,
+                holder.attempt_id,
+                window_s,
+                max(0.001, min(CLAIM_TIMEOUT_S, left_s)),
+            )
+            match claimed:
+                case Failure(error) if error.kind is LedgerErrorKind.UNKNOWN:
+                    if last:
+                        self._record_aside(holder, ClaimState.NOT_RUN, None)
+                case _:
+                    return claimed
+        return claimed
+
+    def _run(
+        self,
+        holder: _Holder,
+        send: Callable[[BeforeSend], Result[ApplicationAnswer, Refusal]],
+        use_until_s: float,
+    ) -> Result[ApplicationAnswer, Refusal]:
+        def too_late() -> Refusal | None:
+            if self._clock.monotonic_s() < use_until_s:
+                return None
+            detail = "the node was paused for too long after the claim"
+            return Refusal(RefusalReason.DEADLINE, RunState.NOT_RUN, detail, RETRY_AFTER_S)
+
+        try:
+            outcome = send(too_late)
+        except BaseException:
+            self._record_aside(holder, ClaimState.UNKNOWN, None)
+            raise
+        match outcome:
+            case Success(answer):
+                return self._complete(holder, answer)
+            case Failure(refusal) if refusal.run_state is RunState.NOT_RUN:
+                self._record(holder, ClaimState.NOT_RUN, None)
+            case Failure(_):
+                self._record(holder, ClaimState.UNKNOWN, None)
+        return outcome
+
+    def _complete(
+        self, holder: _Holder, answer: ApplicationAnswer
+    ) -> Result[ApplicationAnswer, Refusal]:
+        """Record the answer before it is passed on, so that a repeat finds it."""
+        match read_whole(answer, RECORD_LIMIT_BYTES):
+            case Success(None):
+                self._record(holder, ClaimState.COMPLETED, None)
+                detail = "it ran, but its answer is too long to be kept"
+                return Failure(Refusal(RefusalReason.BACKEND_FAILED, RunState.RAN, detail))
+            case Success(whole):
+                kept = RecordedAnswer(answer.status, answer.headers, whole or b"")
+                self._record(holder, ClaimState.COMPLETED, kept)
+                return Success(with_body(answer, iter((kept.body,) if kept.body else ())))
+            case Failure(error):
+                self._record(holder, ClaimState.UNKNOWN, None)
+                refusal = Refusal(RefusalReason.BACKEND_FAILED, RunState.UNKNOWN, error.detail)
+                return Failure(refusal)
+        raise AssertionError("a result is a success or a failure")
+
+    def _record(self, holder: _Holder, state: ClaimState, answer: RecordedAnswer | None) -> None:
+        recorded = holder.claims.record(
+            holder.ledger_key, holder.attempt_id, state, answer, RECORD_TIMEOUT_S
+        )
+        if isinstance(recorded, Failure):
+            self._record_aside(holder, state, answer)
+
+    def _record_aside(
+        self, holder: _Holder, state: ClaimState, answer: RecordedAnswer | None
+    ) -> None:
+        """Record off the caller's thread, a few times; repeats are unknown until it is done."""
+        try:
+            self._executors.submit(
+                WorkKind.BACKGROUND, self._record_patiently, holder, state, answer
+            )
+        except (ExecutorSaturatedError, RuntimeError):
+            emit(OUTCOME_NOT_RECORDED, request=holder.ledger_key, detail="no thread was free")
+
+    def _record_patiently(
+        self, holder: _Holder, state: ClaimState, answer: RecordedAnswer | None
+    ) -> None:
+        detail = ""
+        for _ in range(RECORD_TRIES):
+            match holder.claims.record(
+                holder.ledger_key, holder.attempt_id, state, answer, RECORD_TIMEOUT_S
+            ):
+                case Success(_):
+                    return
+                case Failure(error):
+                    detail = error.detail
+            if self._clock.wait(self._executors.stopping, RETRY_AFTER_S):
+                break
+        emit(OUTCOME_NOT_RECORDED, request=holder.ledger_key, detail=detail)
+
+
+def ledger_key_of(request: ApplicationRequest) -> str:
+    """Key of a request's claim: keys of different pools do not meet, those of callers do.
+
+    A caller may come back through another node, address or token; the fingerprint tells two
+    callers with one key apart.
+    """
+    return f"{request.pool}/{request.idempotency_key}"
+
+
+def is_usable_key(key: str) -> bool:
+    """Whether a caller's key is of a length and kind that is kept."""
+    return 0 < len(key) <= KEY_LIMIT_CHARACTERS and key.isprintable()
+
+
+def fresh_key(now_s: float) -> str:
+    """A key for a request without one: a UUID of version 7 (RFC 9562), which tells its age."""
+    milliseconds = int(now_s * 1000) & ((1 << 48) - 1)
+    high = (milliseconds << 16) | (7 << 12) | secrets.randbits(12)
+    low = (0b10 << 62) | secrets.randbits(62)
+    return str(uuid.UUID(int=(high << 64) | low))
+
+
+def fingerprint_of(request: ApplicationRequest, body: bytes) -> str:
+    """Digest of what makes a request the same: method, path with query, and body."""
+    digest = hashlib.sha256()
+    for part in (request.method.upper().encode(), request.path.encode(), body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+def _answer_repeat(claim: Claim) -> Result[ApplicationAnswer, Refusal]:
+    if claim.state is ClaimState.COMPLETED and claim.answer is not None:
+        kept = claim.answer
+        headers = (*kept.headers, REPLAYED_HEADER)
+        return Success(ApplicationAnswer(kept.status, headers, iter((kept.body,))))
+    return Failure(REPEAT_REFUSALS[claim.state])
+
+
+def _ledger_refusal(state: RunState, detail: str) -> Refusal:
+    return Refusal(RefusalReason.LEDGER_UNAVAILABLE, state, detail, RETRY_AFTER_S)
+
+
+REPEAT_REFUSALS = {
+    ClaimState.COMPLETED: Refusal(
+        RefusalReason.BACKEND_FAILED,
+        RunState.RAN,
+        "the first request with this key ran; its answer was too long to be kept",
+    ),
+    ClaimState.IN_PROGRESS: Refusal(
+        RefusalReason.KEY_IN_PROGRESS,
+        RunState.UNKNOWN,
+        "the first request with this key has no recorded outcome yet",
+        RETRY_AFTER_S,
+    ),
+    ClaimState.NOT_RUN: Refusal(
+        RefusalReason.BACKEND_FAILED,
+        RunState.NOT_RUN,
+        "the first request with this key did not run; repeat it",
+        RETRY_AFTER_S,
+    ),
+    ClaimState.UNKNOWN: Refusal(
+        RefusalReason.BACKEND_FAILED,
+        RunState.UNKNOWN,
+        "the outcome of the first request with this key is not known and never will be",
+    ),
+    ClaimState.MISMATCH: Refusal(
+        RefusalReason.KEY_MISMATCH,
+        RunState.NOT_RUN,
+        "the key was used for a different request",
+    ),
+    ClaimState.EXPIRED: Refusal(
+        RefusalReason.KEY_EXPIRED,
+        RunState.UNKNOWN,
+        "the key is older than the window in which outcomes are kept",
+    ),
+}
--- a/src/bellweir/settings/models.py
+++ b/src/bellweir/settings/models.py
@@ -56,8 +56,11 @@
     """Time after which indirect probes begin, in seconds. Default 0.5."""
     indirect_probes: int = Field(default=3, ge=0)
     """Members asked to probe on this node's behalf. Default 3."""
-    suspicion_multiplier: float = Field(default=4.0, gt=0)
-    """A suspect is dead after this many probe periods times log10(members + 1). Default 4."""
+    suspicion_multiplier: float = Field(default=1.5, gt=0)
+    """A suspect is dead after this many probe periods times log10(members + 1), and not before
+    two probe periods. Default 1.5."""
+    exchange_period_s: float = Field(default=5.0, gt=0)
+    """Mean time between comparisons of member lists with a random peer, in seconds. Default 5."""
 
 
 class ConfigurationSettings(Concern):
@@ -89,6 +92,9 @@
     """Request threads; each streaming answer holds one. Default 256."""
     maximum_body_bytes: int = Field(default=1 << 30, ge=1024)
     """Longest accepted request body, in bytes. Default 1 GiB."""
+    drain_grace_s: float = Field(default=2.0, ge=0)
+    """Time between reporting not ready and refusing new work at a planned stop, in seconds.
+    Default 2."""
     tokens_file: Path | None = None
     """TOML file of bearer tokens and their roles; none leaves the interface open."""
 
@@ -106,6 +112,14 @@
     """Shortest time without a leader before an election, in seconds. Default 1."""
     snapshot_entries: int = Field(default=4096, ge=16)
     """Log entries after which a snapshot is taken. Default 4096."""
+    creation_wait_s: float = Field(default=3.0, ge=0)
+    """Time for which the first node waits for others to share a new ledger with, in seconds.
+    Default 3."""
+    replace_after_s: float = Field(default=60.0, gt=0)
+    """Time after which a silent replica is replaced by one on another node, in seconds.
+    Default 60."""
+    segment_retention_s: float = Field(default=172_800.0, gt=0)
+    """Time for which bulk data, such as samples, is kept, in seconds. Default two days."""
 
 
 class SamplesSettings(Concern):
