--- /dev/null
+++ b/src/bellweir/cli/resources/explain.py
@@ -0,0 +1,48 @@
+"""`bellweir explain`: what a field means."""
+
+from dataclasses import asdict, dataclass
+from typing import Annotated
+
+import cappa
+from rich.console import Console
+from rich.table import Table
+
+from bellweir.cli import exit_codes
+from bellweir.cli.resources.options import OutputFormat, print_json
+from bellweir.resources.models import KINDS
+from bellweir.resources.reference import explain, render_reference
+
+
+@cappa.command(
+    name="explain",
+    help="Explain a kind or a field.",
+    description="Example: bellweir explain pool.spec.workers",
+)
+@dataclass
+class ExplainCommand:
+    """Explain fields; needs no node."""
+
+    path: Annotated[str | None, cappa.Arg(help="KIND or KIND.PATH, such as pool.spec.")] = None
+    markdown: Annotated[
+        bool, cappa.Arg(long="--markdown", help="Print the page docs/RESOURCES.md.")
+    ] = False
+    output: OutputFormat = "table"
+
+    def __call__(self) -> None:
+        """Print the fields at the path and right below it."""
+        if self.markdown:
+            print(render_reference(), end="")
+            return
+        if self.path is None:
+            raise cappa.Exit(f"name a kind: {', '.join(KINDS)}", code=exit_codes.USAGE)
+        try:
+            fields = explain(self.path)
+        except KeyError as failure:
+            raise cappa.Exit(f"there is no {self.path}", code=exit_codes.NOT_FOUND) from failure
+        if self.output == "json":
+            print_json([asdict(field) for field in fields])
+            return
+        table = Table("field", "type", "default", "meaning")
+        for field in fields:
+            table.add_row(field.path, field.type, field.default, field.description)
+        Console().print(table)
