Prove the control plane over real connections; make refusals of creations certain

A creation now reads the store first, so that a store that is down refuses it as without effect; before, the lost answer could not be told from a taken write.

--- a/features/resources.feature
+++ b/features/resources.feature
@@ -72,3 +72,18 @@
     Then resource policy "north" has both conditions and generation 1
     When the same resource condition "Ready" is reported again
     Then the resource store is at revision 3
+
+  Scenario Outline: A write whose answer was lost and that others overtook is told truly
+    Given a resource node with policy "north"
+    When the answer to a <write> of a resource is lost and others <meanwhile> before it is read back
+    Then that resource write is reported as <told>
+
+    Examples:
+      | write       | meanwhile            | told     |
+      | creation    | delete and create it | unknown  |
+      | replacement | delete and create it | unknown  |
+      | replacement | delete it            | unknown  |
+      | replacement | replace it           | done     |
+      | replacement | stop the store       | unknown  |
+      | late write  | replace it           | conflict |
+      | deletion    | create it            | unknown  |
--- a/features/steps/resources_steps.py
+++ b/features/steps/resources_steps.py
@@ -144,3 +144,49 @@
 @when('the same resource condition "{kind}" is reported again')
 def step_report_again(context, kind):
     assert not isinstance(_report(context, kind), Failure)
+
+
+def _policy(name, model, version=None):
+    metadata = {"name": name}
+    if version is not None:
+        metadata["resourceVersion"] = version
+    return {"kind": "Policy", "metadata": metadata, "spec": {"model": model}}
+
+
+def _overtake(context, name, meanwhile):
+    """What others do while the first operator waits for its answer."""
+    if meanwhile == "stop the store":
+        context.store.down = True
+    elif meanwhile == "replace it":
+        context.resources.patch("Policy", name, {"spec": {"model": "theirs"}}).unwrap()
+    else:
+        if "delete" in meanwhile:
+            context.resources.delete("Policy", name, None).unwrap()
+        if "create" in meanwhile:
+            context.resources.create(_policy(name, "theirs")).unwrap()
+
+
+@when("the answer to a {write} of a resource is lost and others {meanwhile} before it is read back")
+def step_overtaken(context, write, meanwhile):
+    name = "south" if write == "creation" else "north"
+    context.store.fates = ["request lost" if write == "late write" else "answer lost"]
+    # The calls of this write: read, write, then the read-back or second attempt.
+    context.store.interruptions = [
+        lambda: _overtake(context, name, meanwhile),
+        lambda: None,
+        lambda: None,
+    ]
+    if write == "creation":
+        context.outcome = context.resources.create(_policy(name, "mine"))
+    elif write == "deletion":
+        context.outcome = context.resources.delete("Policy", name, 1)
+    else:
+        context.outcome = context.resources.replace(_policy(name, "mine", 1))
+
+
+@then("that resource write is reported as {told}")
+def step_told(context, told):
+    if told == "done":
+        context.outcome.unwrap()
+        return
+    assert context.outcome.failure().kind.value == told, context.outcome
--- /dev/null
+++ b/features/support/control_cluster.py
@@ -0,0 +1,109 @@
+"""Nodes of the control plane in one process: real sockets, a real object API stand-in."""
+
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
+
+from bellweir.configuration.service import ConfigurationService
+from bellweir.kernel import names
+from bellweir.kernel.listeners import bind_listeners
+from bellweir.kernel.node import Kernel
+from bellweir.membership.service import MembershipService
+from bellweir.platform.service import PlatformService
+from bellweir.resources.service import ResourcesService
+from bellweir.settings.models import (
+    MembershipSettings,
+    NodeIdentity,
+    PlatformSettings,
+    Settings,
+)
+from bellweir.wire.service import TransportService
+from bellweir_rehearsal.standins.faults import FaultKind, FaultOrder
+from bellweir_rehearsal.standins.object_api import ObjectApiOptions, ObjectApiStandin, WatchOpened
+
+SERVICES = (
+    PlatformService,
+    TransportService,
+    MembershipService,
+    ConfigurationService,
+    ResourcesService,
+)
+LONG_S = 3600.0
+
+
+class ControlNode:
+    def __init__(self, name, zone, seeds, object_api):
+        self.name = name
+        self.zone = zone
+        self.kernel = Kernel(bind_listeners("127.0.0.1", 0, 0))
+        settings = Settings(
+            node=NodeIdentity(name=name, zone=zone),
+            platform=PlatformSettings(object_api=object_api, timeout_s=2.0),
+            membership=MembershipSettings(seeds=seeds, probe_period_s=0.2, probe_timeout_s=0.1),
+        )
+        for make in SERVICES:
+            self.kernel.registry.register(make(self.kernel, settings))
+        self.kernel.registry.start()
+        self.peer_address = self.kernel.listeners.peer_address
+        self.configuration = self.kernel.registry.find(names.CONFIGURATION, ConfigurationService)
+        self.resources = self.kernel.registry.find(names.RESOURCES, ResourcesService)
+        self.membership = self.kernel.registry.find(names.MEMBERSHIP, MembershipService)
+        self.seen = []
+        self.configuration.subscribe(lambda snapshot: self.seen.append(snapshot.revision))
+        self.stopped = False
+
+    @property
+    def revision(self):
+        return self.configuration.current().revision
+
+    def stop(self):
+        if not self.stopped:
+            self.stopped = True
+            self.kernel.registry.stop()
+            self.kernel.executors.stop()
+            self.kernel.listeners.close()
+
+
+class ControlCluster:
+    def __init__(self, cleanup: ExitStack, wait_until):
+        self.wait_until = wait_until
+        self.store = ObjectApiStandin(ObjectApiOptions())
+        self.store.start()
+        cleanup.callback(self.store.stop)
+        self.nodes = {}
+        cleanup.callback(self.stop)
+
+    def stop(self):
+        """Stop all nodes at once: each waits for its own watch of the store to end."""
+        with ThreadPoolExecutor(16) as pool:
+            list(pool.map(ControlNode.stop, self.nodes.values()))
+
+    def start(self, name, zone):
+        seeds = tuple(node.peer_address for node in self.alive())[:2]
+        node = ControlNode(name, zone, seeds, self.store.address)
+        self.nodes[name] = node
+        return node
+
+    def alive(self):
+        return [node for node in self.nodes.values() if not node.stopped]
+
+    def wait_for_members(self):
+        count = len(self.alive())
+        self.wait_until(
+            lambda: all(len(node.membership.members()) == count for node in self.alive()),
+            f"every node sees {count} members",
+        )
+
+    def wait_in_force(self, revision):
+        self.wait_until(
+            lambda: all(node.revision >= revision for node in self.alive()),
+            f"revision {revision} in force on every node",
+        )
+
+    def fault(self, kind, **options):
+        self.store.inject(FaultOrder(kind, **options))
+
+    def store_down(self):
+        self.fault(FaultKind.DOWN, duration_s=LONG_S)
+
+    def watches_opened(self):
+        return self.store.log.records(WatchOpened)
--- a/src/bellweir/configuration/reader.py
+++ b/src/bellweir/configuration/reader.py
@@ -26,7 +26,7 @@
     StoredObject,
 )
 
-WATCH_TIMEOUT_S = 2.0
+WATCH_TIMEOUT_S = 1.0
 """A watch without a change is renewed after this time, in seconds; a stop waits as long."""
 RETRY_SHORTEST_S = 0.1
 RETRY_LONGEST_S = 2.0
--- a/src/bellweir/resources/preparation.py
+++ b/src/bellweir/resources/preparation.py
@@ -7,10 +7,11 @@
 from returns.result import Failure, Result, Success
 
 from bellweir.platform.interface import StoredObject
-from bellweir.resources.documents import INTERNAL_ANNOTATION_PREFIX, conflict_findings
+from bellweir.resources.documents import INTERNAL_ANNOTATION_PREFIX
 from bellweir.resources.interface import ResourceError, ResourceErrorKind, ResourceFinding
 from bellweir.resources.models import API_VERSION, AnyResource
 from bellweir.resources.validation import invalid
+from bellweir.resources.writer import conflict
 
 
 @dataclass(frozen=True)
@@ -38,7 +39,7 @@
             finding = ResourceFinding("metadata.resourceVersion", "nothing", required)
             return Failure(invalid((finding,)))
         if named != base.version:
-            return Failure(_version_conflict(document, resource, base))
+            return Failure(conflict(base, document, named))
     return Success(_prepared(resource, base))
 
 
@@ -49,19 +50,6 @@
     )
 
 
-def _version_conflict(
-    document: Mapping[str, Any], resource: AnyResource, base: StoredObject
-) -> ResourceError:
-    findings = conflict_findings(base.document, document)
-    changed = ", ".join(finding.path for finding in findings) or "status only"
-    return ResourceError(
-        ResourceErrorKind.CONFLICT,
-        f"{base.kind} {base.name} is at version {base.version}, the write was for "
-        f"{resource.metadata.resource_version}; changed: {changed}",
-        findings,
-    )
-
-
 def _prepared(resource: AnyResource, base: StoredObject | None) -> Prepared:
     spec = resource.spec.model_dump(mode="json", by_alias=True, exclude_unset=True)
     same_spec = base is not None and _same_spec(base, resource)
--- a/src/bellweir/resources/service.py
+++ b/src/bellweir/resources/service.py
@@ -32,7 +32,7 @@
 from bellweir.resources.references import reference_findings, users_of
 from bellweir.resources.status import merged_status
 from bellweir.resources.validation import invalid, parse
-from bellweir.resources.writer import CompareAndSetWriter
+from bellweir.resources.writer import CompareAndSetWriter, conflict
 from bellweir.settings.models import Settings
 
 PATCH_ATTEMPTS = 6
@@ -121,7 +121,7 @@
     ) -> Result[ResourceDocument, ResourceError]:
         """Create a resource."""
         return parse(document).bind(
-            lambda resource: self._write(document, resource, None, dry_run=dry_run)
+            lambda resource: self._create(document, resource, dry_run=dry_run)
         )
 
     def replace(
@@ -181,6 +181,20 @@
 
     # --- steps of a write ------------------------------------------------------------------------
 
+    def _create(
+        self, document: Mapping[str, Any], resource: AnyResource, *, dry_run: bool
+    ) -> Result[ResourceDocument, ResourceError]:
+        """Create where a first read finds nothing.
+
+        The read also makes the refusal certain while the store is down: nothing was sent yet.
+        """
+        match self._base(resource.kind, resource.metadata.name):
+            case Success(base):
+                return Failure(conflict(base, document, None))
+            case Failure(error) if error.kind is not ResourceErrorKind.NOT_FOUND:
+                return Failure(error)
+        return self._write(document, resource, None, dry_run=dry_run)
+
     def _replace(
         self, document: Mapping[str, Any], resource: AnyResource, *, dry_run: bool
     ) -> Result[ResourceDocument, ResourceError]:
--- a/src/bellweir/resources/writer.py
+++ b/src/bellweir/resources/writer.py
@@ -142,7 +142,7 @@
         if base is not None and current.version == base.version:
             return None
         if not lost or _reaches_back(ids, base):
-            return Failure(_conflict_error(current, written, base))
+            return Failure(conflict(current, written, _version(base)))
         return Failure(
             ResourceError(
                 ResourceErrorKind.UNKNOWN,
@@ -154,7 +154,7 @@
     def _changed_or_unknown(self, base: StoredObject) -> Result[int, ResourceError]:
         match self._store.get(base.kind, base.name):
             case Success(current) if _reaches_back(mutations_of(current.document), base):
-                return Failure(_conflict_error(current, base.document, base))
+                return Failure(conflict(current, base.document, base.version))
             case Failure(failure) if failure.kind is ErrorKind.NOT_FOUND:
                 return Success(base.version + 1)
         detail = "the answer was lost, and the resource has been written again since"
@@ -163,7 +163,7 @@
     def _conflict(self, document: Mapping[str, Any], base: StoredObject) -> ResourceError:
         match self._store.get(base.kind, base.name):
             case Success(current):
-                return _conflict_error(current, document, base)
+                return conflict(current, document, base.version)
         return ResourceError(
             ResourceErrorKind.CONFLICT, f"{base.kind} {base.name} was changed by another"
         )
@@ -198,16 +198,21 @@
     return bool(wrote_base) and wrote_base[0] in ids
 
 
-def _conflict_error(
-    current: StoredObject, written: Mapping[str, Any], base: StoredObject | None
+def _version(base: StoredObject | None) -> int | None:
+    return None if base is None else base.version
+
+
+def conflict(
+    current: StoredObject, written: Mapping[str, Any], expected: int | None
 ) -> ResourceError:
-    expected = "none" if base is None else str(base.version)
+    """The error for a write over a version that is no longer there, with what changed."""
     findings = conflict_findings(current.document, written)
     changed = ", ".join(finding.path for finding in findings) or "status only"
+    meant = "a creation" if expected is None else f"for version {expected}"
     return ResourceError(
         ResourceErrorKind.CONFLICT,
-        f"{current.kind} {current.name} is at version {current.version}, the write was for "
-        f"{expected}; changed: {changed}",
+        f"{current.kind} {current.name} is at version {current.version}, the write was {meant}; "
+        f"changed: {changed}",
         findings,
     )
 
