Coordinate steps by leases over all nodes

The leader of a step gives out leases for its slots to nodes with free places and steers the attempts by their reports: longest expected first, stale attempts start again, slow ones move with their tokens, silent ones run twice within the budget. The steps' state machine is checked against an oracle with late, repeated and reordered commands.

--- a/features/samples.feature
+++ b/features/samples.feature
@@ -39,9 +39,30 @@
     Given a samples cluster of 2 nodes
     And samples engines that hold every generation
     When a samples step of 2 prompts with 2 samples each and no scorer is declared
-    And node-2 leads the samples shards while node-1 is still generating
+    And node-2 leads the samples shards while 4 generations run
     And the samples engines go on
     Then the samples step delivers 4 unscored samples, one for each slot
+    And the samples engines ran 4 generations in all
+
+  Scenario: The leader is killed in the middle of a step
+    Given a samples cluster of 2 nodes
+    And samples engines that hold every generation
+    When a samples step of 2 prompts with 2 samples each and no scorer is declared
+    And node-1 is cut off from the samples cluster while 4 generations run, and node-2 leads
+    Then node-2 runs all samples slots that node-1 had
+    And the samples engines go on
+    And the samples step delivers 4 unscored samples, one for each slot
+    And what the cut-off node commits when it comes back changes no samples slot
+
+  Scenario: Answers of the ledger are lost
+    Given a samples cluster of 2 nodes
+    And a samples ledger that loses every second answer and refuses every third command
+    When a samples step of 4 prompts with 2 samples each and a scorer is declared
+    Then the samples step delivers 8 scored samples, one for each slot
+    And pulling samples from every cursor again gives the same samples
+
+  Scenario: Commands late, repeated, reordered and from two nodes at once
+    Then samples steps agree with a simple oracle whatever happens
 
   Scenario: A slow scorer holds no generation up
     Given a samples cluster of 1 nodes that run 1 generations at once
--- a/features/steps/samples_steps.py
+++ b/features/steps/samples_steps.py
@@ -1,10 +1,14 @@
 """Steps of `samples.feature`."""
 
+import itertools
 import threading
 
-from behave import given, then, when
+from behave import given, step, then, when
+from hypothesis import settings
+from hypothesis.stateful import run_state_machine_as_test
 from returns.result import Failure, Success
 
+from bellweir.ledger.interface import LedgerErrorKind
 from bellweir.samples.interface import (
     Sample,
     SampleBatch,
@@ -12,7 +16,9 @@
     StepErrorKind,
     StepState,
 )
+from bellweir.samples.messages import CommitSample
 from support.samples_cluster import SamplesCluster
+from support.steps_oracle import StepsAgainstOracle
 from support.waiting import wait_until
 
 STEP = "step-1"
@@ -99,15 +105,84 @@
     assert context.cluster.any.cancel(STEP).unwrap().state is StepState.CANCELLED
 
 
-@when("node-2 leads the samples shards while node-1 is still generating")
-def step_move_leadership(context):
+@when("node-2 leads the samples shards while {count:d} generations run")
+def step_move_leadership(context, count):
     engines = context.cluster.engines
-    wait_until(lambda: len(engines.requests) >= 4, "node-1 generates")
+    wait_until(lambda: len(engines.requests) == count, "all generations run")
     context.cluster.log.lead_all("node-2")
-    wait_until(lambda: len(engines.requests) >= 8, "node-2 generates too")
+    second = context.cluster.nodes[1].samples
+    wait_until(lambda: second.status(STEP).unwrap().running == count, "node-2 knows of them")
 
 
-@when("the samples engines go on")
+@when(
+    "node-1 is cut off from the samples cluster while {count:d} generations run, and node-2 leads"
+)
+def step_cut_off(context, count):
+    cluster = context.cluster
+    wait_until(lambda: len(cluster.engines.requests) == count, "all generations run")
+    engines = cluster.engines
+    context.first_requests = [
+        r for r in engines.requests if engines.nodes[r.request_id] == "node-1"
+    ]
+    assert context.first_requests
+    cluster.network.is_cut = lambda sender, receiver: "node-1" in (sender, receiver)
+    cluster.log.fault = lambda node, _: LedgerErrorKind.UNAVAILABLE if node == "node-1" else None
+    cluster.alive.remove("node-1")
+    cluster.log.lead_all("node-2")
+
+
+@given("a samples ledger that loses every second answer and refuses every third command")
+def step_lossy_ledger(context):
+    counter = itertools.count(1)
+
+    def fault(_node, _command):
+        number = next(counter)
+        if number % 3 == 0:
+            return LedgerErrorKind.UNAVAILABLE
+        return LedgerErrorKind.UNKNOWN if number % 2 == 0 else None
+
+    context.cluster.log.fault = fault
+
+
+@then("node-2 runs all samples slots that node-1 had")
+def step_taken_over(context):
+    engines = context.cluster.engines
+    seeds = {request.seed for request in context.first_requests}
+
+    def seeds_on_node_2():
+        ids = engines.nodes
+        return {r.seed for r in engines.requests if ids[r.request_id] == "node-2"}
+
+    wait_until(lambda: seeds <= seeds_on_node_2(), "every slot of node-1 runs on node-2")
+
+
+@then("the samples engines ran {count:d} generations in all")
+def step_generations(context, count):
+    assert len(context.cluster.engines.requests) == count
+
+
+@then("what the cut-off node commits when it comes back changes no samples slot")
+def step_late_commits(context):
+    cluster = context.cluster
+    before = len(cluster.log.commands)
+    cluster.log.fault = None
+
+    def late_commits():
+        late = {request.request_id for request in context.first_requests}
+        commands = [c for c in cluster.log.commands[before:] if isinstance(c, CommitSample)]
+        return {c.attempt_id for c in commands} & late == late
+
+    wait_until(late_commits, "the cut-off node commits what it has")
+    assert pull_all(context, len(context.samples)) == context.samples
+
+
+@then("samples steps agree with a simple oracle whatever happens")
+def step_oracle(context):
+    limits = settings(max_examples=150, stateful_step_count=40)
+    run_state_machine_as_test(StepsAgainstOracle, settings=limits)
+
+
+@step("the samples engines go on")
 def step_go_on(context):
     context.cluster.engines.hold.set()
 
@@ -150,8 +225,9 @@
 
 @then("pulling samples from every cursor again gives the same samples")
 def step_repeat(context):
-    samples = pull_all(context, 4)
-    for cursor in range(4):
+    count = len(context.declaration.prompts) * context.declaration.samples_per_prompt
+    samples = pull_all(context, count)
+    for cursor in range(count):
         again = pull(context, cursor, limit=1)
         assert again.samples == (samples[cursor],)
         assert again.cursor == cursor + 1
--- a/features/support/fake_services.py
+++ b/features/support/fake_services.py
@@ -121,6 +121,8 @@
     hold: threading.Event | None = None
     held_prompts: frozenset[str] = frozenset()
     requests: list[GenerationRequest] = field(default_factory=list)
+    nodes: dict[str, str] = field(default_factory=dict)
+    """Node that asked, by request id."""
     cancelled: list[str] = field(default_factory=list)
 
     def waits(self, prompt: str) -> bool:
@@ -175,10 +177,12 @@
 
     name = names.DISPATCHER
 
-    def __init__(self, script: ScriptedEngines) -> None:
+    def __init__(self, script: ScriptedEngines, node: str) -> None:
         self._script = script
+        self._node = node
 
     def generate(self, request: GenerationRequest) -> Result[Generation, Refusal]:
+        self._script.nodes[request.request_id] = self._node
         self._script.requests.append(request)
         too_old = (request.minimum_version or 0) > self._script.version
         if self._script.refuse or too_old:
--- a/features/support/samples_cluster.py
+++ b/features/support/samples_cluster.py
@@ -10,6 +10,7 @@
     SamplesSettings,
     Settings,
 )
+from support.fake_nodes import FakeMembership, FakeTransport, Network
 from support.fake_services import (
     FakeConfiguration,
     FakeDispatcher,
@@ -28,7 +29,9 @@
         settings = Settings(
             node=NodeIdentity(name=node),
             ledger=LedgerSettings(shards=cluster.log.shards),
-            samples=SamplesSettings(concurrency=concurrency),
+            samples=SamplesSettings(
+                concurrency=concurrency, lease_s=1.0, duplicate_budget=cluster.duplicate_budget
+            ),
         )
         self.name = node
         self.kernel = Kernel(bind_listeners("127.0.0.1", 0, 0), executors=Executors(LIMITS))
@@ -36,8 +39,10 @@
         for service in (
             MemoryLedger(cluster.log, node),
             cluster.configuration,
-            FakeDispatcher(cluster.engines),
+            FakeDispatcher(cluster.engines, node),
             cluster.platform,
+            FakeTransport(cluster.network, node),
+            FakeMembership(node, cluster.alive),
             self.samples,
         ):
             self.kernel.registry.register(service)
@@ -53,14 +58,17 @@
 class SamplesCluster:
     """Nodes that share a ledger, a configuration, engines and scorers."""
 
-    def __init__(self, nodes: int = 1, concurrency: int = 8) -> None:
+    def __init__(self, nodes: int = 1, concurrency: int = 8, duplicate_budget: float = 0.0) -> None:
+        self.duplicate_budget = duplicate_budget
         self.log = SharedLog()
         self.configuration = FakeConfiguration()
         self.engines = ScriptedEngines()
         self.platform = FakePlatform()
+        self.network = Network()
+        self.alive = [f"node-{n + 1}" for n in range(nodes)]
         self.configuration.publish("writer", 1)
         self.log.lead_all("node-1")
-        self.nodes = [SamplesNode(self, f"node-{n + 1}", concurrency) for n in range(nodes)]
+        self.nodes = [SamplesNode(self, node, concurrency) for node in self.alive]
 
     @property
     def any(self) -> SamplesService:
--- a/src/bellweir/samples/bulk.py
+++ b/src/bellweir/samples/bulk.py
@@ -1,11 +1,11 @@
 """Keeps large values out of the ledger's log: in the segment store where there is one."""
 
-from typing import Protocol, TypeVar
+from typing import TypeVar
 
 import msgspec
 from returns.result import Failure, Result, Success
 
-from bellweir.ledger.interface import LedgerError
+from bellweir.ledger.interface import LedgerError, SegmentStore
 from bellweir.samples.messages import BulkValue
 
 INLINE_LIMIT_BYTES = 512
@@ -14,16 +14,6 @@
 Decoded = TypeVar("Decoded")
 
 
-class SegmentStore(Protocol):
-    """What this package needs of the replicated segment files."""
-
-    def put(self, key: str, blob: bytes, timeout_s: float) -> Result[str, LedgerError]:
-        """Store bytes beside the key's shard and return their reference."""
-
-    def get(self, key: str, reference: str, timeout_s: float) -> Result[bytes, LedgerError]:
-        """Read stored bytes back."""
-
-
 class SampleContent(msgspec.Struct, frozen=True):
     """The bulk of a sample."""
 
--- a/src/bellweir/samples/coordinator.py
+++ b/src/bellweir/samples/coordinator.py
@@ -5,7 +5,9 @@
 by its first commit in the ledger.
 """
 
+import math
 import threading
+from collections import deque
 from dataclasses import dataclass
 
 from returns.result import Success
@@ -13,22 +15,41 @@
 from bellweir.events.log import emit
 from bellweir.kernel.clock import Clock
 from bellweir.ledger.interface import Ledger
-from bellweir.routing.interface import Refusal
-from bellweir.samples.attempts import Assignment, AttemptProgress, new_attempt_id
+from bellweir.samples.assigning import AttemptAssigner
+from bellweir.samples.attempt_table import AttemptTable, KnownAttempt
+from bellweir.samples.attempts import Assignment, AttemptEnd, new_attempt_id, seed_of
 from bellweir.samples.bulk import BulkStore
+from bellweir.samples.estimates import LengthEstimator
 from bellweir.samples.interface import StepDeclaration
+from bellweir.samples.led_steps import LedSteps
 from bellweir.samples.log_events import ROUND_FAILED
-from bellweir.samples.machine import StepMachine
-from bellweir.samples.messages import ObserveStep
+from bellweir.samples.messages import ForgetStep, ObserveStep
 from bellweir.samples.publications import PublicationClock
 from bellweir.samples.records import StepRecord
-from bellweir.samples.runner import AttemptRunner
+from bellweir.samples.rescoring import Rescorer
 from bellweir.samples.staleness import oldest_admissible
+from bellweir.samples.step_view import StepMemory, StepView, observe_lengths, view_of
+from bellweir.samples.tail import (
+    expected_end_s,
+    is_silent,
+    must_move,
+    must_restart,
+)
+from bellweir.samples.wire_messages import (
+    InstructAttempts,
+    ReportAttempts,
+    StepProgress,
+)
 
-LEDGER_TIMEOUT_S = 5.0
-ROUND_PERIOD_S = 0.1
+LEDGER_TIMEOUT_S = 1.0
+ROUND_PERIOD_S = 0.2
 SHORTEST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 5.0
+RETENTION_S = 3_600.0
+"""Time for which an ended step can still be pulled and read."""
+CLEAN_UP_PERIOD_S = 30.0
+RENEW_MARGIN = 1.5
+"""A sample is renewed when it will be stale within this many times what a new one takes."""
 
 
 @dataclass
@@ -40,7 +61,7 @@
 
 
 class StepCoordinator:
-    """Assigns unfilled slots to attempts, round by round."""
+    """Assigns slots to attempts and steers them, round by round, on one task."""
 
     def __init__(
         self,
@@ -49,42 +70,45 @@
         ledger: Ledger,
         publications: PublicationClock,
         bulk: BulkStore,
-        shard_keys: tuple[str, ...],
+        led_steps: LedSteps,
+        table: AttemptTable,
+        assigner: AttemptAssigner,
+        rescorer: Rescorer,
+        duplicate_budget: float,
     ) -> None:
         self._clock = clock
         self._ledger = ledger
         self._publications = publications
         self._bulk = bulk
-        self._shard_keys = shard_keys
-        self._runner: AttemptRunner | None = None
+        self._led_steps = led_steps
+        self._table = table
+        self._assigner = assigner
+        self._rescorer = rescorer
+        self._duplicate_budget = duplicate_budget
         self._wake = threading.Event()
-        self._lock = threading.Lock()
+        self._ended: deque[AttemptEnd] = deque()
         self._backoffs: dict[tuple[str, int], _Backoff] = {}
-        self._declarations: dict[str, StepDeclaration] = {}
-
-    def use(self, runner: AttemptRunner) -> None:
-        """Set the runner that attempts are given to."""
-        self._runner = runner
+        self._memories: dict[str, StepMemory] = {}
+        self._estimators: dict[str, LengthEstimator] = {}
+        self._next_clean_up_s = clock.monotonic_s() + CLEAN_UP_PERIOD_S
 
     def wake(self) -> None:
         """Start the next round at once."""
         self._wake.set()
 
-    def attempt_finished(self, assignment: Assignment, refusal: Refusal | None) -> None:
-        """Note how an attempt ended, so that a failing slot is not tried in a tight loop."""
-        key = (assignment.step_id, assignment.slot)
-        with self._lock:
-            if refusal is None:
-                self._backoffs.pop(key, None)
-            else:
-                self._backoffs[key] = self._next_backoff(self._backoffs.get(key), refusal)
-        self.wake()
+    def take_report(self, message: ReportAttempts) -> None:
+        """Take up a holder's report; from any thread."""
+        self._table.take_report(message, self._clock.monotonic_s())
+        if message.ended:
+            self._ended.extend(message.ended)
+            self.wake()
 
-    def _next_backoff(self, last: _Backoff | None, refusal: Refusal) -> _Backoff:
-        failures = last.failures + 1 if last is not None else 1
-        pause_s = min(LONGEST_PAUSE_S, SHORTEST_PAUSE_S * 2 ** min(failures - 1, 10))
-        pause_s = max(pause_s, refusal.retry_after_s or 0.0)
-        return _Backoff(failures, self._clock.monotonic_s() + pause_s)
+    def progress(self, step_id: str) -> StepProgress:
+        """What this node knows of a step that the ledger doesn't; from any thread."""
+        memory = self._memories.get(step_id)
+        if memory is None:
+            return StepProgress(is_known=False)
+        return StepProgress(True, memory.running, memory.expected_end_s)
 
     def run(self, stopping: threading.Event) -> None:
         """Go round until the node stops."""
@@ -96,29 +120,47 @@
                 emit(ROUND_FAILED, error=repr(failure))
             self._clock.wait(self._wake, ROUND_PERIOD_S)
 
-    def led_steps(self) -> tuple[StepRecord, ...]:
-        """Running steps of the shards that this node leads."""
-        steps: list[StepRecord] = []
-        for key in self._shard_keys:
-            machine = self._ledger.local_machine(key, StepMachine)
-            if isinstance(machine, StepMachine) and self._ledger.leads(key):
-                steps.extend(machine.running_steps())
-        return tuple(steps)
-
     def go_round(self) -> None:
-        """Look at every led step once."""
-        if self._runner is None:
-            return
-        steps = self.led_steps()
-        by_step: dict[str, list[AttemptProgress]] = {}
-        for progress in self._runner.attempts():
-            by_step.setdefault(progress.assignment.step_id, []).append(progress)
+        """Look at every led step once, the longest declared first."""
+        self._take_ends()
+        now_s = self._clock.monotonic_s()
+        self._table.drop_lapsed(now_s)
+        steps = self._led_steps.read()
         for step in steps:
             self._observe(step)
-            attempts = by_step.get(step.terms.step_id, [])
-            self._cancel_losers(step, attempts)
-            self._assign(step, attempts)
+            self._remember(step, now_s)
+        by_step = self._table.by_step()
+        views = [self._view(step, by_step) for step in steps if self._is_known(step)]
+        places = self._assigner.free_places() if views else {}
+        for view in views:
+            self._steer(view)
+            self._start_waiting(view, places)
+            self._rescorer.rescore(view.step, view.memory.declaration, view.attempts)
+        for view in views:
+            self._use_spare_places(view, places)
         self._forget_all_but(steps, by_step)
+        self._clean_up(now_s)
+
+    # --- what is known ---
+
+    def _take_ends(self) -> None:
+        while self._ended:
+            end = self._ended.popleft()
+            key = (end.step_id, end.slot)
+            memory = self._memories.get(end.step_id)
+            if memory is not None and end.failure is not None:
+                longest = memory.longest_attempt.get(end.slot, 0)
+                memory.longest_attempt[end.slot] = max(longest, end.tokens)
+            if end.failure is None or end.failure == "cancelled":
+                self._backoffs.pop(key, None)
+            else:
+                self._backoffs[key] = self._next_backoff(self._backoffs.get(key), end)
+
+    def _next_backoff(self, last: _Backoff | None, end: AttemptEnd) -> _Backoff:
+        failures = last.failures + 1 if last is not None else 1
+        pause_s = min(LONGEST_PAUSE_S, SHORTEST_PAUSE_S * 2 ** min(failures - 1, 10))
+        pause_s = max(pause_s, end.retry_after_s or 0.0)
+        return _Backoff(failures, self._clock.monotonic_s() + pause_s)
 
     def _observe(self, step: StepRecord) -> None:
         """Tell the ledger of versions and of time, when that changes something."""
@@ -130,79 +172,187 @@
             command = ObserveStep(step.terms.step_id, observation)
             self._ledger.submit(step.terms.step_id, command, LEDGER_TIMEOUT_S)
 
-    def _cancel_losers(self, step: StepRecord, attempts: list[AttemptProgress]) -> None:
-        for progress in attempts:
-            slot = step.slots[progress.assignment.slot]
-            if slot.sample is None or progress.is_committing:
-                continue
-            if slot.sample.attempt_id != progress.assignment.replaces_attempt:
-                self._runner_cancel(progress.assignment.attempt_id)
-
-    def _runner_cancel(self, attempt_id: str) -> None:
-        if self._runner is not None:
-            self._runner.cancel(attempt_id)
-
-    def _assign(self, step: StepRecord, attempts: list[AttemptProgress]) -> None:
-        taken = {progress.assignment.slot for progress in attempts}
-        waiting = [
-            number
-            for number, slot in enumerate(step.slots)
-            if slot.sample is None and number not in taken and self._may_start(step, number)
-        ]
-        declaration = self._declaration(step) if waiting else None
-        if declaration is None or self._runner is None:
-            return
-        for number in waiting:
-            if not self._runner.start(self._assignment(step, declaration, number)):
+    def _remember(self, step: StepRecord, now_s: float) -> None:
+        step_id = step.terms.step_id
+        memory = self._memories.get(step_id)
+        if memory is None:
+            read = self._bulk.get(
+                step_id, step.terms.declaration, StepDeclaration, LEDGER_TIMEOUT_S
+            )
+            if not isinstance(read, Success):
                 return
+            memory = StepMemory(read.unwrap())
+            self._memories[step_id] = memory
+            self._table.adopt_leases(step, self._clock.wall_s(), now_s)
+        estimator = self._estimators.setdefault(step.terms.policy, LengthEstimator())
+        observe_lengths(step, memory, estimator)
+
+    def _is_known(self, step: StepRecord) -> bool:
+        return step.terms.step_id in self._memories
+
+    def _view(self, step: StepRecord, by_step: dict[str, list[KnownAttempt]]) -> StepView:
+        terms = step.terms
+        return view_of(
+            step,
+            self._memories[terms.step_id],
+            by_step.get(terms.step_id, []),
+            self._estimators[terms.policy],
+            self._publications.of_policy(terms.policy),
+        )
+
+    # --- what is done ---
+
+    def _steer(self, view: StepView) -> None:
+        """Cancel losers, start stale attempts again, move slow ones."""
+        cancel: dict[str, list[str]] = {}
+        move: dict[str, list[str]] = {}
+        for known in view.losers():
+            cancel.setdefault(known.holder, []).append(known.report.attempt_id)
+        now_s = self._clock.wall_s()
+        for known in view.attempts:
+            report = known.report
+            belief = view.belief(report.slot)
+            if must_restart(report, belief, view.step.bound, view.cadence, view.usual_rate, now_s):
+                cancel.setdefault(known.holder, []).append(report.attempt_id)
+            elif must_move(report, belief, view.usual_rate):
+                move.setdefault(known.holder, []).append(report.attempt_id)
+        for holder in cancel.keys() | move.keys():
+            message = InstructAttempts(tuple(cancel.get(holder, ())), tuple(move.get(holder, ())))
+            self._assigner.instruct(holder, message)
+
+    def _start_waiting(self, view: StepView, places: dict[str, int]) -> None:
+        """Start waiting slots in their order, spread over the nodes with free places."""
+        waiting = view.waiting()
+        self._note_progress(view, waiting_count=len(waiting))
+        view.memory.expected_end_s = expected_end_s(
+            [(known.report, view.belief(known.report.slot)) for known in view.attempts],
+            waiting,
+            view.usual_rate,
+        )
+        chosen: dict[str, list[Assignment]] = {}
+        for entry in waiting:
+            holder = _freest(places)
+            if holder is None:
+                break
+            if self._may_start(view.step, entry.slot):
+                places[holder] -= 1
+                chosen.setdefault(holder, []).append(self._assignment(view, entry.slot))
+        self._assign(view, chosen)
+
+    def _note_progress(self, view: StepView, waiting_count: int) -> None:
+        unfilled = sum(slot.sample is None for slot in view.step.slots)
+        view.memory.running = unfilled - waiting_count
 
     def _may_start(self, step: StepRecord, slot: int) -> bool:
-        with self._lock:
-            backoff = self._backoffs.get((step.terms.step_id, slot))
+        backoff = self._backoffs.get((step.terms.step_id, slot))
         return backoff is None or self._clock.monotonic_s() >= backoff.not_before_s
 
-    def _declaration(self, step: StepRecord) -> StepDeclaration | None:
-        step_id = step.terms.step_id
-        known = self._declarations.get(step_id)
-        if known is not None:
-            return known
-        read = self._bulk.get(step_id, step.terms.declaration, StepDeclaration, LEDGER_TIMEOUT_S)
-        if not isinstance(read, Success):
-            return None
-        declaration: StepDeclaration = read.unwrap()
-        self._declarations[step_id] = declaration
-        return declaration
-
-    def _assignment(self, step: StepRecord, declaration: StepDeclaration, slot: int) -> Assignment:
-        terms = step.terms
-        publications = self._publications.of_policy(terms.policy)
+    def _assign(self, view: StepView, chosen: dict[str, list[Assignment]]) -> None:
+        terms = view.step.terms
+        observation = self._publications.observation(terms.policy)
+        for holder, assignments in chosen.items():
+            self._assigner.assign(terms.step_id, holder, assignments, observation)
+
+    def _use_spare_places(self, view: StepView, places: dict[str, int]) -> None:
+        """Run silent stragglers a second time, and renew samples that will soon be stale."""
+        chosen: dict[str, list[Assignment]] = {}
+        for assignment in [*self._duplicates(view), *self._renewals(view)]:
+            holder = _freest(places)
+            if holder is None:
+                break
+            places[holder] -= 1
+            chosen.setdefault(holder, []).append(assignment)
+        self._assign(view, chosen)
+
+    def _duplicates(self, view: StepView) -> list[Assignment]:
+        budget = math.ceil(self._duplicate_budget * len(view.step.slots))
+        found: list[Assignment] = []
+        for known in view.attempts:
+            report = known.report
+            if view.memory.duplicates >= budget:
+                break
+            if len(view.attempts_of(report.slot)) > 1 or not is_silent(report, view.usual_rate):
+                continue
+            view.memory.duplicates += 1
+            avoid = (report.worker,) if report.worker is not None else ()
+            found.append(self._assignment(view, report.slot, avoid_workers=avoid))
+        return found
+
+    def _renewals(self, view: StepView) -> list[Assignment]:
+        """New attempts for samples nobody has pulled that will be stale before one could end."""
+        if view.usual_rate <= 0:
+            return []
+        now_s = self._clock.wall_s()
+        found: list[Assignment] = []
+        for number, slot in enumerate(view.step.slots):
+            sample = slot.sample
+            if sample is None or slot.delivered or view.attempts_of(number):
+                continue
+            oldest = min(segment.weight_version for segment in sample.segments)
+            left_s = view.cadence.stale_at_s(oldest, view.step.bound, now_s) - now_s
+            takes_s = view.belief(number).expected_tokens() / view.usual_rate
+            is_newest = oldest >= max(
+                (entry.version for entry in view.cadence.publications), default=oldest
+            )
+            if not is_newest and left_s < RENEW_MARGIN * takes_s:
+                replaced = sample.attempt_id
+                found.append(self._assignment(view, number, replaces_attempt=replaced))
+        return found
+
+    def _assignment(
+        self,
+        view: StepView,
+        slot: int,
+        avoid_workers: tuple[str, ...] = (),
+        replaces_attempt: str | None = None,
+    ) -> Assignment:
+        step = view.step
+        now_s = self._clock.wall_s()
+        generation = step.slots[slot].generation + (replaces_attempt is not None)
         return Assignment(
-            step_id=terms.step_id,
+            step_id=step.terms.step_id,
             slot=slot,
             attempt_id=new_attempt_id(),
-            policy=terms.policy,
-            prompt=declaration.prompts[slot // terms.samples_per_prompt],
-            max_tokens=terms.max_tokens,
-            minimum_version=oldest_admissible(step.bound, publications, self._clock.wall_s()),
-            staleness_bound_versions=terms.staleness_bound_versions,
-            staleness_bound_s=terms.staleness_bound_s,
+            policy=step.terms.policy,
+            prompt=view.prompt_of(slot),
+            max_tokens=step.terms.max_tokens,
+            minimum_version=oldest_admissible(step.bound, view.cadence.publications, now_s),
             ends_at_s=step.ends_at_s,
-            scorer=terms.scorer,
+            scorer=step.terms.scorer,
+            seed=seed_of(step.terms.step_id, slot, generation),
+            avoid_workers=avoid_workers,
+            replaces_attempt=replaces_attempt,
         )
 
+    # --- what is over ---
+
     def _forget_all_but(
-        self, steps: tuple[StepRecord, ...], by_step: dict[str, list[AttemptProgress]]
+        self, steps: list[StepRecord], by_step: dict[str, list[KnownAttempt]]
     ) -> None:
-        """Drop what is kept for steps that ended or moved, and cancel their attempts."""
+        """Drop what is kept for steps that ended or moved, and cancel the ended ones' attempts."""
         kept = {step.terms.step_id for step in steps}
-        for step_id in [known for known in self._declarations if known not in kept]:
-            del self._declarations[step_id]
-        with self._lock:
-            for key in [key for key in self._backoffs if key[0] not in kept]:
-                del self._backoffs[key]
+        self._memories = {key: memory for key, memory in self._memories.items() if key in kept}
+        self._backoffs = {key: entry for key, entry in self._backoffs.items() if key[0] in kept}
         for step_id, attempts in by_step.items():
-            if step_id in kept:
+            if step_id in kept or not self._ledger.leads(step_id):
                 continue
-            for progress in attempts:
-                if not progress.is_committing:
-                    self._runner_cancel(progress.assignment.attempt_id)
+            for known in attempts:
+                if not known.report.is_committing:
+                    cancel = InstructAttempts(cancel=(known.report.attempt_id,))
+                    self._assigner.instruct(known.holder, cancel)
+
+    def _clean_up(self, now_s: float) -> None:
+        if now_s < self._next_clean_up_s:
+            return
+        self._next_clean_up_s = now_s + CLEAN_UP_PERIOD_S
+        ended_before_s = self._clock.wall_s() - RETENTION_S
+        for machine in self._led_steps.machines():
+            for step_id in machine.ended_steps(ended_before_s):
+                command = ForgetStep(step_id, ended_before_s)
+                self._ledger.submit(step_id, command, LEDGER_TIMEOUT_S)
+
+
+def _freest(places: dict[str, int]) -> str | None:
+    """The node with the most free places; None when there is no place."""
+    holder = max(places, key=lambda node: places[node], default=None)
+    return holder if holder is not None and places[holder] > 0 else None
--- a/src/bellweir/samples/machine.py
+++ b/src/bellweir/samples/machine.py
@@ -45,6 +45,8 @@
     def __init__(self) -> None:
         self._lock = threading.RLock()
         self._state = ShardState()
+        self._changes: dict[str, int] = {}
+        """Commands applied to each step on this replica; not part of the replicated state."""
 
     def command_types(self) -> tuple[type[Command], ...]:
         """Commands on steps."""
@@ -77,12 +79,23 @@
         """Replace all steps by saved ones."""
         with self._lock:
             self._state = msgspec.msgpack.decode(state, type=ShardState)
+            for step_id in self._state.steps:
+                self._changes[step_id] = self._changes.get(step_id, 0) + 1
 
-    def running_steps(self) -> tuple[StepRecord, ...]:
-        """Copies of the steps whose slots may still be filled; for the coordinator."""
+    def running_steps(self) -> dict[str, int]:
+        """Ids of the steps whose slots may still be filled, each with its number of changes."""
         with self._lock:
-            running = [step for step in self._state.steps.values() if step.is_running]
-            return tuple(_copy(step) for step in running)
+            return {
+                step_id: self._changes.get(step_id, 0)
+                for step_id, step in self._state.steps.items()
+                if step.is_running
+            }
+
+    def copy_step(self, step_id: str) -> StepRecord | None:
+        """A copy of one step, for the coordinator."""
+        with self._lock:
+            step = self._state.steps.get(step_id)
+            return _copy(step) if step is not None else None
 
     def ended_steps(self, ended_before_s: float) -> tuple[str, ...]:
         """Ids of the steps that ended before a time; for clean-up."""
@@ -120,6 +133,7 @@
         step = self._state.steps.get(getattr(command, "step_id", ""))
         if step is None:
             return StepReply(Outcome.NOT_FOUND)
+        self._changes[step.terms.step_id] = self._changes.get(step.terms.step_id, 0) + 1
         match command:
             case GrantLeases():
                 outcome = _grant(step, command)
@@ -145,6 +159,7 @@
         if step.ended_at_s is None or step.ended_at_s >= command.ended_before_s:
             return _reply(Outcome.CONFLICT, step)
         del self._state.steps[command.step_id]
+        self._changes.pop(command.step_id, None)
         return StepReply(Outcome.DONE)
 
     def answer(self, query: Query) -> Reply:
@@ -267,6 +282,8 @@
 def _attach_score(step: StepRecord, command: AttachScore) -> Outcome:
     if not 0 <= command.slot < len(step.slots):
         return Outcome.MALFORMED
+    if not step.is_running:
+        return Outcome.ENDED
     sample = step.slots[command.slot].sample
     if sample is None or sample.attempt_id != command.attempt_id:
         return Outcome.DUPLICATE
--- /dev/null
+++ b/src/bellweir/samples/step_view.py
@@ -0,0 +1,116 @@
+"""One step as its coordinator sees it in one round: slots, attempts and beliefs put together."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from bellweir.samples.attempt_table import KnownAttempt
+from bellweir.samples.cadence import VersionCadence, cadence_of
+from bellweir.samples.estimates import LengthBelief, LengthEstimator
+from bellweir.samples.interface import StepDeclaration
+from bellweir.samples.messages import Publication
+from bellweir.samples.records import StepRecord
+from bellweir.samples.staleness import merge_publications
+from bellweir.samples.tail import WaitingSlot, in_starting_order, median_rate
+from bellweir.samples.tokens import total_tokens
+
+
+@dataclass
+class StepMemory:
+    """What a coordinator remembers of a step between rounds; lost with it, and then learnt anew."""
+
+    declaration: StepDeclaration
+    observed_commits: int = 0
+    """Commits whose lengths the estimator has taken up."""
+    longest_attempt: dict[int, int] = field(default_factory=dict)
+    """Tokens that an ended attempt of a slot had, by slot."""
+    duplicates: int = 0
+    """Second attempts started."""
+    expected_end_s: float | None = None
+    running: int = 0
+
+
+@dataclass(frozen=True)
+class StepView:
+    """A round's view of one step."""
+
+    step: StepRecord
+    memory: StepMemory
+    attempts: tuple[KnownAttempt, ...]
+    estimator: LengthEstimator
+    cadence: VersionCadence
+    usual_rate: float
+    """Median tokens a second of this node's steps' attempts."""
+
+    def prompt_of(self, slot: int) -> str:
+        """Prompt of a slot."""
+        return self.memory.declaration.prompts[slot // self.step.terms.samples_per_prompt]
+
+    def belief(self, slot: int) -> LengthBelief:
+        """Belief about a slot's length."""
+        return self.estimator.believe(self.prompt_of(slot), self.step.terms.max_tokens)
+
+    def attempts_of(self, slot: int) -> list[KnownAttempt]:
+        """Attempts at a slot."""
+        return [known for known in self.attempts if known.report.slot == slot]
+
+    def losers(self) -> Iterator[KnownAttempt]:
+        """Attempts at slots that hold another attempt's sample and that replace nothing."""
+        for known in self.attempts:
+            sample = self.step.slots[known.report.slot].sample
+            if sample is None or known.report.is_committing:
+                continue
+            if sample.attempt_id == known.report.attempt_id:
+                continue
+            is_replacement = sample.attempt_id == known.report.replaces_attempt
+            is_delivered = self.step.slots[known.report.slot].delivered
+            if is_delivered or not is_replacement:
+                yield known
+
+    def waiting(self) -> list[WaitingSlot]:
+        """Slots without a sample and without an attempt, in starting order."""
+        taken = {known.report.slot for known in self.attempts}
+        per_prompt = self.step.terms.samples_per_prompt
+        beliefs: dict[int, LengthBelief] = {}
+        waiting: list[WaitingSlot] = []
+        for number, slot in enumerate(self.step.slots):
+            if slot.sample is not None or number in taken:
+                continue
+            prompt_index, sample_index = divmod(number, per_prompt)
+            if prompt_index not in beliefs:
+                beliefs[prompt_index] = self.belief(number)
+            at_least = self.memory.longest_attempt.get(number, 0)
+            belief = beliefs[prompt_index]
+            waiting.append(WaitingSlot(number, prompt_index, sample_index, belief, at_least))
+        return in_starting_order(waiting)
+
+
+def observe_lengths(step: StepRecord, memory: StepMemory, estimator: LengthEstimator) -> None:
+    """Let the estimator take up the samples committed since the last round."""
+    if step.commits == memory.observed_commits:
+        return
+    per_prompt = step.terms.samples_per_prompt
+    for number, slot in enumerate(step.slots):
+        sample = slot.sample
+        if sample is not None and sample.commit_order >= memory.observed_commits:
+            prompt = memory.declaration.prompts[number // per_prompt]
+            estimator.observe(prompt, total_tokens(sample.segments))
+    memory.observed_commits = step.commits
+
+
+def view_of(
+    step: StepRecord,
+    memory: StepMemory,
+    attempts: list[KnownAttempt],
+    estimator: LengthEstimator,
+    publications: tuple[Publication, ...],
+) -> StepView:
+    """Put a round's view together; `publications` are this node's, maybe newer than the step's."""
+    merged = merge_publications(step.publications, publications)
+    return StepView(
+        step=step,
+        memory=memory,
+        attempts=tuple(attempts),
+        estimator=estimator,
+        cadence=cadence_of(merged),
+        usual_rate=median_rate([known.report for known in attempts]),
+    )
--- a/src/bellweir/samples/tokens.py
+++ b/src/bellweir/samples/tokens.py
@@ -43,6 +43,10 @@
         """Oldest version among the segments; None before the first chunk."""
         return min((segment.weight_version for segment in self._segments), default=None)
 
+    def tokens(self) -> tuple[int, ...]:
+        """Tokens so far."""
+        return tuple(self._tokens)
+
     def content(self) -> SampleContent:
         """Text and tokens so far."""
         return SampleContent("".join(self._texts), tuple(self._tokens))
--- a/src/bellweir/settings/models.py
+++ b/src/bellweir/settings/models.py
@@ -113,6 +113,9 @@
     """Generations that one node runs at once for training steps. Default 128."""
     duplicate_budget: float = Field(default=0.05, ge=0, le=1)
     """Share of a step's slots that may run twice near its end. Default 0.05."""
+    lease_s: float = Field(default=5.0, gt=0)
+    """Time without a report after which an attempt's slot is given to another node, in seconds.
+    Default 5."""
 
 
 class WeightsSettings(Concern):
