--- a/features/support/steps_oracle.py
+++ b/features/support/steps_oracle.py
@@ -54,14 +54,15 @@
         self.held: dict[int, OracleSample] = {}
         self.order: list[int] = []
         self.delivered: list[tuple[int, str, tuple[int, ...], float | None]] = []
+        self.batch_ends: list[int] = []
         self.trainer_cursor = 0
         self.trainer_has: list = []
         self.acknowledged = 0
 
     @initialize(
-        minimum=st.sampled_from([None, 1, 2]),
-        versions=st.sampled_from([None, 0, 1, 2]),
-        seconds=st.sampled_from([None, 5.0, 20.0]),
+        minimum=st.sampled_from([None, 2]),
+        versions=st.sampled_from([1, 0, 2, None]),
+        seconds=st.sampled_from([None, 5.0, 12.0]),
         scorer=st.sampled_from([None, "scorer:1"]),
     )
     def declare(self, minimum, versions, seconds, scorer):
@@ -96,8 +97,9 @@
     def time_passes(self, seconds):
         self.now_s += seconds
 
-    @rule()
-    def publish(self):
+    @rule(seconds=st.sampled_from([0.5, 4.0]))
+    def publish(self, seconds=1.0):
+        self.now_s += seconds
         self.published[max(self.published) + 1] = self.now_s
 
     @rule()
@@ -112,7 +114,8 @@
     def hear(self, observation):
         self.told_now_s = max(self.told_now_s, observation.now_s)
         for publication in observation.publications:
-            self.told.setdefault(publication.version, publication.seen_at_s)
+            earlier_s = self.told.get(publication.version, publication.seen_at_s)
+            self.told[publication.version] = min(earlier_s, publication.seen_at_s)
         for slot in [s for s in self.held if s not in self.delivered_slots()]:
             if not self.fresh(self.held[slot].versions):
                 del self.held[slot]
@@ -136,25 +139,40 @@
 
     # --- nodes ---
 
-    @rule(slot=st.integers(0, SLOTS - 1), data=st.data())
-    def generate(self, slot, data):
-        """A node finishes an attempt; its commit is under way with what the node then knew."""
+    @rule(
+        slot=st.integers(0, SLOTS - 1),
+        ages=st.lists(st.integers(0, 2), min_size=1, max_size=3),
+        is_late=st.booleans(),
+        clock_error_s=st.sampled_from([0.0, 0.0, 3.0]),
+    )
+    def generate(self, slot, ages, is_late, clock_error_s):
+        """A node finishes an attempt and commits it, now or later, with what it now knows.
+
+        The node's clock may be behind, and it may have seen the newest version late.
+        """
         newest = max(self.published)
-        versions = sorted(
-            data.draw(st.lists(st.integers(max(1, newest - 3), newest), min_size=1, max_size=3))
-        )
+        versions = sorted(max(1, newest - age) for age in ages)
         self.attempts += 1
+        known = self.observation()
+        observation = Observation(
+            known.now_s - clock_error_s,
+            tuple(Publication(p.version, p.seen_at_s + clock_error_s) for p in known.publications),
+        )
         segments = tuple(Segment(version, n * 2, 2) for n, version in enumerate(versions))
         self.bag.append(
             CommitSample(
-                STEP, slot, f"a{self.attempts}", BulkValue(b"x"), segments, None, self.observation()
+                STEP, slot, f"a{self.attempts}", BulkValue(b"x"), segments, None, observation
             )
         )
+        if not is_late:
+            self.deliver(self.bag[-1])
 
     @precondition(lambda self: self.bag)
     @rule(data=st.data())
     def commit_arrives(self, data):
-        command = data.draw(st.sampled_from(self.bag))
+        self.deliver(data.draw(st.sampled_from(self.bag)))
+
+    def deliver(self, command):
         reply = self.send(command)
         self.hear(command.observation)
         versions = tuple(segment.weight_version for segment in command.segments)
@@ -209,13 +227,17 @@
                 held = self.held[slot]
                 assert self.fresh(held.versions), "handed over outside the bound"
                 self.delivered.append((slot, held.attempt, held.versions, held.score))
+            if ready:
+                self.batch_ends.append(len(self.delivered))
+        whole = [end for end in self.batch_ends if end > cursor]
         reply = over_the_wire(self.machine.answer(ReadSamples(STEP, cursor, limit)))
         got = [
             (s.slot, tuple(g.weight_version for g in s.segments), s.score) for s in reply.samples
         ]
         expected = [(s, v, score) for s, _, v, score in self.delivered[cursor : reply.cursor]]
         assert got == expected
-        assert bool(got) == (cursor < len(self.delivered))
+        expected_end = min(whole[0], cursor + limit) if whole else cursor
+        assert reply.cursor == expected_end, "a repeated pull gave another batch"
         if not is_lost:
             self.trainer_has[cursor : reply.cursor] = got
             self.trainer_cursor = max(self.trainer_cursor, reply.cursor)
@@ -251,7 +273,7 @@
         """Whatever happened, the step can be filled, and the trainer gets each slot once."""
         if not hasattr(self, "minimum"):
             return
-        while len(self.published) < (self.minimum or 1):
+        while max(self.published) < (self.minimum or 1):
             self.publish()
         while len(self.delivered) < SLOTS:
             newest = max(self.published)
@@ -274,6 +296,8 @@
                     held.score = 1.0
             self.trainer_cursor = len(self.delivered)
             self.trainer_has = [(s, v, score) for s, _, v, score in self.delivered]
-            self.pull(SLOTS, 0, False)
+            self.pull(1 + self.attempts % 2, 0, False)
+        for behind in range(SLOTS + 1):
+            self.pull(SLOTS, behind, True)
         self.each_slot_once()
         assert {slot for slot, *_ in self.trainer_has} == set(range(SLOTS))
