--- a/features/support/rehearsal_evidence.py
+++ b/features/support/rehearsal_evidence.py
@@ -25,6 +25,7 @@
     SamplesAcknowledged,
     StepDeclared,
     StepEnded,
+    TrainerIdle,
     VersionRange,
     WorkerLeaving,
     WriteAccepted,
@@ -115,6 +116,7 @@
                 )
             )
     evidence.records.append(SamplesAcknowledged(at_s + 3, step_id, len(slots), True))
+    evidence.records.append(TrainerIdle(at_s + 3, "trainer-1", step_id, 3.0))
     evidence.records.append(StepEnded(at_s + 3, step_id, "complete", len(slots), len(slots)))
 
 
--- a/src/bellweir_rehearsal/callers/http.py
+++ b/src/bellweir_rehearsal/callers/http.py
@@ -153,6 +153,10 @@
         connection.request(method, path, body=body, headers=headers)
         response = connection.getresponse()
         status = response.status
+        # `http.client` takes headers that end at a cut for whole ones: without a length or an
+        # end marker, nothing would tell such an answer from a whole one.
+        if response.length is None and not response.chunked:
+            raise CutError("answer without length or end marker", reused=reused, status=status)
         first_byte_s = 0.0
         parts: list[bytes] = []
         size = 0
@@ -162,8 +166,9 @@
             size += len(part)
             if size > MAXIMUM_ANSWER_BYTES:
                 raise CutError("answer too long", reused=reused, status=status)
-        # Raises when the body ended short of its length, and frees the connection otherwise.
-        response.read()
+        if response.length:
+            raise CutError("answer shorter than its length", reused=reused, status=status)
+        response.read()  # frees the connection after the last byte
     except (OSError, http.client.HTTPException) as failure:
         if isinstance(failure, CutError):
             raise
--- a/src/bellweir_rehearsal/faults/schedule.py
+++ b/src/bellweir_rehearsal/faults/schedule.py
@@ -22,9 +22,19 @@
 LONGEST_FAULT_S = 5.0
 PAIR_SHARE = 0.35
 """Share of the faults that have a second one beside them."""
-LEASE_LAPSE_S = 6.0
+DURATIONS_S = {
+    # Longer than leases and leaderships last.
+    FaultKind.LEASE_LAPSE: (6.0, 8.0),
+    # Long enough that work is still watched for after the grace time.
+    FaultKind.WORKER_LEAVES: (6.0, 9.0),
+    FaultKind.WORKER_LEAVES_ITSELF: (6.0, 9.0),
+    FaultKind.REGION_SPLIT: (3.0, 9.0),
+    FaultKind.STORE_DOWN: (4.0, 15.0),
+    FaultKind.WEIGHT_STORE_DOWN: (4.0, 10.0),
+}
+"""Shortest and longest duration of kinds that need others than the usual ones."""
 QUIET_AT_START_S = 5.0
-QUIET_AT_END_S = 12.0
+QUIET_AT_END_S = 15.0
 """No fault begins in the last seconds, so that what is in hand can come to its end."""
 REPLACEMENT_GAP_S = 40.0
 """Time between two machines lost with their disks: two at once would lose a majority for good."""
@@ -125,9 +135,7 @@
 
 def _draw(kind: FaultKind, at_s: float, targets: Targets, source: random.Random) -> PlannedFault:
     possible = targets.of(kind)
-    duration_s = source.uniform(SHORTEST_FAULT_S, LONGEST_FAULT_S)
-    if kind is FaultKind.LEASE_LAPSE:
-        duration_s = LEASE_LAPSE_S
+    duration_s = source.uniform(*DURATIONS_S.get(kind, (SHORTEST_FAULT_S, LONGEST_FAULT_S)))
     return PlannedFault(
         # A second of a pair begins within the first.
         at_s=round(at_s + source.uniform(0, SHORTEST_FAULT_S), 3),
