--- a/src/bellweir_rehearsal/faults/actions.py
+++ b/src/bellweir_rehearsal/faults/actions.py
@@ -11,6 +11,7 @@
 from bellweir_rehearsal.records.journal import Journal
 from bellweir_rehearsal.records.model import WorkerLeaving, WorkerReturned
 from bellweir_rehearsal.topology.cluster import Cluster
+from bellweir_rehearsal.topology.machines import MachineWriter
 from bellweir_rehearsal.topology.network import NetworkRule
 from bellweir_rehearsal.topology.resources import PoolWriter
 
@@ -23,6 +24,10 @@
 SLOW_STORE_S = 1.5
 SLOW_APPLICATION_S = 0.8
 RACE_PAUSE_S = 0.05
+MACHINE_LIST_LAG_S = 2.0
+"""Lag of the machine list stand-in, its default."""
+MACHINE_LIST_READ_S = 2.0
+"""Time within which a change that the list shows is read by a node and spread."""
 CALLS_IN_HAND = 2
 """Calls that a node has in hand when it is stopped as planned."""
 CALLS_IN_HAND_TIMEOUT_S = 3.0
@@ -36,6 +41,7 @@
     journal: Journal
     operators: tuple[Operator, Operator]
     pools: PoolWriter
+    machines: MachineWriter
     in_flight: InFlight
     seed: int
 
@@ -137,8 +143,15 @@
 def _node_replaced(stage: FaultStage, fault: Occurrence) -> End:
     _check_node(stage, fault.target)
     stage.cluster.kill_node(fault.target)
-    # Fault ids are unique in a run, and so are the names of new machines made from them.
-    return lambda: stage.cluster.replace_node(fault.target, f"{fault.target}-{fault.fault_id}")
+
+    def end() -> None:
+        # Fault ids are unique in a run, and so are the names of new machines made from them.
+        new_name = f"{fault.target}-{fault.fault_id}"
+        stage.cluster.replace_node(fault.target, new_name)
+        stage.machines.remove(fault.target)
+        stage.machines.put_node(stage.cluster.nodes[new_name])
+
+    return end
 
 
 def _zone_loss(stage: FaultStage, fault: Occurrence) -> End:
@@ -225,6 +238,19 @@
     return end
 
 
+def _worker_leaves_by_list(stage: FaultStage, fault: Occurrence) -> End:
+    stage.machines.set_leaving(fault.target, leaving=True)
+    # The time counts from when the list shows it, and nodes read the list now and then.
+    shown_s = time.time() + MACHINE_LIST_LAG_S + MACHINE_LIST_READ_S
+    stage.journal.write(WorkerLeaving(shown_s, fault.target, "machine list"))
+
+    def end() -> None:
+        stage.journal.write(WorkerReturned(time.time(), fault.target))
+        stage.machines.set_leaving(fault.target, leaving=False)
+
+    return end
+
+
 def _check_node(stage: FaultStage, name: str) -> None:
     node = stage.cluster.nodes.get(name)
     if node is None or not node.running:
@@ -271,4 +297,5 @@
     FaultKind.RACING_OPERATORS: _racing_operators,
     FaultKind.WORKER_LEAVES: _worker_leaves,
     FaultKind.WORKER_LEAVES_ITSELF: _worker_leaves_itself,
+    FaultKind.WORKER_LEAVES_BY_LIST: _worker_leaves_by_list,
 }
--- a/src/bellweir_rehearsal/faults/injector.py
+++ b/src/bellweir_rehearsal/faults/injector.py
@@ -44,16 +44,18 @@
             for number, fault in enumerate(self._schedule, start=1):
                 if stop.wait(max(0.0, began + fault.at_s - time.monotonic())):
                     break
-                occurrence = Occurrence(f"f{number}", fault.kind, fault.target, fault.duration_s)
-                futures.append(pool.submit(self._inject, occurrence, stop))
+                futures.append(pool.submit(self._inject, fault, f"f{number}", stop))
         return sum(future.result() for future in futures)
 
-    def _inject(self, fault: Occurrence, stop: threading.Event) -> bool:
+    def _inject(self, planned: PlannedFault, fault_id: str, stop: threading.Event) -> bool:
         # Two faults of one target come one after the other: a process that is down can't be
         # paused. The same kind without a target is not injected twice at once either.
-        name = fault.target or fault.kind.value
+        name = planned.target or planned.kind.value
         lock = self._target_locks.setdefault(name, threading.Lock())
         with lock:
+            # A machine may have been replaced since: what stands in its place is hit.
+            target = self._stage.cluster.present_name(planned.target)
+            fault = Occurrence(fault_id, planned.kind, target, planned.duration_s)
             targets = node_targets(self._stage, fault)
             self._stage.journal.write(
                 FaultBegan(
--- a/src/bellweir_rehearsal/faults/kinds.py
+++ b/src/bellweir_rehearsal/faults/kinds.py
@@ -57,8 +57,18 @@
     WORKER_LEAVES_ITSELF = "worker_leaves_itself"
     """A worker says in its own answers that it is leaving, and takes work again afterwards."""
 
+    WORKER_LEAVES_BY_LIST = "worker_leaves_by_list"
+    """The platform's lagging machine list says that a worker is leaving, and takes it back."""
 
-PLANNED = frozenset({FaultKind.NODE_STOP, FaultKind.WORKER_LEAVES, FaultKind.WORKER_LEAVES_ITSELF})
+
+PLANNED = frozenset(
+    {
+        FaultKind.NODE_STOP,
+        FaultKind.WORKER_LEAVES,
+        FaultKind.WORKER_LEAVES_ITSELF,
+        FaultKind.WORKER_LEAVES_BY_LIST,
+    }
+)
 """Planned acts, which are no failures."""
 
 TARGETS_ENGINE = frozenset(
@@ -77,7 +87,13 @@
         FaultKind.APPLICATION_SLOW,
     }
 )
-TARGETS_WORKER = frozenset({FaultKind.WORKER_LEAVES, FaultKind.WORKER_LEAVES_ITSELF})
+TARGETS_WORKER = frozenset(
+    {
+        FaultKind.WORKER_LEAVES,
+        FaultKind.WORKER_LEAVES_ITSELF,
+        FaultKind.WORKER_LEAVES_BY_LIST,
+    }
+)
 TARGETS_NODE = frozenset(
     {
         FaultKind.NODE_KILL,
--- a/src/bellweir_rehearsal/faults/schedule.py
+++ b/src/bellweir_rehearsal/faults/schedule.py
@@ -28,6 +28,7 @@
     # Long enough that work is still watched for after the grace time.
     FaultKind.WORKER_LEAVES: (6.0, 9.0),
     FaultKind.WORKER_LEAVES_ITSELF: (6.0, 9.0),
+    FaultKind.WORKER_LEAVES_BY_LIST: (9.0, 12.0),
     FaultKind.REGION_SPLIT: (3.0, 9.0),
     FaultKind.STORE_DOWN: (4.0, 15.0),
     FaultKind.WEIGHT_STORE_DOWN: (4.0, 10.0),
--- a/src/bellweir_rehearsal/rehearsal.py
+++ b/src/bellweir_rehearsal/rehearsal.py
@@ -25,6 +25,7 @@
 from bellweir_rehearsal.result import RunResult, summarize
 from bellweir_rehearsal.topology.cluster import Cluster
 from bellweir_rehearsal.topology.layout import RunFolder
+from bellweir_rehearsal.topology.machines import MachineWriter
 from bellweir_rehearsal.topology.resources import PoolWriter, deployment_documents
 from bellweir_rehearsal.topology.standins import ControlError
 from bellweir_rehearsal.trainer.client import StepClient
@@ -49,6 +50,7 @@
         self._client = HttpClient()
         self._in_flight = InFlight()
         self.cluster = Cluster(plan.deployment, folder, self._journal, plan.settings)
+        self._machines = MachineWriter(self.cluster)
         self._operator = self._operator_named("operator-1")
         self._publisher = Publisher(
             plan.deployment, self.cluster.weight_store, self._operator_named("publisher")
@@ -77,6 +79,7 @@
         """
         self._report("starting", 0.0)
         self.cluster.start()
+        self._machines.list_all()
         for document in deployment_documents(self.cluster):
             self._operator.apply(document)
         self._warm_up()
@@ -87,16 +90,14 @@
         ended = threading.Event()
         self._load = LoadGenerator(self.plan.load, self._callers(), self.plan.seed)
         with ThreadPoolExecutor(MAXIMUM_TASKS, "rehearsal") as pool:
-            observers = [
-                pool.submit(self._observer().run, ended, node) for node in self._observed_nodes()
-            ]
+            observation = pool.submit(self._observe_nodes, pool, ended)
             try:
                 self._run_tasks(pool, stop)
                 self._report("settling", 1.0)
                 stop.wait(self.plan.settle_s)
             finally:
                 ended.set()
-        for observer in observers:
+        for observer in observation.result():
             observer.result()
 
     def finish(self, mutation: Mutation | None = None) -> RunResult:
@@ -194,6 +195,7 @@
             self._journal,
             (self._operator, self._operator_named("operator-2")),
             PoolWriter(self.cluster, self._operator),
+            self._machines,
             self._in_flight,
             self.plan.seed,
         )
@@ -204,8 +206,17 @@
             self.cluster.directory, self._journal, self._client, self.cluster.incarnation_of
         )
 
-    def _observed_nodes(self) -> list[str]:
-        return [address.node for address in self.cluster.directory.all_nodes()]
+    def _observe_nodes(
+        self, pool: ThreadPoolExecutor, ended: threading.Event
+    ) -> "list[Future[None]]":
+        """Observe every node from when it is there, new machines included."""
+        observed: dict[str, Future[None]] = {}
+        while not ended.wait(0.2):
+            for address in self.cluster.directory.all_nodes():
+                if address.node not in observed:
+                    run = self._observer().run
+                    observed[address.node] = pool.submit(run, ended, address.node)
+        return list(observed.values())
 
     def _operator_named(self, name: str) -> Operator:
         return Operator(name, self.cluster.directory, self._journal, self._client)
--- a/src/bellweir_rehearsal/topology/cluster.py
+++ b/src/bellweir_rehearsal/topology/cluster.py
@@ -60,6 +60,7 @@
             for pool in deployment.application_pools
         }
         self.nodes: dict[str, NodeProcess] = {}
+        self._successors: dict[str, str] = {}
         # Two faults may both want to start a node again, such as a zone's loss and its own crash.
         self._restarts = threading.Lock()
 
@@ -79,6 +80,20 @@
                     return process
         raise KeyError(name)
 
+    def pool_of(self, worker: str) -> str:
+        """The pool of a worker. Raises `KeyError`."""
+        for pools in (self.engines, self.applications):
+            for pool, processes in pools.items():
+                if any(process.name == worker for process in processes):
+                    return pool
+        raise KeyError(worker)
+
+    def present_name(self, node: str) -> str:
+        """Name of the machine that stands in a node's place now."""
+        while node in self._successors:
+            node = self._successors[node]
+        return node
+
     def start(self) -> None:
         """Start everything and wait until all are up. Raises `ProcessFailedError`."""
         _in_parallel(self.standins, lambda standin: standin.start())
@@ -122,6 +137,7 @@
         with self._restarts:
             self.nodes = {key: found for key, found in self.nodes.items() if key != name}
             self.nodes |= {new_name: node}
+            self._successors[name] = new_name
             self._start_node(node)
 
     def incarnation_of(self, node: str) -> int:
