--- a/src/bellweir_rehearsal/cli.py
+++ b/src/bellweir_rehearsal/cli.py
@@ -28,6 +28,7 @@
     WeightStoreCommand,
 )
 from bellweir_rehearsal.topology.layout import RunFolder
+from bellweir_rehearsal.trainer_command import TrainerCommand
 
 
 @cappa.command(name="demo", help="Run the whole path once on loopback, in less than a minute.")
@@ -130,6 +131,7 @@
         | WeightStoreCommand
         | ScorerCommand
         | MachineListCommand
+        | TrainerCommand
     ]
 
 
