--- a/features/whole_system.feature
+++ b/features/whole_system.feature
@@ -13,3 +13,4 @@
     Then the whole system answers a completion with its weight version
     And the whole system runs a request not to be repeated once, asked for through every node
     And the whole system delivers the samples of a step through another node
+    And the command line lists, describes and explains the whole system's resources
