Report on how many nodes a resource is in force

Nodes report their revision to the zone's reader, readers to one reporter, which writes the condition InForce with the count and the names of those that are missing.

--- a/features/configuration_cluster.feature
+++ b/features/configuration_cluster.feature
@@ -34,3 +34,13 @@
     When 6 operators on all control nodes race to replace one policy while answers are lost
     Then every reported outcome agrees with the store's own record
     And the newest revision comes into force on every control node
+
+  Scenario: Status says on how many nodes a resource is in force, and who is missing
+    Given a control cluster of 4 nodes in 2 zones
+    And every control node has a policy in force
+    Then the policy's status says that it is in force on 4 of 4 control nodes
+    When one control node is cut off and the policy is changed
+    Then the policy's status says that the cut-off control node is missing
+    When the control node's cut is over
+    Then the policy's status says that it is in force on 4 of 4 control nodes
+    And the store has settled: no control node writes any more
--- a/features/resources.feature
+++ b/features/resources.feature
@@ -87,3 +87,8 @@
       | replacement | stop the store       | unknown  |
       | late write  | replace it           | conflict |
       | deletion    | create it            | unknown  |
+
+  Scenario: The page of resource fields is the code's, and no field lacks its meaning
+    Then the resource reference is the page "docs/RESOURCES.md"
+    And every resource field has a meaning
+    And the resource path "pools.spec.workers.address" is explained as "`host:port`"
--- a/features/steps/configuration_cluster_steps.py
+++ b/features/steps/configuration_cluster_steps.py
@@ -158,3 +158,57 @@
                 assert taken <= (kind is ResourceErrorKind.UNKNOWN), (model, taken, outcome)
                 kinds.add(kind)
     assert {"done", ResourceErrorKind.CONFLICT} <= kinds, kinds
+
+
+def _condition(context, name="first"):
+    document = any_node(context).resources.get("Policy", name).unwrap().document
+    for condition in document.get("status", {}).get("conditions", ()):
+        if condition["type"] == "InForce":
+            current = condition["observedGeneration"] == document["metadata"]["generation"]
+            return condition if current else {}
+    return {}
+
+
+@then("the policy's status says that it is in force on {count:d} of {total:d} control nodes")
+def step_status(context, count, total):
+    wanted = f"in force on {count} of {total} nodes"
+    context.wait_until(
+        lambda: _condition(context).get("message") == wanted and _condition(context)["status"],
+        wanted,
+    )
+
+
+@when("one control node is cut off and the policy is changed")
+def step_cut(context):
+    nodes = context.control.alive()
+    reader = placement.reader_of(nodes[0].membership.members(), nodes[1].zone)
+    context.cut = next(
+        node for node in nodes if node.zone == nodes[1].zone and node.name != reader.node
+    )
+    context.cut.hold(True)
+    nodes[0].resources.patch("Policy", "first", {"spec": {"model": "changed"}}).unwrap()
+
+
+@then("the policy's status says that the cut-off control node is missing")
+def step_missing(context):
+    context.wait_until(
+        lambda: (
+            f"3 of 4 nodes; waiting for {context.cut.name}"
+            in _condition(context).get("message", "")
+        ),
+        "the missing node is named",
+    )
+    assert _condition(context)["status"] is False
+
+
+@when("the control node's cut is over")
+def step_cut_over(context):
+    context.cut.hold(False)
+
+
+@then("the store has settled: no control node writes any more")
+def step_settled(context):
+    before = context.control.store.state.revision
+    assert before <= 6, f"{before} writes for two generations"
+    any_node(context).configuration.wait_for(before + 1, 1.5)
+    assert context.control.store.state.revision == before
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -22,7 +22,7 @@
 from support.memory_store import MemoryStore
 
 ZONE = "zone-a"
-EXAMPLES = 250
+EXAMPLES = 150
 STEPS_PER_EXAMPLE = 40
 
 
--- a/features/steps/resources_steps.py
+++ b/features/steps/resources_steps.py
@@ -5,11 +5,13 @@
 from returns.result import Failure
 
 from bellweir.resources.interface import ResourceErrorKind
+from bellweir.resources.models import KINDS
+from bellweir.resources.reference import all_fields, explain, render_reference
 from support.memory_store import MemoryStore
 from support.operators_machine import OperatorsMachine
 from support.resource_node import ResourceNode
 
-EXAMPLES = 300
+EXAMPLES = 200
 STEPS_PER_EXAMPLE = 30
 
 
@@ -190,3 +192,20 @@
         context.outcome.unwrap()
         return
     assert context.outcome.failure().kind.value == told, context.outcome
+
+
+@then('the resource reference is the page "{page}"')
+def step_reference(context, page):
+    assert (context.repository / page).read_text() == render_reference()
+
+
+@then("every resource field has a meaning")
+def step_meanings(context):
+    fields = [field for kind in KINDS for field in all_fields(kind)]
+    assert not [field.path for field in fields if not field.description]
+
+
+@then('the resource path "{path}" is explained as "{text}"')
+def step_explained(context, path, text):
+    [field] = explain(path)
+    assert text in field.description, field
--- a/features/support/control_cluster.py
+++ b/features/support/control_cluster.py
@@ -4,6 +4,7 @@
 from contextlib import ExitStack
 
 from bellweir.configuration.service import ConfigurationService
+from bellweir.configuration.table import ApplyOutcome
 from bellweir.kernel import names
 from bellweir.kernel.listeners import bind_listeners
 from bellweir.kernel.node import Kernel
@@ -55,6 +56,15 @@
     def revision(self):
         return self.configuration.current().revision
 
+    def hold(self, held):
+        """Keep the node a member, but have its configuration take nothing in."""
+        state = self.configuration._core.state
+        if held:
+            state.apply = lambda _: ApplyOutcome.OLD
+            state.adopt = lambda *_: False
+        else:
+            del state.apply, state.adopt
+
     def stop(self):
         if not self.stopped:
             self.stopped = True
--- a/features/support/resource_node.py
+++ b/features/support/resource_node.py
@@ -3,7 +3,7 @@
 import threading
 
 from bellweir.configuration.history import ConfigurationHistory, StateHistory
-from bellweir.configuration.interface import Configuration
+from bellweir.configuration.interface import Configuration, RevisionCensus
 from bellweir.configuration.reader import StoreReader
 from bellweir.configuration.state import ConfigurationState
 from bellweir.kernel import names
@@ -37,7 +37,7 @@
     machine_list = weight_store = engine = application = scorer = close = _none
 
 
-class PumpedConfiguration(Service, Configuration, ConfigurationHistory):
+class PumpedConfiguration(Service, Configuration, ConfigurationHistory, RevisionCensus):
     """Follows the store whenever it is asked to wait, unless it is told to lag."""
 
     name = names.CONFIGURATION
@@ -47,6 +47,11 @@
         self.history = StateHistory(self.state)
         self.reader = StoreReader("node", "zone", store, self.state, ManualClock(), lambda: True)
         self.lagging = False
+        self.counted = None
+        """What `spread` gives; None as on a node that does not report."""
+
+    def spread(self):
+        return self.counted
 
     def follow(self):
         self.reader.read_once(threading.Event())
--- a/src/bellweir/configuration/core.py
+++ b/src/bellweir/configuration/core.py
@@ -6,9 +6,10 @@
 
     sent bytes a second <= f * c * b + c * d + 2 * d / p
 
-A zone's reader sends `c * d` more to each reader it tells: the others of its region and one of
-each other region. Nothing grows with the number of nodes; a zone of `n` nodes is reached in
-`log(n) / log(f)` steps.
+and one report of the revision in force to the zone's reader for each change and each refresh
+period (`revision_reports`). A zone's reader sends `c * d` more to each reader it tells: the
+others of its region and one of each other region. Nothing but the reader's share of reports
+grows with the number of nodes; a zone of `n` nodes is reached in `log(n) / log(f)` steps.
 """
 
 import random
@@ -28,6 +29,7 @@
     ConfigurationUpdate,
     TableName,
 )
+from bellweir.configuration.revision_reports import RevisionReports
 from bellweir.configuration.snapshots import SnapshotChunks
 from bellweir.configuration.state import ConfigurationState
 from bellweir.configuration.subscription import Subscription
@@ -74,6 +76,7 @@
         self.state = ConfigurationState(self._node)
         self._chunks = SnapshotChunks(self.state)
         self._catch_up = CatchUp(transport, self.state)
+        self.reports = RevisionReports(transport, membership, clock, self.state)
         self._wake = threading.Event()
         self._lock = threading.Lock()
         self._hint: _Hint | None = None
@@ -89,6 +92,7 @@
         self._transport.register(ConfigurationDigest, self._on_digest)
         self._transport.register(ConfigurationPull, self._on_pull)
         self._transport.register(ConfigurationSnapshotPull, self._on_snapshot_pull)
+        self.reports.register_handlers()
         self.state.on_advance = self._wake.set
         self._membership.subscribe(lambda _: self._wake.set())
 
@@ -128,6 +132,7 @@
             self._next_exchange_s = self._clock.monotonic_s() + self._exchange_period_s()
         self._forward_all()
         self._notify()
+        self.reports.send_due()
         return self._delay_s()
 
     def catch_up_with_peers(self) -> bool:
@@ -147,7 +152,7 @@
 
     def _delay_s(self) -> float:
         now_s = self._clock.monotonic_s()
-        due_s = self._next_exchange_s
+        due_s = min(self._next_exchange_s, self.reports.due_s())
         with self._lock:
             if self._hint is not None:
                 due_s = min(due_s, self._hint.due_s)
--- a/src/bellweir/configuration/interface.py
+++ b/src/bellweir/configuration/interface.py
@@ -43,3 +43,27 @@
     @abstractmethod
     def subscribe(self, listener: ConfigurationListener) -> None:
         """Call `listener` after each change, and once at once when a snapshot is in force."""
+
+
+@dataclass(frozen=True)
+class RevisionSpread:
+    """On how many nodes revisions are in force, as last reported."""
+
+    nodes: int
+    """Members of the cluster that are not leaving."""
+    counts: Mapping[int, int]
+    """Nodes by the revision they have in force; never higher than it is."""
+    behind: tuple[str, ...]
+    """Names of a few nodes with the lowest revisions."""
+
+    def nodes_with(self, revision: int) -> int:
+        """Nodes on which a revision at least as new is in force."""
+        return sum(count for newest, count in self.counts.items() if newest >= revision)
+
+
+class RevisionCensus(ABC):
+    """Counts the nodes that have a revision in force; implemented by service `configuration`."""
+
+    @abstractmethod
+    def spread(self) -> RevisionSpread | None:
+        """The counts on the one node that reports for the cluster; None on all others."""
--- a/src/bellweir/configuration/messages.py
+++ b/src/bellweir/configuration/messages.py
@@ -91,3 +91,27 @@
     chunks: int
     """Number of chunks of this snapshot."""
     changes: tuple[Change, ...]
+
+
+class RevisionReport(Message, frozen=True):
+    """One-way, from a node to its zone's reader: the revision in force on the node."""
+
+    node: str
+    revision: int
+
+
+class RevisionCount(msgspec.Struct, frozen=True):
+    """How many nodes have a revision in force."""
+
+    revision: int
+    nodes: int
+
+
+class ZoneRevisionReport(Message, frozen=True):
+    """One-way, from a zone's reader to the one that reports for the cluster."""
+
+    zone: str
+    counts: tuple[RevisionCount, ...]
+    """Lowest revisions first; what is beyond the last kept one is counted there."""
+    behind: tuple[str, ...]
+    """Names of a few nodes with the lowest revisions."""
--- a/src/bellweir/configuration/placement.py
+++ b/src/bellweir/configuration/placement.py
@@ -10,6 +10,8 @@
 
 from bellweir.membership.interface import Member, MemberState
 
+_CLUSTER = "cluster"
+"""Scope of the choice of the reporter; no zone's name changes it."""
 _REACHABLE = (MemberState.ALIVE, MemberState.SUSPECT, MemberState.LEAVING)
 
 
@@ -73,3 +75,11 @@
             others = sorted(others, key=lambda other: _weight(region, other.node))[:1]
         told.extend(others)
     return tuple(told)
+
+
+def reporter_of(members: Iterable[Member]) -> Member | None:
+    """The one reader that reports for the whole cluster; None when all members are leaving."""
+    members = tuple(members)
+    readers = [reader_of(members, zone) for zone in {member.zone for member in members}]
+    found = [reader for reader in readers if reader is not None]
+    return max(found, key=lambda reader: _weight(_CLUSTER, reader.node), default=None)
--- a/src/bellweir/configuration/service.py
+++ b/src/bellweir/configuration/service.py
@@ -16,6 +16,8 @@
     Configuration,
     ConfigurationListener,
     ConfigurationSnapshot,
+    RevisionCensus,
+    RevisionSpread,
 )
 from bellweir.configuration.machine_reader import MachineListReader
 from bellweir.configuration.reader import StoreReader
@@ -36,7 +38,7 @@
 STOP_TIMEOUT_S = 8.0
 
 
-class ConfigurationService(Service, Configuration, ConfigurationHistory):
+class ConfigurationService(Service, Configuration, ConfigurationHistory, RevisionCensus):
     """Service `configuration`."""
 
     name: ClassVar[str] = names.CONFIGURATION
@@ -107,6 +109,10 @@
         """Changes after a revision, in the order of the store."""
         return self._history().changes_after(revision)
 
+    def spread(self) -> RevisionSpread | None:
+        """On how many nodes revisions are in force; None unless this node reports for all."""
+        return self._started_core().reports.spread()
+
     def _history(self) -> StateHistory:
         return StateHistory(self._started_core().state)
 
--- a/src/bellweir/resources/log_events.py
+++ b/src/bellweir/resources/log_events.py
@@ -19,3 +19,10 @@
     ("kind", "name", "mutation", "verdict"),
     "The answer to a write was lost; reading back told what became of it.",
 )
+STATUS_NOT_WRITTEN = Event(
+    403,
+    "status_not_written",
+    Level.WARNING,
+    ("node", "kind", "name", "error"),
+    "A condition could not be written to the store; it is written later.",
+)
--- a/src/bellweir/resources/models.py
+++ b/src/bellweir/resources/models.py
@@ -169,6 +169,8 @@
     """One word for programs."""
     message: str = ""
     """A sentence for people, with what is missing."""
+    observed_generation: int | None = None
+    """Generation of the spec that the condition is about, where its reporter says so."""
     last_transition: float = 0.0
     """When `status` last changed, in seconds since 1970 UTC."""
 
--- a/src/bellweir/resources/service.py
+++ b/src/bellweir/resources/service.py
@@ -1,7 +1,9 @@
 """The resource service: reads from the configuration in force, compare-and-set writes."""
 
+import threading
 import time
 from collections.abc import Callable, Iterator, Mapping
+from concurrent.futures import Future, wait
 from typing import Any, ClassVar
 
 from returns.result import Failure, Result, Success
@@ -12,13 +14,14 @@
     DocumentInForce,
     HistoryCompactedError,
 )
-from bellweir.configuration.interface import Configuration
+from bellweir.configuration.interface import Configuration, RevisionCensus
 from bellweir.events.log import emit
 from bellweir.kernel import names
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
 from bellweir.platform.interface import ErrorKind, ObjectStore, PlatformClients, StoredObject
 from bellweir.resources.documents import merge_patch, public_document
+from bellweir.resources.in_force import InForceReporter
 from bellweir.resources.interface import (
     ResourceChange,
     ResourceDocument,
@@ -39,6 +42,7 @@
 """Attempts at a patch or a status report that meets other writers."""
 IN_FORCE_WAIT_S = 1.0
 """A write answers once it is in force on this node, or after this time, in seconds."""
+STOP_TIMEOUT_S = 8.0
 WATCH_STEP_S = 0.5
 """Longest sleep of a watch before it looks whether its time is over, in seconds."""
 
@@ -55,6 +59,8 @@
         self._configuration: Configuration | None = None
         self._history: ConfigurationHistory | None = None
         self._store: ObjectStore | None = None
+        self._stopping = threading.Event()
+        self._tasks: list[Future[None]] = []
 
     def start(self) -> None:
         """Look up the platform's store and the configuration."""
@@ -62,11 +68,22 @@
         platform = registry.find(names.PLATFORM, PlatformClients)  # type: ignore[type-abstract]
         self._configuration = registry.find(names.CONFIGURATION, Configuration)  # type: ignore[type-abstract]
         self._history = registry.find(names.CONFIGURATION, ConfigurationHistory)  # type: ignore[type-abstract]
-        if self._settings.platform.object_api is not None:
-            self._store = platform.object_store()
+        if self._settings.platform.object_api is None:
+            return
+        self._store = platform.object_store()
+        census = registry.find(names.CONFIGURATION, RevisionCensus)  # type: ignore[type-abstract]
+        reporter = InForceReporter(
+            self._settings.node.name, census, self._history, self, self._kernel.clock
+        )
+        task = self._kernel.executors.run_task(
+            "in-force-status", lambda _: reporter.run(self._stopping)
+        )
+        self._tasks.append(task)
 
     def stop(self) -> None:
-        """Nothing runs in the background."""
+        """End the reporting of conditions."""
+        self._stopping.set()
+        wait(self._tasks, timeout=STOP_TIMEOUT_S)
 
     # --- reads ---------------------------------------------------------------------------------
 
@@ -111,7 +128,7 @@
             seen = max(seen, revision)
             remaining_s = max(0.0, deadline_s - time.monotonic())
             self._documents().wait_for(seen + 1, min(WATCH_STEP_S, remaining_s))
-            if self._kernel.executors.stopping.is_set():
+            if self._stopping.is_set():
                 return
 
     # --- writes --------------------------------------------------------------------------------
