--- a/src/bellweir/resources/models.py
+++ b/src/bellweir/resources/models.py
@@ -154,6 +154,7 @@
     policy: str
     """Requests for this policy are split over the arms."""
     arms: tuple[Arm, ...] = Field(min_length=2)
+    """Two or more; changing a share moves as few units as possible."""
     seed: str = ""
     """Part of the hash that assigns units to arms; another seed shuffles them."""
 
