--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that run the product beside simpler ways of doing the same."""
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -571,6 +571,7 @@
     node = context.gateway
     node.dispatcher.make = lambda _: FakeGeneration(("one ", "two"), (3, 3), pause_at=1)
     context.refused = []
+    context.open_answers = []
     for headers, streamed in (({}, True), ({"X-Bellweir-Class": "draft"}, False)):
         for _ in range(64):
             refused = gateway_start_completion(context, headers, streamed)
@@ -593,6 +594,7 @@
 
     def read():
         answer = connection.getresponse()
+        context.open_answers.append(answer)  # dropping it would close the connection
         if answer.status != 200:
             context.last_refusal = (answer.status, answer.headers, json.loads(answer.read()))
             answered.set()
--- a/src/bellweir/gateway/application.py
+++ b/src/bellweir/gateway/application.py
@@ -124,6 +124,10 @@
             self._request.permit.release()
         seconds = self.elapsed_s()
         self._context.telemetry.request_ended(self._interface, outcome.value, seconds)
+        if self._context.logs_requests:
+            self._log(status, seconds)
+
+    def _log(self, status: int, seconds: float) -> None:
         emit(
             REQUEST_ENDED,
             request_id=self._request.request_id,
--- a/src/bellweir/gateway/applications_api.py
+++ b/src/bellweir/gateway/applications_api.py
@@ -19,7 +19,7 @@
 VIA = "1.1 bellweir"
 """RFC 9110 section 7.6.3 has an intermediary name itself."""
 
-_NOT_FORWARDED = frozenset({"host", "expect", "content-length", TOKEN.lower()})
+_NOT_FORWARDED = frozenset({"host", "expect", TOKEN.lower()})
 """The client of the back end writes its own host and framing; the token was for this node."""
 
 
@@ -68,19 +68,11 @@
 
 
 def _request_headers(request: Request) -> Headers:
-    sent = tuple(
-        (key.removeprefix("HTTP_").replace("_", "-").title(), value)
-        for key, value in request.environ.items()
-        if key.startswith("HTTP_") or key == "CONTENT_TYPE"
-    )
-    kept = [
-        (name, value)
-        for name, value in end_to_end(sent)
-        if name.lower() not in _NOT_FORWARDED
-        and not (name == "Authorization" and request.consumed_authorization)
-    ]
-    kept.append(("Via", VIA))
-    return tuple(kept)
+    not_forwarded = _NOT_FORWARDED
+    if request.consumed_authorization:
+        not_forwarded |= {"authorization"}
+    kept = end_to_end(request.headers(), not_forwarded)
+    return (*kept, ("Via", VIA))
 
 
 def _response(answer: ApplicationAnswer) -> Response:
--- a/src/bellweir/gateway/caller_watch.py
+++ b/src/bellweir/gateway/caller_watch.py
@@ -11,6 +11,7 @@
 
 LOOK_PERIOD_S = 0.1
 """Time between two looks at all watched connections; a look at one costs under a microsecond."""
+STOP_TIMEOUT_S = 5.0
 
 
 class Watched:
@@ -33,10 +34,22 @@
         self._executors = executors
         self._lock = threading.Lock()
         self._watched: set[Watched] = set()
-
-    def start(self) -> "Future[None]":
-        """Start looking; ends with the node's executors."""
-        return self._executors.run_task("caller-watch", self._run)
+        self._stopped = threading.Event()
+        self._task: Future[None] | None = None
+
+    def start(self) -> None:
+        """Start looking."""
+        self._task = self._executors.run_task("caller-watch", self._run)
+
+    def stop(self) -> None:
+        """Stop looking and cancel what still runs; its callers are about to be disconnected."""
+        self._stopped.set()
+        if self._task is not None:
+            self._task.result(STOP_TIMEOUT_S)
+        with self._lock:
+            left = list(self._watched)
+        for watched in left:
+            watched.cancel()
 
     def begin(self, request: Request, cancel: Callable[[], None]) -> Watched:
         """Call `cancel` on another thread, once, if the caller leaves before `end`."""
@@ -51,7 +64,7 @@
             self._watched.discard(watched)
 
     def _run(self, stopping: threading.Event) -> None:
-        while not stopping.wait(LOOK_PERIOD_S):
+        while not (self._stopped.wait(LOOK_PERIOD_S) or stopping.is_set()):
             self._look()
 
     def _look(self) -> None:
--- a/src/bellweir/gateway/channel.py
+++ b/src/bellweir/gateway/channel.py
@@ -35,6 +35,38 @@
     reason = "Request Timeout"
 
 
+def _always() -> bool:
+    return True
+
+
+def _never() -> bool:
+    return False
+
+
+class ChannelServer:
+    """The server as one channel sees it.
+
+    waitress wakes the loop after each request and does not say for which channel; here the loop
+    hears which one, and only when that one needs it.
+    """
+
+    def __init__(self, server: Any, channel: "GatewayChannel") -> None:
+        self._server = server
+        self._channel = channel
+        self.add_task = server.add_task
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._server, name)
+
+    def pull_trigger(self) -> None:
+        """Have the loop look at the channel if there is anything for it to do."""
+        channel = self._channel
+        to_write = channel.total_outbufs_len or channel.close_when_flushed or channel.will_close
+        # With a request waiting behind this one the loop may have stopped reading.
+        if to_write or channel.requests:
+            self._server.loop.ask_again(channel.number)
+
+
 class GatewayRequestParser(HTTPRequestParser):  # type: ignore[misc]
     """Has the attributes that waitress reads of a request, also before its first line came."""
 
@@ -69,6 +101,19 @@
 class GatewayTask(WSGITask):  # type: ignore[misc]
     """Runs the application for one request."""
 
+    wrote_header: bool = False
+
+    def write(self, data: bytes) -> None:
+        """Write a piece of the body; the first goes out together with the headers."""
+        if self.wrote_header or not (data and self.has_body and self.complete):
+            super().write(data)
+            return
+        headers = self.build_response_header()
+        self.wrote_header = True
+        self.channel.hold_back(headers)
+        super().write(data)
+        self.channel.send_held_back()
+
     def build_response_header(self) -> bytes:
         """The headers; while the node stops, each answer is the last one of its connection."""
         if self.channel.server.closing_connections:
@@ -94,12 +139,39 @@
     error_task_class = GatewayErrorTask
 
     request: Any = None
+    _held_back = b""
     _receiving: Any = None
     _receiving_since_s = 0.0
-    _input_ended = False
     _lingers = False
     _linger_until_s: float | None = None
 
+    def __init__(
+        self,
+        server: Any,
+        sock: socket.socket,
+        addr: Any,
+        adj: Any,
+        map: dict[int, Any],
+    ) -> None:
+        self.number = sock.fileno()
+        super().__init__(ChannelServer(server, self), sock, addr, adj, map)
+
+    def hold_back(self, data: bytes) -> None:
+        """Keep bytes until the next piece of output, which goes out with them in one call."""
+        self._held_back = data
+
+    def send_held_back(self) -> None:
+        """Send what no piece of output has taken along."""
+        if self._held_back:
+            self.write_soon(b"")
+
+    def write_soon(self, data: Any) -> int:
+        """Send or queue a piece of output."""
+        if self._held_back:
+            data = self._held_back + data
+            self._held_back = b""
+        return int(super().write_soon(data))
+
     def received(self, data: bytes) -> bool:
         """Take in bytes; notes when the request now being received began."""
         taken: bool = super().received(data)
@@ -144,16 +216,6 @@
         abort_at_once = struct.pack("ii", 1, 0)
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, abort_at_once)
 
-    def readable(self) -> bool:
-        """Whether the loop should read from this connection."""
-        if self._linger_until_s is not None:
-            return True
-        return not self._input_ended and bool(super().readable())
-
-    def writable(self) -> bool:
-        """Whether the loop should call `handle_write`."""
-        return self._linger_until_s is None and bool(super().writable())
-
     def handle_read(self) -> None:
         """Read; input after the last answer is dropped.
 
@@ -171,7 +233,7 @@
             self.last_activity = time.time()
             self.received(data)
         elif not data and self.request is not None and not self.requests:
-            self._input_ended = True
+            self.readable = _never
             self._refuse_unfinished(BadRequest("the request ended before its end"))
         elif not data:
             self.handle_close()
@@ -186,6 +248,8 @@
 
     def _begin_lingering(self) -> None:
         self._linger_until_s = time.time() + self.server.limits.linger_s
+        self.readable = _always
+        self.writable = _never
         try:
             self.socket.shutdown(socket.SHUT_WR)
         except OSError:
--- a/src/bellweir/gateway/context.py
+++ b/src/bellweir/gateway/context.py
@@ -21,6 +21,8 @@
     shares: ThreadShares
     caller_watch: CallerWatch
     telemetry: Telemetry
+    logs_requests: bool
+    """Whether each ended request is logged; asked here since a dropped log line costs time too."""
 
     def move_to(self, request: Request, share: ThreadShare) -> bool:
         """Move the request's thread to another share; False when that one is full."""
--- a/src/bellweir/gateway/http.py
+++ b/src/bellweir/gateway/http.py
@@ -1,9 +1,10 @@
 """Requests and responses as the gateway's interfaces see them, above WSGI."""
 
 import http.client
-import uuid
+import os
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
+from functools import lru_cache
 from typing import Any, BinaryIO, cast
 from urllib.parse import parse_qs
 
@@ -13,8 +14,12 @@
 
 MAXIMUM_JSON_BYTES = 64 << 20
 """Longest JSON body read into memory; application bodies are passed on without reading them."""
+NAMES_CACHED = 1024
+"""Header names whose spelling is kept, bounded since callers choose them."""
 MAXIMUM_REQUEST_ID_CHARACTERS = 128
 
+REQUEST_ID_BYTES = 16
+
 Headers = tuple[tuple[str, str], ...]
 Environ = dict[str, Any]
 
@@ -73,10 +78,15 @@
 
     def header(self, name: str) -> str | None:
         """Value of a header, None when it is absent."""
-        key = name.upper().replace("-", "_")
-        if key not in ("CONTENT_TYPE", "CONTENT_LENGTH"):
-            key = "HTTP_" + key
-        return cast("str | None", self.environ.get(key))
+        return cast("str | None", self.environ.get(environ_key(name)))
+
+    def headers(self) -> Headers:
+        """All headers but `Content-Length`; values of a repeated one are joined by waitress."""
+        return tuple(
+            (header_name(key), value)
+            for key, value in self.environ.items()
+            if key.startswith("HTTP_") or key == "CONTENT_TYPE"
+        )
 
     def query(self, name: str) -> str | None:
         """Last value of a query parameter."""
@@ -125,7 +135,20 @@
     @property
     def status_line(self) -> str:
         """Status with its reason phrase."""
-        return f"{self.status} {http.client.responses.get(self.status, 'Status')}"
+        return f"{self.status} {http.client.responses.get(self.status, 'Unknown')}"
+
+
+@lru_cache(NAMES_CACHED)
+def environ_key(name: str) -> str:
+    """The key of a header in the WSGI environment."""
+    key = name.upper().replace("-", "_")
+    return key if key in ("CONTENT_TYPE", "CONTENT_LENGTH") else "HTTP_" + key
+
+
+@lru_cache(NAMES_CACHED)
+def header_name(key: str) -> str:
+    """The name of a header from its key in the WSGI environment."""
+    return key.removeprefix("HTTP_").replace("_", "-").title()
 
 
 def json_response(
@@ -153,7 +176,7 @@
 
 def new_request_id() -> str:
     """An id for a request that brought none."""
-    return uuid.uuid4().hex
+    return os.urandom(REQUEST_ID_BYTES).hex()
 
 
 def parse_number(what: str, text: str) -> float:
--- a/src/bellweir/gateway/log_events.py
+++ b/src/bellweir/gateway/log_events.py
@@ -50,3 +50,17 @@
     ("error",),
     "The file of bearer tokens could not be used; the tokens read before stay in force.",
 )
+REQUEST_THREAD_FAILED = Event(
+    808,
+    "request_thread_failed",
+    Level.ERROR,
+    ("error",),
+    "The HTTP library failed on a connection, which is closed.",
+)
+THREADS_LEFT_RUNNING = Event(
+    809,
+    "threads_left_running",
+    Level.ERROR,
+    ("count",),
+    "Requests had not ended when the node stopped; their callers were disconnected.",
+)
--- a/src/bellweir/gateway/request_headers.py
+++ b/src/bellweir/gateway/request_headers.py
@@ -85,13 +85,20 @@
     return text
 
 
-def end_to_end(headers: Headers) -> Headers:
-    """Drop the headers that end at this connection, those named by `Connection` included."""
-    named = {
-        name.strip().lower()
-        for header, value in headers
-        if header.lower() == "connection"
-        for name in value.split(",")
-    }
-    dropped = HOP_BY_HOP_HEADERS | named
-    return tuple((name, value) for name, value in headers if name.lower() not in dropped)
+def end_to_end(headers: Headers, others: frozenset[str] = frozenset()) -> Headers:
+    """Drop the headers that end at this connection and `others`, given in lower case."""
+    dropped = HOP_BY_HOP_HEADERS | others
+    kept = [(name, value) for name, value in headers if name.lower() not in dropped]
+    if len(kept) == len(headers):
+        return headers
+    named = _named_by_connection(headers)
+    return tuple((name, value) for name, value in kept if name.lower() not in named)
+
+
+def _named_by_connection(headers: Headers) -> frozenset[str]:
+    return frozenset(
+        named.strip().lower()
+        for name, value in headers
+        if name.lower() == "connection"
+        for named in value.split(",")
+    )
--- a/src/bellweir/gateway/server.py
+++ b/src/bellweir/gateway/server.py
@@ -1,28 +1,25 @@
-"""The HTTP server: waitress with the limits and answers that this node needs.
+"""The HTTP server: waitress with the limits, threads and answers that this node needs.
 
 It builds on the class attributes that waitress keeps for the purpose: the server's channel class
-and the channel's task classes. One loop thread reads and accepts; a fixed number of threads runs
-requests.
+and the channel's task classes. One loop thread reads and accepts; others run the requests.
 """
 
-import logging
 import socket
 import threading
+import time
 from collections.abc import Callable, Iterable
 from typing import Any
 
-from waitress import wasyncore
 from waitress.adjustments import Adjustments
 from waitress.server import TcpWSGIServer
-from waitress.task import ThreadedTaskDispatcher
 
 from bellweir.gateway.channel import GatewayChannel
+from bellweir.gateway.loop import ConnectionLoop, WatchedSockets
+from bellweir.gateway.request_threads import RequestThreads
 from bellweir.gateway.server_limits import ServerLimits
 
 WsgiApplication = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
-LOOP_TIMEOUT_S = 1.0
-"""Longest sleep of the loop; closing wakes it at once."""
 THREADS_STOP_TIMEOUT_S = 5.0
 
 
@@ -35,28 +32,26 @@
     def __init__(
         self, application: WsgiApplication, listener: socket.socket, limits: ServerLimits
     ) -> None:
-        logging.getLogger("waitress.queue").setLevel(logging.ERROR)
-        adjustments = _adjustments(listener, limits)
-        dispatcher = ThreadedTaskDispatcher()
-        dispatcher.set_thread_count(limits.threads)
+        sockets = WatchedSockets()
         self.limits = limits
+        self.loop = ConnectionLoop(sockets, self.pull_trigger)
         self.closing_connections = False
         """Whether each answer is the last one of its connection."""
         self._ended = threading.Event()
+        self._threads = RequestThreads(limits.threads)
         super().__init__(
             application,
-            {},
+            sockets,
             _sock=listener,
-            dispatcher=dispatcher,
-            adj=adjustments,
+            dispatcher=self._threads,
+            adj=_adjustments(listener, limits),
             sockinfo=(listener.family, listener.type, listener.proto, listener.getsockname()),
             bind_socket=False,
         )
 
     def run_until_closed(self, stopping: threading.Event) -> None:
         """Run the loop until `close_all`."""
-        while not self._ended.is_set():
-            wasyncore.poll2(LOOP_TIMEOUT_S, self._map)
+        self.loop.run(self._ended, time.monotonic)
 
     def maintenance(self, now: float) -> None:
         """Close idle connections, refuse requests that arrive too slowly, drop stalled readers."""
@@ -80,28 +75,28 @@
                 self.socket.close()
             closed.set()
 
-        self.pull_trigger_with(close_listener)
+        self.trigger.pull_trigger(close_listener)
         closed.wait(timeout_s)
 
-    def pull_trigger_with(self, action: Callable[[], None]) -> None:
-        """Run a short call on the loop's thread."""
-        self.trigger.pull_trigger(action)
-
     def close_all(self) -> None:
-        """End the threads, the loop and every connection; closing twice is no error."""
+        """Disconnect every caller, end the threads and the loop; closing twice is no error."""
         if self._ended.is_set():
             return
-        self.task_dispatcher.shutdown(timeout=THREADS_STOP_TIMEOUT_S)
+        self.trigger.pull_trigger(self._disconnect_all)
+        self._threads.shutdown(THREADS_STOP_TIMEOUT_S)
         self._ended.set()
         self.pull_trigger()
 
     def release(self) -> None:
         """Close what is left, after the loop has ended."""
-        for channel in list(self.active_channels.values()):
-            channel.handle_close()
+        self._disconnect_all()
         self.trigger.close()
         self.socket.close()
 
+    def _disconnect_all(self) -> None:
+        for channel in list(self.active_channels.values()):
+            channel.handle_close()
+
     def _accept_queued(self) -> None:
         """Connections made before the close must get an answer, not a reset."""
         before = -1
@@ -129,5 +124,4 @@
         channel_request_lookahead=1,
         clear_untrusted_proxy_headers=False,
         log_socket_errors=False,
-        asyncore_use_poll=True,
     )
--- a/src/bellweir/gateway/service.py
+++ b/src/bellweir/gateway/service.py
@@ -61,6 +61,7 @@
         self._limits = limits or ServerLimits(gateway.threads, gateway.maximum_body_bytes)
         self._server: GatewayServer | None = None
         self._loop: Future[None] | None = None
+        self._caller_watch: CallerWatch | None = None
         self._draining = threading.Event()
         self._refusing = threading.Event()
 
@@ -75,6 +76,7 @@
             ThreadShares(gateway.threads),
             CallerWatch(self._kernel.executors),
             self._kernel.registry.find(names.TELEMETRY, Telemetry),  # type: ignore[type-abstract]
+            logs_requests=self._settings.log.level == "debug",
         )
         path = gateway.tokens_file
         tokens = None if path is None else Tokens(path, self._kernel.clock)
@@ -83,7 +85,8 @@
         )
         listener = self._kernel.listeners.gateway
         self._server = GatewayServer(application, listener, self._limits)
-        context.caller_watch.start()
+        self._caller_watch = context.caller_watch
+        self._caller_watch.start()
         self._loop = self._kernel.executors.run_task("gateway", self._server.run_until_closed)
         emit(GATEWAY_LISTENING, address=self._kernel.listeners.gateway_address)
 
@@ -112,6 +115,8 @@
         server, self._server = self._server, None
         if server is None:
             return
+        if self._caller_watch is not None:
+            self._caller_watch.stop()
         server.close_all()
         if self._loop is not None:
             self._loop.result(STOP_TIMEOUT_S)
--- a/src/bellweir/telemetry/service.py
+++ b/src/bellweir/telemetry/service.py
@@ -1,5 +1,7 @@
 """The telemetry service: request metrics kept in one registry for each node."""
 
+from dataclasses import dataclass
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
 from bellweir.kernel import names
@@ -14,6 +16,16 @@
 """Upper bounds of the latency histograms, from a hop on one machine to a long generation."""
 
 
+@dataclass(frozen=True)
+class _InterfaceMetrics:
+    """The metrics of one interface, looked up by label once only."""
+
+    in_flight: Gauge
+    latency: Histogram
+    ended: dict[str, Counter]
+    """By outcome."""
+
+
 class TelemetryService(Service, Telemetry):
     """Keeps the metrics of one node.
 
@@ -24,6 +36,7 @@
 
     def __init__(self, kernel: Kernel, settings: Settings) -> None:
         self._registry = CollectorRegistry()
+        self._interfaces: dict[str, _InterfaceMetrics] = {}
         self._requests = Counter(
             "bellweir_requests",
             "Requests ended, by interface and outcome.",
@@ -69,13 +82,17 @@
 
     def request_started(self, interface: str) -> None:
         """Count a request as in flight."""
-        self._in_flight.labels(interface).inc()
+        self._of_interface(interface).in_flight.inc()
 
     def request_ended(self, interface: str, outcome: str, seconds: float) -> None:
         """Count an ended request and observe its latency."""
-        self._in_flight.labels(interface).dec()
-        self._requests.labels(interface, outcome).inc()
-        self._latency.labels(interface).observe(seconds)
+        metrics = self._of_interface(interface)
+        metrics.in_flight.dec()
+        metrics.latency.observe(seconds)
+        counter = metrics.ended.get(outcome)
+        if counter is None:
+            counter = metrics.ended[outcome] = self._requests.labels(interface, outcome)
+        counter.inc()
 
     def stream_started(self) -> None:
         """Count an open stream."""
@@ -88,6 +105,15 @@
         if first_chunk_s is not None:
             self._first_chunk.observe(first_chunk_s)
 
+    def _of_interface(self, interface: str) -> _InterfaceMetrics:
+        # Two threads may both make the entry; the metrics in it are the same ones.
+        metrics = self._interfaces.get(interface)
+        if metrics is None:
+            metrics = self._interfaces[interface] = _InterfaceMetrics(
+                self._in_flight.labels(interface), self._latency.labels(interface), {}
+            )
+        return metrics
+
     def render(self) -> bytes:
         """All metrics in the Prometheus text format."""
         return generate_latest(self._registry)
