--- a/src/bellweir_rehearsal/console.py
+++ b/src/bellweir_rehearsal/console.py
@@ -30,6 +30,11 @@
         """Show what the run does now."""
         self._bar.update(self._task, completed=share, now=text)
 
+    def entitle(self, title: str) -> "RunProgress":
+        """Show another title from now on; returns itself."""
+        self._bar.update(self._task, description=title, completed=0.0)
+        return self
+
     def stop(self) -> None:
         """Take the bar away for good."""
         self._bar.stop()
@@ -59,9 +64,9 @@
 
 def _requests_table(result: RunResult) -> Table:
     table = Table(title="Requests by outcome")
-    columns = ("class", "requested", "answered", "refused", "cut", "not sent", "p50 ms", "p99 ms")
+    columns = ("class", "due", "answered", "refused", "cut", "not sent", "p50 ms", "p99 ms")
     for number, name in enumerate(columns):
-        table.add_column(name, justify="left" if number == 0 else "right")
+        table.add_column(name, justify="left" if number == 0 else "right", overflow="fold")
     for entry in result.classes:
         counts = entry.outcomes
         latency = entry.latency
--- a/src/bellweir_rehearsal/rehearsal.py
+++ b/src/bellweir_rehearsal/rehearsal.py
@@ -8,6 +8,7 @@
 
 from bellweir_rehearsal.callers.caller import Caller
 from bellweir_rehearsal.callers.http import HttpClient
+from bellweir_rehearsal.callers.in_flight import InFlight
 from bellweir_rehearsal.callers.observer import ConfigurationObserver
 from bellweir_rehearsal.callers.operator import Operator, OperatorError
 from bellweir_rehearsal.faults.actions import FaultStage
@@ -18,6 +19,7 @@
 from bellweir_rehearsal.plan import RunPlan
 from bellweir_rehearsal.promises.checker import check_promises
 from bellweir_rehearsal.promises.loading import load_evidence
+from bellweir_rehearsal.promises.mutations import Mutation
 from bellweir_rehearsal.publishing import Publisher
 from bellweir_rehearsal.records.journal import Journal
 from bellweir_rehearsal.result import RunResult, summarize
@@ -45,6 +47,7 @@
         self._progress = progress
         self._journal = Journal(folder.journal)
         self._client = HttpClient()
+        self._in_flight = InFlight()
         self.cluster = Cluster(plan.deployment, folder, self._journal, plan.settings)
         self._operator = self._operator_named("operator-1")
         self._publisher = Publisher(
@@ -96,16 +99,22 @@
         for observer in observers:
             observer.result()
 
-    def finish(self) -> RunResult:
+    def finish(self, mutation: Mutation | None = None) -> RunResult:
         """Stop the deployment as planned, check all promises, and return the result."""
         self._report("stopping", 1.0)
         self.cluster.stop()
-        return self.check()
+        return self.check(mutation)
 
-    def check(self) -> RunResult:
-        """Check all promises on what has been logged so far."""
+    def check(self, mutation: Mutation | None = None) -> RunResult:
+        """Check all promises on what has been logged so far.
+
+        A mutation breaks the evidence first, to show that the checker notices; it raises
+        `NothingToMutateError` when the run has no case of it.
+        """
         self._report("checking", 1.0)
         evidence = load_evidence(self.folder)
+        if mutation is not None:
+            evidence = mutation.apply(evidence)
         verdicts = check_promises(evidence)
         return summarize(self.plan, evidence, verdicts, self._load.summaries())
 
@@ -139,6 +148,7 @@
                 self.cluster.directory,
                 self._journal,
                 self._client,
+                self._in_flight,
                 delay_s,
             )
             for address in self.cluster.directory.all_nodes()
@@ -184,6 +194,7 @@
             self._journal,
             (self._operator, self._operator_named("operator-2")),
             PoolWriter(self.cluster, self._operator),
+            self._in_flight,
             self.plan.seed,
         )
         return FaultInjector(stage, self.plan.faults)
