Stream long application bodies, and refuse work before a configuration came

Work is refused with 503, not_run and Retry-After until a configuration is in force. The steps are split by interface.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -8,7 +8,7 @@
     Then the gateway's answer is "one two three" from weight versions 3 and 4 in body and header
     And the gateway's streamed answer is the same, with usage at its end
     And the gateway's chat answers are the same, whole and streamed
-    And the gateway lists the policy "quotes" as a model
+    And the gateway lists the policy "policy-1" as a model
 
   Scenario: Options of a completion reach the dispatcher
     Given a gateway on fake services
@@ -49,6 +49,23 @@
     When a gateway application request with a body of 8 MiB is sent in chunks
     Then the gateway returns the same 8 MiB
 
+  Scenario: A long body reaches the application while it is being sent, and no faster than it is read
+    Given a gateway on fake services
+    When a gateway caller sends a long body to an application that reads nothing yet
+    Then the gateway takes in a bounded part of the body
+    When the gateway's application reads the body
+    Then it gets the whole body, and the gateway's connection serves the next request
+
+  Scenario: A long body that breaks off, is too slow or too long ends its attempt
+    Given a gateway with short time limits and a longest body of 400000 bytes
+    Then cut, slow and too long bodies at the gateway get 400, 408 and 413 and are read as cut
+    And the gateway has no busy connection and answers the next request
+
+  Scenario: A node without configuration refuses work for the moment
+    Given a gateway on fake services
+    When the gateway's node has no configuration yet
+    Then gateway requests for work are refused with 503, not_run and when to come back
+
   Scenario: An application answer that breaks off is not passed as whole
     Given a gateway on fake services
     Then a cut application answer is cut for gateway callers of HTTP/1.0 and HTTP/1.1
--- /dev/null
+++ b/features/steps/gateway_connections_steps.py
@@ -0,0 +1,115 @@
+"""Steps of connections that misbehave at the gateway."""
+
+import socket
+import threading
+
+from behave import then, when
+from hypothesis import given as property_given
+from hypothesis import settings, strategies
+
+from bellweir.platform.interface import ApplicationAnswer
+from support.gateway_calls import (
+    gateway_ask_raw,
+    gateway_call,
+    gateway_read_all,
+    gateway_send,
+    gateway_threads_held,
+)
+
+VALID = b"POST /apps/web/orders HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody"
+MALFORMED = (
+    b"GET\r\n\r\n",
+    b"get / HTTP/1.1\r\n\r\n",
+    b"GET / HTTP/1.1\r\nA b: c\r\n\r\n",
+    b"GET / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+    b"GET / HTTP/1.1\r\nContent-Length: 1, 2\r\n\r\nab",
+    b"POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+    b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n",
+    b"GET / HTTP/1.1\r\nA: " + b"a" * 70_000 + b"\r\n\r\n",
+    b"POST /v1/completions HTTP/1.1\r\nContent-Length: 2\r\n\r\n{]",
+    b"POST /v1/completions HTTP/1.1\r\nContent-Length: 2\r\n\r\n[]",
+    b"POST /v1/steps HTTP/1.1\r\nContent-Length: 4\r\n\r\nnull",
+    b"GET /v1/steps/a/samples?cursor=x HTTP/1.1\r\n\r\n",
+    b"GET /v1/steps/a/samples?wait_s=nan HTTP/1.1\r\n\r\n",
+    b"GET /apps/web/ HTTP/1.1\r\nX-Bellweir-Class: fast\r\n\r\n",
+    b"GET /apps/web/ HTTP/1.1\r\nX-Bellweir-Deadline-Ms: -1\r\n\r\n",
+    b"GET /apps/web/ HTTP/1.1\r\nIdempotency-Key:\r\n\r\n",
+)
+
+
+@then(
+    "malformed, truncated and random bytes at the gateway get a 4xx or 5xx or a closed connection"
+)
+def step_malformed(context):
+    for sent in MALFORMED:
+        status, body = gateway_ask_raw(context, sent)
+        assert 400 <= status < 500 or status == 501, (sent[:60], status)
+        assert b'"run_state":"not_run"' in body, (sent[:60], body)
+
+    @property_given(
+        sent=strategies.binary(max_size=300)
+        | strategies.integers(0, len(VALID) - 1).map(lambda length: VALID[:length])
+    )
+    @settings(max_examples=80)
+    def property_of_garbage(sent):
+        forwarded_before = len(context.gateway.dispatcher.forwarded)
+        answer = gateway_send(context, sent)
+        assert answer == b"" or answer[9:10] in (b"4", b"5"), answer[:80]
+        assert len(context.gateway.dispatcher.forwarded) == forwarded_before
+
+    property_of_garbage()
+
+
+@then("the gateway has no busy connection and answers the next request")
+def step_next(context):
+    context.wait_until(
+        lambda: context.gateway.server.busy_connections() == 0, "no connection is busy"
+    )
+    assert gateway_call(context, "GET", "/healthz")[0] == 200
+    context.wait_until(
+        lambda: not context.gateway.server.active_channels, "every connection is closed"
+    )
+
+
+@then("slow headers and a slow body get 408 from the gateway")
+def step_slow(context):
+    for sent in (b"GET / HTTP/1.1\r\nA", b"POST /v1/steps HTTP/1.1\r\nContent-Length: 9\r\n\r\na"):
+        with socket.create_connection(("127.0.0.1", context.gateway.port), timeout=30) as raw:
+            raw.sendall(sent)
+            answer = gateway_read_all(raw)
+        assert answer[:12] in (b"HTTP/1.0 408", b"HTTP/1.1 408"), answer[:80]
+        assert b'"run_state":"not_run"' in answer
+
+
+@then("a gateway body that is too long gets 413, however it is framed")
+def step_too_long(context):
+    long_body = b"a" * 2_000_000
+    for body in (long_body, iter([long_body[:100_000]] * 20)):
+        with socket.create_connection(("127.0.0.1", context.gateway.port), timeout=30):
+            pass
+        assert gateway_call(context, "POST", "/apps/web/upload", body)[0] == 413
+    assert not context.gateway.dispatcher.forwarded
+    assert gateway_call(context, "POST", "/apps/web/upload", b"a" * 4096)[0] == 200
+
+
+@when("a gateway caller asks for an endless answer and reads none of it")
+def step_endless(context):
+    context.closed = threading.Event()
+
+    def endless():
+        try:
+            while True:
+                yield b"x" * 65536
+        finally:
+            context.closed.set()
+
+    context.gateway.dispatcher.answer = lambda _: ApplicationAnswer(200, (), endless())
+    raw = socket.create_connection(("127.0.0.1", context.gateway.port))
+    context.cleanup.callback(raw.close)
+    raw.sendall(b"GET /apps/web/endless HTTP/1.1\r\nHost: x\r\n\r\n")
+
+
+@then("the gateway closes that answer and its threads are free")
+def step_endless_closed(context):
+    assert context.closed.wait(30)
+    context.wait_until(lambda: gateway_threads_held(context) == 0, "no thread is held")
--- a/features/support/gateway_fakes.py
+++ b/features/support/gateway_fakes.py
@@ -126,9 +126,10 @@
         return Success(self.answer(request))
 
     def echo(self, request: ApplicationRequest) -> ApplicationAnswer:
-        """Give the body back, chunk by chunk, with hop-by-hop headers a proxy must not pass."""
+        """Give the body back, with hop-by-hop headers that must not be passed on."""
+        body = request.body.read()
         headers = (
-            ("Content-Length", str(request.body_length)),
+            ("Content-Length", str(len(body))),
             ("Connection", "X-Private"),
             ("X-Private", "1"),
             ("Keep-Alive", "timeout=5"),
@@ -137,7 +138,7 @@
             ("Set-Cookie", "a=1"),
             ("Set-Cookie", "b=2"),
         )
-        return ApplicationAnswer(200, headers, iter(lambda: request.body.read(65536), b""))
+        return ApplicationAnswer(200, headers, iter([body]))
 
     def statistics(self) -> DispatchStatistics:
         return DispatchStatistics({"completed": len(self.asked)}, len(self.asked), len(self.asked))
@@ -154,8 +155,8 @@
 
     def __init__(self):
         self.ready = True
-        policy = Policy(metadata=Metadata(name="quotes"), spec=PolicySpec(model="quote-model"))
-        self.snapshot = ConfigurationSnapshot(7, policies={"quotes": policy})
+        policy = Policy(metadata=Metadata(name="policy-1"), spec=PolicySpec(model="model-1"))
+        self.snapshot = ConfigurationSnapshot(7, policies={"policy-1": policy})
 
     def current(self):
         return self.snapshot
--- a/src/bellweir/gateway/application.py
+++ b/src/bellweir/gateway/application.py
@@ -9,7 +9,7 @@
 from bellweir.gateway import applications_api, openai_api, steps_api
 from bellweir.gateway.admission import SHARE_OF_CLASS, ThreadShare
 from bellweir.gateway.authorization import Authorization
-from bellweir.gateway.channel import ABORT_CONNECTION
+from bellweir.gateway.body_pipe import BodyCutError
 from bellweir.gateway.context import Context, share_full
 from bellweir.gateway.http import (
     BadRequestError,
@@ -21,9 +21,15 @@
     request_id_of,
 )
 from bellweir.gateway.log_events import REQUEST_ENDED, REQUEST_FAILED
-from bellweir.gateway.problems import Problem, openai_error_response, problem_response
+from bellweir.gateway.problems import (
+    Problem,
+    body_cut,
+    openai_error_response,
+    problem_response,
+)
 from bellweir.gateway.request_headers import REQUEST_CLASS, REQUEST_ID, parse_class
 from bellweir.gateway.router import Match, NoMatch, Router
+from bellweir.gateway.tasks import ABORT_CONNECTION
 from bellweir.platform.interface import IncompleteBodyError
 from bellweir.resources.models import RequestClass
 from bellweir.routing.interface import RunState
@@ -33,8 +39,7 @@
 NO_INTERFACE = "none"
 """Label of requests that match no interface."""
 _CALLERS_INTERFACES = frozenset({openai_api.INTERFACE, applications_api.INTERFACE})
-_REFUSED_WHILE_DRAINING = _CALLERS_INTERFACES | {steps_api.INTERFACE}
-DRAINING_RETRY_AFTER_S = 1.0
+_WORK_INTERFACES = _CALLERS_INTERFACES | {steps_api.INTERFACE}
 
 
 class Outcome(Enum):
@@ -58,7 +63,7 @@
         context: Context,
         router: Router,
         authorization: Authorization,
-        refuses_work: Callable[[], bool],
+        refuses_work: Callable[[], Problem | None],
     ) -> None:
         self._context = context
         self._router = router
@@ -92,8 +97,8 @@
             return _no_match(request, found)
         interface = found.route.interface
         problem = self._authorization.check(request, interface)
-        if problem is None and interface in _REFUSED_WHILE_DRAINING and self._refuses_work():
-            problem = _draining()
+        if problem is None and interface in _WORK_INTERFACES:
+            problem = self._refuses_work()
         if problem is not None:
             return refuse(request, problem)
         share = _share_of(request, interface)
@@ -221,18 +226,11 @@
     return response
 
 
-def _draining() -> Problem:
-    return Problem(
-        503,
-        "draining",
-        "this node is stopping; ask another one",
-        retry_after_s=DRAINING_RETRY_AFTER_S,
-    )
-
-
 def _failure_response(request: Request, interface: str, failure: Exception) -> Response:
     if isinstance(failure, BodyTooLongError):
         return refuse(request, Problem(413, "body_too_long", str(failure)))
+    if isinstance(failure, BodyCutError):
+        return refuse(request, body_cut(failure, RunState.UNKNOWN))
     if isinstance(failure, BadRequestError):
         return refuse(request, Problem(400, "invalid", str(failure)))
     _log_failure(request, interface, failure)
--- a/src/bellweir/gateway/applications_api.py
+++ b/src/bellweir/gateway/applications_api.py
@@ -5,14 +5,15 @@
 
 from returns.result import Failure, Success
 
+from bellweir.gateway.body_pipe import BodyPipe
 from bellweir.gateway.context import Context
 from bellweir.gateway.http import BadRequestError, Headers, Request, Response
-from bellweir.gateway.problems import problem_of_refusal, problem_response
+from bellweir.gateway.problems import Problem, body_cut, problem_of_refusal, problem_response
 from bellweir.gateway.request_headers import TOKEN, end_to_end, parse_routing_options
 from bellweir.gateway.router import Router
 from bellweir.platform.interface import ApplicationAnswer
 from bellweir.resources.models import RequestClass
-from bellweir.routing.interface import ApplicationRequest, Dispatcher
+from bellweir.routing.interface import ApplicationRequest, Dispatcher, Refusal
 
 INTERFACE = "applications"
 PREFIX = "/apps/"
@@ -54,10 +55,18 @@
             case Success(answer):
                 return _response(answer)
             case Failure(refusal):
-                return problem_response(problem_of_refusal(refusal), request.request_id)
+                return problem_response(_problem(request, refusal), request.request_id)
         raise AssertionError("a result is a success or a failure")
 
 
+def _problem(request: Request, refusal: Refusal) -> Problem:
+    body = request.body
+    if isinstance(body, BodyPipe) and body.was_cut is not None:
+        # The attempt failed for want of the rest of the body, not by its back end.
+        return body_cut(body.was_cut, refusal.run_state)
+    return problem_of_refusal(refusal)
+
+
 def _path_below_pool(request: Request, pool: str) -> str:
     """The rest of the path as sent, with its query; percent-escapes stay as they are."""
     raw_pool, _, rest = request.raw_path.removeprefix(PREFIX).partition("/")
--- a/src/bellweir/gateway/channel.py
+++ b/src/bellweir/gateway/channel.py
@@ -1,4 +1,4 @@
-"""One HTTP connection: waitress's channel with limits on time and error answers of our shapes."""
+"""One HTTP connection: waitress's channel with limits on time, and bodies that stream."""
 
 import socket
 import struct
@@ -6,33 +6,10 @@
 from typing import Any
 
 from waitress.channel import HTTPChannel
-from waitress.parser import HTTPRequestParser
-from waitress.task import ErrorTask, WSGITask
 from waitress.utilities import BadRequest, Error
 
-from bellweir.gateway.http import new_request_id
-from bellweir.gateway.problems import Problem, openai_error_response, problem_response
-from bellweir.routing.interface import RunState
-
-ABORT_CONNECTION = "bellweir.abort_connection"
-"""Key in the WSGI environment: call it to end the connection by a reset."""
-
-INTERNAL_ERROR_STATUS = 500
-_NAMES_OF_STATUS = {
-    400: "malformed_request",
-    408: "request_too_slow",
-    413: "body_too_long",
-    431: "headers_too_long",
-    500: "internal_error",
-    501: "not_implemented",
-}
-
-
-class RequestTooSlow(Error):  # type: ignore[misc]  # noqa: N818
-    """Answer to a request that did not arrive in time."""
-
-    code = 408
-    reason = "Request Timeout"
+from bellweir.gateway.parser import GatewayRequestParser
+from bellweir.gateway.tasks import GatewayErrorTask, GatewayTask, RequestTooSlow
 
 
 def _always() -> bool:
@@ -67,66 +44,6 @@
             self._server.loop.ask_again(channel.number)
 
 
-class GatewayRequestParser(HTTPRequestParser):  # type: ignore[misc]
-    """Has the attributes that waitress reads of a request, also before its first line came."""
-
-    command = "GET"
-    path = ""
-
-
-class GatewayErrorTask(ErrorTask):  # type: ignore[misc]
-    """Answers a request that waitress could not parse, or whose application raised."""
-
-    def execute(self) -> None:
-        """Write the answer and close the connection after it."""
-        error = self.request.error
-        raised = error.code == INTERNAL_ERROR_STATUS
-        problem = Problem(
-            error.code,
-            _NAMES_OF_STATUS.get(error.code, "refused"),
-            str(error.body),
-            RunState.UNKNOWN if raised else RunState.NOT_RUN,
-        )
-        in_openai_shape = self.request.path.startswith("/v1/")
-        shape = openai_error_response if in_openai_shape else problem_response
-        response = shape(problem, new_request_id())
-        self.status = response.status_line
-        self.response_headers.extend(response.headers)
-        self.set_close_on_finish()
-        self.content_length = len(response.body)
-        self.channel.linger_after_flush()
-        self.write(response.body)
-
-
-class GatewayTask(WSGITask):  # type: ignore[misc]
-    """Runs the application for one request."""
-
-    wrote_header: bool = False
-
-    def write(self, data: bytes) -> None:
-        """Write a piece of the body; the first goes out together with the headers."""
-        if self.wrote_header or not (data and self.has_body and self.complete):
-            super().write(data)
-            return
-        headers = self.build_response_header()
-        self.wrote_header = True
-        self.channel.hold_back(headers)
-        super().write(data)
-        self.channel.send_held_back()
-
-    def build_response_header(self) -> bytes:
-        """The headers; while the node stops, each answer is the last one of its connection."""
-        if self.channel.server.closing_connections:
-            self.set_close_on_finish()
-        return bytes(super().build_response_header())
-
-    def get_environment(self) -> dict[str, Any]:
-        """The WSGI environment, with the means to abort the connection."""
-        environ: dict[str, Any] = super().get_environment()
-        environ[ABORT_CONNECTION] = self.channel.abort_on_close
-        return environ
-
-
 class GatewayChannel(HTTPChannel):  # type: ignore[misc]
     """One connection.
 
@@ -139,8 +56,10 @@
     error_task_class = GatewayErrorTask
 
     request: Any = None
+    close_when_flushed: bool = False
     _held_back = b""
-    _receiving: Any = None
+    out_of_step = False
+    """Whether what comes next on the connection can't be told to be a request."""
     _receiving_since_s = 0.0
     _lingers = False
     _linger_until_s: float | None = None
@@ -173,12 +92,80 @@
         return int(super().write_soon(data))
 
     def received(self, data: bytes) -> bool:
-        """Take in bytes; notes when the request now being received began."""
-        taken: bool = super().received(data)
-        if self.request is not self._receiving:
-            self._receiving = self.request
-            self._receiving_since_s = time.time()
-        return taken
+        """Take in bytes; starts requests that are whole, or whose body streams."""
+        with self.requests_lock:
+            # A request thread may have set these since the loop saw that there is input.
+            if self.will_close or self.close_when_flushed:
+                return False
+            while data and not self.out_of_step:
+                if self.request is None:
+                    self.request = self.parser_class(self.adj)
+                    self._receiving_since_s = time.time()
+                taken = self.request.received(data)
+                self._continue_if_expected()
+                if self.request.completed:
+                    self._request_received()
+                elif self.request.pipe is not None and not self.request.begun:
+                    self._begin_streaming()
+                data = data[taken:]
+        return True
+
+    def _continue_if_expected(self) -> None:
+        request = self.request
+        expected = request.expect_continue and request.headers_finished
+        # Answers keep the order of the requests, so this waits for those in hand.
+        if expected and not self.requests and not self.sent_continue:
+            self.send_continue()
+
+    def _request_received(self) -> None:
+        request, self.request = self.request, None
+        self.sent_continue = False
+        if request.begun:
+            self._end_streaming(request)
+        elif not request.empty:
+            if request.pipe is not None:
+                request.pipe.end()
+            self._run(request)
+
+    def _run(self, request: Any) -> None:
+        self.requests.append(request)
+        if len(self.requests) == 1:
+            self.server.add_task(self)
+
+    def _begin_streaming(self) -> None:
+        request = self.request
+        request.begun = True
+        request.pipe.on_drained = lambda: self.server.loop.ask_again(self.number)
+        self.readable = self._is_readable_while_streaming
+        self._run(request)
+
+    def _end_streaming(self, request: Any) -> None:
+        del self.readable  # the class's own again
+        if request.error is None:
+            request.pipe.end()
+        else:
+            self._stop_receiving(request, request.error)
+
+    def _stop_receiving(self, request: Any, error: Error) -> None:
+        """Cut a streamed body: its thread gets an error, and the connection is of no more use."""
+        request.pipe.cut(error.code, str(error.body))
+        self.out_of_step = True
+        self.linger_after_flush()
+        self.readable = _never
+
+    def _is_readable_while_streaming(self) -> bool:
+        # Output may wait for the caller, who may first want to send the rest of the body.
+        if self.will_close or self.close_when_flushed:
+            return False
+        request = self.request
+        return request is None or not request.pipe.is_full
+
+    def service(self) -> None:
+        """Run one request; the connection ends with it if its body was not received whole."""
+        super().service()
+        if self.out_of_step and not self.close_when_flushed:
+            self.close_when_flushed = True
+            self.server.pull_trigger()
 
     def is_busy(self) -> bool:
         """Whether a request is being received, run or answered."""
@@ -195,7 +182,7 @@
         if self.total_outbufs_len and now_s - self.last_activity > limits.write_stall_s:
             self._shut_down()
         elif self.request is not None and self._is_too_slow(now_s):
-            self._refuse_unfinished(RequestTooSlow("the request did not arrive in time"))
+            self._end_unfinished(RequestTooSlow("the request did not arrive in time"))
         elif crowded and not self.is_busy() and now_s - self.last_activity > limits.crowded_idle_s:
             self.will_close = True
 
@@ -234,10 +221,17 @@
             self.received(data)
         elif not data and self.request is not None and not self.requests:
             self.readable = _never
-            self._refuse_unfinished(BadRequest("the request ended before its end"))
+            self._end_unfinished(BadRequest("the request ended before its end"))
         elif not data:
             self.handle_close()
 
+    def handle_close(self) -> None:
+        """Close the connection; a body still being received is cut."""
+        request = self.request
+        if request is not None and request.pipe is not None:
+            request.pipe.cut(BadRequest.code, "the caller closed the connection")
+        super().handle_close()
+
     def handle_write(self) -> None:
         """Write; instead of closing after an early refusal, begin to linger."""
         ends = self.close_when_flushed and not self.total_outbufs_len
@@ -260,18 +254,22 @@
         elapsed_s = now_s - self._receiving_since_s
         if not self.request.headers_finished:
             return bool(elapsed_s > limits.header_timeout_s)
+        pipe = self.request.pipe
+        if pipe is not None and pipe.is_full:
+            # Not the caller is slow but who takes the body: this second does not count.
+            self._receiving_since_s += limits.maintenance_period_s
         earned_s = self.request.body_bytes_received / limits.body_bytes_per_s
         return bool(elapsed_s > limits.body_grace_s + earned_s)
 
-    def _refuse_unfinished(self, error: Error) -> None:
+    def _end_unfinished(self, error: Error) -> None:
         with self.requests_lock:
-            request = self.request
-            self.request = None
+            request, self.request = self.request, None
+            if request.begun:
+                self._stop_receiving(request, error)
+                return
             request.error = error
             request.completed = True
-            self.requests.append(request)
-            if len(self.requests) == 1:
-                self.server.add_task(self)
+            self._run(request)
 
     def _shut_down(self) -> None:
         # The socket takes no more output, so the loop would never call `handle_write`; shutting
--- a/src/bellweir/gateway/http.py
+++ b/src/bellweir/gateway/http.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from bellweir.gateway.admission import Permit
+from bellweir.gateway.body_pipe import BodyPipe
 
 MAXIMUM_JSON_BYTES = 64 << 20
 """Longest JSON body read into memory; application bodies are passed on without reading them."""
@@ -102,18 +103,22 @@
 
     @property
     def body(self) -> BinaryIO:
-        """The body as a file; waitress has received it whole."""
+        """The body as a file; a `BodyPipe` while it is still being received."""
         return cast(BinaryIO, self.environ["wsgi.input"])
 
     @property
-    def body_length(self) -> int:
-        """Length of the body in bytes."""
-        return int(self.environ.get("CONTENT_LENGTH") or 0)
+    def body_length(self) -> int | None:
+        """Length of the body in bytes; None for one that streams without a declared length."""
+        text = self.environ.get("CONTENT_LENGTH")
+        if text:
+            return int(text)
+        return None if isinstance(self.body, BodyPipe) else 0
 
     def read_body(self, maximum_bytes: int = MAXIMUM_JSON_BYTES) -> bytes:
         """Read the body into memory; raises `BodyTooLongError`."""
-        if self.body_length > maximum_bytes:
-            raise BodyTooLongError(f"body of {self.body_length} bytes, allowed {maximum_bytes}")
+        length = self.body_length
+        if length is None or length > maximum_bytes:
+            raise BodyTooLongError(f"body of {length} bytes, allowed {maximum_bytes}")
         return self.body.read()
 
     def caller_has_left(self) -> bool:
--- a/src/bellweir/gateway/problems.py
+++ b/src/bellweir/gateway/problems.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from bellweir.gateway.body_pipe import BodyCutError
 from bellweir.gateway.http import Response
 from bellweir.routing.interface import Refusal, RefusalReason, RunState
 
@@ -28,6 +29,17 @@
 }
 
 
+NAMES_OF_STATUS = {
+    400: "malformed_request",
+    408: "request_too_slow",
+    413: "body_too_long",
+    431: "headers_too_long",
+    500: "internal_error",
+    501: "not_implemented",
+}
+"""Names of the problems that are found while a request is received."""
+
+
 @dataclass(frozen=True)
 class Problem:
     """A refusal by the gateway itself or by a service behind it."""
@@ -134,3 +146,9 @@
     if problem.retry_after_s is None:
         return []
     return [("Retry-After", str(math.ceil(problem.retry_after_s)))]
+
+
+def body_cut(failure: BodyCutError, run_state: RunState) -> Problem:
+    """The refusal of a request whose body did not come whole."""
+    name = NAMES_OF_STATUS.get(failure.status, "body_cut")
+    return Problem(failure.status, name, str(failure), run_state)
--- a/src/bellweir/gateway/service.py
+++ b/src/bellweir/gateway/service.py
@@ -15,6 +15,7 @@
 from bellweir.gateway.context import Context
 from bellweir.gateway.log_events import GATEWAY_DRAINED, GATEWAY_DRAINING, GATEWAY_LISTENING
 from bellweir.gateway.openai_api import OpenAiApi
+from bellweir.gateway.problems import Problem
 from bellweir.gateway.resources_api import ResourcesApi
 from bellweir.gateway.router import Router
 from bellweir.gateway.server import GatewayServer
@@ -36,6 +37,8 @@
 DRAIN_LOOK_S = 0.02
 """Time between two looks at whether the work in hand has ended."""
 STOP_TIMEOUT_S = 5.0
+DRAINING_RETRY_AFTER_S = 1.0
+NOT_READY_RETRY_AFTER_S = 1.0
 
 
 class GatewayService(Service):
@@ -80,8 +83,12 @@
         )
         path = gateway.tokens_file
         tokens = None if path is None else Tokens(path, self._kernel.clock)
+        self._configuration = self._kernel.registry.find(
+            names.CONFIGURATION,
+            Configuration,  # type: ignore[type-abstract]
+        )
         application = GatewayApplication(
-            context, self._router(context), Authorization(tokens), self._refusing.is_set
+            context, self._router(context), Authorization(tokens), self._refuses_work
         )
         listener = self._kernel.listeners.gateway
         self._server = GatewayServer(application, listener, self._limits)
@@ -122,6 +129,15 @@
             self._loop.result(STOP_TIMEOUT_S)
         server.release()
 
+    def _refuses_work(self) -> Problem | None:
+        if self._refusing.is_set():
+            detail = "this node is stopping; ask another one"
+            return Problem(503, "draining", detail, retry_after_s=DRAINING_RETRY_AFTER_S)
+        if not self._configuration.is_ready():
+            detail = "no configuration has arrived on this node yet"
+            return Problem(503, "not_ready", detail, retry_after_s=NOT_READY_RETRY_AFTER_S)
+        return None
+
     def _router(self, context: Context) -> Router:
         find = self._kernel.registry.find
         configuration = find(names.CONFIGURATION, Configuration)  # type: ignore[type-abstract]
