Check weight orders against engines; count leaving engines as lacking

The floor is counted over all engines of a pool, and those that are leaving serve nothing for it: the last engine is not swapped while another one is leaving, for floor_patience_s at most (30 s), then one at a time.

--- a/features/steps/weights_steps.py
+++ b/features/steps/weights_steps.py
@@ -1,7 +1,12 @@
 """Steps of `weights.feature`."""
 
 from behave import given, then, when
+from hypothesis import settings
+from hypothesis.stateful import run_state_machine_as_test
 
+from bellweir.weights.messages import PoolReport, WorkerReport
+from bellweir.weights.rollout import PoolRollout, RolloutLimits
+from support.orders_oracle import OrdersAgainstEngines
 from support.waiting import wait_until
 from support.weights_cluster import WeightsCluster
 
@@ -18,6 +23,20 @@
     context.weights.engines[engine].fail_swaps = count
 
 
+@given("weights {engine} never finishes a swap")
+def step_hang(context, engine):
+    context.weights.engines[engine].is_frozen = True
+
+
+@then("all weights engines but {engine} hold version {version:d}")
+def step_others_hold(context, engine, version):
+    others = [e for name, e in context.weights.engines.items() if name != engine]
+    wait_until(
+        lambda: all(e.serves and e.state.weight_version == version for e in others),
+        f"the others hold version {version}",
+    )
+
+
 @given("a weights store without version {version:d}")
 def step_missing(context, version):
     context.weights.store.missing.add(version)
@@ -87,3 +106,62 @@
         versions = [order.weight_version for order in engine.accepted]
         assert versions == sorted(versions), versions
         assert engine.state.weight_version == 2
+
+
+@then("weights orders and engines agree whatever happens")
+def step_oracle(context):
+    limits = settings(max_examples=100, stateful_step_count=30)
+    run_state_machine_as_test(OrdersAgainstEngines, settings=limits)
+
+
+@given("a weights rollout of {engines:d} engines with floor {floor:g} waiting {wait:d} s at most")
+def step_rollout(context, engines, floor, wait):
+    limits = RolloutLimits(
+        floor=floor,
+        pool_size=engines,
+        store_readers=3,
+        fanout=2,
+        permit_s=20,
+        patience_s=wait,
+        forget_s=60,
+    )
+    context.rollout = PoolRollout(limits, "store:1")
+
+
+@when("{count:d} weights engines are leaving")
+def step_leaving(context, count):
+    context.present = [f"engine-{n}" for n in range(context.rollout.limits.pool_size - count)]
+
+
+def report(context, now_s, held=()):
+    workers = tuple(
+        WorkerReport(
+            name,
+            f"{name}:1",
+            "zone-1",
+            True,
+            "m",
+            2 if name in held else 1,
+            "m",
+            2,
+            wants_swap=name not in held,
+        )
+        for name in context.present
+    )
+    permits = context.rollout.take_report(PoolReport("writers", "node-1", workers), now_s)
+    return [permit.worker for permit in permits]
+
+
+@then("no weights swap is permitted before {wait:d} s have passed")
+def step_no_swap(context, wait):
+    for now_s in range(wait):
+        assert report(context, now_s) == []
+
+
+@then("after that one weights swap at a time is permitted")
+def step_one_swap(context):
+    wait_s = context.rollout.limits.patience_s
+    assert report(context, wait_s) == ["engine-0"]
+    assert report(context, wait_s + 1) == ["engine-0"]
+    assert report(context, wait_s + 2, held=["engine-0"]) == []
+    assert report(context, 2 * wait_s + 2, held=["engine-0"]) == ["engine-1"]
--- a/features/support/fake_engine.py
+++ b/features/support/fake_engine.py
@@ -65,6 +65,8 @@
         self.accepted: list[EngineOrder] = []
         self.reads = 0
         self.on_swap: Callable[[], object] = lambda: None
+        self.before_swap: Callable[[EngineOrder], object] = lambda _order: None
+        """Called before an engine that serves begins a swap."""
         self._pending: EngineOrder | None = None
         self._reads_left = 0
 
@@ -113,6 +115,8 @@
         return Success(answer)
 
     def _begin_swap(self, order: EngineOrder) -> None:
+        if self.serves:
+            self.before_swap(order)
         self.swaps_from.append(order.sources[0] if order.sources else None)
         self.state = replace(
             self.state, ready=False, model=order.model, weight_version=None, swap_error=None
--- a/features/weights.feature
+++ b/features/weights.feature
@@ -21,6 +21,12 @@
     Then all weights engines hold version 2
     And weights engine-1 has been ordered 3 times
 
+  Scenario: A swap that hangs holds up no other engine
+    Given a weights pool of 5 engines with floor 0.5, owned by 2 nodes
+    And weights engine-1 never finishes a swap
+    When weights version 2 is declared
+    Then all weights engines but engine-1 hold version 2
+
   Scenario: A version that the store does not hold changes no engine
     Given a weights pool of 3 engines with floor 0.5, owned by 1 nodes
     And a weights store without version 2
@@ -34,3 +40,12 @@
     When weights version 2 is declared
     Then all weights engines hold version 2
     And no weights engine is ordered back to version 1
+
+  Scenario: Orders late, lost, failed and from two owners at once
+    Then weights orders and engines agree whatever happens
+
+  Scenario: A pool that has lost engines goes below its floor one engine at a time
+    Given a weights rollout of 4 engines with floor 0.5 waiting 30 s at most
+    When 2 weights engines are leaving
+    Then no weights swap is permitted before 30 s have passed
+    And after that one weights swap at a time is permitted
--- a/src/bellweir/settings/models.py
+++ b/src/bellweir/settings/models.py
@@ -145,6 +145,9 @@
     """Engines that fetch a version from the same engine at once. Default 2."""
     permit_s: float = Field(default=30.0, gt=0)
     """Time after which a swap that came to nothing counts as over, in seconds. Default 30."""
+    floor_patience_s: float = Field(default=30.0, ge=0)
+    """Time for which a pool's floor may keep back every swap; then one engine at a time goes
+    below it. In seconds, default 30."""
 
 
 class TrustSettings(Concern):
--- a/src/bellweir/weights/engine_watch.py
+++ b/src/bellweir/weights/engine_watch.py
@@ -95,7 +95,12 @@
     def report(self, now_s: float, *, is_available: bool) -> WorkerReport:
         """The engine as the rollout's pacing sees it; `is_available`: the store has the version."""
         state = self.state
-        is_ready = state is not None and state.ready and state.weight_version is not None
+        is_ready = (
+            state is not None
+            and state.ready
+            and not state.leaving
+            and state.weight_version is not None
+        )
         wants_swap = self.wants_order(now_s) and self.costs_capacity() and is_available
         return WorkerReport(
             worker=self.target.worker,
--- a/src/bellweir/weights/pacing.py
+++ b/src/bellweir/weights/pacing.py
@@ -56,5 +56,6 @@
             store_readers=self._settings.store_readers,
             fanout=self._settings.fanout,
             permit_s=self._settings.permit_s,
+            patience_s=self._settings.floor_patience_s,
             forget_s=FORGET_S,
         )
--- a/src/bellweir/weights/plan.py
+++ b/src/bellweir/weights/plan.py
@@ -5,7 +5,6 @@
 """
 
 import threading
-from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -47,10 +46,14 @@
     name: str
     address: str
     zone: str
+    leaving: bool
 
 
 def plan_targets(snapshot: ConfigurationSnapshot) -> dict[str, WorkerTarget]:
-    """Targets by worker name, for every engine pool whose policies name a version."""
+    """Targets by worker name, for every engine pool whose policies name a version.
+
+    Engines that are leaving get none: they keep what they have until they are gone.
+    """
     targets: dict[str, WorkerTarget] = {}
     for name in sorted(snapshot.pools):
         pool = snapshot.pools[name]
@@ -66,7 +69,7 @@
         self._lock = threading.Lock()
         self._snapshot: ConfigurationSnapshot | None = None
         self._targets: dict[str, WorkerTarget] = {}
-        self._sizes: Counter[str] = Counter()
+        self._sizes: dict[str, int] = {}
 
     def targets(self, snapshot: ConfigurationSnapshot) -> dict[str, WorkerTarget]:
         """Targets by worker name; not to be changed."""
@@ -75,21 +78,23 @@
             return self._targets
 
     def pool_size(self, snapshot: ConfigurationSnapshot, pool: str) -> int:
-        """Engines of a pool that have a target."""
+        """Engines of a pool, leaving ones included: these are capacity that the pool lacks."""
         with self._lock:
             self._refresh(snapshot)
-            return self._sizes[pool]
+            return self._sizes.get(pool, 0)
 
     def _refresh(self, snapshot: ConfigurationSnapshot) -> None:
         if snapshot is not self._snapshot:
             self._snapshot = snapshot
             self._targets = plan_targets(snapshot)
-            self._sizes = Counter(target.pool for target in self._targets.values())
+            self._sizes = {
+                name: len(_places(snapshot, pool)) for name, pool in snapshot.pools.items()
+            }
 
 
 def _plan_pool(snapshot: ConfigurationSnapshot, pool: Pool) -> Iterator[WorkerTarget]:
     shares = list(_shares(snapshot, pool))
-    places = _places(snapshot, pool)
+    places = [place for place in _places(snapshot, pool) if not place.leaving]
     pool_revision = pool.metadata.resource_version or 0
     for place, share in zip(places, _allocate(shares, len(places)), strict=False):
         yield WorkerTarget(
@@ -114,17 +119,16 @@
 
 
 def _places(snapshot: ConfigurationSnapshot, pool: Pool) -> list[_Place]:
-    """Engines of a pool by name; those that leave are left alone."""
+    """Engines of a pool by name."""
     places = {
-        worker.name: _Place(worker.name, worker.address, worker.zone)
+        worker.name: _Place(worker.name, worker.address, worker.zone, worker.leaving)
         for worker in pool.spec.workers
-        if not worker.leaving
     }
     if pool.spec.from_machine_list:
         for machine in snapshot.machines.values():
-            is_listed = machine.pool == pool.metadata.name and machine.role == "engine"
-            if is_listed and machine.state is MachineState.LIVE:
-                place = _Place(machine.name, machine.address, machine.zone)
+            if machine.pool == pool.metadata.name and machine.role == "engine":
+                leaving = machine.state is MachineState.LEAVING
+                place = _Place(machine.name, machine.address, machine.zone, leaving)
                 places.setdefault(machine.name, place)
     return [places[name] for name in sorted(places)]
 
--- a/src/bellweir/weights/rollout.py
+++ b/src/bellweir/weights/rollout.py
@@ -25,6 +25,9 @@
     """Engines that fetch one version from the same engine at once."""
     permit_s: float
     """Time after which a permit that came to nothing is given to another engine."""
+    patience_s: float
+    """Time without any swap after which one engine may go below the floor: else a pool that
+    has lost half its engines would never get another version."""
     forget_s: float
     """Time after which an engine that nobody reports counts no more."""
 
@@ -52,6 +55,8 @@
     limits: RolloutLimits
     store_address: str | None
     _workers: dict[str, _Known] = field(default_factory=dict)
+    _blocked_since_s: float | None = None
+    """Since when the floor has kept every swap back."""
 
     def take_report(self, report: PoolReport, now_s: float) -> tuple[SwapPermit, ...]:
         """Take up an owner's report and return the permits for its engines."""
@@ -95,7 +100,7 @@
         if known.permit is not None:
             # The answer that carried it may have been lost: say it again.
             return SwapPermit(worker.worker, self._sources(known.permit.source))
-        if not worker.wants_swap or not self._keeps_floor(worker):
+        if not worker.wants_swap or not self._may_go(worker, now_s):
             return None
         source = self._choose_source(worker)
         if source is None and not self._may_read_store(worker):
@@ -111,6 +116,19 @@
     def _is_serving(self, known: _Known) -> bool:
         return known.report.is_ready and known.permit is None
 
+    def _may_go(self, worker: WorkerReport, now_s: float) -> bool:
+        """Whether the floor allows this swap, or has kept all of them back for too long."""
+        is_swapping = any(known.permit is not None for known in self._workers.values())
+        if is_swapping or self._keeps_floor(worker):
+            self._blocked_since_s = None
+            return self._keeps_floor(worker)
+        if self._blocked_since_s is None:
+            self._blocked_since_s = now_s
+        if now_s - self._blocked_since_s < self.limits.patience_s:
+            return False
+        self._blocked_since_s = None
+        return True
+
     def _keeps_floor(self, worker: WorkerReport) -> bool:
         """Whether enough engines serve when this one doesn't.
 
--- a/src/bellweir/weights/service.py
+++ b/src/bellweir/weights/service.py
@@ -58,6 +58,11 @@
 
     def start(self) -> None:
         """Begin to watch this node's engines."""
+        self.connect()
+        self._kernel.executors.run_task("weights", self._run)
+
+    def connect(self) -> None:
+        """Find the other services and answer owners' reports, without rounds of its own."""
         registry = self._kernel.registry
         self._configuration = registry.find(
             names.CONFIGURATION,
@@ -79,7 +84,6 @@
         )
         self._transport.register(PoolReport, self._on_report)
         self._configuration.subscribe(lambda _snapshot: self._wake.set())
-        self._kernel.executors.run_task("weights", self._run)
 
     def stop(self) -> None:
         """End the rounds; engines keep what they hold."""
