--- a/features/support/fake_services.py
+++ b/features/support/fake_services.py
@@ -119,14 +119,25 @@
     refuse: bool = False
     cut_after_tokens: int | None = None
     hold: threading.Event | None = None
+    hold_after_tokens: int = 0
     held_prompts: frozenset[str] = frozenset()
+    """Prompts that `hold` stops; empty for all."""
+    token_s: float = 0.0
+    slow_worker_token_s: float = 0.0
+    """Time of a token on engine-1, when it is slower than the others."""
     requests: list[GenerationRequest] = field(default_factory=list)
+    started: int = 0
     nodes: dict[str, str] = field(default_factory=dict)
     """Node that asked, by request id."""
     cancelled: list[str] = field(default_factory=list)
 
-    def waits(self, prompt: str) -> bool:
-        if self.hold is None or self.hold.is_set():
+    def next_worker(self) -> str:
+        """Engine-1 gets every third generation."""
+        self.started += 1
+        return "engine-1" if self.started % 3 == 0 else "engine-2"
+
+    def waits(self, prompt: str, number: int) -> bool:
+        if self.hold is None or self.hold.is_set() or number < self.hold_after_tokens:
             return False
         return not self.held_prompts or prompt in self.held_prompts
 
@@ -143,12 +154,12 @@
         self._script = script
         self._request = request
         self._cancelled = threading.Event()
+        self._worker = "engine-2" if "engine-1" in request.avoid_workers else script.next_worker()
 
     def __iter__(self) -> Iterator[Result[GenerationChunk, Refusal]]:
         first = len(self._request.prefix_tokens)
         for number in range(first, self._script.tokens):
-            while self._script.waits(self._request.prompt) and not self._cancelled.is_set():
-                self._cancelled.wait(0.005)
+            self._pass_time(number)
             if self._cancelled.is_set():
                 yield Failure(CANCELLED)
                 return
@@ -157,13 +168,20 @@
                 return
             yield Success(self._chunk(number))
 
+    def _pass_time(self, number: int) -> None:
+        waits = self._script.waits
+        while waits(self._request.prompt, number) and not self._cancelled.is_set():
+            self._cancelled.wait(0.005)
+        is_slow = self._worker == "engine-1" and self._script.slow_worker_token_s > 0
+        self._cancelled.wait(self._script.slow_worker_token_s if is_slow else self._script.token_s)
+
     def _chunk(self, number: int) -> GenerationChunk:
         is_last = number == self._script.tokens - 1
         return GenerationChunk(
             tokens=(number,),
             text=f"{self._request.request_id[:4]}.{number} ",
             weight_version=self._script.version,
-            worker="engine-1",
+            worker=self._worker,
             finish_reason=FinishReason.STOP if is_last else None,
         )
 
