--- a/src/bellweir_rehearsal/promises/loading.py
+++ b/src/bellweir_rehearsal/promises/loading.py
@@ -1,9 +1,9 @@
 """Reads the logs of stand-ins and the kit's journal into evidence."""
 
-import json
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Any
+
+import msgspec
 
 from bellweir_rehearsal.promises.evidence import (
     ApplicationRun,
@@ -15,13 +15,42 @@
 )
 from bellweir_rehearsal.records.journal import read_journal
 from bellweir_rehearsal.records.model import Record
+from bellweir_rehearsal.standins import application, object_api
+from bellweir_rehearsal.standins.records import (
+    GenerationEnded,
+    GenerationStarted,
+    TokensProduced,
+    WorkRefused,
+)
+from bellweir_rehearsal.standins.runlog import Record as StandinRecord
 from bellweir_rehearsal.topology.layout import RunFolder
 
-Line = dict[str, Any]
+LOADED_RECORDS: dict[str, type[StandinRecord]] = {
+    kind.__name__: kind
+    for kind in (
+        GenerationStarted,
+        TokensProduced,
+        GenerationEnded,
+        WorkRefused,
+        application.ApplicationRun,
+        object_api.ObjectWrite,
+    )
+}
+"""Records of stand-ins that promises are checked against; others are passed over."""
+
+
+class LineHeader(msgspec.Struct):
+    """What every line of a log has."""
+
+    record: str = ""
+    time_s: float = 0.0
 
 
 def load_evidence(folder: RunFolder) -> Evidence:
-    """Read everything that a run has logged. Raises `ValueError` when a log is damaged."""
+    """Read everything that a run has logged.
+
+    Raises `msgspec.MsgspecError` when a line is damaged that is not the torn last one of a log.
+    """
     evidence = Evidence()
     evidence.records = sorted(read_journal(folder.journal), key=_time_s)
     for path in sorted(folder.logs.glob("engine-*.jsonl")):
@@ -33,12 +62,19 @@
     return evidence
 
 
-def read_lines(path: Path) -> Iterator[Line]:
-    """Yield the JSON objects of a log; a torn last line is left out."""
+def read_lines(path: Path) -> Iterator[bytes]:
+    """Yield the lines of a log; a torn last line is left out."""
     with path.open("rb") as lines:
         for line in lines:
             if line.endswith(b"\n"):
-                yield json.loads(line)
+                yield line
+
+
+def _read_records(path: Path) -> Iterator[StandinRecord]:
+    for line in read_lines(path):
+        kind = LOADED_RECORDS.get(msgspec.json.decode(line, type=LineHeader).record)
+        if kind is not None:
+            yield msgspec.json.decode(line, type=kind)
 
 
 def _time_s(record: Record) -> float:
@@ -46,30 +82,30 @@
 
 
 def _load_engine(path: Path, evidence: Evidence) -> None:
-    started: dict[str, Line] = {}
+    started: dict[str, GenerationStarted] = {}
     produced: dict[str, list[TokenRun]] = {}
     outcomes: dict[str, str] = {}
-    for line in read_lines(path):
-        kind = line["record"]
-        if kind == "GenerationStarted":
-            started[line["attempt_id"]] = line
-        elif kind == "TokensProduced":
-            run = TokenRun(line["first_token"], line["token_count"], line["weight_version"])
-            produced.setdefault(line["attempt_id"], []).append(run)
-        elif kind == "GenerationEnded":
-            outcomes[line["attempt_id"]] = line["outcome"]
-        elif kind == "WorkRefused":
-            evidence.work_offered.append(_offer(line))
-    for attempt_id, line in started.items():
+    for record in _read_records(path):
+        match record:
+            case GenerationStarted():
+                started[record.attempt_id] = record
+            case TokensProduced():
+                run = TokenRun(record.first_token, record.token_count, record.weight_version)
+                produced.setdefault(record.attempt_id, []).append(run)
+            case GenerationEnded():
+                outcomes[record.attempt_id] = record.outcome
+            case WorkRefused():
+                evidence.work_offered.append(_offer(record))
+    for attempt_id, record in started.items():
         evidence.engine_attempts.append(
             EngineAttempt(
-                engine=line["standin"],
+                engine=record.standin,
                 attempt_id=attempt_id,
-                request_id=line["request_id"],
-                prompt=line["prompt"],
-                seed=line.get("seed"),
-                began_s=line["time_s"],
-                first_token=line["first_token"],
+                request_id=record.request_id,
+                prompt=record.prompt,
+                seed=record.seed,
+                began_s=record.time_s,
+                first_token=record.first_token,
                 outcome=outcomes.get(attempt_id),
                 runs=tuple(produced.get(attempt_id, ())),
             )
@@ -77,41 +113,41 @@
 
 
 def _load_application(path: Path, evidence: Evidence) -> None:
-    for line in read_lines(path):
-        if line["record"] == "WorkRefused":
-            evidence.work_offered.append(_offer(line))
-        if line["record"] != "ApplicationRun":
-            continue
-        evidence.application_runs.append(
-            ApplicationRun(
-                worker=line["standin"],
-                time_s=line["time_s"],
-                attempt_id=line["attempt_id"],
-                request_id=line["request_id"],
-                idempotency_key=line["idempotency_key"],
-                method=line["method"],
-                target=f"{line['path']}?{line['query']}",
-                body_sha256=line["body_sha256"],
-            )
-        )
+    for record in _read_records(path):
+        match record:
+            case WorkRefused():
+                evidence.work_offered.append(_offer(record))
+            case application.ApplicationRun():
+                evidence.application_runs.append(_application_run(record))
+
+
+def _application_run(record: application.ApplicationRun) -> ApplicationRun:
+    return ApplicationRun(
+        worker=record.standin,
+        time_s=record.time_s,
+        attempt_id=record.attempt_id or "",
+        request_id=record.request_id,
+        idempotency_key=record.idempotency_key,
+        method=record.method,
+        target=f"{record.path}?{record.query}",
+        body_sha256=record.body_sha256,
+    )
 
 
 def _load_store(path: Path, evidence: Evidence) -> None:
-    for line in read_lines(path):
-        if line["record"] == "ObjectWrite":
+    for record in _read_records(path):
+        if isinstance(record, object_api.ObjectWrite):
             evidence.store_writes.append(
                 StoreWrite(
-                    line["time_s"],
-                    line["kind"],
-                    line["name"],
-                    line["version"],
-                    line["deleted"],
-                    line["mutation_id"],
+                    record.time_s,
+                    record.kind,
+                    record.name,
+                    record.version,
+                    record.deleted,
+                    record.mutation_id,
                 )
             )
 
 
-def _offer(line: Line) -> WorkOffered:
-    return WorkOffered(
-        line["standin"], line["time_s"], line["reason"], line.get("request_id") or ""
-    )
+def _offer(record: WorkRefused) -> WorkOffered:
+    return WorkOffered(record.standin, record.time_s, record.reason, record.request_id or "")
--- a/src/bellweir_rehearsal/promises/story.py
+++ b/src/bellweir_rehearsal/promises/story.py
@@ -7,7 +7,9 @@
 from pathlib import Path
 from typing import Any
 
-from bellweir_rehearsal.promises.loading import read_lines
+import msgspec
+
+from bellweir_rehearsal.promises.loading import LineHeader, read_lines
 from bellweir_rehearsal.topology.layout import RunFolder
 
 MAXIMUM_LINES = 200
@@ -59,8 +61,10 @@
     found: list[StoryLine] = []
     for path in sorted(folder.logs.glob("*.jsonl")):
         found += [
-            StoryLine(document.get("time_s", 0.0), path.stem, json.dumps(document))
-            for document in read_lines(path)
+            StoryLine(
+                msgspec.json.decode(line, type=LineHeader).time_s, path.stem, line.decode().strip()
+            )
+            for line in read_lines(path)
         ]
     for path in sorted(folder.outputs.glob("node-*.txt")):
         found += _node_lines(path)
