--- a/src/bellweir_rehearsal/experiments/file.py
+++ b/src/bellweir_rehearsal/experiments/file.py
@@ -11,7 +11,7 @@
     targets_of,
     with_targets,
 )
-from bellweir_rehearsal.load.mix import Load
+from bellweir_rehearsal.load.mix import Load, TrafficClass
 from bellweir_rehearsal.load.standard import MODEST_RATE_FOR_EACH_S, standard_load
 from bellweir_rehearsal.plan import RunPlan
 from bellweir_rehearsal.topology.deployment import (
@@ -31,6 +31,8 @@
     """Routing strategy of the engine pools."""
     settings: dict[str, dict[str, object]] = Field(default_factory=dict)
     """Settings of all nodes, by concern."""
+    extra_traffic: tuple[TrafficClass, ...] = ()
+    """Traffic that only this variant has, beside that of the experiment."""
 
 
 class Experiment(Part):
@@ -68,9 +70,11 @@
         faults = with_targets(self.faults, targets, seed)
         if self.random_faults:
             faults = random_schedule(targets, self.duration_s, seed)
+        load = self.load or standard_load(deployment, self.rate_for_each_s)
+        traffic = load.traffic + variant.extra_traffic
         return RunPlan(
             deployment=_with_strategy(deployment, variant.strategy),
-            load=self.load or standard_load(deployment, self.rate_for_each_s),
+            load=load.model_copy(update={"traffic": traffic}),
             duration_s=self.duration_s,
             seed=seed,
             faults=faults,
--- a/src/bellweir_rehearsal/load/generator.py
+++ b/src/bellweir_rehearsal/load/generator.py
@@ -6,6 +6,7 @@
 import uuid
 from collections.abc import Callable, Sequence
 from concurrent.futures import Future, ThreadPoolExecutor
+from functools import partial
 
 from bellweir_rehearsal.callers.caller import ApplicationWish, Caller, CompletionWish
 from bellweir_rehearsal.load.lengths import LengthModel
@@ -13,9 +14,9 @@
 from bellweir_rehearsal.load.prompts import PromptSource
 from bellweir_rehearsal.load.schedule import Arrival, merged_arrivals
 from bellweir_rehearsal.load.statistics import ClassStatistics, ClassSummary
-from bellweir_rehearsal.records.model import CallEnded
 
-DRAIN_TIMEOUT_S = 60.0
+RACING_SHARE = 0.15
+"""Share of the requests not to be repeated that two callers send at once, with the same key."""
 
 ProgressListener = Callable[[int], None]
 """Called with the number of requests ended so far."""
@@ -56,9 +57,9 @@
                     break
                 if stop.wait(max(0.0, began + arrival.at_s - time.monotonic())):
                     break
-                self._room.acquire()
-                call = self._prepare(arrival, began_wall_s + arrival.at_s)
-                pool.submit(call).add_done_callback(self._finished)
+                for call in self._prepare(arrival, began_wall_s + arrival.at_s):
+                    self._room.acquire()
+                    pool.submit(call).add_done_callback(self._finished)
                 self._report(on_progress)
         self._report(on_progress)
         if self._first_failure is not None:
@@ -78,37 +79,36 @@
             self._ended += 1
             self._first_failure = self._first_failure or future.exception()
 
-    def _prepare(self, arrival: Arrival, scheduled_s: float) -> Callable[[], None]:
+    def _prepare(self, arrival: Arrival, scheduled_s: float) -> list[Callable[[], None]]:
+        """The calls of one arrival: one, or two racing ones with the same key."""
         entry = self._load.traffic[arrival.class_index]
+        if entry.kind == "completion":
+            return [self._completion(entry, arrival, scheduled_s)]
+        wish = self._application_wish(entry, scheduled_s)
+        callers = [self._random.choice(self._callers)]
+        if wish.idempotency_key is not None and self._random.random() < RACING_SHARE:
+            callers.append(self._random.choice(self._callers))
         statistics = self._statistics[arrival.class_index]
-        caller = self._random.choice(self._callers)
-        send = self._completion if entry.kind == "completion" else self._application
-        request = send(entry, caller, scheduled_s, arrival.number)
-
-        def run() -> None:
-            statistics.record(scheduled_s, request())
-
-        return run
+        return [partial(_request, caller, wish, statistics) for caller in callers]
 
     def _completion(
-        self, entry: TrafficClass, caller: Caller, scheduled_s: float, number: int
-    ) -> Callable[[], CallEnded | None]:
+        self, entry: TrafficClass, arrival: Arrival, scheduled_s: float
+    ) -> Callable[[], None]:
         wish = CompletionWish(
             policy=entry.target,
-            prompt=self._prompts.prompt(f"{entry.name}/{self._seed}/{number}"),
+            prompt=self._prompts.prompt(f"{entry.name}/{self._seed}/{arrival.number}"),
             max_tokens=LengthModel(entry.median_tokens).draw(self._random),
             request_class=entry.request_class,
             streamed=self._random.random() < entry.streamed_share,
             deadline_ms=entry.deadline_ms,
             scheduled_s=scheduled_s,
         )
-        return lambda: caller.complete(wish)
+        caller = self._random.choice(self._callers)
+        return partial(_complete, caller, wish, self._statistics[arrival.class_index])
 
-    def _application(
-        self, entry: TrafficClass, caller: Caller, scheduled_s: float, number: int
-    ) -> Callable[[], CallEnded | None]:
+    def _application_wish(self, entry: TrafficClass, scheduled_s: float) -> ApplicationWish:
         once = entry.request_class == "once"
-        wish = ApplicationWish(
+        return ApplicationWish(
             pool=entry.target,
             # Unique, so that a worker's log tells which request was run.
             path=f"{entry.path}?wish={uuid.uuid4().hex}",
@@ -119,4 +119,11 @@
             deadline_ms=entry.deadline_ms,
             scheduled_s=scheduled_s,
         )
-        return lambda: caller.request(wish)
+
+
+def _complete(caller: Caller, wish: CompletionWish, statistics: ClassStatistics) -> None:
+    statistics.record(wish.scheduled_s, caller.complete(wish))
+
+
+def _request(caller: Caller, wish: ApplicationWish, statistics: ClassStatistics) -> None:
+    statistics.record(wish.scheduled_s, caller.request(wish))
--- a/src/bellweir_rehearsal/load/mix.py
+++ b/src/bellweir_rehearsal/load/mix.py
@@ -63,6 +63,9 @@
     train_s: float = Field(default=2.0, ge=0)
     step_timeout_s: float = Field(default=45.0, gt=0)
     steps: int | None = Field(default=None, ge=1)
+    """Steps of each trainer; as many as fit into the run when left out."""
+    publishes: bool = True
+    """Whether a new version is published after each step."""
 
 
 class Load(Part):
--- a/src/bellweir_rehearsal/load/standard.py
+++ b/src/bellweir_rehearsal/load/standard.py
@@ -13,8 +13,11 @@
         traffic += _application_traffic(pool.name, pool.once_paths, rate_for_each_s)
     for policy in deployment.policies:
         traffic += _completion_traffic(policy.name, rate_for_each_s)
-    trainers = tuple(TrainerLoad(policy=policy.name) for policy in deployment.policies)
-    return Load(traffic=tuple(traffic), trainers=trainers)
+    trainers: list[TrainerLoad] = []
+    for policy in deployment.policies:
+        trainers.append(TrainerLoad(policy=policy.name))
+        trainers.append(TrainerLoad(policy=policy.name, publishes=False, train_s=1.0))
+    return Load(traffic=tuple(traffic), trainers=tuple(trainers))
 
 
 def _application_traffic(
--- a/src/bellweir_rehearsal/rehearsal.py
+++ b/src/bellweir_rehearsal/rehearsal.py
@@ -55,7 +55,7 @@
         self._publisher = Publisher(
             plan.deployment, self.cluster.weight_store, self._operator_named("publisher")
         )
-        self._load = LoadGenerator(plan.load, (), plan.seed)
+        self._load: LoadGenerator | None = None
 
     def __enter__(self) -> "Rehearsal":
         """Return the rehearsal; nothing is started by this."""
@@ -88,11 +88,12 @@
         """Apply load and faults for the plan's time, and wait for what is in hand."""
         stop = stop or threading.Event()
         ended = threading.Event()
-        self._load = LoadGenerator(self.plan.load, self._callers(), self.plan.seed)
+        load = LoadGenerator(self.plan.load, self._callers(), self.plan.seed)
+        self._load = load
         with ThreadPoolExecutor(MAXIMUM_TASKS, "rehearsal") as pool:
             observation = pool.submit(self._observe_nodes, pool, ended)
             try:
-                self._run_tasks(pool, stop)
+                self._run_tasks(pool, load, stop)
                 self._report("settling", 1.0)
                 stop.wait(self.plan.settle_s)
             finally:
@@ -117,18 +118,21 @@
         if mutation is not None:
             evidence = mutation.apply(evidence)
         verdicts = check_promises(evidence)
-        return summarize(self.plan, evidence, verdicts, self._load.summaries())
+        summaries = self._load.summaries() if self._load is not None else ()
+        return summarize(self.plan, evidence, verdicts, summaries)
 
-    def _run_tasks(self, pool: ThreadPoolExecutor, stop: threading.Event) -> None:
+    def _run_tasks(
+        self, pool: ThreadPoolExecutor, generator: LoadGenerator, stop: threading.Event
+    ) -> None:
         load_over = threading.Event()
         began = time.monotonic()
         load = pool.submit(
-            self._load.run, self.plan.duration_s, stop, lambda ended: self._tell(began, ended)
+            generator.run, self.plan.duration_s, stop, lambda ended: self._tell(began, ended)
         )
         trainers = [
             pool.submit(trainer.run, load_over)
-            for entry in self.plan.load.trainers
-            for trainer in self._trainers(entry)
+            for group, entry in enumerate(self.plan.load.trainers, start=1)
+            for trainer in self._trainers(entry, group)
         ]
         faults = pool.submit(self._injector().run, stop)
         try:
@@ -156,7 +160,7 @@
             for number in range(1, self.plan.load.callers_for_each_node + 1)
         ]
 
-    def _trainers(self, entry: TrainerLoad) -> list[Trainer]:
+    def _trainers(self, entry: TrainerLoad, group: int) -> list[Trainer]:
         plan = TrainerPlan(
             policy=entry.policy,
             prompts_for_each_step=entry.prompts_for_each_step,
@@ -167,17 +171,18 @@
             step_timeout_s=entry.step_timeout_s,
             scorer=self.cluster.scorer.address,
             steps=entry.steps,
+            publish=entry.publishes,
         )
         return [
             Trainer(
-                f"trainer-{entry.policy}-{number}",
+                f"trainer-{entry.policy}-{group}-{number}",
                 plan,
                 StepClient(self._client, self.cluster.directory),
                 self._journal,
                 self._publisher.newest,
                 self._publish,
                 step_prompts,
-                self.plan.seed * 100 + number,
+                self.plan.seed * 10_000 + group * 100 + number,
             )
             for number in range(1, entry.trainers + 1)
         ]
