--- a/features/support/routing_fakes.py
+++ b/features/support/routing_fakes.py
@@ -118,6 +118,7 @@
     dead: bool = False
     leaving: bool = False
     gate: threading.Event | None = None
+    maximum_batch: int = 64
 
     def generate(self, call):
         if self.dead:
@@ -135,7 +136,7 @@
         return Success(
             EngineState(
                 self.name, True, self.leaving, self.model, self.version, (), EngineRole.MIXED,
-                (0, 0), 0, 0, 0, 0, 64,
+                (0, 0), 0, 0, 0, 0, self.maximum_batch,
             )
         )  # fmt: skip
 
--- a/src/bellweir/routing/admission.py
+++ b/src/bellweir/routing/admission.py
@@ -8,6 +8,7 @@
 
 from bellweir.kernel.clock import Clock
 from bellweir.resources.models import ClassLimits, RequestClass
+from bellweir.routing.adaptive_limit import AdaptiveLimit
 from bellweir.routing.fair_queue import FairQueue
 from bellweir.routing.interface import Refusal, RefusalReason, RunState
 
@@ -22,8 +23,11 @@
     RequestClass.ONCE: ClassLimits(),
     RequestClass.DRAFT: ClassLimits(concurrency=128, queue=8, timeout_s=600.0),
 }
-"""Limits of classes that a pool's spec does not name. Drafts hardly queue here: training steps
-keep their own queue, and a draft that waits must not hold a request thread."""
+"""Limits of classes that an engine pool's spec does not name. Drafts hardly queue here: training
+steps keep their own queue, and a draft that waits must not hold a request thread."""
+
+APPLICATION_DRAFT_LIMITS = ClassLimits(concurrency=8, queue=8, timeout_s=600.0)
+"""Drafts on application pools: those workers know no priorities."""
 
 
 class _Verdict(Enum):
@@ -64,6 +68,7 @@
     def __init__(self, limits: ClassLimits, clock: Clock) -> None:
         self._limits = limits
         self._clock = clock
+        self._limit = AdaptiveLimit(limits.concurrency, clock.monotonic_s())
         self._lock = threading.Lock()
         self._running = 0
         self._queue: FairQueue[_Waiter] = FairQueue()
@@ -73,6 +78,7 @@
         """Take over changed limits; requests already admitted or queued keep their places."""
         with self._lock:
             self._limits = limits
+            self._limit.reconfigure(limits.concurrency)
             self._grant(self._clock.monotonic_s())
 
     @property
@@ -91,8 +97,12 @@
         return len(self._queue)
 
     def concurrency(self) -> int:
-        """Requests that may run at once."""
-        return self._limits.concurrency
+        """Requests that may run at once, as adapted to the latency seen."""
+        return self._limit.value
+
+    def note_latency(self, latency_s: float) -> None:
+        """Take the time that a back end took to answer, or to give the first token."""
+        self._limit.sample(latency_s, self._running, self._clock.monotonic_s())
 
     def enter(self, caller: str, deadline_s: float) -> Result[Permit, Refusal]:
         """Wait for a place until the deadline, or refuse at once what cannot be served."""
--- a/src/bellweir/routing/attempts.py
+++ b/src/bellweir/routing/attempts.py
@@ -26,12 +26,12 @@
 class AttemptHold:
     """An attempt's place on its back end; ended once, from any thread."""
 
-    def __init__(self, backend: Backend, clock: Clock) -> None:
+    def __init__(self, backend: Backend, clock: Clock, *, interactive: bool) -> None:
         self.backend = backend
         self._clock = clock
         self._ended = False
         self._lock = threading.Lock()
-        backend.start_request(clock.monotonic_s())
+        backend.start_request(clock.monotonic_s(), interactive=interactive)
 
     def succeed(self) -> None:
         """End it; the back end has proved healthy."""
@@ -73,6 +73,16 @@
         self.tried: set[str] = set()
         self.proved_not_run = True
         self._made_progress = False
+        self._no_room = False
+
+    @property
+    def lacks_room(self) -> bool:
+        """Whether nothing was tried because drafts fill every engine as far as they may."""
+        return self._no_room and self._last_error is None
+
+    def note_no_room(self) -> None:
+        """Note that drafts fill every engine as far as they may."""
+        self._no_room = True
 
     def note_failure(self, backend: Backend, error: PlatformError) -> None:
         """Note a failed attempt."""
@@ -111,6 +121,9 @@
         error = self._last_error
         if self._past_deadline():
             return Refusal(RefusalReason.DEADLINE, state, "the deadline has passed")
+        if self._no_room:
+            detail = "drafts fill every engine as far as they may"
+            return Refusal(RefusalReason.OVERLOADED, state, detail, RETRY_AFTER_S)
         if error is None:
             detail = "no ready back end serves this request"
             return Refusal(RefusalReason.NO_BACKEND, state, detail, RETRY_AFTER_S)
--- a/src/bellweir/routing/backend.py
+++ b/src/bellweir/routing/backend.py
@@ -12,6 +12,11 @@
 from bellweir.routing.pool_workers import PoolWorker
 
 HISTORY_ENTRIES = 256
+DRAFT_SPACING_S = 0.025
+"""Drafts of one node start this far apart on an engine that callers use too: the prompts of many
+at once would fill a step of the batch that a caller waits for."""
+INTERACTIVE_MEMORY_S = 10.0
+"""Drafts keep out of a share of an engine's batch for this long after a caller's request."""
 LEAVING_KEPT_S = 5.0
 """A back end's own word that it leaves outlasts reports that were late for this long."""
 
@@ -29,6 +34,8 @@
     model: str | None = None
     maximum_batch: int = 0
     """Requests an engine runs at once; 0 when not known."""
+    interactive: int = 0
+    """Requests that callers wait for on it, from nodes that have told its owner."""
 
 
 class Backend:
@@ -47,6 +54,8 @@
         self._history: deque[tuple[float, int]] = deque(maxlen=HISTORY_ENTRIES)
         self._leaving_said = False
         self._leaving_said_s = 0.0
+        self._interactive_s = -INTERACTIVE_MEMORY_S
+        self._draft_s = 0.0
 
     @property
     def worker(self) -> PoolWorker:
@@ -121,9 +130,29 @@
         self._leaving_said_s = now_s
         self._leaving_said = True
 
-    def start_request(self, now_s: float) -> None:
-        """Count a request that is about to be sent."""
+    def has_draft_room(self, draft_share: float, now_s: float) -> bool:
+        """Whether an engine may take another draft.
+
+        While callers use the engine too, drafts fill only a share of its batch: each sequence
+        more makes every token of the batch slower, which priorities can't mend.
+        """
+        report = self._report
+        if report is None or report.maximum_batch == 0:
+            return True
+        room = report.maximum_batch
+        if report.interactive or now_s - self._interactive_s < INTERACTIVE_MEMORY_S:
+            if now_s - self._draft_s < DRAFT_SPACING_S:
+                return False
+            room = max(1, int(room * draft_share))
+        return self.load() < room
+
+    def start_request(self, now_s: float, *, interactive: bool = False) -> None:
+        """Count a request that is about to be sent; `interactive` when a caller waits for it."""
         with self._lock:
+            if interactive:
+                self._interactive_s = now_s
+            else:
+                self._draft_s = now_s
             self._in_flight += 1
             self._history.append((now_s, self._in_flight))
             self._circuit.on_start(now_s)
--- a/src/bellweir/routing/forwarding.py
+++ b/src/bellweir/routing/forwarding.py
@@ -94,6 +94,7 @@
         deadline_s: float,
         *,
         repeatable: bool,
+        on_latency: Callable[[float], None],
         before_send: Callable[[], Refusal | None] = lambda: None,
     ) -> Result[ApplicationAnswer, Refusal]:
         """Try until an answer comes or no further attempt is allowed.
@@ -109,9 +110,12 @@
             refusal = before_send()
             if refusal is not None:
                 return Failure(refusal)
+            began_s = self._clock.monotonic_s()
             match self._attempt(request, body, backend, deadline_s):
                 case Success(answer):
-                    runtime.budget.on_success(self._clock.monotonic_s())
+                    now_s = self._clock.monotonic_s()
+                    on_latency(now_s - began_s)
+                    runtime.budget.on_success(now_s)
                     return Success(answer)
                 case Failure(error):
                     attempts.note_failure(backend, error)
@@ -146,7 +150,8 @@
             body_length=body.length,
             timeout_s=max(0.001, deadline_s - self._clock.monotonic_s()),
         )
-        hold = AttemptHold(backend, self._clock)
+        interactive = request.request_class is not RequestClass.DRAFT
+        hold = AttemptHold(backend, self._clock, interactive=interactive)
         self._counters.count_attempt()
         try:
             sent = self._clients.application(backend.address).send(call)
--- a/src/bellweir/routing/generation.py
+++ b/src/bellweir/routing/generation.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections.abc import Callable, Iterator
+from dataclasses import dataclass
 
 from returns.result import Failure, Result, Success
 
@@ -28,6 +29,16 @@
 CUT = PlatformError(ErrorKind.UNKNOWN, "the stream ended without an end marker")
 
 
+@dataclass(frozen=True)
+class GenerationListener:
+    """What the dispatcher wants to know of a running generation."""
+
+    on_first_token: Callable[[float], None]
+    """Seconds from the start of the first attempt."""
+    on_end: Callable[[str], None]
+    """Outcome; called once."""
+
+
 class RoutedGeneration(Generation):
     """Chunks of one request; a cut stream goes on elsewhere from the tokens had.
 
@@ -44,7 +55,7 @@
         first: RunningAttempt,
         deadline_s: float,
         clock: Clock,
-        on_end: Callable[[str], None],
+        listener: "GenerationListener",
     ) -> None:
         self._request = request
         self._route = route
@@ -53,7 +64,8 @@
         self._attempt = first
         self._deadline_s = deadline_s
         self._clock = clock
-        self._on_end = on_end
+        self._listener = listener
+        self._began_s = clock.monotonic_s()
         self._had: tuple[int, ...] = ()
         self._last_version = 0
         self._lock = threading.Lock()
@@ -120,6 +132,8 @@
                 return
 
     def _accept(self, chunk: TokenChunk, attempt: RunningAttempt) -> GenerationChunk:
+        if not self._had:
+            self._listener.on_first_token(self._clock.monotonic_s() - self._began_s)
         self._had += chunk.tokens
         self._last_version = chunk.weight_version
         return GenerationChunk(
@@ -180,4 +194,4 @@
             attempt = self._attempt
         if outcome == CANCELLED:
             self._starter.cancel(attempt)
-        self._on_end(outcome)
+        self._listener.on_end(outcome)
--- a/src/bellweir/routing/generation_attempt.py
+++ b/src/bellweir/routing/generation_attempt.py
@@ -60,6 +60,7 @@
         executors: Executors,
         clock: Clock,
         counters: DispatchCounters,
+        draft_share: float,
     ) -> None:
         self._views = views
         self._runtimes = runtimes
@@ -67,6 +68,7 @@
         self._executors = executors
         self._clock = clock
         self._counters = counters
+        self._draft_share = draft_share
 
     def pools_of(self, policy: str) -> list[Pool]:
         """The pools whose engines serve a policy, by name."""
@@ -84,12 +86,13 @@
         attempts: RequestAttempts,
     ) -> Result[RunningAttempt, PlatformError | None]:
         """Start one attempt after the tokens had; the failure is None when no engine fits."""
-        backend = self._choose(request, route, attempts.tried)
+        backend = self._choose(request, route, attempts)
         if backend is None:
             return Failure(None)
         engine = self._clients.engine(backend.address)
         call = self._call(request, route, had, deadline_s)
-        hold = AttemptHold(backend, self._clock)
+        interactive = request.request_class is not RequestClass.DRAFT
+        hold = AttemptHold(backend, self._clock, interactive=interactive)
         self._counters.count_attempt()
         try:
             started = engine.generate(call)
@@ -116,7 +119,7 @@
             return
 
     def _choose(
-        self, request: GenerationRequest, route: GenerationRoute, tried: set[str]
+        self, request: GenerationRequest, route: GenerationRoute, attempts: RequestAttempts
     ) -> Backend | None:
         now_s = self._clock.monotonic_s()
         pools = self._views.pools()
@@ -124,14 +127,27 @@
             usable = [
                 backend
                 for backend in pools[pool.metadata.name].backends
-                if backend.name not in tried and backend.usable(now_s) and serves(backend, route)
+                if backend.name not in attempts.tried
+                and backend.usable(now_s)
+                and serves(backend, route)
             ]
+            if usable and request.request_class is RequestClass.DRAFT:
+                usable = self._with_draft_room(usable, now_s, attempts)
             preferred = [found for found in usable if found.name not in request.avoid_workers]
             if usable:
                 strategy = self._runtimes.of(pool).strategy
                 return strategy.choose(preferred or usable, request.prompt)
         return None
 
+    def _with_draft_room(
+        self, usable: list[Backend], now_s: float, attempts: RequestAttempts
+    ) -> list[Backend]:
+        share = self._draft_share
+        roomy = [backend for backend in usable if backend.has_draft_room(share, now_s)]
+        if not roomy:
+            attempts.note_no_room()
+        return roomy
+
     def _call(
         self,
         request: GenerationRequest,
--- a/src/bellweir/routing/pool_runtime.py
+++ b/src/bellweir/routing/pool_runtime.py
@@ -3,19 +3,21 @@
 import threading
 
 from bellweir.kernel.clock import Clock
-from bellweir.resources.models import ClassLimits, Pool, RequestClass
-from bellweir.routing.admission import DEFAULT_CLASS_LIMITS, ClassGate
+from bellweir.resources.models import BackendKind, ClassLimits, Pool, RequestClass
+from bellweir.routing.admission import APPLICATION_DRAFT_LIMITS, DEFAULT_CLASS_LIMITS, ClassGate
+from bellweir.routing.draft_room import DraftRoom
 from bellweir.routing.retry_budget import RetryBudget
 from bellweir.routing.strategies import make_strategy
 
 
 class PoolRuntime:
-    """Strategy, class gates and retry budget of one pool."""
+    """Strategy, class gates, retry budget and waiting drafts of one pool."""
 
     def __init__(self, pool: Pool, clock: Clock) -> None:
         self.pool = pool
         self.strategy = make_strategy(pool.spec.strategy)
         self.budget = RetryBudget(pool.spec.retry_budget, clock.monotonic_s())
+        self.draft_room = DraftRoom(clock)
         self.gates = {kind: ClassGate(limits_of(pool, kind), clock) for kind in RequestClass}
 
     def reconfigure(self, pool: Pool) -> None:
@@ -54,4 +56,9 @@
 
 def limits_of(pool: Pool, kind: RequestClass) -> ClassLimits:
     """The pool's limits of a class, or the default ones."""
-    return pool.spec.limits.get(kind, DEFAULT_CLASS_LIMITS[kind])
+    named = pool.spec.limits.get(kind)
+    if named is not None:
+        return named
+    if kind is RequestClass.DRAFT and pool.spec.kind is BackendKind.APPLICATION:
+        return APPLICATION_DRAFT_LIMITS
+    return DEFAULT_CLASS_LIMITS[kind]
--- a/src/bellweir/routing/service.py
+++ b/src/bellweir/routing/service.py
@@ -19,7 +19,7 @@
 from bellweir.routing.comparisons import arm_for, comparison_of
 from bellweir.routing.counters import COMPLETED, DispatchCounters
 from bellweir.routing.forwarding import Forwarder, class_of, is_repeatable
-from bellweir.routing.generation import RoutedGeneration
+from bellweir.routing.generation import GenerationListener, RoutedGeneration
 from bellweir.routing.generation_attempt import GenerationRoute, GenerationStarter
 from bellweir.routing.interface import (
     ApplicationRequest,
@@ -61,6 +61,7 @@
         self._clock = kernel.clock
         self._counters = DispatchCounters()
         self._runtimes = PoolRuntimes(kernel.clock)
+        self._draft_share = settings.routing.draft_share
         self._draining = False
         self._in_hand = 0
         self._in_hand_changed = threading.Condition()
@@ -72,7 +73,13 @@
         self._configuration = registry.find(names.CONFIGURATION, Configuration)  # type: ignore[type-abstract]
         views = registry.find(names.BACKEND_VIEWS, BackendViewsService)
         self._starter = GenerationStarter(
-            views, self._runtimes, clients, self._kernel.executors, self._clock, self._counters
+            views,
+            self._runtimes,
+            clients,
+            self._kernel.executors,
+            self._clock,
+            self._counters,
+            self._draft_share,
         )
         self._forwarder = Forwarder(views, self._runtimes, clients, self._clock, self._counters)
         self._once = OnceRequests(self._find_claims, self._kernel.executors, self._clock)
@@ -154,6 +161,7 @@
         admission: _Admission,
     ) -> Result[Generation, Refusal]:
         attempts = RequestAttempts(runtime.budget, self._clock, admission.deadline_s)
+        began_s = self._clock.monotonic_s()
         try:
             while True:
                 started = self._starter.start(request, route, (), admission.deadline_s, attempts)
@@ -161,6 +169,11 @@
                     case Success(first):
                         break
                     case Failure(None):
+                        room = runtime.draft_room
+                        if attempts.lacks_room and room.wait_a_little(
+                            began_s, admission.deadline_s
+                        ):
+                            continue
                         return self._give_up(admission, attempts.refusal())
                 if not attempts.may_retry(repeatable=True):
                     return self._give_up(admission, attempts.refusal())
@@ -168,6 +181,8 @@
             self._end(admission)
             raise
 
+        gate = runtime.gates[request.request_class]
+
         def on_end(outcome: str) -> None:
             self._counters.count_outcome(outcome)
             if outcome == COMPLETED:
@@ -183,7 +198,7 @@
                 first,
                 admission.deadline_s,
                 self._clock,
-                on_end,
+                GenerationListener(gate.note_latency, on_end),
             )
         )
 
@@ -225,18 +240,25 @@
         kind: RequestClass,
         deadline_s: float,
     ) -> Result[ApplicationAnswer, Refusal]:
+        on_latency = runtime.gates[kind].note_latency
         if kind is not RequestClass.ONCE:
             body = RequestBody(request.body, request.body_length)
             repeatable = is_repeatable(request, kind, runtime.pool)
             return self._forwarder.forward(
-                request, body, runtime, deadline_s, repeatable=repeatable
+                request, body, runtime, deadline_s, repeatable=repeatable, on_latency=on_latency
             )
         return self._once.serve(
             request,
             runtime.pool,
             deadline_s,
             lambda keyed, body, check: self._forwarder.forward(
-                keyed, body, runtime, deadline_s, repeatable=False, before_send=check
+                keyed,
+                body,
+                runtime,
+                deadline_s,
+                repeatable=False,
+                on_latency=on_latency,
+                before_send=check,
             ),
         )
 
--- a/src/bellweir/settings/models.py
+++ b/src/bellweir/settings/models.py
@@ -83,6 +83,8 @@
     """Consecutive failures that open a back end's circuit. Default 3."""
     circuit_open_s: float = Field(default=2.0, gt=0)
     """Time until a half-open probe, in seconds. Default 2."""
+    draft_share: float = Field(default=0.5, gt=0, le=1)
+    """Share of an engine's batch that drafts may fill while callers use it too. Default 0.5."""
 
 
 class GatewaySettings(Concern):
