--- a/features/steps/samples_steps.py
+++ b/features/steps/samples_steps.py
@@ -1,10 +1,14 @@
 """Steps of `samples.feature`."""
 
+import itertools
 import threading
 
-from behave import given, then, when
+from behave import given, step, then, when
+from hypothesis import settings
+from hypothesis.stateful import run_state_machine_as_test
 from returns.result import Failure, Success
 
+from bellweir.ledger.interface import LedgerErrorKind
 from bellweir.samples.interface import (
     Sample,
     SampleBatch,
@@ -12,15 +16,18 @@
     StepErrorKind,
     StepState,
 )
+from bellweir.samples.messages import CommitSample
 from support.samples_cluster import SamplesCluster
+from support.samples_estimates import check_cadence, check_expected_lengths, check_starting_order
+from support.steps_oracle import StepsAgainstOracle
 from support.waiting import wait_until
 
 STEP = "step-1"
 SCORER = "127.0.0.1:1"
 
 
-def start_cluster(context, nodes: int, concurrency: int = 8) -> None:
-    context.cluster = SamplesCluster(nodes, concurrency)
+def start_cluster(context, nodes: int, concurrency: int = 8, budget: float = 0.0) -> None:
+    context.cluster = SamplesCluster(nodes, concurrency, budget)
     context.add_cleanup(context.cluster.stop)
 
 
@@ -99,15 +106,84 @@
     assert context.cluster.any.cancel(STEP).unwrap().state is StepState.CANCELLED
 
 
-@when("node-2 leads the samples shards while node-1 is still generating")
-def step_move_leadership(context):
+@when("node-2 leads the samples shards while {count:d} generations run")
+def step_move_leadership(context, count):
     engines = context.cluster.engines
-    wait_until(lambda: len(engines.requests) >= 4, "node-1 generates")
+    wait_until(lambda: len(engines.requests) == count, "all generations run")
     context.cluster.log.lead_all("node-2")
-    wait_until(lambda: len(engines.requests) >= 8, "node-2 generates too")
+    second = context.cluster.nodes[1].samples
+    wait_until(lambda: second.status(STEP).unwrap().running == count, "node-2 knows of them")
 
 
-@when("the samples engines go on")
+@when(
+    "node-1 is cut off from the samples cluster while {count:d} generations run, and node-2 leads"
+)
+def step_cut_off(context, count):
+    cluster = context.cluster
+    wait_until(lambda: len(cluster.engines.requests) == count, "all generations run")
+    engines = cluster.engines
+    context.first_requests = [
+        r for r in engines.requests if engines.nodes[r.request_id] == "node-1"
+    ]
+    assert context.first_requests
+    cluster.network.is_cut = lambda sender, receiver: "node-1" in (sender, receiver)
+    cluster.log.fault = lambda node, _: LedgerErrorKind.UNAVAILABLE if node == "node-1" else None
+    cluster.alive.remove("node-1")
+    cluster.log.lead_all("node-2")
+
+
+@given("a samples ledger that loses every second answer and refuses every third command")
+def step_lossy_ledger(context):
+    counter = itertools.count(1)
+
+    def fault(_node, _command):
+        number = next(counter)
+        if number % 3 == 0:
+            return LedgerErrorKind.UNAVAILABLE
+        return LedgerErrorKind.UNKNOWN if number % 2 == 0 else None
+
+    context.cluster.log.fault = fault
+
+
+@then("node-2 runs all samples slots that node-1 had")
+def step_taken_over(context):
+    engines = context.cluster.engines
+    seeds = {request.seed for request in context.first_requests}
+
+    def seeds_on_node_2():
+        ids = engines.nodes
+        return {r.seed for r in engines.requests if ids[r.request_id] == "node-2"}
+
+    wait_until(lambda: seeds <= seeds_on_node_2(), "every slot of node-1 runs on node-2")
+
+
+@then("the samples engines ran {count:d} generations in all")
+def step_generations(context, count):
+    assert len(context.cluster.engines.requests) == count
+
+
+@then("what the cut-off node commits when it comes back changes no samples slot")
+def step_late_commits(context):
+    cluster = context.cluster
+    before = len(cluster.log.commands)
+    cluster.log.fault = None
+
+    def late_commits():
+        late = {request.request_id for request in context.first_requests}
+        commands = [c for c in cluster.log.commands[before:] if isinstance(c, CommitSample)]
+        return {c.attempt_id for c in commands} & late == late
+
+    wait_until(late_commits, "the cut-off node commits what it has")
+    assert pull_all(context, len(context.samples)) == context.samples
+
+
+@then("samples steps agree with a simple oracle whatever happens")
+def step_oracle(context):
+    limits = settings(max_examples=400, stateful_step_count=40)
+    run_state_machine_as_test(StepsAgainstOracle, settings=limits)
+
+
+@step("the samples engines go on")
 def step_go_on(context):
     context.cluster.engines.hold.set()
 
@@ -150,8 +226,9 @@
 
 @then("pulling samples from every cursor again gives the same samples")
 def step_repeat(context):
-    samples = pull_all(context, 4)
-    for cursor in range(4):
+    count = len(context.declaration.prompts) * context.declaration.samples_per_prompt
+    samples = pull_all(context, count)
+    for cursor in range(count):
         again = pull(context, cursor, limit=1)
         assert again.samples == (samples[cursor],)
         assert again.cursor == cursor + 1
@@ -205,3 +282,160 @@
 def step_scorer_answers(context, count):
     context.cluster.platform.scorer(SCORER).hold.set()
     assert len(pull_all(context, count)) == count
+
+
+@given("a samples cluster of {nodes:d} nodes with a duplicate budget of {budget:g}")
+def step_cluster_with_budget(context, nodes, budget):
+    start_cluster(context, nodes, budget=budget)
+
+
+@given("samples engines that hold every generation after {tokens:d} tokens")
+def step_hold_after(context, tokens):
+    step_hold(context)
+    context.cluster.engines.hold_after_tokens = tokens
+
+
+@when(
+    "a samples step of {prompts:d} prompts with {each:d} samples each, stale after {bound:d} "
+    "versions, is declared"
+)
+def step_declare_bound(context, prompts, each, bound):
+    declare(context, prompts=prompts, per_prompt=each, staleness_bound_versions=bound)
+
+
+@when("samples version {version:d} is published and swapped in while {count:d} generations run")
+def step_publish_while_running(context, version, count):
+    engines = context.cluster.engines
+    node = context.cluster.nodes[0].samples
+    wait_until(lambda: len(engines.requests) == count, "all generations run")
+    tokens = engines.hold_after_tokens * count
+    wait_until(lambda: tokens_of_running(node) == tokens, "they have begun")
+    context.first_requests = list(engines.requests)
+    step_publish(context, version)
+
+
+def tokens_of_running(samples) -> int:
+    return sum(report.tokens for report in samples._parts.runner.reports())
+
+
+@when("samples version {version:d} is published and swapped in")
+def step_publish(context, version):
+    context.cluster.engines.version = version
+    context.cluster.configuration.publish("writer", version)
+
+
+@then('the samples delivered name the versions "{versions}"')
+def step_versions(context, versions):
+    expected = [int(version) for version in versions.split(", ")]
+    slots = len(context.declaration.prompts) * context.declaration.samples_per_prompt
+    for sample in pull_all(context, slots):
+        assert [segment.weight_version for segment in sample.segments] == expected
+        assert sum(segment.token_count for segment in sample.segments) == len(sample.tokens)
+
+
+@then("every samples generation of version 1 is cancelled")
+def step_stale_cancelled(context):
+    first = {request.request_id for request in context.first_requests}
+    wait_until(lambda: first <= set(context.cluster.engines.cancelled), "stale ones cancelled")
+
+
+@when("{count:d} of {filled:d} filled samples is pulled")
+def step_pull_some(context, count, filled):
+    samples = context.cluster.any
+    wait_until(lambda: samples.status(STEP).unwrap().filled == filled, "all filled")
+    context.pulled = pull(context, 0, limit=count)
+    assert len(context.pulled.samples) == count
+
+
+@then("{count:d} samples slot is regenerated by version {version:d}")
+def step_regenerated(context, count, version):
+    samples = context.cluster.any
+    wait_until(lambda: samples.status(STEP).unwrap().regenerated == count, "dropped")
+    batch = pull(context, context.pulled.cursor)
+    assert [s.weight_version for sample in batch.samples for s in sample.segments] == [version]
+    assert batch.complete
+
+
+@then("the samples pulled before stay as they are")
+def step_pulled_stay(context):
+    again = pull(context, 0, limit=len(context.pulled.samples))
+    assert again.samples == context.pulled.samples
+
+
+@given('samples engines that hold the prompt "{prompt}" until it is run again')
+def step_hold_prompt(context, prompt):
+    engines = context.cluster.engines
+    engines.held_prompts = frozenset({prompt})
+    engines.hold = RunAgain(engines, prompt)
+
+
+class RunAgain(threading.Event):
+    """Set for whoever comes second: the first generation of a prompt never goes on."""
+
+    def __init__(self, engines, prompt) -> None:
+        super().__init__()
+        self._engines = engines
+        self._prompt = prompt
+
+    def is_set(self) -> bool:
+        runs = [r for r in self._engines.requests if r.prompt == self._prompt]
+        return super().is_set() or len(runs) > 1
+
+
+@then('both samples generations of "{prompt}" had the same seed')
+def step_same_seed(context, prompt):
+    seeds = [r.seed for r in context.cluster.engines.requests if r.prompt == prompt]
+    assert len(seeds) == 2
+    assert len(set(seeds)) == 1
+
+
+@then('the loser of the samples generations of "{prompt}" was cancelled')
+def step_loser(context, prompt):
+    samples = context.cluster.nodes
+    wait_until(
+        lambda: not any(node.samples._parts.runner.reports() for node in samples), "all ended"
+    )
+
+
+@given("a samples engine that is {factor:d} times slower than the others")
+def step_slow_engine(context, factor):
+    engines = context.cluster.engines
+    engines.tokens = 60
+    engines.token_s = 0.01
+    engines.slow_worker_token_s = factor * engines.token_s
+
+
+@then("a samples generation went on elsewhere with the tokens it had")
+def step_moved(context):
+    moved = [request for request in context.cluster.engines.requests if request.prefix_tokens]
+    assert moved
+    for request in moved:
+        assert "engine-1" in request.avoid_workers
+        assert request.prefix_tokens == tuple(range(len(request.prefix_tokens)))
+
+
+@when("all samples are filled, and node-1 is cut off before they are scored")
+def step_cut_off_unscored(context):
+    cluster = context.cluster
+    samples = cluster.any
+    wait_until(lambda: samples.status(STEP).unwrap().filled == 2, "all filled")
+    wait_until(lambda: len(cluster.platform.scorer(SCORER).calls) >= 2, "scorer asked")
+    cluster.network.is_cut = lambda sender, receiver: "node-1" in (sender, receiver)
+    cluster.log.fault = lambda node, _: LedgerErrorKind.UNAVAILABLE if node == "node-1" else None
+    cluster.alive.remove("node-1")
+    cluster.log.lead_all("node-2")
+
+
+@then("samples of prompts that ran long before start first")
+def step_longest_first(context):
+    check_starting_order()
+
+
+@then("expected samples lengths agree with a numerical integral")
+def step_integral(context):
+    check_expected_lengths()
+
+
+@then("publication times are foreseen from their cadence")
+def step_cadence(context):
+    check_cadence()
--- a/src/bellweir_rehearsal/rehearsal.py
+++ b/src/bellweir_rehearsal/rehearsal.py
@@ -25,6 +25,7 @@
 from bellweir_rehearsal.result import RunResult, summarize
 from bellweir_rehearsal.topology.cluster import Cluster
 from bellweir_rehearsal.topology.layout import RunFolder
+from bellweir_rehearsal.topology.machines import MachineWriter
 from bellweir_rehearsal.topology.resources import PoolWriter, deployment_documents
 from bellweir_rehearsal.topology.standins import ControlError
 from bellweir_rehearsal.trainer.client import StepClient
@@ -49,11 +50,12 @@
         self._client = HttpClient()
         self._in_flight = InFlight()
         self.cluster = Cluster(plan.deployment, folder, self._journal, plan.settings)
+        self._machines = MachineWriter(self.cluster)
         self._operator = self._operator_named("operator-1")
         self._publisher = Publisher(
             plan.deployment, self.cluster.weight_store, self._operator_named("publisher")
         )
-        self._load = LoadGenerator(plan.load, (), plan.seed)
+        self._load: LoadGenerator | None = None
 
     def __enter__(self) -> "Rehearsal":
         """Return the rehearsal; nothing is started by this."""
@@ -77,6 +79,7 @@
         """
         self._report("starting", 0.0)
         self.cluster.start()
+        self._machines.list_all()
         for document in deployment_documents(self.cluster):
             self._operator.apply(document)
         self._warm_up()
@@ -85,18 +88,17 @@
         """Apply load and faults for the plan's time, and wait for what is in hand."""
         stop = stop or threading.Event()
         ended = threading.Event()
-        self._load = LoadGenerator(self.plan.load, self._callers(), self.plan.seed)
+        load = LoadGenerator(self.plan.load, self._callers(), self.plan.seed)
+        self._load = load
         with ThreadPoolExecutor(MAXIMUM_TASKS, "rehearsal") as pool:
-            observers = [
-                pool.submit(self._observer().run, ended, node) for node in self._observed_nodes()
-            ]
+            observation = pool.submit(self._observe_nodes, pool, ended)
             try:
-                self._run_tasks(pool, stop)
+                self._run_tasks(pool, load, stop)
                 self._report("settling", 1.0)
                 stop.wait(self.plan.settle_s)
             finally:
                 ended.set()
-        for observer in observers:
+        for observer in observation.result():
             observer.result()
 
     def finish(self, mutation: Mutation | None = None) -> RunResult:
@@ -116,18 +118,21 @@
         if mutation is not None:
             evidence = mutation.apply(evidence)
         verdicts = check_promises(evidence)
-        return summarize(self.plan, evidence, verdicts, self._load.summaries())
+        summaries = self._load.summaries() if self._load is not None else ()
+        return summarize(self.plan, evidence, verdicts, summaries)
 
-    def _run_tasks(self, pool: ThreadPoolExecutor, stop: threading.Event) -> None:
+    def _run_tasks(
+        self, pool: ThreadPoolExecutor, generator: LoadGenerator, stop: threading.Event
+    ) -> None:
         load_over = threading.Event()
         began = time.monotonic()
         load = pool.submit(
-            self._load.run, self.plan.duration_s, stop, lambda ended: self._tell(began, ended)
+            generator.run, self.plan.duration_s, stop, lambda ended: self._tell(began, ended)
         )
         trainers = [
             pool.submit(trainer.run, load_over)
-            for entry in self.plan.load.trainers
-            for trainer in self._trainers(entry)
+            for group, entry in enumerate(self.plan.load.trainers, start=1)
+            for trainer in self._trainers(entry, group)
         ]
         faults = pool.submit(self._injector().run, stop)
         try:
@@ -155,7 +160,7 @@
             for number in range(1, self.plan.load.callers_for_each_node + 1)
         ]
 
-    def _trainers(self, entry: TrainerLoad) -> list[Trainer]:
+    def _trainers(self, entry: TrainerLoad, group: int) -> list[Trainer]:
         plan = TrainerPlan(
             policy=entry.policy,
             prompts_for_each_step=entry.prompts_for_each_step,
@@ -166,17 +171,18 @@
             step_timeout_s=entry.step_timeout_s,
             scorer=self.cluster.scorer.address,
             steps=entry.steps,
+            publish=entry.publishes,
         )
         return [
             Trainer(
-                f"trainer-{entry.policy}-{number}",
+                f"trainer-{entry.policy}-{group}-{number}",
                 plan,
                 StepClient(self._client, self.cluster.directory),
                 self._journal,
                 self._publisher.newest,
                 self._publish,
                 step_prompts,
-                self.plan.seed * 100 + number,
+                self.plan.seed * 10_000 + group * 100 + number,
             )
             for number in range(1, entry.trainers + 1)
         ]
@@ -194,6 +200,7 @@
             self._journal,
             (self._operator, self._operator_named("operator-2")),
             PoolWriter(self.cluster, self._operator),
+            self._machines,
             self._in_flight,
             self.plan.seed,
         )
@@ -204,8 +211,17 @@
             self.cluster.directory, self._journal, self._client, self.cluster.incarnation_of
         )
 
-    def _observed_nodes(self) -> list[str]:
-        return [address.node for address in self.cluster.directory.all_nodes()]
+    def _observe_nodes(
+        self, pool: ThreadPoolExecutor, ended: threading.Event
+    ) -> "list[Future[None]]":
+        """Observe every node from when it is there, new machines included."""
+        observed: dict[str, Future[None]] = {}
+        while not ended.wait(0.2):
+            for address in self.cluster.directory.all_nodes():
+                if address.node not in observed:
+                    run = self._observer().run
+                    observed[address.node] = pool.submit(run, ended, address.node)
+        return list(observed.values())
 
     def _operator_named(self, name: str) -> Operator:
         return Operator(name, self.cluster.directory, self._journal, self._client)
