Let a call say how long an engine may be silent

A frozen engine held interactive attempts for as long as it was frozen, because a silent stream was given up only after 30 s. Engines send a heartbeat every half second while an attempt waits, so the caller may now name a shorter limit on silence (the default stays).

--- a/features/platform_application.feature
+++ b/features/platform_application.feature
@@ -26,6 +26,12 @@
     Then the platform application outcome is "unknown"
     And the platform application worker has logged 1 run
 
+  Scenario: A failure of the caller's own body is not taken for the worker's
+    When a platform application request is sent whose body fails after 100000 of 200000 bytes
+    Then the platform application client raises what the body raised
+    And the platform application worker has logged 0 runs
+    And the next platform application request is answered
+
   Scenario: A leaving platform application worker refuses, and runs nothing
     Given the platform application worker is leaving
     When a platform application request is sent
--- a/features/steps/platform_application_steps.py
+++ b/features/steps/platform_application_steps.py
@@ -163,6 +163,41 @@
         context.ending = failure
 
 
+class FailingBody(io.RawIOBase):
+    """A body that fails after some bytes."""
+
+    def __init__(self, good_bytes):
+        self._left = good_bytes
+
+    def read(self, size=-1):
+        if not self._left:
+            raise InterruptedError("the caller went away")
+        block = b"x" * min(size, self._left)
+        self._left -= len(block)
+        return block
+
+
+@when("a platform application request is sent whose body fails after {good:d} of {length:d} bytes")
+def step_failing_body(context, good, length):
+    sent = ApplicationCall("fails", "POST", "/p", (), FailingBody(good), length, TIMEOUT_S)
+    try:
+        context.result = context.application.send(sent)
+    except InterruptedError as failure:
+        context.result = failure
+
+
+@then("the platform application client raises what the body raised")
+def step_raises(context):
+    assert str(context.result) == "the caller went away"
+
+
+@then("the next platform application request is answered")
+def step_next(context):
+    answer = context.application.send(call("next")).unwrap()
+    assert b"next" in b"".join(answer.body)
+    assert [record.attempt_id for record in runs(context)] == ["next"]
+
+
 @then("the platform application body ends as incomplete")
 def step_incomplete(context):
     assert isinstance(context.ending, IncompleteBodyError)
--- a/features/steps/standins_engine_steps.py
+++ b/features/steps/standins_engine_steps.py
@@ -467,6 +467,29 @@
 # --- hanging ---
 
 
+@when(
+    "a stand-in stream of {count:d} tokens that permits {silence:g} seconds of silence hangs for "
+    "{seconds:d} seconds"
+)
+def step_silent(context, count, silence, seconds):
+    begin(context, "one", context.engines.call(count, silence_s=silence))
+    context.engines.standins["one"].inject(FaultOrder(FaultKind.HANG, duration_s=seconds))
+    context.cleanup.callback(context.engines.standins["one"].clear_faults)
+    read_rest(context)
+    assert context.engines.standins["one"].faults.in_force(), "given up while it was silent"
+
+
+@given('the stand-in engine "{name}" generates nothing for {seconds:d} seconds')
+def step_stall(context, name, seconds):
+    context.engines.standins[name].inject(FaultOrder(FaultKind.STALL, duration_s=seconds))
+
+
+@when("a stand-in stream of {count:d} tokens that permits {silence:g} seconds of silence is read")
+def step_patient(context, count, silence):
+    call = context.engines.call(count, silence_s=silence)
+    context.had, context.failure = read_whole(context, "one", call)
+
+
 @given('the stand-in engine "{name}" hangs for {seconds:d} second')
 def step_hang(context, name, seconds):
     context.engines.standins[name].inject(FaultOrder(FaultKind.HANG, duration_s=seconds))
--- a/src/bellweir/platform/engine.py
+++ b/src/bellweir/platform/engine.py
@@ -23,8 +23,6 @@
 JSON_HEADERS = {"Content-Type": "application/json"}
 ACCEPT_TIMEOUT_S = 5.0
 """Time for an engine to accept or refuse an attempt; it does so before it generates."""
-STREAM_SILENCE_S = 30.0
-"""A stream without a line for this long is given up; engines send heartbeats while they wait."""
 
 
 class StreamLine(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -56,9 +54,10 @@
     def generate(self, call: GenerationCall) -> Result[EngineStream, PlatformError]:
         """Start an attempt; the engine answers with headers once it has accepted it."""
         body = msgspec.json.encode(call)
-        sent = HttpCall("POST", "/generate", ACCEPT_TIMEOUT_S, JSON_HEADERS, body)
+        timeout_s = min(ACCEPT_TIMEOUT_S, call.silence_s)
+        sent = HttpCall("POST", "/generate", timeout_s, JSON_HEADERS, body)
         opened = self._pool.open(sent, body)
-        return opened.bind(_accepted)
+        return opened.bind(lambda answer: _accepted(answer, call.silence_s))
 
     def cancel(self, attempt_id: str) -> Result[None, PlatformError]:
         """Cancel an attempt; harmless when repeated."""
@@ -92,8 +91,9 @@
 class HttpEngineStream(EngineStream):
     """The chunks of one attempt."""
 
-    def __init__(self, answer: OpenAnswer) -> None:
+    def __init__(self, answer: OpenAnswer, silence_s: float) -> None:
         self._answer = answer
+        self._silence_s = silence_s
 
     def __iter__(self) -> Iterator[Result[TokenChunk, PlatformError]]:
         """Yield chunks up to the one with a finish reason, or an error."""
@@ -105,9 +105,9 @@
             self._answer.finish()
 
     def _chunks(self) -> Iterator[Result[TokenChunk, PlatformError]]:
-        self._answer.set_timeout(STREAM_SILENCE_S)
+        self._answer.set_timeout(self._silence_s)
         for line in self._answer.read_lines():
-            self._answer.set_timeout(STREAM_SILENCE_S)
+            self._answer.set_timeout(self._silence_s)
             parsed = msgspec.json.decode(line, type=StreamLine)
             if parsed.error is not None:
                 kind = ErrorKind(parsed.error.error)
@@ -124,9 +124,9 @@
         self._answer.drop()
 
 
-def _accepted(answer: OpenAnswer) -> Result[EngineStream, PlatformError]:
+def _accepted(answer: OpenAnswer, silence_s: float) -> Result[EngineStream, PlatformError]:
     if answer.status == STATUS_OK:
-        return Success(HttpEngineStream(answer))
+        return Success(HttpEngineStream(answer, silence_s))
     try:
         body = answer.read_all()
     except (OSError, http.client.HTTPException, ValueError) as failure:
--- a/src/bellweir/platform/interface.py
+++ b/src/bellweir/platform/interface.py
@@ -186,6 +186,11 @@
     stop: tuple[str, ...] = ()
     temperature: float = 1.0
     seed: int | None = None
+    silence_s: float = 30.0
+    """Longest silence of the engine before the client gives the attempt up as unknown.
+
+    Engines send a heartbeat every half second while an attempt waits, so that a frozen engine can
+    be told from a busy one."""
 
 
 class FinishReason(Enum):
