--- a/features/support/lossy_server.py
+++ b/features/support/lossy_server.py
@@ -33,6 +33,7 @@
         self.reset = reset
         self.bytes_read = 0
         self.requests_read = 0
+        self.connections_seen = 0
         self._stopping = threading.Event()
         self._connections = set()
         self._listener = socket.create_server(("127.0.0.1", 0))
@@ -40,6 +41,10 @@
         self._pool = ThreadPoolExecutor(16)
         self._loop = self._pool.submit(self._accept)
 
+    @property
+    def connections_open(self):
+        return len(self._connections)
+
     @property
     def address(self):
         host, port = self._listener.getsockname()
@@ -60,6 +65,7 @@
             except TimeoutError:
                 continue
             connection.settimeout(5)
+            self.connections_seen += 1
             self._connections.add(connection)
             self._pool.submit(self._serve, connection)
 
--- a/src/bellweir/platform/application.py
+++ b/src/bellweir/platform/application.py
@@ -16,7 +16,8 @@
     IncompleteBodyError,
     PlatformError,
 )
-from bellweir.platform.pool import ConnectionPool, HttpCall, OpenAnswer
+from bellweir.platform.open_answer import OpenAnswer
+from bellweir.platform.pool import ConnectionPool, HttpCall
 
 ATTEMPT_HEADER = "X-Attempt-Id"
 """Names the attempt, for the worker's log."""
--- a/src/bellweir/platform/engine.py
+++ b/src/bellweir/platform/engine.py
@@ -18,7 +18,8 @@
     PlatformError,
     TokenChunk,
 )
-from bellweir.platform.pool import ConnectionPool, HttpCall, OpenAnswer
+from bellweir.platform.open_answer import OpenAnswer
+from bellweir.platform.pool import ConnectionPool, HttpCall
 
 JSON_HEADERS = {"Content-Type": "application/json"}
 ACCEPT_TIMEOUT_S = 5.0
--- a/src/bellweir/platform/object_api.py
+++ b/src/bellweir/platform/object_api.py
@@ -19,7 +19,8 @@
     PlatformError,
     StoredObject,
 )
-from bellweir.platform.pool import ConnectionPool, HttpCall, OpenAnswer
+from bellweir.platform.open_answer import OpenAnswer
+from bellweir.platform.pool import ConnectionPool, HttpCall
 
 WATCH_MARGIN_S = 5.0
 """A watch without a line for its time-out and this much more is given up as lost."""
--- a/src/bellweir/platform/pool.py
+++ b/src/bellweir/platform/pool.py
@@ -8,28 +8,24 @@
 import http.client
 import threading
 import time
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import BinaryIO
 
 from returns.result import Failure, Result, Success
 
 from bellweir.platform.connection import (
-    READ_BLOCK_BYTES,
     BodyReadError,
     CountingConnection,
     RequestBody,
 )
 from bellweir.platform.interface import ErrorKind, PlatformError
+from bellweir.platform.open_answer import OpenAnswer
 
 IDLE_CONNECTIONS = 64
 """Idle connections kept for one address."""
 IDLE_LIFETIME_S = 30.0
 """Idle connections older than this are closed; servers close theirs after a minute or more."""
-MAXIMUM_LINE_BYTES = 8 * 1024 * 1024
-"""Longest line of a streamed answer."""
-MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024
-"""Longest body of an answer that is read whole."""
 
 
 @dataclass(frozen=True)
@@ -52,106 +48,11 @@
     body: bytes
 
 
-class OpenAnswer:
-    """An answer whose headers have been read; the body is read from it."""
-
-    def __init__(self, pool: "ConnectionPool", connection: CountingConnection) -> None:
-        self._pool = pool
-        self._connection = connection
-        self._response: http.client.HTTPResponse | None = None
-        self._lock = threading.Lock()
-        self._released = False
-
-    def read_headers(self) -> None:
-        """Read status and headers; raises `OSError` or `HTTPException`."""
-        self._response = self._connection.getresponse()
-
-    @property
-    def response(self) -> http.client.HTTPResponse:
-        """The `http.client` answer."""
-        if self._response is None:
-            raise ConnectionError("no answer yet")
-        return self._response
-
-    @property
-    def status(self) -> int:
-        """HTTP status code."""
-        return self.response.status
-
-    @property
-    def headers(self) -> Mapping[str, str]:
-        """Headers of the answer; of repeated ones the last."""
-        return dict(self.response.headers.items())
-
-    def set_timeout(self, timeout_s: float) -> None:
-        """Let reading go on for this long from now."""
-        self._connection.deadline_socket.deadline_s = time.monotonic() + timeout_s
-
-    def read_lines(self) -> Iterator[bytes]:
-        """Read the body line by line as it arrives, without line ends; raises when it was cut."""
-        pending = b""
-        for block in self.read_blocks():
-            *lines, pending = (pending + block).split(b"\n")
-            if len(pending) > MAXIMUM_LINE_BYTES:
-                raise http.client.LineTooLong("answer line")
-            yield from lines
-        if pending:
-            raise http.client.IncompleteRead(pending)
-
-    def read_blocks(self) -> Iterator[bytes]:
-        """Read the body as it arrives; raises when it was cut."""
-        while block := self.response.read1(READ_BLOCK_BYTES):
-            yield block
-        self._check_length()
-
-    def read_all(self) -> bytes:
-        """Read the whole body, at most `MAXIMUM_ANSWER_BYTES`."""
-        body = self.response.read(MAXIMUM_ANSWER_BYTES + 1)
-        if len(body) > MAXIMUM_ANSWER_BYTES:
-            raise http.client.HTTPException("answer too long")
-        self._check_length()
-        return body
-
-    def _check_length(self) -> None:
-        response = self.response
-        if response.length:
-            raise http.client.IncompleteRead(b"", response.length)
-        if response.length is None and not response.chunked:
-            raise http.client.HTTPException("body has neither a length nor an end marker")
-        if not response.isclosed():
-            response.read()  # releases the connection after the last byte
-
-    def finish(self) -> None:
-        """Give the connection back when the answer was read to its end, else close it."""
-        whole = self._response is not None and self._response.isclosed()
-        if not whole or self.response.will_close:
-            self.drop()
-        elif self._release():
-            self._pool.give_back(self._connection)
-
-    def drop(self) -> None:
-        """Close the connection; from any thread, any number of times."""
-        if self._release():
-            self._pool.forget(self._connection)
-            self._connection.deadline_socket.abort()
-            self._connection.close()
-
-    def _release(self) -> bool:
-        # Only the first to end the answer may touch the connection: once it is back in the
-        # pool, a late `drop` from another thread would cut somebody else's call.
-        with self._lock:
-            released, self._released = self._released, True
-        return not released
-
-
 class ConnectionPool:
     """Connections to one `host:port`, reused most recent first."""
 
     def __init__(self, address: str) -> None:
-        host, _, port = address.rpartition(":")
         self.address = address
-        self._host = host
-        self._port = int(port)
         self._lock = threading.Lock()
         self._idle: list[tuple[CountingConnection, float]] = []
         self._busy: set[CountingConnection] = set()
@@ -196,7 +97,7 @@
             connection = self._take(deadline_s)
         except OSError as failure:
             return Failure(PlatformError(ErrorKind.NOT_RUN, f"no connection: {failure}"))
-        answer = OpenAnswer(self, connection)
+        answer = OpenAnswer(connection, self)
         try:
             connection.request(call.method, call.path, _as_sent(body), dict(call.headers))
             connection.flush()
@@ -234,7 +135,7 @@
         raise ConnectionError("the pool is closed")
 
     def _connect(self, deadline_s: float) -> CountingConnection:
-        connection = CountingConnection(self._host, self._port)
+        connection = CountingConnection(*_host_and_port(self.address))
         connection.open(deadline_s)
         return connection
 
@@ -263,6 +164,15 @@
         with self._lock:
             self._busy.discard(connection)
 
+    def close_old_connections(self) -> None:
+        """Close connections that have been idle for too long."""
+        oldest_s = time.monotonic() - IDLE_LIFETIME_S
+        with self._lock:
+            old = [connection for connection, since_s in self._idle if since_s < oldest_s]
+            self._idle = [entry for entry in self._idle if entry[1] >= oldest_s]
+        for connection in old:
+            connection.close()
+
     def close(self) -> None:
         """Close idle connections and abort the calls in hand."""
         with self._lock:
@@ -275,6 +185,14 @@
             connection.deadline_socket.abort()
 
 
+def _host_and_port(address: str) -> tuple[str, int]:
+    """Split `host:port`; raises `OSError`, since nobody can be reached at anything else."""
+    host, _, port = address.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit():
+        raise OSError(f"{address!r} is no host:port")
+    return host.strip("[]"), int(port)
+
+
 def _as_sent(body: BinaryIO | bytes | None) -> RequestBody | bytes | None:
     return body if body is None or isinstance(body, bytes) else RequestBody(body)
 
--- a/src/bellweir/platform/service.py
+++ b/src/bellweir/platform/service.py
@@ -24,6 +24,8 @@
 from bellweir.platform.weight_store import HttpWeightStore
 from bellweir.settings.models import PlatformSettings, Settings
 
+SWEEP_PERIOD_S = 15.0
+
 
 class NoAddressError(LookupError):
     """The settings name no address for a platform service that is needed."""
@@ -65,6 +67,13 @@
         """Client of the scorer at `host:port`."""
         return HttpScorer(self._pool(address))
 
+    def close_old_connections(self) -> None:
+        """Close connections that nobody has used for a while, such as those to machines gone."""
+        with self._lock:
+            pools = list(self._pools.values())
+        for pool in pools:
+            pool.close_old_connections()
+
     def close(self) -> None:
         """Close every pooled connection; calls made later fail as not run."""
         with self._lock:
@@ -92,9 +101,15 @@
 
     def __init__(self, kernel: Kernel, settings: Settings) -> None:
         HttpPlatformClients.__init__(self, settings.platform)
+        self._kernel = kernel
 
     def start(self) -> None:
-        """Do nothing: connections are made when they are needed."""
+        """Begin to close old connections; new ones are made when they are needed."""
+        self._kernel.executors.run_task("platform-connections", self._sweep)
+
+    def _sweep(self, stopping: threading.Event) -> None:
+        while not self._kernel.clock.wait(stopping, SWEEP_PERIOD_S):
+            self.close_old_connections()
 
     def stop(self) -> None:
         """Close every connection."""
--- a/src/bellweir_rehearsal/standins/engine_scheduler.py
+++ b/src/bellweir_rehearsal/standins/engine_scheduler.py
@@ -21,6 +21,7 @@
 from bellweir_rehearsal.standins.prefix_cache import PrefixCache
 
 IDLE_WAIT_S = 0.1
+EXPIRY_PERIOD_S = 0.02
 MAXIMUM_DEBT_S = 0.25
 """Wall time that the scheduler may be late and still catch up."""
 
@@ -50,6 +51,7 @@
         self._by_attempt: dict[str, Generation] = {}
         self._weight_version: int | None = None
         self._weights_epoch = 0
+        self._expired_at_s = 0.0
         self._slow_until_s = 0.0
         self._slow_factor = 1.0
         self._stalled_until_s = 0.0
@@ -194,6 +196,11 @@
             generation.cached_prompt_tokens = cached
 
     def _expire(self) -> None:
+        """End what is past its deadline; looked at now and then only, since it reads them all."""
+        now_s = time.monotonic()
+        if now_s - self._expired_at_s < EXPIRY_PERIOD_S:
+            return
+        self._expired_at_s = now_s
         for generation in list(self._generations.values()):
             if generation.expired:
                 started = bool(generation.versions)
