--- a/features/configuration_cluster.feature
+++ b/features/configuration_cluster.feature
@@ -44,3 +44,12 @@
     When the control node's cut is over
     Then the policy's status says that it is in force on 4 of 4 control nodes
     And the store has settled: no control node writes any more
+
+  Scenario: The machine list is spread like the resources, and helps a lone node to its cluster
+    Given a control cluster of 4 nodes in 2 zones
+    When the platform lists the control nodes and 200 workers
+    Then every control node has the platform's machine list in force
+    When the platform changes one machine and removes another
+    Then every control node has the platform's machine list in force
+    When a control node starts that knows nobody but the machine list
+    Then every control node sees 5 members
--- a/features/steps/configuration_cluster_steps.py
+++ b/features/steps/configuration_cluster_steps.py
@@ -4,6 +4,7 @@
 from returns.result import Success
 
 from bellweir.configuration import placement
+from bellweir.platform.interface import Machine, MachineState
 from bellweir.resources.interface import ResourceErrorKind
 from bellweir_rehearsal.standins.faults import FaultKind
 from bellweir_rehearsal.standins.object_api import ObjectWrite
@@ -212,3 +213,47 @@
     assert before <= 6, f"{before} writes for two generations"
     any_node(context).configuration.wait_for(before + 1, 1.5)
     assert context.control.store.state.revision == before
+
+
+def _machine(name, address, role, state=MachineState.LIVE):
+    return Machine(name, address, "zone-0", "region-1", role, "pool", state)
+
+
+@when("the platform lists the control nodes and {count:d} workers")
+def step_list_machines(context, count):
+    machines = context.control.machine_list
+    for node in context.control.alive():
+        machines.set_machine(_machine(node.name, node.peer_address, "node"))
+    for index in range(count):
+        machines.set_machine(_machine(f"worker-{index}", f"127.0.0.1:{index + 1}", "engine"))
+
+
+@when("the platform changes one machine and removes another")
+def step_change_machines(context):
+    leaving = _machine("worker-1", "127.0.0.1:2", "engine", MachineState.LEAVING)
+    context.control.machine_list.set_machine(leaving)
+    context.control.machine_list.remove_machine("worker-2")
+
+
+@then("every control node has the platform's machine list in force")
+def step_machines_in_force(context):
+    listed = context.control.machine_list.shown()
+    wanted = {machine.name: machine for machine in listed.machines}
+
+    def has(node):
+        snapshot = node.configuration.current()
+        return snapshot.machines_revision == listed.revision and snapshot.machines == wanted
+
+    for node in context.control.alive():
+        context.wait_until(lambda node=node: has(node), f"{node.name} has the machine list")
+
+
+@when("a control node starts that knows nobody but the machine list")
+def step_start_lone(context):
+    context.control.start("found", "zone-7", knows_others=False)
+
+
+@then("every control node sees {count:d} members")
+def step_members(context, count):
+    context.control.wait_for_members()
+    assert len(any_node(context).membership.members()) == count
--- a/features/support/control_cluster.py
+++ b/features/support/control_cluster.py
@@ -19,6 +19,7 @@
 )
 from bellweir.wire.service import TransportService
 from bellweir_rehearsal.standins.faults import FaultKind, FaultOrder
+from bellweir_rehearsal.standins.machine_list import MachineListOptions, MachineListStandin
 from bellweir_rehearsal.standins.object_api import ObjectApiOptions, ObjectApiStandin, WatchOpened
 
 SERVICES = (
@@ -32,13 +33,15 @@
 
 
 class ControlNode:
-    def __init__(self, name, zone, seeds, object_api):
+    def __init__(self, name, zone, seeds, object_api, machine_list=None):
         self.name = name
         self.zone = zone
         self.kernel = Kernel(bind_listeners("127.0.0.1", 0, 0))
         settings = Settings(
             node=NodeIdentity(name=name, zone=zone),
-            platform=PlatformSettings(object_api=object_api, timeout_s=2.0),
+            platform=PlatformSettings(
+                object_api=object_api, machine_list=machine_list, timeout_s=2.0
+            ),
             membership=MembershipSettings(seeds=seeds, probe_period_s=0.2, probe_timeout_s=0.1),
         )
         for make in SERVICES:
@@ -79,6 +82,9 @@
         self.store = ObjectApiStandin(ObjectApiOptions())
         self.store.start()
         cleanup.callback(self.store.stop)
+        self.machine_list = MachineListStandin(MachineListOptions(lag_s=0.0))
+        self.machine_list.start()
+        cleanup.callback(self.machine_list.stop)
         self.nodes = {}
         cleanup.callback(self.stop)
 
@@ -87,9 +93,10 @@
         with ThreadPoolExecutor(16) as pool:
             list(pool.map(ControlNode.stop, self.nodes.values()))
 
-    def start(self, name, zone):
-        seeds = tuple(node.peer_address for node in self.alive())[:2]
-        node = ControlNode(name, zone, seeds, self.store.address)
+    def start(self, name, zone, knows_others=True):
+        others = self.alive() if knows_others else []
+        seeds = tuple(node.peer_address for node in others)[:2]
+        node = ControlNode(name, zone, seeds, self.store.address, self.machine_list.address)
         self.nodes[name] = node
         return node
 
--- a/src/bellweir/configuration/core.py
+++ b/src/bellweir/configuration/core.py
@@ -94,7 +94,7 @@
         self._transport.register(ConfigurationSnapshotPull, self._on_snapshot_pull)
         self.reports.register_handlers()
         self.state.on_advance = self._wake.set
-        self._membership.subscribe(lambda _: self._wake.set())
+        self._membership.subscribe(self._on_member)
 
     def subscribe(self, listener: ConfigurationListener) -> None:
         """Call `listener` on the core's task with each newest snapshot."""
@@ -269,6 +269,12 @@
     ) -> ConfigurationSnapshotChunk:
         return self._chunks.chunk(pull.table, pull.revision, pull.chunk)
 
+    def _on_member(self, member: Member) -> None:
+        """Look at who reads and who is whose child now; a fresh node asks a new member at once."""
+        if not self.state.loaded and member.node != self._node:
+            self._take_hint(member.peer_address, 0.0)
+        self._wake.set()
+
     def _is_behind(self, theirs: ConfigurationAnnouncement | ConfigurationDigest) -> bool:
         resources, machines = self.state.positions()
         return (
--- a/src/bellweir/configuration/service.py
+++ b/src/bellweir/configuration/service.py
@@ -1,5 +1,6 @@
 """The configuration service: the core's task, and the store's reader while it is this node."""
 
+import random
 import threading
 from concurrent.futures import Future, wait
 from typing import ClassVar
@@ -25,7 +26,8 @@
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
 from bellweir.membership.interface import Membership
-from bellweir.platform.interface import PlatformClients
+from bellweir.membership.service import MembershipService
+from bellweir.platform.interface import Machine, MachineState, PlatformClients
 from bellweir.settings.models import Settings
 from bellweir.wire.interface import Transport
 
@@ -36,6 +38,9 @@
 JOIN_HOLD_OFF_S = 2.0
 """A node with seeds that knows no other member yet waits so long before it reads, in seconds."""
 STOP_TIMEOUT_S = 8.0
+SUGGESTED_SEEDS = 8
+"""Nodes of the machine list that the membership is told of, so that a lone node finds others."""
+NODE_ROLE = "node"
 
 
 class ConfigurationService(Service, Configuration, ConfigurationHistory, RevisionCensus):
@@ -50,6 +55,7 @@
         self._core: ConfigurationCore | None = None
         self._membership: Membership | None = None
         self._platform: PlatformClients | None = None
+        self._seeded_revision = 0
         self._stop = threading.Event()
         self._tasks: list[Future[None]] = []
         self._reading: list[Future[None]] = []
@@ -64,6 +70,7 @@
             transport, self._membership, self._kernel.clock, self._settings.configuration
         )
         self._core.register_handlers()
+        self._core.subscribe(self._suggest_seeds)
         run_task = self._kernel.executors.run_task
         core = self._core
         self._tasks.append(run_task("configuration", lambda _: core.run(self._stop)))
@@ -121,6 +128,16 @@
             raise RuntimeError("the configuration service has not started")
         return self._core
 
+    def _suggest_seeds(self, snapshot: ConfigurationSnapshot) -> None:
+        """Give the membership a few nodes of a new machine list to try; it trusts none of them."""
+        if snapshot.machines_revision == self._seeded_revision:
+            return
+        self._seeded_revision = snapshot.machines_revision
+        nodes = [each.address for each in snapshot.machines.values() if _is_live_node(each)]
+        chosen = random.sample(nodes, min(SUGGESTED_SEEDS, len(nodes)))
+        if isinstance(self._membership, MembershipService) and chosen:
+            self._membership.suggest_seeds(tuple(chosen))
+
     def _is_reader(self) -> bool:
         membership = self._membership
         if membership is None or self._stop.is_set():
@@ -186,3 +203,7 @@
             self._settings.configuration.machine_list_period_s,
         )
         self._reading.append(run_task("machine-reader", lambda _: machine_reader.run(self._stop)))
+
+
+def _is_live_node(machine: Machine) -> bool:
+    return machine.role == NODE_ROLE and machine.state is MachineState.LIVE
