Delete what others may name in two steps: marked, checked again, deleted

A check for users and a deletion are two steps, so a reference written in between was left without what it names. A deletion now marks the resource, waits until the mark is in force on its node and looks again; a write that names the resource looks again once it is in force, and is taken back before it is answered. Shown by a property over two racing nodes; it fails when either look is left out.

--- a/features/resources.feature
+++ b/features/resources.feature
@@ -60,6 +60,17 @@
     When resource pool "pool" and then policy "north" are deleted
     Then the resource store holds nothing
 
+  Scenario: A race between a deletion and a write that names the resource has one winner
+    Given two resource nodes before one store
+    Then no resource race of deletions and references leaves a name that nothing has
+
+  Scenario: What is being deleted can't be named, until its mark expires
+    Given a resource node with policy "north"
+    And resource policy "north" is marked as being deleted
+    Then a resource pool that serves "north" is refused
+    When the resource mark has expired
+    Then a resource pool that serves "north" is created
+
   Scenario: A dry run changes nothing and finds what a write would find
     Given a resource node with policy "north"
     When resource policy "north" is patched to model "new" as a dry run
@@ -87,6 +98,7 @@
       | replacement | stop the store       | unknown  |
       | late write  | replace it           | conflict |
       | deletion    | create it            | unknown  |
+      | repetition  | stop the store       | unknown  |
 
   Scenario: The page of resource fields is the code's, and no field lacks its meaning
     Then the resource reference is the page "docs/RESOURCES.md"
--- a/features/steps/resources_steps.py
+++ b/features/steps/resources_steps.py
@@ -1,12 +1,16 @@
 import yaml
 from behave import given, then, when
-from hypothesis import settings
+from hypothesis import given as given_property
+from hypothesis import settings as run_settings
+from hypothesis import strategies as st
 from hypothesis.stateful import run_state_machine_as_test
 from returns.result import Failure
 
+from bellweir.resources.deletion import MARK_LASTS_S, Deletion
 from bellweir.resources.interface import ResourceErrorKind
 from bellweir.resources.models import KINDS
 from bellweir.resources.reference import all_fields, explain, render_reference
+from bellweir.resources.writer import CompareAndSetWriter
 from support.memory_store import MemoryStore
 from support.operators_machine import OperatorsMachine
 from support.resource_node import ResourceNode
@@ -22,7 +26,7 @@
 
 @then("no run of the operators' state machine reports an outcome that is not true")
 def step_run_machine(context):
-    bounds = settings(max_examples=EXAMPLES, stateful_step_count=STEPS_PER_EXAMPLE)
+    bounds = run_settings(max_examples=EXAMPLES, stateful_step_count=STEPS_PER_EXAMPLE)
     run_state_machine_as_test(context.machine, settings=bounds)
 
 
@@ -171,13 +175,13 @@
 @when("the answer to a {write} of a resource is lost and others {meanwhile} before it is read back")
 def step_overtaken(context, write, meanwhile):
     name = "south" if write == "creation" else "north"
-    context.store.fates = ["request lost" if write == "late write" else "answer lost"]
-    # The calls of this write: read, write, then the read-back or second attempt.
-    context.store.interruptions = [
-        lambda: _overtake(context, name, meanwhile),
-        lambda: None,
-        lambda: None,
-    ]
+    # The calls of a write: read, (mark, watch the mark,) write; then the second attempt.
+    calls_before = {"deletion": 4, "repetition": 3}.get(write, 2)
+    fates = {"late write": "request lost", "repetition": "late"}
+    context.store.fates = [fates.get(write, "answer lost")]
+    context.store.fates += ["taken"] if write == "deletion" else []
+    context.store.interruptions = [lambda: _overtake(context, name, meanwhile)]
+    context.store.interruptions += [lambda: None] * calls_before
     if write == "creation":
         context.outcome = context.resources.create(_policy(name, "mine"))
     elif write == "deletion":
@@ -209,3 +213,93 @@
 def step_explained(context, path, text):
     [field] = explain(path)
     assert text in field.description, field
+
+
+@given("two resource nodes before one store")
+def step_two_nodes(context):
+    context.store = MemoryStore()
+    context.nodes = [ResourceNode(context.store) for _ in range(2)]
+    for node in context.nodes:
+        context.cleanup.callback(node.close)
+
+
+def _reference_action(node, action):
+    resources = node.resources
+    node.configuration.follow()
+    if action == "create policy":
+        return resources.create(_policy("north", "model"))
+    if action == "delete policy":
+        return resources.delete("Policy", "north", None)
+    if action == "delete pool":
+        return resources.delete("Pool", "pool", None)
+    spec = {"kind": "engine", "policies": ["north"] if action == "pool uses policy" else []}
+    document = {"kind": "Pool", "metadata": {"name": "pool"}, "spec": spec}
+    outcome = resources.create(document)
+    if isinstance(outcome, Failure) and outcome.failure().kind is ResourceErrorKind.CONFLICT:
+        return resources.patch("Pool", "pool", {"spec": spec})
+    return outcome
+
+
+REFERENCE_ACTIONS = st.sampled_from(
+    ["create policy", "delete policy", "pool uses policy", "pool uses none", "delete pool"]
+)
+
+
+@then("no resource race of deletions and references leaves a name that nothing has")
+def step_no_dangling(context):
+    steps = st.lists(
+        st.tuples(REFERENCE_ACTIONS, st.lists(st.none() | REFERENCE_ACTIONS, max_size=6)),
+        max_size=6,
+    )
+
+    @run_settings(max_examples=300)
+    @given_property(steps)
+    def run(steps):
+        for node in context.nodes:
+            node.resources.delete("Pool", "pool", None)
+        context.nodes[0].resources.delete("Policy", "north", None)
+        for action, between in steps:
+            context.store.interruptions = [
+                (lambda other=other: other and _reference_action(context.nodes[1], other))
+                for other in between
+            ]
+            _reference_action(context.nodes[0], action)
+            context.store.interruptions = []
+            newest = context.store.history[-1]
+            pool = newest.get(("Pool", "pool"))
+            named = pool.document["spec"].get("policies", ()) if pool else ()
+            assert not named or ("Policy", "north") in newest, (action, between)
+
+    run()
+
+
+@given('resource policy "{name}" is marked as being deleted')
+def step_mark(context, name):
+    node = context.node
+    writer = CompareAndSetWriter(context.store)
+    deletion = Deletion(writer, node.configuration, node.kernel.clock)
+    deletion._mark(context.store.get("Policy", name).unwrap()).unwrap()
+    node.configuration.follow()
+
+
+def _create_pool(context, policy):
+    spec = {"kind": "engine", "policies": [policy]}
+    document = {"kind": "Pool", "metadata": {"name": "pool"}, "spec": spec}
+    return context.resources.create(document)
+
+
+@then('a resource pool that serves "{policy}" is refused')
+def step_pool_refused(context, policy):
+    error = _create_pool(context, policy).failure()
+    assert [finding.path for finding in error.findings] == ["spec.policies[0]"], error
+    assert ("Pool", "pool") not in context.store.history[-1]
+
+
+@when("the resource mark has expired")
+def step_mark_expired(context):
+    context.node.kernel.clock.advance(MARK_LASTS_S + 1)
+
+
+@then('a resource pool that serves "{policy}" is created')
+def step_pool_created(context, policy):
+    _create_pool(context, policy).unwrap()
--- a/features/support/resource_node.py
+++ b/features/support/resource_node.py
@@ -93,7 +93,7 @@
 class ResourceNode:
     def __init__(self, store):
         self.store = store
-        self.kernel = Kernel(bind_listeners("127.0.0.1", 0, 0))
+        self.kernel = Kernel(bind_listeners("127.0.0.1", 0, 0), clock=ManualClock())
         self.configuration = PumpedConfiguration(store)
         settings = Settings(
             node=NodeIdentity(name="node"), platform=PlatformSettings(object_api="store:1")
--- a/src/bellweir/resources/documents.py
+++ b/src/bellweir/resources/documents.py
@@ -8,7 +8,10 @@
 
 MUTATIONS_ANNOTATION = "bellweir.dev/mutations"
 """Ids of the last writes, newest first; kept from callers."""
-INTERNAL_ANNOTATION_PREFIX = "bellweir.dev/mutation"
+DELETING_ANNOTATION = "bellweir.dev/deleting-until"
+"""Mark of a deletion under way; its value is when it expires, in seconds since 1970 UTC."""
+INTERNAL_ANNOTATION_PREFIX = "bellweir.dev/"
+"""Annotations of the system's own, which callers neither see nor write."""
 MAXIMUM_DIFFERENCES = 20
 SHOWN_CHARACTERS = 120
 
--- a/src/bellweir/resources/references.py
+++ b/src/bellweir/resources/references.py
@@ -2,17 +2,29 @@
 
 import difflib
 from collections.abc import Iterable, Iterator
+from dataclasses import replace
 
 from bellweir.configuration.interface import ConfigurationSnapshot
-from bellweir.resources.documents import shown
-from bellweir.resources.interface import ResourceFinding
+from bellweir.resources.documents import DELETING_ANNOTATION, shown
+from bellweir.resources.interface import ResourceError, ResourceErrorKind, ResourceFinding
 from bellweir.resources.models import AnyResource, Comparison, Policy, Pool, WeightVersion
 
 
+def refers(resource: AnyResource) -> bool:
+    """Whether a resource names others."""
+    if isinstance(resource, Pool):
+        return bool(resource.spec.policies)
+    return not isinstance(resource, Policy) or resource.spec.version is not None
+
+
 def reference_findings(
-    resource: AnyResource, snapshot: ConfigurationSnapshot
+    resource: AnyResource, snapshot: ConfigurationSnapshot, now_s: float
 ) -> tuple[ResourceFinding, ...]:
-    """Names in a resource that nothing in force has."""
+    """Names in a resource that nothing in force has, or only what is being deleted.
+
+    `now_s` is the wall clock, in seconds since 1970 UTC.
+    """
+    snapshot = _staying(snapshot, now_s)
     match resource:
         case Policy():
             return tuple(_policy_findings(resource, snapshot))
@@ -28,6 +40,24 @@
             return tuple(_comparison_findings(resource, snapshot))
 
 
+def _staying(snapshot: ConfigurationSnapshot, now_s: float) -> ConfigurationSnapshot:
+    """The snapshot without what is being deleted."""
+    policies = {
+        name: policy for name, policy in snapshot.policies.items() if not _deleting(policy, now_s)
+    }
+    versions = {
+        name: version
+        for name, version in snapshot.weight_versions.items()
+        if not _deleting(version, now_s)
+    }
+    return replace(snapshot, policies=policies, weight_versions=versions)
+
+
+def _deleting(resource: AnyResource, now_s: float) -> bool:
+    until_s = resource.metadata.annotations.get(DELETING_ANNOTATION, "0")
+    return until_s.isdecimal() and float(until_s) > now_s
+
+
 def _policy_findings(policy: Policy, snapshot: ConfigurationSnapshot) -> Iterator[ResourceFinding]:
     """A new policy may name its version ahead, as a weight version must name its policy."""
     wanted = policy.spec.version
@@ -72,6 +102,12 @@
     return {version.spec.version for version in versions if version.spec.policy == policy}
 
 
+def in_use(kind: str, name: str, users: tuple[ResourceFinding, ...]) -> ResourceError:
+    """The refusal to delete what others name."""
+    detail = f"{kind} {name} is in use by {len(users)} resource(s)"
+    return ResourceError(ResourceErrorKind.IN_USE, detail, users)
+
+
 def users_of(kind: str, name: str, snapshot: ConfigurationSnapshot) -> tuple[ResourceFinding, ...]:
     """Resources in force that name the given one, as findings."""
     if kind == "Policy":
