--- a/bench/gateway_cost.py
+++ b/bench/gateway_cost.py
@@ -107,33 +107,37 @@
 def configure(gateway: str, application: str, engine: str) -> None:
     """Create a policy and two pools, and wait until both serve."""
     wait_for(gateway, "GET", "/readyz", None)
-    limits = {
-        "interactive": {"concurrency": 256, "queue": 256, "timeoutS": 60},
-    }
-    resources = (
-        (
-            "policies",
-            {"kind": "Policy", "metadata": {"name": "policy"}, "spec": {"model": "model"}},
-        ),
-        ("pools", _pool("application", "application", application, limits, ())),
-        ("pools", _pool("engines", "engine", engine, limits, ("policy",))),
-    )
-    for plural, document in resources:
-        body = json.dumps({"apiVersion": "bellweir.dev/v1", **document}).encode()
-        wait_for(gateway, "POST", f"/apis/bellweir.dev/v1/{plural}", body)
+    limits: dict[str, object] = {"interactive": {"concurrency": 256, "queue": 256, "timeoutS": 60}}
+    policy = {"kind": "Policy", "metadata": {"name": "policy"}, "spec": {"model": "model"}}
+    create(gateway, "policies", policy)
+    pool = pool_document("application", "application", (application,), limits, ())
+    create(gateway, "pools", pool)
+    pool = pool_document("engines", "engine", (engine,), limits, ("policy",))
+    create(gateway, "pools", pool)
     wait_for(gateway, "POST", "/apps/application/price", BODY)
     wait_for(gateway, "POST", "/v1/completions", _completion(stream=False))
 
 
-def _pool(
-    name: str, kind: str, address: str, limits: dict[str, object], policies: tuple[str, ...]
+def create(gateway: str, plural: str, document: dict[str, object]) -> None:
+    """Create a resource."""
+    body = json.dumps({"apiVersion": "bellweir.dev/v1", **document}).encode()
+    wait_for(gateway, "POST", f"/apis/bellweir.dev/v1/{plural}", body)
+
+
+def pool_document(
+    name: str,
+    kind: str,
+    addresses: tuple[str, ...],
+    limits: dict[str, object],
+    policies: tuple[str, ...],
 ) -> dict[str, object]:
-    worker = {"name": f"{name}-1", "address": address, "zone": "zone-1", "region": "region-1"}
-    return {
-        "kind": "Pool",
-        "metadata": {"name": name},
-        "spec": {"kind": kind, "workers": [worker], "limits": limits, "policies": policies},
-    }
+    """A pool of workers at these addresses."""
+    workers = [
+        {"name": f"{name}-{n}", "address": address, "zone": "zone-1", "region": "region-1"}
+        for n, address in enumerate(addresses)
+    ]
+    spec = {"kind": kind, "workers": workers, "limits": limits, "policies": policies}
+    return {"kind": "Pool", "metadata": {"name": name}, "spec": spec}
 
 
 def wait_for(address: str, method: str, path: str, body: bytes | None) -> None:
