Say unknown where a request with a key is refused before the ledger was asked

The request itself had not run, its key had. Change: refusals that the gateway makes itself say unknown for requests that bear an idempotency key, or whose headers could not be read. Shown by: the drain scenario asks with a key, which failed before.

--- a/features/steps/gateway_stop_steps.py
+++ b/features/steps/gateway_stop_steps.py
@@ -58,6 +58,10 @@
     found = (status, headers["Connection"], headers["Retry-After"])
     assert found == (503, "close", "1"), found
     assert json.loads(body)["run_state"] == "not_run"
+    # A request with this key may have run before, through this node or another one.
+    keyed = {"Idempotency-Key": "key-1"}
+    status, refusal = gateway_json(context, "POST", "/apps/web/x", {}, keyed)
+    assert (status, refusal["run_state"]) == (503, "unknown")
     assert not context.drain.done()
     for generation in node.dispatcher.generations:
         generation.go_on.set()
--- a/src/bellweir/gateway/application.py
+++ b/src/bellweir/gateway/application.py
@@ -24,9 +24,8 @@
 from bellweir.gateway.problems import (
     Problem,
     body_cut,
-    openai_error_response,
-    problem_response,
 )
+from bellweir.gateway.refusals import refuse
 from bellweir.gateway.request_headers import REQUEST_CLASS, REQUEST_ID, parse_class
 from bellweir.gateway.router import Match, NoMatch, Router
 from bellweir.gateway.tasks import ABORT_CONNECTION
@@ -203,13 +202,6 @@
         raise ClientDisconnected from failure
 
 
-def refuse(request: Request, problem: Problem) -> Response:
-    """Answer with a problem, in OpenAI's shape below `/v1`."""
-    if request.path.startswith("/v1/"):
-        return openai_error_response(problem, request.request_id)
-    return problem_response(problem, request.request_id)
-
-
 def _share_of(request: Request, interface: str) -> ThreadShare:
     if interface not in _CALLERS_INTERFACES:
         return ThreadShare.SYSTEM
--- a/src/bellweir/gateway/problems.py
+++ b/src/bellweir/gateway/problems.py
@@ -1,7 +1,7 @@
 """Refusals as HTTP answers: problem documents (RFC 9457), and OpenAI's error shape on `/v1`."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 
@@ -95,6 +95,16 @@
     )
 
 
+def before_the_ledger(problem: Problem, *, has_key: bool) -> Problem:
+    """A refusal made before the ledger was asked about the request's idempotency key.
+
+    This request has not run, but one with the same key may have, through this node or another.
+    """
+    if has_key and problem.run_state is RunState.NOT_RUN:
+        return replace(problem, run_state=RunState.UNKNOWN)
+    return problem
+
+
 def problem_document(problem: Problem, request_id: str) -> ProblemDocument:
     """The document that describes a problem."""
     return ProblemDocument(
--- a/src/bellweir/gateway/resources_api.py
+++ b/src/bellweir/gateway/resources_api.py
@@ -15,6 +15,7 @@
     parse_integer,
 )
 from bellweir.gateway.problems import Problem, problem_response
+from bellweir.gateway.refusals import refuse
 from bellweir.gateway.resource_body import Deleted, list_body, read_document
 from bellweir.gateway.resource_errors import problem_of_error
 from bellweir.gateway.resource_watch import DEFAULT_WATCH_S, MAXIMUM_WATCH_S, ResourceWatch
@@ -127,7 +128,7 @@
     def _watch(self, request: Request, kind: str) -> Response:
         wanted_s = request.query_number("timeoutSeconds", DEFAULT_WATCH_S)
         if not self._context.move_to(request, ThreadShare.LONG_POLL):
-            return problem_response(share_full(ThreadShare.LONG_POLL), request.request_id)
+            return refuse(request, share_full(ThreadShare.LONG_POLL))
         watch = ResourceWatch(
             self._resources, request, self._context.clock, kind, self._is_draining
         )
--- a/src/bellweir/gateway/steps_api.py
+++ b/src/bellweir/gateway/steps_api.py
@@ -16,6 +16,7 @@
     parse_integer,
 )
 from bellweir.gateway.problems import Problem, openai_error_response
+from bellweir.gateway.refusals import refuse
 from bellweir.gateway.request_headers import IDEMPOTENCY_KEY
 from bellweir.gateway.router import Router
 from bellweir.routing.interface import RunState
@@ -82,7 +83,7 @@
         limit = parse_integer("query parameter limit", request.query("limit") or str(DEFAULT_LIMIT))
         wait_s = min(request.query_number("wait_s", 0.0), MAXIMUM_WAIT_S)
         if wait_s and not self._context.move_to(request, ThreadShare.LONG_POLL):
-            return openai_error_response(share_full(ThreadShare.LONG_POLL), request.request_id)
+            return refuse(request, share_full(ThreadShare.LONG_POLL))
         limit = min(max(1, limit), MAXIMUM_LIMIT)
         return _answer(request, self._pull(request, step, cursor, limit, wait_s))
 
--- a/src/bellweir/gateway/tasks.py
+++ b/src/bellweir/gateway/tasks.py
@@ -9,6 +9,7 @@
 from bellweir.gateway.problems import (
     NAMES_OF_STATUS,
     Problem,
+    before_the_ledger,
     openai_error_response,
     problem_response,
 )
@@ -40,6 +41,7 @@
             str(error.body),
             RunState.UNKNOWN if raised else RunState.NOT_RUN,
         )
+        problem = before_the_ledger(problem, has_key=self.request.may_have_key())
         in_openai_shape = self.request.path.startswith("/v1/")
         shape = openai_error_response if in_openai_shape else problem_response
         response = shape(problem, new_request_id())
