--- a/features/support/ledger_nodes.py
+++ b/features/support/ledger_nodes.py
@@ -49,7 +49,7 @@
 
 
 class ItemList(StateMachine):
-    """A list; the oracle of the ledger's properties. Appending an item twice changes nothing."""
+    """A list; the oracle of the ledger's properties. A command applied twice shows."""
 
     def __init__(self) -> None:
         self.items: list[int] = []
@@ -64,8 +64,7 @@
         return (Items,)
 
     def apply(self, command: Any) -> Reply:
-        if command.item not in self.items:
-            self.items.append(command.item)
+        self.items.append(command.item)
         return Items(tuple(self.items))
 
     def answer(self, query: Query) -> Reply:
