--- a/src/bellweir/entrypoints/node.py
+++ b/src/bellweir/entrypoints/node.py
@@ -8,12 +8,29 @@
 from pathlib import Path
 from types import FrameType
 
+from bellweir.configuration.service import ConfigurationService
 from bellweir.events.log import bind_node, configure_logs, emit
+from bellweir.gateway.service import GatewayService
+from bellweir.kernel import names
 from bellweir.kernel.listeners import Listeners, bind_listeners
 from bellweir.kernel.log_events import NODE_DRAINING, NODE_STARTED, NODE_STOPPED
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
+from bellweir.ledger.claims_service import ClaimsService
+from bellweir.ledger.segments_service import SegmentsService
+from bellweir.ledger.service import LedgerService
+from bellweir.membership.interface import Membership
+from bellweir.membership.ownership import OwnershipService
+from bellweir.membership.service import MembershipService
+from bellweir.platform.service import PlatformService
+from bellweir.resources.service import ResourcesService
+from bellweir.routing.service import DispatcherService
+from bellweir.routing.views_service import BackendViewsService
+from bellweir.samples.service import SamplesService
 from bellweir.settings.models import Settings
+from bellweir.telemetry.service import TelemetryService
+from bellweir.weights.service import WeightsService
+from bellweir.wire.service import TransportService
 
 DRAIN_DEADLINE_S = 120.0
 """Longest wait for work in hand at a planned stop."""
@@ -23,7 +40,23 @@
 
 def service_factories() -> tuple[ServiceFactory, ...]:
     """Return the constructors of all services of a node; the registry orders their start."""
-    return ()
+    return (
+        PlatformService,
+        TransportService,
+        MembershipService,
+        OwnershipService,
+        ConfigurationService,
+        ResourcesService,
+        BackendViewsService,
+        DispatcherService,
+        LedgerService,
+        ClaimsService,
+        SegmentsService,
+        SamplesService,
+        WeightsService,
+        TelemetryService,
+        GatewayService,
+    )
 
 
 class Node:
@@ -65,6 +98,8 @@
     def stop(self) -> None:
         """Let the work in hand end, then end every task and close every socket."""
         emit(NODE_DRAINING)
+        # Spread first, so that peers move leadership and ownership away while requests end here.
+        self.kernel.registry.find(names.MEMBERSHIP, Membership).announce_leaving()  # type: ignore[type-abstract]
         self.kernel.registry.drain(DRAIN_DEADLINE_S)
         try:
             self.kernel.registry.stop()
