--- a/src/bellweir/ledger/node.py
+++ b/src/bellweir/ledger/node.py
@@ -192,12 +192,17 @@
         """Whether there is something to send to a peer before its next heartbeat."""
         return any(replica.has_news_for(target) for replica, target in self._led_on(peer))
 
-    def replicate(self, peer: str) -> bool:
-        """Send a peer what it lacks, or a heartbeat; False when it did not answer."""
+    def replicate(self, peer: str, *, heartbeat: bool = True) -> bool:
+        """Send a peer what it lacks, and heartbeats of the other shards if they are due.
+
+        Returns False when it did not answer.
+        """
         address = self._address_of(peer)
         if address is None:
             return False
         led = self._led_on(peer)
+        if not heartbeat:
+            led = [(replica, target) for replica, target in led if replica.has_news_for(target)]
         answered = self._send_appends(address, led)
         for replica, target in led:
             if answered and replica.needs_snapshot(target):
--- a/src/bellweir/ledger/tasks.py
+++ b/src/bellweir/ledger/tasks.py
@@ -1,6 +1,7 @@
 """The tasks of a node with replicas: a fixed few, and one for each peer it replicates to."""
 
 import threading
+import time
 from collections.abc import Callable
 from functools import partial
 
@@ -12,6 +13,8 @@
 from bellweir.settings.models import LedgerSettings
 
 TICK_S = 0.05
+WRITER_PERIOD_S = 0.5
+"""The writer is woken for entries; this bounds the wait for whatever else was buffered."""
 KEEPER_PERIOD_S = 0.5
 HAND_OVER_POLL_S = 0.02
 STOP_TIMEOUT_S = 5.0
@@ -95,7 +98,7 @@
 
     def _write(self) -> None:
         while not self._stop.is_set():
-            self._to_write.wait(TICK_S)
+            self._to_write.wait(WRITER_PERIOD_S)
             self._to_write.clear()
             self._node.flush()
             self._node.compact()
@@ -117,13 +120,18 @@
             self._run(f"ledger-peer-{peer}", partial(self._serve, peer, news))
 
     def _serve(self, peer: str, news: threading.Event) -> None:
+        """Send news at once, in batches of whatever came up meanwhile, and heartbeats in time."""
+        heartbeat_s = self._settings.heartbeat_s
+        due_s = time.monotonic()
         while not self._stop.is_set() and peer in self._node.peers():
-            news.wait(self._settings.heartbeat_s)
+            news.wait(max(0.0, due_s - time.monotonic()))
             news.clear()
-            answered = self._node.replicate(peer)
-            while answered and not self._stop.is_set() and self._node.has_news(peer):
-                answered = self._node.replicate(peer)
-            if not answered:
-                self._stop.wait(self._settings.heartbeat_s)
+            is_due = time.monotonic() >= due_s
+            if is_due:
+                due_s = time.monotonic() + heartbeat_s
+            if not self._node.replicate(peer, heartbeat=is_due):
+                self._stop.wait(heartbeat_s)
+            elif self._node.has_news(peer):
+                news.set()
         with self._lock:
             self._peers.pop(peer, None)
