--- a/features/support/ledger_simulation.py
+++ b/features/support/ledger_simulation.py
@@ -55,8 +55,9 @@
         held = self.shards.get(shard, StoredShard(shard, 1, 0, None, None, ()))
         match operation:
             case AppendEntries(_, entries):
-                kept = _before(held.entries, entries[0].index)
-                self.shards[shard] = _with(held, entries=(*kept, *entries))
+                behind = held.entries[-1].index if held.entries else _snapshot_index(held)
+                assert entries[0].index == behind + 1, "the journal would have a gap"
+                self.shards[shard] = _with(held, entries=(*held.entries, *entries))
             case SaveTerm(_, generation, term, voted_for):
                 self.shards[shard] = _with(
                     held, generation=generation, term=term, voted_for=voted_for
@@ -74,6 +75,10 @@
     return tuple(one for one in entries if one.index < index)
 
 
+def _snapshot_index(held: StoredShard) -> int:
+    return held.snapshot.index if held.snapshot else 0
+
+
 def _with(held: StoredShard, **changes: Any) -> StoredShard:
     return StoredShard(**{**held.__dict__, **changes})
 
--- a/src/bellweir/ledger/journal.py
+++ b/src/bellweir/ledger/journal.py
@@ -37,7 +37,7 @@
 
 @dataclass(frozen=True)
 class AppendEntries:
-    """Replace everything from the first entry's index on by these entries."""
+    """Add entries behind the last one kept."""
 
     shard: int
     entries: Sequence[Entry]
--- a/src/bellweir/ledger/node.py
+++ b/src/bellweir/ledger/node.py
@@ -35,7 +35,8 @@
     VoteAnswer,
     VoteRequest,
 )
-from bellweir.ledger.replica import Replica, ReplicaTiming
+from bellweir.ledger.replica import Replica
+from bellweir.ledger.replica_state import ReplicaTiming
 from bellweir.ledger.snapshots import MAXIMUM_SNAPSHOT_BYTES, IncomingSnapshot, OutgoingSnapshot
 from bellweir.wire.interface import Sender, Transport
 
--- a/src/bellweir/ledger/sqlite_journal.py
+++ b/src/bellweir/ledger/sqlite_journal.py
@@ -217,7 +217,6 @@
     def _write_one(self, operation: Operation) -> None:
         match operation:
             case AppendEntries(shard, entries):
-                self._delete_from(shard, entries[0].index)
                 self._connection.executemany(
                     "INSERT INTO entries VALUES (?, ?, ?, ?, ?, ?)",
                     [_row_of(shard, entry) for entry in entries],
