--- a/features/rehearsal_promises.feature
+++ b/features/rehearsal_promises.feature
@@ -28,6 +28,7 @@
       | answer-vanished         | WHOLE_ANSWERS    |
       | false-refusal           | TRUE_REFUSALS    |
       | false-app-refusal       | TRUE_REFUSALS    |
+      | false-write-refusal     | TRUE_REFUSALS    |
       | second-run              | AT_MOST_ONCE     |
       | work-after-leaving      | LEAVING_BACKENDS |
       | stop-cuts               | PLANNED_STOPS    |
--- a/src/bellweir_rehearsal/callers/operator.py
+++ b/src/bellweir_rehearsal/callers/operator.py
@@ -2,6 +2,7 @@
 
 import json
 import time
+import uuid
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -20,6 +21,7 @@
     "Comparison": "comparisons",
 }
 WRITE_TIMEOUT_S = 15.0
+MARK_LABEL = "changed-by"
 
 
 class OperatorError(RuntimeError):
@@ -97,6 +99,7 @@
         document: Mapping[str, Any],
         current: dict[str, Any] | None,
         publication: Publication | None,
+        mark: str | None = None,
     ) -> WriteOutcome:
         kind, name = document["kind"], document["metadata"]["name"]
         sent_s = time.time()
@@ -105,11 +108,13 @@
         except NotConnectedError as failure:
             return WriteOutcome(False, False, None, str(failure))
         except CutError as failure:
-            return self._failed(address, kind, name, None, str(failure), unknown=True)
+            return self._failed(address, kind, name, None, str(failure), unknown=True, mark=mark)
         if answer.status not in (200, 201):
             text = answer.body[:500].decode(errors="replace")
             unknown = read_refusal(answer.body).run_state == "unknown"
-            return self._failed(address, kind, name, answer.status, text, unknown=unknown)
+            return self._failed(
+                address, kind, name, answer.status, text, unknown=unknown, mark=mark
+            )
         revision = int(json.loads(answer.body)["metadata"]["resourceVersion"])
         self._journal.write(
             WriteAccepted(
@@ -126,8 +131,12 @@
         )
         return WriteOutcome(True, False, revision, "")
 
-    def relabel(self, address: NodeAddress, kind: str, name: str, label: str) -> WriteOutcome:
-        """Change a label of a resource and nothing else, by compare-and-set, in one try."""
+    def mark(self, address: NodeAddress, kind: str, name: str) -> WriteOutcome:
+        """Put a label of its own on a resource, by compare-and-set, in one try.
+
+        Nothing else changes, and the store's log tells by the label whether it took effect.
+        """
+        mark = f"{self.name}-{uuid.uuid4().hex}"
         try:
             current = self.read(address, kind, name)
         except (NotConnectedError, CutError) as failure:
@@ -135,8 +144,8 @@
         if current is None:
             return WriteOutcome(False, False, None, f"no {kind} {name}")
         metadata = dict(current["metadata"])
-        metadata["labels"] = dict(metadata.get("labels") or {}) | {"changed-by": label}
-        return self._write(address, current | {"metadata": metadata}, current, None)
+        metadata["labels"] = dict(metadata.get("labels") or {}) | {MARK_LABEL: mark}
+        return self._write(address, current | {"metadata": metadata}, current, None, mark)
 
     def read(self, address: NodeAddress, kind: str, name: str) -> dict[str, Any] | None:
         """A resource as the node holds it; None when there is none.
@@ -184,10 +193,19 @@
         detail: str,
         *,
         unknown: bool,
+        mark: str | None,
     ) -> WriteOutcome:
         self._journal.write(
             WriteFailed(
-                time.time(), self.name, address.node, kind, name, status, detail, unknown=unknown
+                time.time(),
+                self.name,
+                address.node,
+                kind,
+                name,
+                status,
+                detail,
+                unknown=unknown,
+                mark=mark,
             )
         )
         return WriteOutcome(False, status == 409, None, detail)
--- a/src/bellweir_rehearsal/console.py
+++ b/src/bellweir_rehearsal/console.py
@@ -92,7 +92,7 @@
 
 def _trainers_table(result: RunResult) -> Table:
     trainers = result.trainers
-    table = Table(title="Training", show_header=False)
+    table = Table(title="Training and configuration", show_header=False)
     table.add_column("measure")
     table.add_column("value", justify="right")
     versions = ", ".join(f"v{key}: {count}" for key, count in trainers.samples_by_version.items())
@@ -100,6 +100,12 @@
     table.add_row("steps abandoned", str(trainers.steps_abandoned))
     table.add_row("samples by oldest version", versions or "none")
     table.add_row("trainer idle time", f"{sum(trainers.idle_s):.2f} s ({trainers.idle_share:.0%})")
+    spread = sorted(result.configuration.spread_s)
+    if spread:
+        middle = spread[len(spread) // 2]
+        table.add_row(
+            "configuration in force everywhere", f"p50 {middle:.2f} s, worst {spread[-1]:.2f} s"
+        )
     if trainers.staleness_versions:
         stale = trainers.staleness_versions
         mean = sum(stale) / len(stale)
--- a/src/bellweir_rehearsal/experiments/measures.py
+++ b/src/bellweir_rehearsal/experiments/measures.py
@@ -34,6 +34,9 @@
     mean = sum(staleness) / len(staleness) if staleness else 0.0
     found.append(Measure("staleness, mean", "versions", mean))
     found.append(Measure("staleness, worst", "versions", float(max(staleness, default=0))))
+    spread = sorted(run.configuration.spread_s) or [0.0]
+    found.append(Measure("configuration in force everywhere, p50", "s", spread[len(spread) // 2]))
+    found.append(Measure("configuration in force everywhere, worst", "s", spread[-1]))
     found.append(
         Measure("breaches of promises", "count", sum(len(entry.breaches) for entry in run.promises))
     )
--- a/src/bellweir_rehearsal/faults/actions.py
+++ b/src/bellweir_rehearsal/faults/actions.py
@@ -208,8 +208,7 @@
         nodes = stage.cluster.directory.all_nodes()
         for operator in stage.operators:
             if nodes:
-                label = f"{operator.name}-{source.randrange(1000)}"
-                operator.relabel(source.choice(nodes), "Pool", pool, label)
+                operator.mark(source.choice(nodes), "Pool", pool)
         time.sleep(RACE_PAUSE_S)
     return _nothing
 
--- a/src/bellweir_rehearsal/promises/evidence.py
+++ b/src/bellweir_rehearsal/promises/evidence.py
@@ -103,6 +103,8 @@
     revision: int
     deleted: bool
     mutation_id: str | None
+    mark: str | None = None
+    """Label by which one write of an operator is told from others."""
 
 
 @dataclass
--- a/src/bellweir_rehearsal/promises/loading.py
+++ b/src/bellweir_rehearsal/promises/loading.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from bellweir_rehearsal.callers.operator import MARK_LABEL
 from bellweir_rehearsal.promises.evidence import (
     ApplicationRun,
     EngineAttempt,
@@ -145,6 +146,7 @@
                     record.version,
                     record.deleted,
                     record.mutation_id,
+                    record.document["metadata"].get("labels", {}).get(MARK_LABEL),
                 )
             )
 
--- a/src/bellweir_rehearsal/promises/mutations.py
+++ b/src/bellweir_rehearsal/promises/mutations.py
@@ -34,6 +34,7 @@
     StepEnded,
     WorkerLeaving,
     WriteAccepted,
+    WriteFailed,
 )
 
 Found = TypeVar("Found")
@@ -201,6 +202,27 @@
     )
 
 
+def _false_refusal_of_write(evidence: Evidence) -> Evidence:
+    """A write that the store has taken is refused as a conflict."""
+    stored = _first(evidence.store_writes)
+    mark = "mutation"
+    failed = WriteFailed(
+        stored.time_s + 0.1,
+        "mutation",
+        "mutation",
+        stored.kind,
+        stored.name,
+        409,
+        "mutation",
+        unknown=False,
+        mark=mark,
+    )
+    writes = [
+        replace(write, mark=mark) if write is stored else write for write in evidence.store_writes
+    ]
+    return replace(evidence, store_writes=writes, records=[*evidence.records, failed])
+
+
 def _second_run(evidence: Evidence) -> Evidence:
     run = _first(run for run in evidence.application_runs if run.idempotency_key is not None)
     again = replace(run, attempt_id=f"{run.attempt_id}-again", time_s=run.time_s + 0.5)
@@ -304,6 +326,7 @@
         Mutation("answer-vanished", Promise.WHOLE_ANSWERS, _answer_vanished),
         Mutation("false-refusal", Promise.TRUE_REFUSALS, _false_refusal_of_completion),
         Mutation("false-app-refusal", Promise.TRUE_REFUSALS, _false_refusal_of_request),
+        Mutation("false-write-refusal", Promise.TRUE_REFUSALS, _false_refusal_of_write),
         Mutation("second-run", Promise.AT_MOST_ONCE, _second_run),
         Mutation("work-after-leaving", Promise.LEAVING_BACKENDS, _work_after_leaving),
         Mutation("stop-cuts", Promise.PLANNED_STOPS, _stop_cuts),
--- a/src/bellweir_rehearsal/promises/true_refusals.py
+++ b/src/bellweir_rehearsal/promises/true_refusals.py
@@ -23,9 +23,26 @@
         fault = _trace(sent, ended, evidence)
         if fault is not None:
             verdict.breach(call_id, fault)
+    _check_writes(evidence, verdict)
     return verdict
 
 
+def _check_writes(evidence: Evidence, verdict: Verdict) -> None:
+    """A write that was refused for sure must not stand in the store's log."""
+    stored = {write.mark: write for write in evidence.store_writes if write.mark is not None}
+    for write in evidence.failed_writes:
+        if write.unknown or write.mark is None:
+            continue
+        verdict.count("refused writes")
+        found = stored.get(write.mark)
+        if found is not None:
+            verdict.breach(
+                write.mark,
+                f"write of {write.kind}/{write.name} through {write.node} was refused "
+                f"({write.status}) and took effect as revision {found.revision}",
+            )
+
+
 def _trace(sent: CallSent, ended: CallEnded, evidence: Evidence) -> str | None:
     if sent.kind is CallKind.COMPLETION:
         for attempt in evidence.attempts_by_request.get(sent.call_id, []):
--- a/src/bellweir_rehearsal/records/model.py
+++ b/src/bellweir_rehearsal/records/model.py
@@ -170,6 +170,9 @@
     status: int | None
     detail: str
     unknown: bool
+    """Whether it may have taken effect, as the answer says or as no answer came."""
+    mark: str | None = None
+    """Label by which the store's log tells this write from others."""
 
 
 class ConfigurationSeen(Record, frozen=True):
--- a/src/bellweir_rehearsal/rehearsal.py
+++ b/src/bellweir_rehearsal/rehearsal.py
@@ -96,6 +96,10 @@
                 self._run_tasks(pool, load, stop)
                 self._report("settling", 1.0)
                 stop.wait(self.plan.settle_s)
+            except BaseException:
+                # Also at Ctrl-C: load and faults end early, so that leaving does not wait for them.
+                stop.set()
+                raise
             finally:
                 ended.set()
         for observer in observation.result():
--- a/src/bellweir_rehearsal/result.py
+++ b/src/bellweir_rehearsal/result.py
@@ -11,6 +11,7 @@
 from bellweir_rehearsal.plan import RunPlan
 from bellweir_rehearsal.promises.evidence import Evidence
 from bellweir_rehearsal.promises.verdict import Breach, Ruling, Verdict
+from bellweir_rehearsal.spread import spread_times
 
 
 @dataclass(frozen=True)
@@ -41,6 +42,16 @@
     """For each sample at its arrival: newest published version less its oldest one."""
 
 
+@dataclass(frozen=True)
+class ConfigurationSummary:
+    """How fast configurations spread."""
+
+    writes: int
+    spread_s: tuple[float, ...]
+    """For each accepted write: time until every observed node that works had it in force, as
+    seen by polling four times a second; writes whose spread a node's fault hides are left out."""
+
+
 @dataclass(frozen=True)
 class FaultMark:
     """A fault on the time axis, in seconds from the start of the records."""
@@ -72,6 +83,7 @@
     promises: tuple[PromiseResult, ...]
     classes: tuple[ClassSummary, ...]
     trainers: TrainerSummary
+    configuration: ConfigurationSummary
     faults: tuple[FaultMark, ...]
     versions: tuple[VersionPoint, ...]
 
@@ -112,6 +124,7 @@
         promises=tuple(_promise_result(verdict) for verdict in verdicts),
         classes=classes,
         trainers=_trainer_summary(evidence, points),
+        configuration=ConfigurationSummary(len(evidence.writes), spread_times(evidence)),
         faults=tuple(_fault_marks(evidence, began_s)),
         versions=tuple(points),
     )
