--- a/features/rehearsal_promises.feature
+++ b/features/rehearsal_promises.feature
@@ -24,6 +24,7 @@
       | sample-changed          | EXACTLY_ONCE     |
       | sample-lost             | EXACTLY_ONCE     |
       | answer-cut-short        | WHOLE_ANSWERS    |
+      | sample-cut-short        | WHOLE_ANSWERS    |
       | answers-swapped         | WHOLE_ANSWERS    |
       | answer-vanished         | WHOLE_ANSWERS    |
       | false-refusal           | TRUE_REFUSALS    |
--- a/src/bellweir_rehearsal/promises/evidence.py
+++ b/src/bellweir_rehearsal/promises/evidence.py
@@ -28,6 +28,9 @@
 )
 from bellweir_rehearsal.standins.token_model import tokens_between
 
+WHOLE_OUTCOMES = frozenset({"stop", "length"})
+"""How an engine names the end of a whole answer in its log."""
+
 RecordKind = TypeVar("RecordKind", bound=Record)
 
 
@@ -62,6 +65,16 @@
     """How the engine says it ended; None when it was killed first."""
     runs: tuple[TokenRun, ...]
 
+    @property
+    def end_token(self) -> int:
+        """One past the position of the last token had."""
+        return self.runs[-1].end_token if self.runs else self.first_token
+
+    @property
+    def ended_whole(self) -> bool:
+        """Whether the engine says that the answer came to its end."""
+        return self.outcome in WHOLE_OUTCOMES
+
     def tokens(self, first: int, end: int) -> tuple[int, ...]:
         """The tokens that stand-in engines give for this prompt and seed."""
         return tokens_between(self.prompt, self.seed, first, end)
--- a/src/bellweir_rehearsal/promises/mutations.py
+++ b/src/bellweir_rehearsal/promises/mutations.py
@@ -36,6 +36,7 @@
     WriteAccepted,
     WriteFailed,
 )
+from bellweir_rehearsal.standins.token_model import text_of
 
 Found = TypeVar("Found")
 RecordKind = TypeVar("RecordKind", bound=AnyRecord)
@@ -161,6 +162,23 @@
     )
 
 
+def _sample_cut_short(evidence: Evidence) -> Evidence:
+    """A sample lacks its last token, and says nothing of it."""
+    sample = _first(entry for entry in evidence.samples if len(entry.tokens) > 1)
+    last = sample.versions[-1]
+    kept = sample.versions[:-1]
+    if last.token_count > 1:
+        kept += (msgspec.structs.replace(last, token_count=last.token_count - 1),)
+    tokens = sample.tokens[:-1]
+    records = [
+        msgspec.structs.replace(record, tokens=tokens, text=text_of(tokens), versions=kept)
+        if isinstance(record, SampleReceived) and record.sample_id == sample.sample_id
+        else record
+        for record in evidence.records
+    ]
+    return replace(evidence, records=records)
+
+
 def _answers_swapped(evidence: Evidence) -> Evidence:
     entries = [ended for _, ended in _answered(evidence, CallKind.APPLICATION)]
     if len(entries) < 2:
@@ -322,6 +340,7 @@
         Mutation("sample-changed", Promise.EXACTLY_ONCE, _sample_changed),
         Mutation("sample-lost", Promise.EXACTLY_ONCE, _sample_lost),
         Mutation("answer-cut-short", Promise.WHOLE_ANSWERS, _answer_cut_short),
+        Mutation("sample-cut-short", Promise.WHOLE_ANSWERS, _sample_cut_short),
         Mutation("answers-swapped", Promise.WHOLE_ANSWERS, _answers_swapped),
         Mutation("answer-vanished", Promise.WHOLE_ANSWERS, _answer_vanished),
         Mutation("false-refusal", Promise.TRUE_REFUSALS, _false_refusal_of_completion),
--- a/src/bellweir_rehearsal/promises/whole_answers.py
+++ b/src/bellweir_rehearsal/promises/whole_answers.py
@@ -4,15 +4,21 @@
 from bellweir_rehearsal.promises.evidence import EngineAttempt, Evidence
 from bellweir_rehearsal.promises.token_coverage import fault_in_ranges
 from bellweir_rehearsal.promises.verdict import Promise, Verdict
-from bellweir_rehearsal.records.model import CallEnded, CallKind, CallOutcome, CallSent
+from bellweir_rehearsal.records.model import (
+    CallEnded,
+    CallKind,
+    CallOutcome,
+    CallSent,
+    SampleReceived,
+)
 from bellweir_rehearsal.standins.token_model import text_of
 
 
 def check_whole_answers(evidence: Evidence) -> Verdict:
     """Compare each answer with what the back ends produced for that very request.
 
-    A call without a whole answer or refusal is a breach too, unless its node was down or paused
-    within the call's life.
+    Samples count as answers to their trainers. A call without a whole answer or refusal is a
+    breach too, unless its node was down or paused within the call's life.
     """
     verdict = Verdict(Promise.WHOLE_ANSWERS, required=("completions", "application answers"))
     absent = absences(evidence)
@@ -31,9 +37,29 @@
             fault = _fault_in_application(sent, ended, evidence)
         if fault is not None:
             verdict.breach(call_id, fault)
+    for sample in {entry.sample_id: entry for entry in evidence.samples}.values():
+        verdict.count("samples")
+        fault = _fault_in_sample(sample, evidence)
+        if fault is not None:
+            verdict.breach(sample.sample_id, fault)
     return verdict
 
 
+def _fault_in_sample(sample: SampleReceived, evidence: Evidence) -> str | None:
+    if sample.text != text_of(sample.tokens):
+        return f"text is not that of its tokens: {sample.text[:80]!r}"
+    count = len(sample.tokens)
+    # Several samples share a prompt and differ by their seeds.
+    attempts = [
+        entry
+        for entry in evidence.attempts_by_prompt.get(sample.prompt, [])
+        if entry.tokens(0, count) == sample.tokens
+    ]
+    if not any(entry.ended_whole and entry.end_token == count for entry in attempts):
+        return f"has {count} tokens, where no engine came to the end of its answer"
+    return None
+
+
 def _fault_in_cut(
     sent: CallSent, ended: CallEnded, absent: dict[str, list[Absence]], verdict: Verdict
 ) -> str | None:
@@ -65,10 +91,8 @@
         return f"says {ended.token_count} tokens, has {count}"
     if ended.finish_reason == "length" and count != sent.max_tokens:
         return f"{count} of {sent.max_tokens} tokens with finish reason length"
-    if ended.finish_reason == "stop":
-        ends = {run.end_token for attempt in attempts for run in attempt.runs}
-        if count not in ends:
-            return f"stops at token {count}, where no engine stopped"
+    if not any(attempt.ended_whole and attempt.end_token == count for attempt in attempts):
+        return f"ends at token {count}, where no engine came to the end of its answer"
     return None
 
 
