Hold completions' version ranges and request ids against the engines' logs

Cause: the gateway names the ranges by choice; the kit looked for them one level higher and found none, so completions' versions went unchecked.

--- a/features/steps/rehearsal_kit_steps.py
+++ b/features/steps/rehearsal_kit_steps.py
@@ -158,7 +158,7 @@
     frames.append(frame({"choices": [{"text": "", "finish_reason": "length"}]}))
     segments = [{"weight_version": 3, "first_token": 0, "token_count": len(texts)}]
     usage = {"choices": [], "usage": {"completion_tokens": len(texts)}}
-    frames.append(frame(usage | {"bellweir": {"segments": segments}}))
+    frames.append(frame(usage | {"bellweir": {"choices": [{"index": 0, "segments": segments}]}}))
     return b"".join(frames), b"data: [DONE]\n\n"
 
 
--- a/src/bellweir_rehearsal/callers/answers.py
+++ b/src/bellweir_rehearsal/callers/answers.py
@@ -21,6 +21,8 @@
     finish_reason: str
     token_count: int | None
     versions: tuple[VersionRange, ...]
+    request_id: str | None
+    """Request that the answer says it is for."""
 
 
 @dataclass(frozen=True)
@@ -42,6 +44,7 @@
             finish_reason=_finish_reason(choice),
             token_count=(document.get("usage") or {}).get("completion_tokens"),
             versions=_versions(document),
+            request_id=_request_id(document),
         )
     except (KeyError, IndexError, TypeError) as failure:
         raise AnswerError(f"completion without {failure}") from failure
@@ -53,6 +56,7 @@
     finish_reason: str | None = None
     token_count: int | None = None
     versions: tuple[VersionRange, ...] = ()
+    request_id: str | None = None
     ended = False
     for line in body.split(b"\n"):
         if not line.startswith(b"data:"):
@@ -69,9 +73,10 @@
             finish_reason = choice.get("finish_reason") or finish_reason
         token_count = (frame.get("usage") or {}).get("completion_tokens", token_count)
         versions = _versions(frame) or versions
+        request_id = _request_id(frame) or request_id
     if not ended or finish_reason is None:
         raise AnswerError("stream without its end marker")
-    return Completion(text, finish_reason, token_count, versions)
+    return Completion(text, finish_reason, token_count, versions, request_id)
 
 
 def read_refusal(body: bytes) -> RefusalBody:
@@ -99,9 +104,14 @@
     return reason
 
 
+def _request_id(document: dict[str, Any]) -> str | None:
+    found = (document.get("bellweir") or {}).get("request_id")
+    return found if isinstance(found, str) else None
+
+
 def _versions(document: dict[str, Any]) -> tuple[VersionRange, ...]:
-    extension = document.get("bellweir") or {}
-    segments = extension.get("segments") or ()
+    choices = (document.get("bellweir") or {}).get("choices") or ({},)
+    segments = choices[0].get("segments") or ()
     return tuple(
         VersionRange(entry["weight_version"], entry["first_token"], entry["token_count"])
         for entry in segments
--- a/src/bellweir_rehearsal/callers/caller.py
+++ b/src/bellweir_rehearsal/callers/caller.py
@@ -252,6 +252,7 @@
         finish_reason=completion.finish_reason,
         token_count=completion.token_count,
         versions=completion.versions,
+        answer_request_id=completion.request_id,
         connection_reused=answer.reused,
         first_byte_s=answer.first_byte_s,
     )
--- a/src/bellweir_rehearsal/promises/evidence.py
+++ b/src/bellweir_rehearsal/promises/evidence.py
@@ -229,6 +229,14 @@
             found[attempt.prompt].append(attempt)
         return found
 
+    def attempts_for(self, prompt: str, tokens: tuple[int, ...]) -> list[EngineAttempt]:
+        """Attempts that generate these tokens: several samples share a prompt, not its seed."""
+        return [
+            attempt
+            for attempt in self.attempts_by_prompt.get(prompt, [])
+            if attempt.tokens(0, len(tokens)) == tokens
+        ]
+
     @cached_property
     def runs_by_target(self) -> dict[str, list[ApplicationRun]]:
         """Application runs by path and query."""
--- a/src/bellweir_rehearsal/promises/token_coverage.py
+++ b/src/bellweir_rehearsal/promises/token_coverage.py
@@ -19,18 +19,17 @@
 
 
 def fault_in_origin(
-    tokens: Sequence[int], versions: Sequence[VersionRange], attempts: Iterable[EngineAttempt]
+    versions: Sequence[VersionRange], attempts: Iterable[EngineAttempt]
 ) -> str | None:
-    """Say which token no engine produced with the version named for it; None when all are."""
+    """Say which token no engine produced with the version named for it; None when all are.
+
+    The attempts are those whose tokens are the answer's.
+    """
     produced: dict[int, set[int]] = {}
     for attempt in attempts:
         for run in attempt.runs:
-            end = min(run.end_token, len(tokens))
-            expected = attempt.tokens(run.first_token, end)
-            for offset, token in enumerate(expected):
-                position = run.first_token + offset
-                if tokens[position] == token:
-                    produced.setdefault(position, set()).add(run.weight_version)
+            for position in range(run.first_token, run.end_token):
+                produced.setdefault(position, set()).add(run.weight_version)
     for entry in versions:
         for position in range(entry.first_token, entry.first_token + entry.token_count):
             by = produced.get(position, set())
--- a/src/bellweir_rehearsal/promises/versions_named.py
+++ b/src/bellweir_rehearsal/promises/versions_named.py
@@ -17,9 +17,9 @@
         verdict.count("tokens", len(sample.tokens))
         if len(sample.versions) > 1:
             verdict.count("samples of several versions")
-        attempts = evidence.attempts_by_prompt.get(sample.prompt, [])
+        attempts = evidence.attempts_for(sample.prompt, sample.tokens)
         fault = fault_in_ranges(sample.versions, len(sample.tokens))
-        fault = fault or fault_in_origin(sample.tokens, sample.versions, attempts)
+        fault = fault or fault_in_origin(sample.versions, attempts)
         if fault is not None:
             verdict.breach(sample.sample_id, fault)
     return verdict
--- a/src/bellweir_rehearsal/promises/whole_answers.py
+++ b/src/bellweir_rehearsal/promises/whole_answers.py
@@ -2,7 +2,7 @@
 
 from bellweir_rehearsal.promises.availability import Absence, absences, was_absent
 from bellweir_rehearsal.promises.evidence import EngineAttempt, Evidence
-from bellweir_rehearsal.promises.token_coverage import fault_in_ranges
+from bellweir_rehearsal.promises.token_coverage import fault_in_origin, fault_in_ranges
 from bellweir_rehearsal.promises.verdict import Promise, Verdict
 from bellweir_rehearsal.records.model import (
     CallEnded,
@@ -31,6 +31,7 @@
             fault = _fault_in_cut(sent, ended, absent, verdict)
         elif ended.outcome is CallOutcome.ANSWERED and sent.kind is CallKind.COMPLETION:
             verdict.count("completions")
+            verdict.count("completions that name versions", bool(ended.versions))
             fault = _fault_in_completion(sent, ended, evidence)
         elif ended.outcome is CallOutcome.ANSWERED:
             verdict.count("application answers")
@@ -49,12 +50,7 @@
     if sample.text != text_of(sample.tokens):
         return f"text is not that of its tokens: {sample.text[:80]!r}"
     count = len(sample.tokens)
-    # Several samples share a prompt and differ by their seeds.
-    attempts = [
-        entry
-        for entry in evidence.attempts_by_prompt.get(sample.prompt, [])
-        if entry.tokens(0, count) == sample.tokens
-    ]
+    attempts = evidence.attempts_for(sample.prompt, sample.tokens)
     if not any(entry.ended_whole and entry.end_token == count for entry in attempts):
         return f"has {count} tokens, where no engine came to the end of its answer"
     return None
@@ -74,6 +70,8 @@
     attempts = evidence.attempts_by_request.get(sent.call_id, [])
     if not attempts:
         return "answered, but no engine has run it"
+    if ended.answer_request_id not in (None, sent.call_id):
+        return f"answer to request {ended.answer_request_id}"
     text = ended.text or ""
     count = len(text.split())
     if not any(text == text_of(attempt.tokens(0, count)) for attempt in attempts):
@@ -81,6 +79,7 @@
     fault = _fault_in_length(sent, ended, count, attempts)
     if fault is None and ended.versions:
         fault = fault_in_ranges(ended.versions, count)
+        fault = fault or fault_in_origin(ended.versions, attempts)
     return fault
 
 
--- a/src/bellweir_rehearsal/records/model.py
+++ b/src/bellweir_rehearsal/records/model.py
@@ -76,6 +76,8 @@
     finish_reason: str | None = None
     token_count: int | None = None
     versions: tuple[VersionRange, ...] = ()
+    answer_request_id: str | None = None
+    """Request that a completion says it is for."""
     answer_method: str | None = None
     """Application answers: what the worker says it ran."""
     answer_target: str | None = None
