--- a/src/bellweir_rehearsal/callers/answers.py
+++ b/src/bellweir_rehearsal/callers/answers.py
@@ -110,8 +110,8 @@
 
 
 def _versions(document: dict[str, Any]) -> tuple[VersionRange, ...]:
-    choices = (document.get("bellweir") or {}).get("choices") or ({},)
-    segments = choices[0].get("segments") or ()
+    choices: list[dict[str, Any]] = (document.get("bellweir") or {}).get("choices") or []
+    segments = choices[0].get("segments") or () if choices else ()
     return tuple(
         VersionRange(entry["weight_version"], entry["first_token"], entry["token_count"])
         for entry in segments
