--- a/src/bellweir/gateway/channel.py
+++ b/src/bellweir/gateway/channel.py
@@ -1,4 +1,4 @@
-"""One HTTP connection: waitress's channel with limits on time and error answers of our shapes."""
+"""One HTTP connection: waitress's channel with limits on time, and bodies that stream."""
 
 import socket
 import struct
@@ -6,80 +6,42 @@
 from typing import Any
 
 from waitress.channel import HTTPChannel
-from waitress.parser import HTTPRequestParser
-from waitress.task import ErrorTask, WSGITask
 from waitress.utilities import BadRequest, Error
 
-from bellweir.gateway.http import new_request_id
-from bellweir.gateway.problems import Problem, openai_error_response, problem_response
-from bellweir.routing.interface import RunState
+from bellweir.gateway.parser import GatewayRequestParser
+from bellweir.gateway.tasks import GatewayErrorTask, GatewayTask, RequestTooSlow
 
-ABORT_CONNECTION = "bellweir.abort_connection"
-"""Key in the WSGI environment: call it to end the connection by a reset."""
 
-INTERNAL_ERROR_STATUS = 500
-_NAMES_OF_STATUS = {
-    400: "malformed_request",
-    408: "request_too_slow",
-    413: "body_too_long",
-    431: "headers_too_long",
-    500: "internal_error",
-    501: "not_implemented",
-}
+def _always() -> bool:
+    return True
 
 
-class RequestTooSlow(Error):  # type: ignore[misc]  # noqa: N818
-    """Answer to a request that did not arrive in time."""
+def _never() -> bool:
+    return False
 
-    code = 408
-    reason = "Request Timeout"
 
+class ChannelServer:
+    """The server as one channel sees it.
 
-class GatewayRequestParser(HTTPRequestParser):  # type: ignore[misc]
-    """Has the attributes that waitress reads of a request, also before its first line came."""
-
-    command = "GET"
-    path = ""
-
-
-class GatewayErrorTask(ErrorTask):  # type: ignore[misc]
-    """Answers a request that waitress could not parse, or whose application raised."""
-
-    def execute(self) -> None:
-        """Write the answer and close the connection after it."""
-        error = self.request.error
-        raised = error.code == INTERNAL_ERROR_STATUS
-        problem = Problem(
-            error.code,
-            _NAMES_OF_STATUS.get(error.code, "refused"),
-            str(error.body),
-            RunState.UNKNOWN if raised else RunState.NOT_RUN,
-        )
-        in_openai_shape = self.request.path.startswith("/v1/")
-        shape = openai_error_response if in_openai_shape else problem_response
-        response = shape(problem, new_request_id())
-        self.status = response.status_line
-        self.response_headers.extend(response.headers)
-        self.set_close_on_finish()
-        self.content_length = len(response.body)
-        self.channel.linger_after_flush()
-        self.write(response.body)
-
+    waitress wakes the loop after each request and does not say for which channel; here the loop
+    hears which one, and only when that one needs it.
+    """
 
-class GatewayTask(WSGITask):  # type: ignore[misc]
-    """Runs the application for one request."""
+    def __init__(self, server: Any, channel: "GatewayChannel") -> None:
+        self._server = server
+        self._channel = channel
+        self.add_task = server.add_task
 
-    def build_response_header(self) -> bytes:
-        """The headers; while the node stops, each answer is the last one of its connection."""
-        if self.channel.server.closing_connections:
-            self.set_close_on_finish()
-        return bytes(super().build_response_header())
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._server, name)
 
-    def get_environment(self) -> dict[str, Any]:
-        """The WSGI environment, with the means to abort the connection."""
-        environ: dict[str, Any] = super().get_environment()
-        environ[ABORT_CONNECTION] = self.channel.abort_on_close
-        return environ
+    def pull_trigger(self) -> None:
+        """Have the loop look at the channel if there is anything for it to do."""
+        channel = self._channel
+        to_write = channel.total_outbufs_len or channel.close_when_flushed or channel.will_close
+        # With a request waiting behind this one the loop may have stopped reading.
+        if to_write or channel.requests:
+            self._server.loop.ask_again(channel.number)
 
 
 class GatewayChannel(HTTPChannel):  # type: ignore[misc]
@@ -94,19 +56,116 @@
     error_task_class = GatewayErrorTask
 
     request: Any = None
-    _receiving: Any = None
+    close_when_flushed: bool = False
+    _held_back = b""
+    out_of_step = False
+    """Whether what comes next on the connection can't be told to be a request."""
     _receiving_since_s = 0.0
-    _input_ended = False
     _lingers = False
     _linger_until_s: float | None = None
 
+    def __init__(
+        self,
+        server: Any,
+        sock: socket.socket,
+        addr: Any,
+        adj: Any,
+        map: dict[int, Any],
+    ) -> None:
+        self.number = sock.fileno()
+        super().__init__(ChannelServer(server, self), sock, addr, adj, map)
+
+    def hold_back(self, data: bytes) -> None:
+        """Keep bytes until the next piece of output, which goes out with them in one call."""
+        self._held_back = data
+
+    def send_held_back(self) -> None:
+        """Send what no piece of output has taken along."""
+        if self._held_back:
+            self.write_soon(b"")
+
+    def write_soon(self, data: Any) -> int:
+        """Send or queue a piece of output."""
+        if self._held_back:
+            data = self._held_back + data
+            self._held_back = b""
+        return int(super().write_soon(data))
+
     def received(self, data: bytes) -> bool:
-        """Take in bytes; notes when the request now being received began."""
-        taken: bool = super().received(data)
-        if self.request is not self._receiving:
-            self._receiving = self.request
-            self._receiving_since_s = time.time()
-        return taken
+        """Take in bytes; starts requests that are whole, or whose body streams."""
+        with self.requests_lock:
+            # A request thread may have set these since the loop saw that there is input.
+            if self.will_close or self.close_when_flushed:
+                return False
+            while data and not self.out_of_step:
+                if self.request is None:
+                    self.request = self.parser_class(self.adj)
+                    self._receiving_since_s = time.time()
+                taken = self.request.received(data)
+                self._continue_if_expected()
+                if self.request.completed:
+                    self._request_received()
+                elif self.request.pipe is not None and not self.request.begun:
+                    self._begin_streaming()
+                data = data[taken:]
+        return True
+
+    def _continue_if_expected(self) -> None:
+        request = self.request
+        expected = request.expect_continue and request.headers_finished
+        # Answers keep the order of the requests, so this waits for those in hand.
+        if expected and not self.requests and not self.sent_continue:
+            self.send_continue()
+
+    def _request_received(self) -> None:
+        request, self.request = self.request, None
+        self.sent_continue = False
+        if request.begun:
+            self._end_streaming(request)
+        elif not request.empty:
+            if request.pipe is not None:
+                request.pipe.end()
+            self._run(request)
+
+    def _run(self, request: Any) -> None:
+        self.requests.append(request)
+        if len(self.requests) == 1:
+            self.server.add_task(self)
+
+    def _begin_streaming(self) -> None:
+        request = self.request
+        request.begun = True
+        request.pipe.on_drained = lambda: self.server.loop.ask_again(self.number)
+        self.readable = self._is_readable_while_streaming
+        self._run(request)
+
+    def _end_streaming(self, request: Any) -> None:
+        del self.readable  # the class's own again
+        if request.error is None:
+            request.pipe.end()
+        else:
+            self._stop_receiving(request, request.error)
+
+    def _stop_receiving(self, request: Any, error: Error) -> None:
+        """Cut a streamed body: its thread gets an error, and the connection is of no more use."""
+        request.pipe.cut(error.code, str(error.body))
+        self.out_of_step = True
+        self.linger_after_flush()
+        self.readable = _never
+
+    def _is_readable_while_streaming(self) -> bool:
+        # Output may wait for the caller, who may first want to send the rest of the body.
+        if self.will_close or self.close_when_flushed:
+            return False
+        request = self.request
+        return request is None or not request.pipe.is_full
+
+    def service(self) -> None:
+        """Run one request; the connection ends with it if its body was not received whole."""
+        super().service()
+        if self.out_of_step and not self.close_when_flushed:
+            self.close_when_flushed = True
+            self.server.pull_trigger()
 
     def is_busy(self) -> bool:
         """Whether a request is being received, run or answered."""
@@ -123,7 +182,7 @@
         if self.total_outbufs_len and now_s - self.last_activity > limits.write_stall_s:
             self._shut_down()
         elif self.request is not None and self._is_too_slow(now_s):
-            self._refuse_unfinished(RequestTooSlow("the request did not arrive in time"))
+            self._end_unfinished(RequestTooSlow("the request did not arrive in time"))
         elif crowded and not self.is_busy() and now_s - self.last_activity > limits.crowded_idle_s:
             self.will_close = True
 
@@ -144,16 +203,6 @@
         abort_at_once = struct.pack("ii", 1, 0)
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, abort_at_once)
 
-    def readable(self) -> bool:
-        """Whether the loop should read from this connection."""
-        if self._linger_until_s is not None:
-            return True
-        return not self._input_ended and bool(super().readable())
-
-    def writable(self) -> bool:
-        """Whether the loop should call `handle_write`."""
-        return self._linger_until_s is None and bool(super().writable())
-
     def handle_read(self) -> None:
         """Read; input after the last answer is dropped.
 
@@ -171,11 +220,18 @@
             self.last_activity = time.time()
             self.received(data)
         elif not data and self.request is not None and not self.requests:
-            self._input_ended = True
-            self._refuse_unfinished(BadRequest("the request ended before its end"))
+            self.readable = _never
+            self._end_unfinished(BadRequest("the request ended before its end"))
         elif not data:
             self.handle_close()
 
+    def handle_close(self) -> None:
+        """Close the connection; a body still being received is cut."""
+        request = self.request
+        if request is not None and request.pipe is not None:
+            request.pipe.cut(BadRequest.code, "the caller closed the connection")
+        super().handle_close()
+
     def handle_write(self) -> None:
         """Write; instead of closing after an early refusal, begin to linger."""
         ends = self.close_when_flushed and not self.total_outbufs_len
@@ -186,6 +242,8 @@
 
     def _begin_lingering(self) -> None:
         self._linger_until_s = time.time() + self.server.limits.linger_s
+        self.readable = _always
+        self.writable = _never
         try:
             self.socket.shutdown(socket.SHUT_WR)
         except OSError:
@@ -196,18 +254,22 @@
         elapsed_s = now_s - self._receiving_since_s
         if not self.request.headers_finished:
             return bool(elapsed_s > limits.header_timeout_s)
+        pipe = self.request.pipe
+        if pipe is not None and pipe.is_full:
+            # Not the caller is slow but who takes the body: this second does not count.
+            self._receiving_since_s += limits.maintenance_period_s
         earned_s = self.request.body_bytes_received / limits.body_bytes_per_s
         return bool(elapsed_s > limits.body_grace_s + earned_s)
 
-    def _refuse_unfinished(self, error: Error) -> None:
+    def _end_unfinished(self, error: Error) -> None:
         with self.requests_lock:
-            request = self.request
-            self.request = None
+            request, self.request = self.request, None
+            if request.begun:
+                self._stop_receiving(request, error)
+                return
             request.error = error
             request.completed = True
-            self.requests.append(request)
-            if len(self.requests) == 1:
-                self.server.add_task(self)
+            self._run(request)
 
     def _shut_down(self) -> None:
         # The socket takes no more output, so the loop would never call `handle_write`; shutting
--- a/src/bellweir/gateway/service.py
+++ b/src/bellweir/gateway/service.py
@@ -15,6 +15,7 @@
 from bellweir.gateway.context import Context
 from bellweir.gateway.log_events import GATEWAY_DRAINED, GATEWAY_DRAINING, GATEWAY_LISTENING
 from bellweir.gateway.openai_api import OpenAiApi
+from bellweir.gateway.problems import Problem
 from bellweir.gateway.resources_api import ResourcesApi
 from bellweir.gateway.router import Router
 from bellweir.gateway.server import GatewayServer
@@ -36,6 +37,8 @@
 DRAIN_LOOK_S = 0.02
 """Time between two looks at whether the work in hand has ended."""
 STOP_TIMEOUT_S = 5.0
+DRAINING_RETRY_AFTER_S = 1.0
+NOT_READY_RETRY_AFTER_S = 1.0
 
 
 class GatewayService(Service):
@@ -61,6 +64,7 @@
         self._limits = limits or ServerLimits(gateway.threads, gateway.maximum_body_bytes)
         self._server: GatewayServer | None = None
         self._loop: Future[None] | None = None
+        self._caller_watch: CallerWatch | None = None
         self._draining = threading.Event()
         self._refusing = threading.Event()
 
@@ -75,15 +79,21 @@
             ThreadShares(gateway.threads),
             CallerWatch(self._kernel.executors),
             self._kernel.registry.find(names.TELEMETRY, Telemetry),  # type: ignore[type-abstract]
+            logs_requests=self._settings.log.level == "debug",
         )
         path = gateway.tokens_file
         tokens = None if path is None else Tokens(path, self._kernel.clock)
+        self._configuration = self._kernel.registry.find(
+            names.CONFIGURATION,
+            Configuration,  # type: ignore[type-abstract]
+        )
         application = GatewayApplication(
-            context, self._router(context), Authorization(tokens), self._refusing.is_set
+            context, self._router(context), Authorization(tokens), self._refuses_work
         )
         listener = self._kernel.listeners.gateway
         self._server = GatewayServer(application, listener, self._limits)
-        context.caller_watch.start()
+        self._caller_watch = context.caller_watch
+        self._caller_watch.start()
         self._loop = self._kernel.executors.run_task("gateway", self._server.run_until_closed)
         emit(GATEWAY_LISTENING, address=self._kernel.listeners.gateway_address)
 
@@ -112,11 +122,22 @@
         server, self._server = self._server, None
         if server is None:
             return
+        if self._caller_watch is not None:
+            self._caller_watch.stop()
         server.close_all()
         if self._loop is not None:
             self._loop.result(STOP_TIMEOUT_S)
         server.release()
 
+    def _refuses_work(self) -> Problem | None:
+        if self._refusing.is_set():
+            detail = "this node is stopping; ask another one"
+            return Problem(503, "draining", detail, retry_after_s=DRAINING_RETRY_AFTER_S)
+        if not self._configuration.is_ready():
+            detail = "no configuration has arrived on this node yet"
+            return Problem(503, "not_ready", detail, retry_after_s=NOT_READY_RETRY_AFTER_S)
+        return None
+
     def _router(self, context: Context) -> Router:
         find = self._kernel.registry.find
         configuration = find(names.CONFIGURATION, Configuration)  # type: ignore[type-abstract]
--- a/src/bellweir/settings/models.py
+++ b/src/bellweir/settings/models.py
@@ -83,6 +83,8 @@
     """Consecutive failures that open a back end's circuit. Default 3."""
     circuit_open_s: float = Field(default=2.0, gt=0)
     """Time until a half-open probe, in seconds. Default 2."""
+    draft_share: float = Field(default=0.5, gt=0, le=1)
+    """Share of an engine's batch that drafts may fill while callers use it too. Default 0.5."""
 
 
 class GatewaySettings(Concern):
@@ -145,6 +147,9 @@
     """Engines that fetch a version from the same engine at once. Default 2."""
     permit_s: float = Field(default=30.0, gt=0)
     """Time after which a swap that came to nothing counts as over, in seconds. Default 30."""
+    floor_patience_s: float = Field(default=30.0, ge=0)
+    """Time for which a pool's floor may keep back every swap; then one engine at a time goes
+    below it. In seconds, default 30."""
 
 
 class TrustSettings(Concern):
