--- a/src/bellweir_rehearsal/records/model.py
+++ b/src/bellweir_rehearsal/records/model.py
@@ -76,6 +76,8 @@
     finish_reason: str | None = None
     token_count: int | None = None
     versions: tuple[VersionRange, ...] = ()
+    answer_request_id: str | None = None
+    """Request that a completion says it is for."""
     answer_method: str | None = None
     """Application answers: what the worker says it ran."""
     answer_target: str | None = None
@@ -170,6 +172,9 @@
     status: int | None
     detail: str
     unknown: bool
+    """Whether it may have taken effect, as the answer says or as no answer came."""
+    mark: str | None = None
+    """Label by which the store's log tells this write from others."""
 
 
 class ConfigurationSeen(Record, frozen=True):
