Take back ends' reports from their owners

A node looks for itself while it has no report, an old one, or one of a failure. Reports carry whether callers use an engine, so that drafts of other nodes make room too.

--- a/bench/routing_support.py
+++ b/bench/routing_support.py
@@ -20,6 +20,7 @@
 from bellweir.kernel.listeners import bind_listeners
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
+from bellweir.membership.interface import Member, MemberState, Ownership
 from bellweir.platform.service import PlatformService
 from bellweir.resources.models import (
     BackendKind,
@@ -35,6 +36,7 @@
 from bellweir.routing.service import DispatcherService
 from bellweir.routing.views_service import BackendViewsService
 from bellweir.settings.models import NodeIdentity, RoutingSettings, Settings
+from bellweir.wire.service import TransportService
 
 POLICY = "policy"
 POOL = "pool"
@@ -81,6 +83,29 @@
         listener(self._snapshot)
 
 
+class SoleOwnership(Service, Ownership):
+    """The node owns every worker."""
+
+    name = names.OWNERSHIP
+
+    def __init__(self, node: str) -> None:
+        self._member = Member(node, "", "", "zone-1", "default", False, MemberState.ALIVE, 0)
+
+    def start(self) -> None:
+        """Do nothing."""
+
+    def stop(self) -> None:
+        """Do nothing."""
+
+    def owner_of(self, worker: str) -> Member:
+        """Return this node."""
+        return self._member
+
+    def owns(self, worker: str) -> bool:
+        """Return whether the node owns the worker: always."""
+        return True
+
+
 @contextmanager
 def running_standins(kind: str, options: list[dict[str, object]]) -> Iterator[list[Standin]]:
     """Start stand-ins, wait until they serve, end them at the end."""
@@ -144,8 +169,14 @@
     node = RoutingNode(
         kernel, DispatcherService(kernel, settings), BackendViewsService(kernel, settings)
     )
-    platform = PlatformService(kernel, settings)
-    for service in (platform, StaticConfiguration(snapshot), node.views, node.dispatcher):
+    for service in (
+        PlatformService(kernel, settings),
+        StaticConfiguration(snapshot),
+        SoleOwnership("bench"),
+        TransportService(kernel, settings),
+        node.views,
+        node.dispatcher,
+    ):
         kernel.registry.register(service)
     kernel.registry.start()
     try:
--- a/features/support/routing_cluster.py
+++ b/features/support/routing_cluster.py
@@ -25,6 +25,7 @@
 from bellweir.routing.views_service import BackendViewsService
 from bellweir.settings.models import NodeIdentity, RoutingSettings, Settings
 from support.routing_fakes import FakeApplication, FakeConfiguration, FakeEngine, FakePlatform
+from support.routing_peers import FakeBus, FakeOwnership, FakeTransport
 from support.waiting import wait_until
 
 POLICY = "quotes"
@@ -49,6 +50,9 @@
     leaving: set = field(default_factory=set)
     make_executors: type[Executors] = Executors
     clock: Clock = field(default_factory=SystemClock)
+    bus: FakeBus = field(default_factory=FakeBus)
+    owners: dict = field(default_factory=dict)
+    """Number of the node that owns a worker; each node owns the others itself."""
     routing: RoutingSettings = field(default_factory=lambda: RoutingSettings(report_period_s=0.05))
     _revisions: itertools.count = field(default_factory=lambda: itertools.count(1))
     _requests: itertools.count = field(default_factory=itertools.count)
@@ -107,7 +111,10 @@
         configuration = FakeConfiguration(self.snapshot())
         dispatcher = DispatcherService(kernel, settings)
         views = BackendViewsService(kernel, settings)
-        for service in (self.platform, configuration, views, dispatcher, *self.extra_services):
+        address = f"peer-{len(self.nodes)}"
+        context = (FakeTransport(address, self.bus), FakeOwnership(settings.node.name, self.owners))
+        services = (self.platform, configuration, views, dispatcher, *context)
+        for service in (*services, *self.extra_services):
             kernel.registry.register(service)
         for make in self.late_services:
             kernel.registry.register(make(kernel, settings))
--- a/features/support/routing_fakes.py
+++ b/features/support/routing_fakes.py
@@ -67,6 +67,9 @@
     faults: list = field(default_factory=list)
     dead: bool = False
     leaving: bool = False
+    ready: bool = True
+    load: int = 0
+    probes: int = 0
     on_run: object = None
     on_written: object = None
 
@@ -91,9 +94,10 @@
         return Success(ApplicationAnswer(200, headers, chunks, self.leaving))
 
     def read_ready(self, timeout_s):
+        self.probes += 1
         if self.dead:
             return Failure(error_of(Fault.REFUSED))
-        return Success(ApplicationState(self.name, True, self.leaving, 0))
+        return Success(ApplicationState(self.name, self.ready, self.leaving, self.load))
 
 
 def _cut(answer):
--- a/features/support/routing_once_setting.py
+++ b/features/support/routing_once_setting.py
@@ -108,6 +108,6 @@
     """Close circuits, forget what back ends have said and probe them, as time would do."""
     for pool in views.pools().values():
         for backend in pool.backends:
-            views._probe(backend)
+            views._probe(backend.worker)
             backend._leaving_said = False
             backend._circuit.on_success()
--- a/src/bellweir/routing/backend.py
+++ b/src/bellweir/routing/backend.py
@@ -30,6 +30,8 @@
     load: int
     """Requests running and waiting on it."""
     made_s: float
+    reachable: bool = True
+    """False when the last probe or connection failed."""
     weight_version: int | None = None
     model: str | None = None
     maximum_batch: int = 0
@@ -38,11 +40,17 @@
     """Requests that callers wait for on it, from nodes that have told its owner."""
 
 
+def unreachable_report(made_s: float) -> BackendReport:
+    """The report of a back end that could not be reached."""
+    return BackendReport(ready=False, leaving=False, reachable=False, load=0, made_s=made_s)
+
+
 class Backend:
     """One back end of the node's subset; thread-safe, nothing blocks under its lock."""
 
     def __init__(self, worker: PoolWorker, distance: int, circuit: Circuit) -> None:
         self.name = worker.name
+        self.key = worker.key
         self.address = worker.address
         self.distance = distance
         self._worker = worker
@@ -119,9 +127,9 @@
         with self._lock:
             held = self._report
             if held is None:
-                self._report = BackendReport(ready=False, leaving=False, load=0, made_s=now_s)
+                self._report = unreachable_report(now_s)
             elif held.made_s <= now_s:
-                self._report = replace(held, ready=False, made_s=now_s)
+                self._report = replace(held, ready=False, reachable=False, made_s=now_s)
 
     def mark_leaving(self, now_s: float, source: str) -> None:
         """Note that the back end itself has said that it leaves."""
@@ -140,12 +148,25 @@
         if report is None or report.maximum_batch == 0:
             return True
         room = report.maximum_batch
-        if report.interactive or now_s - self._interactive_s < INTERACTIVE_MEMORY_S:
+        if report.interactive or self.used_by_callers(now_s):
             if now_s - self._draft_s < DRAFT_SPACING_S:
                 return False
             room = max(1, int(room * draft_share))
         return self.load() < room
 
+    def used_by_callers(self, now_s: float) -> bool:
+        """Whether this node lately had a request on it that a caller waits for."""
+        return now_s - self._interactive_s < INTERACTIVE_MEMORY_S
+
+    def wants_probe(self, now_s: float, stale_s: float) -> bool:
+        """Whether its owner's reports do not do: none, too old, or of a failure.
+
+        A back end that somebody could not reach is looked at directly as well: the fault may
+        lie with whoever looked.
+        """
+        report = self._report
+        return report is None or not report.reachable or now_s - report.made_s > stale_s
+
     def start_request(self, now_s: float, *, interactive: bool = False) -> None:
         """Count a request that is about to be sent; `interactive` when a caller waits for it."""
         with self._lock:
--- /dev/null
+++ b/src/bellweir/routing/messages.py
@@ -0,0 +1,76 @@
+"""Messages between nodes on back ends: subscriptions to an owner's reports, and the reports."""
+
+import msgspec
+
+from bellweir.routing.backend import BackendReport
+from bellweir.wire.interface import Message
+
+
+class ReportFacts(msgspec.Struct, frozen=True, array_like=True):
+    """What rarely changes of a back end; sent when it has changed and when asked for."""
+
+    ready: bool
+    leaving: bool
+    reachable: bool
+    weight_version: int | None
+    model: str | None
+    maximum_batch: int
+
+
+class ReportEntry(msgspec.Struct, frozen=True, array_like=True, omit_defaults=True):
+    """One back end in a batch of reports."""
+
+    worker: str
+    """`pool/worker`."""
+    age_ms: int
+    """Milliseconds since the owner's probe began."""
+    load: int
+    interactive: int
+    """Subscribers that have requests on it which callers wait for."""
+    facts_number: int
+    """Changes with the facts; an owner counts from a random start."""
+    facts: ReportFacts | None = None
+    """None when they were sent before under the same number."""
+
+
+class SubscribeReports(Message, frozen=True):
+    """Ask the owner of some back ends for reports; lapses unless it is sent again."""
+
+    workers: tuple[str, ...]
+    interactive: tuple[str, ...]
+    """Those of the workers that have requests of this node which callers wait for."""
+    fresh: tuple[str, ...]
+    """Those of which the facts are wanted again."""
+
+
+class PushReports(Message, frozen=True):
+    """Reports that a subscriber has asked for."""
+
+    entries: tuple[ReportEntry, ...]
+
+
+def facts_of(report: BackendReport) -> ReportFacts:
+    """The facts in a report."""
+    return ReportFacts(
+        report.ready,
+        report.leaving,
+        report.reachable,
+        report.weight_version,
+        report.model,
+        report.maximum_batch,
+    )
+
+
+def report_of(entry: ReportEntry, facts: ReportFacts, now_s: float) -> BackendReport:
+    """The report that an entry stands for, on this node's clock."""
+    return BackendReport(
+        ready=facts.ready,
+        leaving=facts.leaving,
+        reachable=facts.reachable,
+        load=entry.load,
+        made_s=now_s - entry.age_ms / 1000.0,
+        weight_version=facts.weight_version,
+        model=facts.model,
+        maximum_batch=facts.maximum_batch,
+        interactive=entry.interactive,
+    )
--- a/src/bellweir/routing/pool_table.py
+++ b/src/bellweir/routing/pool_table.py
@@ -27,11 +27,16 @@
         self._settings = settings
         self._lock = threading.Lock()
         self._pools: dict[str, PoolBackends] = {}
+        self._by_key: dict[str, Backend] = {}
 
     def pools(self) -> dict[str, PoolBackends]:
         """The pools as of the last change; not to be modified."""
         return self._pools
 
+    def by_key(self) -> dict[str, Backend]:
+        """The back ends of all pools by `pool/worker`; not to be modified."""
+        return self._by_key
+
     def apply(self, snapshot: ConfigurationSnapshot) -> None:
         """Take over a snapshot; back ends that stay keep what is known of them."""
         with self._lock:
@@ -40,6 +45,9 @@
                 name: PoolBackends(pool, self._backends_of(pool, snapshot, held.get(name)))
                 for name, pool in snapshot.pools.items()
             }
+            self._by_key = {
+                backend.key: backend for found in self._pools.values() for backend in found.backends
+            }
 
     def _backends_of(
         self, pool: Pool, snapshot: ConfigurationSnapshot, held: PoolBackends | None
--- a/src/bellweir/routing/pool_workers.py
+++ b/src/bellweir/routing/pool_workers.py
@@ -29,6 +29,11 @@
     leaving: bool
     """Marked as leaving by an operator or by the machine list."""
 
+    @property
+    def key(self) -> str:
+        """`pool/worker`, unique over all pools."""
+        return f"{self.pool}/{self.name}"
+
 
 @dataclass(frozen=True)
 class Location:
--- /dev/null
+++ b/src/bellweir/routing/report_subscriber.py
@@ -0,0 +1,98 @@
+"""Subscriber's side of reports: which owner is asked for which back end of the subset."""
+
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bellweir.routing.backend import Backend, BackendReport
+from bellweir.routing.messages import PushReports, ReportFacts, SubscribeReports, report_of
+
+RENEWAL_S = 4.0
+"""Time between two subscriptions that ask for the same; a third of their life."""
+
+SendSubscription = Callable[[str, SubscribeReports], bool]
+
+
+@dataclass
+class _Asked:
+    message: SubscribeReports
+    at_s: float
+
+
+@dataclass
+class _Facts:
+    number: int
+    facts: ReportFacts
+
+
+@dataclass
+class _State:
+    asked: dict[str, _Asked] = field(default_factory=dict)
+    """By the owner's address."""
+    facts: dict[str, _Facts] = field(default_factory=dict)
+    fresh: set[str] = field(default_factory=set)
+    """Back ends whose facts were missed: an entry came under a number not held."""
+
+
+class ReportSubscriber:
+    """Thread-safe; sends outside its lock."""
+
+    def __init__(self, send: SendSubscription) -> None:
+        self._send = send
+        self._lock = threading.Lock()
+        self._state = _State()
+
+    def renew(self, by_owner: dict[str, list[Backend]], now_s: float) -> None:
+        """Subscribe anew where the subset, its use or its owners changed, and now and then."""
+        with self._lock:
+            wanted = {
+                address: self._message(backends, now_s) for address, backends in by_owner.items()
+            }
+            due = {
+                address: message
+                for address, message in wanted.items()
+                if self._is_due(address, message, now_s)
+            }
+            kept = {address: self._state.asked.get(address) for address in wanted}
+            self._state.asked = {
+                address: asked for address, asked in kept.items() if asked is not None
+            }
+            for address, message in due.items():
+                self._state.asked[address] = _Asked(message, now_s)
+        for address, message in due.items():
+            self._send(address, message)
+
+    def take(self, message: PushReports, now_s: float) -> list[tuple[str, BackendReport]]:
+        """Turn pushed entries into reports; those without known facts are asked for again."""
+        reports = []
+        with self._lock:
+            for entry in message.entries:
+                if entry.facts is not None:
+                    self._state.facts[entry.worker] = _Facts(entry.facts_number, entry.facts)
+                    self._state.fresh.discard(entry.worker)
+                held = self._state.facts.get(entry.worker)
+                if held is None or held.number != entry.facts_number:
+                    self._state.fresh.add(entry.worker)
+                    continue
+                reports.append((entry.worker, report_of(entry, held.facts, now_s)))
+        return reports
+
+    def forget_all_but(self, workers: set[str]) -> None:
+        """Free what is kept of back ends that left the subset."""
+        with self._lock:
+            self._state.facts = {
+                worker: facts for worker, facts in self._state.facts.items() if worker in workers
+            }
+            self._state.fresh &= workers
+
+    def _message(self, backends: list[Backend], now_s: float) -> SubscribeReports:
+        keys = [backend.key for backend in backends]
+        interactive = [backend.key for backend in backends if backend.used_by_callers(now_s)]
+        fresh = [key for key in keys if key in self._state.fresh]
+        return SubscribeReports(tuple(keys), tuple(interactive), tuple(fresh))
+
+    def _is_due(self, address: str, message: SubscribeReports, now_s: float) -> bool:
+        asked = self._state.asked.get(address)
+        if asked is None or asked.message != message or message.fresh:
+            return True
+        return now_s - asked.at_s >= RENEWAL_S
--- a/src/bellweir/routing/views_service.py
+++ b/src/bellweir/routing/views_service.py
@@ -1,6 +1,12 @@
-"""Service `backend_views`: keeps the node's picture of the back ends it routes over."""
+"""Service `backend_views`: keeps the node's picture of the back ends it routes over.
+
+Each back end is probed by its owner, which pushes reports to the nodes that have asked for them.
+A node probes a back end of its subset itself while it has no report, the newest one is old, or
+somebody could not reach the back end.
+"""
 
 import threading
+from dataclasses import replace
 
 from returns.result import Failure, Success
 
@@ -9,37 +15,54 @@
 from bellweir.kernel.executors import ExecutorSaturatedError, WorkKind
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
+from bellweir.membership.interface import Ownership
 from bellweir.platform.interface import PlatformClients
-from bellweir.routing.backend import Backend
+from bellweir.routing.backend import Backend, BackendReport, unreachable_report
 from bellweir.routing.interface import BackendView, BackendViews
+from bellweir.routing.messages import PushReports, SubscribeReports
 from bellweir.routing.pool_table import PoolBackends, PoolTable
-from bellweir.routing.pool_workers import Location
+from bellweir.routing.pool_workers import Location, PoolWorker, workers_of
 from bellweir.routing.probing import probe
+from bellweir.routing.report_publisher import HEARTBEAT_S, ReportPublisher
+from bellweir.routing.report_subscriber import ReportSubscriber
 from bellweir.settings.models import Settings
+from bellweir.wire.interface import Message, Sender, Transport
+
+STALE_S = 2.0 * HEARTBEAT_S + 1.0
+"""Reports older than this are not relied on: two heartbeats in a row were missed."""
 
 
 class BackendViewsService(Service, BackendViews):
-    """Probes the subset's back ends and answers what is known of them."""
+    """Probes, asks for and takes reports, and answers what is known of back ends."""
 
     name = names.BACKEND_VIEWS
-    dependencies = (names.PLATFORM, names.CONFIGURATION)
+    dependencies = (names.PLATFORM, names.CONFIGURATION, names.OWNERSHIP, names.TRANSPORT)
 
     def __init__(self, kernel: Kernel, settings: Settings) -> None:
         self._kernel = kernel
         self._settings = settings.routing
         node = settings.node
+        self._node = node.name
         self._table = PoolTable(Location(node.name, node.zone, node.region), settings.routing)
+        self._workers: dict[str, PoolWorker] = {}
         self._probing: set[str] = set()
         self._probing_lock = threading.Lock()
         self._wake = threading.Event()
+        self._transport: Transport
+        self._publisher = ReportPublisher(self._send, settings.routing.report_period_s)
+        self._subscriber = ReportSubscriber(self._send)
 
     def start(self) -> None:
-        """Follow the configuration and begin to probe."""
+        """Follow the configuration, serve reports and begin to probe."""
         registry = self._kernel.registry
         self._clients = registry.find(names.PLATFORM, PlatformClients)  # type: ignore[type-abstract]
+        self._ownership = registry.find(names.OWNERSHIP, Ownership)  # type: ignore[type-abstract]
+        self._transport = registry.find(names.TRANSPORT, Transport)  # type: ignore[type-abstract]
+        self._transport.register(SubscribeReports, self._on_subscription)
+        self._transport.register(PushReports, self._on_reports)
         configuration = registry.find(names.CONFIGURATION, Configuration)  # type: ignore[type-abstract]
         configuration.subscribe(self._on_configuration)
-        self._kernel.executors.run_task("backend-probes", self._probe_until_stopped)
+        self._kernel.executors.run_task("backend-probes", self._run)
 
     def stop(self) -> None:
         """End the probing task soon; the kernel waits for it."""
@@ -50,46 +73,102 @@
         found = self._table.pools().get(pool)
         if found is None:
             return ()
-        now_s = self._kernel.clock.monotonic_s()
+        now_s = self._now_s()
         return tuple(backend.view(now_s) for backend in found.backends)
 
     def pools(self) -> dict[str, PoolBackends]:
         """All pools with their back ends, for the dispatcher; not to be modified."""
         return self._table.pools()
 
+    # --- events -------------------------------------------------------------------------------
+
     def _on_configuration(self, snapshot: ConfigurationSnapshot) -> None:
         self._table.apply(snapshot)
+        self._workers = {
+            worker.key: worker
+            for pool in snapshot.pools.values()
+            for worker in workers_of(pool, snapshot.machines)
+        }
+        self._subscriber.forget_all_but(set(self._table.by_key()))
         self._wake.set()
 
-    def _probe_until_stopped(self, stopping: threading.Event) -> None:
+    def _on_subscription(self, sender: Sender, message: SubscribeReports) -> None:
+        self._publisher.subscribe(sender.address, message, self._now_s())
+
+    def _on_reports(self, _sender: Sender, message: PushReports) -> None:
+        backends = self._table.by_key()
+        for key, report in self._subscriber.take(message, self._now_s()):
+            backend = backends.get(key)
+            if backend is not None:
+                backend.take_report(report)
+
+    # --- the task -----------------------------------------------------------------------------
+
+    def _run(self, stopping: threading.Event) -> None:
         while not stopping.is_set():
             self._wake.clear()
-            for found in self._table.pools().values():
-                for backend in found.backends:
-                    self._start_probe(backend)
+            self._tick(self._now_s())
             self._wake.wait(self._settings.report_period_s)
 
-    def _start_probe(self, backend: Backend) -> None:
+    def _tick(self, now_s: float) -> None:
+        """One round: subscribe, probe what is this node's to probe, push reports."""
+        to_probe = {key: self._workers.get(key) for key in self._publisher.workers(now_s)}
+        by_owner: dict[str, list[Backend]] = {}
+        for key, backend in self._table.by_key().items():
+            owner = self._ownership.owner_of(backend.name)
+            owned = owner.node == self._node
+            if owned or backend.wants_probe(now_s, STALE_S):
+                to_probe[key] = backend.worker
+            if not owned:
+                by_owner.setdefault(owner.peer_address, []).append(backend)
+        self._subscriber.renew(by_owner, now_s)
+        for worker in to_probe.values():
+            if worker is not None:
+                self._start_probe(worker)
+        self._publisher.push(now_s)
+
+    def _start_probe(self, worker: PoolWorker) -> None:
         """Probe off this thread, so that a hung back end delays no other one's probe."""
         with self._probing_lock:
-            if backend.address in self._probing:
+            if worker.key in self._probing:
                 return
-            self._probing.add(backend.address)
+            self._probing.add(worker.key)
         try:
-            self._kernel.executors.submit(WorkKind.BACKGROUND, self._probe, backend)
+            self._kernel.executors.submit(WorkKind.BACKGROUND, self._probe, worker)
         except (ExecutorSaturatedError, RuntimeError):
-            self._end_probe(backend)
+            self._end_probe(worker)
 
-    def _probe(self, backend: Backend) -> None:
+    def _probe(self, worker: PoolWorker) -> None:
         try:
-            match probe(backend.worker, self._clients, self._kernel.clock):
+            backend = self._table.by_key().get(worker.key)
+            match probe(worker, self._clients, self._kernel.clock):
                 case Success(report):
-                    backend.take_report(report)
+                    self._take_probe(worker, backend, report)
                 case Failure(_):
-                    backend.mark_unreachable(self._kernel.clock.monotonic_s())
+                    self._take_failure(worker, backend)
         finally:
-            self._end_probe(backend)
-
-    def _end_probe(self, backend: Backend) -> None:
+            self._end_probe(worker)
+
+    def _take_probe(
+        self, worker: PoolWorker, backend: Backend | None, report: BackendReport
+    ) -> None:
+        others = self._publisher.interactive_of(worker.key)
+        if backend is not None:
+            backend.take_report(replace(report, interactive=others))
+        self._publisher.publish(worker.key, report, self._now_s())
+
+    def _take_failure(self, worker: PoolWorker, backend: Backend | None) -> None:
+        now_s = self._now_s()
+        if backend is not None:
+            backend.mark_unreachable(now_s)
+        self._publisher.publish(worker.key, unreachable_report(now_s), now_s)
+
+    def _end_probe(self, worker: PoolWorker) -> None:
         with self._probing_lock:
-            self._probing.discard(backend.address)
+            self._probing.discard(worker.key)
+
+    def _send(self, address: str, message: Message) -> bool:
+        return self._transport.send(address, message)
+
+    def _now_s(self) -> float:
+        return self._kernel.clock.monotonic_s()
