Wait a moment for an engine that swaps, and refuse as no_backend when none is there

Change: a platform error says whether the system itself answered. A back end that says it serves nothing just now is left alone until a report says it is ready, and requests wait up to 1 s for that; nothing waits for one that cannot be reached. What ends so is refused as no_backend.

--- a/features/routing_dispatch.feature
+++ b/features/routing_dispatch.feature
@@ -11,6 +11,14 @@
     When routing generates 8 tokens while the first engine breaks after 3 and the others hold version 2
     Then routing's answer has 3 tokens of version 1 and 5 of version 2
 
+  Scenario: A request waits a moment for an engine that swaps its weights
+    When routing generates while all engines swap and one ends its swap after refusing
+    Then routing's answer is whole and cost each engine at most one refusal
+
+  Scenario: A request is refused at once when no engine can be reached
+    When routing generates while all engines are dead
+    Then routing refuses it as no_backend and not run, with a time to return
+
   Scenario: A caller that goes away cancels on the engine
     When routing's caller cancels a stream that is running
     Then routing cancels that attempt on its engine
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -328,3 +328,44 @@
         case Failure(refusal):
             assert answer == f"{refusal.reason.value} {refusal.run_state.value}", refusal
     assert sum(len(found) for found in context.once.runs.values()) == runs
+
+
+@when("routing generates while all engines swap and one ends its swap after refusing")
+def step_swapping(context):
+    stop_probes(context.node.backend_views)
+    engines = context.cluster.engines
+    for engine in engines:
+        engine.version = None
+    pool = ThreadPoolExecutor(1)
+    context.cleanup.callback(pool.shutdown)
+
+    def end_swap():
+        wait_until(lambda: sum(e.swap_refusals for e in engines) == 3, "all have refused")
+        engines[0].version = 2
+        recover(context.node.backend_views)
+
+    pool.submit(end_swap)
+    context.request = context.cluster.generation_request()
+    context.outcome = context.node.generate(context.request)
+
+
+@then("routing's answer is whole and cost each engine at most one refusal")
+def step_waited(context):
+    chunks = _chunks(context.outcome.unwrap())
+    assert sum((chunk.tokens for chunk in chunks), ()) == _tokens(context.request)
+    assert [engine.swap_refusals for engine in context.cluster.engines] == [1, 1, 1]
+
+
+@when("routing generates while all engines are dead")
+def step_dead_engines(context):
+    stop_probes(context.node.backend_views)
+    for engine in context.cluster.engines:
+        engine.dead = True
+    context.outcome = context.node.generate(context.cluster.generation_request())
+
+
+@then("routing refuses it as no_backend and not run, with a time to return")
+def step_no_backend(context):
+    refusal = context.outcome.failure()
+    assert (refusal.reason, refusal.run_state) == (RefusalReason.NO_BACKEND, RunState.NOT_RUN)
+    assert refusal.retry_after_s is not None
--- a/features/support/routing_fakes.py
+++ b/features/support/routing_fakes.py
@@ -122,11 +122,17 @@
     dead: bool = False
     leaving: bool = False
     gate: threading.Event | None = None
+    swap_refusals: int = 0
     maximum_batch: int = 64
 
     def generate(self, call):
         if self.dead:
             return Failure(error_of(Fault.REFUSED))
+        if self.version is None:
+            self.swap_refusals += 1
+            return Failure(
+                PlatformError(ErrorKind.NOT_RUN, "no weights are loaded", 0.05, answered=True)
+            )
         self.started.append(call)
         return Success(FakeStream(self, call, self.cut_after.pop(0) if self.cut_after else None))
 
--- a/src/bellweir/platform/answers.py
+++ b/src/bellweir/platform/answers.py
@@ -46,7 +46,7 @@
     retry_after_s = _retry_after_s(headers)
     try:
         parsed = msgspec.json.decode(body, type=ErrorBody)
-        return PlatformError(ErrorKind(parsed.error), parsed.detail, retry_after_s)
+        return PlatformError(ErrorKind(parsed.error), parsed.detail, retry_after_s, answered=True)
     except (msgspec.MsgspecError, ValueError):
         return PlatformError(ErrorKind.UNKNOWN, f"HTTP status {status}", retry_after_s)
 
--- a/src/bellweir/platform/application.py
+++ b/src/bellweir/platform/application.py
@@ -77,7 +77,8 @@
     if reason is None:
         return None
     kind = _REFUSALS.get(reason, ErrorKind.NOT_RUN)
-    return PlatformError(kind, f"refused by the worker: {reason}", _retry_after_s(answer))
+    detail = f"refused by the worker: {reason}"
+    return PlatformError(kind, detail, _retry_after_s(answer), answered=True)
 
 
 def _retry_after_s(answer: OpenAnswer) -> float | None:
--- a/src/bellweir/platform/interface.py
+++ b/src/bellweir/platform/interface.py
@@ -41,6 +41,8 @@
     kind: ErrorKind
     detail: str
     retry_after_s: float | None = None
+    answered: bool = False
+    """Whether the system itself has answered, with a refusal: it can be reached."""
 
     @property
     def proves_not_run(self) -> bool:
--- a/src/bellweir/routing/attempts.py
+++ b/src/bellweir/routing/attempts.py
@@ -2,6 +2,7 @@
 
 import secrets
 import threading
+from collections.abc import Collection
 
 from bellweir.kernel.clock import Clock
 from bellweir.platform.interface import ErrorKind, PlatformError
@@ -10,10 +11,16 @@
 from bellweir.routing.retry_budget import RetryBudget, backoff_s
 
 MAXIMUM_ATTEMPTS = 3
+PATIENCE_S = 1.0
+"""Longest wait, in all, for a back end that answers but is not ready, as while weights are
+swapped; a refusal after it is final."""
+PATIENCE_POLL_S = 0.02
 RETRY_AFTER_S = 1.0
 """When to come back after a refusal that a probe or a closed circuit may mend."""
 
 UNHEALTHY_KINDS = frozenset({ErrorKind.NOT_RUN, ErrorKind.UNKNOWN})
+ABSENT_KINDS = frozenset({ErrorKind.NOT_RUN, ErrorKind.LEAVING})
+"""Errors after which no back end is there for the request, rather than one that failed it."""
 FINAL_KINDS = frozenset({ErrorKind.INVALID, ErrorKind.NOT_FOUND})
 """Errors that another back end would answer with as well."""
 
@@ -50,8 +57,16 @@
         if error.kind is ErrorKind.LEAVING:
             self.note_leaving("refusal")
         if error.kind is ErrorKind.NOT_RUN:
-            self.backend.mark_unreachable(self._clock.monotonic_s())
-        self._end(healthy=False if error.kind in UNHEALTHY_KINDS else None, detail=error.detail)
+            self._note_absence(error)
+        unhealthy = error.kind in UNHEALTHY_KINDS and not error.answered
+        self._end(healthy=False if unhealthy else None, detail=error.detail)
+
+    def _note_absence(self, error: PlatformError) -> None:
+        now_s = self._clock.monotonic_s()
+        if not error.answered:
+            self.backend.mark_unreachable(now_s)
+        elif _is_pause(error):
+            self.backend.mark_unready(now_s)
 
     def _end(self, healthy: bool | None, detail: str = "") -> None:
         with self._lock:
@@ -74,6 +89,7 @@
         self.proved_not_run = True
         self._made_progress = False
         self._no_room = False
+        self._waiting_since_s: float | None = None
 
     @property
     def lacks_room(self) -> bool:
@@ -88,7 +104,8 @@
         """Note a failed attempt."""
         self._failed += 1
         self._last_error = error
-        self.tried.add(backend.name)
+        if not _is_pause(error):
+            self.tried.add(backend.name)
         self.proved_not_run = self.proved_not_run and error.proves_not_run
 
     def note_progress(self, backend: Backend) -> None:
@@ -101,7 +118,9 @@
         """Whether another attempt is allowed; takes it from the budget and waits a little.
 
         A refusal because the back end leaves costs no budget: each back end says it once.
-        An attempt that made progress costs none either: going on repeats no work.
+        An attempt that made progress costs none either: going on repeats no work. A back end
+        that says it serves nothing just now counts for the budget, not for the attempts: it is
+        not asked again before it is seen ready.
         """
         error = self._last_error
         if error is None or error.kind in FINAL_KINDS:
@@ -110,11 +129,24 @@
             return False
         if self._failed == 0 or error.kind is ErrorKind.LEAVING:
             return not self._past_deadline()
-        if self._failed >= MAXIMUM_ATTEMPTS or not self._budget.withdraw(self._now_s()):
+        if self._failed >= MAXIMUM_ATTEMPTS and not _is_pause(error):
+            return False
+        if not self._budget.withdraw(self._now_s()):
             return False
         self._clock.wait(threading.Event(), backoff_s(self._failed))
         return not self._past_deadline()
 
+    def wait_for_backend(self, backends: Collection[Backend]) -> bool:
+        """Wait a moment when none is usable but one may soon be; False to give up now."""
+        now_s = self._now_s()
+        if self._waiting_since_s is None:
+            self._waiting_since_s = now_s
+        until_s = min(self._waiting_since_s + PATIENCE_S, self._deadline_s)
+        if now_s >= until_s or not any(backend.may_return() for backend in backends):
+            return False
+        self._clock.wait(threading.Event(), PATIENCE_POLL_S)
+        return True
+
     def refusal(self) -> Refusal:
         """The final answer after the last failed attempt, or when there was none to make."""
         state = self._run_state()
@@ -132,6 +164,8 @@
             return Refusal(RefusalReason.INVALID, state, error.detail)
         if error.kind is ErrorKind.OVERLOADED:
             return Refusal(RefusalReason.OVERLOADED, state, error.detail, retry_after_s)
+        if error.kind in ABSENT_KINDS:
+            return Refusal(RefusalReason.NO_BACKEND, state, error.detail, retry_after_s)
         return Refusal(RefusalReason.BACKEND_FAILED, state, error.detail, retry_after_s)
 
     def _run_state(self) -> RunState:
@@ -144,3 +178,8 @@
 
     def _past_deadline(self) -> bool:
         return self._now_s() >= self._deadline_s
+
+
+def _is_pause(error: PlatformError) -> bool:
+    """Whether the back end itself says that it serves nothing just now, but soon will."""
+    return error.kind is ErrorKind.NOT_RUN and error.answered and error.retry_after_s is not None
--- a/src/bellweir/routing/backend.py
+++ b/src/bellweir/routing/backend.py
@@ -131,6 +131,20 @@
             elif held.made_s <= now_s:
                 self._report = replace(held, ready=False, reachable=False, made_s=now_s)
 
+    def mark_unready(self, now_s: float) -> None:
+        """Note that it has said itself that it serves nothing just now."""
+        with self._lock:
+            held = self._report
+            if held is not None and held.made_s <= now_s:
+                self._report = replace(held, ready=False, made_s=now_s)
+
+    def may_return(self) -> bool:
+        """Whether it may serve again within a moment: it answers, but is not ready."""
+        report = self._report
+        if self.leaving:
+            return False
+        return report is None or (report.reachable and not report.ready)
+
     def mark_leaving(self, now_s: float, source: str) -> None:
         """Note that the back end itself has said that it leaves."""
         if not self.leaving:
--- a/src/bellweir/routing/forwarding.py
+++ b/src/bellweir/routing/forwarding.py
@@ -105,6 +105,8 @@
         attempts = RequestAttempts(runtime.budget, self._clock, deadline_s)
         while True:
             backend = self._choose(runtime, attempts.tried)
+            if backend is None and attempts.wait_for_backend(self._backends(runtime)):
+                continue
             if backend is None or self._clock.monotonic_s() >= deadline_s:
                 return Failure(attempts.refusal())
             refusal = before_send()
@@ -122,14 +124,15 @@
             if not body.replayable or not attempts.may_retry(repeatable=repeatable):
                 return Failure(attempts.refusal())
 
-    def _choose(self, runtime: PoolRuntime, tried: set[str]) -> Backend | None:
+    def _backends(self, runtime: PoolRuntime) -> tuple[Backend, ...]:
         found = self._views.pools().get(runtime.pool.metadata.name)
-        if found is None:
-            return None
+        return found.backends if found is not None else ()
+
+    def _choose(self, runtime: PoolRuntime, tried: set[str]) -> Backend | None:
         now_s = self._clock.monotonic_s()
         usable = [
             backend
-            for backend in found.backends
+            for backend in self._backends(runtime)
             if backend.name not in tried and backend.usable(now_s)
         ]
         return runtime.strategy.choose(usable, None) if usable else None
--- a/src/bellweir/routing/generation.py
+++ b/src/bellweir/routing/generation.py
@@ -152,17 +152,17 @@
 
     def _resume(self) -> Refusal | None:
         """Start the next attempt; a refusal when there is none to make."""
-        while self._attempts.may_retry(repeatable=True):
-            started = self._starter.start(
-                self._request, self._route, self._had, self._deadline_s, self._attempts
-            )
-            match started:
-                case Success(attempt):
-                    self._adopt(attempt)
-                    return None
-                case Failure(None):
-                    break
-        return self._attempts.refusal()
+        if not self._attempts.may_retry(repeatable=True):
+            return self._attempts.refusal()
+        started = self._starter.start(
+            self._request, self._route, self._had, self._deadline_s, self._attempts
+        )
+        match started:
+            case Success(attempt):
+                self._adopt(attempt)
+                return None
+            case _:
+                return started.failure()
 
     def _adopt(self, attempt: RunningAttempt) -> None:
         with self._lock:
--- a/src/bellweir/routing/generation_attempt.py
+++ b/src/bellweir/routing/generation_attempt.py
@@ -17,7 +17,7 @@
 from bellweir.routing.attempts import AttemptHold, RequestAttempts, new_attempt_id
 from bellweir.routing.backend import Backend
 from bellweir.routing.counters import DispatchCounters
-from bellweir.routing.interface import GenerationRequest
+from bellweir.routing.interface import GenerationRequest, Refusal
 from bellweir.routing.pool_runtime import PoolRuntimes
 from bellweir.routing.views_service import BackendViewsService
 
@@ -77,6 +77,15 @@
             found[name].pool for name in sorted(found) if policy in found[name].pool.spec.policies
         ]
 
+    def _backends_of(self, policy: str) -> list[Backend]:
+        """The back ends of all pools that serve a policy."""
+        found = self._views.pools()
+        return [
+            backend
+            for pool in self.pools_of(policy)
+            for backend in found[pool.metadata.name].backends
+        ]
+
     def start(
         self,
         request: GenerationRequest,
@@ -84,8 +93,39 @@
         had: tuple[int, ...],
         deadline_s: float,
         attempts: RequestAttempts,
+    ) -> Result[RunningAttempt, Refusal]:
+        """Start an attempt after the tokens had, trying again as far as that is allowed."""
+        began_s = self._clock.monotonic_s()
+        while True:
+            started = self._start_once(request, route, had, deadline_s, attempts)
+            match started:
+                case Success(attempt):
+                    return Success(attempt)
+                case Failure(None):
+                    may_go_on = self._wait(route, attempts, began_s, deadline_s)
+                case _:
+                    may_go_on = attempts.may_retry(repeatable=True)
+            if not may_go_on:
+                return Failure(attempts.refusal())
+
+    def _wait(
+        self, route: GenerationRoute, attempts: RequestAttempts, began_s: float, deadline_s: float
+    ) -> bool:
+        """Wait a little for room or for a back end; False when this request has to be refused."""
+        if attempts.lacks_room:
+            room = self._runtimes.of(self.pools_of(route.policy)[0]).draft_room
+            return room.wait_a_little(began_s, deadline_s)
+        return attempts.wait_for_backend(self._backends_of(route.policy))
+
+    def _start_once(
+        self,
+        request: GenerationRequest,
+        route: GenerationRoute,
+        had: tuple[int, ...],
+        deadline_s: float,
+        attempts: RequestAttempts,
     ) -> Result[RunningAttempt, PlatformError | None]:
-        """Start one attempt after the tokens had; the failure is None when no engine fits."""
+        """Start one attempt; the failure is None when no engine fits."""
         backend = self._choose(request, route, attempts)
         if backend is None:
             return Failure(None)
--- a/src/bellweir/routing/service.py
+++ b/src/bellweir/routing/service.py
@@ -161,26 +161,16 @@
         admission: _Admission,
     ) -> Result[Generation, Refusal]:
         attempts = RequestAttempts(runtime.budget, self._clock, admission.deadline_s)
-        began_s = self._clock.monotonic_s()
         try:
-            while True:
-                started = self._starter.start(request, route, (), admission.deadline_s, attempts)
-                match started:
-                    case Success(first):
-                        break
-                    case Failure(None):
-                        room = runtime.draft_room
-                        if attempts.lacks_room and room.wait_a_little(
-                            began_s, admission.deadline_s
-                        ):
-                            continue
-                        return self._give_up(admission, attempts.refusal())
-                if not attempts.may_retry(repeatable=True):
-                    return self._give_up(admission, attempts.refusal())
+            started = self._starter.start(request, route, (), admission.deadline_s, attempts)
         except BaseException:
             self._end(admission)
             raise
-
+        match started:
+            case Failure(refusal):
+                return self._give_up(admission, refusal)
+            case Success(first):
+                pass
         gate = runtime.gates[request.request_class]
 
         def on_end(outcome: str) -> None:
