--- a/src/bellweir_rehearsal/promises/mutations.py
+++ b/src/bellweir_rehearsal/promises/mutations.py
@@ -34,7 +34,9 @@
     StepEnded,
     WorkerLeaving,
     WriteAccepted,
+    WriteFailed,
 )
+from bellweir_rehearsal.standins.token_model import text_of
 
 Found = TypeVar("Found")
 RecordKind = TypeVar("RecordKind", bound=AnyRecord)
@@ -160,6 +162,23 @@
     )
 
 
+def _sample_cut_short(evidence: Evidence) -> Evidence:
+    """A sample lacks its last token, and says nothing of it."""
+    sample = _first(entry for entry in evidence.samples if len(entry.tokens) > 1)
+    last = sample.versions[-1]
+    kept = sample.versions[:-1]
+    if last.token_count > 1:
+        kept += (msgspec.structs.replace(last, token_count=last.token_count - 1),)
+    tokens = sample.tokens[:-1]
+    records = [
+        msgspec.structs.replace(record, tokens=tokens, text=text_of(tokens), versions=kept)
+        if isinstance(record, SampleReceived) and record.sample_id == sample.sample_id
+        else record
+        for record in evidence.records
+    ]
+    return replace(evidence, records=records)
+
+
 def _answers_swapped(evidence: Evidence) -> Evidence:
     entries = [ended for _, ended in _answered(evidence, CallKind.APPLICATION)]
     if len(entries) < 2:
@@ -201,6 +220,27 @@
     )
 
 
+def _false_refusal_of_write(evidence: Evidence) -> Evidence:
+    """A write that the store has taken is refused as a conflict."""
+    stored = _first(evidence.store_writes)
+    mark = "mutation"
+    failed = WriteFailed(
+        stored.time_s + 0.1,
+        "mutation",
+        "mutation",
+        stored.kind,
+        stored.name,
+        409,
+        "mutation",
+        unknown=False,
+        mark=mark,
+    )
+    writes = [
+        replace(write, mark=mark) if write is stored else write for write in evidence.store_writes
+    ]
+    return replace(evidence, store_writes=writes, records=[*evidence.records, failed])
+
+
 def _second_run(evidence: Evidence) -> Evidence:
     run = _first(run for run in evidence.application_runs if run.idempotency_key is not None)
     again = replace(run, attempt_id=f"{run.attempt_id}-again", time_s=run.time_s + 0.5)
@@ -300,10 +340,12 @@
         Mutation("sample-changed", Promise.EXACTLY_ONCE, _sample_changed),
         Mutation("sample-lost", Promise.EXACTLY_ONCE, _sample_lost),
         Mutation("answer-cut-short", Promise.WHOLE_ANSWERS, _answer_cut_short),
+        Mutation("sample-cut-short", Promise.WHOLE_ANSWERS, _sample_cut_short),
         Mutation("answers-swapped", Promise.WHOLE_ANSWERS, _answers_swapped),
         Mutation("answer-vanished", Promise.WHOLE_ANSWERS, _answer_vanished),
         Mutation("false-refusal", Promise.TRUE_REFUSALS, _false_refusal_of_completion),
         Mutation("false-app-refusal", Promise.TRUE_REFUSALS, _false_refusal_of_request),
+        Mutation("false-write-refusal", Promise.TRUE_REFUSALS, _false_refusal_of_write),
         Mutation("second-run", Promise.AT_MOST_ONCE, _second_run),
         Mutation("work-after-leaving", Promise.LEAVING_BACKENDS, _work_after_leaving),
         Mutation("stop-cuts", Promise.PLANNED_STOPS, _stop_cuts),
