Read the machine list conditionally

At 3,800 workers and 340 nodes a reading of the list is about 0.6 MB, most often the same as before. The client sends the entity tag of the list it has and takes a 304 for it. Headers of answers are found whatever their case, which a server may choose, and a Retry-After that is no bounded number of seconds is not believed.

--- a/features/standins_store.feature
+++ b/features/standins_store.feature
@@ -41,6 +41,12 @@
     When a stand-in machine is added and marked as leaving
     Then the stand-in list shows no machine at first, and the leaving one in the end
 
+  Scenario: An unchanged stand-in machine list is not sent again, a changed one is
+    Given a running stand-in machine list with a lag of 0 seconds
+    When a stand-in machine is added and marked as leaving
+    Then two more stand-in list readings carry the list 0 times and give it both times
+    And a stand-in list reading after one more machine was added shows it
+
   Scenario: Stand-in weight fetches share the store's bandwidth and are refused beyond a few
     Given a running stand-in weight store with 2 fetches at once
     When two stand-in fetches of the same version run together
--- a/features/steps/standins_store_steps.py
+++ b/features/steps/standins_store_steps.py
@@ -3,7 +3,9 @@
 import itertools
 import time
 from concurrent.futures import ThreadPoolExecutor
+from unittest import mock
 
+import msgspec
 from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import settings
@@ -255,6 +257,26 @@
     assert context.machines.read().unwrap().revision == 3
 
 
+@then("two more stand-in list readings carry the list 0 times and give it both times")
+def step_not_sent_again(context):
+    lists = []
+    make_shown = context.standin.shown
+    context.standin.shown = lambda: lists.append(make_shown()) or lists[-1]
+    first = context.machines.read().unwrap()
+    with mock.patch.object(msgspec.json, "encode", side_effect=AssertionError("list sent again")):
+        again = [context.machines.read().unwrap() for _ in range(2)]
+    assert again == [first, first]
+    assert len(lists) == 3, "the service was asked each time"
+
+
+@then("a stand-in list reading after one more machine was added shows it")
+def step_changed_list(context):
+    context.standin.set_machine(
+        Machine("n", "127.0.0.1:2", "zone-1", "region-1", "engine", "pool", MachineState.LIVE)
+    )
+    assert [machine.name for machine in context.machines.read().unwrap().machines] == ["m", "n"]
+
+
 # --- weight store ---
 
 
--- a/src/bellweir/platform/answers.py
+++ b/src/bellweir/platform/answers.py
@@ -1,5 +1,6 @@
 """Reading of answers that are common to the platform's JSON services."""
 
+import math
 from collections.abc import Mapping
 from typing import TypeVar
 
@@ -12,6 +13,8 @@
 Decoded = TypeVar("Decoded")
 
 STATUS_OK = 200
+MAXIMUM_RETRY_AFTER_S = 3600.0
+"""A longer wait asked for by an outside system counts as this one."""
 
 
 class ErrorBody(msgspec.Struct, frozen=True):
@@ -39,11 +42,11 @@
 
 
 def refusal(status: int, headers: Mapping[str, str], body: bytes) -> PlatformError:
-    """Return the error that an answer other than 200 stands for.
+    """Return the error that an answer other than 200 stands for; headers by lower-case name.
 
     Only a refusal in the agreed form proves anything: a bare 500 may come after an effect.
     """
-    retry_after_s = _retry_after_s(headers)
+    retry_after_s = parse_retry_after_s(headers.get("retry-after"))
     try:
         parsed = msgspec.json.decode(body, type=ErrorBody)
         return PlatformError(ErrorKind(parsed.error), parsed.detail, retry_after_s, answered=True)
@@ -51,11 +54,13 @@
         return PlatformError(ErrorKind.UNKNOWN, f"HTTP status {status}", retry_after_s)
 
 
-def _retry_after_s(headers: Mapping[str, str]) -> float | None:
-    for name, value in headers.items():
-        if name.lower() == "retry-after":
-            try:
-                return max(0.0, float(value))
-            except ValueError:
-                return None
-    return None
+def parse_retry_after_s(value: str | None) -> float | None:
+    """Return the seconds that a `Retry-After` header gives, within bounds; None for anything else.
+
+    The form with a date is not read: no service of ours sends it.
+    """
+    try:
+        seconds = float(value or "")
+    except ValueError:
+        return None
+    return min(max(0.0, seconds), MAXIMUM_RETRY_AFTER_S) if math.isfinite(seconds) else None
--- a/src/bellweir/platform/application.py
+++ b/src/bellweir/platform/application.py
@@ -6,7 +6,7 @@
 
 from returns.result import Failure, Result, Success
 
-from bellweir.platform.answers import decode_answer
+from bellweir.platform.answers import decode_answer, parse_retry_after_s
 from bellweir.platform.interface import (
     Application,
     ApplicationAnswer,
@@ -90,14 +90,9 @@
         return None
     kind = _REFUSALS.get(reason, ErrorKind.NOT_RUN)
     detail = f"refused by the worker: {reason}"
-    return PlatformError(kind, detail, _retry_after_s(answer), answered=True)
-
-
-def _retry_after_s(answer: OpenAnswer) -> float | None:
-    try:
-        return float(answer.response.headers.get("Retry-After", ""))
-    except ValueError:
-        return None
+    return PlatformError(
+        kind, detail, parse_retry_after_s(answer.response.headers.get("Retry-After")), answered=True
+    )
 
 
 def _body(answer: OpenAnswer) -> Iterator[bytes]:
--- a/src/bellweir/platform/open_answer.py
+++ b/src/bellweir/platform/open_answer.py
@@ -52,8 +52,8 @@
 
     @property
     def headers(self) -> Mapping[str, str]:
-        """Headers of the answer; of repeated ones the last."""
-        return dict(self.response.headers.items())
+        """Headers of the answer by lower-case name; of repeated ones the last."""
+        return {name.lower(): value for name, value in self.response.headers.items()}
 
     def set_timeout(self, timeout_s: float) -> None:
         """Let reading go on for this long from now."""
--- a/src/bellweir/platform/pool.py
+++ b/src/bellweir/platform/pool.py
@@ -45,6 +45,7 @@
 
     status: int
     headers: Mapping[str, str]
+    """By lower-case name; of repeated ones the last."""
     body: bytes
 
 
--- a/src/bellweir/platform/service.py
+++ b/src/bellweir/platform/service.py
@@ -38,6 +38,7 @@
         self._settings = settings
         self._lock = threading.Lock()
         self._pools: dict[str, ConnectionPool] = {}
+        self._machine_list: HttpMachineList | None = None
         self._closed = False
 
     def object_store(self) -> ObjectStore:
@@ -48,7 +49,11 @@
     def machine_list(self) -> MachineList:
         """Client of the machine list; raises `NoAddressError` when settings name none."""
         pool = self._pool(_required(self._settings.machine_list, "platform.machine_list"))
-        return HttpMachineList(pool, self._settings.timeout_s)
+        with self._lock:
+            # One client for all, since it keeps the list that it has read last.
+            if self._machine_list is None:
+                self._machine_list = HttpMachineList(pool, self._settings.timeout_s)
+            return self._machine_list
 
     def weight_store(self) -> WeightStore:
         """Client of the weight store; raises `NoAddressError` when settings name none."""
--- a/src/bellweir_rehearsal/standins/machine_list.py
+++ b/src/bellweir_rehearsal/standins/machine_list.py
@@ -2,12 +2,14 @@
 
 import threading
 import time
+import uuid
 from dataclasses import dataclass
 
 import msgspec
 
 from bellweir.platform.interface import ErrorKind, Machine, MachineSnapshot
 from bellweir_rehearsal.standins.base import (
+    JSON_TYPE,
     RefusalError,
     Request,
     Response,
@@ -50,6 +52,8 @@
     def __init__(self, options: MachineListOptions) -> None:
         super().__init__(options)
         self._lag_s = options.lag_s
+        self._run_id = uuid.uuid4().hex
+        """Keeps entity tags apart from those of an earlier run, whose revisions began at 1 too."""
         self._lock = threading.Lock()
         first = MachineSnapshot(1, options.machines)
         self._versions = [_Version(time.monotonic(), first)]
@@ -80,10 +84,18 @@
                 self._versions.pop(0)
             return self._versions[0].snapshot
 
+    def _read(self, request: Request) -> Response:
+        snapshot = self.shown()
+        entity_tag = f'"{self._run_id}-{snapshot.revision}"'
+        headers = (JSON_TYPE, ("ETag", entity_tag))
+        if request.headers.get("if-none-match") == entity_tag:
+            return Response(304, b"", headers)
+        return Response(200, msgspec.json.encode(snapshot), headers)
+
     def handle(self, request: Request) -> Response:
         """Answer one call."""
         if request.method == "GET" and request.path == "/machines":
-            return json_response(self.shown())
+            return self._read(request)
         if request.method == "PUT" and request.path.startswith(MACHINES_PREFIX):
             self.set_machine(msgspec.json.decode(request.body.read(), type=Machine))
             return json_response({})
