Work out placements once for each change of the members; share the polling of the machine list

reader, children, reporter and whom to tell were hashed anew on each look, 20 to 30 times a second at every node; now once for each new list of members. The zones' readers take turns at the machine list, so that its readings do not grow with the zones.

--- a/src/bellweir/configuration/core.py
+++ b/src/bellweir/configuration/core.py
@@ -16,7 +16,6 @@
 import threading
 from dataclasses import dataclass
 
-from bellweir.configuration import placement
 from bellweir.configuration.catch_up import CatchUp
 from bellweir.configuration.interface import ConfigurationListener, ConfigurationSnapshot
 from bellweir.configuration.messages import (
@@ -29,6 +28,7 @@
     ConfigurationUpdate,
     TableName,
 )
+from bellweir.configuration.placement import Placement, Placements
 from bellweir.configuration.revision_reports import RevisionReports
 from bellweir.configuration.snapshots import SnapshotChunks
 from bellweir.configuration.state import ConfigurationState
@@ -76,7 +76,8 @@
         self.state = ConfigurationState(self._node)
         self._chunks = SnapshotChunks(self.state)
         self._catch_up = CatchUp(transport, self.state)
-        self.reports = RevisionReports(transport, membership, clock, self.state)
+        self.placements = Placements(membership, settings.fanout)
+        self.reports = RevisionReports(transport, membership, clock, self.state, self.placements)
         self._wake = threading.Event()
         self._lock = threading.Lock()
         self._hint: _Hint | None = None
@@ -169,28 +170,23 @@
         if position.revision <= after:
             return
         self._forwarded[table] = position.revision
-        own = self._membership.self_member()
-        members = self._membership.members()
-        order = placement.zone_order(members, own.zone)
-        targets = placement.children(order, own.node, self._settings.fanout)
+        placement = self.placements.current()
         update = self.state.update_after(table, after)
         message: Message = self._announcement()
         if update is not None and _size(update) <= UPDATE_BYTES:
             message = update
-        for target in targets:
+        for target in placement.children:
             self._transport.send(target.peer_address, message)
-        self._announce(own, members, order)
+        self._announce(placement)
 
-    def _announce(
-        self, own: Member, members: tuple[Member, ...], order: tuple[Member, ...]
-    ) -> None:
+    def _announce(self, placement: Placement) -> None:
         """Tell other readers (as the zone's reader), and one node at random.
 
         The random one makes news of a change reach a part of the tree that a dead node cut off
         without waiting for the period of anti-entropy.
         """
-        told = list(placement.readers_to_tell(members, own)) if order[:1] == (own,) else []
-        others = [member for member in order if member.node != own.node]
+        told = list(placement.readers_told) if placement.is_reader else []
+        others = [member for member in placement.order if member.node != self._node]
         if others:
             told.append(self._random.choice(others))
         announcement = self._announcement()
--- a/src/bellweir/configuration/machine_reader.py
+++ b/src/bellweir/configuration/machine_reader.py
@@ -1,5 +1,6 @@
 """Reads the platform's machine list for one zone and passes the differences on."""
 
+import random
 import threading
 from collections.abc import Callable
 
@@ -24,7 +25,7 @@
         state: ConfigurationState,
         clock: Clock,
         is_reader: Callable[[], bool],
-        period_s: float,
+        period_s: Callable[[], float],
     ) -> None:
         self._node = node
         self._list = machine_list
@@ -43,7 +44,7 @@
                     self._take_over(snapshot)
                 case Failure(failure):
                     self._report(failure)
-            self._clock.wait(stopping, self._period_s)
+            self._clock.wait(stopping, self._period_s() * random.uniform(0.5, 1.5))
 
     def _take_over(self, snapshot: MachineSnapshot) -> None:
         """Adopt a newer list; unchanged machines keep their entry, so that only changes spread."""
--- a/src/bellweir/configuration/placement.py
+++ b/src/bellweir/configuration/placement.py
@@ -5,10 +5,11 @@
 """
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 import xxhash
 
-from bellweir.membership.interface import Member, MemberState
+from bellweir.membership.interface import Member, Membership, MemberState
 
 _CLUSTER = "cluster"
 """Scope of the choice of the reporter; no zone's name changes it."""
@@ -83,3 +84,65 @@
     readers = [reader_of(members, zone) for zone in {member.zone for member in members}]
     found = [reader for reader in readers if reader is not None]
     return max(found, key=lambda reader: _weight(_CLUSTER, reader.node), default=None)
+
+
+@dataclass(frozen=True)
+class Placement:
+    """Everything that follows for one node from one view of the members."""
+
+    own: Member
+    order: tuple[Member, ...]
+    """The own zone's members in rendezvous order."""
+    reader: Member | None
+    """The own zone's reader."""
+    reporter: Member | None
+    """The one reader that reports for the cluster."""
+    children: tuple[Member, ...]
+    """To whom this node passes changes on."""
+    readers_told: tuple[Member, ...]
+    """Whom this node tells of a new revision, as its zone's reader."""
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this node reads the store for its zone."""
+        return self.reader is not None and self.reader.node == self.own.node
+
+    @property
+    def is_reporter(self) -> bool:
+        """Whether this node reports for the cluster."""
+        return self.reporter is not None and self.reporter.node == self.own.node
+
+
+def place(members: tuple[Member, ...], own: Member, fanout: int) -> Placement:
+    """Work out a node's placement; costs a hash for each member."""
+    order = zone_order(members, own.zone)
+    return Placement(
+        own=own,
+        order=order,
+        reader=reader_of(members, own.zone),
+        reporter=reporter_of(members),
+        children=children(order, own.node, fanout),
+        readers_told=readers_to_tell(members, own),
+    )
+
+
+class Placements:
+    """The newest placement, worked out again only when the members have changed.
+
+    Any thread may ask; two that ask at once after a change both work it out, and get the same.
+    """
+
+    def __init__(self, membership: Membership, fanout: int) -> None:
+        self._membership = membership
+        self._fanout = fanout
+        self._latest: tuple[tuple[Member, ...], Placement] | None = None
+
+    def current(self) -> Placement:
+        """The placement by the members as they are now."""
+        members = self._membership.members()
+        latest = self._latest
+        if latest is not None and latest[0] is members:
+            return latest[1]
+        placement = place(members, self._membership.self_member(), self._fanout)
+        self._latest = (members, placement)
+        return placement
--- a/src/bellweir/configuration/revision_reports.py
+++ b/src/bellweir/configuration/revision_reports.py
@@ -10,7 +10,6 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from bellweir.configuration import placement
 from bellweir.configuration.interface import RevisionSpread
 from bellweir.configuration.messages import (
     RevisionCount,
@@ -18,9 +17,10 @@
     TableName,
     ZoneRevisionReport,
 )
+from bellweir.configuration.placement import Placements
 from bellweir.configuration.state import ConfigurationState
 from bellweir.kernel.clock import Clock
-from bellweir.membership.interface import Member, Membership, MemberState
+from bellweir.membership.interface import Membership, MemberState
 from bellweir.wire.interface import Sender, Transport
 
 SHORTEST_INTERVAL_S = 0.2
@@ -63,11 +63,13 @@
         membership: Membership,
         clock: Clock,
         state: ConfigurationState,
+        placements: Placements,
     ) -> None:
         self._transport = transport
         self._membership = membership
         self._clock = clock
         self._state = state
+        self._placements = placements
         self._lock = threading.Lock()
         self._nodes: dict[str, int] = {}
         """Revisions of this zone's nodes, where this node is its reader."""
@@ -106,11 +108,9 @@
 
     def spread(self) -> RevisionSpread | None:
         """The whole count, where this node is the reporter."""
-        members = self._membership.members()
-        own = self._membership.self_member()
-        reporter = placement.reporter_of(members)
-        if reporter is None or reporter.node != own.node:
+        if not self._placements.current().is_reporter:
             return None
+        members = self._membership.members()
         counts: Counter[int] = Counter()
         behind: list[str] = []
         staying = [member for member in members if member.state is not MemberState.LEAVING]
@@ -132,29 +132,26 @@
         return RevisionReport(node, self._state.position(TableName.RESOURCES).revision)
 
     def _send_own(self, report: RevisionReport) -> None:
-        own = self._membership.self_member()
-        reader = placement.reader_of(self._membership.members(), own.zone)
-        if reader is None or reader.node == own.node:
+        reader = self._placements.current().reader
+        if reader is None or reader.node == report.node:
             self._take(report)
         else:
             self._transport.send(reader.peer_address, report)
 
     def _zone_report(self) -> ZoneRevisionReport | None:
         """Return the zone's report, where this node is its reader."""
-        own = self._membership.self_member()
-        members = self._membership.members()
-        reader = placement.reader_of(members, own.zone)
-        if reader is None or reader.node != own.node:
+        placement = self._placements.current()
+        if not placement.is_reader:
             return None
-        names = [member.node for member in members if _is_staying(member, own.zone)]
+        names = [each.node for each in placement.order if each.state is not MemberState.LEAVING]
         with self._lock:
             known = {name: self._nodes[name] for name in names if name in self._nodes}
-        return zone_report(own.zone, known, names)
+        return zone_report(placement.own.zone, known, names)
 
     def _send_zone(self, report: ZoneRevisionReport) -> None:
-        reporter = placement.reporter_of(self._membership.members())
-        own = self._membership.self_member()
-        if reporter is None or reporter.node == own.node:
+        placement = self._placements.current()
+        reporter = placement.reporter
+        if reporter is None or placement.is_reporter:
             self._take_zone(report)
         else:
             self._transport.send(reporter.peer_address, report)
@@ -177,10 +174,6 @@
             self._zones[report.zone] = _Received(report, self._clock.monotonic_s())
 
 
-def _is_staying(member: Member, zone: str) -> bool:
-    return member.zone == zone and member.state is not MemberState.LEAVING
-
-
 def zone_report(zone: str, known: dict[str, int], names: list[str]) -> ZoneRevisionReport:
     """The report on a zone's nodes; those that have not reported are behind, and not counted."""
     silent = [name for name in names if name not in known]
--- a/src/bellweir/configuration/service.py
+++ b/src/bellweir/configuration/service.py
@@ -5,7 +5,6 @@
 from concurrent.futures import Future, wait
 from typing import ClassVar
 
-from bellweir.configuration import placement
 from bellweir.configuration.core import ConfigurationCore
 from bellweir.configuration.history import (
     ConfigurationHistory,
@@ -139,12 +138,14 @@
             self._membership.suggest_seeds(tuple(chosen))
 
     def _is_reader(self) -> bool:
-        membership = self._membership
-        if membership is None or self._stop.is_set():
-            return False
-        own = membership.self_member()
-        reader = placement.reader_of(membership.members(), own.zone)
-        return reader is not None and reader.node == own.node
+        core = self._core
+        return core is not None and not self._stop.is_set() and core.placements.current().is_reader
+
+    def _machine_list_period_s(self) -> float:
+        """The zones' readers share the polling, as what one of them reads reaches all."""
+        members = self._membership.members() if self._membership is not None else ()
+        zones = {member.zone for member in members}
+        return self._settings.configuration.machine_list_period_s * max(1, len(zones))
 
     def _watch_role(self) -> None:
         """Start reading when this node has been its zone's reader for a while.
@@ -200,7 +201,7 @@
             core.state,
             clock,
             self._is_reader,
-            self._settings.configuration.machine_list_period_s,
+            self._machine_list_period_s,
         )
         self._reading.append(run_task("machine-reader", lambda _: machine_reader.run(self._stop)))
 
--- a/src/bellweir/settings/models.py
+++ b/src/bellweir/settings/models.py
@@ -71,7 +71,8 @@
     anti_entropy_period_s: float = Field(default=1.0, gt=0)
     """Time between comparisons with a random peer, in seconds. Default 1."""
     machine_list_period_s: float = Field(default=2.0, gt=0)
-    """Time between two readings of the platform's machine list, in seconds. Default 2."""
+    """Time between two readings of the platform's machine list by anyone, in seconds; the zones'
+    readers take turns. Default 2."""
 
 
 class RoutingSettings(Concern):
