--- a/src/bellweir/platform/application.py
+++ b/src/bellweir/platform/application.py
@@ -1,5 +1,6 @@
 """Client of an application worker; wire format in docs/PLATFORM.md."""
 
+import functools
 import http.client
 from collections.abc import Iterator
 
@@ -25,6 +26,10 @@
 """On any answer: the worker is leaving."""
 STATE_PATH = "/-/state"
 STATUS_UNAVAILABLE = 503
+LIST_SEPARATOR = ", "
+"""Joins the values of a repeated header (RFC 9110, section 5.3)."""
+COOKIE_SEPARATOR = "; "
+"""Joins the values of repeated cookies (RFC 9113, section 8.2.3)."""
 
 _REFUSALS = {"leaving": ErrorKind.LEAVING, "overloaded": ErrorKind.OVERLOADED}
 
@@ -51,8 +56,9 @@
 def _request_headers(call: ApplicationCall) -> dict[str, str]:
     merged: dict[str, str] = {}
     for name, value in call.headers:
-        key = name.title()
-        merged[key] = f"{merged[key]}, {value}" if key in merged else value
+        key = _canonical(name)
+        separator = COOKIE_SEPARATOR if key == "Cookie" else LIST_SEPARATOR
+        merged[key] = f"{merged[key]}{separator}{value}" if key in merged else value
     merged.pop("Content-Length", None)
     merged[ATTEMPT_HEADER] = call.attempt_id
     if call.body_length:
@@ -60,13 +66,18 @@
     return merged
 
 
+@functools.lru_cache(maxsize=1024)
+def _canonical(name: str) -> str:
+    return name.title()
+
+
 def _answered(answer: OpenAnswer) -> Result[ApplicationAnswer, PlatformError]:
     refused = _refusal(answer)
     if refused is not None:
         answer.drop()
         return Failure(refused)
     headers = tuple(answer.response.headers.items())
-    leaving = LEAVING_HEADER in answer.response.headers
+    leaving = answer.response.headers.get(LEAVING_HEADER) is not None
     return Success(ApplicationAnswer(answer.status, headers, _body(answer), leaving))
 
 
@@ -77,7 +88,8 @@
     if reason is None:
         return None
     kind = _REFUSALS.get(reason, ErrorKind.NOT_RUN)
-    return PlatformError(kind, f"refused by the worker: {reason}", _retry_after_s(answer))
+    detail = f"refused by the worker: {reason}"
+    return PlatformError(kind, detail, _retry_after_s(answer), answered=True)
 
 
 def _retry_after_s(answer: OpenAnswer) -> float | None:
