--- a/features/support/routing_fakes.py
+++ b/features/support/routing_fakes.py
@@ -67,6 +67,9 @@
     faults: list = field(default_factory=list)
     dead: bool = False
     leaving: bool = False
+    ready: bool = True
+    load: int = 0
+    probes: int = 0
     on_run: object = None
     on_written: object = None
 
@@ -91,9 +94,10 @@
         return Success(ApplicationAnswer(200, headers, chunks, self.leaving))
 
     def read_ready(self, timeout_s):
+        self.probes += 1
         if self.dead:
             return Failure(error_of(Fault.REFUSED))
-        return Success(ApplicationState(self.name, True, self.leaving, 0))
+        return Success(ApplicationState(self.name, self.ready, self.leaving, self.load))
 
 
 def _cut(answer):
@@ -118,11 +122,17 @@
     dead: bool = False
     leaving: bool = False
     gate: threading.Event | None = None
+    swap_refusals: int = 0
     maximum_batch: int = 64
 
     def generate(self, call):
         if self.dead:
             return Failure(error_of(Fault.REFUSED))
+        if self.version is None:
+            self.swap_refusals += 1
+            return Failure(
+                PlatformError(ErrorKind.NOT_RUN, "no weights are loaded", 0.05, answered=True)
+            )
         self.started.append(call)
         return Success(FakeStream(self, call, self.cut_after.pop(0) if self.cut_after else None))
 
