Leave silent engines, let circuits close, release claims whose making was lost

Change: a watch gives up a stream after 1 s of silence (2 s before the first token; 0.3 s when the engine can't be probed; 10 s and 30 s for drafts) when another engine could go on, and cancels it on the old one. The first token closes a circuit; with all open the one open longest is tried. One task records outcomes until the ledger takes them, not run for claims that no attempt follows. Keyed requests refused early ask the ledger first. Conclusion: a scenario for each; the state machine holds with claims released so.

--- a/features/routing_dispatch.feature
+++ b/features/routing_dispatch.feature
@@ -11,6 +11,28 @@
     When routing generates 8 tokens while the first engine breaks after 3 and the others hold version 2
     Then routing's answer has 3 tokens of version 1 and 5 of version 2
 
+  Scenario Outline: A stream whose engine falls silent goes on elsewhere
+    When routing generates while the first engine falls silent after <tokens> tokens and <probes>
+    Then routing's answer is whole long before the silence ends, and the silent attempt is cancelled
+
+    Examples:
+      | tokens | probes               |
+      | 3      | still answers probes |
+      | 3      | answers no probes    |
+      | 0      | answers no probes    |
+
+  Scenario: A silent engine is waited for when there is no other
+    When routing generates while the first engine falls silent and the others are dead
+    Then routing's watch leaves the stream alone
+
+  Scenario: A request is tried rather than refused when every circuit is open
+    When routing's workers have all failed until their circuits opened and work again
+    Then routing serves a request at once
+
+  Scenario: The first token of a trial closes the circuit
+    When routing's engines have open circuits and a long stream has begun as the trial
+    Then routing's circuit of that engine is closed while the stream still runs
+
   Scenario: A request waits a moment for an engine that swaps its weights
     When routing generates while all engines swap and one ends its swap after refusing
     Then routing's answer is whole and cost each engine at most one refusal
--- a/features/routing_once.feature
+++ b/features/routing_once.feature
@@ -8,13 +8,13 @@
     Then routing runs each key at most once and tells the truth, whatever is lost, killed or paused
 
   Scenario Outline: What a request that must not be repeated is told
-    When routing is sent a bid <first>, and then through another node <second>
-    Then routing's second answer is <answer> and the bids ran <runs> times
+    When routing is sent an order <first>, and then through another node <second>
+    Then routing's second answer is <answer> and the orders ran <runs> times
 
     Examples:
       | first                      | second                     | answer                | runs |
       | with key k                 | with key k                 | the first's, replayed | 1    |
-      | with key k                 | for more with key k        | key_mismatch not_run  | 1    |
+      | with key k                 | for another item with key k        | key_mismatch not_run  | 1    |
       | without a key              | without a key              | key_missing not_run   | 0    |
       | with key k                 | a window later with key k  | key_expired unknown   | 1    |
       | with key k, answer lost    | with key k                 | backend_failed unknown | 1   |
@@ -23,8 +23,11 @@
       | with key k, workers dead   | with key k                 | its own               | 1    |
       | with key k                 | with key k, draining       | draining unknown      | 1    |
       | with key j                 | with key k, draining       | draining not_run      | 1    |
+      | with key k                 | with key k, not configured | no_backend unknown    | 1    |
+      | with key j                 | with key k, not configured | no_backend not_run    | 1    |
+      | with key k, claim answers lost | with key k             | its own               | 1    |
 
-  Scenario: A pool that makes keys serves bids that bring none
+  Scenario: A pool that makes keys serves orders that bring none
     Given routing's pool makes keys
-    When routing is sent a bid without a key, and then through another node without a key
-    Then routing's second answer is its own and the bids ran 2 times
+    When routing is sent an order without a key, and then through another node without a key
+    Then routing's second answer is its own and the orders ran 2 times
--- a/features/steps/routing_reports_steps.py
+++ b/features/steps/routing_reports_steps.py
@@ -15,13 +15,11 @@
 )
 from bellweir.routing.report_subscriber import RENEWAL_S
 from bellweir.routing.views_service import STALE_S
-from bellweir.settings.models import RoutingSettings
 from support.routing_claims import InlineExecutors, OffsetClock
 from support.routing_cluster import APPLICATION_POOL, RoutingCluster
 from support.routing_fakes import Fault, error_of
 
 PERIOD_S = 0.5
-HAND_DRIVEN = RoutingSettings(report_period_s=3600.0)
 NODES = 4
 CONVERGENCE_S = STALE_S + RENEWAL_S + HEARTBEAT_S
 WORKERS = st.integers(0, NODES - 1)
@@ -41,15 +39,11 @@
 @given("routing nodes 0 to 3 over 4 application workers that node 0 to 3 own in turn")
 def step_nodes(context):
     clock = OffsetClock()
-    cluster = RoutingCluster(
-        context.cleanup, clock=clock, make_executors=InlineExecutors, routing=HAND_DRIVEN
-    )
+    cluster = RoutingCluster(context.cleanup, clock=clock, make_executors=InlineExecutors)
     cluster.add_applications(NODES)
     _own_in_turn(cluster)
     for _ in range(NODES):
-        publisher = cluster.add_node().backend_views._publisher
-        publisher._report_period_s = PERIOD_S
-        publisher._next_push_s = 0.0
+        cluster.add_node()
     context.cluster = cluster
     _tick(context, range(NODES), RENEWAL_S + PERIOD_S)  # the first nodes asked too early
 
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -1,4 +1,5 @@
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
@@ -13,7 +14,7 @@
 from bellweir.routing.interface import RefusalReason, RunState
 from support.routing_claims import LedgerFault
 from support.routing_cluster import RoutingCluster, body_of
-from support.routing_fakes import TYPED_FAULTS, Fault, token_of
+from support.routing_fakes import SILENCE_S, TYPED_FAULTS, Fault, token_of
 from support.routing_once_machine import use
 from support.routing_once_setting import CLAIM_WINDOW_S, OnceSetting, recover, stop_probes
 from support.waiting import wait_until
@@ -278,8 +279,8 @@
     )
 
 
-def _bid(context, node, words):
-    """Send a bid in the manner that the words say."""
+def _order(context, node, words):
+    """Send an order in the manner that the words say."""
     once = context.once
     if "a window later" in words:
         once.clock.offset_s += CLAIM_WINDOW_S * 1.5
@@ -287,13 +288,16 @@
         once.faults.append(Fault.LOST_ANSWER)
     if "ledger down" in words:
         once.ledger.faults[:] = [LedgerFault.UNAVAILABLE] * 8
+    if "claim answers lost" in words:
+        once.ledger.faults[:] = [LedgerFault.LOST_AFTER] * 6
     for application in once.cluster.applications:
         application.dead = "workers dead" in words
+    context.cluster.configurations[node].ready = "not configured" not in words
     context.cluster.nodes[node]._draining = "draining" in words
     key = None if "without a key" in words else words.partition("key ")[2][:1]
-    body = b"bid 200" if "for more" in words else b"bid 100"
+    body = b"order 200" if "for another item" in words else b"order 100"
     request = once.cluster.application_request(
-        body, path="/bids", idempotency_key=key, deadline_monotonic_s=once.deadline_s(),
+        body, path="/orders", idempotency_key=key, deadline_monotonic_s=once.deadline_s(),
         headers=(("Idempotency-Key", key),) if key else (),
     )  # fmt: skip
     outcome = once.cluster.nodes[node].forward(request)
@@ -302,6 +306,7 @@
         application.dead = False
     for other in once.cluster.nodes:
         recover(other.backend_views)
+        other._recorder.flush()
     return outcome
 
 
@@ -311,12 +316,12 @@
     context.cluster.configure()
 
 
-@when("routing is sent a bid {first}, and then through another node {second}")
-def step_two_bids(context, first, second):
-    context.outcomes = [_bid(context, 0, first), _bid(context, 1, second)]
+@when("routing is sent an order {first}, and then through another node {second}")
+def step_two_orders(context, first, second):
+    context.outcomes = [_order(context, 0, first), _order(context, 1, second)]
 
 
-@then("routing's second answer is {answer} and the bids ran {runs:d} times")
+@then("routing's second answer is {answer} and the orders ran {runs:d} times")
 def step_second_answer(context, answer, runs):
     match context.outcomes[1]:
         case Success(found) if answer == "its own":
@@ -369,3 +374,91 @@
     refusal = context.outcome.failure()
     assert (refusal.reason, refusal.run_state) == (RefusalReason.NO_BACKEND, RunState.NOT_RUN)
     assert refusal.retry_after_s is not None
+
+
+@when("routing generates while the first engine falls silent after {tokens:d} tokens and {probes}")
+def step_silent(context, tokens, probes):
+    engines = context.cluster.engines
+    for engine in engines:
+        engine.silent_after = tokens
+    context.request = context.cluster.generation_request()
+    generation = context.node.generate(context.request).unwrap()
+    context.silent = next(engine for engine in engines if engine.started)
+    context.silent.frozen = probes == "answers no probes"
+    for engine in engines:
+        if engine is not context.silent:
+            engine.silent_after = None
+    began_s = time.monotonic()
+    context.chunks = _chunks(generation)
+    context.took_s = time.monotonic() - began_s
+
+
+@then("routing's answer is whole long before the silence ends, and the silent attempt is cancelled")
+def step_silence_mended(context):
+    tokens = sum((chunk.tokens for chunk in context.chunks), ())
+    assert tokens == _tokens(context.request)
+    assert context.took_s < SILENCE_S / 2, context.took_s
+    attempt = context.silent.started[0].attempt_id
+    wait_until(lambda: attempt in context.silent.cancelled, "the silent engine has been told")
+
+
+@when("routing generates while the first engine falls silent and the others are dead")
+def step_silent_alone(context):
+    stop_probes(context.node.backend_views)
+    for engine in context.cluster.engines:
+        engine.silent_after = 3
+    context.generation = context.node.generate(context.cluster.generation_request()).unwrap()
+    views = context.node.backend_views
+    for engine in context.cluster.engines:
+        engine.dead = not engine.started
+    recover(views)
+    pool = ThreadPoolExecutor(1)
+    context.cleanup.callback(pool.shutdown)
+    pool.submit(list, context.generation)
+    context.cleanup.callback(context.generation.cancel)
+    wait_until(lambda: len(context.generation._had) == 3, "the stream is silent")
+
+
+@then("routing's watch leaves the stream alone")
+def step_left_alone(context):
+    context.generation._reading_since_s -= 1000.0
+    context.node._watch.look()
+    assert context.generation._silenced is None
+
+
+@when("routing's workers have all failed until their circuits opened and work again")
+def step_circuits_open(context):
+    for application in context.cluster.applications:
+        application.faults = [Fault.LOST_ANSWER] * 3
+    for pool in context.node.backend_views.pools().values():
+        for backend in pool.backends:
+            for _ in range(3):
+                backend.start_request(time.monotonic())
+                backend.finish_request(time.monotonic(), False)
+            assert not backend.permits(time.monotonic())
+    for application in context.cluster.applications:
+        application.faults = []
+
+
+@then("routing serves a request at once")
+def step_served(context):
+    assert body_of(context.node.forward(context.cluster.application_request()).unwrap())
+
+
+@when("routing's engines have open circuits and a long stream has begun as the trial")
+def step_trial(context):
+    step_circuits_open(context)
+    for engine in context.cluster.engines:
+        engine.silent_after = 1
+    generation = context.node.generate(context.cluster.generation_request()).unwrap()
+    context.cleanup.callback(generation.cancel)
+    context.chunks = iter(generation)
+    context.trial = next(context.chunks).unwrap().worker
+
+
+@then("routing's circuit of that engine is closed while the stream still runs")
+def step_closed(context):
+    backends = context.node.backend_views.pools()["engines"].backends
+    trial = next(backend for backend in backends if backend.name == context.trial)
+    assert trial.in_flight == 1
+    assert trial.permits(time.monotonic())
--- a/features/support/routing_claims.py
+++ b/features/support/routing_claims.py
@@ -49,6 +49,12 @@
             done.set_exception(killed)
         return done
 
+    def run_task(self, name, function):
+        """Tests take the steps of tasks by hand."""
+        done = Future()
+        done.set_result(None)
+        return done
+
 
 class OffsetClock(SystemClock):
     """The real clock, which tests move ahead and which waits for nothing."""
--- a/features/support/routing_fakes.py
+++ b/features/support/routing_fakes.py
@@ -26,6 +26,9 @@
     TokenChunk,
 )
 
+SILENCE_S = 25.0
+"""How long a silent engine stays silent unless its stream is closed."""
+
 
 class Fault(Enum):
     """What happens to the next call of a back end."""
@@ -122,6 +125,10 @@
     dead: bool = False
     leaving: bool = False
     gate: threading.Event | None = None
+    silent_after: int | None = None
+    """Tokens after which each stream falls silent."""
+    frozen: bool = False
+    """Whether probes get no answer either."""
     swap_refusals: int = 0
     maximum_batch: int = 64
 
@@ -141,6 +148,8 @@
         return Success(None)
 
     def read_state(self, timeout_s):
+        if self.frozen:
+            return Failure(error_of(Fault.LOST_ANSWER))
         if self.dead:
             return Failure(error_of(Fault.REFUSED))
         return Success(
@@ -170,6 +179,8 @@
             if self._engine.gate is not None:
                 while not self._engine.gate.wait(0.01) and not self._closed.is_set():
                     pass
+            if count == self._engine.silent_after:
+                self._closed.wait(SILENCE_S)
             if count == self._cut_after or self._closed.is_set() or self._engine.dead:
                 yield Failure(error_of(Fault.LOST_ANSWER))
                 return
@@ -231,8 +242,10 @@
     def current(self):
         return self._snapshot
 
+    ready = True
+
     def is_ready(self):
-        return True
+        return self.ready
 
     def wait_for(self, revision, timeout_s):
         return self._snapshot.revision >= revision
--- a/features/support/routing_once_machine.py
+++ b/features/support/routing_once_machine.py
@@ -15,12 +15,12 @@
 
 EXAMPLES = itertools.count()
 KEYS = st.integers(0, 2)
-BODIES = st.sampled_from((b"bid 100", b"bid 200"))
+BODIES = st.sampled_from((b"order 100", b"order 200"))
 NODES = st.integers(0, 2)
 FAULTS = st.lists(st.sampled_from(Fault), max_size=3)
 LEDGER_FAULTS = st.lists(st.none() | st.sampled_from(LedgerFault), max_size=4)
 PAUSES_S = st.sampled_from((CLAIM_WINDOW_S * 0.6, CLAIM_WINDOW_S * 2, CLAIM_WINDOW_S * 9))
-PATHS = st.sampled_from(("/bids", "/bids/lot-7?x=1", "/%62ids", "//bids/../bids"))
+PATHS = st.sampled_from(("/orders", "/orders/item-7?x=1", "/%6frders", "//orders/../orders"))
 
 
 class OnceMachine(RuleBasedStateMachine):
--- a/features/support/routing_once_setting.py
+++ b/features/support/routing_once_setting.py
@@ -45,7 +45,7 @@
         self.faults: list = []
         self.cluster = RoutingCluster(cleanup, clock=self.clock, make_executors=InlineExecutors)
         self.cluster.pool_options[APPLICATION_POOL] = {
-            "once_paths": ("/bids",),
+            "once_paths": ("/orders",),
             "claim_window_s": CLAIM_WINDOW_S,
         }
         self.cluster.add_applications(3)
@@ -93,8 +93,11 @@
         self.happenings.at = {}
         self.faults.clear()
         self.ledger.faults.clear()
-        for node in self.node_ledgers:
-            node.killed = False
+        for ledger, node in zip(self.node_ledgers, self.cluster.nodes, strict=True):
+            if ledger.killed:
+                node._recorder._pending.clear()
+            ledger.killed = False
+            node._recorder.flush()
         for node in self.cluster.nodes:
             recover(node.backend_views)
 
--- a/src/bellweir/platform/engine.py
+++ b/src/bellweir/platform/engine.py
@@ -111,7 +111,7 @@
             parsed = msgspec.json.decode(line, type=StreamLine)
             if parsed.error is not None:
                 kind = ErrorKind(parsed.error.error)
-                yield Failure(PlatformError(kind, parsed.error.detail))
+                yield Failure(PlatformError(kind, parsed.error.detail, answered=True))
                 return
             if parsed.chunk is not None:
                 yield Success(parsed.chunk)
--- a/src/bellweir/routing/attempts.py
+++ b/src/bellweir/routing/attempts.py
@@ -40,6 +40,10 @@
         self._lock = threading.Lock()
         backend.start_request(clock.monotonic_s(), interactive=interactive)
 
+    def note_healthy(self) -> None:
+        """Note that the back end has begun to answer."""
+        self.backend.note_healthy()
+
     def succeed(self) -> None:
         """End it; the back end has proved healthy."""
         self._end(healthy=True)
--- a/src/bellweir/routing/backend.py
+++ b/src/bellweir/routing/backend.py
@@ -93,11 +93,19 @@
             emit(BACKEND_LEAVING, worker=self.name, source="configuration")
         self._worker = worker
 
-    def usable(self, now_s: float) -> bool:
-        """Whether it is ready, not leaving, and its circuit permits a request."""
+    @property
+    def ready(self) -> bool:
+        """Whether it is ready for new work and not leaving."""
         report = self._report
-        if report is None or not report.ready or self.leaving:
-            return False
+        return report is not None and report.ready and not self.leaving
+
+    @property
+    def circuit_opened_s(self) -> float:
+        """When its circuit was last opened."""
+        return self._circuit.opened_s
+
+    def permits(self, now_s: float) -> bool:
+        """Whether its circuit permits a request."""
         return self._circuit.permits(now_s)
 
     def load(self) -> int:
@@ -192,6 +200,13 @@
             self._history.append((now_s, self._in_flight))
             self._circuit.on_start(now_s)
 
+    def note_healthy(self) -> None:
+        """Note that it has begun to answer; a long stream need not end to prove it."""
+        with self._lock:
+            closed = self._circuit.on_success()
+        if closed:
+            emit(CIRCUIT_CLOSED, worker=self.name)
+
     def finish_request(self, now_s: float, healthy: bool | None, detail: str = "") -> None:
         """Count the end of a request; `healthy` None tells nothing of the back end's health."""
         opened = closed = False
--- a/src/bellweir/routing/circuit.py
+++ b/src/bellweir/routing/circuit.py
@@ -24,6 +24,7 @@
         self._failures = 0
         self._open_until_s = 0.0
         self._trial_running = False
+        self.opened_s = 0.0
         self.state = CircuitState.CLOSED
 
     def permits(self, now_s: float) -> bool:
@@ -45,6 +46,7 @@
         """Close the circuit; return whether it was not closed before."""
         was_closed = self.state is CircuitState.CLOSED
         self.state = CircuitState.CLOSED
+        self.opened_s = 0.0
         self._failures = 0
         self._trial_running = False
         return not was_closed
@@ -57,6 +59,7 @@
             return False
         self.state = CircuitState.OPEN
         self._trial_running = False
+        self.opened_s = now_s
         self._open_until_s = now_s + self._open_s * (1.0 + random.random() * OPEN_JITTER)
         return was_closed
 
--- a/src/bellweir/routing/forwarding.py
+++ b/src/bellweir/routing/forwarding.py
@@ -25,6 +25,7 @@
 )
 from bellweir.routing.attempts import AttemptHold, RequestAttempts, new_attempt_id
 from bellweir.routing.backend import Backend
+from bellweir.routing.candidates import candidates
 from bellweir.routing.counters import DispatchCounters
 from bellweir.routing.interface import ApplicationRequest, Refusal
 from bellweir.routing.pool_runtime import PoolRuntime, PoolRuntimes
@@ -130,11 +131,7 @@
 
     def _choose(self, runtime: PoolRuntime, tried: set[str]) -> Backend | None:
         now_s = self._clock.monotonic_s()
-        usable = [
-            backend
-            for backend in self._backends(runtime)
-            if backend.name not in tried and backend.usable(now_s)
-        ]
+        usable = candidates(self._backends(runtime), tried, now_s)
         return runtime.strategy.choose(usable, None) if usable else None
 
     def _attempt(
@@ -175,6 +172,7 @@
             hold.note_leaving("answer")
         length = declared_length(answer)
         if length is None or length > BUFFERED_ANSWER_BYTES:
+            hold.note_healthy()
             return Success(with_body(answer, HeldBody(answer.body, _ender(hold))))
         match read_whole(answer, BUFFERED_ANSWER_BYTES):
             case Success(None):
--- a/src/bellweir/routing/generation.py
+++ b/src/bellweir/routing/generation.py
@@ -9,6 +9,7 @@
 from bellweir.events.log import emit
 from bellweir.kernel.clock import Clock
 from bellweir.platform.interface import ErrorKind, FinishReason, PlatformError, TokenChunk
+from bellweir.resources.models import RequestClass
 from bellweir.routing.attempts import RequestAttempts
 from bellweir.routing.counters import CANCELLED, COMPLETED
 from bellweir.routing.generation_attempt import (
@@ -27,6 +28,22 @@
 from bellweir.routing.log_events import GENERATION_RESUMED
 
 CUT = PlatformError(ErrorKind.UNKNOWN, "the stream ended without an end marker")
+GIVEN_UP = PlatformError(ErrorKind.UNKNOWN, "the engine gave the request up", answered=True)
+
+
+@dataclass(frozen=True)
+class SilenceLimits:
+    """Longest silence of an engine before another one goes on."""
+
+    first_token_s: float
+    """Before the first token: the engine may have a queue."""
+    next_token_s: float
+
+
+INTERACTIVE_SILENCE = SilenceLimits(first_token_s=2.0, next_token_s=1.0)
+DRAFT_SILENCE = SilenceLimits(first_token_s=30.0, next_token_s=10.0)
+UNREACHABLE_SILENCE_S = 0.3
+"""Silence after which an engine that can't be probed any more is given up, for all classes."""
 
 
 @dataclass(frozen=True)
@@ -71,6 +88,10 @@
         self._lock = threading.Lock()
         self._ended = False
         self._cancelled = False
+        self._attempt_tokens = 0
+        self._reading_since_s: float | None = None
+        self._silenced: str | None = None
+        """Id of the last attempt that was given up for silence."""
 
     def __iter__(self) -> Iterator[Result[GenerationChunk, Refusal]]:
         """Yield chunks to the finish reason, or end with one refusal."""
@@ -99,13 +120,14 @@
             attempt = self._attempt
             progress = len(self._had)
             error = CUT
-            for item in attempt.stream:
+            for item in self._read(attempt):
                 if self._cancelled:
                     return
                 match item:
                     case Success(chunk):
                         if chunk.finish_reason is FinishReason.CANCELLED:
-                            break  # not asked for here: the engine gave the request up
+                            error = GIVEN_UP  # not asked for here
+                            break
                         yield Success(self._accept(chunk, attempt))
                         if chunk.finish_reason is not None:
                             attempt.hold.succeed()
@@ -131,9 +153,52 @@
                 yield Failure(refusal)
                 return
 
+    def _read(self, attempt: RunningAttempt) -> Iterator[Result[TokenChunk, PlatformError]]:
+        """The attempt's stream, noting when it is the engine that is waited for."""
+        self._attempt_tokens = 0
+        chunks = iter(attempt.stream)
+        while True:
+            self._reading_since_s = self._clock.monotonic_s()
+            item = next(chunks, None)
+            self._reading_since_s = None
+            if item is None:
+                return
+            yield item
+
+    def check_silence(self) -> None:
+        """Give up the running attempt when its engine is silent and another one could go on.
+
+        Called by the watch, from its own thread. The reading thread sees the closed stream as
+        an error and resumes elsewhere; at the deadline it ends.
+        """
+        since_s = self._reading_since_s
+        with self._lock:
+            attempt = self._attempt
+            if since_s is None or self._ended or attempt.attempt_id == self._silenced:
+                return
+        now_s = self._clock.monotonic_s()
+        late = now_s >= self._deadline_s
+        if not late and not self._is_silent(attempt, now_s - since_s):
+            return
+        if late or self._starter.has_alternative(attempt, self._route):
+            self._silenced = attempt.attempt_id
+            self._starter.drop(attempt)
+
+    def _is_silent(self, attempt: RunningAttempt, silence_s: float) -> bool:
+        draft = self._request.request_class is RequestClass.DRAFT
+        limits = DRAFT_SILENCE if draft else INTERACTIVE_SILENCE
+        limit_s = limits.next_token_s if self._attempt_tokens else limits.first_token_s
+        report = attempt.hold.backend.report
+        if report is not None and not report.reachable:
+            limit_s = UNREACHABLE_SILENCE_S
+        return silence_s >= limit_s
+
     def _accept(self, chunk: TokenChunk, attempt: RunningAttempt) -> GenerationChunk:
         if not self._had:
             self._listener.on_first_token(self._clock.monotonic_s() - self._began_s)
+        if not self._attempt_tokens:
+            attempt.hold.note_healthy()
+        self._attempt_tokens += len(chunk.tokens)
         self._had += chunk.tokens
         self._last_version = chunk.weight_version
         return GenerationChunk(
--- a/src/bellweir/routing/generation_attempt.py
+++ b/src/bellweir/routing/generation_attempt.py
@@ -16,6 +16,7 @@
 from bellweir.resources.models import Pool, RequestClass
 from bellweir.routing.attempts import AttemptHold, RequestAttempts, new_attempt_id
 from bellweir.routing.backend import Backend
+from bellweir.routing.candidates import candidates
 from bellweir.routing.counters import DispatchCounters
 from bellweir.routing.interface import GenerationRequest, Refusal
 from bellweir.routing.pool_runtime import PoolRuntimes
@@ -151,6 +152,10 @@
     def cancel(self, attempt: RunningAttempt) -> None:
         """Drop an attempt: its connection at once, its work on the engine by a call aside."""
         attempt.hold.abandon()
+        self.drop(attempt)
+
+    def drop(self, attempt: RunningAttempt) -> None:
+        """Close an attempt's connection and tell its engine, without a word on its health."""
         attempt.stream.close()
         try:
             self._executors.submit(WorkKind.BACKGROUND, attempt.engine.cancel, attempt.attempt_id)
@@ -158,19 +163,30 @@
             # The closed connection tells the engine as well; the call only makes it sooner.
             return
 
+    def has_alternative(self, attempt: RunningAttempt, route: GenerationRoute) -> bool:
+        """Whether another engine could go on with an attempt now."""
+        current = {attempt.hold.backend.name}
+        return bool(
+            candidates(
+                self._backends_of(route.policy),
+                current,
+                self._clock.monotonic_s(),
+                lambda backend: serves(backend, route),
+            )
+        )
+
     def _choose(
         self, request: GenerationRequest, route: GenerationRoute, attempts: RequestAttempts
     ) -> Backend | None:
         now_s = self._clock.monotonic_s()
         pools = self._views.pools()
         for pool in self.pools_of(route.policy):
-            usable = [
-                backend
-                for backend in pools[pool.metadata.name].backends
-                if backend.name not in attempts.tried
-                and backend.usable(now_s)
-                and serves(backend, route)
-            ]
+            usable = candidates(
+                pools[pool.metadata.name].backends,
+                attempts.tried,
+                now_s,
+                lambda backend: serves(backend, route),
+            )
             if usable and request.request_class is RequestClass.DRAFT:
                 usable = self._with_draft_room(usable, now_s, attempts)
             preferred = [found for found in usable if found.name not in request.avoid_workers]
--- a/src/bellweir/routing/once.py
+++ b/src/bellweir/routing/once.py
@@ -4,13 +4,11 @@
 import secrets
 import uuid
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from returns.result import Failure, Result, Success
 
-from bellweir.events.log import emit
 from bellweir.kernel.clock import Clock
-from bellweir.kernel.executors import Executors, ExecutorSaturatedError, WorkKind
 from bellweir.ledger.interface import (
     Claim,
     Claims,
@@ -20,11 +18,11 @@
     RecordedAnswer,
 )
 from bellweir.platform.interface import ApplicationAnswer
-from bellweir.resources.models import Pool
+from bellweir.resources.models import Pool, RequestClass
 from bellweir.routing.answers import read_whole, with_body
 from bellweir.routing.attempts import RETRY_AFTER_S
 from bellweir.routing.interface import ApplicationRequest, Refusal, RefusalReason, RunState
-from bellweir.routing.log_events import OUTCOME_NOT_RECORDED
+from bellweir.routing.outcome_recorder import ClaimHolder, OutcomeRecorder
 from bellweir.routing.request_body import BodyTooLongError, BodyTruncatedError, RequestBody
 
 BODY_LIMIT_BYTES = 1024 * 1024
@@ -32,8 +30,7 @@
 RECORD_LIMIT_BYTES = 256 * 1024
 """Longest answer kept for repeats; a longer one is passed on, but repeats get no copy."""
 CLAIM_TIMEOUT_S = 2.0
-RECORD_TIMEOUT_S = 2.0
-RECORD_TRIES = 3
+CLAIM_TRIES = 2
 CLAIM_USE_S = 60.0
 CLAIM_USE_WINDOW_SHARE = 0.5
 """A claim older than `CLAIM_USE_S` or than this share of its window is not used any more: a
@@ -50,23 +47,14 @@
 """Makes the attempt; asks the given check right before each send."""
 
 
-@dataclass(frozen=True)
-class _Holder:
-    """A claim held by one call."""
-
-    ledger_key: str
-    attempt_id: str
-    claims: Claims
-
-
 class OnceRequests:
     """Serves requests of class once."""
 
     def __init__(
-        self, find_claims: Callable[[], Claims | None], executors: Executors, clock: Clock
-    ):
+        self, find_claims: Callable[[], Claims | None], recorder: OutcomeRecorder, clock: Clock
+    ) -> None:
         self._find_claims = find_claims
-        self._executors = executors
+        self._recorder = recorder
         self._clock = clock
 
     def serve(
@@ -94,7 +82,7 @@
         if claims is None:
             detail = "this node has no ledger"
             return Failure(_ledger_refusal(RunState.NOT_RUN, detail))
-        holder = _Holder(ledger_key_of(request), secrets.token_hex(16), claims)
+        holder = ClaimHolder(ledger_key_of(request), secrets.token_hex(16), claims)
         asked_s = self._clock.monotonic_s()
         match self._claim(holder, fingerprint, pool.spec.claim_window_s, deadline_s):
             case Success(claim) if claim.state is ClaimState.CLAIMED:
@@ -110,7 +98,9 @@
                 return Failure(_ledger_refusal(state, error.detail))
         raise AssertionError("a result is a success or a failure")
 
-    def refuse(self, request: ApplicationRequest, refusal: Refusal) -> Refusal:
+    def refuse(
+        self, request: ApplicationRequest, refusal: Refusal, kind: RequestClass | None
+    ) -> Refusal:
         """What to say of a request that is refused before it is claimed.
 
         This request has not run, but an earlier one with its key may have: "not run" is said
@@ -118,41 +108,49 @@
         """
         if request.idempotency_key is None or refusal.run_state is not RunState.NOT_RUN:
             return refusal
-        claims = self._find_claims()
-        if claims is None:
+        if kind not in (RequestClass.ONCE, None) or self._is_unknown_key(request):
             return refusal
-        match claims.look_up(ledger_key_of(request), LOOK_UP_TIMEOUT_S):
-            case Success(None):
-                return refusal
-            case Success(Claim(state=ClaimState.NOT_RUN)):
-                return refusal
         detail = f"{refusal.detail}; whether an earlier request with this key ran is not known"
         return replace(refusal, run_state=RunState.UNKNOWN, detail=detail)
 
+    def _is_unknown_key(self, request: ApplicationRequest) -> bool:
+        """Whether the ledger says that no request with this key may have run."""
+        claims = self._find_claims()
+        if claims is None:
+            return True
+        match claims.look_up(ledger_key_of(request), LOOK_UP_TIMEOUT_S):
+            case Success(None) | Success(Claim(state=ClaimState.NOT_RUN)):
+                return True
+        return False
+
     def _claim(
-        self, holder: _Holder, fingerprint: str, window_s: float, deadline_s: float
+        self, holder: ClaimHolder, fingerprint: str, window_s: float, deadline_s: float
     ) -> Result[Claim, LedgerError]:
-        """Claim; after a lost answer once more with the same attempt id, which is idempotent."""
-        for last in (False, True):
+        """Claim; after a lost answer once more with the same attempt id, which is idempotent.
+
+        When it stays open whether the claim was made, no attempt follows, and the claim is
+        recorded as not run as soon as the ledger answers, so that a repeat can run.
+        """
+        maybe_made = False
+        claimed: Result[Claim, LedgerError]
+        for _ in range(CLAIM_TRIES):
             left_s = deadline_s - self._clock.monotonic_s()
+            timeout_s = max(0.001, min(CLAIM_TIMEOUT_S, left_s))
             claimed = holder.claims.claim(
-                holder.ledger_key,
-                fingerprint,
-                holder.attempt_id,
-                window_s,
-                max(0.001, min(CLAIM_TIMEOUT_S, left_s)),
+                holder.ledger_key, fingerprint, holder.attempt_id, window_s, timeout_s
             )
-            match claimed:
-                case Failure(error) if error.kind is LedgerErrorKind.UNKNOWN:
-                    if last:
-                        self._record_aside(holder, ClaimState.NOT_RUN, None)
-                case _:
-                    return claimed
+            if isinstance(claimed, Success):
+                return claimed
+            if claimed.failure().kind is LedgerErrorKind.UNAVAILABLE:
+                break
+            maybe_made = True
+        if maybe_made:
+            self._recorder.record_later(holder, ClaimState.NOT_RUN)
         return claimed
 
     def _run(
         self,
-        holder: _Holder,
+        holder: ClaimHolder,
         send: Callable[[BeforeSend], Result[ApplicationAnswer, Refusal]],
         use_until_s: float,
     ) -> Result[ApplicationAnswer, Refusal]:
@@ -165,70 +163,36 @@
         try:
             outcome = send(too_late)
         except BaseException:
-            self._record_aside(holder, ClaimState.UNKNOWN, None)
+            self._recorder.record_later(holder, ClaimState.UNKNOWN)
             raise
         match outcome:
             case Success(answer):
                 return self._complete(holder, answer)
             case Failure(refusal) if refusal.run_state is RunState.NOT_RUN:
-                self._record(holder, ClaimState.NOT_RUN, None)
+                self._recorder.record(holder, ClaimState.NOT_RUN, None)
             case Failure(_):
-                self._record(holder, ClaimState.UNKNOWN, None)
+                self._recorder.record(holder, ClaimState.UNKNOWN, None)
         return outcome
 
     def _complete(
-        self, holder: _Holder, answer: ApplicationAnswer
+        self, holder: ClaimHolder, answer: ApplicationAnswer
     ) -> Result[ApplicationAnswer, Refusal]:
         """Record the answer before it is passed on, so that a repeat finds it."""
         match read_whole(answer, RECORD_LIMIT_BYTES):
             case Success(None):
-                self._record(holder, ClaimState.COMPLETED, None)
+                self._recorder.record(holder, ClaimState.COMPLETED, None)
                 detail = "it ran, but its answer is too long to be kept"
                 return Failure(Refusal(RefusalReason.BACKEND_FAILED, RunState.RAN, detail))
             case Success(whole):
                 kept = RecordedAnswer(answer.status, answer.headers, whole or b"")
-                self._record(holder, ClaimState.COMPLETED, kept)
+                self._recorder.record(holder, ClaimState.COMPLETED, kept)
                 return Success(with_body(answer, iter((kept.body,) if kept.body else ())))
             case Failure(error):
-                self._record(holder, ClaimState.UNKNOWN, None)
+                self._recorder.record(holder, ClaimState.UNKNOWN, None)
                 refusal = Refusal(RefusalReason.BACKEND_FAILED, RunState.UNKNOWN, error.detail)
                 return Failure(refusal)
         raise AssertionError("a result is a success or a failure")
 
-    def _record(self, holder: _Holder, state: ClaimState, answer: RecordedAnswer | None) -> None:
-        recorded = holder.claims.record(
-            holder.ledger_key, holder.attempt_id, state, answer, RECORD_TIMEOUT_S
-        )
-        if isinstance(recorded, Failure):
-            self._record_aside(holder, state, answer)
-
-    def _record_aside(
-        self, holder: _Holder, state: ClaimState, answer: RecordedAnswer | None
-    ) -> None:
-        """Record off the caller's thread, a few times; repeats are unknown until it is done."""
-        try:
-            self._executors.submit(
-                WorkKind.BACKGROUND, self._record_patiently, holder, state, answer
-            )
-        except (ExecutorSaturatedError, RuntimeError):
-            emit(OUTCOME_NOT_RECORDED, request=holder.ledger_key, detail="no thread was free")
-
-    def _record_patiently(
-        self, holder: _Holder, state: ClaimState, answer: RecordedAnswer | None
-    ) -> None:
-        detail = ""
-        for _ in range(RECORD_TRIES):
-            match holder.claims.record(
-                holder.ledger_key, holder.attempt_id, state, answer, RECORD_TIMEOUT_S
-            ):
-                case Success(_):
-                    return
-                case Failure(error):
-                    detail = error.detail
-            if self._clock.wait(self._executors.stopping, RETRY_AFTER_S):
-                break
-        emit(OUTCOME_NOT_RECORDED, request=holder.ledger_key, detail=detail)
-
 
 def ledger_key_of(request: ApplicationRequest) -> str:
     """Key of a request's claim: keys of different pools do not meet, those of callers do.
--- /dev/null
+++ b/src/bellweir/routing/outcome_recorder.py
@@ -0,0 +1,94 @@
+"""Records outcomes of claims that the ledger did not take at once, until it does."""
+
+import threading
+from collections import deque
+from dataclasses import dataclass
+
+from returns.result import Success
+
+from bellweir.events.log import emit
+from bellweir.kernel.clock import Clock
+from bellweir.ledger.interface import Claims, ClaimState, RecordedAnswer
+from bellweir.routing.log_events import OUTCOME_NOT_RECORDED
+
+RECORD_TIMEOUT_S = 2.0
+PAUSE_S = 0.25
+GIVE_UP_S = 120.0
+"""After this time the ledger itself answers repeats of the key as unknown."""
+MAXIMUM_PENDING = 4096
+
+
+@dataclass(frozen=True)
+class ClaimHolder:
+    """A claim asked for, or held, by one request on this node."""
+
+    ledger_key: str
+    attempt_id: str
+    claims: Claims
+
+
+@dataclass(frozen=True)
+class _Pending:
+    holder: ClaimHolder
+    state: ClaimState
+    answer: RecordedAnswer | None
+    since_s: float
+
+
+class OutcomeRecorder:
+    """Keeps what is to be recorded; one task tries all of it again and again."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._pending: deque[_Pending] = deque()
+        self._added = threading.Event()
+
+    def record(self, holder: ClaimHolder, state: ClaimState, answer: RecordedAnswer | None) -> None:
+        """Record now, or later when the ledger does not take it."""
+        pending = _Pending(holder, state, answer, self._clock.monotonic_s())
+        if not _record(pending):
+            self._add(pending)
+
+    def record_later(self, holder: ClaimHolder, state: ClaimState) -> None:
+        """Record an outcome without an answer from the task, not from the caller's thread."""
+        self._add(_Pending(holder, state, None, self._clock.monotonic_s()))
+
+    def flush(self) -> None:
+        """Try each pending record once."""
+        with self._lock:
+            batch, self._pending = self._pending, deque()
+        for pending in batch:
+            if _record(pending):
+                continue
+            if self._clock.monotonic_s() - pending.since_s > GIVE_UP_S:
+                emit(OUTCOME_NOT_RECORDED, request=pending.holder.ledger_key, detail="too late")
+            else:
+                self._add(pending)
+
+    def run(self, stopping: threading.Event) -> None:
+        """Flush while there is something to flush, until the node stops."""
+        while not stopping.is_set():
+            if self._pending:
+                self.flush()
+                stopping.wait(PAUSE_S)
+            else:
+                self._added.wait(PAUSE_S)
+                self._added.clear()
+        self.flush()
+
+    def _add(self, pending: _Pending) -> None:
+        with self._lock:
+            if len(self._pending) < MAXIMUM_PENDING:
+                self._pending.append(pending)
+                self._added.set()
+                return
+        emit(OUTCOME_NOT_RECORDED, request=pending.holder.ledger_key, detail="too many pending")
+
+
+def _record(pending: _Pending) -> bool:
+    holder = pending.holder
+    recorded = holder.claims.record(
+        holder.ledger_key, holder.attempt_id, pending.state, pending.answer, RECORD_TIMEOUT_S
+    )
+    return isinstance(recorded, Success)
--- a/src/bellweir/routing/service.py
+++ b/src/bellweir/routing/service.py
@@ -32,8 +32,10 @@
     RunState,
 )
 from bellweir.routing.once import OnceRequests
+from bellweir.routing.outcome_recorder import OutcomeRecorder
 from bellweir.routing.pool_runtime import PoolRuntime, PoolRuntimes
 from bellweir.routing.request_body import RequestBody
+from bellweir.routing.stream_watch import StreamWatch
 from bellweir.routing.views_service import BackendViewsService
 from bellweir.settings.models import Settings
 
@@ -62,6 +64,7 @@
         self._counters = DispatchCounters()
         self._runtimes = PoolRuntimes(kernel.clock)
         self._draft_share = settings.routing.draft_share
+        self._watch = StreamWatch()
         self._draining = False
         self._in_hand = 0
         self._in_hand_changed = threading.Condition()
@@ -82,7 +85,10 @@
             self._draft_share,
         )
         self._forwarder = Forwarder(views, self._runtimes, clients, self._clock, self._counters)
-        self._once = OnceRequests(self._find_claims, self._kernel.executors, self._clock)
+        self._recorder = OutcomeRecorder(self._clock)
+        self._once = OnceRequests(self._find_claims, self._recorder, self._clock)
+        self._kernel.executors.run_task("claim-outcomes", self._recorder.run)
+        self._kernel.executors.run_task("stream-watch", self._watch.run)
 
     def drain(self, deadline_s: float) -> None:
         """Refuse new requests and wait for those in hand."""
@@ -174,41 +180,42 @@
         gate = runtime.gates[request.request_class]
 
         def on_end(outcome: str) -> None:
+            self._watch.remove(generation)
             self._counters.count_outcome(outcome)
             if outcome == COMPLETED:
                 runtime.budget.on_success(self._clock.monotonic_s())
             self._end(admission)
 
-        return Success(
-            RoutedGeneration(
-                request,
-                route,
-                self._starter,
-                attempts,
-                first,
-                admission.deadline_s,
-                self._clock,
-                GenerationListener(gate.note_latency, on_end),
-            )
+        generation = RoutedGeneration(
+            request,
+            route,
+            self._starter,
+            attempts,
+            first,
+            admission.deadline_s,
+            self._clock,
+            GenerationListener(gate.note_latency, on_end),
         )
+        self._watch.add(generation)
+        return Success(generation)
 
     # --- applications -------------------------------------------------------------------------
 
     def _forward(self, request: ApplicationRequest) -> Result[ApplicationAnswer, Refusal]:
         if not self._configuration.is_ready():
-            return Failure(_refused(RefusalReason.NO_BACKEND, NOT_CONFIGURED, RETRY_AFTER_S))
+            refusal = _refused(RefusalReason.NO_BACKEND, NOT_CONFIGURED, RETRY_AFTER_S)
+            return Failure(self._once.refuse(request, refusal, None))
         pool = self._configuration.current().pools.get(request.pool)
         if pool is None or pool.spec.kind is not BackendKind.APPLICATION:
             detail = f"no application pool named {request.pool!r}"
-            return Failure(_refused(RefusalReason.NO_SUCH_POOL, detail, None))
+            refusal = _refused(RefusalReason.NO_SUCH_POOL, detail, None)
+            return Failure(self._once.refuse(request, refusal, None))
         runtime = self._runtimes.of(pool)
         kind = class_of(request, pool)
         admitted = self._admit(runtime, kind, request.caller, request.deadline_monotonic_s)
         match admitted:
             case Failure(refusal):
-                if kind is RequestClass.ONCE:
-                    refusal = self._once.refuse(request, refusal)
-                return Failure(refusal)
+                return Failure(self._once.refuse(request, refusal, kind))
             case Success(admission):
                 pass
         try:
