Return a typed outcome for whatever an outside system answers

A property over answers of any bytes and depth found that a deeply nested answer raised RecursionError through every client. All JSON from outside now goes through one decoder that turns whatever is wrong with it into one error.

--- a/features/platform_outcomes.feature
+++ b/features/platform_outcomes.feature
@@ -63,6 +63,9 @@
       | 500    | {"error": "no such kind", "detail": "x"} | unknown    |
       | 200    | {"half":                                 | unknown    |
 
+  Scenario: Whatever an outside system answers, a platform client returns a typed outcome
+    Then over any bytes, any JSON and any depth of nesting each platform client returns a result
+
   Scenario: Closing an ended platform answer late does not cut the connection's next call
     Given a platform server that answers 2 calls and then closes nowhere
     When a platform answer is dropped after its connection has gone to another call
--- a/features/steps/platform_outcomes_steps.py
+++ b/features/steps/platform_outcomes_steps.py
@@ -1,5 +1,6 @@
 """Steps of `platform_outcomes.feature`."""
 
+import itertools
 from concurrent.futures import ThreadPoolExecutor
 
 import msgspec
@@ -7,10 +8,18 @@
 from hypothesis import given as for_all
 from hypothesis import settings
 from hypothesis import strategies as st
-from returns.result import Success
+from returns.result import Result, Success
 
 from bellweir.platform.answers import decode_answer
+from bellweir.platform.interface import (
+    EngineOrder,
+    EngineRole,
+    GenerationCall,
+    ScoreCall,
+)
 from bellweir.platform.pool import ConnectionPool, HttpAnswer, HttpCall
+from bellweir.platform.service import HttpPlatformClients
+from bellweir.settings.models import PlatformSettings
 from support.lossy_server import BODY, LossPoint, LossyServer, TricklingServer
 
 TIMEOUT_S = 5.0
@@ -29,11 +38,11 @@
 
 
 class FixedServer(LossyServer):
-    """Answers one given status and body."""
+    """Answers given bytes once on each connection, and closes it."""
 
-    def __init__(self, status, body):
-        self._fixed = b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body)
-        super().__init__(LossPoint.NOWHERE, healthy_calls=1)
+    def __init__(self, answer):
+        self._fixed = answer
+        super().__init__(LossPoint.BEFORE_READING, healthy_calls=1)
 
     def _answer(self):
         return self._fixed
@@ -81,7 +90,7 @@
 
 @given("a platform server that answers status {status:d} with body {body}")
 def step_fixed(context, status, body):
-    serve(context, FixedServer(status, body.encode()))
+    serve(context, FixedServer(whole_answer(status, body.encode())))
 
 
 @when("a platform request is sent once to that server")
@@ -159,7 +168,7 @@
 
 @then("over losses at any point, by any way of closing, platform outcomes agree with the server")
 def step_property(context):
-    @settings(max_examples=60)
+    @settings(max_examples=40)
     @for_all(
         point=st.sampled_from(LossPoint),
         chunked=st.booleans(),
@@ -180,6 +189,88 @@
     check()
 
 
+DEEP = b"[" * 3000
+DEEP_OBJECT = b'{"kind": "k", "name": "n", "version": 1, "document": {"x": %s' % DEEP
+NESTED = (
+    DEEP,
+    b'{"unknown field": ' + DEEP,
+    DEEP_OBJECT,
+    b'{"change": {"revision": 1, "deleted": false, "stored": ' + DEEP_OBJECT,
+    b'{"revision": 1, "objects": [' + DEEP_OBJECT,
+)
+
+
+@then("over any bytes, any JSON and any depth of nesting each platform client returns a result")
+def step_any_answer(context):
+    json_text = st.recursive(
+        st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+        lambda inner: (
+            st.lists(inner, max_size=3) | st.dictionaries(st.sampled_from(KEYS), inner, max_size=4)
+        ),
+        max_leaves=8,
+    ).map(msgspec.json.encode)
+    body = st.one_of(json_text, st.binary(max_size=40), st.sampled_from(NESTED))
+    answer = st.one_of(
+        st.binary(max_size=80),
+        st.builds(whole_answer, st.sampled_from([200, 304, 409, 503, 999]), body),
+        st.builds(chunked_answer, body),
+    )
+
+    @settings(max_examples=40)
+    @for_all(answer=answer)
+    def check(answer):
+        server = FixedServer(answer)
+        clients = HttpPlatformClients(
+            PlatformSettings(
+                object_api=server.address,
+                machine_list=server.address,
+                weight_store=server.address,
+            )
+        )
+        try:
+            for result in call_every_client(clients, server.address):
+                assert isinstance(result, Result), result
+        finally:
+            clients.close()
+            server.stop()
+
+    check()
+
+
+KEYS = ["chunk", "tokens", "change", "error", "revision", "objects", "kind", "score", "events"]
+
+
+def whole_answer(status, body):
+    return b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s" % (status, len(body), body)
+
+
+def chunked_answer(line):
+    body = line + b"\n"
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    return head + b"%x\r\n%s\r\n0\r\n\r\n" % (len(body), body)
+
+
+def call_every_client(clients, address):
+    store, engine = clients.object_store(), clients.engine(address)
+    yield store.list_objects()
+    yield store.get("Policy", "a")
+    yield store.put({"kind": "Policy", "metadata": {"name": "a"}}, 0, "mutation")
+    yield store.delete("Policy", "a", 1)
+    yield from itertools.islice(store.watch(0, 0.1), 3)
+    yield clients.machine_list().read()
+    yield clients.weight_store().read_manifest("model", 1)
+    yield clients.scorer(address).score(ScoreCall("s", "p", "t"), TIMEOUT_S)
+    yield clients.application(address).read_ready(TIMEOUT_S)
+    yield engine.read_state(TIMEOUT_S)
+    yield engine.read_cache_events(0)
+    yield engine.cancel("attempt")
+    yield engine.order(EngineOrder((1, 1), "model", 1, (), EngineRole.MIXED, ()))
+    started = engine.generate(GenerationCall("a", "r", "p", (), 5, 0, "model", None, None))
+    yield started
+    if isinstance(started, Success):
+        yield from started.unwrap()
+
+
 def check_one_call(server, pool, body, healthy):
     read_before = server.bytes_read
     result = pool.call(HttpCall("POST", "/x", TIMEOUT_S, {}, body))
--- a/src/bellweir/platform/answers.py
+++ b/src/bellweir/platform/answers.py
@@ -25,6 +25,18 @@
     detail: str = ""
 
 
+class MalformedJsonError(ValueError):
+    """Bytes that are not JSON of the expected shape."""
+
+
+def decode_json(data: bytes, expected: type[Decoded]) -> Decoded:
+    """Decode JSON from outside; raises `MalformedJsonError` whatever is wrong with it."""
+    try:
+        return msgspec.json.decode(data, type=expected)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as failure:
+        raise MalformedJsonError(str(failure)) from failure
+
+
 def decode_answer(
     answer: HttpAnswer, expected: type[Decoded], *, writes: bool = False
 ) -> Result[Decoded, PlatformError]:
@@ -35,8 +47,8 @@
     if answer.status != STATUS_OK:
         return Failure(refusal(answer.status, answer.headers, answer.body))
     try:
-        return Success(msgspec.json.decode(answer.body, type=expected))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as failure:
+        return Success(decode_json(answer.body, expected))
+    except MalformedJsonError as failure:
         kind = ErrorKind.UNKNOWN if writes else ErrorKind.INVALID
         return Failure(PlatformError(kind, f"answer not understood: {failure}"))
 
@@ -48,9 +60,9 @@
     """
     retry_after_s = parse_retry_after_s(headers.get("retry-after"))
     try:
-        parsed = msgspec.json.decode(body, type=ErrorBody)
+        parsed = decode_json(body, ErrorBody)
         return PlatformError(ErrorKind(parsed.error), parsed.detail, retry_after_s, answered=True)
-    except (msgspec.MsgspecError, ValueError):
+    except ValueError:
         return PlatformError(ErrorKind.UNKNOWN, f"HTTP status {status}", retry_after_s)
 
 
--- a/src/bellweir/platform/engine.py
+++ b/src/bellweir/platform/engine.py
@@ -6,7 +6,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from bellweir.platform.answers import STATUS_OK, ErrorBody, decode_answer, refusal
+from bellweir.platform.answers import STATUS_OK, ErrorBody, decode_answer, decode_json, refusal
 from bellweir.platform.interface import (
     CacheEventBatch,
     Engine,
@@ -109,7 +109,7 @@
         self._answer.set_timeout(self._silence_s)
         for line in self._answer.read_lines():
             self._answer.set_timeout(self._silence_s)
-            parsed = msgspec.json.decode(line, type=StreamLine)
+            parsed = decode_json(line, StreamLine)
             if parsed.error is not None:
                 kind = ErrorKind(parsed.error.error)
                 yield Failure(PlatformError(kind, parsed.error.detail, answered=True))
--- a/src/bellweir/platform/object_api.py
+++ b/src/bellweir/platform/object_api.py
@@ -9,7 +9,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from bellweir.platform.answers import STATUS_OK, ErrorBody, decode_answer, refusal
+from bellweir.platform.answers import STATUS_OK, ErrorBody, decode_answer, decode_json, refusal
 from bellweir.platform.interface import (
     MUTATION_ANNOTATION,
     ErrorKind,
@@ -113,7 +113,7 @@
     answer.set_timeout(timeout_s + WATCH_MARGIN_S)
     for line in answer.read_lines():
         answer.set_timeout(timeout_s + WATCH_MARGIN_S)
-        parsed = msgspec.json.decode(line, type=WatchLine)
+        parsed = decode_json(line, WatchLine)
         if parsed.error is not None:
             yield Failure(PlatformError(ErrorKind(parsed.error.error), parsed.error.detail))
             return
--- a/src/bellweir_rehearsal/standins/base.py
+++ b/src/bellweir_rehearsal/standins/base.py
@@ -179,7 +179,7 @@
             return self.handle(request)
         except RefusalError as refused:
             return _refused(refused)
-        except msgspec.MsgspecError as failure:
+        except (msgspec.MsgspecError, RecursionError) as failure:
             return _refused(RefusalError(ErrorKind.INVALID, str(failure)))
 
     def _suffer_before(self, request: Request) -> None:
