End an attempt's hold before the last chunk is yielded

Cause: callers stop reading at the chunk with the finish reason, so the line behind the yield that gave the attempt's place back never ran. Ruled out: stale reports of owners, interactive marks, draft spacing (their values were printed beside the refusals).

--- a/features/routing_dispatch.feature
+++ b/features/routing_dispatch.feature
@@ -46,6 +46,10 @@
     Then routing cancels that attempt on its engine
     And routing has nothing in hand
 
+  Scenario: A caller that stops reading at the last chunk leaves nothing in hand
+    When routing's callers stop reading 3 streams at their last chunks
+    Then routing has nothing in hand
+
   Scenario: A planned stop refuses new work and ends the work in hand
     When routing drains while a stream is running
     Then routing refuses a new request as draining and not run
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -105,6 +105,15 @@
     generation.cancel()
 
 
+@when("routing's callers stop reading {count:d} streams at their last chunks")
+def step_stop_at_last(context, count):
+    for _ in range(count):
+        generation = context.node.generate(context.cluster.generation_request()).unwrap()
+        for item in generation:
+            if item.unwrap().finish_reason is not None:
+                break
+
+
 @then("routing cancels that attempt on its engine")
 def step_cancelled(context):
     engine = next(engine for engine in context.cluster.engines if engine.started)
--- a/src/bellweir/routing/generation.py
+++ b/src/bellweir/routing/generation.py
@@ -128,9 +128,11 @@
                         if chunk.finish_reason is FinishReason.CANCELLED:
                             error = GIVEN_UP  # not asked for here
                             break
-                        yield Success(self._accept(chunk, attempt))
                         if chunk.finish_reason is not None:
+                            # Before the yield: nobody has to ask for more after the last chunk.
                             attempt.hold.succeed()
+                        yield Success(self._accept(chunk, attempt))
+                        if chunk.finish_reason is not None:
                             return
                         if self._past_deadline():
                             yield Failure(self._give_up(attempt))
