--- a/features/resources.feature
+++ b/features/resources.feature
@@ -104,3 +104,24 @@
     Then the resource reference is the page "docs/RESOURCES.md"
     And every resource field has a meaning
     And the resource path "pools.spec.workers.address" is explained as "`host:port`"
+
+  Scenario: Whatever an operator sends is answered by findings, never by a failure
+    Given a resource node with policy "north"
+    Then any document and any merge patch gets a resource or findings with paths
+
+  Scenario: A number that is none is refused
+    Given a resource node with policy "north"
+    When the resource document below is created
+      """
+      kind: Comparison
+      metadata: {name: test}
+      spec:
+        policy: north
+        arms:
+        - {name: old, policy: north, share: .nan}
+        - {name: new, policy: north, share: .inf}
+      """
+    Then the resource findings are
+      | path               | found    | allowed       |
+      | spec.arms[0].share | NaN      | finite number |
+      | spec.arms[1].share | Infinity | finite number |
--- a/features/steps/resources_steps.py
+++ b/features/steps/resources_steps.py
@@ -303,3 +303,45 @@
 @then('a resource pool that serves "{policy}" is created')
 def step_pool_created(context, policy):
     _create_pool(context, policy).unwrap()
+
+
+KEYS = st.sampled_from(
+    ["kind", "apiVersion", "metadata", "name", "spec", "status", "model", "arms", "labels"]
+)
+SCALARS = st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5) | st.dates()
+VALUES = st.recursive(
+    SCALARS | st.sampled_from(["Policy", "Pool", "Comparison", "north", "engine"]),
+    lambda inner: (
+        st.lists(inner, max_size=3) | st.dictionaries(KEYS | st.integers(), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+ANYTHING = st.fixed_dictionaries(
+    {},
+    optional={
+        "kind": st.sampled_from(["Policy", "Pool", "Comparison", "WeightVersion"]) | VALUES,
+        "metadata": st.just({"name": "north"}) | VALUES,
+        "spec": st.just({"model": "m"}) | VALUES,
+        "status": VALUES,
+        "other": VALUES,
+    },
+)
+
+
+@then("any document and any merge patch gets a resource or findings with paths")
+def step_any_document(context):
+    @run_settings(max_examples=400)
+    @given_property(ANYTHING)
+    def run(document):
+        for outcome in (
+            context.resources.create(document, dry_run=True),
+            context.resources.replace(document, dry_run=True),
+            context.resources.patch("Policy", "north", document, dry_run=True),
+        ):
+            if isinstance(outcome, Failure):
+                error = outcome.failure()
+                invalid = error.kind is ResourceErrorKind.INVALID
+                assert bool(error.findings) == invalid or not invalid, error
+                assert all(finding.allowed for finding in error.findings), error
+
+    run()
--- a/src/bellweir/resources/models.py
+++ b/src/bellweir/resources/models.py
@@ -22,6 +22,7 @@
         extra="forbid",
         frozen=True,
         use_attribute_docstrings=True,
+        allow_inf_nan=False,
     )
 
 
--- a/src/bellweir/resources/validation.py
+++ b/src/bellweir/resources/validation.py
@@ -46,7 +46,8 @@
     try:
         resource = model.model_validate(dict(document))
     except pydantic.ValidationError as failure:
-        findings += [_finding_of(model, error) for error in failure.errors()]
+        errors = failure.errors()
+        findings += [_finding_of(model, each) for each in errors if not _follows(each, errors)]
         return Failure(invalid(tuple(findings)))
     findings += _findings_after(resource)
     return Failure(invalid(tuple(findings))) if findings else Success(resource)
@@ -95,6 +96,13 @@
     return ResourceFinding(path, shown(error["input"]), error["msg"])
 
 
+def _follows(error: ErrorDetails, errors: list[ErrorDetails]) -> bool:
+    """Whether a list is only found too short because entries of it have findings of their own."""
+    place = error["loc"]
+    below = (each["loc"] for each in errors if len(each["loc"]) > len(place))
+    return error["type"] == "too_short" and any(loc[: len(place)] == place for loc in below)
+
+
 def _last(error: ErrorDetails) -> str:
     return str(error["loc"][-1])
 
