--- a/src/bellweir/gateway/applications_api.py
+++ b/src/bellweir/gateway/applications_api.py
@@ -5,21 +5,22 @@
 
 from returns.result import Failure, Success
 
+from bellweir.gateway.body_pipe import BodyPipe
 from bellweir.gateway.context import Context
 from bellweir.gateway.http import BadRequestError, Headers, Request, Response
-from bellweir.gateway.problems import problem_of_refusal, problem_response
+from bellweir.gateway.problems import Problem, body_cut, problem_of_refusal, problem_response
 from bellweir.gateway.request_headers import TOKEN, end_to_end, parse_routing_options
 from bellweir.gateway.router import Router
 from bellweir.platform.interface import ApplicationAnswer
 from bellweir.resources.models import RequestClass
-from bellweir.routing.interface import ApplicationRequest, Dispatcher
+from bellweir.routing.interface import ApplicationRequest, Dispatcher, Refusal
 
 INTERFACE = "applications"
 PREFIX = "/apps/"
 VIA = "1.1 bellweir"
 """RFC 9110 section 7.6.3 has an intermediary name itself."""
 
-_NOT_FORWARDED = frozenset({"host", "expect", "content-length", TOKEN.lower()})
+_NOT_FORWARDED = frozenset({"host", "expect", TOKEN.lower()})
 """The client of the back end writes its own host and framing; the token was for this node."""
 
 
@@ -54,10 +55,18 @@
             case Success(answer):
                 return _response(answer)
             case Failure(refusal):
-                return problem_response(problem_of_refusal(refusal), request.request_id)
+                return problem_response(_problem(request, refusal), request.request_id)
         raise AssertionError("a result is a success or a failure")
 
 
+def _problem(request: Request, refusal: Refusal) -> Problem:
+    body = request.body
+    if isinstance(body, BodyPipe) and body.was_cut is not None:
+        # The attempt failed for want of the rest of the body, not by its back end.
+        return body_cut(body.was_cut, refusal.run_state)
+    return problem_of_refusal(refusal)
+
+
 def _path_below_pool(request: Request, pool: str) -> str:
     """The rest of the path as sent, with its query; percent-escapes stay as they are."""
     raw_pool, _, rest = request.raw_path.removeprefix(PREFIX).partition("/")
@@ -68,19 +77,11 @@
 
 
 def _request_headers(request: Request) -> Headers:
-    sent = tuple(
-        (key.removeprefix("HTTP_").replace("_", "-").title(), value)
-        for key, value in request.environ.items()
-        if key.startswith("HTTP_") or key == "CONTENT_TYPE"
-    )
-    kept = [
-        (name, value)
-        for name, value in end_to_end(sent)
-        if name.lower() not in _NOT_FORWARDED
-        and not (name == "Authorization" and request.consumed_authorization)
-    ]
-    kept.append(("Via", VIA))
-    return tuple(kept)
+    not_forwarded = _NOT_FORWARDED
+    if request.consumed_authorization:
+        not_forwarded |= {"authorization"}
+    kept = end_to_end(request.headers(), not_forwarded)
+    return (*kept, ("Via", VIA))
 
 
 def _response(answer: ApplicationAnswer) -> Response:
--- a/src/bellweir/resources/models.py
+++ b/src/bellweir/resources/models.py
@@ -154,6 +154,7 @@
     policy: str
     """Requests for this policy are split over the arms."""
     arms: tuple[Arm, ...] = Field(min_length=2)
+    """Two or more; changing a share moves as few units as possible."""
     seed: str = ""
     """Part of the hash that assigns units to arms; another seed shuffles them."""
 
@@ -169,6 +170,8 @@
     """One word for programs."""
     message: str = ""
     """A sentence for people, with what is missing."""
+    observed_generation: int | None = None
+    """Generation of the spec that the condition is about, where its reporter says so."""
     last_transition: float = 0.0
     """When `status` last changed, in seconds since 1970 UTC."""
 
