--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -43,6 +43,28 @@
     Then node a becomes a ledger voter under its new identity
     And the ledger's replica on node a holds items 1 to 40
 
+  Scenario: Replicas are mended while the platform's store hangs
+    Given a ledger of 3 data nodes and 1 other nodes
+    When ledger items 1 to 5 are appended through node z
+    And the ledger's platform store hangs
+    And ledger node a loses its disk and starts again
+    Then node a becomes a ledger voter under its new identity
+    When the ledger's leader drains and stops
+    Then ledger item 6 is appended through node z
+
+  Scenario: A leaving node leads nothing while its own requests still end
+    Given a ledger of 3 data nodes and 1 other nodes
+    When ledger items 1 to 5 are appended through node z
+    And the ledger's leader announces that it leaves
+    Then another node leads the ledger
+    And the leaving node leads it never again, while others do
+    And ledger item 6 is appended through node z
+
+  Scenario: A stopping node acknowledges nothing and reports no failure
+    Given a ledger of 3 data nodes and 1 other nodes
+    When ledger items 1 to 5 are appended through node z
+    Then a ledger node whose journal is closed answers appends without acknowledging them
+
   Scenario: A node that is gone for good is replaced by a spare one
     Given a ledger of 4 data nodes and 1 other nodes
     When ledger items 1 to 5 are appended through node z
--- a/features/steps/ledger_simulation_steps.py
+++ b/features/steps/ledger_simulation_steps.py
@@ -196,7 +196,7 @@
     def hand_over_now(self):
         for node in self.simulation.leaders():
             if node.name not in self.simulation.paused:
-                node.hand_over(node.replica(SHARD))
+                node.hand_over(node.replica(SHARD), lambda _: True)
 
     @rule()
     def heal(self):
--- a/features/steps/ledger_steps.py
+++ b/features/steps/ledger_steps.py
@@ -1,5 +1,6 @@
 """Steps of the ledger: whole nodes in one process, over a transport in memory."""
 
+import dataclasses
 import shutil
 import tempfile
 from pathlib import Path
@@ -16,8 +17,10 @@
 from features.support.waiting import wait_until
 from returns.pipeline import is_successful
 
+from bellweir.ledger.messages import AppendRequest
 from bellweir.membership.interface import MemberState
 from bellweir.settings.models import LedgerSettings
+from bellweir.wire.interface import Sender
 
 KEY = "items"
 TIMEOUT_S = 20.0
@@ -108,6 +111,58 @@
     context.cluster.store.down = True
 
 
+@when("the ledger's platform store hangs")
+def when_store_hangs(context):
+    context.cluster.store.hang.clear()
+    context.add_cleanup(context.cluster.store.hang.set)
+
+
+@then("ledger item {item:d} is appended through node {name}")
+def then_appended(context, item, name):
+    reply = append(context.cluster, name, item)
+    assert is_successful(reply), reply
+
+
+@when("the ledger's leader announces that it leaves")
+def when_leaving(context):
+    context.leaving = context.cluster.leader()
+    set_state(context.cluster, context.leaving, MemberState.LEAVING)
+
+
+def set_state(cluster, name, state):
+    member = cluster.network.members[name]
+    cluster.network.members[name] = dataclasses.replace(member, state=state)
+
+
+@then("another node leads the ledger")
+def then_other_leads(context):
+    wait_until(lambda: context.cluster.leader() != context.leaving, "another node leads the shard")
+
+
+@then("the leaving node leads it never again, while others do")
+def then_never(context):
+    node = context.cluster.nodes[context.leaving].ledger._node
+    assert not any(replica.stands for replica in node.replicas())
+    others = set(context.cluster.data_names) - {context.leaving}
+    assert context.cluster.leader() in others
+
+
+@then("a ledger node whose journal is closed answers appends without acknowledging them")
+def then_closed(context):
+    cluster = context.cluster
+    follower = next(name for name in cluster.data_names if name != cluster.leader())
+    node = cluster.nodes[follower].ledger._node
+    leader = cluster.nodes[cluster.leader()].ledger._node
+    shard = cluster.nodes[follower].ledger.shard_of(KEY)
+    cluster.nodes[follower].ledger._tasks.stop()
+    node._journal.close()
+    leader.propose(shard, leader.codec.encode(AppendItem(99)))
+    part = leader.replica(shard).make_append(node.own)
+    assert part.entries
+    answer = node.handle_append_request(Sender("x", "x"), AppendRequest((part,)))
+    assert answer.parts == ()
+
+
 @when("every ledger node stops and starts again")
 def when_all_restart(context):
     for name in context.cluster.names:
@@ -173,10 +228,7 @@
     cluster = context.cluster
     gone = next(name for name in cluster.voters() if name != cluster.leader())
     cluster.stop(gone)
-    member = cluster.network.members[gone]
-    cluster.network.members[gone] = member.__class__(
-        **{**member.__dict__, "state": MemberState.DEAD}
-    )
+    set_state(cluster, gone, MemberState.DEAD)
 
 
 @then("the ledger's voters are {count:d} nodes that run")
--- a/features/support/ledger_nodes.py
+++ b/features/support/ledger_nodes.py
@@ -85,6 +85,9 @@
         self._objects: dict[tuple[str, str], StoredObject] = {}
         self._revision = 0
         self.down = False
+        self.hang = threading.Event()
+        """While cleared, every call waits."""
+        self.hang.set()
 
     def list_objects(self) -> Any:
         raise NotImplementedError
@@ -96,6 +99,7 @@
         raise NotImplementedError
 
     def get(self, kind: str, name: str) -> Result[StoredObject, PlatformError]:
+        self.hang.wait()
         with self._lock:
             if self.down:
                 return Failure(PlatformError(ErrorKind.NOT_RUN, "down"))
@@ -108,6 +112,7 @@
         self, document: Any, expected_version: int | None, mutation_id: str
     ) -> Result[StoredObject, PlatformError]:
         key = (document["kind"], document["metadata"]["name"])
+        self.hang.wait()
         with self._lock:
             if self.down:
                 return Failure(PlatformError(ErrorKind.NOT_RUN, "down"))
@@ -168,7 +173,7 @@
     def __init__(self, node: str, network: MemoryNetwork) -> None:
         self._node = node
         self._network = network
-        self._handlers: dict[type[Message], Callable[[Sender, Any], Message | None]] = {}
+        self.handlers: dict[type[Message], Callable[[Sender, Any], Message | None]] = {}
         self._pool = ThreadPoolExecutor(8, thread_name_prefix=f"memory-{node}")
 
     def start(self) -> None:
@@ -179,10 +184,10 @@
         self._pool.shutdown(wait=True, cancel_futures=True)
 
     def register(self, message_type: type[Any], handler: Any) -> None:
-        self._handlers[message_type] = handler
+        self.handlers[message_type] = handler
 
     def handle(self, origin: str, message: Message) -> Message | None:
-        return self._handlers[type(message)](Sender(origin, origin), message)
+        return self.handlers[type(message)](Sender(origin, origin), message)
 
     def request(
         self, address: str, message: Message, timeout_s: float
@@ -190,7 +195,7 @@
         if not self._network.reaches(self._node, address):
             return Failure(WireError(WireErrorKind.NOT_SENT, "cut"))
         peer = self._network.transports[address]
-        if type(message) not in peer._handlers:
+        if type(message) not in peer.handlers:
             return Failure(WireError(WireErrorKind.REFUSED, "no handler"))
         answer = peer.handle(self._node, message)
         if not self._network.reaches(self._node, address) or answer is None:
@@ -200,7 +205,7 @@
     def send(self, address: str, message: Message) -> bool:
         if self._network.reaches(self._node, address):
             peer = self._network.transports[address]
-            if type(message) in peer._handlers:
+            if type(message) in peer.handlers:
                 try:
                     peer._pool.submit(peer.handle, self._node, message)
                 except RuntimeError:
@@ -223,7 +228,7 @@
     def announce_leaving(self) -> None: ...
 
     def self_member(self) -> Member:
-        return self._member
+        return self._network.members[self._member.node]
 
     def members(self) -> tuple[Member, ...]:
         return tuple(sorted(self._network.members.values(), key=lambda member: member.node))
--- a/features/support/ledger_simulation.py
+++ b/features/support/ledger_simulation.py
@@ -95,7 +95,7 @@
     def load(self) -> tuple[StoredShard, ...]:
         return tuple(self._held.shards.values())
 
-    def close(self) -> None: ...
+    def _release(self) -> None: ...
 
     def _write(self, operations: Sequence[Operation]) -> None:
         for operation in operations:
--- a/src/bellweir/cli/main.py
+++ b/src/bellweir/cli/main.py
@@ -7,6 +7,7 @@
 import cappa
 
 from bellweir.cli.events_command import EventsCommand
+from bellweir.cli.ledger_commands import LedgerCommand
 from bellweir.cli.node import NodeCommand
 from bellweir.cli.resources import (
     ApplyCommand,
@@ -63,6 +64,7 @@
         | StatusCommand
         | SettingsCommand
         | EventsCommand
+        | LedgerCommand
         | RehearseStub
     ]
 
--- a/src/bellweir/ledger/claims.py
+++ b/src/bellweir/ledger/claims.py
@@ -51,6 +51,21 @@
     now_s: float
 
 
+class ReleaseClaim(Command, frozen=True, tag=True):
+    """The attempt's claim got no answer in time, so the attempt never was and never will be made.
+
+    It may come before its `ClaimKey` does, so it carries all that a record needs: a claim that
+    arrives late then finds itself released.
+    """
+
+    key: str
+    fingerprint: str
+    attempt_id: str
+    holder: str
+    now_s: float
+    window_s: float
+
+
 class LookUpClaim(Query, frozen=True, tag=True):
     """Ask what is known of a key."""
 
@@ -96,8 +111,8 @@
         self._to_clean: list[str] = []
 
     def command_types(self) -> tuple[type[Command], ...]:
-        """Claims and outcomes."""
-        return (ClaimKey, RecordOutcome)
+        """Claims, outcomes and releases."""
+        return (ClaimKey, RecordOutcome, ReleaseClaim)
 
     def query_types(self) -> tuple[type[Query], ...]:
         """Look-ups."""
@@ -116,6 +131,9 @@
             case RecordOutcome():
                 self._advance(command.now_s)
                 return self._record(command)
+            case ReleaseClaim():
+                self._advance(command.now_s)
+                return self._release(command)
         raise TypeError(f"not a command of claims: {command!r}")
 
     def answer(self, query: Query) -> Reply:
@@ -164,15 +182,31 @@
         return self._describe(record, self._state.now_s)
 
     def _grant(self, command: ClaimKey) -> ClaimReply:
-        self._state.records[command.key] = ClaimRecord(
+        self._state.records[command.key] = self._new_record(command, ClaimState.CLAIMED)
+        return ClaimReply(ClaimState.CLAIMED, None, command.holder, command.attempt_id)
+
+    def _new_record(self, command: ClaimKey | ReleaseClaim, state: ClaimState) -> ClaimRecord:
+        return ClaimRecord(
             command.fingerprint,
             command.attempt_id,
             command.holder,
-            ClaimState.CLAIMED,
+            state,
             self._state.now_s,
             command.window_s,
         )
-        return ClaimReply(ClaimState.CLAIMED, None, command.holder, command.attempt_id)
+
+    def _release(self, command: ReleaseClaim) -> ClaimReply:
+        record = self._find(command.key)
+        if record is None:
+            if self._may_be_lost(command.key, command.window_s):
+                return ClaimReply(ClaimState.UNKNOWN)
+            record = self._new_record(command, ClaimState.NOT_RUN)
+            self._state.records[command.key] = record
+        elif record.attempt_id != command.attempt_id:
+            return ClaimReply(ClaimState.MISMATCH)
+        elif record.state is ClaimState.CLAIMED:
+            record.state = ClaimState.NOT_RUN
+        return self._describe(record, self._state.now_s)
 
     def _record(self, command: RecordOutcome) -> ClaimReply:
         record = self._find(command.key)
--- a/src/bellweir/ledger/claims_service.py
+++ b/src/bellweir/ledger/claims_service.py
@@ -1,8 +1,12 @@
 """Service `claims`: idempotency keys, kept in the ledger."""
 
+from contextlib import suppress
+
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from bellweir.kernel import names
+from bellweir.kernel.executors import ExecutorSaturatedError, WorkKind
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
 from bellweir.ledger.claims import (
@@ -11,6 +15,7 @@
     ClaimsMachine,
     LookUpClaim,
     RecordOutcome,
+    ReleaseClaim,
 )
 from bellweir.ledger.interface import (
     Claim,
@@ -26,6 +31,8 @@
 from bellweir.membership.interface import Membership, MemberState
 from bellweir.settings.models import Settings
 
+RELEASE_TIMEOUT_S = 30.0
+"""Time for which the release of a claim without an answer is tried."""
 ATTEMPTS_PER_CALL = 3
 """Claim commands are idempotent, so one whose outcome is unknown is sent again within the time."""
 
@@ -62,7 +69,26 @@
         command = ClaimKey(
             key, fingerprint, attempt_id, self._node, self._kernel.clock.wall_s(), window_s
         )
-        return self._submit(key, command, timeout_s).map(self._as_claim)
+        result = self._submit(key, command, timeout_s)
+        if not is_successful(result) and result.failure().kind is LedgerErrorKind.UNKNOWN:
+            self._release_later(command)
+        return result.map(self._as_claim)
+
+    def _release_later(self, command: ClaimKey) -> None:
+        """Set free what a claim without an answer may hold: its caller makes no attempt."""
+        release = ReleaseClaim(
+            command.key,
+            command.fingerprint,
+            command.attempt_id,
+            command.holder,
+            command.now_s,
+            command.window_s,
+        )
+        # When the executor is full the key stays claimed, and is answered as unknown in the end.
+        with suppress(ExecutorSaturatedError):
+            self._kernel.executors.submit(
+                WorkKind.BACKGROUND, self._submit, command.key, release, RELEASE_TIMEOUT_S
+            )
 
     def record(
         self,
--- a/src/bellweir/ledger/journal.py
+++ b/src/bellweir/ledger/journal.py
@@ -83,6 +83,10 @@
     """A write failed once: what is on disk is not known, so nothing is written any more."""
 
 
+class JournalClosedError(RuntimeError):
+    """The node stops; nothing is kept any more, and nothing may be acknowledged."""
+
+
 class Journal(ABC):
     """Durable storage of all replicas of a node."""
 
@@ -93,6 +97,7 @@
         self._durable_ticket = 0
         self._write_lock = threading.Lock()
         self._failed = False
+        self._closed = False
 
     @property
     @abstractmethod
@@ -104,13 +109,20 @@
         """Read everything; called once, before anything is buffered."""
 
     @abstractmethod
-    def close(self) -> None:
-        """Release the files; nothing is buffered any more."""
+    def _release(self) -> None:
+        """Release the files."""
 
     @abstractmethod
     def _write(self, operations: Sequence[Operation]) -> None:
         """Make the operations durable, all or none, in their order."""
 
+    def close(self) -> None:
+        """Release the files; a second call does nothing."""
+        with self._write_lock:
+            if not self._closed:
+                self._closed = True
+                self._release()
+
     @property
     def durable_ticket(self) -> int:
         """Everything up to this ticket is durable."""
@@ -127,7 +139,7 @@
         """Make everything up to `ticket` durable (or everything buffered); return what now is.
 
         Raises `JournalFailedError` now and for ever once a write has failed: the node must not
-        answer for operations that may be lost.
+        answer for operations that may be lost. Raises `JournalClosedError` when the node stops.
         """
         if ticket is None:
             with self._buffer_lock:
@@ -138,6 +150,8 @@
             return self._durable_ticket
 
     def _write_buffered(self) -> None:
+        if self._closed:
+            raise JournalClosedError("the journal is closed")
         if self._failed:
             raise JournalFailedError("an earlier write to the journal failed")
         with self._buffer_lock:
--- a/src/bellweir/ledger/keeper.py
+++ b/src/bellweir/ledger/keeper.py
@@ -1,6 +1,7 @@
 """Keeps the placement on a node with a data folder: finds or creates it, and mends its shards."""
 
 import random
+import threading
 from collections.abc import Iterable
 from pathlib import Path
 
@@ -29,6 +30,8 @@
 from bellweir.wire.interface import Sender, Transport
 
 PLACEMENT_TIMEOUT_S = 1.0
+LEADERLESS_LOOK_S = 5.0
+"""Time without a leader after which, and period in which, the store is asked for a recovery."""
 REFRESH_PERIOD_S = 10.0
 """Time between two looks at another node's copy of the placement."""
 
@@ -56,6 +59,10 @@
         self._missing_since_s: float | None = None
         self._silent_since_s: dict[ReplicaId, float] = {}
         self._refresh_due_s = 0.0
+        self._leaderless_since_s: float | None = None
+        self._look_due_s = 0.0
+        self._looked = False
+        self._adopting = threading.Lock()
         self.placement = load_placement(folder)
         transport.register(PlacementRequest, self.handle_placement_request)
 
@@ -72,12 +79,22 @@
         if self.placement is None:
             return
         self._refresh(self.placement)
+        self._look_for_recovery()
         self._create_first_replicas(self.placement)
-        led = [replica for replica in self._node.replicas() if replica.leader == self._node.own]
+        self._obey_recovery(self.placement)
+        led = self._led()
         self._note_silence(led)
         for replica in led:
             self._mend(replica)
-        self._publish(led)
+
+    def is_leaving(self) -> bool:
+        """Whether this node has announced that it leaves."""
+        return self._membership.self_member().state is MemberState.LEAVING
+
+    def is_able(self, node: str) -> bool:
+        """Whether a node can be asked to lead."""
+        member = self._membership.member(node)
+        return member is not None and member.state is MemberState.ALIVE
 
     # --- finding and creating -----------------------------------------------------------------
 
@@ -139,14 +156,16 @@
         self._refresh_due_s = now_s + REFRESH_PERIOD_S
         members = self._data_members()
         answer = self._ask(random.choice(members)) if members else None
-        if answer is not None and answer.placement is not None:
-            merged = known.merged(answer.placement)
-            if merged != known:
-                self._adopt(merged)
+        found = answer.placement if answer is not None else None
+        if found is not None and known.merged(found) != known:
+            self._adopt(found)
 
     def _adopt(self, placement: Placement) -> None:
-        save_placement(self._folder, placement)
-        self.placement = placement
+        """Keep a newer copy; two tasks may bring one at once, and neither may undo the other."""
+        with self._adopting:
+            merged = self.placement.merged(placement) if self.placement else placement
+            save_placement(self._folder, merged)
+            self.placement = merged
 
     def _create_first_replicas(self, placement: Placement) -> None:
         for shard, home in enumerate(placement.shards):
@@ -154,6 +173,40 @@
             if named and self._node.replica(shard) is None:
                 self._node.create(shard, home.first_replicas)
 
+    # --- an operator's recovery ---------------------------------------------------------------
+
+    def _look_for_recovery(self) -> None:
+        """Read the store once at the start, and while a shard here has had no leader for long."""
+        now_s = self._clock.monotonic_s()
+        leaderless = any(replica.leader is None for replica in self._node.replicas())
+        if not leaderless:
+            self._leaderless_since_s = None
+            return
+        if self._leaderless_since_s is None:
+            self._leaderless_since_s = now_s
+        waited = now_s - self._leaderless_since_s >= LEADERLESS_LOOK_S
+        if self._store is None or now_s < self._look_due_s or not (waited or not self._looked):
+            return
+        self._look_due_s = now_s + LEADERLESS_LOOK_S
+        found = self._store.read()
+        if not isinstance(found, PlatformError):
+            self._looked = True
+            self._adopt(found[0])
+
+    def _obey_recovery(self, placement: Placement) -> None:
+        """Begin, or make way for, the generation of a shard that an operator has called for."""
+        for replica in self._node.replicas():
+            home = placement.shards[replica.shard]
+            survivor = home.survivor
+            if home.generation <= replica.generation or survivor is None:
+                continue
+            if survivor == self._node.own:
+                replica.recover(home.generation, self._clock.wall_s())
+                self._node.wake()
+            elif survivor.node != self._node.name:
+                # Named by node but with another disk, it keeps what it has: see the next command.
+                self._node.forget(replica, home.generation)
+
     # --- mending ------------------------------------------------------------------------------
 
     def _note_silence(self, led: Iterable[Replica]) -> None:
@@ -237,14 +290,17 @@
 
     # --- telling the store --------------------------------------------------------------------
 
-    def _publish(self, led: Iterable[Replica]) -> None:
+    def _led(self) -> list[Replica]:
+        return [replica for replica in self._node.replicas() if replica.leader == self._node.own]
+
+    def publish(self) -> None:
         """Tell the store of settled replica sets; nothing waits for it."""
         if self._store is None or self.placement is None:
             return
         homes = self.placement.shards
         changed = {
             replica.shard: replica.home(homes[replica.shard])
-            for replica in led
+            for replica in self._led()
             if replica.is_settled() and homes[replica.shard].replicas != replica.log.replicas
         }
         if not changed:
--- a/src/bellweir/ledger/leading.py
+++ b/src/bellweir/ledger/leading.py
@@ -1,5 +1,6 @@
 """Leading a shard: proposals, replication, reads and changes of the replica set."""
 
+from collections.abc import Callable
 from concurrent.futures import Future
 
 from bellweir.ledger.entries import EntryKind, ReplicaId, ReplicaSet
@@ -157,12 +158,24 @@
                 if one != self.own and leadership.answered_s(one) < since_s
             )
 
-    def hand_over(self) -> ElectNow | None:
-        """Ask the most up-to-date voter to take over; None while nobody is ready to."""
+    def hand_over(self, able: Callable[[str], bool], now_s: float) -> ElectNow | None:
+        """Ask the most up-to-date voter on an `able` node to take over; None while none is ready.
+
+        No proposal is taken any more, so that the target can catch up. A voter that does not
+        answer, such as one whose disk was lost, is not asked.
+        """
         with self.locked():
             leadership = self._leadership
-            others = self._other_voters()
-            if leadership is None or not others:
+            if leadership is None:
+                return None
+            since_s = now_s - self._timing.election_timeout_s
+            others = [
+                voter
+                for voter in self._other_voters()
+                if able(voter.node) and leadership.answered_s(voter) >= since_s
+            ]
+            if not others:
+                leadership.handing_over_to = None
                 return None
             target = max(others, key=lambda voter: leadership.of(voter, 1).match_index)
             leadership.handing_over_to = target
--- a/src/bellweir/ledger/node.py
+++ b/src/bellweir/ledger/node.py
@@ -6,6 +6,7 @@
 
 import threading
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from dataclasses import dataclass
 
 from bellweir.events.log import emit
@@ -16,6 +17,7 @@
 from bellweir.ledger.journal import (
     ForgetShard,
     Journal,
+    JournalClosedError,
     SaveSnapshot,
     SaveTerm,
     StoredShard,
@@ -87,6 +89,8 @@
         self._incoming: dict[int, IncomingSnapshot] = {}
         self.wake: Callable[[], None] = lambda: None
         """Called after a proposal or query, so that the tasks need not wait for their period."""
+        self.elected: Callable[[], None] = lambda: None
+        """Called when a replica may have become leader, so that it is known at once."""
 
     # --- life ---------------------------------------------------------------------------------
 
@@ -212,11 +216,17 @@
                 self._outgoing.pop((replica.shard, target), None)
         return answered
 
-    def hand_over(self, replica: Replica) -> bool:
-        """Ask a follower to take over a shard; False when there is nobody to ask."""
-        if len(replica.log.replicas.voters) < 2:
+    def stop_standing(self) -> None:
+        """Win no election from now on; the node leaves."""
+        for replica in self.replicas():
+            replica.stands = False
+
+    def hand_over(self, replica: Replica, able: Callable[[str], bool]) -> bool:
+        """Ask a follower on an `able` node to take over; False when there is nobody to ask."""
+        others = [one for one in replica.log.replicas.voters if one != self.own]
+        if not any(able(one.node) for one in others):
             return False
-        message = replica.hand_over()
+        message = replica.hand_over(able, self._clock.monotonic_s())
         address = self._address_of(message.target.node) if message else None
         if message is not None and address is not None:
             self._transport.send(address, message)
@@ -256,7 +266,7 @@
         if replica is None:
             return
         if answered.generation > replica.generation:
-            self._forget(replica, answered.generation)
+            self.forget(replica, answered.generation)
         else:
             replica.handle_appended(answered, sent_round, self._clock.monotonic_s())
 
@@ -288,7 +298,10 @@
         if not requests:
             return
         # The candidate's own term and vote must be durable before anybody hears of them.
-        self._journal.sync()
+        try:
+            self._journal.sync()
+        except JournalClosedError:
+            return
         for request in requests:
             address = self._address_of(request.voter.node)
             if address is not None:
@@ -310,7 +323,11 @@
             answered = replica.handle_append(part, self._clock.monotonic_s())
             parts.append(answered.part)
             ticket = max(ticket, answered.ticket)
-        self._journal.sync(ticket)
+        try:
+            self._journal.sync(ticket)
+        except JournalClosedError:
+            # This node stops: it acknowledges nothing any more.
+            return AppendAnswer(())
         return AppendAnswer(tuple(parts))
 
     def handle_vote_request(self, sender: Sender, request: VoteRequest) -> None:
@@ -319,7 +336,9 @@
         if replica is None:
             return
         answer = replica.handle_vote_request(request, self._clock.monotonic_s())
-        if answer is not None:
+        if answer is None:
+            return
+        with suppress(JournalClosedError):
             self._journal.sync()
             self._transport.send(sender.address, answer)
 
@@ -328,7 +347,8 @@
         replica = self._replicas.get(answer.shard)
         if replica is not None:
             self._send_votes(replica.handle_vote_answer(answer, self._clock.monotonic_s()))
-            self.wake()
+            if replica.leader == self.own:
+                self.elected()
 
     def handle_elect_now(self, sender: Sender, message: ElectNow) -> None:
         """Take over the leadership."""
@@ -360,7 +380,10 @@
         ticket = replica.install_snapshot(snapshot, part.term, part.leader, now_s)
         if ticket is None:
             return SnapshotAnswer(replica.term, False, 0)
-        self._journal.sync(ticket)
+        try:
+            self._journal.sync(ticket)
+        except JournalClosedError:
+            return SnapshotAnswer(0, False, 0)
         emit(SNAPSHOT_INSTALLED, shard=part.shard, index=part.index)
         return SnapshotAnswer(replica.term, True, part.total_bytes)
 
@@ -385,7 +408,7 @@
             self._add(replica)
             return replica
 
-    def _forget(self, replica: Replica, generation: int) -> None:
+    def forget(self, replica: Replica, generation: int) -> None:
         """Drop a replica whose shard was recovered without it; it rejoins as a learner."""
         emit(SHARD_FORGOTTEN, shard=replica.shard, generation=generation)
         self._start_empty(replica.shard, generation)
--- a/src/bellweir/ledger/replica_state.py
+++ b/src/bellweir/ledger/replica_state.py
@@ -90,6 +90,8 @@
         self._election_due_s = now_s + self._random_timeout_s()
         self._votes: set[ReplicaId] = set()
         self._handed_over = False
+        self.stands = True
+        """Whether it stands for election; a node that leaves does not."""
         self._leadership: Leadership | None = None
         self._not_durable: deque[tuple[int, int]] = deque()
         self._last_ticket = 0
--- a/src/bellweir/ledger/service.py
+++ b/src/bellweir/ledger/service.py
@@ -137,7 +137,7 @@
     def drain(self, deadline_s: float) -> None:
         """Hand over the shards led here."""
         if self._tasks is not None:
-            self._tasks.hand_over(deadline_s)
+            self._tasks.leave(deadline_s)
 
     def stop(self) -> None:
         """End the tasks, then close the files."""
--- a/src/bellweir/ledger/sqlite_journal.py
+++ b/src/bellweir/ledger/sqlite_journal.py
@@ -88,13 +88,9 @@
             self._keep_under_new_identity(shards)
         return tuple(shards)
 
-    def close(self) -> None:
-        """Close the files; a second call does nothing."""
-        with self._write_lock:
-            if self._mark >= 0:
-                os.close(self._mark)
-                self._mark = -1
-                self._connection.close()
+    def _release(self) -> None:
+        os.close(self._mark)
+        self._connection.close()
 
     def _open(self) -> None:
         path = self._folder / DATABASE_NAME
--- a/src/bellweir/ledger/tasks.py
+++ b/src/bellweir/ledger/tasks.py
@@ -16,7 +16,11 @@
 WRITER_PERIOD_S = 0.5
 """The writer is woken for entries; this bounds the wait for whatever else was buffered."""
 KEEPER_PERIOD_S = 0.5
+PUBLISH_PERIOD_S = 2.0
+"""The store may be slow, so it has a task of its own and keeps nothing else waiting."""
 HAND_OVER_POLL_S = 0.02
+HAND_OVER_LIMIT_S = 10.0
+"""Longest wait for others to take over; after it they elect a leader by themselves."""
 STOP_TIMEOUT_S = 5.0
 
 
@@ -40,13 +44,20 @@
         self._to_write = threading.Event()
         self._ended = threading.Condition()
         self._running = 0
+        self._leaving = threading.Event()
         node.wake = self.wake
+        node.elected = self._follow_peers
 
     def start(self) -> None:
         """Start the tasks."""
         self._run("ledger-elections", self._hold_elections)
         self._run("ledger-writer", self._write)
-        self._run("ledger-placement", self._keep_placement)
+        self._run("ledger-placement", partial(self._repeat, KEEPER_PERIOD_S, self.keeper.step))
+        # Not waited for at a stop: it may hang in the store, and it does not use the journal.
+        self._executors.run_task(
+            "ledger-publisher",
+            lambda _stopping: self._repeat(PUBLISH_PERIOD_S, self.keeper.publish),
+        )
 
     def wake(self) -> None:
         """There are new entries or queries: write and replicate at once."""
@@ -54,20 +65,23 @@
         for news in list(self._peers.values()):
             news.set()
 
-    def hand_over(self, deadline_s: float) -> None:
-        """Ask followers to take over the shards led here, at most `deadline_s` seconds."""
-        waited_s = 0.0
-        while waited_s < deadline_s and self._hand_over_once():
-            self.wake()
+    def leave(self, deadline_s: float) -> None:
+        """Stand for no election, and wait until others lead the shards led here."""
+        self._leaving.set()
+        limit_s = time.monotonic() + min(deadline_s, HAND_OVER_LIMIT_S)
+        while time.monotonic() < limit_s and self._hand_over_once():
             self._stop.wait(HAND_OVER_POLL_S)
-            waited_s += HAND_OVER_POLL_S
 
     def _hand_over_once(self) -> bool:
-        waiting = False
-        for replica in self._node.replicas():
-            if replica.leader == self._node.own and self._node.hand_over(replica):
-                waiting = True
-        return waiting
+        """Ask followers to take over; False when nothing is led here that others could lead."""
+        self._node.stop_standing()
+        asked = [
+            self._node.hand_over(replica, self.keeper.is_able)
+            for replica in self._node.replicas()
+            if replica.leader == self._node.own
+        ]
+        self.wake()
+        return any(asked)
 
     def stop(self) -> None:
         """End the tasks and wait for them, so that the journal can be closed."""
@@ -95,6 +109,9 @@
         while not self._stop.wait(TICK_S):
             self._node.tick()
             self._follow_peers()
+            if self._leaving.is_set() or self.keeper.is_leaving():
+                # Long before the drain reaches the ledger: requests in hand end first there.
+                self._hand_over_once()
 
     def _write(self) -> None:
         while not self._stop.is_set():
@@ -103,19 +120,23 @@
             self._node.flush()
             self._node.compact()
 
-    def _keep_placement(self) -> None:
-        while not self._stop.wait(KEEPER_PERIOD_S):
+    def _repeat(self, period_s: float, step: Callable[[], None]) -> None:
+        while not self._stop.wait(period_s):
             try:
-                self.keeper.step()
+                step()
             except Exception as failure:
-                # Placement is tried again; a fault in it must not end replication's mending.
-                emit(STEP_FAILED, step="placement", error=repr(failure))
+                # Tried again at the next period: the ledger must not depend on one faulty step.
+                emit(STEP_FAILED, step=step.__name__, error=repr(failure))
 
     def _follow_peers(self) -> None:
         """Start a task for each new peer; the task of a former one ends by itself."""
-        for peer in self._node.peers() - self._peers.keys():
+        for peer in self._node.peers():
             news = threading.Event()
+            news.set()
             with self._lock:
+                if peer in self._peers:
+                    self._peers[peer].set()
+                    continue
                 self._peers[peer] = news
             self._run(f"ledger-peer-{peer}", partial(self._serve, peer, news))
 
--- a/src/bellweir/ledger/voting.py
+++ b/src/bellweir/ledger/voting.py
@@ -20,10 +20,15 @@
                 if now_s - heard_s > self._timing.election_timeout_s:
                     self._resign("no majority answers")
                 return []
-            if now_s < self._election_due_s or self.own not in self.log.replicas.voters:
+            if now_s < self._election_due_s or not self._may_stand():
                 return []
             return self._start_election(now_s, preliminary=True)
 
+    def _may_stand(self) -> bool:
+        replicas = self.log.replicas
+        # The only voter stands also when it leaves: there is nobody else.
+        return self.own in replicas.voters and (self.stands or replicas.majority == 1)
+
     def _start_election(self, now_s: float, *, preliminary: bool) -> list[VoteRequest]:
         self._election_due_s = now_s + self._random_timeout_s()
         self._votes = {self.own}
@@ -128,8 +133,9 @@
         """Start an election because the leader hands over."""
         with self.locked():
             mine = message.target == self.own and message.generation == self.generation
-            is_voter = self.own in self.log.replicas.voters
-            if not mine or message.term != self.term or self.role is Role.LEADER or not is_voter:
+            if not mine or message.term != self.term or self.role is Role.LEADER:
+                return []
+            if not self._may_stand():
                 return []
             self._handed_over = True
             return self._start_election(now_s, preliminary=False)
