--- a/features/support/routing_fakes.py
+++ b/features/support/routing_fakes.py
@@ -26,6 +26,9 @@
     TokenChunk,
 )
 
+SILENCE_S = 25.0
+"""How long a silent engine stays silent unless its stream is closed."""
+
 
 class Fault(Enum):
     """What happens to the next call of a back end."""
@@ -67,6 +70,9 @@
     faults: list = field(default_factory=list)
     dead: bool = False
     leaving: bool = False
+    ready: bool = True
+    load: int = 0
+    probes: int = 0
     on_run: object = None
     on_written: object = None
 
@@ -91,9 +97,10 @@
         return Success(ApplicationAnswer(200, headers, chunks, self.leaving))
 
     def read_ready(self, timeout_s):
+        self.probes += 1
         if self.dead:
             return Failure(error_of(Fault.REFUSED))
-        return Success(ApplicationState(self.name, True, self.leaving, 0))
+        return Success(ApplicationState(self.name, self.ready, self.leaving, self.load))
 
 
 def _cut(answer):
@@ -118,11 +125,21 @@
     dead: bool = False
     leaving: bool = False
     gate: threading.Event | None = None
+    silent_after: int | None = None
+    """Tokens after which each stream falls silent."""
+    frozen: bool = False
+    """Whether probes get no answer either."""
+    swap_refusals: int = 0
     maximum_batch: int = 64
 
     def generate(self, call):
         if self.dead:
             return Failure(error_of(Fault.REFUSED))
+        if self.version is None:
+            self.swap_refusals += 1
+            return Failure(
+                PlatformError(ErrorKind.NOT_RUN, "no weights are loaded", 0.05, answered=True)
+            )
         self.started.append(call)
         return Success(FakeStream(self, call, self.cut_after.pop(0) if self.cut_after else None))
 
@@ -131,6 +148,8 @@
         return Success(None)
 
     def read_state(self, timeout_s):
+        if self.frozen:
+            return Failure(error_of(Fault.LOST_ANSWER))
         if self.dead:
             return Failure(error_of(Fault.REFUSED))
         return Success(
@@ -160,6 +179,8 @@
             if self._engine.gate is not None:
                 while not self._engine.gate.wait(0.01) and not self._closed.is_set():
                     pass
+            if count == self._engine.silent_after:
+                self._closed.wait(SILENCE_S)
             if count == self._cut_after or self._closed.is_set() or self._engine.dead:
                 yield Failure(error_of(Fault.LOST_ANSWER))
                 return
@@ -221,8 +242,10 @@
     def current(self):
         return self._snapshot
 
+    ready = True
+
     def is_ready(self):
-        return True
+        return self.ready
 
     def wait_for(self, revision, timeout_s):
         return self._snapshot.revision >= revision
--- a/src/bellweir/routing/forwarding.py
+++ b/src/bellweir/routing/forwarding.py
@@ -25,6 +25,7 @@
 )
 from bellweir.routing.attempts import AttemptHold, RequestAttempts, new_attempt_id
 from bellweir.routing.backend import Backend
+from bellweir.routing.candidates import candidates
 from bellweir.routing.counters import DispatchCounters
 from bellweir.routing.interface import ApplicationRequest, Refusal
 from bellweir.routing.pool_runtime import PoolRuntime, PoolRuntimes
@@ -105,6 +106,8 @@
         attempts = RequestAttempts(runtime.budget, self._clock, deadline_s)
         while True:
             backend = self._choose(runtime, attempts.tried)
+            if backend is None and attempts.wait_for_backend(self._backends(runtime)):
+                continue
             if backend is None or self._clock.monotonic_s() >= deadline_s:
                 return Failure(attempts.refusal())
             refusal = before_send()
@@ -122,16 +125,13 @@
             if not body.replayable or not attempts.may_retry(repeatable=repeatable):
                 return Failure(attempts.refusal())
 
-    def _choose(self, runtime: PoolRuntime, tried: set[str]) -> Backend | None:
+    def _backends(self, runtime: PoolRuntime) -> tuple[Backend, ...]:
         found = self._views.pools().get(runtime.pool.metadata.name)
-        if found is None:
-            return None
+        return found.backends if found is not None else ()
+
+    def _choose(self, runtime: PoolRuntime, tried: set[str]) -> Backend | None:
         now_s = self._clock.monotonic_s()
-        usable = [
-            backend
-            for backend in found.backends
-            if backend.name not in tried and backend.usable(now_s)
-        ]
+        usable = candidates(self._backends(runtime), tried, now_s)
         return runtime.strategy.choose(usable, None) if usable else None
 
     def _attempt(
@@ -172,6 +172,7 @@
             hold.note_leaving("answer")
         length = declared_length(answer)
         if length is None or length > BUFFERED_ANSWER_BYTES:
+            hold.note_healthy()
             return Success(with_body(answer, HeldBody(answer.body, _ender(hold))))
         match read_whole(answer, BUFFERED_ANSWER_BYTES):
             case Success(None):
--- a/src/bellweir/routing/generation_attempt.py
+++ b/src/bellweir/routing/generation_attempt.py
@@ -16,8 +16,9 @@
 from bellweir.resources.models import Pool, RequestClass
 from bellweir.routing.attempts import AttemptHold, RequestAttempts, new_attempt_id
 from bellweir.routing.backend import Backend
+from bellweir.routing.candidates import candidates
 from bellweir.routing.counters import DispatchCounters
-from bellweir.routing.interface import GenerationRequest
+from bellweir.routing.interface import GenerationRequest, Refusal
 from bellweir.routing.pool_runtime import PoolRuntimes
 from bellweir.routing.views_service import BackendViewsService
 
@@ -77,6 +78,15 @@
             found[name].pool for name in sorted(found) if policy in found[name].pool.spec.policies
         ]
 
+    def _backends_of(self, policy: str) -> list[Backend]:
+        """The back ends of all pools that serve a policy."""
+        found = self._views.pools()
+        return [
+            backend
+            for pool in self.pools_of(policy)
+            for backend in found[pool.metadata.name].backends
+        ]
+
     def start(
         self,
         request: GenerationRequest,
@@ -84,8 +94,39 @@
         had: tuple[int, ...],
         deadline_s: float,
         attempts: RequestAttempts,
+    ) -> Result[RunningAttempt, Refusal]:
+        """Start an attempt after the tokens had, trying again as far as that is allowed."""
+        began_s = self._clock.monotonic_s()
+        while True:
+            started = self._start_once(request, route, had, deadline_s, attempts)
+            match started:
+                case Success(attempt):
+                    return Success(attempt)
+                case Failure(None):
+                    may_go_on = self._wait(route, attempts, began_s, deadline_s)
+                case _:
+                    may_go_on = attempts.may_retry(repeatable=True)
+            if not may_go_on:
+                return Failure(attempts.refusal())
+
+    def _wait(
+        self, route: GenerationRoute, attempts: RequestAttempts, began_s: float, deadline_s: float
+    ) -> bool:
+        """Wait a little for room or for a back end; False when this request has to be refused."""
+        if attempts.lacks_room:
+            room = self._runtimes.of(self.pools_of(route.policy)[0]).draft_room
+            return room.wait_a_little(began_s, deadline_s)
+        return attempts.wait_for_backend(self._backends_of(route.policy))
+
+    def _start_once(
+        self,
+        request: GenerationRequest,
+        route: GenerationRoute,
+        had: tuple[int, ...],
+        deadline_s: float,
+        attempts: RequestAttempts,
     ) -> Result[RunningAttempt, PlatformError | None]:
-        """Start one attempt after the tokens had; the failure is None when no engine fits."""
+        """Start one attempt; the failure is None when no engine fits."""
         backend = self._choose(request, route, attempts)
         if backend is None:
             return Failure(None)
@@ -111,6 +152,10 @@
     def cancel(self, attempt: RunningAttempt) -> None:
         """Drop an attempt: its connection at once, its work on the engine by a call aside."""
         attempt.hold.abandon()
+        self.drop(attempt)
+
+    def drop(self, attempt: RunningAttempt) -> None:
+        """Close an attempt's connection and tell its engine, without a word on its health."""
         attempt.stream.close()
         try:
             self._executors.submit(WorkKind.BACKGROUND, attempt.engine.cancel, attempt.attempt_id)
@@ -118,19 +163,30 @@
             # The closed connection tells the engine as well; the call only makes it sooner.
             return
 
+    def has_alternative(self, attempt: RunningAttempt, route: GenerationRoute) -> bool:
+        """Whether another engine could go on with an attempt now."""
+        current = {attempt.hold.backend.name}
+        return bool(
+            candidates(
+                self._backends_of(route.policy),
+                current,
+                self._clock.monotonic_s(),
+                lambda backend: serves(backend, route),
+            )
+        )
+
     def _choose(
         self, request: GenerationRequest, route: GenerationRoute, attempts: RequestAttempts
     ) -> Backend | None:
         now_s = self._clock.monotonic_s()
         pools = self._views.pools()
         for pool in self.pools_of(route.policy):
-            usable = [
-                backend
-                for backend in pools[pool.metadata.name].backends
-                if backend.name not in attempts.tried
-                and backend.usable(now_s)
-                and serves(backend, route)
-            ]
+            usable = candidates(
+                pools[pool.metadata.name].backends,
+                attempts.tried,
+                now_s,
+                lambda backend: serves(backend, route),
+            )
             if usable and request.request_class is RequestClass.DRAFT:
                 usable = self._with_draft_room(usable, now_s, attempts)
             preferred = [found for found in usable if found.name not in request.avoid_workers]
