--- a/src/bellweir/samples/coordinator.py
+++ b/src/bellweir/samples/coordinator.py
@@ -27,7 +27,7 @@
 from bellweir.samples.publications import PublicationClock
 from bellweir.samples.records import StepRecord
 from bellweir.samples.rescoring import Rescorer
-from bellweir.samples.staleness import oldest_admissible
+from bellweir.samples.staleness import newest_version, oldest_admissible, oldest_version
 from bellweir.samples.step_view import StepMemory, StepView, observe_lengths, view_of
 from bellweir.samples.tail import (
     expected_end_s,
@@ -50,6 +50,7 @@
 CLEAN_UP_PERIOD_S = 30.0
 RENEW_MARGIN = 1.5
 """A sample is renewed when it will be stale within this many times what a new one takes."""
+RENEWAL_PERIOD_S = 1.0
 
 
 @dataclass
@@ -256,6 +257,8 @@
     def _use_spare_places(self, view: StepView, places: dict[str, int]) -> None:
         """Run silent stragglers a second time, and renew samples that will soon be stale."""
         chosen: dict[str, list[Assignment]] = {}
+        if _freest(places) is None:
+            return
         for assignment in [*self._duplicates(view), *self._renewals(view)]:
             holder = _freest(places)
             if holder is None:
@@ -271,7 +274,7 @@
             report = known.report
             if view.memory.duplicates >= budget:
                 break
-            if len(view.attempts_of(report.slot)) > 1 or not is_silent(report, view.usual_rate):
+            if len(view.by_slot[report.slot]) > 1 or not is_silent(report, view.usual_rate):
                 continue
             view.memory.duplicates += 1
             avoid = (report.worker,) if report.worker is not None else ()
@@ -280,21 +283,23 @@
 
     def _renewals(self, view: StepView) -> list[Assignment]:
         """New attempts for samples nobody has pulled that will be stale before one could end."""
-        if view.usual_rate <= 0:
+        monotonic_s = self._clock.monotonic_s()
+        if view.usual_rate <= 0 or monotonic_s < view.memory.next_renewals_s:
             return []
+        view.memory.next_renewals_s = monotonic_s + RENEWAL_PERIOD_S
         now_s = self._clock.wall_s()
+        newest = newest_version(view.cadence.publications)
         found: list[Assignment] = []
         for number, slot in enumerate(view.step.slots):
             sample = slot.sample
-            if sample is None or slot.delivered or view.attempts_of(number):
+            if sample is None or slot.delivered or number in view.by_slot:
+                continue
+            oldest = oldest_version(sample.segments)
+            if newest is None or oldest >= newest:
                 continue
-            oldest = min(segment.weight_version for segment in sample.segments)
             left_s = view.cadence.stale_at_s(oldest, view.step.bound, now_s) - now_s
             takes_s = view.belief(number).expected_tokens() / view.usual_rate
-            is_newest = oldest >= max(
-                (entry.version for entry in view.cadence.publications), default=oldest
-            )
-            if not is_newest and left_s < RENEW_MARGIN * takes_s:
+            if left_s < RENEW_MARGIN * takes_s:
                 replaced = sample.attempt_id
                 found.append(self._assignment(view, number, replaces_attempt=replaced))
         return found
--- a/src/bellweir/samples/records.py
+++ b/src/bellweir/samples/records.py
@@ -48,6 +48,8 @@
     publications: tuple[Publication, ...] = ()
     now_s: float = 0.0
     """Newest time this step was told of; never goes back."""
+    swept_below: int | None = None
+    """Samples of older versions than this have been dropped."""
     commits: int = 0
     regenerated: int = 0
     delivery: list[int] = msgspec.field(default_factory=list)
--- a/src/bellweir/samples/staleness.py
+++ b/src/bellweir/samples/staleness.py
@@ -79,8 +79,9 @@
 ) -> int | None:
     """The oldest version that is fresh now; None when any is.
 
-    With a bound in seconds this is the newest version that has been superseded for too long,
-    plus one: every version up to it has been superseded at least as long.
+    A sample is fresh just when its oldest version is at least this one. With a bound in seconds
+    it is the newest version that was published longer ago than the bound: whatever is older has
+    been superseded at least as long. It never goes back as time and publications go on.
     """
     floors = [] if bound.minimum_version is None else [bound.minimum_version]
     newest = newest_version(publications)
--- a/src/bellweir/samples/step_view.py
+++ b/src/bellweir/samples/step_view.py
@@ -25,6 +25,8 @@
     """Tokens that an ended attempt of a slot had, by slot."""
     duplicates: int = 0
     """Second attempts started."""
+    next_renewals_s: float = 0.0
+    """On the monotonic clock: when to look for samples to renew again."""
     expected_end_s: float | None = None
     running: int = 0
 
@@ -39,7 +41,10 @@
     estimator: LengthEstimator
     cadence: VersionCadence
     usual_rate: float
-    """Median tokens a second of this node's steps' attempts."""
+    """Median tokens a second of the step's attempts."""
+    by_slot: dict[int, list[KnownAttempt]]
+    _beliefs: dict[int, LengthBelief] = field(default_factory=dict)
+    """By prompt index; worked out once in a round."""
 
     def prompt_of(self, slot: int) -> str:
         """Prompt of a slot."""
@@ -47,11 +52,12 @@
 
     def belief(self, slot: int) -> LengthBelief:
         """Belief about a slot's length."""
-        return self.estimator.believe(self.prompt_of(slot), self.step.terms.max_tokens)
-
-    def attempts_of(self, slot: int) -> list[KnownAttempt]:
-        """Attempts at a slot."""
-        return [known for known in self.attempts if known.report.slot == slot]
+        prompt_index = slot // self.step.terms.samples_per_prompt
+        belief = self._beliefs.get(prompt_index)
+        if belief is None:
+            belief = self.estimator.believe(self.prompt_of(slot), self.step.terms.max_tokens)
+            self._beliefs[prompt_index] = belief
+        return belief
 
     def losers(self) -> Iterator[KnownAttempt]:
         """Attempts at slots that hold another attempt's sample and that replace nothing."""
@@ -68,18 +74,14 @@
 
     def waiting(self) -> list[WaitingSlot]:
         """Slots without a sample and without an attempt, in starting order."""
-        taken = {known.report.slot for known in self.attempts}
         per_prompt = self.step.terms.samples_per_prompt
-        beliefs: dict[int, LengthBelief] = {}
         waiting: list[WaitingSlot] = []
         for number, slot in enumerate(self.step.slots):
-            if slot.sample is not None or number in taken:
+            if slot.sample is not None or number in self.by_slot:
                 continue
             prompt_index, sample_index = divmod(number, per_prompt)
-            if prompt_index not in beliefs:
-                beliefs[prompt_index] = self.belief(number)
             at_least = self.memory.longest_attempt.get(number, 0)
-            belief = beliefs[prompt_index]
+            belief = self.belief(number)
             waiting.append(WaitingSlot(number, prompt_index, sample_index, belief, at_least))
         return in_starting_order(waiting)
 
@@ -106,6 +108,9 @@
 ) -> StepView:
     """Put a round's view together; `publications` are this node's, maybe newer than the step's."""
     merged = merge_publications(step.publications, publications)
+    by_slot: dict[int, list[KnownAttempt]] = {}
+    for known in attempts:
+        by_slot.setdefault(known.report.slot, []).append(known)
     return StepView(
         step=step,
         memory=memory,
@@ -113,4 +118,5 @@
         estimator=estimator,
         cadence=cadence_of(merged),
         usual_rate=median_rate([known.report for known in attempts]),
+        by_slot=by_slot,
     )
