--- a/bench/tail_model/bellweir_scheduler.py
+++ b/bench/tail_model/bellweir_scheduler.py
@@ -37,8 +37,8 @@
 )
 from bellweir.samples.publications import PublicationClock
 from bellweir.samples.rescoring import Rescorer
-from bellweir.samples.runner import QUEUE_SHARE, SMALLEST_QUEUE
 from bellweir.samples.service import terms_of
+from bellweir.samples.start_window import StartWindow
 from bellweir.samples.wire_messages import AssignAttempts, InstructAttempts, ReportAttempts
 from bench.tail_model.engines import VirtualAttempt, VirtualEngine, least_loaded
 from bench.tail_model.run import HandedOver, Scheduler
@@ -48,6 +48,7 @@
 POLICY = "policy"
 PULL_LIMIT = 64
 LEASE_S = 5.0
+CONCURRENCY = 128
 
 
 class OneReplicaLedger(Ledger):
@@ -115,6 +116,7 @@
         self._engines = engines
         self._workload = workload
         self._clock = clock
+        self._window = StartWindow(CONCURRENCY)
         self._lengths: dict[str, list[int]] = {}
         self.assignments: dict[str, Assignment] = {}
         self.attempts: dict[str, VirtualAttempt] = {}
@@ -122,10 +124,12 @@
         self.ends: list[AttemptEnd] = []
 
     def free_places(self) -> int:
-        """As `AttemptRunner.free_places`, with a concurrency that the engines' batches bound."""
-        begun = sum(attempt.tokens > 0 for attempt in self.attempts.values())
-        waiting = len(self.attempts) - begun
-        return max(0, max(SMALLEST_QUEUE, int(begun * QUEUE_SHARE)) - waiting)
+        """As `AttemptRunner.free_places`."""
+        now_s = self._clock.monotonic_s()
+        waits_s = [
+            now_s - attempt.started_s for attempt in self.attempts.values() if not attempt.tokens
+        ]
+        return self._window.places(now_s, len(self.attempts), waits_s)
 
     def assign(self, message: AssignAttempts) -> None:
         """Start attempts."""
--- a/src/bellweir/samples/estimates.py
+++ b/src/bellweir/samples/estimates.py
@@ -41,6 +41,17 @@
         expected = mean * _upper_tail(z - self.sigma) / beyond
         return min(max(expected, float(at_least)), float(self.maximum))
 
+    def cautious_tokens(self, at_least: int = 0) -> float:
+        """Length that is exceeded by about one sample in six: its median and one sigma more.
+
+        Starting by this, rather than by the mean, lets a sample of which little is known go
+        before one that is known to be about as long.
+        """
+        if at_least <= 0:
+            return min(math.exp(self.mu + self.sigma), float(self.maximum))
+        spread = math.exp(self.sigma - self.sigma**2 / 2)
+        return min(self.expected_tokens(at_least) * spread, float(self.maximum))
+
     def probability_within(self, tokens: float, at_least: int = 0) -> float:
         """Probability of ending within `tokens` in all, known to be longer than `at_least`."""
         if tokens >= self.maximum:
--- a/src/bellweir/samples/runner.py
+++ b/src/bellweir/samples/runner.py
@@ -26,12 +26,9 @@
 from bellweir.samples.log_events import ATTEMPT_FAILED, COMMIT_REFUSED
 from bellweir.samples.messages import Outcome
 from bellweir.samples.scoring import ScoreJob, ScoringQueue
+from bellweir.samples.start_window import StartWindow
 from bellweir.samples.tokens import SampleBuilder
 
-SMALLEST_QUEUE = 4
-QUEUE_SHARE = 0.25
-"""Attempts that may wait for their first token, as a share of those that have begun. More would
-only queue at the engines, where the coordinator can't put a longer sample first."""
 MOVE_ATTEMPTS = 5
 MOVE_PAUSE_S = 0.2
 
@@ -60,7 +57,7 @@
         self._dispatcher = dispatcher
         self._committer = committer
         self._scoring = scoring
-        self._concurrency = concurrency
+        self._window = StartWindow(concurrency)
         self._on_end = on_end
         self._lock = threading.Lock()
         self._generating: dict[str, RunningAttempt] = {}
@@ -75,10 +72,13 @@
     def _free_places(self) -> int:
         if self._is_draining:
             return 0
-        begun = sum(attempt.has_tokens for attempt in self._generating.values())
-        waiting = len(self._generating) - begun
-        queue = max(SMALLEST_QUEUE, int(begun * QUEUE_SHARE)) - waiting
-        return max(0, min(self._concurrency - len(self._generating), queue))
+        now_s = self._clock.monotonic_s()
+        waits_s = [
+            now_s - attempt.started_s
+            for attempt in self._generating.values()
+            if not attempt.has_tokens
+        ]
+        return self._window.places(now_s, len(self._generating), waits_s)
 
     def reports(self) -> tuple[AttemptReport, ...]:
         """Progress of all attempts, those being committed or scored included."""
--- a/src/bellweir/samples/tail.py
+++ b/src/bellweir/samples/tail.py
@@ -1,6 +1,6 @@
 """Decisions that shorten a step's tail; pure functions of what the coordinator knows.
 
-- Waiting slots start in order of their expected length, longest first. Among prompts of which
+- Waiting slots start in order of a cautious estimate of their length, longest first. Among prompts of which
   nothing is known, one sample of each comes first: its length tells of its siblings.
 - An attempt that is stale, or will hardly end before it is, starts again at once, so that its
   slot loses no more time.
@@ -46,11 +46,11 @@
 
 
 def in_starting_order(waiting: Iterable[WaitingSlot]) -> list[WaitingSlot]:
-    """Longest expected first; equals by the number of the sample within its prompt."""
+    """Longest first, by a cautious estimate; equals by their number within their prompt."""
 
     def key(entry: WaitingSlot) -> tuple[float, int, int]:
-        expected = entry.belief.expected_tokens(entry.at_least)
-        return -round(expected, 3), entry.sample_index, entry.slot
+        length = entry.belief.cautious_tokens(entry.at_least)
+        return -round(length, 3), entry.sample_index, entry.slot
 
     return sorted(waiting, key=key)
 
