--- a/features/steps/weights_steps.py
+++ b/features/steps/weights_steps.py
@@ -4,7 +4,9 @@
 from hypothesis import settings
 from hypothesis.stateful import run_state_machine_as_test
 
+from bellweir.platform.interface import EngineRole
 from bellweir.weights.messages import PoolReport, WorkerReport
+from bellweir.weights.plan import ROLE_LABEL
 from bellweir.weights.rollout import PoolRollout, RolloutLimits
 from support.orders_oracle import OrdersAgainstEngines
 from support.waiting import wait_until
@@ -119,6 +121,7 @@
     limits = RolloutLimits(
         floor=floor,
         pool_size=engines,
+        targets=engines,
         store_readers=3,
         fanout=2,
         permit_s=20,
@@ -165,3 +168,53 @@
     assert report(context, wait_s + 1) == ["engine-0"]
     assert report(context, wait_s + 2, held=["engine-0"]) == []
     assert report(context, 2 * wait_s + 2, held=["engine-0"]) == ["engine-1"]
+
+
+def names_in(text):
+    return tuple(text.split(", "))
+
+
+@when('weights adapters "{adapters}" and the role "{role}" are declared')
+def step_adapters(context, adapters, role):
+    cluster = context.weights
+    metadata = cluster.pool.metadata.model_copy(update={"labels": {ROLE_LABEL: role}})
+    pool = cluster.pool.model_copy(update={"metadata": metadata})
+    for node in cluster.nodes:
+        node.configuration.publish("writer", 1, (pool,), names_in(adapters))
+
+
+@then('all weights engines have the adapters "{adapters}" and the role "{role}"')
+def step_have_adapters(context, adapters, role):
+    wanted = (names_in(adapters), EngineRole(role))
+    engines = context.weights.engines.values()
+    wait_until(
+        lambda: all((e.state.adapters, e.state.role) == wanted for e in engines),
+        "all have the adapters and the role",
+    )
+
+
+@then("no weights were read from anywhere")
+def step_no_reads(context):
+    assert not any(engine.swaps_from for engine in context.weights.engines.values())
+
+
+@given("a resource store that refuses the next {count:d} weights reports")
+def step_refuse_reports(context, count):
+    context.weights.resources.refusals_left = count
+
+
+def rolled_out(context):
+    reports = context.weights.resources.reports
+    return [status["conditions"][0]["status"] for _, _, status in reports]
+
+
+@then("the weights pool's condition RolledOut becomes true")
+def step_rolled_out(context):
+    wait_until(lambda: rolled_out(context)[-1:] == [True], "the condition is true")
+    message = context.weights.resources.reports[-1][2]["conditions"][0]["message"]
+    assert message == "6 of 6 engines hold what is declared"
+
+
+@then("at most {count:d} weights reports were written")
+def step_few_reports(context, count):
+    assert len(context.weights.resources.reports) <= count
--- a/features/support/fake_services.py
+++ b/features/support/fake_services.py
@@ -1,8 +1,9 @@
 """Small stand-ins for the services that `samples` and `weights` call."""
 
 import threading
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
+from typing import Any
 
 from returns.result import Failure, Result, Success
 
@@ -26,6 +27,12 @@
     Scorer,
     WeightStore,
 )
+from bellweir.resources.interface import (
+    ResourceDocument,
+    ResourceError,
+    ResourceErrorKind,
+    Resources,
+)
 from bellweir.resources.models import (
     Metadata,
     Policy,
@@ -69,7 +76,13 @@
         self._snapshot = ConfigurationSnapshot(0)
         self._listeners: list[ConfigurationListener] = []
 
-    def publish(self, policy: str, version: int, pools: tuple[Pool, ...] = ()) -> None:
+    def publish(
+        self,
+        policy: str,
+        version: int,
+        pools: tuple[Pool, ...] = (),
+        adapters: tuple[str, ...] = (),
+    ) -> None:
         """Name a new version as published and wanted."""
         versions = dict(self._snapshot.weight_versions)
         resource_name = f"{policy}-{version}"
@@ -79,7 +92,8 @@
         )
         policies = dict(self._snapshot.policies)
         policies[policy] = Policy(
-            metadata=Metadata(name=policy), spec=PolicySpec(model=policy, version=version)
+            metadata=Metadata(name=policy),
+            spec=PolicySpec(model=policy, version=version, adapters=adapters),
         )
         known_pools = dict(self._snapshot.pools) | {pool.metadata.name: pool for pool in pools}
         self.put(
@@ -106,6 +120,46 @@
             listener(self._snapshot)
 
 
+class FakeResources(Idle, Resources):
+    """Records the statuses reported, and refuses some on purpose."""
+
+    name = names.RESOURCES
+
+    def __init__(self) -> None:
+        self.reports: list[tuple[str, str, Mapping[str, Any]]] = []
+        self.refusals_left = 0
+
+    def report_status(self, kind: str, name: str, status: Mapping[str, Any]) -> Result:
+        if self.refusals_left > 0:
+            self.refusals_left -= 1
+            return Failure(ResourceError(ResourceErrorKind.UNAVAILABLE, "told to refuse"))
+        self.reports.append((kind, name, status))
+        return Success(ResourceDocument(kind, name, len(self.reports), {"status": status}))
+
+    def list_resources(self, kind: str) -> Result:
+        raise NotImplementedError
+
+    def get(self, kind: str, name: str) -> Result:
+        raise NotImplementedError
+
+    def create(self, document: Mapping[str, Any], *, dry_run: bool = False) -> Result:
+        raise NotImplementedError
+
+    def replace(self, document: Mapping[str, Any], *, dry_run: bool = False) -> Result:
+        raise NotImplementedError
+
+    def patch(
+        self, kind: str, name: str, merge: Mapping[str, Any], *, dry_run: bool = False
+    ) -> Result:
+        raise NotImplementedError
+
+    def delete(self, kind: str, name: str, version: int | None, *, dry_run: bool = False) -> Result:
+        raise NotImplementedError
+
+    def watch(self, kind: str, from_revision: int, timeout_s: float) -> Iterator[Result]:
+        raise NotImplementedError
+
+
 def engine_pool(name: str, spec: PoolSpec) -> Pool:
     return Pool(metadata=Metadata(name=name), spec=spec)
 
--- a/features/support/weights_cluster.py
+++ b/features/support/weights_cluster.py
@@ -8,7 +8,7 @@
 from bellweir.weights.service import WeightsService
 from support.fake_engine import STORE, FakeEngine, FakeStore
 from support.fake_nodes import FakeOwnership, FakeTransport, Network
-from support.fake_services import FakeConfiguration, FakePlatform, engine_pool
+from support.fake_services import FakeConfiguration, FakePlatform, FakeResources, engine_pool
 from support.waiting import wait_until
 
 POOL = "writers"
@@ -32,6 +32,7 @@
             self.ownership,
             cluster.platform,
             FakeTransport(cluster.network, node),
+            cluster.resources,
             self.weights,
         ):
             self.kernel.registry.register(service)
@@ -48,6 +49,7 @@
 
     def __init__(self, nodes: int, engines: int, floor: float = 0.5) -> None:
         self.network = Network()
+        self.resources = FakeResources()
         self.platform = FakePlatform()
         self.store = FakeStore()
         self.platform.store = self.store
--- a/features/weights.feature
+++ b/features/weights.feature
@@ -49,3 +49,17 @@
     When 2 weights engines are leaving
     Then no weights swap is permitted before 30 s have passed
     And after that one weights swap at a time is permitted
+
+  Scenario: Adapters and roles change without a swap
+    Given a weights pool of 4 engines with floor 0.5, owned by 2 nodes
+    When weights adapters "french, german" and the role "draft" are declared
+    Then all weights engines have the adapters "french, german" and the role "draft"
+    And no weights were read from anywhere
+
+  Scenario: Operators see how far a rollout is
+    Given a weights pool of 6 engines with floor 0.5, owned by 3 nodes
+    And a resource store that refuses the next 1 weights reports
+    When weights version 2 is declared
+    Then all weights engines hold version 2
+    And the weights pool's condition RolledOut becomes true
+    And at most 6 weights reports were written
--- a/src/bellweir/samples/tail.py
+++ b/src/bellweir/samples/tail.py
@@ -1,6 +1,6 @@
 """Decisions that shorten a step's tail; pure functions of what the coordinator knows.
 
-- Waiting slots start in order of a cautious estimate of their length, longest first. Among prompts of which
+- Waiting slots start longest first, by a cautious estimate. Among prompts of which
   nothing is known, one sample of each comes first: its length tells of its siblings.
 - An attempt that is stale, or will hardly end before it is, starts again at once, so that its
   slot loses no more time.
--- a/src/bellweir/weights/engine_watch.py
+++ b/src/bellweir/weights/engine_watch.py
@@ -112,6 +112,7 @@
             wanted_model=self.target.model,
             wanted_version=self.target.version,
             wants_swap=wants_swap,
+            has_failed=state is not None and state.swap_error is not None,
         )
 
 
--- a/src/bellweir/weights/messages.py
+++ b/src/bellweir/weights/messages.py
@@ -19,6 +19,8 @@
     wanted_version: int
     wants_swap: bool
     """Whether the owner would send an order now."""
+    has_failed: bool = False
+    """Whether its last swap failed; it serves nothing until one succeeds."""
 
 
 class PoolReport(Message, frozen=True):
--- a/src/bellweir/weights/pacing.py
+++ b/src/bellweir/weights/pacing.py
@@ -1,13 +1,14 @@
 """The rollouts of the pools that this node paces."""
 
 import threading
+from collections.abc import Callable
 
 from bellweir.configuration.interface import Configuration
 from bellweir.kernel.clock import Clock
 from bellweir.settings.models import WeightsSettings
 from bellweir.weights.messages import PoolReport, SwapPermit
 from bellweir.weights.plan import PlanCache
-from bellweir.weights.rollout import PoolRollout, RolloutLimits
+from bellweir.weights.rollout import PoolRollout, RolloutLimits, RolloutSummary
 
 DEFAULT_FLOOR = 0.5
 FORGET_S = 20.0
@@ -39,7 +40,11 @@
         pools = snapshot.pools
         pool = pools.get(report.pool)
         floor = pool.spec.floor if pool is not None else DEFAULT_FLOOR
-        limits = self._limits(floor, self._plans.pool_size(snapshot, report.pool))
+        limits = self._limits(
+            floor,
+            self._plans.pool_size(snapshot, report.pool),
+            self._plans.targets_in(snapshot, report.pool),
+        )
         with self._lock:
             for name in [name for name in self._rollouts if name not in pools]:
                 del self._rollouts[name]
@@ -49,10 +54,20 @@
             rollout.limits = limits
             return rollout.take_report(report, self._clock.monotonic_s())
 
-    def _limits(self, floor: float, pool_size: int) -> RolloutLimits:
+    def summaries(self, is_paced: Callable[[str], bool]) -> dict[str, RolloutSummary]:
+        """How far the pools are that `is_paced` says this node still paces."""
+        with self._lock:
+            return {
+                pool: rollout.summary()
+                for pool, rollout in self._rollouts.items()
+                if is_paced(pool)
+            }
+
+    def _limits(self, floor: float, pool_size: int, targets: int) -> RolloutLimits:
         return RolloutLimits(
             floor=floor,
             pool_size=pool_size,
+            targets=targets,
             store_readers=self._settings.store_readers,
             fanout=self._settings.fanout,
             permit_s=self._settings.permit_s,
--- a/src/bellweir/weights/plan.py
+++ b/src/bellweir/weights/plan.py
@@ -5,6 +5,7 @@
 """
 
 import threading
+from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass
 
@@ -30,7 +31,8 @@
     adapters: tuple[str, ...]
     role: EngineRole
     declared_at: int
-    """Newest store revision among the resources that this follows from."""
+    """Newest store revision of the policy and the comparison that this follows from. The pool's
+    does not count: its status is written during rollouts."""
 
 
 @dataclass(frozen=True)
@@ -70,6 +72,7 @@
         self._snapshot: ConfigurationSnapshot | None = None
         self._targets: dict[str, WorkerTarget] = {}
         self._sizes: dict[str, int] = {}
+        self._targets_in: Counter[str] = Counter()
 
     def targets(self, snapshot: ConfigurationSnapshot) -> dict[str, WorkerTarget]:
         """Targets by worker name; not to be changed."""
@@ -83,10 +86,17 @@
             self._refresh(snapshot)
             return self._sizes.get(pool, 0)
 
+    def targets_in(self, snapshot: ConfigurationSnapshot, pool: str) -> int:
+        """Engines of a pool that have a target."""
+        with self._lock:
+            self._refresh(snapshot)
+            return self._targets_in[pool]
+
     def _refresh(self, snapshot: ConfigurationSnapshot) -> None:
         if snapshot is not self._snapshot:
             self._snapshot = snapshot
             self._targets = plan_targets(snapshot)
+            self._targets_in = Counter(target.pool for target in self._targets.values())
             self._sizes = {
                 name: len(_places(snapshot, pool)) for name, pool in snapshot.pools.items()
             }
@@ -95,7 +105,6 @@
 def _plan_pool(snapshot: ConfigurationSnapshot, pool: Pool) -> Iterator[WorkerTarget]:
     shares = list(_shares(snapshot, pool))
     places = [place for place in _places(snapshot, pool) if not place.leaving]
-    pool_revision = pool.metadata.resource_version or 0
     for place, share in zip(places, _allocate(shares, len(places)), strict=False):
         yield WorkerTarget(
             pool=pool.metadata.name,
@@ -107,7 +116,7 @@
             version=share.version,
             adapters=share.policy.spec.adapters,
             role=_role(pool),
-            declared_at=max(pool_revision, share.declared_at),
+            declared_at=share.declared_at,
         )
 
 
--- a/src/bellweir/weights/rollout.py
+++ b/src/bellweir/weights/rollout.py
@@ -19,6 +19,8 @@
     """Share of the pool's engines that stays ready."""
     pool_size: int
     """Engines of the pool, also those that no owner has reported yet."""
+    targets: int
+    """Engines of the pool that a version is declared for: those that are not leaving."""
     store_readers: int
     """Engines that read one version from the weight store at once."""
     fanout: int
@@ -32,6 +34,23 @@
     """Time after which an engine that nobody reports counts no more."""
 
 
+@dataclass(frozen=True)
+class RolloutSummary:
+    """How far a pool is."""
+
+    engines: int
+    """Engines of the pool that are not leaving."""
+    holding: int
+    """Engines that serve what is declared."""
+    failing: tuple[str, ...]
+    """Engines whose last swap failed, by name."""
+
+    @property
+    def is_rolled_out(self) -> bool:
+        """Whether every engine serves what is declared."""
+        return self.holding == self.engines
+
+
 @dataclass
 class _Permit:
     model: str
@@ -71,6 +90,19 @@
                 permits.append(permit)
         return tuple(permits)
 
+    def summary(self) -> RolloutSummary:
+        """How far the pool is, by the owners' newest reports."""
+        holding = 0
+        failing: list[str] = []
+        for name, known in self._workers.items():
+            report = known.report
+            held = (report.held_model, report.held_version)
+            holding += report.is_ready and held == (report.wanted_model, report.wanted_version)
+            if report.has_failed:
+                failing.append(name)
+        engines = max(len(self._workers), self.limits.targets)
+        return RolloutSummary(engines, holding, tuple(sorted(failing)))
+
     def _take_worker(self, worker: WorkerReport, now_s: float) -> None:
         known = self._workers.get(worker.worker)
         permit = known.permit if known is not None else None
--- a/src/bellweir/weights/service.py
+++ b/src/bellweir/weights/service.py
@@ -16,6 +16,7 @@
 from bellweir.kernel.service import Service
 from bellweir.membership.interface import Ownership
 from bellweir.platform.interface import ErrorKind, PlatformClients
+from bellweir.resources.interface import Resources
 from bellweir.settings.models import Settings
 from bellweir.weights.engine_watch import EngineWatch
 from bellweir.weights.log_events import (
@@ -28,6 +29,7 @@
 from bellweir.weights.messages import PoolPermits, PoolReport, SwapPermit
 from bellweir.weights.pacing import RolloutPacer
 from bellweir.weights.plan import PlanCache
+from bellweir.weights.status import RolloutStatus
 from bellweir.weights.store_check import StoreCheck
 from bellweir.wire.interface import Sender, Transport
 
@@ -82,6 +84,10 @@
             self._store_check.address,
             self._plans,
         )
+        self._status: RolloutStatus | None = None
+        if registry.has(names.RESOURCES):
+            resources = registry.find(names.RESOURCES, Resources)  # type: ignore[type-abstract]
+            self._status = RolloutStatus(self._kernel.executors, self._kernel.clock, resources)
         self._transport.register(PoolReport, self._on_report)
         self._configuration.subscribe(lambda _snapshot: self._wake.set())
 
@@ -114,8 +120,13 @@
         for pool, watches in by_pool.items():
             permits = self._ask_permits(pool, watches)
             self._send_orders(snapshot.revision, watches, permits)
+        if self._status is not None:
+            self._status.report(self._pacer.summaries(self._paces))
         return any(not watch.holds_target for watch in self._watches.values())
 
+    def _paces(self, pool: str) -> bool:
+        return self._ownership.owner_of(pacer_key(pool)).node == self._settings.node.name
+
     def _retarget(self, snapshot: ConfigurationSnapshot) -> None:
         targets = {
             worker: target
