--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements that are run by hand."""
+"""Measurements that run the product beside simpler ways of doing the same."""
--- a/features/rehearsal_promises.feature
+++ b/features/rehearsal_promises.feature
@@ -24,10 +24,12 @@
       | sample-changed          | EXACTLY_ONCE     |
       | sample-lost             | EXACTLY_ONCE     |
       | answer-cut-short        | WHOLE_ANSWERS    |
+      | sample-cut-short        | WHOLE_ANSWERS    |
       | answers-swapped         | WHOLE_ANSWERS    |
       | answer-vanished         | WHOLE_ANSWERS    |
       | false-refusal           | TRUE_REFUSALS    |
       | false-app-refusal       | TRUE_REFUSALS    |
+      | false-write-refusal     | TRUE_REFUSALS    |
       | second-run              | AT_MOST_ONCE     |
       | work-after-leaving      | LEAVING_BACKENDS |
       | stop-cuts               | PLANNED_STOPS    |
--- a/features/steps/configuration_cluster_steps.py
+++ b/features/steps/configuration_cluster_steps.py
@@ -4,6 +4,7 @@
 from returns.result import Success
 
 from bellweir.configuration import placement
+from bellweir.platform.interface import Machine, MachineState
 from bellweir.resources.interface import ResourceErrorKind
 from bellweir_rehearsal.standins.faults import FaultKind
 from bellweir_rehearsal.standins.object_api import ObjectWrite
@@ -158,3 +159,101 @@
                 assert taken <= (kind is ResourceErrorKind.UNKNOWN), (model, taken, outcome)
                 kinds.add(kind)
     assert {"done", ResourceErrorKind.CONFLICT} <= kinds, kinds
+
+
+def _condition(context, name="first"):
+    document = any_node(context).resources.get("Policy", name).unwrap().document
+    for condition in document.get("status", {}).get("conditions", ()):
+        if condition["type"] == "InForce":
+            current = condition["observedGeneration"] == document["metadata"]["generation"]
+            return condition if current else {}
+    return {}
+
+
+@then("the policy's status says that it is in force on {count:d} of {total:d} control nodes")
+def step_status(context, count, total):
+    wanted = f"in force on {count} of {total} nodes"
+    context.wait_until(
+        lambda: _condition(context).get("message") == wanted and _condition(context)["status"],
+        wanted,
+    )
+
+
+@when("one control node is cut off and the policy is changed")
+def step_cut(context):
+    nodes = context.control.alive()
+    reader = placement.reader_of(nodes[0].membership.members(), nodes[1].zone)
+    context.cut = next(
+        node for node in nodes if node.zone == nodes[1].zone and node.name != reader.node
+    )
+    context.cut.hold(True)
+    nodes[0].resources.patch("Policy", "first", {"spec": {"model": "changed"}}).unwrap()
+
+
+@then("the policy's status says that the cut-off control node is missing")
+def step_missing(context):
+    context.wait_until(
+        lambda: (
+            f"3 of 4 nodes; waiting for {context.cut.name}"
+            in _condition(context).get("message", "")
+        ),
+        "the missing node is named",
+    )
+    assert _condition(context)["status"] is False
+
+
+@when("the control node's cut is over")
+def step_cut_over(context):
+    context.cut.hold(False)
+
+
+@then("the store has settled: no control node writes any more")
+def step_settled(context):
+    before = context.control.store.state.revision
+    assert before <= 6, f"{before} writes for two generations"
+    any_node(context).configuration.wait_for(before + 1, 1.5)
+    assert context.control.store.state.revision == before
+
+
+def _machine(name, address, role, state=MachineState.LIVE):
+    return Machine(name, address, "zone-0", "region-1", role, "pool", state)
+
+
+@when("the platform lists the control nodes and {count:d} workers")
+def step_list_machines(context, count):
+    machines = context.control.machine_list
+    for node in context.control.alive():
+        machines.set_machine(_machine(node.name, node.peer_address, "node"))
+    for index in range(count):
+        machines.set_machine(_machine(f"worker-{index}", f"127.0.0.1:{index + 1}", "engine"))
+
+
+@when("the platform changes one machine and removes another")
+def step_change_machines(context):
+    leaving = _machine("worker-1", "127.0.0.1:2", "engine", MachineState.LEAVING)
+    context.control.machine_list.set_machine(leaving)
+    context.control.machine_list.remove_machine("worker-2")
+
+
+@then("every control node has the platform's machine list in force")
+def step_machines_in_force(context):
+    listed = context.control.machine_list.shown()
+    wanted = {machine.name: machine for machine in listed.machines}
+
+    def has(node):
+        snapshot = node.configuration.current()
+        return snapshot.machines_revision == listed.revision and snapshot.machines == wanted
+
+    for node in context.control.alive():
+        context.wait_until(lambda node=node: has(node), f"{node.name} has the machine list")
+
+
+@when("a control node starts that knows nobody but the machine list")
+def step_start_lone(context):
+    context.control.start("found", "zone-7", knows_others=False)
+
+
+@then("every control node sees {count:d} members")
+def step_members(context, count):
+    context.control.wait_for_members()
+    assert len(any_node(context).membership.members()) == count
--- a/features/support/control_cluster.py
+++ b/features/support/control_cluster.py
@@ -4,6 +4,7 @@
 from contextlib import ExitStack
 
 from bellweir.configuration.service import ConfigurationService
+from bellweir.configuration.table import ApplyOutcome
 from bellweir.kernel import names
 from bellweir.kernel.listeners import bind_listeners
 from bellweir.kernel.node import Kernel
@@ -18,6 +19,7 @@
 )
 from bellweir.wire.service import TransportService
 from bellweir_rehearsal.standins.faults import FaultKind, FaultOrder
+from bellweir_rehearsal.standins.machine_list import MachineListOptions, MachineListStandin
 from bellweir_rehearsal.standins.object_api import ObjectApiOptions, ObjectApiStandin, WatchOpened
 
 SERVICES = (
@@ -31,13 +33,15 @@
 
 
 class ControlNode:
-    def __init__(self, name, zone, seeds, object_api):
+    def __init__(self, name, zone, seeds, object_api, machine_list=None):
         self.name = name
         self.zone = zone
         self.kernel = Kernel(bind_listeners("127.0.0.1", 0, 0))
         settings = Settings(
             node=NodeIdentity(name=name, zone=zone),
-            platform=PlatformSettings(object_api=object_api, timeout_s=2.0),
+            platform=PlatformSettings(
+                object_api=object_api, machine_list=machine_list, timeout_s=2.0
+            ),
             membership=MembershipSettings(seeds=seeds, probe_period_s=0.2, probe_timeout_s=0.1),
         )
         for make in SERVICES:
@@ -55,6 +59,15 @@
     def revision(self):
         return self.configuration.current().revision
 
+    def hold(self, held):
+        """Keep the node a member, but have its configuration take nothing in."""
+        state = self.configuration._core.state
+        if held:
+            state.apply = lambda _: ApplyOutcome.OLD
+            state.adopt = lambda *_: False
+        else:
+            del state.apply, state.adopt
+
     def stop(self):
         if not self.stopped:
             self.stopped = True
@@ -69,6 +82,9 @@
         self.store = ObjectApiStandin(ObjectApiOptions())
         self.store.start()
         cleanup.callback(self.store.stop)
+        self.machine_list = MachineListStandin(MachineListOptions(lag_s=0.0))
+        self.machine_list.start()
+        cleanup.callback(self.machine_list.stop)
         self.nodes = {}
         cleanup.callback(self.stop)
 
@@ -77,9 +93,10 @@
         with ThreadPoolExecutor(16) as pool:
             list(pool.map(ControlNode.stop, self.nodes.values()))
 
-    def start(self, name, zone):
-        seeds = tuple(node.peer_address for node in self.alive())[:2]
-        node = ControlNode(name, zone, seeds, self.store.address)
+    def start(self, name, zone, knows_others=True):
+        others = self.alive() if knows_others else []
+        seeds = tuple(node.peer_address for node in others)[:2]
+        node = ControlNode(name, zone, seeds, self.store.address, self.machine_list.address)
         self.nodes[name] = node
         return node
 
--- a/src/bellweir/routing/backend.py
+++ b/src/bellweir/routing/backend.py
@@ -12,6 +12,11 @@
 from bellweir.routing.pool_workers import PoolWorker
 
 HISTORY_ENTRIES = 256
+DRAFT_SPACING_S = 0.025
+"""Drafts of one node start this far apart on an engine that callers use too: the prompts of many
+at once would fill a step of the batch that a caller waits for."""
+INTERACTIVE_MEMORY_S = 10.0
+"""Drafts keep out of a share of an engine's batch for this long after a caller's request."""
 LEAVING_KEPT_S = 5.0
 """A back end's own word that it leaves outlasts reports that were late for this long."""
 
@@ -25,10 +30,19 @@
     load: int
     """Requests running and waiting on it."""
     made_s: float
+    reachable: bool = True
+    """False when the last probe or connection failed."""
     weight_version: int | None = None
     model: str | None = None
     maximum_batch: int = 0
     """Requests an engine runs at once; 0 when not known."""
+    interactive: int = 0
+    """Requests that callers wait for on it, from nodes that have told its owner."""
+
+
+def unreachable_report(made_s: float) -> BackendReport:
+    """The report of a back end that could not be reached."""
+    return BackendReport(ready=False, leaving=False, reachable=False, load=0, made_s=made_s)
 
 
 class Backend:
@@ -36,6 +50,7 @@
 
     def __init__(self, worker: PoolWorker, distance: int, circuit: Circuit) -> None:
         self.name = worker.name
+        self.key = worker.key
         self.address = worker.address
         self.distance = distance
         self._worker = worker
@@ -47,6 +62,8 @@
         self._history: deque[tuple[float, int]] = deque(maxlen=HISTORY_ENTRIES)
         self._leaving_said = False
         self._leaving_said_s = 0.0
+        self._interactive_s = -INTERACTIVE_MEMORY_S
+        self._draft_s = 0.0
 
     @property
     def worker(self) -> PoolWorker:
@@ -110,10 +127,24 @@
         with self._lock:
             held = self._report
             if held is None:
-                self._report = BackendReport(ready=False, leaving=False, load=0, made_s=now_s)
+                self._report = unreachable_report(now_s)
             elif held.made_s <= now_s:
+                self._report = replace(held, ready=False, reachable=False, made_s=now_s)
+
+    def mark_unready(self, now_s: float) -> None:
+        """Note that it has said itself that it serves nothing just now."""
+        with self._lock:
+            held = self._report
+            if held is not None and held.made_s <= now_s:
                 self._report = replace(held, ready=False, made_s=now_s)
 
+    def may_return(self) -> bool:
+        """Whether it may serve again within a moment: it answers, but is not ready."""
+        report = self._report
+        if self.leaving:
+            return False
+        return report is None or (report.reachable and not report.ready)
+
     def mark_leaving(self, now_s: float, source: str) -> None:
         """Note that the back end itself has said that it leaves."""
         if not self.leaving:
@@ -121,9 +152,42 @@
         self._leaving_said_s = now_s
         self._leaving_said = True
 
-    def start_request(self, now_s: float) -> None:
-        """Count a request that is about to be sent."""
+    def has_draft_room(self, draft_share: float, now_s: float) -> bool:
+        """Whether an engine may take another draft.
+
+        While callers use the engine too, drafts fill only a share of its batch: each sequence
+        more makes every token of the batch slower, which priorities can't mend.
+        """
+        report = self._report
+        if report is None or report.maximum_batch == 0:
+            return True
+        room = report.maximum_batch
+        if report.interactive or self.used_by_callers(now_s):
+            if now_s - self._draft_s < DRAFT_SPACING_S:
+                return False
+            room = max(1, int(room * draft_share))
+        return self.load() < room
+
+    def used_by_callers(self, now_s: float) -> bool:
+        """Whether this node lately had a request on it that a caller waits for."""
+        return now_s - self._interactive_s < INTERACTIVE_MEMORY_S
+
+    def wants_probe(self, now_s: float, stale_s: float) -> bool:
+        """Whether its owner's reports do not do: none, too old, or of a failure.
+
+        A back end that somebody could not reach is looked at directly as well: the fault may
+        lie with whoever looked.
+        """
+        report = self._report
+        return report is None or not report.reachable or now_s - report.made_s > stale_s
+
+    def start_request(self, now_s: float, *, interactive: bool = False) -> None:
+        """Count a request that is about to be sent; `interactive` when a caller waits for it."""
         with self._lock:
+            if interactive:
+                self._interactive_s = now_s
+            else:
+                self._draft_s = now_s
             self._in_flight += 1
             self._history.append((now_s, self._in_flight))
             self._circuit.on_start(now_s)
--- a/src/bellweir/routing/forwarding.py
+++ b/src/bellweir/routing/forwarding.py
@@ -94,6 +94,7 @@
         deadline_s: float,
         *,
         repeatable: bool,
+        on_latency: Callable[[float], None],
         before_send: Callable[[], Refusal | None] = lambda: None,
     ) -> Result[ApplicationAnswer, Refusal]:
         """Try until an answer comes or no further attempt is allowed.
@@ -104,28 +105,34 @@
         attempts = RequestAttempts(runtime.budget, self._clock, deadline_s)
         while True:
             backend = self._choose(runtime, attempts.tried)
+            if backend is None and attempts.wait_for_backend(self._backends(runtime)):
+                continue
             if backend is None or self._clock.monotonic_s() >= deadline_s:
                 return Failure(attempts.refusal())
             refusal = before_send()
             if refusal is not None:
                 return Failure(refusal)
+            began_s = self._clock.monotonic_s()
             match self._attempt(request, body, backend, deadline_s):
                 case Success(answer):
-                    runtime.budget.on_success(self._clock.monotonic_s())
+                    now_s = self._clock.monotonic_s()
+                    on_latency(now_s - began_s)
+                    runtime.budget.on_success(now_s)
                     return Success(answer)
                 case Failure(error):
                     attempts.note_failure(backend, error)
             if not body.replayable or not attempts.may_retry(repeatable=repeatable):
                 return Failure(attempts.refusal())
 
-    def _choose(self, runtime: PoolRuntime, tried: set[str]) -> Backend | None:
+    def _backends(self, runtime: PoolRuntime) -> tuple[Backend, ...]:
         found = self._views.pools().get(runtime.pool.metadata.name)
-        if found is None:
-            return None
+        return found.backends if found is not None else ()
+
+    def _choose(self, runtime: PoolRuntime, tried: set[str]) -> Backend | None:
         now_s = self._clock.monotonic_s()
         usable = [
             backend
-            for backend in found.backends
+            for backend in self._backends(runtime)
             if backend.name not in tried and backend.usable(now_s)
         ]
         return runtime.strategy.choose(usable, None) if usable else None
@@ -146,7 +153,8 @@
             body_length=body.length,
             timeout_s=max(0.001, deadline_s - self._clock.monotonic_s()),
         )
-        hold = AttemptHold(backend, self._clock)
+        interactive = request.request_class is not RequestClass.DRAFT
+        hold = AttemptHold(backend, self._clock, interactive=interactive)
         self._counters.count_attempt()
         try:
             sent = self._clients.application(backend.address).send(call)
--- a/src/bellweir/routing/generation_attempt.py
+++ b/src/bellweir/routing/generation_attempt.py
@@ -17,7 +17,7 @@
 from bellweir.routing.attempts import AttemptHold, RequestAttempts, new_attempt_id
 from bellweir.routing.backend import Backend
 from bellweir.routing.counters import DispatchCounters
-from bellweir.routing.interface import GenerationRequest
+from bellweir.routing.interface import GenerationRequest, Refusal
 from bellweir.routing.pool_runtime import PoolRuntimes
 from bellweir.routing.views_service import BackendViewsService
 
@@ -60,6 +60,7 @@
         executors: Executors,
         clock: Clock,
         counters: DispatchCounters,
+        draft_share: float,
     ) -> None:
         self._views = views
         self._runtimes = runtimes
@@ -67,6 +68,7 @@
         self._executors = executors
         self._clock = clock
         self._counters = counters
+        self._draft_share = draft_share
 
     def pools_of(self, policy: str) -> list[Pool]:
         """The pools whose engines serve a policy, by name."""
@@ -75,6 +77,15 @@
             found[name].pool for name in sorted(found) if policy in found[name].pool.spec.policies
         ]
 
+    def _backends_of(self, policy: str) -> list[Backend]:
+        """The back ends of all pools that serve a policy."""
+        found = self._views.pools()
+        return [
+            backend
+            for pool in self.pools_of(policy)
+            for backend in found[pool.metadata.name].backends
+        ]
+
     def start(
         self,
         request: GenerationRequest,
@@ -82,14 +93,46 @@
         had: tuple[int, ...],
         deadline_s: float,
         attempts: RequestAttempts,
+    ) -> Result[RunningAttempt, Refusal]:
+        """Start an attempt after the tokens had, trying again as far as that is allowed."""
+        began_s = self._clock.monotonic_s()
+        while True:
+            started = self._start_once(request, route, had, deadline_s, attempts)
+            match started:
+                case Success(attempt):
+                    return Success(attempt)
+                case Failure(None):
+                    may_go_on = self._wait(route, attempts, began_s, deadline_s)
+                case _:
+                    may_go_on = attempts.may_retry(repeatable=True)
+            if not may_go_on:
+                return Failure(attempts.refusal())
+
+    def _wait(
+        self, route: GenerationRoute, attempts: RequestAttempts, began_s: float, deadline_s: float
+    ) -> bool:
+        """Wait a little for room or for a back end; False when this request has to be refused."""
+        if attempts.lacks_room:
+            room = self._runtimes.of(self.pools_of(route.policy)[0]).draft_room
+            return room.wait_a_little(began_s, deadline_s)
+        return attempts.wait_for_backend(self._backends_of(route.policy))
+
+    def _start_once(
+        self,
+        request: GenerationRequest,
+        route: GenerationRoute,
+        had: tuple[int, ...],
+        deadline_s: float,
+        attempts: RequestAttempts,
     ) -> Result[RunningAttempt, PlatformError | None]:
-        """Start one attempt after the tokens had; the failure is None when no engine fits."""
-        backend = self._choose(request, route, attempts.tried)
+        """Start one attempt; the failure is None when no engine fits."""
+        backend = self._choose(request, route, attempts)
         if backend is None:
             return Failure(None)
         engine = self._clients.engine(backend.address)
         call = self._call(request, route, had, deadline_s)
-        hold = AttemptHold(backend, self._clock)
+        interactive = request.request_class is not RequestClass.DRAFT
+        hold = AttemptHold(backend, self._clock, interactive=interactive)
         self._counters.count_attempt()
         try:
             started = engine.generate(call)
@@ -116,7 +159,7 @@
             return
 
     def _choose(
-        self, request: GenerationRequest, route: GenerationRoute, tried: set[str]
+        self, request: GenerationRequest, route: GenerationRoute, attempts: RequestAttempts
     ) -> Backend | None:
         now_s = self._clock.monotonic_s()
         pools = self._views.pools()
@@ -124,14 +167,27 @@
             usable = [
                 backend
                 for backend in pools[pool.metadata.name].backends
-                if backend.name not in tried and backend.usable(now_s) and serves(backend, route)
+                if backend.name not in attempts.tried
+                and backend.usable(now_s)
+                and serves(backend, route)
             ]
+            if usable and request.request_class is RequestClass.DRAFT:
+                usable = self._with_draft_room(usable, now_s, attempts)
             preferred = [found for found in usable if found.name not in request.avoid_workers]
             if usable:
                 strategy = self._runtimes.of(pool).strategy
                 return strategy.choose(preferred or usable, request.prompt)
         return None
 
+    def _with_draft_room(
+        self, usable: list[Backend], now_s: float, attempts: RequestAttempts
+    ) -> list[Backend]:
+        share = self._draft_share
+        roomy = [backend for backend in usable if backend.has_draft_room(share, now_s)]
+        if not roomy:
+            attempts.note_no_room()
+        return roomy
+
     def _call(
         self,
         request: GenerationRequest,
