--- /dev/null
+++ b/src/bellweir/routing/cache_events.py
@@ -0,0 +1,59 @@
+"""Owner's reading of an engine's cache events: late, with gaps, and after restarts from anew."""
+
+from dataclasses import dataclass
+
+from returns.result import Success
+
+from bellweir.platform.interface import CacheEventBatch, Engine
+from bellweir.routing.prefix_index import HASH_MASK
+
+RESYNC_PERIOD_S = 10.0
+"""An engine whose events have gaps is read from its oldest kept event at most this often; in
+between what has come is taken as it is."""
+
+
+@dataclass(frozen=True)
+class PrefixChange:
+    """What one reading has changed."""
+
+    reset: bool
+    """Whether everything known before is void."""
+    added: tuple[int, ...]
+    removed: tuple[int, ...]
+
+
+class CacheEventReader:
+    """Follows the events of one engine; used by one thread at a time."""
+
+    def __init__(self) -> None:
+        self._after = 0
+        self._resynced_s: float | None = None
+
+    def read(self, engine: Engine, now_s: float) -> PrefixChange | None:
+        """Read what is new; None when the engine does not answer or nothing has changed."""
+        batch = engine.read_cache_events(self._after).value_or(None)
+        if batch is None:
+            return None
+        if batch.complete or not self._may_resync(now_s):
+            return self._change(batch, reset=False)
+        self._resynced_s = now_s
+        match engine.read_cache_events(0):
+            case Success(whole):
+                return self._change(whole, reset=True)
+        return None
+
+    def _may_resync(self, now_s: float) -> bool:
+        return self._resynced_s is None or now_s - self._resynced_s >= RESYNC_PERIOD_S
+
+    def _change(self, batch: CacheEventBatch, *, reset: bool) -> PrefixChange | None:
+        self._after = batch.next_sequence - 1
+        stored: dict[int, bool] = {}
+        for event in batch.events:
+            block = event.block_hash & HASH_MASK
+            stored.pop(block, None)
+            stored[block] = event.stored
+        added = tuple(block for block, held in stored.items() if held)
+        removed = tuple(block for block, held in stored.items() if not held)
+        if not (reset or added or removed):
+            return None
+        return PrefixChange(reset, added, removed)
--- a/src/bellweir/routing/forwarding.py
+++ b/src/bellweir/routing/forwarding.py
@@ -97,15 +97,17 @@
         repeatable: bool,
         on_latency: Callable[[float], None],
         before_send: Callable[[], Refusal | None] = lambda: None,
+        used: set[str] | None = None,
     ) -> Result[ApplicationAnswer, Refusal]:
         """Try until an answer comes or no further attempt is allowed.
 
         `before_send` is asked before each attempt and may refuse it. What it says of the run
-        must hold for attempts that were proved not run, as those before it were.
+        must hold for attempts that were proved not run, as those before it were. Back ends in
+        `used` are avoided, and those tried are added to it.
         """
         attempts = RequestAttempts(runtime.budget, self._clock, deadline_s)
         while True:
-            backend = self._choose(runtime, attempts.tried)
+            backend = self._choose(runtime, attempts.tried | (used or set()))
             if backend is None and attempts.wait_for_backend(self._backends(runtime)):
                 continue
             if backend is None or self._clock.monotonic_s() >= deadline_s:
@@ -113,6 +115,8 @@
             refusal = before_send()
             if refusal is not None:
                 return Failure(refusal)
+            if used is not None:
+                used.add(backend.name)
             began_s = self._clock.monotonic_s()
             match self._attempt(request, body, backend, deadline_s):
                 case Success(answer):
--- a/src/bellweir/routing/messages.py
+++ b/src/bellweir/routing/messages.py
@@ -49,6 +49,19 @@
     entries: tuple[ReportEntry, ...]
 
 
+class PushPrefixes(Message, frozen=True):
+    """Hints of prompt blocks that an engine has stored or evicted since the last hint.
+
+    Blocks are packed, 4 bytes each, in the byte order of the machines (little-endian).
+    """
+
+    worker: str
+    reset: bool
+    """Whether earlier hints are void."""
+    added: bytes
+    removed: bytes
+
+
 def facts_of(report: BackendReport) -> ReportFacts:
     """The facts in a report."""
     return ReportFacts(
--- a/src/bellweir/routing/pool_runtime.py
+++ b/src/bellweir/routing/pool_runtime.py
@@ -6,24 +6,28 @@
 from bellweir.resources.models import BackendKind, ClassLimits, Pool, RequestClass
 from bellweir.routing.admission import APPLICATION_DRAFT_LIMITS, DEFAULT_CLASS_LIMITS, ClassGate
 from bellweir.routing.draft_room import DraftRoom
+from bellweir.routing.hedging import HedgePolicy
+from bellweir.routing.prefix_index import PrefixIndex
 from bellweir.routing.retry_budget import RetryBudget
 from bellweir.routing.strategies import make_strategy
 
 
 class PoolRuntime:
-    """Strategy, class gates, retry budget and waiting drafts of one pool."""
+    """Strategy, class gates, budgets and waiting drafts of one pool."""
 
-    def __init__(self, pool: Pool, clock: Clock) -> None:
+    def __init__(self, pool: Pool, clock: Clock, index: PrefixIndex) -> None:
         self.pool = pool
-        self.strategy = make_strategy(pool.spec.strategy)
+        self._index = index
+        self.strategy = make_strategy(pool.spec.strategy, index)
         self.budget = RetryBudget(pool.spec.retry_budget, clock.monotonic_s())
+        self.hedging = HedgePolicy()
         self.draft_room = DraftRoom(clock)
         self.gates = {kind: ClassGate(limits_of(pool, kind), clock) for kind in RequestClass}
 
     def reconfigure(self, pool: Pool) -> None:
         """Take over a changed spec; requests in hand keep their places."""
         if pool.spec.strategy != self.pool.spec.strategy:
-            self.strategy = make_strategy(pool.spec.strategy)
+            self.strategy = make_strategy(pool.spec.strategy, self._index)
         self.budget.ratio = pool.spec.retry_budget
         for kind, gate in self.gates.items():
             gate.reconfigure(limits_of(pool, kind))
@@ -33,8 +37,9 @@
 class PoolRuntimes:
     """The runtimes of all pools, made at first use."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, index: PrefixIndex) -> None:
         self._clock = clock
+        self._index = index
         self._lock = threading.Lock()
         self._runtimes: dict[str, PoolRuntime] = {}
 
@@ -47,7 +52,7 @@
         with self._lock:
             runtime = self._runtimes.get(name)
             if runtime is None:
-                runtime = PoolRuntime(pool, self._clock)
+                runtime = PoolRuntime(pool, self._clock, self._index)
                 self._runtimes[name] = runtime
             elif runtime.pool is not pool:
                 runtime.reconfigure(pool)
--- a/src/bellweir/routing/report_publisher.py
+++ b/src/bellweir/routing/report_publisher.py
@@ -84,6 +84,12 @@
                 return 0
             return sum(found.interactive for found in published.subscribers.values())
 
+    def subscribers_of(self, worker: str) -> list[str]:
+        """Addresses of the nodes that want reports of a back end."""
+        with self._lock:
+            published = self._published.get(worker)
+            return list(published.subscribers) if published is not None else []
+
     def publish(self, worker: str, report: BackendReport, now_s: float) -> None:
         """Take a probe's report; changed facts are sent at once, load at the next push."""
         facts = facts_of(report)
--- a/src/bellweir/routing/service.py
+++ b/src/bellweir/routing/service.py
@@ -21,6 +21,7 @@
 from bellweir.routing.forwarding import Forwarder, class_of, is_repeatable
 from bellweir.routing.generation import GenerationListener, RoutedGeneration
 from bellweir.routing.generation_attempt import GenerationRoute, GenerationStarter
+from bellweir.routing.hedging import Hedger
 from bellweir.routing.interface import (
     ApplicationRequest,
     Dispatcher,
@@ -34,11 +35,15 @@
 from bellweir.routing.once import OnceRequests
 from bellweir.routing.outcome_recorder import OutcomeRecorder
 from bellweir.routing.pool_runtime import PoolRuntime, PoolRuntimes
-from bellweir.routing.request_body import RequestBody
+from bellweir.routing.request_body import BodyTruncatedError, RequestBody
 from bellweir.routing.stream_watch import StreamWatch
 from bellweir.routing.views_service import BackendViewsService
 from bellweir.settings.models import Settings
 
+HEDGED_BODY_BYTES = 64 * 1024
+"""Longest body of a lookup that may be hedged: both attempts send it from memory."""
+HEDGED_RUNNING = 16
+"""Lookups running above which none is hedged: more load does not make a busy pool faster."""
 NOT_CONFIGURED = "no configuration has reached this node yet"
 
 _Served = TypeVar("_Served")
@@ -62,7 +67,6 @@
         self._kernel = kernel
         self._clock = kernel.clock
         self._counters = DispatchCounters()
-        self._runtimes = PoolRuntimes(kernel.clock)
         self._draft_share = settings.routing.draft_share
         self._watch = StreamWatch()
         self._draining = False
@@ -75,6 +79,7 @@
         clients = registry.find(names.PLATFORM, PlatformClients)  # type: ignore[type-abstract]
         self._configuration = registry.find(names.CONFIGURATION, Configuration)  # type: ignore[type-abstract]
         views = registry.find(names.BACKEND_VIEWS, BackendViewsService)
+        self._runtimes = PoolRuntimes(self._clock, views.prefixes.index)
         self._starter = GenerationStarter(
             views,
             self._runtimes,
@@ -85,6 +90,7 @@
             self._draft_share,
         )
         self._forwarder = Forwarder(views, self._runtimes, clients, self._clock, self._counters)
+        self._hedger = Hedger(self._kernel.executors)
         self._recorder = OutcomeRecorder(self._clock)
         self._once = OnceRequests(self._find_claims, self._recorder, self._clock)
         self._kernel.executors.run_task("claim-outcomes", self._recorder.run)
@@ -238,6 +244,8 @@
         deadline_s: float,
     ) -> Result[ApplicationAnswer, Refusal]:
         on_latency = runtime.gates[kind].note_latency
+        if kind is RequestClass.LOOKUP:
+            return self._look_up(request, runtime, deadline_s)
         if kind is not RequestClass.ONCE:
             body = RequestBody(request.body, request.body_length)
             repeatable = is_repeatable(request, kind, runtime.pool)
@@ -259,6 +267,38 @@
             ),
         )
 
+    def _look_up(
+        self, request: ApplicationRequest, runtime: PoolRuntime, deadline_s: float
+    ) -> Result[ApplicationAnswer, Refusal]:
+        """Forward a lookup, hedged when it is small and the node is not busy with others."""
+        body = RequestBody(request.body, request.body_length)
+        gate = runtime.gates[RequestClass.LOOKUP]
+        began_s = self._clock.monotonic_s()
+
+        def attempt(used: set[str]) -> Result[ApplicationAnswer, Refusal]:
+            return self._forwarder.forward(
+                request,
+                body,
+                runtime,
+                deadline_s,
+                repeatable=True,
+                on_latency=gate.note_latency,
+                used=used,
+            )
+
+        delay_s = runtime.hedging.delay_s
+        small = body.length is not None and body.length <= HEDGED_BODY_BYTES
+        if delay_s is None or not small or gate.running > HEDGED_RUNNING:
+            answered = attempt(set())
+        else:
+            try:
+                body.read_whole(HEDGED_BODY_BYTES)
+            except BodyTruncatedError as failure:
+                return Failure(_refused(RefusalReason.INVALID, f"body: {failure}", None))
+            answered = self._hedger.run(attempt, runtime.hedging, delay_s)
+        runtime.hedging.sample(self._clock.monotonic_s() - began_s)
+        return answered
+
     def _held(self, answer: ApplicationAnswer, admission: _Admission) -> ApplicationAnswer:
         def on_end(failure: BaseException | None) -> None:
             self._counters.count_outcome(COMPLETED if failure is None else "cut")
--- a/src/bellweir/routing/strategies.py
+++ b/src/bellweir/routing/strategies.py
@@ -3,10 +3,12 @@
 import itertools
 import random
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from bellweir.routing.backend import Backend
 from bellweir.routing.pool_workers import OTHER_REGION, SAME_REGION, SAME_ZONE
+from bellweir.routing.prefix_index import PrefixIndex, prompt_blocks
+from bellweir.routing.rendezvous import score
 
 CANDIDATES = 3
 """Back ends compared for one request in large subsets. Comparing all of them sends every node
@@ -17,6 +19,10 @@
 DISTANCE_COST = {SAME_ZONE: 0.0, SAME_REGION: 0.5, OTHER_REGION: 4.0}
 """Cost of distance, in requests outstanding."""
 
+LOAD_SLACK = 8.0
+"""Requests that an engine may have more than the least loaded one and still be chosen for what
+it holds: a prefill saved is worth a short wait, not a hot spot."""
+
 
 class Strategy(ABC):
     """Chooses a back end; one instance for each pool, thread-safe."""
@@ -45,6 +51,35 @@
         return min(sample(usable), key=lambda backend: (cost(backend), random.random()))
 
 
+class PrefixAware(Strategy):
+    """The engine thought to hold most of the prompt's start, unless it is much busier.
+
+    Engines within `LOAD_SLACK` requests of the least loaded one compete by matched blocks. Ties,
+    such as a start that nobody holds, go by rendezvous hash of the first block, so that all
+    nodes bring one prefix to one engine without asking each other.
+    """
+
+    def __init__(self, index: PrefixIndex) -> None:
+        self._index = index
+
+    def choose(self, usable: Sequence[Backend], prompt: str | None) -> Backend:
+        """Choose by matched blocks among those not much busier than the least loaded."""
+        blocks = prompt_blocks(prompt) if prompt else ()
+        if not blocks:
+            return min(sample(usable), key=lambda backend: (cost(backend), random.random()))
+        costs = [cost(backend) for backend in usable]
+        bound = min(costs) + LOAD_SLACK
+        eligible = [backend for backend, load in zip(usable, costs, strict=True) if load <= bound]
+        matched = self._index.matched([backend.key for backend in eligible], blocks)
+        first = str(blocks[0])
+        chosen = max(
+            zip(matched, eligible, strict=True),
+            key=lambda pair: (pair[0], score(first, pair[1].name)),
+        )[1]
+        self._index.add(chosen.key, blocks)
+        return chosen
+
+
 def sample(usable: Sequence[Backend]) -> Sequence[Backend]:
     """The candidates to compare."""
     if len(usable) <= COMPARE_ALL_UP_TO:
@@ -57,13 +92,16 @@
     return backend.load() + DISTANCE_COST[backend.distance]
 
 
-STRATEGIES: dict[str, type[Strategy]] = {
-    "round_robin": RoundRobin,
-    "least_outstanding": LeastOutstanding,
-    "prefix_aware": LeastOutstanding,
+PREFIX_AWARE = "prefix_aware"
+
+STRATEGIES: dict[str, Callable[[PrefixIndex], Strategy]] = {
+    "round_robin": lambda _: RoundRobin(),
+    "least_outstanding": lambda _: LeastOutstanding(),
+    PREFIX_AWARE: PrefixAware,
 }
 
 
-def make_strategy(name: str) -> Strategy:
+def make_strategy(name: str, index: PrefixIndex) -> Strategy:
     """Make a strategy; an unknown name gives `least_outstanding`."""
-    return STRATEGIES.get(name, LeastOutstanding)()
+    make = STRATEGIES.get(name)
+    return make(index) if make is not None else LeastOutstanding()
--- a/src/bellweir/routing/views_service.py
+++ b/src/bellweir/routing/views_service.py
@@ -17,14 +17,17 @@
 from bellweir.kernel.service import Service
 from bellweir.membership.interface import Ownership
 from bellweir.platform.interface import PlatformClients
+from bellweir.resources.models import BackendKind
 from bellweir.routing.backend import Backend, BackendReport, unreachable_report
 from bellweir.routing.interface import BackendView, BackendViews
-from bellweir.routing.messages import PushReports, SubscribeReports
+from bellweir.routing.messages import PushPrefixes, PushReports, SubscribeReports
 from bellweir.routing.pool_table import PoolBackends, PoolTable
 from bellweir.routing.pool_workers import Location, PoolWorker, workers_of
+from bellweir.routing.prefix_hints import PrefixHints
 from bellweir.routing.probing import probe
 from bellweir.routing.report_publisher import HEARTBEAT_S, ReportPublisher
 from bellweir.routing.report_subscriber import ReportSubscriber
+from bellweir.routing.strategies import PREFIX_AWARE
 from bellweir.settings.models import Settings
 from bellweir.wire.interface import Message, Sender, Transport
 
@@ -45,12 +48,14 @@
         self._node = node.name
         self._table = PoolTable(Location(node.name, node.zone, node.region), settings.routing)
         self._workers: dict[str, PoolWorker] = {}
+        self._prefix_pools: set[str] = set()
         self._probing: set[str] = set()
         self._probing_lock = threading.Lock()
         self._wake = threading.Event()
         self._transport: Transport
         self._publisher = ReportPublisher(self._send, settings.routing.report_period_s)
         self._subscriber = ReportSubscriber(self._send)
+        self.prefixes = PrefixHints(self._send, settings.routing.report_period_s)
 
     def start(self) -> None:
         """Follow the configuration, serve reports and begin to probe."""
@@ -60,6 +65,7 @@
         self._transport = registry.find(names.TRANSPORT, Transport)  # type: ignore[type-abstract]
         self._transport.register(SubscribeReports, self._on_subscription)
         self._transport.register(PushReports, self._on_reports)
+        self._transport.register(PushPrefixes, self._on_prefixes)
         configuration = registry.find(names.CONFIGURATION, Configuration)  # type: ignore[type-abstract]
         configuration.subscribe(self._on_configuration)
         self._kernel.executors.run_task("backend-probes", self._run)
@@ -89,7 +95,14 @@
             for pool in snapshot.pools.values()
             for worker in workers_of(pool, snapshot.machines)
         }
-        self._subscriber.forget_all_but(set(self._table.by_key()))
+        routed = set(self._table.by_key())
+        self._subscriber.forget_all_but(routed)
+        self.prefixes.keep_only(routed, set(self._workers))
+        self._prefix_pools = {
+            name
+            for name, pool in snapshot.pools.items()
+            if pool.spec.strategy == PREFIX_AWARE and pool.spec.kind is BackendKind.ENGINE
+        }
         self._wake.set()
 
     def _on_subscription(self, sender: Sender, message: SubscribeReports) -> None:
@@ -102,6 +115,9 @@
             if backend is not None:
                 backend.take_report(report)
 
+    def _on_prefixes(self, _sender: Sender, message: PushPrefixes) -> None:
+        self.prefixes.take(message)
+
     # --- the task -----------------------------------------------------------------------------
 
     def _run(self, stopping: threading.Event) -> None:
@@ -156,6 +172,10 @@
         if backend is not None:
             backend.take_report(replace(report, interactive=others))
         self._publisher.publish(worker.key, report, self._now_s())
+        if worker.pool in self._prefix_pools and self._ownership.owns(worker.name):
+            engine = self._clients.engine(worker.address)
+            subscribers = self._publisher.subscribers_of(worker.key)
+            self.prefixes.read(worker.key, engine, self._now_s(), subscribers)
 
     def _take_failure(self, worker: PoolWorker, backend: Backend | None) -> None:
         now_s = self._now_s()
