Read a whole stream's end marker, and leave nothing in hand at its last chunk

Change: the end marker is read when the caller comes back or goes; ending a generation always ends its attempt's hold. A scenario reads up to the finish reason only.

--- a/features/routing_dispatch.feature
+++ b/features/routing_dispatch.feature
@@ -50,6 +50,11 @@
     When routing's callers stop reading 3 streams at their last chunks
     Then routing has nothing in hand
 
+  Scenario: A caller that stops reading at the finish reason leaves nothing in hand
+    When routing's caller reads a stream up to its finish reason only
+    Then routing has nothing in hand
+    And routing has read that stream to its end and cancelled nothing
+
   Scenario: A planned stop refuses new work and ends the work in hand
     When routing drains while a stream is running
     Then routing refuses a new request as draining and not run
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -471,3 +471,18 @@
     trial = next(backend for backend in backends if backend.name == context.trial)
     assert trial.in_flight == 1
     assert trial.permits(time.monotonic())
+
+
+@when("routing's caller reads a stream up to its finish reason only")
+def step_stop_at_finish(context):
+    chunks = iter(context.node.generate(context.cluster.generation_request()).unwrap())
+    while next(chunks).unwrap().finish_reason is None:
+        pass
+    chunks.close()
+
+
+@then("routing has read that stream to its end and cancelled nothing")
+def step_read_to_end(context):
+    engines = context.cluster.engines
+    assert sum(engine.read_to_end for engine in engines) == 1
+    assert not any(engine.cancelled for engine in engines)
--- a/features/support/routing_fakes.py
+++ b/features/support/routing_fakes.py
@@ -130,6 +130,8 @@
     frozen: bool = False
     """Whether probes get no answer either."""
     swap_refusals: int = 0
+    read_to_end: int = 0
+    """Streams of which the end marker was read."""
     maximum_batch: int = 64
 
     def generate(self, call):
@@ -188,6 +190,7 @@
             token = token_of(self._call.prompt, position)
             reason = FinishReason.LENGTH if last else None
             yield Success(TokenChunk((token,), f" {token}", self._engine.version, reason))
+        self._engine.read_to_end += 1
 
     def close(self):
         self._closed.set()
--- a/src/bellweir/routing/generation.py
+++ b/src/bellweir/routing/generation.py
@@ -120,7 +120,8 @@
             attempt = self._attempt
             progress = len(self._had)
             error = CUT
-            for item in self._read(attempt):
+            chunks = self._read(attempt)
+            for item in chunks:
                 if self._cancelled:
                     return
                 match item:
@@ -129,11 +130,9 @@
                             error = GIVEN_UP  # not asked for here
                             break
                         if chunk.finish_reason is not None:
-                            # Before the yield: nobody has to ask for more after the last chunk.
-                            attempt.hold.succeed()
-                        yield Success(self._accept(chunk, attempt))
-                        if chunk.finish_reason is not None:
+                            yield from self._last(chunk, attempt, chunks)
                             return
+                        yield Success(self._accept(chunk, attempt))
                         if self._past_deadline():
                             yield Failure(self._give_up(attempt))
                             return
@@ -155,6 +154,19 @@
                 yield Failure(refusal)
                 return
 
+    def _last(
+        self,
+        chunk: TokenChunk,
+        attempt: RunningAttempt,
+        chunks: Iterator[Result[TokenChunk, PlatformError]],
+    ) -> Iterator[Result[GenerationChunk, Refusal]]:
+        """End the attempt, then pass its last chunk on: nobody has to ask for more after it."""
+        attempt.hold.succeed()
+        try:
+            yield Success(self._accept(chunk, attempt))
+        finally:
+            next(chunks, None)  # the end marker, so that the connection can be kept
+
     def _read(self, attempt: RunningAttempt) -> Iterator[Result[TokenChunk, PlatformError]]:
         """The attempt's stream, noting when it is the engine that is waited for."""
         self._attempt_tokens = 0
@@ -261,4 +273,5 @@
             attempt = self._attempt
         if outcome == CANCELLED:
             self._starter.cancel(attempt)
+        attempt.hold.abandon()  # nothing to do when it has ended, as it should have
         self._listener.on_end(outcome)
