Never reuse a connection after HEAD, and frame a request once

A server that sends a body to HEAD leaves it on the connection; arriving late it was taken for the next request's answer. The test sends it late and fails without the change. Framing headers that come with an application request are dropped: the client sets its own.

--- a/features/platform_application.feature
+++ b/features/platform_application.feature
@@ -55,6 +55,15 @@
     When a platform application request is sent to that server
     Then the platform application answer has status 503
 
+  Scenario: A platform application answer to HEAD leaves nothing for the next request
+    Given a platform server that sends a body to HEAD as well
+    When a platform application HEAD is sent, and then a GET
+    Then the platform application answer to GET is its own
+
+  Scenario: A platform application request is framed once, whatever headers it brings
+    When a platform application request is sent with framing headers of its own
+    Then the platform application worker receives one length and no transfer encoding
+
   Scenario: Repeated headers of a platform application request and answer are kept
     When a platform application request is sent with two cookies and two accepted types
     Then the platform application worker receives both values of each
--- a/features/steps/platform_application_steps.py
+++ b/features/steps/platform_application_steps.py
@@ -31,6 +31,7 @@
 from bellweir_rehearsal.standins.catalogue import encode_options
 from bellweir_rehearsal.standins.faults import FaultKind, FaultOrder
 from bellweir_rehearsal.standins.records import WorkRefused
+from support.lossy_server import LossPoint, LossyServer
 
 TIMEOUT_S = 20.0
 
@@ -260,6 +261,59 @@
     assert context.result.unwrap().status == status
 
 
+class HeadServer(LossyServer):
+    """Numbers its answers; the first one, to HEAD, has a body that comes late."""
+
+    def __init__(self):
+        super().__init__(LossPoint.BEFORE_READING)
+
+    def _serve(self, connection):
+        late = b""
+        try:
+            while True:
+                self._read_request(connection)
+                body = b"answer %d" % self.requests_read
+                head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+                first = self.requests_read == 1
+                connection.sendall(late + head + (b"" if first else body))
+                late = body if first else b""
+        except OSError:
+            self._close(connection)
+
+
+@given("a platform server that sends a body to HEAD as well")
+def step_head_server(context):
+    context.server = HeadServer()
+    context.cleanup.callback(context.server.stop)
+
+
+@when("a platform application HEAD is sent, and then a GET")
+def step_head_and_get(context):
+    application = context.clients.application(context.server.address)
+    context.bodies = []
+    for method in ("HEAD", "GET"):
+        answer = application.send(call(method=method, body=b"")).unwrap()
+        context.bodies.append(b"".join(answer.body))
+
+
+@then("the platform application answer to GET is its own")
+def step_own_answer(context):
+    assert context.bodies == [b"", b"answer 2"], context.bodies
+
+
+@when("a platform application request is sent with framing headers of its own")
+def step_framing_headers(context):
+    headers = (("content-length", "1"), ("transfer-encoding", "chunked"))
+    answer = context.application.send(call(path="/headers", headers=headers)).unwrap()
+    context.received = json.loads(b"".join(answer.body))
+
+
+@then("the platform application worker receives one length and no transfer encoding")
+def step_one_length(context):
+    assert context.received["content-length"] == "4"
+    assert "transfer-encoding" not in context.received
+
+
 @when("a platform application request is sent with two cookies and two accepted types")
 def step_repeated_headers(context):
     headers = (("Cookie", "a=1"), ("Accept", "x/y"), ("cookie", "b=2"), ("accept", "z/w"))
--- a/src/bellweir/platform/application.py
+++ b/src/bellweir/platform/application.py
@@ -27,6 +27,8 @@
 """On any answer: the worker is leaving."""
 STATE_PATH = "/-/state"
 STATUS_UNAVAILABLE = 503
+FRAMING_HEADERS = ("Content-Length", "Transfer-Encoding")
+"""Set by the client itself from the body; a second framing could split a request in two."""
 LIST_SEPARATOR = ", "
 """Joins the values of a repeated header (RFC 9110, section 5.3)."""
 COOKIE_SEPARATOR = "; "
@@ -60,7 +62,8 @@
         key = _canonical(name)
         separator = COOKIE_SEPARATOR if key == "Cookie" else LIST_SEPARATOR
         merged[key] = f"{merged[key]}{separator}{value}" if key in merged else value
-    merged.pop("Content-Length", None)
+    for name in FRAMING_HEADERS:
+        merged.pop(name, None)
     merged[ATTEMPT_HEADER] = call.attempt_id
     if call.body_length:
         merged["Content-Length"] = str(call.body_length)
--- a/src/bellweir/platform/open_answer.py
+++ b/src/bellweir/platform/open_answer.py
@@ -27,9 +27,12 @@
 class OpenAnswer:
     """An answer whose headers have been read; the body is read from it."""
 
-    def __init__(self, connection: CountingConnection, owner: ConnectionOwner) -> None:
+    def __init__(
+        self, connection: CountingConnection, owner: ConnectionOwner, *, reusable: bool = True
+    ) -> None:
         self._connection = connection
         self._owner = owner
+        self._reusable = reusable
         self._response: http.client.HTTPResponse | None = None
         self._lock = threading.Lock()
         self._released = False
@@ -96,7 +99,7 @@
     def finish(self) -> None:
         """Give the connection back when the answer was read to its end, else close it."""
         whole = self._response is not None and self._response.isclosed()
-        if not whole or self.response.will_close:
+        if not whole or self.response.will_close or not self._reusable:
             self.drop()
         elif self._release():
             self._owner.give_back(self._connection)
--- a/src/bellweir/platform/pool.py
+++ b/src/bellweir/platform/pool.py
@@ -98,7 +98,9 @@
             connection = self._take(deadline_s)
         except OSError as failure:
             return Failure(PlatformError(ErrorKind.NOT_RUN, f"no connection: {failure}"))
-        answer = OpenAnswer(connection, self)
+        # Some servers send a body to HEAD: left on the connection, it would be taken for the
+        # answer to the next request.
+        answer = OpenAnswer(connection, self, reusable=call.method != "HEAD")
         try:
             connection.request(call.method, call.path, _as_sent(body), dict(call.headers))
             connection.flush()
--- a/src/bellweir_rehearsal/standins/base.py
+++ b/src/bellweir_rehearsal/standins/base.py
@@ -170,6 +170,9 @@
         if isinstance(response.body, bytes):
             headers.append(("Content-Length", str(len(response.body))))
         start_response(f"{response.status} {HTTPStatus(response.status).phrase}", headers)
+        if request.method == "HEAD":
+            _close(response.body)
+            return []
         return [response.body] if isinstance(response.body, bytes) else response.body
 
     def _answer(self, request: Request) -> Response:
@@ -212,8 +215,7 @@
         call = (request.method, request.path)
         if self.faults.take(FaultKind.ANSWER_LOST, *call):
             self._log_dropped(request)
-            if isinstance(response.body, StreamBody):
-                response.body.close()
+            _close(response.body)
             raise ClientDisconnected
         if isinstance(response.body, bytes) and self.faults.take(FaultKind.ANSWER_CUT, *call):
             self._log_dropped(request)
@@ -272,6 +274,11 @@
     return Response(STATUS_OF_ERROR[refused.kind], body, headers)
 
 
+def _close(body: bytes | StreamBody) -> None:
+    if isinstance(body, StreamBody):
+        body.close()
+
+
 def _half(body: bytes) -> Iterator[bytes]:
     yield body[: max(1, len(body) // 2)]
     raise ClientDisconnected
