--- a/features/steps/platform_outcomes_steps.py
+++ b/features/steps/platform_outcomes_steps.py
@@ -168,7 +168,7 @@
 
 @then("over losses at any point, by any way of closing, platform outcomes agree with the server")
 def step_property(context):
-    @settings(max_examples=40)
+    @settings(max_examples=25)
     @for_all(
         point=st.sampled_from(LossPoint),
         chunked=st.booleans(),
@@ -216,7 +216,7 @@
         st.builds(chunked_answer, body),
     )
 
-    @settings(max_examples=40)
+    @settings(max_examples=25)
     @for_all(answer=answer)
     def check(answer):
         server = FixedServer(answer)
