Call listeners on a task of their own

A listener that took its time held up the node's task, and with it the spreading of the next change: with all listeners of a zone waiting, a second change came into force nowhere but at the reader (30 s, then given up). Listeners now have a task of their own, and the change is in force at once.

--- a/features/configuration_cluster.feature
+++ b/features/configuration_cluster.feature
@@ -53,3 +53,11 @@
     Then every control node has the platform's machine list in force
     When a control node starts that knows nobody but the machine list
     Then every control node sees 5 members
+
+  Scenario: A listener that takes its time holds up no change on other nodes
+    Given a control cluster of 3 nodes in 1 zones
+    And a listener of every control node that waits until it is let go
+    When a policy is created, the control listeners wait, and another policy is created
+    Then the newest revision comes into force on every control node
+    When the control nodes' listeners are let go
+    Then no control node's listener saw a revision go back
--- a/features/steps/configuration_cluster_steps.py
+++ b/features/steps/configuration_cluster_steps.py
@@ -1,3 +1,4 @@
+import threading
 from concurrent.futures import ThreadPoolExecutor
 
 from behave import given, then, when
@@ -257,3 +258,30 @@
 def step_members(context, count):
     context.control.wait_for_members()
     assert len(any_node(context).membership.members()) == count
+
+
+@given("a listener of every control node that waits until it is let go")
+def step_slow_listeners(context):
+    context.let_go = threading.Event()
+    context.cleanup.callback(context.let_go.set)
+    context.waiting = []
+
+    def listen(snapshot):
+        if snapshot.policies:
+            context.waiting.append(snapshot.revision)
+            context.let_go.wait(60.0)
+
+    for node in context.control.alive():
+        node.configuration.subscribe(listen)
+
+
+@when("a policy is created, the control listeners wait, and another policy is created")
+def step_create_two(context):
+    any_node(context).resources.create(policy("first")).unwrap()
+    context.wait_until(lambda: len(context.waiting) == 3, "every listener waits")
+    any_node(context).resources.create(policy("second")).unwrap()
+
+
+@when("the control nodes' listeners are let go")
+def step_let_go(context):
+    context.let_go.set()
--- a/src/bellweir/configuration/core.py
+++ b/src/bellweir/configuration/core.py
@@ -17,7 +17,7 @@
 from dataclasses import dataclass
 
 from bellweir.configuration.catch_up import CatchUp
-from bellweir.configuration.interface import ConfigurationListener, ConfigurationSnapshot
+from bellweir.configuration.interface import ConfigurationListener
 from bellweir.configuration.messages import (
     NOT_LOADED,
     ConfigurationAnnouncement,
@@ -32,7 +32,7 @@
 from bellweir.configuration.revision_reports import RevisionReports
 from bellweir.configuration.snapshots import SnapshotChunks
 from bellweir.configuration.state import ConfigurationState
-from bellweir.configuration.subscription import Subscription
+from bellweir.configuration.subscription import Subscriptions
 from bellweir.configuration.table import ApplyOutcome
 from bellweir.kernel.clock import Clock
 from bellweir.membership.interface import Member, Membership, MemberState
@@ -81,8 +81,8 @@
         self._wake = threading.Event()
         self._lock = threading.Lock()
         self._hint: _Hint | None = None
-        self._subscriptions: list[Subscription] = []
-        self._notified: ConfigurationSnapshot | None = None
+        self._subscriptions = Subscriptions(self._node)
+        self.notifies_in_step = True
         self._forwarded = dict.fromkeys(TableName, NOT_LOADED)
         self._next_exchange_s = 0.0
 
@@ -98,13 +98,8 @@
         self._membership.subscribe(self._on_member)
 
     def subscribe(self, listener: ConfigurationListener) -> None:
-        """Call `listener` on the core's task with each newest snapshot."""
-        subscription = Subscription(self._node, listener)
-        with self._lock:
-            self._subscriptions.append(subscription)
-            snapshot = self._notified
-        if snapshot is not None:
-            subscription.deliver(snapshot)
+        """Call `listener` with each newest snapshot; see `notify`."""
+        self._subscriptions.add(listener)
 
     def run(self, stopping: threading.Event) -> None:
         """The core's one task, until `stopping` is set and `wake` called."""
@@ -126,13 +121,15 @@
     def step(self) -> float:
         """Do all that is due; the seconds until the next step."""
         self._forward_all()
-        self._notify()
+        if self.notifies_in_step:
+            self.notify()
         self._follow_hint()
         if self._clock.monotonic_s() >= self._next_exchange_s:
             self._exchange_with_random_peer()
             self._next_exchange_s = self._clock.monotonic_s() + self._exchange_period_s()
         self._forward_all()
-        self._notify()
+        if self.notifies_in_step:
+            self.notify()
         self.reports.send_due()
         return self._delay_s()
 
@@ -196,15 +193,14 @@
     def _announcement(self) -> ConfigurationAnnouncement:
         return ConfigurationAnnouncement(*self.state.positions())
 
-    def _notify(self) -> None:
-        snapshot = self.state.current()
-        if not self.state.loaded or snapshot is self._notified:
-            return
-        with self._lock:
-            self._notified = snapshot
-            subscriptions = tuple(self._subscriptions)
-        for subscription in subscriptions:
-            subscription.deliver(snapshot)
+    def notify(self) -> None:
+        """Call the listeners when there is a newer snapshot.
+
+        Part of each step, unless `notifies_in_step` is off because a task of its own does it:
+        then no slow listener holds up the spreading of a change.
+        """
+        if self.state.loaded:
+            self._subscriptions.deliver(self.state.current())
 
     def _follow_hint(self) -> None:
         with self._lock:
--- a/src/bellweir/configuration/revision_reports.py
+++ b/src/bellweir/configuration/revision_reports.py
@@ -31,6 +31,8 @@
 KEPT_COUNTS = 8
 """Different revisions in one zone's report; the higher ones are counted as the last of them."""
 KEPT_NAMES = 4
+LONGEST_MEMORY = 4096
+"""Nodes remembered by a reader."""
 
 
 @dataclass(frozen=True)
@@ -165,9 +167,9 @@
     def _take(self, report: RevisionReport) -> None:
         with self._lock:
             self._nodes[report.node] = report.revision
-            gone = [name for name in self._nodes if self._membership.member(name) is None]
-            for name in gone:
-                del self._nodes[name]
+            if len(self._nodes) > LONGEST_MEMORY:
+                # Names of nodes long gone: those that live report again.
+                self._nodes.clear()
 
     def _take_zone(self, report: ZoneRevisionReport) -> None:
         with self._lock:
--- a/src/bellweir/configuration/service.py
+++ b/src/bellweir/configuration/service.py
@@ -36,6 +36,8 @@
 """A node reads only once it has been the zone's reader for so long, in seconds."""
 JOIN_HOLD_OFF_S = 2.0
 """A node with seeds that knows no other member yet waits so long before it reads, in seconds."""
+LISTENERS_CHECK_S = 0.5
+"""Longest wait for a change before the listeners' task looks whether it shall stop, in seconds."""
 STOP_TIMEOUT_S = 8.0
 SUGGESTED_SEEDS = 8
 """Nodes of the machine list that the membership is told of, so that a lone node finds others."""
@@ -73,6 +75,8 @@
         run_task = self._kernel.executors.run_task
         core = self._core
         self._tasks.append(run_task("configuration", lambda _: core.run(self._stop)))
+        self._core.notifies_in_step = False
+        self._tasks.append(run_task("configuration-listeners", lambda _: self._call_listeners()))
         if self._settings.platform.object_api is not None:
             self._tasks.append(run_task("configuration-role", lambda _: self._watch_role()))
 
@@ -96,7 +100,7 @@
         return self._started_core().state.wait_for(revision, timeout_s)
 
     def subscribe(self, listener: ConfigurationListener) -> None:
-        """Call `listener` with each newest snapshot, on the configuration's task."""
+        """Call `listener` with each newest snapshot, on the listeners' task."""
         self._started_core().subscribe(listener)
 
     def revision(self) -> int:
@@ -127,6 +131,13 @@
             raise RuntimeError("the configuration service has not started")
         return self._core
 
+    def _call_listeners(self) -> None:
+        core = self._started_core()
+        while not self._stop.is_set():
+            snapshot = core.state.current()
+            core.notify()
+            core.state.wait_for_other(snapshot, LISTENERS_CHECK_S)
+
     def _suggest_seeds(self, snapshot: ConfigurationSnapshot) -> None:
         """Give the membership a few nodes of a new machine list to try; it trusts none of them."""
         if snapshot.machines_revision == self._seeded_revision:
--- a/src/bellweir/configuration/snapshots.py
+++ b/src/bellweir/configuration/snapshots.py
@@ -1,6 +1,7 @@
 """Whole tables cut into chunks for peers that are too far behind for an update."""
 
 import threading
+from collections import deque
 from dataclasses import dataclass
 
 from bellweir.configuration.messages import (
@@ -13,6 +14,8 @@
 
 CHUNK_BYTES = 64 << 10
 """Documents in one chunk, in bytes; one larger document has a chunk of its own."""
+KEPT_CUTS = 3
+"""Snapshots held for peers that are reading them while the table goes on."""
 
 
 @dataclass(frozen=True)
@@ -22,34 +25,36 @@
 
 
 class SnapshotChunks:
-    """Serves chunks of the last snapshot that a peer began with.
+    """Serves chunks of the last few snapshots that peers began with.
 
     A peer that asks for a chunk of another revision gets the first chunk of the newest one and
-    starts over: it never mixes two revisions.
+    starts over: it never mixes two revisions. Snapshots share their documents.
     """
 
     def __init__(self, state: ConfigurationState) -> None:
         self._state = state
         self._lock = threading.Lock()
-        self._cuts: dict[TableName, _Cut] = {}
+        self._cuts: dict[TableName, deque[_Cut]] = {
+            table: deque(maxlen=KEPT_CUTS) for table in TableName
+        }
 
     def first(self, table: TableName) -> ConfigurationSnapshotChunk:
         """The first chunk of the table as it is now."""
         position, entries = self._state.entries(table)
         with self._lock:
-            cut = self._cuts.get(table)
-            if cut is None or cut.position != position:
-                cut = _Cut(position, _chunks_of(entries))
-                self._cuts[table] = cut
+            cuts = self._cuts[table]
+            if not cuts or cuts[-1].position != position:
+                cuts.append(_Cut(position, _chunks_of(entries)))
+            cut = cuts[-1]
         return _message(table, cut, 0)
 
     def chunk(self, table: TableName, revision: int, index: int) -> ConfigurationSnapshotChunk:
         """A further chunk; the first of the newest when the revision is no longer held."""
         with self._lock:
-            cut = self._cuts.get(table)
-        if cut is None or cut.position.revision != revision or not 0 <= index < len(cut.chunks):
+            held = [cut for cut in self._cuts[table] if cut.position.revision == revision]
+        if not held or not 0 <= index < len(held[-1].chunks):
             return self.first(table)
-        return _message(table, cut, index)
+        return _message(table, held[-1], index)
 
 
 def _message(table: TableName, cut: _Cut, index: int) -> ConfigurationSnapshotChunk:
--- a/src/bellweir/configuration/state.py
+++ b/src/bellweir/configuration/state.py
@@ -67,6 +67,11 @@
                 lambda: table.loaded and table.revision >= revision, timeout_s
             )
 
+    def wait_for_other(self, snapshot: ConfigurationSnapshot, timeout_s: float) -> None:
+        """Wait until another snapshot than this one is in force."""
+        with self._changed:
+            self._changed.wait_for(lambda: self._snapshot is not snapshot, timeout_s)
+
     def apply(self, update: ConfigurationUpdate) -> ApplyOutcome:
         """Apply a peer's update."""
         table = self._tables[update.table]
--- a/src/bellweir/configuration/subscription.py
+++ b/src/bellweir/configuration/subscription.py
@@ -1,4 +1,4 @@
-"""One listener of the configuration, called with ever newer snapshots."""
+"""Listeners of the configuration, called with ever newer snapshots."""
 
 import threading
 
@@ -34,3 +34,32 @@
 
 def _is_older(snapshot: ConfigurationSnapshot, than: ConfigurationSnapshot) -> bool:
     return snapshot.revision < than.revision or snapshot.machines_revision < than.machines_revision
+
+
+class Subscriptions:
+    """All listeners of one node."""
+
+    def __init__(self, node: str) -> None:
+        self._node = node
+        self._lock = threading.Lock()
+        self._subscriptions: list[Subscription] = []
+        self._latest: ConfigurationSnapshot | None = None
+
+    def add(self, listener: ConfigurationListener) -> None:
+        """Call `listener` with each newest snapshot, and at once when there is one."""
+        subscription = Subscription(self._node, listener)
+        with self._lock:
+            self._subscriptions.append(subscription)
+            snapshot = self._latest
+        if snapshot is not None:
+            subscription.deliver(snapshot)
+
+    def deliver(self, snapshot: ConfigurationSnapshot) -> None:
+        """Call all listeners, unless they have had this snapshot."""
+        with self._lock:
+            if snapshot is self._latest:
+                return
+            self._latest = snapshot
+            subscriptions = tuple(self._subscriptions)
+        for subscription in subscriptions:
+            subscription.deliver(snapshot)
