Watch a slow store for longer at a time

Opening a watch on a store that takes 3 s for each call left the reader blind for three quarters of the time, as each watch lasted 1 s. It now lasts three times as long as opening it took, 5 s at most.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -51,3 +51,10 @@
     When a fresh configuration node joins the zone
     Then the fresh configuration node has that revision in force
     And no configuration message was longer than 200000 bytes
+
+  Scenario: A store that is slow to open watches is watched for longer each time
+    Given a configuration reader before a store that takes 1.5 seconds to open a watch
+    When the configuration reader watches the quiet store 2 times
+    Then the configuration reader's watches were meant to last 1.0 and 4.5 seconds
+    When the configuration's store is fast again and the reader watches it 2 times
+    Then the configuration reader's watches were meant to last 4.5 and 1.0 seconds
--- a/src/bellweir/configuration/reader.py
+++ b/src/bellweir/configuration/reader.py
@@ -26,8 +26,13 @@
     StoredObject,
 )
 
-WATCH_TIMEOUT_S = 1.0
+SHORTEST_WATCH_S = 1.0
 """A watch without a change is renewed after this time, in seconds; a stop waits as long."""
+LONGEST_WATCH_S = 5.0
+"""The same while the store is slow to open a watch."""
+WATCH_TO_OVERHEAD = 3.0
+"""A watch lasts at least this many times as long as opening it takes, so that a slow store is
+watched most of the time."""
 RETRY_SHORTEST_S = 0.1
 RETRY_LONGEST_S = 2.0
 
@@ -59,6 +64,7 @@
         self._is_reader = is_reader
         self._retry_s = RETRY_SHORTEST_S
         self._reported_unavailable = False
+        self._watch_s = SHORTEST_WATCH_S
         self._listed = state.loaded
         """A configuration learnt from peers is as good a start for a watch as a list."""
 
@@ -114,7 +120,9 @@
 
     def _watch(self, stopping: threading.Event) -> PlatformError | None:
         """Follow changes after the revision in force, for one watch; how it failed, if it did."""
-        for event in self._store.watch(self._revision(), WATCH_TIMEOUT_S):
+        started_s, quiet = self._clock.monotonic_s(), True
+        for event in self._store.watch(self._revision(), self._watch_s):
+            quiet = False
             match event:
                 case Success(change):
                     self._apply(change)
@@ -125,8 +133,14 @@
             if not self._goes_on(stopping):
                 return None
         self._succeeded()
+        if quiet:
+            self._adapt(self._clock.monotonic_s() - started_s - self._watch_s)
         return None
 
+    def _adapt(self, overhead_s: float) -> None:
+        """Choose the length of the next watch by what opening the last one took."""
+        self._watch_s = min(LONGEST_WATCH_S, max(SHORTEST_WATCH_S, WATCH_TO_OVERHEAD * overhead_s))
+
     def _apply(self, change: ObjectChange) -> None:
         # A peer may have brought this change first: `append` refuses it then, as it is old.
         entry = change_of(change.stored, deleted=change.deleted, revision=change.revision)
--- a/src/bellweir/resources/writer.py
+++ b/src/bellweir/resources/writer.py
@@ -13,6 +13,7 @@
 
 import uuid
 from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Any
 
 from returns.result import Failure, Result, Success
@@ -44,6 +45,16 @@
     return {**document, "metadata": metadata}
 
 
+@dataclass(frozen=True)
+class _Write:
+    """A write under way."""
+
+    document: Mapping[str, Any]
+    base: StoredObject | None
+    """What it replaces; None for a creation."""
+    mutation: str
+
+
 class CompareAndSetWriter:
     """Writes and deletes objects of the store."""
 
@@ -55,9 +66,8 @@
     ) -> Result[StoredObject, ResourceError]:
         """Write a document over `base`, or create it when there is none."""
         mutation = uuid.uuid4().hex
-        written = _with_mutation(document, base, mutation)
-        expected = 0 if base is None else base.version
-        answer: Result[StoredObject, PlatformError] = self._store.put(written, expected, mutation)
+        write = _Write(_with_mutation(document, base, mutation), base, mutation)
+        answer = self._send(write)
         lost = False
         for _ in range(READ_BACK_ATTEMPTS):
             match answer:
@@ -69,11 +79,12 @@
                 # Nothing but a lost answer leaves the first attempt open.
                 return Failure(_unknown(failure) if lost else error_of(failure))
             lost = lost or failure.kind is ErrorKind.UNKNOWN
-            verdict = self._read_back(written, base, mutation, lost=lost)
+            verdict = self._read_back(write, lost=lost)
             if verdict is not None:
-                self._log(written, mutation, verdict, lost=lost)
+                if lost:
+                    _log(write, verdict)
                 return verdict
-            answer = self._store.put(written, expected, mutation)
+            answer = self._send(write)
         match answer:
             case Success(stored):
                 return Success(stored)
@@ -101,55 +112,23 @@
                 return Failure(_unknown(failure) if lost else error_of(failure))
         return Failure(_unknown(failure))
 
+    def _send(self, write: _Write) -> Result[StoredObject, PlatformError]:
+        expected = 0 if write.base is None else write.base.version
+        return self._store.put(write.document, expected, write.mutation)
+
     def _read_back(
-        self,
-        written: Mapping[str, Any],
-        base: StoredObject | None,
-        mutation: str,
-        *,
-        lost: bool,
+        self, write: _Write, *, lost: bool
     ) -> Result[StoredObject, ResourceError] | None:
         """What became of a write; None when it may be sent again."""
-        kind, name = written["kind"], written["metadata"]["name"]
+        kind, name = write.document["kind"], write.document["metadata"]["name"]
         match self._store.get(kind, name):
             case Success(current):
-                return self._judge(current, written, base, mutation, lost=lost)
+                return _judge(current, write, lost=lost)
             case Failure(failure) if failure.kind is ErrorKind.NOT_FOUND:
-                return Failure(_absent(kind, name, base, lost=lost))
-            case Failure(failure):
-                if not lost:
-                    return Failure(
-                        ResourceError(
-                            ResourceErrorKind.CONFLICT, f"{kind} {name} was changed by another"
-                        )
-                    )
+                return Failure(_absent(kind, name, write.base, lost=lost))
+            case Failure(failure) if lost:
                 return Failure(_unknown(failure))
-        raise AssertionError("a result is a success or a failure")
-
-    def _judge(
-        self,
-        current: StoredObject,
-        written: Mapping[str, Any],
-        base: StoredObject | None,
-        mutation: str,
-        *,
-        lost: bool,
-    ) -> Result[StoredObject, ResourceError] | None:
-        ids = mutations_of(current.document)
-        if mutation in ids:
-            # Taken effect; when other writes followed, the caller gets what they made of it.
-            return Success(current)
-        if base is not None and current.version == base.version:
-            return None
-        if not lost or _reaches_back(ids, base):
-            return Failure(conflict(current, written, _version(base)))
-        return Failure(
-            ResourceError(
-                ResourceErrorKind.UNKNOWN,
-                f"the answer was lost, and {current.kind} {current.name} has been written too "
-                "often since to tell whether the write took effect",
-            )
-        )
+        return Failure(_changed_by_another(kind, name))
 
     def _changed_or_unknown(self, base: StoredObject) -> Result[int, ResourceError]:
         match self._store.get(base.kind, base.name):
@@ -164,27 +143,40 @@
         match self._store.get(base.kind, base.name):
             case Success(current):
                 return conflict(current, document, base.version)
-        return ResourceError(
-            ResourceErrorKind.CONFLICT, f"{base.kind} {base.name} was changed by another"
-        )
-
-    def _log(
-        self,
-        written: Mapping[str, Any],
-        mutation: str,
-        verdict: Result[StoredObject, ResourceError],
-        *,
-        lost: bool,
-    ) -> None:
-        if not lost:
-            return
-        match verdict:
-            case Success(_):
-                said = "took effect"
-            case Failure(error):
-                said = error.kind.value
-        name = written["metadata"]["name"]
-        emit(WRITE_READ_BACK, kind=written["kind"], name=name, mutation=mutation, verdict=said)
+        return _changed_by_another(base.kind, base.name)
+
+
+def _judge(
+    current: StoredObject, write: _Write, *, lost: bool
+) -> Result[StoredObject, ResourceError] | None:
+    """What the object as it is now tells of a write; None when it may be sent again."""
+    ids = mutations_of(current.document)
+    if write.mutation in ids:
+        # Taken effect; when other writes followed, the caller gets what they made of it.
+        return Success(current)
+    if write.base is not None and current.version == write.base.version:
+        return None
+    if not lost or _reaches_back(ids, write.base):
+        return Failure(conflict(current, write.document, _version(write.base)))
+    detail = (
+        f"the answer was lost, and {current.kind} {current.name} has been written too often "
+        "since to tell whether the write took effect"
+    )
+    return Failure(ResourceError(ResourceErrorKind.UNKNOWN, detail))
+
+
+def _log(write: _Write, verdict: Result[StoredObject, ResourceError]) -> None:
+    match verdict:
+        case Success(_):
+            said = "took effect"
+        case Failure(error):
+            said = error.kind.value
+    kind, name = write.document["kind"], write.document["metadata"]["name"]
+    emit(WRITE_READ_BACK, kind=kind, name=name, mutation=write.mutation, verdict=said)
+
+
+def _changed_by_another(kind: str, name: str) -> ResourceError:
+    return ResourceError(ResourceErrorKind.CONFLICT, f"{kind} {name} was changed by another")
 
 
 def _reaches_back(ids: tuple[str, ...], base: StoredObject | None) -> bool:
