--- a/src/bellweir/ledger/tasks.py
+++ b/src/bellweir/ledger/tasks.py
@@ -12,7 +12,7 @@
 from bellweir.ledger.node import LedgerNode
 from bellweir.settings.models import LedgerSettings
 
-TICK_S = 0.05
+TICK_S = 0.1
 WRITER_PERIOD_S = 0.5
 """The writer is woken for entries; this bounds the wait for whatever else was buffered."""
 KEEPER_PERIOD_S = 0.5
