--- a/src/bellweir_rehearsal/soak.py
+++ b/src/bellweir_rehearsal/soak.py
@@ -6,7 +6,7 @@
 
 from bellweir_rehearsal.faults.kinds import FaultKind
 from bellweir_rehearsal.faults.schedule import random_schedule, targets_of
-from bellweir_rehearsal.load.standard import standard_load
+from bellweir_rehearsal.load.standard import MODEST_RATE_FOR_EACH_S, standard_load
 from bellweir_rehearsal.plan import RunPlan
 from bellweir_rehearsal.promises.verdict import Promise, Ruling
 from bellweir_rehearsal.result import RunResult
@@ -37,6 +37,7 @@
     minutes: float,
     deployments: Sequence[str] = DEPLOYMENTS,
     kinds: Sequence[FaultKind] = tuple(FaultKind),
+    rate_for_each_s: float = MODEST_RATE_FOR_EACH_S,
 ) -> list[RunPlan]:
     """Make the plans of a soak, one a bout; the same for the same arguments."""
     bouts = max(1, round(minutes * 60 / BOUT_S))
@@ -48,7 +49,7 @@
         plans.append(
             RunPlan(
                 deployment=deployment,
-                load=standard_load(deployment),
+                load=standard_load(deployment, rate_for_each_s),
                 duration_s=duration_s,
                 seed=bout_seed,
                 faults=random_schedule(targets_of(deployment), duration_s, bout_seed, kinds),
--- a/src/bellweir_rehearsal/soak_command.py
+++ b/src/bellweir_rehearsal/soak_command.py
@@ -13,6 +13,7 @@
 from bellweir_rehearsal.breach_report import write_breaches
 from bellweir_rehearsal.console import print_result, progress_on
 from bellweir_rehearsal.faults.kinds import FaultKind
+from bellweir_rehearsal.load.standard import MODEST_RATE_FOR_EACH_S
 from bellweir_rehearsal.plan import RunPlan
 from bellweir_rehearsal.rehearsal import Rehearsal
 from bellweir_rehearsal.result import RunResult, write_result
@@ -40,6 +41,9 @@
     kind: Annotated[list[FaultKind], cappa.Arg(long=True, help="Only these kinds of faults.")] = (
         field(default_factory=list)
     )
+    rate: Annotated[
+        float, cappa.Arg(long=True, help="Arrivals a second of each class of requests.")
+    ] = MODEST_RATE_FOR_EACH_S
     json: Annotated[bool, cappa.Arg(long=True, help="Print the totals as JSON.")] = False
 
     def __call__(self) -> None:
@@ -50,6 +54,7 @@
             self.minutes,
             self.deployment or DEPLOYMENTS,
             self.kind or tuple(FaultKind),
+            self.rate,
         )
         results = [self._bout(console, plan, number) for number, plan in enumerate(plans, start=1)]
         found = totals(results)
