--- a/src/bellweir_rehearsal/callers/caller.py
+++ b/src/bellweir_rehearsal/callers/caller.py
@@ -24,8 +24,8 @@
 """Calls that a caller makes for one request not to be repeated, all with the same key."""
 REPEAT_PAUSE_S = 0.25
 NOT_RUN = "not_run"
-DRAINING = "draining"
-"""Reason of a refusal by a node that is stopping."""
+ASK_ELSEWHERE = frozenset({"draining", "not_ready"})
+"""Reasons of refusals that another node would not give: this one is stopping or starting."""
 
 
 @dataclass(frozen=True)
@@ -223,10 +223,10 @@
 
 
 def _goes_elsewhere(ended: CallEnded) -> bool:
-    """Whether a caller asks the next node at once: nothing was sent, or the node is stopping."""
+    """Whether a caller asks the next node at once: nothing was sent, or it has not been run."""
     if ended.outcome is CallOutcome.NOT_CONNECTED:
         return True
-    return ended.run_state == NOT_RUN and ended.reason == DRAINING
+    return ended.run_state == NOT_RUN and ended.reason in ASK_ELSEWHERE
 
 
 def _read_completion_answer(call_id: str, answer: HttpAnswer, streamed: bool) -> CallEnded:
