--- a/src/bellweir_rehearsal/rehearsal.py
+++ b/src/bellweir_rehearsal/rehearsal.py
@@ -30,8 +30,8 @@
 from bellweir_rehearsal.topology.standins import ControlError
 from bellweir_rehearsal.trainer.client import StepClient
 from bellweir_rehearsal.trainer.loop import Trainer, TrainerPlan
+from bellweir_rehearsal.warm_up import warm_up
 
-WARM_UP_TIMEOUT_S = 30.0
 MAXIMUM_TASKS = 64
 
 Progress = Callable[[str, float], None]
@@ -82,7 +82,7 @@
         self._machines.list_all()
         for document in deployment_documents(self.cluster):
             self._operator.apply(document)
-        self._warm_up()
+        warm_up(self.cluster, self._client)
 
     def run(self, stop: threading.Event | None = None) -> None:
         """Apply load and faults for the plan's time, and wait for what is in hand."""
@@ -230,24 +230,6 @@
     def _operator_named(self, name: str) -> Operator:
         return Operator(name, self.cluster.directory, self._journal, self._client)
 
-    def _warm_up(self) -> None:
-        """Wait until every node serves every policy and application pool."""
-        deadline = time.monotonic() + WARM_UP_TIMEOUT_S
-        for address in self.cluster.directory.all_nodes():
-            while not self._observes_all(address.node):
-                if time.monotonic() > deadline:
-                    raise WarmUpError(f"{address.node} does not have the configuration in force")
-                time.sleep(0.1)
-
-    def _observes_all(self, node: str) -> bool:
-        address = self.cluster.directory.find(node)
-        seen = self._observer().observe(address) if address is not None else None
-        wanted = {
-            f"{document['kind']}/{document['metadata']['name']}"
-            for document in deployment_documents(self.cluster)
-        }
-        return seen is not None and wanted <= set(seen.objects)
-
     def _tell(self, began: float, ended: int) -> None:
         share = (time.monotonic() - began) / self.plan.duration_s
         self._report(f"{ended} requests ended", min(1.0, share))
@@ -257,10 +239,6 @@
             self._progress(text, share)
 
 
-class WarmUpError(RuntimeError):
-    """The deployment did not come into service in time."""
-
-
 def _wait(load: "Future[None]", at_least_until: float) -> None:
     """Wait for the load, and for its whole time also when it has no traffic."""
     load.result()
