--- a/src/bellweir_rehearsal/experiments/plots.py
+++ b/src/bellweir_rehearsal/experiments/plots.py
@@ -12,6 +12,7 @@
 from matplotlib import pyplot
 from matplotlib.axes import Axes
 from matplotlib.figure import Figure
+from matplotlib.ticker import LogLocator, MaxNLocator, NullLocator, StrMethodFormatter
 
 from bellweir_rehearsal.experiments.results import ExperimentResults, VariantResults
 from bellweir_rehearsal.load.histograms import HIGHEST_US, LOWEST_US, SIGNIFICANT_DIGITS
@@ -70,6 +71,10 @@
         values = [merged.get_value_at_percentile(point) / 1000 for point in PERCENTILE_GRID]
         panel.plot(positions, values, marker="o", markersize=3, color=color, label=variant.name)
     panel.set_yscale("log")
+    panel.yaxis.set_major_locator(LogLocator(subs=(1, 2, 5)))
+    panel.yaxis.set_major_formatter(StrMethodFormatter("{x:g}"))
+    panel.yaxis.set_minor_locator(NullLocator())
+    panel.tick_params(axis="y", labelsize=7)
     panel.set_xticks(positions, [f"{point:g}" for point in PERCENTILE_GRID], fontsize=7)
     panel.set_xlabel("percentile", fontsize=8)
     panel.set_ylabel("ms", fontsize=8)
@@ -154,6 +159,7 @@
         alpha=0.5,
         label="oldest version of a sample",
     )
+    versions.yaxis.set_major_locator(MaxNLocator(integer=True))
     versions.set_ylabel("weight version")
     versions.set_title(f"{title}, first run: weight versions over time, with faults")
     versions.grid(alpha=0.3)
--- a/src/bellweir_rehearsal/load/generator.py
+++ b/src/bellweir_rehearsal/load/generator.py
@@ -33,6 +33,8 @@
         self._prompts = PromptSource(seed)
         self._room = threading.BoundedSemaphore(load.maximum_in_flight)
         self._statistics = [ClassStatistics(entry.name) for entry in load.traffic]
+        # Of two racing calls one waits for the other's outcome: their times are kept apart.
+        self._raced = [ClassStatistics(f"{entry.name}, raced") for entry in load.traffic]
         self._ended = 0
         self._first_failure: BaseException | None = None
         self._lock = threading.Lock()
@@ -67,7 +69,8 @@
 
     def summaries(self) -> tuple[ClassSummary, ...]:
         """What became of the requests, by traffic class."""
-        return tuple(entry.summary() for entry in self._statistics)
+        summaries = [entry.summary() for entry in (*self._statistics, *self._raced)]
+        return tuple(summary for summary in summaries if summary.requested)
 
     def _report(self, on_progress: ProgressListener | None) -> None:
         if on_progress is not None:
@@ -89,6 +92,8 @@
         if wish.idempotency_key is not None and self._random.random() < RACING_SHARE:
             callers.append(self._random.choice(self._callers))
         statistics = self._statistics[arrival.class_index]
+        if len(callers) > 1:
+            statistics = self._raced[arrival.class_index]
         return [partial(_request, caller, wish, statistics) for caller in callers]
 
     def _completion(
