--- a/features/rehearsal_kit.feature
+++ b/features/rehearsal_kit.feature
@@ -32,6 +32,11 @@
     When the rehearsal report is written
     Then it has a plot of latency, training and versions, and every promise's verdict
 
+  Scenario: A run's logs are never mixed with others
+    Given a rehearsal folder of an earlier run, and a folder with somebody's file
+    Then a new rehearsal run takes the place of the earlier one
+    And the folder with somebody's file is refused and left as it was
+
   Scenario: An experiment's variants share load and faults
     Given a rehearsal experiment of two variants with random faults
     Then the rehearsal plans of a repetition differ in strategy and settings only
--- a/features/steps/rehearsal_kit_steps.py
+++ b/features/steps/rehearsal_kit_steps.py
@@ -36,6 +36,7 @@
 )
 from bellweir_rehearsal.result import TrainerSummary, summarize
 from bellweir_rehearsal.topology.deployment import load_deployment
+from bellweir_rehearsal.topology.layout import FolderInUseError, RunFolder
 from bellweir_rehearsal.trainer.client import (
     ReceivedBatch,
     ReceivedSample,
@@ -433,3 +434,30 @@
 def step_repetition(context):
     variant = context.experiment.variants[0]
     assert context.experiment.plan(variant, 1).seed != context.experiment.plan(variant, 2).seed
+
+
+@given("a rehearsal folder of an earlier run, and a folder with somebody's file")
+def step_folders(context):
+    context.earlier = RunFolder(context.folder / "earlier")
+    context.earlier.create()
+    context.earlier.journal.write_text("{}\n")
+    context.foreign = context.folder / "foreign"
+    context.foreign.mkdir()
+    (context.foreign / "notes.txt").write_text("mine")
+
+
+@then("a new rehearsal run takes the place of the earlier one")
+def step_in_place(context):
+    context.earlier.create()
+    assert context.earlier.logs.is_dir()
+    assert not context.earlier.journal.exists()
+
+
+@then("the folder with somebody's file is refused and left as it was")
+def step_foreign(context):
+    try:
+        RunFolder(context.foreign).create()
+    except FolderInUseError:
+        assert [path.name for path in context.foreign.iterdir()] == ["notes.txt"]
+        return
+    raise AssertionError("a folder with somebody's file was taken")
--- a/src/bellweir_rehearsal/cli.py
+++ b/src/bellweir_rehearsal/cli.py
@@ -1,6 +1,7 @@
 """`bellweir rehearse`: the commands of the rehearsal kit."""
 
 import contextlib
+import sys
 import tempfile
 import threading
 from dataclasses import dataclass
@@ -12,6 +13,7 @@
 
 from bellweir.cli.exit_codes import FAILED, PROMISE_BROKEN, USAGE
 from bellweir_rehearsal.breach_report import write_breaches
+from bellweir_rehearsal.callers.operator import OperatorError
 from bellweir_rehearsal.console import print_result, progress_on
 from bellweir_rehearsal.demo import demo_plan
 from bellweir_rehearsal.experiment_commands import CompareCommand, RunCommand
@@ -27,8 +29,10 @@
     ScorerCommand,
     WeightStoreCommand,
 )
-from bellweir_rehearsal.topology.layout import RunFolder
+from bellweir_rehearsal.topology.layout import FolderInUseError, RunFolder
+from bellweir_rehearsal.topology.processes import ProcessFailedError
 from bellweir_rehearsal.trainer_command import TrainerCommand
+from bellweir_rehearsal.warm_up import WarmUpError
 
 
 @cappa.command(name="demo", help="Run the whole path once on loopback, in less than a minute.")
@@ -136,5 +140,9 @@
 
 
 def main(arguments: list[str]) -> None:
-    """Run one command of the kit."""
-    cappa.invoke(Rehearse, argv=arguments)
+    """Run one command of the kit; failures that a person can mend are told in one line."""
+    try:
+        cappa.invoke(Rehearse, argv=arguments)
+    except (FolderInUseError, ProcessFailedError, OperatorError, WarmUpError) as failure:
+        print(f"bellweir rehearse: {failure}", file=sys.stderr)
+        sys.exit(FAILED)
--- a/src/bellweir_rehearsal/topology/cluster.py
+++ b/src/bellweir_rehearsal/topology/cluster.py
@@ -36,7 +36,6 @@
         self.deployment = deployment
         self.directory = NodeDirectory()
         self._folder = folder
-        folder.create()
         self._journal = journal
         self._client = HttpClient()
         self._settings = settings
--- a/src/bellweir_rehearsal/topology/layout.py
+++ b/src/bellweir_rehearsal/topology/layout.py
@@ -1,9 +1,14 @@
 """Where a run keeps its files, and the names of its processes."""
 
+import shutil
 from dataclasses import dataclass
 from pathlib import Path
 
 
+class FolderInUseError(OSError):
+    """A run's folder holds something else than an earlier run."""
+
+
 @dataclass(frozen=True)
 class RunFolder:
     """The folders of one run."""
@@ -46,6 +51,13 @@
         return self.root / "network-faults.json"
 
     def create(self) -> None:
-        """Make all folders."""
+        """Make all folders, in place of those of an earlier run.
+
+        Raises `FolderInUseError` when something is there that no run has left: a run's logs must
+        not be mixed with others, and nothing of anybody else's is removed.
+        """
+        if self.root.exists() and any(self.root.iterdir()) and not self.journal.exists():
+            raise FolderInUseError(f"{self.root} holds something else than an earlier run")
         for folder in (self.logs, self.outputs, self.ready, self.settings, self.data):
-            folder.mkdir(parents=True, exist_ok=True)
+            shutil.rmtree(folder, ignore_errors=True)
+            folder.mkdir(parents=True)
