--- a/src/bellweir/platform/engine.py
+++ b/src/bellweir/platform/engine.py
@@ -18,7 +18,8 @@
     PlatformError,
     TokenChunk,
 )
-from bellweir.platform.pool import ConnectionPool, HttpCall, OpenAnswer
+from bellweir.platform.open_answer import OpenAnswer
+from bellweir.platform.pool import ConnectionPool, HttpCall
 
 JSON_HEADERS = {"Content-Type": "application/json"}
 ACCEPT_TIMEOUT_S = 5.0
@@ -111,7 +112,7 @@
             parsed = msgspec.json.decode(line, type=StreamLine)
             if parsed.error is not None:
                 kind = ErrorKind(parsed.error.error)
-                yield Failure(PlatformError(kind, parsed.error.detail))
+                yield Failure(PlatformError(kind, parsed.error.detail, answered=True))
                 return
             if parsed.chunk is not None:
                 yield Success(parsed.chunk)
