--- a/src/bellweir_rehearsal/experiment_commands.py
+++ b/src/bellweir_rehearsal/experiment_commands.py
@@ -102,9 +102,12 @@
 
 
 def _table(first: str, second: str, differences: Sequence[Difference]) -> Table:
-    table = Table(title="Differences; those whose interval leaves zero out are bold")
+    table = Table(
+        title=f"A: {first}\nB: {second}",
+        caption="Bold: the interval of the difference leaves zero out.",
+    )
     table.add_column("measure")
-    for name in (first, second, "difference", "95% interval", "unit"):
+    for name in ("A", "B", "B less A", "95% interval", "unit"):
         table.add_column(name, justify="right", overflow="fold")
     for entry in differences:
         interval = "needs two runs a side"
