--- a/src/bellweir_rehearsal/rehearsal.py
+++ b/src/bellweir_rehearsal/rehearsal.py
@@ -6,30 +6,18 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from types import TracebackType
 
-from bellweir_rehearsal.callers.caller import Caller
 from bellweir_rehearsal.callers.http import HttpClient
-from bellweir_rehearsal.callers.in_flight import InFlight
-from bellweir_rehearsal.callers.observer import ConfigurationObserver
-from bellweir_rehearsal.callers.operator import Operator, OperatorError
-from bellweir_rehearsal.faults.actions import FaultStage
-from bellweir_rehearsal.faults.injector import FaultInjector
 from bellweir_rehearsal.load.generator import LoadGenerator
-from bellweir_rehearsal.load.mix import TrainerLoad
-from bellweir_rehearsal.load.prompts import step_prompts
+from bellweir_rehearsal.participants import Participants
 from bellweir_rehearsal.plan import RunPlan
 from bellweir_rehearsal.promises.checker import check_promises
 from bellweir_rehearsal.promises.loading import load_evidence
 from bellweir_rehearsal.promises.mutations import Mutation
-from bellweir_rehearsal.publishing import Publisher
 from bellweir_rehearsal.records.journal import Journal
 from bellweir_rehearsal.result import RunResult, summarize
 from bellweir_rehearsal.topology.cluster import Cluster
 from bellweir_rehearsal.topology.layout import RunFolder
-from bellweir_rehearsal.topology.machines import MachineWriter
-from bellweir_rehearsal.topology.resources import PoolWriter, deployment_documents
-from bellweir_rehearsal.topology.standins import ControlError
-from bellweir_rehearsal.trainer.client import StepClient
-from bellweir_rehearsal.trainer.loop import Trainer, TrainerPlan
+from bellweir_rehearsal.topology.resources import deployment_documents
 from bellweir_rehearsal.warm_up import warm_up
 
 MAXIMUM_TASKS = 64
@@ -48,13 +36,8 @@
         self._progress = progress
         self._journal = Journal(folder.journal)
         self._client = HttpClient()
-        self._in_flight = InFlight()
         self.cluster = Cluster(plan.deployment, folder, self._journal, plan.settings)
-        self._machines = MachineWriter(self.cluster)
-        self._operator = self._operator_named("operator-1")
-        self._publisher = Publisher(
-            plan.deployment, self.cluster.weight_store, self._operator_named("publisher")
-        )
+        self._participants = Participants(plan, self.cluster, self._journal, self._client)
         self._load: LoadGenerator | None = None
 
     def __enter__(self) -> "Rehearsal":
@@ -79,16 +62,16 @@
         """
         self._report("starting", 0.0)
         self.cluster.start()
-        self._machines.list_all()
+        self._participants.machines.list_all()
         for document in deployment_documents(self.cluster):
-            self._operator.apply(document)
+            self._participants.operator.apply(document)
         warm_up(self.cluster, self._client)
 
     def run(self, stop: threading.Event | None = None) -> None:
         """Apply load and faults for the plan's time, and wait for what is in hand."""
         stop = stop or threading.Event()
         ended = threading.Event()
-        load = LoadGenerator(self.plan.load, self._callers(), self.plan.seed)
+        load = LoadGenerator(self.plan.load, self._participants.callers(), self.plan.seed)
         self._load = load
         with ThreadPoolExecutor(MAXIMUM_TASKS, "rehearsal") as pool:
             observation = pool.submit(self._observe_nodes, pool, ended)
@@ -134,11 +117,9 @@
             generator.run, self.plan.duration_s, stop, lambda ended: self._tell(began, ended)
         )
         trainers = [
-            pool.submit(trainer.run, load_over)
-            for group, entry in enumerate(self.plan.load.trainers, start=1)
-            for trainer in self._trainers(entry, group)
+            pool.submit(trainer.run, load_over) for trainer in self._participants.trainers()
         ]
-        faults = pool.submit(self._injector().run, stop)
+        faults = pool.submit(self._participants.injector().run, stop)
         try:
             _wait(load, began + self.plan.duration_s)
             faults.result()
@@ -147,74 +128,6 @@
         for trainer in trainers:
             trainer.result()
 
-    def _callers(self) -> list[Caller]:
-        delay_s = self.plan.deployment.client_delay_ms / 1000
-        return [
-            Caller(
-                f"caller-{address.node}-{number}",
-                address.node,
-                address.zone,
-                self.cluster.directory,
-                self._journal,
-                self._client,
-                self._in_flight,
-                delay_s,
-            )
-            for address in self.cluster.directory.all_nodes()
-            for number in range(1, self.plan.load.callers_for_each_node + 1)
-        ]
-
-    def _trainers(self, entry: TrainerLoad, group: int) -> list[Trainer]:
-        plan = TrainerPlan(
-            policy=entry.policy,
-            prompts_for_each_step=entry.prompts_for_each_step,
-            samples_per_prompt=entry.samples_per_prompt,
-            max_tokens=entry.max_tokens,
-            staleness_bound_versions=self.plan.deployment.staleness_bound_versions,
-            train_s=entry.train_s,
-            step_timeout_s=entry.step_timeout_s,
-            scorer=self.cluster.scorer.address,
-            steps=entry.steps,
-            publish=entry.publishes,
-        )
-        return [
-            Trainer(
-                f"trainer-{entry.policy}-{group}-{number}",
-                plan,
-                StepClient(self._client, self.cluster.directory),
-                self._journal,
-                self._publisher.newest,
-                self._publish,
-                step_prompts,
-                self.plan.seed * 10_000 + group * 100 + number,
-            )
-            for number in range(1, entry.trainers + 1)
-        ]
-
-    def _publish(self, policy: str) -> None:
-        try:
-            self._publisher.publish(policy)
-        except (ControlError, OperatorError):
-            # A fault stands in the way; the trainer publishes again after its next step.
-            return
-
-    def _injector(self) -> FaultInjector:
-        stage = FaultStage(
-            self.cluster,
-            self._journal,
-            (self._operator, self._operator_named("operator-2")),
-            PoolWriter(self.cluster, self._operator),
-            self._machines,
-            self._in_flight,
-            self.plan.seed,
-        )
-        return FaultInjector(stage, self.plan.faults)
-
-    def _observer(self) -> ConfigurationObserver:
-        return ConfigurationObserver(
-            self.cluster.directory, self._journal, self._client, self.cluster.incarnation_of
-        )
-
     def _observe_nodes(
         self, pool: ThreadPoolExecutor, ended: threading.Event
     ) -> "list[Future[None]]":
@@ -223,13 +136,10 @@
         while not ended.wait(0.2):
             for address in self.cluster.directory.all_nodes():
                 if address.node not in observed:
-                    run = self._observer().run
+                    run = self._participants.observer().run
                     observed[address.node] = pool.submit(run, ended, address.node)
         return list(observed.values())
 
-    def _operator_named(self, name: str) -> Operator:
-        return Operator(name, self.cluster.directory, self._journal, self._client)
-
     def _tell(self, began: float, ended: int) -> None:
         share = (time.monotonic() - began) / self.plan.duration_s
         self._report(f"{ended} requests ended", min(1.0, share))
