Measure priority with drafts on a second node

Cause: one process made both loads, so the figures held its own contention. Change: bench/routing_drafts.py runs the drafts on a node of its own, which learns over the transport that callers use the engines.

--- a/bench/routing_priority.py
+++ b/bench/routing_priority.py
@@ -5,13 +5,18 @@
 Interactive callers ask one after the other; a generation's time runs to its last token.
 """
 
+import json
+import subprocess
 import sys
-import threading
+import tempfile
 import time
 from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
 
 from routing_support import (
     RoutingNode,
+    Standin,
+    await_file,
     generation_request,
     quantile,
     running_node,
@@ -23,7 +28,6 @@
 
 INTERACTIVE_CALLERS = 6
 INTERACTIVE_TOKENS = 32
-DRAFT_TOKENS = 256
 MAXIMUM_BATCH = 64
 PROMPT = "quote number {} of " + "a window of oak with two panes and a lock, " * 6
 SETTLE_S = 4.0
@@ -56,42 +60,31 @@
     return sorted(firsts), sorted(lasts)
 
 
-class DraftLoad:
-    """As many draft callers as fill every engine, and a third more."""
+class DraftNode:
+    """A second node in a process of its own, whose drafts fill every engine."""
 
-    def __init__(self, node: RoutingNode, callers: int) -> None:
-        self._node = node
-        self._stop = threading.Event()
-        self.tokens = 0
-        self.refused = 0
-        self._pool = ThreadPoolExecutor(callers)
-        self._running = [self._pool.submit(self._call, caller) for caller in range(callers)]
+    def __init__(self, folder: Path, parent_address: str, standins: list[Standin]) -> None:
+        self._ready = folder / "drafts.json"
+        self._count = folder / "tokens.json"
+        engines = json.dumps([[standin.name, standin.address] for standin in standins])
+        script = str(Path(__file__).with_name("routing_drafts.py"))
+        files = [str(self._ready), str(self._count)]
+        command = [sys.executable, script, parent_address, engines, *files]
+        self._process = subprocess.Popen(command)
 
-    def stop(self) -> None:
-        """End the load."""
-        self._stop.set()
-        for finished in self._running:
-            finished.result()
-        self._pool.shutdown()
+    def peer_address(self) -> str:
+        """Return its peer address once it is up."""
+        return await_file(self._process, self._ready)["address"]
 
-    def _call(self, caller: int) -> None:
-        number = caller * 1_000_000
-        while not self._stop.is_set():
-            number += 1
-            request = generation_request(
-                number, PROMPT.format(number), DRAFT_TOKENS, RequestClass.DRAFT
-            )
-            started = self._node.dispatcher.generate(request)
-            generation = started.value_or(None)
-            if generation is None:
-                self.refused += 1
-                self._stop.wait(0.25)
-                continue
-            for chunk in generation:
-                self.tokens += len(chunk.unwrap().tokens)
-                if self._stop.is_set():
-                    generation.cancel()
-                    break
+    def tokens(self) -> tuple[float, int]:
+        """Return when, and how many tokens it had."""
+        told = json.loads(self._count.read_text())
+        return told["at_s"], told["tokens"]
+
+    def stop(self) -> None:
+        """End it."""
+        self._process.terminate()
+        self._process.wait()
 
 
 def report(name: str, firsts: list[float], lasts: list[float]) -> None:
@@ -103,6 +96,14 @@
     print(", ".join(cells), flush=True)
 
 
+def rate(drafts: DraftNode, seconds: float) -> float:
+    """Return the drafts' tokens a second over some time."""
+    first = drafts.tokens()
+    time.sleep(seconds)
+    last = drafts.tokens()
+    return (last[1] - first[1]) / (last[0] - first[0])
+
+
 def main() -> None:
     """Measure both phases."""
     engines = int(sys.argv[1]) if len(sys.argv) > 1 else 2
@@ -111,25 +112,29 @@
     options: list[dict[str, object]] = [
         {"name": f"engine-{number}", "maximum_batch": MAXIMUM_BATCH} for number in range(engines)
     ]
-    callers = engines * MAXIMUM_BATCH * 4 // 3
-    limits = {RequestClass.DRAFT: {"concurrency": callers, "queue": 8, "timeout_s": 600}}
+    peers: dict[str, str] = {}
     with (
+        tempfile.TemporaryDirectory() as folder,
         running_standins("engine", options) as standins,
-        running_node(BackendKind.ENGINE, standins, {"limits": limits}, routing) as node,
+        running_node(BackendKind.ENGINE, standins, {}, routing, "callers", peers) as node,
     ):
         without = interactive_times(node, seconds)
         report("no drafts", *without)
-        drafts = DraftLoad(node, callers)
+        drafts = DraftNode(Path(folder), node.kernel.listeners.peer_address, standins)
+        peers["drafts"] = drafts.peer_address()
         time.sleep(SETTLE_S)
-        began_s, tokens = time.monotonic(), drafts.tokens
+        alone = rate(drafts, SETTLE_S)
+        interactive_times(node, SETTLE_S)  # drafts in hand when the callers come must end
+        first = drafts.tokens()
         during = interactive_times(node, seconds)
-        rate = (drafts.tokens - tokens) / (time.monotonic() - began_s)
+        last = drafts.tokens()
         report("with drafts", *during)
         drafts.stop()
         ratio = quantile(during[1], 0.99) / quantile(without[1], 0.99)
         ratio_first = quantile(during[0], 0.99) / quantile(without[0], 0.99)
         print(f"p99 ratio: whole {ratio:.2f}, first token {ratio_first:.2f}")
-        print(f"drafts: {rate:.0f} tokens/s, {drafts.refused} refusals")
+        beside = (last[1] - first[1]) / (last[0] - first[0])
+        print(f"drafts: {alone:.0f} tokens/s alone, {beside:.0f} beside the callers")
 
 
 if __name__ == "__main__":
--- a/bench/routing_support.py
+++ b/bench/routing_support.py
@@ -33,6 +33,7 @@
     Worker,
 )
 from bellweir.routing.interface import GenerationRequest
+from bellweir.routing.rendezvous import score
 from bellweir.routing.service import DispatcherService
 from bellweir.routing.views_service import BackendViewsService
 from bellweir.settings.models import NodeIdentity, RoutingSettings, Settings
@@ -49,7 +50,7 @@
 
     name: str
     address: str
-    process: subprocess.Popen[bytes]
+    process: subprocess.Popen[bytes] | None = None
 
 
 class StaticConfiguration(Service, Configuration):
@@ -83,13 +84,15 @@
         listener(self._snapshot)
 
 
-class SoleOwnership(Service, Ownership):
-    """The node owns every worker."""
+class StaticOwnership(Service, Ownership):
+    """Rendezvous hash over members that are given; peers may be added while it runs."""
 
     name = names.OWNERSHIP
 
-    def __init__(self, node: str) -> None:
-        self._member = Member(node, "", "", "zone-1", "default", False, MemberState.ALIVE, 0)
+    def __init__(self, node: str, address: str, peers: dict[str, str]) -> None:
+        self._addresses = {node: address}
+        self._node = node
+        self._peers = peers
 
     def start(self) -> None:
         """Do nothing."""
@@ -98,12 +101,14 @@
         """Do nothing."""
 
     def owner_of(self, worker: str) -> Member:
-        """Return this node."""
-        return self._member
+        """Return the member with the highest score."""
+        addresses = self._addresses | self._peers
+        node = max(addresses, key=lambda name: score(worker, name))
+        return Member(node, addresses[node], "", "zone-1", "default", False, MemberState.ALIVE, 0)
 
     def owns(self, worker: str) -> bool:
-        """Return whether the node owns the worker: always."""
-        return True
+        """Return whether this node does."""
+        return self.owner_of(worker).node == self._node
 
 
 @contextmanager
@@ -126,13 +131,19 @@
 
 
 def _await_ready(process: subprocess.Popen[bytes], ready: Path) -> Standin:
+    told = await_file(process, ready)
+    return Standin(told["name"], told["address"], process)
+
+
+def await_file(process: subprocess.Popen[bytes], ready: Path) -> dict[str, str]:
+    """Return the JSON of a ready file once a process has written it."""
     deadline_s = time.monotonic() + READY_TIMEOUT_S
     while not ready.exists():
         if time.monotonic() > deadline_s or process.poll() is not None:
             raise RuntimeError(f"no stand-in behind {ready.name}")
         time.sleep(0.02)
-    told = json.loads(ready.read_text())
-    return Standin(told["name"], told["address"], process)
+    told: dict[str, str] = json.loads(ready.read_text())
+    return told
 
 
 @dataclass(frozen=True)
@@ -150,8 +161,13 @@
     standins: list[Standin],
     spec: dict[str, object],
     routing: RoutingSettings | None = None,
+    name: str = "bench",
+    peers: dict[str, str] | None = None,
 ) -> Iterator[RoutingNode]:
-    """Run a node whose one pool consists of the given stand-ins."""
+    """Run a node whose one pool consists of the given stand-ins.
+
+    `peers` are other nodes' peer addresses by name; the caller may add to them.
+    """
     configure_logs("error", "console")
     workers = tuple(Worker(name=s.name, address=s.address, zone="zone-1") for s in standins)
     policies = (POLICY,) if kind is BackendKind.ENGINE else ()
@@ -163,7 +179,7 @@
         {POOL: Pool(metadata=Metadata(name=POOL), spec=pool)},
     )
     settings = Settings(
-        node=NodeIdentity(name="bench", zone="zone-1"), routing=routing or RoutingSettings()
+        node=NodeIdentity(name=name, zone="zone-1"), routing=routing or RoutingSettings()
     )
     kernel = Kernel(bind_listeners("127.0.0.1", 0, 0))
     node = RoutingNode(
@@ -172,7 +188,7 @@
     for service in (
         PlatformService(kernel, settings),
         StaticConfiguration(snapshot),
-        SoleOwnership("bench"),
+        StaticOwnership(name, kernel.listeners.peer_address, {} if peers is None else peers),
         TransportService(kernel, settings),
         node.views,
         node.dispatcher,
