--- a/src/bellweir/kernel/log_events.py
+++ b/src/bellweir/kernel/log_events.py
@@ -13,3 +13,6 @@
 TASK_LEFT_RUNNING = Event(
     5, "task_left_running", Level.ERROR, ("task",), "A task did not end in time at a stop."
 )
+SERVICE_DRAINED = Event(
+    6, "service_drained", Level.INFO, ("service", "seconds"), "A service took its time to drain."
+)
--- a/src/bellweir/kernel/registry.py
+++ b/src/bellweir/kernel/registry.py
@@ -4,8 +4,13 @@
 import time
 from typing import TypeVar
 
+from bellweir.events.log import emit
+from bellweir.kernel.log_events import SERVICE_DRAINED
 from bellweir.kernel.service import Service
 
+SLOW_DRAIN_S = 0.5
+"""Drains that take longer than this are logged."""
+
 Interface = TypeVar("Interface")
 
 
@@ -73,7 +78,11 @@
         """Drain the started services, dependants first, sharing one deadline in seconds."""
         deadline = time.monotonic() + deadline_s
         for service in reversed(self._started):
-            service.drain(max(0.0, deadline - time.monotonic()))
+            began = time.monotonic()
+            service.drain(max(0.0, deadline - began))
+            drained_s = time.monotonic() - began
+            if drained_s > SLOW_DRAIN_S:
+                emit(SERVICE_DRAINED, service=service.name, seconds=round(drained_s, 3))
 
     def stop(self) -> None:
         """Stop the started services in reverse order; the first failure is raised at the end."""
