--- a/src/bellweir_rehearsal/promises/evidence.py
+++ b/src/bellweir_rehearsal/promises/evidence.py
@@ -64,6 +64,13 @@
     outcome: str | None
     """How the engine says it ended; None when it was killed first."""
     runs: tuple[TokenRun, ...]
+    logged_end_token: int | None = None
+    """One past the last token by the record of its end, which counts tokens never streamed too."""
+
+    @property
+    def has_generated(self) -> bool:
+        """Whether the engine generated any token for it, streamed or not."""
+        return bool(self.runs) or (self.logged_end_token or 0) > self.first_token
 
     @property
     def end_token(self) -> int:
--- a/src/bellweir_rehearsal/promises/loading.py
+++ b/src/bellweir_rehearsal/promises/loading.py
@@ -85,7 +85,7 @@
 def _load_engine(path: Path, evidence: Evidence) -> None:
     started: dict[str, GenerationStarted] = {}
     produced: dict[str, list[TokenRun]] = {}
-    outcomes: dict[str, str] = {}
+    ended: dict[str, GenerationEnded] = {}
     for record in _read_records(path):
         match record:
             case GenerationStarted():
@@ -94,10 +94,11 @@
                 run = TokenRun(record.first_token, record.token_count, record.weight_version)
                 produced.setdefault(record.attempt_id, []).append(run)
             case GenerationEnded():
-                outcomes[record.attempt_id] = record.outcome
+                ended[record.attempt_id] = record
             case WorkRefused():
                 evidence.work_offered.append(_offer(record))
     for attempt_id, record in started.items():
+        end = ended.get(attempt_id)
         evidence.engine_attempts.append(
             EngineAttempt(
                 engine=record.standin,
@@ -107,8 +108,9 @@
                 seed=record.seed,
                 began_s=record.time_s,
                 first_token=record.first_token,
-                outcome=outcomes.get(attempt_id),
+                outcome=end.outcome if end is not None else None,
                 runs=tuple(produced.get(attempt_id, ())),
+                logged_end_token=end.end_token if end is not None else None,
             )
         )
 
--- a/src/bellweir_rehearsal/promises/true_refusals.py
+++ b/src/bellweir_rehearsal/promises/true_refusals.py
@@ -46,7 +46,7 @@
 def _trace(sent: CallSent, ended: CallEnded, evidence: Evidence) -> str | None:
     if sent.kind is CallKind.COMPLETION:
         for attempt in evidence.attempts_by_request.get(sent.call_id, []):
-            if attempt.runs:
+            if attempt.has_generated:
                 return f"engine {attempt.engine} generated tokens for it ({ended.reason})"
         return None
     if sent.idempotency_key is None:
