--- a/src/bellweir_rehearsal/callers/caller.py
+++ b/src/bellweir_rehearsal/callers/caller.py
@@ -217,6 +217,7 @@
                 status=failure.status,
                 detail=str(failure),
                 connection_reused=failure.reused,
+                timed_out=failure.timed_out,
             )
         time.sleep(self._one_way_delay_s)
         return answer
--- a/src/bellweir_rehearsal/callers/http.py
+++ b/src/bellweir_rehearsal/callers/http.py
@@ -23,8 +23,12 @@
 class CutError(OSError):
     """A byte may have been sent, and no whole answer came back."""
 
-    def __init__(self, detail: str, *, reused: bool, status: int | None = None) -> None:
+    def __init__(
+        self, detail: str, *, reused: bool, status: int | None = None, timed_out: bool = False
+    ) -> None:
         super().__init__(detail)
+        self.timed_out = timed_out
+        """Whether the time-out was over, and not the connection."""
         self.reused = reused
         """Whether the request went out on a kept-alive connection."""
         self.status = status
@@ -172,9 +176,12 @@
     except (OSError, http.client.HTTPException) as failure:
         if isinstance(failure, CutError):
             raise
-        raise CutError(f"{type(failure).__name__}: {failure}", reused=reused, status=status) from (
-            failure
-        )
+        raise CutError(
+            f"{type(failure).__name__}: {failure}",
+            reused=reused,
+            status=status,
+            timed_out=isinstance(failure, TimeoutError),
+        ) from failure
     return HttpAnswer(
         status=status,
         headers={name.lower(): value for name, value in response.getheaders()},
--- a/src/bellweir_rehearsal/promises/availability.py
+++ b/src/bellweir_rehearsal/promises/availability.py
@@ -4,9 +4,11 @@
 
 from bellweir_rehearsal.promises.evidence import Evidence
 
-NODE_FAULTS = frozenset(
-    {"node_kill", "node_pause", "node_replaced", "node_stop", "zone_loss", "lease_lapse"}
-)
+CRASHES = frozenset({"node_kill", "node_replaced", "zone_loss"})
+"""Faults that end a node's process without notice."""
+PAUSES = frozenset({"node_pause", "lease_lapse"})
+"""Faults that freeze a node's process."""
+NODE_FAULTS = CRASHES | PAUSES | {"node_stop"}
 """Faults whose targets are nodes that don't work while they last."""
 
 
@@ -19,11 +21,11 @@
     ended_s: float
 
 
-def absences(evidence: Evidence) -> dict[str, list[Absence]]:
+def absences(evidence: Evidence, kinds: frozenset[str] = NODE_FAULTS) -> dict[str, list[Absence]]:
     """Times in which nodes did not work, by node; one that never came back has no end."""
     found: dict[str, list[Absence]] = {}
     for fault in evidence.faults_began:
-        if fault.kind not in NODE_FAULTS:
+        if fault.kind not in kinds:
             continue
         end = evidence.faults_ended.get(fault.fault_id)
         ended_s = end.time_s if end is not None else float("inf")
--- a/src/bellweir_rehearsal/promises/whole_answers.py
+++ b/src/bellweir_rehearsal/promises/whole_answers.py
@@ -1,6 +1,12 @@
 """Promise: a caller gets the whole answer to its own request."""
 
-from bellweir_rehearsal.promises.availability import Absence, absences, was_absent
+from bellweir_rehearsal.promises.availability import (
+    CRASHES,
+    PAUSES,
+    Absence,
+    absences,
+    was_absent,
+)
 from bellweir_rehearsal.promises.evidence import EngineAttempt, Evidence
 from bellweir_rehearsal.promises.token_coverage import fault_in_origin, fault_in_ranges
 from bellweir_rehearsal.promises.verdict import Promise, Verdict
@@ -18,17 +24,17 @@
     """Compare each answer with what the back ends produced for that very request.
 
     Samples count as answers to their trainers. A call without a whole answer or refusal is a
-    breach too, unless its node was down or paused within the call's life.
+    breach too, unless its node crashed, or was paused so long that its caller gave up.
     """
     verdict = Verdict(Promise.WHOLE_ANSWERS, required=("completions", "application answers"))
-    absent = absences(evidence)
+    crashed, paused = absences(evidence, CRASHES), absences(evidence, PAUSES)
     for call_id, ended in evidence.calls_ended.items():
         sent = evidence.calls_sent.get(call_id)
         if sent is None:
             continue
         fault = None
         if ended.outcome is CallOutcome.CUT:
-            fault = _fault_in_cut(sent, ended, absent, verdict)
+            fault = _fault_in_cut(sent, ended, crashed, paused, verdict)
         elif ended.outcome is CallOutcome.ANSWERED and sent.kind is CallKind.COMPLETION:
             verdict.count("completions")
             verdict.count("completions that name versions", bool(ended.versions))
@@ -57,11 +63,18 @@
 
 
 def _fault_in_cut(
-    sent: CallSent, ended: CallEnded, absent: dict[str, list[Absence]], verdict: Verdict
+    sent: CallSent,
+    ended: CallEnded,
+    crashed: dict[str, list[Absence]],
+    paused: dict[str, list[Absence]],
+    verdict: Verdict,
 ) -> str | None:
     verdict.count("calls cut")
-    if was_absent(absent, sent.node, sent.time_s, ended.time_s):
-        verdict.count("calls cut while their node was down or paused")
+    if was_absent(crashed, sent.node, sent.time_s, ended.time_s):
+        verdict.count("calls cut by their node's crash")
+        return None
+    if ended.timed_out and was_absent(paused, sent.node, sent.time_s, ended.time_s):
+        verdict.count("calls given up while their node was paused")
         return None
     return f"no whole answer from {sent.node}, which was up: {ended.detail}"
 
--- a/src/bellweir_rehearsal/records/model.py
+++ b/src/bellweir_rehearsal/records/model.py
@@ -86,6 +86,8 @@
     answer_run_id: str | None = None
     """Attempt id of the run."""
     connection_reused: bool = False
+    timed_out: bool = False
+    """Whether the caller gave up waiting."""
     first_byte_s: float | None = None
 
 
