--- a/features/rehearsal_promises.feature
+++ b/features/rehearsal_promises.feature
@@ -41,6 +41,21 @@
   Scenario: Every promise has a broken variant, and every variant is tested
     Then the rehearsal mutations are those of the outline and cover all nine promises
 
+  Scenario Outline: Only what the kit did to a node excuses a cut call
+    Given rehearsal evidence of a call that was <cut> at a node under the fault <fault>
+    Then the checker finds whole answers <ruling>
+
+    Examples:
+      | cut      | fault            | ruling |
+      | cut      | node_kill        | held   |
+      | cut      | zone_loss        | held   |
+      | cut      | node_pause       | broken |
+      | given up | node_pause       | held   |
+      | given up | lease_lapse      | held   |
+      | cut      | node_stop        | broken |
+      | given up | store_down       | broken |
+      | cut      | network_loss     | broken |
+
   Scenario: A breach is told with the whole story of its id
     Given a rehearsal folder whose logs name one request among many others
     Then the story of that request has its lines of every log in order of time, and no others
--- a/features/steps/rehearsal_promises_steps.py
+++ b/features/steps/rehearsal_promises_steps.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+from dataclasses import replace
 
 from behave import given, then, when
 from hypothesis import given as hypothesis_given
@@ -12,8 +13,16 @@
 from bellweir_rehearsal.promises.mutations import MUTATIONS
 from bellweir_rehearsal.promises.story import tell_story
 from bellweir_rehearsal.promises.verdict import Promise, Ruling
+from bellweir_rehearsal.records.model import (
+    CallEnded,
+    CallKind,
+    CallOutcome,
+    CallSent,
+    FaultBegan,
+    FaultEnded,
+)
 from bellweir_rehearsal.topology.layout import RunFolder
-from support.rehearsal_evidence import healthy_evidence
+from support.rehearsal_evidence import START_S, healthy_evidence
 
 sizes = strategies.tuples(
     strategies.integers(0, 2**32),
@@ -68,6 +77,19 @@
     context.run_folder = folder
 
 
+@given("rehearsal evidence of a call that was {cut} at a node under the fault {fault}")
+def step_cut_call(context, cut, fault):
+    evidence = healthy_evidence(random.Random(1))
+    sent_s = START_S + 10
+    sent = CallSent(
+        sent_s, "lost", "caller-1", "node-1", CallKind.COMPLETION, "interactive", "policy-1"
+    )
+    ended = CallEnded(sent_s + 2, "lost", CallOutcome.CUT, timed_out=cut == "given up")
+    began = FaultBegan(sent_s + 1, "f2", fault, ("node-1",), False)
+    over = FaultEnded(sent_s + 3, "f2", fault, ("node-1",))
+    context.evidence = replace(evidence, records=[*evidence.records, sent, ended, began, over])
+
+
 @when("the rehearsal mutation {name} breaks it")
 def step_mutate(context, name):
     context.mutation = MUTATIONS[name]
@@ -85,6 +107,13 @@
     context.for_any_run(check)
 
 
+@then("the checker finds whole answers {ruling}")
+def step_whole_answers(context, ruling):
+    verdict = CHECKS[Promise.WHOLE_ANSWERS](context.evidence)
+    assert verdict.ruling is Ruling(ruling), verdict
+    assert [breach.subject for breach in verdict.breaches] == ["lost"] * (ruling == "broken")
+
+
 @then("the checker has nothing to check for all nine promises, and the run has not held")
 def step_nothing(context):
     rulings = [verdict.ruling for verdict in check_promises(context.evidence)]
