--- a/src/bellweir/membership/broadcasts.py
+++ b/src/bellweir/membership/broadcasts.py
@@ -8,6 +8,8 @@
 
 TRANSMISSION_FACTOR = 3.0
 """Each record goes out this many times log10(members + 1), as in the SWIM paper."""
+LEAST_TRANSMISSIONS = 4
+"""Added, so that a node that knows few members yet still reaches the others."""
 MAXIMUM_QUEUED = 4096
 
 
@@ -35,7 +37,7 @@
         """Return encoded records that fit in a datagram's remaining bytes."""
         if not self._waiting:
             return []
-        limit = math.ceil(TRANSMISSION_FACTOR * math.log10(members + 1)) + 1
+        limit = math.ceil(TRANSMISSION_FACTOR * math.log10(members + 1)) + LEAST_TRANSMISSIONS
         taken: list[bytes] = []
         least_sent_first = sorted(self._waiting.items(), key=lambda item: item[1].transmissions)
         for node, broadcast in least_sent_first:
--- a/src/bellweir/membership/exchange.py
+++ b/src/bellweir/membership/exchange.py
@@ -4,6 +4,7 @@
 equal an exchange costs 16 hashes, whatever the number of members.
 """
 
+import random
 from collections.abc import Callable
 from typing import Annotated
 
@@ -18,6 +19,8 @@
 from bellweir.wire.interface import Message, Sender, Transport
 
 EXCHANGE_TIMEOUT_S = 5.0
+EARLY_S = 10.0
+EARLY_PERIOD_S = 1.0
 MAXIMUM_EXCHANGED = 16_384
 
 Now = Callable[[], float]
@@ -48,6 +51,17 @@
     records: Records
 
 
+def exchange_pause_s(period_s: float, age_s: float) -> float:
+    """Return the time until a node's next exchange, with jitter so that none march in step.
+
+    A node that has just started (`age_s` ago) compares more often: what it missed while it knew
+    few members would otherwise show only after a whole period.
+    """
+    if age_s < EARLY_S:
+        period_s = min(period_s, EARLY_PERIOD_S)
+    return period_s * random.uniform(0.5, 1.5)
+
+
 def register_handlers(transport: Transport, node: MembershipNode, now: Now) -> None:
     """Answer exchanges on behalf of a node."""
 
--- a/src/bellweir/membership/node.py
+++ b/src/bellweir/membership/node.py
@@ -49,6 +49,8 @@
 """A dead member is pinged once in this many probe periods."""
 SEED_PERIODS = 5
 """Seeds that are no live members are pinged once in this many probe periods."""
+JOIN_FANOUT = 3
+"""Seeds pinged in each period by a node that knows no live member."""
 STALL_PERIODS = 1.0
 """A task that wakes this many probe periods late discards its probes in flight."""
 REFUSED_LOG_PERIOD_S = 10.0
@@ -241,7 +243,7 @@
             self._probe(in_turn, now_s)
         if self._periods % DEAD_PROBE_PERIODS == 0:
             self._ping_a_dead_member()
-        if self._periods % SEED_PERIODS == 1:
+        if self._periods % SEED_PERIODS == 1 or not self._table.live_others():
             self._ping_seeds()
         self._book.forget_relays(now_s)
         self._table.forget_old_dead(now_s)
@@ -284,8 +286,10 @@
         known = {record.peer_address for record in self._table.live_others()}
         known.add(self._table.own.peer_address)
         missing = sorted(self._seeds - known)
-        if missing:
-            self._ping(self._book.next_number(), "", self._chance.choice(missing))
+        # A node that knows nobody yet asks several at once: the first one may be gone.
+        count = 1 if self._table.live_others() else JOIN_FANOUT
+        for address in self._chance.sample(missing, min(count, len(missing))):
+            self._ping(self._book.next_number(), "", address)
 
     def _ping(self, number: int, target: str, address: str) -> None:
         own = self._table.own.node
--- a/src/bellweir/membership/service.py
+++ b/src/bellweir/membership/service.py
@@ -1,6 +1,5 @@
 """Membership of this node. Service `membership`."""
 
-import random
 import select
 import socket
 import threading
@@ -11,7 +10,12 @@
 from bellweir.kernel.executors import ExecutorSaturatedError, WorkKind
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
-from bellweir.membership.exchange import Now, exchange_with, register_handlers
+from bellweir.membership.exchange import (
+    Now,
+    exchange_pause_s,
+    exchange_with,
+    register_handlers,
+)
 from bellweir.membership.interface import Member, Membership, MembershipListener, MemberState
 from bellweir.membership.log_events import (
     LISTENER_FAILED,
@@ -120,7 +124,8 @@
 
     def _run(self, stopping: threading.Event) -> None:
         node = self._protocol()
-        next_exchange_s = self._now_s()
+        started_s = next_exchange_s = self._now_s()
+        period_s = self._settings.membership.exchange_period_s
         while not stopping.is_set():
             wait_s = min(LONGEST_WAIT_S, max(0.0, node.next_wake_s - self._now_s()))
             try:
@@ -134,7 +139,8 @@
             self._deliver(node)
             due = self._now_s() >= next_exchange_s
             if self._begin_exchange(node, due):
-                next_exchange_s = self._now_s() + exchange_pause_s(self._settings)
+                age_s = self._now_s() - started_s
+                next_exchange_s = self._now_s() + exchange_pause_s(period_s, age_s)
 
     def _begin_exchange(self, node: MembershipNode, due: bool) -> bool:
         if self._exchanging.is_set():
@@ -195,11 +201,6 @@
     )
 
 
-def exchange_pause_s(settings: Settings) -> float:
-    """Return the time until the next exchange, with jitter so that nodes do not march in step."""
-    return settings.membership.exchange_period_s * random.uniform(0.5, 1.5)
-
-
 def receive_waiting(datagrams: socket.socket, node: MembershipNode, now: Now) -> None:
     """Hand the datagrams that wait in the socket to the node, a bounded number at once."""
     for _ in range(MAXIMUM_DATAGRAMS_AT_ONCE):
