--- a/src/bellweir/settings/models.py
+++ b/src/bellweir/settings/models.py
@@ -92,6 +92,9 @@
     """Request threads; each streaming answer holds one. Default 256."""
     maximum_body_bytes: int = Field(default=1 << 30, ge=1024)
     """Longest accepted request body, in bytes. Default 1 GiB."""
+    drain_grace_s: float = Field(default=2.0, ge=0)
+    """Time between reporting not ready and refusing new work at a planned stop, in seconds.
+    Default 2."""
     tokens_file: Path | None = None
     """TOML file of bearer tokens and their roles; none leaves the interface open."""
 
@@ -126,6 +129,9 @@
     """Generations that one node runs at once for training steps. Default 128."""
     duplicate_budget: float = Field(default=0.05, ge=0, le=1)
     """Share of a step's slots that may run twice near its end. Default 0.05."""
+    lease_s: float = Field(default=5.0, gt=0)
+    """Time without a report after which an attempt's slot is given to another node, in seconds.
+    Default 5."""
 
 
 class WeightsSettings(Concern):
