--- a/src/bellweir/configuration/core.py
+++ b/src/bellweir/configuration/core.py
@@ -34,6 +34,7 @@
 from bellweir.configuration.table import ApplyOutcome
 from bellweir.kernel.clock import Clock
 from bellweir.membership.interface import Member, Membership, MemberState
+from bellweir.membership.partners import Partners
 from bellweir.settings.models import ConfigurationSettings
 from bellweir.wire.interface import Message, Sender, Transport
 
@@ -74,6 +75,7 @@
         self.state = ConfigurationState(self._node)
         self._chunks = SnapshotChunks(self.state)
         self._catch_up = CatchUp(transport, self.state)
+        self._partners = Partners(self._random)
         self._wake = threading.Event()
         self._lock = threading.Lock()
         self._hint: _Hint | None = None
@@ -124,7 +126,7 @@
         self._notify()
         self._follow_hint()
         if self._clock.monotonic_s() >= self._next_exchange_s:
-            self._exchange_with_random_peer()
+            self._exchange_with_partner()
             self._next_exchange_s = self._clock.monotonic_s() + self._exchange_period_s()
         self._forward_all()
         self._notify()
@@ -213,10 +215,10 @@
             self._hint = None
         self._exchange(hint.address)
 
-    def _exchange_with_random_peer(self) -> None:
-        others = self._others()
-        if others:
-            self._exchange_with(self._random.choice(others))
+    def _exchange_with_partner(self) -> None:
+        partner = self._partners.choose(self._others(), self._clock.monotonic_s())
+        if partner is not None:
+            self._exchange_with(partner)
 
     def _others(self) -> list[Member]:
         states = (MemberState.ALIVE, MemberState.LEAVING)
--- a/src/bellweir/membership/node.py
+++ b/src/bellweir/membership/node.py
@@ -30,6 +30,7 @@
     SUSPICION_REFUTED,
 )
 from bellweir.membership.outbox import DatagramChannel, Outbox
+from bellweir.membership.partners import Partners
 from bellweir.membership.probing import RELAY_KEPT_S, Probe, ProbeBook, Relay
 from bellweir.membership.records import MemberRecord, MemberStatus
 from bellweir.membership.table import MemberTable, MergeOutcome
@@ -79,6 +80,7 @@
         self._lock = threading.Lock()
         self._table = MemberTable(own, settings)
         self._targets = ProbeTargets(own.node, self._chance)
+        self._partners = Partners(self._chance)
         self._book = ProbeBook()
         self._broadcasts = Broadcasts()
         self.traffic = TrafficCounter()
@@ -191,11 +193,12 @@
             address, self._exchange_with = self._exchange_with, None
         return address
 
-    def random_peer_address(self) -> str | None:
-        """Return the address of a random live member."""
+    def partner_address(self, now_s: float) -> str | None:
+        """Return the address of a member with whom to compare lists now."""
         with self._lock:
-            others = self._table.live_others()
-            return self._chance.choice(others).peer_address if others else None
+            others = [record.to_member() for record in self._table.live_others()]
+            partner = self._partners.choose(others, now_s)
+        return partner.peer_address if partner is not None else None
 
     def digests(self) -> tuple[int, ...]:
         """Return the hash of each bucket of live members."""
--- a/src/bellweir/membership/service.py
+++ b/src/bellweir/membership/service.py
@@ -145,7 +145,9 @@
     def _begin_exchange(self, node: MembershipNode, due: bool) -> bool:
         if self._exchanging.is_set():
             return False
-        address = node.wants_exchange_with() or (node.random_peer_address() if due else None)
+        address = node.wants_exchange_with() or (
+            node.partner_address(self._now_s()) if due else None
+        )
         if address is None:
             return False
         self._exchanging.set()
--- a/src/bellweir_rehearsal/scale/commands.py
+++ b/src/bellweir_rehearsal/scale/commands.py
@@ -117,6 +117,7 @@
     digest: int
     """Hash of the sorted names of the members that are not dead."""
     revision: int
+    """Of the resources in force; 0 while the machine list is missing."""
 
 
 class Views(Reply, frozen=True):
--- a/src/bellweir_rehearsal/scale/hollow_node.py
+++ b/src/bellweir_rehearsal/scale/hollow_node.py
@@ -25,6 +25,7 @@
 from bellweir_rehearsal.scale.hollow_transport import HollowTransport, SharedThreads
 
 HOST = "127.0.0.1"
+SERVE_TIMEOUT_S = 5.0
 OWNERSHIP_PERIOD_S = 0.5
 """How often a node asks which workers it owns, as the rollout of weights does."""
 
@@ -115,14 +116,14 @@
         receive_waiting(self.datagrams, self.protocol, time.monotonic)
         self._deliver()
 
-    def accept(self) -> None:
-        """Hand a waiting connection to the shared threads."""
+    def accept(self) -> socket.socket | None:
+        """Take a waiting connection."""
         try:
             connection, _ = self.stream.accept()
         except OSError:
-            return
-        connection.setblocking(True)
-        self._threads.serving.submit(self.transport.serve, connection)
+            return None
+        connection.settimeout(SERVE_TIMEOUT_S)
+        return connection
 
     def begin_due_work(self, now_s: float) -> None:
         """Do what is due on the loop, and hand to the shared threads what waits for peers."""
@@ -135,6 +136,7 @@
         if not self._exchanging:
             self._begin_exchange(now_s)
         if now_s >= self._next_ownership_s:
+            self.transport.close_idle(now_s)
             self._next_ownership_s = now_s + OWNERSHIP_PERIOD_S
             self.owned = len(self.owners.owned(self._workers, now_s))
 
@@ -142,12 +144,14 @@
         """Return what this node sees."""
         names = sorted(member.node for member in self.protocol.members())
         digest = xxhash.xxh32_intdigest("\n".join(names).encode())
-        return View(len(names), digest, self.configuration.state.current().revision)
+        snapshot = self.configuration.state.current()
+        revision = snapshot.revision if snapshot.machines_revision else 0
+        return View(len(names), digest, revision)
 
     def close(self) -> None:
         """End the node without a word to others."""
         self.running = False
-        self.transport.closed = True
+        self.transport.close()
         self.stream.close()
         self.datagrams.close()
 
@@ -161,7 +165,7 @@
     def _begin_exchange(self, now_s: float) -> None:
         address = self.protocol.wants_exchange_with()
         if address is None and now_s >= self._next_exchange_s:
-            address = self.protocol.random_peer_address()
+            address = self.protocol.partner_address(now_s)
         if address is None:
             return
         self._exchanging = True
