--- a/src/bellweir/membership/node.py
+++ b/src/bellweir/membership/node.py
@@ -24,6 +24,7 @@
     encode_datagram,
 )
 from bellweir.membership.interface import Member
+from bellweir.membership.lateness import Lateness
 from bellweir.membership.log_events import (
     DATAGRAM_REFUSED,
     LOOP_STALLED,
@@ -76,8 +77,7 @@
         self._periods = 0
         self._next_period_s = start_s
         self._next_gossip_s = start_s
-        self._last_tick_s = start_s
-        self._lag_s = 0.0
+        self._lateness = Lateness(settings.probe_period_s, start_s)
         self.refused = 0
         """Datagrams that were malformed or proved no cluster key."""
         self._refused_logged_s = -pace.REFUSED_LOG_PERIOD_S
@@ -153,7 +153,7 @@
         """Spread at once that this node is leaving."""
         with self._lock:
             if not self._table.own.leaving:
-                self._spread(self._table.renew_own(True, MemberStatus.ALIVE, now_s))
+                self._broadcasts.add(self._table.renew_own(True, MemberStatus.ALIVE, now_s))
                 self._gossip(pace.LEAVING_FANOUT)
         self._flush(now_s)
 
@@ -161,7 +161,7 @@
         """Spread at once that this node has stopped."""
         with self._lock:
             if self._table.own.status is not MemberStatus.DEAD:
-                self._spread(self._table.renew_own(True, MemberStatus.DEAD, now_s))
+                self._broadcasts.add(self._table.renew_own(True, MemberStatus.DEAD, now_s))
                 self._gossip(pace.LEAVING_FANOUT)
         self._flush(now_s)
 
@@ -223,8 +223,8 @@
 
     def _begin_period(self, now_s: float) -> None:
         self._periods += 1
-        self._lag_s *= pace.LAG_DECAY
-        self._table.patience_s = self._patience_s()
+        self._lateness.forget_some()
+        self._table.patience_s = self._lateness.patience_s()
         self._next_period_s = now_s + self._settings.probe_period_s
         self._targets.see(self._table.live_others())
         successor, in_turn = self._targets.successor(), self._targets.next_in_turn()
@@ -240,7 +240,7 @@
         self._table.forget_old_dead(now_s)
 
     def _probe(self, target: MemberRecord, now_s: float) -> None:
-        sent_s = now_s + self._patience_s()
+        sent_s = now_s + self._lateness.patience_s()
         probe = Probe(
             number=self._book.next_number(),
             target=target.node,
@@ -256,7 +256,7 @@
 
         Not while this node runs late: the failure may then be its own.
         """
-        if self._lag_s > pace.LATE_PERIODS * self._settings.probe_period_s:
+        if self._lateness.is_late():
             return
         for _ in range(pace.PROBES_AFTER_FAILURE):
             target = self._targets.next_in_turn()
@@ -349,7 +349,7 @@
     def _apply(self, outcome: MergeOutcome) -> None:
         if outcome.changed is None:
             return
-        self._spread(outcome.changed)
+        self._broadcasts.add(outcome.changed)
         self._changes.append(outcome.changed.to_member())
         record = outcome.changed
         self._faults.learn(Place(record.node, record.peer_address, record.zone, record.region))
@@ -359,9 +359,6 @@
         if outcome.name_conflict:
             emit(NAME_CONFLICT, address=record.peer_address)
 
-    def _spread(self, record: MemberRecord) -> None:
-        self._broadcasts.add(record)
-
     def _gossip(self, fanout: int) -> None:
         self._targets.see(self._table.live_others())
         for member in self._targets.some(fanout):
@@ -370,10 +367,8 @@
                 self._queue(member.peer_address, Gossip(0, self._table.own.node, records))
 
     def _notice_stall(self, now_s: float) -> None:
-        late_s = now_s - max(self._last_tick_s, self.next_wake_s)
-        self._last_tick_s = now_s
-        self._lag_s = max(self._lag_s, late_s)
-        if late_s < pace.STALL_PERIODS * self._settings.probe_period_s:
+        late_s = self._lateness.notice(now_s, self.next_wake_s)
+        if not self._lateness.is_stall(late_s):
             return
         # Answers may wait in the socket's buffer: this node cannot blame anybody for the time
         # in which it did not run.
@@ -381,11 +376,6 @@
         self._table.postpone_suspicions(late_s)
         emit(LOOP_STALLED, stalled_s=round(late_s, 3))
 
-    def _patience_s(self) -> float:
-        """Extra time for others' answers while this node itself runs late."""
-        period_s = self._settings.probe_period_s
-        return min(pace.LAG_FACTOR * self._lag_s, pace.MAXIMUM_PATIENCE_PERIODS * period_s)
-
     def _plan_wake(self) -> None:
         gossip_s = self._next_gossip_s if self._broadcasts else float("inf")
         self.next_wake_s = min(
