--- a/src/bellweir/membership/node.py
+++ b/src/bellweir/membership/node.py
@@ -181,8 +181,7 @@
     def partner_address(self, now_s: float) -> str | None:
         """Return the address of a member with whom to compare lists now."""
         with self._lock:
-            own = self._table.own.node
-            others = [member for member in self._table.members() if member.node != own]
+            others = [m for m in self._table.members() if m.node != self._table.own.node]
             partner = self._partners.choose(others, now_s)
         return partner.peer_address if partner is not None else None
 
