--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -10,6 +10,10 @@
     Then every mix of lists, watch changes and updates leaves it as the history was at its revision
     And the changes it passes on lead any earlier revision to its own
 
+  Scenario: Readers that saw different machine lists never leave a peer with a wrong one
+    Given any history of configuration machine lists and two readers of parts of it
+    Then a configuration update between them is applied right or refused
+
   Scenario: A listener that subscribes during a change sees no older snapshot afterwards
     Given a configuration subscription that was given revision 5
     When the configuration subscription is given revisions 4, 5, 6 and 3
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -9,12 +9,15 @@
 
 from bellweir.configuration import placement
 from bellweir.configuration.interface import ConfigurationSnapshot
+from bellweir.configuration.machine_reader import MachineListReader
+from bellweir.configuration.messages import TableName
 from bellweir.configuration.reader import StoreReader
 from bellweir.configuration.state import ConfigurationState
 from bellweir.configuration.subscription import Subscription
 from bellweir.configuration.table import ApplyOutcome
 from bellweir.kernel.clock import ManualClock
 from bellweir.membership.interface import MemberState
+from bellweir.platform.interface import Machine, MachineSnapshot, MachineState
 from support.configuration_machine import ConfigurationMachine, policy
 from support.configuration_network import ConfigurationNode, MemoryNetwork, member
 from support.configuration_tables import (
@@ -368,3 +371,39 @@
 @then("the configuration reader's watches were meant to last {first:g} and {second:g} seconds")
 def step_lasted(context, first, second):
     assert context.store.asked == [first, second], context.store.asked
+
+
+@given("any history of configuration machine lists and two readers of parts of it")
+def step_machine_histories(context):
+    presence = st.dictionaries(st.sampled_from(["a", "b"]), st.integers(1, 2), max_size=2)
+    context.lists = st.lists(presence, min_size=3, max_size=6)
+
+
+def _machine_list(addresses):
+    return {
+        name: Machine(name, f"127.0.0.1:{port}", "z", "r", "engine", "p", MachineState.LIVE)
+        for name, port in addresses.items()
+    }
+
+
+@then("a configuration update between them is applied right or refused")
+def step_machine_updates(context):
+    revisions = st.sets(st.integers(0, 5), min_size=1)
+
+    @settings(max_examples=600)
+    @given_property(context.lists, revisions, revisions, st.integers(0, 5))
+    def run(lists, seen_by_sender, seen_by_receiver, after):
+        history = [_machine_list(addresses) for addresses in lists]
+        sender, receiver = ConfigurationState("sender"), ConfigurationState("receiver")
+        for state, seen in ((sender, seen_by_sender), (receiver, seen_by_receiver)):
+            reader = MachineListReader(state.node, None, state, ManualClock(), None, None)
+            for revision in sorted(seen & set(range(len(lists)))) or [0]:
+                machines = tuple(history[revision].values())
+                reader._take_over(MachineSnapshot(revision, machines))
+        update = sender.update_after(TableName.MACHINES, after)
+        if update is not None:
+            receiver.apply(update)
+        snapshot = receiver.current()
+        assert snapshot.machines == history[snapshot.machines_revision], (update, snapshot)
+
+    run()
--- a/features/support/configuration_machine.py
+++ b/features/support/configuration_machine.py
@@ -3,6 +3,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
+from bellweir.platform.interface import Machine, MachineSnapshot, MachineState
 from support.configuration_network import ConfigurationNode, MemoryNetwork, member
 from support.memory_store import MemoryStore
 
@@ -35,6 +36,8 @@
         self.network = MemoryNetwork()
         self.store = MemoryStore()
         self.everyone = {name: member(name, *place) for name, place in PLACES.items()}
+        self.machine_lists = [{}]
+        """The platform's machine list at each revision."""
         self.nodes = {}
         self.reached = {}
         self.starts = 0
@@ -81,6 +84,24 @@
         self.nodes[name].read()
         self.store.interruptions = []
 
+    @rule(name=POLICIES, port=st.none() | st.integers(1, 2))
+    def change_machines(self, name, port):
+        """A machine comes, moves between two addresses, or goes."""
+        machines = dict(self.machine_lists[-1])
+        machines.pop(name, None)
+        if port is not None:
+            address = f"127.0.0.1:{port}"
+            machines[name] = Machine(name, address, "z", "r", "engine", "p", MachineState.LIVE)
+        self.machine_lists.append(machines)
+
+    @rule(name=NAMES, lag=st.integers(0, 3))
+    def read_machines(self, name, lag):
+        """Any node reads the list, which lags: readers come to different revisions."""
+        if name in self.nodes:
+            revision = max(0, len(self.machine_lists) - 1 - lag)
+            machines = tuple(self.machine_lists[revision].values())
+            self.nodes[name].take_machines(MachineSnapshot(revision, machines))
+
     @rule(name=NAMES)
     def step(self, name):
         if name in self.nodes:
@@ -143,6 +164,9 @@
                 key[1]: stored.document["spec"]["model"]
                 for key, stored in self.store.history[node.revision].items()
             }
+            machines = node.core.state.positions()[1].revision
+            in_force = node.core.state.current().machines
+            assert machines < 0 or in_force == self.machine_lists[machines], (name, machines)
             found = node.names_in_force()
             assert found == expected, f"{name} at {node.revision}: {found}, store had {expected}"
 
@@ -155,7 +179,9 @@
                 node.read()
                 node.step()
             self.network.deliver_all()
+        newest = max(node.core.state.positions()[1].revision for node in self.nodes.values())
         for name, node in self.nodes.items():
             assert node.revision == self.store.revision, f"{name} stays at {node.revision}"
+            assert node.core.state.positions()[1].revision == newest, f"{name}'s machine list"
         self.never_back()
         self.as_the_store_was()
--- a/features/support/configuration_network.py
+++ b/features/support/configuration_network.py
@@ -9,6 +9,7 @@
 
 from bellweir.configuration import placement
 from bellweir.configuration.core import ConfigurationCore
+from bellweir.configuration.machine_reader import MachineListReader
 from bellweir.configuration.reader import StoreReader
 from bellweir.kernel.clock import ManualClock
 from bellweir.membership.interface import Member, Membership, MemberState
@@ -138,6 +139,9 @@
         self.reader = StoreReader(
             own.node, own.zone, store, self.core.state, self.clock, lambda: True
         )
+        self.machines = MachineListReader(
+            own.node, None, self.core.state, self.clock, lambda: True, lambda: 1.0
+        )
         self.seen = []
         self.core.subscribe(lambda snapshot: self.seen.append(snapshot.revision))
 
@@ -153,6 +157,9 @@
         if self.is_reader():
             self.reader.read_once(threading.Event())
 
+    def take_machines(self, snapshot):
+        self.machines._take_over(snapshot)
+
     def step(self):
         self.clock.advance(2.0)
         self.core.step()
