--- a/features/resources.feature
+++ b/features/resources.feature
@@ -135,3 +135,11 @@
       | path               | found    | allowed       |
       | spec.arms[0].share | NaN      | finite number |
       | spec.arms[1].share | Infinity | finite number |
+
+  Scenario: The version of an operator's write stays while the system reports
+    Given a resource node with policy "north"
+    Then the resource in force was last written by an operator at version 1
+    When resource conditions "Ready" and "InForce" are reported by two reporters
+    Then the resource in force was last written by an operator at version 1
+    When two operators replace resource policy "north" from the same version
+    Then the resource in force was last written by an operator at version 4
--- a/features/steps/resources_steps.py
+++ b/features/steps/resources_steps.py
@@ -7,6 +7,7 @@
 from returns.result import Failure
 
 from bellweir.resources.deletion import MARK_LASTS_S, Deletion
+from bellweir.resources.documents import operator_version_of
 from bellweir.resources.interface import ResourceErrorKind
 from bellweir.resources.models import KINDS
 from bellweir.resources.reference import all_fields, explain, render_reference
@@ -356,3 +357,10 @@
                 assert all(finding.allowed for finding in error.findings), error
 
     run()
+
+
+@then("the resource in force was last written by an operator at version {version:d}")
+def step_operator_version(context, version):
+    context.node.configuration.follow()
+    policy = context.node.configuration.current().policies["north"]
+    assert operator_version_of(policy) == version, policy.metadata
--- a/src/bellweir/resources/documents.py
+++ b/src/bellweir/resources/documents.py
@@ -6,6 +6,7 @@
 
 from bellweir.platform.interface import StoredObject
 from bellweir.resources.interface import ResourceFinding
+from bellweir.resources.models import AnyResource
 
 MUTATIONS_ANNOTATION = "bellweir.dev/mutations"
 """Ids of the last writes, newest first; kept from callers."""
@@ -39,6 +40,12 @@
     return int(carried) if carried.isdecimal() else stored.version
 
 
+def operator_version_of(resource: AnyResource) -> int:
+    """The same for a resource in force: it grows with what operators write, not with status."""
+    carried = resource.metadata.annotations.get(OPERATOR_VERSION_ANNOTATION, "")
+    return int(carried) if carried.isdecimal() else resource.metadata.resource_version or 0
+
+
 def as_system_write(document: Mapping[str, Any], base: StoredObject) -> dict[str, Any]:
     """A document that the system writes over `base`: it carries the operator's version on."""
     metadata = dict(document["metadata"])
