--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -6,6 +6,17 @@
     When ledger items 1 to 5 are appended through node a
     Then the ledger gives items 1 to 5 through node a
 
+  Scenario Outline: The first placement is decided once, whatever becomes of the write's answer
+    Given a ledger of 3 data nodes whose first write to the store is <fate>
+    When ledger items 1 to 3 are appended through node a
+    And ledger items 4 to 6 are appended through node b
+    Then the ledger gives items 1 to 6 through node c
+
+    Examples:
+      | fate         |
+      | answer lost  |
+      | request lost |
+
   Scenario: Any node appends and reads, with or without a data folder
     Given a ledger of 3 data nodes and 1 other nodes
     When ledger items 1 to 5 are appended through node z
@@ -60,6 +71,12 @@
     And the leaving node leads it never again, while others do
     And ledger item 6 is appended through node z
 
+  Scenario: When all nodes leave at once none waits for another to lead
+    Given a ledger of 3 data nodes and 1 other nodes
+    When ledger items 1 to 5 are appended through node z
+    And every ledger node announces that it leaves
+    Then no ledger node has a shard to hand over
+
   Scenario: A stopping node acknowledges nothing and reports no failure
     Given a ledger of 3 data nodes and 1 other nodes
     When ledger items 1 to 5 are appended through node z
--- a/features/steps/ledger_steps.py
+++ b/features/steps/ledger_steps.py
@@ -8,10 +8,10 @@
 from behave import given, then, when
 from features.support.ledger_nodes import (
     AppendItem,
+    HangingStore,
     ItemList,
     MemoryNetwork,
     MemoryNode,
-    MemoryObjectStore,
     ReadItems,
 )
 from features.support.waiting import wait_until
@@ -35,10 +35,11 @@
 
 
 class Cluster:
-    def __init__(self, data_nodes, other_nodes):
+    def __init__(self, data_nodes, other_nodes, fates=()):
         self.folder = Path(tempfile.mkdtemp(prefix="ledger-"))
         self.network = MemoryNetwork()
-        self.store = MemoryObjectStore()
+        self.store = HangingStore()
+        self.store.fates = list(fates)
         self.settings = FAST.model_copy(update={"replicas": min(3, data_nodes)})
         self.names = [chr(ord("a") + number) for number in range(data_nodes)]
         self.names += [chr(ord("z") - number) for number in range(other_nodes)]
@@ -86,6 +87,12 @@
     context.add_cleanup(context.cluster.close)
 
 
+@given("a ledger of 3 data nodes whose first write to the store is {fate}")
+def given_fate(context, fate):
+    context.cluster = Cluster(3, 0, [fate])
+    context.add_cleanup(context.cluster.close)
+
+
 @when("ledger items {first:d} to {last:d} are appended through node {name}")
 def when_appended(context, first, last, name):
     for item in range(first, last + 1):
@@ -113,8 +120,8 @@
 
 @when("the ledger's platform store hangs")
 def when_store_hangs(context):
-    context.cluster.store.hang.clear()
-    context.add_cleanup(context.cluster.store.hang.set)
+    context.cluster.store.answers.clear()
+    context.add_cleanup(context.cluster.store.answers.set)
 
 
 @then("ledger item {item:d} is appended through node {name}")
@@ -129,6 +136,19 @@
     set_state(context.cluster, context.leaving, MemberState.LEAVING)
 
 
+@when("every ledger node announces that it leaves")
+def when_all_leave(context):
+    for name in context.cluster.names:
+        set_state(context.cluster, name, MemberState.LEAVING)
+
+
+@then("no ledger node has a shard to hand over")
+def then_nothing_to_hand_over(context):
+    nodes = context.cluster.nodes
+    for name in context.cluster.data_names:
+        assert not nodes[name].ledger._tasks._hand_over_once()
+
+
 def set_state(cluster, name, state):
     member = cluster.network.members[name]
     cluster.network.members[name] = dataclasses.replace(member, state=state)
--- a/features/support/ledger_nodes.py
+++ b/features/support/ledger_nodes.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+from features.support.memory_store import MemoryStore
 from returns.result import Failure, Result, Success
 
 from bellweir.kernel import names
@@ -20,7 +21,6 @@
 from bellweir.ledger.service import LedgerService
 from bellweir.membership.interface import Member, Membership, MemberState
 from bellweir.platform.interface import (
-    ErrorKind,
     ObjectStore,
     PlatformClients,
     PlatformError,
@@ -77,52 +77,27 @@
         self.items = [int(item) for item in state.decode().split(",") if item]
 
 
-class MemoryObjectStore(ObjectStore):
-    """Objects with versions and compare-and-set; `down` makes every call fail."""
+class HangingStore(MemoryStore):
+    """Used by the tasks of many nodes at once, which wait for ever while it hangs."""
 
     def __init__(self) -> None:
-        self._lock = threading.Lock()
-        self._objects: dict[tuple[str, str], StoredObject] = {}
-        self._revision = 0
-        self.down = False
-        self.hang = threading.Event()
+        super().__init__()
+        self._lock = threading.RLock()
+        self.answers = threading.Event()
         """While cleared, every call waits."""
-        self.hang.set()
-
-    def list_objects(self) -> Any:
-        raise NotImplementedError
-
-    def watch(self, from_revision: int, timeout_s: float) -> Any:
-        raise NotImplementedError
-
-    def delete(self, kind: str, name: str, expected_version: int) -> Any:
-        raise NotImplementedError
+        self.answers.set()
 
     def get(self, kind: str, name: str) -> Result[StoredObject, PlatformError]:
-        self.hang.wait()
+        self.answers.wait()
         with self._lock:
-            if self.down:
-                return Failure(PlatformError(ErrorKind.NOT_RUN, "down"))
-            found = self._objects.get((kind, name))
-            if found is None:
-                return Failure(PlatformError(ErrorKind.NOT_FOUND, name))
-            return Success(found)
+            return super().get(kind, name)
 
     def put(
         self, document: Any, expected_version: int | None, mutation_id: str
     ) -> Result[StoredObject, PlatformError]:
-        key = (document["kind"], document["metadata"]["name"])
-        self.hang.wait()
+        self.answers.wait()
         with self._lock:
-            if self.down:
-                return Failure(PlatformError(ErrorKind.NOT_RUN, "down"))
-            found = self._objects.get(key)
-            if expected_version not in (None, found.version if found else 0):
-                return Failure(PlatformError(ErrorKind.CONFLICT, "another version"))
-            self._revision += 1
-            stored = StoredObject(*key, self._revision, document)
-            self._objects[key] = stored
-            return Success(stored)
+            return super().put(document, expected_version, mutation_id)
 
 
 class MemoryPlatform(Service, PlatformClients):
--- a/features/support/ledger_simulation.py
+++ b/features/support/ledger_simulation.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 from typing import Any
 
-from features.support.ledger_nodes import ItemList, MemoryObjectStore
+from features.support.ledger_nodes import ItemList
+from features.support.memory_store import MemoryStore
 from returns.result import Failure, Result, Success
 
 from bellweir.kernel.clock import ManualClock
@@ -168,7 +169,7 @@
         self.names = tuple(names)
         self.random = random.Random(seed)
         self.clock = ManualClock()
-        self.store = MemoryObjectStore()
+        self.store = MemoryStore()
         self.weather = Weather()
         self.cut: set[frozenset[str]] = set()
         self.paused: set[str] = set()
--- a/src/bellweir/ledger/keeper.py
+++ b/src/bellweir/ledger/keeper.py
@@ -30,7 +30,7 @@
 from bellweir.wire.interface import Sender, Transport
 
 PLACEMENT_TIMEOUT_S = 1.0
-LEADERLESS_LOOK_S = 5.0
+LEADERLESS_LOOK_S = 2.0
 """Time without a leader after which, and period in which, the store is asked for a recovery."""
 REFRESH_PERIOD_S = 10.0
 """Time between two looks at another node's copy of the placement."""
--- a/src/bellweir/ledger/tasks.py
+++ b/src/bellweir/ledger/tasks.py
@@ -19,7 +19,7 @@
 PUBLISH_PERIOD_S = 2.0
 """The store may be slow, so it has a task of its own and keeps nothing else waiting."""
 HAND_OVER_POLL_S = 0.02
-HAND_OVER_LIMIT_S = 10.0
+HAND_OVER_LIMIT_S = 2.0
 """Longest wait for others to take over; after it they elect a leader by themselves."""
 STOP_TIMEOUT_S = 5.0
 
