--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -21,6 +21,11 @@
     Then the revision is in force on all of the zone's nodes
     And each configuration node sent at most its fan-out and one announcement
 
+  Scenario: A node whose task waits for a silent peer still passes changes on
+    Given a configuration zone of 43 nodes
+    When the zone's reader reads a new revision while no configuration task runs
+    Then the revision is in force on all of the zone's nodes
+
   Scenario: A change costs a node the same in a small cluster and in a large one
     Given configuration clusters of 32 and of 340 nodes in 8 zones of 3 regions
     When 5 changes of 600 bytes are spread in both configuration clusters
@@ -51,3 +56,10 @@
     When a fresh configuration node joins the zone
     Then the fresh configuration node has that revision in force
     And no configuration message was longer than 200000 bytes
+
+  Scenario: A store that is slow to open watches is watched for longer each time
+    Given a configuration reader before a store that takes 1.5 seconds to open a watch
+    When the configuration reader watches the quiet store 2 times
+    Then the configuration reader's watches were meant to last 1.0 and 4.5 seconds
+    When the configuration's store is fast again and the reader watches it 2 times
+    Then the configuration reader's watches were meant to last 4.5 and 1.0 seconds
