--- a/bench/ledger.py
+++ b/bench/ledger.py
@@ -294,11 +294,13 @@
         node.load()
         read_s = time.perf_counter() - started_s
         replica = node.replica(0)
+        memory_bytes = psutil.Process().memory_info().rss
         started_s = time.perf_counter()
         while replica.commit_index < count:
             node.tick()
             node.flush()
         applied_s = time.perf_counter() - started_s
+        memory_bytes = psutil.Process().memory_info().rss - memory_bytes
         started_s = time.perf_counter()
         state = replica.snapshot().state
         saved_s = time.perf_counter() - started_s
@@ -311,6 +313,7 @@
                 "write_s": round(written_s, 2),
                 "read_s": round(read_s, 2),
                 "elect_and_apply_s": round(applied_s, 2),
+                "memory_bytes_per_claim": round(memory_bytes / count),
                 "snapshot_s": round(saved_s, 2),
                 "snapshot_bytes": len(state),
             }
--- a/src/bellweir/ledger/calls.py
+++ b/src/bellweir/ledger/calls.py
@@ -24,6 +24,8 @@
 
 RETRY_PAUSE_S = 0.02
 """Pause before the leader of a shard is looked for again."""
+MAXIMUM_CALL_BYTES = 1 << 20
+"""A larger command would not fit into a message between replicas; bulk goes to segments."""
 ACCEPT_TIMEOUT_S = 1.0
 """A leader accepts or refuses at once; longer silence is treated as a lost answer."""
 
@@ -48,6 +50,8 @@
 
     def handle_call(self, sender: Sender, request: CallRequest) -> CallAccepted | CallRefused:
         """Accept a call and send its outcome later, or refuse it when this node does not lead."""
+        if len(request.payload) > MAXIMUM_CALL_BYTES:
+            return CallRefused(None)
         if request.is_query:
             query = self._node.codec.decode(request.payload, Query)
             future = self._node.read(request.shard, query)
@@ -99,6 +103,9 @@
     def call(self, shard: int, value: Command | Query, timeout_s: float) -> Outcome:
         """Bring a call to its leader and wait for the outcome."""
         call = _Call(shard, value, self._codec.encode(value))
+        if len(call.payload) > MAXIMUM_CALL_BYTES:
+            detail = f"a command or query has at most {MAXIMUM_CALL_BYTES} bytes"
+            return Failure(LedgerError(LedgerErrorKind.UNAVAILABLE, detail))
         deadline_s = self._clock.monotonic_s() + timeout_s
         tried: set[str] = set()
         while (left_s := deadline_s - self._clock.monotonic_s()) > 0:
--- a/src/bellweir/ledger/claims.py
+++ b/src/bellweir/ledger/claims.py
@@ -22,7 +22,7 @@
 
 IN_PROGRESS_LIMIT_S = 120.0
 """An attempt without a record after this time is reported as unknown."""
-TOMBSTONE_WINDOWS = 7
+TOMBSTONE_WINDOWS = 1
 """Windows for which an expired key is still refused."""
 CLEANED_PER_COMMAND = 4
 """Records looked at for expiry with each command, so that cleaning never stalls the log."""
--- a/src/bellweir/ledger/replica_state.py
+++ b/src/bellweir/ledger/replica_state.py
@@ -37,6 +37,9 @@
 from bellweir.ledger.log_events import LEADER_RESIGNED, SHARD_RECOVERED
 from bellweir.ledger.placement import ShardHome
 
+SNAPSHOT_BYTES_PER_ENTRY = 256
+"""State that may be saved again for each new entry; see `compact_when_due`."""
+
 
 class Role(Enum):
     """Role of a replica in its shard."""
@@ -82,8 +85,10 @@
         self._voted_for = stored.voted_for if stored else None
         self.log = _stored_log(stored)
         self.commit_index = self.log.base_index
+        self._snapshot_bytes = 0
         if stored is not None and stored.snapshot is not None:
             applier.load(stored.snapshot.index, stored.snapshot.state)
+            self._snapshot_bytes = len(stored.snapshot.state)
         self.role = Role.FOLLOWER
         self.leader: ReplicaId | None = None
         self._leader_heard_s = now_s - timing.election_timeout_s
@@ -182,12 +187,17 @@
     def compact_when_due(self) -> bool:
         """Take a snapshot when the log has grown; keep some entries for followers close behind."""
         with self.locked():
-            limit = self._timing.snapshot_entries
-            if self._applier.applied_index - self.log.base_index < limit + limit // 4:
+            # A large state is saved less often, so that a commit's share of saving it is bounded.
+            limit = max(
+                self._timing.snapshot_entries, self._snapshot_bytes // SNAPSHOT_BYTES_PER_ENTRY
+            )
+            kept = self._timing.snapshot_entries // 4
+            if self._applier.applied_index - self.log.base_index < limit + kept:
                 return False
             snapshot = self._snapshot()
+            self._snapshot_bytes = len(snapshot.state)
             self._journal.buffer(SaveSnapshot(self.shard, snapshot))
-            self.log.compact_to(snapshot.index - limit // 4)
+            self.log.compact_to(snapshot.index - kept)
             return True
 
     def recover(self, generation: int, at_s: float) -> None:
