--- a/bench/samples_tail.py
+++ b/bench/samples_tail.py
@@ -12,14 +12,14 @@
 from dataclasses import asdict, replace
 from pathlib import Path
 
+from bellweir.samples.staleness import StalenessBound
 from bench.tail_model.bellweir_scheduler import Bellweir
 from bench.tail_model.engines import VirtualEngine
 from bench.tail_model.run import Measurement, Run, Scheduler
 from bench.tail_model.simple import Baseline, Clairvoyant
 from bench.tail_model.workload import Workload
 
-GOAL_SHARE = 0.25
-"""Idle time above the bound, as a share of the baseline's above it."""
+NO_BOUND = StalenessBound()
 
 
 def make_engines(workload: Workload) -> list[VirtualEngine]:
@@ -30,7 +30,7 @@
     ]
 
 
-def measure(workload: Workload, name: str, bound: int | None) -> Measurement:
+def measure(workload: Workload, name: str, bound: StalenessBound) -> Measurement:
     """Measure one scheduler."""
     engines = make_engines(workload)
     schedulers: dict[str, Scheduler] = {
@@ -38,8 +38,7 @@
         "bound": Clairvoyant(workload, engines),
         "bellweir": Bellweir(workload, engines, bound),
     }
-    limit = bound if name == "bellweir" else None
-    return Run(workload, engines).measure(name, schedulers[name], limit)
+    return Run(workload, engines).measure(name, schedulers[name], bound)
 
 
 def percentile(values: Sequence[float], share: float) -> float:
@@ -67,16 +66,20 @@
     }
 
 
-def run_all(workload: Workload, bounds: Sequence[int]) -> list[dict[str, object]]:
+def run_all(
+    workload: Workload, bounds: Sequence[tuple[str, StalenessBound]]
+) -> list[dict[str, object]]:
     """The baseline, the bound, and bellweir with each staleness bound."""
-    rows = [row("baseline", measure(workload, "baseline", None))]
-    rows.append(row("clairvoyant bound", measure(workload, "bound", None)))
-    baseline, best = float(rows[0]["idle_share"]), float(rows[1]["idle_share"])  # type: ignore[arg-type]
-    for bound in bounds:
+    reference = measure(workload, "baseline", NO_BOUND)
+    best = measure(workload, "bound", NO_BOUND)
+    rows = [row("baseline", reference), row("clairvoyant bound", best)]
+    above_reference = max(reference.idle_share - best.idle_share, 1e-9)
+    for label, bound in bounds:
         began_s = time.monotonic()
-        found = row(f"bellweir, bound {bound}", measure(workload, "bellweir", bound))
-        above = float(found["idle_share"]) - best  # type: ignore[arg-type]
-        found["share_of_baseline_above_bound"] = round(above / max(baseline - best, 1e-9), 3)
+        result = measure(workload, "bellweir", bound)
+        found = row(f"bellweir, {label}", result)
+        share = (result.idle_share - best.idle_share) / above_reference
+        found["share_of_baseline_above_bound"] = round(share, 3)
         found["wall_s"] = round(time.monotonic() - began_s, 1)
         rows.append(found)
     return rows
@@ -91,13 +94,16 @@
 def main() -> None:
     """Run and write the figures."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--bounds", type=int, nargs="+", default=[1, 2, 3, 4])
+    parser.add_argument("--bounds", type=int, nargs="*", default=[0, 1, 2])
+    parser.add_argument("--bounds-s", type=float, nargs="*", default=[15, 30, 60, 90])
     parser.add_argument("--seeds", type=int, nargs="+", default=[1])
     parser.add_argument("--duration-s", type=float, default=1_200.0)
     parser.add_argument("--prompt-share", type=float, default=0.5)
     parser.add_argument("--train-s", type=float, default=75.0)
     parser.add_argument("--json", type=Path)
     chosen = parser.parse_args()
+    bounds = [(f"{found} versions", StalenessBound(versions=found)) for found in chosen.bounds]
+    bounds += [(f"{found:g} s", StalenessBound(seconds=found)) for found in chosen.bounds_s]
     results = []
     for seed in chosen.seeds:
         workload = replace(
@@ -107,7 +113,7 @@
             prompt_share=chosen.prompt_share,
             train_s=chosen.train_s,
         )
-        rows = run_all(workload, chosen.bounds)
+        rows = run_all(workload, bounds)
         print(f"seed {seed}")
         print_table(rows)
         results.append({"workload": asdict(workload), "rows": rows})
--- a/bench/tail_model/bellweir_scheduler.py
+++ b/bench/tail_model/bellweir_scheduler.py
@@ -38,6 +38,7 @@
 from bellweir.samples.publications import PublicationClock
 from bellweir.samples.rescoring import Rescorer
 from bellweir.samples.service import terms_of
+from bellweir.samples.staleness import StalenessBound
 from bellweir.samples.start_window import StartWindow
 from bellweir.samples.wire_messages import AssignAttempts, InstructAttempts, ReportAttempts
 from bench.tail_model.engines import VirtualAttempt, VirtualEngine, least_loaded
@@ -213,11 +214,11 @@
         self,
         workload: Workload,
         engines: list[VirtualEngine],
-        bound_versions: int | None,
+        bound: StalenessBound,
         duplicate_budget: float = 0.05,
     ) -> None:
         self._workload = workload
-        self._bound = bound_versions
+        self._bound = bound
         self._clock = ManualClock(start_s=0.0)
         self._ledger = OneReplicaLedger()
         self._publications = PublicationClock(self._clock)
@@ -265,7 +266,8 @@
             prompts=tuple(f"{step_id} prompt {number}" for number in range(work.prompts)),
             samples_per_prompt=work.samples_per_prompt,
             max_tokens=work.longest_tokens,
-            staleness_bound_versions=self._bound,
+            staleness_bound_versions=self._bound.versions,
+            staleness_bound_s=self._bound.seconds,
         )
         stored = BulkStore(None).put(step_id, declaration, 1.0).unwrap()
         observation = self._publications.observation(POLICY)
--- a/bench/tail_model/run.py
+++ b/bench/tail_model/run.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 
+from bellweir.samples.staleness import StalenessBound
 from bench.tail_model.engines import VirtualAttempt, VirtualEngine
 from bench.tail_model.workload import Workload
 
@@ -106,7 +107,7 @@
         self._swaps = workload.swaps()
         self._crashes = workload.crashes()
 
-    def measure(self, name: str, scheduler: Scheduler, bound_versions: int | None) -> Measurement:
+    def measure(self, name: str, scheduler: Scheduler, bound: StalenessBound) -> Measurement:
         """Run to the end."""
         now_s = 0.0
         for trainer in self.trainers:
@@ -119,7 +120,7 @@
             scheduler.go_round(now_s)
             for trainer in self.trainers:
                 self._train(trainer, scheduler, now_s)
-        return self._result(name, bound_versions, now_s)
+        return self._result(name, bound, now_s)
 
     def _happen(self, scheduler: Scheduler, now_s: float) -> None:
         due = int(now_s / self.workload.publish_every_s) + 1
@@ -158,7 +159,7 @@
             trainer.training_until_s = now_s + trainer.train_s
             scheduler.declare(trainer.step_id, now_s)
 
-    def _result(self, name: str, bound_versions: int | None, now_s: float) -> Measurement:
+    def _result(self, name: str, bound: StalenessBound, now_s: float) -> Measurement:
         for trainer in self.trainers:
             if now_s >= trainer.training_until_s:
                 waiting_since_s = max(trainer.ready_at_s, trainer.training_until_s)
@@ -170,9 +171,11 @@
         lost = sum(
             len(slots - set(got)) for step, got in self._received.items() if step not in current
         )
-        over = 0
-        if bound_versions is not None:
-            over = sum(age > bound_versions for age in self._versions)
+        over = sum(
+            (bound.versions is not None and versions > bound.versions)
+            or (bound.seconds is not None and seconds > bound.seconds)
+            for versions, seconds in zip(self._versions, self._seconds, strict=True)
+        )
         return Measurement(
             name=name,
             idle_share=idle_s / (now_s * len(self.trainers)),
--- a/src/bellweir/samples/runner.py
+++ b/src/bellweir/samples/runner.py
@@ -214,15 +214,16 @@
     def _read(
         self, attempt: RunningAttempt, builder: SampleBuilder, generation: Generation
     ) -> Result[None, Refusal]:
+        is_whole = False
+        # Read to its very end, also behind the last chunk: the dispatcher books the end there.
         for result in generation:
             if isinstance(result, Failure):
-                return result
+                return Success(None) if is_whole else result
             chunk = result.unwrap()
             builder.add(chunk)
             attempt.note(builder, chunk.worker, self._clock.monotonic_s())
-            if chunk.finish_reason is not None:
-                return Success(None)
-        return Failure(ENDED_EARLY)
+            is_whole = chunk.finish_reason is not None
+        return Success(None) if is_whole else Failure(ENDED_EARLY)
 
     def _request(
         self, attempt: RunningAttempt, builder: SampleBuilder, avoided: tuple[str, ...]
