--- a/bench/tail_model/bellweir_scheduler.py
+++ b/bench/tail_model/bellweir_scheduler.py
@@ -173,6 +173,7 @@
             if attempt is not None and attempt.engine is not None:
                 left = attempt.engine
                 left.remove(attempt)
+                attempt.rate.reset()
                 self.place(attempt, (left.name,))
 
     def forget(self, name: str) -> VirtualAttempt | None:
@@ -191,14 +192,12 @@
         return ReportAttempts(NODE, self.free_places(), running, ended)
 
     def _report(self, attempt: VirtualAttempt, now_s: float) -> AttemptReport:
-        first_s = attempt.first_token_s
-        span_s = attempt.last_token_s - first_s if first_s is not None else 0.0
         return AttemptReport(
             step_id=attempt.step_id,
             slot=attempt.slot,
             attempt_id=attempt.name,
             tokens=attempt.tokens,
-            tokens_per_s=attempt.tokens / span_s if span_s > 0 else 0.0,
+            tokens_per_s=attempt.rate.tokens_per_s,
             running_s=now_s - attempt.started_s,
             silent_s=now_s - attempt.last_token_s,
             oldest_version=min((version for version, _ in attempt.segments), default=None),
--- a/bench/tail_model/engines.py
+++ b/bench/tail_model/engines.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from bellweir.samples.rate import RateMeter
 from bellweir_rehearsal.standins.engine_batch import Batch, BatchLimits, Sequence
 from bellweir_rehearsal.standins.engine_options import TokenTimes
 
@@ -25,7 +26,7 @@
     """Weight version and token count of each run."""
     engine: "VirtualEngine | None" = None
     sequence: Sequence | None = None
-    first_token_s: float | None = None
+    rate: RateMeter = field(default_factory=RateMeter)
     last_token_s: float = 0.0
     finished_s: float | None = None
 
@@ -40,14 +41,13 @@
             self.segments[-1] = (version, self.segments[-1][1] + count)
         else:
             self.segments.append((version, count))
-        if self.first_token_s is None:
-            self.first_token_s = now_s
+        self.rate.note(self.tokens, now_s)
         self.last_token_s = now_s
 
     def start_again(self) -> None:
         """Lose all tokens."""
         self.segments.clear()
-        self.first_token_s = None
+        self.rate.reset()
 
 
 class VirtualEngine:
--- a/features/samples.feature
+++ b/features/samples.feature
@@ -123,3 +123,4 @@
     Then samples of prompts that ran long before start first
     And expected samples lengths agree with a numerical integral
     And publication times are foreseen from their cadence
+    And samples rates forget what was before a pause
--- a/features/steps/samples_steps.py
+++ b/features/steps/samples_steps.py
@@ -18,7 +18,12 @@
 )
 from bellweir.samples.messages import CommitSample
 from support.samples_cluster import SamplesCluster
-from support.samples_estimates import check_cadence, check_expected_lengths, check_starting_order
+from support.samples_estimates import (
+    check_cadence,
+    check_expected_lengths,
+    check_rate_forgets_pauses,
+    check_starting_order,
+)
 from support.steps_oracle import StepsAgainstOracle
 from support.waiting import wait_until
 
@@ -439,3 +444,8 @@
 @then("publication times are foreseen from their cadence")
 def step_cadence(context):
     check_cadence()
+
+
+@then("samples rates forget what was before a pause")
+def step_rates(context):
+    check_rate_forgets_pauses()
--- a/features/support/samples_estimates.py
+++ b/features/support/samples_estimates.py
@@ -8,6 +8,7 @@
 from bellweir.samples.cadence import NEVER_S, cadence_of
 from bellweir.samples.estimates import LengthBelief, LengthEstimator
 from bellweir.samples.messages import Publication
+from bellweir.samples.rate import RATE_WINDOW_S, RateMeter
 from bellweir.samples.staleness import StalenessBound, is_fresh
 from bellweir.samples.tail import WaitingSlot, in_starting_order
 
@@ -89,3 +90,22 @@
     before = tuple(p for p in publications if p.seen_at_s < foreseen_s - 1e-6)
     assert not is_fresh(version, limit, later, foreseen_s)
     assert is_fresh(version, limit, before, foreseen_s)
+
+
+@settings(max_examples=60)
+@given(rate=st.floats(5, 500), pause_s=st.floats(0, 300), before=st.integers(1, 40))
+def check_rate_forgets_pauses(rate: float, pause_s: float, before: int) -> None:
+    """Two windows after a pause the rate is what it is now, however long the pause was."""
+    meter = RateMeter()
+    now_s, tokens = 10.0, 0
+    for _ in range(before):
+        now_s += 0.25
+        tokens += 1
+        meter.note(tokens, now_s)
+    now_s += pause_s
+    steps = round(2 * RATE_WINDOW_S / 0.25) + 2
+    for number in range(steps):
+        meter.note(tokens + round(rate * 0.25 * number), now_s + 0.25 * number)
+    assert math.isclose(meter.tokens_per_s, rate, rel_tol=0.05, abs_tol=0.5)
+    meter.reset()
+    assert meter.tokens_per_s == 0.0
--- a/src/bellweir/samples/attempts.py
+++ b/src/bellweir/samples/attempts.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from bellweir.routing.interface import Generation
+from bellweir.samples.rate import RateMeter
 from bellweir.samples.tokens import SampleBuilder
 
 SEED_BITS = 63
@@ -41,7 +42,7 @@
     attempt_id: str
     tokens: int = 0
     tokens_per_s: float = 0.0
-    """Since its first token."""
+    """Lately, on its present engine."""
     running_s: float = 0.0
     silent_s: float = 0.0
     """Since its last token, or since its start."""
@@ -91,8 +92,7 @@
         self._tokens = 0
         self._oldest_version: int | None = None
         self._worker: str | None = None
-        self._first_token_s: float | None = None
-        self._first_tokens = 0
+        self._rate = RateMeter()
         self._last_token_s = started_s
 
     @property
@@ -118,6 +118,7 @@
         with self._lock:
             self._generation = generation
             self._is_moving = False
+            self._rate.reset()
             must_stop = self._is_cancelled
         if must_stop:
             generation.cancel()
@@ -151,9 +152,7 @@
             self._oldest_version = builder.oldest_version
             self._worker = worker
             self._last_token_s = now_s
-            if self._first_token_s is None:
-                self._first_token_s = now_s
-                self._first_tokens = builder.token_count
+            self._rate.note(builder.token_count, now_s)
 
     def note_committing(self) -> None:
         """Record that generation is over and the sample is being committed or scored."""
@@ -170,7 +169,7 @@
                 slot=assignment.slot,
                 attempt_id=assignment.attempt_id,
                 tokens=self._tokens,
-                tokens_per_s=self._rate(),
+                tokens_per_s=self._rate.tokens_per_s,
                 running_s=now_s - self.started_s,
                 silent_s=now_s - self._last_token_s,
                 oldest_version=self._oldest_version,
@@ -178,9 +177,3 @@
                 is_committing=self._is_committing,
                 replaces_attempt=assignment.replaces_attempt,
             )
-
-    def _rate(self) -> float:
-        if self._first_token_s is None or self._last_token_s <= self._first_token_s:
-            return 0.0
-        tokens = self._tokens - self._first_tokens
-        return tokens / (self._last_token_s - self._first_token_s)
