--- a/bench/samples_tail_live.py
+++ b/bench/samples_tail_live.py
@@ -8,6 +8,7 @@
 import argparse
 import json
 import random
+import statistics
 import sys
 import tempfile
 import threading
@@ -21,12 +22,13 @@
 from bellweir_rehearsal.topology.deployment import Deployment, EnginePool, Policy, Zone
 from bellweir_rehearsal.topology.layout import RunFolder
 from bellweir_rehearsal.topology.processes import ManagedProcess
-from bellweir_rehearsal.topology.standins import StandinProcess
+from bellweir_rehearsal.topology.standins import ControlError, StandinProcess
 from bench.samples_tail import percentile
 from bench.tail_model.workload import Workload
 
 POOL = "drafting"
 POLICY = "drafts"
+SAMPLE_PERIOD_S = 0.25
 
 
 class TailEngineProcess(StandinProcess):
@@ -96,6 +98,22 @@
         next_s += every_s
 
 
+def watch_engines(rehearsal: Rehearsal, stop: threading.Event) -> list[tuple[int, int]]:
+    """Running and waiting attempts of all engines together, sampled all the time."""
+    samples: list[tuple[int, int]] = []
+    while not stop.wait(SAMPLE_PERIOD_S):
+        running = waiting = 0
+        for engine in rehearsal.cluster.engines[POOL]:
+            try:
+                state = json.loads(engine.control("GET", "/state"))
+            except ControlError:
+                continue
+            running += state["running"]
+            waiting += state["waiting"]
+        samples.append((running, waiting))
+    return samples
+
+
 def crash_engines(
     rehearsal: Rehearsal, workload: Workload, scale: float, stop: threading.Event, seed: int
 ) -> int:
@@ -146,16 +164,18 @@
     rehearsal.start()
     stop = threading.Event()
     published: list[float] = []
-    with ThreadPoolExecutor(2) as pool:
+    with ThreadPoolExecutor(3) as pool:
         every_s = workload.publish_every_s / scale
         publishing = pool.submit(publish_regularly, rehearsal, every_s, stop, published)
         crashing = pool.submit(crash_engines, rehearsal, workload, scale, stop, seed)
+        watching = pool.submit(watch_engines, rehearsal, stop)
         try:
             rehearsal.run()
         finally:
             stop.set()
         publishing.result()
         crashes = crashing.result()
+        loads = watching.result()
     result = rehearsal.finish()
     training = result.trainers
     figures = {
@@ -168,11 +188,15 @@
         "idle_share": round(training.idle_share, 4),
         "publications": len(published),
         "crashes": crashes,
+        "mean_running": round(statistics.fmean(running for running, _ in loads), 1),
+        "mean_waiting": round(statistics.fmean(waiting for _, waiting in loads), 1),
+        "places": workload.engines * workload.maximum_batch,
         "versions_p50": percentile(training.staleness_versions, 0.5),
         "versions_p99": percentile(training.staleness_versions, 0.99),
         "versions_worst": max(training.staleness_versions, default=0),
         "promises": {found.promise: found.ruling.value for found in result.promises},
     }
+    (folder / "loads.json").write_text(json.dumps(loads), encoding="utf-8")
     print(json.dumps(figures, indent=1))
 
 
