Leave an engine to finish an order that it works on

Its fence tells that it has accepted the order. The engine in the tests now fetches before it loads; six scenarios failed with the former code.

--- a/features/steps/weights_steps.py
+++ b/features/steps/weights_steps.py
@@ -94,6 +94,12 @@
     assert len(orders(context, engine, 2)) == count
 
 
+@then("each weights engine was ordered to hold version {version:d} once")
+def step_ordered_once(context, version):
+    for engine in context.weights.engines:
+        assert len(orders(context, engine, version)) == 1
+
+
 @then("no weights engine is ordered to hold version {version:d}")
 def step_not_ordered(context, version):
     context.weights.wait_for_rounds(5)
--- a/features/support/fake_engine.py
+++ b/features/support/fake_engine.py
@@ -38,7 +38,10 @@
 
 
 class FakeEngine(Engine):
-    """A swap takes `reads_for_swap` state reads; `fail_swaps` of them fail partway."""
+    """Fetches for `reads_for_fetch` state reads while it goes on serving, then loads.
+
+    Loading takes `reads_for_swap` state reads; `fail_swaps` of the loads fail partway.
+    """
 
     def __init__(self, name: str, model: str, version: int) -> None:
         self.lock = threading.RLock()
@@ -57,6 +60,7 @@
             cache_capacity_tokens=1,
             maximum_batch=8,
         )
+        self.reads_for_fetch = 2
         self.reads_for_swap = 2
         self.fail_swaps = 0
         self.is_down = False
@@ -69,6 +73,7 @@
         """Called before an engine that serves begins a swap."""
         self._pending: EngineOrder | None = None
         self._reads_left = 0
+        self._is_loading = False
 
     @property
     def serves(self) -> bool:
@@ -88,6 +93,9 @@
         self._reads_left -= 1
         if self._reads_left > 0:
             return
+        if not self._is_loading:
+            self._begin_load(self._pending)
+            return
         order, self._pending = self._pending, None
         if self.fail_swaps > 0:
             self.fail_swaps -= 1
@@ -109,20 +117,25 @@
                 self.state, order_fence=order.fence, adapters=order.adapters, role=order.role
             )
             if held != (order.model, order.weight_version):
-                self._begin_swap(order)
-            answer = self.state
-        self.on_swap()
-        return Success(answer)
+                self._begin_fetch(order)
+            else:
+                self._pending = None
+            return Success(self.state)
 
-    def _begin_swap(self, order: EngineOrder) -> None:
-        if self.serves:
-            self.before_swap(order)
+    def _begin_fetch(self, order: EngineOrder) -> None:
         self.swaps_from.append(order.sources[0] if order.sources else None)
-        self.state = replace(
-            self.state, ready=False, model=order.model, weight_version=None, swap_error=None
-        )
+        self.state = replace(self.state, swap_error=None)
         self._pending = order
+        self._is_loading = False
+        self._reads_left = self.reads_for_fetch
+
+    def _begin_load(self, order: EngineOrder) -> None:
+        if self.serves:
+            self.before_swap(order)
+        self.state = replace(self.state, ready=False, model=order.model, weight_version=None)
+        self._is_loading = True
         self._reads_left = self.reads_for_swap
+        self.on_swap()
 
     def generate(self, call: GenerationCall) -> Result[EngineStream, PlatformError]:
         raise NotImplementedError
--- a/features/support/orders_oracle.py
+++ b/features/support/orders_oracle.py
@@ -73,7 +73,7 @@
         self.engines = [FakeEngine(f"engine-{n}", "writer", 1) for n in range(ENGINES)]
         self.platform.engines = {f"{e.state.engine}:1": e for e in self.engines}
         for engine in self.engines:
-            engine.reads_for_swap = 1
+            engine.reads_for_fetch = engine.reads_for_swap = 1
             engine.before_swap = self.check_floor
         self.is_calm = True
         self.below_floor: list[int] = []
--- a/features/weights.feature
+++ b/features/weights.feature
@@ -8,6 +8,7 @@
     Then all weights engines hold version 2
     And at least 6 weights engines served all the time
     And at most 3 weights were read from the store
+    And each weights engine was ordered to hold version 2 once
 
   Scenario: A pool of one engine still gets a new version
     Given a weights pool of 1 engines with floor 1.0, owned by 1 nodes
--- a/src/bellweir/weights/engine_watch.py
+++ b/src/bellweir/weights/engine_watch.py
@@ -8,6 +8,8 @@
 
 SHORTEST_PAUSE_S = 0.25
 LONGEST_PAUSE_S = 10.0
+PATIENCE_S = 60.0
+"""Time after which an order that an engine still works on is sent again."""
 
 
 @dataclass
@@ -22,6 +24,8 @@
     """Failed orders and swaps in a row for this target."""
     not_before_s: float = 0.0
     """On the monotonic clock: no further order before this."""
+    ordered_s: float | None = None
+    """On the monotonic clock: when this node last sent an order."""
     counted_error: str | None = None
     """The swap error that was last counted, so that each failure counts once."""
 
@@ -54,18 +58,32 @@
         return self.state.order_fence[0] >= max(self.wanted_since, self.target.declared_at)
 
     @property
-    def is_swapping(self) -> bool:
-        """Whether the engine works on an order that it accepted."""
+    def is_working_on_it(self) -> bool:
+        """Whether the engine has accepted an order for the target and has not failed.
+
+        It goes on serving the former version while it fetches, so that what it serves tells
+        nothing; its fence does.
+        """
         state = self.state
-        return state is not None and state.weight_version is None and state.swap_error is None
+        if state is None or state.swap_error is not None:
+            return False
+        return self.is_fenced_enough and state.order_fence[1] == self.target.version
 
     def wants_order(self, now_s: float) -> bool:
-        """Whether to send an order now. An engine at work on this order is left to finish."""
+        """Whether to send an order now. An engine at work on it is left to finish."""
         if self.state is None or self.state.leaving or now_s < self.not_before_s:
             return False
-        if self.holds_target and self.is_fenced_enough:
-            return False
-        return not (self.is_swapping and self.is_fenced_enough)
+        if self.is_working_on_it and not self.holds_target:
+            return self._has_taken_too_long(now_s)
+        return not (self.holds_target and self.is_fenced_enough)
+
+    def _has_taken_too_long(self, now_s: float) -> bool:
+        return self.ordered_s is not None and now_s - self.ordered_s > PATIENCE_S
+
+    def note_order(self, now_s: float) -> None:
+        """An order is being sent."""
+        self.ordered_s = now_s
+        self.counted_error = None
 
     def costs_capacity(self) -> bool:
         """Whether the order takes the engine out of service for a while."""
--- a/src/bellweir/weights/service.py
+++ b/src/bellweir/weights/service.py
@@ -160,7 +160,7 @@
             return
         watch.state = read.unwrap()
         error = watch.state.swap_error
-        if error is not None and watch.state.weight_version is None:
+        if error is not None:
             self._note_swap_error(watch, error)
 
     def _note_swap_error(self, watch: EngineWatch, error: str) -> None:
@@ -215,7 +215,7 @@
 
     def _send_order(self, revision: int, watch: EngineWatch, sources: tuple[str, ...]) -> None:
         order = watch.order(revision, sources)
-        watch.counted_error = None
+        watch.note_order(self._kernel.clock.monotonic_s())
         emit(
             ORDER_SENT,
             worker=watch.target.worker,
