--- a/features/samples.feature
+++ b/features/samples.feature
@@ -61,6 +61,14 @@
     Then the samples step delivers 8 scored samples, one for each slot
     And pulling samples from every cursor again gives the same samples
 
+  Scenario: Long prompts and answers stay out of the log
+    Given a samples cluster of 2 nodes
+    And a samples segment store that fails each call once
+    And samples engines that give 200 tokens
+    When a samples step of 3 prompts with 2 samples each and a scorer is declared
+    Then the samples step delivers 6 scored samples, one for each slot
+    And no command in the samples ledger is longer than 1500 bytes
+
   Scenario: Commands late, repeated, reordered and from two nodes at once
     Then samples steps agree with a simple oracle whatever happens
 
--- a/features/steps/samples_steps.py
+++ b/features/steps/samples_steps.py
@@ -1,8 +1,8 @@
 """Steps of `samples.feature`."""
 
 import itertools
-import threading
 
+import msgspec
 from behave import given, step, then, when
 from hypothesis import settings
 from hypothesis.stateful import run_state_machine_as_test
@@ -10,62 +10,24 @@
 
 from bellweir.ledger.interface import LedgerErrorKind
 from bellweir.samples.interface import (
-    Sample,
-    SampleBatch,
-    StepDeclaration,
     StepErrorKind,
     StepState,
 )
 from bellweir.samples.messages import CommitSample
-from support.samples_cluster import SamplesCluster
-from support.samples_estimates import (
-    check_cadence,
-    check_expected_lengths,
-    check_rate_forgets_pauses,
-    check_starting_order,
+from support.samples_calls import (
+    SCORER,
+    STEP,
+    cut_off_first_node,
+    declaration,
+    declare,
+    hold_generations,
+    pull,
+    pull_all,
+    start_cluster,
 )
 from support.steps_oracle import StepsAgainstOracle
 from support.waiting import wait_until
 
-STEP = "step-1"
-SCORER = "127.0.0.1:1"
-
-
-def start_cluster(context, nodes: int, concurrency: int = 8, budget: float = 0.0) -> None:
-    context.cluster = SamplesCluster(nodes, concurrency, budget)
-    context.add_cleanup(context.cluster.stop)
-
-
-def declaration(prompts: int, per_prompt: int, **changes: object) -> StepDeclaration:
-    fields = {
-        "step_id": STEP,
-        "policy": "writer",
-        "prompts": tuple(f"prompt {number}" for number in range(prompts)),
-        "samples_per_prompt": per_prompt,
-        "max_tokens": 100,
-    }
-    return StepDeclaration(**(fields | changes))
-
-
-def declare(context, **changes: object) -> None:
-    context.declaration = declaration(**changes)
-    assert isinstance(context.cluster.any.declare(context.declaration), Success)
-
-
-def pull(context, cursor: int, limit: int = 100, wait_s: float = 10.0) -> SampleBatch:
-    return context.cluster.any.pull(STEP, cursor, limit, wait_s).unwrap()
-
-
-def pull_all(context, count: int) -> list[Sample]:
-    samples: list[Sample] = []
-    while len(samples) < count:
-        batch = pull(context, len(samples))
-        assert batch.samples, f"no further sample after {len(samples)}"
-        assert batch.cursor == len(samples) + len(batch.samples)
-        samples.extend(batch.samples)
-    assert pull(context, count).complete
-    return samples
-
 
 @given("a samples cluster of {nodes:d} nodes")
 def step_cluster(context, nodes):
@@ -79,7 +41,7 @@
 
 @given("samples engines that hold every generation")
 def step_hold(context):
-    context.cluster.engines.hold = threading.Event()
+    hold_generations(context)
 
 
 @given("samples engines that first refuse and then break off")
@@ -131,10 +93,7 @@
         r for r in engines.requests if engines.nodes[r.request_id] == "node-1"
     ]
     assert context.first_requests
-    cluster.network.is_cut = lambda sender, receiver: "node-1" in (sender, receiver)
-    cluster.log.fault = lambda node, _: LedgerErrorKind.UNAVAILABLE if node == "node-1" else None
-    cluster.alive.remove("node-1")
-    cluster.log.lead_all("node-2")
+    cut_off_first_node(context)
 
 
 @given("a samples ledger that loses every second answer and refuses every third command")
@@ -289,163 +248,17 @@
     assert len(pull_all(context, count)) == count
 
 
-@given("a samples cluster of {nodes:d} nodes with a duplicate budget of {budget:g}")
-def step_cluster_with_budget(context, nodes, budget):
-    start_cluster(context, nodes, budget=budget)
-
-
-@given("samples engines that hold every generation after {tokens:d} tokens")
-def step_hold_after(context, tokens):
-    step_hold(context)
-    context.cluster.engines.hold_after_tokens = tokens
-
-
-@when(
-    "a samples step of {prompts:d} prompts with {each:d} samples each, stale after {bound:d} "
-    "versions, is declared"
-)
-def step_declare_bound(context, prompts, each, bound):
-    declare(context, prompts=prompts, per_prompt=each, staleness_bound_versions=bound)
-
-
-@when("samples version {version:d} is published and swapped in while {count:d} generations run")
-def step_publish_while_running(context, version, count):
-    engines = context.cluster.engines
-    node = context.cluster.nodes[0].samples
-    wait_until(lambda: len(engines.requests) == count, "all generations run")
-    tokens = engines.hold_after_tokens * count
-    wait_until(lambda: tokens_of_running(node) == tokens, "they have begun")
-    context.first_requests = list(engines.requests)
-    step_publish(context, version)
-
-
-def tokens_of_running(samples) -> int:
-    return sum(report.tokens for report in samples._parts.runner.reports())
-
-
-@when("samples version {version:d} is published and swapped in")
-def step_publish(context, version):
-    context.cluster.engines.version = version
-    context.cluster.configuration.publish("writer", version)
-
-
-@then('the samples delivered name the versions "{versions}"')
-def step_versions(context, versions):
-    expected = [int(version) for version in versions.split(", ")]
-    slots = len(context.declaration.prompts) * context.declaration.samples_per_prompt
-    for sample in pull_all(context, slots):
-        assert [segment.weight_version for segment in sample.segments] == expected
-        assert sum(segment.token_count for segment in sample.segments) == len(sample.tokens)
-
-
-@then("every samples generation of version 1 is cancelled")
-def step_stale_cancelled(context):
-    first = {request.request_id for request in context.first_requests}
-    wait_until(lambda: first <= set(context.cluster.engines.cancelled), "stale ones cancelled")
-
-
-@when("{count:d} of {filled:d} filled samples is pulled")
-def step_pull_some(context, count, filled):
-    samples = context.cluster.any
-    wait_until(lambda: samples.status(STEP).unwrap().filled == filled, "all filled")
-    context.pulled = pull(context, 0, limit=count)
-    assert len(context.pulled.samples) == count
-
-
-@then("{count:d} samples slot is regenerated by version {version:d}")
-def step_regenerated(context, count, version):
-    samples = context.cluster.any
-    wait_until(lambda: samples.status(STEP).unwrap().regenerated == count, "dropped")
-    batch = pull(context, context.pulled.cursor)
-    assert [s.weight_version for sample in batch.samples for s in sample.segments] == [version]
-    assert batch.complete
-
-
-@then("the samples pulled before stay as they are")
-def step_pulled_stay(context):
-    again = pull(context, 0, limit=len(context.pulled.samples))
-    assert again.samples == context.pulled.samples
-
-
-@given('samples engines that hold the prompt "{prompt}" until it is run again')
-def step_hold_prompt(context, prompt):
-    engines = context.cluster.engines
-    engines.held_prompts = frozenset({prompt})
-    engines.hold = RunAgain(engines, prompt)
-
-
-class RunAgain(threading.Event):
-    """Set for whoever comes second: the first generation of a prompt never goes on."""
-
-    def __init__(self, engines, prompt) -> None:
-        super().__init__()
-        self._engines = engines
-        self._prompt = prompt
-
-    def is_set(self) -> bool:
-        runs = [r for r in self._engines.requests if r.prompt == self._prompt]
-        return super().is_set() or len(runs) > 1
-
-
-@then('both samples generations of "{prompt}" had the same seed')
-def step_same_seed(context, prompt):
-    seeds = [r.seed for r in context.cluster.engines.requests if r.prompt == prompt]
-    assert len(seeds) == 2
-    assert len(set(seeds)) == 1
-
-
-@then('the loser of the samples generations of "{prompt}" was cancelled')
-def step_loser(context, prompt):
-    samples = context.cluster.nodes
-    wait_until(
-        lambda: not any(node.samples._parts.runner.reports() for node in samples), "all ended"
-    )
-
-
-@given("a samples engine that is {factor:d} times slower than the others")
-def step_slow_engine(context, factor):
-    engines = context.cluster.engines
-    engines.tokens = 60
-    engines.token_s = 0.01
-    engines.slow_worker_token_s = factor * engines.token_s
-
-
-@then("a samples generation went on elsewhere with the tokens it had")
-def step_moved(context):
-    moved = [request for request in context.cluster.engines.requests if request.prefix_tokens]
-    assert moved
-    for request in moved:
-        assert "engine-1" in request.avoid_workers
-        assert request.prefix_tokens == tuple(range(len(request.prefix_tokens)))
-
-
-@when("all samples are filled, and node-1 is cut off before they are scored")
-def step_cut_off_unscored(context):
-    cluster = context.cluster
-    samples = cluster.any
-    wait_until(lambda: samples.status(STEP).unwrap().filled == 2, "all filled")
-    wait_until(lambda: len(cluster.platform.scorer(SCORER).calls) >= 2, "scorer asked")
-    cluster.network.is_cut = lambda sender, receiver: "node-1" in (sender, receiver)
-    cluster.log.fault = lambda node, _: LedgerErrorKind.UNAVAILABLE if node == "node-1" else None
-    cluster.alive.remove("node-1")
-    cluster.log.lead_all("node-2")
-
-
-@then("samples of prompts that ran long before start first")
-def step_longest_first(context):
-    check_starting_order()
-
-
-@then("expected samples lengths agree with a numerical integral")
-def step_integral(context):
-    check_expected_lengths()
+@given("a samples segment store that fails each call once")
+def step_failing_segments(context):
+    context.cluster.segments.fails_first = True
 
 
-@then("publication times are foreseen from their cadence")
-def step_cadence(context):
-    check_cadence()
+@given("samples engines that give {tokens:d} tokens")
+def step_long_answers(context, tokens):
+    context.cluster.engines.tokens = tokens
 
 
-@then("samples rates forget what was before a pause")
-def step_rates(context):
-    check_rate_forgets_pauses()
+@then("no command in the samples ledger is longer than {limit:d} bytes")
+def step_short_commands(context, limit):
+    lengths = [len(msgspec.msgpack.encode(command)) for command in context.cluster.log.commands]
+    assert max(lengths) <= limit, max(lengths)
--- a/features/support/memory_ledger.py
+++ b/features/support/memory_ledger.py
@@ -18,6 +18,7 @@
     LedgerErrorKind,
     Query,
     Reply,
+    SegmentStore,
     StateMachine,
 )
 
@@ -55,6 +56,39 @@
         raise LookupError(f"no machine takes {type(message).__name__}")
 
 
+class MemorySegments(Service, SegmentStore):
+    """Blobs in memory, shared by the nodes of a test; the first call for each may fail."""
+
+    name = names.SEGMENTS
+    dependencies = ()
+
+    def __init__(self) -> None:
+        self.blobs: dict[str, bytes] = {}
+        self.fails_first = False
+        self._asked: set[tuple[str, str]] = set()
+
+    def start(self) -> None:
+        pass
+
+    def stop(self) -> None:
+        pass
+
+    def put(self, key: str, blob: bytes, timeout_s: float) -> Result[str, LedgerError]:
+        reference = f"{key}/{xxhash.xxh64_hexdigest(blob)}"
+        self.blobs[reference] = blob
+        return Failure(UNAVAILABLE) if self._fails("put", reference) else Success(reference)
+
+    def get(self, key: str, reference: str, timeout_s: float) -> Result[bytes, LedgerError]:
+        if self._fails("get", reference):
+            return Failure(UNAVAILABLE)
+        return Success(self.blobs[reference])
+
+    def _fails(self, call: str, reference: str) -> bool:
+        is_first = (call, reference) not in self._asked
+        self._asked.add((call, reference))
+        return self.fails_first and is_first
+
+
 class MemoryLedger(Service, Ledger):
     """One node's view of a `SharedLog`."""
 
--- a/features/support/samples_cluster.py
+++ b/features/support/samples_cluster.py
@@ -17,7 +17,7 @@
     FakePlatform,
     ScriptedEngines,
 )
-from support.memory_ledger import MemoryLedger, SharedLog
+from support.memory_ledger import MemoryLedger, MemorySegments, SharedLog
 
 LIMITS = {kind: ExecutorLimits(threads=24, queued=256) for kind in WorkKind}
 
@@ -38,6 +38,7 @@
         self.samples = SamplesService(self.kernel, settings)
         for service in (
             MemoryLedger(cluster.log, node),
+            cluster.segments,
             cluster.configuration,
             FakeDispatcher(cluster.engines, node),
             cluster.platform,
@@ -61,6 +62,7 @@
     def __init__(self, nodes: int = 1, concurrency: int = 8, duplicate_budget: float = 0.0) -> None:
         self.duplicate_budget = duplicate_budget
         self.log = SharedLog()
+        self.segments = MemorySegments()
         self.configuration = FakeConfiguration()
         self.engines = ScriptedEngines()
         self.platform = FakePlatform()
--- a/src/bellweir/samples/assembly.py
+++ b/src/bellweir/samples/assembly.py
@@ -47,7 +47,7 @@
     transport = registry.find(names.TRANSPORT, Transport)  # type: ignore[type-abstract]
     platform = registry.find(names.PLATFORM, PlatformClients)  # type: ignore[type-abstract]
     membership = registry.find(names.MEMBERSHIP, Membership)  # type: ignore[type-abstract]
-    bulk = BulkStore(_segment_store(kernel))
+    bulk = BulkStore(registry.find(names.SEGMENTS, SegmentStore))  # type: ignore[type-abstract]
     table = AttemptTable(settings.samples.lease_s)
     assigner = AttemptAssigner(
         clock=clock,
@@ -90,10 +90,3 @@
     calls = StepCalls(kernel, ledger)
     delivery = SampleDelivery(kernel, calls, bulk, publications)
     return SamplesParts(ledger, transport, bulk, calls, delivery, runner, holder, coordinator)
-
-
-def _segment_store(kernel: Kernel) -> SegmentStore | None:
-    """The segment store, where the node has one; else bulk stays in the log."""
-    if not kernel.registry.has(names.SEGMENTS):
-        return None
-    return kernel.registry.find(names.SEGMENTS, SegmentStore)  # type: ignore[type-abstract]
--- a/src/bellweir/samples/coordinator.py
+++ b/src/bellweir/samples/coordinator.py
@@ -337,6 +337,7 @@
         """Drop what is kept for steps that ended or moved, and cancel the ended ones' attempts."""
         kept = {step.terms.step_id for step in steps}
         self._memories = {key: memory for key, memory in self._memories.items() if key in kept}
+        self._rescorer.forget_all_but(kept)
         self._backoffs = {key: entry for key, entry in self._backoffs.items() if key[0] in kept}
         for step_id, attempts in by_step.items():
             if step_id in kept or not self._ledger.leads(step_id):
--- a/src/bellweir/samples/delivery.py
+++ b/src/bellweir/samples/delivery.py
@@ -3,7 +3,6 @@
 from returns.result import Failure, Result, Success
 
 from bellweir.kernel.node import Kernel
-from bellweir.ledger.interface import LedgerError
 from bellweir.samples.bulk import BulkStore, SampleContent
 from bellweir.samples.interface import (
     Sample,
@@ -12,7 +11,7 @@
     StepError,
     StepErrorKind,
 )
-from bellweir.samples.ledger_calls import CALL_TIMEOUT_S, StepCalls, not_found, unavailable
+from bellweir.samples.ledger_calls import StepCalls, not_found
 from bellweir.samples.messages import (
     DeliveredSample,
     HandOver,
@@ -105,24 +104,26 @@
     def _batch(self, terms: StepTerms, reply: SamplesReply) -> Result[SampleBatch, StepError]:
         if not reply.samples:
             return Success(SampleBatch((), reply.cursor, reply.complete))
-        declaration = self._bulk.get(
-            terms.step_id, terms.declaration, StepDeclaration, CALL_TIMEOUT_S
+        declaration = self._calls.retry(
+            lambda left_s: self._bulk.get(terms.step_id, terms.declaration, StepDeclaration, left_s)
         )
         if isinstance(declaration, Failure):
-            return Failure(unavailable(declaration.failure()))
+            return declaration
         samples: list[Sample] = []
         for delivered in reply.samples:
             sample = self._sample(declaration.unwrap(), delivered)
             if isinstance(sample, Failure):
-                return Failure(unavailable(sample.failure()))
+                return sample
             samples.append(sample.unwrap())
         return Success(SampleBatch(tuple(samples), reply.cursor, reply.complete))
 
     def _sample(
         self, declaration: StepDeclaration, delivered: DeliveredSample
-    ) -> Result[Sample, LedgerError]:
-        content = self._bulk.get(
-            declaration.step_id, delivered.content, SampleContent, CALL_TIMEOUT_S
+    ) -> Result[Sample, StepError]:
+        content = self._calls.retry(
+            lambda left_s: self._bulk.get(
+                declaration.step_id, delivered.content, SampleContent, left_s
+            )
         )
         if isinstance(content, Failure):
             return content
--- a/src/bellweir/samples/ledger_calls.py
+++ b/src/bellweir/samples/ledger_calls.py
@@ -1,6 +1,7 @@
 """Calls on a step in the ledger, repeated while their outcome is unknown: all are idempotent."""
 
 from collections.abc import Callable
+from typing import TypeVar
 
 from returns.result import Failure, Result, Success
 
@@ -14,6 +15,8 @@
 RETRY_PAUSE_S = 0.05
 RETRY_AFTER_S = 1.0
 
+Answer = TypeVar("Answer")
+
 
 class StepCalls:
     """Submits commands and asks queries on steps."""
@@ -25,18 +28,19 @@
 
     def submit(self, step_id: str, command: Command) -> Result[StepStatus, StepError]:
         """Submit a command; the step's progress after it."""
-        answer = self._retry(lambda left_s: self._ledger.submit(step_id, command, left_s))
+        answer = self.retry(lambda left_s: self._ledger.submit(step_id, command, left_s))
         if isinstance(answer, Failure):
             return answer
         return status_result(step_id, answer.unwrap())
 
     def ask(self, step_id: str, query: Query) -> Result[Reply, StepError]:
         """Ask a query."""
-        return self._retry(lambda left_s: self._ledger.ask(step_id, query, left_s))
+        return self.retry(lambda left_s: self._ledger.ask(step_id, query, left_s))
 
-    def _retry(
-        self, call: Callable[[float], Result[Reply, LedgerError]]
-    ) -> Result[Reply, StepError]:
+    def retry(
+        self, call: Callable[[float], Result[Answer, LedgerError]]
+    ) -> Result[Answer, StepError]:
+        """Repeat an idempotent call, given the seconds left, until it succeeds or time is up."""
         deadline_s = self._clock.monotonic_s() + CALL_TIMEOUT_S
         while True:
             answer = call(max(RETRY_PAUSE_S, deadline_s - self._clock.monotonic_s()))
--- a/src/bellweir/samples/rescoring.py
+++ b/src/bellweir/samples/rescoring.py
@@ -29,6 +29,13 @@
         self._scoring = scoring
         self._due_s: dict[str, float] = {}
         """By attempt: when to score it here; never while it is being scored."""
+        self._step_of: dict[str, str] = {}
+
+    def forget_all_but(self, step_ids: set[str]) -> None:
+        """Drop what is kept for other steps."""
+        for attempt_id in [key for key, step in self._step_of.items() if step not in step_ids]:
+            del self._step_of[attempt_id]
+            self._due_s.pop(attempt_id, None)
 
     def rescore(
         self, step: StepRecord, declaration: StepDeclaration, attempts: Sequence[KnownAttempt]
@@ -45,7 +52,9 @@
                 continue
             if sample.score is not None or sample.attempt_id in tended:
                 self._due_s.pop(sample.attempt_id, None)
+                self._step_of.pop(sample.attempt_id, None)
                 continue
+            self._step_of[sample.attempt_id] = step.terms.step_id
             due_s = self._due_s.setdefault(sample.attempt_id, now_s + ORPHAN_AFTER_S)
             if now_s >= due_s and started < LARGEST_ROUND:
                 started += self._score(step, declaration, number, sample)
--- a/src/bellweir/samples/scoring.py
+++ b/src/bellweir/samples/scoring.py
@@ -17,6 +17,8 @@
 
 SCORING_CONCURRENCY = 32
 """Samples that one node scores at once."""
+LONGEST_QUEUE = 256
+"""Samples that wait to be scored, with their texts, on one node."""
 SCORE_TIMEOUT_S = 30.0
 SCORE_ATTEMPTS = 5
 RETRY_PAUSE_S = 0.2
@@ -40,7 +42,7 @@
 
 
 class ScoringQueue:
-    """Runs score jobs in the order in which they came. Jobs are bounded by the node's attempts."""
+    """Runs score jobs in the order in which they came; a full queue refuses them."""
 
     def __init__(
         self, executors: Executors, clock: Clock, platform: PlatformClients, ledger: Ledger
@@ -54,12 +56,21 @@
         self._active = 0
 
     def submit(self, job: ScoreJob) -> None:
-        """Score a sample as soon as one of the queue's threads is free."""
+        """Score a sample as soon as one of the queue's threads is free.
+
+        A job that finds the queue full is done at once, without a score: the step's coordinator
+        scores it later from what is stored.
+        """
         with self._lock:
-            self._waiting.append(job)
-            if self._active >= SCORING_CONCURRENCY:
-                return
-            self._active += 1
+            is_full = len(self._waiting) >= LONGEST_QUEUE
+            if not is_full:
+                self._waiting.append(job)
+                if self._active >= SCORING_CONCURRENCY:
+                    return
+                self._active += 1
+        if is_full:
+            job.on_done(False)
+            return
         try:
             self._executors.submit(WorkKind.GENERATION, self._work_off)
         except (ExecutorSaturatedError, RuntimeError):
--- a/src/bellweir/samples/service.py
+++ b/src/bellweir/samples/service.py
@@ -24,10 +24,8 @@
     StepStatus,
 )
 from bellweir.samples.ledger_calls import (
-    CALL_TIMEOUT_S,
     RETRY_AFTER_S,
     status_result,
-    unavailable,
 )
 from bellweir.samples.log_events import STEP_CANCELLED, STEP_DECLARED
 from bellweir.samples.machine import StepMachine
@@ -60,6 +58,7 @@
     name: ClassVar[str] = names.SAMPLES
     dependencies: ClassVar[tuple[str, ...]] = (
         names.LEDGER,
+        names.SEGMENTS,
         names.CONFIGURATION,
         names.DISPATCHER,
         names.PLATFORM,
@@ -117,9 +116,12 @@
             return Failure(StepError(StepErrorKind.INVALID, "; ".join(faults)))
         if self._parts is None:
             return Failure(NOT_STARTED)
-        stored = self._parts.bulk.put(declaration.step_id, declaration, CALL_TIMEOUT_S)
+        bulk = self._parts.bulk
+        stored = self._parts.calls.retry(
+            lambda left_s: bulk.put(declaration.step_id, declaration, left_s)
+        )
         if isinstance(stored, Failure):
-            return Failure(unavailable(stored.failure()))
+            return stored
         terms = terms_of(declaration, stored.unwrap())
         observation = self._publications.observation(declaration.policy)
         declared = self._parts.calls.submit(terms.step_id, DeclareStep(terms, observation))
