--- a/src/bellweir_rehearsal/faults/schedule.py
+++ b/src/bellweir_rehearsal/faults/schedule.py
@@ -101,8 +101,12 @@
     duration_s: float,
     seed: int,
     kinds: Sequence[FaultKind] = tuple(FaultKind),
+    intensity: float = 1.0,
 ) -> tuple[PlannedFault, ...]:
-    """Draw a schedule; the same for the same arguments. All kinds come up in turn."""
+    """Draw a schedule; the same for the same arguments. All kinds come up in turn.
+
+    `intensity` divides the time between faults: at 3, several are in force at most times.
+    """
     source = random.Random(seed)
     planned: list[PlannedFault] = []
     deck: list[FaultKind] = []
@@ -117,7 +121,7 @@
                     continue
                 last_replacement_s = at_s
             planned.append(_draw(kind, at_s, targets, source))
-        at_s += source.uniform(SHORTEST_GAP_S, LONGEST_GAP_S)
+        at_s += source.uniform(SHORTEST_GAP_S, LONGEST_GAP_S) / intensity
     return tuple(planned)
 
 
--- a/src/bellweir_rehearsal/soak.py
+++ b/src/bellweir_rehearsal/soak.py
@@ -38,6 +38,7 @@
     deployments: Sequence[str] = DEPLOYMENTS,
     kinds: Sequence[FaultKind] = tuple(FaultKind),
     rate_for_each_s: float = MODEST_RATE_FOR_EACH_S,
+    intensity: float = 1.0,
 ) -> list[RunPlan]:
     """Make the plans of a soak, one a bout; the same for the same arguments."""
     bouts = max(1, round(minutes * 60 / BOUT_S))
@@ -52,7 +53,9 @@
                 load=standard_load(deployment, rate_for_each_s),
                 duration_s=duration_s,
                 seed=bout_seed,
-                faults=random_schedule(targets_of(deployment), duration_s, bout_seed, kinds),
+                faults=random_schedule(
+                    targets_of(deployment), duration_s, bout_seed, kinds, intensity
+                ),
                 settle_s=8.0,
             )
         )
--- a/src/bellweir_rehearsal/soak_command.py
+++ b/src/bellweir_rehearsal/soak_command.py
@@ -44,6 +44,7 @@
     rate: Annotated[
         float, cappa.Arg(long=True, help="Arrivals a second of each class of requests.")
     ] = MODEST_RATE_FOR_EACH_S
+    intensity: Annotated[float, cappa.Arg(long=True, help="Divides the time between faults.")] = 1.0
     json: Annotated[bool, cappa.Arg(long=True, help="Print the totals as JSON.")] = False
 
     def __call__(self) -> None:
@@ -55,6 +56,7 @@
             self.deployment or DEPLOYMENTS,
             self.kind or tuple(FaultKind),
             self.rate,
+            self.intensity,
         )
         results = [self._bout(console, plan, number) for number, plan in enumerate(plans, start=1)]
         found = totals(results)
