--- a/src/bellweir_rehearsal/spread.py
+++ b/src/bellweir_rehearsal/spread.py
@@ -19,6 +19,10 @@
 ) -> float | None:
     last_s = write.time_s
     for node, observations in evidence.configurations.items():
+        known = observations[0].time_s < write.time_s < observations[-1].time_s
+        if not known:
+            # A machine that came later or had gone by then; it says nothing of this write.
+            continue
         if was_absent(absent, node, write.time_s, write.time_s + 1.0, grace_s=2.0):
             return None
         seen_s = _first_seen_s(write, observations)
