--- a/src/bellweir_rehearsal/promises/at_most_once.py
+++ b/src/bellweir_rehearsal/promises/at_most_once.py
@@ -14,7 +14,9 @@
     for sent in evidence.calls_sent.values():
         if sent.idempotency_key is not None:
             calls[sent.idempotency_key].append(sent)
-    for key, entries in calls.items():
+    # Also keys that no caller has sent: whatever bears a key must not run twice.
+    for key in calls.keys() | evidence.runs_by_key.keys():
+        entries = calls.get(key, [])
         verdict.count("keys")
         verdict.count("keys sent more than once", len(entries) > 1)
         verdict.count("keys sent to several nodes", len({entry.node for entry in entries}) > 1)
