--- a/src/bellweir_rehearsal/promises/at_most_once.py
+++ b/src/bellweir_rehearsal/promises/at_most_once.py
@@ -17,7 +17,7 @@
     # Also keys that no caller has sent: whatever bears a key must not run twice.
     for key in calls.keys() | evidence.runs_by_key.keys():
         entries = calls.get(key, [])
-        verdict.count("keys")
+        verdict.count("keys", bool(entries))
         verdict.count("keys sent more than once", len(entries) > 1)
         verdict.count("keys sent to several nodes", len({entry.node for entry in entries}) > 1)
         runs = evidence.runs_by_key.get(key, [])
