--- a/bench/routing_drafts.py
+++ b/bench/routing_drafts.py
@@ -32,7 +32,7 @@
         while True:
             number += 1
             prompt = (
-                f"quote number {number} of " + "a window of oak with two panes and a lock, " * 6
+                f"item number {number} of " + "a long description of one item among many, " * 6
             )
             request = generation_request(number, prompt, DRAFT_TOKENS, RequestClass.DRAFT)
             generation = self._node.dispatcher.generate(request).value_or(None)
--- a/bench/routing_priority.py
+++ b/bench/routing_priority.py
@@ -29,7 +29,7 @@
 INTERACTIVE_CALLERS = 6
 INTERACTIVE_TOKENS = 32
 MAXIMUM_BATCH = 64
-PROMPT = "quote number {} of " + "a window of oak with two panes and a lock, " * 6
+PROMPT = "item number {} of " + "a long description of one item among many, " * 6
 SETTLE_S = 4.0
 
 
--- a/features/support/routing_cluster.py
+++ b/features/support/routing_cluster.py
@@ -29,7 +29,7 @@
 from support.routing_peers import FakeBus, FakeOwnership, FakeTransport
 from support.waiting import wait_until
 
-POLICY = "quotes"
+POLICY = "policy"
 ENGINE_POOL = "engines"
 APPLICATION_POOL = "shop"
 REQUEST_TIMEOUT_S = 20.0
@@ -146,7 +146,7 @@
         given = {
             "request_id": f"request-{next(self._requests)}",
             "policy": POLICY,
-            "prompt": "a window of oak",
+            "prompt": "a prompt",
             "max_tokens": max_tokens,
             "request_class": RequestClass.INTERACTIVE,
             "deadline_monotonic_s": time.monotonic() + REQUEST_TIMEOUT_S,
