Split the dispatcher by what it serves, and shorten the stream loop

Change: admissions, generation_requests and application_requests; the service wires them. One attempt's chunks are a function of their own. An engine that has a queue is not taken for silent before the first token. Refused lookups no longer count as latencies.

--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -138,7 +138,7 @@
     context.cleanup.callback(pool.shutdown)
     context.reading = pool.submit(_chunks, context.generation)
     context.drain = pool.submit(context.node.drain, 60.0)
-    wait_until(lambda: context.node._draining, "draining has begun")
+    wait_until(lambda: context.node._admissions.draining, "draining has begun")
 
 
 @then("routing refuses a new request as draining and not run")
@@ -302,7 +302,7 @@
     for application in once.cluster.applications:
         application.dead = "workers dead" in words
     context.cluster.configurations[node].ready = "not configured" not in words
-    context.cluster.nodes[node]._draining = "draining" in words
+    context.cluster.nodes[node]._admissions.draining = "draining" in words
     key = None if "without a key" in words else words.partition("key ")[2][:1]
     body = b"order 200" if "for another item" in words else b"order 100"
     request = once.cluster.application_request(
--- /dev/null
+++ b/src/bellweir/routing/application_requests.py
@@ -0,0 +1,163 @@
+"""Application requests from the caller to the answer, by their class."""
+
+from returns.result import Failure, Result, Success
+
+from bellweir.configuration.interface import Configuration
+from bellweir.kernel.clock import Clock
+from bellweir.platform.interface import ApplicationAnswer
+from bellweir.resources.models import BackendKind, RequestClass
+from bellweir.routing.admissions import Admission, Admissions, not_configured, not_run
+from bellweir.routing.answers import HeldBody, with_body
+from bellweir.routing.counters import COMPLETED, CUT, DispatchCounters
+from bellweir.routing.forwarding import Forwarder, class_of, is_repeatable
+from bellweir.routing.hedging import Hedger
+from bellweir.routing.interface import ApplicationRequest, Refusal, RefusalReason
+from bellweir.routing.once import OnceRequests
+from bellweir.routing.pool_runtime import PoolRuntime, PoolRuntimes
+from bellweir.routing.request_body import BodyTruncatedError, RequestBody
+
+HEDGED_BODY_BYTES = 64 * 1024
+"""Longest body of a lookup that may be hedged: both attempts send it from memory."""
+HEDGED_RUNNING = 16
+"""Lookups running above which none is hedged: more load does not make a busy pool faster."""
+
+
+class ApplicationRequests:
+    """Admits application requests and serves them as their class asks."""
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        admissions: Admissions,
+        runtimes: PoolRuntimes,
+        forwarder: Forwarder,
+        hedger: Hedger,
+        once: OnceRequests,
+        counters: DispatchCounters,
+        clock: Clock,
+    ) -> None:
+        self._configuration = configuration
+        self._admissions = admissions
+        self._runtimes = runtimes
+        self._forwarder = forwarder
+        self._hedger = hedger
+        self._once = once
+        self._counters = counters
+        self._clock = clock
+
+    def serve(self, request: ApplicationRequest) -> Result[ApplicationAnswer, Refusal]:
+        """Admit, send, and hold the request's place until the answer's body has ended."""
+        if not self._configuration.is_ready():
+            return Failure(self._once.refuse(request, not_configured(), None))
+        pool = self._configuration.current().pools.get(request.pool)
+        if pool is None or pool.spec.kind is not BackendKind.APPLICATION:
+            detail = f"no application pool named {request.pool!r}"
+            refusal = not_run(RefusalReason.NO_SUCH_POOL, detail, None)
+            return Failure(self._once.refuse(request, refusal, None))
+        runtime = self._runtimes.of(pool)
+        kind = class_of(request, pool)
+        deadline_s = request.deadline_monotonic_s
+        match self._admissions.admit(runtime, kind, request.caller, deadline_s):
+            case Failure(refusal):
+                return Failure(self._once.refuse(request, refusal, kind))
+            case Success(admission):
+                return self._serve_admitted(request, runtime, kind, admission)
+        raise AssertionError("a result is a success or a failure")
+
+    def _serve_admitted(
+        self,
+        request: ApplicationRequest,
+        runtime: PoolRuntime,
+        kind: RequestClass,
+        admission: Admission,
+    ) -> Result[ApplicationAnswer, Refusal]:
+        try:
+            answered = self._send(request, runtime, kind, admission.deadline_s)
+        except BaseException:
+            self._admissions.end(admission)
+            raise
+        match answered:
+            case Success(answer):
+                return Success(self._held(answer, admission))
+            case Failure(refusal):
+                self._admissions.end(admission)
+                return Failure(refusal)
+        raise AssertionError("a result is a success or a failure")
+
+    def _send(
+        self,
+        request: ApplicationRequest,
+        runtime: PoolRuntime,
+        kind: RequestClass,
+        deadline_s: float,
+    ) -> Result[ApplicationAnswer, Refusal]:
+        if kind is RequestClass.ONCE:
+            return self._send_once(request, runtime, deadline_s)
+        if kind is RequestClass.LOOKUP:
+            return self._look_up(request, runtime, deadline_s)
+        return self._forwarder.forward(
+            request,
+            RequestBody(request.body, request.body_length),
+            runtime,
+            deadline_s,
+            repeatable=is_repeatable(request, kind, runtime.pool),
+            on_latency=runtime.gates[kind].note_latency,
+        )
+
+    def _send_once(
+        self, request: ApplicationRequest, runtime: PoolRuntime, deadline_s: float
+    ) -> Result[ApplicationAnswer, Refusal]:
+        return self._once.serve(
+            request,
+            runtime.pool,
+            deadline_s,
+            lambda keyed, body, check: self._forwarder.forward(
+                keyed,
+                body,
+                runtime,
+                deadline_s,
+                repeatable=False,
+                on_latency=runtime.gates[RequestClass.ONCE].note_latency,
+                before_send=check,
+            ),
+        )
+
+    def _look_up(
+        self, request: ApplicationRequest, runtime: PoolRuntime, deadline_s: float
+    ) -> Result[ApplicationAnswer, Refusal]:
+        """Forward a lookup, hedged when it is small and the node is not busy with others."""
+        body = RequestBody(request.body, request.body_length)
+        gate = runtime.gates[RequestClass.LOOKUP]
+        began_s = self._clock.monotonic_s()
+
+        def attempt(used: set[str]) -> Result[ApplicationAnswer, Refusal]:
+            return self._forwarder.forward(
+                request,
+                body,
+                runtime,
+                deadline_s,
+                repeatable=True,
+                on_latency=gate.note_latency,
+                used=used,
+            )
+
+        delay_s = runtime.hedging.delay_s
+        small = body.length is not None and body.length <= HEDGED_BODY_BYTES
+        if delay_s is None or not small or gate.running > HEDGED_RUNNING:
+            answered = attempt(set())
+        else:
+            try:
+                body.read_whole(HEDGED_BODY_BYTES)
+            except BodyTruncatedError as failure:
+                return Failure(not_run(RefusalReason.INVALID, f"body: {failure}", None))
+            answered = self._hedger.run(attempt, runtime.hedging, delay_s)
+        if isinstance(answered, Success):
+            runtime.hedging.sample(self._clock.monotonic_s() - began_s)
+        return answered
+
+    def _held(self, answer: ApplicationAnswer, admission: Admission) -> ApplicationAnswer:
+        def on_end(failure: BaseException | None) -> None:
+            self._counters.count_outcome(COMPLETED if failure is None else CUT)
+            self._admissions.end(admission)
+
+        return with_body(answer, HeldBody(answer.body, on_end))
--- a/src/bellweir/routing/backend.py
+++ b/src/bellweir/routing/backend.py
@@ -160,6 +160,12 @@
         self._leaving_said_s = now_s
         self._leaving_said = True
 
+    @property
+    def queues(self) -> bool:
+        """Whether an engine has more requests than it runs at once."""
+        report = self._report
+        return report is not None and 0 < report.maximum_batch < self.load()
+
     def has_draft_room(self, draft_share: float, now_s: float) -> bool:
         """Whether an engine may take another draft.
 
--- a/src/bellweir/routing/counters.py
+++ b/src/bellweir/routing/counters.py
@@ -7,6 +7,7 @@
 
 COMPLETED = "completed"
 CANCELLED = "cancelled"
+CUT = "cut"
 
 
 class DispatchCounters:
--- a/src/bellweir/routing/generation.py
+++ b/src/bellweir/routing/generation.py
@@ -1,7 +1,7 @@
 """A running generation: one gapless stream over as many engine attempts as it takes."""
 
 import threading
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Generator, Iterator
 from dataclasses import dataclass
 
 from returns.result import Failure, Result, Success
@@ -118,34 +118,11 @@
     def _items(self) -> Iterator[Result[GenerationChunk, Refusal]]:
         while True:
             attempt = self._attempt
-            progress = len(self._had)
-            error = CUT
-            chunks = self._read(attempt)
-            for item in chunks:
-                if self._cancelled:
-                    return
-                match item:
-                    case Success(chunk):
-                        if chunk.finish_reason is FinishReason.CANCELLED:
-                            error = GIVEN_UP  # not asked for here
-                            break
-                        if chunk.finish_reason is not None:
-                            yield from self._last(chunk, attempt, chunks)
-                            return
-                        yield Success(self._accept(chunk, attempt))
-                        if self._past_deadline():
-                            yield Failure(self._give_up(attempt))
-                            return
-                    case Failure(found):
-                        error = found
-                        break
-            if self._cancelled:
+            had_before = len(self._had)
+            error = yield from self._attempt_items(attempt)
+            if error is None or self._cancelled:
                 return
-            attempt.hold.fail(error)
-            attempt.stream.close()
-            self._attempts.note_failure(attempt.hold.backend, error)
-            if len(self._had) > progress:
-                self._attempts.note_progress(attempt.hold.backend)
+            self._note_failure(attempt, error, progressed=len(self._had) > had_before)
             if len(self._request.prefix_tokens) + len(self._had) >= self._request.max_tokens:
                 yield Success(self._closing_chunk(attempt))
                 return
@@ -154,6 +131,38 @@
                 yield Failure(refusal)
                 return
 
+    def _attempt_items(
+        self, attempt: RunningAttempt
+    ) -> Generator[Result[GenerationChunk, Refusal], None, PlatformError | None]:
+        """Yield one attempt's chunks; return its error, or None when the request has ended."""
+        chunks = self._read(attempt)
+        for item in chunks:
+            if self._cancelled:
+                return None
+            if isinstance(item, Failure):
+                failed: PlatformError = item.failure()
+                return failed
+            chunk = item.unwrap()
+            if chunk.finish_reason is FinishReason.CANCELLED:
+                return GIVEN_UP  # not asked for here
+            if chunk.finish_reason is not None:
+                yield from self._last(chunk, attempt, chunks)
+                return None
+            yield Success(self._accept(chunk, attempt))
+            if self._past_deadline():
+                yield Failure(self._give_up(attempt))
+                return None
+        return CUT
+
+    def _note_failure(
+        self, attempt: RunningAttempt, error: PlatformError, *, progressed: bool
+    ) -> None:
+        attempt.hold.fail(error)
+        attempt.stream.close()
+        self._attempts.note_failure(attempt.hold.backend, error)
+        if progressed:
+            self._attempts.note_progress(attempt.hold.backend)
+
     def _last(
         self,
         chunk: TokenChunk,
@@ -201,11 +210,14 @@
     def _is_silent(self, attempt: RunningAttempt, silence_s: float) -> bool:
         draft = self._request.request_class is RequestClass.DRAFT
         limits = DRAFT_SILENCE if draft else INTERACTIVE_SILENCE
-        limit_s = limits.next_token_s if self._attempt_tokens else limits.first_token_s
         report = attempt.hold.backend.report
         if report is not None and not report.reachable:
-            limit_s = UNREACHABLE_SILENCE_S
-        return silence_s >= limit_s
+            return silence_s >= UNREACHABLE_SILENCE_S
+        if self._attempt_tokens:
+            return silence_s >= limits.next_token_s
+        if attempt.hold.backend.queues:
+            limits = DRAFT_SILENCE  # waiting for a place is no silence
+        return silence_s >= limits.first_token_s
 
     def _accept(self, chunk: TokenChunk, attempt: RunningAttempt) -> GenerationChunk:
         if not self._had:
--- /dev/null
+++ b/src/bellweir/routing/generation_requests.py
@@ -0,0 +1,132 @@
+"""Generations from the caller's request to a running stream."""
+
+from returns.result import Failure, Result, Success
+
+from bellweir.configuration.interface import Configuration, ConfigurationSnapshot
+from bellweir.kernel.clock import Clock
+from bellweir.routing.admissions import Admission, Admissions, not_configured, not_run
+from bellweir.routing.attempts import RETRY_AFTER_S, RequestAttempts
+from bellweir.routing.comparisons import arm_for, comparison_of
+from bellweir.routing.counters import COMPLETED, DispatchCounters
+from bellweir.routing.generation import GenerationListener, RoutedGeneration
+from bellweir.routing.generation_attempt import (
+    GenerationRoute,
+    GenerationStarter,
+    RunningAttempt,
+)
+from bellweir.routing.interface import Generation, GenerationRequest, Refusal, RefusalReason
+from bellweir.routing.pool_runtime import PoolRuntime, PoolRuntimes
+from bellweir.routing.stream_watch import StreamWatch
+
+
+class GenerationRequests:
+    """Routes, admits and starts generations."""
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        admissions: Admissions,
+        runtimes: PoolRuntimes,
+        starter: GenerationStarter,
+        watch: StreamWatch,
+        counters: DispatchCounters,
+        clock: Clock,
+    ) -> None:
+        self._configuration = configuration
+        self._admissions = admissions
+        self._runtimes = runtimes
+        self._starter = starter
+        self._watch = watch
+        self._counters = counters
+        self._clock = clock
+
+    def serve(self, request: GenerationRequest) -> Result[Generation, Refusal]:
+        """Admit a generation and start its first attempt."""
+        if not self._configuration.is_ready():
+            return Failure(not_configured())
+        match route_of(request, self._configuration.current()):
+            case Failure(refusal):
+                return Failure(refusal)
+            case Success(route):
+                pass
+        pools = self._starter.pools_of(route.policy)
+        if not pools:
+            detail = f"no pool serves policy {route.policy!r}"
+            return Failure(not_run(RefusalReason.NO_BACKEND, detail, RETRY_AFTER_S))
+        runtime = self._runtimes.of(pools[0])
+        kind, deadline_s = request.request_class, request.deadline_monotonic_s
+        match self._admissions.admit(runtime, kind, request.caller, deadline_s):
+            case Failure(refusal):
+                return Failure(refusal)
+            case Success(admission):
+                return self._start(request, route, runtime, admission)
+        raise AssertionError("a result is a success or a failure")
+
+    def _start(
+        self,
+        request: GenerationRequest,
+        route: GenerationRoute,
+        runtime: PoolRuntime,
+        admission: Admission,
+    ) -> Result[Generation, Refusal]:
+        attempts = RequestAttempts(runtime.budget, self._clock, admission.deadline_s)
+        try:
+            started = self._starter.start(request, route, (), admission.deadline_s, attempts)
+        except BaseException:
+            self._admissions.end(admission)
+            raise
+        match started:
+            case Failure(refusal):
+                self._admissions.end(admission)
+                return Failure(refusal)
+            case Success(first):
+                return Success(self._running(request, route, runtime, admission, attempts, first))
+        raise AssertionError("a result is a success or a failure")
+
+    def _running(
+        self,
+        request: GenerationRequest,
+        route: GenerationRoute,
+        runtime: PoolRuntime,
+        admission: Admission,
+        attempts: RequestAttempts,
+        first: RunningAttempt,
+    ) -> RoutedGeneration:
+        def on_end(outcome: str) -> None:
+            self._watch.remove(generation)
+            self._counters.count_outcome(outcome)
+            if outcome == COMPLETED:
+                runtime.budget.on_success(self._clock.monotonic_s())
+            self._admissions.end(admission)
+
+        note_latency = runtime.gates[request.request_class].note_latency
+        generation = RoutedGeneration(
+            request,
+            route,
+            self._starter,
+            attempts,
+            first,
+            admission.deadline_s,
+            self._clock,
+            GenerationListener(note_latency, on_end),
+        )
+        self._watch.add(generation)
+        return generation
+
+
+def route_of(
+    request: GenerationRequest, snapshot: ConfigurationSnapshot
+) -> Result[GenerationRoute, Refusal]:
+    """What the request's policy asks of an engine, after the policy's comparison."""
+    policy_name, exact_version = request.policy, None
+    comparison = comparison_of(request.policy, snapshot.comparisons.values())
+    if comparison is not None:
+        arm = arm_for(comparison, request.unit or request.caller)
+        policy_name, exact_version = arm.policy, arm.version
+    policy = snapshot.policies.get(policy_name)
+    if policy is None:
+        detail = f"no policy named {policy_name!r}"
+        return Failure(not_run(RefusalReason.NO_SUCH_POLICY, detail, None))
+    return Success(
+        GenerationRoute(policy_name, policy.spec.model, request.minimum_version, exact_version)
+    )
