Never ask for a claim anew after its outcome was unknown; count results by arm

Cause: service claims gives a claim back when it got no answer, and routing asked again with the same attempt id: it could be told CLAIMED, run, and have the claim released meanwhile, so that a repeat ran the key a second time. Results of comparisons were counted nowhere. Change: an unknown claim is refused at once. Generations are counted by arm (started, completed, failed, tokens, first token), in the statistics and, with gates and back ends, as Prometheus metrics. Conclusion: at most once holds again with releases.

--- a/features/routing_choice.feature
+++ b/features/routing_choice.feature
@@ -14,6 +14,13 @@
     And routing's comparison of versions 1 and 2 over engines of both
     Then routing's generations of a unit all come from the version of its arm
 
+  Scenario: Results are counted by arm and shown as metrics
+    Given routing over 3 engines and 1 application workers
+    And routing's comparison of versions 1 and 2 over engines of both
+    When routing generates for 20 units
+    Then routing's counts by arm add up to 20 completed, 40 tokens and 20 first tokens
+    And routing's metrics show them
+
   Scenario: The index follows an engine's cache, over restarts too
     Then routing's prefix index equals the engine's cache for any prompts, evictions and restarts
     And routing's prefix reader asks for everything again on a gap, but not too often
--- a/features/steps/routing_choice_steps.py
+++ b/features/steps/routing_choice_steps.py
@@ -6,6 +6,7 @@
 from hypothesis import given as drawn
 from hypothesis import settings
 from hypothesis import strategies as st
+from prometheus_client import CollectorRegistry, generate_latest
 from returns.result import Success
 
 from bellweir.platform.interface import PREFIX_BLOCK_CHARACTERS, CacheEventBatch
@@ -15,6 +16,7 @@
 from bellweir.routing.circuit import Circuit
 from bellweir.routing.comparisons import arm_for
 from bellweir.routing.hedging import HEDGED_SHARE, HedgePolicy
+from bellweir.routing.metrics import RoutingCollector
 from bellweir.routing.pool_workers import Location, PoolWorker, subset_of
 from bellweir.routing.prefix_index import HASH_MASK, PrefixIndex
 from bellweir.routing.strategies import LOAD_SLACK, PrefixAware
@@ -281,3 +283,35 @@
         assert hedges <= 1 + HEDGED_SHARE * count
 
     bounded()
+
+
+@when("routing generates for {count:d} units")
+def step_generate_units(context, count):
+    for unit in UNITS[:count]:
+        list(context.node.generate(context.cluster.generation_request(2, unit=unit)).unwrap())
+
+
+@then(
+    "routing's counts by arm add up to {completed:d} completed, {tokens:d} tokens"
+    " and {firsts:d} first tokens"
+)
+def step_counts(context, completed, tokens, firsts):
+    arms = context.node.statistics().by_arm
+    assert {arm.arm for arm in arms} == {"v1", "v2"}
+    assert sum(arm.completed for arm in arms) == sum(arm.started for arm in arms) == completed
+    assert sum(arm.tokens for arm in arms) == tokens
+    assert sum(arm.first_tokens for arm in arms) == firsts
+
+
+@then("routing's metrics show them")
+def step_metrics(context):
+    registry = CollectorRegistry()
+    node = context.node
+    pools = node.backend_views.pools
+    registry.register(RoutingCollector(node.statistics, node._runtimes, pools))
+    text = generate_latest(registry).decode()
+    arm = next(arm for arm in node.statistics().by_arm if arm.arm == "v1")
+    line = 'bellweir_arm_tokens_total{arm="v1",comparison="versions"} '
+    assert f"{line}{float(arm.tokens)}" in text, text
+    assert 'bellweir_gate_limit{class="interactive",pool="engines"} 64.0' in text
+    assert 'bellweir_backend_ready{pool="engines",worker="engine-0"} 1.0' in text
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -316,6 +316,7 @@
         application.dead = False
     for other in once.cluster.nodes:
         recover(other.backend_views)
+        other._kernel.executors.run_later()
         other._recorder.flush()
     return outcome
 
--- a/features/support/routing_claims.py
+++ b/features/support/routing_claims.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import Future
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 from returns.result import Failure, Success
@@ -56,6 +57,24 @@
         return done
 
 
+class LateExecutors(InlineExecutors):
+    """Runs submitted calls when the test says so, as a busy node would: later."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.later: list = []
+
+    def submit(self, kind, function, *arguments, **keywords):
+        self.later.append(lambda: function(*arguments, **keywords))
+        return Future()
+
+    def run_later(self) -> None:
+        """Run what was submitted; what a killed node submitted has no effect."""
+        while self.later:
+            with suppress(NodeKilledError):
+                self.later.pop(0)()
+
+
 class OffsetClock(SystemClock):
     """The real clock, which tests move ahead and which waits for nothing."""
 
--- a/features/support/routing_cluster.py
+++ b/features/support/routing_cluster.py
@@ -24,7 +24,7 @@
 from bellweir.routing.service import DispatcherService
 from bellweir.routing.views_service import BackendViewsService
 from bellweir.settings.models import NodeIdentity, RoutingSettings, Settings
-from support.routing_claims import InlineExecutors
+from support.routing_claims import InlineExecutors, LateExecutors
 from support.routing_fakes import FakeApplication, FakeConfiguration, FakeEngine, FakePlatform
 from support.routing_peers import FakeBus, FakeOwnership, FakeTransport
 from support.waiting import wait_until
@@ -129,8 +129,10 @@
         self.cleanup.callback(stop)
         self.configurations.append(configuration)
         self.nodes.append(dispatcher)
-        if self.make_executors is InlineExecutors:
+        if issubclass(self.make_executors, InlineExecutors):
             views._tick(self.clock.monotonic_s())
+            if issubclass(self.make_executors, LateExecutors):
+                kernel.executors.run_later()
         self.await_ready(views)
         dispatcher.backend_views = views
         return dispatcher
--- a/features/support/routing_once_machine.py
+++ b/features/support/routing_once_machine.py
@@ -18,7 +18,10 @@
 BODIES = st.sampled_from((b"order 100", b"order 200"))
 NODES = st.integers(0, 2)
 FAULTS = st.lists(st.sampled_from(Fault), max_size=3)
-LEDGER_FAULTS = st.lists(st.none() | st.sampled_from(LedgerFault), max_size=4)
+LEDGER_FAULTS = st.one_of(
+    st.lists(st.none() | st.sampled_from(LedgerFault), max_size=4),
+    st.integers(1, 7).map(lambda count: [LedgerFault.LOST_AFTER] * count),
+)
 PAUSES_S = st.sampled_from((CLAIM_WINDOW_S * 0.6, CLAIM_WINDOW_S * 2, CLAIM_WINDOW_S * 9))
 PATHS = st.sampled_from(("/orders", "/orders/item-7?x=1", "/%6frders", "//orders/../orders"))
 
@@ -51,7 +54,7 @@
         actions = {
             "kill": lambda: self.setting.kill(node),
             "pause": lambda: self._pause_and_repeat(key, body, other, path, pause_s),
-            "repeat": lambda: self._submit(key, body, other, path),
+            "repeat": lambda: self._late_and_repeat(key, body, other, path),
         }
         if what in actions:
             self.setting.happenings.at = {point: actions[what]}
@@ -65,7 +68,12 @@
     def _pause_and_repeat(self, key, body, node, path, pause_s):
         """The node under way is paused; another one gets the same key; then it wakes up."""
         self.setting.clock.offset_s += pause_s
+        self._late_and_repeat(key, body, node, path)
+
+    def _late_and_repeat(self, key, body, node, path):
+        """What nodes have put off is done now, and another node gets the same key."""
         self.setting.ledger.faults.clear()
+        self.setting.run_late()
         self._submit(key, body, node, path)
 
     def _submit(self, key, body, node, path):
--- a/features/support/routing_once_setting.py
+++ b/features/support/routing_once_setting.py
@@ -8,7 +8,7 @@
 from bellweir.routing.views_service import BackendViewsService
 from support.routing_claims import (
     Happenings,
-    InlineExecutors,
+    LateExecutors,
     NobodyDied,
     NodeLedger,
     OffsetClock,
@@ -43,7 +43,7 @@
         self.happenings = Happenings()
         self.runs: dict[str, list[Run]] = {}
         self.faults: list = []
-        self.cluster = RoutingCluster(cleanup, clock=self.clock, make_executors=InlineExecutors)
+        self.cluster = RoutingCluster(cleanup, clock=self.clock, make_executors=LateExecutors)
         self.cluster.pool_options[APPLICATION_POOL] = {
             "once_paths": ("/orders",),
             "claim_window_s": CLAIM_WINDOW_S,
@@ -83,6 +83,12 @@
     def is_killed(self, node: int) -> bool:
         return self.node_ledgers[node].killed
 
+    def run_late(self) -> None:
+        """Let every node that lives do what it has put off."""
+        for ledger, node in zip(self.node_ledgers, self.cluster.nodes, strict=True):
+            if not ledger.killed:
+                node._kernel.executors.run_later()
+
     def reset(self) -> None:
         self.end_step()
         for node in self.cluster.nodes:
@@ -96,7 +102,9 @@
         for ledger, node in zip(self.node_ledgers, self.cluster.nodes, strict=True):
             if ledger.killed:
                 node._recorder._pending.clear()
+                node._kernel.executors.later.clear()
             ledger.killed = False
+            node._kernel.executors.run_later()
             node._recorder.flush()
         for node in self.cluster.nodes:
             recover(node.backend_views)
--- /dev/null
+++ b/src/bellweir/routing/arm_counters.py
@@ -0,0 +1,75 @@
+"""Results by arm of comparisons, as this node has served them."""
+
+import threading
+from dataclasses import dataclass
+
+from bellweir.routing.counters import COMPLETED
+from bellweir.routing.interface import ArmStatistics
+
+
+@dataclass(frozen=True)
+class ArmName:
+    """An arm of a comparison."""
+
+    comparison: str
+    arm: str
+
+
+@dataclass
+class _Counts:
+    started: int = 0
+    completed: int = 0
+    failed: int = 0
+    tokens: int = 0
+    first_token_s: float = 0.0
+    first_tokens: int = 0
+    whole_s: float = 0.0
+
+
+class ArmCounters:
+    """Counts since the start of the node; thread-safe."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._by_arm: dict[ArmName, _Counts] = {}
+
+    def count_start(self, arm: ArmName) -> None:
+        """Count a generation that was admitted."""
+        with self._lock:
+            self._by_arm.setdefault(arm, _Counts()).started += 1
+
+    def count_first_token(self, arm: ArmName, latency_s: float) -> None:
+        """Take the time to a first token."""
+        with self._lock:
+            counts = self._by_arm.setdefault(arm, _Counts())
+            counts.first_token_s += latency_s
+            counts.first_tokens += 1
+
+    def count_end(self, arm: ArmName, outcome: str, tokens: int, took_s: float) -> None:
+        """Count the end of a generation."""
+        with self._lock:
+            counts = self._by_arm.setdefault(arm, _Counts())
+            counts.tokens += tokens
+            if outcome == COMPLETED:
+                counts.completed += 1
+                counts.whole_s += took_s
+            else:
+                counts.failed += 1
+
+    def read(self) -> tuple[ArmStatistics, ...]:
+        """The counts as they stand."""
+        with self._lock:
+            return tuple(
+                ArmStatistics(
+                    comparison=arm.comparison,
+                    arm=arm.arm,
+                    started=counts.started,
+                    completed=counts.completed,
+                    failed=counts.failed,
+                    tokens=counts.tokens,
+                    first_token_s=counts.first_token_s,
+                    first_tokens=counts.first_tokens,
+                    whole_s=counts.whole_s,
+                )
+                for arm, counts in self._by_arm.items()
+            )
--- a/src/bellweir/routing/generation.py
+++ b/src/bellweir/routing/generation.py
@@ -93,6 +93,11 @@
         self._silenced: str | None = None
         """Id of the last attempt that was given up for silence."""
 
+    @property
+    def token_count(self) -> int:
+        """Tokens had so far, without those the request came with."""
+        return len(self._had)
+
     def __iter__(self) -> Iterator[Result[GenerationChunk, Refusal]]:
         """Yield chunks to the finish reason, or end with one refusal."""
         outcome = CANCELLED
--- a/src/bellweir/routing/generation_attempt.py
+++ b/src/bellweir/routing/generation_attempt.py
@@ -14,6 +14,7 @@
     PlatformError,
 )
 from bellweir.resources.models import Pool, RequestClass
+from bellweir.routing.arm_counters import ArmName
 from bellweir.routing.attempts import AttemptHold, RequestAttempts, new_attempt_id
 from bellweir.routing.backend import Backend
 from bellweir.routing.candidates import candidates
@@ -38,6 +39,8 @@
     model: str
     minimum_version: int | None
     exact_version: int | None
+    arm: ArmName | None = None
+    """The comparison's arm that was chosen."""
 
 
 @dataclass(frozen=True)
--- a/src/bellweir/routing/generation_requests.py
+++ b/src/bellweir/routing/generation_requests.py
@@ -5,6 +5,7 @@
 from bellweir.configuration.interface import Configuration, ConfigurationSnapshot
 from bellweir.kernel.clock import Clock
 from bellweir.routing.admissions import Admission, Admissions, not_configured, not_run
+from bellweir.routing.arm_counters import ArmCounters, ArmName
 from bellweir.routing.attempts import RETRY_AFTER_S, RequestAttempts
 from bellweir.routing.comparisons import arm_for, comparison_of
 from bellweir.routing.counters import COMPLETED, DispatchCounters
@@ -30,6 +31,7 @@
         starter: GenerationStarter,
         watch: StreamWatch,
         counters: DispatchCounters,
+        arms: ArmCounters,
         clock: Clock,
     ) -> None:
         self._configuration = configuration
@@ -38,6 +40,7 @@
         self._starter = starter
         self._watch = watch
         self._counters = counters
+        self._arms = arms
         self._clock = clock
 
     def serve(self, request: GenerationRequest) -> Result[Generation, Refusal]:
@@ -92,14 +95,26 @@
         attempts: RequestAttempts,
         first: RunningAttempt,
     ) -> RoutedGeneration:
+        began_s = self._clock.monotonic_s()
+        note_latency = runtime.gates[request.request_class].note_latency
+        if route.arm is not None:
+            self._arms.count_start(route.arm)
+
+        def on_first_token(latency_s: float) -> None:
+            note_latency(latency_s)
+            if route.arm is not None:
+                self._arms.count_first_token(route.arm, latency_s)
+
         def on_end(outcome: str) -> None:
             self._watch.remove(generation)
             self._counters.count_outcome(outcome)
+            if route.arm is not None:
+                took_s = self._clock.monotonic_s() - began_s
+                self._arms.count_end(route.arm, outcome, generation.token_count, took_s)
             if outcome == COMPLETED:
                 runtime.budget.on_success(self._clock.monotonic_s())
             self._admissions.end(admission)
 
-        note_latency = runtime.gates[request.request_class].note_latency
         generation = RoutedGeneration(
             request,
             route,
@@ -108,7 +123,7 @@
             first,
             admission.deadline_s,
             self._clock,
-            GenerationListener(note_latency, on_end),
+            GenerationListener(on_first_token, on_end),
         )
         self._watch.add(generation)
         return generation
@@ -118,15 +133,15 @@
     request: GenerationRequest, snapshot: ConfigurationSnapshot
 ) -> Result[GenerationRoute, Refusal]:
     """What the request's policy asks of an engine, after the policy's comparison."""
-    policy_name, exact_version = request.policy, None
+    policy_name, exact_version, chosen = request.policy, None, None
     comparison = comparison_of(request.policy, snapshot.comparisons.values())
     if comparison is not None:
         arm = arm_for(comparison, request.unit or request.caller)
         policy_name, exact_version = arm.policy, arm.version
+        chosen = ArmName(comparison.metadata.name, arm.name)
     policy = snapshot.policies.get(policy_name)
     if policy is None:
         detail = f"no policy named {policy_name!r}"
         return Failure(not_run(RefusalReason.NO_SUCH_POLICY, detail, None))
-    return Success(
-        GenerationRoute(policy_name, policy.spec.model, request.minimum_version, exact_version)
-    )
+    model, minimum = policy.spec.model, request.minimum_version
+    return Success(GenerationRoute(policy_name, model, minimum, exact_version, chosen))
--- a/src/bellweir/routing/interface.py
+++ b/src/bellweir/routing/interface.py
@@ -127,6 +127,23 @@
     idempotency_key: str | None = None
 
 
+@dataclass(frozen=True)
+class ArmStatistics:
+    """Generations of one arm of a comparison on this node, since its start."""
+
+    comparison: str
+    arm: str
+    started: int
+    completed: int
+    failed: int
+    tokens: int
+    first_token_s: float
+    """Sum of times to the first token, in seconds, over `first_tokens` generations."""
+    first_tokens: int
+    whole_s: float
+    """Sum of times of completed generations, in seconds."""
+
+
 @dataclass(frozen=True)
 class DispatchStatistics:
     """Counters for status and metrics."""
@@ -134,6 +151,7 @@
     by_outcome: dict[str, int] = field(default_factory=dict)
     attempts: int = 0
     requests: int = 0
+    by_arm: tuple[ArmStatistics, ...] = ()
 
 
 class Dispatcher(ABC):
--- a/src/bellweir/routing/once.py
+++ b/src/bellweir/routing/once.py
@@ -29,8 +29,7 @@
 """Longest body of a request that must not be repeated: it is fingerprinted before it is sent."""
 RECORD_LIMIT_BYTES = 256 * 1024
 """Longest answer kept for repeats; a longer one is passed on, but repeats get no copy."""
-CLAIM_TIMEOUT_S = 2.0
-CLAIM_TRIES = 2
+CLAIM_TIMEOUT_S = 3.0
 CLAIM_USE_S = 60.0
 CLAIM_USE_WINDOW_SHARE = 0.5
 """A claim older than `CLAIM_USE_S` or than this share of its window is not used any more: a
@@ -82,11 +81,11 @@
         if claims is None:
             detail = "this node has no ledger"
             return Failure(_ledger_refusal(RunState.NOT_RUN, detail))
+        window_s = pool.spec.claim_window_s
         holder = ClaimHolder(ledger_key_of(request), secrets.token_hex(16), claims)
         asked_s = self._clock.monotonic_s()
-        match self._claim(holder, fingerprint, pool.spec.claim_window_s, deadline_s):
+        match self._claim(holder, fingerprint, window_s, deadline_s):
             case Success(claim) if claim.state is ClaimState.CLAIMED:
-                window_s = pool.spec.claim_window_s
                 use_until_s = asked_s + min(CLAIM_USE_S, window_s * CLAIM_USE_WINDOW_SHARE)
                 return self._run(holder, lambda check: send(request, body, check), use_until_s)
             case Success(claim):
@@ -126,26 +125,20 @@
     def _claim(
         self, holder: ClaimHolder, fingerprint: str, window_s: float, deadline_s: float
     ) -> Result[Claim, LedgerError]:
-        """Claim; after a lost answer once more with the same attempt id, which is idempotent.
+        """Claim; an unknown outcome permits no attempt, now or later.
 
-        When it stays open whether the claim was made, no attempt follows, and the claim is
-        recorded as not run as soon as the ledger answers, so that a repeat can run.
+        `Claims` sends a claim again by itself while its time lasts and gives it back when it
+        gets no answer. Asking once more with the same attempt id could get `CLAIMED` before
+        that release takes effect, and the key would be free while the attempt runs.
         """
-        maybe_made = False
-        claimed: Result[Claim, LedgerError]
-        for _ in range(CLAIM_TRIES):
-            left_s = deadline_s - self._clock.monotonic_s()
-            timeout_s = max(0.001, min(CLAIM_TIMEOUT_S, left_s))
-            claimed = holder.claims.claim(
-                holder.ledger_key, fingerprint, holder.attempt_id, window_s, timeout_s
-            )
-            if isinstance(claimed, Success):
-                return claimed
-            if claimed.failure().kind is LedgerErrorKind.UNAVAILABLE:
-                break
-            maybe_made = True
-        if maybe_made:
-            self._recorder.record_later(holder, ClaimState.NOT_RUN)
+        left_s = deadline_s - self._clock.monotonic_s()
+        timeout_s = max(0.001, min(CLAIM_TIMEOUT_S, left_s))
+        claimed = holder.claims.claim(
+            holder.ledger_key, fingerprint, holder.attempt_id, window_s, timeout_s
+        )
+        match claimed:
+            case Failure(error) if error.kind is LedgerErrorKind.UNKNOWN:
+                self._recorder.record_later(holder, ClaimState.NOT_RUN)
         return claimed
 
     def _run(
--- a/src/bellweir/routing/pool_runtime.py
+++ b/src/bellweir/routing/pool_runtime.py
@@ -43,6 +43,11 @@
         self._lock = threading.Lock()
         self._runtimes: dict[str, PoolRuntime] = {}
 
+    def all(self) -> tuple[PoolRuntime, ...]:
+        """The runtimes made so far."""
+        with self._lock:
+            return tuple(self._runtimes.values())
+
     def of(self, pool: Pool) -> PoolRuntime:
         """The runtime of a pool, in line with the given spec."""
         name = pool.metadata.name
--- a/src/bellweir/routing/service.py
+++ b/src/bellweir/routing/service.py
@@ -1,5 +1,6 @@
 """Service `dispatcher`: admits requests and serves them on back ends."""
 
+from dataclasses import replace
 from typing import TypeVar
 
 from returns.result import Failure, Result
@@ -12,6 +13,7 @@
 from bellweir.platform.interface import ApplicationAnswer, PlatformClients
 from bellweir.routing.admissions import Admissions
 from bellweir.routing.application_requests import ApplicationRequests
+from bellweir.routing.arm_counters import ArmCounters
 from bellweir.routing.counters import DispatchCounters
 from bellweir.routing.forwarding import Forwarder
 from bellweir.routing.generation_attempt import GenerationStarter
@@ -25,12 +27,14 @@
     GenerationRequest,
     Refusal,
 )
+from bellweir.routing.metrics import RoutingCollector
 from bellweir.routing.once import OnceRequests
 from bellweir.routing.outcome_recorder import OutcomeRecorder
 from bellweir.routing.pool_runtime import PoolRuntimes
 from bellweir.routing.stream_watch import StreamWatch
 from bellweir.routing.views_service import BackendViewsService
 from bellweir.settings.models import Settings
+from bellweir.telemetry.interface import Telemetry
 
 DRAIN_S = 5.0
 """Longest wait for requests that no caller waits for."""
@@ -48,6 +52,7 @@
         self._kernel = kernel
         self._settings = settings.routing
         self._counters = DispatchCounters()
+        self._arms = ArmCounters()
         self._watch = StreamWatch()
         self._recorder = OutcomeRecorder(kernel.clock)
         self._admissions = Admissions(kernel.clock)
@@ -64,6 +69,7 @@
         self._runtimes = PoolRuntimes(self._kernel.clock, views.prefixes.index)
         self._generations = self._make_generations(configuration, clients, views)
         self._applications = self._make_applications(configuration, clients, views)
+        self._add_metrics(views)
         self._kernel.executors.run_task("claim-outcomes", self._recorder.run)
         self._kernel.executors.run_task("stream-watch", self._watch.run)
 
@@ -82,7 +88,7 @@
 
     def statistics(self) -> DispatchStatistics:
         """Counters since the start."""
-        return self._counters.read()
+        return replace(self._counters.read(), by_arm=self._arms.read())
 
     def generate(self, request: GenerationRequest) -> Result[Generation, Refusal]:
         """Admit a generation and start its first attempt; a refusal is final and immediate."""
@@ -118,6 +124,7 @@
             starter,
             self._watch,
             self._counters,
+            self._arms,
             clock,
         )
 
@@ -136,6 +143,14 @@
             clock,
         )
 
+    def _add_metrics(self, views: BackendViewsService) -> None:
+        registry = self._kernel.registry
+        if registry.has(names.TELEMETRY):
+            telemetry = registry.find(names.TELEMETRY, Telemetry)  # type: ignore[type-abstract]
+            telemetry.registry.register(
+                RoutingCollector(self.statistics, self._runtimes, views.pools)
+            )
+
     def _find_claims(self) -> Claims | None:
         registry = self._kernel.registry
         if not registry.has(names.CLAIMS):
