--- a/features/routing_once.feature
+++ b/features/routing_once.feature
@@ -31,3 +31,16 @@
     Given routing's pool makes keys
     When routing is sent an order without a key, and then through another node without a key
     Then routing's second answer is its own and the orders ran 2 times
+
+  Scenario Outline: A node that fails or pauses on the way
+    When routing's node 0 <what> <point>, and node 1 gets the same key <when>
+    Then routing's first answer is <first>, the second is <second> and the key ran <runs> times
+
+    Examples:
+      | what                    | point          | when       | first            | second                 | runs |
+      | is killed               | after the claim | after it  | none             | key_in_progress unknown | 0   |
+      | is killed               | after the run  | after it   | none             | key_in_progress unknown | 1   |
+      | is killed               | after the record | after it | none             | the first's            | 1    |
+      | is paused for 9 windows | after the claim | meanwhile | deadline not_run | its own                | 1    |
+      | is paused for 2 windows | after the claim | meanwhile | deadline not_run | key_expired unknown    | 0    |
+      | is paused for 2 windows | after the run  | meanwhile  | its own          | key_expired unknown    | 1    |
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -12,7 +12,7 @@
 from bellweir.platform.interface import FinishReason
 from bellweir.resources.models import RequestClass
 from bellweir.routing.interface import RefusalReason, RunState
-from support.routing_claims import LedgerFault
+from support.routing_claims import LedgerFault, NodeKilledError, Point
 from support.routing_cluster import RoutingCluster, body_of
 from support.routing_fakes import SILENCE_S, TYPED_FAULTS, Fault, token_of
 from support.routing_once_machine import use
@@ -495,3 +495,55 @@
     context.generation = _held_generation(context)
     context.node.drain(0.1)
     context.node.stop()
+
+
+POINTS = {
+    "after the claim": Point.CLAIMED,
+    "after the run": Point.AFTER_RUN,
+    "after the record": Point.RECORDED,
+}
+
+
+def _same_order(context, node):
+    request = context.cluster.application_request(
+        b"order 100", path="/orders", idempotency_key="k",
+        headers=(("Idempotency-Key", "k"),), deadline_monotonic_s=context.once.deadline_s(),
+    )  # fmt: skip
+    try:
+        return context.cluster.nodes[node].forward(request)
+    except NodeKilledError:
+        return None
+
+
+@when("routing's node 0 {what} {point}, and node 1 gets the same key {when}")
+def step_on_the_way(context, what, point, when):
+    words, _, place = f"{what} {point}".partition(" after ")
+    once, second = context.once, []
+
+    def happen():
+        if words == "is killed":
+            once.kill(0)
+        once.clock.offset_s += float(words.split()[3]) * CLAIM_WINDOW_S
+        second.append(_same_order(context, 1))
+
+    once.happenings.at = {POINTS[f"after {place}"]: happen}
+    first = _same_order(context, 0)
+    once.end_step()
+    context.outcomes = [first, *(second or [_same_order(context, 1)])]
+
+
+@then("routing's first answer is {first}, the second is {second} and the key ran {runs:d} times")
+def step_both_answers(context, first, second, runs):
+    assert [_told(outcome) for outcome in context.outcomes] == [first, second]
+    assert sum(len(found) for found in context.once.runs.values()) == runs
+
+
+def _told(outcome):
+    match outcome:
+        case None:
+            return "none"
+        case Success(answer):
+            replayed = ("Idempotency-Replayed", "true") in answer.headers
+            return "the first's" if replayed else "its own"
+    refusal = outcome.failure()
+    return f"{refusal.reason.value} {refusal.run_state.value}"
