--- a/features/steps/resources_steps.py
+++ b/features/steps/resources_steps.py
@@ -7,6 +7,7 @@
 from returns.result import Failure
 
 from bellweir.resources.deletion import MARK_LASTS_S, Deletion
+from bellweir.resources.documents import operator_version_of
 from bellweir.resources.interface import ResourceErrorKind
 from bellweir.resources.models import KINDS
 from bellweir.resources.reference import all_fields, explain, render_reference
@@ -74,10 +75,21 @@
 
 @when('two operators replace resource policy "{name}" from the same version')
 def step_two_replace(context, name):
-    base = dict(context.resources.get("Policy", name).unwrap().document)
-    context.outcomes = [
-        context.resources.replace({**base, "spec": {"model": model}}) for model in ("a", "b")
-    ]
+    step_look(context, name)
+    for order in ("first", "second"):
+        step_replace_seen(context, order)
+
+
+@given('resource policy "{name}" is looked at by two operators')
+def step_look(context, name):
+    context.seen = dict(context.resources.get("Policy", name).unwrap().document)
+    context.outcomes = []
+
+
+@when("the {order} resource operator replaces what they looked at")
+def step_replace_seen(context, order):
+    document = {**context.seen, "spec": {"model": f"by the {order}"}}
+    context.outcomes.append(context.resources.replace(document))
 
 
 @then("the first resource write succeeds with generation {generation:d}")
@@ -345,3 +357,10 @@
                 assert all(finding.allowed for finding in error.findings), error
 
     run()
+
+
+@then("the resource in force was last written by an operator at version {version:d}")
+def step_operator_version(context, version):
+    context.node.configuration.follow()
+    policy = context.node.configuration.current().policies["north"]
+    assert operator_version_of(policy) == version, policy.metadata
