Let a swap in hand go on under a newer fence for the same weights

Each newer order made the engine stand-in start its fetch over, which cost rollouts time that no real engine would need: nothing about the weights had changed.

--- a/features/standins_engine.feature
+++ b/features/standins_engine.feature
@@ -45,6 +45,15 @@
     And the stand-in order to "one" once more changes nothing
     And another stand-in order with the fence of the last one to "one" is "invalid"
 
+  Scenario: A newer stand-in order for the version that is being fetched lets the swap go on
+    Given a running stand-in weight store that holds version 2
+    And the stand-in store hangs
+    When "one" is ordered to version 2 with fence 5 from the stand-in store
+    And "one" is ordered to version 2 with fence 6 from the stand-in store
+    And the stand-in store hangs no more
+    Then the stand-in engine "one" comes to hold version 2
+    And the stand-in engine "one" has logged one swap without an error
+
   Scenario: Stand-in weights go from engine to engine
     Given a running stand-in weight store that holds version 2
     And a running stand-in engine "two" that holds version 1
--- a/features/steps/standins_engine_steps.py
+++ b/features/steps/standins_engine_steps.py
@@ -8,6 +8,7 @@
 
 from bellweir.platform.interface import EngineRole, ErrorKind, FinishReason
 from bellweir.platform.pool import ConnectionPool, HttpCall
+from bellweir_rehearsal.standins.engine_weights import SwapEnded
 from bellweir_rehearsal.standins.faults import FaultKind, FaultOrder
 from bellweir_rehearsal.standins.records import (
     GenerationEnded,
@@ -367,6 +368,23 @@
     assert context.engines.client(name).order(other).failure().kind is ErrorKind(kind)
 
 
+@given("the stand-in store hangs")
+def step_store_hangs(context):
+    context.store.inject(FaultOrder(FaultKind.HANG, duration_s=60.0))
+
+
+@when("the stand-in store hangs no more")
+def step_store_goes_on(context):
+    context.store.clear_faults()
+
+
+@then('the stand-in engine "{name}" has logged one swap without an error')
+def step_one_swap(context, name):
+    ended = context.engines.standins[name].log.records(SwapEnded)
+    assert [record.error for record in ended] == [None]
+    assert context.engines.client(name).read_state(5.0).unwrap().order_fence == (6, 2)
+
+
 @then("the stand-in store has been read once")
 def step_store_reads(context):
     assert len(context.store.log.records(WeightsFetched)) == 1
--- a/src/bellweir_rehearsal/standins/engine_weights.py
+++ b/src/bellweir_rehearsal/standins/engine_weights.py
@@ -162,7 +162,7 @@
 
     def _is_loaded(self, order: EngineOrder) -> bool:
         loaded = (self._held.model, self._held.weight_version)
-        return loaded == (order.model, order.weight_version)
+        return loaded == _target(order)
 
     def _work(self) -> None:
         """Carry out the newest order until there is no newer one."""
@@ -181,8 +181,6 @@
         source, failure = self._fetch(order)
         if failure is None:
             failure = self._load(order)
-        if failure is not SwapFailure.SUPERSEDED:
-            self._swap_ended(order, failure)
         self._log.append(
             SwapEnded(
                 standin=self._log.standin,
@@ -193,6 +191,8 @@
                 duration_s=time.monotonic() - started_s,
             )
         )
+        if failure is not SwapFailure.SUPERSEDED:
+            self._swap_ended(order, failure)
 
     def _swap_ended(self, order: EngineOrder, failure: SwapFailure | None) -> None:
         with self._lock:
@@ -209,7 +209,8 @@
     def _superseded(self, order: EngineOrder) -> bool:
         with self._lock:
             newest = self._order
-        return self._stopping.is_set() or newest is None or _content(newest) != _content(order)
+        # A newer fence for the same weights changes nothing about a swap in hand.
+        return self._stopping.is_set() or newest is None or _target(newest) != _target(order)
 
     # --- fetching ---
 
@@ -286,8 +287,13 @@
     return order.fence, order.model, order.weight_version, order.adapters, order.role
 
 
+def _target(order: EngineOrder) -> tuple[str, int]:
+    """Return the weights that an order asks for."""
+    return order.model, order.weight_version
+
+
 def _is_whole(manifest: WeightManifest, order: EngineOrder) -> bool:
-    wanted = (order.model, order.weight_version)
+    wanted = _target(order)
     checksum = checksum_of(*wanted)
     return (manifest.model, manifest.version) == wanted and manifest.checksum == checksum
 
