--- a/src/bellweir/configuration/service.py
+++ b/src/bellweir/configuration/service.py
@@ -32,8 +32,9 @@
 
 ROLE_CHECK_PERIOD_S = 0.2
 """Time between two looks at who is the zone's reader, in seconds."""
-READER_HOLD_OFF_S = 0.5
-"""A node reads only once it has been the zone's reader for so long, in seconds."""
+READER_HOLD_OFF_S = 1.5
+"""A node reads only once it has been the zone's reader for so long: the one before it notices at
+the end of its watch (`reader.SHORTEST_WATCH_S`), and the store should not serve both."""
 JOIN_HOLD_OFF_S = 2.0
 """A node with seeds that knows no other member yet waits so long before it reads, in seconds."""
 LISTENERS_CHECK_S = 0.5
