--- a/src/bellweir/configuration/core.py
+++ b/src/bellweir/configuration/core.py
@@ -78,6 +78,8 @@
         self._chunks = SnapshotChunks(self.state)
         self._catch_up = CatchUp(transport, self.state)
         self._partners = Partners(self._random)
+        self._told_partners = Partners(self._random)
+        """Nodes of the zone that are told of changes besides the tree; guarded by the lock."""
         self.placements = Placements(membership, settings.fanout)
         self.reports = RevisionReports(transport, membership, clock, self.state, self.placements)
         self._wake = threading.Event()
@@ -188,15 +190,17 @@
         self._announce(placement)
 
     def _announce(self, placement: Placement) -> None:
-        """Tell other readers (as the zone's reader), and one node at random.
+        """Tell other readers (as the zone's reader), and one node of a few chosen at random.
 
-        The random one makes news of a change reach a part of the tree that a dead node cut off
+        That one makes news of a change reach a part of the tree that a dead node cut off
         without waiting for the period of anti-entropy.
         """
         told = list(placement.readers_told) if placement.is_reader else []
         others = [member for member in placement.order if member.node != self._node]
-        if others:
-            told.append(self._random.choice(others))
+        with self._lock:
+            chosen = self._told_partners.choose(others, self._clock.monotonic_s())
+        if chosen is not None:
+            told.append(chosen)
         announcement = self._announcement()
         for target in told:
             self._transport.send(target.peer_address, announcement)
