Report to a new reader at once

After a change of reader the count of nodes began anew and was whole only after the refresh period of 10 s, so that conditions named nodes that were not behind.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -67,3 +67,9 @@
     Then the configuration reader's watches were meant to last 1.0 and 4.5 seconds
     When the configuration's store is fast again and the reader watches it 2 times
     Then the configuration reader's watches were meant to last 4.5 and 1.0 seconds
+
+  Scenario: A new reader soon knows how far its zone has come
+    Given a configuration zone of 5 nodes with a revision in force
+    Then the configuration's reporter counts 5 of 5 nodes at revision 1
+    When the configuration zone's reader goes and each node steps for half a second
+    Then the configuration's reporter counts 4 of 4 nodes at revision 1
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -407,3 +407,26 @@
         assert snapshot.machines == history[snapshot.machines_revision], (update, snapshot)
 
     run()
+
+
+def _spread(context):
+    spreads = [node.core.reports.spread() for node in context.nodes.values()]
+    [found] = [spread for spread in spreads if spread is not None]
+    return found
+
+
+@then("the configuration's reporter counts {count:d} of {total:d} nodes at revision {revision:d}")
+def step_count(context, count, total, revision):
+    spread = _spread(context)
+    assert (spread.nodes_with(revision), spread.nodes) == (count, total), spread
+
+
+@when("the configuration zone's reader goes and each node steps for half a second")
+def step_reader_goes(context):
+    reader = placement.reader_of(context.everyone.values(), ZONE).node
+    del context.everyone[reader], context.nodes[reader], context.network.transports[reader]
+    for _ in range(2):
+        for node in context.nodes.values():
+            node.clock.advance(0.25)
+            node.core.step()
+        context.network.deliver_all()
--- a/src/bellweir/configuration/revision_reports.py
+++ b/src/bellweir/configuration/revision_reports.py
@@ -42,18 +42,23 @@
 
 
 class _Schedule:
-    """When a report that changes now and then is due."""
+    """When a report is due: soon after it or its receiver has changed, else now and then."""
 
     def __init__(self) -> None:
         self._sent: object = None
         self._sent_s = float("-inf")
 
     def due_s(self, current: object) -> float:
+        """When the report is due, given what it says and to whom."""
         wait_s = REFRESH_S if current == self._sent else SHORTEST_INTERVAL_S
         return self._sent_s + wait_s
 
-    def sent(self, current: object, now_s: float) -> None:
+    def is_due(self, current: object, now_s: float) -> bool:
+        """Whether the report is due; it then counts as sent."""
+        if self.due_s(current) > now_s:
+            return False
         self._sent, self._sent_s = current, now_s
+        return True
 
 
 class RevisionReports:
@@ -88,10 +93,11 @@
         """When the next report is due, on the clock's monotonic time."""
         if not self._state.loaded:
             return float("inf")
-        due_s = self._own_schedule.due_s(self._own_report())
+        placement = self._placements.current()
+        due_s = self._own_schedule.due_s((self._own_report(), placement.reader))
         zone = self._zone_report()
         if zone is not None:
-            due_s = min(due_s, self._zone_schedule.due_s(zone))
+            due_s = min(due_s, self._zone_schedule.due_s((zone, placement.reporter)))
         return due_s
 
     def send_due(self) -> None:
@@ -99,13 +105,12 @@
         if not self._state.loaded:
             return
         now_s = self._clock.monotonic_s()
+        placement = self._placements.current()
         own = self._own_report()
-        if self._own_schedule.due_s(own) <= now_s:
-            self._own_schedule.sent(own, now_s)
+        if self._own_schedule.is_due((own, placement.reader), now_s):
             self._send_own(own)
         zone = self._zone_report()
-        if zone is not None and self._zone_schedule.due_s(zone) <= now_s:
-            self._zone_schedule.sent(zone, now_s)
+        if zone is not None and self._zone_schedule.is_due((zone, placement.reporter), now_s):
             self._send_zone(zone)
 
     def spread(self) -> RevisionSpread | None:
