--- a/features/samples.feature
+++ b/features/samples.feature
@@ -54,6 +54,15 @@
     And the samples step delivers 4 unscored samples, one for each slot
     And what the cut-off node commits when it comes back changes no samples slot
 
+  Scenario: A node stops as planned in the middle of a step
+    Given a samples cluster of 2 nodes
+    And samples engines that hold every generation after 2 tokens
+    When a samples step of 4 prompts with 2 samples each and no scorer is declared
+    And node-1 stops as planned while it runs samples, and node-2 leads
+    Then node-2 goes on with the samples tokens that node-1 had
+    And the samples engines go on
+    And the samples step delivers 8 unscored samples, one for each slot
+
   Scenario: Answers of the ledger are lost
     Given a samples cluster of 2 nodes
     And a samples ledger that loses every second answer and refuses every third command
--- a/features/steps/samples_tail_steps.py
+++ b/features/steps/samples_tail_steps.py
@@ -180,3 +180,35 @@
 @then("samples rates forget what was before a pause")
 def step_rates(context):
     check_rate_forgets_pauses()
+
+
+@when("node-1 stops as planned while it runs samples, and node-2 leads")
+def step_stop(context):
+    cluster = context.cluster
+    engines = cluster.engines
+    runners = [node.samples._parts.runner for node in cluster.nodes]
+    wait_until(
+        lambda: sum(r.tokens for runner in runners for r in runner.reports()) == 16,
+        "all generations have begun",
+    )
+    stopping = cluster.nodes.pop(0)
+    context.first_requests = [
+        r for r in engines.requests if engines.nodes[r.request_id] == "node-1"
+    ]
+    assert context.first_requests
+    cluster.alive.remove("node-1")
+    cluster.log.lead_all("node-2")
+    stopping.kernel.registry.drain(60)
+    stopping.stop()
+
+
+@then("node-2 goes on with the samples tokens that node-1 had")
+def step_goes_on(context):
+    engines = context.cluster.engines
+    seeds = {request.seed for request in context.first_requests}
+
+    def resumed():
+        return {r.seed for r in engines.requests if r.prefix_tokens == (0, 1)}
+
+    wait_until(lambda: resumed() == seeds, "every sample of node-1 goes on with its tokens")
+    assert len(engines.requests) == 8 + len(seeds)
--- a/src/bellweir/samples/assembly.py
+++ b/src/bellweir/samples/assembly.py
@@ -80,6 +80,7 @@
         executors=kernel.executors,
         clock=clock,
         dispatcher=registry.find(names.DISPATCHER, Dispatcher),  # type: ignore[type-abstract]
+        bulk=bulk,
         committer=SampleCommitter(kernel.executors, clock, ledger, bulk, publications),
         scoring=scoring,
         concurrency=settings.samples.concurrency,
--- a/src/bellweir/samples/attempts.py
+++ b/src/bellweir/samples/attempts.py
@@ -6,13 +6,22 @@
 import msgspec
 import xxhash
 
-from bellweir.routing.interface import Generation
+from bellweir.routing.interface import Generation, Segment
+from bellweir.samples.messages import BulkValue
 from bellweir.samples.rate import RateMeter
 from bellweir.samples.tokens import SampleBuilder
 
 SEED_BITS = 63
 
 
+class Partial(msgspec.Struct, frozen=True):
+    """What a stopping node had of a sample, for another node to go on with."""
+
+    content: BulkValue
+    """A stored `SampleContent`."""
+    segments: tuple[Segment, ...]
+
+
 class Assignment(msgspec.Struct, frozen=True):
     """One attempt at one slot, as the coordinator gives it to a node."""
 
@@ -32,6 +41,8 @@
     so the first to finish is not the shorter of two."""
     avoid_workers: tuple[str, ...] = ()
     replaces_attempt: str | None = None
+    partial: Partial | None = None
+    """Go on after these tokens."""
 
 
 class AttemptReport(msgspec.Struct, frozen=True):
@@ -64,6 +75,7 @@
     tokens: int = 0
     """Tokens it had: the sample is at least so long."""
     retry_after_s: float | None = None
+    partial: Partial | None = None
 
 
 def new_attempt_id() -> str:
@@ -87,6 +99,7 @@
         self._lock = threading.Lock()
         self._generation: Generation | None = None
         self._is_cancelled = False
+        self._is_handed_over = False
         self._is_moving = False
         self._is_committing = False
         self._tokens = 0
@@ -101,6 +114,12 @@
         with self._lock:
             return self._is_cancelled
 
+    @property
+    def is_handed_over(self) -> bool:
+        """Whether it was cancelled for another node to go on with its tokens."""
+        with self._lock:
+            return self._is_handed_over
+
     @property
     def has_tokens(self) -> bool:
         """Whether an engine has begun to answer."""
@@ -131,6 +150,12 @@
         if generation is not None:
             generation.cancel()
 
+    def hand_over(self) -> None:
+        """Stop the attempt and let its tokens go to another node."""
+        with self._lock:
+            self._is_handed_over = True
+        self.cancel()
+
     def move(self) -> None:
         """Leave the present engine; the attempt's thread goes on elsewhere with its tokens."""
         with self._lock:
--- a/src/bellweir/samples/coordinator.py
+++ b/src/bellweir/samples/coordinator.py
@@ -17,7 +17,13 @@
 from bellweir.ledger.interface import Ledger
 from bellweir.samples.assigning import AttemptAssigner
 from bellweir.samples.attempt_table import AttemptTable, KnownAttempt
-from bellweir.samples.attempts import Assignment, AttemptEnd, new_attempt_id, seed_of
+from bellweir.samples.attempts import (
+    Assignment,
+    AttemptEnd,
+    Partial,
+    new_attempt_id,
+    seed_of,
+)
 from bellweir.samples.bulk import BulkStore
 from bellweir.samples.estimates import LengthEstimator
 from bellweir.samples.interface import StepDeclaration
@@ -27,7 +33,12 @@
 from bellweir.samples.publications import PublicationClock
 from bellweir.samples.records import StepRecord
 from bellweir.samples.rescoring import Rescorer
-from bellweir.samples.staleness import newest_version, oldest_admissible, oldest_version
+from bellweir.samples.staleness import (
+    is_fresh,
+    newest_version,
+    oldest_admissible,
+    oldest_version,
+)
 from bellweir.samples.step_view import StepMemory, StepView, observe_lengths, view_of
 from bellweir.samples.tail import (
     expected_end_s,
@@ -152,6 +163,8 @@
             if memory is not None and end.failure is not None:
                 longest = memory.longest_attempt.get(end.slot, 0)
                 memory.longest_attempt[end.slot] = max(longest, end.tokens)
+                if end.partial is not None:
+                    memory.partials[end.slot] = end.partial
             if end.failure is None or end.failure == "cancelled":
                 self._backoffs.pop(key, None)
             else:
@@ -327,8 +340,19 @@
             seed=seed_of(step.terms.step_id, slot, generation),
             avoid_workers=avoid_workers,
             replaces_attempt=replaces_attempt,
+            partial=self._take_partial(view, slot) if replaces_attempt is None else None,
         )
 
+    def _take_partial(self, view: StepView, slot: int) -> Partial | None:
+        """What a stopping node had of the slot's sample, when it is still fresh."""
+        partial = view.memory.partials.pop(slot, None)
+        if partial is None:
+            return None
+        oldest = oldest_version(partial.segments)
+        now_s = self._clock.wall_s()
+        is_usable = is_fresh(oldest, view.step.bound, view.cadence.publications, now_s)
+        return partial if is_usable else None
+
     # --- what is over ---
 
     def _forget_all_but(
--- a/src/bellweir/samples/runner.py
+++ b/src/bellweir/samples/runner.py
@@ -21,7 +21,14 @@
     RefusalReason,
     RunState,
 )
-from bellweir.samples.attempts import Assignment, AttemptEnd, AttemptReport, RunningAttempt
+from bellweir.samples.attempts import (
+    Assignment,
+    AttemptEnd,
+    AttemptReport,
+    Partial,
+    RunningAttempt,
+)
+from bellweir.samples.bulk import BulkStore, SampleContent
 from bellweir.samples.committer import SampleCommitter
 from bellweir.samples.log_events import ATTEMPT_FAILED, COMMIT_REFUSED
 from bellweir.samples.messages import Outcome
@@ -29,6 +36,12 @@
 from bellweir.samples.start_window import StartWindow
 from bellweir.samples.tokens import SampleBuilder
 
+DRAIN_PATIENCE_S = 3.0
+"""Time for running attempts to end by themselves at a planned stop."""
+HAND_OVER_S = 5.0
+"""Time after it for handing attempts over and for commits in hand."""
+DRAIN_POLL_S = 0.05
+BULK_TIMEOUT_S = 2.0
 MOVE_ATTEMPTS = 5
 MOVE_PAUSE_S = 0.2
 
@@ -47,6 +60,7 @@
         executors: Executors,
         clock: Clock,
         dispatcher: Dispatcher,
+        bulk: BulkStore,
         committer: SampleCommitter,
         scoring: ScoringQueue,
         concurrency: int,
@@ -55,6 +69,7 @@
         self._executors = executors
         self._clock = clock
         self._dispatcher = dispatcher
+        self._bulk = bulk
         self._committer = committer
         self._scoring = scoring
         self._window = StartWindow(concurrency)
@@ -123,13 +138,24 @@
             attempt.move()
 
     def drain(self, deadline_s: float) -> None:
-        """Take no new attempts, and wait for the running ones at most `deadline_s` seconds."""
+        """Take no new attempts; let those end that soon do, and hand the others over.
+
+        Bounded whatever other nodes do: nobody waits for a draft at a planned stop.
+        """
         with self._lock:
             self._is_draining = True
-        end_s = self._clock.monotonic_s() + deadline_s
+        began_s = self._clock.monotonic_s()
+        self._wait_until_idle(began_s + min(deadline_s, DRAIN_PATIENCE_S))
+        with self._lock:
+            generating = list(self._generating.values())
+        for attempt in generating:
+            attempt.hand_over()
+        self._wait_until_idle(began_s + min(deadline_s, DRAIN_PATIENCE_S + HAND_OVER_S))
+
+    def _wait_until_idle(self, end_s: float) -> None:
         while self._all() and self._clock.monotonic_s() < end_s:
-            if self._clock.wait(self._executors.stopping, 0.1):
-                break
+            if self._clock.wait(self._executors.stopping, DRAIN_POLL_S):
+                return
 
     def cancel_all(self) -> None:
         """Cancel every attempt."""
@@ -146,7 +172,11 @@
             self._end(attempt, "raised")
 
     def _end(
-        self, attempt: RunningAttempt, failure: str | None, retry_after_s: float | None = None
+        self,
+        attempt: RunningAttempt,
+        failure: str | None,
+        retry_after_s: float | None = None,
+        partial: Partial | None = None,
     ) -> None:
         assignment = attempt.assignment
         self._forget(attempt)
@@ -158,14 +188,15 @@
                 failure=failure,
                 tokens=attempt.tokens,
                 retry_after_s=retry_after_s,
+                partial=partial,
             )
         )
 
     def _run(self, attempt: RunningAttempt) -> None:
-        builder = SampleBuilder()
+        builder = self._begin(attempt.assignment)
         ended = self._generate(attempt, builder)
         if isinstance(ended, Failure):
-            self._report_failure(attempt, ended.failure())
+            self._report_failure(attempt, builder, ended.failure())
             return
         attempt.note_committing()
         with self._lock:
@@ -173,10 +204,32 @@
             self._finishing[attempt.assignment.attempt_id] = attempt
         self._commit(attempt, builder)
 
-    def _report_failure(self, attempt: RunningAttempt, refusal: Refusal) -> None:
+    def _begin(self, assignment: Assignment) -> SampleBuilder:
+        """Take up what another node had; begin anew when it can't be read."""
+        builder = SampleBuilder()
+        partial = assignment.partial
+        if partial is not None:
+            read = self._bulk.get(
+                assignment.step_id, partial.content, SampleContent, BULK_TIMEOUT_S
+            )
+            if isinstance(read, Success):
+                builder.resume(read.unwrap(), partial.segments)
+        return builder
+
+    def _store_partial(self, attempt: RunningAttempt, builder: SampleBuilder) -> Partial | None:
+        if not attempt.is_handed_over or builder.token_count == 0:
+            return None
+        stored = self._bulk.put(attempt.assignment.step_id, builder.content(), BULK_TIMEOUT_S)
+        if isinstance(stored, Failure):
+            return None
+        return Partial(stored.unwrap(), builder.segments())
+
+    def _report_failure(
+        self, attempt: RunningAttempt, builder: SampleBuilder, refusal: Refusal
+    ) -> None:
         assignment = attempt.assignment
         if attempt.is_cancelled:
-            self._end(attempt, "cancelled")
+            self._end(attempt, "cancelled", partial=self._store_partial(attempt, builder))
             return
         error = f"{refusal.reason.value}: {refusal.detail}"
         emit(
--- a/src/bellweir/samples/service.py
+++ b/src/bellweir/samples/service.py
@@ -100,9 +100,10 @@
         self._kernel.executors.run_task("samples-holder", parts.holder.run)
 
     def drain(self, deadline_s: float) -> None:
-        """Let the running attempts end; other nodes take up the rest."""
+        """Let the running attempts end that soon do; other nodes go on with the rest."""
         if self._parts is not None:
             self._parts.runner.drain(deadline_s)
+            self._parts.holder.report()
 
     def stop(self) -> None:
         """Cancel what still runs; other nodes take up its slots."""
--- a/src/bellweir/samples/step_view.py
+++ b/src/bellweir/samples/step_view.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from bellweir.samples.attempt_table import KnownAttempt
+from bellweir.samples.attempts import Partial
 from bellweir.samples.cadence import VersionCadence, cadence_of
 from bellweir.samples.estimates import LengthBelief, LengthEstimator
 from bellweir.samples.interface import StepDeclaration
@@ -23,6 +24,8 @@
     """Commits whose lengths the estimator has taken up."""
     longest_attempt: dict[int, int] = field(default_factory=dict)
     """Tokens that an ended attempt of a slot had, by slot."""
+    partials: dict[int, Partial] = field(default_factory=dict)
+    """What stopping nodes handed over, by slot, until somebody goes on with it."""
     duplicates: int = 0
     """Second attempts started."""
     next_renewals_s: float = 0.0
--- a/src/bellweir/samples/tokens.py
+++ b/src/bellweir/samples/tokens.py
@@ -27,6 +27,12 @@
         self._tokens: list[int] = []
         self._segments: list[Segment] = []
 
+    def resume(self, content: SampleContent, segments: tuple[Segment, ...]) -> None:
+        """Begin with what another node had."""
+        self._texts = [content.text]
+        self._tokens = list(content.tokens)
+        self._segments = list(segments)
+
     def add(self, chunk: GenerationChunk) -> None:
         """Take the next chunk."""
         self._texts.append(chunk.text)
