--- a/bench/tail_model/bellweir_scheduler.py
+++ b/bench/tail_model/bellweir_scheduler.py
@@ -294,7 +294,14 @@
             )
             self._ledger.submit(attempt.step_id, command, 1.0)
             self.holder.ends.append(
-                AttemptEnd(attempt.step_id, attempt.slot, attempt.name, None, attempt.tokens)
+                AttemptEnd(
+                    attempt.step_id,
+                    attempt.slot,
+                    attempt.name,
+                    None,
+                    attempt.tokens,
+                    attempt.rate.tokens_per_s,
+                )
             )
 
     def go_round(self, now_s: float) -> None:
--- a/src/bellweir/samples/attempts.py
+++ b/src/bellweir/samples/attempts.py
@@ -74,6 +74,7 @@
     """None when the ledger has answered, whatever it said."""
     tokens: int = 0
     """Tokens it had: the sample is at least so long."""
+    tokens_per_s: float = 0.0
     retry_after_s: float | None = None
     partial: Partial | None = None
 
@@ -132,6 +133,12 @@
         with self._lock:
             return self._tokens
 
+    @property
+    def tokens_per_s(self) -> float:
+        """Its rate lately."""
+        with self._lock:
+            return self._rate.tokens_per_s
+
     def attach(self, generation: Generation) -> None:
         """Take the generation it now reads; cancelled at once when the attempt already is."""
         with self._lock:
--- a/src/bellweir/samples/coordinator.py
+++ b/src/bellweir/samples/coordinator.py
@@ -8,7 +8,6 @@
 import math
 import threading
 from collections import deque
-from dataclasses import dataclass
 
 from returns.result import Success
 
@@ -24,6 +23,7 @@
     new_attempt_id,
     seed_of,
 )
+from bellweir.samples.backoffs import SlotBackoffs
 from bellweir.samples.bulk import BulkStore
 from bellweir.samples.estimates import LengthEstimator
 from bellweir.samples.interface import StepDeclaration
@@ -41,6 +41,7 @@
 )
 from bellweir.samples.step_view import StepMemory, StepView, observe_lengths, view_of
 from bellweir.samples.tail import (
+    WaitingSlot,
     expected_end_s,
     is_silent,
     must_move,
@@ -53,9 +54,11 @@
 )
 
 LEDGER_TIMEOUT_S = 1.0
-ROUND_PERIOD_S = 0.2
-SHORTEST_PAUSE_S = 0.1
-LONGEST_PAUSE_S = 5.0
+BUSY_PERIOD_S = 0.2
+"""Shortest time between rounds, and their period while attempts are being started."""
+QUIET_PERIOD_S = 0.5
+PROGRESS_PERIOD_S = 2.0
+"""Time between estimates of a step's end, which look at every slot."""
 RETENTION_S = 3_600.0
 """Time for which an ended step can still be pulled and read."""
 CLEAN_UP_PERIOD_S = 30.0
@@ -64,14 +67,6 @@
 RENEWAL_PERIOD_S = 1.0
 
 
-@dataclass
-class _Backoff:
-    """Failed attempts of a slot in a row, and when the next one may start."""
-
-    failures: int
-    not_before_s: float
-
-
 class StepCoordinator:
     """Assigns slots to attempts and steers them, round by round, on one task."""
 
@@ -98,8 +93,9 @@
         self._rescorer = rescorer
         self._duplicate_budget = duplicate_budget
         self._wake = threading.Event()
+        self._has_started = False
         self._ended: deque[AttemptEnd] = deque()
-        self._backoffs: dict[tuple[str, int], _Backoff] = {}
+        self._backoffs = SlotBackoffs()
         self._memories: dict[str, StepMemory] = {}
         self._estimators: dict[str, LengthEstimator] = {}
         self._next_clean_up_s = clock.monotonic_s() + CLEAN_UP_PERIOD_S
@@ -130,7 +126,9 @@
                 self.go_round()
             except Exception as failure:
                 emit(ROUND_FAILED, error=repr(failure))
-            self._clock.wait(self._wake, ROUND_PERIOD_S)
+            self._clock.wait(stopping, BUSY_PERIOD_S)
+            if not self._has_started:
+                self._clock.wait(self._wake, QUIET_PERIOD_S - BUSY_PERIOD_S)
 
     def go_round(self) -> None:
         """Look at every led step once, the longest declared first."""
@@ -144,6 +142,7 @@
         by_step = self._table.by_step()
         views = [self._view(step, by_step) for step in steps if self._is_known(step)]
         places = self._assigner.free_places() if views else {}
+        self._has_started = False
         for view in views:
             self._steer(view)
             self._start_waiting(view, places)
@@ -158,23 +157,15 @@
     def _take_ends(self) -> None:
         while self._ended:
             end = self._ended.popleft()
-            key = (end.step_id, end.slot)
+            self._backoffs.note(end, self._clock.monotonic_s())
             memory = self._memories.get(end.step_id)
+            if memory is not None and end.tokens_per_s > 0:
+                memory.ended_rates.append(end.tokens_per_s)
             if memory is not None and end.failure is not None:
                 longest = memory.longest_attempt.get(end.slot, 0)
                 memory.longest_attempt[end.slot] = max(longest, end.tokens)
                 if end.partial is not None:
                     memory.partials[end.slot] = end.partial
-            if end.failure is None or end.failure == "cancelled":
-                self._backoffs.pop(key, None)
-            else:
-                self._backoffs[key] = self._next_backoff(self._backoffs.get(key), end)
-
-    def _next_backoff(self, last: _Backoff | None, end: AttemptEnd) -> _Backoff:
-        failures = last.failures + 1 if last is not None else 1
-        pause_s = min(LONGEST_PAUSE_S, SHORTEST_PAUSE_S * 2 ** min(failures - 1, 10))
-        pause_s = max(pause_s, end.retry_after_s or 0.0)
-        return _Backoff(failures, self._clock.monotonic_s() + pause_s)
 
     def _observe(self, step: StepRecord) -> None:
         """Tell the ledger of versions and of time, when that changes something."""
@@ -236,33 +227,38 @@
 
     def _start_waiting(self, view: StepView, places: dict[str, int]) -> None:
         """Start waiting slots in their order, spread over the nodes with free places."""
+        memory = view.memory
+        now_s = self._clock.monotonic_s()
+        unfilled = sum(slot.sample is None for slot in view.step.slots)
+        memory.running = sum(view.step.slots[slot].sample is None for slot in view.by_slot)
+        is_due = now_s >= memory.next_estimate_s
+        if not is_due and (unfilled == memory.running or _freest(places) is None):
+            return
         waiting = view.waiting()
-        self._note_progress(view, waiting_count=len(waiting))
-        view.memory.expected_end_s = expected_end_s(
-            [(known.report, view.belief(known.report.slot)) for known in view.attempts],
-            waiting,
-            view.usual_rate,
-        )
+        if is_due:
+            memory.next_estimate_s = now_s + PROGRESS_PERIOD_S
+            running = [(known.report, view.belief(known.report.slot)) for known in view.attempts]
+            memory.expected_end_s = expected_end_s(running, waiting, view.usual_rate)
+        self._assign(view, self._choose(view, waiting, places))
+
+    def _choose(
+        self, view: StepView, waiting: list[WaitingSlot], places: dict[str, int]
+    ) -> dict[str, list[Assignment]]:
+        """Assignments by node, as far as there are places."""
         chosen: dict[str, list[Assignment]] = {}
+        now_s = self._clock.monotonic_s()
         for entry in waiting:
             holder = _freest(places)
             if holder is None:
                 break
-            if self._may_start(view.step, entry.slot):
+            if self._backoffs.may_start(view.step.terms.step_id, entry.slot, now_s):
                 places[holder] -= 1
                 chosen.setdefault(holder, []).append(self._assignment(view, entry.slot))
-        self._assign(view, chosen)
-
-    def _note_progress(self, view: StepView, waiting_count: int) -> None:
-        unfilled = sum(slot.sample is None for slot in view.step.slots)
-        view.memory.running = unfilled - waiting_count
-
-    def _may_start(self, step: StepRecord, slot: int) -> bool:
-        backoff = self._backoffs.get((step.terms.step_id, slot))
-        return backoff is None or self._clock.monotonic_s() >= backoff.not_before_s
+        return chosen
 
     def _assign(self, view: StepView, chosen: dict[str, list[Assignment]]) -> None:
         terms = view.step.terms
+        self._has_started = self._has_started or bool(chosen)
         observation = self._publications.observation(terms.policy)
         for holder, assignments in chosen.items():
             self._assigner.assign(terms.step_id, holder, assignments, observation)
@@ -362,7 +358,7 @@
         kept = {step.terms.step_id for step in steps}
         self._memories = {key: memory for key, memory in self._memories.items() if key in kept}
         self._rescorer.forget_all_but(kept)
-        self._backoffs = {key: entry for key, entry in self._backoffs.items() if key[0] in kept}
+        self._backoffs.forget_all_but(kept)
         for step_id, attempts in by_step.items():
             if step_id in kept or not self._ledger.leads(step_id):
                 continue
--- a/src/bellweir/samples/runner.py
+++ b/src/bellweir/samples/runner.py
@@ -28,6 +28,7 @@
     Partial,
     RunningAttempt,
 )
+from bellweir.samples.backoffs import CANCELLED as CANCELLED_ATTEMPT
 from bellweir.samples.bulk import BulkStore, SampleContent
 from bellweir.samples.committer import SampleCommitter
 from bellweir.samples.log_events import ATTEMPT_FAILED, COMMIT_REFUSED
@@ -187,6 +188,7 @@
                 attempt_id=assignment.attempt_id,
                 failure=failure,
                 tokens=attempt.tokens,
+                tokens_per_s=attempt.tokens_per_s,
                 retry_after_s=retry_after_s,
                 partial=partial,
             )
@@ -229,7 +231,7 @@
     ) -> None:
         assignment = attempt.assignment
         if attempt.is_cancelled:
-            self._end(attempt, "cancelled", partial=self._store_partial(attempt, builder))
+            self._end(attempt, CANCELLED_ATTEMPT, partial=self._store_partial(attempt, builder))
             return
         error = f"{refusal.reason.value}: {refusal.detail}"
         emit(
--- a/src/bellweir/samples/step_view.py
+++ b/src/bellweir/samples/step_view.py
@@ -1,5 +1,6 @@
 """One step as its coordinator sees it in one round: slots, attempts and beliefs put together."""
 
+from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -14,6 +15,8 @@
 from bellweir.samples.tail import WaitingSlot, in_starting_order, median_rate
 from bellweir.samples.tokens import total_tokens
 
+KEPT_RATES = 32
+
 
 @dataclass
 class StepMemory:
@@ -26,10 +29,15 @@
     """Tokens that an ended attempt of a slot had, by slot."""
     partials: dict[int, Partial] = field(default_factory=dict)
     """What stopping nodes handed over, by slot, until somebody goes on with it."""
+    ended_rates: deque[float] = field(default_factory=lambda: deque(maxlen=KEPT_RATES))
+    """Tokens a second of attempts that ended lately: near a step's end the running ones are the
+    slow ones, and tell nothing of what is usual."""
     duplicates: int = 0
     """Second attempts started."""
     next_renewals_s: float = 0.0
     """On the monotonic clock: when to look for samples to renew again."""
+    next_estimate_s: float = 0.0
+    """On the monotonic clock: when to estimate the step's end again."""
     expected_end_s: float | None = None
     running: int = 0
 
@@ -44,7 +52,7 @@
     estimator: LengthEstimator
     cadence: VersionCadence
     usual_rate: float
-    """Median tokens a second of the step's attempts."""
+    """Median tokens a second of the step's attempts, running and lately ended."""
     by_slot: dict[int, list[KnownAttempt]]
     _beliefs: dict[int, LengthBelief] = field(default_factory=dict)
     """By prompt index; worked out once in a round."""
@@ -120,6 +128,8 @@
         attempts=tuple(attempts),
         estimator=estimator,
         cadence=cadence_of(merged),
-        usual_rate=median_rate([known.report for known in attempts]),
+        usual_rate=median_rate(
+            [*memory.ended_rates, *(known.report.tokens_per_s for known in attempts)]
+        ),
         by_slot=by_slot,
     )
--- a/src/bellweir/samples/tail.py
+++ b/src/bellweir/samples/tail.py
@@ -55,10 +55,10 @@
     return sorted(waiting, key=key)
 
 
-def median_rate(attempts: Sequence[AttemptReport]) -> float:
-    """Median tokens a second of the attempts that have shown a rate; 0 when none has."""
-    rates = [report.tokens_per_s for report in attempts if report.tokens_per_s > 0]
-    return statistics.median(rates) if rates else 0.0
+def median_rate(rates: Iterable[float]) -> float:
+    """Median of the rates that are known, in tokens a second; 0 when none is."""
+    known = [rate for rate in rates if rate > 0]
+    return statistics.median(known) if known else 0.0
 
 
 def must_restart(
