--- a/bench/samples_tail_live.py
+++ b/bench/samples_tail_live.py
@@ -93,7 +93,7 @@
     """Publish a version in regular intervals."""
     next_s = time.monotonic() + every_s
     while not stop.wait(max(0.0, next_s - time.monotonic())):
-        rehearsal._publish(POLICY)
+        rehearsal._participants._publish(POLICY)
         published.append(time.time())
         next_s += every_s
 
