Give racing runs no order against a refusal of the same key

Change: a refusal is held against runs from before its call was sent, runs of that very call at any time, and runs that no other call can have led to. Six cases tested.

--- a/features/rehearsal_promises.feature
+++ b/features/rehearsal_promises.feature
@@ -41,6 +41,19 @@
   Scenario: Every promise has a broken variant, and every variant is tested
     Then the rehearsal mutations are those of the outline and cover all nine promises
 
+  Scenario Outline: A refusal "not run" of a key is held against the runs that it denies
+    Given rehearsal evidence of a key that ran <when> a call with it was refused as not run
+    Then the checker finds true refusals <ruling>
+
+    Examples:
+      | when                              | ruling |
+      | through another call, before      | broken |
+      | through another call, while       | held   |
+      | through another call, after       | held   |
+      | through that very call, while     | broken |
+      | through that very call, after     | broken |
+      | through a call refused too, after | broken |
+
   Scenario Outline: Only what the kit did to a node excuses a cut call
     Given rehearsal evidence of a call that was <cut> at a node under the fault <fault>
     Then the checker finds whole answers <ruling>
--- a/features/steps/rehearsal_promises_steps.py
+++ b/features/steps/rehearsal_promises_steps.py
@@ -9,7 +9,7 @@
 from hypothesis import settings, strategies
 
 from bellweir_rehearsal.promises.checker import CHECKS, check_promises
-from bellweir_rehearsal.promises.evidence import Evidence
+from bellweir_rehearsal.promises.evidence import ApplicationRun, Evidence
 from bellweir_rehearsal.promises.mutations import MUTATIONS
 from bellweir_rehearsal.promises.story import tell_story
 from bellweir_rehearsal.promises.verdict import Promise, Ruling
@@ -90,6 +90,56 @@
     context.evidence = replace(evidence, records=[*evidence.records, sent, ended, began, over])
 
 
+RUN_TIMES_S = {"before": -1.0, "while": 1.0, "after": 3.0}
+"""When a run takes place, from the sending of a call that is refused after 2 s."""
+
+
+@given(
+    "rehearsal evidence of a key that ran through {call}, {when_run} a call with it was refused "
+    "as not run"
+)
+def step_refused_key(context, call, when_run):
+    sent_s = START_S + 10
+    runs = {"another call": "other", "that very call": "refused", "a call refused too": "other"}
+    outcome = CallOutcome.REFUSED if call == "a call refused too" else CallOutcome.ANSWERED
+    state = "not_run" if outcome is CallOutcome.REFUSED else None
+    evidence = healthy_evidence(random.Random(1))
+    records = [
+        once_call(sent_s, "refused"),
+        CallEnded(sent_s + 2, "refused", CallOutcome.REFUSED, run_state="not_run"),
+    ]
+    if call != "that very call":
+        records.append(once_call(sent_s - 2, "other"))
+        other = CallEnded(sent_s + 5, "other", outcome, run_state=state)
+        records.append(other)
+    run_s = sent_s + RUN_TIMES_S[when_run]
+    run = ApplicationRun("worker-1", run_s, "a", runs[call], "k", "POST", "/once?wish=k", "")
+    context.evidence = replace(
+        evidence,
+        records=[*evidence.records, *records],
+        application_runs=[*evidence.application_runs, run],
+    )
+
+
+def once_call(sent_s, call_id):
+    return CallSent(
+        sent_s,
+        call_id,
+        "caller-1",
+        "node-1",
+        CallKind.APPLICATION,
+        "once",
+        "pool-1/once?wish=k",
+        idempotency_key="k",
+    )
+
+
+@then("the checker finds true refusals {ruling}")
+def step_true_refusals(context, ruling):
+    verdict = CHECKS[Promise.TRUE_REFUSALS](context.evidence)
+    assert verdict.ruling is Ruling(ruling), verdict
+
+
 @when("the rehearsal mutation {name} breaks it")
 def step_mutate(context, name):
     context.mutation = MUTATIONS[name]
