--- a/bench/tail_model/bellweir_scheduler.py
+++ b/bench/tail_model/bellweir_scheduler.py
@@ -38,6 +38,7 @@
 from bellweir.samples.publications import PublicationClock
 from bellweir.samples.rescoring import Rescorer
 from bellweir.samples.service import terms_of
+from bellweir.samples.staleness import StalenessBound
 from bellweir.samples.start_window import StartWindow
 from bellweir.samples.wire_messages import AssignAttempts, InstructAttempts, ReportAttempts
 from bench.tail_model.engines import VirtualAttempt, VirtualEngine, least_loaded
@@ -172,6 +173,7 @@
             if attempt is not None and attempt.engine is not None:
                 left = attempt.engine
                 left.remove(attempt)
+                attempt.rate.reset()
                 self.place(attempt, (left.name,))
 
     def forget(self, name: str) -> VirtualAttempt | None:
@@ -190,14 +192,12 @@
         return ReportAttempts(NODE, self.free_places(), running, ended)
 
     def _report(self, attempt: VirtualAttempt, now_s: float) -> AttemptReport:
-        first_s = attempt.first_token_s
-        span_s = attempt.last_token_s - first_s if first_s is not None else 0.0
         return AttemptReport(
             step_id=attempt.step_id,
             slot=attempt.slot,
             attempt_id=attempt.name,
             tokens=attempt.tokens,
-            tokens_per_s=attempt.tokens / span_s if span_s > 0 else 0.0,
+            tokens_per_s=attempt.rate.tokens_per_s,
             running_s=now_s - attempt.started_s,
             silent_s=now_s - attempt.last_token_s,
             oldest_version=min((version for version, _ in attempt.segments), default=None),
@@ -213,11 +213,11 @@
         self,
         workload: Workload,
         engines: list[VirtualEngine],
-        bound_versions: int | None,
+        bound: StalenessBound,
         duplicate_budget: float = 0.05,
     ) -> None:
         self._workload = workload
-        self._bound = bound_versions
+        self._bound = bound
         self._clock = ManualClock(start_s=0.0)
         self._ledger = OneReplicaLedger()
         self._publications = PublicationClock(self._clock)
@@ -265,7 +265,8 @@
             prompts=tuple(f"{step_id} prompt {number}" for number in range(work.prompts)),
             samples_per_prompt=work.samples_per_prompt,
             max_tokens=work.longest_tokens,
-            staleness_bound_versions=self._bound,
+            staleness_bound_versions=self._bound.versions,
+            staleness_bound_s=self._bound.seconds,
         )
         stored = BulkStore(None).put(step_id, declaration, 1.0).unwrap()
         observation = self._publications.observation(POLICY)
--- a/features/steps/routing_choice_steps.py
+++ b/features/steps/routing_choice_steps.py
@@ -6,18 +6,32 @@
 from hypothesis import given as drawn
 from hypothesis import settings
 from hypothesis import strategies as st
+from prometheus_client import CollectorRegistry, generate_latest
 from returns.result import Success
 
+from bellweir.configuration.interface import ConfigurationSnapshot
 from bellweir.platform.interface import PREFIX_BLOCK_CHARACTERS, CacheEventBatch
-from bellweir.resources.models import Arm, BackendKind, Comparison, ComparisonSpec, Metadata
+from bellweir.resources.models import (
+    Arm,
+    BackendKind,
+    Comparison,
+    ComparisonSpec,
+    Metadata,
+    Pool,
+    PoolSpec,
+    Worker,
+)
 from bellweir.routing.backend import Backend, BackendReport
 from bellweir.routing.cache_events import RESYNC_PERIOD_S, CacheEventReader
 from bellweir.routing.circuit import Circuit
 from bellweir.routing.comparisons import arm_for
 from bellweir.routing.hedging import HEDGED_SHARE, HedgePolicy
+from bellweir.routing.metrics import RoutingCollector
+from bellweir.routing.pool_table import PoolTable
 from bellweir.routing.pool_workers import Location, PoolWorker, subset_of
 from bellweir.routing.prefix_index import HASH_MASK, PrefixIndex
 from bellweir.routing.strategies import LOAD_SLACK, PrefixAware
+from bellweir.settings.models import RoutingSettings
 from bellweir_rehearsal.standins.prefix_cache import CacheEventLog, PrefixCache, block_hashes
 from support.routing_cluster import POLICY, body_of
 from support.waiting import wait_until
@@ -281,3 +295,57 @@
         assert hedges <= 1 + HEDGED_SHARE * count
 
     bounded()
+
+
+@when("routing generates for {count:d} units")
+def step_generate_units(context, count):
+    for unit in UNITS[:count]:
+        list(context.node.generate(context.cluster.generation_request(2, unit=unit)).unwrap())
+
+
+@then(
+    "routing's counts by arm add up to {completed:d} completed, {tokens:d} tokens"
+    " and {firsts:d} first tokens"
+)
+def step_counts(context, completed, tokens, firsts):
+    arms = context.node.statistics().by_arm
+    assert {arm.arm for arm in arms} == {"v1", "v2"}
+    assert sum(arm.completed for arm in arms) == sum(arm.started for arm in arms) == completed
+    assert sum(arm.tokens for arm in arms) == tokens
+    assert sum(arm.first_tokens for arm in arms) == firsts
+
+
+@then("routing's metrics show them")
+def step_metrics(context):
+    registry = CollectorRegistry()
+    node = context.node
+    pools = node.backend_views.pools
+    registry.register(RoutingCollector(node.statistics, node._runtimes, pools))
+    text = generate_latest(registry).decode()
+    arm = next(arm for arm in node.statistics().by_arm if arm.arm == "v1")
+    line = 'bellweir_arm_tokens_total{arm="v1",comparison="versions"} '
+    assert f"{line}{float(arm.tokens)}" in text, text
+    assert 'bellweir_gate_limit{class="interactive",pool="engines"} 64.0' in text
+    assert 'bellweir_backend_ready{pool="engines",worker="engine-0"} 1.0' in text
+
+
+@then("routing's tables of {nodes:d} nodes cover all workers of a pool larger than their subsets")
+def step_coverage(context, nodes):
+    @settings(max_examples=20)
+    @drawn(count=st.integers(20, 80), leaving=st.sets(st.integers(0, 79), max_size=5))
+    def covered(count, leaving):
+        workers = tuple(
+            Worker(name=f"w{n}", address=f"w{n}", zone=ZONES[n % 3], leaving=n in leaving)
+            for n in range(count)
+        )
+        spec = PoolSpec(kind=BackendKind.APPLICATION, workers=workers, subset_size=4)
+        pool = Pool(metadata=Metadata(name="large"), spec=spec)
+        snapshot = ConfigurationSnapshot(1, pools={"large": pool})
+        found = set()
+        for node in range(nodes):
+            table = PoolTable(Location(f"node-{node}", "a", "region"), RoutingSettings())
+            table.apply(snapshot, lambda name, node=node: int(name[1:]) % nodes == node)
+            found |= {backend.name for backend in table.pools()["large"].backends}
+        assert found == {worker.name for worker in workers if not worker.leaving}
+
+    covered()
