--- a/src/bellweir_rehearsal/experiments/file.py
+++ b/src/bellweir_rehearsal/experiments/file.py
@@ -3,7 +3,7 @@
 import tomllib
 from pathlib import Path
 
-from pydantic import Field, ValidationError, model_validator
+from pydantic import Field, ValidationError, field_validator, model_validator
 
 from bellweir_rehearsal.faults.schedule import (
     PlannedFault,
@@ -53,6 +53,12 @@
     """Draw a schedule by the seed instead."""
     variants: tuple[Variant, ...] = Field(min_length=1)
 
+    @field_validator("deployment")
+    @classmethod
+    def _deployment_is_sound(cls, deployment: str) -> str:
+        load_deployment(deployment)
+        return deployment
+
     @model_validator(mode="after")
     def _names_differ(self) -> "Experiment":
         names = [variant.name for variant in self.variants]
@@ -92,7 +98,6 @@
         raise DeploymentError(f"{path}: {failure}") from failure
     except ValidationError as failure:
         raise DeploymentError(describe_findings(str(path), failure)) from failure
-    load_deployment(experiment.deployment)
     return experiment
 
 
