--- a/features/steps/rehearsal_run_steps.py
+++ b/features/steps/rehearsal_run_steps.py
@@ -1,5 +1,8 @@
 """Steps of rehearsal_run.feature."""
 
+import subprocess
+import sys
+
 from behave import given, then
 
 from bellweir_rehearsal.demo import demo_plan
@@ -7,6 +10,8 @@
 from bellweir_rehearsal.promises.loading import load_evidence
 from bellweir_rehearsal.promises.mutations import MUTATIONS
 from bellweir_rehearsal.promises.verdict import Ruling
+from bellweir_rehearsal.records.journal import read_journal
+from bellweir_rehearsal.records.model import StepEnded
 from bellweir_rehearsal.rehearsal import Rehearsal
 from bellweir_rehearsal.topology.layout import RunFolder
 
@@ -17,10 +22,28 @@
     with Rehearsal(demo_plan(), context.run_folder) as rehearsal:
         rehearsal.start()
         rehearsal.run()
+        context.trainer = run_trainer(rehearsal, context.run_folder)
         context.result = rehearsal.finish()
         context.cluster = rehearsal.cluster
 
 
+def run_trainer(rehearsal, folder):
+    addresses = [entry.gateway_address for entry in rehearsal.cluster.directory.all_nodes()]
+    nodes = [argument for address in addresses for argument in ("--node", address)]
+    command = [sys.executable, "-m", "bellweir_rehearsal", "trainer", *nodes]
+    command += ["--policy", "policy-1", "--prompts", "2", "--max-tokens", "20"]
+    command += ["--log-file", str(folder.root / "trainer.jsonl")]
+    return subprocess.run(command, capture_output=True, text=True, timeout=60, check=False)
+
+
+@then("the rehearsal trainer that ran alone beside it has all samples of its step")
+def step_trainer_alone(context):
+    assert context.trainer.returncode == 0, context.trainer
+    records = list(read_journal(context.run_folder.root / "trainer.jsonl"))
+    ended = [record for record in records if isinstance(record, StepEnded)]
+    assert [(entry.state, entry.received) for entry in ended] == [("complete", 4)], ended
+
+
 @then("every promise of the rehearsal was checked and held")
 def step_held(context):
     for promise in context.result.promises:
