Cancel on engines by one background call for each engine

Cause: a frozen engine with many streams would take a background thread, which probes need too, for up to 5 s for each of its cancelled attempts. Change: cancellations of one engine go one after the other, and end when it can't be reached. Conclusion: 150 cancellations on three hanging engines hold three threads (a scenario).

--- a/features/routing_dispatch.feature
+++ b/features/routing_dispatch.feature
@@ -46,6 +46,10 @@
     Then routing cancels that attempt on its engine
     And routing has nothing in hand
 
+  Scenario: Cancelling on engines that hang holds one thread for each
+    When routing cancels 50 attempts on each of 3 engines that hang
+    Then routing holds at most 3 background threads for it, and tells the engines all when they come back
+
   Scenario: A caller that stops reading at the last chunk leaves nothing in hand
     When routing's callers stop reading 3 streams at their last chunks
     Then routing has nothing in hand
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -11,6 +11,7 @@
 
 from bellweir.platform.interface import FinishReason
 from bellweir.resources.models import RequestClass
+from bellweir.routing.cancellations import Cancellations
 from bellweir.routing.interface import RefusalReason, RunState
 from support.routing_claims import LedgerFault, NodeKilledError, Point
 from support.routing_cluster import RoutingCluster, body_of
@@ -547,3 +548,41 @@
             return "the first's" if replayed else "its own"
     refusal = outcome.failure()
     return f"{refusal.reason.value} {refusal.run_state.value}"
+
+
+@when("routing cancels {count:d} attempts on each of 3 engines that hang")
+def step_cancel_hanging(context, count):
+    release = threading.Event()
+    context.cleanup.callback(release.set)
+    context.release, context.calling = release, set()
+
+    def hang(engine):
+        cancel = engine.cancel
+
+        def slow(attempt_id):
+            context.calling.add(threading.get_ident())
+            release.wait(60)
+            return cancel(attempt_id)
+
+        engine.cancel = slow
+
+    context.count = count
+    cancellations = Cancellations(context.node._kernel.executors)
+    for engine in context.cluster.engines:
+        hang(engine)
+        for number in range(count):
+            cancellations.cancel(engine.name, engine, f"attempt-{number}")
+    wait_until(lambda: len(context.calling) == 3, "each engine is called")
+
+
+@then(
+    "routing holds at most {threads:d} background threads for it,"
+    " and tells the engines all when they come back"
+)
+def step_few_threads(context, threads):
+    assert len(context.calling) <= threads
+    context.release.set()
+    wait_until(
+        lambda: all(len(e.cancelled) == context.count for e in context.cluster.engines),
+        "all attempts are cancelled",
+    )
--- a/src/bellweir/routing/generation_attempt.py
+++ b/src/bellweir/routing/generation_attempt.py
@@ -5,7 +5,7 @@
 from returns.result import Failure, Result, Success
 
 from bellweir.kernel.clock import Clock
-from bellweir.kernel.executors import Executors, ExecutorSaturatedError, WorkKind
+from bellweir.kernel.executors import Executors
 from bellweir.platform.interface import (
     Engine,
     EngineStream,
@@ -17,6 +17,7 @@
 from bellweir.routing.arm_counters import ArmName
 from bellweir.routing.attempts import AttemptHold, RequestAttempts, new_attempt_id
 from bellweir.routing.backend import Backend
+from bellweir.routing.cancellations import Cancellations
 from bellweir.routing.candidates import candidates
 from bellweir.routing.counters import DispatchCounters
 from bellweir.routing.interface import GenerationRequest, Refusal
@@ -69,7 +70,7 @@
         self._views = views
         self._runtimes = runtimes
         self._clients = clients
-        self._executors = executors
+        self._cancellations = Cancellations(executors)
         self._clock = clock
         self._counters = counters
         self._draft_share = draft_share
@@ -160,11 +161,8 @@
     def drop(self, attempt: RunningAttempt) -> None:
         """Close an attempt's connection and tell its engine, without a word on its health."""
         attempt.stream.close()
-        try:
-            self._executors.submit(WorkKind.BACKGROUND, attempt.engine.cancel, attempt.attempt_id)
-        except (ExecutorSaturatedError, RuntimeError):
-            # The closed connection tells the engine as well; the call only makes it sooner.
-            return
+        worker = attempt.hold.backend.key
+        self._cancellations.cancel(worker, attempt.engine, attempt.attempt_id)
 
     def has_alternative(self, attempt: RunningAttempt, route: GenerationRoute) -> bool:
         """Whether another engine could go on with an attempt now."""
