--- a/features/standins_engine.feature
+++ b/features/standins_engine.feature
@@ -121,3 +121,7 @@
     Given the stand-in engine "one" hangs
     Then a stand-in state report of "one" with a time limit of 1 second fails as "unknown"
     And a stand-in state report of "one" succeeds once the fault has ended
+
+  Scenario: A stand-in engine that hangs generates nothing meanwhile
+    When a stand-in stream of 1000000 tokens on "one" meets a hang after its first tokens
+    Then the stand-in engine "one" comes to produce nothing more
--- a/features/steps/standins_engine_steps.py
+++ b/features/steps/standins_engine_steps.py
@@ -1,5 +1,6 @@
 """Steps of `standins_engine.feature`."""
 
+import time
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
 
@@ -531,6 +532,28 @@
     assert context.engines.client(name).read_state(seconds).failure().kind is ErrorKind(kind)
 
 
+@when('a stand-in stream of {count:d} tokens on "{name}" meets a hang after its first tokens')
+def step_stream_meets_hang(context, count, name):
+    begin(context, name, context.engines.call(count))
+    standin = context.engines.standins[name]
+    standin.inject(FaultOrder(FaultKind.HANG, duration_s=60.0))
+    context.cleanup.callback(context.stream.close)
+    context.cleanup.callback(standin.clear_faults)
+
+
+@then('the stand-in engine "{name}" comes to produce nothing more')
+def step_no_progress(context, name):
+    standin = context.engines.standins[name]
+    sequence = standin.scheduler.sequence_of(context.call.attempt_id)
+
+    def stands_still():
+        produced = sequence.produced
+        time.sleep(0.5)  # a thousand steps of an engine that goes on
+        return sequence.produced == produced
+
+    context.wait_until(stands_still, "no more tokens, once the step under way has ended", 10.0)
+
+
 @then('a stand-in state report of "{name}" succeeds once the fault has ended')
 def step_state_succeeds(context, name):
     context.engines.standins[name].clear_faults()
--- a/src/bellweir_rehearsal/standins/engine.py
+++ b/src/bellweir_rehearsal/standins/engine.py
@@ -104,7 +104,7 @@
             super().inject(order)
         if order.kind is FaultKind.SLOW_TOKENS:
             self.scheduler.slow_until(time.monotonic() + order.duration_s, order.factor)
-        if order.kind is FaultKind.STALL:
+        if order.kind is FaultKind.STALL or _hangs_whole(order):
             self.scheduler.stall_until(time.monotonic() + order.duration_s)
 
     def clear_faults(self) -> None:
@@ -292,6 +292,11 @@
         return Response(200, StreamBody(transfer.lines(), lambda: None), (LINES_TYPE,))
 
 
+def _hangs_whole(order: FaultOrder) -> bool:
+    """Whether the whole engine hangs, its batch included, and not only some calls."""
+    return order.kind is FaultKind.HANG and not order.path_prefix and order.method is None
+
+
 def _is_finished(chunks: list[TokenChunk]) -> bool:
     return bool(chunks) and chunks[-1].finish_reason is not None
 
--- a/src/bellweir_rehearsal/standins/engine_scheduler.py
+++ b/src/bellweir_rehearsal/standins/engine_scheduler.py
@@ -148,6 +148,12 @@
         with self._condition:
             return len(self._batch.running), self._batch.waiting_count
 
+    def sequence_of(self, attempt_id: str) -> Sequence | None:
+        """Return the sequence of an attempt that runs or waits."""
+        with self._condition:
+            found = self._by_attempt.get(attempt_id)
+            return found.sequence if found is not None else None
+
     def is_idle(self) -> bool:
         """Whether nothing runs or waits."""
         return self.load() == (0, 0)
