--- a/src/bellweir/wire/accepted_connection.py
+++ b/src/bellweir/wire/accepted_connection.py
@@ -34,7 +34,8 @@
 from bellweir.wire.send_queue import QueuedFrame, SendQueue
 from bellweir.wire.sockets import prepare, shut
 
-POLL_S = 1.0
+POLL_S = 5.0
+"""The writer wakes at least this often to see that the node stops."""
 
 
 class AcceptedConnection:
--- a/src/bellweir/wire/peer_link.py
+++ b/src/bellweir/wire/peer_link.py
@@ -31,7 +31,8 @@
 
 IDLE_TIMEOUT_S = 30.0
 """A link without traffic is closed by the node that opened it."""
-POLL_S = 1.0
+POLL_S = 5.0
+"""The writer wakes at least this often to see that the link is idle or the node stops."""
 
 
 class PeerLink:
