Ask for owned workers at once, and keep a single question cheap

Cause: a round of roll-outs asked owns() for each of 3,800 workers; every question walked all zones. Change: the round asks owned() once; owns() is one cached look-up.

--- a/src/bellweir/membership/owner_tracker.py
+++ b/src/bellweir/membership/owner_tracker.py
@@ -22,6 +22,8 @@
         self._places: Mapping[str, WorkerPlace] = {}
         self._workers_at: dict[WorkerPlace, list[str]] = {}
         self._owned_at: dict[WorkerPlace, tuple[Group, frozenset[str]]] = {}
+        self._owned: frozenset[str] = frozenset()
+        """Union of the owned workers of all places."""
 
     def see(self, member: Member, now_s: float) -> None:
         """Take a member's new state."""
@@ -74,9 +76,11 @@
         for worker, place in places.items():
             self._workers_at.setdefault(place, []).append(worker)
         self._owned_at = {}
+        self._owned = frozenset()
         self._choice.keep_only(places)
 
     def _all_owned(self, now_s: float) -> frozenset[str]:
+        changed = False
         for place, workers in self._workers_at.items():
             group = self._choice.group_of(place, now_s)
             known = self._owned_at.get(place)
@@ -84,7 +88,10 @@
                 continue
             owned = frozenset(worker for worker in workers if self._is_own(worker, now_s))
             self._owned_at[place] = (group, owned)
-        return frozenset[str]().union(*(owned for _, owned in self._owned_at.values()))
+            changed = True
+        if changed:
+            self._owned = frozenset[str]().union(*(owned for _, owned in self._owned_at.values()))
+        return self._owned
 
     def _is_own(self, worker: str, now_s: float) -> bool:
         if self._own_node not in self._choice.group_of(self._place(worker), now_s):
--- a/src/bellweir/membership/ownership.py
+++ b/src/bellweir/membership/ownership.py
@@ -20,7 +20,8 @@
 
     def __init__(self, kernel: Kernel, settings: Settings) -> None:
         self._kernel = kernel
-        self._tracker = OwnerTracker(settings.node.name, kernel.clock.monotonic_s())
+        self._own_node = settings.node.name
+        self._tracker = OwnerTracker(self._own_node, kernel.clock.monotonic_s())
         self._membership: Membership | None = None
 
     def start(self) -> None:
@@ -46,7 +47,7 @@
 
     def owns(self, worker: str) -> bool:
         """Tell whether this node owns the worker."""
-        return bool(self._tracker.owned((worker,), self._now_s()))
+        return self._tracker.owner_of(worker, self._now_s()) == self._own_node
 
     def owned(self, workers: Iterable[str]) -> list[str]:
         """Return those of the workers that this node owns."""
--- a/src/bellweir/weights/service.py
+++ b/src/bellweir/weights/service.py
@@ -128,11 +128,8 @@
         return self._ownership.owner_of(pacer_key(pool)).node == self._settings.node.name
 
     def _retarget(self, snapshot: ConfigurationSnapshot) -> None:
-        targets = {
-            worker: target
-            for worker, target in self._plans.targets(snapshot).items()
-            if self._ownership.owns(worker)
-        }
+        wanted = self._plans.targets(snapshot)
+        targets = {worker: wanted[worker] for worker in self._ownership.owned(wanted)}
         for worker in [worker for worker in self._watches if worker not in targets]:
             del self._watches[worker]
         for worker, target in targets.items():
--- a/src/bellweir/wire/interface.py
+++ b/src/bellweir/wire/interface.py
@@ -56,7 +56,8 @@
 class Transport(ABC):
     """Sends messages to peers and hands received ones to their handlers. Service `transport`.
 
-    The transport accepts peers on the node's peer port once all services have started.
+    The transport accepts peers on the node's peer port from its start; a message whose service
+    has not registered its handler yet is refused.
     """
 
     @abstractmethod
