--- a/src/bellweir/membership/owner_tracker.py
+++ b/src/bellweir/membership/owner_tracker.py
@@ -63,11 +63,6 @@
                 if worker in owned or (worker not in self._places and self._is_own(worker, now_s))
             ]
 
-    def all_owned(self, now_s: float) -> frozenset[str]:
-        """Return all workers that this node owns."""
-        with self._lock:
-            return self._all_owned(now_s)
-
     def _take_places(self, places: Mapping[str, WorkerPlace]) -> None:
         if places == self._places:
             return
