--- a/features/resources.feature
+++ b/features/resources.feature
@@ -143,3 +143,9 @@
     Then the resource in force was last written by an operator at version 1
     When two operators replace resource policy "north" from the same version
     Then the resource in force was last written by an operator at version 4
+
+  Scenario: Weight versions that are long superseded are deleted, named ones stay
+    Given a resource node that reports for its cluster and a policy that keeps 3 versions
+    And weight versions 1 to 9 of the resource policy, of which it wants 2 and a comparison 4
+    When the resource node looks for superseded versions twice
+    Then the resource store holds the weight versions 2, 4, 7, 8, 9
--- a/features/steps/resources_steps.py
+++ b/features/steps/resources_steps.py
@@ -6,11 +6,15 @@
 from hypothesis.stateful import run_state_machine_as_test
 from returns.result import Failure
 
+from bellweir.configuration.interface import RevisionSpread
+from bellweir.kernel.clock import ManualClock
 from bellweir.resources.deletion import MARK_LASTS_S, Deletion
 from bellweir.resources.documents import operator_version_of
 from bellweir.resources.interface import ResourceErrorKind
 from bellweir.resources.models import KINDS
 from bellweir.resources.reference import all_fields, explain, render_reference
+from bellweir.resources.retention import PERIOD_S as RETENTION_PERIOD_S
+from bellweir.resources.retention import VersionRetention
 from bellweir.resources.writer import CompareAndSetWriter
 from support.memory_store import MemoryStore
 from support.operators_machine import OperatorsMachine
@@ -364,3 +368,47 @@
     context.node.configuration.follow()
     policy = context.node.configuration.current().policies["north"]
     assert operator_version_of(policy) == version, policy.metadata
+
+
+@given("a resource node that reports for its cluster and a policy that keeps {count:d} versions")
+def step_reporting_node(context, count):
+    step_node(context)
+    spec = {"model": "m", "keepVersions": count}
+    document = {"kind": "Policy", "metadata": {"name": "north"}, "spec": spec}
+    context.resources.create(document).unwrap()
+
+
+@given(
+    "weight versions 1 to {count:d} of the resource policy, of which it wants {wanted:d} "
+    "and a comparison {compared:d}"
+)
+def step_versions(context, count, wanted, compared):
+    for version in range(1, count + 1):
+        spec = {"policy": "north", "version": version}
+        document = {"kind": "WeightVersion", "metadata": {"name": f"v{version}"}, "spec": spec}
+        context.resources.create(document).unwrap()
+    context.resources.patch("Policy", "north", {"spec": {"version": wanted}}).unwrap()
+    arms = [
+        {"name": "a", "policy": "north", "version": compared, "share": 1},
+        {"name": "b", "policy": "north", "share": 1},
+    ]
+    spec = {"policy": "north", "arms": arms}
+    document = {"kind": "Comparison", "metadata": {"name": "c"}, "spec": spec}
+    context.resources.create(document).unwrap()
+
+
+@when("the resource node looks for superseded versions twice")
+def step_retention(context):
+    node = context.node
+    clock = ManualClock()
+    node.configuration.counted = RevisionSpread(1, {}, ())
+    retention = VersionRetention(node.configuration, node.configuration, node.resources, clock)
+    for _ in range(2):
+        clock.advance(RETENTION_PERIOD_S)
+        retention.look()
+
+
+@then("the resource store holds the weight versions {versions}")
+def step_versions_left(context, versions):
+    left = [name for kind, name in context.store.history[-1] if kind == "WeightVersion"]
+    assert sorted(left) == [f"v{version.strip()}" for version in versions.split(",")], left
--- a/src/bellweir/resources/in_force.py
+++ b/src/bellweir/resources/in_force.py
@@ -7,7 +7,6 @@
 fulfilled; the write itself changes no generation, so that no report causes another one.
 """
 
-import threading
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -27,14 +26,12 @@
 from bellweir.resources.models import KINDS
 
 IN_FORCE = "InForce"
-PERIOD_S = 0.25
-"""Time between two looks, in seconds."""
 PATIENCE_S = 2.0
 """A generation that is not in force everywhere for so long gets a condition that says why."""
 REPEAT_S = 10.0
 """Least time between two conditions of one generation that is not in force everywhere."""
 WRITES_IN_A_LOOK = 4
-"""Conditions written in one look: at most 16 a second, so that the store is not flooded."""
+"""Conditions written in one look, so that the store is not flooded: 16 a second at most."""
 
 
 @dataclass
@@ -75,12 +72,6 @@
         """Revision up to which changes have been examined; None before a full scan."""
         self._open: dict[Key, _Open] = {}
 
-    def run(self, stopping: threading.Event) -> None:
-        """Look now and again until `stopping` is set."""
-        while not stopping.is_set():
-            self.look()
-            self._clock.wait(stopping, PERIOD_S)
-
     def look(self) -> None:
         """Write the conditions that are due, if this node is the reporter."""
         spread = self._census.spread()
--- a/src/bellweir/resources/log_events.py
+++ b/src/bellweir/resources/log_events.py
@@ -26,3 +26,10 @@
     ("node", "kind", "name", "error"),
     "A condition could not be written to the store; it is written later.",
 )
+WEIGHT_VERSION_RETIRED = Event(
+    404,
+    "weight_version_retired",
+    Level.INFO,
+    ("name", "policy"),
+    "A weight version beyond its policy's `keepVersions`, which nothing names, was deleted.",
+)
--- a/src/bellweir/resources/models.py
+++ b/src/bellweir/resources/models.py
@@ -72,6 +72,9 @@
     """Weight version wanted on the policy's pools; None leaves engines as they are."""
     adapters: tuple[str, ...] = ()
     """Adapters that the engines load with the model."""
+    keep_versions: int = Field(default=128, ge=2)
+    """Newest weight versions of the policy that are kept; older ones that nothing names are
+    deleted."""
 
 
 class WeightVersionSpec(Model):
--- a/src/bellweir/resources/service.py
+++ b/src/bellweir/resources/service.py
@@ -30,9 +30,12 @@
     Resources,
 )
 from bellweir.resources.models import KINDS
+from bellweir.resources.retention import VersionRetention
 from bellweir.resources.writes import ResourceWrites
 from bellweir.settings.models import Settings
 
+DUTIES_PERIOD_S = 0.25
+"""Time between two looks at what is due for the cluster, in seconds."""
 STOP_TIMEOUT_S = 8.0
 WATCH_STEP_S = 0.5
 """Longest sleep of a watch before it looks whether its time is over, in seconds."""
@@ -65,19 +68,26 @@
             platform.object_store(), self._configuration, self._kernel.clock
         )
         census = registry.find(names.CONFIGURATION, RevisionCensus)  # type: ignore[type-abstract]
-        reporter = InForceReporter(
-            self._settings.node.name, census, self._history, self, self._kernel.clock
-        )
+        clock = self._kernel.clock
+        reporter = InForceReporter(self._settings.node.name, census, self._history, self, clock)
+        retention = VersionRetention(census, self._configuration, self, clock)
         task = self._kernel.executors.run_task(
-            "in-force-status", lambda _: reporter.run(self._stopping)
+            "resource-duties", lambda _: self._do_duties(reporter, retention)
         )
         self._tasks.append(task)
 
     def stop(self) -> None:
-        """End the reporting of conditions."""
+        """End the duties for the cluster."""
         self._stopping.set()
         wait(self._tasks, timeout=STOP_TIMEOUT_S)
 
+    def _do_duties(self, reporter: InForceReporter, retention: VersionRetention) -> None:
+        """What one node does for the cluster; each looks by itself whether it is this one."""
+        while not self._stopping.is_set():
+            reporter.look()
+            retention.look()
+            self._kernel.clock.wait(self._stopping, DUTIES_PERIOD_S)
+
     # --- reads ---------------------------------------------------------------------------------
 
     def list_resources(
