--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -98,6 +98,10 @@
     When a gateway caller asks for an endless answer and reads none of it
     Then the gateway closes that answer and its threads are free
 
+  Scenario: No connection waits for the loop's look at all of them
+    Given a gateway whose loop looks at a connection only after an event of its own
+    Then 16 gateway connections that send, pipeline and read slowly get all of their answers
+
   Scenario: Streams and drafts leave threads for interactive requests
     Given a gateway on fake services
     When streams and drafts are asked for until the gateway refuses them
--- a/features/steps/gateway_admission_steps.py
+++ b/features/steps/gateway_admission_steps.py
@@ -110,8 +110,8 @@
                 permit.release()
             use = shares.use().by_share
             for kind, part in LARGEST_SHARES.items():
-                assert use[kind.value] == sum(each.share is kind for each in held)
-                assert use[kind.value] <= max(1, int(threads * part))
+                assert use[kind.label] == sum(each.share is kind for each in held)
+                assert use[kind.label] <= max(1, int(threads * part))
             assert shares.held() <= max(1, int(threads * LARGEST_TOTAL))
         for permit in held:
             permit.release()
--- a/features/steps/gateway_connections_steps.py
+++ b/features/steps/gateway_connections_steps.py
@@ -2,8 +2,9 @@
 
 import socket
 import threading
+from concurrent.futures import ThreadPoolExecutor
 
-from behave import then, when
+from behave import given, then, when
 from hypothesis import given as property_given
 from hypothesis import settings, strategies
 
@@ -13,6 +14,7 @@
     gateway_call,
     gateway_read_all,
     gateway_send,
+    gateway_start,
     gateway_threads_held,
 )
 
@@ -124,3 +126,45 @@
 def step_endless_closed(context):
     assert context.closed.wait(30)
     context.wait_until(lambda: gateway_threads_held(context) == 0, "no thread is held")
+
+
+@given("a gateway whose loop looks at a connection only after an event of its own")
+def step_no_full_look(context):
+    gateway_start(context, limits={"maintenance_period_s": 3600})
+
+
+@then("{count:d} gateway connections that send, pipeline and read slowly get all of their answers")
+def step_all_answered(context, count):
+    big = b"x" * 3_000_000
+    context.gateway.dispatcher.answer = lambda _: ApplicationAnswer(
+        200, (("Content-Length", str(len(big))),), iter((big,))
+    )
+    ask_big = b"GET /apps/web/big HTTP/1.1\r\nHost: x\r\n\r\n"
+    ask_small = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
+
+    def talk():
+        with socket.create_connection(("127.0.0.1", context.gateway.port), timeout=60) as raw:
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+            for _ in range(40):
+                raw.sendall(ask_small)
+                assert read_one_answer(raw) == 16
+            for _ in range(4):
+                raw.sendall(ask_small * 3 + ask_big + ask_small)
+                assert [read_one_answer(raw) for _ in range(5)] == [16, 16, 16, len(big), 16]
+
+    with ThreadPoolExecutor(count) as pool:
+        talks = [pool.submit(talk) for _ in range(count)]
+        for each in talks:
+            each.result()
+
+
+def read_one_answer(raw):
+    """Read one answer byte by byte to its headers' end, then its body; return its length."""
+    head = b""
+    while not head.endswith(b"\r\n\r\n"):
+        head += raw.recv(1)
+    length = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0])
+    left = length
+    while left:
+        left -= len(raw.recv(min(left, 65536)))
+    return length
--- a/src/bellweir/gateway/admission.py
+++ b/src/bellweir/gateway/admission.py
@@ -5,28 +5,32 @@
 """
 
 import threading
-from collections import Counter
 from dataclasses import dataclass
-from enum import Enum
+from enum import IntEnum
 from types import TracebackType
 
 from bellweir.resources.models import RequestClass
 
 
-class ThreadShare(Enum):
-    """Kinds of work that are bounded apart from each other."""
+class ThreadShare(IntEnum):
+    """Kinds of work that are bounded apart from each other; numbers, as they index counts."""
 
-    INTERACTIVE = "interactive"
-    LOOKUP = "lookup"
-    ONCE = "once"
-    DRAFT = "draft"
-    STREAM = "stream"
-    """Streamed completions and watches of resources."""
-    LONG_POLL = "long_poll"
-    """Trainers waiting for samples."""
-    SYSTEM = "system"
+    INTERACTIVE = 0
+    LOOKUP = 1
+    ONCE = 2
+    DRAFT = 3
+    STREAM = 4
+    """Streamed completions."""
+    LONG_POLL = 5
+    """Trainers waiting for samples, and watches of resources."""
+    SYSTEM = 6
     """Health, status, operators: short, and never refused."""
 
+    @property
+    def label(self) -> str:
+        """Name in status and metrics."""
+        return self.name.lower()
+
 
 SHARE_OF_CLASS = {
     RequestClass.INTERACTIVE: ThreadShare.INTERACTIVE,
@@ -96,18 +100,25 @@
     def __init__(self, threads: int) -> None:
         self._threads = threads
         self._lock = threading.Lock()
-        self._held: Counter[ThreadShare] = Counter()
-        self._held_by_caller: Counter[str] = Counter()
+        self._held = [0] * len(ThreadShare)
+        self._total = 0
+        """Without `SYSTEM`."""
+        self._long_held = 0
+        self._held_by_caller: dict[str, int] = {}
         self._refused = 0
+        self._bounds = [_part(threads, LARGEST_SHARES.get(each, 1.0)) for each in ThreadShare]
+        self._total_bound = _part(threads, LARGEST_TOTAL)
+        self._long_held_bound = _part(threads, LARGEST_LONG_HELD)
+        self._fairness_from = _part(threads, FAIRNESS_FROM)
 
     def enter(self, share: ThreadShare, caller: str) -> Permit | None:
         """Take a place in a share; None when the request must be refused."""
         with self._lock:
-            if not self._admits(share, caller):
+            if not (self._fits(share) and self._is_fair(share, caller)):
                 self._refused += 1
                 return None
-            self._held[share] += 1
-            self._held_by_caller[caller] += 1
+            self._count(share, 1)
+            self._held_by_caller[caller] = self._held_by_caller.get(caller, 0) + 1
         return Permit(self, share, caller)
 
     def move(self, permit: Permit, share: ThreadShare) -> bool:
@@ -116,58 +127,56 @@
         False when that share is full; the permit then stays where it was.
         """
         with self._lock:
-            self._held[permit.share] -= 1
+            self._count(permit.share, -1)
             admitted = self._fits(share)
             if admitted:
                 permit.share = share
             else:
                 self._refused += 1
-            self._held[permit.share] += 1
+            self._count(permit.share, 1)
         return admitted
 
     def leave(self, permit: Permit) -> None:
         """Give a place back."""
         with self._lock:
-            self._held[permit.share] -= 1
-            self._held_by_caller[permit.caller] -= 1
-            if not self._held_by_caller[permit.caller]:
+            self._count(permit.share, -1)
+            left = self._held_by_caller[permit.caller] - 1
+            if left:
+                self._held_by_caller[permit.caller] = left
+            else:
                 del self._held_by_caller[permit.caller]
 
     def use(self) -> ThreadUse:
         """Threads in use now."""
         with self._lock:
-            by_share = {share.value: self._held[share] for share in ThreadShare}
+            by_share = {share.label: self._held[share] for share in ThreadShare}
             return ThreadUse(self._threads, by_share, self._refused)
 
     def held(self) -> int:
         """Places held now, without `SYSTEM`."""
         with self._lock:
-            return self._total()
+            return self._total
 
-    def _admits(self, share: ThreadShare, caller: str) -> bool:
-        if share is ThreadShare.SYSTEM:
-            return True
-        return self._fits(share) and self._is_fair(caller)
+    def _count(self, share: ThreadShare, change: int) -> None:
+        self._held[share] += change
+        if share is not ThreadShare.SYSTEM:
+            self._total += change
+        if share in LONG_HELD:
+            self._long_held += change
 
     def _fits(self, share: ThreadShare) -> bool:
         if share is ThreadShare.SYSTEM:
             return True
-        if self._total() >= self._part(LARGEST_TOTAL):
+        if self._total >= self._total_bound or self._held[share] >= self._bounds[share]:
             return False
-        if share in LONG_HELD:
-            long_held = sum(self._held[each] for each in LONG_HELD)
-            if long_held >= self._part(LARGEST_LONG_HELD):
-                return False
-        return self._held[share] < self._part(LARGEST_SHARES[share])
+        return share not in LONG_HELD or self._long_held < self._long_held_bound
 
-    def _is_fair(self, caller: str) -> bool:
-        if self._total() < self._part(FAIRNESS_FROM):
+    def _is_fair(self, share: ThreadShare, caller: str) -> bool:
+        if self._total < self._fairness_from or share is ThreadShare.SYSTEM:
             return True
         callers = len(self._held_by_caller) + (caller not in self._held_by_caller)
-        return self._held_by_caller[caller] < self._threads / callers
+        return self._held_by_caller.get(caller, 0) < self._threads / callers
 
-    def _total(self) -> int:
-        return self._held.total() - self._held[ThreadShare.SYSTEM]
 
-    def _part(self, fraction: float) -> int:
-        return max(1, int(self._threads * fraction))
+def _part(threads: int, fraction: float) -> int:
+    return max(1, int(threads * fraction))
--- a/src/bellweir/gateway/application.py
+++ b/src/bellweir/gateway/application.py
@@ -76,7 +76,6 @@
         request = Request(environ, request_id_of(environ), caller)
         found = self._router.find(request)
         interface = found.route.interface if isinstance(found, Match) else NO_INTERFACE
-        self._context.telemetry.request_started(interface)
         account = Account(self._context, request, interface, started_s)
         try:
             response = self._respond(request, found)
@@ -85,7 +84,7 @@
         response.headers.append((REQUEST_ID, request.request_id))
         if response.chunks is not None:
             start_response(response.status_line, response.headers)
-            return ResponseChunks(response.chunks, request, response.status, account)
+            return ResponseChunks(response, response.chunks, request, account)
         response.headers.append(("Content-Length", str(len(response.body))))
         start_response(response.status_line, response.headers)
         account.end(_outcome_of(response.status), response.status)
@@ -155,17 +154,19 @@
     """The chunks of a streamed answer; waitress closes it in every case."""
 
     def __init__(
-        self, chunks: Iterable[bytes], request: Request, status: int, account: Account
+        self, response: Response, chunks: Iterable[bytes], request: Request, account: Account
     ) -> None:
+        self._status = response.status
+        self._is_stream = response.is_stream
         self._chunks = chunks
         self._request = request
-        self._status = status
         self._account = account
         self._count = 0
         self._first_chunk_s: float | None = None
         self._outcome: Outcome | None = None
         self._closed = False
-        account.stream_started()
+        if self._is_stream:
+            account.stream_started()
 
     def __iter__(self) -> Iterator[bytes]:
         try:
@@ -189,7 +190,8 @@
             if close is not None:
                 close()
         finally:
-            self._account.stream_ended(self._first_chunk_s, self._count)
+            if self._is_stream:
+                self._account.stream_ended(self._first_chunk_s, self._count)
             self._account.end(self._outcome or Outcome.CALLER_GONE, self._status)
 
     def _cut(self, failure: Exception) -> None:
--- a/src/bellweir/gateway/channel.py
+++ b/src/bellweir/gateway/channel.py
@@ -38,9 +38,10 @@
     def pull_trigger(self) -> None:
         """Have the loop look at the channel if there is anything for it to do."""
         channel = self._channel
-        to_write = channel.total_outbufs_len or channel.close_when_flushed or channel.will_close
+        channel.flushed_by_loop = bool(channel.total_outbufs_len)
+        ends = channel.close_when_flushed or channel.will_close
         # With a request waiting behind this one the loop may have stopped reading.
-        if to_write or channel.requests:
+        if channel.flushed_by_loop or ends or channel.requests:
             self._server.loop.ask_again(channel.number)
 
 
@@ -58,6 +59,8 @@
     request: Any = None
     close_when_flushed: bool = False
     _held_back = b""
+    flushed_by_loop = False
+    """Whether a request thread has left output for the loop to send."""
     out_of_step = False
     """Whether what comes next on the connection can't be told to be a request."""
     _receiving_since_s = 0.0
@@ -116,6 +119,7 @@
         # Answers keep the order of the requests, so this waits for those in hand.
         if expected and not self.requests and not self.sent_continue:
             self.send_continue()
+            self.flushed_by_loop = True
 
     def _request_received(self) -> None:
         request, self.request = self.request, None
@@ -136,7 +140,7 @@
         request = self.request
         request.begun = True
         request.pipe.on_drained = lambda: self.server.loop.ask_again(self.number)
-        self.readable = self._is_readable_while_streaming
+        self.readable = self._is_readable_while_streaming  # type: ignore[method-assign]
         self._run(request)
 
     def _end_streaming(self, request: Any) -> None:
@@ -151,7 +155,7 @@
         request.pipe.cut(error.code, str(error.body))
         self.out_of_step = True
         self.linger_after_flush()
-        self.readable = _never
+        self.readable = _never  # type: ignore[method-assign]
 
     def _is_readable_while_streaming(self) -> bool:
         # Output may wait for the caller, who may first want to send the rest of the body.
@@ -220,7 +224,7 @@
             self.last_activity = time.time()
             self.received(data)
         elif not data and self.request is not None and not self.requests:
-            self.readable = _never
+            self.readable = _never  # type: ignore[method-assign]
             self._end_unfinished(BadRequest("the request ended before its end"))
         elif not data:
             self.handle_close()
@@ -232,6 +236,28 @@
             request.pipe.cut(BadRequest.code, "the caller closed the connection")
         super().handle_close()
 
+    def readable(self) -> bool:
+        """Whether the loop should read.
+
+        Output that a request thread is just sending itself is no reason against it: nothing
+        would tell the loop to look again once it is sent.
+        """
+        if self.will_close or self.close_when_flushed:
+            return False
+        if len(self.requests) > self.adj.channel_request_lookahead:
+            return False
+        return not (self.flushed_by_loop and self.total_outbufs_len)
+
+    def writable(self) -> bool:
+        """Whether the loop should call `handle_write`.
+
+        Not for output that a request thread is just sending itself: the socket would take it at
+        once, the thread holds the lock, and the loop would spin.
+        """
+        if self.will_close or self.close_when_flushed:
+            return True
+        return self.flushed_by_loop and bool(self.total_outbufs_len)
+
     def handle_write(self) -> None:
         """Write; instead of closing after an early refusal, begin to linger."""
         ends = self.close_when_flushed and not self.total_outbufs_len
@@ -242,8 +268,8 @@
 
     def _begin_lingering(self) -> None:
         self._linger_until_s = time.time() + self.server.limits.linger_s
-        self.readable = _always
-        self.writable = _never
+        self.readable = _always  # type: ignore[method-assign]
+        self.writable = _never  # type: ignore[method-assign]
         try:
             self.socket.shutdown(socket.SHUT_WR)
         except OSError:
--- a/src/bellweir/gateway/completion_run.py
+++ b/src/bellweir/gateway/completion_run.py
@@ -84,7 +84,7 @@
                 return self._refused(refusal)
         headers = [("Content-Type", "text/event-stream"), ("Cache-Control", "no-cache")]
         events = self._events(chain((first,), first_steps))
-        return Response(200, headers, chunks=ClosingChunks(events, self))
+        return Response(200, headers, chunks=ClosingChunks(events, self), is_stream=True)
 
     def _finish(self, choice: ChoiceProgress, generation: Generation) -> Refusal | None:
         for step in _steps(generation):
--- a/src/bellweir/gateway/context.py
+++ b/src/bellweir/gateway/context.py
@@ -35,6 +35,6 @@
     return Problem(
         429,
         "overloaded",
-        f"all request threads for {share.value} are in use on this node",
+        f"all request threads for {share.label} are in use on this node",
         retry_after_s=FULL_RETRY_AFTER_S,
     )
--- a/src/bellweir/gateway/http.py
+++ b/src/bellweir/gateway/http.py
@@ -136,6 +136,8 @@
     body: bytes = b""
     chunks: Iterable[bytes] | None = None
     """Streams the body; its `close`, where there is one, is always called."""
+    is_stream: bool = False
+    """Whether the chunks come over time, as they are made; counted as a stream."""
 
     @property
     def status_line(self) -> str:
--- a/src/bellweir/gateway/loop.py
+++ b/src/bellweir/gateway/loop.py
@@ -13,9 +13,6 @@
 
 from waitress import wasyncore
 
-FULL_LOOK_PERIOD_S = 1.0
-"""Time between two turns in which all are asked, which also runs the server's maintenance."""
-
 
 class WatchedSockets(dict[int, Any]):
     """waitress's map of open sockets; tells the loop what was added and removed."""
@@ -40,9 +37,16 @@
 class ConnectionLoop:
     """Runs the events of a map of sockets on one thread."""
 
-    def __init__(self, sockets: WatchedSockets, wake: Callable[[], None]) -> None:
+    def __init__(
+        self, sockets: WatchedSockets, wake: Callable[[], None], full_look_period_s: float
+    ) -> None:
+        """All sockets are asked again after each `full_look_period_s`.
+
+        The listening one then does the server's maintenance.
+        """
         self._sockets = sockets
         self._wake = wake
+        self._full_look_period_s = full_look_period_s
         self._wake_pending = False
         self._epoll = select.epoll()
 
@@ -62,7 +66,7 @@
             while not ended.is_set():
                 if now_s() >= next_full_look_s:
                     self._sockets.changed.extend(list(self._sockets))
-                    next_full_look_s = now_s() + FULL_LOOK_PERIOD_S
+                    next_full_look_s = now_s() + self._full_look_period_s
                 self._turn(max(0.0, next_full_look_s - now_s()))
         finally:
             self._epoll.close()
--- a/src/bellweir/gateway/resource_watch.py
+++ b/src/bellweir/gateway/resource_watch.py
@@ -57,7 +57,7 @@
         initial = documents if from_revision is None else ()
         events = chain(self._initial(initial), self._changes(start, seconds))
         headers = [("Content-Type", "application/json-lines"), ("Cache-Control", "no-cache")]
-        return Response(200, headers, chunks=json_lines(events))
+        return Response(200, headers, chunks=json_lines(events), is_stream=True)
 
     def _initial(self, documents: tuple[ResourceDocument, ...]) -> Iterator[WatchEvent]:
         for each in documents:
--- a/src/bellweir/gateway/server.py
+++ b/src/bellweir/gateway/server.py
@@ -34,7 +34,7 @@
     ) -> None:
         sockets = WatchedSockets()
         self.limits = limits
-        self.loop = ConnectionLoop(sockets, self.pull_trigger)
+        self.loop = ConnectionLoop(sockets, self.pull_trigger, limits.maintenance_period_s)
         self.closing_connections = False
         """Whether each answer is the last one of its connection."""
         self._ended = threading.Event()
--- a/src/bellweir/gateway/service.py
+++ b/src/bellweir/gateway/service.py
@@ -90,6 +90,7 @@
         application = GatewayApplication(
             context, self._router(context), Authorization(tokens), self._refuses_work
         )
+        self._add_gauges(context)
         listener = self._kernel.listeners.gateway
         self._server = GatewayServer(application, listener, self._limits)
         self._caller_watch = context.caller_watch
@@ -129,6 +130,29 @@
             self._loop.result(STOP_TIMEOUT_S)
         server.release()
 
+    def _add_gauges(self, context: Context) -> None:
+        """Gauges whose values others keep already."""
+        telemetry = context.telemetry
+        dispatcher = self._kernel.registry.find(names.DISPATCHER, Dispatcher)  # type: ignore[type-abstract]
+        telemetry.add_gauge(
+            "bellweir_threads_held",
+            "Request threads held, by kind of work.",
+            "share",
+            lambda: context.shares.use().by_share,
+        )
+        telemetry.add_gauge(
+            "bellweir_dispatched",
+            "Requests dispatched since the start, by outcome.",
+            "outcome",
+            lambda: dispatcher.statistics().by_outcome,
+        )
+        telemetry.add_gauge(
+            "bellweir_configuration_revision",
+            "Store revision of the configuration in force.",
+            "node",
+            lambda: {self._settings.node.name: self._configuration.current().revision},
+        )
+
     def _refuses_work(self) -> Problem | None:
         if self._refusing.is_set():
             detail = "this node is stopping; ask another one"
--- a/src/bellweir/gateway/tasks.py
+++ b/src/bellweir/gateway/tasks.py
@@ -1,9 +1,10 @@
 """waitress's tasks: how the answer to one request is written."""
 
+from functools import lru_cache
 from typing import Any
 
 from waitress.task import ErrorTask, WSGITask
-from waitress.utilities import Error
+from waitress.utilities import Error, build_http_date
 
 from bellweir.gateway.http import new_request_id
 from bellweir.gateway.problems import (
@@ -70,13 +71,49 @@
         self.channel.send_held_back()
 
     def build_response_header(self) -> bytes:
-        """The headers; while the node stops, each answer is the last one of its connection."""
+        """Status line and headers, as waitress has them but in the order and spelling given.
+
+        While the node stops, each answer is the last one of its connection.
+        """
+        given = {name.lower() for name, _ in self.response_headers}
+        declared = "content-length" in given or self.content_length is not None
+        self._settle_connection(declared=declared)
+        lines = [f"HTTP/{self.version} {self.status}"]
+        for name, value in self.response_headers:
+            if self.has_body or name.lower() != "content-length":
+                lines.append(f"{name}: {value}")
+        if self.has_body and self.content_length is not None and "content-length" not in given:
+            lines.append(f"Content-Length: {self.content_length}")
+        if "server" not in given:
+            lines.append(f"Server: {self.channel.adj.ident}")
+        if "date" not in given:
+            lines.append(f"Date: {_http_date(int(self.start_time))}")
+        lines.append("\r\n")
+        return "\r\n".join(lines).encode("latin-1")
+
+    def _settle_connection(self, *, declared: bool) -> None:
+        """Choose the framing, and whether the connection ends with this answer."""
+        asked = self.request.headers.get("CONNECTION", "").lower()
         if self.channel.server.closing_connections or self.channel.out_of_step:
             self.set_close_on_finish()
-        return bytes(super().build_response_header())
+        elif self.version == "1.0":
+            if asked == "keep-alive" and declared:
+                self.response_headers.append(("Connection", "Keep-Alive"))
+            else:
+                self.set_close_on_finish()
+        elif asked == "close" or not (declared or not self.has_body):
+            self.set_close_on_finish()
+        if self.version == "1.1" and self.has_body and not declared:
+            self.response_headers.append(("Transfer-Encoding", "chunked"))
+            self.chunked_response = True
 
     def get_environment(self) -> dict[str, Any]:
         """The WSGI environment, with the means to abort the connection."""
         environ: dict[str, Any] = super().get_environment()
         environ[ABORT_CONNECTION] = self.channel.abort_on_close
         return environ
+
+
+@lru_cache(2)
+def _http_date(second: int) -> str:
+    return str(build_http_date(second))
--- a/src/bellweir/telemetry/service.py
+++ b/src/bellweir/telemetry/service.py
@@ -1,8 +1,11 @@
 """The telemetry service: request metrics kept in one registry for each node."""
 
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client.core import GaugeMetricFamily, Metric
+from prometheus_client.registry import Collector
 
 from bellweir.kernel import names
 from bellweir.kernel.node import Kernel
@@ -20,7 +23,6 @@
 class _InterfaceMetrics:
     """The metrics of one interface, looked up by label once only."""
 
-    in_flight: Gauge
     latency: Histogram
     ended: dict[str, Counter]
     """By outcome."""
@@ -43,12 +45,6 @@
             ("interface", "outcome"),
             registry=self._registry,
         )
-        self._in_flight = Gauge(
-            "bellweir_requests_in_flight",
-            "Requests being served.",
-            ("interface",),
-            registry=self._registry,
-        )
         self._latency = Histogram(
             "bellweir_request_seconds",
             "Time from a request's arrival at a thread to the end of its answer.",
@@ -80,14 +76,9 @@
         """The node's own registry."""
         return self._registry
 
-    def request_started(self, interface: str) -> None:
-        """Count a request as in flight."""
-        self._of_interface(interface).in_flight.inc()
-
     def request_ended(self, interface: str, outcome: str, seconds: float) -> None:
         """Count an ended request and observe its latency."""
         metrics = self._of_interface(interface)
-        metrics.in_flight.dec()
         metrics.latency.observe(seconds)
         counter = metrics.ended.get(outcome)
         if counter is None:
@@ -110,10 +101,39 @@
         metrics = self._interfaces.get(interface)
         if metrics is None:
             metrics = self._interfaces[interface] = _InterfaceMetrics(
-                self._in_flight.labels(interface), self._latency.labels(interface), {}
+                self._latency.labels(interface), {}
             )
         return metrics
 
+    def add_gauge(
+        self, name: str, meaning: str, label: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """Add a gauge whose values by label are read when metrics are asked for."""
+        self._registry.register(_GaugeCollector(name, meaning, label, read))
+
     def render(self) -> bytes:
         """All metrics in the Prometheus text format."""
         return generate_latest(self._registry)
+
+
+class _GaugeCollector(Collector):
+    """Reads its values when metrics are asked for, so that keeping them costs nothing."""
+
+    def __init__(
+        self, name: str, meaning: str, label: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        self._name = name
+        self._meaning = meaning
+        self._label = label
+        self._read = read
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield the gauge."""
+        family = GaugeMetricFamily(self._name, self._meaning, labels=(self._label,))
+        for label, value in self._read().items():
+            family.add_metric((label,), value)
+        yield family
+
+    def describe(self) -> Iterator[Metric]:
+        """Yield the gauge without values; the registry asks for its name."""
+        yield GaugeMetricFamily(self._name, self._meaning, labels=(self._label,))
