--- a/src/bellweir/gateway/admission.py
+++ b/src/bellweir/gateway/admission.py
@@ -107,6 +107,8 @@
         self._held_by_caller: dict[str, int] = {}
         self._refused = 0
         self._bounds = [_part(threads, LARGEST_SHARES.get(each, 1.0)) for each in ThreadShare]
+        # Looked up by number: the hash of an enum's member costs a call.
+        self._is_long = [each in LONG_HELD for each in ThreadShare]
         self._total_bound = _part(threads, LARGEST_TOTAL)
         self._long_held_bound = _part(threads, LARGEST_LONG_HELD)
         self._fairness_from = _part(threads, FAIRNESS_FROM)
@@ -161,7 +163,7 @@
         self._held[share] += change
         if share is not ThreadShare.SYSTEM:
             self._total += change
-        if share in LONG_HELD:
+        if self._is_long[share]:
             self._long_held += change
 
     def _fits(self, share: ThreadShare) -> bool:
@@ -169,7 +171,7 @@
             return True
         if self._total >= self._total_bound or self._held[share] >= self._bounds[share]:
             return False
-        return share not in LONG_HELD or self._long_held < self._long_held_bound
+        return not self._is_long[share] or self._long_held < self._long_held_bound
 
     def _is_fair(self, share: ThreadShare, caller: str) -> bool:
         if self._total < self._fairness_from or share is ThreadShare.SYSTEM:
--- a/src/bellweir/gateway/applications_api.py
+++ b/src/bellweir/gateway/applications_api.py
@@ -7,9 +7,15 @@
 
 from bellweir.gateway.body_pipe import BodyPipe
 from bellweir.gateway.context import Context
-from bellweir.gateway.http import BadRequestError, Headers, Request, Response
+from bellweir.gateway.http import BadRequestError, Headers, Request, Response, environ_key
 from bellweir.gateway.problems import Problem, body_cut, problem_of_refusal, problem_response
-from bellweir.gateway.request_headers import TOKEN, end_to_end, parse_routing_options
+from bellweir.gateway.request_headers import (
+    HOP_BY_HOP_HEADERS,
+    TOKEN,
+    end_to_end,
+    named_by_connection,
+    parse_routing_options,
+)
 from bellweir.gateway.router import Router
 from bellweir.platform.interface import ApplicationAnswer
 from bellweir.resources.models import RequestClass
@@ -20,7 +26,9 @@
 VIA = "1.1 bellweir"
 """RFC 9110 section 7.6.3 has an intermediary name itself."""
 
-_NOT_FORWARDED = frozenset({"host", "expect", TOKEN.lower()})
+_NOT_FORWARDED = frozenset(
+    environ_key(name) for name in (*HOP_BY_HOP_HEADERS, "Host", "Expect", TOKEN)
+)
 """The client of the back end writes its own host and framing; the token was for this node."""
 
 
@@ -69,24 +77,28 @@
 
 def _path_below_pool(request: Request, pool: str) -> str:
     """The rest of the path as sent, with its query; percent-escapes stay as they are."""
-    raw_pool, _, rest = request.raw_path.removeprefix(PREFIX).partition("/")
-    if not request.raw_path.startswith(PREFIX) or unquote(raw_pool, "latin-1") != pool:
+    raw_path = request.raw_path
+    raw_pool, _, rest = raw_path[len(PREFIX) :].partition("/")
+    if not raw_path.startswith(PREFIX) or unquote(raw_pool, "latin-1") != pool:
         raise BadRequestError("path: the pool's name must not be written with escaped slashes")
     query = request.raw_query
     return "/" + rest + ("?" + query if query else "")
 
 
 def _request_headers(request: Request) -> Headers:
-    not_forwarded = _NOT_FORWARDED
+    kept = request.headers(without=_NOT_FORWARDED)
+    kept.append(("Via", VIA))
+    connection = request.header("Connection")
+    if connection is None and not request.consumed_authorization:
+        return tuple(kept)
+    dropped = named_by_connection(connection or "")
     if request.consumed_authorization:
-        not_forwarded |= {"authorization"}
-    kept = end_to_end(request.headers(), not_forwarded)
-    return (*kept, ("Via", VIA))
+        dropped |= {"authorization"}
+    return tuple((name, value) for name, value in kept if name.lower() not in dropped)
 
 
 def _response(answer: ApplicationAnswer) -> Response:
-    headers = list(end_to_end(answer.headers))
-    return Response(answer.status, headers, chunks=BodyChunks(answer.body))
+    return Response(answer.status, end_to_end(answer.headers), chunks=BodyChunks(answer.body))
 
 
 class BodyChunks:
--- a/src/bellweir/gateway/http.py
+++ b/src/bellweir/gateway/http.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from functools import lru_cache
-from typing import Any, BinaryIO, cast
+from typing import Any, BinaryIO
 from urllib.parse import parse_qs
 
 import msgspec
@@ -33,61 +33,58 @@
     """The body is longer than this interface reads."""
 
 
-@dataclass(frozen=True)
-class Caller:
+class Caller(msgspec.Struct, frozen=True):
     """Who sent a request, as far as it is proved."""
 
     name: str
     """Name of the bearer token, or the peer's IP number."""
 
 
-@dataclass
 class Request:
     """One HTTP request."""
 
-    environ: Environ
-    request_id: str
-    caller: Caller
-    permit: Permit | None = None
-    """The request thread it holds."""
-    consumed_authorization: bool = False
-    """Whether `Authorization` held the token for this node, which is not passed on."""
-
-    @property
-    def method(self) -> str:
+    def __init__(self, environ: Environ, request_id: str, caller: Caller) -> None:
+        self.environ = environ
+        self.request_id = request_id
+        self.caller = caller
+        self.method: str = environ["REQUEST_METHOD"]
         """Method in capitals."""
-        return cast(str, self.environ["REQUEST_METHOD"])
-
-    @property
-    def path(self) -> str:
+        self.path: str = environ["PATH_INFO"]
         """Path with percent-escapes resolved."""
-        return cast(str, self.environ["PATH_INFO"])
+        self.raw_query: str = environ["QUERY_STRING"]
+        """Query as sent, without the question mark."""
+        self.permit: Permit | None = None
+        """The request thread it holds."""
+        self.consumed_authorization = False
+        """Whether `Authorization` held the token for this node, which is not passed on."""
 
     @property
     def raw_path(self) -> str:
         """Path as sent, without query."""
-        target = cast(str, self.environ.get("REQUEST_URI") or self.environ["PATH_INFO"])
-        if not target.startswith("/"):
+        target: str = self.environ["REQUEST_URI"]
+        if target[:1] != "/":
             _, _, after_scheme = target.partition("://")
             target = "/" + after_scheme.partition("/")[2]
-        return target.split("#", 1)[0].split("?", 1)[0]
-
-    @property
-    def raw_query(self) -> str:
-        """Query as sent, without the question mark."""
-        return cast(str, self.environ["QUERY_STRING"])
+        return target.partition("#")[0].partition("?")[0]
 
     def header(self, name: str) -> str | None:
         """Value of a header, None when it is absent."""
-        return cast("str | None", self.environ.get(environ_key(name)))
+        value: str | None = self.environ.get(environ_key(name))
+        return value
+
+    def headers(self, without: frozenset[str]) -> list[tuple[str, str]]:
+        """Headers but `Content-Length` and those whose keys in the environment are given.
 
-    def headers(self) -> Headers:
-        """All headers but `Content-Length`; values of a repeated one are joined by waitress."""
-        return tuple(
+        The values of a repeated header have been joined by waitress.
+        """
+        found = [
             (header_name(key), value)
             for key, value in self.environ.items()
-            if key.startswith("HTTP_") or key == "CONTENT_TYPE"
-        )
+            if key[:5] == "HTTP_" and key not in without
+        ]
+        if "CONTENT_TYPE" in self.environ:
+            found.append(("Content-Type", self.environ["CONTENT_TYPE"]))
+        return found
 
     def query(self, name: str) -> str | None:
         """Last value of a query parameter."""
@@ -104,7 +101,8 @@
     @property
     def body(self) -> BinaryIO:
         """The body as a file; a `BodyPipe` while it is still being received."""
-        return cast(BinaryIO, self.environ["wsgi.input"])
+        body: BinaryIO = self.environ["wsgi.input"]
+        return body
 
     @property
     def body_length(self) -> int | None:
@@ -123,7 +121,7 @@
 
     def caller_has_left(self) -> bool:
         """Whether the caller's connection has closed."""
-        has_left = cast("Callable[[], bool]", self.environ["waitress.client_disconnected"])
+        has_left: Callable[[], bool] = self.environ["waitress.client_disconnected"]
         return has_left()
 
 
@@ -175,7 +173,7 @@
 
 def request_id_of(environ: Environ) -> str:
     """The caller's `X-Request-Id` when it is short and printable, otherwise a new one."""
-    given = cast(str, environ.get("HTTP_X_REQUEST_ID", ""))
+    given: str = environ.get("HTTP_X_REQUEST_ID", "")
     if given and given.isprintable() and len(given) <= MAXIMUM_REQUEST_ID_CHARACTERS:
         return given
     return new_request_id()
--- a/src/bellweir/gateway/request_headers.py
+++ b/src/bellweir/gateway/request_headers.py
@@ -1,6 +1,6 @@
 """The request headers that choose how a request is routed, parsed once for all interfaces."""
 
-from dataclasses import dataclass
+import msgspec
 
 from bellweir.gateway.http import BadRequestError, Headers, Request, parse_number
 from bellweir.kernel.clock import Clock
@@ -33,8 +33,7 @@
 """Headers that end at each connection (RFC 9110 section 7.6.1)."""
 
 
-@dataclass(frozen=True)
-class RoutingOptions:
+class RoutingOptions(msgspec.Struct, frozen=True):
     """What a caller asks of routing, besides the request itself."""
 
     request_class: RequestClass
@@ -85,20 +84,16 @@
     return text
 
 
-def end_to_end(headers: Headers, others: frozenset[str] = frozenset()) -> Headers:
-    """Drop the headers that end at this connection and `others`, given in lower case."""
-    dropped = HOP_BY_HOP_HEADERS | others
-    kept = [(name, value) for name, value in headers if name.lower() not in dropped]
+def end_to_end(headers: Headers) -> list[tuple[str, str]]:
+    """Drop the headers that end at this connection, those named by `Connection` included."""
+    kept = [(name, value) for name, value in headers if name.lower() not in HOP_BY_HOP_HEADERS]
     if len(kept) == len(headers):
-        return headers
-    named = _named_by_connection(headers)
-    return tuple((name, value) for name, value in kept if name.lower() not in named)
+        return kept
+    connection = [value for name, value in headers if name.lower() == "connection"]
+    named = named_by_connection(",".join(connection))
+    return [(name, value) for name, value in kept if name.lower() not in named]
 
 
-def _named_by_connection(headers: Headers) -> frozenset[str]:
-    return frozenset(
-        named.strip().lower()
-        for name, value in headers
-        if name.lower() == "connection"
-        for named in value.split(",")
-    )
+def named_by_connection(connection: str) -> frozenset[str]:
+    """The headers, in lower case, that a `Connection` header names."""
+    return frozenset(each.strip().lower() for each in connection.split(","))
--- a/src/bellweir/gateway/router.py
+++ b/src/bellweir/gateway/router.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import msgspec
+
 from bellweir.gateway.http import Request, Response
 
 Handler = Callable[..., Response]
@@ -23,8 +25,7 @@
     handler: Handler
 
 
-@dataclass(frozen=True)
-class Match:
+class Match(msgspec.Struct, frozen=True):
     """A route found, with the named parts of the path."""
 
     route: Route
