--- a/features/resources.feature
+++ b/features/resources.feature
@@ -52,6 +52,16 @@
     Then the first resource write succeeds with generation 2
     And the second resource write is a conflict that names "spec.model"
 
+  Scenario: A status report between an operator's look and write is no conflict
+    Given a resource node with policy "north"
+    And resource policy "north" is looked at by two operators
+    When resource conditions "Ready" and "InForce" are reported by two reporters
+    And the first resource operator replaces what they looked at
+    Then the first resource write succeeds with generation 2
+    When resource conditions "Ready" and "InForce" are reported by two reporters
+    And the second resource operator replaces what they looked at
+    Then the second resource write is a conflict that names "spec.model"
+
   Scenario: A policy that is in use is not deleted
     Given a resource node with policy "north"
     And a resource pool "pool" that serves "north"
@@ -104,3 +114,32 @@
     Then the resource reference is the page "docs/RESOURCES.md"
     And every resource field has a meaning
     And the resource path "pools.spec.workers.address" is explained as "`host:port`"
+
+  Scenario: Whatever an operator sends is answered by findings, never by a failure
+    Given a resource node with policy "north"
+    Then any document and any merge patch gets a resource or findings with paths
+
+  Scenario: A number that is none is refused
+    Given a resource node with policy "north"
+    When the resource document below is created
+      """
+      kind: Comparison
+      metadata: {name: test}
+      spec:
+        policy: north
+        arms:
+        - {name: old, policy: north, share: .nan}
+        - {name: new, policy: north, share: .inf}
+      """
+    Then the resource findings are
+      | path               | found    | allowed       |
+      | spec.arms[0].share | NaN      | finite number |
+      | spec.arms[1].share | Infinity | finite number |
+
+  Scenario: The version of an operator's write stays while the system reports
+    Given a resource node with policy "north"
+    Then the resource in force was last written by an operator at version 1
+    When resource conditions "Ready" and "InForce" are reported by two reporters
+    Then the resource in force was last written by an operator at version 1
+    When two operators replace resource policy "north" from the same version
+    Then the resource in force was last written by an operator at version 4
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -1,3 +1,6 @@
+import threading
+from collections import Counter
+
 from behave import given, then, when
 from hypothesis import given as given_property
 from hypothesis import settings
@@ -6,9 +9,15 @@
 
 from bellweir.configuration import placement
 from bellweir.configuration.interface import ConfigurationSnapshot
+from bellweir.configuration.machine_reader import MachineListReader
+from bellweir.configuration.messages import TableName
+from bellweir.configuration.reader import StoreReader
+from bellweir.configuration.state import ConfigurationState
 from bellweir.configuration.subscription import Subscription
 from bellweir.configuration.table import ApplyOutcome
+from bellweir.kernel.clock import ManualClock
 from bellweir.membership.interface import MemberState
+from bellweir.platform.interface import Machine, MachineSnapshot, MachineState
 from support.configuration_machine import ConfigurationMachine, policy
 from support.configuration_network import ConfigurationNode, MemoryNetwork, member
 from support.configuration_tables import (
@@ -106,13 +115,17 @@
     context.sent = dict.fromkeys(context.nodes, 0)
     for node in context.nodes.values():
         node.read()
-        node.core._forward_all()
     while context.network.queue:
-        queued = context.network.queue[0]
-        context.sent[queued.source] += 1
+        context.sent[context.network.queue[0].source] += 1
         context.network.deliver()
-        if queued.target in context.nodes:
-            context.nodes[queued.target].core._forward_all()
+
+
+@when("the zone's reader reads a new revision while no configuration task runs")
+def step_push_without_tasks(context):
+    _write(context, "north")
+    for node in context.nodes.values():
+        node.read()
+    context.network.deliver_all()
 
 
 @then("the revision is in force on all of the zone's nodes")
@@ -251,3 +264,146 @@
 @then("the configuration listener saw revisions 5, 5, 6")
 def step_heard(context):
     assert context.heard == [5, 5, 6], context.heard
+
+
+class SpreadCluster:
+    """A cluster whose members stay, and what each node sent."""
+
+    def __init__(self, count, zones, regions):
+        self.network, self.store = MemoryNetwork(), MemoryStore()
+        members = [
+            member(f"n{index}", f"zone-{index % zones}", f"region-{index % zones % regions}")
+            for index in range(count)
+        ]
+        everyone = {each.node: each for each in members}
+        self.nodes = {
+            each.node: ConfigurationNode(each, everyone, self.network, self.store, fanout=4)
+            for each in members
+        }
+        for node in self.nodes.values():
+            node.membership.fixed = tuple(sorted(members, key=lambda each: each.node))
+        for _ in range(4):
+            for node in self.nodes.values():
+                node.read()
+                node.step()
+            self.network.deliver_all()
+
+    def spread(self, changes, size):
+        """Messages that each node sent, and all bytes, for some changes."""
+        messages, total = Counter(), 0
+        for index in range(changes):
+            self.store.overwrite(policy("north", str(index) + "x" * size))
+            for node in self.nodes.values():
+                node.read()
+            while self.network.queue:
+                queued = self.network.queue[0]
+                messages[queued.source] += 1
+                total += queued.size
+                self.network.deliver()
+        return max(messages.values()) / changes, total / changes / len(self.nodes)
+
+
+@given("configuration clusters of 32 and of 340 nodes in {zones:d} zones of {regions:d} regions")
+def step_two_clusters(context, zones, regions):
+    context.clusters = [SpreadCluster(count, zones, regions) for count in (32, 340)]
+
+
+@when("{changes:d} changes of {size:d} bytes are spread in both configuration clusters")
+def step_spread(context, changes, size):
+    context.costs = [cluster.spread(changes, size) for cluster in context.clusters]
+
+
+@then("no configuration node sends more than {most:d} messages for a change in either cluster")
+def step_messages(context, most):
+    assert all(messages <= most for messages, _ in context.costs), context.costs
+
+
+@then("the mean configuration bytes for a change and node differ by less than a fifth")
+def step_bytes(context):
+    (_, small), (_, large) = context.costs
+    print(f"bytes sent for a change and node: {small:.0f} at 32 nodes, {large:.0f} at 340")
+    assert abs(large - small) < small / 5, context.costs
+
+
+@then("every node of both configuration clusters has the last change in force")
+def step_all_in_force(context):
+    for cluster in context.clusters:
+        behind = [name for name, node in cluster.nodes.items() if node.revision < 5]
+        assert not behind, behind
+
+
+class SlowStore(MemoryStore):
+    """Opening a watch takes time, on a clock that a test moves."""
+
+    def __init__(self, clock, opening_s):
+        super().__init__()
+        self.clock, self.opening_s = clock, opening_s
+        self.asked = []
+
+    def watch(self, from_revision, timeout_s):
+        self.asked.append(timeout_s)
+        self.clock.advance(self.opening_s + timeout_s)
+        yield from super().watch(from_revision, timeout_s)
+
+
+@given("a configuration reader before a store that takes {seconds:g} seconds to open a watch")
+def step_slow_store(context, seconds):
+    clock = ManualClock()
+    context.store = SlowStore(clock, seconds)
+    state = ConfigurationState("node")
+    context.reader = StoreReader("node", "zone", context.store, state, clock, lambda: True)
+    context.reader.read_once(threading.Event())
+
+
+@when("the configuration reader watches the quiet store {times:d} times")
+def step_watch(context, times):
+    context.store.asked.clear()
+    for _ in range(times):
+        assert context.reader.read_once(threading.Event())
+
+
+@when("the configuration's store is fast again and the reader watches it {times:d} times")
+def step_fast(context, times):
+    context.store.opening_s = 0.0
+    step_watch(context, times)
+
+
+@then("the configuration reader's watches were meant to last {first:g} and {second:g} seconds")
+def step_lasted(context, first, second):
+    assert context.store.asked == [first, second], context.store.asked
+
+
+@given("any history of configuration machine lists and two readers of parts of it")
+def step_machine_histories(context):
+    presence = st.dictionaries(st.sampled_from(["a", "b"]), st.integers(1, 2), max_size=2)
+    context.lists = st.lists(presence, min_size=3, max_size=6)
+
+
+def _machine_list(addresses):
+    return {
+        name: Machine(name, f"127.0.0.1:{port}", "z", "r", "engine", "p", MachineState.LIVE)
+        for name, port in addresses.items()
+    }
+
+
+@then("a configuration update between them is applied right or refused")
+def step_machine_updates(context):
+    revisions = st.sets(st.integers(0, 5), min_size=1)
+
+    @settings(max_examples=600)
+    @given_property(context.lists, revisions, revisions, st.integers(0, 5))
+    def run(lists, seen_by_sender, seen_by_receiver, after):
+        history = [_machine_list(addresses) for addresses in lists]
+        sender, receiver = ConfigurationState("sender"), ConfigurationState("receiver")
+        for state, seen in ((sender, seen_by_sender), (receiver, seen_by_receiver)):
+            reader = MachineListReader(state.node, None, state, ManualClock(), None, None)
+            for revision in sorted(seen & set(range(len(lists)))) or [0]:
+                machines = tuple(history[revision].values())
+                reader._take_over(MachineSnapshot(revision, machines))
+        update = sender.update_after(TableName.MACHINES, after)
+        if update is not None:
+            receiver.apply(update)
+        snapshot = receiver.current()
+        assert snapshot.machines == history[snapshot.machines_revision], (update, snapshot)
+
+    run()
--- a/features/steps/resources_steps.py
+++ b/features/steps/resources_steps.py
@@ -7,6 +7,7 @@
 from returns.result import Failure
 
 from bellweir.resources.deletion import MARK_LASTS_S, Deletion
+from bellweir.resources.documents import operator_version_of
 from bellweir.resources.interface import ResourceErrorKind
 from bellweir.resources.models import KINDS
 from bellweir.resources.reference import all_fields, explain, render_reference
@@ -74,10 +75,21 @@
 
 @when('two operators replace resource policy "{name}" from the same version')
 def step_two_replace(context, name):
-    base = dict(context.resources.get("Policy", name).unwrap().document)
-    context.outcomes = [
-        context.resources.replace({**base, "spec": {"model": model}}) for model in ("a", "b")
-    ]
+    step_look(context, name)
+    for order in ("first", "second"):
+        step_replace_seen(context, order)
+
+
+@given('resource policy "{name}" is looked at by two operators')
+def step_look(context, name):
+    context.seen = dict(context.resources.get("Policy", name).unwrap().document)
+    context.outcomes = []
+
+
+@when("the {order} resource operator replaces what they looked at")
+def step_replace_seen(context, order):
+    document = {**context.seen, "spec": {"model": f"by the {order}"}}
+    context.outcomes.append(context.resources.replace(document))
 
 
 @then("the first resource write succeeds with generation {generation:d}")
@@ -303,3 +315,52 @@
 @then('a resource pool that serves "{policy}" is created')
 def step_pool_created(context, policy):
     _create_pool(context, policy).unwrap()
+
+
+KEYS = st.sampled_from(
+    ["kind", "apiVersion", "metadata", "name", "spec", "status", "model", "arms", "labels"]
+)
+SCALARS = st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5) | st.dates()
+VALUES = st.recursive(
+    SCALARS | st.sampled_from(["Policy", "Pool", "Comparison", "north", "engine"]),
+    lambda inner: (
+        st.lists(inner, max_size=3) | st.dictionaries(KEYS | st.integers(), inner, max_size=4)
+    ),
+    max_leaves=12,
+)
+ANYTHING = st.fixed_dictionaries(
+    {},
+    optional={
+        "kind": st.sampled_from(["Policy", "Pool", "Comparison", "WeightVersion"]) | VALUES,
+        "metadata": st.just({"name": "north"}) | VALUES,
+        "spec": st.just({"model": "m"}) | VALUES,
+        "status": VALUES,
+        "other": VALUES,
+    },
+)
+
+
+@then("any document and any merge patch gets a resource or findings with paths")
+def step_any_document(context):
+    @run_settings(max_examples=400)
+    @given_property(ANYTHING)
+    def run(document):
+        for outcome in (
+            context.resources.create(document, dry_run=True),
+            context.resources.replace(document, dry_run=True),
+            context.resources.patch("Policy", "north", document, dry_run=True),
+        ):
+            if isinstance(outcome, Failure):
+                error = outcome.failure()
+                invalid = error.kind is ResourceErrorKind.INVALID
+                assert bool(error.findings) == invalid or not invalid, error
+                assert all(finding.allowed for finding in error.findings), error
+
+    run()
+
+
+@then("the resource in force was last written by an operator at version {version:d}")
+def step_operator_version(context, version):
+    context.node.configuration.follow()
+    policy = context.node.configuration.current().policies["north"]
+    assert operator_version_of(policy) == version, policy.metadata
--- a/features/support/configuration_network.py
+++ b/features/support/configuration_network.py
@@ -9,6 +9,7 @@
 
 from bellweir.configuration import placement
 from bellweir.configuration.core import ConfigurationCore
+from bellweir.configuration.machine_reader import MachineListReader
 from bellweir.configuration.reader import StoreReader
 from bellweir.kernel.clock import ManualClock
 from bellweir.membership.interface import Member, Membership, MemberState
@@ -23,6 +24,7 @@
     source: str
     target: str
     message: object
+    size: int
 
 
 @dataclass
@@ -33,8 +35,6 @@
     queue: deque = field(default_factory=deque)
     cut: set = field(default_factory=set)
     codec: MessageCodec = field(default_factory=MessageCodec)
-    sent: int = 0
-    sent_bytes: int = 0
     largest: int = 0
 
     def connected(self, source, target):
@@ -42,11 +42,12 @@
 
     def over_the_wire(self, message):
         encoded = encode_plain(self.codec.to_plain(message))
-        self.sent += 1
-        self.sent_bytes += len(encoded)
         self.largest = max(self.largest, len(encoded))
         return self.codec.from_plain(decode_plain(encoded))
 
+    def size_of(self, message):
+        return len(encode_plain(self.codec.to_plain(message)))
+
     def handle(self, source, target, message):
         handlers = self.transports[target].handlers
         return handlers[type(message)](Sender(source, source), message)
@@ -80,9 +81,9 @@
         return Success(self.network.over_the_wire(answer))
 
     def send(self, address, message):
-        self.network.queue.append(
-            Queued(self.address, address, self.network.over_the_wire(message))
-        )
+        carried = self.network.over_the_wire(message)
+        size = self.network.size_of(message)
+        self.network.queue.append(Queued(self.address, address, carried, size))
         return True
 
 
@@ -93,11 +94,15 @@
         self.own = own
         self.everyone = everyone
         self.listeners = []
+        self.fixed = None
+        """All members, where they do not change: spares large clusters the sorting."""
 
     def self_member(self):
         return self.own
 
     def members(self):
+        if self.fixed is not None:
+            return self.fixed
         return tuple(self.everyone[name] for name in sorted(self.everyone))
 
     def member(self, node):
@@ -117,22 +122,26 @@
 class ConfigurationNode:
     """A core and, when it is its zone's reader, a store reader, stepped by a test."""
 
-    def __init__(self, own, everyone, network, store, seed=0):
+    def __init__(self, own, everyone, network, store, seed=0, fanout=2):
         self.clock = ManualClock()
         self.own = own
         self.everyone = everyone
         self.transport = MemoryTransport(network, own.peer_address)
+        self.membership = ListedMembership(own, everyone)
         self.core = ConfigurationCore(
             self.transport,
-            ListedMembership(own, everyone),
+            self.membership,
             self.clock,
-            ConfigurationSettings(fanout=2),
+            ConfigurationSettings(fanout=fanout),
             random.Random(f"{own.node}{seed}"),
         )
         self.core.register_handlers()
         self.reader = StoreReader(
             own.node, own.zone, store, self.core.state, self.clock, lambda: True
         )
+        self.machines = MachineListReader(
+            own.node, None, self.core.state, self.clock, lambda: True, lambda: 1.0
+        )
         self.seen = []
         self.core.subscribe(lambda snapshot: self.seen.append(snapshot.revision))
 
@@ -148,6 +157,9 @@
         if self.is_reader():
             self.reader.read_once(threading.Event())
 
+    def take_machines(self, snapshot):
+        self.machines._take_over(snapshot)
+
     def step(self):
         self.clock.advance(2.0)
         self.core.step()
--- a/features/support/ledger_nodes.py
+++ b/features/support/ledger_nodes.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+from features.support.memory_store import MemoryStore
 from returns.result import Failure, Result, Success
 
 from bellweir.kernel import names
@@ -20,7 +21,6 @@
 from bellweir.ledger.service import LedgerService
 from bellweir.membership.interface import Member, Membership, MemberState
 from bellweir.platform.interface import (
-    ErrorKind,
     ObjectStore,
     PlatformClients,
     PlatformError,
@@ -77,47 +77,27 @@
         self.items = [int(item) for item in state.decode().split(",") if item]
 
 
-class MemoryObjectStore(ObjectStore):
-    """Objects with versions and compare-and-set; `down` makes every call fail."""
+class HangingStore(MemoryStore):
+    """Used by the tasks of many nodes at once, which wait for ever while it hangs."""
 
     def __init__(self) -> None:
-        self._lock = threading.Lock()
-        self._objects: dict[tuple[str, str], StoredObject] = {}
-        self._revision = 0
-        self.down = False
-
-    def list_objects(self) -> Any:
-        raise NotImplementedError
-
-    def watch(self, from_revision: int, timeout_s: float) -> Any:
-        raise NotImplementedError
-
-    def delete(self, kind: str, name: str, expected_version: int) -> Any:
-        raise NotImplementedError
+        super().__init__()
+        self._lock = threading.RLock()
+        self.answers = threading.Event()
+        """While cleared, every call waits."""
+        self.answers.set()
 
     def get(self, kind: str, name: str) -> Result[StoredObject, PlatformError]:
+        self.answers.wait()
         with self._lock:
-            if self.down:
-                return Failure(PlatformError(ErrorKind.NOT_RUN, "down"))
-            found = self._objects.get((kind, name))
-            if found is None:
-                return Failure(PlatformError(ErrorKind.NOT_FOUND, name))
-            return Success(found)
+            return super().get(kind, name)
 
     def put(
         self, document: Any, expected_version: int | None, mutation_id: str
     ) -> Result[StoredObject, PlatformError]:
-        key = (document["kind"], document["metadata"]["name"])
+        self.answers.wait()
         with self._lock:
-            if self.down:
-                return Failure(PlatformError(ErrorKind.NOT_RUN, "down"))
-            found = self._objects.get(key)
-            if expected_version not in (None, found.version if found else 0):
-                return Failure(PlatformError(ErrorKind.CONFLICT, "another version"))
-            self._revision += 1
-            stored = StoredObject(*key, self._revision, document)
-            self._objects[key] = stored
-            return Success(stored)
+            return super().put(document, expected_version, mutation_id)
 
 
 class MemoryPlatform(Service, PlatformClients):
@@ -168,7 +148,7 @@
     def __init__(self, node: str, network: MemoryNetwork) -> None:
         self._node = node
         self._network = network
-        self._handlers: dict[type[Message], Callable[[Sender, Any], Message | None]] = {}
+        self.handlers: dict[type[Message], Callable[[Sender, Any], Message | None]] = {}
         self._pool = ThreadPoolExecutor(8, thread_name_prefix=f"memory-{node}")
 
     def start(self) -> None:
@@ -179,10 +159,10 @@
         self._pool.shutdown(wait=True, cancel_futures=True)
 
     def register(self, message_type: type[Any], handler: Any) -> None:
-        self._handlers[message_type] = handler
+        self.handlers[message_type] = handler
 
     def handle(self, origin: str, message: Message) -> Message | None:
-        return self._handlers[type(message)](Sender(origin, origin), message)
+        return self.handlers[type(message)](Sender(origin, origin), message)
 
     def request(
         self, address: str, message: Message, timeout_s: float
@@ -190,7 +170,7 @@
         if not self._network.reaches(self._node, address):
             return Failure(WireError(WireErrorKind.NOT_SENT, "cut"))
         peer = self._network.transports[address]
-        if type(message) not in peer._handlers:
+        if type(message) not in peer.handlers:
             return Failure(WireError(WireErrorKind.REFUSED, "no handler"))
         answer = peer.handle(self._node, message)
         if not self._network.reaches(self._node, address) or answer is None:
@@ -200,7 +180,7 @@
     def send(self, address: str, message: Message) -> bool:
         if self._network.reaches(self._node, address):
             peer = self._network.transports[address]
-            if type(message) in peer._handlers:
+            if type(message) in peer.handlers:
                 try:
                     peer._pool.submit(peer.handle, self._node, message)
                 except RuntimeError:
@@ -223,7 +203,7 @@
     def announce_leaving(self) -> None: ...
 
     def self_member(self) -> Member:
-        return self._member
+        return self._network.members[self._member.node]
 
     def members(self) -> tuple[Member, ...]:
         return tuple(sorted(self._network.members.values(), key=lambda member: member.node))
--- a/features/support/routing_cluster.py
+++ b/features/support/routing_cluster.py
@@ -24,11 +24,12 @@
 from bellweir.routing.service import DispatcherService
 from bellweir.routing.views_service import BackendViewsService
 from bellweir.settings.models import NodeIdentity, RoutingSettings, Settings
+from support.routing_claims import InlineExecutors, LateExecutors
 from support.routing_fakes import FakeApplication, FakeConfiguration, FakeEngine, FakePlatform
 from support.routing_peers import FakeBus, FakeOwnership, FakeTransport
 from support.waiting import wait_until
 
-POLICY = "quotes"
+POLICY = "policy"
 ENGINE_POOL = "engines"
 APPLICATION_POOL = "shop"
 REQUEST_TIMEOUT_S = 20.0
@@ -128,6 +129,10 @@
         self.cleanup.callback(stop)
         self.configurations.append(configuration)
         self.nodes.append(dispatcher)
+        if issubclass(self.make_executors, InlineExecutors):
+            views._tick(self.clock.monotonic_s())
+            if issubclass(self.make_executors, LateExecutors):
+                kernel.executors.run_later()
         self.await_ready(views)
         dispatcher.backend_views = views
         return dispatcher
@@ -143,7 +148,7 @@
         given = {
             "request_id": f"request-{next(self._requests)}",
             "policy": POLICY,
-            "prompt": "a window of oak",
+            "prompt": "a prompt",
             "max_tokens": max_tokens,
             "request_class": RequestClass.INTERACTIVE,
             "deadline_monotonic_s": time.monotonic() + REQUEST_TIMEOUT_S,
--- a/src/bellweir/platform/application.py
+++ b/src/bellweir/platform/application.py
@@ -6,7 +6,7 @@
 
 from returns.result import Failure, Result, Success
 
-from bellweir.platform.answers import decode_answer
+from bellweir.platform.answers import decode_answer, parse_retry_after_s
 from bellweir.platform.interface import (
     Application,
     ApplicationAnswer,
@@ -16,7 +16,8 @@
     IncompleteBodyError,
     PlatformError,
 )
-from bellweir.platform.pool import ConnectionPool, HttpCall, OpenAnswer
+from bellweir.platform.open_answer import OpenAnswer
+from bellweir.platform.pool import ConnectionPool, HttpCall
 
 ATTEMPT_HEADER = "X-Attempt-Id"
 """Names the attempt, for the worker's log."""
@@ -26,6 +27,8 @@
 """On any answer: the worker is leaving."""
 STATE_PATH = "/-/state"
 STATUS_UNAVAILABLE = 503
+FRAMING_HEADERS = ("Content-Length", "Transfer-Encoding")
+"""Set by the client itself from the body; a second framing could split a request in two."""
 LIST_SEPARATOR = ", "
 """Joins the values of a repeated header (RFC 9110, section 5.3)."""
 COOKIE_SEPARATOR = "; "
@@ -59,7 +62,8 @@
         key = _canonical(name)
         separator = COOKIE_SEPARATOR if key == "Cookie" else LIST_SEPARATOR
         merged[key] = f"{merged[key]}{separator}{value}" if key in merged else value
-    merged.pop("Content-Length", None)
+    for name in FRAMING_HEADERS:
+        merged.pop(name, None)
     merged[ATTEMPT_HEADER] = call.attempt_id
     if call.body_length:
         merged["Content-Length"] = str(call.body_length)
@@ -89,14 +93,9 @@
         return None
     kind = _REFUSALS.get(reason, ErrorKind.NOT_RUN)
     detail = f"refused by the worker: {reason}"
-    return PlatformError(kind, detail, _retry_after_s(answer), answered=True)
-
-
-def _retry_after_s(answer: OpenAnswer) -> float | None:
-    try:
-        return float(answer.response.headers.get("Retry-After", ""))
-    except ValueError:
-        return None
+    return PlatformError(
+        kind, detail, parse_retry_after_s(answer.response.headers.get("Retry-After")), answered=True
+    )
 
 
 def _body(answer: OpenAnswer) -> Iterator[bytes]:
--- a/src/bellweir/routing/forwarding.py
+++ b/src/bellweir/routing/forwarding.py
@@ -25,6 +25,7 @@
 )
 from bellweir.routing.attempts import AttemptHold, RequestAttempts, new_attempt_id
 from bellweir.routing.backend import Backend
+from bellweir.routing.candidates import candidates
 from bellweir.routing.counters import DispatchCounters
 from bellweir.routing.interface import ApplicationRequest, Refusal
 from bellweir.routing.pool_runtime import PoolRuntime, PoolRuntimes
@@ -96,15 +97,17 @@
         repeatable: bool,
         on_latency: Callable[[float], None],
         before_send: Callable[[], Refusal | None] = lambda: None,
+        used: set[str] | None = None,
     ) -> Result[ApplicationAnswer, Refusal]:
         """Try until an answer comes or no further attempt is allowed.
 
         `before_send` is asked before each attempt and may refuse it. What it says of the run
-        must hold for attempts that were proved not run, as those before it were.
+        must hold for attempts that were proved not run, as those before it were. Back ends in
+        `used` are avoided, and those tried are added to it.
         """
         attempts = RequestAttempts(runtime.budget, self._clock, deadline_s)
         while True:
-            backend = self._choose(runtime, attempts.tried)
+            backend = self._choose(runtime, attempts.tried | (used or set()))
             if backend is None and attempts.wait_for_backend(self._backends(runtime)):
                 continue
             if backend is None or self._clock.monotonic_s() >= deadline_s:
@@ -112,6 +115,8 @@
             refusal = before_send()
             if refusal is not None:
                 return Failure(refusal)
+            if used is not None:
+                used.add(backend.name)
             began_s = self._clock.monotonic_s()
             match self._attempt(request, body, backend, deadline_s):
                 case Success(answer):
@@ -130,11 +135,7 @@
 
     def _choose(self, runtime: PoolRuntime, tried: set[str]) -> Backend | None:
         now_s = self._clock.monotonic_s()
-        usable = [
-            backend
-            for backend in self._backends(runtime)
-            if backend.name not in tried and backend.usable(now_s)
-        ]
+        usable = candidates(self._backends(runtime), tried, now_s)
         return runtime.strategy.choose(usable, None) if usable else None
 
     def _attempt(
@@ -175,6 +176,7 @@
             hold.note_leaving("answer")
         length = declared_length(answer)
         if length is None or length > BUFFERED_ANSWER_BYTES:
+            hold.note_healthy()
             return Success(with_body(answer, HeldBody(answer.body, _ender(hold))))
         match read_whole(answer, BUFFERED_ANSWER_BYTES):
             case Success(None):
--- a/src/bellweir/routing/generation.py
+++ b/src/bellweir/routing/generation.py
@@ -1,7 +1,7 @@
 """A running generation: one gapless stream over as many engine attempts as it takes."""
 
 import threading
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Generator, Iterator
 from dataclasses import dataclass
 
 from returns.result import Failure, Result, Success
@@ -9,6 +9,7 @@
 from bellweir.events.log import emit
 from bellweir.kernel.clock import Clock
 from bellweir.platform.interface import ErrorKind, FinishReason, PlatformError, TokenChunk
+from bellweir.resources.models import RequestClass
 from bellweir.routing.attempts import RequestAttempts
 from bellweir.routing.counters import CANCELLED, COMPLETED
 from bellweir.routing.generation_attempt import (
@@ -27,6 +28,22 @@
 from bellweir.routing.log_events import GENERATION_RESUMED
 
 CUT = PlatformError(ErrorKind.UNKNOWN, "the stream ended without an end marker")
+GIVEN_UP = PlatformError(ErrorKind.UNKNOWN, "the engine gave the request up", answered=True)
+
+
+@dataclass(frozen=True)
+class SilenceLimits:
+    """Longest silence of an engine before another one goes on."""
+
+    first_token_s: float
+    """Before the first token: the engine may have a queue."""
+    next_token_s: float
+
+
+INTERACTIVE_SILENCE = SilenceLimits(first_token_s=2.0, next_token_s=1.0)
+DRAFT_SILENCE = SilenceLimits(first_token_s=30.0, next_token_s=10.0)
+UNREACHABLE_SILENCE_S = 0.3
+"""Silence after which an engine that can't be probed any more is given up, for all classes."""
 
 
 @dataclass(frozen=True)
@@ -71,6 +88,15 @@
         self._lock = threading.Lock()
         self._ended = False
         self._cancelled = False
+        self._attempt_tokens = 0
+        self._reading_since_s: float | None = None
+        self._silenced: str | None = None
+        """Id of the last attempt that was given up for silence."""
+
+    @property
+    def token_count(self) -> int:
+        """Tokens had so far, without those the request came with."""
+        return len(self._had)
 
     def __iter__(self) -> Iterator[Result[GenerationChunk, Refusal]]:
         """Yield chunks to the finish reason, or end with one refusal."""
@@ -97,32 +123,11 @@
     def _items(self) -> Iterator[Result[GenerationChunk, Refusal]]:
         while True:
             attempt = self._attempt
-            progress = len(self._had)
-            error = CUT
-            for item in attempt.stream:
-                if self._cancelled:
-                    return
-                match item:
-                    case Success(chunk):
-                        if chunk.finish_reason is FinishReason.CANCELLED:
-                            break  # not asked for here: the engine gave the request up
-                        yield Success(self._accept(chunk, attempt))
-                        if chunk.finish_reason is not None:
-                            attempt.hold.succeed()
-                            return
-                        if self._past_deadline():
-                            yield Failure(self._give_up(attempt))
-                            return
-                    case Failure(found):
-                        error = found
-                        break
-            if self._cancelled:
+            had_before = len(self._had)
+            error = yield from self._attempt_items(attempt)
+            if error is None or self._cancelled:
                 return
-            attempt.hold.fail(error)
-            attempt.stream.close()
-            self._attempts.note_failure(attempt.hold.backend, error)
-            if len(self._had) > progress:
-                self._attempts.note_progress(attempt.hold.backend)
+            self._note_failure(attempt, error, progressed=len(self._had) > had_before)
             if len(self._request.prefix_tokens) + len(self._had) >= self._request.max_tokens:
                 yield Success(self._closing_chunk(attempt))
                 return
@@ -131,9 +136,100 @@
                 yield Failure(refusal)
                 return
 
+    def _attempt_items(
+        self, attempt: RunningAttempt
+    ) -> Generator[Result[GenerationChunk, Refusal], None, PlatformError | None]:
+        """Yield one attempt's chunks; return its error, or None when the request has ended."""
+        chunks = self._read(attempt)
+        for item in chunks:
+            if self._cancelled:
+                return None
+            if isinstance(item, Failure):
+                failed: PlatformError = item.failure()
+                return failed
+            chunk = item.unwrap()
+            if chunk.finish_reason is FinishReason.CANCELLED:
+                return GIVEN_UP  # not asked for here
+            if chunk.finish_reason is not None:
+                yield from self._last(chunk, attempt, chunks)
+                return None
+            yield Success(self._accept(chunk, attempt))
+            if self._past_deadline():
+                yield Failure(self._give_up(attempt))
+                return None
+        return CUT
+
+    def _note_failure(
+        self, attempt: RunningAttempt, error: PlatformError, *, progressed: bool
+    ) -> None:
+        attempt.hold.fail(error)
+        attempt.stream.close()
+        self._attempts.note_failure(attempt.hold.backend, error)
+        if progressed:
+            self._attempts.note_progress(attempt.hold.backend)
+
+    def _last(
+        self,
+        chunk: TokenChunk,
+        attempt: RunningAttempt,
+        chunks: Iterator[Result[TokenChunk, PlatformError]],
+    ) -> Iterator[Result[GenerationChunk, Refusal]]:
+        """End the attempt, then pass its last chunk on: nobody has to ask for more after it."""
+        attempt.hold.succeed()
+        try:
+            yield Success(self._accept(chunk, attempt))
+        finally:
+            next(chunks, None)  # the end marker, so that the connection can be kept
+
+    def _read(self, attempt: RunningAttempt) -> Iterator[Result[TokenChunk, PlatformError]]:
+        """The attempt's stream, noting when it is the engine that is waited for."""
+        self._attempt_tokens = 0
+        chunks = iter(attempt.stream)
+        while True:
+            self._reading_since_s = self._clock.monotonic_s()
+            item = next(chunks, None)
+            self._reading_since_s = None
+            if item is None:
+                return
+            yield item
+
+    def check_silence(self) -> None:
+        """Give up the running attempt when its engine is silent and another one could go on.
+
+        Called by the watch, from its own thread. The reading thread sees the closed stream as
+        an error and resumes elsewhere; at the deadline it ends.
+        """
+        since_s = self._reading_since_s
+        with self._lock:
+            attempt = self._attempt
+            if since_s is None or self._ended or attempt.attempt_id == self._silenced:
+                return
+        now_s = self._clock.monotonic_s()
+        late = now_s >= self._deadline_s
+        if not late and not self._is_silent(attempt, now_s - since_s):
+            return
+        if late or self._starter.has_alternative(attempt, self._route):
+            self._silenced = attempt.attempt_id
+            self._starter.drop(attempt)
+
+    def _is_silent(self, attempt: RunningAttempt, silence_s: float) -> bool:
+        draft = self._request.request_class is RequestClass.DRAFT
+        limits = DRAFT_SILENCE if draft else INTERACTIVE_SILENCE
+        report = attempt.hold.backend.report
+        if report is not None and not report.reachable:
+            return silence_s >= UNREACHABLE_SILENCE_S
+        if self._attempt_tokens:
+            return silence_s >= limits.next_token_s
+        if attempt.hold.backend.queues:
+            limits = DRAFT_SILENCE  # waiting for a place is no silence
+        return silence_s >= limits.first_token_s
+
     def _accept(self, chunk: TokenChunk, attempt: RunningAttempt) -> GenerationChunk:
         if not self._had:
             self._listener.on_first_token(self._clock.monotonic_s() - self._began_s)
+        if not self._attempt_tokens:
+            attempt.hold.note_healthy()
+        self._attempt_tokens += len(chunk.tokens)
         self._had += chunk.tokens
         self._last_version = chunk.weight_version
         return GenerationChunk(
@@ -194,4 +290,5 @@
             attempt = self._attempt
         if outcome == CANCELLED:
             self._starter.cancel(attempt)
+        attempt.hold.abandon()  # nothing to do when it has ended, as it should have
         self._listener.on_end(outcome)
