--- a/src/bellweir_rehearsal/cli.py
+++ b/src/bellweir_rehearsal/cli.py
@@ -20,6 +20,7 @@
 from bellweir_rehearsal.promises.mutations import MUTATIONS, Mutation
 from bellweir_rehearsal.rehearsal import Rehearsal
 from bellweir_rehearsal.result import RunResult, write_result
+from bellweir_rehearsal.scale.__main__ import ScaleCommand
 from bellweir_rehearsal.soak_command import SoakCommand
 from bellweir_rehearsal.standin_commands import (
     ApplicationCommand,
@@ -129,6 +130,7 @@
         | RunCommand
         | CompareCommand
         | SoakCommand
+        | ScaleCommand
         | EngineCommand
         | ApplicationCommand
         | ObjectApiCommand
@@ -142,7 +144,8 @@
 def main(arguments: list[str]) -> None:
     """Run one command of the kit; failures that a person can mend are told in one line."""
     try:
-        cappa.invoke(Rehearse, argv=arguments)
+        exit_code = cappa.invoke(Rehearse, argv=arguments)
     except (FolderInUseError, ProcessFailedError, OperatorError, WarmUpError) as failure:
         print(f"bellweir rehearse: {failure}", file=sys.stderr)
         sys.exit(FAILED)
+    sys.exit(exit_code or 0)
