Do not hold a caller's short deadline against a back end

Cause: an attempt that its caller's deadline ended counted as a failure: three callers in a hurry opened the circuit of a healthy worker. Change: such an attempt says nothing of the back end's health unless it had 5 s. Conclusion: a scenario of ten hurried requests for each worker fails before and passes now.

--- a/features/routing_dispatch.feature
+++ b/features/routing_dispatch.feature
@@ -29,6 +29,10 @@
     When routing's workers have all failed until their circuits opened and work again
     Then routing serves a request at once
 
+  Scenario: Callers in a hurry open no circuit
+    When routing's callers give each worker 10 times less time than it takes
+    Then routing refuses them by their deadline and leaves all circuits closed
+
   Scenario: The first token of a trial closes the circuit
     When routing's engines have open circuits and a long stream has begun as the trial
     Then routing's circuit of that engine is closed while the stream still runs
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -12,6 +12,7 @@
 from bellweir.platform.interface import FinishReason
 from bellweir.resources.models import RequestClass
 from bellweir.routing.cancellations import Cancellations
+from bellweir.routing.circuit import CircuitState
 from bellweir.routing.interface import RefusalReason, RunState
 from support.routing_claims import LedgerFault, NodeKilledError, Point
 from support.routing_cluster import RoutingCluster, body_of
@@ -587,3 +588,26 @@
         lambda: all(len(e.cancelled) == context.count for e in context.cluster.engines),
         "all attempts are cancelled",
     )
+
+
+@when("routing's callers give each worker {count:d} times less time than it takes")
+def step_hurry(context, count):
+    stop_probes(context.node.backend_views)
+    context.outcomes = []
+    for application in context.cluster.applications:
+        application.on_run = lambda _: time.sleep(0.02)
+        application.faults = [Fault.LOST_ANSWER] * (count * 3)
+    for _ in range(count * len(context.cluster.applications)):
+        deadline_s = time.monotonic() + 0.01
+        request = context.cluster.application_request(deadline_monotonic_s=deadline_s)
+        context.outcomes.append(context.node.forward(request))
+
+
+@then("routing refuses them by their deadline and leaves all circuits closed")
+def step_hurried(context):
+    refusals = [outcome.failure() for outcome in context.outcomes]
+    assert {(found.reason, found.run_state) for found in refusals} == {
+        (RefusalReason.DEADLINE, RunState.UNKNOWN)
+    }
+    backends = context.node.backend_views.pools()["shop"].backends
+    assert all(backend._circuit.state is CircuitState.CLOSED for backend in backends)
--- a/src/bellweir/routing/attempts.py
+++ b/src/bellweir/routing/attempts.py
@@ -18,6 +18,8 @@
 RETRY_AFTER_S = 1.0
 """When to come back after a refusal that a probe or a closed circuit may mend."""
 
+SLOW_ATTEMPT_S = 5.0
+"""An attempt that had this long and got no answer by its deadline counts against the back end."""
 UNHEALTHY_KINDS = frozenset({ErrorKind.NOT_RUN, ErrorKind.UNKNOWN})
 ABSENT_KINDS = frozenset({ErrorKind.NOT_RUN, ErrorKind.LEAVING})
 """Errors after which no back end is there for the request, rather than one that failed it."""
@@ -33,8 +35,12 @@
 class AttemptHold:
     """An attempt's place on its back end; ended once, from any thread."""
 
-    def __init__(self, backend: Backend, clock: Clock, *, interactive: bool) -> None:
+    def __init__(
+        self, backend: Backend, clock: Clock, deadline_s: float, *, interactive: bool
+    ) -> None:
         self.backend = backend
+        self._began_s = clock.monotonic_s()
+        self._deadline_s = deadline_s
         self._clock = clock
         self._ended = False
         self._lock = threading.Lock()
@@ -63,8 +69,17 @@
         if error.kind is ErrorKind.NOT_RUN:
             self._note_absence(error)
         unhealthy = error.kind in UNHEALTHY_KINDS and not error.answered
+        unhealthy = unhealthy and not self._was_hurried()
         self._end(healthy=False if unhealthy else None, detail=error.detail)
 
+    def _was_hurried(self) -> bool:
+        """Whether it was its own short deadline that ended the attempt.
+
+        A caller in a hurry proves nothing against a back end; one that hangs fails its probes.
+        """
+        now_s = self._clock.monotonic_s()
+        return now_s >= self._deadline_s and now_s - self._began_s < SLOW_ATTEMPT_S
+
     def _note_absence(self, error: PlatformError) -> None:
         now_s = self._clock.monotonic_s()
         if not error.answered:
--- a/src/bellweir/routing/forwarding.py
+++ b/src/bellweir/routing/forwarding.py
@@ -155,7 +155,7 @@
             timeout_s=max(0.001, deadline_s - self._clock.monotonic_s()),
         )
         interactive = request.request_class is not RequestClass.DRAFT
-        hold = AttemptHold(backend, self._clock, interactive=interactive)
+        hold = AttemptHold(backend, self._clock, deadline_s, interactive=interactive)
         self._counters.count_attempt()
         try:
             sent = self._clients.application(backend.address).send(call)
--- a/src/bellweir/routing/generation_attempt.py
+++ b/src/bellweir/routing/generation_attempt.py
@@ -137,7 +137,7 @@
         engine = self._clients.engine(backend.address)
         call = self._call(request, route, had, deadline_s)
         interactive = request.request_class is not RequestClass.DRAFT
-        hold = AttemptHold(backend, self._clock, interactive=interactive)
+        hold = AttemptHold(backend, self._clock, deadline_s, interactive=interactive)
         self._counters.count_attempt()
         try:
             started = engine.generate(call)
