--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,8 @@
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
-	$(VENV)/bin/pip install --quiet --require-hashes -r requirements.lock
-	$(VENV)/bin/pip install --quiet --no-deps --no-build-isolation --editable .
+	$(VENV)/bin/pip install --quiet --quiet --require-hashes -r requirements.lock
+	$(VENV)/bin/pip install --quiet --quiet --no-deps --no-build-isolation --editable .
 	touch $@
 
 setup: $(VENV)/.installed
