Read the answer that a worker gives before it has the whole body

A worker that refuses a long upload answers and closes; the write failed and the call was typed unknown although its answer lay there to be read.

--- a/features/platform_application.feature
+++ b/features/platform_application.feature
@@ -55,6 +55,11 @@
     When a platform application request is sent to that server
     Then the platform application answer has status 503
 
+  Scenario: A platform application worker's early answer to a body that is too long is passed on
+    Given a platform server that answers 413 after the headers and closes
+    When a platform application body of 50000000 bytes is sent to that server
+    Then the platform application answer has status 413
+
   Scenario: A platform application answer to HEAD leaves nothing for the next request
     Given a platform server that sends a body to HEAD as well
     When a platform application HEAD is sent, and then a GET
--- a/features/steps/platform_application_steps.py
+++ b/features/steps/platform_application_steps.py
@@ -4,6 +4,7 @@
 import io
 import json
 import signal
+import socket
 import string
 import subprocess
 import sys
@@ -261,6 +262,31 @@
     assert context.result.unwrap().status == status
 
 
+class EarlyServer(LossyServer):
+    """Answers 413 once it has the headers, and reads no more."""
+
+    def __init__(self):
+        super().__init__(LossPoint.BEFORE_READING)
+
+    def _serve(self, connection):
+        self._receive(connection)
+        connection.sendall(b"HTTP/1.1 413 Too Long\r\nContent-Length: 0\r\n\r\n")
+        connection.shutdown(socket.SHUT_RD)
+        self._close(connection)
+
+
+@given("a platform server that answers 413 after the headers and closes")
+def step_early_server(context):
+    context.server = EarlyServer()
+    context.cleanup.callback(context.server.stop)
+
+
+@when("a platform application body of {count:d} bytes is sent to that server")
+def step_send_long(context, count):
+    application = context.clients.application(context.server.address)
+    context.result = application.send(call(body=b"x" * count))
+
+
 class HeadServer(LossyServer):
     """Numbers its answers; the first one, to HEAD, has a body that comes late."""
 
--- a/src/bellweir/platform/open_answer.py
+++ b/src/bellweir/platform/open_answer.py
@@ -27,12 +27,11 @@
 class OpenAnswer:
     """An answer whose headers have been read; the body is read from it."""
 
-    def __init__(
-        self, connection: CountingConnection, owner: ConnectionOwner, *, reusable: bool = True
-    ) -> None:
+    def __init__(self, connection: CountingConnection, owner: ConnectionOwner) -> None:
         self._connection = connection
         self._owner = owner
-        self._reusable = reusable
+        self.reusable = True
+        """Whether the connection may serve another call after this one."""
         self._response: http.client.HTTPResponse | None = None
         self._lock = threading.Lock()
         self._released = False
@@ -99,7 +98,7 @@
     def finish(self) -> None:
         """Give the connection back when the answer was read to its end, else close it."""
         whole = self._response is not None and self._response.isclosed()
-        if not whole or self.response.will_close or not self._reusable:
+        if not whole or self.response.will_close or not self.reusable:
             self.drop()
         elif self._release():
             self._owner.give_back(self._connection)
--- a/src/bellweir/platform/pool.py
+++ b/src/bellweir/platform/pool.py
@@ -98,12 +98,12 @@
             connection = self._take(deadline_s)
         except OSError as failure:
             return Failure(PlatformError(ErrorKind.NOT_RUN, f"no connection: {failure}"))
+        answer = OpenAnswer(connection, self)
         # Some servers send a body to HEAD: left on the connection, it would be taken for the
         # answer to the next request.
-        answer = OpenAnswer(connection, self, reusable=call.method != "HEAD")
+        answer.reusable = call.method != "HEAD"
         try:
-            connection.request(call.method, call.path, _as_sent(body), dict(call.headers))
-            connection.flush()
+            answer.reusable &= _send(connection, call, body)
             answer.read_headers()
         except (OSError, http.client.HTTPException, ValueError) as failure:
             written = connection.deadline_socket.bytes_written
@@ -196,6 +196,22 @@
     return host.strip("[]"), int(port)
 
 
+def _send(connection: CountingConnection, call: HttpCall, body: BinaryIO | bytes | None) -> bool:
+    """Send a request; returns whether all of it was sent.
+
+    A server may answer and close before it has read the whole body, such as one that is too
+    long for it. Its answer is there to be read although writing has failed.
+    """
+    try:
+        connection.request(call.method, call.path, _as_sent(body), dict(call.headers))
+        connection.flush()
+    except ConnectionError:
+        if not connection.deadline_socket.bytes_written:
+            raise
+        return False
+    return True
+
+
 def _as_sent(body: BinaryIO | bytes | None) -> RequestBody | bytes | None:
     return body if body is None or isinstance(body, bytes) else RequestBody(body)
 
