Let every replica know its replica set; keep the store out of the keeper's way

Change: the first entry of each term repeats the replica set; all reads and writes of the store are in a task of their own. The claims' oracle now knows when at-most-once ends, and its runs are dense enough to find broken releases and early forgetting.

--- a/features/ledger_faults.feature
+++ b/features/ledger_faults.feature
@@ -21,3 +21,7 @@
   Scenario: Entries of an older term are not committed by counting copies
     Given a simulated ledger leader with an entry of an older term on a majority
     Then that entry is committed only along with one of the leader's own term
+
+  Scenario: A replica that was made before it knew the placement can lead
+    Given a simulated ledger of which one replica was made by its leader's first append
+    Then that replica leads when the leader hands over to it
--- a/features/steps/ledger_claims_steps.py
+++ b/features/steps/ledger_claims_steps.py
@@ -13,13 +13,20 @@
 from hypothesis import given, settings
 from returns.pipeline import is_successful
 
-from bellweir.ledger.claims import ClaimKey, ClaimsMachine, RecordOutcome, ReleaseClaim
+from bellweir.ledger.claims import (
+    TOMBSTONE_WINDOWS,
+    ClaimKey,
+    ClaimsMachine,
+    RecordOutcome,
+    ReleaseClaim,
+)
 from bellweir.ledger.interface import ClaimState, RecordedAnswer
 from bellweir.ledger.placement import PlacementStore
 from bellweir.ledger.recovery import RecoveryRefusal, call_for_recovery
 from bellweir.membership.interface import MemberState
 
 WINDOW_S = 100.0
+KEPT_S = WINDOW_S * (1 + TOMBSTONE_WINDOWS)
 TIMEOUT_S = 20.0
 ANSWER = RecordedAnswer(200, (("x", "y"),), b"done")
 BOUNDED = settings(derandomize=True, database=None, deadline=None, max_examples=150)
@@ -32,6 +39,7 @@
     key: str
     attempt_id: str
     ran: bool = False
+    ran_s: float = 0.0
     given_up: bool = False
     sent: list = dataclass_field(default_factory=list)
 
@@ -39,15 +47,16 @@
 EVENTS = st.lists(
     st.tuples(
         st.sampled_from(("claim", "lost claim", "record", "not run", "release", "repeat", "wait")),
-        st.integers(0, 2),
+        st.integers(0, 1),
         st.integers(0, 30),
     ),
+    min_size=20,
     max_size=60,
 )
 
 
 class ClaimsOracle:
-    """Drives one machine; a key may run once within its window, whatever is sent again."""
+    """Drives one machine; a key may run once until its tombstone is gone, whatever comes again."""
 
     def __init__(self):
         self.machine = ClaimsMachine()
@@ -81,7 +90,7 @@
         """The back end refused: proved not run, so the key may run again."""
         attempt = self._chosen(key, choice)
         if attempt is not None and attempt.ran and not self._recorded(attempt):
-            self.runs[key] -= 1
+            self.runs[key].remove(attempt.ran_s)
             self._send(
                 attempt,
                 RecordOutcome(key, attempt.attempt_id, ClaimState.NOT_RUN, None, self.now_s),
@@ -99,7 +108,7 @@
             self.machine.apply(attempt.sent[choice % len(attempt.sent)])
 
     def wait(self, key, choice):
-        self.now_s += choice / 10
+        self.now_s += choice * 4
 
     def _times(self):
         return (self.now_s, WINDOW_S)
@@ -110,8 +119,10 @@
 
     def _run(self, attempt):
         attempt.ran = True
-        self.runs[attempt.key] = self.runs.get(attempt.key, 0) + 1
-        assert self.runs[attempt.key] <= 1, f"{attempt.key} ran twice"
+        attempt.ran_s = self.now_s
+        runs = self.runs.setdefault(attempt.key, [])
+        assert not any(self.now_s - ran_s <= KEPT_S for ran_s in runs), f"{attempt.key} ran twice"
+        runs.append(self.now_s)
 
     def _recorded(self, attempt):
         return any(isinstance(command, RecordOutcome) for command in attempt.sent)
@@ -154,7 +165,7 @@
 
         oracle.machine.apply = apply
         for kind, key, choice in events:
-            getattr(oracle, kind.replace(" ", "_"))(f"key-{key}", choice * 40)
+            getattr(oracle, kind.replace(" ", "_"))(f"key-{key}", choice)
 
     same()
 
--- a/features/steps/ledger_simulation_steps.py
+++ b/features/steps/ledger_simulation_steps.py
@@ -273,7 +273,10 @@
             return False
         held = [self.simulation.nodes[one.node].node.replica(SHARD) for one in replicas.voters]
         ends = {(one.commit_index, one.log.last_index) for one in held}
-        return len(ends) == 1 and replica.commit_index == replica.log.last_index
+        if len(ends) != 1 or replica.commit_index != replica.log.last_index:
+            return False
+        # A replica that does not know the set could never stand for election.
+        return all(one.log.replicas == replicas for one in held)
 
     def _final_items(self):
         leader = self.simulation.leaders()[0]
@@ -457,3 +460,23 @@
     whole = ShardAppended(SHARD, 1, replica.term, voter.own, True, replica.log.last_index)
     replica.handle_appended(whole, 2, now_s)
     assert replica.commit_index == replica.log.last_index
+
+
+@given_step("a simulated ledger of which one replica was made by its leader's first append")
+def given_made_by_append(context):
+    simulation = context.simulation = Simulation(("a", "b", "c"), 4)
+    context.add_cleanup(simulation.close)
+    late = simulation.nodes["c"]
+    late.keeper.step = late.store.step = lambda: None
+    run(simulation, 60)
+    context.late = late.node
+    assert simulation.leaders()[0] is not late.node
+    assert late.keeper.placement is None
+
+
+@then("that replica leads when the leader hands over to it")
+def then_late_leads(context):
+    leader = context.simulation.leaders()[0]
+    assert leader.hand_over(leader.replica(SHARD), lambda name: name == context.late.name)
+    run(context.simulation, 10)
+    assert context.simulation.leaders() == [context.late]
--- a/features/support/ledger_simulation.py
+++ b/features/support/ledger_simulation.py
@@ -27,6 +27,7 @@
 from bellweir.ledger.keeper import PlacementKeeper
 from bellweir.ledger.node import LedgerNode, NodeTiming
 from bellweir.ledger.placement import PlacementStore
+from bellweir.ledger.store_sync import StoreSync
 from bellweir.membership.interface import Member, Membership, MemberState
 from bellweir.settings.models import LedgerSettings
 from bellweir.wire.interface import Message, Sender, Transport, WireError, WireErrorKind
@@ -159,6 +160,7 @@
 class SimulatedNode:
     node: LedgerNode
     keeper: PlacementKeeper
+    store: StoreSync
     transport: SimulatedTransport
 
 
@@ -209,15 +211,16 @@
         folder.mkdir(exist_ok=True)
         keeper = PlacementKeeper(
             node,
-            PlacementStore(self.store),
             SimulatedMembership(self, name),
             transport,
             self.clock,
             folder,
             SETTINGS,
+            has_store=True,
         )
+        sync = StoreSync(node, keeper, PlacementStore(self.store), self.clock)
         node.register_handlers()
-        self.nodes[name] = SimulatedNode(node, keeper, transport)
+        self.nodes[name] = SimulatedNode(node, keeper, sync, transport)
 
     def kill(self, name: str) -> None:
         """End a process; what its journal had not made durable is gone."""
@@ -301,7 +304,7 @@
         if self._happens(0.6):
             work.append(node.flush)
         if self._happens(0.2):
-            work.append(running.keeper.step)
+            work += [running.keeper.step, running.store.step]
         self.random.shuffle(work)
         for task in work:
             task()
--- a/src/bellweir/ledger/entries.py
+++ b/src/bellweir/ledger/entries.py
@@ -19,12 +19,14 @@
 class EntryKind(IntEnum):
     """What an entry carries."""
 
-    BARRIER = 0
-    """Nothing; a new leader commits one to learn what is committed."""
     COMMAND = 1
     """A command of a state machine."""
     REPLICAS = 2
-    """A new set of replicas; in force as soon as it is in the log, committed or not."""
+    """A set of replicas, in force as soon as it is in the log, committed or not.
+
+    The first entry of each term is one, with the set unchanged: committing it tells a new leader
+    what else is committed.
+    """
     RECOVERED = 3
     """An operator recovered the shard from a minority; carries the time."""
 
--- a/src/bellweir/ledger/keeper.py
+++ b/src/bellweir/ledger/keeper.py
@@ -1,4 +1,8 @@
-"""Keeps the placement on a node with a data folder: finds or creates it, and mends its shards."""
+"""Keeps the placement on a node with a data folder: finds it, and mends its shards.
+
+Nothing here waits for the platform's store, so that mending goes on while the store hangs; see
+`store_sync` for the store's side.
+"""
 
 import random
 import threading
@@ -10,28 +14,23 @@
 from bellweir.events.log import emit
 from bellweir.kernel.clock import Clock
 from bellweir.ledger.entries import ReplicaId
-from bellweir.ledger.log_events import LEDGER_CREATED, PLACEMENT_WRITE_FAILED, REPLICAS_CHANGED
+from bellweir.ledger.log_events import REPLICAS_CHANGED
 from bellweir.ledger.messages import PlacementAnswer, PlacementRequest
 from bellweir.ledger.node import LedgerNode
 from bellweir.ledger.placement import (
     Placement,
     PlacementCandidate,
-    PlacementStore,
     first_placement,
-    is_missing,
     load_placement,
     save_placement,
 )
 from bellweir.ledger.reconfiguration import ShardView, next_replica_set
 from bellweir.ledger.replica import Replica
 from bellweir.membership.interface import Member, Membership, MemberState
-from bellweir.platform.interface import PlatformError
 from bellweir.settings.models import LedgerSettings
 from bellweir.wire.interface import Sender, Transport
 
 PLACEMENT_TIMEOUT_S = 1.0
-LEADERLESS_LOOK_S = 2.0
-"""Time without a leader after which, and period in which, the store is asked for a recovery."""
 REFRESH_PERIOD_S = 10.0
 """Time between two looks at another node's copy of the placement."""
 
@@ -42,15 +41,16 @@
     def __init__(
         self,
         node: LedgerNode,
-        store: PlacementStore | None,
         membership: Membership,
         transport: Transport,
         clock: Clock,
         folder: Path,
         settings: LedgerSettings,
+        *,
+        has_store: bool,
     ) -> None:
         self._node = node
-        self._store = store
+        self._has_store = has_store
         self._membership = membership
         self._transport = transport
         self._clock = clock
@@ -59,9 +59,6 @@
         self._missing_since_s: float | None = None
         self._silent_since_s: dict[ReplicaId, float] = {}
         self._refresh_due_s = 0.0
-        self._leaderless_since_s: float | None = None
-        self._look_due_s = 0.0
-        self._looked = False
         self._adopting = threading.Lock()
         self.placement = load_placement(folder)
         transport.register(PlacementRequest, self.handle_placement_request)
@@ -79,10 +76,9 @@
         if self.placement is None:
             return
         self._refresh(self.placement)
-        self._look_for_recovery()
         self._create_first_replicas(self.placement)
         self._obey_recovery(self.placement)
-        led = self._led()
+        led = self.led()
         self._note_silence(led)
         for replica in led:
             self._mend(replica)
@@ -100,12 +96,10 @@
 
     def _find_placement(self) -> None:
         found = self._ask_peers()
-        if found is None and self._store is not None:
-            found = self._read_or_create(self._store)
-        elif found is None:
+        if found is None and not self._has_store:
             found = self._create_without_store()
         if found is not None:
-            self._adopt(found)
+            self.adopt(found)
 
     def _ask_peers(self) -> Placement | None:
         for member in self._data_members():
@@ -114,37 +108,26 @@
                 return answer.placement
         return None
 
-    def _read_or_create(self, store: PlacementStore) -> Placement | None:
-        found = store.read()
-        if not isinstance(found, PlatformError):
-            return found[0]
-        if not is_missing(found) or not self._waited_for_others():
-            return None
-        placement = self._first_placement()
-        if store.write(placement, 0) is not None:
-            # Somebody else was first, or the answer was lost: the next step reads it.
-            return None
-        emit(LEDGER_CREATED, shards=placement.shard_count, replicas=self._settings.replicas)
-        return placement
-
     def _create_without_store(self) -> Placement | None:
         """For trials without a platform: the first data node by name creates the ledger.
 
         Not safe when nodes can't reach each other at the start, so a store is needed otherwise.
         """
         names = [self._node.name, *(member.node for member in self._data_members())]
-        if min(names) != self._node.name or not self._waited_for_others():
+        if min(names) != self._node.name or not self.waited_for_others():
             return None
-        return self._first_placement()
+        return self.new_placement()
 
-    def _waited_for_others(self) -> bool:
+    def waited_for_others(self) -> bool:
+        """Whether a new ledger need not wait for more nodes to share it with."""
         now_s = self._clock.monotonic_s()
         if self._missing_since_s is None:
             self._missing_since_s = now_s
         enough = len(self._data_members()) + 1 >= self._settings.replicas
         return enough or now_s - self._missing_since_s >= self._settings.creation_wait_s
 
-    def _first_placement(self) -> Placement:
+    def new_placement(self) -> Placement:
+        """The placement of a new ledger on the nodes that are alive."""
         settings = self._settings
         return first_placement(settings.shards, self._candidates(), settings.replicas)
 
@@ -158,9 +141,9 @@
         answer = self._ask(random.choice(members)) if members else None
         found = answer.placement if answer is not None else None
         if found is not None and known.merged(found) != known:
-            self._adopt(found)
+            self.adopt(found)
 
-    def _adopt(self, placement: Placement) -> None:
+    def adopt(self, placement: Placement) -> None:
         """Keep a newer copy; two tasks may bring one at once, and neither may undo the other."""
         with self._adopting:
             merged = self.placement.merged(placement) if self.placement else placement
@@ -175,24 +158,6 @@
 
     # --- an operator's recovery ---------------------------------------------------------------
 
-    def _look_for_recovery(self) -> None:
-        """Read the store once at the start, and while a shard here has had no leader for long."""
-        now_s = self._clock.monotonic_s()
-        leaderless = any(replica.leader is None for replica in self._node.replicas())
-        if not leaderless:
-            self._leaderless_since_s = None
-            return
-        if self._leaderless_since_s is None:
-            self._leaderless_since_s = now_s
-        waited = now_s - self._leaderless_since_s >= LEADERLESS_LOOK_S
-        if self._store is None or now_s < self._look_due_s or not (waited or not self._looked):
-            return
-        self._look_due_s = now_s + LEADERLESS_LOOK_S
-        found = self._store.read()
-        if not isinstance(found, PlatformError):
-            self._looked = True
-            self._adopt(found[0])
-
     def _obey_recovery(self, placement: Placement) -> None:
         """Begin, or make way for, the generation of a shard that an operator has called for."""
         for replica in self._node.replicas():
@@ -288,31 +253,6 @@
                 return found
         return None
 
-    # --- telling the store --------------------------------------------------------------------
-
-    def _led(self) -> list[Replica]:
+    def led(self) -> list[Replica]:
+        """Replicas that lead here."""
         return [replica for replica in self._node.replicas() if replica.leader == self._node.own]
-
-    def publish(self) -> None:
-        """Tell the store of settled replica sets; nothing waits for it."""
-        if self._store is None or self.placement is None:
-            return
-        homes = self.placement.shards
-        changed = {
-            replica.shard: replica.home(homes[replica.shard])
-            for replica in self._led()
-            if replica.is_settled() and homes[replica.shard].replicas != replica.log.replicas
-        }
-        if not changed:
-            return
-        found = self._store.read()
-        if isinstance(found, PlatformError):
-            emit(PLACEMENT_WRITE_FAILED, detail=found.detail)
-            return
-        placement, version = found
-        updated = placement.merged(self.placement).with_homes(changed)
-        failure = self._store.write(updated, version)
-        if failure is None:
-            self._adopt(updated)
-        else:
-            emit(PLACEMENT_WRITE_FAILED, detail=failure.detail)
--- a/src/bellweir/ledger/log_events.py
+++ b/src/bellweir/ledger/log_events.py
@@ -30,7 +30,7 @@
     904,
     "ledger_created",
     Level.INFO,
-    ("shards", "replicas"),
+    ("shards",),
     "This node wrote the first placement of the ledger.",
 )
 REPLICAS_CHANGED = Event(
--- a/src/bellweir/ledger/service.py
+++ b/src/bellweir/ledger/service.py
@@ -25,6 +25,7 @@
 from bellweir.ledger.node import LedgerNode, NodeTiming
 from bellweir.ledger.placement import PlacementStore
 from bellweir.ledger.sqlite_journal import SqliteJournal
+from bellweir.ledger.store_sync import StoreSync
 from bellweir.ledger.tasks import LedgerTasks
 from bellweir.membership.interface import Membership
 from bellweir.platform.interface import PlatformClients
@@ -114,19 +115,21 @@
             timing,
         )
         node.load()
+        store = self._placement_store()
         keeper = PlacementKeeper(
             node,
-            self._placement_store(),
             self._membership,
             self._transport,
             self._kernel.clock,
             folder,
             settings,
+            has_store=store is not None,
         )
+        sync = StoreSync(node, keeper, store, self._kernel.clock) if store else None
         CallServer(node, self._transport)
         node.register_handlers()
         self._node = node
-        self._tasks = LedgerTasks(node, keeper, self._kernel.executors, settings)
+        self._tasks = LedgerTasks(node, keeper, sync, self._kernel.executors, settings)
         self._tasks.start()
 
     def _placement_store(self) -> PlacementStore | None:
--- a/src/bellweir/ledger/tasks.py
+++ b/src/bellweir/ledger/tasks.py
@@ -10,14 +10,13 @@
 from bellweir.ledger.keeper import PlacementKeeper
 from bellweir.ledger.log_events import STEP_FAILED
 from bellweir.ledger.node import LedgerNode
+from bellweir.ledger.store_sync import StoreSync
 from bellweir.settings.models import LedgerSettings
 
 TICK_S = 0.1
 WRITER_PERIOD_S = 0.5
 """The writer is woken for entries; this bounds the wait for whatever else was buffered."""
 KEEPER_PERIOD_S = 0.5
-PUBLISH_PERIOD_S = 2.0
-"""The store may be slow, so it has a task of its own and keeps nothing else waiting."""
 HAND_OVER_POLL_S = 0.02
 HAND_OVER_LIMIT_S = 2.0
 """Longest wait for others to take over; after it they elect a leader by themselves."""
@@ -31,11 +30,13 @@
         self,
         node: LedgerNode,
         keeper: PlacementKeeper,
+        store: StoreSync | None,
         executors: Executors,
         settings: LedgerSettings,
     ) -> None:
         self.keeper = keeper
         self._node = node
+        self._store = store
         self._executors = executors
         self._settings = settings
         self._stop = threading.Event()
@@ -53,11 +54,12 @@
         self._run("ledger-elections", self._hold_elections)
         self._run("ledger-writer", self._write)
         self._run("ledger-placement", partial(self._repeat, KEEPER_PERIOD_S, self.keeper.step))
-        # Not waited for at a stop: it may hang in the store, and it does not use the journal.
-        self._executors.run_task(
-            "ledger-publisher",
-            lambda _stopping: self._repeat(PUBLISH_PERIOD_S, self.keeper.publish),
-        )
+        store = self._store
+        if store is not None:
+            # Not waited for at a stop: it may hang in the store, and it does not use the journal.
+            self._executors.run_task(
+                "ledger-store", lambda _stopping: self._repeat(KEEPER_PERIOD_S, store.step)
+            )
 
     def wake(self) -> None:
         """There are new entries or queries: write and replicate at once."""
@@ -126,7 +128,7 @@
                 step()
             except Exception as failure:
                 # Tried again at the next period: the ledger must not depend on one faulty step.
-                emit(STEP_FAILED, step=step.__name__, error=repr(failure))
+                emit(STEP_FAILED, step=step.__qualname__, error=repr(failure))
 
     def _follow_peers(self) -> None:
         """Start a task for each new peer; the task of a former one ends by itself."""
--- a/src/bellweir/ledger/voting.py
+++ b/src/bellweir/ledger/voting.py
@@ -71,7 +71,9 @@
         self._handed_over = False
         self._leadership = Leadership(self.own, self.log.last_index + 1, now_s)
         emit(LEADER_ELECTED, shard=self.shard, term=self.term)
-        self._append_own(EntryKind.BARRIER, b"")
+        # The term's first entry repeats the replica set: a replica that was made by an append,
+        # before it had read the first placement, learns the set from it and can stand, too.
+        self._append_own(EntryKind.REPLICAS, self.log.replicas.encode())
 
     def handle_vote_request(self, request: VoteRequest, now_s: float) -> VoteAnswer | None:
         """Vote; the caller syncs the journal before it sends the answer."""
