--- a/features/samples.feature
+++ b/features/samples.feature
@@ -54,6 +54,15 @@
     And the samples step delivers 4 unscored samples, one for each slot
     And what the cut-off node commits when it comes back changes no samples slot
 
+  Scenario: A node stops as planned in the middle of a step
+    Given a samples cluster of 2 nodes
+    And samples engines that hold every generation after 2 tokens
+    When a samples step of 4 prompts with 2 samples each and no scorer is declared
+    And node-1 stops as planned while it runs samples, and node-2 leads
+    Then node-2 goes on with the samples tokens that node-1 had
+    And the samples engines go on
+    And the samples step delivers 8 unscored samples, one for each slot
+
   Scenario: Answers of the ledger are lost
     Given a samples cluster of 2 nodes
     And a samples ledger that loses every second answer and refuses every third command
@@ -61,6 +70,14 @@
     Then the samples step delivers 8 scored samples, one for each slot
     And pulling samples from every cursor again gives the same samples
 
+  Scenario: Long prompts and answers stay out of the log
+    Given a samples cluster of 2 nodes
+    And a samples segment store that fails each call once
+    And samples engines that give 200 tokens
+    When a samples step of 3 prompts with 2 samples each and a scorer is declared
+    Then the samples step delivers 6 scored samples, one for each slot
+    And no command in the samples ledger is longer than 1500 bytes
+
   Scenario: Commands late, repeated, reordered and from two nodes at once
     Then samples steps agree with a simple oracle whatever happens
 
@@ -123,3 +140,4 @@
     Then samples of prompts that ran long before start first
     And expected samples lengths agree with a numerical integral
     And publication times are foreseen from their cadence
+    And samples rates forget what was before a pause
--- a/features/steps/resources_steps.py
+++ b/features/steps/resources_steps.py
@@ -6,10 +6,15 @@
 from hypothesis.stateful import run_state_machine_as_test
 from returns.result import Failure
 
+from bellweir.configuration.interface import RevisionSpread
+from bellweir.kernel.clock import ManualClock
 from bellweir.resources.deletion import MARK_LASTS_S, Deletion
+from bellweir.resources.documents import operator_version_of
 from bellweir.resources.interface import ResourceErrorKind
 from bellweir.resources.models import KINDS
 from bellweir.resources.reference import all_fields, explain, render_reference
+from bellweir.resources.retention import PERIOD_S as RETENTION_PERIOD_S
+from bellweir.resources.retention import VersionRetention
 from bellweir.resources.writer import CompareAndSetWriter
 from support.memory_store import MemoryStore
 from support.operators_machine import OperatorsMachine
@@ -74,10 +79,21 @@
 
 @when('two operators replace resource policy "{name}" from the same version')
 def step_two_replace(context, name):
-    base = dict(context.resources.get("Policy", name).unwrap().document)
-    context.outcomes = [
-        context.resources.replace({**base, "spec": {"model": model}}) for model in ("a", "b")
-    ]
+    step_look(context, name)
+    for order in ("first", "second"):
+        step_replace_seen(context, order)
+
+
+@given('resource policy "{name}" is looked at by two operators')
+def step_look(context, name):
+    context.seen = dict(context.resources.get("Policy", name).unwrap().document)
+    context.outcomes = []
+
+
+@when("the {order} resource operator replaces what they looked at")
+def step_replace_seen(context, order):
+    document = {**context.seen, "spec": {"model": f"by the {order}"}}
+    context.outcomes.append(context.resources.replace(document))
 
 
 @then("the first resource write succeeds with generation {generation:d}")
@@ -345,3 +361,54 @@
                 assert all(finding.allowed for finding in error.findings), error
 
     run()
+
+
+@then("the resource in force was last written by an operator at version {version:d}")
+def step_operator_version(context, version):
+    context.node.configuration.follow()
+    policy = context.node.configuration.current().policies["north"]
+    assert operator_version_of(policy) == version, policy.metadata
+
+
+@given("a resource node that reports for its cluster and a policy that keeps {count:d} versions")
+def step_reporting_node(context, count):
+    step_node(context)
+    spec = {"model": "m", "keepVersions": count}
+    document = {"kind": "Policy", "metadata": {"name": "north"}, "spec": spec}
+    context.resources.create(document).unwrap()
+
+
+@given(
+    "weight versions 1 to {count:d} of the resource policy, of which it wants {wanted:d} "
+    "and a comparison {compared:d}"
+)
+def step_versions(context, count, wanted, compared):
+    for version in range(1, count + 1):
+        spec = {"policy": "north", "version": version}
+        document = {"kind": "WeightVersion", "metadata": {"name": f"v{version}"}, "spec": spec}
+        context.resources.create(document).unwrap()
+    context.resources.patch("Policy", "north", {"spec": {"version": wanted}}).unwrap()
+    arms = [
+        {"name": "a", "policy": "north", "version": compared, "share": 1},
+        {"name": "b", "policy": "north", "share": 1},
+    ]
+    spec = {"policy": "north", "arms": arms}
+    document = {"kind": "Comparison", "metadata": {"name": "c"}, "spec": spec}
+    context.resources.create(document).unwrap()
+
+
+@when("the resource node looks for superseded versions twice")
+def step_retention(context):
+    node = context.node
+    clock = ManualClock()
+    node.configuration.counted = RevisionSpread(1, {}, ())
+    retention = VersionRetention(node.configuration, node.configuration, node.resources, clock)
+    for _ in range(2):
+        clock.advance(RETENTION_PERIOD_S)
+        retention.look()
+
+
+@then("the resource store holds the weight versions {versions}")
+def step_versions_left(context, versions):
+    left = [name for kind, name in context.store.history[-1] if kind == "WeightVersion"]
+    assert sorted(left) == [f"v{version.strip()}" for version in versions.split(",")], left
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -11,8 +11,10 @@
 
 from bellweir.platform.interface import FinishReason
 from bellweir.resources.models import RequestClass
+from bellweir.routing.cancellations import Cancellations
+from bellweir.routing.circuit import CircuitState
 from bellweir.routing.interface import RefusalReason, RunState
-from support.routing_claims import LedgerFault
+from support.routing_claims import LedgerFault, NodeKilledError, Point
 from support.routing_cluster import RoutingCluster, body_of
 from support.routing_fakes import SILENCE_S, TYPED_FAULTS, Fault, token_of
 from support.routing_once_machine import use
@@ -119,7 +121,8 @@
     engine = next(engine for engine in context.cluster.engines if engine.started)
     attempt = engine.started[0].attempt_id
     wait_until(lambda: attempt in engine.cancelled, "the engine has been told")
-    assert context.reading.result(20) == []
+    if hasattr(context, "reading"):
+        assert context.reading.result(20) == []
 
 
 @then("routing has nothing in hand")
@@ -138,7 +141,7 @@
     context.cleanup.callback(pool.shutdown)
     context.reading = pool.submit(_chunks, context.generation)
     context.drain = pool.submit(context.node.drain, 60.0)
-    wait_until(lambda: context.node._draining, "draining has begun")
+    wait_until(lambda: context.node._admissions.draining, "draining has begun")
 
 
 @then("routing refuses a new request as draining and not run")
@@ -302,7 +305,7 @@
     for application in once.cluster.applications:
         application.dead = "workers dead" in words
     context.cluster.configurations[node].ready = "not configured" not in words
-    context.cluster.nodes[node]._draining = "draining" in words
+    context.cluster.nodes[node]._admissions.draining = "draining" in words
     key = None if "without a key" in words else words.partition("key ")[2][:1]
     body = b"order 200" if "for another item" in words else b"order 100"
     request = once.cluster.application_request(
@@ -315,6 +318,7 @@
         application.dead = False
     for other in once.cluster.nodes:
         recover(other.backend_views)
+        other._kernel.executors.run_later()
         other._recorder.flush()
     return outcome
 
@@ -486,3 +490,124 @@
     engines = context.cluster.engines
     assert sum(engine.read_to_end for engine in engines) == 1
     assert not any(engine.cancelled for engine in engines)
+
+
+@when("routing is drained and stopped with a stream that nobody reads")
+def step_stopped(context):
+    context.generation = _held_generation(context)
+    context.node.drain(0.1)
+    context.node.stop()
+
+
+POINTS = {
+    "after the claim": Point.CLAIMED,
+    "after the run": Point.AFTER_RUN,
+    "after the record": Point.RECORDED,
+}
+
+
+def _same_order(context, node):
+    request = context.cluster.application_request(
+        b"order 100", path="/orders", idempotency_key="k",
+        headers=(("Idempotency-Key", "k"),), deadline_monotonic_s=context.once.deadline_s(),
+    )  # fmt: skip
+    try:
+        return context.cluster.nodes[node].forward(request)
+    except NodeKilledError:
+        return None
+
+
+@when("routing's node 0 {what} {point}, and node 1 gets the same key {when}")
+def step_on_the_way(context, what, point, when):
+    words, _, place = f"{what} {point}".partition(" after ")
+    once, second = context.once, []
+
+    def happen():
+        if words == "is killed":
+            once.kill(0)
+        once.clock.offset_s += float(words.split()[3]) * CLAIM_WINDOW_S
+        second.append(_same_order(context, 1))
+
+    once.happenings.at = {POINTS[f"after {place}"]: happen}
+    first = _same_order(context, 0)
+    once.end_step()
+    context.outcomes = [first, *(second or [_same_order(context, 1)])]
+
+
+@then("routing's first answer is {first}, the second is {second} and the key ran {runs:d} times")
+def step_both_answers(context, first, second, runs):
+    told = [_told(outcome) for outcome in context.outcomes]
+    assert told == [first, second], told
+    assert sum(len(found) for found in context.once.runs.values()) == runs
+
+
+def _told(outcome):
+    match outcome:
+        case None:
+            return "none"
+        case Success(answer):
+            replayed = ("Idempotency-Replayed", "true") in answer.headers
+            return "the first's" if replayed else "its own"
+    refusal = outcome.failure()
+    return f"{refusal.reason.value} {refusal.run_state.value}"
+
+
+@when("routing cancels {count:d} attempts on each of 3 engines that hang")
+def step_cancel_hanging(context, count):
+    release = threading.Event()
+    context.cleanup.callback(release.set)
+    context.release, context.calling = release, set()
+
+    def hang(engine):
+        cancel = engine.cancel
+
+        def slow(attempt_id):
+            context.calling.add(threading.get_ident())
+            release.wait(60)
+            return cancel(attempt_id)
+
+        engine.cancel = slow
+
+    context.count = count
+    cancellations = Cancellations(context.node._kernel.executors)
+    for engine in context.cluster.engines:
+        hang(engine)
+        for number in range(count):
+            cancellations.cancel(engine.name, engine, f"attempt-{number}")
+    wait_until(lambda: len(context.calling) == 3, "each engine is called")
+
+
+@then(
+    "routing holds at most {threads:d} background threads for it,"
+    " and tells the engines all when they come back"
+)
+def step_few_threads(context, threads):
+    assert len(context.calling) <= threads
+    context.release.set()
+    wait_until(
+        lambda: all(len(e.cancelled) == context.count for e in context.cluster.engines),
+        "all attempts are cancelled",
+    )
+
+
+@when("routing's callers give each worker {count:d} times less time than it takes")
+def step_hurry(context, count):
+    stop_probes(context.node.backend_views)
+    context.outcomes = []
+    for application in context.cluster.applications:
+        application.on_run = lambda _: time.sleep(0.02)
+        application.faults = [Fault.LOST_ANSWER] * (count * 3)
+    for _ in range(count * len(context.cluster.applications)):
+        deadline_s = time.monotonic() + 0.01
+        request = context.cluster.application_request(deadline_monotonic_s=deadline_s)
+        context.outcomes.append(context.node.forward(request))
+
+
+@then("routing refuses them by their deadline and leaves all circuits closed")
+def step_hurried(context):
+    refusals = [outcome.failure() for outcome in context.outcomes]
+    assert {(found.reason, found.run_state) for found in refusals} == {
+        (RefusalReason.DEADLINE, RunState.UNKNOWN)
+    }
+    backends = context.node.backend_views.pools()["shop"].backends
+    assert all(backend._circuit.state is CircuitState.CLOSED for backend in backends)
--- a/features/support/routing_once_machine.py
+++ b/features/support/routing_once_machine.py
@@ -13,13 +13,18 @@
 from support.routing_fakes import Fault, UnexpectedError
 from support.routing_once_setting import CLAIM_WINDOW_S, KEPT_WINDOWS
 
+IN_FLIGHT_S = CLAIM_WINDOW_S * (KEPT_WINDOWS - 0.5)
+"""A pause beyond the window, but shorter than a key is kept."""
 EXAMPLES = itertools.count()
 KEYS = st.integers(0, 2)
 BODIES = st.sampled_from((b"order 100", b"order 200"))
 NODES = st.integers(0, 2)
 FAULTS = st.lists(st.sampled_from(Fault), max_size=3)
-LEDGER_FAULTS = st.lists(st.none() | st.sampled_from(LedgerFault), max_size=4)
-PAUSES_S = st.sampled_from((CLAIM_WINDOW_S * 0.6, CLAIM_WINDOW_S * 2, CLAIM_WINDOW_S * 9))
+LEDGER_FAULTS = st.one_of(
+    st.lists(st.none() | st.sampled_from(LedgerFault), max_size=4),
+    st.integers(1, 7).map(lambda count: [LedgerFault.LOST_AFTER] * count),
+)
+PAUSES_S = st.sampled_from((CLAIM_WINDOW_S * 0.6, IN_FLIGHT_S, CLAIM_WINDOW_S * 9))
 PATHS = st.sampled_from(("/orders", "/orders/item-7?x=1", "/%6frders", "//orders/../orders"))
 
 
@@ -47,11 +52,11 @@
         self.setting.ledger.faults[:] = ledger
         if point in (Point.BEFORE_RUN, Point.AFTER_RUN):
             # What is on the wire for longer than a key is kept can't be called back.
-            pause_s = min(pause_s, CLAIM_WINDOW_S * 2)
+            pause_s = min(pause_s, IN_FLIGHT_S)
         actions = {
             "kill": lambda: self.setting.kill(node),
             "pause": lambda: self._pause_and_repeat(key, body, other, path, pause_s),
-            "repeat": lambda: self._submit(key, body, other, path),
+            "repeat": lambda: self._late_and_repeat(key, body, other, path),
         }
         if what in actions:
             self.setting.happenings.at = {point: actions[what]}
@@ -65,7 +70,12 @@
     def _pause_and_repeat(self, key, body, node, path, pause_s):
         """The node under way is paused; another one gets the same key; then it wakes up."""
         self.setting.clock.offset_s += pause_s
+        self._late_and_repeat(key, body, node, path)
+
+    def _late_and_repeat(self, key, body, node, path):
+        """What nodes have put off is done now, and another node gets the same key."""
         self.setting.ledger.faults.clear()
+        self.setting.run_late()
         self._submit(key, body, node, path)
 
     def _submit(self, key, body, node, path):
--- a/src/bellweir/configuration/core.py
+++ b/src/bellweir/configuration/core.py
@@ -36,6 +36,7 @@
 from bellweir.configuration.table import ApplyOutcome
 from bellweir.kernel.clock import Clock
 from bellweir.membership.interface import Member, Membership, MemberState
+from bellweir.membership.partners import Partners
 from bellweir.settings.models import ConfigurationSettings
 from bellweir.wire.interface import Message, Sender, Transport
 
@@ -76,6 +77,9 @@
         self.state = ConfigurationState(self._node)
         self._chunks = SnapshotChunks(self.state)
         self._catch_up = CatchUp(transport, self.state)
+        self._partners = Partners(self._random)
+        self._told_partners = Partners(self._random)
+        """Nodes of the zone that are told of changes besides the tree; guarded by the lock."""
         self.placements = Placements(membership, settings.fanout)
         self.reports = RevisionReports(transport, membership, clock, self.state, self.placements)
         self._wake = threading.Event()
@@ -125,7 +129,7 @@
             self.notify()
         self._follow_hint()
         if self._clock.monotonic_s() >= self._next_exchange_s:
-            self._exchange_with_random_peer()
+            self._exchange_with_partner()
             self._next_exchange_s = self._clock.monotonic_s() + self._exchange_period_s()
         self._forward_all()
         if self.notifies_in_step:
@@ -186,15 +190,17 @@
         self._announce(placement)
 
     def _announce(self, placement: Placement) -> None:
-        """Tell other readers (as the zone's reader), and one node at random.
+        """Tell other readers (as the zone's reader), and one node of a few chosen at random.
 
-        The random one makes news of a change reach a part of the tree that a dead node cut off
+        That one makes news of a change reach a part of the tree that a dead node cut off
         without waiting for the period of anti-entropy.
         """
         told = list(placement.readers_told) if placement.is_reader else []
         others = [member for member in placement.order if member.node != self._node]
-        if others:
-            told.append(self._random.choice(others))
+        with self._lock:
+            chosen = self._told_partners.choose(others, self._clock.monotonic_s())
+        if chosen is not None:
+            told.append(chosen)
         announcement = self._announcement()
         for target in told:
             self._transport.send(target.peer_address, announcement)
@@ -219,10 +225,10 @@
             self._hint = None
         self._exchange(hint.address)
 
-    def _exchange_with_random_peer(self) -> None:
-        others = self._others()
-        if others:
-            self._exchange_with(self._random.choice(others))
+    def _exchange_with_partner(self) -> None:
+        partner = self._partners.choose(self._others(), self._clock.monotonic_s())
+        if partner is not None:
+            self._exchange_with(partner)
 
     def _others(self) -> list[Member]:
         states = (MemberState.ALIVE, MemberState.LEAVING)
--- a/src/bellweir/routing/backend.py
+++ b/src/bellweir/routing/backend.py
@@ -87,11 +87,12 @@
         reported = report is not None and report.leaving
         return self._worker.leaving or self._leaving_said or reported
 
-    def reconfigure(self, worker: PoolWorker) -> None:
+    def reconfigure(self, worker: PoolWorker, distance: int) -> None:
         """Take over a changed configuration of the same worker at the same address."""
         if worker.leaving and not self.leaving:
             emit(BACKEND_LEAVING, worker=self.name, source="configuration")
         self._worker = worker
+        self.distance = distance
 
     @property
     def ready(self) -> bool:
@@ -160,6 +161,12 @@
         self._leaving_said_s = now_s
         self._leaving_said = True
 
+    @property
+    def queues(self) -> bool:
+        """Whether an engine has more requests than it runs at once."""
+        report = self._report
+        return report is not None and 0 < report.maximum_batch < self.load()
+
     def has_draft_room(self, draft_share: float, now_s: float) -> bool:
         """Whether an engine may take another draft.
 
--- a/src/bellweir/weights/service.py
+++ b/src/bellweir/weights/service.py
@@ -128,11 +128,8 @@
         return self._ownership.owner_of(pacer_key(pool)).node == self._settings.node.name
 
     def _retarget(self, snapshot: ConfigurationSnapshot) -> None:
-        targets = {
-            worker: target
-            for worker, target in self._plans.targets(snapshot).items()
-            if self._ownership.owns(worker)
-        }
+        wanted = self._plans.targets(snapshot)
+        targets = {worker: wanted[worker] for worker in self._ownership.owned(wanted)}
         for worker in [worker for worker in self._watches if worker not in targets]:
             del self._watches[worker]
         for worker, target in targets.items():
@@ -160,7 +157,7 @@
             return
         watch.state = read.unwrap()
         error = watch.state.swap_error
-        if error is not None and watch.state.weight_version is None:
+        if error is not None:
             self._note_swap_error(watch, error)
 
     def _note_swap_error(self, watch: EngineWatch, error: str) -> None:
@@ -215,7 +212,7 @@
 
     def _send_order(self, revision: int, watch: EngineWatch, sources: tuple[str, ...]) -> None:
         order = watch.order(revision, sources)
-        watch.counted_error = None
+        watch.note_order(self._kernel.clock.monotonic_s())
         emit(
             ORDER_SENT,
             worker=watch.target.worker,
