--- a/features/rehearsal_promises.feature
+++ b/features/rehearsal_promises.feature
@@ -69,6 +69,19 @@
       | given up | store_down       | broken |
       | cut      | network_loss     | broken |
 
+  Scenario Outline: A step that never came is excused only where the kit took the majority away
+    Given rehearsal evidence of a step of 40 s that never came while <what>
+    Then the checker finds exactly once <ruling>
+
+    Examples:
+      | what                                                    | ruling |
+      | nothing happened                                        | broken |
+      | one node was down                                       | broken |
+      | two nodes were down                                     | held   |
+      | two nodes were down for 10 s of it                      | broken |
+      | one node was replaced and another down at once          | held   |
+      | one node was replaced and another down a while later    | broken |
+
   Scenario: A breach is told with the whole story of its id
     Given a rehearsal folder whose logs name one request among many others
     Then the story of that request has its lines of every log in order of time, and no others
--- a/features/steps/rehearsal_promises_steps.py
+++ b/features/steps/rehearsal_promises_steps.py
@@ -20,9 +20,12 @@
     CallSent,
     FaultBegan,
     FaultEnded,
+    NodeStarted,
+    StepDeclared,
+    StepEnded,
 )
 from bellweir_rehearsal.topology.layout import RunFolder
-from support.rehearsal_evidence import START_S, healthy_evidence
+from support.rehearsal_evidence import NODES, START_S, healthy_evidence
 
 sizes = strategies.tuples(
     strategies.integers(0, 2**32),
@@ -140,6 +143,51 @@
     assert verdict.ruling is Ruling(ruling), verdict
 
 
+STEP_S = 40.0
+LOST_STEP_FAULTS = {
+    # Kind, node, and begin and end in seconds from the step's declaration.
+    "nothing happened": (),
+    "one node was down": (("node_kill", "node-2", 0, STEP_S),),
+    "two nodes were down": (("node_kill", "node-2", 0, STEP_S), ("zone_loss", "node-3", 0, STEP_S)),
+    "two nodes were down for 10 s of it": (
+        ("node_kill", "node-2", 0, STEP_S),
+        ("node_pause", "node-3", 0, 10),
+    ),
+    "one node was replaced and another down at once": (
+        ("node_replaced", "node-2", 0, 2),
+        ("node_kill", "node-3", 3, STEP_S),
+    ),
+    "one node was replaced and another down a while later": (
+        ("node_replaced", "node-2", 0, 2),
+        ("node_kill", "node-3", 20, STEP_S),
+    ),
+}
+
+
+@given("rehearsal evidence of a step of 40 s that never came while {what}")
+def step_lost(context, what):
+    evidence = healthy_evidence(random.Random(1))
+    began_s = START_S + 10
+    records = [NodeStarted(START_S - 60, node, True) for node in NODES]
+    for number, (kind, node, from_s, to_s) in enumerate(LOST_STEP_FAULTS[what]):
+        name = f"lost-{number}"
+        records.append(FaultBegan(began_s + from_s, name, kind, (node,), False))
+        records.append(FaultEnded(began_s + to_s, name, kind, (node,)))
+    declared = StepDeclared(
+        began_s, "lost", "t", "node-1", "policy-1", ("p",), 1, 0, 1, None, began_s
+    )
+    records += [declared, StepEnded(began_s + STEP_S, "lost", "abandoned", 0, 1)]
+    ordered = sorted([*evidence.records, *records], key=lambda record: record.time_s)
+    context.evidence = replace(evidence, records=ordered)
+
+
+@then("the checker finds exactly once {ruling}")
+def step_exactly_once(context, ruling):
+    verdict = CHECKS[Promise.EXACTLY_ONCE](context.evidence)
+    assert verdict.ruling is Ruling(ruling), verdict
+    assert [breach.subject for breach in verdict.breaches] == ["lost"] * (ruling == "broken")
+
+
 @when("the rehearsal mutation {name} breaks it")
 def step_mutate(context, name):
     context.mutation = MUTATIONS[name]
--- a/src/bellweir_rehearsal/promises/evidence.py
+++ b/src/bellweir_rehearsal/promises/evidence.py
@@ -14,6 +14,7 @@
     FaultBegan,
     FaultEnded,
     NodeExited,
+    NodeStarted,
     NodeStopping,
     Record,
     SampleReceived,
@@ -200,6 +201,16 @@
         """Ends of faults by their ids."""
         return {entry.fault_id: entry for entry in self._of(FaultEnded)}
 
+    @cached_property
+    def first_data_nodes(self) -> frozenset[str]:
+        """Nodes with a data folder that were up before the first write, as the ledger began."""
+        first_write_s = min((write.time_s for write in self.writes), default=float("inf"))
+        return frozenset(
+            entry.node
+            for entry in self._of(NodeStarted)
+            if entry.has_data_folder and entry.time_s <= first_write_s
+        )
+
     @cached_property
     def node_stops(self) -> list[NodeStopping]:
         """Planned stops of nodes."""
--- a/src/bellweir_rehearsal/records/model.py
+++ b/src/bellweir_rehearsal/records/model.py
@@ -210,6 +210,13 @@
     detail: str = ""
 
 
+class NodeStarted(Record, frozen=True):
+    """A node's process is up."""
+
+    node: str
+    has_data_folder: bool
+
+
 class NodeStopping(Record, frozen=True):
     """A node was sent SIGTERM."""
 
@@ -251,6 +258,7 @@
     | ConfigurationSeen
     | FaultBegan
     | FaultEnded
+    | NodeStarted
     | NodeStopping
     | NodeExited
     | WorkerLeaving
--- a/src/bellweir_rehearsal/topology/cluster.py
+++ b/src/bellweir_rehearsal/topology/cluster.py
@@ -10,7 +10,7 @@
 from bellweir_rehearsal.callers.directory import NodeAddress, NodeDirectory
 from bellweir_rehearsal.callers.http import HttpClient
 from bellweir_rehearsal.records.journal import Journal
-from bellweir_rehearsal.records.model import NodeExited, NodeStopping
+from bellweir_rehearsal.records.model import NodeExited, NodeStarted, NodeStopping
 from bellweir_rehearsal.topology.deployment import Deployment, EnginePool
 from bellweir_rehearsal.topology.layout import RunFolder
 from bellweir_rehearsal.topology.network import NetworkFile
@@ -187,6 +187,7 @@
         ]
         node.start(seeds[:3])
         node.wait_ready()
+        self._journal.write(NodeStarted(time.time(), node.name, node.place.has_data_folder))
         self.directory.put(NodeAddress(node.name, node.place.zone, node.gateway_address))
 
     def _places(self) -> list[NodePlace]:
