--- a/features/rehearsal_promises.feature
+++ b/features/rehearsal_promises.feature
@@ -69,6 +69,15 @@
       | given up | store_down       | broken |
       | cut      | network_loss     | broken |
 
+  Scenario Outline: A stop that another fault overtakes is not judged
+    Given rehearsal evidence of a stopping node that is killed, its end told first by the <teller>
+    Then the checker finds planned stops held, and one of them overtaken
+
+    Examples:
+      | teller |
+      | stop   |
+      | kill   |
+
   Scenario Outline: A step that never came is excused only where the kit took the majority away
     Given rehearsal evidence of a step of 40 s that never came while <what>
     Then the checker finds exactly once <ruling>
--- a/features/steps/rehearsal_promises_steps.py
+++ b/features/steps/rehearsal_promises_steps.py
@@ -4,6 +4,7 @@
 import random
 from dataclasses import replace
 
+import msgspec
 from behave import given, then, when
 from hypothesis import given as hypothesis_given
 from hypothesis import settings, strategies
@@ -20,7 +21,9 @@
     CallSent,
     FaultBegan,
     FaultEnded,
+    NodeExited,
     NodeStarted,
+    NodeStopping,
     StepDeclared,
     StepEnded,
 )
@@ -188,6 +191,28 @@
     assert [breach.subject for breach in verdict.breaches] == ["lost"] * (ruling == "broken")
 
 
+@given("rehearsal evidence of a stopping node that is killed, its end told first by the {teller}")
+def step_overtaken(context, teller):
+    evidence = healthy_evidence(random.Random(1))
+    ends = [NodeExited(START_S + 31, "node-3", -9, planned) for planned in (True, False)]
+    if teller == "kill":
+        ends.reverse()
+    later = replace_time(ends[1], START_S + 31.01)
+    records = [*evidence.records, NodeStopping(START_S + 30, "node-3"), ends[0], later]
+    context.evidence = replace(evidence, records=records)
+
+
+def replace_time(record, time_s):
+    return msgspec.structs.replace(record, time_s=time_s)
+
+
+@then("the checker finds planned stops held, and one of them overtaken")
+def step_not_judged(context):
+    verdict = CHECKS[Promise.PLANNED_STOPS](context.evidence)
+    assert verdict.ruling is Ruling.HELD, verdict
+    assert verdict.checked["stops overtaken by a crash"] == 1
+
+
 @when("the rehearsal mutation {name} breaks it")
 def step_mutate(context, name):
     context.mutation = MUTATIONS[name]
--- a/src/bellweir_rehearsal/promises/planned_stops.py
+++ b/src/bellweir_rehearsal/promises/planned_stops.py
@@ -4,6 +4,9 @@
 from bellweir_rehearsal.promises.verdict import Promise, Verdict
 from bellweir_rehearsal.records.model import CallOutcome, NodeExited, NodeStopping
 
+SAME_END_S = 1.0
+"""Two records of one process's end are no further apart than this."""
+
 
 def check_planned_stops(evidence: Evidence) -> Verdict:
     """Look at the calls that a stopping node had in hand or still took.
@@ -13,7 +16,7 @@
     verdict = Verdict(Promise.PLANNED_STOPS, required=("planned stops", "calls in hand"))
     for stop in evidence.node_stops:
         exited = _exit_after(stop, evidence)
-        if exited is not None and not exited.planned:
+        if exited is not None and _overtaken(stop, exited, evidence):
             verdict.count("stops overtaken by a crash")
             continue
         verdict.count("planned stops")
@@ -44,6 +47,19 @@
             )
 
 
+def _overtaken(stop: NodeStopping, exited: NodeExited, evidence: Evidence) -> bool:
+    """Whether another fault killed the node while it was stopping.
+
+    Both who stopped it and who killed it see its process end, and write so in either order.
+    """
+    return any(
+        entry.node == stop.node
+        and not entry.planned
+        and stop.time_s <= entry.time_s <= exited.time_s + SAME_END_S
+        for entry in evidence.node_exits
+    )
+
+
 def _exit_after(stop: NodeStopping, evidence: Evidence) -> NodeExited | None:
     return next(
         (
