Let the task that records outcomes end at once when the node stops

Change: it ends after the try in hand (1 s); the drain gives it 2 s before. What is left is logged, and its keys are answered as unknown. Conclusion: a scenario with 50 outcomes and a ledger that takes none ends after one try.

--- a/features/routing_once.feature
+++ b/features/routing_once.feature
@@ -27,6 +27,11 @@
       | with key j                 | with key k, not configured | no_backend not_run    | 1    |
       | with key k, claim answers lost | with key k             | its own               | 1    |
 
+  Scenario: A stop does not wait for a ledger without a majority
+    Given routing holds 50 outcomes that a ledger without a majority does not take
+    When routing's recording task is told to stop during a try
+    Then routing's recording task ends after that try
+
   Scenario: A pool that makes keys serves orders that bring none
     Given routing's pool makes keys
     When routing is sent an order without a key, and then through another node without a key
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -9,11 +9,14 @@
 from hypothesis.stateful import run_state_machine_as_test
 from returns.result import Failure, Success
 
+from bellweir.kernel.clock import SystemClock
+from bellweir.ledger.interface import ClaimState, LedgerError, LedgerErrorKind
 from bellweir.platform.interface import FinishReason
 from bellweir.resources.models import RequestClass
 from bellweir.routing.cancellations import Cancellations
 from bellweir.routing.circuit import CircuitState
 from bellweir.routing.interface import RefusalReason, RunState
+from bellweir.routing.outcome_recorder import ClaimHolder, OutcomeRecorder
 from support.routing_claims import LedgerFault, NodeKilledError, Point
 from support.routing_cluster import RoutingCluster, body_of
 from support.routing_fakes import SILENCE_S, TYPED_FAULTS, Fault, token_of
@@ -611,3 +614,45 @@
     }
     backends = context.node.backend_views.pools()["shop"].backends
     assert all(backend._circuit.state is CircuitState.CLOSED for backend in backends)
+
+
+class HangingClaims:
+    """Claims of a ledger that takes nothing."""
+
+    def __init__(self):
+        self.tries = 0
+        self.trying = threading.Event()
+        self.go_on = threading.Event()
+
+    def record(self, key, attempt_id, state, answer, timeout_s):
+        self.tries += 1
+        self.trying.set()
+        self.go_on.wait(60)
+        return Failure(LedgerError(LedgerErrorKind.UNAVAILABLE, "no majority"))
+
+
+@given("routing holds {count:d} outcomes that a ledger without a majority does not take")
+def step_pending(context, count):
+    context.claims = HangingClaims()
+    context.recorder = OutcomeRecorder(SystemClock())
+    for number in range(count):
+        holder = ClaimHolder(f"shop/{number}", "attempt", context.claims)
+        context.recorder.record_later(holder, ClaimState.UNKNOWN)
+
+
+@when("routing's recording task is told to stop during a try")
+def step_stop_recording(context):
+    stopping = threading.Event()
+    pool = ThreadPoolExecutor(1)
+    context.cleanup.callback(pool.shutdown)
+    context.cleanup.callback(context.claims.go_on.set)
+    context.task = pool.submit(context.recorder.run, stopping)
+    assert context.claims.trying.wait(20)
+    stopping.set()
+    context.claims.go_on.set()
+
+
+@then("routing's recording task ends after that try")
+def step_recording_ended(context):
+    context.task.result(20)
+    assert context.claims.tries == 1
--- a/src/bellweir/routing/outcome_recorder.py
+++ b/src/bellweir/routing/outcome_recorder.py
@@ -11,8 +11,9 @@
 from bellweir.ledger.interface import Claims, ClaimState, RecordedAnswer
 from bellweir.routing.log_events import OUTCOME_NOT_RECORDED
 
-RECORD_TIMEOUT_S = 2.0
+RECORD_TIMEOUT_S = 1.0
 PAUSE_S = 0.25
+DRAIN_POLL_S = 0.05
 GIVE_UP_S = 120.0
 """After this time the ledger itself answers repeats of the key as unknown."""
 MAXIMUM_PENDING = 4096
@@ -54,28 +55,41 @@
         """Record an outcome without an answer from the task, not from the caller's thread."""
         self._add(_Pending(holder, state, None, self._clock.monotonic_s()))
 
-    def flush(self) -> None:
-        """Try each pending record once."""
+    def flush(self, stopping: threading.Event | None = None) -> None:
+        """Try each pending record once; none any more once `stopping` is set."""
         with self._lock:
             batch, self._pending = self._pending, deque()
         for pending in batch:
-            if _record(pending):
+            if stopping is not None and stopping.is_set():
+                self._add(pending)
+            elif _record(pending):
                 continue
-            if self._clock.monotonic_s() - pending.since_s > GIVE_UP_S:
+            elif self._clock.monotonic_s() - pending.since_s > GIVE_UP_S:
                 emit(OUTCOME_NOT_RECORDED, request=pending.holder.ledger_key, detail="too late")
             else:
                 self._add(pending)
 
     def run(self, stopping: threading.Event) -> None:
-        """Flush while there is something to flush, until the node stops."""
+        """Flush while there is something to flush, until the node stops.
+
+        What is pending then stays unrecorded: the ledger answers repeats of those keys as
+        unknown. Without a majority another try would only hold the stop up.
+        """
         while not stopping.is_set():
             if self._pending:
-                self.flush()
+                self.flush(stopping)
                 stopping.wait(PAUSE_S)
             else:
                 self._added.wait(PAUSE_S)
                 self._added.clear()
-        self.flush()
+        for pending in self._pending:
+            emit(OUTCOME_NOT_RECORDED, request=pending.holder.ledger_key, detail="stopped")
+
+    def drain(self, deadline_s: float) -> None:
+        """Wait, at most `deadline_s` seconds, until the task has recorded what is pending."""
+        until_s = self._clock.monotonic_s() + deadline_s
+        while self._pending and self._clock.monotonic_s() < until_s:
+            self._clock.wait(threading.Event(), DRAIN_POLL_S)
 
     def _add(self, pending: _Pending) -> None:
         with self._lock:
--- a/src/bellweir/routing/service.py
+++ b/src/bellweir/routing/service.py
@@ -39,6 +39,9 @@
 DRAIN_S = 5.0
 """Longest wait for requests that no caller waits for."""
 
+RECORDS_DRAIN_S = 2.0
+"""Longest wait for outcomes that the ledger has not taken yet."""
+
 _Served = TypeVar("_Served")
 
 
@@ -80,6 +83,7 @@
         training steps, which another node makes anew.
         """
         self._admissions.drain(min(deadline_s, DRAIN_S))
+        self._recorder.drain(min(deadline_s, RECORDS_DRAIN_S))
 
     def stop(self) -> None:
         """Refuse new requests and cancel the streams that still run."""
