--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -31,7 +31,7 @@
 from support.memory_store import MemoryStore
 
 ZONE = "zone-a"
-EXAMPLES = 150
+EXAMPLES = 120
 STEPS_PER_EXAMPLE = 40
 
 
--- a/features/steps/resource_commands_steps.py
+++ b/features/steps/resource_commands_steps.py
@@ -38,13 +38,13 @@
 def step_node(context):
     context.store = ObjectApiStandin(ObjectApiOptions())
     context.store.start()
-    context.cleanup.callback(context.store.stop)
     settings = Settings(
         node=NodeIdentity(name="node"), platform=PlatformSettings(object_api=context.store.address)
     )
     node = Node(settings)
     node.start()
     context.cleanup.callback(node.stop)
+    context.cleanup.callback(context.store.stop)
     context.environment = {ADDRESS_VARIABLE: node.kernel.listeners.gateway_address}
     context.wait_until(lambda: _run(context, "get policies") == 0, "the node is ready")
 
--- a/features/steps/resources_steps.py
+++ b/features/steps/resources_steps.py
@@ -20,7 +20,7 @@
 from support.operators_machine import OperatorsMachine
 from support.resource_node import ResourceNode
 
-EXAMPLES = 200
+EXAMPLES = 150
 STEPS_PER_EXAMPLE = 30
 
 
--- a/features/support/control_cluster.py
+++ b/features/support/control_cluster.py
@@ -12,6 +12,7 @@
 from bellweir.platform.service import PlatformService
 from bellweir.resources.service import ResourcesService
 from bellweir.settings.models import (
+    ConfigurationSettings,
     MembershipSettings,
     NodeIdentity,
     PlatformSettings,
@@ -42,6 +43,7 @@
             platform=PlatformSettings(
                 object_api=object_api, machine_list=machine_list, timeout_s=2.0
             ),
+            configuration=ConfigurationSettings(machine_list_period_s=0.2),
             membership=MembershipSettings(seeds=seeds, probe_period_s=0.2, probe_timeout_s=0.1),
         )
         for make in SERVICES:
@@ -81,7 +83,6 @@
         self.wait_until = wait_until
         self.store = ObjectApiStandin(ObjectApiOptions())
         self.store.start()
-        cleanup.callback(self.store.stop)
         self.machine_list = MachineListStandin(MachineListOptions(lag_s=0.0))
         self.machine_list.start()
         cleanup.callback(self.machine_list.stop)
@@ -89,9 +90,10 @@
         cleanup.callback(self.stop)
 
     def stop(self):
-        """Stop all nodes at once: each waits for its own watch of the store to end."""
+        """Stop the store, which ends the nodes' watches, and all nodes at once."""
+        stops = [self.store.stop, *(node.stop for node in self.nodes.values())]
         with ThreadPoolExecutor(16) as pool:
-            list(pool.map(ControlNode.stop, self.nodes.values()))
+            list(pool.map(lambda stop: stop(), stops))
 
     def start(self, name, zone, knows_others=True):
         others = self.alive() if knows_others else []
