--- a/features/standins_engine.feature
+++ b/features/standins_engine.feature
@@ -45,6 +45,15 @@
     And the stand-in order to "one" once more changes nothing
     And another stand-in order with the fence of the last one to "one" is "invalid"
 
+  Scenario: A newer stand-in order for the version that is being fetched lets the swap go on
+    Given a running stand-in weight store that holds version 2
+    And the stand-in store hangs
+    When "one" is ordered to version 2 with fence 5 from the stand-in store
+    And "one" is ordered to version 2 with fence 6 from the stand-in store
+    And the stand-in store hangs no more
+    Then the stand-in engine "one" comes to hold version 2
+    And the stand-in engine "one" has logged one swap without an error
+
   Scenario: Stand-in weights go from engine to engine
     Given a running stand-in weight store that holds version 2
     And a running stand-in engine "two" that holds version 1
@@ -112,3 +121,7 @@
     Given the stand-in engine "one" hangs
     Then a stand-in state report of "one" with a time limit of 1 second fails as "unknown"
     And a stand-in state report of "one" succeeds once the fault has ended
+
+  Scenario: A stand-in engine that hangs generates nothing meanwhile
+    When a stand-in stream of 1000000 tokens on "one" meets a hang after its first tokens
+    Then the stand-in engine "one" comes to produce nothing more
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -9,9 +9,14 @@
 from hypothesis.stateful import run_state_machine_as_test
 from returns.result import Failure, Success
 
+from bellweir.kernel.clock import SystemClock
+from bellweir.ledger.interface import ClaimState, LedgerError, LedgerErrorKind
 from bellweir.platform.interface import FinishReason
 from bellweir.resources.models import RequestClass
+from bellweir.routing.cancellations import Cancellations
+from bellweir.routing.circuit import CircuitState
 from bellweir.routing.interface import RefusalReason, RunState
+from bellweir.routing.outcome_recorder import ClaimHolder, OutcomeRecorder
 from support.routing_claims import LedgerFault, NodeKilledError, Point
 from support.routing_cluster import RoutingCluster, body_of
 from support.routing_fakes import SILENCE_S, TYPED_FAULTS, Fault, token_of
@@ -534,7 +539,8 @@
 
 @then("routing's first answer is {first}, the second is {second} and the key ran {runs:d} times")
 def step_both_answers(context, first, second, runs):
-    assert [_told(outcome) for outcome in context.outcomes] == [first, second]
+    told = [_told(outcome) for outcome in context.outcomes]
+    assert told == [first, second], told
     assert sum(len(found) for found in context.once.runs.values()) == runs
 
 
@@ -547,3 +553,106 @@
             return "the first's" if replayed else "its own"
     refusal = outcome.failure()
     return f"{refusal.reason.value} {refusal.run_state.value}"
+
+
+@when("routing cancels {count:d} attempts on each of 3 engines that hang")
+def step_cancel_hanging(context, count):
+    release = threading.Event()
+    context.cleanup.callback(release.set)
+    context.release, context.calling = release, set()
+
+    def hang(engine):
+        cancel = engine.cancel
+
+        def slow(attempt_id):
+            context.calling.add(threading.get_ident())
+            release.wait(60)
+            return cancel(attempt_id)
+
+        engine.cancel = slow
+
+    context.count = count
+    cancellations = Cancellations(context.node._kernel.executors)
+    for engine in context.cluster.engines:
+        hang(engine)
+        for number in range(count):
+            cancellations.cancel(engine.name, engine, f"attempt-{number}")
+    wait_until(lambda: len(context.calling) == 3, "each engine is called")
+
+
+@then(
+    "routing holds at most {threads:d} background threads for it,"
+    " and tells the engines all when they come back"
+)
+def step_few_threads(context, threads):
+    assert len(context.calling) <= threads
+    context.release.set()
+    wait_until(
+        lambda: all(len(e.cancelled) == context.count for e in context.cluster.engines),
+        "all attempts are cancelled",
+    )
+
+
+@when("routing's callers give each worker {count:d} times less time than it takes")
+def step_hurry(context, count):
+    stop_probes(context.node.backend_views)
+    context.outcomes = []
+    for application in context.cluster.applications:
+        application.on_run = lambda _: time.sleep(0.02)
+        application.faults = [Fault.LOST_ANSWER] * (count * 3)
+    for _ in range(count * len(context.cluster.applications)):
+        deadline_s = time.monotonic() + 0.01
+        request = context.cluster.application_request(deadline_monotonic_s=deadline_s)
+        context.outcomes.append(context.node.forward(request))
+
+
+@then("routing refuses them by their deadline and leaves all circuits closed")
+def step_hurried(context):
+    refusals = [outcome.failure() for outcome in context.outcomes]
+    assert {(found.reason, found.run_state) for found in refusals} == {
+        (RefusalReason.DEADLINE, RunState.UNKNOWN)
+    }
+    backends = context.node.backend_views.pools()["shop"].backends
+    assert all(backend._circuit.state is CircuitState.CLOSED for backend in backends)
+
+
+class HangingClaims:
+    """Claims of a ledger that takes nothing."""
+
+    def __init__(self):
+        self.tries = 0
+        self.trying = threading.Event()
+        self.go_on = threading.Event()
+
+    def record(self, key, attempt_id, state, answer, timeout_s):
+        self.tries += 1
+        self.trying.set()
+        self.go_on.wait(60)
+        return Failure(LedgerError(LedgerErrorKind.UNAVAILABLE, "no majority"))
+
+
+@given("routing holds {count:d} outcomes that a ledger without a majority does not take")
+def step_pending(context, count):
+    context.claims = HangingClaims()
+    context.recorder = OutcomeRecorder(SystemClock())
+    for number in range(count):
+        holder = ClaimHolder(f"shop/{number}", "attempt", context.claims)
+        context.recorder.record_later(holder, ClaimState.UNKNOWN)
+
+
+@when("routing's recording task is told to stop during a try")
+def step_stop_recording(context):
+    stopping = threading.Event()
+    pool = ThreadPoolExecutor(1)
+    context.cleanup.callback(pool.shutdown)
+    context.cleanup.callback(context.claims.go_on.set)
+    context.task = pool.submit(context.recorder.run, stopping)
+    assert context.claims.trying.wait(20)
+    stopping.set()
+    context.claims.go_on.set()
+
+
+@then("routing's recording task ends after that try")
+def step_recording_ended(context):
+    context.task.result(20)
+    assert context.claims.tries == 1
