--- a/src/bellweir/resources/documents.py
+++ b/src/bellweir/resources/documents.py
@@ -33,11 +33,14 @@
     return merged
 
 
-def operator_version(stored: StoredObject) -> int:
-    """The version of the last write by an operator: later ones changed no spec and no labels."""
-    annotations = stored.document.get("metadata", {}).get("annotations", {})
+def operator_version(document: Mapping[str, Any], version: int) -> int:
+    """The version of the last write by an operator: later ones changed no spec and no labels.
+
+    `version` is the document's own.
+    """
+    annotations = document.get("metadata", {}).get("annotations", {})
     carried = str(annotations.get(OPERATOR_VERSION_ANNOTATION, ""))
-    return int(carried) if carried.isdecimal() else stored.version
+    return int(carried) if carried.isdecimal() else version
 
 
 def operator_version_of(resource: AnyResource) -> int:
@@ -50,7 +53,7 @@
     """A document that the system writes over `base`: it carries the operator's version on."""
     metadata = dict(document["metadata"])
     annotations = dict(metadata.get("annotations", {}))
-    annotations[OPERATOR_VERSION_ANNOTATION] = str(operator_version(base))
+    annotations[OPERATOR_VERSION_ANNOTATION] = str(operator_version(base.document, base.version))
     return {**document, "metadata": {**metadata, "annotations": annotations}}
 
 
--- a/src/bellweir/resources/in_force.py
+++ b/src/bellweir/resources/in_force.py
@@ -21,6 +21,7 @@
 from bellweir.configuration.interface import RevisionCensus, RevisionSpread
 from bellweir.events.log import emit
 from bellweir.kernel.clock import Clock
+from bellweir.resources.documents import operator_version
 from bellweir.resources.interface import Resources
 from bellweir.resources.log_events import STATUS_NOT_WRITTEN
 from bellweir.resources.models import KINDS
@@ -42,7 +43,7 @@
     name: str
     generation: int
     revision: int
-    """Revision with which the generation came, or a later one."""
+    """Revision of the last operator's write of it."""
     next_report_s: float
     """When a condition that is not fulfilled is written next."""
     retry_s: float = 0.0
@@ -122,10 +123,11 @@
         if _said_in_force(document.document, generation):
             self._open.pop(key, None)
             return
+        revision = operator_version(document.document, document.version)
         known = self._open.get(key)
-        if known is None or known.generation != generation:
+        if known is None or known.revision != revision:
             due_s = self._clock.monotonic_s() + PATIENCE_S
-            self._open[key] = _Open(*key, generation, document.version, due_s)
+            self._open[key] = _Open(*key, generation, revision, due_s)
 
     def _write(self, key: Key, found: _Open, spread: RevisionSpread, *, complete: bool) -> None:
         in_force = min(spread.nodes, spread.nodes_with(found.revision))
--- a/src/bellweir/resources/preparation.py
+++ b/src/bellweir/resources/preparation.py
@@ -48,7 +48,7 @@
 
     Status reports in between are no conflict: they change nothing that an operator writes.
     """
-    return operator_version(base) <= named <= base.version
+    return operator_version(base.document, base.version) <= named <= base.version
 
 
 def _exists_not(resource: AnyResource, named: int | None) -> ResourceError:
