--- a/bench/configuration_spread.py
+++ b/bench/configuration_spread.py
@@ -18,8 +18,8 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "features"))
 
-from steps.configuration_steps import SpreadCluster
 from support.configuration_machine import policy
+from support.configuration_spread import SpreadCluster
 from support.control_cluster import ControlCluster
 from support.waiting import wait_until
 
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -1,33 +1,12 @@
-import threading
-from collections import Counter
-
 from behave import given, then, when
-from hypothesis import given as given_property
 from hypothesis import settings
-from hypothesis import strategies as st
 from hypothesis.stateful import run_state_machine_as_test
 
 from bellweir.configuration import placement
-from bellweir.configuration.interface import ConfigurationSnapshot
-from bellweir.configuration.machine_reader import MachineListReader
-from bellweir.configuration.messages import TableName
-from bellweir.configuration.reader import StoreReader
-from bellweir.configuration.state import ConfigurationState
-from bellweir.configuration.subscription import Subscription
-from bellweir.configuration.table import ApplyOutcome
-from bellweir.kernel.clock import ManualClock
 from bellweir.membership.interface import MemberState
-from bellweir.platform.interface import Machine, MachineSnapshot, MachineState
 from support.configuration_machine import ConfigurationMachine, policy
 from support.configuration_network import ConfigurationNode, MemoryNetwork, member
-from support.configuration_tables import (
-    HISTORIES,
-    changes_between,
-    entries_of,
-    loaded_table,
-    position_of,
-    states_of,
-)
+from support.configuration_spread import SpreadCluster
 from support.memory_store import MemoryStore
 
 ZONE = "zone-a"
@@ -172,137 +151,6 @@
     assert 0 < context.network.largest <= limit, context.network.largest
 
 
-@given("a configuration table and any history of changes")
-def step_histories(context):
-    context.histories = HISTORIES
-
-
-def _feed(table, history, states, how, after, upto):
-    """Feed the table something true of the history; whether it may advance to `upto`."""
-    if how == "adopt":
-        table.adopt(upto, states[upto].values())
-        return True
-    if how == "append":
-        changes = changes_between(history, upto - 1, upto)
-        if table.revision != upto - 1 and table.revision < upto:
-            return False
-        table.append(upto, changes)
-        return True
-    changes = changes_between(history, after, upto)
-    return table.apply(after, position_of(states, upto), changes)
-
-
-@then("every mix of lists, watch changes and updates leaves it as the history was at its revision")
-def step_table_property(context):
-    feeds = st.lists(
-        st.tuples(st.sampled_from(["adopt", "append", "apply"]), st.integers(0, 8)), max_size=12
-    )
-
-    @settings(max_examples=400)
-    @given_property(context.histories, feeds, st.data())
-    def run(history, feeds, data):
-        states = states_of(history)
-        table = loaded_table()
-        for how, number in feeds:
-            upto = min(number, len(history))
-            after = data.draw(st.integers(0, upto)) if how == "apply" else upto
-            before = table.revision
-            outcome = _feed(table, history, states, how, after, upto)
-            assert table.position == position_of(states, table.revision)
-            if how == "apply":
-                assert outcome is _expected(before, after, upto), (before, after, upto, outcome)
-            elif outcome:
-                assert table.revision == max(before, upto)
-            assert table.revision >= before
-            assert entries_of(table) == states[table.revision]
-
-    run()
-
-
-def _expected(before, after, upto):
-    if upto <= before:
-        return ApplyOutcome.OLD
-    return ApplyOutcome.GAP if after > before else ApplyOutcome.APPLIED
-
-
-@then("the changes it passes on lead any earlier revision to its own")
-def step_pass_on(context):
-    @settings(max_examples=200)
-    @given_property(context.histories, st.integers(0, 8), st.integers(0, 8))
-    def run(history, jump, start):
-        states = states_of(history)
-        sender, receiver = loaded_table(), loaded_table()
-        jump, start = min(jump, len(history)), min(start, len(history))
-        sender.adopt(jump, states[jump].values())
-        for revision in range(jump + 1, len(history) + 1):
-            sender.append(revision, changes_between(history, revision - 1, revision))
-        receiver.adopt(start, states[start].values())
-        changes = sender.changes_after(receiver.revision)
-        if changes is None:
-            assert 0 < start < jump, "only what a whole table stepped over is not passed on"
-            return
-        outcome = receiver.apply(receiver.revision, sender.position, changes)
-        assert outcome is not ApplyOutcome.DIVERGED
-        assert entries_of(receiver) == states[len(history)]
-
-    run()
-
-
-@given("a configuration subscription that was given revision {revision:d}")
-def step_subscription(context, revision):
-    context.heard = []
-    context.subscription = Subscription("node", lambda each: context.heard.append(each.revision))
-    context.subscription.deliver(ConfigurationSnapshot(revision))
-
-
-@when("the configuration subscription is given revisions 4, 5, 6 and 3")
-def step_deliver(context):
-    for revision in (4, 5, 6, 3):
-        context.subscription.deliver(ConfigurationSnapshot(revision))
-
-
-@then("the configuration listener saw revisions 5, 5, 6")
-def step_heard(context):
-    assert context.heard == [5, 5, 6], context.heard
-
-
-class SpreadCluster:
-    """A cluster whose members stay, and what each node sent."""
-
-    def __init__(self, count, zones, regions):
-        self.network, self.store = MemoryNetwork(), MemoryStore()
-        members = [
-            member(f"n{index}", f"zone-{index % zones}", f"region-{index % zones % regions}")
-            for index in range(count)
-        ]
-        everyone = {each.node: each for each in members}
-        self.nodes = {
-            each.node: ConfigurationNode(each, everyone, self.network, self.store, fanout=4)
-            for each in members
-        }
-        for node in self.nodes.values():
-            node.membership.fixed = tuple(sorted(members, key=lambda each: each.node))
-        for _ in range(4):
-            for node in self.nodes.values():
-                node.read()
-                node.step()
-            self.network.deliver_all()
-
-    def spread(self, changes, size):
-        """Messages that each node sent, and all bytes, for some changes."""
-        messages, total = Counter(), 0
-        for index in range(changes):
-            self.store.overwrite(policy("north", str(index) + "x" * size))
-            for node in self.nodes.values():
-                node.read()
-            while self.network.queue:
-                queued = self.network.queue[0]
-                messages[queued.source] += 1
-                total += queued.size
-                self.network.deliver()
-        return max(messages.values()) / changes, total / changes / len(self.nodes)
-
-
 @given("configuration clusters of 32 and of 340 nodes in {zones:d} zones of {regions:d} regions")
 def step_two_clusters(context, zones, regions):
     context.clusters = [SpreadCluster(count, zones, regions) for count in (32, 340)]
@@ -332,83 +180,6 @@
         assert not behind, behind
 
 
-class SlowStore(MemoryStore):
-    """Opening a watch takes time, on a clock that a test moves."""
-
-    def __init__(self, clock, opening_s):
-        super().__init__()
-        self.clock, self.opening_s = clock, opening_s
-        self.asked = []
-
-    def watch(self, from_revision, timeout_s):
-        self.asked.append(timeout_s)
-        self.clock.advance(self.opening_s + timeout_s)
-        yield from super().watch(from_revision, timeout_s)
-
-
-@given("a configuration reader before a store that takes {seconds:g} seconds to open a watch")
-def step_slow_store(context, seconds):
-    clock = ManualClock()
-    context.store = SlowStore(clock, seconds)
-    state = ConfigurationState("node")
-    context.reader = StoreReader("node", "zone", context.store, state, clock, lambda: True)
-    context.reader.read_once(threading.Event())
-
-
-@when("the configuration reader watches the quiet store {times:d} times")
-def step_watch(context, times):
-    context.store.asked.clear()
-    for _ in range(times):
-        assert context.reader.read_once(threading.Event())
-
-
-@when("the configuration's store is fast again and the reader watches it {times:d} times")
-def step_fast(context, times):
-    context.store.opening_s = 0.0
-    step_watch(context, times)
-
-
-@then("the configuration reader's watches were meant to last {first:g} and {second:g} seconds")
-def step_lasted(context, first, second):
-    assert context.store.asked == [first, second], context.store.asked
-
-
-@given("any history of configuration machine lists and two readers of parts of it")
-def step_machine_histories(context):
-    presence = st.dictionaries(st.sampled_from(["a", "b"]), st.integers(1, 2), max_size=2)
-    context.lists = st.lists(presence, min_size=3, max_size=6)
-
-
-def _machine_list(addresses):
-    return {
-        name: Machine(name, f"127.0.0.1:{port}", "z", "r", "engine", "p", MachineState.LIVE)
-        for name, port in addresses.items()
-    }
-
-
-@then("a configuration update between them is applied right or refused")
-def step_machine_updates(context):
-    revisions = st.sets(st.integers(0, 5), min_size=1)
-
-    @settings(max_examples=600)
-    @given_property(context.lists, revisions, revisions, st.integers(0, 5))
-    def run(lists, seen_by_sender, seen_by_receiver, after):
-        history = [_machine_list(addresses) for addresses in lists]
-        sender, receiver = ConfigurationState("sender"), ConfigurationState("receiver")
-        for state, seen in ((sender, seen_by_sender), (receiver, seen_by_receiver)):
-            reader = MachineListReader(state.node, None, state, ManualClock(), None, None)
-            for revision in sorted(seen & set(range(len(lists)))) or [0]:
-                machines = tuple(history[revision].values())
-                reader._take_over(MachineSnapshot(revision, machines))
-        update = sender.update_after(TableName.MACHINES, after)
-        if update is not None:
-            receiver.apply(update)
-        snapshot = receiver.current()
-        assert snapshot.machines == history[snapshot.machines_revision], (update, snapshot)
-
-    run()
-
-
 def _spread(context):
     spreads = [node.core.reports.spread() for node in context.nodes.values()]
     [found] = [spread for spread in spreads if spread is not None]
--- a/src/bellweir/resources/documents.py
+++ b/src/bellweir/resources/documents.py
@@ -1,4 +1,4 @@
-"""Plain helpers on resource documents: merge patches, differences, public form."""
+"""Functions on resource documents: merge patches, differences, public form."""
 
 import json
 from collections.abc import Iterator, Mapping
