Ask no dead replica; create the ledger on nodes that answer; forget no attempt

Change: members known to be dead are left out, suspects come last, and a replica gets at most one second; candidates are counted by who answers; a record keeps its earlier attempts; a silent replica is replaced after 20 s.

--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -86,7 +86,8 @@
     Given a ledger of 4 data nodes and 1 other nodes
     When ledger items 1 to 5 are appended through node z
     And one follower of the ledger stops for good
-    Then the ledger's voters are 3 nodes that run
+    Then no ledger call or segment is sent to the dead node
+    And the ledger's voters are 3 nodes that run
     And the ledger gives items 1 to 5 through node z
 
   Scenario: Bulk data is read back from another replica
--- a/features/ledger_claims.feature
+++ b/features/ledger_claims.feature
@@ -17,6 +17,10 @@
     Given claims where a release came before its claim
     Then the late claim permits no attempt, and another one is permitted
 
+  Scenario: A claim of an attempt that did not run comes again
+    Given claims where two attempts of a key did not run
+    Then a late repeat of either claim permits no attempt and leaves the key free
+
   Scenario: A majority lost for good, and an operator's recovery
     Given a ledger of 3 data nodes and 1 other nodes
     And a claim of each kind made through node z
--- a/features/steps/ledger_claims_steps.py
+++ b/features/steps/ledger_claims_steps.py
@@ -184,6 +184,24 @@
     assert other.state is ClaimState.CLAIMED
 
 
+@given_step("claims where two attempts of a key did not run")
+def given_not_run(context):
+    context.machine = ClaimsMachine()
+    for attempt in ("first", "second"):
+        claimed = context.machine.apply(ClaimKey("key", "f", attempt, "n", 1.0, WINDOW_S))
+        assert claimed.state is ClaimState.CLAIMED
+        context.machine.apply(RecordOutcome("key", attempt, ClaimState.NOT_RUN, None, 1.0))
+
+
+@then("a late repeat of either claim permits no attempt and leaves the key free")
+def then_free(context):
+    for attempt in ("first", "second", "first"):
+        late = context.machine.apply(ClaimKey("key", "f", attempt, "n", 2.0, WINDOW_S))
+        assert late.state is ClaimState.NOT_RUN
+    other = context.machine.apply(ClaimKey("key", "f", "third", "n", 2.0, WINDOW_S))
+    assert other.state is ClaimState.CLAIMED
+
+
 # --- whole nodes ----------------------------------------------------------------------------------
 
 
--- a/features/steps/ledger_steps.py
+++ b/features/steps/ledger_steps.py
@@ -196,6 +196,8 @@
     leader = context.cluster.leader()
     context.cluster.nodes[leader].ledger.drain(TIMEOUT_S)
     assert not context.cluster.nodes[leader].ledger.leads(KEY)
+    # A call to a real store ends by its own time-out; this one would hold the stop for good.
+    context.cluster.store.answers.set()
     context.cluster.stop(leader)
 
 
@@ -249,6 +251,15 @@
     gone = next(name for name in cluster.voters() if name != cluster.leader())
     cluster.stop(gone)
     set_state(cluster, gone, MemberState.DEAD)
+    context.gone = gone
+
+
+@then("no ledger call or segment is sent to the dead node")
+def then_not_to_dead(context):
+    for node in context.cluster.nodes.values():
+        shard = node.ledger.shard_of(KEY)
+        assert context.gone not in node.ledger.replica_nodes(KEY, TIMEOUT_S)
+        assert context.gone not in node.ledger._locator.candidates(shard)
 
 
 @then("the ledger's voters are {count:d} nodes that run")
--- a/src/bellweir/ledger/claims.py
+++ b/src/bellweir/ledger/claims.py
@@ -24,6 +24,8 @@
 """An attempt without a record after this time is reported as unknown."""
 TOMBSTONE_WINDOWS = 1
 """Windows for which an expired key is still refused."""
+PAST_ATTEMPTS_KEPT = 16
+"""Earlier attempts of a key that are remembered."""
 CLEANED_PER_COMMAND = 4
 """Records looked at for expiry with each command, so that cleaning never stalls the log."""
 KEY_TIME_MARGIN_S = 60.0
@@ -93,6 +95,8 @@
     claimed_s: float
     window_s: float
     answer: RecordedAnswer | None = None
+    past_attempts: tuple[str, ...] = ()
+    """Earlier attempts that did not run; a late repeat of their claims permits nothing."""
 
 
 class ClaimsState(msgspec.Struct):
@@ -174,15 +178,20 @@
             return self._grant(command)
         if record.fingerprint != command.fingerprint and not self._is_expired(record):
             return ClaimReply(ClaimState.MISMATCH)
+        if command.attempt_id in record.past_attempts:
+            return ClaimReply(ClaimState.NOT_RUN, None, record.holder, command.attempt_id)
         own = record.attempt_id == command.attempt_id
         if record.state is ClaimState.NOT_RUN and not own:
-            return self._grant(command)
+            past = (*record.past_attempts, record.attempt_id)[-PAST_ATTEMPTS_KEPT:]
+            return self._grant(command, past)
         if record.state is ClaimState.CLAIMED and own and not self._is_expired(record):
             return ClaimReply(ClaimState.CLAIMED, None, record.holder, record.attempt_id)
         return self._describe(record, self._state.now_s)
 
-    def _grant(self, command: ClaimKey) -> ClaimReply:
-        self._state.records[command.key] = self._new_record(command, ClaimState.CLAIMED)
+    def _grant(self, command: ClaimKey, past_attempts: tuple[str, ...] = ()) -> ClaimReply:
+        record = self._new_record(command, ClaimState.CLAIMED)
+        record.past_attempts = past_attempts
+        self._state.records[command.key] = record
         return ClaimReply(ClaimState.CLAIMED, None, command.holder, command.attempt_id)
 
     def _new_record(self, command: ClaimKey | ReleaseClaim, state: ClaimState) -> ClaimRecord:
--- a/src/bellweir/ledger/interface.py
+++ b/src/bellweir/ledger/interface.py
@@ -161,7 +161,9 @@
     ) -> Result[Claim, LedgerError]:
         """Claim a key for one attempt. Only `CLAIMED` with this attempt's id permits a run.
 
-        `UNAVAILABLE` means that no claim was made: the request has not run.
+        `UNAVAILABLE` means that no claim was made: the request has not run. After a failure as
+        `UNKNOWN` the attempt must not be made and its id not be used again: the service releases
+        the claim in the background, in case it was made.
         """
 
     @abstractmethod
--- a/src/bellweir/ledger/keeper.py
+++ b/src/bellweir/ledger/keeper.py
@@ -114,22 +114,20 @@
         Not safe when nodes can't reach each other at the start, so a store is needed otherwise.
         """
         names = [self._node.name, *(member.node for member in self._data_members())]
-        if min(names) != self._node.name or not self.waited_for_others():
-            return None
-        return self.new_placement()
+        return self.new_placement() if min(names) == self._node.name else None
 
-    def waited_for_others(self) -> bool:
-        """Whether a new ledger need not wait for more nodes to share it with."""
+    def new_placement(self) -> Placement | None:
+        """The placement of a new ledger; None while more nodes to share it with may come."""
         now_s = self._clock.monotonic_s()
         if self._missing_since_s is None:
             self._missing_since_s = now_s
-        enough = len(self._data_members()) + 1 >= self._settings.replicas
-        return enough or now_s - self._missing_since_s >= self._settings.creation_wait_s
-
-    def new_placement(self) -> Placement:
-        """The placement of a new ledger on the nodes that are alive."""
         settings = self._settings
-        return first_placement(settings.shards, self._candidates(), settings.replicas)
+        # Counted by who answers: a member that is still starting cannot tell its disk yet.
+        candidates = self._candidates()
+        waited = now_s - self._missing_since_s >= settings.creation_wait_s
+        if len(candidates) < settings.replicas and not waited:
+            return None
+        return first_placement(settings.shards, candidates, settings.replicas)
 
     def _refresh(self, known: Placement) -> None:
         """Now and then take over what another keeper knows better."""
--- a/src/bellweir/ledger/locator.py
+++ b/src/bellweir/ledger/locator.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections.abc import Sequence
 
 from returns.result import Success
 
@@ -67,7 +68,18 @@
         """Nodes that may lead a shard: its replicas as published, then all with a data folder."""
         placement = self.placement()
         named = [one.node for one in placement.shards[shard].replicas.voters] if placement else []
-        return named + [node for node in self._data_nodes() if node not in named]
+        others = [node for node in self._data_nodes() if node not in named]
+        return self.likely_first([*named, *others])
+
+    def likely_first(self, nodes: Sequence[str]) -> list[str]:
+        """The nodes that are not known to be dead, those that are alive before suspects."""
+        known = [(node, self._membership.member(node)) for node in dict.fromkeys(nodes)]
+        living = [
+            (node, member.state)
+            for node, member in known
+            if member is not None and member.state is not MemberState.DEAD
+        ]
+        return [node for node, _ in sorted(living, key=lambda one: one[1] is MemberState.SUSPECT)]
 
     def _data_nodes(self) -> list[str]:
         return [
--- a/src/bellweir/ledger/segments_service.py
+++ b/src/bellweir/ledger/segments_service.py
@@ -22,6 +22,8 @@
 
 COPIES = 2
 """Replicas that hold a blob durably before its reference is returned."""
+REPLICA_TIMEOUT_S = 1.0
+"""Longest wait for one replica, so that one that hangs leaves time for the others."""
 SEGMENTS_FOLDER = "segments"
 CLEANING_PERIOD_S = 60.0
 
@@ -108,7 +110,7 @@
         stored = 0
         for node in self._own_first(nodes):
             left_s = deadline_s - self._kernel.clock.monotonic_s()
-            if left_s > 0 and self._store_on(node, blob, left_s):
+            if left_s > 0 and self._store_on(node, blob, min(left_s, REPLICA_TIMEOUT_S)):
                 stored += 1
             if wanted and stored == wanted:
                 return Success(_reference(blob))
@@ -123,7 +125,8 @@
         nodes = self._ledger.replica_nodes(key, timeout_s)
         for node in self._own_first(nodes):
             left_s = deadline_s - self._kernel.clock.monotonic_s()
-            blob = self._fetch_from(node, digest, left_s) if left_s > 0 else None
+            timeout_s = min(left_s, REPLICA_TIMEOUT_S)
+            blob = self._fetch_from(node, digest, timeout_s) if left_s > 0 else None
             if blob is not None and digest_of(blob) == digest:
                 return Success(blob)
         return _failure("no replica that answers holds it")
--- a/src/bellweir/ledger/service.py
+++ b/src/bellweir/ledger/service.py
@@ -202,7 +202,10 @@
         return _shard_of(key, known or self._settings.ledger.shards)
 
     def replica_nodes(self, key: str, timeout_s: float) -> tuple[str, ...]:
-        """Nodes that hold the key's shard, as last heard; none before the ledger is known."""
+        """Nodes that hold the key's shard and are not known to be dead, as last heard.
+
+        None before the ledger is known.
+        """
         if not self._serving.wait(timeout_s):
             return ()
         count = self._locator.wait_for_shard_count(timeout_s, self._kernel.clock)
@@ -212,8 +215,10 @@
         shard = _shard_of(key, count)
         replica = self._node.replica(shard) if self._node else None
         if replica is not None and replica.log.replicas.voters:
-            return tuple(one.node for one in replica.log.replicas.everyone)
-        return self._locator.replica_nodes(shard)
+            nodes = tuple(one.node for one in replica.log.replicas.everyone)
+        else:
+            nodes = self._locator.replica_nodes(shard)
+        return tuple(self._locator.likely_first(nodes))
 
     def _address_of(self, node: str) -> str | None:
         member = self._membership.member(node)
--- a/src/bellweir/ledger/store_sync.py
+++ b/src/bellweir/ledger/store_sync.py
@@ -48,9 +48,9 @@
         if not isinstance(found, PlatformError):
             self._keeper.adopt(found[0])
             return
-        if not is_missing(found) or not self._keeper.waited_for_others():
+        placement = self._keeper.new_placement() if is_missing(found) else None
+        if placement is None:
             return
-        placement = self._keeper.new_placement()
         if self._store.write(placement, 0) is not None:
             # Somebody else was first, or the answer was lost: the next step reads it.
             return
--- a/src/bellweir/ledger/tasks.py
+++ b/src/bellweir/ledger/tasks.py
@@ -123,12 +123,13 @@
             self._node.compact()
 
     def _repeat(self, period_s: float, step: Callable[[], None]) -> None:
-        while not self._stop.wait(period_s):
+        while not self._stop.is_set():
             try:
                 step()
             except Exception as failure:
                 # Tried again at the next period: the ledger must not depend on one faulty step.
                 emit(STEP_FAILED, step=step.__qualname__, error=repr(failure))
+            self._stop.wait(period_s)
 
     def _follow_peers(self) -> None:
         """Start a task for each new peer; the task of a former one ends by itself."""
--- a/src/bellweir/settings/models.py
+++ b/src/bellweir/settings/models.py
@@ -118,9 +118,9 @@
     creation_wait_s: float = Field(default=3.0, ge=0)
     """Time for which the first node waits for others to share a new ledger with, in seconds.
     Default 3."""
-    replace_after_s: float = Field(default=60.0, gt=0)
+    replace_after_s: float = Field(default=20.0, gt=0)
     """Time after which a silent replica is replaced by one on another node, in seconds.
-    Default 60."""
+    Default 20."""
     segment_retention_s: float = Field(default=172_800.0, gt=0)
     """Time for which bulk data, such as samples, is kept, in seconds. Default two days."""
 
