--- a/bench/tail_model/bellweir_scheduler.py
+++ b/bench/tail_model/bellweir_scheduler.py
@@ -22,7 +22,7 @@
 from bellweir.samples.attempts import Assignment, AttemptEnd, AttemptReport
 from bellweir.samples.bulk import BulkStore
 from bellweir.samples.coordinator import StepCoordinator
-from bellweir.samples.holder import REPORT_PERIOD_S
+from bellweir.samples.holder import report_period_s
 from bellweir.samples.interface import StepDeclaration
 from bellweir.samples.led_steps import LedSteps
 from bellweir.samples.machine import StepMachine
@@ -184,12 +184,14 @@
         self.homeless = [found for found in self.homeless if found is not attempt]
         return attempt
 
-    def report(self) -> ReportAttempts:
+    def report(self, *, is_full: bool) -> ReportAttempts:
         """What a holder tells its coordinator."""
         now_s = self._clock.monotonic_s()
-        running = tuple(self._report(attempt, now_s) for attempt in self.attempts.values())
+        named = self.attempts.values() if is_full else ()
+        running = tuple(self._report(attempt, now_s) for attempt in named)
         ended, self.ends = tuple(self.ends), []
-        return ReportAttempts(NODE, self.free_places(), running, ended)
+        period_s = report_period_s(len(self.attempts))
+        return ReportAttempts(NODE, self.free_places(), running, ended, is_full, period_s)
 
     def _report(self, attempt: VirtualAttempt, now_s: float) -> AttemptReport:
         return AttemptReport(
@@ -309,9 +311,12 @@
         homeless, self.holder.homeless = self.holder.homeless, []
         for attempt in homeless:
             self.holder.place(attempt)
-        if self.holder.ends or now_s >= self._next_report_s:
-            self._coordinator.take_report(self.holder.report())
-            self._next_report_s = now_s + REPORT_PERIOD_S
+        is_full = now_s >= self._next_report_s
+        if self.holder.ends or is_full:
+            message = self.holder.report(is_full=is_full)
+            self._coordinator.take_report(message)
+            if is_full:
+                self._next_report_s = now_s + message.next_full_s
         self._coordinator.go_round()
 
     def pull(self, step_id: str, taken: int, now_s: float) -> list[HandedOver]:
--- a/features/steps/samples_tail_steps.py
+++ b/features/steps/samples_tail_steps.py
@@ -196,7 +196,7 @@
         r for r in engines.requests if engines.nodes[r.request_id] == "node-1"
     ]
     assert context.first_requests
-    cluster.alive.remove("node-1")
+    cluster.leaving.add("node-1")
     cluster.log.lead_all("node-2")
     stopping.kernel.registry.drain(60)
     stopping.stop()
--- a/features/support/fake_nodes.py
+++ b/features/support/fake_nodes.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections.abc import Callable
+from dataclasses import replace
 
 import xxhash
 from returns.result import Failure, Result, Success
@@ -79,18 +80,23 @@
 
     name = names.MEMBERSHIP
 
-    def __init__(self, node: str, alive: list[str]) -> None:
+    def __init__(self, node: str, alive: list[str], leaving: set[str] | None = None) -> None:
         self._node = node
         self._alive = alive
+        self._leaving = leaving if leaving is not None else set()
+
+    def _member(self, node: str) -> Member:
+        state = MemberState.LEAVING if node in self._leaving else MemberState.ALIVE
+        return replace(member(node), state=state)
 
     def self_member(self) -> Member:
         return member(self._node)
 
     def members(self) -> tuple[Member, ...]:
-        return tuple(member(node) for node in sorted(self._alive))
+        return tuple(self._member(node) for node in sorted(self._alive))
 
     def member(self, node: str) -> Member | None:
-        return member(node) if node in self._alive else None
+        return self._member(node) if node in self._alive else None
 
     def subscribe(self, listener: MembershipListener) -> None:
         pass
--- a/features/support/samples_cluster.py
+++ b/features/support/samples_cluster.py
@@ -43,7 +43,7 @@
             FakeDispatcher(cluster.engines, node),
             cluster.platform,
             FakeTransport(cluster.network, node),
-            FakeMembership(node, cluster.alive),
+            FakeMembership(node, cluster.alive, cluster.leaving),
             self.samples,
         ):
             self.kernel.registry.register(service)
@@ -67,6 +67,7 @@
         self.engines = ScriptedEngines()
         self.platform = FakePlatform()
         self.network = Network()
+        self.leaving: set[str] = set()
         self.alive = [f"node-{n + 1}" for n in range(nodes)]
         self.configuration.publish("writer", 1)
         self.log.lead_all("node-1")
--- a/src/bellweir/samples/assigning.py
+++ b/src/bellweir/samples/assigning.py
@@ -75,6 +75,11 @@
                 places[member.node] = free
         return places
 
+    def is_dead(self, node: str) -> bool:
+        """Whether membership knows that a node is gone."""
+        member = self._membership.member(node)
+        return member is None or member.state is MemberState.DEAD
+
     def _free_places_of(self, member: Member, own: Member, now_s: float) -> int:
         if member.node == own.node:
             return self._local.free_places() if self._local is not None else 0
--- a/src/bellweir/samples/attempt_table.py
+++ b/src/bellweir/samples/attempt_table.py
@@ -6,8 +6,11 @@
 """
 
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass
 
+import msgspec
+
 from bellweir.samples.attempts import Assignment, AttemptReport
 from bellweir.samples.records import StepRecord
 from bellweir.samples.wire_messages import ReportAttempts
@@ -15,6 +18,9 @@
 ASSIGNMENT_GRACE_S = 1.0
 """Time for an assignment to arrive before a report without it means that it was not taken."""
 
+REPORTS_IN_LEASE = 2.5
+"""Full reports that must fail to come before a lease lapses."""
+
 
 @dataclass
 class KnownAttempt:
@@ -51,20 +57,24 @@
             holder = self._holders.setdefault(message.node, HolderState(0, now_s))
             holder.free_places = message.free_places
             holder.heard_s = now_s
+            until_s = now_s + max(self._lease_s, REPORTS_IN_LEASE * message.next_full_s)
             for report in message.running:
-                self._refresh(message.node, report, now_s)
-            named = {report.attempt_id for report in message.running}
-            ended = {end.attempt_id for end in message.ended}
-            for attempt_id, known in list(self._attempts.items()):
-                is_new = now_s - known.assigned_s < ASSIGNMENT_GRACE_S
-                is_gone = known.holder == message.node and attempt_id not in named and not is_new
-                if is_gone or attempt_id in ended:
-                    del self._attempts[attempt_id]
-
-    def _refresh(self, node: str, report: AttemptReport, now_s: float) -> None:
+                self._refresh(message.node, report, now_s, until_s)
+            for end in message.ended:
+                self._attempts.pop(end.attempt_id, None)
+            if message.is_full:
+                self._drop_unnamed(message, now_s)
+
+    def _drop_unnamed(self, message: ReportAttempts, now_s: float) -> None:
+        named = {report.attempt_id for report in message.running}
+        for attempt_id, known in list(self._attempts.items()):
+            is_new = now_s - known.assigned_s < ASSIGNMENT_GRACE_S
+            if known.holder == message.node and attempt_id not in named and not is_new:
+                del self._attempts[attempt_id]
+
+    def _refresh(self, node: str, report: AttemptReport, now_s: float, until_s: float) -> None:
         known = self._attempts.get(report.attempt_id)
         assigned_s = known.assigned_s if known is not None else now_s
-        until_s = now_s + self._lease_s
         self._attempts[report.attempt_id] = KnownAttempt(report, node, assigned_s, until_s)
 
     def note_assigned(self, assignment: Assignment, holder: str, now_s: float) -> None:
@@ -95,6 +105,13 @@
                         report, lease.holder, now_s, now_s + left_s
                     )
 
+    def note_moved(self, attempt_id: str) -> None:
+        """Forget an attempt's rate until its next report: it was of the engine that it leaves."""
+        with self._lock:
+            known = self._attempts.get(attempt_id)
+            if known is not None:
+                known.report = msgspec.structs.replace(known.report, tokens_per_s=0.0)
+
     def drop(self, attempt_id: str) -> None:
         """Forget an attempt; unknown ones are no error."""
         with self._lock:
@@ -116,6 +133,16 @@
                 del self._attempts[known.report.attempt_id]
             return tuple(lapsed)
 
+    def drop_holders(self, dead: Callable[[str], bool]) -> None:
+        """Forget the attempts of nodes that are known to be dead, before their leases lapse."""
+        with self._lock:
+            holders = {known.holder for known in self._attempts.values()}
+        gone = {holder for holder in holders if dead(holder)}
+        with self._lock:
+            for attempt_id, known in list(self._attempts.items()):
+                if known.holder in gone:
+                    del self._attempts[attempt_id]
+
     def by_step(self) -> dict[str, list[KnownAttempt]]:
         """All attempts by step."""
         grouped: dict[str, list[KnownAttempt]] = {}
--- a/src/bellweir/samples/coordinator.py
+++ b/src/bellweir/samples/coordinator.py
@@ -135,6 +135,7 @@
         self._take_ends()
         now_s = self._clock.monotonic_s()
         self._table.drop_lapsed(now_s)
+        self._table.drop_holders(self._assigner.is_dead)
         steps = self._led_steps.read()
         for step in steps:
             self._observe(step)
@@ -221,6 +222,7 @@
                 cancel.setdefault(known.holder, []).append(report.attempt_id)
             elif must_move(report, belief, view.usual_rate):
                 move.setdefault(known.holder, []).append(report.attempt_id)
+                self._table.note_moved(report.attempt_id)
         for holder in cancel.keys() | move.keys():
             message = InstructAttempts(tuple(cancel.get(holder, ())), tuple(move.get(holder, ())))
             self._assigner.instruct(holder, message)
--- a/src/bellweir/samples/holder.py
+++ b/src/bellweir/samples/holder.py
@@ -5,12 +5,18 @@
 
 from bellweir.kernel.clock import Clock
 from bellweir.ledger.interface import Ledger
-from bellweir.samples.attempts import AttemptEnd, AttemptReport
+from bellweir.samples.attempts import Assignment, AttemptEnd
+from bellweir.samples.backoffs import CANCELLED
 from bellweir.samples.runner import AttemptRunner
 from bellweir.samples.wire_messages import AssignAttempts, InstructAttempts, ReportAttempts
 from bellweir.wire.interface import Transport
 
 REPORT_PERIOD_S = 0.5
+"""Time between looks at what has changed; ended attempts are reported at once."""
+REPORT_S_FOR_EACH_ATTEMPT = 0.05
+"""Time between full reports, for each attempt: a report of one has about 200 bytes, so that a
+node sends about 4 kB a second of them, however many it runs."""
+LONGEST_REPORT_PERIOD_S = 10.0
 SHORTEST_REPORT_PAUSE_S = 0.05
 """Attempts that end within this time are reported together."""
 
@@ -37,6 +43,8 @@
         self._runner: AttemptRunner | None = None
         self._lock = threading.Lock()
         self._ended: list[AttemptEnd] = []
+        self._next_full_s = 0.0
+        self._last_free_places = 0
         self._wake = threading.Event()
 
     def use(self, runner: AttemptRunner) -> None:
@@ -44,13 +52,12 @@
         self._runner = runner
 
     def take_assignments(self, message: AssignAttempts) -> None:
-        """Start what there is a place for; the next report tells what was taken."""
+        """Start what there is a place for, and report the rest at once."""
         if self._runner is None:
             return
         for assignment in message.assignments:
             if not self._runner.start(assignment):
-                break
-        self._wake.set()
+                self.note_end(_not_taken(assignment))
 
     def take_instructions(self, message: InstructAttempts) -> None:
         """Cancel and move attempts."""
@@ -76,19 +83,35 @@
             self._clock.wait(stopping, SHORTEST_REPORT_PAUSE_S)
 
     def report(self) -> None:
-        """Tell each coordinator of all its attempts here."""
+        """Tell each coordinator of its attempts here: all of them when that is due."""
         if self._runner is None:
             return
+        now_s = self._clock.monotonic_s()
         with self._lock:
             ended, self._ended = self._ended, []
         free_places = self._runner.free_places()
         running = self._runner.reports()
+        is_full = now_s >= self._next_full_s
+        if not is_full and not ended and free_places == self._last_free_places:
+            return
+        self._last_free_places = free_places
+        if is_full:
+            self._next_full_s = now_s + report_period_s(len(running))
         step_ids = {report.step_id for report in running} | {end.step_id for end in ended}
         by_coordinator: dict[str | None, set[str]] = {}
         for step_id in step_ids:
             by_coordinator.setdefault(self._coordinator_of(step_id), set()).add(step_id)
         for address, steps in by_coordinator.items():
-            self._send(address, self._message(steps, running, ended, free_places))
+            named = [report for report in running if is_full and report.step_id in steps]
+            message = ReportAttempts(
+                node=self._node,
+                free_places=free_places,
+                running=tuple(named),
+                ended=tuple(end for end in ended if end.step_id in steps),
+                is_full=is_full,
+                next_full_s=report_period_s(len(running)),
+            )
+            self._send(address, message)
 
     def _coordinator_of(self, step_id: str) -> str | None:
         """Address of the step's coordinator; None for this node and when nobody is known."""
@@ -96,22 +119,19 @@
             return None
         return self._ledger.leader_address(step_id)
 
-    def _message(
-        self,
-        steps: set[str],
-        running: tuple[AttemptReport, ...],
-        ended: list[AttemptEnd],
-        free_places: int,
-    ) -> ReportAttempts:
-        return ReportAttempts(
-            node=self._node,
-            free_places=free_places,
-            running=tuple(report for report in running if report.step_id in steps),
-            ended=tuple(end for end in ended if end.step_id in steps),
-        )
-
     def _send(self, address: str | None, message: ReportAttempts) -> None:
         if address is None:
             self._to_local_coordinator(message)
         else:
             self._transport.send(address, message)
+
+
+def report_period_s(attempts: int) -> float:
+    """Seconds between full reports of a node that runs so many attempts."""
+    wanted_s = REPORT_S_FOR_EACH_ATTEMPT * attempts
+    return min(LONGEST_REPORT_PERIOD_S, max(REPORT_PERIOD_S, wanted_s))
+
+
+def _not_taken(assignment: Assignment) -> AttemptEnd:
+    """The end of an attempt that this node had no place for."""
+    return AttemptEnd(assignment.step_id, assignment.slot, assignment.attempt_id, CANCELLED)
--- a/src/bellweir/samples/wire_messages.py
+++ b/src/bellweir/samples/wire_messages.py
@@ -23,12 +23,16 @@
 
 
 class ReportAttempts(Message, frozen=True):
-    """A node tells a coordinator of all attempts it runs for it."""
+    """A node tells a coordinator of the attempts it runs for it."""
 
     node: str
     free_places: int
     running: tuple[AttemptReport, ...]
     ended: tuple[AttemptEnd, ...] = ()
+    is_full: bool = True
+    """Whether `running` names all attempts; else none, and the others go on as reported."""
+    next_full_s: float = 0.5
+    """Seconds until the next full report."""
 
 
 class AskProgress(Message, frozen=True):
