--- a/features/rehearsal_promises.feature
+++ b/features/rehearsal_promises.feature
@@ -41,6 +41,19 @@
   Scenario: Every promise has a broken variant, and every variant is tested
     Then the rehearsal mutations are those of the outline and cover all nine promises
 
+  Scenario Outline: A refusal "not run" of a key is held against the runs that it denies
+    Given rehearsal evidence of a key that ran <when> a call with it was refused as not run
+    Then the checker finds true refusals <ruling>
+
+    Examples:
+      | when                              | ruling |
+      | through another call, before      | broken |
+      | through another call, while       | held   |
+      | through another call, after       | held   |
+      | through that very call, while     | broken |
+      | through that very call, after     | broken |
+      | through a call refused too, after | broken |
+
   Scenario Outline: Only what the kit did to a node excuses a cut call
     Given rehearsal evidence of a call that was <cut> at a node under the fault <fault>
     Then the checker finds whole answers <ruling>
@@ -56,6 +69,28 @@
       | given up | store_down       | broken |
       | cut      | network_loss     | broken |
 
+  Scenario Outline: A stop that another fault overtakes is not judged
+    Given rehearsal evidence of a stopping node that is killed, its end told first by the <teller>
+    Then the checker finds planned stops held, and one of them overtaken
+
+    Examples:
+      | teller |
+      | stop   |
+      | kill   |
+
+  Scenario Outline: A step that never came is excused only where the kit took the majority away
+    Given rehearsal evidence of a step of 40 s that never came while <what>
+    Then the checker finds exactly once <ruling>
+
+    Examples:
+      | what                                                    | ruling |
+      | nothing happened                                        | broken |
+      | one node was down                                       | broken |
+      | two nodes were down                                     | held   |
+      | two nodes were down for 10 s of it                      | broken |
+      | one node was replaced and another down at once          | held   |
+      | one node was replaced and another down a while later    | broken |
+
   Scenario: A breach is told with the whole story of its id
     Given a rehearsal folder whose logs name one request among many others
     Then the story of that request has its lines of every log in order of time, and no others
