--- a/features/steps/rehearsal_kit_steps.py
+++ b/features/steps/rehearsal_kit_steps.py
@@ -13,10 +13,11 @@
 from hypothesis import settings, strategies
 
 from bellweir_rehearsal.callers.answers import AnswerError, read_stream
-from bellweir_rehearsal.callers.caller import ApplicationWish, Caller
+from bellweir_rehearsal.callers.caller import Caller
 from bellweir_rehearsal.callers.directory import NodeAddress, NodeDirectory
 from bellweir_rehearsal.callers.http import CutError, HttpClient, NotConnectedError
 from bellweir_rehearsal.callers.in_flight import InFlight
+from bellweir_rehearsal.callers.wishes import ApplicationWish
 from bellweir_rehearsal.experiments.comparison import compare_runs
 from bellweir_rehearsal.experiments.file import Experiment, Variant
 from bellweir_rehearsal.experiments.report import write_report
@@ -212,7 +213,16 @@
 
 @when("a rehearsal caller makes a request with a key")
 def step_request(context):
-    wish = ApplicationWish("pool", "/once?wish=1", "POST", b"body", "once", "key-1", 5_000, 0.0)
+    wish = ApplicationWish(
+        pool="pool",
+        path="/once?wish=1",
+        method="POST",
+        body=b"body",
+        idempotency_key="key-1",
+        request_class="once",
+        deadline_ms=5_000,
+        scheduled_s=0.0,
+    )
     context.ended = context.caller.request(wish)
 
 
--- a/src/bellweir_rehearsal/load/generator.py
+++ b/src/bellweir_rehearsal/load/generator.py
@@ -8,7 +8,8 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from functools import partial
 
-from bellweir_rehearsal.callers.caller import ApplicationWish, Caller, CompletionWish
+from bellweir_rehearsal.callers.caller import Caller
+from bellweir_rehearsal.callers.wishes import ApplicationWish, CompletionWish
 from bellweir_rehearsal.load.lengths import LengthModel
 from bellweir_rehearsal.load.mix import Load, TrafficClass
 from bellweir_rehearsal.load.prompts import PromptSource
