Tell of the owner's own callers in reports

Cause: drafts of other nodes did not keep out of engines whose owner served the callers: only subscribers' use was counted. Change: an owner's reports count its own use too. Conclusion: the scenario, now with the owner as the user as well, fails before and passes now.

--- a/features/routing_reports.feature
+++ b/features/routing_reports.feature
@@ -25,9 +25,14 @@
   Scenario: Whatever is lost, changed or moved, the views come back to the truth
     Then routing's views converge after any losses, changes and moves of ownership
 
-  Scenario: Drafts of one node keep out of the way of another node's callers
-    When routing's node 0 uses app-2 for a caller and the nodes tick for 2 s
+  Scenario Outline: Drafts of one node keep out of the way of another node's callers
+    When routing's node <node> uses app-2 for a caller and the nodes tick for 2 s
     Then all routing nodes know that callers use app-2
 
+    Examples: another node than the owner, and the owner
+      | node |
+      | 0    |
+      | 2    |
+
   Scenario: An owner sends less often to more subscribers
     Then routing's owner stays within its bytes for any number of subscriptions
--- a/src/bellweir/routing/report_publisher.py
+++ b/src/bellweir/routing/report_publisher.py
@@ -46,12 +46,23 @@
     facts_number: int = field(default_factory=lambda: random.getrandbits(30))
     subscribers: dict[str, _Subscription] = field(default_factory=dict)
 
+    def interactive(self) -> int:
+        """Subscribers with requests that callers wait for."""
+        return sum(found.interactive for found in self.subscribers.values())
+
 
 class ReportPublisher:
     """Thread-safe; sends outside its lock."""
 
-    def __init__(self, send: SendReports, report_period_s: float) -> None:
+    def __init__(
+        self,
+        send: SendReports,
+        report_period_s: float,
+        used_here: Callable[[str], bool] = lambda _: False,
+    ) -> None:
         self._send = send
+        self._used_here = used_here
+        """Whether this node itself uses a back end for callers."""
         self._report_period_s = report_period_s
         self._lock = threading.Lock()
         self._published: dict[str, _Published] = {}
@@ -82,7 +93,7 @@
             published = self._published.get(worker)
             if published is None:
                 return 0
-            return sum(found.interactive for found in published.subscribers.values())
+            return published.interactive()
 
     def subscribers_of(self, worker: str) -> list[str]:
         """Addresses of the nodes that want reports of a back end."""
@@ -148,7 +159,7 @@
             published = self._published[worker]
             if published.report is None:
                 continue
-            interactive = sum(found.interactive for found in published.subscribers.values())
+            interactive = published.interactive() + self._used_here(worker)
             for address, subscription in published.subscribers.items():
                 entry = _entry(worker, published, interactive, subscription.wants_facts, now_s)
                 if entry is None or not _worth_telling(subscription, entry, now_s):
--- a/src/bellweir/routing/views_service.py
+++ b/src/bellweir/routing/views_service.py
@@ -58,7 +58,9 @@
         self._probing_lock = threading.Lock()
         self._wake = threading.Event()
         self._transport: Transport
-        self._publisher = ReportPublisher(self._send, settings.routing.report_period_s)
+        self._publisher = ReportPublisher(
+            self._send, settings.routing.report_period_s, self._used_by_callers
+        )
         self._subscriber = ReportSubscriber(self._send)
         self.prefixes = PrefixHints(self._send, settings.routing.report_period_s)
 
@@ -196,6 +198,10 @@
         with self._probing_lock:
             self._probing.discard(worker.key)
 
+    def _used_by_callers(self, worker: str) -> bool:
+        backend = self._table.by_key().get(worker)
+        return backend is not None and backend.used_by_callers(self._now_s())
+
     def _send(self, address: str, message: Message) -> bool:
         return self._transport.send(address, message)
 
