--- a/bench/gateway_cost.py
+++ b/bench/gateway_cost.py
@@ -157,7 +157,7 @@
 
 
 def request_ways(application: Process, bare: Process, gateway: Process) -> Ways:
-    """A price check by the three ways."""
+    """A short request by the three ways."""
 
     def way(name: str, process: Process, path: str) -> Target:
         return Target(name, process.address, post(process.address, path, BODY), process)
--- a/src/bellweir/resources/models.py
+++ b/src/bellweir/resources/models.py
@@ -90,11 +90,11 @@
     """Class of a request, which decides its priority, limits and retries."""
 
     INTERACTIVE = "interactive"
-    """A person waits: price checks, completions."""
+    """A person waits: completions, requests of a page."""
     LOOKUP = "lookup"
     """Short, repeatable reads by services; may be hedged."""
     ONCE = "once"
-    """Must not be repeated: bids. Needs an idempotency key."""
+    """Must not be repeated, such as an order. Needs an idempotency key."""
     DRAFT = "draft"
     """Training samples and other work that nobody waits for at a counter."""
 
