--- a/bench/gateway_streams.py
+++ b/bench/gateway_streams.py
@@ -1,15 +1,17 @@
 """Many streams on one node, and what they do to short requests beside them.
 
 `python -m bench.gateway_streams [--streams 200] [--seconds S]` from the repository's root. The
-engines take the times of their default model. Three parts in one run: short requests alone;
-short requests beside the streams; streams whose callers vanish, and how long their engines go
-on.
+engines take the times of their default model. In one run: short requests alone, beside the
+streams, and beside callers of drafts that fill their share of the threads and the engines; and
+streams whose callers vanish, and how long their engines go on.
 """
 
 import argparse
 import http.client
 import json
 import statistics
+import subprocess
+import sys
 import time
 from collections.abc import Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
@@ -21,13 +23,16 @@
 from bellweir_rehearsal.standins.catalogue import StandinKind
 from bellweir_rehearsal.standins.engine_options import EngineOptions
 from bellweir_rehearsal.standins.object_api import ObjectApiOptions
+from bench.background import completion
 from bench.client import Target, post, run_requests
 from bench.gateway_cost import BODY, create, pool_document, wait_for
 from bench.processes import Process, node, standin, temporary_folder
 
 ENGINES = 4
-TOKENS = 600
+TOKENS = 1500
 SHORT_CONNECTIONS = 4
+DRAFT_CALLERS = 256
+"""More than the threads that drafts may hold and the sequences that the engines batch."""
 VANISHING = 20
 LOOK_PERIOD_S = 0.01
 CANCEL_TIMEOUT_S = 30.0
@@ -41,15 +46,6 @@
     engines: tuple[str, ...]
 
 
-@dataclass(frozen=True)
-class StreamResult:
-    """One streamed completion."""
-
-    whole: bool
-    first_chunk_s: float
-    events: int
-
-
 def main() -> None:
     """Measure and print."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -96,64 +92,70 @@
     create(gateway, "pools", pool)
 
 
-def completion(tokens: int, *, stream: bool) -> bytes:
-    """Body of a completion request."""
-    return json.dumps(
-        {"model": "policy", "prompt": "a page", "max_tokens": tokens, "stream": stream}
-    ).encode()
-
-
 def report(deployed: Deployment, streams: int, seconds: float) -> None:
-    """Run the three parts."""
+    """Run the parts, short requests alone before and after each load."""
     address = deployed.gateway.address
     path = "/apps/application/price"
     short = Target("short", address, post(address, path, BODY), deployed.gateway)
-    alone = run_requests(short, SHORT_CONNECTIONS, seconds)
-    with ThreadPoolExecutor(streams) as pool:
-        running = [pool.submit(one_stream, address) for _ in range(streams)]
-        time.sleep(1.0)
-        open_streams = streams_open(address)
-        beside = run_requests(short, SHORT_CONNECTIONS, seconds)
-        results = [each.result() for each in running]
     print(f"short requests, {SHORT_CONNECTIONS} connections: p50 and p99 in ms")
-    for name, run in (("alone", alone), (f"beside {open_streams} open streams", beside)):
-        print(f"  {name:28}{run.percentile_ms(50):8.2f}{run.percentile_ms(99):8.2f}")
-    whole = sum(result.whole for result in results)
-    first = sorted(result.first_chunk_s for result in results)
+
+    def measure(name: str) -> None:
+        run = run_requests(short, SHORT_CONNECTIONS, seconds)
+        print(f"  {name:32}{run.percentile_ms(50):8.2f}{run.percentile_ms(99):8.2f}")
+
+    measure("alone")
+    with background(address, "streams", streams, seconds) as load:
+        wait_for_threads(address, "stream", streams)
+        measure(f"beside {threads_held(address, 'stream')} open streams")
+        results = json.loads(load.communicate()[0])
+    measure("alone")
+    with background(address, "drafts", DRAFT_CALLERS, 3 * seconds) as load:
+        wait_for_threads(address, "draft", 1)
+        time.sleep(seconds)
+        measure(f"beside {DRAFT_CALLERS} callers of drafts")
+        held = threads_held(address, "draft")
+        statuses = json.loads(load.communicate()[0])
+    measure("alone")
+    whole = sum(result["whole"] for result in results)
+    first = sorted(result["first_chunk_s"] for result in results)
+    median_ms, worst_ms = 1e3 * statistics.median(first), 1e3 * first[-1]
     print(f"streams whole: {whole} of {streams}, {TOKENS} tokens each")
-    print(
-        f"  first chunk p50 {1e3 * statistics.median(first):.0f} ms, worst {1e3 * first[-1]:.0f} ms"
-    )
+    print(f"  first chunk p50 {median_ms:.0f} ms, worst {worst_ms:.0f} ms")
+    print(f"drafts: {held} threads held, answers by status {statuses}")
     print(f"callers that vanish: engines idle after {1e3 * vanish(deployed):.0f} ms")
 
 
-def one_stream(address: str) -> StreamResult:
-    """Read one streamed completion to its end."""
-    connection = http.client.HTTPConnection(address, timeout=120)
-    sent = time.perf_counter()
-    connection.request("POST", "/v1/completions", completion(TOKENS, stream=True))
-    answer = connection.getresponse()
-    first = b""
-    events = 0
-    last = b""
-    first_s = 0.0
-    for line in answer:
-        if line.startswith(b"data: "):
-            if not first:
-                first, first_s = line, time.perf_counter() - sent
-            events += 1
-            last = line
-    connection.close()
-    return StreamResult(last == b"data: [DONE]\n", first_s, events)
-
-
-def streams_open(address: str) -> int:
-    """Threads that the node says streams hold."""
+@contextmanager
+def background(
+    address: str, kind: str, callers: int, seconds: float
+) -> Iterator["subprocess.Popen[str]"]:
+    """Run a load in a process of its own, to its end."""
+    arguments = [address, kind, str(callers), str(seconds), str(TOKENS)]
+    command = [sys.executable, "-m", "bench.background", *arguments]
+    process = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+    try:
+        yield process
+    finally:
+        process.terminate()
+        process.wait()
+
+
+def threads_held(address: str, share: str) -> int:
+    """Request threads of a share that the node says are held."""
     connection = http.client.HTTPConnection(address, timeout=30)
     connection.request("GET", "/status")
     status = json.loads(connection.getresponse().read())
     connection.close()
-    return int(status["threads"]["by_share"]["stream"])
+    return int(status["threads"]["by_share"][share])
+
+
+def wait_for_threads(address: str, share: str, wanted: int) -> None:
+    """Wait until a share holds this many threads."""
+    deadline = time.monotonic() + CANCEL_TIMEOUT_S
+    while threads_held(address, share) < wanted:
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"never {wanted} threads for {share}")
+        time.sleep(LOOK_PERIOD_S)
 
 
 def vanish(deployed: Deployment) -> float:
