--- a/src/bellweir/gateway/tasks.py
+++ b/src/bellweir/gateway/tasks.py
@@ -14,6 +14,7 @@
     openai_error_response,
     problem_response,
 )
+from bellweir.gateway.request_headers import REQUEST_ID
 from bellweir.routing.interface import RunState
 
 ABORT_CONNECTION = "bellweir.abort_connection"
@@ -45,7 +46,9 @@
         problem = before_the_ledger(problem, has_key=self.request.may_have_key())
         in_openai_shape = self.request.path.startswith("/v1/")
         shape = openai_error_response if in_openai_shape else problem_response
-        response = shape(problem, new_request_id())
+        request_id = new_request_id()
+        response = shape(problem, request_id)
+        response.headers.append((REQUEST_ID, request_id))
         self.status = response.status_line
         self.response_headers.extend(response.headers)
         self.set_close_on_finish()
