--- a/features/routing_dispatch.feature
+++ b/features/routing_dispatch.feature
@@ -29,6 +29,10 @@
     When routing's workers have all failed until their circuits opened and work again
     Then routing serves a request at once
 
+  Scenario: Callers in a hurry open no circuit
+    When routing's callers give each worker 10 times less time than it takes
+    Then routing refuses them by their deadline and leaves all circuits closed
+
   Scenario: The first token of a trial closes the circuit
     When routing's engines have open circuits and a long stream has begun as the trial
     Then routing's circuit of that engine is closed while the stream still runs
@@ -46,6 +50,10 @@
     Then routing cancels that attempt on its engine
     And routing has nothing in hand
 
+  Scenario: Cancelling on engines that hang holds one thread for each
+    When routing cancels 50 attempts on each of 3 engines that hang
+    Then routing holds at most 3 background threads for it, and tells the engines all when they come back
+
   Scenario: A caller that stops reading at the last chunk leaves nothing in hand
     When routing's callers stop reading 3 streams at their last chunks
     Then routing has nothing in hand
