--- a/features/steps/gateway_applications_steps.py
+++ b/features/steps/gateway_applications_steps.py
@@ -78,7 +78,12 @@
 
 @then("a cut application answer is cut for gateway callers of HTTP/1.0 and HTTP/1.1")
 def step_cut(context):
-    for headers in ((), (("Content-Length", "100"),)):
+    context.gateway.dispatcher.answer = lambda _: ApplicationAnswer(
+        200, (("Content-Length", "100"),), cut_body((b"part",))
+    )
+    status, _, body = gateway_call(context, "GET", "/apps/web/items")
+    assert (status, json.loads(body)["run_state"]) == (502, "ran")
+    for headers in ((), (("Content-Length", "1000000"),)):
         context.gateway.dispatcher.answer = lambda _, headers=headers: ApplicationAnswer(
             200, headers, cut_body((b"part",))
         )
--- a/src/bellweir/gateway/application.py
+++ b/src/bellweir/gateway/application.py
@@ -225,6 +225,9 @@
         return refuse(request, Problem(413, "body_too_long", str(failure)))
     if isinstance(failure, BodyCutError):
         return refuse(request, body_cut(failure, RunState.UNKNOWN))
+    if isinstance(failure, IncompleteBodyError):
+        detail = f"the back end's answer was cut: {failure}"
+        return refuse(request, Problem(502, "backend_failed", detail, RunState.RAN))
     if isinstance(failure, BadRequestError):
         return refuse(request, Problem(400, "invalid", str(failure)))
     _log_failure(request, interface, failure)
--- a/src/bellweir/gateway/applications_api.py
+++ b/src/bellweir/gateway/applications_api.py
@@ -17,12 +17,14 @@
     parse_routing_options,
 )
 from bellweir.gateway.router import Router
-from bellweir.platform.interface import ApplicationAnswer
+from bellweir.platform.interface import ApplicationAnswer, IncompleteBodyError
 from bellweir.resources.models import RequestClass
 from bellweir.routing.interface import ApplicationRequest, Dispatcher, Refusal
 
 INTERFACE = "applications"
 PREFIX = "/apps/"
+SHORT_ANSWER_BYTES = 64 * 1024
+"""Answers of a declared length up to this are read first: a cut one then has a status."""
 VIA = "1.1 bellweir"
 """RFC 9110 section 7.6.3 has an intermediary name itself."""
 
@@ -61,7 +63,7 @@
         )
         match self._dispatcher.forward(forwarded):
             case Success(answer):
-                return _response(answer)
+                return _response(request, answer)
             case Failure(refusal):
                 return problem_response(_problem(request, refusal), request.request_id)
         raise AssertionError("a result is a success or a failure")
@@ -97,8 +99,31 @@
     return tuple((name, value) for name, value in kept if name.lower() not in dropped)
 
 
-def _response(answer: ApplicationAnswer) -> Response:
-    return Response(answer.status, end_to_end(answer.headers), chunks=BodyChunks(answer.body))
+def _response(request: Request, answer: ApplicationAnswer) -> Response:
+    headers = end_to_end(answer.headers)
+    chunks = BodyChunks(answer.body)
+    length = _short_length(request, answer)
+    if length is None:
+        return Response(answer.status, headers, chunks=chunks)
+    try:
+        body = b"".join(chunks)
+    finally:
+        chunks.close()
+    if len(body) != length:
+        raise IncompleteBodyError(f"{len(body)} of {length} bytes")
+    headers = [each for each in headers if each[0].lower() != "content-length"]
+    return Response(answer.status, headers, body)
+
+
+def _short_length(request: Request, answer: ApplicationAnswer) -> int | None:
+    """Length of a body that is read before the answer begins; None where it must stream."""
+    if request.method == "HEAD" or answer.status < 200 or answer.status in (204, 304):
+        return None
+    for name, value in answer.headers:
+        if name.lower() == "content-length" and value.isdigit():
+            length = int(value)
+            return length if length <= SHORT_ANSWER_BYTES else None
+    return None
 
 
 class BodyChunks:
--- a/src/bellweir/gateway/tasks.py
+++ b/src/bellweir/gateway/tasks.py
@@ -61,6 +61,8 @@
     """Runs the application for one request."""
 
     wrote_header: bool = False
+    response_headers: list[tuple[str, str]]
+    content_length: int | None = None
 
     def write(self, data: bytes) -> None:
         """Write a piece of the body; the first goes out together with the headers."""
@@ -69,6 +71,11 @@
             return
         headers = self.build_response_header()
         self.wrote_header = True
+        if self.content_length == len(data):
+            # The whole body at once, as nearly always.
+            self.content_bytes_written = len(data)
+            self.channel.write_soon(headers + data)
+            return
         self.channel.hold_back(headers)
         super().write(data)
         self.channel.send_held_back()
@@ -78,15 +85,14 @@
 
         While the node stops, each answer is the last one of its connection.
         """
-        given = {name.lower() for name, _ in self.response_headers}
-        declared = "content-length" in given or self.content_length is not None
+        given = [name.lower() for name, _ in self.response_headers]
+        declared = "content-length" in given
+        if not declared and self.content_length is not None and self.has_body:
+            self.response_headers.append(("Content-Length", str(self.content_length)))
+            declared = True
         self._settle_connection(declared=declared)
         lines = [f"HTTP/{self.version} {self.status}"]
-        for name, value in self.response_headers:
-            if self.has_body or name.lower() != "content-length":
-                lines.append(f"{name}: {value}")
-        if self.has_body and self.content_length is not None and "content-length" not in given:
-            lines.append(f"Content-Length: {self.content_length}")
+        lines += [f"{name}: {value}" for name, value in self.response_headers]
         if "server" not in given:
             lines.append(f"Server: {self.channel.adj.ident}")
         if "date" not in given:
@@ -96,6 +102,11 @@
 
     def _settle_connection(self, *, declared: bool) -> None:
         """Choose the framing, and whether the connection ends with this answer."""
+        if not self.has_body:
+            # RFC 9112 section 6: no length with 1xx and 204; waitress leaves it out with 304 too.
+            self.response_headers = [
+                each for each in self.response_headers if each[0].lower() != "content-length"
+            ]
         asked = self.request.headers.get("CONNECTION", "").lower()
         if self.channel.server.closing_connections or self.channel.out_of_step:
             self.set_close_on_finish()
