--- a/features/support/routing_cluster.py
+++ b/features/support/routing_cluster.py
@@ -1,6 +1,7 @@
 """Nodes that consist of routing only, over fakes that they share."""
 
 import itertools
+import threading
 import time
 from contextlib import ExitStack
 from dataclasses import dataclass, field
@@ -25,7 +26,13 @@
 from bellweir.routing.views_service import BackendViewsService
 from bellweir.settings.models import NodeIdentity, RoutingSettings, Settings
 from support.routing_claims import InlineExecutors, LateExecutors
-from support.routing_fakes import FakeApplication, FakeConfiguration, FakeEngine, FakePlatform
+from support.routing_fakes import (
+    FakeApplication,
+    FakeConfiguration,
+    FakeEngine,
+    FakePlatform,
+    token_of,
+)
 from support.routing_peers import FakeBus, FakeOwnership, FakeTransport
 from support.waiting import wait_until
 
@@ -172,3 +179,22 @@
 
 def body_of(answer) -> bytes:
     return b"".join(answer.body)
+
+
+def tokens_of(request) -> tuple[int, ...]:
+    """All tokens of a request's whole answer."""
+    return tuple(token_of(request.prompt, position) for position in range(request.max_tokens))
+
+
+def chunks_of(generation) -> list:
+    """The chunks of a generation; raises when it ends with a refusal."""
+    return [item.unwrap() for item in generation]
+
+
+def held_generation(context):
+    """Start a generation whose engine waits for `context.gate` before each token."""
+    context.gate = threading.Event()
+    for engine in context.cluster.engines:
+        engine.gate = context.gate
+    context.request = context.cluster.generation_request()
+    return context.node.generate(context.request).unwrap()
