--- a/src/bellweir_rehearsal/scale/__main__.py
+++ b/src/bellweir_rehearsal/scale/__main__.py
@@ -21,6 +21,7 @@
     nodes: Annotated[
         list[int], cappa.Arg(long=True, help="Nodes; give it again for further runs.")
     ] = field(default_factory=lambda: [32])
+    real: Annotated[int, cappa.Arg(long=True, help="Whole nodes beside them.")] = 0
     workers: Annotated[int, cappa.Arg(long=True, help="Workers on the machine list.")] = 3800
     processes: Annotated[int, cappa.Arg(long=True, help="Processes for the nodes.")] = 3
     steady_s: Annotated[float, cappa.Arg(long=True, help="Steady window, seconds.")] = 30.0
@@ -34,6 +35,7 @@
             print(f"{nodes} nodes, {self.workers} workers")
             options = ScaleOptions(
                 nodes=nodes,
+                real=self.real,
                 workers=self.workers,
                 processes=self.processes,
                 steady_s=self.steady_s,
--- a/src/bellweir_rehearsal/scale/cluster.py
+++ b/src/bellweir_rehearsal/scale/cluster.py
@@ -17,6 +17,7 @@
 
 from bellweir_rehearsal.scale import commands
 from bellweir_rehearsal.scale.options import ScaleOptions
+from bellweir_rehearsal.scale.real_nodes import RealNode
 from bellweir_rehearsal.scale.sample_configuration import node_specs
 
 CLUSTER_KEY = "the cluster key of a scale run"
@@ -95,6 +96,7 @@
         self._faults = Path(self._folder.name) / "faults.json"
         self._home: dict[str, HollowProcessHandle] = {}
         self.processes: list[HollowProcessHandle] = []
+        self.real: list[RealNode] = []
         self.chance = random.Random(options.nodes)
 
     def __enter__(self) -> "Cluster":
@@ -106,6 +108,8 @@
         value: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
+        for node in self.real:
+            node.stop()
         for process in self.processes:
             process.quit()
         self._folder.cleanup()
@@ -120,6 +124,26 @@
         groups[0] = groups[0][SEEDS:]
         for number, group in enumerate(groups):
             self._start_nodes(number, group, seeds, key_file)
+        self._start_real_nodes(seeds, key_file)
+
+    def _start_real_nodes(self, seeds: tuple[str, ...], key_file: Path) -> None:
+        options = self.options
+        folder = Path(self._folder.name)
+        for spec in node_specs(options.real, options.zones, options.regions, "real"):
+            self.real.append(RealNode(spec, folder, seeds, key_file, self._faults))
+        for node in self.real:
+            node.wait_until_up()
+
+    @property
+    def members(self) -> set[str]:
+        """Names of all nodes that live, whole ones too."""
+        return self.live | {node.spec.name for node in self.real}
+
+    @property
+    def regions(self) -> dict[str, str]:
+        """The region of each node."""
+        specs = [*self.specs, *(node.spec for node in self.real)]
+        return {spec.name: spec.region for spec in specs}
 
     def _start_nodes(
         self, number: int, nodes: list[commands.NodeSpec], seeds: tuple[str, ...], key_file: Path
@@ -189,8 +213,8 @@
             time.sleep(POLL_S)
 
     def wait_for_all(self, timeout_s: float) -> float:
-        """Wait until each live node sees exactly the live nodes; seconds waited."""
-        return self.wait_for_members(lambda _: self.live, timeout_s)
+        """Wait until each hollow node sees exactly the live nodes; seconds waited."""
+        return self.wait_for_members(lambda _: self.members, timeout_s)
 
     def wait_for_revision(self, revision: int, timeout_s: float) -> float:
         """Wait until a revision is in force on all live nodes; seconds waited."""
--- a/src/bellweir_rehearsal/scale/commands.py
+++ b/src/bellweir_rehearsal/scale/commands.py
@@ -33,6 +33,7 @@
     workers: int
     zones: int
     regions: int
+    with_pools: bool
 
 
 class Settle(Command, frozen=True):
--- a/src/bellweir_rehearsal/scale/hollow_process.py
+++ b/src/bellweir_rehearsal/scale/hollow_process.py
@@ -160,7 +160,12 @@
         revision = sample_configuration.FIRST_REVISION
         machines = sample_configuration.machines(command.workers, command.zones, command.regions)
         state.adopt(TableName.MACHINES, revision, machines, "scale run")
-        state.adopt(TableName.RESOURCES, revision, sample_configuration.resources(), "scale run")
+        state.adopt(
+            TableName.RESOURCES,
+            revision,
+            sample_configuration.resources(command.with_pools),
+            "scale run",
+        )
         return commands.Done(time.monotonic())
 
     def _change(self, command: commands.Change) -> commands.Done:
--- a/src/bellweir_rehearsal/scale/measures.py
+++ b/src/bellweir_rehearsal/scale/measures.py
@@ -39,6 +39,15 @@
     bare_resident_bytes: int
 
 
+class RealCost(msgspec.Struct, frozen=True):
+    """Cost of one whole node in the steady window."""
+
+    node: str
+    cpu_percent_of_core: float
+    resident_bytes: int
+    threads: int
+
+
 class FalseAlarms(msgspec.Struct, frozen=True):
     """What live nodes said of live members in one window, counted over all observers."""
 
@@ -82,6 +91,7 @@
     joined_after_s: float | None = None
     loaded_after_s: float | None = None
     cost: NodeCost | None = None
+    real: tuple[RealCost, ...] = ()
     steady: FalseAlarms | None = None
     change_in_force: Spread | None = None
     death_noticed: Spread | None = None
--- a/src/bellweir_rehearsal/scale/options.py
+++ b/src/bellweir_rehearsal/scale/options.py
@@ -13,6 +13,9 @@
 
     nodes: int = 32
     """Hollow nodes in all."""
+    real: int = 0
+    """Whole nodes beside the hollow ones. The configuration then names no pools, since nobody
+    stands in for the workers."""
     workers: int = 400
     """Workers on the machine list, spread over the zones."""
     processes: int = 3
--- a/src/bellweir_rehearsal/scale/report.py
+++ b/src/bellweir_rehearsal/scale/report.py
@@ -31,6 +31,11 @@
     return f"{dead}, whole after {value.whole_after_s:.1f} s"
 
 
+def _real(result: ScaleResult) -> str:
+    costs = [f"{c.cpu_percent_of_core:.2f} %, {c.resident_bytes / MIB:.0f}" for c in result.real]
+    return "; ".join(costs) or "-"
+
+
 def _number(value: float | None, unit: str) -> str:
     return "-" if value is None else f"{value:.1f} {unit}"
 
@@ -38,6 +43,7 @@
 ROWS: tuple[Row, ...] = (
     ("CPU, % of a core", lambda r: f"{r.cost.cpu_percent_of_core:.2f}" if r.cost else "-"),
     ("resident, MiB", lambda r: f"{r.cost.resident_bytes / MIB:.0f}" if r.cost else "-"),
+    ("whole nodes: CPU, resident MiB", _real),
     ("bytes/s", lambda r: f"{r.cost.bytes_per_s:.0f}" if r.cost else "-"),
     (
         "bytes/s with headers",
--- a/src/bellweir_rehearsal/scale/run.py
+++ b/src/bellweir_rehearsal/scale/run.py
@@ -12,6 +12,7 @@
     FalseAlarms,
     NodeCost,
     PauseResult,
+    RealCost,
     ScaleResult,
     SplitResult,
     Spread,
@@ -46,6 +47,7 @@
         self._progress = progress
         self._revision = FIRST_REVISION
         self._failures: list[str] = []
+        self._real_costs: tuple[RealCost, ...] = ()
 
     def run(self) -> ScaleResult:
         """Run all steps."""
@@ -60,7 +62,11 @@
         if steady is not None:
             cost, alarms, in_force = steady
             result = msgspec.structs.replace(
-                result, cost=cost, steady=alarms, change_in_force=in_force
+                result,
+                cost=cost,
+                real=self._real_costs,
+                steady=alarms,
+                change_in_force=in_force,
             )
         return msgspec.structs.replace(
             result,
@@ -95,7 +101,9 @@
         from_peers = options.nodes <= LARGEST_LOAD_FROM_PEERS
         loaded = set(readers.values()) if from_peers else self._cluster.live
         for name in sorted(loaded):
-            load = commands.Load(name, options.workers, options.zones, options.regions)
+            load = commands.Load(
+                name, options.workers, options.zones, options.regions, options.real == 0
+            )
             self._cluster.home(name).ask(load, commands.Done)
         waited_s = self._cluster.wait_for_revision(FIRST_REVISION, LOAD_TIMEOUT_S)
         self._cluster.ask_all(commands.Settle(), commands.Done)
@@ -112,6 +120,8 @@
         cluster, options = self._cluster, self._options
         cluster.take_observations()
         before = cluster.usage()
+        for node in cluster.real:
+            node.begin_window()
         ends_s = time.monotonic() + options.steady_s
         written: dict[int, float] = {}
         while time.monotonic() < ends_s:
@@ -119,6 +129,7 @@
             written[self._revision] = done.at_s
             time.sleep(max(0.0, min(options.change_period_s, ends_s - time.monotonic())))
         after = cluster.usage()
+        self._real_costs = tuple(node.end_window() for node in cluster.real)
         cluster.wait_for_revision(self._revision, CHANGE_TIMEOUT_S)
         seen = cluster.take_observations()
         # A revision is in force on a node from its first snapshot of that or a newer revision.
@@ -194,7 +205,7 @@
 
     def _measure_split(self) -> SplitResult:
         cluster = self._cluster
-        region = {spec.name: spec.region for spec in cluster.specs}
+        region = cluster.regions
         lone = cluster.specs[0].region
         others = sorted(set(region.values()) - {lone})
         cluster.write_faults(
@@ -203,8 +214,8 @@
                 for other in others
             ]
         )
-        inside = {name for name in cluster.live if region[name] == lone}
-        outside = cluster.live - inside
+        inside = {name for name in cluster.members if region[name] == lone}
+        outside = cluster.members - inside
         began_s = time.monotonic()
         parted_s = cluster.wait_for_members(
             lambda name: inside if name in inside else outside, MERGE_TIMEOUT_S
--- a/src/bellweir_rehearsal/scale/sample_configuration.py
+++ b/src/bellweir_rehearsal/scale/sample_configuration.py
@@ -12,6 +12,8 @@
 VERSIONS_OF_EACH_POLICY = 5
 POOLS = 12
 FIRST_REVISION = 100
+UNUSED_ADDRESS = "127.0.0.1:9"
+"""Of every worker: a port on this machine on which nobody listens."""
 
 
 def zone_name(number: int) -> str:
@@ -24,11 +26,11 @@
     return f"region-{zone * regions // zones}"
 
 
-def node_specs(nodes: int, zones: int, regions: int) -> list[NodeSpec]:
+def node_specs(nodes: int, zones: int, regions: int, prefix: str = "node") -> list[NodeSpec]:
     """Return the nodes, spread evenly over the zones."""
     return [
         NodeSpec(
-            f"node-{number:03d}",
+            f"{prefix}-{number:03d}",
             zone_name(number % zones),
             region_name(number % zones, zones, regions),
         )
@@ -42,7 +44,7 @@
         machine_change(
             Machine(
                 name=f"worker-{number:04d}",
-                address=f"10.{number // 250}.{number % 250}.1:8000",
+                address=UNUSED_ADDRESS,
                 zone=zone_name(number % zones),
                 region=region_name(number % zones, zones, regions),
                 role="engine",
@@ -55,7 +57,7 @@
     ]
 
 
-def resources() -> list[Change]:
+def resources(with_pools: bool) -> list[Change]:
     """Return the first resources."""
     policies = [policy_change(f"policy-{n}", 0, FIRST_REVISION) for n in range(POLICIES)]
     versions = [
@@ -71,6 +73,8 @@
     pools = [
         _change("Pool", f"pool-{pool}", _pool_spec(pool), FIRST_REVISION) for pool in range(POOLS)
     ]
+    if not with_pools:
+        return [*policies, *versions]
     return [*policies, *versions, *pools]
 
 
