Bound the whole handshake, however slowly its bytes come

Cause: the socket's time-out began anew with each byte, so a stranger that sent one byte each few seconds held a connection and a thread for more than an hour. Change: one deadline for all reads of a handshake; a scenario with such a stranger, which fails with the code from before.

--- a/features/steps/wire_trust_steps.py
+++ b/features/steps/wire_trust_steps.py
@@ -1,5 +1,6 @@
 import os
 import socket
+from unittest.mock import patch
 
 import cbor2
 from behave import given, then, when
@@ -162,6 +163,35 @@
     context.wire_logs, context.wire_code = logs, "BW0200"
 
 
+@given("a wire handshake time of {seconds:f} seconds")
+def step_handshake_time(context, seconds):
+    context.cleanup.enter_context(patch.object(handshake, "HANDSHAKE_TIMEOUT_S", seconds))
+
+
+@when("a slow wire stranger sends beta a byte each {seconds:f} seconds")
+def step_slow_stranger(context, seconds):
+    connection = _connect(context)
+    connection.settimeout(seconds)
+    context.wire_bytes = 0
+    data = _frame(_hello(handshake.PROTOCOL))
+    assert len(data) > 60
+    for byte in data:
+        try:
+            connection.sendall(bytes([byte]))
+            context.wire_bytes += 1
+            if not connection.recv(1):
+                return
+        except TimeoutError:
+            continue
+        except ConnectionError:
+            return
+
+
+@then("that wire stranger's connection is closed before its 60th byte")
+def step_closed_early(context):
+    assert context.wire_bytes < 60, context.wire_bytes
+
+
 @when("an authenticated wire peer sends beta {what}")
 def step_authenticated(context, what):
     cluster_keys = keys.ClusterKeys([context.folder / "cluster.key"])
--- a/features/wire_trust.feature
+++ b/features/wire_trust.feature
@@ -22,6 +22,12 @@
       | a hello and a proof by another key        |
       | a valid message frame without a handshake |
 
+  Scenario: A stranger that sends its bytes slowly is closed all the same
+    Given wire nodes alpha and beta with one cluster key
+    And a wire handshake time of 0.3 seconds
+    When a slow wire stranger sends beta a byte each 0.05 seconds
+    Then that wire stranger's connection is closed before its 60th byte
+
   Scenario: Random bytes on the live port never disturb the node
     Given wire nodes alpha and beta with one cluster key
     Then wire node beta stays whole through random bytes from strangers
--- a/src/bellweir/wire/frames.py
+++ b/src/bellweir/wire/frames.py
@@ -7,6 +7,7 @@
 
 import socket
 import struct
+import time
 from typing import Any, TypeVar
 
 import cbor2
@@ -19,6 +20,7 @@
 MAXIMUM_DEPTH = 32
 """Deepest nesting of containers in a frame."""
 LENGTH_PREFIX = struct.Struct(">I")
+SHORTEST_TIMEOUT_S = 0.001
 RECEIVE_CHUNK_BYTES = 64 * 1024
 
 
@@ -132,23 +134,32 @@
     return LENGTH_PREFIX.pack(len(payload)) + payload
 
 
-def read_frame(connection: socket.socket, maximum_bytes: int) -> bytes:
-    """Read one frame's payload.
+def read_frame(
+    connection: socket.socket, maximum_bytes: int, deadline_s: float | None = None
+) -> bytes:
+    """Read one frame's payload, until `deadline_s` on the monotonic clock when that is given.
+
+    The deadline bounds the whole frame: a socket's own time-out would begin anew with each byte
+    that a slow stranger sends.
 
     Raises `ConnectionClosedError` at an end between frames, `FrameError` for a length out of
     bounds or an end within a frame, and `OSError` as the socket does.
     """
-    prefix = _read_exactly(connection, LENGTH_PREFIX.size, at_boundary=True)
+    prefix = _read_exactly(connection, LENGTH_PREFIX.size, deadline_s, at_boundary=True)
     (length,) = LENGTH_PREFIX.unpack(prefix)
     if not 0 < length <= maximum_bytes:
         raise FrameError(f"length {length} is not within 1 to {maximum_bytes}")
-    return _read_exactly(connection, length, at_boundary=False)
+    return _read_exactly(connection, length, deadline_s, at_boundary=False)
 
 
-def _read_exactly(connection: socket.socket, count: int, at_boundary: bool) -> bytes:
+def _read_exactly(
+    connection: socket.socket, count: int, deadline_s: float | None, *, at_boundary: bool
+) -> bytes:
     # Chunks grow with what has really arrived: a length alone reserves no memory.
     received = bytearray()
     while len(received) < count:
+        if deadline_s is not None:
+            connection.settimeout(max(SHORTEST_TIMEOUT_S, deadline_s - time.monotonic()))
         chunk = connection.recv(min(RECEIVE_CHUNK_BYTES, count - len(received)))
         if not chunk and at_boundary and not received:
             raise ConnectionClosedError("closed by the other end")
--- a/src/bellweir/wire/handshake.py
+++ b/src/bellweir/wire/handshake.py
@@ -7,6 +7,7 @@
 
 import os
 import socket
+import time
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -27,6 +28,7 @@
 """Name and version of the protocol between nodes; both ends must agree."""
 NONCE_BYTES = 16
 HANDSHAKE_TIMEOUT_S = 5.0
+"""Time for all of one end's part of the handshake."""
 MAXIMUM_NAME_CHARACTERS = 253
 HandshakeFrame = TypeVar("HandshakeFrame", bound=msgspec.Struct)
 _SERVER_ROLE = b"accepting"
@@ -79,16 +81,17 @@
     Raises `HandshakeError`, or `OSError` as the socket does.
     """
     connection.settimeout(HANDSHAKE_TIMEOUT_S)
+    deadline_s = time.monotonic() + HANDSHAKE_TIMEOUT_S
     hello = ClientHello(PROTOCOL, local.name, local.address, os.urandom(NONCE_BYTES))
     try:
         _write(connection, hello)
-        answer = _read(connection, ServerHello)
+        answer = _read(connection, ServerHello, deadline_s)
         _check_nonce(answer.nonce)
         parts = _parts(hello, answer.node, answer.nonce)
         if not keys.verify(answer.proof, _SERVER_ROLE, *parts):
             raise HandshakeError("the accepting node proved no cluster key known here")
         _write(connection, ClientProof(keys.sign(_CLIENT_ROLE, *parts)))
-        _read(connection, Welcome)
+        _read(connection, Welcome, deadline_s)
     except FrameError as failure:
         raise HandshakeError(str(failure)) from failure
     return answer.node
@@ -100,13 +103,14 @@
     Raises `HandshakeError`, or `OSError` as the socket does.
     """
     connection.settimeout(HANDSHAKE_TIMEOUT_S)
+    deadline_s = time.monotonic() + HANDSHAKE_TIMEOUT_S
     try:
-        hello = _read(connection, ClientHello)
+        hello = _read(connection, ClientHello, deadline_s)
         _check_hello(hello)
         nonce = os.urandom(NONCE_BYTES)
         parts = _parts(hello, local.name, nonce)
         _write(connection, ServerHello(local.name, nonce, keys.sign(_SERVER_ROLE, *parts)))
-        answer = _read(connection, ClientProof)
+        answer = _read(connection, ClientProof, deadline_s)
         if not keys.verify(answer.proof, _CLIENT_ROLE, *parts):
             raise HandshakeError("the connecting node proved no cluster key known here")
         _write(connection, Welcome())
@@ -139,5 +143,7 @@
     connection.sendall(with_length(encode_struct(value)))
 
 
-def _read(connection: socket.socket, into: type[HandshakeFrame]) -> HandshakeFrame:
-    return decode_struct(read_frame(connection, MAXIMUM_HANDSHAKE_FRAME_BYTES), into)
+def _read(
+    connection: socket.socket, into: type[HandshakeFrame], deadline_s: float
+) -> HandshakeFrame:
+    return decode_struct(read_frame(connection, MAXIMUM_HANDSHAKE_FRAME_BYTES, deadline_s), into)
