--- a/features/steps/rehearsal_scale_steps.py
+++ b/features/steps/rehearsal_scale_steps.py
@@ -45,6 +45,7 @@
     assert scale.death_noticed.count == NODES - 1, scale.death_noticed
     assert scale.leave_noticed.count == NODES - 2, scale.leave_noticed
     assert scale.change_in_force.count % NODES == 0, scale.change_in_force
+    assert scale.zone_lost is None or scale.zone_lost.count > 0, scale.zone_lost
     assert scale.cost.datagrams_per_s > 0
 
 
--- a/src/bellweir_rehearsal/scale/measures.py
+++ b/src/bellweir_rehearsal/scale/measures.py
@@ -100,6 +100,8 @@
     short_pause: PauseResult | None = None
     long_pause: PauseResult | None = None
     split: SplitResult | None = None
+    zone_lost: Spread | None = None
+    """Over all observers and all members of a zone that ended at once."""
     failures: tuple[str, ...] = ()
 
 
--- a/src/bellweir_rehearsal/scale/report.py
+++ b/src/bellweir_rehearsal/scale/report.py
@@ -62,6 +62,7 @@
     ("long pause: paused / others dead", lambda r: _pause(r.long_pause)),
     ("split seen after", lambda r: _number(r.split.parted_after_s if r.split else None, "s")),
     ("merged after", lambda r: _number(r.split.merged_after_s if r.split else None, "s")),
+    ("a zone's loss noticed, s: p50 / p99 / worst", lambda r: _spread(r.zone_lost)),
     ("steps that failed", lambda r: ", ".join(r.failures) or "none"),
 )
 
@@ -74,4 +75,4 @@
         table.add_column(f"{result.nodes} nodes, {result.workers} workers", justify="right")
     for title, cell in ROWS:
         table.add_row(title, *(cell(result) for result in results))
-    Console(width=max(80, 46 + 30 * len(results))).print(table)
+    Console(width=max(80, 50 + 30 * len(results))).print(table)
--- a/src/bellweir_rehearsal/scale/run.py
+++ b/src/bellweir_rehearsal/scale/run.py
@@ -76,6 +76,7 @@
             short_pause=self._step("short pause", lambda: self._pause(options.short_pause_s)),
             long_pause=self._step("long pause", lambda: self._pause(options.long_pause_s)),
             split=self._step("split", self._measure_split),
+            zone_lost=self._step("zone lost", self._measure_zone_loss),
             failures=tuple(self._failures),
         )
 
@@ -226,6 +227,24 @@
         merged_s = cluster.wait_for_all(MERGE_TIMEOUT_S)
         return SplitResult(round(cut_s, 1), round(parted_s, 2), round(merged_s, 2))
 
+    def _measure_zone_loss(self) -> Spread | None:
+        """End all hollow nodes of a zone at once; times over observers and members lost."""
+        cluster = self._cluster
+        zone = cluster.specs[-1].zone
+        names = {spec.name for spec in cluster.specs if spec.zone == zone}
+        lost = sorted((names & cluster.live) - cluster.paused_nodes())
+        cluster.take_observations()
+        ended = {
+            name: cluster.home(name).ask(commands.Kill(name), commands.Done).at_s for name in lost
+        }
+        cluster.live -= ended.keys()
+        cluster.wait_for_all(MERGE_TIMEOUT_S)
+        first: dict[tuple[str, str], float] = {}
+        for seen in cluster.take_observations().states:
+            if seen.member in ended and seen.observer in cluster.live and seen.state == "dead":
+                first.setdefault((seen.observer, seen.member), seen.at_s - ended[seen.member])
+        return spread(first.values())
+
     def _alarms(
         self, seen: commands.Observations, excluded: set[str], window_s: float
     ) -> FalseAlarms:
