--- a/src/bellweir/ledger/service.py
+++ b/src/bellweir/ledger/service.py
@@ -25,6 +25,7 @@
 from bellweir.ledger.node import LedgerNode, NodeTiming
 from bellweir.ledger.placement import PlacementStore
 from bellweir.ledger.sqlite_journal import SqliteJournal
+from bellweir.ledger.store_sync import StoreSync
 from bellweir.ledger.tasks import LedgerTasks
 from bellweir.membership.interface import Membership
 from bellweir.platform.interface import PlatformClients
@@ -114,19 +115,21 @@
             timing,
         )
         node.load()
+        store = self._placement_store()
         keeper = PlacementKeeper(
             node,
-            self._placement_store(),
             self._membership,
             self._transport,
             self._kernel.clock,
             folder,
             settings,
+            has_store=store is not None,
         )
+        sync = StoreSync(node, keeper, store, self._kernel.clock) if store else None
         CallServer(node, self._transport)
         node.register_handlers()
         self._node = node
-        self._tasks = LedgerTasks(node, keeper, self._kernel.executors, settings)
+        self._tasks = LedgerTasks(node, keeper, sync, self._kernel.executors, settings)
         self._tasks.start()
 
     def _placement_store(self) -> PlacementStore | None:
@@ -199,7 +202,10 @@
         return _shard_of(key, known or self._settings.ledger.shards)
 
     def replica_nodes(self, key: str, timeout_s: float) -> tuple[str, ...]:
-        """Nodes that hold the key's shard, as last heard; none before the ledger is known."""
+        """Nodes that hold the key's shard and are not known to be dead, as last heard.
+
+        None before the ledger is known.
+        """
         if not self._serving.wait(timeout_s):
             return ()
         count = self._locator.wait_for_shard_count(timeout_s, self._kernel.clock)
@@ -209,8 +215,10 @@
         shard = _shard_of(key, count)
         replica = self._node.replica(shard) if self._node else None
         if replica is not None and replica.log.replicas.voters:
-            return tuple(one.node for one in replica.log.replicas.everyone)
-        return self._locator.replica_nodes(shard)
+            nodes = tuple(one.node for one in replica.log.replicas.everyone)
+        else:
+            nodes = self._locator.replica_nodes(shard)
+        return tuple(self._locator.likely_first(nodes))
 
     def _address_of(self, node: str) -> str | None:
         member = self._membership.member(node)
--- a/src/bellweir/resources/in_force.py
+++ b/src/bellweir/resources/in_force.py
@@ -7,7 +7,6 @@
 fulfilled; the write itself changes no generation, so that no report causes another one.
 """
 
-import threading
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -22,19 +21,18 @@
 from bellweir.configuration.interface import RevisionCensus, RevisionSpread
 from bellweir.events.log import emit
 from bellweir.kernel.clock import Clock
+from bellweir.resources.documents import operator_version
 from bellweir.resources.interface import Resources
 from bellweir.resources.log_events import STATUS_NOT_WRITTEN
 from bellweir.resources.models import KINDS
 
 IN_FORCE = "InForce"
-PERIOD_S = 0.25
-"""Time between two looks, in seconds."""
 PATIENCE_S = 2.0
 """A generation that is not in force everywhere for so long gets a condition that says why."""
 REPEAT_S = 10.0
 """Least time between two conditions of one generation that is not in force everywhere."""
 WRITES_IN_A_LOOK = 4
-"""Conditions written in one look: at most 16 a second, so that the store is not flooded."""
+"""Conditions written in one look, so that the store is not flooded: 16 a second at most."""
 
 
 @dataclass
@@ -45,7 +43,7 @@
     name: str
     generation: int
     revision: int
-    """Revision with which the generation came, or a later one."""
+    """Revision of the last operator's write of it."""
     next_report_s: float
     """When a condition that is not fulfilled is written next."""
     retry_s: float = 0.0
@@ -75,12 +73,6 @@
         """Revision up to which changes have been examined; None before a full scan."""
         self._open: dict[Key, _Open] = {}
 
-    def run(self, stopping: threading.Event) -> None:
-        """Look now and again until `stopping` is set."""
-        while not stopping.is_set():
-            self.look()
-            self._clock.wait(stopping, PERIOD_S)
-
     def look(self) -> None:
         """Write the conditions that are due, if this node is the reporter."""
         spread = self._census.spread()
@@ -131,10 +123,11 @@
         if _said_in_force(document.document, generation):
             self._open.pop(key, None)
             return
+        revision = operator_version(document.document, document.version)
         known = self._open.get(key)
-        if known is None or known.generation != generation:
+        if known is None or known.revision != revision:
             due_s = self._clock.monotonic_s() + PATIENCE_S
-            self._open[key] = _Open(*key, generation, document.version, due_s)
+            self._open[key] = _Open(*key, generation, revision, due_s)
 
     def _write(self, key: Key, found: _Open, spread: RevisionSpread, *, complete: bool) -> None:
         in_force = min(spread.nodes, spread.nodes_with(found.revision))
