Tell refused callers to come back when a thread may be free

Cause: 256 callers of drafts asked again each second though drafts hold their threads for some 15 s; the refusals cost the node time that short requests wait for. Change: Retry-After is half the time that places of the share were held lately, 1 to 30 s.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -111,6 +111,10 @@
   Scenario: Thread shares keep their bounds under any sequence of requests
     Then gateway thread shares hold their bounds and are empty at the end, for any sequence
 
+  Scenario: A refusal for want of a thread says when one may be free
+    Given gateway thread shares whose drafts held their places for 40 s and lookups for 0.1 s
+    Then refused gateway drafts are told to come back in 20 s, and lookups in 1 s
+
   Scenario: A planned stop cuts no request
     Given a gateway on fake services
     When 8 gateway streams and an application request are running and the gateway drains
--- a/features/steps/gateway_admission_steps.py
+++ b/features/steps/gateway_admission_steps.py
@@ -5,7 +5,7 @@
 import threading
 from concurrent.futures import ThreadPoolExecutor
 
-from behave import then, when
+from behave import given, then, when
 from hypothesis import given as property_given
 from hypothesis import settings, strategies
 
@@ -15,6 +15,7 @@
     ThreadShare,
     ThreadShares,
 )
+from bellweir.kernel.clock import ManualClock, SystemClock
 from support.gateway_calls import (
     gateway_call,
     gateway_json,
@@ -95,7 +96,7 @@
     @property_given(threads=strategies.integers(4, 40), sequence=strategies.lists(moves))
     @settings(max_examples=200)
     def property_of_shares(threads, sequence):
-        shares = ThreadShares(threads)
+        shares = ThreadShares(threads, SystemClock())
         held = []
         for action, share, caller, position in sequence:
             if action == "enter":
@@ -118,3 +119,19 @@
         assert not any(shares.use().by_share.values())
 
     property_of_shares()
+
+
+@given("gateway thread shares whose drafts held their places for 40 s and lookups for 0.1 s")
+def step_shares_held(context):
+    clock = ManualClock()
+    context.shares = ThreadShares(16, clock)
+    for share, seconds in ((ThreadShare.DRAFT, 40.0), (ThreadShare.LOOKUP, 0.1)):
+        for _ in range(60):
+            with context.shares.enter(share, "a"):
+                clock.advance(seconds)
+
+
+@then("refused gateway drafts are told to come back in 20 s, and lookups in 1 s")
+def step_shares_retry(context):
+    assert round(context.shares.retry_after_s(ThreadShare.DRAFT)) == 20
+    assert context.shares.retry_after_s(ThreadShare.LOOKUP) == 1.0
--- a/src/bellweir/gateway/admission.py
+++ b/src/bellweir/gateway/admission.py
@@ -9,6 +9,7 @@
 from enum import IntEnum
 from types import TracebackType
 
+from bellweir.kernel.clock import Clock
 from bellweir.resources.models import RequestClass
 
 
@@ -54,6 +55,10 @@
 """Largest part of the threads that the long-held shares may hold together."""
 LARGEST_TOTAL = 0.97
 """Largest part of the threads that all shares may hold; the rest is for `SYSTEM`."""
+HOLD_WEIGHT = 0.1
+"""Weight of the last hold in the mean, which so follows about the last twenty."""
+SHORTEST_RETRY_S = 1.0
+LONGEST_RETRY_S = 30.0
 FAIRNESS_FROM = 0.75
 """Part of the threads in use from which a caller may hold no more than an equal part."""
 
@@ -70,10 +75,13 @@
 class Permit:
     """A place in a share, given back by `release` or at the end of a `with` block."""
 
-    def __init__(self, shares: "ThreadShares", share: ThreadShare, caller: str) -> None:
+    def __init__(
+        self, shares: "ThreadShares", share: ThreadShare, caller: str, since_s: float
+    ) -> None:
         self._shares = shares
         self.share = share
         self.caller = caller
+        self.since_s = since_s
         self._released = False
 
     def release(self) -> None:
@@ -97,8 +105,11 @@
 class ThreadShares:
     """Counts the threads held by each share and caller."""
 
-    def __init__(self, threads: int) -> None:
+    def __init__(self, threads: int, clock: Clock) -> None:
         self._threads = threads
+        self._clock = clock
+        self._mean_hold_s = [0.0] * len(ThreadShare)
+        """For how long places were held lately, by share."""
         self._lock = threading.Lock()
         self._held = [0] * len(ThreadShare)
         self._total = 0
@@ -121,7 +132,7 @@
                 return None
             self._count(share, 1)
             self._held_by_caller[caller] = self._held_by_caller.get(caller, 0) + 1
-        return Permit(self, share, caller)
+        return Permit(self, share, caller, self._clock.monotonic_s())
 
     def move(self, permit: Permit, share: ThreadShare) -> bool:
         """Move a held place to another share, once it is known that a request streams or waits.
@@ -140,14 +151,25 @@
 
     def leave(self, permit: Permit) -> None:
         """Give a place back."""
+        held_s = self._clock.monotonic_s() - permit.since_s
         with self._lock:
             self._count(permit.share, -1)
+            mean_s = self._mean_hold_s[permit.share]
+            self._mean_hold_s[permit.share] = mean_s + HOLD_WEIGHT * (held_s - mean_s)
             left = self._held_by_caller[permit.caller] - 1
             if left:
                 self._held_by_caller[permit.caller] = left
             else:
                 del self._held_by_caller[permit.caller]
 
+    def retry_after_s(self, share: ThreadShare) -> float:
+        """When to come back after a refusal: half the time that places were held lately.
+
+        Drafts and streams hold theirs for long; asking again each second would only cost the
+        node refusals.
+        """
+        return min(max(SHORTEST_RETRY_S, self._mean_hold_s[share] / 2), LONGEST_RETRY_S)
+
     def use(self) -> ThreadUse:
         """Threads in use now."""
         with self._lock:
--- a/src/bellweir/gateway/application.py
+++ b/src/bellweir/gateway/application.py
@@ -10,7 +10,7 @@
 from bellweir.gateway.admission import SHARE_OF_CLASS, ThreadShare
 from bellweir.gateway.authorization import Authorization
 from bellweir.gateway.body_pipe import BodyCutError
-from bellweir.gateway.context import Context, share_full
+from bellweir.gateway.context import Context
 from bellweir.gateway.http import (
     BadRequestError,
     BodyTooLongError,
@@ -102,7 +102,7 @@
         share = _share_of(request, interface)
         request.permit = self._context.shares.enter(share, request.caller.name)
         if request.permit is None:
-            return refuse(request, share_full(share))
+            return refuse(request, self._context.share_full(share))
         return found.route.handler(request, **found.parts)
 
 
--- a/src/bellweir/gateway/context.py
+++ b/src/bellweir/gateway/context.py
@@ -9,9 +9,6 @@
 from bellweir.kernel.clock import Clock
 from bellweir.telemetry.interface import Telemetry
 
-FULL_RETRY_AFTER_S = 1.0
-"""When to come back after a refusal for want of a thread; threads change hands that fast."""
-
 
 @dataclass(frozen=True)
 class Context:
@@ -29,12 +26,11 @@
         permit = request.permit
         return permit is None or self.shares.move(permit, share)
 
-
-def share_full(share: ThreadShare) -> Problem:
-    """The refusal of a request whose share of the threads is full."""
-    return Problem(
-        429,
-        "overloaded",
-        f"all request threads for {share.label} are in use on this node",
-        retry_after_s=FULL_RETRY_AFTER_S,
-    )
+    def share_full(self, share: ThreadShare) -> Problem:
+        """The refusal of a request whose share of the threads is full."""
+        return Problem(
+            429,
+            "overloaded",
+            f"all request threads for {share.label} are in use on this node",
+            retry_after_s=self.shares.retry_after_s(share),
+        )
--- a/src/bellweir/gateway/openai_api.py
+++ b/src/bellweir/gateway/openai_api.py
@@ -12,7 +12,7 @@
 from bellweir.gateway.completion_format import ChatFormat, CompletionFormat, PlainFormat
 from bellweir.gateway.completion_request import ParsedCall, parse_chat, parse_completion
 from bellweir.gateway.completion_run import CompletionRun
-from bellweir.gateway.context import Context, share_full
+from bellweir.gateway.context import Context
 from bellweir.gateway.http import Request, Response, json_response
 from bellweir.gateway.problems import Problem, openai_error_response, problem_of_refusal
 from bellweir.gateway.refusals import refuse
@@ -96,7 +96,7 @@
         options = parse_routing_options(request, self._context.clock, RequestClass.INTERACTIVE)
         call = parse(request.read_body())
         if call.stream and not self._context.move_to(request, ThreadShare.STREAM):
-            return refuse(request, share_full(ThreadShare.STREAM))
+            return refuse(request, self._context.share_full(ThreadShare.STREAM))
         body_format = format_class(request.request_id, call.model, int(time.time()))
         match self._start(request, call, options):
             case Success(generations):
--- a/src/bellweir/gateway/resources_api.py
+++ b/src/bellweir/gateway/resources_api.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from bellweir.gateway.admission import ThreadShare
-from bellweir.gateway.context import Context, share_full
+from bellweir.gateway.context import Context
 from bellweir.gateway.http import (
     BadRequestError,
     Request,
@@ -128,7 +128,7 @@
     def _watch(self, request: Request, kind: str) -> Response:
         wanted_s = request.query_number("timeoutSeconds", DEFAULT_WATCH_S)
         if not self._context.move_to(request, ThreadShare.LONG_POLL):
-            return refuse(request, share_full(ThreadShare.LONG_POLL))
+            return refuse(request, self._context.share_full(ThreadShare.LONG_POLL))
         watch = ResourceWatch(
             self._resources, request, self._context.clock, kind, self._is_draining
         )
--- a/src/bellweir/gateway/service.py
+++ b/src/bellweir/gateway/service.py
@@ -76,7 +76,7 @@
         gateway = self._settings.gateway
         context = Context(
             self._kernel.clock,
-            ThreadShares(gateway.threads),
+            ThreadShares(gateway.threads, self._kernel.clock),
             CallerWatch(self._kernel.executors),
             self._kernel.registry.find(names.TELEMETRY, Telemetry),  # type: ignore[type-abstract]
             logs_requests=self._settings.log.level == "debug",
--- a/src/bellweir/gateway/steps_api.py
+++ b/src/bellweir/gateway/steps_api.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from bellweir.gateway.admission import ThreadShare
-from bellweir.gateway.context import Context, share_full
+from bellweir.gateway.context import Context
 from bellweir.gateway.http import (
     BadRequestError,
     Request,
@@ -83,7 +83,7 @@
         limit = parse_integer("query parameter limit", request.query("limit") or str(DEFAULT_LIMIT))
         wait_s = min(request.query_number("wait_s", 0.0), MAXIMUM_WAIT_S)
         if wait_s and not self._context.move_to(request, ThreadShare.LONG_POLL):
-            return refuse(request, share_full(ThreadShare.LONG_POLL))
+            return refuse(request, self._context.share_full(ThreadShare.LONG_POLL))
         limit = min(max(1, limit), MAXIMUM_LIMIT)
         return _answer(request, self._pull(request, step, cursor, limit, wait_s))
 
