--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -114,6 +114,7 @@
   Scenario: A refusal for want of a thread says when one may be free
     Given gateway thread shares whose drafts held their places for 40 s and lookups for 0.1 s
     Then refused gateway drafts are told to come back in 20 s, and lookups in 1 s
+    And refused gateway streams are told to come back after half the age of those that run
 
   Scenario: A planned stop cuts no request
     Given a gateway on fake services
--- a/features/steps/gateway_admission_steps.py
+++ b/features/steps/gateway_admission_steps.py
@@ -123,7 +123,7 @@
 
 @given("gateway thread shares whose drafts held their places for 40 s and lookups for 0.1 s")
 def step_shares_held(context):
-    clock = ManualClock()
+    context.clock = clock = ManualClock()
     context.shares = ThreadShares(16, clock)
     for share, seconds in ((ThreadShare.DRAFT, 40.0), (ThreadShare.LOOKUP, 0.1)):
         for _ in range(60):
@@ -135,3 +135,12 @@
 def step_shares_retry(context):
     assert round(context.shares.retry_after_s(ThreadShare.DRAFT)) == 20
     assert context.shares.retry_after_s(ThreadShare.LOOKUP) == 1.0
+
+
+@then("refused gateway streams are told to come back after half the age of those that run")
+def step_shares_age(context):
+    permits = [context.shares.enter(ThreadShare.STREAM, "a") for _ in range(2)]
+    context.clock.advance(10.0)
+    assert round(context.shares.retry_after_s(ThreadShare.STREAM), 3) == 5.0
+    for permit in permits:
+        permit.release()
--- a/src/bellweir/gateway/admission.py
+++ b/src/bellweir/gateway/admission.py
@@ -110,6 +110,8 @@
         self._clock = clock
         self._mean_hold_s = [0.0] * len(ThreadShare)
         """For how long places were held lately, by share."""
+        self._since_sum_s = [0.0] * len(ThreadShare)
+        """Sum of the times at which the places now held were taken, by share."""
         self._lock = threading.Lock()
         self._held = [0] * len(ThreadShare)
         self._total = 0
@@ -126,13 +128,14 @@
 
     def enter(self, share: ThreadShare, caller: str) -> Permit | None:
         """Take a place in a share; None when the request must be refused."""
+        now_s = self._clock.monotonic_s()
         with self._lock:
             if not (self._fits(share) and self._is_fair(share, caller)):
                 self._refused += 1
                 return None
-            self._count(share, 1)
+            self._count(share, 1, now_s)
             self._held_by_caller[caller] = self._held_by_caller.get(caller, 0) + 1
-        return Permit(self, share, caller, self._clock.monotonic_s())
+        return Permit(self, share, caller, now_s)
 
     def move(self, permit: Permit, share: ThreadShare) -> bool:
         """Move a held place to another share, once it is known that a request streams or waits.
@@ -140,20 +143,20 @@
         False when that share is full; the permit then stays where it was.
         """
         with self._lock:
-            self._count(permit.share, -1)
+            self._count(permit.share, -1, permit.since_s)
             admitted = self._fits(share)
             if admitted:
                 permit.share = share
             else:
                 self._refused += 1
-            self._count(permit.share, 1)
+            self._count(permit.share, 1, permit.since_s)
         return admitted
 
     def leave(self, permit: Permit) -> None:
         """Give a place back."""
         held_s = self._clock.monotonic_s() - permit.since_s
         with self._lock:
-            self._count(permit.share, -1)
+            self._count(permit.share, -1, permit.since_s)
             mean_s = self._mean_hold_s[permit.share]
             self._mean_hold_s[permit.share] = mean_s + HOLD_WEIGHT * (held_s - mean_s)
             left = self._held_by_caller[permit.caller] - 1
@@ -163,12 +166,19 @@
                 del self._held_by_caller[permit.caller]
 
     def retry_after_s(self, share: ThreadShare) -> float:
-        """When to come back after a refusal: half the time that places were held lately.
+        """When to come back after a refusal: half the time for which places are held.
 
+        That is the time they were held lately, or the age of those held now if that is more.
         Drafts and streams hold theirs for long; asking again each second would only cost the
         node refusals.
         """
-        return min(max(SHORTEST_RETRY_S, self._mean_hold_s[share] / 2), LONGEST_RETRY_S)
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            hold_s = self._mean_hold_s[share]
+            held = self._held[share]
+            if held:
+                hold_s = max(hold_s, now_s - self._since_sum_s[share] / held)
+        return min(max(SHORTEST_RETRY_S, hold_s / 2), LONGEST_RETRY_S)
 
     def use(self) -> ThreadUse:
         """Threads in use now."""
@@ -181,8 +191,9 @@
         with self._lock:
             return self._total
 
-    def _count(self, share: ThreadShare, change: int) -> None:
+    def _count(self, share: ThreadShare, change: int, since_s: float) -> None:
         self._held[share] += change
+        self._since_sum_s[share] += change * since_s
         if share is not ThreadShare.SYSTEM:
             self._total += change
         if self._is_long[share]:
