--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -98,6 +98,11 @@
     When a gateway caller asks for an endless answer and reads none of it
     Then the gateway closes that answer and its threads are free
 
+  Scenario: Connections that do nothing give way to others
+    Given a gateway that may hold 8 connections
+    When 20 idle connections are opened at the gateway
+    Then the gateway closes idle ones and answers the next request
+
   Scenario: No connection waits for the loop's look at all of them
     Given a gateway whose loop looks at a connection only after an event of its own
     Then 16 gateway connections that send, pipeline and read slowly get all of their answers
--- a/features/steps/gateway_connections_steps.py
+++ b/features/steps/gateway_connections_steps.py
@@ -168,3 +168,22 @@
     while left:
         left -= len(raw.recv(min(left, 65536)))
     return length
+
+
+@given("a gateway that may hold {count:d} connections")
+def step_few_connections(context, count):
+    # The loop counts its own two sockets too.
+    gateway_start(context, limits={"connections": count + 2, "crowded_idle_s": 0})
+
+
+@when("{count:d} idle connections are opened at the gateway")
+def step_idle_connections(context, count):
+    for _ in range(count):
+        raw = socket.create_connection(("127.0.0.1", context.gateway.port), timeout=30)
+        context.cleanup.callback(raw.close)
+
+
+@then("the gateway closes idle ones and answers the next request")
+def step_idle_closed(context):
+    assert gateway_call(context, "GET", "/healthz")[0] == 200
+    assert len(context.gateway.server.active_channels) <= 8
--- a/src/bellweir/gateway/server_limits.py
+++ b/src/bellweir/gateway/server_limits.py
@@ -1,6 +1,20 @@
 """Limits of the HTTP server."""
 
-from dataclasses import dataclass
+import resource
+from dataclasses import dataclass, field
+
+MAXIMUM_CONNECTIONS = 2048
+
+
+def connections_allowed() -> int:
+    """Half the file numbers that the process may use, since back ends and peers need theirs.
+
+    Without a number left, accepting would fail again at each turn of the loop.
+    """
+    numbers, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if numbers == resource.RLIM_INFINITY:
+        return MAXIMUM_CONNECTIONS
+    return min(MAXIMUM_CONNECTIONS, numbers // 2)
 
 
 @dataclass(frozen=True)
@@ -10,7 +24,7 @@
     threads: int
     """Request threads; each streaming answer holds one."""
     maximum_body_bytes: int
-    connections: int = 2048
+    connections: int = field(default_factory=connections_allowed)
     """Open connections; beyond them idle ones are closed and new ones wait in the system."""
     idle_timeout_s: int = 60
     """A connection without a request is closed after this time."""
