--- a/features/support/steps_oracle.py
+++ b/features/support/steps_oracle.py
@@ -114,8 +114,9 @@
     def hear(self, observation):
         self.told_now_s = max(self.told_now_s, observation.now_s)
         for publication in observation.publications:
-            earlier_s = self.told.get(publication.version, publication.seen_at_s)
-            self.told[publication.version] = min(earlier_s, publication.seen_at_s)
+            told_s, seen_s = self.told.get(publication.version, 0.0), publication.seen_at_s
+            known = [at for at in (told_s, seen_s) if at > 0.0]
+            self.told[publication.version] = min(known, default=0.0)
         for slot in [s for s in self.held if s not in self.delivered_slots()]:
             if not self.fresh(self.held[slot].versions):
                 del self.held[slot]
@@ -143,12 +144,14 @@
         slot=st.integers(0, SLOTS - 1),
         ages=st.lists(st.integers(0, 2), min_size=1, max_size=3),
         is_late=st.booleans(),
-        clock_error_s=st.sampled_from([0.0, 0.0, 3.0]),
+        clock_error_s=st.sampled_from([0.0, 3.0]),
+        has_restarted=st.sampled_from([False, False, True]),
     )
-    def generate(self, slot, ages, is_late, clock_error_s):
+    def generate(self, slot, ages, is_late, clock_error_s, has_restarted):
         """A node finishes an attempt and commits it, now or later, with what it now knows.
 
-        The node's clock may be behind, and it may have seen the newest version late.
+        The node's clock may be behind, it may have seen the newest version late, or it has just
+        started and knows of no version when it was published.
         """
         newest = max(self.published)
         versions = sorted(max(1, newest - age) for age in ages)
@@ -297,7 +300,13 @@
             self.trainer_cursor = len(self.delivered)
             self.trainer_has = [(s, v, score) for s, _, v, score in self.delivered]
             self.pull(1 + self.attempts % 2, 0, False)
+        while self.trainer_cursor < SLOTS:
+            # The last answer may have been lost: the trainer pulls again.
+            self.pull(SLOTS, 0, False)
         for behind in range(SLOTS + 1):
             self.pull(SLOTS, behind, True)
+        for behind in (1, 0, 2):
+            self.acknowledge(behind)
+            self.status_agrees()
         self.each_slot_once()
         assert {slot for slot, *_ in self.trainer_has} == set(range(SLOTS))
--- a/src/bellweir/samples/staleness.py
+++ b/src/bellweir/samples/staleness.py
@@ -32,14 +32,23 @@
 def merge_publications(
     known: tuple[Publication, ...], seen: Iterable[Publication]
 ) -> tuple[Publication, ...]:
-    """Both together in order of version, each at the earliest time it was seen."""
+    """Both together in order of version, each at the earliest time it was seen.
+
+    A node that has just started knows no times; what others know of them stands.
+    """
     times = {publication.version: publication.seen_at_s for publication in known}
     for publication in seen:
-        earlier_s = times.get(publication.version, publication.seen_at_s)
-        times[publication.version] = min(earlier_s, publication.seen_at_s)
+        earlier_s = times.get(publication.version, UNKNOWN_TIME_S)
+        times[publication.version] = _earlier(earlier_s, publication.seen_at_s)
     return tuple(Publication(version, times[version]) for version in sorted(times))
 
 
+def _earlier(one_s: float, other_s: float) -> float:
+    if UNKNOWN_TIME_S in (one_s, other_s):
+        return max(one_s, other_s)
+    return min(one_s, other_s)
+
+
 def newest_version(publications: tuple[Publication, ...]) -> int | None:
     """The newest published version."""
     return publications[-1].version if publications else None
