Excuse no short step that had a majority; freeze the node that was there most

Cause: steps that ended within 15 s were excused although the ledger had its majority all the time (mutation sample-lost over a real run); and the mutation configuration-stuck froze whichever node was seen first, also the one that the demonstration stops, whose absence excuses it.

--- a/features/rehearsal_promises.feature
+++ b/features/rehearsal_promises.feature
@@ -79,17 +79,19 @@
       | kill   |
 
   Scenario Outline: A step that never came is excused only where the kit took the majority away
-    Given rehearsal evidence of a step of 40 s that never came while <what>
+    Given rehearsal evidence of a step of <length> s that never came while <what>
     Then the checker finds exactly once <ruling>
 
     Examples:
-      | what                                                    | ruling |
-      | nothing happened                                        | broken |
-      | one node was down                                       | broken |
-      | two nodes were down                                     | held   |
-      | two nodes were down for 10 s of it                      | broken |
-      | one node was replaced and another down at once          | held   |
-      | one node was replaced and another down a while later    | broken |
+      | length | what                                                 | ruling |
+      | 40     | nothing happened                                     | broken |
+      | 5      | nothing happened                                     | broken |
+      | 40     | one node was down                                    | broken |
+      | 5      | one node was down                                    | broken |
+      | 40     | two nodes were down                                  | held   |
+      | 40     | two nodes were down for 10 s of it                   | broken |
+      | 40     | one node was replaced and another down at once       | held   |
+      | 40     | one node was replaced and another down a while later | broken |
 
   Scenario: A breach is told with the whole story of its id
     Given a rehearsal folder whose logs name one request among many others
--- a/features/steps/rehearsal_promises_steps.py
+++ b/features/steps/rehearsal_promises_steps.py
@@ -167,8 +167,8 @@
 }
 
 
-@given("rehearsal evidence of a step of 40 s that never came while {what}")
-def step_lost(context, what):
+@given("rehearsal evidence of a step of {length:d} s that never came while {what}")
+def step_lost(context, length, what):
     evidence = healthy_evidence(random.Random(1))
     began_s = START_S + 10
     records = [NodeStarted(START_S - 60, node, True) for node in NODES]
@@ -179,7 +179,7 @@
     declared = StepDeclared(
         began_s, "lost", "t", "node-1", "policy-1", ("p",), 1, 0, 1, None, began_s
     )
-    records += [declared, StepEnded(began_s + STEP_S, "lost", "abandoned", 0, 1)]
+    records += [declared, StepEnded(began_s + length, "lost", "abandoned", 0, 1)]
     ordered = sorted([*evidence.records, *records], key=lambda record: record.time_s)
     context.evidence = replace(evidence, records=ordered)
 
--- a/src/bellweir_rehearsal/promises/exactly_once.py
+++ b/src/bellweir_rehearsal/promises/exactly_once.py
@@ -8,7 +8,8 @@
 from bellweir_rehearsal.records.model import SampleReceived, StepDeclared
 
 ENOUGH_MAJORITY_S = 15.0
-"""Time with a majority of the ledger's replicas in which a step must come to its end."""
+"""Time with a majority of the ledger's replicas in which a step must come to its end; a step that
+ended sooner must have had none for half of its time to be excused."""
 
 
 def check_exactly_once(evidence: Evidence) -> Verdict:
@@ -31,7 +32,8 @@
             continue
         ended_s = ended.time_s if ended is not None else evidence.last_s
         majority_s = times.seconds_between(step.sent_s, ended_s)
-        if evidence.first_data_nodes and majority_s < ENOUGH_MAJORITY_S:
+        most_of_it = majority_s > (ended_s - step.sent_s) / 2
+        if evidence.first_data_nodes and majority_s < ENOUGH_MAJORITY_S and not most_of_it:
             verdict.count("steps without a majority of the ledger")
             continue
         received = ended.received if ended is not None else 0
--- a/src/bellweir_rehearsal/promises/mutations.py
+++ b/src/bellweir_rehearsal/promises/mutations.py
@@ -308,8 +308,9 @@
 
 
 def _configuration_stuck(evidence: Evidence) -> Evidence:
-    """One node never takes anything after its first observation."""
-    entries = _first(entries for entries in evidence.configurations.values() if entries)
+    """One node, the one that was there most, never takes anything after its first observation."""
+    by_presence = sorted(evidence.configurations.values(), key=len, reverse=True)
+    entries = _first(entries for entries in by_presence if entries)
     first = entries[0]
     if not any(write.revision > first.revision for write in evidence.writes):
         raise NothingToMutateError
