--- a/src/bellweir_rehearsal/cli.py
+++ b/src/bellweir_rehearsal/cli.py
@@ -17,7 +17,7 @@
 from bellweir_rehearsal.console import print_result, progress_on
 from bellweir_rehearsal.demo import demo_plan
 from bellweir_rehearsal.experiment_commands import CompareCommand, RunCommand
-from bellweir_rehearsal.promises.mutations import MUTATIONS, Mutation
+from bellweir_rehearsal.promises.mutations import MUTATIONS, Mutation, NothingToMutateError
 from bellweir_rehearsal.rehearsal import Rehearsal
 from bellweir_rehearsal.result import RunResult, write_result
 from bellweir_rehearsal.scale.__main__ import ScaleCommand
@@ -35,6 +35,15 @@
 from bellweir_rehearsal.trainer_command import TrainerCommand
 from bellweir_rehearsal.warm_up import WarmUpError
 
+FORESEEN_FAILURES = (
+    FolderInUseError,
+    NothingToMutateError,
+    OperatorError,
+    ProcessFailedError,
+    WarmUpError,
+)
+"""Failures that a person can mend; they are told in one line."""
+
 
 @cappa.command(name="demo", help="Run the whole path once on loopback, in less than a minute.")
 @dataclass
@@ -142,10 +151,10 @@
 
 
 def main(arguments: list[str]) -> None:
-    """Run one command of the kit; failures that a person can mend are told in one line."""
+    """Run one command of the kit and leave with its exit code."""
     try:
         exit_code = cappa.invoke(Rehearse, argv=arguments)
-    except (FolderInUseError, ProcessFailedError, OperatorError, WarmUpError) as failure:
+    except FORESEEN_FAILURES as failure:
         print(f"bellweir rehearse: {failure}", file=sys.stderr)
         sys.exit(FAILED)
     sys.exit(exit_code or 0)
--- a/src/bellweir_rehearsal/promises/mutations.py
+++ b/src/bellweir_rehearsal/promises/mutations.py
@@ -45,6 +45,9 @@
 class NothingToMutateError(LookupError):
     """The run has no case that the mutation could break."""
 
+    def __init__(self) -> None:
+        super().__init__("the run has no case that this mutation could break")
+
 
 @dataclass(frozen=True)
 class Mutation:
