--- a/features/steps/rehearsal_promises_steps.py
+++ b/features/steps/rehearsal_promises_steps.py
@@ -12,7 +12,7 @@
 from bellweir_rehearsal.promises.checker import CHECKS, check_promises
 from bellweir_rehearsal.promises.evidence import ApplicationRun, Evidence
 from bellweir_rehearsal.promises.mutations import MUTATIONS
-from bellweir_rehearsal.promises.story import tell_story
+from bellweir_rehearsal.promises.story import StoryTeller
 from bellweir_rehearsal.promises.verdict import Promise, Ruling
 from bellweir_rehearsal.records.model import (
     CallEnded,
@@ -271,6 +271,6 @@
 
 @then("the story of that request has its lines of every log in order of time, and no others")
 def step_story(context):
-    story = tell_story(context.run_folder, "call-7")
+    story = StoryTeller(context.run_folder).tell("call-7")
     assert [line.time_s for line in story] == [1.0, 2.0, 2.5, 3.0, 4.0], story
     assert [line.source for line in story][:3] == ["rehearsal", "engine-e1", "node-1"]
--- a/src/bellweir_rehearsal/breach_report.py
+++ b/src/bellweir_rehearsal/breach_report.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-from bellweir_rehearsal.promises.story import tell_story
+from bellweir_rehearsal.promises.story import StoryTeller
 from bellweir_rehearsal.result import RunResult
 from bellweir_rehearsal.topology.layout import RunFolder
 
@@ -14,15 +14,19 @@
     if not result.broken:
         return None
     path = folder.root / "breaches.txt"
+    teller = StoryTeller(folder)
     lines: list[str] = []
     for promise in result.broken:
         lines.append(f"## {promise.text}: {len(promise.breaches)} breaches")
+        told: set[str] = set()
         for breach in promise.breaches[:STORIES_FOR_EACH_PROMISE]:
             lines.append(f"### {breach.subject}: {breach.detail}")
-            lines += [
-                f"{line.time_s:.3f} {line.source}: {line.text}"
-                for line in tell_story(folder, breach.subject)
-            ]
+            if breach.subject not in told:
+                told.add(breach.subject)
+                lines += [
+                    f"{line.time_s:.3f} {line.source}: {line.text}"
+                    for line in teller.tell(breach.subject)
+                ]
         lines.append("")
     path.write_text("\n".join(lines) + "\n")
     return path
--- a/src/bellweir_rehearsal/promises/story.py
+++ b/src/bellweir_rehearsal/promises/story.py
@@ -27,33 +27,44 @@
     text: str
 
 
-def tell_story(folder: RunFolder, subject: str) -> list[StoryLine]:
-    """Collect the lines that name the subject or an id that stands beside it in one of them."""
-    lines = _all_lines(folder)
-    related = {subject}
-    for _ in range(2):
-        related |= _ids_beside(related, lines)
-        if len(related) > MAXIMUM_RELATED_IDS:
-            break
-    pattern = re.compile("|".join(re.escape(found) for found in sorted(related)))
-    story = [line for line in lines if pattern.search(line.text)]
-    story.sort(key=lambda line: line.time_s)
-    return [
-        StoryLine(line.time_s, line.source, line.text[:TRIMMED_CHARACTERS])
-        for line in story[:MAXIMUM_LINES]
-    ]
-
-
-def _ids_beside(known: set[str], lines: list[StoryLine]) -> set[str]:
+class StoryTeller:
+    """Tells stories of one run; its logs are read once."""
+
+    def __init__(self, folder: RunFolder) -> None:
+        self._lines = sorted(_all_lines(folder), key=lambda line: line.time_s)
+
+    def tell(self, subject: str) -> list[StoryLine]:
+        """Collect the lines that name the subject or an id that stands beside it in one of them.
+
+        A subject with very many ids beside it, such as a worker, has the lines with its own name.
+        """
+        story = self._lines_naming({subject})
+        known = {subject}
+        for _ in range(2):
+            related = known | _ids_in(story)
+            if len(related) > MAXIMUM_RELATED_IDS:
+                break
+            known = related
+            story = self._lines_naming(known)
+        return [
+            StoryLine(line.time_s, line.source, line.text[:TRIMMED_CHARACTERS])
+            for line in story[:MAXIMUM_LINES]
+        ]
+
+    def _lines_naming(self, subjects: set[str]) -> list[StoryLine]:
+        pattern = re.compile("|".join(re.escape(subject) for subject in sorted(subjects)))
+        return [line for line in self._lines if pattern.search(line.text)]
+
+
+def _ids_in(lines: list[StoryLine]) -> set[str]:
     found: set[str] = set()
     for line in lines:
-        if any(subject in line.text for subject in known):
-            document = json.loads(line.text)
-            found |= {
-                document[field]
-                for field in ID_FIELDS
-                if isinstance(document.get(field), str) and document[field]
-            }
+        document = json.loads(line.text)
+        found |= {
+            document[field]
+            for field in ID_FIELDS
+            if isinstance(document.get(field), str) and document[field]
+        }
     return found
 
 
