--- a/features/steps/rehearsal_promises_steps.py
+++ b/features/steps/rehearsal_promises_steps.py
@@ -12,7 +12,7 @@
 from bellweir_rehearsal.promises.checker import CHECKS, check_promises
 from bellweir_rehearsal.promises.evidence import ApplicationRun, Evidence
 from bellweir_rehearsal.promises.mutations import MUTATIONS
-from bellweir_rehearsal.promises.story import tell_story
+from bellweir_rehearsal.promises.story import StoryTeller
 from bellweir_rehearsal.promises.verdict import Promise, Ruling
 from bellweir_rehearsal.records.model import (
     CallEnded,
@@ -167,8 +167,8 @@
 }
 
 
-@given("rehearsal evidence of a step of 40 s that never came while {what}")
-def step_lost(context, what):
+@given("rehearsal evidence of a step of {length:d} s that never came while {what}")
+def step_lost(context, length, what):
     evidence = healthy_evidence(random.Random(1))
     began_s = START_S + 10
     records = [NodeStarted(START_S - 60, node, True) for node in NODES]
@@ -179,7 +179,7 @@
     declared = StepDeclared(
         began_s, "lost", "t", "node-1", "policy-1", ("p",), 1, 0, 1, None, began_s
     )
-    records += [declared, StepEnded(began_s + STEP_S, "lost", "abandoned", 0, 1)]
+    records += [declared, StepEnded(began_s + length, "lost", "abandoned", 0, 1)]
     ordered = sorted([*evidence.records, *records], key=lambda record: record.time_s)
     context.evidence = replace(evidence, records=ordered)
 
@@ -271,6 +271,6 @@
 
 @then("the story of that request has its lines of every log in order of time, and no others")
 def step_story(context):
-    story = tell_story(context.run_folder, "call-7")
+    story = StoryTeller(context.run_folder).tell("call-7")
     assert [line.time_s for line in story] == [1.0, 2.0, 2.5, 3.0, 4.0], story
     assert [line.source for line in story][:3] == ["rehearsal", "engine-e1", "node-1"]
--- a/src/bellweir_rehearsal/scale/report.py
+++ b/src/bellweir_rehearsal/scale/report.py
@@ -31,6 +31,11 @@
     return f"{dead}, whole after {value.whole_after_s:.1f} s"
 
 
+def _real(result: ScaleResult) -> str:
+    costs = [f"{c.cpu_percent_of_core:.2f} %, {c.resident_bytes / MIB:.0f}" for c in result.real]
+    return "; ".join(costs) or "-"
+
+
 def _number(value: float | None, unit: str) -> str:
     return "-" if value is None else f"{value:.1f} {unit}"
 
@@ -38,6 +43,7 @@
 ROWS: tuple[Row, ...] = (
     ("CPU, % of a core", lambda r: f"{r.cost.cpu_percent_of_core:.2f}" if r.cost else "-"),
     ("resident, MiB", lambda r: f"{r.cost.resident_bytes / MIB:.0f}" if r.cost else "-"),
+    ("whole nodes: CPU, resident MiB", _real),
     ("bytes/s", lambda r: f"{r.cost.bytes_per_s:.0f}" if r.cost else "-"),
     (
         "bytes/s with headers",
@@ -56,6 +62,7 @@
     ("long pause: paused / others dead", lambda r: _pause(r.long_pause)),
     ("split seen after", lambda r: _number(r.split.parted_after_s if r.split else None, "s")),
     ("merged after", lambda r: _number(r.split.merged_after_s if r.split else None, "s")),
+    ("a zone's loss noticed, s: p50 / p99 / worst", lambda r: _spread(r.zone_lost)),
     ("steps that failed", lambda r: ", ".join(r.failures) or "none"),
 )
 
@@ -68,4 +75,4 @@
         table.add_column(f"{result.nodes} nodes, {result.workers} workers", justify="right")
     for title, cell in ROWS:
         table.add_row(title, *(cell(result) for result in results))
-    Console(width=max(80, 46 + 30 * len(results))).print(table)
+    Console(width=max(80, 50 + 30 * len(results))).print(table)
