--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -73,3 +73,8 @@
     Then the configuration's reporter counts 5 of 5 nodes at revision 1
     When the configuration zone's reader goes and each node steps for half a second
     Then the configuration's reporter counts 4 of 4 nodes at revision 1
+
+  Scenario: A change of the machine list waits for no other zone's reader
+    Given configuration readers of the machine list in 8 zones with a period of 1 second
+    When 7 of the machine list's readers are lost and the list shows a leaving machine
+    Then the last configuration reader notes the leaving machine within 1.5 periods
--- a/features/steps/configuration_reader_steps.py
+++ b/features/steps/configuration_reader_steps.py
@@ -1,10 +1,15 @@
 import threading
 
 from behave import given, then, when
+from returns.result import Success
 
+from bellweir.configuration.machine_reader import MachineListReader
+from bellweir.configuration.messages import TableName
 from bellweir.configuration.reader import StoreReader
 from bellweir.configuration.state import ConfigurationState
+from bellweir.configuration.views import decode_document
 from bellweir.kernel.clock import ManualClock
+from bellweir.platform.interface import Machine, MachineList, MachineSnapshot, MachineState
 from support.memory_store import MemoryStore
 
 
@@ -47,3 +52,59 @@
 @then("the configuration reader's watches were meant to last {first:g} and {second:g} seconds")
 def step_lasted(context, first, second):
     assert context.store.asked == [first, second], context.store.asked
+
+
+class ChangingList(MachineList):
+    """Shows a leaving machine from the second reading on; `clock` tells when it was read."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.read_s = []
+
+    def read(self):
+        self.read_s.append(self.clock.monotonic_s())
+        state = MachineState.LEAVING if len(self.read_s) > 1 else MachineState.LIVE
+        machine = Machine("worker", "127.0.0.1:1", "zone", "region", "engine", "pool", state)
+        return Success(MachineSnapshot(len(self.read_s), (machine,)))
+
+
+class SkippingClock(ManualClock):
+    """Waits by moving itself; `ended` is set after the second wait."""
+
+    def __init__(self, ended):
+        super().__init__()
+        self.ended = ended
+        self.waits_s = []
+
+    def wait(self, event, timeout_s):
+        self.waits_s.append(timeout_s)
+        self.advance(timeout_s)
+        if len(self.waits_s) == 2:
+            self.ended.set()
+        return event.is_set()
+
+
+@given("configuration readers of the machine list in {zones:d} zones with a period of 1 second")
+def step_machine_readers(context, zones):
+    context.readers = []
+    for zone in range(zones):
+        ended = threading.Event()
+        clock = SkippingClock(ended)
+        machines, state = ChangingList(clock), ConfigurationState(f"node-{zone}")
+        reader = MachineListReader(f"node-{zone}", machines, state, clock, lambda: True, 1.0)
+        context.readers.append((reader, machines, state, ended))
+
+
+@when("{count:d} of the machine list's readers are lost and the list shows a leaving machine")
+def step_readers_lost(context, count):
+    del context.readers[:count]
+
+
+@then("the last configuration reader notes the leaving machine within {periods:g} periods")
+def step_noted(context, periods):
+    ((reader, machines, state, ended),) = context.readers
+    reader.run(ended)
+    first_s, second_s = machines.read_s
+    assert second_s - first_s <= periods, machines.read_s
+    _, entries = state.entries(TableName.MACHINES)
+    assert [decode_document(entry.document)["state"] for entry in entries] == ["leaving"], entries
--- a/src/bellweir/configuration/machine_reader.py
+++ b/src/bellweir/configuration/machine_reader.py
@@ -25,7 +25,7 @@
         state: ConfigurationState,
         clock: Clock,
         is_reader: Callable[[], bool],
-        period_s: Callable[[], float],
+        period_s: float,
     ) -> None:
         self._node = node
         self._list = machine_list
@@ -44,7 +44,8 @@
                     self._take_over(snapshot)
                 case Failure(failure):
                     self._report(failure)
-            self._clock.wait(stopping, self._period_s() * random.uniform(0.5, 1.5))
+            # Every zone polls on its own: a change must not wait for a reader that was just lost.
+            self._clock.wait(stopping, self._period_s * random.uniform(0.5, 1.5))
 
     def _take_over(self, snapshot: MachineSnapshot) -> None:
         """Adopt a newer list; unchanged machines keep their entry, so that only changes spread."""
--- a/src/bellweir/configuration/service.py
+++ b/src/bellweir/configuration/service.py
@@ -153,12 +153,6 @@
         core = self._core
         return core is not None and not self._stop.is_set() and core.placements.current().is_reader
 
-    def _machine_list_period_s(self) -> float:
-        """The zones' readers share the polling, as what one of them reads reaches all."""
-        members = self._membership.members() if self._membership is not None else ()
-        zones = {member.zone for member in members}
-        return self._settings.configuration.machine_list_period_s * max(1, len(zones))
-
     def _watch_role(self) -> None:
         """Start reading when this node has been its zone's reader for a while.
 
@@ -213,7 +207,7 @@
             core.state,
             clock,
             self._is_reader,
-            self._machine_list_period_s,
+            self._settings.configuration.machine_list_period_s,
         )
         self._reading.append(run_task("machine-reader", lambda _: machine_reader.run(self._stop)))
 
--- a/src/bellweir/settings/models.py
+++ b/src/bellweir/settings/models.py
@@ -70,7 +70,7 @@
     """Peers that a node pushes a change to. Default 4."""
     anti_entropy_period_s: float = Field(default=1.0, gt=0)
     """Time between comparisons with a random peer, in seconds. Default 1."""
-    machine_list_period_s: float = Field(default=2.0, gt=0)
+    machine_list_period_s: float = Field(default=1.0, gt=0)
     """Time between two readings of the platform's machine list by anyone, in seconds; the zones'
     readers take turns. Default 2."""
 
