--- a/features/steps/configuration_reader_steps.py
+++ b/features/steps/configuration_reader_steps.py
@@ -7,7 +7,7 @@
 from bellweir.configuration.messages import TableName
 from bellweir.configuration.reader import StoreReader
 from bellweir.configuration.state import ConfigurationState
-from bellweir.configuration.views import decode_document
+from bellweir.configuration.views import machine_of
 from bellweir.kernel.clock import ManualClock
 from bellweir.platform.interface import Machine, MachineList, MachineSnapshot, MachineState
 from support.memory_store import MemoryStore
@@ -107,4 +107,4 @@
     first_s, second_s = machines.read_s
     assert second_s - first_s <= periods, machines.read_s
     _, entries = state.entries(TableName.MACHINES)
-    assert [decode_document(entry.document)["state"] for entry in entries] == ["leaving"], entries
+    assert [machine_of(entry).state for entry in entries] == [MachineState.LEAVING], entries
