--- a/src/bellweir_rehearsal/scale/run.py
+++ b/src/bellweir_rehearsal/scale/run.py
@@ -12,6 +12,7 @@
     FalseAlarms,
     NodeCost,
     PauseResult,
+    RealCost,
     ScaleResult,
     SplitResult,
     Spread,
@@ -46,6 +47,7 @@
         self._progress = progress
         self._revision = FIRST_REVISION
         self._failures: list[str] = []
+        self._real_costs: tuple[RealCost, ...] = ()
 
     def run(self) -> ScaleResult:
         """Run all steps."""
@@ -60,7 +62,11 @@
         if steady is not None:
             cost, alarms, in_force = steady
             result = msgspec.structs.replace(
-                result, cost=cost, steady=alarms, change_in_force=in_force
+                result,
+                cost=cost,
+                real=self._real_costs,
+                steady=alarms,
+                change_in_force=in_force,
             )
         return msgspec.structs.replace(
             result,
@@ -70,6 +76,7 @@
             short_pause=self._step("short pause", lambda: self._pause(options.short_pause_s)),
             long_pause=self._step("long pause", lambda: self._pause(options.long_pause_s)),
             split=self._step("split", self._measure_split),
+            zone_lost=self._step("zone lost", self._measure_zone_loss),
             failures=tuple(self._failures),
         )
 
@@ -95,7 +102,9 @@
         from_peers = options.nodes <= LARGEST_LOAD_FROM_PEERS
         loaded = set(readers.values()) if from_peers else self._cluster.live
         for name in sorted(loaded):
-            load = commands.Load(name, options.workers, options.zones, options.regions)
+            load = commands.Load(
+                name, options.workers, options.zones, options.regions, options.real == 0
+            )
             self._cluster.home(name).ask(load, commands.Done)
         waited_s = self._cluster.wait_for_revision(FIRST_REVISION, LOAD_TIMEOUT_S)
         self._cluster.ask_all(commands.Settle(), commands.Done)
@@ -112,6 +121,8 @@
         cluster, options = self._cluster, self._options
         cluster.take_observations()
         before = cluster.usage()
+        for node in cluster.real:
+            node.begin_window()
         ends_s = time.monotonic() + options.steady_s
         written: dict[int, float] = {}
         while time.monotonic() < ends_s:
@@ -119,6 +130,7 @@
             written[self._revision] = done.at_s
             time.sleep(max(0.0, min(options.change_period_s, ends_s - time.monotonic())))
         after = cluster.usage()
+        self._real_costs = tuple(node.end_window() for node in cluster.real)
         cluster.wait_for_revision(self._revision, CHANGE_TIMEOUT_S)
         seen = cluster.take_observations()
         # A revision is in force on a node from its first snapshot of that or a newer revision.
@@ -194,7 +206,7 @@
 
     def _measure_split(self) -> SplitResult:
         cluster = self._cluster
-        region = {spec.name: spec.region for spec in cluster.specs}
+        region = cluster.regions
         lone = cluster.specs[0].region
         others = sorted(set(region.values()) - {lone})
         cluster.write_faults(
@@ -203,8 +215,8 @@
                 for other in others
             ]
         )
-        inside = {name for name in cluster.live if region[name] == lone}
-        outside = cluster.live - inside
+        inside = {name for name in cluster.members if region[name] == lone}
+        outside = cluster.members - inside
         began_s = time.monotonic()
         parted_s = cluster.wait_for_members(
             lambda name: inside if name in inside else outside, MERGE_TIMEOUT_S
@@ -215,6 +227,24 @@
         merged_s = cluster.wait_for_all(MERGE_TIMEOUT_S)
         return SplitResult(round(cut_s, 1), round(parted_s, 2), round(merged_s, 2))
 
+    def _measure_zone_loss(self) -> Spread | None:
+        """End all hollow nodes of a zone at once; times over observers and members lost."""
+        cluster = self._cluster
+        zone = cluster.specs[-1].zone
+        names = {spec.name for spec in cluster.specs if spec.zone == zone}
+        lost = sorted((names & cluster.live) - cluster.paused_nodes())
+        cluster.take_observations()
+        ended = {
+            name: cluster.home(name).ask(commands.Kill(name), commands.Done).at_s for name in lost
+        }
+        cluster.live -= ended.keys()
+        cluster.wait_for_all(MERGE_TIMEOUT_S)
+        first: dict[tuple[str, str], float] = {}
+        for seen in cluster.take_observations().states:
+            if seen.member in ended and seen.observer in cluster.live and seen.state == "dead":
+                first.setdefault((seen.observer, seen.member), seen.at_s - ended[seen.member])
+        return spread(first.values())
+
     def _alarms(
         self, seen: commands.Observations, excluded: set[str], window_s: float
     ) -> FalseAlarms:
