--- a/bench/tail_model/bellweir_scheduler.py
+++ b/bench/tail_model/bellweir_scheduler.py
@@ -245,7 +245,7 @@
             led_steps=LedSteps(self._ledger, 1),
             table=table,
             assigner=assigner,
-            rescorer=Rescorer(self._clock, bulk, None),  # type: ignore[arg-type]
+            rescorer=Rescorer(self._clock, bulk, None, LEASE_S),  # type: ignore[arg-type]
             duplicate_budget=duplicate_budget,
         )
         self._next_report_s = 0.0
--- a/features/support/samples_cluster.py
+++ b/features/support/samples_cluster.py
@@ -30,7 +30,10 @@
             node=NodeIdentity(name=node),
             ledger=LedgerSettings(shards=cluster.log.shards),
             samples=SamplesSettings(
-                concurrency=concurrency, lease_s=1.0, duplicate_budget=cluster.duplicate_budget
+                concurrency=concurrency,
+                lease_s=1.0,
+                drain_patience_s=0.3,
+                duplicate_budget=cluster.duplicate_budget,
             ),
         )
         self.name = node
--- a/src/bellweir/samples/assembly.py
+++ b/src/bellweir/samples/assembly.py
@@ -66,7 +66,7 @@
         led_steps=LedSteps(ledger, settings.ledger.shards),
         table=table,
         assigner=assigner,
-        rescorer=Rescorer(clock, bulk, scoring),
+        rescorer=Rescorer(clock, bulk, scoring, orphan_after_s=settings.samples.lease_s),
         duplicate_budget=settings.samples.duplicate_budget,
     )
     holder = AttemptHolder(
@@ -84,6 +84,7 @@
         committer=SampleCommitter(kernel.executors, clock, ledger, bulk, publications),
         scoring=scoring,
         concurrency=settings.samples.concurrency,
+        drain_patience_s=settings.samples.drain_patience_s,
         on_end=holder.note_end,
     )
     holder.use(runner)
--- a/src/bellweir/samples/rescoring.py
+++ b/src/bellweir/samples/rescoring.py
@@ -11,8 +11,6 @@
 from bellweir.samples.records import SlotSample, StepRecord
 from bellweir.samples.scoring import ScoreJob, ScoringQueue
 
-ORPHAN_AFTER_S = 5.0
-"""Time for which a sample without a known attempt is left to the node that made it."""
 RETRY_AFTER_S = 5.0
 LARGEST_ROUND = 16
 """Samples taken up in one round."""
@@ -23,10 +21,14 @@
 class Rescorer:
     """Watches for unscored samples; used by the coordinator's task."""
 
-    def __init__(self, clock: Clock, bulk: BulkStore, scoring: ScoringQueue) -> None:
+    def __init__(
+        self, clock: Clock, bulk: BulkStore, scoring: ScoringQueue, orphan_after_s: float
+    ) -> None:
+        """A sample without a known attempt is left to its maker for `orphan_after_s`."""
         self._clock = clock
         self._bulk = bulk
         self._scoring = scoring
+        self._orphan_after_s = orphan_after_s
         self._due_s: dict[str, float] = {}
         """By attempt: when to score it here; never while it is being scored."""
         self._step_of: dict[str, str] = {}
@@ -55,7 +57,7 @@
                 self._step_of.pop(sample.attempt_id, None)
                 continue
             self._step_of[sample.attempt_id] = step.terms.step_id
-            due_s = self._due_s.setdefault(sample.attempt_id, now_s + ORPHAN_AFTER_S)
+            due_s = self._due_s.setdefault(sample.attempt_id, now_s + self._orphan_after_s)
             if now_s >= due_s and started < LARGEST_ROUND:
                 started += self._score(step, declaration, number, sample)
 
--- a/src/bellweir/samples/runner.py
+++ b/src/bellweir/samples/runner.py
@@ -37,10 +37,8 @@
 from bellweir.samples.start_window import StartWindow
 from bellweir.samples.tokens import SampleBuilder
 
-DRAIN_PATIENCE_S = 3.0
-"""Time for running attempts to end by themselves at a planned stop."""
 HAND_OVER_S = 5.0
-"""Time after it for handing attempts over and for commits in hand."""
+"""Time for handing attempts over and for commits in hand at a planned stop."""
 DRAIN_POLL_S = 0.05
 BULK_TIMEOUT_S = 2.0
 MOVE_ATTEMPTS = 5
@@ -65,6 +63,7 @@
         committer: SampleCommitter,
         scoring: ScoringQueue,
         concurrency: int,
+        drain_patience_s: float,
         on_end: EndListener,
     ) -> None:
         self._executors = executors
@@ -74,6 +73,7 @@
         self._committer = committer
         self._scoring = scoring
         self._window = StartWindow(concurrency)
+        self._drain_patience_s = drain_patience_s
         self._on_end = on_end
         self._lock = threading.Lock()
         self._generating: dict[str, RunningAttempt] = {}
@@ -146,12 +146,13 @@
         with self._lock:
             self._is_draining = True
         began_s = self._clock.monotonic_s()
-        self._wait_until_idle(began_s + min(deadline_s, DRAIN_PATIENCE_S))
+        self._wait_until_idle(began_s + min(deadline_s, self._drain_patience_s))
         with self._lock:
             generating = list(self._generating.values())
         for attempt in generating:
             attempt.hand_over()
-        self._wait_until_idle(began_s + min(deadline_s, DRAIN_PATIENCE_S + HAND_OVER_S))
+        longest_s = self._drain_patience_s + HAND_OVER_S
+        self._wait_until_idle(began_s + min(deadline_s, longest_s))
 
     def _wait_until_idle(self, end_s: float) -> None:
         while self._all() and self._clock.monotonic_s() < end_s:
--- a/src/bellweir/settings/models.py
+++ b/src/bellweir/settings/models.py
@@ -135,6 +135,9 @@
     lease_s: float = Field(default=5.0, gt=0)
     """Time without a report after which an attempt's slot is given to another node, in seconds.
     Default 5."""
+    drain_patience_s: float = Field(default=3.0, ge=0)
+    """Time for running attempts to end by themselves at a planned stop, in seconds; then others go
+    on with their tokens. Default 3."""
 
 
 class WeightsSettings(Concern):
--- a/src/bellweir/weights/status.py
+++ b/src/bellweir/weights/status.py
@@ -18,7 +18,7 @@
 
 PROGRESS_PERIOD_S = 10.0
 """Time between writes while the condition stays."""
-RETRY_S = 5.0
+RETRY_S = 2.0
 """Time until a failed write is tried again."""
 CONDITION = "RolledOut"
 
