--- a/features/steps/samples_steps.py
+++ b/features/steps/samples_steps.py
@@ -143,7 +143,7 @@
 
 @then("samples steps agree with a simple oracle whatever happens")
 def step_oracle(context):
-    limits = settings(max_examples=500, stateful_step_count=40)
+    limits = settings(max_examples=300, stateful_step_count=40)
     run_state_machine_as_test(StepsAgainstOracle, settings=limits)
 
 
