--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -98,6 +98,11 @@
     When a gateway caller asks for an endless answer and reads none of it
     Then the gateway closes that answer and its threads are free
 
+  Scenario: Connections that do nothing give way to others
+    Given a gateway that may hold 8 connections
+    When 20 idle connections are opened at the gateway
+    Then the gateway closes idle ones and answers the next request
+
   Scenario: No connection waits for the loop's look at all of them
     Given a gateway whose loop looks at a connection only after an event of its own
     Then 16 gateway connections that send, pipeline and read slowly get all of their answers
@@ -111,6 +116,11 @@
   Scenario: Thread shares keep their bounds under any sequence of requests
     Then gateway thread shares hold their bounds and are empty at the end, for any sequence
 
+  Scenario: A refusal for want of a thread says when one may be free
+    Given gateway thread shares whose drafts held their places for 40 s and lookups for 0.1 s
+    Then refused gateway drafts are told to come back in 20 s, and lookups in 1 s
+    And refused gateway streams are told to come back after half the age of those that run
+
   Scenario: A planned stop cuts no request
     Given a gateway on fake services
     When 8 gateway streams and an application request are running and the gateway drains
