--- a/src/bellweir_rehearsal/soak_command.py
+++ b/src/bellweir_rehearsal/soak_command.py
@@ -32,6 +32,9 @@
 
     seed: Annotated[int, cappa.Arg(long=True, help="Seed of schedule and load.")] = 1
     minutes: Annotated[float, cappa.Arg(long=True, help="Minutes of load, a bout each.")] = 2.0
+    bout: Annotated[
+        int | None, cappa.Arg(long=True, help="Only this bout of the soak, counted from 1.")
+    ] = None
     folder: Annotated[Path, cappa.Arg(long=True, help="Where to keep logs and results.")] = Path(
         "results/soak"
     )
@@ -58,7 +61,11 @@
             self.rate,
             self.intensity,
         )
-        results = [self._bout(console, plan, number) for number, plan in enumerate(plans, start=1)]
+        results = [
+            self._bout(console, plan, number)
+            for number, plan in enumerate(plans, start=1)
+            if self.bout in (None, number)
+        ]
         found = totals(results)
         if self.json:
             print(msgspec.json.encode(found).decode())
