--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	$(VENV)/bin/bellweir rehearse demo $(ARGS)
 
 test: setup
-	$(VENV)/bin/python -m behave --format progress
+	$(VENV)/bin/python -m behave --format progress3
 
 lock:
 	uv pip compile --quiet --universal --python-version 3.11 --generate-hashes --no-emit-index-url \
