--- a/src/bellweir/settings/models.py
+++ b/src/bellweir/settings/models.py
@@ -70,7 +70,7 @@
     """Peers that a node pushes a change to. Default 4."""
     anti_entropy_period_s: float = Field(default=1.0, gt=0)
     """Time between comparisons with a random peer, in seconds. Default 1."""
-    machine_list_period_s: float = Field(default=2.0, gt=0)
+    machine_list_period_s: float = Field(default=1.0, gt=0)
     """Time between two readings of the platform's machine list by anyone, in seconds; the zones'
     readers take turns. Default 2."""
 
@@ -135,6 +135,9 @@
     lease_s: float = Field(default=5.0, gt=0)
     """Time without a report after which an attempt's slot is given to another node, in seconds.
     Default 5."""
+    drain_patience_s: float = Field(default=3.0, ge=0)
+    """Time for running attempts to end by themselves at a planned stop, in seconds; then others go
+    on with their tokens. Default 3."""
 
 
 class WeightsSettings(Concern):
