End the release of undecided claims at a stop

Cause: a release was tried for up to 30 s without looking at the stop, and the executor's end waits for it. Change: calls of one second, and none after the stop; what is left is answered as unknown.

--- a/features/ledger_claims.feature
+++ b/features/ledger_claims.feature
@@ -13,6 +13,13 @@
     When a claim through node z gets no answer, though it was appended
     Then the claimed key can be claimed again and runs once
 
+  Scenario: A stop does not wait for a claim to be set free
+    Given a ledger of 3 data nodes and 1 other nodes
+    And a claim of each kind made through node z
+    When all ledger data nodes but the leader are cut off
+    And a claim through node z is left undecided
+    Then the claims of node z end their releases when they stop
+
   Scenario: A release overtakes its claim
     Given claims where a release came before its claim
     Then the late claim permits no attempt, and another one is permitted
--- a/features/steps/ledger_claims_steps.py
+++ b/features/steps/ledger_claims_steps.py
@@ -1,5 +1,6 @@
 """Steps of claims: properties of their state machine, and whole nodes."""
 
+import threading
 import time
 import uuid
 from dataclasses import dataclass
@@ -12,6 +13,7 @@
 from features.support.waiting import wait_until
 from hypothesis import given, settings
 from returns.pipeline import is_successful
+from returns.result import Failure
 
 from bellweir.ledger.claims import (
     TOMBSTONE_WINDOWS,
@@ -20,7 +22,8 @@
     RecordOutcome,
     ReleaseClaim,
 )
-from bellweir.ledger.interface import ClaimState, RecordedAnswer
+from bellweir.ledger.claims_service import RELEASE_TIMEOUT_S
+from bellweir.ledger.interface import ClaimState, LedgerError, LedgerErrorKind, RecordedAnswer
 from bellweir.ledger.placement import PlacementStore
 from bellweir.ledger.recovery import RecoveryRefusal, call_for_recovery
 from bellweir.membership.interface import MemberState
@@ -238,6 +241,31 @@
     assert claim(context.node, "key", "more").state is ClaimState.IN_PROGRESS
 
 
+@when("a claim through node {name} is left undecided")
+def when_undecided(context, name):
+    context.node = context.cluster.nodes[name]
+    context.released = threading.Event()
+    real = context.node.claims._release
+
+    def release(command):
+        real(command)
+        context.released.set()
+
+    context.node.claims._release = release
+    lost = LedgerError(LedgerErrorKind.UNKNOWN, "lost")
+    context.node.claims._submit = lambda *_command: Failure(lost)
+    result = context.node.claims.claim("undecided", "f", "lost", WINDOW_S, 1.0)
+    assert result == Failure(lost)
+
+
+@then("the claims of node z end their releases when they stop")
+def then_releases_end(context):
+    assert not context.released.is_set(), "without a majority nothing can be released"
+    context.node.claims.stop()
+    # Far below the time for which a release is tried otherwise.
+    assert context.released.wait(RELEASE_TIMEOUT_S / 2)
+
+
 def uuid7(at_s):
     milliseconds = int(at_s * 1000)
     value = (milliseconds << 80) | (uuid.uuid4().int & ((1 << 80) - 1))
--- a/src/bellweir/ledger/claims_service.py
+++ b/src/bellweir/ledger/claims_service.py
@@ -1,5 +1,6 @@
 """Service `claims`: idempotency keys, kept in the ledger."""
 
+import threading
 from contextlib import suppress
 
 from returns.pipeline import is_successful
@@ -33,6 +34,7 @@
 
 RELEASE_TIMEOUT_S = 30.0
 """Time for which the release of a claim without an answer is tried."""
+RELEASE_TRY_S = 1.0
 ATTEMPTS_PER_CALL = 3
 """Claim commands are idempotent, so one whose outcome is unknown is sent again within the time."""
 
@@ -46,6 +48,7 @@
     def __init__(self, kernel: Kernel, settings: Settings) -> None:
         self._kernel = kernel
         self._node = settings.node.name
+        self._stopping = threading.Event()
         self._ledger: Ledger
         self._membership: Membership
 
@@ -60,7 +63,8 @@
         )
 
     def stop(self) -> None:
-        """Nothing is held here."""
+        """End the releases that are still tried; their claims end as unknown."""
+        self._stopping.set()
 
     def claim(
         self, key: str, fingerprint: str, attempt_id: str, window_s: float, timeout_s: float
@@ -86,9 +90,14 @@
         )
         # When the executor is full the key stays claimed, and is answered as unknown in the end.
         with suppress(ExecutorSaturatedError):
-            self._kernel.executors.submit(
-                WorkKind.BACKGROUND, self._submit, command.key, release, RELEASE_TIMEOUT_S
-            )
+            self._kernel.executors.submit(WorkKind.BACKGROUND, self._release, release)
+
+    def _release(self, release: ReleaseClaim) -> None:
+        """Try for a while, in short calls, so that a stop need not wait for it."""
+        deadline_s = self._kernel.clock.monotonic_s() + RELEASE_TIMEOUT_S
+        while not self._stopping.is_set() and self._kernel.clock.monotonic_s() < deadline_s:
+            if is_successful(self._ledger.submit(release.key, release, RELEASE_TRY_S)):
+                return
 
     def record(
         self,
