Bring a lost zone back whole although another fault hits it meanwhile

Change: workers are started again up to three times, each machine by itself; a fault that did not end leaves its targets absent.

--- a/src/bellweir_rehearsal/faults/actions.py
+++ b/src/bellweir_rehearsal/faults/actions.py
@@ -1,9 +1,11 @@
 """What each kind of fault does, and how it ends."""
 
+import contextlib
 import random
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from bellweir_rehearsal.callers.in_flight import InFlight
 from bellweir_rehearsal.callers.operator import Operator
@@ -13,7 +15,9 @@
 from bellweir_rehearsal.topology.cluster import Cluster
 from bellweir_rehearsal.topology.machines import MachineWriter
 from bellweir_rehearsal.topology.network import NetworkRule
+from bellweir_rehearsal.topology.processes import ProcessFailedError
 from bellweir_rehearsal.topology.resources import PoolWriter
+from bellweir_rehearsal.topology.standins import StandinProcess
 
 End = Callable[[], None]
 """Ends a fault."""
@@ -24,6 +28,7 @@
 SLOW_STORE_S = 1.5
 SLOW_APPLICATION_S = 0.8
 RACE_PAUSE_S = 0.05
+RESTART_TRIES = 3
 MACHINE_LIST_LAG_S = 2.0
 """Lag of the machine list stand-in, its default."""
 MACHINE_LIST_READ_S = 2.0
@@ -80,11 +85,18 @@
     worker = stage.cluster.worker(fault.target)
     worker.kill()
 
-    def end() -> None:
-        worker.start()
-        worker.wait_ready()
+    return lambda: _bring_back(worker)
 
-    return end
+
+def _bring_back(worker: StandinProcess) -> None:
+    """Start a worker, again when another fault kills it meanwhile. Raises `ProcessFailedError`."""
+    for _ in range(RESTART_TRIES - 1):
+        worker.start()
+        with contextlib.suppress(ProcessFailedError):
+            worker.wait_ready()
+            return
+    worker.start()
+    worker.wait_ready()
 
 
 def _engine_pause(stage: FaultStage, fault: Occurrence) -> End:
@@ -167,16 +179,25 @@
         worker.kill()
 
     def end() -> None:
-        for worker in workers:
-            worker.start()
-        for worker in workers:
-            worker.wait_ready()
+        # One that does not come back must not keep the others away.
+        failures: list[ProcessFailedError] = []
         for name in nodes:
-            stage.cluster.restart_node(name)
+            _collect(failures, partial(stage.cluster.restart_node, name))
+        for worker in workers:
+            _collect(failures, partial(_bring_back, worker))
+        if failures:
+            raise failures[0]
 
     return end
 
 
+def _collect(failures: list[ProcessFailedError], act: Callable[[], None]) -> None:
+    try:
+        act()
+    except ProcessFailedError as failure:
+        failures.append(failure)
+
+
 def _split(stage: FaultStage, fault: Occurrence) -> End:
     rules = tuple(
         NetworkRule(source={"zone": fault.target}, target={"zone": zone.name}, cut=True)
--- a/src/bellweir_rehearsal/faults/injector.py
+++ b/src/bellweir_rehearsal/faults/injector.py
@@ -15,7 +15,7 @@
 )
 from bellweir_rehearsal.faults.kinds import PLANNED, FaultKind
 from bellweir_rehearsal.faults.schedule import PlannedFault
-from bellweir_rehearsal.records.model import FaultBegan, FaultEnded
+from bellweir_rehearsal.records.model import NOT_ENDED, FaultBegan, FaultEnded
 from bellweir_rehearsal.topology.processes import ProcessFailedError
 from bellweir_rehearsal.topology.standins import ControlError
 
@@ -79,5 +79,5 @@
         try:
             end()
         except FaultProblem as problem:
-            return f"not ended: {problem}"
+            return f"{NOT_ENDED}: {problem}"
         return ""
--- a/src/bellweir_rehearsal/promises/availability.py
+++ b/src/bellweir_rehearsal/promises/availability.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from bellweir_rehearsal.promises.evidence import Evidence
+from bellweir_rehearsal.records.model import NOT_ENDED
 
 CRASHES = frozenset({"node_kill", "node_replaced", "zone_loss"})
 """Faults that end a node's process without notice."""
@@ -28,7 +29,8 @@
         if fault.kind not in kinds:
             continue
         end = evidence.faults_ended.get(fault.fault_id)
-        ended_s = end.time_s if end is not None else float("inf")
+        came_back = end is not None and not end.detail.startswith(NOT_ENDED)
+        ended_s = end.time_s if end is not None and came_back else float("inf")
         for node in fault.targets:
             found.setdefault(node, []).append(Absence(node, fault.time_s, ended_s))
     return found
--- a/src/bellweir_rehearsal/records/model.py
+++ b/src/bellweir_rehearsal/records/model.py
@@ -201,6 +201,10 @@
     """Whether it is a planned act, such as a stop, and no failure."""
 
 
+NOT_ENDED = "not ended"
+"""Begins the detail of a fault whose targets did not come back."""
+
+
 class FaultEnded(Record, frozen=True):
     """A fault is over: the target works again, or has been replaced."""
 
