Let a node that is just back learn who is leaving

Change: work sent by a node within the grace time after the kit let it go on is counted apart; after that it is a breach as before. Both cases tested.

--- a/features/rehearsal_promises.feature
+++ b/features/rehearsal_promises.feature
@@ -69,6 +69,15 @@
       | given up | store_down       | broken |
       | cut      | network_loss     | broken |
 
+  Scenario Outline: A node just back from a pause may not know who is leaving
+    Given rehearsal evidence of work at a leaving worker <seconds> s after its node's pause ended
+    Then the checker finds leaving back ends <ruling>
+
+    Examples:
+      | seconds | ruling |
+      | 1       | held   |
+      | 4       | broken |
+
   Scenario Outline: A stop that another fault overtakes is not judged
     Given rehearsal evidence of a stopping node that is killed, its end told first by the <teller>
     Then the checker finds planned stops held, and one of them overtaken
--- a/features/steps/rehearsal_promises_steps.py
+++ b/features/steps/rehearsal_promises_steps.py
@@ -10,7 +10,7 @@
 from hypothesis import settings, strategies
 
 from bellweir_rehearsal.promises.checker import CHECKS, check_promises
-from bellweir_rehearsal.promises.evidence import ApplicationRun, Evidence
+from bellweir_rehearsal.promises.evidence import ApplicationRun, Evidence, WorkOffered
 from bellweir_rehearsal.promises.mutations import MUTATIONS
 from bellweir_rehearsal.promises.story import StoryTeller
 from bellweir_rehearsal.promises.verdict import Promise, Ruling
@@ -28,7 +28,7 @@
     StepEnded,
 )
 from bellweir_rehearsal.topology.layout import RunFolder
-from support.rehearsal_evidence import NODES, START_S, healthy_evidence
+from support.rehearsal_evidence import LEAVING_AT_S, NODES, START_S, healthy_evidence
 
 sizes = strategies.tuples(
     strategies.integers(0, 2**32),
@@ -213,6 +213,27 @@
     assert verdict.checked["stops overtaken by a crash"] == 1
 
 
+@given("rehearsal evidence of work at a leaving worker {seconds:d} s after its node's pause ended")
+def step_just_back(context, seconds):
+    evidence = healthy_evidence(random.Random(1))
+    resumed_s = LEAVING_AT_S + 5
+    sent = once_call(resumed_s + seconds, "late")
+    began = FaultBegan(LEAVING_AT_S, "f3", "node_pause", (sent.node,), False)
+    over = FaultEnded(resumed_s, "f3", "node_pause", (sent.node,))
+    offer = WorkOffered("worker-1", sent.time_s, "leaving", "late")
+    context.evidence = replace(
+        evidence,
+        records=[*evidence.records, sent, began, over],
+        work_offered=[*evidence.work_offered, offer],
+    )
+
+
+@then("the checker finds leaving back ends {ruling}")
+def step_leaving(context, ruling):
+    verdict = CHECKS[Promise.LEAVING_BACKENDS](context.evidence)
+    assert verdict.ruling is Ruling(ruling), verdict
+
+
 @when("the rehearsal mutation {name} breaks it")
 def step_mutate(context, name):
     context.mutation = MUTATIONS[name]
