Write results by arm of the whole cluster into a comparison's status

Cause: results were counted on each node only; a comparison's status said nothing. Change: each node passes what it counted on, as differences, to its zone's reader, that one to the reporter, which adds them to the status by compare-and-set (report_status takes a version). Conclusion: exact under lost messages, lost answers, store faults and planned stops; the sudden loss of a node loses what it held and counts nothing twice.

--- /dev/null
+++ b/features/steps/routing_results_steps.py
@@ -0,0 +1,296 @@
+"""Steps of routing_results.feature: results by arm of several nodes, against what was counted."""
+
+import itertools
+import json
+from collections import Counter
+
+from behave import given, then, when
+from hypothesis import given as drawn
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from bellweir.resources.interface import ResourceErrorKind
+from bellweir.routing.arm_status import WRITE_PERIOD_S
+from steps.whole_system_steps import POLICY, call, completion, gateways
+from support.arm_results_network import ResultsNetwork
+
+ARMS = ("north", "south")
+COMPARISON_PATH = "/api/v1/comparisons/trial"
+NODES = 6
+ZONES = 3
+COUNT = st.tuples(st.just("count"), st.integers(0, 50), st.sampled_from(ARMS))
+STEP = st.tuples(st.just("step"), st.sampled_from((0.5, 2.0, 10.0)), st.none())
+MESSAGE_FAULT = st.tuples(
+    st.just("message"),
+    st.integers(0, 50),
+    st.sampled_from(("not sent", "request lost", "answer lost")),
+)
+STORE_FAULT = st.tuples(
+    st.just("store"), st.none(), st.sampled_from(("down", "request lost", "answer lost"))
+)
+LAG = st.tuples(st.just("lag"), st.integers(0, 50), st.booleans())
+STOP = st.tuples(st.just("stop"), st.integers(0, 50), st.booleans())
+START = st.tuples(st.just("start"), st.integers(0, 50), st.none())
+KILL = st.tuples(st.just("kill"), st.integers(0, 50), st.booleans())
+
+
+def act(network, action, number, detail):
+    """Do one action; the counts that are lost by it are returned."""
+    if action == "step":
+        network.step(number)
+        return Counter()
+    if action == "store":
+        network.stored.write_fault = detail
+        return Counter()
+    node = network.nodes[number % len(network.nodes)]
+    if action == "count":
+        network.count(node, detail)
+    elif action == "message":
+        node.fault = detail
+    elif action == "lag":
+        node.resources.lags = detail
+    elif action == "start":
+        network.add_node(number)
+    elif len(network.nodes) > 1:
+        # The reporter as often as any other node: it holds the most.
+        node = network.reporter() if detail else node
+        if action == "kill":
+            return network.kill(node)
+        network.stop(node)
+    return Counter()
+
+
+def play(actions):
+    """Play actions on a new network; it and the counts lost with nodes are returned."""
+    network = ResultsNetwork(NODES, ZONES)
+    lost = Counter()
+    for action in actions:
+        lost += act(network, *action)
+    network.settle()
+    return network, lost
+
+
+@given("routing's results over {nodes:d} nodes in {zones:d} zones")
+def step_network(context, nodes, zones):
+    context.network = ResultsNetwork(nodes, zones)
+
+
+@when("routing's results are counted on every node")
+def step_count(context):
+    for number, node in enumerate(context.network.nodes):
+        context.network.count(node, ARMS[number % len(ARMS)])
+        context.network.count(node, ARMS[0])
+
+
+@then("routing's results in the status equal what was counted")
+def step_equal(context):
+    network = context.network
+    network.settle()
+    assert network.written() == network.counted, (network.written(), network.counted)
+    for arm, result in network.arms().items():
+        count = network.counted[arm]
+        assert result == {
+            "started": count,
+            "completed": count,
+            "failed": 0,
+            "tokens": 7 * count,
+            "firstTokens": count,
+            "firstTokenS": 0.25 * count,
+            "wholeS": 1.5 * count,
+            "meanFirstTokenS": 0.25,
+            "meanWholeS": 1.5,
+        }, result
+
+
+@then("routing's results are exact under any faults of messages and of the store")
+def step_faults(context):
+    @settings(max_examples=150)
+    @drawn(st.lists(st.one_of(COUNT, STEP, MESSAGE_FAULT, STORE_FAULT, LAG), max_size=40))
+    def check(actions):
+        network, _ = play(actions)
+        assert network.written() == network.counted, (network.written(), network.counted)
+
+    check()
+
+
+@then("routing's results are exact under any planned stops")
+def step_stops(context):
+    @settings(max_examples=150)
+    @drawn(st.lists(st.one_of(COUNT, STEP, STOP, START), max_size=40))
+    def check(actions):
+        network, _ = play(actions)
+        assert network.written() == network.counted, (network.written(), network.counted)
+
+    check()
+
+
+@then("routing's results after sudden losses miss only what the lost nodes held")
+def step_losses(context):
+    @settings(max_examples=150)
+    @drawn(st.lists(st.one_of(COUNT, STEP, KILL, START, LAG), max_size=40))
+    def check(actions):
+        network, lost = play(actions)
+        assert network.written() == network.counted - lost, (network.written(), lost)
+
+    check()
+
+    @settings(max_examples=150)
+    @drawn(
+        st.lists(
+            st.one_of(COUNT, STEP, KILL, STOP, START, MESSAGE_FAULT, STORE_FAULT, LAG), max_size=40
+        )
+    )
+    def check_never_more(actions):
+        network, _ = play(actions)
+        assert network.written() <= network.counted, (network.written(), network.counted)
+
+    check_never_more()
+
+
+@when("routing's results are counted on every node for {seconds:d} seconds")
+def step_count_long(context, seconds):
+    network = context.network
+    for _ in range(2 * seconds):
+        for node in network.nodes:
+            network.count(node, ARMS[0])
+        network.step(0.5)
+
+
+@then("routing's results were written at most {most:d} times")
+def step_writes(context, most):
+    written_s = context.network.stored.writes_s
+    assert 2 <= len(written_s) <= most, written_s
+    gaps_s = [after - before for before, after in itertools.pairwise(written_s)]
+    assert min(gaps_s) >= WRITE_PERIOD_S, gaps_s
+
+
+@then("routing's results are not written while nothing changes")
+def step_no_writes(context):
+    network = context.network
+    network.settle()
+    writes, requests = len(network.stored.writes_s), network.requests
+    network.settle()
+    assert (len(network.stored.writes_s), network.requests) == (writes, requests)
+
+
+@when("routing's comparison of the results is deleted before they are written")
+def step_deleted(context):
+    context.network.stored.exists = False
+    context.network.settle()
+
+
+@then("routing's results of the new comparison begin at nothing")
+def step_anew(context):
+    network = context.network
+    network.stored.exists, network.stored.status = True, {}
+    network.stored.version += 5
+    network.count(network.nodes[0], ARMS[1])
+    network.settle()
+    assert network.written() == Counter({ARMS[1]: 1}), network.written()
+
+
+@when("routing's results of a node are taken and written while all its answers are lost")
+def step_answers_lost(context):
+    network = context.network
+    node = next(node for node in network.nodes if node is not network.reporter())
+    network.count(node, ARMS[0])
+    while not network.written():
+        node.fault = "answer lost"
+        network.step()
+    assert node.reports._in_flight.may_be_taken
+
+
+@when("routing's reporter of the results is lost")
+def step_reporter_lost(context):
+    context.network.kill(context.network.reporter())
+
+
+@when("routing's reporter is lost after a write that the next reporter does not see yet")
+def step_late_reporter(context):
+    network = context.network
+    first = network.reporter()
+    for node in network.nodes:
+        node.resources.lags = node is not first
+    network.count(first, ARMS[0])
+    while not network.written():
+        network.step()
+    network.kill(first)
+    network.count(network.reporter(), ARMS[0])
+    for _ in range(40):
+        network.step()
+    assert network.written() == Counter({ARMS[0]: 1}), network.written()
+
+
+@when("routing's reporter stops while it does not know that its write took effect")
+def step_unknown_write(context):
+    network = context.network
+    reporter = network.reporter()
+    reporter.resources.lags = True
+    network.count(reporter, ARMS[0])
+    network.stored.write_fault = "answer lost"
+    while not network.written():
+        network.step()
+    assert reporter.held() == network.counted
+    network.stop(reporter)
+
+
+@when("routing's nodes of the results stop one after the other")
+def step_all_stop(context):
+    network = context.network
+    while network.nodes:
+        network.stop(network.nodes[0])
+
+
+@then("routing's status reports by version are refused on any other version than the newest")
+def step_version(context):
+    resources, report = context.resources, {"details": {"results": {"mark": "first"}}}
+    old = resources.get("Policy", "north").unwrap().version
+    new = resources.report_status("Policy", "north", report, version=old).unwrap()
+    assert new.version > old
+    later = {"details": {"results": {"mark": "second"}}}
+    for version in (old, new.version + 1):
+        refused = resources.report_status("Policy", "north", later, version=version)
+        assert refused.failure().kind is ResourceErrorKind.CONFLICT, refused
+    stored = resources.get("Policy", "north").unwrap()
+    assert stored.document["status"]["details"] == report["details"], stored
+
+
+@when("routing's whole-system comparison gets {count:d} completions on each node")
+def step_whole_count(context, count):
+    addresses = gateways(context)
+    spec = {
+        "policy": POLICY,
+        "arms": [{"name": name, "policy": POLICY, "share": 1} for name in ARMS],
+    }
+    document = {"kind": "Comparison", "metadata": {"name": "trial"}, "spec": spec}
+    status, _, body = call(addresses[0], "POST", "/api/v1/comparisons", document)
+    assert status in (201, 409), (status, body)
+    for address in addresses:
+        context.wait_until(
+            lambda address=address: call(address, "GET", COMPARISON_PATH)[0] == 200, "in force", 60
+        )
+        for number in range(count):
+            headers = {"Bellweir-Unit": f"unit-{number}"}
+            answer = call(address, "POST", "/v1/completions", completion(4), headers)
+            assert answer[0] == 200, answer
+
+
+def whole_results(address):
+    document = json.loads(call(address, "GET", COMPARISON_PATH)[2])
+    return document["status"].get("details", {}).get("results", {})
+
+
+@when("routing's whole-system reporter stops by SIGTERM at once")
+def step_whole_stop(context):
+    mark = whole_results(gateways(context)[0])["mark"]
+    name = mark.partition("/")[0]
+    assert context.system.stop_node(name) == 0
+
+
+@then("routing's whole-system status comes to {completed:d} completed")
+def step_whole_status(context, completed):
+    def has_come():
+        arms = whole_results(gateways(context)[-1]).get("arms", {})
+        return sum(arm["completed"] for arm in arms.values()) == completed
+
+    context.wait_until(has_come, f"the status says {completed} completed", 60)
--- a/src/bellweir/resources/interface.py
+++ b/src/bellweir/resources/interface.py
@@ -106,6 +106,10 @@
 
     @abstractmethod
     def report_status(
-        self, kind: str, name: str, status: Mapping[str, Any]
+        self, kind: str, name: str, status: Mapping[str, Any], *, version: int | None = None
     ) -> Result[ResourceDocument, ResourceError]:
-        """Merge a patch into a resource's status by compare-and-set; retried on conflict."""
+        """Merge a patch into a resource's status by compare-and-set; retried on conflict.
+
+        With a `version`, for reports made from a status read before: a conflict, and nothing is
+        written, when the resource is at any other version.
+        """
--- a/src/bellweir/resources/service.py
+++ b/src/bellweir/resources/service.py
@@ -163,10 +163,12 @@
         )
 
     def report_status(
-        self, kind: str, name: str, status: Mapping[str, Any]
+        self, kind: str, name: str, status: Mapping[str, Any], *, version: int | None = None
     ) -> Result[ResourceDocument, ResourceError]:
         """Merge into a resource's status; nothing is written when that changes nothing."""
-        return self._writer().bind(lambda writes: writes.report_status(kind, name, status))
+        return self._writer().bind(
+            lambda writes: writes.report_status(kind, name, status, version=version)
+        )
 
     def _writer(self) -> Result[ResourceWrites, ResourceError]:
         return Failure(no_store()) if self._writes is None else Success(self._writes)
--- a/src/bellweir/resources/writes.py
+++ b/src/bellweir/resources/writes.py
@@ -94,10 +94,14 @@
             break
         return deleted
 
-    def report_status(self, kind: str, name: str, status: Mapping[str, Any]) -> Written:
+    def report_status(
+        self, kind: str, name: str, status: Mapping[str, Any], *, version: int | None
+    ) -> Written:
         """Merge into a resource's status; nothing is written when that changes nothing."""
 
         def attempt(base: StoredObject) -> Written:
+            if version is not None and base.version != version:
+                return Failure(conflict(base, base.document, version))
             before = base.document.get("status", {})
             merged = merged_status(before, status, self._clock.wall_s())
             if merged == before:
@@ -105,7 +109,7 @@
             written = as_system_write({**base.document, "status": merged}, base)
             return parse(written).bind(lambda _: self._put(written, base, IN_FORCE_WAIT_S))
 
-        return self._repeat(kind, name, attempt, once=False)
+        return self._repeat(kind, name, attempt, once=version is not None)
 
     # --- steps ---------------------------------------------------------------------------------
 
--- /dev/null
+++ b/src/bellweir/routing/arm_results.py
@@ -0,0 +1,73 @@
+"""The node's task for results by arm: collect, pass on, and write where it is the reporter."""
+
+import threading
+from collections.abc import Callable
+from concurrent.futures import Future, wait
+
+from bellweir.kernel.clock import Clock
+from bellweir.routing.arm_reports import ArmReports
+from bellweir.routing.arm_status import ArmStatusWriter
+
+LOOK_PERIOD_S = 0.5
+"""Time between two looks at what is due, in seconds."""
+
+
+class ArmResults:
+    """Runs as one task; `flush` ends it and passes on what is left."""
+
+    def __init__(
+        self, reports: ArmReports, writer: Callable[[], ArmStatusWriter | None], clock: Clock
+    ) -> None:
+        self._reports = reports
+        self._find_writer = writer
+        self._clock = clock
+        self._ending = threading.Event()
+        self._writer: ArmStatusWriter | None = None
+
+    def run(self, all_started: threading.Event, stopping: threading.Event) -> None:
+        """Look now and then until the executors stop or the node drains."""
+        while not (stopping.is_set() or self._ending.is_set()):
+            if all_started.is_set():
+                self.look()
+            self._clock.wait(self._ending, LOOK_PERIOD_S)
+
+    def look(self) -> None:
+        """One round of collecting, passing on and writing."""
+        self._reports.collect()
+        writer = self._current_writer()
+        if writer is None:
+            return
+        if self._reports.next_node() is None:
+            self._reports.send_now()
+            writer.look()
+        else:
+            writer.settle()
+            self._reports.look()
+
+    def end(self) -> None:
+        """End the task soon."""
+        self._ending.set()
+
+    def flush(self, task: "Future[None]", timeout_s: float) -> None:
+        """End the task, then pass on what is held, or write it where no other node is left."""
+        self.end()
+        if wait((task,), timeout=timeout_s).not_done:
+            return
+        self._reports.close()
+        self._reports.collect()
+        writer = self._current_writer()
+        if writer is None:
+            return
+        if self._reports.next_node() is None:
+            self._reports.send_now()
+            writer.write_now()
+            return
+        writer.settle()
+        # One report may be in flight from before; what was counted since follows it.
+        for _ in range(2):
+            self._reports.send_now()
+
+    def _current_writer(self) -> ArmStatusWriter | None:
+        if self._writer is None:
+            self._writer = self._find_writer()
+        return self._writer
--- a/src/bellweir/routing/log_events.py
+++ b/src/bellweir/routing/log_events.py
@@ -34,3 +34,11 @@
     "The outcome of a request that must not be repeated could not be recorded; repeats of its "
     "key are answered as unknown.",
 )
+ARM_RESULTS_NOT_WRITTEN = Event(
+    705,
+    "arm_results_not_written",
+    Level.WARNING,
+    ("node", "name", "error"),
+    "Results by arm could not be written into a comparison's status; they are kept and written "
+    "later.",
+)
--- a/src/bellweir/routing/service.py
+++ b/src/bellweir/routing/service.py
@@ -1,19 +1,26 @@
 """Service `dispatcher`: admits requests and serves them on back ends."""
 
+from concurrent.futures import Future
 from dataclasses import replace
 from typing import TypeVar
 
 from returns.result import Failure, Result
 
 from bellweir.configuration.interface import Configuration
+from bellweir.configuration.placement import Placements
 from bellweir.kernel import names
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
 from bellweir.ledger.interface import Claims
+from bellweir.membership.interface import Membership
 from bellweir.platform.interface import ApplicationAnswer, PlatformClients
+from bellweir.resources.interface import Resources
 from bellweir.routing.admissions import Admissions
 from bellweir.routing.application_requests import ApplicationRequests
 from bellweir.routing.arm_counters import ArmCounters
+from bellweir.routing.arm_reports import ArmReports
+from bellweir.routing.arm_results import ArmResults
+from bellweir.routing.arm_status import ArmStatusWriter
 from bellweir.routing.counters import DispatchCounters
 from bellweir.routing.forwarding import Forwarder
 from bellweir.routing.generation_attempt import GenerationStarter
@@ -35,6 +42,7 @@
 from bellweir.routing.views_service import BackendViewsService
 from bellweir.settings.models import Settings
 from bellweir.telemetry.interface import Telemetry
+from bellweir.wire.interface import Transport
 
 DRAIN_S = 5.0
 """Longest wait for requests that no caller waits for."""
@@ -42,6 +50,9 @@
 RECORDS_DRAIN_S = 2.0
 """Longest wait for outcomes that the ledger has not taken yet."""
 
+RESULTS_DRAIN_S = 2.0
+"""Longest wait for the task that gathers results by arm."""
+
 _Served = TypeVar("_Served")
 
 
@@ -54,6 +65,8 @@
     def __init__(self, kernel: Kernel, settings: Settings) -> None:
         self._kernel = kernel
         self._settings = settings.routing
+        self._node = settings.node.name
+        self._fanout = settings.configuration.fanout
         self._counters = DispatchCounters()
         self._arms = ArmCounters()
         self._watch = StreamWatch()
@@ -62,6 +75,8 @@
         self._runtimes: PoolRuntimes
         self._generations: GenerationRequests
         self._applications: ApplicationRequests
+        self._results: ArmResults | None = None
+        self._results_task: Future[None] | None = None
 
     def start(self) -> None:
         """Find the other services and begin to watch streams and record outcomes."""
@@ -75,6 +90,7 @@
         self._add_metrics(views)
         self._kernel.executors.run_task("claim-outcomes", self._recorder.run)
         self._kernel.executors.run_task("stream-watch", self._watch.run)
+        self._gather_results()
 
     def drain(self, deadline_s: float) -> None:
         """Refuse new requests and wait for those in hand.
@@ -84,10 +100,14 @@
         """
         self._admissions.drain(min(deadline_s, DRAIN_S))
         self._recorder.drain(min(deadline_s, RECORDS_DRAIN_S))
+        if self._results is not None and self._results_task is not None:
+            self._results.flush(self._results_task, min(deadline_s, RESULTS_DRAIN_S))
 
     def stop(self) -> None:
         """Refuse new requests and cancel the streams that still run."""
         self._admissions.draining = True
+        if self._results is not None:
+            self._results.end()
         self._watch.cancel_all()
 
     def statistics(self) -> DispatchStatistics:
@@ -155,6 +175,30 @@
                 RoutingCollector(self.statistics, self._runtimes, views.pools)
             )
 
+    def _gather_results(self) -> None:
+        registry = self._kernel.registry
+        if not registry.has(names.MEMBERSHIP):
+            return
+        membership = registry.find(names.MEMBERSHIP, Membership)  # type: ignore[type-abstract]
+        transport = registry.find(names.TRANSPORT, Transport)  # type: ignore[type-abstract]
+        placements = Placements(membership, self._fanout)
+        clock = self._kernel.clock
+        reports = ArmReports(self._node, self._arms, transport, placements.current, clock)
+        reports.register_handlers()
+        results = ArmResults(reports, lambda: self._find_writer(reports), clock)
+        started = registry.all_started
+        self._results = results
+        self._results_task = self._kernel.executors.run_task(
+            "arm-results", lambda stopping: results.run(started, stopping)
+        )
+
+    def _find_writer(self, reports: ArmReports) -> ArmStatusWriter | None:
+        registry = self._kernel.registry
+        if not registry.has(names.RESOURCES):
+            return None
+        resources = registry.find(names.RESOURCES, Resources)  # type: ignore[type-abstract]
+        return ArmStatusWriter(self._node, reports, resources, self._kernel.clock)
+
     def _find_claims(self) -> Claims | None:
         registry = self._kernel.registry
         if not registry.has(names.CLAIMS):
