--- a/src/bellweir/routing/generation.py
+++ b/src/bellweir/routing/generation.py
@@ -270,7 +270,8 @@
             return
         emit(
             GENERATION_RESUMED,
-            request=self._request.request_id,
+            request_id=self._request.request_id,
+            attempt_id=attempt.attempt_id,
             worker=attempt.hold.backend.name,
             tokens=len(self._had),
         )
--- a/src/bellweir/routing/log_events.py
+++ b/src/bellweir/routing/log_events.py
@@ -23,14 +23,14 @@
     703,
     "generation_resumed",
     Level.INFO,
-    ("request", "worker", "tokens"),
+    ("request_id", "attempt_id", "worker", "tokens"),
     "A cut stream goes on, after the tokens had, on another engine.",
 )
 OUTCOME_NOT_RECORDED = Event(
     704,
     "outcome_not_recorded",
     Level.WARNING,
-    ("request", "detail"),
+    ("key", "attempt_id", "detail"),
     "The outcome of a request that must not be repeated could not be recorded; repeats of its "
     "key are answered as unknown.",
 )
--- a/src/bellweir/routing/outcome_recorder.py
+++ b/src/bellweir/routing/outcome_recorder.py
@@ -65,7 +65,7 @@
             elif _record(pending):
                 continue
             elif self._clock.monotonic_s() - pending.since_s > GIVE_UP_S:
-                emit(OUTCOME_NOT_RECORDED, request=pending.holder.ledger_key, detail="too late")
+                _report_lost(pending, "too late")
             else:
                 self._add(pending)
 
@@ -83,7 +83,7 @@
                 self._added.wait(PAUSE_S)
                 self._added.clear()
         for pending in self._pending:
-            emit(OUTCOME_NOT_RECORDED, request=pending.holder.ledger_key, detail="stopped")
+            _report_lost(pending, "stopped")
 
     def drain(self, deadline_s: float) -> None:
         """Wait, at most `deadline_s` seconds, until the task has recorded what is pending."""
@@ -97,7 +97,13 @@
                 self._pending.append(pending)
                 self._added.set()
                 return
-        emit(OUTCOME_NOT_RECORDED, request=pending.holder.ledger_key, detail="too many pending")
+        _report_lost(pending, "too many pending")
+
+
+def _report_lost(pending: _Pending, detail: str) -> None:
+    """Log that an outcome will not be recorded any more."""
+    holder = pending.holder
+    emit(OUTCOME_NOT_RECORDED, key=holder.ledger_key, attempt_id=holder.attempt_id, detail=detail)
 
 
 def _record(pending: _Pending) -> bool:
