--- a/src/bellweir/ledger/journal.py
+++ b/src/bellweir/ledger/journal.py
@@ -123,11 +123,6 @@
                 self._closed = True
                 self._release()
 
-    @property
-    def durable_ticket(self) -> int:
-        """Everything up to this ticket is durable."""
-        return self._durable_ticket
-
     def buffer(self, operation: Operation) -> int:
         """Add an operation to the next group; return its ticket. Does no I/O."""
         with self._buffer_lock:
--- a/src/bellweir/ledger/sqlite_journal.py
+++ b/src/bellweir/ledger/sqlite_journal.py
@@ -54,10 +54,6 @@
 """
 
 
-class JournalDamagedError(Exception):
-    """The files are not what was acknowledged."""
-
-
 class SqliteJournal(Journal):
     """The journal of one node, in `ledger.sqlite3` of its data folder."""
 
--- a/src/bellweir/wire/frames.py
+++ b/src/bellweir/wire/frames.py
@@ -70,8 +70,6 @@
     detail: str
 
 
-AnyFrame = Request | OneWay | Answer | Refusal
-
 Decoded = TypeVar("Decoded")
 
 
--- a/src/bellweir_rehearsal/promises/evidence.py
+++ b/src/bellweir_rehearsal/promises/evidence.py
@@ -1,7 +1,6 @@
 """What a run left behind, in one form whatever wrote it: the checker's only input."""
 
 from collections import defaultdict
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 from functools import cached_property
 from typing import TypeVar
@@ -18,7 +17,6 @@
     NodeStopping,
     Record,
     SampleReceived,
-    SamplesAcknowledged,
     StepDeclared,
     StepEnded,
     TrainerIdle,
@@ -163,11 +161,6 @@
         """Samples in the order in which they arrived, repeats included."""
         return self._of(SampleReceived)
 
-    @cached_property
-    def acknowledgements(self) -> list[SamplesAcknowledged]:
-        """Acknowledgements of cursors."""
-        return self._of(SamplesAcknowledged)
-
     @cached_property
     def idle_times(self) -> list[TrainerIdle]:
         """Idle times of trainers."""
@@ -288,8 +281,3 @@
 
     def _of(self, kind: type[RecordKind]) -> list[RecordKind]:
         return [record for record in self.records if isinstance(record, kind)]
-
-
-def in_order(records: Iterable[AnyRecord]) -> list[AnyRecord]:
-    """Sort records by time."""
-    return sorted(records, key=lambda record: record.time_s)
--- a/src/bellweir_rehearsal/records/journal.py
+++ b/src/bellweir_rehearsal/records/journal.py
@@ -9,8 +9,6 @@
 
 from bellweir_rehearsal.records.model import AnyRecord
 
-MAXIMUM_JOURNAL_BYTES = 1 << 30
-
 
 class Journal:
     """Writes records to one file; safe from several threads."""
--- a/src/bellweir_rehearsal/result.py
+++ b/src/bellweir_rehearsal/result.py
@@ -103,11 +103,6 @@
     path.write_bytes(msgspec.json.format(msgspec.json.encode(result), indent=1))
 
 
-def read_result(path: Path) -> RunResult:
-    """Read a result. Raises `msgspec.MsgspecError` when it is none."""
-    return msgspec.json.decode(path.read_bytes(), type=RunResult)
-
-
 def summarize(
     plan: RunPlan,
     evidence: Evidence,
--- a/src/bellweir_rehearsal/standins/token_model.py
+++ b/src/bellweir_rehearsal/standins/token_model.py
@@ -24,11 +24,6 @@
 """Standard normal quantile at 0.999: one answer in a thousand reaches the longest length."""
 
 
-def token_at(prompt: str, seed: int | None, position: int) -> int:
-    """Return the token at a position, an index into `VOCABULARY`."""
-    return xxhash.xxh64_intdigest(b"%d" % position, stream_seed(prompt, seed)) % len(VOCABULARY)
-
-
 def tokens_between(prompt: str, seed: int | None, first: int, end: int) -> tuple[int, ...]:
     """Return the tokens at positions `first` up to but not including `end`."""
     base = stream_seed(prompt, seed)
--- a/src/bellweir_rehearsal/topology/nodes.py
+++ b/src/bellweir_rehearsal/topology/nodes.py
@@ -1,6 +1,5 @@
 """The nodes of a deployment as child processes with settings files."""
 
-import shutil
 import sys
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -89,10 +88,6 @@
         """Let its frozen process go on."""
         self._process.resume()
 
-    def erase_data(self) -> None:
-        """Remove its data folder, as a replaced machine's disk is empty."""
-        shutil.rmtree(self._folder.data / self.name, ignore_errors=True)
-
     def _settings(self, seeds: Sequence[str]) -> dict[str, dict[str, object]]:
         data_folder = None
         if self.place.has_data_folder:
--- a/src/bellweir_rehearsal/topology/processes.py
+++ b/src/bellweir_rehearsal/topology/processes.py
@@ -83,10 +83,6 @@
         """Ask the process to stop and wait; killed when the time is over. Return its exit code."""
         return self._end(signal.SIGTERM, timeout_s)
 
-    def send_terminate(self) -> None:
-        """Ask the process to stop, without waiting."""
-        self._send(signal.SIGTERM)
-
     def pause(self) -> None:
         """Freeze the process (SIGSTOP)."""
         self._send(signal.SIGSTOP)
