--- a/bench/gateway_cost.py
+++ b/bench/gateway_cost.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-from bellweir.platform.interface import GenerationCall
+from bellweir.clients.interface import GenerationCall
 from bellweir_rehearsal.standins.application import ApplicationOptions
 from bellweir_rehearsal.standins.base import StandinOptions
 from bellweir_rehearsal.standins.catalogue import StandinKind
--- a/bench/ledger.py
+++ b/bench/ledger.py
@@ -31,6 +31,7 @@
 import psutil
 from returns.pipeline import is_successful
 
+from bellweir.clients.service import PlatformService
 from bellweir.events.log import configure_logs
 from bellweir.kernel.clock import SystemClock
 from bellweir.kernel.listeners import bind_listeners
@@ -45,7 +46,6 @@
 from bellweir.ledger.service import LedgerService
 from bellweir.ledger.sqlite_journal import SqliteJournal
 from bellweir.membership.service import MembershipService
-from bellweir.platform.service import PlatformService
 from bellweir.settings.models import LedgerSettings, MembershipSettings, NodeIdentity, Settings
 from bellweir.wire.service import TransportService
 
--- a/bench/platform_cost.py
+++ b/bench/platform_cost.py
@@ -14,8 +14,8 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from bellweir.platform.interface import ApplicationCall, GenerationCall
-from bellweir.platform.service import HttpPlatformClients
+from bellweir.clients.interface import ApplicationCall, GenerationCall
+from bellweir.clients.service import HttpPlatformClients
 from bellweir.settings.models import PlatformSettings
 from bellweir_rehearsal.standins.application import ApplicationOptions
 from bellweir_rehearsal.standins.catalogue import StandinKind
--- a/bench/profiled.py
+++ b/bench/profiled.py
@@ -16,7 +16,7 @@
 
 from waitress.task import ThreadedTaskDispatcher
 
-from bellweir.gateway.server import GatewayServer
+from bellweir.gateway.channel import GatewayServer
 
 LINES = 70
 
--- a/bench/routing_support.py
+++ b/bench/routing_support.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from bellweir.clients.service import PlatformService
 from bellweir.configuration.interface import (
     Configuration,
     ConfigurationListener,
@@ -21,7 +22,6 @@
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
 from bellweir.membership.interface import Member, MemberState, Ownership
-from bellweir.platform.service import PlatformService
 from bellweir.resources.models import (
     BackendKind,
     Metadata,
--- a/bench/worker_probes.py
+++ b/bench/worker_probes.py
@@ -11,7 +11,7 @@
 
 from returns.pipeline import is_successful
 
-from bellweir.platform.service import HttpPlatformClients
+from bellweir.clients.service import HttpPlatformClients
 from bellweir.settings.models import PlatformSettings
 from bellweir_rehearsal.standins.catalogue import StandinKind
 from bellweir_rehearsal.standins.engine_options import EngineOptions
--- a/features/steps/configuration_cluster_steps.py
+++ b/features/steps/configuration_cluster_steps.py
@@ -5,8 +5,8 @@
 from behave import given, then, when
 from returns.result import Success
 
+from bellweir.clients.interface import Machine, MachineState
 from bellweir.configuration import placement
-from bellweir.platform.interface import Machine, MachineState
 from bellweir.resources.interface import ResourceErrorKind
 from bellweir_rehearsal.standins.faults import FaultKind
 from bellweir_rehearsal.standins.object_api import ObjectWrite
--- a/features/steps/configuration_reader_steps.py
+++ b/features/steps/configuration_reader_steps.py
@@ -3,13 +3,13 @@
 from behave import given, then, when
 from returns.result import Success
 
+from bellweir.clients.interface import Machine, MachineList, MachineSnapshot, MachineState
 from bellweir.configuration.machine_reader import MachineListReader
 from bellweir.configuration.messages import TableName
 from bellweir.configuration.reader import StoreReader
 from bellweir.configuration.state import ConfigurationState
 from bellweir.configuration.views import machine_of
 from bellweir.kernel.clock import ManualClock
-from bellweir.platform.interface import Machine, MachineList, MachineSnapshot, MachineState
 from support.memory_store import MemoryStore
 
 
--- a/features/steps/configuration_table_steps.py
+++ b/features/steps/configuration_table_steps.py
@@ -3,6 +3,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from bellweir.clients.interface import Machine, MachineSnapshot, MachineState
 from bellweir.configuration.interface import ConfigurationSnapshot
 from bellweir.configuration.machine_reader import MachineListReader
 from bellweir.configuration.messages import TableName
@@ -10,7 +11,6 @@
 from bellweir.configuration.subscription import Subscription
 from bellweir.configuration.table import ApplyOutcome
 from bellweir.kernel.clock import ManualClock
-from bellweir.platform.interface import Machine, MachineSnapshot, MachineState
 from support.configuration_tables import (
     HISTORIES,
     changes_between,
--- a/features/steps/gateway_applications_steps.py
+++ b/features/steps/gateway_applications_steps.py
@@ -12,8 +12,8 @@
 from hypothesis import given as property_given
 from hypothesis import settings, strategies
 
-from bellweir.gateway.body_pipe import FULL_BYTES, BodyCutError
-from bellweir.platform.interface import ApplicationAnswer
+from bellweir.clients.interface import ApplicationAnswer
+from bellweir.http_server.body_pipe import FULL_BYTES, BodyCutError
 from support.gateway_calls import (
     gateway_ask_raw,
     gateway_call,
--- a/features/steps/gateway_connections_steps.py
+++ b/features/steps/gateway_connections_steps.py
@@ -8,7 +8,7 @@
 from hypothesis import given as property_given
 from hypothesis import settings, strategies
 
-from bellweir.platform.interface import ApplicationAnswer
+from bellweir.clients.interface import ApplicationAnswer
 from support.gateway_calls import (
     gateway_ask_raw,
     gateway_call,
--- a/features/steps/gateway_stop_steps.py
+++ b/features/steps/gateway_stop_steps.py
@@ -6,7 +6,7 @@
 
 from behave import then, when
 
-from bellweir.platform.interface import ApplicationAnswer
+from bellweir.clients.interface import ApplicationAnswer
 from support.gateway_calls import (
     gateway_call,
     gateway_json,
--- a/features/steps/gateway_whole_steps.py
+++ b/features/steps/gateway_whole_steps.py
@@ -12,8 +12,8 @@
 from behave import given, then, when
 
 from bellweir.entrypoints.node import Node
-from bellweir.gateway.body_pipe import FULL_BYTES
-from bellweir.gateway.parser import STREAMED_FROM_BYTES
+from bellweir.http_server.body_pipe import FULL_BYTES
+from bellweir.http_server.parser import STREAMED_FROM_BYTES
 from bellweir.settings.models import GatewaySettings, NodeIdentity, PlatformSettings, Settings
 from bellweir_rehearsal.standins.application import (
     ApplicationOptions,
--- a/features/steps/ledger_commands_steps.py
+++ b/features/steps/ledger_commands_steps.py
@@ -11,9 +11,9 @@
 from behave import given, then, when
 
 from bellweir.cli.main import Bellweir
+from bellweir.clients.service import HttpPlatformClients
 from bellweir.ledger.entries import ReplicaId
 from bellweir.ledger.placement import PlacementCandidate, PlacementStore, first_placement
-from bellweir.platform.service import HttpPlatformClients
 from bellweir.settings.models import PlatformSettings
 from bellweir_rehearsal.standins.object_api import ObjectApiOptions, ObjectApiStandin
 
--- a/features/steps/platform_application_steps.py
+++ b/features/steps/platform_application_steps.py
@@ -18,8 +18,8 @@
 from hypothesis import strategies as st
 from returns.result import Success
 
-from bellweir.platform.interface import ApplicationCall, ErrorKind, IncompleteBodyError
-from bellweir.platform.service import HttpPlatformClients
+from bellweir.clients.interface import ApplicationCall, ErrorKind, IncompleteBodyError
+from bellweir.clients.service import HttpPlatformClients
 from bellweir.settings.models import PlatformSettings
 from bellweir_rehearsal.standins.application import (
     ApplicationOptions,
--- a/features/steps/platform_clients_steps.py
+++ b/features/steps/platform_clients_steps.py
@@ -5,12 +5,12 @@
 from behave import given, then, when
 from returns.result import Success
 
+from bellweir.clients import pool
+from bellweir.clients.interface import ErrorKind, ScoreCall
+from bellweir.clients.service import SWEEP_PERIOD_S, NoAddressError, PlatformService
 from bellweir.kernel.clock import ManualClock
 from bellweir.kernel.listeners import bind_listeners
 from bellweir.kernel.node import Kernel
-from bellweir.platform import pool
-from bellweir.platform.interface import ErrorKind, ScoreCall
-from bellweir.platform.service import SWEEP_PERIOD_S, NoAddressError, PlatformService
 from bellweir.settings.models import NodeIdentity, Settings
 from support.lossy_server import LossPoint, LossyServer
 
--- a/features/steps/platform_outcomes_steps.py
+++ b/features/steps/platform_outcomes_steps.py
@@ -10,15 +10,15 @@
 from hypothesis import strategies as st
 from returns.result import Result, Success
 
-from bellweir.platform.answers import decode_answer
-from bellweir.platform.interface import (
+from bellweir.clients.answers import decode_answer
+from bellweir.clients.interface import (
     EngineOrder,
     EngineRole,
     GenerationCall,
     ScoreCall,
 )
-from bellweir.platform.pool import ConnectionPool, HttpCall
-from bellweir.platform.service import HttpPlatformClients
+from bellweir.clients.pool import ConnectionPool, HttpCall
+from bellweir.clients.service import HttpPlatformClients
 from bellweir.settings.models import PlatformSettings
 from support.lossy_server import BODY, LossPoint, LossyServer, TricklingServer
 
--- a/features/steps/routing_choice_steps.py
+++ b/features/steps/routing_choice_steps.py
@@ -9,8 +9,8 @@
 from prometheus_client import CollectorRegistry, generate_latest
 from returns.result import Success
 
+from bellweir.clients.interface import PREFIX_BLOCK_CHARACTERS, CacheEventBatch
 from bellweir.configuration.interface import ConfigurationSnapshot
-from bellweir.platform.interface import PREFIX_BLOCK_CHARACTERS, CacheEventBatch
 from bellweir.resources.models import (
     Arm,
     BackendKind,
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from returns.result import Failure, Success
 
-from bellweir.platform.interface import FinishReason
+from bellweir.clients.interface import FinishReason
 from bellweir.resources.models import RequestClass
 from bellweir.routing.circuit import CircuitState
 from bellweir.routing.interface import RefusalReason, RunState
--- a/features/steps/standins_batch_steps.py
+++ b/features/steps/standins_batch_steps.py
@@ -7,7 +7,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from bellweir.platform.interface import PREFIX_BLOCK_CHARACTERS
+from bellweir.clients.interface import PREFIX_BLOCK_CHARACTERS
 from bellweir_rehearsal.standins.engine_batch import Batch, BatchLimits, Sequence
 from bellweir_rehearsal.standins.engine_options import TokenTimes
 from bellweir_rehearsal.standins.prefix_cache import (
--- a/features/steps/standins_engine_steps.py
+++ b/features/steps/standins_engine_steps.py
@@ -7,8 +7,8 @@
 from behave import given, then, when
 from returns.result import Success
 
-from bellweir.platform.interface import EngineRole, ErrorKind, FinishReason
-from bellweir.platform.pool import ConnectionPool, HttpCall
+from bellweir.clients.interface import EngineRole, ErrorKind, FinishReason
+from bellweir.clients.pool import ConnectionPool, HttpCall
 from bellweir_rehearsal.standins.engine_weights import SwapEnded
 from bellweir_rehearsal.standins.faults import FaultKind, FaultOrder
 from bellweir_rehearsal.standins.records import (
--- a/features/steps/standins_store_steps.py
+++ b/features/steps/standins_store_steps.py
@@ -13,15 +13,15 @@
 from hypothesis.stateful import run_state_machine_as_test
 from returns.result import Success
 
-from bellweir.platform.interface import (
+from bellweir.clients.interface import (
     ErrorKind,
     Machine,
     MachineState,
     ScoreCall,
     StoredObject,
 )
-from bellweir.platform.pool import ConnectionPool, HttpCall
-from bellweir.platform.service import HttpPlatformClients
+from bellweir.clients.pool import ConnectionPool, HttpCall
+from bellweir.clients.service import HttpPlatformClients
 from bellweir.settings.models import PlatformSettings
 from bellweir_rehearsal.standins.faults import FaultKind, FaultOrder
 from bellweir_rehearsal.standins.machine_list import MachineListOptions, MachineListStandin
--- a/features/steps/weights_steps.py
+++ b/features/steps/weights_steps.py
@@ -4,7 +4,7 @@
 from hypothesis import settings
 from hypothesis.stateful import run_state_machine_as_test
 
-from bellweir.platform.interface import EngineRole
+from bellweir.clients.interface import EngineRole
 from bellweir.weights.messages import PoolReport, WorkerReport
 from bellweir.weights.plan import ROLE_LABEL
 from bellweir.weights.rollout import PoolRollout, RolloutLimits
--- a/features/support/configuration_machine.py
+++ b/features/support/configuration_machine.py
@@ -3,7 +3,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from bellweir.platform.interface import Machine, MachineSnapshot, MachineState
+from bellweir.clients.interface import Machine, MachineSnapshot, MachineState
 from support.configuration_network import ConfigurationNode, MemoryNetwork, member
 from support.memory_store import MemoryStore
 
--- a/features/support/control_cluster.py
+++ b/features/support/control_cluster.py
@@ -3,13 +3,13 @@
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
 
+from bellweir.clients.service import PlatformService
 from bellweir.configuration.service import ConfigurationService
 from bellweir.configuration.table import ApplyOutcome
 from bellweir.kernel import names
 from bellweir.kernel.listeners import bind_listeners
 from bellweir.kernel.node import Kernel
 from bellweir.membership.service import MembershipService
-from bellweir.platform.service import PlatformService
 from bellweir.resources.service import ResourcesService
 from bellweir.settings.models import (
     ConfigurationSettings,
--- a/features/support/fake_engine.py
+++ b/features/support/fake_engine.py
@@ -6,7 +6,7 @@
 
 from returns.result import Failure, Result, Success
 
-from bellweir.platform.interface import (
+from bellweir.clients.interface import (
     CacheEventBatch,
     Engine,
     EngineOrder,
--- a/features/support/fake_services.py
+++ b/features/support/fake_services.py
@@ -7,14 +7,7 @@
 
 from returns.result import Failure, Result, Success
 
-from bellweir.configuration.interface import (
-    Configuration,
-    ConfigurationListener,
-    ConfigurationSnapshot,
-)
-from bellweir.kernel import names
-from bellweir.kernel.service import Service
-from bellweir.platform.interface import (
+from bellweir.clients.interface import (
     Application,
     Engine,
     ErrorKind,
@@ -27,6 +20,13 @@
     Scorer,
     WeightStore,
 )
+from bellweir.configuration.interface import (
+    Configuration,
+    ConfigurationListener,
+    ConfigurationSnapshot,
+)
+from bellweir.kernel import names
+from bellweir.kernel.service import Service
 from bellweir.resources.interface import (
     ResourceDocument,
     ResourceError,
--- a/features/support/gateway_fakes.py
+++ b/features/support/gateway_fakes.py
@@ -8,15 +8,15 @@
 
 from returns.result import Failure, Result, Success
 
+from bellweir.clients.interface import ApplicationAnswer, FinishReason, IncompleteBodyError
 from bellweir.configuration.interface import Configuration, ConfigurationSnapshot
-from bellweir.gateway.server_limits import ServerLimits
 from bellweir.gateway.service import GatewayService
+from bellweir.http_server.server_limits import ServerLimits
 from bellweir.kernel import names
 from bellweir.kernel.listeners import bind_listeners
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
 from bellweir.membership.interface import Member, Membership, MemberState
-from bellweir.platform.interface import ApplicationAnswer, FinishReason, IncompleteBodyError
 from bellweir.resources.interface import (
     ResourceChange,
     ResourceDocument,
--- a/features/support/ledger_nodes.py
+++ b/features/support/ledger_nodes.py
@@ -10,6 +10,12 @@
 from features.support.memory_store import MemoryStore
 from returns.result import Failure, Result, Success
 
+from bellweir.clients.interface import (
+    ObjectStore,
+    PlatformClients,
+    PlatformError,
+    StoredObject,
+)
 from bellweir.kernel import names
 from bellweir.kernel.executors import Executors
 from bellweir.kernel.listeners import bind_listeners
@@ -20,12 +26,6 @@
 from bellweir.ledger.segments_service import SegmentsService
 from bellweir.ledger.service import LedgerService
 from bellweir.membership.interface import Member, Membership, MemberState
-from bellweir.platform.interface import (
-    ObjectStore,
-    PlatformClients,
-    PlatformError,
-    StoredObject,
-)
 from bellweir.settings.models import LedgerSettings, NodeIdentity, PlatformSettings, Settings
 from bellweir.wire.interface import (
     Message,
--- a/features/support/memory_store.py
+++ b/features/support/memory_store.py
@@ -4,7 +4,7 @@
 
 from returns.result import Failure, Success
 
-from bellweir.platform.interface import (
+from bellweir.clients.interface import (
     ErrorKind,
     ObjectChange,
     ObjectList,
--- a/features/support/orders_oracle.py
+++ b/features/support/orders_oracle.py
@@ -9,12 +9,12 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from bellweir.clients.interface import EngineOrder
 from bellweir.configuration.interface import ConfigurationSnapshot
 from bellweir.kernel.clock import ManualClock
 from bellweir.kernel.executors import ExecutorLimits, Executors, WorkKind
 from bellweir.kernel.listeners import bind_listeners
 from bellweir.kernel.node import Kernel
-from bellweir.platform.interface import EngineOrder
 from bellweir.resources.models import (
     BackendKind,
     Metadata,
--- a/features/support/resource_node.py
+++ b/features/support/resource_node.py
@@ -2,6 +2,7 @@
 
 import threading
 
+from bellweir.clients.interface import PlatformClients
 from bellweir.configuration.history import ConfigurationHistory, StateHistory
 from bellweir.configuration.interface import Configuration, RevisionCensus
 from bellweir.configuration.reader import StoreReader
@@ -11,7 +12,6 @@
 from bellweir.kernel.listeners import bind_listeners
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
-from bellweir.platform.interface import PlatformClients
 from bellweir.resources.service import ResourcesService
 from bellweir.settings.models import NodeIdentity, PlatformSettings, Settings
 
--- a/features/support/routing_fakes.py
+++ b/features/support/routing_fakes.py
@@ -6,10 +6,7 @@
 
 from returns.result import Failure, Success
 
-from bellweir.configuration.interface import Configuration, ConfigurationSnapshot
-from bellweir.kernel import names
-from bellweir.kernel.service import Service
-from bellweir.platform.interface import (
+from bellweir.clients.interface import (
     Application,
     ApplicationAnswer,
     ApplicationState,
@@ -25,6 +22,9 @@
     PlatformError,
     TokenChunk,
 )
+from bellweir.configuration.interface import Configuration, ConfigurationSnapshot
+from bellweir.kernel import names
+from bellweir.kernel.service import Service
 
 SILENCE_S = 25.0
 """How long a silent engine stays silent unless its stream is closed."""
--- a/features/support/standin_engines.py
+++ b/features/support/standin_engines.py
@@ -5,8 +5,8 @@
 
 from returns.result import Success
 
-from bellweir.platform.interface import EngineOrder, EngineRole, GenerationCall
-from bellweir.platform.service import HttpPlatformClients
+from bellweir.clients.interface import EngineOrder, EngineRole, GenerationCall
+from bellweir.clients.service import HttpPlatformClients
 from bellweir.settings.models import PlatformSettings
 from bellweir_rehearsal.standins.engine import EngineStandin
 from bellweir_rehearsal.standins.engine_options import EngineOptions
--- a/features/support/store_machine.py
+++ b/features/support/store_machine.py
@@ -8,8 +8,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 from returns.result import Success
 
-from bellweir.platform.interface import MUTATION_ANNOTATION, ErrorKind
-from bellweir.platform.service import HttpPlatformClients
+from bellweir.clients.interface import MUTATION_ANNOTATION, ErrorKind
+from bellweir.clients.service import HttpPlatformClients
 from bellweir.settings.models import PlatformSettings
 from bellweir_rehearsal.standins.faults import FaultKind, FaultOrder
 from bellweir_rehearsal.standins.object_api import ObjectApiOptions, ObjectApiStandin, ObjectWrite
--- a/src/bellweir/cli/ledger_commands.py
+++ b/src/bellweir/cli/ledger_commands.py
@@ -12,10 +12,10 @@
 
 from bellweir.cli import exit_codes
 from bellweir.cli.settings_commands import Assignments, OutputFormat, SettingsFile, load_or_exit
+from bellweir.clients.interface import PlatformError
+from bellweir.clients.service import HttpPlatformClients, NoAddressError
 from bellweir.ledger.placement import Placement, PlacementStore
 from bellweir.ledger.recovery import RecoveryRefusal, call_for_recovery
-from bellweir.platform.interface import PlatformError
-from bellweir.platform.service import HttpPlatformClients, NoAddressError
 from bellweir.settings.models import Settings
 
 
--- a/src/bellweir/platform/answers.py
+++ b/src/bellweir/clients/answers.py
@@ -7,8 +7,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from bellweir.platform.interface import ErrorKind, PlatformError
-from bellweir.platform.pool import HttpAnswer
+from bellweir.clients.interface import ErrorKind, PlatformError
+from bellweir.clients.pool import HttpAnswer
 
 Decoded = TypeVar("Decoded")
 
--- a/src/bellweir/platform/application.py
+++ b/src/bellweir/clients/application.py
@@ -6,8 +6,8 @@
 
 from returns.result import Failure, Result, Success
 
-from bellweir.platform.answers import decode_answer, parse_retry_after_s
-from bellweir.platform.interface import (
+from bellweir.clients.answers import decode_answer, parse_retry_after_s
+from bellweir.clients.interface import (
     Application,
     ApplicationAnswer,
     ApplicationCall,
@@ -16,8 +16,8 @@
     IncompleteBodyError,
     PlatformError,
 )
-from bellweir.platform.open_answer import OpenAnswer
-from bellweir.platform.pool import ConnectionPool, HttpCall
+from bellweir.clients.open_answer import OpenAnswer
+from bellweir.clients.pool import ConnectionPool, HttpCall
 
 ATTEMPT_HEADER = "X-Attempt-Id"
 """Names the attempt, for the worker's log."""
--- a/src/bellweir/platform/connection.py
+++ b/src/bellweir/clients/connection.py
@@ -22,6 +22,15 @@
 WRITE_BLOCK_BYTES = 64 * 1024
 """A request's headers and the start of its body are written together up to this length."""
 MS_PER_S = 1000
+SEND_STALL_TIMEOUT_S = 3.0
+"""A connection whose written bytes stay unacknowledged this long is given up."""
+KEEPALIVE_IDLE_S = 2
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 3
+
+
+class EarlyAnswerError(ConnectionError):
+    """The peer has answered, and no longer reads, before the whole request was written."""
 
 
 class DeadlineSocket:
@@ -40,8 +49,8 @@
         self.bytes_written = 0
         self._readable = select.poll()
         self._readable.register(raw, select.POLLIN)
-        self._writable = select.poll()
-        self._writable.register(raw, select.POLLOUT)
+        self._both_ways = select.poll()
+        self._both_ways.register(raw, select.POLLIN | select.POLLOUT)
         self._lock = threading.Lock()
         self._open_files = 0
         self._closing = False
@@ -52,7 +61,7 @@
             try:
                 sent = self.raw.send(data)
             except BlockingIOError:
-                self._wait(self._writable)
+                self._wait_to_write()
                 continue
             self.bytes_written += sent
             data = data[sent:]
@@ -66,6 +75,15 @@
             except BlockingIOError:
                 continue  # the kernel may wake a reader for nothing
 
+    def _wait_to_write(self) -> None:
+        """Wait until more can be written; raises `EarlyAnswerError` when an answer comes first."""
+        left_s = self.deadline_s - time.monotonic()
+        ready = self._both_ways.poll(left_s * MS_PER_S) if left_s > 0 else []
+        if not ready:
+            raise TimeoutError("deadline passed")
+        if not ready[0][1] & select.POLLOUT:
+            raise EarlyAnswerError("answered before the request was written")
+
     def _wait(self, poll: "select.poll") -> None:
         """Wait until the socket is ready; raises `TimeoutError` at the deadline."""
         left_s = self.deadline_s - time.monotonic()
@@ -144,7 +162,7 @@
         if left_s <= 0:
             raise TimeoutError("deadline passed")
         raw = socket.create_connection((self.host, self.port), min(left_s, CONNECT_TIMEOUT_S))
-        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        _notice_silent_peers(raw)
         self._deadline_socket = DeadlineSocket(raw, deadline_s)
         self.sock: Any = self._deadline_socket
 
@@ -177,6 +195,17 @@
         self.deadline_socket.write(memoryview(data))
 
 
+def _notice_silent_peers(raw: socket.socket) -> None:
+    """Have the system end a connection whose peer vanished without a word."""
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    stall_ms = int(SEND_STALL_TIMEOUT_S * MS_PER_S)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, stall_ms)
+
+
 class BodyReadError(Exception):
     """Reading the request's body failed: the caller's failure, not the peer's."""
 
--- a/src/bellweir/platform/engine.py
+++ b/src/bellweir/clients/engine.py
@@ -6,8 +6,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from bellweir.platform.answers import STATUS_OK, ErrorBody, decode_answer, decode_json, refusal
-from bellweir.platform.interface import (
+from bellweir.clients.answers import STATUS_OK, ErrorBody, decode_answer, decode_json, refusal
+from bellweir.clients.interface import (
     CacheEventBatch,
     Engine,
     EngineOrder,
@@ -18,8 +18,8 @@
     PlatformError,
     TokenChunk,
 )
-from bellweir.platform.open_answer import OpenAnswer
-from bellweir.platform.pool import ConnectionPool, HttpCall
+from bellweir.clients.open_answer import OpenAnswer
+from bellweir.clients.pool import ConnectionPool, HttpCall
 
 JSON_HEADERS = {"Content-Type": "application/json"}
 ACCEPT_TIMEOUT_S = 5.0
--- a/src/bellweir/platform/interface/__init__.py
+++ b/src/bellweir/clients/interface/__init__.py
@@ -3,15 +3,15 @@
 Every call returns `returns.result.Result`; a failure is a `PlatformError`. Times are seconds.
 """
 
-from bellweir.platform.interface.application import (
+from bellweir.clients.interface.application import (
     Application,
     ApplicationAnswer,
     ApplicationCall,
     ApplicationState,
     IncompleteBodyError,
 )
-from bellweir.platform.interface.clients import PlatformClients
-from bellweir.platform.interface.engine import (
+from bellweir.clients.interface.clients import PlatformClients
+from bellweir.clients.interface.engine import (
     PREFIX_BLOCK_CHARACTERS,
     CacheEvent,
     CacheEventBatch,
@@ -24,21 +24,21 @@
     GenerationCall,
     TokenChunk,
 )
-from bellweir.platform.interface.errors import ErrorKind, PlatformError
-from bellweir.platform.interface.machine_list import (
+from bellweir.clients.interface.errors import ErrorKind, PlatformError
+from bellweir.clients.interface.machine_list import (
     Machine,
     MachineList,
     MachineSnapshot,
     MachineState,
 )
-from bellweir.platform.interface.object_store import (
+from bellweir.clients.interface.object_store import (
     MUTATION_ANNOTATION,
     ObjectChange,
     ObjectList,
     ObjectStore,
     StoredObject,
 )
-from bellweir.platform.interface.weights_and_scores import (
+from bellweir.clients.interface.weights_and_scores import (
     ScoreCall,
     Scorer,
     WeightManifest,
--- a/src/bellweir/platform/interface/clients.py
+++ b/src/bellweir/clients/interface/clients.py
@@ -1,15 +1,15 @@
 """How the other packages get their clients."""
 
-from abc import ABC, abstractmethod
+from abc import abstractmethod
 
-from bellweir.platform.interface.application import Application
-from bellweir.platform.interface.engine import Engine
-from bellweir.platform.interface.machine_list import MachineList
-from bellweir.platform.interface.object_store import ObjectStore
-from bellweir.platform.interface.weights_and_scores import Scorer, WeightStore
+from bellweir.clients.interface.application import Application
+from bellweir.clients.interface.engine import Engine
+from bellweir.clients.interface.machine_list import MachineList
+from bellweir.clients.interface.object_store import ObjectStore, ObjectStoreProvider
+from bellweir.clients.interface.weights_and_scores import Scorer, WeightStore
 
 
-class PlatformClients(ABC):
+class PlatformClients(ObjectStoreProvider):
     """Makes clients; the only way other packages reach outside systems."""
 
     @abstractmethod
--- a/src/bellweir/platform/interface/machine_list.py
+++ b/src/bellweir/clients/interface/machine_list.py
@@ -6,7 +6,7 @@
 
 from returns.result import Result
 
-from bellweir.platform.interface.errors import PlatformError
+from bellweir.clients.interface.errors import PlatformError
 
 
 class MachineState(Enum):
--- a/src/bellweir/platform/interface/object_store.py
+++ b/src/bellweir/clients/interface/object_store.py
@@ -7,7 +7,7 @@
 
 from returns.result import Result
 
-from bellweir.platform.interface.errors import PlatformError
+from bellweir.clients.interface.errors import PlatformError
 
 
 @dataclass(frozen=True)
@@ -76,3 +76,11 @@
     @abstractmethod
     def delete(self, kind: str, name: str, expected_version: int) -> Result[int, PlatformError]:
         """Delete that version; the success is the store revision of the deletion."""
+
+
+class ObjectStoreProvider(ABC):
+    """Makes the client of the object API. Service `platform`."""
+
+    @abstractmethod
+    def object_store(self) -> ObjectStore:
+        """Client of the object API."""
--- a/src/bellweir/platform/interface/weights_and_scores.py
+++ b/src/bellweir/clients/interface/weights_and_scores.py
@@ -5,7 +5,7 @@
 
 from returns.result import Result
 
-from bellweir.platform.interface.errors import PlatformError
+from bellweir.clients.interface.errors import PlatformError
 
 
 class WeightStore(ABC):
--- a/src/bellweir/platform/machine_list.py
+++ b/src/bellweir/clients/machine_list.py
@@ -9,9 +9,9 @@
 
 from returns.result import Result, Success
 
-from bellweir.platform.answers import decode_answer
-from bellweir.platform.interface import MachineList, MachineSnapshot, PlatformError
-from bellweir.platform.pool import ConnectionPool, HttpAnswer, HttpCall
+from bellweir.clients.answers import decode_answer
+from bellweir.clients.interface import MachineList, MachineSnapshot, PlatformError
+from bellweir.clients.pool import ConnectionPool, HttpAnswer, HttpCall
 
 STATUS_NOT_MODIFIED = 304
 
--- a/src/bellweir/platform/object_api.py
+++ b/src/bellweir/clients/object_api.py
@@ -9,8 +9,8 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from bellweir.platform.answers import STATUS_OK, ErrorBody, decode_answer, decode_json, refusal
-from bellweir.platform.interface import (
+from bellweir.clients.answers import STATUS_OK, ErrorBody, decode_answer, decode_json, refusal
+from bellweir.clients.interface import (
     MUTATION_ANNOTATION,
     ErrorKind,
     ObjectChange,
@@ -19,8 +19,8 @@
     PlatformError,
     StoredObject,
 )
-from bellweir.platform.open_answer import OpenAnswer
-from bellweir.platform.pool import ConnectionPool, HttpCall
+from bellweir.clients.open_answer import OpenAnswer
+from bellweir.clients.pool import ConnectionPool, HttpCall
 
 WATCH_MARGIN_S = 5.0
 """A watch without a line for its time-out and this much more is given up as lost."""
--- a/src/bellweir/platform/open_answer.py
+++ b/src/bellweir/clients/open_answer.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator, Mapping
 from typing import Protocol
 
-from bellweir.platform.connection import READ_BLOCK_BYTES, CountingConnection
+from bellweir.clients.connection import READ_BLOCK_BYTES, CountingConnection
 
 MAXIMUM_LINE_BYTES = 8 * 1024 * 1024
 """Longest line of a streamed answer."""
@@ -17,8 +17,8 @@
 class ConnectionOwner(Protocol):
     """Where a connection goes once its answer has ended."""
 
-    def give_back(self, connection: CountingConnection) -> None:
-        """Keep a connection whose answer was read whole."""
+    def give_back(self, connection: CountingConnection, keep_alive: str | None) -> None:
+        """Keep a connection whose answer was read whole; with its `Keep-Alive` header."""
 
     def forget(self, connection: CountingConnection) -> None:
         """Stop tracking a connection that is being closed."""
@@ -32,6 +32,8 @@
         self._owner = owner
         self.reusable = True
         """Whether the connection may serve another call after this one."""
+        self.ends_with_connection = False
+        """Whether the end of the connection may end a body that declares no length."""
         self._response: http.client.HTTPResponse | None = None
         self._lock = threading.Lock()
         self._released = False
@@ -90,7 +92,8 @@
         response = self.response
         if response.length:
             raise http.client.IncompleteRead(b"", response.length)
-        if response.length is None and not response.chunked:
+        unframed = response.length is None and not response.chunked
+        if unframed and not self.ends_with_connection:
             raise http.client.HTTPException("body has neither a length nor an end marker")
         if not response.isclosed():
             response.read()  # releases the connection after the last byte
@@ -101,7 +104,7 @@
         if not whole or self.response.will_close or not self.reusable:
             self.drop()
         elif self._release():
-            self._owner.give_back(self._connection)
+            self._owner.give_back(self._connection, self.response.headers.get("Keep-Alive"))
 
     def drop(self) -> None:
         """Close the connection; from any thread, any number of times."""
--- a/src/bellweir/platform/pool.py
+++ b/src/bellweir/clients/pool.py
@@ -6,26 +6,30 @@
 """
 
 import http.client
+import re
 import threading
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import BinaryIO
 
 from returns.result import Failure, Result, Success
 
-from bellweir.platform.connection import (
+from bellweir.clients.connection import (
     BodyReadError,
     CountingConnection,
     RequestBody,
 )
-from bellweir.platform.interface import ErrorKind, PlatformError
-from bellweir.platform.open_answer import OpenAnswer
+from bellweir.clients.interface import ErrorKind, PlatformError
+from bellweir.clients.open_answer import OpenAnswer
 
 IDLE_CONNECTIONS = 64
 """Idle connections kept for one address."""
 IDLE_LIFETIME_S = 30.0
-"""Idle connections older than this are closed; servers close theirs after a minute or more."""
+"""Idle connections older than this are closed, unless the server told a shorter time."""
+IDLE_MARGIN_S = 0.5
+"""Time before the end of a server's own idle time from which on a connection is not used again."""
+KEEP_ALIVE_TIMEOUT = re.compile(r"timeout\s*=\s*(\d+)", re.IGNORECASE)
 
 
 @dataclass(frozen=True)
@@ -87,9 +91,12 @@
         self,
         call: HttpCall,
         body: BinaryIO | bytes | None,
+        begun: Callable[[OpenAnswer], None] = lambda _answer: None,
     ) -> Result[OpenAnswer, PlatformError]:
         """Send a request and read the answer's headers.
 
+        `begun` gets the answer before anything is written, so that another thread may drop it.
+
         What reading `body` raises is raised again as it is: that is the caller's failure. The
         peer sees its request end short.
         """
@@ -99,6 +106,7 @@
         except OSError as failure:
             return Failure(PlatformError(ErrorKind.NOT_RUN, f"no connection: {failure}"))
         answer = OpenAnswer(connection, self)
+        begun(answer)
         # Some servers send a body to HEAD: left on the connection, it would be taken for the
         # answer to the next request.
         answer.reusable = call.method != "HEAD"
@@ -147,18 +155,18 @@
             with self._lock:
                 if not self._idle:
                     return None
-                connection, since_s = self._idle.pop()
-            old = time.monotonic() - since_s > IDLE_LIFETIME_S
-            if not old and not connection.deadline_socket.is_stale():
+                connection, until_s = self._idle.pop()
+            if time.monotonic() < until_s and not connection.deadline_socket.is_stale():
                 return connection
             connection.close()
 
-    def give_back(self, connection: CountingConnection) -> None:
-        """Keep a connection whose last answer was read whole."""
+    def give_back(self, connection: CountingConnection, keep_alive: str | None) -> None:
+        """Keep a connection whose last answer, with this `Keep-Alive`, was read whole."""
+        until_s = time.monotonic() + _idle_lifetime_s(keep_alive)
         with self._lock:
             self._busy.discard(connection)
             if not self._closed and len(self._idle) < IDLE_CONNECTIONS:
-                self._idle.append((connection, time.monotonic()))
+                self._idle.append((connection, until_s))
                 return
         connection.close()
 
@@ -169,13 +177,20 @@
 
     def close_old_connections(self) -> None:
         """Close connections that have been idle for too long."""
-        oldest_s = time.monotonic() - IDLE_LIFETIME_S
+        now_s = time.monotonic()
         with self._lock:
-            old = [connection for connection, since_s in self._idle if since_s < oldest_s]
-            self._idle = [entry for entry in self._idle if entry[1] >= oldest_s]
+            old = [connection for connection, until_s in self._idle if until_s <= now_s]
+            self._idle = [entry for entry in self._idle if entry[1] > now_s]
         for connection in old:
             connection.close()
 
+    def close_idle(self) -> None:
+        """Close idle connections; calls in hand go on."""
+        with self._lock:
+            idle, self._idle = self._idle, []
+        for connection, _ in idle:
+            connection.close()
+
     def close(self) -> None:
         """Close idle connections and abort the calls in hand."""
         with self._lock:
@@ -188,6 +203,13 @@
             connection.deadline_socket.abort()
 
 
+def _idle_lifetime_s(keep_alive: str | None) -> float:
+    told = KEEP_ALIVE_TIMEOUT.search(keep_alive or "")
+    if told is None:
+        return IDLE_LIFETIME_S
+    return min(IDLE_LIFETIME_S, int(told.group(1)) - IDLE_MARGIN_S)
+
+
 def _host_and_port(address: str) -> tuple[str, int]:
     """Split `host:port`; raises `OSError`, since nobody can be reached at anything else."""
     host, _, port = address.rpartition(":")
--- a/src/bellweir/platform/scorer.py
+++ b/src/bellweir/clients/scorer.py
@@ -3,9 +3,9 @@
 import msgspec
 from returns.result import Result
 
-from bellweir.platform.answers import decode_answer
-from bellweir.platform.interface import PlatformError, ScoreCall, Scorer
-from bellweir.platform.pool import ConnectionPool, HttpCall
+from bellweir.clients.answers import decode_answer
+from bellweir.clients.interface import PlatformError, ScoreCall, Scorer
+from bellweir.clients.pool import ConnectionPool, HttpCall
 
 
 class ScoreAnswer(msgspec.Struct, frozen=True):
--- a/src/bellweir/platform/service.py
+++ b/src/bellweir/clients/service.py
@@ -3,12 +3,9 @@
 import threading
 from typing import ClassVar
 
-from bellweir.kernel import names
-from bellweir.kernel.node import Kernel
-from bellweir.kernel.service import Service
-from bellweir.platform.application import HttpApplication
-from bellweir.platform.engine import HttpEngine
-from bellweir.platform.interface import (
+from bellweir.clients.application import HttpApplication
+from bellweir.clients.engine import HttpEngine
+from bellweir.clients.interface import (
     Application,
     Engine,
     MachineList,
@@ -17,11 +14,14 @@
     Scorer,
     WeightStore,
 )
-from bellweir.platform.machine_list import HttpMachineList
-from bellweir.platform.object_api import HttpObjectStore
-from bellweir.platform.pool import ConnectionPool
-from bellweir.platform.scorer import HttpScorer
-from bellweir.platform.weight_store import HttpWeightStore
+from bellweir.clients.machine_list import HttpMachineList
+from bellweir.clients.object_api import HttpObjectStore
+from bellweir.clients.pool import ConnectionPool
+from bellweir.clients.scorer import HttpScorer
+from bellweir.clients.weight_store import HttpWeightStore
+from bellweir.kernel import names
+from bellweir.kernel.node import Kernel
+from bellweir.kernel.service import Service
 from bellweir.settings.models import PlatformSettings, Settings
 
 SWEEP_PERIOD_S = 15.0
--- a/src/bellweir/platform/weight_store.py
+++ b/src/bellweir/clients/weight_store.py
@@ -4,9 +4,9 @@
 
 from returns.result import Result
 
-from bellweir.platform.answers import decode_answer
-from bellweir.platform.interface import PlatformError, WeightManifest, WeightStore
-from bellweir.platform.pool import ConnectionPool, HttpCall
+from bellweir.clients.answers import decode_answer
+from bellweir.clients.interface import PlatformError, WeightManifest, WeightStore
+from bellweir.clients.pool import ConnectionPool, HttpCall
 
 
 class HttpWeightStore(WeightStore):
--- a/src/bellweir/configuration/interface.py
+++ b/src/bellweir/configuration/interface.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
-from bellweir.platform.interface import Machine
+from bellweir.clients.interface import Machine
 from bellweir.resources.models import Comparison, Policy, Pool, WeightVersion
 
 
--- a/src/bellweir/configuration/machine_reader.py
+++ b/src/bellweir/configuration/machine_reader.py
@@ -6,13 +6,13 @@
 
 from returns.result import Failure, Success
 
+from bellweir.clients.interface import MachineList, MachineSnapshot, PlatformError
 from bellweir.configuration.log_events import MACHINE_LIST_UNAVAILABLE
 from bellweir.configuration.messages import TableName
 from bellweir.configuration.state import ConfigurationState
 from bellweir.configuration.views import machine_change
 from bellweir.events.log import emit
 from bellweir.kernel.clock import Clock
-from bellweir.platform.interface import MachineList, MachineSnapshot, PlatformError
 
 
 class MachineListReader:
--- a/src/bellweir/configuration/reader.py
+++ b/src/bellweir/configuration/reader.py
@@ -6,6 +6,13 @@
 
 from returns.result import Failure, Success
 
+from bellweir.clients.interface import (
+    ErrorKind,
+    ObjectChange,
+    ObjectStore,
+    PlatformError,
+    StoredObject,
+)
 from bellweir.configuration.log_events import (
     READER_STARTED,
     READER_STOPPED,
@@ -18,13 +25,6 @@
 from bellweir.configuration.views import encode_document
 from bellweir.events.log import emit
 from bellweir.kernel.clock import Clock
-from bellweir.platform.interface import (
-    ErrorKind,
-    ObjectChange,
-    ObjectStore,
-    PlatformError,
-    StoredObject,
-)
 
 SHORTEST_WATCH_S = 1.0
 """A watch without a change is renewed after this time, in seconds; a stop waits as long."""
--- a/src/bellweir/configuration/service.py
+++ b/src/bellweir/configuration/service.py
@@ -5,6 +5,7 @@
 from concurrent.futures import Future, wait
 from typing import ClassVar
 
+from bellweir.clients.interface import Machine, MachineState, PlatformClients
 from bellweir.configuration.core import ConfigurationCore
 from bellweir.configuration.history import (
     ConfigurationHistory,
@@ -26,7 +27,6 @@
 from bellweir.kernel.service import Service
 from bellweir.membership.interface import Membership
 from bellweir.membership.service import MembershipService
-from bellweir.platform.interface import Machine, MachineState, PlatformClients
 from bellweir.settings.models import Settings
 from bellweir.wire.interface import Transport
 
--- a/src/bellweir/configuration/views.py
+++ b/src/bellweir/configuration/views.py
@@ -6,9 +6,9 @@
 import cbor2
 import pydantic
 
+from bellweir.clients.interface import Machine, MachineState
 from bellweir.configuration.interface import ConfigurationSnapshot
 from bellweir.configuration.messages import Change
-from bellweir.platform.interface import Machine, MachineState
 from bellweir.resources.models import Comparison, Policy, Pool, WeightVersion
 
 MACHINE_KIND = "Machine"
--- a/src/bellweir/entrypoints/node.py
+++ b/src/bellweir/entrypoints/node.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from types import FrameType
 
+from bellweir.clients.service import PlatformService
 from bellweir.configuration.service import ConfigurationService
 from bellweir.events.log import bind_node, configure_logs, emit
 from bellweir.gateway.service import GatewayService
@@ -22,7 +23,6 @@
 from bellweir.membership.interface import Membership
 from bellweir.membership.ownership import OwnershipService
 from bellweir.membership.service import MembershipService
-from bellweir.platform.service import PlatformService
 from bellweir.resources.service import ResourcesService
 from bellweir.routing.service import DispatcherService
 from bellweir.routing.views_service import BackendViewsService
--- a/src/bellweir/events/log.py
+++ b/src/bellweir/events/log.py
@@ -2,15 +2,15 @@
 
 import logging
 import sys
-from typing import Any
+from typing import Any, TextIO
 
 import structlog
 
 from bellweir.events.event import Event
 
 
-def configure_logs(level: str, output_format: str) -> None:
-    """Set the lowest level written and the format, `json` or `console`; logs go to stderr."""
+def configure_logs(level: str, output_format: str, stream: TextIO = sys.stderr) -> None:
+    """Set the lowest level written, the format, `json` or `console`, and where logs go."""
     renderer: structlog.typing.Processor = structlog.processors.JSONRenderer()
     if output_format == "console":
         renderer = structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
@@ -23,7 +23,7 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.getLevelName(level.upper())),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.PrintLoggerFactory(stream),
         cache_logger_on_first_use=True,
     )
 
--- a/src/bellweir/gateway/application.py
+++ b/src/bellweir/gateway/application.py
@@ -5,21 +5,12 @@
 
 from waitress.channel import ClientDisconnected
 
+from bellweir.clients.interface import IncompleteBodyError
 from bellweir.events.log import emit
 from bellweir.gateway import applications_api, openai_api, steps_api
 from bellweir.gateway.admission import SHARE_OF_CLASS, ThreadShare
 from bellweir.gateway.authorization import Authorization
-from bellweir.gateway.body_pipe import BodyCutError
 from bellweir.gateway.context import Context
-from bellweir.gateway.http import (
-    BadRequestError,
-    BodyTooLongError,
-    Caller,
-    Environ,
-    Request,
-    Response,
-    request_id_of,
-)
 from bellweir.gateway.log_events import REQUEST_ENDED, REQUEST_FAILED
 from bellweir.gateway.problems import (
     Problem,
@@ -28,8 +19,17 @@
 from bellweir.gateway.refusals import refuse
 from bellweir.gateway.request_headers import REQUEST_CLASS, REQUEST_ID, parse_class
 from bellweir.gateway.router import Match, NoMatch, Router
-from bellweir.gateway.tasks import ABORT_CONNECTION
-from bellweir.platform.interface import IncompleteBodyError
+from bellweir.http_server.body_pipe import BodyCutError
+from bellweir.http_server.http import (
+    BadRequestError,
+    BodyTooLongError,
+    Caller,
+    Environ,
+    Request,
+    Response,
+    request_id_of,
+)
+from bellweir.http_server.task import ABORT_CONNECTION
 from bellweir.resources.models import RequestClass
 from bellweir.routing.interface import RunState
 
--- a/src/bellweir/gateway/applications_api.py
+++ b/src/bellweir/gateway/applications_api.py
@@ -5,9 +5,8 @@
 
 from returns.result import Failure, Success
 
-from bellweir.gateway.body_pipe import BodyPipe
+from bellweir.clients.interface import ApplicationAnswer, IncompleteBodyError
 from bellweir.gateway.context import Context
-from bellweir.gateway.http import BadRequestError, Headers, Request, Response, environ_key
 from bellweir.gateway.problems import Problem, body_cut, problem_of_refusal, problem_response
 from bellweir.gateway.request_headers import (
     HOP_BY_HOP_HEADERS,
@@ -17,7 +16,8 @@
     parse_routing_options,
 )
 from bellweir.gateway.router import Router
-from bellweir.platform.interface import ApplicationAnswer, IncompleteBodyError
+from bellweir.http_server.body_pipe import BodyPipe
+from bellweir.http_server.http import BadRequestError, Headers, Request, Response, environ_key
 from bellweir.resources.models import RequestClass
 from bellweir.routing.interface import ApplicationRequest, Dispatcher, Refusal
 
--- a/src/bellweir/gateway/authorization.py
+++ b/src/bellweir/gateway/authorization.py
@@ -3,10 +3,10 @@
 from collections.abc import Mapping
 
 from bellweir.gateway import applications_api, openai_api, resources_api, status_api, steps_api
-from bellweir.gateway.http import Caller, Request
 from bellweir.gateway.problems import Problem
 from bellweir.gateway.request_headers import TOKEN
 from bellweir.gateway.tokens import Bearer, Role, Tokens
+from bellweir.http_server.http import Caller, Request
 
 BEARER_PREFIX = "bearer "
 OPEN_PATHS = frozenset({"/healthz", "/readyz"})
--- a/src/bellweir/gateway/completion_body.py
+++ b/src/bellweir/gateway/completion_body.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from bellweir.platform.interface import FinishReason
+from bellweir.clients.interface import FinishReason
 from bellweir.routing.interface import GenerationChunk, Segment
 
 
--- a/src/bellweir/gateway/completion_request.py
+++ b/src/bellweir/gateway/completion_request.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bellweir.gateway.http import BadRequestError
+from bellweir.http_server.http import BadRequestError
 
 MAXIMUM_CHOICES = 16
 """Prompts times `n` of one call."""
--- a/src/bellweir/gateway/completion_run.py
+++ b/src/bellweir/gateway/completion_run.py
@@ -10,9 +10,9 @@
 from bellweir.gateway.completion_format import END_OF_STREAM, CompletionFormat, event
 from bellweir.gateway.completion_request import ParsedCall
 from bellweir.gateway.context import Context
-from bellweir.gateway.http import Request, Response, json_response
 from bellweir.gateway.problems import openai_error, openai_error_response, problem_of_refusal
 from bellweir.gateway.request_headers import WEIGHT_VERSIONS
+from bellweir.http_server.http import Request, Response, json_response
 from bellweir.routing.interface import (
     Generation,
     GenerationChunk,
--- a/src/bellweir/gateway/context.py
+++ b/src/bellweir/gateway/context.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 
 from bellweir.gateway.admission import ThreadShare, ThreadShares
-from bellweir.gateway.caller_watch import CallerWatch
-from bellweir.gateway.http import Request
 from bellweir.gateway.problems import Problem
+from bellweir.http_server.caller_watch import CallerWatch
+from bellweir.http_server.http import Request
 from bellweir.kernel.clock import Clock
 from bellweir.telemetry.interface import Telemetry
 
--- a/src/bellweir/gateway/openai_api.py
+++ b/src/bellweir/gateway/openai_api.py
@@ -13,7 +13,6 @@
 from bellweir.gateway.completion_request import ParsedCall, parse_chat, parse_completion
 from bellweir.gateway.completion_run import CompletionRun
 from bellweir.gateway.context import Context
-from bellweir.gateway.http import Request, Response, json_response
 from bellweir.gateway.problems import Problem, openai_error_response, problem_of_refusal
 from bellweir.gateway.refusals import refuse
 from bellweir.gateway.request_headers import (
@@ -21,6 +20,7 @@
     parse_routing_options,
 )
 from bellweir.gateway.router import Router
+from bellweir.http_server.http import Request, Response, json_response
 from bellweir.resources.models import Policy, RequestClass
 from bellweir.routing.interface import (
     Dispatcher,
--- a/src/bellweir/gateway/problems.py
+++ b/src/bellweir/gateway/problems.py
@@ -5,8 +5,8 @@
 
 import msgspec
 
-from bellweir.gateway.body_pipe import BodyCutError
-from bellweir.gateway.http import Response
+from bellweir.http_server.body_pipe import BodyCutError
+from bellweir.http_server.http import Response
 from bellweir.routing.interface import Refusal, RefusalReason, RunState
 
 PROBLEM_TYPE_PREFIX = "https://bellweir.dev/problems/"
--- a/src/bellweir/gateway/refusals.py
+++ b/src/bellweir/gateway/refusals.py
@@ -1,6 +1,5 @@
 """Refusals that the gateway makes itself, before any other service was asked."""
 
-from bellweir.gateway.http import Request, Response
 from bellweir.gateway.problems import (
     Problem,
     before_the_ledger,
@@ -8,6 +7,7 @@
     problem_response,
 )
 from bellweir.gateway.request_headers import IDEMPOTENCY_KEY
+from bellweir.http_server.http import Request, Response
 
 
 def refuse(request: Request, problem: Problem) -> Response:
--- a/src/bellweir/gateway/request_headers.py
+++ b/src/bellweir/gateway/request_headers.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from bellweir.gateway.http import BadRequestError, Headers, Request, parse_number
+from bellweir.http_server.http import BadRequestError, Headers, Request, parse_number
 from bellweir.kernel.clock import Clock
 from bellweir.resources.models import RequestClass
 
--- a/src/bellweir/gateway/resource_body.py
+++ b/src/bellweir/gateway/resource_body.py
@@ -6,7 +6,7 @@
 import msgspec
 import yaml
 
-from bellweir.gateway.http import BadRequestError, Request
+from bellweir.http_server.http import BadRequestError, Request
 from bellweir.resources.interface import ResourceDocument
 
 MAXIMUM_DOCUMENT_BYTES = 1 << 20
--- a/src/bellweir/gateway/resource_watch.py
+++ b/src/bellweir/gateway/resource_watch.py
@@ -5,10 +5,10 @@
 
 from returns.result import Failure, Result, Success
 
-from bellweir.gateway.http import Request, Response, json_lines
 from bellweir.gateway.problems import problem_document, problem_response
 from bellweir.gateway.resource_body import WatchEvent
 from bellweir.gateway.resource_errors import problem_of_error
+from bellweir.http_server.http import Request, Response, json_lines
 from bellweir.kernel.clock import Clock
 from bellweir.resources.interface import (
     ResourceChange,
--- a/src/bellweir/gateway/resources_api.py
+++ b/src/bellweir/gateway/resources_api.py
@@ -7,19 +7,19 @@
 
 from bellweir.gateway.admission import ThreadShare
 from bellweir.gateway.context import Context
-from bellweir.gateway.http import (
-    BadRequestError,
-    Request,
-    Response,
-    json_response,
-    parse_integer,
-)
 from bellweir.gateway.problems import Problem, problem_response
 from bellweir.gateway.refusals import refuse
 from bellweir.gateway.resource_body import Deleted, list_body, read_document
 from bellweir.gateway.resource_errors import problem_of_error
 from bellweir.gateway.resource_watch import DEFAULT_WATCH_S, MAXIMUM_WATCH_S, ResourceWatch
 from bellweir.gateway.router import Router
+from bellweir.http_server.http import (
+    BadRequestError,
+    Request,
+    Response,
+    json_response,
+    parse_integer,
+)
 from bellweir.resources.interface import (
     ResourceDocument,
     ResourceError,
--- a/src/bellweir/gateway/router.py
+++ b/src/bellweir/gateway/router.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from bellweir.gateway.http import Request, Response
+from bellweir.http_server.http import Request, Response
 
 Handler = Callable[..., Response]
 """Called with the request and the named parts of its path."""
--- a/src/bellweir/gateway/service.py
+++ b/src/bellweir/gateway/service.py
@@ -11,18 +11,18 @@
 from bellweir.gateway.application import GatewayApplication
 from bellweir.gateway.applications_api import ApplicationsApi
 from bellweir.gateway.authorization import Authorization
-from bellweir.gateway.caller_watch import CallerWatch
+from bellweir.gateway.channel import GatewayServer
 from bellweir.gateway.context import Context
 from bellweir.gateway.log_events import GATEWAY_DRAINED, GATEWAY_DRAINING, GATEWAY_LISTENING
 from bellweir.gateway.openai_api import OpenAiApi
 from bellweir.gateway.problems import Problem
 from bellweir.gateway.resources_api import ResourcesApi
 from bellweir.gateway.router import Router
-from bellweir.gateway.server import GatewayServer
-from bellweir.gateway.server_limits import ServerLimits
 from bellweir.gateway.status_api import StatusApi, StatusSources
 from bellweir.gateway.steps_api import StepsApi
 from bellweir.gateway.tokens import Tokens
+from bellweir.http_server.caller_watch import CallerWatch
+from bellweir.http_server.server_limits import ServerLimits
 from bellweir.kernel import names
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
@@ -92,6 +92,8 @@
         )
         self._add_gauges(context)
         listener = self._kernel.listeners.gateway
+        if listener is None:
+            raise RuntimeError("the gateway needs a listening socket")
         self._server = GatewayServer(application, listener, self._limits)
         self._caller_watch = context.caller_watch
         self._caller_watch.start()
--- a/src/bellweir/gateway/status_api.py
+++ b/src/bellweir/gateway/status_api.py
@@ -9,9 +9,9 @@
 from bellweir.configuration.interface import Configuration
 from bellweir.gateway.admission import ThreadUse
 from bellweir.gateway.context import Context
-from bellweir.gateway.http import Request, Response, json_response
 from bellweir.gateway.problems import Problem, problem_response
 from bellweir.gateway.router import Router
+from bellweir.http_server.http import Request, Response, json_response
 from bellweir.ledger.interface import Ledger
 from bellweir.membership.interface import Member, Membership
 from bellweir.routing.interface import BackendView, BackendViews, Dispatcher, DispatchStatistics
--- a/src/bellweir/gateway/steps_api.py
+++ b/src/bellweir/gateway/steps_api.py
@@ -8,17 +8,17 @@
 
 from bellweir.gateway.admission import ThreadShare
 from bellweir.gateway.context import Context
-from bellweir.gateway.http import (
+from bellweir.gateway.problems import Problem, openai_error_response
+from bellweir.gateway.refusals import refuse
+from bellweir.gateway.request_headers import IDEMPOTENCY_KEY
+from bellweir.gateway.router import Router
+from bellweir.http_server.http import (
     BadRequestError,
     Request,
     Response,
     json_response,
     parse_integer,
 )
-from bellweir.gateway.problems import Problem, openai_error_response
-from bellweir.gateway.refusals import refuse
-from bellweir.gateway.request_headers import IDEMPOTENCY_KEY
-from bellweir.gateway.router import Router
 from bellweir.routing.interface import RunState
 from bellweir.samples.interface import (
     SampleBatch,
--- a/src/bellweir/gateway/caller_watch.py
+++ b/src/bellweir/http_server/caller_watch.py
@@ -5,8 +5,8 @@
 from concurrent.futures import Future
 
 from bellweir.events.log import emit
-from bellweir.gateway.http import Request
 from bellweir.gateway.log_events import CALLER_GONE
+from bellweir.http_server.http import Request
 from bellweir.kernel.executors import Executors, ExecutorSaturatedError, WorkKind
 
 LOOK_PERIOD_S = 0.1
--- a/src/bellweir/gateway/http.py
+++ b/src/bellweir/http_server/http.py
@@ -5,13 +5,15 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from functools import lru_cache
-from typing import Any, BinaryIO
+from typing import TYPE_CHECKING, Any, BinaryIO
 from urllib.parse import parse_qs
 
 import msgspec
 
-from bellweir.gateway.admission import Permit
-from bellweir.gateway.body_pipe import BodyPipe
+from bellweir.http_server.body_pipe import BodyPipe
+
+if TYPE_CHECKING:
+    from bellweir.gateway.admission import Permit
 
 MAXIMUM_JSON_BYTES = 64 << 20
 """Longest JSON body read into memory; application bodies are passed on without reading them."""
--- a/src/bellweir/gateway/server.py
+++ b/src/bellweir/http_server/server.py
@@ -13,20 +13,20 @@
 from waitress.adjustments import Adjustments
 from waitress.server import TcpWSGIServer
 
-from bellweir.gateway.channel import GatewayChannel
-from bellweir.gateway.loop import ConnectionLoop, WatchedSockets
-from bellweir.gateway.request_threads import RequestThreads
-from bellweir.gateway.server_limits import ServerLimits
+from bellweir.http_server.channel import ServerChannel
+from bellweir.http_server.loop import ConnectionLoop, WatchedSockets
+from bellweir.http_server.request_threads import RequestThreads
+from bellweir.http_server.server_limits import ServerLimits
 
 WsgiApplication = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
 THREADS_STOP_TIMEOUT_S = 5.0
 
 
-class GatewayServer(TcpWSGIServer):  # type: ignore[misc]
+class HttpServer(TcpWSGIServer):  # type: ignore[misc]
     """Serves a WSGI application on a socket that is already bound."""
 
-    channel_class = GatewayChannel
+    channel_class: Any = ServerChannel
     accepting: bool = False
 
     def __init__(
--- a/src/bellweir/kernel/listeners.py
+++ b/src/bellweir/kernel/listeners.py
@@ -19,8 +19,8 @@
     """TCP, for connections from other nodes."""
     peer_datagram: socket.socket
     """UDP on the same port, for membership."""
-    gateway: socket.socket
-    """TCP, for HTTP."""
+    gateway: socket.socket | None
+    """TCP, for HTTP; None on a node that serves none."""
 
     @property
     def peer_address(self) -> str:
@@ -29,13 +29,14 @@
 
     @property
     def gateway_address(self) -> str:
-        """`host:port` of the HTTP interface."""
-        return address_of(self.gateway)
+        """`host:port` of the HTTP interface; empty without one."""
+        return address_of(self.gateway) if self.gateway is not None else ""
 
     def close(self) -> None:
         """Close all sockets; closing twice is no error."""
         for listener in (self.peer_stream, self.peer_datagram, self.gateway):
-            listener.close()
+            if listener is not None:
+                listener.close()
 
 
 def address_of(bound: socket.socket) -> str:
@@ -49,9 +50,9 @@
 
     Raises `OSError` when a port is taken, `BindError` when no common port was found.
     """
-    peer_stream, peer_datagram = _bind_peer_pair(host, peer_port)
+    peer_stream, peer_datagram = bind_peer_pair(host, peer_port)
     try:
-        gateway = _bind_stream(host, gateway_port)
+        gateway = bind_stream(host, gateway_port)
     except OSError:
         peer_stream.close()
         peer_datagram.close()
@@ -59,7 +60,8 @@
     return Listeners(peer_stream, peer_datagram, gateway)
 
 
-def _bind_stream(host: str, port: int) -> socket.socket:
+def bind_stream(host: str, port: int) -> socket.socket:
+    """Listen on a TCP port. Raises `OSError`."""
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
@@ -71,11 +73,12 @@
     return listener
 
 
-def _bind_peer_pair(host: str, port: int) -> tuple[socket.socket, socket.socket]:
+def bind_peer_pair(host: str, port: int) -> tuple[socket.socket, socket.socket]:
+    """Bind TCP and UDP to one port. Raises `OSError` or `BindError`."""
     attempts = 1 if port else BIND_ATTEMPTS
     last_failure: OSError | None = None
     for _ in range(attempts):
-        stream = _bind_stream(host, port)
+        stream = bind_stream(host, port)
         datagram = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
             datagram.bind((host, stream.getsockname()[1]))
--- a/src/bellweir/ledger/keeper.py
+++ b/src/bellweir/ledger/keeper.py
@@ -8,6 +8,7 @@
 import threading
 from collections.abc import Iterable
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from returns.result import Success
 
@@ -27,9 +28,12 @@
 from bellweir.ledger.reconfiguration import ShardView, next_replica_set
 from bellweir.ledger.replica import Replica
 from bellweir.membership.interface import Member, Membership, MemberState
-from bellweir.settings.models import LedgerSettings
 from bellweir.wire.interface import Sender, Transport
 
+if TYPE_CHECKING:
+    from bellweir.settings.models import LedgerSettings
+
+
 PLACEMENT_TIMEOUT_S = 1.0
 REFRESH_PERIOD_S = 10.0
 """Time between two looks at another node's copy of the placement."""
@@ -45,7 +49,7 @@
         transport: Transport,
         clock: Clock,
         folder: Path,
-        settings: LedgerSettings,
+        settings: "LedgerSettings",
         *,
         has_store: bool,
     ) -> None:
--- a/src/bellweir/ledger/placement.py
+++ b/src/bellweir/ledger/placement.py
@@ -17,9 +17,10 @@
 import xxhash
 from returns.pipeline import is_successful
 
+from bellweir.clients.interface.errors import ErrorKind, PlatformError
+from bellweir.clients.interface.object_store import ObjectStore, StoredObject
 from bellweir.ledger.entries import ReplicaId, ReplicaSet
-from bellweir.platform.interface import ErrorKind, ObjectStore, PlatformError, StoredObject
-from bellweir.resources.models import API_VERSION
+from bellweir.resources.api_version import API_VERSION
 
 PLACEMENT_KIND = "LedgerPlacement"
 PLACEMENT_NAME = "ledger"
--- a/src/bellweir/ledger/recovery.py
+++ b/src/bellweir/ledger/recovery.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
+from bellweir.clients.interface.errors import PlatformError
 from bellweir.ledger.entries import ReplicaId
 from bellweir.ledger.placement import Placement, PlacementStore, ShardHome
-from bellweir.platform.interface import PlatformError
 
 
 @dataclass(frozen=True)
--- a/src/bellweir/ledger/service.py
+++ b/src/bellweir/ledger/service.py
@@ -2,10 +2,12 @@
 
 import threading
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import xxhash
 from returns.result import Failure, Result
 
+from bellweir.clients.interface.object_store import ObjectStoreProvider
 from bellweir.kernel import names
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
@@ -28,10 +30,12 @@
 from bellweir.ledger.store_sync import StoreSync
 from bellweir.ledger.tasks import LedgerTasks
 from bellweir.membership.interface import Membership
-from bellweir.platform.interface import PlatformClients
-from bellweir.settings.models import Settings
 from bellweir.wire.interface import Transport
 
+if TYPE_CHECKING:
+    from bellweir.settings.models import Settings
+
+
 START_POLL_S = 0.1
 LEDGER_FOLDER = "ledger"
 
@@ -46,7 +50,7 @@
     name = names.LEDGER
     dependencies = (names.TRANSPORT, names.MEMBERSHIP, names.PLATFORM)
 
-    def __init__(self, kernel: Kernel, settings: Settings) -> None:
+    def __init__(self, kernel: Kernel, settings: "Settings") -> None:
         self._kernel = kernel
         self._settings = settings
         self._machine_types: list[type[StateMachine]] = []
@@ -58,7 +62,7 @@
         self._locator: PlacementLocator
         self._transport: Transport
         self._membership: Membership
-        self._platform: PlatformClients
+        self._platform: ObjectStoreProvider
 
     # --- life ---------------------------------------------------------------------------------
 
@@ -75,7 +79,7 @@
         )
         self._platform = registry.find(
             names.PLATFORM,
-            PlatformClients,  # type: ignore[type-abstract]
+            ObjectStoreProvider,  # type: ignore[type-abstract]
         )
         self._kernel.executors.run_task("ledger-start", self._begin_serving)
 
--- a/src/bellweir/ledger/store_sync.py
+++ b/src/bellweir/ledger/store_sync.py
@@ -3,13 +3,13 @@
 It has a task of its own, because the store may be slow, down or hang.
 """
 
+from bellweir.clients.interface.errors import PlatformError
 from bellweir.events.log import emit
 from bellweir.kernel.clock import Clock
 from bellweir.ledger.keeper import PlacementKeeper
 from bellweir.ledger.log_events import LEDGER_CREATED, PLACEMENT_WRITE_FAILED
 from bellweir.ledger.node import LedgerNode
 from bellweir.ledger.placement import Placement, PlacementStore, is_missing
-from bellweir.platform.interface import PlatformError
 
 LEADERLESS_LOOK_S = 2.0
 """Time without a leader after which, and period in which, the store is asked for a recovery."""
--- a/src/bellweir/ledger/tasks.py
+++ b/src/bellweir/ledger/tasks.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable
 from functools import partial
+from typing import TYPE_CHECKING
 
 from bellweir.events.log import emit
 from bellweir.kernel.executors import Executors
@@ -12,7 +13,10 @@
 from bellweir.ledger.log_events import JOURNAL_FAILED, STEP_FAILED
 from bellweir.ledger.node import LedgerNode
 from bellweir.ledger.store_sync import StoreSync
-from bellweir.settings.models import LedgerSettings
+
+if TYPE_CHECKING:
+    from bellweir.settings.models import LedgerSettings
+
 
 TICK_S = 0.1
 WRITER_PERIOD_S = 0.5
@@ -33,7 +37,7 @@
         keeper: PlacementKeeper,
         store: StoreSync | None,
         executors: Executors,
-        settings: LedgerSettings,
+        settings: "LedgerSettings",
     ) -> None:
         self.keeper = keeper
         self._node = node
--- a/src/bellweir/membership/node.py
+++ b/src/bellweir/membership/node.py
@@ -8,6 +8,7 @@
 import threading
 from collections import deque
 from collections.abc import Iterable, Sequence
+from typing import TYPE_CHECKING
 
 from bellweir.events.log import emit
 from bellweir.membership import pace
@@ -37,12 +38,14 @@
 from bellweir.membership.records import MemberRecord, MemberStatus
 from bellweir.membership.table import MemberTable, MergeOutcome
 from bellweir.membership.targets import ProbeTargets
-from bellweir.settings.models import MembershipSettings
 from bellweir.wire.faults import NetworkFaults, Place
 from bellweir.wire.frames import FrameError, encode_struct
 from bellweir.wire.keys import ClusterKeys
 from bellweir.wire.traffic import TrafficCounter
 
+if TYPE_CHECKING:
+    from bellweir.settings.models import MembershipSettings
+
 
 class MembershipNode:
     """Membership as one node sees it. Safe for threads; sends outside of its lock."""
@@ -50,7 +53,7 @@
     def __init__(
         self,
         own: MemberRecord,
-        settings: MembershipSettings,
+        settings: "MembershipSettings",
         keys: ClusterKeys,
         channel: DatagramChannel,
         faults: NetworkFaults,
--- a/src/bellweir/membership/owner_tracker.py
+++ b/src/bellweir/membership/owner_tracker.py
@@ -3,10 +3,10 @@
 import threading
 from collections.abc import Iterable, Mapping
 
+from bellweir.clients.interface import Machine
 from bellweir.configuration.interface import ConfigurationSnapshot
 from bellweir.membership.interface import Member
 from bellweir.membership.owner_choice import Group, OwnerChoice, WorkerPlace
-from bellweir.platform.interface import Machine
 from bellweir.resources.models import Pool
 
 
--- a/src/bellweir/membership/service.py
+++ b/src/bellweir/membership/service.py
@@ -3,7 +3,7 @@
 import select
 import socket
 import threading
-from typing import ClassVar
+from typing import TYPE_CHECKING, ClassVar
 
 from bellweir.events.log import emit
 from bellweir.kernel import names
@@ -26,11 +26,14 @@
 )
 from bellweir.membership.node import MembershipNode
 from bellweir.membership.records import MemberRecord, MemberStatus
-from bellweir.settings.models import Settings
 from bellweir.wire.interface import Transport
 from bellweir.wire.service import TransportService
 from bellweir.wire.traffic import TrafficTotals
 
+if TYPE_CHECKING:
+    from bellweir.settings.models import Settings
+
+
 MAXIMUM_DATAGRAMS_AT_ONCE = 64
 RECEIVE_BYTES = 65_536
 LONGEST_WAIT_S = 0.2
@@ -50,7 +53,7 @@
     name: ClassVar[str] = names.MEMBERSHIP
     dependencies: ClassVar[tuple[str, ...]] = (names.TRANSPORT,)
 
-    def __init__(self, kernel: Kernel, settings: Settings) -> None:
+    def __init__(self, kernel: Kernel, settings: "Settings") -> None:
         self._kernel = kernel
         self._settings = settings
         self._socket = kernel.listeners.peer_datagram
@@ -183,7 +186,7 @@
                     emit(LISTENER_FAILED, error=repr(failure))
 
 
-def own_record(kernel: Kernel, settings: Settings) -> MemberRecord:
+def own_record(kernel: Kernel, settings: "Settings") -> MemberRecord:
     """Return the first record of a starting node.
 
     Its incarnation is the wall clock in milliseconds, so that a restarted node beats what is
--- a/src/bellweir/membership/table.py
+++ b/src/bellweir/membership/table.py
@@ -3,13 +3,17 @@
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 import msgspec
 import xxhash
 
 from bellweir.membership.interface import Member
 from bellweir.membership.records import MemberRecord, MemberStatus
-from bellweir.settings.models import MembershipSettings
+
+if TYPE_CHECKING:
+    from bellweir.settings.models import MembershipSettings
+
 
 DEAD_KEPT_S = 6 * 3600.0
 """A dead member is remembered and probed now and then, so that regions split for hours merge."""
@@ -43,7 +47,7 @@
     """All members by name. Not safe for threads: its owner holds a lock."""
 
     own: MemberRecord
-    settings: MembershipSettings
+    settings: "MembershipSettings"
     entries: dict[str, Entry] = field(default_factory=dict)
     suspicions: dict[str, float] = field(default_factory=dict)
     """Until when each suspect may refute."""
--- /dev/null
+++ b/src/bellweir/resources/api_version.py
@@ -0,0 +1,3 @@
+"""Version of the resource documents."""
+
+API_VERSION = "bellweir.dev/v1"
--- a/src/bellweir/resources/deletion.py
+++ b/src/bellweir/resources/deletion.py
@@ -8,9 +8,9 @@
 
 from returns.result import Failure, Result
 
+from bellweir.clients.interface import StoredObject
 from bellweir.configuration.interface import Configuration
 from bellweir.kernel.clock import Clock
-from bellweir.platform.interface import StoredObject
 from bellweir.resources.documents import DELETING_ANNOTATION, as_system_write
 from bellweir.resources.interface import ResourceError, ResourceErrorKind
 from bellweir.resources.references import in_use, users_of
--- a/src/bellweir/resources/documents.py
+++ b/src/bellweir/resources/documents.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator, Mapping
 from typing import Any
 
-from bellweir.platform.interface import StoredObject
+from bellweir.clients.interface import StoredObject
 from bellweir.resources.interface import ResourceFinding
 from bellweir.resources.models import AnyResource
 
--- a/src/bellweir/resources/models.py
+++ b/src/bellweir/resources/models.py
@@ -10,7 +10,7 @@
 from pydantic import BaseModel, ConfigDict, Field
 from pydantic.alias_generators import to_camel
 
-API_VERSION = "bellweir.dev/v1"
+from bellweir.resources.api_version import API_VERSION as API_VERSION
 
 
 class Model(BaseModel):
--- a/src/bellweir/resources/preparation.py
+++ b/src/bellweir/resources/preparation.py
@@ -6,7 +6,7 @@
 
 from returns.result import Failure, Result, Success
 
-from bellweir.platform.interface import StoredObject
+from bellweir.clients.interface import StoredObject
 from bellweir.resources.documents import INTERNAL_ANNOTATION_PREFIX, operator_version
 from bellweir.resources.interface import ResourceError, ResourceErrorKind, ResourceFinding
 from bellweir.resources.models import API_VERSION, AnyResource
--- a/src/bellweir/resources/service.py
+++ b/src/bellweir/resources/service.py
@@ -8,6 +8,7 @@
 
 from returns.result import Failure, Result, Success
 
+from bellweir.clients.interface import PlatformClients
 from bellweir.configuration.history import (
     ConfigurationHistory,
     DocumentChange,
@@ -18,7 +19,6 @@
 from bellweir.kernel import names
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
-from bellweir.platform.interface import PlatformClients
 from bellweir.resources.documents import public_document
 from bellweir.resources.errors import no_kind, no_store, not_found, not_ready
 from bellweir.resources.in_force import InForceReporter
--- a/src/bellweir/resources/writer.py
+++ b/src/bellweir/resources/writer.py
@@ -18,8 +18,8 @@
 
 from returns.result import Failure, Result, Success
 
+from bellweir.clients.interface import ErrorKind, ObjectStore, PlatformError, StoredObject
 from bellweir.events.log import emit
-from bellweir.platform.interface import ErrorKind, ObjectStore, PlatformError, StoredObject
 from bellweir.resources.documents import MUTATIONS_ANNOTATION, conflict_findings
 from bellweir.resources.interface import ResourceError, ResourceErrorKind
 from bellweir.resources.log_events import WRITE_READ_BACK
--- a/src/bellweir/resources/writes.py
+++ b/src/bellweir/resources/writes.py
@@ -5,10 +5,10 @@
 
 from returns.result import Failure, Result, Success
 
+from bellweir.clients.interface import ErrorKind, ObjectStore, StoredObject
 from bellweir.configuration.interface import Configuration
 from bellweir.events.log import emit
 from bellweir.kernel.clock import Clock
-from bellweir.platform.interface import ErrorKind, ObjectStore, StoredObject
 from bellweir.resources.deletion import Deletion
 from bellweir.resources.documents import as_system_write, merge_patch, public_document
 from bellweir.resources.errors import no_kind, not_found, not_ready
--- a/src/bellweir/routing/answers.py
+++ b/src/bellweir/routing/answers.py
@@ -4,7 +4,7 @@
 
 from returns.result import Failure, Result, Success
 
-from bellweir.platform.interface import (
+from bellweir.clients.interface import (
     ApplicationAnswer,
     ErrorKind,
     IncompleteBodyError,
--- a/src/bellweir/routing/application_requests.py
+++ b/src/bellweir/routing/application_requests.py
@@ -2,9 +2,9 @@
 
 from returns.result import Failure, Result, Success
 
+from bellweir.clients.interface import ApplicationAnswer
 from bellweir.configuration.interface import Configuration
 from bellweir.kernel.clock import Clock
-from bellweir.platform.interface import ApplicationAnswer
 from bellweir.resources.models import BackendKind, RequestClass
 from bellweir.routing.admissions import Admission, Admissions, not_configured, not_run
 from bellweir.routing.answers import HeldBody, with_body
--- a/src/bellweir/routing/attempts.py
+++ b/src/bellweir/routing/attempts.py
@@ -4,8 +4,8 @@
 import threading
 from collections.abc import Collection
 
+from bellweir.clients.interface import ErrorKind, PlatformError
 from bellweir.kernel.clock import Clock
-from bellweir.platform.interface import ErrorKind, PlatformError
 from bellweir.routing.backend import Backend
 from bellweir.routing.interface import Refusal, RefusalReason, RunState
 from bellweir.routing.retry_budget import RetryBudget, backoff_s
--- a/src/bellweir/routing/cache_events.py
+++ b/src/bellweir/routing/cache_events.py
@@ -4,7 +4,7 @@
 
 from returns.result import Success
 
-from bellweir.platform.interface import CacheEventBatch, Engine
+from bellweir.clients.interface import CacheEventBatch, Engine
 from bellweir.routing.prefix_index import HASH_MASK
 
 RESYNC_PERIOD_S = 10.0
--- a/src/bellweir/routing/cancellations.py
+++ b/src/bellweir/routing/cancellations.py
@@ -5,8 +5,8 @@
 
 from returns.result import Failure
 
+from bellweir.clients.interface import Engine
 from bellweir.kernel.executors import Executors, ExecutorSaturatedError, WorkKind
-from bellweir.platform.interface import Engine
 
 MOST_PENDING = 256
 """Attempts of one engine that wait to be cancelled; the oldest are forgotten first."""
--- a/src/bellweir/routing/forwarding.py
+++ b/src/bellweir/routing/forwarding.py
@@ -6,8 +6,7 @@
 
 from returns.result import Failure, Result, Success
 
-from bellweir.kernel.clock import Clock
-from bellweir.platform.interface import (
+from bellweir.clients.interface import (
     ApplicationAnswer,
     ApplicationCall,
     ErrorKind,
@@ -15,6 +14,7 @@
     PlatformClients,
     PlatformError,
 )
+from bellweir.kernel.clock import Clock
 from bellweir.resources.models import Pool, RequestClass
 from bellweir.routing.answers import (
     BUFFERED_ANSWER_BYTES,
--- a/src/bellweir/routing/generation.py
+++ b/src/bellweir/routing/generation.py
@@ -6,9 +6,9 @@
 
 from returns.result import Failure, Result, Success
 
+from bellweir.clients.interface import ErrorKind, FinishReason, PlatformError, TokenChunk
 from bellweir.events.log import emit
 from bellweir.kernel.clock import Clock
-from bellweir.platform.interface import ErrorKind, FinishReason, PlatformError, TokenChunk
 from bellweir.resources.models import RequestClass
 from bellweir.routing.attempts import RequestAttempts
 from bellweir.routing.counters import CANCELLED, COMPLETED
--- a/src/bellweir/routing/generation_attempt.py
+++ b/src/bellweir/routing/generation_attempt.py
@@ -4,15 +4,15 @@
 
 from returns.result import Failure, Result, Success
 
-from bellweir.kernel.clock import Clock
-from bellweir.kernel.executors import Executors
-from bellweir.platform.interface import (
+from bellweir.clients.interface import (
     Engine,
     EngineStream,
     GenerationCall,
     PlatformClients,
     PlatformError,
 )
+from bellweir.kernel.clock import Clock
+from bellweir.kernel.executors import Executors
 from bellweir.resources.models import Pool, RequestClass
 from bellweir.routing.arm_counters import ArmName
 from bellweir.routing.attempts import AttemptHold, RequestAttempts, new_attempt_id
--- a/src/bellweir/routing/hedging.py
+++ b/src/bellweir/routing/hedging.py
@@ -12,8 +12,8 @@
 
 from returns.result import Result, Success
 
+from bellweir.clients.interface import ApplicationAnswer
 from bellweir.kernel.executors import Executors, ExecutorSaturatedError, WorkKind
-from bellweir.platform.interface import ApplicationAnswer
 from bellweir.routing.answers import close_body
 from bellweir.routing.interface import Refusal
 
--- a/src/bellweir/routing/interface.py
+++ b/src/bellweir/routing/interface.py
@@ -9,7 +9,7 @@
 import msgspec
 from returns.result import Result
 
-from bellweir.platform.interface import ApplicationAnswer, FinishReason
+from bellweir.clients.interface import ApplicationAnswer, FinishReason
 from bellweir.resources.models import RequestClass
 
 
--- a/src/bellweir/routing/once.py
+++ b/src/bellweir/routing/once.py
@@ -8,6 +8,7 @@
 
 from returns.result import Failure, Result, Success
 
+from bellweir.clients.interface import ApplicationAnswer
 from bellweir.kernel.clock import Clock
 from bellweir.ledger.interface import (
     Claim,
@@ -17,7 +18,6 @@
     LedgerErrorKind,
     RecordedAnswer,
 )
-from bellweir.platform.interface import ApplicationAnswer
 from bellweir.resources.models import Pool, RequestClass
 from bellweir.routing.answers import read_whole, with_body
 from bellweir.routing.attempts import RETRY_AFTER_S
--- a/src/bellweir/routing/pool_table.py
+++ b/src/bellweir/routing/pool_table.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
+from bellweir.clients.interface import Machine
 from bellweir.configuration.interface import ConfigurationSnapshot
-from bellweir.platform.interface import Machine
 from bellweir.resources.models import Pool
 from bellweir.routing.backend import Backend
 from bellweir.routing.circuit import Circuit
--- a/src/bellweir/routing/pool_workers.py
+++ b/src/bellweir/routing/pool_workers.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from bellweir.platform.interface import Machine, MachineState
+from bellweir.clients.interface import Machine, MachineState
 from bellweir.resources.models import BackendKind, Pool
 from bellweir.routing.rendezvous import score
 
--- a/src/bellweir/routing/prefix_hints.py
+++ b/src/bellweir/routing/prefix_hints.py
@@ -4,7 +4,7 @@
 import threading
 from collections.abc import Callable
 
-from bellweir.platform.interface import Engine
+from bellweir.clients.interface import Engine
 from bellweir.routing.cache_events import CacheEventReader, PrefixChange
 from bellweir.routing.messages import PushPrefixes
 from bellweir.routing.prefix_index import PrefixIndex
--- a/src/bellweir/routing/prefix_index.py
+++ b/src/bellweir/routing/prefix_index.py
@@ -11,7 +11,7 @@
 
 import xxhash
 
-from bellweir.platform.interface import PREFIX_BLOCK_CHARACTERS
+from bellweir.clients.interface import PREFIX_BLOCK_CHARACTERS
 
 KEPT_BLOCKS = 8192
 """Blocks kept for each engine, least recently used first out; about 0.8 MB each."""
--- a/src/bellweir/routing/probing.py
+++ b/src/bellweir/routing/probing.py
@@ -2,13 +2,13 @@
 
 from returns.result import Failure, Result, Success
 
-from bellweir.kernel.clock import Clock
-from bellweir.platform.interface import (
+from bellweir.clients.interface import (
     ApplicationState,
     EngineState,
     PlatformClients,
     PlatformError,
 )
+from bellweir.kernel.clock import Clock
 from bellweir.resources.models import BackendKind
 from bellweir.routing.backend import BackendReport
 from bellweir.routing.pool_workers import PoolWorker
--- a/src/bellweir/routing/service.py
+++ b/src/bellweir/routing/service.py
@@ -6,6 +6,7 @@
 
 from returns.result import Failure, Result
 
+from bellweir.clients.interface import ApplicationAnswer, PlatformClients
 from bellweir.configuration.interface import Configuration
 from bellweir.configuration.placement import Placements
 from bellweir.kernel import names
@@ -13,7 +14,6 @@
 from bellweir.kernel.service import Service
 from bellweir.ledger.interface import Claims
 from bellweir.membership.interface import Membership
-from bellweir.platform.interface import ApplicationAnswer, PlatformClients
 from bellweir.resources.interface import Resources
 from bellweir.routing.admissions import Admissions
 from bellweir.routing.application_requests import ApplicationRequests
--- a/src/bellweir/routing/views_service.py
+++ b/src/bellweir/routing/views_service.py
@@ -10,13 +10,13 @@
 
 from returns.result import Failure, Success
 
+from bellweir.clients.interface import PlatformClients
 from bellweir.configuration.interface import Configuration, ConfigurationSnapshot
 from bellweir.kernel import names
 from bellweir.kernel.executors import ExecutorSaturatedError, WorkKind
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
 from bellweir.membership.interface import Ownership
-from bellweir.platform.interface import PlatformClients
 from bellweir.resources.models import BackendKind
 from bellweir.routing.backend import Backend, BackendReport, unreachable_report
 from bellweir.routing.interface import BackendView, BackendViews
--- a/src/bellweir/samples/assembly.py
+++ b/src/bellweir/samples/assembly.py
@@ -2,11 +2,11 @@
 
 from dataclasses import dataclass
 
+from bellweir.clients.interface import PlatformClients
 from bellweir.kernel import names
 from bellweir.kernel.node import Kernel
 from bellweir.ledger.interface import Ledger, SegmentStore
 from bellweir.membership.interface import Membership
-from bellweir.platform.interface import PlatformClients
 from bellweir.routing.interface import Dispatcher
 from bellweir.samples.assigning import AttemptAssigner, LocalHolder
 from bellweir.samples.attempt_table import AttemptTable
--- a/src/bellweir/samples/scoring.py
+++ b/src/bellweir/samples/scoring.py
@@ -7,11 +7,11 @@
 
 from returns.result import Failure, Result, Success
 
+from bellweir.clients.interface import PlatformClients, PlatformError, ScoreCall
 from bellweir.events.log import emit
 from bellweir.kernel.clock import Clock
 from bellweir.kernel.executors import Executors, ExecutorSaturatedError, WorkKind
 from bellweir.ledger.interface import Ledger
-from bellweir.platform.interface import PlatformClients, PlatformError, ScoreCall
 from bellweir.samples.log_events import SCORER_FAILED
 from bellweir.samples.messages import AttachScore
 
--- a/src/bellweir/weights/engine_watch.py
+++ b/src/bellweir/weights/engine_watch.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from bellweir.platform.interface import EngineOrder, EngineState
+from bellweir.clients.interface import EngineOrder, EngineState
 from bellweir.weights.messages import WorkerReport
 from bellweir.weights.plan import WorkerTarget
 
--- a/src/bellweir/weights/plan.py
+++ b/src/bellweir/weights/plan.py
@@ -9,8 +9,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from bellweir.clients.interface import EngineRole, MachineState
 from bellweir.configuration.interface import ConfigurationSnapshot
-from bellweir.platform.interface import EngineRole, MachineState
 from bellweir.resources.models import BackendKind, Comparison, Policy, Pool
 
 ROLE_LABEL = "bellweir.dev/role"
--- a/src/bellweir/weights/service.py
+++ b/src/bellweir/weights/service.py
@@ -8,6 +8,7 @@
 
 from returns.result import Failure, Success
 
+from bellweir.clients.interface import ErrorKind, PlatformClients
 from bellweir.configuration.interface import Configuration, ConfigurationSnapshot
 from bellweir.events.log import emit
 from bellweir.kernel import names
@@ -15,7 +16,6 @@
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
 from bellweir.membership.interface import Ownership
-from bellweir.platform.interface import ErrorKind, PlatformClients
 from bellweir.resources.interface import Resources
 from bellweir.settings.models import Settings
 from bellweir.weights.engine_watch import EngineWatch
--- a/src/bellweir/weights/store_check.py
+++ b/src/bellweir/weights/store_check.py
@@ -4,9 +4,9 @@
 
 from returns.result import Success
 
+from bellweir.clients.interface import ErrorKind, PlatformClients
 from bellweir.events.log import emit
 from bellweir.kernel.clock import Clock
-from bellweir.platform.interface import ErrorKind, PlatformClients
 from bellweir.weights.log_events import VERSION_MISSING
 
 RECHECK_S = 5.0
--- a/src/bellweir/wire/service.py
+++ b/src/bellweir/wire/service.py
@@ -5,14 +5,13 @@
 import threading
 import time
 from concurrent.futures import TimeoutError as FutureTimeoutError
-from typing import ClassVar
+from typing import TYPE_CHECKING, ClassVar
 
 from returns.result import Failure, Result
 
 from bellweir.kernel import names
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
-from bellweir.settings.models import Settings
 from bellweir.wire.accepted_connection import AcceptedConnection
 from bellweir.wire.connection_parts import ConnectionParts
 from bellweir.wire.faults import NetworkFaults, Place
@@ -33,6 +32,10 @@
 from bellweir.wire.sockets import shut
 from bellweir.wire.traffic import TrafficTotals
 
+if TYPE_CHECKING:
+    from bellweir.settings.models import Settings
+
+
 ACCEPT_POLL_S = 0.5
 OFFER_ATTEMPTS = 2
 """A link may end between finding it and queueing a frame; a new one is tried once."""
@@ -49,7 +52,7 @@
 
     name: ClassVar[str] = names.TRANSPORT
 
-    def __init__(self, kernel: Kernel, settings: Settings) -> None:
+    def __init__(self, kernel: Kernel, settings: "Settings") -> None:
         node = settings.node
         self._listener = kernel.listeners.peer_stream
         self._executors = kernel.executors
--- a/src/bellweir_rehearsal/scale/hollow_node.py
+++ b/src/bellweir_rehearsal/scale/hollow_node.py
@@ -75,7 +75,8 @@
         self.running = True
         self._threads = threads
         listeners = bind_listeners(HOST, 0, 0)
-        listeners.gateway.close()
+        if listeners.gateway is not None:
+            listeners.gateway.close()
         self.address = listeners.peer_address
         self.stream: socket.socket = listeners.peer_stream
         self.datagrams: socket.socket = listeners.peer_datagram
--- a/src/bellweir_rehearsal/scale/sample_configuration.py
+++ b/src/bellweir_rehearsal/scale/sample_configuration.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Sequence
 
+from bellweir.clients.interface import Machine, MachineState
 from bellweir.configuration.messages import Change
 from bellweir.configuration.views import encode_document, machine_change
-from bellweir.platform.interface import Machine, MachineState
 from bellweir.resources.models import API_VERSION
 from bellweir_rehearsal.scale.commands import NodeSpec
 
--- a/src/bellweir_rehearsal/standins/application.py
+++ b/src/bellweir_rehearsal/standins/application.py
@@ -7,13 +7,13 @@
 
 import msgspec
 
-from bellweir.platform.application import (
+from bellweir.clients.application import (
     ATTEMPT_HEADER,
     LEAVING_HEADER,
     NOT_RUN_HEADER,
     STATE_PATH,
 )
-from bellweir.platform.interface import ApplicationState
+from bellweir.clients.interface import ApplicationState
 from bellweir_rehearsal.standins.base import (
     JSON_TYPE,
     Request,
--- a/src/bellweir_rehearsal/standins/base.py
+++ b/src/bellweir_rehearsal/standins/base.py
@@ -13,8 +13,8 @@
 import msgspec
 from waitress.channel import ClientDisconnected
 
-from bellweir.platform.answers import ErrorBody
-from bellweir.platform.interface import ErrorKind
+from bellweir.clients.answers import ErrorBody
+from bellweir.clients.interface import ErrorKind
 from bellweir_rehearsal.standins.faults import FaultBoard, FaultKind, FaultOrder
 from bellweir_rehearsal.standins.records import AnswerDropped
 from bellweir_rehearsal.standins.runlog import RunLog
--- a/src/bellweir_rehearsal/standins/engine.py
+++ b/src/bellweir_rehearsal/standins/engine.py
@@ -9,8 +9,8 @@
 import msgspec
 from waitress.channel import ClientDisconnected
 
-from bellweir.platform.engine import Cancellation, CancellationAnswer, StreamLine
-from bellweir.platform.interface import (
+from bellweir.clients.engine import Cancellation, CancellationAnswer, StreamLine
+from bellweir.clients.interface import (
     EngineOrder,
     EngineRole,
     EngineState,
--- a/src/bellweir_rehearsal/standins/engine_journal.py
+++ b/src/bellweir_rehearsal/standins/engine_journal.py
@@ -1,6 +1,6 @@
 """What an engine stand-in writes into its log."""
 
-from bellweir.platform.interface import GenerationCall, TokenChunk
+from bellweir.clients.interface import GenerationCall, TokenChunk
 from bellweir_rehearsal.standins.generation import Ending, Generation
 from bellweir_rehearsal.standins.records import (
     GenerationEnded,
--- a/src/bellweir_rehearsal/standins/engine_options.py
+++ b/src/bellweir_rehearsal/standins/engine_options.py
@@ -9,7 +9,7 @@
 
 from dataclasses import dataclass, field
 
-from bellweir.platform.interface import EngineRole
+from bellweir.clients.interface import EngineRole
 from bellweir_rehearsal.standins.base import StandinOptions
 
 PARAMETERS = 8.0e9
--- a/src/bellweir_rehearsal/standins/engine_scheduler.py
+++ b/src/bellweir_rehearsal/standins/engine_scheduler.py
@@ -7,7 +7,7 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from typing import Protocol
 
-from bellweir.platform.interface import ErrorKind
+from bellweir.clients.interface import ErrorKind
 from bellweir_rehearsal.standins.base import RefusalError
 from bellweir_rehearsal.standins.engine_batch import Batch, Plan, Sequence
 from bellweir_rehearsal.standins.generation import (
--- a/src/bellweir_rehearsal/standins/engine_weights.py
+++ b/src/bellweir_rehearsal/standins/engine_weights.py
@@ -11,8 +11,8 @@
 import msgspec
 from returns.result import Success
 
-from bellweir.platform.interface import EngineOrder, EngineRole, ErrorKind, WeightManifest
-from bellweir.platform.pool import ConnectionPool, HttpCall
+from bellweir.clients.interface import EngineOrder, EngineRole, ErrorKind, WeightManifest
+from bellweir.clients.pool import ConnectionPool, HttpCall
 from bellweir_rehearsal.standins.base import RefusalError
 from bellweir_rehearsal.standins.engine_options import EngineOptions
 from bellweir_rehearsal.standins.runlog import Record, RunLog
--- a/src/bellweir_rehearsal/standins/generation.py
+++ b/src/bellweir_rehearsal/standins/generation.py
@@ -4,8 +4,8 @@
 import time
 from dataclasses import dataclass, replace
 
-from bellweir.platform.answers import ErrorBody
-from bellweir.platform.interface import (
+from bellweir.clients.answers import ErrorBody
+from bellweir.clients.interface import (
     ErrorKind,
     FinishReason,
     GenerationCall,
--- a/src/bellweir_rehearsal/standins/kv_transfer.py
+++ b/src/bellweir_rehearsal/standins/kv_transfer.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from bellweir.platform.interface import ErrorKind
+from bellweir.clients.interface import ErrorKind
 from bellweir_rehearsal.standins.base import RefusalError
 from bellweir_rehearsal.standins.engine_options import KV_BYTES_PER_TOKEN
 from bellweir_rehearsal.standins.engine_weights import Held
--- a/src/bellweir_rehearsal/standins/machine_list.py
+++ b/src/bellweir_rehearsal/standins/machine_list.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from bellweir.platform.interface import ErrorKind, Machine, MachineSnapshot
+from bellweir.clients.interface import ErrorKind, Machine, MachineSnapshot
 from bellweir_rehearsal.standins.base import (
     JSON_TYPE,
     RefusalError,
--- a/src/bellweir_rehearsal/standins/object_api.py
+++ b/src/bellweir_rehearsal/standins/object_api.py
@@ -9,13 +9,13 @@
 
 import msgspec
 
-from bellweir.platform.answers import ErrorBody
-from bellweir.platform.interface import (
+from bellweir.clients.answers import ErrorBody
+from bellweir.clients.interface import (
     MUTATION_ANNOTATION,
     ErrorKind,
     StoredObject,
 )
-from bellweir.platform.object_api import Deletion, WatchLine
+from bellweir.clients.object_api import Deletion, WatchLine
 from bellweir_rehearsal.standins.base import (
     LINES_TYPE,
     RefusalError,
--- a/src/bellweir_rehearsal/standins/object_state.py
+++ b/src/bellweir_rehearsal/standins/object_state.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from bellweir.platform.interface import ErrorKind, ObjectChange, ObjectList, StoredObject
+from bellweir.clients.interface import ErrorKind, ObjectChange, ObjectList, StoredObject
 from bellweir_rehearsal.standins.base import RefusalError
 
 Key = tuple[str, str]
--- a/src/bellweir_rehearsal/standins/prefix_cache.py
+++ b/src/bellweir_rehearsal/standins/prefix_cache.py
@@ -8,7 +8,7 @@
 
 import xxhash
 
-from bellweir.platform.interface import PREFIX_BLOCK_CHARACTERS, CacheEvent, CacheEventBatch
+from bellweir.clients.interface import PREFIX_BLOCK_CHARACTERS, CacheEvent, CacheEventBatch
 from bellweir_rehearsal.standins.token_model import CHARACTERS_PER_TOKEN
 
 TOKENS_PER_BLOCK = PREFIX_BLOCK_CHARACTERS // CHARACTERS_PER_TOKEN
--- a/src/bellweir_rehearsal/standins/scorer.py
+++ b/src/bellweir_rehearsal/standins/scorer.py
@@ -6,8 +6,8 @@
 import msgspec
 import xxhash
 
-from bellweir.platform.interface import ErrorKind, ScoreCall
-from bellweir.platform.scorer import ScoreAnswer
+from bellweir.clients.interface import ErrorKind, ScoreCall
+from bellweir.clients.scorer import ScoreAnswer
 from bellweir_rehearsal.standins.base import (
     RefusalError,
     Request,
--- a/src/bellweir_rehearsal/standins/weight_store.py
+++ b/src/bellweir_rehearsal/standins/weight_store.py
@@ -12,7 +12,7 @@
 import msgspec
 import xxhash
 
-from bellweir.platform.interface import ErrorKind, WeightManifest
+from bellweir.clients.interface import ErrorKind, WeightManifest
 from bellweir_rehearsal.standins.base import (
     LINES_TYPE,
     RefusalError,
