--- /dev/null
+++ b/src/bellweir/hosted/batches/api.py
@@ -0,0 +1,150 @@
+"""Calls about batch jobs at any gateway: hand in, read, end."""
+
+import threading
+import time
+
+from returns.result import Failure, Result, Success
+
+from bellweir.events.log import emit
+from bellweir.hosted.batches.formats import decode_job, encode_page
+from bellweir.hosted.batches.state import (
+    JOBS_KEY,
+    AcceptJob,
+    EndJob,
+    ItemBody,
+    Job,
+    JobAccepted,
+    JobEnded,
+    ReadItem,
+    ReadResults,
+    ResultsPage,
+)
+from bellweir.hosted.interface import CallPaths, HeaderNames
+from bellweir.hosted.log_events import JOB_ACCEPTED, JOB_ENDED, JOB_NOT_ACCEPTED
+from bellweir.hosted.records import Route
+from bellweir.hosted.serving.forwarding import own_response
+from bellweir.http_server.http import BadRequestError, Request, Response, parse_integer
+from bellweir.ledger.interface import Ledger, LedgerError, LedgerErrorKind, Reply
+
+PAGE_BYTES = 700_000
+"""Text in one answer; the rest follows with the next call."""
+ACCEPT_TIMEOUT_S = 3.0
+CALL_TIMEOUT_S = 1.5
+LONGEST_HOLD_S = 1.0
+HOLD_POLL_S = 0.15
+"""Pause between two looks while a reading is held until there is a result."""
+RETRY_AFTER_S = 0.3
+
+
+class BatchApi:
+    """Serves the calls through the ledger."""
+
+    def __init__(self, ledger: Ledger, names: HeaderNames, paths: CallPaths) -> None:
+        self._ledger = ledger
+        self._paths = paths
+        self._names = names
+        self._pause = threading.Event()
+
+    def is_call(self, request: Request) -> bool:
+        """Whether a request is a call about a job, not one of a route."""
+        return request.raw_path.startswith((self._paths.batch_job, self._paths.batch_item))
+
+    def accept(self, request: Request, route: Route) -> Response:
+        """Take a job in; 202 once it is durable."""
+        began_s = time.monotonic()
+        job_id = request.header(self._names.request_id)
+        if request.method != "POST" or not job_id:
+            raise BadRequestError("a batch job is a POST with an id")
+        job = decode_job(request.body.read(), job_id, route.host, route.path_prefix)
+        outcome = self._submit_job(job, began_s + ACCEPT_TIMEOUT_S)
+        match outcome:
+            case Success(JobAccepted()):
+                emit(
+                    JOB_ACCEPTED,
+                    request_id=job.id,
+                    items=len(job.items),
+                    step=job.step,
+                    model=job.model,
+                    minimum_version=job.minimum_version,
+                    ms=round(1000 * (time.monotonic() - began_s)),
+                )
+                return Response(202)
+            case Failure(error):
+                return self._not_accepted(job, error)
+        return own_response(500, "unexpected_reply")
+
+    def _submit_job(self, job: Job, deadline_s: float) -> Result[Reply, LedgerError]:
+        """Submit until the outcome is known: the command is idempotent by the job's id."""
+        unknown: Result[Reply, LedgerError] | None = None
+        while True:
+            left_s = max(0.05, deadline_s - time.monotonic())
+            outcome = self._ledger.submit(JOBS_KEY, AcceptJob(job), left_s)
+            if isinstance(outcome, Success):
+                return outcome
+            if outcome.failure().kind is LedgerErrorKind.UNKNOWN:
+                unknown = outcome
+            if time.monotonic() >= deadline_s:
+                # Once its outcome was unknown, a later refusal does not prove that it is not kept.
+                return unknown or outcome
+
+    def _not_accepted(self, job: Job, error: LedgerError) -> Response:
+        surely_not = error.kind is LedgerErrorKind.UNAVAILABLE
+        status = 503 if surely_not else 504
+        emit(JOB_NOT_ACCEPTED, request_id=job.id, status=status, cause=error.detail[:160])
+        return own_response(status, "not_accepted", RETRY_AFTER_S if surely_not else None)
+
+    def serve_call(self, request: Request) -> Response:
+        """Serve a reading, an item's body or an end."""
+        path = request.raw_path
+        if path.startswith(self._paths.batch_item):
+            return self._item_body(request, path.removeprefix(self._paths.batch_item))
+        job_id = path.removeprefix(self._paths.batch_job)
+        if request.method == "DELETE":
+            return self._end(job_id)
+        if request.method == "GET":
+            return self._results(request, job_id)
+        return own_response(405, "method_not_allowed")
+
+    def _results(self, request: Request, job_id: str) -> Response:
+        after = parse_integer("after", request.query("after") or "0")
+        hold_s = min(LONGEST_HOLD_S, _hold_s(request.header(self._names.wait_ms)))
+        until_s = time.monotonic() + hold_s
+        query = ReadResults(job_id, after, PAGE_BYTES)
+        while True:
+            found = self._ledger.ask(JOBS_KEY, query, CALL_TIMEOUT_S)
+            page = found.value_or(None)
+            if not isinstance(page, ResultsPage):
+                return own_response(503, "no_ledger", RETRY_AFTER_S)
+            if page.total is None:
+                return own_response(404, "no_such_job")
+            held = not page.results and time.monotonic() < until_s
+            if not held or request.caller_has_left():
+                content = encode_page(page.total, after, page.results)
+                return Response(200, [("Content-Type", "application/json")], content)
+            self._pause.wait(HOLD_POLL_S)
+
+    def _item_body(self, request: Request, job_id: str) -> Response:
+        query = ReadItem(job_id, request.query("id") or "")
+        found = self._ledger.ask(JOBS_KEY, query, CALL_TIMEOUT_S).value_or(None)
+        if not isinstance(found, ItemBody):
+            return own_response(503, "no_ledger", RETRY_AFTER_S)
+        if found.body is None:
+            return own_response(404, "no_such_item")
+        return Response(200, [("Content-Type", "application/octet-stream")], found.body)
+
+    def _end(self, job_id: str) -> Response:
+        ended = self._ledger.submit(JOBS_KEY, EndJob(job_id, time.time()), CALL_TIMEOUT_S)
+        match ended:
+            case Success(JobEnded(is_known)):
+                if not is_known:
+                    return own_response(404, "no_such_job")
+                emit(JOB_ENDED, request_id=job_id, listed=None, items=None)
+                return Response(200)
+        return own_response(503, "no_ledger", RETRY_AFTER_S)
+
+
+def _hold_s(text: str | None) -> float:
+    try:
+        return max(0.0, float(text or "0") / 1000)
+    except ValueError:
+        return 0.0
--- /dev/null
+++ b/src/bellweir/hosted/batches/attempts.py
@@ -0,0 +1,200 @@
+"""One attempt of an item: its text from a worker, or its score."""
+
+import http.client
+import time
+
+from bellweir.clients.open_answer import OpenAnswer
+from bellweir.events.log import emit
+from bellweir.hosted.batches.progress import (
+    EventsMissingError,
+    ItemProgress,
+    VersionMixedError,
+    VersionTooOldError,
+)
+from bellweir.hosted.event_stream import EventSplitter, EventTooLongError
+from bellweir.hosted.log_events import ITEM_BROKEN, ITEM_STARTED
+from bellweir.hosted.serving.attempt import (
+    AttemptState,
+    Cancellation,
+    OpenedAttempt,
+    WorkerCall,
+    WorkerConnections,
+    read_whole,
+)
+from bellweir.hosted.serving.selection import WorkerLoads
+from bellweir.hosted.views.workers import Worker
+
+FIRST_EVENT_TIMEOUT_S = 3.0
+SILENCE_TIMEOUT_S = 2.0
+"""Time without an event after which a run goes on at another worker; a load takes about one."""
+RUN_DEADLINE_MS = 60_000.0
+"""Time that a worker may spend on a run; its silence ends it much sooner."""
+SCORE_TIMEOUT_S = 1.0
+SCORE_DEADLINE_MS = 5_000.0
+REFUSED_PAUSE_S = 0.05
+FAILED_PAUSE_S = 0.02
+UNPROCESSABLE = 422
+SERVER_ERROR = 500
+
+BROKEN = (
+    OSError,
+    http.client.HTTPException,
+    EventTooLongError,
+    EventsMissingError,
+    VersionTooOldError,
+    VersionMixedError,
+)
+
+
+class ItemAttempts:
+    """Runs attempts; each call blocks until its attempt has ended."""
+
+    def __init__(self, connections: WorkerConnections, loads: WorkerLoads) -> None:
+        self._connections = connections
+        self._loads = loads
+
+    def run_text(self, progress: ItemProgress, worker: Worker, cancellation: Cancellation) -> None:
+        """Get the item's events, from the first one that is missing on."""
+        progress.attempts += 1
+        emit(
+            ITEM_STARTED,
+            request_id=progress.item.id,
+            job=progress.job.id,
+            attempt=progress.attempts,
+            instance=worker.instance,
+            version=worker.version_of(progress.job.model),
+            after_event=progress.last_event_id,
+        )
+        began_s = time.monotonic()
+        opened = self._connections.open(
+            worker, _text_call(progress), FIRST_EVENT_TIMEOUT_S, RUN_DEADLINE_MS, cancellation
+        )
+        if opened.opened is None or opened.state is not AttemptState.ANSWERED:
+            self._not_answered(progress, worker, opened)
+        elif opened.opened.status >= 300:
+            self._failed_answer(progress, worker, opened)
+        else:
+            self._read_events(progress, worker, opened.opened, began_s)
+
+    def _read_events(
+        self, progress: ItemProgress, worker: Worker, opened: OpenAnswer, began_s: float
+    ) -> None:
+        names = self._connections.headers
+        opened.ends_with_connection = False
+        splitter = EventSplitter(names.weight_versions)
+        version = _version(opened.headers.get(names.weight_versions.lower()))
+        try:
+            for block in opened.read_blocks():
+                for event in splitter.feed(block):
+                    version = event.weight_version or version
+                    progress.add_event(event, version)
+                opened.set_timeout(SILENCE_TIMEOUT_S)
+            if not splitter.is_between_events:
+                raise http.client.HTTPException("the stream ended inside an event")
+        except BROKEN as failure:
+            opened.drop()
+            self._broken(progress, worker, failure)
+            return
+        opened.finish()
+        self._loads.answered(worker.instance, time.monotonic() - began_s)
+        progress.text_is_whole()
+
+    def _broken(self, progress: ItemProgress, worker: Worker, failure: Exception) -> None:
+        if isinstance(failure, VersionMixedError | EventsMissingError):
+            progress.restart()
+        if isinstance(failure, VersionTooOldError | VersionMixedError):
+            self._loads.refused(worker.instance)
+        else:
+            self._loads.failed(worker.instance)
+        self._log_broken(progress, worker, repr(failure))
+
+    def _not_answered(self, progress: ItemProgress, worker: Worker, opened: OpenedAttempt) -> None:
+        if opened.opened is not None:
+            read_whole(opened.opened, opened)
+        if opened.state is AttemptState.REFUSED:
+            self._loads.refused(worker.instance)
+            progress.not_before_s = time.monotonic() + REFUSED_PAUSE_S
+        else:
+            self._loads.failed(worker.instance)
+            progress.not_before_s = time.monotonic() + FAILED_PAUSE_S
+        self._log_broken(progress, worker, f"{opened.state.value}: {opened.detail}")
+
+    def _failed_answer(self, progress: ItemProgress, worker: Worker, opened: OpenedAttempt) -> None:
+        status = opened.opened.status if opened.opened is not None else SERVER_ERROR
+        if opened.opened is not None:
+            read_whole(opened.opened, opened)
+        self._loads.released(worker.instance)
+        progress.not_before_s = time.monotonic() + FAILED_PAUSE_S
+        if status == UNPROCESSABLE:
+            progress.give_up()
+        elif status == SERVER_ERROR:
+            progress.failures += 1
+            if progress.failures >= progress.route.max_attempts:
+                progress.give_up()
+        self._log_broken(progress, worker, f"status {status}")
+
+    def run_score(
+        self,
+        progress: ItemProgress,
+        worker: Worker,
+        maximum_failures: int,
+        cancellation: Cancellation,
+    ) -> None:
+        """Have the whole text scored."""
+        scorer = progress.item.scorer
+        if scorer is None:
+            self._loads.released(worker.instance)
+            progress.finish("")
+            return
+        began_s = time.monotonic()
+        call = WorkerCall("POST", scorer.path, scorer.host, scorer.id, [], scorer.body)
+        outcome = self._connections.call(
+            worker, call, SCORE_TIMEOUT_S, SCORE_DEADLINE_MS, cancellation
+        )
+        answer = outcome.answer
+        if outcome.state is AttemptState.ANSWERED and answer is not None:
+            self._loads.answered(worker.instance, time.monotonic() - began_s)
+            if answer.status < 300:
+                progress.finish(_header(answer.headers, self._connections.headers.stamp))
+                return
+            self._score_failed(progress, answer.status, maximum_failures)
+        elif outcome.state is AttemptState.REFUSED:
+            self._loads.refused(worker.instance)
+        else:
+            self._loads.failed(worker.instance)
+        progress.not_before_s = time.monotonic() + FAILED_PAUSE_S
+        self._log_broken(progress, worker, f"scoring: {outcome.state.value} {outcome.detail}")
+
+    def _score_failed(self, progress: ItemProgress, status: int, maximum_failures: int) -> None:
+        if status == SERVER_ERROR:
+            progress.score_failures += 1
+            if progress.score_failures >= maximum_failures:
+                progress.give_up()
+
+    def _log_broken(self, progress: ItemProgress, worker: Worker, cause: str) -> None:
+        emit(
+            ITEM_BROKEN,
+            request_id=progress.item.id,
+            job=progress.job.id,
+            attempt=progress.attempts,
+            instance=worker.instance,
+            cause=cause[:160],
+            events=len(progress.pieces),
+        )
+
+
+def _text_call(progress: ItemProgress) -> WorkerCall:
+    headers = list(progress.item.headers)
+    if progress.last_event_id is not None:
+        headers.append(("Last-Event-Id", str(progress.last_event_id)))
+    item = progress.item
+    return WorkerCall("POST", item.path, progress.job.host, item.id, headers, item.body)
+
+
+def _version(text: str | None) -> int | None:
+    stripped = (text or "").strip()
+    return int(stripped) if stripped.isdigit() else None
+
+
+def _header(headers: list[tuple[str, str]], name: str) -> str:
+    return next((value for key, value in headers if key.lower() == name.lower()), "")
--- /dev/null
+++ b/src/bellweir/hosted/batches/committer.py
@@ -0,0 +1,94 @@
+"""Commits results to the ledger, many in one command."""
+
+import queue
+import threading
+from collections.abc import Callable
+
+from returns.result import Success
+
+from bellweir.events.log import emit
+from bellweir.hosted.batches.progress import ItemProgress
+from bellweir.hosted.batches.state import JOBS_KEY, ItemResult, RecordResults
+from bellweir.hosted.log_events import ITEM_LISTED
+from bellweir.ledger.interface import Ledger
+
+GATHER_S = 0.005
+"""Time for which results are gathered into one command."""
+COMMAND_BYTES = 600_000
+"""Text in one command; a command has at most a mebibyte."""
+SUBMIT_TIMEOUT_S = 2.0
+POLL_S = 0.2
+
+
+class Committer:
+    """One task. A result whose commit is unknown is committed again: the first one counts."""
+
+    def __init__(self, ledger: Ledger, leads: Callable[[], bool]) -> None:
+        self._ledger = ledger
+        self._leads = leads
+        self._queue: queue.SimpleQueue[ItemProgress] = queue.SimpleQueue()
+        self._pause = threading.Event()
+
+    def put(self, progress: ItemProgress) -> None:
+        """Commit an item's result soon."""
+        progress.is_committing = True
+        self._queue.put(progress)
+
+    def run(self, stopping: threading.Event) -> None:
+        """Commit until `stopping`."""
+        while not stopping.is_set():
+            try:
+                first = self._queue.get(timeout=POLL_S)
+            except queue.Empty:
+                continue
+            self._pause.wait(GATHER_S)
+            gathered = [first]
+            while not self._queue.empty():
+                gathered.append(self._queue.get())
+            self._commit_all(gathered, stopping)
+
+    def _commit_all(self, gathered: list[ItemProgress], stopping: threading.Event) -> None:
+        by_job: dict[str, list[ItemProgress]] = {}
+        for progress in gathered:
+            by_job.setdefault(progress.job.id, []).append(progress)
+        for job_id, found in by_job.items():
+            for part in _parts(found):
+                self._commit(job_id, part, stopping)
+
+    def _commit(self, job_id: str, part: list[ItemProgress], stopping: threading.Event) -> None:
+        results = tuple(each.result for each in part if each.result is not None)
+        while self._leads() and not stopping.is_set():
+            outcome = self._ledger.submit(
+                JOBS_KEY, RecordResults(job_id, results), SUBMIT_TIMEOUT_S
+            )
+            if isinstance(outcome, Success):
+                for result in results:
+                    _log_listed(job_id, result)
+                return
+        for progress in part:
+            # The coordinator hands it in again if this node leads once more.
+            progress.is_committing = False
+
+
+def _parts(found: list[ItemProgress]) -> list[list[ItemProgress]]:
+    parts: list[list[ItemProgress]] = [[]]
+    size = 0
+    for progress in found:
+        length = len(progress.result.text) if progress.result else 0
+        if parts[-1] and size + length > COMMAND_BYTES:
+            parts.append([])
+            size = 0
+        parts[-1].append(progress)
+        size += length
+    return parts
+
+
+def _log_listed(job_id: str, result: ItemResult) -> None:
+    emit(
+        ITEM_LISTED,
+        request_id=result.item_id,
+        job=job_id,
+        state="completed" if result.is_complete else "dead",
+        versions=list(result.versions),
+        cause=None,
+    )
--- /dev/null
+++ b/src/bellweir/hosted/batches/coordinator.py
@@ -0,0 +1,229 @@
+"""Runs the open batch jobs on the node that leads their shard.
+
+The state machine of the shard says what is accepted, listed and ended; everything here is
+rebuilt from it by the next leader. An item may run more than once; its first committed result
+counts.
+"""
+
+import threading
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from bellweir.events.log import emit
+from bellweir.hosted.batches.attempts import ItemAttempts
+from bellweir.hosted.batches.committer import Committer
+from bellweir.hosted.batches.progress import ItemProgress, Stage
+from bellweir.hosted.batches.state import JOBS_KEY, BatchJobs, ForgetJobs, JobState
+from bellweir.hosted.log_events import COORDINATION_LEFT, COORDINATION_TAKEN
+from bellweir.hosted.records import Route
+from bellweir.hosted.serving.attempt import Cancellation
+from bellweir.hosted.serving.selection import WorkerLoads
+from bellweir.hosted.views.configuration import ConfigurationView, RouteTable
+from bellweir.hosted.views.workers import Worker, WorkersView
+from bellweir.kernel.executors import Executors, ExecutorSaturatedError, WorkKind
+from bellweir.ledger.interface import Ledger
+
+STEP_S = 0.025
+"""Time between two looks at what is to be run."""
+FORGET_PERIOD_S = 5.0
+FORGET_TIMEOUT_S = 1.0
+
+ItemKey = tuple[str, str]
+"""Ids of job and item."""
+
+
+@dataclass
+class _Run:
+    progress: ItemProgress
+    cancellation: Cancellation
+
+
+class Coordinator:
+    """One task that looks at the jobs, and one call on an executor for each attempt."""
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        configuration: ConfigurationView,
+        workers: WorkersView,
+        loads: WorkerLoads,
+        attempts: ItemAttempts,
+        executors: Executors,
+        status_s: float,
+    ) -> None:
+        self._ledger = ledger
+        self._configuration = configuration
+        self._workers = workers
+        self._loads = loads
+        self._attempts = attempts
+        self._executors = executors
+        self._status_s = status_s
+        self.committer = Committer(ledger, self._is_leading)
+        self._lock = threading.Lock()
+        self._progress: dict[ItemKey, ItemProgress] = {}
+        self._running: dict[ItemKey, _Run] = {}
+        self._leading = False
+        self._forget_due_s = 0.0
+        self._wake = threading.Event()
+
+    def run(self, stopping: threading.Event) -> None:
+        """Coordinate whenever this node leads, until `stopping`."""
+        while not stopping.is_set():
+            self._wake.wait(STEP_S)
+            self._wake.clear()
+            machine = self._ledger.local_machine(JOBS_KEY, BatchJobs)
+            leads = self._ledger.leads(JOBS_KEY)
+            if leads and isinstance(machine, BatchJobs):
+                self._coordinate(list(machine.jobs.values()))
+            elif self._leading:
+                self._leave()
+        self._leave()
+
+    def _is_leading(self) -> bool:
+        return self._ledger.leads(JOBS_KEY)
+
+    def _coordinate(self, jobs: list[JobState]) -> None:
+        if not self._leading:
+            self._leading = True
+            emit(COORDINATION_TAKEN, jobs=sum(state.is_open for state in jobs))
+        table = self._configuration.table()
+        self._drop_ended(jobs)
+        if table is not None:
+            for progress in self._waiting(jobs, table):
+                self._start(progress, table)
+        self._forget_old(jobs)
+
+    def _leave(self) -> None:
+        with self._lock:
+            running = list(self._running.values())
+            self._progress.clear()
+        for run in running:
+            run.cancellation.cancel()
+        if self._leading:
+            self._leading = False
+            emit(COORDINATION_LEFT, running=len(running))
+
+    def _drop_ended(self, jobs: list[JobState]) -> None:
+        """Cancel what runs for jobs that are ended, and forget items that are listed."""
+        open_items = {
+            (state.job.id, item_id)
+            for state in jobs
+            if state.is_open
+            for item_id in state.items
+            if item_id not in state.listed
+        }
+        with self._lock:
+            gone = [key for key in self._progress if key not in open_items]
+            for key in gone:
+                del self._progress[key]
+            cancelled = [run for key, run in self._running.items() if key not in open_items]
+        for run in cancelled:
+            run.cancellation.cancel()
+
+    def _waiting(self, jobs: list[JobState], table: RouteTable) -> Iterator[ItemProgress]:
+        """Items that need an attempt now, the most urgent first."""
+        now_s = time.monotonic()
+        for state in sorted(jobs, key=lambda each: each.job.accepted_at_s):
+            route = table.find(state.job.host, state.job.path_prefix) if state.is_open else None
+            if route is None:
+                continue
+            for item in state.job.items:
+                key = (state.job.id, item.id)
+                if item.id in state.listed or key in self._running:
+                    continue
+                with self._lock:
+                    progress = self._progress.setdefault(key, ItemProgress(state.job, route, item))
+                progress.route = route
+                if progress.stage is Stage.RESULT:
+                    if not progress.is_committing:
+                        self.committer.put(progress)
+                elif progress.not_before_s <= now_s:
+                    yield progress
+
+    def _start(self, progress: ItemProgress, table: RouteTable) -> None:
+        worker = self._worker_for(progress, table)
+        if worker is None:
+            return
+        key = (progress.job.id, progress.item.id)
+        run = _Run(progress, Cancellation())
+        with self._lock:
+            self._running[key] = run
+        maximum = self._score_route(progress, table)
+        try:
+            self._executors.submit(
+                WorkKind.GENERATION,
+                self._run,
+                key,
+                run,
+                worker,
+                maximum.max_attempts if maximum else 1,
+            )
+        except (ExecutorSaturatedError, RuntimeError):
+            self._loads.released(worker.instance)
+            with self._lock:
+                self._running.pop(key, None)
+
+    def _run(self, key: ItemKey, run: _Run, worker: Worker, maximum_failures: int) -> None:
+        progress = run.progress
+        try:
+            if progress.stage is Stage.TEXT:
+                self._attempts.run_text(progress, worker, run.cancellation)
+            else:
+                self._attempts.run_score(progress, worker, maximum_failures, run.cancellation)
+        finally:
+            with self._lock:
+                self._running.pop(key, None)
+                is_wanted = self._progress.get(key) is progress
+            if is_wanted and progress.stage is Stage.RESULT and not progress.is_committing:
+                self.committer.put(progress)
+            self._wake.set()
+
+    def _score_route(self, progress: ItemProgress, table: RouteTable) -> Route | None:
+        scorer = progress.item.scorer
+        return table.find(scorer.host, scorer.path) if scorer is not None else None
+
+    def _worker_for(self, progress: ItemProgress, table: RouteTable) -> Worker | None:
+        """Take a place at a worker with room; None when there is none now."""
+        if progress.stage is Stage.SCORE:
+            route = self._score_route(progress, table)
+            return self._choose(route, None) if route is not None else None
+        return self._choose(progress.route, progress)
+
+    def _choose(self, route: Route, progress: ItemProgress | None) -> Worker | None:
+        for part in route.parts:
+            with_room = [
+                worker
+                for worker in self._workers.ready(part.service)
+                if self._has_room(worker) and _fits(worker, progress)
+            ]
+            chosen = self._loads.choose(with_room, ())
+            if chosen is not None:
+                return chosen
+        return None
+
+    def _has_room(self, worker: Worker) -> bool:
+        free = self._loads.in_hand(worker.instance) < worker.entry.slots
+        return free and not self._loads.is_avoided(worker.instance)
+
+    def _forget_old(self, jobs: list[JobState]) -> None:
+        now_s = time.monotonic()
+        if now_s < self._forget_due_s:
+            return
+        self._forget_due_s = now_s + FORGET_PERIOD_S
+        oldest_s = time.time() - self._status_s
+        old = tuple(
+            state.job.id
+            for state in jobs
+            if state.ended_at_s is not None
+            and max(state.ended_at_s, state.job.accepted_at_s) < oldest_s
+        )
+        if old:
+            self._ledger.submit(JOBS_KEY, ForgetJobs(old), FORGET_TIMEOUT_S)
+
+
+def _fits(worker: Worker, progress: ItemProgress | None) -> bool:
+    if progress is None or not progress.job.model:
+        return True
+    version = worker.version_of(progress.job.model)
+    return version is None or version >= progress.job.minimum_version
--- /dev/null
+++ b/src/bellweir/hosted/batches/progress.py
@@ -0,0 +1,104 @@
+"""What the coordinator knows of an item that is not listed yet."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from bellweir.hosted.batches.state import ItemResult, Job, JobItem
+from bellweir.hosted.event_stream import StreamEvent
+from bellweir.hosted.records import Route
+
+
+class Stage(Enum):
+    """What an item needs next."""
+
+    TEXT = "text"
+    """Its events, or the rest of them."""
+    SCORE = "score"
+    """Its text is whole and is to be scored."""
+    RESULT = "result"
+    """Its result waits to be committed."""
+
+
+class VersionTooOldError(ValueError):
+    """The worker's weights are older than the job allows."""
+
+
+class VersionMixedError(ValueError):
+    """The text would be of two versions, which the route does not allow."""
+
+
+class EventsMissingError(ValueError):
+    """The worker left out events."""
+
+
+@dataclass
+class ItemProgress:
+    """One item. Changed by one attempt at a time, and by the coordinator between attempts."""
+
+    job: Job
+    route: Route
+    item: JobItem
+    stage: Stage = Stage.TEXT
+    pieces: list[str] = field(default_factory=list)
+    last_event_id: int | None = None
+    versions: list[int] = field(default_factory=list)
+    """Versions that made events, in order of their first one."""
+    failures: int = 0
+    """Answers of 500 to the item's own request."""
+    score_failures: int = 0
+    attempts: int = 0
+    not_before_s: float = 0.0
+    """Monotonic time before which no attempt is made."""
+    result: ItemResult | None = None
+    is_committing: bool = False
+    """Whether the committer has the result."""
+
+    def add_event(self, event: StreamEvent, version: int | None) -> None:
+        """Append an event made by `version`; events that are known already are dropped.
+
+        Raises `EventsMissingError`, `VersionTooOldError` or `VersionMixedError`.
+        """
+        known = self.last_event_id
+        if event.event_id is not None and known is not None:
+            if event.event_id <= known:
+                return
+            if event.event_id > known + 1:
+                raise EventsMissingError(f"event {event.event_id} after {known}")
+        if version is not None:
+            self._add_version(version)
+        self.pieces.append(event.data.decode("utf-8", "surrogateescape"))
+        if event.event_id is not None:
+            self.last_event_id = event.event_id
+
+    def _add_version(self, version: int) -> None:
+        if version < self.job.minimum_version:
+            raise VersionTooOldError(f"version {version}, allowed {self.job.minimum_version}")
+        if version in self.versions:
+            return
+        if self.versions and self.route.single_version:
+            raise VersionMixedError(f"version {version} after {self.versions[-1]}")
+        self.versions.append(version)
+
+    def restart(self) -> None:
+        """Forget the text; the next attempt begins anew."""
+        self.pieces.clear()
+        self.versions.clear()
+        self.last_event_id = None
+
+    def text_is_whole(self) -> None:
+        """Note that the last event has come."""
+        self.stage = Stage.SCORE if self.item.scorer is not None else Stage.RESULT
+        if self.stage is Stage.RESULT:
+            self.finish("")
+
+    def finish(self, score: str) -> None:
+        """The result is whole."""
+        self.stage = Stage.RESULT
+        text = "\n".join(self.pieces)
+        self.result = ItemResult(self.item.id, True, text, tuple(sorted(self.versions)), score)
+
+    def give_up(self) -> None:
+        """The item can't be done."""
+        self.stage = Stage.RESULT
+        text = "\n".join(self.pieces)
+        self.result = ItemResult(self.item.id, False, text, tuple(sorted(self.versions)))
--- /dev/null
+++ b/src/bellweir/hosted/batches/state.py
@@ -0,0 +1,273 @@
+"""Batch jobs as the replicated log keeps them: items, results at fixed positions, ends.
+
+A job is accepted once, by its id. Its results get their positions in the order in which they are
+applied; an item's first result counts and nothing replaces it.
+"""
+
+from typing import Any
+
+import cbor2
+import msgspec
+
+from bellweir.ledger.interface import Command, Query, Reply, StateMachine
+
+JOBS_KEY = "batch-jobs"
+"""Ledger key of all jobs: they share a shard, so that one leader runs them in one order."""
+
+
+class Scorer(msgspec.Struct, frozen=True):
+    """The request that scores an item's text."""
+
+    id: str
+    host: str
+    path: str
+    body: bytes
+
+
+class JobItem(msgspec.Struct, frozen=True):
+    """One request of a job."""
+
+    id: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    tokens: int = 0
+    """Of the prompt and at most made, summed."""
+    group: str = ""
+    scorer: Scorer | None = None
+
+
+class Job(msgspec.Struct, frozen=True):
+    """A batch job as it was handed in."""
+
+    id: str
+    host: str
+    path_prefix: str
+    """Prefix of its route."""
+    items: tuple[JobItem, ...]
+    accepted_at_s: float
+    """Wall clock of the accepting node; seconds since 1970."""
+    model: str = ""
+    step: int | None = None
+    wanted_groups: int = 0
+    """Whole groups that the trainer waits for; 0: all."""
+    minimum_version: int = 0
+
+
+class ItemResult(msgspec.Struct, frozen=True):
+    """Result of one item."""
+
+    item_id: str
+    is_complete: bool
+    """Whether the text is whole; otherwise the item was given up."""
+    text: str = ""
+    versions: tuple[int, ...] = ()
+    score: str = ""
+
+
+class AcceptJob(Command, frozen=True):
+    """Keep a job; nothing happens when it is kept already."""
+
+    job: Job
+
+
+class RecordResults(Command, frozen=True):
+    """Append results to a job's list; of items that have none yet, while the job is open."""
+
+    job_id: str
+    results: tuple[ItemResult, ...]
+
+
+class EndJob(Command, frozen=True):
+    """End a job: what is listed stays, nothing more is run."""
+
+    job_id: str
+    at_s: float
+
+
+class ForgetJobs(Command, frozen=True):
+    """Drop ended jobs that need not be read any more."""
+
+    job_ids: tuple[str, ...]
+
+
+class JobAccepted(Reply, frozen=True):
+    """The job is kept."""
+
+    is_new: bool
+
+
+class ResultsRecorded(Reply, frozen=True):
+    """How many results were new."""
+
+    count: int
+
+
+class JobEnded(Reply, frozen=True):
+    """The job is ended; unknown jobs are not."""
+
+    is_known: bool
+
+
+class ReadResults(Query, frozen=True):
+    """Ask for the results from a position on."""
+
+    job_id: str
+    after: int
+    maximum_bytes: int
+
+
+class ReadItem(Query, frozen=True):
+    """Ask for the body of an item."""
+
+    job_id: str
+    item_id: str
+
+
+class ResultsPage(Reply, frozen=True):
+    """Results of a job; None total: no such job."""
+
+    total: int | None
+    results: tuple[ItemResult, ...] = ()
+
+
+class ItemBody(Reply, frozen=True):
+    """Body of an item; None when it is listed, or there is no such item or open job."""
+
+    body: bytes | None
+
+
+class JobState:
+    """One job and what has become of it."""
+
+    def __init__(self, job: Job) -> None:
+        self.job = job
+        self.results: list[ItemResult] = []
+        self.listed: set[str] = set()
+        self.ended_at_s: float | None = None
+        self.items = {item.id: item for item in job.items}
+
+    @property
+    def is_open(self) -> bool:
+        """Whether its items are to be run."""
+        return self.ended_at_s is None
+
+    def add(self, result: ItemResult) -> bool:
+        """Append a result; False when the item has one or is not of this job."""
+        if result.item_id in self.listed or result.item_id not in self.items:
+            return False
+        self.listed.add(result.item_id)
+        self.results.append(result)
+        return True
+
+
+class _SavedJob(msgspec.Struct, frozen=True):
+    job: Job
+    results: tuple[ItemResult, ...]
+    ended_at_s: float | None
+
+
+class BatchJobs(StateMachine):
+    """All batch jobs of a shard."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, JobState] = {}
+
+    def command_types(self) -> tuple[type[Command], ...]:
+        """Commands it applies."""
+        return (AcceptJob, RecordResults, EndJob, ForgetJobs)
+
+    def query_types(self) -> tuple[type[Query], ...]:
+        """Queries it answers."""
+        return (ReadResults, ReadItem)
+
+    def reply_types(self) -> tuple[type[Reply], ...]:
+        """What it may return."""
+        return (JobAccepted, ResultsRecorded, JobEnded, ResultsPage, ItemBody)
+
+    def apply(self, command: Command) -> Reply:
+        """Apply one command."""
+        match command:
+            case AcceptJob(job):
+                return self._accept(job)
+            case RecordResults(job_id, results):
+                return self._record(job_id, results)
+            case EndJob(job_id, at_s):
+                return self._end(job_id, at_s)
+            case ForgetJobs(job_ids):
+                for job_id in job_ids:
+                    self.jobs.pop(job_id, None)
+                return JobEnded(True)
+        raise TypeError(f"unknown command {type(command).__name__}")
+
+    def _accept(self, job: Job) -> Reply:
+        if job.id in self.jobs:
+            return JobAccepted(False)
+        self.jobs[job.id] = JobState(job)
+        return JobAccepted(True)
+
+    def _record(self, job_id: str, results: tuple[ItemResult, ...]) -> Reply:
+        state = self.jobs.get(job_id)
+        if state is None or not state.is_open:
+            return ResultsRecorded(0)
+        return ResultsRecorded(sum(state.add(result) for result in results))
+
+    def _end(self, job_id: str, at_s: float) -> Reply:
+        state = self.jobs.get(job_id)
+        if state is None:
+            return JobEnded(False)
+        if state.is_open:
+            state.ended_at_s = at_s
+        return JobEnded(True)
+
+    def answer(self, query: Query) -> Reply:
+        """Answer a query."""
+        match query:
+            case ReadResults(job_id, after, maximum_bytes):
+                return self._read_results(job_id, after, maximum_bytes)
+            case ReadItem(job_id, item_id):
+                return self._read_item(job_id, item_id)
+        raise TypeError(f"unknown query {type(query).__name__}")
+
+    def _read_results(self, job_id: str, after: int, maximum_bytes: int) -> Reply:
+        state = self.jobs.get(job_id)
+        if state is None:
+            return ResultsPage(None)
+        page: list[ItemResult] = []
+        size = 0
+        for result in state.results[after:]:
+            size += len(result.text) + RESULT_OVERHEAD_BYTES
+            if page and size > maximum_bytes:
+                break
+            page.append(result)
+        return ResultsPage(len(state.job.items), tuple(page))
+
+    def _read_item(self, job_id: str, item_id: str) -> Reply:
+        state = self.jobs.get(job_id)
+        item = state.items.get(item_id) if state else None
+        if state is None or item is None or not state.is_open or item_id in state.listed:
+            return ItemBody(None)
+        return ItemBody(item.body)
+
+    def save(self) -> bytes:
+        """The whole state."""
+        saved = [
+            _SavedJob(state.job, tuple(state.results), state.ended_at_s)
+            for state in self.jobs.values()
+        ]
+        return cbor2.dumps(msgspec.to_builtins(saved, builtin_types=(bytes,)))
+
+    def load(self, state: bytes) -> None:
+        """Replace the state by a saved one."""
+        plain: Any = cbor2.loads(state)
+        self.jobs = {}
+        for saved in msgspec.convert(plain, list[_SavedJob]):
+            job = JobState(saved.job)
+            for result in saved.results:
+                job.add(result)
+            job.ended_at_s = saved.ended_at_s
+            self.jobs[saved.job.id] = job
+
+
+RESULT_OVERHEAD_BYTES = 256
+"""Bytes of a listed result besides its text."""
--- /dev/null
+++ b/src/bellweir/hosted/log_events.py
@@ -0,0 +1,161 @@
+"""Log events of the hosted roles (BW1400 to BW1499)."""
+
+from bellweir.events.event import Event, Level
+
+PROCESS_STARTED = Event(
+    1400,
+    "process_started",
+    Level.INFO,
+    ("role", "zone", "start_ms"),
+    "The process serves; time from its first instruction.",
+)
+PROCESS_DRAINING = Event(
+    1401, "process_draining", Level.INFO, ("in_flight",), "SIGTERM came; no new clients are sent."
+)
+PROCESS_STOPPED = Event(
+    1402, "process_stopped", Level.INFO, ("seconds", "left_running"), "The process ends."
+)
+SETTINGS_RELOADED = Event(
+    1403, "settings_reloaded", Level.INFO, ("changed",), "SIGHUP came; keys whose values changed."
+)
+SETTINGS_REFUSED = Event(
+    1404,
+    "settings_refused",
+    Level.ERROR,
+    ("findings",),
+    "The settings file has faults; what was in force stays.",
+)
+SETTINGS_UNKNOWN = Event(
+    1405, "settings_unknown", Level.WARNING, ("keys",), "Keys that this version doesn't know."
+)
+STORE_LOST = Event(
+    1410,
+    "store_lost",
+    Level.WARNING,
+    ("kind", "error", "detail", "age_s"),
+    "The object store does not answer; views of this kind keep their last state.",
+)
+STORE_REGAINED = Event(
+    1411, "store_regained", Level.INFO, ("kind", "after_s"), "The object store answers again."
+)
+STORE_LISTED = Event(
+    1412, "store_listed", Level.INFO, ("kind", "revision", "count"), "All objects were read."
+)
+CONFIGURATION_IN_FORCE = Event(
+    1413,
+    "configuration_in_force",
+    Level.INFO,
+    ("version", "routes", "source"),
+    "A newer configuration routes requests from now on.",
+)
+CONFIGURATION_REFUSED = Event(
+    1414, "configuration_refused", Level.ERROR, ("error",), "A configuration can't be understood."
+)
+WORKER_CHANGED = Event(
+    1415,
+    "worker_changed",
+    Level.INFO,
+    ("instance", "service", "address", "state", "versions"),
+    "A worker's entry appeared, changed or went (state `gone`).",
+)
+REQUEST_ANSWERED = Event(
+    1420,
+    "request_answered",
+    Level.INFO,
+    ("request_id", "route", "configuration", "status", "instance", "attempts", "ms"),
+    "A client's request got a worker's answer.",
+)
+REQUEST_GIVEN_UP = Event(
+    1421,
+    "request_given_up",
+    Level.WARNING,
+    ("request_id", "route", "configuration", "status", "cause", "attempts", "ms"),
+    "A client's request got an answer of this service's own.",
+)
+ATTEMPT_FAILED = Event(
+    1422,
+    "attempt_failed",
+    Level.INFO,
+    ("request_id", "attempt", "instance", "address", "outcome", "detail", "ms"),
+    "An attempt at a worker brought no answer to pass on.",
+)
+STREAM_RESUMED = Event(
+    1423,
+    "stream_resumed",
+    Level.INFO,
+    ("request_id", "instance", "after_event"),
+    "A broken stream continues at another worker.",
+)
+CLIENT_LEFT = Event(
+    1424, "client_left", Level.INFO, ("request_id",), "The client closed; its work is cancelled."
+)
+LINES_LEFT_OUT = Event(
+    1425, "lines_left_out", Level.WARNING, ("counts",), "Log lines dropped lately, by event."
+)
+JOB_ACCEPTED = Event(
+    1430,
+    "job_accepted",
+    Level.INFO,
+    ("request_id", "items", "step", "model", "minimum_version", "ms"),
+    "A batch job is durable; it will be run.",
+)
+JOB_NOT_ACCEPTED = Event(
+    1431,
+    "job_not_accepted",
+    Level.WARNING,
+    ("request_id", "status", "cause"),
+    "A batch job was refused, or its acceptance is not known.",
+)
+JOB_ENDED = Event(
+    1432, "job_ended", Level.INFO, ("request_id", "listed", "items"), "A batch job was ended."
+)
+ITEM_STARTED = Event(
+    1433,
+    "item_started",
+    Level.INFO,
+    ("request_id", "job", "attempt", "instance", "version", "after_event"),
+    "An item of a batch job is sent to a worker.",
+)
+ITEM_BROKEN = Event(
+    1434,
+    "item_broken",
+    Level.INFO,
+    ("request_id", "job", "attempt", "instance", "cause", "events"),
+    "An item's run ended short; it is tried again.",
+)
+ITEM_LISTED = Event(
+    1435,
+    "item_listed",
+    Level.INFO,
+    ("request_id", "job", "state", "versions", "cause"),
+    "An item's result is committed at its position.",
+)
+COORDINATION_TAKEN = Event(
+    1436, "coordination_taken", Level.INFO, ("jobs",), "This node runs the open batch jobs now."
+)
+COORDINATION_LEFT = Event(
+    1437, "coordination_left", Level.INFO, ("running",), "Another node runs the batch jobs."
+)
+LEASE_TAKEN = Event(
+    1440, "lease_taken", Level.INFO, ("lease", "fence", "after"), "This node holds a lease."
+)
+LEASE_LOST = Event(1441, "lease_lost", Level.WARNING, ("lease", "cause"), "The lease is gone.")
+ORDER_SENT = Event(
+    1442,
+    "order_sent",
+    Level.INFO,
+    ("instance", "model", "version", "mode", "fence", "expected", "answer"),
+    "A worker was ordered to load a version.",
+)
+VERSION_NAMED = Event(
+    1443, "version_named", Level.INFO, ("model", "version"), "A trainer named a version."
+)
+VERSION_LOADED = Event(
+    1444, "version_loaded", Level.INFO, ("instance", "model", "version"), "A worker holds it."
+)
+RETIREMENT_STARTED = Event(
+    1450, "retirement_started", Level.INFO, ("machine",), "A store machine is being emptied."
+)
+RETIREMENT_COMPLETED = Event(
+    1451, "retirement_completed", Level.INFO, ("machine",), "It holds nothing any more."
+)
--- /dev/null
+++ b/src/bellweir/hosted/node_settings.py
@@ -0,0 +1,91 @@
+"""The settings of the packages that hosted and self-run nodes share, for a hosted process.
+
+Self-run nodes read these from a file of their own with pydantic, whose import a process that
+must be back at once cannot afford. The classes here have the same attributes.
+"""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING, cast
+
+from bellweir.hosted.settings import HostedSettings
+
+if TYPE_CHECKING:
+    from bellweir.settings.models import Settings
+
+
+@dataclass(frozen=True)
+class _Node:
+    name: str
+    zone: str
+    region: str
+    data_folder: Path | None
+
+
+@dataclass(frozen=True)
+class _Trust:
+    cluster_key_files: tuple[Path, ...] = ()
+
+
+@dataclass(frozen=True)
+class _NetworkFaults:
+    file: Path | None = None
+
+
+@dataclass(frozen=True)
+class _Membership:
+    seeds: tuple[str, ...]
+    probe_period_s: float = 0.6
+    probe_timeout_s: float = 0.25
+    indirect_probes: int = 2
+    suspicion_multiplier: float = 1.5
+    exchange_period_s: float = 5.0
+
+
+@dataclass(frozen=True)
+class _Ledger:
+    shards: int = 1
+    replicas: int = 3
+    heartbeat_s: float = 0.2
+    election_timeout_s: float = 0.8
+    snapshot_entries: int = 2_048
+    creation_wait_s: float = 6.0
+    replace_after_s: float = 3.0
+    segment_retention_s: float = 172_800.0
+
+
+@dataclass(frozen=True)
+class _Platform:
+    object_api: str | None
+
+
+@dataclass(frozen=True)
+class _Settings:
+    node: _Node
+    trust: _Trust
+    network_faults: _NetworkFaults
+    membership: _Membership
+    ledger: _Ledger
+    platform: _Platform
+
+
+def node_settings(settings: HostedSettings) -> "Settings":
+    """The shared packages' view of the settings."""
+    node = settings.node
+    folder = Path(node.data_folder) if node.data_folder is not None else None
+    made = _Settings(
+        _Node(node.name, node.zone, node.region, folder),
+        _Trust(),
+        _NetworkFaults(),
+        _Membership(seeds=seed_addresses(settings)),
+        _Ledger(),
+        _Platform(settings.store.address),
+    )
+    return cast("Settings", made)
+
+
+def seed_addresses(settings: HostedSettings) -> tuple[str, ...]:
+    """Peer addresses of the seeds: their IP numbers with the port that all machines share."""
+    hosts = dict.fromkeys(seed.rpartition(":")[0] for seed in settings.node.seeds)
+    own = settings.node.ip
+    return tuple(f"{host}:{settings.node.peer_port}" for host in hosts if host != own)
--- /dev/null
+++ b/src/bellweir/hosted/process.py
@@ -0,0 +1,174 @@
+"""Composition root of a hosted process: its role's services, its signals, its planned stop."""
+
+import importlib
+import os
+import signal
+import sys
+import threading
+import time
+from collections.abc import Callable
+from pathlib import Path
+from types import FrameType
+
+from bellweir.events.log import bind_node, configure_logs, emit
+from bellweir.hosted.interface import HostingPlatform
+from bellweir.hosted.log_events import (
+    PROCESS_STARTED,
+    PROCESS_STOPPED,
+    SETTINGS_REFUSED,
+    SETTINGS_RELOADED,
+    SETTINGS_UNKNOWN,
+)
+from bellweir.hosted.node_settings import node_settings
+from bellweir.hosted.peer_records import PeerRecords
+from bellweir.hosted.placement_objects import PlacementService
+from bellweir.hosted.settings import (
+    GATEWAY_ROLE,
+    HostedSettings,
+    LoadedSettings,
+    load_settings,
+)
+from bellweir.hosted.views.service import ViewsService
+from bellweir.kernel import names
+from bellweir.kernel.listeners import Listeners, bind_peer_pair, bind_stream
+from bellweir.kernel.node import Kernel
+from bellweir.kernel.service import Service
+from bellweir.ledger.service import LedgerService
+from bellweir.membership.service import MembershipService
+from bellweir.settings.findings import SettingsError
+from bellweir.wire.service import TransportService
+
+SETTINGS_VARIABLE = "BELLWEIR_CONFIG"
+ADAPTER_MODULE = "bellweir_platform.adapter"
+EXIT_USAGE = 2
+EXIT_MARGIN_S = 0.7
+"""Time kept at the end of the grace period for the rest of the stop."""
+
+
+RoleService = Callable[[Kernel, HostedSettings, HostingPlatform], Service]
+
+
+class HostedProcess:
+    """One running process of a role."""
+
+    def __init__(self, loaded: LoadedSettings, path: Path, platform: HostingPlatform) -> None:
+        self._loaded = loaded
+        self._path = path
+        settings = loaded.settings
+        self._settings = settings
+        self._stop_asked = threading.Event()
+        self._reload_asked = threading.Event()
+        self._wake = threading.Event()
+        self.kernel = Kernel(_bind(settings))
+        self._register(settings, platform)
+
+    def _register(self, settings: HostedSettings, platform: HostingPlatform) -> None:
+        kernel = self.kernel
+        shared = node_settings(settings)
+        add = kernel.registry.register
+        add(TransportService(kernel, shared))
+        add(MembershipService(kernel, shared))
+        add(PlacementService(platform.store))
+        add(LedgerService(kernel, shared))
+        add(ViewsService(kernel, platform.store))
+        add(PeerRecords(kernel, platform.store))
+        for make in _role_services(settings.node.role):
+            add(make(kernel, settings, platform))
+
+    def run(self, began_s: float) -> None:
+        """Start, serve until SIGTERM, and stop within the grace period."""
+        signal.signal(signal.SIGTERM, self._on_stop)
+        signal.signal(signal.SIGINT, self._on_stop)
+        signal.signal(signal.SIGHUP, self._on_reload)
+        self.kernel.registry.start()
+        node = self._settings.node
+        start_ms = round(1000 * (time.monotonic() - began_s))
+        emit(PROCESS_STARTED, role=node.role, zone=node.zone, start_ms=start_ms)
+        while not self._stop_asked.is_set():
+            self._wake.wait(1.0)
+            self._wake.clear()
+            if self._reload_asked.is_set():
+                self._reload_asked.clear()
+                self._reload()
+        self._stop()
+
+    def _on_stop(self, _number: int, _frame: FrameType | None) -> None:
+        self._stop_asked.set()
+        self._wake.set()
+
+    def _on_reload(self, _number: int, _frame: FrameType | None) -> None:
+        self._reload_asked.set()
+        self._wake.set()
+
+    def _reload(self) -> None:
+        """Check the changed settings; what they hold now counts from the next start on."""
+        try:
+            loaded = load_settings(self._path)
+        except SettingsError as failure:
+            emit(SETTINGS_REFUSED, findings=[str(each) for each in failure.findings])
+            return
+        changed = _changed_parts(self._loaded.settings, loaded.settings)
+        self._loaded = loaded
+        emit(SETTINGS_RELOADED, changed=changed)
+
+    def _stop(self) -> None:
+        began_s = time.monotonic()
+        registry = self.kernel.registry
+        registry.find(names.MEMBERSHIP, MembershipService).announce_leaving()
+        registry.drain(max(0.5, self._settings.bounds.grace_period_s - EXIT_MARGIN_S))
+        try:
+            registry.stop()
+        finally:
+            emit(PROCESS_STOPPED, seconds=round(time.monotonic() - began_s, 3), left_running=0)
+            sys.stdout.flush()
+            # Tasks that wait in the store or for a worker hold nothing that must be saved.
+            os._exit(0)
+
+
+def _role_services(role: str) -> tuple[RoleService, ...]:
+    """Constructors of a role's own services; a role imports only what it needs."""
+    if role == GATEWAY_ROLE:
+        from bellweir.hosted.serving.service import FrontService
+
+        return (FrontService,)
+    from bellweir.hosted.batches.service import BatchService
+    from bellweir.hosted.weights.service import RolloutService
+
+    return (BatchService, RolloutService)
+
+
+def _bind(settings: HostedSettings) -> Listeners:
+    node = settings.node
+    stream, datagram = bind_peer_pair(node.ip, node.peer_port)
+    requests = settings.listen.requests
+    gateway = None
+    if requests is not None:
+        host, _, port = requests.rpartition(":")
+        gateway = bind_stream(host, int(port))
+    return Listeners(stream, datagram, gateway)
+
+
+def _changed_parts(before: HostedSettings, after: HostedSettings) -> list[str]:
+    return [
+        name
+        for name in HostedSettings.__struct_fields__
+        if getattr(before, name) != getattr(after, name)
+    ]
+
+
+def main() -> None:
+    """Run the process whose settings file the environment names."""
+    began_s = time.monotonic()
+    configure_logs("info", "json", sys.stdout)
+    path = Path(os.environ.get(SETTINGS_VARIABLE, "/etc/bellweir/settings.json"))
+    try:
+        loaded = load_settings(path)
+    except SettingsError as failure:
+        emit(SETTINGS_REFUSED, findings=[str(each) for each in failure.findings])
+        sys.exit(EXIT_USAGE)
+    bind_node(loaded.settings.node.name)
+    if loaded.unknown_keys:
+        emit(SETTINGS_UNKNOWN, keys=list(loaded.unknown_keys))
+    make_platform = importlib.import_module(ADAPTER_MODULE).make_platform
+    platform = make_platform(loaded.settings.store.address)
+    HostedProcess(loaded, path, platform).run(began_s)
--- /dev/null
+++ b/src/bellweir/hosted/serving/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway role: directory, routing and forwarding of requests."""
--- /dev/null
+++ b/src/bellweir/hosted/serving/application.py
@@ -0,0 +1,132 @@
+"""WSGI applications of the gateway's interfaces: requests, directory, readiness, metrics."""
+
+from collections.abc import Callable, Iterable, Iterator
+
+from waitress.channel import ClientDisconnected
+
+from bellweir.events.log import emit
+from bellweir.hosted.batches.api import BatchApi
+from bellweir.hosted.interface import HeaderNames
+from bellweir.hosted.log_events import REQUEST_GIVEN_UP
+from bellweir.hosted.records import RouteKind
+from bellweir.hosted.serving.client_request import read_client_request
+from bellweir.hosted.serving.forwarding import Forwarder, own_response
+from bellweir.hosted.serving.streams import StreamForwarder
+from bellweir.hosted.views.configuration import ConfigurationView
+from bellweir.http_server.body_pipe import BodyCutError
+from bellweir.http_server.http import BadRequestError, Caller, Environ, Request, Response
+from bellweir.http_server.task import ABORT_CONNECTION
+
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+Handler = Callable[[Request], Response]
+
+NO_CONFIGURATION_RETRY_AFTER_S = 0.5
+
+
+class SimpleApplication:
+    """Serves one interface whose answers are short."""
+
+    def __init__(self, handler: Handler) -> None:
+        self._handler = handler
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        """Serve one request."""
+        response = self._handler(Request(environ, "", Caller(environ["REMOTE_ADDR"])))
+        response.headers.append(("Content-Length", str(len(response.body))))
+        start_response(response.status_line, response.headers)
+        return [response.body]
+
+
+class RequestApplication:
+    """Serves clients' requests, and the calls about batch jobs."""
+
+    def __init__(
+        self,
+        names: HeaderNames,
+        configuration: ConfigurationView,
+        forwarder: Forwarder,
+        streams: StreamForwarder,
+        batches: BatchApi,
+    ) -> None:
+        self._names = names
+        self._configuration = configuration
+        self._forwarder = forwarder
+        self._streams = streams
+        self._batches = batches
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        """Serve one request."""
+        request_id = environ.get("HTTP_" + self._names.request_id.upper().replace("-", "_"), "")
+        request = Request(environ, request_id, Caller(environ["REMOTE_ADDR"]))
+        try:
+            response = self._respond(request)
+        except BadRequestError as failure:
+            response = self._refuse(request, 400, str(failure))
+        except BodyCutError as failure:
+            response = self._refuse(request, failure.status, str(failure))
+        except Exception as failure:
+            response = self._refuse(request, 500, repr(failure))
+        if request_id and not _has(response, self._names.request_id):
+            response.headers.append((self._names.request_id, request_id))
+        if response.chunks is not None:
+            start_response(response.status_line, response.headers)
+            return _CutOnFailure(response.chunks, environ)
+        if not _has(response, "Content-Length"):
+            response.headers.append(("Content-Length", str(len(response.body))))
+        start_response(response.status_line, response.headers)
+        return [] if request.method == "HEAD" else [response.body]
+
+    def _respond(self, request: Request) -> Response:
+        if self._batches.is_call(request):
+            return self._batches.serve_call(request)
+        table = self._configuration.table()
+        if table is None:
+            return own_response(503, "no_configuration", NO_CONFIGURATION_RETRY_AFTER_S)
+        route = table.find(request.header("Host") or "", request.raw_path)
+        if route is None:
+            return self._refuse(request, 404, "no_route")
+        if route.takes_jobs:
+            return self._batches.accept(request, route)
+        client = read_client_request(request, route, self._names)
+        if route.kind is RouteKind.STREAMING:
+            return self._streams.forward(client, table)
+        return self._forwarder.forward(client, table)
+
+    def _refuse(self, request: Request, status: int, cause: str) -> Response:
+        table = self._configuration.table()
+        emit(
+            REQUEST_GIVEN_UP,
+            request_id=request.request_id,
+            route=request.raw_path[:80],
+            configuration=table.version if table else None,
+            status=status,
+            cause=cause[:200],
+            attempts=0,
+            ms=0,
+        )
+        return own_response(status, "refused" if status < 500 else "internal_error")
+
+
+class _CutOnFailure:
+    """The pieces of an answer; a failure ends the connection short, so that it shows."""
+
+    def __init__(self, chunks: Iterable[bytes], environ: Environ) -> None:
+        self._chunks = chunks
+        self._environ = environ
+
+    def __iter__(self) -> Iterator[bytes]:
+        try:
+            yield from self._chunks
+        except Exception as failure:
+            self._environ[ABORT_CONNECTION]()
+            raise ClientDisconnected from failure
+
+    def close(self) -> None:
+        """Release what the pieces hold."""
+        close = getattr(self._chunks, "close", None)
+        if close is not None:
+            close()
+
+
+def _has(response: Response, name: str) -> bool:
+    return any(each.lower() == name.lower() for each, _ in response.headers)
--- /dev/null
+++ b/src/bellweir/hosted/serving/client_request.py
@@ -0,0 +1,133 @@
+"""A client's request as the gateway forwards it."""
+
+import io
+import time
+from dataclasses import dataclass
+from typing import BinaryIO
+
+from bellweir.hosted.interface import HeaderNames
+from bellweir.hosted.records import Route
+from bellweir.hosted.serving.attempt import Headers, WorkerCall, without_hop_by_hop
+from bellweir.http_server.body_pipe import BodyPipe
+from bellweir.http_server.http import BadRequestError, Request
+
+REPLAY_BYTES = 256 * 1024
+"""Longest body that is kept, so that it can be sent again."""
+MS_PER_S = 1000
+SET_BY_GATEWAY = frozenset({"host", "expect"})
+
+
+class PrefixedBody(io.RawIOBase):
+    """A body whose beginning has been read already and whose rest still comes."""
+
+    def __init__(self, beginning: bytes, rest: BodyPipe) -> None:
+        self._beginning = beginning
+        self._rest = rest
+
+    def readable(self) -> bool:
+        """Tell that it can be read."""
+        return True
+
+    def read(self, size: int = -1) -> bytes:
+        """Read a block; raises `BodyCutError` when the client does not send the rest."""
+        if self._beginning:
+            size = len(self._beginning) if size < 0 else size
+            block, self._beginning = self._beginning[:size], self._beginning[size:]
+            return block
+        return self._rest.read(size)
+
+
+@dataclass
+class ClientRequest:
+    """One request of a client under a route, with its deadlines on the monotonic clock."""
+
+    request: Request
+    route: Route
+    request_id: str
+    arrived_s: float
+    deadline_s: float
+    """When the client stops waiting."""
+    give_up_s: float
+    """When the client must have an answer: its deadline or the route's time-out."""
+    body: bytes | BinaryIO | None
+    headers: Headers
+
+    @property
+    def may_be_sent_again(self) -> bool:
+        """Whether the body can be sent more than once."""
+        return self.body is None or isinstance(self.body, bytes)
+
+    def left_s(self) -> float:
+        """Seconds until the client must have an answer."""
+        return self.give_up_s - time.monotonic()
+
+    def call(self) -> WorkerCall:
+        """What is sent to a worker."""
+        request = self.request
+        path = request.raw_path
+        if request.raw_query:
+            path += f"?{request.raw_query}"
+        host = request.header("Host") or self.route.host
+        return WorkerCall(request.method, path, host, self.request_id, self.headers, self.body)
+
+
+def read_client_request(request: Request, route: Route, names: HeaderNames) -> ClientRequest:
+    """Read a request's deadline, headers and body. Raises `BadRequestError`, `BodyCutError`."""
+    arrived_s = time.monotonic()
+    request_id = request.header(names.request_id)
+    if not request_id:
+        raise BadRequestError(f"{names.request_id} is missing")
+    deadline_ms = request.header(names.deadline_ms)
+    left_s = _parse_ms(deadline_ms, names.deadline_ms) / MS_PER_S if deadline_ms else float("inf")
+    timeout_s = route.timeout_ms / MS_PER_S
+    body, length = _read_body(request)
+    headers = _forwarded_headers(request)
+    if length is not None and not isinstance(body, bytes):
+        headers.append(("Content-Length", str(length)))
+    return ClientRequest(
+        request=request,
+        route=route,
+        request_id=request_id,
+        arrived_s=arrived_s,
+        deadline_s=arrived_s + min(left_s, timeout_s),
+        give_up_s=arrived_s + min(left_s, timeout_s),
+        body=body,
+        headers=headers,
+    )
+
+
+def _parse_ms(text: str, name: str) -> float:
+    try:
+        number = float(text)
+    except ValueError:
+        number = -1.0
+    if not 0 <= number < float("inf"):
+        raise BadRequestError(f"{name}: found {text[:40]!r}, allowed a number from 0")
+    return number
+
+
+def _read_body(request: Request) -> tuple[bytes | BinaryIO | None, int | None]:
+    """The body, whole when it is short, and its declared length."""
+    source = request.body
+    if not isinstance(source, BodyPipe):
+        data = source.read()
+        declares_body = bool(request.environ.get("CONTENT_LENGTH"))
+        return (data if data or declares_body else None), len(data)
+    pieces: list[bytes] = []
+    size = 0
+    while size <= REPLAY_BYTES:
+        piece = source.read(REPLAY_BYTES)
+        if not piece:
+            return b"".join(pieces), size
+        pieces.append(piece)
+        size += len(piece)
+    return PrefixedBody(b"".join(pieces), source), request.body_length  # type: ignore[return-value]
+
+
+def _forwarded_headers(request: Request) -> Headers:
+    found = request.headers(frozenset())
+    named = request.header("Connection")
+    if named:
+        found.append(("Connection", named))
+    kept = without_hop_by_hop(found)
+    return [(name, value) for name, value in kept if name.lower() not in SET_BY_GATEWAY]
--- /dev/null
+++ b/src/bellweir/hosted/serving/forwarding.py
@@ -0,0 +1,252 @@
+"""Forwards a request to workers until one answers it, and tells the client the truth if none does.
+
+A request of an idempotent route may be tried at several workers, also when an attempt's outcome
+is unknown. Any other request is tried again only after an attempt that surely has not run it.
+Statuses of this service's own: 503 only for a request that has not run, with the time after which
+to come back; 504 and 502 for one that may have run.
+"""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bellweir.events.log import emit
+from bellweir.hosted.log_events import ATTEMPT_FAILED, REQUEST_ANSWERED, REQUEST_GIVEN_UP
+from bellweir.hosted.records import RouteKind
+from bellweir.hosted.serving.attempt import (
+    AttemptOutcome,
+    AttemptState,
+    Cancellation,
+    WholeAnswer,
+    WorkerConnections,
+)
+from bellweir.hosted.serving.client_request import MS_PER_S, ClientRequest
+from bellweir.hosted.serving.metrics import RequestMetrics
+from bellweir.hosted.serving.selection import WeightedParts, WorkerLoads
+from bellweir.hosted.views.configuration import RouteTable
+from bellweir.hosted.views.workers import Worker, WorkersView
+from bellweir.http_server.caller_watch import CallerWatch
+from bellweir.http_server.http import Response
+
+PATIENCE_OF_TARGET = 0.6
+"""Share of a route's target time after which an idempotent attempt is given up for another."""
+PATIENCE_OF_MEAN = 4.0
+"""An attempt gets at least this many times the worker's usual time."""
+RETRY_AFTER_FULL_S = 0.2
+RETRY_AFTER_NO_WORKER_S = 0.5
+MAXIMUM_SENDS = 8
+"""Sends of one request, those that surely did not run included."""
+SERVER_ERROR = 500
+
+
+@dataclass
+class Progress:
+    """Attempts of one request so far."""
+
+    ran_at: set[str] = field(default_factory=set)
+    """Instances that may have run it; they count for the route's `max_attempts`."""
+    tried: set[str] = field(default_factory=set)
+    sends: int = 0
+    failure: WholeAnswer | None = None
+    """The newest failure that a worker itself has answered."""
+    may_have_run: bool = False
+    cause: str = "no_worker"
+
+
+class Forwarder:
+    """Serves the requests of routes that neither stream nor take batch jobs."""
+
+    def __init__(
+        self,
+        workers: WorkersView,
+        loads: WorkerLoads,
+        connections: WorkerConnections,
+        caller_watch: CallerWatch,
+        metrics: RequestMetrics,
+        now_s: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._workers = workers
+        self._loads = loads
+        self._connections = connections
+        self._caller_watch = caller_watch
+        self._metrics = metrics
+        self._parts = WeightedParts()
+        self._now_s = now_s
+
+    def forward(self, client: ClientRequest, table: RouteTable) -> Response:
+        """Serve one request."""
+        cancellation = Cancellation()
+        watched = self._caller_watch.begin(client.request, cancellation.cancel)
+        try:
+            response, progress = self._try_workers(client, table, cancellation)
+        finally:
+            self._caller_watch.end(watched)
+        self._account(client, table, response, progress)
+        return response
+
+    def candidates(self, client: ClientRequest, table: RouteTable) -> list[list[Worker]]:
+        """Ready workers of each service of the route, in the order in which to try services."""
+        route = client.route
+        parts = tuple((part.service, part.weight) for part in route.parts)
+        key = (table.version, route.host, route.path_prefix)
+        return [self._workers.ready(service) for service in self._parts.order(parts, key)]
+
+    def _try_workers(
+        self, client: ClientRequest, table: RouteTable, cancellation: Cancellation
+    ) -> tuple[Response, Progress]:
+        progress = Progress()
+        groups = self.candidates(client, table)
+        while not cancellation.cancelled.is_set():
+            worker = self._next_worker(client, groups, progress)
+            if worker is None:
+                break
+            outcome = self._attempt(client, worker, progress, cancellation)
+            answer = outcome.answer
+            if outcome.state is AttemptState.ANSWERED and answer is not None:
+                if answer.status < SERVER_ERROR or not self._may_repeat(client):
+                    return _passed_on(answer), progress
+                progress.failure = answer
+        if progress.failure is not None:
+            return _passed_on(progress.failure), progress
+        return self._own_answer(client, progress), progress
+
+    def _next_worker(
+        self, client: ClientRequest, groups: list[list[Worker]], progress: Progress
+    ) -> Worker | None:
+        """Take a place at the next worker; None when there is none or the request must end."""
+        if client.left_s() <= 0:
+            progress.cause = "timeout"
+            return None
+        if progress.sends >= MAXIMUM_SENDS:
+            return None
+        if progress.sends and not client.may_be_sent_again:
+            return None
+        if len(progress.ran_at) >= max(1, client.route.max_attempts):
+            return None
+        if progress.may_have_run and not self._may_repeat(client):
+            return None
+        for workers in groups:
+            worker = self._loads.choose(workers, progress.tried)
+            if worker is not None:
+                return worker
+        return None
+
+    def _may_repeat(self, client: ClientRequest) -> bool:
+        return client.route.kind is RouteKind.IDEMPOTENT
+
+    def _attempt(
+        self,
+        client: ClientRequest,
+        worker: Worker,
+        progress: Progress,
+        cancellation: Cancellation,
+    ) -> AttemptOutcome:
+        instance = worker.instance
+        progress.tried.add(instance)
+        progress.sends += 1
+        began_s = self._now_s()
+        left_s = client.left_s()
+        timeout_s = self._patience_s(client, worker, progress, left_s)
+        try:
+            outcome = self._connections.call(
+                worker, client.call(), timeout_s, left_s * MS_PER_S, cancellation
+            )
+        except BaseException:
+            self._loads.released(instance)
+            progress.may_have_run = True
+            raise
+        seconds = self._now_s() - began_s
+        self._note(client, worker, outcome, progress, seconds)
+        return outcome
+
+    def _patience_s(
+        self, client: ClientRequest, worker: Worker, progress: Progress, left_s: float
+    ) -> float:
+        """Time for an attempt; all that is left when there is no other to be made."""
+        attempts_left = client.route.max_attempts - len(progress.ran_at)
+        if not self._may_repeat(client) or attempts_left <= 1 or not client.may_be_sent_again:
+            return left_s
+        target_s = client.route.target_ms / MS_PER_S
+        usual_s = PATIENCE_OF_MEAN * self._loads.mean_s(worker.instance)
+        return min(left_s, max(PATIENCE_OF_TARGET * target_s, usual_s))
+
+    def _note(
+        self,
+        client: ClientRequest,
+        worker: Worker,
+        outcome: AttemptOutcome,
+        progress: Progress,
+        seconds: float,
+    ) -> None:
+        instance = worker.instance
+        self._metrics.attempt_ended(worker.entry.service, outcome.state.value, seconds)
+        if outcome.state is AttemptState.ANSWERED:
+            progress.ran_at.add(instance)
+            progress.may_have_run = True
+            answer = outcome.answer
+            if answer is not None and answer.status >= SERVER_ERROR:
+                self._loads.refused(instance)
+                progress.cause = "worker_failed"
+            else:
+                self._loads.answered(instance, seconds)
+                return
+        elif outcome.state is AttemptState.UNKNOWN:
+            progress.ran_at.add(instance)
+            progress.may_have_run = True
+            progress.cause = "no_answer"
+            self._loads.failed(instance)
+        elif outcome.state is AttemptState.REFUSED:
+            progress.cause = "workers_full"
+            self._loads.refused(instance)
+        else:
+            progress.cause = "not_reached"
+            self._loads.failed(instance)
+        emit(
+            ATTEMPT_FAILED,
+            request_id=client.request_id,
+            attempt=progress.sends,
+            instance=instance,
+            address=worker.address,
+            outcome=outcome.state.value,
+            detail=outcome.detail[:160],
+            ms=round(1000 * seconds),
+        )
+
+    def _own_answer(self, client: ClientRequest, progress: Progress) -> Response:
+        if not progress.may_have_run:
+            full = progress.cause == "workers_full"
+            after_s = RETRY_AFTER_FULL_S if full else RETRY_AFTER_NO_WORKER_S
+            return own_response(503, progress.cause, after_s)
+        return own_response(504 if client.left_s() <= 0 else 502, progress.cause)
+
+    def _account(
+        self, client: ClientRequest, table: RouteTable, response: Response, progress: Progress
+    ) -> None:
+        seconds = self._now_s() - client.arrived_s
+        route = client.route.name or client.route.path_prefix
+        self._metrics.request_ended(route, response.status, seconds)
+        answered = response.status < SERVER_ERROR or progress.failure is not None
+        fields = {
+            "request_id": client.request_id,
+            "route": route,
+            "configuration": table.version,
+            "status": response.status,
+            "attempts": progress.sends,
+            "ms": round(1000 * seconds),
+        }
+        if answered:
+            emit(REQUEST_ANSWERED, instance=sorted(progress.ran_at), **fields)
+        else:
+            emit(REQUEST_GIVEN_UP, cause=progress.cause, **fields)
+
+
+def own_response(status: int, cause: str, retry_after_s: float | None = None) -> Response:
+    """An answer of this service's own."""
+    headers = [("Content-Type", "application/json")]
+    if retry_after_s is not None:
+        headers.append(("Retry-After", f"{retry_after_s:g}"))
+    return Response(status, headers, b'{"error":"%s"}' % cause.encode())
+
+
+def _passed_on(answer: WholeAnswer) -> Response:
+    return Response(answer.status, list(answer.headers), answer.body)
--- /dev/null
+++ b/src/bellweir/hosted/serving/metrics.py
@@ -0,0 +1,46 @@
+"""Counters, gauges and latency histograms of one process, in Prometheus text form."""
+
+from collections.abc import Callable
+
+from prometheus_client import CollectorRegistry, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
+"""Upper bounds of the histograms' buckets, in seconds."""
+
+
+class RequestMetrics:
+    """Figures of one process. Safe for threads."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._requests = Histogram(
+            "bellweir_request_duration_seconds",
+            "Time to the answer of a client's request, by route and status.",
+            ("route", "status"),
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._attempts = Histogram(
+            "bellweir_attempt_duration_seconds",
+            "Time of an attempt at a worker, by service and outcome.",
+            ("service", "outcome"),
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+
+    def request_ended(self, route: str, status: int, seconds: float) -> None:
+        """Count a client's request."""
+        self._requests.labels(route, str(status)).observe(seconds)
+
+    def attempt_ended(self, service: str, outcome: str, seconds: float) -> None:
+        """Count an attempt at a worker."""
+        self._attempts.labels(service, outcome).observe(seconds)
+
+    def add_gauge(self, name: str, meaning: str, read: Callable[[], float]) -> None:
+        """Add a gauge, read when the figures are asked for."""
+        Gauge(name, meaning, registry=self._registry).set_function(read)
+
+    def render(self) -> bytes:
+        """All figures as text."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/src/bellweir/hosted/serving/selection.py
@@ -0,0 +1,167 @@
+"""Chooses the worker for an attempt from what this process has seen of each.
+
+Loads are this process's own requests in hand; a worker that refused or failed lately is passed
+over for a while, as long as there is another one.
+"""
+
+import random
+import threading
+import time
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass
+
+from bellweir.hosted.views.workers import Worker
+
+REFUSAL_PENALTY_S = 0.15
+"""Time for which a worker that said it is full is passed over."""
+FAILURE_PENALTY_S = 0.5
+"""The same for one that gave no usable answer; doubled with each failure in a row."""
+LONGEST_PENALTY_S = 4.0
+SMOOTHING = 0.2
+"""Weight of the newest answer's time in the mean."""
+
+
+@dataclass
+class Load:
+    """What this process knows of one worker."""
+
+    in_hand: int = 0
+    failures: int = 0
+    """Failures in a row."""
+    avoided_until_s: float = 0.0
+    mean_s: float = 0.0
+    """Smoothed time of its answers; 0 before the first."""
+
+
+class WorkerLoads:
+    """Loads by instance. Safe for threads."""
+
+    def __init__(self, own_zone: str) -> None:
+        self._own_zone = own_zone
+        self._lock = threading.Lock()
+        self._loads: dict[str, Load] = {}
+
+    def choose(self, workers: Iterable[Worker], tried: Collection[str]) -> Worker | None:
+        """Take a place at the best worker not tried yet; release it with `finished`."""
+        now_s = time.monotonic()
+        with self._lock:
+            candidates = [worker for worker in workers if worker.instance not in tried]
+            if not candidates:
+                return None
+            chosen = min(candidates, key=lambda worker: self._rank(worker, now_s))
+            self._load(chosen.instance).in_hand += 1
+            return chosen
+
+    def take(self, worker: Worker) -> None:
+        """Take a place at a given worker."""
+        with self._lock:
+            self._load(worker.instance).in_hand += 1
+
+    def in_hand(self, instance: str) -> int:
+        """Requests of this process at a worker."""
+        with self._lock:
+            return self._load(instance).in_hand
+
+    def is_avoided(self, instance: str) -> bool:
+        """Whether a worker refused or failed lately."""
+        with self._lock:
+            return self._load(instance).avoided_until_s > time.monotonic()
+
+    def answered(self, instance: str, seconds: float) -> None:
+        """Release a place after a usable answer that took `seconds`."""
+        with self._lock:
+            load = self._load(instance)
+            load.in_hand -= 1
+            load.failures = 0
+            first = load.mean_s == 0.0
+            load.mean_s = seconds if first else load.mean_s + SMOOTHING * (seconds - load.mean_s)
+
+    def refused(self, instance: str) -> None:
+        """Release a place after a worker said that it did not run the request."""
+        self._released(instance, REFUSAL_PENALTY_S, failed=False)
+
+    def failed(self, instance: str) -> None:
+        """Release a place after no usable answer."""
+        self._released(instance, FAILURE_PENALTY_S, failed=True)
+
+    def released(self, instance: str) -> None:
+        """Release a place without a verdict on the worker."""
+        with self._lock:
+            self._load(instance).in_hand -= 1
+
+    def mean_s(self, instance: str) -> float:
+        """Smoothed time of a worker's answers."""
+        with self._lock:
+            return self._load(instance).mean_s
+
+    def forget_others(self, instances: Collection[str]) -> None:
+        """Drop what is known of workers that are gone and hold nothing of ours."""
+        with self._lock:
+            gone = [
+                name
+                for name, load in self._loads.items()
+                if name not in instances and load.in_hand <= 0
+            ]
+            for name in gone:
+                del self._loads[name]
+
+    def _released(self, instance: str, penalty_s: float, *, failed: bool) -> None:
+        with self._lock:
+            load = self._load(instance)
+            load.in_hand -= 1
+            if failed:
+                penalty_s = min(LONGEST_PENALTY_S, penalty_s * 2**load.failures)
+                load.failures += 1
+            load.avoided_until_s = time.monotonic() + penalty_s
+
+    def _load(self, instance: str) -> Load:
+        return self._loads.setdefault(instance, Load())
+
+    def _rank(self, worker: Worker, now_s: float) -> tuple[bool, float, bool, float]:
+        load = self._load(worker.instance)
+        avoided = load.avoided_until_s > now_s
+        slots = max(1, worker.entry.slots)
+        expected_s = (load.in_hand + 1) / slots * max(load.mean_s, 0.001)
+        other_zone = worker.entry.zone != self._own_zone
+        return avoided, round(expected_s, 2), other_zone, random.random()
+
+
+class WeightedParts:
+    """Shares requests of a route among its services by weight, evenly over short times.
+
+    Smooth weighted round robin: each service's credit grows by its weight with each request, and
+    the one with most credit is chosen and pays the sum of all weights.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._credits: dict[tuple[object, ...], dict[str, float]] = {}
+
+    def order(self, parts: tuple[tuple[str, float], ...], key: tuple[object, ...]) -> list[str]:
+        """The services of a route in the order in which to try them for one request.
+
+        `key` names the route and its configuration; parts without weight get no request while
+        another one has a worker.
+        """
+        if len(parts) == 1:
+            return [parts[0][0]]
+        with self._lock:
+            if len(self._credits) > MAXIMUM_ROUTES:
+                self._credits.clear()
+            credits = self._credits.setdefault(key, _random_start(parts))
+            for service, weight in parts:
+                credits[service] = credits.get(service, 0.0) + weight
+            weighted = [service for service, weight in parts if weight > 0]
+            chosen = max(weighted or [parts[0][0]], key=lambda service: credits[service])
+            credits[chosen] -= sum(weight for _, weight in parts)
+        others = sorted((part for part in parts if part[0] != chosen), key=lambda part: -part[1])
+        return [chosen, *(service for service, weight in others if weight > 0)]
+
+
+MAXIMUM_ROUTES = 4_096
+
+
+def _random_start(parts: tuple[tuple[str, float], ...]) -> dict[str, float]:
+    """Different credits in each process, so that all together share evenly from the start."""
+    total = sum(weight for _, weight in parts)
+    return {service: random.uniform(0.0, total) for service, _ in parts}
--- /dev/null
+++ b/src/bellweir/hosted/serving/service.py
@@ -0,0 +1,172 @@
+"""Service `front`: the gateway's listeners, its planned stop and its figures."""
+
+import threading
+import time
+from concurrent.futures import Future
+from typing import Any
+
+from bellweir.events.log import emit
+from bellweir.hosted.batches.api import BatchApi
+from bellweir.hosted.batches.state import BatchJobs
+from bellweir.hosted.interface import HostingPlatform
+from bellweir.hosted.log_events import PROCESS_DRAINING
+from bellweir.hosted.serving.application import RequestApplication, SimpleApplication
+from bellweir.hosted.serving.attempt import WorkerConnections
+from bellweir.hosted.serving.directory import TTL_S, Directory
+from bellweir.hosted.serving.forwarding import Forwarder
+from bellweir.hosted.serving.metrics import RequestMetrics
+from bellweir.hosted.serving.selection import WorkerLoads
+from bellweir.hosted.serving.streams import StreamForwarder
+from bellweir.hosted.settings import HostedSettings
+from bellweir.hosted.views.configuration import RouteTable
+from bellweir.hosted.views.service import ViewsService
+from bellweir.http_server.caller_watch import CallerWatch
+from bellweir.http_server.http import Request, Response, json_response
+from bellweir.http_server.server import HttpServer, WsgiApplication
+from bellweir.http_server.server_limits import ServerLimits
+from bellweir.kernel import names
+from bellweir.kernel.listeners import bind_stream
+from bellweir.kernel.node import Kernel
+from bellweir.kernel.service import Service
+from bellweir.ledger.interface import Ledger
+from bellweir.membership.interface import Membership
+
+REQUEST_THREADS = 192
+SIDE_THREADS = 4
+MAXIMUM_BODY_BYTES = 32 << 20
+"""Before a configuration says something else."""
+DRAIN_LOOK_S = 0.05
+ADDRESS_LIFE_FACTOR = 3.5
+"""Clients keep an address at most three times the directory's time to live."""
+STOP_MARGIN_S = 1.0
+"""Time kept before the end of the grace period."""
+TIDY_PERIOD_S = 2.0
+IDLE_MARGIN_S = 1.0
+
+
+class FrontService(Service):
+    """Serves clients: requests, directory and readiness, each on its own address."""
+
+    name = names.FRONT
+    dependencies = (names.VIEWS, names.MEMBERSHIP, names.LEDGER)
+
+    def __init__(self, kernel: Kernel, settings: HostedSettings, platform: HostingPlatform) -> None:
+        self._kernel = kernel
+        self._settings = settings
+        self._platform = platform
+        self.metrics = RequestMetrics()
+        self._loads = WorkerLoads(settings.node.zone)
+        self._connections = WorkerConnections(platform.headers)
+        self._servers: list[HttpServer] = []
+        self._loops: list[Future[None]] = []
+        self._requests: HttpServer | None = None
+        self._draining = threading.Event()
+
+    def start(self) -> None:
+        """Listen on every address that the settings give."""
+        registry = self._kernel.registry
+        self._views = registry.find(names.VIEWS, ViewsService)
+        membership = registry.find(names.MEMBERSHIP, Membership)  # type: ignore[type-abstract]
+        directory = Directory(membership, self._is_serving)
+        listen = self._settings.listen
+        self._requests = self._serve(self._request_application(), self._kernel.listeners.gateway)
+        self._serve_at(listen.readiness, SimpleApplication(self._readiness))
+        self._serve_at(listen.directory, SimpleApplication(directory.answer))
+        self._views.configuration.subscribe(self._apply_limits)
+        table = self._views.configuration.table()
+        if table is not None:
+            self._apply_limits(table)
+        self._kernel.executors.run_task("front-tidy", self._tidy)
+
+    def _request_application(self) -> RequestApplication:
+        ledger = self._kernel.registry.find(names.LEDGER, Ledger)  # type: ignore[type-abstract]
+        caller_watch = CallerWatch(self._kernel.executors)
+        caller_watch.start()
+        forwarder = Forwarder(
+            self._views.workers, self._loads, self._connections, caller_watch, self.metrics
+        )
+        streams = StreamForwarder(forwarder, self._loads, self._connections, caller_watch)
+        ledger.register(BatchJobs)
+        batches = BatchApi(ledger, self._platform.headers, self._platform.paths)
+        return RequestApplication(
+            self._platform.headers, self._views.configuration, forwarder, streams, batches
+        )
+
+    def _serve_at(self, address: str | None, application: WsgiApplication) -> None:
+        if address is not None:
+            host, _, port = address.rpartition(":")
+            self._serve(application, bind_stream(host, int(port)), threads=SIDE_THREADS)
+
+    def _serve(
+        self, application: Any, listener: Any, threads: int = REQUEST_THREADS
+    ) -> HttpServer | None:
+        if listener is None:
+            return None
+        limits = ServerLimits(threads, MAXIMUM_BODY_BYTES)
+        server = HttpServer(application, listener, limits)
+        self._servers.append(server)
+        run = self._kernel.executors.run_task("http", server.run_until_closed)
+        self._loops.append(run)
+        return server
+
+    def _is_serving(self) -> bool:
+        return not self._draining.is_set() and self._views.configuration.known.is_set()
+
+    def _readiness(self, request: Request) -> Response:
+        if request.path == "/metrics":
+            headers = [("Content-Type", "text/plain; version=0.0.4")]
+            return Response(200, headers, self.metrics.render())
+        if self._is_serving():
+            return json_response(200, {"ready": True})
+        return json_response(503, {"ready": False})
+
+    def _apply_limits(self, table: RouteTable) -> None:
+        """Put the configuration's limits for clients in force, on open connections, too."""
+        server = self._requests
+        if server is None:
+            return
+        limits = table.configuration.limits
+        server.adj.channel_timeout = limits.idle_timeout_ms / 1000 + IDLE_MARGIN_S
+        server.adj.max_request_header_size = limits.max_header_bytes
+        server.adj.max_request_body_size = limits.max_body_bytes + 1
+        server.limits = ServerLimits(
+            server.limits.threads,
+            limits.max_body_bytes,
+            idle_timeout_s=int(limits.idle_timeout_ms / 1000 + IDLE_MARGIN_S),
+            header_timeout_s=max(1, int(limits.header_timeout_ms / 1000 + 0.999)),
+            maximum_header_bytes=limits.max_header_bytes,
+        )
+
+    def _tidy(self, stopping: threading.Event) -> None:
+        """Forget workers that are gone."""
+        while not stopping.wait(TIDY_PERIOD_S):
+            workers = self._views.workers.all()
+            self._loads.forget_others({worker.instance for worker in workers})
+            self._connections.forget_others({worker.address for worker in workers})
+
+    def drain(self, deadline_s: float) -> None:
+        """Send no new clients here, and go on until those that hold the address are gone."""
+        server = self._requests
+        if server is None:
+            return
+        began_s = time.monotonic()
+        self._draining.set()
+        server.closing_connections = True
+        emit(PROCESS_DRAINING, in_flight=server.busy_connections())
+        end_s = began_s + max(0.0, deadline_s - STOP_MARGIN_S)
+        quiet_from_s = min(began_s + ADDRESS_LIFE_FACTOR * TTL_S, end_s)
+        while time.monotonic() < end_s:
+            if time.monotonic() >= quiet_from_s and not server.busy_connections():
+                break
+            threading.Event().wait(DRAIN_LOOK_S)
+        server.stop_accepting(STOP_MARGIN_S / 2)
+
+    def stop(self) -> None:
+        """Close every connection and end every thread."""
+        servers, self._servers = self._servers, []
+        for server in servers:
+            server.close_all()
+        for loop in self._loops:
+            loop.result(STOP_MARGIN_S)
+        for server in servers:
+            server.release()
--- /dev/null
+++ b/src/bellweir/hosted/settings.py
@@ -0,0 +1,183 @@
+"""Settings of a hosted process: read from the file that the platform fills in, checked whole.
+
+All findings are collected with their place. Unknown keys belong to later versions of the
+platform's template and are left alone; they are returned so that they can be logged.
+"""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from bellweir.settings.findings import Finding, SettingsError
+
+GATEWAY_ROLE = "gateway"
+STORE_ROLE = "store"
+ROLES = (GATEWAY_ROLE, STORE_ROLE)
+
+
+SOURCE = "settings file"
+
+
+class NodeSettings(msgspec.Struct, frozen=True, rename="camel"):
+    """Who and where the process is."""
+
+    name: str
+    ip: str
+    zone: str
+    region: str
+    peer_port: int
+    """TCP and UDP port for other nodes; alike on all machines."""
+    seeds: tuple[str, ...] = ()
+    """Addresses of a few machines, `host:port`; only their IP numbers count."""
+    data_folder: str | None = None
+    role: str = ""
+
+
+class ListenSettings(msgspec.Struct, frozen=True, rename="camel"):
+    """Addresses, `host:port`, of the interfaces that the process serves; None: not served."""
+
+    requests: str | None = None
+    readiness: str | None = None
+    directory: str | None = None
+
+
+class StoreSettings(msgspec.Struct, frozen=True, rename="camel"):
+    """The platform's object store."""
+
+    address: str
+
+
+class BoundSettings(msgspec.Struct, frozen=True, rename="camel"):
+    """Time bounds that the operator has agreed on."""
+
+    lease_ms: float = 3_000.0
+    """Time between the orders of two holders of a lease."""
+    grace_period_s: float = 8.0
+    """Time from SIGTERM to SIGKILL."""
+    address_ttl_s: float = 5.0
+    """Longest time for which clients keep the directory's answer."""
+    cancel_ms: float = 3_000.0
+    status_s: float = 120.0
+    """Time for which an ended batch job can be read."""
+
+
+class LimitSettings(msgspec.Struct, frozen=True, rename="camel"):
+    """What the machine allows."""
+
+    memory_mb: float = 0.0
+    max_descriptors: int = 4_096
+
+
+class HostedSettings(msgspec.Struct, frozen=True, rename="camel"):
+    """The whole settings of one process."""
+
+    node: NodeSettings
+    listen: ListenSettings
+    store: StoreSettings
+    bounds: BoundSettings = BoundSettings()
+    limits: LimitSettings = LimitSettings()
+
+
+@dataclass(frozen=True)
+class LoadedSettings:
+    """Settings and the keys that nobody here knows."""
+
+    settings: HostedSettings
+    unknown_keys: tuple[str, ...] = field(default=())
+
+
+def load_settings(path: Path) -> LoadedSettings:
+    """Read and check a settings file. Raises `SettingsError`."""
+    try:
+        content = path.read_bytes()
+    except OSError as failure:
+        raise SettingsError((_finding("", str(failure), "a readable file"),)) from failure
+    return parse_settings(content)
+
+
+def parse_settings(content: bytes) -> LoadedSettings:
+    """Check settings in JSON. Raises `SettingsError` with all findings."""
+    try:
+        plain = msgspec.json.decode(content)
+    except (msgspec.DecodeError, UnicodeDecodeError) as failure:
+        raise SettingsError((_finding("", str(failure), "JSON"),)) from failure
+    findings = list(_check_struct("", plain, HostedSettings))
+    if findings:
+        raise SettingsError(tuple(findings))
+    settings = msgspec.convert(plain, HostedSettings)
+    findings = list(_check_values(settings))
+    if findings:
+        raise SettingsError(tuple(findings))
+    return LoadedSettings(settings, tuple(_unknown_keys("", plain, HostedSettings)))
+
+
+def _check_struct(place: str, plain: Any, expected: type[msgspec.Struct]) -> Iterator[Finding]:
+    """Findings of each key by itself, so that one wrong key does not hide another."""
+    if not isinstance(plain, Mapping):
+        yield _finding(place, repr(plain)[:60], "a table")
+        return
+    for known in msgspec.structs.fields(expected):
+        where = f"{place}.{known.encode_name}".lstrip(".")
+        if known.encode_name not in plain:
+            if known.required:
+                yield _finding(where, "nothing", "a value")
+        elif isinstance(known.type, type) and issubclass(known.type, msgspec.Struct):
+            yield from _check_struct(where, plain[known.encode_name], known.type)
+        else:
+            yield from _check_value(where, plain[known.encode_name], known.type)
+
+
+def _check_value(where: str, plain: Any, expected: Any) -> Iterator[Finding]:
+    try:
+        msgspec.convert(plain, expected)
+    except msgspec.ValidationError as failure:
+        yield _finding(where, repr(plain)[:60], str(failure))
+
+
+def _unknown_keys(place: str, plain: Any, expected: type[msgspec.Struct]) -> Iterator[str]:
+    known = {each.encode_name: each.type for each in msgspec.structs.fields(expected)}
+    for key, value in plain.items():
+        where = f"{place}.{key}".lstrip(".")
+        if key not in known:
+            yield where
+        elif isinstance(known[key], type) and issubclass(known[key], msgspec.Struct):
+            yield from _unknown_keys(where, value, known[key])
+
+
+def _check_values(settings: HostedSettings) -> Iterator[Finding]:
+    if settings.node.role not in ROLES:
+        yield _finding("node.role", settings.node.role, ", ".join(ROLES))
+    if settings.node.role == STORE_ROLE and settings.node.data_folder is None:
+        yield _finding("node.dataFolder", "nothing", "a folder, for the role store")
+    if not 0 < settings.node.peer_port <= 65_535:
+        yield _finding("node.peerPort", str(settings.node.peer_port), "1 to 65535")
+    yield from _check_addresses(settings)
+    if settings.bounds.lease_ms <= 0:
+        yield _finding("bounds.leaseMs", str(settings.bounds.lease_ms), "above 0")
+    if settings.bounds.grace_period_s <= 0:
+        yield _finding("bounds.gracePeriodS", str(settings.bounds.grace_period_s), "above 0")
+
+
+def _check_addresses(settings: HostedSettings) -> Iterator[Finding]:
+    named = {
+        "listen.requests": settings.listen.requests,
+        "listen.readiness": settings.listen.readiness,
+        "listen.directory": settings.listen.directory,
+        "store.address": settings.store.address,
+    }
+    named |= {f"node.seeds.{number}": seed for number, seed in enumerate(settings.node.seeds)}
+    for place, address in named.items():
+        if address is not None and not _is_address(address):
+            yield _finding(place, repr(address), "host:port")
+
+
+def _is_address(address: str) -> bool:
+    host, separator, port = address.rpartition(":")
+    return bool(separator and host) and port.isdigit() and 0 < int(port) <= 65_535
+
+
+def _finding(place: str, found: str, allowed: str) -> Finding:
+    return Finding(SOURCE, place, found, allowed)
--- /dev/null
+++ b/src/bellweir/hosted/views/__init__.py
@@ -0,0 +1,1 @@
+"""Views of the object store: the configuration in force and the live workers."""
--- /dev/null
+++ b/src/bellweir/hosted/views/follower.py
@@ -0,0 +1,117 @@
+"""Follows all objects of one kind in the store: a list, then watches from its revision on."""
+
+import random
+import threading
+import time
+from collections.abc import Callable
+
+from returns.result import Success
+
+from bellweir.events.log import emit
+from bellweir.hosted.interface import (
+    Listing,
+    RecordChange,
+    RecordStore,
+    StoreError,
+    StoreErrorKind,
+)
+from bellweir.hosted.log_events import STORE_LISTED, STORE_LOST, STORE_REGAINED
+
+WATCH_S = 5.0
+"""Longest wait of one watch; a cut connection is noticed sooner by its keep-alive probes."""
+FIRST_PAUSE_S = 0.05
+LONGEST_PAUSE_S = 0.5
+"""Pauses between tries while the store does not answer; doubled from the first one on."""
+
+
+class KindFollower:
+    """One task; `on_list` and `on_change` are called on it, in the order of revisions."""
+
+    def __init__(
+        self,
+        store: RecordStore,
+        kind: str,
+        on_list: Callable[[Listing], None],
+        on_change: Callable[[RecordChange], None],
+    ) -> None:
+        self._store = store
+        self._kind = kind
+        self._on_list = on_list
+        self._on_change = on_change
+        self._revision: int | None = None
+        self._lost_since_s: float | None = None
+        self._pause_s = FIRST_PAUSE_S
+        self.current_as_of_s = float("-inf")
+        """Monotonic time at which the view was last known to be the store's."""
+        self.listed = threading.Event()
+        """Set once the kind has been listed."""
+
+    def run(self, stopping: threading.Event) -> None:
+        """Follow until `stopping`."""
+        while not stopping.is_set():
+            failure = self._step()
+            if failure is None:
+                self._note_answer()
+            elif failure.kind is StoreErrorKind.COMPACTED:
+                self._revision = None
+            else:
+                self._note_failure(failure)
+                stopping.wait(self._next_pause_s())
+
+    def age_s(self) -> float:
+        """Seconds since the view was last known to be the store's."""
+        return time.monotonic() - self.current_as_of_s
+
+    def _step(self) -> StoreError | None:
+        if self._revision is None:
+            return self._list()
+        return self._watch(self._revision)
+
+    def _list(self) -> StoreError | None:
+        asked_s = time.monotonic()
+        found = self._store.list_kind(self._kind)
+        if not isinstance(found, Success):
+            return found.failure()
+        listing = found.unwrap()
+        self._on_list(listing)
+        self._revision = listing.revision
+        self.current_as_of_s = asked_s
+        self.listed.set()
+        emit(STORE_LISTED, kind=self._kind, revision=listing.revision, count=len(listing.records))
+        return None
+
+    def _watch(self, revision: int) -> StoreError | None:
+        asked_s = time.monotonic()
+        found = self._store.watch(self._kind, revision, WATCH_S)
+        if not isinstance(found, Success):
+            return found.failure()
+        changes = found.unwrap()
+        for change in changes.changes:
+            self._on_change(change)
+        self._revision = max(revision, changes.revision)
+        self.current_as_of_s = time.monotonic() if changes.changes else asked_s
+        return None
+
+    def _note_answer(self) -> None:
+        self._pause_s = FIRST_PAUSE_S
+        if self._lost_since_s is not None:
+            after_s = round(time.monotonic() - self._lost_since_s, 3)
+            emit(STORE_REGAINED, kind=self._kind, after_s=after_s)
+            self._lost_since_s = None
+
+    def _note_failure(self, failure: StoreError) -> None:
+        if self._lost_since_s is not None:
+            return
+        self._lost_since_s = time.monotonic()
+        emit(
+            STORE_LOST,
+            kind=self._kind,
+            error=failure.kind.value,
+            detail=failure.detail,
+            age_s=round(min(self.age_s(), 1e6), 3),
+        )
+
+    def _next_pause_s(self) -> float:
+        pause_s = self._pause_s * random.uniform(0.5, 1.0)
+        self._pause_s = min(2 * self._pause_s, LONGEST_PAUSE_S)
+        return pause_s
--- /dev/null
+++ b/src/bellweir/hosted/views/peer_copy.py
@@ -0,0 +1,46 @@
+"""The views of a peer, for a process that starts while the store can't be read."""
+
+from typing import Any
+
+from bellweir.hosted.views.configuration import ConfigurationView
+from bellweir.hosted.views.workers import WorkersView
+from bellweir.wire.interface import Message, Sender, Transport
+
+
+class ViewsRequest(Message, frozen=True):
+    """Asks for a peer's views."""
+
+
+class ViewsAnswer(Message, frozen=True):
+    """A peer's views, as they stand in the store."""
+
+    configuration: Any
+    """None while the peer knows none."""
+    workers: dict[str, Any]
+
+
+def register_views(
+    transport: Transport, configuration: ConfigurationView, workers: WorkersView
+) -> None:
+    """Answer the requests of peers."""
+
+    def on_request(_sender: Sender, _message: ViewsRequest) -> ViewsAnswer:
+        return ViewsAnswer(configuration.spec(), workers.specs())
+
+    transport.register(ViewsRequest, on_request)
+
+
+def copy_views(
+    transport: Transport,
+    address: str,
+    configuration: ConfigurationView,
+    workers: WorkersView,
+    timeout_s: float,
+) -> bool:
+    """Take over what a peer knows; False when it knows nothing or does not answer."""
+    answer = transport.request(address, ViewsRequest(), timeout_s).value_or(None)
+    if not isinstance(answer, ViewsAnswer) or answer.configuration is None:
+        return False
+    workers.take_peer_copy(answer.workers)
+    configuration.take(answer.configuration, f"peer {address}")
+    return True
--- /dev/null
+++ b/src/bellweir/hosted/views/service.py
@@ -0,0 +1,78 @@
+"""Service `views`: follows the store, and a peer until the store has been read."""
+
+import threading
+
+from bellweir.hosted.interface import Listing, RecordChange, RecordKind, RecordStore
+from bellweir.hosted.views.configuration import ConfigurationView
+from bellweir.hosted.views.follower import KindFollower
+from bellweir.hosted.views.peer_copy import copy_views, register_views
+from bellweir.hosted.views.workers import WorkersView
+from bellweir.kernel import names
+from bellweir.kernel.node import Kernel
+from bellweir.kernel.service import Service
+from bellweir.membership.interface import Membership
+from bellweir.wire.interface import Transport
+
+PEER_PATIENCE_S = 0.4
+"""Time that the store gets before a peer is asked."""
+PEER_TIMEOUT_S = 0.5
+PEER_PAUSE_S = 0.2
+
+
+class ViewsService(Service):
+    """Configuration and workers as this process knows them."""
+
+    name = names.VIEWS
+    dependencies = (names.TRANSPORT, names.MEMBERSHIP)
+
+    def __init__(self, kernel: Kernel, store: RecordStore) -> None:
+        self._kernel = kernel
+        self.configuration = ConfigurationView()
+        self.workers = WorkersView()
+        self.configuration_follower = KindFollower(
+            store,
+            RecordKind.CONFIGURATION,
+            self.configuration.take_listing,
+            self.configuration.take_change,
+        )
+        self.workers_follower = KindFollower(
+            store, RecordKind.WORKERS, self._take_workers, self._take_worker
+        )
+
+    def start(self) -> None:
+        """Follow the store, one task for each kind."""
+        registry = self._kernel.registry
+        self._transport = registry.find(names.TRANSPORT, Transport)  # type: ignore[type-abstract]
+        self._membership = registry.find(names.MEMBERSHIP, Membership)  # type: ignore[type-abstract]
+        register_views(self._transport, self.configuration, self.workers)
+        run_task = self._kernel.executors.run_task
+        run_task("follow-configuration", self.configuration_follower.run)
+        run_task("follow-workers", self.workers_follower.run)
+        run_task("copy-views", self._copy_from_peers)
+
+    def stop(self) -> None:
+        """The tasks end with the executors."""
+
+    def _take_workers(self, listing: Listing) -> None:
+        self.workers.take_listing(listing)
+
+    def _take_worker(self, change: RecordChange) -> None:
+        self.workers.take_change(change)
+
+    def _copy_from_peers(self, stopping: threading.Event) -> None:
+        """Ask peers in turn while the store has not been read."""
+        if self.configuration.known.wait(PEER_PATIENCE_S):
+            return
+        while not stopping.is_set() and not self.configuration.known.is_set():
+            own = self._membership.self_member().node
+            for member in self._membership.members():
+                if member.node == own or self.configuration.known.is_set():
+                    continue
+                copy_views(
+                    self._transport,
+                    member.peer_address,
+                    self.configuration,
+                    self.workers,
+                    PEER_TIMEOUT_S,
+                )
+            self.configuration.known.wait(PEER_PAUSE_S)
--- /dev/null
+++ b/src/bellweir/hosted/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Roll-outs of weight versions by one lease holder with fenced orders."""
--- /dev/null
+++ b/src/bellweir/hosted/weights/controller.py
@@ -0,0 +1,193 @@
+"""Brings every worker to the newest named version of its model's weights.
+
+Target: the version that the trainer named last. Current state: what the worker itself reports,
+asked for after each order; the store's list of workers lags behind by a heartbeat. Only the
+holder of the lease gives orders, each under the lease's fence and for one incarnation of one
+worker. An order without an answer may still be carried out: the next one names the sequence
+number that the worker had, so that only one of the two takes effect.
+"""
+
+import time
+from dataclasses import dataclass
+
+from bellweir.events.log import emit
+from bellweir.hosted.interface import (
+    OrderAnswer,
+    VersionOrder,
+    WorkerControl,
+    WorkerReport,
+)
+from bellweir.hosted.log_events import ORDER_SENT, VERSION_LOADED
+from bellweir.hosted.records import JOB_KINDS
+from bellweir.hosted.views.configuration import ConfigurationView, RouteTable
+from bellweir.hosted.views.workers import Worker, WorkersView
+from bellweir.hosted.weights.lease import Lease
+from bellweir.hosted.weights.versions import VersionsView
+
+LOADS_AT_ONCE = 2
+"""Workers of one model that load at once; more slow each other down."""
+ORDER_TIMEOUT_S = 0.5
+REPORT_TIMEOUT_S = 0.4
+LOOK_AFTER_ORDER_S = 0.9
+"""Time after an order at which the worker is first asked whether it is done."""
+LOOK_AGAIN_S = 0.2
+RETRY_AFTER_SILENCE_S = 1.0
+"""Time after an order without an answer before it is given again."""
+MODE_MIXING = "retain"
+"""Running requests go on under the new version."""
+MODE_PURE = "wait"
+"""Running requests end first, so that each text has one version."""
+
+
+@dataclass
+class _Load:
+    """One worker on its way to a version."""
+
+    worker: Worker
+    model: str
+    version: int
+    look_s: float
+    """When to ask the worker next."""
+    since_s: float
+
+
+class RolloutController:
+    """`step` is called by one task, a few times a second."""
+
+    def __init__(
+        self,
+        lease: Lease,
+        versions: VersionsView,
+        workers: WorkersView,
+        configuration: ConfigurationView,
+        control: WorkerControl,
+        node: str,
+    ) -> None:
+        self._lease = lease
+        self._versions = versions
+        self._workers = workers
+        self._configuration = configuration
+        self._control = control
+        self._node = node
+        self._loads: dict[str, _Load] = {}
+        self._held: dict[tuple[str, str], int] = {}
+        """Versions by instance and model that workers reported themselves."""
+
+    def step(self) -> None:
+        """Look after the loads under way, and order the next ones."""
+        table = self._configuration.table()
+        if table is None or self._lease.may_act_for_s() <= 0:
+            self._loads.clear()
+            return
+        self._look_after_loads()
+        for model, version in self._versions.all().items():
+            self._order_next(table, model, version)
+
+    def _order_next(self, table: RouteTable, model: str, version: int) -> None:
+        behind = [
+            worker
+            for worker in self._workers_of(table, model)
+            if self.held_version(worker, model) < version
+        ]
+        behind.sort(key=lambda worker: (self.held_version(worker, model), worker.instance))
+        under_way = sum(load.model == model for load in self._loads.values())
+        for worker in behind:
+            if under_way >= LOADS_AT_ONCE:
+                return
+            if worker.instance not in self._loads:
+                self._order(table, worker, model, version)
+                under_way += 1
+
+    def held_version(self, worker: Worker, model: str) -> int:
+        """The newest that is known of a worker's version; 0 when nothing is."""
+        listed = worker.version_of(model) or 0
+        return max(listed, self._held.get((worker.instance, model), 0))
+
+    def _workers_of(self, table: RouteTable, model: str) -> list[Worker]:
+        services = {
+            name
+            for name, entry in table.services.items()
+            if entry.engine is not None and any(each.name == model for each in entry.engine.models)
+        }
+        return [
+            worker
+            for worker in self._workers.all()
+            if worker.entry.service in services or worker.version_of(model) is not None
+        ]
+
+    def _order(self, table: RouteTable, worker: Worker, model: str, version: int) -> None:
+        now_s = time.monotonic()
+        load = _Load(worker, model, version, now_s + RETRY_AFTER_SILENCE_S, now_s)
+        self._loads[worker.instance] = load
+        report = self._control.report(worker.address, REPORT_TIMEOUT_S)
+        if report is None or self._is_done(load, report):
+            return
+        if report.order_in_progress:
+            load.look_s = now_s + LOOK_AGAIN_S
+            return
+        if self._lease.may_act_for_s() <= ORDER_TIMEOUT_S:
+            return
+        order = VersionOrder(
+            model, version, _mode(table, worker), self._node, self._lease.fence, report.sequence
+        )
+        answer = self._control.order(worker.address, worker.instance, order, ORDER_TIMEOUT_S)
+        self._note_answer(load, order, answer)
+
+    def _note_answer(self, load: _Load, order: VersionOrder, answer: OrderAnswer) -> None:
+        now_s = time.monotonic()
+        emit(
+            ORDER_SENT,
+            instance=load.worker.instance,
+            model=order.model,
+            version=order.version,
+            mode=order.mode,
+            fence=order.fence,
+            expected=order.expected_sequence,
+            answer=answer.value,
+        )
+        if answer is OrderAnswer.ACCEPTED:
+            load.look_s = now_s + LOOK_AFTER_ORDER_S
+        elif answer is OrderAnswer.IN_FORCE:
+            self._note_held(load, order.version)
+        elif answer is OrderAnswer.UNKNOWN:
+            load.look_s = now_s + RETRY_AFTER_SILENCE_S
+        else:
+            load.look_s = now_s + LOOK_AGAIN_S
+
+    def _look_after_loads(self) -> None:
+        now_s = time.monotonic()
+        for instance, load in list(self._loads.items()):
+            if self._workers.worker(instance) is None:
+                del self._loads[instance]
+            elif now_s >= load.look_s:
+                self._look_at(load)
+
+    def _look_at(self, load: _Load) -> None:
+        report = self._control.report(load.worker.address, REPORT_TIMEOUT_S)
+        if report is not None and self._is_done(load, report):
+            return
+        load.look_s = time.monotonic() + LOOK_AGAIN_S
+        if report is None or not report.order_in_progress:
+            # Not taken, or not heard of: the next step orders it anew if it is still needed.
+            del self._loads[load.worker.instance]
+
+    def _is_done(self, load: _Load, report: WorkerReport) -> bool:
+        for held in report.models:
+            if held.name == load.model and held.version >= load.version:
+                self._note_held(load, held.version)
+                return True
+        return False
+
+    def _note_held(self, load: _Load, version: int) -> None:
+        self._held[(load.worker.instance, load.model)] = version
+        self._loads.pop(load.worker.instance, None)
+        emit(VERSION_LOADED, instance=load.worker.instance, model=load.model, version=version)
+
+
+def _mode(table: RouteTable, worker: Worker) -> str:
+    """How running requests are treated: routes that want one version let them end first."""
+    for route in table.configuration.routes:
+        serves = any(part.service == worker.entry.service for part in route.parts)
+        if route.kind in JOB_KINDS and route.single_version and serves:
+            return MODE_PURE
+    return MODE_MIXING
--- /dev/null
+++ b/src/bellweir/hosted/weights/lease.py
@@ -0,0 +1,202 @@
+"""A lease of a duty, kept as one object of the store, with its revision as the fence.
+
+The holder counts on the lease for `valid_s` from the beginning of its last successful renewal, on
+its own steady clock. A successor must have seen the object unchanged for the whole lease time
+before it replaces it, and then waits once more before it acts, so that the acts of two holders
+are at least the lease time apart. Clocks of different machines are never compared.
+"""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+import msgspec
+from returns.result import Success
+
+from bellweir.events.log import emit
+from bellweir.hosted.interface import (
+    RecordKind,
+    RecordStore,
+    StoredRecord,
+    StoreError,
+    StoreErrorKind,
+)
+from bellweir.hosted.log_events import LEASE_LOST, LEASE_TAKEN
+
+VALID_SHARE = 0.6
+"""Share of the lease time for which a holder counts on its lease after a renewal."""
+RENEW_SHARE = 0.2
+"""Share of the lease time after which a holder renews."""
+MARGIN_S = 0.3
+"""Added to a successor's waits: a late order arrives a little after it was sent."""
+
+
+class LeaseSpec(msgspec.Struct, frozen=True):
+    """Contents of the object."""
+
+    holder: str
+    """Node name; empty when the lease was given back."""
+    count: int
+    """Raised by each renewal, so that each one is a change."""
+
+
+class LeasePhase(Enum):
+    """What this node is with regard to the lease."""
+
+    WATCHING = "watching"
+    WAITING = "waiting"
+    """It has the lease and waits until the former holder's acts are long enough ago."""
+    HOLDING = "holding"
+
+
+@dataclass
+class _Seen:
+    revision: int
+    since_s: float
+    holder: str
+
+
+class Lease:
+    """One node's part. `step` is called by one task, a few times a second."""
+
+    def __init__(
+        self,
+        store: RecordStore,
+        name: str,
+        node: str,
+        lease_s: float,
+        now_s: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._store = store
+        self._name = name
+        self._node = node
+        self._lease_s = lease_s
+        self._now_s = now_s
+        self._seen: _Seen | None = None
+        self._record: StoredRecord | None = None
+        self._count = 0
+        self._valid_until_s = float("-inf")
+        self._renew_due_s = float("-inf")
+        self._act_from_s = float("-inf")
+        self.fence = 0
+        """Revision of the object when this node took the lease; 0 without it."""
+        self.phase = LeasePhase.WATCHING
+
+    def may_act_for_s(self) -> float:
+        """Seconds for which this node may surely act from now; 0 or less: not at all."""
+        now_s = self._now_s()
+        if self.fence == 0 or now_s < self._act_from_s:
+            return 0.0
+        return self._valid_until_s - now_s
+
+    def step(self) -> None:
+        """Renew the lease held here, or look whether it can be taken."""
+        if self._record is not None:
+            self._renew_if_due()
+        else:
+            self._look()
+
+    def release(self) -> None:
+        """Give the lease back at a planned stop; the successor need not wait for its end."""
+        record, self._record = self._record, None
+        if record is None:
+            return
+        self._lose("released")
+        spec = msgspec.to_builtins(LeaseSpec("", self._count + 1))
+        self._store.replace(RecordKind.LEASES, self._name, spec, record.revision)
+
+    def _renew_if_due(self) -> None:
+        record = self._record
+        began_s = self._now_s()
+        if began_s >= self._act_from_s and self.phase is LeasePhase.WAITING:
+            self.phase = LeasePhase.HOLDING
+        if record is None or began_s < self._renew_due_s:
+            return
+        self._count += 1
+        spec = msgspec.to_builtins(LeaseSpec(self._node, self._count))
+        written = self._store.replace(RecordKind.LEASES, self._name, spec, record.revision)
+        if isinstance(written, Success):
+            self._extend(written.unwrap(), began_s)
+            return
+        self._renewal_failed(written.failure())
+
+    def _extend(self, record: StoredRecord, began_s: float) -> None:
+        self._record = record
+        self._valid_until_s = began_s + VALID_SHARE * self._lease_s
+        self._renew_due_s = began_s + RENEW_SHARE * self._lease_s
+
+    def _renewal_failed(self, failure: StoreError) -> None:
+        self._renew_due_s = self._now_s() + RENEW_SHARE * self._lease_s / 2
+        if failure.kind in (StoreErrorKind.CONFLICT, StoreErrorKind.UNKNOWN):
+            # The write may have been done: only the object itself tells.
+            self._read_back()
+        elif failure.kind is StoreErrorKind.NOT_FOUND:
+            self._lose("the object is gone")
+
+    def _read_back(self) -> None:
+        began_s = self._now_s()
+        found = self._store.read(RecordKind.LEASES, self._name)
+        if not isinstance(found, Success):
+            return
+        record = found.unwrap()
+        spec = _spec_of(record)
+        if spec is not None and spec.holder == self._node and spec.count == self._count:
+            self._extend(record, began_s)
+        elif self._record is None or record.revision != self._record.revision:
+            self._lose("another holder")
+
+    def _lose(self, cause: str) -> None:
+        emit(LEASE_LOST, lease=self._name, cause=cause)
+        self._record = None
+        self._seen = None
+        self.fence = 0
+        self.phase = LeasePhase.WATCHING
+
+    def _look(self) -> None:
+        now_s = self._now_s()
+        found = self._store.read(RecordKind.LEASES, self._name)
+        if isinstance(found, Success):
+            self._consider(found.unwrap(), now_s)
+        elif found.failure().kind is StoreErrorKind.NOT_FOUND:
+            self._create(now_s)
+
+    def _create(self, began_s: float) -> None:
+        spec = msgspec.to_builtins(LeaseSpec(self._node, 1))
+        made = self._store.create(RecordKind.LEASES, self._name, spec)
+        if isinstance(made, Success):
+            self._take(made.unwrap(), began_s, 0.0, "nobody")
+
+    def _consider(self, record: StoredRecord, now_s: float) -> None:
+        spec = _spec_of(record)
+        holder = spec.holder if spec is not None else ""
+        seen = self._seen
+        if seen is None or seen.revision != record.revision:
+            self._seen = _Seen(record.revision, now_s, holder)
+            seen = self._seen
+        given_back = not holder
+        expired = now_s - seen.since_s >= self._lease_s + MARGIN_S
+        # A former process of this machine is the same holder to the workers.
+        own = holder == self._node
+        if not (given_back or expired or own):
+            return
+        self._count = (spec.count if spec is not None else 0) + 1
+        wanted = msgspec.to_builtins(LeaseSpec(self._node, self._count))
+        taken = self._store.replace(RecordKind.LEASES, self._name, wanted, record.revision)
+        if isinstance(taken, Success):
+            wait_s = 0.0 if own else self._lease_s + MARGIN_S
+            self._take(taken.unwrap(), now_s, wait_s, holder or "released")
+
+    def _take(self, record: StoredRecord, began_s: float, wait_s: float, after: str) -> None:
+        self._extend(record, began_s)
+        self._act_from_s = self._now_s() + wait_s
+        self.fence = record.revision
+        self.phase = LeasePhase.WAITING if wait_s else LeasePhase.HOLDING
+        emit(LEASE_TAKEN, lease=self._name, fence=self.fence, after=after)
+
+
+def _spec_of(record: StoredRecord) -> LeaseSpec | None:
+    try:
+        return msgspec.convert(record.spec, LeaseSpec)
+    except msgspec.ValidationError:
+        return None
--- /dev/null
+++ b/src/bellweir/hosted/weights/service.py
@@ -0,0 +1,80 @@
+"""Service `rollouts`: the lease, and the controller while it is held."""
+
+import threading
+
+from bellweir.hosted.interface import HostingPlatform, RecordKind
+from bellweir.hosted.settings import HostedSettings
+from bellweir.hosted.views.follower import KindFollower
+from bellweir.hosted.views.service import ViewsService
+from bellweir.hosted.weights.controller import RolloutController
+from bellweir.hosted.weights.lease import Lease
+from bellweir.hosted.weights.versions import VersionsView
+from bellweir.kernel import names
+from bellweir.kernel.node import Kernel
+from bellweir.kernel.service import Service
+
+LEASE_NAME = "weight-rollouts"
+LEASE_STEP_S = 0.4
+HOLDER_STEP_S = 0.2
+CONTROL_STEP_S = 0.1
+
+
+class RolloutService(Service):
+    """One task keeps the lease, another one gives the orders."""
+
+    name = names.ROLLOUTS
+    dependencies = (names.VIEWS,)
+
+    def __init__(self, kernel: Kernel, settings: HostedSettings, platform: HostingPlatform) -> None:
+        self._kernel = kernel
+        self._settings = settings
+        self._platform = platform
+        self._lease = Lease(
+            platform.store,
+            LEASE_NAME,
+            settings.node.name,
+            settings.bounds.lease_ms / 1000,
+        )
+        self._versions = VersionsView()
+        self._leaving = threading.Event()
+
+    def start(self) -> None:
+        """Start the tasks."""
+        views = self._kernel.registry.find(names.VIEWS, ViewsService)
+        follower = KindFollower(
+            self._platform.store,
+            RecordKind.VERSIONS,
+            self._versions.take_listing,
+            self._versions.take_change,
+        )
+        self._controller = RolloutController(
+            self._lease,
+            self._versions,
+            views.workers,
+            views.configuration,
+            self._platform.control,
+            self._settings.node.name,
+        )
+        run_task = self._kernel.executors.run_task
+        run_task("follow-versions", follower.run)
+        run_task("rollout-lease", self._keep_lease)
+        run_task("rollout-control", self._control)
+
+    def drain(self, deadline_s: float) -> None:
+        """Give the lease back."""
+        self._leaving.set()
+        self._lease.release()
+
+    def stop(self) -> None:
+        """The tasks end with the executors."""
+
+    def _keep_lease(self, stopping: threading.Event) -> None:
+        while not stopping.is_set() and not self._leaving.is_set():
+            self._lease.step()
+            held = self._lease.fence != 0
+            stopping.wait(HOLDER_STEP_S if held else LEASE_STEP_S)
+
+    def _control(self, stopping: threading.Event) -> None:
+        while not stopping.wait(CONTROL_STEP_S):
+            if not self._leaving.is_set():
+                self._controller.step()
--- /dev/null
+++ b/src/bellweir/hosted/weights/versions.py
@@ -0,0 +1,41 @@
+"""The versions of weights that trainers have named, as the store lists them."""
+
+from collections.abc import Mapping
+from types import MappingProxyType
+
+import msgspec
+
+from bellweir.events.log import emit
+from bellweir.hosted.interface import Listing, RecordChange, StoredRecord
+from bellweir.hosted.log_events import VERSION_NAMED
+from bellweir.hosted.records import NamedVersion
+
+
+class VersionsView:
+    """Newest named version by model; only ever a newer one."""
+
+    def __init__(self) -> None:
+        self._versions: Mapping[str, int] = MappingProxyType({})
+
+    def all(self) -> Mapping[str, int]:
+        """Newest named version by model."""
+        return self._versions
+
+    def take_listing(self, listing: Listing) -> None:
+        """Take the store's listing."""
+        for record in listing.records:
+            self._take(record)
+
+    def take_change(self, change: RecordChange) -> None:
+        """Take a change; a named version is never taken back."""
+        if not change.deleted:
+            self._take(change.record)
+
+    def _take(self, record: StoredRecord) -> None:
+        try:
+            named = msgspec.convert(record.spec, NamedVersion)
+        except msgspec.ValidationError:
+            return
+        if named.version > self._versions.get(named.model, 0):
+            self._versions = MappingProxyType({**self._versions, named.model: named.version})
+            emit(VERSION_NAMED, model=named.model, version=named.version)
