Keep the ledger's identity through a loss of power that tears its marks

The mark was one unsynced record: a loss of power may tear or drop it.

Change: marks go round a ring of 64 records that is synced every 32 groups; the newest whole one counts. The database is opened in exclusive mode, which needs no shared memory. Test: a loss of power that tears what was not synced (failed before, passes now); the damage property caught old marks outliving a new identity, mended by cutting the file.

--- a/features/ledger_journal.feature
+++ b/features/ledger_journal.feature
@@ -8,6 +8,9 @@
   Scenario: Damage anywhere
     Then a ledger journal damaged at any byte is whole or has a new identity
 
+  Scenario: A loss of power that tears what was not synced
+    Then a ledger journal whose unsynced marks are lost or torn keeps its identity and its entries
+
   Scenario: A write that fails
     Given a ledger journal whose disk is full
     Then it acknowledges nothing any more
--- a/features/steps/ledger_journal_steps.py
+++ b/features/steps/ledger_journal_steps.py
@@ -1,8 +1,10 @@
 """Properties of the ledger's files: kills and damage at any byte."""
 
+import os
 import shutil
 import tempfile
 from pathlib import Path
+from unittest import mock
 
 import hypothesis.strategies as st
 from behave import given as given_step
@@ -47,6 +49,17 @@
     def __init__(self):
         self.root = Path(tempfile.mkdtemp(prefix="ledger-journal-"))
         self.held = []
+        self.synced_mark = b""
+        self.synced_marks = []
+        with mock.patch.object(os, "fdatasync", self._note_sync):
+            self._write()
+
+    def _note_sync(self, number):
+        mark = self.root / "live" / MARK_NAME
+        if os.fstat(number).st_ino == mark.stat().st_ino:
+            self.synced_mark = mark.read_bytes()
+
+    def _write(self):
         journal = SqliteJournal(self.root / "live")
         journal.load()
         self.disk = journal.disk
@@ -66,6 +79,7 @@
         for name in FILES:
             shutil.copy(self.root / "live" / name, folder / name)
         self.held.append(dict(model.shards))
+        self.synced_marks.append(self.synced_mark)
 
     def copy(self, number):
         target = self.root / "copy"
@@ -112,6 +126,39 @@
     killed()
 
 
+@then("a ledger journal whose unsynced marks are lost or torn keeps its identity and its entries")
+def then_power_lost(context):
+    history = History()
+    context.add_cleanup(history.close)
+
+    @BOUNDED
+    @given(
+        number=st.integers(1, len(history.held) - 1),
+        kept=st.lists(st.sampled_from(("new", "old", "torn")), min_size=64, max_size=64),
+    )
+    def lost(number, kept):
+        folder = history.copy(number)
+        synced, written = history.synced_marks[number], (folder / MARK_NAME).read_bytes()
+        (folder / MARK_NAME).write_bytes(after_power_loss(synced, written, kept))
+        disk, shards = load_again(folder)
+        assert disk == history.disk, "a loss of power alone cost the disk its identity"
+        assert shards == history.held[number]
+
+    lost()
+
+
+def after_power_loss(synced, written, kept):
+    """What a file holds: each 16 bytes written since its last sync are there, missing or torn."""
+    found = bytearray(synced.ljust(len(written), b"\0"))
+    for at in range(0, len(written), 16):
+        new = written[at : at + 16]
+        if bytes(found[at : at + 16]) == new or kept[at // 16 % len(kept)] == "old":
+            continue
+        torn = kept[at // 16 % len(kept)] == "torn"
+        found[at : at + 16] = new[:7] + b"\xa5" * 9 if torn else new
+    return bytes(found)
+
+
 @then("a ledger journal damaged at any byte is whole or has a new identity")
 def then_damaged(context):
     history = History()
--- a/src/bellweir/ledger/sqlite_journal.py
+++ b/src/bellweir/ledger/sqlite_journal.py
@@ -4,6 +4,8 @@
 write-ahead log without a word, and it has no checksum on its pages. So each row carries a
 checksum, indexes must be contiguous, and the number of the last durable group is also written to
 a mark file behind each commit: a database older than its mark, or with a bad row, is damaged.
+Marks go to the slots of a ring in turn and are synced now and then, so that a loss of power,
+which may tear every slot written since, always leaves older whole ones: too old is harmless.
 A damaged journal keeps what can be proved whole but gets a new disk identity, so that the
 replica rejoins as a learner and refetches the rest from its peers. The ways weighed and their
 figures are in docs/design/ledger.md.
@@ -38,6 +40,9 @@
 MARK_NAME = "ledger.mark"
 MARK_FORMAT = struct.Struct("<QQ")
 """Number of the last durable group, and the checksum of that number."""
+MARK_SLOTS = 64
+MARKS_SYNCED = MARK_SLOTS // 2
+"""The mark file is synced once in so many groups, before its ring comes round."""
 
 SCHEMA = """
 CREATE TABLE IF NOT EXISTS identity (disk TEXT NOT NULL, last_group INTEGER NOT NULL);
@@ -93,6 +98,8 @@
     def _open(self) -> None:
         path = self._folder / DATABASE_NAME
         self._connection = sqlite3.connect(path, isolation_level=None, check_same_thread=False)
+        # One process uses the file; without the mode, WAL wants memory shared between processes.
+        self._connection.execute("PRAGMA locking_mode=EXCLUSIVE")
         self._connection.execute("PRAGMA journal_mode=WAL")
         self._connection.execute("PRAGMA synchronous=FULL")
         self._connection.executescript(SCHEMA)
@@ -130,6 +137,8 @@
             self._connection.execute("BEGIN")
             self._connection.execute("DELETE FROM identity")
             self._connection.execute("INSERT INTO identity VALUES (?, ?)", (self._disk, 1))
+        # Marks of a former identity are of higher groups.
+        os.ftruncate(self._mark, 0)
         self._write_mark()
 
     # --- reading ------------------------------------------------------------------------------
@@ -240,17 +249,23 @@
     # --- the mark -----------------------------------------------------------------------------
 
     def _write_mark(self) -> None:
-        # Behind the commit and without a sync of its own: after a crash of the process it is
-        # exact, after a loss of power it can only be too old, never too new.
+        # Behind the commit and mostly without a sync of its own: after a crash of the process it
+        # is exact, after a loss of power it can only be too old, never too new.
         mark = MARK_FORMAT.pack(self._group, checksum_of(self._group) & 0xFFFFFFFF)
-        os.pwrite(self._mark, mark, 0)
+        os.pwrite(self._mark, mark, self._group % MARK_SLOTS * MARK_FORMAT.size)
+        if self._group % MARKS_SYNCED == 1:
+            os.fdatasync(self._mark)
 
     def _read_mark(self) -> int | None:
-        mark = os.pread(self._mark, MARK_FORMAT.size, 0)
-        if len(mark) < MARK_FORMAT.size:
-            return None
-        group, checksum = MARK_FORMAT.unpack(mark)
-        return int(group) if checksum == checksum_of(group) & 0xFFFFFFFF else None
+        """The newest whole mark; None when there is none."""
+        content = os.pread(self._mark, MARK_SLOTS * MARK_FORMAT.size, 0)
+        whole = len(content) - len(content) % MARK_FORMAT.size
+        marks = [
+            group
+            for group, checksum in MARK_FORMAT.iter_unpack(content[:whole])
+            if checksum == checksum_of(group) & 0xFFFFFFFF
+        ]
+        return max(marks, default=None)
 
 
 def checksum_of(*fields: int | bytes) -> int:
