Make fewer calls to the store, fewer loads and fewer orders

Each change of a worker woke twelve watchers, three nodes looked at the lease every 0.4 s, and every worker loaded every version although trainers allow the one before.

Change: changes of workers are read in batches, the lease lasts 5 s, a cheap stale reading each second finds watches that were cut in silence (so watches may wait longer), loads follow a plan: a model's workers are bounded by its share, and with a lag of one version each loads every second one. Also: retirement of store machines, which the leader carries out and reports.

--- a/src/bellweir/clients/pool.py
+++ b/src/bellweir/clients/pool.py
@@ -184,6 +184,13 @@
         for connection in old:
             connection.close()
 
+    def abort_calls(self) -> None:
+        """Have the calls in hand fail now; the pool goes on."""
+        with self._lock:
+            busy = list(self._busy)
+        for connection in busy:
+            connection.deadline_socket.abort()
+
     def close_idle(self) -> None:
         """Close idle connections; calls in hand go on."""
         with self._lock:
@@ -196,11 +203,9 @@
         with self._lock:
             self._closed = True
             idle, self._idle = self._idle, []
-            busy = list(self._busy)
         for connection, _ in idle:
             connection.close()
-        for connection in busy:
-            connection.deadline_socket.abort()
+        self.abort_calls()
 
 
 def _idle_lifetime_s(keep_alive: str | None) -> float:
--- a/src/bellweir/hosted/interface.py
+++ b/src/bellweir/hosted/interface.py
@@ -117,6 +117,10 @@
     def watch(self, kind: str, revision: int, wait_s: float) -> Result[Changes, StoreError]:
         """Return the changes after `revision`, as soon as there is one or `wait_s` has passed."""
 
+    @abstractmethod
+    def interrupt_watches(self) -> None:
+        """Have the watches in hand fail now."""
+
     @abstractmethod
     def create(self, kind: str, name: str, spec: Any) -> Result[StoredRecord, StoreError]:
         """Create an object; `CONFLICT` when it exists."""
--- a/src/bellweir/hosted/process.py
+++ b/src/bellweir/hosted/process.py
@@ -132,9 +132,10 @@
 
         return (FrontService,)
     from bellweir.hosted.batches.service import BatchService
+    from bellweir.hosted.retirement import RetirementService
     from bellweir.hosted.weights.service import RolloutService
 
-    return (BatchService, RolloutService)
+    return (BatchService, RolloutService, RetirementService)
 
 
 def _bind(settings: HostedSettings) -> Listeners:
--- /dev/null
+++ b/src/bellweir/hosted/retirement.py
@@ -0,0 +1,115 @@
+"""Service `retirement`: empties the store machines that the operator wants to take away.
+
+Every store machine knows the wishes, so that whoever leads a shard heeds them; the node that
+leads writes the status. A machine is emptied once others hold the full number of replicas: with
+fewer, the loss of one more disk could not be borne.
+"""
+
+import threading
+
+import msgspec
+from returns.result import Success
+
+from bellweir.events.log import emit
+from bellweir.hosted.batches.state import JOBS_KEY
+from bellweir.hosted.interface import (
+    HostingPlatform,
+    Listing,
+    RecordChange,
+    RecordKind,
+    StoredRecord,
+)
+from bellweir.hosted.log_events import RETIREMENT_COMPLETED, RETIREMENT_STARTED
+from bellweir.hosted.settings import HostedSettings
+from bellweir.hosted.views.follower import KindFollower
+from bellweir.kernel import names
+from bellweir.kernel.node import Kernel
+from bellweir.kernel.service import Service
+from bellweir.ledger.service import LedgerService
+
+RUNNING = "running"
+COMPLETED = "completed"
+STEP_S = 0.3
+
+
+class RetirementStatus(msgspec.Struct, frozen=True):
+    """Status that the operator reads."""
+
+    state: str
+
+
+class RetirementService(Service):
+    """One task follows the wishes, another one reports on them."""
+
+    name = names.RETIREMENT
+    dependencies = (names.LEDGER,)
+
+    def __init__(self, kernel: Kernel, settings: HostedSettings, platform: HostingPlatform) -> None:
+        self._kernel = kernel
+        self._store = platform.store
+        self._lock = threading.Lock()
+        self._wishes: dict[str, StoredRecord] = {}
+
+    def start(self) -> None:
+        """Start the tasks."""
+        self._ledger = self._kernel.registry.find(names.LEDGER, LedgerService)
+        follower = KindFollower(
+            self._store, RecordKind.RETIREMENTS, self._take_listing, self._take_change
+        )
+        self._kernel.executors.run_task("follow-retirements", follower.run)
+        self._kernel.executors.run_task("retirement", self._run)
+
+    def stop(self) -> None:
+        """The tasks end with the executors."""
+
+    def _take_listing(self, listing: Listing) -> None:
+        with self._lock:
+            self._wishes = {record.name: record for record in listing.records}
+        self._tell_ledger()
+
+    def _take_change(self, change: RecordChange) -> None:
+        with self._lock:
+            self._wishes.pop(change.record.name, None)
+            if not change.deleted:
+                self._wishes[change.record.name] = change.record
+        self._tell_ledger()
+
+    def _tell_ledger(self) -> None:
+        self._ledger.retire(frozenset(self._wishes))
+
+    def _run(self, stopping: threading.Event) -> None:
+        while not stopping.wait(STEP_S):
+            if not self._ledger.leads(JOBS_KEY):
+                continue
+            with self._lock:
+                wishes = list(self._wishes.values())
+            self._tell_ledger()
+            for record in wishes:
+                self._report(record)
+
+    def _report(self, record: StoredRecord) -> None:
+        state = _state_of(record)
+        if state == COMPLETED:
+            return
+        if self._ledger.is_emptied(record.name):
+            self._write(record, COMPLETED)
+        elif state != RUNNING:
+            self._write(record, RUNNING)
+
+    def _write(self, record: StoredRecord, state: str) -> None:
+        status = msgspec.to_builtins(RetirementStatus(state))
+        written = self._store.replace_status(
+            RecordKind.RETIREMENTS, record.name, status, record.revision
+        )
+        if not isinstance(written, Success):
+            return
+        with self._lock:
+            if record.name in self._wishes:
+                self._wishes[record.name] = written.unwrap()
+        event = RETIREMENT_COMPLETED if state == COMPLETED else RETIREMENT_STARTED
+        emit(event, machine=record.name)
+
+
+def _state_of(record: StoredRecord) -> str | None:
+    status = record.status
+    return status.get("state") if isinstance(status, dict) else None
--- a/src/bellweir/hosted/views/follower.py
+++ b/src/bellweir/hosted/views/follower.py
@@ -1,4 +1,8 @@
-"""Follows all objects of one kind in the store: a list, then watches from its revision on."""
+"""Follows all objects of one kind in the store: a list, then watches from its revision on.
+
+A watch says nothing while nothing changes, and just as little when it was cut in silence. So
+`check` compares the view now and then with a cheap reading that may be a little old.
+"""
 
 import random
 import threading
@@ -17,8 +21,10 @@
 )
 from bellweir.hosted.log_events import STORE_LISTED, STORE_LOST, STORE_REGAINED
 
-WATCH_S = 5.0
-"""Longest wait of one watch; a cut connection is noticed sooner by its keep-alive probes."""
+WATCH_S = 10.0
+"""Longest wait of one watch."""
+WATCH_AFTER_FAILURE_S = 0.2
+"""The same while it is not known whether the store answers again."""
 FIRST_PAUSE_S = 0.05
 LONGEST_PAUSE_S = 0.5
 """Pauses between tries while the store does not answer; doubled from the first one on."""
@@ -33,12 +39,16 @@
         kind: str,
         on_list: Callable[[Listing], None],
         on_change: Callable[[RecordChange], None],
+        settle_s: float = 0.0,
     ) -> None:
+        """Changes that come within `settle_s` of each other are read by one call."""
+        self._settle_s = settle_s
         self._store = store
         self._kind = kind
         self._on_list = on_list
         self._on_change = on_change
         self._revision: int | None = None
+        """Store revision up to which all changes are known; None: list anew."""
         self._lost_since_s: float | None = None
         self._pause_s = FIRST_PAUSE_S
         self.current_as_of_s = float("-inf")
@@ -49,7 +59,7 @@
     def run(self, stopping: threading.Event) -> None:
         """Follow until `stopping`."""
         while not stopping.is_set():
-            failure = self._step()
+            failure = self._step(stopping)
             if failure is None:
                 self._note_answer()
             elif failure.kind is StoreErrorKind.COMPACTED:
@@ -58,14 +68,26 @@
                 self._note_failure(failure)
                 stopping.wait(self._next_pause_s())
 
+    def check(self) -> bool:
+        """Whether a cheap reading works and shows nothing newer than this view.
+
+        The reading may be old, so an object that it still has, or lacks, proves nothing; one with
+        a newer revision than the view's does.
+        """
+        seen = self._revision
+        found = self._store.list_kind(self._kind, stale=True)
+        if not isinstance(found, Success):
+            return False
+        return seen is None or all(each.revision <= seen for each in found.unwrap().records)
+
     def age_s(self) -> float:
         """Seconds since the view was last known to be the store's."""
         return time.monotonic() - self.current_as_of_s
 
-    def _step(self) -> StoreError | None:
+    def _step(self, stopping: threading.Event) -> StoreError | None:
         if self._revision is None:
             return self._list()
-        return self._watch(self._revision)
+        return self._watch(self._revision, stopping)
 
     def _list(self) -> StoreError | None:
         asked_s = time.monotonic()
@@ -80,14 +102,17 @@
         emit(STORE_LISTED, kind=self._kind, revision=listing.revision, count=len(listing.records))
         return None
 
-    def _watch(self, revision: int) -> StoreError | None:
+    def _watch(self, revision: int, stopping: threading.Event) -> StoreError | None:
         asked_s = time.monotonic()
-        found = self._store.watch(self._kind, revision, WATCH_S)
+        wait_s = WATCH_S if self._lost_since_s is None else WATCH_AFTER_FAILURE_S
+        found = self._store.watch(self._kind, revision, wait_s)
         if not isinstance(found, Success):
             return found.failure()
         changes = found.unwrap()
         for change in changes.changes:
             self._on_change(change)
+        if changes.changes and self._settle_s:
+            stopping.wait(self._settle_s)
         self._revision = max(revision, changes.revision)
         self.current_as_of_s = time.monotonic() if changes.changes else asked_s
         return None
--- a/src/bellweir/hosted/views/service.py
+++ b/src/bellweir/hosted/views/service.py
@@ -17,6 +17,10 @@
 """Time that the store gets before a peer is asked."""
 PEER_TIMEOUT_S = 0.5
 PEER_PAUSE_S = 0.2
+CHECK_PERIOD_S = 1.0
+"""Time between two cheap readings; the kinds take turns."""
+SETTLE_S = 0.8
+"""Changes of workers within this time are read by one call."""
 
 
 class ViewsService(Service):
@@ -27,6 +31,7 @@
 
     def __init__(self, kernel: Kernel, store: RecordStore) -> None:
         self._kernel = kernel
+        self._store = store
         self.configuration = ConfigurationView()
         self.workers = WorkersView()
         self.configuration_follower = KindFollower(
@@ -36,7 +41,7 @@
             self.configuration.take_change,
         )
         self.workers_follower = KindFollower(
-            store, RecordKind.WORKERS, self._take_workers, self._take_worker
+            store, RecordKind.WORKERS, self._take_workers, self._take_worker, SETTLE_S
         )
 
     def start(self) -> None:
@@ -49,6 +54,7 @@
         run_task("follow-configuration", self.configuration_follower.run)
         run_task("follow-workers", self.workers_follower.run)
         run_task("copy-views", self._copy_from_peers)
+        run_task("check-views", self._check)
 
     def stop(self) -> None:
         """The tasks end with the executors."""
@@ -59,6 +65,16 @@
     def _take_worker(self, change: RecordChange) -> None:
         self.workers.take_change(change)
 
+    def _check(self, stopping: threading.Event) -> None:
+        """Interrupt watches that were cut in silence."""
+        followers = (self.configuration_follower, self.workers_follower)
+        while True:
+            for follower in followers:
+                if stopping.wait(CHECK_PERIOD_S):
+                    return
+                if not follower.check():
+                    self._store.interrupt_watches()
+
     def _copy_from_peers(self, stopping: threading.Event) -> None:
         """Ask peers in turn while the store has not been read."""
         if self.configuration.known.wait(PEER_PATIENCE_S):
--- a/src/bellweir/hosted/weights/controller.py
+++ b/src/bellweir/hosted/weights/controller.py
@@ -1,4 +1,4 @@
-"""Brings every worker to the newest named version of its model's weights.
+"""Brings workers to the newest named version of their models' weights, as `plan` says.
 
 Target: the version that the trainer named last. Current state: what the worker itself reports,
 asked for after each order; the store's list of workers lags behind by a heartbeat. Only the
@@ -21,11 +21,13 @@
 from bellweir.hosted.records import JOB_KINDS
 from bellweir.hosted.views.configuration import ConfigurationView, RouteTable
 from bellweir.hosted.views.workers import Worker, WorkersView
+from bellweir.hosted.weights.lags import VersionLags
 from bellweir.hosted.weights.lease import Lease
+from bellweir.hosted.weights.plan import ModelTarget, plan_loads
 from bellweir.hosted.weights.versions import VersionsView
 
 LOADS_AT_ONCE = 2
-"""Workers of one model that load at once; more slow each other down."""
+"""Workers that load at once; more slow each other down."""
 ORDER_TIMEOUT_S = 0.5
 REPORT_TIMEOUT_S = 0.4
 LOOK_AFTER_ORDER_S = 0.9
@@ -61,6 +63,7 @@
         workers: WorkersView,
         configuration: ConfigurationView,
         control: WorkerControl,
+        lags: VersionLags,
         node: str,
     ) -> None:
         self._lease = lease
@@ -68,6 +71,7 @@
         self._workers = workers
         self._configuration = configuration
         self._control = control
+        self._lags = lags
         self._node = node
         self._loads: dict[str, _Load] = {}
         self._held: dict[tuple[str, str], int] = {}
@@ -80,41 +84,32 @@
             self._loads.clear()
             return
         self._look_after_loads()
+        by_service: dict[str, list[ModelTarget]] = {}
         for model, version in self._versions.all().items():
-            self._order_next(table, model, version)
-
-    def _order_next(self, table: RouteTable, model: str, version: int) -> None:
-        behind = [
-            worker
-            for worker in self._workers_of(table, model)
-            if self.held_version(worker, model) < version
-        ]
-        behind.sort(key=lambda worker: (self.held_version(worker, model), worker.instance))
-        under_way = sum(load.model == model for load in self._loads.values())
-        for worker in behind:
-            if under_way >= LOADS_AT_ONCE:
+            target = ModelTarget(model, version, self._lags.lag_of(model, version))
+            for service in _services_of(table, model):
+                by_service.setdefault(service, []).append(target)
+        for service, targets in by_service.items():
+            self._order_next(table, service, targets)
+
+    def _order_next(self, table: RouteTable, service: str, targets: list[ModelTarget]) -> None:
+        workers = self._workers.ready(service)
+        held = {
+            (worker.instance, target.model): self.held_version(worker, target.model)
+            for worker in workers
+            for target in targets
+        }
+        for planned in plan_loads(targets, workers, held):
+            if len(self._loads) >= LOADS_AT_ONCE:
                 return
-            if worker.instance not in self._loads:
-                self._order(table, worker, model, version)
-                under_way += 1
+            if planned.worker.instance not in self._loads:
+                self._order(table, planned.worker, planned.model, planned.version)
 
     def held_version(self, worker: Worker, model: str) -> int:
         """The newest that is known of a worker's version; 0 when nothing is."""
         listed = worker.version_of(model) or 0
         return max(listed, self._held.get((worker.instance, model), 0))
 
-    def _workers_of(self, table: RouteTable, model: str) -> list[Worker]:
-        services = {
-            name
-            for name, entry in table.services.items()
-            if entry.engine is not None and any(each.name == model for each in entry.engine.models)
-        }
-        return [
-            worker
-            for worker in self._workers.all()
-            if worker.entry.service in services or worker.version_of(model) is not None
-        ]
-
     def _order(self, table: RouteTable, worker: Worker, model: str, version: int) -> None:
         now_s = time.monotonic()
         load = _Load(worker, model, version, now_s + RETRY_AFTER_SILENCE_S, now_s)
@@ -184,6 +179,15 @@
         emit(VERSION_LOADED, instance=load.worker.instance, model=load.model, version=version)
 
 
+def _services_of(table: RouteTable, model: str) -> list[str]:
+    """Services whose workers can hold a model."""
+    return [
+        name
+        for name, entry in table.services.items()
+        if entry.engine is not None and any(each.name == model for each in entry.engine.models)
+    ]
+
+
 def _mode(table: RouteTable, worker: Worker) -> str:
     """How running requests are treated: routes that want one version let them end first."""
     for route in table.configuration.routes:
--- a/src/bellweir/hosted/weights/lease.py
+++ b/src/bellweir/hosted/weights/lease.py
@@ -3,7 +3,7 @@
 The holder counts on the lease for `valid_s` from the beginning of its last successful renewal, on
 its own steady clock. A successor must have seen the object unchanged for the whole lease time
 before it replaces it, and then waits once more before it acts, so that the acts of two holders
-are at least the lease time apart. Clocks of different machines are never compared.
+are at least the agreed time apart. Clocks of different machines are never compared.
 """
 
 import time
@@ -26,7 +26,7 @@
 
 VALID_SHARE = 0.6
 """Share of the lease time for which a holder counts on its lease after a renewal."""
-RENEW_SHARE = 0.2
+RENEW_SHARE = 0.3
 """Share of the lease time after which a holder renews."""
 MARGIN_S = 0.3
 """Added to a successor's waits: a late order arrives a little after it was sent."""
@@ -66,12 +66,15 @@
         name: str,
         node: str,
         lease_s: float,
+        separation_s: float,
         now_s: Callable[[], float] = time.monotonic,
     ) -> None:
+        """`separation_s` lies at least between the last act of one holder and the next one's."""
         self._store = store
         self._name = name
         self._node = node
         self._lease_s = lease_s
+        self._separation_s = separation_s + MARGIN_S
         self._now_s = now_s
         self._seen: _Seen | None = None
         self._record: StoredRecord | None = None
@@ -184,8 +187,14 @@
         wanted = msgspec.to_builtins(LeaseSpec(self._node, self._count))
         taken = self._store.replace(RecordKind.LEASES, self._name, wanted, record.revision)
         if isinstance(taken, Success):
-            wait_s = 0.0 if own else self._lease_s + MARGIN_S
-            self._take(taken.unwrap(), now_s, wait_s, holder or "released")
+            wait_s = 0.0 if own else self._separation_s - self._idle_s(seen, now_s)
+            self._take(taken.unwrap(), now_s, max(0.0, wait_s), holder or "released")
+
+    def _idle_s(self, seen: "_Seen", now_s: float) -> float:
+        """Time for which the former holder has surely not acted."""
+        if not seen.holder:
+            return 0.0
+        return max(0.0, now_s - seen.since_s - VALID_SHARE * self._lease_s)
 
     def _take(self, record: StoredRecord, began_s: float, wait_s: float, after: str) -> None:
         self._extend(record, began_s)
--- /dev/null
+++ b/src/bellweir/hosted/weights/plan.py
@@ -0,0 +1,106 @@
+"""Which workers hold which version of a model: few loads, and always enough workers that fit.
+
+A trainer that takes samples of the version before the newest, too, needs each worker to load
+only every second version. Workers that serve several models need not hold all of them: each
+model gets a part of the workers, so that the loads for a version stay near the workers' share
+for one trainer.
+"""
+
+import math
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+import xxhash
+
+from bellweir.hosted.views.workers import Worker
+
+FEWEST_WORKERS = 2
+"""Workers for a model, where there are as many: one of them may be lost or load."""
+
+
+@dataclass(frozen=True)
+class ModelTarget:
+    """What is wanted of one model."""
+
+    model: str
+    named: int
+    """Newest version that the trainer has named."""
+    lag: int
+    """Versions that the trainer's newest job allowed behind the newest one of its time."""
+
+    @property
+    def oldest_useful(self) -> int:
+        """Oldest version that a job for the newest version may use."""
+        return self.named - self.lag
+
+
+@dataclass(frozen=True)
+class PlannedLoad:
+    """A worker that should load a model's newest version."""
+
+    worker: Worker
+    model: str
+    version: int
+    is_urgent: bool
+    """Whether the worker is of no use for the newest jobs until then."""
+
+
+HeldVersions = Mapping[tuple[str, str], int]
+"""Versions by instance and model."""
+
+
+def plan_loads(
+    targets: Sequence[ModelTarget], workers: Sequence[Worker], held: HeldVersions
+) -> list[PlannedLoad]:
+    """The loads that are to be made, the most urgent first."""
+    assigned: dict[str, int] = {}
+    loads: list[PlannedLoad] = []
+    for target in sorted(targets, key=lambda each: each.model):
+        chosen = _choose_workers(target, workers, held, assigned, len(targets))
+        for worker in chosen:
+            assigned[worker.instance] = assigned.get(worker.instance, 0) + 1
+        loads += _loads_for(target, chosen, held)
+    return sorted(loads, key=lambda load: not load.is_urgent)
+
+
+def workers_wanted(worker_count: int, model_count: int, lag: int) -> int:
+    """Workers that hold one of `model_count` models."""
+    share = (1 + lag) * worker_count // max(1, model_count)
+    return min(worker_count, max(FEWEST_WORKERS, share))
+
+
+def _choose_workers(
+    target: ModelTarget,
+    workers: Sequence[Worker],
+    held: HeldVersions,
+    assigned: Mapping[str, int],
+    model_count: int,
+) -> list[Worker]:
+    """The model's workers: those that hold a version it has lately used stay."""
+    wanted = workers_wanted(len(workers), model_count, target.lag)
+
+    def rank(worker: Worker) -> tuple[bool, int, int]:
+        version = held.get((worker.instance, target.model), 0)
+        is_recent = version > 1 and version >= target.oldest_useful - 1
+        key = f"{target.model}/{worker.instance}".encode()
+        return not is_recent, assigned.get(worker.instance, 0), xxhash.xxh3_64_intdigest(key)
+
+    return sorted(workers, key=rank)[:wanted]
+
+
+def _loads_for(
+    target: ModelTarget, chosen: Sequence[Worker], held: HeldVersions
+) -> list[PlannedLoad]:
+    behind = [
+        worker for worker in chosen if held.get((worker.instance, target.model), 0) < target.named
+    ]
+    behind.sort(key=lambda worker: held.get((worker.instance, target.model), 0))
+    newest = len(chosen) - len(behind)
+    enough = math.ceil(len(chosen) / (1 + target.lag))
+    loads: list[PlannedLoad] = []
+    for worker in behind:
+        is_urgent = held.get((worker.instance, target.model), 0) < target.oldest_useful
+        if is_urgent or newest < enough:
+            loads.append(PlannedLoad(worker, target.model, target.named, is_urgent))
+            newest += 1
+    return loads
--- a/src/bellweir/hosted/weights/service.py
+++ b/src/bellweir/hosted/weights/service.py
@@ -2,19 +2,25 @@
 
 import threading
 
+from bellweir.hosted.batches.state import JOBS_KEY, BatchJobs, Job
 from bellweir.hosted.interface import HostingPlatform, RecordKind
 from bellweir.hosted.settings import HostedSettings
 from bellweir.hosted.views.follower import KindFollower
 from bellweir.hosted.views.service import ViewsService
 from bellweir.hosted.weights.controller import RolloutController
+from bellweir.hosted.weights.lags import VersionLags
 from bellweir.hosted.weights.lease import Lease
 from bellweir.hosted.weights.versions import VersionsView
 from bellweir.kernel import names
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
+from bellweir.ledger.interface import Ledger
 
 LEASE_NAME = "weight-rollouts"
-LEASE_STEP_S = 0.4
+LEASE_S = 5.0
+"""Time without a renewal after which the lease may be taken."""
+LEASE_STEP_S = 1.5
+"""Time between two looks of a node without the lease."""
 HOLDER_STEP_S = 0.2
 CONTROL_STEP_S = 0.1
 
@@ -23,7 +29,7 @@
     """One task keeps the lease, another one gives the orders."""
 
     name = names.ROLLOUTS
-    dependencies = (names.VIEWS,)
+    dependencies = (names.VIEWS, names.LEDGER)
 
     def __init__(self, kernel: Kernel, settings: HostedSettings, platform: HostingPlatform) -> None:
         self._kernel = kernel
@@ -33,6 +39,7 @@
             platform.store,
             LEASE_NAME,
             settings.node.name,
+            LEASE_S,
             settings.bounds.lease_ms / 1000,
         )
         self._versions = VersionsView()
@@ -41,6 +48,7 @@
     def start(self) -> None:
         """Start the tasks."""
         views = self._kernel.registry.find(names.VIEWS, ViewsService)
+        self._ledger = self._kernel.registry.find(names.LEDGER, Ledger)  # type: ignore[type-abstract]
         follower = KindFollower(
             self._platform.store,
             RecordKind.VERSIONS,
@@ -53,6 +61,7 @@
             views.workers,
             views.configuration,
             self._platform.control,
+            VersionLags(self._jobs),
             self._settings.node.name,
         )
         run_task = self._kernel.executors.run_task
@@ -60,6 +69,13 @@
         run_task("rollout-lease", self._keep_lease)
         run_task("rollout-control", self._control)
 
+    def _jobs(self) -> list[Job]:
+        """Jobs as the local replica knows them; a little old on a follower."""
+        machine = self._ledger.local_machine(JOBS_KEY, BatchJobs)
+        if not isinstance(machine, BatchJobs):
+            return []
+        return [state.job for state in list(machine.jobs.values())]
+
     def drain(self, deadline_s: float) -> None:
         """Give the lease back."""
         self._leaving.set()
--- a/src/bellweir/ledger/keeper.py
+++ b/src/bellweir/ledger/keeper.py
@@ -64,6 +64,8 @@
         self._silent_since_s: dict[ReplicaId, float] = {}
         self._refresh_due_s = 0.0
         self._adopting = threading.Lock()
+        self.retiring: frozenset[str] = frozenset()
+        """Nodes that are to hold no replicas any more, as soon as others hold enough."""
         self.placement = load_placement(folder)
         transport.register(PlacementRequest, self.handle_placement_request)
 
@@ -188,6 +190,7 @@
         replicas = replica.log.replicas
         wanted = self._settings.replicas
         is_whole = len(replicas.voters) == wanted and not replicas.learners
+        is_whole = is_whole and not any(one.node in self.retiring for one in replicas.voters)
         if is_whole and not any(one in self._silent_since_s for one in replicas.voters):
             return
         view = ShardView(
@@ -212,6 +215,9 @@
         now_s = self._clock.monotonic_s()
         lost: set[ReplicaId] = set()
         for replica in replicas:
+            if replica.node in self.retiring:
+                lost.add(replica)
+                continue
             since_s = self._silent_since_s.get(replica)
             if since_s is None:
                 continue
@@ -226,6 +232,22 @@
         answer = self._ask(member)
         return answer is not None and answer.disk != replica.disk
 
+    def is_emptied(self, node: str) -> bool:
+        """Whether a node surely holds no replica that counts, and others hold enough."""
+        placement = self.placement
+        if placement is None or not self.led():
+            return False
+        led = {replica.shard: replica for replica in self.led()}
+        for shard, home in enumerate(placement.shards):
+            replica = led.get(shard)
+            if replica is not None and not replica.is_settled():
+                return False
+            replicas = replica.log.replicas if replica is not None else home.replicas
+            short = len(replicas.voters) < self._settings.replicas
+            if short or any(one.node == node for one in replicas.everyone):
+                return False
+        return True
+
     # --- others -------------------------------------------------------------------------------
 
     def _data_members(self) -> list[Member]:
@@ -238,10 +260,12 @@
         ]
 
     def _candidates(self) -> tuple[PlacementCandidate, ...]:
-        own = PlacementCandidate(self._node.own, self._membership.self_member().zone)
-        found = [own]
+        found: list[PlacementCandidate] = []
+        if self._node.name not in self.retiring:
+            own_zone = self._membership.self_member().zone
+            found.append(PlacementCandidate(self._node.own, own_zone))
         for member in self._data_members():
-            answer = self._ask(member)
+            answer = self._ask(member) if member.node not in self.retiring else None
             if answer is not None:
                 replica = ReplicaId(member.node, answer.disk)
                 found.append(PlacementCandidate(replica, member.zone))
--- a/src/bellweir/ledger/service.py
+++ b/src/bellweir/ledger/service.py
@@ -205,6 +205,15 @@
         known = self._locator.shard_count() if self._serving.is_set() else None
         return _shard_of(key, known or self._settings.ledger.shards)
 
+    def retire(self, nodes: frozenset[str]) -> None:
+        """Have these nodes hold no replicas any more, as soon as others hold enough."""
+        if self._tasks is not None:
+            self._tasks.keeper.retiring = nodes
+
+    def is_emptied(self, node: str) -> bool:
+        """Whether a node surely holds nothing any more; False also where this node can't tell."""
+        return self._tasks is not None and self._tasks.keeper.is_emptied(node)
+
     def replica_nodes(self, key: str, timeout_s: float) -> tuple[str, ...]:
         """Nodes that hold the key's shard and are not known to be dead, as last heard.
 
