Find watches that were cut in silence, kind by kind

Change: each kind's watch is compared with a stale reading about every 2 s and interrupted only when it has had half a second to tell of a change that the reading shows, or when the reading fails.

--- a/src/bellweir/hosted/interface.py
+++ b/src/bellweir/hosted/interface.py
@@ -118,8 +118,8 @@
         """Return the changes after `revision`, as soon as there is one or `wait_s` has passed."""
 
     @abstractmethod
-    def interrupt_watches(self) -> None:
-        """Have the watches in hand fail now."""
+    def interrupt_watches(self, kind: str) -> None:
+        """Have the watches of a kind that are in hand fail now."""
 
     @abstractmethod
     def create(self, kind: str, name: str, spec: Any) -> Result[StoredRecord, StoreError]:
--- a/src/bellweir/hosted/views/follower.py
+++ b/src/bellweir/hosted/views/follower.py
@@ -25,6 +25,8 @@
 """Longest wait of one watch."""
 WATCH_AFTER_FAILURE_S = 0.2
 """The same while it is not known whether the store answers again."""
+DEAF_AFTER_S = 0.5
+"""Time after which a watch in hand should have told of a change that a reading shows."""
 FIRST_PAUSE_S = 0.05
 LONGEST_PAUSE_S = 0.5
 """Pauses between tries while the store does not answer; doubled from the first one on."""
@@ -49,6 +51,7 @@
         self._on_change = on_change
         self._revision: int | None = None
         """Store revision up to which all changes are known; None: list anew."""
+        self._watching_since_s: float | None = None
         self._lost_since_s: float | None = None
         self._pause_s = FIRST_PAUSE_S
         self.current_as_of_s = float("-inf")
@@ -68,17 +71,25 @@
                 self._note_failure(failure)
                 stopping.wait(self._next_pause_s())
 
-    def check(self) -> bool:
-        """Whether a cheap reading works and shows nothing newer than this view.
+    def check(self) -> None:
+        """Interrupt the watch in hand if a cheap reading fails or shows that it is deaf.
 
         The reading may be old, so an object that it still has, or lacks, proves nothing; one with
-        a newer revision than the view's does.
+        a newer revision than the view's does, when the watch has had time to tell of it.
         """
+        watching_since_s = self._watching_since_s
         seen = self._revision
+        if watching_since_s is None or seen is None:
+            return
         found = self._store.list_kind(self._kind, stale=True)
-        if not isinstance(found, Success):
-            return False
-        return seen is None or all(each.revision <= seen for each in found.unwrap().records)
+        if self._watching_since_s != watching_since_s:
+            return
+        if isinstance(found, Success):
+            is_newer = any(each.revision > seen for each in found.unwrap().records)
+            has_had_time = time.monotonic() - watching_since_s > DEAF_AFTER_S
+            if not (is_newer and has_had_time):
+                return
+        self._store.interrupt_watches(self._kind)
 
     def age_s(self) -> float:
         """Seconds since the view was last known to be the store's."""
@@ -105,7 +116,11 @@
     def _watch(self, revision: int, stopping: threading.Event) -> StoreError | None:
         asked_s = time.monotonic()
         wait_s = WATCH_S if self._lost_since_s is None else WATCH_AFTER_FAILURE_S
-        found = self._store.watch(self._kind, revision, wait_s)
+        self._watching_since_s = asked_s
+        try:
+            found = self._store.watch(self._kind, revision, wait_s)
+        finally:
+            self._watching_since_s = None
         if not isinstance(found, Success):
             return found.failure()
         changes = found.unwrap()
--- a/src/bellweir/hosted/views/service.py
+++ b/src/bellweir/hosted/views/service.py
@@ -31,7 +31,6 @@
 
     def __init__(self, kernel: Kernel, store: RecordStore) -> None:
         self._kernel = kernel
-        self._store = store
         self.configuration = ConfigurationView()
         self.workers = WorkersView()
         self.configuration_follower = KindFollower(
@@ -72,8 +71,7 @@
             for follower in followers:
                 if stopping.wait(CHECK_PERIOD_S):
                     return
-                if not follower.check():
-                    self._store.interrupt_watches()
+                follower.check()
 
     def _copy_from_peers(self, stopping: threading.Event) -> None:
         """Ask peers in turn while the store has not been read."""
