--- /dev/null
+++ b/features/hosted_lease.feature
@@ -0,0 +1,13 @@
+Feature: One holder of a lease acts at a time
+  The lease is an object of the store, replaced by compare-and-set. Whatever answers are lost,
+  whichever node is paused or killed and however their clocks are offset, the acts of two holders
+  are apart by the agreed time, and a later holder's fence is higher.
+
+  Scenario: Nodes compete under lost answers, outages, pauses and restarts
+    Then no two holders act within the agreed time and fences only rise
+
+  Scenario: A holder that is killed is followed by its own machine at once
+    Then a restarted holder takes its lease again without a wait, with a higher fence
+
+  Scenario: A lease given back is taken without waiting for its end
+    Then a successor of a planned stop acts after the agreed time only
--- /dev/null
+++ b/features/hosted_views.feature
@@ -0,0 +1,45 @@
+Feature: A hosted process knows the configuration and the workers as the store has them
+  Every process follows the hosting platform's store by a list and watches. What it has put in
+  force never goes back, whoever told it, and a watch that was cut in silence is found.
+
+  Background:
+    Given a stand-in of the platform's store
+    And a process that follows it
+
+  Scenario: A change reaches the process
+    When the operator writes configuration 3
+    Then the process routes by configuration 3
+    When the operator writes configuration 8
+    Then the process routes by configuration 8
+
+  Scenario: A history that is gone is listed anew
+    Given the operator has written configuration 3
+    When the store forgets its history while configuration 5 is written
+    Then the process routes by configuration 5
+
+  Scenario: A store that refuses is asked again
+    Given the operator has written configuration 3
+    When the store refuses for a while and configuration 6 is written at its end
+    Then the process routes by configuration 6
+
+  Scenario: A watch that was cut in silence is found
+    Given the operator has written configuration 3
+    When the watches in hand go deaf and configuration 4 is written
+    And the process compares its view with a cheap reading
+    Then the process routes by configuration 4
+
+  Scenario: A worker that drains or goes gets nothing more
+    Given workers "i-1" and "i-2" of service "app"
+    Then the process may send requests of "app" to "i-1, i-2"
+    When worker "i-1" says that it is draining
+    Then the process may send requests of "app" to "i-2"
+    When worker "i-2" is gone from the store
+    Then the process may send requests of "app" to nobody
+
+  Scenario: A configuration never goes back
+    Then in any order of tellings the configuration in force only rises
+
+  Scenario: A process that starts while the store is down copies a peer
+    Given the operator has written configuration 3
+    And workers "i-1" of service "app"
+    Then a peer's copy gives configuration 3 and worker "i-1", until the store is read
--- /dev/null
+++ b/features/steps/hosted_lease_steps.py
@@ -0,0 +1,182 @@
+"""The lease against an oracle: simulated time, a store in memory that loses answers."""
+
+import random
+from itertools import pairwise
+
+import hypothesis.strategies as st
+from behave import then
+from hypothesis import given, settings
+from returns.result import Failure, Success
+
+from bellweir.hosted.interface import RecordStore, StoredRecord, StoreError, StoreErrorKind
+from bellweir.hosted.weights.lease import Lease, LeasePhase
+from bellweir_rehearsal.hosted.records import ObjectRecords, WriteRefusal
+
+LEASE_S = 5.0
+SEPARATION_S = 3.0
+
+
+class MemoryStore(RecordStore):
+    """The stand-in's records without HTTP."""
+
+    def __init__(self, records, chance):
+        self.records, self.chance = records, chance
+        self.lost_share = 0.0
+        self.down = False
+        self.late = []
+
+    def read(self, kind, name):
+        if self.down:
+            return Failure(StoreError(StoreErrorKind.UNKNOWN, "down"))
+        found = self.records.get(kind, name)
+        if found is None:
+            return Failure(StoreError(StoreErrorKind.NOT_FOUND, name))
+        return Success(_record(kind, found))
+
+    def create(self, kind, name, spec):
+        return self._write(kind, lambda: self.records.create(kind, name, spec))
+
+    def replace(self, kind, name, spec, revision):
+        return self._write(kind, lambda: self.records.replace(kind, name, revision, spec=spec))
+
+    def _write(self, kind, write):
+        if self.down:
+            # Its condition may still hold when it is done later.
+            if self.chance.random() < 0.3:
+                self.late.append(write)
+            return Failure(StoreError(StoreErrorKind.UNKNOWN, "down"))
+        made = write()
+        if self.chance.random() < self.lost_share:
+            return Failure(StoreError(StoreErrorKind.UNKNOWN, "answer lost"))
+        if isinstance(made, WriteRefusal):
+            missing = made is WriteRefusal.MISSING
+            kind_of = StoreErrorKind.NOT_FOUND if missing else StoreErrorKind.CONFLICT
+            return Failure(StoreError(kind_of, ""))
+        return Success(_record(kind, made))
+
+    def end_outage(self):
+        self.down = False
+        for write in self.late:
+            write()
+        self.late = []
+
+    def list_kind(self, kind, *, stale=False):
+        raise NotImplementedError
+
+    def watch(self, kind, revision, wait_s):
+        raise NotImplementedError
+
+    def interrupt_watches(self, kind):
+        raise NotImplementedError
+
+    def replace_status(self, kind, name, status, revision):
+        raise NotImplementedError
+
+    def delete(self, kind, name, revision):
+        raise NotImplementedError
+
+
+def _record(kind, found):
+    return StoredRecord(kind, found.name, found.revision, found.spec)
+
+
+class Machines:
+    """Machines with a lease each; every one acts whenever it believes that it may."""
+
+    def __init__(self, count, seed):
+        self.chance = random.Random(seed)
+        self.store = MemoryStore(ObjectRecords(), self.chance)
+        self.now_s = 100.0
+        self.offsets = [self.chance.uniform(0, 1e6) for _ in range(count)]
+        self.paused_until_s = [0.0] * count
+        self.leases = [self.make(number) for number in range(count)]
+        self.acts = []
+
+    def make(self, number):
+        def clock():
+            return self.now_s + self.offsets[number]
+
+        return Lease(self.store, "duty", f"node-{number}", LEASE_S, SEPARATION_S, clock)
+
+    def turn(self):
+        self.now_s += 0.1
+        for number, lease in enumerate(self.leases):
+            if self.now_s < self.paused_until_s[number]:
+                continue
+            if self.chance.random() < 0.5:
+                lease.step()
+            if lease.may_act_for_s() > 0.0:
+                self.acts.append((self.now_s, number, lease.fence))
+
+    def check(self):
+        for (before_s, before, before_fence), (now_s, now, fence) in pairwise(self.acts):
+            assert fence >= before_fence, "a lower fence after a higher one"
+            if before != now:
+                assert now_s - before_s >= SEPARATION_S, "two holders acted within the time"
+                assert fence > before_fence, "two holders with one fence"
+
+
+EVENTS = ("quiet", "lossy", "down", "pause", "restart", "release")
+
+
+@then("no two holders act within the agreed time and fences only rise")
+def then_separate(context):
+    acted = {"handovers": 0}
+
+    @settings(max_examples=80)
+    @given(
+        seed=st.integers(0, 10_000),
+        count=st.integers(2, 4),
+        events=st.lists(st.sampled_from(EVENTS), min_size=3, max_size=14),
+    )
+    def separate(seed, count, events):
+        machines = Machines(count, seed)
+        for event in events:
+            target = machines.chance.randrange(count)
+            machines.store.lost_share = 0.4 if event == "lossy" else 0.0
+            if event == "down":
+                machines.store.down = True
+            elif event == "pause":
+                pause_s = machines.chance.uniform(0.5, 14.0)
+                machines.paused_until_s[target] = machines.now_s + pause_s
+            elif event == "restart":
+                machines.leases[target] = machines.make(target)
+            elif event == "release":
+                machines.leases[target].release()
+            for _ in range(machines.chance.randrange(5, 90)):
+                machines.turn()
+            machines.store.end_outage()
+        machines.check()
+        holders = [number for _, number, _ in machines.acts]
+        acted["handovers"] += sum(a != b for a, b in pairwise(holders))
+
+    separate()
+    assert acted["handovers"] > 20, "the runs hardly ever changed the holder"
+
+
+@then("a restarted holder takes its lease again without a wait, with a higher fence")
+def then_restarted(context):
+    machines = Machines(1, 1)
+    machines.leases[0].step()
+    first = machines.leases[0].fence
+    assert machines.leases[0].may_act_for_s() > 0.0
+    machines.leases[0] = machines.make(0)
+    machines.now_s += 0.1
+    machines.leases[0].step()
+    assert machines.leases[0].phase is LeasePhase.HOLDING
+    assert machines.leases[0].fence > first
+
+
+@then("a successor of a planned stop acts after the agreed time only")
+def then_released(context):
+    machines = Machines(2, 1)
+    machines.leases[0].step()
+    machines.leases[0].release()
+    released_s = machines.now_s
+    machines.leases[1].step()
+    assert machines.leases[1].phase is LeasePhase.WAITING
+    while machines.leases[1].may_act_for_s() <= 0.0:
+        machines.now_s += 0.1
+        machines.leases[1].step()
+    waited_s = machines.now_s - released_s
+    assert SEPARATION_S <= waited_s < LEASE_S
--- /dev/null
+++ b/features/steps/hosted_views_steps.py
@@ -0,0 +1,188 @@
+"""Views of the hosting platform's store, against its stand-in."""
+
+import threading
+import time
+from types import SimpleNamespace
+
+import hypothesis.strategies as st
+from behave import given as given_step
+from behave import then, when
+from hypothesis import given, settings
+from returns.result import Success
+
+from bellweir.hosted.interface import Listing, RecordChange, RecordKind, StoredRecord
+from bellweir.hosted.views.configuration import ConfigurationView
+from bellweir.hosted.views.follower import KindFollower
+from bellweir.hosted.views.peer_copy import ViewsAnswer, ViewsRequest, copy_views, register_views
+from bellweir.hosted.views.workers import WorkersView
+from bellweir_platform.object_store import PlatformStore
+from bellweir_rehearsal.hosted.object_store import Outage, PlatformStoreStandIn
+
+SETTLED_S = 0.6
+
+
+def configuration(version):
+    route = {"name": "r", "host": "h.example", "pathPrefix": f"/v{version}/", "service": "app"}
+    return {"version": version, "routes": [route], "services": [{"name": "app"}]}
+
+
+def entry(instance, state="ready"):
+    return {"service": "app", "address": f"127.0.0.1:{len(instance)}", "state": state}
+
+
+@given_step("a stand-in of the platform's store")
+def given_store(context):
+    context.store = PlatformStoreStandIn()
+    context.cleanup.callback(context.store.close)
+
+
+@given_step("a process that follows it")
+def given_process(context):
+    store = PlatformStore(context.store.address)
+    view, workers = ConfigurationView(), WorkersView()
+    followers = [
+        KindFollower(store, RecordKind.CONFIGURATION, view.take_listing, view.take_change),
+        KindFollower(store, RecordKind.WORKERS, workers.take_listing, workers.take_change),
+    ]
+    stopping = threading.Event()
+    for follower in followers:
+        threading.Thread(target=follower.run, args=(stopping,), daemon=True).start()
+    context.cleanup.callback(stopping.set)
+    context.process = SimpleNamespace(view=view, workers=workers, followers=followers)
+    for follower in followers:
+        assert follower.listed.wait(5.0)
+
+
+@given_step("the operator has written configuration {version:d}")
+def given_configuration(context, version):
+    when_written(context, version)
+    then_routes_by(context, version)
+
+
+@when("the operator writes configuration {version:d}")
+def when_written(context, version):
+    context.store.records.put("config", "main", configuration(version))
+
+
+@then("the process routes by configuration {version:d}")
+def then_routes_by(context, version):
+    def reached():
+        table = context.process.view.table()
+        return table is not None and table.version == version
+
+    context.wait_until(reached, f"configuration {version}")
+    table = context.process.view.table()
+    assert table.find("H.example:80", f"/v{version}/x").service == "app"
+    assert table.find("h.example", "/other/") is None
+
+
+@when("the store forgets its history while configuration {version:d} is written")
+def when_compacted(context, version):
+    context.store.begin_outage(Outage.SILENT)
+    when_written(context, version)
+    context.store.records.compact()
+    context.store.end_outage()
+
+
+@when("the store refuses for a while and configuration {version:d} is written at its end")
+def when_refused(context, version):
+    context.store.begin_outage(Outage.REFUSES)
+    time.sleep(SETTLED_S)
+    when_written(context, version)
+    context.store.end_outage()
+
+
+@when("the watches in hand go deaf and configuration {version:d} is written")
+def when_deaf(context, version):
+    waiting = context.process.followers[0]
+    context.wait_until(lambda: waiting._watching_since_s is not None, "a watch")
+    records = context.store.records
+    hear, records.changes = records.changes, lambda *_: time.sleep(60.0)
+    # The watch in hand still hears the next change: let it have one and begin a deaf one.
+    records.put("config", "other", {})
+    context.wait_until(lambda: (waiting._revision or 0) >= records.revision, "the change")
+    time.sleep(SETTLED_S)
+    when_written(context, version)
+    records.changes = hear
+
+
+@when("the process compares its view with a cheap reading")
+def when_checked(context):
+    for follower in context.process.followers:
+        follower.check()
+
+
+@given_step('workers {names} of service "app"')
+def given_workers(context, names):
+    instances = [name.strip(' "') for name in names.split(" and ")]
+    for instance in instances:
+        context.store.records.put("servers", instance, entry(instance))
+    context.wait_until(lambda: len(context.process.workers.all()) == len(instances), "the workers")
+
+
+@when('worker "{instance}" says that it is draining')
+def when_draining(context, instance):
+    context.store.records.put("servers", instance, entry(instance, "draining"))
+
+
+@when('worker "{instance}" is gone from the store')
+def when_gone(context, instance):
+    context.store.records.delete("servers", instance)
+
+
+@then('the process may send requests of "app" to nobody')
+def then_nobody(context):
+    context.wait_until(lambda: context.process.workers.ready("app") == [], "no ready worker")
+
+
+@then('the process may send requests of "app" to "{names}"')
+def then_ready(context, names):
+    wanted = set(names.split(", "))
+    context.wait_until(
+        lambda: {worker.instance for worker in context.process.workers.ready("app")} == wanted,
+        f"ready workers {names}",
+    )
+
+
+@then("in any order of tellings the configuration in force only rises")
+def then_rises(context):
+    telling = st.tuples(st.sampled_from(("list", "watch", "delete", "peer")), st.integers(1, 9))
+
+    @settings(max_examples=100)
+    @given(tellings=st.lists(telling, max_size=20))
+    def only_rises(tellings):
+        view = ConfigurationView()
+        highest = 0
+        for how, version in tellings:
+            record = StoredRecord("config", "main", version, configuration(version))
+            if how == "list":
+                view.take_listing(Listing(version, (record,)))
+            elif how == "peer":
+                view.take(configuration(version), "peer")
+            else:
+                view.take_change(RecordChange(record, deleted=how == "delete"))
+            if how != "delete":
+                highest = max(highest, version)
+            table = view.table()
+            assert (table.version if table else 0) == highest
+
+    only_rises()
+
+
+@then('a peer\'s copy gives configuration 3 and worker "i-1", until the store is read')
+def then_copied(context):
+    handlers = {}
+    peer = SimpleNamespace(register=handlers.__setitem__)
+    register_views(peer, context.process.view, context.process.workers)
+    answer = handlers[ViewsRequest](None, ViewsRequest())
+    transport = SimpleNamespace(request=lambda *_: Success(answer))
+    view, workers = ConfigurationView(), WorkersView()
+    assert copy_views(transport, "peer:1", view, workers, 1.0)
+    assert view.table().version == 3
+    assert [worker.instance for worker in workers.ready("app")] == ["i-1"]
+    # The store's own listing counts from then on.
+    workers.take_listing(Listing(9, ()))
+    assert copy_views(transport, "peer:1", view, workers, 1.0)
+    assert workers.ready("app") == []
+    nothing = SimpleNamespace(request=lambda *_: Success(ViewsAnswer(None, {})))
+    assert not copy_views(nothing, "peer:1", view, workers, 1.0)
--- /dev/null
+++ b/src/bellweir_rehearsal/hosted/worker.py
@@ -0,0 +1,227 @@
+"""Stand-in of a worker: runs requests, streams events, takes orders, and fails on purpose."""
+
+import json
+import threading
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+from bellweir_rehearsal.hosted.http_stand_in import StandInHandler, StandInServer
+
+STREAM_TYPE = "text/event-stream"
+
+
+@dataclass
+class WorkerFaults:
+    """Faults in force; each number counts down with every request that it strikes."""
+
+    refuse: int = 0
+    """Answer that the request was not run."""
+    lose_answer: int = 0
+    """Run it and reset the connection."""
+    wrong_id: int = 0
+    """Answer with another request's id."""
+    fail: int = 0
+    """Answer 500."""
+    cut_after_event: int | None = None
+    """Break the next stream off behind so many events, in the middle of the next one."""
+    unsigned: int = 0
+    """Answer without a signature."""
+    delay_s: float = 0.0
+
+    def strikes(self, name: str) -> bool:
+        """Whether a counted fault strikes now."""
+        left: int = getattr(self, name)
+        setattr(self, name, max(0, left - 1))
+        return left > 0
+
+
+@dataclass(frozen=True)
+class TakenOrder:
+    """An order that was carried out."""
+
+    holder: str
+    fence: int
+    model: str
+    version: int
+
+
+@dataclass
+class WorkerRecord:
+    """What a worker has seen."""
+
+    ran: Counter[str] = field(default_factory=Counter)
+    """Runs by request id."""
+    orders: list[TakenOrder] = field(default_factory=list)
+    reading: Counter[str] = field(default_factory=Counter)
+    """Streams begun by request id."""
+
+
+class WorkerStandIn:
+    """One incarnation of a worker at one address of loopback."""
+
+    def __init__(
+        self,
+        instance: str,
+        host: str = "127.0.0.1",
+        model: str = "",
+        version: int = 1,
+        events: int = 6,
+    ) -> None:
+        self.instance = instance
+        self.model = model
+        self.version = version
+        self.events = events
+        self.event_pause_s = 0.0
+        self.load_s = 0.1
+        self.faults = WorkerFaults()
+        self.record = WorkerRecord()
+        self.sequence = 0
+        self._loading_until_s = 0.0
+        self._lock = threading.Lock()
+        stand_in = self
+
+        class Handler(StandInHandler):
+            """One connection to the worker."""
+
+            def do_GET(self) -> None:
+                """Report."""
+                self.answer_json(200, stand_in._report())
+
+            def do_POST(self) -> None:
+                """An order or a request."""
+                body = self.read_body()
+                if self.path == "/api/order":
+                    stand_in._take_order(self, json.loads(body))
+                else:
+                    stand_in._run(self, body)
+
+        self.server = StandInServer(Handler, host)
+
+    @property
+    def address(self) -> str:
+        """`host:port`."""
+        return self.server.address
+
+    def close(self) -> None:
+        """Crash."""
+        self.server.close()
+
+    def entry(self, service: str, zone: str = "a", state: str = "ready") -> dict[str, Any]:
+        """The worker's entry in the store."""
+        models = [{"name": self.model, "version": self.version}] if self.model else []
+        return {
+            "service": service,
+            "address": self.address,
+            "zone": zone,
+            "slots": 8,
+            "state": state,
+            "models": models,
+            "seq": self.sequence,
+        }
+
+    def _report(self) -> dict[str, Any]:
+        models = [{"name": self.model, "version": self.version, "adapters": []}]
+        loading = time.monotonic() < self._loading_until_s
+        return {"models": models, "inFlight": loading, "seq": self.sequence}
+
+    def _take_order(self, handler: StandInHandler, order: dict[str, Any]) -> None:
+        with self._lock:
+            if time.monotonic() < self._loading_until_s:
+                handler.answer(409)
+                return
+            if order.get("expected") not in (None, self.sequence):
+                handler.answer(409)
+                return
+            if self.version >= order["version"]:
+                handler.answer(200)
+                return
+            self.sequence += 1
+            self._loading_until_s = time.monotonic() + self.load_s
+            self.version = order["version"]
+            fence, holder = order["fencingToken"], order["holder"]
+            self.record.orders.append(TakenOrder(holder, fence, order["model"], order["version"]))
+        handler.answer(202)
+
+    def _run(self, handler: StandInHandler, body: bytes) -> None:
+        request_id = handler.headers.get("X-Bellweir-Attempt-Id", "")
+        expected = handler.headers.get("X-Bellweir-Expect-Instance")
+        echo = {"X-Bellweir-Attempt-Id": request_id}
+        if expected not in (None, self.instance):
+            handler.answer(421, b"", {**echo, "X-Bellweir-Not-Executed": "1"})
+            return
+        if self.faults.strikes("refuse") or time.monotonic() < self._loading_until_s:
+            handler.answer(503, b"", {**echo, "X-Bellweir-Not-Executed": "1"})
+            return
+        with self._lock:
+            self.record.ran[request_id] += 1
+        time.sleep(self.faults.delay_s)
+        if self.faults.strikes("lose_answer"):
+            handler.reset()
+        elif self.faults.strikes("fail"):
+            handler.answer(500, b"failed", {**echo, "X-Bellweir-Server-Stamp": "failed"})
+        elif self.model:
+            self._stream(handler, request_id, echo)
+        else:
+            self._answer(handler, request_id, body, echo)
+
+    def _answer(
+        self, handler: StandInHandler, request_id: str, body: bytes, echo: dict[str, str]
+    ) -> None:
+        if self.faults.strikes("wrong_id"):
+            echo = {"X-Bellweir-Attempt-Id": "another"}
+        if not self.faults.strikes("unsigned"):
+            echo = {**echo, "X-Bellweir-Server-Stamp": stamp_of(request_id)}
+        handler.answer(200, answer_to(request_id, body), echo)
+
+    def _stream(self, handler: StandInHandler, request_id: str, echo: dict[str, str]) -> None:
+        first = int(handler.headers.get("Last-Event-Id") or 0) + 1
+        cut, self.faults.cut_after_event = self.faults.cut_after_event, None
+        version = self.version
+        handler.send_response(200)
+        for name, value in echo.items():
+            handler.send_header(name, value)
+        handler.send_header("X-Bellweir-Server-Stamp", stamp_of(request_id))
+        handler.send_header("X-Bellweir-Weight-Versions", str(version))
+        handler.send_header("Content-Type", STREAM_TYPE)
+        handler.send_header("Transfer-Encoding", "chunked")
+        handler.end_headers()
+        for number in range(first, self.events + 1):
+            event = event_of(request_id, number)
+            if self.version != version:
+                version = self.version
+                event = b"x-bellweir-weight-versions: %d\n" % version + event
+            if cut is not None and number > cut:
+                _write_chunk(handler, event[: len(event) // 2])
+                handler.reset()
+                return
+            _write_chunk(handler, event)
+            time.sleep(self.event_pause_s)
+        handler.wfile.write(b"0\r\n\r\n")
+        handler.wfile.flush()
+
+
+def _write_chunk(handler: StandInHandler, data: bytes) -> None:
+    handler.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+    handler.wfile.flush()
+
+
+def stamp_of(request_id: str) -> str:
+    """A worker's signature of its answer to a request."""
+    return f"signed.{request_id}"
+
+
+def answer_to(request_id: str, body: bytes) -> bytes:
+    """The body of a worker's answer."""
+    return b"answer to %s: %d bytes" % (request_id.encode(), len(body))
+
+
+def event_of(request_id: str, number: int) -> bytes:
+    """One event of a worker's stream."""
+    return b"id: %d\ndata: piece %d of %s\n\n" % (number, number, request_id.encode())
+
+
+def text_of(request_id: str, events: int) -> str:
+    """The whole text of a stream, as a batch job's result shows it."""
+    return "\n".join(f"piece {number} of {request_id}" for number in range(1, events + 1))
