Test the hosted gateway's truthfulness against workers that fail

24 scenarios: refusals, lost answers, answers of another request, unsigned ones, failures, reused addresses, time-outs, long bodies, streams that break, split routes, clients that leave.

--- /dev/null
+++ b/features/hosted_forwarding.feature
@@ -0,0 +1,88 @@
+Feature: A hosted gateway forwards requests and tells the truth
+  Workers fail in every way; what a client gets is the whole answer to its own request, or a
+  status that is true: 503 only for a request that has not run and will not.
+
+  Background:
+    Given workers "a" and "b" behind a gateway
+
+  Scenario: A whole answer goes back unchanged
+    When a client sends an idempotent request
+    Then it gets the worker's signed answer
+
+  Scenario Outline: A fault at one worker
+    Given worker "a" will <fault>
+    And worker "b" will <fault>
+    When a client sends <kind> request
+    Then it gets <status>, and the request ran <runs>
+
+    Examples:
+      | fault                      | kind              | status | runs     |
+      | refuse once                | an idempotent     | 503    | 0 times  |
+      | refuse once                | a single-run      | 503    | 0 times  |
+      | lose the answer once       | an idempotent     | 502    | 2 times  |
+      | lose the answer once       | a single-run      | 502    | 1 times  |
+      | answer another id once     | an idempotent     | 502    | 2 times  |
+      | answer another id once     | a single-run      | 502    | 1 times  |
+      | answer unsigned once       | an idempotent     | 502    | 2 times  |
+      | fail once                  | an idempotent     | 500    | 2 times  |
+      | fail once                  | a single-run      | 500    | 1 times  |
+
+  Scenario Outline: A fault at one worker only is hidden where that is allowed
+    Given only worker "a" is tried first and it will <fault>
+    When a client sends <kind> request
+    Then it gets <status>, and the request ran <runs>
+
+    Examples:
+      | fault                  | kind          | status | runs    |
+      | refuse once            | a single-run  | 200    | 1 times |
+      | refuse once            | an idempotent | 200    | 1 times |
+      | lose the answer once   | an idempotent | 200    | 2 times |
+      | answer another id once | an idempotent | 200    | 2 times |
+      | fail once              | an idempotent | 200    | 2 times |
+
+  Scenario: A worker whose address another one has
+    Given the workers' entries name other instances
+    When a client sends a single-run request
+    Then it gets 503, and the request ran 0 times
+
+  Scenario: A refusal says when to come back
+    Given worker "a" will refuse once
+    And worker "b" will refuse once
+    When a client sends an idempotent request
+    Then its answer names a time to come back
+
+  Scenario: No answer within the time-out
+    Given both workers take 3 s
+    When a client sends an idempotent request whose route allows 300 ms
+    Then it gets 504 within the time-out and a half second
+
+  Scenario: No route, and no configuration
+    When a client sends a request that no route has
+    Then it gets 404
+    When the gateway knows no configuration
+    And a client sends an idempotent request
+    Then it gets 503, and the request ran 0 times
+
+  Scenario: A long body in pieces
+    When a client sends a body of 3000000 bytes in pieces
+    Then the worker got all of it
+
+  Scenario: A stream that breaks is resumed behind its last whole event
+    Given model workers behind the gateway
+    And the next stream breaks in the middle of event 4
+    When a client asks for a stream that may be resumed
+    Then it gets every event once and in order
+
+  Scenario: A stream that may not be resumed ends short
+    Given model workers behind the gateway
+    And the next stream breaks in the middle of event 4
+    When a client asks for a stream that may not be resumed
+    Then its answer is cut behind event 3
+
+  Scenario: Shares of a split route
+    Then a route's requests are shared by weight within one request, at any weights
+
+  Scenario: A client that leaves
+    Given both workers take 3 s
+    When a client sends an idempotent request and leaves
+    Then the gateway ends its attempt within half a second
--- /dev/null
+++ b/features/steps/hosted_forwarding_steps.py
@@ -0,0 +1,213 @@
+"""A hosted gateway in this process before stand-ins of workers."""
+
+import threading
+import time
+
+import hypothesis.strategies as st
+from behave import given as given_step
+from behave import then, when
+from features.support.hosted_gateway import GatewayUnderTest
+from hypothesis import given, settings
+
+from bellweir.hosted.serving.selection import WeightedParts
+from bellweir_rehearsal.hosted.worker import WorkerStandIn, answer_to, event_of, stamp_of
+
+EVENTS = 6
+FAULTS = {
+    "refuse": "refuse",
+    "lose the answer": "lose_answer",
+    "answer another id": "wrong_id",
+    "answer unsigned": "unsigned",
+    "fail": "fail",
+}
+PATHS = {"an idempotent": "/idempotent/x", "a single-run": "/single/x"}
+
+
+def start(context, workers):
+    context.workers = workers
+    context.gateway = GatewayUnderTest(list(workers.values()))
+    context.cleanup.callback(context.gateway.close)
+    for worker in workers.values():
+        context.cleanup.callback(worker.close)
+
+
+@given_step('workers "a" and "b" behind a gateway')
+def given_workers(context):
+    start(context, {name: WorkerStandIn(f"i-{name}") for name in "ab"})
+
+
+@given_step("model workers behind the gateway")
+def given_model_workers(context):
+    workers = [WorkerStandIn(f"i-{name}", model="m", events=EVENTS) for name in "ab"]
+    start(context, dict(zip("ab", workers, strict=True)))
+
+
+@given_step('worker "{name}" will {fault} once')
+def given_fault(context, name, fault):
+    setattr(context.workers[name].faults, FAULTS[fault], 1)
+
+
+@given_step('only worker "a" is tried first and it will {fault} once')
+def given_first(context, fault):
+    given_fault(context, "a", fault)
+    prefer_first(context)
+
+
+def prefer_first(context):
+    """Have worker "b" passed over for a moment, as one that has just said it is full."""
+    context.gateway.loads.choose([context.gateway.workers.worker("i-b")], ())
+    context.gateway.loads.refused("i-b")
+
+
+@given_step("the workers' entries name other instances")
+def given_reused(context):
+    entries = {f"other-{name}": each.entry("app") for name, each in context.workers.items()}
+    context.gateway.show_workers(entries)
+
+
+@given_step("both workers take {seconds:d} s")
+def given_slow(context, seconds):
+    for worker in context.workers.values():
+        worker.faults.delay_s = seconds
+
+
+@given_step("the next stream breaks in the middle of event {number:d}")
+def given_broken_stream(context, number):
+    first = context.workers["a"]
+    first.faults.cut_after_event = number - 1
+    prefer_first(context)
+
+
+@when("a client sends {kind} request")
+def when_sent(context, kind):
+    context.answer = context.gateway.send(PATHS[kind])
+
+
+@when("a client sends an idempotent request whose route allows 300 ms")
+def when_sent_short(context):
+    began_s = time.monotonic()
+    context.answer = context.gateway.send("/short/x")
+    context.took_s = time.monotonic() - began_s
+
+
+@when("a client sends a request that no route has")
+def when_sent_nowhere(context):
+    context.answer = context.gateway.send("/nowhere/x")
+
+
+@when("the gateway knows no configuration")
+def when_no_configuration(context):
+    context.gateway.forget_configuration()
+
+
+@when("a client sends a body of {size:d} bytes in pieces")
+def when_sent_long(context, size):
+    context.size = size
+    pieces = (b"x" * 10_000 for _ in range(size // 10_000))
+    context.answer = context.gateway.send("/idempotent/x", pieces)
+
+
+@when("a client asks for a stream that may be resumed")
+def when_resumable(context):
+    context.answer = context.gateway.send("/resumable/x")
+
+
+@when("a client asks for a stream that may not be resumed")
+def when_not_resumable(context):
+    context.answer = context.gateway.send("/stream/x")
+
+
+@when("a client sends an idempotent request and leaves")
+def when_left(context):
+    context.left_id = context.gateway.send_and_leave("/idempotent/x")
+
+
+@then("it gets the worker's signed answer")
+def then_answer(context):
+    answer = context.answer
+    assert (answer.status, answer.whole) == (200, True)
+    assert answer.body == answer_to(answer.request_id, b"body")
+    assert answer.headers["X-Bellweir-Server-Stamp"] == stamp_of(answer.request_id)
+    assert answer.headers["X-Bellweir-Attempt-Id"] == answer.request_id
+
+
+@then("it gets {status:d}, and the request ran {count:d} times")
+def then_status(context, status, count):
+    assert context.answer.status == status, context.answer
+    ran = sum(each.record.ran[context.answer.request_id] for each in context.workers.values())
+    assert ran == count, f"ran {ran} times"
+    if status == 200:
+        then_answer(context)
+    elif status == 500:
+        assert context.answer.headers["X-Bellweir-Server-Stamp"] == "failed"
+    else:
+        assert "X-Bellweir-Server-Stamp" not in context.answer.headers
+
+
+@then("it gets {status:d}")
+def then_only_status(context, status):
+    assert context.answer.status == status, context.answer
+
+
+@then("its answer names a time to come back")
+def then_retry_after(context):
+    assert context.answer.status == 503
+    assert 0 < float(context.answer.headers["Retry-After"]) < 1
+
+
+@then("it gets 504 within the time-out and a half second")
+def then_timed_out(context):
+    assert context.answer.status == 504, context.answer
+    assert context.took_s < 0.8
+
+
+@then("the worker got all of it")
+def then_all(context):
+    assert context.answer.status == 200
+    assert context.answer.body == answer_to(context.answer.request_id, b"x" * context.size)
+
+
+@then("it gets every event once and in order")
+def then_every_event(context):
+    answer = context.answer
+    wanted = b"".join(event_of(answer.request_id, number) for number in range(1, EVENTS + 1))
+    assert (answer.status, answer.whole, answer.body) == (200, True, wanted)
+
+
+@then("its answer is cut behind event {number:d}")
+def then_cut(context, number):
+    answer = context.answer
+    assert not answer.whole
+    wanted = b"".join(event_of(answer.request_id, each) for each in range(1, number + 1))
+    assert wanted.startswith(answer.body)
+
+
+@then("a route's requests are shared by weight within one request, at any weights")
+def then_shared(context):
+    @settings(max_examples=60)
+    @given(weights=st.lists(st.integers(0, 9), min_size=2, max_size=4).filter(any))
+    def shared(weights):
+        parts = tuple((f"service-{number}", float(weight)) for number, weight in enumerate(weights))
+        split, counts = WeightedParts(), dict.fromkeys((name for name, _ in parts), 0)
+        total = sum(weights)
+        rounds = 5
+        for _ in range(rounds * total):
+            order = split.order(parts, ("route", 1))
+            counts[order[0]] += 1
+        for name, weight in parts:
+            assert abs(counts[name] - rounds * weight) <= len(parts), counts
+
+    shared()
+
+
+@then("the gateway ends its attempt within half a second")
+def then_ended(context):
+    loads, workers = context.gateway.loads, context.gateway.workers.all()
+
+    def in_hand():
+        return sum(loads.in_hand(worker.instance) for worker in workers)
+
+    deadline_s = time.monotonic() + 0.5
+    while in_hand() and time.monotonic() < deadline_s:
+        threading.Event().wait(0.01)
+    assert in_hand() == 0
--- /dev/null
+++ b/features/support/hosted_gateway.py
@@ -0,0 +1,128 @@
+"""A hosted gateway's request interface in this process, before stand-ins of workers."""
+
+import http.client
+import itertools
+import socket
+import threading
+from types import SimpleNamespace
+
+import msgspec
+
+from bellweir.hosted.interface import Listing, StoredRecord
+from bellweir.hosted.serving.application import RequestApplication
+from bellweir.hosted.serving.attempt import WorkerConnections
+from bellweir.hosted.serving.forwarding import Forwarder
+from bellweir.hosted.serving.metrics import RequestMetrics
+from bellweir.hosted.serving.selection import WorkerLoads
+from bellweir.hosted.serving.streams import StreamForwarder
+from bellweir.hosted.views.configuration import ConfigurationView
+from bellweir.hosted.views.workers import WorkersView
+from bellweir.http_server.caller_watch import CallerWatch
+from bellweir.http_server.server import HttpServer
+from bellweir.http_server.server_limits import ServerLimits
+from bellweir.kernel.executors import Executors
+from bellweir.kernel.listeners import address_of
+from bellweir_platform.headers import HEADERS
+
+HOST = "shop.example"
+ROUTES = (
+    ("/idempotent/", "idempotent", {"maxAttempts": 2, "timeoutMs": 5000}),
+    ("/single/", "non_idempotent", {"maxAttempts": 2, "timeoutMs": 5000}),
+    ("/short/", "idempotent", {"maxAttempts": 2, "timeoutMs": 300, "targetMs": 200}),
+    ("/stream/", "streaming", {"maxAttempts": 3, "canResume": False}),
+    ("/resumable/", "streaming", {"maxAttempts": 3, "canResume": True}),
+)
+
+
+def configuration(version=1):
+    routes = [
+        {"host": HOST, "pathPrefix": prefix, "kind": kind, "service": "app"}
+        | {"timeoutMs": 10_000, "targetMs": 2_000}
+        | fields
+        for prefix, kind, fields in ROUTES
+    ]
+    return {"version": version, "routes": routes, "services": [{"name": "app"}]}
+
+
+class NoBatches:
+    def is_call(self, request):
+        return False
+
+
+class GatewayUnderTest:
+    """Listens on loopback; `close` ends it."""
+
+    def __init__(self, workers):
+        self.executors = Executors()
+        self.view, self.workers = ConfigurationView(), WorkersView()
+        self.view.take(configuration(), "test")
+        self.show_workers({worker.instance: worker.entry("app") for worker in workers})
+        self.loads = WorkerLoads("a")
+        connections = WorkerConnections(HEADERS)
+        self.caller_watch = CallerWatch(self.executors)
+        self.caller_watch.start()
+        forwarder = Forwarder(
+            self.workers, self.loads, connections, self.caller_watch, RequestMetrics()
+        )
+        streams = StreamForwarder(forwarder, self.loads, connections, self.caller_watch)
+        self.application = RequestApplication(HEADERS, self.view, forwarder, streams, NoBatches())
+        listener = socket.create_server(("127.0.0.1", 0))
+        self.address = address_of(listener)
+        self.server = HttpServer(self.application, listener, ServerLimits(16, 32 << 20))
+        self.executors.run_task("http", self.server.run_until_closed)
+        self._numbers = itertools.count(1)
+
+    def show_workers(self, entries):
+        records = tuple(
+            StoredRecord("servers", name, 1, msgspec.json.decode(msgspec.json.encode(entry)))
+            for name, entry in entries.items()
+        )
+        self.workers.take_listing(Listing(1, records))
+
+    def forget_configuration(self):
+        self.application._configuration = ConfigurationView()
+
+    def close(self):
+        self.caller_watch.stop()
+        self.server.close_all()
+        self.executors.stop()
+
+    def send(self, path, body=b"body", deadline_ms=5_000, host=HOST):
+        """Send one request; its answer with status, headers, body and whether it was whole."""
+        request_id = f"request-{next(self._numbers)}"
+        connection = http.client.HTTPConnection(self.address, timeout=20.0)
+        headers = {
+            "Host": host,
+            HEADERS.request_id: request_id,
+            HEADERS.deadline_ms: str(deadline_ms),
+        }
+        connection.request("POST", path, body, headers, encode_chunked=not isinstance(body, bytes))
+        answer = connection.getresponse()
+        try:
+            content, whole = answer.read(), True
+        except http.client.IncompleteRead as failure:
+            content, whole = failure.partial, False
+        except OSError:
+            content, whole = b"", False
+        connection.close()
+        return SimpleNamespace(
+            request_id=request_id,
+            status=answer.status,
+            headers=answer.headers,
+            body=content,
+            whole=whole,
+        )
+
+    def send_and_leave(self, path):
+        """Send a request on a connection and close it at once after."""
+        request_id = f"request-{next(self._numbers)}"
+        host, port = self.address.split(":")
+        connection = socket.create_connection((host, int(port)))
+        head = (
+            f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{HEADERS.request_id}: {request_id}\r\n"
+            f"{HEADERS.deadline_ms}: 5000\r\nContent-Length: 0\r\n\r\n"
+        )
+        connection.sendall(head.encode())
+        threading.Event().wait(0.1)
+        connection.close()
+        return request_id
