Test batch jobs, weight roll-outs and hosted settings without the bench

hosted_batches (15 scenarios: the state machine and a text's progress against oracles, the coordinator before failing workers, the calls at a gateway), hosted_plan (5), hosted_settings (3).

--- /dev/null
+++ b/features/hosted_batches.feature
@@ -0,0 +1,59 @@
+Feature: Batch jobs keep what they have shown
+  A job is kept once it is accepted. Each item's first result takes the next position, and nothing
+  that was shown at a position ever changes.
+
+  Scenario: Commands in any order, again and again, and through snapshots
+    Then a batch job's positions never change, and each item stands at one position only
+
+  Scenario: Events cut anywhere
+    Then an event stream cut into any pieces gives the same whole events
+
+  Scenario: Runs of an item that break and overlap
+    Then an item's text is whole, in order and of the versions that made it
+
+  Scenario Outline: An item through troubles at the workers
+    Given a leader with model workers and scorers
+    And <trouble>
+    When a job of 6 items in 3 groups is accepted
+    Then every item is listed completed, with its whole text, its versions and its score
+
+    Examples:
+      | trouble                              |
+      | no trouble                           |
+      | a worker refuses 3 requests          |
+      | a worker loses 2 answers             |
+      | a worker breaks a stream off         |
+      | a scorer loses 2 answers             |
+      | a scorer fails once                  |
+      | a worker whose weights are too old   |
+
+  Scenario: An item that always fails
+    Given a leader with model workers and scorers
+    And both model workers fail every request
+    When a job of 2 items in 1 groups is accepted
+    Then every item is listed dead after 3 answers of 500
+
+  Scenario: A job that is ended
+    Given a leader with model workers and scorers
+    And the workers stream slowly
+    When a job of 6 items in 3 groups is accepted
+    And it is ended while it runs
+    Then nothing of it is running at the workers and no new item begins
+
+  Scenario: A node that no longer leads
+    Given a leader with model workers and scorers
+    And the workers stream slowly
+    When a job of 6 items in 3 groups is accepted
+    And another node leads
+    Then nothing of it is running at the workers and no new item begins
+
+  Scenario: Calls of a trainer at a gateway
+    Given a gateway before a ledger
+    When a trainer hands in a job
+    Then it is accepted with 202, and again when it comes again
+    And its results are read from any position, its bodies until they are listed
+    And it is ended with 200, as often as that is asked
+
+  Scenario: A ledger that does not answer
+    Given a gateway before a ledger
+    Then a job is refused with 503 only while it is surely not kept
--- /dev/null
+++ b/features/hosted_plan.feature
@@ -0,0 +1,26 @@
+Feature: Weight versions reach the workers with few loads
+  Trainers name versions; the plan says which worker loads which one. Enough workers always fit the
+  newest jobs, and no more loads are made than that needs.
+
+  Scenario: Versions named one after the other
+    Then at any number of workers, models and lags enough workers fit and loads stay bounded
+
+  Scenario: The newest job tells the lag
+    Then the lag is the distance that the newest job allowed when it came, at most 1
+
+  Scenario: The controller brings workers to a named version
+    Given 4 workers of a model with version 1 and a controller that holds the lease
+    When version 2 is named
+    Then all 4 workers hold version 2, each by one order under the lease's fence
+    And no more than 2 of them loaded at once
+
+  Scenario: A trainer that allows the version before
+    Given 4 workers of a model with version 1 and a controller that holds the lease
+    And the trainer's jobs allow the version before
+    When versions 2 to 5 are named, each once the loads are done
+    Then every worker holds version 4 or 5 and at most 9 orders were given
+
+  Scenario: Without the lease
+    Given 4 workers of a model with version 1 and a controller without the lease
+    When version 2 is named
+    Then no order is given
--- /dev/null
+++ b/features/hosted_settings.feature
@@ -0,0 +1,17 @@
+Feature: Settings of a hosted process are checked whole
+  The hosting platform fills the template in `deploy/` from its own fields at every start and each
+  time they change.
+
+  Scenario: The template of both roles
+    When the template is filled for a gateway and for a store
+    Then both settings are accepted, with nothing unknown
+
+  Scenario: Several faults at once
+    Given settings with a wrong role, a port out of bounds, a bad seed and no data folder
+    Then all 3 faults of values are found together, each with its place
+    Given settings without a node's name and with a text for a number
+    Then all 2 faults of shape are found together, each with its place
+
+  Scenario: Keys of later versions
+    Given settings with keys that nobody knows
+    Then they are accepted, and the keys are told
--- /dev/null
+++ b/features/steps/hosted_batches_steps.py
@@ -0,0 +1,358 @@
+"""Batch jobs: the state machine against an oracle, and the coordinator before stand-ins."""
+
+import base64
+import json
+from types import SimpleNamespace
+
+import hypothesis.strategies as st
+from behave import given as given_step
+from behave import then, when
+from features.support.hosted_jobs import EVENTS, HOST, MODEL, MemoryLedger, make_job, make_leader
+from hypothesis import given, settings
+
+from bellweir.hosted.batches.api import BatchApi
+from bellweir.hosted.batches.progress import EventsMissingError, ItemProgress
+from bellweir.hosted.batches.state import (
+    AcceptJob,
+    BatchJobs,
+    EndJob,
+    ForgetJobs,
+    ItemResult,
+    ReadItem,
+    ReadResults,
+    RecordResults,
+)
+from bellweir.hosted.event_stream import EventSplitter, StreamEvent
+from bellweir.hosted.records import Route, RouteKind
+from bellweir.http_server.http import Caller, Request
+from bellweir.ledger.interface import LedgerErrorKind
+from bellweir_platform.headers import HEADERS, PATHS
+from bellweir_rehearsal.hosted.worker import event_of, stamp_of, text_of
+
+ROUTE = Route(host=HOST, path_prefix="/draft/", kind=RouteKind.ROLLOUT, max_attempts=3)
+
+
+@then("a batch job's positions never change, and each item stands at one position only")
+def then_positions(context):
+    results = st.lists(st.tuples(st.integers(0, 6), st.integers(0, 99)), min_size=1, max_size=4)
+    command = st.one_of(
+        st.tuples(st.just("accept"), st.integers(0, 2), st.none()),
+        st.tuples(st.just("record"), st.integers(0, 2), results),
+        st.tuples(st.just("end"), st.integers(0, 2), st.none()),
+        st.tuples(st.just("snapshot"), st.none(), st.none()),
+    )
+
+    @settings(max_examples=150)
+    @given(commands=st.lists(command, max_size=40))
+    def positions(commands):
+        machine, shown = BatchJobs(), {}
+        for what, number, found in commands:
+            job_id = f"job-{number}"
+            if what == "accept":
+                machine.apply(AcceptJob(make_job(job_id, 5, 2)))
+            elif what == "record":
+                made = tuple(ItemResult(f"{job_id}-{at}", True, f"text {t}") for at, t in found)
+                machine.apply(RecordResults(job_id, made))
+            elif what == "end":
+                machine.apply(EndJob(job_id, 1.0))
+            else:
+                saved, machine = machine.save(), BatchJobs()
+                machine.load(saved)
+            check_shown(machine, shown)
+
+    positions()
+
+
+def check_shown(machine, shown):
+    for job_id in machine.jobs:
+        page = machine.answer(ReadResults(job_id, 0, 1 << 20))
+        before = shown.get(job_id, ())
+        assert page.results[: len(before)] == before, "a position changed"
+        shown[job_id] = page.results
+        ids = [result.item_id for result in page.results]
+        assert len(set(ids)) == len(ids), "an item stands at two positions"
+        assert set(ids) <= set(machine.jobs[job_id].items)
+        assert page.total == 5
+        for after in range(len(ids)):
+            part = machine.answer(ReadResults(job_id, after, 1))
+            assert part.results == page.results[after : after + 1]
+        for item_id in machine.jobs[job_id].items:
+            body = machine.answer(ReadItem(job_id, item_id)).body
+            wanted = item_id not in ids and machine.jobs[job_id].is_open
+            assert (body == b"prompt") == wanted
+    assert shown.keys() <= machine.jobs.keys(), "a job is gone"
+
+
+@then("an event stream cut into any pieces gives the same whole events")
+def then_events(context):
+    @settings(max_examples=150)
+    @given(
+        count=st.integers(0, 6),
+        end=st.sampled_from((b"\n", b"\r\n")),
+        cuts=st.lists(st.floats(0, 1), max_size=8),
+        dropped=st.integers(0, 12),
+    )
+    def events(count, end, cuts, dropped):
+        raw = b"".join(event_of("r", number) for number in range(1, count + 1))
+        if count:
+            raw = b"x-bellweir-weight-versions: 7\n" + raw
+        raw = raw.replace(b"\n", end)
+        whole = EventSplitter(HEADERS.weight_versions).feed(raw)
+        assert b"".join(event.raw for event in whole) == raw
+        assert [event.event_id for event in whole] == list(range(1, count + 1))
+        assert [event.weight_version for event in whole[:1]] == [7][:count]
+        kept = raw[: len(raw) - dropped] if dropped else raw
+        splitter, found, start = EventSplitter(HEADERS.weight_versions), [], 0
+        for cut in [*sorted(int(each * len(kept)) for each in cuts), len(kept)]:
+            found += splitter.feed(kept[start:cut])
+            start = cut
+        assert found == whole[: len(found)]
+        assert splitter.is_between_events == (b"".join(e.raw for e in found) == kept)
+
+    events()
+
+
+@then("an item's text is whole, in order and of the versions that made it")
+def then_text(context):
+    run = st.tuples(st.integers(1, 3), st.integers(0, 6), st.integers(-2, 2))
+
+    @settings(max_examples=150)
+    @given(runs=st.lists(run, min_size=1, max_size=6))
+    def text(runs):
+        job = make_job("j", 1, 1)
+        progress, made_by = ItemProgress(job, ROUTE, job.items[0]), {}
+        for version, length, offset in runs:
+            first = max(1, (progress.last_event_id or 0) + 1 + offset)
+            try:
+                for number in range(first, first + length):
+                    event = StreamEvent(b"", number, b"piece %d" % number, None)
+                    before = len(progress.pieces)
+                    progress.add_event(event, version)
+                    if len(progress.pieces) > before:
+                        made_by[number] = version
+            except EventsMissingError:
+                progress.restart()
+                made_by.clear()
+            numbers = [int(piece.split()[1]) for piece in progress.pieces]
+            start = numbers[0] if numbers else 1
+            assert numbers == list(range(start, start + len(numbers)))
+            assert set(progress.versions) == set(made_by.values())
+
+    text()
+
+
+@given_step("a leader with model workers and scorers")
+def given_leader(context):
+    context.leader = make_leader(context)
+
+
+@given_step("no trouble")
+def given_nothing(context):
+    pass
+
+
+@given_step("a worker refuses 3 requests")
+def given_refusals(context):
+    context.leader.models[0].faults.refuse = 3
+
+
+@given_step("a worker loses 2 answers")
+def given_lost(context):
+    context.leader.models[0].faults.lose_answer = 2
+
+
+@given_step("a worker breaks a stream off")
+def given_broken(context):
+    context.leader.models[0].faults.cut_after_event = 2
+
+
+@given_step("a scorer loses 2 answers")
+def given_lost_scores(context):
+    context.leader.scorers[0].faults.lose_answer = 2
+
+
+@given_step("a scorer fails once")
+def given_failed_score(context):
+    context.leader.scorers[0].faults.fail = 1
+
+
+@given_step("a worker whose weights are too old")
+def given_old(context):
+    # Its entry still shows the version that it had before.
+    context.leader.models[0].version = 1
+
+
+@given_step("both model workers fail every request")
+def given_failing(context):
+    for worker in context.leader.models:
+        worker.faults.fail = 1_000
+
+
+@given_step("the workers stream slowly")
+def given_slow(context):
+    for worker in context.leader.models:
+        worker.event_pause_s = 0.3
+
+
+@when("a job of {items:d} items in {groups:d} groups is accepted")
+def when_accepted(context, items, groups):
+    context.job = make_job("job", items, groups, minimum_version=2)
+    context.leader.ledger.submit("", AcceptJob(context.job), 1.0)
+
+
+def listed(context):
+    return context.leader.ledger.machine.jobs["job"].results
+
+
+@then("every item is listed completed, with its whole text, its versions and its score")
+def then_completed(context):
+    wanted = len(context.job.items)
+    context.wait_until(lambda: len(listed(context)) == wanted, "every item listed")
+    for result in listed(context):
+        assert result.is_complete
+        assert result.text == text_of(result.item_id, EVENTS)
+        assert result.versions == (2,)
+        assert result.score == stamp_of(f"score-{result.item_id}")
+
+
+@then("every item is listed dead after 3 answers of 500")
+def then_dead(context):
+    wanted = len(context.job.items)
+    context.wait_until(lambda: len(listed(context)) == wanted, "every item listed")
+    assert not any(result.is_complete for result in listed(context))
+    for item in context.job.items:
+        assert sum(each.record.ran[item.id] for each in context.leader.models) == 3
+
+
+def begun(context):
+    return sum(sum(each.record.ran.values()) for each in context.leader.models)
+
+
+@when("it is ended while it runs")
+def when_ended(context):
+    context.wait_until(lambda: begun(context) > 0, "an item begun")
+    context.leader.ledger.submit("", EndJob("job", 2.0), 1.0)
+
+
+@when("another node leads")
+def when_deposed(context):
+    context.wait_until(lambda: begun(context) > 0, "an item begun")
+    context.leader.ledger.leading = False
+
+
+@then("nothing of it is running at the workers and no new item begins")
+def then_nothing_runs(context):
+    coordinator = context.leader.coordinator
+    context.wait_until(lambda: not coordinator._running, "all attempts ended", 2.0)
+    before = begun(context)
+    context.leader.show()
+    coordinator._wake.set()
+    context.wait_until(lambda: not coordinator._running, "no attempt begun")
+    assert begun(context) == before
+
+
+@given_step("a gateway before a ledger")
+def given_gateway(context):
+    context.ledger = MemoryLedger()
+    context.api = BatchApi(context.ledger, HEADERS, PATHS)
+
+
+def call(method, path, body=b"", query="", job_id="job", wait_ms="0"):
+    source = SimpleNamespace(read=lambda: body)
+    environ = {
+        "REQUEST_METHOD": method,
+        "PATH_INFO": path,
+        "REQUEST_URI": path,
+        "QUERY_STRING": query,
+        "HTTP_X_BELLWEIR_ATTEMPT_ID": job_id,
+        "HTTP_X_BELLWEIR_WAIT_MS": wait_ms,
+        "wsgi.input": source,
+        "waitress.client_disconnected": lambda: False,
+    }
+    return Request(environ, job_id, Caller("test"))
+
+
+def job_document():
+    items = [
+        {
+            "id": f"item-{number}",
+            "path": f"/draft/{number}",
+            "headers": {"X-Bellweir-Model": MODEL},
+            "body": base64.b64encode(b"prompt").decode(),
+            "tokens": 12,
+            "group": "g",
+            "scorer": {"id": f"s-{number}", "host": HOST, "path": "/score/x", "body": ""},
+        }
+        for number in range(3)
+    ]
+    fields = {"step": 0, "model": MODEL, "minVersion": 1, "wantedGroups": 1}
+    return json.dumps({**fields, "items": items}).encode()
+
+
+@when("a trainer hands in a job")
+def when_handed_in(context):
+    context.sent = job_document()
+    context.answer = context.api.accept(call("POST", "/draft/job", context.sent), ROUTE)
+
+
+@then("it is accepted with 202, and again when it comes again")
+def then_accepted(context):
+    assert context.answer.status == 202
+    again = context.api.accept(call("POST", "/draft/job", context.sent), ROUTE)
+    assert again.status == 202
+    assert list(context.ledger.machine.jobs) == ["job"]
+
+
+@then("its results are read from any position, its bodies until they are listed")
+def then_read(context):
+    body_call = call("GET", "/api/items/job", query="id=item-1")
+    assert context.api.serve_call(body_call).body == b"prompt"
+    results = tuple(ItemResult(f"item-{at}", True, "text", (1, 2), "s") for at in (1, 0))
+    context.ledger.submit("", RecordResults("job", results), 1.0)
+    assert context.api.serve_call(body_call).status == 404
+    page = json.loads(context.api.serve_call(call("GET", "/api/lots/job", query="after=1")).body)
+    result = {"id": "item-0", "state": "completed", "text": "text", "versions": [1, 2]}
+    assert page == {"total": 3, "next": 2, "results": [{**result, "score": "s"}]}
+    empty = context.api.serve_call(call("GET", "/api/lots/job", query="after=2", wait_ms="100"))
+    assert json.loads(empty.body) == {"total": 3, "next": 2, "results": []}
+    assert context.api.serve_call(call("GET", "/api/lots/none")).status == 404
+
+
+@then("it is ended with 200, as often as that is asked")
+def then_ended(context):
+    for _ in range(2):
+        assert context.api.serve_call(call("DELETE", "/api/lots/job")).status == 200
+    assert not context.ledger.machine.jobs["job"].is_open
+
+
+@then("a job is refused with 503 only while it is surely not kept")
+def then_truthful(context):
+    unavailable, unknown = LedgerErrorKind.UNAVAILABLE, LedgerErrorKind.UNKNOWN
+
+    @settings(max_examples=60)
+    @given(
+        failures=st.lists(
+            st.sampled_from([(unavailable, False), (unknown, False), (unknown, True)]), max_size=3
+        ),
+        last=st.booleans(),
+    )
+    def truthful(failures, last):
+        ledger = MemoryLedger()
+        # With a last success the outcome is known; otherwise every try fails.
+        ledger.failures = list(failures) if last else list(failures) + [(unavailable, False)] * 9999
+        api = BatchApi(ledger, HEADERS, PATHS)
+        api.accept_timeout_s = 0.0 if not last else 3.0
+        answer = api.accept(call("POST", "/draft/job", job_document()), ROUTE)
+        kept = "job" in ledger.machine.jobs
+        if answer.status == 202:
+            assert kept
+        elif answer.status == 503:
+            assert not kept, "refused although it is kept"
+        else:
+            assert answer.status == 504
+
+    truthful()
+    machine = BatchJobs()
+    machine.apply(AcceptJob(make_job("job", 5, 1)))
+    machine.apply(ForgetJobs(("job",)))
+    assert machine.jobs == {}
--- /dev/null
+++ b/features/steps/hosted_plan_steps.py
@@ -0,0 +1,190 @@
+"""Roll-outs of weight versions: the plan against an oracle, the controller before stand-ins."""
+
+import math
+import time
+from types import SimpleNamespace
+
+import hypothesis.strategies as st
+from behave import given as given_step
+from behave import then, when
+from features.support.hosted_jobs import make_job
+from hypothesis import given, settings
+
+from bellweir.hosted.interface import Listing, StoredRecord
+from bellweir.hosted.records import WorkerEntry
+from bellweir.hosted.views.configuration import ConfigurationView
+from bellweir.hosted.views.workers import Worker, WorkersView
+from bellweir.hosted.weights.controller import LOADS_AT_ONCE, RolloutController
+from bellweir.hosted.weights.lags import VersionLags
+from bellweir.hosted.weights.plan import ModelTarget, plan_loads, workers_wanted
+from bellweir.hosted.weights.versions import VersionsView
+from bellweir_platform.workers import PlatformWorkers
+from bellweir_rehearsal.hosted.worker import WorkerStandIn
+
+MODEL = "m"
+
+
+@then("at any number of workers, models and lags enough workers fit and loads stay bounded")
+def then_bounded(context):
+    @settings(max_examples=120)
+    @given(
+        worker_count=st.integers(1, 9),
+        model_count=st.integers(1, 4),
+        lag=st.integers(0, 1),
+        rounds=st.integers(1, 8),
+    )
+    def bounded(worker_count, model_count, lag, rounds):
+        workers = [Worker(f"i-{n}", WorkerEntry("s", f"h:{n}")) for n in range(worker_count)]
+        models = [f"m-{number}" for number in range(model_count)]
+        held = {(worker.instance, model): 1 for worker in workers for model in models}
+        loads = 0
+        for version in range(2, 2 + rounds):
+            targets = [ModelTarget(model, version, lag) for model in models]
+            for planned in plan_loads(targets, workers, held):
+                assert held[planned.worker.instance, planned.model] < version
+                held[planned.worker.instance, planned.model] = version
+                loads += 1
+            assert plan_loads(targets, workers, held) == [], "it never comes to rest"
+            for target in targets:
+                fitting = sum(
+                    held[worker.instance, target.model] >= target.oldest_useful
+                    for worker in workers
+                )
+                assert fitting >= workers_wanted(worker_count, model_count, lag)
+        wanted = workers_wanted(worker_count, model_count, lag)
+        most = model_count * (wanted + (rounds - 1) * math.ceil(wanted / (1 + lag)) + rounds * lag)
+        assert loads <= most, f"{loads} loads, at most {most}"
+
+    bounded()
+
+
+@then("the lag is the distance that the newest job allowed when it came, at most 1")
+def then_lag(context):
+    jobs = []
+    lags = VersionLags(lambda: jobs)
+    assert lags.lag_of(MODEL, 1) == 0
+    jobs.append(make_job("a", 1, 1, minimum_version=1))
+    assert lags.lag_of(MODEL, 2) == 1
+    # The next version is named before its job comes.
+    assert lags.lag_of(MODEL, 3) == 1
+    jobs.append(make_job("b", 1, 1, minimum_version=3))
+    assert lags.lag_of(MODEL, 3) == 0
+    jobs.append(make_job("c", 1, 1, minimum_version=4))
+    assert lags.lag_of(MODEL, 9) == 1
+
+
+class FixedLease:
+    def __init__(self, fence):
+        self.fence = fence
+
+    def may_act_for_s(self):
+        return 10.0 if self.fence else 0.0
+
+
+def make_controller(context, count, fence):
+    context.workers = [WorkerStandIn(f"i-{number}", model=MODEL) for number in range(count)]
+    for worker in context.workers:
+        context.cleanup.callback(worker.close)
+    view = WorkersView()
+    context.versions = VersionsView()
+    configuration = ConfigurationView()
+    engine = {"slots": 8, "models": [{"name": MODEL}]}
+    configuration.take(
+        {"version": 1, "routes": [], "services": [{"name": "llm", "engine": engine}]}, "test"
+    )
+    context.jobs = []
+    context.controller = RolloutController(
+        FixedLease(fence),
+        context.versions,
+        view,
+        configuration,
+        PlatformWorkers(),
+        VersionLags(lambda: context.jobs),
+        "node-1",
+    )
+    records = tuple(
+        StoredRecord("servers", worker.instance, 1, worker.entry("llm"))
+        for worker in context.workers
+    )
+    view.take_listing(Listing(1, records))
+
+
+@given_step("{count:d} workers of a model with version 1 and a controller that holds the lease")
+def given_holder(context, count):
+    make_controller(context, count, 17)
+
+
+@given_step("{count:d} workers of a model with version 1 and a controller without the lease")
+def given_no_holder(context, count):
+    make_controller(context, count, 0)
+
+
+@given_step("the trainer's jobs allow the version before")
+def given_lag(context):
+    context.allows_before = True
+
+
+def name(context, version):
+    context.versions.take_listing(
+        Listing(
+            1, (StoredRecord("versions", MODEL, version, {"model": MODEL, "version": version}),)
+        )
+    )
+
+
+def step_until_at_rest(context, done, timeout_s=20.0):
+    context.most_loading = 0
+    deadline_s = time.monotonic() + timeout_s
+    while not done() and time.monotonic() < deadline_s:
+        context.controller.step()
+        context.most_loading = max(context.most_loading, len(context.controller._loads))
+        time.sleep(0.02)
+    assert done(), [worker.version for worker in context.workers]
+
+
+@when("version {version:d} is named")
+def when_named(context, version):
+    name(context, version)
+    for _ in range(3):
+        context.controller.step()
+
+
+@then("all {count:d} workers hold version {version:d}, each by one order under the lease's fence")
+def then_all_hold(context, count, version):
+    step_until_at_rest(context, lambda: all(each.version == version for each in context.workers))
+    for worker in context.workers:
+        orders = [(each.holder, each.fence, each.version) for each in worker.record.orders]
+        assert orders == [("node-1", 17, version)]
+
+
+@then("no more than {most:d} of them loaded at once")
+def then_at_once(context, most):
+    assert context.most_loading <= most == LOADS_AT_ONCE
+
+
+@when("versions {first:d} to {last:d} are named, each once the loads are done")
+def when_several(context, first, last):
+    for version in range(first, last + 1):
+        name(context, version)
+        context.jobs.append(make_job(f"job-{version}", 1, 1, minimum_version=version - 1))
+        step_until_at_rest(
+            context,
+            lambda version=version: (
+                min(each.version for each in context.workers) >= version - 1
+                and sum(each.version == version for each in context.workers) >= 2
+                and not context.controller._loads
+            ),
+        )
+
+
+@then("every worker holds version 4 or 5 and at most {most:d} orders were given")
+def then_few_orders(context, most):
+    assert {worker.version for worker in context.workers} <= {4, 5}
+    assert sum(len(worker.record.orders) for worker in context.workers) <= most
+
+
+@then("no order is given")
+def then_no_order(context):
+    assert SimpleNamespace(orders=[each.record.orders for each in context.workers]).orders == [
+        [] for _ in context.workers
+    ]
--- /dev/null
+++ b/features/steps/hosted_settings_steps.py
@@ -0,0 +1,100 @@
+"""Settings of hosted processes."""
+
+import json
+
+from behave import given as given_step
+from behave import then, when
+
+from bellweir.hosted.node_settings import node_settings
+from bellweir.hosted.settings import parse_settings
+from bellweir.settings.findings import SettingsError
+from bellweir_rehearsal.hosted.template import fill
+
+
+def platform_fields(role):
+    is_store = role == "store"
+    listen = {"front": "10.1.0.10:8161", "ready": "10.1.0.10:8167", "directory": "10.1.0.10:8164"}
+    return {
+        "nodeName": f"{role}-a-1",
+        "role": role,
+        "ip": "10.1.0.10",
+        "zone": "a",
+        "region": "r",
+        "listen": {} if is_store else listen,
+        "portRange": [7720, 7735],
+        "seedNodes": ["10.1.0.10:8166", "10.2.0.40:8166"],
+        "dataPath": "/data/x" if is_store else None,
+        "bounds": {"leaseMs": 3000, "gracePeriodS": 8, "ttl_max_s": 5, "cancelMs": 3000}
+        | {"statusS": 120},
+        "limits": {"memoryMb": 300, "maxFds": 4100},
+        "provider": {"address": "10.200.1.7:8169"},
+    }
+
+
+def filled(context, role):
+    template = (context.repository / "deploy" / "settings.template").read_text()
+    return fill(template, platform_fields(role))
+
+
+@when("the template is filled for a gateway and for a store")
+def when_filled(context):
+    context.texts = [filled(context, role) for role in ("gateway", "store")]
+
+
+@then("both settings are accepted, with nothing unknown")
+def then_accepted(context):
+    gateway, store = (parse_settings(text.encode()) for text in context.texts)
+    assert gateway.unknown_keys == store.unknown_keys == ()
+    assert gateway.settings.listen.requests == "10.1.0.10:8161"
+    assert store.settings.listen.requests is None
+    shared = node_settings(store.settings)
+    assert str(shared.node.data_folder) == "/data/x"
+    # The seeds' IP numbers count, with the port that all machines share; not its own.
+    assert shared.membership.seeds == ("10.2.0.40:7720",)
+
+
+def changed(context, **changes):
+    plain = json.loads(filled(context, "gateway"))
+    for place, value in changes.items():
+        part, key = place.split("__")
+        if value is ...:
+            del plain[part][key]
+        else:
+            plain[part][key] = value
+    return json.dumps(plain).encode()
+
+
+@given_step("settings with a wrong role, a port out of bounds, a bad seed and no data folder")
+def given_wrong_values(context):
+    changes = {"node__role": "king", "node__peerPort": 99_999, "node__seeds": ["nowhere"]}
+    context.content = changed(context, **changes)
+
+
+@given_step("settings without a node's name and with a text for a number")
+def given_wrong_shape(context):
+    context.content = changed(context, node__name=..., bounds__leaseMs="soon")
+
+
+@then("all {count:d} faults of {what} are found together, each with its place")
+def then_found(context, count, what):
+    places = {
+        "values": {"node.role", "node.peerPort", "node.seeds.0"},
+        "shape": {"node.name", "bounds.leaseMs"},
+    }
+    try:
+        parse_settings(context.content)
+    except SettingsError as failure:
+        assert {finding.key_path for finding in failure.findings} == places[what]
+        assert len(failure.findings) == count
+        return
+    raise AssertionError("accepted")
+
+
+@given_step("settings with keys that nobody knows")
+def given_unknown(context):
+    context.content = changed(context, node__colour="red", limits__wings=2)
+
+
+@then("they are accepted, and the keys are told")
+def then_told(context):
+    assert set(parse_settings(context.content).unknown_keys) == {"node.colour", "limits.wings"}
--- /dev/null
+++ b/features/support/hosted_jobs.py
@@ -0,0 +1,126 @@
+"""A ledger in memory with one replica, and jobs."""
+
+import threading
+from types import SimpleNamespace
+
+from returns.result import Failure, Success
+
+from bellweir.hosted.batches.attempts import ItemAttempts
+from bellweir.hosted.batches.coordinator import Coordinator
+from bellweir.hosted.batches.state import BatchJobs, Job, JobItem, Scorer
+from bellweir.hosted.interface import Listing, StoredRecord
+from bellweir.hosted.serving.attempt import WorkerConnections
+from bellweir.hosted.serving.selection import WorkerLoads
+from bellweir.hosted.views.configuration import ConfigurationView
+from bellweir.hosted.views.workers import WorkersView
+from bellweir.kernel.executors import Executors
+from bellweir.ledger.interface import LedgerError, LedgerErrorKind
+from bellweir.ledger.machines import Codec
+from bellweir_platform.headers import HEADERS
+from bellweir_rehearsal.hosted.worker import WorkerStandIn
+
+HOST = "shop.example"
+MODEL = "m"
+EVENTS = 5
+
+
+class MemoryLedger:
+    """Applies commands at once, through their encoding."""
+
+    def __init__(self):
+        self.machine = BatchJobs()
+        self.codec = Codec([BatchJobs])
+        self.leading = True
+        self.failures = []
+        """Errors of the next submits, with whether the command was applied nevertheless."""
+        self._lock = threading.Lock()
+
+    def register(self, make):
+        pass
+
+    def submit(self, key, command, timeout_s):
+        kind, applied = self.failures.pop(0) if self.failures else (None, True)
+        reply = None
+        if applied:
+            with self._lock:
+                reply = self.machine.apply(
+                    self.codec.decode(self.codec.encode(command), type(command))
+                )
+        return Success(reply) if kind is None else Failure(LedgerError(kind, "test"))
+
+    def ask(self, key, query, timeout_s):
+        if not self.leading:
+            return Failure(LedgerError(LedgerErrorKind.UNAVAILABLE, "test"))
+        with self._lock:
+            return Success(self.machine.answer(query))
+
+    def leads(self, key):
+        return self.leading
+
+    def local_machine(self, key, make):
+        return self.machine
+
+
+def make_job(job_id, items, groups, minimum_version=1):
+    made = tuple(
+        JobItem(
+            id=f"{job_id}-{number}",
+            path=f"/draft/{number}",
+            headers=(("X-Bellweir-Model", MODEL),),
+            body=b"prompt",
+            group=f"group-{number % groups}",
+            scorer=Scorer(f"score-{job_id}-{number}", HOST, "/score/x", b"score"),
+        )
+        for number in range(items)
+    )
+    return Job(
+        id=job_id,
+        host=HOST,
+        path_prefix="/draft/",
+        items=made,
+        accepted_at_s=1.0,
+        model=MODEL,
+        minimum_version=minimum_version,
+    )
+
+
+def configuration():
+    routes = [
+        {"host": HOST, "pathPrefix": "/draft/", "kind": "rollout", "service": "llm"},
+        {"host": HOST, "pathPrefix": "/score/", "kind": "idempotent", "service": "app"},
+    ]
+    routes = [{"maxAttempts": 3, "targetMs": 400, "timeoutMs": 1_000} | each for each in routes]
+    return {"version": 1, "routes": routes, "services": [{"name": "llm"}, {"name": "app"}]}
+
+
+def make_leader(context):
+    """A coordinator that leads, two model workers and two scorers."""
+    models = [
+        WorkerStandIn(f"llm-{number}", model=MODEL, version=2, events=EVENTS) for number in range(2)
+    ]
+    scorers = [WorkerStandIn(f"app-{number}") for number in range(2)]
+    view, workers, executors = ConfigurationView(), WorkersView(), Executors()
+    view.take(configuration(), "test")
+
+    def show():
+        entries = {each.instance: each.entry("llm") for each in models}
+        entries |= {each.instance: each.entry("app") for each in scorers}
+        records = tuple(StoredRecord("servers", *found) for found in _numbered(entries))
+        workers.take_listing(Listing(1, records))
+
+    show()
+    ledger, loads = MemoryLedger(), WorkerLoads("a")
+    attempts = ItemAttempts(WorkerConnections(HEADERS), loads)
+    coordinator = Coordinator(ledger, view, workers, loads, attempts, executors, 120.0)
+    executors.run_task("coordinator", coordinator.run)
+    executors.run_task("committer", coordinator.committer.run)
+    context.cleanup.callback(executors.stop)
+    for worker in (*models, *scorers):
+        context.cleanup.callback(worker.close)
+    return SimpleNamespace(
+        ledger=ledger, models=models, scorers=scorers, show=show, coordinator=coordinator
+    )
+
+
+def _numbered(entries):
+    return [(name, 1, entry) for name, entry in entries.items()]
--- a/src/bellweir/hosted/batches/api.py
+++ b/src/bellweir/hosted/batches/api.py
@@ -44,6 +44,7 @@
         self._paths = paths
         self._names = names
         self._pause = threading.Event()
+        self.accept_timeout_s = ACCEPT_TIMEOUT_S
 
     def is_call(self, request: Request) -> bool:
         """Whether a request is a call about a job, not one of a route."""
@@ -56,7 +57,7 @@
         if request.method != "POST" or not job_id:
             raise BadRequestError("a batch job is a POST with an id")
         job = decode_job(request.body.read(), job_id, route.host, route.path_prefix)
-        outcome = self._submit_job(job, began_s + ACCEPT_TIMEOUT_S)
+        outcome = self._submit_job(job, began_s + self.accept_timeout_s)
         match outcome:
             case Success(JobAccepted()):
                 emit(
