Bound the volume of logs and write them on a thread of their own

Cause: a line went straight to standard output; a reader that stops reading would have held up the request that logged, and nothing bounded a storm of one event.

Change: lines wait for a writer thread; an event writes at most 50 lines a second and the queue holds 2,000; what is left out is counted and told every 5 s; events marked final are always kept. Tests: hosted_logs (3 scenarios).

--- /dev/null
+++ b/features/steps/hosted_logs_steps.py
@@ -0,0 +1,142 @@
+"""The log writer against pipes."""
+
+import json
+import os
+import threading
+import time
+
+import structlog
+from behave import given as given_step
+from behave import then, when
+
+from bellweir.events.bounded import BoundedLog
+from bellweir.events.log import bind_node, configure_logs, emit
+from bellweir.hosted.log_events import (
+    ATTEMPT_FAILED,
+    CLIENT_LEFT,
+    LINES_LEFT_OUT,
+    REQUEST_GIVEN_UP,
+)
+
+
+def start_logs(context):
+    reader, writer = os.pipe()
+    context.reader = os.fdopen(reader, "rb")
+    stream = os.fdopen(writer, "w", buffering=1)
+    context.log = BoundedLog(stream, LINES_LEFT_OUT)
+    context.saved = structlog.get_config()
+    configure_logs("info", "json", context.log)
+    bind_node("node-1")
+    context.cleanup.callback(structlog.configure, **context.saved)
+    context.cleanup.callback(configure_logs, "info", "json")
+
+
+@given_step("logs that go to a pipe which nobody reads")
+def given_unread(context):
+    start_logs(context)
+
+
+@given_step("logs that go to a pipe which is read")
+def given_read(context):
+    start_logs(context)
+    start_reading(context)
+
+
+def start_reading(context):
+    context.lines = []
+
+    def read():
+        for line in context.reader:
+            context.lines.append(json.loads(line))
+
+    context.thread = threading.Thread(target=read, daemon=True)
+    context.thread.start()
+
+
+def end(context):
+    context.log.close(10.0)
+    context.thread.join(10.0)
+
+
+def give_up(number):
+    emit(
+        REQUEST_GIVEN_UP,
+        request_id=f"r-{number}",
+        route="r",
+        configuration=1,
+        status=503,
+        cause="workers_full",
+        attempts=2,
+        ms=4,
+    )
+
+
+@when("{count:d} lines are emitted, of which {final:d} tell a final failure")
+def when_emitted(context, count, final):
+    context.longest_s = 0.0
+    for number in range(count):
+        began_s = time.monotonic()
+        if number % (count // final) == 0:
+            give_up(number)
+        else:
+            emit(ATTEMPT_FAILED, request_id=f"r-{number}", detail="x" * 100)
+        context.longest_s = max(context.longest_s, time.monotonic() - began_s)
+
+
+@then("emitting never waited for the reader")
+def then_no_wait(context):
+    assert context.longest_s < 1.0
+
+
+@when("the reader reads again")
+def when_read(context):
+    start_reading(context)
+    end(context)
+
+
+@then("it gets the {final:d} final failures, and the count of what was left out")
+def then_final(context, final):
+    found = [line for line in context.lines if line["event"] == REQUEST_GIVEN_UP.name]
+    assert len(found) == final
+    assert left_out(context, ATTEMPT_FAILED) > 0
+
+
+def left_out(context, event):
+    told = [line for line in context.lines if line["event"] == LINES_LEFT_OUT.name]
+    return sum(line["counts"].get(event.name, 0) for line in told)
+
+
+@when("one event is emitted {count:d} times within a second and another one {others:d} times")
+def when_burst(context, count, others):
+    for number in range(count):
+        emit(ATTEMPT_FAILED, request_id=f"r-{number}")
+        if number % (count // others) == 0:
+            emit(CLIENT_LEFT, request_id=f"r-{number}")
+    end(context)
+
+
+@then("the other one's {count:d} lines are all there")
+def then_others(context, count):
+    assert sum(line["event"] == CLIENT_LEFT.name for line in context.lines) == count
+
+
+@then("the lines of the first and their left-out count make {count:d}")
+def then_counted(context, count):
+    written = sum(line["event"] == ATTEMPT_FAILED.name for line in context.lines)
+    assert 0 < written < count
+    assert written + left_out(context, ATTEMPT_FAILED) == count
+
+
+@when("a request that was given up is logged")
+def when_given_up(context):
+    give_up(1)
+    end(context)
+
+
+@then("its line tells its code, name, node, request id, cause and time")
+def then_line(context):
+    [line] = context.lines
+    wanted = {"code": REQUEST_GIVEN_UP.code, "event": "request_given_up", "node": "node-1"}
+    wanted |= {"request_id": "r-1", "cause": "workers_full", "level": "warning"}
+    assert wanted.items() <= line.items()
+    assert line["timestamp"].endswith("Z")
--- /dev/null
+++ b/src/bellweir/events/bounded.py
@@ -0,0 +1,107 @@
+"""A log stream that bounds the volume and never holds up the thread that writes.
+
+Lines wait in a queue for one writer thread. An event may write so many lines a second; beyond
+that, and while the queue is full, its lines are dropped and counted, and a line tells the counts
+later. Lines of events that tell a final failure are never dropped for either reason; their number
+is bounded by the number of requests.
+"""
+
+import io
+import json
+import threading
+import time
+from collections import Counter, deque
+from typing import TextIO
+
+from bellweir.events.event import Event
+
+LINES_A_SECOND = 50
+"""Lines that one event may write in a second of the steady clock."""
+QUEUED_LINES = 2_000
+TELL_PERIOD_S = 5.0
+"""Time between two lines that tell what was left out."""
+WAIT_S = 1.0
+
+
+class BoundedLog(io.TextIOBase):
+    """Stands where `structlog` wants a text stream; `admits` is asked before a line is made."""
+
+    def __init__(self, stream: TextIO, left_out_event: Event) -> None:
+        self._stream = stream
+        self._left_out_event = left_out_event
+        self._lock = threading.Lock()
+        self._ready = threading.Condition(self._lock)
+        self._lines: deque[str] = deque()
+        self._second = 0
+        self._written: Counter[str] = Counter()
+        self._left_out: Counter[str] = Counter()
+        self._tell_due_s = time.monotonic() + TELL_PERIOD_S
+        self._closed = False
+        self._thread = threading.Thread(target=self._write_lines, name="log-writer", daemon=True)
+        self._thread.start()
+
+    def admits(self, event: Event) -> bool:
+        """Whether a line of `event` may be written now; otherwise it is counted as left out."""
+        with self._lock:
+            if event.is_final:
+                return True
+            second = int(time.monotonic())
+            if second != self._second:
+                self._second = second
+                self._written.clear()
+            self._written[event.name] += 1
+            too_many = self._written[event.name] > LINES_A_SECOND
+            if too_many or len(self._lines) >= QUEUED_LINES:
+                self._left_out[event.name] += 1
+                return False
+            return True
+
+    def write(self, text: str) -> int:
+        """Queue text."""
+        with self._lock:
+            self._lines.append(text)
+            self._ready.notify()
+        return len(text)
+
+    def flush(self) -> None:
+        """Nothing: the writer flushes."""
+
+    def writable(self) -> bool:
+        """Tell that it can be written to."""
+        return True
+
+    def close(self, timeout_s: float = WAIT_S) -> None:
+        """Write what waits, for at most `timeout_s`, and end."""
+        with self._lock:
+            self._closed = True
+            self._ready.notify()
+        self._thread.join(timeout_s)
+
+    def _write_lines(self) -> None:
+        while True:
+            with self._lock:
+                self._ready.wait_for(lambda: self._lines or self._closed, WAIT_S)
+                text = "".join(self._lines)
+                self._lines.clear()
+                is_last = self._closed
+                text += self._tell_left_out(is_last)
+            try:
+                self._stream.write(text)
+                self._stream.flush()
+            except (OSError, ValueError):
+                return
+            if is_last:
+                self._stream.close()
+                return
+
+    def _tell_left_out(self, is_last: bool) -> str:
+        """A line with the counts when it is due; empty otherwise. Called under the lock."""
+        is_due = is_last or time.monotonic() >= self._tell_due_s
+        if not self._left_out or not is_due:
+            return ""
+        self._tell_due_s = time.monotonic() + TELL_PERIOD_S
+        event = self._left_out_event
+        counts = dict(self._left_out)
+        self._left_out.clear()
+        line = {"code": event.code, "counts": counts, "event": event.name}
+        return json.dumps({**line, "level": event.level.value}) + "\n"
--- a/src/bellweir/events/event.py
+++ b/src/bellweir/events/event.py
@@ -28,6 +28,8 @@
     level: Level
     fields: tuple[str, ...]
     meaning: str
+    is_final: bool = False
+    """Whether a line tells how something failed in the end: it is never left out."""
 
     @property
     def code(self) -> str:
--- a/src/bellweir/events/log.py
+++ b/src/bellweir/events/log.py
@@ -2,15 +2,19 @@
 
 import logging
 import sys
-from typing import Any, TextIO
+from typing import Any, TextIO, cast
 
 import structlog
 
+from bellweir.events.bounded import BoundedLog
 from bellweir.events.event import Event
 
 
-def configure_logs(level: str, output_format: str, stream: TextIO = sys.stderr) -> None:
+def configure_logs(
+    level: str, output_format: str, stream: TextIO | BoundedLog = sys.stderr
+) -> None:
     """Set the lowest level written, the format, `json` or `console`, and where logs go."""
+    _bounded[:] = [stream] if isinstance(stream, BoundedLog) else []
     renderer: structlog.typing.Processor = structlog.processors.JSONRenderer()
     if output_format == "console":
         renderer = structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
@@ -23,7 +27,7 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(logging.getLevelName(level.upper())),
-        logger_factory=structlog.PrintLoggerFactory(stream),
+        logger_factory=structlog.PrintLoggerFactory(cast("TextIO", stream)),
         cache_logger_on_first_use=True,
     )
 
@@ -44,8 +48,13 @@
     return fields
 
 
+_bounded: list[BoundedLog] = []
+
+
 def emit(event: Event, **fields: Any) -> None:
-    """Write one log line for `event` with the given fields."""
+    """Write one log line for `event` with the given fields, if the stream's bounds admit it."""
+    if _bounded and not _bounded[0].admits(event):
+        return
     logger = structlog.get_logger()
     write = getattr(logger, event.level.value)
     write(event.name, code=event.code, **fields)
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -13,7 +13,12 @@
     1401, "process_draining", Level.INFO, ("in_flight",), "SIGTERM came; no new clients are sent."
 )
 PROCESS_STOPPED = Event(
-    1402, "process_stopped", Level.INFO, ("seconds", "left_running"), "The process ends."
+    1402,
+    "process_stopped",
+    Level.INFO,
+    ("seconds", "left_running"),
+    "The process ends.",
+    is_final=True,
 )
 SETTINGS_RELOADED = Event(
     1403, "settings_reloaded", Level.INFO, ("changed",), "SIGHUP came; keys whose values changed."
@@ -24,6 +29,7 @@
     Level.ERROR,
     ("findings",),
     "The settings file has faults; what was in force stays.",
+    is_final=True,
 )
 SETTINGS_UNKNOWN = Event(
     1405, "settings_unknown", Level.WARNING, ("keys",), "Keys that this version doesn't know."
@@ -71,6 +77,7 @@
     Level.WARNING,
     ("request_id", "route", "configuration", "status", "cause", "attempts", "ms"),
     "A client's request got an answer of this service's own.",
+    is_final=True,
 )
 ATTEMPT_FAILED = Event(
     1422,
@@ -105,6 +112,7 @@
     Level.WARNING,
     ("request_id", "status", "cause"),
     "A batch job was refused, or its acceptance is not known.",
+    is_final=True,
 )
 JOB_ENDED = Event(
     1432, "job_ended", Level.INFO, ("request_id", "listed", "items"), "A batch job was ended."
--- a/src/bellweir/hosted/process.py
+++ b/src/bellweir/hosted/process.py
@@ -10,9 +10,11 @@
 from pathlib import Path
 from types import FrameType
 
+from bellweir.events.bounded import BoundedLog
 from bellweir.events.log import bind_node, configure_logs, emit
 from bellweir.hosted.interface import HostingPlatform
 from bellweir.hosted.log_events import (
+    LINES_LEFT_OUT,
     PROCESS_STARTED,
     PROCESS_STOPPED,
     SETTINGS_REFUSED,
@@ -51,8 +53,11 @@
 class HostedProcess:
     """One running process of a role."""
 
-    def __init__(self, loaded: LoadedSettings, path: Path, platform: HostingPlatform) -> None:
+    def __init__(
+        self, loaded: LoadedSettings, path: Path, platform: HostingPlatform, log: BoundedLog
+    ) -> None:
         self._loaded = loaded
+        self._log = log
         self._path = path
         settings = loaded.settings
         self._settings = settings
@@ -120,7 +125,7 @@
             registry.stop()
         finally:
             emit(PROCESS_STOPPED, seconds=round(time.monotonic() - began_s, 3), left_running=0)
-            sys.stdout.flush()
+            self._log.close()
             # Tasks that wait in the store or for a worker hold nothing that must be saved.
             os._exit(0)
 
@@ -160,16 +165,18 @@
 def main() -> None:
     """Run the process whose settings file the environment names."""
     began_s = time.monotonic()
-    configure_logs("info", "json", sys.stdout)
+    log = BoundedLog(sys.stdout, LINES_LEFT_OUT)
+    configure_logs("info", "json", log)
     path = Path(os.environ.get(SETTINGS_VARIABLE, "/etc/bellweir/settings.json"))
     try:
         loaded = load_settings(path)
     except SettingsError as failure:
         emit(SETTINGS_REFUSED, findings=[str(each) for each in failure.findings])
+        log.close()
         sys.exit(EXIT_USAGE)
     bind_node(loaded.settings.node.name)
     if loaded.unknown_keys:
         emit(SETTINGS_UNKNOWN, keys=list(loaded.unknown_keys))
     make_platform = importlib.import_module(ADAPTER_MODULE).make_platform
     platform = make_platform(loaded.settings.store.address)
-    HostedProcess(loaded, path, platform).run(began_s)
+    HostedProcess(loaded, path, platform, log).run(began_s)
