Take jobs of any size, bound the log by bytes, and read what later versions write

- A job whose items do not fit into one ledger command is staged in parts; the last command accepts it whole or not at all (hosted_batches: 40 bodies of 60,000 bytes; refused before).
- A configuration with a kind of route or null values that nobody here knows stays readable; such a route's requests run at most once (hosted_views; was refused whole before).
- Store calls: watches wait 25 s since all kinds are compared with stale readings, changes of workers settle 1.2 s, nodes without the lease look every 2.5 s.
Attempts prefer workers with an open connection.

--- a/features/hosted_batches.feature
+++ b/features/hosted_batches.feature
@@ -54,6 +54,12 @@
     And its results are read from any position, its bodies until they are listed
     And it is ended with 200, as often as that is asked
 
+  Scenario: A job larger than one command of the ledger
+    Given a gateway before a ledger
+    When a trainer hands in a job of 40 items with bodies of 60000 bytes
+    Then it is accepted with 202, and again when it comes again
+    And the ledger's commands were all small and the job has its 40 items
+
   Scenario: A ledger that does not answer
     Given a gateway before a ledger
     Then a job is refused with 503 only while it is surely not kept
--- a/features/hosted_views.feature
+++ b/features/hosted_views.feature
@@ -39,6 +39,10 @@
   Scenario: A configuration never goes back
     Then in any order of tellings the configuration in force only rises
 
+  Scenario: A configuration with words of a later version
+    When the operator writes configuration 3 with a kind of route that nobody knows
+    Then the process routes by configuration 3, and that route's requests run at most once
+
   Scenario: A process that starts while the store is down copies a peer
     Given the operator has written configuration 3
     And workers "i-1" of service "app"
--- a/features/steps/hosted_batches_steps.py
+++ b/features/steps/hosted_batches_steps.py
@@ -25,6 +25,7 @@
 from bellweir.hosted.event_stream import EventSplitter, StreamEvent
 from bellweir.hosted.records import Route, RouteKind
 from bellweir.http_server.http import Caller, Request
+from bellweir.ledger.calls import MAXIMUM_CALL_BYTES
 from bellweir.ledger.interface import LedgerErrorKind
 from bellweir_platform.headers import HEADERS, PATHS
 from bellweir_rehearsal.hosted.worker import event_of, stamp_of, text_of
@@ -272,18 +273,18 @@
     return Request(environ, job_id, Caller("test"))
 
 
-def job_document():
+def job_document(count=3, body=b"prompt"):
     items = [
         {
             "id": f"item-{number}",
             "path": f"/draft/{number}",
             "headers": {"X-Bellweir-Model": MODEL},
-            "body": base64.b64encode(b"prompt").decode(),
+            "body": base64.b64encode(body).decode(),
             "tokens": 12,
             "group": "g",
             "scorer": {"id": f"s-{number}", "host": HOST, "path": "/score/x", "body": ""},
         }
-        for number in range(3)
+        for number in range(count)
     ]
     fields = {"step": 0, "model": MODEL, "minVersion": 1, "wantedGroups": 1}
     return json.dumps({**fields, "items": items}).encode()
@@ -295,6 +296,20 @@
     context.answer = context.api.accept(call("POST", "/draft/job", context.sent), ROUTE)
 
 
+@when("a trainer hands in a job of {count:d} items with bodies of {size:d} bytes")
+def when_large(context, count, size):
+    context.sent = job_document(count, b"x" * size)
+    context.answer = context.api.accept(call("POST", "/draft/job", context.sent), ROUTE)
+
+
+@then("the ledger's commands were all small and the job has its {count:d} items")
+def then_small(context, count):
+    assert context.ledger.largest_bytes < MAXIMUM_CALL_BYTES
+    state = context.ledger.machine.jobs["job"]
+    assert [item.id for item in state.job.items] == [f"item-{at}" for at in range(count)]
+    assert context.ledger.machine.staged == {}
+
+
 @then("it is accepted with 202, and again when it comes again")
 def then_accepted(context):
     assert context.answer.status == 202
--- a/features/steps/hosted_views_steps.py
+++ b/features/steps/hosted_views_steps.py
@@ -11,6 +11,7 @@
 from returns.result import Success
 
 from bellweir.hosted.interface import Listing, RecordChange, RecordKind, StoredRecord
+from bellweir.hosted.records import RouteKind
 from bellweir.hosted.views.configuration import ConfigurationView
 from bellweir.hosted.views.follower import KindFollower
 from bellweir.hosted.views.peer_copy import ViewsAnswer, ViewsRequest, copy_views, register_views
@@ -144,6 +145,21 @@
     )
 
 
+@when("the operator writes configuration {version:d} with a kind of route that nobody knows")
+def when_unknown_kind(context, version):
+    spec = configuration(version)
+    spec["routes"][0] |= {"kind": "telepathic", "timeoutMs": None, "colour": "red"}
+    context.store.records.put("config", "main", spec)
+
+
+@then("the process routes by configuration {version:d}, and that route's requests run at most once")
+def then_at_most_once(context, version):
+    then_routes_by(context, version)
+    route = context.process.view.table().find("h.example", f"/v{version}/x")
+    assert route.kind is RouteKind.NON_IDEMPOTENT
+    assert route.timeout_ms > 0
+
+
 @then("in any order of tellings the configuration in force only rises")
 def then_rises(context):
     telling = st.tuples(st.sampled_from(("list", "watch", "delete", "peer")), st.integers(1, 9))
--- a/features/steps/ledger_simulation_steps.py
+++ b/features/steps/ledger_simulation_steps.py
@@ -2,10 +2,13 @@
 
 import random
 from dataclasses import dataclass
+from unittest import mock
 
+import cbor2
 import hypothesis.strategies as st
 from behave import given as given_step
 from behave import then
+from features.support import ledger_simulation
 from features.support.ledger_nodes import AppendItem, ReadItems
 from features.support.ledger_simulation import SHARD, Simulation, Weather
 from hypothesis import given, settings
@@ -22,6 +25,7 @@
 from bellweir.ledger.entries import ReplicaId, ReplicaSet
 from bellweir.ledger.interface import LedgerErrorKind
 from bellweir.ledger.messages import ElectNow, ShardAppended, VoteRequest
+from bellweir.ledger.replica_state import LOG_BYTES
 from bellweir.wire.interface import Sender
 
 NAMES = ("a", "b", "c", "d")
@@ -480,3 +484,32 @@
     assert leader.hand_over(leader.replica(SHARD), lambda name: name == context.late.name)
     run(context.simulation, 10)
     assert context.simulation.leaders() == [context.late]
+
+
+@then("a log of large entries stays within its bound in memory and loses nothing")
+def then_bounded_log(context):
+    rarely = ledger_simulation.SETTINGS.model_copy(update={"snapshot_entries": 4096})
+    with mock.patch.object(ledger_simulation, "SETTINGS", rarely):
+        simulation = Simulation(NAMES[:3], 1)
+    context.add_cleanup(simulation.close)
+    items, size = 200, 100_000
+    most = 0
+    futures = []
+    while len(futures) < items:
+        simulation.step()
+        for leader in simulation.leaders():
+            command = {"type": "AppendItem", "item": len(futures), "pad": b"x" * size}
+            future = leader.propose(SHARD, cbor2.dumps(command))
+            if future is not None:
+                futures.append(future)
+        held = [each.node.replica(SHARD) for each in simulation.nodes.values()]
+        most = max([most, *(replica.log.payload_bytes for replica in held if replica)])
+    for _ in range(HEALING_STEPS):
+        simulation.step()
+    assert most < LOG_BYTES + 20 * size, f"{most} bytes of payload in memory"
+    assert all(future.done() for future in futures)
+    [leader] = simulation.leaders()
+    read = leader.read(SHARD, ReadItems())
+    for _ in range(20):
+        simulation.step()
+    assert read.result(0).unwrap().items == tuple(range(items))
--- a/features/support/hosted_jobs.py
+++ b/features/support/hosted_jobs.py
@@ -31,6 +31,7 @@
         self.machine = BatchJobs()
         self.codec = Codec([BatchJobs])
         self.leading = True
+        self.largest_bytes = 0
         self.failures = []
         """Errors of the next submits, with whether the command was applied nevertheless."""
         self._lock = threading.Lock()
@@ -43,9 +44,9 @@
         reply = None
         if applied:
             with self._lock:
-                reply = self.machine.apply(
-                    self.codec.decode(self.codec.encode(command), type(command))
-                )
+                encoded = self.codec.encode(command)
+                self.largest_bytes = max(self.largest_bytes, len(encoded))
+                reply = self.machine.apply(self.codec.decode(encoded, type(command)))
         return Success(reply) if kind is None else Failure(LedgerError(kind, "test"))
 
     def ask(self, key, query, timeout_s):
--- a/src/bellweir/clients/pool.py
+++ b/src/bellweir/clients/pool.py
@@ -184,6 +184,11 @@
         for connection in old:
             connection.close()
 
+    def has_idle(self) -> bool:
+        """Whether a connection waits that can probably be used again."""
+        with self._lock:
+            return bool(self._idle) and self._idle[-1][1] > time.monotonic()
+
     def abort_calls(self) -> None:
         """Have the calls in hand fail now; the pool goes on."""
         with self._lock:
--- a/src/bellweir/hosted/batches/api.py
+++ b/src/bellweir/hosted/batches/api.py
@@ -3,6 +3,7 @@
 import threading
 import time
 
+import msgspec
 from returns.result import Failure, Result, Success
 
 from bellweir.events.log import emit
@@ -15,9 +16,11 @@
     Job,
     JobAccepted,
     JobEnded,
+    JobItem,
     ReadItem,
     ReadResults,
     ResultsPage,
+    StageItems,
 )
 from bellweir.hosted.interface import CallPaths, HeaderNames
 from bellweir.hosted.log_events import JOB_ACCEPTED, JOB_ENDED, JOB_NOT_ACCEPTED
@@ -29,6 +32,10 @@
 PAGE_BYTES = 700_000
 """Text in one answer; the rest follows with the next call."""
 ACCEPT_TIMEOUT_S = 3.0
+PART_BYTES = 400_000
+"""Bodies in one command; the ledger takes a mebibyte."""
+ITEM_OVERHEAD_BYTES = 1_024
+"""Bytes of an item besides its body, at most about so many."""
 CALL_TIMEOUT_S = 1.5
 LONGEST_HOLD_S = 1.0
 HOLD_POLL_S = 0.15
@@ -79,7 +86,7 @@
         unknown: Result[Reply, LedgerError] | None = None
         while True:
             left_s = max(0.05, deadline_s - time.monotonic())
-            outcome = self._ledger.submit(JOBS_KEY, AcceptJob(job), left_s)
+            outcome = self._submit_once(job, left_s)
             if isinstance(outcome, Success):
                 return outcome
             if outcome.failure().kind is LedgerErrorKind.UNKNOWN:
@@ -88,6 +95,21 @@
                 # Once its outcome was unknown, a later refusal does not prove that it is not kept.
                 return unknown or outcome
 
+    def _submit_once(self, job: Job, timeout_s: float) -> Result[Reply, LedgerError]:
+        """Submit a job, in parts if it is long. Nothing is kept before the last command."""
+        parts = split_items(job.items)
+        if len(parts) <= 1:
+            return self._ledger.submit(JOBS_KEY, AcceptJob(job), timeout_s)
+        for number, items in enumerate(parts):
+            staged = self._ledger.submit(JOBS_KEY, StageItems(job.id, number, items), timeout_s)
+            if not isinstance(staged, Success):
+                return Failure(LedgerError(LedgerErrorKind.UNAVAILABLE, "a part was not staged"))
+        head = msgspec.structs.replace(job, items=())
+        outcome = self._ledger.submit(JOBS_KEY, AcceptJob(head, len(parts)), timeout_s)
+        if isinstance(outcome, Success) and outcome.unwrap() == JobAccepted(False, False):
+            return Failure(LedgerError(LedgerErrorKind.UNAVAILABLE, "its parts are gone"))
+        return outcome
+
     def _not_accepted(self, job: Job, error: LedgerError) -> Response:
         surely_not = error.kind is LedgerErrorKind.UNAVAILABLE
         status = 503 if surely_not else 504
@@ -144,6 +166,20 @@
         return own_response(503, "no_ledger", RETRY_AFTER_S)
 
 
+def split_items(items: tuple[JobItem, ...]) -> list[tuple[JobItem, ...]]:
+    """Items in parts that fit into one command each."""
+    parts: list[list[JobItem]] = [[]]
+    size = 0
+    for item in items:
+        length = len(item.body) + ITEM_OVERHEAD_BYTES
+        if parts[-1] and size + length > PART_BYTES:
+            parts.append([])
+            size = 0
+        parts[-1].append(item)
+        size += length
+    return [tuple(part) for part in parts]
+
+
 def _hold_s(text: str | None) -> float:
     try:
         return max(0.0, float(text or "0") / 1000)
--- a/src/bellweir/hosted/batches/service.py
+++ b/src/bellweir/hosted/batches/service.py
@@ -27,8 +27,8 @@
     def __init__(self, kernel: Kernel, settings: HostedSettings, platform: HostingPlatform) -> None:
         self._kernel = kernel
         self._settings = settings
-        self._loads = WorkerLoads(settings.node.zone)
         self._connections = WorkerConnections(platform.headers)
+        self._loads = WorkerLoads(settings.node.zone, self._connections.has_idle)
 
     def start(self) -> None:
         """Start the tasks; they act only while this node leads."""
--- a/src/bellweir/hosted/batches/state.py
+++ b/src/bellweir/hosted/batches/state.py
@@ -15,6 +15,12 @@
 """Ledger key of all jobs: they share a shard, so that one leader runs them in one order."""
 
 
+RESULT_OVERHEAD_BYTES = 256
+"""Bytes of a listed result besides its text."""
+MAXIMUM_STAGED_JOBS = 16
+"""Jobs whose parts wait at once; a client that gave up leaves its parts behind."""
+
+
 class Scorer(msgspec.Struct, frozen=True):
     """The request that scores an item's text."""
 
@@ -69,6 +75,17 @@
     """Keep a job; nothing happens when it is kept already."""
 
     job: Job
+    """Without items when `parts` hold them."""
+    parts: int = 0
+    """Staged parts whose items, in order, are the job's."""
+
+
+class StageItems(Command, frozen=True):
+    """Keep a part of a job too large for one command, until the job itself is accepted."""
+
+    job_id: str
+    part: int
+    items: tuple[JobItem, ...]
 
 
 class RecordResults(Command, frozen=True):
@@ -95,6 +112,8 @@
     """The job is kept."""
 
     is_new: bool
+    is_kept: bool = True
+    """False: parts are missing, so nothing was kept."""
 
 
 class ResultsRecorded(Reply, frozen=True):
@@ -167,15 +186,22 @@
     ended_at_s: float | None
 
 
+class _SavedState(msgspec.Struct, frozen=True):
+    jobs: tuple[_SavedJob, ...]
+    staged: dict[str, dict[int, tuple[JobItem, ...]]]
+
+
 class BatchJobs(StateMachine):
     """All batch jobs of a shard."""
 
     def __init__(self) -> None:
         self.jobs: dict[str, JobState] = {}
+        self.staged: dict[str, dict[int, tuple[JobItem, ...]]] = {}
+        """Parts of jobs that are not accepted yet, by job and number; the oldest job first."""
 
     def command_types(self) -> tuple[type[Command], ...]:
         """Commands it applies."""
-        return (AcceptJob, RecordResults, EndJob, ForgetJobs)
+        return (AcceptJob, StageItems, RecordResults, EndJob, ForgetJobs)
 
     def query_types(self) -> tuple[type[Query], ...]:
         """Queries it answers."""
@@ -188,8 +214,10 @@
     def apply(self, command: Command) -> Reply:
         """Apply one command."""
         match command:
-            case AcceptJob(job):
-                return self._accept(job)
+            case AcceptJob(job, parts):
+                return self._accept(job, parts)
+            case StageItems(job_id, part, items):
+                return self._stage(job_id, part, items)
             case RecordResults(job_id, results):
                 return self._record(job_id, results)
             case EndJob(job_id, at_s):
@@ -200,12 +228,25 @@
                 return JobEnded(True)
         raise TypeError(f"unknown command {type(command).__name__}")
 
-    def _accept(self, job: Job) -> Reply:
+    def _accept(self, job: Job, parts: int) -> Reply:
+        staged = self.staged.pop(job.id, {})
         if job.id in self.jobs:
             return JobAccepted(False)
+        if parts:
+            if any(part not in staged for part in range(parts)):
+                return JobAccepted(False, False)
+            items = tuple(item for part in range(parts) for item in staged[part])
+            job = msgspec.structs.replace(job, items=items)
         self.jobs[job.id] = JobState(job)
         return JobAccepted(True)
 
+    def _stage(self, job_id: str, part: int, items: tuple[JobItem, ...]) -> Reply:
+        if job_id not in self.jobs:
+            self.staged.setdefault(job_id, {})[part] = items
+        while len(self.staged) > MAXIMUM_STAGED_JOBS:
+            del self.staged[next(iter(self.staged))]
+        return JobAccepted(False)
+
     def _record(self, job_id: str, results: tuple[ItemResult, ...]) -> Reply:
         state = self.jobs.get(job_id)
         if state is None or not state.is_open:
@@ -255,19 +296,18 @@
             _SavedJob(state.job, tuple(state.results), state.ended_at_s)
             for state in self.jobs.values()
         ]
-        return cbor2.dumps(msgspec.to_builtins(saved, builtin_types=(bytes,)))
+        whole = _SavedState(tuple(saved), self.staged)
+        return cbor2.dumps(msgspec.to_builtins(whole, builtin_types=(bytes,)))
 
     def load(self, state: bytes) -> None:
         """Replace the state by a saved one."""
         plain: Any = cbor2.loads(state)
         self.jobs = {}
-        for saved in msgspec.convert(plain, list[_SavedJob]):
+        whole = msgspec.convert(plain, _SavedState)
+        self.staged = whole.staged
+        for saved in whole.jobs:
             job = JobState(saved.job)
             for result in saved.results:
                 job.add(result)
             job.ended_at_s = saved.ended_at_s
             self.jobs[saved.job.id] = job
-
-
-RESULT_OVERHEAD_BYTES = 256
-"""Bytes of a listed result besides its text."""
--- /dev/null
+++ b/src/bellweir/hosted/leniency.py
@@ -0,0 +1,33 @@
+"""Makes objects of a later version of the platform readable: what is unknown is passed over."""
+
+from typing import Any
+
+from bellweir.hosted.records import RouteKind
+
+KNOWN_KINDS = frozenset(kind.value for kind in RouteKind)
+CAUTIOUS_KIND = RouteKind.NON_IDEMPOTENT.value
+"""Stands for a kind that nobody here knows: such a request runs at most once."""
+
+
+def without_nulls(plain: Any) -> Any:
+    """Plain values without the keys whose value is null: their defaults count."""
+    if isinstance(plain, dict):
+        return {key: without_nulls(value) for key, value in plain.items() if value is not None}
+    if isinstance(plain, list):
+        return [without_nulls(each) for each in plain]
+    return plain
+
+
+def readable_configuration(spec: Any) -> Any:
+    """A configuration whose routes all have a kind that is known here."""
+    plain = without_nulls(spec)
+    routes = plain.get("routes") if isinstance(plain, dict) else None
+    if not isinstance(routes, list):
+        return plain
+    return {**plain, "routes": [_with_known_kind(route) for route in routes]}
+
+
+def _with_known_kind(route: Any) -> Any:
+    if not isinstance(route, dict) or route.get("kind") in KNOWN_KINDS:
+        return route
+    return {**route, "kind": CAUTIOUS_KIND}
--- a/src/bellweir/hosted/retirement.py
+++ b/src/bellweir/hosted/retirement.py
@@ -22,6 +22,7 @@
 from bellweir.hosted.log_events import RETIREMENT_COMPLETED, RETIREMENT_STARTED
 from bellweir.hosted.settings import HostedSettings
 from bellweir.hosted.views.follower import KindFollower
+from bellweir.hosted.views.service import ViewsService
 from bellweir.kernel import names
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
@@ -42,7 +43,7 @@
     """One task follows the wishes, another one reports on them."""
 
     name = names.RETIREMENT
-    dependencies = (names.LEDGER,)
+    dependencies = (names.LEDGER, names.VIEWS)
 
     def __init__(self, kernel: Kernel, settings: HostedSettings, platform: HostingPlatform) -> None:
         self._kernel = kernel
@@ -56,6 +57,7 @@
         follower = KindFollower(
             self._store, RecordKind.RETIREMENTS, self._take_listing, self._take_change
         )
+        self._kernel.registry.find(names.VIEWS, ViewsService).also_check(follower)
         self._kernel.executors.run_task("follow-retirements", follower.run)
         self._kernel.executors.run_task("retirement", self._run)
 
--- a/src/bellweir/hosted/serving/attempt.py
+++ b/src/bellweir/hosted/serving/attempt.py
@@ -134,6 +134,12 @@
                 self._pools[address] = ConnectionPool(address)
             return self._pools[address]
 
+    def has_idle(self, address: str) -> bool:
+        """Whether a connection to an address is open and free."""
+        with self._lock:
+            pool = self._pools.get(address)
+        return pool is not None and pool.has_idle()
+
     def forget_others(self, addresses: set[str]) -> None:
         """Close the idle connections to addresses that no worker has any more."""
         with self._lock:
--- a/src/bellweir/hosted/serving/selection.py
+++ b/src/bellweir/hosted/serving/selection.py
@@ -7,7 +7,7 @@
 import random
 import threading
 import time
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 
 from bellweir.hosted.views.workers import Worker
@@ -36,8 +36,12 @@
 class WorkerLoads:
     """Loads by instance. Safe for threads."""
 
-    def __init__(self, own_zone: str) -> None:
+    def __init__(
+        self, own_zone: str, has_connection: Callable[[str], bool] = lambda _address: False
+    ) -> None:
+        """`has_connection` tells whether a connection to `host:port` is open and free."""
         self._own_zone = own_zone
+        self._has_connection = has_connection
         self._lock = threading.Lock()
         self._loads: dict[str, Load] = {}
 
@@ -117,13 +121,14 @@
     def _load(self, instance: str) -> Load:
         return self._loads.setdefault(instance, Load())
 
-    def _rank(self, worker: Worker, now_s: float) -> tuple[bool, float, bool, float]:
+    def _rank(self, worker: Worker, now_s: float) -> tuple[bool, float, bool, bool, float]:
         load = self._load(worker.instance)
         avoided = load.avoided_until_s > now_s
         slots = max(1, worker.entry.slots)
         expected_s = (load.in_hand + 1) / slots * max(load.mean_s, 0.001)
         other_zone = worker.entry.zone != self._own_zone
-        return avoided, round(expected_s, 2), other_zone, random.random()
+        must_connect = not self._has_connection(worker.address)
+        return avoided, round(expected_s, 2), must_connect, other_zone, random.random()
 
 
 class WeightedParts:
--- a/src/bellweir/hosted/serving/service.py
+++ b/src/bellweir/hosted/serving/service.py
@@ -55,8 +55,8 @@
         self._settings = settings
         self._platform = platform
         self.metrics = RequestMetrics()
-        self._loads = WorkerLoads(settings.node.zone)
         self._connections = WorkerConnections(platform.headers)
+        self._loads = WorkerLoads(settings.node.zone, self._connections.has_idle)
         self._servers: list[HttpServer] = []
         self._loops: list[Future[None]] = []
         self._requests: HttpServer | None = None
--- a/src/bellweir/hosted/views/configuration.py
+++ b/src/bellweir/hosted/views/configuration.py
@@ -8,6 +8,7 @@
 
 from bellweir.events.log import emit
 from bellweir.hosted.interface import Listing, RecordChange, StoredRecord
+from bellweir.hosted.leniency import readable_configuration
 from bellweir.hosted.log_events import CONFIGURATION_IN_FORCE, CONFIGURATION_REFUSED
 from bellweir.hosted.records import Configuration, Route, ServiceEntry
 
@@ -82,7 +83,7 @@
     def take(self, spec: object, source: str) -> None:
         """Put a configuration in force if it is newer than the one known."""
         try:
-            configuration = msgspec.convert(spec, Configuration)
+            configuration = msgspec.convert(readable_configuration(spec), Configuration)
         except msgspec.ValidationError as failure:
             emit(CONFIGURATION_REFUSED, error=str(failure))
             return
--- a/src/bellweir/hosted/views/follower.py
+++ b/src/bellweir/hosted/views/follower.py
@@ -21,7 +21,7 @@
 )
 from bellweir.hosted.log_events import STORE_LISTED, STORE_LOST, STORE_REGAINED
 
-WATCH_S = 10.0
+WATCH_S = 25.0
 """Longest wait of one watch."""
 WATCH_AFTER_FAILURE_S = 0.2
 """The same while it is not known whether the store answers again."""
--- a/src/bellweir/hosted/views/service.py
+++ b/src/bellweir/hosted/views/service.py
@@ -18,8 +18,8 @@
 PEER_TIMEOUT_S = 0.5
 PEER_PAUSE_S = 0.2
 CHECK_PERIOD_S = 1.0
-"""Time between two cheap readings; the kinds take turns."""
-SETTLE_S = 0.8
+"""Time between two cheap readings; the kinds that a process follows take turns."""
+SETTLE_S = 1.2
 """Changes of workers within this time are read by one call."""
 
 
@@ -31,6 +31,7 @@
 
     def __init__(self, kernel: Kernel, store: RecordStore) -> None:
         self._kernel = kernel
+        self._checked: list[KindFollower] = []
         self.configuration = ConfigurationView()
         self.workers = WorkersView()
         self.configuration_follower = KindFollower(
@@ -42,6 +43,11 @@
         self.workers_follower = KindFollower(
             store, RecordKind.WORKERS, self._take_workers, self._take_worker, SETTLE_S
         )
+        self._checked += [self.configuration_follower, self.workers_follower]
+
+    def also_check(self, follower: KindFollower) -> None:
+        """Compare another service's view with cheap readings, too."""
+        self._checked.append(follower)
 
     def start(self) -> None:
         """Follow the store, one task for each kind."""
@@ -66,9 +72,8 @@
 
     def _check(self, stopping: threading.Event) -> None:
         """Interrupt watches that were cut in silence."""
-        followers = (self.configuration_follower, self.workers_follower)
         while True:
-            for follower in followers:
+            for follower in list(self._checked):
                 if stopping.wait(CHECK_PERIOD_S):
                     return
                 follower.check()
--- a/src/bellweir/hosted/views/workers.py
+++ b/src/bellweir/hosted/views/workers.py
@@ -9,6 +9,7 @@
 
 from bellweir.events.log import emit
 from bellweir.hosted.interface import Listing, RecordChange, StoredRecord
+from bellweir.hosted.leniency import without_nulls
 from bellweir.hosted.log_events import WORKER_CHANGED
 from bellweir.hosted.records import WorkerEntry, WorkerState
 
@@ -102,7 +103,7 @@
 
 def _worker(instance: str, spec: object) -> Worker | None:
     try:
-        return Worker(instance, msgspec.convert(spec, WorkerEntry))
+        return Worker(instance, msgspec.convert(without_nulls(spec), WorkerEntry))
     except msgspec.ValidationError:
         return None
 
--- a/src/bellweir/hosted/weights/service.py
+++ b/src/bellweir/hosted/weights/service.py
@@ -19,7 +19,7 @@
 LEASE_NAME = "weight-rollouts"
 LEASE_S = 5.0
 """Time without a renewal after which the lease may be taken."""
-LEASE_STEP_S = 1.5
+LEASE_STEP_S = 2.5
 """Time between two looks of a node without the lease."""
 HOLDER_STEP_S = 0.2
 CONTROL_STEP_S = 0.1
@@ -65,6 +65,7 @@
             self._settings.node.name,
         )
         run_task = self._kernel.executors.run_task
+        views.also_check(follower)
         run_task("follow-versions", follower.run)
         run_task("rollout-lease", self._keep_lease)
         run_task("rollout-control", self._control)
--- a/src/bellweir/ledger/log.py
+++ b/src/bellweir/ledger/log.py
@@ -21,6 +21,8 @@
         self.base_index = base_index
         self.base_term = base_term
         self._entries: list[Entry] = []
+        self.payload_bytes = 0
+        """Bytes of the payloads that are held."""
         self._replica_sets = [(base_index, base_replicas or ReplicaSet())]
         for entry in entries:
             self.append(entry)
@@ -66,12 +68,15 @@
         if entry.index != self.last_index + 1:
             raise ValueError(f"entry {entry.index} does not follow {self.last_index}")
         self._entries.append(entry)
+        self.payload_bytes += len(entry.payload)
         if entry.kind == EntryKind.REPLICAS:
             self._replica_sets.append((entry.index, decode_replica_set(entry.payload)))
 
     def truncate_from(self, index: int) -> None:
         """Drop the entry at `index` and all after it."""
-        del self._entries[max(0, index - self.base_index - 1) :]
+        kept = max(0, index - self.base_index - 1)
+        self.payload_bytes -= sum(len(entry.payload) for entry in self._entries[kept:])
+        del self._entries[kept:]
         while len(self._replica_sets) > 1 and self._replica_sets[-1][0] >= index:
             self._replica_sets.pop()
 
@@ -94,7 +99,9 @@
             return
         replicas = self.replicas_at(index)
         later = [kept for kept in self._replica_sets if kept[0] > index]
-        del self._entries[: index - self.base_index]
+        dropped = index - self.base_index
+        self.payload_bytes -= sum(len(entry.payload) for entry in self._entries[:dropped])
+        del self._entries[:dropped]
         self.base_index = index
         self.base_term = term
         self._replica_sets = [(index, replicas), *later]
--- a/src/bellweir/ledger/replica_state.py
+++ b/src/bellweir/ledger/replica_state.py
@@ -37,6 +37,8 @@
 from bellweir.ledger.log_events import LEADER_RESIGNED, SHARD_RECOVERED
 from bellweir.ledger.placement import ShardHome
 
+LOG_BYTES = 8 << 20
+"""Payloads that the log may hold in memory beside twice the state's size."""
 SNAPSHOT_BYTES_PER_ENTRY = 256
 """State that may be saved again for each new entry; see `compact_when_due`."""
 
@@ -192,7 +194,11 @@
                 self._timing.snapshot_entries, self._snapshot_bytes // SNAPSHOT_BYTES_PER_ENTRY
             )
             kept = self._timing.snapshot_entries // 4
-            if self._applier.applied_index - self.log.base_index < limit + kept:
+            held = self._applier.applied_index - self.log.base_index
+            if self.log.payload_bytes > LOG_BYTES + 2 * self._snapshot_bytes:
+                # Few but large entries: only the newest stay for followers close behind.
+                kept = min(kept, held // 4)
+            elif held < limit + kept:
                 return False
             snapshot = self._snapshot()
             self._snapshot_bytes = len(snapshot.state)
--- a/src/bellweir/ledger/service.py
+++ b/src/bellweir/ledger/service.py
@@ -26,13 +26,13 @@
 from bellweir.ledger.machines import Codec
 from bellweir.ledger.node import LedgerNode, NodeTiming
 from bellweir.ledger.placement import PlacementStore
-from bellweir.ledger.sqlite_journal import SqliteJournal
 from bellweir.ledger.store_sync import StoreSync
 from bellweir.ledger.tasks import LedgerTasks
 from bellweir.membership.interface import Membership
 from bellweir.wire.interface import Transport
 
 if TYPE_CHECKING:
+    from bellweir.ledger.journal import Journal
     from bellweir.settings.models import Settings
 
 
@@ -55,7 +55,7 @@
         self._settings = settings
         self._machine_types: list[type[StateMachine]] = []
         self._serving = threading.Event()
-        self._journal: SqliteJournal | None = None
+        self._journal: Journal | None = None
         self._node: LedgerNode | None = None
         self._tasks: LedgerTasks | None = None
         self._client: CallClient
@@ -104,6 +104,9 @@
         self._serving.set()
 
     def _start_replicas(self, folder: Path) -> None:
+        # Only nodes with a data folder need the database.
+        from bellweir.ledger.sqlite_journal import SqliteJournal
+
         settings = self._settings.ledger
         timing = NodeTiming(
             settings.election_timeout_s, settings.election_timeout_s, settings.snapshot_entries
