--- a/features/steps/ledger_simulation_steps.py
+++ b/features/steps/ledger_simulation_steps.py
@@ -2,13 +2,11 @@
 
 import random
 from dataclasses import dataclass
-from unittest import mock
 
 import cbor2
 import hypothesis.strategies as st
 from behave import given as given_step
 from behave import then
-from features.support import ledger_simulation
 from features.support.ledger_nodes import AppendItem, ReadItems
 from features.support.ledger_simulation import SHARD, Simulation, Weather
 from hypothesis import given, settings
@@ -488,9 +486,7 @@
 
 @then("a log of large entries stays within its bound in memory and loses nothing")
 def then_bounded_log(context):
-    rarely = ledger_simulation.SETTINGS.model_copy(update={"snapshot_entries": 4096})
-    with mock.patch.object(ledger_simulation, "SETTINGS", rarely):
-        simulation = Simulation(NAMES[:3], 1)
+    simulation = Simulation(NAMES[:3], 1, snapshot_entries=4096)
     context.add_cleanup(simulation.close)
     items, size = 200, 100_000
     most = 0
--- a/features/support/ledger_simulation.py
+++ b/features/support/ledger_simulation.py
@@ -167,7 +167,8 @@
 class Simulation:
     """A cluster whose every step, message and fault is drawn from one seeded generator."""
 
-    def __init__(self, names: Sequence[str], seed: int) -> None:
+    def __init__(self, names: Sequence[str], seed: int, snapshot_entries: int = 8) -> None:
+        self._snapshot_entries = snapshot_entries
         self.names = tuple(names)
         self.random = random.Random(seed)
         self.clock = ManualClock()
@@ -204,7 +205,7 @@
             transport,
             lambda other: other,
             self.clock,
-            NodeTiming(ELECTION_TIMEOUT_S, ELECTION_TIMEOUT_S, 8),
+            NodeTiming(ELECTION_TIMEOUT_S, ELECTION_TIMEOUT_S, self._snapshot_entries),
         )
         node.load()
         folder = Path(self._folder.name) / name
