Send no entries to a replica that does not answer; end attempts from their own thread only

A machine that came back with an empty disk refuses appends for its old replica by an answer without parts; the leader counted the old replica as lacking entries, so the sender's task sent it the same 256 KB again at once, for the second until it was replaced. And six calls failed with an AttributeError: a cancelled attempt closed the answer under the thread that read it, which left its worker's place taken for good.

Change: a follower that did not answer gets heartbeats without entries until it does. Cancelling shuts the socket down; the reading thread closes. Places are given back on any failure. Tests (failed first): ledger.feature, hosted_forwarding.feature.

--- a/features/hosted_forwarding.feature
+++ b/features/hosted_forwarding.feature
@@ -82,6 +82,10 @@
   Scenario: Shares of a split route
     Then a route's requests are shared by weight within one request, at any weights
 
+  Scenario: Attempts that are cancelled at any moment give their places back
+    Given model workers behind the gateway
+    Then streams cancelled at any moment leave no place taken and no error behind
+
   Scenario: A client that leaves
     Given both workers take 3 s
     When a client sends an idempotent request and leaves
--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -20,6 +20,9 @@
   Scenario: Few but large entries are compacted, too
     Then a log of large entries stays within its bound in memory and loses nothing
 
+  Scenario: A replica whose disk is gone is not sent the log again and again
+    Then a replica that does not answer gets heartbeats without entries
+
   Scenario: Any node appends and reads, with or without a data folder
     Given a ledger of 3 data nodes and 1 other nodes
     When ledger items 1 to 5 are appended through node z
--- a/features/steps/hosted_forwarding_steps.py
+++ b/features/steps/hosted_forwarding_steps.py
@@ -7,9 +7,15 @@
 from behave import given as given_step
 from behave import then, when
 from features.support.hosted_gateway import GatewayUnderTest
+from features.support.hosted_jobs import HOST, make_job
 from hypothesis import given, settings
 
-from bellweir.hosted.serving.selection import WeightedParts
+from bellweir.hosted.batches.attempts import ItemAttempts
+from bellweir.hosted.batches.progress import ItemProgress
+from bellweir.hosted.records import Route, RouteKind
+from bellweir.hosted.serving.attempt import Cancellation, WorkerConnections
+from bellweir.hosted.serving.selection import WeightedParts, WorkerLoads
+from bellweir_platform.headers import HEADERS
 from bellweir_rehearsal.hosted.worker import WorkerStandIn, answer_to, event_of, stamp_of
 
 EVENTS = 6
@@ -211,3 +217,22 @@
     while in_hand() and time.monotonic() < deadline_s:
         threading.Event().wait(0.01)
     assert in_hand() == 0
+
+
+@then("streams cancelled at any moment leave no place taken and no error behind")
+def then_places(context):
+    job = make_job("job", 1, 1)
+    route = Route(host=HOST, path_prefix="/draft/", kind=RouteKind.ROLLOUT)
+    for worker in context.workers.values():
+        worker.event_pause_s = 0.002
+    loads = WorkerLoads("a")
+    attempts = ItemAttempts(WorkerConnections(HEADERS), loads)
+    worker = context.gateway.workers.worker("i-a")
+    for number in range(60):
+        progress, cancellation = ItemProgress(job, route, job.items[0]), Cancellation()
+        loads.take(worker)
+        timer = threading.Timer(0.0004 * number, cancellation.cancel)
+        timer.start()
+        attempts.run_text(progress, worker, cancellation)
+        timer.join()
+        assert loads.in_hand(worker.instance) == 0
--- a/features/steps/ledger_simulation_steps.py
+++ b/features/steps/ledger_simulation_steps.py
@@ -22,7 +22,7 @@
 
 from bellweir.ledger.entries import ReplicaId, ReplicaSet
 from bellweir.ledger.interface import LedgerErrorKind
-from bellweir.ledger.messages import ElectNow, ShardAppended, VoteRequest
+from bellweir.ledger.messages import AppendRequest, ElectNow, ShardAppended, VoteRequest
 from bellweir.ledger.replica_state import LOG_BYTES
 from bellweir.wire.interface import Sender
 
@@ -509,3 +509,32 @@
     for _ in range(20):
         simulation.step()
     assert read.result(0).unwrap().items == tuple(range(items))
+
+
+@then("a replica that does not answer gets heartbeats without entries")
+def then_no_entries(context):
+    simulation = Simulation(NAMES[:3], 1, snapshot_entries=4096)
+    context.add_cleanup(simulation.close)
+    for _ in range(HEALING_STEPS):
+        simulation.step()
+    [leader] = simulation.leaders()
+    lost = next(name for name in simulation.names if name != leader.name)
+    simulation.kill(lost)
+    old_disk, simulation.disks[lost] = simulation.disks[lost], simulation.new_disk(lost)
+    simulation.start(lost)
+    for item in range(20):
+        leader.propose(SHARD, cbor2.dumps({"type": "AppendItem", "item": item}))
+    sent = []
+    request = simulation.request
+
+    def watch(origin, target, message):
+        if isinstance(message, AppendRequest) and message.target.disk == old_disk.name:
+            sent.append(sum(len(part.entries) for part in message.parts))
+        return request(origin, target, message)
+
+    simulation.request = watch
+    for _ in range(40):
+        leader.replicate(lost)
+    assert len(sent) == 40, "the replica gets no heartbeats"
+    assert sum(bool(entries) for entries in sent) <= 1, f"entries sent again and again: {sent}"
+    assert not leader.has_news(lost), "a silent replica keeps the sender busy"
--- a/src/bellweir/clients/open_answer.py
+++ b/src/bellweir/clients/open_answer.py
@@ -106,8 +106,14 @@
         elif self._release():
             self._owner.give_back(self._connection, self.response.headers.get("Keep-Alive"))
 
+    def abort(self) -> None:
+        """Have the reading thread fail; from any thread. That thread drops the answer."""
+        with self._lock:
+            if not self._released:
+                self._connection.deadline_socket.abort()
+
     def drop(self) -> None:
-        """Close the connection; from any thread, any number of times."""
+        """Close the connection; by the thread that reads, or when none does."""
         if self._release():
             self._owner.forget(self._connection)
             self._connection.deadline_socket.abort()
--- a/src/bellweir/hosted/batches/coordinator.py
+++ b/src/bellweir/hosted/batches/coordinator.py
@@ -171,6 +171,10 @@
                 self._attempts.run_text(progress, worker, run.cancellation)
             else:
                 self._attempts.run_score(progress, worker, maximum_failures, run.cancellation)
+        except Exception:
+            # Reported by the executor; the worker's place must not stay taken for good.
+            self._loads.released(worker.instance)
+            raise
         finally:
             with self._lock:
                 self._running.pop(key, None)
--- a/src/bellweir/hosted/serving/attempt.py
+++ b/src/bellweir/hosted/serving/attempt.py
@@ -108,7 +108,7 @@
         with self._lock:
             self._answer = answer
         if self.cancelled.is_set():
-            answer.drop()
+            answer.abort()
 
     def cancel(self) -> None:
         """End the attempt in hand, and let none begin."""
@@ -116,7 +116,7 @@
         with self._lock:
             answer = self._answer
         if answer is not None:
-            answer.drop()
+            answer.abort()
 
 
 class WorkerConnections:
--- a/src/bellweir/hosted/serving/selection.py
+++ b/src/bellweir/hosted/serving/selection.py
@@ -74,8 +74,7 @@
     def answered(self, instance: str, seconds: float) -> None:
         """Release a place after a usable answer that took `seconds`."""
         with self._lock:
-            load = self._load(instance)
-            load.in_hand -= 1
+            load = self._release(instance)
             load.failures = 0
             first = load.mean_s == 0.0
             load.mean_s = seconds if first else load.mean_s + SMOOTHING * (seconds - load.mean_s)
@@ -91,7 +90,7 @@
     def released(self, instance: str) -> None:
         """Release a place without a verdict on the worker."""
         with self._lock:
-            self._load(instance).in_hand -= 1
+            self._release(instance)
 
     def mean_s(self, instance: str) -> float:
         """Smoothed time of a worker's answers."""
@@ -111,13 +110,17 @@
 
     def _released(self, instance: str, penalty_s: float, *, failed: bool) -> None:
         with self._lock:
-            load = self._load(instance)
-            load.in_hand -= 1
+            load = self._release(instance)
             if failed:
                 penalty_s = min(LONGEST_PENALTY_S, penalty_s * 2**load.failures)
                 load.failures += 1
             load.avoided_until_s = time.monotonic() + penalty_s
 
+    def _release(self, instance: str) -> Load:
+        load = self._load(instance)
+        load.in_hand = max(0, load.in_hand - 1)
+        return load
+
     def _load(self, instance: str) -> Load:
         return self._loads.setdefault(instance, Load())
 
--- a/src/bellweir/ledger/leadership.py
+++ b/src/bellweir/ledger/leadership.py
@@ -23,6 +23,8 @@
     """When it last answered, on the leader's monotonic clock."""
     match_index: int = 0
     """Last index known to be equal and durable there."""
+    is_silent: bool = False
+    """Whether it did not answer the last append: it gets heartbeats without entries until then."""
     confirmed_round: int = 0
     """Newest round in which it acknowledged this leader's term."""
 
--- a/src/bellweir/ledger/leading.py
+++ b/src/bellweir/ledger/leading.py
@@ -59,9 +59,15 @@
                 previous_index,
                 previous_term,
                 self.commit_index,
-                self.log.batch(progress.next_index, BATCH_BYTES),
+                () if progress.is_silent else self.log.batch(progress.next_index, BATCH_BYTES),
             )
 
+    def note_silence(self, target: ReplicaId) -> None:
+        """Note that a follower did not answer an append: its disk may be another one now."""
+        with self.locked():
+            if self._leadership is not None:
+                self._leadership.of(target, self.log.last_index + 1).is_silent = True
+
     def needs_snapshot(self, target: ReplicaId) -> bool:
         """Whether the log no longer reaches a follower."""
         with self.locked():
@@ -77,6 +83,8 @@
             if leadership is None:
                 return False
             progress = leadership.of(target, self.log.last_index + 1)
+            if progress.is_silent:
+                return False
             waits = any(read.after_round >= progress.confirmed_round for read in leadership.reads)
             return waits or progress.next_index <= self.log.last_index
 
@@ -92,6 +100,7 @@
                 return
             progress = leadership.of(follower, self.log.last_index + 1)
             progress.answered_s = now_s
+            progress.is_silent = False
             progress.confirmed_round = max(progress.confirmed_round, sent_round)
             if part.accepted:
                 progress.match_index = max(progress.match_index, part.match_index)
--- a/src/bellweir/ledger/node.py
+++ b/src/bellweir/ledger/node.py
@@ -259,10 +259,15 @@
         sent = AppendRequest(self.own, target, tuple(parts))
         answer = self._transport.request(address, sent, self._timing.request_timeout_s)
         message = answer.value_or(None)
+        answered = message.parts if isinstance(message, AppendAnswer) else ()
+        heard = {part.shard for part in answered}
+        for replica in led:
+            if replica.shard not in heard and any(part.shard == replica.shard for part in parts):
+                replica.note_silence(target)
         if not isinstance(message, AppendAnswer):
             return False
-        for answered in message.parts:
-            self._take_answer(answered, message.replica, sent_round)
+        for taken in answered:
+            self._take_answer(taken, message.replica, sent_round)
         return True
 
     def _take_answer(self, answered: ShardAppended, follower: ReplicaId, sent_round: int) -> None:
