--- a/features/hosted_batches.feature
+++ b/features/hosted_batches.feature
@@ -60,6 +60,9 @@
     Then it is accepted with 202, and again when it comes again
     And the ledger's commands were all small and the job has its 40 items
 
+  Scenario: What a gateway has shown it shows again without the ledger
+    Then readings in any order show the ledger's results, and known positions need no ledger
+
   Scenario: A ledger that does not answer
     Given a gateway before a ledger
     Then a job is refused with 503 only while it is surely not kept
--- a/features/steps/hosted_batches_steps.py
+++ b/features/steps/hosted_batches_steps.py
@@ -12,6 +12,7 @@
 
 from bellweir.hosted.batches.api import BatchApi
 from bellweir.hosted.batches.progress import EventsMissingError, ItemProgress
+from bellweir.hosted.batches.result_cache import ResultCache
 from bellweir.hosted.batches.state import (
     AcceptJob,
     BatchJobs,
@@ -371,3 +372,43 @@
     machine.apply(AcceptJob(make_job("job", 5, 1)))
     machine.apply(ForgetJobs(("job",)))
     assert machine.jobs == {}
+
+
+@then("readings in any order show the ledger's results, and known positions need no ledger")
+def then_cached(context):
+    step = st.one_of(
+        st.tuples(st.just("list"), st.integers(1, 3)),
+        st.tuples(st.just("read"), st.integers(0, 12)),
+        st.tuples(st.just("outage"), st.integers(0, 12)),
+    )
+
+    @settings(max_examples=100)
+    @given(steps=st.lists(step, max_size=30), maximum_bytes=st.sampled_from((0, 600, 1 << 20)))
+    def cached(steps, maximum_bytes):
+        ledger = MemoryLedger()
+        api = BatchApi(ledger, HEADERS, PATHS)
+        api._cache = ResultCache(maximum_bytes)
+        ledger.submit("", AcceptJob(make_job("job", 12, 1)), 1.0)
+        shown = 0
+        for what, number in steps:
+            listed = len(ledger.machine.jobs["job"].results)
+            if what == "list":
+                made = [ItemResult(f"job-{at}", True, "t") for at in range(listed, listed + number)]
+                ledger.submit("", RecordResults("job", tuple(made)), 1.0)
+                continue
+            ledger.leading = what == "read"
+            answer = api.serve_call(call("GET", "/api/lots/job", query=f"after={number}"))
+            ledger.leading = True
+            if answer.status == 503:
+                assert what == "outage"
+                assert number >= shown or maximum_bytes < 1 << 20
+                continue
+            page = json.loads(answer.body)
+            ids = [result["id"] for result in page["results"]]
+            assert ids == [f"job-{at}" for at in range(number, number + len(ids))]
+            assert page["total"] == 12
+            assert ids or number >= listed, "nothing at a position that has a result"
+            if number <= shown:
+                shown = max(shown, number + len(ids))
+
+    cached()
--- a/src/bellweir/hosted/batches/api.py
+++ b/src/bellweir/hosted/batches/api.py
@@ -8,6 +8,7 @@
 
 from bellweir.events.log import emit
 from bellweir.hosted.batches.formats import decode_job, encode_page
+from bellweir.hosted.batches.result_cache import ResultCache
 from bellweir.hosted.batches.state import (
     JOBS_KEY,
     AcceptJob,
@@ -51,6 +52,7 @@
         self._paths = paths
         self._names = names
         self._pause = threading.Event()
+        self._cache = ResultCache()
         self.accept_timeout_s = ACCEPT_TIMEOUT_S
 
     def is_call(self, request: Request) -> bool:
@@ -132,11 +134,9 @@
         after = parse_integer("after", request.query("after") or "0")
         hold_s = min(LONGEST_HOLD_S, _hold_s(request.header(self._names.wait_ms)))
         until_s = time.monotonic() + hold_s
-        query = ReadResults(job_id, after, PAGE_BYTES)
         while True:
-            found = self._ledger.ask(JOBS_KEY, query, CALL_TIMEOUT_S)
-            page = found.value_or(None)
-            if not isinstance(page, ResultsPage):
+            page = self._read_page(job_id, after)
+            if page is None:
                 return own_response(503, "no_ledger", RETRY_AFTER_S)
             if page.total is None:
                 return own_response(404, "no_such_job")
@@ -146,6 +146,19 @@
                 return Response(200, [("Content-Type", "application/json")], content)
             self._pause.wait(HOLD_POLL_S)
 
+    def _read_page(self, job_id: str, after: int) -> ResultsPage | None:
+        """Results from a position on; None when nobody can tell."""
+        known = self._cache.page(job_id, after, PAGE_BYTES)
+        if known is not None:
+            return ResultsPage(*known)
+        query = ReadResults(job_id, after, PAGE_BYTES)
+        found = self._ledger.ask(JOBS_KEY, query, CALL_TIMEOUT_S).value_or(None)
+        if not isinstance(found, ResultsPage):
+            return None
+        if found.total is not None:
+            self._cache.add(job_id, after, found.total, found.results)
+        return found
+
     def _item_body(self, request: Request, job_id: str) -> Response:
         query = ReadItem(job_id, request.query("id") or "")
         found = self._ledger.ask(JOBS_KEY, query, CALL_TIMEOUT_S).value_or(None)
--- a/src/bellweir/hosted/batches/state.py
+++ b/src/bellweir/hosted/batches/state.py
@@ -4,6 +4,7 @@
 applied; an item's first result counts and nothing replaces it.
 """
 
+from collections.abc import Sequence
 from typing import Any
 
 import cbor2
@@ -21,6 +22,20 @@
 """Jobs whose parts wait at once; a client that gave up leaves its parts behind."""
 
 
+def take_page(
+    results: "Sequence[ItemResult]", after: int, page_bytes: int
+) -> "tuple[ItemResult, ...]":
+    """Results from a position on, at least one if there is one, up to `page_bytes`."""
+    page: list[ItemResult] = []
+    size = 0
+    for result in results[after:]:
+        size += result.size
+        if page and size > page_bytes:
+            break
+        page.append(result)
+    return tuple(page)
+
+
 class Scorer(msgspec.Struct, frozen=True):
     """The request that scores an item's text."""
 
@@ -70,6 +85,11 @@
     versions: tuple[int, ...] = ()
     score: str = ""
 
+    @property
+    def size(self) -> int:
+        """Bytes that it takes, about."""
+        return len(self.text) + RESULT_OVERHEAD_BYTES
+
 
 class AcceptJob(Command, frozen=True):
     """Keep a job; nothing happens when it is kept already."""
@@ -274,14 +294,7 @@
         state = self.jobs.get(job_id)
         if state is None:
             return ResultsPage(None)
-        page: list[ItemResult] = []
-        size = 0
-        for result in state.results[after:]:
-            size += len(result.text) + RESULT_OVERHEAD_BYTES
-            if page and size > maximum_bytes:
-                break
-            page.append(result)
-        return ResultsPage(len(state.job.items), tuple(page))
+        return ResultsPage(len(state.job.items), take_page(state.results, after, maximum_bytes))
 
     def _read_item(self, job_id: str, item_id: str) -> Reply:
         state = self.jobs.get(job_id)
--- a/src/bellweir/hosted/node_settings.py
+++ b/src/bellweir/hosted/node_settings.py
@@ -46,8 +46,8 @@
 class _Ledger:
     shards: int = 1
     replicas: int = 3
-    heartbeat_s: float = 0.2
-    election_timeout_s: float = 0.8
+    heartbeat_s: float = 0.15
+    election_timeout_s: float = 0.6
     snapshot_entries: int = 2_048
     creation_wait_s: float = 6.0
     replace_after_s: float = 3.0
