--- a/src/bellweir/cli/resources/explain.py
+++ b/src/bellweir/cli/resources/explain.py
@@ -1,4 +1,4 @@
-"""`bellweir explain`: what a field means."""
+"""`bellweir explain`: what a field means, or what became of a request."""
 
 from dataclasses import asdict, dataclass
 from typing import Annotated
@@ -8,6 +8,7 @@
 from rich.table import Table
 
 from bellweir.cli import exit_codes
+from bellweir.cli.request_explanation import explain_request
 from bellweir.cli.resources.options import OutputFormat, print_json
 from bellweir.resources.models import KINDS
 from bellweir.resources.reference import explain, render_reference
@@ -15,14 +16,25 @@
 
 @cappa.command(
     name="explain",
-    help="Explain a kind or a field.",
-    description="Example: bellweir explain pool.spec.workers",
+    help="Explain a kind or a field; with --log, what became of a request or batch job.",
+    description=(
+        "Examples:\n\n"
+        "- bellweir explain pool.spec.workers\n"
+        "- bellweir explain 9c41d07be2a35f68 --log gateway.log --log store.log"
+    ),
 )
 @dataclass
 class ExplainCommand:
-    """Explain fields; needs no node."""
+    """Explain fields or requests; needs no node."""
 
-    path: Annotated[str | None, cappa.Arg(help="KIND or KIND.PATH, such as pool.spec.")] = None
+    path: Annotated[
+        str | None,
+        cappa.Arg(help="KIND or KIND.PATH, such as pool.spec; with --log the id of a request."),
+    ] = None
+    log: Annotated[
+        list[str] | None,
+        cappa.Arg(long="--log", help="File of log lines of a process; - for standard input."),
+    ] = None
     markdown: Annotated[
         bool, cappa.Arg(long="--markdown", help="Print the page docs/RESOURCES.md.")
     ] = False
@@ -35,6 +47,9 @@
             return
         if self.path is None:
             raise cappa.Exit(f"name a kind: {', '.join(KINDS)}", code=exit_codes.USAGE)
+        if self.log:
+            explain_request(self.path, self.log, self.output)
+            return
         try:
             fields = explain(self.path)
         except KeyError as failure:
--- /dev/null
+++ b/src/bellweir/explanation/cause.py
@@ -0,0 +1,115 @@
+"""Says in a sentence what became of a request, an item or a batch job."""
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+
+from bellweir.explanation.lines import LogLine
+
+CAUSES = {
+    "workers_full": "each worker that was tried said that it had no room and had not run it",
+    "no_worker": "no worker of the route's service was listed as ready, or all had been tried",
+    "not_reached": "no worker could be reached, so it has not run",
+    "no_answer": "a worker may have run it but gave no whole answer of its own",
+    "worker_failed": "the worker itself answered with a failure",
+    "timeout": "the route's time-out or the client's deadline passed first",
+    "no_route": "no route of the configuration in force has its host and path",
+    "no_configuration": "the process knew no configuration yet",
+}
+MOST_ITEMS_SHOWN = 3
+
+
+def explain(identifier: str, lines: Sequence[LogLine]) -> str:
+    """A sentence on `identifier`, from its own lines in order of time."""
+    if not lines:
+        return f"No line tells of {identifier}."
+    of_job = [line for line in lines if line.fields.get("job") == identifier]
+    if of_job or any(line.event.startswith("job_") for line in lines):
+        return _explain_job(identifier, lines, of_job)
+    if any(line.event.startswith("item_") for line in lines):
+        return _explain_item(identifier, lines)
+    return _explain_request(identifier, lines)
+
+
+def _explain_request(identifier: str, lines: Sequence[LogLine]) -> str:
+    last = lines[-1]
+    tries = _tries([line for line in lines if line.event == "attempt_failed"])
+    if last.event == "request_answered":
+        workers = ", ".join(last.fields.get("instance") or ["a worker"])
+        said = f"was answered with status {last.text('status')} by {workers}"
+        return f"Request {identifier} {said} after {last.text('ms')} ms{tries}."
+    if last.event == "request_given_up":
+        cause = last.text("cause")
+        why = CAUSES.get(cause, cause)
+        said = f"was given up with status {last.text('status')} after {last.text('ms')} ms"
+        under = f"under configuration {last.text('configuration')}"
+        return f"Request {identifier} {said} on {last.node}, {under}: {why}{tries}."
+    if last.event == "client_left":
+        return f"Request {identifier}: its client left before there was an answer{tries}."
+    if last.event == "job_not_accepted":
+        return f"Batch job {identifier} was not accepted on {last.node}: {last.text('cause')}."
+    return (
+        f"Request {identifier} has no last line: {last.node} ended or the line is not in these "
+        f"logs; the newest one is {last.event}{tries}."
+    )
+
+
+def _tries(failed: Sequence[LogLine]) -> str:
+    if not failed:
+        return ""
+    told = [
+        f"{line.text('instance')} {line.text('outcome')}"
+        + (f" ({line.text('detail')})" if line.text("detail") else "")
+        for line in failed
+    ]
+    return f"; failed attempts: {'; '.join(told)}"
+
+
+def _explain_item(identifier: str, lines: Sequence[LogLine]) -> str:
+    starts = sum(line.event == "item_started" for line in lines)
+    broken = [line for line in lines if line.event == "item_broken"]
+    listed = next((line for line in lines if line.event == "item_listed"), None)
+    causes = _counted(line.text("cause") for line in broken)
+    tail = f"; broken runs: {causes}" if broken else ""
+    if listed is None:
+        return f"Item {identifier} was started {starts} times and is not listed{tail}."
+    seconds = listed.seconds() - lines[0].seconds()
+    state = f"is listed {listed.text('state')} with versions {listed.text('versions')}"
+    return (
+        f"Item {identifier} {state}, {seconds:.1f} s after its first start, in {starts} runs{tail}."
+    )
+
+
+def _explain_job(identifier: str, lines: Sequence[LogLine], of_job: Sequence[LogLine]) -> str:
+    own = [line for line in lines if line.fields.get("request_id") == identifier]
+    accepted = next((line for line in own if line.event == "job_accepted"), None)
+    refused = [line for line in own if line.event == "job_not_accepted"]
+    ended = next((line for line in own if line.event == "job_ended"), None)
+    if accepted is None:
+        cause = refused[-1].text("cause") if refused else "no line tells of it"
+        return f"Batch job {identifier} was not accepted: {cause}."
+    listed = [line for line in of_job if line.event == "item_listed"]
+    broken = [line for line in of_job if line.event == "item_broken"]
+    since = accepted.seconds()
+    latest = sorted(listed, key=lambda line: line.time)[-MOST_ITEMS_SHOWN:]
+    parts = [
+        f"Batch job {identifier} (step {accepted.text('step')}) was accepted on {accepted.node} "
+        f"and has {len(listed)} of {accepted.text('items')} items listed"
+    ]
+    if latest:
+        told = ", ".join(
+            f"{line.text('request_id')} after {line.seconds() - since:.1f} s" for line in latest
+        )
+        parts.append(f"the last ones: {told}")
+    if broken:
+        parts.append(f"{len(broken)} runs broke: {_counted(line.text('cause') for line in broken)}")
+    leaders = [line.node for line in lines if line.event == "coordination_taken"]
+    if leaders:
+        parts.append(f"its coordination moved meanwhile to {', '.join(leaders)}")
+    if ended is not None:
+        parts.append(f"it was ended after {ended.seconds() - since:.1f} s")
+    return "; ".join(parts) + "."
+
+
+def _counted(causes: Iterable[str]) -> str:
+    counts = Counter(causes)
+    return ", ".join(f"{count} x {cause}" for cause, count in counts.most_common(4))
--- /dev/null
+++ b/src/bellweir/explanation/story.py
@@ -0,0 +1,66 @@
+"""Picks the lines of one id, and what happened to its nodes meanwhile."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from bellweir.explanation.cause import explain
+from bellweir.explanation.lines import LogLine
+
+AROUND_S = 2.0
+"""Time around the id's own lines in which events of its nodes are shown."""
+MEANWHILE = frozenset(
+    {
+        "process_started",
+        "process_draining",
+        "process_stopped",
+        "store_lost",
+        "store_regained",
+        "configuration_in_force",
+        "leader_elected",
+        "leader_resigned",
+        "coordination_taken",
+        "coordination_left",
+        "lease_taken",
+        "lease_lost",
+        "order_sent",
+        "replicas_changed",
+        "lines_left_out",
+    }
+)
+
+
+@dataclass(frozen=True)
+class Story:
+    """What is known of one id."""
+
+    own: tuple[LogLine, ...]
+    meanwhile: tuple[LogLine, ...]
+    """Changes at its nodes around the time of its own lines."""
+    sentence: str
+
+
+def story_of(identifier: str, lines: Sequence[LogLine]) -> Story:
+    """The story of a request, an item or a job; `lines` in order of time."""
+    own = [line for line in lines if _is_about(line, identifier)]
+    if not own:
+        return Story((), (), explain(identifier, []))
+    # Ends and readings of a job may be asked for long after its items are done.
+    runs = [line for line in own if line.event.startswith("item_")] or own
+    first_s, last_s = runs[0].seconds() - AROUND_S, runs[-1].seconds() + AROUND_S
+    nodes = {line.node for line in own}
+    meanwhile = [
+        line
+        for line in lines
+        if line.event in MEANWHILE and line.node in nodes and first_s <= line.seconds() <= last_s
+    ]
+    known = sorted(
+        [*own, *(line for line in meanwhile if line.event == "coordination_taken")],
+        key=lambda line: line.time,
+    )
+    is_job = any(line.fields.get("job") == identifier for line in own)
+    sentence = explain(identifier, known if is_job else own)
+    return Story(tuple(own), tuple(meanwhile), sentence)
+
+
+def _is_about(line: LogLine, identifier: str) -> bool:
+    return identifier in (line.fields.get("request_id"), line.fields.get("job"))
--- a/src/bellweir/hosted/batches/coordinator.py
+++ b/src/bellweir/hosted/batches/coordinator.py
@@ -80,6 +80,10 @@
                 self._leave()
         self._leave()
 
+    def running_count(self) -> int:
+        """Attempts in hand."""
+        return len(self._running)
+
     def _is_leading(self) -> bool:
         return self._ledger.leads(JOBS_KEY)
 
--- a/src/bellweir/hosted/batches/service.py
+++ b/src/bellweir/hosted/batches/service.py
@@ -4,9 +4,11 @@
 
 from bellweir.hosted.batches.attempts import ItemAttempts
 from bellweir.hosted.batches.coordinator import Coordinator
-from bellweir.hosted.batches.state import BatchJobs
+from bellweir.hosted.batches.state import JOBS_KEY, BatchJobs, JobState
 from bellweir.hosted.interface import HostingPlatform
+from bellweir.hosted.metrics_service import MetricsService
 from bellweir.hosted.serving.attempt import WorkerConnections
+from bellweir.hosted.serving.metrics import RequestMetrics
 from bellweir.hosted.serving.selection import WorkerLoads
 from bellweir.hosted.settings import HostedSettings
 from bellweir.hosted.views.service import ViewsService
@@ -22,7 +24,7 @@
     """Runs the coordinator and its committer."""
 
     name = names.BATCHES
-    dependencies = (names.VIEWS, names.LEDGER)
+    dependencies = (names.VIEWS, names.LEDGER, names.TELEMETRY)
 
     def __init__(self, kernel: Kernel, settings: HostedSettings, platform: HostingPlatform) -> None:
         self._kernel = kernel
@@ -45,10 +47,41 @@
             self._kernel.executors,
             self._settings.bounds.status_s,
         )
+        self._add_gauges(
+            registry.find(names.TELEMETRY, MetricsService).metrics, ledger, coordinator
+        )
         self._kernel.executors.run_task("batch-coordinator", coordinator.run)
         self._kernel.executors.run_task("batch-committer", coordinator.committer.run)
         self._kernel.executors.run_task("batch-tidy", self._tidy)
 
+    def _add_gauges(
+        self, metrics: RequestMetrics, ledger: Ledger, coordinator: Coordinator
+    ) -> None:
+        def jobs() -> list[JobState]:
+            machine = ledger.local_machine(JOBS_KEY, BatchJobs)
+            return list(machine.jobs.values()) if isinstance(machine, BatchJobs) else []
+
+        metrics.add_gauge(
+            "bellweir_jobs_open",
+            "Batch jobs that are accepted and not ended, as the local replica has them.",
+            lambda: float(sum(state.is_open for state in jobs())),
+        )
+        metrics.add_gauge(
+            "bellweir_items_listed",
+            "Results of the jobs that are kept.",
+            lambda: float(sum(len(state.results) for state in jobs())),
+        )
+        metrics.add_gauge(
+            "bellweir_items_running",
+            "Attempts of items in hand on this node.",
+            lambda: float(coordinator.running_count()),
+        )
+        metrics.add_gauge(
+            "bellweir_ledger_leads",
+            "1 while this node leads the jobs' shard.",
+            lambda: float(ledger.leads(JOBS_KEY)),
+        )
+
     def stop(self) -> None:
         """The tasks end with the executors."""
 
--- /dev/null
+++ b/src/bellweir/hosted/metrics_service.py
@@ -0,0 +1,89 @@
+"""Service `telemetry`: figures of the process in Prometheus text form, on an address of its own."""
+
+import time
+
+from bellweir.hosted.interface import HostingPlatform
+from bellweir.hosted.serving.metrics import RequestMetrics
+from bellweir.hosted.serving.simple_application import SimpleApplication
+from bellweir.hosted.settings import HostedSettings
+from bellweir.hosted.views.service import ViewsService
+from bellweir.http_server.http import Request, Response, json_response
+from bellweir.http_server.server import HttpServer
+from bellweir.http_server.server_limits import ServerLimits
+from bellweir.kernel import names
+from bellweir.kernel.listeners import bind_stream
+from bellweir.kernel.node import Kernel
+from bellweir.kernel.service import Service
+
+PATH = "/metrics"
+THREADS = 2
+MAXIMUM_BODY_BYTES = 1 << 16
+LONGEST_AGE_S = 1e6
+"""Shown for a view that was never current."""
+
+
+class MetricsService(Service):
+    """Holds the figures that other services add to, and serves them."""
+
+    name = names.TELEMETRY
+    dependencies = (names.VIEWS, names.MEMBERSHIP)
+
+    def __init__(self, kernel: Kernel, settings: HostedSettings, platform: HostingPlatform) -> None:
+        self._kernel = kernel
+        self._address = settings.listen.metrics
+        self.metrics = RequestMetrics()
+        self._server: HttpServer | None = None
+        self._began_s = time.monotonic()
+
+    def start(self) -> None:
+        """Add the gauges of all roles and listen, where an address is set."""
+        self._add_gauges(self._kernel.registry.find(names.VIEWS, ViewsService))
+        if self._address is None:
+            return
+        host, _, port = self._address.rpartition(":")
+        limits = ServerLimits(THREADS, MAXIMUM_BODY_BYTES)
+        application = SimpleApplication(self._answer)
+        self._server = HttpServer(application, bind_stream(host, int(port)), limits)
+        self._kernel.executors.run_task("metrics", self._server.run_until_closed)
+
+    def stop(self) -> None:
+        """Close the listener."""
+        server, self._server = self._server, None
+        if server is not None:
+            server.close_all()
+            server.release()
+
+    def _answer(self, request: Request) -> Response:
+        if request.path != PATH:
+            return json_response(404, {"error": "not_found"})
+        headers = [("Content-Type", "text/plain; version=0.0.4")]
+        return Response(200, headers, self.metrics.render())
+
+    def _add_gauges(self, views: ViewsService) -> None:
+        add = self.metrics.add_gauge
+        table = views.configuration.table
+        add(
+            "bellweir_configuration_version",
+            "Version of the configuration in force; 0 without one.",
+            lambda: float(found.version) if (found := table()) else 0.0,
+        )
+        add(
+            "bellweir_configuration_age_seconds",
+            "Time since the configuration was last known to be the store's.",
+            lambda: min(LONGEST_AGE_S, views.configuration_follower.age_s()),
+        )
+        add(
+            "bellweir_workers_age_seconds",
+            "Time since the list of workers was last known to be the store's.",
+            lambda: min(LONGEST_AGE_S, views.workers_follower.age_s()),
+        )
+        add(
+            "bellweir_workers_listed",
+            "Workers in the list.",
+            lambda: float(len(views.workers.all())),
+        )
+        add(
+            "bellweir_uptime_seconds",
+            "Time since the process was composed.",
+            lambda: time.monotonic() - self._began_s,
+        )
--- a/src/bellweir/hosted/process.py
+++ b/src/bellweir/hosted/process.py
@@ -21,6 +21,7 @@
     SETTINGS_RELOADED,
     SETTINGS_UNKNOWN,
 )
+from bellweir.hosted.metrics_service import MetricsService
 from bellweir.hosted.node_settings import node_settings
 from bellweir.hosted.peer_records import PeerRecords
 from bellweir.hosted.placement_objects import PlacementService
@@ -77,6 +78,7 @@
         add(LedgerService(kernel, shared))
         add(ViewsService(kernel, platform.store))
         add(PeerRecords(kernel, platform.store))
+        add(MetricsService(kernel, settings, platform))
         for make in _role_services(settings.node.role):
             add(make(kernel, settings, platform))
 
--- a/src/bellweir/hosted/serving/application.py
+++ b/src/bellweir/hosted/serving/application.py
@@ -18,25 +18,10 @@
 from bellweir.http_server.task import ABORT_CONNECTION
 
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
-Handler = Callable[[Request], Response]
 
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5
 
 
-class SimpleApplication:
-    """Serves one interface whose answers are short."""
-
-    def __init__(self, handler: Handler) -> None:
-        self._handler = handler
-
-    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
-        """Serve one request."""
-        response = self._handler(Request(environ, "", Caller(environ["REMOTE_ADDR"])))
-        response.headers.append(("Content-Length", str(len(response.body))))
-        start_response(response.status_line, response.headers)
-        return [response.body]
-
-
 class RequestApplication:
     """Serves clients' requests, and the calls about batch jobs."""
 
--- a/src/bellweir/hosted/serving/service.py
+++ b/src/bellweir/hosted/serving/service.py
@@ -10,12 +10,13 @@
 from bellweir.hosted.batches.state import BatchJobs
 from bellweir.hosted.interface import HostingPlatform
 from bellweir.hosted.log_events import PROCESS_DRAINING
-from bellweir.hosted.serving.application import RequestApplication, SimpleApplication
+from bellweir.hosted.metrics_service import MetricsService
+from bellweir.hosted.serving.application import RequestApplication
 from bellweir.hosted.serving.attempt import WorkerConnections
 from bellweir.hosted.serving.directory import TTL_S, Directory
 from bellweir.hosted.serving.forwarding import Forwarder
-from bellweir.hosted.serving.metrics import RequestMetrics
 from bellweir.hosted.serving.selection import WorkerLoads
+from bellweir.hosted.serving.simple_application import SimpleApplication
 from bellweir.hosted.serving.streams import StreamForwarder
 from bellweir.hosted.settings import HostedSettings
 from bellweir.hosted.views.configuration import RouteTable
@@ -48,13 +49,12 @@
     """Serves clients: requests, directory and readiness, each on its own address."""
 
     name = names.FRONT
-    dependencies = (names.VIEWS, names.MEMBERSHIP, names.LEDGER)
+    dependencies = (names.VIEWS, names.MEMBERSHIP, names.LEDGER, names.TELEMETRY)
 
     def __init__(self, kernel: Kernel, settings: HostedSettings, platform: HostingPlatform) -> None:
         self._kernel = kernel
         self._settings = settings
         self._platform = platform
-        self.metrics = RequestMetrics()
         self._connections = WorkerConnections(platform.headers)
         self._loads = WorkerLoads(settings.node.zone, self._connections.has_idle)
         self._servers: list[HttpServer] = []
@@ -82,8 +82,14 @@
         ledger = self._kernel.registry.find(names.LEDGER, Ledger)  # type: ignore[type-abstract]
         caller_watch = CallerWatch(self._kernel.executors)
         caller_watch.start()
+        metrics = self._kernel.registry.find(names.TELEMETRY, MetricsService).metrics
+        metrics.add_gauge(
+            "bellweir_connections_busy",
+            "Connections of clients with a request in hand.",
+            lambda: float(self._requests.busy_connections() if self._requests else 0),
+        )
         forwarder = Forwarder(
-            self._views.workers, self._loads, self._connections, caller_watch, self.metrics
+            self._views.workers, self._loads, self._connections, caller_watch, metrics
         )
         streams = StreamForwarder(forwarder, self._loads, self._connections, caller_watch)
         ledger.register(BatchJobs)
@@ -113,9 +119,6 @@
         return not self._draining.is_set() and self._views.configuration.known.is_set()
 
     def _readiness(self, request: Request) -> Response:
-        if request.path == "/metrics":
-            headers = [("Content-Type", "text/plain; version=0.0.4")]
-            return Response(200, headers, self.metrics.render())
         if self._is_serving():
             return json_response(200, {"ready": True})
         return json_response(503, {"ready": False})
--- a/src/bellweir/hosted/settings.py
+++ b/src/bellweir/hosted/settings.py
@@ -42,6 +42,7 @@
     requests: str | None = None
     readiness: str | None = None
     directory: str | None = None
+    metrics: str | None = None
 
 
 class StoreSettings(msgspec.Struct, frozen=True, rename="camel"):
@@ -166,6 +167,7 @@
         "listen.requests": settings.listen.requests,
         "listen.readiness": settings.listen.readiness,
         "listen.directory": settings.listen.directory,
+        "listen.metrics": settings.listen.metrics,
         "store.address": settings.store.address,
     }
     named |= {f"node.seeds.{number}": seed for number, seed in enumerate(settings.node.seeds)}
--- a/src/bellweir/hosted/weights/service.py
+++ b/src/bellweir/hosted/weights/service.py
@@ -4,6 +4,7 @@
 
 from bellweir.hosted.batches.state import JOBS_KEY, BatchJobs, Job
 from bellweir.hosted.interface import HostingPlatform, RecordKind
+from bellweir.hosted.metrics_service import MetricsService
 from bellweir.hosted.settings import HostedSettings
 from bellweir.hosted.views.follower import KindFollower
 from bellweir.hosted.views.service import ViewsService
@@ -29,7 +30,7 @@
     """One task keeps the lease, another one gives the orders."""
 
     name = names.ROLLOUTS
-    dependencies = (names.VIEWS, names.LEDGER)
+    dependencies = (names.VIEWS, names.LEDGER, names.TELEMETRY)
 
     def __init__(self, kernel: Kernel, settings: HostedSettings, platform: HostingPlatform) -> None:
         self._kernel = kernel
@@ -64,6 +65,12 @@
             VersionLags(self._jobs),
             self._settings.node.name,
         )
+        metrics = self._kernel.registry.find(names.TELEMETRY, MetricsService).metrics
+        metrics.add_gauge(
+            "bellweir_rollout_lease_seconds",
+            "Time for which this node may surely act under the lease of roll-outs; 0 without it.",
+            lambda: max(0.0, self._lease.may_act_for_s()),
+        )
         run_task = self._kernel.executors.run_task
         views.also_check(follower)
         run_task("follow-versions", follower.run)
