--- /dev/null
+++ b/features/explanation.feature
@@ -0,0 +1,31 @@
+Feature: The logs of several processes tell what became of a request
+  Lines of any number of processes are read, whatever stands before them, and put in order.
+
+  Scenario Outline: A request that failed
+    Given log lines in which request "r-1" was given up because of "<cause>" after attempts that <attempts>
+    Then the explanation of "r-1" says "<said>"
+
+    Examples:
+      | cause            | attempts | said                                            |
+      | workers_full     | refused  | no room and had not run it                      |
+      | no_worker        | refused  | no worker of the route's service was listed     |
+      | no_answer        | unknown  | gave no whole answer of its own                 |
+      | timeout          | unknown  | the route's time-out or the client's deadline   |
+      | no_configuration | refused  | knew no configuration yet                       |
+
+  Scenario: A batch job whose group came late
+    Given log lines of a job with a broken run, a change of leader and a late item
+    Then the explanation of "j-1" says "2 of 2 items listed"
+    And the explanation of "j-1" says "i-2 after 9.0 s"
+    And the explanation of "j-1" says "1 x OSError"
+    And the explanation of "j-1" says "moved meanwhile to store-b"
+
+  Scenario: A job that was refused, and ids that nobody knows
+    Given log lines in which job "j-2" was not accepted
+    Then the explanation of "j-2" says "was not accepted"
+    And the explanation of "j-3" says "No line tells of j-3"
+
+  Scenario: The command reads files and standard input
+    Given log lines in which request "r-1" was given up because of "timeout" after attempts that unknown
+    Then the command "explain r-1 --log FILE" prints the lines in order and the sentence
+    And the command "explain r-9 --log FILE" fails with a clear word
--- /dev/null
+++ b/features/steps/explanation_steps.py
@@ -0,0 +1,101 @@
+"""Explanations of requests from log lines."""
+
+import json
+import subprocess
+import sys
+
+from behave import given as given_step
+from behave import then
+
+from bellweir.explanation.lines import read_lines
+from bellweir.explanation.story import story_of
+
+
+def line(second, node, event, **fields):
+    stamp = f"2026-01-01T00:00:{second:06.3f}Z"
+    return json.dumps({"timestamp": stamp, "node": node, "event": event, **fields})
+
+
+def attempt(second, number, outcome):
+    return line(
+        second,
+        "gateway-a",
+        "attempt_failed",
+        request_id="r-1",
+        attempt=number,
+        instance=f"i-{number}",
+        outcome=outcome,
+        detail="",
+    )
+
+
+@given_step(
+    'log lines in which request "{request}" was given up because of "{cause}" after attempts that '
+    "{outcome}"
+)
+def given_request(context, request, cause, outcome):
+    end = line(
+        3,
+        "gateway-a",
+        "request_given_up",
+        request_id=request,
+        status=503,
+        cause=cause,
+        configuration=4,
+        attempts=2,
+        ms=20,
+    )
+    # Out of order, with words before the lines and lines that are none.
+    context.lines = [end, "  0.5 gateway-a " + attempt(2, 2, outcome), "{", attempt(1, 1, outcome)]
+
+
+@given_step("log lines of a job with a broken run, a change of leader and a late item")
+def given_job(context):
+    context.lines = [
+        line(1, "gateway-a", "job_accepted", request_id="j-1", items=2, step=3),
+        line(2, "store-a", "item_started", request_id="i-1", job="j-1"),
+        line(3, "store-a", "item_listed", request_id="i-1", job="j-1", state="completed"),
+        line(4, "store-a", "item_broken", request_id="i-2", job="j-1", cause="OSError"),
+        line(5, "store-b", "coordination_taken", jobs=1),
+        line(6, "store-b", "item_started", request_id="i-2", job="j-1"),
+        line(10, "store-b", "item_listed", request_id="i-2", job="j-1", state="completed"),
+        line(11, "gateway-b", "job_ended", request_id="j-1"),
+    ]
+
+
+@given_step('log lines in which job "{job}" was not accepted')
+def given_refused(context, job):
+    refused = line(
+        1, "gateway-a", "job_not_accepted", request_id=job, status=503, cause="no leader"
+    )
+    context.lines = [refused]
+
+
+@then('the explanation of "{identifier}" says "{said}"')
+def then_says(context, identifier, said):
+    sentence = story_of(identifier, read_lines([context.lines])).sentence
+    assert said in sentence, sentence
+
+
+def run(context, identifier):
+    file = context.folder / "lines.log"
+    file.write_text("\n".join(context.lines), encoding="utf-8")
+    command = [sys.executable, "-m", "bellweir", "explain", identifier, "--log", str(file)]
+    return subprocess.run(command, capture_output=True, text=True, check=False)
+
+
+@then('the command "explain r-1 --log FILE" prints the lines in order and the sentence')
+def then_printed(context):
+    done = run(context, "r-1")
+    assert done.returncode == 0, done.stderr
+    found = [shown.split(" ")[2] for shown in done.stdout.splitlines()[:3]]
+    assert found == ["attempt_failed", "attempt_failed", "request_given_up"]
+    assert "attempt=1" in done.stdout.splitlines()[0]
+    assert done.stdout.splitlines()[-1].startswith("Request r-1 was given up with status 503")
+
+
+@then('the command "explain r-9 --log FILE" fails with a clear word')
+def then_failed(context):
+    done = run(context, "r-9")
+    assert done.returncode != 0
+    assert "r-9" in done.stdout + done.stderr
--- a/src/bellweir_rehearsal/cli.py
+++ b/src/bellweir_rehearsal/cli.py
@@ -17,6 +17,7 @@
 from bellweir_rehearsal.console import print_result, progress_on
 from bellweir_rehearsal.demo import demo_plan
 from bellweir_rehearsal.experiment_commands import CompareCommand, RunCommand
+from bellweir_rehearsal.hosted.command import HostedCommand
 from bellweir_rehearsal.promises.mutations import MUTATIONS, Mutation, NothingToMutateError
 from bellweir_rehearsal.rehearsal import Rehearsal
 from bellweir_rehearsal.result import RunResult, write_result
@@ -136,6 +137,7 @@
 
     command: cappa.Subcommands[
         DemoCommand
+        | HostedCommand
         | RunCommand
         | CompareCommand
         | SoakCommand
--- /dev/null
+++ b/src/bellweir_rehearsal/hosted/clients.py
@@ -0,0 +1,189 @@
+"""Clients and a trainer of the hosting platform, as its pages describe them."""
+
+import base64
+import http.client
+import itertools
+import json
+import random
+import time
+from dataclasses import dataclass, field
+from typing import Any
+
+from bellweir_rehearsal.hosted.deployment import REGION, ZONES, HostedDeployment
+
+HOST = "shop.example"
+REQUEST_TIMEOUT_S = 5.0
+TRIES = 12
+TRY_PAUSE_S = 0.3
+READ_PAUSE_S = 0.3
+
+
+class NoAnswerError(RuntimeError):
+    """A call got no useful answer from any gateway, however often it was repeated."""
+
+
+@dataclass(frozen=True)
+class Answer:
+    """A whole answer."""
+
+    status: int
+    headers: dict[str, str]
+    """By lower-case name."""
+    body: bytes
+
+
+def call(
+    address: str, method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None
+) -> Answer | None:
+    """One call on a new connection; None without a whole answer."""
+    connection = http.client.HTTPConnection(address, timeout=REQUEST_TIMEOUT_S)
+    try:
+        connection.request(method, path, body or None, {"Host": HOST, **(headers or {})})
+        answer = connection.getresponse()
+        found = {name.lower(): value for name, value in answer.getheaders()}
+        return Answer(answer.status, found, answer.read())
+    except (OSError, http.client.HTTPException):
+        return None
+    finally:
+        connection.close()
+
+
+@dataclass
+class Client:
+    """Asks the directory where to go, and repeats what may be repeated."""
+
+    deployment: HostedDeployment
+    chance: random.Random = field(default_factory=lambda: random.Random(1))
+    addresses: list[str] = field(default_factory=list)
+    known_until_s: float = 0.0
+
+    def look_up(self) -> None:
+        """Ask a gateway's directory."""
+        names = self.deployment.running("gateway")
+        for name in self.chance.sample(names, len(names)):
+            directory = self.deployment.address(name, "directory")
+            zone = self.chance.choice(ZONES)
+            found = call(directory, "GET", f"/endpoints?name={HOST}&region={REGION}&zone={zone}")
+            if found is not None and found.status == 200:
+                answer = json.loads(found.body)
+                self.addresses = answer["addresses"]
+                self.known_until_s = time.monotonic() + answer["ttlS"]
+                return
+
+    def send(
+        self, method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None
+    ) -> Answer:
+        """Send a request until an answer other than 5xx comes. Raises `NoAnswerError`."""
+        last: Answer | None = None
+        for _ in range(TRIES):
+            if time.monotonic() >= self.known_until_s:
+                self.look_up()
+            if self.addresses:
+                address = self.chance.choice(self.addresses)
+                last = call(address, method, path, body, headers)
+                if last is not None and last.status < 500:
+                    return last
+            time.sleep(TRY_PAUSE_S)
+        raise NoAnswerError(f"{method} {path}: {last}")
+
+
+@dataclass
+class StepRecord:
+    """One step of the trainer and what it read."""
+
+    job_id: str
+    minimum_version: int
+    items: list[str]
+    results: list[dict[str, Any]] = field(default_factory=list)
+
+
+@dataclass
+class Trainer:
+    """Hands in a job for each step, reads it to its end and names the next version."""
+
+    client: Client
+    items_each: int = 6
+    version: int = 1
+    steps: list[StepRecord] = field(default_factory=list)
+    _numbers: "itertools.count[int]" = field(default_factory=itertools.count)
+
+    def begin_step(self) -> StepRecord:
+        """Hand in the next job; it is accepted once this returns."""
+        number = next(self._numbers)
+        job_id = f"job-{number}"
+        items = [f"{job_id}-{item}" for item in range(self.items_each)]
+        least = max(1, self.version - 1)
+        step = StepRecord(job_id, least, items)
+        answer = self.client.send(
+            "POST",
+            f"/drafts/{job_id}",
+            self._document(number, items, least),
+            {"X-Bellweir-Attempt-Id": job_id, "Content-Type": "application/json"},
+        )
+        if answer.status != 202:
+            raise NoAnswerError(f"{job_id}: {answer}")
+        self.steps.append(step)
+        return step
+
+    def read_step(self, step: StepRecord, timeout_s: float = 30.0) -> None:
+        """Read results until all are listed."""
+        until_s = time.monotonic() + timeout_s
+        while len(step.results) < len(step.items):
+            if time.monotonic() > until_s:
+                raise NoAnswerError(f"{step.job_id}: {len(step.results)} results in {timeout_s} s")
+            path = f"/api/lots/{step.job_id}?after={len(step.results)}"
+            page = json.loads(self.client.send("GET", path).body)
+            step.results += page["results"]
+            time.sleep(READ_PAUSE_S)
+
+    def end_step(self, step: StepRecord) -> None:
+        """End the job and name the next version."""
+        self.client.send("DELETE", f"/api/lots/{step.job_id}")
+        self.version += 1
+        named = {"model": "drafts", "version": self.version}
+        self.client.deployment.store.records.put("versions", "drafts", named)
+
+    def read_again(self, step: StepRecord) -> list[dict[str, Any]]:
+        """All results of a step, from the start."""
+        found: list[dict[str, Any]] = []
+        while len(found) < len(step.results):
+            path = f"/api/lots/{step.job_id}?after={len(found)}"
+            page = json.loads(self.client.send("GET", path).body)
+            found += page["results"]
+            if not page["results"]:
+                break
+        return found
+
+    def _document(self, number: int, items: list[str], least: int) -> bytes:
+        requests = [
+            {
+                "id": item,
+                "path": f"/drafts/{item}",
+                "headers": {"X-Bellweir-Model": "drafts"},
+                "body": base64.b64encode(b"prompt").decode(),
+                "tokens": 20,
+                "group": f"group-{at // 2}",
+                "scorer": {"id": f"score-{item}", "host": HOST, "path": "/score/x", "body": ""},
+            }
+            for at, item in enumerate(items)
+        ]
+        job = {"step": number, "model": "drafts", "minVersion": least, "wantedGroups": 3}
+        return json.dumps({**job, "items": requests}).encode()
+
+
+def configuration(version: int, extra_routes: tuple[str, ...] = ()) -> dict[str, Any]:
+    """The operator's configuration."""
+    common = {"host": HOST, "timeoutMs": 5000, "targetMs": 500, "maxAttempts": 3}
+    routes = [
+        {**common, "pathPrefix": "/drafts/", "kind": "rollout", "service": "llm"},
+        {**common, "pathPrefix": "/score/", "kind": "idempotent", "service": "app"},
+        {**common, "pathPrefix": "/price/", "kind": "idempotent", "service": "app"},
+        {**common, "pathPrefix": "/bid/", "kind": "non_idempotent", "service": "app"},
+    ]
+    routes += [
+        {**common, "pathPrefix": prefix, "kind": "idempotent", "service": "app"}
+        for prefix in extra_routes
+    ]
+    engine = {"slots": 8, "models": [{"name": "drafts"}]}
+    services = [{"name": "llm", "engine": engine}, {"name": "app"}]
+    return {"version": version, "routes": routes, "services": services}
