--- a/src/bellweir/hosted/serving/forwarding.py
+++ b/src/bellweir/hosted/serving/forwarding.py
@@ -37,6 +37,8 @@
 MAXIMUM_SENDS = 8
 """Sends of one request, those that surely did not run included."""
 SERVER_ERROR = 500
+LONGEST_AGE_S = 1e6
+"""Shown for a list of workers that was never current."""
 
 
 @dataclass
@@ -63,6 +65,7 @@
         connections: WorkerConnections,
         caller_watch: CallerWatch,
         metrics: RequestMetrics,
+        workers_age_s: Callable[[], float] = lambda: 0.0,
         now_s: Callable[[], float] = time.monotonic,
     ) -> None:
         self._workers = workers
@@ -70,6 +73,7 @@
         self._connections = connections
         self._caller_watch = caller_watch
         self._metrics = metrics
+        self._workers_age_s = workers_age_s
         self._parts = WeightedParts()
         self._now_s = now_s
 
@@ -233,11 +237,13 @@
             "status": response.status,
             "attempts": progress.sends,
             "ms": round(1000 * seconds),
+            "workers_age_ms": round(1000 * min(self._workers_age_s(), LONGEST_AGE_S)),
         }
         if answered:
             emit(REQUEST_ANSWERED, instance=sorted(progress.ran_at), **fields)
         else:
-            emit(REQUEST_GIVEN_UP, cause=progress.cause, **fields)
+            ready = sum(len(self._workers.ready(part.service)) for part in client.route.parts)
+            emit(REQUEST_GIVEN_UP, cause=progress.cause, ready=ready, **fields)
 
 
 def own_response(status: int, cause: str, retry_after_s: float | None = None) -> Response:
--- a/src/bellweir/hosted/serving/service.py
+++ b/src/bellweir/hosted/serving/service.py
@@ -89,7 +89,12 @@
             lambda: float(self._requests.busy_connections() if self._requests else 0),
         )
         forwarder = Forwarder(
-            self._views.workers, self._loads, self._connections, caller_watch, metrics
+            self._views.workers,
+            self._loads,
+            self._connections,
+            caller_watch,
+            metrics,
+            self._views.workers_follower.age_s,
         )
         streams = StreamForwarder(forwarder, self._loads, self._connections, caller_watch)
         ledger.register(BatchJobs)
