--- a/features/explanation.feature
+++ b/features/explanation.feature
@@ -25,6 +25,11 @@
     Then the explanation of "j-2" says "was not accepted"
     And the explanation of "j-3" says "No line tells of j-3"
 
+  Scenario: A request whose process died with it
+    Given log lines of a process that was killed and started again
+    Then the explanation of "r-7" says "No line tells of r-7"
+    And the explanation of "r-7" says "gateway-a (started again at 2026-01-01T00:00:05"
+
   Scenario: The command reads files and standard input
     Given log lines in which request "r-1" was given up because of "timeout" after attempts that unknown
     Then the command "explain r-1 --log FILE" prints the lines in order and the sentence
--- a/features/steps/explanation_steps.py
+++ b/features/steps/explanation_steps.py
@@ -99,3 +99,14 @@
     done = run(context, "r-9")
     assert done.returncode != 0
     assert "r-9" in done.stdout + done.stderr
+
+
+@given_step("log lines of a process that was killed and started again")
+def given_killed(context):
+    context.lines = [
+        line(1, "gateway-a", "process_started"),
+        line(1, "gateway-b", "process_started"),
+        line(3, "gateway-b", "process_stopped"),
+        line(4, "gateway-b", "process_started"),
+        line(5, "gateway-a", "process_started"),
+    ]
--- a/src/bellweir/explanation/story.py
+++ b/src/bellweir/explanation/story.py
@@ -43,7 +43,7 @@
     """The story of a request, an item or a job; `lines` in order of time."""
     own = [line for line in lines if _is_about(line, identifier)]
     if not own:
-        return Story((), (), explain(identifier, []))
+        return Story((), (), explain(identifier, []) + _lost_lives(lines))
     # Ends and readings of a job may be asked for long after its items are done.
     runs = [line for line in own if line.event.startswith("item_")] or own
     first_s, last_s = runs[0].seconds() - AROUND_S, runs[-1].seconds() + AROUND_S
@@ -62,5 +62,23 @@
     return Story(tuple(own), tuple(meanwhile), sentence)
 
 
+def _lost_lives(lines: Sequence[LogLine]) -> str:
+    """Processes that died without a word: what they held in hand has no line."""
+    ended: set[str] = set()
+    begun: set[str] = set()
+    lost: list[str] = []
+    for line in lines:
+        if line.event == "process_stopped":
+            ended.add(line.node)
+        elif line.event == "process_started":
+            if line.node in begun and line.node not in ended:
+                lost.append(f"{line.node} (started again at {line.time})")
+            begun.add(line.node)
+            ended.discard(line.node)
+    if not lost:
+        return ""
+    return f" Processes that ended without a word may have held it: {', '.join(lost)}."
+
+
 def _is_about(line: LogLine, identifier: str) -> bool:
     return identifier in (line.fields.get("request_id"), line.fields.get("job"))
