--- a/src/bellweir/events/bounded.py
+++ b/src/bellweir/events/bounded.py
@@ -11,16 +11,19 @@
 import threading
 import time
 from collections import Counter, deque
+from collections.abc import Iterator
 from typing import TextIO
 
 from bellweir.events.event import Event
 
-LINES_A_SECOND = 50
+LINES_A_SECOND = 200
 """Lines that one event may write in a second of the steady clock."""
 QUEUED_LINES = 2_000
 TELL_PERIOD_S = 5.0
 """Time between two lines that tell what was left out."""
 WAIT_S = 1.0
+BLOCK_CHARACTERS = 3_500
+"""Lines written at once. Pipes take a page as a whole, and some collectors cut longer writes."""
 
 
 class BoundedLog(io.TextIOBase):
@@ -81,13 +84,14 @@
         while True:
             with self._lock:
                 self._ready.wait_for(lambda: self._lines or self._closed, WAIT_S)
-                text = "".join(self._lines)
+                pieces = list(self._lines)
                 self._lines.clear()
                 is_last = self._closed
-                text += self._tell_left_out(is_last)
+                pieces.append(self._tell_left_out(is_last))
             try:
-                self._stream.write(text)
-                self._stream.flush()
+                for block in _blocks(pieces):
+                    self._stream.write(block)
+                    self._stream.flush()
             except (OSError, ValueError):
                 return
             if is_last:
@@ -105,3 +109,15 @@
         self._left_out.clear()
         line = {"code": event.code, "counts": counts, "event": event.name}
         return json.dumps({**line, "level": event.level.value}) + "\n"
+
+
+def _blocks(pieces: list[str]) -> Iterator[str]:
+    """The pieces joined to blocks of whole ones; a longer piece is a block of its own."""
+    block = ""
+    for piece in pieces:
+        if block and len(block) + len(piece) > BLOCK_CHARACTERS:
+            yield block
+            block = ""
+        block += piece
+    if block:
+        yield block
