Go on with texts that an earlier job began

Change: the leader keeps what was made of items whose job has ended, and a later job with the same item goes on behind its last event, or only scores a text that is whole, if the versions fit. Tests: hosted_batches (3 scenarios: gone on with, only scored, versions too old).

--- a/features/hosted_batches.feature
+++ b/features/hosted_batches.feature
@@ -40,6 +40,25 @@
     And it is ended while it runs
     Then nothing of it is running at the workers and no new item begins
 
+  Scenario: Items that come again in a later job go on where they were
+    Given a leader with model workers and scorers
+    And the workers stream slowly
+    When a job of 4 items in 2 groups is accepted
+    And it is ended once each item has some events, and its items come again in a later job
+    Then every item of the later job is whole, gone on with behind what was kept
+
+  Scenario: Items that come again although they are listed are only scored again
+    Given a leader with model workers and scorers
+    When a job of 4 items in 2 groups is accepted
+    And every item is listed and its items come again in a later job
+    Then every item of the later job is whole, without another run of its text
+
+  Scenario: Items that come again in a job that wants newer versions begin anew
+    Given a leader with model workers and scorers
+    When a job of 4 items in 2 groups is accepted
+    And every item is listed and its items come again in a later job that wants version 3
+    Then every item of the later job is whole and of version 3
+
   Scenario: A node that no longer leads
     Given a leader with model workers and scorers
     And the workers stream slowly
--- a/features/steps/hosted_batches_steps.py
+++ b/features/steps/hosted_batches_steps.py
@@ -5,6 +5,7 @@
 from types import SimpleNamespace
 
 import hypothesis.strategies as st
+import msgspec
 from behave import given as given_step
 from behave import then, when
 from features.support.hosted_jobs import EVENTS, HOST, MODEL, MemoryLedger, make_job, make_leader
@@ -412,3 +413,71 @@
                 shown = max(shown, number + len(ids))
 
     cached()
+
+
+def come_again(context, minimum_version=2):
+    again = msgspec.structs.replace(context.job, id="again", minimum_version=minimum_version)
+    context.leader.ledger.submit("", AcceptJob(again), 1.0)
+
+
+@when("it is ended once each item has some events, and its items come again in a later job")
+def when_again(context):
+    progress = context.leader.coordinator._progress
+
+    def begun_all():
+        found = list(progress.values())
+        return len(found) == 4 and all(len(each.pieces) >= 2 for each in found)
+
+    context.wait_until(begun_all, "two events of each item")
+    context.leader.ledger.submit("", EndJob("job", 2.0), 1.0)
+    context.wait_until(lambda: not context.leader.coordinator._running, "all attempts ended")
+    come_again(context)
+
+
+@when("every item is listed and its items come again in a later job")
+def when_listed_again(context):
+    then_completed(context)
+    come_again(context)
+
+
+@when("every item is listed and its items come again in a later job that wants version {version:d}")
+def when_listed_again_newer(context, version):
+    then_completed(context)
+    for worker in context.leader.models:
+        worker.version = version
+    context.leader.show()
+    come_again(context, version)
+
+
+def results_again(context):
+    jobs = context.leader.ledger.machine.jobs
+    wanted = len(context.job.items)
+    context.wait_until(lambda: len(jobs["again"].results) == wanted, "the later job's items")
+    for result in jobs["again"].results:
+        assert result.is_complete
+        assert result.text == text_of(result.item_id, EVENTS)
+        assert result.score == stamp_of(f"score-{result.item_id}")
+    return jobs["again"].results
+
+
+@then("every item of the later job is whole, gone on with behind what was kept")
+def then_gone_on(context):
+    for result in results_again(context):
+        assert result.versions == (2,)
+    after = {}
+    for worker in context.leader.models:
+        for item_id, event in worker.record.resumed_after.items():
+            after[item_id] = max(after.get(item_id, 0), event)
+    assert min(after.values()) >= 2, after
+
+
+@then("every item of the later job is whole, without another run of its text")
+def then_only_scored(context):
+    for result in results_again(context):
+        assert sum(each.record.ran[result.item_id] for each in context.leader.models) == 1
+
+
+@then("every item of the later job is whole and of version {version:d}")
+def then_newer(context, version):
+    for result in results_again(context):
+        assert result.versions == (version,)
--- a/src/bellweir/hosted/batches/coordinator.py
+++ b/src/bellweir/hosted/batches/coordinator.py
@@ -12,9 +12,10 @@
 
 from bellweir.events.log import emit
 from bellweir.hosted.batches.attempts import ItemAttempts
+from bellweir.hosted.batches.carried import CarriedTexts
 from bellweir.hosted.batches.committer import Committer
 from bellweir.hosted.batches.progress import ItemProgress, Stage
-from bellweir.hosted.batches.state import JOBS_KEY, BatchJobs, ForgetJobs, JobState
+from bellweir.hosted.batches.state import JOBS_KEY, BatchJobs, ForgetJobs, JobItem, JobState
 from bellweir.hosted.log_events import COORDINATION_LEFT, COORDINATION_TAKEN
 from bellweir.hosted.records import Route
 from bellweir.hosted.serving.attempt import Cancellation
@@ -63,6 +64,7 @@
         self._lock = threading.Lock()
         self._progress: dict[ItemKey, ItemProgress] = {}
         self._running: dict[ItemKey, _Run] = {}
+        self._carried = CarriedTexts()
         self._leading = False
         self._forget_due_s = 0.0
         self._wake = threading.Event()
@@ -102,6 +104,7 @@
         with self._lock:
             running = list(self._running.values())
             self._progress.clear()
+            self._carried.forget()
         for run in running:
             run.cancellation.cancel()
         if self._leading:
@@ -120,7 +123,10 @@
         with self._lock:
             gone = [key for key in self._progress if key not in open_items]
             for key in gone:
-                del self._progress[key]
+                progress = self._progress.pop(key)
+                # One that still runs is kept once its attempt has ended.
+                if key not in self._running:
+                    self._carried.keep(progress)
             cancelled = [run for key, run in self._running.items() if key not in open_items]
         for run in cancelled:
             run.cancellation.cancel()
@@ -136,8 +142,7 @@
                 key = (state.job.id, item.id)
                 if item.id in state.listed or key in self._running:
                     continue
-                with self._lock:
-                    progress = self._progress.setdefault(key, ItemProgress(state.job, route, item))
+                progress = self._progress_of(key, state, route, item, jobs)
                 progress.route = route
                 if progress.stage is Stage.RESULT:
                     if not progress.is_committing:
@@ -145,6 +150,20 @@
                 elif progress.not_before_s <= now_s:
                     yield progress
 
+    def _progress_of(
+        self, key: ItemKey, state: JobState, route: Route, item: JobItem, jobs: list[JobState]
+    ) -> ItemProgress:
+        """The item's progress; a new item begins with what an earlier job made of it."""
+        with self._lock:
+            known = self._progress.get(key)
+        if known is not None:
+            return known
+        progress = ItemProgress(state.job, route, item)
+        with self._lock:
+            self._carried.hand_on(progress, jobs)
+            self._progress[key] = progress
+        return progress
+
     def _start(self, progress: ItemProgress, table: RouteTable) -> None:
         worker = self._worker_for(progress, table)
         if worker is None:
@@ -183,6 +202,8 @@
             with self._lock:
                 self._running.pop(key, None)
                 is_wanted = self._progress.get(key) is progress
+                if not is_wanted and self._leading:
+                    self._carried.keep(progress)
             if is_wanted and progress.stage is Stage.RESULT and not progress.is_committing:
                 self.committer.put(progress)
             self._wake.set()
--- a/src/bellweir_rehearsal/hosted/worker.py
+++ b/src/bellweir_rehearsal/hosted/worker.py
@@ -54,8 +54,8 @@
     ran: Counter[str] = field(default_factory=Counter)
     """Runs by request id."""
     orders: list[TakenOrder] = field(default_factory=list)
-    reading: Counter[str] = field(default_factory=Counter)
-    """Streams begun by request id."""
+    resumed_after: dict[str, int] = field(default_factory=dict)
+    """Events after which streams were asked to go on, by request id; 0 for a new one."""
 
 
 class WorkerStandIn:
@@ -177,6 +177,7 @@
 
     def _stream(self, handler: StandInHandler, request_id: str, echo: dict[str, str]) -> None:
         first = int(handler.headers.get("Last-Event-Id") or 0) + 1
+        self.record.resumed_after[request_id] = first - 1
         cut, self.faults.cut_after_event = self.faults.cut_after_event, None
         version = self.version
         handler.send_response(200)
