--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -105,6 +105,24 @@
     And the ledger's voters are 3 nodes that run
     And the ledger gives items 1 to 5 through node z
 
+  Scenario Outline: A node that is to be emptied hands its replica to another one
+    Given a ledger of 4 data nodes and 1 other nodes
+    When ledger items 1 to 5 are appended through node z
+    And the ledger's <which> is to be emptied
+    Then it is told to be empty only once 3 others hold the ledger
+    And the ledger gives items 1 to 5 through node z
+
+    Examples:
+      | which    |
+      | follower |
+      | leader   |
+
+  Scenario: A node is not emptied while too few others could hold the ledger
+    Given a ledger of 3 data nodes and 1 other nodes
+    When ledger items 1 to 5 are appended through node z
+    And the ledger's follower is to be emptied
+    Then it keeps its replica and is not told to be empty
+
   Scenario: Bulk data is read back from another replica
     Given a ledger of 3 data nodes and 1 other nodes
     When a ledger segment is put through node z
--- a/features/steps/ledger_steps.py
+++ b/features/steps/ledger_steps.py
@@ -3,6 +3,7 @@
 import dataclasses
 import shutil
 import tempfile
+import time
 from pathlib import Path
 
 from behave import given, then, when
@@ -315,3 +316,35 @@
 def then_segment_read(context):
     for node in context.cluster.nodes.values():
         assert node.segments.get(KEY, context.reference, TIMEOUT_S).unwrap() == context.blob
+
+
+@when("the ledger's {which} is to be emptied")
+def when_emptied(context, which):
+    cluster = context.cluster
+    wait_until(lambda: cluster.leader() in cluster.voters(), "a leader")
+    leader = cluster.leader()
+    follower = next(name for name in cluster.voters() if name != leader)
+    context.emptied = leader if which == "leader" else follower
+    for name in cluster.data_names:
+        cluster.nodes[name].ledger.retire(frozenset({context.emptied}))
+
+
+def told_empty(context):
+    nodes = [context.cluster.nodes[name] for name in context.cluster.data_names]
+    return any(node.ledger.is_emptied(context.emptied) for node in nodes)
+
+
+@then("it is told to be empty only once {count:d} others hold the ledger")
+def then_told_empty(context, count):
+    wait_until(lambda: told_empty(context), "the node is told to be empty")
+    voters = context.cluster.voters()
+    assert context.emptied not in voters
+    assert len(voters) == count
+
+
+@then("it keeps its replica and is not told to be empty")
+def then_not_emptied(context):
+    for _ in range(20):
+        time.sleep(0.1)
+        assert not told_empty(context)
+        assert context.emptied in context.cluster.voters()
