--- a/features/hosted_plan.feature
+++ b/features/hosted_plan.feature
@@ -20,6 +20,12 @@
     When versions 2 to 5 are named, each once the loads are done
     Then every worker holds version 4 or 5 and at most 9 orders were given
 
+  Scenario: Orders that are carried out late
+    Given 4 workers of a model with version 1 and a controller that holds the lease
+    And each worker leaves its next order unanswered and carries it out late
+    When versions 2 to 4 are named, one every half second
+    Then all workers come to version 4, and none ever went back to an older one
+
   Scenario: Without the lease
     Given 4 workers of a model with version 1 and a controller without the lease
     When version 2 is named
--- a/features/steps/hosted_plan_steps.py
+++ b/features/steps/hosted_plan_steps.py
@@ -188,3 +188,44 @@
     assert SimpleNamespace(orders=[each.record.orders for each in context.workers]).orders == [
         [] for _ in context.workers
     ]
+
+
+@given_step("each worker leaves its next order unanswered and carries it out late")
+def given_late(context):
+    for worker in context.workers:
+        worker.faults.late_orders = 1
+        worker.faults.late_s = 1.2
+
+
+@when("versions {first:d} to {last:d} are named, one every half second")
+def when_named_quickly(context, first, last):
+    context.seen = {worker.instance: [] for worker in context.workers}
+    for version in range(first, last + 1):
+        name(context, version)
+        until_s = time.monotonic() + 0.5
+        while time.monotonic() < until_s:
+            step_and_see(context)
+
+
+def step_and_see(context):
+    context.controller.step()
+    for worker in context.workers:
+        context.seen[worker.instance].append(worker.version)
+    time.sleep(0.02)
+
+
+@then("all workers come to version {version:d}, and none ever went back to an older one")
+def then_never_back(context, version):
+    deadline_s = time.monotonic() + 20.0
+    while time.monotonic() < deadline_s:
+        step_and_see(context)
+        if all(each.version == version for each in context.workers):
+            break
+    # Whatever is still to be carried out late has its time.
+    until_s = time.monotonic() + 1.5
+    while time.monotonic() < until_s:
+        step_and_see(context)
+    for worker in context.workers:
+        seen = context.seen[worker.instance]
+        assert seen == sorted(seen), f"{worker.instance} went back: {seen}"
+        assert worker.version == version
--- a/src/bellweir_rehearsal/hosted/day.py
+++ b/src/bellweir_rehearsal/hosted/day.py
@@ -1,6 +1,7 @@
 """A short day on loopback: both roles as processes, troubles, and a check of what must hold."""
 
 import itertools
+import threading
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -14,7 +15,8 @@
     call,
     configuration,
 )
-from bellweir_rehearsal.hosted.deployment import HostedDeployment
+from bellweir_rehearsal.hosted.deployment import STOP_TIMEOUT_S, HostedDeployment
+from bellweir_rehearsal.hosted.kept_connection import KeptConnection
 from bellweir_rehearsal.hosted.object_store import Outage
 from bellweir_rehearsal.hosted.worker import answer_to, stamp_of, text_of
 
@@ -57,7 +59,7 @@
         self.positions = Check("results stay at their positions, through kills and restarts")
         self.configured = Check("an accepted configuration is in force within two seconds")
         self.orders = Check("orders come from one holder at a time, their fences rise")
-        self.stops = Check("a planned stop ends with exit code 0")
+        self.stops = Check("a planned stop cuts no request and ends with exit code 0")
 
     @property
     def checks(self) -> list[Check]:
@@ -196,9 +198,18 @@
             self.configured.expect(answer is not None and answer.status == 200, f"{name}: {answer}")
 
     def _stopped_gateway(self) -> None:
+        """A client that keeps its connection must get every answer until it is asked to close."""
         stopped = self.deployment.running("gateway")[-1]
+        kept = KeptConnection(self.deployment.address(stopped, "front"))
+        client = threading.Thread(target=kept.run, daemon=True)
+        client.start()
+        while not kept.answers and client.is_alive():
+            time.sleep(0.01)
         code = self.deployment.stop(stopped)
+        client.join(STOP_TIMEOUT_S)
         self.stops.expect(code == 0, f"{stopped}: exit code {code}")
+        self.stops.expect(kept.was_asked_to_close, f"{stopped}: {kept.answers} answers, no close")
+        self.stops.expect(not kept.failures, f"{stopped}: {kept.failures}")
         self._requests(5)
         self.deployment.start_machine(stopped)
         self._await_ready()
--- a/src/bellweir_rehearsal/hosted/object_store.py
+++ b/src/bellweir_rehearsal/hosted/object_store.py
@@ -38,6 +38,9 @@
     delay_s: float = 0.0
     lose_writes: int = 0
     """So many of the next writes are done and get no answer."""
+    late_writes: int = 0
+    """So many get no answer and are done `late_s` later, if their condition still holds."""
+    late_s: float = 0.5
 
 
 class PlatformStoreStandIn:
@@ -101,7 +104,10 @@
             handler.reset()
             return
         time.sleep(self.faults.delay_s)
-        answer = self._answer(handler, json.loads(body) if body else None)
+        content = json.loads(body) if body else None
+        if writes and self._is_late(handler, content):
+            return
+        answer = self._answer(handler, content)
         if self._was_silent() or (writes and self._loses_answer()):
             handler.reset()
             return
@@ -114,6 +120,16 @@
             self._silence.wait_for(lambda: self.faults.outage is not Outage.SILENT)
             return True
 
+    def _is_late(self, handler: StandInHandler, content: Any) -> bool:
+        if self.faults.late_writes <= 0:
+            return False
+        self.faults.late_writes -= 1
+        later = threading.Timer(self.faults.late_s, self._answer, (handler, content))
+        later.daemon = True
+        later.start()
+        handler.reset()
+        return True
+
     def _loses_answer(self) -> bool:
         if self.faults.lose_writes <= 0:
             return False
