Look at an overdue lease more often; drop settings and names that nothing reads

Change: such a node looks every 0.4 s once 1.5 renewals are missing. The directory's time to live heeds the platform's longest one. Header names, limits and a bound that nothing read are gone.

--- a/features/hosted_lease.feature
+++ b/features/hosted_lease.feature
@@ -9,5 +9,8 @@
   Scenario: A holder that is killed is followed by its own machine at once
     Then a restarted holder takes its lease again without a wait, with a higher fence
 
+  Scenario: A holder that is gone is followed soon after its lease has run out
+    Then another node holds the lease of a lost machine within a second of its end
+
   Scenario: A lease given back is taken without waiting for its end
     Then a successor of a planned stop acts after the agreed time only
--- a/features/steps/hosted_lease_steps.py
+++ b/features/steps/hosted_lease_steps.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Success
 
 from bellweir.hosted.interface import RecordStore, StoredRecord, StoreError, StoreErrorKind
-from bellweir.hosted.weights.lease import Lease, LeasePhase
+from bellweir.hosted.weights.lease import LOOK_PAUSE_S, Lease, LeasePhase
 from bellweir_rehearsal.hosted.records import ObjectRecords, WriteRefusal
 
 LEASE_S = 5.0
@@ -180,3 +180,27 @@
         machines.leases[1].step()
     waited_s = machines.now_s - released_s
     assert SEPARATION_S <= waited_s < LEASE_S
+
+
+@then("another node holds the lease of a lost machine within a second of its end")
+def then_followed(context):
+    for seed in range(20):
+        machines = Machines(2, seed)
+        holder, other = machines.leases
+        holder.step()
+        due_s = [machines.now_s, machines.now_s + machines.chance.uniform(0.0, 2.5)]
+        lost_s = machines.now_s + 10.0 + machines.chance.uniform(0.0, 2.5)
+        taken_s = None
+        while taken_s is None and machines.now_s < lost_s + 20.0:
+            machines.now_s += 0.05
+            for number, lease in enumerate((holder, other)):
+                is_lost = number == 0 and machines.now_s >= lost_s
+                if machines.now_s >= due_s[number] and not is_lost:
+                    lease.step()
+                    due_s[number] = machines.now_s + lease.pause_s()
+            if other.fence:
+                taken_s = machines.now_s
+        assert taken_s is not None, "nobody took it"
+        # Seen unchanged for the lease time, beginning at a look up to one pause after the renewal.
+        assert taken_s - lost_s <= LEASE_S + LOOK_PAUSE_S + 1.0, (seed, taken_s - lost_s)
+        assert other.fence > holder.fence
--- a/features/steps/hosted_settings_steps.py
+++ b/features/steps/hosted_settings_steps.py
@@ -92,9 +92,9 @@
 
 @given_step("settings with keys that nobody knows")
 def given_unknown(context):
-    context.content = changed(context, node__colour="red", limits__wings=2)
+    context.content = changed(context, node__colour="red", bounds__wings=2)
 
 
 @then("they are accepted, and the keys are told")
 def then_told(context):
-    assert set(parse_settings(context.content).unknown_keys) == {"node.colour", "limits.wings"}
+    assert set(parse_settings(context.content).unknown_keys) == {"node.colour", "bounds.wings"}
--- a/src/bellweir/hosted/interface.py
+++ b/src/bellweir/hosted/interface.py
@@ -19,7 +19,6 @@
     request_id: str
     deadline_ms: str
     expect_instance: str
-    instance_id: str
     not_executed: str
     """On a worker's answer: the request was not run."""
     stamp: str
@@ -27,9 +26,6 @@
     last_event_id: str
     wait_ms: str
     """Longest time in milliseconds for which a call may be held."""
-    model: str
-    urgency: str
-    """Rank among a worker's requests, 0 first."""
     weight_versions: str
     """On a worker's answer, and in lower case on an event: the version of the weights."""
 
--- a/src/bellweir/hosted/serving/directory.py
+++ b/src/bellweir/hosted/serving/directory.py
@@ -16,8 +16,14 @@
 class Directory:
     """Answers `GET /endpoints?name=HOST&region=REGION&zone=ZONE`."""
 
-    def __init__(self, membership: Membership, is_serving: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        membership: Membership,
+        is_serving: Callable[[], bool],
+        longest_ttl_s: float = TTL_S,
+    ) -> None:
         self._membership = membership
+        self._ttl_s = min(TTL_S, longest_ttl_s)
         self._is_serving = is_serving
 
     def answer(self, request: Request) -> Response:
@@ -29,7 +35,7 @@
         )
         if not chosen:
             return json_response(503, {"error": "no_gateway"}, [("Retry-After", "0.5")])
-        return json_response(200, {"addresses": chosen[:MAXIMUM_ADDRESSES], "ttlS": TTL_S})
+        return json_response(200, {"addresses": chosen[:MAXIMUM_ADDRESSES], "ttlS": self._ttl_s})
 
     def _live(self) -> list[Member]:
         own = self._membership.self_member()
--- a/src/bellweir/hosted/serving/service.py
+++ b/src/bellweir/hosted/serving/service.py
@@ -67,7 +67,7 @@
         registry = self._kernel.registry
         self._views = registry.find(names.VIEWS, ViewsService)
         membership = registry.find(names.MEMBERSHIP, Membership)  # type: ignore[type-abstract]
-        directory = Directory(membership, self._is_serving)
+        directory = Directory(membership, self._is_serving, self._settings.bounds.address_ttl_s)
         listen = self._settings.listen
         self._requests = self._serve(self._request_application(), self._kernel.listeners.gateway)
         self._serve_at(listen.readiness, SimpleApplication(self._readiness))
--- a/src/bellweir/hosted/settings.py
+++ b/src/bellweir/hosted/settings.py
@@ -60,18 +60,10 @@
     """Time from SIGTERM to SIGKILL."""
     address_ttl_s: float = 5.0
     """Longest time for which clients keep the directory's answer."""
-    cancel_ms: float = 3_000.0
     status_s: float = 120.0
     """Time for which an ended batch job can be read."""
 
 
-class LimitSettings(msgspec.Struct, frozen=True, rename="camel"):
-    """What the machine allows."""
-
-    memory_mb: float = 0.0
-    max_descriptors: int = 4_096
-
-
 class HostedSettings(msgspec.Struct, frozen=True, rename="camel"):
     """The whole settings of one process."""
 
@@ -79,7 +71,6 @@
     listen: ListenSettings
     store: StoreSettings
     bounds: BoundSettings = BoundSettings()
-    limits: LimitSettings = LimitSettings()
 
 
 @dataclass(frozen=True)
--- a/src/bellweir/hosted/weights/lease.py
+++ b/src/bellweir/hosted/weights/lease.py
@@ -28,6 +28,13 @@
 """Share of the lease time for which a holder counts on its lease after a renewal."""
 RENEW_SHARE = 0.3
 """Share of the lease time after which a holder renews."""
+HOLDER_PAUSE_S = 0.2
+LOOK_PAUSE_S = 2.5
+"""Pause between two looks at a lease that another node renews."""
+OVERDUE_PAUSE_S = 0.4
+"""The same once a renewal is overdue: the holder may be gone."""
+OVERDUE_RENEWALS = 1.5
+"""Times between renewals after which the next one is overdue."""
 MARGIN_S = 0.3
 """Added to a successor's waits: a late order arrives a little after it was sent."""
 
@@ -93,6 +100,16 @@
             return 0.0
         return self._valid_until_s - now_s
 
+    def pause_s(self) -> float:
+        """Seconds until the next step is due."""
+        if self._record is not None:
+            return HOLDER_PAUSE_S
+        seen = self._seen
+        overdue_s = OVERDUE_RENEWALS * RENEW_SHARE * self._lease_s
+        if seen is not None and self._now_s() - seen.since_s > overdue_s:
+            return OVERDUE_PAUSE_S
+        return LOOK_PAUSE_S
+
     def step(self) -> None:
         """Renew the lease held here, or look whether it can be taken."""
         if self._record is not None:
--- a/src/bellweir/hosted/weights/service.py
+++ b/src/bellweir/hosted/weights/service.py
@@ -20,9 +20,6 @@
 LEASE_NAME = "weight-rollouts"
 LEASE_S = 5.0
 """Time without a renewal after which the lease may be taken."""
-LEASE_STEP_S = 2.5
-"""Time between two looks of a node without the lease."""
-HOLDER_STEP_S = 0.2
 CONTROL_STEP_S = 0.1
 
 
@@ -95,8 +92,7 @@
     def _keep_lease(self, stopping: threading.Event) -> None:
         while not stopping.is_set() and not self._leaving.is_set():
             self._lease.step()
-            held = self._lease.fence != 0
-            stopping.wait(HOLDER_STEP_S if held else LEASE_STEP_S)
+            stopping.wait(self._lease.pause_s())
 
     def _control(self, stopping: threading.Event) -> None:
         while not stopping.wait(CONTROL_STEP_S):
