Prove the retry after an unknown outcome over attempts of every outcome in every order

hosted_forwarding: 300 scripts of outcomes, kinds, bounds and workers. A request that must not be repeated runs once at most, 503 is said only when nothing ran, no worker is tried twice, no place stays taken.

--- a/features/hosted_forwarding.feature
+++ b/features/hosted_forwarding.feature
@@ -79,6 +79,9 @@
     When a client asks for a stream that may not be resumed
     Then its answer is cut behind event 3
 
+  Scenario: Attempts of every outcome in every order
+    Then whatever becomes of its attempts, a request runs no more often than its kind allows, and its status is true
+
   Scenario: Shares of a split route
     Then a route's requests are shared by weight within one request, at any weights
 
--- a/features/steps/hosted_forwarding_steps.py
+++ b/features/steps/hosted_forwarding_steps.py
@@ -1,7 +1,9 @@
 """A hosted gateway in this process before stand-ins of workers."""
 
+import io
 import threading
 import time
+from types import SimpleNamespace
 
 import hypothesis.strategies as st
 from behave import given as given_step
@@ -12,9 +14,21 @@
 
 from bellweir.hosted.batches.attempts import ItemAttempts
 from bellweir.hosted.batches.progress import ItemProgress
-from bellweir.hosted.records import Route, RouteKind
-from bellweir.hosted.serving.attempt import Cancellation, WorkerConnections
+from bellweir.hosted.interface import Listing, StoredRecord
+from bellweir.hosted.records import Configuration, Route, RouteKind
+from bellweir.hosted.serving.attempt import (
+    AttemptOutcome,
+    AttemptState,
+    Cancellation,
+    WholeAnswer,
+    WorkerConnections,
+)
+from bellweir.hosted.serving.client_request import ClientRequest
+from bellweir.hosted.serving.forwarding import Forwarder
+from bellweir.hosted.serving.metrics import RequestMetrics
 from bellweir.hosted.serving.selection import WeightedParts, WorkerLoads
+from bellweir.hosted.views.configuration import RouteTable
+from bellweir.hosted.views.workers import WorkersView
 from bellweir_platform.headers import HEADERS
 from bellweir_rehearsal.hosted.worker import WorkerStandIn, answer_to, event_of, stamp_of
 
@@ -236,3 +250,69 @@
         attempts.run_text(progress, worker, cancellation)
         timer.join()
         assert loads.in_hand(worker.instance) == 0
+
+
+STATES = st.sampled_from(("answered", "failed", "refused", "not_sent", "unknown", "unknown_ran"))
+
+
+class ScriptedConnections:
+    """Ends each attempt as the script says; counts what really ran, by worker."""
+
+    def __init__(self, script):
+        self.script = list(script)
+        self.ran = []
+        self.sent = []
+
+    def call(self, worker, call, timeout_s, deadline_ms, cancellation):
+        outcome = self.script.pop(0) if self.script else "refused"
+        self.sent.append(worker.instance)
+        if outcome in ("answered", "failed", "unknown_ran"):
+            self.ran.append(worker.instance)
+        if outcome in ("answered", "failed"):
+            status = 200 if outcome == "answered" else 500
+            return AttemptOutcome(AttemptState.ANSWERED, "", WholeAnswer(status, [], b""))
+        return AttemptOutcome(AttemptState(outcome.removesuffix("_ran")))
+
+
+@then(
+    "whatever becomes of its attempts, a request runs no more often than its kind allows, and its "
+    "status is true"
+)
+def then_true_always(context):
+    @settings(max_examples=300)
+    @given(
+        script=st.lists(STATES, max_size=8),
+        kind=st.sampled_from((RouteKind.IDEMPOTENT, RouteKind.NON_IDEMPOTENT)),
+        attempts=st.integers(1, 4),
+        workers=st.integers(0, 5),
+        replayable=st.booleans(),
+    )
+    def true_always(script, kind, attempts, workers, replayable):
+        view = WorkersView()
+        entry = {"service": "app", "address": "h:1"}
+        records = [StoredRecord("servers", f"i-{at}", 1, entry) for at in range(workers)]
+        view.take_listing(Listing(1, tuple(records)))
+        connections = ScriptedConnections(script)
+        watch = SimpleNamespace(begin=lambda *_: None, end=lambda _: None)
+        loads = WorkerLoads("a")
+        forwarder = Forwarder(view, loads, connections, watch, RequestMetrics())
+        route = Route(host=HOST, path_prefix="/", kind=kind, service="app", max_attempts=attempts)
+        request = SimpleNamespace(method="POST", raw_path="/x", raw_query="", header=lambda _: HOST)
+        now_s = time.monotonic()
+        body = b"" if replayable else io.BytesIO(b"")
+        client = ClientRequest(request, route, "r", now_s, now_s + 9, now_s + 9, body, [])
+        table = RouteTable(Configuration(version=1, routes=(route,)))
+        response = forwarder.forward(client, table)
+        assert len(set(connections.sent)) == len(connections.sent), "a worker was tried twice"
+        assert len(connections.ran) <= attempts
+        if kind is RouteKind.NON_IDEMPOTENT:
+            assert len(connections.ran) <= 1, "it ran twice"
+        if not replayable:
+            assert len(connections.sent) <= 1, "a body was sent again that can't be"
+        if response.status in (429, 503):
+            assert not connections.ran, "refused although it ran"
+        if response.status in (200, 500):
+            assert connections.ran, "a worker's answer without a run"
+        assert all(loads.in_hand(record.name) == 0 for record in records)
+
+    true_always()
