Let one piece serve hop-by-hop headers and listening addresses; drop what nothing calls

The hosted attempt's list of hop-by-hop headers stood in the gateway, too: both use http_server's. Three services split host:port and listened by themselves: kernel's bind_address. A deadline that always equalled the time to give up, and a function nobody called, are gone.

--- a/features/steps/hosted_forwarding_steps.py
+++ b/features/steps/hosted_forwarding_steps.py
@@ -300,7 +300,7 @@
         request = SimpleNamespace(method="POST", raw_path="/x", raw_query="", header=lambda _: HOST)
         now_s = time.monotonic()
         body = b"" if replayable else io.BytesIO(b"")
-        client = ClientRequest(request, route, "r", now_s, now_s + 9, now_s + 9, body, [])
+        client = ClientRequest(request, route, "r", now_s, now_s + 9, body, [])
         table = RouteTable(Configuration(version=1, routes=(route,)))
         response = forwarder.forward(client, table)
         assert len(set(connections.sent)) == len(connections.sent), "a worker was tried twice"
--- a/src/bellweir/gateway/request_headers.py
+++ b/src/bellweir/gateway/request_headers.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from bellweir.http_server.http import HOP_BY_HOP_HEADERS as HOP_BY_HOP_HEADERS
 from bellweir.http_server.http import BadRequestError, Headers, Request, parse_number
 from bellweir.kernel.clock import Clock
 from bellweir.resources.models import RequestClass
@@ -16,22 +17,6 @@
 
 MAXIMUM_KEY_CHARACTERS = 256
 
-HOP_BY_HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "trailers",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-"""Headers that end at each connection (RFC 9110 section 7.6.1)."""
-
 
 class RoutingOptions(msgspec.Struct, frozen=True):
     """What a caller asks of routing, besides the request itself."""
--- a/src/bellweir/hosted/metrics_service.py
+++ b/src/bellweir/hosted/metrics_service.py
@@ -11,7 +11,7 @@
 from bellweir.http_server.server import HttpServer
 from bellweir.http_server.server_limits import ServerLimits
 from bellweir.kernel import names
-from bellweir.kernel.listeners import bind_stream
+from bellweir.kernel.listeners import bind_address
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
 
@@ -40,10 +40,9 @@
         self._add_gauges(self._kernel.registry.find(names.VIEWS, ViewsService))
         if self._address is None:
             return
-        host, _, port = self._address.rpartition(":")
         limits = ServerLimits(THREADS, MAXIMUM_BODY_BYTES)
         application = SimpleApplication(self._answer)
-        self._server = HttpServer(application, bind_stream(host, int(port)), limits)
+        self._server = HttpServer(application, bind_address(self._address), limits)
         self._kernel.executors.run_task("metrics", self._server.run_until_closed)
 
     def stop(self) -> None:
--- a/src/bellweir/hosted/process.py
+++ b/src/bellweir/hosted/process.py
@@ -33,7 +33,7 @@
 )
 from bellweir.hosted.views.service import ViewsService
 from bellweir.kernel import names
-from bellweir.kernel.listeners import Listeners, bind_peer_pair, bind_stream
+from bellweir.kernel.listeners import Listeners, bind_address, bind_peer_pair
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
 from bellweir.ledger.service import LedgerService
@@ -151,8 +151,7 @@
     requests = settings.listen.requests
     gateway = None
     if requests is not None:
-        host, _, port = requests.rpartition(":")
-        gateway = bind_stream(host, int(port))
+        gateway = bind_address(requests)
     return Listeners(stream, datagram, gateway)
 
 
--- a/src/bellweir/hosted/serving/attempt.py
+++ b/src/bellweir/hosted/serving/attempt.py
@@ -15,26 +15,11 @@
 from bellweir.clients.pool import ConnectionPool, HttpCall
 from bellweir.hosted.interface import HeaderNames
 from bellweir.hosted.views.workers import Worker
+from bellweir.http_server.http import HOP_BY_HOP_HEADERS
 
 Headers = list[tuple[str, str]]
 
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "trailers",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-        "date",
-        "server",
-    }
-)
+HOP_BY_HOP = HOP_BY_HOP_HEADERS | {"content-length", "date", "server"}
 """Headers that concern one connection, and those that the server sets itself."""
 SUCCESS_STATUSES = range(200, 300)
 NOT_RUN_STATUSES = frozenset({421, 429})
--- a/src/bellweir/hosted/serving/client_request.py
+++ b/src/bellweir/hosted/serving/client_request.py
@@ -45,8 +45,6 @@
     route: Route
     request_id: str
     arrived_s: float
-    deadline_s: float
-    """When the client stops waiting."""
     give_up_s: float
     """When the client must have an answer: its deadline or the route's time-out."""
     body: bytes | BinaryIO | None
@@ -89,7 +87,6 @@
         route=route,
         request_id=request_id,
         arrived_s=arrived_s,
-        deadline_s=arrived_s + min(left_s, timeout_s),
         give_up_s=arrived_s + min(left_s, timeout_s),
         body=body,
         headers=headers,
--- a/src/bellweir/hosted/serving/service.py
+++ b/src/bellweir/hosted/serving/service.py
@@ -26,7 +26,7 @@
 from bellweir.http_server.server import HttpServer, WsgiApplication
 from bellweir.http_server.server_limits import ServerLimits
 from bellweir.kernel import names
-from bellweir.kernel.listeners import bind_stream
+from bellweir.kernel.listeners import bind_address
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
 from bellweir.ledger.interface import Ledger
@@ -105,8 +105,7 @@
 
     def _serve_at(self, address: str | None, application: WsgiApplication) -> None:
         if address is not None:
-            host, _, port = address.rpartition(":")
-            self._serve(application, bind_stream(host, int(port)), threads=SIDE_THREADS)
+            self._serve(application, bind_address(address), threads=SIDE_THREADS)
 
     def _serve(
         self, application: Any, listener: Any, threads: int = REQUEST_THREADS
--- a/src/bellweir/hosted/views/workers.py
+++ b/src/bellweir/hosted/views/workers.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from bellweir.events.log import emit
-from bellweir.hosted.interface import Listing, RecordChange, StoredRecord
+from bellweir.hosted.interface import Listing, RecordChange
 from bellweir.hosted.leniency import without_nulls
 from bellweir.hosted.log_events import WORKER_CHANGED
 from bellweir.hosted.records import WorkerEntry, WorkerState
@@ -96,11 +96,6 @@
             _log_change(before.get(instance), found.get(instance))
 
 
-def worker_of(record: StoredRecord) -> Worker | None:
-    """The worker that a record describes; None when it can't be understood."""
-    return _worker(record.name, record.spec)
-
-
 def _worker(instance: str, spec: object) -> Worker | None:
     try:
         return Worker(instance, msgspec.convert(without_nulls(spec), WorkerEntry))
--- a/src/bellweir/http_server/http.py
+++ b/src/bellweir/http_server/http.py
@@ -23,6 +23,22 @@
 
 REQUEST_ID_BYTES = 16
 
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "trailers",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+"""Headers that end at each connection (RFC 9110 section 7.6.1)."""
+
 Headers = tuple[tuple[str, str], ...]
 Environ = dict[str, Any]
 
--- a/src/bellweir/kernel/listeners.py
+++ b/src/bellweir/kernel/listeners.py
@@ -60,6 +60,12 @@
     return Listeners(peer_stream, peer_datagram, gateway)
 
 
+def bind_address(address: str) -> socket.socket:
+    """Listen on a `host:port`. Raises `OSError`."""
+    host, _, port = address.rpartition(":")
+    return bind_stream(host, int(port))
+
+
 def bind_stream(host: str, port: int) -> socket.socket:
     """Listen on a TCP port. Raises `OSError`."""
     listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
