Share loads of weights fairly among models, and begin as many as the workers bear

The plan listed loads in the order of the models' names, two were begun at once whatever the number of workers, and the first two models' versions were named faster than that.

Change: among equally urgent loads the model comes first of whose wanted workers the smallest share fits. Loads at once are a share of the service's workers (2 of 4, 7 of 18), lowered while loads take much longer than the fastest one seen.

--- a/features/hosted_plan.feature
+++ b/features/hosted_plan.feature
@@ -5,6 +5,15 @@
   Scenario: Versions named one after the other
     Then at any number of workers, models and lags enough workers fit and loads stay bounded
 
+  Scenario: Loads are scarce
+    Given 18 workers that serve 3 models, whose versions are named faster than 2 loads at once can follow
+    Then after any number of rounds no model has fewer than half the fitting workers of another one
+
+  Scenario: Loads that slow each other down
+    Given loads that share one source of weights, which 3 of 18 workers fill
+    Then the limit falls until loads are fast again, and never below 2
+    And it rises to its first value once the source is wider
+
   Scenario: The newest job tells the lag
     Then the lag is the distance that the newest job allowed when it came, at most 1
 
--- a/features/steps/hosted_plan_steps.py
+++ b/features/steps/hosted_plan_steps.py
@@ -14,8 +14,9 @@
 from bellweir.hosted.records import WorkerEntry
 from bellweir.hosted.views.configuration import ConfigurationView
 from bellweir.hosted.views.workers import Worker, WorkersView
-from bellweir.hosted.weights.controller import LOADS_AT_ONCE, RolloutController
+from bellweir.hosted.weights.controller import RolloutController
 from bellweir.hosted.weights.lags import VersionLags
+from bellweir.hosted.weights.load_limit import FEWEST_AT_ONCE, LoadLimit
 from bellweir.hosted.weights.plan import ModelTarget, plan_loads, workers_wanted
 from bellweir.hosted.weights.versions import VersionsView
 from bellweir_platform.workers import PlatformWorkers
@@ -58,6 +59,65 @@
     bounded()
 
 
+@given_step(
+    "{count:d} workers that serve {models:d} models, "
+    "whose versions are named faster than {at_once:d} loads at once can follow"
+)
+def given_scarce_loads(context, count, models, at_once):
+    workers = [Worker(f"i-{n}", WorkerEntry("s", f"h:{n}")) for n in range(count)]
+    names = [f"m-{number}" for number in range(models)]
+    held = {(worker.instance, model): 1 for worker in workers for model in names}
+    context.fitting = []
+    for version in range(2, 30):
+        targets = [ModelTarget(model, version, 1) for model in names]
+        # Time for three waves of loads between two versions.
+        for _ in range(3):
+            for planned in plan_loads(targets, workers, held)[:at_once]:
+                held[planned.worker.instance, planned.model] = planned.version
+        context.fitting.append(
+            [
+                sum(held[one.instance, target.model] >= target.oldest_useful for one in workers)
+                for target in targets
+            ]
+        )
+
+
+@then("after any number of rounds no model has fewer than half the fitting workers of another one")
+def then_fair(context):
+    for fitting in context.fitting[1:]:
+        assert 2 * min(fitting) + 1 >= max(fitting) > 0, context.fitting
+
+
+@given_step("loads that share one source of weights, which {width:d} of {count:d} workers fill")
+def given_shared_source(context, width, count):
+    context.limit, context.count = LoadLimit(), count
+
+    def load_s(at_once, width=width):
+        return 0.9 * max(1.0, at_once / width)
+
+    context.load_s = load_s
+    for _ in range(60):
+        at_once = context.limit.at_once(count)
+        # The first of a wave begins alone.
+        context.limit.finished(load_s(1), count)
+        for _ in range(at_once - 1):
+            context.limit.finished(load_s(at_once), count)
+
+
+@then("the limit falls until loads are fast again, and never below 2")
+def then_limit_falls(context):
+    at_once = context.limit.at_once(context.count)
+    assert FEWEST_AT_ONCE <= at_once < LoadLimit().at_once(context.count)
+    assert context.load_s(at_once) < 1.6 * context.load_s(1), at_once
+
+
+@then("it rises to its first value once the source is wider")
+def then_limit_rises(context):
+    for _ in range(60):
+        context.limit.finished(context.load_s(1), context.count)
+    assert context.limit.at_once(context.count) == LoadLimit().at_once(context.count) == 7
+
+
 @then("the lag is the distance that the newest job allowed when it came, at most 1")
 def then_lag(context):
     jobs = []
@@ -159,7 +219,7 @@
 
 @then("no more than {most:d} of them loaded at once")
 def then_at_once(context, most):
-    assert context.most_loading <= most == LOADS_AT_ONCE
+    assert context.most_loading <= most == LoadLimit().at_once(len(context.workers))
 
 
 @when("versions {first:d} to {last:d} are named, each once the loads are done")
--- a/src/bellweir/hosted/weights/controller.py
+++ b/src/bellweir/hosted/weights/controller.py
@@ -23,11 +23,10 @@
 from bellweir.hosted.views.workers import Worker, WorkersView
 from bellweir.hosted.weights.lags import VersionLags
 from bellweir.hosted.weights.lease import Lease
+from bellweir.hosted.weights.load_limit import LoadLimit
 from bellweir.hosted.weights.plan import ModelTarget, plan_loads
 from bellweir.hosted.weights.versions import VersionsView
 
-LOADS_AT_ONCE = 2
-"""Workers that load at once; more slow each other down."""
 ORDER_TIMEOUT_S = 0.5
 REPORT_TIMEOUT_S = 0.4
 LOOK_AFTER_ORDER_S = 0.9
@@ -51,6 +50,8 @@
     look_s: float
     """When to ask the worker next."""
     since_s: float
+    accepted_s: float | None = None
+    """When the worker took the order; None while it has not said so."""
 
 
 class RolloutController:
@@ -76,6 +77,8 @@
         self._loads: dict[str, _Load] = {}
         self._held: dict[tuple[str, str], int] = {}
         """Versions by instance and model that workers reported themselves."""
+        self._limits: dict[str, LoadLimit] = {}
+        """How many workers of a service may load at once."""
 
     def step(self) -> None:
         """Look after the loads under way, and order the next ones."""
@@ -99,12 +102,19 @@
             for worker in workers
             for target in targets
         }
+        limit = self._limit_of(service).at_once(len(workers))
         for planned in plan_loads(targets, workers, held):
-            if len(self._loads) >= LOADS_AT_ONCE:
+            if self._loading_count(service) >= limit:
                 return
             if planned.worker.instance not in self._loads:
                 self._order(table, planned.worker, planned.model, planned.version)
 
+    def _limit_of(self, service: str) -> LoadLimit:
+        return self._limits.setdefault(service, LoadLimit())
+
+    def _loading_count(self, service: str) -> int:
+        return sum(load.worker.entry.service == service for load in self._loads.values())
+
     def held_version(self, worker: Worker, model: str) -> int:
         """The newest that is known of a worker's version; 0 when nothing is."""
         listed = worker.version_of(model) or 0
@@ -141,6 +151,7 @@
             answer=answer.value,
         )
         if answer is OrderAnswer.ACCEPTED:
+            load.accepted_s = now_s
             load.look_s = now_s + LOOK_AFTER_ORDER_S
         elif answer is OrderAnswer.IN_FORCE:
             self._note_held(load, order.version)
@@ -160,12 +171,19 @@
     def _look_at(self, load: _Load) -> None:
         report = self._control.report(load.worker.address, REPORT_TIMEOUT_S)
         if report is not None and self._is_done(load, report):
+            self._note_duration(load)
             return
         load.look_s = time.monotonic() + LOOK_AGAIN_S
         if report is None or not report.order_in_progress:
             # Not taken, or not heard of: the next step orders it anew if it is still needed.
             del self._loads[load.worker.instance]
 
+    def _note_duration(self, load: _Load) -> None:
+        if load.accepted_s is not None:
+            service = load.worker.entry.service
+            seconds = time.monotonic() - load.accepted_s
+            self._limit_of(service).finished(seconds, len(self._workers.ready(service)))
+
     def _is_done(self, load: _Load, report: WorkerReport) -> bool:
         for held in report.models:
             if held.name == load.model and held.version >= load.version:
--- a/src/bellweir/hosted/weights/plan.py
+++ b/src/bellweir/hosted/weights/plan.py
@@ -43,6 +43,8 @@
     version: int
     is_urgent: bool
     """Whether the worker is of no use for the newest jobs until then."""
+    covered: float
+    """Share of the model's wanted workers that fit already when this load is begun."""
 
 
 HeldVersions = Mapping[tuple[str, str], int]
@@ -52,7 +54,11 @@
 def plan_loads(
     targets: Sequence[ModelTarget], workers: Sequence[Worker], held: HeldVersions
 ) -> list[PlannedLoad]:
-    """The loads that are to be made, the most urgent first."""
+    """Return the loads that are to be made, the most urgent first.
+
+    Among equally urgent ones the model comes first of whose wanted workers the smallest share
+    fits, so that where loads are scarce every model gets its part of them, whatever its name.
+    """
     assigned: dict[str, int] = {}
     loads: list[PlannedLoad] = []
     for target in sorted(targets, key=lambda each: each.model):
@@ -60,7 +66,7 @@
         for worker in chosen:
             assigned[worker.instance] = assigned.get(worker.instance, 0) + 1
         loads += _loads_for(target, chosen, held)
-    return sorted(loads, key=lambda load: not load.is_urgent)
+    return sorted(loads, key=lambda load: (not load.is_urgent, load.covered))
 
 
 def workers_wanted(worker_count: int, model_count: int, lag: int) -> int:
@@ -91,16 +97,19 @@
 def _loads_for(
     target: ModelTarget, chosen: Sequence[Worker], held: HeldVersions
 ) -> list[PlannedLoad]:
-    behind = [
-        worker for worker in chosen if held.get((worker.instance, target.model), 0) < target.named
-    ]
-    behind.sort(key=lambda worker: held.get((worker.instance, target.model), 0))
+    def version_at(worker: Worker) -> int:
+        return held.get((worker.instance, target.model), 0)
+
+    behind = sorted((one for one in chosen if version_at(one) < target.named), key=version_at)
     newest = len(chosen) - len(behind)
+    fitting = sum(version_at(one) >= target.oldest_useful for one in chosen)
     enough = math.ceil(len(chosen) / (1 + target.lag))
     loads: list[PlannedLoad] = []
     for worker in behind:
-        is_urgent = held.get((worker.instance, target.model), 0) < target.oldest_useful
+        is_urgent = version_at(worker) < target.oldest_useful
         if is_urgent or newest < enough:
-            loads.append(PlannedLoad(worker, target.model, target.named, is_urgent))
+            covered = fitting / len(chosen) if is_urgent else newest / enough
+            loads.append(PlannedLoad(worker, target.model, target.named, is_urgent, covered))
             newest += 1
+            fitting += is_urgent
     return loads
