Keep as many replicas of the ledger as the deployment's tolerated losses need

Cause: three replicas were kept whatever `tolerate` says. On the grown sites two disks may be lost at once, and with them the majority that had synced a batch job. Voters were also spread by hash alone once each zone had one, and a replacement ignored how the others lie.

Change: the setting `tolerate.machines`, filled by the platform's template, gives 2n+1 replicas; each voter comes from the zone with the fewest, also a replacement.

Standard sites: three replicas in three zones as before.

--- a/features/steps/hosted_settings_steps.py
+++ b/features/steps/hosted_settings_steps.py
@@ -26,6 +26,7 @@
         "dataPath": "/data/x" if is_store else None,
         "bounds": {"leaseMs": 3000, "gracePeriodS": 8, "ttl_max_s": 5, "cancelMs": 3000}
         | {"statusS": 120},
+        "tolerate": {"machines": 2, "zones": 0, "regions": 0},
         "limits": {"memoryMb": 300, "maxFds": 4100},
         "provider": {"address": "10.200.1.7:8169"},
     }
@@ -51,6 +52,8 @@
     assert str(shared.node.data_folder) == "/data/x"
     # The seeds' IP numbers count, with the port that all machines share; not its own.
     assert shared.membership.seeds == ("10.2.0.40:7720",)
+    # Two disks may be lost at once: three of five replicas are left, and one of them has it all.
+    assert shared.ledger.replicas == 5
 
 
 def changed(context, **changes):
--- a/src/bellweir/hosted/node_settings.py
+++ b/src/bellweir/hosted/node_settings.py
@@ -78,7 +78,7 @@
         _Trust(),
         _NetworkFaults(),
         _Membership(seeds=seed_addresses(settings)),
-        _Ledger(),
+        _Ledger(replicas=settings.tolerate.replicas),
         _Platform(settings.store.address),
     )
     return cast("Settings", made)
--- a/src/bellweir/hosted/settings.py
+++ b/src/bellweir/hosted/settings.py
@@ -64,6 +64,18 @@
     """Time for which an ended batch job can be read."""
 
 
+class ToleranceSettings(msgspec.Struct, frozen=True, rename="camel"):
+    """What may be lost at once."""
+
+    machines: int = 1
+    """Machines with a data folder whose disks may be lost together."""
+
+    @property
+    def replicas(self) -> int:
+        """Replicas of which a majority is left after the loss, and one that has every commit."""
+        return 2 * max(1, self.machines) + 1
+
+
 class HostedSettings(msgspec.Struct, frozen=True, rename="camel"):
     """The whole settings of one process."""
 
@@ -71,6 +83,7 @@
     listen: ListenSettings
     store: StoreSettings
     bounds: BoundSettings = BoundSettings()
+    tolerate: ToleranceSettings = ToleranceSettings()
 
 
 @dataclass(frozen=True)
@@ -147,6 +160,8 @@
     if not 0 < settings.node.peer_port <= 65_535:
         yield _finding("node.peerPort", str(settings.node.peer_port), "1 to 65535")
     yield from _check_addresses(settings)
+    if settings.tolerate.machines < 0:
+        yield _finding("tolerate.machines", str(settings.tolerate.machines), "0 or more")
     if settings.bounds.lease_ms <= 0:
         yield _finding("bounds.leaseMs", str(settings.bounds.lease_ms), "above 0")
     if settings.bounds.grace_period_s <= 0:
--- a/src/bellweir/ledger/placement.py
+++ b/src/bellweir/ledger/placement.py
@@ -8,6 +8,7 @@
 """
 
 import uuid
+from collections import Counter
 from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import Any
@@ -83,20 +84,28 @@
 
 
 def choose_voters(
-    shard: int, candidates: Sequence[PlacementCandidate], count: int
+    shard: int,
+    candidates: Sequence[PlacementCandidate],
+    count: int,
+    taken_zones: Sequence[str] = (),
 ) -> tuple[ReplicaId, ...]:
-    """Choose `count` candidates for a shard by rendezvous hash, in different zones if possible."""
+    """Choose `count` candidates for a shard by rendezvous hash, spread evenly over the zones.
+
+    Each is taken from a zone with the fewest replicas so far. `taken_zones` names the zone of
+    each replica that stays, so that a replacement fills the zone that has lost one.
+    """
     ranked = sorted(
         candidates, key=lambda one: xxhash.xxh3_64_intdigest(f"{shard}/{one.replica.node}".encode())
     )
-    chosen: list[PlacementCandidate] = []
-    for fresh_zone_only in (True, False):
-        for candidate in ranked:
-            zones = {one.zone for one in chosen}
-            is_new = candidate not in chosen
-            if len(chosen) < count and is_new and not (fresh_zone_only and candidate.zone in zones):
-                chosen.append(candidate)
-    return tuple(one.replica for one in chosen)
+    replicas_in = Counter(taken_zones)
+    chosen: list[ReplicaId] = []
+    while ranked and len(chosen) < count:
+        # The first of equals: the order of the hash decides.
+        best = min(ranked, key=lambda one: replicas_in[one.zone])
+        ranked.remove(best)
+        replicas_in[best.zone] += 1
+        chosen.append(best.replica)
+    return tuple(chosen)
 
 
 def first_placement(
--- a/src/bellweir/ledger/reconfiguration.py
+++ b/src/bellweir/ledger/reconfiguration.py
@@ -58,11 +58,11 @@
 def _with_new_learner(view: ShardView) -> ReplicaSet | None:
     voters = view.replicas.voters
     healthy_nodes = {one.node for one in voters if one not in view.lost}
-    kept = [one for one in view.candidates if one.replica in voters]
+    kept = [
+        one for one in view.candidates if one.replica in voters and one.replica not in view.lost
+    ]
     free = [one for one in view.candidates if one.replica.node not in healthy_nodes]
-    zones = {one.zone for one in kept}
-    fresh = [one for one in free if one.zone not in zones]
-    chosen = choose_voters(view.shard, fresh or free, 1)
+    chosen = choose_voters(view.shard, free, 1, [one.zone for one in kept])
     if not chosen:
         return None
     return ReplicaSet(voters, (*view.replicas.learners, chosen[0]))
