Relay views inside large zones, so that two nodes of a zone call the store for all

Cause: every node followed configuration and workers itself, and every store machine named versions and retirements.

Change: in a zone of seven nodes or more two readers, chosen by rendezvous hash over the members, follow the store; the others subscribe to both and are told changes and, each 0.4 s, that there is none, with the age of what is told. A node whose telling is older than 1.5 s follows the store itself. Named versions are followed by the lease's holder only, retirements by the leader of the jobs' shard only. Small zones work as before.

Tests: hosted_relay (state against an oracle under any order of lists, watches and tellings; readers cut off from nodes or from the store; missed tellings).

--- /dev/null
+++ b/features/hosted_relay.feature
@@ -0,0 +1,34 @@
+Feature: Few nodes of a large zone call the store, and all know what it holds
+  Two readers of a zone follow the store and tell the others. A node whose readers are cut off from
+  the store, or from it, follows the store on its own.
+
+  Scenario: What is told leads to the store's state
+    Then in any order of lists, watches and tellings the state is the store's as of its revision
+
+  Scenario: A small zone has no readers
+    Then up to 6 nodes of a zone all follow the store, and 2 of any more
+
+  Scenario: Most nodes call the store no more
+    Given a zone of 9 nodes that follow a stand-in of the store
+    When the operator writes configuration 3 and worker "i-1" comes
+    Then all nodes route by configuration 3 and know worker "i-1"
+    And only the 2 readers call the store
+
+  Scenario: One reader is gone
+    Given a zone of 9 nodes that follow a stand-in of the store
+    When a reader is cut off from all nodes and configuration 4 is written
+    Then all other nodes route by configuration 4
+    And still only the readers call the store
+
+  Scenario: Both readers are cut off from the store
+    Given a zone of 9 nodes that follow a stand-in of the store
+    When both readers lose the store and configuration 5 is written
+    Then all other nodes route by configuration 5
+    When both readers have the store again and configuration 6 is written
+    Then all nodes route by configuration 6
+    And only the 2 readers call the store
+
+  Scenario: A node that missed what was told
+    Given a zone of 9 nodes that follow a stand-in of the store
+    When a node is cut off while worker "i-2" comes, and is back
+    Then all nodes know worker "i-2"
--- /dev/null
+++ b/features/steps/hosted_relay_steps.py
@@ -0,0 +1,206 @@
+"""Relayed views: a zone of nodes before a stand-in of the store, the state against an oracle."""
+
+import hypothesis.strategies as st
+from behave import given as given_step
+from behave import then, when
+from features.steps.hosted_views_steps import configuration, entry
+from features.support.relay_zone import Zone, member
+from hypothesis import given, settings
+
+from bellweir.hosted.interface import Changes, Listing, RecordChange, StoredRecord
+from bellweir.hosted.views.kind_state import KindState
+from bellweir.hosted.views.relay import zone_readers
+from bellweir.membership.interface import MemberState
+from bellweir_rehearsal.hosted.object_store import PlatformStoreStandIn
+
+KIND = "servers"
+
+
+class History:
+    """What a store's kind held at each revision: the oracle."""
+
+    def __init__(self, writes):
+        self.states = [{}]
+        self.changes = [None]
+        for revision, (name, is_deleted) in enumerate(writes, start=1):
+            state = dict(self.states[-1])
+            record = StoredRecord(KIND, name, revision, revision)
+            if is_deleted:
+                state.pop(name, None)
+            else:
+                state[name] = record
+            self.states.append(state)
+            self.changes.append(RecordChange(record, is_deleted))
+
+    def listing(self, revision):
+        return Listing(revision, tuple(self.states[revision].values()))
+
+    def changes_after(self, known, revision):
+        return Changes(revision, tuple(self.changes[known + 1 : revision + 1]))
+
+
+class Follower:
+    """A state and what its callbacks were told."""
+
+    def __init__(self):
+        self.told = {}
+        self.state = KindState(KIND, self._on_list, self._on_change)
+
+    def _on_list(self, listing):
+        self.told = {record.name: record for record in listing.records}
+
+    def _on_change(self, change):
+        if change.deleted:
+            self.told.pop(change.record.name, None)
+        else:
+            self.told[change.record.name] = change.record
+
+
+@then("in any order of lists, watches and tellings the state is the store's as of its revision")
+def then_states_agree(context):
+    writes = st.lists(st.tuples(st.sampled_from("xyz"), st.booleans()), min_size=1, max_size=12)
+
+    @settings(max_examples=200)
+    @given(writes=writes, data=st.data())
+    def agree(writes, data):
+        history = History(writes)
+        followers = [Follower() for _ in range(3)]
+        now = 0
+        for step in range(30):
+            now = min(now + data.draw(st.integers(0, 2)), len(writes))
+            one, other = data.draw(st.permutations(followers))[:2]
+            state = one.state
+            how = data.draw(st.sampled_from(("list", "watch", "told", "told")))
+            if how == "list":
+                seen = data.draw(st.integers(0, now))
+                state.take_listing(history.listing(seen), float(step))
+            elif how == "watch" and state.revision is not None and state.revision <= now:
+                state.take_changes(history.changes_after(state.revision, now), float(step))
+            elif how == "told":
+                # What the teller believes of the listener may be out of date, either way.
+                believed = data.draw(st.sampled_from((state.revision, None, 0, now)))
+                news = other.state.news_since(believed, float(step))
+                taken = news is None or state.take_news(news, float(step))
+                assert taken or state.revision is None or news.base > state.revision
+            for each in followers:
+                if each.state.revision is not None:
+                    assert each.told == history.states[each.state.revision]
+
+    agree()
+
+
+@then("up to {most:d} nodes of a zone all follow the store, and {readers:d} of any more")
+def then_readers(context, most, readers):
+    for count in range(1, 30):
+        members = [member(f"n-{number}") for number in range(count)]
+        members += [member(f"o-{number}", "b") for number in range(9)]
+        members.append(member("gone", state=MemberState.LEAVING))
+        found = zone_readers(members, "a")
+        assert len(found) == (0 if count <= most else readers)
+        assert {one.zone for one in found} <= {"a"}
+        assert zone_readers(members[::-1], "a") == found
+
+
+@given_step("a zone of {count:d} nodes that follow a stand-in of the store")
+def given_zone(context, count):
+    context.store = PlatformStoreStandIn()
+    context.cleanup.callback(context.store.close)
+    context.store.records.put("config", "main", configuration(2))
+    context.zone = Zone(count, context.store.address)
+    context.cleanup.callback(context.zone.stop)
+    context.away = []
+    then_all_route(context, 2)
+    context.wait_until(context.zone.are_told, "nodes that are told")
+
+
+@when('the operator writes configuration {version:d} and worker "{instance}" comes')
+def when_written(context, version, instance):
+    context.calls = calls(context)
+    context.store.records.put("config", "main", configuration(version))
+    context.store.records.put("servers", instance, entry(instance))
+
+
+def calls(context):
+    return {node.name: node.store.calls for node in context.zone.nodes.values()}
+
+
+def present(context):
+    return [node for node in context.zone.nodes.values() if node.name not in context.away]
+
+
+@then('all nodes route by configuration {version:d} and know worker "{instance}"')
+def then_all_know(context, version, instance):
+    then_all_route(context, version)
+    then_all_know_worker(context, instance)
+
+
+@then('all nodes know worker "{instance}"')
+def then_all_know_worker(context, instance):
+    context.wait_until(
+        lambda: all(node.knows(instance) for node in present(context)), f"worker {instance}"
+    )
+
+
+@then("all nodes route by configuration {version:d}")
+@then("all other nodes route by configuration {version:d}")
+def then_all_route(context, version):
+    context.wait_until(
+        lambda: all(node.version() == version for node in present(context)),
+        f"configuration {version}",
+    )
+
+
+@then("only the 2 readers call the store")
+@then("still only the readers call the store")
+def then_only_readers_call(context):
+    names = {node.name for node in context.zone.readers()}
+    watched = [name for name in names if name not in context.away]
+    before = calls(context)
+
+    def only_readers_called():
+        """Over a span in which each reader has called; a busy machine may need several."""
+        nonlocal before
+        after = calls(context)
+        if any(after[name] <= before[name] + 8 for name in watched):
+            return False
+        called = {name for name in after if after[name] > before[name]} - set(context.away)
+        before = after
+        return called <= names
+
+    context.wait_until(only_readers_called, "a span in which only readers call")
+
+
+@when("a reader is cut off from all nodes and configuration {version:d} is written")
+def when_reader_cut(context, version):
+    reader = context.zone.readers()[0]
+    context.away.append(reader.name)
+    context.zone.network.cut.add(reader.name)
+    context.store.records.put("config", "main", configuration(version))
+
+
+@when("both readers lose the store and configuration {version:d} is written")
+def when_readers_lose_store(context, version):
+    for reader in context.zone.readers():
+        context.away.append(reader.name)
+        reader.store.is_cut = True
+        for follower in reader.followers:
+            reader.store.interrupt_watches(follower.state.kind)
+    context.store.records.put("config", "main", configuration(version))
+
+
+@when("both readers have the store again and configuration {version:d} is written")
+def when_readers_back(context, version):
+    context.away.clear()
+    for reader in context.zone.readers():
+        reader.store.is_cut = False
+    context.store.records.put("config", "main", configuration(version))
+
+
+@when('a node is cut off while worker "{instance}" comes, and is back')
+def when_node_misses(context, instance):
+    node = context.zone.others()[0]
+    context.zone.network.cut.add(node.name)
+    context.store.records.put("servers", instance, entry(instance))
+    reader = context.zone.readers()[0]
+    context.wait_until(lambda: reader.knows(instance), f"worker {instance} at a reader")
+    context.zone.network.cut.discard(node.name)
--- /dev/null
+++ b/features/support/relay_zone.py
@@ -0,0 +1,120 @@
+"""A zone of nodes that follow one stand-in of the store, over a network in memory."""
+
+import threading
+
+from features.support.ledger_nodes import MemoryMembership, MemoryNetwork, MemoryTransport
+from returns.result import Failure
+
+from bellweir.hosted.interface import RecordKind, RecordStore, StoreError, StoreErrorKind
+from bellweir.hosted.views.configuration import ConfigurationView
+from bellweir.hosted.views.follower import KindFollower
+from bellweir.hosted.views.relay import ViewsRelay, zone_readers
+from bellweir.hosted.views.workers import WorkersView
+from bellweir.membership.interface import Member, MemberState
+from bellweir_platform.object_store import PlatformStore
+
+CHECK_PERIOD_S = 0.2
+NOT_DONE = Failure(StoreError(StoreErrorKind.NOT_DONE, "cut off"))
+
+
+def member(name, zone="a", state=MemberState.ALIVE):
+    return Member(name, name, "", zone, "r", False, state, 1)
+
+
+class CuttableStore(RecordStore):
+    """One node's way to the store: counts its calls, and may be cut off."""
+
+    def __init__(self, address):
+        self._store = PlatformStore(address)
+        self.calls = 0
+        self.is_cut = False
+
+    def _call(self, name, *arguments, **keywords):
+        if self.is_cut:
+            return NOT_DONE
+        self.calls += 1
+        found = getattr(self._store, name)(*arguments, **keywords)
+        return NOT_DONE if self.is_cut else found
+
+    def list_kind(self, kind, *, stale=False):
+        return self._call("list_kind", kind, stale=stale)
+
+    def watch(self, kind, revision, wait_s):
+        return self._call("watch", kind, revision, wait_s)
+
+    def interrupt_watches(self, kind):
+        self._store.interrupt_watches(kind)
+
+    def read(self, kind, name): ...
+    def create(self, kind, name, spec): ...
+    def replace(self, kind, name, spec, revision): ...
+    def replace_status(self, kind, name, status, revision): ...
+    def delete(self, kind, name, revision): ...
+
+
+class ZoneNode:
+    def __init__(self, name, network, address):
+        self.name = name
+        self.store = CuttableStore(address)
+        self.configuration, self.workers = ConfigurationView(), WorkersView()
+        self.followers = (
+            KindFollower(
+                self.store,
+                RecordKind.CONFIGURATION,
+                self.configuration.take_listing,
+                self.configuration.take_change,
+            ),
+            KindFollower(
+                self.store,
+                RecordKind.WORKERS,
+                self.workers.take_listing,
+                self.workers.take_change,
+            ),
+        )
+        self.transport = MemoryTransport(name, network)
+        membership = MemoryMembership(member(name), network)
+        self.transport.start()
+        membership.start()
+        self.relay = ViewsRelay(self.transport, membership, self.followers)
+        self.stopping = threading.Event()
+        for task in (*(one.run for one in self.followers), self.relay.tell, self.relay.subscribe):
+            threading.Thread(target=task, args=(self.stopping,), daemon=True).start()
+        threading.Thread(target=self._check, daemon=True).start()
+
+    def _check(self):
+        while not self.stopping.wait(CHECK_PERIOD_S):
+            for follower in self.followers:
+                follower.check()
+
+    def version(self):
+        table = self.configuration.table()
+        return table.version if table else None
+
+    def knows(self, instance):
+        return self.workers.worker(instance) is not None
+
+    def stop(self):
+        self.stopping.set()
+        self.transport.stop()
+
+
+class Zone:
+    def __init__(self, count, address):
+        self.network = MemoryNetwork()
+        names = [f"node-{number}" for number in range(count)]
+        self.nodes = {name: ZoneNode(name, self.network, address) for name in names}
+
+    def readers(self):
+        chosen = zone_readers(list(self.network.members.values()), "a")
+        return [self.nodes[one.node] for one in chosen]
+
+    def others(self):
+        return [one for one in self.nodes.values() if one not in self.readers()]
+
+    def are_told(self):
+        """Whether every node but the readers relies on what it is told."""
+        return all(each._relayed for node in self.others() for each in node.followers)
+
+    def stop(self):
+        for node in self.nodes.values():
+            node.stop()
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -47,6 +47,20 @@
 STORE_LISTED = Event(
     1412, "store_listed", Level.INFO, ("kind", "revision", "count"), "All objects were read."
 )
+VIEW_RELAYED = Event(
+    1416,
+    "view_relayed",
+    Level.INFO,
+    ("kind", "age_s"),
+    "Peers tell what is new of this kind; the object store is not asked for it.",
+)
+VIEW_DIRECT = Event(
+    1417,
+    "view_direct",
+    Level.INFO,
+    ("kind", "age_s"),
+    "What peers tell is too old; this process follows the object store itself.",
+)
 CONFIGURATION_IN_FORCE = Event(
     1413,
     "configuration_in_force",
--- a/src/bellweir/hosted/retirement.py
+++ b/src/bellweir/hosted/retirement.py
@@ -1,8 +1,8 @@
 """Service `retirement`: empties the store machines that the operator wants to take away.
 
-Every store machine knows the wishes, so that whoever leads a shard heeds them; the node that
-leads writes the status. A machine is emptied once others hold the full number of replicas: with
-fewer, the loss of one more disk could not be borne.
+The node that leads the jobs' shard follows the wishes, heeds them and writes the status. A machine
+is emptied once others hold the full number of replicas: with fewer, the loss of one more disk
+could not be borne.
 """
 
 import threading
@@ -55,7 +55,11 @@
         """Start the tasks."""
         self._ledger = self._kernel.registry.find(names.LEDGER, LedgerService)
         follower = KindFollower(
-            self._store, RecordKind.RETIREMENTS, self._take_listing, self._take_change
+            self._store,
+            RecordKind.RETIREMENTS,
+            self._take_listing,
+            self._take_change,
+            is_wanted=lambda: self._ledger.leads(JOBS_KEY),
         )
         self._kernel.registry.find(names.VIEWS, ViewsService).also_check(follower)
         self._kernel.executors.run_task("follow-retirements", follower.run)
--- a/src/bellweir/hosted/views/follower.py
+++ b/src/bellweir/hosted/views/follower.py
@@ -2,6 +2,9 @@
 
 A watch says nothing while nothing changes, and just as little when it was cut in silence. So
 `check` compares the view now and then with a cheap reading that may be a little old.
+
+A process need not follow the store itself while peers tell it what they read (`relay`). It does
+so again as soon as what they tell is too old.
 """
 
 import random
@@ -19,10 +22,19 @@
     StoreError,
     StoreErrorKind,
 )
-from bellweir.hosted.log_events import STORE_LISTED, STORE_LOST, STORE_REGAINED
+from bellweir.hosted.log_events import (
+    STORE_LISTED,
+    STORE_LOST,
+    STORE_REGAINED,
+    VIEW_DIRECT,
+    VIEW_RELAYED,
+)
+from bellweir.hosted.views.kind_state import KindState
 
 WATCH_S = 25.0
 """Longest wait of one watch."""
+SHORT_WATCH_S = 3.0
+"""The same while peers may soon tell instead."""
 WATCH_AFTER_FAILURE_S = 0.2
 """The same while it is not known whether the store answers again."""
 DEAF_AFTER_S = 0.5
@@ -30,10 +42,16 @@
 FIRST_PAUSE_S = 0.05
 LONGEST_PAUSE_S = 0.5
 """Pauses between tries while the store does not answer; doubled from the first one on."""
+LONGEST_PAUSE_BESIDE_READERS_S = 1.5
+"""The same for a process that peers will tell when the store answers again."""
+FRESH_S = 1.5
+"""Age from which on what peers tell does not do; a leaving worker must be known of in 2 s."""
+IDLE_LOOK_S = 0.25
+"""Pause between two looks whether the store is to be followed."""
 
 
 class KindFollower:
-    """One task; `on_list` and `on_change` are called on it, in the order of revisions."""
+    """One task; `on_list` and `on_change` are called in the order of revisions."""
 
     def __init__(
         self,
@@ -42,34 +60,51 @@
         on_list: Callable[[Listing], None],
         on_change: Callable[[RecordChange], None],
         settle_s: float = 0.0,
+        is_wanted: Callable[[], bool] = lambda: True,
     ) -> None:
-        """Changes that come within `settle_s` of each other are read by one call."""
+        """Changes that come within `settle_s` of each other are read by one call.
+
+        Nothing is followed while `is_wanted` says no; the kind is listed anew after that.
+        """
         self._settle_s = settle_s
         self._store = store
         self._kind = kind
-        self._on_list = on_list
-        self._on_change = on_change
-        self._revision: int | None = None
-        """Store revision up to which all changes are known; None: list anew."""
+        self._is_wanted = is_wanted
+        self.state = KindState(kind, on_list, on_change)
+        self._must_list = True
         self._watching_since_s: float | None = None
         self._lost_since_s: float | None = None
         self._pause_s = FIRST_PAUSE_S
-        self.current_as_of_s = float("-inf")
-        """Monotonic time at which the view was last known to be the store's."""
+        self._relayed = False
+        self.has_readers: bool | None = None
+        """Whether peers follow the store for this process, too; None: not known yet."""
         self.listed = threading.Event()
         """Set once the kind has been listed."""
 
+    @property
+    def _revision(self) -> int | None:
+        return None if self._must_list else self.state.revision
+
     def run(self, stopping: threading.Event) -> None:
         """Follow until `stopping`."""
         while not stopping.is_set():
-            failure = self._step(stopping)
-            if failure is None:
-                self._note_answer()
-            elif failure.kind is StoreErrorKind.COMPACTED:
-                self._revision = None
+            if not self._is_wanted():
+                self._must_list = True
+                stopping.wait(IDLE_LOOK_S)
+            elif self._is_relayed():
+                stopping.wait(IDLE_LOOK_S)
             else:
-                self._note_failure(failure)
-                stopping.wait(self._next_pause_s())
+                self._follow(stopping)
+
+    def _follow(self, stopping: threading.Event) -> None:
+        failure = self._step(stopping)
+        if failure is None:
+            self._note_answer()
+        elif failure.kind is StoreErrorKind.COMPACTED:
+            self._must_list = True
+        else:
+            self._note_failure(failure)
+            stopping.wait(self._next_pause_s())
 
     def check(self) -> None:
         """Interrupt the watch in hand if a cheap reading fails or shows that it is deaf.
@@ -79,26 +114,45 @@
         """
         watching_since_s = self._watching_since_s
         seen = self._revision
-        if watching_since_s is None or seen is None:
+        if seen is None or self._relayed or self._lost_since_s is not None:
             return
+        asked_s = time.monotonic()
         found = self._store.list_kind(self._kind, stale=True)
         if self._watching_since_s != watching_since_s:
             return
         if isinstance(found, Success):
             is_newer = any(each.revision > seen for each in found.unwrap().records)
-            has_had_time = time.monotonic() - watching_since_s > DEAF_AFTER_S
-            if not (is_newer and has_had_time):
+            if not is_newer:
+                self.state.confirm(asked_s)
+                return
+            if watching_since_s is None or time.monotonic() - watching_since_s <= DEAF_AFTER_S:
                 return
-        self._store.interrupt_watches(self._kind)
+        if watching_since_s is not None:
+            self._store.interrupt_watches(self._kind)
 
     def age_s(self) -> float:
         """Seconds since the view was last known to be the store's."""
-        return time.monotonic() - self.current_as_of_s
+        return time.monotonic() - self.state.current_as_of_s
+
+    def _is_relayed(self) -> bool:
+        """Whether peers tell what is new, and lately enough."""
+        age_s = time.monotonic() - self.state.relayed_as_of_s
+        relayed = bool(self.has_readers) and age_s < FRESH_S
+        if relayed != self._relayed:
+            self._relayed = relayed
+            if relayed:
+                self._note_answer()
+                self._must_list = False
+                self.listed.set()
+            event = VIEW_RELAYED if relayed else VIEW_DIRECT
+            emit(event, kind=self._kind, age_s=round(min(age_s, 1e6), 3))
+        return relayed
 
     def _step(self, stopping: threading.Event) -> StoreError | None:
-        if self._revision is None:
+        revision = self._revision
+        if revision is None:
             return self._list()
-        return self._watch(self._revision, stopping)
+        return self._watch(revision, stopping)
 
     def _list(self) -> StoreError | None:
         asked_s = time.monotonic()
@@ -106,32 +160,32 @@
         if not isinstance(found, Success):
             return found.failure()
         listing = found.unwrap()
-        self._on_list(listing)
-        self._revision = listing.revision
-        self.current_as_of_s = asked_s
+        self.state.take_listing(listing, asked_s)
+        self._must_list = False
         self.listed.set()
         emit(STORE_LISTED, kind=self._kind, revision=listing.revision, count=len(listing.records))
         return None
 
     def _watch(self, revision: int, stopping: threading.Event) -> StoreError | None:
         asked_s = time.monotonic()
-        wait_s = WATCH_S if self._lost_since_s is None else WATCH_AFTER_FAILURE_S
         self._watching_since_s = asked_s
         try:
-            found = self._store.watch(self._kind, revision, wait_s)
+            found = self._store.watch(self._kind, revision, self._watch_wait_s())
         finally:
             self._watching_since_s = None
         if not isinstance(found, Success):
             return found.failure()
         changes = found.unwrap()
-        for change in changes.changes:
-            self._on_change(change)
+        self.state.take_changes(changes, time.monotonic() if changes.changes else asked_s)
         if changes.changes and self._settle_s:
             stopping.wait(self._settle_s)
-        self._revision = max(revision, changes.revision)
-        self.current_as_of_s = time.monotonic() if changes.changes else asked_s
         return None
 
+    def _watch_wait_s(self) -> float:
+        if self._lost_since_s is not None:
+            return WATCH_AFTER_FAILURE_S
+        return WATCH_S if self.has_readers is False else SHORT_WATCH_S
+
     def _note_answer(self) -> None:
         self._pause_s = FIRST_PAUSE_S
         if self._lost_since_s is not None:
@@ -153,5 +207,6 @@
 
     def _next_pause_s(self) -> float:
         pause_s = self._pause_s * random.uniform(0.5, 1.0)
-        self._pause_s = min(2 * self._pause_s, LONGEST_PAUSE_S)
+        longest_s = LONGEST_PAUSE_BESIDE_READERS_S if self.has_readers else LONGEST_PAUSE_S
+        self._pause_s = min(2 * self._pause_s, longest_s)
         return pause_s
--- /dev/null
+++ b/src/bellweir/hosted/views/kind_state.py
@@ -0,0 +1,168 @@
+"""All objects of one kind as this process knows them, and what changed lately.
+
+The state is fed by the process's own calls to the store and by peers that relay theirs. Revisions
+of the store order both: whatever is not newer than what is known changes nothing, so the sources
+need not agree on who is ahead.
+
+>>> state = KindState("servers", lambda listing: None, lambda change: None)
+>>> state.take_listing(Listing(7, ()), as_of_s=0.0)
+True
+>>> state.take_listing(Listing(6, ()), as_of_s=1.0)
+False
+>>> state.news_since(7, now_s=2.0).age_s
+1.0
+"""
+
+import threading
+from collections import deque
+from collections.abc import Callable
+
+import msgspec
+
+from bellweir.hosted.interface import Changes, Listing, RecordChange, StoredRecord
+
+REMEMBERED_CHANGES = 1_024
+"""Changes that are told one by one; who knows less gets the whole list."""
+NEVER_S = float("-inf")
+
+
+class KindNews(msgspec.Struct, frozen=True):
+    """What a peer tells of one kind.
+
+    With a `base`, `records` and `gone` hold what changed after that revision; without one,
+    `records` is the whole list.
+    """
+
+    kind: str
+    base: int | None
+    revision: int
+    records: tuple[StoredRecord, ...]
+    gone: tuple[str, ...]
+    age_s: float
+    """Seconds since the teller was last sure to be in touch with the store."""
+
+
+class KindState:
+    """Objects of a kind by name. Safe for threads; the two callbacks run under its lock."""
+
+    __slots__ = (
+        "_floor",
+        "_lock",
+        "_on_change",
+        "_on_list",
+        "_recent",
+        "_records",
+        "advanced",
+        "current_as_of_s",
+        "kind",
+        "relayed_as_of_s",
+        "revision",
+    )
+
+    def __init__(
+        self,
+        kind: str,
+        on_list: Callable[[Listing], None],
+        on_change: Callable[[RecordChange], None],
+    ) -> None:
+        self.kind = kind
+        self.revision: int | None = None
+        """Store revision up to which all changes are known; None before the first list."""
+        self.current_as_of_s = NEVER_S
+        """Monotonic time at which the state was last known to be the store's."""
+        self.relayed_as_of_s = NEVER_S
+        """The same, as peers told it."""
+        self.advanced: Callable[[], None] = lambda: None
+        """Called after each change of the state, off its lock."""
+        self._on_list = on_list
+        self._on_change = on_change
+        self._lock = threading.Lock()
+        self._records: dict[str, StoredRecord] = {}
+        self._recent: deque[tuple[int, str]] = deque(maxlen=REMEMBERED_CHANGES)
+        self._floor = 0
+        """Revision from which on `_recent` is complete."""
+
+    def take_listing(self, listing: Listing, as_of_s: float) -> bool:
+        """Take a whole list; False when it is older than what is known."""
+        with self._lock:
+            self._confirm(as_of_s)
+            known = self.revision
+            if known is not None and listing.revision < known:
+                return False
+            before = self._records
+            self._records = {record.name: record for record in listing.records}
+            if known is None:
+                self._floor = listing.revision
+            for name in before.keys() | self._records.keys():
+                if before.get(name) != self._records.get(name):
+                    self._remember(listing.revision, name)
+            self._on_list(listing)
+            self.revision = listing.revision
+        self.advanced()
+        return True
+
+    def take_changes(self, changes: Changes, as_of_s: float) -> None:
+        """Take what a watch told."""
+        with self._lock:
+            self._confirm(as_of_s)
+            if self.revision is None or changes.revision <= self.revision:
+                return
+            for change in changes.changes:
+                self._apply(change, changes.revision)
+            self.revision = changes.revision
+        if changes.changes:
+            self.advanced()
+
+    def take_news(self, news: KindNews, now_s: float) -> bool:
+        """Take what a peer tells; False when changes before it are missing here."""
+        as_of_s = now_s - news.age_s
+        if news.base is None:
+            self.take_listing(Listing(news.revision, news.records), as_of_s)
+        elif self.revision is None or news.base > self.revision:
+            return False
+        else:
+            gone = [RecordChange(self._gone(name), deleted=True) for name in news.gone]
+            found = [RecordChange(record, deleted=False) for record in news.records]
+            self.take_changes(Changes(news.revision, (*gone, *found)), as_of_s)
+        self.relayed_as_of_s = max(self.relayed_as_of_s, as_of_s)
+        return True
+
+    def news_since(self, revision: int | None, now_s: float) -> KindNews | None:
+        """What a peer that knows `revision` lacks; None before the first list."""
+        with self._lock:
+            if self.revision is None:
+                return None
+            age_s = max(0.0, now_s - self.current_as_of_s)
+            if revision is None or revision < self._floor:
+                whole = tuple(self._records.values())
+                return KindNews(self.kind, None, self.revision, whole, (), age_s)
+            names = {name for changed_at, name in self._recent if changed_at > revision}
+            records = tuple(self._records[name] for name in names if name in self._records)
+            gone = tuple(name for name in names if name not in self._records)
+            return KindNews(self.kind, revision, self.revision, records, gone, age_s)
+
+    def confirm(self, as_of_s: float) -> None:
+        """Note that the store was in touch at a time, with nothing new to tell."""
+        with self._lock:
+            self._confirm(as_of_s)
+
+    def _confirm(self, as_of_s: float) -> None:
+        self.current_as_of_s = max(self.current_as_of_s, as_of_s)
+
+    def _apply(self, change: RecordChange, revision: int) -> None:
+        name = change.record.name
+        if change.deleted:
+            self._records.pop(name, None)
+        else:
+            self._records[name] = change.record
+        self._remember(revision, name)
+        self._on_change(change)
+
+    def _remember(self, revision: int, name: str) -> None:
+        if len(self._recent) == REMEMBERED_CHANGES:
+            self._floor = max(self._floor, self._recent[0][0])
+        self._recent.append((revision, name))
+
+    def _gone(self, name: str) -> StoredRecord:
+        known = self._records.get(name)
+        return known if known is not None else StoredRecord(self.kind, name, 0, None)
--- a/src/bellweir/hosted/views/service.py
+++ b/src/bellweir/hosted/views/service.py
@@ -6,6 +6,7 @@
 from bellweir.hosted.views.configuration import ConfigurationView
 from bellweir.hosted.views.follower import KindFollower
 from bellweir.hosted.views.peer_copy import copy_views, register_views
+from bellweir.hosted.views.relay import ViewsRelay
 from bellweir.hosted.views.workers import WorkersView
 from bellweir.kernel import names
 from bellweir.kernel.node import Kernel
@@ -19,6 +20,8 @@
 PEER_PAUSE_S = 0.2
 CHECK_PERIOD_S = 1.0
 """Time between two cheap readings; the kinds that a process follows take turns."""
+READER_CHECK_PERIOD_S = 0.25
+"""The same at a node that others rely on: what it tells them must be fresh."""
 SETTLE_S = 1.2
 """Changes of workers within this time are read by one call."""
 
@@ -55,7 +58,14 @@
         self._transport = registry.find(names.TRANSPORT, Transport)  # type: ignore[type-abstract]
         self._membership = registry.find(names.MEMBERSHIP, Membership)  # type: ignore[type-abstract]
         register_views(self._transport, self.configuration, self.workers)
+        self._relay = ViewsRelay(
+            self._transport,
+            self._membership,
+            (self.configuration_follower, self.workers_follower),
+        )
         run_task = self._kernel.executors.run_task
+        run_task("tell-views", self._relay.tell)
+        run_task("subscribe-views", self._relay.subscribe)
         run_task("follow-configuration", self.configuration_follower.run)
         run_task("follow-workers", self.workers_follower.run)
         run_task("copy-views", self._copy_from_peers)
@@ -74,7 +84,8 @@
         """Interrupt watches that were cut in silence."""
         while True:
             for follower in list(self._checked):
-                if stopping.wait(CHECK_PERIOD_S):
+                is_reader = self._relay.has_subscribers()
+                if stopping.wait(READER_CHECK_PERIOD_S if is_reader else CHECK_PERIOD_S):
                     return
                 follower.check()
 
--- a/src/bellweir/hosted/weights/lease.py
+++ b/src/bellweir/hosted/weights/lease.py
@@ -93,6 +93,11 @@
         """Revision of the object when this node took the lease; 0 without it."""
         self.phase = LeasePhase.WATCHING
 
+    @property
+    def is_held(self) -> bool:
+        """Whether this node has the lease, also while it may not act yet."""
+        return self._record is not None
+
     def may_act_for_s(self) -> float:
         """Seconds for which this node may surely act from now; 0 or less: not at all."""
         now_s = self._now_s()
--- a/src/bellweir/hosted/weights/service.py
+++ b/src/bellweir/hosted/weights/service.py
@@ -52,6 +52,7 @@
             RecordKind.VERSIONS,
             self._versions.take_listing,
             self._versions.take_change,
+            is_wanted=lambda: self._lease.is_held,
         )
         self._controller = RolloutController(
             self._lease,
