Give each service of a split job route its share of the runs

Change: the coordinator uses the weights that the gateways use; the service whose turn it is keeps it while its workers are only busy.

Tests: hosted_batches, a route split 3 to 1 (before: all runs at the first service) and a split service without workers.

--- a/features/hosted_batches.feature
+++ b/features/hosted_batches.feature
@@ -27,6 +27,17 @@
       | a scorer fails once                  |
       | a worker whose weights are too old   |
 
+  Scenario: A route whose requests are split between services
+    Given a leader whose route gives 3 parts to "llm" and 1 part to "llm-next"
+    When a job of 40 items in 10 groups is accepted
+    Then every item is listed completed, with its whole text, its versions and its score
+    And 30 of the runs went to "llm" and 10 to "llm-next"
+
+  Scenario: A service of a split route that has no worker
+    Given a leader whose route gives 3 parts to "llm" and 1 part to "llm-none"
+    When a job of 6 items in 3 groups is accepted
+    Then every item is listed completed, with its whole text, its versions and its score
+
   Scenario: An item that always fails
     Given a leader with model workers and scorers
     And both model workers fail every request
--- a/features/steps/hosted_batches_steps.py
+++ b/features/steps/hosted_batches_steps.py
@@ -139,6 +139,26 @@
     context.leader = make_leader(context)
 
 
+@given_step(
+    'a leader whose route gives {first:d} parts to "llm" and {second:d} part to "{service}"'
+)
+def given_split(context, first, second, service):
+    shares = (("llm", first), (service, second))
+    backends = [{"service": name, "weight": weight} for name, weight in shares]
+    context.leader = make_leader(context, backends)
+
+
+@then('{first:d} of the runs went to "llm" and {second:d} to "llm-next"')
+def then_split(context, first, second):
+    runs = {"llm": 0, "llm-next": 0}
+    for worker in context.leader.models:
+        service = worker.instance.rpartition("-")[0]
+        runs[service] += sum(worker.record.ran.values())
+    # The first turn falls to either by chance.
+    assert abs(runs["llm"] - first) <= 1, runs
+    assert runs["llm"] + runs["llm-next"] == first + second
+
+
 @given_step("no trouble")
 def given_nothing(context):
     pass
--- a/features/support/hosted_jobs.py
+++ b/features/support/hosted_jobs.py
@@ -85,26 +85,36 @@
     )
 
 
-def configuration():
+def configuration(backends=()):
     routes = [
-        {"host": HOST, "pathPrefix": "/draft/", "kind": "rollout", "service": "llm"},
+        {"host": HOST, "pathPrefix": "/draft/", "kind": "rollout", "service": "llm"}
+        | ({"backends": list(backends)} if backends else {}),
         {"host": HOST, "pathPrefix": "/score/", "kind": "idempotent", "service": "app"},
     ]
     routes = [{"maxAttempts": 3, "targetMs": 400, "timeoutMs": 1_000} | each for each in routes]
     return {"version": 1, "routes": routes, "services": [{"name": "llm"}, {"name": "app"}]}
 
 
-def make_leader(context):
-    """A coordinator that leads, two model workers and two scorers."""
-    models = [
-        WorkerStandIn(f"llm-{number}", model=MODEL, version=2, events=EVENTS) for number in range(2)
-    ]
+def make_leader(context, backends=()):
+    """A coordinator that leads, two model workers of each service and two scorers.
+
+    With `backends`, services with their weights, the items' route is split between them; the
+    service `llm-none` has no worker.
+    """
+    services = [each["service"] for each in backends] or ["llm"]
+    service_of = {
+        f"{service}-{number}": service
+        for service in services
+        for number in range(2)
+        if service != "llm-none"
+    }
+    models = [WorkerStandIn(name, model=MODEL, version=2, events=EVENTS) for name in service_of]
     scorers = [WorkerStandIn(f"app-{number}") for number in range(2)]
     view, workers, executors = ConfigurationView(), WorkersView(), Executors()
-    view.take(configuration(), "test")
+    view.take(configuration(backends), "test")
 
     def show():
-        entries = {each.instance: each.entry("llm") for each in models}
+        entries = {each.instance: each.entry(service_of[each.instance]) for each in models}
         entries |= {each.instance: each.entry("app") for each in scorers}
         records = tuple(StoredRecord("servers", *found) for found in _numbered(entries))
         workers.take_listing(Listing(1, records))
--- a/src/bellweir/hosted/batches/coordinator.py
+++ b/src/bellweir/hosted/batches/coordinator.py
@@ -19,7 +19,7 @@
 from bellweir.hosted.log_events import COORDINATION_LEFT, COORDINATION_TAKEN
 from bellweir.hosted.records import Route
 from bellweir.hosted.serving.attempt import Cancellation
-from bellweir.hosted.serving.selection import WorkerLoads
+from bellweir.hosted.serving.selection import WeightedParts, WorkerLoads
 from bellweir.hosted.views.configuration import ConfigurationView, RouteTable
 from bellweir.hosted.views.workers import Worker, WorkersView
 from bellweir.kernel.executors import Executors, ExecutorSaturatedError, WorkKind
@@ -65,6 +65,7 @@
         self._progress: dict[ItemKey, ItemProgress] = {}
         self._running: dict[ItemKey, _Run] = {}
         self._carried = CarriedTexts()
+        self._parts = WeightedParts()
         self._leading = False
         self._forget_due_s = 0.0
         self._wake = threading.Event()
@@ -216,24 +217,36 @@
         """Take a place at a worker with room; None when there is none now."""
         if progress.stage is Stage.SCORE:
             route = self._score_route(progress, table)
-            return self._choose(route, None) if route is not None else None
-        return self._choose(progress.route, progress)
+            return self._choose(route, None, table) if route is not None else None
+        return self._choose(progress.route, progress, table)
 
-    def _choose(self, route: Route, progress: ItemProgress | None) -> Worker | None:
-        for part in route.parts:
-            with_room = [
+    def _choose(
+        self, route: Route, progress: ItemProgress | None, table: RouteTable
+    ) -> Worker | None:
+        """Take a place at a worker of the route's services, each of which gets its share.
+
+        The service whose turn it is keeps it while its workers are only busy; one without a
+        worker that could take the request loses it to the next.
+        """
+        parts = tuple((part.service, part.weight) for part in route.parts)
+        key = (table.version, route.host, route.path_prefix)
+        for service in self._parts.peek(parts, key):
+            fitting = [
                 worker
-                for worker in self._workers.ready(part.service)
-                if self._has_room(worker) and _fits(worker, progress)
+                for worker in self._workers.ready(service)
+                if _fits(worker, progress) and not self._loads.is_avoided(worker.instance)
             ]
+            with_room = [worker for worker in fitting if self._has_room(worker)]
             chosen = self._loads.choose(with_room, ())
             if chosen is not None:
+                self._parts.charge(parts, key, service)
                 return chosen
+            if fitting:
+                return None
         return None
 
     def _has_room(self, worker: Worker) -> bool:
-        free = self._loads.in_hand(worker.instance) < worker.entry.slots
-        return free and not self._loads.is_avoided(worker.instance)
+        return self._loads.in_hand(worker.instance) < worker.entry.slots
 
     def _forget_old(self, jobs: list[JobState]) -> None:
         now_s = time.monotonic()
--- a/src/bellweir/hosted/serving/selection.py
+++ b/src/bellweir/hosted/serving/selection.py
@@ -134,6 +134,10 @@
         return avoided, round(expected_s, 2), must_connect, other_zone, random.random()
 
 
+Parts = tuple[tuple[str, float], ...]
+"""Services of a route with their weights."""
+
+
 class WeightedParts:
     """Shares requests of a route among its services by weight, evenly over short times.
 
@@ -145,31 +149,47 @@
         self._lock = threading.Lock()
         self._credits: dict[tuple[object, ...], dict[str, float]] = {}
 
-    def order(self, parts: tuple[tuple[str, float], ...], key: tuple[object, ...]) -> list[str]:
+    def order(self, parts: Parts, key: tuple[object, ...]) -> list[str]:
         """The services of a route in the order in which to try them for one request.
 
         `key` names the route and its configuration; parts without weight get no request while
-        another one has a worker.
+        another one has a worker. The first service is charged for the request.
         """
+        ordered = self.peek(parts, key)
+        self.charge(parts, key, ordered[0])
+        return ordered
+
+    def peek(self, parts: Parts, key: tuple[object, ...]) -> list[str]:
+        """The same order, with nobody charged: the request may still have to wait."""
         if len(parts) == 1:
             return [parts[0][0]]
         with self._lock:
-            if len(self._credits) > MAXIMUM_ROUTES:
-                self._credits.clear()
-            credits = self._credits.setdefault(key, _random_start(parts))
+            credits = self._credits_of(parts, key)
+            weighted = [part for part in parts if part[1] > 0] or [parts[0]]
+            chosen = max(weighted, key=lambda part: credits[part[0]] + part[1])[0]
+        others = sorted((part for part in weighted if part[0] != chosen), key=lambda part: -part[1])
+        return [chosen, *(service for service, _ in others)]
+
+    def charge(self, parts: Parts, key: tuple[object, ...], chosen: str) -> None:
+        """Count a request that goes to a service of a route."""
+        if len(parts) == 1:
+            return
+        with self._lock:
+            credits = self._credits_of(parts, key)
             for service, weight in parts:
-                credits[service] = credits.get(service, 0.0) + weight
-            weighted = [service for service, weight in parts if weight > 0]
-            chosen = max(weighted or [parts[0][0]], key=lambda service: credits[service])
+                credits[service] += weight
             credits[chosen] -= sum(weight for _, weight in parts)
-        others = sorted((part for part in parts if part[0] != chosen), key=lambda part: -part[1])
-        return [chosen, *(service for service, weight in others if weight > 0)]
+
+    def _credits_of(self, parts: Parts, key: tuple[object, ...]) -> dict[str, float]:
+        if len(self._credits) > MAXIMUM_ROUTES:
+            self._credits.clear()
+        return self._credits.setdefault(key, _random_start(parts))
 
 
 MAXIMUM_ROUTES = 4_096
 
 
-def _random_start(parts: tuple[tuple[str, float], ...]) -> dict[str, float]:
+def _random_start(parts: Parts) -> dict[str, float]:
     """Different credits in each process, so that all together share evenly from the start."""
     total = sum(weight for _, weight in parts)
     return {service: random.uniform(0.0, total) for service, _ in parts}
