Send one run at a time to a worker that refuses a model, until it takes one

Cause: while a worker loads weights it refuses runs of that model at once, so it has the fewest in hand and every free slot is sent there again each 0.15 s.

Change: after a refusal the worker rests 0.12 s for that model and then gets one run, until it takes one; other models of the worker go on.

Tests: hosted_batches (a worker that loads: 174 refusals before, at most 20 now; a property).

--- a/features/hosted_batches.feature
+++ b/features/hosted_batches.feature
@@ -38,6 +38,17 @@
     When a job of 6 items in 3 groups is accepted
     Then every item is listed completed, with its whole text, its versions and its score
 
+  Scenario: A worker that loads weights
+    Given a leader with model workers and scorers
+    And the workers stream slowly
+    And a worker that refuses all runs for a second
+    When a job of 24 items in 6 groups is accepted
+    Then every item is listed completed, with its whole text, its versions and its score
+    And the worker refused at most 20 runs, and took some after that
+
+  Scenario: Runs that are refused, taken, lost and cancelled in any order
+    Then after a refusal one run at a time is sent until the worker takes one
+
   Scenario: An item that always fails
     Given a leader with model workers and scorers
     And both model workers fail every request
--- a/features/steps/hosted_batches_steps.py
+++ b/features/steps/hosted_batches_steps.py
@@ -8,6 +8,7 @@
 from hypothesis import given, settings
 
 from bellweir.hosted.batches.progress import EventsMissingError, ItemProgress
+from bellweir.hosted.batches.refusals import PAUSE_S, RefusalGuard
 from bellweir.hosted.batches.state import (
     AcceptJob,
     BatchJobs,
@@ -159,6 +160,50 @@
     assert runs["llm"] + runs["llm-next"] == first + second
 
 
+@given_step("a worker that refuses all runs for a second")
+def given_loading(context):
+    context.leader.models[0].refuse_for(1.0)
+
+
+@then("the worker refused at most {most:d} runs, and took some after that")
+def then_few_refusals(context, most):
+    # One for each of its 8 slots at first, then one at a time.
+    record = context.leader.models[0].record
+    assert 0 < record.refusals <= most, record.refusals
+    assert sum(record.ran.values()) > 0
+
+
+@then("after a refusal one run at a time is sent until the worker takes one")
+def then_one_at_a_time(context):
+    ending = st.sampled_from(("accepted", "refused", "ended"))
+
+    @settings(max_examples=200)
+    @given(steps=st.lists(st.tuples(st.booleans(), ending, st.floats(0, 0.2)), max_size=40))
+    def one_at_a_time(steps):
+        now_s = [0.0]
+        guard = RefusalGuard(lambda: now_s[0])
+        refused_s, begun, ended, in_hand = None, 0, 0, 0
+        for begins, how, passed_s in steps:
+            now_s[0] += passed_s
+            if begins and guard.may_begin("i", "m"):
+                guard.begun("i", "m")
+                in_hand += 1
+                if refused_s is not None:
+                    assert now_s[0] >= refused_s + PAUSE_S
+                    assert begun <= ended, "a second run beside one that is not answered"
+                    begun += 1
+            elif in_hand and not begins:
+                in_hand -= 1
+                getattr(guard, how)("i", "m")
+                ended += how == "ended"
+                if how != "ended":
+                    refused_s = now_s[0] if how == "refused" else None
+                    begun = ended = 0
+        assert guard.may_begin("i", "other")
+
+    one_at_a_time()
+
+
 @given_step("no trouble")
 def given_nothing(context):
     pass
--- a/src/bellweir/hosted/batches/attempts.py
+++ b/src/bellweir/hosted/batches/attempts.py
@@ -11,6 +11,7 @@
     VersionMixedError,
     VersionTooOldError,
 )
+from bellweir.hosted.batches.refusals import RefusalGuard
 from bellweir.hosted.event_stream import EventSplitter, EventTooLongError
 from bellweir.hosted.log_events import ITEM_BROKEN, ITEM_STARTED
 from bellweir.hosted.serving.attempt import (
@@ -52,6 +53,7 @@
     def __init__(self, connections: WorkerConnections, loads: WorkerLoads) -> None:
         self._connections = connections
         self._loads = loads
+        self.refusals = RefusalGuard()
 
     def run_text(self, progress: ItemProgress, worker: Worker, cancellation: Cancellation) -> None:
         """Get the item's events, from the first one that is missing on."""
@@ -66,9 +68,7 @@
             after_event=progress.last_event_id,
         )
         began_s = time.monotonic()
-        opened = self._connections.open(
-            worker, _text_call(progress), FIRST_EVENT_TIMEOUT_S, RUN_DEADLINE_MS, cancellation
-        )
+        opened = self._open_text(progress, worker, cancellation)
         if opened.opened is None or opened.state is not AttemptState.ANSWERED:
             self._not_answered(progress, worker, opened)
         elif opened.opened.status >= 300:
@@ -76,6 +76,26 @@
         else:
             self._read_events(progress, worker, opened.opened, began_s)
 
+    def _open_text(
+        self, progress: ItemProgress, worker: Worker, cancellation: Cancellation
+    ) -> OpenedAttempt:
+        """Send the item's request; what the answer's head tells of the worker is noted."""
+        model = progress.job.model
+        state = AttemptState.UNKNOWN
+        try:
+            opened = self._connections.open(
+                worker, _text_call(progress), FIRST_EVENT_TIMEOUT_S, RUN_DEADLINE_MS, cancellation
+            )
+            state = opened.state
+        finally:
+            if state is AttemptState.ANSWERED:
+                self.refusals.accepted(worker.instance, model)
+            elif state is AttemptState.REFUSED:
+                self.refusals.refused(worker.instance, model)
+            else:
+                self.refusals.ended(worker.instance, model)
+        return opened
+
     def _read_events(
         self, progress: ItemProgress, worker: Worker, opened: OpenAnswer, began_s: float
     ) -> None:
@@ -112,7 +132,7 @@
         if opened.opened is not None:
             read_whole(opened.opened, opened)
         if opened.state is AttemptState.REFUSED:
-            self._loads.refused(worker.instance)
+            self._loads.released(worker.instance)
             progress.not_before_s = time.monotonic() + REFUSED_PAUSE_S
         else:
             self._loads.failed(worker.instance)
--- a/src/bellweir/hosted/batches/coordinator.py
+++ b/src/bellweir/hosted/batches/coordinator.py
@@ -185,6 +185,7 @@
             )
         except (ExecutorSaturatedError, RuntimeError):
             self._loads.released(worker.instance)
+            self._attempts.refusals.ended(worker.instance, progress.job.model)
             with self._lock:
                 self._running.pop(key, None)
 
@@ -236,16 +237,22 @@
                 for worker in self._workers.ready(service)
                 if _fits(worker, progress) and not self._loads.is_avoided(worker.instance)
             ]
-            with_room = [worker for worker in fitting if self._has_room(worker)]
+            with_room = [worker for worker in fitting if self._has_room(worker, progress)]
             chosen = self._loads.choose(with_room, ())
             if chosen is not None:
+                if progress is not None:
+                    self._attempts.refusals.begun(chosen.instance, progress.job.model)
                 self._parts.charge(parts, key, service)
                 return chosen
             if fitting:
                 return None
         return None
 
-    def _has_room(self, worker: Worker) -> bool:
+    def _has_room(self, worker: Worker, progress: ItemProgress | None) -> bool:
+        if progress is not None:
+            model = progress.job.model
+            if not self._attempts.refusals.may_begin(worker.instance, model):
+                return False
         return self._loads.in_hand(worker.instance) < worker.entry.slots
 
     def _forget_old(self, jobs: list[JobState]) -> None:
--- a/src/bellweir/hosted/batches/service.py
+++ b/src/bellweir/hosted/batches/service.py
@@ -38,12 +38,13 @@
         self._views = registry.find(names.VIEWS, ViewsService)
         ledger = registry.find(names.LEDGER, Ledger)  # type: ignore[type-abstract]
         ledger.register(BatchJobs)
+        self._attempts = ItemAttempts(self._connections, self._loads)
         coordinator = Coordinator(
             ledger,
             self._views.configuration,
             self._views.workers,
             self._loads,
-            ItemAttempts(self._connections, self._loads),
+            self._attempts,
             self._kernel.executors,
             self._settings.bounds.status_s,
         )
@@ -88,5 +89,7 @@
     def _tidy(self, stopping: threading.Event) -> None:
         while not stopping.wait(TIDY_PERIOD_S):
             workers = self._views.workers.all()
-            self._loads.forget_others({worker.instance for worker in workers})
+            instances = {worker.instance for worker in workers}
+            self._loads.forget_others(instances)
+            self._attempts.refusals.forget_others(instances)
             self._connections.forget_others({worker.address for worker in workers})
--- a/src/bellweir_rehearsal/hosted/worker.py
+++ b/src/bellweir_rehearsal/hosted/worker.py
@@ -57,6 +57,8 @@
     ran: Counter[str] = field(default_factory=Counter)
     """Runs by request id."""
     orders: list[TakenOrder] = field(default_factory=list)
+    refusals: int = 0
+    """Requests that were not run."""
     resumed_after: dict[str, int] = field(default_factory=dict)
     """Events after which streams were asked to go on, by request id; 0 for a new one."""
 
@@ -111,6 +113,10 @@
         """Crash."""
         self.server.close()
 
+    def refuse_for(self, seconds: float) -> None:
+        """Refuse requests for a while, as during a load of weights."""
+        self._loading_until_s = time.monotonic() + seconds
+
     def entry(self, service: str, zone: str = "a", state: str = "ready") -> dict[str, Any]:
         """The worker's entry in the store."""
         models = [{"name": self.model, "version": self.version}] if self.model else []
@@ -161,6 +167,7 @@
             handler.answer(421, b"", {**echo, "X-Bellweir-Not-Executed": "1"})
             return
         if self.faults.strikes("refuse") or time.monotonic() < self._loading_until_s:
+            self.record.refusals += 1
             handler.answer(503, b"", {**echo, "X-Bellweir-Not-Executed": "1"})
             return
         with self._lock:
