--- a/src/bellweir/hosted/serving/forwarding.py
+++ b/src/bellweir/hosted/serving/forwarding.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 
 from bellweir.events.log import emit
-from bellweir.hosted.log_events import ATTEMPT_FAILED, REQUEST_ANSWERED, REQUEST_GIVEN_UP
+from bellweir.hosted.log_events import REQUEST_ANSWERED, REQUEST_GIVEN_UP
 from bellweir.hosted.records import RouteKind
 from bellweir.hosted.serving.attempt import (
     AttemptOutcome,
@@ -21,6 +21,7 @@
     WorkerConnections,
 )
 from bellweir.hosted.serving.client_request import MS_PER_S, ClientRequest
+from bellweir.hosted.serving.failed_attempt import FailedAttempt
 from bellweir.hosted.serving.metrics import RequestMetrics
 from bellweir.hosted.serving.selection import WeightedParts, WorkerLoads
 from bellweir.hosted.views.configuration import RouteTable
@@ -184,37 +185,23 @@
     ) -> None:
         instance = worker.instance
         self._metrics.attempt_ended(worker.entry.service, outcome.state.value, seconds)
-        if outcome.state is AttemptState.ANSWERED:
+        if outcome.state in (AttemptState.ANSWERED, AttemptState.UNKNOWN):
             progress.ran_at.add(instance)
             progress.may_have_run = True
-            answer = outcome.answer
-            if answer is not None and answer.status >= SERVER_ERROR:
-                self._loads.refused(instance)
-                progress.cause = "worker_failed"
-            else:
-                self._loads.answered(instance, seconds)
-                return
-        elif outcome.state is AttemptState.UNKNOWN:
-            progress.ran_at.add(instance)
-            progress.may_have_run = True
-            progress.cause = "no_answer"
-            self._loads.failed(instance)
-        elif outcome.state is AttemptState.REFUSED:
-            progress.cause = "workers_full"
-            self._loads.refused(instance)
-        else:
-            progress.cause = "not_reached"
-            self._loads.failed(instance)
-        emit(
-            ATTEMPT_FAILED,
-            request_id=client.request_id,
-            attempt=progress.sends,
-            instance=instance,
-            address=worker.address,
-            outcome=outcome.state.value,
-            detail=outcome.detail[:160],
-            ms=round(1000 * seconds),
+        answer = outcome.answer
+        is_answered = outcome.state is AttemptState.ANSWERED
+        if is_answered and (answer is None or answer.status < SERVER_ERROR):
+            self._loads.answered(instance, seconds)
+            return
+        failed = FailedAttempt(
+            client.request_id,
+            progress.sends,
+            worker,
+            outcome.state,
+            outcome.detail,
+            round(1000 * seconds),
         )
+        progress.cause = failed.note(self._loads)
 
     def _own_answer(self, client: ClientRequest, progress: Progress) -> Response:
         if not progress.may_have_run:
--- a/src/bellweir/hosted/serving/streams.py
+++ b/src/bellweir/hosted/serving/streams.py
@@ -13,7 +13,6 @@
 from bellweir.events.log import emit
 from bellweir.hosted.event_stream import EventSplitter, EventTooLongError
 from bellweir.hosted.log_events import (
-    ATTEMPT_FAILED,
     CLIENT_LEFT,
     REQUEST_ANSWERED,
     REQUEST_GIVEN_UP,
@@ -30,6 +29,7 @@
     read_whole,
 )
 from bellweir.hosted.serving.client_request import MS_PER_S, ClientRequest
+from bellweir.hosted.serving.failed_attempt import FailedAttempt
 from bellweir.hosted.serving.forwarding import (
     MAXIMUM_SENDS,
     RETRY_AFTER_FULL_S,
@@ -132,22 +132,15 @@
         answer = None
         if began.opened is not None:
             answer = read_whole(began.opened, began).answer
-        if state in (AttemptState.REFUSED, AttemptState.ANSWERED):
-            self._loads.refused(worker.instance)
-            stream.cause = "workers_full" if state is AttemptState.REFUSED else "worker_failed"
-        else:
-            self._loads.failed(worker.instance)
-            stream.cause = "no_answer" if state is AttemptState.UNKNOWN else "not_reached"
-        emit(
-            ATTEMPT_FAILED,
-            request_id=stream.client.request_id,
-            attempt=stream.sends,
-            instance=worker.instance,
-            address=worker.address,
-            outcome=state.value,
-            detail=began.detail[:160],
-            ms=round(1000 * (stream.client.route.timeout_ms / 1000 - stream.client.left_s())),
+        failed = FailedAttempt(
+            stream.client.request_id,
+            stream.sends,
+            worker,
+            state,
+            began.detail,
+            round(1000 * (stream.client.route.timeout_ms / 1000 - stream.client.left_s())),
         )
+        stream.cause = failed.note(self._loads)
         return answer if state is AttemptState.ANSWERED else None
 
     def _next_worker(self, stream: _Stream) -> Worker | None:
