--- a/features/hosted_settings.feature
+++ b/features/hosted_settings.feature
@@ -6,6 +6,10 @@
     When the template is filled for a gateway and for a store
     Then both settings are accepted, with nothing unknown
 
+  Scenario: A platform that does not tell what may be lost
+    When the template is filled for a store without the tolerated losses
+    Then the settings are accepted, with replicas for the loss of one machine
+
   Scenario: Several faults at once
     Given settings with a wrong role, a port out of bounds, a bad seed and no data folder
     Then all 3 faults of values are found together, each with its place
--- a/features/steps/hosted_settings_steps.py
+++ b/features/steps/hosted_settings_steps.py
@@ -56,6 +56,20 @@
     assert shared.ledger.replicas == 5
 
 
+@when("the template is filled for a store without the tolerated losses")
+def when_filled_without_tolerance(context):
+    template = (context.repository / "deploy" / "settings.template").read_text()
+    fields = platform_fields("store")
+    del fields["tolerate"]
+    context.text = fill(template, fields)
+
+
+@then("the settings are accepted, with replicas for the loss of one machine")
+def then_three_replicas(context):
+    settings = parse_settings(context.text.encode()).settings
+    assert node_settings(settings).ledger.replicas == 3
+
+
 def changed(context, **changes):
     plain = json.loads(filled(context, "gateway"))
     for place, value in changes.items():
--- a/features/support/relay_zone.py
+++ b/features/support/relay_zone.py
@@ -113,7 +113,7 @@
 
     def are_told(self):
         """Whether every node but the readers relies on what it is told."""
-        return all(each._relayed for node in self.others() for each in node.followers)
+        return all(each.is_relayed for node in self.others() for each in node.followers)
 
     def stop(self):
         for node in self.nodes.values():
--- a/src/bellweir/hosted/metrics_service.py
+++ b/src/bellweir/hosted/metrics_service.py
@@ -81,6 +81,16 @@
             "Workers in the list.",
             lambda: float(len(views.workers.all())),
         )
+        add(
+            "bellweir_views_relayed",
+            "1 while peers tell this process what is new in the store, 0 while it asks itself.",
+            lambda: float(views.is_relayed()),
+        )
+        add(
+            "bellweir_views_subscribers",
+            "Processes that this one tells what is new in the store.",
+            lambda: float(views.subscriber_count()),
+        )
         add(
             "bellweir_uptime_seconds",
             "Time since the process was composed.",
--- a/src/bellweir/hosted/views/follower.py
+++ b/src/bellweir/hosted/views/follower.py
@@ -75,7 +75,8 @@
         self._watching_since_s: float | None = None
         self._lost_since_s: float | None = None
         self._pause_s = FIRST_PAUSE_S
-        self._relayed = False
+        self.is_relayed = False
+        """Whether peers tell what is new; the store is not asked meanwhile."""
         self.has_readers: bool | None = None
         """Whether peers follow the store for this process, too; None: not known yet."""
         self.listed = threading.Event()
@@ -91,7 +92,7 @@
             if not self._is_wanted():
                 self._must_list = True
                 stopping.wait(IDLE_LOOK_S)
-            elif self._is_relayed():
+            elif self._look_at_relay():
                 stopping.wait(IDLE_LOOK_S)
             else:
                 self._follow(stopping)
@@ -114,7 +115,7 @@
         """
         watching_since_s = self._watching_since_s
         seen = self._revision
-        if seen is None or self._relayed or self._lost_since_s is not None:
+        if seen is None or self.is_relayed or self._lost_since_s is not None:
             return
         asked_s = time.monotonic()
         found = self._store.list_kind(self._kind, stale=True)
@@ -134,12 +135,12 @@
         """Seconds since the view was last known to be the store's."""
         return time.monotonic() - self.state.current_as_of_s
 
-    def _is_relayed(self) -> bool:
+    def _look_at_relay(self) -> bool:
         """Whether peers tell what is new, and lately enough."""
         age_s = time.monotonic() - self.state.relayed_as_of_s
         relayed = bool(self.has_readers) and age_s < FRESH_S
-        if relayed != self._relayed:
-            self._relayed = relayed
+        if relayed != self.is_relayed:
+            self.is_relayed = relayed
             if relayed:
                 self._note_answer()
                 self._must_list = False
--- a/src/bellweir/hosted/views/relay.py
+++ b/src/bellweir/hosted/views/relay.py
@@ -90,9 +90,9 @@
         transport.register(ViewsSubscription, self._on_subscription)
         transport.register(ViewsNews, self._on_news)
 
-    def has_subscribers(self) -> bool:
-        """Whether other nodes rely on what this node reads."""
-        return bool(self._subscribers)
+    def subscriber_count(self) -> int:
+        """Nodes that rely on what this node reads."""
+        return len(self._subscribers)
 
     def tell(self, stopping: threading.Event) -> None:
         """Tell subscribers what is new, until `stopping`. One task."""
--- a/src/bellweir/hosted/views/service.py
+++ b/src/bellweir/hosted/views/service.py
@@ -48,6 +48,14 @@
         )
         self._checked += [self.configuration_follower, self.workers_follower]
 
+    def subscriber_count(self) -> int:
+        """Nodes that rely on what this node reads."""
+        return self._relay.subscriber_count()
+
+    def is_relayed(self) -> bool:
+        """Whether peers tell this node what is new, for every kind."""
+        return self.configuration_follower.is_relayed and self.workers_follower.is_relayed
+
     def also_check(self, follower: KindFollower) -> None:
         """Compare another service's view with cheap readings, too."""
         self._checked.append(follower)
@@ -84,7 +92,7 @@
         """Interrupt watches that were cut in silence."""
         while True:
             for follower in list(self._checked):
-                is_reader = self._relay.has_subscribers()
+                is_reader = self._relay.subscriber_count() > 0
                 if stopping.wait(READER_CHECK_PERIOD_S if is_reader else CHECK_PERIOD_S):
                     return
                 follower.check()
--- a/src/bellweir_rehearsal/hosted/deployment.py
+++ b/src/bellweir_rehearsal/hosted/deployment.py
@@ -194,5 +194,6 @@
                 "statusS": 120,
             },
             "limits": {"memoryMb": 300, "maxFds": 4096},
+            "tolerate": {"machines": 1, "zones": 0, "regions": 0},
             "provider": {"address": self.store.address},
         }
