--- a/features/steps/hosted_settings_steps.py
+++ b/features/steps/hosted_settings_steps.py
@@ -61,12 +61,12 @@
     template = (context.repository / "deploy" / "settings.template").read_text()
     fields = platform_fields("store")
     del fields["tolerate"]
-    context.text = fill(template, fields)
+    context.filled = fill(template, fields)
 
 
 @then("the settings are accepted, with replicas for the loss of one machine")
 def then_three_replicas(context):
-    settings = parse_settings(context.text.encode()).settings
+    settings = parse_settings(context.filled.encode()).settings
     assert node_settings(settings).ledger.replicas == 3
 
 
