--- /dev/null
+++ b/features/hosted_soak.feature
@@ -0,0 +1,10 @@
+Feature: The hosted roles as processes, through faults drawn by chance
+  Traffic goes on while processes are killed, frozen and stopped, disks are lost and the platform's
+  store fails; a budget keeps the losses within what the deployment tolerates.
+
+  Scenario: A short soak
+    When a soak of 12 seconds is played with seed 5 over 3 gateways and 3 store machines
+    Then faults have struck and everything that must hold of the soak has held
+
+  Scenario: Losses stay within what is tolerated
+    Then at any order of faults no more store machines are lost at once than tolerated
--- /dev/null
+++ b/src/bellweir_rehearsal/hosted/checks.py
@@ -0,0 +1,141 @@
+"""What must hold of the hosted roles, whatever fails, and the traffic that shows it."""
+
+import itertools
+import time
+from collections.abc import Callable
+
+from bellweir_rehearsal.hosted.clients import Answer, Client, StepRecord, Trainer, call
+from bellweir_rehearsal.hosted.deployment import HostedDeployment
+from bellweir_rehearsal.hosted.worker import answer_to, stamp_of, text_of
+
+READY_TIMEOUT_S = 60.0
+BODY = b"body"
+
+
+class Check:
+    """One thing that must hold, with the cases looked at and those at fault.
+
+    A check without a case has not held: nothing was shown.
+
+    >>> check = Check("it works")
+    >>> check.expect(True, "first case")
+    >>> check.held, check.checked
+    (True, 1)
+    """
+
+    __slots__ = ("checked", "faults", "name")
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.checked = 0
+        self.faults: list[str] = []
+
+    def expect(self, holds: bool, what: str) -> None:
+        """Count one case; `what` describes it if it is at fault."""
+        self.checked += 1
+        if not holds:
+            self.faults.append(what)
+
+    @property
+    def held(self) -> bool:
+        """Whether there were cases and none was at fault."""
+        return self.checked > 0 and not self.faults
+
+
+class CheckedTraffic:
+    """Clients and a trainer before a deployment; what they see is checked."""
+
+    def __init__(
+        self, deployment: HostedDeployment, told: Callable[[str], None] = lambda _: None
+    ) -> None:
+        self.deployment = deployment
+        self.client = Client(deployment)
+        self.trainer = Trainer(self.client)
+        self.told = told
+        self._numbers = itertools.count(1)
+        self.answers = Check("a client gets the whole signed answer to its own request")
+        self.once = Check("a request that must not be repeated runs at most once")
+        self.samples = Check("each sample is whole, scored and of the versions that made it")
+        self.positions = Check("results stay at their positions, through kills and restarts")
+        self.orders = Check("orders come from one holder at a time, their fences rise")
+
+    def await_ready(self) -> None:
+        """Wait until every running gateway says that it is ready. Raises `TimeoutError`."""
+        until_s = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < until_s:
+            answers = [
+                call(self.deployment.address(name, "ready"), "GET", "/ready")
+                for name in self.deployment.running("gateway")
+            ]
+            if answers and all(each is not None and each.status == 200 for each in answers):
+                return
+            self.deployment.beat_for(0.2)
+        raise TimeoutError("the gateways are not ready")
+
+    def send_requests(self, count: int = 10) -> None:
+        """Send so many requests that may be repeated, and as many that may not."""
+        for _ in range(count):
+            self._price_check()
+            self._bid()
+
+    def next_id(self, kind: str) -> str:
+        """Return an id that no request has had."""
+        return f"{kind}-{next(self._numbers)}"
+
+    def _price_check(self) -> None:
+        request_id = self.next_id("price")
+        headers = {"X-Bellweir-Attempt-Id": request_id, "X-Bellweir-Deadline-Ms": "4000"}
+        answer = self.client.send("POST", "/price/x", BODY, headers)
+        self.answers.expect(_is_answer_to(request_id, answer), f"{request_id}: {answer}")
+
+    def _bid(self) -> None:
+        request_id = self.next_id("bid")
+        self.client.look_up()
+        if not self.client.addresses:
+            return
+        headers = {"X-Bellweir-Attempt-Id": request_id, "X-Bellweir-Deadline-Ms": "3000"}
+        answer = call(self.client.addresses[0], "POST", "/bid/x", b"bid", headers)
+        ran = sum(each.record.ran[request_id] for each in self.deployment.scorers)
+        self.once.expect(ran <= 1, f"{request_id} ran {ran} times")
+        if answer is not None and answer.status in (429, 503):
+            self.once.expect(ran == 0, f"{request_id} ran although it was refused")
+
+    def finish(self, step: StepRecord) -> None:
+        """Read a step to its end, check its samples and name the next version."""
+        self.trainer.read_step(step)
+        self._check_samples(step)
+        self.trainer.end_step(step)
+
+    def _check_samples(self, step: StepRecord) -> None:
+        for result in step.results:
+            item = result["id"]
+            events = self.deployment.models[0].events
+            whole = result["state"] == "completed" and result["text"] == text_of(item, events)
+            self.samples.expect(whole, f"{item}: {result}")
+            self.samples.expect(result.get("score") == stamp_of(f"score-{item}"), f"{item}: score")
+            fresh = min(result["versions"], default=0) >= step.minimum_version
+            self.samples.expect(fresh, f"{item}: versions {result['versions']}")
+        ids = {result["id"] for result in step.results}
+        self.samples.expect(ids == set(step.items), f"{step.job_id}: {ids}")
+
+    def read_again(self, step: StepRecord) -> None:
+        """Compare a step's results, read from the start, with what was read before."""
+        found = self.trainer.read_again(step)
+        self.positions.expect(found == step.results, f"{step.job_id}: {found}")
+
+    def check_orders(self) -> None:
+        """Compare each two orders that a worker took one after the other."""
+        for worker in self.deployment.models:
+            for before, after in itertools.pairwise(worker.record.orders):
+                same = before.holder == after.holder
+                rises = after.fence >= before.fence if same else after.fence > before.fence
+                self.orders.expect(rises, f"{worker.instance}: {before} then {after}")
+
+    def close(self) -> None:
+        """End every process and stand-in."""
+        self.deployment.close()
+
+
+def _is_answer_to(request_id: str, answer: Answer) -> bool:
+    signed = answer.headers.get("x-bellweir-server-stamp") == stamp_of(request_id)
+    return answer.status == 200 and signed and answer.body == answer_to(request_id, BODY)
--- a/src/bellweir_rehearsal/hosted/clients.py
+++ b/src/bellweir_rehearsal/hosted/clients.py
@@ -56,6 +56,7 @@
     chance: random.Random = field(default_factory=lambda: random.Random(1))
     addresses: list[str] = field(default_factory=list)
     known_until_s: float = 0.0
+    tries: int = TRIES
 
     def look_up(self) -> None:
         """Ask a gateway's directory."""
@@ -75,7 +76,7 @@
     ) -> Answer:
         """Send a request until an answer other than 5xx comes. Raises `NoAnswerError`."""
         last: Answer | None = None
-        for _ in range(TRIES):
+        for _ in range(self.tries):
             if time.monotonic() >= self.known_until_s:
                 self.look_up()
             if self.addresses:
--- a/src/bellweir_rehearsal/hosted/command.py
+++ b/src/bellweir_rehearsal/hosted/command.py
@@ -10,12 +10,15 @@
 from rich.console import Console
 
 from bellweir.cli.exit_codes import PROMISE_BROKEN
-from bellweir_rehearsal.hosted.day import Check, HostedDay
+from bellweir_rehearsal.hosted.checks import Check
+from bellweir_rehearsal.hosted.day import HostedDay
+from bellweir_rehearsal.hosted.soak import HostedSoak
 
 
 @cappa.command(
     name="hosted",
-    help="Play a short day of the hosted roles, with kills and outages, on loopback.",
+    help="Play a short day of the hosted roles, or a soak with random faults, on loopback.",
+    description="Examples: bellweir rehearse hosted; bellweir rehearse hosted --soak-s 60 --seed 4",
 )
 @dataclass
 class HostedCommand:
@@ -24,6 +27,12 @@
     folder: Annotated[
         Path | None, cappa.Arg(long=True, help="Where to keep logs; a temporary folder by default.")
     ] = None
+    soak_s: Annotated[
+        float, cappa.Arg(long=True, help="Seconds of a soak; 0 plays the short day instead.")
+    ] = 0.0
+    seed: Annotated[int, cappa.Arg(long=True, help="Draws the soak's faults.")] = 1
+    gateways: Annotated[int, cappa.Arg(long=True, help="Gateways of the soak.")] = 12
+    stores: Annotated[int, cappa.Arg(long=True, help="Store machines of the soak.")] = 5
 
     def __call__(self) -> None:
         """Play it; the exit code is 5 when something that must hold did not."""
@@ -36,13 +45,22 @@
 
     def _play(self, folder: Path) -> None:
         console = Console()
-        with closing(HostedDay(folder, console.print)) as day:
-            day.play()
-        for check in day.checks:
+        with closing(self._made(folder, console)) as played:
+            played.play()
+        if isinstance(played, HostedSoak):
+            struck = ", ".join(f"{name} {count}" for name, count in sorted(played.strikes.items()))
+            console.print(f"seed {self.seed}: {struck}", markup=False)
+        for check in played.checks:
             _print(console, check)
-        if not all(check.held for check in day.checks):
+        if not all(check.held for check in played.checks):
             raise cappa.Exit(code=PROMISE_BROKEN)
 
+    def _made(self, folder: Path, console: Console) -> HostedDay | HostedSoak:
+        if not self.soak_s:
+            return HostedDay(folder, console.print)
+        told = console.print
+        return HostedSoak(folder, self.seed, self.soak_s, self.gateways, self.stores, told)
+
 
 def _print(console: Console, check: Check) -> None:
     verdict = "held" if check.held else "BROKEN"
--- a/src/bellweir_rehearsal/hosted/deployment.py
+++ b/src/bellweir_rehearsal/hosted/deployment.py
@@ -29,6 +29,8 @@
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 12.0
 PORTS = 4
+SEEDS = 3
+"""Machines whose addresses the settings name."""
 METRICS_PORT = 9464
 """Port that the deploy file names."""
 
@@ -76,7 +78,13 @@
     folder: Path
     gateways: int = 3
     stores: int = 3
+    zones: int = 3
+    """Zones over which machines are spread; at most three."""
+    tolerated: int = 1
+    """Store machines that may be lost at once."""
     machines: dict[str, Machine] = field(default_factory=dict)
+    exit_codes: list[tuple[str, int]] = field(default_factory=list)
+    """Machines that were stopped as planned, with their processes' exit codes."""
 
     def __post_init__(self) -> None:
         self.ports = free_ports()
@@ -95,7 +103,7 @@
     def _add(self, role: str, number: int, first: int) -> None:
         name = f"{role}-{number}"
         ip = f"{self.network}.{first + number}"
-        zone = ZONES[number % len(ZONES)]
+        zone = ZONES[number % self.zones]
         self.machines[name] = Machine(name, role, ip, zone, self.folder)
 
     def start(self) -> None:
@@ -133,7 +141,15 @@
         if process is None:
             return 0
         process.send_signal(signal.SIGTERM)
-        return process.wait(STOP_TIMEOUT_S)
+        code = process.wait(STOP_TIMEOUT_S)
+        self.exit_codes.append((name, code))
+        return code
+
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to a machine's process."""
+        process = self.machines[name].process
+        if process is not None:
+            process.send_signal(number)
 
     def beat(self) -> None:
         """Write every running worker's entry, where it has changed."""
@@ -174,7 +190,7 @@
         """The platform's fields for a machine, as its page on settings gives them."""
         listen = self._listen()
         interfaces = ("front", "ready", "directory") if machine.role == "gateway" else ()
-        seeds = [each.ip for each in self.machines.values() if each.role == "gateway"]
+        seeds = [each.ip for each in self.machines.values() if each.role == "gateway"][:SEEDS]
         return {
             "nodeName": machine.name,
             "role": machine.role,
@@ -194,6 +210,6 @@
                 "statusS": 120,
             },
             "limits": {"memoryMb": 300, "maxFds": 4096},
-            "tolerate": {"machines": 1, "zones": 0, "regions": 0},
+            "tolerate": {"machines": self.tolerated, "zones": 0, "regions": 0},
             "provider": {"address": self.store.address},
         }
