--- a/src/bellweir/ledger/node.py
+++ b/src/bellweir/ledger/node.py
@@ -31,7 +31,6 @@
     AppendAnswer,
     AppendRequest,
     ElectNow,
-    ShardAppend,
     ShardAppended,
     SnapshotAnswer,
     SnapshotPart,
@@ -40,12 +39,10 @@
 )
 from bellweir.ledger.replica import Replica
 from bellweir.ledger.replica_state import ReplicaTiming
-from bellweir.ledger.snapshots import MAXIMUM_SNAPSHOT_BYTES, IncomingSnapshot, OutgoingSnapshot
+from bellweir.ledger.replicator import Replicator
+from bellweir.ledger.snapshots import MAXIMUM_SNAPSHOT_BYTES, IncomingSnapshot
 from bellweir.wire.interface import Sender, Transport
 
-MAXIMUM_BATCH_BYTES = 1 << 20
-"""Payload of all shards in one append message; shards left out go with the next one."""
-
 AddressOf = Callable[[str], str | None]
 """Peer address of a node by its name, as far as membership knows it."""
 
@@ -85,8 +82,9 @@
         # must find the first one's replica durable.
         self._making = threading.Lock()
         self._replicas: dict[int, Replica] = {}
-        self._round = 0
-        self._outgoing: dict[tuple[int, ReplicaId], OutgoingSnapshot] = {}
+        self._replicator = Replicator(
+            transport, clock, timing.request_timeout_s, self.replica, self.forget
+        )
         self._incoming: dict[int, IncomingSnapshot] = {}
         self.wake: Callable[[], None] = lambda: None
         """Called after a proposal or query, so that the tasks need not wait for their period."""
@@ -141,16 +139,20 @@
         timing = ReplicaTiming(self._timing.election_timeout_s, self._timing.snapshot_entries)
         now_s = self._clock.monotonic_s()
         return Replica(
-            shard, self.own, self._journal, applier, timing, self._newest_round, now_s, stored
+            shard,
+            self.own,
+            self._journal,
+            applier,
+            timing,
+            self._replicator.newest_round,
+            now_s,
+            stored,
         )
 
     def _add(self, replica: Replica) -> None:
         # Replaced, not changed, so that readers need no lock.
         self._replicas = self._replicas | {replica.shard: replica}
 
-    def _newest_round(self) -> int:
-        return self._round
-
     # --- callers ------------------------------------------------------------------------------
 
     def propose(self, shard: int, payload: bytes) -> OutcomeFuture | None:
@@ -209,16 +211,7 @@
         led = self._led_on(peer)
         if not heartbeat:
             led = [(replica, target) for replica, target in led if replica.has_news_for(target)]
-        answered = True
-        for target in dict.fromkeys(target for _, target in led):
-            followed = [replica for replica, one in led if one == target]
-            answered = self._send_appends(address, target, followed) and answered
-        for replica, target in led:
-            if answered and replica.needs_snapshot(target):
-                answered = self._send_snapshot_part(address, replica, target)
-            else:
-                self._outgoing.pop((replica.shard, target), None)
-        return answered
+        return self._replicator.send(address, led)
 
     def stop_standing(self) -> None:
         """Win no election from now on; the node leaves."""
@@ -245,64 +238,6 @@
             if target.node == peer and target != self.own
         ]
 
-    def _send_appends(self, address: str, target: ReplicaId, led: list[Replica]) -> bool:
-        parts: list[ShardAppend] = []
-        size_bytes = 0
-        for replica in led:
-            part = replica.make_append(target)
-            if part is not None and size_bytes <= MAXIMUM_BATCH_BYTES:
-                parts.append(part)
-                size_bytes += sum(len(entry.payload) for entry in part.entries)
-        if not parts:
-            return True
-        sent_round = self._next_round()
-        sent = AppendRequest(self.own, target, tuple(parts))
-        answer = self._transport.request(address, sent, self._timing.request_timeout_s)
-        message = answer.value_or(None)
-        answered = message.parts if isinstance(message, AppendAnswer) else ()
-        heard = {part.shard for part in answered}
-        for replica in led:
-            if replica.shard not in heard and any(part.shard == replica.shard for part in parts):
-                replica.note_silence(target)
-        if not isinstance(message, AppendAnswer):
-            return False
-        for taken in answered:
-            self._take_answer(taken, message.replica, sent_round)
-        return True
-
-    def _take_answer(self, answered: ShardAppended, follower: ReplicaId, sent_round: int) -> None:
-        replica = self._replicas.get(answered.shard)
-        if replica is None:
-            return
-        if answered.generation > replica.generation:
-            self.forget(replica, answered.generation)
-        else:
-            replica.handle_appended(answered, follower, sent_round, self._clock.monotonic_s())
-
-    def _send_snapshot_part(self, address: str, replica: Replica, target: ReplicaId) -> bool:
-        key = (replica.shard, target)
-        if key not in self._outgoing:
-            self._outgoing[key] = OutgoingSnapshot(replica.snapshot())
-        outgoing = self._outgoing[key]
-        part = outgoing.part(replica.shard, replica.generation, replica.term, self.own, target)
-        answer = self._transport.request(address, part, self._timing.request_timeout_s)
-        message = answer.value_or(None)
-        if not isinstance(message, SnapshotAnswer):
-            return False
-        installed = message.accepted and message.next_offset == part.total_bytes
-        now_s = self._clock.monotonic_s()
-        if message.term > 0:
-            replica.snapshot_answered(target, part.index, message.term, now_s, installed=installed)
-        outgoing.offset = message.next_offset
-        if installed or not message.accepted:
-            self._outgoing.pop(key, None)
-        return True
-
-    def _next_round(self) -> int:
-        with self._lock:
-            self._round += 1
-            return self._round
-
     def _send_votes(self, requests: list[VoteRequest]) -> None:
         if not requests:
             return
