--- a/src/bellweir/ledger/replicator.py
+++ b/src/bellweir/ledger/replicator.py
@@ -36,7 +36,7 @@
         replica_of: Callable[[int], Replica | None],
         forget: Callable[[Replica, int], None],
     ) -> None:
-        """`replica_of` finds the replica of a shard here, `forget` drops one of an old generation."""
+        """`replica_of` finds the replica of a shard here; `forget` drops an outdated one."""
         self._transport = transport
         self._clock = clock
         self._request_timeout_s = request_timeout_s
