--- a/features/hosted_views.feature
+++ b/features/hosted_views.feature
@@ -36,6 +36,17 @@
     When worker "i-2" is gone from the store
     Then the process may send requests of "app" to nobody
 
+  Scenario: A kind that is followed only while it is wanted
+    Given a follower of retirements that nobody wants yet
+    When retirement "store-1" is written
+    Then the follower has not asked the store
+    When the follower is wanted
+    Then it knows the retirements "store-1"
+    When it is not wanted any more, and retirements "store-2" and "store-3" are written
+    Then it knows no more than "store-1, store-2"
+    When the follower is wanted
+    Then it knows the retirements "store-1, store-2, store-3"
+
   Scenario: A configuration never goes back
     Then in any order of tellings the configuration in force only rises
 
--- a/features/steps/hosted_views_steps.py
+++ b/features/steps/hosted_views_steps.py
@@ -145,6 +145,65 @@
     )
 
 
+@given_step("a follower of retirements that nobody wants yet")
+def given_unwanted(context):
+    context.wanted = threading.Event()
+    context.retirements = set()
+
+    def on_list(listing):
+        context.retirements = {record.name for record in listing.records}
+
+    context.follower = KindFollower(
+        PlatformStore(context.store.address),
+        RecordKind.RETIREMENTS,
+        on_list,
+        lambda change: context.retirements.add(change.record.name),
+        is_wanted=context.wanted.is_set,
+    )
+    stopping = threading.Event()
+    threading.Thread(target=context.follower.run, args=(stopping,), daemon=True).start()
+    context.cleanup.callback(stopping.set)
+
+
+@when('retirement "{name}" is written')
+def when_retirement(context, name):
+    context.store.records.put("retirements", name, {"durationS": 8})
+
+
+@then("the follower has not asked the store")
+def then_not_asked(context):
+    assert not context.follower.listed.wait(SETTLED_S)
+    assert context.retirements == set()
+
+
+@when("the follower is wanted")
+def when_wanted(context):
+    context.wanted.set()
+
+
+@then('it knows the retirements "{names}"')
+def then_knows_retirements(context, names):
+    wanted = set(names.split(", "))
+    context.wait_until(lambda: context.retirements == wanted, f"retirements {names}")
+
+
+@when('it is not wanted any more, and retirements "{first}" and "{second}" are written')
+def when_unwanted(context, first, second):
+    follower = context.follower
+    context.wait_until(lambda: follower._watching_since_s is not None, "a watch in hand")
+    context.wanted.clear()
+    # The watch in hand still tells of one change; the next is not asked for.
+    when_retirement(context, first)
+    context.wait_until(lambda: follower._revision is None, "the follower at rest")
+    when_retirement(context, second)
+
+
+@then('it knows no more than "{names}"')
+def then_knows_at_most(context, names):
+    time.sleep(SETTLED_S)
+    assert context.retirements <= set(names.split(", ")), context.retirements
+
+
 @when("the operator writes configuration {version:d} with a kind of route that nobody knows")
 def when_unknown_kind(context, version):
     spec = configuration(version)
--- a/src/bellweir_rehearsal/hosted/checks.py
+++ b/src/bellweir_rehearsal/hosted/checks.py
@@ -4,7 +4,14 @@
 import time
 from collections.abc import Callable
 
-from bellweir_rehearsal.hosted.clients import Answer, Client, StepRecord, Trainer, call
+from bellweir_rehearsal.hosted.clients import (
+    Answer,
+    Client,
+    StepRecord,
+    Trainer,
+    call,
+    configuration,
+)
 from bellweir_rehearsal.hosted.deployment import HostedDeployment
 from bellweir_rehearsal.hosted.worker import answer_to, stamp_of, text_of
 
@@ -59,6 +66,17 @@
         self.positions = Check("results stay at their positions, through kills and restarts")
         self.orders = Check("orders come from one holder at a time, their fences rise")
 
+    @property
+    def traffic_checks(self) -> list[Check]:
+        """The checks of what clients and the trainer see."""
+        return [self.answers, self.once, self.samples, self.positions, self.orders]
+
+    def start(self) -> None:
+        """Write the first configuration and start every machine."""
+        self.deployment.store.records.put("config", "main", configuration(1))
+        self.deployment.start()
+        self.await_ready()
+
     def await_ready(self) -> None:
         """Wait until every running gateway says that it is ready. Raises `TimeoutError`."""
         until_s = time.monotonic() + READY_TIMEOUT_S
--- a/src/bellweir_rehearsal/hosted/day.py
+++ b/src/bellweir_rehearsal/hosted/day.py
@@ -25,19 +25,11 @@
     @property
     def checks(self) -> list[Check]:
         """All checks."""
-        return [
-            self.answers,
-            self.once,
-            self.samples,
-            self.positions,
-            self.configured,
-            self.orders,
-            self.stops,
-        ]
+        return [*self.traffic_checks, self.configured, self.stops]
 
     def play(self) -> None:
         """Play the whole day."""
-        self._step("start", self._start)
+        self._step("start", self.start)
         self._step("a calm step", self._calm_step)
         self._step("a store machine is killed in the middle of a step", self._killed_store)
         self._step("the platform's store is silent", self._silent_store)
@@ -51,11 +43,6 @@
         self.told(name)
         play()
 
-    def _start(self) -> None:
-        self.deployment.store.records.put("config", "main", configuration(1))
-        self.deployment.start()
-        self.await_ready()
-
     def _calm_step(self) -> None:
         step = self.trainer.begin_step()
         self.send_requests()
--- a/src/bellweir_rehearsal/hosted/soak.py
+++ b/src/bellweir_rehearsal/hosted/soak.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 
 from bellweir_rehearsal.hosted.checks import Check, CheckedTraffic
-from bellweir_rehearsal.hosted.clients import NoAnswerError, call, configuration
+from bellweir_rehearsal.hosted.clients import NoAnswerError, call
 from bellweir_rehearsal.hosted.deployment import BEAT_S, HostedDeployment
 from bellweir_rehearsal.hosted.soak_faults import ALL_FAULTS, LossBudget, SoakFault
 
@@ -57,22 +57,11 @@
     @property
     def checks(self) -> list[Check]:
         """All checks."""
-        return [
-            self.answers,
-            self.once,
-            self.samples,
-            self.positions,
-            self.orders,
-            self.whole,
-            self.configured,
-            self.stops,
-        ]
+        return [*self.traffic_checks, self.whole, self.configured, self.stops]
 
     def play(self) -> None:
         """Play until the time is over, then look at everything once more."""
-        self.deployment.store.records.put("config", "main", configuration(1))
-        self.deployment.start()
-        self.await_ready()
+        self.start()
         with self._disrupted():
             until_s = time.monotonic() + self._seconds
             while time.monotonic() < until_s:
