--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -47,6 +47,13 @@
 STORE_LISTED = Event(
     1412, "store_listed", Level.INFO, ("kind", "revision", "count"), "All objects were read."
 )
+STORE_CALLS = Event(
+    1418,
+    "store_calls",
+    Level.INFO,
+    ("calls",),
+    "Calls to the object store since the last such line, by kind, sort and outcome.",
+)
 VIEW_RELAYED = Event(
     1416,
     "view_relayed",
--- a/src/bellweir/hosted/metrics_service.py
+++ b/src/bellweir/hosted/metrics_service.py
@@ -2,10 +2,10 @@
 
 import time
 
-from bellweir.hosted.interface import HostingPlatform
 from bellweir.hosted.serving.metrics import RequestMetrics
 from bellweir.hosted.serving.simple_application import SimpleApplication
 from bellweir.hosted.settings import HostedSettings
+from bellweir.hosted.store_calls import CountedStore
 from bellweir.hosted.views.service import ViewsService
 from bellweir.http_server.http import Request, Response, json_response
 from bellweir.http_server.server import HttpServer
@@ -28,10 +28,11 @@
     name = names.TELEMETRY
     dependencies = (names.VIEWS, names.MEMBERSHIP)
 
-    def __init__(self, kernel: Kernel, settings: HostedSettings, platform: HostingPlatform) -> None:
+    def __init__(self, kernel: Kernel, settings: HostedSettings, store: CountedStore) -> None:
         self._kernel = kernel
         self._address = settings.listen.metrics
         self.metrics = RequestMetrics()
+        self.metrics.add_store_calls(store.counts)
         self._server: HttpServer | None = None
         self._began_s = time.monotonic()
 
--- a/src/bellweir/hosted/process.py
+++ b/src/bellweir/hosted/process.py
@@ -7,6 +7,7 @@
 import threading
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 from types import FrameType
 
@@ -31,6 +32,7 @@
     LoadedSettings,
     load_settings,
 )
+from bellweir.hosted.store_calls import CountedStore
 from bellweir.hosted.views.service import ViewsService
 from bellweir.kernel import names
 from bellweir.kernel.listeners import Listeners, bind_address, bind_peer_pair
@@ -71,14 +73,17 @@
     def _register(self, settings: HostedSettings, platform: HostingPlatform) -> None:
         kernel = self.kernel
         shared = node_settings(settings)
+        store = CountedStore(platform.store)
+        platform = replace(platform, store=store)
+        self._store = store
         add = kernel.registry.register
         add(TransportService(kernel, shared))
         add(MembershipService(kernel, shared))
-        add(PlacementService(platform.store))
+        add(PlacementService(store))
         add(LedgerService(kernel, shared))
-        add(ViewsService(kernel, platform.store))
-        add(PeerRecords(kernel, platform.store))
-        add(MetricsService(kernel, settings, platform))
+        add(ViewsService(kernel, store))
+        add(PeerRecords(kernel, store))
+        add(MetricsService(kernel, settings, store))
         for make in _role_services(settings.node.role):
             add(make(kernel, settings, platform))
 
@@ -94,6 +99,7 @@
         while not self._stop_asked.is_set():
             self._wake.wait(1.0)
             self._wake.clear()
+            self._store.log_calls_if_due()
             if self._reload_asked.is_set():
                 self._reload_asked.clear()
                 self._reload()
@@ -122,6 +128,7 @@
         began_s = time.monotonic()
         registry = self.kernel.registry
         registry.find(names.MEMBERSHIP, MembershipService).announce_leaving()
+        self._store.log_calls()
         registry.drain(max(0.5, self._settings.bounds.grace_period_s - EXIT_MARGIN_S))
         try:
             registry.stop()
--- a/src/bellweir/hosted/serving/metrics.py
+++ b/src/bellweir/hosted/serving/metrics.py
@@ -1,9 +1,13 @@
 """Counters, gauges and latency histograms of one process, in Prometheus text form."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from prometheus_client import CollectorRegistry, Gauge, Histogram
+from prometheus_client.core import CounterMetricFamily
 from prometheus_client.exposition import generate_latest
+from prometheus_client.registry import Collector
+
+from bellweir.hosted.store_calls import StoreCallCounts
 
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
 """Upper bounds of the histograms' buckets, in seconds."""
@@ -41,6 +45,28 @@
         """Add a gauge, read when the figures are asked for."""
         Gauge(name, meaning, registry=self._registry).set_function(read)
 
+    def add_store_calls(self, counts: StoreCallCounts) -> None:
+        """Show the calls to the platform's store."""
+        self._registry.register(_StoreCalls(counts))
+
     def render(self) -> bytes:
         """All figures as text."""
         return generate_latest(self._registry)
+
+
+class _StoreCalls(Collector):
+    """Reads the counts when the figures are asked for."""
+
+    def __init__(self, counts: StoreCallCounts) -> None:
+        self._counts = counts
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        """One family, one sample for each kind, sort and outcome."""
+        family = CounterMetricFamily(
+            "bellweir_store_calls",
+            "Calls to the platform's store, by kind of object, sort of call and outcome.",
+            labels=("kind", "call", "outcome"),
+        )
+        for labels, count in self._counts.all().items():
+            family.add_metric(labels, count)
+        yield family
