Keep workers whose entries lapsed while the store was away until they can be back

Change: a follower that regains the store after an outage of a second or more says so before it reads; a ready worker that is missing then counts as live for 2 s more, and is dropped when it has not come back. Readers tell their subscribers of the same grace. Draining workers are not kept, and nothing is kept outside of an outage.

--- a/features/hosted_views.feature
+++ b/features/hosted_views.feature
@@ -58,3 +58,26 @@
     Given the operator has written configuration 3
     And workers "i-1" of service "app"
     Then a peer's copy gives configuration 3 and worker "i-1", until the store is read
+
+  Scenario: Workers whose entries lapsed while the store was away
+    Given workers "i-1" and "i-2" of service "app"
+    When the store is away for a while and the entries of "i-1" and "i-2" lapse meanwhile
+    Then the store's return is seen, and "i-1, i-2" may still get requests of "app"
+    When worker "i-1" writes its entry again
+    Then the process may send requests of "app" to "i-1"
+    And it knows worker "i-1" from the store
+
+  Scenario: A worker that drained before the outage is not kept
+    Given workers "i-1" and "i-2" of service "app"
+    When worker "i-1" says that it is draining
+    Then the process may send requests of "app" to "i-2"
+    When the store is away for a while and the entries of "i-1" and "i-2" lapse meanwhile
+    Then the store's return is seen, and "i-2" may still get requests of "app"
+
+  Scenario: A worker that goes while the store is there is gone at once
+    Given workers "i-1" and "i-2" of service "app"
+    When worker "i-1" is gone from the store
+    Then the view has dropped "i-1" with the change itself
+
+  Scenario: Kept workers and the calendar of their return
+    Then in any order of outages, lapses and returns a worker is kept for the agreed time, no longer
--- a/features/steps/hosted_views_steps.py
+++ b/features/steps/hosted_views_steps.py
@@ -13,7 +13,7 @@
 from bellweir.hosted.interface import Listing, RecordChange, RecordKind, StoredRecord
 from bellweir.hosted.records import RouteKind
 from bellweir.hosted.views.configuration import ConfigurationView
-from bellweir.hosted.views.follower import KindFollower
+from bellweir.hosted.views.follower import RETURN_GRACE_S, SHORTEST_OUTAGE_S, KindFollower
 from bellweir.hosted.views.peer_copy import ViewsAnswer, ViewsRequest, copy_views, register_views
 from bellweir.hosted.views.workers import WorkersView
 from bellweir_platform.object_store import PlatformStore
@@ -43,7 +43,13 @@
     view, workers = ConfigurationView(), WorkersView()
     followers = [
         KindFollower(store, RecordKind.CONFIGURATION, view.take_listing, view.take_change),
-        KindFollower(store, RecordKind.WORKERS, workers.take_listing, workers.take_change),
+        KindFollower(
+            store,
+            RecordKind.WORKERS,
+            workers.take_listing,
+            workers.take_change,
+            on_return=workers.keep_lapsed_until,
+        ),
     ]
     stopping = threading.Event()
     for follower in followers:
@@ -261,3 +267,84 @@
     assert workers.ready("app") == []
     nothing = SimpleNamespace(request=lambda *_: Success(ViewsAnswer(None, {})))
     assert not copy_views(nothing, "peer:1", view, workers, 1.0)
+
+
+@when('the store is away for a while and the entries of "{first}" and "{second}" lapse meanwhile')
+def when_lapsed(context, first, second):
+    context.store.begin_outage(Outage.REFUSES)
+    follower = context.process.followers[1]
+    context.wait_until(lambda: follower._lost_since_s is not None, "the outage to be noted")
+    time.sleep(SHORTEST_OUTAGE_S + 0.2)
+    for instance in (first, second):
+        context.store.records.delete("servers", instance)
+    context.before = context.store.records.revision
+    context.store.end_outage()
+
+
+@then('the store\'s return is seen, and "{names}" may still get requests of "app"')
+def then_kept(context, names):
+    follower = context.process.followers[1]
+    context.wait_until(lambda: (follower._revision or 0) >= context.before, "the lapses")
+    found = {worker.instance for worker in context.process.workers.ready("app")}
+    assert found == set(names.split(", ")), found
+
+
+@when('worker "{instance}" writes its entry again')
+def when_back(context, instance):
+    context.store.records.put("servers", instance, entry(instance))
+
+
+@then('it knows worker "{instance}" from the store')
+def then_from_store(context, instance):
+    assert not context.process.workers.is_lapsed(instance)
+
+
+@then('the view has dropped "{instance}" with the change itself')
+def then_dropped(context, instance):
+    follower = context.process.followers[1]
+    gone_at = context.store.records.revision
+    context.wait_until(lambda: (follower._revision or 0) >= gone_at, "the change")
+    assert context.process.workers.worker(instance) is None
+
+
+@then("in any order of outages, lapses and returns a worker is kept for the agreed time, no longer")
+def then_model_holds(context):
+    names = ("a", "b")
+    steps = st.lists(
+        st.tuples(
+            st.sampled_from(("wait", "lapse", "back", "drain", "return")), st.sampled_from(names)
+        ),
+        max_size=25,
+    )
+
+    @settings(max_examples=200)
+    @given(steps=steps)
+    def holds(steps):
+        now = [0.0]
+        view = WorkersView(now_s=lambda: now[0])
+        listed, kept, grace_until = {}, {}, 0.0
+        view.take_listing(Listing(0, ()))
+        for number, (what, name) in enumerate(steps, start=1):
+            record = StoredRecord("servers", name, number, entry(name))
+            if what == "wait":
+                now[0] += 0.7
+            elif what == "return":
+                grace_until = now[0] + RETURN_GRACE_S
+                view.keep_lapsed_until(grace_until)
+            elif what == "lapse" and name in listed:
+                is_kept = listed.pop(name) == "ready" and now[0] < grace_until
+                if is_kept:
+                    kept[name] = grace_until
+                view.take_change(RecordChange(record, deleted=True))
+            elif what in ("back", "drain"):
+                listed[name] = "ready" if what == "back" else "draining"
+                kept.pop(name, None)
+                spec = entry(name, listed[name])
+                view.take_change(
+                    RecordChange(StoredRecord("servers", name, number, spec), deleted=False)
+                )
+            expected = {one for one, state in listed.items() if state == "ready"}
+            expected |= {one for one, until in kept.items() if now[0] < until}
+            assert {worker.instance for worker in view.ready("app")} == expected, steps
+
+    holds()
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -85,6 +85,13 @@
     ("instance", "service", "address", "state", "versions"),
     "A worker's entry appeared, changed or went (state `gone`).",
 )
+WORKER_KEPT = Event(
+    1419,
+    "worker_kept",
+    Level.INFO,
+    ("instance", "address", "left_s"),
+    "A worker's entry lapsed while the store was away; the worker counts as live so much longer.",
+)
 REQUEST_ANSWERED = Event(
     1420,
     "request_answered",
--- a/src/bellweir/hosted/views/follower.py
+++ b/src/bellweir/hosted/views/follower.py
@@ -46,6 +46,10 @@
 """The same for a process that peers will tell when the store answers again."""
 FRESH_S = 1.5
 """Age from which on what peers tell does not do; a leaving worker must be known of in 2 s."""
+SHORTEST_OUTAGE_S = 1.0
+"""Outages of the store that are shorter let no entry lapse: that takes three heartbeats."""
+RETURN_GRACE_S = 2.0
+"""Time after the store's return within which a living worker's lapsed entry is back (NEWS-23)."""
 IDLE_LOOK_S = 0.25
 """Pause between two looks whether the store is to be followed."""
 
@@ -61,16 +65,19 @@
         on_change: Callable[[RecordChange], None],
         settle_s: float = 0.0,
         is_wanted: Callable[[], bool] = lambda: True,
+        on_return: Callable[[float], None] = lambda _until_s: None,
     ) -> None:
         """Changes that come within `settle_s` of each other are read by one call.
 
         Nothing is followed while `is_wanted` says no; the kind is listed anew after that.
+        `on_return` hears, before anything is read, that the store was away, and until which
+        monotonic time entries that lapsed meanwhile may come back.
         """
         self._settle_s = settle_s
         self._store = store
         self._kind = kind
         self._is_wanted = is_wanted
-        self.state = KindState(kind, on_list, on_change)
+        self.state = KindState(kind, on_list, on_change, on_return)
         self._must_list = True
         self._watching_since_s: float | None = None
         self._lost_since_s: float | None = None
@@ -100,8 +107,8 @@
     def _follow(self, stopping: threading.Event) -> None:
         failure = self._step(stopping)
         if failure is None:
-            self._note_answer()
-        elif failure.kind is StoreErrorKind.COMPACTED:
+            return
+        if failure.kind is StoreErrorKind.COMPACTED:
             self._must_list = True
         else:
             self._note_failure(failure)
@@ -161,6 +168,7 @@
         if not isinstance(found, Success):
             return found.failure()
         listing = found.unwrap()
+        self._note_answer()
         self.state.take_listing(listing, asked_s)
         self._must_list = False
         self.listed.set()
@@ -177,6 +185,7 @@
         if not isinstance(found, Success):
             return found.failure()
         changes = found.unwrap()
+        self._note_answer()
         self.state.take_changes(changes, time.monotonic() if changes.changes else asked_s)
         if changes.changes and self._settle_s:
             stopping.wait(self._settle_s)
@@ -189,10 +198,14 @@
 
     def _note_answer(self) -> None:
         self._pause_s = FIRST_PAUSE_S
-        if self._lost_since_s is not None:
-            after_s = round(time.monotonic() - self._lost_since_s, 3)
-            emit(STORE_REGAINED, kind=self._kind, after_s=after_s)
-            self._lost_since_s = None
+        if self._lost_since_s is None:
+            return
+        now_s = time.monotonic()
+        after_s = now_s - self._lost_since_s
+        self._lost_since_s = None
+        emit(STORE_REGAINED, kind=self._kind, after_s=round(after_s, 3))
+        if after_s >= SHORTEST_OUTAGE_S:
+            self.state.note_return(now_s + RETURN_GRACE_S)
 
     def _note_failure(self, failure: StoreError) -> None:
         if self._lost_since_s is not None:
--- a/src/bellweir/hosted/views/kind_state.py
+++ b/src/bellweir/hosted/views/kind_state.py
@@ -40,6 +40,8 @@
     gone: tuple[str, ...]
     age_s: float
     """Seconds since the teller was last sure to be in touch with the store."""
+    grace_s: float = 0.0
+    """Seconds for which objects that are gone may still come back: the store was away."""
 
 
 class KindState:
@@ -50,10 +52,12 @@
         "_lock",
         "_on_change",
         "_on_list",
+        "_on_return",
         "_recent",
         "_records",
         "advanced",
         "current_as_of_s",
+        "grace_until_s",
         "kind",
         "relayed_as_of_s",
         "revision",
@@ -64,7 +68,9 @@
         kind: str,
         on_list: Callable[[Listing], None],
         on_change: Callable[[RecordChange], None],
+        on_return: Callable[[float], None] = lambda _until_s: None,
     ) -> None:
+        """`on_return` hears until when objects may come back whose entries have lapsed."""
         self.kind = kind
         self.revision: int | None = None
         """Store revision up to which all changes are known; None before the first list."""
@@ -74,8 +80,11 @@
         """The same, as peers told it."""
         self.advanced: Callable[[], None] = lambda: None
         """Called after each change of the state, off its lock."""
+        self.grace_until_s = NEVER_S
+        """Monotonic time until which objects that are gone may come back."""
         self._on_list = on_list
         self._on_change = on_change
+        self._on_return = on_return
         self._lock = threading.Lock()
         self._records: dict[str, StoredRecord] = {}
         self._recent: deque[tuple[int, str]] = deque(maxlen=REMEMBERED_CHANGES)
@@ -119,6 +128,8 @@
     def take_news(self, news: KindNews, now_s: float) -> bool:
         """Take what a peer tells; False when changes before it are missing here."""
         as_of_s = now_s - news.age_s
+        if news.grace_s > 0:
+            self.note_return(now_s + news.grace_s)
         if news.base is None:
             self.take_listing(Listing(news.revision, news.records), as_of_s)
         elif self.revision is None or news.base > self.revision:
@@ -136,13 +147,22 @@
             if self.revision is None:
                 return None
             age_s = max(0.0, now_s - self.current_as_of_s)
+            grace_s = max(0.0, self.grace_until_s - now_s)
             if revision is None or revision < self._floor:
                 whole = tuple(self._records.values())
-                return KindNews(self.kind, None, self.revision, whole, (), age_s)
+                return KindNews(self.kind, None, self.revision, whole, (), age_s, grace_s)
             names = {name for changed_at, name in self._recent if changed_at > revision}
             records = tuple(self._records[name] for name in names if name in self._records)
             gone = tuple(name for name in names if name not in self._records)
-            return KindNews(self.kind, revision, self.revision, records, gone, age_s)
+            return KindNews(self.kind, revision, self.revision, records, gone, age_s, grace_s)
+
+    def note_return(self, until_s: float) -> None:
+        """Note that the store is back after an outage; entries that lapsed may come back."""
+        with self._lock:
+            if until_s <= self.grace_until_s:
+                return
+            self.grace_until_s = until_s
+        self._on_return(until_s)
 
     def confirm(self, as_of_s: float) -> None:
         """Note that the store was in touch at a time, with nothing new to tell."""
--- a/src/bellweir/hosted/views/service.py
+++ b/src/bellweir/hosted/views/service.py
@@ -44,7 +44,12 @@
             self.configuration.take_change,
         )
         self.workers_follower = KindFollower(
-            store, RecordKind.WORKERS, self._take_workers, self._take_worker, SETTLE_S
+            store,
+            RecordKind.WORKERS,
+            self._take_workers,
+            self._take_worker,
+            SETTLE_S,
+            on_return=self.workers.keep_lapsed_until,
         )
         self._checked += [self.configuration_follower, self.workers_follower]
 
@@ -96,6 +101,7 @@
                 if stopping.wait(READER_CHECK_PERIOD_S if is_reader else CHECK_PERIOD_S):
                     return
                 follower.check()
+                self.workers.drop_overdue()
 
     def _copy_from_peers(self, stopping: threading.Event) -> None:
         """Ask peers in turn while the store has not been read."""
--- a/src/bellweir/hosted/views/workers.py
+++ b/src/bellweir/hosted/views/workers.py
@@ -1,7 +1,13 @@
-"""The live workers as the store lists them."""
+"""The live workers as the store lists them.
+
+While the store is away entries of workers lapse, though the workers live and serve; they are back
+soon after its return. So a ready worker whose entry is gone when the store is back is kept for
+that time, and dropped when it has not come back by then.
+"""
 
 import threading
-from collections.abc import Mapping
+import time
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 from types import MappingProxyType
 
@@ -10,7 +16,7 @@
 from bellweir.events.log import emit
 from bellweir.hosted.interface import Listing, RecordChange
 from bellweir.hosted.leniency import without_nulls
-from bellweir.hosted.log_events import WORKER_CHANGED
+from bellweir.hosted.log_events import WORKER_CHANGED, WORKER_KEPT
 from bellweir.hosted.records import WorkerEntry, WorkerState
 
 GONE = "gone"
@@ -36,9 +42,13 @@
 class WorkersView:
     """Workers by instance; reading needs no lock."""
 
-    def __init__(self) -> None:
+    def __init__(self, now_s: Callable[[], float] = time.monotonic) -> None:
+        self._now_s = now_s
         self._lock = threading.Lock()
         self._workers: Mapping[str, Worker] = MappingProxyType({})
+        """Listed workers, and those that are kept though their entries have lapsed."""
+        self._kept_until_s: Mapping[str, float] = MappingProxyType({})
+        self._grace_until_s = float("-inf")
         self._specs: dict[str, object] = {}
         self._fresh = False
         self.revision = 0
@@ -46,20 +56,43 @@
 
     def worker(self, instance: str) -> Worker | None:
         """The worker of an instance id, if it is listed."""
-        return self._workers.get(instance)
+        return None if self._is_over(instance) else self._workers.get(instance)
 
     def all(self) -> tuple[Worker, ...]:
         """All listed workers."""
-        return tuple(self._workers.values())
+        return tuple(self._present())
 
     def ready(self, service: str) -> list[Worker]:
         """Workers of a service that may get requests."""
         return [
             worker
-            for worker in self._workers.values()
+            for worker in self._present()
             if worker.entry.service == service and worker.entry.state is WorkerState.READY
         ]
 
+    def is_lapsed(self, instance: str) -> bool:
+        """Whether a worker is kept though its entry is gone."""
+        return instance in self._kept_until_s and not self._is_over(instance)
+
+    def keep_lapsed_until(self, until_s: float) -> None:
+        """The store is back after an outage: keep ready workers until then if they are missing."""
+        self._grace_until_s = max(self._grace_until_s, until_s)
+
+    def drop_overdue(self) -> None:
+        """Forget the workers that have not come back in time; called now and then."""
+        if any(self._is_over(instance) for instance in self._kept_until_s):
+            self._replace(self.specs(), fresh=self._fresh)
+
+    def _present(self) -> Iterator[Worker]:
+        workers = self._workers
+        if not self._kept_until_s:
+            return iter(workers.values())
+        return (worker for name, worker in workers.items() if not self._is_over(name))
+
+    def _is_over(self, instance: str) -> bool:
+        until_s = self._kept_until_s.get(instance)
+        return until_s is not None and self._now_s() >= until_s
+
     def specs(self) -> dict[str, object]:
         """Entries as they stand in the store, by instance, for a peer that starts."""
         with self._lock:
@@ -88,13 +121,36 @@
         found = {name: worker for name, spec in specs.items() if (worker := _worker(name, spec))}
         with self._lock:
             before = self._workers
+            kept = self._kept(found)
+            found |= {instance: before[instance] for instance in kept}
+            # In this order a reader never sees a kept worker as one without an end.
+            self._kept_until_s = MappingProxyType({**self._kept_until_s, **kept})
             self._workers = MappingProxyType(found)
+            self._kept_until_s = MappingProxyType(kept)
             self._specs = specs
             self._fresh = self._fresh or fresh
             self.revision += 1
         for instance in found.keys() | before.keys():
             _log_change(before.get(instance), found.get(instance))
 
+    def _kept(self, listed: Mapping[str, Worker]) -> dict[str, float]:
+        """Workers to be kept besides the listed ones, and until when."""
+        now_s = self._now_s()
+        kept = {
+            instance: until_s
+            for instance, until_s in self._kept_until_s.items()
+            if instance not in listed and now_s < until_s
+        }
+        if now_s >= self._grace_until_s:
+            return kept
+        for instance, worker in self._workers.items():
+            is_missing = instance not in listed and instance not in self._kept_until_s
+            if is_missing and worker.entry.state is WorkerState.READY:
+                kept[instance] = self._grace_until_s
+                left_s = round(self._grace_until_s - now_s, 3)
+                emit(WORKER_KEPT, instance=instance, address=worker.address, left_s=left_s)
+        return kept
+
 
 def _worker(instance: str, spec: object) -> Worker | None:
     try:
