Learn from seeds at the start, and leave few addresses in the store

Change: a node that starts asks one of its seeds what the store holds, once in half a second until membership has settled; only seeds read the store at once, everybody else after 0.5 s (2 s at the first start of all) without an answer. A node looks for peers' records only when its seeds stay silent for 0.3 s, and only the first nodes of each zone leave a record. A subscriber that is behind is told at once, by itself, instead of with a round to all.

Ruled out: a longer wait before the first watch (the lists alone are two thirds).

Test: hosted_relay, four new scenarios (seeds that answer, seeds that are gone, a node that starts again, who leaves a record).

--- a/features/hosted_relay.feature
+++ b/features/hosted_relay.feature
@@ -32,3 +32,21 @@
     Given a zone of 9 nodes that follow a stand-in of the store
     When a node is cut off while worker "i-2" comes, and is back
     Then all nodes know worker "i-2"
+
+  Scenario: Nodes that start learn from a seed what the store holds
+    Given a zone of 9 nodes that start with seeds "node-3, node-5"
+    Then all nodes route by configuration 2
+    And none of the others has listed anything of the store
+
+  Scenario: Seeds that are gone
+    Given a zone of 9 nodes that start with seeds "gone-1, gone-2"
+    Then all nodes route by configuration 2
+
+  Scenario: A node that starts again is told at once
+    Given a zone of 9 nodes that start with seeds "node-3, node-5"
+    And all nodes are told by the readers
+    When a told node starts again
+    Then it routes by configuration 2 without a call of the store
+
+  Scenario: A few nodes of a zone leave their addresses
+    Then 3 nodes of each zone have a record, the next one after them when one is gone
--- a/features/steps/hosted_relay_steps.py
+++ b/features/steps/hosted_relay_steps.py
@@ -8,6 +8,7 @@
 from hypothesis import given, settings
 
 from bellweir.hosted.interface import Changes, Listing, RecordChange, StoredRecord
+from bellweir.hosted.peer_records import has_record
 from bellweir.hosted.views.kind_state import KindState
 from bellweir.hosted.views.relay import zone_readers
 from bellweir.membership.interface import MemberState
@@ -113,16 +114,59 @@
 
 @given_step("a zone of {count:d} nodes that follow a stand-in of the store")
 def given_zone(context, count):
+    given_zone_with_seeds(context, count, "")
+    then_all_route(context, 2)
+    given_told(context)
+
+
+@given_step('a zone of {count:d} nodes that start with seeds "{seeds}"')
+def given_zone_with_seeds(context, count, seeds):
     context.store = PlatformStoreStandIn()
     context.cleanup.callback(context.store.close)
     context.store.records.put("config", "main", configuration(2))
-    context.zone = Zone(count, context.store.address)
+    context.zone = Zone(count, context.store.address, [one for one in seeds.split(", ") if one])
     context.cleanup.callback(context.zone.stop)
     context.away = []
-    then_all_route(context, 2)
+
+
+@given_step("all nodes are told by the readers")
+def given_told(context):
     context.wait_until(context.zone.are_told, "nodes that are told")
 
 
+@then("none of the others has listed anything of the store")
+def then_none_listed(context):
+    lists = {node.name: node.store.lists for node in context.zone.nodes.values()}
+    listed = {name for name, count in lists.items() if count}
+    assert listed == set(context.zone.seeds), lists
+
+
+@when("a told node starts again")
+def when_started_again(context):
+    node = next(one for one in context.zone.others() if one.name not in context.zone.seeds)
+    node.stop()
+    context.zone.start(node.name)
+    context.again = context.zone.nodes[node.name]
+
+
+@then("it routes by configuration {version:d} without a call of the store")
+def then_routes_again(context, version):
+    context.wait_until(lambda: context.again.version() == version, f"configuration {version}")
+    assert context.again.store.calls == 0, context.again.store.calls
+
+
+@then("{count:d} nodes of each zone have a record, the next one after them when one is gone")
+def then_records(context, count):
+    members = [member(f"{zone}-{number}", zone) for zone in "ab" for number in range(6)]
+    for zone in "ab":
+        named = [one for one in members if one.zone == zone and has_record(members, one)]
+        assert len(named) == count
+        rest = [one for one in members if one is not named[0]]
+        after = [one for one in rest if one.zone == zone and has_record(rest, one)]
+        assert len(after) == count
+        assert set(named[1:]) <= set(after)
+
+
 @when('the operator writes configuration {version:d} and worker "{instance}" comes')
 def when_written(context, version, instance):
     context.calls = calls(context)
--- a/features/support/relay_zone.py
+++ b/features/support/relay_zone.py
@@ -27,6 +27,7 @@
     def __init__(self, address):
         self._store = PlatformStore(address)
         self.calls = 0
+        self.lists = 0
         self.is_cut = False
 
     def _call(self, name, *arguments, **keywords):
@@ -37,6 +38,7 @@
         return NOT_DONE if self.is_cut else found
 
     def list_kind(self, kind, *, stale=False):
+        self.lists += not stale
         return self._call("list_kind", kind, stale=stale)
 
     def watch(self, kind, revision, wait_s):
@@ -53,7 +55,7 @@
 
 
 class ZoneNode:
-    def __init__(self, name, network, address):
+    def __init__(self, name, network, address, seeds=()):
         self.name = name
         self.store = CuttableStore(address)
         self.configuration, self.workers = ConfigurationView(), WorkersView()
@@ -75,7 +77,7 @@
         membership = MemoryMembership(member(name), network)
         self.transport.start()
         membership.start()
-        self.relay = ViewsRelay(self.transport, membership, self.followers)
+        self.relay = ViewsRelay(self.transport, membership, self.followers, seeds)
         self.stopping = threading.Event()
         for task in (*(one.run for one in self.followers), self.relay.tell, self.relay.subscribe):
             threading.Thread(target=task, args=(self.stopping,), daemon=True).start()
@@ -99,10 +101,19 @@
 
 
 class Zone:
-    def __init__(self, count, address):
+    def __init__(self, count, address, seeds=()):
+        """Nodes that are no seeds ask the seeds first; without any all read the store."""
         self.network = MemoryNetwork()
-        names = [f"node-{number}" for number in range(count)]
-        self.nodes = {name: ZoneNode(name, self.network, address) for name in names}
+        self.seeds = tuple(seeds)
+        self.address = address
+        self.nodes = {}
+        for name in [f"node-{number}" for number in range(count)]:
+            self.start(name)
+
+    def start(self, name):
+        """Start a node, also one that has run before."""
+        asked = () if name in self.seeds else self.seeds
+        self.nodes[name] = ZoneNode(name, self.network, self.address, asked)
 
     def readers(self):
         chosen = zone_readers(list(self.network.members.values()), "a")
--- a/src/bellweir/hosted/node_settings.py
+++ b/src/bellweir/hosted/node_settings.py
@@ -89,3 +89,12 @@
     hosts = dict.fromkeys(seed.rpartition(":")[0] for seed in settings.node.seeds)
     own = settings.node.ip
     return tuple(f"{host}:{settings.node.peer_port}" for host in hosts if host != own)
+
+
+def seeds_to_ask(settings: HostedSettings) -> tuple[str, ...]:
+    """Peer addresses that this node asks first when it starts; none for a seed itself.
+
+    The seeds read the platform's store at once, so that somebody does.
+    """
+    hosts = {seed.rpartition(":")[0] for seed in settings.node.seeds}
+    return () if settings.node.ip in hosts else seed_addresses(settings)
--- a/src/bellweir/hosted/peer_records.py
+++ b/src/bellweir/hosted/peer_records.py
@@ -1,35 +1,56 @@
 """Service `peer_records`: nodes leave their addresses in the store, so that others find them.
 
 Membership itself runs between the nodes. The records only help a node whose seeds are down or
-stale; they are read at its start and while it knows nobody.
+stale, which reads them while it knows nobody. A few records a zone are enough for that, so only
+the few nodes of a zone that rank first among its live ones write theirs; when one of them goes,
+the next one by rank writes its own.
 """
 
 import threading
+import time
+from collections.abc import Sequence
 from typing import Any
 
 from returns.result import Success
 
 from bellweir.hosted.interface import RecordKind, RecordStore, StoreErrorKind
+from bellweir.hosted.zone_ranking import first_of_zone
 from bellweir.kernel import names
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
+from bellweir.membership.interface import Member
 from bellweir.membership.service import MembershipService
 
-RETRY_S = 0.5
+RECORDS_IN_ZONE = 3
+"""Nodes of a zone that leave their address: more than may go at once with its readers."""
+JOIN_PATIENCE_S = 0.3
+"""Time for the seeds to answer a node that starts, before it looks for records."""
+FIRST_JOIN_PATIENCE_S = 2.0
+"""The same at the first start of all: nobody has left a record yet."""
+SETTLED_AFTER_S = 3.0
+"""Time from the start after which a node's rank among its zone's is taken as known."""
 LOOK_PERIOD_S = 5.0
 ALONE_PERIOD_S = 1.0
 """Time between two looks while no other node is known."""
 
 
+def has_record(members: Sequence[Member], own: Member) -> bool:
+    """Whether a node is one of those of its zone that leave their address in the store."""
+    first = first_of_zone(members, own.zone, RECORDS_IN_ZONE)
+    return own.node in {one.node for one in first}
+
+
 class PeerRecords(Service):
     """Registers this node and suggests the registered ones as seeds."""
 
     name = names.PEER_RECORDS
     dependencies = (names.MEMBERSHIP,)
 
-    def __init__(self, kernel: Kernel, store: RecordStore) -> None:
+    def __init__(self, kernel: Kernel, store: RecordStore, *, is_first_start: bool = False) -> None:
         self._kernel = kernel
         self._store = store
+        self._join_patience_s = FIRST_JOIN_PATIENCE_S if is_first_start else JOIN_PATIENCE_S
+        self._is_registered = False
 
     def start(self) -> None:
         """Register in the background; nothing waits for it."""
@@ -40,12 +61,19 @@
         """The task ends with the executors; a stale record does no harm."""
 
     def _run(self, stopping: threading.Event) -> None:
-        while not stopping.is_set() and not self._register():
-            stopping.wait(RETRY_S)
+        began_s = time.monotonic()
+        stopping.wait(self._join_patience_s)
         while not stopping.is_set():
+            is_settled = time.monotonic() - began_s >= SETTLED_AFTER_S
             if self._is_alone():
                 self._suggest()
-            stopping.wait(ALONE_PERIOD_S if self._is_alone() else LOOK_PERIOD_S)
+            if not self._is_registered and (self._is_alone() or (is_settled and self._ranks())):
+                self._is_registered = self._register()
+            is_waiting = self._is_alone() or not is_settled
+            stopping.wait(ALONE_PERIOD_S if is_waiting else LOOK_PERIOD_S)
+
+    def _ranks(self) -> bool:
+        return has_record(self._membership.members(), self._membership.self_member())
 
     def _is_alone(self) -> bool:
         return len(self._membership.members()) <= 1
--- a/src/bellweir/hosted/process.py
+++ b/src/bellweir/hosted/process.py
@@ -23,7 +23,7 @@
     SETTINGS_UNKNOWN,
 )
 from bellweir.hosted.metrics_service import MetricsService
-from bellweir.hosted.node_settings import node_settings
+from bellweir.hosted.node_settings import node_settings, seeds_to_ask
 from bellweir.hosted.peer_records import PeerRecords
 from bellweir.hosted.placement_objects import PlacementService
 from bellweir.hosted.settings import (
@@ -33,6 +33,7 @@
     load_settings,
 )
 from bellweir.hosted.store_calls import CountedStore
+from bellweir.hosted.views.relay import FIRST_START_PATIENCE_S, SEED_PATIENCE_S
 from bellweir.hosted.views.service import ViewsService
 from bellweir.kernel import names
 from bellweir.kernel.listeners import Listeners, bind_address, bind_peer_pair
@@ -81,8 +82,8 @@
         add(MembershipService(kernel, shared))
         add(PlacementService(store))
         add(LedgerService(kernel, shared))
-        add(ViewsService(kernel, store))
-        add(PeerRecords(kernel, store))
+        add(ViewsService(kernel, store, seeds_to_ask(settings), _seed_patience_s(settings)))
+        add(PeerRecords(kernel, store, is_first_start=settings.node.bootstrap))
         add(MetricsService(kernel, settings, store))
         for make in _role_services(settings.node.role):
             add(make(kernel, settings, platform))
@@ -152,6 +153,11 @@
     return (BatchService, RolloutService, RetirementService)
 
 
+def _seed_patience_s(settings: HostedSettings) -> float:
+    """Time for which a seed is waited for before the store is read."""
+    return FIRST_START_PATIENCE_S if settings.node.bootstrap else SEED_PATIENCE_S
+
+
 def _bind(settings: HostedSettings) -> Listeners:
     node = settings.node
     stream, datagram = bind_peer_pair(node.ip, node.peer_port)
--- a/src/bellweir/hosted/settings.py
+++ b/src/bellweir/hosted/settings.py
@@ -34,6 +34,8 @@
     """Addresses of a few machines, `host:port`; only their IP numbers count."""
     data_folder: str | None = None
     role: str = ""
+    bootstrap: bool = False
+    """Whether the whole system starts for the first time, with empty disks."""
 
 
 class ListenSettings(msgspec.Struct, frozen=True, rename="camel"):
--- a/src/bellweir/hosted/views/follower.py
+++ b/src/bellweir/hosted/views/follower.py
@@ -52,6 +52,8 @@
 """Time after the store's return within which a living worker's lapsed entry is back (NEWS-23)."""
 IDLE_LOOK_S = 0.25
 """Pause between two looks whether the store is to be followed."""
+PATIENT_LOOK_S = 0.02
+"""The same at the start, while a peer is asked first; the answer takes a few milliseconds."""
 
 
 class KindFollower:
@@ -86,6 +88,8 @@
         """Whether peers tell what is new; the store is not asked meanwhile."""
         self.has_readers: bool | None = None
         """Whether peers follow the store for this process, too; None: not known yet."""
+        self.patient_until_s = float("-inf")
+        """Monotonic time until which peers are waited for before anything is read here."""
         self.listed = threading.Event()
         """Set once the kind has been listed."""
 
@@ -101,6 +105,8 @@
                 stopping.wait(IDLE_LOOK_S)
             elif self._look_at_relay():
                 stopping.wait(IDLE_LOOK_S)
+            elif self._must_list and time.monotonic() < self.patient_until_s:
+                stopping.wait(PATIENT_LOOK_S)
             else:
                 self._follow(stopping)
 
@@ -142,6 +148,10 @@
         """Seconds since the view was last known to be the store's."""
         return time.monotonic() - self.state.current_as_of_s
 
+    def is_told_lately(self) -> bool:
+        """Whether what peers tell is young enough to rely on."""
+        return time.monotonic() - self.state.relayed_as_of_s < FRESH_S
+
     def _look_at_relay(self) -> bool:
         """Whether peers tell what is new, and lately enough."""
         age_s = time.monotonic() - self.state.relayed_as_of_s
--- a/src/bellweir/hosted/views/relay.py
+++ b/src/bellweir/hosted/views/relay.py
@@ -5,19 +5,25 @@
 told carries its age, so that a node notices by itself when its readers are cut off from the store
 and then follows it on its own; tellings that go in a circle only grow older.
 
+A node that starts asks one of its seeds to tell it what the store holds, and reads the store
+itself only if none does so at once. It knows its zone's readers only when membership has settled,
+and until then every node would list and watch what a few already know.
+
 A node sends two messages a second and gets five, whatever the number of nodes. A reader sends
 `2.5 + changes a second` messages for each node of its zone.
 """
 
+import random
 import threading
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
-import xxhash
+from returns.result import Success
 
 from bellweir.hosted.views.follower import KindFollower
 from bellweir.hosted.views.kind_state import KindNews
-from bellweir.membership.interface import Member, Membership, MemberState
+from bellweir.hosted.zone_ranking import first_of_zone
+from bellweir.membership.interface import Member, Membership
 from bellweir.wire.interface import Message, Sender, Transport
 
 READERS_IN_ZONE = 2
@@ -29,6 +35,18 @@
 """Time without a renewal after which a subscriber is told nothing more."""
 HEARTBEAT_S = 0.4
 """Time between two messages to a subscriber while nothing changes."""
+SETTLING_S = 3.0
+"""Time from the start in which a seed is relied on; 195 nodes know each other after 2 s."""
+SEED_PATIENCE_S = 0.5
+"""Time for which a node that starts waits to be told before it reads the store itself."""
+FIRST_START_PATIENCE_S = 2.0
+"""The same at the first start of all, when seeds answer many at once and nobody is served yet."""
+ASK_TIMEOUT_S = 0.25
+"""Time for a seed's answer, which takes some milliseconds, before the next one is asked."""
+ASK_PERIOD_S = 0.5
+"""Time between two questions to a seed that answers; with it what is known stays fresh."""
+ASK_AGAIN_S = 0.05
+"""Pause before the next seed is asked."""
 
 
 class ViewsSubscription(Message, frozen=True):
@@ -38,8 +56,15 @@
     """Revision by kind up to which the sender knows all changes."""
 
 
+class ViewsQuestion(Message, frozen=True):
+    """Asks a peer once what is new; answered by `ViewsNews`."""
+
+    known: dict[str, int]
+    """Revision by kind up to which the sender knows all changes."""
+
+
 class ViewsNews(Message, frozen=True):
-    """What a reader tells its subscribers."""
+    """What a reader tells its subscribers, and what any node answers to a question."""
 
     kinds: tuple[KindNews, ...]
 
@@ -55,13 +80,10 @@
 def zone_readers(members: Sequence[Member], zone: str) -> list[Member]:
     """Return the nodes that read the store for a zone; none in a small zone.
 
-    All nodes that see the same members choose the same ones, by rendezvous hash.
+    All nodes that see the same members choose the same ones.
     """
-    alive = [one for one in members if one.zone == zone and one.state is MemberState.ALIVE]
-    if len(alive) < SMALLEST_RELAYED_ZONE:
-        return []
-    ranked = sorted(alive, key=lambda one: xxhash.xxh3_64_intdigest(one.node.encode()))
-    return ranked[:READERS_IN_ZONE]
+    first = first_of_zone(members, zone, SMALLEST_RELAYED_ZONE)
+    return first[:READERS_IN_ZONE] if len(first) == SMALLEST_RELAYED_ZONE else []
 
 
 class ViewsRelay:
@@ -76,9 +98,17 @@
         transport: Transport,
         membership: Membership,
         followers: Sequence[KindFollower],
+        seeds: Sequence[str] = (),
+        patience_s: float = SEED_PATIENCE_S,
         now_s: Callable[[], float] = time.monotonic,
     ) -> None:
+        """`seeds` are `host:port` of peers to be asked first; a seed itself has none to ask.
+
+        Nothing is read of the store for `patience_s` while one may tell.
+        """
         self._transport = transport
+        self._seeds = tuple(seeds)
+        self._patience_s = patience_s
         self._membership = membership
         self._followers = {one.state.kind: one for one in followers}
         self._now_s = now_s
@@ -87,7 +117,11 @@
         self._changed = threading.Event()
         for follower in followers:
             follower.state.advanced = self._changed.set
+            if self._seeds:
+                follower.has_readers = True
+                follower.patient_until_s = now_s() + patience_s
         transport.register(ViewsSubscription, self._on_subscription)
+        transport.register(ViewsQuestion, self._on_question)
         transport.register(ViewsNews, self._on_news)
 
     def subscriber_count(self) -> int:
@@ -104,8 +138,32 @@
 
     def subscribe(self, stopping: threading.Event) -> None:
         """Keep this node subscribed to its zone's readers, until `stopping`. One task."""
-        while not stopping.wait(SUBSCRIBE_PERIOD_S):
+        self._learn_from_seeds(stopping)
+        while not stopping.is_set():
             self.renew()
+            stopping.wait(SUBSCRIBE_PERIOD_S)
+
+    def _learn_from_seeds(self, stopping: threading.Event) -> None:
+        """Ask one seed again and again until membership has settled; the next one if it is silent.
+
+        Without seeds the same time is waited for, with the store followed here.
+        """
+        end_s = self._now_s() + SETTLING_S
+        seeds = random.sample(self._seeds, len(self._seeds))
+        while self._now_s() < end_s and not stopping.is_set():
+            pause_s = ASK_PERIOD_S
+            if seeds and not self._ask(seeds[0]):
+                seeds.append(seeds.pop(0))
+                pause_s = ASK_AGAIN_S
+            stopping.wait(min(pause_s, max(0.0, end_s - self._now_s())))
+
+    def _ask(self, address: str) -> bool:
+        """Ask a peer once what is new; False when that leaves this node without fresh views."""
+        answer = self._transport.request(address, ViewsQuestion(self._known()), ASK_TIMEOUT_S)
+        match answer:
+            case Success(ViewsNews() as news):
+                self._take(news)
+        return all(one.is_told_lately() for one in self._followers.values())
 
     def renew(self) -> None:
         """Subscribe to the readers, unless this node is one of them."""
@@ -124,22 +182,35 @@
         return {one.kind: one.revision for one in states if one.revision is not None}
 
     def _on_subscription(self, sender: Sender, message: ViewsSubscription) -> None:
-        until_s = self._now_s() + SUBSCRIPTION_S
+        subscriber = _Subscriber(dict(message.known), self._now_s() + SUBSCRIPTION_S)
         with self._lock:
-            is_new = sender.address not in self._subscribers
-            self._subscribers[sender.address] = _Subscriber(dict(message.known), until_s)
-        if is_new:
-            self._changed.set()
+            self._subscribers[sender.address] = subscriber
+        if self._is_behind(message.known):
+            self._tell_one(sender.address, subscriber)
+
+    def _is_behind(self, known: Mapping[str, int]) -> bool:
+        """Whether this node knows of changes after those revisions."""
+        states = [one.state for one in self._followers.values()]
+        return any(
+            one.revision is not None and known.get(one.kind, -1) < one.revision for one in states
+        )
+
+    def _on_question(self, sender: Sender, message: ViewsQuestion) -> ViewsNews:
+        return ViewsNews(self._news_since(message.known))
 
     def _on_news(self, sender: Sender, message: ViewsNews) -> None:
+        if not self._take(message):
+            self._transport.send(sender.address, ViewsSubscription(self._known()))
+
+    def _take(self, message: ViewsNews) -> bool:
+        """Take what a peer tells; False when something before it is missing here."""
         now_s = self._now_s()
-        has_gap = False
+        is_whole = True
         for news in message.kinds:
             follower = self._followers.get(news.kind)
             if follower is not None and not follower.state.take_news(news, now_s):
-                has_gap = True
-        if has_gap:
-            self._transport.send(sender.address, ViewsSubscription(self._known()))
+                is_whole = False
+        return is_whole
 
     def _live_subscribers(self) -> list[tuple[str, _Subscriber]]:
         now_s = self._now_s()
@@ -150,11 +221,15 @@
             return list(self._subscribers.items())
 
     def _tell_one(self, address: str, subscriber: _Subscriber) -> None:
-        now_s = self._now_s()
-        told: list[KindNews] = []
-        for kind, follower in self._followers.items():
-            news = follower.state.news_since(subscriber.known.get(kind), now_s)
-            if news is not None:
-                told.append(news)
-        if told and self._transport.send(address, ViewsNews(tuple(told))):
+        told = self._news_since(subscriber.known)
+        if told and self._transport.send(address, ViewsNews(told)):
             subscriber.known.update({news.kind: news.revision for news in told})
+
+    def _news_since(self, known: Mapping[str, int]) -> tuple[KindNews, ...]:
+        """What is known here beyond those revisions, one piece for each kind with its age."""
+        now_s = self._now_s()
+        found = (
+            follower.state.news_since(known.get(kind), now_s)
+            for kind, follower in self._followers.items()
+        )
+        return tuple(news for news in found if news is not None)
--- a/src/bellweir/hosted/views/service.py
+++ b/src/bellweir/hosted/views/service.py
@@ -1,12 +1,13 @@
 """Service `views`: follows the store, and a peer until the store has been read."""
 
 import threading
+from collections.abc import Sequence
 
 from bellweir.hosted.interface import Listing, RecordChange, RecordKind, RecordStore
 from bellweir.hosted.views.configuration import ConfigurationView
 from bellweir.hosted.views.follower import KindFollower
 from bellweir.hosted.views.peer_copy import copy_views, register_views
-from bellweir.hosted.views.relay import ViewsRelay
+from bellweir.hosted.views.relay import SEED_PATIENCE_S, ViewsRelay
 from bellweir.hosted.views.workers import WorkersView
 from bellweir.kernel import names
 from bellweir.kernel.node import Kernel
@@ -32,8 +33,17 @@
     name = names.VIEWS
     dependencies = (names.TRANSPORT, names.MEMBERSHIP)
 
-    def __init__(self, kernel: Kernel, store: RecordStore) -> None:
+    def __init__(
+        self,
+        kernel: Kernel,
+        store: RecordStore,
+        seeds: Sequence[str] = (),
+        patience_s: float = SEED_PATIENCE_S,
+    ) -> None:
+        """`seeds` are peers to be asked before the store; for `patience_s` at most."""
         self._kernel = kernel
+        self._seeds = seeds
+        self._patience_s = patience_s
         self._checked: list[KindFollower] = []
         self.configuration = ConfigurationView()
         self.workers = WorkersView()
@@ -75,6 +85,8 @@
             self._transport,
             self._membership,
             (self.configuration_follower, self.workers_follower),
+            self._seeds,
+            self._patience_s,
         )
         run_task = self._kernel.executors.run_task
         run_task("tell-views", self._relay.tell)
