Have nodes that the store turns away learn from nodes that it serves

A reader that was turned away kept its duty with an ageing view, its subscribers then asked the store one by one, and a node that was turned away itself knew nothing new until the end.

What it is told it tells its own subscribers at once, so a zone whose readers are turned away is served by another's. One cheap reading each 2 s finds out whether it is served again. Events store_turns_away and store_serves_again.

Test: hosted_relay, three new scenarios; the last turns away any share of two zones at any moment and checks that views never go back, that the ages they claim are true, and that all become fresh. Its first run found that nodes beyond the first two of each zone were never asked, though one of them may be the only one that is served; they come after the first ones now.

--- a/features/hosted_relay.feature
+++ b/features/hosted_relay.feature
@@ -50,3 +50,24 @@
 
   Scenario: A few nodes of a zone leave their addresses
     Then 3 nodes of each zone have a record, the next one after them when one is gone
+
+  Scenario: All nodes of a zone are turned away while another zone is served
+    Given zones of 9 and 8 nodes that follow a stand-in of the store
+    When the store turns away all nodes of the first zone and configuration 5 is written
+    Then all nodes route by configuration 5
+    And all nodes are fresh, and those that are turned away hardly ask the store
+    When the store serves all nodes again and configuration 6 is written
+    Then all nodes route by configuration 6
+    And only the 2 readers of the first zone call the store there
+
+  Scenario: A node of small zones is turned away
+    Given zones of 2 and 3 nodes that follow a stand-in of the store
+    When the store turns away all nodes of the first zone and configuration 5 is written
+    Then all nodes route by configuration 5
+    And all nodes are fresh, and those that are turned away hardly ask the store
+    When the store serves all nodes again and configuration 6 is written
+    Then all nodes route by configuration 6
+
+  Scenario: Any nodes are turned away at any moment
+    Given zones of 8 and 3 nodes that follow a stand-in of the store
+    Then whoever the store turns away, views never go back, ages are true and all become fresh
--- a/features/steps/hosted_relay_steps.py
+++ b/features/steps/hosted_relay_steps.py
@@ -1,5 +1,8 @@
 """Relayed views: a zone of nodes before a stand-in of the store, the state against an oracle."""
 
+import random
+import time
+
 import hypothesis.strategies as st
 from behave import given as given_step
 from behave import then, when
@@ -10,11 +13,13 @@
 from bellweir.hosted.interface import Changes, Listing, RecordChange, StoredRecord
 from bellweir.hosted.peer_records import has_record
 from bellweir.hosted.views.kind_state import KindState
-from bellweir.hosted.views.relay import zone_readers
+from bellweir.hosted.views.relay import SERVED_LOOK_S, zone_readers
 from bellweir.membership.interface import MemberState
 from bellweir_rehearsal.hosted.object_store import PlatformStoreStandIn
 
 KIND = "servers"
+IN_FLIGHT_S = 0.2
+"""An answer of the store counts as of its arrival; it was made a moment before."""
 
 
 class History:
@@ -258,3 +263,90 @@
     reader = context.zone.readers()[0]
     context.wait_until(lambda: reader.knows(instance), f"worker {instance} at a reader")
     context.zone.network.cut.discard(node.name)
+
+
+@given_step("zones of {first:d} and {second:d} nodes that follow a stand-in of the store")
+def given_two_zones(context, first, second):
+    context.store = PlatformStoreStandIn()
+    context.cleanup.callback(context.store.close)
+    context.store.records.put("config", "main", configuration(2))
+    context.zone = Zone(first, context.store.address, others=second)
+    context.cleanup.callback(context.zone.stop)
+    context.away = []
+    then_all_route(context, 2)
+
+
+@when("the store turns away all nodes of the first zone and configuration {version:d} is written")
+def when_turned_away(context, version):
+    for node in context.zone.of_zone("a"):
+        node.turn_away()
+    context.store.records.put("config", "main", configuration(version))
+
+
+@then("all nodes are fresh, and those that are turned away hardly ask the store")
+def then_fresh(context):
+    nodes = list(context.zone.nodes.values())
+    context.wait_until(lambda: all(node.is_fresh() for node in nodes), "fresh nodes")
+    away = [node for node in nodes if node.store.is_cut]
+    relayed = lambda: all(one.is_relayed for node in away for one in node.followers)  # noqa: E731
+    context.wait_until(relayed, "nodes that are told by peers")
+    looks = {node.name: node.store.refused for node in away}
+    time.sleep(2 * SERVED_LOOK_S)
+    asked = [node.store.refused - looks[node.name] for node in away]
+    # A look each SERVED_LOOK_S, at one kind at least, by the nodes that would read the store.
+    assert max(asked) <= 2 * 3, asked
+
+
+@when("the store serves all nodes again and configuration {version:d} is written")
+def when_all_served(context, version):
+    for node in context.zone.nodes.values():
+        node.serve()
+    context.store.records.put("config", "main", configuration(version))
+
+
+@then("only the 2 readers of the first zone call the store there")
+def then_only_first_readers_call(context):
+    context.away = [node.name for node in context.zone.of_zone("b")]
+    then_only_readers_call(context)
+
+
+@then("whoever the store turns away, views never go back, ages are true and all become fresh")
+def then_model_of_zones(context):
+    zone, records = context.zone, context.store.records
+    nodes = list(zone.nodes.values())
+    written = [(time.monotonic(), 2)]
+    seen = {node.name: 2 for node in nodes}
+    version = 2
+
+    def look():
+        """Check each node's view against the time as of which it claims to know everything."""
+        for node in nodes:
+            as_of_s = node.followers[0].state.current_as_of_s
+            due = max((each for at_s, each in written if at_s <= as_of_s - IN_FLIGHT_S), default=0)
+            now = node.version()
+            assert now >= due, f"{node.name} knows {now}, and claims to know of {due}"
+            assert now >= seen[node.name], f"{node.name} went back to {now}"
+            seen[node.name] = now
+
+    chance = random.Random(7)
+    for _ in range(6):
+        share = chance.choice((0.2, 0.6, 0.95))
+        away = [node for node in nodes if chance.random() < share]
+        for node in nodes:
+            node.turn_away() if node in away else node.serve()
+        if len(away) == len(nodes):
+            chance.choice(nodes).serve()
+        version += 1
+        records.put("config", "main", configuration(version))
+        # Written down once the store has it: a view as of a later time must have it, too.
+        written.append((time.monotonic(), version))
+        for _ in range(10):
+            look()
+            time.sleep(0.05)
+        context.wait_until(
+            lambda wanted=version: all(
+                node.version() == wanted and node.is_fresh() for node in nodes
+            ),
+            f"configuration {version} everywhere, away: {[node.name for node in away]}",
+        )
+        look()
--- a/features/support/relay_zone.py
+++ b/features/support/relay_zone.py
@@ -7,7 +7,7 @@
 
 from bellweir.hosted.interface import RecordKind, RecordStore, StoreError, StoreErrorKind
 from bellweir.hosted.views.configuration import ConfigurationView
-from bellweir.hosted.views.follower import KindFollower
+from bellweir.hosted.views.follower import FRESH_S, KindFollower
 from bellweir.hosted.views.relay import ViewsRelay, zone_readers
 from bellweir.hosted.views.workers import WorkersView
 from bellweir.membership.interface import Member, MemberState
@@ -28,10 +28,12 @@
         self._store = PlatformStore(address)
         self.calls = 0
         self.lists = 0
+        self.refused = 0
         self.is_cut = False
 
     def _call(self, name, *arguments, **keywords):
         if self.is_cut:
+            self.refused += 1
             return NOT_DONE
         self.calls += 1
         found = getattr(self._store, name)(*arguments, **keywords)
@@ -55,8 +57,9 @@
 
 
 class ZoneNode:
-    def __init__(self, name, network, address, seeds=()):
+    def __init__(self, name, network, address, seeds=(), zone="a"):
         self.name = name
+        self.zone = zone
         self.store = CuttableStore(address)
         self.configuration, self.workers = ConfigurationView(), WorkersView()
         self.followers = (
@@ -74,7 +77,7 @@
             ),
         )
         self.transport = MemoryTransport(name, network)
-        membership = MemoryMembership(member(name), network)
+        membership = MemoryMembership(member(name, zone), network)
         self.transport.start()
         membership.start()
         self.relay = ViewsRelay(self.transport, membership, self.followers, seeds)
@@ -88,6 +91,18 @@
             for follower in self.followers:
                 follower.check()
 
+    def turn_away(self):
+        """Have the store refuse this node, its waiting watches included."""
+        self.store.is_cut = True
+        for follower in self.followers:
+            self.store.interrupt_watches(follower.state.kind)
+
+    def serve(self):
+        self.store.is_cut = False
+
+    def is_fresh(self):
+        return all(one.age_s() < FRESH_S for one in self.followers)
+
     def version(self):
         table = self.configuration.table()
         return table.version if table else None
@@ -101,26 +116,34 @@
 
 
 class Zone:
-    def __init__(self, count, address, seeds=()):
-        """Nodes that are no seeds ask the seeds first; without any all read the store."""
+    def __init__(self, count, address, seeds=(), others=0):
+        """Nodes that are no seeds ask the seeds first; without any all read the store.
+
+        `others` is the number of nodes of a second zone.
+        """
         self.network = MemoryNetwork()
         self.seeds = tuple(seeds)
         self.address = address
         self.nodes = {}
         for name in [f"node-{number}" for number in range(count)]:
             self.start(name)
+        for name in [f"far-{number}" for number in range(others)]:
+            self.start(name, "b")
 
-    def start(self, name):
+    def start(self, name, zone="a"):
         """Start a node, also one that has run before."""
         asked = () if name in self.seeds else self.seeds
-        self.nodes[name] = ZoneNode(name, self.network, self.address, asked)
+        self.nodes[name] = ZoneNode(name, self.network, self.address, asked, zone)
+
+    def of_zone(self, zone):
+        return [node for node in self.nodes.values() if node.zone == zone]
 
     def readers(self):
         chosen = zone_readers(list(self.network.members.values()), "a")
         return [self.nodes[one.node] for one in chosen]
 
     def others(self):
-        return [one for one in self.nodes.values() if one not in self.readers()]
+        return [one for one in self.of_zone("a") if one not in self.readers()]
 
     def are_told(self):
         """Whether every node but the readers relies on what it is told."""
--- a/src/bellweir/hosted/views/follower.py
+++ b/src/bellweir/hosted/views/follower.py
@@ -88,6 +88,8 @@
         """Whether peers tell what is new; the store is not asked meanwhile."""
         self.has_readers: bool | None = None
         """Whether peers follow the store for this process, too; None: not known yet."""
+        self.has_zone_readers = False
+        """Whether the zone has readers, of whom this process may be one."""
         self.patient_until_s = float("-inf")
         """Monotonic time until which peers are waited for before anything is read here."""
         self.listed = threading.Event()
@@ -148,6 +150,15 @@
         """Seconds since the view was last known to be the store's."""
         return time.monotonic() - self.state.current_as_of_s
 
+    def lost_for_s(self) -> float:
+        """Seconds since the store has not answered; 0 while it does or is not asked."""
+        lost_since_s = self._lost_since_s
+        return 0.0 if lost_since_s is None else time.monotonic() - lost_since_s
+
+    def is_served(self) -> bool:
+        """Look with one cheap reading whether the store answers this process."""
+        return isinstance(self._store.list_kind(self._kind, stale=True), Success)
+
     def is_told_lately(self) -> bool:
         """Whether what peers tell is young enough to rely on."""
         return time.monotonic() - self.state.relayed_as_of_s < FRESH_S
@@ -159,7 +170,9 @@
         if relayed != self.is_relayed:
             self.is_relayed = relayed
             if relayed:
-                self._note_answer()
+                # The store may turn this process away still: nothing is said of its return.
+                self._lost_since_s = None
+                self._pause_s = FIRST_PAUSE_S
                 self._must_list = False
                 self.listed.set()
             event = VIEW_RELAYED if relayed else VIEW_DIRECT
@@ -231,6 +244,7 @@
 
     def _next_pause_s(self) -> float:
         pause_s = self._pause_s * random.uniform(0.5, 1.0)
-        longest_s = LONGEST_PAUSE_BESIDE_READERS_S if self.has_readers else LONGEST_PAUSE_S
+        beside_readers = self.has_readers and self.has_zone_readers
+        longest_s = LONGEST_PAUSE_BESIDE_READERS_S if beside_readers else LONGEST_PAUSE_S
         self._pause_s = min(2 * self._pause_s, longest_s)
         return pause_s
--- a/src/bellweir/hosted/views/relay.py
+++ b/src/bellweir/hosted/views/relay.py
@@ -5,6 +5,11 @@
 told carries its age, so that a node notices by itself when its readers are cut off from the store
 and then follows it on its own; tellings that go in a circle only grow older.
 
+A node that the store turns away, or that can't reach it, subscribes to readers of other zones
+instead (in small zones, to any node), one more with each renewal until one tells fresh news. What
+it is told it tells its own subscribers at once, so a zone both of whose readers are turned away
+is served by another zone's. It looks with a cheap reading now and then whether it is served again.
+
 A node that starts asks one of its seeds to tell it what the store holds, and reads the store
 itself only if none does so at once. It knows its zone's readers only when membership has settled,
 and until then every node would list and watch what a few already know.
@@ -20,8 +25,11 @@
 
 from returns.result import Success
 
+from bellweir.events.log import emit
+from bellweir.hosted.log_events import STORE_SERVES_AGAIN, STORE_TURNS_AWAY
 from bellweir.hosted.views.follower import KindFollower
-from bellweir.hosted.views.kind_state import KindNews
+from bellweir.hosted.views.kind_state import NEVER_S, KindNews
+from bellweir.hosted.views.spare_sources import SpareSources
 from bellweir.hosted.zone_ranking import first_of_zone
 from bellweir.membership.interface import Member, Membership
 from bellweir.wire.interface import Message, Sender, Transport
@@ -47,6 +55,12 @@
 """Time between two questions to a seed that answers; with it what is known stays fresh."""
 ASK_AGAIN_S = 0.05
 """Pause before the next seed is asked."""
+CUT_OFF_AFTER_S = 0.3
+"""Time without the store after which others are asked what is new; a refusal comes at once."""
+SERVED_LOOK_S = 2.0
+"""Time between two cheap readings by which a node that is cut off finds out that it is served."""
+FORWARD_PERIOD_S = 0.2
+"""News that only confirm what is known are passed on no more often."""
 
 
 class ViewsSubscription(Message, frozen=True):
@@ -115,6 +129,11 @@
         self._lock = threading.Lock()
         self._subscribers: dict[str, _Subscriber] = {}
         self._changed = threading.Event()
+        self._told_s = NEVER_S
+        self._spare = SpareSources()
+        self._served_look_s = NEVER_S
+        self.is_cut_off = False
+        """Whether the store does not serve this node, so that others are asked for its news."""
         for follower in followers:
             follower.state.advanced = self._changed.set
             if self._seeds:
@@ -128,11 +147,16 @@
         """Nodes that rely on what this node reads."""
         return len(self._subscribers)
 
+    def is_fresh(self) -> bool:
+        """Whether peers tell this node lately enough what is new, for every kind."""
+        return all(one.is_told_lately() for one in self._followers.values())
+
     def tell(self, stopping: threading.Event) -> None:
         """Tell subscribers what is new, until `stopping`. One task."""
         while not stopping.is_set():
             self._changed.wait(HEARTBEAT_S)
             self._changed.clear()
+            self._told_s = self._now_s()
             for address, subscriber in self._live_subscribers():
                 self._tell_one(address, subscriber)
 
@@ -163,19 +187,48 @@
         match answer:
             case Success(ViewsNews() as news):
                 self._take(news)
-        return all(one.is_told_lately() for one in self._followers.values())
+        return self.is_fresh()
 
     def renew(self) -> None:
-        """Subscribe to the readers, unless this node is one of them."""
+        """Subscribe to the readers, unless this node is one of them; to others when cut off."""
         own = self._membership.self_member()
-        readers = zone_readers(self._membership.members(), own.zone)
-        others = [one for one in readers if one.node != own.node]
-        has_readers = bool(readers) and len(others) == len(readers)
+        members = self._membership.members()
+        readers = zone_readers(members, own.zone)
+        is_reader = any(one.node == own.node for one in readers)
+        sources = [] if is_reader else [one.peer_address for one in readers]
+        self._note_cut_off()
+        if self.is_cut_off:
+            sources += self._spare.choose(members, own, sources, is_told=self.is_fresh())
+        has_readers = bool(sources)
         for follower in self._followers.values():
             follower.has_readers = has_readers
-        if has_readers:
-            for reader in others:
-                self._transport.send(reader.peer_address, ViewsSubscription(self._known()))
+            follower.has_zone_readers = bool(readers)
+        for address in sources:
+            self._transport.send(address, ViewsSubscription(self._known()))
+
+    def _note_cut_off(self) -> None:
+        """Take note of the store's refusals, and of its service when it is there again."""
+        followers = self._followers.values()
+        lost_s = max(one.lost_for_s() for one in followers)
+        if not self.is_cut_off:
+            if lost_s >= CUT_OFF_AFTER_S:
+                self.is_cut_off = True
+                self._served_look_s = self._now_s() + SERVED_LOOK_S
+                emit(STORE_TURNS_AWAY, lost_s=round(lost_s, 3))
+        elif self._is_served_again(lost_s):
+            self.is_cut_off = False
+            self._spare.forget()
+            emit(STORE_SERVES_AGAIN)
+
+    def _is_served_again(self, lost_s: float) -> bool:
+        """Whether the followers have the store again, or a look shows that they could."""
+        followers = self._followers.values()
+        if not any(one.is_relayed for one in followers):
+            return lost_s == 0.0
+        if self._now_s() < self._served_look_s:
+            return False
+        self._served_look_s = self._now_s() + SERVED_LOOK_S
+        return all(one.is_served() for one in followers)
 
     def _known(self) -> dict[str, int]:
         states = [one.state for one in self._followers.values()]
@@ -206,12 +259,21 @@
         """Take what a peer tells; False when something before it is missing here."""
         now_s = self._now_s()
         is_whole = True
+        known_as_of_s = self._relayed_as_of_s()
         for news in message.kinds:
             follower = self._followers.get(news.kind)
             if follower is not None and not follower.state.take_news(news, now_s):
                 is_whole = False
+        is_younger = self._relayed_as_of_s() > known_as_of_s
+        if is_younger and self._subscribers and now_s - self._told_s >= FORWARD_PERIOD_S:
+            # Those that rely on this node learn at once how young its news are.
+            self._changed.set()
         return is_whole
 
+    def _relayed_as_of_s(self) -> float:
+        """Time as of which peers have told all that is new."""
+        return min(one.state.relayed_as_of_s for one in self._followers.values())
+
     def _live_subscribers(self) -> list[tuple[str, _Subscriber]]:
         now_s = self._now_s()
         with self._lock:
