Hand the lease over when the store refuses its holder and serves others

Change: after two refused renewals, while peers tell fresh news of the store, the holder acts no more and tells the other store machines which revision it gives up and since when it has not acted. Whoever is served replaces that very revision at once and waits only for what is left of the agreed time. The old holder stands aside for 10 s.

Test: hosted_lease; hand-overs join the events of its model, two new examples.

--- a/features/hosted_lease.feature
+++ b/features/hosted_lease.feature
@@ -20,3 +20,7 @@
 
   Scenario: A lease given back is taken without waiting for its end
     Then a successor of a planned stop acts after the agreed time only
+
+  Scenario: A holder that the store turns away while it serves others
+    Then another node acts within 2 s of a hand-over, 2 s sooner than without
+    And a hand-over that arrives after the lease was taken again changes nothing
--- a/features/steps/hosted_lease_steps.py
+++ b/features/steps/hosted_lease_steps.py
@@ -92,7 +92,7 @@
         self.offsets = [self.chance.uniform(0, 1e6) for _ in range(count)]
         self.paused_until_s = [0.0] * count
         self.news = []
-        """What holders told: time of arrival, number of the hearer, revision and holder."""
+        """What holders told: time of arrival, number of the hearer, its call and the words."""
         self.leases = [self.make(number) for number in range(count)]
         self.acts = []
 
@@ -101,22 +101,25 @@
             return self.now_s + self.offsets[number]
 
         lease = Lease(self.store, "duty", f"node-{number}", LEASE_S, SEPARATION_S, clock)
-        lease.tell = lambda revision, holder: self.told(number, revision, holder)
+        lease.tell = lambda revision, holder: self.told(number, "hear", revision, holder)
+        lease.tell_hand_over = lambda revision, idle_s: self.told(
+            number, "hear_hand_over", revision, idle_s
+        )
         return lease
 
-    def told(self, teller, revision, holder):
+    def told(self, teller, call, *words):
         """A message to each other machine; some are lost, some late."""
         for number in range(len(self.offsets)):
             if number != teller and self.chance.random() < 0.8:
                 late_s = self.chance.choice((0.0, 0.01, 0.01, 2.0))
-                self.news.append((self.now_s + late_s, number, revision, holder))
+                self.news.append((self.now_s + late_s, number, call, words))
 
     def hear(self):
         arrived = [one for one in self.news if one[0] <= self.now_s]
         self.news = [one for one in self.news if one[0] > self.now_s]
-        for _, number, revision, holder in arrived:
+        for _, number, call, words in arrived:
             if self.now_s >= self.paused_until_s[number]:
-                self.leases[number].hear(revision, holder)
+                getattr(self.leases[number], call)(*words)
 
     def turn(self):
         self.now_s += 0.1
@@ -141,7 +144,7 @@
                 assert fence > before_fence, "two holders with one fence"
 
 
-EVENTS = ("quiet", "lossy", "down", "pause", "restart", "release", "aside")
+EVENTS = ("quiet", "lossy", "down", "pause", "restart", "release", "aside", "handover")
 
 
 @then("no two holders act within the agreed time and fences only rise")
@@ -168,6 +171,8 @@
                 machines.leases[target] = machines.make(target)
             elif event == "release":
                 machines.leases[target].release()
+            elif event == "handover":
+                machines.leases[target].hand_over()
             elif event == "aside":
                 machines.leases[target].step_aside(machines.chance.uniform(0.1, 9.0))
             for _ in range(machines.chance.randrange(5, 90)):
@@ -284,3 +289,46 @@
         first.step()
         assert not first.is_held, "one that stands aside took the lease"
         first, second = second, machines.make(0)
+
+
+@then("another node acts within {seconds:g} s of a hand-over, {sooner:g} s sooner than without")
+def then_handed_over(context, seconds, sooner):
+    taken = {}
+    for hands_over in (True, False):
+        machines = Machines(3, 1)
+        machines.chance.random = lambda: 0.0
+        machines.chance.choice = lambda options: options[0]
+        holder, *others = machines.leases
+        holder.step()
+        assert holder.begin_act(0.0)
+        machines.now_s += 2.0
+        machines.hear()
+        given_up_s = machines.now_s
+        if hands_over:
+            holder.hand_over()
+            assert not holder.begin_act(0.0)
+        while not any(one.begin_act(0.0) for one in others):
+            machines.now_s += 0.05
+            machines.hear()
+            for lease in others:
+                lease.step()
+            assert machines.now_s < given_up_s + 30.0, "nobody acts"
+        taken[hands_over] = machines.now_s - given_up_s
+    assert taken[True] <= seconds, taken
+    assert taken[False] - taken[True] >= sooner, taken
+
+
+@then("a hand-over that arrives after the lease was taken again changes nothing")
+def then_late_hand_over(context):
+    machines = Machines(2, 1)
+    holder, other = machines.leases
+    holder.step()
+    revision = holder.fence
+    holder.hand_over()
+    machines.leases[0] = machines.make(0)
+    machines.leases[0].step()
+    assert machines.leases[0].begin_act(0.0)
+    other.hear_hand_over(revision, 60.0)
+    machines.now_s += 1.0
+    other.step()
+    assert not other.is_held
--- a/src/bellweir/hosted/retirement.py
+++ b/src/bellweir/hosted/retirement.py
@@ -66,6 +66,7 @@
             self._take_listing,
             self._take_change,
             is_wanted=lambda: self._ledger.leads(JOBS_KEY),
+            may_be_told=False,
         )
         registry.find(names.VIEWS, ViewsService).also_check(follower)
         self._kernel.executors.run_task("follow-retirements", follower.run)
--- a/src/bellweir/hosted/views/follower.py
+++ b/src/bellweir/hosted/views/follower.py
@@ -67,13 +67,15 @@
         on_change: Callable[[RecordChange], None],
         settle_s: float = 0.0,
         is_wanted: Callable[[], bool] = lambda: True,
+        may_be_told: bool = True,
         on_return: Callable[[float], None] = lambda _until_s: None,
     ) -> None:
         """Changes that come within `settle_s` of each other are read by one call.
 
         Nothing is followed while `is_wanted` says no; the kind is listed anew after that.
         `on_return` hears, before anything is read, that the store was away, and until which
-        monotonic time entries that lapsed meanwhile may come back.
+        monotonic time entries that lapsed meanwhile may come back. Peers that follow the store
+        for others tell only the kinds that every process needs; others are not `may_be_told`.
         """
         self._settle_s = settle_s
         self._store = store
@@ -86,7 +88,7 @@
         self._pause_s = FIRST_PAUSE_S
         self.is_relayed = False
         """Whether peers tell what is new; the store is not asked meanwhile."""
-        self.has_readers: bool | None = None
+        self.has_readers: bool | None = None if may_be_told else False
         """Whether peers follow the store for this process, too; None: not known yet."""
         self.has_zone_readers = False
         """Whether the zone has readers, of whom this process may be one."""
--- a/src/bellweir/hosted/views/service.py
+++ b/src/bellweir/hosted/views/service.py
@@ -71,6 +71,10 @@
         """Whether peers tell this node what is new, for every kind."""
         return self.configuration_follower.is_relayed and self.workers_follower.is_relayed
 
+    def is_told_by_peers(self) -> bool:
+        """Whether peers tell fresh news of the store, so that it serves at least one of them."""
+        return self._relay.is_fresh()
+
     def also_check(self, follower: KindFollower) -> None:
         """Compare another service's view with cheap readings, too."""
         self._checked.append(follower)
--- a/src/bellweir/hosted/weights/lease.py
+++ b/src/bellweir/hosted/weights/lease.py
@@ -7,8 +7,13 @@
 its own steady clock. A successor must have seen the object unchanged for the whole lease time
 before it replaces it, and then waits once more before it acts, so that the acts of two holders
 are at least the agreed time apart. Clocks of different machines are never compared.
+
+A holder that the store turns away while it serves others hands the lease over: it acts no more
+and tells the others so, with the revision that it gives up. Whoever is served may then replace
+that very revision at once, as if the lease had been given back in the store.
 """
 
+import random
 import threading
 import time
 from collections.abc import Callable
@@ -41,6 +46,12 @@
 """Times between renewals after which the next one is overdue."""
 LONGEST_ACT_S = 0.5
 """Longest time that an act of a holder takes to be over."""
+HAND_OVER_FAILURES = 2
+"""Renewals that failed in a row after which a holder hands over, if others are served."""
+STANDS_ASIDE_S = 10.0
+"""Time for which a node that has handed a lease over does not take it: two lease times."""
+LONGEST_CHANCE_S = 0.4
+"""Nodes that hear of a hand-over look within this time, each at a moment of its own."""
 MARGIN_S = 0.3
 """Added to a successor's waits: a late order arrives a little after it was sent."""
 
@@ -74,6 +85,10 @@
     holder: str
     is_told: bool = False
     """Whether the holder told it, so that the next renewal is told, too."""
+    idle_s: float | None = None
+    """Handed over: seconds between the end of the holder's last act and `since_s`."""
+    look_from_s: float = float("-inf")
+    """When this node may look whether it can be taken."""
 
 
 class Lease:
@@ -107,6 +122,10 @@
         self._stands_from_s = float("-inf")
         self.tell: Callable[[int, str], None] = lambda _revision, _holder: None
         """Called with the revision and the holder after each change made here."""
+        self.tell_hand_over: Callable[[int, float], None] = lambda _revision, _idle_s: None
+        """Called with the revision that is given up and the seconds since the last act's end."""
+        self.failed_renewals = 0
+        """Renewals that failed in a row."""
         self.woken = threading.Event()
         """Set when a look is due before its pause is over."""
         self.fence = 0
@@ -133,6 +152,8 @@
         if seen is None:
             return LOOK_PAUSE_S
         now_s = self._now_s()
+        if now_s < seen.look_from_s:
+            return seen.look_from_s - now_s
         if self._is_overdue(seen, now_s):
             return OVERDUE_PAUSE_S
         overdue_s = OVERDUE_RENEWALS * RENEW_SHARE * self._lease_s
@@ -161,6 +182,16 @@
         if not holder:
             self.woken.set()
 
+    def hear_hand_over(self, revision: int, idle_s: float) -> None:
+        """Note that the holder acts no more and has given up this revision of the object."""
+        seen = self._seen
+        if self._record is not None or (seen is not None and seen.revision > revision):
+            return
+        now_s = self._now_s()
+        look_from_s = now_s + random.uniform(0.0, LONGEST_CHANCE_S)
+        self._seen = _Seen(revision, now_s, "", idle_s=idle_s, look_from_s=look_from_s)
+        self.woken.set()
+
     def begin_act(self, seconds: float) -> int:
         """Return the fence for an act of so many seconds that begins now; 0: it may not begin.
 
@@ -177,15 +208,31 @@
         self._stands_from_s = self._now_s() + seconds
         self.woken.set()
 
-    def release(self) -> None:
-        """Give the lease back at a planned stop; the successor need not wait for its end."""
+    def hand_over(self) -> None:
+        """Give the lease up by word of mouth, where the store does not take it back."""
+        given_up = self._end_here("handed over")
+        if given_up is None:
+            return
+        record, idle_s = given_up
+        self.step_aside(STANDS_ASIDE_S)
+        self.tell_hand_over(record.revision, idle_s)
+
+    def _end_here(self, cause: str) -> tuple[StoredRecord, float] | None:
+        """End the lease of this node; return its object and the seconds since its last act."""
         # No act begins between the end of the lease here and the reading of its idle time.
         with self._act_lock:
             record, self._record = self._record, None
             if record is None:
-                return
-            self._lose("released")
-            idle_s = self._own_idle_s()
+                return None
+            self._lose(cause)
+            return record, self._own_idle_s()
+
+    def release(self) -> None:
+        """Give the lease back at a planned stop; the successor need not wait for its end."""
+        given_up = self._end_here("released")
+        if given_up is None:
+            return
+        record, idle_s = given_up
         spec = msgspec.to_builtins(LeaseSpec("", self._count + 1, idle_s))
         written = self._store.replace(RecordKind.LEASES, self._name, spec, record.revision)
         if isinstance(written, Success):
@@ -218,11 +265,13 @@
 
     def _extend(self, record: StoredRecord, began_s: float) -> None:
         self._record = record
+        self.failed_renewals = 0
         self._valid_until_s = began_s + VALID_SHARE * self._lease_s
         self._renew_due_s = began_s + RENEW_SHARE * self._lease_s
         self.tell(record.revision, self._node)
 
     def _renewal_failed(self, failure: StoreError) -> None:
+        self.failed_renewals += 1
         self._renew_due_s = self._now_s() + RENEW_SHARE * self._lease_s / 2
         if failure.kind in (StoreErrorKind.CONFLICT, StoreErrorKind.UNKNOWN):
             # The write may have been done: only the object itself tells.
@@ -252,6 +301,8 @@
     def _look(self) -> None:
         now_s = self._now_s()
         seen = self._seen
+        if seen is not None and now_s < seen.look_from_s:
+            return
         if seen is not None and seen.is_told and seen.holder and not self._is_overdue(seen, now_s):
             return
         found = self._store.read(RecordKind.LEASES, self._name)
@@ -273,7 +324,7 @@
         if seen is None or seen.revision != record.revision:
             self._seen = _Seen(record.revision, now_s, holder)
             seen = self._seen
-        given_back = not holder
+        given_back = not holder or seen.idle_s is not None
         expired = now_s - seen.since_s >= self._lease_s + MARGIN_S
         # A former process of this machine is the same holder to the workers.
         own = holder == self._node
@@ -283,7 +334,8 @@
         if own and spec is not None:
             wait_s = spec.wait_s
         else:
-            idle_s = spec.idle_s if spec is not None and given_back else self._idle_s(seen, now_s)
+            told_s = spec.idle_s if spec is not None and not holder else None
+            idle_s = told_s if told_s is not None else self._idle_s(seen, now_s)
             wait_s = max(0.0, self._separation_s - idle_s)
         wanted = msgspec.to_builtins(LeaseSpec(self._node, self._count, wait_s=wait_s))
         taken = self._store.replace(RecordKind.LEASES, self._name, wanted, record.revision)
@@ -295,6 +347,8 @@
 
     def _idle_s(self, seen: "_Seen", now_s: float) -> float:
         """Time for which the former holder has surely not acted."""
+        if seen.idle_s is not None:
+            return seen.idle_s + now_s - seen.since_s
         if not seen.holder:
             return 0.0
         return max(0.0, now_s - seen.since_s - VALID_SHARE * self._lease_s)
--- a/src/bellweir/hosted/weights/lease_news.py
+++ b/src/bellweir/hosted/weights/lease_news.py
@@ -21,6 +21,16 @@
     """Node name; empty when the lease was given back."""
 
 
+class LeaseHandOver(Message, frozen=True):
+    """A holder that the store turns away gives up its lease; whoever is served may take it."""
+
+    lease: str
+    revision: int
+    """Revision of the object that it gives up: only this one may be replaced at once."""
+    idle_s: float
+    """Seconds since the end of its last act; below 0 while one is under way."""
+
+
 class StepAside(Message, frozen=True):
     """Asks a node that is to be taken away to give its leases back and to take none."""
 
@@ -38,12 +48,20 @@
         self._transport = transport
         self._members = members
         lease.tell = self.tell
+        lease.tell_hand_over = self.tell_hand_over
         transport.register(LeaseNews, self.handle_news)
+        transport.register(LeaseHandOver, self.handle_hand_over)
         transport.register(StepAside, self.handle_step_aside)
 
     def tell(self, revision: int, holder: str) -> None:
         """Tell the other nodes that may hold the lease of its object's newest revision."""
-        news = LeaseNews(self._name, revision, holder)
+        self._send(LeaseNews(self._name, revision, holder))
+
+    def tell_hand_over(self, revision: int, idle_s: float) -> None:
+        """Tell the other nodes that may hold the lease that this one has given it up."""
+        self._send(LeaseHandOver(self._name, revision, idle_s))
+
+    def _send(self, news: Message) -> None:
         own = self._members.self_member().node
         for member in self._members.members():
             may_hold = member.has_data_folder and member.state is not MemberState.DEAD
@@ -55,6 +73,11 @@
         if news.lease == self._name:
             self._lease.hear(news.revision, news.holder)
 
+    def handle_hand_over(self, sender: Sender, news: LeaseHandOver) -> None:
+        """Take a holder's word that it acts no more."""
+        if news.lease == self._name:
+            self._lease.hear_hand_over(news.revision, news.idle_s)
+
     def handle_step_aside(self, sender: Sender, message: StepAside) -> None:
         """Leave the lease to others for a while."""
         self._lease.step_aside(STEP_ASIDE_S)
--- a/src/bellweir/hosted/weights/service.py
+++ b/src/bellweir/hosted/weights/service.py
@@ -10,7 +10,7 @@
 from bellweir.hosted.views.service import ViewsService
 from bellweir.hosted.weights.controller import RolloutController
 from bellweir.hosted.weights.lags import VersionLags
-from bellweir.hosted.weights.lease import Lease
+from bellweir.hosted.weights.lease import HAND_OVER_FAILURES, Lease
 from bellweir.hosted.weights.lease_news import LeaseTeller
 from bellweir.hosted.weights.versions import VersionsView
 from bellweir.kernel import names
@@ -54,7 +54,7 @@
 
     def start(self) -> None:
         """Start the tasks."""
-        views = self._kernel.registry.find(names.VIEWS, ViewsService)
+        views = self._views = self._kernel.registry.find(names.VIEWS, ViewsService)
         self._ledger = self._kernel.registry.find(names.LEDGER, Ledger)  # type: ignore[type-abstract]
         if self._settings.rollouts.tell_renewals:
             transport = self._kernel.registry.find(names.TRANSPORT, Transport)  # type: ignore[type-abstract]
@@ -66,6 +66,7 @@
             self._versions.take_listing,
             self._versions.take_change,
             is_wanted=lambda: self._lease.is_held,
+            may_be_told=False,
         )
         self._controller = RolloutController(
             self._lease,
@@ -106,10 +107,17 @@
 
     def _keep_lease(self, stopping: threading.Event) -> None:
         while not stopping.is_set() and not self._leaving.is_set():
+            if self._is_turned_away():
+                self._lease.hand_over()
             self._lease.step()
             self._lease.woken.wait(self._lease.pause_s())
             self._lease.woken.clear()
 
+    def _is_turned_away(self) -> bool:
+        """Whether the store refuses the renewals here while peers tell fresh news of it."""
+        failed = self._lease.failed_renewals >= HAND_OVER_FAILURES
+        return self._lease.is_held and failed and self._views.is_told_by_peers()
+
     def _control(self, stopping: threading.Event) -> None:
         while not stopping.wait(CONTROL_STEP_S):
             if not self._leaving.is_set():
