--- a/src/bellweir/hosted/node_settings.py
+++ b/src/bellweir/hosted/node_settings.py
@@ -14,6 +14,14 @@
     from bellweir.settings.models import Settings
 
 
+FIRST_START_SPREAD_S = 3.0
+"""Time over which store machines spread their first looks at shared objects of the store.
+
+At the first start of all they look for objects that one of them has to make, and the others are
+told of; traffic starts 12 s later or more. At any later start nothing is held up.
+"""
+
+
 @dataclass(frozen=True)
 class _Node:
     name: str
@@ -50,6 +58,7 @@
     election_timeout_s: float = 0.6
     snapshot_entries: int = 2_048
     creation_wait_s: float = 6.0
+    creation_spread_s: float = 0.0
     replace_after_s: float = 3.0
     segment_retention_s: float = 172_800.0
 
@@ -78,7 +87,10 @@
         _Trust(),
         _NetworkFaults(),
         _Membership(seeds=seed_addresses(settings)),
-        _Ledger(replicas=settings.tolerate.replicas),
+        _Ledger(
+            replicas=settings.tolerate.replicas,
+            creation_spread_s=FIRST_START_SPREAD_S if node.bootstrap else 0.0,
+        ),
         _Platform(settings.store.address),
     )
     return cast("Settings", made)
--- a/src/bellweir/hosted/weights/service.py
+++ b/src/bellweir/hosted/weights/service.py
@@ -1,10 +1,12 @@
 """Service `rollouts`: the lease, and the controller while it is held."""
 
+import random
 import threading
 
 from bellweir.hosted.batches.state import JOBS_KEY, BatchJobs, Job
 from bellweir.hosted.interface import HostingPlatform, RecordKind
 from bellweir.hosted.metrics_service import MetricsService
+from bellweir.hosted.node_settings import FIRST_START_SPREAD_S
 from bellweir.hosted.settings import HostedSettings
 from bellweir.hosted.views.follower import KindFollower
 from bellweir.hosted.views.service import ViewsService
@@ -106,6 +108,9 @@
         """The tasks end with the executors."""
 
     def _keep_lease(self, stopping: threading.Event) -> None:
+        if self._settings.node.bootstrap:
+            # One of many store machines makes the lease, and tells the others.
+            self._lease.woken.wait(random.uniform(0.0, FIRST_START_SPREAD_S))
         while not stopping.is_set() and not self._leaving.is_set():
             if self._is_turned_away():
                 self._lease.hand_over()
--- a/src/bellweir/ledger/keeper.py
+++ b/src/bellweir/ledger/keeper.py
@@ -35,6 +35,8 @@
 
 
 PLACEMENT_TIMEOUT_S = 1.0
+ASKED_AT_ONCE = 3
+"""Nodes that are asked for the placement in one step; whoever has it spreads it the same way."""
 REFRESH_PERIOD_S = 10.0
 """Time between two looks at another node's copy of the placement."""
 
@@ -108,7 +110,8 @@
             self.adopt(found)
 
     def _ask_peers(self) -> Placement | None:
-        for member in self._data_members():
+        members = self._data_members()
+        for member in random.sample(members, min(ASKED_AT_ONCE, len(members))):
             answer = self._ask(member)
             if answer is not None and answer.placement is not None:
                 return answer.placement
--- a/src/bellweir/ledger/service.py
+++ b/src/bellweir/ledger/service.py
@@ -143,7 +143,9 @@
             settings,
             has_store=store is not None,
         )
-        sync = StoreSync(node, keeper, store, self._kernel.clock) if store else None
+        spread_s = settings.creation_spread_s
+        clock = self._kernel.clock
+        sync = StoreSync(node, keeper, store, clock, spread_s) if store else None
         CallServer(node, self._transport)
         PeekServer(node, self._transport)
         node.register_handlers()
--- a/src/bellweir/ledger/store_sync.py
+++ b/src/bellweir/ledger/store_sync.py
@@ -3,6 +3,8 @@
 It has a task of its own, because the store may be slow, down or hang.
 """
 
+import random
+
 from bellweir.clients.interface.errors import PlatformError
 from bellweir.events.log import emit
 from bellweir.kernel.clock import Clock
@@ -21,8 +23,15 @@
     """`step` is called a few times a second by one task."""
 
     def __init__(
-        self, node: LedgerNode, keeper: PlacementKeeper, store: PlacementStore, clock: Clock
+        self,
+        node: LedgerNode,
+        keeper: PlacementKeeper,
+        store: PlacementStore,
+        clock: Clock,
+        first_read_spread_s: float = 0.0,
     ) -> None:
+        """Without a placement the store is asked within `first_read_spread_s`, at random."""
+        self._read_from_s = clock.monotonic_s() + random.uniform(0.0, first_read_spread_s)
         self._node = node
         self._keeper = keeper
         self._store = store
@@ -36,7 +45,8 @@
         """Read or create the placement; then look for recoveries, and publish."""
         placement = self._keeper.placement
         if placement is None:
-            self._read_or_create()
+            if self._clock.monotonic_s() >= self._read_from_s:
+                self._read_or_create()
             return
         if self._may_be_recovered():
             self._look_for_recovery()
--- a/src/bellweir/settings/models.py
+++ b/src/bellweir/settings/models.py
@@ -118,6 +118,9 @@
     creation_wait_s: float = Field(default=3.0, ge=0)
     """Time for which the first node waits for others to share a new ledger with, in seconds.
     Default 3."""
+    creation_spread_s: float = Field(default=0.0, ge=0)
+    """Longest delay, drawn by each node, before one without a placement asks the store, in
+    seconds: where many start together the others learn it from peers. Default 0."""
     replace_after_s: float = Field(default=20.0, gt=0)
     """Time after which a silent replica is replaced by one on another node, in seconds.
     Default 20."""
