--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -69,14 +69,14 @@
     "What peers tell is too old; this process follows the object store itself.",
 )
 STORE_TURNS_AWAY = Event(
-    1425,
+    1426,
     "store_turns_away",
     Level.WARNING,
     ("lost_s",),
     "The object store does not serve this process; it asks other nodes what is new there.",
 )
 STORE_SERVES_AGAIN = Event(
-    1426, "store_serves_again", Level.INFO, (), "A look at the object store was answered again."
+    1427, "store_serves_again", Level.INFO, (), "A look at the object store was answered again."
 )
 CONFIGURATION_IN_FORCE = Event(
     1413,
--- a/src/bellweir/hosted/metrics_service.py
+++ b/src/bellweir/hosted/metrics_service.py
@@ -87,6 +87,11 @@
             "1 while peers tell this process what is new in the store, 0 while it asks itself.",
             lambda: float(views.is_relayed()),
         )
+        add(
+            "bellweir_store_turns_away",
+            "1 while the platform's store does not serve this process, which asks peers instead.",
+            lambda: float(views.is_cut_off()),
+        )
         add(
             "bellweir_views_subscribers",
             "Processes that this one tells what is new in the store.",
--- a/src/bellweir/hosted/views/service.py
+++ b/src/bellweir/hosted/views/service.py
@@ -71,6 +71,10 @@
         """Whether peers tell this node what is new, for every kind."""
         return self.configuration_follower.is_relayed and self.workers_follower.is_relayed
 
+    def is_cut_off(self) -> bool:
+        """Whether the store does not serve this process, so that peers are asked."""
+        return self._relay.is_cut_off
+
     def is_told_by_peers(self) -> bool:
         """Whether peers tell fresh news of the store, so that it serves at least one of them."""
         return self._relay.is_fresh()
