Have two nodes read the store for the whole deployment

Hypothesis: after the start, calls come from the readers, two for each large zone, and in small zones from every process: watches of workers and cheap readings that prove nothing new.

Change: two nodes of a deployment of seven or more follow the store, in two zones where it has two; the two readers of each large zone rely on them, everybody else as before or, in small zones, on the two themselves (`views/readers.py`).

Test: hosted_relay, a property over zones of any sizes (two nodes follow, two steps to all others); the older scenarios now run against it.

--- a/features/hosted_relay.feature
+++ b/features/hosted_relay.feature
@@ -1,6 +1,6 @@
-Feature: Few nodes of a large zone call the store, and all know what it holds
-  Two readers of a zone follow the store and tell the others. A node whose readers are cut off from
-  the store, or from it, follows the store on its own.
+Feature: Few nodes of many call the store, and all know what it holds
+  Two nodes follow the store and tell the others, in large zones by way of two nodes of each. A node
+  whose sources are cut off from the store, or from it, follows the store on its own.
 
   Scenario: What is told leads to the store's state
     Then in any order of lists, watches and tellings the state is the store's as of its revision
@@ -8,6 +8,9 @@
   Scenario: A small zone has no readers
     Then up to 6 nodes of a zone all follow the store, and 2 of any more
 
+  Scenario: A large deployment has two readers, whatever its zones
+    Then in zones of any sizes 2 nodes follow the store, and it is two steps to all others
+
   Scenario: Most nodes call the store no more
     Given a zone of 9 nodes that follow a stand-in of the store
     When the operator writes configuration 3 and worker "i-1" comes
@@ -58,7 +61,7 @@
     And all nodes are fresh, and those that are turned away hardly ask the store
     When the store serves all nodes again and configuration 6 is written
     Then all nodes route by configuration 6
-    And only the 2 readers of the first zone call the store there
+    And only the 2 readers call the store
 
   Scenario: A node of small zones is turned away
     Given zones of 2 and 3 nodes that follow a stand-in of the store
--- a/features/steps/hosted_relay_steps.py
+++ b/features/steps/hosted_relay_steps.py
@@ -13,7 +13,8 @@
 from bellweir.hosted.interface import Changes, Listing, RecordChange, StoredRecord
 from bellweir.hosted.peer_records import has_record
 from bellweir.hosted.views.kind_state import KindState
-from bellweir.hosted.views.relay import SERVED_LOOK_S, zone_readers
+from bellweir.hosted.views.readers import deployment_readers, sources_of, zone_readers
+from bellweir.hosted.views.relay import SERVED_LOOK_S
 from bellweir.membership.interface import MemberState
 from bellweir_rehearsal.hosted.object_store import PlatformStoreStandIn
 
@@ -117,6 +118,35 @@
         assert zone_readers(members[::-1], "a") == found
 
 
+@then("in zones of any sizes {readers:d} nodes follow the store, and it is two steps to all others")
+def then_sources(context, readers):
+    sizes = st.lists(st.integers(0, 12), min_size=1, max_size=6)
+
+    @settings(max_examples=200)
+    @given(sizes=sizes)
+    def reached(sizes):
+        members = [
+            member(f"{zone}-{number}", f"z{zone}")
+            for zone, size in enumerate(sizes)
+            for number in range(size)
+        ]
+        sources = {one.node: [each.node for each in sources_of(one, members)] for one in members}
+        direct = {node for node, found in sources.items() if not found}
+        if len(members) <= 6:
+            assert direct == set(sources)
+            return
+        assert direct == {one.node for one in deployment_readers(members)}
+        zones = {node.partition("-")[0] for node in direct}
+        assert len(direct) == readers
+        assert len(zones) == min(readers, sum(size > 0 for size in sizes))
+        for found in sources.values():
+            nearer = {each for one in found for each in sources[one]}
+            assert not found or not nearer or nearer == direct, sources
+            assert len(set(found)) in (0, readers)
+
+    reached()
+
+
 @given_step("a zone of {count:d} nodes that follow a stand-in of the store")
 def given_zone(context, count):
     given_zone_with_seeds(context, count, "")
@@ -304,12 +334,6 @@
     context.store.records.put("config", "main", configuration(version))
 
 
-@then("only the 2 readers of the first zone call the store there")
-def then_only_first_readers_call(context):
-    context.away = [node.name for node in context.zone.of_zone("b")]
-    then_only_readers_call(context)
-
-
 @then("whoever the store turns away, views never go back, ages are true and all become fresh")
 def then_model_of_zones(context):
     zone, records = context.zone, context.store.records
--- a/features/support/relay_zone.py
+++ b/features/support/relay_zone.py
@@ -8,7 +8,8 @@
 from bellweir.hosted.interface import RecordKind, RecordStore, StoreError, StoreErrorKind
 from bellweir.hosted.views.configuration import ConfigurationView
 from bellweir.hosted.views.follower import FRESH_S, KindFollower
-from bellweir.hosted.views.relay import ViewsRelay, zone_readers
+from bellweir.hosted.views.readers import deployment_readers
+from bellweir.hosted.views.relay import ViewsRelay
 from bellweir.hosted.views.workers import WorkersView
 from bellweir.membership.interface import Member, MemberState
 from bellweir_platform.object_store import PlatformStore
@@ -139,11 +140,12 @@
         return [node for node in self.nodes.values() if node.zone == zone]
 
     def readers(self):
-        chosen = zone_readers(list(self.network.members.values()), "a")
+        """The nodes that follow the store for all."""
+        chosen = deployment_readers(list(self.network.members.values()))
         return [self.nodes[one.node] for one in chosen]
 
     def others(self):
-        return [one for one in self.of_zone("a") if one not in self.readers()]
+        return [one for one in self.nodes.values() if one not in self.readers()]
 
     def are_told(self):
         """Whether every node but the readers relies on what it is told."""
--- a/src/bellweir/hosted/views/follower.py
+++ b/src/bellweir/hosted/views/follower.py
@@ -90,8 +90,8 @@
         """Whether peers tell what is new; the store is not asked meanwhile."""
         self.has_readers: bool | None = None if may_be_told else False
         """Whether peers follow the store for this process, too; None: not known yet."""
-        self.has_zone_readers = False
-        """Whether the zone has readers, of whom this process may be one."""
+        self.has_regular_readers = False
+        """Whether these follow it as a rule, not only while the store turns this process away."""
         self.patient_until_s = float("-inf")
         """Monotonic time until which peers are waited for before anything is read here."""
         self.listed = threading.Event()
@@ -246,7 +246,7 @@
 
     def _next_pause_s(self) -> float:
         pause_s = self._pause_s * random.uniform(0.5, 1.0)
-        beside_readers = self.has_readers and self.has_zone_readers
+        beside_readers = self.has_readers and self.has_regular_readers
         longest_s = LONGEST_PAUSE_BESIDE_READERS_S if beside_readers else LONGEST_PAUSE_S
         self._pause_s = min(2 * self._pause_s, longest_s)
         return pause_s
--- a/src/bellweir/hosted/views/relay.py
+++ b/src/bellweir/hosted/views/relay.py
@@ -1,9 +1,9 @@
-"""Relays views of the store inside a zone, so that few nodes of many call the store.
+"""Relays views of the store from node to node, so that few nodes of many call the store.
 
-In a zone of many nodes two of them, the zone's readers, follow the store. Every other node
-subscribes to both and is told what changed, and a few times a second that nothing did. What is
-told carries its age, so that a node notices by itself when its readers are cut off from the store
-and then follows it on its own; tellings that go in a circle only grow older.
+Two nodes of a deployment follow the store; `readers` says who relies on whom. Every other node
+subscribes to its two sources and is told what changed, and a few times a second that nothing did.
+What is told carries its age, so that a node notices by itself when its sources are cut off from
+the store and then follows it on its own; tellings that go in a circle only grow older.
 
 A node that the store turns away, or that can't reach it, subscribes to readers of other zones
 instead (in small zones, to any node), one more with each renewal until one tells fresh news. What
@@ -14,8 +14,9 @@
 itself only if none does so at once. It knows its zone's readers only when membership has settled,
 and until then every node would list and watch what a few already know.
 
-A node sends two messages a second and gets five, whatever the number of nodes. A reader sends
-`2.5 + changes a second` messages for each node of its zone.
+A node sends two messages a second and gets five, whatever the number of nodes. A zone's reader
+sends `2.5 + changes a second` messages for each node of its zone, one of the deployment as many
+for each zone's two readers.
 """
 
 import random
@@ -29,15 +30,11 @@
 from bellweir.hosted.log_events import STORE_SERVES_AGAIN, STORE_TURNS_AWAY
 from bellweir.hosted.views.follower import KindFollower
 from bellweir.hosted.views.kind_state import NEVER_S, KindNews
+from bellweir.hosted.views.readers import sources_of
 from bellweir.hosted.views.spare_sources import SpareSources
-from bellweir.hosted.zone_ranking import first_of_zone
-from bellweir.membership.interface import Member, Membership
+from bellweir.membership.interface import Membership
 from bellweir.wire.interface import Message, Sender, Transport
 
-READERS_IN_ZONE = 2
-"""With two, the loss of one is not noticed."""
-SMALLEST_RELAYED_ZONE = 7
-"""Nodes of a zone from which on it has readers."""
 SUBSCRIBE_PERIOD_S = 1.0
 SUBSCRIPTION_S = 3.5
 """Time without a renewal after which a subscriber is told nothing more."""
@@ -91,15 +88,6 @@
         self.until_s = until_s
 
 
-def zone_readers(members: Sequence[Member], zone: str) -> list[Member]:
-    """Return the nodes that read the store for a zone; none in a small zone.
-
-    All nodes that see the same members choose the same ones.
-    """
-    first = first_of_zone(members, zone, SMALLEST_RELAYED_ZONE)
-    return first[:READERS_IN_ZONE] if len(first) == SMALLEST_RELAYED_ZONE else []
-
-
 class ViewsRelay:
     """One node's part: a subscriber, or a reader with subscribers.
 
@@ -190,19 +178,18 @@
         return self.is_fresh()
 
     def renew(self) -> None:
-        """Subscribe to the readers, unless this node is one of them; to others when cut off."""
+        """Subscribe to the nodes that read for this one; to further ones when it is cut off."""
         own = self._membership.self_member()
         members = self._membership.members()
-        readers = zone_readers(members, own.zone)
-        is_reader = any(one.node == own.node for one in readers)
-        sources = [] if is_reader else [one.peer_address for one in readers]
+        sources = [one.peer_address for one in sources_of(own, members)]
+        for follower in self._followers.values():
+            follower.has_regular_readers = bool(sources)
         self._note_cut_off()
         if self.is_cut_off:
             sources += self._spare.choose(members, own, sources, is_told=self.is_fresh())
         has_readers = bool(sources)
         for follower in self._followers.values():
             follower.has_readers = has_readers
-            follower.has_zone_readers = bool(readers)
         for address in sources:
             self._transport.send(address, ViewsSubscription(self._known()))
 
--- a/src/bellweir/hosted/zone_ranking.py
+++ b/src/bellweir/hosted/zone_ranking.py
@@ -15,5 +15,9 @@
 def first_of_zone(members: Iterable[Member], zone: str, count: int) -> list[Member]:
     """Return the first `count` live nodes of a zone, fewer in a smaller one."""
     alive = [one for one in members if one.zone == zone and one.state is MemberState.ALIVE]
-    alive.sort(key=lambda one: xxhash.xxh3_64_intdigest(one.node.encode()))
-    return alive[:count]
+    return sorted(alive, key=rank)[:count]
+
+
+def rank(member: Member) -> int:
+    """The place of a node in the order; the lowest comes first."""
+    return xxhash.xxh3_64_intdigest(member.node.encode())
