Keep views fresh at nodes that are asked, too

Cause: a seed that answers questions has no subscribers, so it compared its views only every 2 s, and a node that had learnt from it found them too old when it turned to its readers (12 lines view_direct at one moment of a start, ages of 1.54 s).

--- a/src/bellweir/hosted/views/relay.py
+++ b/src/bellweir/hosted/views/relay.py
@@ -118,6 +118,7 @@
         self._subscribers: dict[str, _Subscriber] = {}
         self._changed = threading.Event()
         self._told_s = NEVER_S
+        self._asked_until_s = NEVER_S
         self._spare = SpareSources()
         self._served_look_s = NEVER_S
         self.is_cut_off = False
@@ -135,6 +136,10 @@
         """Nodes that rely on what this node reads."""
         return len(self._subscribers)
 
+    def is_relied_on(self) -> bool:
+        """Whether other nodes know from this one what is new, so that it must be fresh here."""
+        return bool(self._subscribers) or self._now_s() < self._asked_until_s
+
     def is_fresh(self) -> bool:
         """Whether peers tell this node lately enough what is new, for every kind."""
         return all(one.is_told_lately() for one in self._followers.values())
@@ -236,6 +241,7 @@
         )
 
     def _on_question(self, sender: Sender, message: ViewsQuestion) -> ViewsNews:
+        self._asked_until_s = self._now_s() + SUBSCRIPTION_S
         return ViewsNews(self._news_since(message.known))
 
     def _on_news(self, sender: Sender, message: ViewsNews) -> None:
--- a/src/bellweir/hosted/views/service.py
+++ b/src/bellweir/hosted/views/service.py
@@ -117,8 +117,8 @@
         """Interrupt watches that were cut in silence."""
         while True:
             for follower in list(self._checked):
-                is_reader = self._relay.subscriber_count() > 0
-                if stopping.wait(READER_CHECK_PERIOD_S if is_reader else CHECK_PERIOD_S):
+                is_relied_on = self._relay.is_relied_on()
+                if stopping.wait(READER_CHECK_PERIOD_S if is_relied_on else CHECK_PERIOD_S):
                     return
                 follower.check()
                 self.workers.drop_overdue()
