Compare each relayed kind twice a second, also at readers that follow other kinds

A store machine that reads for others and leads the jobs or holds the lease compared four kinds in turn, each once a second, which is too old for its subscribers.

--- a/src/bellweir/hosted/views/relay.py
+++ b/src/bellweir/hosted/views/relay.py
@@ -56,7 +56,7 @@
 """Time without the store after which others are asked what is new; a refusal comes at once."""
 SERVED_LOOK_S = 2.0
 """Time between two cheap readings by which a node that is cut off finds out that it is served."""
-FORWARD_PERIOD_S = 0.2
+FORWARD_PERIOD_S = 0.3
 """News that only confirm what is known are passed on no more often."""
 
 
--- a/src/bellweir/hosted/views/service.py
+++ b/src/bellweir/hosted/views/service.py
@@ -21,8 +21,9 @@
 PEER_PAUSE_S = 0.2
 CHECK_PERIOD_S = 1.0
 """Time between two cheap readings; the kinds that a process follows take turns."""
-READER_CHECK_PERIOD_S = 0.25
-"""The same at a node that others rely on: what it tells them must be fresh."""
+READER_CHECK_CYCLE_S = 0.5
+"""Time in which each kind has its turn at a node that others rely on: what it tells must be fresh.
+"""
 SETTLE_S = 0.8
 """Changes of workers within this time are read by one call. What its reader tells a node must be
 known there within `FRESH_S`: this time, a heartbeat and two ways."""
@@ -119,7 +120,8 @@
         while True:
             for follower in list(self._checked):
                 is_relied_on = self._relay.is_relied_on()
-                if stopping.wait(READER_CHECK_PERIOD_S if is_relied_on else CHECK_PERIOD_S):
+                cycle_s = READER_CHECK_CYCLE_S / len(self._checked)
+                if stopping.wait(cycle_s if is_relied_on else CHECK_PERIOD_S):
                     return
                 follower.check()
                 self.workers.drop_overdue()
