Hand the lease over by the clock, also when the store is silent

And a holder must not hand over when the store serves nobody: it goes on at once after a short outage, while a successor has to wait.

Change: handed over 0.75 s after the first renewal that does not succeed began, whether it was refused or is still awaited, if peers know the store as of a later time. The control task looks; a renewal whose answer comes after that does not bring the lease back.

Test: hosted_lease, a slow renewal and a hand-over meanwhile.

--- a/features/hosted_lease.feature
+++ b/features/hosted_lease.feature
@@ -23,4 +23,5 @@
 
   Scenario: A holder that the store turns away while it serves others
     Then another node acts within 2 s of a hand-over, 2 s sooner than without
+    And a renewal whose answer comes after the hand-over does not bring the lease back
     And a hand-over that arrives after the lease was taken again changes nothing
--- a/features/steps/hosted_lease_steps.py
+++ b/features/steps/hosted_lease_steps.py
@@ -318,6 +318,27 @@
     assert taken[False] - taken[True] >= sooner, taken
 
 
+@then("a renewal whose answer comes after the hand-over does not bring the lease back")
+def then_late_renewal(context):
+    machines = Machines(2, 1)
+    holder, store = machines.leases[0], machines.store
+    holder.step()
+    machines.now_s += 2.0
+    write = store.replace
+
+    def slow_write(*words):
+        machines.now_s += 1.0
+        assert holder.refused_since_s() is not None
+        holder.hand_over()
+        return write(*words)
+
+    store.replace = slow_write
+    holder.step()
+    store.replace = write
+    assert not holder.is_held
+    assert not holder.begin_act(0.0)
+
+
 @then("a hand-over that arrives after the lease was taken again changes nothing")
 def then_late_hand_over(context):
     machines = Machines(2, 1)
--- a/src/bellweir/hosted/views/relay.py
+++ b/src/bellweir/hosted/views/relay.py
@@ -252,18 +252,18 @@
         """Take what a peer tells; False when something before it is missing here."""
         now_s = self._now_s()
         is_whole = True
-        known_as_of_s = self._relayed_as_of_s()
+        known_as_of_s = self.told_as_of_s()
         for news in message.kinds:
             follower = self._followers.get(news.kind)
             if follower is not None and not follower.state.take_news(news, now_s):
                 is_whole = False
-        is_younger = self._relayed_as_of_s() > known_as_of_s
+        is_younger = self.told_as_of_s() > known_as_of_s
         if is_younger and self._subscribers and now_s - self._told_s >= FORWARD_PERIOD_S:
             # Those that rely on this node learn at once how young its news are.
             self._changed.set()
         return is_whole
 
-    def _relayed_as_of_s(self) -> float:
+    def told_as_of_s(self) -> float:
         """Time as of which peers have told all that is new."""
         return min(one.state.relayed_as_of_s for one in self._followers.values())
 
--- a/src/bellweir/hosted/views/service.py
+++ b/src/bellweir/hosted/views/service.py
@@ -77,9 +77,9 @@
         """Whether the store does not serve this process, so that peers are asked."""
         return self._relay.is_cut_off
 
-    def is_told_by_peers(self) -> bool:
-        """Whether peers tell fresh news of the store, so that it serves at least one of them."""
-        return self._relay.is_fresh()
+    def told_as_of_s(self) -> float:
+        """Monotonic time as of which peers have told all news: the store served one of them."""
+        return self._relay.told_as_of_s()
 
     def also_check(self, follower: KindFollower) -> None:
         """Compare another service's view with cheap readings, too."""
--- a/src/bellweir/hosted/weights/lease.py
+++ b/src/bellweir/hosted/weights/lease.py
@@ -46,8 +46,9 @@
 """Times between renewals after which the next one is overdue."""
 LONGEST_ACT_S = 0.5
 """Longest time that an act of a holder takes to be over."""
-HAND_OVER_FAILURES = 2
-"""Renewals that failed in a row after which a holder hands over, if others are served."""
+HAND_OVER_SHARE = 0.15
+"""Share of the lease time for which renewals fail before a holder hands over, if the store has
+served others meanwhile; it then still has a sixth of the lease time to act."""
 STANDS_ASIDE_S = 10.0
 """Time for which a node that has handed a lease over does not take it: two lease times."""
 LONGEST_CHANCE_S = 0.4
@@ -124,8 +125,8 @@
         """Called with the revision and the holder after each change made here."""
         self.tell_hand_over: Callable[[int, float], None] = lambda _revision, _idle_s: None
         """Called with the revision that is given up and the seconds since the last act's end."""
-        self.failed_renewals = 0
-        """Renewals that failed in a row."""
+        self._failing_since_s: float | None = None
+        """When the first of the renewals in a row began that have not succeeded yet."""
         self.woken = threading.Event()
         """Set when a look is due before its pause is over."""
         self.fence = 0
@@ -208,6 +209,13 @@
         self._stands_from_s = self._now_s() + seconds
         self.woken.set()
 
+    def refused_since_s(self) -> float | None:
+        """When the store ceased to take renewals, once that is long enough ago to hand over."""
+        since_s = self._failing_since_s
+        if self._record is None or since_s is None:
+            return None
+        return since_s if self._now_s() - since_s >= HAND_OVER_SHARE * self._lease_s else None
+
     def hand_over(self) -> None:
         """Give the lease up by word of mouth, where the store does not take it back."""
         given_up = self._end_here("handed over")
@@ -255,31 +263,38 @@
         if record is None or began_s < self._renew_due_s:
             return
         self._count += 1
+        if self._failing_since_s is None:
+            self._failing_since_s = began_s
         wait_s = max(0.0, self._act_from_s - began_s)
         spec = msgspec.to_builtins(LeaseSpec(self._node, self._count, wait_s=wait_s))
         written = self._store.replace(RecordKind.LEASES, self._name, spec, record.revision)
         if isinstance(written, Success):
-            self._extend(written.unwrap(), began_s)
-            return
-        self._renewal_failed(written.failure())
+            self._extend_if_held(record, written.unwrap(), began_s)
+        else:
+            self._renewal_failed(record, written.failure())
+
+    def _extend_if_held(self, held: StoredRecord, renewed: StoredRecord, began_s: float) -> None:
+        """Count on a renewal, unless the lease was handed over while its answer was awaited."""
+        with self._act_lock:
+            if self._record is held:
+                self._extend(renewed, began_s)
 
     def _extend(self, record: StoredRecord, began_s: float) -> None:
         self._record = record
-        self.failed_renewals = 0
+        self._failing_since_s = None
         self._valid_until_s = began_s + VALID_SHARE * self._lease_s
         self._renew_due_s = began_s + RENEW_SHARE * self._lease_s
         self.tell(record.revision, self._node)
 
-    def _renewal_failed(self, failure: StoreError) -> None:
-        self.failed_renewals += 1
+    def _renewal_failed(self, held: StoredRecord, failure: StoreError) -> None:
         self._renew_due_s = self._now_s() + RENEW_SHARE * self._lease_s / 2
         if failure.kind in (StoreErrorKind.CONFLICT, StoreErrorKind.UNKNOWN):
             # The write may have been done: only the object itself tells.
-            self._read_back()
+            self._read_back(held)
         elif failure.kind is StoreErrorKind.NOT_FOUND:
             self._lose("the object is gone")
 
-    def _read_back(self) -> None:
+    def _read_back(self, held: StoredRecord) -> None:
         began_s = self._now_s()
         found = self._store.read(RecordKind.LEASES, self._name)
         if not isinstance(found, Success):
@@ -287,13 +302,14 @@
         record = found.unwrap()
         spec = _spec_of(record)
         if spec is not None and spec.holder == self._node and spec.count == self._count:
-            self._extend(record, began_s)
-        elif self._record is None or record.revision != self._record.revision:
+            self._extend_if_held(held, record, began_s)
+        elif record.revision != held.revision and self._record is held:
             self._lose("another holder")
 
     def _lose(self, cause: str) -> None:
         emit(LEASE_LOST, lease=self._name, cause=cause)
         self._record = None
+        self._failing_since_s = None
         self._seen = None
         self.fence = 0
         self.phase = LeasePhase.WATCHING
--- a/src/bellweir/hosted/weights/service.py
+++ b/src/bellweir/hosted/weights/service.py
@@ -12,7 +12,7 @@
 from bellweir.hosted.views.service import ViewsService
 from bellweir.hosted.weights.controller import RolloutController
 from bellweir.hosted.weights.lags import VersionLags
-from bellweir.hosted.weights.lease import HAND_OVER_FAILURES, Lease
+from bellweir.hosted.weights.lease import Lease
 from bellweir.hosted.weights.lease_news import LeaseTeller
 from bellweir.hosted.weights.versions import VersionsView
 from bellweir.kernel import names
@@ -26,6 +26,9 @@
 LEASE_S = 5.0
 """Time without a renewal after which the lease may be taken."""
 CONTROL_STEP_S = 0.1
+SERVED_MARGIN_S = 0.2
+"""Time after a renewal's failure as of which peers must know the store, whose answers to them may
+have been under way."""
 
 
 class RolloutService(Service):
@@ -112,18 +115,19 @@
             # One of many store machines makes the lease, and tells the others.
             self._lease.woken.wait(random.uniform(0.0, FIRST_START_SPREAD_S))
         while not stopping.is_set() and not self._leaving.is_set():
-            if self._is_turned_away():
-                self._lease.hand_over()
             self._lease.step()
             self._lease.woken.wait(self._lease.pause_s())
             self._lease.woken.clear()
 
     def _is_turned_away(self) -> bool:
-        """Whether the store refuses the renewals here while peers tell fresh news of it."""
-        failed = self._lease.failed_renewals >= HAND_OVER_FAILURES
-        return self._lease.is_held and failed and self._views.is_told_by_peers()
+        """Whether the store has served peers since it refuses the renewals here."""
+        since_s = self._lease.refused_since_s()
+        return since_s is not None and self._views.told_as_of_s() > since_s + SERVED_MARGIN_S
 
     def _control(self, stopping: threading.Event) -> None:
         while not stopping.wait(CONTROL_STEP_S):
-            if not self._leaving.is_set():
-                self._controller.step()
+            if self._leaving.is_set():
+                continue
+            if self._is_turned_away():
+                self._lease.hand_over()
+            self._controller.step()
