--- a/src/bellweir/hosted/views/relay.py
+++ b/src/bellweir/hosted/views/relay.py
@@ -42,6 +42,8 @@
 """Time between two messages to a subscriber while nothing changes."""
 SETTLING_S = 3.0
 """Time from the start in which a seed is relied on; 195 nodes know each other after 2 s."""
+OVERLAP_S = 2.0
+"""Time for which seeds are asked besides the readers, which turn to the store only then."""
 SEED_PATIENCE_S = 0.5
 """Time for which a node that starts waits to be told before it reads the store itself."""
 FIRST_START_PATIENCE_S = 2.0
@@ -155,17 +157,21 @@
 
     def subscribe(self, stopping: threading.Event) -> None:
         """Keep this node subscribed to its zone's readers, until `stopping`. One task."""
-        self._learn_from_seeds(stopping)
+        self._learn_from_seeds(SETTLING_S, stopping)
+        self.renew()
+        if any(one.has_readers for one in self._followers.values()):
+            # What the readers know is not fresh before they read the store themselves.
+            self._learn_from_seeds(OVERLAP_S, stopping)
         while not stopping.is_set():
             self.renew()
             stopping.wait(SUBSCRIBE_PERIOD_S)
 
-    def _learn_from_seeds(self, stopping: threading.Event) -> None:
-        """Ask one seed again and again until membership has settled; the next one if it is silent.
+    def _learn_from_seeds(self, seconds: float, stopping: threading.Event) -> None:
+        """Ask one seed again and again for so long; the next one if it is silent.
 
         Without seeds the same time is waited for, with the store followed here.
         """
-        end_s = self._now_s() + SETTLING_S
+        end_s = self._now_s() + seconds
         seeds = random.sample(self._seeds, len(self._seeds))
         while self._now_s() < end_s and not stopping.is_set():
             pause_s = ASK_PERIOD_S
