Let only readers search for served nodes; close idle links sooner

Change: a node whose regular sources speak, however old their news, leaves the search to them: at most two nodes and two a large zone search. A link is closed after 12 s without traffic.

--- a/src/bellweir/hosted/views/relay.py
+++ b/src/bellweir/hosted/views/relay.py
@@ -5,10 +5,11 @@
 What is told carries its age, so that a node notices by itself when its sources are cut off from
 the store and then follows it on its own; tellings that go in a circle only grow older.
 
-A node that the store turns away, or that can't reach it, subscribes to readers of other zones
-instead (in small zones, to any node), one more with each renewal until one tells fresh news. What
-it is told it tells its own subscribers at once, so a zone both of whose readers are turned away
-is served by another zone's. It looks with a cheap reading now and then whether it is served again.
+A reader that the store turns away, or that can't reach it, subscribes to further nodes, two more
+with each renewal until one tells fresh news. What it is told it tells its own subscribers at once,
+so a zone both of whose readers are turned away is served by another zone's. It looks with a cheap
+reading now and then whether it is served again. Other nodes do the same when their readers are
+silent.
 
 A node that starts asks one of its seeds to tell it what the store holds, and reads the store
 itself only if none does so at once. It knows its zone's readers only when membership has settled,
@@ -58,6 +59,8 @@
 """Time without the store after which others are asked what is new; a refusal comes at once."""
 SERVED_LOOK_S = 2.0
 """Time between two cheap readings by which a node that is cut off finds out that it is served."""
+SILENT_AFTER_S = 1.5
+"""Time without a word, of which a heartbeat brings one each 0.4 s, after which a source is gone."""
 FORWARD_PERIOD_S = 0.3
 """News that only confirm what is known are passed on no more often."""
 
@@ -120,6 +123,8 @@
         self._subscribers: dict[str, _Subscriber] = {}
         self._changed = threading.Event()
         self._told_s = NEVER_S
+        self._heard_s: dict[str, float] = {}
+        """When each peer told something last; as many as ever told this node something."""
         self._asked_until_s = NEVER_S
         self._spare = SpareSources()
         self._served_look_s = NEVER_S
@@ -196,7 +201,7 @@
         for follower in self._followers.values():
             follower.has_regular_readers = bool(sources)
         self._note_cut_off()
-        if self.is_cut_off:
+        if self.is_cut_off and not self._is_spoken_to(sources):
             sources += self._spare.choose(members, own, sources, is_told=self.is_fresh())
         has_readers = bool(sources)
         for follower in self._followers.values():
@@ -204,6 +209,15 @@
         for address in sources:
             self._transport.send(address, ViewsSubscription(self._known()))
 
+    def _is_spoken_to(self, sources: Sequence[str]) -> bool:
+        """Whether one of the regular sources speaks: then it is for that one to find others.
+
+        So a store that is away for all makes few nodes open connections to many.
+        """
+        since_s = self._now_s() - SILENT_AFTER_S
+        with self._lock:
+            return any(self._heard_s.get(address, NEVER_S) > since_s for address in sources)
+
     def _note_cut_off(self) -> None:
         """Take note of the store's refusals, and of its service when it is there again."""
         followers = self._followers.values()
@@ -251,6 +265,8 @@
         return ViewsNews(self._news_since(message.known))
 
     def _on_news(self, sender: Sender, message: ViewsNews) -> None:
+        with self._lock:
+            self._heard_s[sender.address] = self._now_s()
         if not self._take(message):
             self._transport.send(sender.address, ViewsSubscription(self._known()))
 
--- a/src/bellweir/wire/peer_link.py
+++ b/src/bellweir/wire/peer_link.py
@@ -29,8 +29,9 @@
 from bellweir.wire.send_queue import PendingRequest, QueuedFrame, SendQueue
 from bellweir.wire.sockets import CONNECT_TIMEOUT_S, prepare, shut, split_address
 
-IDLE_TIMEOUT_S = 30.0
-"""A link without traffic is closed by the node that opened it."""
+IDLE_TIMEOUT_S = 12.0
+"""A link without traffic is closed by the node that opened it. It holds four threads at its ends;
+whatever is repeated is repeated within 10 s."""
 POLL_S = 5.0
 """The writer wakes at least this often to see that the link is idle or the node stops."""
 
