--- a/features/hosted_relay.feature
+++ b/features/hosted_relay.feature
@@ -71,6 +71,12 @@
     When the store serves all nodes again and configuration 6 is written
     Then all nodes route by configuration 6
 
+  Scenario: Who looks for a node that is served
+    Given zones of 9 and 8 nodes of which all are turned away
+    Then a node whose sources speak leaves the search to them, however old their news
+    And a node whose sources are silent searches, two more with each renewal, four at a time
+    And a reader of the deployment searches
+
   Scenario: Any nodes are turned away at any moment
     Given zones of 8 and 3 nodes that follow a stand-in of the store
     Then whoever the store turns away, views never go back, ages are true and all become fresh
