--- a/src/bellweir/hosted/views/relay.py
+++ b/src/bellweir/hosted/views/relay.py
@@ -161,7 +161,7 @@
                 self._tell_one(address, subscriber)
 
     def subscribe(self, stopping: threading.Event) -> None:
-        """Keep this node subscribed to its zone's readers, until `stopping`. One task."""
+        """Learn from seeds at first, then stay subscribed, until `stopping`. One task."""
         self._learn_from_seeds(SETTLING_S, stopping)
         self.renew()
         if any(one.has_readers for one in self._followers.values()):
