--- /dev/null
+++ b/features/steps/hosted_usage_steps.py
@@ -0,0 +1,353 @@
+"""Usage: counted at gateways, added up in the log, reported under the lease."""
+
+import json
+from types import SimpleNamespace
+
+import hypothesis.strategies as st
+from behave import given as given_step
+from behave import then, when
+from features.support.hosted_gateway import GatewayUnderTest, configuration
+from hypothesis import given, settings
+from returns.result import Failure, Success
+
+from bellweir.hosted.interface import DutyAnswer, UsageReport
+from bellweir.hosted.settings import UsageSettings
+from bellweir.hosted.usage import reporter as reporter_module
+from bellweir.hosted.usage.counter import UsageCounter
+from bellweir.hosted.usage.reporter import UsageReporter
+from bellweir.hosted.usage.sender import UsageTeller
+from bellweir.hosted.usage.state import (
+    AddUsage,
+    SettleUsage,
+    UsageSettled,
+    UsageWindows,
+    WindowCounts,
+)
+from bellweir.hosted.usage.true_time import LASTING_S, TrueTime
+from bellweir.ledger.interface import LedgerError, LedgerErrorKind
+from bellweir.ledger.machines import Codec
+from bellweir_platform.duties import PlatformDuties
+from bellweir_rehearsal.hosted.http_stand_in import StandInHandler, StandInServer
+from bellweir_rehearsal.hosted.worker import WorkerStandIn
+
+SETTINGS = UsageSettings("127.0.0.1:1", window_s=5.0, late_s=10.0)
+
+
+class UsageLedger:
+    """Applies commands at once, through their encoding, unless it is away."""
+
+    def __init__(self):
+        self.machine = UsageWindows()
+        self.codec = Codec([UsageWindows])
+        self.is_away = False
+        self.loses_answers = False
+
+    def submit(self, key, command, timeout_s):
+        if self.is_away:
+            return Failure(LedgerError(LedgerErrorKind.UNAVAILABLE, "test"))
+        reply = self.machine.apply(self.codec.decode(self.codec.encode(command), type(command)))
+        if self.loses_answers:
+            return Failure(LedgerError(LedgerErrorKind.UNKNOWN, "test"))
+        return Success(reply)
+
+
+class FakeLease:
+    def __init__(self, fence=1):
+        self.fence = fence
+
+    def may_act_for_s(self):
+        return 1.0 if self.fence else 0.0
+
+    def begin_act(self, seconds):
+        return self.fence
+
+
+class FakePlatform:
+    """Takes reports; `answers` says what becomes of the next ones."""
+
+    def __init__(self):
+        self.taken = []
+        self.answers = []
+        self.calls = 0
+
+    def report_usage(self, report, timeout_s):
+        self.calls += 1
+        answer = self.answers.pop(0) if self.answers else DutyAnswer.DONE
+        if answer in (DutyAnswer.DONE, DutyAnswer.UNKNOWN):
+            self.taken.append(report)
+        return answer
+
+
+def make_reporter(ledger, lease, platform, clock, node="node"):
+    true_time = TrueTime(clock, clock)
+    return UsageReporter(lease, ledger, platform, SETTINGS, node, true_time, lambda: True)
+
+
+@given_step("a gateway that counts for tenants, before two workers")
+def given_gateway(context):
+    context.workers = {name: WorkerStandIn(f"i-{name}") for name in "ab"}
+    context.gateway = GatewayUnderTest(list(context.workers.values()))
+    context.cleanup.callback(context.gateway.close)
+    for worker in context.workers.values():
+        context.cleanup.callback(worker.close)
+    context.gateway.view.take(configuration(2, (("dealers", ("k",)),), ("/short/",)), "test")
+
+
+@then(
+    "a request is counted once for its tenant, also when it runs twice, and not when it is refused"
+)
+def then_counted(context):
+    key = (("Authorization", "Bearer k"),)
+
+    def counted(path="/idempotent/x", more=key, **faults):
+        for worker in context.workers.values():
+            for name, value in faults.items():
+                setattr(worker.faults, name, value)
+        context.gateway.send(path, more=more)
+        return sum(each.counts.get("dealers", 0) for each in context.gateway.usage.take_untold())
+
+    assert counted() == 1
+    assert counted("/single/x") == 2
+    assert counted(fail=1) == 3
+    assert counted(lose_answer=1) == 4
+    assert counted(refuse=1) == 0
+    assert counted(more=()) == 0
+    assert counted("/short/x", more=()) == 0
+    assert counted() == 5
+
+
+@then("a window's sum is what its gateways had told when it was settled, and never changes")
+def then_sums(context):
+    window = st.one_of(st.integers(0, 2), st.integers(0, 30))
+    step = st.one_of(
+        st.tuples(st.just("begin"), st.integers(0, 2), window),
+        st.tuples(st.just("tell"), st.integers(0, 2), st.sampled_from(("", "away", "lost"))),
+        st.tuples(st.just("settle"), window, st.none()),
+        st.tuples(st.just("snapshot"), st.none(), st.none()),
+    )
+
+    @settings(max_examples=200)
+    @given(steps=st.lists(step, max_size=60))
+    def sums(steps):
+        ledger = UsageLedger()
+        counters = [UsageCounter(1.0, TrueTime(lambda: 0.0, lambda: 0.0)) for _ in range(3)]
+        tellers = [UsageTeller(counters[at], ledger, f"gateway-{at}") for at in range(3)]
+        begun, told, settled = [{}, {}, {}], {}, {}
+        for what, number, detail in steps:
+            if what == "begin":
+                counters[number].began("t", detail + 0.5)
+                begun[number][detail] = begun[number].get(detail, 0) + 1
+            elif what == "tell":
+                ledger.is_away, ledger.loses_answers = detail == "away", detail == "lost"
+                kept = sorted(begun[number])[-8:]
+                begun[number] = {window: begun[number][window] for window in kept}
+                tellers[number].tell(1.0)
+                if detail != "away":
+                    told.update({(number, w): n for w, n in begun[number].items()})
+                ledger.is_away = ledger.loses_answers = False
+            elif what == "settle":
+                if number not in settled and number <= max(settled, default=0) - 24:
+                    continue
+                reply = ledger.submit("", SettleUsage(number), 1.0).unwrap()
+                wanted = sum(n for (_, window), n in told.items() if window == number)
+                if number not in settled:
+                    settled[number] = {"t": wanted} if wanted else {}
+                if number > max(settled) - 24:
+                    assert reply.counts == settled[number], (reply, settled[number])
+            else:
+                saved, ledger.machine = ledger.machine.save(), UsageWindows()
+                ledger.machine.load(saved)
+
+    sums()
+
+
+@given_step("a ledger that is away for a while")
+def given_away(context):
+    context.ledger = UsageLedger()
+    context.ledger.is_away = True
+
+
+@then("counts are told again until they are there, and none twice")
+def then_told(context):
+    counter = UsageCounter(5.0, TrueTime(lambda: 0.0, lambda: 0.0))
+    teller = UsageTeller(counter, context.ledger, "gateway")
+    counter.began("t", 1.0)
+    assert not teller.tell(1.0)
+    counter.began("t", 2.0)
+    context.ledger.is_away, context.ledger.loses_answers = False, True
+    assert not teller.tell(1.0)
+    context.ledger.loses_answers = False
+    assert teller.tell(1.0)
+    counter.began("t", 3.0)
+    assert teller.tell(1.0)
+    reply = context.ledger.submit("", SettleUsage(0), 1.0).unwrap()
+    assert reply == UsageSettled({"t": 3})
+    late = context.ledger.submit("", AddUsage("g", (WindowCounts(0, {"t": 9}),)), 1.0).unwrap()
+    assert late.too_late == (0,)
+    assert context.ledger.submit("", SettleUsage(0), 1.0).unwrap().counts == {"t": 3}
+
+
+@then("every report of a window has the same counts, and fences never go back")
+def then_same(context):
+    step = st.one_of(
+        st.tuples(st.just("count"), st.integers(0, 3)),
+        st.tuples(st.just("pass"), st.sampled_from((0.3, 1.1, 5.0))),
+        st.tuples(st.just("hand over"), st.integers(0, 1)),
+        st.tuples(st.just("answer"), st.sampled_from(list(DutyAnswer))),
+        st.tuples(st.just("ledger"), st.sampled_from(("away", "lost", "there"))),
+    )
+
+    @settings(max_examples=200)
+    @given(steps=st.lists(step, max_size=60))
+    def same(steps):
+        clock = SimpleNamespace(now_s=1_000.0)
+        ledger, platform = UsageLedger(), FakePlatform()
+        leases = [FakeLease(1), FakeLease(0)]
+        reporters = [
+            make_reporter(ledger, lease, platform, lambda: clock.now_s, f"node-{at}")
+            for at, lease in enumerate(leases)
+        ]
+        fence = 1
+        for what, value in steps:
+            if what == "count":
+                window = int(clock.now_s // 5)
+                command = AddUsage(f"gateway-{value}", (WindowCounts(window, {"t": fence}),))
+                ledger.submit("", command, 1.0)
+            elif what == "pass":
+                clock.now_s += value
+            elif what == "hand over":
+                fence += 1
+                leases[value].fence, leases[1 - value].fence = fence, 0
+            elif what == "answer":
+                platform.answers.append(value)
+            else:
+                ledger.is_away, ledger.loses_answers = value == "away", value == "lost"
+            for each in reporters:
+                each.step()
+        first = {}
+        for report in platform.taken:
+            assert first.setdefault(report.window, report.counts) == report.counts
+        fences = [report.fence for report in platform.taken]
+        assert fences == sorted(fences)
+
+    same()
+
+
+@given_step("a reporter that holds the lease")
+def given_reporter(context):
+    context.now_s = 1_000.0
+    context.platform, context.lines = FakePlatform(), []
+    context.reporter = make_reporter(
+        UsageLedger(), FakeLease(), context.platform, lambda: context.now_s
+    )
+
+    def emit(event, **fields):
+        context.lines.append((event.name, fields))
+
+    original, reporter_module.emit = reporter_module.emit, emit
+    context.cleanup.callback(setattr, reporter_module, "emit", original)
+
+
+def let_pass(context, seconds):
+    for _ in range(round(seconds / 0.2)):
+        context.now_s += 0.2
+        before = len(context.platform.taken)
+        context.reporter.step()
+        for report in context.platform.taken[before:]:
+            end_s = (report.window + 1) * SETTINGS.window_s
+            assert end_s < context.now_s < end_s + SETTINGS.late_s
+    return [report.window for report in context.platform.taken]
+
+
+@when("windows end one after the other")
+def when_windows(context):
+    let_pass(context, 30.0)
+
+
+@then("each is reported once, in order, before it is due")
+def then_each(context):
+    windows = [report.window for report in context.platform.taken]
+    assert windows == list(range(windows[0], windows[0] + len(windows)))
+    assert len(windows) >= 6
+    assert context.platform.calls == len(windows)
+
+
+@when("the platform is silent for a while")
+def when_silent(context):
+    context.before = len(context.platform.taken)
+    context.platform.answers = [DutyAnswer.NOT_DONE] * 15
+    let_pass(context, 15.0)
+
+
+@then("the windows of that time are reported as soon as it answers")
+def then_caught_up(context):
+    windows = [report.window for report in context.platform.taken]
+    assert windows == list(range(windows[0], windows[0] + len(windows)))
+    assert len(windows) == context.before + 3
+    assert not any(name == "usage_missed" for name, _ in context.lines)
+
+
+@when("the platform is silent until windows are overdue")
+def when_long(context):
+    context.platform.answers = [DutyAnswer.NOT_DONE] * 75
+    let_pass(context, 30.0)
+
+
+@then("those are passed over, with a line that says so")
+def then_passed_over(context):
+    reported = {report.window for report in context.platform.taken}
+    missed = {fields["window"] for name, fields in context.lines if name == "usage_missed"}
+    assert missed
+    assert not missed & reported
+    first = min(reported)
+    assert missed | reported == set(range(first, max(reported) + 1))
+
+
+@then("true time does not follow a jump that does not last, and follows one that does")
+def then_true(context):
+    now = SimpleNamespace(steady_s=0.0, jump_s=0.0)
+    true_time = TrueTime(lambda: 100.0 + now.steady_s + now.jump_s, lambda: now.steady_s)
+
+    def after(seconds, jump_s):
+        now.jump_s = jump_s
+        for _ in range(round(seconds / 0.5)):
+            now.steady_s += 0.5
+            found_s = true_time.now_s()
+        return round(found_s - now.steady_s, 6)
+
+    assert after(10.0, 0.0) == 100.0
+    assert after(6.0, 3.0) == 100.0
+    assert after(5.0, 0.0) == 100.0
+    assert after(6.0, -2.0) == 100.0
+    assert after(5.0, 0.01) == 100.01
+    assert after(LASTING_S + 1.0, 2.0) == 102.0
+
+
+@given_step("a platform that takes usage reports")
+def given_platform(context):
+    context.seen, context.status = [], 200
+
+    class Handler(StandInHandler):
+        def do_POST(self):  # noqa: N802 - the name is that of http.server
+            body = json.loads(self.read_body())
+            context.seen.append((self.path, dict(self.headers), body))
+            self.answer(context.status)
+
+    server = StandInServer(Handler, "127.0.0.1")
+    context.cleanup.callback(server.close)
+    context.duties = PlatformDuties(server.address)
+
+
+@then("a report names its window, counts, holder and fence, and its answers are understood")
+def then_wire(context):
+    report = UsageReport(7, {"dealers": 3}, "store-1", 12)
+    assert context.duties.report_usage(report, 1.0) is DutyAnswer.DONE
+    path, headers, body = context.seen[0]
+    assert (path, body) == ("/usage", {"windowId": 7, "counts": {"dealers": 3}})
+    assert headers["X-Bellweir-Duty-Holder"] == "store-1"
+    assert headers["X-Bellweir-Fencing-Token"] == "12"
+    wanted = {429: DutyAnswer.NOT_DONE, 503: DutyAnswer.NOT_DONE, 412: DutyAnswer.FENCED}
+    wanted |= {400: DutyAnswer.INVALID, 500: DutyAnswer.UNKNOWN}
+    for context.status, answer in wanted.items():
+        assert context.duties.report_usage(report, 1.0) is answer
+    assert PlatformDuties("127.0.0.1:1").report_usage(report, 0.3) is DutyAnswer.NOT_DONE
--- a/features/support/hosted_gateway.py
+++ b/features/support/hosted_gateway.py
@@ -15,6 +15,9 @@
 from bellweir.hosted.serving.metrics import RequestMetrics
 from bellweir.hosted.serving.selection import WorkerLoads
 from bellweir.hosted.serving.streams import StreamForwarder
+from bellweir.hosted.tenants.admission import KeyCheck
+from bellweir.hosted.usage.counter import UsageCounter
+from bellweir.hosted.usage.true_time import TrueTime
 from bellweir.hosted.views.configuration import ConfigurationView
 from bellweir.hosted.views.workers import WorkersView
 from bellweir.http_server.caller_watch import CallerWatch
@@ -25,6 +28,7 @@
 from bellweir_platform.headers import HEADERS
 
 HOST = "shop.example"
+USAGE_WINDOW_S = 5.0
 ROUTES = (
     ("/idempotent/", "idempotent", {"maxAttempts": 2, "timeoutMs": 5000}),
     ("/single/", "non_idempotent", {"maxAttempts": 2, "timeoutMs": 5000}),
@@ -34,14 +38,19 @@
 )
 
 
-def configuration(version=1):
+def configuration(version=1, tenants=(), public=()):
+    """`tenants` are names with their keys; `public` holds prefixes of routes without a key."""
     routes = [
         {"host": HOST, "pathPrefix": prefix, "kind": kind, "service": "app"}
         | {"timeoutMs": 10_000, "targetMs": 2_000}
         | fields
+        | {"public": prefix in public}
         for prefix, kind, fields in ROUTES
     ]
-    return {"version": version, "routes": routes, "services": [{"name": "app"}]}
+    found = {"version": version, "routes": routes, "services": [{"name": "app"}]}
+    if tenants:
+        found["tenants"] = [{"name": name, "apiKeys": list(keys)} for name, keys in tenants]
+    return found
 
 
 class NoBatches:
@@ -61,11 +70,22 @@
         connections = WorkerConnections(HEADERS)
         self.caller_watch = CallerWatch(self.executors)
         self.caller_watch.start()
+        self.metrics = RequestMetrics()
+        self.usage = UsageCounter(USAGE_WINDOW_S, TrueTime())
         forwarder = Forwarder(
-            self.workers, self.loads, connections, self.caller_watch, RequestMetrics()
+            self.workers,
+            self.loads,
+            connections,
+            self.caller_watch,
+            self.metrics,
+            usage=self.usage,
         )
         streams = StreamForwarder(forwarder, self.loads, connections, self.caller_watch)
-        self.application = RequestApplication(HEADERS, self.view, forwarder, streams, NoBatches())
+        self.configuration_age_s = 0.0
+        key_check = KeyCheck(lambda: self.configuration_age_s)
+        self.application = RequestApplication(
+            HEADERS, self.view, forwarder, streams, NoBatches(), key_check
+        )
         listener = socket.create_server(("127.0.0.1", 0))
         self.address = address_of(listener)
         self.server = HttpServer(self.application, listener, ServerLimits(16, 32 << 20))
@@ -87,7 +107,7 @@
         self.server.close_all()
         self.executors.stop()
 
-    def send(self, path, body=b"body", deadline_ms=5_000, host=HOST):
+    def send(self, path, body=b"body", deadline_ms=5_000, host=HOST, more=()):
         """Send one request; its answer with status, headers, body and whether it was whole."""
         request_id = f"request-{next(self._numbers)}"
         connection = http.client.HTTPConnection(self.address, timeout=20.0)
@@ -95,6 +115,7 @@
             "Host": host,
             HEADERS.request_id: request_id,
             HEADERS.deadline_ms: str(deadline_ms),
+            **dict(more),
         }
         connection.request("POST", path, body, headers, encode_chunked=not isinstance(body, bytes))
         answer = connection.getresponse()
--- a/src/bellweir/hosted/batches/api.py
+++ b/src/bellweir/hosted/batches/api.py
@@ -65,19 +65,28 @@
         """Whether a request is a call about a job, not one of a route."""
         return request.raw_path.startswith((self._paths.batch_job, self._paths.batch_item))
 
-    def accept(self, request: Request, route: Route) -> Response:
-        """Take a job in; 202 once it is durable."""
+    def accept(self, request: Request, route: Route, tenant: str | None = None) -> Response:
+        """Take a job in; 202 once it is durable.
+
+        `tenant` is None where the deployment has no tenants, and empty for a job without a key.
+        """
         began_s = time.monotonic()
         job_id = request.header(self._names.request_id)
         if request.method != "POST" or not job_id:
             raise BadRequestError("a batch job is a POST with an id")
         job = decode_job(request.body.read(), job_id, route.host, route.path_prefix)
+        if tenant is not None:
+            job = job_of_tenant(job, tenant, self._names)
         outcome = self._submit_job(job, began_s + self.accept_timeout_s)
         match outcome:
+            case Success(JobAccepted(is_foreign=True)):
+                emit(JOB_NOT_ACCEPTED, request_id=job.id, status=409, cause="another tenant's id")
+                return own_response(409, "id_in_use")
             case Success(JobAccepted()):
                 emit(
                     JOB_ACCEPTED,
                     request_id=job.id,
+                    tenant=job.tenant,
                     items=len(job.items),
                     wanted=job.wanted_groups,
                     step=job.step,
@@ -125,24 +134,24 @@
         emit(JOB_NOT_ACCEPTED, request_id=job.id, status=status, cause=error.detail[:160])
         return own_response(status, "not_accepted", RETRY_AFTER_S if surely_not else None)
 
-    def serve_call(self, request: Request) -> Response:
-        """Serve a reading, an item's body or an end."""
+    def serve_call(self, request: Request, tenant: str = "") -> Response:
+        """Serve a reading, an item's body or an end, as far as `tenant` may know of the job."""
         path = request.raw_path
         if path.startswith(self._paths.batch_item):
-            return self._item_body(request, path.removeprefix(self._paths.batch_item))
+            return self._item_body(request, path.removeprefix(self._paths.batch_item), tenant)
         job_id = path.removeprefix(self._paths.batch_job)
         if request.method == "DELETE":
-            return self._end(job_id)
+            return self._end(job_id, tenant)
         if request.method == "GET":
-            return self._results(request, job_id)
+            return self._results(request, job_id, tenant)
         return own_response(405, "method_not_allowed")
 
-    def _results(self, request: Request, job_id: str) -> Response:
+    def _results(self, request: Request, job_id: str, tenant: str) -> Response:
         after = parse_integer("after", request.query("after") or "0")
         hold_s = min(LONGEST_HOLD_S, _hold_s(request.header(self._names.wait_ms)))
         until_s = time.monotonic() + hold_s
         while True:
-            page = self._read_page(job_id, after)
+            page = self._read_page(job_id, after, tenant)
             if page is None:
                 return own_response(503, "no_ledger", RETRY_AFTER_S)
             if page.total is None:
@@ -153,40 +162,42 @@
                 return Response(200, [("Content-Type", "application/json")], content)
             self._pause.wait(HOLD_POLL_S)
 
-    def _read_page(self, job_id: str, after: int) -> ResultsPage | None:
+    def _read_page(self, job_id: str, after: int, tenant: str) -> ResultsPage | None:
         """Results from a position on; None when nobody can tell."""
-        known = self._cache.page(job_id, after, PAGE_BYTES)
+        # What one tenant has been shown of a job proves nothing for another one.
+        key = f"{tenant}/{job_id}"
+        known = self._cache.page(key, after, PAGE_BYTES)
         if known is not None:
             return ResultsPage(*known)
-        found = self._read_ledger(job_id, after)
+        found = self._read_ledger(job_id, after, tenant)
         if found is not None and found.total is not None:
-            self._cache.add(job_id, after, found.total, found.results)
+            self._cache.add(key, after, found.total, found.results)
         return found
 
-    def _read_ledger(self, job_id: str, after: int) -> ResultsPage | None:
+    def _read_ledger(self, job_id: str, after: int, tenant: str) -> ResultsPage | None:
         """Results from the replica of this zone, then from the leader whatever that one lacks.
 
         A position never changes once it is there, so that an older answer is as good for it.
         """
-        near = self._read_nearby(job_id, after)
+        near = self._read_nearby(job_id, after, tenant)
         left_bytes = PAGE_BYTES - sum(result.shown_size for result in near.results)
         if near.results and left_bytes <= 0:
             return near
-        query = ReadResults(job_id, after + len(near.results), left_bytes)
+        query = ReadResults(job_id, after + len(near.results), left_bytes, tenant)
         found = self._ledger.ask(JOBS_KEY, query, CALL_TIMEOUT_S).value_or(None)
         if not isinstance(found, ResultsPage):
             return near if near.results else None
         return ResultsPage(found.total, near.results + found.results)
 
-    def _read_nearby(self, job_id: str, after: int) -> ResultsPage:
+    def _read_nearby(self, job_id: str, after: int, tenant: str) -> ResultsPage:
         if not self._nearby_reads:
             return ResultsPage(None)
-        query = ReadResults(job_id, after, PAGE_BYTES)
+        query = ReadResults(job_id, after, PAGE_BYTES, tenant)
         found = self._ledger.ask_nearby(JOBS_KEY, query, NEARBY_TIMEOUT_S)
         return found if isinstance(found, ResultsPage) else ResultsPage(None)
 
-    def _item_body(self, request: Request, job_id: str) -> Response:
-        query = ReadItem(job_id, request.query("id") or "")
+    def _item_body(self, request: Request, job_id: str, tenant: str) -> Response:
+        query = ReadItem(job_id, request.query("id") or "", tenant)
         found = self._ledger.ask(JOBS_KEY, query, CALL_TIMEOUT_S).value_or(None)
         if not isinstance(found, ItemBody):
             return own_response(503, "no_ledger", RETRY_AFTER_S)
@@ -194,8 +205,9 @@
             return own_response(404, "no_such_item")
         return Response(200, [("Content-Type", "application/octet-stream")], found.body)
 
-    def _end(self, job_id: str) -> Response:
-        ended = self._ledger.submit(JOBS_KEY, EndJob(job_id, time.time()), CALL_TIMEOUT_S)
+    def _end(self, job_id: str, tenant: str) -> Response:
+        command = EndJob(job_id, time.time(), tenant)
+        ended = self._ledger.submit(JOBS_KEY, command, CALL_TIMEOUT_S)
         match ended:
             case Success(JobEnded(is_known)):
                 if not is_known:
@@ -205,6 +217,18 @@
         return own_response(503, "no_ledger", RETRY_AFTER_S)
 
 
+def job_of_tenant(job: Job, tenant: str, names: HeaderNames) -> Job:
+    """Return a job as its tenant's: its items' headers hold neither a key nor another name."""
+    dropped = names.of_client_only
+    items = tuple(
+        msgspec.structs.replace(
+            item, headers=tuple(each for each in item.headers if each[0].lower() not in dropped)
+        )
+        for item in job.items
+    )
+    return msgspec.structs.replace(job, items=items, tenant=tenant)
+
+
 def split_items(items: tuple[JobItem, ...]) -> list[tuple[JobItem, ...]]:
     """Items in parts that fit into one command each."""
     parts: list[list[JobItem]] = [[]]
--- a/src/bellweir/hosted/batches/attempts.py
+++ b/src/bellweir/hosted/batches/attempts.py
@@ -17,6 +17,7 @@
 from bellweir.hosted.batches.refusals import RefusalGuard
 from bellweir.hosted.batches.state import JobItem, TextPart
 from bellweir.hosted.event_stream import EventSplitter, EventTooLongError
+from bellweir.hosted.interface import HeaderNames
 from bellweir.hosted.log_events import ITEM_BROKEN, ITEM_STARTED
 from bellweir.hosted.serving.attempt import (
     AttemptState,
@@ -110,7 +111,11 @@
         state = AttemptState.UNKNOWN
         try:
             opened = self._connections.open(
-                worker, _text_call(progress), FIRST_EVENT_TIMEOUT_S, RUN_DEADLINE_MS, cancellation
+                worker,
+                _text_call(progress, self._connections.headers),
+                FIRST_EVENT_TIMEOUT_S,
+                RUN_DEADLINE_MS,
+                cancellation,
             )
             state = opened.state
         finally:
@@ -270,8 +275,10 @@
         )
 
 
-def _text_call(progress: ItemProgress) -> WorkerCall:
+def _text_call(progress: ItemProgress, names: HeaderNames) -> WorkerCall:
     headers = list(progress.item.headers)
+    if progress.job.tenant:
+        headers.append((names.tenant, progress.job.tenant))
     if progress.last_event_id is not None:
         headers.append(("Last-Event-Id", str(progress.last_event_id)))
     item = progress.item
--- a/src/bellweir/hosted/batches/carried.py
+++ b/src/bellweir/hosted/batches/carried.py
@@ -18,6 +18,7 @@
 
 @dataclass(frozen=True)
 class _Beginning:
+    tenant: str
     item: JobItem
     pieces: tuple[str, ...]
     last_event_id: int | None
@@ -37,6 +38,7 @@
         if not progress.pieces:
             return
         self._beginnings[progress.item.id] = _Beginning(
+            progress.job.tenant,
             progress.item,
             tuple(progress.pieces),
             progress.last_event_id,
@@ -78,13 +80,16 @@
         for result in state.results:
             if result.item_id == item_id and result.is_complete:
                 item = state.items[item_id]
-                return _Beginning(item, (result.whole_text,), None, 0, result.versions, True)
+                pieces = (result.whole_text,)
+                tenant = state.job.tenant
+                return _Beginning(tenant, item, pieces, None, 0, result.versions, True)
     return None
 
 
 def _fits(beginning: _Beginning, progress: ItemProgress) -> bool:
     before, now = beginning.item, progress.item
     is_same = (before.path, before.headers, before.body) == (now.path, now.headers, now.body)
+    is_same = is_same and beginning.tenant == progress.job.tenant
     versions = beginning.versions
     is_fresh = bool(versions) and min(versions) >= progress.job.minimum_version
     is_pure = not progress.route.single_version or len(versions) == 1
--- a/src/bellweir/hosted/batches/state.py
+++ b/src/bellweir/hosted/batches/state.py
@@ -74,6 +74,12 @@
     wanted_groups: int = 0
     """Whole groups that the trainer waits for; 0: all."""
     minimum_version: int = 0
+    tenant: str = ""
+    """Whose key handed it in; empty where none was needed: then anyone may read and end it."""
+
+    def is_shown_to(self, tenant: str) -> bool:
+        """Whether a tenant may know of it; to all others it isn't there."""
+        return not self.tenant or self.tenant == tenant
 
 
 class ItemResult(msgspec.Struct, frozen=True):
@@ -173,6 +179,8 @@
 
     job_id: str
     at_s: float
+    tenant: str = ""
+    """Who asks for it."""
 
 
 class ForgetJobs(Command, frozen=True):
@@ -187,6 +195,8 @@
     is_new: bool
     is_kept: bool = True
     """False: parts are missing, so nothing was kept."""
+    is_foreign: bool = False
+    """Whether another tenant's job has the id, so that nothing was kept."""
 
 
 class ResultsRecorded(Reply, frozen=True):
@@ -207,6 +217,8 @@
     job_id: str
     after: int
     maximum_bytes: int
+    tenant: str = ""
+    """Who asks."""
 
 
 class ReadItem(Query, frozen=True):
@@ -214,6 +226,8 @@
 
     job_id: str
     item_id: str
+    tenant: str = ""
+    """Who asks."""
 
 
 class ResultsPage(Reply, frozen=True):
@@ -333,8 +347,8 @@
                 return self._record(job_id, results)
             case KeepParts(job_id, text_parts):
                 return self._keep(job_id, text_parts)
-            case EndJob(job_id, at_s):
-                return self._end(job_id, at_s)
+            case EndJob(job_id, at_s, tenant):
+                return self._end(job_id, at_s, tenant)
             case ForgetJobs(job_ids):
                 for job_id in job_ids:
                     self.jobs.pop(job_id, None)
@@ -343,8 +357,9 @@
 
     def _accept(self, job: Job, parts: int) -> Reply:
         staged = self.staged.pop(job.id, {})
-        if job.id in self.jobs:
-            return JobAccepted(False)
+        known = self.jobs.get(job.id)
+        if known is not None:
+            return JobAccepted(False, is_foreign=not known.job.is_shown_to(job.tenant))
         if parts:
             if any(part not in staged for part in range(parts)):
                 return JobAccepted(False, False)
@@ -372,8 +387,13 @@
             return ResultsRecorded(0)
         return ResultsRecorded(sum(state.keep(part) for part in parts))
 
-    def _end(self, job_id: str, at_s: float) -> Reply:
+    def _shown(self, job_id: str, tenant: str) -> JobState | None:
+        """A job as a tenant may know of it."""
         state = self.jobs.get(job_id)
+        return state if state is not None and state.job.is_shown_to(tenant) else None
+
+    def _end(self, job_id: str, at_s: float, tenant: str) -> Reply:
+        state = self._shown(job_id, tenant)
         if state is None:
             return JobEnded(False)
         if state.is_open:
@@ -384,20 +404,18 @@
     def answer(self, query: Query) -> Reply:
         """Answer a query."""
         match query:
-            case ReadResults(job_id, after, maximum_bytes):
-                return self._read_results(job_id, after, maximum_bytes)
-            case ReadItem(job_id, item_id):
-                return self._read_item(job_id, item_id)
+            case ReadResults(job_id, after, maximum_bytes, tenant):
+                return self._read_results(self._shown(job_id, tenant), after, maximum_bytes)
+            case ReadItem(job_id, item_id, tenant):
+                return self._read_item(self._shown(job_id, tenant), item_id)
         raise TypeError(f"unknown query {type(query).__name__}")
 
-    def _read_results(self, job_id: str, after: int, maximum_bytes: int) -> Reply:
-        state = self.jobs.get(job_id)
+    def _read_results(self, state: JobState | None, after: int, maximum_bytes: int) -> Reply:
         if state is None:
             return ResultsPage(None)
         return ResultsPage(len(state.job.items), take_page(state.results, after, maximum_bytes))
 
-    def _read_item(self, job_id: str, item_id: str) -> Reply:
-        state = self.jobs.get(job_id)
+    def _read_item(self, state: JobState | None, item_id: str) -> Reply:
         item = state.items.get(item_id) if state else None
         if state is None or item is None or not state.is_open or item_id in state.listed:
             return ItemBody(None)
--- a/src/bellweir/hosted/interface.py
+++ b/src/bellweir/hosted/interface.py
@@ -4,6 +4,7 @@
 """
 
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -30,6 +31,15 @@
     """On a worker's answer, and in lower case on an event: the version of the weights."""
     length_hint: str
     """On a request: tokens that its caller guesses the answer to have."""
+    tenant: str
+    """On a request to a worker: the tenant whose key the client carried."""
+    authorization: str
+    """On a client's request: its key. Never sent to a worker of a deployment with tenants."""
+
+    @property
+    def of_client_only(self) -> frozenset[str]:
+        """Lower-case names of headers that end here where a deployment has tenants."""
+        return frozenset({self.tenant.lower(), self.authorization.lower()})
 
 
 @dataclass(frozen=True)
@@ -218,6 +228,41 @@
         """Give an order to the worker `instance` at an address."""
 
 
+class DutyAnswer(Enum):
+    """What the platform said to a call that is a duty of one node at a time."""
+
+    DONE = "done"
+    REFUSED = "refused"
+    """It can't be done now, whoever asks."""
+    NOT_DONE = "not_done"
+    """Surely without effect: not reached, busy or throttled."""
+    FENCED = "fenced"
+    """A newer holder has called."""
+    INVALID = "invalid"
+    UNKNOWN = "unknown"
+    """No answer: it may have been done, or may still be done."""
+
+
+@dataclass(frozen=True)
+class UsageReport:
+    """What the tenants have used in one window."""
+
+    window: int
+    """Number of the window since the beginning of 1970."""
+    counts: dict[str, int]
+    """Requests that began to run, by tenant."""
+    holder: str
+    fence: int
+
+
+class DutyPlatform(ABC):
+    """Calls to the platform that are a duty of one node at a time. Each has its own time-out."""
+
+    @abstractmethod
+    def report_usage(self, report: UsageReport, timeout_s: float) -> DutyAnswer:
+        """Report a window's usage; the same report again does no harm."""
+
+
 @dataclass(frozen=True)
 class HostingPlatform:
     """Everything an adapter provides."""
@@ -226,3 +271,5 @@
     paths: CallPaths
     store: RecordStore
     control: WorkerControl
+    duties_at: Callable[[str], DutyPlatform]
+    """Makes the client of the duties' interface at `host:port`."""
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -156,11 +156,18 @@
 LINES_LEFT_OUT = Event(
     1425, "lines_left_out", Level.WARNING, ("counts",), "Log lines dropped lately, by event."
 )
+KEY_REFUSED = Event(
+    1428,
+    "key_refused",
+    Level.INFO,
+    ("request_id", "configuration", "verdict", "has_key", "age_ms"),
+    "A request carries no key that the configuration in force has; `undecided`: a newer one may.",
+)
 JOB_ACCEPTED = Event(
     1430,
     "job_accepted",
     Level.INFO,
-    ("request_id", "items", "wanted", "step", "model", "minimum_version", "ms"),
+    ("request_id", "tenant", "items", "wanted", "step", "model", "minimum_version", "ms"),
     "A batch job is durable; it will be run.",
 )
 JOB_NOT_ACCEPTED = Event(
@@ -249,3 +256,26 @@
 RETIREMENT_COMPLETED = Event(
     1451, "retirement_completed", Level.INFO, ("machine",), "It holds nothing any more."
 )
+USAGE_REPORTED = Event(
+    1455,
+    "usage_reported",
+    Level.INFO,
+    ("window", "requests", "tenants", "fence", "answer"),
+    "A window's usage, settled in the log, was reported to the platform; unless `done`, again.",
+)
+USAGE_MISSED = Event(
+    1456,
+    "usage_missed",
+    Level.ERROR,
+    ("window",),
+    "A window's usage could not be reported in time; `usage_reported` lines tell what was tried.",
+    is_final=True,
+)
+USAGE_TOO_LATE = Event(
+    1457,
+    "usage_too_late",
+    Level.WARNING,
+    ("windows",),
+    "Counts of this gateway reached the log after their window was settled: they are not reported.",
+    is_final=True,
+)
--- a/src/bellweir/hosted/process.py
+++ b/src/bellweir/hosted/process.py
@@ -144,13 +144,15 @@
     """Constructors of a role's own services; a role imports only what it needs."""
     if role == GATEWAY_ROLE:
         from bellweir.hosted.serving.service import FrontService
+        from bellweir.hosted.usage.sender import UsageCountsService
 
-        return (FrontService,)
+        return (UsageCountsService, FrontService)
     from bellweir.hosted.batches.service import BatchService
     from bellweir.hosted.retirement import RetirementService
+    from bellweir.hosted.usage.service import UsageReportsService
     from bellweir.hosted.weights.service import RolloutService
 
-    return (BatchService, RolloutService, RetirementService)
+    return (BatchService, RolloutService, UsageReportsService, RetirementService)
 
 
 def _seed_patience_s(settings: HostedSettings) -> float:
--- a/src/bellweir/hosted/records.py
+++ b/src/bellweir/hosted/records.py
@@ -54,6 +54,8 @@
     """Batch jobs: when an item may be given up."""
     single_version: bool = False
     """Batch jobs: whether all events of an item must come from one version."""
+    public: bool = False
+    """Whether its requests need no tenant's key."""
 
     @property
     def parts(self) -> tuple[Backend, ...]:
@@ -98,6 +100,15 @@
     idle_timeout_ms: float = 60_000.0
 
 
+class TenantEntry(msgspec.Struct, frozen=True, rename="camel"):
+    """A tenant and the keys by which its requests are known."""
+
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+    """Rank of its requests, 0 first; goes before the route's."""
+
+
 class Configuration(msgspec.Struct, frozen=True, rename="camel"):
     """One whole configuration."""
 
@@ -105,6 +116,8 @@
     routes: tuple[Route, ...] = ()
     services: tuple[ServiceEntry, ...] = ()
     limits: ClientLimits = ClientLimits()
+    tenants: tuple[TenantEntry, ...] = ()
+    """With any, each request needs a key, unless its route is public."""
 
 
 class WorkerState(Enum):
--- a/src/bellweir/hosted/serving/application.py
+++ b/src/bellweir/hosted/serving/application.py
@@ -12,7 +12,9 @@
 from bellweir.hosted.serving.client_request import read_client_request
 from bellweir.hosted.serving.forwarding import Forwarder, own_response
 from bellweir.hosted.serving.streams import StreamForwarder
-from bellweir.hosted.views.configuration import ConfigurationView
+from bellweir.hosted.tenants.admission import KeyCheck
+from bellweir.hosted.tenants.interface import Admission, Verdict
+from bellweir.hosted.views.configuration import ConfigurationView, RouteTable
 from bellweir.http_server.body_pipe import BodyCutError
 from bellweir.http_server.http import BadRequestError, Caller, Environ, Request, Response
 from bellweir.http_server.task import ABORT_CONNECTION
@@ -20,6 +22,8 @@
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5
+UNDECIDED_RETRY_AFTER_S = 0.1
+"""A node that can't judge a key sends the client to another one, which most likely can."""
 
 
 class RequestApplication:
@@ -32,12 +36,14 @@
         forwarder: Forwarder,
         streams: StreamForwarder,
         batches: BatchApi,
+        key_check: KeyCheck,
     ) -> None:
         self._names = names
         self._configuration = configuration
         self._forwarder = forwarder
         self._streams = streams
         self._batches = batches
+        self._key_check = key_check
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         """Serve one request."""
@@ -62,21 +68,43 @@
         return [] if request.method == "HEAD" else [response.body]
 
     def _respond(self, request: Request) -> Response:
-        if self._batches.is_call(request):
-            return self._batches.serve_call(request)
         table = self._configuration.table()
         if table is None:
             return own_response(503, "no_configuration", NO_CONFIGURATION_RETRY_AFTER_S)
-        route = table.find(request.header("Host") or "", request.raw_path)
+        host = request.header("Host") or ""
+        if self._batches.is_call(request):
+            admission = self._admit(request, table, is_public=table.has_public_jobs(host))
+            refusal = self._refuse_sender(request, admission)
+            return refusal or self._batches.serve_call(request, admission.tenant_name)
+        route = table.find(host, request.raw_path)
         if route is None:
             return self._refuse(request, 404, "no_route")
+        admission = self._admit(request, table, is_public=route.public)
+        refusal = self._refuse_sender(request, admission)
+        if refusal is not None:
+            return refusal
+        tenant = admission.tenant_name if table.keys.are_required else None
         if route.takes_jobs:
-            return self._batches.accept(request, route)
-        client = read_client_request(request, route, self._names)
+            return self._batches.accept(request, route, tenant)
+        client = read_client_request(request, route, self._names, tenant)
         if route.kind is RouteKind.STREAMING:
             return self._streams.forward(client, table)
         return self._forwarder.forward(client, table)
 
+    def _admit(self, request: Request, table: RouteTable, *, is_public: bool) -> Admission:
+        """Judge a request's key before anything of its body is read."""
+        authorization = request.header(self._names.authorization)
+        return self._key_check.check(
+            table, authorization, is_public=is_public, request_id=request.request_id
+        )
+
+    def _refuse_sender(self, request: Request, admission: Admission) -> Response | None:
+        if admission.verdict is Verdict.REFUSED:
+            return self._refuse(request, 401, "unknown_key")
+        if admission.verdict is Verdict.UNDECIDED:
+            return own_response(503, "key_undecided", UNDECIDED_RETRY_AFTER_S)
+        return None
+
     def _refuse(self, request: Request, status: int, cause: str) -> Response:
         table = self._configuration.table()
         emit(
@@ -89,7 +117,10 @@
             attempts=0,
             ms=0,
         )
-        return own_response(status, "refused" if status < 500 else "internal_error")
+        response = own_response(status, "refused" if status < 500 else "internal_error")
+        if status == 401:
+            response.headers.append(("WWW-Authenticate", "Bearer"))
+        return response
 
 
 class _CutOnFailure:
--- a/src/bellweir/hosted/serving/client_request.py
+++ b/src/bellweir/hosted/serving/client_request.py
@@ -49,6 +49,8 @@
     """When the client must have an answer: its deadline or the route's time-out."""
     body: bytes | BinaryIO | None
     headers: Headers
+    tenant: str = ""
+    """Name of the tenant whose key the client carried; empty without one."""
 
     @property
     def may_be_sent_again(self) -> bool:
@@ -69,8 +71,14 @@
         return WorkerCall(request.method, path, host, self.request_id, self.headers, self.body)
 
 
-def read_client_request(request: Request, route: Route, names: HeaderNames) -> ClientRequest:
-    """Read a request's deadline, headers and body. Raises `BadRequestError`, `BodyCutError`."""
+def read_client_request(
+    request: Request, route: Route, names: HeaderNames, tenant: str | None = None
+) -> ClientRequest:
+    """Read a request's deadline, headers and body. Raises `BadRequestError`, `BodyCutError`.
+
+    `tenant` is None where the deployment has no tenants, and empty for a request without a key.
+    Its client's key goes to no worker, nor does what the client itself says of its tenant.
+    """
     arrived_s = time.monotonic()
     request_id = request.header(names.request_id)
     if not request_id:
@@ -80,6 +88,8 @@
     timeout_s = route.timeout_ms / MS_PER_S
     body, length = _read_body(request)
     headers = _forwarded_headers(request)
+    if tenant is not None:
+        headers = with_tenant(headers, tenant, names)
     if length is not None and not isinstance(body, bytes):
         headers.append(("Content-Length", str(length)))
     return ClientRequest(
@@ -90,9 +100,17 @@
         give_up_s=arrived_s + min(left_s, timeout_s),
         body=body,
         headers=headers,
+        tenant=tenant or "",
     )
 
 
+def with_tenant(headers: Headers, tenant: str, names: HeaderNames) -> Headers:
+    """Return a request's headers with its tenant's name in place of its key."""
+    dropped = names.of_client_only
+    kept = [(name, value) for name, value in headers if name.lower() not in dropped]
+    return [*kept, (names.tenant, tenant)] if tenant else kept
+
+
 def _parse_ms(text: str, name: str) -> float:
     try:
         number = float(text)
--- a/src/bellweir/hosted/serving/forwarding.py
+++ b/src/bellweir/hosted/serving/forwarding.py
@@ -24,6 +24,7 @@
 from bellweir.hosted.serving.failed_attempt import FailedAttempt
 from bellweir.hosted.serving.metrics import RequestMetrics
 from bellweir.hosted.serving.selection import WeightedParts, WorkerLoads
+from bellweir.hosted.usage.counter import UsageCounter
 from bellweir.hosted.views.configuration import RouteTable
 from bellweir.hosted.views.workers import Worker, WorkersView
 from bellweir.http_server.caller_watch import CallerWatch
@@ -68,7 +69,10 @@
         metrics: RequestMetrics,
         workers_age_s: Callable[[], float] = lambda: 0.0,
         now_s: Callable[[], float] = time.monotonic,
+        usage: UsageCounter | None = None,
     ) -> None:
+        """`usage` counts the requests of tenants that workers begin."""
+        self._usage = usage
         self._workers = workers
         self._loads = loads
         self._connections = connections
@@ -186,6 +190,8 @@
         instance = worker.instance
         self._metrics.attempt_ended(worker.entry.service, outcome.state.value, seconds)
         if outcome.state in (AttemptState.ANSWERED, AttemptState.UNKNOWN):
+            if not progress.may_have_run:
+                self.note_begun(client, self._now_s() - seconds)
             progress.ran_at.add(instance)
             progress.may_have_run = True
         answer = outcome.answer
@@ -203,6 +209,11 @@
         )
         progress.cause = failed.note(self._loads)
 
+    def note_begun(self, client: ClientRequest, at_s: float) -> None:
+        """Count a request among its tenant's use, once, from the first run that may have begun."""
+        if self._usage is not None:
+            self._usage.began(client.tenant, at_s)
+
     def _own_answer(self, client: ClientRequest, progress: Progress) -> Response:
         if not progress.may_have_run:
             full = progress.cause == "workers_full"
--- a/src/bellweir/hosted/serving/service.py
+++ b/src/bellweir/hosted/serving/service.py
@@ -19,6 +19,8 @@
 from bellweir.hosted.serving.simple_application import SimpleApplication
 from bellweir.hosted.serving.streams import StreamForwarder
 from bellweir.hosted.settings import HostedSettings
+from bellweir.hosted.tenants.admission import KeyCheck
+from bellweir.hosted.usage.sender import UsageCountsService
 from bellweir.hosted.views.configuration import RouteTable
 from bellweir.hosted.views.service import ViewsService
 from bellweir.http_server.caller_watch import CallerWatch
@@ -49,7 +51,13 @@
     """Serves clients: requests, directory and readiness, each on its own address."""
 
     name = names.FRONT
-    dependencies = (names.VIEWS, names.MEMBERSHIP, names.LEDGER, names.TELEMETRY)
+    dependencies = (
+        names.VIEWS,
+        names.MEMBERSHIP,
+        names.LEDGER,
+        names.TELEMETRY,
+        names.USAGE_COUNTS,
+    )
 
     def __init__(self, kernel: Kernel, settings: HostedSettings, platform: HostingPlatform) -> None:
         self._kernel = kernel
@@ -95,6 +103,7 @@
             caller_watch,
             metrics,
             self._views.workers_follower.age_s,
+            usage=self._kernel.registry.find(names.USAGE_COUNTS, UsageCountsService).counter,
         )
         streams = StreamForwarder(forwarder, self._loads, self._connections, caller_watch)
         ledger.register(BatchJobs)
@@ -105,7 +114,12 @@
             nearby_reads=self._settings.batches.nearby_reads,
         )
         return RequestApplication(
-            self._platform.headers, self._views.configuration, forwarder, streams, batches
+            self._platform.headers,
+            self._views.configuration,
+            forwarder,
+            streams,
+            batches,
+            KeyCheck(self._views.configuration_follower.age_s),
         )
 
     def _serve_at(self, address: str | None, application: WsgiApplication) -> None:
--- a/src/bellweir/hosted/serving/streams.py
+++ b/src/bellweir/hosted/serving/streams.py
@@ -6,6 +6,7 @@
 """
 
 import http.client
+import time
 from collections.abc import Callable, Generator, Iterator
 from dataclasses import dataclass
 
@@ -44,6 +45,8 @@
 from bellweir.http_server.http import Response
 
 SERVER_ERROR = 500
+BEGUN_STATES = frozenset({AttemptState.ANSWERED, AttemptState.UNKNOWN})
+"""Outcomes of an attempt after which its worker may have begun the request."""
 SILENCE_S = 1.5
 """Time without an event after which a stream that may be resumed is taken for broken."""
 
@@ -112,9 +115,12 @@
             stream.tried.add(worker.instance)
             stream.sends += 1
             left_s = stream.client.left_s()
+            began_s = time.monotonic()
             began = self._connections.open(
                 worker, _call_of(stream), left_s, left_s * MS_PER_S, stream.cancellation
             )
+            if not stream.ran_at and began.state in BEGUN_STATES:
+                self._forwarder.note_begun(stream.client, began_s)
             if began.state is AttemptState.ANSWERED and began.opened is not None:
                 stream.ran_at.add(worker.instance)
                 if began.opened.status < SERVER_ERROR:
--- a/src/bellweir/hosted/settings.py
+++ b/src/bellweir/hosted/settings.py
@@ -66,6 +66,17 @@
     """Time for which an ended batch job can be read."""
 
 
+class UsageSettings(msgspec.Struct, frozen=True, rename="camel"):
+    """Reports of what tenants use."""
+
+    address: str | None = None
+    """Interface of the platform that takes the reports, `host:port`; None: none are due."""
+    window_s: float = 5.0
+    """Length of a window; window k begins k times as long after the beginning of 1970."""
+    late_s: float = 10.0
+    """Time after a window's end by which its report is due."""
+
+
 class ToleranceSettings(msgspec.Struct, frozen=True, rename="camel"):
     """What may be lost at once."""
 
@@ -115,6 +126,7 @@
     listen: ListenSettings
     store: StoreSettings
     bounds: BoundSettings = BoundSettings()
+    usage: UsageSettings = UsageSettings()
     tolerate: ToleranceSettings = ToleranceSettings()
     batches: BatchSettings = BatchSettings()
     rollouts: RolloutSettings = RolloutSettings()
@@ -200,6 +212,10 @@
         yield _finding("batches.keepTextsS", str(settings.batches.keep_texts_s), "0 or more")
     if settings.bounds.lease_ms <= 0:
         yield _finding("bounds.leaseMs", str(settings.bounds.lease_ms), "above 0")
+    if settings.usage.window_s <= 0:
+        yield _finding("usage.windowS", str(settings.usage.window_s), "above 0")
+    if settings.usage.late_s <= 0:
+        yield _finding("usage.lateS", str(settings.usage.late_s), "above 0")
     if settings.bounds.grace_period_s <= 0:
         yield _finding("bounds.gracePeriodS", str(settings.bounds.grace_period_s), "above 0")
 
@@ -211,6 +227,7 @@
         "listen.directory": settings.listen.directory,
         "listen.metrics": settings.listen.metrics,
         "store.address": settings.store.address,
+        "usage.address": settings.usage.address,
     }
     named |= {f"node.seeds.{number}": seed for number, seed in enumerate(settings.node.seeds)}
     for place, address in named.items():
--- /dev/null
+++ b/src/bellweir/hosted/tenants/__init__.py
@@ -0,0 +1,1 @@
+"""Tenants: whose key a request carries, and what follows from it."""
--- /dev/null
+++ b/src/bellweir/hosted/usage/service.py
@@ -0,0 +1,60 @@
+"""Service `usage_reports`: a store machine reports usage while it holds the duties' lease."""
+
+import threading
+
+from bellweir.hosted.interface import HostingPlatform
+from bellweir.hosted.settings import HostedSettings
+from bellweir.hosted.usage.reporter import UsageReporter
+from bellweir.hosted.usage.state import UsageWindows
+from bellweir.hosted.usage.true_time import TrueTime
+from bellweir.hosted.views.service import ViewsService
+from bellweir.hosted.weights.service import RolloutService
+from bellweir.kernel import names
+from bellweir.kernel.node import Kernel
+from bellweir.kernel.service import Service
+from bellweir.ledger.interface import Ledger
+
+STEP_S = 0.2
+
+
+class UsageReportsService(Service):
+    """Runs the reporter."""
+
+    name = names.USAGE_REPORTS
+    dependencies = (names.LEDGER, names.VIEWS, names.ROLLOUTS)
+
+    def __init__(self, kernel: Kernel, settings: HostedSettings, platform: HostingPlatform) -> None:
+        self._kernel = kernel
+        self._settings = settings
+        self._platform = platform
+
+    def start(self) -> None:
+        """Start the task, where the platform takes reports."""
+        registry = self._kernel.registry
+        ledger = registry.find(names.LEDGER, Ledger)  # type: ignore[type-abstract]
+        ledger.register(UsageWindows)
+        usage = self._settings.usage
+        if usage.address is None:
+            return
+        self._views = registry.find(names.VIEWS, ViewsService)
+        self._reporter = UsageReporter(
+            registry.find(names.ROLLOUTS, RolloutService).lease,
+            ledger,
+            self._platform.duties_at(usage.address),
+            usage,
+            self._settings.node.name,
+            TrueTime(),
+            self._has_tenants,
+        )
+        self._kernel.executors.run_task("report-usage", self._run)
+
+    def stop(self) -> None:
+        """The task ends with the executors."""
+
+    def _has_tenants(self) -> bool:
+        table = self._views.configuration.table()
+        return table is not None and table.keys.are_required
+
+    def _run(self, stopping: threading.Event) -> None:
+        while not stopping.wait(STEP_S):
+            self._reporter.step()
--- a/src/bellweir/hosted/views/configuration.py
+++ b/src/bellweir/hosted/views/configuration.py
@@ -11,12 +11,14 @@
 from bellweir.hosted.leniency import readable_configuration
 from bellweir.hosted.log_events import CONFIGURATION_IN_FORCE, CONFIGURATION_REFUSED
 from bellweir.hosted.records import Configuration, Route, ServiceEntry
+from bellweir.hosted.tenants.interface import Keys, Tenant
+from bellweir.hosted.tenants.keys import DigestedKeys
 
 CONFIGURATION_NAME = "main"
 
 
 class RouteTable:
-    """Routes of one configuration, by host and longest path prefix."""
+    """Routes of one configuration, by host and longest path prefix, and its tenants' keys."""
 
     def __init__(self, configuration: Configuration) -> None:
         self.configuration = configuration
@@ -29,6 +31,9 @@
         for routes in by_host.values():
             routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
         self._by_host = by_host
+        self.keys: Keys = DigestedKeys(
+            (Tenant(each.name, each.priority), each.api_keys) for each in configuration.tenants
+        )
 
     @property
     def version(self) -> int:
@@ -37,10 +42,17 @@
 
     def find(self, host: str, path: str) -> Route | None:
         """The route whose prefix begins the path and is longest."""
+        routes = self._routes_of(host)
+        return next((route for route in routes if path.startswith(route.path_prefix)), None)
+
+    def has_public_jobs(self, host: str) -> bool:
+        """Whether a host has a route whose batch jobs are handed in without a key."""
+        return any(route.takes_jobs and route.public for route in self._routes_of(host))
+
+    def _routes_of(self, host: str) -> list[Route]:
         name = host.lower()
         without_port = name.partition(":")[0]
-        routes = self._by_host.get(name) or self._by_host.get(without_port) or []
-        return next((route for route in routes if path.startswith(route.path_prefix)), None)
+        return self._by_host.get(name) or self._by_host.get(without_port) or []
 
 
 class ConfigurationView:
--- a/src/bellweir/hosted/weights/service.py
+++ b/src/bellweir/hosted/weights/service.py
@@ -57,6 +57,11 @@
         self._versions = VersionsView()
         self._leaving = threading.Event()
 
+    @property
+    def lease(self) -> Lease:
+        """The lease under which this machine does all duties of one node at a time."""
+        return self._lease
+
     def start(self) -> None:
         """Start the tasks."""
         views = self._views = self._kernel.registry.find(names.VIEWS, ViewsService)
--- a/src/bellweir_rehearsal/hosted/checks.py
+++ b/src/bellweir_rehearsal/hosted/checks.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from bellweir_rehearsal.hosted.clients import (
+    TENANT,
     Answer,
     Client,
     StepRecord,
@@ -65,11 +66,21 @@
         self.samples = Check("each sample is whole, scored and of the versions that made it")
         self.positions = Check("results stay at their positions, through kills and restarts")
         self.orders = Check("orders come from one holder at a time, their fences rise")
+        self.tenants = Check("what runs names its tenant, and no key reaches a worker")
+        self.usage = Check("usage is reported, never twice with other counts, never too much")
 
     @property
     def traffic_checks(self) -> list[Check]:
         """The checks of what clients and the trainer see."""
-        return [self.answers, self.once, self.samples, self.positions, self.orders]
+        return [
+            self.answers,
+            self.once,
+            self.samples,
+            self.positions,
+            self.orders,
+            self.tenants,
+            self.usage,
+        ]
 
     def start(self) -> None:
         """Write the first configuration and start every machine."""
@@ -149,6 +160,30 @@
                 rises = after.fence >= before.fence if same else after.fence > before.fence
                 self.orders.expect(rises, f"{worker.instance}: {before} then {after}")
 
+    def check_tenants(self) -> None:
+        """Look at the headers of everything that ran."""
+        for worker in (*self.deployment.models, *self.deployment.scorers):
+            for request_id, headers in list(worker.record.headers.items()):
+                wanted = None if request_id.startswith("score-") else TENANT
+                told = headers.get("x-bellweir-tenant")
+                right = told == wanted and "authorization" not in headers
+                self.tenants.expect(right, f"{request_id}: {told}, headers {sorted(headers)}")
+
+    def check_usage(self) -> None:
+        """Compare the reports with each other and with what workers have run."""
+        duties = self.deployment.duties
+        self.usage.expect(bool(duties.reports), "no report")
+        for fault in (*duties.differing(), *duties.misordered()):
+            self.usage.expect(False, fault)
+        ran = {
+            request_id
+            for worker in self.deployment.scorers
+            for request_id in worker.record.ran
+            if not request_id.startswith("score-")
+        }
+        reported = duties.reported(TENANT)
+        self.usage.expect(reported <= len(ran), f"{reported} reported, {len(ran)} ran")
+
     def close(self) -> None:
         """End every process and stand-in."""
         self.deployment.close()
--- a/src/bellweir_rehearsal/hosted/clients.py
+++ b/src/bellweir_rehearsal/hosted/clients.py
@@ -12,6 +12,9 @@
 from bellweir_rehearsal.hosted.deployment import REGION, ZONES, HostedDeployment
 
 HOST = "shop.example"
+TENANT = "dealers"
+KEY = "key-of-dealers"
+"""A key of the tenant that no configuration takes away."""
 REQUEST_TIMEOUT_S = 5.0
 TRIES = 12
 TRY_PAUSE_S = 0.3
@@ -33,12 +36,18 @@
 
 
 def call(
-    address: str, method: str, path: str, body: bytes = b"", headers: dict[str, str] | None = None
+    address: str,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+    key: str = KEY,
 ) -> Answer | None:
-    """One call on a new connection; None without a whole answer."""
+    """One call on a new connection with a tenant's key; None without a whole answer."""
     connection = http.client.HTTPConnection(address, timeout=REQUEST_TIMEOUT_S)
     try:
-        connection.request(method, path, body or None, {"Host": HOST, **(headers or {})})
+        sent = {"Host": HOST, "Authorization": f"Bearer {key}", **(headers or {})}
+        connection.request(method, path, body or None, sent)
         answer = connection.getresponse()
         found = {name.lower(): value for name, value in answer.getheaders()}
         return Answer(answer.status, found, answer.read())
@@ -178,12 +187,18 @@
         return json.dumps({**job, "items": requests}).encode()
 
 
+def key_of_version(version: int) -> str:
+    """Return the key that one version of the configuration has, and the next takes away."""
+    return f"key-of-version-{version}"
+
+
 def configuration(version: int, extra_routes: tuple[str, ...] = ()) -> dict[str, Any]:
-    """The operator's configuration."""
+    """The operator's configuration, with a key of its own beside the tenant's lasting one."""
     common = {"host": HOST, "timeoutMs": 5000, "targetMs": 500, "maxAttempts": 3}
     routes = [
         {**common, "pathPrefix": "/drafts/", "kind": "rollout", "service": "llm"},
-        {**common, "pathPrefix": "/score/", "kind": "idempotent", "service": "app"},
+        {**common, "pathPrefix": "/score/", "kind": "idempotent", "service": "app"}
+        | {"public": True},
         {**common, "pathPrefix": "/price/", "kind": "idempotent", "service": "app"},
         {**common, "pathPrefix": "/bid/", "kind": "non_idempotent", "service": "app"},
     ]
@@ -193,4 +208,5 @@
     ]
     engine = {"slots": 8, "models": [{"name": "drafts"}]}
     services = [{"name": "llm", "engine": engine}, {"name": "app"}]
-    return {"version": version, "routes": routes, "services": services}
+    tenants = [{"name": TENANT, "apiKeys": [KEY, key_of_version(version)]}]
+    return {"version": version, "routes": routes, "services": services, "tenants": tenants}
--- a/src/bellweir_rehearsal/hosted/day.py
+++ b/src/bellweir_rehearsal/hosted/day.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from bellweir_rehearsal.hosted.checks import Check, CheckedTraffic
-from bellweir_rehearsal.hosted.clients import StepRecord, call, configuration
+from bellweir_rehearsal.hosted.clients import StepRecord, call, configuration, key_of_version
 from bellweir_rehearsal.hosted.deployment import STOP_TIMEOUT_S, HostedDeployment
 from bellweir_rehearsal.hosted.kept_connection import KeptConnection
 from bellweir_rehearsal.hosted.object_store import Outage
@@ -38,6 +38,8 @@
         self._step("all processes are killed at once", self._killed_all)
         self._step("everything is read again", self._read_again)
         self.check_orders()
+        self.check_tenants()
+        self.check_usage()
 
     def _step(self, name: str, play: Callable[[], None]) -> None:
         self.told(name)
@@ -88,6 +90,16 @@
                 address = self.deployment.address(name, "front")
                 answer = call(address, "POST", "/new/x", b"body", headers)
             self.configured.expect(answer is not None and answer.status == 200, f"{name}: {answer}")
+            self._check_key(name, key_of_version(1), 401)
+            self._check_key(name, key_of_version(2), 200)
+
+    def _check_key(self, name: str, key: str, status: int) -> None:
+        """A key that the new configuration lacks is refused, one that it has is served."""
+        headers = {"X-Bellweir-Attempt-Id": self.next_id("key")}
+        address = self.deployment.address(name, "front")
+        answer = call(address, "POST", "/price/x", b"body", headers, key)
+        shown = answer.status if answer is not None else None
+        self.configured.expect(shown == status, f"{name}: {shown} for {key}, not {status}")
 
     def _stopped_gateway(self) -> None:
         """A client that keeps its connection must get every answer until it is asked to close."""
--- a/src/bellweir_rehearsal/hosted/deployment.py
+++ b/src/bellweir_rehearsal/hosted/deployment.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 
 import bellweir
+from bellweir_rehearsal.hosted.duties import DutiesStandIn
 from bellweir_rehearsal.hosted.object_store import PlatformStoreStandIn
 from bellweir_rehearsal.hosted.template import fill
 from bellweir_rehearsal.hosted.worker import WorkerStandIn
@@ -31,6 +32,9 @@
 PORTS = 4
 SEEDS = 3
 """Machines whose addresses the settings name."""
+USAGE_WINDOW_S = 2.0
+USAGE_LATE_S = 4.0
+"""Length of a window of usage, and the time by which its report is due."""
 METRICS_PORT = 9464
 """Port that the deploy file names."""
 
@@ -93,6 +97,7 @@
         # A network of its own: the port of the metrics is fixed.
         self.network = "127.{}.{}".format(*(1 + byte % 250 for byte in os.urandom(2)))
         self.store = PlatformStoreStandIn()
+        self.duties = DutiesStandIn()
         self.models = [
             WorkerStandIn(f"llm-{number}", model="drafts", events=6) for number in range(3)
         ]
@@ -183,6 +188,7 @@
         for worker in (*self.models, *self.scorers):
             worker.close()
         self.store.close()
+        self.duties.close()
 
     def _listen(self) -> dict[str, int]:
         _, front, ready, directory = self.ports
@@ -210,8 +216,11 @@
                 "ttl_max_s": 5,
                 "cancelMs": 3000,
                 "statusS": self.status_s,
+                "usageWindowS": USAGE_WINDOW_S,
+                "usageLateS": USAGE_LATE_S,
             },
             "limits": {"memoryMb": 300, "maxFds": 4096},
             "tolerate": {"machines": self.tolerated, "zones": 0, "regions": 0},
             "provider": {"address": self.store.address},
+            "cloud": {"address": self.duties.address},
         }
--- a/src/bellweir_rehearsal/hosted/kept_connection.py
+++ b/src/bellweir_rehearsal/hosted/kept_connection.py
@@ -4,6 +4,7 @@
 import itertools
 import time
 
+from bellweir_rehearsal.hosted.clients import KEY
 from bellweir_rehearsal.hosted.worker import answer_to
 
 REQUEST_TIMEOUT_S = 5.0
@@ -38,6 +39,7 @@
     def _send(self, connection: http.client.HTTPConnection, request_id: str) -> None:
         headers = {
             "Host": HOST,
+            "Authorization": f"Bearer {KEY}",
             "X-Bellweir-Attempt-Id": request_id,
             "X-Bellweir-Deadline-Ms": "4000",
         }
--- a/src/bellweir_rehearsal/hosted/soak.py
+++ b/src/bellweir_rehearsal/hosted/soak.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 
 from bellweir_rehearsal.hosted.checks import Check, CheckedTraffic
-from bellweir_rehearsal.hosted.clients import NoAnswerError, StepRecord, call
+from bellweir_rehearsal.hosted.clients import NoAnswerError, StepRecord, call, key_of_version
 from bellweir_rehearsal.hosted.deployment import BEAT_S, HostedDeployment
 from bellweir_rehearsal.hosted.soak_faults import ALL_FAULTS, LossBudget, SoakFault
 
@@ -72,6 +72,8 @@
         for step in self.trainer.steps:
             self._read_again_if_kept(step)
         self.check_orders()
+        self.check_tenants()
+        self.check_usage()
         self._check_configuration()
         for name, code in self.deployment.exit_codes:
             self.stops.expect(code == 0, f"{name}: exit code {code}")
@@ -146,3 +148,13 @@
                 answer = call(address, "POST", path, b"body", headers)
             shown = answer.status if answer is not None else None
             self.configured.expect(shown == 200, f"{name}: {shown} for {path}")
+            self._check_keys(name, version)
+
+    def _check_keys(self, name: str, version: int) -> None:
+        """The newest key is served in the end, one that was taken away is not."""
+        address = self.deployment.address(name, "front")
+        for key, status in ((key_of_version(version), 200), (key_of_version(version - 1), 401)):
+            headers = {"X-Bellweir-Attempt-Id": self.next_id("key")}
+            answer = call(address, "POST", "/price/x", b"body", headers, key)
+            shown = answer.status if answer is not None else None
+            self.configured.expect(shown == status, f"{name}: {shown} for {key}, not {status}")
--- a/src/bellweir_rehearsal/hosted/soak_faults.py
+++ b/src/bellweir_rehearsal/hosted/soak_faults.py
@@ -243,8 +243,17 @@
         scorer.faults.lose_answer = scorer.faults.wrong_id = scorer.faults.unsigned = 1
 
 
+class LostReports(SoakFault):
+    """The platform's interface for duties refuses calls, and takes some without an answer."""
+
+    def strike(self) -> None:
+        """Refuse some of the next calls, and lose some answers."""
+        self.deployment.duties.refuse = self.chance.randint(0, 3)
+        self.deployment.duties.lose_answers = self.chance.randint(0, 3)
+
+
 class NewConfiguration(SoakFault):
-    """The operator writes another configuration."""
+    """The operator writes another configuration, which takes a key away and has a new one."""
 
     def strike(self) -> None:
         """Write one, a version above the newest."""
@@ -267,4 +276,5 @@
     LostWrites,
     BrokenWorkers,
     NewConfiguration,
+    LostReports,
 )
--- a/src/bellweir_rehearsal/hosted/worker.py
+++ b/src/bellweir_rehearsal/hosted/worker.py
@@ -65,6 +65,8 @@
     """Events after which streams were asked to go on, by request id; 0 for a new one."""
     ended: Counter[str] = field(default_factory=Counter)
     """Streams made to their end, by request id."""
+    headers: dict[str, dict[str, str]] = field(default_factory=dict)
+    """Headers of what ran, by request id; names in lower case."""
 
 
 class WorkerStandIn:
@@ -178,6 +180,8 @@
             return
         with self._lock:
             self.record.ran[request_id] += 1
+            found = {name.lower(): value for name, value in handler.headers.items()}
+            self.record.headers[request_id] = found
         time.sleep(self.faults.delay_s)
         if self.faults.strikes("lose_answer"):
             handler.reset()
