Have workers that are gone for good replaced

Cause: nobody ordered workers.

Change: the holder of the duties' lease learns how many workers each zone holds at rest, and orders that number again when some have been missing for 7 s; where none can be had, in the cheapest other zone. Two policies behind one abstract class and a setting (scaling.policy): replace, and hold, which stands for what was there. Refusals of keys and usage reports are counted in metrics.

--- a/src/bellweir/explanation/cause.py
+++ b/src/bellweir/explanation/cause.py
@@ -14,6 +14,7 @@
     "worker_failed": "the worker itself answered with a failure",
     "timeout": "the route's time-out or the client's deadline passed first",
     "no_route": "no route of the configuration in force has its host and path",
+    "unknown_key": "the configuration in force has no such key, or the request carried none",
     "no_configuration": "the process knew no configuration yet",
 }
 MOST_ITEMS_SHOWN = 3
--- a/src/bellweir/hosted/interface.py
+++ b/src/bellweir/hosted/interface.py
@@ -255,6 +255,17 @@
     fence: int
 
 
+@dataclass(frozen=True)
+class WorkersOrder:
+    """How many workers of a service a zone is to hold."""
+
+    service: str
+    zone: str
+    count: int
+    holder: str
+    fence: int
+
+
 class DutyPlatform(ABC):
     """Calls to the platform that are a duty of one node at a time. Each has its own time-out."""
 
@@ -262,6 +273,10 @@
     def report_usage(self, report: UsageReport, timeout_s: float) -> DutyAnswer:
         """Report a window's usage; the same report again does no harm."""
 
+    @abstractmethod
+    def order_workers(self, order: WorkersOrder, timeout_s: float) -> DutyAnswer:
+        """Order a zone's number of workers; `REFUSED` when none can be had there now."""
+
 
 @dataclass(frozen=True)
 class HostingPlatform:
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -256,6 +256,22 @@
 RETIREMENT_COMPLETED = Event(
     1451, "retirement_completed", Level.INFO, ("machine",), "It holds nothing any more."
 )
+WORKERS_ORDERED = Event(
+    1453,
+    "workers_ordered",
+    Level.INFO,
+    (
+        "service",
+        "zone",
+        "ready",
+        "standing",
+        "wanted",
+        "reason",
+        "fence",
+        "answer",
+    ),
+    "A zone was ordered to hold so many workers; `refused`: none can be had there now.",
+)
 USAGE_REPORTED = Event(
     1455,
     "usage_reported",
--- a/src/bellweir/hosted/process.py
+++ b/src/bellweir/hosted/process.py
@@ -149,10 +149,17 @@
         return (UsageCountsService, FrontService)
     from bellweir.hosted.batches.service import BatchService
     from bellweir.hosted.retirement import RetirementService
+    from bellweir.hosted.scaling.service import ScalingService
     from bellweir.hosted.usage.service import UsageReportsService
     from bellweir.hosted.weights.service import RolloutService
 
-    return (BatchService, RolloutService, UsageReportsService, RetirementService)
+    return (
+        BatchService,
+        RolloutService,
+        UsageReportsService,
+        ScalingService,
+        RetirementService,
+    )
 
 
 def _seed_patience_s(settings: HostedSettings) -> float:
--- a/src/bellweir/hosted/records.py
+++ b/src/bellweir/hosted/records.py
@@ -82,6 +82,17 @@
     models: tuple[EngineModel, ...] = ()
 
 
+class Autoscale(msgspec.Struct, frozen=True, rename="camel"):
+    """How many workers of a service may be ordered, in each of its zones."""
+
+    min: int = 0
+    max: int = 0
+    boot_s: float = 0.0
+    """Time from an order to the worker's service."""
+    zone_prices: dict[str, float] = {}
+    """Price of a second of a worker, by zone."""
+
+
 class ServiceEntry(msgspec.Struct, frozen=True, rename="camel"):
     """A service whose workers requests go to."""
 
@@ -89,6 +100,7 @@
     health_path: str = "/health"
     max_conns: int = 64
     engine: Engine | None = None
+    autoscale: Autoscale | None = None
 
 
 class ClientLimits(msgspec.Struct, frozen=True, rename="camel"):
--- a/src/bellweir/hosted/serving/metrics.py
+++ b/src/bellweir/hosted/serving/metrics.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterator
 
-from prometheus_client import CollectorRegistry, Gauge, Histogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.core import CounterMetricFamily
 from prometheus_client.exposition import generate_latest
 from prometheus_client.registry import Collector
@@ -41,6 +41,11 @@
         """Count an attempt at a worker."""
         self._attempts.labels(service, outcome).observe(seconds)
 
+    def add_counter(self, name: str, meaning: str, label: str) -> Callable[[str], None]:
+        """Add a counter with one label; what is returned counts one more of a value of it."""
+        counter = Counter(name, meaning, (label,), registry=self._registry)
+        return lambda value: counter.labels(value).inc()
+
     def add_gauge(self, name: str, meaning: str, read: Callable[[], float]) -> None:
         """Add a gauge, read when the figures are asked for."""
         Gauge(name, meaning, registry=self._registry).set_function(read)
--- a/src/bellweir/hosted/serving/service.py
+++ b/src/bellweir/hosted/serving/service.py
@@ -119,7 +119,14 @@
             forwarder,
             streams,
             batches,
-            KeyCheck(self._views.configuration_follower.age_s),
+            KeyCheck(
+                self._views.configuration_follower.age_s,
+                metrics.add_counter(
+                    "bellweir_keys_refused",
+                    "Requests without a key that the configuration in force has, by verdict.",
+                    "verdict",
+                ),
+            ),
         )
 
     def _serve_at(self, address: str | None, application: WsgiApplication) -> None:
--- a/src/bellweir/hosted/settings.py
+++ b/src/bellweir/hosted/settings.py
@@ -16,6 +16,7 @@
 GATEWAY_ROLE = "gateway"
 STORE_ROLE = "store"
 ROLES = (GATEWAY_ROLE, STORE_ROLE)
+SCALING_POLICIES = ("hold", "replace")
 
 
 SOURCE = "settings file"
@@ -77,6 +78,15 @@
     """Time after a window's end by which its report is due."""
 
 
+class ScalingSettings(msgspec.Struct, frozen=True, rename="camel"):
+    """How many workers are ordered."""
+
+    address: str | None = None
+    """Interface of the platform that takes the orders, `host:port`; None: none are given."""
+    policy: str = "replace"
+    """`hold` orders nothing, `replace` has workers replaced that are gone for good."""
+
+
 class ToleranceSettings(msgspec.Struct, frozen=True, rename="camel"):
     """What may be lost at once."""
 
@@ -127,6 +137,7 @@
     store: StoreSettings
     bounds: BoundSettings = BoundSettings()
     usage: UsageSettings = UsageSettings()
+    scaling: ScalingSettings = ScalingSettings()
     tolerate: ToleranceSettings = ToleranceSettings()
     batches: BatchSettings = BatchSettings()
     rollouts: RolloutSettings = RolloutSettings()
@@ -212,6 +223,8 @@
         yield _finding("batches.keepTextsS", str(settings.batches.keep_texts_s), "0 or more")
     if settings.bounds.lease_ms <= 0:
         yield _finding("bounds.leaseMs", str(settings.bounds.lease_ms), "above 0")
+    if settings.scaling.policy not in SCALING_POLICIES:
+        yield _finding("scaling.policy", settings.scaling.policy, ", ".join(SCALING_POLICIES))
     if settings.usage.window_s <= 0:
         yield _finding("usage.windowS", str(settings.usage.window_s), "above 0")
     if settings.usage.late_s <= 0:
@@ -228,6 +241,7 @@
         "listen.metrics": settings.listen.metrics,
         "store.address": settings.store.address,
         "usage.address": settings.usage.address,
+        "scaling.address": settings.scaling.address,
     }
     named |= {f"node.seeds.{number}": seed for number, seed in enumerate(settings.node.seeds)}
     for place, address in named.items():
--- a/src/bellweir/hosted/tenants/admission.py
+++ b/src/bellweir/hosted/tenants/admission.py
@@ -21,9 +21,17 @@
     the configuration is surely the newest one; otherwise the client is to ask another node.
     """
 
-    def __init__(self, configuration_age_s: Callable[[], float] = lambda: 0.0) -> None:
-        """`configuration_age_s` tells since when the configuration may have changed."""
+    def __init__(
+        self,
+        configuration_age_s: Callable[[], float] = lambda: 0.0,
+        count: Callable[[str], None] = lambda _verdict: None,
+    ) -> None:
+        """`configuration_age_s` tells since when the configuration may have changed.
+
+        `count` is called with the verdict on each request that is not allowed.
+        """
         self._configuration_age_s = configuration_age_s
+        self._count = count
 
     def check(
         self, table: RouteTable, authorization: str | None, *, is_public: bool, request_id: str
@@ -39,6 +47,7 @@
         age_s = self._configuration_age_s()
         is_certain = key is None or age_s <= CERTAIN_S
         verdict = Verdict.REFUSED if is_certain else Verdict.UNDECIDED
+        self._count(verdict.value)
         emit(
             KEY_REFUSED,
             request_id=request_id,
--- a/src/bellweir/hosted/usage/reporter.py
+++ b/src/bellweir/hosted/usage/reporter.py
@@ -25,6 +25,7 @@
 SETTLE_TIMEOUT_S = 0.8
 CALL_TIMEOUT_S = 0.5
 """Time for a call; a holder's act must be over soon after its lease is."""
+MISSED = "missed"
 LATE_MARGIN_S = 0.3
 """Time before a report is due in which none is begun: it would arrive too late to count."""
 
@@ -41,8 +42,13 @@
         node: str,
         true_time: TrueTime,
         is_needed: Callable[[], bool],
+        count: Callable[[str], None] = lambda _outcome: None,
     ) -> None:
-        """`is_needed` tells whether the deployment has tenants whose usage can be reported."""
+        """`is_needed` tells whether the deployment has tenants whose usage can be reported.
+
+        `count` is called with the answer to each call, and with `missed` for an overdue window.
+        """
+        self._count = count
         self._lease = lease
         self._ledger = ledger
         self._platform = platform
@@ -65,6 +71,7 @@
             self._next = oldest
         for window in range(self._next, oldest):
             emit(USAGE_MISSED, window=window)
+            self._count(MISSED)
         for window in range(max(oldest, self._next), newest + 1):
             self._next = window
             if not self._report(window):
@@ -85,6 +92,7 @@
             return False
         report = UsageReport(window, reply.counts, self._node, fence)
         answer = self._platform.report_usage(report, CALL_TIMEOUT_S)
+        self._count(answer.value)
         emit(
             USAGE_REPORTED,
             window=window,
--- a/src/bellweir/hosted/usage/service.py
+++ b/src/bellweir/hosted/usage/service.py
@@ -3,6 +3,7 @@
 import threading
 
 from bellweir.hosted.interface import HostingPlatform
+from bellweir.hosted.metrics_service import MetricsService
 from bellweir.hosted.settings import HostedSettings
 from bellweir.hosted.usage.reporter import UsageReporter
 from bellweir.hosted.usage.state import UsageWindows
@@ -21,7 +22,7 @@
     """Runs the reporter."""
 
     name = names.USAGE_REPORTS
-    dependencies = (names.LEDGER, names.VIEWS, names.ROLLOUTS)
+    dependencies = (names.LEDGER, names.VIEWS, names.ROLLOUTS, names.TELEMETRY)
 
     def __init__(self, kernel: Kernel, settings: HostedSettings, platform: HostingPlatform) -> None:
         self._kernel = kernel
@@ -45,6 +46,11 @@
             self._settings.node.name,
             TrueTime(),
             self._has_tenants,
+            registry.find(names.TELEMETRY, MetricsService).metrics.add_counter(
+                "bellweir_usage_reports",
+                "Calls that report a window's usage, by answer; `missed`: overdue windows.",
+                "outcome",
+            ),
         )
         self._kernel.executors.run_task("report-usage", self._run)
 
