Bring calls to the ledger through other gateways where the store machines are out of reach

Cause: a gateway that is cut off from the store machines refuses batch jobs and readings (503 no leader found, 504 no outcome), though it reaches its clients and other gateways.

Change: such a gateway hands its call to another one, which makes it and sends the outcome back. Looking for the placement ends with the call's time, too.

--- a/features/support/ledger_nodes.py
+++ b/features/support/ledger_nodes.py
@@ -137,9 +137,13 @@
     members: dict[str, Member] = field(default_factory=dict)
     cut: set[str] = field(default_factory=set)
     """Nodes that nobody reaches and that reach nobody."""
+    cut_pairs: set[frozenset[str]] = field(default_factory=set)
+    """Pairs of nodes that don't reach each other."""
 
     def reaches(self, origin: str, target: str) -> bool:
-        return origin not in self.cut and target not in self.cut and target in self.transports
+        is_cut = frozenset((origin, target)) in self.cut_pairs
+        is_there = origin not in self.cut and target not in self.cut and target in self.transports
+        return is_there and not is_cut
 
 
 class MemoryTransport(Service, Transport):
--- a/src/bellweir/ledger/calls.py
+++ b/src/bellweir/ledger/calls.py
@@ -76,6 +76,41 @@
         self._transport.send(sender.address, message)
 
 
+class OutcomeInbox:
+    """Outcomes that come as messages, for the calls that wait for them."""
+
+    def __init__(self, codec: Codec, transport: Transport) -> None:
+        self._codec = codec
+        self._lock = threading.Lock()
+        self._waiting: dict[str, OutcomeFuture] = {}
+        transport.register(CallOutcome, self.handle_outcome)
+
+    def expect(self, call_id: str) -> OutcomeFuture:
+        """Return what will hold the outcome of a call; `forget` it in the end."""
+        future: OutcomeFuture = Future()
+        with self._lock:
+            self._waiting[call_id] = future
+        return future
+
+    def forget(self, call_id: str) -> None:
+        """Drop a call's outcome, whether it has come or not."""
+        with self._lock:
+            self._waiting.pop(call_id, None)
+
+    def handle_outcome(self, sender: Sender, message: CallOutcome) -> None:
+        """Complete the call that waits; an outcome that nobody waits for any more is dropped."""
+        with self._lock:
+            future = self._waiting.pop(message.call_id, None)
+        if future is not None:
+            future.set_result(self._decode(message))
+
+    def _decode(self, message: CallOutcome) -> Result[Reply, LedgerError]:
+        if message.reply is not None:
+            return Success(self._codec.decode(message.reply, Reply))
+        kind = LedgerErrorKind(message.error_kind or LedgerErrorKind.UNKNOWN.value)
+        return Failure(LedgerError(kind, message.detail))
+
+
 class CallClient:
     """Brings a call to the leader of its shard, from a node with or without replicas."""
 
@@ -87,18 +122,19 @@
         address_of: Callable[[str], str | None],
         candidates: Candidates,
         clock: Clock,
+        answered: Callable[[], None] = lambda: None,
     ) -> None:
+        """`answered` is called whenever a node that may lead has answered."""
         self._node = node
         self._codec = codec
         self._transport = transport
         self._address_of = address_of
         self._candidates = candidates
         self._clock = clock
+        self._answered = answered
         self._leaders: dict[int, str] = {}
-        self._lock = threading.Lock()
-        self._waiting: dict[str, OutcomeFuture] = {}
         self._pause = threading.Event()
-        transport.register(CallOutcome, self.handle_outcome)
+        self.outcomes = OutcomeInbox(codec, transport)
 
     def call(self, shard: int, value: Command | Query, timeout_s: float) -> Outcome:
         """Bring a call to its leader and wait for the outcome."""
@@ -140,14 +176,11 @@
             return None
         tried.add(target)
         call_id = uuid.uuid4().hex
-        future: OutcomeFuture = Future()
-        with self._lock:
-            self._waiting[call_id] = future
+        future = self.outcomes.expect(call_id)
         try:
             return self._request(call, call_id, target, address, left_s, future)
         finally:
-            with self._lock:
-                self._waiting.pop(call_id, None)
+            self.outcomes.forget(call_id)
 
     def _request(
         self,
@@ -162,6 +195,8 @@
         request = CallRequest(call_id, call.shard, is_query, call.payload, left_s)
         started_s = self._clock.monotonic_s()
         answer = self._transport.request(address, request, min(left_s, ACCEPT_TIMEOUT_S))
+        if isinstance(answer, Success):
+            self._answered()
         match answer:
             case Success(CallAccepted()):
                 self._leaders[call.shard] = target
@@ -194,19 +229,6 @@
         tried.clear()
         return None
 
-    def handle_outcome(self, sender: Sender, message: CallOutcome) -> None:
-        """Complete the call that waits; an outcome that nobody waits for any more is dropped."""
-        with self._lock:
-            future = self._waiting.pop(message.call_id, None)
-        if future is not None:
-            future.set_result(self._decode(message))
-
-    def _decode(self, message: CallOutcome) -> Result[Reply, LedgerError]:
-        if message.reply is not None:
-            return Success(self._codec.decode(message.reply, Reply))
-        kind = LedgerErrorKind(message.error_kind or LedgerErrorKind.UNKNOWN.value)
-        return Failure(LedgerError(kind, message.detail))
-
 
 def _wait(future: OutcomeFuture, timeout_s: float) -> Outcome:
     try:
--- a/src/bellweir/ledger/locator.py
+++ b/src/bellweir/ledger/locator.py
@@ -1,5 +1,6 @@
 """Finds the placement, and the nodes that may lead a shard, from any node."""
 
+import random
 import threading
 import time
 from collections.abc import Sequence
@@ -15,6 +16,8 @@
 
 LOOKUP_PAUSE_S = 0.05
 """Pause between two rounds of asking for the placement."""
+LOOK_TIMEOUT_S = 0.4
+"""Time for the answer to a look, which takes some milliseconds."""
 
 
 class PlacementLocator:
@@ -49,9 +52,18 @@
             if clock.monotonic_s() >= deadline_s:
                 return None
             if self._keeper is None:
-                self._ask()
+                self._ask(deadline_s - clock.monotonic_s())
             clock.wait(self._pause, LOOKUP_PAUSE_S)
 
+    def is_answered(self) -> bool:
+        """Ask one of the nodes with a data folder, whichever, whether it answers this node."""
+        nodes = self._data_nodes()
+        member = self._membership.member(random.choice(nodes)) if nodes else None
+        if member is None:
+            return False
+        answer = self._transport.request(member.peer_address, PlacementRequest(), LOOK_TIMEOUT_S)
+        return isinstance(answer, Success)
+
     def replica_nodes(self, shard: int) -> tuple[str, ...]:
         """Nodes that hold a shard, voters first, as published."""
         placement = self.placement()
@@ -62,7 +74,7 @@
     def refresh(self) -> None:
         """Ask for the placement again, on a node that keeps none, if it was long ago."""
         if self._keeper is None and time.monotonic() - self._asked_s > REFRESH_PERIOD_S:
-            self._ask()
+            self._ask(REFRESH_PERIOD_S)
 
     def candidates(self, shard: int) -> list[str]:
         """Nodes that may lead a shard: its replicas as published, then all with a data folder."""
@@ -88,11 +100,12 @@
             if member.has_data_folder and member.state is not MemberState.DEAD
         ]
 
-    def _ask(self) -> None:
-        self._asked_s = time.monotonic()
+    def _ask(self, patience_s: float) -> None:
+        """Ask one node after the other until one tells; none is begun after `patience_s`."""
+        began_s = self._asked_s = time.monotonic()
         for node in self._data_nodes():
             member = self._membership.member(node)
-            if member is None:
+            if member is None or time.monotonic() - began_s >= patience_s:
                 continue
             answer = self._transport.request(
                 member.peer_address, PlacementRequest(), PLACEMENT_TIMEOUT_S
--- a/src/bellweir/ledger/log_events.py
+++ b/src/bellweir/ledger/log_events.py
@@ -89,3 +89,17 @@
     ("file", "offset"),
     "A segment file is torn or damaged there; its blobs are read from other replicas.",
 )
+LEDGER_CUT_OFF = Event(
+    913,
+    "ledger_cut_off",
+    Level.WARNING,
+    ("detail",),
+    "No node that holds the ledger answers this one; its calls go through other gateways.",
+)
+LEDGER_REACHED = Event(
+    914,
+    "ledger_reached",
+    Level.INFO,
+    (),
+    "A node that holds the ledger answers again; calls go on their own way.",
+)
--- a/src/bellweir/ledger/messages.py
+++ b/src/bellweir/ledger/messages.py
@@ -119,6 +119,20 @@
     """Time for which the caller waits for the outcome."""
 
 
+class RelayedCall(Message, frozen=True, tag=True):
+    """A call that its sender can't bring to the ledger itself; answered at once with acceptance.
+
+    Its `CallOutcome` follows as of a call to the leader.
+    """
+
+    call_id: str
+    key: str
+    is_query: bool
+    payload: bytes
+    patience_s: float
+    """Time for which the caller waits for the outcome."""
+
+
 class CallAccepted(Message, frozen=True, tag=True):
     """The call was taken up; its `CallOutcome` follows as a one-way message."""
 
--- a/src/bellweir/ledger/service.py
+++ b/src/bellweir/ledger/service.py
@@ -27,6 +27,7 @@
 from bellweir.ledger.nearby import NearbyReads, PeekServer
 from bellweir.ledger.node import LedgerNode, NodeTiming
 from bellweir.ledger.placement import PlacementStore
+from bellweir.ledger.relayed_calls import ReachWatch, RelayedCalls
 from bellweir.ledger.store_sync import StoreSync
 from bellweir.ledger.tasks import LedgerTasks
 from bellweir.membership.interface import Membership
@@ -60,6 +61,8 @@
         self._node: LedgerNode | None = None
         self._tasks: LedgerTasks | None = None
         self._client: CallClient
+        self._relayed: RelayedCalls | None = None
+        self._reach = ReachWatch(kernel.clock)
         self._nearby: NearbyReads
         self._locator: PlacementLocator
         self._transport: Transport
@@ -102,7 +105,10 @@
             self._address_of,
             self._locator.candidates,
             self._kernel.clock,
+            self._reach.answered,
         )
+        if self._node is None:
+            self._relayed = self._make_relayed(codec)
         self._nearby = NearbyReads(
             self._settings.node.zone,
             self._node,
@@ -114,6 +120,20 @@
         )
         self._serving.set()
 
+    def _make_relayed(self, codec: Codec) -> RelayedCalls:
+        """Both ways of a call, for a node that holds no replica."""
+        return RelayedCalls(
+            self._transport,
+            self._membership,
+            self._kernel.executors,
+            codec,
+            self._kernel.clock,
+            self._reach,
+            self._call_directly,
+            self._locator.is_answered,
+            self._client.outcomes,
+        )
+
     def _start_replicas(self, folder: Path) -> None:
         # Only nodes with a data folder need the database.
         from bellweir.ledger.sqlite_journal import SqliteJournal
@@ -193,6 +213,16 @@
         if not self._serving.wait(timeout_s):
             return _unavailable("the node is starting")
         left_s = timeout_s - (self._kernel.clock.monotonic_s() - started_s)
+        if self._relayed is not None:
+            return self._relayed.call(key, value, left_s)
+        return self._call_directly(key, value, left_s)
+
+    def _call_directly(
+        self, key: str, value: Command | Query, timeout_s: float
+    ) -> Result[Reply, LedgerError]:
+        """Bring a call to its shard's leader on this node's own way."""
+        started_s = self._kernel.clock.monotonic_s()
+        left_s = timeout_s
         shard_count = self._locator.wait_for_shard_count(left_s, self._kernel.clock)
         if shard_count is None:
             return _unavailable("no placement of the ledger is known")
