Wait for the outcome of a call as long as its caller does, however it was found

Cause: by reading. Since calls have a second way, a gateway gave its own way 0.8 s for the whole call, so a commit that took longer was said to be unknown at once instead of after the caller's 3 s. Change: the 0.8 s bound the search for a leader that takes the call up; its outcome is waited for as long as the caller waits. Test ledger_relay: a commit that takes longer than a leader is looked for (unknown before, told now).

--- a/features/ledger_relay.feature
+++ b/features/ledger_relay.feature
@@ -15,5 +15,9 @@
     Then a command is surely not appended, and that is said within its time
     And their calls go their own way again once the cut has healed
 
+  Scenario: A commit that takes longer than a leader is looked for
+    Given outcomes of calls come 1.5 seconds late
+    Then a command is applied once, on its own way, and its caller is told so
+
   Scenario: Cuts, lost answers and heals in any order
     Then a command whose outcome is known was applied once or not at all, as it says
--- a/features/steps/ledger_relay_steps.py
+++ b/features/steps/ledger_relay_steps.py
@@ -102,6 +102,20 @@
     assert item not in found
 
 
+@given_step("outcomes of calls come {seconds:g} seconds late")
+def given_late(context, seconds):
+    context.network.delays["CallOutcome"] = seconds
+
+
+@then("a command is applied once, on its own way, and its caller is told so")
+def then_late(context):
+    item = append(context, "node-0", 6.0)
+    assert item is not None
+    assert not context.nodes["node-0"].ledger._reach.is_cut_off
+    found = context.nodes["data-0"].ledger.ask(KEY, ReadItems(), 6.0).unwrap().items
+    assert found.count(item) == 1
+
+
 class Fleet:
     """Nodes without data folders around one list; each way of a call may fail as drawn."""
 
@@ -134,7 +148,7 @@
             self.codec,
             self.clock,
             reach,
-            lambda _key, value, seconds: self.direct(name, value, seconds),
+            lambda _key, value, _timeout_s, search_s: self.direct(name, value, search_s),
             lambda: name not in self.cut,
             inbox,
         )
--- a/features/support/ledger_nodes.py
+++ b/features/support/ledger_nodes.py
@@ -139,6 +139,8 @@
     """Nodes that nobody reaches and that reach nobody."""
     cut_pairs: set[frozenset[str]] = field(default_factory=set)
     """Pairs of nodes that don't reach each other."""
+    delays: dict[str, float] = field(default_factory=dict)
+    """Seconds by which one-way messages are late, by the name of their type."""
 
     def reaches(self, origin: str, target: str) -> bool:
         is_cut = frozenset((origin, target)) in self.cut_pairs
@@ -168,6 +170,10 @@
     def handle(self, origin: str, message: Message) -> Message | None:
         return self.handlers[type(message)](Sender(origin, origin), message)
 
+    def handle_late(self, delay_s: float, origin: str, message: Message) -> None:
+        threading.Event().wait(delay_s)
+        self.handle(origin, message)
+
     def request(
         self, address: str, message: Message, timeout_s: float
     ) -> Result[Message, WireError]:
@@ -190,7 +196,8 @@
             peer = self._network.transports[address]
             if type(message) in peer.handlers:
                 try:
-                    peer._pool.submit(peer.handle, self._node, message)
+                    delay_s = self._network.delays.get(type(message).__name__, 0.0)
+                    peer._pool.submit(peer.handle_late, delay_s, self._node, message)
                 except RuntimeError:
                     return False
         return True
--- a/src/bellweir/ledger/calls.py
+++ b/src/bellweir/ledger/calls.py
@@ -136,20 +136,31 @@
         self._pause = threading.Event()
         self.outcomes = OutcomeInbox(codec, transport)
 
-    def call(self, shard: int, value: Command | Query, timeout_s: float) -> Outcome:
-        """Bring a call to its leader and wait for the outcome."""
+    def call(
+        self,
+        shard: int,
+        value: Command | Query,
+        timeout_s: float,
+        search_s: float = float("inf"),
+    ) -> Outcome:
+        """Bring a call to its leader, found within `search_s`, and wait for the outcome."""
         call = _Call(shard, value, self._codec.encode(value))
         if len(call.payload) > MAXIMUM_CALL_BYTES:
             detail = f"a command or query has at most {MAXIMUM_CALL_BYTES} bytes"
             return Failure(LedgerError(LedgerErrorKind.UNAVAILABLE, detail))
-        deadline_s = self._clock.monotonic_s() + timeout_s
+        began_s = self._clock.monotonic_s()
+        deadline_s = began_s + timeout_s
+        search_until_s = began_s + min(search_s, timeout_s)
         tried: set[str] = set()
-        while (left_s := deadline_s - self._clock.monotonic_s()) > 0:
-            outcome = self._try_here(call, left_s) or self._try_elsewhere(call, left_s, tried)
+        while (search_left_s := search_until_s - self._clock.monotonic_s()) > 0:
+            left_s = deadline_s - self._clock.monotonic_s()
+            outcome = self._try_here(call, left_s) or self._try_elsewhere(
+                call, left_s, search_left_s, tried
+            )
             if outcome is not None and not _may_try_again(call, outcome):
                 return outcome
             if not tried:
-                self._clock.wait(self._pause, min(RETRY_PAUSE_S, left_s))
+                self._clock.wait(self._pause, min(RETRY_PAUSE_S, search_left_s))
         return Failure(LedgerError(LedgerErrorKind.UNAVAILABLE, "no leader found in time"))
 
     def leader_node(self, shard: int) -> str | None:
@@ -168,7 +179,9 @@
             future = self._node.propose(call.shard, call.payload)
         return None if future is None else _wait(future, left_s)
 
-    def _try_elsewhere(self, call: _Call, left_s: float, tried: set[str]) -> Outcome | None:
+    def _try_elsewhere(
+        self, call: _Call, left_s: float, search_left_s: float, tried: set[str]
+    ) -> Outcome | None:
         """Try the next candidate; None when it surely did not take the call up."""
         target = self._next_candidate(call.shard, tried)
         address = self._address_of(target) if target else None
@@ -178,7 +191,8 @@
         call_id = uuid.uuid4().hex
         future = self.outcomes.expect(call_id)
         try:
-            return self._request(call, call_id, target, address, left_s, future)
+            accept_s = min(search_left_s, ACCEPT_TIMEOUT_S)
+            return self._request(call, call_id, target, address, left_s, accept_s, future)
         finally:
             self.outcomes.forget(call_id)
 
@@ -189,12 +203,13 @@
         target: str,
         address: str,
         left_s: float,
+        accept_s: float,
         future: OutcomeFuture,
     ) -> Outcome | None:
         is_query = isinstance(call.value, Query)
         request = CallRequest(call_id, call.shard, is_query, call.payload, left_s)
         started_s = self._clock.monotonic_s()
-        answer = self._transport.request(address, request, min(left_s, ACCEPT_TIMEOUT_S))
+        answer = self._transport.request(address, request, accept_s)
         if isinstance(answer, Success):
             self._answered()
         match answer:
--- a/src/bellweir/ledger/relayed_calls.py
+++ b/src/bellweir/ledger/relayed_calls.py
@@ -30,14 +30,14 @@
 from bellweir.membership.interface import Member, Membership
 from bellweir.wire.interface import Sender, Transport, WireErrorKind
 
-DIRECT_PATIENCE_S = 0.8
-"""Time for a call's own way while another one is there. An election takes 0.6 s, so that a change
-of leader alone makes nobody take the other way."""
+DIRECT_SEARCH_S = 0.8
+"""Time in which a leader must take a call up on its own way before the other one is tried. An
+election takes 0.6 s, so that a change of leader alone makes nobody take the other way."""
 ACCEPT_TIMEOUT_S = 0.3
 """Time for another gateway to take a call on; it does so without asking anybody."""
-RELAY_PATIENCE_S = 0.5
-"""Time for a call at the gateway that has taken it on. A commit takes some milliseconds; one that
-is cut off without knowing it yet says so after this time, and the next one is asked."""
+RELAY_SEARCH_S = 0.5
+"""The same at the gateway that has taken a call on. One that is cut off without knowing it yet says
+so after this time, and the next one is asked."""
 RELAY_SHARE = 0.9
 """Share of the caller's time that it gets at most, so that its word comes in time."""
 MOST_RELAYS = 4
@@ -46,8 +46,9 @@
 LOOK_AGAIN_S = 2.0
 """Time between two questions whether the ledger's nodes answer here again."""
 
-DirectCall = Callable[[str, Command | Query, float], Outcome]
-"""Makes a call on a node's own way: key, command or query, time in seconds."""
+DirectCall = Callable[[str, Command | Query, float, float], Outcome]
+"""Makes a call on a node's own way: key, command or query, seconds for the whole call, and seconds
+in which a leader must have taken it up."""
 
 
 class ReachWatch:
@@ -122,7 +123,7 @@
             outcome = self._relay(key, value, deadline_s)
             if outcome is not None:
                 return outcome
-        outcome = self._call_directly(key, value, deadline_s, DIRECT_PATIENCE_S)
+        outcome = self._call_directly(key, value, deadline_s, DIRECT_SEARCH_S)
         if _may_go_on(value, outcome) and self._reach.is_cut_off:
             outcome = self._relay(key, value, deadline_s) or outcome
         if _may_go_on(value, outcome) and self._clock.monotonic_s() < deadline_s:
@@ -130,11 +131,11 @@
         return outcome
 
     def _call_directly(
-        self, key: str, value: Command | Query, deadline_s: float, patience_s: float
+        self, key: str, value: Command | Query, deadline_s: float, search_s: float
     ) -> Outcome:
         left_s = max(0.0, deadline_s - self._clock.monotonic_s())
         answers = self._reach.answers
-        outcome = self._direct(key, value, min(left_s, patience_s))
+        outcome = self._direct(key, value, left_s, min(left_s, search_s))
         match outcome:
             case Failure(error):
                 self._reach.failed(answers, error.detail)
@@ -166,8 +167,8 @@
         call_id = uuid.uuid4().hex
         future = self._outcomes.expect(call_id)
         is_query = isinstance(value, Query)
-        patience_s = min(RELAY_PATIENCE_S, RELAY_SHARE * left_s)
-        message = RelayedCall(call_id, key, is_query, self._codec.encode(value), patience_s)
+        payload = self._codec.encode(value)
+        message = RelayedCall(call_id, key, is_query, payload, RELAY_SHARE * left_s)
         began_s = self._clock.monotonic_s()
         try:
             answer = self._transport.request(
@@ -214,7 +215,7 @@
         else:
             value = self._codec.decode(message.payload, Command)
         deadline_s = self._clock.monotonic_s() + message.patience_s
-        outcome = self._call_directly(message.key, value, deadline_s, message.patience_s)
+        outcome = self._call_directly(message.key, value, deadline_s, RELAY_SEARCH_S)
         match outcome:
             case Success(reply):
                 answer = CallOutcome(message.call_id, self._codec.encode(reply), None, "")
--- a/src/bellweir/ledger/service.py
+++ b/src/bellweir/ledger/service.py
@@ -215,19 +215,19 @@
         left_s = timeout_s - (self._kernel.clock.monotonic_s() - started_s)
         if self._relayed is not None:
             return self._relayed.call(key, value, left_s)
-        return self._call_directly(key, value, left_s)
+        return self._call_directly(key, value, left_s, left_s)
 
     def _call_directly(
-        self, key: str, value: Command | Query, timeout_s: float
+        self, key: str, value: Command | Query, timeout_s: float, search_s: float
     ) -> Result[Reply, LedgerError]:
-        """Bring a call to its shard's leader on this node's own way."""
+        """Bring a call to its shard's leader, found within `search_s`, on this node's own way."""
         started_s = self._kernel.clock.monotonic_s()
-        left_s = timeout_s
-        shard_count = self._locator.wait_for_shard_count(left_s, self._kernel.clock)
+        shard_count = self._locator.wait_for_shard_count(search_s, self._kernel.clock)
         if shard_count is None:
             return _unavailable("no placement of the ledger is known")
-        left_s = timeout_s - (self._kernel.clock.monotonic_s() - started_s)
-        return self._client.call(_shard_of(key, shard_count), value, left_s)
+        passed_s = self._kernel.clock.monotonic_s() - started_s
+        shard = _shard_of(key, shard_count)
+        return self._client.call(shard, value, timeout_s - passed_s, search_s - passed_s)
 
     def ask_nearby(self, key: str, query: Query, timeout_s: float) -> Reply | None:
         """Answer a query from a replica in this node's zone, of what that one has applied."""
