--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 
 # Sites of the users' bench that a change of policy must not harm, below SITES.
 REGRESSION := further/vermillon-lab further-grown/vermillon-lab-grown grown/psl-atl-grown \
-	grown/hammerfield-prod-grown large/psl-atl-large
+	grown/hammerfield-prod-grown large/psl-atl-large shifted/psl-atl-now-grown
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	$(PYTHON) -m venv $(VENV)
