Tell which voters a replica finds on its disk, and whom a node without a leader hears

Cause: after the loss of the ledger's majority no line says which voters the machines that start found, how far their logs reach and who is missing: too few live voters, a disk that came back under a new identity and forgotten jobs can't be told apart. Change: replica_loaded at the start; leader_elected names its voters, who granted, and its last index; shard_leaderless after 3 s without a leader, at most one line in 3 s; replicas_changed names identities (node and disk) and who is taken for lost. No decision changes.

--- a/src/bellweir/ledger/keeper.py
+++ b/src/bellweir/ledger/keeper.py
@@ -27,6 +27,7 @@
 )
 from bellweir.ledger.reconfiguration import ShardView, next_replica_set
 from bellweir.ledger.replica import Replica
+from bellweir.ledger.replica_state import shown
 from bellweir.membership.interface import Member, Membership, MemberState
 from bellweir.wire.interface import Sender, Transport
 
@@ -209,9 +210,13 @@
             return
         if replica.change_replicas(changed) is not None:
             self._node.wake()
-            voters = [str(one.node) for one in changed.voters]
-            learners = [str(one.node) for one in changed.learners]
-            emit(REPLICAS_CHANGED, shard=replica.shard, voters=voters, learners=learners)
+            emit(
+                REPLICAS_CHANGED,
+                shard=replica.shard,
+                voters=shown(changed.voters),
+                learners=shown(changed.learners),
+                lost=shown(sorted(view.lost)),
+            )
 
     def _lost(self, replicas: Iterable[ReplicaId]) -> frozenset[ReplicaId]:
         """Replicas to be replaced: their disk is another one now, or they are silent for long."""
--- a/src/bellweir/ledger/log_events.py
+++ b/src/bellweir/ledger/log_events.py
@@ -10,7 +10,11 @@
     "The ledger's files are not what was acknowledged; the node rejoins as a learner.",
 )
 LEADER_ELECTED = Event(
-    901, "leader_elected", Level.INFO, ("shard", "term"), "This node now leads a shard."
+    901,
+    "leader_elected",
+    Level.INFO,
+    ("shard", "term", "last_index", "voters", "granted_by"),
+    "This node now leads a shard, from the log that it holds up to `last_index`.",
 )
 LEADER_RESIGNED = Event(
     902,
@@ -37,8 +41,8 @@
     905,
     "replicas_changed",
     Level.INFO,
-    ("shard", "voters", "learners"),
-    "This node, leading a shard, began a change of the shard's replicas.",
+    ("shard", "voters", "learners", "lost"),
+    "This node, leading a shard, began a change of the shard's replicas; `lost` are to go.",
 )
 SHARD_RECOVERED = Event(
     906,
@@ -103,3 +107,17 @@
     (),
     "A node that holds the ledger answers again; calls go on their own way.",
 )
+REPLICA_LOADED = Event(
+    915,
+    "replica_loaded",
+    Level.INFO,
+    ("shard", "disk", "term", "snapshot_index", "last_index", "voters", "learners"),
+    "A node that starts found a replica on its disk, whole up to `last_index`.",
+)
+SHARD_LEADERLESS = Event(
+    916,
+    "shard_leaderless",
+    Level.WARNING,
+    ("shard", "term", "seconds", "voters", "learners", "granted_by"),
+    "No leader of a shard was heard for long; `granted_by` would vote for this replica.",
+)
--- a/src/bellweir/ledger/replica_state.py
+++ b/src/bellweir/ledger/replica_state.py
@@ -12,7 +12,7 @@
 import random
 import threading
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 from enum import Enum
@@ -40,7 +40,7 @@
 )
 from bellweir.ledger.leadership import Leadership
 from bellweir.ledger.log import ReplicatedLog
-from bellweir.ledger.log_events import LEADER_RESIGNED, SHARD_RECOVERED
+from bellweir.ledger.log_events import LEADER_RESIGNED, REPLICA_LOADED, SHARD_RECOVERED
 from bellweir.ledger.placement import ShardHome
 
 LOG_BYTES = 8 << 20
@@ -101,6 +101,8 @@
         self.leader: ReplicaId | None = None
         self._leader_heard_s = now_s - timing.election_timeout_s
         self._election_due_s = now_s + self._random_timeout_s()
+        self._leaderless_since_s = now_s
+        self._leaderless_told_s = now_s
         self._votes: set[ReplicaId] = set()
         self._handed_over = False
         self.stands = True
@@ -108,6 +110,21 @@
         self._leadership: Leadership | None = None
         self._not_durable: deque[tuple[int, int]] = deque()
         self._last_ticket = 0
+        if stored is not None:
+            self._tell_loaded()
+
+    def _tell_loaded(self) -> None:
+        replicas = self.log.replicas
+        emit(
+            REPLICA_LOADED,
+            shard=self.shard,
+            disk=self.own.disk,
+            term=self.term,
+            snapshot_index=self.commit_index,
+            last_index=self.log.last_index,
+            voters=shown(replicas.voters),
+            learners=shown(replicas.learners),
+        )
 
     @contextmanager
     def locked(self) -> Iterator[None]:
@@ -244,6 +261,15 @@
             emit(SHARD_RECOVERED, shard=self.shard, generation=generation)
 
 
+def shown(replicas: Iterable[ReplicaId]) -> list[str]:
+    """Replicas as log lines show them.
+
+    >>> shown([ReplicaId("store-1", "4f2a")])
+    ['store-1/4f2a']
+    """
+    return [f"{one.node}/{one.disk}" for one in replicas]
+
+
 def _stored_log(stored: StoredShard | None) -> ReplicatedLog:
     if stored is None:
         return ReplicatedLog()
--- a/src/bellweir/ledger/voting.py
+++ b/src/bellweir/ledger/voting.py
@@ -3,9 +3,13 @@
 from bellweir.events.log import emit
 from bellweir.ledger.entries import EntryKind, ReplicaId
 from bellweir.ledger.leadership import Leadership
-from bellweir.ledger.log_events import LEADER_ELECTED
+from bellweir.ledger.log_events import LEADER_ELECTED, SHARD_LEADERLESS
 from bellweir.ledger.messages import ElectNow, VoteAnswer, VoteRequest
-from bellweir.ledger.replica_state import ReplicaState, Role
+from bellweir.ledger.replica_state import ReplicaState, Role, shown
+
+LEADERLESS_S = 3.0
+"""Time without a leader that is told, and the least time between two such lines; an election
+after a loss of all power takes under two seconds."""
 
 
 class Voting(ReplicaState):
@@ -20,10 +24,31 @@
                 if now_s - heard_s > self._timing.election_timeout_s:
                     self._resign("no majority answers")
                 return []
+            self._tell_leaderless(now_s)
             if now_s < self._election_due_s or not self._may_stand():
                 return []
             return self._start_election(now_s, preliminary=True)
 
+    def _tell_leaderless(self, now_s: float) -> None:
+        """Say whom this replica hears while nobody leads: it shows who is missing."""
+        if self.leader is not None:
+            self._leaderless_since_s = now_s
+            return
+        last_s = max(self._leaderless_since_s, self._leaderless_told_s)
+        if now_s - last_s < LEADERLESS_S:
+            return
+        self._leaderless_told_s = now_s
+        replicas = self.log.replicas
+        emit(
+            SHARD_LEADERLESS,
+            shard=self.shard,
+            term=self.term,
+            seconds=round(now_s - self._leaderless_since_s, 1),
+            voters=shown(replicas.voters),
+            learners=shown(replicas.learners),
+            granted_by=shown(self._votes),
+        )
+
     def _may_stand(self) -> bool:
         replicas = self.log.replicas
         # The only voter stands also when it leaves: there is nobody else.
@@ -70,7 +95,14 @@
         self.leader = self.own
         self._handed_over = False
         self._leadership = Leadership(self.own, self.log.last_index + 1, now_s)
-        emit(LEADER_ELECTED, shard=self.shard, term=self.term)
+        emit(
+            LEADER_ELECTED,
+            shard=self.shard,
+            term=self.term,
+            last_index=self.log.last_index,
+            voters=shown(self.log.replicas.voters),
+            granted_by=shown(self._votes),
+        )
         # The term's first entry repeats the replica set: a replica that was made by an append,
         # before it had read the first placement, learns the set from it and can stand, too.
         self._append_own(EntryKind.REPLICAS, self.log.replicas.encode())
