--- a/features/ledger_redundancy.feature
+++ b/features/ledger_redundancy.feature
@@ -5,3 +5,9 @@
   Scenario: A machine is to be emptied while another one is gone for good
     Then no machine is given up before three others are alive and hold the ledger
     And after the loss of any one disk and of all power everything is read
+
+  Scenario: A fourth voter that is dead is taken out before anything else
+    Then of four voters one that is silent goes first, whoever is to be emptied
+
+  Scenario: Machines come and go, and the last disk is lost as soon as it may be
+    Then through 40 days of changes every loss that is owed is borne
--- a/features/steps/ledger_redundancy_steps.py
+++ b/features/steps/ledger_redundancy_steps.py
@@ -19,10 +19,14 @@
 """
 
 import itertools
+from dataclasses import replace
 
 from behave import then
 from features.support.ledger_machines import CATCH_UP_S, MachineSimulation
 
+from bellweir.ledger.entries import ReplicaId, ReplicaSet
+from bellweir.ledger.reconfiguration import ShardView, next_replica_set
+
 SEEDS = range(6)
 SUCCESSORS_S = (0.3, 1.0, 2.0)
 """Times after which a machine that is gone for good has its successor."""
@@ -68,3 +72,122 @@
         live = [one for one in simulation.nodes if one != leaves]
         simulation.lose_all_power(live[wiped])
         simulation.expect_everything_read()
+
+
+@then("of four voters one that is silent goes first, whoever is to be emptied")
+def then_silent_first(context):
+    voters = tuple(ReplicaId(name, f"disk-{name}") for name in NAMES)
+    for silent, retiring in itertools.permutations(voters, 2):
+        own = next(one for one in voters if one not in (silent, retiring))
+        for is_lost in (True, False):
+            view = ShardView(
+                shard=0,
+                replicas=ReplicaSet(voters),
+                own=own,
+                caught_up=frozenset(voters),
+                lost=frozenset({silent} if is_lost else ()),
+                candidates=(),
+                silent=frozenset({silent}),
+                retiring=frozenset({retiring}),
+            )
+            changed = next_replica_set(view, 3)
+            assert set(changed.voters) == set(voters) - {silent}
+            # Three are left of which one is to go: it stays until another one has come.
+            after = replace(view, replicas=changed)
+            assert next_replica_set(after, 3) is None
+
+
+class DayOfChanges:
+    """Machines are replaced, wiped, retired, added and frozen; one is lost at a time."""
+
+    MACHINES = tuple("abcdefghijklmnop")
+    CHANGES = 5
+
+    def __init__(self, seed):
+        self.simulation = MachineSimulation(self.MACHINES, seed)
+        self.chance = self.simulation.random
+        self.new = list(self.MACHINES[3:])
+        self.leaving = set()
+        self.told = []
+
+    def play(self):
+        """Some changes with no more time between losses than is owed, then the last loss."""
+        self.simulation.run_for(4.0)
+        for _ in range(self.CHANGES):
+            change = self.chance.choice(
+                (self.replace, self.wipe, self.freeze, self.retire, self.add)
+            )
+            change()
+            self.run_for(self.chance.uniform(0.0, 1.0))
+        self.run_for(CATCH_UP_S)
+        wiped = self.chance.choice(self.staying())
+        self.told.append(f"all power, and the disk of {wiped}")
+        self.simulation.lose_all_power(wiped)
+        self.simulation.retire(*self.leaving)
+        self.simulation.expect_everything_read()
+
+    def staying(self):
+        """Machines that run and are not to be emptied."""
+        return sorted(set(self.simulation.nodes) - self.leaving)
+
+    def run_for(self, seconds):
+        """Let time pass; a machine that may be taken away goes at once."""
+        for _ in range(round(seconds / 0.25)):
+            self.simulation.retire(*self.leaving)
+            self.simulation.run_for(0.25)
+            for name in sorted(self.leaving & set(self.simulation.nodes)):
+                if self.simulation.is_emptied(name):
+                    self.told.append(f"{name} is taken away")
+                    self.simulation.kill(name)
+
+    def replace(self):
+        """One is gone for good, and an empty one comes in its place."""
+        gone, come = self.chance.choice(self.staying()), self.new.pop(0)
+        pause_s = self.chance.choice((0.3, 1.0, 2.0))
+        self.told.append(f"{gone} gone, {come} after {pause_s} s")
+        self.simulation.kill(gone)
+        self.run_for(pause_s)
+        self.simulation.start(come)
+        self.run_for(CATCH_UP_S)
+
+    def wipe(self):
+        """One loses its disk and is back."""
+        name = self.chance.choice(self.staying())
+        pause_s = self.chance.choice((0.3, 1.0, 2.0))
+        self.told.append(f"{name} wiped for {pause_s} s")
+        self.simulation.kill(name)
+        self.run_for(pause_s)
+        self.simulation.start_empty(name)
+        self.run_for(CATCH_UP_S)
+
+    def freeze(self):
+        """One stands still for a while."""
+        name = self.chance.choice(self.staying())
+        self.told.append(f"{name} frozen")
+        self.simulation.paused.add(name)
+        self.run_for(self.chance.choice((0.7, 2.0, 4.0)))
+        self.simulation.paused.discard(name)
+        self.run_for(CATCH_UP_S)
+
+    def retire(self):
+        """One is to be emptied; nothing waits for it."""
+        if len(self.leaving & set(self.simulation.nodes)) == 0:
+            name = self.chance.choice(self.staying())
+            self.told.append(f"{name} to be emptied")
+            self.leaving.add(name)
+
+    def add(self):
+        """One more machine comes."""
+        self.told.append(f"{self.new[0]} added")
+        self.simulation.start(self.new.pop(0))
+
+
+@then("through {days:d} days of changes every loss that is owed is borne")
+def then_days(context, days):
+    for seed in range(days):
+        day = DayOfChanges(seed)
+        context.add_cleanup(day.simulation.close)
+        try:
+            day.play()
+        except AssertionError as failure:
+            raise AssertionError(f"seed {seed}: {'; '.join(day.told)}: {failure}") from failure
--- a/features/support/ledger_machines.py
+++ b/features/support/ledger_machines.py
@@ -135,18 +135,18 @@
         ]
 
     def expect_everything_read(self):
-        """A leader is found, and what was acknowledged is there."""
+        """A leader is found, and what was acknowledged before it was asked is there."""
         for _ in range(10):
             self.run_for(1.0)
+            acknowledged = list(self.acknowledged)
             leader = self.leader()
             future = leader.read(SHARD, ReadItems()) if leader else None
             self.run_for(0.5)
             if future is not None and future.done() and isinstance(future.result(), Success):
-                items = future.result().unwrap().items
-                missing = [item for item in self.acknowledged if item not in items]
-                assert not missing or self.acknowledged[-1] not in items, f"lost: {missing}"
-                if not missing:
-                    return
+                items = set(future.result().unwrap().items)
+                missing = [item for item in acknowledged if item not in items]
+                assert not missing, f"lost: {missing}"
+                return
         raise AssertionError(f"nobody leads: {self._found_voters()}")
 
     def _found_voters(self):
