Never let a live replica make way while a dead one stays

Cause: what was to be emptied and what was dead were both just lost, and the first in the voters' order went. With three healthy voters needed and fewer machines than that, a set of four kept a dead voter for good: three of four must agree, so that one more loss ended the ledger. A voter that fell silent less than 3 s before counted as sound, also for the word that a machine may be taken away. Change: a silent or lost voter leaves a set of four before anything else; a live one goes only while enough others answer; a machine to be emptied is a refuge where no other one is left; it is reported as emptied only while all voters answer and have caught up. A silent voter is replaced at once when a machine without replicas has just come; nodes are asked for their disk once in a step and for 0.3 s; steps follow each other in 0.1 s while replicas change.

--- a/features/support/ledger_machines.py
+++ b/features/support/ledger_machines.py
@@ -8,7 +8,7 @@
 from features.support.ledger_simulation import SHARD, STEP_S, Simulation
 from returns.result import Success
 
-from bellweir.ledger.keeper import PLACEMENT_TIMEOUT_S
+from bellweir.ledger.keeper import DISK_TIMEOUT_S
 from bellweir.ledger.messages import PlacementRequest
 from bellweir.membership.interface import MemberState
 from bellweir.settings.models import LedgerSettings
@@ -92,7 +92,7 @@
 
     def request(self, origin, target, message):
         if isinstance(message, PlacementRequest) and target not in self.nodes:
-            self._keeps_at_s[origin] += PLACEMENT_TIMEOUT_S
+            self._keeps_at_s[origin] += DISK_TIMEOUT_S
         return super().request(origin, target, message)
 
     def run_for(self, seconds):
--- a/src/bellweir/ledger/keeper.py
+++ b/src/bellweir/ledger/keeper.py
@@ -6,7 +6,7 @@
 
 import random
 import threading
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -14,7 +14,7 @@
 
 from bellweir.events.log import emit
 from bellweir.kernel.clock import Clock
-from bellweir.ledger.entries import ReplicaId
+from bellweir.ledger.entries import ReplicaId, ReplicaSet
 from bellweir.ledger.log_events import REPLICAS_CHANGED
 from bellweir.ledger.messages import PlacementAnswer, PlacementRequest
 from bellweir.ledger.node import LedgerNode
@@ -36,6 +36,12 @@
 
 
 PLACEMENT_TIMEOUT_S = 1.0
+DISK_TIMEOUT_S = 0.3
+"""Time for a node to tell its disk, which takes some milliseconds; a mend waits for each one."""
+YOUNG_S = 10.0
+"""A node that was first seen so shortly before a voter fell silent, or since, is its successor."""
+SETTLED_AFTER_S = 2.0
+"""Nodes that are seen within this time from this node's start are none that came just now."""
 ASKED_AT_ONCE = 3
 """Nodes that are asked for the placement in one step; whoever has it spreads it the same way."""
 REFRESH_PERIOD_S = 10.0
@@ -65,6 +71,11 @@
         self._settings = settings
         self._missing_since_s: float | None = None
         self._silent_since_s: dict[ReplicaId, float] = {}
+        self._gone: set[ReplicaId] = set()
+        """Silent replicas that are being replaced: they stay lost while they are silent."""
+        self._started_s = clock.monotonic_s()
+        self._first_seen_s: dict[str, float] = {}
+        self._disks: dict[str, ReplicaId | None] = {}
         self._refresh_due_s = 0.0
         self._adopting = threading.Lock()
         self.retiring: frozenset[str] = frozenset()
@@ -78,19 +89,25 @@
         """Tell a peer this node's disk and the placement as known here."""
         return PlacementAnswer(self._node.own.disk, self.placement)
 
-    def step(self) -> None:
-        """Find the placement, hold what it names, and mend the shards led here."""
+    def step(self) -> bool:
+        """Find the placement, hold what it names, and mend the shards led here.
+
+        Returns whether a shard's replicas are being changed, so that the next step is due soon.
+        """
+        self._note_nodes()
         if self.placement is None:
             self._find_placement()
         if self.placement is None:
-            return
+            return False
         self._refresh(self.placement)
         self._create_first_replicas(self.placement)
         self._obey_recovery(self.placement)
         led = self.led()
         self._note_silence(led)
-        for replica in led:
-            self._mend(replica)
+        # Asked once in a step: one that does not answer must not hold the mend up again and again.
+        self._disks = {}
+        changing = [self._mend(replica) for replica in led]
+        return any(changing)
 
     def is_leaving(self) -> bool:
         """Whether this node has announced that it leaves."""
@@ -133,6 +150,7 @@
             self._missing_since_s = now_s
         settings = self._settings
         # Counted by who answers: a member that is still starting cannot tell its disk yet.
+        self._disks = {}
         candidates = self._candidates()
         waited = now_s - self._missing_since_s >= settings.creation_wait_s
         if len(candidates) < settings.replicas and not waited:
@@ -189,25 +207,30 @@
             silent |= replica.silent_replicas(now_s)
         since_s = self._silent_since_s
         self._silent_since_s = {one: since_s.get(one, now_s) for one in silent}
+        self._gone &= silent
 
-    def _mend(self, replica: Replica) -> None:
+    def _note_nodes(self) -> None:
+        """Note when each node with a data folder was seen first."""
+        now_s = self._clock.monotonic_s()
+        since_s = self._first_seen_s
+        is_settled = now_s - self._started_s >= SETTLED_AFTER_S
+        first_s = now_s if is_settled else float("-inf")
+        nodes = [member.node for member in self._data_members()]
+        # One that is away for a moment is no new one when it is back.
+        self._first_seen_s = since_s | {node: since_s.get(node, first_s) for node in nodes}
+
+    def _mend(self, replica: Replica) -> bool:
+        """Begin the next change of a shard's replicas; whether one was begun."""
         replicas = replica.log.replicas
         wanted = self._settings.replicas
         is_whole = len(replicas.voters) == wanted and not replicas.learners
         is_whole = is_whole and not any(one.node in self.retiring for one in replicas.voters)
         if is_whole and not any(one in self._silent_since_s for one in replicas.voters):
-            return
-        view = ShardView(
-            shard=replica.shard,
-            replicas=replicas,
-            own=self._node.own,
-            caught_up=replica.caught_up(),
-            lost=self._lost(replicas.everyone),
-            candidates=self._candidates(),
-        )
+            return False
+        view = self._view(replica, replicas)
         changed = next_replica_set(view, wanted)
         if changed is None or changed == replicas:
-            return
+            return bool(replicas.learners)
         if replica.change_replicas(changed) is not None:
             self._node.wake()
             emit(
@@ -217,38 +240,65 @@
                 learners=shown(changed.learners),
                 lost=shown(sorted(view.lost)),
             )
+        return True
 
-    def _lost(self, replicas: Iterable[ReplicaId]) -> frozenset[ReplicaId]:
-        """Replicas to be replaced: their disk is another one now, or they are silent for long."""
+    def _view(self, replica: Replica, replicas: ReplicaSet) -> ShardView:
+        candidates = self._candidates()
+        known = {*replicas.everyone, *(one.replica for one in candidates)}
+        return ShardView(
+            shard=replica.shard,
+            replicas=replicas,
+            own=self._node.own,
+            caught_up=replica.caught_up(),
+            lost=self._lost(replicas.everyone, candidates),
+            candidates=candidates,
+            silent=frozenset(self._silent_since_s),
+            retiring=frozenset(one for one in known if one.node in self.retiring),
+        )
+
+    def _lost(
+        self, replicas: Collection[ReplicaId], candidates: Iterable[PlacementCandidate]
+    ) -> frozenset[ReplicaId]:
+        """Replicas to be replaced: their disk is another one now, or they won't come back.
+
+        A silent one is taken for gone after some seconds, or at once where a machine without
+        replicas has come just before or since: the time within which the next loss must be borne
+        runs from its start.
+        """
         now_s = self._clock.monotonic_s()
-        lost: set[ReplicaId] = set()
+        held = {one.node for one in replicas}
+        free = [one.replica.node for one in candidates if one.replica.node not in held]
+        newest_s = max((self._first_seen_s.get(node, now_s) for node in free), default=None)
         for replica in replicas:
-            if replica.node in self.retiring:
-                lost.add(replica)
-                continue
             since_s = self._silent_since_s.get(replica)
-            if since_s is None:
+            if since_s is None or replica in self._gone:
                 continue
-            if now_s - since_s >= self._settings.replace_after_s or self._has_new_disk(replica):
-                lost.add(replica)
-        return frozenset(lost)
+            has_successor = newest_s is not None and newest_s >= since_s - YOUNG_S
+            is_gone = has_successor or now_s - since_s >= self._settings.replace_after_s
+            if is_gone or self._has_new_disk(replica):
+                self._gone.add(replica)
+        return frozenset(self._gone.intersection(replicas))
 
     def _has_new_disk(self, replica: ReplicaId) -> bool:
         member = self._membership.member(replica.node)
         if member is None or member.state is MemberState.DEAD:
             return False
-        answer = self._ask(member)
-        return answer is not None and answer.disk != replica.disk
+        found = self._replica_on(member)
+        return found is not None and found != replica
 
     def is_emptied(self, node: str) -> bool:
-        """Whether a node surely holds no replica that counts, and others hold enough."""
+        """Whether a node surely holds no replica that counts, and enough others that answer do.
+
+        Whoever is told so takes the node away with its disk, so that one that is silent now must
+        not count among the others.
+        """
         placement = self.placement
-        if placement is None or not self.led():
-            return False
         led = {replica.shard: replica for replica in self.led()}
+        if placement is None or not led:
+            return False
         for shard, home in enumerate(placement.shards):
             replica = led.get(shard)
-            if replica is not None and not replica.is_settled():
+            if replica is not None and not self._is_whole(replica):
                 return False
             replicas = replica.log.replicas if replica is not None else home.replicas
             short = len(replicas.voters) < self._settings.replicas
@@ -256,6 +306,12 @@
                 return False
         return True
 
+    def _is_whole(self, replica: Replica) -> bool:
+        """Whether a shard led here has all its voters, each of which answers and has caught up."""
+        silent = replica.silent_replicas(self._clock.monotonic_s())
+        sound = (replica.caught_up() | {self._node.own}) - silent
+        return replica.is_settled() and sound.issuperset(replica.log.replicas.voters)
+
     # --- others -------------------------------------------------------------------------------
 
     def _data_members(self) -> list[Member]:
@@ -268,20 +324,26 @@
         ]
 
     def _candidates(self) -> tuple[PlacementCandidate, ...]:
-        found: list[PlacementCandidate] = []
-        if self._node.name not in self.retiring:
-            own_zone = self._membership.self_member().zone
-            found.append(PlacementCandidate(self._node.own, own_zone))
+        own_zone = self._membership.self_member().zone
+        found = [PlacementCandidate(self._node.own, own_zone)]
         for member in self._data_members():
-            answer = self._ask(member) if member.node not in self.retiring else None
-            if answer is not None:
-                replica = ReplicaId(member.node, answer.disk)
+            replica = self._replica_on(member)
+            if replica is not None:
                 found.append(PlacementCandidate(replica, member.zone))
         return tuple(found)
 
-    def _ask(self, member: Member) -> PlacementAnswer | None:
-        request = PlacementRequest()
-        answer = self._transport.request(member.peer_address, request, PLACEMENT_TIMEOUT_S)
+    def _replica_on(self, member: Member) -> ReplicaId | None:
+        """Identity of a node's replicas, by its own word; None where it does not answer."""
+        if member.node not in self._disks:
+            answer = self._ask(member, DISK_TIMEOUT_S)
+            found = ReplicaId(member.node, answer.disk) if answer is not None else None
+            self._disks[member.node] = found
+        return self._disks[member.node]
+
+    def _ask(
+        self, member: Member, timeout_s: float = PLACEMENT_TIMEOUT_S
+    ) -> PlacementAnswer | None:
+        answer = self._transport.request(member.peer_address, PlacementRequest(), timeout_s)
         match answer:
             case Success(PlacementAnswer() as found):
                 return found
--- a/src/bellweir/ledger/reconfiguration.py
+++ b/src/bellweir/ledger/reconfiguration.py
@@ -1,6 +1,6 @@
 """Decides the next change of a shard's replicas: one replica at a time, learners before voters."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from bellweir.ledger.entries import ReplicaId, ReplicaSet
 from bellweir.ledger.placement import PlacementCandidate, choose_voters
@@ -16,31 +16,67 @@
     caught_up: frozenset[ReplicaId]
     """Followers that hold nearly all of the log."""
     lost: frozenset[ReplicaId]
-    """Replicas to be replaced."""
+    """Replicas that are gone: their disk is another one now, or they won't come back."""
     candidates: tuple[PlacementCandidate, ...]
     """Nodes that are alive and have a data folder, with the identity of their disk."""
+    silent: frozenset[ReplicaId] = field(default_factory=frozenset)
+    """Replicas that don't answer now, lost or not."""
+    retiring: frozenset[ReplicaId] = field(default_factory=frozenset)
+    """Replicas and candidates on machines that are to be emptied: good until others are there."""
+
+    def present_voters(self) -> list[ReplicaId]:
+        """Voters that are not gone; some may be about to leave."""
+        return [one for one in self.replicas.voters if one not in self.lost]
+
+    def healthy_voters(self) -> list[ReplicaId]:
+        """Voters that are to stay, whether they answer now or not."""
+        return [one for one in self.present_voters() if one not in self.retiring]
+
+    def sound_voters(self) -> list[ReplicaId]:
+        """Voters that are to stay and answer now."""
+        return [one for one in self.healthy_voters() if one not in self.silent]
 
 
 def next_replica_set(view: ShardView, wanted: int) -> ReplicaSet | None:
     """The replica set one step nearer to `wanted` healthy voters; None when nothing is to do.
 
-    The order never lowers the number of healthy copies: a learner is added and catches up, it
-    becomes a voter, and only then the lost voter goes.
+    The order never lowers the number of losses that can be borne: a learner is added and catches
+    up, it becomes a voter, and only then a voter goes, a lost one before any that is alive.
     """
     voters, learners = view.replicas.voters, view.replicas.learners
     lost_learner = next((one for one in learners if one in view.lost), None)
     if lost_learner is not None:
         return ReplicaSet(voters, _without(learners, lost_learner))
     lost_voter = next((one for one in voters if one in view.lost), None)
-    healthy = len(voters) - sum(1 for one in voters if one in view.lost)
-    if healthy >= wanted:
+    silent_voter = lost_voter or next((one for one in voters if one in view.silent), None)
+    # A majority of four is three, as of five: a fourth voter that is dead only raises the number
+    # of live ones that must agree, so that no further loss could be borne.
+    if silent_voter is not None and len(voters) > wanted and len(voters) % 2 == 0:
+        return ReplicaSet(_without(voters, silent_voter), learners)
+    if len(view.healthy_voters()) >= wanted:
         return _shrink(view, lost_voter, wanted)
-    ready = next((one for one in learners if one in view.caught_up), None)
+    return _grow(view, wanted)
+
+
+def _grow(view: ShardView, wanted: int) -> ReplicaSet | None:
+    """Bring another replica in; one that is to leave only where a voter is missing."""
+    voters, learners = view.replicas.voters, view.replicas.learners
+    free = _free(view)
+    lasting = [one for one in free if one.replica not in view.retiring]
+    is_short = len(view.present_voters()) < wanted
+    for learner in learners:
+        if learner in view.retiring and (lasting or not is_short):
+            return ReplicaSet(voters, _without(learners, learner))
+    ready = next((one for one in learners if _is_ready(view, one)), None)
     if ready is not None:
         return ReplicaSet((*voters, ready), _without(learners, ready))
     if learners:
         return None
-    return _with_new_learner(view)
+    return _with_new_learner(view, lasting or (free if is_short else []))
+
+
+def _is_ready(view: ShardView, learner: ReplicaId) -> bool:
+    return learner in view.caught_up and learner not in view.silent
 
 
 def _shrink(view: ShardView, lost_voter: ReplicaId | None, wanted: int) -> ReplicaSet | None:
@@ -48,24 +84,37 @@
     if lost_voter is not None:
         return ReplicaSet(_without(voters, lost_voter), learners)
     if len(voters) > wanted:
-        surplus = [one for one in voters if one != view.own]
-        return ReplicaSet(_without(voters, surplus[-1]), learners)
+        return _without_surplus(view, wanted)
     if learners:
         return ReplicaSet(voters, learners[:-1])
     return None
 
 
-def _with_new_learner(view: ShardView) -> ReplicaSet | None:
+def _without_surplus(view: ShardView, wanted: int) -> ReplicaSet | None:
+    """Take out one voter more than wanted, if enough others answer; one that is silent first."""
     voters = view.replicas.voters
-    healthy_nodes = {one.node for one in voters if one not in view.lost}
-    kept = [
-        one for one in view.candidates if one.replica in voters and one.replica not in view.lost
-    ]
-    free = [one for one in view.candidates if one.replica.node not in healthy_nodes]
+    if len(view.sound_voters()) < wanted:
+        return None
+    silent = [one for one in voters if one in view.silent]
+    retiring = [one for one in voters if one in view.retiring]
+    others = [one for one in reversed(voters) if one != view.own]
+    return ReplicaSet(_without(voters, (*silent, *retiring, *others)[0]), view.replicas.learners)
+
+
+def _free(view: ShardView) -> list[PlacementCandidate]:
+    """Candidates whose node holds no replica that stays or learns."""
+    held = [one for one in view.replicas.everyone if one not in view.lost]
+    taken = {one.node for one in held}
+    return [one for one in view.candidates if one.replica.node not in taken]
+
+
+def _with_new_learner(view: ShardView, free: list[PlacementCandidate]) -> ReplicaSet | None:
+    healthy = view.healthy_voters()
+    kept = [one for one in view.candidates if one.replica in healthy]
     chosen = choose_voters(view.shard, free, 1, [one.zone for one in kept])
     if not chosen:
         return None
-    return ReplicaSet(voters, (*view.replicas.learners, chosen[0]))
+    return ReplicaSet(view.replicas.voters, (*view.replicas.learners, chosen[0]))
 
 
 def _without(replicas: tuple[ReplicaId, ...], gone: ReplicaId) -> tuple[ReplicaId, ...]:
--- a/src/bellweir/ledger/store_sync.py
+++ b/src/bellweir/ledger/store_sync.py
@@ -41,17 +41,21 @@
         self._looked = False
         self._publish_due_s = 0.0
 
-    def step(self) -> None:
-        """Read or create the placement; then look for recoveries, and publish."""
+    def step(self) -> bool:
+        """Read or create the placement; then look for recoveries, and publish.
+
+        Returns False: the store is priced, so no step is sooner than another.
+        """
         placement = self._keeper.placement
         if placement is None:
             if self._clock.monotonic_s() >= self._read_from_s:
                 self._read_or_create()
-            return
+            return False
         if self._may_be_recovered():
             self._look_for_recovery()
         if self._clock.monotonic_s() >= self._publish_due_s:
             self._publish(placement)
+        return False
 
     def _read_or_create(self) -> None:
         found = self._store.read()
--- a/src/bellweir/ledger/tasks.py
+++ b/src/bellweir/ledger/tasks.py
@@ -22,6 +22,8 @@
 WRITER_PERIOD_S = 0.5
 """The writer is woken for entries; this bounds the wait for whatever else was buffered."""
 KEEPER_PERIOD_S = 0.5
+MENDING_PERIOD_S = 0.1
+"""The same while replicas are changed: three changes one after the other make a shard whole."""
 HAND_OVER_POLL_S = 0.02
 HAND_OVER_LIMIT_S = 2.0
 """Longest wait for others to take over; after it they elect a leader by themselves."""
@@ -137,14 +139,16 @@
         for replica in self._node.replicas():
             replica.give_up("the journal failed")
 
-    def _repeat(self, period_s: float, step: Callable[[], None]) -> None:
+    def _repeat(self, period_s: float, step: Callable[[], bool]) -> None:
+        """Do a step again and again, the next one soon after one that says it goes on."""
         while not self._stop.is_set():
+            goes_on = False
             try:
-                step()
+                goes_on = step()
             except Exception as failure:
                 # Tried again at the next period: the ledger must not depend on one faulty step.
                 emit(STEP_FAILED, step=step.__qualname__, error=repr(failure))
-            self._stop.wait(period_s)
+            self._stop.wait(min(period_s, MENDING_PERIOD_S) if goes_on else period_s)
 
     def _follow_peers(self) -> None:
         """Start a task for each new peer; the task of a former one ends by itself."""
