--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -134,3 +134,9 @@
     When a ledger segment is put through node z
     Then the ledger segment is on 2 data nodes
     And the ledger segment is read through every node
+
+  Scenario: Bulk data that only one node could hold is not acknowledged
+    Given a ledger of 3 data nodes and 1 other nodes
+    When ledger items 1 to 5 are appended through node z
+    And all ledger data nodes but one stop for good
+    Then a ledger segment that is put through node z is not acknowledged
--- a/features/steps/ledger_steps.py
+++ b/features/steps/ledger_steps.py
@@ -312,6 +312,20 @@
     assert sum(node.segments._files.holds(digest) for node in nodes) == count
 
 
+@when("all ledger data nodes but one stop for good")
+def when_all_but_one(context):
+    cluster = context.cluster
+    for gone in cluster.voters()[1:]:
+        cluster.stop(gone)
+        set_state(cluster, gone, MemberState.DEAD)
+
+
+@then("a ledger segment that is put through node {name} is not acknowledged")
+def then_segment_refused(context, name):
+    reply = context.cluster.nodes[name].segments.put(KEY, b"tokens", TIMEOUT_S)
+    assert not is_successful(reply), "a blob on one disk alone was acknowledged"
+
+
 @then("the ledger segment is read through every node")
 def then_segment_read(context):
     for node in context.cluster.nodes.values():
