Keep bulk data on two disks also where the other nodes are dead

Cause: the copies owed were counted against the nodes that are not known to be dead; with two of three dead one copy was acknowledged. Change: counted against all replicas of the shard; what can't be copied is refused, as a command without a majority is.

--- a/src/bellweir/ledger/segments_service.py
+++ b/src/bellweir/ledger/segments_service.py
@@ -106,7 +106,8 @@
             return _failure(f"a blob has at most {MAXIMUM_BLOB_BYTES} bytes")
         deadline_s = self._kernel.clock.monotonic_s() + timeout_s
         nodes = self._ledger.replica_nodes(key, timeout_s)
-        wanted = min(COPIES, len(nodes))
+        # Dead ones count, too: else the last node that is left would do, and its disk may go next.
+        wanted = min(COPIES, self._ledger.replica_count(key, timeout_s))
         stored = 0
         for node in self._own_first(nodes):
             left_s = deadline_s - self._kernel.clock.monotonic_s()
--- a/src/bellweir/ledger/service.py
+++ b/src/bellweir/ledger/service.py
@@ -273,6 +273,13 @@
 
         None before the ledger is known.
         """
+        return tuple(self._locator.likely_first(self._holders(key, timeout_s)))
+
+    def replica_count(self, key: str, timeout_s: float) -> int:
+        """Replicas that the key's shard has, dead or alive; 0 before the ledger is known."""
+        return len(set(self._holders(key, timeout_s)))
+
+    def _holders(self, key: str, timeout_s: float) -> tuple[str, ...]:
         if not self._serving.wait(timeout_s):
             return ()
         count = self._locator.wait_for_shard_count(timeout_s, self._kernel.clock)
@@ -282,10 +289,8 @@
         shard = _shard_of(key, count)
         replica = self._node.replica(shard) if self._node else None
         if replica is not None and replica.log.replicas.voters:
-            nodes = tuple(one.node for one in replica.log.replicas.everyone)
-        else:
-            nodes = self._locator.replica_nodes(shard)
-        return tuple(self._locator.likely_first(nodes))
+            return tuple(one.node for one in replica.log.replicas.everyone)
+        return self._locator.replica_nodes(shard)
 
     def _address_of(self, node: str) -> str | None:
         member = self._membership.member(node)
