Count a replica once, and empty no machine on account of one that may stand in for another

A new leader took voters for sound that had not answered it yet. Change: a known replica is no candidate, and the log refuses a set that names one twice; sound is who has answered this leader and is alive by membership; machines that came less than 5 s ago free no other one; a voter that stops as planned beside a new machine is replaced before it is gone.

--- a/features/steps/ledger_redundancy_steps.py
+++ b/features/steps/ledger_redundancy_steps.py
@@ -115,7 +115,14 @@
         self.simulation.run_for(4.0)
         for _ in range(self.CHANGES):
             change = self.chance.choice(
-                (self.replace, self.wipe, self.freeze, self.retire, self.add)
+                (
+                    self.replace,
+                    self.replace_as_planned,
+                    self.wipe,
+                    self.freeze,
+                    self.retire,
+                    self.add,
+                )
             )
             change()
             self.run_for(self.chance.uniform(0.0, 1.0))
@@ -150,6 +157,19 @@
         self.simulation.start(come)
         self.run_for(CATCH_UP_S)
 
+    def replace_as_planned(self):
+        """A new one comes first, then one is stopped for good."""
+        gone, come = self.chance.choice(self.staying()), self.new.pop(0)
+        pause_s = self.chance.choice((0.3, 1.0, 2.0))
+        stops_s = self.chance.choice((0.25, 1.0, 2.0))
+        self.told.append(f"{come}, and after {pause_s} s {gone} stops within {stops_s} s")
+        self.simulation.start(come)
+        self.run_for(pause_s)
+        self.simulation.leaving.add(gone)
+        self.run_for(stops_s)
+        self.simulation.kill(gone)
+        self.run_for(max(1.0, CATCH_UP_S - pause_s - stops_s))
+
     def wipe(self):
         """One loses its disk and is back."""
         name = self.chance.choice(self.staying())
@@ -161,12 +181,19 @@
         self.run_for(CATCH_UP_S)
 
     def freeze(self):
-        """One stands still for a while."""
+        """One stands still, or is without power, for about the time after which it is replaced."""
         name = self.chance.choice(self.staying())
-        self.told.append(f"{name} frozen")
-        self.simulation.paused.add(name)
-        self.run_for(self.chance.choice((0.7, 2.0, 4.0)))
-        self.simulation.paused.discard(name)
+        pause_s = self.chance.choice((0.7, 2.0, 3.25, 3.5, 3.75, 4.0, 4.25))
+        is_dark = self.chance.random() < 0.5
+        self.told.append(f"{name} {'dark' if is_dark else 'frozen'} for {pause_s} s")
+        if is_dark:
+            self.simulation.kill(name)
+            self.run_for(pause_s)
+            self.simulation.start(name)
+        else:
+            self.simulation.paused.add(name)
+            self.run_for(pause_s)
+            self.simulation.paused.discard(name)
         self.run_for(CATCH_UP_S)
 
     def retire(self):
--- a/features/support/ledger_machines.py
+++ b/features/support/ledger_machines.py
@@ -4,16 +4,18 @@
 their membership notices, and whoever asks it for its disk meanwhile waits for nothing.
 """
 
+import random
+
 from features.support.ledger_nodes import AppendItem, ReadItems
 from features.support.ledger_simulation import SHARD, STEP_S, Simulation
 from returns.result import Success
 
 from bellweir.ledger.keeper import DISK_TIMEOUT_S
 from bellweir.ledger.messages import PlacementRequest
+from bellweir.ledger.tasks import KEEPER_PERIOD_S, MENDING_PERIOD_S
 from bellweir.membership.interface import MemberState
 from bellweir.settings.models import LedgerSettings
 
-KEEPER_PERIOD_S = 0.5
 SUSPECTED_AFTER_S = 1.2
 DEAD_AFTER_S = 2.0
 """Times after which membership suspects a machine that fell silent, and takes it for dead."""
@@ -33,8 +35,11 @@
     """Three machines at first; others of `names` may be started later."""
 
     def __init__(self, names, seed):
+        # The keepers draw whom they ask for the placement.
+        random.seed(seed)
         self._keeps_at_s = {}
         self._gone_at_s = {}
+        self.leaving = set()
         super().__init__(names, seed, snapshot_entries=16, started=names[:3], timing=TIMING)
         self.acknowledged = []
         self.asked = []
@@ -57,6 +62,8 @@
         self.start(name)
 
     def state_of(self, name):
+        if name in self.leaving:
+            return MemberState.LEAVING
         silent_s = self.clock.monotonic_s() - self._gone_at_s.get(name, float("-inf"))
         if name in self.nodes or silent_s < SUSPECTED_AFTER_S:
             return MemberState.ALIVE
@@ -90,11 +97,28 @@
         self._keeps_at_s[name] = now_s + KEEPER_PERIOD_S
         return True
 
+    def keep(self, running):
+        name = running.node.name
+        if running.keeper.step():
+            self._keeps_at_s[name] += MENDING_PERIOD_S - KEEPER_PERIOD_S
+
     def request(self, origin, target, message):
         if isinstance(message, PlacementRequest) and target not in self.nodes:
             self._keeps_at_s[origin] += DISK_TIMEOUT_S
         return super().request(origin, target, message)
 
+    def step(self):
+        super().step()
+        for name in sorted(self.leaving.intersection(self.nodes)):
+            self._hand_over(self.nodes[name])
+
+    def _hand_over(self, running):
+        """What the tasks of a node that stops as planned do: stand no more, lead no more."""
+        running.node.stop_standing()
+        for leader in self.leaders():
+            if leader is running.node:
+                leader.hand_over(leader.replica(SHARD), running.keeper.is_able)
+
     def run_for(self, seconds):
         """Let time pass, with an item appended now and then."""
         for _ in range(round(seconds / STEP_S)):
--- a/features/support/ledger_simulation.py
+++ b/features/support/ledger_simulation.py
@@ -321,7 +321,7 @@
         if self._happens(0.6):
             work.append(node.flush)
         if self.keeps_now(running):
-            work += [running.keeper.step, running.store.step]
+            work += [partial(self.keep, running), running.store.step]
         self.random.shuffle(work)
         for task in work:
             task()
@@ -330,6 +330,10 @@
         """Whether a node looks after its placement in this step."""
         return self._happens(0.2)
 
+    def keep(self, running: SimulatedNode) -> None:
+        """Have a node look after its placement."""
+        running.keeper.step()
+
     def heal(self) -> None:
         """End every fault, and start what was killed."""
         self.weather = Weather()
--- a/src/bellweir/ledger/keeper.py
+++ b/src/bellweir/ledger/keeper.py
@@ -40,6 +40,8 @@
 """Time for a node to tell its disk, which takes some milliseconds; a mend waits for each one."""
 YOUNG_S = 10.0
 """A node that was first seen so shortly before a voter fell silent, or since, is its successor."""
+PLANNED_S = 5.0
+"""A planned replacement's process stops within this time from the start of its successor."""
 SETTLED_AFTER_S = 2.0
 """Nodes that are seen within this time from this node's start are none that came just now."""
 ASKED_AT_ONCE = 3
@@ -225,7 +227,10 @@
         wanted = self._settings.replicas
         is_whole = len(replicas.voters) == wanted and not replicas.learners
         is_whole = is_whole and not any(one.node in self.retiring for one in replicas.voters)
-        if is_whole and not any(one in self._silent_since_s for one in replicas.voters):
+        going = self._silent_since_s
+        if is_whole and not any(
+            one in going or self._is_leaving(one.node) for one in replicas.voters
+        ):
             return False
         view = self._view(replica, replicas)
         changed = next_replica_set(view, wanted)
@@ -254,6 +259,9 @@
             candidates=candidates,
             silent=frozenset(self._silent_since_s),
             retiring=frozenset(one for one in known if one.node in self.retiring),
+            leaving=self._leaving(replicas, candidates),
+            doubtful=frozenset(one for one in replicas.voters if self._is_doubtful(one)),
+            young=frozenset(one for one in replicas.everyone if self._is_young(one, PLANNED_S)),
         )
 
     def _lost(
@@ -279,6 +287,29 @@
                 self._gone.add(replica)
         return frozenset(self._gone.intersection(replicas))
 
+    def _is_young(self, replica: ReplicaId, within_s: float) -> bool:
+        """Whether a replica's node was first seen within so many seconds."""
+        first_s = self._first_seen_s.get(replica.node, float("-inf"))
+        return self._clock.monotonic_s() - first_s < within_s
+
+    def _leaving(
+        self, replicas: ReplicaSet, candidates: Collection[PlacementCandidate]
+    ) -> frozenset[ReplicaId]:
+        """Voters that stop as planned while a machine is there that has just come."""
+        known = {*replicas.everyone, *(one.replica for one in candidates)}
+        if not any(self._is_young(one, YOUNG_S) for one in known):
+            return frozenset()
+        return frozenset(one for one in replicas.voters if self._is_leaving(one.node))
+
+    def _is_leaving(self, node: str) -> bool:
+        member = self._membership.member(node)
+        return member is not None and member.state is MemberState.LEAVING
+
+    def _is_doubtful(self, replica: ReplicaId) -> bool:
+        """Whether membership does not show a replica's node as alive."""
+        member = self._membership.member(replica.node)
+        return member is None or member.state is not MemberState.ALIVE
+
     def _has_new_disk(self, replica: ReplicaId) -> bool:
         member = self._membership.member(replica.node)
         if member is None or member.state is MemberState.DEAD:
@@ -310,7 +341,10 @@
         """Whether a shard led here has all its voters, each of which answers and has caught up."""
         silent = replica.silent_replicas(self._clock.monotonic_s())
         sound = (replica.caught_up() | {self._node.own}) - silent
-        return replica.is_settled() and sound.issuperset(replica.log.replicas.voters)
+        return replica.is_settled() and all(
+            one in sound and not self._is_doubtful(one) and not self._is_young(one, PLANNED_S)
+            for one in replica.log.replicas.voters
+        )
 
     # --- others -------------------------------------------------------------------------------
 
--- a/src/bellweir/ledger/leading.py
+++ b/src/bellweir/ledger/leading.py
@@ -128,14 +128,16 @@
     def change_replicas(self, replicas: ReplicaSet) -> OutcomeFuture | None:
         """Begin a change of the replica set; None unless leading with no change under way.
 
-        Raises `ValueError` when it changes more than one voter: two majorities could then miss
-        each other.
+        Raises `ValueError` when it changes more than one voter, so that two majorities could miss
+        each other, or names a replica twice, which would count twice.
         """
         with self.locked():
             leadership = self._leadership
             before = self.log.replicas
             if len(set(before.voters) ^ set(replicas.voters)) > 1 or not replicas.voters:
                 raise ValueError("a change may add or remove one voter only")
+            if len(set(replicas.everyone)) != len(replicas.everyone):
+                raise ValueError("a replica is named twice")
             settled = self.log.replicas_index <= self.commit_index
             if leadership is None or not settled:
                 return None
--- a/src/bellweir/ledger/reconfiguration.py
+++ b/src/bellweir/ledger/reconfiguration.py
@@ -23,6 +23,12 @@
     """Replicas that don't answer now, lost or not."""
     retiring: frozenset[ReplicaId] = field(default_factory=frozenset)
     """Replicas and candidates on machines that are to be emptied: good until others are there."""
+    leaving: frozenset[ReplicaId] = field(default_factory=frozenset)
+    """Replicas whose processes stop as planned while their successor is there."""
+    doubtful: frozenset[ReplicaId] = field(default_factory=frozenset)
+    """Replicas on nodes that membership does not show as alive, whether they answer or not."""
+    young: frozenset[ReplicaId] = field(default_factory=frozenset)
+    """Replicas on machines that have just come: each may be the successor of one about to go."""
 
     def present_voters(self) -> list[ReplicaId]:
         """Voters that are not gone; some may be about to leave."""
@@ -30,11 +36,16 @@
 
     def healthy_voters(self) -> list[ReplicaId]:
         """Voters that are to stay, whether they answer now or not."""
-        return [one for one in self.present_voters() if one not in self.retiring]
+        return [one for one in self.present_voters() if one not in self.retiring | self.leaving]
 
     def sound_voters(self) -> list[ReplicaId]:
-        """Voters that are to stay and answer now."""
-        return [one for one in self.healthy_voters() if one not in self.silent]
+        """Voters that are to stay and are surely there: they have answered this leader."""
+        unsure = self.silent | self.doubtful
+        return [
+            one
+            for one in self.healthy_voters()
+            if one not in unsure and (one == self.own or one in self.caught_up)
+        ]
 
 
 def next_replica_set(view: ShardView, wanted: int) -> ReplicaSet | None:
@@ -93,19 +104,32 @@
 def _without_surplus(view: ShardView, wanted: int) -> ReplicaSet | None:
     """Take out one voter more than wanted, if enough others answer; one that is silent first."""
     voters = view.replicas.voters
-    if len(view.sound_voters()) < wanted:
+    sound = view.sound_voters()
+    if len(sound) < wanted:
         return None
-    silent = [one for one in voters if one in view.silent]
-    retiring = [one for one in voters if one in view.retiring]
-    others = [one for one in reversed(voters) if one != view.own]
-    return ReplicaSet(_without(voters, (*silent, *retiring, *others)[0]), view.replicas.learners)
+    going = [one for one in voters if one in view.silent]
+    going += [one for one in voters if one in view.leaving]
+    going += [one for one in view.healthy_voters() if one not in sound]
+    # A machine that has just come may stand in for one that is about to go. Were another one
+    # emptied on its account, two machines would be left of three.
+    if len([one for one in sound if one not in view.young]) >= wanted:
+        going += [one for one in voters if one in view.retiring]
+    if len(sound) > wanted:
+        going += [one for one in reversed(sound) if one != view.own]
+    return ReplicaSet(_without(voters, going[0]), view.replicas.learners) if going else None
 
 
 def _free(view: ShardView) -> list[PlacementCandidate]:
-    """Candidates whose node holds no replica that stays or learns."""
-    held = [one for one in view.replicas.everyone if one not in view.lost]
-    taken = {one.node for one in held}
-    return [one for one in view.candidates if one.replica.node not in taken]
+    """Candidates that may be brought in.
+
+    Not those of a node that holds a replica already; nor a lost replica itself, which may answer
+    again just now: as a voter twice it would be a majority of its own.
+    """
+    taken = {one.node for one in view.replicas.everyone if one not in view.lost}
+    known = view.replicas.everyone
+    return [
+        one for one in view.candidates if one.replica.node not in taken and one.replica not in known
+    ]
 
 
 def _with_new_learner(view: ShardView, free: list[PlacementCandidate]) -> ReplicaSet | None:
