--- a/features/ledger_redundancy.feature
+++ b/features/ledger_redundancy.feature
@@ -11,3 +11,7 @@
 
   Scenario: Machines come and go, and the last disk is lost as soon as it may be
     Then through 40 days of changes every loss that is owed is borne
+
+  Scenario: A voter that was taken for gone and answers again
+    Then no replica comes in a second time beside itself
+    And a set that names a replica twice is refused
--- a/features/steps/ledger_redundancy_steps.py
+++ b/features/steps/ledger_redundancy_steps.py
@@ -23,8 +23,10 @@
 
 from behave import then
 from features.support.ledger_machines import CATCH_UP_S, MachineSimulation
+from features.support.ledger_simulation import SHARD
 
 from bellweir.ledger.entries import ReplicaId, ReplicaSet
+from bellweir.ledger.placement import PlacementCandidate
 from bellweir.ledger.reconfiguration import ShardView, next_replica_set
 
 SEEDS = range(6)
@@ -218,3 +220,38 @@
             day.play()
         except AssertionError as failure:
             raise AssertionError(f"seed {seed}: {'; '.join(day.told)}: {failure}") from failure
+
+
+@then("no replica comes in a second time beside itself")
+def then_once(context):
+    voters = tuple(ReplicaId(name, f"disk-{name}") for name in NAMES[:3])
+    back, leaves, own = voters
+    view = ShardView(
+        shard=0,
+        replicas=ReplicaSet(voters),
+        own=own,
+        caught_up=frozenset(voters),
+        lost=frozenset({back}),
+        candidates=tuple(PlacementCandidate(one, f"zone-{one.node}") for one in voters),
+        silent=frozenset({back}),
+        retiring=frozenset({leaves}),
+    )
+    assert next_replica_set(view, 3) is None
+    # With another disk it comes in as the other replica that it is.
+    empty = PlacementCandidate(ReplicaId(back.node, "other-disk"), "zone-a")
+    changed = next_replica_set(replace(view, candidates=(empty, *view.candidates[1:])), 3)
+    assert changed == ReplicaSet(voters, (empty.replica,))
+
+
+@then("a set that names a replica twice is refused")
+def then_refused(context):
+    simulation = MachineSimulation(NAMES, 1)
+    context.add_cleanup(simulation.close)
+    simulation.run_for(4.0)
+    voters = simulation.voters()
+    for doubled in (ReplicaSet((*voters, voters[0])), ReplicaSet(voters, voters[:1])):
+        try:
+            simulation.leader().replica(SHARD).change_replicas(doubled)
+        except ValueError:
+            continue
+        raise AssertionError(f"a replica counts twice: {doubled}")
