--- a/src/bellweir/hosted/batches/service.py
+++ b/src/bellweir/hosted/batches/service.py
@@ -15,7 +15,7 @@
 from bellweir.kernel import names
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
-from bellweir.ledger.interface import Ledger
+from bellweir.ledger.service import LedgerService
 
 TIDY_PERIOD_S = 2.0
 
@@ -36,7 +36,7 @@
         """Start the tasks; they act only while this node leads."""
         registry = self._kernel.registry
         self._views = registry.find(names.VIEWS, ViewsService)
-        ledger = registry.find(names.LEDGER, Ledger)  # type: ignore[type-abstract]
+        ledger = registry.find(names.LEDGER, LedgerService)
         ledger.register(BatchJobs)
         self._attempts = ItemAttempts(self._connections, self._loads)
         coordinator = Coordinator(
@@ -57,7 +57,7 @@
         self._kernel.executors.run_task("batch-tidy", self._tidy)
 
     def _add_gauges(
-        self, metrics: RequestMetrics, ledger: Ledger, coordinator: Coordinator
+        self, metrics: RequestMetrics, ledger: LedgerService, coordinator: Coordinator
     ) -> None:
         def jobs() -> list[JobState]:
             machine = ledger.local_machine(JOBS_KEY, BatchJobs)
@@ -83,6 +83,11 @@
             "1 while this node leads the jobs' shard.",
             lambda: float(ledger.leads(JOBS_KEY)),
         )
+        metrics.add_gauge(
+            "bellweir_ledger_sound_voters",
+            "On the leader of the jobs' shard: voters that answer and hold its log; 0 elsewhere.",
+            lambda: float(ledger.sound_voters(JOBS_KEY)),
+        )
 
     def stop(self) -> None:
         """The tasks end with the executors."""
--- a/src/bellweir/ledger/service.py
+++ b/src/bellweir/ledger/service.py
@@ -268,6 +268,19 @@
         """Whether a node surely holds nothing any more; False also where this node can't tell."""
         return self._tasks is not None and self._tasks.keeper.is_emptied(node)
 
+    def sound_voters(self, key: str) -> int:
+        """Voters of a shard led here that answer and hold nearly all of its log, itself included.
+
+        0 where this node does not lead the key's shard.
+        """
+        node = self._node
+        replica = node.replica(self.shard_of(key)) if node else None
+        if node is None or replica is None or replica.leader != node.own:
+            return 0
+        silent = replica.silent_replicas(self._kernel.clock.monotonic_s())
+        sound = (replica.caught_up() | {node.own}) - silent
+        return len(sound.intersection(replica.log.replicas.voters))
+
     def replica_nodes(self, key: str, timeout_s: float) -> tuple[str, ...]:
         """Nodes that hold the key's shard and are not known to be dead, as last heard.
 
