Bring no machine in again of which the operator is being told that it may go

Cause (by reading): the word that a machine is emptied may arrive seconds after it was sent; with a further loss meanwhile the machine would be the refuge of a replica, and go with it. Change: asking whether it may go and giving it up is one step, under the lock of the changes. The test fails without the exclusion.

--- a/features/ledger_redundancy.feature
+++ b/features/ledger_redundancy.feature
@@ -15,3 +15,6 @@
   Scenario: A voter that was taken for gone and answers again
     Then no replica comes in a second time beside itself
     And a set that names a replica twice is refused
+
+  Scenario: A machine that the operator is told may go
+    Then it is never brought in again, whatever is lost meanwhile
--- a/features/steps/ledger_redundancy_steps.py
+++ b/features/steps/ledger_redundancy_steps.py
@@ -255,3 +255,25 @@
         except ValueError:
             continue
         raise AssertionError(f"a replica counts twice: {doubled}")
+
+
+@then("it is never brought in again, whatever is lost meanwhile")
+def then_never_again(context):
+    simulation = MachineSimulation(NAMES, 1)
+    context.add_cleanup(simulation.close)
+    simulation.run_for(4.0)
+    leader = simulation.leader().name
+    leaves, lost = [name for name in NAMES[:3] if name != leader]
+    simulation.start("d")
+    simulation.run_for(6.0)
+    simulation.retire(leaves)
+    simulation.run_for(2.0)
+    assert not simulation.nodes[leader].keeper.release(lost), "a voter may go"
+    assert simulation.nodes[leader].keeper.release(leaves)
+    # The word is under way to the operator, who takes it away as soon as it arrives.
+    simulation.kill(lost)
+    for _ in range(20):
+        simulation.run_for(0.5)
+        assert leaves not in [
+            one.node for one in simulation.leader().replica(SHARD).log.replicas.everyone
+        ]
--- a/src/bellweir/hosted/retirement.py
+++ b/src/bellweir/hosted/retirement.py
@@ -1,8 +1,8 @@
 """Service `retirement`: empties the store machines that the operator wants to take away.
 
 The node that leads the jobs' shard follows the wishes, heeds them and writes the status. A machine
-is emptied once others hold the full number of replicas: with fewer, the loss of one more disk
-could not be borne.
+is emptied once others that answer hold the full number of replicas: with fewer, the loss of one
+more disk could not be borne.
 """
 
 import threading
@@ -105,7 +105,7 @@
         if state == COMPLETED:
             return
         self._ask_aside(record.name)
-        if self._ledger.is_emptied(record.name):
+        if self._ledger.release(record.name):
             self._write(record, COMPLETED)
         elif state != RUNNING:
             self._write(record, RUNNING)
--- a/src/bellweir/ledger/keeper.py
+++ b/src/bellweir/ledger/keeper.py
@@ -82,6 +82,9 @@
         self._adopting = threading.Lock()
         self.retiring: frozenset[str] = frozenset()
         """Nodes that are to hold no replicas any more, as soon as others hold enough."""
+        self._released: frozenset[str] = frozenset()
+        self._mending = threading.Lock()
+        """Held over a change of replicas, so that no node is released and brought in at once."""
         self.placement = load_placement(folder)
         transport.register(PlacementRequest, self.handle_placement_request)
 
@@ -108,7 +111,8 @@
         self._note_silence(led)
         # Asked once in a step: one that does not answer must not hold the mend up again and again.
         self._disks = {}
-        changing = [self._mend(replica) for replica in led]
+        with self._mending:
+            changing = [self._mend(replica) for replica in led]
         return any(changing)
 
     def is_leaving(self) -> bool:
@@ -317,6 +321,18 @@
         found = self._replica_on(member)
         return found is not None and found != replica
 
+    def release(self, node: str) -> bool:
+        """Whether a node may be taken away; if so, it is brought in no more while it is to go.
+
+        The word of it may arrive late, after another loss: a replica that were brought back to
+        that node meanwhile would go with it.
+        """
+        with self._mending:
+            if not self.is_emptied(node):
+                return False
+            self._released = self._released & self.retiring | {node}
+            return True
+
     def is_emptied(self, node: str) -> bool:
         """Whether a node surely holds no replica that counts, and enough others that answer do.
 
@@ -361,7 +377,8 @@
         own_zone = self._membership.self_member().zone
         found = [PlacementCandidate(self._node.own, own_zone)]
         for member in self._data_members():
-            replica = self._replica_on(member)
+            is_released = member.node in self._released & self.retiring
+            replica = self._replica_on(member) if not is_released else None
             if replica is not None:
                 found.append(PlacementCandidate(replica, member.zone))
         return tuple(found)
--- a/src/bellweir/ledger/service.py
+++ b/src/bellweir/ledger/service.py
@@ -268,6 +268,10 @@
         """Whether a node surely holds nothing any more; False also where this node can't tell."""
         return self._tasks is not None and self._tasks.keeper.is_emptied(node)
 
+    def release(self, node: str) -> bool:
+        """Whether a node may be taken away now; if so it is given no replica any more."""
+        return self._tasks is not None and self._tasks.keeper.release(node)
+
     def sound_voters(self, key: str) -> int:
         """Voters of a shard led here that answer and hold nearly all of its log, itself included.
 
