Test, failing: an ended job is forgotten when the leader's time of day is ahead

The jobs' leader compares its own time of day with those that gateways wrote into AcceptJob and EndJob. 300 s ahead, it names a job that was ended an instant ago in ForgetJobs.

--- /dev/null
+++ b/features/hosted_clocks.feature
@@ -0,0 +1,16 @@
+Feature: What lasts does not rest on the times of day of two machines
+  Symptom: a batch job that had been accepted, read and ended was answered 404 seconds later, at
+  every node and for good, though it was owed for `statusS`.
+  Sequence: a gateway writes its time of day into the job and into its end; the machine that leads
+  the jobs has a time of day that is more than `statusS` ahead; it looks for what is old.
+  Cause: the leader took the difference of the two times of day for the job's age, and what it
+  forgets is forgotten by all replicas. The other way round, with the gateway's time of day ahead,
+  jobs stayed for as long as the two differed.
+  Settled by: the lines `oldest_s = time.time() - status_s` and `max(ended_at_s, accepted_at_s) <
+  oldest_s`, and the first scenario below: with the leader 300 s ahead and `statusS` 120, a job that
+  was ended an instant ago is named in `ForgetJobs` at the next look.
+
+  Scenario: An ended job is read again though the leader's time of day is ahead of the gateways'
+    Given a job that a gateway accepted and ended
+    When the leader, whose time of day is 300 s ahead, has looked for jobs that are old
+    Then the job is read again
