Count on steady clocks how long ended jobs are kept

Cause: the jobs' leader took the difference between its time of day and a gateway's for an ended job's age, so that jobs that were owed were forgotten for good when clocks differed by more than statusS, and stayed for as long as they differed the other way round.

Change: each replica notes on its steady clock since when the state shows the present count; the leader adds what has passed by ForgetJobs, whose new fields have defaults. A count that goes on from another one than the state's is not added, and a job's time begins with the first count after its end: it is never counted for longer than it has really been kept.

An ended job goes within statusS times 1.25 and 5 s, plus the time in which nobody could count.

--- a/features/hosted_clocks.feature
+++ b/features/hosted_clocks.feature
@@ -14,3 +14,14 @@
     Given a job that a gateway accepted and ended
     When the leader, whose time of day is 300 s ahead, has looked for jobs that are old
     Then the job is read again
+
+  Scenario: Leaders that change, freeze, start anew and send late, beside times of day of any kind
+    Then no ended job is forgotten before its time, in any order of events
+    And every ended job is forgotten soon after its time, though the leader changes at each look
+
+  Scenario: Many ended jobs
+    Then jobs that end all the time take no more room than those of the time for which they are owed
+
+  Scenario: Snapshots and logs of a release that counts nothing
+    Then their ended jobs are kept for their whole time, and forgotten after it
+    And a replica that lacks counts keeps its jobs for longer, and counts on with the others
--- a/features/steps/hosted_clocks_steps.py
+++ b/features/steps/hosted_clocks_steps.py
@@ -3,17 +3,17 @@
 import time
 from unittest.mock import patch
 
+import cbor2
+import hypothesis.strategies as st
 import msgspec
 from behave import given as given_step
 from behave import then, when
 from features.support.hosted_jobs import make_job, make_leader
+from features.support.kept_jobs import STATUS_S, Shard
+from hypothesis import given, settings
 
-from bellweir.hosted.batches.state import (
-    AcceptJob,
-    EndJob,
-    ForgetJobs,
-    ReadResults,
-)
+from bellweir.hosted.batches.retention import COUNT_PERIOD_S, LOOK_PERIOD_S
+from bellweir.hosted.batches.state import AcceptJob, BatchJobs, EndJob, ForgetJobs, ReadResults
 
 LOOK_TIMEOUT_S = 15.0
 
@@ -47,3 +47,161 @@
 def then_read(context):
     page = context.leader.ledger.machine.answer(ReadResults("job", 0, 1 << 20))
     assert page.total == 2, "a job that is owed is gone"
+
+
+TIMES_OF_DAY_S = (-1e9, 0.0, 1e9, 1e12)
+STEADY_S = STATUS_S + 2 * (COUNT_PERIOD_S + LOOK_PERIOD_S)
+"""Longest time for which an ended job is kept where commits take no time and the leader stays."""
+LATEST_S = STATUS_S * (1 + LOOK_PERIOD_S / COUNT_PERIOD_S) + 2 * (COUNT_PERIOD_S + LOOK_PERIOD_S)
+"""The same where each count is another leader's."""
+
+
+@then("no ended job is forgotten before its time, in any order of events")
+def then_not_early(context):
+    replica, seldom = st.integers(0, 2), st.sampled_from((False, False, True))
+    event = st.one_of(
+        st.tuples(st.just("end"), st.sampled_from(TIMES_OF_DAY_S)),
+        st.tuples(st.just("pass"), st.floats(0, 20)),
+        st.tuples(st.just("look"), replica),
+        st.tuples(st.just("go on"), st.integers(1, 20)),
+        st.tuples(st.just("lead"), replica),
+        st.tuples(st.just("anew"), replica),
+        st.tuples(st.just("catch up"), replica),
+        st.tuples(st.just("stand still"), replica),
+        st.tuples(st.just("lose"), seldom),
+        st.tuples(st.just("delay"), seldom),
+        st.tuples(st.just("arrive"), st.booleans()),
+    )
+    forgotten = []
+
+    @settings(max_examples=400)
+    @given(events=st.lists(event, min_size=20, max_size=80))
+    def not_early(events):
+        shard = Shard()
+        for what, value in events:
+            play_event(shard, what, value)
+            shard.check_shown()
+        shard.check_kept()
+        forgotten.append(len(shard.ended_s.keys() - shard.leader.machine.jobs.keys()))
+
+    not_early()
+    assert sum(forgotten) > 100, f"{sum(forgotten)} jobs forgotten: too few to try anything"
+
+
+def play_event(shard, what, value):
+    match what:
+        case "end":
+            shard.end_job(value)
+        case "pass":
+            shard.now_s += value
+        case "go on":
+            for _ in range(value):
+                shard.now_s += COUNT_PERIOD_S
+                shard.leader.retention.look()
+        case "look":
+            shard.replicas[value].retention.look()
+        case "lead":
+            shard.leader = shard.replicas[value]
+            shard.leader.catch_up()
+        case "anew":
+            shard.replicas[value].start_anew()
+        case "catch up":
+            shard.replicas[value].catch_up()
+        case "stand still":
+            shard.replicas[value].stood_s += 3.0
+            shard.now_s += 3.0
+        case "lose":
+            shard.loses = value
+        case "delay":
+            shard.delays = value
+        case "arrive" if shard.late:
+            # A command may be applied long after it was sent, and more than once.
+            shard.append(shard.late[0] if value else shard.late.pop())
+
+
+@then("every ended job is forgotten soon after its time, though the leader changes at each look")
+def then_soon(context):
+    for looks_led in (1, 2, 5, 1_000):
+        shard = Shard()
+        for number in range(200):
+            shard.now_s += LOOK_PERIOD_S
+            if number % 7 == 0:
+                shard.end_job(TIMES_OF_DAY_S[number % len(TIMES_OF_DAY_S)])
+            shard.leader = shard.replicas[number // looks_led % 3]
+            shard.leader.catch_up()
+            shard.look()
+            shard.check_kept()
+            for job_id in shard.leader.machine.jobs:
+                latest_s = STEADY_S if looks_led == 1_000 else LATEST_S
+                assert shard.age_s(job_id) <= latest_s, (looks_led, shard.age_s(job_id))
+
+
+@then("jobs that end all the time take no more room than those of the time for which they are owed")
+def then_room(context):
+    shard, largest = Shard(1), 0
+    for _ in range(2_000):
+        shard.now_s += LOOK_PERIOD_S
+        shard.end_job(0.0)
+        shard.look()
+        machine = shard.leader.machine
+        assert machine.kept.since_ms.keys() <= machine.jobs.keys(), "a forgotten job is noted"
+        largest = max(largest, len(machine.jobs))
+    assert largest <= STEADY_S / LOOK_PERIOD_S + 1, largest
+    noted = len(msgspec.json.encode(machine.kept))
+    assert noted <= 64 * (len(machine.jobs) + 1), noted
+
+
+def saved_without_counts(machine):
+    """A snapshot as a release wrote it that counts nothing."""
+    plain = cbor2.loads(machine.save())
+    del plain["kept"]
+    return cbor2.dumps(plain)
+
+
+@then("their ended jobs are kept for their whole time, and forgotten after it")
+def then_old_snapshot(context):
+    shard = Shard()
+    shard.end_job(1.0)
+    old_command = shard.codec.decode(
+        cbor2.dumps({"type": "ForgetJobs", "job_ids": ["other"]}), ForgetJobs
+    )
+    assert old_command == ForgetJobs(("other",))
+    for replica in shard.replicas:
+        replica.catch_up()
+        saved, replica.machine = saved_without_counts(replica.machine), BatchJobs()
+        replica.machine.load(saved)
+    shard.append(old_command)
+    began_s = shard.now_s
+    while "job-0" in shard.leader.machine.jobs:
+        shard.now_s += LOOK_PERIOD_S
+        shard.look()
+        shard.check_kept()
+        assert shard.now_s - began_s <= LATEST_S
+
+
+@then("a replica that lacks counts keeps its jobs for longer, and counts on with the others")
+def then_lacking(context):
+    shard = Shard()
+    whole, lacking, _ = shard.replicas
+    shard.end_job(1.0)
+    go_on(shard, 20.0)
+    lacking.machine.load(saved_without_counts(lacking.machine))
+    shard.leader = lacking
+    shard.end_job(1.0)
+    go_on(shard, 5.0)
+    assert 0 < lacking.machine.kept.counted_ms < whole.machine.kept.counted_ms
+    shard.leader = whole
+    go_on(shard, 5.0)
+    assert lacking.machine.kept.counted_ms == whole.machine.kept.counted_ms
+    shard.leader = lacking
+    go_on(shard, STATUS_S + LATEST_S)
+    assert not any(each.machine.jobs for each in shard.replicas)
+
+
+def go_on(shard, seconds):
+    """Let time pass in which all machines look, and no job that is owed goes."""
+    until_s = shard.now_s + seconds
+    while shard.now_s < until_s:
+        shard.now_s += LOOK_PERIOD_S
+        shard.look()
+        shard.check_kept()
--- a/features/support/hosted_jobs.py
+++ b/features/support/hosted_jobs.py
@@ -7,6 +7,7 @@
 
 from bellweir.hosted.batches.attempts import ItemAttempts
 from bellweir.hosted.batches.coordinator import Coordinator
+from bellweir.hosted.batches.retention import JobRetention
 from bellweir.hosted.batches.state import BatchJobs, Job, JobItem, Scorer
 from bellweir.hosted.interface import Listing, StoredRecord
 from bellweir.hosted.serving.attempt import WorkerConnections
@@ -134,9 +135,10 @@
     show()
     ledger, loads = MemoryLedger(), WorkerLoads("a")
     attempts = ItemAttempts(WorkerConnections(HEADERS), loads)
-    coordinator = Coordinator(ledger, view, workers, loads, attempts, executors, 120.0)
+    coordinator = Coordinator(ledger, view, workers, loads, attempts, executors)
     executors.run_task("coordinator", coordinator.run)
     executors.run_task("committer", coordinator.committer.run)
+    executors.run_task("retention", JobRetention(ledger, 120.0).run)
     context.cleanup.callback(executors.stop)
     for worker in (*models, *scorers):
         context.cleanup.callback(worker.close)
--- a/src/bellweir/hosted/batches/coordinator.py
+++ b/src/bellweir/hosted/batches/coordinator.py
@@ -15,7 +15,7 @@
 from bellweir.hosted.batches.committer import Committer
 from bellweir.hosted.batches.mover import Run, RunMover
 from bellweir.hosted.batches.progress import ItemProgress, Stage
-from bellweir.hosted.batches.state import JOBS_KEY, BatchJobs, ForgetJobs, JobItem, JobState
+from bellweir.hosted.batches.state import JOBS_KEY, BatchJobs, JobItem, JobState
 from bellweir.hosted.log_events import COORDINATION_LEFT, COORDINATION_TAKEN, ITEM_TAKEN_OVER
 from bellweir.hosted.records import Route
 from bellweir.hosted.serving.attempt import Cancellation
@@ -28,8 +28,6 @@
 
 STEP_S = 0.025
 """Time between two looks at what is to be run."""
-FORGET_PERIOD_S = 5.0
-FORGET_TIMEOUT_S = 1.0
 DEFAULT_POLICY = BatchSettings()
 
 ItemKey = tuple[str, str]
@@ -47,7 +45,6 @@
         loads: WorkerLoads,
         attempts: ItemAttempts,
         executors: Executors,
-        status_s: float,
         policy: BatchSettings = DEFAULT_POLICY,
     ) -> None:
         self._ledger = ledger
@@ -56,7 +53,6 @@
         self._loads = loads
         self._attempts = attempts
         self._executors = executors
-        self._status_s = status_s
         self._policy = policy
         self.committer = Committer(ledger, self._is_leading)
         attempts.keep_part = self.committer.keep
@@ -68,7 +64,6 @@
         self._parts = WeightedParts()
         self._mover = RunMover(attempts)
         self._leading = False
-        self._forget_due_s = 0.0
         self._wake = threading.Event()
 
     def run(self, stopping: threading.Event) -> None:
@@ -103,7 +98,6 @@
                     running = list(self._running.values())
                 self._mover.look(running, self._targets)
             self._start_waiting(jobs, table)
-        self._forget_old(jobs)
 
     def _start_waiting(self, jobs: list[JobState], table: RouteTable) -> None:
         """Start items until there is no place left for those of a job."""
@@ -146,7 +140,7 @@
 
     def _waiting(self, jobs: list[JobState], table: RouteTable) -> Iterator[ItemProgress]:
         """Items that need an attempt now: the oldest job first, and in it the longest texts."""
-        for state in sorted(jobs, key=lambda each: each.job.accepted_at_s):
+        for state in jobs:
             route = table.find(state.job.host, state.job.path_prefix) if state.is_open else None
             if route is not None:
                 found = list(self._waiting_of(state, route, jobs))
@@ -319,21 +313,6 @@
                 return False
         return self._loads.in_hand(worker.instance) < worker.entry.slots
 
-    def _forget_old(self, jobs: list[JobState]) -> None:
-        now_s = time.monotonic()
-        if now_s < self._forget_due_s:
-            return
-        self._forget_due_s = now_s + FORGET_PERIOD_S
-        oldest_s = time.time() - self._status_s
-        old = tuple(
-            state.job.id
-            for state in jobs
-            if state.ended_at_s is not None
-            and max(state.ended_at_s, state.job.accepted_at_s) < oldest_s
-        )
-        if old:
-            self._ledger.submit(JOBS_KEY, ForgetJobs(old), FORGET_TIMEOUT_S)
-
 
 def _fits(worker: Worker, progress: ItemProgress | None) -> bool:
     if progress is None or not progress.job.model:
--- /dev/null
+++ b/src/bellweir/hosted/batches/retention.py
@@ -0,0 +1,81 @@
+"""Forgets ended jobs once they need not be read any more, on the node that leads their shard.
+
+Each replica notes on its own steady clock since when its state shows the present count of
+`KeptTime`. So a new leader goes on counting where the one before it stopped, and one that was
+frozen adds nothing to what others counted meanwhile.
+
+An ended job is kept for `statusS` at least. How much longer is bounded. A count may lack the time
+until it is seen, at most `LOOK_PERIOD_S` in `COUNT_PERIOD_S` where each count is another leader's,
+and just the time of a commit where the leader stays. At the end and at the beginning of a job's
+time up to a period of both passes. So it is forgotten within `statusS` times 1.25 and 5 s, and the
+time in which nobody could count: while no leader could commit, and, where all replicas start anew,
+from the last count to the start.
+"""
+
+import threading
+import time
+from collections.abc import Callable
+
+from bellweir.hosted.batches.state import JOBS_KEY, BatchJobs, ForgetJobs
+from bellweir.ledger.interface import Ledger
+
+LOOK_PERIOD_S = 0.5
+COUNT_PERIOD_S = 2.0
+"""Time between two counts. It must be shorter than the lives of processes, since a count that is
+not in the log when all of them start anew is lost. While no ended job is kept nothing is counted,
+so that an idle shard writes nothing."""
+SUBMIT_TIMEOUT_S = 1.0
+
+
+class JobRetention:
+    """`look` is called by one task, on every replica."""
+
+    __slots__ = ("_ledger", "_now_s", "_seen_ms", "_since_s", "_status_s")
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        status_s: float,
+        now_s: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """`status_s`: seconds for which an ended job can be read; `now_s`: a steady clock."""
+        self._ledger = ledger
+        self._status_s = status_s
+        self._now_s = now_s
+        self._seen_ms: int | None = None
+        self._since_s = 0.0
+
+    def run(self, stopping: threading.Event) -> None:
+        """Look again and again, until `stopping`."""
+        while not stopping.wait(LOOK_PERIOD_S):
+            self.look()
+
+    def look(self) -> None:
+        """Note the count that this replica shows; where it leads, count on and forget."""
+        machine = self._ledger.local_machine(JOBS_KEY, BatchJobs)
+        if not isinstance(machine, BatchJobs):
+            self._seen_ms = None
+            return
+        if self._note(machine) or self._seen_ms is None or not self._ledger.leads(JOBS_KEY):
+            return
+        passed_s = self._now_s() - self._since_s
+        if passed_s >= COUNT_PERIOD_S:
+            self._count(machine, self._seen_ms, int(1_000 * passed_s))
+            self._note(machine)
+
+    def _note(self, machine: BatchJobs) -> bool:
+        """Note the count that the state shows; True when it is another one than before."""
+        counted_ms = machine.kept.counted_ms
+        if counted_ms == self._seen_ms:
+            return False
+        # The clock is read after the count: that was reached before this moment, never after it.
+        self._seen_ms, self._since_s = counted_ms, self._now_s()
+        return True
+
+    def _count(self, machine: BatchJobs, counted_ms: int, elapsed_ms: int) -> None:
+        """Add what has passed since the count was first seen, and drop the jobs that are old."""
+        if not any(not state.is_open for state in list(machine.jobs.values())):
+            return
+        old = tuple(machine.kept.older_than(1_000 * self._status_s - elapsed_ms))
+        # What fails is counted by a later look, from the same count or from the one it led to.
+        self._ledger.submit(JOBS_KEY, ForgetJobs(old, counted_ms, elapsed_ms), SUBMIT_TIMEOUT_S)
--- a/src/bellweir/hosted/batches/service.py
+++ b/src/bellweir/hosted/batches/service.py
@@ -4,6 +4,7 @@
 
 from bellweir.hosted.batches.attempts import ItemAttempts
 from bellweir.hosted.batches.coordinator import Coordinator
+from bellweir.hosted.batches.retention import JobRetention
 from bellweir.hosted.batches.state import JOBS_KEY, BatchJobs, JobState
 from bellweir.hosted.interface import HostingPlatform
 from bellweir.hosted.metrics_service import MetricsService
@@ -46,14 +47,15 @@
             self._loads,
             self._attempts,
             self._kernel.executors,
-            self._settings.bounds.status_s,
             self._settings.batches,
         )
+        retention = JobRetention(ledger, self._settings.bounds.status_s)
         self._add_gauges(
             registry.find(names.TELEMETRY, MetricsService).metrics, ledger, coordinator
         )
         self._kernel.executors.run_task("batch-coordinator", coordinator.run)
         self._kernel.executors.run_task("batch-committer", coordinator.committer.run)
+        self._kernel.executors.run_task("batch-retention", retention.run)
         self._kernel.executors.run_task("batch-tidy", self._tidy)
 
     def _add_gauges(
--- a/src/bellweir/hosted/batches/state.py
+++ b/src/bellweir/hosted/batches/state.py
@@ -10,6 +10,7 @@
 import cbor2
 import msgspec
 
+from bellweir.hosted.batches.kept_time import KeptTime
 from bellweir.hosted.batches.texts import pack_text, unpack_text
 from bellweir.ledger.interface import Command, Query, Reply, StateMachine
 
@@ -68,7 +69,7 @@
     """Prefix of its route."""
     items: tuple[JobItem, ...]
     accepted_at_s: float
-    """Wall clock of the accepting node; seconds since 1970."""
+    """Wall clock of the accepting node; seconds since 1970. Nothing that lasts rests on it."""
     model: str = ""
     step: int | None = None
     wanted_groups: int = 0
@@ -179,14 +180,22 @@
 
     job_id: str
     at_s: float
+    """Wall clock of the node that was asked, which earlier releases keep jobs by."""
     tenant: str = ""
     """Who asks for it."""
 
 
 class ForgetJobs(Command, frozen=True):
-    """Drop ended jobs that need not be read any more."""
+    """Drop ended jobs that need not be read any more, and count how long the others were kept.
+
+    One command for both, since releases that don't know of counts must be able to apply it.
+    """
 
     job_ids: tuple[str, ...]
+    from_ms: int = 0
+    """The count that `elapsed_ms` goes on from."""
+    elapsed_ms: int = 0
+    """Milliseconds since the count was `from_ms`, on the steady clock of a leader."""
 
 
 class JobAccepted(Reply, frozen=True):
@@ -314,6 +323,7 @@
 class _SavedState(msgspec.Struct, frozen=True):
     jobs: tuple[_SavedJob, ...]
     staged: dict[str, dict[int, tuple[JobItem, ...]]]
+    kept: KeptTime = msgspec.field(default_factory=KeptTime)
 
 
 class BatchJobs(StateMachine):
@@ -323,6 +333,7 @@
         self.jobs: dict[str, JobState] = {}
         self.staged: dict[str, dict[int, tuple[JobItem, ...]]] = {}
         """Parts of jobs that are not accepted yet, by job and number; the oldest job first."""
+        self.kept = KeptTime()
 
     def command_types(self) -> tuple[type[Command], ...]:
         """Commands it applies."""
@@ -349,10 +360,8 @@
                 return self._keep(job_id, text_parts)
             case EndJob(job_id, at_s, tenant):
                 return self._end(job_id, at_s, tenant)
-            case ForgetJobs(job_ids):
-                for job_id in job_ids:
-                    self.jobs.pop(job_id, None)
-                return JobEnded(True)
+            case ForgetJobs():
+                return self._forget(command)
         raise TypeError(f"unknown command {type(command).__name__}")
 
     def _accept(self, job: Job, parts: int) -> Reply:
@@ -401,6 +410,15 @@
             state.parts.clear()
         return JobEnded(True)
 
+    def _forget(self, command: ForgetJobs) -> Reply:
+        for job_id in command.job_ids:
+            self.jobs.pop(job_id, None)
+            self.kept.forget(job_id)
+        if command.elapsed_ms:
+            ended = [state.job.id for state in self.jobs.values() if not state.is_open]
+            self.kept.add(command.from_ms, command.elapsed_ms, ended)
+        return JobEnded(True)
+
     def answer(self, query: Query) -> Reply:
         """Answer a query."""
         match query:
@@ -427,7 +445,7 @@
             _SavedJob(state.job, tuple(state.results), state.ended_at_s, dict(state.parts))
             for state in self.jobs.values()
         ]
-        whole = _SavedState(tuple(saved), self.staged)
+        whole = _SavedState(tuple(saved), self.staged, self.kept)
         return cbor2.dumps(msgspec.to_builtins(whole, builtin_types=(bytes,)))
 
     def load(self, state: bytes) -> None:
@@ -436,6 +454,7 @@
         self.jobs = {}
         whole = msgspec.convert(plain, _SavedState)
         self.staged = whole.staged
+        self.kept = whole.kept
         for saved in whole.jobs:
             job = JobState(saved.job)
             for result in saved.results:
