Tests, failing: holders whose time of day is off make usage forgotten, or report it anew

300 s ahead, the counts of the windows to come are refused as too late; 300 s behind, windows that the log has forgotten are reported again without counts.

--- a/features/hosted_clocks.feature
+++ b/features/hosted_clocks.feature
@@ -25,3 +25,20 @@
   Scenario: Snapshots and logs of a release that counts nothing
     Then their ended jobs are kept for their whole time, and forgotten after it
     And a replica that lacks counts keeps its jobs for longer, and counts on with the others
+
+  # Symptom: the usage of minutes was refused as too late, at every gateway. Sequence: a store
+  # machine starts while its time of day is ahead, holds the lease and settles windows that are yet
+  # to come. Cause: a settled window made the log forget all windows 24 and more before it, with
+  # what had been told of them. Settled by: `_forget_old(window - KEPT_WINDOWS)`, and 300 s ahead.
+  Scenario: A holder of the lease whose time of day is ahead settles usage
+    Given usage of 40 windows that was reported
+    When a holder starts whose time of day is 300 s ahead, and reports for 10 s
+    Then usage of the next 30 windows is settled as it was counted
+
+  # Symptom: a window was reported a second time, without any counts. Sequence: a holder starts
+  # whose time of day is behind, and settles windows that the log has forgotten. Cause: the log
+  # answered these as settled with no counts. Settled by: `settled.get(window, {})`, 300 s behind.
+  Scenario: A holder of the lease whose time of day is behind reports usage
+    Given usage of 90 windows that was reported
+    When a holder starts whose time of day is -300 s ahead, and reports for 10 s
+    Then no window was reported with other counts than before
--- a/features/steps/hosted_usage_steps.py
+++ b/features/steps/hosted_usage_steps.py
@@ -351,3 +351,41 @@
     for context.status, answer in wanted.items():
         assert context.duties.report_usage(report, 1.0) is answer
     assert PlatformDuties("127.0.0.1:1").report_usage(report, 0.3) is DutyAnswer.NOT_DONE
+
+
+@then("usage of the next 30 windows is settled as it was counted")
+def then_still_counted(context):
+    machine = context.ledger.machine
+    now = context.window
+    for window in range(now - 1, now + 30):
+        told = machine.apply(AddUsage("g/1", (WindowCounts(window, {"dealers": window}),)))
+        assert not told.too_late, f"the counts of window {window} are refused"
+        assert machine.apply(SettleUsage(window)).counts == {"dealers": window}
+
+
+@given_step("usage of {count:d} windows that was reported")
+def given_reported(context, count):
+    context.ledger, context.platform = UsageLedger(), FakePlatform()
+    context.now_s = 1_000_000.0
+    context.window = int(context.now_s // SETTINGS.window_s)
+    for window in range(context.window - count, context.window - 1):
+        context.ledger.machine.apply(AddUsage("g/1", (WindowCounts(window, {"dealers": window}),)))
+        counts = context.ledger.machine.apply(SettleUsage(window)).counts
+        context.platform.taken.append(UsageReport(window, counts, "first", 1))
+
+
+@when("a holder starts whose time of day is {ahead:d} s ahead, and reports for 10 s")
+def when_holder_off(context, ahead):
+    clock = SimpleNamespace(now_s=context.now_s + ahead)
+    for _ in range(10):
+        make_reporter(
+            context.ledger, FakeLease(2), context.platform, lambda: clock.now_s, "second"
+        ).step()
+        clock.now_s += 1.0
+
+
+@then("no window was reported with other counts than before")
+def then_same_counts(context):
+    first = {}
+    for report in context.platform.taken:
+        assert first.setdefault(report.window, report.counts) == report.counts, report
