Keep usage by the number of settled windows, and report no forgotten one

Cause: a settled window made the log forget all windows 24 and more before it, so that a holder whose time of day is ahead made the counts of minutes too late; a holder whose time of day is behind got forgotten windows as settled without counts, and reported them so.

Change: the newest 24 settled windows are kept, however far apart; the log says of a window that it has forgotten it, which the holder passes over. Windows that a holder settles before their time stay settled: that is open.

--- a/src/bellweir/hosted/usage/reporter.py
+++ b/src/bellweir/hosted/usage/reporter.py
@@ -70,8 +70,7 @@
         if self._next is None:
             self._next = oldest
         for window in range(self._next, oldest):
-            emit(USAGE_MISSED, window=window)
-            self._count(MISSED)
+            self._miss(window)
         for window in range(max(oldest, self._next), newest + 1):
             self._next = window
             if not self._report(window):
@@ -82,11 +81,19 @@
         """The newest window whose end is not after a moment."""
         return int(at_s // self._settings.window_s) - 1
 
+    def _miss(self, window: int) -> None:
+        emit(USAGE_MISSED, window=window)
+        self._count(MISSED)
+
     def _report(self, window: int) -> bool:
         settled = self._ledger.submit(USAGE_KEY, SettleUsage(window), SETTLE_TIMEOUT_S)
         reply = settled.unwrap() if isinstance(settled, Success) else None
         if not isinstance(reply, UsageSettled):
             return False
+        if reply.is_forgotten:
+            # A report without its counts would differ from the one that was made of it.
+            self._miss(window)
+            return True
         fence = self._lease.begin_act(CALL_TIMEOUT_S)
         if fence == 0:
             return False
--- a/src/bellweir/hosted/usage/state.py
+++ b/src/bellweir/hosted/usage/state.py
@@ -14,7 +14,7 @@
 USAGE_KEY = "usage"
 """Ledger key of all usage."""
 KEPT_WINDOWS = 24
-"""Windows that are kept; a report is due two windows after its end."""
+"""Settled windows that are kept; a report is due two windows after its end."""
 
 
 class WindowCounts(msgspec.Struct, frozen=True):
@@ -50,6 +50,8 @@
 
     counts: dict[str, int]
     is_new: bool = True
+    is_forgotten: bool = False
+    """Whether it was settled so long ago that its counts are not known any more."""
 
 
 class _Saved(msgspec.Struct, frozen=True):
@@ -107,18 +109,25 @@
 
     def _settle(self, window: int) -> Reply:
         if self._is_settled(window):
-            return UsageSettled(self.settled.get(window, {}), False)
+            counts = self.settled.get(window)
+            return UsageSettled(counts or {}, False, counts is None)
         sums: dict[str, int] = {}
         for counts in self.told.pop(window, {}).values():
             for tenant, count in counts.items():
                 sums[tenant] = sums.get(tenant, 0) + count
         self.settled[window] = sums
-        self._forget_old(window - KEPT_WINDOWS)
+        self._forget_old()
         return UsageSettled(sums)
 
-    def _forget_old(self, up_to: int) -> None:
-        if up_to <= self._forgotten_up_to:
+    def _forget_old(self) -> None:
+        """Forget the oldest windows beyond those that are kept, and what was told up to them.
+
+        They are counted, not measured from the newest one: a holder whose time of day is ahead
+        settles windows that are yet to come, and all before these would be refused as too late.
+        """
+        if len(self.settled) <= KEPT_WINDOWS:
             return
+        up_to = sorted(self.settled)[-KEPT_WINDOWS - 1]
         self._forgotten_up_to = up_to
         self.told = {window: each for window, each in self.told.items() if window > up_to}
         self.settled = {window: each for window, each in self.settled.items() if window > up_to}
