Placement: durable once saved

Cause: the file beside it was not synced before it was renamed, nor the folder after; a loss of power left a placement that was torn, or none (features/ledger_power.feature, 'The placement'). Change: durable_files holds what makes files, names and new folders durable; the placement is written by it, and a start syncs the folder before it believes a copy.

--- a/src/bellweir/ledger/placement.py
+++ b/src/bellweir/ledger/placement.py
@@ -20,6 +20,7 @@
 
 from bellweir.clients.interface.errors import ErrorKind, PlatformError
 from bellweir.clients.interface.object_store import ObjectStore, StoredObject
+from bellweir.ledger.durable_files import replace_file, sync_folder
 from bellweir.ledger.entries import ReplicaId, ReplicaSet
 from bellweir.resources.api_version import API_VERSION
 
@@ -164,12 +165,12 @@
 
 
 def save_placement(folder: Path, placement: Placement) -> None:
-    """Keep a copy in the data folder."""
+    """Keep a copy in the data folder, durable on return; raises `OSError`.
+
+    A loss of power in the middle leaves the former copy.
+    """
     data = cbor2.dumps(msgspec.to_builtins(placement))
-    path = folder / PLACEMENT_FILE
-    temporary = path.with_suffix(".new")
-    temporary.write_bytes(xxhash.xxh3_64_digest(data) + data)
-    temporary.replace(path)
+    replace_file(folder / PLACEMENT_FILE, xxhash.xxh3_64_digest(data) + data)
 
 
 def load_placement(folder: Path) -> Placement | None:
@@ -177,6 +178,8 @@
     path = folder / PLACEMENT_FILE
     if not path.exists():
         return None
+    # Whoever saved it may have been killed before its name was durable.
+    sync_folder(folder)
     content = path.read_bytes()
     digest, data = content[:8], content[8:]
     if xxhash.xxh3_64_digest(data) != digest:
