Segment files: what a former process wrote counts once it is durable and whole

Cause: the folder was made without a sync of the one above; blobs that a killed process had written without a sync stood in the next one's index, so that a further append of them returned without a sync; a blob torn behind a whole header was taken for held. Change: new folders are synced into those above; a start syncs each file before it indexes it; a repeated blob of a former process is read and checked before it counts.

--- a/src/bellweir/ledger/segment_files.py
+++ b/src/bellweir/ledger/segment_files.py
@@ -17,6 +17,7 @@
 import xxhash
 
 from bellweir.events.log import emit
+from bellweir.ledger.durable_files import make_folder, sync_file, sync_folder
 from bellweir.ledger.log_events import SEGMENT_DAMAGED
 
 MAGIC = 0x42575347
@@ -46,7 +47,7 @@
     """The segment files of one node."""
 
     def __init__(self, folder: Path, retention_s: float) -> None:
-        folder.mkdir(parents=True, exist_ok=True)
+        make_folder(folder)
         self._folder = folder
         self._retention_s = retention_s
         self._index: dict[bytes, _Place] = {}
@@ -55,10 +56,14 @@
         self._synced_bytes = 0
         self._written_bytes = 0
         for path in self._paths():
+            # A former process may have been killed before its sync, and blobs in the index count
+            # as durable.
+            sync_file(path)
             self._read_headers(path)
         self._file = max((_number_of(path) for path in self._paths()), default=0)
         self._descriptor = -1
         self._next_file()
+        self._first_file = self._file
 
     def close(self) -> None:
         """Close the file written to; a second call does nothing."""
@@ -75,7 +80,7 @@
         """Write a blob and return when it is durable; one sync serves all who wait for it."""
         digest = digest_of(blob)
         with self._append_lock:
-            if digest not in self._index:
+            if not self._is_whole(digest):
                 self._write(digest, blob)
             target_bytes = self._written_bytes
         with self._sync_lock:
@@ -120,6 +125,13 @@
             deleted += 1
         return deleted
 
+    def _is_whole(self, digest: bytes) -> bool:
+        """Whether a blob is here; one of a former process may be torn behind a whole header."""
+        place = self._index.get(digest)
+        if place is None:
+            return False
+        return place.file >= self._first_file or self.read(digest) is not None
+
     def _write(self, digest: bytes, blob: bytes) -> None:
         record = _header(len(blob), digest) + blob
         offset = os.lseek(self._descriptor, 0, os.SEEK_END)
@@ -144,7 +156,7 @@
         path = self._folder / _file_name(self._file)
         self._descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
         self._opened_s = time.time()
-        _sync_folder(self._folder)
+        sync_folder(self._folder)
 
     def _paths(self) -> list[Path]:
         return sorted(self._folder.glob("segment-*.bin"), key=_number_of)
@@ -188,11 +200,3 @@
 
 def _number_of(path: Path) -> int:
     return int(path.stem.rsplit("-", 1)[1])
-
-
-def _sync_folder(folder: Path) -> None:
-    descriptor = os.open(folder, os.O_RDONLY)
-    try:
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
