--- a/src/bellweir/ledger/sqlite_journal.py
+++ b/src/bellweir/ledger/sqlite_journal.py
@@ -6,6 +6,8 @@
 a mark file behind each commit: a database older than its mark, or with a bad row, is damaged.
 Marks go to the slots of a ring in turn and are synced now and then, so that a loss of power,
 which may tear every slot written since, always leaves older whole ones: too old is harmless.
+A start syncs all files and their folder before it gives anything back: what a killed process had
+written may not be durable yet, and what sqlite3 had removed may come back.
 A damaged journal keeps what can be proved whole but gets a new disk identity, so that the
 replica rejoins as a learner and refetches the rest from its peers. The ways weighed and their
 figures are in docs/design/ledger.md.
@@ -22,6 +24,7 @@
 import xxhash
 
 from bellweir.events.log import emit
+from bellweir.ledger.durable_files import make_folder, sync_file, sync_folder
 from bellweir.ledger.entries import Entry, ReplicaId, ReplicaSet
 from bellweir.ledger.journal import (
     AppendEntries,
@@ -37,12 +40,16 @@
 from bellweir.ledger.log_events import JOURNAL_DAMAGED
 
 DATABASE_NAME = "ledger.sqlite3"
+DATABASE_SUFFIXES = ("", "-journal", "-wal", "-shm")
+"""Of the files that sqlite3 keeps for a database."""
 MARK_NAME = "ledger.mark"
 MARK_FORMAT = struct.Struct("<QQ")
 """Number of the last durable group, and the checksum of that number."""
 MARK_SLOTS = 64
 MARKS_SYNCED = MARK_SLOTS // 2
 """The mark file is synced once in so many groups, before its ring comes round."""
+PASSING_CODES = (sqlite3.SQLITE_BUSY, sqlite3.SQLITE_NOMEM, sqlite3.SQLITE_CANTOPEN)
+"""What sqlite3 says of a process that lacks memory or descriptors, not of its files."""
 
 SCHEMA = """
 CREATE TABLE IF NOT EXISTS identity (disk TEXT NOT NULL, last_group INTEGER NOT NULL);
@@ -64,12 +71,13 @@
 
     def __init__(self, folder: Path) -> None:
         super().__init__()
-        folder.mkdir(parents=True, exist_ok=True)
+        make_folder(folder)
         self._folder = folder
         self._group = 0
         self._disk = ""
         self._mark = os.open(folder / MARK_NAME, os.O_RDWR | os.O_CREAT, 0o600)
         self._connection: sqlite3.Connection
+        self._is_open = False
 
     @property
     def disk(self) -> str:
@@ -77,27 +85,50 @@
         return self._disk
 
     def load(self) -> tuple[StoredShard, ...]:
-        """Read everything; damage is reported, and what is whole is kept under a new identity."""
+        """Read everything; damage is reported, and what is whole is kept under a new identity.
+
+        What is given back is durable: a former process may have been killed before its sync, and
+        a replica answers for what it has read. Raises `OSError`, `MemoryError` or
+        `sqlite3.OperationalError` when the files can't be opened now, which says nothing of them.
+        """
+        self._sync_files()
         shards: Sequence[StoredShard] = ()
         try:
             self._open()
             shards, findings = self._read_shards()
             findings += self._identity_findings()
         except Exception as failure:
+            if _is_passing(failure):
+                raise
             # Damaged bytes make sqlite3 and the decoders raise whatever they like.
             shards, findings = (), [repr(failure)]
         if findings:
             emit(JOURNAL_DAMAGED, folder=str(self._folder), findings=findings)
             self._start_over(shards)
+        # Names that sqlite3 removes without a sync come back with the power. The journal of a
+        # first transaction would empty the database.
+        sync_folder(self._folder)
         return tuple(shards)
 
     def _release(self) -> None:
         os.close(self._mark)
-        self._connection.close()
+        self._close_database()
+
+    def _close_database(self) -> None:
+        if self._is_open:
+            self._is_open = False
+            self._connection.close()
+
+    def _sync_files(self) -> None:
+        # Before sqlite3 opens them: closing a second descriptor would give up its locks.
+        for suffix in DATABASE_SUFFIXES:
+            sync_file(self._folder / (DATABASE_NAME + suffix))
+        os.fdatasync(self._mark)
 
     def _open(self) -> None:
         path = self._folder / DATABASE_NAME
         self._connection = sqlite3.connect(path, isolation_level=None, check_same_thread=False)
+        self._is_open = True
         # One process uses the file; without the mode, WAL wants memory shared between processes.
         self._connection.execute("PRAGMA locking_mode=EXCLUSIVE")
         self._connection.execute("PRAGMA journal_mode=WAL")
@@ -105,24 +136,30 @@
         self._connection.executescript(SCHEMA)
 
     def _start_over(self, kept: Sequence[StoredShard]) -> None:
-        """Put the damaged files aside; begin a new database, under a new identity, with `kept`."""
-        self._connection.close()
-        for suffix in ("", "-wal", "-shm"):
+        """Put the damaged files aside; begin a new database, under a new identity, with `kept`.
+
+        The mark goes first, durably: whatever a loss of power brings back of the files then, they
+        are never again taken for whole.
+        """
+        os.ftruncate(self._mark, 0)
+        os.fdatasync(self._mark)
+        self._close_database()
+        for suffix in DATABASE_SUFFIXES:
             path = self._folder / (DATABASE_NAME + suffix)
             if path.exists():
                 path.replace(path.with_name(f"damaged-{path.name}"))
+        sync_folder(self._folder)
         self._open()
-        self._assign_identity()
-        for stored in kept:
-            self._write(_operations_of(stored))
+        self._begin(kept)
 
     def _identity_findings(self) -> list[str]:
         row = self._connection.execute("SELECT disk, last_group FROM identity").fetchone()
         marked = self._read_mark()
         if row is None:
-            had_data = marked is not None
-            self._assign_identity()
-            return ["the database is empty but its mark is not"] if had_data else []
+            if marked is not None:
+                return ["the database is empty but its mark is not"]
+            self._begin(())
+            return []
         self._disk, self._group = str(row[0]), int(row[1])
         if marked is None:
             return ["the mark file is missing or damaged"]
@@ -130,13 +167,16 @@
             return [f"acknowledged up to group {marked}, found up to {self._group}"]
         return []
 
-    def _assign_identity(self) -> None:
+    def _begin(self, kept: Sequence[StoredShard]) -> None:
+        """Give the empty database an identity and what is kept, both or neither."""
         self._disk = uuid.uuid4().hex[:16]
         self._group = 1
         with self._connection:
             self._connection.execute("BEGIN")
-            self._connection.execute("DELETE FROM identity")
             self._connection.execute("INSERT INTO identity VALUES (?, ?)", (self._disk, 1))
+            for stored in kept:
+                for operation in _operations_of(stored):
+                    self._write_one(operation)
         # Marks of a former identity are of higher groups.
         os.ftruncate(self._mark, 0)
         self._write_mark()
@@ -268,6 +308,14 @@
         return max(marks, default=None)
 
 
+def _is_passing(failure: Exception) -> bool:
+    """Whether the files could not be read for want of something that a later start may have."""
+    if isinstance(failure, sqlite3.OperationalError):
+        # Only what comes from sqlite3 itself bears a code.
+        return getattr(failure, "sqlite_errorcode", 0) & 0xFF in PASSING_CODES
+    return isinstance(failure, (MemoryError, OSError))
+
+
 def checksum_of(*fields: int | bytes) -> int:
     """Checksum of a row's fields, as a signed 63-bit number that sqlite3 can hold."""
     digest = xxhash.xxh3_64()
--- a/src/bellweir_rehearsal/hosted/sqlite_rig.py
+++ b/src/bellweir_rehearsal/hosted/sqlite_rig.py
@@ -5,6 +5,7 @@
 file with `apsw` and gives back the few calls that the journal makes.
 """
 
+import contextlib
 import os
 import sqlite3
 from collections.abc import Iterable, Iterator, Sequence
@@ -19,6 +20,7 @@
 
 JOURNAL_FLAGS = apsw.SQLITE_OPEN_WAL | apsw.SQLITE_OPEN_MAIN_JOURNAL
 """Files of these kinds, when new, have their folder synced by sqlite3 with their first sync."""
+DAMAGE = (apsw.CorruptError, apsw.NotADBError)
 
 
 class RiggedFile(apsw.VFSFile):
@@ -115,19 +117,34 @@
         return list(self._rows)
 
 
+@contextlib.contextmanager
+def _as_sqlite3() -> Iterator[None]:
+    """Raise what `apsw` finds as the standard library would, with sqlite3's code."""
+    try:
+        yield
+    except apsw.Error as failure:
+        kind = sqlite3.DatabaseError if isinstance(failure, DAMAGE) else sqlite3.OperationalError
+        raised = kind(str(failure))
+        raised.sqlite_errorcode = getattr(failure, "extendedresult", apsw.SQLITE_ERROR)
+        raise raised from failure
+
+
 class RiggedConnection:
     """The calls of `sqlite3.Connection` that the journal makes."""
 
     def __init__(self, path: Path | str, vfs: str) -> None:
-        self._inner = apsw.Connection(str(path), vfs=vfs)
+        with _as_sqlite3():
+            self._inner = apsw.Connection(str(path), vfs=vfs)
 
     def execute(self, statement: str, values: Sequence[Any] = ()) -> Rows:
         """Run one statement."""
-        return Rows(list(self._inner.cursor().execute(statement, tuple(values))))
+        with _as_sqlite3():
+            return Rows(list(self._inner.cursor().execute(statement, tuple(values))))
 
     def executemany(self, statement: str, rows: Iterable[Sequence[Any]]) -> Rows:
         """Run one statement for each row of values."""
-        return Rows(list(self._inner.cursor().executemany(statement, rows)))
+        with _as_sqlite3():
+            return Rows(list(self._inner.cursor().executemany(statement, rows)))
 
     def executescript(self, script: str) -> Rows:
         """Run several statements."""
@@ -147,7 +164,7 @@
         trace: TracebackType | None,
     ) -> None:
         if self._inner.in_transaction:
-            self._inner.cursor().execute("COMMIT" if kind is None else "ROLLBACK")
+            self.execute("COMMIT" if kind is None else "ROLLBACK")
 
 
 class SqliteRig:
