Test, failing: readings in any state of the ledger, its replicas and the gateways' caches

Fails now: a reading without a leader takes 1.5 s and more, as long as its client waits at all; a replica of another zone is never asked; a page has up to 2 MB; a text with a byte that is no valid UTF-8 makes every page with it fail; one cache entry stands for two tenants whose names hold a slash.

--- /dev/null
+++ b/features/steps/hosted_reading_steps.py
@@ -0,0 +1,439 @@
+"""Readings of results at gateways, whatever the ledger's leader and replicas have."""
+
+import itertools
+import json
+from types import SimpleNamespace
+
+import hypothesis.strategies as st
+import msgspec
+from behave import given as given_step
+from behave import then, when
+from features.steps.hosted_batch_calls_steps import call
+from features.support.hosted_jobs import make_job
+from features.support.hosted_readings import (
+    NO_LEADER,
+    NO_OUTCOME,
+    LaggingReplica,
+    ReplicatedLedger,
+)
+from hypothesis import given, settings
+from returns.result import Failure, Success
+
+from bellweir.hosted.batches.api import BatchApi
+from bellweir.hosted.batches.result_cache import ResultCache
+from bellweir.hosted.batches.state import (
+    AcceptJob,
+    BatchJobs,
+    EndJob,
+    ItemResult,
+    KeepParts,
+    ReadResults,
+    RecordResults,
+    StageItems,
+    TextPart,
+)
+from bellweir.hosted.batches.texts import pack_text
+from bellweir.ledger.machines import Codec
+from bellweir.ledger.messages import PeekAnswer
+from bellweir.ledger.nearby import NearbyReads
+from bellweir.wire.interface import WireError, WireErrorKind
+from bellweir_platform.headers import HEADERS, PATHS
+
+CLIENT_PATIENCE_S = 1.5
+"""Time for which a client waits beyond what it allows a reading to be held."""
+PAGE_LIMIT_BYTES = 1_000_000
+ITEMS = 12
+GATEWAYS = 3
+TEXTS = {
+    "none": "",
+    "short": "t",
+    "line feeds": "\n" * 300_000,
+    "letters": "a" * 500_000,
+    "ideographs": "深" * 300_000,
+}
+OWNERS = {"job": "", "owned": "dealers", "late": ""}
+
+
+def read(api, job_id, after, tenant=""):
+    return api.serve_call(call("GET", f"/api/lots/{job_id}", query=f"after={after}"), tenant)
+
+
+def accept_commands(job_id):
+    """Commands that accept a job; the owned one comes in two parts."""
+    job = msgspec.structs.replace(make_job(job_id, ITEMS, 1), tenant=OWNERS[job_id])
+    if job_id != "owned":
+        return [AcceptJob(job)]
+    staged = [
+        StageItems(job_id, 0, job.items[:5]),
+        StageItems(job_id, 1, job.items[5:]),
+    ]
+    return [*staged, AcceptJob(msgspec.structs.replace(job, items=()), 2)]
+
+
+class Readings:
+    """Gateways before one ledger, with a model of what each job lists."""
+
+    def __init__(self, cache_bytes):
+        self.cache_bytes = cache_bytes
+        first = ReplicatedLedger()
+        self.ledgers = [first] + [ReplicatedLedger(first, zone) for zone in range(1, GATEWAYS)]
+        self.apis = [BatchApi(ledger, HEADERS, PATHS) for ledger in self.ledgers]
+        for api in self.apis:
+            api._cache = ResultCache(cache_bytes)
+        self.listed = {}
+        self.ended = set()
+        self.shown = {}
+        """Positions from 0 on that a gateway has shown to a tenant without a gap."""
+        self.pages = self.put_off = 0
+        self.accept("job")
+
+    def accept(self, job_id):
+        if job_id not in self.listed:
+            for command in accept_commands(job_id):
+                self.ledgers[0].submit("", command, 1.0)
+            self.listed[job_id] = []
+
+    def record(self, job_id, texts):
+        if job_id not in self.listed:
+            return
+        known = self.listed[job_id]
+        made = [
+            ItemResult.made(f"{job_id}-{at}", True, TEXTS[text], (at,))
+            for at, text in enumerate(texts, len(known))
+            if at < ITEMS
+        ]
+        # What comes again changes nothing.
+        again = [ItemResult.made(f"{job_id}-0", True, "other", (9,))] if known else []
+        self.ledgers[0].submit("", RecordResults(job_id, (*again, *made)), 1.0)
+        if job_id not in self.ended:
+            known.extend(made)
+
+    def end(self, job_id):
+        tenant = OWNERS[job_id]
+        self.ledgers[0].submit("", EndJob(job_id, 5.0, tenant), 1.0)
+        if job_id in self.listed:
+            self.ended.add(job_id)
+
+    def disturb(self, what, number):
+        replica = self.ledgers[0].replicas[number % GATEWAYS]
+        if what == "copy":
+            replica.copy(self.ledgers[0].log, number)
+        elif what == "remove":
+            replica.is_member = False
+        elif what == "silence":
+            replica.answers = not replica.answers
+        elif what == "wipe":
+            replica.wipe()
+        elif what == "restart":
+            replica.restart()
+        else:
+            self.ledgers[0].leader["kind"] = (None, NO_LEADER, NO_OUTCOME)[number % 3]
+
+    def read(self, gateway, job_id, after, tenant):
+        answer = read(self.apis[gateway], job_id, after, tenant)
+        is_shown = job_id in self.listed and OWNERS[job_id] in ("", tenant)
+        leads = self.ledgers[0].leader["kind"] is None
+        if answer.status == 404:
+            assert leads, "said not to be there while the leader does not answer"
+            assert not is_shown, "an accepted job is said not to be there"
+        elif answer.status == 503:
+            assert not leads, "put off although the leader answers"
+            assert not (is_shown and self._is_known(gateway, job_id, after, tenant)), (
+                "put off although somebody knows the position"
+            )
+            self.put_off += 1
+        else:
+            assert answer.status == 200
+            assert is_shown
+            self._check_page(answer.body, gateway, job_id, after, tenant)
+
+    def _check_page(self, body, gateway, job_id, after, tenant):
+        page, listed = json.loads(body), self.listed[job_id]
+        expected = listed[after : after + len(page["results"])]
+        assert page["total"] == ITEMS
+        assert page["next"] == after + len(page["results"])
+        assert [(one["id"], one["text"]) for one in page["results"]] == [
+            (one.item_id, one.whole_text) for one in expected
+        ]
+        assert page["results"] or after >= len(listed), "a position that has a result is empty"
+        assert len(body) <= PAGE_LIMIT_BYTES or len(page["results"]) == 1
+        key = (gateway, job_id, tenant)
+        if after <= self.shown.get(key, 0):
+            self.shown[key] = max(self.shown.get(key, 0), page["next"])
+        self.pages += 1
+
+    def _is_known(self, gateway, job_id, after, tenant):
+        """Whether this gateway's cache, or a replica that answers, has a position."""
+        is_cached = self.cache_bytes > 1 << 20 and after < self.shown.get(
+            (gateway, job_id, tenant), 0
+        )
+        states = [
+            replica.machine.jobs.get(job_id)
+            for replica in self.ledgers[0].replicas
+            if replica.answers
+        ]
+        known = [state for state in states if state is not None]
+        return is_cached or any(after < len(state.results) or after >= ITEMS for state in known)
+
+
+jobs = st.sampled_from(sorted(OWNERS))
+DISTURBANCES = ("copy", "copy", "remove", "silence", "wipe", "restart", "leader", "leader")
+step = st.one_of(
+    st.tuples(st.just("accept"), jobs),
+    st.tuples(st.just("record"), jobs, st.lists(st.sampled_from(sorted(TEXTS)), max_size=5)),
+    st.tuples(st.just("end"), jobs),
+    st.tuples(st.just("disturb"), st.sampled_from(DISTURBANCES), st.integers(0, 8)),
+    *[
+        st.tuples(
+            st.just("read"),
+            st.integers(0, GATEWAYS - 1),
+            jobs,
+            st.integers(0, ITEMS + 1),
+            st.sampled_from(("", "dealers")),
+        )
+    ]
+    * 3,
+)
+
+
+@then("each page is a part of the leader's list, and put off only while nobody knows the position")
+def then_readings(context):
+    seen = SimpleNamespace(pages=0, put_off=0)
+
+    @settings(max_examples=250)
+    @given(
+        steps=st.lists(step, max_size=40),
+        cache_bytes=st.sampled_from((0, 700, 3_000, 1 << 24)),
+    )
+    def readings(steps, cache_bytes):
+        all_readings = Readings(cache_bytes)
+        for what, *values in steps:
+            getattr(all_readings, what)(*values)
+        all_readings.disturb("leader", 0)
+        for gateway in range(GATEWAYS):
+            _read_whole(all_readings, gateway)
+        seen.pages += all_readings.pages
+        seen.put_off += all_readings.put_off
+
+    readings()
+    assert seen.pages > 1_000, seen
+    assert seen.put_off > 20, seen
+
+
+def _read_whole(readings, gateway):
+    """Read a job from its start to the end of what the leader lists."""
+    at = 0
+    while at < len(readings.listed["job"]):
+        answer = read(readings.apis[gateway], "job", at)
+        readings._check_page(answer.body, gateway, "job", at, "")
+        at = json.loads(answer.body)["next"]
+
+
+@given_step("a job with {count:d} results, of which the replica of the reader's zone has {near:d}")
+def given_results(context, count, near):
+    context.ledger = ReplicatedLedger()
+    context.api = BatchApi(context.ledger, HEADERS, PATHS)
+    context.ledger.submit("", AcceptJob(make_job("job", ITEMS, 1)), 1.0)
+    for at in range(count):
+        result = ItemResult.made(f"job-{at}", True, f"text {at}", (1,))
+        context.ledger.submit("", RecordResults("job", (result,)), 1.0)
+    for replica in context.ledger.replicas:
+        replica.copy(context.ledger.log, 1 + near if near else 0)
+
+
+@given_step("a replica of another zone that has all of them")
+def given_other_zone(context):
+    context.ledger.replicas[2].copy(context.ledger.log, 100)
+
+
+@when("no leader is found, and each call takes all of its time")
+def when_no_leader(context):
+    context.ledger.leader["kind"] = NO_LEADER
+
+
+def _read_in_time(context, after):
+    """Read; the times of all calls that may take all of it are within the client's patience."""
+    context.ledger.waits_s.clear()
+    answer = read(context.api, "job", after)
+    # The replica of the zone may take all of its time and answer nevertheless.
+    assert sum(context.ledger.waits_s) + 0.15 < CLIENT_PATIENCE_S, context.ledger.waits_s
+    return answer
+
+
+@then("a reading from {after:d} shows {count:d} results before its client gives up")
+def then_in_time(context, after, count):
+    answer = _read_in_time(context, after)
+    assert answer.status == 200, answer.status
+    page = json.loads(answer.body)
+    assert [one["id"] for one in page["results"]] == [
+        f"job-{at}" for at in range(after, after + count)
+    ]
+    assert (page["total"], page["next"]) == (ITEMS, after + count)
+
+
+@then("a reading from {after:d} is put off before its client gives up")
+def then_put_off(context, after):
+    assert _read_in_time(context, after).status == 503
+
+
+class ScriptedPeers:
+    """Transport, membership, locator: each replica answers, is silent, or holds nothing."""
+
+    def __init__(self, replicas, zones):
+        self.codec = Codec([BatchJobs])
+        self.replicas = {f"store-{at}": replica for at, replica in enumerate(replicas)}
+        self.zones = zones
+        self.asked = []
+
+    def request(self, address, message, timeout_s):
+        self.asked.append((address, timeout_s))
+        replica = self.replicas[address]
+        if not replica.answers:
+            return Failure(WireError(WireErrorKind.NO_ANSWER, "test"))
+        if replica.machine is None:
+            return Success(PeekAnswer(None))
+        reply = replica.machine.answer(self.codec.decode(message.payload, ReadResults))
+        return Success(PeekAnswer(self.codec.encode(reply)))
+
+    def member(self, node):
+        return SimpleNamespace(node=node, peer_address=node, zone=self.zones[int(node[-1])])
+
+    def replica_nodes(self, shard):
+        return tuple(self.replicas)
+
+    def likely_first(self, nodes):
+        return list(nodes)
+
+    def refresh(self, patience_s):
+        assert patience_s < CLIENT_PATIENCE_S
+
+
+@then("a node hears each replica that answers, and none takes more than its share of the time")
+def then_replicas_asked(context):
+    kinds = st.sampled_from(("behind", "whole", "removed", "wiped", "silent"))
+
+    @settings(max_examples=80)
+    @given(found=st.lists(kinds, min_size=1, max_size=5))
+    def asked(found):
+        log = [*accept_commands("job")]
+        log += [RecordResults("job", (ItemResult(f"job-{at}", True, "t"),)) for at in range(6)]
+        replicas = []
+        for kind in found:
+            replica = LaggingReplica()
+            replica.copy(log, {"behind": 3, "whole": 100, "removed": 2}.get(kind, 0))
+            replica.answers = kind != "silent"
+            replica.machine = None if kind == "wiped" else replica.machine
+            replicas.append(replica)
+        peers = ScriptedPeers(replicas, "abcde")
+        reads = NearbyReads("a", None, peers.codec, peers, peers, peers, lambda _shard: "store-0")
+        answers = reads.ask_all(0, ReadResults("job", 0, 1 << 20), 0.3)
+        counts = {"behind": 2, "whole": 6, "removed": 1}
+        assert [len(answer.results) for answer in answers] == [
+            counts[kind] for kind in found if kind in counts
+        ]
+        assert all(timeout_s <= 0.3 / len(found) + 1e-9 for _, timeout_s in peers.asked)
+
+    asked()
+
+
+CHARACTERS = {"letters": "a", "line feeds": "\n", "ideographs": "深"}
+
+
+@given_step("a job with {count:d} results of {length:d} {characters}")
+def given_long(context, count, length, characters):
+    context.ledger = ReplicatedLedger()
+    context.api = BatchApi(context.ledger, HEADERS, PATHS)
+    context.long_text = CHARACTERS[characters] * length
+    context.ledger.submit("", AcceptJob(make_job("job", count, 1)), 1.0)
+    made = [ItemResult.made(f"job-{at}", True, context.long_text, (1,)) for at in range(count)]
+    context.ledger.submit("", RecordResults("job", tuple(made)), 1.0)
+    context.count = count
+
+
+@then("each page of it has at most {limit:d} bytes, and all of them come")
+def then_bounded(context, limit):
+    at = 0
+    while at < context.count:
+        answer = read(context.api, "job", at)
+        page = json.loads(answer.body)
+        assert len(answer.body) <= limit, len(answer.body)
+        assert [one["id"] for one in page["results"]] == [
+            f"job-{number}" for number in range(at, page["next"])
+        ]
+        assert all(one["text"] == context.long_text for one in page["results"])
+        assert page["next"] > at
+        at = page["next"]
+
+
+@given_step("a job with a text that holds a lone byte")
+def given_lone_byte(context):
+    context.ledger = ReplicatedLedger()
+    context.api = BatchApi(context.ledger, HEADERS, PATHS)
+    context.ledger.submit("", AcceptJob(make_job("job", 2, 1)), 1.0)
+    text = b"a\x80\nb".decode("utf-8", "surrogateescape")
+    made = ItemResult.made("job-0", True, text, (1,))
+    context.ledger.submit("", RecordResults("job", (made,)), 1.0)
+
+
+@then("its page is read, with the byte marked as not valid")
+def then_marked(context):
+    page = json.loads(read(context.api, "job", 0).body)
+    assert [one["text"] for one in page["results"]] == ["a\ufffd\nb"]
+
+
+@then("what one tenant has been shown is not shown to another one")
+def then_apart(context):
+    ledger = ReplicatedLedger()
+    api = BatchApi(ledger, HEADERS, PATHS)
+    job = msgspec.structs.replace(make_job("b/job", 1, 1), tenant="a")
+    ledger.submit("", AcceptJob(job), 1.0)
+    ledger.submit("", RecordResults("b/job", (ItemResult("b/job-0", True, "t"),)), 1.0)
+    assert read(api, "b/job", 0, "a").status == 200
+    assert read(api, "job", 0, "a/b").status == 404
+
+
+@then("what was read before the end is read after it, from snapshots and replays alike")
+def then_ended(context):
+    kept = st.tuples(st.just("keep"), st.integers(0, 3), st.integers(0, 3))
+    done = st.tuples(st.just("record"), st.integers(0, 3), st.integers(0, 3))
+    end = st.tuples(st.just("end"), st.just(0), st.just(0))
+    seen = SimpleNamespace(joined=0)
+
+    @settings(max_examples=200)
+    @given(steps=st.lists(st.one_of(kept, kept, done, end), max_size=25), cut=st.integers(0, 25))
+    def ended(steps, cut):
+        commands = [AcceptJob(make_job("job", 4, 1)), *map(_command, steps)]
+        replica, other = BatchJobs(), BatchJobs()
+        pages = []
+        for at, command in enumerate(commands):
+            replica.apply(command)
+            other.apply(command)
+            if at == cut:
+                saved, other = other.save(), BatchJobs()
+                other.load(saved)
+            pages.append(_texts(replica))
+            assert _texts(other) == pages[-1]
+        for before, after in itertools.pairwise(pages):
+            assert after[: len(before)] == before
+        seen.joined += sum("\n" in text for _, text, _ in pages[-1])
+
+    ended()
+    assert seen.joined > 50, "too few results that go on behind kept parts"
+
+
+def _command(what):
+    kind, item, events = what
+    item_id = f"job-{item}"
+    if kind == "keep":
+        packed = pack_text(f"kept {item} {events}")
+        return KeepParts("job", (TextPart(item_id, events, 1, events, packed, (1,)),))
+    if kind == "record":
+        packed = pack_text(f"tail {item} {events}")
+        result = ItemResult(item_id, True, versions=(1,), packed=packed, length=9, behind=events)
+        return RecordResults("job", (result,))
+    return EndJob("job", 5.0)
+
+
+def _texts(machine):
+    page = machine.answer(ReadResults("job", 0, 1 << 20))
+    return [(one.item_id, one.whole_text, one.versions) for one in page.results]
