Pages of results: at most 1 MB, and read also where a text is no valid UTF-8

Cause: a page was bounded by characters, so that line feeds gave 1.36 MB and ideographs 2.04 MB (40 texts of 20,000), and what the zone's replica and the leader gave could add up to more; a byte that is no valid UTF-8 stands in a text as a lone surrogate, at which encoding the page fails, so that no reading of that position ever succeeds. The test's own generators made too few readings and joined results; they make more now, and each text is compared with its parts.

--- a/features/steps/hosted_reading_steps.py
+++ b/features/steps/hosted_reading_steps.py
@@ -86,6 +86,7 @@
         """Positions from 0 on that a gateway has shown to a tenant without a gap."""
         self.pages = self.put_off = 0
         self.accept("job")
+        self.record("job", ("short", "none", "short", "short"))
 
     def accept(self, job_id):
         if job_id not in self.listed:
@@ -202,7 +203,7 @@
 
     @settings(max_examples=250)
     @given(
-        steps=st.lists(step, max_size=40),
+        steps=st.lists(step, min_size=15, max_size=40),
         cache_bytes=st.sampled_from((0, 700, 3_000, 1 << 24)),
     )
     def readings(steps, cache_bytes):
@@ -394,15 +395,14 @@
 
 @then("what was read before the end is read after it, from snapshots and replays alike")
 def then_ended(context):
-    kept = st.tuples(st.just("keep"), st.integers(0, 3), st.integers(0, 3))
-    done = st.tuples(st.just("record"), st.integers(0, 3), st.integers(0, 3))
-    end = st.tuples(st.just("end"), st.just(0), st.just(0))
-    seen = SimpleNamespace(joined=0)
+    whats = st.sampled_from(("keep", "keep", "keep", "again", "record", "record", "whole", "end"))
+    steps_of = st.lists(st.tuples(whats, st.integers(0, 3)), min_size=5, max_size=25)
+    seen = SimpleNamespace(joined=0, ended=0)
 
     @settings(max_examples=200)
-    @given(steps=st.lists(st.one_of(kept, kept, done, end), max_size=25), cut=st.integers(0, 25))
+    @given(steps=steps_of, cut=st.integers(0, 25))
     def ended(steps, cut):
-        commands = [AcceptJob(make_job("job", 4, 1)), *map(_command, steps)]
+        commands = _commands(steps)
         replica, other = BatchJobs(), BatchJobs()
         pages = []
         for at, command in enumerate(commands):
@@ -415,23 +415,40 @@
             assert _texts(other) == pages[-1]
         for before, after in itertools.pairwise(pages):
             assert after[: len(before)] == before
+        for item_id, text, _ in pages[-1]:
+            *parts, last = text.split("\n")
+            assert parts == [f"kept {item_id[-1]} {at}" for at in range(len(parts))]
+            assert last == ("tail" if parts else "whole")
         seen.joined += sum("\n" in text for _, text, _ in pages[-1])
+        seen.ended += bool(pages[-1]) and not replica.jobs["job"].is_open
 
     ended()
     assert seen.joined > 50, "too few results that go on behind kept parts"
-
-
-def _command(what):
-    kind, item, events = what
-    item_id = f"job-{item}"
-    if kind == "keep":
-        packed = pack_text(f"kept {item} {events}")
-        return KeepParts("job", (TextPart(item_id, events, 1, events, packed, (1,)),))
-    if kind == "record":
-        packed = pack_text(f"tail {item} {events}")
-        result = ItemResult(item_id, True, versions=(1,), packed=packed, length=9, behind=events)
-        return RecordResults("job", (result,))
-    return EndJob("job", 5.0)
+    assert seen.ended > 20, "too few jobs that ended with something listed"
+
+
+def _commands(steps):
+    """Commands of a job of four items, whose texts are kept part by part before their results."""
+    commands = [AcceptJob(make_job("job", 4, 1))]
+    kept = dict.fromkeys(range(4), 0)
+    for what, item in steps:
+        item_id = f"job-{item}"
+        if what in ("keep", "again"):
+            # A new leader may keep the newest part once more.
+            after = kept[item] if what == "keep" else max(0, kept[item] - 1)
+            packed = pack_text(f"kept {item} {after}")
+            commands.append(KeepParts("job", (TextPart(item_id, after, 1, after, packed, (1,)),)))
+            kept[item] = after + 1
+        elif what == "end":
+            commands.append(EndJob("job", 5.0))
+        else:
+            behind = kept[item] if what == "record" else 0
+            text = "tail" if behind else "whole"
+            result = ItemResult(
+                item_id, True, versions=(1,), packed=pack_text(text), length=9, behind=behind
+            )
+            commands.append(RecordResults("job", (result,)))
+    return commands
 
 
 def _texts(machine):
--- a/src/bellweir/hosted/batches/api.py
+++ b/src/bellweir/hosted/batches/api.py
@@ -7,7 +7,8 @@
 from returns.result import Failure, Result, Success
 
 from bellweir.events.log import emit
-from bellweir.hosted.batches.formats import decode_job, encode_page
+from bellweir.hosted.batches.formats import decode_job
+from bellweir.hosted.batches.pages import encode_bounded_page
 from bellweir.hosted.batches.result_cache import ResultCache
 from bellweir.hosted.batches.state import (
     JOBS_KEY,
@@ -31,7 +32,7 @@
 from bellweir.ledger.interface import Ledger, LedgerError, LedgerErrorKind, Reply
 
 PAGE_BYTES = 700_000
-"""Text in one answer; the rest follows with the next call."""
+"""Characters read for one answer, about; the rest follows with the next call."""
 ACCEPT_TIMEOUT_S = 3.0
 PART_BYTES = 400_000
 """Bodies in one command; the ledger takes a mebibyte."""
@@ -158,7 +159,7 @@
                 return own_response(404, "no_such_job")
             held = not page.results and time.monotonic() < until_s
             if not held or request.caller_has_left():
-                content = encode_page(page.total, after, page.results)
+                content = encode_bounded_page(page.total, after, page.results)
                 return Response(200, [("Content-Type", "application/json")], content)
             self._pause.wait(HOLD_POLL_S)
 
