Readings without a leader show what any replica has, before their client gives up

Cause: a reading waited 1.5 s for a leader even where the zone's replica had given results, so that its client, which waits 1.5 s beyond the hold, had left before they were shown; replicas of other zones were never asked, so that one that is left alone kept what it knows to itself; and once in 10 s a reading first asked silent store machines for the placement, 1 s for each. Change: 0.9 s for the leader, 0.3 s where the zone's replica gave something, then 0.3 s for all replicas (Ledger.ask_replicas, NearbyReads.ask_all); the placement is looked at within the time for the zone's replica. Positions behind the last item need no leader. The cache's key is a pair, so that two tenants never share an entry, and it holds no empty entries, which nothing dropped.

--- a/features/support/hosted_jobs.py
+++ b/features/support/hosted_jobs.py
@@ -67,6 +67,9 @@
     def ask_nearby(self, key, query, timeout_s):
         return None if self.near is None else self.near.answer(query)
 
+    def ask_replicas(self, key, query, timeout_s):
+        return ()
+
     def leads(self, key):
         return self.leading
 
--- a/src/bellweir/hosted/batches/api.py
+++ b/src/bellweir/hosted/batches/api.py
@@ -41,6 +41,14 @@
 CALL_TIMEOUT_S = 1.5
 NEARBY_TIMEOUT_S = 0.15
 """Time for the replica of the own zone, which answers in a few milliseconds."""
+LEADER_TIMEOUT_S = 0.9
+"""Time for the leader to answer a reading: longer than the 0.8 s after which a gateway that is cut
+off from the ledger turns to another one. A client gives up 1.5 s after the time for which it lets
+its reading be held; what is known elsewhere must be shown before."""
+REST_TIMEOUT_S = 0.3
+"""The same where the zone's replica has given something: the next reading asks for the rest."""
+REPLICAS_TIMEOUT_S = 0.3
+"""Time for the replicas of all zones, while the leader does not answer."""
 LONGEST_HOLD_S = 1.0
 HOLD_POLL_S = 0.15
 """Pause between two looks while a reading is held until there is a result."""
@@ -165,8 +173,7 @@
 
     def _read_page(self, job_id: str, after: int, tenant: str) -> ResultsPage | None:
         """Results from a position on; None when nobody can tell."""
-        # What one tenant has been shown of a job proves nothing for another one.
-        key = f"{tenant}/{job_id}"
+        key = (tenant, job_id)
         known = self._cache.page(key, after, PAGE_BYTES)
         if known is not None:
             return ResultsPage(*known)
@@ -178,17 +185,32 @@
     def _read_ledger(self, job_id: str, after: int, tenant: str) -> ResultsPage | None:
         """Results from the replica of this zone, then from the leader whatever that one lacks.
 
-        A position never changes once it is there, so that an older answer is as good for it.
+        A position never changes once it is there, so that an older answer is as good for it. That
+        there is no such job is believed of the leader only.
         """
         near = self._read_nearby(job_id, after, tenant)
         left_bytes = PAGE_BYTES - sum(result.shown_size for result in near.results)
-        if near.results and left_bytes <= 0:
+        if _is_at_end(near, after) or (near.results and left_bytes <= 0):
             return near
         query = ReadResults(job_id, after + len(near.results), left_bytes, tenant)
-        found = self._ledger.ask(JOBS_KEY, query, CALL_TIMEOUT_S).value_or(None)
-        if not isinstance(found, ResultsPage):
-            return near if near.results else None
-        return ResultsPage(found.total, near.results + found.results)
+        timeout_s = REST_TIMEOUT_S if near.results else LEADER_TIMEOUT_S
+        found = self._ledger.ask(JOBS_KEY, query, timeout_s).value_or(None)
+        if isinstance(found, ResultsPage):
+            return ResultsPage(found.total, near.results + found.results)
+        return near if near.results else self._read_replicas(query)
+
+    def _read_replicas(self, query: ReadResults) -> ResultsPage | None:
+        """The longest answer of any replica; None where none has the position.
+
+        With one replica left, which can't be elected, what it has can still be read.
+        """
+        replies = self._ledger.ask_replicas(JOBS_KEY, query, REPLICAS_TIMEOUT_S)
+        pages = [
+            page
+            for page in replies
+            if isinstance(page, ResultsPage) and (page.results or _is_at_end(page, query.after))
+        ]
+        return max(pages, key=lambda page: len(page.results), default=None)
 
     def _read_nearby(self, job_id: str, after: int, tenant: str) -> ResultsPage:
         if not self._nearby_reads:
@@ -218,6 +240,11 @@
         return own_response(503, "no_ledger", RETRY_AFTER_S)
 
 
+def _is_at_end(page: ResultsPage, after: int) -> bool:
+    """Whether nothing can ever follow a page that was read from a position on."""
+    return page.total is not None and after + len(page.results) >= page.total
+
+
 def job_of_tenant(job: Job, tenant: str, names: HeaderNames) -> Job:
     """Return a job as its tenant's: its items' headers hold neither a key nor another name."""
     dropped = names.of_client_only
--- a/src/bellweir/hosted/batches/result_cache.py
+++ b/src/bellweir/hosted/batches/result_cache.py
@@ -11,6 +11,9 @@
 
 from bellweir.hosted.batches.state import ItemResult, take_page
 
+CacheKey = tuple[str, str]
+"""Tenant that reads, and id of the job: what one tenant has been shown proves nothing for others.
+Joined to one text, tenant `a` with job `b/c` would be tenant `a/b` with job `c`."""
 MAXIMUM_BYTES = 12 << 20
 """Text kept of all jobs; the job that was read longest ago goes first."""
 
@@ -28,27 +31,32 @@
     def __init__(self, maximum_bytes: int = MAXIMUM_BYTES) -> None:
         self._maximum_bytes = maximum_bytes
         self._lock = threading.Lock()
-        self._jobs: OrderedDict[str, _Known] = OrderedDict()
+        self._jobs: OrderedDict[CacheKey, _Known] = OrderedDict()
         self._size = 0
 
     def page(
-        self, job_id: str, after: int, page_bytes: int
+        self, key: CacheKey, after: int, page_bytes: int
     ) -> tuple[int, tuple[ItemResult, ...]] | None:
-        """Total and results from a position on; None when none is known there."""
+        """Total and results from a position on; None when none is known there.
+
+        Behind the last position of a job there never is a result, so that this is known, too.
+        """
         with self._lock:
-            known = self._jobs.get(job_id)
-            if known is None or after >= len(known.results):
+            known = self._jobs.get(key)
+            if known is None or len(known.results) <= after < known.total:
                 return None
-            self._jobs.move_to_end(job_id)
+            self._jobs.move_to_end(key)
             return known.total, take_page(known.results, after, page_bytes)
 
-    def add(self, job_id: str, after: int, total: int, results: tuple[ItemResult, ...]) -> None:
+    def add(self, key: CacheKey, after: int, total: int, results: tuple[ItemResult, ...]) -> None:
         """Keep results read from a position on, if they join what is known."""
         with self._lock:
-            known = self._jobs.setdefault(job_id, _Known(total))
-            self._jobs.move_to_end(job_id)
-            if after != len(known.results):
+            known = self._jobs.get(key) or _Known(total)
+            # An empty entry has no size, so that nothing would ever drop it.
+            if after != len(known.results) or not results:
                 return
+            self._jobs[key] = known
+            self._jobs.move_to_end(key)
             size = sum(result.size for result in results)
             known.results.extend(results)
             known.size += size
--- a/src/bellweir/ledger/interface.py
+++ b/src/bellweir/ledger/interface.py
@@ -108,6 +108,15 @@
         leads anyway.
         """
 
+    def ask_replicas(self, key: str, query: Query, timeout_s: float) -> tuple[Reply, ...]:
+        """Answers of the replicas of any zone, each of what that one has applied.
+
+        For a key whose leader does not answer; what holds of `ask_nearby` holds of each answer.
+        Replicas that don't answer within their share of `timeout_s` are left out. None answers
+        by default.
+        """
+        return ()
+
     @abstractmethod
     def leads(self, key: str) -> bool:
         """Whether this node leads the key's shard, as far as it knows; not a fence."""
--- a/src/bellweir/ledger/locator.py
+++ b/src/bellweir/ledger/locator.py
@@ -71,10 +71,13 @@
             return ()
         return tuple(one.node for one in placement.shards[shard].replicas.everyone)
 
-    def refresh(self) -> None:
-        """Ask for the placement again, on a node that keeps none, if it was long ago."""
+    def refresh(self, patience_s: float) -> None:
+        """Ask for the placement again, on a node that keeps none, if it was long ago.
+
+        Takes no longer than `patience_s`: a client's call waits for it.
+        """
         if self._keeper is None and time.monotonic() - self._asked_s > REFRESH_PERIOD_S:
-            self._ask(REFRESH_PERIOD_S)
+            self._ask(patience_s)
 
     def candidates(self, shard: int) -> list[str]:
         """Nodes that may lead a shard: its replicas as published, then all with a data folder."""
@@ -101,14 +104,15 @@
         ]
 
     def _ask(self, patience_s: float) -> None:
-        """Ask one node after the other until one tells; none is begun after `patience_s`."""
+        """Ask one node after the other until one tells, for `patience_s` in all."""
         began_s = self._asked_s = time.monotonic()
-        for node in self._data_nodes():
+        for node in self.likely_first(self._data_nodes()):
             member = self._membership.member(node)
-            if member is None or time.monotonic() - began_s >= patience_s:
+            left_s = patience_s - (time.monotonic() - began_s)
+            if member is None or left_s <= 0:
                 continue
             answer = self._transport.request(
-                member.peer_address, PlacementRequest(), PLACEMENT_TIMEOUT_S
+                member.peer_address, PlacementRequest(), min(left_s, PLACEMENT_TIMEOUT_S)
             )
             match answer:
                 case Success(PlacementAnswer(placement=Placement() as found)):
--- a/src/bellweir/ledger/nearby.py
+++ b/src/bellweir/ledger/nearby.py
@@ -2,9 +2,14 @@
 
 A follower has only committed commands applied, but it may lack the newest ones. What it answers
 is therefore good for state that never changes once it is there, such as a position of a list that
-only grows; whatever is missing is asked for from the leader.
+only grows; whatever is missing is asked for from the leader. This holds of a replica that was
+removed without learning of it, too, and of one that was wiped and has nothing yet.
+
+While no leader answers, the replicas of all zones are asked alike: one that is left alone can't
+agree with anybody on anything new, but it still knows what was agreed on.
 """
 
+import time
 from collections.abc import Callable
 
 from returns.result import Success
@@ -17,6 +22,9 @@
 from bellweir.membership.interface import Membership
 from bellweir.wire.interface import Sender, Transport
 
+MOST_ASKED = 6
+"""Nodes that are asked for one query, so that each has time enough to answer from another zone."""
+
 
 class PeekServer:
     """Answers peeks from the replicas of a node."""
@@ -61,18 +69,39 @@
         replica = self._node.replica(shard) if self._node else None
         if replica is not None:
             return replica.peek(query)
-        address = self._address(shard)
-        if address is None:
-            return None
+        began_s = time.monotonic()
+        # Store machines that are silent must not hold up the question to the leader.
+        address = self._address(shard, timeout_s / 2)
+        left_s = timeout_s - (time.monotonic() - began_s)
+        return self._peek(address, shard, query, left_s) if address and left_s > 0 else None
+
+    def ask_all(self, shard: int, query: Query, timeout_s: float) -> tuple[Reply, ...]:
+        """Answers of all nodes that may hold a replica, the likeliest first, in any zone.
+
+        Each node has the same share of `timeout_s`; those that don't answer in it, or hold
+        nothing, are left out.
+        """
+        nodes = self._locator.candidates(shard)[:MOST_ASKED]
+        replies = [self._ask_node(node, shard, query, timeout_s / len(nodes)) for node in nodes]
+        return tuple(reply for reply in replies if reply is not None)
+
+    def _ask_node(self, node: str, shard: int, query: Query, timeout_s: float) -> Reply | None:
+        replica = self._node.replica(shard) if self._node and node == self._node.name else None
+        if replica is not None:
+            return replica.peek(query)
+        member = self._membership.member(node)
+        return self._peek(member.peer_address, shard, query, timeout_s) if member else None
+
+    def _peek(self, address: str, shard: int, query: Query, timeout_s: float) -> Reply | None:
         request = PeekRequest(shard, self._codec.encode(query))
         match self._transport.request(address, request, timeout_s):
             case Success(PeekAnswer(reply)) if reply is not None:
                 return self._codec.decode(reply, Reply)
         return None
 
-    def _address(self, shard: int) -> str | None:
+    def _address(self, shard: int, patience_s: float) -> str | None:
         """Peer address of a follower in this zone."""
-        self._locator.refresh()
+        self._locator.refresh(patience_s)
         leader = self._leader_node(shard)
         for node in self._locator.likely_first(self._locator.replica_nodes(shard)):
             member = self._membership.member(node)
--- a/src/bellweir/ledger/service.py
+++ b/src/bellweir/ledger/service.py
@@ -236,6 +236,13 @@
             return None
         return self._nearby.ask(_shard_of(key, count), query, timeout_s)
 
+    def ask_replicas(self, key: str, query: Query, timeout_s: float) -> tuple[Reply, ...]:
+        """Answers of the replicas of any zone, each of what that one has applied."""
+        count = self._locator.shard_count() if self._serving.is_set() else None
+        if count is None:
+            return ()
+        return self._nearby.ask_all(_shard_of(key, count), query, timeout_s)
+
     def leads(self, key: str) -> bool:
         """Whether this node leads the key's shard, as far as it knows; not a fence."""
         node = self._node
@@ -278,7 +285,7 @@
         count = self._locator.wait_for_shard_count(timeout_s, self._kernel.clock)
         if count is None:
             return ()
-        self._locator.refresh()
+        self._locator.refresh(timeout_s)
         shard = _shard_of(key, count)
         replica = self._node.replica(shard) if self._node else None
         if replica is not None and replica.log.replicas.voters:
