--- a/features/hosted_reading.feature
+++ b/features/hosted_reading.feature
@@ -39,3 +39,12 @@
 
   Scenario: A job that ends at any place of the log
     Then what was read before the end is read after it, from snapshots and replays alike
+
+  Scenario: The log tells which results were listed, and why others were not
+    Then of results that come twice, late, unknown or without their parts the log tells what became
+
+  Scenario: Readings that are put off are told and counted
+    Given a job with 3 results, of which the replica of the reader's zone has 2
+    When no leader is found, and each call takes all of its time
+    And 20 readings from 2 and 5 readings of an unknown job are put off
+    Then the log tells the first one: job, position and what was missing; and 25 are counted
--- a/features/steps/hosted_reading_steps.py
+++ b/features/steps/hosted_reading_steps.py
@@ -1,14 +1,16 @@
 """Readings of results at gateways, whatever the ledger's leader and replicas have."""
 
+import io
 import itertools
 import json
+import threading
 from types import SimpleNamespace
 
 import hypothesis.strategies as st
 import msgspec
 from behave import given as given_step
 from behave import then, when
-from features.steps.hosted_batch_calls_steps import call
+from features.steps.hosted_batch_calls_steps import ROUTE, call
 from features.support.hosted_jobs import make_job
 from features.support.hosted_readings import (
     NO_LEADER,
@@ -19,7 +21,10 @@
 from hypothesis import given, settings
 from returns.result import Failure, Success
 
+from bellweir.events.log import configure_logs
 from bellweir.hosted.batches.api import BatchApi
+from bellweir.hosted.batches.committer import Committer
+from bellweir.hosted.batches.progress import ItemProgress
 from bellweir.hosted.batches.result_cache import ResultCache
 from bellweir.hosted.batches.state import (
     AcceptJob,
@@ -29,6 +34,7 @@
     KeepParts,
     ReadResults,
     RecordResults,
+    ResultsRecorded,
     StageItems,
     TextPart,
 )
@@ -448,3 +454,78 @@
 def _texts(machine):
     page = machine.answer(ReadResults("job", 0, 1 << 20))
     return [(one.item_id, one.whole_text, one.versions) for one in page.results]
+
+
+def _captured_log(context):
+    log = io.StringIO()
+    configure_logs("debug", "json", log)
+    context.cleanup.callback(configure_logs, "info", "json", io.StringIO())
+    return log
+
+
+def _lines(log, event):
+    lines = [json.loads(line) for line in log.getvalue().splitlines()]
+    return [line for line in lines if line["event"] == event]
+
+
+@then("of results that come twice, late, unknown or without their parts the log tells what became")
+def then_told(context):
+    log = _captured_log(context)
+    ledger = ReplicatedLedger()
+    committer = Committer(ledger, lambda: True)
+    job = make_job("job", 4, 1)
+    ledger.submit("", AcceptJob(job), 1.0)
+
+    def commit(*numbers, behind=0, job_id="job"):
+        found = []
+        for number in numbers:
+            progress = ItemProgress(job, ROUTE, make_job("job", 9, 1).items[number])
+            progress.pieces = ["a text"]
+            result = ItemResult.made(progress.item.id, True, "a text", (1,))
+            progress.result = msgspec.structs.replace(result, behind=behind)
+            found.append(progress)
+        committer._commit(job_id, found, threading.Event())
+
+    commit(0, 1)
+    commit(1, 8)
+    commit(2, behind=3)
+    # The command takes effect, but its outcome is not known: it is sent again.
+    ledger.failures = [(NO_OUTCOME, True)]
+    commit(3)
+    ledger.submit("", EndJob("job", 5.0), 1.0)
+    commit(0)
+    commit(0, job_id="gone")
+    listed = [(line["request_id"], line["cause"]) for line in _lines(log, "item_listed")]
+    unsure = "listed before, perhaps by a try without an outcome"
+    assert listed == [("job-0", None), ("job-1", None), ("job-2", None), ("job-3", unsure)], listed
+    dropped = [
+        (line["job"], line["request_id"], line["cause"]) for line in _lines(log, "item_not_listed")
+    ]
+    assert dropped == [
+        ("job", "job-1", "listed before"),
+        ("job", "job-8", "no such item"),
+        ("job", "job-0", "job ended"),
+        ("gone", "job-0", "no such job"),
+    ], dropped
+    old = msgspec.convert({"type": "ResultsRecorded", "count": 2}, ResultsRecorded)
+    assert (old.count, old.dropped) == (2, {})
+
+
+@when("{known:d} readings from {after:d} and {unknown:d} readings of an unknown job are put off")
+def when_put_off(context, known, after, unknown):
+    context.log = _captured_log(context)
+    counted = context.counted = []
+    context.api = BatchApi(context.ledger, HEADERS, PATHS, count_put_off=counted.append)
+    for job_id, count in (("job", known), ("none", unknown)):
+        for _ in range(count):
+            assert read(context.api, job_id, after).status == 503
+
+
+@then("the log tells the first one: job, position and what was missing; and {count:d} are counted")
+def then_counted(context, count):
+    first, *others = _lines(context.log, "reading_put_off")
+    assert (first["request_id"], first["after"], first["left_out"]) == ("job", 2, 0)
+    assert (first["leader"], first["nearby"]) == ("no leader found in time", "behind")
+    # Another line only if the readings took longer than a second.
+    assert len(others) < count / 2, others
+    assert context.counted == ["behind"] * 20 + ["no_job"] * 5, context.counted
