The log tells results that were dropped, and readings that were put off

Cause: each result of a command was logged as listed also where the job had ended or was forgotten meanwhile, or another leader's result came first; of readings answered 503 nothing was logged. Change: ResultsRecorded tells why each result was dropped (old replies decode, they tell nothing); item_not_listed (1459) beside item_listed, whose cause says when a try without an outcome may have listed it. reading_put_off (1458): job, position, why the leader did not answer, what the zone's replica had; one line a second with the number left out, and the counter bellweir_readings_put_off_total. An item put in twice goes into a command once.

--- a/src/bellweir/hosted/batches/api.py
+++ b/src/bellweir/hosted/batches/api.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections.abc import Callable
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -9,6 +10,7 @@
 from bellweir.events.log import emit
 from bellweir.hosted.batches.formats import decode_job
 from bellweir.hosted.batches.pages import encode_bounded_page
+from bellweir.hosted.batches.put_off import PutOffReadings
 from bellweir.hosted.batches.result_cache import ResultCache
 from bellweir.hosted.batches.state import (
     JOBS_KEY,
@@ -59,15 +61,25 @@
     """Serves the calls through the ledger."""
 
     def __init__(
-        self, ledger: Ledger, names: HeaderNames, paths: CallPaths, *, nearby_reads: bool = True
+        self,
+        ledger: Ledger,
+        names: HeaderNames,
+        paths: CallPaths,
+        *,
+        nearby_reads: bool = True,
+        count_put_off: Callable[[str], None] = lambda _: None,
     ) -> None:
-        """With `nearby_reads` results come from the replica of this zone as far as it has them."""
+        """With `nearby_reads` results come from the replica of this zone as far as it has them.
+
+        `count_put_off` is called for each reading that is put off; see `PutOffReadings`.
+        """
         self._ledger = ledger
         self._paths = paths
         self._names = names
         self._nearby_reads = nearby_reads
         self._pause = threading.Event()
         self._cache = ResultCache()
+        self._put_off = PutOffReadings(count_put_off)
         self.accept_timeout_s = ACCEPT_TIMEOUT_S
 
     def is_call(self, request: Request) -> bool:
@@ -194,10 +206,16 @@
             return near
         query = ReadResults(job_id, after + len(near.results), left_bytes, tenant)
         timeout_s = REST_TIMEOUT_S if near.results else LEADER_TIMEOUT_S
-        found = self._ledger.ask(JOBS_KEY, query, timeout_s).value_or(None)
+        outcome = self._ledger.ask(JOBS_KEY, query, timeout_s)
+        found = outcome.value_or(None)
         if isinstance(found, ResultsPage):
             return ResultsPage(found.total, near.results + found.results)
-        return near if near.results else self._read_replicas(query)
+        anywhere = near if near.results else self._read_replicas(query)
+        if anywhere is None:
+            leader = outcome.failure().detail if isinstance(outcome, Failure) else "wrong reply"
+            nearby = "no_job" if near.total is None else "behind"
+            self._put_off.tell(job_id, after, leader, nearby)
+        return anywhere
 
     def _read_replicas(self, query: ReadResults) -> ResultsPage | None:
         """The longest answer of any replica; None where none has the position.
--- a/src/bellweir/hosted/batches/committer.py
+++ b/src/bellweir/hosted/batches/committer.py
@@ -10,14 +10,15 @@
 from bellweir.hosted.batches.progress import ItemProgress
 from bellweir.hosted.batches.state import (
     JOBS_KEY,
+    LISTED_BEFORE,
     ItemResult,
     KeepParts,
     RecordResults,
     ResultsRecorded,
     TextPart,
 )
-from bellweir.hosted.log_events import ITEM_LISTED
-from bellweir.ledger.interface import Ledger
+from bellweir.hosted.log_events import ITEM_LISTED, ITEM_NOT_LISTED
+from bellweir.ledger.interface import Ledger, Reply
 
 GATHER_S = 0.005
 """Time for which results are gathered into one command."""
@@ -27,6 +28,7 @@
 """Parts of texts in one command; each is what some seconds make."""
 SUBMIT_TIMEOUT_S = 2.0
 POLL_S = 0.2
+NOT_TOLD = "not told: the leader's release only counts"
 
 
 class Committer:
@@ -81,22 +83,31 @@
                     self._ledger.submit(JOBS_KEY, command, SUBMIT_TIMEOUT_S)
 
     def _commit(self, job_id: str, part: list[ItemProgress], stopping: threading.Event) -> None:
-        part = [each for each in part if each.result is not None]
+        # Of an item that was put in twice, around a change of leader, the newest progress counts:
+        # one command that lists it and drops it again could not say what became of it.
+        newest = {each.item.id: each for each in part if each.result is not None}
+        part = list(newest.values())
         results = tuple(each.result for each in part if each.result is not None)
+        # A try without an outcome may have listed what the next one finds listed.
+        is_unsure = False
+        listed: set[str] = set()
         while self._leads() and not stopping.is_set():
             outcome = self._ledger.submit(
                 JOBS_KEY, RecordResults(job_id, results), SUBMIT_TIMEOUT_S
             )
-            if isinstance(outcome, Success):
-                recorded = outcome.unwrap()
-                count = recorded.count if isinstance(recorded, ResultsRecorded) else 0
-                if count < len(results) and any(result.behind for result in results):
-                    # Its parts may not have reached the log; what is listed already stays.
-                    results = tuple(_whole(each) for each in part)
-                    continue
-                for progress, result in zip(part, results, strict=True):
-                    _log_listed(job_id, progress, result)
-                return
+            if not isinstance(outcome, Success):
+                is_unsure = True
+                continue
+            dropped = _dropped(results, outcome.unwrap())
+            listed.update(each.item_id for each in results if each.item_id not in dropped)
+            if dropped and any(result.behind for result in results):
+                # Its parts may not have reached the log; what is listed already stays.
+                results = tuple(_whole(each) for each in part)
+                continue
+            for progress, result in zip(part, results, strict=True):
+                cause = None if result.item_id in listed else dropped[result.item_id]
+                _log_outcome(job_id, progress, result, cause, is_unsure=is_unsure)
+            return
         for progress in part:
             # The coordinator hands it in again if this node leads once more.
             progress.is_committing = False
@@ -121,13 +132,37 @@
     return parts
 
 
-def _log_listed(job_id: str, progress: ItemProgress, result: ItemResult) -> None:
+def _dropped(results: tuple[ItemResult, ...], reply: Reply) -> dict[str, str]:
+    """Why results were dropped, by item.
+
+    A replica of an earlier release only counts them: with fewer than were sent, each may be one.
+    """
+    if not isinstance(reply, ResultsRecorded):
+        return dict.fromkeys((each.item_id for each in results), NOT_TOLD)
+    if reply.dropped or reply.count >= len(results):
+        return reply.dropped
+    return dict.fromkeys((each.item_id for each in results), NOT_TOLD)
+
+
+def _log_outcome(
+    job_id: str,
+    progress: ItemProgress,
+    result: ItemResult,
+    cause: str | None,
+    *,
+    is_unsure: bool,
+) -> None:
+    """Log what became of a result: listed without a `cause`, else dropped for it."""
+    state = "completed" if result.is_complete else "dead"
+    known = {"request_id": result.item_id, "job": job_id, "state": state}
+    is_listed = cause is None or (is_unsure and cause == LISTED_BEFORE)
+    if not is_listed:
+        emit(ITEM_NOT_LISTED, **known, events=progress.events, cause=cause)
+        return
     emit(
         ITEM_LISTED,
-        request_id=result.item_id,
-        job=job_id,
-        state="completed" if result.is_complete else "dead",
+        **known,
         events=progress.events,
         versions=list(result.versions),
-        cause=None,
+        cause=cause and f"{cause}, perhaps by a try without an outcome",
     )
--- a/src/bellweir/hosted/batches/state.py
+++ b/src/bellweir/hosted/batches/state.py
@@ -19,6 +19,11 @@
 
 RESULT_OVERHEAD_BYTES = 256
 """Bytes of a listed result besides its text."""
+NO_SUCH_JOB = "no such job"
+JOB_IS_ENDED = "job ended"
+NO_SUCH_ITEM = "no such item"
+LISTED_BEFORE = "listed before"
+PARTS_MISSING = "parts missing"
 MAXIMUM_STAGED_JOBS = 16
 """Jobs whose parts wait at once; a client that gave up leaves its parts behind."""
 
@@ -200,9 +205,11 @@
 
 
 class ResultsRecorded(Reply, frozen=True):
-    """How many results were new."""
+    """How many results were new, and why the others were not."""
 
     count: int
+    dropped: dict[str, str] = {}
+    """Causes by item; empty from replicas of earlier releases, and of parts."""
 
 
 class JobEnded(Reply, frozen=True):
@@ -378,8 +385,16 @@
     def _record(self, job_id: str, results: tuple[ItemResult, ...]) -> Reply:
         state = self.jobs.get(job_id)
         if state is None or not state.is_open:
-            return ResultsRecorded(0)
-        return ResultsRecorded(sum(state.add(result) for result in results))
+            cause = NO_SUCH_JOB if state is None else JOB_IS_ENDED
+            return ResultsRecorded(0, {result.item_id: cause for result in results})
+        dropped: dict[str, str] = {}
+        for result in results:
+            if result.item_id in state.listed:
+                dropped[result.item_id] = LISTED_BEFORE
+            elif not state.add(result):
+                is_known = result.item_id in state.items
+                dropped[result.item_id] = PARTS_MISSING if is_known else NO_SUCH_ITEM
+        return ResultsRecorded(len(results) - len(dropped), dropped)
 
     def _keep(self, job_id: str, parts: tuple[TextPart, ...]) -> Reply:
         state = self.jobs.get(job_id)
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -295,3 +295,17 @@
     "Counts of this gateway reached the log after their window was settled: they are not reported.",
     is_final=True,
 )
+READING_PUT_OFF = Event(
+    1458,
+    "reading_put_off",
+    Level.WARNING,
+    ("request_id", "after", "leader", "nearby", "left_out"),
+    "A reading of results was answered 503: nobody knew the position; one line a second at most.",
+)
+ITEM_NOT_LISTED = Event(
+    1459,
+    "item_not_listed",
+    Level.INFO,
+    ("request_id", "job", "state", "events", "cause"),
+    "An item's result was dropped when it reached the log; the cause tells why.",
+)
