Test: one data node of three is left and is read; failing: bodies of items without a leader

Run: behave features/hosted_reading.feature: the replica that stands alone is read by all nodes; the body is answered 503 though a replica has it.

--- a/features/hosted_reading.feature
+++ b/features/hosted_reading.feature
@@ -48,3 +48,14 @@
     When no leader is found, and each call takes all of its time
     And 20 readings from 2 and 5 readings of an unknown job are put off
     Then the log tells the first one: job, position and what was missing; and 25 are counted
+
+  Scenario: One data node of three is left, and stands alone
+    Given a ledger on three nodes with data folders, and four nodes without
+    When commands are applied everywhere, and two of the nodes with data folders are cut off
+    Then no leader answers, and each node still reads all of it from the replica that is left
+
+  Scenario: Bodies of items while no leader is found
+    Given a job with 3 results, of which the replica of the reader's zone has 0
+    And a replica of another zone that has all of them
+    When no leader is found, and each call takes all of its time
+    Then the body of an item that is not listed is read, and that of another job's item is put off
--- a/features/steps/hosted_reading_steps.py
+++ b/features/steps/hosted_reading_steps.py
@@ -11,6 +11,8 @@
 from behave import given as given_step
 from behave import then, when
 from features.steps.hosted_batch_calls_steps import ROUTE, call
+from features.steps.ledger_relay_steps import DATA, OTHERS, append
+from features.steps.ledger_relay_steps import KEY as ITEMS_KEY
 from features.support.hosted_jobs import make_job
 from features.support.hosted_readings import (
     NO_LEADER,
@@ -18,6 +20,8 @@
     LaggingReplica,
     ReplicatedLedger,
 )
+from features.support.ledger_nodes import ItemList, ReadItems
+from features.support.waiting import wait_until
 from hypothesis import given, settings
 from returns.result import Failure, Success
 
@@ -529,3 +533,43 @@
     # Another line only if the readings took longer than a second.
     assert len(others) < count / 2, others
     assert context.counted == ["behind"] * 20 + ["no_job"] * 5, context.counted
+
+
+@when("commands are applied everywhere, and two of the nodes with data folders are cut off")
+def when_alone(context):
+    nodes = context.nodes
+    context.appended = [append(context, OTHERS[0]) for _ in range(5)]
+    assert None not in context.appended
+
+    def is_everywhere():
+        replicas = [nodes[name].ledger.local_machine(ITEMS_KEY, ItemList) for name in DATA]
+        return all(context.appended[-1] in replica.items for replica in replicas)
+
+    wait_until(is_everywhere, "all replicas have applied the commands")
+    for lost in DATA[:2]:
+        context.network.cut_pairs |= {frozenset((lost, name)) for name in nodes if name != lost}
+
+
+@then("no leader answers, and each node still reads all of it from the replica that is left")
+def then_left(context):
+    wait_until(
+        lambda: (
+            not isinstance(context.nodes[DATA[2]].ledger.ask(ITEMS_KEY, ReadItems(), 0.3), Success)
+        ),
+        "nobody leads the ledger",
+    )
+    for name in (*OTHERS, DATA[2]):
+        ledger = context.nodes[name].ledger
+        assert not isinstance(ledger.ask(ITEMS_KEY, ReadItems(), 0.3), Success)
+        (reply,) = ledger.ask_replicas(ITEMS_KEY, ReadItems(), 1.0)
+        assert reply.items[-5:] == tuple(context.appended), reply
+
+
+@then("the body of an item that is not listed is read, and that of another job's item is put off")
+def then_body(context):
+    for item_id, status, content in (("job-5", 200, b"prompt"), ("other-5", 503, None)):
+        context.ledger.waits_s.clear()
+        answer = context.api.serve_call(call("GET", "/api/items/job", query=f"id={item_id}"))
+        assert answer.status == status, answer.status
+        assert content is None or answer.body == content
+        assert sum(context.ledger.waits_s) < CLIENT_PATIENCE_S, context.ledger.waits_s
