--- a/src/bellweir/hosted/batches/api.py
+++ b/src/bellweir/hosted/batches/api.py
@@ -2,12 +2,15 @@
 
 import threading
 import time
+from collections.abc import Callable
 
 import msgspec
 from returns.result import Failure, Result, Success
 
 from bellweir.events.log import emit
-from bellweir.hosted.batches.formats import decode_job, encode_page
+from bellweir.hosted.batches.formats import decode_job
+from bellweir.hosted.batches.pages import encode_bounded_page
+from bellweir.hosted.batches.put_off import PutOffReadings
 from bellweir.hosted.batches.result_cache import ResultCache
 from bellweir.hosted.batches.state import (
     JOBS_KEY,
@@ -31,7 +34,7 @@
 from bellweir.ledger.interface import Ledger, LedgerError, LedgerErrorKind, Reply
 
 PAGE_BYTES = 700_000
-"""Text in one answer; the rest follows with the next call."""
+"""Characters read for one answer, about; the rest follows with the next call."""
 ACCEPT_TIMEOUT_S = 3.0
 PART_BYTES = 400_000
 """Bodies in one command; the ledger takes a mebibyte."""
@@ -40,6 +43,14 @@
 CALL_TIMEOUT_S = 1.5
 NEARBY_TIMEOUT_S = 0.15
 """Time for the replica of the own zone, which answers in a few milliseconds."""
+LEADER_TIMEOUT_S = 0.9
+"""Time for the leader to answer a reading: longer than the 0.8 s after which a gateway that is cut
+off from the ledger turns to another one. A client gives up 1.5 s after the time for which it lets
+its reading be held; what is known elsewhere must be shown before."""
+REST_TIMEOUT_S = 0.3
+"""The same where the zone's replica has given something: the next reading asks for the rest."""
+REPLICAS_TIMEOUT_S = 0.3
+"""Time for the replicas of all zones, while the leader does not answer."""
 LONGEST_HOLD_S = 1.0
 HOLD_POLL_S = 0.15
 """Pause between two looks while a reading is held until there is a result."""
@@ -50,15 +61,25 @@
     """Serves the calls through the ledger."""
 
     def __init__(
-        self, ledger: Ledger, names: HeaderNames, paths: CallPaths, *, nearby_reads: bool = True
+        self,
+        ledger: Ledger,
+        names: HeaderNames,
+        paths: CallPaths,
+        *,
+        nearby_reads: bool = True,
+        count_put_off: Callable[[str], None] = lambda _: None,
     ) -> None:
-        """With `nearby_reads` results come from the replica of this zone as far as it has them."""
+        """With `nearby_reads` results come from the replica of this zone as far as it has them.
+
+        `count_put_off` is called for each reading that is put off; see `PutOffReadings`.
+        """
         self._ledger = ledger
         self._paths = paths
         self._names = names
         self._nearby_reads = nearby_reads
         self._pause = threading.Event()
         self._cache = ResultCache()
+        self._put_off = PutOffReadings(count_put_off)
         self.accept_timeout_s = ACCEPT_TIMEOUT_S
 
     def is_call(self, request: Request) -> bool:
@@ -158,14 +179,13 @@
                 return own_response(404, "no_such_job")
             held = not page.results and time.monotonic() < until_s
             if not held or request.caller_has_left():
-                content = encode_page(page.total, after, page.results)
+                content = encode_bounded_page(page.total, after, page.results)
                 return Response(200, [("Content-Type", "application/json")], content)
             self._pause.wait(HOLD_POLL_S)
 
     def _read_page(self, job_id: str, after: int, tenant: str) -> ResultsPage | None:
         """Results from a position on; None when nobody can tell."""
-        # What one tenant has been shown of a job proves nothing for another one.
-        key = f"{tenant}/{job_id}"
+        key = (tenant, job_id)
         known = self._cache.page(key, after, PAGE_BYTES)
         if known is not None:
             return ResultsPage(*known)
@@ -177,17 +197,38 @@
     def _read_ledger(self, job_id: str, after: int, tenant: str) -> ResultsPage | None:
         """Results from the replica of this zone, then from the leader whatever that one lacks.
 
-        A position never changes once it is there, so that an older answer is as good for it.
+        A position never changes once it is there, so that an older answer is as good for it. That
+        there is no such job is believed of the leader only.
         """
         near = self._read_nearby(job_id, after, tenant)
         left_bytes = PAGE_BYTES - sum(result.shown_size for result in near.results)
-        if near.results and left_bytes <= 0:
+        if _is_at_end(near, after) or (near.results and left_bytes <= 0):
             return near
         query = ReadResults(job_id, after + len(near.results), left_bytes, tenant)
-        found = self._ledger.ask(JOBS_KEY, query, CALL_TIMEOUT_S).value_or(None)
-        if not isinstance(found, ResultsPage):
-            return near if near.results else None
-        return ResultsPage(found.total, near.results + found.results)
+        timeout_s = REST_TIMEOUT_S if near.results else LEADER_TIMEOUT_S
+        outcome = self._ledger.ask(JOBS_KEY, query, timeout_s)
+        found = outcome.value_or(None)
+        if isinstance(found, ResultsPage):
+            return ResultsPage(found.total, near.results + found.results)
+        anywhere = near if near.results else self._read_replicas(query)
+        if anywhere is None:
+            leader = outcome.failure().detail if isinstance(outcome, Failure) else "wrong reply"
+            nearby = "no_job" if near.total is None else "behind"
+            self._put_off.tell(job_id, after, leader, nearby)
+        return anywhere
+
+    def _read_replicas(self, query: ReadResults) -> ResultsPage | None:
+        """The longest answer of any replica; None where none has the position.
+
+        With one replica left, which can't be elected, what it has can still be read.
+        """
+        replies = self._ledger.ask_replicas(JOBS_KEY, query, REPLICAS_TIMEOUT_S)
+        pages = [
+            page
+            for page in replies
+            if isinstance(page, ResultsPage) and (page.results or _is_at_end(page, query.after))
+        ]
+        return max(pages, key=lambda page: len(page.results), default=None)
 
     def _read_nearby(self, job_id: str, after: int, tenant: str) -> ResultsPage:
         if not self._nearby_reads:
@@ -198,13 +239,25 @@
 
     def _item_body(self, request: Request, job_id: str, tenant: str) -> Response:
         query = ReadItem(job_id, request.query("id") or "", tenant)
-        found = self._ledger.ask(JOBS_KEY, query, CALL_TIMEOUT_S).value_or(None)
+        found = self._ledger.ask(JOBS_KEY, query, LEADER_TIMEOUT_S).value_or(None)
         if not isinstance(found, ItemBody):
+            found = self._body_of_replicas(query)
+        if found is None:
             return own_response(503, "no_ledger", RETRY_AFTER_S)
         if found.body is None:
             return own_response(404, "no_such_item")
         return Response(200, [("Content-Type", "application/octet-stream")], found.body)
 
+    def _body_of_replicas(self, query: ReadItem) -> ItemBody | None:
+        """A body that any replica has; None where none has it.
+
+        An item's body never changes. That there is none is believed of the leader only.
+        """
+        for reply in self._ledger.ask_replicas(JOBS_KEY, query, REPLICAS_TIMEOUT_S):
+            if isinstance(reply, ItemBody) and reply.body is not None:
+                return reply
+        return None
+
     def _end(self, job_id: str, tenant: str) -> Response:
         command = EndJob(job_id, time.time(), tenant)
         ended = self._ledger.submit(JOBS_KEY, command, CALL_TIMEOUT_S)
@@ -217,6 +270,11 @@
         return own_response(503, "no_ledger", RETRY_AFTER_S)
 
 
+def _is_at_end(page: ResultsPage, after: int) -> bool:
+    """Whether nothing can ever follow a page that was read from a position on."""
+    return page.total is not None and after + len(page.results) >= page.total
+
+
 def job_of_tenant(job: Job, tenant: str, names: HeaderNames) -> Job:
     """Return a job as its tenant's: its items' headers hold neither a key nor another name."""
     dropped = names.of_client_only
