--- a/features/steps/ledger_redundancy_steps.py
+++ b/features/steps/ledger_redundancy_steps.py
@@ -26,8 +26,10 @@
 from features.support.ledger_simulation import SHARD
 
 from bellweir.ledger.entries import ReplicaId, ReplicaSet
+from bellweir.ledger.messages import SnapshotPart
 from bellweir.ledger.placement import PlacementCandidate
 from bellweir.ledger.reconfiguration import ShardView, next_replica_set
+from bellweir.wire.interface import Sender
 
 SEEDS = range(6)
 SUCCESSORS_S = (0.3, 1.0, 2.0)
@@ -149,6 +151,21 @@
                     self.told.append(f"{name} is taken away")
                     self.simulation.kill(name)
 
+    def catch_up(self):
+        """Wait as long as is owed; meanwhile processes may be killed, all of them, too."""
+        if self.chance.random() < 0.4:
+            self.run_for(self.chance.uniform(0.0, 2.5))
+            running = sorted(self.simulation.nodes)
+            leads = [each.name for each in self.simulation.leaders()]
+            killed = self.chance.choice((running, leads or running[:1], running[:1]))
+            self.told.append(f"kill of {' '.join(killed)}")
+            for name in killed:
+                self.simulation.kill(name)
+            self.run_for(0.3)
+            for name in killed:
+                self.simulation.start(name)
+        self.run_for(CATCH_UP_S)
+
     def replace(self):
         """One is gone for good, and an empty one comes in its place."""
         gone, come = self.chance.choice(self.staying()), self.new.pop(0)
@@ -157,7 +174,7 @@
         self.simulation.kill(gone)
         self.run_for(pause_s)
         self.simulation.start(come)
-        self.run_for(CATCH_UP_S)
+        self.catch_up()
 
     def replace_as_planned(self):
         """A new one comes first, then one is stopped for good."""
@@ -180,7 +197,7 @@
         self.simulation.kill(name)
         self.run_for(pause_s)
         self.simulation.start_empty(name)
-        self.run_for(CATCH_UP_S)
+        self.catch_up()
 
     def freeze(self):
         """One stands still, or is without power, for about the time after which it is replaced."""
@@ -277,3 +294,28 @@
         assert leaves not in [
             one.node for one in simulation.leader().replica(SHARD).log.replicas.everyone
         ]
+
+
+@then("a replica that has installed it asks for no part of it again")
+def then_no_part_again(context):
+    simulation = MachineSimulation(NAMES, 1)
+    context.add_cleanup(simulation.close)
+    parts = []
+    request = simulation.request
+
+    def watch(origin, target, message):
+        if isinstance(message, SnapshotPart):
+            parts.append((target, message))
+        return request(origin, target, message)
+
+    simulation.request = watch
+    simulation.run_for(10.0)
+    wiped = next(name for name in NAMES[:3] if name != simulation.leader().name)
+    simulation.kill(wiped)
+    simulation.start_empty(wiped)
+    simulation.run_for(CATCH_UP_S)
+    target, last = parts[-1]
+    assert target == wiped, "the state was not sent"
+    answer = simulation.nodes[target].node.handle_snapshot_part(Sender("x", "x"), last)
+    assert answer.accepted, answer
+    assert answer.next_offset == last.total_bytes, answer
