Hold on to a learner until all voters were heard, and replace at once also after a restart

Cause: a new leader counted a voter that had not answered it yet as healthy and dropped the learner that was to take its place; what a process saw in its first 2 s was no successor, so that after the loss of all processes a replacement waited for 3 s more; a learner was no successor either. A state's last part, answered late, made the follower ask for all parts again.

--- a/src/bellweir/ledger/keeper.py
+++ b/src/bellweir/ledger/keeper.py
@@ -42,8 +42,6 @@
 """A node that was first seen so shortly before a voter fell silent, or since, is its successor."""
 PLANNED_S = 5.0
 """A planned replacement's process stops within this time from the start of its successor."""
-SETTLED_AFTER_S = 2.0
-"""Nodes that are seen within this time from this node's start are none that came just now."""
 ASKED_AT_ONCE = 3
 """Nodes that are asked for the placement in one step; whoever has it spreads it the same way."""
 REFRESH_PERIOD_S = 10.0
@@ -75,7 +73,6 @@
         self._silent_since_s: dict[ReplicaId, float] = {}
         self._gone: set[ReplicaId] = set()
         """Silent replicas that are being replaced: they stay lost while they are silent."""
-        self._started_s = clock.monotonic_s()
         self._first_seen_s: dict[str, float] = {}
         self._disks: dict[str, ReplicaId | None] = {}
         self._refresh_due_s = 0.0
@@ -216,14 +213,16 @@
         self._gone &= silent
 
     def _note_nodes(self) -> None:
-        """Note when each node with a data folder was seen first."""
+        """Note when each node with a data folder was seen first.
+
+        For a node that starts, all others have just come: everyone may have been restarted in the
+        middle of a replacement.
+        """
         now_s = self._clock.monotonic_s()
         since_s = self._first_seen_s
-        is_settled = now_s - self._started_s >= SETTLED_AFTER_S
-        first_s = now_s if is_settled else float("-inf")
         nodes = [member.node for member in self._data_members()]
         # One that is away for a moment is no new one when it is back.
-        self._first_seen_s = since_s | {node: since_s.get(node, first_s) for node in nodes}
+        self._first_seen_s = since_s | {node: since_s.get(node, now_s) for node in nodes}
 
     def _mend(self, replica: Replica) -> bool:
         """Begin the next change of a shard's replicas; whether one was begun."""
@@ -259,7 +258,7 @@
             replicas=replicas,
             own=self._node.own,
             caught_up=replica.caught_up(),
-            lost=self._lost(replicas.everyone, candidates),
+            lost=self._lost(replicas, candidates),
             candidates=candidates,
             silent=frozenset(self._silent_since_s),
             retiring=frozenset(one for one in known if one.node in self.retiring),
@@ -269,7 +268,7 @@
         )
 
     def _lost(
-        self, replicas: Collection[ReplicaId], candidates: Iterable[PlacementCandidate]
+        self, replicas: ReplicaSet, candidates: Iterable[PlacementCandidate]
     ) -> frozenset[ReplicaId]:
         """Replicas to be replaced: their disk is another one now, or they won't come back.
 
@@ -278,10 +277,10 @@
         runs from its start.
         """
         now_s = self._clock.monotonic_s()
-        held = {one.node for one in replicas}
-        free = [one.replica.node for one in candidates if one.replica.node not in held]
-        newest_s = max((self._first_seen_s.get(node, now_s) for node in free), default=None)
-        for replica in replicas:
+        voting = {one.node for one in replicas.voters}
+        spare = [one.replica.node for one in candidates if one.replica.node not in voting]
+        newest_s = max((self._first_seen_s.get(node, now_s) for node in spare), default=None)
+        for replica in replicas.everyone:
             since_s = self._silent_since_s.get(replica)
             if since_s is None or replica in self._gone:
                 continue
@@ -289,7 +288,7 @@
             is_gone = has_successor or now_s - since_s >= self._settings.replace_after_s
             if is_gone or self._has_new_disk(replica):
                 self._gone.add(replica)
-        return frozenset(self._gone.intersection(replicas))
+        return frozenset(self._gone.intersection(replicas.everyone))
 
     def _is_young(self, replica: ReplicaId, within_s: float) -> bool:
         """Whether a replica's node was first seen within so many seconds."""
--- a/src/bellweir/ledger/node.py
+++ b/src/bellweir/ledger/node.py
@@ -307,6 +307,9 @@
             return SnapshotAnswer(0, False, 0)
         if part.term < replica.term or part.total_bytes > MAXIMUM_SNAPSHOT_BYTES:
             return SnapshotAnswer(replica.term, False, 0)
+        if replica.commit_index >= part.index:
+            # Its last part came before, and the answer was late: it need not be sent anew.
+            return SnapshotAnswer(replica.term, True, part.total_bytes)
         with self._lock:
             incoming = self._incoming.get(part.shard)
             if incoming is None or not incoming.fits(part):
--- a/src/bellweir/ledger/reconfiguration.py
+++ b/src/bellweir/ledger/reconfiguration.py
@@ -96,7 +96,8 @@
         return ReplicaSet(_without(voters, lost_voter), learners)
     if len(voters) > wanted:
         return _without_surplus(view, wanted)
-    if learners:
+    # One that a new leader has not heard yet may be the dead one whose place the learner takes.
+    if learners and len(view.sound_voters()) >= wanted:
         return ReplicaSet(voters, learners[:-1])
     return None
 
