Tests: damage found once stays found; the rig itself

The second shows that the rig keeps what was synced and takes each kind of change that was not, independently.

--- a/features/ledger_power.feature
+++ b/features/ledger_power.feature
@@ -15,6 +15,9 @@
   Scenario: A loss of power while damaged files are put aside
     Then a damaged journal whose power goes while it starts over is whole or has a new identity
 
+  Scenario: Damage that was found once
+    Then a journal found damaged is never again taken for whole, wherever the power goes
+
   Scenario: A start that can't read its files
     Then a journal whose files can't be opened keeps its identity for a later start
 
@@ -26,3 +29,6 @@
 
   Scenario: A removed file that comes back
     Then a journal keeps its identity when its first start was killed and later the power goes
+
+  Scenario: The rig itself
+    Then a loss of power keeps what was synced and may take each kind of change that was not
--- a/features/steps/ledger_power_steps.py
+++ b/features/steps/ledger_power_steps.py
@@ -12,6 +12,7 @@
 from features.support.power_rig import Machine
 from hypothesis import given, settings
 
+from bellweir.ledger.durable_files import replace_file
 from bellweir.ledger.entries import Entry, ReplicaId, ReplicaSet
 from bellweir.ledger.journal import (
     AppendEntries,
@@ -229,6 +230,49 @@
     assert len(new_identities) > 20, "the damage was hardly ever found"
 
 
+@then("a journal found damaged is never again taken for whole, wherever the power goes")
+def then_found_once(context):
+    put_aside = []
+
+    @settings(parent=BOUNDED, max_examples=150)
+    @given(seed=SEEDS, steps=st.integers(1, 30))
+    def found(seed, steps):
+        lives = Lives(random.Random(seed))
+        folder = lives.machine.folder
+        try:
+            # Whole groups in the database, newer ones in a write-ahead log that is damaged, and
+            # marks that no sync has covered yet.
+            with lives.machine.life() as (_, opened):
+                opened.append(SqliteJournal(folder))
+                opened[0].load()
+                name = opened[0].disk
+                opened[0].buffer(SaveTerm(0, 1, 1, None))
+                for index in range(1, 45):
+                    opened[0].buffer(AppendEntries(0, [Entry(index, 1, 1, b"payload")]))
+                    opened[0].sync()
+                    if index == 40:
+                        opened[0]._connection.execute("PRAGMA wal_checkpoint(FULL)")
+            path = folder / (DATABASE_NAME + "-wal")
+            content = bytearray(path.read_bytes())
+            content[60] ^= 0x41
+            path.write_bytes(content)
+            with lives.machine.life(steps) as (_, opened):
+                opened.append(SqliteJournal(folder))
+                opened[0].load()
+            if not list(folder.glob("damaged-*")):
+                return
+            put_aside.append(steps)
+            lives.machine.lose_power()
+            disk, shards = found_by(lives.machine)
+            whole = 0 in shards and len(shards[0].entries) == 44
+            assert disk != name or whole, f"entries are gone: {lives.machine.report}"
+        finally:
+            lives.machine.close()
+
+    found()
+    assert len(put_aside) > 20, "the files were hardly ever put aside"
+
+
 def damage_entry(folder, chance):
     """Flip a byte in what the files hold; the disk's fault, so it is noted nowhere."""
     names = [name for name in (DATABASE_NAME, DATABASE_NAME + "-wal") if (folder / name).exists()]
@@ -336,3 +380,52 @@
             machine.close()
 
     kept()
+
+
+@then("a loss of power keeps what was synced and may take each kind of change that was not")
+def then_rig(context):
+    found = [after_unsynced_changes(seed) for seed in range(60)]
+    for part, outcomes in {
+        "written": {b"old", b"new", "torn"},
+        "made": {True, False},
+        "renamed": {True, False},
+        "removed": {True, False},
+        "folder": {True, False},
+    }.items():
+        seen = {each[part] for each in found}
+        assert seen == outcomes, f"{part}: {seen}"
+    assert len({tuple(each.items()) for each in found}) > 16, "changes go together"
+
+
+def after_unsynced_changes(seed):
+    """What is left of one change of each kind, made behind a sync of everything."""
+    machine = Machine(random.Random(seed))
+    folder = machine.folder
+    try:
+        with machine.life():
+            for name in ("written", "from", "removed"):
+                replace_file(folder / name, b"old")
+            descriptor = os.open(folder / "written", os.O_RDWR)
+            os.pwrite(descriptor, b"new", 0)
+            os.close(descriptor)
+            descriptor = os.open(folder / "made", os.O_RDWR | os.O_CREAT)
+            os.write(descriptor, b"made")
+            os.fsync(descriptor)
+            os.close(descriptor)
+            (folder / "from").replace(folder / "to")
+            (folder / "removed").unlink()
+            (folder / "new").mkdir()
+        machine.lose_power()
+        assert (folder / "from").exists() != (folder / "to").exists()
+        for name in ("from", "to", "removed"):
+            assert not (folder / name).exists() or (folder / name).read_bytes() == b"old"
+        content = (folder / "written").read_bytes()
+        return {
+            "written": content if content in (b"old", b"new") else "torn",
+            "made": (folder / "made").exists(),
+            "renamed": (folder / "to").exists(),
+            "removed": not (folder / "removed").exists(),
+            "folder": (folder / "new").exists(),
+        }
+    finally:
+        machine.close()
--- a/src/bellweir_rehearsal/hosted/unsynced.py
+++ b/src/bellweir_rehearsal/hosted/unsynced.py
@@ -161,7 +161,8 @@
 class UnsyncedLog:
     """Takes the notes of one process; continues those of the process's former lives.
 
-    A change is noted and made under `lock`, so that what `now` tells is finished.
+    A change is noted and made under `lock`, which the caller holds, so that what `now` tells is
+    finished.
     """
 
     __slots__ = ("_descriptor", "_pending", "_records", "_size", "lock")
@@ -207,7 +208,8 @@
 
     def file_synced(self, file: int, through: int) -> None:
         """Note that a file's sync, begun at `through`, has returned."""
-        self._note(FileSynced(self._next(), file, through))
+        with self.lock:
+            self._note(FileSynced(self._next(), file, through))
 
     def folder_synced(self, folder: str, through: int) -> None:
         """Note that a folder's sync, begun at `through`, has returned."""
