Test, failing: signals while a process starts

Found by the soak: three gateways of ten ended by SIGHUP, one store machine with -15 on a planned stop, each within its start.

--- a/features/hosted_settings.feature
+++ b/features/hosted_settings.feature
@@ -24,3 +24,7 @@
   Scenario: Keys of later versions
     Given settings with keys that nobody knows
     Then they are accepted, and the keys are told
+
+  Scenario: Signals while a process starts
+    Then a hosted process that is told of changed settings while it reads them starts on
+    And a hosted process that is stopped while it reads its settings ends with exit code 0
--- a/features/steps/hosted_settings_steps.py
+++ b/features/steps/hosted_settings_steps.py
@@ -1,8 +1,12 @@
 """Settings of hosted processes."""
 
 import json
+import os
+import signal
 import subprocess
 import sys
+import tempfile
+from pathlib import Path
 
 import msgspec
 from behave import given as given_step
@@ -164,3 +168,38 @@
     assert done.returncode == 3
     assert "batches.keepTextsS" in done.stderr
     assert "node.name" in done.stderr
+
+
+def starting(context):
+    """A process that waits for its settings, and the file from which it reads them."""
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    file = Path(folder.name) / "settings.json"
+    os.mkfifo(file)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "bellweir.hosted", "gateway"],
+        stdout=subprocess.PIPE,
+        env={**os.environ, "BELLWEIR_CONFIG": str(file)},
+    )
+    context.add_cleanup(process.kill)
+    # Opening waits until the process has opened it for reading.
+    return process, file.open("w", encoding="utf-8")
+
+
+@then("a hosted process that is told of changed settings while it reads them starts on")
+def then_starts_on(context):
+    process, settings = starting(context)
+    process.send_signal(signal.SIGHUP)
+    settings.write("{}")
+    settings.close()
+    told, _ = process.communicate(timeout=20)
+    assert process.returncode == 2, f"exit code {process.returncode}"
+    assert b"settings_refused" in told
+
+
+@then("a hosted process that is stopped while it reads its settings ends with exit code 0")
+def then_ends_well(context):
+    process, settings = starting(context)
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(20) == 0, f"exit code {process.returncode}"
+    settings.close()
