--- a/src/bellweir/ledger/keeper.py
+++ b/src/bellweir/ledger/keeper.py
@@ -284,7 +284,12 @@
             since_s = self._silent_since_s.get(replica)
             if since_s is None or replica in self._gone:
                 continue
-            has_successor = newest_s is not None and newest_s >= since_s - YOUNG_S
+            # A learner stays silent while it installs a large state, and is no successor of itself.
+            has_successor = (
+                replica in replicas.voters
+                and newest_s is not None
+                and newest_s >= since_s - YOUNG_S
+            )
             is_gone = has_successor or now_s - since_s >= self._settings.replace_after_s
             if is_gone or self._has_new_disk(replica):
                 self._gone.add(replica)
