--- a/features/hosted_soak.feature
+++ b/features/hosted_soak.feature
@@ -11,4 +11,6 @@
     Then faults have struck and everything that must hold of the soak has held
 
   Scenario: Losses stay within what is tolerated
-    Then at any order of faults no more store machines are lost at once than tolerated
+    Then at any order of faults no more disks are lost at once than tolerated
+    And a machine counts as whole once it has had its time to catch up, a removed one's successor too
+    And a disk may be lost while all others lose power, unless a machine is lost besides
--- a/features/steps/hosted_soak_steps.py
+++ b/features/steps/hosted_soak_steps.py
@@ -4,8 +4,8 @@
 from behave import then, when
 from hypothesis import given, settings
 
+from bellweir_rehearsal.hosted.losses import CATCH_UP_S, LossBudget
 from bellweir_rehearsal.hosted.soak import HostedSoak
-from bellweir_rehearsal.hosted.soak_faults import CATCH_UP_S, LossBudget
 
 
 @when(
@@ -33,40 +33,111 @@
 def then_held(context):
     assert context.soak.strikes, "no fault struck"
     for check in context.soak.checks:
-        # No stop may have been drawn in so short a time.
-        held = not check.faults if check is context.soak.stops else check.held
+        # No stop and no retirement may have been drawn in so short a time.
+        held = context.soak.holds(check)
         assert held, (check.name, check.checked, check.faults[:3], context.soak.strikes)
 
 
-@then("at any order of faults no more store machines are lost at once than tolerated")
+@then("at any order of faults no more disks are lost at once than tolerated")
 def then_within(context):
     stores = [f"store-{number}" for number in range(5)]
-    wanted = st.one_of(
-        st.lists(st.sampled_from([*stores, "gateway-0"]), max_size=2, unique=True),
-        st.just(stores),
+    everyone = [*stores, "gateway-0"]
+    part = st.lists(st.sampled_from(everyone), max_size=2, unique=True)
+    taken = st.one_of(
+        st.tuples(part, st.just(())),
+        part.map(lambda names: (names, tuple(names))),
+        st.just((everyone, ())),
+        st.tuples(
+            st.just(everyone),
+            st.lists(st.sampled_from(stores), max_size=3, unique=True),
+        ),
     )
+    step = st.tuples(taken, st.sampled_from(["take", "give back", "replace"]), st.floats(0, 6))
 
-    @settings(max_examples=200)
-    @given(steps=st.lists(st.tuples(wanted, st.booleans(), st.floats(0, 6)), max_size=30))
+    @settings(max_examples=300)
+    @given(steps=st.lists(step, max_size=30))
     def within(steps):
-        budget, now_s = LossBudget(5, 2), 0.0
-        struck, back_s = [], {}
-        for names, gives_back, passed_s in steps:
+        budget, oracle, now_s = LossBudget(stores, 2), LossOracle(stores), 0.0
+        for (names, disks), what, passed_s in steps:
             now_s += passed_s
-            if gives_back and struck:
-                returned = struck.pop(0)
-                budget.give_back(returned, at_s=now_s)
-                back_s |= {name: now_s + CATCH_UP_S for name in returned if name in stores}
-                continue
-            lost = {name for held in struck for name in held if name in stores}
-            lost |= {name for name, until_s in back_s.items() if until_s > now_s}
-            if not budget.take(names, now_s=now_s):
-                continue
-            assert not any(set(names) & set(held) for held in struck)
-            if set(names) >= set(stores):
-                assert not lost
-            elif any(name in stores for name in names):
-                assert len(lost | (set(names) & set(stores))) <= 2
-            struck.append(names)
+            if what == "take":
+                if budget.take(names, now_s=now_s, disks=disks):
+                    oracle.check_taken(names, disks, now_s)
+            elif oracle.struck:
+                returned, _ = oracle.struck.pop(0)
+                single = len(returned) == 1 and returned[0] in oracle.stores
+                if what == "replace" and single:
+                    successor = f"store-{len(oracle.ever)}"
+                    budget.replace(returned[0], successor, at_s=now_s)
+                    oracle.replaced(returned[0], successor, now_s)
+                else:
+                    budget.give_back(returned, at_s=now_s)
+                    oracle.returned(returned, now_s)
 
     within()
+
+
+class LossOracle:
+    """What is lost, told from every step that a budget allowed."""
+
+    def __init__(self, stores):
+        self.stores = set(stores)
+        self.ever = list(stores)
+        self.struck = []
+        self.back_s = {}
+        self.disks = set()
+
+    def lost(self, now_s):
+        held = {name for names, _ in self.struck for name in names}
+        late = {name for name, until_s in self.back_s.items() if until_s > now_s}
+        return (held | late) & self.stores
+
+    def check_taken(self, names, disks, now_s):
+        assert not any(set(names) & set(held) for held, _ in self.struck)
+        lost, wanted = self.lost(now_s), set(names) & self.stores
+        self.disks &= lost
+        if not wanted or len(lost | wanted) <= 2:
+            pass
+        else:
+            # Beyond what is tolerated, all go at once and nothing is struck besides.
+            assert wanted == self.stores
+            assert not (self.disks if not disks else lost)
+        self.disks |= set(disks)
+        assert len(self.disks & self.stores) <= 2
+        self.struck.append((names, disks))
+
+    def returned(self, names, now_s):
+        self.back_s |= {name: now_s + CATCH_UP_S for name in names if name in self.stores}
+
+    def replaced(self, gone, successor, now_s):
+        self.stores = (self.stores - {gone}) | {successor}
+        self.ever.append(successor)
+        self.back_s[successor] = now_s + CATCH_UP_S
+        self.disks.add(successor)
+
+
+@then(
+    "a machine counts as whole once it has had its time to catch up, a removed one's successor too"
+)
+def then_counts(context):
+    stores = [f"store-{number}" for number in range(3)]
+    budget = LossBudget(stores, 1)
+    assert budget.take(["store-0"], now_s=0.0, disks=["store-0"])
+    budget.give_back(["store-0"], at_s=1.0)
+    assert not budget.take(["store-1"], now_s=1.0 + CATCH_UP_S - 0.01)
+    assert budget.take(["store-1"], now_s=1.0 + CATCH_UP_S + 0.01, disks=["store-1"])
+    budget.replace("store-1", "store-3", at_s=10.0)
+    assert not budget.take(["store-2"], now_s=10.0 + CATCH_UP_S - 0.01)
+    assert budget.take(["store-2"], now_s=10.0 + CATCH_UP_S + 0.01)
+
+
+@then("a disk may be lost while all others lose power, unless a machine is lost besides")
+def then_pair(context):
+    stores = [f"store-{number}" for number in range(3)]
+    budget = LossBudget(stores, 1)
+    assert not budget.take(stores, now_s=0.0, disks=stores[:2]), "more disks than tolerated"
+    assert budget.take(stores, now_s=0.0, disks=stores[:1])
+    budget.give_back(stores, at_s=1.0)
+    assert not budget.take(stores, now_s=1.0 + CATCH_UP_S - 0.01, disks=stores[1:2])
+    assert not budget.take(stores, now_s=1.0 + CATCH_UP_S - 0.01), "a disk is not caught up"
+    assert budget.take(stores, now_s=1.0 + CATCH_UP_S + 0.01, disks=stores[1:2])
--- a/src/bellweir_rehearsal/hosted/clients.py
+++ b/src/bellweir_rehearsal/hosted/clients.py
@@ -105,6 +105,10 @@
     minimum_version: int
     items: list[str]
     results: list[dict[str, Any]] = field(default_factory=list)
+    grown_s: float = 0.0
+    """Monotonic time at which the last result was read."""
+    is_read: bool = False
+    """Whether all of it has been read."""
     ended_s: float | None = None
     """Monotonic time at which its end was asked for."""
 
@@ -144,17 +148,24 @@
             if time.monotonic() > until_s:
                 raise NoAnswerError(f"{step.job_id}: {len(step.results)} results in {timeout_s} s")
             path = f"/api/lots/{step.job_id}?after={len(step.results)}"
-            page = json.loads(self.client.send("GET", path).body)
-            step.results += page["results"]
+            answer = self.client.send("GET", path)
+            if answer.status != 200:
+                raise NoAnswerError(f"{step.job_id}: {answer}")
+            page = json.loads(answer.body)
+            if page["results"]:
+                step.results += page["results"]
+                step.grown_s = time.monotonic()
             time.sleep(READ_PAUSE_S)
+        step.is_read = True
 
     def end_step(self, step: StepRecord) -> None:
         """End the job and name the next version."""
         step.ended_s = time.monotonic()
-        self.client.send("DELETE", f"/api/lots/{step.job_id}")
-        self.version += 1
-        named = {"model": "drafts", "version": self.version}
-        self.client.deployment.store.records.put("versions", "drafts", named)
+        answer = self.client.send("DELETE", f"/api/lots/{step.job_id}")
+        is_kept = time.monotonic() - step.ended_s < self.client.deployment.status_s
+        if answer.status != 200 and is_kept:
+            raise NoAnswerError(f"end of {step.job_id}: {answer}")
+        self.version = self.client.deployment.name_next_version()
 
     def read_again(self, step: StepRecord) -> list[dict[str, Any]]:
         """All results of a step, from the start."""
--- a/src/bellweir_rehearsal/hosted/command.py
+++ b/src/bellweir_rehearsal/hosted/command.py
@@ -12,7 +12,7 @@
 from bellweir.cli.exit_codes import PROMISE_BROKEN
 from bellweir_rehearsal.hosted.checks import Check
 from bellweir_rehearsal.hosted.day import HostedDay
-from bellweir_rehearsal.hosted.soak import HostedSoak
+from bellweir_rehearsal.hosted.soak import HostedSoak, size_by_seed
 
 
 @cappa.command(
@@ -31,8 +31,8 @@
         float, cappa.Arg(long=True, help="Seconds of a soak; 0 plays the short day instead.")
     ] = 0.0
     seed: Annotated[int, cappa.Arg(long=True, help="Draws the soak's faults.")] = 1
-    gateways: Annotated[int, cappa.Arg(long=True, help="Gateways of the soak.")] = 12
-    stores: Annotated[int, cappa.Arg(long=True, help="Store machines of the soak.")] = 5
+    gateways: Annotated[int, cappa.Arg(long=True, help="Gateways of the soak; 0: by the seed.")] = 0
+    stores: Annotated[int, cappa.Arg(long=True, help="Its store machines; 0: by the seed.")] = 0
 
     def __call__(self) -> None:
         """Play it; the exit code is 5 when something that must hold did not."""
@@ -48,22 +48,25 @@
         with closing(self._made(folder, console)) as played:
             played.play()
         if isinstance(played, HostedSoak):
-            struck = ", ".join(f"{name} {count}" for name, count in sorted(played.strikes.items()))
-            console.print(f"seed {self.seed}: {struck}", markup=False)
-        for check in played.checks:
-            _print(console, check)
-        if not all(check.held for check in played.checks):
+            console.print(played.report().line(), markup=False, soft_wrap=True)
+            verdicts = [(check, played.holds(check)) for check in played.checks]
+        else:
+            verdicts = [(check, check.held) for check in played.checks]
+        for check, holds in verdicts:
+            _print(console, check, holds)
+        if not all(holds for _, holds in verdicts):
             raise cappa.Exit(code=PROMISE_BROKEN)
 
     def _made(self, folder: Path, console: Console) -> HostedDay | HostedSoak:
         if not self.soak_s:
             return HostedDay(folder, console.print)
-        told = console.print
-        return HostedSoak(folder, self.seed, self.soak_s, self.gateways, self.stores, told)
+        gateways, stores = size_by_seed(self.seed)
+        size = (self.gateways or gateways, self.stores or stores)
+        return HostedSoak(folder, self.seed, self.soak_s, *size, told=console.print)
 
 
-def _print(console: Console, check: Check) -> None:
-    verdict = "held" if check.held else "BROKEN"
+def _print(console: Console, check: Check, holds: bool) -> None:
+    verdict = "held" if holds else "BROKEN"
     console.print(f"{verdict}  {check.name} ({check.checked} cases)", markup=False)
     for fault in check.faults[:3]:
         console.print(f"        {fault}", markup=False)
--- a/src/bellweir_rehearsal/hosted/deployment.py
+++ b/src/bellweir_rehearsal/hosted/deployment.py
@@ -4,12 +4,17 @@
 platform. Settings come from the deploy folder's template, filled as the platform fills it.
 """
 
+import importlib.util
 import os
+import random
+import shutil
 import signal
 import socket
 import subprocess
 import sys
+import threading
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -17,6 +22,7 @@
 from bellweir_rehearsal.hosted.duties import DutiesStandIn
 from bellweir_rehearsal.hosted.object_store import PlatformStoreStandIn
 from bellweir_rehearsal.hosted.template import fill
+from bellweir_rehearsal.hosted.touch_log import TouchLog
 from bellweir_rehearsal.hosted.worker import WorkerStandIn
 
 REPOSITORY = Path(bellweir.__file__).resolve().parent.parent.parent
@@ -24,7 +30,7 @@
 ZONES = ("zone-a", "zone-b", "zone-c")
 REGION = "region"
 FIRST_GATEWAY = 20
-FIRST_STORE = 60
+FIRST_STORE = 150
 """Last parts of the machines' IP numbers."""
 BEAT_S = 0.2
 READY_TIMEOUT_S = 30.0
@@ -35,10 +41,25 @@
 USAGE_WINDOW_S = 2.0
 USAGE_LATE_S = 4.0
 """Length of a window of usage, and the time by which its report is due."""
+PLAIN_MODULE = "bellweir.hosted"
+RIGGED_MODULE = "bellweir_rehearsal.hosted.rigged_process"
+"""What a machine's process runs: the service alone, or under the rig for disks and clocks."""
+POWER_MODULE = "bellweir_rehearsal.hosted.power"
+RIG_VARIABLE = "BELLWEIR_RIG"
+CLOCK_VARIABLE = "BELLWEIR_CLOCK"
+WISHES = "retirements"
+"""Kind of the store's objects that ask for a store machine to be emptied."""
+LIVE_SLACK_S = 5.0
+"""Time after its loss for which a machine may still be taken for alive."""
 METRICS_PORT = 9464
 """Port that the deploy file names."""
 
 
+def has_rig() -> bool:
+    """Whether the rig for disks and clocks is there."""
+    return importlib.util.find_spec(RIGGED_MODULE) is not None
+
+
 def free_ports() -> tuple[int, ...]:
     """Ports that are free on loopback now, the same for all machines."""
     sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(PORTS)]
@@ -69,6 +90,16 @@
         """The store machine's disk."""
         return self.folder / f"{self.name}-data"
 
+    @property
+    def rig_folder(self) -> Path:
+        """The rig's records of what was not synced."""
+        return self.folder / f"{self.name}-rig"
+
+    @property
+    def clock_file(self) -> Path:
+        """Seconds, as text, by which its time of day is off."""
+        return self.folder / f"{self.name}-clock"
+
     @property
     def is_running(self) -> bool:
         """Whether its process is there."""
@@ -88,14 +119,23 @@
     """Store machines that may be lost at once."""
     status_s: float = 120
     """Time for which an ended job can be read."""
+    is_rigged: bool = False
+    """Whether processes run under the rig, so that they may lose power and their clocks jump."""
     machines: dict[str, Machine] = field(default_factory=dict)
     exit_codes: list[tuple[str, int]] = field(default_factory=list)
     """Machines that were stopped as planned, with their processes' exit codes."""
+    emptied: list[tuple[str, list[str]]] = field(default_factory=list)
+    """Machines reported emptied, with the other store machines that lived then."""
+    power_losses: list[str] = field(default_factory=list)
+    """What became of each file that was not synced, at each loss of power."""
 
     def __post_init__(self) -> None:
         self.ports = free_ports()
         # A network of its own: the port of the metrics is fixed.
         self.network = "127.{}.{}".format(*(1 + byte % 250 for byte in os.urandom(2)))
+        self.touched = TouchLog()
+        self._lock = threading.Lock()
+        self._next_store = 0
         self.store = PlatformStoreStandIn()
         self.duties = DutiesStandIn()
         self.models = [
@@ -104,43 +144,139 @@
         self.scorers = [WorkerStandIn(f"app-{number}") for number in range(3)]
         for number in range(self.gateways):
             self._add("gateway", number, FIRST_GATEWAY)
-        for number in range(self.stores):
-            self._add("store", number, FIRST_STORE)
+        for _ in range(self.stores):
+            self.add_store()
 
-    def _add(self, role: str, number: int, first: int) -> None:
+    def _add(self, role: str, number: int, first: int) -> str:
         name = f"{role}-{number}"
         ip = f"{self.network}.{first + number}"
         zone = ZONES[number % self.zones]
         self.machines[name] = Machine(name, role, ip, zone, self.folder)
+        return name
+
+    def add_store(self) -> str:
+        """Add an empty store machine at an address that none has had; it is not started."""
+        with self._lock:
+            number, self._next_store = self._next_store, self._next_store + 1
+            return self._add("store", number, FIRST_STORE)
+
+    def remove_machine(self, name: str) -> None:
+        """Kill a machine's process and take the machine away with its disk; its log stays."""
+        self.kill(name)
+        self.empty_disk(name)
+        with self._lock:
+            del self.machines[name]
+
+    def names(self, role: str) -> list[str]:
+        """Names of all machines of a role, running or not."""
+        return [machine.name for machine in list(self.machines.values()) if machine.role == role]
 
     def start(self) -> None:
         """Start every machine."""
         self.beat()
-        for machine in self.machines.values():
-            self.start_machine(machine.name)
+        for name in list(self.machines):
+            self.start_machine(name)
 
     def start_machine(self, name: str) -> None:
-        """Start a machine's process."""
+        """Start a machine's process, unless it runs."""
         machine = self.machines[name]
-        settings = self.folder / f"{name}.json"
-        settings.write_text(fill(TEMPLATE.read_text(), self._fields(machine)), encoding="utf-8")
+        if machine.is_running:
+            return
+        settings = self.write_settings(name)
         environment = {**os.environ, "BELLWEIR_CONFIG": str(settings)}
+        module = PLAIN_MODULE
+        if self.is_rigged:
+            module = RIGGED_MODULE
+            machine.rig_folder.mkdir(exist_ok=True)
+            environment[RIG_VARIABLE] = str(machine.rig_folder)
+            environment[CLOCK_VARIABLE] = str(machine.clock_file)
         with machine.log_file.open("ab") as log:
             machine.process = subprocess.Popen(
-                [sys.executable, "-m", "bellweir.hosted", machine.role],
+                [sys.executable, "-m", module, machine.role],
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=subprocess.STDOUT,
                 env=environment,
             )
 
+    def write_settings(self, name: str) -> Path:
+        """Write a machine's settings file as of now; its path."""
+        settings = self.folder / f"{name}.json"
+        filled = fill(TEMPLATE.read_text(), self._fields(self.machines[name]))
+        settings.write_text(filled, encoding="utf-8")
+        return settings
+
     def kill(self, *names: str) -> None:
-        """Kill processes."""
+        """Kill processes, all of them before the end of the first one is waited for."""
+        processes = [self.machines[name].process for name in names]
+        found = [process for process in processes if process is not None]
+        for process in found:
+            process.kill()
+        for process in found:
+            process.wait()
+
+    def empty_disk(self, name: str) -> None:
+        """Lose the disk of a machine whose process does not run."""
+        machine = self.machines[name]
+        shutil.rmtree(machine.data_folder, ignore_errors=True)
+        shutil.rmtree(machine.rig_folder, ignore_errors=True)
+
+    def lose_power(self, names: Sequence[str], chance: random.Random) -> None:
+        """Kill processes and leave on their disks what a loss of power may leave.
+
+        Without the rig all that was written stays, as after a kill.
+        """
+        self.kill(*names)
+        if not self.is_rigged:
+            return
+        lose_power = importlib.import_module(POWER_MODULE).lose_power
         for name in names:
-            process = self.machines[name].process
-            if process is not None:
-                process.kill()
-                process.wait()
+            machine = self.machines[name]
+            if machine.role == "store" and machine.data_folder.exists():
+                told = lose_power(machine.data_folder, machine.rig_folder, chance)
+                self.power_losses += [f"{name}: {each}" for each in told]
+
+    def set_clock(self, name: str, offset_s: float) -> None:
+        """Put a machine's time of day off by so many seconds; 0 sets it right."""
+        machine = self.machines.get(name)
+        if machine is None:
+            return
+        written = machine.clock_file.with_suffix(".new")
+        written.write_text(f"{offset_s:.3f}", encoding="utf-8")
+        written.replace(machine.clock_file)
+
+    def wish_retired(self, name: str) -> None:
+        """Ask for a store machine to be emptied."""
+        self.store.records.put(WISHES, name, {"durationS": 30})
+
+    def is_emptied(self, name: str) -> bool:
+        """Whether it is reported emptied; the first time, who else lives is noted."""
+        wish = self.store.records.get(WISHES, name)
+        status = wish.status if wish is not None else None
+        if not isinstance(status, dict) or status.get("state") != "completed":
+            return False
+        others = [
+            other
+            for other in self.running("store")
+            if other != name and not self.touched.is_struck_for(other, LIVE_SLACK_S)
+        ]
+        self.emptied.append((name, others))
+        return True
+
+    def withdraw_wish(self, name: str) -> bool:
+        """Ask no more; whether it was reported emptied by then."""
+        was_noted = any(name == each for each, _ in self.emptied)
+        was_emptied = was_noted or self.is_emptied(name)
+        self.store.records.delete(WISHES, name)
+        return was_emptied
+
+    def name_next_version(self) -> int:
+        """Name the next version of the model's weights; the version."""
+        with self._lock:
+            kept = self.store.records.get("versions", "drafts")
+            version = (kept.spec["version"] if kept is not None else 1) + 1
+            self.store.records.put("versions", "drafts", {"model": "drafts", "version": version})
+            return version
 
     def stop(self, name: str) -> int:
         """Ask a process to stop and wait for its end; its exit code."""
@@ -180,7 +316,8 @@
 
     def running(self, role: str) -> list[str]:
         """Names of the machines of a role whose processes run."""
-        return [m.name for m in self.machines.values() if m.role == role and m.is_running]
+        machines = list(self.machines.values())
+        return [each.name for each in machines if each.role == role and each.is_running]
 
     def close(self) -> None:
         """End everything."""
@@ -198,7 +335,7 @@
         """The platform's fields for a machine, as its page on settings gives them."""
         listen = self._listen()
         interfaces = ("front", "ready", "directory") if machine.role == "gateway" else ()
-        seeds = [each.ip for each in self.machines.values() if each.role == "gateway"][:SEEDS]
+        seeds = [each.ip for each in list(self.machines.values()) if each.role == "gateway"][:SEEDS]
         return {
             "nodeName": machine.name,
             "role": machine.role,
--- /dev/null
+++ b/src/bellweir_rehearsal/hosted/kept_clients.py
@@ -0,0 +1,109 @@
+"""Clients that keep their connections and send one request after the other on each.
+
+A connection is used until the gateway asks to close it or its process is gone. A request that
+crosses a close and was not read is sent again on a new connection; one that was read must have its
+answer, also when the gateway is stopped as planned.
+"""
+
+import http.client
+import random
+import threading
+import time
+
+from bellweir_rehearsal.hosted.checks import Check
+from bellweir_rehearsal.hosted.clients import HOST, KEY
+from bellweir_rehearsal.hosted.deployment import HostedDeployment
+from bellweir_rehearsal.hosted.worker import answer_to, stamp_of
+
+DEADLINE_MS = 4000
+ANSWER_TIMEOUT_S = 6.0
+LOST_S = 1.0
+"""Time after which a request counts as read. The platform's own bound (`lostMs`) is shorter; a busy
+machine may tell the client late of a close."""
+LONGEST_PAUSE_S = 0.2
+NONE_RUNNING_PAUSE_S = 0.1
+BODY = b"body"
+
+
+class KeptClient:
+    """One client; `run` goes on until `stopping` is set.
+
+    What it saw stands in the check. A request is judged only if nothing unplanned struck its
+    gateway lately.
+    """
+
+    __slots__ = ("_chance", "_check", "_deployment", "_name", "_number", "crossed", "served")
+
+    def __init__(
+        self, name: str, deployment: HostedDeployment, check: Check, chance: random.Random
+    ) -> None:
+        self._name = name
+        self._deployment = deployment
+        self._check = check
+        self._chance = chance
+        self._number = 0
+        self.served = 0
+        self.crossed = 0
+        """Requests that crossed a close and were not read."""
+
+    def run(self, stopping: threading.Event) -> None:
+        """Use one connection after the other."""
+        while not stopping.is_set():
+            running = self._deployment.running("gateway")
+            if not running:
+                stopping.wait(NONE_RUNNING_PAUSE_S)
+                continue
+            gateway = self._chance.choice(running)
+            address = self._deployment.address(gateway, "front")
+            connection = http.client.HTTPConnection(address, timeout=ANSWER_TIMEOUT_S)
+            try:
+                connection.connect()
+                while not stopping.is_set() and self._send(gateway, connection):
+                    stopping.wait(self._chance.uniform(0.0, LONGEST_PAUSE_S))
+            except OSError:
+                stopping.wait(NONE_RUNNING_PAUSE_S)
+            finally:
+                connection.close()
+
+    def _send(self, gateway: str, connection: http.client.HTTPConnection) -> bool:
+        """Send the next request; whether the connection can be used for another one."""
+        self._number += 1
+        request_id = f"{self._name}-{self._number}"
+        headers = {
+            "Host": HOST,
+            "Authorization": f"Bearer {KEY}",
+            "X-Bellweir-Attempt-Id": request_id,
+            "X-Bellweir-Deadline-Ms": str(DEADLINE_MS),
+        }
+        began_s = time.monotonic()
+        try:
+            connection.request("POST", "/price/kept", BODY, headers)
+            answer = connection.getresponse()
+            body = answer.read()
+        except (OSError, http.client.HTTPException) as failure:
+            self._judge_cut(gateway, request_id, began_s, failure)
+            return False
+        self._judge(request_id, answer, body)
+        return answer.getheader("Connection", "").lower() != "close"
+
+    def _judge(self, request_id: str, answer: http.client.HTTPResponse, body: bytes) -> None:
+        """An answer is the worker's to this request, or a failure of the gateway's own."""
+        if answer.status == 200:
+            signed = answer.getheader("X-Bellweir-Server-Stamp") == stamp_of(request_id)
+            right = signed and body == answer_to(request_id, BODY)
+            self._check.expect(right, f"{request_id}: {body[:60]!r}")
+            self.served += 1
+            return
+        may_be = answer.status in (429, 502, 503, 504)
+        self._check.expect(may_be, f"{request_id}: {answer.status} {body[:60]!r}")
+
+    def _judge_cut(self, gateway: str, request_id: str, began_s: float, failure: Exception) -> None:
+        now_s = time.monotonic()
+        touched = self._deployment.touched
+        if not touched.left_alone([gateway], began_s, now_s, planned_too=False):
+            return
+        ran = sum(worker.record.ran[request_id] for worker in self._deployment.scorers)
+        was_read = ran > 0 or now_s - began_s > LOST_S
+        self.crossed += not was_read
+        told = f"{request_id} at {gateway}: ran {ran} times, {now_s - began_s:.2f} s, {failure!r}"
+        self._check.expect(not was_read, told)
--- /dev/null
+++ b/src/bellweir_rehearsal/hosted/platform_faults.py
@@ -0,0 +1,89 @@
+"""Faults of a soak that strike what the platform gives: its store, workers, duties, operator."""
+
+from bellweir_rehearsal.hosted.clients import configuration
+from bellweir_rehearsal.hosted.fault import SoakFault
+from bellweir_rehearsal.hosted.object_store import Outage
+
+
+class StoreOutage(SoakFault):
+    """The platform's store refuses or says nothing."""
+
+    strikes_core = True
+
+    def strike(self) -> None:
+        """Begin the outage."""
+        self.deployment.store.begin_outage(self.chance.choice((Outage.REFUSES, Outage.SILENT)))
+
+    def mend(self) -> None:
+        """End it."""
+        self.deployment.store.end_outage()
+
+
+class ForgottenHistory(SoakFault):
+    """The platform's store forgets its history: watches must list anew."""
+
+    strikes_core = True
+
+    def strike(self) -> None:
+        """Forget."""
+        self.deployment.store.records.compact()
+
+
+class LostWrites(SoakFault):
+    """Writes to the platform's store are done, some of them late, and get no answer."""
+
+    strikes_core = True
+
+    def strike(self) -> None:
+        """Lose some of the next ones."""
+        self.deployment.store.faults.lose_writes = 2
+        self.deployment.store.faults.late_writes = 2
+
+
+class BrokenWorkers(SoakFault):
+    """Workers break streams off, lose answers, refuse and take orders late."""
+
+    def strike(self) -> None:
+        """Have one model worker and one other worker fail some requests."""
+        model = self.chance.choice(self.deployment.models)
+        model.faults.cut_after_event = self.chance.randint(1, 4)
+        model.faults.lose_answer = model.faults.refuse = 2
+        model.faults.late_orders = 1
+        scorer = self.chance.choice(self.deployment.scorers)
+        scorer.faults.lose_answer = scorer.faults.wrong_id = scorer.faults.unsigned = 1
+
+
+class LostReports(SoakFault):
+    """The platform's interface for duties refuses calls, and takes some without an answer."""
+
+    def strike(self) -> None:
+        """Refuse some of the next calls, and lose some answers."""
+        self.deployment.duties.refuse = self.chance.randint(0, 3)
+        self.deployment.duties.lose_answers = self.chance.randint(0, 3)
+
+
+class NewConfiguration(SoakFault):
+    """The operator writes another configuration, which takes a key away and has a new one."""
+
+    longest_s = 1.0
+    is_planned = True
+    repeats = True
+
+    def strike(self) -> None:
+        """Write one, a version above the newest."""
+        kept = self.deployment.store.records.get("config", "main")
+        version = (kept.spec["version"] if kept is not None else 0) + self.chance.randint(1, 3)
+        written = configuration(version, (f"/new-{version}/",))
+        self.deployment.store.records.put("config", "main", written)
+
+
+class NewVersion(SoakFault):
+    """The trainer names another version of the weights out of turn."""
+
+    longest_s = 1.0
+    is_planned = True
+    repeats = True
+
+    def strike(self) -> None:
+        """Name it."""
+        self.deployment.name_next_version()
--- a/src/bellweir_rehearsal/hosted/soak.py
+++ b/src/bellweir_rehearsal/hosted/soak.py
@@ -1,7 +1,9 @@
 """A soak of the hosted roles as processes: traffic goes on while faults strike at random.
 
-The seed draws which fault strikes when and whom. Two tasks draw at once, so faults overlap. What
-the clients and the trainer see is checked all the while, and everything is read again at the end.
+The seed draws which fault strikes when and whom. Several tasks draw at once, so faults overlap, and
+a fault may strike several times in a row. What the clients and the trainer see is checked all the
+while. The run ends with disks lost while all other machines lose power, right after a batch job was
+accepted; then everything is read again at each gateway.
 """
 
 import random
@@ -15,24 +17,63 @@
 
 from bellweir_rehearsal.hosted.checks import Check, CheckedTraffic
 from bellweir_rehearsal.hosted.clients import NoAnswerError, StepRecord, call, key_of_version
-from bellweir_rehearsal.hosted.deployment import BEAT_S, HostedDeployment
-from bellweir_rehearsal.hosted.soak_faults import ALL_FAULTS, LossBudget, SoakFault
+from bellweir_rehearsal.hosted.deployment import BEAT_S, HostedDeployment, has_rig
+from bellweir_rehearsal.hosted.disk_faults import LastFault
+from bellweir_rehearsal.hosted.fault import SoakFault
+from bellweir_rehearsal.hosted.kept_clients import KeptClient
+from bellweir_rehearsal.hosted.losses import CATCH_UP_S, LossBudget
+from bellweir_rehearsal.hosted.second_reader import SecondReader, page_of
+from bellweir_rehearsal.hosted.soak_faults import ALL_FAULTS
+from bellweir_rehearsal.hosted.soak_report import SoakReport, memory_mb
 
-DISRUPTORS = 2
-SHORTEST_PAUSE_S = 0.5
-LONGEST_PAUSE_S = 3.0
+DISRUPTORS = 4
+SHORTEST_PAUSE_S = 0.3
+LONGEST_PAUSE_S = 1.5
 """Pauses between two faults of a task."""
-SHORTEST_FAULT_S = 0.3
+SHORTEST_FAULT_S = 0.2
+SERIES_SHARE = 0.35
+"""Share of faults that strike several times in a row."""
+LONGEST_SERIES = 5
+SHORTEST_SERIES_PAUSE_S = 0.05
+LONGEST_SERIES_PAUSE_S = 0.8
+LONGEST_SERIES_FAULT_S = 1.0
+MOST_KEPT_CLIENTS = 8
+SECOND_READERS = 2
 TRIES = 120
 """Tries of a client's call; all processes may be down for a while."""
 SETTLED_TIMEOUT_S = 30.0
 STEP_REQUESTS = 5
 KEPT_SHARE = 0.8
 """Share of the time for which ended jobs are kept in which they must be readable."""
+RECOVER_S = 12.0
+"""Time in which hosted deployments serve again (`recoverS`)."""
+BUSY_FACTOR = 2.5
+"""Factor on it for real processes that share one machine."""
+OWN_END_PAUSE_S = 0.3
+"""Time for which a process must be gone, with nothing striking it, to have ended by itself."""
+USUAL_SIZE = (7, 3)
+GREATER_SIZE = (12, 5)
+GREATEST_SIZE = (45, 5)
+"""Gateways and store machines."""
+
+
+def size_by_seed(seed: int) -> tuple[int, int]:
+    """Return gateways and store machines: most seeds have few, every tenth seed has 50.
+
+    >>> size_by_seed(1), size_by_seed(4), size_by_seed(10)
+    ((7, 3), (12, 5), (45, 5))
+    """
+    if seed % 10 == 0:
+        return GREATEST_SIZE
+    return GREATER_SIZE if seed % 4 == 0 else USUAL_SIZE
 
 
 class HostedSoak(CheckedTraffic):
-    """Plays the soak; `checks` tells how it went, `strikes` what struck how often."""
+    """Plays the soak; `checks` tells how it went, `strikes` what struck how often.
+
+    `only` restricts the faults that are drawn; `catch_up_s` is the time for which a store machine
+    counts as lost after its return.
+    """
 
     def __init__(
         self,
@@ -42,51 +83,138 @@
         gateways: int = 12,
         stores: int = 5,
         told: Callable[[str], None] = lambda _: None,
+        only: tuple[type[SoakFault], ...] = ALL_FAULTS,
+        catch_up_s: float = CATCH_UP_S,
     ) -> None:
         tolerated = (stores - 1) // 2
         zones = 2 if gateways >= 12 else 3
         super().__init__(HostedDeployment(folder, gateways, stores, zones, tolerated), told)
+        self.deployment.is_rigged = has_rig()
         self.client.tries = TRIES
         self._seed = seed
         self._seconds = seconds
-        self._budget = LossBudget(stores, tolerated)
+        self._only = only
+        self._catch_up_s = catch_up_s
+        self._budget = LossBudget(self.deployment.names("store"), tolerated, catch_up_s)
+        self._calming = threading.Event()
         self._stopping = threading.Event()
         self.strikes: Counter[str] = Counter()
+        self.peak_mb = 0.0
+        self.served_again_s: float | None = None
         self.whole = Check("each step that was accepted comes whole")
         self.configured = Check("the newest configuration is in force everywhere in the end")
         self.stops = Check("a planned stop ends with exit code 0")
+        self.kept = Check("what was read of an open connection is answered, through planned stops")
+        self.read = Check("what was read of a batch job comes again, anywhere at any time")
+        self.again = Check("all that was accepted comes again at each gateway in the end")
+        self.own_ends = Check("no process ends by itself")
+        self.emptied = Check("a store machine is emptied only while enough others live")
+        self.recovered = Check("the deployment serves again soon after the last fault")
+        self._reader = SecondReader(
+            self.deployment, self.trainer.steps, self._is_kept, self.read, self._chance("reader")
+        )
 
     @property
     def checks(self) -> list[Check]:
         """All checks."""
-        return [*self.traffic_checks, self.whole, self.configured, self.stops]
+        return [
+            *self.traffic_checks,
+            self.whole,
+            self.configured,
+            self.stops,
+            self.kept,
+            self.read,
+            self.again,
+            self.own_ends,
+            self.emptied,
+            self.recovered,
+        ]
+
+    @property
+    def may_lack_cases(self) -> list[Check]:
+        """Checks of faults that a seed need not draw: without a case they are not at fault."""
+        return [self.stops, self.emptied]
+
+    def holds(self, check: Check) -> bool:
+        """Whether a check has held, as far as the seed gave it cases."""
+        return not check.faults if check in self.may_lack_cases else check.held
+
+    def report(self) -> SoakReport:
+        """Return the run's figures."""
+        checks = [check for check in self.checks if check.checked or not self.holds(check)]
+        size = self.deployment.gateways + self.deployment.stores
+        figures = (self._seed, self._seconds, size, self.peak_mb)
+        return SoakReport(*figures, self.strikes, checks, self.served_again_s)
 
     def play(self) -> None:
-        """Play until the time is over, then look at everything once more."""
+        """Play until the time is over, strike the last fault, then look at everything again."""
         self.start()
-        with self._disrupted():
-            until_s = time.monotonic() + self._seconds
-            while time.monotonic() < until_s:
-                self._one_step()
-        self.await_ready()
-        for step in self.trainer.steps:
-            self._read_again_if_kept(step)
+        with self._traffic():
+            with self._disrupted():
+                until_s = time.monotonic() + self._seconds
+                while time.monotonic() < until_s:
+                    self._one_step()
+            self._strike_last()
+            for step in list(self.trainer.steps):
+                self._read_again_if_kept(step)
         self.check_orders()
         self.check_tenants()
         self.check_usage()
         self._check_configuration()
+        self._check_ends()
+
+    def _chance(self, name: object) -> random.Random:
+        return random.Random(f"{self._seed}/{name}")
+
+    def _check_ends(self) -> None:
         for name, code in self.deployment.exit_codes:
             self.stops.expect(code == 0, f"{name}: exit code {code}")
+        needed = 2 * self.deployment.tolerated + 1
+        for name, others in self.deployment.emptied:
+            told = f"{name} while {len(others)} others lived: {others}"
+            self.emptied.expect(len(others) >= needed, told)
+
+    def _is_kept(self, step: StepRecord) -> bool:
+        """Whether a step must be readable still."""
+        kept_s = KEPT_SHARE * self.deployment.status_s
+        return step.ended_s is None or time.monotonic() - step.ended_s <= kept_s
 
     def _read_again_if_kept(self, step: StepRecord) -> None:
         """Read a step from its start, unless it ended so long ago that it may be forgotten."""
-        kept_s = KEPT_SHARE * self.deployment.status_s
-        if step.ended_s is not None and time.monotonic() - step.ended_s > kept_s:
+        if not self._is_kept(step):
             return
-        try:
-            self.read_again(step)
-        except NoAnswerError as failure:
-            self.positions.expect(False, str(failure))
+        if step.is_read:
+            try:
+                self.read_again(step)
+            except NoAnswerError as failure:
+                self.positions.expect(False, str(failure))
+        for gateway in self.deployment.running("gateway"):
+            found = self._read_at(step, gateway)
+            if found or self._is_kept(step):
+                told = f"{step.job_id} at {gateway}: {found} of {len(step.results)} results"
+                self.again.expect(found >= len(step.results), told)
+
+    def _read_at(self, step: StepRecord, gateway: str) -> int:
+        """Read a step from its start at one gateway; how many results came."""
+        found, until_s = 0, time.monotonic() + SETTLED_TIMEOUT_S
+        while time.monotonic() < until_s:
+            address = self.deployment.address(gateway, "front")
+            answer = call(address, "GET", f"/api/lots/{step.job_id}?after={found}")
+            if answer is not None and answer.status == 404 and self._is_kept(step):
+                return found
+            if answer is None or answer.status != 200:
+                time.sleep(OWN_END_PAUSE_S)
+                continue
+            page = list(page_of(answer).get("results", []))
+            known = step.results[found : found + len(page)]
+            if page[: len(known)] != known:
+                return found
+            found += len(page)
+            if found >= len(step.results):
+                return found
+            if not page:
+                time.sleep(OWN_END_PAUSE_S)
+        return found
 
     def _one_step(self) -> None:
         try:
@@ -94,23 +222,29 @@
         except NoAnswerError as failure:
             self.whole.expect(False, str(failure))
             return
+        self._finish_step(step)
+
+    def _finish_step(self, step: StepRecord) -> None:
         try:
             self.send_requests(STEP_REQUESTS)
             self.finish(step)
         except NoAnswerError as failure:
+            # It stays among the steps: what was read of it must come again.
             self.whole.expect(False, f"{step.job_id}: {failure}")
-            self.trainer.steps.remove(step)
             return
         self.whole.expect(True, step.job_id)
 
     @contextmanager
-    def _disrupted(self) -> Iterator[None]:
-        with ThreadPoolExecutor(DISRUPTORS + 1, thread_name_prefix="soak") as pool:
+    def _traffic(self) -> Iterator[None]:
+        """Clients with open connections, second readers and the workers' beat, until the end."""
+        clients = min(MOST_KEPT_CLIENTS, self.deployment.gateways)
+        with ThreadPoolExecutor(clients + SECOND_READERS + 2) as pool:
             tasks: list[Future[None]] = [
-                pool.submit(self._disrupt, random.Random(f"{self._seed}/{number}"))
-                for number in range(DISRUPTORS)
+                pool.submit(self._kept_client(number).run, self._stopping)
+                for number in range(clients)
             ]
-            tasks.append(pool.submit(self._beat))
+            tasks += [pool.submit(self._reader.run, self._stopping) for _ in range(SECOND_READERS)]
+            tasks += [pool.submit(self._beat), pool.submit(self._look_at_processes)]
             try:
                 yield
             finally:
@@ -118,22 +252,117 @@
                 for task in tasks:
                     task.result()
 
+    def _kept_client(self, number: int) -> KeptClient:
+        chance = self._chance(f"kept/{number}")
+        return KeptClient(f"kept-{number}", self.deployment, self.kept, chance)
+
+    @contextmanager
+    def _disrupted(self) -> Iterator[None]:
+        with ThreadPoolExecutor(DISRUPTORS, thread_name_prefix="soak") as pool:
+            tasks = [pool.submit(self._disrupt, self._chance(each)) for each in range(DISRUPTORS)]
+            try:
+                yield
+            finally:
+                self._calming.set()
+                for task in tasks:
+                    task.result()
+
     def _beat(self) -> None:
         while not self._stopping.wait(BEAT_S):
             self.deployment.beat()
 
+    def _look_at_processes(self) -> None:
+        """Measure the memory and find processes that ended by themselves."""
+        while not self._stopping.wait(OWN_END_PAUSE_S):
+            machines = list(self.deployment.machines.values())
+            processes = [each.process for each in machines if each.process is not None]
+            running = [each.pid for each in processes if each.poll() is None]
+            self.peak_mb = max(self.peak_mb, memory_mb(running))
+            for machine in machines:
+                self._look_at_process(machine.name)
+
+    def _look_at_process(self, name: str) -> None:
+        machine = self.deployment.machines.get(name)
+        if machine is None or machine.process is None or not self._has_ended(name):
+            self.own_ends.expect(True, name)
+            return
+        process = machine.process
+        time.sleep(OWN_END_PAUSE_S)
+        if machine.process is process and self._has_ended(name):
+            self.own_ends.expect(False, f"{name}: exit code {process.poll()}")
+            self.deployment.start_machine(name)
+
+    def _has_ended(self, name: str) -> bool:
+        """Whether a process is gone with nothing striking its machine, before and after."""
+        was_free = bool(self._budget.free([name]))
+        machine = self.deployment.machines.get(name)
+        is_gone = machine is not None and not machine.is_running
+        return was_free and is_gone and bool(self._budget.free([name]))
+
     def _disrupt(self, chance: random.Random) -> None:
-        while not self._stopping.wait(chance.uniform(SHORTEST_PAUSE_S, LONGEST_PAUSE_S)):
-            fault = chance.choice(ALL_FAULTS)(self.deployment, self._budget, chance)
-            self._strike(fault, chance.uniform(SHORTEST_FAULT_S, fault.longest_s))
+        while not self._calming.wait(chance.uniform(SHORTEST_PAUSE_S, LONGEST_PAUSE_S)):
+            fault = chance.choice(self._only)(self.deployment, self._budget, chance)
+            seconds = chance.uniform(SHORTEST_FAULT_S, max(SHORTEST_FAULT_S, fault.longest_s))
+            if fault.repeats and chance.random() < SERIES_SHARE:
+                self._strike_in_row(fault, chance, min(seconds, LONGEST_SERIES_FAULT_S))
+            else:
+                self._strike(fault, seconds)
+
+    def _strike_in_row(self, fault: SoakFault, chance: random.Random, seconds: float) -> None:
+        """Strike the same machines several times, with short pauses."""
+        struck: list[str] = []
+        for _ in range(chance.randint(2, LONGEST_SERIES)):
+            struck = self._strike(fault, seconds, struck)
+            pause_s = chance.uniform(SHORTEST_SERIES_PAUSE_S, LONGEST_SERIES_PAUSE_S)
+            if self._calming.wait(pause_s):
+                return
+
+    def _strike(
+        self, fault: SoakFault, seconds: float, again: list[str] | None = None
+    ) -> list[str]:
+        if not fault.begin(again or []):
+            return again or []
+        self.strikes[fault.name] += 1
+        struck = list(fault.struck)
+        self.told(f"{fault.name} {' '.join(struck[:3])} for {seconds:.1f} s")
+        self._calming.wait(seconds)
+        fault.end()
+        return struck
 
-    def _strike(self, fault: SoakFault, seconds: float) -> None:
+    def _strike_last(self) -> None:
+        """Lose disks while all others lose power, right after a batch job was accepted."""
+        chance = self._chance("last")
+        time.sleep(self._catch_up_s + OWN_END_PAUSE_S)
+        fault = LastFault(self.deployment, self._budget, chance)
+        try:
+            step = self.trainer.begin_step()
+        except NoAnswerError as failure:
+            self.whole.expect(False, str(failure))
+            return
         if not fault.begin():
+            self.recovered.expect(False, "the last fault was not allowed")
             return
         self.strikes[fault.name] += 1
-        self.told(f"{fault.name} {' '.join(fault.struck[:3])} for {seconds:.1f} s")
-        self._stopping.wait(seconds)
+        self.told(f"{fault.name} {' '.join(fault.struck[: self.deployment.tolerated])}")
+        time.sleep(chance.uniform(SHORTEST_FAULT_S, fault.longest_s))
         fault.end()
+        self._await_service()
+        self._finish_step(step)
+
+    def _await_service(self) -> None:
+        """Take the time until a batch job is accepted and each gateway serves."""
+        began_s = time.monotonic()
+        bound_s = BUSY_FACTOR * RECOVER_S
+        try:
+            step = self.trainer.begin_step()
+            self.await_ready()
+        except (NoAnswerError, TimeoutError) as failure:
+            self.recovered.expect(False, str(failure))
+            return
+        self.served_again_s = time.monotonic() - began_s
+        told = f"{self.served_again_s:.1f} s, more than {bound_s:.0f} s"
+        self.recovered.expect(self.served_again_s <= bound_s, told)
+        self._finish_step(step)
 
     def _check_configuration(self) -> None:
         kept = self.deployment.store.records.get("config", "main")
