--- a/features/support/ledger_machines.py
+++ b/features/support/ledger_machines.py
@@ -8,7 +8,7 @@
 from features.support.ledger_simulation import SHARD, STEP_S, Simulation
 from returns.result import Success
 
-from bellweir.ledger.keeper import PLACEMENT_TIMEOUT_S
+from bellweir.ledger.keeper import DISK_TIMEOUT_S
 from bellweir.ledger.messages import PlacementRequest
 from bellweir.membership.interface import MemberState
 from bellweir.settings.models import LedgerSettings
@@ -92,7 +92,7 @@
 
     def request(self, origin, target, message):
         if isinstance(message, PlacementRequest) and target not in self.nodes:
-            self._keeps_at_s[origin] += PLACEMENT_TIMEOUT_S
+            self._keeps_at_s[origin] += DISK_TIMEOUT_S
         return super().request(origin, target, message)
 
     def run_for(self, seconds):
@@ -135,18 +135,18 @@
         ]
 
     def expect_everything_read(self):
-        """A leader is found, and what was acknowledged is there."""
+        """A leader is found, and what was acknowledged before it was asked is there."""
         for _ in range(10):
             self.run_for(1.0)
+            acknowledged = list(self.acknowledged)
             leader = self.leader()
             future = leader.read(SHARD, ReadItems()) if leader else None
             self.run_for(0.5)
             if future is not None and future.done() and isinstance(future.result(), Success):
-                items = future.result().unwrap().items
-                missing = [item for item in self.acknowledged if item not in items]
-                assert not missing or self.acknowledged[-1] not in items, f"lost: {missing}"
-                if not missing:
-                    return
+                items = set(future.result().unwrap().items)
+                missing = [item for item in acknowledged if item not in items]
+                assert not missing, f"lost: {missing}"
+                return
         raise AssertionError(f"nobody leads: {self._found_voters()}")
 
     def _found_voters(self):
