--- a/features/steps/hosted_soak_steps.py
+++ b/features/steps/hosted_soak_steps.py
@@ -86,6 +86,10 @@
         self.struck = []
         self.back_s = {}
         self.disks = set()
+        self.removed = []
+        """Each removed machine with the successor that has to catch up."""
+        self.twice = set()
+        """Successors that were struck before they had caught up."""
 
     def lost(self, now_s):
         held = {name for names, _ in self.struck for name in names}
@@ -96,7 +100,10 @@
         assert not any(set(names) & set(held) for held, _ in self.struck)
         lost, wanted = self.lost(now_s), set(names) & self.stores
         self.disks &= lost
-        if not wanted or len(lost | wanted) <= 2:
+        self.removed = [(gone, successor) for gone, successor in self.removed if successor in lost]
+        self.twice = {name for name in self.twice | wanted if name in dict(self.successors())}
+        ghosts = {gone for gone, successor in self.removed if successor in self.twice}
+        if not wanted or len(lost | wanted | ghosts) <= 2:
             pass
         else:
             # Beyond what is tolerated, all go at once and nothing is struck besides.
@@ -106,12 +113,20 @@
         assert len(self.disks & self.stores) <= 2
         self.struck.append((names, disks))
 
+    def successors(self):
+        return [(successor, gone) for gone, successor in self.removed]
+
     def returned(self, names, now_s):
         self.back_s |= {name: now_s + CATCH_UP_S for name in names if name in self.stores}
 
     def replaced(self, gone, successor, now_s):
         self.stores = (self.stores - {gone}) | {successor}
         self.ever.append(successor)
+        # What the removed one stood in for is now its successor's to make good.
+        self.removed = [(each, successor if held == gone else held) for each, held in self.removed]
+        self.removed.append((gone, successor))
+        if gone in self.twice:
+            self.twice = (self.twice - {gone}) | {successor}
         self.back_s[successor] = now_s + CATCH_UP_S
         self.disks.add(successor)
 
@@ -127,6 +142,7 @@
     assert not budget.take(["store-1"], now_s=1.0 + CATCH_UP_S - 0.01)
     assert budget.take(["store-1"], now_s=1.0 + CATCH_UP_S + 0.01, disks=["store-1"])
     budget.replace("store-1", "store-3", at_s=10.0)
+    assert not budget.take(["store-3"], now_s=10.0 + CATCH_UP_S - 0.01), "two disks are lost then"
     assert not budget.take(["store-2"], now_s=10.0 + CATCH_UP_S - 0.01)
     assert budget.take(["store-2"], now_s=10.0 + CATCH_UP_S + 0.01)
 
--- a/src/bellweir_rehearsal/hosted/clients.py
+++ b/src/bellweir_rehearsal/hosted/clients.py
@@ -4,6 +4,7 @@
 import http.client
 import itertools
 import json
+import math
 import random
 import time
 from dataclasses import dataclass, field
@@ -66,6 +67,8 @@
     addresses: list[str] = field(default_factory=list)
     known_until_s: float = 0.0
     tries: int = TRIES
+    patience_s: float = math.inf
+    """Time after which a call is given up, however many tries are left."""
 
     def look_up(self) -> None:
         """Ask a gateway's directory."""
@@ -85,7 +88,10 @@
     ) -> Answer:
         """Send a request until an answer other than 5xx comes. Raises `NoAnswerError`."""
         last: Answer | None = None
+        until_s = time.monotonic() + self.patience_s
         for _ in range(self.tries):
+            if time.monotonic() > until_s:
+                break
             if time.monotonic() >= self.known_until_s:
                 self.look_up()
             if self.addresses:
--- a/src/bellweir_rehearsal/hosted/deployment.py
+++ b/src/bellweir_rehearsal/hosted/deployment.py
@@ -4,7 +4,6 @@
 platform. Settings come from the deploy folder's template, filled as the platform fills it.
 """
 
-import importlib.util
 import os
 import random
 import shutil
@@ -21,6 +20,7 @@
 import bellweir
 from bellweir_rehearsal.hosted.duties import DutiesStandIn
 from bellweir_rehearsal.hosted.object_store import PlatformStoreStandIn
+from bellweir_rehearsal.hosted.power import lose_power
 from bellweir_rehearsal.hosted.template import fill
 from bellweir_rehearsal.hosted.touch_log import TouchLog
 from bellweir_rehearsal.hosted.worker import WorkerStandIn
@@ -34,6 +34,7 @@
 """Last parts of the machines' IP numbers."""
 BEAT_S = 0.2
 READY_TIMEOUT_S = 30.0
+STARTED_POLL_S = 0.05
 STOP_TIMEOUT_S = 12.0
 PORTS = 4
 SEEDS = 3
@@ -44,7 +45,6 @@
 PLAIN_MODULE = "bellweir.hosted"
 RIGGED_MODULE = "bellweir_rehearsal.hosted.rigged_process"
 """What a machine's process runs: the service alone, or under the rig for disks and clocks."""
-POWER_MODULE = "bellweir_rehearsal.hosted.power"
 RIG_VARIABLE = "BELLWEIR_RIG"
 CLOCK_VARIABLE = "BELLWEIR_CLOCK"
 WISHES = "retirements"
@@ -55,11 +55,6 @@
 """Port that the deploy file names."""
 
 
-def has_rig() -> bool:
-    """Whether the rig for disks and clocks is there."""
-    return importlib.util.find_spec(RIGGED_MODULE) is not None
-
-
 def free_ports() -> tuple[int, ...]:
     """Ports that are free on loopback now, the same for all machines."""
     sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(PORTS)]
@@ -79,12 +74,23 @@
     zone: str
     folder: Path
     process: subprocess.Popen[bytes] | None = None
+    log_begins: int = 0
+    """Size of the log at the start of the process that runs."""
 
     @property
     def log_file(self) -> Path:
         """File with the process's log lines, of all its lives."""
         return self.folder / f"{self.name}.log"
 
+    @property
+    def has_started(self) -> bool:
+        """Whether its process serves and heeds signals."""
+        if not self.is_running:
+            return False
+        with self.log_file.open("rb") as log:
+            log.seek(self.log_begins)
+            return b"process_started" in log.read()
+
     @property
     def data_folder(self) -> Path:
         """The store machine's disk."""
@@ -191,6 +197,7 @@
             environment[RIG_VARIABLE] = str(machine.rig_folder)
             environment[CLOCK_VARIABLE] = str(machine.clock_file)
         with machine.log_file.open("ab") as log:
+            machine.log_begins = log.tell()
             machine.process = subprocess.Popen(
                 [sys.executable, "-m", module, machine.role],
                 stdin=subprocess.DEVNULL,
@@ -229,7 +236,6 @@
         self.kill(*names)
         if not self.is_rigged:
             return
-        lose_power = importlib.import_module(POWER_MODULE).lose_power
         for name in names:
             machine = self.machines[name]
             if machine.role == "store" and machine.data_folder.exists():
@@ -255,9 +261,10 @@
         status = wish.status if wish is not None else None
         if not isinstance(status, dict) or status.get("state") != "completed":
             return False
+        # Who was lost a moment ago may still be taken for alive.
         others = [
             other
-            for other in self.running("store")
+            for other in self.names("store")
             if other != name and not self.touched.is_struck_for(other, LIVE_SLACK_S)
         ]
         self.emptied.append((name, others))
@@ -288,6 +295,15 @@
         self.exit_codes.append((name, code))
         return code
 
+    def await_started(self, name: str) -> bool:
+        """Wait until a machine's process heeds signals; False when it does not in time."""
+        until_s = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < until_s:
+            if self.machines[name].has_started:
+                return True
+            time.sleep(STARTED_POLL_S)
+        return False
+
     def signal(self, name: str, number: int) -> None:
         """Send a signal to a machine's process."""
         process = self.machines[name].process
--- a/src/bellweir_rehearsal/hosted/losses.py
+++ b/src/bellweir_rehearsal/hosted/losses.py
@@ -31,8 +31,10 @@
     __slots__ = (
         "_caught_up_s",
         "_disks",
+        "_ghosts",
         "_lock",
         "_lost_until_s",
+        "_restruck",
         "_settled",
         "_stores",
         "_struck",
@@ -50,6 +52,10 @@
         self._disks: set[str] = set()
         """Store machines whose disk is lost and has not been caught up yet."""
         self._lost_until_s: dict[str, float] = {}
+        self._ghosts: dict[str, set[str]] = {}
+        """Removed machines by their successor, until that one has caught up."""
+        self._restruck: set[str] = set()
+        """Successors that were struck before they had caught up."""
         self._settled: set[str] = set()
         """Machines that nobody may remove: somebody else is about to."""
 
@@ -65,15 +71,20 @@
         wanted, emptied = set(names), set(disks)
         with self._lock:
             lost = self._lost(time.monotonic() if now_s is None else now_s)
+            self._forget_ghosts(lost)
             stores = wanted & self._stores
             if wanted & self._struck or (stores and not self._allows(stores, emptied, lost)):
                 return False
             self._struck |= wanted
             self._disks = (self._disks & lost) | emptied
+            self._restruck |= wanted & set(self._ghosts)
             return True
 
     def _allows(self, stores: set[str], emptied: set[str], lost: set[str]) -> bool:
-        if len(lost | stores) <= self._tolerated:
+        # A removed machine and its successor are one loss, but two if that one is struck as well.
+        restruck = set(self._ghosts) & (self._restruck | stores)
+        ghosts = {gone for name in restruck for gone in self._ghosts[name]}
+        if len(lost | stores | ghosts) <= self._tolerated:
             return True
         if stores != self._stores:
             return False
@@ -101,9 +112,14 @@
     def replace(self, gone: str, successor: str, at_s: float | None = None) -> None:
         """Have an empty machine take the place of a struck one, which never comes back.
 
-        The removed one ceases to count once its successor has caught up, so only that one counts.
+        The removed one ceases to count once its successor has caught up. Until then both are one
+        loss, as long as the successor is not struck.
         """
         self.add(successor, at_s)
+        with self._lock:
+            self._ghosts[successor] = {gone} | self._ghosts.pop(gone, set())
+            if gone in self._restruck:
+                self._restruck.add(successor)
         self.remove(gone)
 
     def remove(self, name: str) -> None:
@@ -114,6 +130,7 @@
             self._settled.discard(name)
             self._disks.discard(name)
             self._lost_until_s.pop(name, None)
+            self._restruck.discard(name)
 
     def settle(self, name: str) -> bool:
         """Reserve a machine's removal; False when another fault has done so.
@@ -144,6 +161,12 @@
         with self._lock:
             return [name for name in names if name not in self._struck]
 
+    def _forget_ghosts(self, lost: set[str]) -> None:
+        """A removed machine whose successor has caught up counts no more."""
+        for successor in set(self._ghosts) - lost:
+            del self._ghosts[successor]
+            self._restruck.discard(successor)
+
     def _lost(self, now_s: float) -> set[str]:
         late = {name for name, until_s in self._lost_until_s.items() if until_s > now_s}
         return (self._struck & self._stores) | late
--- a/src/bellweir_rehearsal/hosted/process_faults.py
+++ b/src/bellweir_rehearsal/hosted/process_faults.py
@@ -1,4 +1,8 @@
-"""Faults of a soak that strike processes: kills, stops, frozen ones, reloads."""
+"""Faults of a soak that strike processes: kills, stops, frozen ones, reloads.
+
+Signals that a process must heed, for a stop and a reload, are sent once it says that it has
+started: until then they end it, as they do any program.
+"""
 
 import signal
 
@@ -48,7 +52,8 @@
     def strike(self) -> None:
         """Ask it to stop; the deployment keeps its exit code."""
         for name in self.struck:
-            self.deployment.stop(name)
+            if self.deployment.await_started(name):
+                self.deployment.stop(name)
 
 
 class StopStore(StopGateway):
@@ -73,7 +78,8 @@
         """Tell them."""
         for name in self.struck:
             self.deployment.write_settings(name)
-            self.deployment.signal(name, signal.SIGHUP)
+            if self.deployment.await_started(name):
+                self.deployment.signal(name, signal.SIGHUP)
 
     def mend(self) -> None:
         """Nothing stands still."""
--- a/src/bellweir_rehearsal/hosted/soak.py
+++ b/src/bellweir_rehearsal/hosted/soak.py
@@ -13,11 +13,12 @@
 from collections.abc import Callable, Iterator
 from concurrent.futures import Future, ThreadPoolExecutor
 from contextlib import contextmanager
+from datetime import UTC, datetime
 from pathlib import Path
 
 from bellweir_rehearsal.hosted.checks import Check, CheckedTraffic
 from bellweir_rehearsal.hosted.clients import NoAnswerError, StepRecord, call, key_of_version
-from bellweir_rehearsal.hosted.deployment import BEAT_S, HostedDeployment, has_rig
+from bellweir_rehearsal.hosted.deployment import BEAT_S, HostedDeployment
 from bellweir_rehearsal.hosted.disk_faults import LastFault
 from bellweir_rehearsal.hosted.fault import SoakFault
 from bellweir_rehearsal.hosted.kept_clients import KeptClient
@@ -41,7 +42,12 @@
 SECOND_READERS = 2
 TRIES = 120
 """Tries of a client's call; all processes may be down for a while."""
+PATIENCE_S = 45.0
+"""Time after which a client's call is given up: no service for so long is a fault."""
 SETTLED_TIMEOUT_S = 30.0
+READ_ALL_TIMEOUT_S = 60.0
+"""Time for reading everything at each gateway in the end."""
+STRIKES_NAME = "strikes.txt"
 STEP_REQUESTS = 5
 KEPT_SHARE = 0.8
 """Share of the time for which ended jobs are kept in which they must be readable."""
@@ -89,8 +95,9 @@
         tolerated = (stores - 1) // 2
         zones = 2 if gateways >= 12 else 3
         super().__init__(HostedDeployment(folder, gateways, stores, zones, tolerated), told)
-        self.deployment.is_rigged = has_rig()
+        self.deployment.is_rigged = True
         self.client.tries = TRIES
+        self.client.patience_s = PATIENCE_S
         self._seed = seed
         self._seconds = seconds
         self._only = only
@@ -98,6 +105,7 @@
         self._budget = LossBudget(self.deployment.names("store"), tolerated, catch_up_s)
         self._calming = threading.Event()
         self._stopping = threading.Event()
+        self._read_until_s = 0.0
         self.strikes: Counter[str] = Counter()
         self.peak_mb = 0.0
         self.served_again_s: float | None = None
@@ -155,6 +163,7 @@
                 while time.monotonic() < until_s:
                     self._one_step()
             self._strike_last()
+            self._read_until_s = time.monotonic() + READ_ALL_TIMEOUT_S
             for step in list(self.trainer.steps):
                 self._read_again_if_kept(step)
         self.check_orders()
@@ -196,8 +205,9 @@
 
     def _read_at(self, step: StepRecord, gateway: str) -> int:
         """Read a step from its start at one gateway; how many results came."""
-        found, until_s = 0, time.monotonic() + SETTLED_TIMEOUT_S
-        while time.monotonic() < until_s:
+        found, is_first = 0, True
+        while is_first or time.monotonic() < self._read_until_s:
+            is_first = False
             address = self.deployment.address(gateway, "front")
             answer = call(address, "GET", f"/api/lots/{step.job_id}?after={found}")
             if answer is not None and answer.status == 404 and self._is_kept(step):
@@ -324,11 +334,22 @@
             return again or []
         self.strikes[fault.name] += 1
         struck = list(fault.struck)
-        self.told(f"{fault.name} {' '.join(struck[:3])} for {seconds:.1f} s")
+        self._tell(f"{fault.name} {' '.join(struck[:3])} for {seconds:.1f} s")
         self._calming.wait(seconds)
         fault.end()
+        self._note(f"{fault.name} {' '.join(struck[:3])} ended")
         return struck
 
+    def _tell(self, what: str) -> None:
+        self.told(what)
+        self._note(what)
+
+    def _note(self, what: str) -> None:
+        """Keep a line with its time beside the logs, in the logs' form of time."""
+        at = datetime.now(UTC).isoformat(timespec="milliseconds")
+        with (self.deployment.folder / STRIKES_NAME).open("a", encoding="utf-8") as kept:
+            kept.write(f"{at} {what}\n")
+
     def _strike_last(self) -> None:
         """Lose disks while all others lose power, right after a batch job was accepted."""
         chance = self._chance("last")
@@ -343,7 +364,7 @@
             self.recovered.expect(False, "the last fault was not allowed")
             return
         self.strikes[fault.name] += 1
-        self.told(f"{fault.name} {' '.join(fault.struck[: self.deployment.tolerated])}")
+        self._tell(f"{fault.name} {' '.join(fault.struck[: self.deployment.tolerated])}")
         time.sleep(chance.uniform(SHORTEST_FAULT_S, fault.longest_s))
         fault.end()
         self._await_service()
