--- a/src/bellweir_rehearsal/hosted/deployment.py
+++ b/src/bellweir_rehearsal/hosted/deployment.py
@@ -190,6 +190,9 @@
             return
         settings = self.write_settings(name)
         environment = {**os.environ, "BELLWEIR_CONFIG": str(settings)}
+        if machine.role == "store":
+            # The folder is the disk's own place, which is there before any process.
+            machine.data_folder.mkdir(exist_ok=True)
         module = PLAIN_MODULE
         if self.is_rigged:
             module = RIGGED_MODULE
--- a/src/bellweir_rehearsal/hosted/soak.py
+++ b/src/bellweir_rehearsal/hosted/soak.py
@@ -338,12 +338,19 @@
         self._calming.wait(seconds)
         fault.end()
         self._note(f"{fault.name} {' '.join(struck[:3])} ended")
+        self._note_losses()
         return struck
 
     def _tell(self, what: str) -> None:
         self.told(what)
         self._note(what)
 
+    def _note_losses(self) -> None:
+        """Keep what losses of power took from the disks."""
+        losses, self.deployment.power_losses = self.deployment.power_losses, []
+        for loss in losses:
+            self._note(f"power: {loss}")
+
     def _note(self, what: str) -> None:
         """Keep a line with its time beside the logs, in the logs' form of time."""
         at = datetime.now(UTC).isoformat(timespec="milliseconds")
@@ -367,6 +374,7 @@
         self._tell(f"{fault.name} {' '.join(fault.struck[: self.deployment.tolerated])}")
         time.sleep(chance.uniform(SHORTEST_FAULT_S, fault.longest_s))
         fault.end()
+        self._note_losses()
         self._await_service()
         self._finish_step(step)
 
