--- a/src/bellweir/hosted/batches/service.py
+++ b/src/bellweir/hosted/batches/service.py
@@ -4,6 +4,7 @@
 
 from bellweir.hosted.batches.attempts import ItemAttempts
 from bellweir.hosted.batches.coordinator import Coordinator
+from bellweir.hosted.batches.retention import JobRetention
 from bellweir.hosted.batches.state import JOBS_KEY, BatchJobs, JobState
 from bellweir.hosted.interface import HostingPlatform
 from bellweir.hosted.metrics_service import MetricsService
@@ -15,7 +16,7 @@
 from bellweir.kernel import names
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
-from bellweir.ledger.interface import Ledger
+from bellweir.ledger.service import LedgerService
 
 TIDY_PERIOD_S = 2.0
 
@@ -36,7 +37,7 @@
         """Start the tasks; they act only while this node leads."""
         registry = self._kernel.registry
         self._views = registry.find(names.VIEWS, ViewsService)
-        ledger = registry.find(names.LEDGER, Ledger)  # type: ignore[type-abstract]
+        ledger = registry.find(names.LEDGER, LedgerService)
         ledger.register(BatchJobs)
         self._attempts = ItemAttempts(self._connections, self._loads)
         coordinator = Coordinator(
@@ -46,18 +47,19 @@
             self._loads,
             self._attempts,
             self._kernel.executors,
-            self._settings.bounds.status_s,
             self._settings.batches,
         )
+        retention = JobRetention(ledger, self._settings.bounds.status_s)
         self._add_gauges(
             registry.find(names.TELEMETRY, MetricsService).metrics, ledger, coordinator
         )
         self._kernel.executors.run_task("batch-coordinator", coordinator.run)
         self._kernel.executors.run_task("batch-committer", coordinator.committer.run)
+        self._kernel.executors.run_task("batch-retention", retention.run)
         self._kernel.executors.run_task("batch-tidy", self._tidy)
 
     def _add_gauges(
-        self, metrics: RequestMetrics, ledger: Ledger, coordinator: Coordinator
+        self, metrics: RequestMetrics, ledger: LedgerService, coordinator: Coordinator
     ) -> None:
         def jobs() -> list[JobState]:
             machine = ledger.local_machine(JOBS_KEY, BatchJobs)
@@ -83,6 +85,11 @@
             "1 while this node leads the jobs' shard.",
             lambda: float(ledger.leads(JOBS_KEY)),
         )
+        metrics.add_gauge(
+            "bellweir_ledger_sound_voters",
+            "On the leader of the jobs' shard: voters that answer and hold its log; 0 elsewhere.",
+            lambda: float(ledger.sound_voters(JOBS_KEY)),
+        )
 
     def stop(self) -> None:
         """The tasks end with the executors."""
