--- a/features/hosted_soak.feature
+++ b/features/hosted_soak.feature
@@ -10,6 +10,11 @@
     When a soak of 14 seconds is played with seed 21 over machines that keep ended jobs for 2 seconds
     Then faults have struck and everything that must hold of the soak has held
 
+  Scenario: A soak with losses of power, clocks that jump and machines that change
+    When a soak of 20 seconds is played with seed 13 of losses of power, clocks and changed machines
+    Then faults have struck and everything that must hold of the soak has held
+    And the run ended with disks lost while all others lost power
+
   Scenario: Losses stay within what is tolerated
     Then at any order of faults no more disks are lost at once than tolerated
     And a machine counts as whole once it has had its time to catch up, a removed one's successor too
--- a/features/steps/hosted_soak_steps.py
+++ b/features/steps/hosted_soak_steps.py
@@ -6,6 +6,7 @@
 
 from bellweir_rehearsal.hosted.losses import CATCH_UP_S, LossBudget
 from bellweir_rehearsal.hosted.soak import HostedSoak
+from bellweir_rehearsal.hosted.soak_faults import UNSAFE_FAULTS
 
 
 @when(
@@ -29,6 +30,22 @@
     context.soak.play()
 
 
+@when(
+    "a soak of {seconds:d} seconds is played with seed {seed:d} "
+    "of losses of power, clocks and changed machines"
+)
+def when_power_lost(context, seconds, seed):
+    context.soak = HostedSoak(context.folder, seed, seconds, 7, 3, only=UNSAFE_FAULTS)
+    context.cleanup.callback(context.soak.close)
+    context.soak.play()
+
+
+@then("the run ended with disks lost while all others lost power")
+def then_last(context):
+    assert context.soak.strikes["LastFault"] == 1, context.soak.strikes
+    assert context.soak.served_again_s is not None
+
+
 @then("faults have struck and everything that must hold of the soak has held")
 def then_held(context):
     assert context.soak.strikes, "no fault struck"
--- a/src/bellweir_rehearsal/hosted/soak_faults.py
+++ b/src/bellweir_rehearsal/hosted/soak_faults.py
@@ -59,5 +59,19 @@
     NewVersion,
     LostReports,
 )
+UNSAFE_FAULTS: tuple[type[SoakFault], ...] = (
+    PowerLossOfStore,
+    PowerLossOfStores,
+    PowerLossOfAll,
+    DisksLostWithoutPower,
+    WipeStore,
+    ClockStep,
+    LongClockStep,
+    AddStore,
+    ReplaceStore,
+    RetireStore,
+    StopStore,
+)
+"""Those that strike what lasts: disks, clocks, and which machines there are."""
 ALL_FAULTS: tuple[type[SoakFault], ...] = (*MACHINE_FAULTS, *MACHINE_FAULTS, *PLATFORM_FAULTS)
 """All of them; those that strike machines are drawn twice as often as the platform's."""
