--- a/features/steps/hosted_soak_steps.py
+++ b/features/steps/hosted_soak_steps.py
@@ -6,7 +6,7 @@
 
 from bellweir_rehearsal.hosted.losses import CATCH_UP_S, LossBudget
 from bellweir_rehearsal.hosted.soak import HostedSoak
-from bellweir_rehearsal.hosted.soak_faults import UNSAFE_FAULTS
+from bellweir_rehearsal.hosted.soak_faults import LASTING_FAULTS
 
 
 @when(
@@ -35,7 +35,7 @@
     "of losses of power, clocks and changed machines"
 )
 def when_power_lost(context, seconds, seed):
-    context.soak = HostedSoak(context.folder, seed, seconds, 7, 3, only=UNSAFE_FAULTS)
+    context.soak = HostedSoak(context.folder, seed, seconds, 7, 3, only=LASTING_FAULTS)
     context.cleanup.callback(context.soak.close)
     context.soak.play()
 
--- a/src/bellweir_rehearsal/hosted/command.py
+++ b/src/bellweir_rehearsal/hosted/command.py
@@ -13,6 +13,7 @@
 from bellweir_rehearsal.hosted.checks import Check
 from bellweir_rehearsal.hosted.day import HostedDay
 from bellweir_rehearsal.hosted.soak import HostedSoak, size_by_seed
+from bellweir_rehearsal.hosted.soak_faults import ALL_FAULTS, LASTING_FAULTS
 
 
 @cappa.command(
@@ -34,6 +35,11 @@
     gateways: Annotated[int, cappa.Arg(long=True, help="Gateways of the soak; 0: by the seed.")] = 0
     stores: Annotated[int, cappa.Arg(long=True, help="Its store machines; 0: by the seed.")] = 0
 
+    lasting: Annotated[
+        bool,
+        cappa.Arg(long=True, help="Strike only what lasts: disks, clocks, which machines exist."),
+    ] = False
+
     def __call__(self) -> None:
         """Play it; the exit code is 5 when something that must hold did not."""
         if self.folder is not None:
@@ -62,7 +68,8 @@
             return HostedDay(folder, console.print)
         gateways, stores = size_by_seed(self.seed)
         size = (self.gateways or gateways, self.stores or stores)
-        return HostedSoak(folder, self.seed, self.soak_s, *size, told=console.print)
+        faults = LASTING_FAULTS if self.lasting else ALL_FAULTS
+        return HostedSoak(folder, self.seed, self.soak_s, *size, told=console.print, only=faults)
 
 
 def _print(console: Console, check: Check, holds: bool) -> None:
--- a/src/bellweir_rehearsal/hosted/deployment.py
+++ b/src/bellweir_rehearsal/hosted/deployment.py
@@ -251,8 +251,9 @@
         if machine is None:
             return
         written = machine.clock_file.with_suffix(".new")
-        written.write_text(f"{offset_s:.3f}", encoding="utf-8")
-        written.replace(machine.clock_file)
+        with self._lock:
+            written.write_text(f"{offset_s:.3f}", encoding="utf-8")
+            written.replace(machine.clock_file)
 
     def wish_retired(self, name: str) -> None:
         """Ask for a store machine to be emptied."""
--- a/src/bellweir_rehearsal/hosted/soak_faults.py
+++ b/src/bellweir_rehearsal/hosted/soak_faults.py
@@ -59,7 +59,7 @@
     NewVersion,
     LostReports,
 )
-UNSAFE_FAULTS: tuple[type[SoakFault], ...] = (
+LASTING_FAULTS: tuple[type[SoakFault], ...] = (
     PowerLossOfStore,
     PowerLossOfStores,
     PowerLossOfAll,
