--- a/src/bellweir_rehearsal/hosted/clients.py
+++ b/src/bellweir_rehearsal/hosted/clients.py
@@ -4,6 +4,7 @@
 import http.client
 import itertools
 import json
+import math
 import random
 import time
 from dataclasses import dataclass, field
@@ -66,6 +67,8 @@
     addresses: list[str] = field(default_factory=list)
     known_until_s: float = 0.0
     tries: int = TRIES
+    patience_s: float = math.inf
+    """Time after which a call is given up, however many tries are left."""
 
     def look_up(self) -> None:
         """Ask a gateway's directory."""
@@ -85,7 +88,10 @@
     ) -> Answer:
         """Send a request until an answer other than 5xx comes. Raises `NoAnswerError`."""
         last: Answer | None = None
+        until_s = time.monotonic() + self.patience_s
         for _ in range(self.tries):
+            if time.monotonic() > until_s:
+                break
             if time.monotonic() >= self.known_until_s:
                 self.look_up()
             if self.addresses:
@@ -105,6 +111,10 @@
     minimum_version: int
     items: list[str]
     results: list[dict[str, Any]] = field(default_factory=list)
+    grown_s: float = 0.0
+    """Monotonic time at which the last result was read."""
+    is_read: bool = False
+    """Whether all of it has been read."""
     ended_s: float | None = None
     """Monotonic time at which its end was asked for."""
 
@@ -144,17 +154,24 @@
             if time.monotonic() > until_s:
                 raise NoAnswerError(f"{step.job_id}: {len(step.results)} results in {timeout_s} s")
             path = f"/api/lots/{step.job_id}?after={len(step.results)}"
-            page = json.loads(self.client.send("GET", path).body)
-            step.results += page["results"]
+            answer = self.client.send("GET", path)
+            if answer.status != 200:
+                raise NoAnswerError(f"{step.job_id}: {answer}")
+            page = json.loads(answer.body)
+            if page["results"]:
+                step.results += page["results"]
+                step.grown_s = time.monotonic()
             time.sleep(READ_PAUSE_S)
+        step.is_read = True
 
     def end_step(self, step: StepRecord) -> None:
         """End the job and name the next version."""
         step.ended_s = time.monotonic()
-        self.client.send("DELETE", f"/api/lots/{step.job_id}")
-        self.version += 1
-        named = {"model": "drafts", "version": self.version}
-        self.client.deployment.store.records.put("versions", "drafts", named)
+        answer = self.client.send("DELETE", f"/api/lots/{step.job_id}")
+        is_kept = time.monotonic() - step.ended_s < self.client.deployment.status_s
+        if answer.status != 200 and is_kept:
+            raise NoAnswerError(f"end of {step.job_id}: {answer}")
+        self.version = self.client.deployment.name_next_version()
 
     def read_again(self, step: StepRecord) -> list[dict[str, Any]]:
         """All results of a step, from the start."""
