--- a/src/bellweir/ledger/service.py
+++ b/src/bellweir/ledger/service.py
@@ -297,7 +297,8 @@
 
         None before the ledger is known.
         """
-        return tuple(self._locator.likely_first(self._holders(key, timeout_s)))
+        holders = self._holders(key, timeout_s)
+        return tuple(self._locator.likely_first(holders)) if holders else ()
 
     def replica_count(self, key: str, timeout_s: float) -> int:
         """Replicas that the key's shard has, dead or alive; 0 before the ledger is known."""
