Test of a start without descriptors: in a process of its own

Cause: the scenario bounded the number of descriptors of the test process itself, from the first free one on.

Change: each start runs in a process that holds just its three streams. The cases and assertions are the former ones, and one start at least must have lacked a descriptor.

--- a/features/steps/ledger_power_steps.py
+++ b/features/steps/ledger_power_steps.py
@@ -3,11 +3,12 @@
 import copy
 import os
 import random
-import resource
-import sqlite3
+import subprocess
+import sys
 
 import hypothesis.strategies as st
 from behave import then
+from features.support import limited_start
 from features.support.ledger_simulation import Disk
 from features.support.power_rig import Machine
 from hypothesis import given, settings
@@ -297,25 +298,20 @@
     lives = Lives(chance)
     context.add_cleanup(lives.machine.close)
     lives.live(None, 10)
+    refused = []
     for left in range(8):
-        load_with_descriptors(lives.machine.folder, left)
+        refused.append(load_with_descriptors(lives.machine.folder, left))
         lives.live(None, 1)
+    assert any(refused), "no start lacked a descriptor"
 
 
 def load_with_descriptors(folder, left):
-    """Start a journal in a process that can open just `left` more files; close it again."""
-    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
-    journal = SqliteJournal(folder)
-    first_free = os.open(os.devnull, os.O_RDONLY)
-    os.close(first_free)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (first_free + left, limits[1]))
-    try:
-        journal.load()
-    except (sqlite3.OperationalError, OSError):
-        assert left < 6, "it needs more descriptors than expected"
-    finally:
-        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
-        journal.close()
+    """Start a journal in a process that can open just `left` more files; it ends again."""
+    command = [sys.executable, limited_start.__file__, str(folder), str(left)]
+    ended = subprocess.run(command, capture_output=True, text=True, check=False)
+    assert ended.returncode in (0, limited_start.REFUSED), ended.stderr
+    assert ended.returncode == 0 or left < 6, "it needs more descriptors than expected"
+    return ended.returncode == limited_start.REFUSED
 
 
 @then("a placement once saved is there, as saved or newer, after a loss of power at any change")
