--- a/src/bellweir_rehearsal/hosted/deployment.py
+++ b/src/bellweir_rehearsal/hosted/deployment.py
@@ -21,6 +21,7 @@
 from bellweir_rehearsal.hosted.duties import DutiesStandIn
 from bellweir_rehearsal.hosted.object_store import PlatformStoreStandIn
 from bellweir_rehearsal.hosted.power import lose_power
+from bellweir_rehearsal.hosted.rigged_process import FULL_MARK
 from bellweir_rehearsal.hosted.template import fill
 from bellweir_rehearsal.hosted.touch_log import TouchLog
 from bellweir_rehearsal.hosted.worker import WorkerStandIn
@@ -231,6 +232,14 @@
         shutil.rmtree(machine.data_folder, ignore_errors=True)
         shutil.rmtree(machine.rig_folder, ignore_errors=True)
 
+    def refuse_writes(self, name: str) -> None:
+        """Have a machine's disk take no change any more; only under the rig."""
+        (self.machines[name].rig_folder / FULL_MARK).touch()
+
+    def take_writes(self, name: str) -> None:
+        """Have it take changes again."""
+        (self.machines[name].rig_folder / FULL_MARK).unlink(missing_ok=True)
+
     def lose_power(self, names: Sequence[str], chance: random.Random) -> None:
         """Kill processes and leave on their disks what a loss of power may leave.
 
--- a/src/bellweir_rehearsal/hosted/file_rig.py
+++ b/src/bellweir_rehearsal/hosted/file_rig.py
@@ -4,6 +4,7 @@
 folder; all else passes through. `Path.write_bytes` opens files past them, so it is replaced too.
 """
 
+import errno
 import fcntl
 import os
 import stat
@@ -20,12 +21,14 @@
     """The replaced calls; `install` puts them in place and `remove` takes them out again.
 
     While `is_dead`, nothing is changed on the disk any more and each change fails with an
-    `OSError`: a test's way to let the power go without ending its own process.
+    `OSError`: a test's way to let the power go without ending its own process. Each change fails
+    as well while the file `full_mark` is there, which others may make and remove: a full disk.
     """
 
-    def __init__(self, data_folder: Path, log: UnsyncedLog) -> None:
+    def __init__(self, data_folder: Path, log: UnsyncedLog, full_mark: Path | None = None) -> None:
         self._folder = full_path(data_folder)
         self._log = log
+        self._full_mark = full_mark
         self._paths: dict[int, str] = {}
         self._plain: dict[str, Callable[..., Any]] = {}
         self._plain_write_bytes = Path.write_bytes
@@ -67,12 +70,14 @@
         setattr(Path, "write_bytes", self._plain_write_bytes)  # noqa: B010
 
     def check_power(self) -> None:
-        """Count a change; raises `OSError` when the power is off."""
+        """Count a change; raises `OSError` when the power is off or the disk is full."""
         if self.steps_left is not None:
             self.steps_left -= 1
             self.is_dead = self.is_dead or self.steps_left < 0
         if self.is_dead:
             raise OSError("the power is off")
+        if self._full_mark is not None and self._full_mark.exists():
+            raise OSError(errno.ENOSPC, "the disk is full")
 
     def is_inside(self, path: str) -> bool:
         """Whether a path is the data folder or below it."""
--- a/src/bellweir_rehearsal/hosted/rigged_process.py
+++ b/src/bellweir_rehearsal/hosted/rigged_process.py
@@ -15,6 +15,8 @@
 RECORDS_VARIABLE = "BELLWEIR_RIG"
 CLOCK_VARIABLE = "BELLWEIR_CLOCK"
 SETTINGS_VARIABLE = "BELLWEIR_CONFIG"
+FULL_MARK = "disk-full"
+"""File in the rig's folder; while it is there the disk takes no change."""
 
 
 def data_folder_of(settings: Path) -> Path | None:
@@ -31,7 +33,7 @@
     from bellweir_rehearsal.hosted.unsynced import UnsyncedLog
 
     log = UnsyncedLog(records)
-    files = FileRig(data_folder, log)
+    files = FileRig(data_folder, log, records / FULL_MARK)
     files.install()
     SqliteRig(files, log).install()
 
