Start the ledger once the disk lets it, and end the process after a failed write

Cause: the task that starts the replicas ended with the first error of the disk, and the one that writes ended with the first failed write; the process went on, with a voter that never answered again. With the next loss nobody is elected.

Any other error of the start ends the process, too. Lines: journal_unavailable, process_gives_up.

In the failing test's second scenario item 6 is the one whose write fails, so the items appended later begin at 7; the step that waits for a replica waits for its being there too.

--- a/features/ledger_disk.feature
+++ b/features/ledger_disk.feature
@@ -23,7 +23,7 @@
     And a write to the disk of a follower fails
     Then its node asks for the end of its process
     When that node stops and starts again
-    And ledger items 6 to 10 are appended through that node
+    And ledger items 7 to 10 are appended through that node
     Then its replica holds items 1 to 10 under its former identity
 
   Scenario: The process of a store machine whose disk refuses a write
--- a/features/steps/ledger_disk_steps.py
+++ b/features/steps/ledger_disk_steps.py
@@ -12,7 +12,7 @@
 import time
 
 from behave import then, when
-from features.steps.ledger_steps import KEY, append
+from features.steps.ledger_steps import KEY, append, then_replica_holds
 from features.support.ledger_nodes import ItemList
 from features.support.waiting import wait_until
 from returns.pipeline import is_successful
@@ -139,9 +139,7 @@
 
 @then("its replica holds items {first:d} to {last:d} under its former identity")
 def then_holds(context, first, last):
-    ledger = context.cluster.nodes[context.node].ledger
-    wanted = list(range(first, last + 1))
-    wait_until(lambda: ledger.local_machine(KEY, ItemList).items == wanted, "it caught up")
+    then_replica_holds(context, context.node, first, last)
     assert identity_of(context.cluster, context.node) == context.former
 
 
--- a/features/steps/ledger_steps.py
+++ b/features/steps/ledger_steps.py
@@ -267,7 +267,12 @@
 def then_replica_holds(context, name, first, last):
     wanted = list(range(first, last + 1))
     ledger = context.cluster.nodes[name].ledger
-    wait_until(lambda: ledger.local_machine(KEY, ItemList).items == wanted, "it caught up")
+
+    def holds():
+        machine = ledger.local_machine(KEY, ItemList)
+        return machine is not None and machine.items == wanted
+
+    wait_until(holds, "it caught up")
 
 
 @when("one follower of the ledger stops for good")
--- a/src/bellweir/entrypoints/node.py
+++ b/src/bellweir/entrypoints/node.py
@@ -3,6 +3,7 @@
 import json
 import os
 import signal
+import sys
 import threading
 from collections.abc import Callable
 from pathlib import Path
@@ -13,6 +14,7 @@
 from bellweir.events.log import bind_node, configure_logs, emit
 from bellweir.gateway.service import GatewayService
 from bellweir.kernel import names
+from bellweir.kernel.ending import EXIT_GIVEN_UP
 from bellweir.kernel.listeners import Listeners, bind_listeners
 from bellweir.kernel.log_events import NODE_DRAINING, NODE_STARTED, NODE_STOPPED
 from bellweir.kernel.node import Kernel
@@ -89,11 +91,13 @@
         """Ask for a planned stop; returns at once."""
         self._stop_asked.set()
 
-    def run_until_stopped(self) -> None:
-        """Wait for a stop to be asked for, then drain and stop."""
+    def run_until_stopped(self) -> int:
+        """Wait for a stop to be asked for, then drain and stop; the process's exit code."""
+        self.kernel.ending.listen(self._stop_asked.set)
         while not self._stop_asked.wait(1.0):
             pass
         self.stop()
+        return EXIT_GIVEN_UP if self.kernel.ending.cause is not None else 0
 
     def stop(self) -> None:
         """Let the work in hand end, then end every task and close every socket."""
@@ -121,7 +125,7 @@
     signal.signal(signal.SIGTERM, on_signal)
     signal.signal(signal.SIGINT, on_signal)
     node.start()
-    node.run_until_stopped()
+    sys.exit(node.run_until_stopped())
 
 
 def write_ready_file(path: Path, node: str, listeners: Listeners) -> None:
--- a/src/bellweir/hosted/process.py
+++ b/src/bellweir/hosted/process.py
@@ -36,6 +36,7 @@
 from bellweir.hosted.views.relay import FIRST_START_PATIENCE_S, SEED_PATIENCE_S
 from bellweir.hosted.views.service import ViewsService
 from bellweir.kernel import names
+from bellweir.kernel.ending import EXIT_GIVEN_UP
 from bellweir.kernel.listeners import Listeners, bind_address, bind_peer_pair
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
@@ -89,15 +90,16 @@
             add(make(kernel, settings, platform))
 
     def run(self, began_s: float) -> None:
-        """Start, serve until SIGTERM, and stop within the grace period."""
+        """Start, serve until SIGTERM or until a service can't go on, then stop in time."""
         signal.signal(signal.SIGTERM, self._on_stop)
         signal.signal(signal.SIGINT, self._on_stop)
         signal.signal(signal.SIGHUP, self._on_reload)
+        self.kernel.ending.listen(self._wake.set)
         self.kernel.registry.start()
         node = self._settings.node
         start_ms = round(1000 * (time.monotonic() - began_s))
         emit(PROCESS_STARTED, role=node.role, zone=node.zone, start_ms=start_ms)
-        while not self._stop_asked.is_set():
+        while not self._stop_asked.is_set() and self.kernel.ending.cause is None:
             self._wake.wait(1.0)
             self._wake.clear()
             self._store.log_calls_if_due()
@@ -137,7 +139,7 @@
             emit(PROCESS_STOPPED, seconds=round(time.monotonic() - began_s, 3), left_running=0)
             self._log.close()
             # Tasks that wait in the store or for a worker hold nothing that must be saved.
-            os._exit(0)
+            os._exit(EXIT_GIVEN_UP if self.kernel.ending.cause is not None else 0)
 
 
 def _role_services(role: str) -> tuple[RoleService, ...]:
--- a/src/bellweir/kernel/log_events.py
+++ b/src/bellweir/kernel/log_events.py
@@ -13,6 +13,13 @@
 TASK_LEFT_RUNNING = Event(
     5, "task_left_running", Level.ERROR, ("task",), "A task did not end in time at a stop."
 )
+PROCESS_GIVES_UP = Event(
+    7,
+    "process_gives_up",
+    Level.ERROR,
+    ("cause",),
+    "A service can't go on; the process ends with exit code 1, to be started again.",
+)
 SERVICE_DRAINED = Event(
     6, "service_drained", Level.INFO, ("service", "seconds"), "A service took its time to drain."
 )
--- a/src/bellweir/kernel/node.py
+++ b/src/bellweir/kernel/node.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from bellweir.kernel.clock import Clock, SystemClock
+from bellweir.kernel.ending import Ending
 from bellweir.kernel.executors import Executors
 from bellweir.kernel.listeners import Listeners
 from bellweir.kernel.registry import Registry
@@ -19,3 +20,4 @@
     registry: Registry = field(default_factory=Registry)
     executors: Executors = field(default_factory=Executors)
     clock: Clock = field(default_factory=SystemClock)
+    ending: Ending = field(default_factory=Ending)
--- a/src/bellweir/ledger/journal.py
+++ b/src/bellweir/ledger/journal.py
@@ -79,6 +79,10 @@
 Operation = AppendEntries | SaveTerm | SaveSnapshot | TruncateLog | ForgetShard
 
 
+class JournalUnavailableError(OSError):
+    """The files can't be opened or written now, which says nothing of what they hold."""
+
+
 class JournalFailedError(RuntimeError):
     """A write failed once: what is on disk is not known, so nothing is written any more."""
 
@@ -106,7 +110,10 @@
 
     @abstractmethod
     def load(self) -> tuple[StoredShard, ...]:
-        """Read everything; called once, before anything is buffered."""
+        """Read everything; called once, before anything is buffered.
+
+        Raises `JournalUnavailableError` when that can't be done now, or nothing could be kept.
+        """
 
     @abstractmethod
     def _release(self) -> None:
--- a/src/bellweir/ledger/log_events.py
+++ b/src/bellweir/ledger/log_events.py
@@ -84,7 +84,14 @@
     "journal_failed",
     Level.ERROR,
     ("error",),
-    "A write to the journal failed; the node leads no shard and acknowledges nothing any more.",
+    "A write to the journal failed; the node acknowledges nothing any more and its process ends.",
+)
+JOURNAL_UNAVAILABLE = Event(
+    917,
+    "journal_unavailable",
+    Level.ERROR,
+    ("error",),
+    "The ledger's files can't be opened or written; the node holds no replica until they can be.",
 )
 SEGMENT_DAMAGED = Event(
     911,
--- a/src/bellweir/ledger/service.py
+++ b/src/bellweir/ledger/service.py
@@ -8,6 +8,7 @@
 from returns.result import Failure, Result
 
 from bellweir.clients.interface.object_store import ObjectStoreProvider
+from bellweir.events.log import emit
 from bellweir.kernel import names
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
@@ -23,6 +24,7 @@
 )
 from bellweir.ledger.keeper import PlacementKeeper
 from bellweir.ledger.locator import PlacementLocator
+from bellweir.ledger.log_events import JOURNAL_UNAVAILABLE
 from bellweir.ledger.machines import Codec
 from bellweir.ledger.nearby import NearbyReads, PeekServer
 from bellweir.ledger.node import LedgerNode, NodeTiming
@@ -39,6 +41,10 @@
 
 
 START_POLL_S = 0.1
+FIRST_RETRY_S = 0.2
+LONGEST_RETRY_S = 2.0
+"""Pauses before the files are tried again: short against the seconds after which a machine that
+came back is counted on, long enough to cost nothing while a disk stays full."""
 LEDGER_FOLDER = "ledger"
 
 
@@ -93,8 +99,8 @@
             if stopping.is_set():
                 return
         folder = self._settings.node.data_folder
-        if folder is not None:
-            self._start_replicas(folder / LEDGER_FOLDER)
+        if folder is not None and not self._await_replicas(folder / LEDGER_FOLDER, stopping):
+            return
         codec = self._node.codec if self._node else Codec(self._machine_types)
         keeper = self._tasks.keeper if self._tasks else None
         self._locator = PlacementLocator(self._membership, self._transport, keeper)
@@ -134,11 +140,34 @@
             self._client.outcomes,
         )
 
+    def _await_replicas(self, folder: Path, stopping: threading.Event) -> bool:
+        """Start the replicas once the disk lets them; False when the node stops before.
+
+        A disk may be mounted late, be full or hang for a while. A node that gave up would be a
+        voter that never answers, until somebody restarts it.
+        """
+        pause_s = FIRST_RETRY_S
+        while not stopping.is_set():
+            try:
+                self._start_replicas(folder)
+                return True
+            except OSError as failure:
+                emit(JOURNAL_UNAVAILABLE, error=repr(failure))
+            except Exception as failure:
+                self._kernel.ending.ask(f"the ledger can't start: {failure!r}")
+                raise
+            if self._journal is not None:
+                self._journal.close()
+            stopping.wait(pause_s)
+            pause_s = min(2 * pause_s, LONGEST_RETRY_S)
+        return False
+
     def _start_replicas(self, folder: Path) -> None:
         # Only nodes with a data folder need the database.
         from bellweir.ledger.sqlite_journal import SqliteJournal
 
         settings = self._settings.ledger
+        self._journal = None
         timing = NodeTiming(
             settings.election_timeout_s, settings.election_timeout_s, settings.snapshot_entries
         )
@@ -170,7 +199,8 @@
         PeekServer(node, self._transport)
         node.register_handlers()
         self._node = node
-        self._tasks = LedgerTasks(node, keeper, sync, self._kernel.executors, settings)
+        give_up = self._kernel.ending.ask
+        self._tasks = LedgerTasks(node, keeper, sync, self._kernel.executors, settings, give_up)
         self._tasks.start()
 
     def _placement_store(self) -> PlacementStore | None:
--- a/src/bellweir/ledger/sqlite_journal.py
+++ b/src/bellweir/ledger/sqlite_journal.py
@@ -30,6 +30,7 @@
     AppendEntries,
     ForgetShard,
     Journal,
+    JournalUnavailableError,
     Operation,
     SaveSnapshot,
     SaveTerm,
@@ -88,9 +89,18 @@
         """Read everything; damage is reported, and what is whole is kept under a new identity.
 
         What is given back is durable: a former process may have been killed before its sync, and
-        a replica answers for what it has read. Raises `OSError`, `MemoryError` or
-        `sqlite3.OperationalError` when the files can't be opened now, which says nothing of them.
+        a replica answers for what it has read. Raises `JournalUnavailableError` when the files
+        can't be opened or written now, which says nothing of them.
         """
+        try:
+            shards = self._load()
+            # A replica that can read but not write would be a voter that never answers.
+            self._write(())
+        except (OSError, MemoryError, sqlite3.OperationalError) as failure:
+            raise JournalUnavailableError(f"{self._folder}: {failure!r}") from failure
+        return shards
+
+    def _load(self) -> tuple[StoredShard, ...]:
         self._sync_files()
         shards: Sequence[StoredShard] = ()
         try:
--- a/src/bellweir/ledger/tasks.py
+++ b/src/bellweir/ledger/tasks.py
@@ -40,12 +40,15 @@
         store: StoreSync | None,
         executors: Executors,
         settings: "LedgerSettings",
+        give_up: Callable[[str], None],
     ) -> None:
+        """`give_up` ends the process, with a cause: what is on disk is then read anew."""
         self.keeper = keeper
         self._node = node
         self._store = store
         self._executors = executors
         self._settings = settings
+        self._give_up = give_up
         self._stop = threading.Event()
         self._lock = threading.Lock()
         self._peers: dict[str, threading.Event] = {}
@@ -130,15 +133,14 @@
                 self._node.flush()
                 self._node.compact()
             except JournalFailedError as failure:
-                # Others can lead; this node keeps its copies for whoever looks at the disk.
+                # What the disk holds is known only once it is read anew. A process that went on
+                # would be a voter that never answers, and use up the loss that can be borne.
                 emit(JOURNAL_FAILED, error=str(failure))
-                self._give_up()
+                for replica in self._node.replicas():
+                    replica.give_up("the journal failed")
+                self._give_up("the journal failed")
                 return
 
-    def _give_up(self) -> None:
-        for replica in self._node.replicas():
-            replica.give_up("the journal failed")
-
     def _repeat(self, period_s: float, step: Callable[[], bool]) -> None:
         """Do a step again and again, the next one soon after one that says it goes on."""
         while not self._stop.is_set():
