Test, failing: a step of the ledger's tasks that fails once

Cause: the tasks that hold elections and send to a peer end with the first exception, for good, and the peer's task leaves its entry behind, so that none is started anew. With elections and each message failing once, a command of the next leader has no outcome in 20 s.

--- a/features/ledger_disk.feature
+++ b/features/ledger_disk.feature
@@ -29,3 +29,11 @@
   Scenario: The process of a store machine whose disk refuses a write
     Then a store process whose disk refuses writes ends with exit code 1 and says why
     And started again while its disk is full it waits, and serves once there is room
+
+  Scenario: A step of a task that fails once
+    Given a ledger of 3 data nodes and 0 other nodes
+    When ledger items 1 to 5 are appended through node b
+    And each node's elections, and its messages to each peer, fail once
+    And the ledger's leader drains and stops
+    Then another node leads the ledger
+    And ledger item 6 is appended through the one that leads
--- a/features/steps/ledger_disk_steps.py
+++ b/features/steps/ledger_disk_steps.py
@@ -1,4 +1,4 @@
-"""A store machine's disk that fails for a while.
+"""A store machine's disk that fails for a while, and steps of the ledger's tasks that fail once.
 
 Symptom: a machine that runs and is well holds no replica, or acknowledges nothing, until somebody
 restarts it. Sequence: its files can't be opened at its start (mounted late, full, no descriptors),
@@ -181,3 +181,40 @@
     assert "journal_damaged" not in log_of(context.machine)
     context.traffic.finish(context.step)
     assert context.step.is_read
+
+
+# --- tasks ----------------------------------------------------------------------------------------
+
+
+def fail_once(node, name):
+    """Have a method of a node raise at its first call with each first argument.
+
+    A task that ended with such a failure left its machine without elections, or a peer without
+    messages, for the rest of its life; seen as one `task_failed`, and 504 for a command then.
+    """
+    plain, failed = getattr(node, name), set()
+
+    def call(*arguments, **named):
+        if arguments[:1] not in failed:
+            failed.add(arguments[:1])
+            raise RuntimeError("can't start new thread")
+        return plain(*arguments, **named)
+
+    setattr(node, name, call)
+    return failed
+
+
+@when("each node's elections, and its messages to each peer, fail once")
+def when_steps_fail(context):
+    cluster = context.cluster
+    ledgers = [cluster.nodes[name].ledger._node for name in cluster.data_names]
+    ticked = [fail_once(ledger, "tick") for ledger in ledgers]
+    replicated = [fail_once(ledger, "replicate") for ledger in ledgers]
+    wait_until(lambda: all(ticked) and any(replicated), "the steps have failed")
+    context.leaving = cluster.leader()
+
+
+@then("ledger item {item:d} is appended through the one that leads")
+def then_appended_there(context, item):
+    reply = append(context.cluster, context.cluster.leader(), item)
+    assert is_successful(reply), reply
