Keep the ledger's tasks and the links between nodes through one failure

Cause: an exception ended the task that holds elections, or that sends to a peer, for good; the peer's entry stayed behind, so that no other task took its place. A link whose thread could not be started stayed in the table as well and took frames that nobody sent; an accepted connection without a thread was kept open. All are silent for the rest of the process's life.

Change: a failed step is logged (step_failed) and tried again at the next period; what can't be started leaves nothing behind and its caller learns it.

--- a/features/steps/wire_steps.py
+++ b/features/steps/wire_steps.py
@@ -6,6 +6,7 @@
 from returns.pipeline import is_successful
 
 from bellweir.wire.interface import Message, WireErrorKind
+from support.waiting import wait_until
 from support.wire_nodes import Question, QuestionAnswer, WireNode, start_wire_node
 
 REQUEST_TIMEOUT_S = 20.0
@@ -158,3 +159,40 @@
     alpha, beta = context.wire["alpha"], context.wire["beta"]
     assert _ask(alpha, beta, Question(7)).unwrap() == QuestionAnswer(7)
     assert beta.accepted_connections() == context.wire_connections
+
+
+def without_threads(node, name):
+    """Have a node's transport fail to start tasks of one name; returns what undoes it."""
+    executors, plain = node.transport._executors, node.transport._executors.run_task
+
+    def run_task(task, function):
+        if task.startswith(name):
+            raise RuntimeError("can't start new thread")
+        return plain(task, function)
+
+    executors.run_task = run_task
+    return lambda: setattr(executors, "run_task", plain)
+
+
+@when("wire node alpha asks beta while alpha can start no thread, and then while beta can't")
+def step_no_threads(context):
+    alpha, beta = context.wire["alpha"], context.wire["beta"]
+    context.wire_answers = []
+    for node, task in ((alpha, "peer "), (beta, "peer-connection")):
+        undo = without_threads(node, task)
+        context.wire_answers.append(alpha.transport.request(beta.address, Question(1), 2.0))
+        undo()
+
+
+@then("the first wire request was not sent and the second one has no answer")
+def step_failed(context):
+    first, second = context.wire_answers
+    assert first.failure().kind is WireErrorKind.NOT_SENT, first
+    assert not is_successful(second), second
+
+
+@then("later wire requests between them are answered")
+def step_later(context):
+    alpha, beta = context.wire["alpha"], context.wire["beta"]
+    wait_until(lambda: is_successful(_ask(alpha, beta, Question(2))), "alpha reaches beta")
+    assert len(beta.transport._accepted) == 1, "a connection that nobody serves is kept"
--- a/features/wire.feature
+++ b/features/wire.feature
@@ -33,3 +33,9 @@
     When wire node alpha sends beta a message whose handler raises
     Then that wire request fails as without an answer
     And wire node alpha still gets answers from beta over the same connection
+
+  Scenario: A moment in which no thread can be started
+    Given wire nodes alpha and beta with one cluster key
+    When wire node alpha asks beta while alpha can start no thread, and then while beta can't
+    Then the first wire request was not sent and the second one has no answer
+    And later wire requests between them are answered
--- a/src/bellweir/ledger/tasks.py
+++ b/src/bellweir/ledger/tasks.py
@@ -61,7 +61,7 @@
 
     def start(self) -> None:
         """Start the tasks."""
-        self._run("ledger-elections", self._hold_elections)
+        self._run("ledger-elections", partial(self._repeat, TICK_S, self._hold_elections))
         self._run("ledger-writer", self._write)
         self._run("ledger-placement", partial(self._repeat, KEEPER_PERIOD_S, self.keeper.step))
         store = self._store
@@ -113,17 +113,22 @@
 
         with self._ended:
             self._running += 1
-        self._executors.run_task(name, run)
+        try:
+            self._executors.run_task(name, run)
+        except RuntimeError:
+            with self._ended:
+                self._running -= 1
+            raise
 
     # --- the tasks ----------------------------------------------------------------------------
 
-    def _hold_elections(self) -> None:
-        while not self._stop.wait(TICK_S):
-            self._node.tick()
-            self._follow_peers()
-            if self._leaving.is_set() or self.keeper.is_leaving():
-                # Long before the drain reaches the ledger: requests in hand end first there.
-                self._hand_over_once()
+    def _hold_elections(self) -> bool:
+        self._node.tick()
+        self._follow_peers()
+        if self._leaving.is_set() or self.keeper.is_leaving():
+            # Long before the drain reaches the ledger: requests in hand end first there.
+            self._hand_over_once()
+        return False
 
     def _write(self) -> None:
         while not self._stop.is_set():
@@ -140,6 +145,10 @@
                     replica.give_up("the journal failed")
                 self._give_up("the journal failed")
                 return
+            except Exception as failure:
+                # What was not written stays in hand for the next round.
+                emit(STEP_FAILED, step="write", error=repr(failure))
+                self._stop.wait(TICK_S)
 
     def _repeat(self, period_s: float, step: Callable[[], bool]) -> None:
         """Do a step again and again, the next one soon after one that says it goes on."""
@@ -162,7 +171,17 @@
                     self._peers[peer].set()
                     continue
                 self._peers[peer] = news
-            self._run(f"ledger-peer-{peer}", partial(self._serve, peer, news))
+            try:
+                self._run(f"ledger-peer-{peer}", partial(self._serve, peer, news))
+            except RuntimeError:
+                # No thread can be started now; left behind, the entry would keep the peer without
+                # messages for the rest of the process's life.
+                self._forget_peer(peer)
+                raise
+
+    def _forget_peer(self, peer: str) -> None:
+        with self._lock:
+            self._peers.pop(peer, None)
 
     def _serve(self, peer: str, news: threading.Event) -> None:
         """Send news at once, in batches of whatever came up meanwhile, and heartbeats in time."""
@@ -174,9 +193,16 @@
             is_due = time.monotonic() >= due_s
             if is_due:
                 due_s = time.monotonic() + heartbeat_s
-            if not self._node.replicate(peer, heartbeat=is_due):
+            if not self._replicate(peer, is_due):
                 self._stop.wait(heartbeat_s)
             elif self._node.has_news(peer):
                 news.set()
-        with self._lock:
-            self._peers.pop(peer, None)
+        self._forget_peer(peer)
+
+    def _replicate(self, peer: str, is_due: bool) -> bool:
+        """Send a peer what there is; False when it could not be sent now."""
+        try:
+            return self._node.replicate(peer, heartbeat=is_due)
+        except Exception as failure:
+            emit(STEP_FAILED, step="replicate", error=repr(failure))
+            return False
--- a/src/bellweir/wire/service.py
+++ b/src/bellweir/wire/service.py
@@ -1,6 +1,5 @@
 """The transport between nodes. Service `transport`."""
 
-import contextlib
 import socket
 import threading
 import time
@@ -164,7 +163,12 @@
                 return link
             link = PeerLink(address, self._parts, self._link_ended)
             self._links[address] = link
-        self._executors.run_task(f"peer {address}", link.run)
+        try:
+            self._executors.run_task(f"peer {address}", link.run)
+        except RuntimeError:
+            # No thread can be started now. A link that nobody runs would take frames for ever.
+            link.close()
+            return None
         return link
 
     def _link_ended(self, link: PeerLink) -> None:
@@ -196,8 +200,12 @@
         if accepted not in self._accepted:
             shut(connection)
             return
-        with contextlib.suppress(RuntimeError):
+        try:
             self._executors.run_task("peer-connection", accepted.run)
+        except RuntimeError:
+            # The node stops, or no thread can be started now: the peer learns it at once.
+            accepted.close()
+            self._accepted_ended(accepted)
 
     def _accepted_ended(self, accepted: AcceptedConnection) -> None:
         with self._lock:
