Keep bulk data on one more disk than may be lost at once

Cause: a blob was acknowledged with two copies whatever the ledger is to bear; with five replicas two disks may go at once, and with them both copies.

Change: copies are a majority of the replicas that the settings ask for. The holders are looked up once for a blob, not twice (the nodes and their number). Figures: the failing test found 2 copies of five replicas, now 3; three replicas give 2 as before.

--- a/src/bellweir/ledger/interface.py
+++ b/src/bellweir/ledger/interface.py
@@ -205,7 +205,7 @@
 
     @abstractmethod
     def put(self, key: str, blob: bytes, timeout_s: float) -> Result[str, LedgerError]:
-        """Store a blob on at least two replicas of the key's shard (or all, when it has fewer).
+        """Store a blob on a majority of the replicas of the key's shard.
 
         The returned reference depends only on the contents, so that repeating a put is safe.
         A failure means that nobody may rely on the blob; parts of it may remain until retention.
--- a/src/bellweir/ledger/segments_service.py
+++ b/src/bellweir/ledger/segments_service.py
@@ -20,8 +20,6 @@
 from bellweir.settings.models import Settings
 from bellweir.wire.interface import Message, Sender, Transport
 
-COPIES = 2
-"""Replicas that hold a blob durably before its reference is returned."""
 REPLICA_TIMEOUT_S = 1.0
 """Longest wait for one replica, so that one that hangs leaves time for the others."""
 SEGMENTS_FOLDER = "segments"
@@ -101,15 +99,16 @@
     # --- the store ----------------------------------------------------------------------------
 
     def put(self, key: str, blob: bytes, timeout_s: float) -> Result[str, LedgerError]:
-        """Store a blob on two replicas of the key's shard, one after the other."""
+        """Store a blob on a majority of the key's shard's replicas, one after the other."""
         if len(blob) > MAXIMUM_BLOB_BYTES:
             return _failure(f"a blob has at most {MAXIMUM_BLOB_BYTES} bytes")
         deadline_s = self._kernel.clock.monotonic_s() + timeout_s
-        nodes = self._ledger.replica_nodes(key, timeout_s)
+        holders = set(self._ledger.holders(key, timeout_s))
         # Dead ones count, too: else the last node that is left would do, and its disk may go next.
-        wanted = min(COPIES, self._ledger.replica_count(key, timeout_s))
+        # A majority is one more than the disks that may be lost at once.
+        wanted = min(self._settings.ledger.replicas // 2 + 1, len(holders))
         stored = 0
-        for node in self._own_first(nodes):
+        for node in self._own_first(self._ledger.living(holders)):
             left_s = deadline_s - self._kernel.clock.monotonic_s()
             if left_s > 0 and self._store_on(node, blob, min(left_s, REPLICA_TIMEOUT_S)):
                 stored += 1
--- a/src/bellweir/ledger/service.py
+++ b/src/bellweir/ledger/service.py
@@ -1,6 +1,7 @@
 """Service `ledger`: the replicated log on nodes with a data folder, and the way to it elsewhere."""
 
 import threading
+from collections.abc import Collection
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -327,14 +328,15 @@
 
         None before the ledger is known.
         """
-        holders = self._holders(key, timeout_s)
-        return tuple(self._locator.likely_first(holders)) if holders else ()
+        return self.living(self.holders(key, timeout_s))
 
-    def replica_count(self, key: str, timeout_s: float) -> int:
-        """Replicas that the key's shard has, dead or alive; 0 before the ledger is known."""
-        return len(set(self._holders(key, timeout_s)))
+    def living(self, holders: Collection[str]) -> tuple[str, ...]:
+        """Those of the nodes that are not known to be dead, suspects last."""
+        # The locator is there once a holder is known.
+        return tuple(self._locator.likely_first(sorted(holders))) if holders else ()
 
-    def _holders(self, key: str, timeout_s: float) -> tuple[str, ...]:
+    def holders(self, key: str, timeout_s: float) -> tuple[str, ...]:
+        """Nodes that hold the key's shard, dead or alive; none before the ledger is known."""
         if not self._serving.wait(timeout_s):
             return ()
         count = self._locator.wait_for_shard_count(timeout_s, self._kernel.clock)
