Test, failing: the address of the figures is taken

Cause: a process whose figures' address is in use, by its predecessor or by another program, ends at its start; a store machine is then a silent voter though nothing that it needs is missing. On this code the store process ends and no leader is elected in 30 s.

--- a/features/hosted_logs.feature
+++ b/features/hosted_logs.feature
@@ -19,3 +19,9 @@
     Given logs that go to a pipe which is read
     When a request that was given up is logged
     Then its line tells its code, name, node, request id, cause and time
+
+  Scenario: The address of the figures is taken
+    Given a hosted deployment whose store machine finds the address of its figures taken
+    Then it keeps the ledger all the same, and says so
+    When that address is free again
+    Then it shows its figures there
--- a/features/steps/hosted_logs_steps.py
+++ b/features/steps/hosted_logs_steps.py
@@ -2,12 +2,15 @@
 
 import json
 import os
+import socket
 import threading
 import time
+import urllib.request
 
 import structlog
 from behave import given as given_step
 from behave import then, when
+from features.support.waiting import wait_until
 
 from bellweir.events.bounded import BoundedLog
 from bellweir.events.log import bind_node, configure_logs, emit
@@ -17,6 +20,7 @@
     LINES_LEFT_OUT,
     REQUEST_GIVEN_UP,
 )
+from bellweir_rehearsal.hosted.deployment import METRICS_PORT, HostedDeployment
 
 
 def start_logs(context):
@@ -140,3 +144,39 @@
     wanted |= {"request_id": "r-1", "cause": "workers_full", "level": "warning"}
     assert wanted.items() <= line.items()
     assert line["timestamp"].endswith("Z")
+
+
+@given_step("a hosted deployment whose store machine finds the address of its figures taken")
+def given_taken(context):
+    deployment = HostedDeployment(context.folder, gateways=1, stores=1, zones=1, tolerated=0)
+    context.cleanup.callback(deployment.close)
+    context.machine = deployment.machines["store-0"]
+    context.taken = socket.create_server((context.machine.ip, METRICS_PORT))
+    context.cleanup.callback(context.taken.close)
+    deployment.start()
+
+
+@then("it keeps the ledger all the same, and says so")
+def then_keeps(context):
+    for event in ("metrics_unavailable", "leader_elected"):
+        wait_until(lambda event=event: event in context.machine.log_file.read_text(), event)
+    assert context.machine.is_running
+
+
+@when("that address is free again")
+def when_free(context):
+    context.taken.close()
+
+
+@then("it shows its figures there")
+def then_shown(context):
+    url = f"http://{context.machine.ip}:{METRICS_PORT}/metrics"
+
+    def shown():
+        try:
+            with urllib.request.urlopen(url, timeout=5) as answer:
+                return b"bellweir_uptime_seconds" in answer.read()
+        except OSError:
+            return False
+
+    wait_until(shown, "the figures are shown")
