Start without the address of the figures where it is taken

Cause: a process whose figures' address could not be bound ended at its start; a store machine was a silent voter for as long as another program held a port that it does not need for its work.

Change: the address is tried again every 2 s by a task of its own, with a line (metrics_unavailable); all else goes on. Failing test: no leader in 30 s; now it leads while the address is taken and shows its figures once it is free.

--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -309,3 +309,10 @@
     ("request_id", "job", "state", "events", "cause"),
     "An item's result was dropped when it reached the log; the cause tells why.",
 )
+METRICS_UNAVAILABLE = Event(
+    1460,
+    "metrics_unavailable",
+    Level.WARNING,
+    ("address", "error"),
+    "The address of the process's figures is taken; it is tried again, and all else goes on.",
+)
--- a/src/bellweir/hosted/metrics_service.py
+++ b/src/bellweir/hosted/metrics_service.py
@@ -1,7 +1,12 @@
 """Service `telemetry`: figures of the process in Prometheus text form, on an address of its own."""
 
+import socket
+import threading
 import time
+from functools import partial
 
+from bellweir.events.log import emit
+from bellweir.hosted.log_events import METRICS_UNAVAILABLE
 from bellweir.hosted.serving.metrics import RequestMetrics
 from bellweir.hosted.serving.simple_application import SimpleApplication
 from bellweir.hosted.settings import HostedSettings
@@ -18,6 +23,8 @@
 PATH = "/metrics"
 THREADS = 2
 MAXIMUM_BODY_BYTES = 1 << 16
+BIND_RETRY_S = 2.0
+"""Pause before an address that is in use is tried again: long enough to log one line each time."""
 LONGEST_AGE_S = 1e6
 """Shown for a view that was never current."""
 
@@ -33,22 +40,46 @@
         self._address = settings.listen.metrics
         self.metrics = RequestMetrics()
         self.metrics.add_store_calls(store.counts)
+        self._lock = threading.Lock()
         self._server: HttpServer | None = None
+        self._stopped = False
         self._began_s = time.monotonic()
 
     def start(self) -> None:
         """Add the gauges of all roles and listen, where an address is set."""
         self._add_gauges(self._kernel.registry.find(names.VIEWS, ViewsService))
-        if self._address is None:
+        if self._address is not None:
+            self._kernel.executors.run_task("metrics", partial(self._serve, self._address))
+
+    def _serve(self, address: str, stopping: threading.Event) -> None:
+        """Serve the figures, once their address is free: nothing else may wait for that."""
+        listener = self._bind(address, stopping)
+        if listener is None:
             return
         limits = ServerLimits(THREADS, MAXIMUM_BODY_BYTES)
-        application = SimpleApplication(self._answer)
-        self._server = HttpServer(application, bind_address(self._address), limits)
-        self._kernel.executors.run_task("metrics", self._server.run_until_closed)
+        server = HttpServer(SimpleApplication(self._answer), listener, limits)
+        with self._lock:
+            self._server = server
+            is_late = self._stopped
+        if is_late:
+            server.close_all()
+        server.run_until_closed(stopping)
+
+    def _bind(self, address: str, stopping: threading.Event) -> socket.socket | None:
+        """Listen at an address, as soon as it is free; None when the process stops before."""
+        while not stopping.is_set() and not self._stopped:
+            try:
+                return bind_address(address)
+            except OSError as failure:
+                emit(METRICS_UNAVAILABLE, address=address, error=repr(failure))
+            stopping.wait(BIND_RETRY_S)
+        return None
 
     def stop(self) -> None:
         """Close the listener."""
-        server, self._server = self._server, None
+        with self._lock:
+            self._stopped = True
+            server, self._server = self._server, None
         if server is not None:
             server.close_all()
             server.release()
