Test, failing: a holder whose renewal is done late hands the lease over

Cause: a renewal that lost its connection may be done by the store later. The holder then hands over the revision that it knows, the others find a newer one under its name and watch it for its whole time.

--- a/features/hosted_lease.feature
+++ b/features/hosted_lease.feature
@@ -25,3 +25,7 @@
     Then another node acts within 2 s of a hand-over, 2 s sooner than without
     And a renewal whose answer comes after the hand-over does not bring the lease back
     And a hand-over that arrives after the lease was taken again changes nothing
+
+  Scenario: A holder whose renewal is done late hands the lease over
+    Then another node has the lease within 1 s of a hand-over, whenever the late renewal is done
+    And it acts the agreed time after the last act of the one that handed over
--- a/features/steps/hosted_lease_steps.py
+++ b/features/steps/hosted_lease_steps.py
@@ -353,3 +353,106 @@
     machines.now_s += 1.0
     other.step()
     assert not other.is_held
+
+
+class LateStore(MemoryStore):
+    """The next replacement loses its connection at once and is done when the test says."""
+
+    def __init__(self, records, chance):
+        super().__init__(records, chance)
+        self.is_next_late = False
+
+    def replace(self, kind, name, spec, revision):
+        if not self.is_next_late:
+            return super().replace(kind, name, spec, revision)
+        self.is_next_late = False
+        self.late.append(lambda: self.records.replace(kind, name, revision, spec=spec))
+        return Failure(StoreError(StoreErrorKind.UNKNOWN, "connection reset"))
+
+
+# Symptom: a lease was handed over 2.1 s after it was taken, and nobody took it in 3 s of calm.
+# Sequence: the first renewal, 1.5 s after the lease was taken, lost its connection; the object read
+# back was unchanged. The store did the renewal later. Then the holder handed over the revision that
+# it knew, and the others found a newer one under its name: to them a lease that was just renewed,
+# to be watched for its whole time of 5.3 s.
+# Cause: a hand-over named one revision of the object only, though the renewal under way makes
+# another one of the same lease.
+# Settled by `Lease.hand_over`, which told `record.revision`, by `Lease._consider`, which replaced
+# what it had heard as soon as `seen.revision != record.revision`, and by `CALL_TIMEOUT_S` of
+# `platform/object_store.py`: a write may be done 1.5 s after it was sent, and a holder hands over
+# 0.75 s after its first one that failed.
+LATE_MOMENTS = ("before the hand-over", "before it is heard", "after it is heard", "never")
+
+
+@then(
+    "another node has the lease within {seconds:g} s of a hand-over, "
+    "whenever the late renewal is done"
+)
+def then_late_renewal_followed(context, seconds):
+    context.gaps_s = {}
+    for moment in LATE_MOMENTS:
+        for seed in range(5):
+            taken_s, context.gaps_s[moment, seed] = _hand_over_beside(moment, seed)
+            assert taken_s <= seconds, (moment, seed, taken_s)
+
+
+@then("it acts the agreed time after the last act of the one that handed over")
+def then_late_renewal_apart(context):
+    for case, gap_s in context.gaps_s.items():
+        assert SEPARATION_S <= gap_s <= SEPARATION_S + 1.0, (case, gap_s)
+
+
+def _hand_over_beside(moment, seed):
+    """Hand over with a renewal whose outcome is unknown; return how long after it another node
+    has the lease, and the time between the last act before and the first one after it.
+    """
+    machines = Machines(3, seed)
+    machines.store = LateStore(machines.store.records, machines.chance)
+    machines.leases = [machines.make(number) for number in range(3)]
+    machines.chance.random = lambda: 0.0
+    machines.chance.choice = lambda options: options[1]
+    holder, *others = machines.leases
+    # One that gives it back long after its last act, so that the next one acts at once.
+    others[0].step()
+    machines.now_s += 4.0
+    others[0].release()
+    machines.now_s += 0.05
+    machines.hear()
+    holder.step()
+
+    def go_on(seconds, steps):
+        end_s = machines.now_s + seconds
+        while machines.now_s < end_s:
+            machines.now_s += 0.05
+            machines.hear()
+            for lease in steps:
+                lease.step()
+
+    go_on(1.5, others)
+    machines.store.is_next_late = True
+    go_on(0.1, [holder, *others])
+    assert holder.begin_act(ACT_S), "the holder lost its lease"
+    acted_until_s = machines.now_s + ACT_S
+    go_on(0.6, others)
+    if moment == "before the hand-over":
+        machines.store.end_outage()
+        go_on(0.05, others)
+    go_on(0.2, others)
+    assert holder.refused_since_s() is not None
+    holder.hand_over()
+    handed_s = machines.now_s
+    if moment == "before it is heard":
+        machines.store.end_outage()
+        for lease in others:
+            lease.step()
+    elif moment == "after it is heard":
+        machines.now_s += 0.05
+        machines.hear()
+        machines.store.end_outage()
+    while not any(lease.is_held for lease in others):
+        go_on(0.05, others)
+        assert machines.now_s < handed_s + 30.0, "nobody takes it"
+    taken_s = machines.now_s - handed_s
+    while not any(lease.begin_act(ACT_S) for lease in others):
+        go_on(0.05, others)
+    return taken_s, machines.now_s - acted_until_s
