Let a hand-over of the lease include the renewal under way

Cause: a hand-over named one revision of the lease's object. A renewal without an answer may be done later, so that the object has another one under the holder's name; the others then watched it for the whole lease time, and did not even keep the hand-over where they had seen the later revision before they heard of it.

Change: a renewal tells which revision it prolongs; what was given up is kept apart from what was seen, and holds for the object with its revision or a renewal of just that. The random runs of the model have late writes and hand-overs of refused holders, too.

--- a/features/steps/hosted_lease_steps.py
+++ b/features/steps/hosted_lease_steps.py
@@ -24,6 +24,7 @@
     def __init__(self, records, chance):
         self.records, self.chance = records, chance
         self.lost_share = 0.0
+        self.late_share = 0.0
         self.down = False
         self.late = []
 
@@ -47,6 +48,9 @@
             if self.chance.random() < 0.3:
                 self.late.append(write)
             return Failure(StoreError(StoreErrorKind.UNKNOWN, "down"))
+        if self.chance.random() < self.late_share:
+            self.late.append(write)
+            return Failure(StoreError(StoreErrorKind.UNKNOWN, "connection reset"))
         made = write()
         if self.chance.random() < self.lost_share:
             return Failure(StoreError(StoreErrorKind.UNKNOWN, "answer lost"))
@@ -58,9 +62,13 @@
 
     def end_outage(self):
         self.down = False
-        for write in self.late:
+        self.do_late()
+
+    def do_late(self):
+        """Do the writes that are late; each one only if its condition still holds."""
+        late, self.late = self.late, []
+        for write in late:
             write()
-        self.late = []
 
     def list_kind(self, kind, *, stale=False):
         raise NotImplementedError
@@ -124,11 +132,15 @@
     def turn(self):
         self.now_s += 0.1
         self.hear()
+        if self.store.late_share and self.chance.random() < 0.1:
+            self.store.do_late()
         for number, lease in enumerate(self.leases):
             if self.now_s < self.paused_until_s[number]:
                 continue
             if self.chance.random() < 0.5:
                 lease.step()
+            if lease.refused_since_s() is not None and self.chance.random() < 0.2:
+                lease.hand_over()
             # Not at every chance, so that some leases are given back long after the last act.
             lasts_s = self.chance.uniform(0.0, ACT_S)
             fence = lease.begin_act(ACT_S) if self.chance.random() < 0.3 else 0
@@ -144,7 +156,7 @@
                 assert fence > before_fence, "two holders with one fence"
 
 
-EVENTS = ("quiet", "lossy", "down", "pause", "restart", "release", "aside", "handover")
+EVENTS = ("quiet", "lossy", "late", "down", "pause", "restart", "release", "aside", "handover")
 
 
 @then("no two holders act within the agreed time and fences only rise")
@@ -162,6 +174,7 @@
         for event in events:
             target = machines.chance.randrange(count)
             machines.store.lost_share = 0.4 if event == "lossy" else 0.0
+            machines.store.late_share = 0.6 if event == "late" else 0.0
             if event == "down":
                 machines.store.down = True
             elif event == "pause":
--- a/src/bellweir/hosted/weights/lease.py
+++ b/src/bellweir/hosted/weights/lease.py
@@ -10,7 +10,8 @@
 
 A holder that the store turns away while it serves others hands the lease over: it acts no more
 and tells the others so, with the revision that it gives up. Whoever is served may then replace
-that very revision at once, as if the lease had been given back in the store.
+that very revision at once, as if the lease had been given back in the store; or the one that a
+renewal of it made, which may be done after its sender has ceased to wait for it.
 """
 
 import random
@@ -68,6 +69,8 @@
     """Given back: seconds between the end of the holder's last act and then."""
     wait_s: float = 0.0
     """Seconds that the holder must wait still before its first act, also if it starts anew."""
+    prolongs: int = 0
+    """The revision that a renewal replaced, of the same holder's same lease; 0: it was taken."""
 
 
 class LeasePhase(Enum):
@@ -86,11 +89,27 @@
     holder: str
     is_told: bool = False
     """Whether the holder told it, so that the next renewal is told, too."""
-    idle_s: float | None = None
-    """Handed over: seconds between the end of the holder's last act and `since_s`."""
-    look_from_s: float = float("-inf")
+
+
+@dataclass(frozen=True)
+class _GivenUp:
+    """What a holder told that handed the lease over."""
+
+    revision: int
+    """The newest revision that it knew."""
+    since_s: float
+    """When this node heard of it."""
+    idle_s: float
+    """Seconds between the end of the holder's last act and `since_s`."""
+    look_from_s: float
     """When this node may look whether it can be taken."""
 
+    def includes(self, record: StoredRecord, spec: LeaseSpec | None) -> bool:
+        """Whether an object is what was given up, or made of it by a renewal under way then."""
+        if record.revision == self.revision:
+            return True
+        return spec is not None and spec.prolongs == self.revision
+
 
 class Lease:
     """One node's part. `step` is called by one task, a few times a second."""
@@ -112,6 +131,7 @@
         self._separation_s = separation_s + MARGIN_S
         self._now_s = now_s
         self._seen: _Seen | None = None
+        self._given_up: _GivenUp | None = None
         self._record: StoredRecord | None = None
         self._count = 0
         self._valid_until_s = float("-inf")
@@ -149,12 +169,14 @@
         """Seconds until the next step is due."""
         if self._record is not None:
             return HOLDER_PAUSE_S
+        now_s = self._now_s()
+        given_up = self._given_up
+        if given_up is not None:
+            wait_s = given_up.look_from_s - now_s
+            return wait_s if wait_s > 0.0 else OVERDUE_PAUSE_S
         seen = self._seen
         if seen is None:
             return LOOK_PAUSE_S
-        now_s = self._now_s()
-        if now_s < seen.look_from_s:
-            return seen.look_from_s - now_s
         if self._is_overdue(seen, now_s):
             return OVERDUE_PAUSE_S
         overdue_s = OVERDUE_RENEWALS * RENEW_SHARE * self._lease_s
@@ -180,17 +202,23 @@
         if self._record is not None or (seen is not None and seen.revision >= revision):
             return
         self._seen = _Seen(revision, self._now_s(), holder, is_told=True)
+        given_up = self._given_up
+        if given_up is not None and revision > given_up.revision:
+            self._given_up = None
         if not holder:
             self.woken.set()
 
     def hear_hand_over(self, revision: int, idle_s: float) -> None:
-        """Note that the holder acts no more and has given up this revision of the object."""
-        seen = self._seen
-        if self._record is not None or (seen is not None and seen.revision > revision):
+        """Note that the holder acts no more and has given up this revision of the object.
+
+        A newer one that this node has seen may come of its last renewal: only the object tells.
+        """
+        known = self._given_up
+        if self._record is not None or (known is not None and known.revision >= revision):
             return
         now_s = self._now_s()
         look_from_s = now_s + random.uniform(0.0, LONGEST_CHANCE_S)
-        self._seen = _Seen(revision, now_s, "", idle_s=idle_s, look_from_s=look_from_s)
+        self._given_up = _GivenUp(revision, now_s, idle_s, look_from_s)
         self.woken.set()
 
     def begin_act(self, seconds: float) -> int:
@@ -266,7 +294,9 @@
         if self._failing_since_s is None:
             self._failing_since_s = began_s
         wait_s = max(0.0, self._act_from_s - began_s)
-        spec = msgspec.to_builtins(LeaseSpec(self._node, self._count, wait_s=wait_s))
+        spec = msgspec.to_builtins(
+            LeaseSpec(self._node, self._count, wait_s=wait_s, prolongs=record.revision)
+        )
         written = self._store.replace(RecordKind.LEASES, self._name, spec, record.revision)
         if isinstance(written, Success):
             self._extend_if_held(record, written.unwrap(), began_s)
@@ -316,10 +346,7 @@
 
     def _look(self) -> None:
         now_s = self._now_s()
-        seen = self._seen
-        if seen is not None and now_s < seen.look_from_s:
-            return
-        if seen is not None and seen.is_told and seen.holder and not self._is_overdue(seen, now_s):
+        if not self._is_look_due(now_s):
             return
         found = self._store.read(RecordKind.LEASES, self._name)
         if isinstance(found, Success):
@@ -327,6 +354,15 @@
         elif found.failure().kind is StoreErrorKind.NOT_FOUND:
             self._create(now_s)
 
+    def _is_look_due(self, now_s: float) -> bool:
+        """Whether the object may have been given up, or its holder tells of no renewals."""
+        seen, given_up = self._seen, self._given_up
+        if given_up is not None:
+            return now_s >= given_up.look_from_s
+        if seen is not None and seen.is_told and seen.holder:
+            return self._is_overdue(seen, now_s)
+        return True
+
     def _create(self, began_s: float) -> None:
         spec = msgspec.to_builtins(LeaseSpec(self._node, 1))
         made = self._store.create(RecordKind.LEASES, self._name, spec)
@@ -340,7 +376,8 @@
         if seen is None or seen.revision != record.revision:
             self._seen = _Seen(record.revision, now_s, holder)
             seen = self._seen
-        given_back = not holder or seen.idle_s is not None
+        given_up = self._given_up_with(record, spec)
+        given_back = not holder or given_up is not None
         expired = now_s - seen.since_s >= self._lease_s + MARGIN_S
         # A former process of this machine is the same holder to the workers.
         own = holder == self._node
@@ -351,6 +388,8 @@
             wait_s = spec.wait_s
         else:
             told_s = spec.idle_s if spec is not None and not holder else None
+            if given_up is not None:
+                told_s = given_up.idle_s + now_s - given_up.since_s
             idle_s = told_s if told_s is not None else self._idle_s(seen, now_s)
             wait_s = max(0.0, self._separation_s - idle_s)
         wanted = msgspec.to_builtins(LeaseSpec(self._node, self._count, wait_s=wait_s))
@@ -361,10 +400,17 @@
                 # An act of the process before may still be under way.
                 self._acted_until_s = self._now_s() + LONGEST_ACT_S
 
+    def _given_up_with(self, record: StoredRecord, spec: LeaseSpec | None) -> _GivenUp | None:
+        """The hand-over that this object was given up with; forgets one that is over."""
+        given_up = self._given_up
+        if given_up is None or given_up.includes(record, spec):
+            return given_up
+        if record.revision > given_up.revision:
+            self._given_up = None
+        return None
+
     def _idle_s(self, seen: "_Seen", now_s: float) -> float:
         """Time for which the former holder has surely not acted."""
-        if seen.idle_s is not None:
-            return seen.idle_s + now_s - seen.since_s
         if not seen.holder:
             return 0.0
         return max(0.0, now_s - seen.since_s - VALID_SHARE * self._lease_s)
@@ -373,6 +419,7 @@
         self._extend(record, began_s)
         self._act_from_s = self._now_s() + wait_s
         self._acted_until_s = None
+        self._given_up = None
         self.fence = record.revision
         self.phase = LeasePhase.WAITING if wait_s else LeasePhase.HOLDING
         emit(LEASE_TAKEN, lease=self._name, fence=self.fence, after=after)
