Tests, failing: renewals of a lease without an answer

Cause: a renewal whose answer is missing was dated by the look that found it done, up to 1.5 s after the others may have seen it, and the first renewal of a lease that its holder made passed for done when it was not. The acts of two holders were 1.85 s and 1.75 s apart, 3 s are agreed. A renewal done after it was read back cost its holder the lease, as if another one had taken it.

--- a/features/hosted_lease.feature
+++ b/features/hosted_lease.feature
@@ -29,3 +29,10 @@
   Scenario: A holder whose renewal is done late hands the lease over
     Then another node has the lease within 1 s of a hand-over, whenever the late renewal is done
     And it acts the agreed time after the last act of the one that handed over
+
+  Scenario: A renewal whose answer is missing
+    Then a holder whose renewal was done, but answered too late, acts no longer than it may
+    And a holder whose first renewal was never done acts no longer than it may
+
+  Scenario: A renewal that is done after it was read back
+    Then a holder whose renewal was done late keeps its lease
--- a/features/steps/hosted_lease_steps.py
+++ b/features/steps/hosted_lease_steps.py
@@ -469,3 +469,97 @@
     while not any(lease.begin_act(ACT_S) for lease in others):
         go_on(0.05, others)
     return taken_s, machines.now_s - acted_until_s
+
+
+# Symptom: two holders acted 1.8 s apart where 3 s are agreed.
+# Sequence: a renewal got no answer in the 1.5 s that a call may take; the object read back then was
+# as the renewal had made it, and the holder counted on its lease from this look on. The others had
+# seen the object 1.5 s before and counted from there. Or: the first renewal of a lease that was
+# made, not taken, had the number of the making, so that it passed for done when it was not.
+# Cause: a renewal was known by its number, and dated by the look at it.
+# Settled by `Lease._read_back`, which extended the lease from `began_s` of its own look on, and by
+# `Lease._create`, which wrote number 1 and left the holder's own at 0.
+def _gap_after_last_act_s(machines):
+    """Have the holder renew no more; return the time between its last act and the next one's."""
+    holder, *others = machines.leases
+    end_s = machines.now_s + 30.0
+    acted_until_s = None
+    while not any(lease.begin_act(ACT_S) for lease in others):
+        if holder.begin_act(ACT_S):
+            acted_until_s = machines.now_s + ACT_S
+        machines.now_s += 0.05
+        for lease in others:
+            lease.step()
+        assert machines.now_s < end_s, "nobody acts"
+    assert acted_until_s is not None, "the holder did not act"
+    return machines.now_s - acted_until_s
+
+
+def _untold(seed):
+    """Two machines that learn of each other by the store only, the first one with the lease."""
+    machines = Machines(2, seed)
+    machines.chance.random = lambda: 1.0
+    machines.leases[0].step()
+    machines.leases[1].step()
+    return machines
+
+
+@then("a holder whose renewal was done, but answered too late, acts no longer than it may")
+def then_slow_renewal(context):
+    for seed in range(5):
+        machines = _untold(seed)
+        holder, other = machines.leases
+        store, write = machines.store, machines.store.replace
+
+        def slow_write(*words, machines=machines, other=other, write=write):
+            write(*words)
+            other.step()
+            machines.now_s += 1.5
+            return Failure(StoreError(StoreErrorKind.UNKNOWN, "no answer"))
+
+        machines.now_s += 1.6
+        store.replace = slow_write
+        holder.step()
+        store.replace = write
+        gap_s = _gap_after_last_act_s(machines)
+        assert gap_s >= SEPARATION_S, (seed, gap_s)
+
+
+@then("a holder whose first renewal was never done acts no longer than it may")
+def then_undone_renewal(context):
+    for seed in range(5):
+        machines = _untold(seed)
+        store, write = machines.store, machines.store.replace
+        machines.now_s += 1.6
+        store.replace = lambda *_words: Failure(StoreError(StoreErrorKind.UNKNOWN, "not done"))
+        machines.leases[0].step()
+        store.replace = write
+        gap_s = _gap_after_last_act_s(machines)
+        assert gap_s >= SEPARATION_S, (seed, gap_s)
+
+
+# Symptom: a holder lost its lease to "another holder", though the object named nobody but itself.
+# Sequence: a renewal lost its connection and was done after it had been read back; the next one met
+# the changed object, whose number was the one before its own.
+# Settled by `Lease._read_back`, which knew only the newest renewal by its number.
+@then("a holder whose renewal was done late keeps its lease")
+def then_late_renewal_kept(context):
+    machines = _untold(1)
+    # One that took the lease, not made it.
+    holder = machines.leases[0] = machines.make(0)
+    holder.step()
+    fence = holder.fence
+    machines.now_s += 1.6
+    machines.store.late_share = 2.0
+    holder.step()
+    machines.store.late_share = 0.0
+    machines.now_s += 0.5
+    machines.store.do_late()
+    machines.now_s += 0.3
+    holder.step()
+    assert holder.fence == fence, "the lease was lost"
+    machines.now_s += 0.1
+    assert holder.begin_act(ACT_S), "the holder may not act"
+    machines.now_s += 1.6
+    holder.step()
+    assert holder.begin_act(ACT_S), "the next renewal was not done"
