Date a renewal without an answer by its sending, and know it by what it prolongs

Cause: a holder that found its renewal done counted on the lease from that look on, though the others may have seen the object since the sending, up to 1.5 s before; it then acted up to 1.85 s before its successor, 3 s are agreed. A renewal was known by its number: the first one of a lease that was made had the number of the making and passed for done when it was not; one done after it was read back had the number before the newest and passed for another holder's.

Change: a renewal read back is the holder's own if it prolongs the revision held, and counts from the first one in a row without an answer.

--- a/src/bellweir/hosted/weights/lease.py
+++ b/src/bellweir/hosted/weights/lease.py
@@ -291,8 +291,8 @@
         if record is None or began_s < self._renew_due_s:
             return
         self._count += 1
-        if self._failing_since_s is None:
-            self._failing_since_s = began_s
+        since_s = self._failing_since_s
+        first_s = self._failing_since_s = began_s if since_s is None else since_s
         wait_s = max(0.0, self._act_from_s - began_s)
         spec = msgspec.to_builtins(
             LeaseSpec(self._node, self._count, wait_s=wait_s, prolongs=record.revision)
@@ -301,7 +301,7 @@
         if isinstance(written, Success):
             self._extend_if_held(record, written.unwrap(), began_s)
         else:
-            self._renewal_failed(record, written.failure())
+            self._renewal_failed(record, written.failure(), first_s)
 
     def _extend_if_held(self, held: StoredRecord, renewed: StoredRecord, began_s: float) -> None:
         """Count on a renewal, unless the lease was handed over while its answer was awaited."""
@@ -316,24 +316,28 @@
         self._renew_due_s = began_s + RENEW_SHARE * self._lease_s
         self.tell(record.revision, self._node)
 
-    def _renewal_failed(self, held: StoredRecord, failure: StoreError) -> None:
+    def _renewal_failed(self, held: StoredRecord, failure: StoreError, first_s: float) -> None:
+        """`first_s`: when the first of the renewals in a row began that have no answer."""
         self._renew_due_s = self._now_s() + RENEW_SHARE * self._lease_s / 2
         if failure.kind in (StoreErrorKind.CONFLICT, StoreErrorKind.UNKNOWN):
             # The write may have been done: only the object itself tells.
-            self._read_back(held)
+            self._read_back(held, first_s)
         elif failure.kind is StoreErrorKind.NOT_FOUND:
             self._lose("the object is gone")
 
-    def _read_back(self, held: StoredRecord) -> None:
-        began_s = self._now_s()
+    def _read_back(self, held: StoredRecord, first_s: float) -> None:
         found = self._store.read(RecordKind.LEASES, self._name)
         if not isinstance(found, Success):
             return
         record = found.unwrap()
+        if record.revision == held.revision:
+            return
         spec = _spec_of(record)
-        if spec is not None and spec.holder == self._node and spec.count == self._count:
-            self._extend_if_held(held, record, began_s)
-        elif record.revision != held.revision and self._record is held:
+        if spec is not None and spec.holder == self._node and spec.prolongs == held.revision:
+            # Any of the renewals in a row may be the one that was done, and the others may have
+            # seen it since: a holder that counted from its own look would outlast their waits.
+            self._extend_if_held(held, record, first_s)
+        elif self._record is held:
             self._lose("another holder")
 
     def _lose(self, cause: str) -> None:
@@ -364,7 +368,8 @@
         return True
 
     def _create(self, began_s: float) -> None:
-        spec = msgspec.to_builtins(LeaseSpec(self._node, 1))
+        self._count = 1
+        spec = msgspec.to_builtins(LeaseSpec(self._node, self._count))
         made = self._store.create(RecordKind.LEASES, self._name, spec)
         if isinstance(made, Success):
             self._take(made.unwrap(), began_s, 0.0, "nobody")
