--- a/features/steps/hosted_lease_steps.py
+++ b/features/steps/hosted_lease_steps.py
@@ -24,6 +24,7 @@
     def __init__(self, records, chance):
         self.records, self.chance = records, chance
         self.lost_share = 0.0
+        self.late_share = 0.0
         self.down = False
         self.late = []
 
@@ -47,6 +48,9 @@
             if self.chance.random() < 0.3:
                 self.late.append(write)
             return Failure(StoreError(StoreErrorKind.UNKNOWN, "down"))
+        if self.chance.random() < self.late_share:
+            self.late.append(write)
+            return Failure(StoreError(StoreErrorKind.UNKNOWN, "connection reset"))
         made = write()
         if self.chance.random() < self.lost_share:
             return Failure(StoreError(StoreErrorKind.UNKNOWN, "answer lost"))
@@ -58,9 +62,13 @@
 
     def end_outage(self):
         self.down = False
-        for write in self.late:
+        self.do_late()
+
+    def do_late(self):
+        """Do the writes that are late; each one only if its condition still holds."""
+        late, self.late = self.late, []
+        for write in late:
             write()
-        self.late = []
 
     def list_kind(self, kind, *, stale=False):
         raise NotImplementedError
@@ -124,11 +132,15 @@
     def turn(self):
         self.now_s += 0.1
         self.hear()
+        if self.store.late_share and self.chance.random() < 0.1:
+            self.store.do_late()
         for number, lease in enumerate(self.leases):
             if self.now_s < self.paused_until_s[number]:
                 continue
             if self.chance.random() < 0.5:
                 lease.step()
+            if lease.refused_since_s() is not None and self.chance.random() < 0.2:
+                lease.hand_over()
             # Not at every chance, so that some leases are given back long after the last act.
             lasts_s = self.chance.uniform(0.0, ACT_S)
             fence = lease.begin_act(ACT_S) if self.chance.random() < 0.3 else 0
@@ -144,7 +156,7 @@
                 assert fence > before_fence, "two holders with one fence"
 
 
-EVENTS = ("quiet", "lossy", "down", "pause", "restart", "release", "aside", "handover")
+EVENTS = ("quiet", "lossy", "late", "down", "pause", "restart", "release", "aside", "handover")
 
 
 @then("no two holders act within the agreed time and fences only rise")
@@ -162,6 +174,7 @@
         for event in events:
             target = machines.chance.randrange(count)
             machines.store.lost_share = 0.4 if event == "lossy" else 0.0
+            machines.store.late_share = 0.6 if event == "late" else 0.0
             if event == "down":
                 machines.store.down = True
             elif event == "pause":
@@ -353,3 +366,200 @@
     machines.now_s += 1.0
     other.step()
     assert not other.is_held
+
+
+class LateStore(MemoryStore):
+    """The next replacement loses its connection at once and is done when the test says."""
+
+    def __init__(self, records, chance):
+        super().__init__(records, chance)
+        self.is_next_late = False
+
+    def replace(self, kind, name, spec, revision):
+        if not self.is_next_late:
+            return super().replace(kind, name, spec, revision)
+        self.is_next_late = False
+        self.late.append(lambda: self.records.replace(kind, name, revision, spec=spec))
+        return Failure(StoreError(StoreErrorKind.UNKNOWN, "connection reset"))
+
+
+# Symptom: a lease was handed over 2.1 s after it was taken, and nobody took it in 3 s of calm.
+# Sequence: the first renewal, 1.5 s after the lease was taken, lost its connection; the object read
+# back was unchanged. The store did the renewal later. Then the holder handed over the revision that
+# it knew, and the others found a newer one under its name: to them a lease that was just renewed,
+# to be watched for its whole time of 5.3 s.
+# Cause: a hand-over named one revision of the object only, though the renewal under way makes
+# another one of the same lease.
+# Settled by `Lease.hand_over`, which told `record.revision`, by `Lease._consider`, which replaced
+# what it had heard as soon as `seen.revision != record.revision`, and by `CALL_TIMEOUT_S` of
+# `platform/object_store.py`: a write may be done 1.5 s after it was sent, and a holder hands over
+# 0.75 s after its first one that failed.
+LATE_MOMENTS = ("before the hand-over", "before it is heard", "after it is heard", "never")
+
+
+@then(
+    "another node has the lease within {seconds:g} s of a hand-over, "
+    "whenever the late renewal is done"
+)
+def then_late_renewal_followed(context, seconds):
+    context.gaps_s = {}
+    for moment in LATE_MOMENTS:
+        for seed in range(5):
+            taken_s, context.gaps_s[moment, seed] = _hand_over_beside(moment, seed)
+            assert taken_s <= seconds, (moment, seed, taken_s)
+
+
+@then("it acts the agreed time after the last act of the one that handed over")
+def then_late_renewal_apart(context):
+    for case, gap_s in context.gaps_s.items():
+        assert SEPARATION_S <= gap_s <= SEPARATION_S + 1.0, (case, gap_s)
+
+
+def _hand_over_beside(moment, seed):
+    """Hand over with a renewal whose outcome is unknown; return how long after it another node
+    has the lease, and the time between the last act before and the first one after it.
+    """
+    machines = Machines(3, seed)
+    machines.store = LateStore(machines.store.records, machines.chance)
+    machines.leases = [machines.make(number) for number in range(3)]
+    machines.chance.random = lambda: 0.0
+    machines.chance.choice = lambda options: options[1]
+    holder, *others = machines.leases
+    # One that gives it back long after its last act, so that the next one acts at once.
+    others[0].step()
+    machines.now_s += 4.0
+    others[0].release()
+    machines.now_s += 0.05
+    machines.hear()
+    holder.step()
+
+    def go_on(seconds, steps):
+        end_s = machines.now_s + seconds
+        while machines.now_s < end_s:
+            machines.now_s += 0.05
+            machines.hear()
+            for lease in steps:
+                lease.step()
+
+    go_on(1.5, others)
+    machines.store.is_next_late = True
+    go_on(0.1, [holder, *others])
+    assert holder.begin_act(ACT_S), "the holder lost its lease"
+    acted_until_s = machines.now_s + ACT_S
+    go_on(0.6, others)
+    if moment == "before the hand-over":
+        machines.store.end_outage()
+        go_on(0.05, others)
+    go_on(0.2, others)
+    assert holder.refused_since_s() is not None
+    holder.hand_over()
+    handed_s = machines.now_s
+    if moment == "before it is heard":
+        machines.store.end_outage()
+        for lease in others:
+            lease.step()
+    elif moment == "after it is heard":
+        machines.now_s += 0.05
+        machines.hear()
+        machines.store.end_outage()
+    while not any(lease.is_held for lease in others):
+        go_on(0.05, others)
+        assert machines.now_s < handed_s + 30.0, "nobody takes it"
+    taken_s = machines.now_s - handed_s
+    while not any(lease.begin_act(ACT_S) for lease in others):
+        go_on(0.05, others)
+    return taken_s, machines.now_s - acted_until_s
+
+
+# Symptom: two holders acted 1.8 s apart where 3 s are agreed.
+# Sequence: a renewal got no answer in the 1.5 s that a call may take; the object read back then was
+# as the renewal had made it, and the holder counted on its lease from this look on. The others had
+# seen the object 1.5 s before and counted from there. Or: the first renewal of a lease that was
+# made, not taken, had the number of the making, so that it passed for done when it was not.
+# Cause: a renewal was known by its number, and dated by the look at it.
+# Settled by `Lease._read_back`, which extended the lease from `began_s` of its own look on, and by
+# `Lease._create`, which wrote number 1 and left the holder's own at 0.
+def _gap_after_last_act_s(machines):
+    """Have the holder renew no more; return the time between its last act and the next one's."""
+    holder, *others = machines.leases
+    end_s = machines.now_s + 30.0
+    acted_until_s = None
+    while not any(lease.begin_act(ACT_S) for lease in others):
+        if holder.begin_act(ACT_S):
+            acted_until_s = machines.now_s + ACT_S
+        machines.now_s += 0.05
+        for lease in others:
+            lease.step()
+        assert machines.now_s < end_s, "nobody acts"
+    assert acted_until_s is not None, "the holder did not act"
+    return machines.now_s - acted_until_s
+
+
+def _untold(seed):
+    """Two machines that learn of each other by the store only, the first one with the lease."""
+    machines = Machines(2, seed)
+    machines.chance.random = lambda: 1.0
+    machines.leases[0].step()
+    machines.leases[1].step()
+    return machines
+
+
+@then("a holder whose renewal was done, but answered too late, acts no longer than it may")
+def then_slow_renewal(context):
+    for seed in range(5):
+        machines = _untold(seed)
+        holder, other = machines.leases
+        store, write = machines.store, machines.store.replace
+
+        def slow_write(*words, machines=machines, other=other, write=write):
+            write(*words)
+            other.step()
+            machines.now_s += 1.5
+            return Failure(StoreError(StoreErrorKind.UNKNOWN, "no answer"))
+
+        machines.now_s += 1.6
+        store.replace = slow_write
+        holder.step()
+        store.replace = write
+        gap_s = _gap_after_last_act_s(machines)
+        assert gap_s >= SEPARATION_S, (seed, gap_s)
+
+
+@then("a holder whose first renewal was never done acts no longer than it may")
+def then_undone_renewal(context):
+    for seed in range(5):
+        machines = _untold(seed)
+        store, write = machines.store, machines.store.replace
+        machines.now_s += 1.6
+        store.replace = lambda *_words: Failure(StoreError(StoreErrorKind.UNKNOWN, "not done"))
+        machines.leases[0].step()
+        store.replace = write
+        gap_s = _gap_after_last_act_s(machines)
+        assert gap_s >= SEPARATION_S, (seed, gap_s)
+
+
+# Symptom: a holder lost its lease to "another holder", though the object named nobody but itself.
+# Sequence: a renewal lost its connection and was done after it had been read back; the next one met
+# the changed object, whose number was the one before its own.
+# Settled by `Lease._read_back`, which knew only the newest renewal by its number.
+@then("a holder whose renewal was done late keeps its lease")
+def then_late_renewal_kept(context):
+    machines = _untold(1)
+    # One that took the lease, not made it.
+    holder = machines.leases[0] = machines.make(0)
+    holder.step()
+    fence = holder.fence
+    machines.now_s += 1.6
+    machines.store.late_share = 2.0
+    holder.step()
+    machines.store.late_share = 0.0
+    machines.now_s += 0.5
+    machines.store.do_late()
+    machines.now_s += 0.3
+    holder.step()
+    assert holder.fence == fence, "the lease was lost"
+    machines.now_s += 0.1
+    assert holder.begin_act(ACT_S), "the holder may not act"
+    machines.now_s += 1.6
+    holder.step()
+    assert holder.begin_act(ACT_S), "the next renewal was not done"
