Test, failing: a state whose last part came and that the disk has not taken

The last part of a state is installed in memory at once; the answer waits for the disk. Such a replica is made a voter and counts for commits, and has nothing after a loss of power.

--- a/features/ledger_redundancy.feature
+++ b/features/ledger_redundancy.feature
@@ -21,3 +21,6 @@
 
   Scenario: A state whose last part was answered late
     Then a replica that has installed it asks for no part of it again
+
+  Scenario: A state whose last part came and that the disk has not taken
+    Then a replica says that it holds the state only once its disk does
--- a/features/steps/ledger_redundancy_steps.py
+++ b/features/steps/ledger_redundancy_steps.py
@@ -19,6 +19,7 @@
 """
 
 import itertools
+from contextlib import suppress
 from dataclasses import replace
 
 from behave import then
@@ -26,6 +27,7 @@
 from features.support.ledger_simulation import SHARD
 
 from bellweir.ledger.entries import ReplicaId, ReplicaSet
+from bellweir.ledger.journal import JournalFailedError, SaveSnapshot
 from bellweir.ledger.messages import SnapshotPart
 from bellweir.ledger.placement import PlacementCandidate
 from bellweir.ledger.reconfiguration import ShardView, next_replica_set
@@ -319,3 +321,47 @@
     answer = simulation.nodes[target].node.handle_snapshot_part(Sender("x", "x"), last)
     assert answer.accepted, answer
     assert answer.next_offset == last.total_bytes, answer
+
+
+@then("a replica says that it holds the state only once its disk does")
+def then_only_once_durable(context):
+    """The answer to a part that came before goes by what the disk holds, not by the memory.
+
+    Symptom: a replica without the state on its disk becomes a voter and counts for commits.
+    Sequence: the last part of a snapshot is installed; the disk is slow, so that the answer is
+    late; the leader sends the part again and hears at once that it was installed. Cause: the
+    replica's `commit_index` passes the snapshot before the journal has it, and the second answer
+    went by it. What settled it: `accepted`, all bytes, from a disk that never took a write.
+    """
+    simulation = MachineSimulation(NAMES, 1)
+    context.add_cleanup(simulation.close)
+    parts = []
+    request = simulation.request
+
+    def watch(origin, target, message):
+        if isinstance(message, SnapshotPart):
+            parts.append((target, message))
+        return request(origin, target, message)
+
+    simulation.request = watch
+    simulation.run_for(10.0)
+    wiped = next(name for name in NAMES[:3] if name != simulation.leader().name)
+    simulation.kill(wiped)
+    simulation.start_empty(wiped)
+    write = simulation.disks[wiped].write
+
+    def refuse_state(operation):
+        if isinstance(operation, SaveSnapshot) and operation.snapshot.index > 0:
+            raise OSError("the disk does not take it")
+        write(operation)
+
+    simulation.disks[wiped].write = refuse_state
+    with suppress(JournalFailedError):
+        simulation.run_for(CATCH_UP_S)
+    target, last = parts[-1]
+    assert target == wiped, "the state was not sent"
+    try:
+        answer = simulation.nodes[target].node.handle_snapshot_part(Sender("x", "x"), last)
+    except JournalFailedError:
+        return
+    assert not answer.accepted, f"{answer}: nothing of it is on the disk"
