--- a/src/bellweir/ledger/node.py
+++ b/src/bellweir/ledger/node.py
@@ -309,7 +309,7 @@
             return SnapshotAnswer(replica.term, False, 0)
         if replica.commit_index >= part.index:
             # Its last part came before, and the answer was late: it need not be sent anew.
-            return SnapshotAnswer(replica.term, True, part.total_bytes)
+            return self._installed_before(replica, part)
         with self._lock:
             incoming = self._incoming.get(part.shard)
             if incoming is None or not incoming.fits(part):
@@ -321,6 +321,15 @@
             del self._incoming[part.shard]
         return self._install(replica, part, bytes(incoming.state))
 
+    def _installed_before(self, replica: Replica, part: SnapshotPart) -> SnapshotAnswer:
+        # What is committed in memory may still be on its way to the disk, and the leader counts on
+        # the disk.
+        try:
+            self._journal.sync()
+        except JournalClosedError:
+            return SnapshotAnswer(0, False, 0)
+        return SnapshotAnswer(replica.term, True, part.total_bytes)
+
     def _install(self, replica: Replica, part: SnapshotPart, state: bytes) -> SnapshotAnswer:
         snapshot = StoredSnapshot(part.index, part.index_term, part.replicas, state)
         now_s = self._clock.monotonic_s()
