Have a leader add its time to the count that it was measured from

Cause: the age of ended jobs was the count that the state shows now, and the leader's time since a count that it noted before. Where another leader counted on between the two, as while this one is frozen, that time was in both. Change: both are of the noted count. The test's job was forgotten after 28 s of 30; now it is kept.

--- a/src/bellweir/hosted/batches/kept_time.py
+++ b/src/bellweir/hosted/batches/kept_time.py
@@ -19,7 +19,7 @@
     >>> kept = KeptTime()
     >>> kept.add(0, 2_000, ["job"])
     >>> kept.add(2_000, 3_000, ["job"])
-    >>> kept.older_than(2_999), kept.older_than(3_000)
+    >>> kept.began_before(2_001), kept.began_before(2_000)
     (['job'], [])
     """
 
@@ -44,10 +44,9 @@
         for job_id in ended:
             self.since_ms.setdefault(job_id, self.counted_ms)
 
-    def older_than(self, milliseconds: float) -> list[str]:
-        """Return the jobs that have surely been kept for longer."""
-        before_ms = self.counted_ms - milliseconds
-        return [job_id for job_id, at_ms in list(self.since_ms.items()) if at_ms < before_ms]
+    def began_before(self, count_ms: float) -> list[str]:
+        """Return the jobs whose time surely began before a count."""
+        return [job_id for job_id, at_ms in list(self.since_ms.items()) if at_ms < count_ms]
 
     def forget(self, job_id: str) -> None:
         """Drop what is noted of a job."""
--- a/src/bellweir/hosted/batches/retention.py
+++ b/src/bellweir/hosted/batches/retention.py
@@ -76,6 +76,8 @@
         """Add what has passed since the count was first seen, and drop the jobs that are old."""
         if not any(not state.is_open for state in list(machine.jobs.values())):
             return
-        old = tuple(machine.kept.older_than(1_000 * self._status_s - elapsed_ms))
+        # Not from the state's count: if others have counted on meanwhile, it holds this time, too.
+        now_ms = counted_ms + elapsed_ms
+        old = tuple(machine.kept.began_before(now_ms - 1_000 * self._status_s))
         # What fails is counted by a later look, from the same count or from the one it led to.
         self._ledger.submit(JOBS_KEY, ForgetJobs(old, counted_ms, elapsed_ms), SUBMIT_TIMEOUT_S)
