Tests, failing: this process stands still while it watches runs

Cause: `hosted_moves: a worker is much slower than another one` failed once beside load with four texts ended by the slow worker. A run counts as silent when its newest event was read 0.35 s ago, by a clock that goes on while this process itself stands still. When the mover looks before the readers have run again, every run of the fast worker is silent, while those of the slow one are not (six of its gaps are 1.8 s), so that the fast one's runs go to each free place of the slow one: four. They go back a second later, unless they need less: texts of which three events or fewer are left end at the slow worker.

Shown with the interpreter's lock held for 0.5 s by the test: at event 56 of 60 four texts move from the fast worker to the slow one ("silent", 506 to 531 ms) and it ends them; at event 30 four move as well and come back 1 s later.

Change: the mover takes its clock as an argument. One test moves that clock, one holds the lock; a third one, which passes, has a worker found silent by a process that looks each 0.4 s only.

--- a/features/hosted_moves.feature
+++ b/features/hosted_moves.feature
@@ -34,3 +34,23 @@
     When a job of 4 items in 2 groups is accepted
     And it is listed and another one of 12 items with long texts is accepted
     Then every item of it is whole and the slow worker ended none of them
+
+  Scenario: This process itself stands still
+    Given runs at a worker with an event each 30 ms beside a slower worker with room
+    When this process stands still for 0.5 s and looks at the runs before it reads their events
+    Then no run is moved
+    When nothing comes of the worker although this process looks at it for 0.5 s more
+    Then as many runs are moved as the slower worker has room for
+
+  Scenario: This process is slow to look
+    Given runs at a worker with an event each 30 ms beside a slower worker with room
+    When nothing comes of the worker and this process looks each 0.4 s only
+    Then as many runs are moved as the slower worker has room for
+
+  Scenario: The whole process stands still when texts are nearly whole
+    Given a leader with model workers and scorers
+    And the first worker makes an event each 300 ms and the other one each 30 ms
+    And this process stands still for 500 ms when the other one has made event 56 of a text
+    When a job of 4 items in 2 groups is accepted
+    And it is listed and another one of 12 items with long texts is accepted
+    Then every item of it is whole and the slow worker ended none of them
--- a/features/steps/hosted_moves_steps.py
+++ b/features/steps/hosted_moves_steps.py
@@ -1,12 +1,18 @@
 """Order of work, pace of workers and moves of runs."""
 
+import ctypes
+import threading
+from types import SimpleNamespace
+
 import hypothesis.strategies as st
 import msgspec
 from behave import given as given_step
 from behave import then, when
-from features.support.hosted_jobs import make_job
+from features.support.hosted_jobs import configuration, make_job
 from hypothesis import given, settings
 
+from bellweir.hosted.batches.attempts import ItemAttempts
+from bellweir.hosted.batches.mover import Run, RunMover
 from bellweir.hosted.batches.moves import (
     LEAST_GAIN_S,
     MOVE_COST_S,
@@ -15,7 +21,10 @@
     plan_moves,
 )
 from bellweir.hosted.batches.pace import WorkerPaces
+from bellweir.hosted.batches.progress import ItemProgress
 from bellweir.hosted.batches.state import AcceptJob
+from bellweir.hosted.serving.attempt import Cancellation, WorkerConnections
+from bellweir.hosted.serving.selection import WorkerLoads
 from bellweir_platform.headers import HEADERS
 from bellweir_rehearsal.hosted.worker import text_of
 
@@ -146,3 +155,112 @@
         assert result.whole_text == text_of(result.item_id, 60)
     ended = context.leader.models[0].record.ended
     assert not [name for name in ended if name.startswith("later-")], ended
+
+
+STEP_S = 0.025
+"""Time between two looks of a process that runs as it should."""
+FAST_S, SLOW_S = 0.03, 0.3
+ROOM = 4
+
+
+class WatchedRuns:
+    """Runs at one worker under a mover whose clock the test moves."""
+
+    def __init__(self, count):
+        self.now_s = 100.0
+        attempts = ItemAttempts(WorkerConnections(HEADERS), WorkerLoads("a"))
+        for _ in range(40):
+            attempts.paces.note_gap("fast", FAST_S)
+            attempts.paces.note_gap("slow", SLOW_S)
+        self.mover = RunMover(attempts, lambda: self.now_s)
+        job = make_job("job", count, 1)
+        fast, self.slow = (
+            SimpleNamespace(instance=name, entry=SimpleNamespace(service="llm"))
+            for name in ("fast", "slow")
+        )
+        self.runs = [
+            Run(ItemProgress(job, configuration()["routes"][0], item), fast, Cancellation())
+            for item in job.items
+        ]
+
+    def hear(self):
+        """An event of each run is read."""
+        for run in self.runs:
+            run.progress.events += 1
+            run.progress.heard_s = self.now_s
+
+    def look(self, after_s):
+        """Look at the runs when some time has passed."""
+        self.now_s += after_s
+        room = ROOM - len(self.moved())
+        targets = [(self.slow, room)] if room > 0 else []
+        self.mover.look(self.runs, lambda _progress, _service: targets)
+
+    def moved(self):
+        """Runs that were told to go on elsewhere."""
+        return [run for run in self.runs if run.cancellation.cancelled.is_set()]
+
+
+@given_step("runs at a worker with an event each 30 ms beside a slower worker with room")
+def given_watched(context):
+    context.watched = WatchedRuns(2 * ROOM)
+    for _ in range(40):
+        context.watched.hear()
+        context.watched.look(STEP_S)
+    assert not context.watched.moved()
+
+
+@when("this process stands still for 0.5 s and looks at the runs before it reads their events")
+def when_still(context):
+    context.watched.look(0.5)
+
+
+@then("no run is moved")
+def then_not_moved(context):
+    assert not context.watched.moved(), len(context.watched.moved())
+
+
+@when("nothing comes of the worker although this process looks at it for 0.5 s more")
+def when_silent(context):
+    for _ in range(20):
+        context.watched.look(STEP_S)
+
+
+@when("nothing comes of the worker and this process looks each 0.4 s only")
+def when_slow_looks(context):
+    for _ in range(6):
+        context.watched.look(0.4)
+
+
+@then("as many runs are moved as the slower worker has room for")
+def then_moved(context):
+    moved = context.watched.moved()
+    assert len(moved) == ROOM, len(moved)
+    assert {run.progress.moved_to for run in moved} == {"slow"}
+
+
+@given_step(
+    "this process stands still for {ms:d} ms when the other one has made event {event:d} of a text"
+)
+def given_stall(context, ms, event):
+    coordinator = context.leader.coordinator
+    ended = threading.Event()
+    context.cleanup.callback(ended.set)
+    instance = context.leader.models[1].instance
+
+    def is_there():
+        with coordinator._lock:
+            runs = list(coordinator._running.values())
+        return any(run.worker.instance == instance and run.progress.events >= event for run in runs)
+
+    def stand_still():
+        while not ended.is_set():
+            if is_there():
+                # A call through PyDLL keeps the interpreter's lock: no other thread runs meanwhile.
+                ctypes.PyDLL(None).usleep(1000 * ms)
+                return
+            ended.wait(0.005)
+
+    thread = threading.Thread(target=stand_still, name="stand still")
+    thread.start()
+    context.cleanup.callback(thread.join)
--- a/src/bellweir/hosted/batches/mover.py
+++ b/src/bellweir/hosted/batches/mover.py
@@ -37,13 +37,14 @@
 class RunMover:
     """Called by the coordinator's task only."""
 
-    def __init__(self, attempts: ItemAttempts) -> None:
+    def __init__(self, attempts: ItemAttempts, now_s: Callable[[], float] = time.monotonic) -> None:
         self._attempts = attempts
+        self._now_s = now_s
         self._due_s = 0.0
 
     def look(self, runs: Iterable[Run], targets_of: TargetsOf) -> None:
         """Move runs, if a look is due."""
-        now_s = time.monotonic()
+        now_s = self._now_s()
         if now_s < self._due_s:
             return
         self._due_s = now_s + LOOK_PERIOD_S
