Take a pause of this process for no silence of its workers

Cause: a run's silence was the time since its newest event was read. A process that gets no processor reads nothing meanwhile, and a mover that looks before the readers run again finds every run of a fast worker silent and moves as many as a slow worker has room for.

Change: the mover notes how much later than a tenth of a second each of its looks comes, and takes that from the silence of runs that were waited for meanwhile. A process that is slow to look still finds a silent worker, later by as much as it is slow.

--- a/src/bellweir/hosted/batches/mover.py
+++ b/src/bellweir/hosted/batches/mover.py
@@ -6,6 +6,7 @@
 from bellweir.events.log import emit
 from bellweir.hosted.batches.attempts import ItemAttempts
 from bellweir.hosted.batches.moves import MoveTarget, PlannedMove, RunOutlook, plan_moves
+from bellweir.hosted.batches.own_pauses import OwnPauses
 from bellweir.hosted.batches.progress import ItemProgress, Stage
 from bellweir.hosted.log_events import ITEM_MOVED
 from bellweir.hosted.serving.attempt import Cancellation
@@ -41,10 +42,12 @@
         self._attempts = attempts
         self._now_s = now_s
         self._due_s = 0.0
+        self._pauses = OwnPauses(LOOK_PERIOD_S)
 
     def look(self, runs: Iterable[Run], targets_of: TargetsOf) -> None:
         """Move runs, if a look is due."""
         now_s = self._now_s()
+        self._pauses.note_look(now_s)
         if now_s < self._due_s:
             return
         self._due_s = now_s + LOOK_PERIOD_S
@@ -109,7 +112,9 @@
         expected = self._attempts.expected_events(progress)
         left = max(expected - made, OVERRUN_SHARE * made, FEWEST_LEFT_EVENTS)
         pace_s = self._attempts.paces.of(run.worker.instance)
-        return RunOutlook(run, run.worker.instance, pace_s, now_s - progress.heard_s, left)
+        # Events that came while this process stood still are not read yet: their worker made them.
+        silent_s = now_s - progress.heard_s - self._pauses.since(progress.heard_s)
+        return RunOutlook(run, run.worker.instance, pace_s, silent_s, left)
 
     def _move(self, move: PlannedMove[Run], now_s: float) -> None:
         outlook, run = move.run, move.run.key
