Count the time without an act also through a holder's wait

Cause: a holder that gives the lease up before it may act told that nobody had acted for 0 s, however long it had waited, so that its successor waited for the whole time again. Where the act before was still under way when the wait began, 0 s was too much instead, and the next act came 2.9 s after it.

Change: the time without an act counts from the agreed time before the end of the wait. One that made the object counts from then, since it knows no holder before. The end of a former process's act is set before an act can begin here.

--- a/src/bellweir/hosted/weights/lease.py
+++ b/src/bellweir/hosted/weights/lease.py
@@ -280,8 +280,9 @@
         if self._acted_until_s is not None:
             # Below 0 while an act is under way.
             return now_s - self._acted_until_s
-        # It has not acted yet: the one before it may have until it took over.
-        return max(0.0, now_s - self._act_from_s)
+        # It has not acted yet. The one before it has not since the agreed time before the end of
+        # the wait, and may still be in its last act when the lease is given up early in the wait.
+        return now_s - self._act_from_s + self._separation_s
 
     def _renew_if_due(self) -> None:
         record = self._record
@@ -372,7 +373,8 @@
         spec = msgspec.to_builtins(LeaseSpec(self._node, self._count))
         made = self._store.create(RecordKind.LEASES, self._name, spec)
         if isinstance(made, Success):
-            self._take(made.unwrap(), began_s, 0.0, "nobody")
+            # Who held an object that is gone is not known here.
+            self._take(made.unwrap(), began_s, 0.0, "nobody", acted_until_s=self._now_s())
 
     def _consider(self, record: StoredRecord, now_s: float) -> None:
         spec = _spec_of(record)
@@ -400,10 +402,9 @@
         wanted = msgspec.to_builtins(LeaseSpec(self._node, self._count, wait_s=wait_s))
         taken = self._store.replace(RecordKind.LEASES, self._name, wanted, record.revision)
         if isinstance(taken, Success):
-            self._take(taken.unwrap(), now_s, wait_s, holder or "released")
-            if own:
-                # An act of the process before may still be under way.
-                self._acted_until_s = self._now_s() + LONGEST_ACT_S
+            # An act of the process before may still be under way.
+            acted_until_s = self._now_s() + LONGEST_ACT_S if own else None
+            self._take(taken.unwrap(), now_s, wait_s, holder or "released", acted_until_s)
 
     def _given_up_with(self, record: StoredRecord, spec: LeaseSpec | None) -> _GivenUp | None:
         """The hand-over that this object was given up with; forgets one that is over."""
@@ -420,10 +421,18 @@
             return 0.0
         return max(0.0, now_s - seen.since_s - VALID_SHARE * self._lease_s)
 
-    def _take(self, record: StoredRecord, began_s: float, wait_s: float, after: str) -> None:
+    def _take(
+        self,
+        record: StoredRecord,
+        began_s: float,
+        wait_s: float,
+        after: str,
+        acted_until_s: float | None = None,
+    ) -> None:
         self._extend(record, began_s)
         self._act_from_s = self._now_s() + wait_s
-        self._acted_until_s = None
+        # Before the fence: an act that begins from then on sets the time of its own end.
+        self._acted_until_s = acted_until_s
         self._given_up = None
         self.fence = record.revision
         self.phase = LeasePhase.WAITING if wait_s else LeasePhase.HOLDING
