Look again soon after a taking of the lease without an answer

Cause: a node whose taking got no answer looked again as at a lease that another one renews, up to 2.5 s later; it may have had the lease meanwhile, and nobody else could take it.

Change: it looks again after 0.4 s until it finds what became of it, or hears of another holder.

--- a/src/bellweir/hosted/weights/lease.py
+++ b/src/bellweir/hosted/weights/lease.py
@@ -132,6 +132,8 @@
         self._now_s = now_s
         self._seen: _Seen | None = None
         self._given_up: _GivenUp | None = None
+        self._is_taking_open = False
+        """Whether this node tried to take the lease and does not know what became of it."""
         self._record: StoredRecord | None = None
         self._count = 0
         self._valid_until_s = float("-inf")
@@ -174,6 +176,9 @@
         if given_up is not None:
             wait_s = given_up.look_from_s - now_s
             return wait_s if wait_s > 0.0 else OVERDUE_PAUSE_S
+        if self._is_taking_open:
+            # It may have the lease without knowing so, and nobody else can take it then.
+            return OVERDUE_PAUSE_S
         seen = self._seen
         if seen is None:
             return LOOK_PAUSE_S
@@ -205,7 +210,9 @@
         given_up = self._given_up
         if given_up is not None and revision > given_up.revision:
             self._given_up = None
-        if not holder:
+        if holder:
+            self._is_taking_open = False
+        else:
             self.woken.set()
 
     def hear_hand_over(self, revision: int, idle_s: float) -> None:
@@ -355,6 +362,7 @@
             return
         found = self._store.read(RecordKind.LEASES, self._name)
         if isinstance(found, Success):
+            self._is_taking_open = False
             self._consider(found.unwrap(), now_s)
         elif found.failure().kind is StoreErrorKind.NOT_FOUND:
             self._create(now_s)
@@ -375,6 +383,8 @@
         if isinstance(made, Success):
             # Who held an object that is gone is not known here.
             self._take(made.unwrap(), began_s, 0.0, "nobody", acted_until_s=self._now_s())
+        else:
+            self._is_taking_open = _is_open(made.failure())
 
     def _consider(self, record: StoredRecord, now_s: float) -> None:
         spec = _spec_of(record)
@@ -405,6 +415,8 @@
             # An act of the process before may still be under way.
             acted_until_s = self._now_s() + LONGEST_ACT_S if own else None
             self._take(taken.unwrap(), now_s, wait_s, holder or "released", acted_until_s)
+        else:
+            self._is_taking_open = _is_open(taken.failure())
 
     def _given_up_with(self, record: StoredRecord, spec: LeaseSpec | None) -> _GivenUp | None:
         """The hand-over that this object was given up with; forgets one that is over."""
@@ -434,11 +446,17 @@
         # Before the fence: an act that begins from then on sets the time of its own end.
         self._acted_until_s = acted_until_s
         self._given_up = None
+        self._is_taking_open = False
         self.fence = record.revision
         self.phase = LeasePhase.WAITING if wait_s else LeasePhase.HOLDING
         emit(LEASE_TAKEN, lease=self._name, fence=self.fence, after=after)
 
 
+def _is_open(failure: StoreError) -> bool:
+    """Whether a taking may have been done, or may be tried again."""
+    return failure.kind in (StoreErrorKind.UNKNOWN, StoreErrorKind.NOT_DONE)
+
+
 def _spec_of(record: StoredRecord) -> LeaseSpec | None:
     try:
         return msgspec.convert(record.spec, LeaseSpec)
