Note in the log which machines the operator was told may go

Cause: that a machine was released stood in the memory of the leader that had said so. Change: the replica set of the log names released replicas, and they are no candidates; a machine is released once that is committed, at the next look. The test of the release within one leadership waits for that look.

--- a/features/steps/ledger_redundancy_steps.py
+++ b/features/steps/ledger_redundancy_steps.py
@@ -288,7 +288,7 @@
     simulation.retire(leaves)
     simulation.run_for(2.0)
     assert not simulation.nodes[leader].keeper.release(lost), "a voter may go"
-    assert simulation.nodes[leader].keeper.release(leaves)
+    assert release(simulation, leaves) == leader
     # The word is under way to the operator, who takes it away as soon as it arrives.
     simulation.kill(lost)
     for _ in range(20):
--- a/src/bellweir/ledger/entries.py
+++ b/src/bellweir/ledger/entries.py
@@ -45,6 +45,8 @@
 
     voters: tuple[ReplicaId, ...] = ()
     learners: tuple[ReplicaId, ...] = ()
+    released: tuple[ReplicaId, ...] = ()
+    """Replicas that the operator was told may go: whoever leads, they come in no more."""
 
     @property
     def majority(self) -> int:
--- a/src/bellweir/ledger/keeper.py
+++ b/src/bellweir/ledger/keeper.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+import msgspec
 from returns.result import Success
 
 from bellweir.events.log import emit
@@ -44,6 +45,8 @@
 """A planned replacement's process stops within this time from the start of its successor."""
 ASKED_AT_ONCE = 3
 """Nodes that are asked for the placement in one step; whoever has it spreads it the same way."""
+MOST_RELEASED = 16
+"""Released replicas that a shard's log goes on naming, the newest; their disks are gone soon."""
 REFRESH_PERIOD_S = 10.0
 """Time between two looks at another node's copy of the placement."""
 
@@ -237,6 +240,8 @@
             return False
         view = self._view(replica, replicas)
         changed = next_replica_set(view, wanted)
+        if changed is not None:
+            changed = msgspec.structs.replace(changed, released=replicas.released)
         if changed is None or changed == replicas:
             return bool(replicas.learners)
         if replica.change_replicas(changed) is not None:
@@ -251,7 +256,8 @@
         return True
 
     def _view(self, replica: Replica, replicas: ReplicaSet) -> ShardView:
-        candidates = self._candidates()
+        released = replicas.released
+        candidates = tuple(one for one in self._candidates() if one.replica not in released)
         known = {*replicas.everyone, *(one.replica for one in candidates)}
         return ShardView(
             shard=replica.shard,
@@ -329,14 +335,33 @@
         """Whether a node may be taken away; if so, it is brought in no more while it is to go.
 
         The word of it may arrive late, after another loss: a replica that were brought back to
-        that node meanwhile would go with it.
+        that node meanwhile would go with it. So it is in the log first, for later leaders, too: the
+        first call begins that, and a later one finds it committed.
         """
         with self._mending:
             if not self.is_emptied(node):
                 return False
+            if not all(self._has_noted_release(replica, node) for replica in self.led()):
+                return False
             self._released = self._released & self.retiring | {node}
             return True
 
+    def _has_noted_release(self, replica: Replica, node: str) -> bool:
+        """Whether a shard's log names a node's replica as released; if not, this is begun."""
+        member = self._membership.member(node)
+        answer = self._ask(member, DISK_TIMEOUT_S) if member is not None else None
+        if answer is None:
+            # Of one that is gone nothing can be noted, and it is no candidate.
+            return member is None or member.state in (MemberState.DEAD, MemberState.LEAVING)
+        found = ReplicaId(node, answer.disk)
+        replicas = replica.log.replicas
+        if found in replicas.released:
+            return True
+        released = (*replicas.released, found)[-MOST_RELEASED:]
+        replica.change_replicas(msgspec.structs.replace(replicas, released=released))
+        self._node.wake()
+        return False
+
     def is_emptied(self, node: str) -> bool:
         """Whether a node surely holds no replica that counts, and enough others that answer do.
 
