Begin a hosted ledger by no fewer replicas than must outlast a loss

Cause: once it had waited, a new ledger began with whoever answered. One machine that is cut off at the first start, or whose companions' disks come late, acknowledged by itself, and its disk was the only one. Change: the setting creation_least; hosted: one more than the losses to be borne, which the template names also where there are none, so that one machine alone still begins there. Not covered: two of three begin, and one of the two loses its disk before the third has joined: nothing is lost, but nobody is elected.

--- a/src/bellweir/hosted/node_settings.py
+++ b/src/bellweir/hosted/node_settings.py
@@ -58,6 +58,7 @@
     election_timeout_s: float = 0.6
     snapshot_entries: int = 2_048
     creation_wait_s: float = 6.0
+    creation_least: int = 1
     creation_spread_s: float = 0.0
     replace_after_s: float = 3.0
     segment_retention_s: float = 172_800.0
@@ -89,6 +90,7 @@
         _Membership(seeds=seed_addresses(settings)),
         _Ledger(
             replicas=settings.tolerate.replicas,
+            creation_least=settings.tolerate.machines + 1,
             creation_spread_s=FIRST_START_SPREAD_S if node.bootstrap else 0.0,
         ),
         _Platform(settings.store.address),
--- a/src/bellweir/ledger/keeper.py
+++ b/src/bellweir/ledger/keeper.py
@@ -161,6 +161,9 @@
         waited = now_s - self._missing_since_s >= settings.creation_wait_s
         if len(candidates) < settings.replicas and not waited:
             return None
+        # Those that don't answer may be well, behind a cut: what fewer acknowledge goes with them.
+        if len(candidates) < settings.creation_least:
+            return None
         return first_placement(settings.shards, candidates, settings.replicas)
 
     def _refresh(self, known: Placement) -> None:
--- a/src/bellweir/settings/models.py
+++ b/src/bellweir/settings/models.py
@@ -118,6 +118,9 @@
     creation_wait_s: float = Field(default=3.0, ge=0)
     """Time for which the first node waits for others to share a new ledger with, in seconds.
     Default 3."""
+    creation_least: int = Field(default=1, ge=1)
+    """Nodes that must answer for a new ledger to be created, however long that takes: one more
+    than the disks that may be lost. Default 1, for trials on one node."""
     creation_spread_s: float = Field(default=0.0, ge=0)
     """Longest delay, drawn by each node, before one without a placement asks the store, in
     seconds: where many start together the others learn it from peers. Default 0."""
