--- a/features/steps/ledger_redundancy_steps.py
+++ b/features/steps/ledger_redundancy_steps.py
@@ -21,11 +21,20 @@
 import itertools
 from contextlib import suppress
 from dataclasses import replace
+from unittest.mock import patch
 
 from behave import then
-from features.support.ledger_machines import CATCH_UP_S, MachineSimulation
+from features.support.ledger_machines import CATCH_UP_S, TIMING, MachineSimulation
 from features.support.ledger_simulation import SHARD
 
+from bellweir.hosted.node_settings import node_settings
+from bellweir.hosted.settings import (
+    HostedSettings,
+    ListenSettings,
+    NodeSettings,
+    StoreSettings,
+    ToleranceSettings,
+)
 from bellweir.ledger.entries import ReplicaId, ReplicaSet
 from bellweir.ledger.journal import JournalFailedError, SaveSnapshot
 from bellweir.ledger.messages import SnapshotPart
@@ -288,7 +297,7 @@
     simulation.retire(leaves)
     simulation.run_for(2.0)
     assert not simulation.nodes[leader].keeper.release(lost), "a voter may go"
-    assert simulation.nodes[leader].keeper.release(leaves)
+    assert release(simulation, leaves) == leader
     # The word is under way to the operator, who takes it away as soon as it arrives.
     simulation.kill(lost)
     for _ in range(20):
@@ -298,6 +307,85 @@
         ]
 
 
+def release(simulation, name):
+    """Have the leader say that a machine may go; the leader's name."""
+    for _ in range(20):
+        leader = simulation.leader().name
+        if simulation.nodes[leader].keeper.release(name):
+            return leader
+        simulation.run_for(0.3)
+    raise AssertionError(f"{name} is never released")
+
+
+@then("the next leader brings it in no more, either")
+def then_next_leader(context):
+    """The word that a machine may go binds all leaders, since it may reach the operator late.
+
+    Symptom: nobody leads any more, after one loss. Sequence: a machine (b) is emptied, and the
+    leader (a) lets it go; the word of it hangs in the store, whose writes may be done seconds
+    later; the leader loses its disk; its successor brings b in again, as a voter is missing; the
+    word is read, and b goes with its disk. Cause: that b was released stood in the memory of the
+    leader that had said so. What settled it: of six seeds five brought b back, after 2.1 to 5.6 s,
+    and with two of them two of four voters were gone then and no leader came any more.
+    """
+    for seed in SEEDS:
+        simulation = MachineSimulation(NAMES, seed)
+        context.add_cleanup(simulation.close)
+        simulation.run_for(4.0)
+        leaves = next(name for name in NAMES[:3] if name != simulation.leader().name)
+        simulation.start("d")
+        simulation.run_for(6.0)
+        simulation.retire(leaves)
+        simulation.run_for(2.0)
+        simulation.kill(release(simulation, leaves))
+        for _ in range(24):
+            simulation.run_for(0.25)
+            simulation.retire(leaves)
+            known = [one.replica(SHARD).log.replicas for one in simulation.leaders()]
+            assert leaves not in [one.node for each in known for one in each.everyone], known
+
+
+@then("nothing is acknowledged by fewer voters than must outlast the loss of a disk")
+def then_not_alone(context):
+    """A first start must not go by whoever answers: those that don't may be well, behind a cut.
+
+    Symptom: a job that was accepted right after the first start is gone with one disk. Sequence:
+    one store machine hears no other, as they are cut off or their disks come late; after
+    `creation_wait_s` it begins a ledger of itself alone and acknowledges; it loses its disk. Cause:
+    after that time a ledger began with any number of replicas. What settled it: with 6 s to wait
+    the first item was acknowledged after 7.3 to 7.8 s by the only voter, in four seeds of four, and
+    nobody led any more once its disk was gone and all three machines were there.
+    """
+    timing = TIMING.model_copy(update={"creation_wait_s": 6.0, "creation_least": 2})
+    for seed in SEEDS:
+        with patch("features.support.ledger_machines.TIMING", timing):
+            simulation = MachineSimulation(NAMES[:3], seed)
+        context.add_cleanup(simulation.close)
+        for name in NAMES[1:3]:
+            simulation.kill(name)
+        simulation.run_for(10.0)
+        assert not simulation.acknowledged, "acknowledged by one voter alone"
+        for name in NAMES[1:3]:
+            simulation.start(name)
+        simulation.run_for(10.0)
+        assert simulation.acknowledged, "it does not begin with all machines there"
+
+
+@then("a hosted ledger is begun by one replica more than the losses that it is to bear")
+def then_hosted_least(context):
+    node = NodeSettings("store-0", "127.0.0.1", "zone", "region", 1)
+    for machines in (0, 1, 2):
+        made = node_settings(
+            HostedSettings(
+                node,
+                ListenSettings(),
+                StoreSettings("127.0.0.1:1"),
+                tolerate=ToleranceSettings(machines),
+            )
+        )
+        assert made.ledger.creation_least == machines + 1
+
+
 @then("a replica that has installed it asks for no part of it again")
 def then_no_part_again(context):
     simulation = MachineSimulation(NAMES, 1)
