Draw a keeper's choices from a generator that a simulation may give

Cause: keepers drew whom to ask from the global generator. The simulation seeded it, but threads that other scenarios left behind draw from it too, and a simulation other than that of whole machines did not seed it at all. The order of sets reached only the lists of votes in `leader_elected` and `shard_leaderless`.

Change: the keeper and the store's side take a generator, one of their own by default; simulations give theirs. The lists of votes are sorted.

--- a/features/ledger_redundancy.feature
+++ b/features/ledger_redundancy.feature
@@ -21,3 +21,6 @@
 
   Scenario: A state whose last part was answered late
     Then a replica that has installed it asks for no part of it again
+
+  Scenario: A day that is simulated again
+    Then its trace is the same in processes with 5 hash seeds and whatever other threads draw
--- a/features/steps/ledger_redundancy_steps.py
+++ b/features/steps/ledger_redundancy_steps.py
@@ -19,6 +19,9 @@
 """
 
 import itertools
+import os
+import subprocess
+import sys
 from dataclasses import replace
 
 from behave import then
@@ -319,3 +322,23 @@
     answer = simulation.nodes[target].node.handle_snapshot_part(Sender("x", "x"), last)
     assert answer.accepted, answer
     assert answer.next_offset == last.total_bytes, answer
+
+
+@then(
+    "its trace is the same in processes with {count:d} hash seeds and whatever other threads draw"
+)
+def then_same_trace(context, count):
+    for seed in (0, 1):
+        command = [sys.executable, "-m", "features.support.ledger_trace", str(seed)]
+        found = []
+        for hash_seed in range(count):
+            environment = {**os.environ, "PYTHONHASHSEED": str(hash_seed)}
+            done = subprocess.run(
+                command, cwd=context.repository, env=environment, capture_output=True, text=True
+            )
+            assert done.returncode == 0, done.stderr[-500:]
+            found.append(done.stdout.splitlines())
+        assert len(found[0]) > 500, len(found[0])
+        for other in found[1:]:
+            differing = [pair for pair in zip(found[0], other, strict=False) if pair[0] != pair[1]]
+            assert other == found[0], f"seed {seed}: {len(differing)} lines, first {differing[:1]}"
--- a/features/support/ledger_machines.py
+++ b/features/support/ledger_machines.py
@@ -4,8 +4,6 @@
 their membership notices, and whoever asks it for its disk meanwhile waits for nothing.
 """
 
-import random
-
 from features.support.ledger_nodes import AppendItem, ReadItems
 from features.support.ledger_simulation import SHARD, STEP_S, Simulation
 from returns.result import Success
@@ -35,8 +33,6 @@
     """Three machines at first; others of `names` may be started later."""
 
     def __init__(self, names, seed):
-        # The keepers draw whom they ask for the placement.
-        random.seed(seed)
         self._keeps_at_s = {}
         self._gone_at_s = {}
         self.leaving = set()
--- a/features/support/ledger_simulation.py
+++ b/features/support/ledger_simulation.py
@@ -179,6 +179,8 @@
         self._timing = timing
         self.names = tuple(names)
         self.random = random.Random(seed)
+        # Threads of other scenarios may draw from the global generator meanwhile.
+        self._keepers_random = random.Random(seed)
         self.clock = ManualClock()
         self.store = MemoryStore()
         self.weather = Weather()
@@ -230,8 +232,15 @@
             folder,
             self._timing,
             has_store=True,
+            generator=self._keepers_random,
+        )
+        sync = StoreSync(
+            node,
+            keeper,
+            PlacementStore(self.store),
+            self.clock,
+            generator=self._keepers_random,
         )
-        sync = StoreSync(node, keeper, PlacementStore(self.store), self.clock)
         node.register_handlers()
         self.nodes[name] = SimulatedNode(node, keeper, sync, transport)
 
--- a/src/bellweir/ledger/keeper.py
+++ b/src/bellweir/ledger/keeper.py
@@ -61,7 +61,10 @@
         settings: "LedgerSettings",
         *,
         has_store: bool,
+        generator: random.Random | None = None,
     ) -> None:
+        """Whom to ask is drawn from `generator`, one of its own without it."""
+        self._random = generator or random.Random()
         self._node = node
         self._has_store = has_store
         self._membership = membership
@@ -132,7 +135,7 @@
 
     def _ask_peers(self) -> Placement | None:
         members = self._data_members()
-        for member in random.sample(members, min(ASKED_AT_ONCE, len(members))):
+        for member in self._random.sample(members, min(ASKED_AT_ONCE, len(members))):
             answer = self._ask(member)
             if answer is not None and answer.placement is not None:
                 return answer.placement
@@ -167,7 +170,7 @@
             return
         self._refresh_due_s = now_s + REFRESH_PERIOD_S
         members = self._data_members()
-        answer = self._ask(random.choice(members)) if members else None
+        answer = self._ask(self._random.choice(members)) if members else None
         found = answer.placement if answer is not None else None
         if found is not None and known.merged(found) != known:
             self.adopt(found)
--- a/src/bellweir/ledger/store_sync.py
+++ b/src/bellweir/ledger/store_sync.py
@@ -29,9 +29,11 @@
         store: PlacementStore,
         clock: Clock,
         first_read_spread_s: float = 0.0,
+        generator: random.Random | None = None,
     ) -> None:
         """Without a placement the store is asked within `first_read_spread_s`, at random."""
-        self._read_from_s = clock.monotonic_s() + random.uniform(0.0, first_read_spread_s)
+        spread_s = (generator or random.Random()).uniform(0.0, first_read_spread_s)
+        self._read_from_s = clock.monotonic_s() + spread_s
         self._node = node
         self._keeper = keeper
         self._store = store
--- a/src/bellweir/ledger/voting.py
+++ b/src/bellweir/ledger/voting.py
@@ -46,7 +46,7 @@
             seconds=round(now_s - self._leaderless_since_s, 1),
             voters=shown(replicas.voters),
             learners=shown(replicas.learners),
-            granted_by=shown(self._votes),
+            granted_by=shown(sorted(self._votes)),
         )
 
     def _may_stand(self) -> bool:
@@ -101,7 +101,7 @@
             term=self.term,
             last_index=self.log.last_index,
             voters=shown(self.log.replicas.voters),
-            granted_by=shown(self._votes),
+            granted_by=shown(sorted(self._votes)),
         )
         # The term's first entry repeats the replica set: a replica that was made by an append,
         # before it had read the first placement, learns the set from it and can stand, too.
