--- a/features/ledger_journal.feature
+++ b/features/ledger_journal.feature
@@ -17,3 +17,6 @@
 
   Scenario: Bulk data after a kill in the middle of a write, and damage
     Then ledger segments cut at any byte keep all whole blobs and give no other ones
+
+  Scenario: A node that stops while its journal is read
+    Then a ledger journal closed in the middle of its reading gives everything first, and keeps it
--- a/features/steps/ledger_journal_steps.py
+++ b/features/steps/ledger_journal_steps.py
@@ -3,6 +3,7 @@
 import os
 import shutil
 import tempfile
+import threading
 from pathlib import Path
 from unittest import mock
 
@@ -15,6 +16,7 @@
 from bellweir.ledger.entries import Entry, ReplicaId, ReplicaSet
 from bellweir.ledger.journal import (
     AppendEntries,
+    JournalClosedError,
     JournalFailedError,
     SaveSnapshot,
     SaveTerm,
@@ -270,3 +272,41 @@
         again.close()
 
     cut()
+
+
+CLOSER_WAIT_S = 0.3
+"""Time for which the reading waits for a closing that should wait for it."""
+
+
+class JournalClosedWhileRead(SqliteJournal):
+    """Another thread closes it before its first shard has been read."""
+
+    closer = None
+
+    def _read_shard(self, row, findings):
+        if self.closer is None:
+            self.closer = threading.Thread(target=self.close)
+            self.closer.start()
+            self.closer.join(CLOSER_WAIT_S)
+        return super()._read_shard(row, findings)
+
+
+@then("a ledger journal closed in the middle of its reading gives everything first, and keeps it")
+def then_closed_while_read(context):
+    history = History()
+    context.add_cleanup(history.close)
+    folder = history.copy(len(history.held) - 1)
+    journal = JournalClosedWhileRead(folder)
+    try:
+        found = {stored.shard: stored for stored in journal.load()}
+    finally:
+        journal.closer.join()
+    assert found == history.held[-1]
+    assert journal.disk == history.disk
+    try:
+        journal.sync(journal.buffer(SaveTerm(0, 1, 9, None)))
+    except JournalClosedError:
+        pass
+    else:
+        raise AssertionError("a journal that is closed wrote")
+    assert load_again(folder) == (history.disk, history.held[-1])
