--- a/src/bellweir/ledger/journal.py
+++ b/src/bellweir/ledger/journal.py
@@ -12,6 +12,9 @@
 
 from bellweir.ledger.entries import Entry, ReplicaId, ReplicaSet
 
+CLOSE_WAIT_S = 2.0
+"""Time for which a journal that is closed waits for whoever reads or writes it."""
+
 
 @dataclass(frozen=True)
 class StoredSnapshot:
@@ -102,6 +105,7 @@
         self._write_lock = threading.Lock()
         self._failed = False
         self._closed = False
+        self._released = False
 
     @property
     @abstractmethod
@@ -112,7 +116,8 @@
     def load(self) -> tuple[StoredShard, ...]:
         """Read everything; called once, before anything is buffered.
 
-        Raises `JournalUnavailableError` when that can't be done now, or nothing could be kept.
+        Raises `JournalUnavailableError` when that can't be done now, or nothing could be kept, and
+        `JournalClosedError` when the node stops.
         """
 
     @abstractmethod
@@ -124,11 +129,21 @@
         """Make the operations durable, all or none, in their order."""
 
     def close(self) -> None:
-        """Release the files; a second call does nothing."""
-        with self._write_lock:
-            if not self._closed:
-                self._closed = True
+        """Release the files; a second call does nothing.
+
+        Closed under a thread that uses them, a descriptor may be another file's by then, and
+        sqlite3 may end the process. So this waits for that thread; not for ever, since a disk may
+        hang. The files then go with the process.
+        """
+        self._closed = True
+        if not self._write_lock.acquire(timeout=CLOSE_WAIT_S):
+            return
+        try:
+            if not self._released:
+                self._released = True
                 self._release()
+        finally:
+            self._write_lock.release()
 
     def buffer(self, operation: Operation) -> int:
         """Add an operation to the next group; return its ticket. Does no I/O."""
--- a/src/bellweir/ledger/service.py
+++ b/src/bellweir/ledger/service.py
@@ -22,6 +22,7 @@
     Reply,
     StateMachine,
 )
+from bellweir.ledger.journal import JournalClosedError
 from bellweir.ledger.keeper import PlacementKeeper
 from bellweir.ledger.locator import PlacementLocator
 from bellweir.ledger.log_events import JOURNAL_UNAVAILABLE
@@ -151,6 +152,8 @@
             try:
                 self._start_replicas(folder)
                 return True
+            except JournalClosedError:
+                return False
             except OSError as failure:
                 emit(JOURNAL_UNAVAILABLE, error=repr(failure))
             except Exception as failure:
--- a/src/bellweir/ledger/sqlite_journal.py
+++ b/src/bellweir/ledger/sqlite_journal.py
@@ -30,6 +30,7 @@
     AppendEntries,
     ForgetShard,
     Journal,
+    JournalClosedError,
     JournalUnavailableError,
     Operation,
     SaveSnapshot,
@@ -92,6 +93,12 @@
         a replica answers for what it has read. Raises `JournalUnavailableError` when the files
         can't be opened or written now, which says nothing of them.
         """
+        with self._write_lock:
+            if self._closed:
+                raise JournalClosedError("the journal is closed")
+            return self._load_and_write()
+
+    def _load_and_write(self) -> tuple[StoredShard, ...]:
         try:
             shards = self._load()
             # A replica that can read but not write would be a voter that never answers.
