--- a/features/ledger_redundancy.feature
+++ b/features/ledger_redundancy.feature
@@ -31,3 +31,6 @@
 
   Scenario: A state whose last part came and that the disk has not taken
     Then a replica says that it holds the state only once its disk does
+
+  Scenario: A day that is simulated again
+    Then its trace is the same in processes with 5 hash seeds and whatever other threads draw
