The kit's soak: strike no machine that another fault has taken away

Cause: faults in a row strike the same machine again after a pause of up to 0.8 s. A machine that is emptied by the operator's wish is taken away as soon as nothing strikes it, so in such a pause; the budget then gives the unknown name out, and the kill raises KeyError, which ends the whole run.

Change: a fault whose machine is gone gives back what it took and does not strike. The test raised KeyError 'store-2' before and passes now.

--- a/features/hosted_soak.feature
+++ b/features/hosted_soak.feature
@@ -19,3 +19,6 @@
     Then at any order of faults no more disks are lost at once than tolerated
     And a machine counts as whole once it has had its time to catch up, a removed one's successor too
     And a disk may be lost while all others lose power, unless a machine is lost besides
+
+  Scenario: A fault in a row whose machine is taken away meanwhile
+    Then a machine that another fault took away is struck no more, and nothing is lost by it
--- a/features/steps/hosted_soak_steps.py
+++ b/features/steps/hosted_soak_steps.py
@@ -1,10 +1,14 @@
 """The soak of the hosted roles, and the budget of its losses."""
 
+import random
+
 import hypothesis.strategies as st
 from behave import then, when
 from hypothesis import given, settings
 
+from bellweir_rehearsal.hosted.deployment import HostedDeployment
 from bellweir_rehearsal.hosted.losses import CATCH_UP_S, LossBudget
+from bellweir_rehearsal.hosted.process_faults import KillStore
 from bellweir_rehearsal.hosted.soak import HostedSoak
 from bellweir_rehearsal.hosted.soak_faults import LASTING_FAULTS
 
@@ -40,6 +44,18 @@
     context.soak.play()
 
 
+@then("a machine that another fault took away is struck no more, and nothing is lost by it")
+def then_struck_no_more(context):
+    deployment = HostedDeployment(context.folder, gateways=1, stores=3)
+    context.cleanup.callback(deployment.close)
+    budget = LossBudget(deployment.names("store"), 1)
+    fault = KillStore(deployment, budget, random.Random(1))
+    deployment.remove_machine("store-2")
+    budget.remove("store-2")
+    assert not fault.begin(["store-2"])
+    assert budget.take(["store-0"]), "the loss is still free"
+
+
 @then("the run ended with disks lost while all others lost power")
 def then_last(context):
     assert context.soak.strikes["LastFault"] == 1, context.soak.strikes
--- a/src/bellweir_rehearsal/hosted/fault.py
+++ b/src/bellweir_rehearsal/hosted/fault.py
@@ -55,6 +55,10 @@
         wanted = list(again) or self.wants()
         if wanted and not self.budget.take(wanted, disks=self.empties(wanted)):
             return False
+        if any(name not in self.deployment.machines for name in wanted):
+            # Taken away by another fault since it was picked, or between two strikes in a row.
+            self.budget.give_back(wanted)
+            return False
         self.struck = wanted
         has_stores = any(name.startswith("store") for name in wanted)
         core = [CORE] if self.strikes_core or has_stores else []
