The kit's soak: signals that overlap at one machine, and a stop cut short by a kill

Cause: the budget gives a machine to one fault at a time, so a process that was stopping never got another signal: reloads and stops came in series, but never across each other, and no kill struck a process in the middle of its planned stop.

StopCutShort kills a process up to 1.5 s after its SIGTERM. Both draw gateways and store machines.

--- a/src/bellweir_rehearsal/hosted/process_faults.py
+++ b/src/bellweir_rehearsal/hosted/process_faults.py
@@ -5,9 +5,17 @@
 """
 
 import signal
+import time
 
 from bellweir_rehearsal.hosted.fault import MachineFault
 
+ROLES = ("gateway", "store")
+MOST_SIGNALS_BEFORE = 4
+LONGEST_SIGNAL_PAUSE_S = 0.2
+LONGEST_HAIL_S = 6.0
+LONGEST_STOP_S = 1.5
+"""Time after which a stop is cut short; one at rest takes less."""
+
 
 class KillGateway(MachineFault):
     """Gateways' processes are killed and come back."""
@@ -64,6 +72,49 @@
         return self.one_of("store")
 
 
+class StopAmidSignals(StopGateway):
+    """A machine is stopped as planned while told to reload and to stop, again and again."""
+
+    def wants(self) -> list[str]:
+        """Pick a machine of any role."""
+        return self.one_of(self.chance.choice(ROLES))
+
+    def strike(self) -> None:
+        """Send reloads, the stop, and both by chance until it is gone."""
+        for name in self.struck:
+            if not self.deployment.await_started(name):
+                continue
+            for _ in range(self.chance.randint(1, MOST_SIGNALS_BEFORE)):
+                self._send(name, signal.SIGHUP)
+            self._send(name, signal.SIGTERM)
+            until_s = time.monotonic() + LONGEST_HAIL_S
+            while self.deployment.machines[name].is_running and time.monotonic() < until_s:
+                self._send(name, self.chance.choice((signal.SIGHUP, signal.SIGTERM)))
+            self.deployment.stop(name)
+
+    def _send(self, name: str, number: int) -> None:
+        self.deployment.signal(name, number)
+        time.sleep(self.chance.uniform(0.0, LONGEST_SIGNAL_PAUSE_S))
+
+
+class StopCutShort(KillGateway):
+    """A machine's process is killed while it stops as planned."""
+
+    longest_s = 0.5
+
+    def wants(self) -> list[str]:
+        """Pick a machine of any role."""
+        return self.one_of(self.chance.choice(ROLES))
+
+    def strike(self) -> None:
+        """Ask it to stop, and kill it a moment later."""
+        for name in self.struck:
+            if self.deployment.await_started(name):
+                self.deployment.signal(name, signal.SIGTERM)
+                time.sleep(self.chance.uniform(0.0, LONGEST_STOP_S))
+        super().strike()
+
+
 class HangUp(MachineFault):
     """Machines are told to read their settings again."""
 
--- a/src/bellweir_rehearsal/hosted/soak_faults.py
+++ b/src/bellweir_rehearsal/hosted/soak_faults.py
@@ -26,6 +26,8 @@
     KillAll,
     KillGateway,
     KillStore,
+    StopAmidSignals,
+    StopCutShort,
     StopGateway,
     StopStore,
 )
@@ -36,6 +38,8 @@
     KillAll,
     StopGateway,
     StopStore,
+    StopAmidSignals,
+    StopCutShort,
     HangUp,
     FreezeGateway,
     FreezeStore,
