The kit's soak: store machines whose disks take no change for a while

Cause: the rig can have a disk refuse all changes, but no soak drew it, and the check that no process ends by itself knew no exception.

Change: FullDisk, among the lasting faults. While the disk is full the soak starts the process again as a supervisor does, which notes how it ended: exit code 1 after journal_failed and process_gives_up is owed, any other end a fault. The machine is one loss until it has room, its process has ended if it gave up, and it has loaded the replica that it had under the same identity, else a further check fails. A machine's process is started under a lock, since the fault and the supervisor may both be about to.

--- a/features/hosted_soak.feature
+++ b/features/hosted_soak.feature
@@ -20,5 +20,10 @@
     And a machine counts as whole once it has had its time to catch up, a removed one's successor too
     And a disk may be lost while all others lose power, unless a machine is lost besides
 
+  Scenario: A soak in which store machines' disks are full for a while
+    When a soak of 12 seconds is played with seed 3 of full disks alone
+    Then faults have struck and everything that must hold of the soak has held
+    And a process ended by itself with exit code 1 and came back with what it had
+
   Scenario: A fault in a row whose machine is taken away meanwhile
     Then a machine that another fault took away is struck no more, and nothing is lost by it
--- a/features/steps/hosted_soak_steps.py
+++ b/features/steps/hosted_soak_steps.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 
 from bellweir_rehearsal.hosted.deployment import HostedDeployment
+from bellweir_rehearsal.hosted.full_disk import FullDisk
 from bellweir_rehearsal.hosted.losses import CATCH_UP_S, LossBudget
 from bellweir_rehearsal.hosted.process_faults import KillStore
 from bellweir_rehearsal.hosted.soak import HostedSoak
@@ -44,6 +45,22 @@
     context.soak.play()
 
 
+@when("a soak of {seconds:d} seconds is played with seed {seed:d} of full disks alone")
+def when_full(context, seconds, seed):
+    context.soak = HostedSoak(context.folder, seed, seconds, 3, 3, only=(FullDisk,))
+    context.cleanup.callback(context.soak.close)
+    context.soak.play()
+
+
+@then("a process ended by itself with exit code 1 and came back with what it had")
+def then_came_back(context):
+    deployment = context.soak.deployment
+    assert deployment.own_ends, context.soak.strikes
+    assert all(end.is_owed for end in deployment.own_ends), deployment.own_ends
+    assert deployment.refilled, context.soak.strikes
+    assert not deployment.not_whole, deployment.not_whole
+
+
 @then("a machine that another fault took away is struck no more, and nothing is lost by it")
 def then_struck_no_more(context):
     deployment = HostedDeployment(context.folder, gateways=1, stores=3)
--- a/src/bellweir_rehearsal/hosted/deployment.py
+++ b/src/bellweir_rehearsal/hosted/deployment.py
@@ -18,6 +18,7 @@
 from pathlib import Path
 
 import bellweir
+from bellweir.kernel.ending import EXIT_GIVEN_UP
 from bellweir_rehearsal.hosted.duties import DutiesStandIn
 from bellweir_rehearsal.hosted.object_store import PlatformStoreStandIn
 from bellweir_rehearsal.hosted.power import lose_power
@@ -77,6 +78,8 @@
     process: subprocess.Popen[bytes] | None = None
     log_begins: int = 0
     """Size of the log at the start of the process that runs."""
+    starting: threading.Lock = field(default_factory=threading.Lock)
+    """Held while its process is started: a fault and the supervisor may both be about to."""
 
     @property
     def log_file(self) -> Path:
@@ -86,11 +89,13 @@
     @property
     def has_started(self) -> bool:
         """Whether its process serves and heeds signals."""
-        if not self.is_running:
-            return False
+        return self.is_running and "process_started" in self.log_of_life()
+
+    def log_of_life(self) -> str:
+        """Return the log lines of the process that runs or ran last."""
         with self.log_file.open("rb") as log:
             log.seek(self.log_begins)
-            return b"process_started" in log.read()
+            return log.read().decode(errors="replace")
 
     @property
     def data_folder(self) -> Path:
@@ -113,6 +118,28 @@
         return self.process is not None and self.process.poll() is None
 
 
+@dataclass(frozen=True, slots=True)
+class OwnEnd:
+    """A process that ended by itself while its disk took no change, and what it told.
+
+    >>> OwnEnd("store-0", 1, "journal_failed process_gives_up").is_owed
+    True
+    >>> OwnEnd("store-0", 1, "Traceback").is_owed, OwnEnd("store-0", -11, "").is_owed
+    (False, False)
+    """
+
+    name: str
+    code: int
+    log: str
+    """Its log lines, from its start on."""
+
+    @property
+    def is_owed(self) -> bool:
+        """Whether it gave up after a failed write and said so; any other end is a fault."""
+        says_why = "journal_failed" in self.log and "process_gives_up" in self.log
+        return self.code == EXIT_GIVEN_UP and says_why
+
+
 @dataclass
 class HostedDeployment:
     """Store, workers and machines; `close` ends everything that it started."""
@@ -133,6 +160,12 @@
     """Machines that were stopped as planned, with their processes' exit codes."""
     emptied: list[tuple[str, list[str]]] = field(default_factory=list)
     """Machines reported emptied, with the other store machines that lived then."""
+    own_ends: list[OwnEnd] = field(default_factory=list)
+    """Processes that ended by themselves while their disks took no change."""
+    refilled: list[str] = field(default_factory=list)
+    """Machines whose disk was full and took changes again."""
+    not_whole: list[str] = field(default_factory=list)
+    """What was not right with such machines afterwards."""
     power_losses: list[str] = field(default_factory=list)
     """What became of each file that was not synced, at each loss of power."""
 
@@ -187,9 +220,24 @@
     def start_machine(self, name: str) -> None:
         """Start a machine's process, unless it runs."""
         machine = self.machines[name]
-        if machine.is_running:
-            return
-        settings = self.write_settings(name)
+        with machine.starting:
+            if not machine.is_running:
+                self._start(machine)
+
+    def restart_ended(self, name: str) -> bool:
+        """Start a process that has ended by itself, as its supervisor does; whether it had."""
+        machine = self.machines[name]
+        with machine.starting:
+            process = machine.process
+            code = process.poll() if process is not None else None
+            if code is None:
+                return False
+            self.own_ends.append(OwnEnd(name, code, machine.log_of_life()))
+            self._start(machine)
+            return True
+
+    def _start(self, machine: Machine) -> None:
+        settings = self.write_settings(machine.name)
         environment = {**os.environ, "BELLWEIR_CONFIG": str(settings)}
         if machine.role == "store":
             # The folder is the disk's own place, which is there before any process.
@@ -236,6 +284,11 @@
         """Have a machine's disk take no change any more; only under the rig."""
         (self.machines[name].rig_folder / FULL_MARK).touch()
 
+    def is_refusing(self, name: str) -> bool:
+        """Whether a machine's disk takes no change now."""
+        machine = self.machines.get(name)
+        return machine is not None and (machine.rig_folder / FULL_MARK).exists()
+
     def take_writes(self, name: str) -> None:
         """Have it take changes again."""
         (self.machines[name].rig_folder / FULL_MARK).unlink(missing_ok=True)
--- a/src/bellweir_rehearsal/hosted/soak.py
+++ b/src/bellweir_rehearsal/hosted/soak.py
@@ -116,6 +116,7 @@
         self.read = Check("what was read of a batch job comes again, anywhere at any time")
         self.again = Check("all that was accepted comes again at each gateway in the end")
         self.own_ends = Check("no process ends by itself")
+        self.refilled = Check("a store machine whose disk was full is whole again")
         self.emptied = Check("a store machine is emptied only while enough others live")
         self.recovered = Check("the deployment serves again soon after the last fault")
         self._reader = SecondReader(
@@ -134,6 +135,7 @@
             self.read,
             self.again,
             self.own_ends,
+            self.refilled,
             self.emptied,
             self.recovered,
         ]
@@ -141,7 +143,7 @@
     @property
     def may_lack_cases(self) -> list[Check]:
         """Checks of faults that a seed need not draw: without a case they are not at fault."""
-        return [self.stops, self.emptied]
+        return [self.stops, self.refilled, self.emptied]
 
     def holds(self, check: Check) -> bool:
         """Whether a check has held, as far as the seed gave it cases."""
@@ -178,6 +180,12 @@
     def _check_ends(self) -> None:
         for name, code in self.deployment.exit_codes:
             self.stops.expect(code == 0, f"{name}: exit code {code}")
+        for end in self.deployment.own_ends:
+            self.own_ends.expect(end.is_owed, f"{end.name}: exit code {end.code}, disk full")
+        for name in self.deployment.refilled:
+            self.refilled.expect(True, name)
+        for fault in self.deployment.not_whole:
+            self.refilled.expect(False, fault)
         needed = 2 * self.deployment.tolerated + 1
         for name, others in self.deployment.emptied:
             told = f"{name} while {len(others)} others lived: {others}"
@@ -283,7 +291,7 @@
             self.deployment.beat()
 
     def _look_at_processes(self) -> None:
-        """Measure the memory and find processes that ended by themselves."""
+        """Measure the memory, find processes that ended by themselves, start them again."""
         while not self._stopping.wait(OWN_END_PAUSE_S):
             machines = list(self.deployment.machines.values())
             processes = [each.process for each in machines if each.process is not None]
@@ -293,6 +301,10 @@
                 self._look_at_process(machine.name)
 
     def _look_at_process(self, name: str) -> None:
+        if self.deployment.is_refusing(name):
+            # A process may end for its full disk; how it did is judged in the end.
+            self.deployment.restart_ended(name)
+            return
         machine = self.deployment.machines.get(name)
         if machine is None or machine.process is None or not self._has_ended(name):
             self.own_ends.expect(True, name)
--- a/src/bellweir_rehearsal/hosted/soak_faults.py
+++ b/src/bellweir_rehearsal/hosted/soak_faults.py
@@ -9,6 +9,7 @@
     WipeStore,
 )
 from bellweir_rehearsal.hosted.fault import SoakFault
+from bellweir_rehearsal.hosted.full_disk import FullDisk
 from bellweir_rehearsal.hosted.machine_faults import AddStore, ReplaceStore, RetireStore
 from bellweir_rehearsal.hosted.platform_faults import (
     BrokenWorkers,
@@ -48,6 +49,7 @@
     PowerLossOfStores,
     PowerLossOfAll,
     DisksLostWithoutPower,
+    FullDisk,
     ClockStep,
     LongClockStep,
     AddStore,
@@ -68,6 +70,7 @@
     PowerLossOfStores,
     PowerLossOfAll,
     DisksLostWithoutPower,
+    FullDisk,
     WipeStore,
     ClockStep,
     LongClockStep,
