Test, failing: a stop while the ledger's files are still being read

The closed files look damaged to it, so it begins anew: it cuts the mark file by a descriptor that is closed, or belongs to another file by then, and may put the database aside. A planned stop would so cost a disk.

1 of 6 scenarios of features/ledger_disk.feature fails ("it began anew, beside files that were well").

--- a/features/ledger_disk.feature
+++ b/features/ledger_disk.feature
@@ -26,6 +26,14 @@
     And ledger items 7 to 10 are appended through that node
     Then its replica holds items 1 to 10 under its former identity
 
+  Scenario: A stop while the files are still being read
+    Given a ledger of 3 data nodes and 0 other nodes
+    When ledger items 1 to 5 are appended through node b
+    And ledger node a starts again and is stopped while it reads its files
+    Then its files are not taken for damaged
+    When that node starts again
+    Then its replica holds items 1 to 5 under its former identity
+
   Scenario: The process of a store machine whose disk refuses a write
     Then a store process whose disk refuses writes ends with exit code 1 and says why
     And started again while its disk is full it waits, and serves once there is room
--- a/features/steps/ledger_disk_steps.py
+++ b/features/steps/ledger_disk_steps.py
@@ -9,6 +9,7 @@
 of a process that goes on for the 30 s of the test.
 """
 
+import threading
 import time
 
 from behave import then, when
@@ -23,6 +24,7 @@
 from bellweir_rehearsal.hosted.clients import call
 from bellweir_rehearsal.hosted.deployment import HostedDeployment
 
+LONGEST_READ_S = 1.0
 STAYS_S = 0.5
 """Time for which a node is watched that must not have begun."""
 
@@ -137,6 +139,68 @@
         assert is_successful(reply), reply
 
 
+class SlowRead:
+    """Reading of the journals in a folder waits until the files are closed, or for a while.
+
+    A start that went on with closed files took them for damaged: it put them aside, or cut
+    whatever file had got the number of its descriptor. Seen: `journal_damaged` of a stop soon
+    after a start, with "connection has been closed" or "closed database" for its finding.
+    """
+
+    def __init__(self, folder):
+        self.is_reading, self.is_closed = threading.Event(), threading.Event()
+        self.found_damaged = False
+        self._read, self._release = SqliteJournal._read_shards, SqliteJournal._release
+        self._start_over = SqliteJournal._start_over
+        slow = self
+
+        def read(journal):
+            if journal._folder == folder:
+                slow.is_reading.set()
+                slow.is_closed.wait(LONGEST_READ_S)
+            return slow._read(journal)
+
+        def release(journal):
+            slow._release(journal)
+            if journal._folder == folder:
+                slow.is_closed.set()
+
+        def start_over(journal, kept):
+            slow.found_damaged = slow.found_damaged or journal._folder == folder
+            slow._start_over(journal, kept)
+
+        SqliteJournal._read_shards, SqliteJournal._release = read, release
+        SqliteJournal._start_over = start_over
+
+    def remove(self):
+        SqliteJournal._read_shards, SqliteJournal._release = self._read, self._release
+        SqliteJournal._start_over = self._start_over
+
+
+@when("ledger node {name} starts again and is stopped while it reads its files")
+def when_stopped_reading(context, name):
+    cluster = context.cluster
+    context.node, context.former = name, identity_of(cluster, name)
+    cluster.stop(name)
+    context.slow = SlowRead(folder_of(cluster, name))
+    context.add_cleanup(context.slow.remove)
+    cluster.start(name)
+    assert context.slow.is_reading.wait(30), "it reads"
+    cluster.stop(name)
+    assert context.slow.is_closed.is_set(), "its files are closed"
+
+
+@then("its files are not taken for damaged")
+def then_not_damaged(context):
+    context.slow.remove()
+    assert not context.slow.found_damaged, "it began anew, beside files that were well"
+
+
+@when("that node starts again")
+def when_starts_again(context):
+    context.cluster.start(context.node)
+
+
 @then("its replica holds items {first:d} to {last:d} under its former identity")
 def then_holds(context, first, last):
     then_replica_holds(context, context.node, first, last)
