--- a/features/steps/hosted_soak_steps.py
+++ b/features/steps/hosted_soak_steps.py
@@ -1,10 +1,18 @@
 """The soak of the hosted roles, and the budget of its losses."""
 
+import random
+import signal
+import time
+
 import hypothesis.strategies as st
 from behave import then, when
+from features.support.waiting import wait_until
 from hypothesis import given, settings
 
+from bellweir_rehearsal.hosted.deployment import HostedDeployment
+from bellweir_rehearsal.hosted.full_disk import FullDisk
 from bellweir_rehearsal.hosted.losses import CATCH_UP_S, LossBudget
+from bellweir_rehearsal.hosted.process_faults import KillStore
 from bellweir_rehearsal.hosted.soak import HostedSoak
 from bellweir_rehearsal.hosted.soak_faults import LASTING_FAULTS
 
@@ -40,6 +48,53 @@
     context.soak.play()
 
 
+@when("a soak of {seconds:d} seconds is played with seed {seed:d} of full disks alone")
+def when_full(context, seconds, seed):
+    context.soak = HostedSoak(context.folder, seed, seconds, 3, 3, only=(FullDisk,))
+    context.cleanup.callback(context.soak.close)
+    context.soak.play()
+
+
+@then("a process ended by itself with exit code 1 and came back with what it had")
+def then_came_back(context):
+    deployment = context.soak.deployment
+    assert deployment.own_ends, context.soak.strikes
+    assert all(end.is_owed for end in deployment.own_ends), deployment.own_ends
+    assert deployment.refilled, context.soak.strikes
+    assert not deployment.not_whole, deployment.not_whole
+
+
+@then("a machine that another fault took away is struck no more, and nothing is lost by it")
+def then_struck_no_more(context):
+    deployment = HostedDeployment(context.folder, gateways=1, stores=3)
+    context.cleanup.callback(deployment.close)
+    budget = LossBudget(deployment.names("store"), 1)
+    fault = KillStore(deployment, budget, random.Random(1))
+    deployment.remove_machine("store-2")
+    budget.remove("store-2")
+    assert not fault.begin(["store-2"])
+    assert budget.take(["store-0"]), "the loss is still free"
+
+
+@then("a machine that is back counts as lost until its process has had its time to catch up")
+def then_lost_until_begun(context):
+    soak = HostedSoak(context.folder, 1, 1.0, 1, 3, catch_up_s=0.2)
+    context.cleanup.callback(soak.close)
+    budget, machine = soak._budget, soak.deployment.machines["store-0"]
+    assert budget.take(["store-0"], disks=["store-0"])
+    soak.deployment.start_machine("store-0")
+    soak.deployment.signal("store-0", signal.SIGSTOP)
+    budget.give_back(["store-0"])
+    until_s = time.monotonic() + 3 * 0.2
+    while time.monotonic() < until_s:
+        soak._look_once()
+        assert not budget.take(["store-1"], disks=["store-1"]), "two disks are lost then"
+    soak.deployment.signal("store-0", signal.SIGCONT)
+    wait_until(lambda: machine.has_started, "it serves", 30)
+    soak._look_once()
+    wait_until(lambda: budget.take(["store-1"], disks=["store-1"]), "it has caught up", 30)
+
+
 @then("the run ended with disks lost while all others lost power")
 def then_last(context):
     assert context.soak.strikes["LastFault"] == 1, context.soak.strikes
--- a/src/bellweir_rehearsal/hosted/soak_faults.py
+++ b/src/bellweir_rehearsal/hosted/soak_faults.py
@@ -9,6 +9,7 @@
     WipeStore,
 )
 from bellweir_rehearsal.hosted.fault import SoakFault
+from bellweir_rehearsal.hosted.full_disk import FullDisk
 from bellweir_rehearsal.hosted.machine_faults import AddStore, ReplaceStore, RetireStore
 from bellweir_rehearsal.hosted.platform_faults import (
     BrokenWorkers,
@@ -26,6 +27,8 @@
     KillAll,
     KillGateway,
     KillStore,
+    StopAmidSignals,
+    StopCutShort,
     StopGateway,
     StopStore,
 )
@@ -36,6 +39,8 @@
     KillAll,
     StopGateway,
     StopStore,
+    StopAmidSignals,
+    StopCutShort,
     HangUp,
     FreezeGateway,
     FreezeStore,
@@ -44,6 +49,7 @@
     PowerLossOfStores,
     PowerLossOfAll,
     DisksLostWithoutPower,
+    FullDisk,
     ClockStep,
     LongClockStep,
     AddStore,
@@ -64,6 +70,7 @@
     PowerLossOfStores,
     PowerLossOfAll,
     DisksLostWithoutPower,
+    FullDisk,
     WipeStore,
     ClockStep,
     LongClockStep,
