A stop of the ledger waits for its start before it closes the files

Only the descriptor that was closed first kept that from happening, as long as no other file had got its number. A start that failed so was tried again behind the stop.

Change: a stop ends the start's tries, waits up to 5 s for the start, ends its tasks and closes the files then; where the start hangs in its disk the files stay open until the process ends.

--- a/src/bellweir/ledger/service.py
+++ b/src/bellweir/ledger/service.py
@@ -1,6 +1,8 @@
 """Service `ledger`: the replicated log on nodes with a data folder, and the way to it elsewhere."""
 
 import threading
+from concurrent.futures import Future
+from concurrent.futures import wait as wait_for_futures
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -45,6 +47,8 @@
 LONGEST_RETRY_S = 2.0
 """Pauses before the files are tried again: short against the seconds after which a machine that
 came back is counted on, long enough to cost nothing while a disk stays full."""
+START_END_TIMEOUT_S = 5.0
+"""Time that a stop gives the start of the replicas to end; a disk may hang."""
 LEDGER_FOLDER = "ledger"
 
 
@@ -63,6 +67,9 @@
         self._settings = settings
         self._machine_types: list[type[StateMachine]] = []
         self._serving = threading.Event()
+        self._ending = threading.Event()
+        """Set once the service stops: no replica is started any more."""
+        self._start: Future[None] | None = None
         self._journal: Journal | None = None
         self._node: LedgerNode | None = None
         self._tasks: LedgerTasks | None = None
@@ -92,11 +99,11 @@
             names.PLATFORM,
             ObjectStoreProvider,  # type: ignore[type-abstract]
         )
-        self._kernel.executors.run_task("ledger-start", self._begin_serving)
+        self._start = self._kernel.executors.run_task("ledger-start", self._begin_serving)
 
     def _begin_serving(self, stopping: threading.Event) -> None:
         while not self._kernel.registry.all_started.wait(START_POLL_S):
-            if stopping.is_set():
+            if stopping.is_set() or self._ending.is_set():
                 return
         folder = self._settings.node.data_folder
         if folder is not None and not self._await_replicas(folder / LEDGER_FOLDER, stopping):
@@ -147,7 +154,7 @@
         voter that never answers, until somebody restarts it.
         """
         pause_s = FIRST_RETRY_S
-        while not stopping.is_set():
+        while not (stopping.is_set() or self._ending.is_set()):
             try:
                 self._start_replicas(folder)
                 return True
@@ -158,7 +165,7 @@
                 raise
             if self._journal is not None:
                 self._journal.close()
-            stopping.wait(pause_s)
+            self._ending.wait(pause_s)
             pause_s = min(2 * pause_s, LONGEST_RETRY_S)
         return False
 
@@ -214,7 +221,15 @@
             self._tasks.leave(deadline_s)
 
     def stop(self) -> None:
-        """End the tasks, then close the files."""
+        """End the start and the tasks, then close the files.
+
+        Files that are closed under a start that still reads them look damaged to it, and it would
+        put them aside. Where a start hangs in its disk they stay open until the process ends.
+        """
+        self._ending.set()
+        start = self._start
+        if start is not None and wait_for_futures([start], START_END_TIMEOUT_S).not_done:
+            return
         if self._tasks is not None:
             self._tasks.stop()
         if self._journal is not None:
