Count a run's silence from its hand-out

Cause: a run whose thread had not begun was silent since the monotonic clock's beginning and was moved at the first look (4 of 8, as many as the other worker had room for). Change: it is silent from its hand-out at the earliest.

--- a/features/steps/hosted_moves_steps.py
+++ b/features/steps/hosted_moves_steps.py
@@ -183,6 +183,7 @@
                 ItemProgress(job, configuration()["routes"][0], item),
                 fast,
                 Cancellation(),
+                self.now_s,
             )
             for item in job.items
         ]
--- a/src/bellweir/hosted/batches/coordinator.py
+++ b/src/bellweir/hosted/batches/coordinator.py
@@ -194,7 +194,7 @@
         if worker is None:
             return False
         key = (progress.job.id, progress.item.id)
-        run = Run(progress, worker, Cancellation())
+        run = Run(progress, worker, Cancellation(), time.monotonic())
         with self._lock:
             self._running[key] = run
         maximum = self._score_route(progress, table)
--- a/src/bellweir/hosted/batches/mover.py
+++ b/src/bellweir/hosted/batches/mover.py
@@ -23,12 +23,21 @@
 class Run:
     """One attempt in hand."""
 
-    __slots__ = ("cancellation", "progress", "worker")
+    __slots__ = ("began_s", "cancellation", "progress", "worker")
 
-    def __init__(self, progress: ItemProgress, worker: Worker, cancellation: Cancellation) -> None:
+    def __init__(
+        self, progress: ItemProgress, worker: Worker, cancellation: Cancellation, began_s: float
+    ) -> None:
+        """`began_s`: monotonic time at which it is handed out; its thread may begin much later."""
         self.progress = progress
         self.worker = worker
         self.cancellation = cancellation
+        self.began_s = began_s
+
+    @property
+    def heard_s(self) -> float:
+        """Time of its last event, or of its hand-out before it has one."""
+        return max(self.began_s, self.progress.heard_s)
 
 
 TargetsOf = Callable[[ItemProgress, str], Sequence[tuple[Worker, int]]]
@@ -113,7 +122,7 @@
         left = max(expected - made, OVERRUN_SHARE * made, FEWEST_LEFT_EVENTS)
         pace_s = self._attempts.paces.of(run.worker.instance)
         # Events that came while this process stood still are not read yet: their worker made them.
-        silent_s = now_s - progress.heard_s - self._pauses.since(progress.heard_s)
+        silent_s = now_s - run.heard_s - self._pauses.since(run.heard_s)
         return RunOutlook(run, run.worker.instance, pace_s, silent_s, left)
 
     def _move(self, move: PlannedMove[Run], now_s: float) -> None:
