Test of another leader: wait until the former one has forgotten its texts

Cause: `hosted_batches: another leader goes on with texts in the making` failed once beside load (about 57 on 16 cores) in the step that changes the leader. Two waits of the step rest on time. It took the end of all runs for a sign that the coordinator had left: a coordinator that is held up for 1.5 s lets its texts end by themselves, and then still knows all four (trial with the delay put into `leads`). And a text whose part is kept has 0.9 s left, in which a late text must get its own part, or the parts never are as many as the texts. Which of the two it was is not known: the output of that run was cut.

Change: the step waits until the runs have ended and the progress is forgotten, which it asserted before, and slows the workers' events to 1.2 s from the first kept part to the change of the leader. All that was asserted is asserted.

--- a/features/steps/hosted_batches_steps.py
+++ b/features/steps/hosted_batches_steps.py
@@ -462,20 +462,37 @@
 def when_parts(context):
     state = context.leader.ledger.machine.jobs["job"]
     wanted = len(context.job.items)
-    context.wait_until(lambda: len(state.parts) == wanted, "a part of each text")
+
+    def are_kept():
+        # A text that has its part must not end while another one still waits for its own; a
+        # worker with shorter pauses than six usual ones is not silent.
+        if state.parts:
+            _set_pauses(context, 1.2)
+        return len(state.parts) == wanted
+
+    context.wait_until(are_kept, "a part of each text")
     context.leader.ledger.leading = False
     coordinator = context.leader.coordinator
-    context.wait_until(lambda: not coordinator._running, "the former leader's runs ended")
+    # The coordinator forgets everything when it leaves, so it comes back as another one would. Its
+    # runs may end by themselves before it has seen that it leads no more.
+    context.wait_until(
+        lambda: not coordinator._running and not coordinator._progress,
+        "the former leader's runs ended and forgotten",
+    )
     context.kept = {
         item_id: sum(part.events for part in parts) for item_id, parts in state.parts.items()
     }
-    # The coordinator forgets everything when it leaves, so it comes back as another one would.
-    assert not coordinator._progress
     for worker in context.leader.models:
         worker.record.resumed_after.clear()
+    _set_pauses(context, 0.3)
     context.leader.ledger.leading = True
 
 
+def _set_pauses(context, seconds):
+    for worker in context.leader.models:
+        worker.event_pause_s = seconds
+
+
 @then("every text went on behind what was kept")
 def then_went_on(context):
     after = {}
