Print which features leave threads behind; close the connections of two stand-ins

Cause: a stand-in's connections, kept open by pools that no scenario closed, each held a thread and two descriptors for the rest of the run.

Change: each scenario's beginning counts the threads that are left of the one before, after 0.5 s at most, and the run ends with a line for each feature that left any. It fails nothing yet. The leader with model workers and the gateway under test close their idle connections.

--- a/features/environment.py
+++ b/features/environment.py
@@ -11,6 +11,7 @@
 import structlog
 from hypothesis import HealthCheck, settings
 
+from support.leftovers import Leftovers
 from support.waiting import wait_until
 
 REPOSITORY = Path(__file__).resolve().parent.parent
@@ -28,9 +29,17 @@
 def before_all(context):
     sink = open(os.devnull, "w", encoding="utf-8")  # noqa: SIM115 - open for the whole run
     structlog.configure(logger_factory=structlog.PrintLoggerFactory(sink))
+    context.leftovers = Leftovers()
+
+
+def after_all(context):
+    # Not to what the run captures.
+    for line in context.leftovers.report():
+        print(line, file=sys.__stdout__)
 
 
 def before_scenario(context, scenario):
+    context.leftovers.note(scenario)
     context.repository = REPOSITORY
     context.wait_until = wait_until
     context.cleanup = ExitStack()
--- a/features/steps/hosted_forwarding_steps.py
+++ b/features/steps/hosted_forwarding_steps.py
@@ -240,7 +240,9 @@
     for worker in context.workers.values():
         worker.event_pause_s = 0.002
     loads = WorkerLoads("a")
-    attempts = ItemAttempts(WorkerConnections(HEADERS), loads)
+    connections = WorkerConnections(HEADERS)
+    context.cleanup.callback(connections.forget_others, set())
+    attempts = ItemAttempts(connections, loads)
     worker = context.gateway.workers.worker("i-a")
     for number in range(60):
         progress, cancellation = ItemProgress(job, route, job.items[0]), Cancellation()
--- a/features/support/hosted_gateway.py
+++ b/features/support/hosted_gateway.py
@@ -67,7 +67,7 @@
         self.view.take(configuration(), "test")
         self.show_workers({worker.instance: worker.entry("app") for worker in workers})
         self.loads = WorkerLoads("a")
-        connections = WorkerConnections(HEADERS)
+        connections = self._connections = WorkerConnections(HEADERS)
         self.caller_watch = CallerWatch(self.executors)
         self.caller_watch.start()
         self.metrics = RequestMetrics()
@@ -106,6 +106,7 @@
         self.caller_watch.stop()
         self.server.close_all()
         self.executors.stop()
+        self._connections.forget_others(set())
 
     def send(self, path, body=b"body", deadline_ms=5_000, host=HOST, more=()):
         """Send one request; its answer with status, headers, body and whether it was whole."""
--- a/features/support/hosted_jobs.py
+++ b/features/support/hosted_jobs.py
@@ -137,7 +137,9 @@
 
     show()
     ledger, loads = MemoryLedger(), WorkerLoads("a")
-    attempts = ItemAttempts(WorkerConnections(HEADERS), loads)
+    connections = WorkerConnections(HEADERS)
+    context.cleanup.callback(connections.forget_others, set())
+    attempts = ItemAttempts(connections, loads)
     coordinator = Coordinator(ledger, view, workers, loads, attempts, executors)
     executors.run_task("coordinator", coordinator.run)
     executors.run_task("committer", coordinator.committer.run)
