Tell where each thread of the test process was when it crashes

Cause: a segmentation fault of the test process left no stack of Python, and its trace was guesswork.

Change: the run enables `faulthandler` on the process's own error output.

--- a/features/environment.py
+++ b/features/environment.py
@@ -1,5 +1,6 @@
 """Hooks around scenarios: a temporary folder, and clean-up of what a scenario started."""
 
+import faulthandler
 import os
 import sys
 import tempfile
@@ -29,6 +30,8 @@
 def before_all(context):
     sink = open(os.devnull, "w", encoding="utf-8")  # noqa: SIM115 - open for the whole run
     structlog.configure(logger_factory=structlog.PrintLoggerFactory(sink))
+    # A crash of the process tells where each of its threads was.
+    faulthandler.enable(sys.__stderr__)
     context.leftovers = Leftovers()
 
 
