--- a/src/bellweir_rehearsal/hosted/clients.py
+++ b/src/bellweir_rehearsal/hosted/clients.py
@@ -7,6 +7,7 @@
 import math
 import random
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -126,6 +127,8 @@
     client: Client
     items_each: int = 6
     version: int = 1
+    may_rest: Callable[[], bool] = lambda: False
+    """Whether the service owes no progress now; such times don't count against a step's."""
     steps: list[StepRecord] = field(default_factory=list)
     _numbers: "itertools.count[int]" = field(default_factory=itertools.count)
 
@@ -148,10 +151,13 @@
         return step
 
     def read_step(self, step: StepRecord, timeout_s: float = 30.0) -> None:
-        """Read results until all are listed."""
-        until_s = time.monotonic() + timeout_s
+        """Read results until all are listed; `timeout_s` of service may pass."""
+        left_s, looked_s = timeout_s, time.monotonic()
         while len(step.results) < len(step.items):
-            if time.monotonic() > until_s:
+            now_s = time.monotonic()
+            left_s -= 0.0 if self.may_rest() else now_s - looked_s
+            looked_s = now_s
+            if left_s < 0.0:
                 raise NoAnswerError(f"{step.job_id}: {len(step.results)} results in {timeout_s} s")
             path = f"/api/lots/{step.job_id}?after={len(step.results)}"
             answer = self.client.send("GET", path)
--- a/src/bellweir_rehearsal/hosted/soak.py
+++ b/src/bellweir_rehearsal/hosted/soak.py
@@ -104,6 +104,7 @@
         self.deployment.is_rigged = True
         self.client.tries = TRIES
         self.client.patience_s = PATIENCE_S
+        self.trainer.may_rest = self._may_rest
         self._seed = seed
         self._seconds = seconds
         self._only = only
@@ -180,6 +181,12 @@
         self._check_configuration()
         self._check_ends()
 
+    def _may_rest(self) -> bool:
+        """Whether more store machines went at once than tolerated, until service is owed again."""
+        stores = self.deployment.names("store")
+        touched = self.deployment.touched
+        return touched.struck_together(stores, self.deployment.tolerated, RECOVER_S)
+
     def _chance(self, name: object) -> random.Random:
         return random.Random(f"{self._seed}/{name}")
 
--- a/src/bellweir_rehearsal/hosted/touch_log.py
+++ b/src/bellweir_rehearsal/hosted/touch_log.py
@@ -69,6 +69,31 @@
                 for strike in self._strikes
             )
 
+    def struck_together(
+        self, names: Iterable[str], most: int, within_s: float, now_s: float | None = None
+    ) -> bool:
+        """Whether more than `most` of some machines are struck by one disruption, or just were.
+
+        `within_s` is the time for which it still counts after its end.
+
+        >>> log = TouchLog()
+        >>> strike = log.begin(["store-0", "store-1"], now_s=10.0)
+        >>> log.end(strike, now_s=11.0)
+        >>> stores = ["store-0", "store-1", "store-2"]
+        >>> log.struck_together(stores, 1, 5.0, 15.9), log.struck_together(stores, 1, 5.0, 16.1)
+        (True, False)
+        >>> log.struck_together(stores, 2, 5.0, 15.9)
+        False
+        """
+        wanted = set(names)
+        from_s = (time.monotonic() if now_s is None else now_s) - within_s
+        with self._lock:
+            return any(
+                len(strike.names & wanted) > most
+                and (strike.until_s is None or strike.until_s >= from_s)
+                for strike in self._strikes
+            )
+
     def is_struck_for(self, name: str, seconds: float, now_s: float | None = None) -> bool:
         """Whether a disruption of a machine has lasted for so long."""
         since_s = (time.monotonic() if now_s is None else now_s) - seconds
