--- a/features/steps/ledger_redundancy_steps.py
+++ b/features/steps/ledger_redundancy_steps.py
@@ -389,8 +389,10 @@
         assert made.ledger.creation_least == machines + 1
 
 
-@then("a replica that has installed it asks for no part of it again")
-def then_no_part_again(context):
+def wiped_follower(context):
+    """A simulation whose follower starts with an empty disk: it, the follower's name, and a list
+    that gets each part of a state that is sent, with the name of whom it is sent to.
+    """
     simulation = MachineSimulation(NAMES, 1)
     context.add_cleanup(simulation.close)
     parts = []
@@ -406,6 +408,12 @@
     wiped = next(name for name in NAMES[:3] if name != simulation.leader().name)
     simulation.kill(wiped)
     simulation.start_empty(wiped)
+    return simulation, wiped, parts
+
+
+@then("a replica that has installed it asks for no part of it again")
+def then_no_part_again(context):
+    simulation, wiped, parts = wiped_follower(context)
     simulation.run_for(CATCH_UP_S)
     target, last = parts[-1]
     assert target == wiped, "the state was not sent"
@@ -424,21 +432,7 @@
     replica's `commit_index` passes the snapshot before the journal has it, and the second answer
     went by it. What settled it: `accepted`, all bytes, from a disk that never took a write.
     """
-    simulation = MachineSimulation(NAMES, 1)
-    context.add_cleanup(simulation.close)
-    parts = []
-    request = simulation.request
-
-    def watch(origin, target, message):
-        if isinstance(message, SnapshotPart):
-            parts.append((target, message))
-        return request(origin, target, message)
-
-    simulation.request = watch
-    simulation.run_for(10.0)
-    wiped = next(name for name in NAMES[:3] if name != simulation.leader().name)
-    simulation.kill(wiped)
-    simulation.start_empty(wiped)
+    simulation, wiped, parts = wiped_follower(context)
     write = simulation.disks[wiped].write
 
     def refuse_state(operation):
