--- a/features/ledger_redundancy.feature
+++ b/features/ledger_redundancy.feature
@@ -9,6 +9,10 @@
   Scenario: A fourth voter that is dead is taken out before anything else
     Then of four voters one that is silent goes first, whoever is to be emptied
 
+  Scenario: What must be sure before a machine is emptied
+    Then a voter to be emptied goes only when three others hold the log, answer, stay and are no newcomers
+    And a voter that stops as planned has a successor brought in before it is gone
+
   Scenario: Machines come and go, and the last disk is lost as soon as it may be
     Then through 40 days of changes every loss that is owed is borne
 
--- a/features/steps/ledger_redundancy_steps.py
+++ b/features/steps/ledger_redundancy_steps.py
@@ -115,6 +115,57 @@
             assert next_replica_set(after, 3) is None
 
 
+def four_voters_one_to_empty():
+    """Three that are well beside one that is to be emptied: it may go."""
+    voters = tuple(ReplicaId(name, f"disk-{name}") for name in NAMES)
+    view = ShardView(
+        shard=0,
+        replicas=ReplicaSet(voters),
+        own=voters[0],
+        caught_up=frozenset(voters[1:]),
+        lost=frozenset(),
+        candidates=(),
+        retiring=frozenset({voters[3]}),
+    )
+    assert next_replica_set(view, 3) == ReplicaSet(voters[:3])
+    return view
+
+
+@then(
+    "a voter to be emptied goes only when three others hold the log, answer, stay and are no "
+    "newcomers"
+)
+def then_sure_first(context):
+    view = four_voters_one_to_empty()
+    for one in view.replicas.voters[1:3]:
+        alone = frozenset({one})
+        for case in (
+            {"caught_up": view.caught_up - alone},
+            {"doubtful": alone},
+            {"young": alone},
+            {"leaving": alone},
+        ):
+            changed = next_replica_set(replace(view, **case), 3)
+            assert changed is None, (case, changed)
+
+
+@then("a voter that stops as planned has a successor brought in before it is gone")
+def then_successor_first(context):
+    view = four_voters_one_to_empty()
+    *voters, successor = view.replicas.voters
+    view = replace(
+        view,
+        replicas=ReplicaSet(tuple(voters)),
+        candidates=tuple(
+            PlacementCandidate(one, f"zone-{one.node}") for one in (*voters, successor)
+        ),
+        retiring=frozenset(),
+    )
+    assert next_replica_set(view, 3) is None
+    changed = next_replica_set(replace(view, leaving=frozenset({voters[2]})), 3)
+    assert changed == ReplicaSet(tuple(voters), (successor,)), changed
+
+
 class DayOfChanges:
     """Machines are replaced, wiped, retired, added and frozen; one is lost at a time."""
 
