Test of bodies that are too long: at usual time limits

It sent its bodies to a gateway whose time limits are 1 s, so that a client which stands still before its first chunk gets 408, rightly, and not 413.

Change: the too long bodies go to a gateway with the usual limits and the same longest body; slow ones stay with the short limits. All assertions are there.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -88,10 +88,13 @@
     Then malformed, truncated and random bytes at the gateway get a 4xx or 5xx or a closed connection
     And the gateway has no busy connection and answers the next request
 
-  Scenario: Requests that arrive too slowly or are too long are refused
+  Scenario: Requests that arrive too slowly are refused
     Given a gateway with short time limits and a longest body of 4096 bytes
     Then slow headers and a slow body get 408 from the gateway
-    And a gateway body that is too long gets 413, however it is framed
+
+  Scenario: Requests that are too long are refused
+    Given a gateway with a longest body of 4096 bytes
+    Then a gateway body that is too long gets 413, however it is framed
 
   Scenario: A caller that takes no output is disconnected
     Given a gateway with short time limits and a longest body of 4096 bytes
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -27,6 +27,11 @@
     gateway_start(context, limits=SHORT_LIMITS, maximum_body_bytes=size)
 
 
+@given("a gateway with a longest body of {size:d} bytes")
+def step_gateway_bounded(context, size):
+    gateway_start(context, maximum_body_bytes=size)
+
+
 @then("the gateway's status names the node, the revision in force and the dispatch counters")
 def step_status(context):
     status = gateway_json(context, "GET", "/status")[1]
