Test server of lost connections: close a connection before it is off the list

The step waits until the server's list of connections is empty, and the server took a connection off before it closed it, so that the second call could still go out on it; its outcome is then unknown, rightly.

--- a/features/support/lossy_server.py
+++ b/features/support/lossy_server.py
@@ -136,8 +136,9 @@
         if self.reset:
             linger = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        self._connections.discard(connection)
+        # Whoever sees it gone may rely on its end having been sent.
         connection.close()
+        self._connections.discard(connection)
 
 
 class TricklingServer(LossyServer):
