Name a worker's incarnation; interface of what gateways share of workers

A worker may start again under its id, so that the id alone no longer says whom a figure is about.

No behaviour changes: nobody uses either yet.

--- a/src/bellweir/hosted/records.py
+++ b/src/bellweir/hosted/records.py
@@ -154,6 +154,8 @@
     zone: str = ""
     slots: int = 1
     state: WorkerState = WorkerState.READY
+    born: int = 0
+    """Unix millisecond of its start; 0 where it does not tell it."""
     models: tuple[WorkerModel, ...] = ()
 
 
--- /dev/null
+++ b/src/bellweir/hosted/sight/interface.py
@@ -0,0 +1,77 @@
+"""What is known of workers from the requests of all gateways, as typed values and abstract class.
+
+A gateway of many sends each worker little, so that its own requests tell next to nothing of the
+worker's load or health. What gateways tell each other carries its age; what is old counts less.
+"""
+
+from abc import ABC, abstractmethod
+from enum import Enum
+
+from bellweir.hosted.incarnation import Incarnation
+
+
+class SeenOutcome(Enum):
+    """How a request at a worker ended, as far as it tells of the worker."""
+
+    SERVED = "served"
+    """A whole answer that is no failure of the worker's."""
+    FAILED = "failed"
+    """The worker's own failure, an answer that was cut, or none in time."""
+    REFUSED = "refused"
+    """The worker said that it did not run the request."""
+    UNKNOWN = "unknown"
+    """Ended by this side, before the worker could show anything."""
+
+
+class WorkerSeen:
+    """What is known of one incarnation of a worker now."""
+
+    __slots__ = ("age_s", "in_hand", "incarnation", "is_set_aside", "slow_s", "usual_s")
+
+    def __init__(
+        self,
+        incarnation: Incarnation,
+        in_hand: float = 0.0,
+        usual_s: float = 0.0,
+        slow_s: float = 0.0,
+        age_s: float = float("inf"),
+        *,
+        is_set_aside: bool = False,
+    ) -> None:
+        """`in_hand`: requests of all gateways that were heard of, this one's included.
+
+        `usual_s` and `slow_s` are the median and the 95th percentile of its answers' times in
+        seconds; 0 while unknown. `age_s` is the age of the newest word of another gateway. A
+        worker that `is_set_aside` did worse than its fellows and gets no more than trials.
+        """
+        self.incarnation = incarnation
+        self.in_hand = in_hand
+        self.usual_s = usual_s
+        self.slow_s = slow_s
+        self.age_s = age_s
+        self.is_set_aside = is_set_aside
+
+
+class Sight(ABC):
+    """What this node knows of workers, from its own requests and from those of others."""
+
+    @abstractmethod
+    def begun(self, service: str, incarnation: Incarnation) -> None:
+        """Note that a request goes to a worker of a service; `ended` follows."""
+
+    @abstractmethod
+    def ended(self, incarnation: Incarnation, outcome: SeenOutcome, seconds: float) -> None:
+        """Note that a request ended after `seconds` at the worker."""
+
+    @abstractmethod
+    def seen(self, incarnation: Incarnation) -> WorkerSeen:
+        """What is known of a worker now; an empty one for a worker that nobody spoke of."""
+
+    @abstractmethod
+    def may_try(self, incarnation: Incarnation) -> bool:
+        """Whether a worker that is set aside may get a trial request now; takes the trial."""
+
+    @property
+    @abstractmethod
+    def is_alone(self) -> bool:
+        """Whether no other gateway was heard lately, so that only own requests count."""
--- a/src/bellweir/hosted/views/workers.py
+++ b/src/bellweir/hosted/views/workers.py
@@ -8,12 +8,13 @@
 import threading
 import time
 from collections.abc import Callable, Iterator, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from types import MappingProxyType
 
 import msgspec
 
 from bellweir.events.log import emit
+from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.interface import Listing, RecordChange
 from bellweir.hosted.leniency import without_nulls
 from bellweir.hosted.log_events import WORKER_CHANGED, WORKER_KEPT
@@ -28,6 +29,11 @@
 
     instance: str
     entry: WorkerEntry
+    incarnation: Incarnation = field(init=False, compare=False)
+
+    def __post_init__(self) -> None:
+        """Name the incarnation once: it is the key of whatever is known of the worker."""
+        object.__setattr__(self, "incarnation", Incarnation(self.instance, self.entry.born))
 
     @property
     def address(self) -> str:
