Keep what is known of workers by incarnation, not by id

Loads, refusals, paces, moves, tried and used workers of a request, weight versions held and orders under way were kept by the worker's id. A worker that starts again under its id would be taken for the former one.

The tests' keys follow.

--- a/features/steps/hosted_batches_steps.py
+++ b/features/steps/hosted_batches_steps.py
@@ -22,6 +22,7 @@
 )
 from bellweir.hosted.batches.texts import pack_text
 from bellweir.hosted.event_stream import EventSplitter, StreamEvent
+from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.records import Route, RouteKind
 from bellweir_platform.headers import HEADERS
 from bellweir_rehearsal.hosted.worker import event_of, stamp_of, text_of
@@ -197,11 +198,12 @@
     def one_at_a_time(steps):
         now_s = [0.0]
         guard = RefusalGuard(lambda: now_s[0])
+        worker = Incarnation("i")
         refused_s, begun, ended, in_hand = None, 0, 0, 0
         for begins, how, passed_s in steps:
             now_s[0] += passed_s
-            if begins and guard.may_begin("i", "m"):
-                guard.begun("i", "m")
+            if begins and guard.may_begin(worker, "m"):
+                guard.begun(worker, "m")
                 in_hand += 1
                 if refused_s is not None:
                     assert now_s[0] >= refused_s + PAUSE_S
@@ -209,12 +211,12 @@
                     begun += 1
             elif in_hand and not begins:
                 in_hand -= 1
-                getattr(guard, how)("i", "m")
+                getattr(guard, how)(worker, "m")
                 ended += how == "ended"
                 if how != "ended":
                     refused_s = now_s[0] if how == "refused" else None
                     begun = ended = 0
-        assert guard.may_begin("i", "other")
+        assert guard.may_begin(worker, "other")
 
     one_at_a_time()
 
@@ -328,8 +330,8 @@
 def then_not_avoided(context):
     loads = context.leader.coordinator._loads
     for worker in context.leader.models:
-        assert loads.in_hand(worker.instance) == 0
-        assert loads._load(worker.instance).failures == 0, worker.instance
+        assert loads.in_hand(Incarnation(worker.instance)) == 0
+        assert loads._load(Incarnation(worker.instance)).failures == 0, worker.instance
 
 
 def come_again(context, minimum_version=2):
--- a/features/steps/hosted_moves_steps.py
+++ b/features/steps/hosted_moves_steps.py
@@ -2,7 +2,6 @@
 
 import ctypes
 import threading
-from types import SimpleNamespace
 
 import hypothesis.strategies as st
 import msgspec
@@ -23,12 +22,15 @@
 from bellweir.hosted.batches.pace import WorkerPaces
 from bellweir.hosted.batches.progress import ItemProgress
 from bellweir.hosted.batches.state import AcceptJob
+from bellweir.hosted.incarnation import Incarnation
+from bellweir.hosted.records import WorkerEntry
 from bellweir.hosted.serving.attempt import Cancellation, WorkerConnections
 from bellweir.hosted.serving.selection import WorkerLoads
+from bellweir.hosted.views.workers import Worker
 from bellweir_platform.headers import HEADERS
 from bellweir_rehearsal.hosted.worker import text_of
 
-WORKERS = ("i-0", "i-1", "i-2", "i-3")
+WORKERS = tuple(Incarnation(f"i-{number}") for number in range(4))
 
 
 @then("a move never lacks a place, never stays where it is and pays for itself or ends a silence")
@@ -44,8 +46,8 @@
     )
     def moves(runs, paces, rooms):
         outlooks = [
-            RunOutlook(number, instance, paces[instance], silent_s, left)
-            for number, (instance, silent_s, left) in enumerate(runs)
+            RunOutlook(number, worker, paces[worker], silent_s, left)
+            for number, (worker, silent_s, left) in enumerate(runs)
         ]
         targets = [MoveTarget(name, paces[name], room) for name, room in rooms.items()]
         planned = plan_moves(outlooks, targets)
@@ -53,7 +55,7 @@
         for name, room in rooms.items():
             assert sum(move.target == name for move in planned) <= room
         for move in planned:
-            assert move.target != move.run.instance
+            assert move.target != move.run.worker
             assert move.target in rooms
             gain_s = move.run.left_events * (move.run.pace_s - paces[move.target]) - MOVE_COST_S
             assert move.run.stands_still or gain_s >= LEAST_GAIN_S
@@ -61,7 +63,7 @@
         stayed = {outlook.key for outlook in outlooks} - {move.run.key for move in planned}
         for outlook in outlooks:
             if outlook.key in stayed and outlook.stands_still:
-                others = [room for name, room in left.items() if name != outlook.instance]
+                others = [room for name, room in left.items() if name != outlook.worker]
                 assert not any(others), "a silent run stays while another worker has room"
 
     moves()
@@ -77,14 +79,15 @@
     )
     def paces(fast_s, factor, pauses):
         known = WorkerPaces()
+        fast, slow, new = Incarnation("fast"), Incarnation("slow"), Incarnation("new")
         for number in range(60):
             pause_s = 1.0 if number in pauses and number < 40 else 0.0
-            known.note_gap("fast", fast_s + pause_s)
-            known.note_gap("slow", fast_s * factor + pause_s)
+            known.note_gap(fast, fast_s + pause_s)
+            known.note_gap(slow, fast_s * factor + pause_s)
         if not pauses:
-            assert abs(known.of("fast") - fast_s) < 0.001
-        assert known.of("fast") < known.of("slow")
-        assert known.of("new") == known.of("fast")
+            assert abs(known.of(fast) - fast_s) < 0.001
+        assert known.of(fast) < known.of(slow)
+        assert known.of(new) == known.of(fast)
 
     paces()
 
@@ -170,14 +173,11 @@
         self.now_s = 100.0
         attempts = ItemAttempts(WorkerConnections(HEADERS), WorkerLoads("a"))
         for _ in range(40):
-            attempts.paces.note_gap("fast", FAST_S)
-            attempts.paces.note_gap("slow", SLOW_S)
+            attempts.paces.note_gap(Incarnation("fast"), FAST_S)
+            attempts.paces.note_gap(Incarnation("slow"), SLOW_S)
         self.mover = RunMover(attempts, lambda: self.now_s)
         job = make_job("job", count, 1)
-        fast, self.slow = (
-            SimpleNamespace(instance=name, entry=SimpleNamespace(service="llm"))
-            for name in ("fast", "slow")
-        )
+        fast, self.slow = (Worker(name, WorkerEntry("llm", "h:1")) for name in ("fast", "slow"))
         self.runs = [
             Run(
                 ItemProgress(job, configuration()["routes"][0], item),
@@ -255,7 +255,7 @@
 def then_moved(context):
     moved = context.watched.moved()
     assert len(moved) == ROOM, len(moved)
-    assert {run.progress.moved_to for run in moved} == {"slow"}
+    assert {run.progress.moved_to for run in moved} == {Incarnation("slow")}
 
 
 @given_step(
--- a/features/steps/hosted_plan_steps.py
+++ b/features/steps/hosted_plan_steps.py
@@ -37,18 +37,18 @@
     def bounded(worker_count, model_count, lag, rounds):
         workers = [Worker(f"i-{n}", WorkerEntry("s", f"h:{n}")) for n in range(worker_count)]
         models = [f"m-{number}" for number in range(model_count)]
-        held = {(worker.instance, model): 1 for worker in workers for model in models}
+        held = {(worker.incarnation, model): 1 for worker in workers for model in models}
         loads = 0
         for version in range(2, 2 + rounds):
             targets = [ModelTarget(model, version, lag) for model in models]
             for planned in plan_loads(targets, workers, held):
-                assert held[planned.worker.instance, planned.model] < version
-                held[planned.worker.instance, planned.model] = version
+                assert held[planned.worker.incarnation, planned.model] < version
+                held[planned.worker.incarnation, planned.model] = version
                 loads += 1
             assert plan_loads(targets, workers, held) == [], "it never comes to rest"
             for target in targets:
                 fitting = sum(
-                    held[worker.instance, target.model] >= target.oldest_useful
+                    held[worker.incarnation, target.model] >= target.oldest_useful
                     for worker in workers
                 )
                 assert fitting >= workers_wanted(worker_count, model_count, lag)
@@ -66,17 +66,17 @@
 def given_scarce_loads(context, count, models, at_once):
     workers = [Worker(f"i-{n}", WorkerEntry("s", f"h:{n}")) for n in range(count)]
     names = [f"m-{number}" for number in range(models)]
-    held = {(worker.instance, model): 1 for worker in workers for model in names}
+    held = {(worker.incarnation, model): 1 for worker in workers for model in names}
     context.fitting = []
     for version in range(2, 30):
         targets = [ModelTarget(model, version, 1) for model in names]
         # Time for three waves of loads between two versions.
         for _ in range(3):
             for planned in plan_loads(targets, workers, held)[:at_once]:
-                held[planned.worker.instance, planned.model] = planned.version
+                held[planned.worker.incarnation, planned.model] = planned.version
         context.fitting.append(
             [
-                sum(held[one.instance, target.model] >= target.oldest_useful for one in workers)
+                sum(held[one.incarnation, target.model] >= target.oldest_useful for one in workers)
                 for target in targets
             ]
         )
--- a/src/bellweir/hosted/batches/attempts.py
+++ b/src/bellweir/hosted/batches/attempts.py
@@ -120,11 +120,11 @@
             state = opened.state
         finally:
             if state is AttemptState.ANSWERED:
-                self.refusals.accepted(worker.instance, model)
+                self.refusals.accepted(worker.incarnation, model)
             elif state is AttemptState.REFUSED:
-                self.refusals.refused(worker.instance, model)
+                self.refusals.refused(worker.incarnation, model)
             else:
-                self.refusals.ended(worker.instance, model)
+                self.refusals.ended(worker.incarnation, model)
         return opened
 
     def _ended_here(
@@ -133,7 +133,7 @@
         """End a run that this node itself wants no more: no fault of the worker's."""
         if opened is not None:
             opened.drop()
-        self._loads.released(worker.instance)
+        self._loads.released(worker.incarnation)
         self._log_broken(progress, worker, ENDED_HERE)
 
     def _read_events(
@@ -169,7 +169,7 @@
             self._broken(progress, worker, failure)
             return
         opened.finish()
-        self._loads.answered(worker.instance, time.monotonic() - began_s)
+        self._loads.answered(worker.incarnation, time.monotonic() - began_s)
         self.lengths.finished(progress.item.id, progress.guessed_tokens, progress.events)
         progress.text_is_whole()
 
@@ -179,7 +179,7 @@
         """Note that events came; the first ones of a run tell nothing of its worker's pace."""
         now_s = time.monotonic()
         if not is_first:
-            self.paces.note_gap(worker.instance, (now_s - progress.heard_s) / count)
+            self.paces.note_gap(worker.incarnation, (now_s - progress.heard_s) / count)
         progress.heard_s = now_s
         if self.keep_period_s > 0 and now_s - progress.kept_s >= self.keep_period_s:
             progress.kept_s = now_s
@@ -191,19 +191,19 @@
         if isinstance(failure, VersionMixedError | EventsMissingError):
             progress.restart()
         if isinstance(failure, VersionTooOldError | VersionMixedError):
-            self._loads.refused(worker.instance)
+            self._loads.refused(worker.incarnation)
         else:
-            self._loads.failed(worker.instance)
+            self._loads.failed(worker.incarnation)
         self._log_broken(progress, worker, repr(failure))
 
     def _not_answered(self, progress: ItemProgress, worker: Worker, opened: OpenedAttempt) -> None:
         if opened.opened is not None:
             read_whole(opened.opened, opened)
         if opened.state is AttemptState.REFUSED:
-            self._loads.released(worker.instance)
+            self._loads.released(worker.incarnation)
             progress.not_before_s = time.monotonic() + REFUSED_PAUSE_S
         else:
-            self._loads.failed(worker.instance)
+            self._loads.failed(worker.incarnation)
             progress.not_before_s = time.monotonic() + FAILED_PAUSE_S
         self._log_broken(progress, worker, f"{opened.state.value}: {opened.detail}")
 
@@ -211,7 +211,7 @@
         status = opened.opened.status if opened.opened is not None else SERVER_ERROR
         if opened.opened is not None:
             read_whole(opened.opened, opened)
-        self._loads.released(worker.instance)
+        self._loads.released(worker.incarnation)
         progress.not_before_s = time.monotonic() + FAILED_PAUSE_S
         if status == UNPROCESSABLE:
             progress.give_up()
@@ -231,7 +231,7 @@
         """Have the whole text scored."""
         scorer = progress.item.scorer
         if scorer is None:
-            self._loads.released(worker.instance)
+            self._loads.released(worker.incarnation)
             progress.finish("")
             return
         began_s = time.monotonic()
@@ -244,15 +244,15 @@
             self._ended_here(progress, worker, None)
             return
         if outcome.state is AttemptState.ANSWERED and answer is not None:
-            self._loads.answered(worker.instance, time.monotonic() - began_s)
+            self._loads.answered(worker.incarnation, time.monotonic() - began_s)
             if answer.status < 300:
                 progress.finish(_header(answer.headers, self._connections.headers.stamp))
                 return
             self._score_failed(progress, answer.status, maximum_failures)
         elif outcome.state is AttemptState.REFUSED:
-            self._loads.refused(worker.instance)
+            self._loads.refused(worker.incarnation)
         else:
-            self._loads.failed(worker.instance)
+            self._loads.failed(worker.incarnation)
         progress.not_before_s = time.monotonic() + FAILED_PAUSE_S
         self._log_broken(progress, worker, f"scoring: {outcome.state.value} {outcome.detail}")
 
--- a/src/bellweir/hosted/batches/coordinator.py
+++ b/src/bellweir/hosted/batches/coordinator.py
@@ -190,7 +190,7 @@
     def _start(self, progress: ItemProgress, table: RouteTable) -> bool:
         """Start an item's next attempt; False when no worker has room for it."""
         worker = self._worker_for(progress, table)
-        progress.moved_to = ""
+        progress.moved_to = None
         if worker is None:
             return False
         key = (progress.job.id, progress.item.id)
@@ -207,8 +207,8 @@
                 maximum.max_attempts if maximum else 1,
             )
         except (ExecutorSaturatedError, RuntimeError):
-            self._loads.released(worker.instance)
-            self._attempts.refusals.ended(worker.instance, progress.job.model)
+            self._loads.released(worker.incarnation)
+            self._attempts.refusals.ended(worker.incarnation, progress.job.model)
             with self._lock:
                 self._running.pop(key, None)
             return False
@@ -223,7 +223,7 @@
                 self._attempts.run_score(progress, worker, maximum_failures, run.cancellation)
         except Exception:
             # Reported by the executor; the worker's place must not stay taken for good.
-            self._loads.released(worker.instance)
+            self._loads.released(worker.incarnation)
             raise
         finally:
             with self._lock:
@@ -267,7 +267,7 @@
             chosen = self._loads.choose(with_room, (), pace_of)
             if chosen is not None:
                 if progress is not None:
-                    self._attempts.refusals.begun(chosen.instance, progress.job.model)
+                    self._attempts.refusals.begun(chosen.incarnation, progress.job.model)
                 self._parts.charge(parts, key, service)
                 return chosen
             if fitting:
@@ -280,10 +280,10 @@
             return None
         for part in route.parts:
             for worker in self._fitting(part.service, progress):
-                is_target = worker.instance == progress.moved_to
+                is_target = worker.incarnation == progress.moved_to
                 if is_target and self._has_room(worker, progress):
                     self._loads.take(worker)
-                    self._attempts.refusals.begun(worker.instance, progress.job.model)
+                    self._attempts.refusals.begun(worker.incarnation, progress.job.model)
                     return worker
         return None
 
@@ -296,12 +296,12 @@
         ]
 
     def _is_passed_over(self, worker: Worker) -> bool:
-        return self._policy.pass_over_failed and self._loads.is_avoided(worker.instance)
+        return self._policy.pass_over_failed and self._loads.is_avoided(worker.incarnation)
 
     def _targets(self, progress: ItemProgress, service: str) -> list[tuple[Worker, int]]:
         """Workers of a service that an item's run could be moved to, with their free places."""
         return [
-            (worker, worker.entry.slots - self._loads.in_hand(worker.instance))
+            (worker, worker.entry.slots - self._loads.in_hand(worker.incarnation))
             for worker in self._fitting(service, progress)
             if self._has_room(worker, progress)
         ]
@@ -309,9 +309,9 @@
     def _has_room(self, worker: Worker, progress: ItemProgress | None) -> bool:
         if progress is not None and self._policy.guard_refusals:
             model = progress.job.model
-            if not self._attempts.refusals.may_begin(worker.instance, model):
+            if not self._attempts.refusals.may_begin(worker.incarnation, model):
                 return False
-        return self._loads.in_hand(worker.instance) < worker.entry.slots
+        return self._loads.in_hand(worker.incarnation) < worker.entry.slots
 
 
 def _fits(worker: Worker, progress: ItemProgress | None) -> bool:
--- a/src/bellweir/hosted/batches/mover.py
+++ b/src/bellweir/hosted/batches/mover.py
@@ -8,6 +8,7 @@
 from bellweir.hosted.batches.moves import MoveTarget, PlannedMove, RunOutlook, plan_moves
 from bellweir.hosted.batches.own_pauses import OwnPauses
 from bellweir.hosted.batches.progress import ItemProgress, Stage
+from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.log_events import ITEM_MOVED
 from bellweir.hosted.serving.attempt import Cancellation
 from bellweir.hosted.views.workers import Worker
@@ -71,7 +72,7 @@
         for run in texts:
             key = (run.progress.job.id, run.worker.entry.service)
             groups.setdefault(key, []).append(run)
-        taken: dict[str, int] = {}
+        taken: dict[Incarnation, int] = {}
         for (_, service), group in groups.items():
             found = targets_of(group[0].progress, service)
             self._look_at_group(group, found, silent, taken, now_s)
@@ -80,19 +81,19 @@
         self,
         runs: list[Run],
         found: Sequence[tuple[Worker, int]],
-        silent: set[str],
-        taken: dict[str, int],
+        silent: set[Incarnation],
+        taken: dict[Incarnation, int],
         now_s: float,
     ) -> None:
         """Move runs of one job at one service; `taken` counts places given away in this look."""
         targets = [
             MoveTarget(
-                worker.instance,
-                self._attempts.paces.of(worker.instance),
-                room - taken.get(worker.instance, 0),
+                worker.incarnation,
+                self._attempts.paces.of(worker.incarnation),
+                room - taken.get(worker.incarnation, 0),
             )
             for worker, room in found
-            if worker.instance not in silent
+            if worker.incarnation not in silent
         ]
         if not targets:
             return
@@ -105,25 +106,23 @@
             taken[move.target] = taken.get(move.target, 0) + 1
             self._move(move, now_s)
 
-    def _silent_workers(self, runs: list[Run], now_s: float) -> set[str]:
+    def _silent_workers(self, runs: list[Run], now_s: float) -> set[Incarnation]:
         """Workers none of whose runs has made an event lately."""
-        heard: dict[str, bool] = {}
+        heard: dict[Incarnation, bool] = {}
         for run in runs:
-            instance = run.worker.instance
-            heard[instance] = (
-                heard.get(instance, False) or not self._outlook(run, now_s).stands_still
-            )
-        return {instance for instance, is_heard in heard.items() if not is_heard}
+            worker = run.worker.incarnation
+            heard[worker] = heard.get(worker, False) or not self._outlook(run, now_s).stands_still
+        return {worker for worker, is_heard in heard.items() if not is_heard}
 
     def _outlook(self, run: Run, now_s: float) -> RunOutlook[Run]:
         progress = run.progress
         made = progress.events
         expected = self._attempts.expected_events(progress)
         left = max(expected - made, OVERRUN_SHARE * made, FEWEST_LEFT_EVENTS)
-        pace_s = self._attempts.paces.of(run.worker.instance)
+        pace_s = self._attempts.paces.of(run.worker.incarnation)
         # Events that came while this process stood still are not read yet: their worker made them.
         silent_s = now_s - run.heard_s - self._pauses.since(run.heard_s)
-        return RunOutlook(run, run.worker.instance, pace_s, silent_s, left)
+        return RunOutlook(run, run.worker.incarnation, pace_s, silent_s, left)
 
     def _move(self, move: PlannedMove[Run], now_s: float) -> None:
         outlook, run = move.run, move.run.key
@@ -133,7 +132,7 @@
             request_id=progress.item.id,
             job=progress.job.id,
             instance=run.worker.instance,
-            target=move.target,
+            target=move.target.instance,
             cause=move.cause,
             events=progress.events,
             left_events=round(outlook.left_events),
--- a/src/bellweir/hosted/batches/moves.py
+++ b/src/bellweir/hosted/batches/moves.py
@@ -5,16 +5,18 @@
 a run is moved when its worker has gone silent while others have not, or when so much of its text
 is left that a faster worker with room gains more than the move costs.
 
->>> slow = RunOutlook("item", "i-slow", 0.12, silent_s=0.1, left_events=50.0)
->>> [move.target for move in plan_moves([slow], [MoveTarget("i-fast", 0.04, 2)])]
+>>> slow = RunOutlook("item", Incarnation("i-slow"), 0.12, silent_s=0.1, left_events=50.0)
+>>> [str(move.target) for move in plan_moves([slow], [MoveTarget(Incarnation("i-fast"), 0.04, 2)])]
 ['i-fast']
->>> plan_moves([slow], [MoveTarget("i-same", 0.11, 2)])
+>>> plan_moves([slow], [MoveTarget(Incarnation("i-same"), 0.11, 2)])
 []
 """
 
 from collections.abc import Iterable, Sequence
 from typing import Generic, TypeVar
 
+from bellweir.hosted.incarnation import Incarnation
+
 SILENCE_S = 0.35
 """Time without an event after which a run counts as standing still."""
 SILENT_GAPS = 6.0
@@ -32,13 +34,13 @@
 class RunOutlook(Generic[Key]):
     """A run in hand and what it still needs."""
 
-    __slots__ = ("instance", "key", "left_events", "pace_s", "silent_s")
+    __slots__ = ("key", "left_events", "pace_s", "silent_s", "worker")
 
     def __init__(
-        self, key: Key, instance: str, pace_s: float, silent_s: float, left_events: float
+        self, key: Key, worker: Incarnation, pace_s: float, silent_s: float, left_events: float
     ) -> None:
         self.key = key
-        self.instance = instance
+        self.worker = worker
         self.pace_s = pace_s
         self.silent_s = silent_s
         self.left_events = left_events
@@ -57,10 +59,10 @@
 class MoveTarget:
     """A worker that could take runs."""
 
-    __slots__ = ("instance", "pace_s", "room")
+    __slots__ = ("pace_s", "room", "worker")
 
-    def __init__(self, instance: str, pace_s: float, room: int) -> None:
-        self.instance = instance
+    def __init__(self, worker: Incarnation, pace_s: float, room: int) -> None:
+        self.worker = worker
         self.pace_s = pace_s
         self.room = room
 
@@ -70,7 +72,7 @@
 
     __slots__ = ("cause", "run", "target")
 
-    def __init__(self, run: RunOutlook[Key], target: str, cause: str) -> None:
+    def __init__(self, run: RunOutlook[Key], target: Incarnation, cause: str) -> None:
         self.run = run
         self.target = target
         self.cause = cause
@@ -85,14 +87,14 @@
     """
     moves: list[PlannedMove[Key]] = []
     for run in sorted(runs, key=lambda one: (one.stands_still, one.left_s), reverse=True):
-        open_targets = [one for one in targets if one.room > 0 and one.instance != run.instance]
+        open_targets = [one for one in targets if one.room > 0 and one.worker != run.worker]
         if not open_targets:
             continue
         best = min(open_targets, key=lambda one: (one.pace_s, -one.room))
         cause = _cause(run, best)
         if cause is not None:
             best.room -= 1
-            moves.append(PlannedMove(run, best.instance, cause))
+            moves.append(PlannedMove(run, best.worker, cause))
     return moves
 
 
--- a/src/bellweir/hosted/batches/pace.py
+++ b/src/bellweir/hosted/batches/pace.py
@@ -6,15 +6,17 @@
 
 >>> paces = WorkerPaces()
 >>> for _ in range(200):
-...     paces.note_gap("i-1", 0.04)
-...     paces.note_gap("i-2", 0.12)
->>> round(paces.of("i-1"), 2), round(paces.of("i-2"), 2), round(paces.of("new"), 2)
-(0.04, 0.12, 0.04)
+...     paces.note_gap(Incarnation("i-1"), 0.04)
+...     paces.note_gap(Incarnation("i-2"), 0.12)
+>>> [round(paces.of(Incarnation(name)), 2) for name in ("i-1", "i-2", "new")]
+[0.04, 0.12, 0.04]
 """
 
 import threading
 from collections.abc import Collection
 
+from bellweir.hosted.incarnation import Incarnation
+
 SMOOTHING = 0.05
 """Weight of the newest gap."""
 PAUSE_FACTOR = 5.0
@@ -38,12 +40,12 @@
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._paces: dict[str, _Pace] = {}
+        self._paces: dict[Incarnation, _Pace] = {}
 
-    def note_gap(self, instance: str, gap_s: float) -> None:
+    def note_gap(self, worker: Incarnation, gap_s: float) -> None:
         """Note the time between two events of one stream."""
         with self._lock:
-            pace = self._paces.setdefault(instance, _Pace())
+            pace = self._paces.setdefault(worker, _Pace())
             if pace.seen == 0:
                 pace.gap_s = gap_s
             else:
@@ -51,16 +53,16 @@
                 pace.gap_s += SMOOTHING * (counted_s - pace.gap_s)
             pace.seen += 1
 
-    def of(self, instance: str) -> float:
+    def of(self, worker: Incarnation) -> float:
         """Return a worker's pace in seconds an event; the best known one for a new worker."""
         with self._lock:
-            pace = self._paces.get(instance)
+            pace = self._paces.get(worker)
             if pace is not None and pace.seen >= FEWEST_GAPS:
                 return pace.gap_s
             known = [one.gap_s for one in self._paces.values() if one.seen >= FEWEST_GAPS]
             return min(known, default=USUAL_GAP_S)
 
-    def forget_others(self, instances: Collection[str]) -> None:
+    def forget_others(self, incarnations: Collection[Incarnation]) -> None:
         """Drop what is known of workers that are gone."""
         with self._lock:
-            self._paces = {name: one for name, one in self._paces.items() if name in instances}
+            self._paces = {key: one for key, one in self._paces.items() if key in incarnations}
--- a/src/bellweir/hosted/batches/progress.py
+++ b/src/bellweir/hosted/batches/progress.py
@@ -7,6 +7,7 @@
 from bellweir.hosted.batches.state import ItemResult, Job, JobItem, TextPart
 from bellweir.hosted.batches.texts import pack_text, unpack_text
 from bellweir.hosted.event_stream import StreamEvent
+from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.records import Route
 
 
@@ -68,8 +69,8 @@
     """Monotonic time of the newest event of the run in hand, or of its start."""
     moved_s: float = 0.0
     """Monotonic time at which it was last moved to another worker."""
-    moved_to: str = ""
-    """Instance at which it is to go on; empty once it does."""
+    moved_to: Incarnation | None = None
+    """Where it is to go on; None once it does."""
 
     def add_event(self, event: StreamEvent, version: int | None) -> None:
         """Append an event made by `version`; events that are known already are dropped.
--- a/src/bellweir/hosted/batches/service.py
+++ b/src/bellweir/hosted/batches/service.py
@@ -97,8 +97,8 @@
     def _tidy(self, stopping: threading.Event) -> None:
         while not stopping.wait(TIDY_PERIOD_S):
             workers = self._views.workers.all()
-            instances = {worker.instance for worker in workers}
-            self._loads.forget_others(instances)
-            self._attempts.refusals.forget_others(instances)
-            self._attempts.paces.forget_others(instances)
+            incarnations = {worker.incarnation for worker in workers}
+            self._loads.forget_others(incarnations)
+            self._attempts.refusals.forget_others(incarnations)
+            self._attempts.paces.forget_others(incarnations)
             self._connections.forget_others({worker.address for worker in workers})
--- a/src/bellweir/hosted/serving/failed_attempt.py
+++ b/src/bellweir/hosted/serving/failed_attempt.py
@@ -45,9 +45,9 @@
         or gave no answer is passed over longer, and longer still with each failure in a row.
         """
         if self.state in (AttemptState.ANSWERED, AttemptState.REFUSED):
-            loads.refused(self.worker.instance)
+            loads.refused(self.worker.incarnation)
         else:
-            loads.failed(self.worker.instance)
+            loads.failed(self.worker.incarnation)
         emit(
             ATTEMPT_FAILED,
             request_id=self.request_id,
--- a/src/bellweir/hosted/serving/forwarding.py
+++ b/src/bellweir/hosted/serving/forwarding.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from bellweir.events.log import emit
+from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.log_events import REQUEST_ANSWERED, REQUEST_GIVEN_UP
 from bellweir.hosted.records import RouteKind
 from bellweir.hosted.serving.attempt import (
@@ -47,9 +48,9 @@
 class Progress:
     """Attempts of one request so far."""
 
-    ran_at: set[str] = field(default_factory=set)
-    """Instances that may have run it; they count for the route's `max_attempts`."""
-    tried: set[str] = field(default_factory=set)
+    ran_at: set[Incarnation] = field(default_factory=set)
+    """Incarnations that may have run it; they count for the route's `max_attempts`."""
+    tried: set[Incarnation] = field(default_factory=set)
     sends: int = 0
     failure: WholeAnswer | None = None
     """The newest failure that a worker itself has answered."""
@@ -150,8 +151,8 @@
         progress: Progress,
         cancellation: Cancellation,
     ) -> AttemptOutcome:
-        instance = worker.instance
-        progress.tried.add(instance)
+        incarnation = worker.incarnation
+        progress.tried.add(incarnation)
         progress.sends += 1
         began_s = self._now_s()
         left_s = client.left_s()
@@ -161,7 +162,7 @@
                 worker, client.call(), timeout_s, left_s * MS_PER_S, cancellation
             )
         except BaseException:
-            self._loads.released(instance)
+            self._loads.released(incarnation)
             progress.may_have_run = True
             raise
         seconds = self._now_s() - began_s
@@ -176,7 +177,7 @@
         if not self._may_repeat(client) or attempts_left <= 1 or not client.may_be_sent_again:
             return left_s
         target_s = client.route.target_ms / MS_PER_S
-        usual_s = PATIENCE_OF_MEAN * self._loads.mean_s(worker.instance)
+        usual_s = PATIENCE_OF_MEAN * self._loads.mean_s(worker.incarnation)
         return min(left_s, max(PATIENCE_OF_TARGET * target_s, usual_s))
 
     def _note(
@@ -187,17 +188,17 @@
         progress: Progress,
         seconds: float,
     ) -> None:
-        instance = worker.instance
+        incarnation = worker.incarnation
         self._metrics.attempt_ended(worker.entry.service, outcome.state.value, seconds)
         if outcome.state in (AttemptState.ANSWERED, AttemptState.UNKNOWN):
             if not progress.may_have_run:
                 self.note_begun(client, self._now_s() - seconds)
-            progress.ran_at.add(instance)
+            progress.ran_at.add(incarnation)
             progress.may_have_run = True
         answer = outcome.answer
         is_answered = outcome.state is AttemptState.ANSWERED
         if is_answered and (answer is None or answer.status < SERVER_ERROR):
-            self._loads.answered(instance, seconds)
+            self._loads.answered(incarnation, seconds)
             return
         failed = FailedAttempt(
             client.request_id,
@@ -238,7 +239,9 @@
             "workers_age_ms": round(1000 * min(self._workers_age_s(), LONGEST_AGE_S)),
         }
         if answered:
-            emit(REQUEST_ANSWERED, instance=sorted(progress.ran_at), **fields)
+            emit(
+                REQUEST_ANSWERED, instance=sorted(one.instance for one in progress.ran_at), **fields
+            )
         else:
             ready = sum(len(self._workers.ready(part.service)) for part in client.route.parts)
             emit(REQUEST_GIVEN_UP, cause=progress.cause, ready=ready, **fields)
--- a/src/bellweir/hosted/serving/selection.py
+++ b/src/bellweir/hosted/serving/selection.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 
+from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.views.workers import Worker
 
 REFUSAL_PENALTY_S = 0.15
@@ -36,7 +37,7 @@
 
 
 class WorkerLoads:
-    """Loads by instance. Safe for threads."""
+    """Loads by incarnation. Safe for threads."""
 
     def __init__(
         self, own_zone: str, has_connection: Callable[[str], bool] = lambda _address: False
@@ -45,104 +46,104 @@
         self._own_zone = own_zone
         self._has_connection = has_connection
         self._lock = threading.Lock()
-        self._loads: dict[str, Load] = {}
+        self._loads: dict[Incarnation, Load] = {}
 
     def choose(
         self,
         workers: Iterable[Worker],
-        tried: Collection[str],
-        pace_of: Callable[[str], float] | None = None,
+        tried: Collection[Incarnation],
+        pace_of: Callable[[Incarnation], float] | None = None,
     ) -> Worker | None:
         """Take a place at the best worker not tried yet; release it with `finished`.
 
-        With `pace_of` (seconds for one step of the work, by instance) the fastest worker is the
+        With `pace_of` (seconds for one step of the work, by incarnation) the fastest worker is the
         best one; without it the one whose answer is expected soonest.
         """
         now_s = time.monotonic()
         with self._lock:
-            candidates = [worker for worker in workers if worker.instance not in tried]
+            candidates = [worker for worker in workers if worker.incarnation not in tried]
             if not candidates:
                 return None
             chosen = min(candidates, key=lambda worker: self._rank(worker, now_s, pace_of))
-            self._load(chosen.instance).in_hand += 1
+            self._load(chosen.incarnation).in_hand += 1
             return chosen
 
     def take(self, worker: Worker) -> None:
         """Take a place at a given worker."""
         with self._lock:
-            self._load(worker.instance).in_hand += 1
+            self._load(worker.incarnation).in_hand += 1
 
-    def in_hand(self, instance: str) -> int:
+    def in_hand(self, worker: Incarnation) -> int:
         """Requests of this process at a worker."""
         with self._lock:
-            return self._load(instance).in_hand
+            return self._load(worker).in_hand
 
-    def is_avoided(self, instance: str) -> bool:
+    def is_avoided(self, worker: Incarnation) -> bool:
         """Whether a worker refused or failed lately."""
         with self._lock:
-            return self._load(instance).avoided_until_s > time.monotonic()
+            return self._load(worker).avoided_until_s > time.monotonic()
 
-    def answered(self, instance: str, seconds: float) -> None:
+    def answered(self, worker: Incarnation, seconds: float) -> None:
         """Release a place after a usable answer that took `seconds`."""
         with self._lock:
-            load = self._release(instance)
+            load = self._release(worker)
             load.failures = 0
             first = load.mean_s == 0.0
             load.mean_s = seconds if first else load.mean_s + SMOOTHING * (seconds - load.mean_s)
 
-    def refused(self, instance: str) -> None:
+    def refused(self, worker: Incarnation) -> None:
         """Release a place after a worker said that it did not run the request."""
-        self._released(instance, REFUSAL_PENALTY_S, failed=False)
+        self._released(worker, REFUSAL_PENALTY_S, failed=False)
 
-    def failed(self, instance: str) -> None:
+    def failed(self, worker: Incarnation) -> None:
         """Release a place after no usable answer."""
-        self._released(instance, FAILURE_PENALTY_S, failed=True)
+        self._released(worker, FAILURE_PENALTY_S, failed=True)
 
-    def released(self, instance: str) -> None:
+    def released(self, worker: Incarnation) -> None:
         """Release a place without a verdict on the worker."""
         with self._lock:
-            self._release(instance)
+            self._release(worker)
 
-    def mean_s(self, instance: str) -> float:
+    def mean_s(self, worker: Incarnation) -> float:
         """Smoothed time of a worker's answers."""
         with self._lock:
-            return self._load(instance).mean_s
+            return self._load(worker).mean_s
 
-    def forget_others(self, instances: Collection[str]) -> None:
+    def forget_others(self, incarnations: Collection[Incarnation]) -> None:
         """Drop what is known of workers that are gone and hold nothing of ours."""
         with self._lock:
             gone = [
-                name
-                for name, load in self._loads.items()
-                if name not in instances and load.in_hand <= 0
+                one
+                for one, load in self._loads.items()
+                if one not in incarnations and load.in_hand <= 0
             ]
-            for name in gone:
-                del self._loads[name]
+            for one in gone:
+                del self._loads[one]
 
-    def _released(self, instance: str, penalty_s: float, *, failed: bool) -> None:
+    def _released(self, worker: Incarnation, penalty_s: float, *, failed: bool) -> None:
         with self._lock:
-            load = self._release(instance)
+            load = self._release(worker)
             if failed:
                 penalty_s = min(LONGEST_PENALTY_S, penalty_s * 2**load.failures)
                 load.failures += 1
             load.avoided_until_s = time.monotonic() + penalty_s
 
-    def _release(self, instance: str) -> Load:
-        load = self._load(instance)
+    def _release(self, worker: Incarnation) -> Load:
+        load = self._load(worker)
         load.in_hand = max(0, load.in_hand - 1)
         return load
 
-    def _load(self, instance: str) -> Load:
-        return self._loads.setdefault(instance, Load())
+    def _load(self, worker: Incarnation) -> Load:
+        return self._loads.setdefault(worker, Load())
 
     def _rank(
-        self, worker: Worker, now_s: float, pace_of: Callable[[str], float] | None
+        self, worker: Worker, now_s: float, pace_of: Callable[[Incarnation], float] | None
     ) -> tuple[bool, float, bool, bool, float]:
-        load = self._load(worker.instance)
+        load = self._load(worker.incarnation)
         avoided = load.avoided_until_s > now_s
         share = (load.in_hand + 1) / max(1, worker.entry.slots)
         if pace_of is not None:
-            pace_s = pace_of(worker.instance) * (1 + CROWDING * share)
+            pace_s = pace_of(worker.incarnation) * (1 + CROWDING * share)
             return avoided, round(pace_s, 4), False, False, random.random()
         expected_s = share * max(load.mean_s, 0.001)
         other_zone = worker.entry.zone != self._own_zone
--- a/src/bellweir/hosted/serving/service.py
+++ b/src/bellweir/hosted/serving/service.py
@@ -185,7 +185,7 @@
         """Forget workers that are gone."""
         while not stopping.wait(TIDY_PERIOD_S):
             workers = self._views.workers.all()
-            self._loads.forget_others({worker.instance for worker in workers})
+            self._loads.forget_others({worker.incarnation for worker in workers})
             self._connections.forget_others({worker.address for worker in workers})
 
     def drain(self, deadline_s: float) -> None:
--- a/src/bellweir/hosted/serving/streams.py
+++ b/src/bellweir/hosted/serving/streams.py
@@ -13,6 +13,7 @@
 from bellweir.clients.open_answer import OpenAnswer
 from bellweir.events.log import emit
 from bellweir.hosted.event_stream import EventSplitter, EventTooLongError
+from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.log_events import (
     CLIENT_LEFT,
     REQUEST_ANSWERED,
@@ -63,8 +64,8 @@
     table: RouteTable
     groups: list[list[Worker]]
     cancellation: Cancellation
-    tried: set[str]
-    ran_at: set[str]
+    tried: set[Incarnation]
+    ran_at: set[Incarnation]
     sends: int = 0
     last_event_id: int | None = None
     cause: str = "no_worker"
@@ -112,7 +113,7 @@
         """Open the stream at a worker; a worker's own failure; or None."""
         failure: WholeAnswer | None = None
         while (worker := self._next_worker(stream)) is not None:
-            stream.tried.add(worker.instance)
+            stream.tried.add(worker.incarnation)
             stream.sends += 1
             left_s = stream.client.left_s()
             began_s = time.monotonic()
@@ -122,12 +123,12 @@
             if not stream.ran_at and began.state in BEGUN_STATES:
                 self._forwarder.note_begun(stream.client, began_s)
             if began.state is AttemptState.ANSWERED and began.opened is not None:
-                stream.ran_at.add(worker.instance)
+                stream.ran_at.add(worker.incarnation)
                 if began.opened.status < SERVER_ERROR:
                     stream.worker = worker
                     return began.opened
             elif began.state is AttemptState.UNKNOWN:
-                stream.ran_at.add(worker.instance)
+                stream.ran_at.add(worker.incarnation)
             failure = self._note_failure(stream, worker, began) or failure
         return failure
 
@@ -215,9 +216,9 @@
         if worker is None:
             return
         if whole or stream.cancellation.cancelled.is_set():
-            self._loads.released(worker.instance)
+            self._loads.released(worker.incarnation)
         else:
-            self._loads.failed(worker.instance)
+            self._loads.failed(worker.incarnation)
 
     def _log_resumption(self, stream: _Stream, current: object) -> None:
         if isinstance(current, OpenAnswer) and stream.worker is not None:
@@ -260,7 +261,7 @@
             route=stream.client.route.name or stream.client.route.path_prefix,
             configuration=stream.table.version,
             status=status,
-            instance=sorted(stream.ran_at),
+            instance=sorted(one.instance for one in stream.ran_at),
             attempts=stream.sends,
             ms=round(1000 * (stream.client.route.timeout_ms / 1000 - stream.client.left_s())),
         )
--- a/src/bellweir/hosted/weights/controller.py
+++ b/src/bellweir/hosted/weights/controller.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from bellweir.events.log import emit
+from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.interface import (
     OrderAnswer,
     VersionOrder,
@@ -78,9 +79,9 @@
         self._lags = lags
         self._node = node
         self._sparse_loads = sparse_loads
-        self._loads: dict[str, _Load] = {}
-        self._held: dict[tuple[str, str], int] = {}
-        """Versions by instance and model that workers reported themselves."""
+        self._loads: dict[Incarnation, _Load] = {}
+        self._held: dict[tuple[Incarnation, str], int] = {}
+        """Versions by incarnation and model that workers reported themselves."""
         self._limits: dict[str, LoadLimit] = {}
         """How many workers of a service may load at once."""
 
@@ -103,7 +104,7 @@
     def _order_next(self, table: RouteTable, service: str, targets: list[ModelTarget]) -> None:
         workers = self._workers.ready(service)
         held = {
-            (worker.instance, target.model): self.held_version(worker, target.model)
+            (worker.incarnation, target.model): self.held_version(worker, target.model)
             for worker in workers
             for target in targets
         }
@@ -111,7 +112,7 @@
         for planned in plan_loads(targets, workers, held):
             if self._loading_count(service) >= limit:
                 return
-            if planned.worker.instance not in self._loads:
+            if planned.worker.incarnation not in self._loads:
                 self._order(table, planned.worker, planned.model, planned.version)
 
     def _limit_of(self, service: str) -> LoadLimit:
@@ -123,12 +124,12 @@
     def held_version(self, worker: Worker, model: str) -> int:
         """The newest that is known of a worker's version; 0 when nothing is."""
         listed = worker.version_of(model) or 0
-        return max(listed, self._held.get((worker.instance, model), 0))
+        return max(listed, self._held.get((worker.incarnation, model), 0))
 
     def _order(self, table: RouteTable, worker: Worker, model: str, version: int) -> None:
         now_s = time.monotonic()
         load = _Load(worker, model, version, now_s + RETRY_AFTER_SILENCE_S, now_s)
-        self._loads[worker.instance] = load
+        self._loads[worker.incarnation] = load
         report = self._control.report(worker.address, REPORT_TIMEOUT_S)
         if report is None or self._is_done(load, report):
             return
@@ -168,12 +169,17 @@
 
     def _look_after_loads(self) -> None:
         now_s = time.monotonic()
-        for instance, load in list(self._loads.items()):
-            if self._workers.worker(instance) is None:
-                del self._loads[instance]
+        for incarnation, load in list(self._loads.items()):
+            if not self._is_listed(incarnation):
+                del self._loads[incarnation]
             elif now_s >= load.look_s:
                 self._look_at(load)
 
+    def _is_listed(self, incarnation: Incarnation) -> bool:
+        """Whether a worker is there and has not started anew."""
+        listed = self._workers.worker(incarnation.instance)
+        return listed is not None and listed.incarnation == incarnation
+
     def _look_at(self, load: _Load) -> None:
         report = self._control.report(load.worker.address, REPORT_TIMEOUT_S)
         if report is not None and self._is_done(load, report):
@@ -182,7 +188,7 @@
         load.look_s = time.monotonic() + LOOK_AGAIN_S
         if report is None or not report.order_in_progress:
             # Not taken, or not heard of: the next step orders it anew if it is still needed.
-            del self._loads[load.worker.instance]
+            del self._loads[load.worker.incarnation]
 
     def _note_duration(self, load: _Load) -> None:
         if load.accepted_s is not None:
@@ -198,8 +204,8 @@
         return False
 
     def _note_held(self, load: _Load, version: int) -> None:
-        self._held[(load.worker.instance, load.model)] = version
-        self._loads.pop(load.worker.instance, None)
+        self._held[(load.worker.incarnation, load.model)] = version
+        self._loads.pop(load.worker.incarnation, None)
         emit(VERSION_LOADED, instance=load.worker.instance, model=load.model, version=version)
 
 
--- a/src/bellweir/hosted/weights/plan.py
+++ b/src/bellweir/hosted/weights/plan.py
@@ -12,6 +12,7 @@
 
 import xxhash
 
+from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.views.workers import Worker
 
 FEWEST_WORKERS = 2
@@ -47,8 +48,8 @@
     """Share of the model's wanted workers that fit already when this load is begun."""
 
 
-HeldVersions = Mapping[tuple[str, str], int]
-"""Versions by instance and model."""
+HeldVersions = Mapping[tuple[Incarnation, str], int]
+"""Versions by incarnation and model."""
 
 
 def plan_loads(
@@ -59,12 +60,12 @@
     Among equally urgent ones the model comes first of whose wanted workers the smallest share
     fits, so that where loads are scarce every model gets its part of them, whatever its name.
     """
-    assigned: dict[str, int] = {}
+    assigned: dict[Incarnation, int] = {}
     loads: list[PlannedLoad] = []
     for target in sorted(targets, key=lambda each: each.model):
         chosen = _choose_workers(target, workers, held, assigned, len(targets))
         for worker in chosen:
-            assigned[worker.instance] = assigned.get(worker.instance, 0) + 1
+            assigned[worker.incarnation] = assigned.get(worker.incarnation, 0) + 1
         loads += _loads_for(target, chosen, held)
     return sorted(loads, key=lambda load: (not load.is_urgent, load.covered))
 
@@ -79,17 +80,17 @@
     target: ModelTarget,
     workers: Sequence[Worker],
     held: HeldVersions,
-    assigned: Mapping[str, int],
+    assigned: Mapping[Incarnation, int],
     model_count: int,
 ) -> list[Worker]:
     """The model's workers: those that hold a version it has lately used stay."""
     wanted = workers_wanted(len(workers), model_count, target.lag)
 
     def rank(worker: Worker) -> tuple[bool, int, int]:
-        version = held.get((worker.instance, target.model), 0)
+        version = held.get((worker.incarnation, target.model), 0)
         is_recent = version > 1 and version >= target.oldest_useful - 1
         key = f"{target.model}/{worker.instance}".encode()
-        return not is_recent, assigned.get(worker.instance, 0), xxhash.xxh3_64_intdigest(key)
+        return not is_recent, assigned.get(worker.incarnation, 0), xxhash.xxh3_64_intdigest(key)
 
     return sorted(workers, key=rank)[:wanted]
 
@@ -98,7 +99,7 @@
     target: ModelTarget, chosen: Sequence[Worker], held: HeldVersions
 ) -> list[PlannedLoad]:
     def version_at(worker: Worker) -> int:
-        return held.get((worker.instance, target.model), 0)
+        return held.get((worker.incarnation, target.model), 0)
 
     behind = sorted((one for one in chosen if version_at(one) < target.named), key=version_at)
     newest = len(chosen) - len(behind)
