Tell the node that runs jobs which workers load weights

Cause: of the arrivals that engines refuse, all come while they load.

Change: the holder of the roll-outs' lease tells the jobs' leader of a load just before its order and once it has ended: two messages for each order, to one node. The guard leaves the worker alone for as long as the load is expected to take and then sends one run at a time. Setting rollouts.tellLoads.

Tests: hosted_plan (told before the order and once it is held; orders that no worker takes), hosted_batches (a worker is told of; words in any order). The first two failed before the controller told anything.

--- a/features/hosted_batches.feature
+++ b/features/hosted_batches.feature
@@ -46,6 +46,17 @@
     Then every item is listed completed, with its whole text, its versions and its score
     And the worker refused at most 20 runs, and took some after that
 
+  Scenario: A worker is told of to load weights
+    Given a leader with model workers and scorers
+    And the workers stream slowly
+    And a worker that refuses all runs for a second, which is told of
+    When a job of 24 items in 6 groups is accepted
+    Then every item is listed completed, with its whole text, its versions and its score
+    And the worker refused no run, and took some after that
+
+  Scenario: A load that is told of, and refusals, in any order
+    Then nothing is sent while a load is told of, and one run at a time after it until one is taken
+
   Scenario: Runs that are refused, taken, lost and cancelled in any order
     Then after a refusal one run at a time is sent until the worker takes one
 
--- a/features/hosted_plan.feature
+++ b/features/hosted_plan.feature
@@ -23,6 +23,18 @@
     Then all 4 workers hold version 2, each by one order under the lease's fence
     And no more than 2 of them loaded at once
 
+  Scenario: That a worker loads is told before it gets the order, and that it is done once it holds it
+    Given 4 workers of a model with version 1 and a controller that holds the lease
+    When version 2 is named
+    Then all 4 workers hold version 2, each by one order under the lease's fence
+    And of each worker it was told that it loads before its order came, and that it is done
+
+  Scenario: Orders that no worker takes
+    Given 4 workers of a model with version 1 and a controller that holds the lease
+    And no worker takes an order
+    When version 2 is named
+    Then of no worker it stands that it loads
+
   Scenario: A trainer that allows the version before
     Given 4 workers of a model with version 1 and a controller that holds the lease
     And the trainer's jobs allow the version before
--- a/features/steps/hosted_batches_steps.py
+++ b/features/steps/hosted_batches_steps.py
@@ -1,14 +1,16 @@
 """Batch jobs: the state machine against an oracle, and the coordinator before stand-ins."""
 
+import threading
+
 import hypothesis.strategies as st
 import msgspec
 from behave import given as given_step
 from behave import then, when
-from features.support.hosted_jobs import EVENTS, HOST, make_job, make_leader
+from features.support.hosted_jobs import EVENTS, HOST, MODEL, make_job, make_leader
 from hypothesis import given, settings
 
 from bellweir.hosted.batches.progress import EventsMissingError, ItemProgress
-from bellweir.hosted.batches.refusals import PAUSE_S, RefusalGuard
+from bellweir.hosted.batches.refusals import LONGEST_LOAD_S, PAUSE_S, RefusalGuard
 from bellweir.hosted.batches.state import (
     AcceptJob,
     BatchJobs,
@@ -181,6 +183,64 @@
     context.leader.models[0].refuse_for(1.0)
 
 
+@given_step("a worker that refuses all runs for a second, which is told of")
+def given_told_load(context):
+    worker = context.leader.models[0]
+    told = context.leader.coordinator._attempts.refusals.load_told
+    # Told of for longer than it lasts, so that only the word of its end brings the runs.
+    told(Incarnation(worker.instance), MODEL, 4.0)
+    worker.refuse_for(1.0)
+    ended = threading.Timer(1.1, told, (Incarnation(worker.instance), MODEL, 0.0))
+    context.cleanup.callback(ended.cancel)
+    ended.start()
+
+
+@then("the worker refused no run, and took some after that")
+def then_refused_none(context):
+    record = context.leader.models[0].record
+    assert record.refusals == 0, record.refusals
+    assert sum(record.ran.values()) > 0
+
+
+@then("nothing is sent while a load is told of, and one run at a time after it until one is taken")
+def then_left_alone(context):
+    step = st.one_of(
+        st.tuples(st.just("load"), st.floats(0.01, 9.0)),
+        st.tuples(st.just("load_ended"), st.just(0.0)),
+        st.tuples(st.just("refused"), st.just(0.0)),
+        st.tuples(st.just("pass"), st.floats(0.0, 3.0)),
+    )
+
+    @settings(max_examples=300)
+    @given(steps=st.lists(step, max_size=30))
+    def left_alone(steps):
+        now_s, closed_until_s, is_open = 0.0, 0.0, True
+        guard = RefusalGuard(lambda: now_s)
+        worker = Incarnation("i", 7)
+        for what, seconds in steps:
+            if what == "pass":
+                now_s += seconds
+            elif what == "load":
+                guard.load_told(worker, "m", seconds)
+                closed_until_s = max(closed_until_s, now_s + min(seconds, LONGEST_LOAD_S))
+                is_open = False
+            elif what == "load_ended":
+                guard.load_told(worker, "m", 0.0)
+                closed_until_s, is_open = 0.0, True
+            else:
+                guard.refused(worker, "m")
+                closed_until_s, is_open = max(closed_until_s, now_s + PAUSE_S), False
+            assert guard.may_begin(worker, "m") == (is_open or now_s >= closed_until_s)
+            assert guard.may_begin(Incarnation("i", 8), "m"), "a later start of it"
+        if not is_open and guard.may_begin(worker, "m"):
+            guard.begun(worker, "m")
+            assert not guard.may_begin(worker, "m")
+            guard.accepted(worker, "m")
+            assert guard.may_begin(worker, "m")
+
+    left_alone()
+
+
 @then("the worker refused at most {most:d} runs, and took some after that")
 def then_few_refusals(context, most):
     # One for each of its 8 slots at first, then one at a time.
--- a/features/steps/hosted_plan_steps.py
+++ b/features/steps/hosted_plan_steps.py
@@ -10,7 +10,7 @@
 from features.support.hosted_jobs import make_job
 from hypothesis import given, settings
 
-from bellweir.hosted.interface import Listing, StoredRecord
+from bellweir.hosted.interface import Listing, OrderAnswer, StoredRecord
 from bellweir.hosted.records import WorkerEntry
 from bellweir.hosted.views.configuration import ConfigurationView
 from bellweir.hosted.views.workers import Worker, WorkersView
@@ -164,7 +164,9 @@
         PlatformWorkers(),
         VersionLags(lambda: context.jobs),
         "node-1",
+        tell_load=lambda worker, model, for_s: note_told(context, worker, model, for_s),
     )
+    context.told = []
     records = tuple(
         StoredRecord("servers", worker.instance, 1, worker.entry("llm"))
         for worker in context.workers
@@ -172,6 +174,44 @@
     view.take_listing(Listing(1, records))
 
 
+def note_told(context, worker, model, for_s):
+    """Note what is told with the orders that the worker has got by then."""
+    orders = next(
+        len(one.record.orders) for one in context.workers if one.instance == worker.instance
+    )
+    context.told.append((worker.instance, model, for_s > 0, orders))
+
+
+@then("of each worker it was told that it loads before its order came, and that it is done")
+def then_told(context):
+    step_until_at_rest(context, lambda: not context.controller._loads)
+    for worker in context.workers:
+        told = [one for one in context.told if one[0] == worker.instance]
+        assert told == [
+            (worker.instance, MODEL, True, 0),
+            (worker.instance, MODEL, False, 1),
+        ], told
+
+
+class BusyWorkers(PlatformWorkers):
+    """Workers that report as ever and take no order."""
+
+    def order(self, address, instance, order, timeout_s):
+        return OrderAnswer.CONFLICT
+
+
+@given_step("no worker takes an order")
+def given_refused_orders(context):
+    context.controller._control = BusyWorkers()
+
+
+@then("of no worker it stands that it loads")
+def then_nothing_stands(context):
+    newest = {worker: is_loading for worker, _, is_loading, _ in context.told}
+    assert newest, "no order was told of"
+    assert not any(newest.values()), newest
+
+
 @given_step("{count:d} workers of a model with version 1 and a controller that holds the lease")
 def given_holder(context, count):
     make_controller(context, count, 17)
--- a/src/bellweir/hosted/batches/refusals.py
+++ b/src/bellweir/hosted/batches/refusals.py
@@ -5,6 +5,9 @@
 its own requests in hand are few, so it looks like the best choice. Other models of the same
 worker are not touched.
 
+Where the node that orders loads tells of them, the worker is left alone before it has refused
+anything, for as long as the load is expected to take.
+
 >>> refusals = RefusalGuard(now_s=lambda: 1.0)
 >>> worker = Incarnation("i-1")
 >>> refusals.refused(worker, "m")
@@ -20,9 +23,13 @@
 from collections.abc import Callable
 
 from bellweir.hosted.incarnation import Incarnation
+from bellweir.hosted.weights.load_news import LoadListener
 
 PAUSE_S = 0.12
 """Time after a refusal before the worker is tried again."""
+LONGEST_LOAD_S = 5.0
+"""A worker is tried again after this time, whatever was told of its load: the word that the load
+has ended may be lost."""
 
 
 class _Refusal:
@@ -33,7 +40,7 @@
         self.is_tried = False
 
 
-class RefusalGuard:
+class RefusalGuard(LoadListener):
     """What refused lately, by worker and model. Safe for threads.
 
     Every run that `begun` was called for ends with one of `accepted`, `refused` and `ended`.
@@ -65,7 +72,23 @@
     def refused(self, worker: Incarnation, model: str) -> None:
         """Note that the worker refused a run without running it."""
         with self._lock:
-            self._refusals[worker, model] = _Refusal(self._now_s() + PAUSE_S)
+            self._leave_alone(worker, model, PAUSE_S)
+
+    def load_told(self, worker: Incarnation, model: str, for_s: float) -> None:
+        """Leave a worker alone while it loads; 0: it may get as many runs as it has room for."""
+        with self._lock:
+            if for_s > 0:
+                self._leave_alone(worker, model, min(for_s, LONGEST_LOAD_S))
+            else:
+                self._refusals.pop((worker, model), None)
+
+    def _leave_alone(self, worker: Incarnation, model: str, for_s: float) -> None:
+        """Begin anew with one run at a time, and not before an earlier word allows it."""
+        until_s = self._now_s() + for_s
+        known = self._refusals.get((worker, model))
+        if known is not None:
+            until_s = max(until_s, known.until_s)
+        self._refusals[worker, model] = _Refusal(until_s)
 
     def ended(self, worker: Incarnation, model: str) -> None:
         """Note that a run ended without telling whether the worker takes runs."""
--- a/src/bellweir/hosted/batches/service.py
+++ b/src/bellweir/hosted/batches/service.py
@@ -6,6 +6,7 @@
 from bellweir.hosted.batches.coordinator import Coordinator
 from bellweir.hosted.batches.retention import JobRetention
 from bellweir.hosted.batches.state import JOBS_KEY, BatchJobs, JobState
+from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.interface import HostingPlatform
 from bellweir.hosted.metrics_service import MetricsService
 from bellweir.hosted.serving.attempt import WorkerConnections
@@ -13,19 +14,21 @@
 from bellweir.hosted.serving.selection import WorkerLoads
 from bellweir.hosted.settings import HostedSettings
 from bellweir.hosted.views.service import ViewsService
+from bellweir.hosted.weights.load_news import LoadListener, hear_loads
 from bellweir.kernel import names
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
 from bellweir.ledger.service import LedgerService
+from bellweir.wire.interface import Transport
 
 TIDY_PERIOD_S = 2.0
 
 
-class BatchService(Service):
+class BatchService(Service, LoadListener):
     """Runs the coordinator and its committer."""
 
     name = names.BATCHES
-    dependencies = (names.VIEWS, names.LEDGER, names.TELEMETRY)
+    dependencies = (names.VIEWS, names.LEDGER, names.TELEMETRY, names.TRANSPORT)
 
     def __init__(self, kernel: Kernel, settings: HostedSettings, platform: HostingPlatform) -> None:
         self._kernel = kernel
@@ -49,6 +52,8 @@
             self._kernel.executors,
             self._settings.batches,
         )
+        transport = registry.find(names.TRANSPORT, Transport)  # type: ignore[type-abstract]
+        hear_loads(transport, self)
         retention = JobRetention(ledger, self._settings.bounds.status_s)
         self._add_gauges(
             registry.find(names.TELEMETRY, MetricsService).metrics, ledger, coordinator
@@ -91,6 +96,10 @@
             lambda: float(ledger.sound_voters(JOBS_KEY)),
         )
 
+    def load_told(self, worker: Incarnation, model: str, for_s: float) -> None:
+        """Leave a worker alone while it loads a model's weights."""
+        self._attempts.refusals.load_told(worker, model, for_s)
+
     def stop(self) -> None:
         """The tasks end with the executors."""
 
--- a/src/bellweir/hosted/weights/controller.py
+++ b/src/bellweir/hosted/weights/controller.py
@@ -8,6 +8,7 @@
 """
 
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from bellweir.events.log import emit
@@ -35,6 +36,8 @@
 LOOK_AGAIN_S = 0.2
 RETRY_AFTER_SILENCE_S = 1.0
 """Time after an order without an answer before it is given again."""
+MAY_LOAD = frozenset({OrderAnswer.ACCEPTED, OrderAnswer.UNKNOWN})
+"""Answers after which the worker may be loading."""
 MODE_MIXING = "retain"
 """Running requests go on under the new version."""
 MODE_PURE = "wait"
@@ -55,6 +58,14 @@
     """When the worker took the order; None while it has not said so."""
 
 
+TellLoad = Callable[[Incarnation, str, float], None]
+"""Called with a worker, a model and the seconds for which the worker loads; 0: it does no more."""
+
+
+def _tell_nobody(_worker: Incarnation, _model: str, _for_s: float) -> None:
+    """Nobody runs work that a load would hold up."""
+
+
 class RolloutController:
     """`step` is called by one task, a few times a second."""
 
@@ -69,8 +80,13 @@
         node: str,
         *,
         sparse_loads: bool = True,
+        tell_load: TellLoad = _tell_nobody,
     ) -> None:
-        """With `sparse_loads` a worker loads only what its models' trainers make necessary."""
+        """With `sparse_loads` a worker loads only what its models' trainers make necessary.
+
+        `tell_load` is called with each load that begins or has ended, or was not begun.
+        """
+        self._tell_load = tell_load
         self._lease = lease
         self._versions = versions
         self._workers = workers
@@ -142,8 +158,12 @@
         order = VersionOrder(
             model, version, _mode(table, worker), self._node, fence, report.sequence
         )
+        # Told before: the worker refuses runs from the order's arrival on.
+        self._tell_load(worker.incarnation, model, LOOK_AFTER_ORDER_S)
         answer = self._control.order(worker.address, worker.instance, order, ORDER_TIMEOUT_S)
         self._note_answer(load, order, answer)
+        if answer not in MAY_LOAD:
+            self._tell_load(worker.incarnation, model, 0.0)
 
     def _note_answer(self, load: _Load, order: VersionOrder, answer: OrderAnswer) -> None:
         now_s = time.monotonic()
@@ -206,6 +226,7 @@
     def _note_held(self, load: _Load, version: int) -> None:
         self._held[(load.worker.incarnation, load.model)] = version
         self._loads.pop(load.worker.incarnation, None)
+        self._tell_load(load.worker.incarnation, load.model, 0.0)
         emit(VERSION_LOADED, instance=load.worker.instance, model=load.model, version=version)
 
 
--- a/src/bellweir/hosted/weights/service.py
+++ b/src/bellweir/hosted/weights/service.py
@@ -14,6 +14,7 @@
 from bellweir.hosted.weights.lags import VersionLags
 from bellweir.hosted.weights.lease import Lease
 from bellweir.hosted.weights.lease_news import LeaseTeller
+from bellweir.hosted.weights.load_news import LoadListener, LoadTeller
 from bellweir.hosted.weights.versions import VersionsView
 from bellweir.kernel import names
 from bellweir.kernel.node import Kernel
@@ -38,6 +39,7 @@
     dependencies = (
         names.VIEWS,
         names.LEDGER,
+        names.BATCHES,
         names.TELEMETRY,
         names.TRANSPORT,
         names.MEMBERSHIP,
@@ -87,6 +89,7 @@
             VersionLags(self._jobs),
             self._settings.node.name,
             sparse_loads=self._settings.rollouts.sparse_loads,
+            tell_load=self._load_teller().tell,
         )
         metrics = self._kernel.registry.find(names.TELEMETRY, MetricsService).metrics
         metrics.add_gauge(
@@ -100,6 +103,19 @@
         run_task("rollout-lease", self._keep_lease)
         run_task("rollout-control", self._control)
 
+    def _load_teller(self) -> LoadTeller:
+        transport = self._kernel.registry.find(names.TRANSPORT, Transport)  # type: ignore[type-abstract]
+        if not self._settings.rollouts.tell_loads:
+            return LoadTeller(transport, lambda: None)
+        coordinator = self._kernel.registry.find(names.BATCHES, LoadListener)  # type: ignore[type-abstract]
+        return LoadTeller(transport, self._coordinator_address, coordinator)
+
+    def _coordinator_address(self) -> str | None:
+        """Where the jobs' leader accepts peers; None where it is this node or is not known."""
+        if self._ledger.leads(JOBS_KEY):
+            return None
+        return self._ledger.leader_address(JOBS_KEY)
+
     def _jobs(self) -> list[Job]:
         """Jobs as the local replica knows them; a little old on a follower."""
         machine = self._ledger.local_machine(JOBS_KEY, BatchJobs)
