Tell the lease's holder of each trainer's newest job

Cause: how far behind the newest version a trainer lets its samples be is learnt from the jobs of the holder's own replica. Of 14 store machines five hold one; a holder without one takes it that all samples must be of the newest version.

Change: the jobs' leader tells the holder, whom it knows from the lease's news, of the newest job of each model: a message a second and one for each job. The holder knows with it who leads the jobs, also for the news of loads, which did not reach a leader that a holder without a replica had not heard of. Settings rollouts.tellJobs.

Tests: hosted_plan, two scenarios; they can't run without the module.

--- a/features/hosted_plan.feature
+++ b/features/hosted_plan.feature
@@ -17,6 +17,15 @@
   Scenario: The newest job tells the lag
     Then the lag is the distance that the newest job allowed when it came, at most 1
 
+  Scenario: The lease's holder has no replica of the jobs
+    Given a node that leads the jobs and one that holds the lease without a replica of them
+    When a trainer's job that allows the version before is accepted
+    Then the holder knows that the trainer allows the version before
+    And it is told again once a second and with each job, and of nothing else
+
+  Scenario: What is told of jobs comes late, twice or never
+    Then a holder never goes back to an older job of a model
+
   Scenario: The controller brings workers to a named version
     Given 4 workers of a model with version 1 and a controller that holds the lease
     When version 2 is named
--- a/features/steps/hosted_plan_steps.py
+++ b/features/steps/hosted_plan_steps.py
@@ -15,10 +15,12 @@
 from bellweir.hosted.views.configuration import ConfigurationView
 from bellweir.hosted.views.workers import Worker, WorkersView
 from bellweir.hosted.weights.controller import RolloutController
+from bellweir.hosted.weights.job_news import JobNews, JobsHeard, JobTeller, NewestJob
 from bellweir.hosted.weights.lags import VersionLags
 from bellweir.hosted.weights.load_limit import FEWEST_AT_ONCE, LoadLimit
 from bellweir.hosted.weights.plan import ModelTarget, plan_loads, workers_wanted
 from bellweir.hosted.weights.versions import VersionsView
+from bellweir.wire.interface import Sender
 from bellweir_platform.workers import PlatformWorkers
 from bellweir_rehearsal.hosted.worker import WorkerStandIn
 
@@ -133,6 +135,88 @@
     assert lags.lag_of(MODEL, 9) == 1
 
 
+class RecordedTransport:
+    """Hands each message to the node's handler at once, or keeps it for later."""
+
+    def __init__(self):
+        self.sent = []
+        self.handlers = {}
+
+    def register(self, message_type, handler):
+        self.handlers[message_type] = handler
+
+    def send(self, address, message):
+        self.sent.append((address, message))
+        self.handlers[type(message)](Sender("leader", "leader:1"), message)
+        return True
+
+
+@given_step("a node that leads the jobs and one that holds the lease without a replica of them")
+def given_remote_holder(context):
+    context.now_s = 0.0
+    context.transport = RecordedTransport()
+    context.heard = JobsHeard(context.transport, lambda: context.now_s)
+    context.teller = JobTeller(context.transport, lambda: "holder:1", lambda: context.now_s)
+    context.jobs = []
+
+
+@when("a trainer's job that allows the version before is accepted")
+def when_lagging_job(context):
+    context.teller.tell(context.jobs)
+    context.jobs.append(NewestJob("job", MODEL, 4, 1.0))
+    context.teller.tell(context.jobs)
+
+
+@then("the holder knows that the trainer allows the version before")
+def then_heard(context):
+    assert VersionLags(lambda: context.heard.newest).lag_of(MODEL, 5) == 1
+    assert context.heard.leader_address == "leader:1"
+
+
+@then("it is told again once a second and with each job, and of nothing else")
+def then_told_rarely(context):
+    del context.transport.sent[:]
+    for _ in range(100):
+        context.now_s += 0.1
+        context.teller.tell(context.jobs)
+    assert 9 <= len(context.transport.sent) <= 10, len(context.transport.sent)
+    context.jobs.append(NewestJob("next", MODEL, 5, 2.0))
+    context.teller.tell(context.jobs)
+    (_, news) = context.transport.sent[-1]
+    assert [job.id for job in news.newest] == ["next"]
+    context.now_s += 60.0
+    assert context.heard.leader_address is None, "a leader that was not heard for a minute"
+
+
+@then("a holder never goes back to an older job of a model")
+def then_no_older_job(context):
+    job = st.builds(
+        NewestJob,
+        st.text("ab", min_size=1, max_size=2),
+        st.sampled_from((MODEL, "other")),
+        st.integers(1, 5),
+        st.floats(0.0, 9.0),
+    )
+
+    @settings(max_examples=200)
+    @given(told=st.lists(st.lists(job, max_size=3), max_size=12))
+    def never_older(told):
+        transport = RecordedTransport()
+        heard = JobsHeard(transport)
+        known = {}
+        for jobs in told:
+            heard.handle(Sender("leader", "leader:1"), JobNews(tuple(jobs)))
+            for each in heard.newest:
+                before = known.get(each.model, each)
+                rank = (each.minimum_version, each.accepted_at_s)
+                assert rank >= (before.minimum_version, before.accepted_at_s)
+                known[each.model] = each
+            for each in jobs:
+                assert known[each.model].minimum_version >= each.minimum_version
+
+    never_older()
+
+
 class FixedLease:
     def __init__(self, fence):
         self.fence = fence
--- a/src/bellweir/hosted/settings.py
+++ b/src/bellweir/hosted/settings.py
@@ -137,6 +137,8 @@
     """Have the lease's holder tell the other store machines of each renewal."""
     sparse_loads: bool = True
     """Have a worker load only the versions that a trainer's allowance makes necessary."""
+    tell_jobs: bool = True
+    """Have the jobs' leader tell the lease's holder of each trainer's newest job."""
     tell_loads: bool = True
     """Have the lease's holder tell the node that runs jobs which workers load."""
 
--- a/src/bellweir/hosted/weights/lags.py
+++ b/src/bellweir/hosted/weights/lags.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterable
 
-from bellweir.hosted.batches.state import Job
+from bellweir.hosted.weights.job_news import NewestJob
 
 LONGEST_LAG = 1
 """A longer allowance is not used: samples should be as fresh as loads allow."""
@@ -11,7 +11,7 @@
 class VersionLags:
     """Compares each model's newest job with the version that was named when it came."""
 
-    def __init__(self, jobs: Callable[[], Iterable[Job]]) -> None:
+    def __init__(self, jobs: Callable[[], Iterable[NewestJob]]) -> None:
         self._jobs = jobs
         self._newest: dict[str, str] = {}
         self._lags: dict[str, int] = {}
--- a/src/bellweir/hosted/weights/lease_news.py
+++ b/src/bellweir/hosted/weights/lease_news.py
@@ -47,14 +47,21 @@
         self._name = name
         self._transport = transport
         self._members = members
+        self._holder_address: str | None = None
         lease.tell = self.tell
         lease.tell_hand_over = self.tell_hand_over
         transport.register(LeaseNews, self.handle_news)
         transport.register(LeaseHandOver, self.handle_hand_over)
         transport.register(StepAside, self.handle_step_aside)
 
+    @property
+    def holder_address(self) -> str | None:
+        """Where the other node that holds the lease accepts peers, as it told last."""
+        return self._holder_address
+
     def tell(self, revision: int, holder: str) -> None:
         """Tell the other nodes that may hold the lease of its object's newest revision."""
+        self._holder_address = None
         self._send(LeaseNews(self._name, revision, holder))
 
     def tell_hand_over(self, revision: int, idle_s: float) -> None:
@@ -71,6 +78,7 @@
     def handle_news(self, sender: Sender, news: LeaseNews) -> None:
         """Take a holder's word for a revision; it counts from its arrival on."""
         if news.lease == self._name:
+            self._holder_address = sender.address if news.holder else None
             self._lease.hear(news.revision, news.holder)
 
     def handle_hand_over(self, sender: Sender, news: LeaseHandOver) -> None:
--- a/src/bellweir/hosted/weights/service.py
+++ b/src/bellweir/hosted/weights/service.py
@@ -3,7 +3,7 @@
 import random
 import threading
 
-from bellweir.hosted.batches.state import JOBS_KEY, BatchJobs, Job
+from bellweir.hosted.batches.state import JOBS_KEY, BatchJobs
 from bellweir.hosted.interface import HostingPlatform, RecordKind
 from bellweir.hosted.metrics_service import MetricsService
 from bellweir.hosted.node_settings import FIRST_START_SPREAD_S
@@ -11,6 +11,7 @@
 from bellweir.hosted.views.follower import KindFollower
 from bellweir.hosted.views.service import ViewsService
 from bellweir.hosted.weights.controller import RolloutController
+from bellweir.hosted.weights.job_news import JobsHeard, JobTeller, NewestJob
 from bellweir.hosted.weights.lags import VersionLags
 from bellweir.hosted.weights.lease import Lease
 from bellweir.hosted.weights.lease_news import LeaseTeller
@@ -58,6 +59,7 @@
         )
         self._versions = VersionsView()
         self._leaving = threading.Event()
+        self._job_teller: JobTeller | None = None
 
     @property
     def lease(self) -> Lease:
@@ -68,10 +70,13 @@
         """Start the tasks."""
         views = self._views = self._kernel.registry.find(names.VIEWS, ViewsService)
         self._ledger = self._kernel.registry.find(names.LEDGER, Ledger)  # type: ignore[type-abstract]
+        transport = self._kernel.registry.find(names.TRANSPORT, Transport)  # type: ignore[type-abstract]
+        self._heard = JobsHeard(transport)
         if self._settings.rollouts.tell_renewals:
-            transport = self._kernel.registry.find(names.TRANSPORT, Transport)  # type: ignore[type-abstract]
             members = self._kernel.registry.find(names.MEMBERSHIP, Membership)  # type: ignore[type-abstract]
-            LeaseTeller(self._lease, LEASE_NAME, transport, members)
+            teller = LeaseTeller(self._lease, LEASE_NAME, transport, members)
+            if self._settings.rollouts.tell_jobs:
+                self._job_teller = JobTeller(transport, lambda: teller.holder_address)
         follower = KindFollower(
             self._platform.store,
             RecordKind.VERSIONS,
@@ -86,10 +91,10 @@
             views.workers,
             views.configuration,
             self._platform.control,
-            VersionLags(self._jobs),
+            VersionLags(lambda: (*self._local_jobs(), *self._heard.newest)),
             self._settings.node.name,
             sparse_loads=self._settings.rollouts.sparse_loads,
-            tell_load=self._load_teller().tell,
+            tell_load=self._load_teller(transport).tell,
         )
         metrics = self._kernel.registry.find(names.TELEMETRY, MetricsService).metrics
         metrics.add_gauge(
@@ -103,8 +108,7 @@
         run_task("rollout-lease", self._keep_lease)
         run_task("rollout-control", self._control)
 
-    def _load_teller(self) -> LoadTeller:
-        transport = self._kernel.registry.find(names.TRANSPORT, Transport)  # type: ignore[type-abstract]
+    def _load_teller(self, transport: Transport) -> LoadTeller:
         if not self._settings.rollouts.tell_loads:
             return LoadTeller(transport, lambda: None)
         coordinator = self._kernel.registry.find(names.BATCHES, LoadListener)  # type: ignore[type-abstract]
@@ -114,14 +118,17 @@
         """Where the jobs' leader accepts peers; None where it is this node or is not known."""
         if self._ledger.leads(JOBS_KEY):
             return None
-        return self._ledger.leader_address(JOBS_KEY)
+        return self._heard.leader_address or self._ledger.leader_address(JOBS_KEY)
 
-    def _jobs(self) -> list[Job]:
+    def _local_jobs(self) -> list[NewestJob]:
         """Jobs as the local replica knows them; a little old on a follower."""
         machine = self._ledger.local_machine(JOBS_KEY, BatchJobs)
         if not isinstance(machine, BatchJobs):
             return []
-        return [state.job for state in list(machine.jobs.values())]
+        jobs = [state.job for state in list(machine.jobs.values())]
+        return [
+            NewestJob(job.id, job.model, job.minimum_version, job.accepted_at_s) for job in jobs
+        ]
 
     def drain(self, deadline_s: float) -> None:
         """Give the lease back."""
@@ -151,4 +158,6 @@
                 continue
             if self._is_turned_away():
                 self._lease.hand_over()
+            if self._job_teller is not None and self._ledger.leads(JOBS_KEY):
+                self._job_teller.tell(self._local_jobs())
             self._controller.step()
