Tell workers that fail everything from items that always fail

Cause: after an answer of 500 the coordinator released the worker's place and learnt nothing of the worker. One that fails at once has free places at once, looks the best choice, swallows item after item, and three such answers give an item up for good. A scorer that answers 500 was even noted as one that answers fast.

Change: batches/failing.py, without I/O, keeps the failures of each worker that nothing served came between, and compares it with its fellows. A worker that fails everything while they don't gets one run at a time, after a pause that doubles; never more than half of a service is left alone. An item's allowed answers of 500 count only where they came from workers that do not fail everything, and an item that failed goes to a worker that has not failed it, as long as there is one. It is given up after twice its allowed answers whoever gave them, so that two leaders in turn stay within the three times that may be made. Answers of 5xx, first events and scores tell what they learnt; a failed score is no sample of a scorer's time any more. Switch: batches.setFailingAside. Log: worker_fails_all, worker_serves_again. The choice of workers is a module of its own (worker_choice.py), moved out of the coordinator.

The stand-in of a worker can fail given requests (fail_ids), make_leader takes a number of workers. No existing check was changed.

--- a/features/hosted_batches.feature
+++ b/features/hosted_batches.feature
@@ -66,6 +66,30 @@
     When a job of 2 items in 1 groups is accepted
     Then every item is listed dead after 3 answers of 500
 
+  Scenario: Workers that say they are well and fail everything
+    Given a leader with 8 model workers and scorers
+    And 3 of the model workers fail every request
+    And the workers stream slowly
+    When a job of 96 items in 12 groups is accepted
+    Then every item is listed completed, with its whole text, its versions and its score
+
+  Scenario: An item that always fails, beside workers that fail everything
+    Given a leader with 8 model workers and scorers
+    And 3 of the model workers fail every request
+    And one item fails at every worker
+    When a job of 96 items in 12 groups is accepted
+    Then the item that always fails is listed dead after 3 to 6 answers of 500, and no other one
+
+  Scenario: A scorer that says it is well and fails everything
+    Given a leader with model workers and scorers
+    And a scorer fails every request
+    When a job of 24 items in 6 groups is accepted
+    Then every item is listed completed, with its whole text, its versions and its score
+
+  Scenario: Answers of workers in any order
+    Then a worker is set aside only while it fails all and fellows don't, and is tried again
+    And an item is given up for answers of workers that serve others, and never tried too often
+
   Scenario: A job that is ended
     Given a leader with model workers and scorers
     And the workers stream slowly
--- a/features/steps/hosted_batches_steps.py
+++ b/features/steps/hosted_batches_steps.py
@@ -9,6 +9,7 @@
 from features.support.hosted_jobs import EVENTS, HOST, MODEL, make_job, make_leader
 from hypothesis import given, settings
 
+from bellweir.hosted.batches.failing import LONGEST_PAUSE_S, FailingWorkers
 from bellweir.hosted.batches.progress import EventsMissingError, ItemProgress
 from bellweir.hosted.batches.refusals import LONGEST_LOAD_S, PAUSE_S, RefusalGuard
 from bellweir.hosted.batches.state import (
@@ -146,6 +147,44 @@
     context.leader = make_leader(context)
 
 
+@given_step("a leader with {count:d} model workers and scorers")
+def given_larger_leader(context, count):
+    context.leader = make_leader(context, workers_each=count)
+
+
+@given_step("{count:d} of the model workers fail every request")
+def given_some_failing(context, count):
+    for worker in context.leader.models[:count]:
+        worker.faults.fail = 1_000_000
+
+
+@given_step("a scorer fails every request")
+def given_failing_scorer(context):
+    context.leader.scorers[0].faults.fail = 1_000_000
+
+
+ALWAYS_FAILS = "job-40"
+
+
+@given_step("one item fails at every worker")
+def given_poison(context):
+    for worker in context.leader.models:
+        worker.faults.fail_ids = frozenset({ALWAYS_FAILS})
+
+
+@then(
+    "the item that always fails is listed dead after {fewest:d} to {most:d} answers of 500, "
+    "and no other one"
+)
+def then_only_poison(context, fewest, most):
+    wanted = len(context.job.items)
+    context.wait_until(lambda: len(listed(context)) == wanted, "every item listed")
+    dead = {result.item_id for result in listed(context) if not result.is_complete}
+    assert dead == {ALWAYS_FAILS}, dead
+    answers = sum(each.record.ran[ALWAYS_FAILS] for each in context.leader.models)
+    assert fewest <= answers <= most, answers
+
+
 @given_step(
     'a leader whose route gives {first:d} parts to "llm" and {second:d} part to "{service}"'
 )
@@ -281,6 +320,74 @@
     one_at_a_time()
 
 
+FELLOWS = tuple(Incarnation(f"i-{number}") for number in range(4))
+
+
+@then("a worker is set aside only while it fails all and fellows don't, and is tried again")
+def then_set_aside(context):
+    answer = st.tuples(
+        st.sampled_from(FELLOWS), st.booleans(), st.integers(0, 5), st.floats(0.0, 1.0)
+    )
+
+    @settings(max_examples=300)
+    @given(answers=st.lists(answer, max_size=40))
+    def set_aside(answers):
+        now_s = 0.0
+        failing = FailingWorkers(lambda: now_s)
+        failed = {worker: [] for worker in FELLOWS}
+        for worker, serves, number, passed_s in answers:
+            now_s += passed_s + 0.001
+            if serves:
+                failing.served(worker, now_s)
+                failed[worker] = []
+            else:
+                failing.begun(worker, f"item-{number}")
+                failing.failed(worker, f"item-{number}")
+                failing.ended(worker, f"item-{number}")
+                failed[worker].append(number)
+            closed = [one for one in FELLOWS if not failing.may_begin(one, FELLOWS)]
+            assert len(closed) <= len(FELLOWS) / 2
+            for one in closed:
+                assert len(set(failed[one])) >= 2, "closed for one item or none"
+        now_s += LONGEST_PAUSE_S
+        for one in FELLOWS:
+            assert failing.may_begin(one, FELLOWS), "not tried again"
+            failing.begun(one, "trial")
+            if one in failing.failing_all(FELLOWS) and not failing.may_begin(one, FELLOWS):
+                failing.ended(one, "trial")
+                assert failing.may_begin(one, FELLOWS)
+            failing.served(one, now_s)
+            assert failing.may_begin(one, FELLOWS)
+
+    set_aside()
+
+
+@then("an item is given up for answers of workers that serve others, and never tried too often")
+def then_given_up(context):
+    @settings(max_examples=200)
+    @given(
+        allowed=st.integers(1, 4),
+        broken=st.integers(0, 2),
+        workers=st.lists(st.integers(0, 5), max_size=16),
+    )
+    def given_up(allowed, broken, workers):
+        now_s = 0.0
+        failing = FailingWorkers(lambda: now_s)
+        fellows = [Incarnation(f"i-{number}") for number in range(6)]
+        for worker in fellows[:broken]:
+            failing.failed(worker, "another")
+            failing.failed(worker, "a third")
+        failed_at = []
+        for number in workers:
+            is_given_up = failing.is_given_up(failed_at, allowed, fellows)
+            sound = sum(worker in fellows[broken:] for worker in failed_at)
+            assert is_given_up == (sound >= allowed or len(failed_at) >= 2 * allowed)
+            now_s += 0.1
+            failed_at.append(fellows[number])
+
+    given_up()
+
+
 @given_step("no trouble")
 def given_nothing(context):
     pass
--- a/features/support/hosted_jobs.py
+++ b/features/support/hosted_jobs.py
@@ -111,8 +111,8 @@
     return {"version": 1, "routes": routes, "services": [{"name": "llm"}, {"name": "app"}]}
 
 
-def make_leader(context, backends=()):
-    """A coordinator that leads, two model workers of each service and two scorers.
+def make_leader(context, backends=(), workers_each=2):
+    """A coordinator that leads, `workers_each` model workers of each service and two scorers.
 
     With `backends`, services with their weights, the items' route is split between them; the
     service `llm-none` has no worker.
@@ -121,7 +121,7 @@
     service_of = {
         f"{service}-{number}": service
         for service in services
-        for number in range(2)
+        for number in range(workers_each)
         if service != "llm-none"
     }
     models = [WorkerStandIn(name, model=MODEL, version=2, events=EVENTS) for name in service_of]
--- a/src/bellweir/hosted/batches/attempts.py
+++ b/src/bellweir/hosted/batches/attempts.py
@@ -2,10 +2,11 @@
 
 import http.client
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from bellweir.clients.open_answer import OpenAnswer
 from bellweir.events.log import emit
+from bellweir.hosted.batches.failing import FailingWorkers
 from bellweir.hosted.batches.lengths import TextLengths
 from bellweir.hosted.batches.pace import WorkerPaces
 from bellweir.hosted.batches.progress import (
@@ -17,8 +18,14 @@
 from bellweir.hosted.batches.refusals import RefusalGuard
 from bellweir.hosted.batches.state import JobItem, TextPart
 from bellweir.hosted.event_stream import EventSplitter, EventTooLongError
+from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.interface import HeaderNames
-from bellweir.hosted.log_events import ITEM_BROKEN, ITEM_STARTED
+from bellweir.hosted.log_events import (
+    ITEM_BROKEN,
+    ITEM_STARTED,
+    WORKER_FAILS_ALL,
+    WORKER_SERVES_AGAIN,
+)
 from bellweir.hosted.serving.attempt import (
     AttemptState,
     Cancellation,
@@ -61,6 +68,9 @@
         self._connections = connections
         self._loads = loads
         self.refusals = RefusalGuard()
+        self.failing = FailingWorkers()
+        self.fellows_of: Callable[[Worker], Collection[Incarnation]] = _no_fellows
+        """Returns the workers of a worker's service, itself among them; none: all count."""
         self.paces = WorkerPaces()
         self.lengths = TextLengths()
         self.keep_part: Callable[[ItemProgress, TextPart], None] = lambda _progress, _part: None
@@ -156,6 +166,8 @@
                     version = event.weight_version or version
                     progress.add_event(event, version)
                 if events:
+                    if is_first:
+                        self._note_served(worker, began_s)
                     self._note_events(progress, worker, len(events), is_first=is_first)
                     is_first = False
                 opened.set_timeout(SILENCE_TIMEOUT_S)
@@ -213,12 +225,12 @@
             read_whole(opened.opened, opened)
         self._loads.released(worker.incarnation)
         progress.not_before_s = time.monotonic() + FAILED_PAUSE_S
+        self._note_failure(progress, worker, status)
         if status == UNPROCESSABLE:
             progress.give_up()
         elif status == SERVER_ERROR:
-            progress.failures += 1
-            if progress.failures >= progress.route.max_attempts:
-                progress.give_up()
+            progress.failed_at.append(worker.incarnation)
+            self._give_up_if_due(progress, progress.route.max_attempts, worker)
         self._log_broken(progress, worker, f"status {status}")
 
     def run_score(
@@ -244,11 +256,14 @@
             self._ended_here(progress, worker, None)
             return
         if outcome.state is AttemptState.ANSWERED and answer is not None:
-            self._loads.answered(worker.incarnation, time.monotonic() - began_s)
             if answer.status < 300:
+                self._loads.answered(worker.incarnation, time.monotonic() - began_s)
+                self._note_served(worker, began_s)
                 progress.finish(_header(answer.headers, self._connections.headers.stamp))
                 return
-            self._score_failed(progress, answer.status, maximum_failures)
+            # How soon a worker fails tells nothing of how soon it serves.
+            self._loads.released(worker.incarnation)
+            self._score_failed(progress, answer.status, maximum_failures, worker)
         elif outcome.state is AttemptState.REFUSED:
             self._loads.refused(worker.incarnation)
         else:
@@ -256,11 +271,39 @@
         progress.not_before_s = time.monotonic() + FAILED_PAUSE_S
         self._log_broken(progress, worker, f"scoring: {outcome.state.value} {outcome.detail}")
 
-    def _score_failed(self, progress: ItemProgress, status: int, maximum_failures: int) -> None:
+    def _score_failed(
+        self, progress: ItemProgress, status: int, maximum_failures: int, worker: Worker
+    ) -> None:
+        self._note_failure(progress, worker, status)
         if status == SERVER_ERROR:
-            progress.score_failures += 1
-            if progress.score_failures >= maximum_failures:
-                progress.give_up()
+            progress.score_failed_at.append(worker.incarnation)
+            self._give_up_if_due(progress, maximum_failures, worker)
+
+    def _note_served(self, worker: Worker, began_s: float) -> None:
+        if self.failing.served(worker.incarnation, began_s):
+            emit(WORKER_SERVES_AGAIN, instance=worker.instance)
+
+    def _note_failure(self, progress: ItemProgress, worker: Worker, status: int) -> None:
+        """Note what a worker's answer without a result tells of the worker."""
+        if status < SERVER_ERROR:
+            return
+        failures = self.failing.failed(worker.incarnation, progress.item.id)
+        fellows = self.fellows_of(worker)
+        failing = self.failing.failing_all(fellows)
+        if worker.incarnation in failing:
+            emit(
+                WORKER_FAILS_ALL,
+                instance=worker.instance,
+                failures=failures,
+                service_workers=len(fellows),
+                failing_workers=len(failing),
+                cause=f"status {status}",
+            )
+
+    def _give_up_if_due(self, progress: ItemProgress, allowed: int, worker: Worker) -> None:
+        fellows = self.fellows_of(worker)
+        if self.failing.is_given_up(progress.failed_at_now, allowed, fellows):
+            progress.give_up()
 
     def _log_broken(self, progress: ItemProgress, worker: Worker, cause: str) -> None:
         self.lengths.note_events(progress.item.id, progress.events)
@@ -275,6 +318,10 @@
         )
 
 
+def _no_fellows(_worker: Worker) -> Collection[Incarnation]:
+    return ()
+
+
 def _text_call(progress: ItemProgress, names: HeaderNames) -> WorkerCall:
     headers = list(progress.item.headers)
     if progress.job.tenant:
--- a/src/bellweir/hosted/batches/coordinator.py
+++ b/src/bellweir/hosted/batches/coordinator.py
@@ -16,13 +16,14 @@
 from bellweir.hosted.batches.mover import Run, RunMover
 from bellweir.hosted.batches.progress import ItemProgress, Stage
 from bellweir.hosted.batches.state import JOBS_KEY, BatchJobs, JobItem, JobState
+from bellweir.hosted.batches.worker_choice import WorkerChoice, score_route
 from bellweir.hosted.log_events import COORDINATION_LEFT, COORDINATION_TAKEN, ITEM_TAKEN_OVER
 from bellweir.hosted.records import Route
 from bellweir.hosted.serving.attempt import Cancellation
-from bellweir.hosted.serving.selection import WeightedParts, WorkerLoads
+from bellweir.hosted.serving.selection import WorkerLoads
 from bellweir.hosted.settings import BatchSettings
 from bellweir.hosted.views.configuration import ConfigurationView, RouteTable
-from bellweir.hosted.views.workers import Worker, WorkersView
+from bellweir.hosted.views.workers import WorkersView
 from bellweir.kernel.executors import Executors, ExecutorSaturatedError, WorkKind
 from bellweir.ledger.interface import Ledger
 
@@ -49,7 +50,6 @@
     ) -> None:
         self._ledger = ledger
         self._configuration = configuration
-        self._workers = workers
         self._loads = loads
         self._attempts = attempts
         self._executors = executors
@@ -61,7 +61,7 @@
         self._progress: dict[ItemKey, ItemProgress] = {}
         self._running: dict[ItemKey, Run] = {}
         self._carried = CarriedTexts()
-        self._parts = WeightedParts()
+        self._choice = WorkerChoice(workers, loads, attempts, policy)
         self._mover = RunMover(attempts)
         self._leading = False
         self._wake = threading.Event()
@@ -96,7 +96,7 @@
             if self._policy.move_runs:
                 with self._lock:
                     running = list(self._running.values())
-                self._mover.look(running, self._targets)
+                self._mover.look(running, self._choice.targets)
             self._start_waiting(jobs, table)
 
     def _start_waiting(self, jobs: list[JobState], table: RouteTable) -> None:
@@ -189,7 +189,7 @@
 
     def _start(self, progress: ItemProgress, table: RouteTable) -> bool:
         """Start an item's next attempt; False when no worker has room for it."""
-        worker = self._worker_for(progress, table)
+        worker = self._choice.take_worker(progress, table)
         progress.moved_to = None
         if worker is None:
             return False
@@ -197,7 +197,7 @@
         run = Run(progress, worker, Cancellation(), time.monotonic())
         with self._lock:
             self._running[key] = run
-        maximum = self._score_route(progress, table)
+        maximum = score_route(progress, table)
         try:
             self._executors.submit(
                 WorkKind.GENERATION,
@@ -209,6 +209,7 @@
         except (ExecutorSaturatedError, RuntimeError):
             self._loads.released(worker.incarnation)
             self._attempts.refusals.ended(worker.incarnation, progress.job.model)
+            self._attempts.failing.ended(worker.incarnation, progress.item.id)
             with self._lock:
                 self._running.pop(key, None)
             return False
@@ -226,6 +227,7 @@
             self._loads.released(worker.incarnation)
             raise
         finally:
+            self._attempts.failing.ended(worker.incarnation, progress.item.id)
             with self._lock:
                 self._running.pop(key, None)
                 is_wanted = self._progress.get(key) is progress
@@ -234,92 +236,3 @@
             if is_wanted and progress.stage is Stage.RESULT and not progress.is_committing:
                 self.committer.put(progress)
             self._wake.set()
-
-    def _score_route(self, progress: ItemProgress, table: RouteTable) -> Route | None:
-        scorer = progress.item.scorer
-        return table.find(scorer.host, scorer.path) if scorer is not None else None
-
-    def _worker_for(self, progress: ItemProgress, table: RouteTable) -> Worker | None:
-        """Take a place at a worker with room; None when there is none now."""
-        if progress.stage is Stage.SCORE:
-            route = self._score_route(progress, table)
-            return self._choose(route, None, table) if route is not None else None
-        return self._choose(progress.route, progress, table)
-
-    def _choose(
-        self, route: Route, progress: ItemProgress | None, table: RouteTable
-    ) -> Worker | None:
-        """Take a place at a worker of the route's services, each of which gets its share.
-
-        The service whose turn it is keeps it while its workers are only busy; one without a
-        worker that could take the request loses it to the next.
-        """
-        moved = self._moved_target(route, progress)
-        if moved is not None:
-            return moved
-        parts = tuple((part.service, part.weight) for part in route.parts)
-        key = (table.version, route.host, route.path_prefix)
-        for service in self._parts.peek(parts, key):
-            fitting = self._fitting(service, progress)
-            with_room = [worker for worker in fitting if self._has_room(worker, progress)]
-            by_pace = progress is not None and self._policy.choose_by_pace
-            pace_of = self._attempts.paces.of if by_pace else None
-            chosen = self._loads.choose(with_room, (), pace_of)
-            if chosen is not None:
-                if progress is not None:
-                    self._attempts.refusals.begun(chosen.incarnation, progress.job.model)
-                self._parts.charge(parts, key, service)
-                return chosen
-            if fitting:
-                return None
-        return None
-
-    def _moved_target(self, route: Route, progress: ItemProgress | None) -> Worker | None:
-        """Take the place that a moved run was promised; its service has been charged for it."""
-        if progress is None or not progress.moved_to:
-            return None
-        for part in route.parts:
-            for worker in self._fitting(part.service, progress):
-                is_target = worker.incarnation == progress.moved_to
-                if is_target and self._has_room(worker, progress):
-                    self._loads.take(worker)
-                    self._attempts.refusals.begun(worker.incarnation, progress.job.model)
-                    return worker
-        return None
-
-    def _fitting(self, service: str, progress: ItemProgress | None) -> list[Worker]:
-        """Workers of a service that may run an item now, whether they have room or not."""
-        return [
-            worker
-            for worker in self._workers.ready(service)
-            if _fits(worker, progress) and not self._is_passed_over(worker)
-        ]
-
-    def _is_passed_over(self, worker: Worker) -> bool:
-        return self._policy.pass_over_failed and self._loads.is_avoided(worker.incarnation)
-
-    def _targets(self, progress: ItemProgress, service: str) -> list[tuple[Worker, int]]:
-        """Workers of a service that an item's run could be moved to, with their free places."""
-        return [
-            (worker, worker.entry.slots - self._loads.in_hand(worker.incarnation))
-            for worker in self._fitting(service, progress)
-            if self._has_room(worker, progress)
-        ]
-
-    def _has_room(self, worker: Worker, progress: ItemProgress | None) -> bool:
-        if progress is not None and self._policy.guard_refusals:
-            model = progress.job.model
-            if not self._attempts.refusals.may_begin(worker.incarnation, model):
-                return False
-        return self._loads.in_hand(worker.incarnation) < worker.entry.slots
-
-
-def _fits(worker: Worker, progress: ItemProgress | None) -> bool:
-    if progress is None or not progress.job.model:
-        return True
-    version = worker.version_of(progress.job.model)
-    if version is None:
-        return True
-    if progress.route.single_version and progress.versions:
-        return version == progress.versions[-1]
-    return version >= progress.job.minimum_version
--- a/src/bellweir/hosted/batches/progress.py
+++ b/src/bellweir/hosted/batches/progress.py
@@ -53,9 +53,10 @@
     """Monotonic time at which that was done last, or at which the run began."""
     versions: list[int] = field(default_factory=list)
     """Versions that made events, in order of their first one."""
-    failures: int = 0
-    """Answers of 500 to the item's own request."""
-    score_failures: int = 0
+    failed_at: list[Incarnation] = field(default_factory=list)
+    """The worker of each answer of 500 to the item's own request."""
+    score_failed_at: list[Incarnation] = field(default_factory=list)
+    """The same for its scoring."""
     score: str = ""
     attempts: int = 0
     not_before_s: float = 0.0
@@ -72,6 +73,11 @@
     moved_to: Incarnation | None = None
     """Where it is to go on; None once it does."""
 
+    @property
+    def failed_at_now(self) -> list[Incarnation]:
+        """Workers that failed what the item needs next."""
+        return self.score_failed_at if self.stage is Stage.SCORE else self.failed_at
+
     def add_event(self, event: StreamEvent, version: int | None) -> None:
         """Append an event made by `version`; events that are known already are dropped.
 
--- a/src/bellweir/hosted/batches/service.py
+++ b/src/bellweir/hosted/batches/service.py
@@ -109,5 +109,6 @@
             incarnations = {worker.incarnation for worker in workers}
             self._loads.forget_others(incarnations)
             self._attempts.refusals.forget_others(incarnations)
+            self._attempts.failing.forget_others(incarnations)
             self._attempts.paces.forget_others(incarnations)
             self._connections.forget_others({worker.address for worker in workers})
--- /dev/null
+++ b/src/bellweir/hosted/batches/worker_choice.py
@@ -0,0 +1,147 @@
+"""Chooses the worker for an item's next attempt, among those that may run it and have room."""
+
+from collections.abc import Collection
+
+from bellweir.hosted.batches.attempts import ItemAttempts
+from bellweir.hosted.batches.progress import ItemProgress, Stage
+from bellweir.hosted.incarnation import Incarnation
+from bellweir.hosted.records import Route
+from bellweir.hosted.serving.selection import WeightedParts, WorkerLoads
+from bellweir.hosted.settings import BatchSettings
+from bellweir.hosted.views.configuration import RouteTable
+from bellweir.hosted.views.workers import Worker, WorkersView
+
+
+class WorkerChoice:
+    """Called by the coordinator's task; attempts ask it for the fellows of a worker."""
+
+    def __init__(
+        self,
+        workers: WorkersView,
+        loads: WorkerLoads,
+        attempts: ItemAttempts,
+        policy: BatchSettings,
+    ) -> None:
+        self._workers = workers
+        self._loads = loads
+        self._attempts = attempts
+        self._policy = policy
+        self._parts = WeightedParts()
+        if policy.set_failing_aside:
+            attempts.fellows_of = lambda worker: self._fellows(worker.entry.service)
+
+    def take_worker(self, progress: ItemProgress, table: RouteTable) -> Worker | None:
+        """Take a place at a worker with room; None when there is none now."""
+        if progress.stage is Stage.SCORE:
+            route = score_route(progress, table)
+            return self._choose(route, progress, table) if route is not None else None
+        return self._choose(progress.route, progress, table)
+
+    def targets(self, progress: ItemProgress, service: str) -> list[tuple[Worker, int]]:
+        """Workers of a service that an item's run could be moved to, with their free places."""
+        return [
+            (worker, worker.entry.slots - self._loads.in_hand(worker.incarnation))
+            for worker in self._fitting(service, progress)
+            if self._has_room(worker, progress)
+        ]
+
+    def _choose(self, route: Route, progress: ItemProgress, table: RouteTable) -> Worker | None:
+        """Take a place at a worker of the route's services, each of which gets its share.
+
+        The service whose turn it is keeps it while its workers are only busy; one without a
+        worker that could take the request loses it to the next.
+        """
+        moved = self._moved_target(route, progress)
+        if moved is not None:
+            return moved
+        parts = tuple((part.service, part.weight) for part in route.parts)
+        key = (table.version, route.host, route.path_prefix)
+        by_pace = progress.stage is Stage.TEXT and self._policy.choose_by_pace
+        pace_of = self._attempts.paces.of if by_pace else None
+        for service in self._parts.peek(parts, key):
+            fitting = self._fitting(service, progress)
+            with_room = [worker for worker in fitting if self._has_room(worker, progress)]
+            chosen = self._loads.choose(with_room, (), pace_of)
+            if chosen is not None:
+                self._note_begun(chosen, progress)
+                self._parts.charge(parts, key, service)
+                return chosen
+            if fitting:
+                return None
+        return None
+
+    def _moved_target(self, route: Route, progress: ItemProgress) -> Worker | None:
+        """Take the place that a moved run was promised; its service has been charged for it."""
+        if progress.stage is not Stage.TEXT or not progress.moved_to:
+            return None
+        for part in route.parts:
+            for worker in self._fitting(part.service, progress):
+                is_target = worker.incarnation == progress.moved_to
+                if is_target and self._has_room(worker, progress):
+                    self._loads.take(worker)
+                    self._note_begun(worker, progress)
+                    return worker
+        return None
+
+    def _note_begun(self, worker: Worker, progress: ItemProgress) -> None:
+        if progress.stage is Stage.TEXT:
+            self._attempts.refusals.begun(worker.incarnation, progress.job.model)
+        self._attempts.failing.begun(worker.incarnation, progress.item.id)
+
+    def _fitting(self, service: str, progress: ItemProgress) -> list[Worker]:
+        """Workers of a service that may run an item now, whether they have room or not.
+
+        An item that failed goes to a worker that has not failed it, as long as there is one.
+        """
+        found = [
+            worker
+            for worker in self._workers.ready(service)
+            if _fits(worker, progress) and not self._is_passed_over(worker)
+        ]
+        if self._policy.set_failing_aside:
+            found = self._without_failing(found, service, progress)
+        return found
+
+    def _without_failing(
+        self, workers: list[Worker], service: str, progress: ItemProgress
+    ) -> list[Worker]:
+        failed_at = progress.failed_at_now
+        fellows = self._fellows(service)
+        # An item that was failed often is none to try a failing worker by.
+        is_trial = len(failed_at) < progress.route.max_attempts
+        kept = [
+            worker
+            for worker in workers
+            if self._attempts.failing.may_begin(worker.incarnation, fellows, is_trial=is_trial)
+        ]
+        return [worker for worker in kept if worker.incarnation not in failed_at] or kept
+
+    def _fellows(self, service: str) -> Collection[Incarnation]:
+        return [worker.incarnation for worker in self._workers.ready(service)]
+
+    def _is_passed_over(self, worker: Worker) -> bool:
+        return self._policy.pass_over_failed and self._loads.is_avoided(worker.incarnation)
+
+    def _has_room(self, worker: Worker, progress: ItemProgress) -> bool:
+        if progress.stage is Stage.TEXT and self._policy.guard_refusals:
+            model = progress.job.model
+            if not self._attempts.refusals.may_begin(worker.incarnation, model):
+                return False
+        return self._loads.in_hand(worker.incarnation) < worker.entry.slots
+
+
+def score_route(progress: ItemProgress, table: RouteTable) -> Route | None:
+    """Return the route of the request that scores an item."""
+    scorer = progress.item.scorer
+    return table.find(scorer.host, scorer.path) if scorer is not None else None
+
+
+def _fits(worker: Worker, progress: ItemProgress) -> bool:
+    if progress.stage is not Stage.TEXT or not progress.job.model:
+        return True
+    version = worker.version_of(progress.job.model)
+    if version is None:
+        return True
+    if progress.route.single_version and progress.versions:
+        return version == progress.versions[-1]
+    return version >= progress.job.minimum_version
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -316,3 +316,17 @@
     ("address", "error"),
     "The address of the process's figures is taken; it is tried again, and all else goes on.",
 )
+WORKER_FAILS_ALL = Event(
+    1470,
+    "worker_fails_all",
+    Level.WARNING,
+    ("instance", "failures", "service_workers", "failing_workers", "cause"),
+    "A worker fails whatever it gets while its fellows don't: it gets items to try it by only.",
+)
+WORKER_SERVES_AGAIN = Event(
+    1471,
+    "worker_serves_again",
+    Level.INFO,
+    ("instance",),
+    "A worker that had failed several items in a row serves one: it gets items as its fellows do.",
+)
--- a/src/bellweir/hosted/settings.py
+++ b/src/bellweir/hosted/settings.py
@@ -126,6 +126,9 @@
     """Send one run at a time to a worker that refuses a model."""
     pass_over_failed: bool = True
     """Pass workers over for a while after a refusal or failure."""
+    set_failing_aside: bool = True
+    """Leave workers alone for a while that fail everything while their fellows don't, and count no
+    item's failures there."""
     nearby_reads: bool = True
     """Have gateways read results from the replica of their zone."""
 
--- a/src/bellweir_rehearsal/hosted/worker.py
+++ b/src/bellweir_rehearsal/hosted/worker.py
@@ -26,6 +26,8 @@
     """Answer with another request's id."""
     fail: int = 0
     """Answer 500."""
+    fail_ids: frozenset[str] = frozenset()
+    """Requests that are answered 500 whenever they come."""
     cut_after_event: int | None = None
     """Break the next stream off behind so many events, in the middle of the next one."""
     unsigned: int = 0
@@ -185,7 +187,7 @@
         time.sleep(self.faults.delay_s)
         if self.faults.strikes("lose_answer"):
             handler.reset()
-        elif self.faults.strikes("fail"):
+        elif self.faults.strikes("fail") or request_id in self.faults.fail_ids:
             handler.answer(500, b"failed", {**echo, "X-Bellweir-Server-Stamp": "failed"})
         elif self.model:
             self._stream(handler, request_id, echo)
