--- a/src/bellweir/hosted/batches/refusals.py
+++ b/src/bellweir/hosted/batches/refusals.py
@@ -57,6 +57,12 @@
             found = self._refusals.get((worker, model))
             return found is None or (not found.is_tried and self._now_s() >= found.until_s)
 
+    def left_alone_count(self) -> int:
+        """Workers that get no run of some model now."""
+        with self._lock:
+            now_s = self._now_s()
+            return len({key[0] for key, one in self._refusals.items() if now_s < one.until_s})
+
     def begun(self, worker: Incarnation, model: str) -> None:
         """Note that a run is sent; after a refusal no other one is until it is answered."""
         with self._lock:
--- a/src/bellweir/hosted/batches/service.py
+++ b/src/bellweir/hosted/batches/service.py
@@ -85,6 +85,11 @@
             "Attempts of items in hand on this node.",
             lambda: float(coordinator.running_count()),
         )
+        metrics.add_gauge(
+            "bellweir_workers_left_alone",
+            "On the jobs' leader: workers that load weights or refused a model's runs just now.",
+            lambda: float(self._attempts.refusals.left_alone_count()),
+        )
         metrics.add_gauge(
             "bellweir_ledger_leads",
             "1 while this node leads the jobs' shard.",
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -330,3 +330,11 @@
     ("instance",),
     "A worker that had failed several items in a row serves one: it gets items as its fellows do.",
 )
+ALLOWANCE_LEARNT = Event(
+    1490,
+    "allowance_learnt",
+    Level.INFO,
+    ("model", "lag", "job", "named", "minimum_version"),
+    "The holder of the roll-outs' lease learnt from a job how many versions behind the newest its "
+    "trainer lets samples be: with a lag of 1 a worker loads every second version only.",
+)
--- a/src/bellweir/hosted/weights/lags.py
+++ b/src/bellweir/hosted/weights/lags.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable, Iterable
 
+from bellweir.events.log import emit
+from bellweir.hosted.log_events import ALLOWANCE_LEARNT
 from bellweir.hosted.weights.job_news import NewestJob
 
 LONGEST_LAG = 1
@@ -24,5 +26,17 @@
         newest = max(of_model, key=lambda job: (job.minimum_version, job.accepted_at_s))
         if self._newest.get(model) != newest.id:
             self._newest[model] = newest.id
-            self._lags[model] = min(LONGEST_LAG, max(0, named - newest.minimum_version))
+            self._note(newest, named, min(LONGEST_LAG, max(0, named - newest.minimum_version)))
         return self._lags[model]
+
+    def _note(self, job: NewestJob, named: int, lag: int) -> None:
+        if self._lags.get(job.model) != lag:
+            emit(
+                ALLOWANCE_LEARNT,
+                model=job.model,
+                lag=lag,
+                job=job.id,
+                named=named,
+                minimum_version=job.minimum_version,
+            )
+        self._lags[job.model] = lag
