Judge workers beside their fellows: slow, failing, failing all

Cause: a gateway of many sends each worker little and passes a bad one over for 0.15 to 4 s, which is forgotten before its next request; a worker that fails at once looks the emptiest and draws the most.

No I/O, time passed in. Nobody uses it yet.

Tests: hosted_judgement (new): replayed load with a slow half, grey, failing all, flapping, all alike; the bound and the exactness as properties.

--- /dev/null
+++ b/features/steps/hosted_judgement_steps.py
@@ -0,0 +1,179 @@
+"""Judgement of workers on replayed load: times are passed in, nothing waits."""
+
+import itertools
+import random
+
+import hypothesis.strategies as st
+from behave import given as given_step
+from behave import then, when
+from hypothesis import given, settings
+
+from bellweir.hosted.incarnation import Incarnation
+from bellweir.hosted.sight.counts import Counts
+from bellweir.hosted.sight.interface import SeenOutcome
+from bellweir.hosted.sight.judgement import LONGEST_ASIDE_S, Judgement, most_set_aside
+
+STEP_S = 0.1
+USUAL_S = 0.1
+GREY_SHARE = 0.5
+SLOWNESS = {"ten times as slow": 10.0, "2.2 times as slow": 2.2}
+
+
+class ReplayedLoad:
+    """Requests at random workers that are not set aside, and at others by trials."""
+
+    def __init__(self, count, seed=1):
+        self.random = random.Random(seed)
+        self.workers = [Incarnation(f"i-{number}") for number in range(count)]
+        self.seen = {one: Counts() for one in self.workers}
+        self.judgement = Judgement()
+        self.verdicts = []
+        self.sends = dict.fromkeys(self.workers, 0)
+        self.sends_aside = dict.fromkeys(self.workers, 0)
+
+    def run(self, outcome_of, seconds, begin_s=0.0):
+        for step in range(round(seconds / STEP_S)):
+            now_s = begin_s + step * STEP_S
+            one = self._choose(now_s)
+            outcome, took_s = outcome_of(one, now_s)
+            self.seen[one].add(outcome, took_s, now_s)
+            changes = self.judgement.judge("s", self.seen, now_s)
+            self.verdicts += [(now_s, change) for change in changes]
+
+    def _choose(self, now_s):
+        for one in self.workers:
+            if self.judgement.may_try(one, now_s):
+                self.sends_aside[one] += 1
+                return one
+        well = [one for one in self.workers if not self.judgement.is_set_aside(one)]
+        one = self.random.choice(well)
+        self.sends[one] += 1
+        return one
+
+
+def outcomes(load, bad, kind):
+    """Outcome of a request by the worker's kind; sound ones vary by a third."""
+
+    def outcome_of(one, _now_s):
+        took_s = USUAL_S * load.random.uniform(0.67, 1.33)
+        if one not in bad:
+            return SeenOutcome.SERVED, took_s
+        if kind in SLOWNESS:
+            return SeenOutcome.SERVED, took_s * SLOWNESS[kind]
+        if kind == "failing all" or load.random.random() < GREY_SHARE:
+            return SeenOutcome.FAILED, 0.001
+        return SeenOutcome.SERVED, took_s
+
+    return outcome_of
+
+
+@when("{count:d} workers are judged under load of which {bad:d} are {kind}")
+def when_judged(context, count, bad, kind):
+    context.load = load = ReplayedLoad(count)
+    context.bad = set(load.workers[:bad])
+    load.run(outcomes(load, context.bad, kind), 20.0)
+
+
+@then("within 20 s just the bad ones were set aside, and they got few requests after it")
+def then_bad_aside(context):
+    load = context.load
+    aside = {change.incarnation for _, change in load.verdicts if not change.is_return}
+    assert aside == context.bad, aside
+    for one in context.bad:
+        assert load.sends[one] <= 40, load.sends
+        assert load.sends_aside[one] <= 8, load.sends_aside
+
+
+@then("nobody was ever set aside")
+def then_nobody(context):
+    assert not context.load.verdicts, [str(one.incarnation) for _, one in context.load.verdicts]
+
+
+@given_step("{count:d} workers are judged of which one fails everything for 10 s")
+def given_bad_for_a_while(context, count):
+    context.load = load = ReplayedLoad(count)
+    bad = outcomes(load, {load.workers[0]}, "failing all")
+    well = outcomes(load, set(), "")
+    load.run(lambda one, now_s: (bad if now_s < 10 else well)(one, now_s), 55.0)
+
+
+@then("it is set aside, and it serves again within 45 s")
+def then_returns(context):
+    load = context.load
+    assert {one.incarnation for _, one in load.verdicts} == {load.workers[0]}
+    assert not load.verdicts[0][1].is_return
+    assert load.verdicts[-1][1].is_return, load.verdicts[-1][1].kind
+    assert not load.judgement.is_set_aside(load.workers[0])
+
+
+@given_step("{count:d} workers are judged of which one is bad for 5 s of each 12 s")
+def given_flapping(context, count):
+    context.load = load = ReplayedLoad(count)
+    bad = outcomes(load, {load.workers[0]}, "failing all")
+    well = outcomes(load, set(), "")
+    load.run(lambda one, now_s: (bad if now_s % 12 < 5 else well)(one, now_s), 120.0)
+
+
+@then("each while that it is set aside within a minute of the last is longer, up to 30 s")
+def then_growing(context):
+    whiles = [one.for_s for _, one in context.load.verdicts if not one.is_return]
+    assert len(whiles) >= 4, whiles
+    assert {one.incarnation for _, one in context.load.verdicts} == {context.load.workers[0]}
+    for shorter, longer in itertools.pairwise(whiles):
+        assert longer == min(LONGEST_ASIDE_S, 2 * shorter), whiles
+
+
+EVENTS = st.lists(
+    st.tuples(
+        st.integers(0, 4),
+        st.sampled_from([SeenOutcome.SERVED, SeenOutcome.FAILED, SeenOutcome.REFUSED]),
+        st.floats(0.001, 10.0),
+        st.floats(0.0, 3.0),
+    ),
+    max_size=60,
+)
+
+
+@then("at any outcomes no more than half of a service is set aside, and a single worker never is")
+def then_bounded(context):
+    @settings(max_examples=200, deadline=None)
+    @given(count=st.integers(1, 5), events=EVENTS, leaves=st.integers(0, 60))
+    def bounded(count, events, leaves):
+        workers = [Incarnation(f"i-{number}") for number in range(count)]
+        seen = {one: Counts() for one in workers}
+        judgement = Judgement()
+        now_s = 0.0
+        for number, (which, outcome, took_s, pause_s) in enumerate(events):
+            now_s += pause_s
+            if number == leaves and len(seen) > 1:
+                del seen[next(iter(seen))]
+                judgement.forget_others(seen)
+            one = list(seen)[which % len(seen)]
+            seen[one].add(outcome, took_s, now_s)
+            judgement.judge("s", seen, now_s)
+            aside = sum(judgement.is_set_aside(each) for each in seen)
+            assert aside <= most_set_aside(len(seen))
+
+    bounded()
+
+
+@then("what was seen since a moment is exact at any outcomes")
+def then_exact(context):
+    @settings(max_examples=100, deadline=None)
+    @given(before=EVENTS, after=EVENTS)
+    def exact(before, after):
+        whole, late = Counts(), Counts()
+        now_s = 0.0
+        for _, outcome, took_s, pause_s in before:
+            now_s += pause_s
+            whole.add(outcome, took_s, now_s)
+        earlier = whole.as_of(now_s)
+        for _, outcome, took_s, pause_s in after:
+            now_s += pause_s
+            whole.add(outcome, took_s, now_s)
+            late.add(outcome, took_s, now_s)
+        since = whole.as_of(now_s).since(earlier)
+        for name in ("served", "failed", "refused"):
+            assert abs(getattr(since, name) - getattr(late, name)) < 1e-6, name
+
+    exact()
--- /dev/null
+++ b/src/bellweir/hosted/sight/judgement.py
@@ -0,0 +1,330 @@
+"""Decides which workers of a service are set aside, by comparison with their fellows.
+
+The load: plain requests of many gateways at workers of which some are slow, some fail a share of
+what they get, and some fail everything while their entries say that they are well. A worker that
+fails at once always has room and would draw most requests of a choice by load.
+
+A worker is compared with what its fellows do at the same time, never with a fixed bound: where all
+are slow or all fail, as in a burst or when what they rest upon is away, nobody is set aside, since
+nobody would serve better. The fellow to compare with is the one at the lower quartile, so that a
+worse half does not hide itself. At most `MOST_SET_ASIDE` of a service is set aside, the worst
+first: what is left must carry the load.
+
+A worker that is set aside gets nothing for a while, then trials, few for all gateways together. It
+returns after some good ones and is set aside for twice as long after a bad one.
+
+>>> from bellweir.hosted.sight.interface import SeenOutcome
+>>> a, b = Incarnation("i-a"), Incarnation("i-b")
+>>> seen = {a: Counts(), b: Counts()}
+>>> for _ in range(4):
+...     seen[a].add(SeenOutcome.FAILED, 0.01, now_s=0.0)
+...     seen[b].add(SeenOutcome.SERVED, 0.1, now_s=0.0)
+>>> judgement = Judgement()
+>>> [(str(one.incarnation), one.kind.value) for one in judgement.judge("s", seen, now_s=0.0)]
+[('i-a', 'failing_all')]
+>>> judgement.is_set_aside(a), judgement.may_try(a, now_s=0.1), judgement.is_set_aside(b)
+(True, False, False)
+"""
+
+import math
+import random
+from collections.abc import Collection, Iterable, Mapping
+from enum import Enum
+
+from bellweir.hosted.incarnation import Incarnation
+from bellweir.hosted.sight.counts import Counts
+
+MOST_SET_ASIDE = 0.5
+"""Share of a service's workers: of a slow half the other half serves more than both together."""
+FEWEST_FAILURES = 1.8
+"""Two within a second or two: one may be chance or the request's own fault."""
+FEWEST_TIMES = 2.5
+"""Answers before a worker's median tells anything."""
+FEWEST_OF_FELLOW = 1.5
+"""Requests before a worker is one to compare with."""
+SLOW_FACTOR = 3.0
+"""Above the unlikeness of sound workers of several kinds, which batch and differ by 2 to 2.5."""
+SLOW_AT_LEAST_S = 0.05
+"""Callers don't notice less."""
+FAILURE_MARGIN = 0.05
+"""Share of failures that a worker must surely have above its fellow's."""
+SURENESS = 2.6
+"""Standard deviations: a sound worker is taken for a failing one about once in 200 times."""
+FIRST_ASIDE_S = 2.0
+"""A stop or restart of a worker is over in about this time."""
+LONGEST_ASIDE_S = 30.0
+TRIAL_PERIOD_S = 1.5
+"""Time between two trials of all gateways together; a trial may cost its caller a second try."""
+GOOD_TRIALS = 2.0
+"""Weight of good trials before the return."""
+BAD_TRIAL = 0.7
+"""Weight of a failed one after which the worker is set aside again."""
+FORGIVEN_AFTER_S = 60.0
+"""Time after a return in which the next while is longer than the last."""
+QUARTILE = 0.25
+
+
+class VerdictKind(Enum):
+    """What a judgement says of a worker."""
+
+    SLOW = "slow"
+    """Its median answer takes several times that of a fellow."""
+    FAILING = "failing"
+    """It fails a larger share than its fellows."""
+    FAILING_ALL = "failing_all"
+    """It fails everything."""
+    BAD_TRIAL = "bad_trial"
+    """A trial showed it as bad as before."""
+    GOOD_TRIALS = "good_trials"
+    """It returns after trials."""
+    TOO_MANY = "too_many"
+    """It returns since too large a part of its service is set aside."""
+
+
+class Verdict:
+    """A change of what is believed of a worker, with what it rests upon."""
+
+    __slots__ = ("counts", "fellow", "for_s", "incarnation", "kind")
+
+    def __init__(
+        self,
+        incarnation: Incarnation,
+        kind: VerdictKind,
+        counts: Counts,
+        fellow: float = 0.0,
+        for_s: float = 0.0,
+    ) -> None:
+        """`fellow` is the fellow's median in seconds, or share of failures, compared with.
+
+        `for_s` is how long the worker gets nothing; 0 for a return.
+        """
+        self.incarnation = incarnation
+        self.kind = kind
+        self.counts = counts
+        self.fellow = fellow
+        self.for_s = for_s
+
+    @property
+    def is_return(self) -> bool:
+        """Whether the worker gets requests as its fellows do again."""
+        return self.for_s == 0.0
+
+
+class _Finding:
+    """That a worker is worse than its fellows, and by how much."""
+
+    __slots__ = ("fellow", "kind", "severity")
+
+    def __init__(self, kind: VerdictKind, fellow: float, severity: float) -> None:
+        self.kind = kind
+        self.fellow = fellow
+        self.severity = severity
+
+
+class _Standing:
+    """What is believed of a worker that was set aside once."""
+
+    __slots__ = ("baseline", "is_aside", "next_trial_s", "repeats", "returned_s", "until_s")
+
+    def __init__(self) -> None:
+        self.is_aside = False
+        self.until_s = 0.0
+        self.repeats = 0
+        self.returned_s = 0.0
+        self.next_trial_s: float | None = None
+        """None while it gets nothing; from then on the next trial of this process."""
+        self.baseline = Counts()
+        """What was seen until its trials began; only what came after it counts."""
+
+
+class Judgement:
+    """Workers that are set aside, by incarnation. Not safe for threads."""
+
+    def __init__(self) -> None:
+        self._standings: dict[Incarnation, _Standing] = {}
+
+    def is_set_aside(self, incarnation: Incarnation) -> bool:
+        """Whether a worker gets no more than trials."""
+        standing = self._standings.get(incarnation)
+        return standing is not None and standing.is_aside
+
+    def may_try(self, incarnation: Incarnation, now_s: float, gateways: int = 1) -> bool:
+        """Take a trial at a worker that is set aside; False when none is due.
+
+        `gateways` share the trials; each counts its own.
+        """
+        standing = self._standings.get(incarnation)
+        if standing is None or not standing.is_aside or standing.next_trial_s is None:
+            return False
+        if now_s < standing.next_trial_s:
+            return False
+        standing.next_trial_s = now_s + TRIAL_PERIOD_S * max(1, gateways)
+        return True
+
+    def judge(
+        self,
+        service: str,
+        seen: Mapping[Incarnation, Counts],
+        now_s: float,
+        gateways: int = 1,
+    ) -> list[Verdict]:
+        """Look at all workers of a service, those of which nothing was seen included.
+
+        Returns what changed. `service` is for the caller's log alone.
+        """
+        counted = {one: self._counted(one, counts, now_s) for one, counts in seen.items()}
+        verdicts = [
+            verdict
+            for one, counts in counted.items()
+            if self.is_set_aside(one)
+            and (verdict := self._judge_aside(one, counts, counted, seen, now_s, gateways))
+        ]
+        verdicts += self._return_surplus(counted)
+        return verdicts + self._set_worst_aside(counted, now_s)
+
+    def forget_others(self, present: Collection[Incarnation]) -> None:
+        """Drop what is believed of workers that are gone."""
+        for one in [one for one in self._standings if one not in present]:
+            del self._standings[one]
+
+    def _counted(self, one: Incarnation, counts: Counts, now_s: float) -> Counts:
+        """What counts of what was seen: nothing of before the last trials."""
+        now = counts.as_of(now_s)
+        standing = self._standings.get(one)
+        return now if standing is None else now.since(standing.baseline)
+
+    def _judge_aside(
+        self,
+        one: Incarnation,
+        counts: Counts,
+        counted: Mapping[Incarnation, Counts],
+        seen: Mapping[Incarnation, Counts],
+        now_s: float,
+        gateways: int,
+    ) -> Verdict | None:
+        standing = self._standings[one]
+        if now_s < standing.until_s:
+            return None
+        if standing.next_trial_s is None:
+            # Trials of all gateways are spread over the time in which each makes one.
+            spread_s = TRIAL_PERIOD_S * (gateways - 1)
+            standing.next_trial_s = now_s + random.uniform(0.0, max(0.0, spread_s))
+            standing.baseline = seen[one].as_of(now_s)
+            return None
+        finding = self._finding(one, counts, counted, fewest=BAD_TRIAL)
+        if finding is not None:
+            return self._set_aside(one, VerdictKind.BAD_TRIAL, counts, finding.fellow, now_s)
+        if counts.served >= GOOD_TRIALS:
+            return self._return(one, VerdictKind.GOOD_TRIALS, counts, now_s)
+        return None
+
+    def _return_surplus(self, counted: Mapping[Incarnation, Counts]) -> list[Verdict]:
+        """Let those return that are set aside beyond the bound, as after a loss of fellows."""
+        aside = [one for one in counted if self.is_set_aside(one)]
+        surplus = len(aside) - most_set_aside(len(counted))
+        soonest = sorted(aside, key=lambda one: self._standings[one].until_s)
+        return [
+            self._return(one, VerdictKind.TOO_MANY, counted[one], counted[one].as_of_s)
+            for one in soonest[: max(0, surplus)]
+        ]
+
+    def _set_worst_aside(
+        self, counted: Mapping[Incarnation, Counts], now_s: float
+    ) -> list[Verdict]:
+        aside = sum(self.is_set_aside(one) for one in counted)
+        places = most_set_aside(len(counted)) - aside
+        if places <= 0:
+            return []
+        found = {
+            one: finding
+            for one, counts in counted.items()
+            if not self.is_set_aside(one) and (finding := self._finding(one, counts, counted))
+        }
+        worst = sorted(found, key=lambda one: -found[one].severity)[:places]
+        return [
+            self._set_aside(one, found[one].kind, counted[one], found[one].fellow, now_s)
+            for one in worst
+        ]
+
+    def _finding(
+        self,
+        one: Incarnation,
+        counts: Counts,
+        counted: Mapping[Incarnation, Counts],
+        fewest: float | None = None,
+    ) -> _Finding | None:
+        """What is wrong with a worker beside its fellows; `fewest` requests show it."""
+        fellows = [
+            fellow
+            for other, fellow in counted.items()
+            if other != one and not self.is_set_aside(other) and fellow.judged >= FEWEST_OF_FELLOW
+        ]
+        failing = _failing(counts, fellows, fewest or FEWEST_FAILURES)
+        return failing or _slow(counts, fellows, fewest or FEWEST_TIMES)
+
+    def _set_aside(
+        self, one: Incarnation, kind: VerdictKind, counts: Counts, fellow: float, now_s: float
+    ) -> Verdict:
+        standing = self._standings.setdefault(one, _Standing())
+        if not standing.is_aside and now_s - standing.returned_s > FORGIVEN_AFTER_S:
+            standing.repeats = 0
+        for_s = min(LONGEST_ASIDE_S, FIRST_ASIDE_S * 2**standing.repeats)
+        standing.repeats += 1
+        standing.is_aside = True
+        standing.until_s = now_s + for_s
+        standing.next_trial_s = None
+        return Verdict(one, kind, counts, fellow, for_s)
+
+    def _return(self, one: Incarnation, kind: VerdictKind, counts: Counts, now_s: float) -> Verdict:
+        standing = self._standings[one]
+        standing.is_aside = False
+        standing.returned_s = now_s
+        return Verdict(one, kind, counts)
+
+
+def most_set_aside(workers: int) -> int:
+    """Workers of a service that may be set aside at once.
+
+    >>> [most_set_aside(workers) for workers in (1, 2, 3, 4)]
+    [0, 1, 1, 2]
+    """
+    return int(workers * MOST_SET_ASIDE)
+
+
+def surely_at_least(failed: float, judged: float, sureness: float = SURENESS) -> float:
+    """Lower end of Wilson's interval for a share of failures.
+
+    >>> round(surely_at_least(3, 3), 2), round(surely_at_least(4, 20), 2)
+    (0.31, 0.06)
+    """
+    if judged <= 0:
+        return 0.0
+    square = sureness * sureness
+    share = failed / judged
+    spread = sureness * math.sqrt(share * (1 - share) / judged + square / (4 * judged * judged))
+    return max(0.0, (share + square / (2 * judged) - spread) / (1 + square / judged))
+
+
+def _failing(counts: Counts, fellows: Iterable[Counts], fewest: float) -> _Finding | None:
+    shares = sorted(fellow.failed / fellow.judged for fellow in fellows)
+    if not shares or counts.failed < fewest:
+        return None
+    fellow = shares[int(QUARTILE * len(shares))]
+    excess = surely_at_least(counts.failed, counts.judged) - fellow
+    if excess <= FAILURE_MARGIN:
+        return None
+    fails_all = counts.served < FEWEST_FAILURES / 4
+    kind = VerdictKind.FAILING_ALL if fails_all else VerdictKind.FAILING
+    # A failing worker is worse than any slow one.
+    return _Finding(kind, fellow, 1_000.0 + excess)
+
+
+def _slow(counts: Counts, fellows: Iterable[Counts], fewest: float) -> _Finding | None:
+    medians = sorted(fellow.quantile_s(0.5) for fellow in fellows if fellow.served)
+    if not medians or counts.served < fewest:
+        return None
+    fellow = medians[int(QUARTILE * len(medians))]
+    own = counts.quantile_s(0.5)
+    if own <= SLOW_FACTOR * fellow or own - fellow < SLOW_AT_LEAST_S:
+        return None
+    return _Finding(VerdictKind.SLOW, fellow, own / fellow)
