Share among gateways what they see of workers

Cause: with 64 to 76 gateways each sees too few requests at a worker to know its load or health.

Events BW1470 to BW1474. No process uses it yet.

Tests: hosted_sight (new): a model of lost, doubled, late messages and restarts; spread, bound of messages and connections; a gateway that is cut off; an older build. The spread over 7 gateways in 3 zones failed first: relays of a zone all crossed to the same other zone, so an origin now tells each zone itself.

--- /dev/null
+++ b/features/steps/hosted_sight_steps.py
@@ -0,0 +1,257 @@
+"""Shared sight: the exchange against its model, and gateways over a network in memory."""
+
+import math
+from unittest import mock
+
+import hypothesis.strategies as st
+from behave import given as given_step
+from behave import then, when
+from features.support.sight_nodes import SERVICE, SightNetwork
+from hypothesis import given, settings
+
+from bellweir.hosted.incarnation import Incarnation
+from bellweir.hosted.log_events import SIGHT_ALONE, SIGHT_SHARED
+from bellweir.hosted.sight import shared
+from bellweir.hosted.sight.exchange import ALONE_AFTER_S, PERIOD_S
+from bellweir.hosted.sight.fellows import rounds_to_all
+from bellweir.hosted.sight.interface import SeenOutcome
+from bellweir.hosted.sight.table import IN_HAND_LIFE_S, SightTable
+
+WORKERS = [Incarnation("i-0"), Incarnation("i-1", 5)]
+NODES = 3
+ROUNDING = 0.006
+"""Counts travel in hundredths, of three buckets at most."""
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("see"), st.integers(0, NODES - 1), st.integers(0, 1)),
+        st.tuples(st.just("tell"), st.integers(0, NODES - 1), st.booleans()),
+        st.tuples(st.just("deliver"), st.integers(0, NODES - 1), st.integers(0, 100)),
+        st.tuples(st.just("lose"), st.integers(0, 100), st.none()),
+        st.tuples(st.just("restart"), st.integers(0, NODES - 1), st.none()),
+        st.tuples(st.just("wait"), st.floats(0.0, 9.0), st.none()),
+    ),
+    max_size=60,
+)
+
+
+class Model:
+    """Tables whose messages lie in a bag: any may be handed over, again and again, or lost."""
+
+    def __init__(self):
+        self.now_s = 0.0
+        self.bag = []
+        self.seen = {}
+        """Requests that each node saw of each worker, over all of its starts."""
+        self.starts = 0
+        self.tables = [self._table(node) for node in range(NODES)]
+
+    def _table(self, node):
+        self.starts += 1
+        return SightTable(f"g-{node}", f"z-{node % 2}", 1_000_000 * self.starts)
+
+    def step(self, kind, first, second):
+        match kind:
+            case "see":
+                worker = WORKERS[second]
+                self.tables[first].begun(worker, self.now_s)
+                self.tables[first].ended(worker, SeenOutcome.SERVED, 0.1, self.now_s)
+                self.seen[first, worker] = self.seen.get((first, worker), 0) + 1
+            case "tell":
+                self.bag += self.tables[first].to_tell(self.now_s, 2, to_other_zone=second)
+            case "deliver" if self.bag:
+                record = self.bag[second % len(self.bag)]
+                self.tables[first].take(record, "z-0", self.now_s, 2)
+            case "lose" if self.bag:
+                self.bag.pop(first % len(self.bag))
+            case "restart":
+                self.tables[first] = self._table(first)
+            case "wait":
+                self.now_s += first
+
+
+@then("whatever becomes of the messages, no gateway counts more of another than that one saw")
+def then_never_double(context):
+    @settings(max_examples=300, deadline=None)
+    @given(steps=STEPS)
+    def never_double(steps):
+        model = Model()
+        for step in steps:
+            model.step(*step)
+            for table in model.tables:
+                for worker in WORKERS:
+                    truth = sum(model.seen.get((node, worker), 0) for node in range(NODES))
+                    found = table.merged(worker, model.now_s)
+                    assert found.served <= truth + NODES * ROUNDING, (found.served, truth)
+                    assert sum(found.buckets.values()) <= truth + NODES * ROUNDING
+
+    never_double()
+
+
+@then("whatever becomes of them, a later message brings all to what each saw last")
+def then_convergence(context):
+    @settings(max_examples=100, deadline=None)
+    @given(steps=STEPS)
+    def converge(steps):
+        model = Model()
+        for step in steps:
+            model.step(*step)
+        for node in range(NODES):
+            for which in range(len(WORKERS)):
+                model.step("see", node, which)
+        for table in model.tables:
+            records = table.to_tell(model.now_s, 2)
+            own = [each for each in records if each.origin == table._node]
+            assert {each.incarnation for each in own} == set(WORKERS)
+            for other in model.tables:
+                for record in own:
+                    other.take(record, None, model.now_s, 2)
+        for worker in WORKERS:
+            found = [table.merged(worker, model.now_s).served for table in model.tables]
+            assert max(found) - min(found) <= 2 * NODES * ROUNDING, found
+
+    converge()
+
+
+@given_step("{gateways:d} gateways in {zones:d} zones")
+def given_gateways(context, gateways, zones):
+    context.network = SightNetwork(gateways, zones)
+    context.zones = zones
+
+
+@given_step("{gateways:d} gateways in {zones:d} zones of which one does not know the messages")
+def given_older(context, gateways, zones):
+    given_gateways(context, gateways, zones)
+    context.network.older = {f"g-{gateways - 1}"}
+
+
+@when("one of them sees a worker fail")
+def when_sees(context):
+    context.worker = context.network.workers[0]
+    context.network.gateways["g-0"].see(context.worker, SeenOutcome.FAILED)
+
+
+@when("{rounds:d} rounds pass")
+def when_rounds(context, rounds):
+    context.network.run(rounds)
+
+
+def largest_zone(context):
+    return math.ceil(len(context.network.gateways) / context.zones)
+
+
+def rounds_that_tell_all(context):
+    return 2 * rounds_to_all(largest_zone(context)) + context.zones
+
+
+def have_heard(context, gateways):
+    now_s = context.network.now_s
+    return [one.table.merged(context.worker, now_s).failed > 0.5 for one in gateways]
+
+
+@then("all have heard of it after the rounds that tell all")
+def then_all_heard(context):
+    rounds = rounds_that_tell_all(context)
+    context.network.run(rounds)
+    context.rounds = rounds
+    assert all(have_heard(context, context.network.all()))
+
+
+@then("no gateway sent more than 2 messages a round, nor kept more than the stated connections")
+def then_bounded(context):
+    stated = rounds_to_all(largest_zone(context)) + context.zones - 1
+    for one in context.network.all():
+        assert len(one.transport.sent) <= 2 * context.rounds
+        assert len({address for address, _ in one.transport.sent}) <= stated
+
+
+@then("no gateway sent anything")
+def then_nothing(context):
+    assert not any(one.transport.sent for one in context.network.all())
+
+
+@given_step(
+    "{gateways:d} gateways in {zones:d} zones that each sent one request to one of {workers:d} "
+    "workers, of which one fails everything"
+)
+def given_each_one(context, gateways, zones, workers):
+    given_gateways(context, gateways, zones)
+    network = context.network
+    context.bad = network.workers[0]
+    for number, one in enumerate(network.all()):
+        worker = network.workers[number % workers]
+        failed = worker == context.bad
+        outcome = SeenOutcome.FAILED if failed else SeenOutcome.SERVED
+        one.see(worker, outcome, 0.001 if failed else 0.1)
+
+
+@when("the rounds pass that tell all")
+def when_tell_all(context):
+    context.network.run(rounds_that_tell_all(context))
+
+
+@then("every gateway has set it aside, and no other worker")
+def then_set_aside(context):
+    for one in context.network.all():
+        aside = {each for each in context.network.workers if one.sight.seen(each).is_set_aside}
+        assert aside == {context.bad}, (one.transport.node, aside)
+
+
+@given_step(
+    "{gateways:d} gateways in {zones:d} zones that have told each other of requests in hand"
+)
+def given_in_hand(context, gateways, zones):
+    given_gateways(context, gateways, zones)
+    network = context.network
+    context.worker = network.workers[0]
+    for one in network.all():
+        one.sight.begun(SERVICE, context.worker)
+    network.run(rounds_that_tell_all(context))
+    found = [one.sight.seen(context.worker).in_hand for one in network.all()]
+    assert all(1.0 < count <= gateways for count in found), found
+
+
+@when("one of them is cut off and goes on seeing requests")
+def when_cut_off(context):
+    context.cut = context.network.gateways["g-0"]
+    context.network.cut = {"g-0"}
+    context.events = []
+    with mock.patch.object(shared, "emit", lambda event, **_fields: context.events.append(event)):
+        for _ in range(math.ceil(2 * (IN_HAND_LIFE_S + ALONE_AFTER_S) / PERIOD_S)):
+            context.cut.see(context.network.workers[1], SeenOutcome.SERVED, 0.1)
+            context.network.run(1)
+
+
+@then("it says that it is alone, and counts nothing in hand elsewhere")
+def then_alone(context):
+    assert context.cut.sight.is_alone
+    assert SIGHT_ALONE in context.events
+    assert context.cut.sight.seen(context.worker).in_hand == 1
+    assert not context.network.gateways["g-2"].sight.is_alone
+
+
+@then("it says that it is no longer so once it hears others again")
+def then_shared(context):
+    context.network.cut = set()
+    with mock.patch.object(shared, "emit", lambda event, **_fields: context.events.append(event)):
+        for _ in range(20):
+            for one in context.network.all():
+                one.see(context.network.workers[1], SeenOutcome.SERVED, 0.1)
+            context.network.run(1)
+    assert SIGHT_SHARED in context.events
+    assert not context.cut.sight.is_alone
+
+
+@then(
+    "the others have all heard of it, and the older one got no more than one message of each "
+    "in half a minute"
+)
+def then_older(context):
+    network = context.network
+    for _ in range(round(29 / PERIOD_S)):
+        network.gateways["g-0"].see(context.worker, SeenOutcome.FAILED)
+        network.run(1)
+    speakers = [one for name, one in network.gateways.items() if name not in network.older]
+    assert all(have_heard(context, speakers))
+    for one in speakers:
+        sent = [address for address, _ in one.transport.sent]
+        assert sum(address in network.older for address in sent) <= 1, sent
--- /dev/null
+++ b/features/support/sight_nodes.py
@@ -0,0 +1,114 @@
+"""Gateways that share their sight over a network in memory, round by round."""
+
+from returns.result import Failure, Success
+
+from bellweir.hosted.incarnation import Incarnation
+from bellweir.hosted.sight.exchange import PERIOD_S, SightExchange
+from bellweir.hosted.sight.shared import SharedSight
+from bellweir.hosted.sight.table import SightTable
+from bellweir.membership.interface import Member, Membership, MemberState
+from bellweir.wire.interface import Sender, Transport, WireError, WireErrorKind
+
+SERVICE = "app"
+SPENT_S = 0.001
+
+
+class _Transport(Transport):
+    """Hands messages over at once."""
+
+    def __init__(self, node, network):
+        self.node = node
+        self.network = network
+        self.handlers = {}
+        self.sent = []
+        """Address and message type of each message."""
+
+    def register(self, message_type, handler):
+        self.handlers[message_type] = handler
+
+    def _hand_over(self, address, message):
+        self.sent.append((address, type(message)))
+        network = self.network
+        if address in network.cut or self.node in network.cut:
+            return Failure(WireError(WireErrorKind.NO_ANSWER, "cut off"))
+        if address in network.older:
+            return Failure(WireError(WireErrorKind.REFUSED, "unknown message"))
+        handler = network.gateways[address].transport.handlers[type(message)]
+        return Success(handler(Sender(self.node, self.node), message))
+
+    def request(self, address, message, timeout_s):
+        return self._hand_over(address, message)
+
+    def send(self, address, message):
+        self._hand_over(address, message)
+        return True
+
+
+class _Membership(Membership):
+    def __init__(self, node, network):
+        self._node = node
+        self._network = network
+
+    def self_member(self):
+        return self._network.members[self._node]
+
+    def members(self):
+        return tuple(self._network.members.values())
+
+    def member(self, node):
+        return self._network.members.get(node)
+
+    def subscribe(self, listener): ...
+    def announce_leaving(self): ...
+
+
+class SightGateway:
+    """One gateway's table, exchange and judged sight."""
+
+    def __init__(self, node, network):
+        def now_s():
+            return network.now_s
+
+        zone = network.members[node].zone
+        self.transport = _Transport(node, network)
+        self.table = SightTable(node, zone, 1_000)
+        membership = _Membership(node, network)
+        self.exchange = SightExchange(self.transport, membership, self.table, now_s)
+        self.sight = SharedSight(
+            self.table,
+            lambda: {SERVICE: network.workers},
+            lambda: self.exchange.is_alone,
+            now_s,
+        )
+
+    def see(self, worker, outcome, seconds=SPENT_S):
+        self.sight.begun(SERVICE, worker)
+        self.sight.ended(worker, outcome, seconds)
+
+
+class SightNetwork:
+    """Gateways `g-0`, `g-1` and so on, shared evenly among zones."""
+
+    def __init__(self, gateways, zones, workers=4):
+        self.now_s = 100.0
+        self.cut = set()
+        self.older = set()
+        self.workers = [Incarnation(f"i-{number}") for number in range(workers)]
+        names = [f"g-{number}" for number in range(gateways)]
+        self.members = {
+            name: Member(name, name, "h:1", f"z-{number % zones}", "r", False, MemberState.ALIVE, 1)
+            for number, name in enumerate(names)
+        }
+        self.gateways = {name: SightGateway(name, self) for name in names}
+
+    def all(self):
+        return list(self.gateways.values())
+
+    def run(self, rounds):
+        for _ in range(rounds):
+            self.now_s += PERIOD_S
+            for gateway in self.all():
+                if gateway.transport.node not in self.older:
+                    gateway.exchange.tell()
+            for gateway in self.all():
+                gateway.sight.look()
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -163,6 +163,52 @@
     ("request_id", "configuration", "verdict", "has_key", "age_ms"),
     "A request carries no key that the configuration in force has; `undecided`: a newer one may.",
 )
+WORKER_SET_ASIDE = Event(
+    1470,
+    "worker_set_aside",
+    Level.WARNING,
+    (
+        "instance",
+        "service",
+        "cause",
+        "served",
+        "failed",
+        "usual_ms",
+        "fellow",
+        "for_s",
+        "told_age_ms",
+    ),
+    "A worker does worse than its fellows; it gets nothing for so long, then trials. `fellow`: the"
+    " fellow's share of failures or median in seconds.",
+)
+WORKER_RETURNED = Event(
+    1471,
+    "worker_returned",
+    Level.INFO,
+    ("instance", "service", "cause", "served", "failed", "usual_ms", "told_age_ms"),
+    "A worker that was set aside gets requests as its fellows do.",
+)
+SIGHT_ALONE = Event(
+    1472,
+    "sight_alone",
+    Level.WARNING,
+    ("gateways",),
+    "No other gateway was heard while there was something to tell; what they told fades out.",
+)
+SIGHT_SHARED = Event(
+    1473,
+    "sight_shared",
+    Level.INFO,
+    ("gateways",),
+    "Another gateway was heard again.",
+)
+RETRY_REFUSED = Event(
+    1474,
+    "retry_refused",
+    Level.WARNING,
+    ("service", "first", "further", "gateways"),
+    "The further tries of a service have used up their share; one line a second at most.",
+)
 JOB_ACCEPTED = Event(
     1430,
     "job_accepted",
--- a/src/bellweir/hosted/sight/counts.py
+++ b/src/bellweir/hosted/sight/counts.py
@@ -61,13 +61,18 @@
         return self.judged + self.refused < NOTHING
 
     def add(self, outcome: SeenOutcome, seconds: float, now_s: float) -> None:
-        """Count a request that ended; only served ones tell a time."""
+        """Count a request that ended.
+
+        Served ones tell a time, and so do late ones, which took as long at least: without them
+        the answers that are waited for would look ever shorter.
+        """
         self.age_to(now_s)
-        if outcome is SeenOutcome.SERVED:
-            self.served += 1.0
+        if outcome in (SeenOutcome.SERVED, SeenOutcome.LATE):
             bucket = bucket_of(seconds)
             self.buckets[bucket] = self.buckets.get(bucket, 0.0) + 1.0
-        elif outcome is SeenOutcome.FAILED:
+        if outcome is SeenOutcome.SERVED:
+            self.served += 1.0
+        elif outcome in (SeenOutcome.FAILED, SeenOutcome.LATE):
             self.failed += 1.0
         elif outcome is SeenOutcome.REFUSED:
             self.refused += 1.0
--- a/src/bellweir/hosted/sight/interface.py
+++ b/src/bellweir/hosted/sight/interface.py
@@ -17,6 +17,8 @@
     """A whole answer that is no failure of the worker's."""
     FAILED = "failed"
     """The worker's own failure, an answer that was cut, or none in time."""
+    LATE = "late"
+    """Given up since no answer came in the time that fellows take; also a failure."""
     REFUSED = "refused"
     """The worker said that it did not run the request."""
     UNKNOWN = "unknown"
--- a/src/bellweir/hosted/sight/judgement.py
+++ b/src/bellweir/hosted/sight/judgement.py
@@ -28,7 +28,8 @@
 
 import math
 import random
-from collections.abc import Collection, Iterable, Mapping
+from bisect import bisect_left
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from enum import Enum
 
 from bellweir.hosted.incarnation import Incarnation
@@ -211,7 +212,7 @@
             standing.next_trial_s = now_s + random.uniform(0.0, max(0.0, spread_s))
             standing.baseline = seen[one].as_of(now_s)
             return None
-        finding = self._finding(one, counts, counted, fewest=BAD_TRIAL)
+        finding = _finding(counts, self._fellows(counted), is_one=False)
         if finding is not None:
             return self._set_aside(one, VerdictKind.BAD_TRIAL, counts, finding.fellow, now_s)
         if counts.served >= GOOD_TRIALS:
@@ -235,10 +236,11 @@
         places = most_set_aside(len(counted)) - aside
         if places <= 0:
             return []
+        fellows = self._fellows(counted)
         found = {
             one: finding
             for one, counts in counted.items()
-            if not self.is_set_aside(one) and (finding := self._finding(one, counts, counted))
+            if not self.is_set_aside(one) and (finding := _finding(counts, fellows, is_one=True))
         }
         worst = sorted(found, key=lambda one: -found[one].severity)[:places]
         return [
@@ -246,21 +248,12 @@
             for one in worst
         ]
 
-    def _finding(
-        self,
-        one: Incarnation,
-        counts: Counts,
-        counted: Mapping[Incarnation, Counts],
-        fewest: float | None = None,
-    ) -> _Finding | None:
-        """What is wrong with a worker beside its fellows; `fewest` requests show it."""
-        fellows = [
-            fellow
-            for other, fellow in counted.items()
-            if other != one and not self.is_set_aside(other) and fellow.judged >= FEWEST_OF_FELLOW
-        ]
-        failing = _failing(counts, fellows, fewest or FEWEST_FAILURES)
-        return failing or _slow(counts, fellows, fewest or FEWEST_TIMES)
+    def _fellows(self, counted: Mapping[Incarnation, Counts]) -> "_Fellows":
+        return _Fellows(
+            counts
+            for one, counts in counted.items()
+            if not self.is_set_aside(one) and counts.judged >= FEWEST_OF_FELLOW
+        )
 
     def _set_aside(
         self, one: Incarnation, kind: VerdictKind, counts: Counts, fellow: float, now_s: float
@@ -305,11 +298,37 @@
     return max(0.0, (share + square / (2 * judged) - spread) / (1 + square / judged))
 
 
-def _failing(counts: Counts, fellows: Iterable[Counts], fewest: float) -> _Finding | None:
-    shares = sorted(fellow.failed / fellow.judged for fellow in fellows)
-    if not shares or counts.failed < fewest:
+class _Fellows:
+    """What the workers that are compared with do: shares of failures and medians, sorted."""
+
+    __slots__ = ("medians", "shares")
+
+    def __init__(self, fellows: Iterable[Counts]) -> None:
+        each = list(fellows)
+        self.shares = sorted(one.failed / one.judged for one in each)
+        self.medians = sorted(one.quantile_s(0.5) for one in each if one.served)
+
+
+def _finding(counts: Counts, fellows: _Fellows, *, is_one: bool) -> _Finding | None:
+    """What is wrong with a worker beside its fellows; `is_one`: it is among them itself.
+
+    One that is not is on trial, where less shows that it is bad still.
+    """
+    fewest_failures, fewest_times = (
+        (FEWEST_FAILURES, FEWEST_TIMES) if is_one else (BAD_TRIAL, BAD_TRIAL)
+    )
+    failing = _failing(counts, fellows.shares, fewest_failures, is_one=is_one)
+    return failing or _slow(counts, fellows.medians, fewest_times, is_one=is_one)
+
+
+def _failing(
+    counts: Counts, shares: Sequence[float], fewest: float, *, is_one: bool
+) -> _Finding | None:
+    if counts.failed < fewest:
+        return None
+    fellow = lower_quartile(shares, counts.failed / counts.judged if is_one else None)
+    if fellow is None:
         return None
-    fellow = shares[int(QUARTILE * len(shares))]
     excess = surely_at_least(counts.failed, counts.judged) - fellow
     if excess <= FAILURE_MARGIN:
         return None
@@ -319,12 +338,30 @@
     return _Finding(kind, fellow, 1_000.0 + excess)
 
 
-def _slow(counts: Counts, fellows: Iterable[Counts], fewest: float) -> _Finding | None:
-    medians = sorted(fellow.quantile_s(0.5) for fellow in fellows if fellow.served)
-    if not medians or counts.served < fewest:
+def _slow(
+    counts: Counts, medians: Sequence[float], fewest: float, *, is_one: bool
+) -> _Finding | None:
+    if counts.served < fewest:
         return None
-    fellow = medians[int(QUARTILE * len(medians))]
     own = counts.quantile_s(0.5)
-    if own <= SLOW_FACTOR * fellow or own - fellow < SLOW_AT_LEAST_S:
+    fellow = lower_quartile(medians, own if is_one else None)
+    if fellow is None or own <= SLOW_FACTOR * fellow or own - fellow < SLOW_AT_LEAST_S:
         return None
     return _Finding(VerdictKind.SLOW, fellow, own / fellow)
+
+
+def lower_quartile(figures: Sequence[float], own: float | None) -> float | None:
+    """The figure at the lower quartile of sorted ones without `own`; None when none is left.
+
+    >>> [lower_quartile([1.0, 2.0, 3.0, 4.0, 5.0], own) for own in (1.0, 2.0, 5.0, None)]
+    [3.0, 3.0, 2.0, 2.0]
+    >>> lower_quartile([1.0], 1.0) is None, lower_quartile([1.0], 7.0)
+    (True, 1.0)
+    """
+    place = bisect_left(figures, own) if own is not None else len(figures)
+    has_own = place < len(figures) and figures[place] == own
+    left = len(figures) - has_own
+    if left <= 0:
+        return None
+    wanted = int(QUARTILE * left)
+    return figures[wanted + (has_own and place <= wanted)]
--- /dev/null
+++ b/src/bellweir/hosted/sight/messages.py
@@ -0,0 +1,82 @@
+"""What gateways tell each other of workers."""
+
+import msgspec
+
+from bellweir.hosted.incarnation import Incarnation
+from bellweir.hosted.sight.counts import Counts
+from bellweir.wire.interface import Message
+
+PARTS = 100
+"""Counts travel in hundredths."""
+MS_PER_S = 1000
+
+
+class SeenRecord(msgspec.Struct, frozen=True, array_like=True):
+    """What one gateway, the origin, saw of one worker by itself.
+
+    >>> counts = Counts(served=1.5, buckets={4: 1.5}, as_of_s=10.0)
+    >>> record = record_of("g-1", 7, Incarnation("i-1", 3), counts, in_hand=2, now_s=10.25)
+    >>> record.age_ms, record.in_hand, record.counts(now_s=99.0).as_of_s
+    (250, 2, 98.75)
+    """
+
+    origin: str
+    """Node that saw it."""
+    sequence: int
+    """Rises with each record of its origin, also over its restarts."""
+    instance: str
+    born_ms: int
+    age_ms: int
+    """Time since the counts weighed what they say here, on the way included as far as known."""
+    in_hand: int
+    served: int
+    """This and the counts below are in hundredths."""
+    failed: int
+    refused: int
+    times: tuple[int, ...] = ()
+    """Bucket and its count by turns."""
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """The worker."""
+        return Incarnation(self.instance, self.born_ms)
+
+    def counts(self, now_s: float) -> Counts:
+        """The counts, on the clock of the node that was told them just now."""
+        pairs = zip(self.times[::2], self.times[1::2], strict=False)
+        return Counts(
+            self.served / PARTS,
+            self.failed / PARTS,
+            self.refused / PARTS,
+            {bucket: weight / PARTS for bucket, weight in pairs},
+            now_s - max(0, self.age_ms) / MS_PER_S,
+        )
+
+
+class SightNews(Message, frozen=True):
+    """Records that are new to the sender; answered by `SightHeard` where it is a request."""
+
+    records: tuple[SeenRecord, ...]
+
+
+class SightHeard(Message, frozen=True):
+    """The receiver knows such messages."""
+
+
+def record_of(
+    origin: str, sequence: int, worker: Incarnation, counts: Counts, in_hand: int, now_s: float
+) -> SeenRecord:
+    """A record as it is told now."""
+    weights = ((bucket, round(PARTS * weight)) for bucket, weight in sorted(counts.buckets.items()))
+    return SeenRecord(
+        origin,
+        sequence,
+        worker.instance,
+        worker.born_ms,
+        max(0, round(MS_PER_S * (now_s - counts.as_of_s))),
+        in_hand,
+        round(PARTS * counts.served),
+        round(PARTS * counts.failed),
+        round(PARTS * counts.refused),
+        tuple(figure for pair in weights if pair[1] for figure in pair),
+    )
