Choose workers by what all gateways see; bound further tries

Cause: a gateway's own requests in hand, times and penalties say next to nothing where it sends a worker something once in six seconds; further tries were bounded by nothing but a request's own count; a client that left counted as its worker's failure.

Change: the service sight runs on gateways. Every end of a try is told with what it shows of the worker. A worker that is set aside gets trials only (nothing but it when all are), and no further try. Where another gateway spoke of a worker, requests and times of all count in the choice. A further try needs the budget of its service, which counts all gateways' tries; a first try is given up at twice the 95th percentile of the sound fellows where that is known, and not at all while no further one may follow; its connection is closed. Settings sight.share, setAside, chooseByAll, patienceOfFellows, tryShare.

--- /dev/null
+++ b/features/steps/hosted_choice_steps.py
@@ -0,0 +1,258 @@
+"""The choice of workers under shared sight: one real gateway, and many over a network in memory."""
+
+import socket
+import threading
+
+import hypothesis.strategies as st
+from behave import given as given_step
+from behave import then, when
+from features.support.hosted_gateway import GatewayUnderTest
+from features.support.known_sight import KnownSight
+from features.support.sight_nodes import SERVICE, SightNetwork
+from hypothesis import given, settings
+
+from bellweir.hosted.incarnation import Incarnation
+from bellweir.hosted.records import WorkerEntry
+from bellweir.hosted.serving.attempt import AttemptState
+from bellweir.hosted.serving.failed_attempt import FailedAttempt
+from bellweir.hosted.serving.selection import WorkerLoads
+from bellweir.hosted.sight.exchange import PERIOD_S
+from bellweir.hosted.sight.interface import SeenOutcome, WorkerSeen
+from bellweir.hosted.sight.tries import RESERVE_TRIES
+from bellweir.hosted.views.workers import Worker
+from bellweir.kernel.listeners import address_of
+from bellweir_rehearsal.hosted.worker import WorkerStandIn
+
+TRY_SHARE = 0.5
+WORD_S = 7.0
+"""Time in which word of a further try reaches all 24 gateways: 14 rounds."""
+
+
+@given_step('workers "a" and "b" behind a gateway that shares its sight')
+def given_workers(context):
+    context.workers = {name: WorkerStandIn(f"i-{name}") for name in "ab"}
+    context.sight = KnownSight()
+    context.gateway = GatewayUnderTest(list(context.workers.values()), context.sight)
+    context.cleanup.callback(context.gateway.close)
+    for worker in context.workers.values():
+        context.cleanup.callback(worker.close)
+
+
+def incarnation_of(context, name):
+    return context.gateway.workers.worker(f"i-{name}").incarnation
+
+
+@given_step('worker "{name}" is set aside')
+def given_aside(context, name):
+    one = incarnation_of(context, name)
+    context.sight.known[one] = WorkerSeen(one, is_set_aside=True)
+
+
+@given_step('worker "{name}" may get a trial')
+def given_trial(context, name):
+    context.sight.trials.add(incarnation_of(context, name))
+
+
+@given_step('the next request at worker "{name}" fails')
+def given_failure(context, name):
+    context.workers[name].faults.fail = 1
+
+
+@given_step('other gateways have {count:d} requests at worker "{name}"')
+def given_others(context, count, name):
+    for each in "ab":
+        one = incarnation_of(context, each)
+        in_hand = count if each == name else 0
+        context.sight.known[one] = WorkerSeen(one, in_hand, usual_s=0.5, slow_s=0.6, age_s=0.1)
+
+
+@given_step("the budget of further tries is spent")
+def given_spent(context):
+    context.sight.may_retry = False
+
+
+@given_step("fellows answer within {milliseconds:d} ms")
+def given_fellows(context, milliseconds):
+    context.sight.slow_s = milliseconds / 1000
+
+
+@given_step('worker "{name}" takes its requests and never answers, and is tried first')
+def given_silent(context, name):
+    call = context.gateway._connections.call
+    context.timeouts_s = []
+
+    def noted_call(worker, sent, timeout_s, deadline_ms, cancellation):
+        context.timeouts_s.append(timeout_s)
+        return call(worker, sent, timeout_s, deadline_ms, cancellation)
+
+    context.gateway._connections.call = noted_call
+    listener = socket.create_server(("127.0.0.1", 0))
+    context.cleanup.callback(listener.close)
+    context.closed = threading.Event()
+    entries = {f"i-{each}": worker.entry("app") for each, worker in context.workers.items()}
+    entries[f"i-{name}"]["address"] = address_of(listener)
+    context.gateway.show_workers(entries)
+    for each in "ab":
+        one = incarnation_of(context, each)
+        usual_s = 0.01 if each == name else 0.5
+        context.sight.known[one] = WorkerSeen(one, usual_s=usual_s, slow_s=0.6, age_s=0.1)
+
+    def swallow():
+        connection, _ = listener.accept()
+        with connection:
+            while connection.recv(65_536):
+                pass
+        context.closed.set()
+
+    threading.Thread(target=swallow, daemon=True).start()
+
+
+@when("{count:d} requests are sent one after the other")
+def when_sent(context, count):
+    before = dict.fromkeys(context.workers, 0)
+    del context.sight.ends[:]
+    context.answers = [context.gateway.send("/idempotent/x") for _ in range(count)]
+    context.ran = before
+    for instance, outcome in context.sight.ends:
+        context.ran[instance.removeprefix("i-")] += outcome is SeenOutcome.SERVED
+
+
+def then_all_answered(context):
+    assert [one.status for one in context.answers] == [200] * len(context.answers)
+
+
+@then('all were answered, and worker "{name}" ran {count:d} of them')
+def then_ran(context, name, count):
+    then_all_answered(context)
+    assert context.ran[name] == count, context.ran
+
+
+@then('all were answered, and worker "{name}" ran some of them')
+def then_ran_some(context, name):
+    then_all_answered(context)
+    assert context.ran[name] > 0, context.ran
+
+
+@then('the last answer is {status:d}, and worker "{name}" ran {count:d} of them')
+def then_status(context, status, name, count):
+    assert context.answers[-1].status == status
+    assert context.ran[name] == count, context.ran
+
+
+@then("the last answer is {status:d}, and 1 further try was refused")
+def then_refused(context, status):
+    assert context.answers[-1].status == status
+    assert context.sight.further == {"refused": 1}, context.sight.further
+
+
+@then(
+    'all were answered, and the try at worker "{name}" was given up after twice their time and its '
+    "connection closed"
+)
+def then_given_up(context, name):
+    then_all_answered(context)
+    assert (f"i-{name}", SeenOutcome.LATE) in context.sight.ends, context.sight.ends
+    assert context.timeouts_s[0] == 2 * context.sight.slow_s, context.timeouts_s
+    assert context.closed.wait(5.0)
+    assert context.sight.further == {"made": 1}
+
+
+def worker_of(number):
+    return Worker(f"i-{number}", WorkerEntry(SERVICE, f"h:{number}", zone="a", slots=4))
+
+
+@then("at any loads of its own a gateway to which nothing was told chooses as one without sight")
+def then_as_before(context):
+    @settings(max_examples=100, deadline=None)
+    @given(loads=st.lists(st.tuples(st.integers(0, 6), st.floats(0.02, 2.0)), min_size=2))
+    def as_before(loads):
+        plain, sighted = WorkerLoads("a"), WorkerLoads("a", sight=KnownSight())
+        workers = [worker_of(number) for number in range(len(loads))]
+        ranks = []
+        for each in (plain, sighted):
+            for worker, (in_hand, seconds) in zip(workers, loads, strict=True):
+                each.take(worker)
+                each.answered(worker.incarnation, seconds)
+                for _ in range(in_hand):
+                    each.take(worker)
+            ranks.append([each._rank(worker, 0.0, None)[:-1] for worker in workers])
+        assert ranks[0] == ranks[1]
+
+    as_before()
+
+
+@then(
+    "each outcome of a try is told: served, failed, refused and late ones, and none of a client "
+    "that left"
+)
+def then_told(context):
+    sight = KnownSight()
+    loads = WorkerLoads("a", sight=sight)
+    worker = worker_of(1)
+
+    def end(state, **more):
+        loads.take(worker)
+        FailedAttempt("r", 1, worker, state, "", 900, **more).note(loads)
+
+    loads.take(worker)
+    loads.answered(worker.incarnation, 0.1)
+    end(AttemptState.ANSWERED)
+    end(AttemptState.REFUSED)
+    end(AttemptState.NOT_SENT)
+    end(AttemptState.UNKNOWN, is_late=True)
+    end(AttemptState.UNKNOWN, is_late=True, is_cancelled=True)
+    told = [outcome for _, outcome in sight.ends]
+    failed = SeenOutcome.FAILED
+    expected = [SeenOutcome.SERVED, failed, SeenOutcome.REFUSED, failed]
+    assert told == [*expected, SeenOutcome.LATE, SeenOutcome.UNKNOWN], told
+    assert loads.in_hand(worker.incarnation) == 0
+
+
+@given_step("{gateways:d} gateways in {zones:d} zones that share their sight")
+def given_network(context, gateways, zones):
+    context.network = network = SightNetwork(gateways, zones, try_share=TRY_SHARE)
+    context.loads = [WorkerLoads("a", sight=one.sight) for one in network.all()]
+    context.entries = [worker_of(number) for number in range(len(network.workers))]
+
+
+@when("each request of theirs fails at every worker for {seconds:d} s")
+def when_all_fail(context, seconds):
+    context.first = context.further = 0
+    context.seconds = seconds
+    for _ in range(round(seconds / PERIOD_S)):
+        for loads in context.loads:
+            tried = []
+            while (worker := loads.choose(context.entries, tried)) is not None:
+                tried.append(worker.incarnation)
+                loads.failed(worker.incarnation)
+            context.first += 1
+            context.further += len(tried) - 1
+        context.network.run(1)
+
+
+@then("all tries stay within the budget, but for the reserve and the seconds that word takes")
+def then_within(context):
+    most_a_request = len(context.entries) - 1
+    before_word = WORD_S * context.first / context.seconds * most_a_request
+    most = TRY_SHARE * context.first + RESERVE_TRIES + before_word
+    assert context.further <= most, (context.further, context.first)
+    assert context.further < 0.4 * most_a_request * context.first, context.further
+
+
+@when("one worker of 4 takes ten times as long for {seconds:d} s")
+def when_slow(context, seconds):
+    network = context.network
+    for number in range(round(seconds / PERIOD_S)):
+        for place, one in enumerate(network.all()):
+            if place % 4 == number % 4:
+                worker = network.workers[(place // 4 + number) % 4]
+                slow = worker == Incarnation("i-0")
+                one.see(worker, SeenOutcome.SERVED, 0.8 if slow else 0.08)
+        network.run(1)
+
+
+@then("all gateways have set just that worker aside")
+def then_just_that(context):
+    for one in context.network.all():
+        aside = {each for each in context.network.workers if one.sight.seen(each).is_set_aside}
+        assert aside == {Incarnation("i-0")}, (one.transport.node, aside)
--- a/features/support/hosted_gateway.py
+++ b/features/support/hosted_gateway.py
@@ -61,12 +61,12 @@
 class GatewayUnderTest:
     """Listens on loopback; `close` ends it."""
 
-    def __init__(self, workers):
+    def __init__(self, workers, sight=None):
         self.executors = Executors()
         self.view, self.workers = ConfigurationView(), WorkersView()
         self.view.take(configuration(), "test")
         self.show_workers({worker.instance: worker.entry("app") for worker in workers})
-        self.loads = WorkerLoads("a")
+        self.loads = WorkerLoads("a", sight=sight)
         connections = self._connections = WorkerConnections(HEADERS)
         self.caller_watch = CallerWatch(self.executors)
         self.caller_watch.start()
--- /dev/null
+++ b/features/support/known_sight.py
@@ -0,0 +1,44 @@
+"""A sight of workers that knows what a test says, and notes what it is told."""
+
+from collections import Counter
+
+from bellweir.hosted.sight.interface import Sight, WorkerSeen
+
+
+class KnownSight(Sight):
+    def __init__(self):
+        self.known = {}
+        """`WorkerSeen` by incarnation."""
+        self.trials = set()
+        """Workers that may get one trial."""
+        self.may_retry = True
+        self.slow_s = 0.0
+        self.ends = []
+        """Worker and outcome of each request."""
+        self.further = Counter()
+
+    def begun(self, service, incarnation): ...
+
+    def ended(self, incarnation, outcome, seconds):
+        self.ends.append((incarnation.instance, outcome))
+
+    def seen(self, incarnation):
+        return self.known.get(incarnation, WorkerSeen(incarnation))
+
+    def may_try(self, incarnation):
+        may = incarnation in self.trials
+        self.trials.discard(incarnation)
+        return may
+
+    def note_further_try(self, service, *, is_refused=False):
+        self.further["refused" if is_refused else "made"] += 1
+
+    def may_try_again(self, service):
+        return self.may_retry
+
+    def fellows_slow_s(self, service):
+        return self.slow_s
+
+    @property
+    def is_alone(self):
+        return False
--- a/src/bellweir/hosted/serving/failed_attempt.py
+++ b/src/bellweir/hosted/serving/failed_attempt.py
@@ -14,12 +14,22 @@
 }
 """Why a request is given up whose last attempt ended so; `ANSWERED` is a worker's own failure."""
 LONGEST_DETAIL = 160
+MS_PER_S = 1000
 
 
 class FailedAttempt:
     """One attempt that gave no usable answer."""
 
-    __slots__ = ("detail", "milliseconds", "number", "request_id", "state", "worker")
+    __slots__ = (
+        "detail",
+        "is_cancelled",
+        "is_late",
+        "milliseconds",
+        "number",
+        "request_id",
+        "state",
+        "worker",
+    )
 
     def __init__(
         self,
@@ -29,8 +39,16 @@
         state: AttemptState,
         detail: str,
         milliseconds: int,
+        *,
+        is_late: bool = False,
+        is_cancelled: bool = False,
     ) -> None:
-        """`number` counts the sends of the request from 1; `milliseconds` is the time taken."""
+        """`number` counts the sends of the request from 1; `milliseconds` is the time taken.
+
+        A try that `is_late` was given up here; one that `is_cancelled` ended with its client.
+        """
+        self.is_late = is_late
+        self.is_cancelled = is_cancelled
         self.request_id = request_id
         self.number = number
         self.worker = worker
@@ -42,12 +60,10 @@
         """Release the worker's place with a verdict on the worker, log it, return the cause.
 
         A worker that answered at all is only passed over for a moment. One that was not reached
-        or gave no answer is passed over longer, and longer still with each failure in a row.
+        or gave no answer is passed over longer, and longer still with each failure in a row. The
+        end of a try whose client left tells nothing of the worker.
         """
-        if self.state in (AttemptState.ANSWERED, AttemptState.REFUSED):
-            loads.refused(self.worker.incarnation)
-        else:
-            loads.failed(self.worker.incarnation)
+        self._release(loads)
         emit(
             ATTEMPT_FAILED,
             request_id=self.request_id,
@@ -59,3 +75,16 @@
             ms=self.milliseconds,
         )
         return CAUSES[self.state]
+
+    def _release(self, loads: WorkerLoads) -> None:
+        incarnation = self.worker.incarnation
+        if self.state is AttemptState.ANSWERED:
+            loads.answered_failure(incarnation)
+        elif self.state is AttemptState.REFUSED:
+            loads.refused(incarnation)
+        elif self.is_cancelled:
+            loads.released(incarnation)
+        elif self.is_late:
+            loads.late(incarnation, self.milliseconds / MS_PER_S)
+        else:
+            loads.failed(incarnation)
--- a/src/bellweir/hosted/serving/forwarding.py
+++ b/src/bellweir/hosted/serving/forwarding.py
@@ -35,6 +35,14 @@
 """Share of a route's target time after which an idempotent attempt is given up for another."""
 PATIENCE_OF_MEAN = 4.0
 """An attempt gets at least this many times the worker's usual time."""
+PATIENCE_OF_SLOW = 2.0
+"""The same for the 95th percentile of its fellows, where that is known: 95 of 100 sound ones take
+half of it at most, so that what takes longer is not sound."""
+PATIENCE_OF_OWN = 2.0
+"""And for the usual time here: a gateway that is slow itself must not take its workers for slow."""
+SHORTEST_PATIENCE_S = 0.05
+LATE_SHARE = 0.98
+"""Share of the time that a try was given after which its end without an answer is its lateness."""
 RETRY_AFTER_FULL_S = 0.2
 RETRY_AFTER_NO_WORKER_S = 0.5
 MAXIMUM_SENDS = 8
@@ -71,9 +79,15 @@
         workers_age_s: Callable[[], float] = lambda: 0.0,
         now_s: Callable[[], float] = time.monotonic,
         usage: UsageCounter | None = None,
+        *,
+        patience_of_fellows: bool = True,
     ) -> None:
-        """`usage` counts the requests of tenants that workers begin."""
+        """`usage` counts the requests of tenants that workers begin.
+
+        `patience_of_fellows`: a first try is given up after the time that fellows take.
+        """
         self._usage = usage
+        self._patience_of_fellows = patience_of_fellows
         self._workers = workers
         self._loads = loads
         self._connections = connections
@@ -166,7 +180,9 @@
             progress.may_have_run = True
             raise
         seconds = self._now_s() - began_s
-        self._note(client, worker, outcome, progress, seconds)
+        is_cancelled = cancellation.cancelled.is_set()
+        is_late = seconds >= LATE_SHARE * timeout_s
+        self._note(client, worker, outcome, progress, seconds, is_late, is_cancelled)
         return outcome
 
     def _patience_s(
@@ -176,6 +192,13 @@
         attempts_left = client.route.max_attempts - len(progress.ran_at)
         if not self._may_repeat(client) or attempts_left <= 1 or not client.may_be_sent_again:
             return left_s
+        service = worker.entry.service
+        if not self._loads.may_try_again(service):
+            return left_s
+        slow_s = self._loads.fellows_slow_s(service) if self._patience_of_fellows else 0.0
+        if slow_s:
+            own_s = PATIENCE_OF_OWN * self._loads.own_usual_s()
+            return min(left_s, max(SHORTEST_PATIENCE_S, PATIENCE_OF_SLOW * slow_s, own_s))
         target_s = client.route.target_ms / MS_PER_S
         usual_s = PATIENCE_OF_MEAN * self._loads.mean_s(worker.incarnation)
         return min(left_s, max(PATIENCE_OF_TARGET * target_s, usual_s))
@@ -187,6 +210,8 @@
         outcome: AttemptOutcome,
         progress: Progress,
         seconds: float,
+        is_late: bool,
+        is_cancelled: bool,
     ) -> None:
         incarnation = worker.incarnation
         self._metrics.attempt_ended(worker.entry.service, outcome.state.value, seconds)
@@ -207,6 +232,8 @@
             outcome.state,
             outcome.detail,
             round(1000 * seconds),
+            is_late=is_late,
+            is_cancelled=is_cancelled,
         )
         progress.cause = failed.note(self._loads)
 
--- a/src/bellweir/hosted/serving/selection.py
+++ b/src/bellweir/hosted/serving/selection.py
@@ -1,7 +1,9 @@
 """Chooses the worker for an attempt from what this process has seen of each.
 
 Loads are this process's own requests in hand; a worker that refused or failed lately is passed
-over for a while, as long as there is another one.
+over for a while, as long as there is another one. Where gateways share their sight, the requests
+and times of all of them count, as far as others spoke of a worker; a worker that is set aside gets
+trials only, unless all are; and further tries of a request stay within the service's budget.
 """
 
 import random
@@ -11,6 +13,7 @@
 from dataclasses import dataclass
 
 from bellweir.hosted.incarnation import Incarnation
+from bellweir.hosted.sight.interface import SeenOutcome, Sight
 from bellweir.hosted.views.workers import Worker
 
 REFUSAL_PENALTY_S = 0.15
@@ -40,9 +43,20 @@
     """Loads by incarnation. Safe for threads."""
 
     def __init__(
-        self, own_zone: str, has_connection: Callable[[str], bool] = lambda _address: False
+        self,
+        own_zone: str,
+        has_connection: Callable[[str], bool] = lambda _address: False,
+        sight: Sight | None = None,
+        *,
+        chooses_by_all: bool = True,
     ) -> None:
-        """`has_connection` tells whether a connection to `host:port` is open and free."""
+        """`has_connection` tells whether a connection to `host:port` is open and free.
+
+        `sight` is told of each request; `chooses_by_all`: the choice uses others' requests.
+        """
+        self._sight = sight
+        self._chooses_by_all = chooses_by_all
+        self._own_usual_s = 0.0
         self._own_zone = own_zone
         self._has_connection = has_connection
         self._lock = threading.Lock()
@@ -58,20 +72,31 @@
 
         With `pace_of` (seconds for one step of the work, by incarnation) the fastest worker is the
         best one; without it the one whose answer is expected soonest.
+
+        After a first try None also when no worker in good standing is left, or when the budget of
+        further tries is spent.
         """
         now_s = time.monotonic()
+        candidates = [worker for worker in workers if worker.incarnation not in tried]
+        if self._sight is not None:
+            candidates = _admitted(candidates, tried, self._sight)
+        if not candidates:
+            return None
         with self._lock:
-            candidates = [worker for worker in workers if worker.incarnation not in tried]
-            if not candidates:
-                return None
             chosen = min(candidates, key=lambda worker: self._rank(worker, now_s, pace_of))
             self._load(chosen.incarnation).in_hand += 1
-            return chosen
+        if self._sight is not None:
+            if tried:
+                self._sight.note_further_try(chosen.entry.service)
+            self._sight.begun(chosen.entry.service, chosen.incarnation)
+        return chosen
 
     def take(self, worker: Worker) -> None:
         """Take a place at a given worker."""
         with self._lock:
             self._load(worker.incarnation).in_hand += 1
+        if self._sight is not None:
+            self._sight.begun(worker.entry.service, worker.incarnation)
 
     def in_hand(self, worker: Incarnation) -> int:
         """Requests of this process at a worker."""
@@ -90,19 +115,53 @@
             load.failures = 0
             first = load.mean_s == 0.0
             load.mean_s = seconds if first else load.mean_s + SMOOTHING * (seconds - load.mean_s)
+            self._note_own_time(seconds)
+        self._tell(worker, SeenOutcome.SERVED, seconds)
 
     def refused(self, worker: Incarnation) -> None:
         """Release a place after a worker said that it did not run the request."""
         self._released(worker, REFUSAL_PENALTY_S, failed=False)
+        self._tell(worker, SeenOutcome.REFUSED)
+
+    def answered_failure(self, worker: Incarnation) -> None:
+        """Release a place after a worker's answer that is a failure of its own."""
+        self._released(worker, REFUSAL_PENALTY_S, failed=False)
+        self._tell(worker, SeenOutcome.FAILED)
 
     def failed(self, worker: Incarnation) -> None:
         """Release a place after no usable answer."""
         self._released(worker, FAILURE_PENALTY_S, failed=True)
+        self._tell(worker, SeenOutcome.FAILED)
 
-    def released(self, worker: Incarnation) -> None:
-        """Release a place without a verdict on the worker."""
+    def late(self, worker: Incarnation, seconds: float) -> None:
+        """Release a place after a try that was given up since it took `seconds` or more."""
+        self._released(worker, FAILURE_PENALTY_S, failed=True)
+        with self._lock:
+            self._note_own_time(seconds)
+        self._tell(worker, SeenOutcome.LATE, seconds)
+
+    def released(
+        self,
+        worker: Incarnation,
+        outcome: SeenOutcome = SeenOutcome.UNKNOWN,
+        seconds: float = 0.0,
+    ) -> None:
+        """Release a place without a verdict on the worker here; others are told the outcome."""
         with self._lock:
             self._release(worker)
+        self._tell(worker, outcome, seconds)
+
+    def own_usual_s(self) -> float:
+        """Smoothed time of all answers here, those given up included; 0 before the first."""
+        return self._own_usual_s
+
+    def may_try_again(self, service: str) -> bool:
+        """Whether a further try at a service's workers is within its budget."""
+        return self._sight is None or self._sight.may_try_again(service)
+
+    def fellows_slow_s(self, service: str) -> float:
+        """The 95th percentile of a service's sound workers in seconds; 0 while unknown."""
+        return 0.0 if self._sight is None else self._sight.fellows_slow_s(service)
 
     def mean_s(self, worker: Incarnation) -> float:
         """Smoothed time of a worker's answers."""
@@ -128,6 +187,14 @@
                 load.failures += 1
             load.avoided_until_s = time.monotonic() + penalty_s
 
+    def _tell(self, worker: Incarnation, outcome: SeenOutcome, seconds: float = 0.0) -> None:
+        if self._sight is not None:
+            self._sight.ended(worker, outcome, seconds)
+
+    def _note_own_time(self, seconds: float) -> None:
+        before_s = self._own_usual_s
+        self._own_usual_s = seconds if not before_s else before_s + SMOOTHING * (seconds - before_s)
+
     def _release(self, worker: Incarnation) -> Load:
         load = self._load(worker)
         load.in_hand = max(0, load.in_hand - 1)
@@ -141,15 +208,54 @@
     ) -> tuple[bool, float, bool, bool, float]:
         load = self._load(worker.incarnation)
         avoided = load.avoided_until_s > now_s
-        share = (load.in_hand + 1) / max(1, worker.entry.slots)
+        in_hand, usual_s = self._load_of_all(worker.incarnation, load)
+        share = (in_hand + 1) / max(1, worker.entry.slots)
         if pace_of is not None:
             pace_s = pace_of(worker.incarnation) * (1 + CROWDING * share)
             return avoided, round(pace_s, 4), False, False, random.random()
-        expected_s = share * max(load.mean_s, 0.001)
+        expected_s = share * max(usual_s, 0.001)
         other_zone = worker.entry.zone != self._own_zone
         must_connect = not self._has_connection(worker.address)
         return avoided, round(expected_s, 2), must_connect, other_zone, random.random()
 
+    def _load_of_all(self, worker: Incarnation, load: Load) -> tuple[float, float]:
+        """Requests at a worker and its usual time, of all gateways where another one told any."""
+        if self._sight is None or not self._chooses_by_all:
+            return load.in_hand, load.mean_s
+        seen = self._sight.seen(worker)
+        if seen.age_s == float("inf"):
+            return load.in_hand, load.mean_s
+        return max(load.in_hand, seen.in_hand), seen.usual_s or load.mean_s
+
+
+def _admitted(
+    candidates: list[Worker], tried: Collection[Incarnation], sight: Sight
+) -> list[Worker]:
+    """The workers that may get a request's next try.
+
+    A first try is a trial where one is due, and may go to a worker that is set aside when all are.
+    A further one does neither: it would go from one failure to the next.
+    """
+    well = [one for one in candidates if not sight.seen(one.incarnation).is_set_aside]
+    if tried:
+        return _within_budget(well, sight)
+    if len(well) < len(candidates):
+        on_trial = (one for one in candidates if sight.may_try(one.incarnation))
+        trial = next(on_trial, None)
+        if trial is not None:
+            return [trial]
+    return well or candidates
+
+
+def _within_budget(candidates: list[Worker], sight: Sight) -> list[Worker]:
+    """None of a service whose further tries have used up their share."""
+    allowed = {}
+    for service in {one.entry.service for one in candidates}:
+        allowed[service] = sight.may_try_again(service)
+        if not allowed[service]:
+            sight.note_further_try(service, is_refused=True)
+    return [one for one in candidates if allowed[one.entry.service]]
+
 
 Parts = tuple[tuple[str, float], ...]
 """Services of a route with their weights."""
--- a/src/bellweir/hosted/serving/service.py
+++ b/src/bellweir/hosted/serving/service.py
@@ -19,6 +19,7 @@
 from bellweir.hosted.serving.simple_application import SimpleApplication
 from bellweir.hosted.serving.streams import StreamForwarder
 from bellweir.hosted.settings import HostedSettings, TenantSettings
+from bellweir.hosted.sight.service import SightService
 from bellweir.hosted.tenants.admission import KeyCheck
 from bellweir.hosted.usage.sender import UsageCountsService
 from bellweir.hosted.views.configuration import RouteTable
@@ -62,6 +63,7 @@
         names.LEDGER,
         names.TELEMETRY,
         names.USAGE_COUNTS,
+        names.SIGHT,
     )
 
     def __init__(self, kernel: Kernel, settings: HostedSettings, platform: HostingPlatform) -> None:
@@ -69,7 +71,7 @@
         self._settings = settings
         self._platform = platform
         self._connections = WorkerConnections(platform.headers)
-        self._loads = WorkerLoads(settings.node.zone, self._connections.has_idle)
+        self._loads = WorkerLoads(settings.node.zone)
         self._servers: list[HttpServer] = []
         self._loops: list[Future[None]] = []
         self._requests: HttpServer | None = None
@@ -79,6 +81,12 @@
         """Listen on every address that the settings give."""
         registry = self._kernel.registry
         self._views = registry.find(names.VIEWS, ViewsService)
+        self._loads = WorkerLoads(
+            self._settings.node.zone,
+            self._connections.has_idle,
+            registry.find(names.SIGHT, SightService).sight,
+            chooses_by_all=self._settings.sight.choose_by_all,
+        )
         membership = registry.find(names.MEMBERSHIP, Membership)  # type: ignore[type-abstract]
         directory = Directory(membership, self._is_serving, self._settings.bounds.address_ttl_s)
         listen = self._settings.listen
@@ -109,6 +117,7 @@
             metrics,
             self._views.workers_follower.age_s,
             usage=self._kernel.registry.find(names.USAGE_COUNTS, UsageCountsService).counter,
+            patience_of_fellows=self._settings.sight.patience_of_fellows,
         )
         streams = StreamForwarder(forwarder, self._loads, self._connections, caller_watch)
         ledger.register(BatchJobs)
--- a/src/bellweir/hosted/serving/streams.py
+++ b/src/bellweir/hosted/serving/streams.py
@@ -40,6 +40,7 @@
     own_response,
 )
 from bellweir.hosted.serving.selection import WorkerLoads
+from bellweir.hosted.sight.interface import SeenOutcome
 from bellweir.hosted.views.configuration import RouteTable
 from bellweir.hosted.views.workers import Worker
 from bellweir.http_server.caller_watch import CallerWatch
@@ -70,6 +71,8 @@
     last_event_id: int | None = None
     cause: str = "no_worker"
     worker: Worker | None = None
+    head_s: float = 0.0
+    """Time that the newest answer's head took."""
 
     @property
     def may_resume(self) -> bool:
@@ -126,6 +129,7 @@
                 stream.ran_at.add(worker.incarnation)
                 if began.opened.status < SERVER_ERROR:
                     stream.worker = worker
+                    stream.head_s = time.monotonic() - began_s
                     return began.opened
             elif began.state is AttemptState.UNKNOWN:
                 stream.ran_at.add(worker.incarnation)
@@ -146,6 +150,7 @@
             state,
             began.detail,
             round(1000 * (stream.client.route.timeout_ms / 1000 - stream.client.left_s())),
+            is_cancelled=stream.cancellation.cancelled.is_set(),
         )
         stream.cause = failed.note(self._loads)
         return answer if state is AttemptState.ANSWERED else None
@@ -215,7 +220,9 @@
             opened.drop()
         if worker is None:
             return
-        if whole or stream.cancellation.cancelled.is_set():
+        if whole:
+            self._loads.released(worker.incarnation, SeenOutcome.SERVED, stream.head_s)
+        elif stream.cancellation.cancelled.is_set():
             self._loads.released(worker.incarnation)
         else:
             self._loads.failed(worker.incarnation)
--- a/src/bellweir/hosted/settings.py
+++ b/src/bellweir/hosted/settings.py
@@ -141,6 +141,21 @@
     """Have the lease's holder tell the node that runs jobs which workers load."""
 
 
+class SightSettings(msgspec.Struct, frozen=True, rename="camel"):
+    """What gateways make of what they see of workers. Each can be switched off by itself."""
+
+    share: bool = True
+    """Have gateways tell each other what they see."""
+    set_aside: bool = True
+    """Have workers that do worse than their fellows get trials only."""
+    choose_by_all: bool = True
+    """Choose a worker by the requests and times of all gateways, where others told any."""
+    patience_of_fellows: bool = True
+    """Give a first try up after the time that its worker's fellows take."""
+    try_share: float = 0.5
+    """Further tries of all gateways for a service, as a share of first ones; 0: no bound."""
+
+
 class HostedSettings(msgspec.Struct, frozen=True, rename="camel"):
     """The whole settings of one process."""
 
@@ -154,6 +169,7 @@
     tolerate: ToleranceSettings = ToleranceSettings()
     batches: BatchSettings = BatchSettings()
     rollouts: RolloutSettings = RolloutSettings()
+    sight: SightSettings = SightSettings()
 
 
 @dataclass(frozen=True)
@@ -234,6 +250,8 @@
         yield _finding("tolerate.machines", str(settings.tolerate.machines), "0 or more")
     if settings.batches.keep_texts_s < 0:
         yield _finding("batches.keepTextsS", str(settings.batches.keep_texts_s), "0 or more")
+    if settings.sight.try_share < 0:
+        yield _finding("sight.tryShare", str(settings.sight.try_share), "0 or more")
     if settings.bounds.lease_ms <= 0:
         yield _finding("bounds.leaseMs", str(settings.bounds.lease_ms), "above 0")
     if settings.scaling.policy not in SCALING_POLICIES:
--- a/src/bellweir/hosted/sight/interface.py
+++ b/src/bellweir/hosted/sight/interface.py
@@ -73,6 +73,21 @@
     def may_try(self, incarnation: Incarnation) -> bool:
         """Whether a worker that is set aside may get a trial request now; takes the trial."""
 
+    @abstractmethod
+    def note_further_try(self, service: str, *, is_refused: bool = False) -> None:
+        """Note that a request goes to a service's workers once more, or may not.
+
+        If it does, `begun` follows.
+        """
+
+    @abstractmethod
+    def may_try_again(self, service: str) -> bool:
+        """Whether a further try is within the budget of the service."""
+
+    @abstractmethod
+    def fellows_slow_s(self, service: str) -> float:
+        """The 95th percentile in seconds that the sound workers of a service have; 0: unknown."""
+
     @property
     @abstractmethod
     def is_alone(self) -> bool:
--- /dev/null
+++ b/src/bellweir/hosted/sight/service.py
@@ -0,0 +1,90 @@
+"""Service `sight`: a gateway's sight of workers, shared with the others."""
+
+import time
+
+from bellweir.hosted.incarnation import Incarnation
+from bellweir.hosted.interface import HostingPlatform
+from bellweir.hosted.metrics_service import MetricsService
+from bellweir.hosted.records import WorkerState
+from bellweir.hosted.settings import HostedSettings
+from bellweir.hosted.sight.exchange import SightExchange
+from bellweir.hosted.sight.shared import Services, SharedSight
+from bellweir.hosted.sight.table import SightTable
+from bellweir.hosted.views.service import ViewsService
+from bellweir.kernel import names
+from bellweir.kernel.node import Kernel
+from bellweir.kernel.service import Service
+from bellweir.membership.interface import Membership
+from bellweir.wire.interface import Transport
+
+MS_PER_S = 1000
+
+
+class SightService(Service):
+    """Holds the sight, tells the others and judges the workers."""
+
+    name = names.SIGHT
+    dependencies = (names.TRANSPORT, names.MEMBERSHIP, names.VIEWS, names.TELEMETRY)
+
+    def __init__(self, kernel: Kernel, settings: HostedSettings, platform: HostingPlatform) -> None:
+        self._kernel = kernel
+        self._settings = settings.sight
+        node = settings.node
+        self._table = SightTable(node.name, node.zone, round(MS_PER_S * time.time()))
+        self._exchange: SightExchange | None = None
+        self.sight = SharedSight(
+            self._table,
+            self._services,
+            lambda: self._exchange is not None and self._exchange.is_alone,
+            sets_aside=self._settings.set_aside,
+            try_share=self._settings.try_share,
+            count_refused=lambda service: self._count_refused(service),
+        )
+
+    def start(self) -> None:
+        """Look at the workers from now on, and share what is seen."""
+        registry = self._kernel.registry
+        self._workers = registry.find(names.VIEWS, ViewsService).workers
+        run_task = self._kernel.executors.run_task
+        if self._settings.share:
+            self._exchange = SightExchange(
+                registry.find(names.TRANSPORT, Transport),  # type: ignore[type-abstract]
+                registry.find(names.MEMBERSHIP, Membership),  # type: ignore[type-abstract]
+                self._table,
+            )
+            run_task("tell-sight", self._exchange.run)
+        self._add_gauges(registry.find(names.TELEMETRY, MetricsService))
+        run_task("look-at-workers", self.sight.run)
+
+    def stop(self) -> None:
+        """The tasks end with the executors."""
+
+    def _services(self) -> Services:
+        found: dict[str, list[Incarnation]] = {}
+        for worker in self._workers.all():
+            if worker.entry.state is WorkerState.READY:
+                found.setdefault(worker.entry.service, []).append(worker.incarnation)
+        return found
+
+    def _add_gauges(self, telemetry: MetricsService) -> None:
+        self._count_refused = telemetry.metrics.add_counter(
+            "bellweir_further_tries_refused",
+            "Further tries that were over the budget of their service.",
+            "service",
+        )
+        add = telemetry.metrics.add_gauge
+        add(
+            "bellweir_workers_set_aside",
+            "Ready workers that do worse than their fellows and get trials only.",
+            lambda: float(self.sight.set_aside_count()),
+        )
+        add(
+            "bellweir_sight_gateways",
+            "Gateways that told lately what they saw of workers, this one included.",
+            lambda: float(self.sight.gateways()),
+        )
+        add(
+            "bellweir_sight_alone",
+            "1 while no other gateway is heard that should be.",
+            lambda: float(self.sight.is_alone),
+        )
--- a/src/bellweir/hosted/sight/shared.py
+++ b/src/bellweir/hosted/sight/shared.py
@@ -12,6 +12,7 @@
 from bellweir.events.log import emit
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.log_events import (
+    RETRY_REFUSED,
     SIGHT_ALONE,
     SIGHT_SHARED,
     WORKER_RETURNED,
@@ -20,7 +21,8 @@
 from bellweir.hosted.sight.counts import Counts
 from bellweir.hosted.sight.interface import SeenOutcome, Sight, WorkerSeen
 from bellweir.hosted.sight.judgement import Judgement, Verdict
-from bellweir.hosted.sight.table import SightTable
+from bellweir.hosted.sight.table import IN_HAND_HALF_S, SightTable
+from bellweir.hosted.sight.tries import TryBudget, further_tries_of
 
 LOOK_PERIOD_S = 0.4
 LOOK_PERIOD_OF_WORKER_S = 0.003
@@ -28,20 +30,39 @@
 ENOUGH_ANSWERS = 8.0
 """Weight of answers from which a 95th percentile is told; below it, one slow answer would be it."""
 ORIGINS_WITHIN_S = 15.0
+"""A gateway that spoke of any worker within this time counts among those that share trials."""
+REFUSAL_LOGGED_S = 1.0
+"""Time between two lines on refused further tries of a service."""
 
 Services = Mapping[str, Collection[Incarnation]]
 """Workers that may get requests, by service."""
 
 
-class _Usual:
-    """Times of a worker as of the last look."""
+class _Known:
+    """What is known of a worker as of the last look."""
 
-    __slots__ = ("slow_s", "usual_s")
+    __slots__ = ("others_in_hand", "slow_s", "told_s", "usual_s")
 
-    def __init__(self, counts: Counts) -> None:
+    def __init__(self, counts: Counts, others_in_hand: float, told_s: float) -> None:
         self.usual_s = counts.quantile_s(0.5)
         answers = sum(counts.buckets.values())
         self.slow_s = counts.quantile_s(0.95) if answers >= ENOUGH_ANSWERS else 0.0
+        self.others_in_hand = others_in_hand
+        self.told_s = told_s
+
+
+class _Service:
+    """What is known of a service as of the last look."""
+
+    __slots__ = ("first", "further", "slow_s")
+
+    def __init__(self, first: float, further: float, slow_s: float) -> None:
+        self.first = first
+        self.further = further
+        self.slow_s = slow_s
+
+
+_NOTHING = _Known(Counts(), 0.0, float("-inf"))
 
 
 class SharedSight(Sight):
@@ -55,7 +76,13 @@
         now_s: Callable[[], float] = time.monotonic,
         *,
         sets_aside: bool = True,
+        try_share: float = 0.0,
+        count_refused: Callable[[str], None] = lambda _service: None,
     ) -> None:
+        """`count_refused` counts a further try that is over the budget, by service.
+
+        `try_share` bounds further tries as a share of first ones; 0: not at all.
+        """
         self._table = table
         self._services = services
         self._is_alone = is_alone
@@ -63,7 +90,12 @@
         self._sets_aside = sets_aside
         self._lock = threading.Lock()
         self._judgement = Judgement()
-        self._usual: dict[Incarnation, _Usual] = {}
+        self._count_refused = count_refused
+        self._budget = TryBudget(try_share)
+        self._known: Mapping[Incarnation, _Known] = {}
+        self._of_services: Mapping[str, _Service] = {}
+        self._looked_s = now_s()
+        self._refusal_logged_s: dict[str, float] = {}
         self._was_alone = False
         self._gateways = 1
 
@@ -78,17 +110,55 @@
     def seen(self, incarnation: Incarnation) -> WorkerSeen:
         """See the interface."""
         now_s = self._now_s()
-        usual = self._usual.get(incarnation)
-        usual_s = usual.usual_s if usual else 0.0
+        known = self._known.get(incarnation, _NOTHING)
+        others = known.others_in_hand
+        if others:
+            passed_s = max(0.0, now_s - self._looked_s)
+            others *= 0.5 ** (passed_s / max(IN_HAND_HALF_S, known.usual_s))
         return WorkerSeen(
             incarnation,
-            self._table.in_hand(incarnation, usual_s, now_s),
-            usual_s,
-            usual.slow_s if usual else 0.0,
-            self._table.age_s(incarnation, now_s),
+            self._table.own_in_hand(incarnation) + others,
+            known.usual_s,
+            known.slow_s,
+            now_s - known.told_s,
             is_set_aside=self.is_set_aside(incarnation),
         )
 
+    def note_further_try(self, service: str, *, is_refused: bool = False) -> None:
+        """See the interface."""
+        if is_refused:
+            self._count_refused(service)
+            self._log_refused(service)
+        else:
+            self._table.count(further_tries_of(service), SeenOutcome.REFUSED, self._now_s())
+
+    def may_try_again(self, service: str) -> bool:
+        """See the interface."""
+        seen = self._of_services.get(service)
+        return seen is None or self._budget.allows(seen.first, seen.further)
+
+    def _log_refused(self, service: str) -> None:
+        seen = self._of_services.get(service)
+        now_s = self._now_s()
+        if (
+            seen is None
+            or now_s - self._refusal_logged_s.get(service, float("-inf")) < REFUSAL_LOGGED_S
+        ):
+            return
+        self._refusal_logged_s[service] = now_s
+        emit(
+            RETRY_REFUSED,
+            service=service,
+            first=round(seen.first, 1),
+            further=round(seen.further, 1),
+            gateways=self._gateways,
+        )
+
+    def fellows_slow_s(self, service: str) -> float:
+        """See the interface."""
+        seen = self._of_services.get(service)
+        return seen.slow_s if seen else 0.0
+
     def is_set_aside(self, incarnation: Incarnation) -> bool:
         """Whether a worker gets no more than trials."""
         with self._lock:
@@ -115,7 +185,7 @@
 
     def run(self, stopping: threading.Event) -> None:
         """Look now and then until `stopping`. One task."""
-        while not stopping.wait(LOOK_PERIOD_S + LOOK_PERIOD_OF_WORKER_S * len(self._usual)):
+        while not stopping.wait(LOOK_PERIOD_S + LOOK_PERIOD_OF_WORKER_S * len(self._known)):
             self.look()
 
     def look(self) -> None:
@@ -123,16 +193,43 @@
         now_s = self._now_s()
         services = self._services()
         present = {one for workers in services.values() for one in workers}
-        self._table.forget(present, now_s)
+        self._table.forget(present | {further_tries_of(service) for service in services}, now_s)
         self._gateways = 1 + self._table.origins(now_s, ORIGINS_WITHIN_S)
-        known = self._table.workers()
-        merged = {one: self._table.merged(one, now_s) for one in known & present}
-        self._usual = {one: _Usual(counts) for one, counts in merged.items()}
+        merged = {one: self._table.merged(one, now_s) for one in self._table.workers() & present}
+        self._known = {one: self._known_of(one, counts, now_s) for one, counts in merged.items()}
+        self._looked_s = now_s
         if self._sets_aside:
             for service, workers in services.items():
                 self._judge(service, workers, merged, now_s)
+        self._of_services = {
+            service: self._service(service, workers, merged, now_s)
+            for service, workers in services.items()
+        }
         self._note_alone()
 
+    def _known_of(self, worker: Incarnation, counts: Counts, now_s: float) -> _Known:
+        usual_s = counts.quantile_s(0.5)
+        others = self._table.others_in_hand(worker, usual_s, now_s)
+        return _Known(counts, others, self._table.told_s(worker))
+
+    def _service(
+        self,
+        service: str,
+        workers: Collection[Incarnation],
+        merged: Mapping[Incarnation, Counts],
+        now_s: float,
+    ) -> _Service:
+        seen = {one: merged[one] for one in workers if one in merged}
+        tries = sum(counts.judged + counts.refused for counts in seen.values())
+        further = self._table.merged(further_tries_of(service), now_s).refused
+        sound = sorted(
+            self._known[one].slow_s
+            for one in seen
+            if self._known[one].slow_s and not self.is_set_aside(one)
+        )
+        slow_s = sound[len(sound) // 2] if sound else 0.0
+        return _Service(max(0.0, tries - further), further, slow_s)
+
     def _judge(
         self,
         service: str,
@@ -151,7 +248,7 @@
 
     def _log(self, service: str, verdict: Verdict, now_s: float) -> None:
         counts = verdict.counts
-        age_s = self._table.age_s(verdict.incarnation, now_s)
+        age_s = now_s - self._table.told_s(verdict.incarnation)
         fields = {
             "instance": verdict.incarnation.instance,
             "service": service,
--- a/src/bellweir/hosted/sight/table.py
+++ b/src/bellweir/hosted/sight/table.py
@@ -146,14 +146,30 @@
                 merged.plus(held.counts.as_of(now_s))
         return merged
 
-    def in_hand(self, worker: Incarnation, usual_s: float, now_s: float) -> float:
-        """Requests of all gateways at a worker, those of others as far as they still may run."""
+    def count(self, key: Incarnation, outcome: SeenOutcome, now_s: float) -> None:
+        """Count something that was not in hand."""
+        with self._lock:
+            held = self._own_record(key, now_s)
+            held.counts.add(outcome, 0.0, now_s)
+            held.change += 1.0
+            self._changed_own.add(key)
+
+    def own_in_hand(self, worker: Incarnation) -> int:
+        """Requests of this node at a worker."""
         with self._lock:
             own = self._own.get(worker)
+            return own.in_hand if own else 0
+
+    def others_in_hand(self, worker: Incarnation, usual_s: float, now_s: float) -> float:
+        """Requests of other gateways at a worker, as far as they still may run.
+
+        Half of them are taken to have ended after `usual_s`, the worker's usual time.
+        """
+        half_s = max(IN_HAND_HALF_S, usual_s)
+        with self._lock:
             others = self._others.get(worker, {}).values()
-            half_s = max(IN_HAND_HALF_S, usual_s)
             ages = ((held.in_hand, now_s - held.counts.as_of_s) for held in others if held.in_hand)
-            of_others = sum(
+            return sum(
                 (
                     count * float(0.5 ** (max(0.0, age_s) / half_s))
                     for count, age_s in ages
@@ -161,13 +177,12 @@
                 ),
                 0.0,
             )
-            return of_others + (own.in_hand if own else 0)
 
-    def age_s(self, worker: Incarnation, now_s: float) -> float:
-        """Age of the newest word of another gateway on a worker."""
+    def told_s(self, worker: Incarnation) -> float:
+        """Time as of which another gateway spoke of a worker last; minus infinity if none did."""
         with self._lock:
             others = self._others.get(worker, {}).values()
-            return min((now_s - held.counts.as_of_s for held in others), default=float("inf"))
+            return max((held.counts.as_of_s for held in others), default=float("-inf"))
 
     def workers(self) -> set[Incarnation]:
         """Workers of which anything is known."""
