--- a/features/support/known_sight.py
+++ b/features/support/known_sight.py
@@ -30,8 +30,11 @@
         self.trials.discard(incarnation)
         return may
 
-    def note_further_try(self, service, *, is_refused=False):
-        self.further["refused" if is_refused else "made"] += 1
+    def begun_again(self, service, incarnation):
+        self.further["made"] += 1
+
+    def refused_again(self, service):
+        self.further["refused"] += 1
 
     def may_try_again(self, service):
         return self.may_retry
--- a/src/bellweir/hosted/serving/selection.py
+++ b/src/bellweir/hosted/serving/selection.py
@@ -86,9 +86,8 @@
             chosen = min(candidates, key=lambda worker: self._rank(worker, now_s, pace_of))
             self._load(chosen.incarnation).in_hand += 1
         if self._sight is not None:
-            if tried:
-                self._sight.note_further_try(chosen.entry.service)
-            self._sight.begun(chosen.entry.service, chosen.incarnation)
+            begun = self._sight.begun_again if tried else self._sight.begun
+            begun(chosen.entry.service, chosen.incarnation)
         return chosen
 
     def take(self, worker: Worker) -> None:
@@ -253,7 +252,7 @@
     for service in {one.entry.service for one in candidates}:
         allowed[service] = sight.may_try_again(service)
         if not allowed[service]:
-            sight.note_further_try(service, is_refused=True)
+            sight.refused_again(service)
     return [one for one in candidates if allowed[one.entry.service]]
 
 
--- a/src/bellweir/hosted/sight/counts.py
+++ b/src/bellweir/hosted/sight/counts.py
@@ -34,7 +34,7 @@
     Not safe for threads.
     """
 
-    __slots__ = ("as_of_s", "buckets", "failed", "refused", "served")
+    __slots__ = ("as_of_s", "buckets", "failed", "further", "refused", "served")
 
     def __init__(
         self,
@@ -43,7 +43,10 @@
         refused: float = 0.0,
         buckets: Mapping[int, float] | None = None,
         as_of_s: float = 0.0,
+        further: float = 0.0,
     ) -> None:
+        """`further`: those of the requests that were not a request's first try."""
+        self.further = further
         self.served = served
         self.failed = failed
         self.refused = refused
@@ -86,12 +89,15 @@
         self.served *= factor
         self.failed *= factor
         self.refused *= factor
+        self.further *= factor
         aged = ((bucket, weight * factor) for bucket, weight in self.buckets.items())
         self.buckets = {bucket: weight for bucket, weight in aged if weight >= NOTHING}
 
     def as_of(self, now_s: float) -> "Counts":
         """A copy that weighs what it does at a later time."""
-        copied = Counts(self.served, self.failed, self.refused, self.buckets, self.as_of_s)
+        copied = Counts(
+            self.served, self.failed, self.refused, self.buckets, self.as_of_s, self.further
+        )
         copied.age_to(now_s)
         return copied
 
@@ -100,6 +106,7 @@
         self.served += other.served
         self.failed += other.failed
         self.refused += other.refused
+        self.further += other.further
         for bucket, weight in other.buckets.items():
             self.buckets[bucket] = self.buckets.get(bucket, 0.0) + weight
 
@@ -116,6 +123,7 @@
             max(0.0, self.refused - before.refused),
             {bucket: weight for bucket, weight in left.items() if weight >= NOTHING},
             self.as_of_s,
+            max(0.0, self.further - before.further),
         )
 
     def quantile_s(self, share: float) -> float:
--- a/src/bellweir/hosted/sight/interface.py
+++ b/src/bellweir/hosted/sight/interface.py
@@ -74,11 +74,12 @@
         """Whether a worker that is set aside may get a trial request now; takes the trial."""
 
     @abstractmethod
-    def note_further_try(self, service: str, *, is_refused: bool = False) -> None:
-        """Note that a request goes to a service's workers once more, or may not.
+    def begun_again(self, service: str, incarnation: Incarnation) -> None:
+        """The same as `begun` for a further try of a request."""
 
-        If it does, `begun` follows.
-        """
+    @abstractmethod
+    def refused_again(self, service: str) -> None:
+        """Note that a request gets no further try since the budget is spent."""
 
     @abstractmethod
     def may_try_again(self, service: str) -> bool:
--- a/src/bellweir/hosted/sight/messages.py
+++ b/src/bellweir/hosted/sight/messages.py
@@ -33,6 +33,7 @@
     """This and the counts below are in hundredths."""
     failed: int
     refused: int
+    further: int = 0
     times: tuple[int, ...] = ()
     """Bucket and its count by turns."""
 
@@ -50,6 +51,7 @@
             self.refused / PARTS,
             {bucket: weight / PARTS for bucket, weight in pairs},
             now_s - max(0, self.age_ms) / MS_PER_S,
+            self.further / PARTS,
         )
 
 
@@ -78,5 +80,6 @@
         round(PARTS * counts.served),
         round(PARTS * counts.failed),
         round(PARTS * counts.refused),
+        round(PARTS * counts.further),
         tuple(figure for pair in weights if pair[1] for figure in pair),
     )
--- a/src/bellweir/hosted/sight/shared.py
+++ b/src/bellweir/hosted/sight/shared.py
@@ -22,10 +22,10 @@
 from bellweir.hosted.sight.interface import SeenOutcome, Sight, WorkerSeen
 from bellweir.hosted.sight.judgement import Judgement, Verdict
 from bellweir.hosted.sight.table import IN_HAND_HALF_S, SightTable
-from bellweir.hosted.sight.tries import TryBudget, further_tries_of
+from bellweir.hosted.sight.tries import TryBudget
 
 LOOK_PERIOD_S = 0.4
-LOOK_PERIOD_OF_WORKER_S = 0.003
+LOOK_PERIOD_OF_WORKER_S = 0.006
 """Added for each worker known: a look at one takes some tens of microseconds."""
 ENOUGH_ANSWERS = 8.0
 """Weight of answers from which a 95th percentile is told; below it, one slow answer would be it."""
@@ -124,13 +124,14 @@
             is_set_aside=self.is_set_aside(incarnation),
         )
 
-    def note_further_try(self, service: str, *, is_refused: bool = False) -> None:
+    def begun_again(self, service: str, incarnation: Incarnation) -> None:
         """See the interface."""
-        if is_refused:
-            self._count_refused(service)
-            self._log_refused(service)
-        else:
-            self._table.count(further_tries_of(service), SeenOutcome.REFUSED, self._now_s())
+        self._table.begun(incarnation, self._now_s(), is_further=True)
+
+    def refused_again(self, service: str) -> None:
+        """See the interface."""
+        self._count_refused(service)
+        self._log_refused(service)
 
     def may_try_again(self, service: str) -> bool:
         """See the interface."""
@@ -193,7 +194,7 @@
         now_s = self._now_s()
         services = self._services()
         present = {one for workers in services.values() for one in workers}
-        self._table.forget(present | {further_tries_of(service) for service in services}, now_s)
+        self._table.forget(present, now_s)
         self._gateways = 1 + self._table.origins(now_s, ORIGINS_WITHIN_S)
         merged = {one: self._table.merged(one, now_s) for one in self._table.workers() & present}
         self._known = {one: self._known_of(one, counts, now_s) for one, counts in merged.items()}
@@ -202,8 +203,7 @@
             for service, workers in services.items():
                 self._judge(service, workers, merged, now_s)
         self._of_services = {
-            service: self._service(service, workers, merged, now_s)
-            for service, workers in services.items()
+            service: self._service(workers, merged) for service, workers in services.items()
         }
         self._note_alone()
 
@@ -213,15 +213,11 @@
         return _Known(counts, others, self._table.told_s(worker))
 
     def _service(
-        self,
-        service: str,
-        workers: Collection[Incarnation],
-        merged: Mapping[Incarnation, Counts],
-        now_s: float,
+        self, workers: Collection[Incarnation], merged: Mapping[Incarnation, Counts]
     ) -> _Service:
         seen = {one: merged[one] for one in workers if one in merged}
         tries = sum(counts.judged + counts.refused for counts in seen.values())
-        further = self._table.merged(further_tries_of(service), now_s).refused
+        further = sum(counts.further for counts in seen.values())
         sound = sorted(
             self._known[one].slow_s
             for one in seen
--- a/src/bellweir/hosted/sight/table.py
+++ b/src/bellweir/hosted/sight/table.py
@@ -36,8 +36,9 @@
 """Age at which what is in hand is told again."""
 IN_HAND_HALF_S = 0.25
 """Shortest time in which half of what was in hand elsewhere is taken to have ended."""
-FAILURE_CHANGE = 3.0
-"""Requests that a failure outweighs when the most changed records are chosen."""
+FAILURE_CHANGE = 20.0
+"""Requests that a failure outweighs when the most changed records are chosen: it stays ahead of
+them though each telling halves it."""
 
 
 class _Held:
@@ -71,10 +72,12 @@
         self._others: dict[Incarnation, dict[str, _Held]] = {}
         self._count = 0
 
-    def begun(self, worker: Incarnation, now_s: float) -> None:
-        """Note that a request of this node goes to a worker."""
+    def begun(self, worker: Incarnation, now_s: float, *, is_further: bool = False) -> None:
+        """Note that a request of this node goes to a worker, `is_further`: not as its first try."""
         with self._lock:
-            self._own_record(worker, now_s).in_hand += 1
+            held = self._own_record(worker, now_s)
+            held.in_hand += 1
+            held.counts.further += is_further
             self._changed_own.add(worker)
 
     def ended(
@@ -132,7 +135,7 @@
             for _, _, _, held in chosen:
                 held.tells -= not to_other_zone
                 held.crosses_left -= to_other_zone
-                held.change /= 2
+                held.change /= 1 if to_other_zone else 2
             return tuple(
                 record_of(origin, held.sequence, worker, held.counts, held.in_hand, now_s)
                 for _, origin, worker, held in chosen
@@ -146,14 +149,6 @@
                 merged.plus(held.counts.as_of(now_s))
         return merged
 
-    def count(self, key: Incarnation, outcome: SeenOutcome, now_s: float) -> None:
-        """Count something that was not in hand."""
-        with self._lock:
-            held = self._own_record(key, now_s)
-            held.counts.add(outcome, 0.0, now_s)
-            held.change += 1.0
-            self._changed_own.add(key)
-
     def own_in_hand(self, worker: Incarnation) -> int:
         """Requests of this node at a worker."""
         with self._lock:
--- a/src/bellweir/hosted/sight/tries.py
+++ b/src/bellweir/hosted/sight/tries.py
@@ -19,8 +19,6 @@
 (True, True)
 """
 
-from bellweir.hosted.incarnation import Incarnation
-
 RESERVE_TRIES = 10.0
 
 
@@ -36,12 +34,3 @@
     def allows(self, first: float, further: float) -> bool:
         """Whether one more is within the budget, with what was seen of each kind lately."""
         return not self.share or further + 1.0 <= RESERVE_TRIES + self.share * first
-
-
-def further_tries_of(service: str) -> Incarnation:
-    """The name under which a service's further tries are kept among the workers' records.
-
-    >>> str(further_tries_of("app"))
-    'further tries of app'
-    """
-    return Incarnation(f"further tries of {service}")
