Use the load that workers tell of themselves, by its age

Cause: workers of some services say on each answer what they run, have waiting and slots for, and how long work takes there now; nobody read it.

Change: hosted/sight/worker_load.py reads it; it travels with the records, the newest word of any gateway counts, its requests halve in the worker's usual time and its pace in 0.25 s. Setting sight.useWorkerLoad.

Tests: hosted_choice (told, not understood, by age), hosted_sight (known to all with its age); the worker stand-in tells a load where a test says so.

--- a/features/hosted_choice.feature
+++ b/features/hosted_choice.feature
@@ -28,6 +28,15 @@
     When 10 requests are sent one after the other
     Then all were answered, and worker "a" ran 0 of them
 
+  Scenario: A worker tells its load
+    Given worker "a" tells the load "5,2,6,300"
+    And worker "b" tells the load "nonsense"
+    When 10 requests are sent one after the other
+    Then the sight was told 7 requests, 6 slots and a pace of 300 of worker "a", and nothing of "b"
+
+  Scenario: What a worker told counts by its age
+    Then of two workers alike the one that just told a load is chosen last, and word of a minute ago changes nothing
+
   Scenario: Nothing was told of any worker
     Then at any loads of its own a gateway to which nothing was told chooses as one without sight
 
--- a/features/hosted_sight.feature
+++ b/features/hosted_sight.feature
@@ -27,6 +27,11 @@
     When the rounds pass that tell all
     Then every gateway has set it aside, and no other worker
 
+  Scenario: What a worker told one gateway of its load is known to all, with its age
+    Given 12 gateways in 3 zones
+    When one of them is told a worker's load with an answer
+    Then all know the load after the rounds that tell all, as old as it is
+
   Scenario: A gateway that is cut off
     Given 6 gateways in 2 zones that have told each other of requests in hand
     When one of them is cut off and goes on seeing requests
--- a/features/steps/hosted_choice_steps.py
+++ b/features/steps/hosted_choice_steps.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+import time
 
 import hypothesis.strategies as st
 from behave import given as given_step
@@ -19,6 +20,7 @@
 from bellweir.hosted.sight.exchange import PERIOD_S
 from bellweir.hosted.sight.interface import SeenOutcome, WorkerSeen
 from bellweir.hosted.sight.tries import RESERVE_TRIES
+from bellweir.hosted.sight.worker_load import WorkerLoad
 from bellweir.hosted.views.workers import Worker
 from bellweir.kernel.listeners import address_of
 from bellweir_rehearsal.hosted.worker import WorkerStandIn
@@ -66,6 +68,43 @@
         context.sight.known[one] = WorkerSeen(one, in_hand, usual_s=0.5, slow_s=0.6, age_s=0.1)
 
 
+@given_step('worker "{name}" tells the load "{text}"')
+def given_load(context, name, text):
+    context.workers[name].told_load = text
+
+
+@then(
+    "the sight was told {requests:d} requests, {slots:d} slots and a pace of {pace:d} of worker "
+    '"{name}", and nothing of "{other}"'
+)
+def then_load(context, requests, slots, pace, name, other):
+    told = context.sight.loads[f"i-{name}"]
+    assert (told.requests, told.slots, told.pace) == (requests, slots, pace)
+    assert f"i-{other}" not in context.sight.loads
+
+
+@then(
+    "of two workers alike the one that just told a load is chosen last, and word of a minute ago "
+    "changes nothing"
+)
+def then_by_age(context):
+    def ranks(load, age_s):
+        sight = KnownSight()
+        loads = WorkerLoads("a", sight=sight)
+        workers = [worker_of(number) for number in range(2)]
+        for worker in workers:
+            loads.take(worker)
+            loads.answered(worker.incarnation, 0.1)
+        first = workers[0].incarnation
+        sight.known[first] = WorkerSeen(first, load=load, load_age_s=age_s)
+        return [loads._rank(worker, time.monotonic(), None)[:-1] for worker in workers]
+
+    for load in (WorkerLoad(3, 1, 4), WorkerLoad(0, 0, 4, 300)):
+        told, other = ranks(load, 0.0)
+        assert told > other, (told, other)
+        assert len(set(ranks(load, 60.0))) == 1, ranks(load, 60.0)
+
+
 @given_step("the budget of further tries is spent")
 def given_spent(context):
     context.sight.may_retry = False
--- a/features/steps/hosted_sight_steps.py
+++ b/features/steps/hosted_sight_steps.py
@@ -16,6 +16,7 @@
 from bellweir.hosted.sight.fellows import rounds_to_all
 from bellweir.hosted.sight.interface import SeenOutcome
 from bellweir.hosted.sight.table import IN_HAND_LIFE_S, SightTable
+from bellweir.hosted.sight.worker_load import WorkerLoad
 
 WORKERS = [Incarnation("i-0"), Incarnation("i-1", 5)]
 NODES = 3
@@ -255,3 +256,22 @@
     for one in speakers:
         sent = [address for address, _ in one.transport.sent]
         assert sum(address in network.older for address in sent) <= 1, sent
+
+
+@when("one of them is told a worker's load with an answer")
+def when_load(context):
+    context.worker = context.network.workers[0]
+    first = context.network.gateways["g-0"]
+    first.sight.load_told(context.worker, WorkerLoad(5, 2, 6, 300))
+    first.see(context.worker, SeenOutcome.SERVED, 0.1)
+    context.told_s = context.network.now_s
+
+
+@then("all know the load after the rounds that tell all, as old as it is")
+def then_load_known(context):
+    context.network.run(rounds_that_tell_all(context))
+    age_s = context.network.now_s - context.told_s
+    for one in context.network.all():
+        seen = one.sight.seen(context.worker)
+        assert (seen.load.requests, seen.load.slots, seen.load.pace) == (7, 6, 300)
+        assert abs(seen.load_age_s - age_s) < 0.05, (seen.load_age_s, age_s)
--- a/features/support/hosted_gateway.py
+++ b/features/support/hosted_gateway.py
@@ -67,7 +67,9 @@
         self.view.take(configuration(), "test")
         self.show_workers({worker.instance: worker.entry("app") for worker in workers})
         self.loads = WorkerLoads("a", sight=sight)
-        connections = self._connections = WorkerConnections(HEADERS)
+        connections = self._connections = (
+            WorkerConnections(HEADERS, sight.load_told) if sight else WorkerConnections(HEADERS)
+        )
         self.caller_watch = CallerWatch(self.executors)
         self.caller_watch.start()
         self.metrics = RequestMetrics()
--- a/features/support/known_sight.py
+++ b/features/support/known_sight.py
@@ -9,6 +9,7 @@
     def __init__(self):
         self.known = {}
         """`WorkerSeen` by incarnation."""
+        self.loads = {}
         self.trials = set()
         """Workers that may get one trial."""
         self.may_retry = True
@@ -22,6 +23,9 @@
     def ended(self, incarnation, outcome, seconds):
         self.ends.append((incarnation.instance, outcome))
 
+    def load_told(self, incarnation, load):
+        self.loads[incarnation.instance] = load
+
     def seen(self, incarnation):
         return self.known.get(incarnation, WorkerSeen(incarnation))
 
--- a/src/bellweir/hosted/interface.py
+++ b/src/bellweir/hosted/interface.py
@@ -35,6 +35,8 @@
     """On a request to a worker: the tenant whose key the client carried."""
     authorization: str
     """On a client's request: its key. Never sent to a worker of a deployment with tenants."""
+    server_load: str
+    """On a worker's answer: requests running, waiting, slots, and how long work takes there now."""
 
     @property
     def of_client_only(self) -> frozenset[str]:
--- a/src/bellweir/hosted/serving/attempt.py
+++ b/src/bellweir/hosted/serving/attempt.py
@@ -13,7 +13,9 @@
 from bellweir.clients.interface.errors import ErrorKind
 from bellweir.clients.open_answer import OpenAnswer
 from bellweir.clients.pool import ConnectionPool, HttpCall
+from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.interface import HeaderNames
+from bellweir.hosted.sight.worker_load import WorkerLoad, parse_load
 from bellweir.hosted.views.workers import Worker
 from bellweir.http_server.http import HOP_BY_HOP_HEADERS
 
@@ -107,8 +109,14 @@
 class WorkerConnections:
     """Connection pools by worker address."""
 
-    def __init__(self, headers: HeaderNames) -> None:
+    def __init__(
+        self,
+        headers: HeaderNames,
+        load_told: Callable[[Incarnation, WorkerLoad], None] = lambda _worker, _load: None,
+    ) -> None:
+        """`load_told` gets what a worker says of its own load on an answer."""
         self.headers = headers
+        self._load_told = load_told
         self._lock = threading.Lock()
         self._pools: dict[str, ConnectionPool] = {}
 
@@ -159,8 +167,15 @@
             unknown = error.kind is ErrorKind.UNKNOWN
             state = AttemptState.UNKNOWN if unknown else AttemptState.NOT_SENT
             return OpenedAttempt(state, None, error.detail)
+        self._note_load(worker.incarnation, opened.unwrap())
         return self._judge(opened.unwrap(), call.request_id)
 
+    def _note_load(self, worker: Incarnation, opened: OpenAnswer) -> None:
+        text = opened.headers.get(self.headers.server_load.lower())
+        load = parse_load(text) if text else None
+        if load is not None:
+            self._load_told(worker, load)
+
     def _judge(self, opened: OpenAnswer, request_id: str) -> OpenedAttempt:
         names = self.headers
         opened.ends_with_connection = True
--- a/src/bellweir/hosted/serving/selection.py
+++ b/src/bellweir/hosted/serving/selection.py
@@ -23,6 +23,8 @@
 LONGEST_PENALTY_S = 4.0
 CROWDING = 0.25
 """Share by which a worker that batches is taken to be slower with all of its slots in use."""
+SHORTEST_HALF_S = 0.05
+"""Shortest time in which half of what a worker said it has is taken to have ended."""
 SMOOTHING = 0.2
 """Weight of the newest answer's time in the mean."""
 
@@ -207,8 +209,8 @@
     ) -> tuple[bool, float, bool, bool, float]:
         load = self._load(worker.incarnation)
         avoided = load.avoided_until_s > now_s
-        in_hand, usual_s = self._load_of_all(worker.incarnation, load)
-        share = (in_hand + 1) / max(1, worker.entry.slots)
+        in_hand, usual_s, slots = self._load_of_all(worker, load)
+        share = (in_hand + 1) / max(1, slots)
         if pace_of is not None:
             pace_s = pace_of(worker.incarnation) * (1 + CROWDING * share)
             return avoided, round(pace_s, 4), False, False, random.random()
@@ -217,14 +219,22 @@
         must_connect = not self._has_connection(worker.address)
         return avoided, round(expected_s, 2), must_connect, other_zone, random.random()
 
-    def _load_of_all(self, worker: Incarnation, load: Load) -> tuple[float, float]:
-        """Requests at a worker and its usual time, of all gateways where another one told any."""
-        if self._sight is None or not self._chooses_by_all:
-            return load.in_hand, load.mean_s
-        seen = self._sight.seen(worker)
-        if seen.age_s == float("inf"):
-            return load.in_hand, load.mean_s
-        return max(load.in_hand, seen.in_hand), seen.usual_s or load.mean_s
+    def _load_of_all(self, worker: Worker, load: Load) -> tuple[float, float, int]:
+        """Requests at a worker, its usual time and its slots, as all gateways and itself tell."""
+        in_hand, usual_s, slots = float(load.in_hand), load.mean_s, worker.entry.slots
+        if self._sight is None:
+            return in_hand, usual_s, slots
+        seen = self._sight.seen(worker.incarnation)
+        if self._chooses_by_all and seen.age_s != float("inf"):
+            in_hand = max(in_hand, seen.in_hand)
+            usual_s = seen.usual_s or usual_s
+        if seen.load is not None:
+            half_s = max(SHORTEST_HALF_S, usual_s)
+            told = seen.load.requests * float(0.5 ** (seen.load_age_s / half_s))
+            in_hand = max(in_hand, told)
+            usual_s *= seen.load.slowness(seen.load_age_s)
+            slots = seen.load.slots or slots
+        return in_hand, usual_s, slots
 
 
 def _admitted(
--- a/src/bellweir/hosted/serving/service.py
+++ b/src/bellweir/hosted/serving/service.py
@@ -71,7 +71,7 @@
         self._settings = settings
         self._platform = platform
         self._connections = WorkerConnections(platform.headers)
-        self._loads = WorkerLoads(settings.node.zone)
+        self._loads = WorkerLoads(settings.node.zone, self._connections.has_idle)
         self._servers: list[HttpServer] = []
         self._loops: list[Future[None]] = []
         self._requests: HttpServer | None = None
@@ -81,10 +81,12 @@
         """Listen on every address that the settings give."""
         registry = self._kernel.registry
         self._views = registry.find(names.VIEWS, ViewsService)
+        sight = registry.find(names.SIGHT, SightService).sight
+        self._connections = WorkerConnections(self._platform.headers, sight.load_told)
         self._loads = WorkerLoads(
             self._settings.node.zone,
             self._connections.has_idle,
-            registry.find(names.SIGHT, SightService).sight,
+            sight,
             chooses_by_all=self._settings.sight.choose_by_all,
         )
         membership = registry.find(names.MEMBERSHIP, Membership)  # type: ignore[type-abstract]
--- a/src/bellweir/hosted/settings.py
+++ b/src/bellweir/hosted/settings.py
@@ -150,6 +150,8 @@
     """Have workers that do worse than their fellows get trials only."""
     choose_by_all: bool = True
     """Choose a worker by the requests and times of all gateways, where others told any."""
+    use_worker_load: bool = True
+    """Use the load that workers tell of themselves in the choice, by its age."""
     patience_of_fellows: bool = True
     """Give a first try up after the time that its worker's fellows take."""
     try_share: float = 0.5
--- a/src/bellweir/hosted/sight/interface.py
+++ b/src/bellweir/hosted/sight/interface.py
@@ -8,6 +8,7 @@
 from enum import Enum
 
 from bellweir.hosted.incarnation import Incarnation
+from bellweir.hosted.sight.worker_load import WorkerLoad
 
 
 class SeenOutcome(Enum):
@@ -28,7 +29,16 @@
 class WorkerSeen:
     """What is known of one incarnation of a worker now."""
 
-    __slots__ = ("age_s", "in_hand", "incarnation", "is_set_aside", "slow_s", "usual_s")
+    __slots__ = (
+        "age_s",
+        "in_hand",
+        "incarnation",
+        "is_set_aside",
+        "load",
+        "load_age_s",
+        "slow_s",
+        "usual_s",
+    )
 
     def __init__(
         self,
@@ -39,13 +49,18 @@
         age_s: float = float("inf"),
         *,
         is_set_aside: bool = False,
+        load: WorkerLoad | None = None,
+        load_age_s: float = float("inf"),
     ) -> None:
         """`in_hand`: requests of all gateways that were heard of, this one's included.
 
         `usual_s` and `slow_s` are the median and the 95th percentile of its answers' times in
         seconds; 0 while unknown. `age_s` is the age of the newest word of another gateway. A
         worker that `is_set_aside` did worse than its fellows and gets no more than trials.
+        `load` is what the worker last said of itself to any gateway, `load_age_s` ago.
         """
+        self.load = load
+        self.load_age_s = load_age_s
         self.incarnation = incarnation
         self.in_hand = in_hand
         self.usual_s = usual_s
@@ -65,6 +80,10 @@
     def ended(self, incarnation: Incarnation, outcome: SeenOutcome, seconds: float) -> None:
         """Note that a request ended after `seconds` at the worker."""
 
+    @abstractmethod
+    def load_told(self, incarnation: Incarnation, load: WorkerLoad) -> None:
+        """Note what a worker says of itself now."""
+
     @abstractmethod
     def seen(self, incarnation: Incarnation) -> WorkerSeen:
         """What is known of a worker now; an empty one for a worker that nobody spoke of."""
--- a/src/bellweir/hosted/sight/messages.py
+++ b/src/bellweir/hosted/sight/messages.py
@@ -4,11 +4,13 @@
 
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.sight.counts import Counts
+from bellweir.hosted.sight.worker_load import WorkerLoad
 from bellweir.wire.interface import Message
 
 PARTS = 100
 """Counts travel in hundredths."""
 MS_PER_S = 1000
+LOAD_FIGURES = 5
 
 
 class SeenRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -34,6 +36,8 @@
     failed: int
     refused: int
     further: int = 0
+    load: tuple[int, ...] = ()
+    """Age in ms, running, waiting, slots and pace, as the worker told the origin."""
     times: tuple[int, ...] = ()
     """Bucket and its count by turns."""
 
@@ -54,6 +58,14 @@
             self.further / PARTS,
         )
 
+    def worker_load(self, now_s: float) -> "tuple[WorkerLoad, float] | None":
+        """The worker's own word, and when it was given by the clock here."""
+        if len(self.load) != LOAD_FIGURES:
+            return None
+        age_ms, running, waiting, slots, pace = self.load
+        told_s = now_s - max(0, age_ms) / MS_PER_S
+        return WorkerLoad(running, waiting, slots, pace), told_s
+
 
 class SightNews(Message, frozen=True):
     """Records that are new to the sender; answered by `SightHeard` where it is a request."""
@@ -66,9 +78,15 @@
 
 
 def record_of(
-    origin: str, sequence: int, worker: Incarnation, counts: Counts, in_hand: int, now_s: float
+    origin: str,
+    sequence: int,
+    worker: Incarnation,
+    counts: Counts,
+    in_hand: int,
+    now_s: float,
+    load: tuple[WorkerLoad, float] | None = None,
 ) -> SeenRecord:
-    """A record as it is told now."""
+    """A record as it is told now; `load` with the time at which the worker told it."""
     weights = ((bucket, round(PARTS * weight)) for bucket, weight in sorted(counts.buckets.items()))
     return SeenRecord(
         origin,
@@ -81,5 +99,14 @@
         round(PARTS * counts.failed),
         round(PARTS * counts.refused),
         round(PARTS * counts.further),
+        _load_figures(load, now_s),
         tuple(figure for pair in weights if pair[1] for figure in pair),
     )
+
+
+def _load_figures(load: tuple[WorkerLoad, float] | None, now_s: float) -> tuple[int, ...]:
+    if load is None:
+        return ()
+    told, told_s = load
+    age_ms = max(0, round(MS_PER_S * (now_s - told_s)))
+    return age_ms, told.running, told.waiting, told.slots, told.pace
--- a/src/bellweir/hosted/sight/service.py
+++ b/src/bellweir/hosted/sight/service.py
@@ -37,6 +37,7 @@
             self._services,
             lambda: self._exchange is not None and self._exchange.is_alone,
             sets_aside=self._settings.set_aside,
+            uses_worker_load=self._settings.use_worker_load,
             try_share=self._settings.try_share,
             count_refused=lambda service: self._count_refused(service),
         )
--- a/src/bellweir/hosted/sight/shared.py
+++ b/src/bellweir/hosted/sight/shared.py
@@ -23,6 +23,7 @@
 from bellweir.hosted.sight.judgement import Judgement, Verdict
 from bellweir.hosted.sight.table import IN_HAND_HALF_S, SightTable
 from bellweir.hosted.sight.tries import TryBudget
+from bellweir.hosted.sight.worker_load import WorkerLoad
 
 LOOK_PERIOD_S = 0.4
 LOOK_PERIOD_OF_WORKER_S = 0.006
@@ -41,9 +42,16 @@
 class _Known:
     """What is known of a worker as of the last look."""
 
-    __slots__ = ("others_in_hand", "slow_s", "told_s", "usual_s")
+    __slots__ = ("load", "others_in_hand", "slow_s", "told_s", "usual_s")
 
-    def __init__(self, counts: Counts, others_in_hand: float, told_s: float) -> None:
+    def __init__(
+        self,
+        counts: Counts,
+        others_in_hand: float,
+        told_s: float,
+        load: tuple[WorkerLoad, float] | None = None,
+    ) -> None:
+        self.load = load
         self.usual_s = counts.quantile_s(0.5)
         answers = sum(counts.buckets.values())
         self.slow_s = counts.quantile_s(0.95) if answers >= ENOUGH_ANSWERS else 0.0
@@ -76,6 +84,7 @@
         now_s: Callable[[], float] = time.monotonic,
         *,
         sets_aside: bool = True,
+        uses_worker_load: bool = True,
         try_share: float = 0.0,
         count_refused: Callable[[str], None] = lambda _service: None,
     ) -> None:
@@ -88,6 +97,7 @@
         self._is_alone = is_alone
         self._now_s = now_s
         self._sets_aside = sets_aside
+        self._uses_worker_load = uses_worker_load
         self._lock = threading.Lock()
         self._judgement = Judgement()
         self._count_refused = count_refused
@@ -107,6 +117,16 @@
         """See the interface."""
         self._table.ended(incarnation, outcome, seconds, self._now_s())
 
+    def load_told(self, incarnation: Incarnation, load: WorkerLoad) -> None:
+        """See the interface."""
+        if not self._uses_worker_load:
+            return
+        now_s = self._now_s()
+        self._table.load_told(incarnation, load, now_s)
+        known = self._known.get(incarnation)
+        if known is not None:
+            known.load = (load, now_s)
+
     def seen(self, incarnation: Incarnation) -> WorkerSeen:
         """See the interface."""
         now_s = self._now_s()
@@ -115,6 +135,7 @@
         if others:
             passed_s = max(0.0, now_s - self._looked_s)
             others *= 0.5 ** (passed_s / max(IN_HAND_HALF_S, known.usual_s))
+        load, load_s = known.load or (None, float("-inf"))
         return WorkerSeen(
             incarnation,
             self._table.own_in_hand(incarnation) + others,
@@ -122,6 +143,8 @@
             known.slow_s,
             now_s - known.told_s,
             is_set_aside=self.is_set_aside(incarnation),
+            load=load,
+            load_age_s=now_s - load_s,
         )
 
     def begun_again(self, service: str, incarnation: Incarnation) -> None:
@@ -210,7 +233,8 @@
     def _known_of(self, worker: Incarnation, counts: Counts, now_s: float) -> _Known:
         usual_s = counts.quantile_s(0.5)
         others = self._table.others_in_hand(worker, usual_s, now_s)
-        return _Known(counts, others, self._table.told_s(worker))
+        load = self._table.load(worker) if self._uses_worker_load else None
+        return _Known(counts, others, self._table.told_s(worker), load)
 
     def _service(
         self, workers: Collection[Incarnation], merged: Mapping[Incarnation, Counts]
--- a/src/bellweir/hosted/sight/table.py
+++ b/src/bellweir/hosted/sight/table.py
@@ -23,6 +23,7 @@
 from bellweir.hosted.sight.counts import Counts
 from bellweir.hosted.sight.interface import SeenOutcome
 from bellweir.hosted.sight.messages import SeenRecord, record_of
+from bellweir.hosted.sight.worker_load import WorkerLoad
 
 MOST_RECORDS_OF_MESSAGE = 12
 """About 800 bytes."""
@@ -44,7 +45,16 @@
 class _Held:
     """One record as held here."""
 
-    __slots__ = ("change", "counts", "crosses_left", "in_hand", "is_own_zone", "sequence", "tells")
+    __slots__ = (
+        "change",
+        "counts",
+        "crosses_left",
+        "in_hand",
+        "is_own_zone",
+        "load",
+        "sequence",
+        "tells",
+    )
 
     def __init__(self, sequence: int, counts: Counts, in_hand: int, *, is_own_zone: bool) -> None:
         self.sequence = sequence
@@ -56,6 +66,8 @@
         self.crosses_left = 0
         """Messages to other zones in which it is still to be told."""
         self.change = 0.0
+        self.load: tuple[WorkerLoad, float] | None = None
+        """The worker's own word and when it was given."""
 
 
 class SightTable:
@@ -111,6 +123,7 @@
             if before is not None and before.sequence >= record.sequence:
                 return False
             held = _Held(record.sequence, counts, record.in_hand, is_own_zone=zone == self._zone)
+            held.load = record.worker_load(now_s)
             held.tells = tells
             held.crosses_left = crosses if held.is_own_zone else 0
             held.change = _change(before, held)
@@ -137,7 +150,9 @@
                 held.crosses_left -= to_other_zone
                 held.change /= 1 if to_other_zone else 2
             return tuple(
-                record_of(origin, held.sequence, worker, held.counts, held.in_hand, now_s)
+                record_of(
+                    origin, held.sequence, worker, held.counts, held.in_hand, now_s, held.load
+                )
                 for _, origin, worker, held in chosen
             )
 
@@ -149,6 +164,17 @@
                 merged.plus(held.counts.as_of(now_s))
         return merged
 
+    def load_told(self, worker: Incarnation, load: WorkerLoad, now_s: float) -> None:
+        """Note what a worker says of itself; it is told with the request that it answered."""
+        with self._lock:
+            self._own_record(worker, now_s).load = (load, now_s)
+
+    def load(self, worker: Incarnation) -> tuple[WorkerLoad, float] | None:
+        """The newest word of a worker on itself to any gateway, and when it was given."""
+        with self._lock:
+            told = [held.load for held in self._of_worker(worker) if held.load is not None]
+            return max(told, key=lambda each: each[1], default=None)
+
     def own_in_hand(self, worker: Incarnation) -> int:
         """Requests of this node at a worker."""
         with self._lock:
--- a/src/bellweir_rehearsal/hosted/worker.py
+++ b/src/bellweir_rehearsal/hosted/worker.py
@@ -88,6 +88,8 @@
         self.silent_after: int | None = None
         """Events after which its streams stand still, without an end."""
         self.load_s = 0.1
+        self.told_load = ""
+        """What its answers say of its load; empty: nothing."""
         self.faults = WorkerFaults()
         self.record = WorkerRecord()
         self.sequence = 0
@@ -197,6 +199,8 @@
     ) -> None:
         if self.faults.strikes("wrong_id"):
             echo = {"X-Bellweir-Attempt-Id": "another"}
+        if self.told_load:
+            echo = {**echo, "X-Bellweir-Server-Load": self.told_load}
         if not self.faults.strikes("unsigned"):
             echo = {**echo, "X-Bellweir-Server-Stamp": stamp_of(request_id)}
         handler.answer(200, answer_to(request_id, body), echo)
