--- a/src/bellweir/hosted/sight/interface.py
+++ b/src/bellweir/hosted/sight/interface.py
@@ -8,6 +8,7 @@
 from enum import Enum
 
 from bellweir.hosted.incarnation import Incarnation
+from bellweir.hosted.sight.worker_load import WorkerLoad
 
 
 class SeenOutcome(Enum):
@@ -17,6 +18,8 @@
     """A whole answer that is no failure of the worker's."""
     FAILED = "failed"
     """The worker's own failure, an answer that was cut, or none in time."""
+    LATE = "late"
+    """Given up since no answer came in the time that fellows take; also a failure."""
     REFUSED = "refused"
     """The worker said that it did not run the request."""
     UNKNOWN = "unknown"
@@ -26,7 +29,16 @@
 class WorkerSeen:
     """What is known of one incarnation of a worker now."""
 
-    __slots__ = ("age_s", "in_hand", "incarnation", "is_set_aside", "slow_s", "usual_s")
+    __slots__ = (
+        "age_s",
+        "in_hand",
+        "incarnation",
+        "is_set_aside",
+        "load",
+        "load_age_s",
+        "slow_s",
+        "usual_s",
+    )
 
     def __init__(
         self,
@@ -37,13 +49,18 @@
         age_s: float = float("inf"),
         *,
         is_set_aside: bool = False,
+        load: WorkerLoad | None = None,
+        load_age_s: float = float("inf"),
     ) -> None:
         """`in_hand`: requests of all gateways that were heard of, this one's included.
 
         `usual_s` and `slow_s` are the median and the 95th percentile of its answers' times in
         seconds; 0 while unknown. `age_s` is the age of the newest word of another gateway. A
         worker that `is_set_aside` did worse than its fellows and gets no more than trials.
+        `load` is what the worker last said of itself to any gateway, `load_age_s` ago.
         """
+        self.load = load
+        self.load_age_s = load_age_s
         self.incarnation = incarnation
         self.in_hand = in_hand
         self.usual_s = usual_s
@@ -63,6 +80,10 @@
     def ended(self, incarnation: Incarnation, outcome: SeenOutcome, seconds: float) -> None:
         """Note that a request ended after `seconds` at the worker."""
 
+    @abstractmethod
+    def load_told(self, incarnation: Incarnation, load: WorkerLoad) -> None:
+        """Note what a worker says of itself now."""
+
     @abstractmethod
     def seen(self, incarnation: Incarnation) -> WorkerSeen:
         """What is known of a worker now; an empty one for a worker that nobody spoke of."""
@@ -71,6 +92,22 @@
     def may_try(self, incarnation: Incarnation) -> bool:
         """Whether a worker that is set aside may get a trial request now; takes the trial."""
 
+    @abstractmethod
+    def begun_again(self, service: str, incarnation: Incarnation) -> None:
+        """The same as `begun` for a further try of a request."""
+
+    @abstractmethod
+    def refused_again(self, service: str) -> None:
+        """Note that a request gets no further try since the budget is spent."""
+
+    @abstractmethod
+    def may_try_again(self, service: str) -> bool:
+        """Whether a further try is within the budget of the service."""
+
+    @abstractmethod
+    def fellows_slow_s(self, service: str) -> float:
+        """The 95th percentile in seconds that the sound workers of a service have; 0: unknown."""
+
     @property
     @abstractmethod
     def is_alone(self) -> bool:
