Choose plain requests' workers by when they answer, and give tries up while a second one is in time

Their expected time was usual time times load over slots, so that a slow worker with free slots looked as good as a sound one with three in hand; and a try was given up only after twice the 95th percentile of the fellows, when no second one could be in time.

Change: where others told of a worker, its answer is expected after its usual time as long as it has free slots, and later by its queue; one choice of 32 goes by load alone, so that a worker that is well again is seen. A first try is given up at the share of the target that was fixed before, or earlier, unless the fellows' own 95th percentile is beyond that.

Test: hosted_choice, a slow worker with free slots (fails before).

--- a/features/hosted_choice.feature
+++ b/features/hosted_choice.feature
@@ -28,6 +28,11 @@
     When 10 requests are sent one after the other
     Then all were answered, and worker "a" ran 0 of them
 
+  Scenario: A slow worker with free slots, and a sound one that has more in hand
+    Given a worker that takes 4 times as long and has nothing, and a sound one with 5 of 6 slots in use
+    Then 31 of 32 choices take the sound one, and the other one is looked at now and then
+    And a sound one that has a queue of 4 times its slots is passed over
+
   Scenario: A worker tells its load
     Given worker "a" tells the load "5,2,6,300"
     And worker "b" tells the load "nonsense"
--- a/features/steps/hosted_choice_steps.py
+++ b/features/steps/hosted_choice_steps.py
@@ -68,6 +68,46 @@
         context.sight.known[one] = WorkerSeen(one, in_hand, usual_s=0.5, slow_s=0.6, age_s=0.1)
 
 
+@given_step(
+    "a worker that takes {factor:d} times as long and has nothing, and a sound one with "
+    "{count:d} of {slots:d} slots in use"
+)
+def given_slow_and_sound(context, factor, count, slots):
+    context.slow, context.sound = (
+        Worker(name, WorkerEntry("app", f"{name}:1", slots=slots)) for name in ("slow", "sound")
+    )
+    context.known = KnownSight()
+    context.loads = WorkerLoads("a", sight=context.known)
+    note_seen(context, context.slow, 0, 0.04 * factor)
+    note_seen(context, context.sound, count, 0.04)
+
+
+def note_seen(context, worker, in_hand, usual_s):
+    one = worker.incarnation
+    context.known.known[one] = WorkerSeen(one, in_hand, usual_s, 2 * usual_s, age_s=0.1)
+
+
+def chosen_of(context, count):
+    """Workers of so many choices, each of which is over at once."""
+    found = []
+    for _ in range(count):
+        found.append(context.loads.choose([context.slow, context.sound], ()))
+        context.loads.released(found[-1].incarnation)
+    return found
+
+
+@then("31 of 32 choices take the sound one, and the other one is looked at now and then")
+def then_sound(context):
+    found = chosen_of(context, 320)
+    assert found.count(context.sound) == 310, found.count(context.sound)
+
+
+@then("a sound one that has a queue of 4 times its slots is passed over")
+def then_full(context):
+    note_seen(context, context.sound, 4 * context.sound.entry.slots, 0.04)
+    assert set(chosen_of(context, 31)) == {context.slow}
+
+
 @given_step('worker "{name}" tells the load "{text}"')
 def given_load(context, name, text):
     context.workers[name].told_load = text
--- a/src/bellweir/hosted/serving/forwarding.py
+++ b/src/bellweir/hosted/serving/forwarding.py
@@ -196,10 +196,13 @@
         if not self._loads.may_try_again(service):
             return left_s
         slow_s = self._loads.fellows_slow_s(service) if self._patience_of_fellows else 0.0
+        target_s = client.route.target_ms / MS_PER_S
         if slow_s:
+            # No later than a second try can still be in time, unless fellows take longer, too.
+            in_time_s = max(PATIENCE_OF_TARGET * target_s, slow_s)
+            fellows_s = min(PATIENCE_OF_SLOW * slow_s, in_time_s)
             own_s = PATIENCE_OF_OWN * self._loads.own_usual_s()
-            return min(left_s, max(SHORTEST_PATIENCE_S, PATIENCE_OF_SLOW * slow_s, own_s))
-        target_s = client.route.target_ms / MS_PER_S
+            return min(left_s, max(SHORTEST_PATIENCE_S, fellows_s, own_s))
         usual_s = PATIENCE_OF_MEAN * self._loads.mean_s(worker.incarnation)
         return min(left_s, max(PATIENCE_OF_TARGET * target_s, usual_s))
 
--- a/src/bellweir/hosted/serving/selection.py
+++ b/src/bellweir/hosted/serving/selection.py
@@ -23,6 +23,8 @@
 LONGEST_PENALTY_S = 4.0
 CROWDING = 0.25
 """Share by which a worker that batches is taken to be slower with all of its slots in use."""
+CHOICES_BY_TIME = 32
+"""Of so many choices one leaves the workers' times aside and goes by load alone."""
 SHORTEST_HALF_S = 0.05
 """Shortest time in which half of what a worker said it has is taken to have ended."""
 SMOOTHING = 0.2
@@ -51,11 +53,14 @@
         sight: Sight | None = None,
         *,
         chooses_by_all: bool = True,
+        choices_made: int = 0,
     ) -> None:
         """`has_connection` tells whether a connection to `host:port` is open and free.
 
         `sight` is told of each request; `chooses_by_all`: the choice uses others' requests.
+        With different `choices_made` gateways don't all go by load alone at the same time.
         """
+        self._choices_made = choices_made
         self._sight = sight
         self._chooses_by_all = chooses_by_all
         self._own_usual_s = 0.0
@@ -85,6 +90,7 @@
         if not candidates:
             return None
         with self._lock:
+            self._choices_made += 1
             chosen = min(candidates, key=lambda worker: self._rank(worker, now_s, pace_of))
             self._load(chosen.incarnation).in_hand += 1
         if self._sight is not None:
@@ -206,18 +212,34 @@
 
     def _rank(
         self, worker: Worker, now_s: float, pace_of: Callable[[Incarnation], float] | None
-    ) -> tuple[bool, float, bool, bool, float]:
+    ) -> tuple[bool, float, float, bool, bool, float]:
         load = self._load(worker.incarnation)
         avoided = load.avoided_until_s > now_s
         in_hand, usual_s, slots = self._load_of_all(worker, load)
         share = (in_hand + 1) / max(1, slots)
         if pace_of is not None:
             pace_s = pace_of(worker.incarnation) * (1 + CROWDING * share)
-            return avoided, round(pace_s, 4), False, False, random.random()
-        expected_s = share * max(usual_s, 0.001)
+            return avoided, round(pace_s, 4), 0.0, False, False, random.random()
+        usual_s = max(usual_s, 0.001)
+        answer_s = self._answer_s(worker, share, usual_s)
         other_zone = worker.entry.zone != self._own_zone
         must_connect = not self._has_connection(worker.address)
-        return avoided, round(expected_s, 2), must_connect, other_zone, random.random()
+        spread_s = round(share * usual_s, 2)
+        return avoided, answer_s, spread_s, must_connect, other_zone, random.random()
+
+    def _answer_s(self, worker: Worker, share: float, usual_s: float) -> float:
+        """When a worker's answer is expected, in whole hundredths; 0 where load alone counts.
+
+        Up to its slots a worker answers in its usual time however many it has. A choice by load
+        alone would send a slow one with free slots its part of the requests, each of them late.
+        Now and then load alone counts all the same, so that a worker that is slow no more is seen.
+        """
+        by_load = self._choices_made % CHOICES_BY_TIME == 0
+        if self._sight is None or not self._chooses_by_all or by_load:
+            return 0.0
+        if self._sight.seen(worker.incarnation).age_s == float("inf"):
+            return 0.0
+        return round(usual_s * max(1.0, share), 2)
 
     def _load_of_all(self, worker: Worker, load: Load) -> tuple[float, float, int]:
         """Requests at a worker, its usual time and its slots, as all gateways and itself tell."""
--- a/src/bellweir/hosted/serving/service.py
+++ b/src/bellweir/hosted/serving/service.py
@@ -1,5 +1,6 @@
 """Service `front`: the gateway's listeners, its planned stop and its figures."""
 
+import random
 import threading
 import time
 from concurrent.futures import Future
@@ -15,7 +16,7 @@
 from bellweir.hosted.serving.attempt import WorkerConnections
 from bellweir.hosted.serving.directory import TTL_S, Directory
 from bellweir.hosted.serving.forwarding import Forwarder
-from bellweir.hosted.serving.selection import WorkerLoads
+from bellweir.hosted.serving.selection import CHOICES_BY_TIME, WorkerLoads
 from bellweir.hosted.serving.simple_application import SimpleApplication
 from bellweir.hosted.serving.streams import StreamForwarder
 from bellweir.hosted.settings import HostedSettings, TenantSettings
@@ -88,6 +89,7 @@
             self._connections.has_idle,
             sight,
             chooses_by_all=self._settings.sight.choose_by_all,
+            choices_made=random.randrange(CHOICES_BY_TIME),
         )
         membership = registry.find(names.MEMBERSHIP, Membership)  # type: ignore[type-abstract]
         directory = Directory(membership, self._is_serving, self._settings.bounds.address_ttl_s)
