Let nothing older replace a worker's newest start

A view took whatever entry it read last for the worker's: a late write of a former start, or the copy of a peer that is behind, put the former start back. A report was taken for the start that the entry told, whoever had answered, and counted beside the entry for good, so that a late order to a former start could take the new one back to an older version unseen. Resting connections led to the former start until a request failed on one. And drop_overdue wrote a copy of the entries back that it had read under another hold of the lock: a change between the two was lost.

Now a start with a greater time counts at once, any other when it is written twice with no write of the newest in between (views/starts.py); the adapter reads `born` in reports, too; a report counts beside an older entry for 3 s; connections to an address are renewed when another start is there; entries are read and changed under one hold. worker_started_again and worker_former_entry tell, and worker_changed shows `born`.

The kit's worker tells `born` and can start again, also behind a cut. Steps of hosted_forwarding and hosted_batches named workers by an incarnation without a start, which these now have: they take the worker's own, so that what they look at is still what is kept.

--- a/features/steps/hosted_batches_steps.py
+++ b/features/steps/hosted_batches_steps.py
@@ -188,9 +188,9 @@
     worker = context.leader.models[0]
     told = context.leader.coordinator._attempts.refusals.load_told
     # Told of for longer than it lasts, so that only the word of its end brings the runs.
-    told(Incarnation(worker.instance), MODEL, 4.0)
+    told(worker.incarnation, MODEL, 4.0)
     worker.refuse_for(1.0)
-    ended = threading.Timer(1.1, told, (Incarnation(worker.instance), MODEL, 0.0))
+    ended = threading.Timer(1.1, told, (worker.incarnation, MODEL, 0.0))
     context.cleanup.callback(ended.cancel)
     ended.start()
 
@@ -390,8 +390,8 @@
 def then_not_avoided(context):
     loads = context.leader.coordinator._loads
     for worker in context.leader.models:
-        assert loads.in_hand(Incarnation(worker.instance)) == 0
-        assert loads._load(Incarnation(worker.instance)).failures == 0, worker.instance
+        assert loads.in_hand(worker.incarnation) == 0
+        assert loads._load(worker.incarnation).failures == 0, worker.instance
 
 
 def come_again(context, minimum_version=2):
--- a/features/steps/hosted_forwarding_steps.py
+++ b/features/steps/hosted_forwarding_steps.py
@@ -14,7 +14,6 @@
 
 from bellweir.hosted.batches.attempts import ItemAttempts
 from bellweir.hosted.batches.progress import ItemProgress
-from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.interface import Listing, StoredRecord
 from bellweir.hosted.records import Configuration, Route, RouteKind
 from bellweir.hosted.serving.attempt import (
@@ -76,8 +75,9 @@
 
 def prefer_first(context):
     """Have worker "b" passed over for a moment, as one that has just said it is full."""
-    context.gateway.loads.choose([context.gateway.workers.worker("i-b")], ())
-    context.gateway.loads.refused(Incarnation("i-b"))
+    second = context.gateway.workers.worker("i-b")
+    context.gateway.loads.choose([second], ())
+    context.gateway.loads.refused(second.incarnation)
 
 
 @given_step("the workers' entries name other instances")
@@ -226,7 +226,7 @@
     loads, workers = context.gateway.loads, context.gateway.workers.all()
 
     def in_hand():
-        return sum(loads.in_hand(Incarnation(worker.instance)) for worker in workers)
+        return sum(loads.in_hand(worker.incarnation) for worker in workers)
 
     deadline_s = time.monotonic() + 0.5
     while in_hand() and time.monotonic() < deadline_s:
@@ -252,7 +252,7 @@
         timer.start()
         attempts.run_text(progress, worker, cancellation)
         timer.join()
-        assert loads.in_hand(Incarnation(worker.instance)) == 0
+        assert loads.in_hand(worker.incarnation) == 0
 
 
 STATES = st.sampled_from(("answered", "failed", "refused", "not_sent", "unknown", "unknown_ran"))
@@ -316,6 +316,6 @@
             assert not connections.ran, "refused although it ran"
         if response.status in (200, 500):
             assert connections.ran, "a worker's answer without a run"
-        assert all(loads.in_hand(Incarnation(record.name)) == 0 for record in records)
+        assert all(loads.in_hand(worker.incarnation) == 0 for worker in view.all())
 
     true_always()
--- /dev/null
+++ b/features/steps/hosted_starts_steps.py
@@ -0,0 +1,392 @@
+"""Workers that start again under their ids: readings, reports, orders and connections."""
+
+import hypothesis.strategies as st
+from behave import given as given_step
+from behave import then, when
+from features.support.starts_world import MODEL, StartsWorld, entry_of
+from hypothesis import given, settings
+
+from bellweir.hosted.incarnation import Incarnation
+from bellweir.hosted.interface import Listing, RecordChange, StoredRecord
+from bellweir.hosted.views.configuration import ConfigurationView
+from bellweir.hosted.views.kind_state import KindState
+from bellweir.hosted.views.workers import WorkersView
+from bellweir.hosted.weights.controller import REPORT_COUNTS_S, RolloutController
+from bellweir.hosted.weights.lags import VersionLags
+from bellweir.hosted.weights.versions import VersionsView
+
+NAMES = ("i-1", "i-2")
+NAME = st.sampled_from(NAMES)
+CLOCKS_MS = st.sampled_from((0, 0, -500, -5_000, 7_000))
+STEP_S = 0.1
+ROUNDS = 200
+"""Steps within which everything must have come to rest: 20 s of the model's time."""
+
+
+class Process:
+    """A process's view, fed through its state of the kind, and all starts that it has shown."""
+
+    def __init__(self):
+        self.workers = WorkersView()
+        self.state = KindState("servers", self.workers.take_listing, self.workers.take_change)
+        self.shown = {name: [] for name in NAMES}
+
+    def look(self):
+        """Note what is shown; fail when a start is shown again that another one has followed."""
+        for name, shown in self.shown.items():
+            worker = self.workers.worker(name)
+            if worker is not None and worker.incarnation not in shown[-1:]:
+                assert worker.incarnation not in shown, (name, shown, worker.incarnation)
+                shown.append(worker.incarnation)
+
+
+BEHIND = st.sampled_from((0, 0, 0, 1, 2, 4, 8))
+"""Changes that a reading lacks."""
+READINGS = st.one_of(
+    st.tuples(st.sampled_from(("start", "start and write")), NAME, CLOCKS_MS),
+    st.tuples(st.just("write"), NAME, st.just(0)),
+    st.tuples(st.just("late"), NAME, st.integers(0, 5)),
+    st.tuples(st.just("lapse"), NAME, st.just(0)),
+    st.tuples(st.sampled_from(("list", "watch", "peer", "copy")), NAME, BEHIND),
+)
+
+
+class Readings:
+    """Plays writes and readings of any age before a process and a peer that tells it news."""
+
+    def __init__(self, only_seen):
+        """With `only_seen` a start that ends writes late only if the process has shown it."""
+        self.world, self.process, self.peer = StartsWorld(NAMES), Process(), Process()
+        self.only_seen = only_seen
+        self.wrote_late = set()
+
+    def play(self, what, name, number):
+        world, process = self.world, self.process
+        if what.startswith("start"):
+            world.start(name, number)
+        if what.endswith("write"):
+            world.write(name)
+        elif what == "late":
+            self._write_late(name, number)
+        elif what == "lapse":
+            world.lapse(name)
+        elif what == "list":
+            process.state.take_listing(world.listing(number), 0.0)
+        elif what == "watch":
+            process.state.take_changes(world.changes(process.state.revision, number), 0.0)
+        elif what == "peer":
+            self.peer.state.take_listing(world.listing(number), 0.0)
+            news = self.peer.state.news_since(process.state.revision, 0.0)
+            process.state.take_news(news, 0.0)
+        elif what == "copy":
+            copied = {record.name: record.spec for record in world.listing(number).records}
+            process.workers.take_peer_copy(copied)
+
+    def _write_late(self, name, number):
+        """A start that has ended writes once: it had one write under way."""
+        former = self.world.starts[name][:-1]
+        seen = self.process.shown[name]
+        choice = [one for one in former if not self.only_seen or one in seen]
+        choice = [one for one in choice if one not in self.wrote_late]
+        if choice:
+            chosen = choice[number % len(choice)]
+            self.wrote_late.add(chosen)
+            self.world.put(name, entry_of(name, chosen.born_ms))
+
+
+@then("however old and by whom a reading is, no former start of a worker is shown again")
+def then_never_again(context):
+    @settings(max_examples=400)
+    @given(steps=st.lists(READINGS, min_size=8, max_size=40))
+    def never_again(steps):
+        readings = Readings(only_seen=True)
+        for step in steps:
+            readings.play(*step)
+            readings.process.look()
+
+    never_again()
+
+
+@then("whatever was written late, a worker that goes on writing is shown as it started last")
+def then_shown(context):
+    @settings(max_examples=400)
+    @given(steps=st.lists(READINGS, min_size=8, max_size=40))
+    def shown(steps):
+        readings = Readings(only_seen=False)
+        for step in steps:
+            readings.play(*step)
+        world, process = readings.world, readings.process
+        # One reading for a greater time, two for a smaller one.
+        for _ in range(2):
+            for name in NAMES:
+                world.write(name)
+            process.state.take_changes(world.changes(process.state.revision, 0), 0.0)
+            process.state.take_listing(world.listing(0), 0.0)
+        for name in NAMES:
+            shown = process.workers.worker(name).incarnation
+            assert shown == world.workers[name].incarnation, (steps, shown)
+
+    shown()
+
+
+def read(context, born_ms):
+    context.revision += 1
+    record = StoredRecord("servers", "i-1", context.revision, entry_of("i-1", born_ms))
+    context.view.take_change(RecordChange(record, deleted=False))
+
+
+@given_step('a view that knows worker "i-1" as started at {born_ms:d}')
+def given_view(context, born_ms):
+    context.view, context.revision = WorkersView(), 0
+    context.view.take_listing(Listing(0, ()))
+    read(context, born_ms)
+
+
+@given_step('a view that peers told of worker "i-1" as started at {born_ms:d}')
+def given_told(context, born_ms):
+    context.view, context.revision = WorkersView(), 0
+    when_told(context, born_ms)
+
+
+@when("a peer that is behind tells of it as started at {born_ms:d}")
+def when_told(context, born_ms):
+    context.view.take_peer_copy({"i-1": entry_of("i-1", born_ms)})
+
+
+@when("it is read at a higher revision as started at {born_ms:d}")
+def when_read(context, born_ms):
+    read(context, born_ms)
+
+
+@when("its entry lapses")
+def when_lapses(context):
+    context.revision += 1
+    record = StoredRecord("servers", "i-1", context.revision, None)
+    context.view.take_change(RecordChange(record, deleted=True))
+    assert context.view.worker("i-1") is None
+
+
+@then("the view shows the start at {born_ms:d}")
+def then_start(context, born_ms):
+    assert context.view.worker("i-1").incarnation == Incarnation("i-1", born_ms)
+
+
+class Amid:
+    """A lock that has something done once, right after it was released for the first time."""
+
+    def __init__(self, lock, act):
+        self.lock, self.act = lock, act
+
+    def __enter__(self):
+        return self.lock.__enter__()
+
+    def __exit__(self, *failure):
+        self.lock.__exit__(*failure)
+        act, self.act = self.act, None
+        if act is not None:
+            act()
+
+
+@then("a change that is taken amid the dropping of overdue workers is kept")
+def then_kept(context):
+    now = [0.0]
+    view = WorkersView(now_s=lambda: now[0])
+    gone = StoredRecord("servers", "i-1", 1, entry_of("i-1", 5_000))
+    view.take_listing(Listing(1, (gone,)))
+    view.keep_lapsed_until(2.0)
+    view.take_change(RecordChange(gone, deleted=True))
+    now[0] = 3.0
+    came = StoredRecord("servers", "i-2", 3, entry_of("i-2", 5_000))
+    view._lock = Amid(view._lock, lambda: view.take_change(RecordChange(came, deleted=False)))
+    view.drop_overdue()
+    assert [worker.instance for worker in view.all()] == ["i-2"]
+    assert set(view.specs()) == {"i-2"}
+
+
+class FixedLease:
+    def may_act_for_s(self):
+        return 10.0
+
+    def begin_act(self, seconds):
+        return 17
+
+
+class Rollouts:
+    """A controller before a world of workers, with a clock of its own."""
+
+    def __init__(self, names=NAMES):
+        self.now_s = 0.0
+        self.world, self.process = StartsWorld(names), Process()
+        self.versions = VersionsView()
+        configuration = ConfigurationView()
+        engine = {"slots": 8, "models": [{"name": MODEL}]}
+        services = [{"name": "llm", "engine": engine}]
+        configuration.take({"version": 1, "routes": [], "services": services}, "test")
+        self.controller = RolloutController(
+            FixedLease(),
+            self.versions,
+            self.process.workers,
+            configuration,
+            self.world,
+            VersionLags(list),
+            "node-1",
+            now_s=lambda: self.now_s,
+        )
+        self.read(0)
+
+    def read(self, behind):
+        self.process.state.take_listing(self.world.listing(behind), 0.0)
+
+    def name(self, version):
+        record = StoredRecord("versions", MODEL, version, {"model": MODEL, "version": version})
+        self.versions.take_listing(Listing(version, (record,)))
+
+    def step(self):
+        self.now_s += STEP_S
+        self.controller.step()
+
+    def beat(self):
+        for name in self.world.workers:
+            self.world.write(name)
+        self.read(0)
+
+    def held(self, name):
+        return self.controller.held_version(self.process.workers.worker(name), MODEL)
+
+
+ORDERS = st.one_of(
+    st.tuples(st.just("start"), NAME, CLOCKS_MS),
+    st.tuples(st.just("write"), NAME, st.just(0)),
+    st.tuples(st.just("list"), NAME, st.integers(0, 3)),
+    st.tuples(st.just("name"), NAME, st.just(0)),
+    st.tuples(st.just("deliver"), NAME, st.integers(0, 3)),
+    st.tuples(st.just("old reports"), NAME, st.integers(1, 3)),
+    st.tuples(st.sampled_from(("late", "unanswered")), NAME, st.just(0)),
+    st.tuples(st.just("step"), NAME, st.integers(1, 8)),
+)
+
+
+def play(rollouts, what, name, number, version):
+    world = rollouts.world
+    if what == "start":
+        world.start(name, number)
+    elif what == "write":
+        world.write(name)
+    elif what == "list":
+        rollouts.read(number)
+    elif what == "name":
+        rollouts.name(version)
+    elif what == "deliver":
+        world.deliver(number)
+    elif what == "old reports":
+        world.old_reports = number
+    elif what == "step":
+        for _ in range(number):
+            rollouts.step()
+    else:
+        world.loses.append(what)
+
+
+@then("no version counts for a start of a worker that another start had")
+def then_own_versions(context):
+    @settings(max_examples=400)
+    @given(steps=st.lists(ORDERS, min_size=8, max_size=50))
+    def own_versions(steps):
+        rollouts, version = Rollouts(), 1
+        for what, name, number in steps:
+            version += what == "name"
+            play(rollouts, what, name, number, version)
+            for worker in rollouts.process.workers.all():
+                held = rollouts.held(worker.instance)
+                assert held in rollouts.world.had[worker.incarnation], (steps, worker, held)
+
+    own_versions()
+
+
+@then("in the end every worker holds the newest version, whatever late orders did")
+def then_newest(context):
+    @settings(max_examples=400)
+    @given(steps=st.lists(ORDERS, min_size=8, max_size=50))
+    def newest(steps):
+        rollouts, version = Rollouts(), 1
+        for what, name, number in steps:
+            version += what == "name"
+            play(rollouts, what, name, number, version)
+        world = rollouts.world
+        world.old_reports, world.loses = 0, []
+        while world.late:
+            world.deliver(0)
+        for _ in range(ROUNDS):
+            rollouts.beat()
+            rollouts.step()
+        versions = {one.version for one in world.workers.values()}
+        assert versions == {version}, (steps, versions, version)
+        count = len(world.orders)
+        for _ in range(ROUNDS):
+            rollouts.beat()
+            rollouts.step()
+        assert len(world.orders) == count, "it orders without an end"
+
+    newest()
+
+
+@given_step("a worker whose report comes from a start that its entry does not tell yet")
+def given_unknown_start(context):
+    context.rollouts = Rollouts(("i-1",))
+    context.rollouts.world.start("i-1", 0)
+    context.rollouts.world.workers["i-1"].version = 2
+
+
+@when("a version is named that this start holds")
+def when_held(context):
+    context.rollouts.name(2)
+    for _ in range(30):
+        context.rollouts.step()
+
+
+@then("the version does not count for the start that the entry tells, and no order is given")
+def then_not_counted(context):
+    assert context.rollouts.held("i-1") == 1
+    assert context.rollouts.world.orders == []
+    context.rollouts.beat()
+    assert context.rollouts.held("i-1") == 2
+
+
+@given_step(
+    "a worker with version 3 that started again, its report told and its entry not yet rewritten"
+)
+def given_told_start(context):
+    rollouts = context.rollouts = Rollouts(("i-1",))
+    world = rollouts.world
+    world.loses = ["late"]
+    rollouts.name(2)
+    rollouts.step()
+    assert len(world.late) == 1
+    # The former start comes to version 3 by itself, ends, and the new one tells of version 2 in
+    # the entry that its report of version 3 follows.
+    world.start("i-1", 0)
+    world.workers["i-1"].version = 2
+    rollouts.beat()
+    world.workers["i-1"].version = 3
+    world._note(world.workers["i-1"])
+    rollouts.name(3)
+    rollouts.step()
+    assert rollouts.held("i-1") == 3
+
+
+@when("the order for version 2 to its former start is carried out")
+def when_late(context):
+    world = context.rollouts.world
+    world.deliver(0)
+    assert world.workers["i-1"].version == 2
+    context.rollouts.beat()
+    assert context.rollouts.held("i-1") == 3, "the report is younger than the entry may be"
+
+
+@then("it is ordered to version 3 again once its report counts no more")
+def then_ordered_again(context):
+    rollouts = context.rollouts
+    until_s = rollouts.now_s + REPORT_COUNTS_S + 1.0
+    while rollouts.now_s < until_s:
+        rollouts.step()
+    assert rollouts.world.workers["i-1"].version == 3
--- /dev/null
+++ b/features/support/starts_world.py
@@ -0,0 +1,135 @@
+"""Workers that start again, the store with its history, and calls to them, in one thread."""
+
+from types import SimpleNamespace
+
+from bellweir.hosted.incarnation import Incarnation
+from bellweir.hosted.interface import (
+    Changes,
+    Listing,
+    ModelState,
+    OrderAnswer,
+    RecordChange,
+    StoredRecord,
+    WorkerControl,
+    WorkerReport,
+)
+
+MODEL = "m"
+FIRST_BORN_MS = 1_000_000
+
+
+def entry_of(instance, born_ms, version=1):
+    models = [{"name": MODEL, "version": version}]
+    address = f"{instance}:1"
+    return {"service": "llm", "address": address, "born": born_ms, "models": models}
+
+
+class StartsWorld(WorkerControl):
+    """The truth: each worker's newest start, all that was written, orders on their way."""
+
+    def __init__(self, names):
+        self.revision = 0
+        self.records = {}
+        self.history = [(0, {}, None)]
+        """Revision, all records as of it, and the change that made it."""
+        self.workers = {}
+        self.had = {}
+        """Versions that each incarnation ever held."""
+        self.starts = {name: [] for name in names}
+        self.late = []
+        self.orders = []
+        self.loses = []
+        """What becomes of the next orders: "late", "unanswered"; else they are taken."""
+        self.old_reports = 0
+        """How many of the next reports come from the former start."""
+        self.clock_ms = FIRST_BORN_MS
+        for name in names:
+            self.start(name, 0)
+            self.write(name)
+
+    def start(self, name, clock_ms):
+        """Start a worker, its clock off by so much against the last; it keeps its version."""
+        self.clock_ms += 1_000
+        before = self.workers.get(name)
+        born_ms = self.clock_ms + clock_ms
+        while any(born_ms == one.born_ms for one in self.starts[name]):
+            born_ms += 1
+        self.workers[name] = SimpleNamespace(
+            incarnation=Incarnation(name, born_ms),
+            version=before.version if before else 1,
+            sequence=0,
+            former=before,
+        )
+        self.starts[name].append(self.workers[name].incarnation)
+        self._note(self.workers[name])
+
+    def _note(self, worker):
+        self.had.setdefault(worker.incarnation, set()).add(worker.version)
+
+    def write(self, name):
+        worker = self.workers[name]
+        self.put(name, entry_of(name, worker.incarnation.born_ms, worker.version))
+
+    def put(self, name, spec):
+        self.revision += 1
+        record = StoredRecord("servers", name, self.revision, spec)
+        self.records = {**self.records, name: record}
+        self.history.append((self.revision, self.records, RecordChange(record, deleted=False)))
+
+    def lapse(self, name):
+        if name not in self.records:
+            return
+        self.revision += 1
+        record = self.records[name]
+        self.records = {key: one for key, one in self.records.items() if key != name}
+        self.history.append((self.revision, self.records, RecordChange(record, deleted=True)))
+
+    def listing(self, behind):
+        revision, records, _ = self.history[max(0, len(self.history) - 1 - behind)]
+        return Listing(revision, tuple(records.values()))
+
+    def changes(self, since, behind):
+        last = max(0, len(self.history) - 1 - behind)
+        told = [one for one in self.history[: last + 1] if since is not None and one[0] > since]
+        changes = tuple(change for _, _, change in told)
+        return Changes(told[-1][0] if told else since or 0, changes)
+
+    def report(self, address, timeout_s):
+        worker = self.workers[address.partition(":")[0]]
+        if self.old_reports > 0 and worker.former is not None:
+            self.old_reports -= 1
+            worker = worker.former
+        return WorkerReport(
+            (ModelState(MODEL, worker.version),),
+            False,
+            worker.sequence,
+            worker.incarnation.born_ms,
+        )
+
+    def order(self, address, instance, order, timeout_s):
+        self.orders.append((instance, order))
+        what = self.loses.pop(0) if self.loses else "taken"
+        if what == "late":
+            self.late.append((instance, order))
+            return OrderAnswer.UNKNOWN
+        answer = self._carry_out(instance, order)
+        return OrderAnswer.UNKNOWN if what == "unanswered" else answer
+
+    def renew(self, address):
+        pass
+
+    def deliver(self, which):
+        """Carry a late order out, at whatever start is there now."""
+        if self.late:
+            self._carry_out(*self.late.pop(which % len(self.late)))
+
+    def _carry_out(self, instance, order):
+        worker = self.workers[instance]
+        if order.expected_sequence not in (None, worker.sequence):
+            return OrderAnswer.CONFLICT
+        if worker.version == order.version:
+            return OrderAnswer.IN_FORCE
+        worker.sequence += 1
+        worker.version = order.version
+        self._note(worker)
+        return OrderAnswer.ACCEPTED
--- a/src/bellweir/clients/pool.py
+++ b/src/bellweir/clients/pool.py
@@ -61,6 +61,8 @@
         self._lock = threading.Lock()
         self._idle: list[tuple[CountingConnection, float]] = []
         self._busy: set[CountingConnection] = set()
+        self._former: set[CountingConnection] = set()
+        """Connections in use that are not to be kept."""
         self._closed = False
 
     def call(self, call: HttpCall) -> Result[HttpAnswer, PlatformError]:
@@ -165,7 +167,9 @@
         until_s = time.monotonic() + _idle_lifetime_s(keep_alive)
         with self._lock:
             self._busy.discard(connection)
-            if not self._closed and len(self._idle) < IDLE_CONNECTIONS:
+            is_former = connection in self._former
+            self._former.discard(connection)
+            if not self._closed and not is_former and len(self._idle) < IDLE_CONNECTIONS:
                 self._idle.append((connection, until_s))
                 return
         connection.close()
@@ -174,6 +178,7 @@
         """Stop tracking a connection that its user closes."""
         with self._lock:
             self._busy.discard(connection)
+            self._former.discard(connection)
 
     def close_old_connections(self) -> None:
         """Close connections that have been idle for too long."""
@@ -203,6 +208,15 @@
         for connection, _ in idle:
             connection.close()
 
+    def renew(self) -> None:
+        """The server has started again: use no connection of before for another call.
+
+        Calls in hand go on: whether theirs are connections to the former server is not known.
+        """
+        with self._lock:
+            self._former |= self._busy
+        self.close_idle()
+
     def close(self) -> None:
         """Close idle connections and abort the calls in hand."""
         with self._lock:
--- a/src/bellweir/hosted/batches/service.py
+++ b/src/bellweir/hosted/batches/service.py
@@ -40,6 +40,7 @@
         """Start the tasks; they act only while this node leads."""
         registry = self._kernel.registry
         self._views = registry.find(names.VIEWS, ViewsService)
+        self._views.workers.subscribe_addresses(self._connections.renew)
         ledger = registry.find(names.LEDGER, LedgerService)
         ledger.register(BatchJobs)
         self._attempts = ItemAttempts(self._connections, self._loads)
--- a/src/bellweir/hosted/interface.py
+++ b/src/bellweir/hosted/interface.py
@@ -212,6 +212,8 @@
     order_in_progress: bool
     sequence: int
     """Orders taken since its start."""
+    born_ms: int = 0
+    """Unix millisecond of its start; 0 where it does not tell it."""
 
 
 class WorkerControl(ABC):
@@ -227,6 +229,10 @@
     ) -> OrderAnswer:
         """Give an order to the worker `instance` at an address."""
 
+    @abstractmethod
+    def renew(self, address: str) -> None:
+        """Use no connection of before: another worker is there, or one that started again."""
+
 
 class DutyAnswer(Enum):
     """What the platform said to a call that is a duty of one node at a time."""
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -92,7 +92,7 @@
     1415,
     "worker_changed",
     Level.INFO,
-    ("instance", "service", "address", "state", "versions"),
+    ("instance", "service", "address", "born", "state", "versions"),
     "A worker's entry appeared, changed or went (state `gone`).",
 )
 WORKER_KEPT = Event(
@@ -102,6 +102,22 @@
     ("instance", "address", "left_s"),
     "A worker's entry lapsed while the store was away; the worker counts as live so much longer.",
 )
+WORKER_STARTED_AGAIN = Event(
+    1406,
+    "worker_started_again",
+    Level.INFO,
+    ("instance", "address", "born", "known_born"),
+    "A worker started again under its id; what was known of it counts no more. `known_born` is its"
+    " former start: a greater one means that its clock was put back.",
+)
+WORKER_FORMER_ENTRY = Event(
+    1407,
+    "worker_former_entry",
+    Level.WARNING,
+    ("instance", "address", "born", "known_born"),
+    "An entry under another start than the newest, `known_born`, was passed over: an old reading or"
+    " a late write. It counts if it is written a second time.",
+)
 REQUEST_ANSWERED = Event(
     1420,
     "request_answered",
--- a/src/bellweir/hosted/serving/attempt.py
+++ b/src/bellweir/hosted/serving/attempt.py
@@ -125,6 +125,13 @@
             pool = self._pools.get(address)
         return pool is not None and pool.has_idle()
 
+    def renew(self, address: str) -> None:
+        """Use no connection of before: another worker is there, or one that started again."""
+        with self._lock:
+            pool = self._pools.get(address)
+        if pool is not None:
+            pool.renew()
+
     def forget_others(self, addresses: set[str]) -> None:
         """Close the idle connections to addresses that no worker has any more."""
         with self._lock:
--- a/src/bellweir/hosted/serving/service.py
+++ b/src/bellweir/hosted/serving/service.py
@@ -79,6 +79,7 @@
         """Listen on every address that the settings give."""
         registry = self._kernel.registry
         self._views = registry.find(names.VIEWS, ViewsService)
+        self._views.workers.subscribe_addresses(self._connections.renew)
         membership = registry.find(names.MEMBERSHIP, Membership)  # type: ignore[type-abstract]
         directory = Directory(membership, self._is_serving, self._settings.bounds.address_ttl_s)
         listen = self._settings.listen
--- a/src/bellweir/hosted/weights/controller.py
+++ b/src/bellweir/hosted/weights/controller.py
@@ -5,6 +5,10 @@
 holder of the lease gives orders, each under the lease's fence and for one incarnation of one
 worker. An order without an answer may still be carried out: the next one names the sequence
 number that the worker had, so that only one of the two takes effect.
+
+A worker that starts again counts its orders anew, so that an order to the former start may still
+be carried out by the new one and take it back to an older version. So what a report told counts
+beside the entry only until the entry must have caught up; then the worker is asked again.
 """
 
 import time
@@ -36,6 +40,9 @@
 LOOK_AGAIN_S = 0.2
 RETRY_AFTER_SILENCE_S = 1.0
 """Time after an order without an answer before it is given again."""
+REPORT_COUNTS_S = 3.0
+"""Time for which a report counts beside an older entry: two beats of a worker and the way of its
+entry here. After that the entry may be the newer one."""
 MAY_LOAD = frozenset({OrderAnswer.ACCEPTED, OrderAnswer.UNKNOWN})
 """Answers after which the worker may be loading."""
 MODE_MIXING = "retain"
@@ -58,6 +65,15 @@
     """When the worker took the order; None while it has not said so."""
 
 
+@dataclass(frozen=True, slots=True)
+class _Held:
+    """A version that a worker reported."""
+
+    version: int
+    until_s: float
+    """Time until which it counts beside an entry that tells another one."""
+
+
 TellLoad = Callable[[Incarnation, str, float], None]
 """Called with a worker, a model and the seconds for which the worker loads; 0: it does no more."""
 
@@ -81,12 +97,14 @@
         *,
         sparse_loads: bool = True,
         tell_load: TellLoad = _tell_nobody,
+        now_s: Callable[[], float] = time.monotonic,
     ) -> None:
         """With `sparse_loads` a worker loads only what its models' trainers make necessary.
 
         `tell_load` is called with each load that begins or has ended, or was not begun.
         """
         self._tell_load = tell_load
+        self._now_s = now_s
         self._lease = lease
         self._versions = versions
         self._workers = workers
@@ -96,7 +114,7 @@
         self._node = node
         self._sparse_loads = sparse_loads
         self._loads: dict[Incarnation, _Load] = {}
-        self._held: dict[tuple[Incarnation, str], int] = {}
+        self._held: dict[tuple[Incarnation, str], _Held] = {}
         """Versions by incarnation and model that workers reported themselves."""
         self._limits: dict[str, LoadLimit] = {}
         """How many workers of a service may load at once."""
@@ -138,17 +156,30 @@
         return sum(load.worker.entry.service == service for load in self._loads.values())
 
     def held_version(self, worker: Worker, model: str) -> int:
-        """The newest that is known of a worker's version; 0 when nothing is."""
-        listed = worker.version_of(model) or 0
-        return max(listed, self._held.get((worker.incarnation, model), 0))
+        """What is known of a worker's version; 0 when nothing is."""
+        listed = worker.version_of(model)
+        held = self._held.get((worker.incarnation, model))
+        if held is None:
+            return listed or 0
+        if listed is not None and self._now_s() >= held.until_s:
+            return listed
+        return max(listed or 0, held.version)
+
+    def _report_of(self, worker: Worker) -> WorkerReport | None:
+        """A worker's report; None without one, or when another start of the worker answers."""
+        report = self._control.report(worker.address, REPORT_TIMEOUT_S)
+        if report is None or not worker.incarnation.is_told_by(report.born_ms):
+            return None
+        return report
 
     def _order(self, table: RouteTable, worker: Worker, model: str, version: int) -> None:
-        now_s = time.monotonic()
+        now_s = self._now_s()
         load = _Load(worker, model, version, now_s + RETRY_AFTER_SILENCE_S, now_s)
         self._loads[worker.incarnation] = load
-        report = self._control.report(worker.address, REPORT_TIMEOUT_S)
+        report = self._report_of(worker)
         if report is None or self._is_done(load, report):
             return
+        self._held.pop((worker.incarnation, model), None)
         if report.order_in_progress:
             load.look_s = now_s + LOOK_AGAIN_S
             return
@@ -166,7 +197,7 @@
             self._tell_load(worker.incarnation, model, 0.0)
 
     def _note_answer(self, load: _Load, order: VersionOrder, answer: OrderAnswer) -> None:
-        now_s = time.monotonic()
+        now_s = self._now_s()
         emit(
             ORDER_SENT,
             instance=load.worker.instance,
@@ -188,24 +219,30 @@
             load.look_s = now_s + LOOK_AGAIN_S
 
     def _look_after_loads(self) -> None:
-        now_s = time.monotonic()
+        now_s = self._now_s()
+        self._forget_former()
         for incarnation, load in list(self._loads.items()):
             if not self._is_listed(incarnation):
                 del self._loads[incarnation]
             elif now_s >= load.look_s:
                 self._look_at(load)
 
+    def _forget_former(self) -> None:
+        """Drop what workers reported that are gone or have started again."""
+        kept = {key: held for key, held in self._held.items() if self._is_listed(key[0])}
+        self._held = kept
+
     def _is_listed(self, incarnation: Incarnation) -> bool:
         """Whether a worker is there and has not started anew."""
         listed = self._workers.worker(incarnation.instance)
         return listed is not None and listed.incarnation == incarnation
 
     def _look_at(self, load: _Load) -> None:
-        report = self._control.report(load.worker.address, REPORT_TIMEOUT_S)
+        report = self._report_of(load.worker)
         if report is not None and self._is_done(load, report):
             self._note_duration(load)
             return
-        load.look_s = time.monotonic() + LOOK_AGAIN_S
+        load.look_s = self._now_s() + LOOK_AGAIN_S
         if report is None or not report.order_in_progress:
             # Not taken, or not heard of: the next step orders it anew if it is still needed.
             del self._loads[load.worker.incarnation]
@@ -213,7 +250,7 @@
     def _note_duration(self, load: _Load) -> None:
         if load.accepted_s is not None:
             service = load.worker.entry.service
-            seconds = time.monotonic() - load.accepted_s
+            seconds = self._now_s() - load.accepted_s
             self._limit_of(service).finished(seconds, len(self._workers.ready(service)))
 
     def _is_done(self, load: _Load, report: WorkerReport) -> bool:
@@ -224,8 +261,12 @@
         return False
 
     def _note_held(self, load: _Load, version: int) -> None:
-        self._held[(load.worker.incarnation, load.model)] = version
+        key = (load.worker.incarnation, load.model)
+        before = self._held.get(key)
+        self._held[key] = _Held(version, self._now_s() + REPORT_COUNTS_S)
         self._loads.pop(load.worker.incarnation, None)
+        if before is not None and before.version == version:
+            return
         self._tell_load(load.worker.incarnation, load.model, 0.0)
         emit(VERSION_LOADED, instance=load.worker.instance, model=load.model, version=version)
 
--- a/src/bellweir/hosted/weights/service.py
+++ b/src/bellweir/hosted/weights/service.py
@@ -91,6 +91,7 @@
             sparse_loads=self._settings.rollouts.sparse_loads,
             tell_load=self._load_teller().tell,
         )
+        views.workers.subscribe_addresses(self._platform.control.renew)
         metrics = self._kernel.registry.find(names.TELEMETRY, MetricsService).metrics
         metrics.add_gauge(
             "bellweir_rollout_lease_seconds",
--- a/src/bellweir_rehearsal/hosted/http_stand_in.py
+++ b/src/bellweir_rehearsal/hosted/http_stand_in.py
@@ -1,5 +1,6 @@
 """What the stand-ins' HTTP servers share."""
 
+import contextlib
 import json
 import socket
 import struct
@@ -71,6 +72,7 @@
 
     def __init__(self, handler: type[StandInHandler], host: str, port: int = 0) -> None:
         super().__init__((host, port), handler)
+        self._open: set[socket.socket] = set()
         self._thread = threading.Thread(target=self.serve_forever, args=(0.05,), daemon=True)
         self._thread.start()
 
@@ -80,6 +82,22 @@
         host, port = self.server_address[:2]
         return f"{host!s}:{port}"
 
+    def process_request(self, request: Any, client_address: Any) -> None:
+        """Serve a connection on a thread of its own."""
+        self._open.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request: Any) -> None:
+        """Close a connection."""
+        self._open.discard(request)
+        super().shutdown_request(request)
+
+    def break_off(self) -> None:
+        """Break all open connections off, as the end of a process does."""
+        for each in list(self._open):
+            with contextlib.suppress(OSError):
+                each.shutdown(socket.SHUT_RDWR)
+
     def handle_error(self, request: Any, client_address: Any) -> None:
         """A caller that goes away is no fault here."""
 
--- a/src/bellweir_rehearsal/hosted/worker.py
+++ b/src/bellweir_rehearsal/hosted/worker.py
@@ -1,17 +1,27 @@
-"""Stand-in of a worker: runs requests, streams events, takes orders, and fails on purpose."""
+"""Stand-in of a worker: runs requests, streams events, takes orders, and fails on purpose.
+
+It may start again under its id, also behind a cut. What it has run and taken stays in its record,
+for whoever checks it; the worker itself knows nothing of before but its version.
+"""
 
 import json
 import threading
 import time
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
 
+from bellweir.hosted.incarnation import Incarnation
 from bellweir_rehearsal.hosted.http_stand_in import StandInHandler, StandInServer
 
 STREAM_TYPE = "text/event-stream"
 SILENCE_S = 1.5
 """Time for which a stream stands still that falls silent."""
+LISTEN_TIMEOUT_S = 5.0
+LISTEN_PAUSE_S = 0.05
+"""Tries to listen at the address of before, which another program may hold for a moment."""
+MS_PER_S = 1000
 
 
 @dataclass
@@ -69,8 +79,12 @@
     """Headers of what ran, by request id; names in lower case."""
 
 
+class FormerStartError(ConnectionError):
+    """The worker has started again since the connection was made."""
+
+
 class WorkerStandIn:
-    """One incarnation of a worker at one address of loopback."""
+    """One worker at one address of loopback, through all of its starts."""
 
     def __init__(
         self,
@@ -79,8 +93,14 @@
         model: str = "",
         version: int = 1,
         events: int = 6,
+        port: int = 0,
+        on_run: Callable[[str], None] = lambda _request_id: None,
     ) -> None:
+        """`on_run` is called with the id of each request that begins to run."""
         self.instance = instance
+        self.born_ms = round(MS_PER_S * time.time())
+        self.starts = 1
+        self._on_run = on_run
         self.model = model
         self.version = version
         self.events = events
@@ -93,33 +113,121 @@
         self.sequence = 0
         self._loading_until_s = 0.0
         self._lock = threading.Lock()
+        self._reachable = threading.Event()
+        self._reachable.set()
+        self._running = True
         stand_in = self
 
         class Handler(StandInHandler):
-            """One connection to the worker."""
+            """One connection to one start of the worker."""
+
+            start = 0
+
+            def setup(self) -> None:
+                """Note the start that the connection leads to."""
+                super().setup()
+                self.start = stand_in.starts
 
             def do_GET(self) -> None:
                 """Report."""
+                if not stand_in._is_heard(self):
+                    return
                 self.answer_json(200, stand_in._report())
 
             def do_POST(self) -> None:
                 """An order or a request."""
                 body = self.read_body()
+                if not stand_in._is_heard(self):
+                    return
                 if self.path == "/api/order":
                     stand_in._take_order(self, json.loads(body))
                 else:
                     stand_in._run(self, body)
 
-        self.server = StandInServer(Handler, host)
+            def send_response(self, code: int, message: str | None = None) -> None:
+                """Begin an answer, unless the worker can't be reached."""
+                stand_in._await_way(self)
+                super().send_response(code, message)
+
+        self._handler = Handler
+        self.server = StandInServer(Handler, host, port)
 
     @property
     def address(self) -> str:
         """`host:port`."""
         return self.server.address
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The start that runs, as the service names it."""
+        return Incarnation(self.instance, self.born_ms)
+
+    @property
+    def is_up(self) -> bool:
+        """Whether it runs and can be reached."""
+        return self._running and self._reachable.is_set()
+
     def close(self) -> None:
-        """Crash."""
+        """End for good."""
+        self._reachable.set()
+        if self._running:
+            self.server.close()
+
+    def crash(self) -> None:
+        """End now: connections break, and nobody listens until `start_again`."""
+        self._running = False
         self.server.close()
+        self.server.break_off()
+
+    def go_dark(self) -> None:
+        """Be cut off: nothing comes through, and connections stay open in silence."""
+        self._reachable.clear()
+
+    def start_again(self, clock_ms: int = 0) -> None:
+        """Start anew under the same id and address, with the version that it had.
+
+        Behind a cut its former connections stay as they are: whoever uses one is reset.
+        `clock_ms` puts its clock off, so that its start may have a smaller time than the last.
+        """
+        with self._lock:
+            self.starts += 1
+            self.sequence = 0
+            self._loading_until_s = 0.0
+            started_ms = round(MS_PER_S * time.time()) + clock_ms
+            self.born_ms = started_ms + (started_ms == self.born_ms)
+        if not self._running:
+            self._listen_again()
+        elif self._reachable.is_set():
+            self.server.break_off()
+        self._reachable.set()
+
+    def _listen_again(self) -> None:
+        host, port = self.server.server_address[:2]
+        until_s = time.monotonic() + LISTEN_TIMEOUT_S
+        while not self._running:
+            try:
+                self.server = StandInServer(self._handler, str(host), int(port))
+                self._running = True
+            except OSError:
+                if time.monotonic() >= until_s:
+                    raise
+                time.sleep(LISTEN_PAUSE_S)
+
+    def _is_heard(self, handler: Any) -> bool:
+        """Wait until a request has come through; one to a former start is reset."""
+        self._reachable.wait()
+        if handler.start == self.starts:
+            return True
+        handler.reset()
+        return False
+
+    def _await_way(self, handler: Any) -> None:
+        """Wait until bytes can go out; what a former start had in hand never goes on."""
+        self._reachable.wait()
+        if handler.start != self.starts:
+            while handler.connection.recv(1 << 16):
+                """Silent until the caller gives up."""
+            raise FormerStartError(f"start {handler.start} of {self.starts}")
 
     def refuse_for(self, seconds: float) -> None:
         """Refuse requests for a while, as during a load of weights."""
@@ -136,12 +244,14 @@
             "state": state,
             "models": models,
             "seq": self.sequence,
+            "born": self.born_ms,
         }
 
     def _report(self) -> dict[str, Any]:
         models = [{"name": self.model, "version": self.version, "adapters": []}]
         loading = time.monotonic() < self._loading_until_s
-        return {"models": models, "inFlight": loading, "seq": self.sequence}
+        told = {"models": models, "inFlight": loading, "seq": self.sequence}
+        return {**told, "born": self.born_ms}
 
     def _take_order(self, handler: StandInHandler, order: dict[str, Any]) -> None:
         if self.faults.strikes("late_orders"):
@@ -182,6 +292,7 @@
             self.record.ran[request_id] += 1
             found = {name.lower(): value for name, value in handler.headers.items()}
             self.record.headers[request_id] = found
+        self._on_run(request_id)
         time.sleep(self.faults.delay_s)
         if self.faults.strikes("lose_answer"):
             handler.reset()
@@ -219,6 +330,7 @@
             if self.version != version:
                 version = self.version
                 event = b"x-bellweir-weight-versions: %d\n" % version + event
+            self._await_way(handler)
             if cut is not None and number > cut:
                 _write_chunk(handler, event[: len(event) // 2])
                 handler.reset()
@@ -227,6 +339,7 @@
             time.sleep(self.event_pause_s)
             if number == self.silent_after:
                 time.sleep(SILENCE_S)
+        self._await_way(handler)
         self.record.ended[request_id] += 1
         handler.wfile.write(b"0\r\n\r\n")
         handler.wfile.flush()
