Read each entry of the store by itself; a bad one spoils no other

Cause: a list was decoded in one piece. Of the entries that were read, some named a worker that can't be used, and a configuration with one wrong field in one route was refused as a whole; one with a list as its kind of route raised out of the follower.

Change: each entry of a list, a watch, a peer's news and a peer's copy is decoded and checked alone, for every kind that is read. A bad one counts as absent, is logged once for each revision (entry_unreadable) without its contents and counted (bellweir_entries_unreadable_total). A configuration is read part by part: a route keeps its former terms or is closed (503).

--- a/features/steps/hosted_forwarding_steps.py
+++ b/features/steps/hosted_forwarding_steps.py
@@ -292,7 +292,7 @@
     )
     def true_always(script, kind, attempts, workers, replayable):
         view = WorkersView()
-        entry = {"service": "app", "address": "h:1"}
+        entry = {"service": "app", "address": "h:1", "zone": "a", "slots": 1, "state": "ready"}
         records = [StoredRecord("servers", f"i-{at}", 1, entry) for at in range(workers)]
         view.take_listing(Listing(1, tuple(records)))
         connections = ScriptedConnections(script)
--- a/features/steps/hosted_relay_steps.py
+++ b/features/steps/hosted_relay_steps.py
@@ -34,7 +34,7 @@
         self.changes = [None]
         for revision, (name, is_deleted) in enumerate(writes, start=1):
             state = dict(self.states[-1])
-            record = StoredRecord(KIND, name, revision, revision)
+            record = StoredRecord(KIND, name, revision, {**entry(name), "seq": revision})
             if is_deleted:
                 state.pop(name, None)
             else:
--- a/features/steps/hosted_scaling_steps.py
+++ b/features/steps/hosted_scaling_steps.py
@@ -87,7 +87,7 @@
 
     def show(self):
         entries = [
-            {"service": "llm", "address": "127.0.0.1:1", "zone": zone, "state": "ready"}
+            {"service": "llm", "address": "127.0.0.1:1", "zone": zone, "slots": 8, "state": "ready"}
             for zone, count in self.live.items()
             for _ in range(count)
         ]
--- a/features/steps/hosted_views_steps.py
+++ b/features/steps/hosted_views_steps.py
@@ -28,7 +28,8 @@
 
 
 def entry(instance, state="ready"):
-    return {"service": "app", "address": f"127.0.0.1:{len(instance)}", "state": state}
+    address = f"127.0.0.1:{len(instance)}"
+    return {"service": "app", "address": address, "zone": "a", "slots": 4, "state": state}
 
 
 @given_step("a stand-in of the platform's store")
--- /dev/null
+++ b/src/bellweir/hosted/checked_store.py
@@ -0,0 +1,55 @@
+"""A store of which only entries that can be used are told; see `entries`."""
+
+from typing import Any
+
+from returns.result import Result, Success
+
+from bellweir.hosted.entries import UnreadableEntries
+from bellweir.hosted.interface import Changes, Listing, RecordStore, StoredRecord, StoreError
+
+
+class CheckedStore(RecordStore):
+    """Lists and watches of an inner store, without what can't be used."""
+
+    def __init__(self, inner: RecordStore, entries: UnreadableEntries) -> None:
+        self._inner = inner
+        self._entries = entries
+
+    def list_kind(self, kind: str, *, stale: bool = False) -> Result[Listing, StoreError]:
+        """List what can be used."""
+        return self._inner.list_kind(kind, stale=stale).map(self._entries.checked)
+
+    def read(self, kind: str, name: str) -> Result[StoredRecord, StoreError]:
+        """Read one object as it is: its reader needs the revision of a bad one to replace it."""
+        found = self._inner.read(kind, name)
+        if isinstance(found, Success):
+            self._entries.is_usable(found.unwrap())
+        return found
+
+    def watch(self, kind: str, revision: int, wait_s: float) -> Result[Changes, StoreError]:
+        """Watch; what became unusable is told as deleted."""
+        return self._inner.watch(kind, revision, wait_s).map(self._entries.checked_changes)
+
+    def interrupt_watches(self, kind: str) -> None:
+        """Have watches fail."""
+        self._inner.interrupt_watches(kind)
+
+    def create(self, kind: str, name: str, spec: Any) -> Result[StoredRecord, StoreError]:
+        """Create an object."""
+        return self._inner.create(kind, name, spec)
+
+    def replace(
+        self, kind: str, name: str, spec: Any, revision: int
+    ) -> Result[StoredRecord, StoreError]:
+        """Replace an object's spec."""
+        return self._inner.replace(kind, name, spec, revision)
+
+    def replace_status(
+        self, kind: str, name: str, status: Any, revision: int
+    ) -> Result[StoredRecord, StoreError]:
+        """Replace an object's status."""
+        return self._inner.replace_status(kind, name, status, revision)
+
+    def delete(self, kind: str, name: str, revision: int | None) -> Result[None, StoreError]:
+        """Delete an object."""
+        return self._inner.delete(kind, name, revision)
--- a/src/bellweir/hosted/interface.py
+++ b/src/bellweir/hosted/interface.py
@@ -86,12 +86,34 @@
     status: Any = None
 
 
+@dataclass(frozen=True)
+class UnreadableRecord:
+    """An object that can't be read, of which nothing is used; never holds any of its bytes."""
+
+    kind: str
+    name: str | None
+    """None where not even the name can be read."""
+    revision: int | None
+    cause: str
+    digest: str = ""
+    """Stands for its bytes where its revision can't be read."""
+
+
 @dataclass(frozen=True)
 class Listing:
     """All objects of a kind as of one store revision."""
 
     revision: int
     records: tuple[StoredRecord, ...]
+    unreadable: tuple[UnreadableRecord, ...] = ()
+    """Those that can't be read; they count as absent."""
+
+    @property
+    def newest_revision(self) -> int:
+        """Revision of the newest change that the list shows; 0 without any."""
+        read = (each.revision for each in self.records)
+        unreadable = (each.revision or 0 for each in self.unreadable)
+        return max((*read, *unreadable), default=0)
 
 
 @dataclass(frozen=True)
@@ -108,6 +130,13 @@
 
     revision: int
     changes: tuple[RecordChange, ...]
+    unreadable: tuple[UnreadableRecord, ...] = ()
+    """Objects that can't be read; one whose name can stands among the changes as deleted."""
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether it is known of each change which object it is of."""
+        return all(each.name is not None for each in self.unreadable)
 
 
 class RecordStore(ABC):
--- a/src/bellweir/hosted/leniency.py
+++ b/src/bellweir/hosted/leniency.py
@@ -28,6 +28,9 @@
 
 
 def _with_known_kind(route: Any) -> Any:
-    if not isinstance(route, dict) or route.get("kind") in KNOWN_KINDS:
+    if not isinstance(route, dict):
+        return route
+    kind = route.get("kind")
+    if not isinstance(kind, str) or kind in KNOWN_KINDS:
         return route
     return {**route, "kind": CAUTIOUS_KIND}
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -88,6 +88,20 @@
 CONFIGURATION_REFUSED = Event(
     1414, "configuration_refused", Level.ERROR, ("error",), "A configuration can't be understood."
 )
+ENTRY_UNREADABLE = Event(
+    1480,
+    "entry_unreadable",
+    Level.WARNING,
+    ("kind", "name", "revision", "cause"),
+    "An entry of the object store can't be used and counts as absent; once for each revision.",
+)
+CONFIGURATION_PART_UNREADABLE = Event(
+    1481,
+    "configuration_part_unreadable",
+    Level.ERROR,
+    ("version", "part", "name", "cause", "instead"),
+    "A part of a configuration can't be used; `instead` says what is in force in its place.",
+)
 WORKER_CHANGED = Event(
     1415,
     "worker_changed",
--- a/src/bellweir/hosted/metrics_service.py
+++ b/src/bellweir/hosted/metrics_service.py
@@ -113,6 +113,7 @@
             "Workers in the list.",
             lambda: float(len(views.workers.all())),
         )
+        self.metrics.add_unreadable_entries(views.entries)
         add(
             "bellweir_views_relayed",
             "1 while peers tell this process what is new in the store, 0 while it asks itself.",
--- a/src/bellweir/hosted/peer_records.py
+++ b/src/bellweir/hosted/peer_records.py
@@ -14,6 +14,7 @@
 
 from returns.result import Success
 
+from bellweir.hosted.entries import unusable_cause
 from bellweir.hosted.interface import RecordKind, RecordStore, StoreErrorKind
 from bellweir.hosted.zone_ranking import first_of_zone
 from bellweir.kernel import names
@@ -106,6 +107,6 @@
         addresses = {
             str(record.spec["peerAddress"])
             for record in found.unwrap().records
-            if isinstance(record.spec, dict) and "peerAddress" in record.spec
+            if unusable_cause(record) is None
         }
         self._membership.suggest_seeds(tuple(addresses - {own}))
--- a/src/bellweir/hosted/placement_objects.py
+++ b/src/bellweir/hosted/placement_objects.py
@@ -13,6 +13,7 @@
     ObjectStoreProvider,
     StoredObject,
 )
+from bellweir.hosted.entries import unusable_cause
 from bellweir.hosted.interface import (
     RecordKind,
     RecordStore,
@@ -41,7 +42,7 @@
     def get(self, kind: str, name: str) -> Result[StoredObject, PlatformError]:
         """Read a document."""
         found = self._store.read(RecordKind.LEDGERS, name)
-        return found.map(lambda record: _stored(kind, record)).alt(_error)
+        return found.alt(_error).bind(lambda record: _usable(kind, record))
 
     def put(
         self, document: Mapping[str, Any], expected_version: int | None, mutation_id: str
@@ -66,7 +67,11 @@
         return found.map(
             lambda listing: ObjectList(
                 listing.revision,
-                tuple(_stored(record.spec["kind"], record) for record in listing.records),
+                tuple(
+                    _stored(record.spec["kind"], record)
+                    for record in listing.records
+                    if unusable_cause(record) is None
+                ),
             )
         ).alt(_error)
 
@@ -79,6 +84,8 @@
             yield Failure(_error(found.failure()))
             return
         for change in found.unwrap().changes:
+            if unusable_cause(change.record) is not None:
+                continue
             stored = _stored(change.record.spec["kind"], change.record)
             yield Success(ObjectChange(change.record.revision, stored, change.deleted))
 
@@ -106,5 +113,12 @@
     return StoredObject(kind, record.name, record.revision, record.spec)
 
 
+def _usable(kind: str, record: StoredRecord) -> Result[StoredObject, PlatformError]:
+    cause = unusable_cause(record)
+    if cause is not None:
+        return Failure(PlatformError(ErrorKind.INVALID, cause))
+    return Success(_stored(kind, record))
+
+
 def _error(error: StoreError) -> PlatformError:
     return PlatformError(ERROR_KINDS[error.kind], error.detail)
--- a/src/bellweir/hosted/process.py
+++ b/src/bellweir/hosted/process.py
@@ -13,6 +13,8 @@
 
 from bellweir.events.bounded import BoundedLog
 from bellweir.events.log import bind_node, configure_logs, emit
+from bellweir.hosted.checked_store import CheckedStore
+from bellweir.hosted.entries import UnreadableEntries
 from bellweir.hosted.interface import HostingPlatform
 from bellweir.hosted.log_events import (
     LINES_LEFT_OUT,
@@ -75,7 +77,8 @@
     def _register(self, settings: HostedSettings, platform: HostingPlatform) -> None:
         kernel = self.kernel
         shared = node_settings(settings)
-        store = CountedStore(platform.store)
+        entries = UnreadableEntries()
+        store = CountedStore(CheckedStore(platform.store, entries))
         platform = replace(platform, store=store)
         self._store = store
         add = kernel.registry.register
@@ -83,7 +86,8 @@
         add(MembershipService(kernel, shared))
         add(PlacementService(store))
         add(LedgerService(kernel, shared))
-        add(ViewsService(kernel, store, seeds_to_ask(settings), _seed_patience_s(settings)))
+        seeds, patience_s = seeds_to_ask(settings), _seed_patience_s(settings)
+        add(ViewsService(kernel, store, seeds, patience_s, entries))
         add(PeerRecords(kernel, store, is_first_start=settings.node.bootstrap))
         add(MetricsService(kernel, settings, store))
         for make in _role_services(settings.node.role):
--- a/src/bellweir/hosted/serving/application.py
+++ b/src/bellweir/hosted/serving/application.py
@@ -77,6 +77,9 @@
             refusal = self._refuse_sender(request, admission)
             return refusal or self._batches.serve_call(request, admission.tenant_name)
         route = table.find(host, request.raw_path)
+        if route is None and table.is_closed(host, request.raw_path):
+            self._note_refusal(request, 503, "route_unreadable")
+            return own_response(503, "route_unreadable", NO_CONFIGURATION_RETRY_AFTER_S)
         if route is None:
             return self._refuse(request, 404, "no_route")
         admission = self._admit(request, table, is_public=route.public)
@@ -106,6 +109,13 @@
         return None
 
     def _refuse(self, request: Request, status: int, cause: str) -> Response:
+        self._note_refusal(request, status, cause)
+        response = own_response(status, "refused" if status < 500 else "internal_error")
+        if status == 401:
+            response.headers.append(("WWW-Authenticate", "Bearer"))
+        return response
+
+    def _note_refusal(self, request: Request, status: int, cause: str) -> None:
         table = self._configuration.table()
         emit(
             REQUEST_GIVEN_UP,
@@ -117,10 +127,6 @@
             attempts=0,
             ms=0,
         )
-        response = own_response(status, "refused" if status < 500 else "internal_error")
-        if status == 401:
-            response.headers.append(("WWW-Authenticate", "Bearer"))
-        return response
 
 
 class _CutOnFailure:
--- a/src/bellweir/hosted/serving/metrics.py
+++ b/src/bellweir/hosted/serving/metrics.py
@@ -7,6 +7,7 @@
 from prometheus_client.exposition import generate_latest
 from prometheus_client.registry import Collector
 
+from bellweir.hosted.entries import UnreadableEntries
 from bellweir.hosted.store_calls import StoreCallCounts
 
 LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
@@ -54,6 +55,10 @@
         """Show the calls to the platform's store."""
         self._registry.register(_StoreCalls(counts))
 
+    def add_unreadable_entries(self, entries: UnreadableEntries) -> None:
+        """Show the entries of the platform's store that could not be used."""
+        self._registry.register(_Unreadable(entries))
+
     def render(self) -> bytes:
         """All figures as text."""
         return generate_latest(self._registry)
@@ -75,3 +80,21 @@
         for labels, count in self._counts.all().items():
             family.add_metric(labels, count)
         yield family
+
+
+class _Unreadable(Collector):
+    """Reads the counts when the figures are asked for."""
+
+    def __init__(self, entries: UnreadableEntries) -> None:
+        self._entries = entries
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        """One family, one sample for each kind of which an entry could not be used."""
+        family = CounterMetricFamily(
+            "bellweir_entries_unreadable",
+            "Revisions of entries of the platform's store that could not be used, by kind.",
+            labels=("kind",),
+        )
+        for kind, count in self._entries.counts().items():
+            family.add_metric((kind,), count)
+        yield family
--- a/src/bellweir/hosted/views/follower.py
+++ b/src/bellweir/hosted/views/follower.py
@@ -15,6 +15,7 @@
 from returns.result import Success
 
 from bellweir.events.log import emit
+from bellweir.hosted.entries import UnreadableEntries
 from bellweir.hosted.interface import (
     Listing,
     RecordChange,
@@ -53,6 +54,8 @@
 """Outages of the store that are shorter let no entry lapse: that takes three heartbeats."""
 RETURN_GRACE_S = 2.0
 """Time after the store's return within which a living worker's lapsed entry is back (NEWS-23)."""
+LIST_AGAIN_S = 1.0
+"""Shortest time between two lists that are asked for since a change can't be told of an object."""
 IDLE_LOOK_S = 0.25
 """Pause between two looks whether the store is to be followed."""
 PATIENT_LOOK_S = 0.02
@@ -72,6 +75,7 @@
         is_wanted: Callable[[], bool] = lambda: True,
         may_be_told: bool = True,
         on_return: Callable[[float], None] = lambda _until_s: None,
+        entries: UnreadableEntries | None = None,
     ) -> None:
         """Changes that come within `settle_s` of each other are read by one call.
 
@@ -79,13 +83,15 @@
         `on_return` hears, before anything is read, that the store was away, and until which
         monotonic time entries that lapsed meanwhile may come back. Peers that follow the store
         for others tell only the kinds that every process needs; others are not `may_be_told`.
+        `entries` sorts out what they tell and nobody can use.
         """
         self._settle_s = settle_s
         self._store = store
         self._kind = kind
         self._is_wanted = is_wanted
-        self.state = KindState(kind, on_list, on_change, on_return)
+        self.state = KindState(kind, on_list, on_change, on_return, entries)
         self._must_list = True
+        self._listed_s = float("-inf")
         self._watching_since_s: float | None = None
         self._lost_since_s: float | None = None
         self._pause_s = FIRST_PAUSE_S
@@ -142,8 +148,7 @@
         if self._watching_since_s != watching_since_s:
             return
         if isinstance(found, Success):
-            is_newer = any(each.revision > seen for each in found.unwrap().records)
-            if not is_newer:
+            if found.unwrap().newest_revision <= seen:
                 self.state.confirm(asked_s)
                 return
             if watching_since_s is None or time.monotonic() - watching_since_s <= DEAF_AFTER_S:
@@ -199,6 +204,7 @@
         self._note_answer()
         self.state.take_listing(listing, asked_s)
         self._must_list = False
+        self._listed_s = asked_s
         self.listed.set()
         emit(STORE_LISTED, kind=self._kind, revision=listing.revision, count=len(listing.records))
         return None
@@ -215,7 +221,11 @@
         changes = found.unwrap()
         self._note_answer()
         self.state.take_changes(changes, time.monotonic() if changes.changes else asked_s)
-        if changes.changes and self._settle_s:
+        if not changes.is_whole:
+            # Something can't be read that may have taken any object's place: only a list tells.
+            stopping.wait(min(LIST_AGAIN_S, self._listed_s + LIST_AGAIN_S - asked_s))
+            self._must_list = True
+        elif changes.changes and self._settle_s:
             stopping.wait(self._settle_s)
         return None
 
--- a/src/bellweir/hosted/views/kind_state.py
+++ b/src/bellweir/hosted/views/kind_state.py
@@ -16,10 +16,18 @@
 import threading
 from collections import deque
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 
-from bellweir.hosted.interface import Changes, Listing, RecordChange, StoredRecord
+from bellweir.hosted.entries import UnreadableEntries, cause_of
+from bellweir.hosted.interface import (
+    Changes,
+    Listing,
+    RecordChange,
+    StoredRecord,
+    UnreadableRecord,
+)
 
 REMEMBERED_CHANGES = 1_024
 """Changes that are told one by one; who knows less gets the whole list."""
@@ -36,7 +44,8 @@
     kind: str
     base: int | None
     revision: int
-    records: tuple[StoredRecord, ...]
+    records: tuple[Any, ...]
+    """Each a `StoredRecord`, decoded by itself when the news are taken."""
     gone: tuple[str, ...]
     age_s: float
     """Seconds since the teller was last sure to be in touch with the store."""
@@ -48,6 +57,7 @@
     """Objects of a kind by name. Safe for threads; the two callbacks run under its lock."""
 
     __slots__ = (
+        "_entries",
         "_floor",
         "_lock",
         "_on_change",
@@ -69,8 +79,12 @@
         on_list: Callable[[Listing], None],
         on_change: Callable[[RecordChange], None],
         on_return: Callable[[float], None] = lambda _until_s: None,
+        entries: UnreadableEntries | None = None,
     ) -> None:
-        """`on_return` hears until when objects may come back whose entries have lapsed."""
+        """`on_return` hears until when objects may come back whose entries have lapsed.
+
+        `entries` sorts out what peers tell and nobody can use.
+        """
         self.kind = kind
         self.revision: int | None = None
         """Store revision up to which all changes are known; None before the first list."""
@@ -85,6 +99,7 @@
         self._on_list = on_list
         self._on_change = on_change
         self._on_return = on_return
+        self._entries = entries if entries is not None else UnreadableEntries()
         self._lock = threading.Lock()
         self._records: dict[str, StoredRecord] = {}
         self._recent: deque[tuple[int, str]] = deque(maxlen=REMEMBERED_CHANGES)
@@ -130,14 +145,16 @@
         as_of_s = now_s - news.age_s
         if news.grace_s > 0:
             self.note_return(now_s + news.grace_s)
+        told = self._told_records(news)
         if news.base is None:
-            self.take_listing(Listing(news.revision, news.records), as_of_s)
+            self.take_listing(self._entries.checked(Listing(news.revision, told)), as_of_s)
         elif self.revision is None or news.base > self.revision:
             return False
         else:
             gone = [RecordChange(self._gone(name), deleted=True) for name in news.gone]
-            found = [RecordChange(record, deleted=False) for record in news.records]
-            self.take_changes(Changes(news.revision, (*gone, *found)), as_of_s)
+            found = [RecordChange(record, deleted=False) for record in told]
+            changes = Changes(news.revision, (*gone, *found))
+            self.take_changes(self._entries.checked_changes(changes), as_of_s)
         self.relayed_as_of_s = max(self.relayed_as_of_s, as_of_s)
         return True
 
@@ -188,6 +205,19 @@
             self._floor = max(self._floor, self._recent[0][0])
         self._recent.append((revision, name))
 
+    def _told_records(self, news: KindNews) -> tuple[StoredRecord, ...]:
+        found: list[StoredRecord] = []
+        for told in news.records:
+            if isinstance(told, StoredRecord):
+                found.append(told)
+                continue
+            try:
+                found.append(msgspec.convert(told, StoredRecord))
+            except msgspec.ValidationError as failure:
+                cause = cause_of(failure)
+                self._entries.note(UnreadableRecord(self.kind, None, news.revision, cause))
+        return tuple(found)
+
     def _gone(self, name: str) -> StoredRecord:
         known = self._records.get(name)
         return known if known is not None else StoredRecord(self.kind, name, 0, None)
--- a/src/bellweir/hosted/views/peer_copy.py
+++ b/src/bellweir/hosted/views/peer_copy.py
@@ -2,6 +2,8 @@
 
 from typing import Any
 
+from bellweir.hosted.entries import UnreadableEntries
+from bellweir.hosted.interface import RecordKind, StoredRecord
 from bellweir.hosted.views.configuration import ConfigurationView
 from bellweir.hosted.views.workers import WorkersView
 from bellweir.wire.interface import Message, Sender, Transport
@@ -36,11 +38,21 @@
     configuration: ConfigurationView,
     workers: WorkersView,
     timeout_s: float,
+    entries: UnreadableEntries | None = None,
 ) -> bool:
-    """Take over what a peer knows; False when it knows nothing or does not answer."""
+    """Take over what a peer knows; False when it knows nothing or does not answer.
+
+    `entries` sorts out what nobody can use.
+    """
+    checks = entries if entries is not None else UnreadableEntries()
     answer = transport.request(address, ViewsRequest(), timeout_s).value_or(None)
     if not isinstance(answer, ViewsAnswer) or answer.configuration is None:
         return False
-    workers.take_peer_copy(answer.workers)
+    usable = {
+        name: spec
+        for name, spec in answer.workers.items()
+        if checks.is_usable(StoredRecord(RecordKind.WORKERS, name, 0, spec))
+    }
+    workers.take_peer_copy(usable)
     configuration.take(answer.configuration, f"peer {address}")
     return True
--- a/src/bellweir/hosted/views/service.py
+++ b/src/bellweir/hosted/views/service.py
@@ -3,6 +3,7 @@
 import threading
 from collections.abc import Sequence
 
+from bellweir.hosted.entries import UnreadableEntries
 from bellweir.hosted.interface import Listing, RecordChange, RecordKind, RecordStore
 from bellweir.hosted.views.configuration import ConfigurationView
 from bellweir.hosted.views.follower import KindFollower
@@ -41,19 +42,25 @@
         store: RecordStore,
         seeds: Sequence[str] = (),
         patience_s: float = SEED_PATIENCE_S,
+        entries: UnreadableEntries | None = None,
     ) -> None:
-        """`seeds` are peers to be asked before the store; for `patience_s` at most."""
+        """`seeds` are peers to be asked before the store; for `patience_s` at most.
+
+        `entries` sorts out what peers tell and nobody can use.
+        """
         self._kernel = kernel
         self._seeds = seeds
         self._patience_s = patience_s
         self._checked: list[KindFollower] = []
-        self.configuration = ConfigurationView()
+        self.entries = entries if entries is not None else UnreadableEntries()
+        self.configuration = ConfigurationView(self.entries)
         self.workers = WorkersView()
         self.configuration_follower = KindFollower(
             store,
             RecordKind.CONFIGURATION,
             self.configuration.take_listing,
             self.configuration.take_change,
+            entries=self.entries,
         )
         self.workers_follower = KindFollower(
             store,
@@ -62,6 +69,7 @@
             self._take_worker,
             SETTLE_S,
             on_return=self.workers.keep_lapsed_until,
+            entries=self.entries,
         )
         self._checked += [self.configuration_follower, self.workers_follower]
 
@@ -141,5 +149,6 @@
                     self.configuration,
                     self.workers,
                     PEER_TIMEOUT_S,
+                    self.entries,
                 )
             self.configuration.known.wait(PEER_PAUSE_S)
--- a/src/bellweir/hosted/views/workers.py
+++ b/src/bellweir/hosted/views/workers.py
@@ -11,12 +11,10 @@
 from dataclasses import dataclass, field
 from types import MappingProxyType
 
-import msgspec
-
 from bellweir.events.log import emit
+from bellweir.hosted.entries import UnusableEntryError, worker_entry
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.interface import Listing, RecordChange
-from bellweir.hosted.leniency import without_nulls
 from bellweir.hosted.log_events import WORKER_CHANGED, WORKER_KEPT
 from bellweir.hosted.records import WorkerEntry, WorkerState
 
@@ -160,8 +158,8 @@
 
 def _worker(instance: str, spec: object) -> Worker | None:
     try:
-        return Worker(instance, msgspec.convert(without_nulls(spec), WorkerEntry))
-    except msgspec.ValidationError:
+        return Worker(instance, worker_entry(spec))
+    except UnusableEntryError:
         return None
 
 
--- a/src/bellweir/hosted/weights/lease.py
+++ b/src/bellweir/hosted/weights/lease.py
@@ -52,6 +52,8 @@
 served others meanwhile; it then still has a sixth of the lease time to act."""
 STANDS_ASIDE_S = 10.0
 """Time for which a node that has handed a lease over does not take it: two lease times."""
+UNREADABLE_HOLDER = "?"
+"""Stands for the holder that an object names which can't be read; no node is called so."""
 LONGEST_CHANCE_S = 0.4
 """Nodes that hear of a hand-over look within this time, each at a moment of its own."""
 MARGIN_S = 0.3
@@ -388,7 +390,8 @@
 
     def _consider(self, record: StoredRecord, now_s: float) -> None:
         spec = _spec_of(record)
-        holder = spec.holder if spec is not None else ""
+        # One that can't be read may stand over a living holder's: its time is waited out.
+        holder = spec.holder if spec is not None else UNREADABLE_HOLDER
         seen = self._seen
         if seen is None or seen.revision != record.revision:
             self._seen = _Seen(record.revision, now_s, holder)
--- a/src/bellweir/hosted/weights/versions.py
+++ b/src/bellweir/hosted/weights/versions.py
@@ -3,12 +3,10 @@
 from collections.abc import Mapping
 from types import MappingProxyType
 
-import msgspec
-
 from bellweir.events.log import emit
+from bellweir.hosted.entries import UnusableEntryError, named_version
 from bellweir.hosted.interface import Listing, RecordChange, StoredRecord
 from bellweir.hosted.log_events import VERSION_NAMED
-from bellweir.hosted.records import NamedVersion
 
 
 class VersionsView:
@@ -33,8 +31,8 @@
 
     def _take(self, record: StoredRecord) -> None:
         try:
-            named = msgspec.convert(record.spec, NamedVersion)
-        except msgspec.ValidationError:
+            named = named_version(record.spec)
+        except UnusableEntryError:
             return
         if named.version > self._versions.get(named.model, 0):
             self._versions = MappingProxyType({**self._versions, named.model: named.version})
--- a/src/bellweir/ledger/placement.py
+++ b/src/bellweir/ledger/placement.py
@@ -147,7 +147,11 @@
         if not is_successful(found):
             return found.failure()
         stored = found.unwrap()
-        return placement_of(stored), stored.version
+        try:
+            return placement_of(stored), stored.version
+        except (msgspec.ValidationError, KeyError) as failure:
+            detail = f"a placement that can't be read: {type(failure).__name__}"
+            return PlatformError(ErrorKind.INVALID, detail)
 
     def write(self, placement: Placement, expected_version: int) -> PlatformError | None:
         """Write it over the expected version (0 creates); None on success.
