Send a new message only to a node whose build knows it

Cause: an older build refuses a message that it does not know, so that each one costs a round trip and its sender can't tell an older build from a node without the service.

Change: both ends tell the level of their messages at the handshake, in a field that builds without levels pass over. A message class says since which level it is there; the transport leaves out what the other end does not know: a request fails as refused, with nothing written.

Tests: a message of a later level to a build that tells none and to one that knows it; a message that no build knows costs no connection (this held before: it is checked now); handshake frames both ways. One test touched: wire_trust compared the name that the connecting end's handshake returns; it returns name and level now, and the name is compared as before.

--- a/features/steps/wire_steps.py
+++ b/features/steps/wire_steps.py
@@ -1,11 +1,15 @@
+import dataclasses
 import threading
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
+import msgspec
 from behave import given, then, when
 from returns.pipeline import is_successful
 
-from bellweir.wire.interface import Message, WireErrorKind
+from bellweir.wire.frames import decode_struct, encode_struct
+from bellweir.wire.handshake import ClientHello, LocalNode, ServerHello
+from bellweir.wire.interface import FIRST_LEVEL, LEVEL, Message, WireErrorKind
 from support.waiting import wait_until
 from support.wire_nodes import Question, QuestionAnswer, WireNode, start_wire_node
 
@@ -196,3 +200,103 @@
     alpha, beta = context.wire["alpha"], context.wire["beta"]
     wait_until(lambda: is_successful(_ask(alpha, beta, Question(2))), "alpha reaches beta")
     assert len(beta.transport._accepted) == 1, "a connection that nobody serves is kept"
+
+
+class LaterQuestion(Message, frozen=True):
+    """Stands for a message that was added after a release."""
+
+    since_level = LEVEL
+    number: int
+
+
+class OldClientHello(msgspec.Struct, frozen=True, array_like=True, tag="client_hello"):
+    """The connecting end's first frame as builds have it that tell no level."""
+
+    protocol: str
+    node: str
+    address: str
+    nonce: bytes
+
+
+class OldServerHello(msgspec.Struct, frozen=True, array_like=True, tag="server_hello"):
+    """The accepting end's, likewise."""
+
+    node: str
+    nonce: bytes
+    proof: bytes
+
+
+@given("wire node beta is of a build that tells no level")
+def step_older(context):
+    beta = context.wire["beta"]
+    local = LocalNode("beta", beta.address, FIRST_LEVEL)
+    parts = dataclasses.replace(beta.transport._parts, local=local)
+    beta.transport._parts = parts
+
+
+def _handle_later(context):
+    context.later = []
+
+    def handle(_sender, message):
+        context.later.append(message.number)
+        return QuestionAnswer(message.number)
+
+    context.wire["beta"].transport.register(LaterQuestion, handle)
+
+
+@when("wire node alpha sends beta a message of a later level, as a request and one way")
+def step_send_later(context):
+    _handle_later(context)
+    alpha, beta = context.wire["alpha"], context.wire["beta"]
+    assert alpha.transport.knows(beta.address, LaterQuestion) is None
+    assert alpha.transport.knows(beta.address, Question) is True
+    assert alpha.transport.send(beta.address, LaterQuestion(1))
+    context.wire_answer = _ask(alpha, beta, LaterQuestion(2))
+    context.wire_connections = beta.accepted_connections()
+
+
+@then("wire node beta has seen nothing of it, and alpha knows that beta does not know it")
+def step_not_seen(context):
+    alpha, beta = context.wire["alpha"], context.wire["beta"]
+    assert context.later == []
+    assert alpha.transport.knows(beta.address, LaterQuestion) is False
+    assert alpha.transport.knows(beta.address, Question) is True
+
+
+@when("wire node alpha asks beta a question of a later level")
+def step_ask_later(context):
+    _handle_later(context)
+    context.wire_answer = _ask(context.wire["alpha"], context.wire["beta"], LaterQuestion(7))
+
+
+@then("it is answered, and alpha knows that beta knows it")
+def step_later_answered(context):
+    assert context.wire_answer.unwrap() == QuestionAnswer(7)
+    alpha, beta = context.wire["alpha"], context.wire["beta"]
+    assert alpha.transport.knows(beta.address, LaterQuestion) is True
+
+
+@when("a peer sends beta a message whose name no build knows, as a request and one way")
+def step_send_unknown(context):
+    alpha, beta = context.wire["alpha"], context.wire["beta"]
+    codec = alpha.transport._parts.codec
+    to_plain = codec.to_plain
+    codec.to_plain = lambda message: {**to_plain(message), "type": "OfNoBuildAtAll"}
+    try:
+        assert alpha.transport.send(beta.address, Question(1))
+        context.wire_answer = _ask(alpha, beta, Question(2))
+    finally:
+        codec.to_plain = to_plain
+    context.wire_connections = beta.accepted_connections()
+
+
+@then("each kind of build reads the other's part of a handshake")
+def step_handshakes(context):
+    old = OldClientHello("bellweir/1", "n", "h:1", b"x" * 16)
+    new = ClientHello("bellweir/1", "n", "h:1", b"x" * 16, LEVEL)
+    assert decode_struct(encode_struct(old), ClientHello).level == FIRST_LEVEL
+    assert decode_struct(encode_struct(new), ClientHello).level == LEVEL
+    assert decode_struct(encode_struct(new), OldClientHello) == old
+    old, new = OldServerHello("n", b"y", b"z"), ServerHello("n", b"y", b"z", LEVEL)
+    assert decode_struct(encode_struct(old), ServerHello).level == FIRST_LEVEL
+    assert decode_struct(encode_struct(new), OldServerHello) == old
--- a/features/steps/wire_trust_steps.py
+++ b/features/steps/wire_trust_steps.py
@@ -198,7 +198,7 @@
     local = handshake.LocalNode("gamma", "127.0.0.1:1")
     with capture_logs() as logs:
         connection = _connect(context)
-        assert handshake.connect_handshake(connection, local, cluster_keys) == "beta"
+        assert handshake.connect_handshake(connection, local, cluster_keys).node == "beta"
         connection.sendall(STRANGE_BYTES[what])
         _wait_until_closed(connection)
         wait_until(lambda: bool(logs), "the node has logged the broken frame")
--- a/features/wire.feature
+++ b/features/wire.feature
@@ -39,3 +39,25 @@
     When wire node alpha asks beta while alpha can start no thread, and then while beta can't
     Then the first wire request was not sent and the second one has no answer
     And later wire requests between them are answered
+
+  Scenario: A message that an older build does not know
+    Given wire nodes alpha and beta with one cluster key
+    And wire node beta is of a build that tells no level
+    When wire node alpha sends beta a message of a later level, as a request and one way
+    Then that wire request fails as refused
+    And wire node beta has seen nothing of it, and alpha knows that beta does not know it
+    And wire node alpha still gets answers from beta over the same connection
+
+  Scenario: A message of a later level to a build that knows it
+    Given wire nodes alpha and beta with one cluster key
+    When wire node alpha asks beta a question of a later level
+    Then it is answered, and alpha knows that beta knows it
+
+  Scenario: A message that nobody knows
+    Given wire nodes alpha and beta with one cluster key
+    When a peer sends beta a message whose name no build knows, as a request and one way
+    Then that wire request fails as refused
+    And wire node alpha still gets answers from beta over the same connection
+
+  Scenario: Handshakes of builds that tell a level and of builds that tell none
+    Then each kind of build reads the other's part of a handshake
--- a/src/bellweir/wire/handshake.py
+++ b/src/bellweir/wire/handshake.py
@@ -21,7 +21,7 @@
     read_frame,
     with_length,
 )
-from bellweir.wire.interface import Sender
+from bellweir.wire.interface import FIRST_LEVEL, LEVEL, Sender
 from bellweir.wire.keys import ClusterKeys
 
 PROTOCOL = "bellweir/1"
@@ -47,6 +47,8 @@
     address: str
     """`host:port` where the connecting node accepts peers."""
     nonce: bytes
+    level: int = FIRST_LEVEL
+    """Level of its build's messages; builds before the second one pass over it."""
 
 
 class ServerHello(msgspec.Struct, frozen=True, array_like=True, tag="server_hello"):
@@ -55,6 +57,8 @@
     node: str
     nonce: bytes
     proof: bytes
+    level: int = FIRST_LEVEL
+    """As the connecting end's."""
 
 
 class ClientProof(msgspec.Struct, frozen=True, array_like=True, tag="client_proof"):
@@ -73,16 +77,28 @@
 
     name: str
     address: str
+    level: int = LEVEL
 
 
-def connect_handshake(connection: socket.socket, local: LocalNode, keys: ClusterKeys) -> str:
-    """Run the connecting end's part; return the name of the other node.
+@dataclass(frozen=True)
+class AcceptingNode:
+    """What the accepting node says of itself."""
+
+    node: str
+    level: int
+    """Level of its build's messages."""
+
+
+def connect_handshake(
+    connection: socket.socket, local: LocalNode, keys: ClusterKeys
+) -> AcceptingNode:
+    """Run the connecting end's part; return what the other node says of itself.
 
     Raises `HandshakeError`, or `OSError` as the socket does.
     """
     connection.settimeout(HANDSHAKE_TIMEOUT_S)
     deadline_s = time.monotonic() + HANDSHAKE_TIMEOUT_S
-    hello = ClientHello(PROTOCOL, local.name, local.address, os.urandom(NONCE_BYTES))
+    hello = ClientHello(PROTOCOL, local.name, local.address, os.urandom(NONCE_BYTES), local.level)
     try:
         _write(connection, hello)
         answer = _read(connection, ServerHello, deadline_s)
@@ -94,7 +110,7 @@
         _read(connection, Welcome, deadline_s)
     except FrameError as failure:
         raise HandshakeError(str(failure)) from failure
-    return answer.node
+    return AcceptingNode(answer.node, answer.level)
 
 
 def accept_handshake(connection: socket.socket, local: LocalNode, keys: ClusterKeys) -> Sender:
@@ -109,14 +125,15 @@
         _check_hello(hello)
         nonce = os.urandom(NONCE_BYTES)
         parts = _parts(hello, local.name, nonce)
-        _write(connection, ServerHello(local.name, nonce, keys.sign(_SERVER_ROLE, *parts)))
+        proof = keys.sign(_SERVER_ROLE, *parts)
+        _write(connection, ServerHello(local.name, nonce, proof, local.level))
         answer = _read(connection, ClientProof, deadline_s)
         if not keys.verify(answer.proof, _CLIENT_ROLE, *parts):
             raise HandshakeError("the connecting node proved no cluster key known here")
         _write(connection, Welcome())
     except FrameError as failure:
         raise HandshakeError(str(failure)) from failure
-    return Sender(hello.node, hello.address)
+    return Sender(hello.node, hello.address, hello.level)
 
 
 def _parts(hello: ClientHello, server: str, server_nonce: bytes) -> tuple[bytes, ...]:
--- a/src/bellweir/wire/interface.py
+++ b/src/bellweir/wire/interface.py
@@ -8,14 +8,32 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from typing import Any, TypeVar
+from typing import Any, ClassVar, TypeVar
 
 import msgspec
 from returns.result import Result
 
+FIRST_LEVEL = 1
+"""Level of the builds that tell none: they know the messages without a level of their own."""
+LEVEL = 2
+"""Level of this build. A build knows the messages of its own level and of those before it; raise
+this by one for the first message that is added after a release."""
+
 
 class Message(msgspec.Struct, frozen=True, tag=True):
-    """Base of every message between nodes; the class name is its tag on the wire."""
+    """Base of every message between nodes; the class name is its tag on the wire.
+
+    A message that builds in service may not know says since which level it is there. The transport
+    writes it only on connections whose other end has told that level or a later one.
+
+    >>> class Rumour(Message, frozen=True):
+    ...     since_level = 2
+    ...     word: str
+    >>> Rumour("hm").since_level
+    2
+    """
+
+    since_level: ClassVar[int] = FIRST_LEVEL
 
 
 AnyMessage = TypeVar("AnyMessage", bound=Message)
@@ -28,6 +46,8 @@
     node: str
     address: str
     """`host:port` where that node accepts peers."""
+    level: int = FIRST_LEVEL
+    """Level of its build's messages."""
 
 
 class WireErrorKind(Enum):
@@ -39,7 +59,8 @@
     """Sent, but the connection broke, the time ran out or the handler raised: the peer may have
     handled it."""
     REFUSED = "refused"
-    """The peer has no handler or is overloaded, and its refusal proves that nothing ran."""
+    """The peer has no handler or is overloaded, and its refusal proves that nothing ran; or its
+    build does not know the message, which was not sent then."""
 
 
 @dataclass(frozen=True)
@@ -78,3 +99,11 @@
     @abstractmethod
     def send(self, address: str, message: Message) -> bool:
         """Queue a one-way message; best effort. False when the peer's queue is full."""
+
+    def knows(self, address: str, message_type: type[Message]) -> bool | None:
+        """Whether the node at `host:port` knows a type of message.
+
+        None while no connection to it has told: then it may be sent all the same, since the
+        transport leaves out what the other end turns out not to know.
+        """
+        return True if message_type.since_level == FIRST_LEVEL else None
--- a/src/bellweir/wire/log_events.py
+++ b/src/bellweir/wire/log_events.py
@@ -51,6 +51,13 @@
     ("file", "error"),
     "The file of rehearsal network faults could not be read; the rules from before stay.",
 )
+PEER_OF_OLDER_BUILD = Event(
+    208,
+    "peer_of_older_build",
+    Level.INFO,
+    ("peer", "level", "needed"),
+    "A peer's build knows messages up to a level; later ones are not sent on that connection.",
+)
 CLUSTER_KEY_UNREADABLE = Event(
     207,
     "cluster_key_unreadable",
--- a/src/bellweir/wire/peer_link.py
+++ b/src/bellweir/wire/peer_link.py
@@ -20,10 +20,11 @@
     read_frame,
 )
 from bellweir.wire.handshake import HandshakeError, connect_handshake
-from bellweir.wire.interface import WireError, WireErrorKind
+from bellweir.wire.interface import FIRST_LEVEL, WireError, WireErrorKind
 from bellweir.wire.log_events import (
     PEER_CONNECTION_LOST,
     PEER_FRAME_REFUSED,
+    PEER_OF_OLDER_BUILD,
     PEER_REFUSED_US,
 )
 from bellweir.wire.send_queue import PendingRequest, QueuedFrame, SendQueue
@@ -54,6 +55,9 @@
         self._pending: dict[int, PendingRequest] = {}
         self._connection: socket.socket | None = None
         self._last_used_s = time.monotonic()
+        self.level: int | None = None
+        """Level of the messages that the peer knows; None until its build has told."""
+        self._has_told_level = False
 
     def new_request(self) -> PendingRequest:
         """Reserve a number for a request."""
@@ -104,13 +108,14 @@
             raise ConnectionError("cut off by a rehearsal fault")
         connection = socket.create_connection(split_address(self.address), CONNECT_TIMEOUT_S)
         try:
-            connect_handshake(connection, self._parts.local, self._parts.keys)
+            peer = connect_handshake(connection, self._parts.local, self._parts.keys)
             prepare(connection)
         except BaseException:
             shut(connection)
             raise
         with self._lock:
             self._connection = connection
+        self.level = peer.level
         if self._queue.closed:
             shut(connection)
             raise ConnectionError("the link was closed while it connected")
@@ -123,6 +128,9 @@
                 if self._idle() and self._queue.close_if_empty():
                     return
                 continue
+            if frame.level > (self.level or FIRST_LEVEL):
+                self._leave_out(frame)
+                continue
             if not self._parts.hold_for_faults(self.address, frame):
                 raise ConnectionError("cut off by a rehearsal fault")
             if frame.pending is not None and not frame.pending.mark_sent():
@@ -131,6 +139,16 @@
             connection.sendall(frame.data)
             self._parts.traffic.count_sent(len(frame.data))
 
+    def _leave_out(self, frame: QueuedFrame) -> None:
+        """Send nothing of a message that the peer's build does not know."""
+        detail = f"messages of level {frame.level} are not known at level {self.level}"
+        if not self._has_told_level:
+            self._has_told_level = True
+            emit(PEER_OF_OLDER_BUILD, peer=self.address, level=self.level, needed=frame.level)
+        if frame.pending is not None:
+            self.forget(frame.pending)
+            frame.pending.resolve(Failure(WireError(WireErrorKind.REFUSED, detail)))
+
     def _idle(self) -> bool:
         with self._lock:
             waiting = bool(self._pending)
--- a/src/bellweir/wire/send_queue.py
+++ b/src/bellweir/wire/send_queue.py
@@ -8,7 +8,7 @@
 
 from returns.result import Failure, Result
 
-from bellweir.wire.interface import Message, WireError, WireErrorKind
+from bellweir.wire.interface import FIRST_LEVEL, Message, WireError, WireErrorKind
 
 MAXIMUM_QUEUED_FRAMES = 4096
 MAXIMUM_QUEUED_BYTES = 64 * 1024 * 1024
@@ -54,6 +54,8 @@
 
     data: bytes
     pending: PendingRequest | None = None
+    level: int = FIRST_LEVEL
+    """Level of the message that it carries."""
     queued_s: float = field(default_factory=time.monotonic)
 
 
