--- a/src/bellweir/hosted/batches/service.py
+++ b/src/bellweir/hosted/batches/service.py
@@ -85,6 +85,11 @@
             "Attempts of items in hand on this node.",
             lambda: float(coordinator.running_count()),
         )
+        metrics.add_gauge(
+            "bellweir_workers_left_alone",
+            "On the jobs' leader: workers that load weights or refused a model's runs just now.",
+            lambda: float(self._attempts.refusals.left_alone_count()),
+        )
         metrics.add_gauge(
             "bellweir_ledger_leads",
             "1 while this node leads the jobs' shard.",
@@ -109,5 +114,6 @@
             incarnations = {worker.incarnation for worker in workers}
             self._loads.forget_others(incarnations)
             self._attempts.refusals.forget_others(incarnations)
+            self._attempts.failing.forget_others(incarnations)
             self._attempts.paces.forget_others(incarnations)
             self._connections.forget_others({worker.address for worker in workers})
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -88,6 +88,20 @@
 CONFIGURATION_REFUSED = Event(
     1414, "configuration_refused", Level.ERROR, ("error",), "A configuration can't be understood."
 )
+ENTRY_UNREADABLE = Event(
+    1480,
+    "entry_unreadable",
+    Level.WARNING,
+    ("kind", "name", "revision", "cause"),
+    "An entry of the object store can't be used and counts as absent; once for each revision.",
+)
+CONFIGURATION_PART_UNREADABLE = Event(
+    1481,
+    "configuration_part_unreadable",
+    Level.ERROR,
+    ("version", "part", "name", "cause", "instead"),
+    "A part of a configuration can't be used; `instead` says what is in force in its place.",
+)
 WORKER_CHANGED = Event(
     1415,
     "worker_changed",
@@ -164,7 +178,7 @@
     "A request carries no key that the configuration in force has; `undecided`: a newer one may.",
 )
 WORKER_SET_ASIDE = Event(
-    1470,
+    1500,
     "worker_set_aside",
     Level.WARNING,
     (
@@ -182,28 +196,28 @@
     " fellow's share of failures or median in seconds.",
 )
 WORKER_RETURNED = Event(
-    1471,
+    1501,
     "worker_returned",
     Level.INFO,
     ("instance", "service", "cause", "served", "failed", "usual_ms", "told_age_ms"),
     "A worker that was set aside gets requests as its fellows do.",
 )
 SIGHT_ALONE = Event(
-    1472,
+    1502,
     "sight_alone",
     Level.WARNING,
     ("gateways",),
     "No other gateway was heard while there was something to tell; what they told fades out.",
 )
 SIGHT_SHARED = Event(
-    1473,
+    1503,
     "sight_shared",
     Level.INFO,
     ("gateways",),
     "Another gateway was heard again.",
 )
 RETRY_REFUSED = Event(
-    1474,
+    1504,
     "retry_refused",
     Level.WARNING,
     ("service", "first", "further", "gateways"),
@@ -362,3 +376,25 @@
     ("address", "error"),
     "The address of the process's figures is taken; it is tried again, and all else goes on.",
 )
+WORKER_FAILS_ALL = Event(
+    1470,
+    "worker_fails_all",
+    Level.WARNING,
+    ("instance", "failures", "service_workers", "failing_workers", "cause"),
+    "A worker fails whatever it gets while its fellows don't: it gets items to try it by only.",
+)
+WORKER_SERVES_AGAIN = Event(
+    1471,
+    "worker_serves_again",
+    Level.INFO,
+    ("instance",),
+    "A worker that had failed several items in a row serves one: it gets items as its fellows do.",
+)
+ALLOWANCE_LEARNT = Event(
+    1490,
+    "allowance_learnt",
+    Level.INFO,
+    ("model", "lag", "job", "named", "minimum_version"),
+    "The holder of the roll-outs' lease learnt from a job how many versions behind the newest its "
+    "trainer lets samples be: with a lag of 1 a worker loads every second version only.",
+)
--- a/src/bellweir/hosted/weights/lags.py
+++ b/src/bellweir/hosted/weights/lags.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Callable, Iterable
 
-from bellweir.hosted.batches.state import Job
+from bellweir.events.log import emit
+from bellweir.hosted.log_events import ALLOWANCE_LEARNT
+from bellweir.hosted.weights.job_news import NewestJob
 
 LONGEST_LAG = 1
 """A longer allowance is not used: samples should be as fresh as loads allow."""
@@ -11,7 +13,7 @@
 class VersionLags:
     """Compares each model's newest job with the version that was named when it came."""
 
-    def __init__(self, jobs: Callable[[], Iterable[Job]]) -> None:
+    def __init__(self, jobs: Callable[[], Iterable[NewestJob]]) -> None:
         self._jobs = jobs
         self._newest: dict[str, str] = {}
         self._lags: dict[str, int] = {}
@@ -24,5 +26,17 @@
         newest = max(of_model, key=lambda job: (job.minimum_version, job.accepted_at_s))
         if self._newest.get(model) != newest.id:
             self._newest[model] = newest.id
-            self._lags[model] = min(LONGEST_LAG, max(0, named - newest.minimum_version))
+            self._note(newest, named, min(LONGEST_LAG, max(0, named - newest.minimum_version)))
         return self._lags[model]
+
+    def _note(self, job: NewestJob, named: int, lag: int) -> None:
+        if self._lags.get(job.model) != lag:
+            emit(
+                ALLOWANCE_LEARNT,
+                model=job.model,
+                lag=lag,
+                job=job.id,
+                named=named,
+                minimum_version=job.minimum_version,
+            )
+        self._lags[job.model] = lag
