Decide on room and order for plain requests, on replayed load

Cause: a gateway tries workers in turn whatever the load, and answers 503 with the same time to come back when all are tried. Nothing reads priorities; a large tenant's requests go first because they are more.

Change: hosted/room judges by the expected time of the answer (start, wait a bounded while, refuse at once), hosted/queueing orders those that wait by priority and start-time fair queueing, and says when refused clients are to come back. Decisions only: nothing uses them yet.

--- /dev/null
+++ b/experiments/room.py
@@ -0,0 +1,80 @@
+"""Plays the same bursts of load under each way to order, refuse and call back; prints a table.
+
+`PYTHONPATH=src:. .venv/bin/python experiments/room.py [SEEDS]`
+"""
+
+import random
+import sys
+from collections import Counter
+
+from features.support.room_replay import Replay, burst
+from features.support.room_ways import DeficitRoundRobin, FromQueue
+
+from bellweir.hosted.queueing.interface import ReturnTimes
+from bellweir.hosted.queueing.return_times import FromRates
+from bellweir.hosted.queueing.start_time_fair import StartTimeFair
+from bellweir.hosted.room.judge import ExpectedTimes
+
+USUAL_S = 0.0375
+LARGE = {"large": 0.8} | {f"small-{number}": 0.02 for number in range(10)}
+LOADS = {
+    "burst, half slow": (6, [USUAL_S, USUAL_S, 8 * USUAL_S, 8 * USUAL_S], {}),
+    "burst beyond all": (60, [USUAL_S, USUAL_S, 8 * USUAL_S, 8 * USUAL_S], {}),
+    "one large tenant": (60, [USUAL_S, USUAL_S, USUAL_S, USUAL_S], LARGE),
+}
+STATES = ("in_time", "in_time_after_refusal", "late", "refused", "lost")
+
+
+class Fixed(ReturnTimes):
+    """The same time for everybody."""
+
+    def after_s(self, service, outlook, left_s, left_share, now_s):
+        """A fifth of a second."""
+        return 0.2
+
+
+def ways(seed):
+    """Name, judge, order and return times of each way."""
+    decides, waits = ExpectedTimes(), ExpectedTimes(sheds=False)
+    starts = ExpectedTimes(waits=False, refuses=False, sheds=False)
+    drawn = random.Random(seed)
+    yield "start at once, fixed", starts, StartTimeFair, Fixed
+    yield "start at once, rates", starts, StartTimeFair, lambda: FromRates(drawn.random)
+    yield "start at once, queue", starts, StartTimeFair, FromQueue
+    yield "wait, SFQ, rates", waits, StartTimeFair, lambda: FromRates(drawn.random)
+    yield "SFQ, rates", decides, StartTimeFair, lambda: FromRates(drawn.random)
+    yield "SFQ, queue", decides, StartTimeFair, FromQueue
+    yield "DRR, rates", decides, DeficitRoundRobin, lambda: FromRates(drawn.random)
+    yield "SFQ, fixed", decides, StartTimeFair, Fixed
+
+
+def main():
+    """Play all loads and print one line for each way."""
+    seeds = range(1, int(sys.argv[1]) + 1 if len(sys.argv) > 1 else 6)
+    for load, (rate, times_s, tenants) in LOADS.items():
+        totals, offered = {}, Counter()
+        for seed in seeds:
+            arrivals = burst(seed, rate, tenants=tenants)
+            for name, judge, order, make in ways(seed):
+                kept = [make() for _ in range(4)]
+                replay = Replay(judge, order, kept.__getitem__, times_s)
+                totals[name] = totals.get(name, Counter()) + replay.run(arrivals)
+                offered[name] += replay.offered
+        print(f"\n{load}: {rate} a second, 14 times as many for 10 s")
+        for name, found in totals.items():
+            print(f"{name:22}", _line(found), f"offers {offered[name]}")
+            if tenants:
+                small = Counter({key: n for key, n in found.items() if key[0] != "large"})
+                print(f"{'  of small tenants':22}", _line(small))
+
+
+def _line(found):
+    total = sum(found.values())
+    counts = Counter()
+    for (_, state), number in found.items():
+        counts[state] += number
+    return " ".join(f"{state} {counts[state] / total:.3f}" for state in STATES)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/features/steps/hosted_room_steps.py
@@ -0,0 +1,240 @@
+"""Decisions on room and on the order of requests that wait, on replayed load."""
+
+import random
+from collections import Counter
+
+import hypothesis.strategies as st
+from behave import given as given_step
+from behave import then
+from features.support.room_replay import Replay, burst
+from features.support.room_ways import DeficitRoundRobin, FromQueue
+from hypothesis import given, settings
+
+from bellweir.hosted.queueing.admissions import Admissions
+from bellweir.hosted.queueing.interface import Outlook, Release, Waiting
+from bellweir.hosted.queueing.return_times import FromRates
+from bellweir.hosted.queueing.start_time_fair import StartTimeFair
+from bellweir.hosted.room.interface import Need, Verdict, WorkerRoom
+from bellweir.hosted.room.judge import TAKEN_SHARE, ExpectedTimes
+
+USUAL_S = 0.0375
+HALF_SLOW = (USUAL_S, USUAL_S, 8 * USUAL_S, 8 * USUAL_S)
+LARGE = {"large": 0.8} | {f"small-{number}": 0.02 for number in range(10)}
+IN_TIME = ("in_time", "in_time_after_refusal")
+ORDERS = (StartTimeFair, DeficitRoundRobin)
+BOUND = 16
+FULL = [WorkerRoom(6, 30, 0.04)]
+EMPTY = [WorkerRoom(6, 0, 0.04)]
+
+rooms = st.lists(
+    st.builds(WorkerRoom, st.integers(1, 16), st.integers(0, 200), st.floats(0, 5)), max_size=6
+)
+needs = st.builds(Need, st.floats(0, 10), st.floats(0, 2), st.floats(0, 0.5))
+arrivals = st.lists(
+    st.tuples(st.sampled_from("abcd"), st.integers(0, 3), st.floats(0.01, 0.2)),
+    min_size=1,
+    max_size=40,
+)
+
+
+def play(context, order=StartTimeFair, **switches):
+    kept = [FromRates(random.Random(3).random) for _ in range(4)]
+    judge = ExpectedTimes(**switches)
+    replay = Replay(judge, order, kept.__getitem__, context.times_s)
+    found = replay.run(context.arrivals)
+    assert sum(found.values()) == len(context.arrivals), "a client has no end"
+    return replay, found
+
+
+def play_starting(context):
+    return play(context, waits=False, refuses=False, sheds=False)
+
+
+def share(found, states, is_meant=lambda _tenant: True):
+    meant = {key: number for key, number in found.items() if is_meant(key[0])}
+    return sum(n for key, n in meant.items() if key[1] in states) / sum(meant.values())
+
+
+def is_small(tenant):
+    return tenant != "large"
+
+
+def waiting(number, tenant="", priority=5, arrived_s=0.0, wait_s=0.025, **more):
+    return Waiting(
+        f"r{number}",
+        tenant,
+        priority,
+        arrived_s,
+        arrived_s + wait_s,
+        more.pop("deadline_s", arrived_s + 1.5),
+        cost_s=0.04,
+        target_s=more.pop("target_s", 0.2),
+    )
+
+
+@given_step("requests 14 times as many for 10 s, and half of the workers slow")
+def given_burst(context):
+    context.arrivals, context.times_s = burst(1, 6), HALF_SLOW
+
+
+@given_step("requests beyond all workers for 10 s")
+def given_beyond(context):
+    context.arrivals, context.times_s = burst(1, 60), HALF_SLOW
+
+
+@given_step("a tenant with 80% of the requests, beyond all workers for 10 s")
+def given_large(context):
+    context.arrivals = burst(1, 60, tenants=LARGE)
+    context.times_s = (USUAL_S,) * 4
+
+
+@then("a request starts while a worker has room, is unknown, or there is no worker at all")
+def then_starts(context):
+    judge, need = ExpectedTimes(), Need(1.5, 0.2, 0.025)
+    unknown = WorkerRoom(6, 90, 0.0)
+    for workers in ([], EMPTY, [*FULL, *EMPTY], [*FULL, unknown]):
+        assert judge.judge(workers, need).verdict is Verdict.START, workers
+
+
+@then("nobody is refused while under half of the slots are taken")
+def then_not_refused(context):
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(rooms, needs, st.integers(0, 20))
+    def holds(workers, need, ahead):
+        found = ExpectedTimes().judge(workers, need, ahead)
+        taken, slots = sum(each.in_hand for each in workers) + ahead, sum(w.slots for w in workers)
+        if found.verdict is Verdict.REFUSE:
+            assert taken >= TAKEN_SHARE * slots > 0
+
+    holds()
+
+
+@then("no client fares worse than where every request starts at once")
+def then_not_worse(context):
+    _, starting = play_starting(context)
+    _, found = play(context)
+    assert share(found, IN_TIME) >= share(starting, IN_TIME), (found, starting)
+    assert not share(found, ("refused", "lost")), found
+
+
+@then("more are answered in time than where every request starts at once, with half of the offers")
+def then_more(context):
+    starts, starting = play_starting(context)
+    context.replay, found = play(context)
+    assert share(found, IN_TIME) > share(starting, IN_TIME), (found, starting)
+    assert context.replay.offered < starts.offered / 2, (context.replay.offered, starts.offered)
+
+
+@then("no more waited than the queue may hold")
+def then_bounded(context):
+    assert 0 < context.replay.longest_line <= 64, context.replay.longest_line
+
+
+@then("small tenants are served in time more often than the large one")
+def then_fair(context):
+    _, context.fair = play(context)
+    small = share(context.fair, IN_TIME, is_small)
+    assert small > share(context.fair, IN_TIME, lambda each: not is_small(each)), context.fair
+
+
+@then("requests neither wait nor are refused by the queue")
+def then_without_workers(context):
+    line = Admissions(ExpectedTimes(), StartTimeFair(), BOUND)
+    judgement, _ = line.ask(waiting(1), [], 0.0)
+    assert judgement.verdict is Verdict.START, "nobody is there to be waited for"
+
+
+@then("their clients are told when to come back")
+def then_told(context):
+    outlook = Outlook.of([], 0.2, 0, 0.0)
+    for way in (FromRates(), FromQueue()):
+        assert 0 < way.after_s("cards", outlook, 1.5, 1.0, 0.0) <= 0.5
+
+
+@then("whatever comes and goes, the most urgent go first and no tenant is passed over for long")
+def then_ordered(context):
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    @given(arrivals, st.sampled_from(ORDERS))
+    def holds(came, order_of):
+        order = order_of()
+        for number, (tenant, priority, _) in enumerate(came):
+            order.push(waiting(number, tenant, priority))
+        passed_over = Counter()
+        while (first := order.peek()) is not None:
+            equals = [each for each in order.all() if each.priority == first.priority]
+            assert first.priority == min(each.priority for each in order.all())
+            own = [each for each in equals if each.tenant == first.tenant]
+            assert own[0] is first, "a tenant's own requests changed places"
+            for tenant in {each.tenant for each in equals}:
+                passed_over[tenant, first.priority] += 1
+            passed_over[first.tenant, first.priority] = 0
+            assert max(passed_over.values()) <= 2 * len("abcd"), "a tenant waits too long"
+            assert order.remove(first, served=True)
+
+    holds()
+
+
+@then("the queue never holds more than its bound, and who is let go was in it")
+def then_queue_bounded(context):
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    @given(arrivals, st.sampled_from(ORDERS), st.integers(0, 40))
+    def holds(came, order_of, in_hand):
+        line, now_s = Admissions(ExpectedTimes(), order_of(), BOUND), 0.0
+        workers = [WorkerRoom(6, in_hand, 0.04)]
+        inside, ended = [], []
+        for number, (tenant, priority, wait_s) in enumerate(came):
+            now_s += 0.001
+            asked = waiting(number, tenant, priority, now_s, wait_s)
+            judgement, displaced = line.ask(asked, workers, now_s)
+            (inside if judgement.verdict is Verdict.WAIT else ended).append(asked)
+            if displaced is not None:
+                inside.remove(displaced)
+                ended.append(displaced)
+            assert len(line) == len(inside) <= BOUND
+        for released in line.look(workers, now_s + 0.5):
+            inside.remove(released.waiting)
+            ended.append(released.waiting)
+        assert not inside, "one waits beyond its time"
+        assert len(line) == 0, "the queue holds one that was let go"
+        assert len({id(each) for each in ended}) == len(came), "one has two ends"
+
+    holds()
+
+
+@then("one whose deadline can't be met any more is refused before its deadline")
+def then_hopeless(context):
+    line = Admissions(ExpectedTimes(sheds=False), StartTimeFair(), BOUND)
+    asked = waiting(1, deadline_s=0.5)
+    judgement, _ = line.ask(asked, [WorkerRoom(6, 24, 0.04)], 0.0)
+    assert judgement.verdict is Verdict.WAIT, judgement.verdict
+    (released,) = line.look([WorkerRoom(6, 120, 0.04)], 0.01)
+    assert released.waiting is asked
+    assert released.release is Release.HOPELESS
+
+
+@then("a time to come back is at most a third of what the client has left")
+def then_a_third(context):
+    @settings(max_examples=200, derandomize=True, deadline=None)
+    @given(rooms, st.floats(0, 10), st.floats(0, 1), st.integers(0, 40))
+    def holds(workers, left_s, left_share, number):
+        outlook = Outlook.of(workers, 0.2, number, 1.0)
+        for way in (FromRates(), FromQueue()):
+            for _ in range(3):
+                after_s = way.after_s("cards", outlook, left_s, left_share, 5.0)
+                assert 0 <= after_s <= left_s / 3 + 1e-9
+
+    holds()
+
+
+@then("clients that have least time left come back first, and not all at once")
+def then_spread(context):
+    outlook = Outlook.of([WorkerRoom(6, 30, 0.04)] * 4, 0.1, 10, 5.0)
+    rates = FromRates(lambda: 0.5)
+    times = [rates.after_s("cards", outlook, 9.0, left / 10, 0.0) for left in range(11)]
+    assert times == sorted(times), times
+    assert times[0] < times[-1], times
+    drawn = FromRates(random.Random(1).random)
+    assert len({drawn.after_s("cards", outlook, 9.0, 0.5, 0.0) for _ in range(20)}) == 20
+    queue = FromQueue()
+    booked = [queue.after_s("cards", outlook, 9.0, 0.5, 0.0) for _ in range(20)]
+    assert booked == sorted(set(booked)), booked
--- /dev/null
+++ b/features/support/room_replay.py
@@ -0,0 +1,199 @@
+"""Replays load against the decisions on room: gateways, workers and clients without a network.
+
+Time is counted by events. Gateways see each other's requests in hand, as old as `sight_age_s`.
+"""
+
+import heapq
+import itertools
+import random
+from collections import Counter
+from types import SimpleNamespace
+
+from bellweir.hosted.queueing.admissions import Admissions
+from bellweir.hosted.queueing.interface import Outlook, Release, Waiting
+from bellweir.hosted.room.interface import Verdict, WorkerRoom
+
+WORKER_QUEUE = 24
+TICK_S = 0.005
+WAIT_SHARE = 1 / 8
+HONOURED = 1 / 3
+
+
+class Replay:
+    """Plays arrivals `(time, tenant, priority)` and counts how their clients fared."""
+
+    def __init__(
+        self,
+        judge,
+        make_order,
+        return_times,
+        times_s,
+        *,
+        gateways=4,
+        target_s=0.19,
+        deadline_s=1.5,
+        retries=1,
+        slots=6,
+        sight_age_s=0.1,
+        longest=64,
+    ):
+        self.judge, self.return_times, self.times_s = judge, return_times, times_s
+        self.slots, self.retries, self.sight_age_s = slots, retries, sight_age_s
+        self.target_s, self.deadline_s = target_s, deadline_s
+        self.lines = [Admissions(judge, make_order(), longest) for _ in range(gateways)]
+        self.in_hand = [0] * len(times_s)
+        self.own = [[0] * len(times_s) for _ in range(gateways)]
+        self.others = [[0] * len(times_s) for _ in range(gateways)]
+        self.queues = [[] for _ in times_s]
+        self.running = [0] * len(times_s)
+        self.results, self.offered, self.longest_line = [], 0, 0
+        self.returns, self.started = [], []
+        self.random = random.Random(5)
+        self._events, self._number = [], itertools.count()
+        self._ids, self.looking = {}, set()
+
+    def run(self, arrivals, until_s=60.0):
+        for at_s, tenant, priority in arrivals:
+            client = SimpleNamespace(
+                began_s=at_s, tenant=tenant, priority=priority, tries=0, offered=False
+            )
+            self._at(at_s, self._arrive, client)
+        self._at(0.0, self._share)
+        while self._events:
+            at_s, _, action, about = heapq.heappop(self._events)
+            if at_s > until_s:
+                break
+            action(at_s, *about)
+        return Counter(self.results)
+
+    def _at(self, at_s, action, *about):
+        heapq.heappush(self._events, (at_s, next(self._number), action, about))
+
+    def _share(self, now_s):
+        self.others = [
+            [total - own for total, own in zip(self.in_hand, mine, strict=True)]
+            for mine in self.own
+        ]
+        self._at(now_s + self.sight_age_s, self._share)
+
+    def _room(self, gateway):
+        return [
+            WorkerRoom(self.slots, others + own, time_s, self.sight_age_s)
+            for others, own, time_s in zip(
+                self.others[gateway], self.own[gateway], self.times_s, strict=True
+            )
+        ]
+
+    def _arrive(self, now_s, client):
+        gateway = self.random.randrange(len(self.lines))
+        waiting = Waiting(
+            str(next(self._number)),
+            client.tenant,
+            client.priority,
+            now_s,
+            now_s + WAIT_SHARE * self.target_s,
+            client.began_s + self.deadline_s,
+            cost_s=0.04,
+            target_s=self.target_s,
+        )
+        line = self.lines[gateway]
+        client.tries += 1
+        self._ids[id(waiting)] = client, waiting
+        judgement, displaced = line.ask(waiting, self._room(gateway), now_s)
+        self.longest_line = max(self.longest_line, len(line))
+        if displaced is not None:
+            self._refuse(now_s, gateway, self._ids[id(displaced)][0])
+        if judgement.verdict is Verdict.START:
+            self._offer(now_s, gateway, client)
+        elif judgement.verdict is Verdict.REFUSE:
+            self._refuse(now_s, gateway, client)
+        elif gateway not in self.looking:
+            self.looking.add(gateway)
+            self._at(now_s + TICK_S, self._look, gateway)
+
+    def _look(self, now_s, gateway):
+        line = self.lines[gateway]
+        for released in line.look(self._room(gateway), now_s):
+            client = self._ids[id(released.waiting)][0]
+            if released.release in (Release.ROOM, Release.OVERDUE):
+                self._offer(now_s, gateway, client)
+            else:
+                self._refuse(now_s, gateway, client)
+        if len(line):
+            self._at(now_s + TICK_S, self._look, gateway)
+        else:
+            self.looking.discard(gateway)
+
+    def _offer(self, now_s, gateway, client):
+        """At the best worker; a full one refuses, and the others are tried in turn."""
+        self.lines[gateway].arrived()
+        rooms = self._room(gateway)
+        self.started.append((now_s, client.tenant))
+        for number in sorted(range(len(rooms)), key=lambda each: rooms[each].end_s()):
+            self.offered += 1
+            if self.in_hand[number] < self.slots + WORKER_QUEUE:
+                self.in_hand[number] += 1
+                self.own[gateway][number] += 1
+                client.offered = True
+                self.queues[number].append((gateway, client))
+                return self._work(now_s, number)
+        return self._refuse(now_s, gateway, client)
+
+    def _work(self, now_s, number):
+        while self.queues[number] and self.running[number] < self.slots:
+            gateway, client = self.queues[number].pop(0)
+            if now_s >= client.began_s + self.deadline_s:
+                self._leave(number, gateway)
+                self._end(client, "lost")
+                continue
+            self.running[number] += 1
+            time_s = self.times_s[number] * self.random.uniform(0.8, 1.2)
+            self._at(now_s + time_s, self._done, number, gateway, client)
+
+    def _leave(self, number, gateway):
+        self.in_hand[number] -= 1
+        self.own[gateway][number] -= 1
+
+    def _done(self, now_s, number, gateway, client):
+        self.running[number] -= 1
+        self._leave(number, gateway)
+        took_s = now_s - client.began_s
+        if took_s <= self.target_s:
+            state = "in_time"
+        elif client.tries > 1 and now_s - client.came_back_s <= self.target_s:
+            state = "in_time_after_refusal"
+        else:
+            state = "late" if took_s <= self.deadline_s else "lost"
+        self._end(client, state)
+        self._work(now_s, number)
+
+    def _refuse(self, now_s, gateway, client):
+        assert not client.offered, "refused after it was offered and taken"
+        left_s = client.began_s + self.deadline_s - now_s
+        if client.tries > self.retries or left_s <= 0:
+            return self._end(client, "refused")
+        rooms = self._room(gateway)
+        line = self.lines[gateway]
+        own = sum(self.own[gateway])
+        outlook = Outlook.of(rooms, self.target_s, len(line), own)
+        after_s = self.return_times(gateway).after_s(
+            "cards", outlook, left_s, left_s / self.deadline_s, now_s
+        )
+        client.came_back_s = now_s + min(after_s, HONOURED * left_s)
+        self.returns.append(client.came_back_s)
+        return self._at(client.came_back_s, self._arrive, client)
+
+    def _end(self, client, state):
+        self.results.append((client.tenant, state))
+
+
+def burst(seed, rate_per_s, factor=14, from_s=2.0, length_s=10.0, end_s=16.0, tenants=None):
+    """Arrivals at a rate, `factor` times as many for `length_s`; tenants by their shares."""
+    drawn = random.Random(seed)
+    found, now_s = [], 0.0
+    names, shares = zip(*(tenants or {"": 1.0}).items(), strict=True)
+    while now_s < end_s:
+        is_burst = from_s <= now_s < from_s + length_s
+        now_s += drawn.expovariate(rate_per_s * (factor if is_burst else 1))
+        found.append((now_s, drawn.choices(names, shares)[0], 5))
+    return found
--- /dev/null
+++ b/features/support/room_ways.py
@@ -0,0 +1,81 @@
+"""Ways to order and to call back that were weighed against those in use."""
+
+from bellweir.hosted.queueing.by_priority import ByPriority
+from bellweir.hosted.queueing.interface import Outlook, ReturnTimes, Waiting
+from bellweir.hosted.queueing.return_times import (
+    HONOURED_SHARE,
+    WITHOUT_FIGURES_S,
+    until_room_s,
+)
+
+
+class DeficitRoundRobin(ByPriority):
+    """Each tenant that waits gets a quantum a turn, kept until its last request."""
+
+    def __init__(self, quantum_s: float = 0.05) -> None:
+        """`quantum_s`: seconds of a place that a turn gives."""
+        super().__init__()
+        self._quantum_s = quantum_s
+        self._credit_s: dict[tuple[int, str], float] = {}
+        self._turns: list[tuple[int, str]] = []
+        """Priorities and tenants that wait, in the order of their turns."""
+
+    def push(self, waiting: Waiting) -> None:
+        """Add one."""
+        self._waiting.append(waiting)
+        key = (waiting.priority, waiting.tenant)
+        if key not in self._credit_s:
+            self._credit_s[key] = 0.0
+            self._turns.append(key)
+
+    def peek(self) -> Waiting | None:
+        """The oldest request of the tenant whose turn it is; gives turns until one can pay."""
+        oldest: dict[tuple[int, str], Waiting] = {}
+        for each in self._first_class():
+            oldest.setdefault((each.priority, each.tenant), each)
+        if not oldest:
+            return None
+        while True:
+            for key in self._turns:
+                if key in oldest and self._credit_s[key] >= oldest[key].cost_s:
+                    return oldest[key]
+            for key in oldest:
+                self._credit_s[key] += self._quantum_s
+
+    def remove(self, waiting: Waiting, *, served: bool) -> bool:
+        """Take one out; one that is served uses its tenant's credit up, and the turn goes on."""
+        if not self._take_out(waiting):
+            return False
+        key = (waiting.priority, waiting.tenant)
+        if served:
+            self._credit_s[key] = max(0.0, self._credit_s[key] - waiting.cost_s)
+            self._turns.remove(key)
+            self._turns.append(key)
+        if not any((each.priority, each.tenant) == key for each in self._waiting):
+            del self._credit_s[key]
+            self._turns.remove(key)
+        return True
+
+    def charge(self, waiting: Waiting) -> None:
+        """Nothing: only those that wait take turns."""
+
+
+class FromQueue(ReturnTimes):
+    """An appointment for each client: the first when there is room, each further one behind it.
+
+    Between two lies the time in which a place gets free for this gateway's share.
+    """
+
+    def __init__(self) -> None:
+        self._next_s: dict[str, float] = {}
+
+    def after_s(
+        self, service: str, outlook: Outlook, left_s: float, left_share: float, now_s: float
+    ) -> float:
+        """Seconds after which to come back; those with least time left up to half a gap early."""
+        first_s = now_s + until_room_s(outlook)
+        at_s = max(first_s, self._next_s.get(service, 0.0))
+        rate = outlook.rate_per_s * outlook.own_share
+        gap_s = 1 / rate if rate > 0 else WITHOUT_FIGURES_S / 10
+        self._next_s[service] = at_s + gap_s
+        return min(HONOURED_SHARE * left_s, at_s - now_s + gap_s * left_share / 2)
--- /dev/null
+++ b/src/bellweir/hosted/room/__init__.py
@@ -0,0 +1,1 @@
+"""Room: whether a service can take a request now, in time, later or not at all."""
