--- a/src/bellweir/hosted/sight/exchange.py
+++ b/src/bellweir/hosted/sight/exchange.py
@@ -12,7 +12,8 @@
 it tells each other zone once itself, and each that relays it in its zone tells one other zone.
 
 A peer gets a first message as a request. One that answers knows such messages and gets one-way
-ones from then on; one that refuses, as an older build does, is left out of the ring for a while.
+ones from then on; one that refuses is left out of the ring for a while. To an older build the
+transport sends nothing of it and says the same.
 """
 
 import threading
--- a/src/bellweir/hosted/sight/messages.py
+++ b/src/bellweir/hosted/sight/messages.py
@@ -70,12 +70,15 @@
 class SightNews(Message, frozen=True):
     """Records that are new to the sender; answered by `SightHeard` where it is a request."""
 
+    since_level = 2
     records: tuple[SeenRecord, ...]
 
 
 class SightHeard(Message, frozen=True):
     """The receiver knows such messages."""
 
+    since_level = 2
+
 
 def record_of(
     origin: str,
