Explain a worker that was set aside

bellweir explain INSTANCE says how many gateways set it aside, why and beside what; the story of a request shows it among what happened meanwhile.

--- a/features/explanation.feature
+++ b/features/explanation.feature
@@ -27,6 +27,13 @@
     And the explanation of "j-4" says "moved 1 x (silent), 1 x ended here"
     And the explanation of "j-4" says "group g-3 was never whole (a text of 9 events, 1 x refused)"
 
+  Scenario: A worker that was set aside
+    Given log lines of a worker that two gateways set aside and one of them took back
+    Then the explanation of "i-1" says "was set aside 2 times by 2 gateways (2 x failing), first on gateway-a"
+    And the explanation of "i-1" says "3.1 failed and 1.2 served with a median of 54 ms, beside 0.0 of its fellow"
+    And the explanation of "i-1" says "it returned 1 times, last on gateway-b"
+    And the story of "r-1" shows that a worker was set aside meanwhile
+
   Scenario: A job that was refused, and ids that nobody knows
     Given log lines in which job "j-2" was not accepted
     Then the explanation of "j-2" says "was not accepted"
--- a/features/steps/explanation_steps.py
+++ b/features/steps/explanation_steps.py
@@ -135,3 +135,21 @@
         line(4, "gateway-b", "process_started"),
         line(5, "gateway-a", "process_started"),
     ]
+
+
+@given_step("log lines of a worker that two gateways set aside and one of them took back")
+def given_worker(context):
+    seen = {"instance": "i-1", "service": "app", "served": 1.2, "failed": 3.1, "usual_ms": 54}
+    aside = seen | {"cause": "failing", "fellow": 0.0, "for_s": 2.0}
+    context.lines = [
+        line(1, "gateway-a", "worker_set_aside", **aside),
+        line(2, "gateway-b", "worker_set_aside", **aside),
+        attempt(2.5, 1, "unknown"),
+        line(6, "gateway-b", "worker_returned", **seen, cause="good_trials"),
+    ]
+
+
+@then('the story of "{identifier}" shows that a worker was set aside meanwhile')
+def then_meanwhile(context, identifier):
+    story = story_of(identifier, read_lines([context.lines]))
+    assert any(line.event == "worker_set_aside" for line in story.meanwhile)
--- a/src/bellweir/explanation/cause.py
+++ b/src/bellweir/explanation/cause.py
@@ -17,6 +17,8 @@
     "unknown_key": "the configuration in force has no such key, or the request carried none",
     "no_configuration": "the process knew no configuration yet",
 }
+WORKER_EVENTS = frozenset({"worker_set_aside", "worker_returned"})
+"""Events that tell of a worker by its id."""
 MOST_ITEMS_SHOWN = 3
 MOST_GROUPS_SHOWN = 3
 
@@ -30,9 +32,45 @@
         return _explain_job(identifier, lines, of_job)
     if any(line.event.startswith("item_") for line in lines):
         return _explain_item(identifier, lines)
+    if lines[0].event in WORKER_EVENTS:
+        return _explain_worker(identifier, lines)
     return _explain_request(identifier, lines)
 
 
+def _explain_worker(identifier: str, lines: Sequence[LogLine]) -> str:
+    said = [
+        part
+        for part in (
+            _set_aside([line for line in lines if line.event == "worker_set_aside"]),
+            _returned([line for line in lines if line.event == "worker_returned"]),
+        )
+        if part
+    ]
+    return f"Worker {identifier} {'; it '.join(said)}."
+
+
+def _set_aside(lines: Sequence[LogLine]) -> str:
+    if not lines:
+        return ""
+    first = lines[0]
+    causes = Counter(line.text("cause") for line in lines)
+    told = ", ".join(f"{count} x {cause}" for cause, count in causes.most_common())
+    nodes = len({line.node for line in lines})
+    return (
+        f"was set aside {len(lines)} times by {nodes} gateways ({told}), first on {first.node} at"
+        f" {first.time}: {first.text('failed')} failed and {first.text('served')} served with a"
+        f" median of {first.text('usual_ms')} ms, beside {first.text('fellow')} of its fellow"
+    )
+
+
+def _returned(lines: Sequence[LogLine]) -> str:
+    if not lines:
+        return "has no line of its return"
+    last = lines[-1]
+    when = f"last on {last.node} at {last.time}"
+    return f"returned {len(lines)} times, {when} ({last.text('cause')})"
+
+
 def _explain_request(identifier: str, lines: Sequence[LogLine]) -> str:
     last = lines[-1]
     tries = _tries([line for line in lines if line.event == "attempt_failed"])
--- a/src/bellweir/explanation/story.py
+++ b/src/bellweir/explanation/story.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from bellweir.explanation.cause import explain
+from bellweir.explanation.cause import WORKER_EVENTS, explain
 from bellweir.explanation.lines import LogLine
 
 AROUND_S = 2.0
@@ -25,6 +25,11 @@
         "order_sent",
         "replicas_changed",
         "lines_left_out",
+        "retry_refused",
+        "sight_alone",
+        "sight_shared",
+        "worker_returned",
+        "worker_set_aside",
     }
 )
 
@@ -40,7 +45,7 @@
 
 
 def story_of(identifier: str, lines: Sequence[LogLine]) -> Story:
-    """The story of a request, an item or a job; `lines` in order of time."""
+    """The story of a request, an item, a job or a worker; `lines` in order of time."""
     own = [line for line in lines if _is_about(line, identifier)]
     if not own:
         return Story((), (), explain(identifier, []) + _lost_lives(lines))
@@ -81,4 +86,6 @@
 
 
 def _is_about(line: LogLine, identifier: str) -> bool:
+    if line.event in WORKER_EVENTS:
+        return line.fields.get("instance") == identifier
     return identifier in (line.fields.get("request_id"), line.fields.get("job"))
