Test a worker process that starts again amid runs, streams and an order

A process of the kit's worker is killed and started again at its address under its id while a stream that may be resumed, a request that must not be repeated, a text and an order are in hand; and resting connections to a former start, left silent by a cut, are not used again.

--- a/features/hosted_starts.feature
+++ b/features/hosted_starts.feature
@@ -48,3 +48,15 @@
     Given a worker with version 3 that started again, its report told and its entry not yet rewritten
     When the order for version 2 to its former start is carried out
     Then it is ordered to version 3 again once its report counts no more
+
+  Scenario: Resting connections to the former start
+    Given a worker behind a gateway, with resting connections between them
+    When the worker starts again behind a cut, its former connections silent, and its entry is read
+    Then the next request that must not be repeated runs once, at the new start, and is answered
+
+  Scenario: A worker process is killed and started again while work is in hand
+    Given a worker process beside another worker, a gateway and a controller of roll-outs
+    When it is killed and started again amid a stream, a request, a text and an order
+    Then the stream that may be resumed comes whole, and the text goes on at the new start
+    And the request that must not be repeated ran once and is not said to be refused
+    And nothing that was known of the former start counts for the new one, which is ordered anew
--- a/features/steps/hosted_starts_steps.py
+++ b/features/steps/hosted_starts_steps.py
@@ -1,19 +1,31 @@
 """Workers that start again under their ids: readings, reports, orders and connections."""
 
+import re
+from concurrent.futures import ThreadPoolExecutor
+
 import hypothesis.strategies as st
 from behave import given as given_step
 from behave import then, when
+from features.support.hosted_gateway import GatewayUnderTest
+from features.support.hosted_jobs import make_job
 from features.support.starts_world import MODEL, StartsWorld, entry_of
+from features.support.worker_processes import WorkerProcess
 from hypothesis import given, settings
 
+from bellweir.hosted.batches.attempts import ItemAttempts
+from bellweir.hosted.batches.progress import ItemProgress
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.interface import Listing, RecordChange, StoredRecord
+from bellweir.hosted.records import Route
+from bellweir.hosted.serving.attempt import Cancellation
 from bellweir.hosted.views.configuration import ConfigurationView
 from bellweir.hosted.views.kind_state import KindState
 from bellweir.hosted.views.workers import WorkersView
 from bellweir.hosted.weights.controller import REPORT_COUNTS_S, RolloutController
 from bellweir.hosted.weights.lags import VersionLags
 from bellweir.hosted.weights.versions import VersionsView
+from bellweir_platform.workers import PlatformWorkers
+from bellweir_rehearsal.hosted.worker import WorkerStandIn, event_of, text_of
 
 NAMES = ("i-1", "i-2")
 NAME = st.sampled_from(NAMES)
@@ -390,3 +402,136 @@
     while rollouts.now_s < until_s:
         rollouts.step()
     assert rollouts.world.workers["i-1"].version == 3
+
+
+@given_step("a worker behind a gateway, with resting connections between them")
+def given_resting(context):
+    context.worker = WorkerStandIn("i-1")
+    context.cleanup.callback(context.worker.close)
+    context.gateway = GatewayUnderTest([context.worker])
+    context.cleanup.callback(context.gateway.close)
+    assert context.gateway.send("/single/x").status == 200
+    connections = context.gateway._connections
+    context.wait_until(lambda: connections.has_idle(context.worker.address), "it rests")
+
+
+@when("the worker starts again behind a cut, its former connections silent, and its entry is read")
+def when_behind_cut(context):
+    context.worker.go_dark()
+    context.worker.start_again()
+    context.gateway.show_workers({"i-1": context.worker.entry("app")})
+
+
+@then("the next request that must not be repeated runs once, at the new start, and is answered")
+def then_new_connection(context):
+    answer = context.gateway.send("/single/x")
+    assert answer.status == 200, (answer.status, answer.body)
+    assert context.worker.record.ran[answer.request_id] == 1
+
+
+EVENTS = 12
+
+
+@given_step("a worker process beside another worker, a gateway and a controller of roll-outs")
+def given_process(context):
+    process = context.process = WorkerProcess("i-1", MODEL, context.folder / "ran")
+    context.cleanup.callback(process.close)
+    context.other = WorkerStandIn("i-2", model=MODEL, version=2, events=EVENTS)
+    context.cleanup.callback(context.other.close)
+    gateway = context.gateway = GatewayUnderTest([process, context.other])
+    context.cleanup.callback(gateway.close)
+    context.attempts = ItemAttempts(gateway._connections, gateway.loads)
+    versions, configuration = VersionsView(), ConfigurationView()
+    engine = {"slots": 8, "models": [{"name": MODEL}]}
+    services = [{"name": "app", "engine": engine}]
+    configuration.take({"version": 1, "routes": [], "services": services}, "test")
+    record = StoredRecord("versions", MODEL, 2, {"model": MODEL, "version": 2})
+    versions.take_listing(Listing(2, (record,)))
+    context.controller = RolloutController(
+        FixedLease(),
+        versions,
+        gateway.workers,
+        configuration,
+        PlatformWorkers(),
+        VersionLags(list),
+        "node-1",
+    )
+
+
+def send_to_process(context, path):
+    """Send a request that goes to the process first; its answer's future."""
+    gateway = context.gateway
+    other = gateway.workers.worker("i-2")
+    gateway.loads.choose([other], ())
+    gateway.loads.refused(other.incarnation)
+    count = len(context.process.ran())
+    sent = context.pool.submit(gateway.send, path)
+    context.wait_until(lambda: len(context.process.ran()) > count, f"{path} runs")
+    return sent
+
+
+@when("it is killed and started again amid a stream, a request, a text and an order")
+def when_killed(context):
+    context.pool = context.cleanup.enter_context(ThreadPoolExecutor(3))
+    gateway, process = context.gateway, context.process
+    worker = gateway.workers.worker("i-1")
+    context.former = worker.incarnation
+    context.progress = ItemProgress(
+        make_job("job", 1, 1), Route(host="h", path_prefix="/"), make_job("job", 1, 1).items[0]
+    )
+    context.stream = send_to_process(context, "/resumable/x")
+    context.single = send_to_process(context, "/single/x")
+    gateway.loads.take(worker)
+    text = context.pool.submit(context.attempts.run_text, context.progress, worker, Cancellation())
+    context.wait_until(lambda: context.progress.events > 0, "the text begins")
+
+    def is_ordered():
+        context.controller.step()
+        load = context.controller._loads.get(context.former)
+        return load is not None and load.accepted_s is not None
+
+    context.wait_until(is_ordered, "the order is taken")
+    process.kill_and_start()
+    text.result()
+    gateway.show_workers({"i-1": process.entry("app"), "i-2": context.other.entry("app")})
+
+
+@then("the stream that may be resumed comes whole, and the text goes on at the new start")
+def then_whole(context):
+    stream = context.stream.result()
+    told = re.sub(rb"(?m)^x-bellweir-weight-versions: \d+\n", b"", stream.body)
+    wanted = b"".join(event_of(stream.request_id, each) for each in range(1, EVENTS + 1))
+    assert stream.whole, (stream.status, stream.body)
+    assert told == wanted, stream.body
+    worker, text = context.gateway.workers.worker("i-1"), context.progress
+    assert 0 < text.events < EVENTS
+    context.gateway.loads.take(worker)
+    context.attempts.run_text(text, worker, Cancellation())
+    assert "\n".join(text.pieces) == text_of(text.item.id, EVENTS)
+
+
+@then("the request that must not be repeated ran once and is not said to be refused")
+def then_once(context):
+    answer = context.single.result()
+    ran = context.process.ran().count(answer.request_id)
+    assert ran + context.other.record.ran[answer.request_id] == 1
+    assert answer.status == 502, answer.status
+
+
+@then("nothing that was known of the former start counts for the new one, which is ordered anew")
+def then_unknown(context):
+    loads, worker = context.gateway.loads, context.gateway.workers.worker("i-1")
+    assert worker.incarnation != context.former
+    assert loads._load(context.former).failures >= 3
+    assert loads._load(worker.incarnation).failures == 0
+    assert loads.in_hand(worker.incarnation) == 0
+    assert context.controller.held_version(worker, MODEL) == 1
+
+    def is_loaded():
+        context.controller.step()
+        return context.controller.held_version(worker, MODEL) == 2
+
+    context.wait_until(is_loaded, "the new start holds the version")
+    assert context.former not in context.controller._loads
+    report = PlatformWorkers().report(worker.address, 5.0)
+    assert (report.born_ms, report.sequence) == (worker.incarnation.born_ms, 1)
--- a/features/support/hosted_gateway.py
+++ b/features/support/hosted_gateway.py
@@ -68,6 +68,7 @@
         self.show_workers({worker.instance: worker.entry("app") for worker in workers})
         self.loads = WorkerLoads("a")
         connections = self._connections = WorkerConnections(HEADERS)
+        self.workers.subscribe_addresses(connections.renew)
         self.caller_watch = CallerWatch(self.executors)
         self.caller_watch.start()
         self.metrics = RequestMetrics()
