--- a/features/support/hosted_gateway.py
+++ b/features/support/hosted_gateway.py
@@ -70,6 +70,7 @@
         connections = self._connections = (
             WorkerConnections(HEADERS, sight.load_told) if sight else WorkerConnections(HEADERS)
         )
+        self.workers.subscribe_addresses(connections.renew)
         self.caller_watch = CallerWatch(self.executors)
         self.caller_watch.start()
         self.metrics = RequestMetrics()
--- a/features/support/starts_world.py
+++ b/features/support/starts_world.py
@@ -21,7 +21,15 @@
 def entry_of(instance, born_ms, version=1):
     models = [{"name": MODEL, "version": version}]
     address = f"{instance}:1"
-    return {"service": "llm", "address": address, "born": born_ms, "models": models}
+    return {
+        "service": "llm",
+        "address": address,
+        "zone": "a",
+        "slots": 8,
+        "state": "ready",
+        "born": born_ms,
+        "models": models,
+    }
 
 
 class StartsWorld(WorkerControl):
