--- /dev/null
+++ b/features/hosted_mixed.feature
@@ -0,0 +1,9 @@
+Feature: Two builds of the hosted roles side by side
+  Machines are replaced one after the other, so an older build and this one serve one deployment for
+  a while, and a machine may go back. The older one comes from the repository's own history; a clone
+  that lacks it says so, and reads what that build has left.
+
+  Scenario: An older build is replaced machine by machine
+    Given the build that was in service before
+    When the day is played on which this build takes its place
+    Then on that day everything that must hold has held
--- a/src/bellweir_rehearsal/hosted/deployment.py
+++ b/src/bellweir_rehearsal/hosted/deployment.py
@@ -17,8 +17,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-import bellweir
 from bellweir.kernel.ending import EXIT_GIVEN_UP
+from bellweir_rehearsal.hosted.builds import OWN_BUILD, Build
 from bellweir_rehearsal.hosted.duties import DutiesStandIn
 from bellweir_rehearsal.hosted.object_store import PlatformStoreStandIn
 from bellweir_rehearsal.hosted.power import lose_power
@@ -27,8 +27,6 @@
 from bellweir_rehearsal.hosted.touch_log import TouchLog
 from bellweir_rehearsal.hosted.worker import WorkerStandIn
 
-REPOSITORY = Path(bellweir.__file__).resolve().parent.parent.parent
-TEMPLATE = REPOSITORY / "deploy" / "settings.template"
 ZONES = ("zone-a", "zone-b", "zone-c")
 REGION = "region"
 FIRST_GATEWAY = 20
@@ -76,6 +74,8 @@
     zone: str
     folder: Path
     process: subprocess.Popen[bytes] | None = None
+    build: Build = OWN_BUILD
+    """What its process runs from its next start on."""
     log_begins: int = 0
     """Size of the log at the start of the process that runs."""
     starting: threading.Lock = field(default_factory=threading.Lock)
@@ -224,6 +224,10 @@
             if not machine.is_running:
                 self._start(machine)
 
+    def set_build(self, name: str, build: Build) -> None:
+        """Have a machine run a build from its next start on."""
+        self.machines[name].build = build
+
     def restart_ended(self, name: str) -> bool:
         """Start a process that has ended by itself, as its supervisor does; whether it had."""
         machine = self.machines[name]
@@ -239,6 +243,8 @@
     def _start(self, machine: Machine) -> None:
         settings = self.write_settings(machine.name)
         environment = {**os.environ, "BELLWEIR_CONFIG": str(settings)}
+        if machine.build is not OWN_BUILD:
+            environment["PYTHONPATH"] = str(machine.build.code)
         if machine.role == "store":
             # The folder is the disk's own place, which is there before any process.
             machine.data_folder.mkdir(exist_ok=True)
@@ -261,7 +267,8 @@
     def write_settings(self, name: str) -> Path:
         """Write a machine's settings file as of now; its path."""
         settings = self.folder / f"{name}.json"
-        filled = fill(TEMPLATE.read_text(), self._fields(self.machines[name]))
+        template = self.machines[name].build.template.read_text(encoding="utf-8")
+        filled = fill(template, self._fields(self.machines[name]))
         settings.write_text(filled, encoding="utf-8")
         return settings
 
--- a/src/bellweir_rehearsal/hosted/kept_connection.py
+++ b/src/bellweir_rehearsal/hosted/kept_connection.py
@@ -16,8 +16,10 @@
 class KeptConnection:
     """`run` sends until the gateway asks to close, or a request gets no whole answer."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, name: str = "kept") -> None:
+        """The ids of its requests begin with `name`."""
         self._address = address
+        self._name = name
         self.answers = 0
         self.was_asked_to_close = False
         self.failures: list[str] = []
@@ -27,7 +29,7 @@
         connection = http.client.HTTPConnection(self._address, timeout=REQUEST_TIMEOUT_S)
         try:
             for number in itertools.islice(itertools.count(), MOST_REQUESTS):
-                self._send(connection, f"kept-{number}")
+                self._send(connection, f"{self._name}-{number}")
                 if self.was_asked_to_close:
                     return
                 time.sleep(PAUSE_S)
