Let requests wait or refuse them before they are sent; priority to engines

Change: the gateway asks the decisions on room before it offers a plain request to a worker. One that can't be answered in time is refused at once, one that is just late waits an eighth of its target at most, the others start as before. Retry-After of plain requests and streams comes from the time until there is room. Requests to engines carry their tenant's priority, or else their route's. What other gateways see is taken where a Sight is given; this build has none yet, so that only own requests count. Settings room.queue, refuseHopeless, shed, returnFromRoom, sendUrgency, waitShare, longestQueue; events 1470 and 1471; four metrics; explain tells waits and refusals.

Times of answers hold the wait at the worker, too: the time for which a slot is kept is learnt while nobody waits there (room/observed.py).

Tests: hosted_room, the gateway's scenarios in the same feature. The gateway of hosted_forwarding, hosted_tenants and others now runs with the gate on.

--- a/features/hosted_room.feature
+++ b/features/hosted_room.feature
@@ -31,3 +31,54 @@
   Scenario: Times to come back
     Then a time to come back is at most a third of what the client has left
     And clients that have least time left come back first, and not all at once
+
+  Scenario: A service that can't answer in time
+    Given a gateway whose workers are known, each with 60 requests of others in hand
+    When a client sends a request that must be answered within 300 ms
+    Then it gets 503, no worker ran it, and it may come back within a third of its time
+    And its log line tells what was known, and the explanation of its id says so
+    And it is counted as refused
+
+  Scenario: The same with every switch off
+    Given a gateway without decisions on room, its workers each with 60 requests in hand
+    When a client sends a request that must be answered within 300 ms
+    Then a worker ran it, and it gets 200
+
+  Scenario: A gateway that is cut off, with what it last heard of others
+    Given a gateway whose workers are known, each with 60 requests of others in hand
+    And it has heard nothing of other gateways for 3 s
+    When a client sends a request that must be answered within 300 ms
+    Then a worker ran it, and it gets 200
+
+  Scenario: A request waits until there is room
+    Given a gateway whose workers are known, each with 140 requests of others in hand
+    When a client sends a request that may take 2 s
+    Then it waits at the gateway
+    When the others' requests at one worker end
+    Then a worker ran it, and it gets 200
+    And the explanation of its id tells the wait
+
+  Scenario: A client that leaves while its request waits
+    Given a gateway whose workers are known, each with 140 requests of others in hand
+    When a client sends a request that may take 2 s, and leaves
+    Then nothing waits any more, and no worker ran it
+
+  Scenario: Workers that are set aside are no room
+    Given a gateway whose workers are known, each with 60 requests of others in hand
+    And one worker without any is set aside
+    When a client sends a request that must be answered within 300 ms
+    Then it gets 503, no worker ran it, and it may come back within a third of its time
+
+  Scenario Outline: The priority of a request goes with it to engines
+    Given a gateway before <service> whose tenants have priorities
+    When <who> sends a request to a route of priority 3
+    Then its worker was told the urgency <urgency>
+
+    Examples:
+      | service        | who                                   | urgency     |
+      | engines        | a tenant of priority 0                | 0           |
+      | engines        | a tenant of priority 12               | 9           |
+      | engines        | a tenant without a priority           | 3           |
+      | engines        | a client that names an urgency itself | 3           |
+      | other workers  | a tenant of priority 0                | nobody told |
+      | other workers  | a client that names an urgency itself | 1           |
--- /dev/null
+++ b/features/steps/hosted_room_gateway_steps.py
@@ -0,0 +1,197 @@
+"""Room and refusal at a hosted gateway in this process, before stand-ins of workers."""
+
+import io
+
+from behave import given as given_step
+from behave import then, when
+from features.support.hosted_gateway import HOST, GatewayUnderTest
+
+from bellweir.events.log import configure_logs
+from bellweir.explanation.cause import explain
+from bellweir.explanation.lines import read_lines
+from bellweir.hosted.incarnation import Incarnation
+from bellweir.hosted.settings import RoomSettings
+from bellweir.hosted.sight.interface import WorkerSeen
+from bellweir_rehearsal.hosted.worker import WorkerStandIn
+
+USUAL_S = 0.1
+URGENCY = "X-Bellweir-Urgency-Class"
+TENANTS = {"of priority 0": 0, "of priority 12": 12, "without a priority": None}
+OFF = RoomSettings(
+    queue=False, refuse_hopeless=False, shed=False, return_from_room=False, send_urgency=False
+)
+
+
+def start(context, in_hand, room_settings=None):
+    context.workers = {name: WorkerStandIn(f"i-{name}") for name in "ab"}
+    context.gateway = GatewayUnderTest(list(context.workers.values()), room_settings)
+    context.cleanup.callback(context.gateway.close)
+    for worker in context.workers.values():
+        context.cleanup.callback(worker.close)
+    see(context, 0)
+    # Usual times are learnt while nobody waits at the workers.
+    assert context.gateway.send("/idempotent/x").status == 200
+    see(context, in_hand)
+    context.log = io.StringIO()
+    configure_logs("debug", "json", context.log)
+    context.cleanup.callback(configure_logs, "info", "json", io.StringIO())
+
+
+def see(context, in_hand, names="ab", age_s=0.05, *, is_set_aside=False):
+    for name in names:
+        incarnation = Incarnation(f"i-{name}")
+        context.gateway.known_workers.told[incarnation] = WorkerSeen(
+            incarnation, in_hand, USUAL_S, USUAL_S, age_s, is_set_aside=is_set_aside
+        )
+
+
+def lines_of(context, request_id):
+    lines = read_lines([context.log.getvalue().splitlines()])
+    return [line for line in lines if line.fields.get("request_id") == request_id]
+
+
+def ran(context, request_id):
+    return sum(worker.record.ran[request_id] for worker in context.workers.values())
+
+
+@given_step("a gateway whose workers are known, each with {number:d} requests of others in hand")
+def given_known(context, number):
+    start(context, number)
+
+
+@given_step(
+    "a gateway without decisions on room, its workers each with {number:d} requests in hand"
+)
+def given_off(context, number):
+    start(context, number, OFF)
+
+
+@given_step("it has heard nothing of other gateways for {seconds:d} s")
+def given_cut_off(context, seconds):
+    see(context, 60, age_s=float(seconds))
+
+
+@given_step("one worker without any is set aside")
+def given_set_aside(context):
+    see(context, 0, "a", is_set_aside=True)
+
+
+@given_step("a gateway before {service} whose tenants have priorities")
+def given_tenants(context, service):
+    start(context, 0)
+    spec = {
+        "version": 2,
+        "routes": [
+            {"host": HOST, "pathPrefix": "/single/", "service": "app", "priority": 3},
+            {"host": HOST, "pathPrefix": "/idempotent/", "service": "app", "priority": 3},
+        ],
+        "services": [{"name": "app"}],
+        "tenants": [
+            {"name": name, "apiKeys": [f"key {name}"]}
+            | ({} if priority is None else {"priority": priority})
+            for name, priority in TENANTS.items()
+        ],
+    }
+    spec["routes"][0]["public"] = True
+    if service == "engines":
+        spec["services"][0]["engine"] = {"slots": 8}
+    context.gateway.view.take(spec, "test")
+
+
+@when("a client sends a request that must be answered within 300 ms")
+def when_sent(context):
+    context.answer = context.gateway.send("/short/x")
+
+
+@when("a client sends a request that may take 2 s")
+def when_waiting(context):
+    def send():
+        context.answer = context.gateway.send("/idempotent/x")
+
+    context.sending = context.gateway.executors.run_task("client", lambda _stopping: send())
+
+
+@when("a client sends a request that may take 2 s, and leaves")
+def when_left(context):
+    context.request_id = context.gateway.send_and_leave("/idempotent/x")
+
+
+@when("the others' requests at one worker end")
+def when_ended(context):
+    see(context, 1, "b")
+    context.sending.result(10.0)
+
+
+@when("{who} sends a request to a route of priority 3")
+def when_priority(context, who):
+    if who.startswith("a client"):
+        context.answer = context.gateway.send("/single/x", more=((URGENCY, "1"),))
+        return
+    name = who.removeprefix("a tenant ")
+    authorization = ("Authorization", f"Bearer key {name}")
+    context.answer = context.gateway.send("/idempotent/x", more=(authorization,))
+
+
+@then("it waits at the gateway")
+def then_waits(context):
+    context.wait_until(lambda: context.gateway.gate.waiting() == 1, "a request that waits")
+
+
+@then("nothing waits any more, and no worker ran it")
+def then_gone(context):
+    context.wait_until(
+        lambda: any(
+            line.event == "request_given_up" for line in lines_of(context, context.request_id)
+        ),
+        "the end of a request whose client left",
+    )
+    assert context.gateway.gate.waiting() == 0
+    assert ran(context, context.request_id) == 0
+
+
+@then("it gets 503, no worker ran it, and it may come back within a third of its time")
+def then_refused(context):
+    answer = context.answer
+    assert answer.status == 503, answer
+    assert ran(context, answer.request_id) == 0
+    assert 0 < float(answer.headers["Retry-After"]) <= 0.1, answer.headers["Retry-After"]
+
+
+@then("a worker ran it, and it gets 200")
+def then_ran(context):
+    assert context.answer.status == 200, context.answer
+    assert ran(context, context.answer.request_id) == 1
+
+
+@then("its log line tells what was known, and the explanation of its id says so")
+def then_explained(context):
+    lines = lines_of(context, context.answer.request_id)
+    refused = next(line for line in lines if line.event == "request_refused")
+    assert refused.fields["in_hand"] == 120, refused.fields
+    assert refused.fields["slots"] == 16, refused.fields
+    assert refused.fields["age_ms"] == 50, refused.fields
+    told = explain(context.answer.request_id, lines)
+    assert "could not answer in time" in told, told
+    assert "120 requests at 16 slots as of 50 ms before" in told, told
+
+
+@then("it is counted as refused")
+def then_counted(context):
+    assert context.gateway.refused == ["at_once"], context.gateway.refused
+
+
+@then("the explanation of its id tells the wait")
+def then_wait_explained(context):
+    told = explain(context.answer.request_id, lines_of(context, context.answer.request_id))
+    assert "it waited" in told, told
+    assert "(room)" in told, told
+
+
+@then("its worker was told the urgency {urgency}")
+def then_urgency(context, urgency):
+    assert context.answer.status == 200, context.answer
+    request_id = context.answer.request_id
+    found = [worker.record.headers.get(request_id) for worker in context.workers.values()]
+    (headers,) = [each for each in found if each is not None]
+    wanted = None if urgency == "nobody told" else urgency
+    assert headers.get(URGENCY.lower()) == wanted, headers
--- a/features/support/hosted_gateway.py
+++ b/features/support/hosted_gateway.py
@@ -9,12 +9,16 @@
 import msgspec
 
 from bellweir.hosted.interface import Listing, StoredRecord
+from bellweir.hosted.queueing.gate import RequestGate
+from bellweir.hosted.room.observed import ObservedRoom
 from bellweir.hosted.serving.application import RequestApplication
 from bellweir.hosted.serving.attempt import WorkerConnections
 from bellweir.hosted.serving.forwarding import Forwarder
 from bellweir.hosted.serving.metrics import RequestMetrics
 from bellweir.hosted.serving.selection import WorkerLoads
 from bellweir.hosted.serving.streams import StreamForwarder
+from bellweir.hosted.settings import RoomSettings
+from bellweir.hosted.sight.interface import WorkerSeen
 from bellweir.hosted.tenants.admission import KeyCheck
 from bellweir.hosted.usage.counter import UsageCounter
 from bellweir.hosted.usage.true_time import TrueTime
@@ -58,10 +62,20 @@
         return False
 
 
+class WorkersSeen:
+    """What other gateways are said to have seen, by incarnation."""
+
+    def __init__(self):
+        self.told = {}
+
+    def seen(self, incarnation):
+        return self.told.get(incarnation, WorkerSeen(incarnation))
+
+
 class GatewayUnderTest:
     """Listens on loopback; `close` ends it."""
 
-    def __init__(self, workers):
+    def __init__(self, workers, room_settings=None):
         self.executors = Executors()
         self.view, self.workers = ConfigurationView(), WorkersView()
         self.view.take(configuration(), "test")
@@ -72,6 +86,11 @@
         self.caller_watch.start()
         self.metrics = RequestMetrics()
         self.usage = UsageCounter(USAGE_WINDOW_S, TrueTime())
+        self.known_workers = WorkersSeen()
+        room = ObservedRoom(self.loads.in_hand, self.loads.mean_s, self.known_workers)
+        self.room_settings = room_settings or RoomSettings()
+        self.refused = []
+        self.gate = RequestGate(room, self.room_settings, self.refused.append)
         forwarder = Forwarder(
             self.workers,
             self.loads,
@@ -79,12 +98,20 @@
             self.caller_watch,
             self.metrics,
             usage=self.usage,
+            gate=self.gate,
+            wait_share=self.room_settings.wait_share,
         )
         streams = StreamForwarder(forwarder, self.loads, connections, self.caller_watch)
         self.configuration_age_s = 0.0
         key_check = KeyCheck(lambda: self.configuration_age_s)
         self.application = RequestApplication(
-            HEADERS, self.view, forwarder, streams, NoBatches(), key_check
+            HEADERS,
+            self.view,
+            forwarder,
+            streams,
+            NoBatches(),
+            key_check,
+            sends_urgency=self.room_settings.send_urgency,
         )
         listener = socket.create_server(("127.0.0.1", 0))
         self.address = address_of(listener)
--- a/src/bellweir/explanation/cause.py
+++ b/src/bellweir/explanation/cause.py
@@ -8,6 +8,7 @@
 
 CAUSES = {
     "workers_full": "each worker that was tried said that it had no room and had not run it",
+    "no_room": "its service could not answer in time, so that it was refused before it was sent",
     "no_worker": "no worker of the route's service was listed as ready, or all had been tried",
     "not_reached": "no worker could be reached, so it has not run",
     "no_answer": "a worker may have run it but gave no whole answer of its own",
@@ -35,7 +36,7 @@
 
 def _explain_request(identifier: str, lines: Sequence[LogLine]) -> str:
     last = lines[-1]
-    tries = _tries([line for line in lines if line.event == "attempt_failed"])
+    tries = _waits(lines) + _tries([line for line in lines if line.event == "attempt_failed"])
     if last.event == "request_answered":
         workers = ", ".join(last.fields.get("instance") or ["a worker"])
         said = f"was answered with status {last.text('status')} by {workers}"
@@ -56,6 +57,23 @@
     )
 
 
+def _waits(lines: Sequence[LogLine]) -> str:
+    """What a request's wait for room, or its refusal, rested on."""
+    told = []
+    for line in lines:
+        if line.event not in ("request_queued", "request_refused"):
+            continue
+        what = "waited" if line.event == "request_queued" else "was refused after a wait of"
+        why = line.text("release") or line.text("why")
+        told.append(
+            f"; it {what} {line.text('waited_ms')} ms ({why}): an answer of "
+            f"{line.text('service')} was expected after {line.text('expected_ms')} ms, with "
+            f"{line.text('in_hand')} requests at {line.text('slots')} slots as of "
+            f"{line.text('age_ms')} ms before"
+        )
+    return "".join(told)
+
+
 def _tries(failed: Sequence[LogLine]) -> str:
     if not failed:
         return ""
--- a/src/bellweir/hosted/interface.py
+++ b/src/bellweir/hosted/interface.py
@@ -35,6 +35,8 @@
     """On a request to a worker: the tenant whose key the client carried."""
     authorization: str
     """On a client's request: its key. Never sent to a worker of a deployment with tenants."""
+    urgency: str
+    """On a request to an engine: its rank among those that wait there, 0 first."""
 
     @property
     def of_client_only(self) -> frozenset[str]:
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -309,6 +309,44 @@
     ("request_id", "job", "state", "events", "cause"),
     "An item's result was dropped when it reached the log; the cause tells why.",
 )
+REQUEST_QUEUED = Event(
+    1470,
+    "request_queued",
+    Level.INFO,
+    (
+        "request_id",
+        "service",
+        "tenant",
+        "priority",
+        "release",
+        "waited_ms",
+        "expected_ms",
+        "in_hand",
+        "slots",
+        "age_ms",
+    ),
+    "A request waited for room at a service; what was known of it at the end of the wait.",
+)
+REQUEST_REFUSED = Event(
+    1471,
+    "request_refused",
+    Level.INFO,
+    (
+        "request_id",
+        "service",
+        "tenant",
+        "priority",
+        "why",
+        "left_ms",
+        "target_ms",
+        "waited_ms",
+        "expected_ms",
+        "in_hand",
+        "slots",
+        "age_ms",
+    ),
+    "A request was refused before any worker saw it; what was known of its service, and its age.",
+)
 METRICS_UNAVAILABLE = Event(
     1460,
     "metrics_unavailable",
--- a/src/bellweir/hosted/serving/application.py
+++ b/src/bellweir/hosted/serving/application.py
@@ -9,7 +9,7 @@
 from bellweir.hosted.interface import HeaderNames
 from bellweir.hosted.log_events import REQUEST_GIVEN_UP
 from bellweir.hosted.records import RouteKind
-from bellweir.hosted.serving.client_request import read_client_request
+from bellweir.hosted.serving.client_request import read_client_request, with_urgency
 from bellweir.hosted.serving.forwarding import Forwarder, own_response
 from bellweir.hosted.serving.streams import StreamForwarder
 from bellweir.hosted.tenants.admission import KeyCheck
@@ -37,7 +37,11 @@
         streams: StreamForwarder,
         batches: BatchApi,
         key_check: KeyCheck,
+        *,
+        sends_urgency: bool = False,
     ) -> None:
+        """With `sends_urgency` engines are told the priority of each request."""
+        self._sends_urgency = sends_urgency
         self._names = names
         self._configuration = configuration
         self._forwarder = forwarder
@@ -86,7 +90,10 @@
         tenant = admission.tenant_name if table.keys.are_required else None
         if route.takes_jobs:
             return self._batches.accept(request, route, tenant)
-        client = read_client_request(request, route, self._names, tenant)
+        priority = admission.tenant.priority if admission.tenant is not None else None
+        client = read_client_request(request, route, self._names, tenant, priority)
+        if self._sends_urgency and table.has_engines(route):
+            client.headers = with_urgency(client.headers, client.priority, self._names)
         if route.kind is RouteKind.STREAMING:
             return self._streams.forward(client, table)
         return self._forwarder.forward(client, table)
--- a/src/bellweir/hosted/serving/client_request.py
+++ b/src/bellweir/hosted/serving/client_request.py
@@ -14,6 +14,7 @@
 REPLAY_BYTES = 256 * 1024
 """Longest body that is kept, so that it can be sent again."""
 MS_PER_S = 1000
+LAST_URGENCY = 9
 SET_BY_GATEWAY = frozenset({"host", "expect"})
 
 
@@ -51,6 +52,18 @@
     headers: Headers
     tenant: str = ""
     """Name of the tenant whose key the client carried; empty without one."""
+    priority: int = 5
+    """Rank of the request, 0 first: its tenant's, or else its route's."""
+
+    @property
+    def target_s(self) -> float:
+        """Seconds from its arrival within which an answer has its full worth."""
+        return self.route.target_ms / MS_PER_S
+
+    @property
+    def left_share(self) -> float:
+        """Which part of the route's time is left to the client, 0 to 1."""
+        return min(1.0, max(0.0, self.left_s() * MS_PER_S / max(1.0, self.route.timeout_ms)))
 
     @property
     def may_be_sent_again(self) -> bool:
@@ -72,12 +85,17 @@
 
 
 def read_client_request(
-    request: Request, route: Route, names: HeaderNames, tenant: str | None = None
+    request: Request,
+    route: Route,
+    names: HeaderNames,
+    tenant: str | None = None,
+    priority: int | None = None,
 ) -> ClientRequest:
     """Read a request's deadline, headers and body. Raises `BadRequestError`, `BodyCutError`.
 
     `tenant` is None where the deployment has no tenants, and empty for a request without a key.
     Its client's key goes to no worker, nor does what the client itself says of its tenant.
+    `priority` is the tenant's; None: the route's counts.
     """
     arrived_s = time.monotonic()
     request_id = request.header(names.request_id)
@@ -101,6 +119,7 @@
         body=body,
         headers=headers,
         tenant=tenant or "",
+        priority=route.priority if priority is None else priority,
     )
 
 
@@ -111,6 +130,16 @@
     return [*kept, (names.tenant, tenant)] if tenant else kept
 
 
+def with_urgency(headers: Headers, priority: int, names: HeaderNames) -> Headers:
+    """Return a request's headers with its priority in place of what the client itself says.
+
+    Engines know ten ranks; a lesser one is their last.
+    """
+    name = names.urgency
+    kept = [each for each in headers if each[0].lower() != name.lower()]
+    return [*kept, (name, str(min(LAST_URGENCY, max(0, priority))))]
+
+
 def _parse_ms(text: str, name: str) -> float:
     try:
         number = float(text)
--- a/src/bellweir/hosted/serving/forwarding.py
+++ b/src/bellweir/hosted/serving/forwarding.py
@@ -13,6 +13,8 @@
 from bellweir.events.log import emit
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.log_events import REQUEST_ANSWERED, REQUEST_GIVEN_UP
+from bellweir.hosted.queueing.gate import RequestGate
+from bellweir.hosted.queueing.interface import Waiting
 from bellweir.hosted.records import RouteKind
 from bellweir.hosted.serving.attempt import (
     AttemptOutcome,
@@ -37,6 +39,7 @@
 """An attempt gets at least this many times the worker's usual time."""
 RETRY_AFTER_FULL_S = 0.2
 RETRY_AFTER_NO_WORKER_S = 0.5
+FULL_CAUSES = frozenset({"workers_full", "no_room"})
 MAXIMUM_SENDS = 8
 """Sends of one request, those that surely did not run included."""
 SERVER_ERROR = 500
@@ -56,6 +59,8 @@
     """The newest failure that a worker itself has answered."""
     may_have_run: bool = False
     cause: str = "no_worker"
+    is_on_the_way: bool = False
+    """Whether the gate let it go and it has no place at a worker yet."""
 
 
 class Forwarder:
@@ -71,8 +76,16 @@
         workers_age_s: Callable[[], float] = lambda: 0.0,
         now_s: Callable[[], float] = time.monotonic,
         usage: UsageCounter | None = None,
+        gate: RequestGate | None = None,
+        wait_share: float = 0.0,
     ) -> None:
-        """`usage` counts the requests of tenants that workers begin."""
+        """`usage` counts the requests of tenants that workers begin.
+
+        `gate` decides which requests start, wait up to `wait_share` of their target, or are
+        refused; without it all start.
+        """
+        self._gate = gate
+        self._wait_share = wait_share
         self._usage = usage
         self._workers = workers
         self._loads = loads
@@ -106,8 +119,13 @@
     ) -> tuple[Response, Progress]:
         progress = Progress()
         groups = self.candidates(client, table)
+        if not self._is_admitted(client, groups, cancellation):
+            progress.cause = "client_left" if cancellation.cancelled.is_set() else "no_room"
+            return self._own_answer(client, progress, groups), progress
+        progress.is_on_the_way = self._gate is not None
         while not cancellation.cancelled.is_set():
             worker = self._next_worker(client, groups, progress)
+            self._took_place(client, progress)
             if worker is None:
                 break
             outcome = self._attempt(client, worker, progress, cancellation)
@@ -116,9 +134,46 @@
                 if answer.status < SERVER_ERROR or not self._may_repeat(client):
                     return _passed_on(answer), progress
                 progress.failure = answer
+        self._took_place(client, progress)
         if progress.failure is not None:
             return _passed_on(progress.failure), progress
-        return self._own_answer(client, progress), progress
+        return self._own_answer(client, progress, groups), progress
+
+    def _is_admitted(
+        self, client: ClientRequest, groups: list[list[Worker]], cancellation: Cancellation
+    ) -> bool:
+        """Whether a request may go to a worker now; it may wait here for that."""
+        if self._gate is None:
+            return True
+        waiting = Waiting(
+            client.request_id,
+            client.tenant,
+            client.priority,
+            client.arrived_s,
+            client.arrived_s + self._wait_share * client.target_s,
+            client.give_up_s,
+            target_s=client.target_s,
+        )
+        workers = [worker for group in groups for worker in group]
+        return self._gate.admit(_line_of(client), waiting, workers, cancellation.cancelled.is_set)
+
+    def _took_place(self, client: ClientRequest, progress: Progress) -> None:
+        """Tell the gate, once, that a request counts at its worker now, or nowhere any more."""
+        if progress.is_on_the_way and self._gate is not None:
+            progress.is_on_the_way = False
+            self._gate.arrived(_line_of(client))
+
+    def retry_after_s(self, client: ClientRequest, groups: list[list[Worker]], cause: str) -> float:
+        """Seconds after which a refused client is to come back."""
+        workers = [worker for group in groups for worker in group]
+        after_s = None
+        if self._gate is not None:
+            after_s = self._gate.after_s(
+                _line_of(client), workers, client.target_s, client.left_s(), client.left_share
+            )
+        if after_s is not None:
+            return after_s
+        return RETRY_AFTER_FULL_S if cause in FULL_CAUSES else RETRY_AFTER_NO_WORKER_S
 
     def _next_worker(
         self, client: ClientRequest, groups: list[list[Worker]], progress: Progress
@@ -215,10 +270,11 @@
         if self._usage is not None:
             self._usage.began(client.tenant, at_s)
 
-    def _own_answer(self, client: ClientRequest, progress: Progress) -> Response:
+    def _own_answer(
+        self, client: ClientRequest, progress: Progress, groups: list[list[Worker]]
+    ) -> Response:
         if not progress.may_have_run:
-            full = progress.cause == "workers_full"
-            after_s = RETRY_AFTER_FULL_S if full else RETRY_AFTER_NO_WORKER_S
+            after_s = self.retry_after_s(client, groups, progress.cause)
             return own_response(503, progress.cause, after_s)
         return own_response(504 if client.left_s() <= 0 else 502, progress.cause)
 
@@ -247,6 +303,11 @@
             emit(REQUEST_GIVEN_UP, cause=progress.cause, ready=ready, **fields)
 
 
+def _line_of(client: ClientRequest) -> str:
+    """The service whose room a request waits for; all services of its route take it."""
+    return client.route.parts[0].service
+
+
 def own_response(status: int, cause: str, retry_after_s: float | None = None) -> Response:
     """An answer of this service's own."""
     headers = [("Content-Type", "application/json")]
--- a/src/bellweir/hosted/serving/metrics.py
+++ b/src/bellweir/hosted/serving/metrics.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterator
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
-from prometheus_client.core import CounterMetricFamily
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 from prometheus_client.exposition import generate_latest
 from prometheus_client.registry import Collector
 
@@ -50,6 +50,23 @@
         """Add a gauge, read when the figures are asked for."""
         Gauge(name, meaning, registry=self._registry).set_function(read)
 
+    def add_gauges(
+        self, name: str, meaning: str, label: str, read: Callable[[], dict[str, float]]
+    ) -> None:
+        """Add a gauge with one label, all values of which are read when they are asked for."""
+        self._registry.register(_Gauges(name, meaning, label, read))
+
+    def add_wait_histogram(self) -> Callable[[str, float], None]:
+        """Add the waits for room; what is returned takes a service and seconds."""
+        waits = Histogram(
+            "bellweir_queue_wait_seconds",
+            "Time for which a request waited for room, by service.",
+            ("service",),
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+        return lambda service, seconds: waits.labels(service).observe(seconds)
+
     def add_store_calls(self, counts: StoreCallCounts) -> None:
         """Show the calls to the platform's store."""
         self._registry.register(_StoreCalls(counts))
@@ -59,6 +76,28 @@
         return generate_latest(self._registry)
 
 
+class _Gauges(Collector):
+    """Reads a gauge of several values when the figures are asked for."""
+
+    def __init__(
+        self, name: str, meaning: str, label: str, read: Callable[[], dict[str, float]]
+    ) -> None:
+        self._about = (name, meaning, label)
+        self._read = read
+
+    def describe(self) -> Iterator[GaugeMetricFamily]:
+        """The family without its values, which may not be there to be read yet."""
+        name, meaning, label = self._about
+        yield GaugeMetricFamily(name, meaning, labels=(label,))
+
+    def collect(self) -> Iterator[GaugeMetricFamily]:
+        """One family, one sample for each value of the label."""
+        for family in self.describe():
+            for value, number in self._read().items():
+                family.add_metric((value,), number)
+            yield family
+
+
 class _StoreCalls(Collector):
     """Reads the counts when the figures are asked for."""
 
--- a/src/bellweir/hosted/serving/service.py
+++ b/src/bellweir/hosted/serving/service.py
@@ -11,6 +11,8 @@
 from bellweir.hosted.interface import HostingPlatform
 from bellweir.hosted.log_events import PROCESS_DRAINING
 from bellweir.hosted.metrics_service import MetricsService
+from bellweir.hosted.queueing.gate import RequestGate
+from bellweir.hosted.room.observed import ObservedRoom
 from bellweir.hosted.serving.application import RequestApplication
 from bellweir.hosted.serving.attempt import WorkerConnections
 from bellweir.hosted.serving.directory import TTL_S, Directory
@@ -101,6 +103,28 @@
             "Connections of clients with a request in hand.",
             lambda: float(self._requests.busy_connections() if self._requests else 0),
         )
+        self._room = ObservedRoom(self._loads.in_hand, self._loads.mean_s)
+        gate = RequestGate(
+            self._room,
+            self._settings.room,
+            metrics.add_counter(
+                "bellweir_requests_refused",
+                "Requests refused before any worker saw them, by cause.",
+                "cause",
+            ),
+            metrics.add_wait_histogram(),
+        )
+        metrics.add_gauge(
+            "bellweir_requests_waiting",
+            "Requests that wait for room at a service.",
+            lambda: float(gate.waiting()),
+        )
+        metrics.add_gauges(
+            "bellweir_service_slots_taken",
+            "Requests in hand at a service's workers for each of their slots.",
+            "service",
+            self._slots_taken,
+        )
         forwarder = Forwarder(
             self._views.workers,
             self._loads,
@@ -109,6 +133,8 @@
             metrics,
             self._views.workers_follower.age_s,
             usage=self._kernel.registry.find(names.USAGE_COUNTS, UsageCountsService).counter,
+            gate=gate,
+            wait_share=self._settings.room.wait_share,
         )
         streams = StreamForwarder(forwarder, self._loads, self._connections, caller_watch)
         ledger.register(BatchJobs)
@@ -138,8 +164,16 @@
                 ),
                 longest_key_age_s(self._settings.tenants),
             ),
+            sends_urgency=self._settings.room.send_urgency,
         )
 
+    def _slots_taken(self) -> dict[str, float]:
+        """Share of slots taken by service, as far as this gateway knows."""
+        table = self._views.configuration.table()
+        services = table.services if table is not None else ()
+        workers = self._views.workers
+        return {name: self._room.share_taken(workers.ready(name)) for name in services}
+
     def _serve_at(self, address: str | None, application: WsgiApplication) -> None:
         if address is not None:
             self._serve(application, bind_address(address), threads=SIDE_THREADS)
@@ -186,6 +220,7 @@
         while not stopping.wait(TIDY_PERIOD_S):
             workers = self._views.workers.all()
             self._loads.forget_others({worker.incarnation for worker in workers})
+            self._room.forget_others({worker.incarnation for worker in workers})
             self._connections.forget_others({worker.address for worker in workers})
 
     def drain(self, deadline_s: float) -> None:
--- a/src/bellweir/hosted/serving/streams.py
+++ b/src/bellweir/hosted/serving/streams.py
@@ -34,8 +34,6 @@
 from bellweir.hosted.serving.failed_attempt import FailedAttempt
 from bellweir.hosted.serving.forwarding import (
     MAXIMUM_SENDS,
-    RETRY_AFTER_FULL_S,
-    RETRY_AFTER_NO_WORKER_S,
     Forwarder,
     own_response,
 )
@@ -249,10 +247,8 @@
         )
         if status == 502:
             return own_response(502, stream.cause)
-        full = stream.cause == "workers_full"
-        return own_response(
-            503, stream.cause, RETRY_AFTER_FULL_S if full else RETRY_AFTER_NO_WORKER_S
-        )
+        after_s = self._forwarder.retry_after_s(client, stream.groups, stream.cause)
+        return own_response(503, stream.cause, after_s)
 
     def _account(self, stream: _Stream, status: int) -> None:
         emit(
--- a/src/bellweir/hosted/settings.py
+++ b/src/bellweir/hosted/settings.py
@@ -20,6 +20,8 @@
 
 
 SOURCE = "settings file"
+LONGEST_QUEUE = 128
+"""Threads of a gateway that may wait for one service; the others go on serving."""
 
 
 class NodeSettings(msgspec.Struct, frozen=True, rename="camel"):
@@ -141,6 +143,26 @@
     """Have the lease's holder tell the node that runs jobs which workers load."""
 
 
+class RoomSettings(msgspec.Struct, frozen=True, rename="camel"):
+    """What becomes of plain requests that a service can't take now. Each has its own switch."""
+
+    queue: bool = True
+    """Have requests that would be just late wait for room, in an order of this gateway's."""
+    refuse_hopeless: bool = True
+    """Refuse requests at once whose deadline surely can't be met."""
+    shed: bool = True
+    """Refuse requests at once that would be late because too many others are before them."""
+    return_from_room: bool = True
+    """Say when to come back by the time until there is room."""
+    send_urgency: bool = True
+    """Tell engines the priority of the tenant, or else of the route."""
+    wait_share: float = 0.125
+    """Longest wait in the queue, as a share of the route's target time: a client that waits longer
+    would rather be told."""
+    longest_queue: int = 64
+    """Most requests that wait for one service; each holds a thread."""
+
+
 class HostedSettings(msgspec.Struct, frozen=True, rename="camel"):
     """The whole settings of one process."""
 
@@ -154,6 +176,7 @@
     tolerate: ToleranceSettings = ToleranceSettings()
     batches: BatchSettings = BatchSettings()
     rollouts: RolloutSettings = RolloutSettings()
+    room: RoomSettings = RoomSettings()
 
 
 @dataclass(frozen=True)
@@ -234,6 +257,12 @@
         yield _finding("tolerate.machines", str(settings.tolerate.machines), "0 or more")
     if settings.batches.keep_texts_s < 0:
         yield _finding("batches.keepTextsS", str(settings.batches.keep_texts_s), "0 or more")
+    if not 0 <= settings.room.wait_share <= 1:
+        yield _finding("room.waitShare", str(settings.room.wait_share), "0 to 1")
+    if not 1 <= settings.room.longest_queue <= LONGEST_QUEUE:
+        yield _finding(
+            "room.longestQueue", str(settings.room.longest_queue), f"1 to {LONGEST_QUEUE}"
+        )
     if settings.bounds.lease_ms <= 0:
         yield _finding("bounds.leaseMs", str(settings.bounds.lease_ms), "above 0")
     if settings.scaling.policy not in SCALING_POLICIES:
--- a/src/bellweir/hosted/views/configuration.py
+++ b/src/bellweir/hosted/views/configuration.py
@@ -45,6 +45,11 @@
         routes = self._routes_of(host)
         return next((route for route in routes if path.startswith(route.path_prefix)), None)
 
+    def has_engines(self, route: Route) -> bool:
+        """Whether a route's requests go to model engines."""
+        entries = (self.services.get(part.service) for part in route.parts)
+        return any(entry is not None and entry.engine is not None for entry in entries)
+
     def has_public_jobs(self, host: str) -> bool:
         """Whether a host has a route whose batch jobs are handed in without a key."""
         return any(route.takes_jobs and route.public for route in self._routes_of(host))
