Keep a reserve for tenants within their shares and for the more urgent

Cause: most requests never wait in the queue, so that its order alone protects nobody: on replayed load ten tenants with 2% of the requests each were in time little more often than one with 80%.

Change: a tenant that lately sent more than its share, or a request less urgent than others that come, must be expected a fifth of its target sooner in order to start. Setting room.reserve.

--- a/experiments/room.py
+++ b/experiments/room.py
@@ -21,6 +21,7 @@
     "burst, half slow": (6, [USUAL_S, USUAL_S, 8 * USUAL_S, 8 * USUAL_S], {}),
     "burst beyond all": (60, [USUAL_S, USUAL_S, 8 * USUAL_S, 8 * USUAL_S], {}),
     "one large tenant": (60, [USUAL_S, USUAL_S, USUAL_S, USUAL_S], LARGE),
+    "two priorities": (60, [USUAL_S, USUAL_S, USUAL_S, USUAL_S], {"urgent": 0.5, "large": 0.5}),
 }
 STATES = ("in_time", "in_time_after_refusal", "late", "refused", "lost")
 
@@ -34,18 +35,20 @@
 
 
 def ways(seed):
-    """Name, judge, order and return times of each way."""
+    """Name, judge, order, return times and reserve of each way."""
     decides, waits = ExpectedTimes(), ExpectedTimes(sheds=False)
     starts = ExpectedTimes(waits=False, refuses=False, sheds=False)
     drawn = random.Random(seed)
-    yield "start at once, fixed", starts, StartTimeFair, Fixed
-    yield "start at once, rates", starts, StartTimeFair, lambda: FromRates(drawn.random)
-    yield "start at once, queue", starts, StartTimeFair, FromQueue
-    yield "wait, SFQ, rates", waits, StartTimeFair, lambda: FromRates(drawn.random)
-    yield "SFQ, rates", decides, StartTimeFair, lambda: FromRates(drawn.random)
-    yield "SFQ, queue", decides, StartTimeFair, FromQueue
-    yield "DRR, rates", decides, DeficitRoundRobin, lambda: FromRates(drawn.random)
-    yield "SFQ, fixed", decides, StartTimeFair, Fixed
+    yield "start at once, fixed", starts, StartTimeFair, Fixed, False
+    yield "start at once, rates", starts, StartTimeFair, lambda: FromRates(drawn.random), False
+    yield "start at once, queue", starts, StartTimeFair, FromQueue, False
+    yield "wait, SFQ, rates", waits, StartTimeFair, lambda: FromRates(drawn.random), False
+    yield "SFQ, rates", decides, StartTimeFair, lambda: FromRates(drawn.random), False
+    yield "SFQ, queue", decides, StartTimeFair, FromQueue, False
+    yield "DRR, rates", decides, DeficitRoundRobin, lambda: FromRates(drawn.random), False
+    yield "SFQ, fixed", decides, StartTimeFair, Fixed, False
+    yield "SFQ, rates, reserve", decides, StartTimeFair, lambda: FromRates(drawn.random), True
+    yield "DRR, rates, reserve", decides, DeficitRoundRobin, lambda: FromRates(drawn.random), True
 
 
 def main():
@@ -54,10 +57,10 @@
     for load, (rate, times_s, tenants) in LOADS.items():
         totals, offered = {}, Counter()
         for seed in seeds:
-            arrivals = burst(seed, rate, tenants=tenants)
-            for name, judge, order, make in ways(seed):
+            arrivals = burst(seed, rate, tenants=tenants, urgent=("urgent",))
+            for name, judge, order, make, reserve in ways(seed):
                 kept = [make() for _ in range(4)]
-                replay = Replay(judge, order, kept.__getitem__, times_s)
+                replay = Replay(judge, order, kept.__getitem__, times_s, reserve=reserve)
                 totals[name] = totals.get(name, Counter()) + replay.run(arrivals)
                 offered[name] += replay.offered
         print(f"\n{load}: {rate} a second, 14 times as many for 10 s")
@@ -65,7 +68,7 @@
             print(f"{name:22}", _line(found), f"offers {offered[name]}")
             if tenants:
                 small = Counter({key: n for key, n in found.items() if key[0] != "large"})
-                print(f"{'  of small tenants':22}", _line(small))
+                print(f"{'  of the others':22}", _line(small))
 
 
 def _line(found):
--- a/features/hosted_room.feature
+++ b/features/hosted_room.feature
@@ -18,6 +18,11 @@
   Scenario: A large tenant beside small ones
     Given a tenant with 80% of the requests, beyond all workers for 10 s
     Then small tenants are served in time more often than the large one
+    And more often than without a reserve for them, while the large one is served, too
+
+  Scenario: Requests of two priorities
+    Given half of the requests more urgent, beyond all workers for 10 s
+    Then the more urgent are served in time more often, while the others are served, too
 
   Scenario: All workers are gone
     Then requests neither wait nor are refused by the queue
@@ -28,6 +33,9 @@
     And the queue never holds more than its bound, and who is let go was in it
     And one whose deadline can't be met any more is refused before its deadline
 
+  Scenario: Who is beyond its share
+    Then a tenant alone or among equals is not beyond its share, and a flood is until it ends
+
   Scenario: Times to come back
     Then a time to come back is at most a third of what the client has left
     And clients that have least time left come back first, and not all at once
--- a/features/steps/hosted_room_gateway_steps.py
+++ b/features/steps/hosted_room_gateway_steps.py
@@ -18,7 +18,12 @@
 URGENCY = "X-Bellweir-Urgency-Class"
 TENANTS = {"of priority 0": 0, "of priority 12": 12, "without a priority": None}
 OFF = RoomSettings(
-    queue=False, refuse_hopeless=False, shed=False, return_from_room=False, send_urgency=False
+    queue=False,
+    refuse_hopeless=False,
+    shed=False,
+    reserve=False,
+    return_from_room=False,
+    send_urgency=False,
 )
 
 
--- a/features/steps/hosted_room_steps.py
+++ b/features/steps/hosted_room_steps.py
@@ -13,6 +13,7 @@
 from bellweir.hosted.queueing.admissions import Admissions
 from bellweir.hosted.queueing.interface import Outlook, Release, Waiting
 from bellweir.hosted.queueing.return_times import FromRates
+from bellweir.hosted.queueing.shares import RecentShares
 from bellweir.hosted.queueing.start_time_fair import StartTimeFair
 from bellweir.hosted.room.interface import Need, Verdict, WorkerRoom
 from bellweir.hosted.room.judge import TAKEN_SHARE, ExpectedTimes
@@ -37,10 +38,10 @@
 )
 
 
-def play(context, order=StartTimeFair, **switches):
+def play(context, order=StartTimeFair, reserve=True, **switches):
     kept = [FromRates(random.Random(3).random) for _ in range(4)]
     judge = ExpectedTimes(**switches)
-    replay = Replay(judge, order, kept.__getitem__, context.times_s)
+    replay = Replay(judge, order, kept.__getitem__, context.times_s, reserve=reserve)
     found = replay.run(context.arrivals)
     assert sum(found.values()) == len(context.arrivals), "a client has no end"
     return replay, found
@@ -137,6 +138,47 @@
     assert small > share(context.fair, IN_TIME, lambda each: not is_small(each)), context.fair
 
 
+@then("more often than without a reserve for them, while the large one is served, too")
+def then_reserved(context):
+    _, found = play(context, reserve=False)
+    assert share(context.fair, IN_TIME, is_small) > share(found, IN_TIME, is_small)
+    large, before = (
+        share(each, IN_TIME, lambda name: name == "large") for each in (context.fair, found)
+    )
+    assert large > 0.9 * before, (large, before)
+
+
+@given_step("half of the requests more urgent, beyond all workers for 10 s")
+def given_urgent(context):
+    context.arrivals = burst(1, 60, tenants={"urgent": 0.5, "other": 0.5}, urgent=("urgent",))
+    context.times_s = (USUAL_S,) * 4
+
+
+@then("the more urgent are served in time more often, while the others are served, too")
+def then_urgent(context):
+    _, found = play(context)
+    urgent, others = (
+        share(found, IN_TIME, lambda each, meant=name: each == meant)
+        for name in ("urgent", "other")
+    )
+    assert urgent > others > 0.5, (urgent, others)
+
+
+@then("a tenant alone or among equals is not beyond its share, and a flood is until it ends")
+def then_shares(context):
+    alone, equals, flooded = RecentShares(), RecentShares(), RecentShares()
+    for number in range(100):
+        alone.came(waiting(number), 0.01 * number)
+        equals.came(waiting(number, "abcd"[number % 4]), 0.01 * number)
+        flooded.came(waiting(number, "abcdaaaa"[number % 8]), 0.01 * number)
+    assert not alone.is_beyond(waiting(0))
+    assert not any(equals.is_beyond(waiting(0, name)) for name in "abcd")
+    assert [name for name in "abcd" if flooded.is_beyond(waiting(0, name))] == ["a"]
+    for number in range(100):
+        flooded.came(waiting(number, "abcd"[number % 4]), 5.0 + 0.01 * number)
+    assert not flooded.is_beyond(waiting(0, "a")), "a flood is held against its tenant for ever"
+
+
 @then("requests neither wait nor are refused by the queue")
 def then_without_workers(context):
     line = Admissions(ExpectedTimes(), StartTimeFair(), BOUND)
--- a/features/support/room_replay.py
+++ b/features/support/room_replay.py
@@ -11,6 +11,7 @@
 
 from bellweir.hosted.queueing.admissions import Admissions
 from bellweir.hosted.queueing.interface import Outlook, Release, Waiting
+from bellweir.hosted.queueing.shares import RecentShares
 from bellweir.hosted.room.interface import Verdict, WorkerRoom
 
 WORKER_QUEUE = 24
@@ -36,11 +37,15 @@
         slots=6,
         sight_age_s=0.1,
         longest=64,
+        reserve=True,
     ):
         self.judge, self.return_times, self.times_s = judge, return_times, times_s
         self.slots, self.retries, self.sight_age_s = slots, retries, sight_age_s
         self.target_s, self.deadline_s = target_s, deadline_s
-        self.lines = [Admissions(judge, make_order(), longest) for _ in range(gateways)]
+        self.lines = [
+            Admissions(judge, make_order(), longest, RecentShares() if reserve else None)
+            for _ in range(gateways)
+        ]
         self.in_hand = [0] * len(times_s)
         self.own = [[0] * len(times_s) for _ in range(gateways)]
         self.others = [[0] * len(times_s) for _ in range(gateways)]
@@ -187,13 +192,19 @@
         self.results.append((client.tenant, state))
 
 
-def burst(seed, rate_per_s, factor=14, from_s=2.0, length_s=10.0, end_s=16.0, tenants=None):
-    """Arrivals at a rate, `factor` times as many for `length_s`; tenants by their shares."""
+def burst(
+    seed, rate_per_s, factor=14, from_s=2.0, length_s=10.0, end_s=16.0, tenants=None, urgent=()
+):
+    """Arrivals at a rate, `factor` times as many for `length_s`; tenants by their shares.
+
+    Requests of the tenants in `urgent` have priority 0.
+    """
     drawn = random.Random(seed)
     found, now_s = [], 0.0
     names, shares = zip(*(tenants or {"": 1.0}).items(), strict=True)
     while now_s < end_s:
         is_burst = from_s <= now_s < from_s + length_s
         now_s += drawn.expovariate(rate_per_s * (factor if is_burst else 1))
-        found.append((now_s, drawn.choices(names, shares)[0], 5))
+        tenant = drawn.choices(names, shares)[0]
+        found.append((now_s, tenant, 0 if tenant in urgent else 5))
     return found
--- a/src/bellweir/hosted/queueing/admissions.py
+++ b/src/bellweir/hosted/queueing/admissions.py
@@ -10,14 +10,22 @@
 
 from bellweir.hosted.queueing.by_priority import displaced_by
 from bellweir.hosted.queueing.interface import Order, Release, Released, Waiting
+from bellweir.hosted.queueing.shares import RecentShares
 from bellweir.hosted.room.interface import Judgement, Need, RoomJudge, Verdict, WorkerRoom
 
+RESERVE = 0.2
+"""Share of the target that is left to those within their shares: an answer to others must be
+expected so much sooner for them to start."""
+
 
 class Admissions:
     """Requests for one service that this process has not offered to a worker yet."""
 
-    def __init__(self, judge: RoomJudge, order: Order, longest: int) -> None:
-        """`longest`: most requests that wait at once."""
+    def __init__(
+        self, judge: RoomJudge, order: Order, longest: int, shares: RecentShares | None = None
+    ) -> None:
+        """`longest`: most requests that wait at once. With `shares` a reserve is kept by them."""
+        self._shares = shares
         self._judge = judge
         self._order = order
         self._longest = longest
@@ -35,6 +43,8 @@
         The second value is another request that had to leave a full queue for it. One that starts
         is on its way until `arrived`.
         """
+        if self._shares is not None:
+            self._shares.came(waiting, now_s)
         before = fair_rank(self._order.all(), waiting)
         judgement = self._judged(waiting, workers, now_s, before)
         if judgement.verdict is Verdict.START and before and now_s < waiting.latest_s:
@@ -91,11 +101,15 @@
     ) -> Judgement:
         need = Need(
             left_s=waiting.deadline_s - now_s,
-            target_s=waiting.target_s - (now_s - waiting.arrived_s),
+            target_s=self._share_of_target(waiting) - (now_s - waiting.arrived_s),
             wait_s=max(0.0, waiting.latest_s - now_s),
         )
         return self._judge.judge(workers, need, self._on_the_way + before)
 
+    def _share_of_target(self, waiting: Waiting) -> float:
+        is_beyond = self._shares is not None and self._shares.is_beyond(waiting)
+        return waiting.target_s * (1 - RESERVE if is_beyond else 1)
+
 
 def fair_rank(waiting: Sequence[Waiting], newcomer: Waiting) -> int:
     """How many go before a newcomer: the more urgent, and of its equals each tenant's fair share.
--- a/src/bellweir/hosted/queueing/gate.py
+++ b/src/bellweir/hosted/queueing/gate.py
@@ -9,6 +9,7 @@
 from bellweir.hosted.queueing.admissions import Admissions
 from bellweir.hosted.queueing.interface import Outlook, Release, Released, Waiting
 from bellweir.hosted.queueing.return_times import FromRates
+from bellweir.hosted.queueing.shares import RecentShares
 from bellweir.hosted.queueing.start_time_fair import StartTimeFair
 from bellweir.hosted.room.interface import Judgement, Verdict
 from bellweir.hosted.room.judge import ExpectedTimes
@@ -189,7 +190,9 @@
     def _line(self, service: str) -> _Line:
         with self._lock:
             if service not in self._lines:
-                admissions = Admissions(self._judge, StartTimeFair(), self._settings.longest_queue)
+                shares = RecentShares() if self._settings.reserve else None
+                longest = self._settings.longest_queue
+                admissions = Admissions(self._judge, StartTimeFair(), longest, shares)
                 self._lines[service] = _Line(admissions)
             return self._lines[service]
 
--- a/src/bellweir/hosted/settings.py
+++ b/src/bellweir/hosted/settings.py
@@ -152,6 +152,8 @@
     """Refuse requests at once whose deadline surely can't be met."""
     shed: bool = True
     """Refuse requests at once that would be late because too many others are before them."""
+    reserve: bool = True
+    """Keep room for tenants within their fair shares and for more urgent requests."""
     return_from_room: bool = True
     """Say when to come back by the time until there is room."""
     send_urgency: bool = True
