--- a/src/bellweir/hosted/serving/service.py
+++ b/src/bellweir/hosted/serving/service.py
@@ -12,6 +12,8 @@
 from bellweir.hosted.interface import HostingPlatform
 from bellweir.hosted.log_events import PROCESS_DRAINING
 from bellweir.hosted.metrics_service import MetricsService
+from bellweir.hosted.queueing.gate import RequestGate
+from bellweir.hosted.room.observed import ObservedRoom
 from bellweir.hosted.serving.application import RequestApplication
 from bellweir.hosted.serving.attempt import WorkerConnections
 from bellweir.hosted.serving.directory import TTL_S, Directory
@@ -20,6 +22,7 @@
 from bellweir.hosted.serving.simple_application import SimpleApplication
 from bellweir.hosted.serving.streams import StreamForwarder
 from bellweir.hosted.settings import HostedSettings, TenantSettings
+from bellweir.hosted.sight.interface import Sight
 from bellweir.hosted.sight.service import SightService
 from bellweir.hosted.tenants.admission import KeyCheck
 from bellweir.hosted.usage.sender import UsageCountsService
@@ -95,7 +98,9 @@
         membership = registry.find(names.MEMBERSHIP, Membership)  # type: ignore[type-abstract]
         directory = Directory(membership, self._is_serving, self._settings.bounds.address_ttl_s)
         listen = self._settings.listen
-        self._requests = self._serve(self._request_application(), self._kernel.listeners.gateway)
+        self._requests = self._serve(
+            self._request_application(sight), self._kernel.listeners.gateway
+        )
         self._serve_at(listen.readiness, SimpleApplication(self._readiness))
         self._serve_at(listen.directory, SimpleApplication(directory.answer))
         self._views.configuration.subscribe(self._apply_limits)
@@ -104,7 +109,7 @@
             self._apply_limits(table)
         self._kernel.executors.run_task("front-tidy", self._tidy)
 
-    def _request_application(self) -> RequestApplication:
+    def _request_application(self, sight: Sight) -> RequestApplication:
         ledger = self._kernel.registry.find(names.LEDGER, Ledger)  # type: ignore[type-abstract]
         caller_watch = CallerWatch(self._kernel.executors)
         caller_watch.start()
@@ -114,6 +119,28 @@
             "Connections of clients with a request in hand.",
             lambda: float(self._requests.busy_connections() if self._requests else 0),
         )
+        self._room = ObservedRoom(self._loads.in_hand, self._loads.mean_s, sight)
+        gate = RequestGate(
+            self._room,
+            self._settings.room,
+            metrics.add_counter(
+                "bellweir_requests_refused",
+                "Requests refused before any worker saw them, by cause.",
+                "cause",
+            ),
+            metrics.add_wait_histogram(),
+        )
+        metrics.add_gauge(
+            "bellweir_requests_waiting",
+            "Requests that wait for room at a service.",
+            lambda: float(gate.waiting()),
+        )
+        metrics.add_gauges(
+            "bellweir_service_slots_taken",
+            "Requests in hand at a service's workers for each of their slots.",
+            "service",
+            self._slots_taken,
+        )
         forwarder = Forwarder(
             self._views.workers,
             self._loads,
@@ -123,6 +150,8 @@
             self._views.workers_follower.age_s,
             usage=self._kernel.registry.find(names.USAGE_COUNTS, UsageCountsService).counter,
             patience_of_fellows=self._settings.sight.patience_of_fellows,
+            gate=gate,
+            wait_share=self._settings.room.wait_share,
         )
         streams = StreamForwarder(forwarder, self._loads, self._connections, caller_watch)
         ledger.register(BatchJobs)
@@ -152,8 +181,16 @@
                 ),
                 longest_key_age_s(self._settings.tenants),
             ),
+            sends_urgency=self._settings.room.send_urgency,
         )
 
+    def _slots_taken(self) -> dict[str, float]:
+        """Share of slots taken by service, as far as this gateway knows."""
+        table = self._views.configuration.table()
+        services = table.services if table is not None else ()
+        workers = self._views.workers
+        return {name: self._room.share_taken(workers.ready(name)) for name in services}
+
     def _serve_at(self, address: str | None, application: WsgiApplication) -> None:
         if address is not None:
             self._serve(application, bind_address(address), threads=SIDE_THREADS)
@@ -200,6 +237,7 @@
         while not stopping.wait(TIDY_PERIOD_S):
             workers = self._views.workers.all()
             self._loads.forget_others({worker.incarnation for worker in workers})
+            self._room.forget_others({worker.incarnation for worker in workers})
             self._connections.forget_others({worker.address for worker in workers})
 
     def drain(self, deadline_s: float) -> None:
--- a/src/bellweir/hosted/settings.py
+++ b/src/bellweir/hosted/settings.py
@@ -20,6 +20,8 @@
 
 
 SOURCE = "settings file"
+LONGEST_QUEUE = 128
+"""Threads of a gateway that may wait for one service; the others go on serving."""
 
 
 class NodeSettings(msgspec.Struct, frozen=True, rename="camel"):
@@ -163,6 +165,28 @@
     """Further tries of all gateways for a service, as a share of first ones; 0: no bound."""
 
 
+class RoomSettings(msgspec.Struct, frozen=True, rename="camel"):
+    """What becomes of plain requests that a service can't take now. Each has its own switch."""
+
+    queue: bool = True
+    """Have requests that would be just late wait for room, in an order of this gateway's."""
+    refuse_hopeless: bool = True
+    """Refuse requests at once whose deadline surely can't be met."""
+    shed: bool = True
+    """Refuse requests at once that would be late because too many others are before them."""
+    reserve: bool = True
+    """Keep room for tenants within their fair shares and for more urgent requests."""
+    return_from_room: bool = True
+    """Say when to come back by the time until there is room."""
+    send_urgency: bool = True
+    """Tell engines the priority of the tenant, or else of the route."""
+    wait_share: float = 0.125
+    """Longest wait in the queue, as a share of the route's target time: a client that waits longer
+    would rather be told."""
+    longest_queue: int = 64
+    """Most requests that wait for one service; each holds a thread."""
+
+
 class HostedSettings(msgspec.Struct, frozen=True, rename="camel"):
     """The whole settings of one process."""
 
@@ -177,6 +201,7 @@
     batches: BatchSettings = BatchSettings()
     rollouts: RolloutSettings = RolloutSettings()
     sight: SightSettings = SightSettings()
+    room: RoomSettings = RoomSettings()
 
 
 @dataclass(frozen=True)
@@ -259,6 +284,12 @@
         yield _finding("batches.keepTextsS", str(settings.batches.keep_texts_s), "0 or more")
     if settings.sight.try_share < 0:
         yield _finding("sight.tryShare", str(settings.sight.try_share), "0 or more")
+    if not 0 <= settings.room.wait_share <= 1:
+        yield _finding("room.waitShare", str(settings.room.wait_share), "0 to 1")
+    if not 1 <= settings.room.longest_queue <= LONGEST_QUEUE:
+        yield _finding(
+            "room.longestQueue", str(settings.room.longest_queue), f"1 to {LONGEST_QUEUE}"
+        )
     if settings.bounds.lease_ms <= 0:
         yield _finding("bounds.leaseMs", str(settings.bounds.lease_ms), "above 0")
     if settings.scaling.policy not in SCALING_POLICIES:
