Order steps of several trainers by need, place texts by their end

Cause: the coordinator ran items of the oldest job first, whoever's it was, so that a large step held up others that were due sooner, and put texts at the fastest worker with room, whatever was queued.

Change, each a setting of its own (batches.orderByNeed, placeByEnd, countMemory, tellUrgency): step_order.py orders the groups of all open steps that want the same engines, so that as many as can be are in time together (Moore and Hodgson, by priority and by what each tenant has taken), keeps a share of the places for late ones, and puts surplus ones last. placement.py places texts by the end predicted at each engine; a text may wait for a better one for a second at most, and what is placed at an engine fits its memory. step_queue.py and engine_outlook.py feed them with what the coordinator knows. Late and surplus texts carry the urgencies 6 and 7 to their engines, behind the 5 of everybody else, so that no other stream is put back for them. Where one route's steps alone want the engines, and these differ by less than 1.5, steps go and texts are placed as before. Log: step_ordered, a line a second a step at most, where steps compete.

Tests: hosted_steps.feature: properties (order total, most groups in time against an oracle of all choices, late groups get places, places and memory kept, waits bounded), replayed loads against the oldest step first, and two scenarios before stand-ins, which fail with orderByNeed and countMemory off ("the older job went first"; 6 items at an engine with memory for 2). No existing check changed; the stand-in configuration of hosted_jobs.py has one more route.

--- /dev/null
+++ b/features/hosted_steps.feature
@@ -0,0 +1,37 @@
+Feature: Steps of several trainers share engines by what they need
+  Trainers wait for whole groups by the due time of their steps. Where steps of several trainers want
+  the same engines, as many groups as can be are whole in time, and all others still end.
+
+  Scenario: Any open steps
+    Then the order has each group once and is the same however the steps are listed
+    And as many groups are in time as can be together, before late ones and surplus ones
+    And a group that can't be in time gets places while such groups have few
+
+  Scenario: Any texts and any engines
+    Then no engine gets more texts than it has places and memory for
+    And a text waits for a better engine for a bounded time only
+
+  Scenario Outline: Replayed steps of several trainers
+    Then of the load "<load>" more wanted groups are in time than with the oldest step first
+
+    Examples:
+      | load                        |
+      | full                        |
+      | a third gone                |
+      | four trainers, even engines |
+
+  Scenario: A small step that is due beside a large one that is not
+    Given a leader with model workers and scorers
+    And the workers stream slowly
+    When a job of 96 items in 12 groups is accepted
+    And another trainer's job of 8 items in 2 groups is accepted that wants 1 of them
+    Then its wanted group is whole before all items of the older job have begun
+    And the engines are told that its other group is less urgent
+
+  Scenario: A text that does not fit into an engine's memory beside others
+    Given a leader with model workers and scorers
+    And the engines have memory for 100 tokens and each item takes 40
+    And the workers stream slowly
+    When a job of 12 items in 3 groups is accepted
+    Then every item is listed completed, with its whole text, its versions and its score
+    And no engine ever had more than 2 items
--- a/features/support/hosted_jobs.py
+++ b/features/support/hosted_jobs.py
@@ -105,6 +105,13 @@
     routes = [
         {"host": HOST, "pathPrefix": "/draft/", "kind": "rollout", "service": "llm"}
         | ({"backends": list(backends)} if backends else {}),
+        {
+            "host": HOST,
+            "pathPrefix": "/rewrite/",
+            "kind": "rollout",
+            "service": "llm",
+            "dueMs": 60_000,
+        },
         {"host": HOST, "pathPrefix": "/score/", "kind": "idempotent", "service": "app"},
     ]
     routes = [{"maxAttempts": 3, "targetMs": 400, "timeoutMs": 1_000} | each for each in routes]
--- a/src/bellweir/hosted/batches/attempts.py
+++ b/src/bellweir/hosted/batches/attempts.py
@@ -326,6 +326,8 @@
     headers = list(progress.item.headers)
     if progress.job.tenant:
         headers.append((names.tenant, progress.job.tenant))
+    if progress.urgency is not None:
+        headers.append((names.urgency, str(progress.urgency)))
     if progress.last_event_id is not None:
         headers.append(("Last-Event-Id", str(progress.last_event_id)))
     item = progress.item
--- a/src/bellweir/hosted/batches/coordinator.py
+++ b/src/bellweir/hosted/batches/coordinator.py
@@ -16,6 +16,7 @@
 from bellweir.hosted.batches.mover import Run, RunMover
 from bellweir.hosted.batches.progress import ItemProgress, Stage
 from bellweir.hosted.batches.state import JOBS_KEY, BatchJobs, JobItem, JobState
+from bellweir.hosted.batches.step_queue import OpenStep, StepQueue
 from bellweir.hosted.batches.worker_choice import WorkerChoice, score_route
 from bellweir.hosted.log_events import COORDINATION_LEFT, COORDINATION_TAKEN, ITEM_TAKEN_OVER
 from bellweir.hosted.records import Route
@@ -63,6 +64,7 @@
         self._carried = CarriedTexts()
         self._choice = WorkerChoice(workers, loads, attempts, policy)
         self._mover = RunMover(attempts)
+        self._queue = StepQueue(attempts.expected_events, self._choice.paces_of)
         self._leading = False
         self._wake = threading.Event()
 
@@ -93,9 +95,10 @@
         table = self._configuration.table()
         self._drop_ended(jobs)
         if table is not None:
+            with self._lock:
+                running = list(self._running.values())
+            self._choice.begin_look(running, table)
             if self._policy.move_runs:
-                with self._lock:
-                    running = list(self._running.values())
                 self._mover.look(running, self._choice.targets)
             self._start_waiting(jobs, table)
 
@@ -138,13 +141,31 @@
         for run in cancelled:
             run.cancellation.cancel()
 
-    def _waiting(self, jobs: list[JobState], table: RouteTable) -> Iterator[ItemProgress]:
-        """Items that need an attempt now: the oldest job first, and in it the longest texts."""
+    def _waiting(self, jobs: list[JobState], table: RouteTable) -> list[ItemProgress]:
+        """Items that need an attempt now.
+
+        The oldest job goes first, and in it the longest texts; where steps of several trainers
+        compete, their groups go as the queue has them.
+        """
+        steps = []
+        waiting: list[ItemProgress] = []
         for state in jobs:
             route = table.find(state.job.host, state.job.path_prefix) if state.is_open else None
             if route is not None:
+                steps.append(OpenStep(state, route))
                 found = list(self._waiting_of(state, route, jobs))
-                yield from sorted(found, key=self._urgency) if self._policy.long_first else found
+                waiting += sorted(found, key=self._urgency) if self._policy.long_first else found
+        if self._policy.order_by_need:
+            with self._lock:
+                known, running = dict(self._progress), list(self._running)
+            self._queue.look(steps, known, running, table)
+            waiting.sort(key=self._rank)
+        return waiting
+
+    def _rank(self, progress: ItemProgress) -> int:
+        """Place of an item beside those of other jobs; what was begun goes on first."""
+        is_begun = progress.stage is not Stage.TEXT or progress.moved_to is not None
+        return -1 if is_begun else self._queue.rank(progress)
 
     def _urgency(self, progress: ItemProgress) -> tuple[bool, bool, float]:
         """Order of work in a job: whole texts to be scored, moved texts, then long ones."""
@@ -188,11 +209,12 @@
         return progress
 
     def _start(self, progress: ItemProgress, table: RouteTable) -> bool:
-        """Start an item's next attempt; False when no worker has room for it."""
+        """Start an item's next attempt, if it need not wait; False when no worker has room."""
         worker = self._choice.take_worker(progress, table)
         progress.moved_to = None
         if worker is None:
-            return False
+            return self._choice.is_held
+        progress.urgency = self._queue.urgency(progress) if self._policy.tell_urgency else None
         key = (progress.job.id, progress.item.id)
         run = Run(progress, worker, Cancellation(), time.monotonic())
         with self._lock:
--- a/src/bellweir/hosted/batches/progress.py
+++ b/src/bellweir/hosted/batches/progress.py
@@ -72,6 +72,10 @@
     """Monotonic time at which it was last moved to another worker."""
     moved_to: Incarnation | None = None
     """Where it is to go on; None once it does."""
+    urgency: int | None = None
+    """Urgency to tell its worker, 0 first; None: the usual one."""
+    held_since_s: float | None = None
+    """Monotonic time since which it waits for a better worker while others have room."""
 
     @property
     def failed_at_now(self) -> list[Incarnation]:
--- a/src/bellweir/hosted/batches/worker_choice.py
+++ b/src/bellweir/hosted/batches/worker_choice.py
@@ -1,8 +1,10 @@
 """Chooses the worker for an item's next attempt, among those that may run it and have room."""
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection, Sequence
 
 from bellweir.hosted.batches.attempts import ItemAttempts
+from bellweir.hosted.batches.engine_outlook import EngineOutlook
+from bellweir.hosted.batches.mover import Run
 from bellweir.hosted.batches.progress import ItemProgress, Stage
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.records import Route
@@ -27,11 +29,29 @@
         self._attempts = attempts
         self._policy = policy
         self._parts = WeightedParts()
+        self._outlook = EngineOutlook(attempts, policy)
         if policy.set_failing_aside:
             attempts.fellows_of = lambda worker: self._fellows(worker.entry.service)
 
+    def begin_look(self, running: Sequence[Run], table: RouteTable) -> None:
+        """Begin a look at what waits; `running` is what is in hand now."""
+        self._outlook.begin(running, table)
+
+    def paces_of(self, service: str) -> list[tuple[float, int]]:
+        """Seconds an event and places of each engine of a service."""
+        return [
+            (self._attempts.paces.of(worker.incarnation), worker.entry.slots)
+            for worker in self._workers.ready(service)
+        ]
+
+    @property
+    def is_held(self) -> bool:
+        """Whether the item that got no worker waits for a better one, though others have room."""
+        return self._outlook.is_held
+
     def take_worker(self, progress: ItemProgress, table: RouteTable) -> Worker | None:
-        """Take a place at a worker with room; None when there is none now."""
+        """Take a place at a worker with room; None when there is none now, or none good enough."""
+        self._outlook.is_held = False
         if progress.stage is Stage.SCORE:
             route = score_route(progress, table)
             return self._choose(route, progress, table) if route is not None else None
@@ -61,7 +81,7 @@
         for service in self._parts.peek(parts, key):
             fitting = self._fitting(service, progress)
             with_room = [worker for worker in fitting if self._has_room(worker, progress)]
-            chosen = self._loads.choose(with_room, (), pace_of)
+            chosen = self._best(with_room, fitting, progress, pace_of)
             if chosen is not None:
                 self._note_begun(chosen, progress)
                 self._parts.charge(parts, key, service)
@@ -70,6 +90,23 @@
                 return None
         return None
 
+    def _best(
+        self,
+        with_room: list[Worker],
+        fitting: list[Worker],
+        progress: ItemProgress,
+        pace_of: Callable[[Incarnation], float] | None,
+    ) -> Worker | None:
+        """Take a place at the best worker; None also where the item had better wait for one."""
+        outlook = self._outlook
+        if progress.stage is Stage.SCORE or not with_room or not outlook.is_uneven(fitting):
+            return self._loads.choose(with_room, (), pace_of)
+        full = [one for one in fitting if self._loads.in_hand(one.incarnation) >= one.entry.slots]
+        chosen = outlook.choose(with_room, full, progress)
+        if chosen is not None:
+            self._loads.take(chosen)
+        return chosen
+
     def _moved_target(self, route: Route, progress: ItemProgress) -> Worker | None:
         """Take the place that a moved run was promised; its service has been charged for it."""
         if progress.stage is not Stage.TEXT or not progress.moved_to:
@@ -86,6 +123,7 @@
     def _note_begun(self, worker: Worker, progress: ItemProgress) -> None:
         if progress.stage is Stage.TEXT:
             self._attempts.refusals.begun(worker.incarnation, progress.job.model)
+            self._outlook.begun(worker, progress)
         self._attempts.failing.begun(worker.incarnation, progress.item.id)
 
     def _fitting(self, service: str, progress: ItemProgress) -> list[Worker]:
@@ -123,9 +161,13 @@
         return self._policy.pass_over_failed and self._loads.is_avoided(worker.incarnation)
 
     def _has_room(self, worker: Worker, progress: ItemProgress) -> bool:
-        if progress.stage is Stage.TEXT and self._policy.guard_refusals:
+        if progress.stage is Stage.TEXT:
             model = progress.job.model
-            if not self._attempts.refusals.may_begin(worker.incarnation, model):
+            refusals = self._attempts.refusals
+            is_guarded = self._policy.guard_refusals
+            if is_guarded and not refusals.may_begin(worker.incarnation, model):
+                return False
+            if not self._outlook.has_memory(worker, progress):
                 return False
         return self._loads.in_hand(worker.incarnation) < worker.entry.slots
 
--- a/src/bellweir/hosted/interface.py
+++ b/src/bellweir/hosted/interface.py
@@ -33,6 +33,8 @@
     """On a request: tokens that its caller guesses the answer to have."""
     tenant: str
     """On a request to a worker: the tenant whose key the client carried."""
+    urgency: str
+    """On a request to a worker: 0 to 9, the most urgent first; 5 without it."""
     authorization: str
     """On a client's request: its key. Never sent to a worker of a deployment with tenants."""
 
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -330,3 +330,25 @@
     ("instance",),
     "A worker that had failed several items in a row serves one: it gets items as its fellows do.",
 )
+STEP_ORDERED = Event(
+    1472,
+    "step_ordered",
+    Level.INFO,
+    (
+        "request_id",
+        "due_ms",
+        "wanted_groups",
+        "late_groups",
+        "surplus_groups",
+        "waiting",
+        "running",
+        "left_events",
+        "slack_ms",
+        "priority",
+        "places",
+        "pace_ms",
+        "steps",
+    ),
+    "Steps of several trainers want the same engines: what one needs, what is left of its time and "
+    "how many of its groups can't be in time; one line a second a step at most.",
+)
--- a/src/bellweir/hosted/settings.py
+++ b/src/bellweir/hosted/settings.py
@@ -129,6 +129,16 @@
     set_failing_aside: bool = True
     """Leave workers alone for a while that fail everything while their fellows don't, and count no
     item's failures there."""
+    order_by_need: bool = True
+    """Where steps of several trainers want the same engines, begin with what lets most of the
+    groups that trainers wait for be in time, instead of with the oldest step."""
+    place_by_end: bool = True
+    """Where engines are uneven, place texts by when they would end there: long ones may wait a
+    moment for a fast engine, short ones take what is free."""
+    count_memory: bool = True
+    """Run no more texts at an engine than its memory has room for."""
+    tell_urgency: bool = True
+    """Tell engines which texts are less urgent than others."""
     nearby_reads: bool = True
     """Have gateways read results from the replica of their zone."""
 
