Order and place by expected events only once a text has ended

Cause: before the first text has ended, expected lengths are callers' guesses in tokens, which only rank texts. Change: until a text has ended, steps go by their due times, none of them late, and texts are placed as before. The engines' pace is the measured one, which has their crowding in it already.

Test: a scenario of hosted_steps.feature, which fails with the guesses taken as events.

--- a/features/hosted_steps.feature
+++ b/features/hosted_steps.feature
@@ -7,6 +7,9 @@
     And as many groups are in time as can be together, before late ones and surplus ones
     And a group that can't be in time gets places while such groups have few
 
+  Scenario: Steps before any text has ended
+    Then two trainers' steps of texts whose lengths nobody knows go by their due times, none late
+
   Scenario: Any texts and any engines
     Then no engine gets more texts than it has places and memory for
     And a text waits for a better engine for a bounded time only
--- a/features/steps/hosted_steps_steps.py
+++ b/features/steps/hosted_steps_steps.py
@@ -8,9 +8,10 @@
 from behave import given as given_step
 from behave import then, when
 from bench.step_replay import ORDERS, PLACEMENTS, Replay, loads
-from features.support.hosted_jobs import configuration, make_job
+from features.support.hosted_jobs import HOST, configuration, make_job
 from hypothesis import given, settings
 
+from bellweir.hosted.batches.attempts import ItemAttempts
 from bellweir.hosted.batches.placement import (
     LONGEST_HOLD_S,
     EarliestEnd,
@@ -18,7 +19,8 @@
     FastestFree,
     TextNeed,
 )
-from bellweir.hosted.batches.state import AcceptJob
+from bellweir.hosted.batches.progress import ItemProgress
+from bellweir.hosted.batches.state import AcceptJob, JobState
 from bellweir.hosted.batches.step_order import (
     LATE_SHARE,
     EnginesRoom,
@@ -27,6 +29,11 @@
     Standing,
     StepNeed,
 )
+from bellweir.hosted.batches.step_queue import OpenStep, StepQueue
+from bellweir.hosted.records import Configuration
+from bellweir.hosted.serving.attempt import WorkerConnections
+from bellweir.hosted.serving.selection import WorkerLoads
+from bellweir.hosted.views.configuration import RouteTable
 from bellweir_platform.headers import HEADERS
 
 PACE_S = 0.1
@@ -128,6 +135,28 @@
     not_starved()
 
 
+@then("two trainers' steps of texts whose lengths nobody knows go by their due times, none late")
+def then_unknown(context):
+    attempts = ItemAttempts(WorkerConnections(HEADERS), WorkerLoads("a"))
+    queue = StepQueue(attempts.known_events, lambda _service: [(PACE_S, 8)], lambda: 5.0)
+    table = RouteTable(msgspec.convert(configuration(), Configuration))
+    steps, known = [], {}
+    for prefix, due_ms in (("/draft/", 9_000.0), ("/rewrite/", 7_000.0)):
+        job = msgspec.structs.replace(
+            make_job(prefix, 12, 3), path_prefix=prefix, accepted_at_s=time.time()
+        )
+        route = msgspec.structs.replace(table.find(HOST, prefix), due_ms=due_ms)
+        steps.append(OpenStep(JobState(job), route))
+        for item in job.items:
+            progress = known[job.id, item.id] = ItemProgress(job, route, item)
+            progress.guessed_tokens = 50_000.0
+    queue.look(steps, known, (), table)
+    ranks = {key: queue.rank(progress) for key, progress in known.items()}
+    assert all(queue.urgency(progress) is None for progress in known.values())
+    assert {rank for (job, _), rank in ranks.items() if job == "/rewrite/"} == {0}
+    assert {rank for (job, _), rank in ranks.items() if job == "/draft/"} == {1}
+
+
 def texts_and_rooms():
     text = st.tuples(st.floats(1, 100), st.integers(0, 60), st.floats(0.0, 2.0))
     room = st.tuples(
--- a/src/bellweir/hosted/batches/attempts.py
+++ b/src/bellweir/hosted/batches/attempts.py
@@ -82,6 +82,10 @@
         """Events that an item's text is expected to have."""
         return self.lengths.expected(progress.item.id, progress.guessed_tokens)
 
+    def known_events(self, progress: ItemProgress) -> float | None:
+        """The same, as far as it is more than a rank among texts; None before any has ended."""
+        return self.expected_events(progress) if self.lengths.is_known else None
+
     def guessed_tokens(self, item: JobItem) -> float | None:
         """Tokens that an item's caller guesses its text to have; None without a guess."""
         wanted = self._connections.headers.length_hint.lower()
--- a/src/bellweir/hosted/batches/coordinator.py
+++ b/src/bellweir/hosted/batches/coordinator.py
@@ -64,7 +64,7 @@
         self._carried = CarriedTexts()
         self._choice = WorkerChoice(workers, loads, attempts, policy)
         self._mover = RunMover(attempts)
-        self._queue = StepQueue(attempts.expected_events, self._choice.paces_of)
+        self._queue = StepQueue(attempts.known_events, self._choice.paces_of)
         self._leading = False
         self._wake = threading.Event()
 
--- a/src/bellweir/hosted/batches/engine_outlook.py
+++ b/src/bellweir/hosted/batches/engine_outlook.py
@@ -56,7 +56,7 @@
 
     def is_uneven(self, workers: Sequence[Worker]) -> bool:
         """Whether workers differ so much that texts are placed by their ends."""
-        if not self._policy.place_by_end:
+        if not self._policy.place_by_end or not self._attempts.lengths.is_known:
             return False
         paces_s = [self._attempts.paces.of(worker.incarnation) for worker in workers]
         return max(paces_s) >= UNEVEN * min(paces_s)
--- a/src/bellweir/hosted/batches/lengths.py
+++ b/src/bellweir/hosted/batches/lengths.py
@@ -55,6 +55,12 @@
                 known = found if self._log_tokens is None else self._log_tokens
                 self._log_tokens = known + weight * (found - known)
 
+    @property
+    def is_known(self) -> bool:
+        """Whether a text has ended, so that expectations are in events; before, they only rank."""
+        with self._lock:
+            return self._texts > 0
+
     def expected(self, item_id: str, guessed_tokens: float | None) -> float:
         """Return the events that an item's text is expected to have."""
         with self._lock:
--- a/src/bellweir/hosted/batches/step_queue.py
+++ b/src/bellweir/hosted/batches/step_queue.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from bellweir.events.log import emit
-from bellweir.hosted.batches.placement import CROWDING
 from bellweir.hosted.batches.progress import ItemProgress, Stage
 from bellweir.hosted.batches.state import JobState
 from bellweir.hosted.batches.step_order import (
@@ -62,12 +61,15 @@
 
     def __init__(
         self,
-        expected_events: Callable[[ItemProgress], float],
+        expected_events: Callable[[ItemProgress], float | None],
         paces_of: Callable[[str], Sequence[tuple[float, int]]],
         now_s: Callable[[], float] = time.monotonic,
         wall_s: Callable[[], float] = time.time,
     ) -> None:
-        """`paces_of` returns seconds an event and places of each engine of a service."""
+        """`paces_of` returns seconds an event and places of each engine of a service.
+
+        While `expected_events` tells None, nothing is taken to be late for what it still needs.
+        """
         self._expected_events = expected_events
         self._paces_of = paces_of
         self._now_s = now_s
@@ -138,8 +140,7 @@
         found = [each for service in services for each in self._paces_of(service)]
         places = sum(count for _, count in found)
         speed = sum(count / pace_s for pace_s, count in found if pace_s > 0)
-        pace_s = places / speed if speed else 0.0
-        return EnginesRoom(places, pace_s * (1 + CROWDING))
+        return EnginesRoom(places, places / speed if speed else 0.0)
 
     def _need(
         self,
@@ -160,9 +161,10 @@
             is_made = progress is not None and progress.stage is not Stage.TEXT
             if item.id in step.state.listed or is_made:
                 continue
+            expected = self._expected_events(progress) if progress is not None else None
             left = 1.0
-            if progress is not None:
-                left = max(1.0, self._expected_events(progress) - progress.events)
+            if progress is not None and expected is not None:
+                left = max(1.0, expected - progress.events)
             texts[name].append((left, key in running))
         groups = [_group_need(name, left) for name, left in texts.items()]
         wanted = job.wanted_groups or len(names)
