Explain a late step by how it stood beside others

`bellweir explain` of a batch job tells the worst of its step_ordered lines: groups that could not be in time, what was left, texts waiting and running, steps, places and pace. Test: a new scenario of explanation.feature, 11 scenarios passed.

--- a/features/explanation.feature
+++ b/features/explanation.feature
@@ -27,6 +27,11 @@
     And the explanation of "j-4" says "moved 1 x (silent), 1 x ended here"
     And the explanation of "j-4" says "group g-3 was never whole (a text of 9 events, 1 x refused)"
 
+  Scenario: A batch job that competed with others for engines
+    Given log lines of a job whose groups could not all be in time beside other steps
+    Then the explanation of "j-5" says "after 2.0 s, 5.5 s before it was due, 3 of the 5 groups"
+    And the explanation of "j-5" says "for 2 steps on 40 places of 46 ms an event"
+
   Scenario: A job that was refused, and ids that nobody knows
     Given log lines in which job "j-2" was not accepted
     Then the explanation of "j-2" says "was not accepted"
--- a/features/steps/explanation_steps.py
+++ b/features/steps/explanation_steps.py
@@ -49,6 +49,29 @@
     context.lines = [end, "  0.5 gateway-a " + attempt(2, 2, outcome), "{", attempt(1, 1, outcome)]
 
 
+@given_step("log lines of a job whose groups could not all be in time beside other steps")
+def given_competing(context):
+    def ordered(second, late):
+        return line(
+            second,
+            "store-a",
+            "step_ordered",
+            request_id="j-5",
+            due_ms=7500 - 1000 * (second - 1),
+            wanted_groups=5,
+            late_groups=late,
+            waiting=20,
+            running=12,
+            left_events=447,
+            places=40,
+            pace_ms=46,
+            steps=2,
+        )
+
+    accepted = line(1, "gateway-a", "job_accepted", request_id="j-5", items=40, step=3)
+    context.lines = [accepted, ordered(2, 0), ordered(3, 3), ordered(4, 1)]
+
+
 @given_step("log lines of a job with a broken run, a change of leader and a late item")
 def given_job(context):
     context.lines = [
--- a/src/bellweir/explanation/cause.py
+++ b/src/bellweir/explanation/cause.py
@@ -104,6 +104,7 @@
         )
         parts.append(f"the last ones: {told}")
     parts += _late_groups(identifier, lines)
+    parts += _worst_order(own, since)
     if broken:
         parts.append(f"{len(broken)} runs broke: {_counted(line.text('cause') for line in broken)}")
     leaders = [line.node for line in lines if line.event == "coordination_taken"]
@@ -125,6 +126,35 @@
     ]
 
 
+def _worst_order(own: Sequence[LogLine], since_s: float) -> list[str]:
+    """How a step stood beside others when most of its groups could not be in time."""
+    orders = [line for line in own if line.event == "step_ordered" and line.number("late_groups")]
+    if not orders:
+        return []
+    worst = max(orders, key=lambda line: line.number("late_groups"))
+    told = {name: f"{worst.number(name):g}" for name in _ORDER_FIELDS}
+    due_in_s = worst.number("due_ms") / 1000
+    return [
+        f"after {worst.seconds() - since_s:.1f} s, {due_in_s:.1f} s before it was due, "
+        f"{told['late_groups']} of the {told['wanted_groups']} groups that it still wanted "
+        f"could not be in time: {told['left_events']} events were left, {told['waiting']} texts at "
+        f"no worker and {told['running']} at one, for {told['steps']} steps on {told['places']} "
+        f"places of {told['pace_ms']} ms an event"
+    ]
+
+
+_ORDER_FIELDS = (
+    "late_groups",
+    "wanted_groups",
+    "left_events",
+    "waiting",
+    "running",
+    "steps",
+    "places",
+    "pace_ms",
+)
+
+
 def _counted(causes: Iterable[str]) -> str:
     counts = Counter(causes)
     return ", ".join(f"{count} x {cause}" for cause, count in counts.most_common(4))
