--- a/features/explanation.feature
+++ b/features/explanation.feature
@@ -34,6 +34,11 @@
     And the explanation of "i-1" says "it returned 1 times, last on gateway-b"
     And the story of "r-1" shows that a worker was set aside meanwhile
 
+  Scenario: A batch job that competed with others for engines
+    Given log lines of a job whose groups could not all be in time beside other steps
+    Then the explanation of "j-5" says "after 2.0 s, 5.5 s before it was due, 3 of the 5 groups"
+    And the explanation of "j-5" says "for 2 steps on 40 places of 46 ms an event"
+
   Scenario: A job that was refused, and ids that nobody knows
     Given log lines in which job "j-2" was not accepted
     Then the explanation of "j-2" says "was not accepted"
--- a/features/support/known_sight.py
+++ b/features/support/known_sight.py
@@ -46,6 +46,9 @@
     def fellows_slow_s(self, service):
         return self.slow_s
 
+    def fellows_usual_s(self, service):
+        return self.slow_s / 2
+
     @property
     def is_alone(self):
         return False
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -452,3 +452,25 @@
     "The holder of the roll-outs' lease learnt from a job how many versions behind the newest its "
     "trainer lets samples be: with a lag of 1 a worker loads every second version only.",
 )
+STEP_ORDERED = Event(
+    1472,
+    "step_ordered",
+    Level.INFO,
+    (
+        "request_id",
+        "due_ms",
+        "wanted_groups",
+        "late_groups",
+        "surplus_groups",
+        "waiting",
+        "running",
+        "left_events",
+        "slack_ms",
+        "priority",
+        "places",
+        "pace_ms",
+        "steps",
+    ),
+    "Steps of several trainers want the same engines: what one needs, what is left of its time and "
+    "how many of its groups can't be in time; one line a second a step at most.",
+)
--- a/src/bellweir/hosted/sight/interface.py
+++ b/src/bellweir/hosted/sight/interface.py
@@ -108,6 +108,10 @@
     def fellows_slow_s(self, service: str) -> float:
         """The 95th percentile in seconds that the sound workers of a service have; 0: unknown."""
 
+    @abstractmethod
+    def fellows_usual_s(self, service: str) -> float:
+        """The median in seconds that the sound workers of a service have; 0: unknown."""
+
     @property
     @abstractmethod
     def is_alone(self) -> bool:
--- a/src/bellweir/hosted/sight/shared.py
+++ b/src/bellweir/hosted/sight/shared.py
@@ -62,12 +62,13 @@
 class _Service:
     """What is known of a service as of the last look."""
 
-    __slots__ = ("first", "further", "slow_s")
+    __slots__ = ("first", "further", "slow_s", "usual_s")
 
-    def __init__(self, first: float, further: float, slow_s: float) -> None:
+    def __init__(self, first: float, further: float, slow_s: float, usual_s: float) -> None:
         self.first = first
         self.further = further
         self.slow_s = slow_s
+        self.usual_s = usual_s
 
 
 _NOTHING = _Known(Counts(), 0.0, float("-inf"))
@@ -183,6 +184,11 @@
         seen = self._of_services.get(service)
         return seen.slow_s if seen else 0.0
 
+    def fellows_usual_s(self, service: str) -> float:
+        """See the interface."""
+        seen = self._of_services.get(service)
+        return seen.usual_s if seen else 0.0
+
     def is_set_aside(self, incarnation: Incarnation) -> bool:
         """Whether a worker gets no more than trials."""
         with self._lock:
@@ -248,7 +254,13 @@
             if self._known[one].slow_s and not self.is_set_aside(one)
         )
         slow_s = sound[len(sound) // 2] if sound else 0.0
-        return _Service(max(0.0, tries - further), further, slow_s)
+        usual = sorted(
+            self._known[one].usual_s
+            for one in seen
+            if self._known[one].usual_s and not self.is_set_aside(one)
+        )
+        usual_s = usual[len(usual) // 2] if usual else 0.0
+        return _Service(max(0.0, tries - further), further, slow_s, usual_s)
 
     def _judge(
         self,
