Keep looks at workers to a share of a core by their own cost

Cause: bench.sight_spread with 340 gateways, 5,200 requests/s and 3,800 workers: looks took 1.83% of a core, over what control may use in all.

Change: the next look is put off by what the last one cost.

--- a/bench/sight_spread.py
+++ b/bench/sight_spread.py
@@ -19,7 +19,7 @@
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.sight.exchange import PERIOD_S, SightExchange
 from bellweir.hosted.sight.interface import SeenOutcome
-from bellweir.hosted.sight.shared import LOOK_PERIOD_OF_WORKER_S, LOOK_PERIOD_S, SharedSight
+from bellweir.hosted.sight.shared import SharedSight
 from bellweir.hosted.sight.table import SightTable
 from bellweir.membership.interface import Member, Membership, MembershipListener, MemberState
 from bellweir.wire.codec import MessageCodec
@@ -132,7 +132,7 @@
     costs[what] = costs.get(what, 0.0) + time.process_time() - began_s
 
 
-def play(count: int, rate: float, workers: int, seconds: float, look_s: float) -> str:
+def play(count: int, rate: float, workers: int, seconds: float) -> str:
     """Play one size; a line of its figures."""
     drawn = random.Random(1)
     hall = Hall(count, workers)
@@ -162,10 +162,8 @@
             if number % STEPS_OF_ROUND == step % STEPS_OF_ROUND:
                 timed(costs, "exchange", one.exchange.tell)
             if hall.now_s >= next_look_s[number]:
-                next_look_s[number] = (
-                    hall.now_s + look_s + LOOK_PERIOD_OF_WORKER_S * len(one.table.workers())
-                )
                 timed(costs, "look", one.sight.look)
+                next_look_s[number] = hall.now_s + one.sight.pause_s
             if failed_s and number not in heard and one.table.merged(failed, hall.now_s).failed:
                 heard[number] = hall.now_s - failed_s
     total_s = count * seconds
@@ -189,10 +187,9 @@
     parser.add_argument("--rate", type=float, default=6.0)
     parser.add_argument("--workers", type=int, default=4)
     parser.add_argument("--seconds", type=float, default=20.0)
-    parser.add_argument("--look-s", type=float, default=LOOK_PERIOD_S)
     asked = parser.parse_args()
     for count in asked.gateways:
-        print(play(count, asked.rate, asked.workers, asked.seconds, asked.look_s), flush=True)
+        print(play(count, asked.rate, asked.workers, asked.seconds), flush=True)
 
 
 if __name__ == "__main__":
--- a/src/bellweir/hosted/sight/shared.py
+++ b/src/bellweir/hosted/sight/shared.py
@@ -2,7 +2,7 @@
 
 The figures of a worker are put together once a look, for those workers only of which something is
 known; a request reads them and adds what this node has in hand itself. A look costs time in the
-workers known, so that many are looked at less often.
+workers known and the records of them; where it costs much, the next one is put off.
 """
 
 import threading
@@ -26,8 +26,8 @@
 from bellweir.hosted.sight.worker_load import WorkerLoad
 
 LOOK_PERIOD_S = 0.4
-LOOK_PERIOD_OF_WORKER_S = 0.006
-"""Added for each worker known: a look at one takes some tens of microseconds."""
+LOOK_SHARE = 0.003
+"""Share of a core that looks may take: the more a look costs, the longer until the next one."""
 ENOUGH_ANSWERS = 8.0
 """Weight of answers from which a 95th percentile is told; below it, one slow answer would be it."""
 ORIGINS_WITHIN_S = 15.0
@@ -108,6 +108,8 @@
         self._refusal_logged_s: dict[str, float] = {}
         self._was_alone = False
         self._gateways = 1
+        self.pause_s = LOOK_PERIOD_S
+        """Time until the next look."""
 
     def begun(self, service: str, incarnation: Incarnation) -> None:
         """See the interface."""
@@ -209,11 +211,12 @@
 
     def run(self, stopping: threading.Event) -> None:
         """Look now and then until `stopping`. One task."""
-        while not stopping.wait(LOOK_PERIOD_S + LOOK_PERIOD_OF_WORKER_S * len(self._known)):
+        while not stopping.wait(self.pause_s):
             self.look()
 
     def look(self) -> None:
         """Put together what is known of each worker, and judge them."""
+        began_s = time.thread_time()
         now_s = self._now_s()
         services = self._services()
         present = {one for workers in services.values() for one in workers}
@@ -229,6 +232,7 @@
             service: self._service(workers, merged) for service, workers in services.items()
         }
         self._note_alone()
+        self.pause_s = max(LOOK_PERIOD_S, (time.thread_time() - began_s) / LOOK_SHARE)
 
     def _known_of(self, worker: Incarnation, counts: Counts, now_s: float) -> _Known:
         usual_s = counts.quantile_s(0.5)
