--- a/src/bellweir/hosted/interface.py
+++ b/src/bellweir/hosted/interface.py
@@ -33,10 +33,14 @@
     """On a request: tokens that its caller guesses the answer to have."""
     tenant: str
     """On a request to a worker: the tenant whose key the client carried."""
+    urgency: str
+    """On a request to a worker: 0 to 9, the most urgent first; 5 without it."""
     authorization: str
     """On a client's request: its key. Never sent to a worker of a deployment with tenants."""
     server_load: str
     """On a worker's answer: requests running, waiting, slots, and how long work takes there now."""
+    urgency: str
+    """On a request to an engine: its rank among those that wait there, 0 first."""
 
     @property
     def of_client_only(self) -> frozenset[str]:
@@ -243,6 +247,8 @@
     order_in_progress: bool
     sequence: int
     """Orders taken since its start."""
+    born_ms: int = 0
+    """Unix millisecond of its start; 0 where it does not tell it."""
 
 
 class WorkerControl(ABC):
@@ -258,6 +264,10 @@
     ) -> OrderAnswer:
         """Give an order to the worker `instance` at an address."""
 
+    @abstractmethod
+    def renew(self, address: str) -> None:
+        """Use no connection of before: another worker is there, or one that started again."""
+
 
 class DutyAnswer(Enum):
     """What the platform said to a call that is a duty of one node at a time."""
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -106,7 +106,7 @@
     1415,
     "worker_changed",
     Level.INFO,
-    ("instance", "service", "address", "state", "versions"),
+    ("instance", "service", "address", "born", "state", "versions"),
     "A worker's entry appeared, changed or went (state `gone`).",
 )
 WORKER_KEPT = Event(
@@ -116,6 +116,22 @@
     ("instance", "address", "left_s"),
     "A worker's entry lapsed while the store was away; the worker counts as live so much longer.",
 )
+WORKER_STARTED_AGAIN = Event(
+    1406,
+    "worker_started_again",
+    Level.INFO,
+    ("instance", "address", "born", "known_born"),
+    "A worker started again under its id; what was known of it counts no more. `known_born` is its"
+    " former start: a greater one means that its clock was put back.",
+)
+WORKER_FORMER_ENTRY = Event(
+    1407,
+    "worker_former_entry",
+    Level.WARNING,
+    ("instance", "address", "born", "known_born"),
+    "An entry under another start than the newest, `known_born`, was passed over: an old reading or"
+    " a late write. It counts if it is written a second time.",
+)
 REQUEST_ANSWERED = Event(
     1420,
     "request_answered",
@@ -369,6 +385,44 @@
     ("request_id", "job", "state", "events", "cause"),
     "An item's result was dropped when it reached the log; the cause tells why.",
 )
+REQUEST_QUEUED = Event(
+    1510,
+    "request_queued",
+    Level.INFO,
+    (
+        "request_id",
+        "service",
+        "tenant",
+        "priority",
+        "release",
+        "waited_ms",
+        "expected_ms",
+        "in_hand",
+        "slots",
+        "age_ms",
+    ),
+    "A request waited for room at a service; what was known of it at the end of the wait.",
+)
+REQUEST_REFUSED = Event(
+    1511,
+    "request_refused",
+    Level.INFO,
+    (
+        "request_id",
+        "service",
+        "tenant",
+        "priority",
+        "why",
+        "left_ms",
+        "target_ms",
+        "waited_ms",
+        "expected_ms",
+        "in_hand",
+        "slots",
+        "age_ms",
+    ),
+    "A request was refused before any worker saw it; what was known of its service, and its age.",
+)
 METRICS_UNAVAILABLE = Event(
     1460,
     "metrics_unavailable",
@@ -398,3 +452,25 @@
     "The holder of the roll-outs' lease learnt from a job how many versions behind the newest its "
     "trainer lets samples be: with a lag of 1 a worker loads every second version only.",
 )
+STEP_ORDERED = Event(
+    1472,
+    "step_ordered",
+    Level.INFO,
+    (
+        "request_id",
+        "due_ms",
+        "wanted_groups",
+        "late_groups",
+        "surplus_groups",
+        "waiting",
+        "running",
+        "left_events",
+        "slack_ms",
+        "priority",
+        "places",
+        "pace_ms",
+        "steps",
+    ),
+    "Steps of several trainers want the same engines: what one needs, what is left of its time and "
+    "how many of its groups can't be in time; one line a second a step at most.",
+)
--- a/src/bellweir/hosted/serving/selection.py
+++ b/src/bellweir/hosted/serving/selection.py
@@ -23,6 +23,8 @@
 LONGEST_PENALTY_S = 4.0
 CROWDING = 0.25
 """Share by which a worker that batches is taken to be slower with all of its slots in use."""
+NOTICED_S = 0.05
+"""Callers don't notice that an answer comes later by less."""
 CHOICES_BY_TIME = 32
 """Of so many choices one leaves the workers' times aside and goes by load alone."""
 SHORTEST_HALF_S = 0.05
@@ -91,6 +93,8 @@
             return None
         with self._lock:
             self._choices_made += 1
+            if pace_of is None:
+                candidates = self._soon(candidates, now_s)
             chosen = min(candidates, key=lambda worker: self._rank(worker, now_s, pace_of))
             self._load(chosen.incarnation).in_hand += 1
         if self._sight is not None:
@@ -170,6 +174,10 @@
         """The 95th percentile of a service's sound workers in seconds; 0 while unknown."""
         return 0.0 if self._sight is None else self._sight.fellows_slow_s(service)
 
+    def fellows_usual_s(self, service: str) -> float:
+        """The median time of a service's sound workers in seconds; 0 while unknown."""
+        return 0.0 if self._sight is None else self._sight.fellows_usual_s(service)
+
     def mean_s(self, worker: Incarnation) -> float:
         """Smoothed time of a worker's answers."""
         with self._lock:
@@ -212,23 +220,21 @@
 
     def _rank(
         self, worker: Worker, now_s: float, pace_of: Callable[[Incarnation], float] | None
-    ) -> tuple[bool, float, float, bool, bool, float]:
+    ) -> tuple[bool, float, bool, bool, float]:
         load = self._load(worker.incarnation)
         avoided = load.avoided_until_s > now_s
         in_hand, usual_s, slots = self._load_of_all(worker, load)
         share = (in_hand + 1) / max(1, slots)
         if pace_of is not None:
             pace_s = pace_of(worker.incarnation) * (1 + CROWDING * share)
-            return avoided, round(pace_s, 4), 0.0, False, False, random.random()
-        usual_s = max(usual_s, 0.001)
-        answer_s = self._answer_s(worker, share, usual_s)
+            return avoided, round(pace_s, 4), False, False, random.random()
+        expected_s = share * max(usual_s, 0.001)
         other_zone = worker.entry.zone != self._own_zone
         must_connect = not self._has_connection(worker.address)
-        spread_s = round(share * usual_s, 2)
-        return avoided, answer_s, spread_s, must_connect, other_zone, random.random()
+        return avoided, round(expected_s, 2), must_connect, other_zone, random.random()
 
-    def _answer_s(self, worker: Worker, share: float, usual_s: float) -> float:
-        """When a worker's answer is expected, in whole hundredths; 0 where load alone counts.
+    def _soon(self, workers: list[Worker], now_s: float) -> list[Worker]:
+        """The workers whose answers are expected about as soon as the soonest one's.
 
         Up to its slots a worker answers in its usual time however many it has. A choice by load
         alone would send a slow one with free slots its part of the requests, each of them late.
@@ -236,10 +242,18 @@
         """
         by_load = self._choices_made % CHOICES_BY_TIME == 0
         if self._sight is None or not self._chooses_by_all or by_load:
+            return workers
+        well = [one for one in workers if self._load(one.incarnation).avoided_until_s <= now_s]
+        answers = [(self._answer_s(one), one) for one in well or workers]
+        soonest_s = min(answer_s for answer_s, _ in answers)
+        return [one for answer_s, one in answers if answer_s < soonest_s + NOTICED_S]
+
+    def _answer_s(self, worker: Worker) -> float:
+        """Time to a worker's answer, as all gateways tell; 0 where none but this one did."""
+        if self._sight is None or self._sight.seen(worker.incarnation).age_s == float("inf"):
             return 0.0
-        if self._sight.seen(worker.incarnation).age_s == float("inf"):
-            return 0.0
-        return round(usual_s * max(1.0, share), 2)
+        in_hand, usual_s, slots = self._load_of_all(worker, self._load(worker.incarnation))
+        return usual_s * max(1.0, (in_hand + 1) / max(1, slots))
 
     def _load_of_all(self, worker: Worker, load: Load) -> tuple[float, float, int]:
         """Requests at a worker, its usual time and its slots, as all gateways and itself tell."""
