--- a/features/hosted_soak.feature
+++ b/features/hosted_soak.feature
@@ -15,6 +15,11 @@
     Then faults have struck and everything that must hold of the soak has held
     And the run ended with disks lost while all others lost power
 
+  Scenario: A soak in which workers start again under their ids
+    When a soak of 15 seconds is played with seed 8 of workers that start again, new versions and kills
+    Then faults have struck and everything that must hold of the soak has held
+    And workers of both kinds have started again
+
   Scenario: Losses stay within what is tolerated
     Then at any order of faults no more disks are lost at once than tolerated
     And a machine counts as whole once it has had its time to catch up, a removed one's successor too
--- a/features/hosted_starts.feature
+++ b/features/hosted_starts.feature
@@ -60,3 +60,7 @@
     Then the stream that may be resumed comes whole, and the text goes on at the new start
     And the request that must not be repeated ran once and is not said to be refused
     And nothing that was known of the former start counts for the new one, which is ordered anew
+
+  Scenario: A request that may have run at a former start
+    Then it is not asked of the new start unless it may be repeated
+    And both starts count for the most workers that it may go to
--- a/features/steps/hosted_soak_steps.py
+++ b/features/steps/hosted_soak_steps.py
@@ -14,7 +14,8 @@
 from bellweir_rehearsal.hosted.deployment import HostedDeployment
 from bellweir_rehearsal.hosted.full_disk import FullDisk
 from bellweir_rehearsal.hosted.losses import CATCH_UP_S, LossBudget
-from bellweir_rehearsal.hosted.process_faults import KillStore
+from bellweir_rehearsal.hosted.platform_faults import NewVersion, WorkersStartAgain
+from bellweir_rehearsal.hosted.process_faults import KillGateway, KillStore
 from bellweir_rehearsal.hosted.soak import HostedSoak
 from bellweir_rehearsal.hosted.soak_faults import LASTING_FAULTS
 
@@ -50,6 +51,24 @@
     context.soak.play()
 
 
+@when(
+    "a soak of {seconds:d} seconds is played with seed {seed:d} "
+    "of workers that start again, new versions and kills"
+)
+def when_starts(context, seconds, seed):
+    kinds = (WorkersStartAgain, WorkersStartAgain, NewVersion, KillGateway, KillStore)
+    context.soak = HostedSoak(context.folder, seed, seconds, 3, 3, only=kinds)
+    context.cleanup.callback(context.soak.close)
+    context.soak.play()
+
+
+@then("workers of both kinds have started again")
+def then_started_again(context):
+    deployment = context.soak.deployment
+    assert any(worker.starts > 1 for worker in deployment.models)
+    assert any(worker.starts > 1 for worker in deployment.scorers)
+
+
 @when("a soak of {seconds:d} seconds is played with seed {seed:d} of full disks alone")
 def when_full(context, seconds, seed):
     context.soak = HostedSoak(context.folder, seed, seconds, 3, 3, only=(FullDisk,))
--- a/features/steps/hosted_starts_steps.py
+++ b/features/steps/hosted_starts_steps.py
@@ -1,7 +1,9 @@
 """Workers that start again under their ids: readings, reports, orders and connections."""
 
 import re
+import time
 from concurrent.futures import ThreadPoolExecutor
+from types import SimpleNamespace
 
 import hypothesis.strategies as st
 from behave import given as given_step
@@ -16,8 +18,12 @@
 from bellweir.hosted.batches.progress import ItemProgress
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.interface import Listing, RecordChange, StoredRecord
-from bellweir.hosted.records import Route
+from bellweir.hosted.records import Route, RouteKind
 from bellweir.hosted.serving.attempt import Cancellation
+from bellweir.hosted.serving.client_request import ClientRequest
+from bellweir.hosted.serving.forwarding import Forwarder, Progress
+from bellweir.hosted.serving.metrics import RequestMetrics
+from bellweir.hosted.serving.selection import WorkerLoads
 from bellweir.hosted.views.configuration import ConfigurationView
 from bellweir.hosted.views.kind_state import KindState
 from bellweir.hosted.views.workers import WorkersView
@@ -535,3 +541,31 @@
     assert context.former not in context.controller._loads
     report = PlatformWorkers().report(worker.address, 5.0)
     assert (report.born_ms, report.sequence) == (worker.incarnation.born_ms, 1)
+
+
+def next_after_former(kind, max_attempts):
+    """The worker for a request that may have run at a former start of the only worker."""
+    workers, loads = WorkersView(), WorkerLoads("a")
+    record = StoredRecord("servers", "i-1", 2, entry_of("i-1", 9_000))
+    workers.take_listing(Listing(2, (record,)))
+    watch = SimpleNamespace(begin=lambda *_: None, end=lambda _: None)
+    forwarder = Forwarder(workers, loads, None, watch, RequestMetrics())
+    route = Route(host="h", path_prefix="/", kind=kind, service="llm", max_attempts=max_attempts)
+    now_s = time.monotonic()
+    client = ClientRequest(None, route, "r", now_s, now_s + 60.0, b"", [])
+    former = Incarnation("i-1", 5_000)
+    progress = Progress(ran_at={former}, tried={former}, sends=1, may_have_run=True)
+    return forwarder._next_worker(client, [workers.ready("llm")], progress)
+
+
+@then("it is not asked of the new start unless it may be repeated")
+def then_not_asked(context):
+    assert next_after_former(RouteKind.NON_IDEMPOTENT, 3) is None
+    found = next_after_former(RouteKind.IDEMPOTENT, 3)
+    assert found.incarnation == Incarnation("i-1", 9_000)
+
+
+@then("both starts count for the most workers that it may go to")
+def then_both_count(context):
+    assert next_after_former(RouteKind.IDEMPOTENT, 1) is None
+    assert next_after_former(RouteKind.IDEMPOTENT, 2) is not None
--- a/src/bellweir_rehearsal/hosted/deployment.py
+++ b/src/bellweir_rehearsal/hosted/deployment.py
@@ -35,6 +35,8 @@
 FIRST_STORE = 150
 """Last parts of the machines' IP numbers."""
 BEAT_S = 0.2
+LAPSE_S = 3 * BEAT_S
+"""Time without a beat after which a worker's entry lapses."""
 READY_TIMEOUT_S = 30.0
 STARTED_POLL_S = 0.05
 STOP_TIMEOUT_S = 12.0
@@ -377,9 +379,14 @@
             process.send_signal(number)
 
     def beat(self) -> None:
-        """Write every running worker's entry, where it has changed."""
+        """Write every running worker's entry, where it has changed; those of others lapse."""
         for service, workers in (("llm", self.models), ("app", self.scorers)):
             for worker in workers:
+                down_since_s = worker.down_since_s
+                if down_since_s is not None:
+                    if time.monotonic() - down_since_s >= LAPSE_S:
+                        self.store.records.delete("servers", worker.instance)
+                    continue
                 entry = worker.entry(service, zone=ZONES[0])
                 kept = self.store.records.get("servers", worker.instance)
                 if kept is None or kept.spec != entry:
--- a/src/bellweir_rehearsal/hosted/platform_faults.py
+++ b/src/bellweir_rehearsal/hosted/platform_faults.py
@@ -53,6 +53,30 @@
         scorer.faults.lose_answer = scorer.faults.wrong_id = scorer.faults.unsigned = 1
 
 
+class WorkersStartAgain(SoakFault):
+    """Workers end and start again under their ids, before their entries lapse or later.
+
+    A crash breaks their connections. Behind a cut the connections stay open in silence, and what
+    was sent on them reaches nobody.
+    """
+
+    longest_s = 2.0
+    repeats = True
+
+    def strike(self) -> None:
+        """End one model worker and one other worker, each by a crash or behind a cut."""
+        model = self.chance.choice(self.deployment.models)
+        scorer = self.chance.choice(self.deployment.scorers)
+        self._ended = (model, scorer)
+        for worker in self._ended:
+            self.chance.choice((worker.crash, worker.go_dark))()
+
+    def mend(self) -> None:
+        """Start them again."""
+        for worker in self._ended:
+            worker.start_again()
+
+
 class LostReports(SoakFault):
     """The platform's interface for duties refuses calls, and takes some without an answer."""
 
--- a/src/bellweir_rehearsal/hosted/soak.py
+++ b/src/bellweir_rehearsal/hosted/soak.py
@@ -30,7 +30,7 @@
 from bellweir_rehearsal.hosted.kept_clients import KeptClient
 from bellweir_rehearsal.hosted.losses import CATCH_UP_S, LossBudget
 from bellweir_rehearsal.hosted.second_reader import SecondReader, page_of
-from bellweir_rehearsal.hosted.soak_faults import ALL_FAULTS
+from bellweir_rehearsal.hosted.soak_faults import ALL_FAULTS, BESIDE_FAULTS
 from bellweir_rehearsal.hosted.soak_report import SoakReport, memory_mb
 
 DISRUPTORS = 4
@@ -83,8 +83,8 @@
 class HostedSoak(CheckedTraffic):
     """Plays the soak; `checks` tells how it went, `strikes` what struck how often.
 
-    `only` restricts the faults that are drawn; `catch_up_s` is the time for which a store machine
-    counts as lost after its return.
+    `only` restricts the faults that are drawn, then with none beside them; `catch_up_s` is the
+    time for which a store machine counts as lost after its return.
     """
 
     def __init__(
@@ -108,6 +108,7 @@
         self._seed = seed
         self._seconds = seconds
         self._only = only
+        self._beside = BESIDE_FAULTS if only is ALL_FAULTS else ()
         self._catch_up_s = catch_up_s
         self._budget = LossBudget(self.deployment.names("store"), tolerated, catch_up_s)
         self._calming = threading.Event()
@@ -290,8 +291,13 @@
 
     @contextmanager
     def _disrupted(self) -> Iterator[None]:
-        with ThreadPoolExecutor(DISRUPTORS, thread_name_prefix="soak") as pool:
-            tasks = [pool.submit(self._disrupt, self._chance(each)) for each in range(DISRUPTORS)]
+        with ThreadPoolExecutor(DISRUPTORS + 1, thread_name_prefix="soak") as pool:
+            tasks = [
+                pool.submit(self._disrupt, self._chance(each), self._only)
+                for each in range(DISRUPTORS)
+            ]
+            if self._beside:
+                tasks.append(pool.submit(self._disrupt, self._chance("beside"), self._beside))
             try:
                 yield
             finally:
@@ -345,9 +351,9 @@
         is_gone = machine is not None and not machine.is_running
         return was_free and is_gone and bool(self._budget.free([name]))
 
-    def _disrupt(self, chance: random.Random) -> None:
+    def _disrupt(self, chance: random.Random, kinds: tuple[type[SoakFault], ...]) -> None:
         while not self._calming.wait(chance.uniform(SHORTEST_PAUSE_S, LONGEST_PAUSE_S)):
-            fault = chance.choice(self._only)(self.deployment, self._budget, chance)
+            fault = chance.choice(kinds)(self.deployment, self._budget, chance)
             seconds = chance.uniform(SHORTEST_FAULT_S, max(SHORTEST_FAULT_S, fault.longest_s))
             if fault.repeats and chance.random() < SERIES_SHARE:
                 self._strike_in_row(fault, chance, min(seconds, LONGEST_SERIES_FAULT_S))
--- a/src/bellweir_rehearsal/hosted/soak_faults.py
+++ b/src/bellweir_rehearsal/hosted/soak_faults.py
@@ -19,6 +19,7 @@
     NewConfiguration,
     NewVersion,
     StoreOutage,
+    WorkersStartAgain,
 )
 from bellweir_rehearsal.hosted.process_faults import (
     FreezeGateway,
@@ -82,3 +83,5 @@
 """Those that strike what lasts: disks, clocks, and which machines there are."""
 ALL_FAULTS: tuple[type[SoakFault], ...] = (*MACHINE_FAULTS, *MACHINE_FAULTS, *PLATFORM_FAULTS)
 """All of them; those that strike machines are drawn twice as often as the platform's."""
+BESIDE_FAULTS: tuple[type[SoakFault], ...] = (WorkersStartAgain,)
+"""Drawn beside all of them by a task of its own, so that their draws do not hang on these."""
--- a/src/bellweir_rehearsal/hosted/worker.py
+++ b/src/bellweir_rehearsal/hosted/worker.py
@@ -116,6 +116,8 @@
         self._reachable = threading.Event()
         self._reachable.set()
         self._running = True
+        self.down_since_s: float | None = None
+        """Monotonic time at which it crashed or was cut off; None while it can be reached."""
         stand_in = self
 
         class Handler(StandInHandler):
@@ -162,11 +164,6 @@
         """The start that runs, as the service names it."""
         return Incarnation(self.instance, self.born_ms)
 
-    @property
-    def is_up(self) -> bool:
-        """Whether it runs and can be reached."""
-        return self._running and self._reachable.is_set()
-
     def close(self) -> None:
         """End for good."""
         self._reachable.set()
@@ -175,12 +172,14 @@
 
     def crash(self) -> None:
         """End now: connections break, and nobody listens until `start_again`."""
+        self.down_since_s = time.monotonic()
         self._running = False
         self.server.close()
         self.server.break_off()
 
     def go_dark(self) -> None:
         """Be cut off: nothing comes through, and connections stay open in silence."""
+        self.down_since_s = time.monotonic()
         self._reachable.clear()
 
     def start_again(self, clock_ms: int = 0) -> None:
@@ -199,6 +198,7 @@
             self._listen_again()
         elif self._reachable.is_set():
             self.server.break_off()
+        self.down_since_s = None
         self._reachable.set()
 
     def _listen_again(self) -> None:
