--- a/features/hosted_starts.feature
+++ b/features/hosted_starts.feature
@@ -14,6 +14,7 @@
     Then the view shows the start at 5000
     When it is read at a higher revision as started at 9000
     Then the view shows the start at 5000
+    And it counts 1 starts beyond the first
 
   Scenario: A worker that starts again while its entry had lapsed
     Given a view that knows worker "i-1" as started at 5000
--- a/features/steps/hosted_starts_steps.py
+++ b/features/steps/hosted_starts_steps.py
@@ -189,6 +189,11 @@
     assert context.view.worker("i-1").incarnation == Incarnation("i-1", born_ms)
 
 
+@then("it counts {count:d} starts beyond the first")
+def then_counted(context, count):
+    assert context.view.started_again == count
+
+
 class Amid:
     """A lock that has something done once, right after it was released for the first time."""
 
--- a/src/bellweir/hosted/metrics_service.py
+++ b/src/bellweir/hosted/metrics_service.py
@@ -108,6 +108,11 @@
             "Time since the list of workers was last known to be the store's.",
             lambda: min(LONGEST_AGE_S, views.workers_follower.age_s()),
         )
+        add(
+            "bellweir_workers_started_again",
+            "Times since this process began that a worker was read as started again under its id.",
+            lambda: float(views.workers.started_again),
+        )
         add(
             "bellweir_workers_listed",
             "Workers in the list.",
--- a/src/bellweir/hosted/views/workers.py
+++ b/src/bellweir/hosted/views/workers.py
@@ -83,6 +83,8 @@
         self._fresh = False
         self.revision = 0
         """Counts changes, so that others can tell whether to look again."""
+        self.started_again = 0
+        """Times that a worker was read as started again."""
 
     def worker(self, instance: str) -> Worker | None:
         """The worker of an instance id, if it is listed."""
@@ -204,6 +206,7 @@
         if newest is None or verdict in (StartVerdict.FIRST, StartVerdict.KNOWN):
             return False
         is_former = verdict is not StartVerdict.AGAIN
+        self.started_again += not is_former
         if known is None or listed.revision != known.revision:
             emit(
                 WORKER_FORMER_ENTRY if is_former else WORKER_STARTED_AGAIN,
