Append a new command only once every replica can apply it; read what older builds have left

Cause: a replica passed over a command that it did not know, on the ground that every replica does so alike. With two builds they do not: its state would become another one without a word but a line.

Change: a command says since which level it is there. The leader appends a later one only while all replicas of the shard are known to be of that level, and a call that carries it is not sent to a build that may not know it. A replica that finds an unknown command in its log applies nothing from there on, leads no more and says so, and goes on once its build knows it.

--- a/features/hosted_mixed.feature
+++ b/features/hosted_mixed.feature
@@ -7,3 +7,8 @@
     Given the build that was in service before
     When the day is played on which this build takes its place
     Then on that day everything that must hold has held
+
+  Scenario: What an older build has written is read
+    Given what the older build has left, as it was recorded
+    Then its frames and handshakes are read, and its nodes read those of this build
+    And its log entries, its journal file and its snapshot give the state that it had
--- a/features/steps/hosted_mixed_steps.py
+++ b/features/steps/hosted_mixed_steps.py
@@ -1,17 +1,34 @@
 """Two builds side by side, as processes."""
 
+import base64
+import importlib
+import json
 import os
 import shutil
 import tempfile
+import zlib
 from pathlib import Path
 
 from behave import given, then, when
+from features.support.record_build import SERVICES
 
+from bellweir.hosted.batches.state import BatchJobs
+from bellweir.hosted.usage.state import UsageWindows
+from bellweir.ledger.entries import EntryKind
+from bellweir.ledger.interface import Command
+from bellweir.ledger.machines import Codec, ShardMachines
+from bellweir.ledger.sqlite_journal import SqliteJournal
+from bellweir.wire.codec import MessageCodec
+from bellweir.wire.frames import OneWay, decode_struct, encode_struct
+from bellweir.wire.handshake import ClientHello, ServerHello
+from bellweir.wire.interface import FIRST_LEVEL
 from bellweir_rehearsal.hosted.builds import REPOSITORY, build_of, is_in_history
 from bellweir_rehearsal.hosted.mixed_day import MixedDay
 
 OLDER_COMMIT = "e33d2c1"
 """The build that was in service before messages had levels."""
+RECORDED = REPOSITORY / "features" / "recorded" / f"build-{OLDER_COMMIT}.json"
+"""What that build wrote; `record_build` says how it was made."""
 
 
 @given("the build that was in service before")
@@ -40,3 +57,72 @@
 def then_held(context):
     for check in context.day.checks:
         assert check.held, (check.name, check.checked, check.faults[:3])
+
+
+def unpacked(text):
+    return zlib.decompress(base64.b64decode(text))
+
+
+@given("what the older build has left, as it was recorded")
+def given_recorded(context):
+    context.recorded = json.loads(RECORDED.read_text(encoding="utf-8"))
+    assert context.recorded["commit"] == OLDER_COMMIT
+    for name in SERVICES:
+        importlib.import_module(name)
+
+
+@then("its frames and handshakes are read, and its nodes read those of this build")
+def then_frames(context):
+    codec = MessageCodec()
+    assert context.recorded["frames"]
+    for name, packed in context.recorded["frames"].items():
+        plain = decode_struct(unpacked(packed), OneWay).body
+        message = codec.from_plain(plain)
+        assert type(message).__name__ == name
+        # What is written again holds every field that the older build asks for, as it was.
+        again = decode_struct(encode_struct(OneWay(0, codec.to_plain(message))), OneWay).body
+        assert holds(again, plain), (name, plain, again)
+    hello = decode_struct(unpacked(context.recorded["client_hello"]), ClientHello)
+    answer = decode_struct(unpacked(context.recorded["server_hello"]), ServerHello)
+    assert (hello.node, hello.address, hello.level) == ("node", "h:1", FIRST_LEVEL)
+    assert (answer.node, answer.level) == ("node", FIRST_LEVEL)
+
+
+def holds(new, old):
+    """Whether a value has all that an older one has, and at the same places."""
+    if isinstance(old, dict):
+        return isinstance(new, dict) and all(
+            key in new and holds(new[key], value) for key, value in old.items()
+        )
+    if isinstance(old, list):
+        return isinstance(new, list) and all(
+            holds(one, other) for one, other in zip(new, old, strict=False)
+        )
+    return new == old
+
+
+@then("its log entries, its journal file and its snapshot give the state that it had")
+def then_state(context):
+    recorded = context.recorded
+    folder = Path(context.folder) / "ledger"
+    folder.mkdir()
+    for name, packed in recorded["journal"].items():
+        (folder / name).write_bytes(unpacked(packed))
+    journal = SqliteJournal(folder)
+    (shard,) = [found for found in journal.load() if found.shard == 0]
+    journal.close()
+    types = (BatchJobs, UsageWindows)
+    codec, machines = Codec(types), ShardMachines(types)
+    for packed in recorded["commands"].values():
+        assert codec.level_of(unpacked(packed)) == FIRST_LEVEL
+    applied = [entry for entry in shard.entries if entry.kind == EntryKind.COMMAND]
+    for entry in applied:
+        machines.apply(codec.decode(entry.payload, Command))
+    assert len(applied) == recorded["entries_applied"] > 0
+    loaded = ShardMachines(types)
+    loaded.load(unpacked(recorded["snapshot"]))
+    for held in (machines, loaded):
+        jobs = held.machine(BatchJobs).jobs
+        listed = {job_id: sorted(state.listed) for job_id, state in sorted(jobs.items())}
+        assert listed == recorded["listed"], listed
+    assert loaded.save() == machines.save()
--- a/features/support/ledger_nodes.py
+++ b/features/support/ledger_nodes.py
@@ -28,6 +28,7 @@
 from bellweir.membership.interface import Member, Membership, MemberState
 from bellweir.settings.models import LedgerSettings, NodeIdentity, PlatformSettings, Settings
 from bellweir.wire.interface import (
+    LEVEL,
     Message,
     Sender,
     Transport,
@@ -142,6 +143,9 @@
     delays: dict[str, float] = field(default_factory=dict)
     """Seconds by which one-way messages are late, by the name of their type."""
 
+    levels: dict[str, int] = field(default_factory=dict)
+    """Levels of nodes whose builds are not this one."""
+
     def reaches(self, origin: str, target: str) -> bool:
         is_cut = frozenset((origin, target)) in self.cut_pairs
         is_there = origin not in self.cut and target not in self.cut and target in self.transports
@@ -179,6 +183,8 @@
     ) -> Result[Message, WireError]:
         if not self._network.reaches(self._node, address):
             return Failure(WireError(WireErrorKind.NOT_SENT, "cut"))
+        if message.level > self.peer_level(address):
+            return Failure(WireError(WireErrorKind.REFUSED, "of a later level"))
         peer = self._network.transports[address]
         if type(message) not in peer.handlers:
             return Failure(WireError(WireErrorKind.REFUSED, "no handler"))
@@ -191,6 +197,9 @@
             return Failure(WireError(WireErrorKind.NO_ANSWER, "lost"))
         return Success(answer)
 
+    def peer_level(self, address: str) -> int:
+        return self._network.levels.get(address, LEVEL)
+
     def send(self, address: str, message: Message) -> bool:
         if self._network.reaches(self._node, address):
             peer = self._network.transports[address]
@@ -233,11 +242,12 @@
     name = "items"
     dependencies = (names.LEDGER,)
 
-    def __init__(self, kernel: Kernel) -> None:
+    def __init__(self, kernel: Kernel, machine: type[ItemList]) -> None:
         self._kernel = kernel
+        self._machine = machine
 
     def start(self) -> None:
-        self._kernel.registry.find(names.LEDGER, LedgerService).register(ItemList)
+        self._kernel.registry.find(names.LEDGER, LedgerService).register(self._machine)
 
     def stop(self) -> None: ...
 
@@ -252,6 +262,7 @@
         network: MemoryNetwork,
         store: ObjectStore,
         ledger: LedgerSettings,
+        machine: type[ItemList] = ItemList,
     ) -> None:
         identity = NodeIdentity(name=name, zone=f"zone-{name}", data_folder=folder)
         settings = Settings(
@@ -272,7 +283,7 @@
             self.ledger,
             self.claims,
             self.segments,
-            ItemsService(self.kernel),
+            ItemsService(self.kernel, machine),
         ):
             self.kernel.registry.register(service)
         self.kernel.registry.start()
--- a/src/bellweir/ledger/applier.py
+++ b/src/bellweir/ledger/applier.py
@@ -16,8 +16,8 @@
     StateMachine,
 )
 from bellweir.ledger.leadership import Outcome, OutcomeFuture
-from bellweir.ledger.log_events import APPLY_FAILED
-from bellweir.ledger.machines import Codec, ShardMachines
+from bellweir.ledger.log_events import APPLY_FAILED, COMMAND_UNKNOWN
+from bellweir.ledger.machines import Codec, ShardMachines, UnknownTypeError
 
 MAXIMUM_WAITING = 8192
 """Proposals of one shard that may wait at once; more are refused, so that memory is bounded."""
@@ -32,6 +32,8 @@
         self._machine_types = tuple(machine_types)
         self.machines = ShardMachines(self._machine_types)
         self.applied_index = 0
+        self.held_index: int | None = None
+        """Index of an entry that is not applied here, nor anything after it."""
         self._waiting: dict[int, list[tuple[int, OutcomeFuture]]] = {}
         self._waiting_count = 0
         self._completed: list[tuple[OutcomeFuture, Outcome]] = []
@@ -48,13 +50,26 @@
         self._waiting_count += 1
         return future
 
-    def apply(self, entry: Entry) -> None:
-        """Apply the entry after the last applied one."""
-        outcome = self._outcome_of(entry)
+    @property
+    def is_held(self) -> bool:
+        """Whether the next entry is a command that this build does not know."""
+        return self.held_index is not None
+
+    def apply(self, entry: Entry) -> bool:
+        """Apply the entry after the last applied one; False where this build does not know it.
+
+        Others apply it, so that passing over it would make this replica's state another one.
+        """
+        try:
+            outcome = self._outcome_of(entry)
+        except UnknownTypeError:
+            self._hold(entry.index)
+            return False
         self.applied_index = entry.index
         for term, future in self._take_waiting(entry.index):
             # An entry of another term was committed here, so the waiter's own never will be.
             self.complete(future, outcome if term == entry.term else _overwritten())
+        return True
 
     def answer(self, query: Query, future: OutcomeFuture) -> None:
         """Complete a query's future from the state."""
@@ -68,6 +83,7 @@
         self.machines = ShardMachines(self._machine_types)
         self.machines.load(state)
         self.applied_index = index
+        self.held_index = None
         for waited in [at for at in self._waiting if at <= index]:
             for _, future in self._take_waiting(waited):
                 self.complete(future, _failed(LedgerErrorKind.UNKNOWN, "passed by a snapshot"))
@@ -92,6 +108,11 @@
         self._waiting_count -= len(taken)
         return taken
 
+    def _hold(self, index: int) -> None:
+        if self.held_index is None:
+            emit(COMMAND_UNKNOWN, shard=self._shard, index=index)
+        self.held_index = index
+
     def _outcome_of(self, entry: Entry) -> Outcome:
         if entry.kind == EntryKind.RECOVERED:
             self.machines.recovered(msgspec.msgpack.decode(entry.payload, type=float))
@@ -100,6 +121,8 @@
         try:
             command = self._codec.decode(entry.payload, Command)
             return Success(self.machines.apply(command))
+        except UnknownTypeError:
+            raise
         except Exception as failure:
             # Deterministic, so every replica skips the command alike and the log goes on.
             emit(APPLY_FAILED, shard=self._shard, index=entry.index, error=repr(failure))
--- a/src/bellweir/ledger/calls.py
+++ b/src/bellweir/ledger/calls.py
@@ -20,7 +20,7 @@
 from bellweir.ledger.machines import Codec
 from bellweir.ledger.messages import CallAccepted, CallOutcome, CallRefused, CallRequest
 from bellweir.ledger.node import LedgerNode
-from bellweir.wire.interface import Sender, Transport, WireErrorKind
+from bellweir.wire.interface import FIRST_LEVEL, Sender, Transport, WireErrorKind
 
 RETRY_PAUSE_S = 0.02
 """Pause before the leader of a shard is looked for again."""
@@ -207,7 +207,8 @@
         future: OutcomeFuture,
     ) -> Outcome | None:
         is_query = isinstance(call.value, Query)
-        request = CallRequest(call_id, call.shard, is_query, call.payload, left_s)
+        level = call.value.since_level if isinstance(call.value, Command) else FIRST_LEVEL
+        request = CallRequest(call_id, call.shard, is_query, call.payload, left_s, level)
         started_s = self._clock.monotonic_s()
         answer = self._transport.request(address, request, accept_s)
         if isinstance(answer, Success):
--- a/src/bellweir/ledger/interface.py
+++ b/src/bellweir/ledger/interface.py
@@ -7,10 +7,13 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from enum import Enum
+from typing import ClassVar
 
 import msgspec
 from returns.result import Result
 
+from bellweir.wire.interface import FIRST_LEVEL
+
 
 class LedgerErrorKind(Enum):
     """Why the ledger has no answer."""
@@ -30,7 +33,14 @@
 
 
 class Command(msgspec.Struct, frozen=True, tag=True):
-    """Base of commands; applied deterministically: no clock, no randomness but their fields."""
+    """Base of commands; applied deterministically: no clock, no randomness but their fields.
+
+    One that was added after a release says since which level it is there, as messages do. It enters
+    the log only while every replica of the shard is known to be of that level; until then `submit`
+    fails as unavailable. A new field that changes what a command does makes it a new command.
+    """
+
+    since_level: ClassVar[int] = FIRST_LEVEL
 
 
 class Query(msgspec.Struct, frozen=True, tag=True):
--- a/src/bellweir/ledger/leading.py
+++ b/src/bellweir/ledger/leading.py
@@ -25,6 +25,8 @@
             leadership = self._leadership
             if leadership is None or leadership.handing_over_to or self._applier.is_full:
                 return None
+            if self._applier.is_held:
+                return None
             entry = self._append_own(kind, payload)
             return self._applier.wait_for(entry.index, entry.term)
 
--- a/src/bellweir/ledger/log_events.py
+++ b/src/bellweir/ledger/log_events.py
@@ -30,6 +30,14 @@
     ("shard", "index", "error"),
     "A state machine raised on a command; the caller is told that its outcome is unknown.",
 )
+COMMAND_UNKNOWN = Event(
+    918,
+    "command_unknown",
+    Level.ERROR,
+    ("shard", "index"),
+    "A command of a later build stands in the log; this replica applies nothing from there on and"
+    " leads no more, until it runs a build that knows it.",
+)
 LEDGER_CREATED = Event(
     904,
     "ledger_created",
--- a/src/bellweir/ledger/machines.py
+++ b/src/bellweir/ledger/machines.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from bellweir.ledger.interface import Command, Query, Reply, StateMachine
+from bellweir.wire.interface import FIRST_LEVEL
 
 Encodable = Command | Query | Reply
 Kind = TypeVar("Kind", Command, Query, Reply)
@@ -21,6 +22,7 @@
 
     def __init__(self, machine_types: Iterable[type[StateMachine]]) -> None:
         self._types: dict[str, type[Any]] = {}
+        self._has_later = False
         for machine_type in machine_types:
             machine = machine_type()
             self._add(machine.command_types())
@@ -31,6 +33,16 @@
         for known in types:
             if self._types.setdefault(known.__name__, known) is not known:
                 raise ValueError(f"two ledger types are called {known.__name__}")
+            self._has_later |= getattr(known, "since_level", FIRST_LEVEL) > FIRST_LEVEL
+
+    def level_of(self, payload: bytes) -> int:
+        """Level since which an encoded command is known; looked up only where any is a later one.
+
+        Raises as `decode`.
+        """
+        if not self._has_later:
+            return FIRST_LEVEL
+        return self.decode(payload, Command).since_level
 
     def encode(self, value: Encodable) -> bytes:
         """Bytes of a command, query or reply."""
--- a/src/bellweir/ledger/messages.py
+++ b/src/bellweir/ledger/messages.py
@@ -4,7 +4,7 @@
 
 from bellweir.ledger.entries import Entry, ReplicaId, ReplicaSet
 from bellweir.ledger.placement import Placement
-from bellweir.wire.interface import Message
+from bellweir.wire.interface import FIRST_LEVEL, Message
 
 
 class VoteRequest(Message, frozen=True, tag=True):
@@ -117,6 +117,13 @@
     payload: bytes
     patience_s: float
     """Time for which the caller waits for the outcome."""
+    command_level: int = FIRST_LEVEL
+    """Level since which the command is known: a leader that does not know it must not append it."""
+
+    @property
+    def level(self) -> int:
+        """As the command's."""
+        return self.command_level
 
 
 class RelayedCall(Message, frozen=True, tag=True):
@@ -131,6 +138,13 @@
     payload: bytes
     patience_s: float
     """Time for which the caller waits for the outcome."""
+    command_level: int = FIRST_LEVEL
+    """As of a `CallRequest`."""
+
+    @property
+    def level(self) -> int:
+        """As the command's."""
+        return self.command_level
 
 
 class CallAccepted(Message, frozen=True, tag=True):
--- a/src/bellweir/ledger/node.py
+++ b/src/bellweir/ledger/node.py
@@ -6,14 +6,17 @@
 
 import threading
 from collections.abc import Callable, Iterable
+from concurrent.futures import Future
 from contextlib import suppress
 from dataclasses import dataclass
 
+from returns.result import Failure
+
 from bellweir.events.log import emit
 from bellweir.kernel.clock import Clock
 from bellweir.ledger.applier import Applier
 from bellweir.ledger.entries import EntryKind, ReplicaId, ReplicaSet
-from bellweir.ledger.interface import Query, StateMachine
+from bellweir.ledger.interface import LedgerError, LedgerErrorKind, Query, StateMachine
 from bellweir.ledger.journal import (
     ForgetShard,
     Journal,
@@ -41,7 +44,7 @@
 from bellweir.ledger.replica_state import ReplicaTiming
 from bellweir.ledger.replicator import Replicator
 from bellweir.ledger.snapshots import MAXIMUM_SNAPSHOT_BYTES, IncomingSnapshot
-from bellweir.wire.interface import Sender, Transport
+from bellweir.wire.interface import FIRST_LEVEL, Sender, Transport
 
 AddressOf = Callable[[str], str | None]
 """Peer address of a node by its name, as far as membership knows it."""
@@ -158,11 +161,22 @@
     def propose(self, shard: int, payload: bytes) -> OutcomeFuture | None:
         """Append a command as the leader of its shard; None when not leading."""
         replica = self._replicas.get(shard)
+        if replica is not None and not self._all_know(replica, self.codec.level_of(payload)):
+            return _not_known_by_all()
         future = replica.propose(EntryKind.COMMAND, payload) if replica else None
         if future is not None:
             self.wake()
         return future
 
+    def _all_know(self, replica: Replica, level: int) -> bool:
+        """Whether the builds of all of a shard's replicas are known to be of a level."""
+        if level == FIRST_LEVEL or replica.leader != self.own:
+            return True
+        others = {other.node for other in replica.log.replicas.everyone} - {self.name}
+        addresses = [self._address_of(node) for node in others]
+        levels = [self._transport.peer_level(one) if one else None for one in addresses]
+        return all(known is not None and known >= level for known in levels)
+
     def read(self, shard: int, query: Query) -> OutcomeFuture | None:
         """Answer a query as the leader of its shard; None when not leading."""
         replica = self._replicas.get(shard)
@@ -368,3 +382,11 @@
         """Drop a replica whose shard was recovered without it; it rejoins as a learner."""
         emit(SHARD_FORGOTTEN, shard=replica.shard, generation=generation)
         self._start_empty(replica.shard, generation)
+
+
+def _not_known_by_all() -> OutcomeFuture:
+    """The outcome of a command that a replica's build may not know."""
+    refused: OutcomeFuture = Future()
+    detail = "not every replica is known to be of a build that can apply it"
+    refused.set_result(Failure(LedgerError(LedgerErrorKind.UNAVAILABLE, detail)))
+    return refused
--- a/src/bellweir/ledger/relayed_calls.py
+++ b/src/bellweir/ledger/relayed_calls.py
@@ -28,7 +28,7 @@
 from bellweir.ledger.machines import Codec
 from bellweir.ledger.messages import CallAccepted, CallOutcome, CallRefused, RelayedCall
 from bellweir.membership.interface import Member, Membership
-from bellweir.wire.interface import Sender, Transport, WireErrorKind
+from bellweir.wire.interface import FIRST_LEVEL, Sender, Transport, WireErrorKind
 
 DIRECT_SEARCH_S = 0.8
 """Time in which a leader must take a call up on its own way before the other one is tried. An
@@ -168,7 +168,8 @@
         future = self._outcomes.expect(call_id)
         is_query = isinstance(value, Query)
         payload = self._codec.encode(value)
-        message = RelayedCall(call_id, key, is_query, payload, RELAY_SHARE * left_s)
+        level = value.since_level if isinstance(value, Command) else FIRST_LEVEL
+        message = RelayedCall(call_id, key, is_query, payload, RELAY_SHARE * left_s, level)
         began_s = self._clock.monotonic_s()
         try:
             answer = self._transport.request(
--- a/src/bellweir/ledger/replica_state.py
+++ b/src/bellweir/ledger/replica_state.py
@@ -170,7 +170,8 @@
             return
         self.commit_index = index
         while self._applier.applied_index < index:
-            self._applier.apply(self.log.entry(self._applier.applied_index + 1))
+            if not self._applier.apply(self.log.entry(self._applier.applied_index + 1)):
+                break
 
     def _follow(self, term: int, leader: ReplicaId | None) -> None:
         if self._leadership is not None:
@@ -217,6 +218,8 @@
     def compact_when_due(self) -> bool:
         """Take a snapshot when the log has grown; keep some entries for followers close behind."""
         with self.locked():
+            if self._applier.is_held:
+                return False
             # A large state is saved less often, so that a commit's share of saving it is bounded.
             limit = max(
                 self._timing.snapshot_entries, self._snapshot_bytes // SNAPSHOT_BYTES_PER_ENTRY
--- a/src/bellweir/ledger/voting.py
+++ b/src/bellweir/ledger/voting.py
@@ -19,6 +19,9 @@
         """Start an election when the leader is silent; resign when the followers are."""
         with self.locked():
             leadership = self._leadership
+            if leadership is not None and self._applier.is_held:
+                self._resign("a command that this build does not know")
+                return []
             if leadership is not None:
                 heard_s = leadership.heard_majority_s(self.log.replicas, now_s)
                 if now_s - heard_s > self._timing.election_timeout_s:
@@ -52,7 +55,8 @@
     def _may_stand(self) -> bool:
         replicas = self.log.replicas
         # The only voter stands also when it leaves: there is nobody else.
-        return self.own in replicas.voters and (self.stands or replicas.majority == 1)
+        is_able = not self._applier.is_held and (self.stands or replicas.majority == 1)
+        return self.own in replicas.voters and is_able
 
     def _start_election(self, now_s: float, *, preliminary: bool) -> list[VoteRequest]:
         self._election_due_s = now_s + self._random_timeout_s()
--- a/src/bellweir/wire/interface.py
+++ b/src/bellweir/wire/interface.py
@@ -35,6 +35,11 @@
 
     since_level: ClassVar[int] = FIRST_LEVEL
 
+    @property
+    def level(self) -> int:
+        """Level that a build must have to be sent this message."""
+        return self.since_level
+
 
 AnyMessage = TypeVar("AnyMessage", bound=Message)
 
@@ -100,10 +105,20 @@
     def send(self, address: str, message: Message) -> bool:
         """Queue a one-way message; best effort. False when the peer's queue is full."""
 
+    def peer_level(self, address: str) -> int | None:
+        """Level of the build at `host:port`; None while no connection to it has told.
+
+        By default all nodes are of this build.
+        """
+        return LEVEL
+
     def knows(self, address: str, message_type: type[Message]) -> bool | None:
         """Whether the node at `host:port` knows a type of message.
 
         None while no connection to it has told: then it may be sent all the same, since the
         transport leaves out what the other end turns out not to know.
         """
-        return True if message_type.since_level == FIRST_LEVEL else None
+        if message_type.since_level == FIRST_LEVEL:
+            return True
+        level = self.peer_level(address)
+        return None if level is None else message_type.since_level <= level
--- a/src/bellweir/wire/service.py
+++ b/src/bellweir/wire/service.py
@@ -18,7 +18,6 @@
 from bellweir.wire.handler_pools import HandlerPools, HopLimitError, next_hop
 from bellweir.wire.handshake import LocalNode
 from bellweir.wire.interface import (
-    FIRST_LEVEL,
     AnyMessage,
     Handler,
     Message,
@@ -138,7 +137,7 @@
             except FrameError as failure:
                 link.forget(pending)
                 return _not_sent(str(failure))
-            if link.offer(QueuedFrame(data, pending, message.since_level)):
+            if link.offer(QueuedFrame(data, pending, message.level)):
                 return _wait_for_answer(link, pending, left_s)
             link.forget(pending)
             outcome = _not_sent("the peer's queue is full")
@@ -154,16 +153,13 @@
             data = with_length(encode_struct(OneWay(0, body)))
         except FrameError:
             return False
-        return link.offer(QueuedFrame(data, level=message.since_level))
+        return link.offer(QueuedFrame(data, level=message.level))
 
-    def knows(self, address: str, message_type: type[Message]) -> bool | None:
-        """Whether a peer knows a type of message; see the interface."""
-        if message_type.since_level == FIRST_LEVEL:
-            return True
+    def peer_level(self, address: str) -> int | None:
+        """Level that a peer's build has told; see the interface."""
         with self._lock:
             link = self._links.get(address)
-        level = link.level if link is not None else None
-        return None if level is None else message_type.since_level <= level
+        return link.level if link is not None else None
 
     def _link_to(self, address: str) -> PeerLink | None:
         with self._lock:
