Use what workers say they have; the tests of room by incarnation

Change: one field; what a worker said of its requests up to a tenth of a second ago goes before what gateways know of them. hosted_room's own steps look the incarnation up.

--- a/features/hosted_room.feature
+++ b/features/hosted_room.feature
@@ -77,6 +77,17 @@
     When a client sends a request that must be answered within 300 ms
     Then it gets 503, no worker ran it, and it may come back within a third of its time
 
+  Scenario Outline: Workers that say themselves how much they have
+    Given a gateway whose workers are known, each with 0 requests of others in hand
+    And each of them said <before> ms ago that it had 60
+    When a client sends a request that must be answered within 300 ms
+    Then it gets <status>
+
+    Examples:
+      | before | status |
+      | 20     | 503    |
+      | 400    | 200    |
+
   Scenario Outline: The priority of a request goes with it to engines
     Given a gateway before <service> whose tenants have priorities
     When <who> sends a request to a route of priority 3
--- a/features/steps/hosted_room_gateway_steps.py
+++ b/features/steps/hosted_room_gateway_steps.py
@@ -9,9 +9,9 @@
 from bellweir.events.log import configure_logs
 from bellweir.explanation.cause import explain
 from bellweir.explanation.lines import read_lines
-from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.settings import RoomSettings
 from bellweir.hosted.sight.interface import WorkerSeen
+from bellweir.hosted.sight.worker_load import WorkerLoad
 from bellweir_rehearsal.hosted.worker import WorkerStandIn
 
 USUAL_S = 0.1
@@ -29,7 +29,7 @@
 
 def start(context, in_hand, room_settings=None):
     context.workers = {name: WorkerStandIn(f"i-{name}") for name in "ab"}
-    context.gateway = GatewayUnderTest(list(context.workers.values()), room_settings)
+    context.gateway = GatewayUnderTest(list(context.workers.values()), room_settings=room_settings)
     context.cleanup.callback(context.gateway.close)
     for worker in context.workers.values():
         context.cleanup.callback(worker.close)
@@ -42,11 +42,11 @@
     context.cleanup.callback(configure_logs, "info", "json", io.StringIO())
 
 
-def see(context, in_hand, names="ab", age_s=0.05, *, is_set_aside=False):
+def see(context, in_hand, names="ab", age_s=0.05, **more):
     for name in names:
-        incarnation = Incarnation(f"i-{name}")
+        incarnation = context.gateway.workers.worker(f"i-{name}").incarnation
         context.gateway.known_workers.told[incarnation] = WorkerSeen(
-            incarnation, in_hand, USUAL_S, USUAL_S, age_s, is_set_aside=is_set_aside
+            incarnation, in_hand, USUAL_S, USUAL_S, age_s, **more
         )
 
 
@@ -81,6 +81,11 @@
     see(context, 0, "a", is_set_aside=True)
 
 
+@given_step("each of them said {before:d} ms ago that it had {number:d}")
+def given_told(context, before, number):
+    see(context, 0, load=WorkerLoad(8, number - 8, 8), load_age_s=before / 1000)
+
+
 @given_step("a gateway before {service} whose tenants have priorities")
 def given_tenants(context, service):
     start(context, 0)
--- a/features/support/hosted_gateway.py
+++ b/features/support/hosted_gateway.py
@@ -90,7 +90,7 @@
         self.metrics = RequestMetrics()
         self.usage = UsageCounter(USAGE_WINDOW_S, TrueTime())
         self.known_workers = WorkersSeen()
-        room = ObservedRoom(self.loads.in_hand, self.loads.mean_s, self.known_workers)
+        room = ObservedRoom(self.loads.in_hand, self.loads.mean_s, sight or self.known_workers)
         self.room_settings = room_settings or RoomSettings()
         self.refused = []
         self.gate = RequestGate(room, self.room_settings, self.refused.append)
--- a/src/bellweir/hosted/interface.py
+++ b/src/bellweir/hosted/interface.py
@@ -39,8 +39,6 @@
     """On a client's request: its key. Never sent to a worker of a deployment with tenants."""
     server_load: str
     """On a worker's answer: requests running, waiting, slots, and how long work takes there now."""
-    urgency: str
-    """On a request to an engine: its rank among those that wait there, 0 first."""
 
     @property
     def of_client_only(self) -> frozenset[str]:
--- a/src/bellweir/hosted/room/observed.py
+++ b/src/bellweir/hosted/room/observed.py
@@ -13,6 +13,9 @@
 answered by then. Beyond it, and while cut off, this gateway's own requests alone count; they are
 fewer, so that it rather starts a request than refuses it."""
 
+TOLD_STALE_S = 0.1
+"""Age up to which the requests count that a worker says it has: a few answers' time."""
+
 
 class ObservedRoom:
     """Puts together what is known of each worker. Safe for threads."""
@@ -45,6 +48,9 @@
             usual_s = seen.usual_s
             if seen.age_s <= STALE_S:
                 in_hand, age_s = max(in_hand, seen.in_hand), seen.age_s
+            if seen.load is not None and seen.load_age_s <= TOLD_STALE_S:
+                in_hand, age_s = float(max(in_hand, seen.load.requests)), seen.load_age_s
+                slots = seen.load.slots or slots
         usual_s = usual_s or self._mean_s(incarnation)
         service_s = self._service_times.learn(incarnation, usual_s, in_hand, slots)
         return WorkerRoom(slots, in_hand, service_s, age_s)
