--- a/features/hosted_judgement.feature
+++ b/features/hosted_judgement.feature
@@ -27,6 +27,15 @@
   Scenario: Sound workers of two kinds whose times vary widely
     Then at 10 loads of 6 slower and 2 faster workers no more than 1 in 40 is ever set aside
 
+  Scenario Outline: Requests that fail wherever they go
+    Then at 10 loads of <workers> workers that fail <percent>% alike no more than 1 in 10 is ever set aside
+
+    Examples:
+      | workers | percent |
+      | 5       | 10      |
+      | 5       | 25      |
+      | 4       | 50      |
+
   Scenario: A worker that is well again returns by trials
     Given 4 workers are judged of which one fails everything for 10 s
     Then it is set aside, and it serves again within 45 s
--- a/features/steps/hosted_judgement_steps.py
+++ b/features/steps/hosted_judgement_steps.py
@@ -105,6 +105,24 @@
     assert aside <= 8 * loads / 40, aside
 
 
+@then(
+    "at {loads:d} loads of {count:d} workers that fail {percent:d}% alike no more than 1 in 10 is "
+    "ever set aside"
+)
+def then_fail_alike(context, loads, count, percent):
+    aside = 0
+    for seed in range(loads):
+        load = ReplayedLoad(count, seed)
+
+        def outcome_of(_one, _now_s, load=load):
+            failed = load.random.random() < percent / 100
+            return SeenOutcome.FAILED if failed else SeenOutcome.SERVED, USUAL_S
+
+        load.run(outcome_of, 20.0)
+        aside += len({change.incarnation for _, change in load.verdicts})
+    assert aside <= count * loads / 10, aside
+
+
 @given_step("{count:d} workers are judged of which one fails everything for 10 s")
 def given_bad_for_a_while(context, count):
     context.load = load = ReplayedLoad(count)
