--- a/features/hosted_sight.feature
+++ b/features/hosted_sight.feature
@@ -32,6 +32,11 @@
     When one of them is told a worker's load with an answer
     Then all know the load after the rounds that tell all, as old as it is
 
+  Scenario: Each mechanism is switched off by itself
+    Then a sight that sets nobody aside does not, whatever fails
+    And a sight without a bound allows any number of further tries
+    And a sight that does not use workers' own load knows none
+
   Scenario: A gateway that is cut off
     Given 6 gateways in 2 zones that have told each other of requests in hand
     When one of them is cut off and goes on seeing requests
--- a/features/steps/hosted_sight_steps.py
+++ b/features/steps/hosted_sight_steps.py
@@ -15,6 +15,7 @@
 from bellweir.hosted.sight.exchange import ALONE_AFTER_S, PERIOD_S
 from bellweir.hosted.sight.fellows import rounds_to_all
 from bellweir.hosted.sight.interface import SeenOutcome
+from bellweir.hosted.sight.shared import SharedSight
 from bellweir.hosted.sight.table import IN_HAND_LIFE_S, SightTable
 from bellweir.hosted.sight.worker_load import WorkerLoad
 
@@ -275,3 +276,41 @@
         seen = one.sight.seen(context.worker)
         assert (seen.load.requests, seen.load.slots, seen.load.pace) == (7, 6, 300)
         assert abs(seen.load_age_s - age_s) < 0.05, (seen.load_age_s, age_s)
+
+
+def lone_sight(**switches):
+    table = SightTable("g-0", "z-0", 1)
+    return SharedSight(table, lambda: {SERVICE: WORKERS}, now_s=lambda: 0.0, **switches)
+
+
+def see_one_fail(sight, times=20):
+    for _ in range(times):
+        for worker, outcome in zip(WORKERS, (SeenOutcome.FAILED, SeenOutcome.SERVED), strict=True):
+            sight.begun_again(SERVICE, worker)
+            sight.ended(worker, outcome, 0.1)
+    sight.look()
+
+
+@then("a sight that sets nobody aside does not, whatever fails")
+def then_nobody_aside(context):
+    for sets_aside in (True, False):
+        sight = lone_sight(sets_aside=sets_aside)
+        see_one_fail(sight)
+        assert sight.seen(WORKERS[0]).is_set_aside == sets_aside
+
+
+@then("a sight without a bound allows any number of further tries")
+def then_unbound(context):
+    for share in (0.5, 0.0):
+        sight = lone_sight(try_share=share)
+        see_one_fail(sight)
+        assert sight.may_try_again(SERVICE) == (share == 0.0)
+
+
+@then("a sight that does not use workers' own load knows none")
+def then_no_load(context):
+    for uses in (True, False):
+        sight = lone_sight(uses_worker_load=uses)
+        sight.load_told(WORKERS[0], WorkerLoad(1, 0, 4))
+        see_one_fail(sight, 1)
+        assert (sight.seen(WORKERS[0]).load is not None) == uses
