Don't count the memory of engines at its most unless a deployment asks for it

Change: batches.countMemory is off by default. Test: the scenario of hosted_steps asks for the setting now and checks what it did.

--- a/features/hosted_steps.feature
+++ b/features/hosted_steps.feature
@@ -32,7 +32,7 @@
     And the engines are told that its other group is less urgent
 
   Scenario: A text that does not fit into an engine's memory beside others
-    Given a leader with model workers and scorers
+    Given a leader that counts the memory of engines
     And the engines have memory for 100 tokens and each item takes 40
     And the workers stream slowly
     When a job of 12 items in 3 groups is accepted
--- a/features/steps/hosted_steps_steps.py
+++ b/features/steps/hosted_steps_steps.py
@@ -8,7 +8,7 @@
 from behave import given as given_step
 from behave import then, when
 from bench.step_replay import ORDERS, PLACEMENTS, Replay, loads
-from features.support.hosted_jobs import HOST, configuration, make_job
+from features.support.hosted_jobs import HOST, configuration, make_job, make_leader
 from hypothesis import given, settings
 
 from bellweir.hosted.batches.attempts import ItemAttempts
@@ -33,6 +33,7 @@
 from bellweir.hosted.records import Configuration
 from bellweir.hosted.serving.attempt import WorkerConnections
 from bellweir.hosted.serving.selection import WorkerLoads
+from bellweir.hosted.settings import BatchSettings
 from bellweir.hosted.views.configuration import RouteTable
 from bellweir_platform.headers import HEADERS
 
@@ -279,6 +280,11 @@
     assert sorted(value or "" for value in told.values()) == [""] * 4 + ["7"] * 4, told
 
 
+@given_step("a leader that counts the memory of engines")
+def given_counting_leader(context):
+    context.leader = make_leader(context, policy=BatchSettings(count_memory=True))
+
+
 @given_step("the engines have memory for {tokens:d} tokens and each item takes {each:d}")
 def given_memory(context, tokens, each):
     spec = configuration()
--- a/features/support/hosted_jobs.py
+++ b/features/support/hosted_jobs.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Success
 
 from bellweir.hosted.batches.attempts import ItemAttempts
-from bellweir.hosted.batches.coordinator import Coordinator
+from bellweir.hosted.batches.coordinator import DEFAULT_POLICY, Coordinator
 from bellweir.hosted.batches.retention import JobRetention
 from bellweir.hosted.batches.state import BatchJobs, Job, JobItem, Scorer
 from bellweir.hosted.interface import Listing, StoredRecord
@@ -118,7 +118,7 @@
     return {"version": 1, "routes": routes, "services": [{"name": "llm"}, {"name": "app"}]}
 
 
-def make_leader(context, backends=(), workers_each=2):
+def make_leader(context, backends=(), workers_each=2, policy=DEFAULT_POLICY):
     """A coordinator that leads, `workers_each` model workers of each service and two scorers.
 
     With `backends`, services with their weights, the items' route is split between them; the
@@ -147,7 +147,7 @@
     connections = WorkerConnections(HEADERS)
     context.cleanup.callback(connections.forget_others, set())
     attempts = ItemAttempts(connections, loads)
-    coordinator = Coordinator(ledger, view, workers, loads, attempts, executors)
+    coordinator = Coordinator(ledger, view, workers, loads, attempts, executors, policy)
     executors.run_task("coordinator", coordinator.run)
     executors.run_task("committer", coordinator.committer.run)
     executors.run_task("retention", JobRetention(ledger, 120.0).run)
--- a/src/bellweir/hosted/settings.py
+++ b/src/bellweir/hosted/settings.py
@@ -137,8 +137,9 @@
     place_by_end: bool = True
     """Where engines are uneven, place texts by when they would end there: long ones may wait a
     moment for a fast engine, short ones take what is free."""
-    count_memory: bool = True
-    """Run no more texts at an engine than its memory has room for."""
+    count_memory: bool = False
+    """Run no more texts at an engine than its memory has room for if each gets as long as it may.
+    For engines whose texts mostly do; where most are short it leaves places empty."""
     tell_urgency: bool = True
     """Tell engines which texts are less urgent than others."""
     nearby_reads: bool = True
