Refuse by what others have in hand only while that word is fresh

Cause: gateways that hear of each other late refuse together and start together.

Change: others' requests in hand count up to an age of half of the request's target; older ones only for times to come back. This gateway's own requests always count.

--- a/experiments/room.py
+++ b/experiments/room.py
@@ -14,6 +14,7 @@
 from bellweir.hosted.queueing.return_times import FromRates
 from bellweir.hosted.queueing.start_time_fair import StartTimeFair
 from bellweir.hosted.room.judge import ExpectedTimes
+from bellweir.hosted.room.observed import FRESH_SHARE
 
 USUAL_S = 0.0375
 LARGE = {"large": 0.8} | {f"small-{number}": 0.02 for number in range(10)}
@@ -71,6 +72,27 @@
                 print(f"{'  of the others':22}", _line(small))
 
 
+def ages(seeds):
+    """One large tenant, by how often gateways hear of each other and the age that counts."""
+    rate, times_s, tenants = LOADS["one large tenant"]
+    for sight_age_s, gateways in ((0.1, 4), (0.1, 12), (0.5, 4), (0.5, 12)):
+        for share in (None, 0.25, FRESH_SHARE, 1.0, float("inf")):
+            total = Counter()
+            for seed in seeds:
+                drawn = random.Random(seed)
+                kept = [FromRates(drawn.random) for _ in range(gateways)]
+                decides = share is not None
+                judge = ExpectedTimes(waits=decides, refuses=decides, sheds=decides)
+                how = {
+                    "gateways": gateways,
+                    "sight_age_s": sight_age_s,
+                    "fresh_share": share or 0.0,
+                }
+                replay = Replay(judge, StartTimeFair, kept.__getitem__, times_s, **how)
+                total += replay.run(burst(seed, rate, tenants=tenants))
+            print(f"{gateways} gateways, {sight_age_s} s, share {share}:", _line(total))
+
+
 def _line(found):
     total = sum(found.values())
     counts = Counter()
@@ -81,3 +103,4 @@
 
 if __name__ == "__main__":
     main()
+    ages((1, 2))
--- a/features/hosted_room.feature
+++ b/features/hosted_room.feature
@@ -15,6 +15,11 @@
     Then more are answered in time than where every request starts at once, with half of the offers
     And no more waited than the queue may hold
 
+  Scenario: A burst beyond all workers, among gateways that hear of each other late
+    Given requests beyond all workers for 10 s
+    And 12 gateways that hear of each other each 500 ms
+    Then more are answered in time than where every request starts at once, and no more are refused
+
   Scenario: A large tenant beside small ones
     Given a tenant with 80% of the requests, beyond all workers for 10 s
     Then small tenants are served in time more often than the large one
--- a/features/steps/hosted_room_steps.py
+++ b/features/steps/hosted_room_steps.py
@@ -39,9 +39,10 @@
 
 
 def play(context, order=StartTimeFair, reserve=True, **switches):
-    kept = [FromRates(random.Random(3).random) for _ in range(4)]
+    kept = [FromRates(random.Random(3).random) for _ in range(getattr(context, "gateways", 4))]
     judge = ExpectedTimes(**switches)
-    replay = Replay(judge, order, kept.__getitem__, context.times_s, reserve=reserve)
+    more = {"gateways": len(kept), "sight_age_s": getattr(context, "sight_age_s", 0.1)}
+    replay = Replay(judge, order, kept.__getitem__, context.times_s, reserve=reserve, **more)
     found = replay.run(context.arrivals)
     assert sum(found.values()) == len(context.arrivals), "a client has no end"
     return replay, found
@@ -83,6 +84,20 @@
     context.arrivals, context.times_s = burst(1, 60), HALF_SLOW
 
 
+@given_step("{number:d} gateways that hear of each other each {milliseconds:d} ms")
+def given_gateways(context, number, milliseconds):
+    context.gateways, context.sight_age_s = number, milliseconds / 1000
+
+
+@then("more are answered in time than where every request starts at once, and no more are refused")
+def then_more_though_late(context):
+    _, starting = play_starting(context)
+    _, found = play(context)
+    assert share(found, IN_TIME) > share(starting, IN_TIME), (found, starting)
+    lost = ("refused", "lost")
+    assert share(found, lost) < share(starting, lost) + 0.01, (found, starting)
+
+
 @given_step("a tenant with 80% of the requests, beyond all workers for 10 s")
 def given_large(context):
     context.arrivals = burst(1, 60, tenants=LARGE)
--- a/features/support/room_replay.py
+++ b/features/support/room_replay.py
@@ -13,6 +13,7 @@
 from bellweir.hosted.queueing.interface import Outlook, Release, Waiting
 from bellweir.hosted.queueing.shares import RecentShares
 from bellweir.hosted.room.interface import Verdict, WorkerRoom
+from bellweir.hosted.room.observed import FRESH_SHARE
 
 WORKER_QUEUE = 24
 TICK_S = 0.005
@@ -38,6 +39,7 @@
         sight_age_s=0.1,
         longest=64,
         reserve=True,
+        fresh_share=FRESH_SHARE,
     ):
         self.judge, self.return_times, self.times_s = judge, return_times, times_s
         self.slots, self.retries, self.sight_age_s = slots, retries, sight_age_s
@@ -56,6 +58,7 @@
         self.random = random.Random(5)
         self._events, self._number = [], itertools.count()
         self._ids, self.looking = {}, set()
+        self.shared_s, self.fresh_s = 0.0, fresh_share * target_s
 
     def run(self, arrivals, until_s=60.0):
         for at_s, tenant, priority in arrivals:
@@ -79,11 +82,15 @@
             [total - own for total, own in zip(self.in_hand, mine, strict=True)]
             for mine in self.own
         ]
+        self.shared_s = now_s
         self._at(now_s + self.sight_age_s, self._share)
 
-    def _room(self, gateway):
+    def _room(self, gateway, now_s, oldest_s=float("inf")):
+        """As `room.observed` has it: the others' requests count while the word is fresh."""
+        age_s = now_s - self.shared_s
+        is_fresh = age_s <= oldest_s
         return [
-            WorkerRoom(self.slots, others + own, time_s, self.sight_age_s)
+            WorkerRoom(self.slots, own + is_fresh * others, time_s, age_s if is_fresh else 0.0)
             for others, own, time_s in zip(
                 self.others[gateway], self.own[gateway], self.times_s, strict=True
             )
@@ -104,7 +111,7 @@
         line = self.lines[gateway]
         client.tries += 1
         self._ids[id(waiting)] = client, waiting
-        judgement, displaced = line.ask(waiting, self._room(gateway), now_s)
+        judgement, displaced = line.ask(waiting, self._room(gateway, now_s, self.fresh_s), now_s)
         self.longest_line = max(self.longest_line, len(line))
         if displaced is not None:
             self._refuse(now_s, gateway, self._ids[id(displaced)][0])
@@ -118,7 +125,7 @@
 
     def _look(self, now_s, gateway):
         line = self.lines[gateway]
-        for released in line.look(self._room(gateway), now_s):
+        for released in line.look(self._room(gateway, now_s, self.fresh_s), now_s):
             client = self._ids[id(released.waiting)][0]
             if released.release in (Release.ROOM, Release.OVERDUE):
                 self._offer(now_s, gateway, client)
@@ -132,7 +139,7 @@
     def _offer(self, now_s, gateway, client):
         """At the best worker; a full one refuses, and the others are tried in turn."""
         self.lines[gateway].arrived()
-        rooms = self._room(gateway)
+        rooms = self._room(gateway, now_s)
         self.started.append((now_s, client.tenant))
         for number in sorted(range(len(rooms)), key=lambda each: rooms[each].end_s()):
             self.offered += 1
@@ -177,7 +184,7 @@
         left_s = client.began_s + self.deadline_s - now_s
         if client.tries > self.retries or left_s <= 0:
             return self._end(client, "refused")
-        rooms = self._room(gateway)
+        rooms = self._room(gateway, now_s)
         line = self.lines[gateway]
         own = sum(self.own[gateway])
         outlook = Outlook.of(rooms, self.target_s, len(line), own)
--- a/src/bellweir/hosted/queueing/gate.py
+++ b/src/bellweir/hosted/queueing/gate.py
@@ -13,7 +13,7 @@
 from bellweir.hosted.queueing.start_time_fair import StartTimeFair
 from bellweir.hosted.room.interface import Judgement, Verdict
 from bellweir.hosted.room.judge import ExpectedTimes
-from bellweir.hosted.room.observed import ObservedRoom
+from bellweir.hosted.room.observed import ESTIMATE_S, FRESH_SHARE, ObservedRoom
 from bellweir.hosted.settings import RoomSettings
 from bellweir.hosted.views.workers import Worker
 
@@ -96,7 +96,7 @@
         now_s = self._now_s()
         ticket = _Ticket()
         with line.lock:
-            rooms = self._room.of(workers)
+            rooms = self._room.of(workers, FRESH_SHARE * waiting.target_s)
             judgement, displaced = line.admissions.ask(waiting, rooms, now_s)
             if judgement.verdict is Verdict.WAIT:
                 line.tickets[id(waiting)] = ticket
@@ -123,7 +123,7 @@
                 if has_left() and line.admissions.leave(waiting):
                     line.tickets.pop(id(waiting), None)
                     return False
-                self._look(line, workers)
+                self._look(line, workers, FRESH_SHARE * waiting.target_s)
         waited_s = self._now_s() - waiting.arrived_s
         released = ticket.released
         if released is None:
@@ -143,8 +143,8 @@
         )
         return True
 
-    def _look(self, line: _Line, workers: Sequence[Worker]) -> None:
-        rooms = self._room.of(workers)
+    def _look(self, line: _Line, workers: Sequence[Worker], oldest_s: float) -> None:
+        rooms = self._room.of(workers, oldest_s)
         for released in line.admissions.look(rooms, self._now_s()):
             line.let_go(released)
 
@@ -181,7 +181,7 @@
         """Seconds after which a refused client is to come back; None where that is switched off."""
         if not self._settings.return_from_room:
             return None
-        rooms = self._room.of(workers)
+        rooms = self._room.of(workers, ESTIMATE_S)
         own = sum(self._room.own_in_hand(worker) for worker in workers)
         outlook = Outlook.of(rooms, target_s, len(self._line(service).admissions), own)
         after_s = self._return_times.after_s(service, outlook, left_s, left_share, self._now_s())
--- a/src/bellweir/hosted/room/observed.py
+++ b/src/bellweir/hosted/room/observed.py
@@ -8,13 +8,13 @@
 from bellweir.hosted.sight.interface import Sight
 from bellweir.hosted.views.workers import Worker
 
-STALE_S = 1.0
-"""Age up to which the others' requests in hand count: most requests of a plain service are long
-answered by then. Beyond it, and while cut off, this gateway's own requests alone count; they are
-fewer, so that it rather starts a request than refuses it."""
-
-TOLD_STALE_S = 0.1
-"""Age up to which the requests count that a worker says it has: a few answers' time."""
+FRESH_SHARE = 0.5
+"""Share of a request's target up to which the age of a word on requests in hand may be for it to
+count. All gateways that hear an older one refuse together, then start together. Without it, and
+while cut off, this gateway's own requests alone count; they are fewer, so that it rather starts a
+request than refuses it."""
+ESTIMATE_S = 1.0
+"""Age up to which it counts for a time to come back, which is only an estimate."""
 
 
 class ObservedRoom:
@@ -32,23 +32,26 @@
         self._sight = sight
         self._service_times = ServiceTimes()
 
-    def of(self, workers: Sequence[Worker]) -> list[WorkerRoom]:
-        """What is known of a service's workers; those set aside count where all are."""
+    def of(self, workers: Sequence[Worker], oldest_s: float) -> list[WorkerRoom]:
+        """What is known of a service's workers; those set aside count where all are.
+
+        Others' requests in hand count up to an age of `oldest_s`.
+        """
         sight = self._sight
         if sight is None:
-            return [self._of_one(worker) for worker in workers]
+            return [self._of_one(worker, oldest_s) for worker in workers]
         well = [one for one in workers if not sight.seen(one.incarnation).is_set_aside]
-        return [self._of_one(worker) for worker in well or workers]
+        return [self._of_one(worker, oldest_s) for worker in well or workers]
 
-    def _of_one(self, worker: Worker) -> WorkerRoom:
+    def _of_one(self, worker: Worker, oldest_s: float) -> WorkerRoom:
         incarnation, slots = worker.incarnation, worker.entry.slots
         in_hand, usual_s, age_s = float(self._in_hand(incarnation)), 0.0, 0.0
         if self._sight is not None:
             seen = self._sight.seen(incarnation)
             usual_s = seen.usual_s
-            if seen.age_s <= STALE_S:
+            if seen.age_s <= oldest_s:
                 in_hand, age_s = max(in_hand, seen.in_hand), seen.age_s
-            if seen.load is not None and seen.load_age_s <= TOLD_STALE_S:
+            if seen.load is not None and seen.load_age_s <= oldest_s:
                 in_hand, age_s = float(max(in_hand, seen.load.requests)), seen.load_age_s
                 slots = seen.load.slots or slots
         usual_s = usual_s or self._mean_s(incarnation)
@@ -57,7 +60,7 @@
 
     def share_taken(self, workers: Sequence[Worker]) -> float:
         """Requests in hand of a service's workers for each of their slots; 0 without workers."""
-        rooms = self.of(workers)
+        rooms = self.of(workers, ESTIMATE_S)
         return sum(room.in_hand for room in rooms) / max(1, sum(room.slots for room in rooms))
 
     def own_in_hand(self, worker: Worker) -> int:
