A stopping gateway answers what it accepted last

Change: after it has closed its listener a gateway waits, within the same time for its stop, until what it accepted last is answered.

Test: hosted_forwarding, a client that a stopping gateway accepts last; failed first (RemoteDisconnected).

--- a/features/hosted_forwarding.feature
+++ b/features/hosted_forwarding.feature
@@ -93,3 +93,8 @@
     Given both workers take 3 s
     When a client sends an idempotent request and leaves
     Then the gateway ends its attempt within half a second
+
+  Scenario: A client that a stopping gateway accepts last
+    Given both workers take 1 s
+    When the gateway stops as planned, and a client's request is there as it closes its listener
+    Then that client gets its whole answer
--- a/features/steps/hosted_forwarding_steps.py
+++ b/features/steps/hosted_forwarding_steps.py
@@ -10,6 +10,7 @@
 from behave import then, when
 from features.support.hosted_gateway import GatewayUnderTest
 from features.support.hosted_jobs import HOST, make_job
+from features.support.waiting import wait_until
 from hypothesis import given, settings
 
 from bellweir.hosted.batches.attempts import ItemAttempts
@@ -28,12 +29,15 @@
 from bellweir.hosted.serving.forwarding import Forwarder
 from bellweir.hosted.serving.metrics import RequestMetrics
 from bellweir.hosted.serving.selection import WeightedParts, WorkerLoads
+from bellweir.hosted.serving.service import FrontService
 from bellweir.hosted.views.configuration import RouteTable
 from bellweir.hosted.views.workers import WorkersView
+from bellweir.http_server.server import HttpServer
 from bellweir_platform.headers import HEADERS
 from bellweir_rehearsal.hosted.worker import WorkerStandIn, answer_to, event_of, stamp_of
 
 EVENTS = 6
+STOP_DEADLINE_S = 8.0
 FAULTS = {
     "refuse": "refuse",
     "lose the answer": "lose_answer",
@@ -319,3 +323,36 @@
         assert all(loads.in_hand(Incarnation(record.name)) == 0 for record in records)
 
     true_always()
+
+
+@when("the gateway stops as planned, and a client's request is there as it closes its listener")
+def when_stops(context):
+    server = context.gateway.server
+    settings = SimpleNamespace(node=SimpleNamespace(zone="a"))
+    front = FrontService(SimpleNamespace(), settings, SimpleNamespace(headers=HEADERS))
+    front._requests, front._servers = server, [server]
+    context.last_answers = []
+    sent = threading.Event()
+
+    def send():
+        context.last_answers.append(context.gateway.send("/idempotent/last"))
+
+    def stop_accepting(timeout_s):
+        client = threading.Thread(target=send, daemon=True)
+        client.start()
+        wait_until(lambda: server.busy_connections() > 0, "the request is there")
+        sent.set()
+        HttpServer.stop_accepting(server, timeout_s)
+
+    server.stop_accepting = stop_accepting
+    front.drain(STOP_DEADLINE_S)
+    front.stop()
+    assert sent.is_set()
+
+
+@then("that client gets its whole answer")
+def then_whole(context):
+    wait_until(lambda: context.last_answers, "the client's answer")
+    (answer,) = context.last_answers
+    assert answer.status == 200, answer
+    assert answer.whole, answer
--- a/src/bellweir/hosted/serving/service.py
+++ b/src/bellweir/hosted/serving/service.py
@@ -204,6 +204,10 @@
                 break
             threading.Event().wait(DRAIN_LOOK_S)
         server.stop_accepting(STOP_MARGIN_S / 2)
+        # The requests of connections that were accepted last are read and answered still.
+        threading.Event().wait(DRAIN_LOOK_S)
+        while server.busy_connections() and time.monotonic() < end_s:
+            threading.Event().wait(DRAIN_LOOK_S)
 
     def stop(self) -> None:
         """Close every connection and end every thread."""
