Soak: machines change between an older build and this one

Change: a fault that stops a machine as planned and starts it with the other build; a soak with an older build begins with every second machine on it and draws that fault besides the others. Without an older build nothing is drawn otherwise than before.

--- a/features/steps/hosted_mixed_steps.py
+++ b/features/steps/hosted_mixed_steps.py
@@ -24,6 +24,8 @@
 from bellweir.wire.interface import FIRST_LEVEL
 from bellweir_rehearsal.hosted.builds import REPOSITORY, build_of, is_in_history
 from bellweir_rehearsal.hosted.mixed_day import MixedDay
+from bellweir_rehearsal.hosted.soak import HostedSoak
+from bellweir_rehearsal.hosted.soak_faults import BUILD_FAULTS
 
 OLDER_COMMIT = "e33d2c1"
 """The build that was in service before messages had levels."""
@@ -126,3 +128,20 @@
         listed = {job_id: sorted(state.listed) for job_id, state in sorted(jobs.items())}
         assert listed == recorded["listed"], listed
     assert loaded.save() == machines.save()
+
+
+@when(
+    "a soak of {seconds:d} seconds is played with seed {seed:d} "
+    "in which machines change between the builds"
+)
+def when_soaked(context, seconds, seed):
+    context.soak = HostedSoak(
+        context.folder, seed, seconds, 3, 3, only=BUILD_FAULTS, older=context.older
+    )
+    context.cleanup.callback(context.soak.close)
+    context.soak.play()
+
+
+@then("machines have changed their builds")
+def then_changed(context):
+    assert context.soak.strikes["ChangeBuild"] > 0, context.soak.strikes
--- a/src/bellweir_rehearsal/hosted/deployment.py
+++ b/src/bellweir_rehearsal/hosted/deployment.py
@@ -151,6 +151,8 @@
     """Zones over which machines are spread; at most three."""
     tolerated: int = 1
     """Store machines that may be lost at once."""
+    older: Build | None = None
+    """Another build that machines may run; None: there is only this one."""
     status_s: float = 120
     """Time for which an ended job can be read."""
     is_rigged: bool = False
--- a/src/bellweir_rehearsal/hosted/soak.py
+++ b/src/bellweir_rehearsal/hosted/soak.py
@@ -16,6 +16,7 @@
 from datetime import UTC, datetime
 from pathlib import Path
 
+from bellweir_rehearsal.hosted.builds import Build
 from bellweir_rehearsal.hosted.checks import Check, CheckedTraffic
 from bellweir_rehearsal.hosted.clients import (
     Answer,
@@ -97,11 +98,17 @@
         told: Callable[[str], None] = lambda _: None,
         only: tuple[type[SoakFault], ...] = ALL_FAULTS,
         catch_up_s: float = CATCH_UP_S,
+        older: Build | None = None,
     ) -> None:
+        """With an `older` build every second machine begins on it."""
         tolerated = (stores - 1) // 2
         zones = 2 if gateways >= 12 else 3
         super().__init__(HostedDeployment(folder, gateways, stores, zones, tolerated), told)
         self.deployment.is_rigged = True
+        self.deployment.older = older
+        if older is not None:
+            for name in list(self.deployment.machines)[::2]:
+                self.deployment.set_build(name, older)
         self.client.tries = TRIES
         self.client.patience_s = PATIENCE_S
         self.trainer.may_rest = self._may_rest
--- a/src/bellweir_rehearsal/hosted/soak_faults.py
+++ b/src/bellweir_rehearsal/hosted/soak_faults.py
@@ -21,6 +21,7 @@
     StoreOutage,
 )
 from bellweir_rehearsal.hosted.process_faults import (
+    ChangeBuild,
     FreezeGateway,
     FreezeStore,
     HangUp,
@@ -80,5 +81,16 @@
     StopStore,
 )
 """Those that strike what lasts: disks, clocks, and which machines there are."""
+BUILD_FAULTS: tuple[type[SoakFault], ...] = (
+    ChangeBuild,
+    ChangeBuild,
+    ChangeBuild,
+    KillGateway,
+    KillStore,
+    StopStore,
+    NewConfiguration,
+    NewVersion,
+)
+"""Those of a time in which builds are replaced: mostly that, beside what strikes on any day."""
 ALL_FAULTS: tuple[type[SoakFault], ...] = (*MACHINE_FAULTS, *MACHINE_FAULTS, *PLATFORM_FAULTS)
 """All of them; those that strike machines are drawn twice as often as the platform's."""
