--- a/src/bellweir/hosted/weights/job_news.py
+++ b/src/bellweir/hosted/weights/job_news.py
@@ -16,6 +16,7 @@
 
 import time
 from collections.abc import Callable, Iterable
+from typing import ClassVar
 
 import msgspec
 
@@ -41,6 +42,8 @@
 class JobNews(Message, frozen=True):
     """The newest job of each model, from the jobs' leader."""
 
+    since_level: ClassVar[int] = 2
+
     newest: tuple[NewestJob, ...]
 
 
--- a/src/bellweir/hosted/weights/load_news.py
+++ b/src/bellweir/hosted/weights/load_news.py
@@ -7,12 +7,12 @@
 The holder of the roll-outs' lease tells of a load just before it sends the order, and again when
 the worker has the version or the order was not taken: two messages for each order, to one node. A
 message that is lost costs what it cost without: a refusal. One that is late counts from its
-arrival, so that no clock of another node matters. A build that does not know the message refuses
-it without harm.
+arrival, so that no clock of another node matters.
 """
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from typing import ClassVar
 
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.wire.interface import Message, Sender, Transport
@@ -21,6 +21,8 @@
 class LoadNews(Message, frozen=True):
     """A worker is about to load weights, or does so no longer."""
 
+    since_level: ClassVar[int] = 2
+
     instance: str
     born_ms: int
     model: str
