--- a/features/hosted_starts.feature
+++ b/features/hosted_starts.feature
@@ -14,6 +14,7 @@
     Then the view shows the start at 5000
     When it is read at a higher revision as started at 9000
     Then the view shows the start at 5000
+    And it counts 1 starts beyond the first
 
   Scenario: A worker that starts again while its entry had lapsed
     Given a view that knows worker "i-1" as started at 5000
@@ -60,3 +61,7 @@
     Then the stream that may be resumed comes whole, and the text goes on at the new start
     And the request that must not be repeated ran once and is not said to be refused
     And nothing that was known of the former start counts for the new one, which is ordered anew
+
+  Scenario: A request that may have run at a former start
+    Then it is not asked of the new start unless it may be repeated
+    And both starts count for the most workers that it may go to
--- a/src/bellweir_rehearsal/hosted/soak_faults.py
+++ b/src/bellweir_rehearsal/hosted/soak_faults.py
@@ -19,8 +19,10 @@
     NewConfiguration,
     NewVersion,
     StoreOutage,
+    WorkersStartAgain,
 )
 from bellweir_rehearsal.hosted.process_faults import (
+    ChangeBuild,
     FreezeGateway,
     FreezeStore,
     HangUp,
@@ -80,5 +82,18 @@
     StopStore,
 )
 """Those that strike what lasts: disks, clocks, and which machines there are."""
+BUILD_FAULTS: tuple[type[SoakFault], ...] = (
+    ChangeBuild,
+    ChangeBuild,
+    ChangeBuild,
+    KillGateway,
+    KillStore,
+    StopStore,
+    NewConfiguration,
+    NewVersion,
+)
+"""Those of a time in which builds are replaced: mostly that, beside what strikes on any day."""
 ALL_FAULTS: tuple[type[SoakFault], ...] = (*MACHINE_FAULTS, *MACHINE_FAULTS, *PLATFORM_FAULTS)
 """All of them; those that strike machines are drawn twice as often as the platform's."""
+BESIDE_FAULTS: tuple[type[SoakFault], ...] = (WorkersStartAgain,)
+"""Drawn beside all of them by a task of its own, so that their draws do not hang on these."""
