Each message and command that an older build lacks says its level

Cause: LoadNews was added after and said no level, so it would be sent to builds that don't know it.

Change: it is of level 2; a check compares all messages and commands of the hosted roles with the record of the older build. It failed first, on LoadNews.

--- a/features/hosted_mixed.feature
+++ b/features/hosted_mixed.feature
@@ -17,4 +17,5 @@
   Scenario: What an older build has written is read
     Given what the older build has left, as it was recorded
     Then its frames and handshakes are read, and its nodes read those of this build
+    And what it does not know is of a later level
     And its log entries, its journal file and its snapshot give the state that it had
--- a/features/steps/hosted_mixed_steps.py
+++ b/features/steps/hosted_mixed_steps.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from behave import given, then, when
-from features.support.record_build import SERVICES
+from features.support.record_build import SERVICES, leaves
 
 from bellweir.hosted.batches.state import BatchJobs
 from bellweir.hosted.usage.state import UsageWindows
@@ -21,7 +21,7 @@
 from bellweir.wire.codec import MessageCodec
 from bellweir.wire.frames import OneWay, decode_struct, encode_struct
 from bellweir.wire.handshake import ClientHello, ServerHello
-from bellweir.wire.interface import FIRST_LEVEL
+from bellweir.wire.interface import FIRST_LEVEL, Message
 from bellweir_rehearsal.hosted.builds import REPOSITORY, build_of, is_in_history
 from bellweir_rehearsal.hosted.mixed_day import MixedDay
 from bellweir_rehearsal.hosted.soak import HostedSoak
@@ -90,6 +90,15 @@
     assert (answer.node, answer.level) == ("node", FIRST_LEVEL)
 
 
+@then("what it does not know is of a later level")
+def then_levels(context):
+    for base, recorded in ((Message, "frames"), (Command, "commands")):
+        for name, added in leaves(base).items():
+            is_known = name in context.recorded[recorded]
+            if added.__module__.startswith("bellweir.hosted.") and not is_known:
+                assert added.since_level > FIRST_LEVEL, f"{name} says no since_level"
+
+
 def holds(new, old):
     """Whether a value has all that an older one has, and at the same places."""
     if isinstance(old, dict):
--- a/src/bellweir/hosted/weights/load_news.py
+++ b/src/bellweir/hosted/weights/load_news.py
@@ -21,6 +21,7 @@
 class LoadNews(Message, frozen=True):
     """A worker is about to load weights, or does so no longer."""
 
+    since_level = 2
     instance: str
     born_ms: int
     model: str
