Mend what two reviews of the joined parts found

Cause, shown by the reviewers on the real classes: an item that no worker may run for a reason of its own counted its whole job as full; a text of one version that no worker has any more never ran; an item that failed often, with failing workers alone left, got none for good; engines' memory counted with the setting off; a healthy run was moved to a failing worker; a pause doubled beyond what a number holds; steps whose services only overlap went unordered; quotes without an end were read in quadratic time. In serving: the time to a stream's head was taken for the time that its place is kept, so that refused streams came back in milliseconds; a route that is split was judged by another one's services; each waiting thread looked for all; a request that ended by an exception stayed on its way for good; a time learnt beside unknown requests held their waits; a worker whose trials are rare never returned; streams in the making were bound by the budget of further tries.

Tests: hosted_batches, two scenarios; hosted_judgement, one; json_parts by example. Not tested: trials by items that failed often, moves to failing workers, the leak on an exception, overlapping services. Run: ruff, mypy, hosted_batches, hosted_judgement, hosted_steps, hosted_entries, hosted_moves, hosted_choice, hosted_forwarding, hosted_settings, hosted_room, hosted_sight, hosted_tenants, docs_examples.

--- a/features/hosted_batches.feature
+++ b/features/hosted_batches.feature
@@ -86,6 +86,16 @@
     When a job of 24 items in 6 groups is accepted
     Then every item is listed completed, with its whole text, its versions and its score
 
+  Scenario: An item that no worker may run now
+    Given a leader with model workers and scorers
+    And the first item finds no worker since all of them failed it
+    When a job of 24 items in 6 groups is accepted
+    Then every other item is listed completed
+
+  Scenario: A text of one version, which no worker has any more
+    Given a leader with model workers and scorers
+    Then a text of an older version, on a route that wants one version, begins anew
+
   Scenario: Answers of workers in any order
     Then a worker is set aside only while it fails all and fellows don't, and is tried again
     And an item is given up for answers of workers that serve others, and never tried too often
--- a/features/hosted_judgement.feature
+++ b/features/hosted_judgement.feature
@@ -47,3 +47,6 @@
   Scenario: Most of a service is bad in turn
     Then at any outcomes no more than half of a service is set aside, and a single worker never is
     And what was seen since a moment is exact at any outcomes
+
+  Scenario: A worker that is well again, where requests are rare
+    Then a worker whose trials are 9 s apart returns within a minute of being well
--- a/features/steps/hosted_batches_steps.py
+++ b/features/steps/hosted_batches_steps.py
@@ -222,6 +222,46 @@
     context.leader.models[0].refuse_for(1.0)
 
 
+@given_step("the first item finds no worker since all of them failed it")
+def given_unplaced(context):
+    choice = context.leader.coordinator._choice
+    take_worker, context.unplaced = choice.take_worker, set()
+
+    def take(progress, table):
+        if not context.unplaced:
+            context.unplaced.add(progress.item.id)
+        if progress.item.id not in context.unplaced:
+            return take_worker(progress, table)
+        progress.failed_at = [Incarnation(each.instance) for each in context.leader.models]
+        return None
+
+    choice.take_worker = take
+
+
+@then("every other item is listed completed")
+def then_others_completed(context):
+    others = len(context.job.items) - 1
+    context.wait_until(lambda: len(listed(context)) == others, "the other items listed")
+    assert len(context.unplaced) == 1
+    assert all(result.is_complete for result in listed(context))
+
+
+@then("a text of an older version, on a route that wants one version, begins anew")
+def then_begins_anew(context):
+    job = make_job("job", 1, 1, minimum_version=1)
+    route = msgspec.convert(
+        {"host": HOST, "pathPrefix": "/draft/", "service": "llm", "singleVersion": True}, Route
+    )
+    progress = ItemProgress(job, route, job.items[0])
+    progress.versions, progress.pieces, progress.events = [1], ["a"], 1
+    choice = context.leader.coordinator._choice
+    table = context.leader.coordinator._configuration.table()
+    assert choice.take_worker(progress, table) is None
+    choice.let_versions_go(progress)
+    assert (progress.versions, progress.events) == ([], 0)
+    assert choice.take_worker(progress, table) is not None
+
+
 @given_step("a worker that refuses all runs for a second, which is told of")
 def given_told_load(context):
     worker = context.leader.models[0]
--- a/features/steps/hosted_judgement_steps.py
+++ b/features/steps/hosted_judgement_steps.py
@@ -211,3 +211,23 @@
             assert abs(getattr(since, name) - getattr(late, name)) < 1e-6, name
 
     exact()
+
+
+@then("a worker whose trials are 9 s apart returns within a minute of being well")
+def then_returns(context):
+    bad, good = Incarnation("bad"), Incarnation("good")
+    seen, judgement = {bad: Counts(), good: Counts()}, Judgement()
+    for _ in range(4):
+        seen[bad].add(SeenOutcome.FAILED, 0.01, now_s=0.0)
+        seen[good].add(SeenOutcome.SERVED, 0.1, now_s=0.0)
+    judgement.judge("s", seen, now_s=0.0)
+    assert judgement.is_set_aside(bad)
+    now_s = 0.0
+    while judgement.is_set_aside(bad):
+        now_s += 9.0
+        assert now_s <= 60.0, "still set aside"
+        seen[good].add(SeenOutcome.SERVED, 0.1, now_s)
+        judgement.judge("s", seen, now_s)
+        if judgement.may_try(bad, now_s):
+            seen[bad].add(SeenOutcome.SERVED, 0.1, now_s)
+        judgement.judge("s", seen, now_s)
--- a/src/bellweir/hosted/batches/coordinator.py
+++ b/src/bellweir/hosted/batches/coordinator.py
@@ -103,12 +103,17 @@
             self._start_waiting(jobs, table)
 
     def _start_waiting(self, jobs: list[JobState], table: RouteTable) -> None:
-        """Start items until there is no place left for those of a job."""
+        """Start items until there is no place left for those of a job.
+
+        One that lacks a worker for a reason of its own says nothing of the job's other items.
+        """
         full: set[tuple[str, Stage]] = set()
         for progress in self._waiting(jobs, table):
             kind = (progress.job.id, progress.stage)
             if kind not in full and not self._start(progress, table):
-                full.add(kind)
+                if not self._choice.is_particular(progress):
+                    full.add(kind)
+                self._choice.let_versions_go(progress)
 
     def _leave(self) -> None:
         with self._lock:
--- a/src/bellweir/hosted/batches/engine_outlook.py
+++ b/src/bellweir/hosted/batches/engine_outlook.py
@@ -126,7 +126,7 @@
         crowded_s = pace_s * (1 + CROWDING * len(runs) / max(1, worker.entry.slots))
         now_s = self._now_s()
         ends_s = [now_s + self._left(run.progress) * crowded_s for run in runs]
-        capacity = self._capacity(worker)
+        capacity = self._capacity(worker) if self._policy.count_memory else None
         free = None
         if capacity is not None:
             free = capacity - sum(run.progress.item.tokens for run in runs)
--- a/src/bellweir/hosted/batches/failing.py
+++ b/src/bellweir/hosted/batches/failing.py
@@ -34,6 +34,7 @@
 """Share of a service that is left alone at most."""
 PAUSE_S = 0.5
 """Time after a failure before a worker that is left alone is tried; doubled with each try."""
+MOST_DOUBLINGS = 8
 LONGEST_PAUSE_S = 4.0
 MOST_ANSWERS_FACTOR = 3
 """So many times its allowed answers of 500 may an item get of all workers and leaders."""
@@ -96,7 +97,9 @@
             row.failures += 1
             if row.trial == item_id:
                 row.tries += 1
-            row.until_s = now_s + min(LONGEST_PAUSE_S, PAUSE_S * 2**row.tries)
+            row.until_s = now_s + min(
+                LONGEST_PAUSE_S, PAUSE_S * 2 ** min(row.tries, MOST_DOUBLINGS)
+            )
             return row.failures
 
     def begun(self, worker: Incarnation, item_id: str) -> None:
@@ -129,7 +132,21 @@
             row = self._rows.get(worker)
             if row is None or worker not in self._left_alone(service):
                 return True
-            return is_trial and row.trial is None and self._now_s() >= row.until_s
+            return is_trial and self._may_try(row)
+
+    def left_alone(self, service: Collection[Incarnation]) -> frozenset[Incarnation]:
+        """Return those of a service's workers that get no more than trials."""
+        with self._lock:
+            return self._left_alone(service)
+
+    def may_try(self, worker: Incarnation) -> bool:
+        """Tell whether a worker that is left alone may be tried by a run now."""
+        with self._lock:
+            row = self._rows.get(worker)
+            return row is None or self._may_try(row)
+
+    def _may_try(self, row: "_Row") -> bool:
+        return row.trial is None and self._now_s() >= row.until_s
 
     def is_given_up(
         self, failed_at: Sequence[Incarnation], allowed: int, service: Collection[Incarnation]
--- a/src/bellweir/hosted/batches/step_queue.py
+++ b/src/bellweir/hosted/batches/step_queue.py
@@ -56,6 +56,19 @@
         return self.state.job.tenant, self.state.job.host, self.state.job.path_prefix
 
 
+def competing_steps(steps: Iterable[OpenStep]) -> list[tuple[tuple[str, ...], list[OpenStep]]]:
+    """Divide steps into those that share services, directly or through others; in their order."""
+    found: list[tuple[set[str], list[OpenStep]]] = []
+    for step in steps:
+        services, group = set(step.engines), [step]
+        for other in [one for one in found if one[0] & services]:
+            services |= other[0]
+            group = [*other[1], *group]
+            found.remove(other)
+        found.append((services, group))
+    return [(tuple(sorted(services)), group) for services, group in found]
+
+
 class StepQueue:
     """Called by the coordinator's task only."""
 
@@ -97,12 +110,9 @@
             return
         self._next_s, self._jobs = now_s + ORDER_PERIOD_S, jobs
         self._blocks, self._standings = {}, {}
-        by_engines: dict[tuple[str, ...], list[OpenStep]] = defaultdict(list)
-        for step in steps:
-            by_engines[step.engines].append(step)
         priorities = {each.name: each.priority for each in table.configuration.tenants}
         at_workers = frozenset(running)
-        for services, competing in by_engines.items():
+        for services, competing in competing_steps(steps):
             if len({step.trainer for step in competing}) > 1:
                 needs = [
                     self._need(step, progress_of, at_workers, priorities) for step in competing
@@ -110,10 +120,6 @@
                 room = self._room(services)
                 self._note_order(needs, self._order.order(needs, room, now_s), room, now_s)
 
-    def is_ordered(self, job_id: str) -> bool:
-        """Whether a job competes with others, so that its groups have their places."""
-        return any(job == job_id for job, _ in self._blocks)
-
     def rank(self, progress: ItemProgress) -> int:
         """Place of an item's group in the order; those that are not ordered come first."""
         return self._blocks.get(_group_key(progress), -1)
--- a/src/bellweir/hosted/batches/worker_choice.py
+++ b/src/bellweir/hosted/batches/worker_choice.py
@@ -62,9 +62,33 @@
         return [
             (worker, worker.entry.slots - self._loads.in_hand(worker.incarnation))
             for worker in self._fitting(service, progress)
-            if self._has_room(worker, progress)
+            if self._has_room(worker, progress) and not self._is_failing(worker)
         ]
 
+    def _is_failing(self, worker: Worker) -> bool:
+        fellows = self._fellows(worker.entry.service)
+        return worker.incarnation in self._attempts.failing.failing_all(fellows)
+
+    def is_particular(self, progress: ItemProgress) -> bool:
+        """Whether an item may lack a worker that other items of its job would get."""
+        is_pinned = progress.route.single_version and bool(progress.versions)
+        return bool(progress.failed_at_now) or is_pinned or self._policy.count_memory
+
+    def let_versions_go(self, progress: ItemProgress) -> None:
+        """Begin a text anew that must be of one version, if no worker has that any more."""
+        route, model = progress.route, progress.job.model
+        if progress.stage is not Stage.TEXT or not route.single_version or not progress.versions:
+            return
+        versions = [
+            version
+            for part in route.parts
+            for worker in self._workers.ready(part.service)
+            if (version := worker.version_of(model)) is not None
+        ]
+        is_gone = progress.versions[-1] not in versions
+        if is_gone and any(version >= progress.job.minimum_version for version in versions):
+            progress.restart()
+
     def _choose(self, route: Route, progress: ItemProgress, table: RouteTable) -> Worker | None:
         """Take a place at a worker of the route's services, each of which gets its share.
 
@@ -147,11 +171,15 @@
         fellows = self._fellows(service)
         # An item that was failed often is none to try a failing worker by.
         is_trial = len(failed_at) < progress.route.max_attempts
+        failing = self._attempts.failing
+        alone = failing.left_alone(fellows)
         kept = [
             worker
             for worker in workers
-            if self._attempts.failing.may_begin(worker.incarnation, fellows, is_trial=is_trial)
+            if worker.incarnation not in alone or (is_trial and failing.may_try(worker.incarnation))
         ]
+        # With no other worker the item itself must find out when one is well again.
+        kept = kept or [one for one in workers if failing.may_try(one.incarnation)]
         return [worker for worker in kept if worker.incarnation not in failed_at] or kept
 
     def _fellows(self, service: str) -> Collection[Incarnation]:
--- a/src/bellweir/hosted/json_parts.py
+++ b/src/bellweir/hosted/json_parts.py
@@ -8,11 +8,15 @@
 [b'1', b'"\\ud800"', b'[2, 3]']
 >>> members(b'{"at": 5, "items": [nope, 2]}')
 {'at': b'5', 'items': b'[nope, 2]'}
+>>> elements(b'["' + 20_000 * rb'\"' + b"]")
+Traceback (most recent call last):
+bellweir.hosted.json_parts.UnevenError: a quote without its other end
 """
 
 import re
 
-_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[][{},]', re.DOTALL)
+_TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*+"|[]["{},]', re.DOTALL)
+"""A quote by itself is one without its other end."""
 _MEMBER = re.compile(rb'\s*"([^"\\]*)"\s*:(.*)', re.DOTALL)
 
 
@@ -48,6 +52,8 @@
     depth, begin = 0, 1
     for token in _TOKEN.finditer(content):
         mark = token.group()
+        if mark == b'"':
+            raise UnevenError("a quote without its other end")
         if mark in (b"[", b"{"):
             depth += 1
         elif mark in (b"]", b"}"):
--- a/src/bellweir/hosted/queueing/gate.py
+++ b/src/bellweir/hosted/queueing/gate.py
@@ -36,12 +36,13 @@
 class _Line:
     """One service's requests; its lock is held over decisions only."""
 
-    __slots__ = ("admissions", "lock", "tickets")
+    __slots__ = ("admissions", "lock", "looked_s", "tickets")
 
     def __init__(self, admissions: Admissions) -> None:
         self.admissions = admissions
         self.lock = threading.Lock()
         self.tickets: dict[int, _Ticket] = {}
+        self.looked_s = float("-inf")
 
     def let_go(self, released: Released) -> None:
         """Wake the thread of one that no longer waits."""
@@ -118,12 +119,19 @@
         workers: Sequence[Worker],
         has_left: Callable[[], bool],
     ) -> bool:
-        while not ticket.event.wait(LOOK_S):
+        try:
+            while not ticket.event.wait(LOOK_S):
+                with line.lock:
+                    if has_left() and line.admissions.leave(waiting):
+                        line.tickets.pop(id(waiting), None)
+                        return False
+                    self._look(line, workers, FRESH_SHARE * waiting.target_s)
+        except BaseException:
             with line.lock:
-                if has_left() and line.admissions.leave(waiting):
-                    line.tickets.pop(id(waiting), None)
-                    return False
-                self._look(line, workers, FRESH_SHARE * waiting.target_s)
+                line.tickets.pop(id(waiting), None)
+                if not line.admissions.leave(waiting):
+                    line.admissions.arrived()
+            raise
         waited_s = self._now_s() - waiting.arrived_s
         released = ticket.released
         if released is None:
@@ -144,6 +152,11 @@
         return True
 
     def _look(self, line: _Line, workers: Sequence[Worker], oldest_s: float) -> None:
+        """Look for the whole line; one of its threads does so in each pause, for all."""
+        now_s = self._now_s()
+        if now_s - line.looked_s < LOOK_S:
+            return
+        line.looked_s = now_s
         rooms = self._room.of(workers, oldest_s)
         for released in line.admissions.look(rooms, self._now_s()):
             line.let_go(released)
--- a/src/bellweir/hosted/room/observed.py
+++ b/src/bellweir/hosted/room/observed.py
@@ -46,16 +46,23 @@
     def _of_one(self, worker: Worker, oldest_s: float) -> WorkerRoom:
         incarnation, slots = worker.incarnation, worker.entry.slots
         in_hand, usual_s, age_s = float(self._in_hand(incarnation)), 0.0, 0.0
+        is_whole = self._sight is None
         if self._sight is not None:
             seen = self._sight.seen(incarnation)
             usual_s = seen.usual_s
             if seen.age_s <= oldest_s:
                 in_hand, age_s = max(in_hand, seen.in_hand), seen.age_s
+                is_whole = True
             if seen.load is not None and seen.load_age_s <= oldest_s:
                 in_hand, age_s = float(max(in_hand, seen.load.requests)), seen.load_age_s
                 slots = seen.load.slots or slots
+                is_whole = True
         usual_s = usual_s or self._mean_s(incarnation)
-        service_s = self._service_times.learn(incarnation, usual_s, in_hand, slots)
+        # Beside requests of others that are not known a wait would be taken for the work itself.
+        if is_whole:
+            service_s = self._service_times.learn(incarnation, usual_s, in_hand, slots)
+        else:
+            service_s = self._service_times.known_s(incarnation) or usual_s
         return WorkerRoom(slots, in_hand, service_s, age_s)
 
     def share_taken(self, workers: Sequence[Worker]) -> float:
@@ -99,6 +106,11 @@
                 self._known[worker] = service_s
         return service_s
 
+    def known_s(self, worker: Incarnation) -> float:
+        """The time learnt last; 0 where there is none."""
+        with self._lock:
+            return self._known.get(worker, 0.0)
+
     def forget_others(self, incarnations: Collection[Incarnation]) -> None:
         """Drop workers that are gone."""
         with self._lock:
--- a/src/bellweir/hosted/serving/forwarding.py
+++ b/src/bellweir/hosted/serving/forwarding.py
@@ -134,7 +134,24 @@
         if not self._is_admitted(client, groups, cancellation):
             progress.cause = "client_left" if cancellation.cancelled.is_set() else "no_room"
             return self._own_answer(client, progress, groups), progress
-        progress.is_on_the_way = self._gate is not None
+        progress.is_on_the_way = self._is_gated(client)
+        try:
+            answer = self._offer(client, groups, progress, cancellation)
+        finally:
+            # Whatever ends it: one that stays on the way for good takes room from all others.
+            self._took_place(client, progress)
+        if answer is not None:
+            return _passed_on(answer), progress
+        return self._own_answer(client, progress, groups), progress
+
+    def _offer(
+        self,
+        client: ClientRequest,
+        groups: list[list[Worker]],
+        progress: Progress,
+        cancellation: Cancellation,
+    ) -> WholeAnswer | None:
+        """Offer a request to workers; the answer to pass on, None where there is none."""
         while not cancellation.cancelled.is_set():
             worker = self._next_worker(client, groups, progress)
             self._took_place(client, progress)
@@ -144,18 +161,15 @@
             answer = outcome.answer
             if outcome.state is AttemptState.ANSWERED and answer is not None:
                 if answer.status < SERVER_ERROR or not self._may_repeat(client):
-                    return _passed_on(answer), progress
+                    return answer
                 progress.failure = answer
-        self._took_place(client, progress)
-        if progress.failure is not None:
-            return _passed_on(progress.failure), progress
-        return self._own_answer(client, progress, groups), progress
+        return progress.failure
 
     def _is_admitted(
         self, client: ClientRequest, groups: list[list[Worker]], cancellation: Cancellation
     ) -> bool:
         """Whether a request may go to a worker now; it may wait here for that."""
-        if self._gate is None:
+        if self._gate is None or not self._is_gated(client):
             return True
         waiting = Waiting(
             client.request_id,
@@ -177,15 +191,23 @@
 
     def retry_after_s(self, client: ClientRequest, groups: list[list[Worker]], cause: str) -> float:
         """Seconds after which a refused client is to come back."""
+        if not self._is_gated(client):
+            return fixed_retry_after_s(cause)
         workers = [worker for group in groups for worker in group]
         after_s = None
         if self._gate is not None:
             after_s = self._gate.after_s(
                 _line_of(client), workers, client.target_s, client.left_s(), client.left_share
             )
-        if after_s is not None:
-            return after_s
-        return RETRY_AFTER_FULL_S if cause in FULL_CAUSES else RETRY_AFTER_NO_WORKER_S
+        return after_s if after_s is not None else fixed_retry_after_s(cause)
+
+    def _is_gated(self, client: ClientRequest) -> bool:
+        """Whether the gate decides on a request.
+
+        Not on those of a route that is split: their services share one line with other routes, and
+        one service's room would be taken for another's.
+        """
+        return self._gate is not None and len(client.route.parts) == 1
 
     def _next_worker(
         self, client: ClientRequest, groups: list[list[Worker]], progress: Progress
@@ -337,6 +359,11 @@
     return client.route.parts[0].service
 
 
+def fixed_retry_after_s(cause: str) -> float:
+    """Seconds after which a client is to come back where nothing better is known."""
+    return RETRY_AFTER_FULL_S if cause in FULL_CAUSES else RETRY_AFTER_NO_WORKER_S
+
+
 def own_response(status: int, cause: str, retry_after_s: float | None = None) -> Response:
     """An answer of this service's own."""
     headers = [("Content-Type", "application/json")]
--- a/src/bellweir/hosted/serving/selection.py
+++ b/src/bellweir/hosted/serving/selection.py
@@ -21,6 +21,7 @@
 FAILURE_PENALTY_S = 0.5
 """The same for one that gave no usable answer; doubled with each failure in a row."""
 LONGEST_PENALTY_S = 4.0
+MOST_DOUBLINGS = 8
 CROWDING = 0.25
 """Share by which a worker that batches is taken to be slower with all of its slots in use."""
 NOTICED_S = 0.05
@@ -76,19 +77,21 @@
         workers: Iterable[Worker],
         tried: Collection[Incarnation],
         pace_of: Callable[[Incarnation], float] | None = None,
+        *,
+        is_bounded: bool = True,
     ) -> Worker | None:
-        """Take a place at the best worker not tried yet; release it with `finished`.
+        """Take a place at the best worker not tried yet.
 
         With `pace_of` (seconds for one step of the work, by incarnation) the fastest worker is the
         best one; without it the one whose answer is expected soonest.
 
         After a first try None also when no worker in good standing is left, or when the budget of
-        further tries is spent.
+        further tries is spent, by which all but streams in the making are `is_bounded`.
         """
         now_s = time.monotonic()
         candidates = [worker for worker in workers if worker.incarnation not in tried]
         if self._sight is not None:
-            candidates = _admitted(candidates, tried, self._sight)
+            candidates = _admitted(candidates, tried, self._sight, is_bounded=is_bounded)
         if not candidates:
             return None
         with self._lock:
@@ -198,7 +201,9 @@
         with self._lock:
             load = self._release(worker)
             if failed:
-                penalty_s = min(LONGEST_PENALTY_S, penalty_s * 2**load.failures)
+                penalty_s = min(
+                    LONGEST_PENALTY_S, penalty_s * 2 ** min(load.failures, MOST_DOUBLINGS)
+                )
                 load.failures += 1
             load.avoided_until_s = time.monotonic() + penalty_s
 
@@ -244,14 +249,15 @@
         if self._sight is None or not self._chooses_by_all or by_load:
             return workers
         well = [one for one in workers if self._load(one.incarnation).avoided_until_s <= now_s]
+        if any(self._sight.seen(one.incarnation).age_s == float("inf") for one in well):
+            # Nothing says when one of them answers: it would get all requests, or none.
+            return workers
         answers = [(self._answer_s(one), one) for one in well or workers]
         soonest_s = min(answer_s for answer_s, _ in answers)
         return [one for answer_s, one in answers if answer_s < soonest_s + NOTICED_S]
 
     def _answer_s(self, worker: Worker) -> float:
-        """Time to a worker's answer, as all gateways tell; 0 where none but this one did."""
-        if self._sight is None or self._sight.seen(worker.incarnation).age_s == float("inf"):
-            return 0.0
+        """Time to a worker's answer, as all gateways tell."""
         in_hand, usual_s, slots = self._load_of_all(worker, self._load(worker.incarnation))
         return usual_s * max(1.0, (in_hand + 1) / max(1, slots))
 
@@ -274,7 +280,11 @@
 
 
 def _admitted(
-    candidates: list[Worker], tried: Collection[Incarnation], sight: Sight
+    candidates: list[Worker],
+    tried: Collection[Incarnation],
+    sight: Sight,
+    *,
+    is_bounded: bool,
 ) -> list[Worker]:
     """The workers that may get a request's next try.
 
@@ -283,7 +293,7 @@
     """
     well = [one for one in candidates if not sight.seen(one.incarnation).is_set_aside]
     if tried:
-        return _within_budget(well, sight)
+        return _within_budget(well, sight) if is_bounded else well
     if len(well) < len(candidates):
         on_trial = (one for one in candidates if sight.may_try(one.incarnation))
         trial = next(on_trial, None)
--- a/src/bellweir/hosted/serving/streams.py
+++ b/src/bellweir/hosted/serving/streams.py
@@ -35,6 +35,7 @@
 from bellweir.hosted.serving.forwarding import (
     MAXIMUM_SENDS,
     Forwarder,
+    fixed_retry_after_s,
     own_response,
 )
 from bellweir.hosted.serving.selection import WorkerLoads
@@ -163,7 +164,7 @@
         if len(stream.ran_at) >= max(1, client.route.max_attempts):
             return None
         for workers in stream.groups:
-            worker = self._loads.choose(workers, stream.tried)
+            worker = self._loads.choose(workers, stream.tried, is_bounded=not stream.ran_at)
             if worker is not None:
                 return worker
         return None
@@ -254,8 +255,8 @@
         )
         if status == 502:
             return own_response(502, stream.cause)
-        after_s = self._forwarder.retry_after_s(client, stream.groups, stream.cause)
-        return own_response(503, stream.cause, after_s)
+        # The time to a stream's head, all that is known, says nothing of when its place is free.
+        return own_response(503, stream.cause, fixed_retry_after_s(stream.cause))
 
     def _account(self, stream: _Stream, status: int) -> None:
         emit(
--- a/src/bellweir/hosted/settings.py
+++ b/src/bellweir/hosted/settings.py
@@ -134,7 +134,7 @@
     order_by_need: bool = True
     """Where steps of several trainers want the same engines, begin with what lets most of the
     groups that trainers wait for be in time, instead of with the oldest step."""
-    place_by_end: bool = True
+    place_by_end: bool = False
     """Where engines are uneven, place texts by when they would end there: long ones may wait a
     moment for a fast engine, short ones take what is free."""
     count_memory: bool = False
@@ -170,7 +170,7 @@
     """Choose a worker by the requests and times of all gateways, where others told any."""
     use_worker_load: bool = True
     """Use the load that workers tell of themselves in the choice, by its age."""
-    patience_of_fellows: bool = True
+    patience_of_fellows: bool = False
     """Give a first try up after the time that its worker's fellows take."""
     try_share: float = 0.5
     """Further tries of all gateways for a service, as a share of first ones; 0: no bound."""
--- a/src/bellweir/hosted/sight/judgement.py
+++ b/src/bellweir/hosted/sight/judgement.py
@@ -70,6 +70,9 @@
 """Time between two trials of all gateways together; a trial may cost its caller a second try."""
 GOOD_TRIALS = 2.0
 """Weight of good trials before the return."""
+LONG_TRIALS_S = 20.0
+"""Time of trials after which one good one is enough: where few requests come, two weigh less than
+two by the time that the second one ends."""
 BAD_TRIAL = 0.7
 """Weight of a failed one after which the worker is set aside again."""
 FORGIVEN_AFTER_S = 60.0
@@ -137,13 +140,22 @@
 class _Standing:
     """What is believed of a worker that was set aside once."""
 
-    __slots__ = ("baseline", "is_aside", "next_trial_s", "repeats", "returned_s", "until_s")
+    __slots__ = (
+        "baseline",
+        "is_aside",
+        "next_trial_s",
+        "repeats",
+        "returned_s",
+        "trials_since_s",
+        "until_s",
+    )
 
     def __init__(self) -> None:
         self.is_aside = False
         self.until_s = 0.0
         self.repeats = 0
         self.returned_s = 0.0
+        self.trials_since_s = 0.0
         self.next_trial_s: float | None = None
         """None while it gets nothing; from then on the next trial of this process."""
         self.baseline = Counts()
@@ -223,11 +235,13 @@
             spread_s = TRIAL_PERIOD_S * (gateways - 1)
             standing.next_trial_s = now_s + random.uniform(0.0, max(0.0, spread_s))
             standing.baseline = seen[one].as_of(now_s)
+            standing.trials_since_s = now_s
             return None
         finding = _finding(counts, self._fellows(counted), is_one=False)
         if finding is not None:
             return self._set_aside(one, VerdictKind.BAD_TRIAL, counts, finding.fellow, now_s)
-        if counts.served >= GOOD_TRIALS:
+        is_long_well = counts.served > 0 and now_s - standing.trials_since_s >= LONG_TRIALS_S
+        if counts.served >= GOOD_TRIALS or is_long_well:
             return self._return(one, VerdictKind.GOOD_TRIALS, counts, now_s)
         return None
 
--- a/src/bellweir/hosted/sight/shared.py
+++ b/src/bellweir/hosted/sight/shared.py
@@ -231,6 +231,8 @@
         merged = {one: self._table.merged(one, now_s) for one in self._table.workers() & present}
         self._known = {one: self._known_of(one, counts, now_s) for one, counts in merged.items()}
         self._looked_s = now_s
+        with self._lock:
+            self._judgement.forget_others(present)
         if self._sets_aside:
             for service, workers in services.items():
                 self._judge(service, workers, merged, now_s)
--- a/src/bellweir/hosted/sight/worker_load.py
+++ b/src/bellweir/hosted/sight/worker_load.py
@@ -10,6 +10,8 @@
 AS_USUAL = 100
 """Pace of a worker where work takes as long as usual."""
 FEWEST_FIGURES = 3
+LARGEST_FIGURE = 1_000_000
+"""Beyond it nothing is a worker's load."""
 PACE_HALF_S = 0.25
 """Age at which half of an unusual pace is taken to have passed: it changes many times a second."""
 
@@ -46,6 +48,6 @@
         figures = [int(part) for part in text.split(",")]
     except ValueError:
         return None
-    if len(figures) < FEWEST_FIGURES or min(figures) < 0:
+    if len(figures) < FEWEST_FIGURES or min(figures) < 0 or max(figures) > LARGEST_FIGURE:
         return None
     return WorkerLoad(*figures[: FEWEST_FIGURES + 1])
