--- a/src/bellweir/hosted/batches/step_order.py
+++ b/src/bellweir/hosted/batches/step_order.py
@@ -125,7 +125,10 @@
 
 
 class OldestFirst(StepOrder):
-    """Steps as they were handed in, whoever's they are and whatever they need."""
+    """Steps as they were handed in, whoever's they are and whatever they need.
+
+    Like the next two not used by the service; `bench.step_replay` compares with it.
+    """
 
     def order(
         self, steps: Sequence[StepNeed], engines: EnginesRoom, now_s: float
--- a/src/bellweir/hosted/queueing/interface.py
+++ b/src/bellweir/hosted/queueing/interface.py
@@ -94,7 +94,7 @@
     OVERDUE = "overdue"
     """There was no room in time; it is offered to the workers all the same."""
     HOPELESS = "hopeless"
-    """Its deadline can't be met any more."""
+    """It is expected too late, as by a refusal at once, after a wait."""
     DISPLACED = "displaced"
     """The queue was full, and another one had more right to a place in it."""
 
--- a/src/bellweir/hosted/room/interface.py
+++ b/src/bellweir/hosted/room/interface.py
@@ -66,7 +66,7 @@
     WAIT = "wait"
     """It waits here; there may be room in time."""
     REFUSE = "refuse"
-    """It surely can't be answered before its deadline."""
+    """It is refused: expected beyond its deadline, or too late for its target."""
 
 
 class Judgement:
--- a/src/bellweir/hosted/serving/forwarding.py
+++ b/src/bellweir/hosted/serving/forwarding.py
@@ -355,7 +355,7 @@
 
 
 def _line_of(client: ClientRequest) -> str:
-    """The service whose room a request waits for; all services of its route take it."""
+    """The service whose room a gated request waits for: the only one of its route."""
     return client.route.parts[0].service
 
 
--- a/src/bellweir/hosted/settings.py
+++ b/src/bellweir/hosted/settings.py
@@ -129,8 +129,8 @@
     pass_over_failed: bool = True
     """Pass workers over for a while after a refusal or failure."""
     set_failing_aside: bool = True
-    """Leave workers alone for a while that fail everything while their fellows don't, and count no
-    item's failures there."""
+    """Leave workers alone for a while that fail everything while their fellows don't; their
+    failures count for an item only towards one and a half times the allowed number."""
     order_by_need: bool = True
     """Where steps of several trainers want the same engines, begin with what lets most of the
     groups that trainers wait for be in time, instead of with the oldest step."""
@@ -173,7 +173,8 @@
     patience_of_fellows: bool = False
     """Give a first try up after the time that its worker's fellows take."""
     try_share: float = 0.5
-    """Further tries of all gateways for a service, as a share of first ones; 0: no bound."""
+    """Further tries of all gateways for a service, as a share of first ones, ten more always being
+    allowed; 0: no bound."""
 
 
 class RoomSettings(msgspec.Struct, frozen=True, rename="camel"):
--- a/src/bellweir/hosted/weights/job_news.py
+++ b/src/bellweir/hosted/weights/job_news.py
@@ -2,8 +2,8 @@
 
 How many versions behind the newest a trainer lets its samples be is learnt from its jobs. Few of
 many store machines hold a replica of them, and any may hold the lease. One that knows no job takes
-it that every sample must be of the newest version: each model is then held by half the workers
-that could serve it, and is loaded twice as often.
+it that every sample must be of the newest version: each model is then held by its part of the
+workers only, at the newest version, and loaded with each version.
 
 The jobs' leader tells the holder, whom it knows from the news of the lease: a message a second and
 one for each job that is accepted, with one entry for each model. The holder learns with it who
--- a/src/bellweir/hosted/weights/load_news.py
+++ b/src/bellweir/hosted/weights/load_news.py
@@ -23,7 +23,6 @@
 
     since_level: ClassVar[int] = 2
 
-    since_level = 2
     instance: str
     born_ms: int
     model: str
