Look for failing workers once for the targets of a move, not once for each of them

Each asked for its service's workers and for all failing ones again, ten times a second for each job and service. The set is the same for all targets of a service; what is moved where stays as it was.

--- a/src/bellweir/hosted/batches/worker_choice.py
+++ b/src/bellweir/hosted/batches/worker_choice.py
@@ -59,16 +59,13 @@
 
     def targets(self, progress: ItemProgress, service: str) -> list[tuple[Worker, int]]:
         """Workers of a service that an item's run could be moved to, with their free places."""
+        failing = self._attempts.failing.failing_all(self._fellows(service))
         return [
             (worker, worker.entry.slots - self._loads.in_hand(worker.incarnation))
             for worker in self._fitting(service, progress)
-            if self._has_room(worker, progress) and not self._is_failing(worker)
+            if worker.incarnation not in failing and self._has_room(worker, progress)
         ]
 
-    def _is_failing(self, worker: Worker) -> bool:
-        fellows = self._fellows(worker.entry.service)
-        return worker.incarnation in self._attempts.failing.failing_all(fellows)
-
     def is_particular(self, progress: ItemProgress) -> bool:
         """Whether an item may lack a worker that other items of its job would get."""
         is_pinned = progress.route.single_version and bool(progress.versions)
