--- a/experiments/days/play.py
+++ b/experiments/days/play.py
@@ -1,4 +1,4 @@
-"""Plays every day of this folder on the users' bench and prints one line for each.
+"""Plays every day of this folder and of `deploy/days` on the users' bench; one line for each.
 
     python experiments/days/play.py FLEETBENCH SITE.toml [--jobs 4] [--only TEXT] [--out FOLDER]
 
@@ -13,8 +13,9 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
-DAYS = Path(__file__).parent
-REPOSITORY = DAYS.parent.parent
+REPOSITORY = Path(__file__).resolve().parent.parent.parent
+FOLDERS = (REPOSITORY / "deploy" / "days", REPOSITORY / "experiments" / "days")
+"""Days that the bench's hunt also plays, and the rest."""
 FIGURES = re.compile(r"^\S+\s+\S+/\S+\s+(\S+)\s+(\S+)\s+(\S+)\s+(\S+)\s+(\S+)\s+(.*)$")
 
 
@@ -43,7 +44,8 @@
     parser.add_argument("--out", type=Path, default=Path("/tmp/bellweir-days"))
     given = parser.parse_args()
     given.out.mkdir(parents=True, exist_ok=True)
-    days = sorted(day for day in DAYS.glob("*.toml") if given.only in day.name)
+    found = (day for folder in FOLDERS for day in folder.glob("*.toml"))
+    days = sorted((day for day in found if given.only in day.name), key=lambda day: day.name)
     with ThreadPoolExecutor(given.jobs) as pool:
         lines = pool.map(lambda day: play(given.bench, given.site, day, given.out), days)
         for line in lines:
