Peers learn of deletions that their source never saw

Cause: a list does not name the objects that came and went since the known revision, and a deletion of an object that a node never held was not recorded. Both were missing in its updates to peers whose state lay in between, so they kept the object.

Change: a list that skips revisions starts the history of changes anew, so peers behind it get the whole list; deletions of unknown objects are recorded.

Before: 'What is told leads to the store's state' failed, derandomized; the new outline failed in both rows.

--- a/features/hosted_relay.feature
+++ b/features/hosted_relay.feature
@@ -5,6 +5,16 @@
   Scenario: What is told leads to the store's state
     Then in any order of lists, watches and tellings the state is the store's as of its revision
 
+  Scenario Outline: A peer holds an object that its source never saw
+    Given a peer that lists a worker which its source missed
+    When the worker goes and the source learns the rest by a <means>
+    Then an update for the peer's revision takes the worker away
+
+    Examples:
+      | means |
+      | list  |
+      | watch |
+
   Scenario: A small zone has no readers
     Then up to 6 nodes of a zone all follow the store, and 2 of any more
 
--- a/features/steps/hosted_relay_steps.py
+++ b/features/steps/hosted_relay_steps.py
@@ -109,6 +109,29 @@
     agree()
 
 
+@given_step("a peer that lists a worker which its source missed")
+def given_missed_worker(context):
+    context.history = History([("x", False), ("y", False), ("y", True), ("z", False)])
+    context.source, context.peer = Follower(), Follower()
+    context.source.state.apply_listing(context.history.listing(1), 0.0)
+    context.peer.state.apply_listing(context.history.listing(2), 0.0)
+
+
+@when("the worker goes and the source learns the rest by a {means}")
+def when_source_learns(context, means):
+    if means == "list":
+        context.source.state.apply_listing(context.history.listing(4), 1.0)
+    else:
+        context.source.state.apply_changes(context.history.changes_after(1, 4), 1.0)
+
+
+@then("an update for the peer's revision takes the worker away")
+def then_worker_taken_away(context):
+    update = context.source.state.update_since(2, 2.0)
+    assert context.peer.state.apply_update(update, 2.0)
+    assert set(context.peer.told) == {"x", "z"}
+
+
 @then("up to {most:d} nodes of a zone all follow the store, and {readers:d} of any more")
 def then_readers(context, most, readers):
     for count in range(1, 30):
--- a/src/bellweir/hosted/views/kind_state.py
+++ b/src/bellweir/hosted/views/kind_state.py
@@ -112,13 +112,12 @@
             known = self.revision
             if known is not None and listing.revision < known:
                 return False
-            before = self._records
             self._records = {record.name: record for record in listing.records}
-            if known is None:
+            if known is None or listing.revision > known:
+                # A list does not name the objects that came and went since the known revision.
+                # A peer whose state is from between the two may hold them.
+                self._recent_changes.clear()
                 self._history_start = listing.revision
-            for name in before.keys() | self._records.keys():
-                if before.get(name) != self._records.get(name):
-                    self._record_change(listing.revision, name)
             self._on_list(listing)
             self.revision = listing.revision
         self.on_advance()
@@ -192,10 +191,15 @@
 
     def _apply(self, change: RecordChange, revision: int) -> None:
         name = change.record.name
-        if self._records.get(name) == (None if change.deleted else change.record):
+        known = self._records.get(name)
+        if known is None and change.deleted:
+            # A peer whose state is older may hold the object.
+            self._record_change(revision, name)
+            return
+        if known == change.record and not change.deleted:
             return
         if change.deleted:
-            self._records.pop(name, None)
+            del self._records[name]
         else:
             self._records[name] = change.record
         self._record_change(revision, name)
