Workers that fail to answer count as cold; the soak evacuates zones

Change: a request without an answer, a broken stream and a run that is moved because it fell silent count as signs; an answer to a request sent before takes them back, since a start would have ended its connection.

--- a/features/hosted_soak.feature
+++ b/features/hosted_soak.feature
@@ -20,6 +20,11 @@
     Then faults have struck and everything that must hold of the soak has held
     And workers of both kinds have started again
 
+  Scenario: A soak in which zones are evacuated and workers are cold after a start
+    When a soak of 25 seconds is played with seed 2 of evacuated zones, cold workers and kills
+    Then faults have struck and everything that must hold of the soak has held
+    And zones were evacuated for longer than an evacuation may take, and workers were cold
+
   Scenario: Losses stay within what is tolerated
     Then at any order of faults no more disks are lost at once than tolerated
     And a machine counts as whole once it has had its time to catch up, a removed one's successor too
--- a/features/steps/hosted_places_steps.py
+++ b/features/steps/hosted_places_steps.py
@@ -325,9 +325,14 @@
     places.tell_entry("i-1", entry_again)
     assert is_cold_after(COLD_START_S - 0.1, again), "a start without a word of it"
     assert not is_cold_after(0.2, again)
-    places.rules.note_unreachable(again)
+    places.rules.note_unanswered(again)
     assert is_cold_after(ENTRY_DELAY_S - 0.1, again)
     assert not is_cold_after(0.2, again)
+    places.rules.note_unanswered(again)
+    places.rules.note_answer(again, now_s[0] + 0.1)
+    assert is_cold_after(0.0, again), "an answer to a request sent after the doubt"
+    places.rules.note_answer(again, now_s[0] - 0.1)
+    assert not is_cold_after(0.0, again), "an answer to a request sent before the doubt"
     places.evacuate("a")
     places.give_back("a")
     assert is_cold_after(ENTRY_DELAY_S - 0.1, again)
--- a/features/steps/hosted_soak_steps.py
+++ b/features/steps/hosted_soak_steps.py
@@ -11,13 +11,13 @@
 from hypothesis import given, settings
 
 from bellweir_rehearsal.hosted.clients import Answer, key_of_version
-from bellweir_rehearsal.hosted.deployment import HostedDeployment
+from bellweir_rehearsal.hosted.deployment import EVACUATE_S, HostedDeployment
 from bellweir_rehearsal.hosted.full_disk import FullDisk
 from bellweir_rehearsal.hosted.losses import CATCH_UP_S, LossBudget
 from bellweir_rehearsal.hosted.platform_faults import NewVersion, WorkersStartAgain
 from bellweir_rehearsal.hosted.process_faults import KillGateway, KillStore
 from bellweir_rehearsal.hosted.soak import HostedSoak
-from bellweir_rehearsal.hosted.soak_faults import LASTING_FAULTS
+from bellweir_rehearsal.hosted.soak_faults import LASTING_FAULTS, PLACES_FAULTS
 
 
 @when(
@@ -62,6 +62,26 @@
     context.soak.play()
 
 
+@when(
+    "a soak of {seconds:d} seconds is played with seed {seed:d} "
+    "of evacuated zones, cold workers and kills"
+)
+def when_places(context, seconds, seed):
+    context.soak = HostedSoak(
+        context.folder, seed, seconds, 6, 3, only=PLACES_FAULTS, has_places=True
+    )
+    context.cleanup.callback(context.soak.close)
+    context.soak.play()
+
+
+@then("zones were evacuated for longer than an evacuation may take, and workers were cold")
+def then_places_seen(context):
+    evacuations = context.soak.deployment.evacuations
+    assert any(one.until_s - one.since_s > EVACUATE_S for one in evacuations)
+    assert context.soak.evacuated.checked > 0
+    assert context.soak.cold.checked > 0
+
+
 @then("workers of both kinds have started again")
 def then_started_again(context):
     deployment = context.soak.deployment
--- a/src/bellweir/hosted/batches/attempts.py
+++ b/src/bellweir/hosted/batches/attempts.py
@@ -34,6 +34,7 @@
     WorkerConnections,
     read_response,
 )
+from bellweir.hosted.serving.failed_attempt import UNANSWERED
 from bellweir.hosted.serving.selection import WorkerLoads
 from bellweir.hosted.views.workers import Worker
 
@@ -80,6 +81,10 @@
         self.checkpoint_interval_s = 0.0
         """Time between two checkpoints of a text; 0 disables them."""
 
+    def note_silent(self, worker: Worker) -> None:
+        """Note that a run is taken from a worker because it has fallen silent."""
+        self._loads.eligibility.note_unanswered(worker)
+
     def predicted_events(self, progress: ItemProgress) -> float:
         """Return the predicted number of events of an item's text."""
         return self.length_predictor.predict_events(progress.item.id, progress.guessed_tokens)
@@ -174,6 +179,7 @@
                     version = event.weight_version or version
                     progress.add_event(event, version)
                 if events:
+                    self._loads.eligibility.note_answer(worker, began_s)
                     if is_first:
                         self._record_success(worker, began_s)
                     self._record_events(progress, worker, len(events), is_first=is_first)
@@ -221,6 +227,7 @@
             self._loads.record_refusal(worker.incarnation)
         else:
             self._loads.record_failure(worker.incarnation)
+            self._loads.eligibility.note_unanswered(worker)
         self._log_attempt_failed(progress, worker, repr(exc))
 
     def _handle_no_answer(
@@ -234,8 +241,8 @@
         else:
             self._loads.record_failure(worker.incarnation)
             progress.not_before_s = time.monotonic() + FAILED_BACKOFF_S
-        if opened.state is AttemptState.NOT_SENT:
-            self._loads.eligibility.note_unreachable(worker)
+        if opened.state in UNANSWERED:
+            self._loads.eligibility.note_unanswered(worker)
         self._log_attempt_failed(progress, worker, f"{opened.state.value}: {opened.detail}")
 
     def _handle_error_answer(
@@ -279,6 +286,7 @@
         if outcome.state is AttemptState.ANSWERED and answer is not None:
             if answer.status < 300:
                 self._loads.record_success(worker.incarnation, time.monotonic() - began_s)
+                self._loads.eligibility.note_answer(worker, began_s)
                 self._record_success(worker, began_s)
                 progress.finish(_header(answer.headers, self._connections.headers.stamp))
                 return
@@ -289,6 +297,7 @@
             self._loads.record_refusal(worker.incarnation)
         else:
             self._loads.record_failure(worker.incarnation)
+            self._loads.eligibility.note_unanswered(worker)
         progress.not_before_s = time.monotonic() + FAILED_BACKOFF_S
         self._log_attempt_failed(
             progress, worker, f"scoring: {outcome.state.value} {outcome.detail}"
--- a/src/bellweir/hosted/batches/move_planning.py
+++ b/src/bellweir/hosted/batches/move_planning.py
@@ -25,6 +25,9 @@
 MIN_GAIN_SHARE = 0.2
 """... and the same as a share of its remaining time, if that is more."""
 
+SILENT = "silent"
+"""Cause of a move: the worker is silent."""
+
 Key = TypeVar("Key")
 
 
@@ -102,7 +105,7 @@
 
 def _cause(run: RunForecast[Key], best: MoveTarget) -> str | None:
     if run.is_silent:
-        return "silent"
+        return SILENT
     gain_s = run.remaining_s - run.remaining_events * best.time_per_event_s - MOVE_COST_S
     if gain_s >= max(MIN_GAIN_S, MIN_GAIN_SHARE * run.remaining_s):
         return "faster"
--- a/src/bellweir/hosted/batches/run_mover.py
+++ b/src/bellweir/hosted/batches/run_mover.py
@@ -5,7 +5,13 @@
 
 from bellweir.events.log import emit
 from bellweir.hosted.batches.attempts import ItemRunner
-from bellweir.hosted.batches.move_planning import MoveTarget, PlannedMove, RunForecast, plan_moves
+from bellweir.hosted.batches.move_planning import (
+    SILENT,
+    MoveTarget,
+    PlannedMove,
+    RunForecast,
+    plan_moves,
+)
 from bellweir.hosted.batches.process_stalls import ProcessStalls
 from bellweir.hosted.batches.progress import ItemProgress, Stage
 from bellweir.hosted.incarnation import Incarnation
@@ -142,6 +148,8 @@
             pace_ms=round(1000 * forecast.time_per_event_s),
             target_pace_ms=round(1000 * self._attempts.event_times.of(move.target)),
         )
+        if move.cause == SILENT:
+            self._attempts.note_silent(run.worker)
         progress.moved_to = move.target
         progress.moved_s = now_s
         run.cancellation.cancel()
--- a/src/bellweir/hosted/eligibility/cold_workers.py
+++ b/src/bellweir/hosted/eligibility/cold_workers.py
@@ -1,8 +1,8 @@
 """How long workers are cold, by what is known of each.
 
 A worker tells in its entry how much longer it is cold. Until its entry can have told so, a worker
-counts as cold that may have become it: one that started without a word of it, one that could not be
-reached, and all of a zone whose evacuation has just ended.
+counts as cold that may have become it: one that started without a word of it, one that was not
+reached or fell silent, and all of a zone whose evacuation has just ended.
 
 >>> now = [10.0]
 >>> cold = ColdWorkers(EvacuatedZones(), now_s=lambda: now[0])
@@ -63,7 +63,7 @@
         self._now_s = now_s
         self._lock = threading.Lock()
         self._known: dict[str, _Known] = {}
-        self._unreachable_s: dict[Incarnation, float] = {}
+        self._unanswered_s: dict[Incarnation, float] = {}
         self._has_list = False
 
     def cold_until_s(self, worker: Worker, cold_start_s: float) -> float:
@@ -79,13 +79,19 @@
             until_s = known.started_s + cold_start_s
         doubted_since_s = max(
             self._evacuated.ended_s(worker.entry.zone),
-            self._unreachable_s.get(worker.incarnation, NEVER_S),
+            self._unanswered_s.get(worker.incarnation, NEVER_S),
         )
         return max(until_s, doubted_since_s + ENTRY_DELAY_S)
 
-    def note_unreachable(self, worker: Incarnation) -> None:
-        """Note that a worker could not be reached: it may be starting again under its id."""
-        self._unreachable_s[worker] = self._now_s()
+    def note_unanswered(self, worker: Incarnation) -> None:
+        """Note that a worker was not reached or fell silent: it may start again under its id."""
+        self._unanswered_s[worker] = self._now_s()
+
+    def note_answer(self, worker: Incarnation, sent_s: float) -> None:
+        """Note that a worker answers a request sent at a time; it has not started again since."""
+        doubted_since_s = self._unanswered_s.get(worker)
+        if doubted_since_s is not None and sent_s < doubted_since_s:
+            self._unanswered_s.pop(worker, None)
 
     def apply_listing(self, listing: Listing) -> None:
         """Apply all entries; those of the first list are no starts."""
@@ -107,8 +113,8 @@
 
     def retain(self, incarnations: set[Incarnation]) -> None:
         """Drop what is known of workers that are gone."""
-        for worker in [one for one in self._unreachable_s if one not in incarnations]:
-            self._unreachable_s.pop(worker, None)
+        for worker in [one for one in self._unanswered_s if one not in incarnations]:
+            self._unanswered_s.pop(worker, None)
 
     def _apply(self, record: StoredRecord) -> None:
         known = self._known.get(record.name)
--- a/src/bellweir/hosted/eligibility/interface.py
+++ b/src/bellweir/hosted/eligibility/interface.py
@@ -37,8 +37,15 @@
         """Count one more request to a worker; False, without counting it, if it may not be sent."""
 
     @abstractmethod
-    def note_unreachable(self, worker: Worker) -> None:
-        """Note that a worker could not be reached: it may have started again, cold."""
+    def note_unanswered(self, worker: Worker) -> None:
+        """Note that a worker was not reached or fell silent: it may have started again, cold."""
+
+    @abstractmethod
+    def note_answer(self, worker: Worker, sent_s: float) -> None:
+        """Note that a worker answers a request sent at a monotonic time.
+
+        It has not started again since then, as its connections would have ended.
+        """
 
     @abstractmethod
     def warm_in_s(self, workers: Iterable[Worker]) -> float | None:
@@ -83,7 +90,10 @@
         """Return all workers."""
         return list(workers)
 
-    def note_unreachable(self, worker: Worker) -> None:
+    def note_unanswered(self, worker: Worker) -> None:
+        """Do nothing."""
+
+    def note_answer(self, worker: Worker, sent_s: float) -> None:
         """Do nothing."""
 
     def warm_in_s(self, workers: Iterable[Worker]) -> float | None:
--- a/src/bellweir/hosted/eligibility/rules.py
+++ b/src/bellweir/hosted/eligibility/rules.py
@@ -68,9 +68,13 @@
         self._evacuated.record_sent(zone)
         return True
 
-    def note_unreachable(self, worker: Worker) -> None:
-        """Note that a worker could not be reached: it may have started again, cold."""
-        self._cold.note_unreachable(worker.incarnation)
+    def note_unanswered(self, worker: Worker) -> None:
+        """Note that a worker was not reached or fell silent: it may have started again, cold."""
+        self._cold.note_unanswered(worker.incarnation)
+
+    def note_answer(self, worker: Worker, sent_s: float) -> None:
+        """Note that a worker answers a request sent at a monotonic time."""
+        self._cold.note_answer(worker.incarnation, sent_s)
 
     def warm_in_s(self, workers: Iterable[Worker]) -> float | None:
         """Return the seconds until the first of the cold workers is warm; None if none is cold.
--- a/src/bellweir/hosted/serving/failed_attempt.py
+++ b/src/bellweir/hosted/serving/failed_attempt.py
@@ -13,6 +13,7 @@
     AttemptState.NOT_SENT: "not_reached",
 }
 """Cause reported if the last attempt ends in a state; `ANSWERED` means a 5xx of the worker."""
+UNANSWERED = frozenset({AttemptState.UNKNOWN, AttemptState.NOT_SENT})
 MAX_DETAIL_CHARS = 160
 MS_PER_S = 1000
 
@@ -64,8 +65,8 @@
         about the worker.
         """
         self._release(loads)
-        if self.state is AttemptState.NOT_SENT:
-            loads.eligibility.note_unreachable(self.worker)
+        if self.state in UNANSWERED and not self.is_cancelled:
+            loads.eligibility.note_unanswered(self.worker)
         emit(
             ATTEMPT_FAILED,
             request_id=self.request_id,
--- a/src/bellweir/hosted/serving/forwarding.py
+++ b/src/bellweir/hosted/serving/forwarding.py
@@ -324,6 +324,8 @@
             progress.may_have_run = True
         response = outcome.response
         is_answered = outcome.state is AttemptState.ANSWERED
+        if is_answered:
+            self._loads.eligibility.note_answer(worker, self._now_s() - seconds)
         if is_answered and (response is None or response.status < SERVER_ERROR):
             self._loads.record_success(incarnation, seconds)
             return
--- a/src/bellweir/hosted/serving/streams.py
+++ b/src/bellweir/hosted/serving/streams.py
@@ -231,6 +231,7 @@
             self._loads.release(worker.incarnation)
         else:
             self._loads.record_failure(worker.incarnation)
+            self._loads.eligibility.note_unanswered(worker)
 
     def _log_resumption(self, stream: _Stream, current: object) -> None:
         if isinstance(current, OpenAnswer) and stream.worker is not None:
--- a/src/bellweir_rehearsal/hosted/checks.py
+++ b/src/bellweir_rehearsal/hosted/checks.py
@@ -1,10 +1,12 @@
 """What must hold of the hosted roles, whatever fails, and the traffic that shows it."""
 
+import bisect
 import itertools
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from bellweir_rehearsal.hosted.clients import (
+    COLD_PER_S,
     TENANT,
     Answer,
     Client,
@@ -13,11 +15,13 @@
     call,
     configuration,
 )
-from bellweir_rehearsal.hosted.deployment import HostedDeployment
+from bellweir_rehearsal.hosted.deployment import PLACES_BOUNDS, HostedDeployment
 from bellweir_rehearsal.hosted.worker import answer_to, stamp_of, text_of
 
 READY_TIMEOUT_S = 60.0
 BODY = b"body"
+COLD_BOUND = PLACES_BOUNDS["coldOver"] * COLD_PER_S + PLACES_BOUNDS["coldSlack"]
+"""Most requests that a cold worker may get in a second."""
 
 
 class Check:
@@ -67,6 +71,8 @@
         self.positions = Check("results stay at their positions, through kills and restarts")
         self.orders = Check("orders come from one holder at a time, their fences rise")
         self.tenants = Check("what runs names its tenant, and no key reaches a worker")
+        self.evacuated = Check("nothing is sent to a zone that is evacuated")
+        self.cold = Check("a cold worker gets no more requests in a second than it bears")
         self.usage = Check("usage is reported, never twice with other counts, never too much")
 
     @property
@@ -169,6 +175,19 @@
                 right = told == wanted and "authorization" not in headers
                 self.tenants.expect(right, f"{request_id}: {told}, headers {sorted(headers)}")
 
+    def check_places(self) -> None:
+        """Look at when requests came to workers of evacuated zones and to cold workers."""
+        for worker in (*self.deployment.models, *self.deployment.scorers):
+            arrived_s = sorted(worker.record.arrived_s)
+            zone = self.deployment.zone_of(worker)
+            for evacuation in self.deployment.evacuations:
+                if evacuation.zone == zone:
+                    late = sum(evacuation.forbids(at_s) for at_s in arrived_s)
+                    self.evacuated.expect(late == 0, f"{worker.instance}: {late} too late")
+            for begin_s, end_s in worker.record.cold_times:
+                most = most_in_a_second([s for s in arrived_s if begin_s <= s < end_s])
+                self.cold.expect(most <= COLD_BOUND, f"{worker.instance}: {most} in a second")
+
     def check_usage(self) -> None:
         """Compare the reports with each other and with what workers have run."""
         duties = self.deployment.duties
@@ -189,6 +208,16 @@
         self.deployment.close()
 
 
+def most_in_a_second(times_s: Sequence[float]) -> int:
+    """The most of some sorted times that lie within one second.
+
+    >>> most_in_a_second([0.0, 0.6, 0.9, 1.0, 2.5])
+    3
+    """
+    ends = (bisect.bisect_left(times_s, since_s + 1.0) for since_s in times_s)
+    return max((end - first for first, end in enumerate(ends)), default=0)
+
+
 def _is_answer_to(request_id: str, answer: Answer) -> bool:
     signed = answer.headers.get("x-bellweir-server-stamp") == stamp_of(request_id)
     return answer.status == 200 and signed and answer.body == answer_to(request_id, BODY)
--- a/src/bellweir_rehearsal/hosted/clients.py
+++ b/src/bellweir_rehearsal/hosted/clients.py
@@ -17,6 +17,8 @@
 TENANT = "dealers"
 KEY = "key-of-dealers"
 """A key of the tenant that no configuration takes away."""
+COLD_PER_S = 4.0
+"""Requests a second that a cold worker bears."""
 REQUEST_TIMEOUT_S = 5.0
 TRIES = 12
 TRY_PAUSE_S = 0.3
@@ -230,6 +232,7 @@
         for prefix in extra_routes
     ]
     engine = {"slots": 8, "models": [{"name": "drafts"}]}
-    services = [{"name": "llm", "engine": engine}, {"name": "app"}]
+    cold = {"coldStartS": 2.0, "coldPerS": COLD_PER_S}
+    services = [{"name": "llm", "engine": engine, **cold}, {"name": "app", **cold}]
     tenants = [{"name": TENANT, "apiKeys": [KEY, key_of_version(version)]}]
     return {"version": version, "routes": routes, "services": services, "tenants": tenants}
--- a/src/bellweir_rehearsal/hosted/command.py
+++ b/src/bellweir_rehearsal/hosted/command.py
@@ -14,7 +14,12 @@
 from bellweir_rehearsal.hosted.checks import Check
 from bellweir_rehearsal.hosted.day import HostedDay
 from bellweir_rehearsal.hosted.soak import HostedSoak, size_by_seed
-from bellweir_rehearsal.hosted.soak_faults import ALL_FAULTS, BUILD_FAULTS, LASTING_FAULTS
+from bellweir_rehearsal.hosted.soak_faults import (
+    ALL_FAULTS,
+    BUILD_FAULTS,
+    LASTING_FAULTS,
+    PLACES_FAULTS,
+)
 
 
 @cappa.command(
@@ -41,6 +46,10 @@
         cappa.Arg(long=True, help="Strike only what lasts: disks, clocks, which machines exist."),
     ] = False
 
+    places: Annotated[
+        bool, cappa.Arg(long=True, help="Evacuate zones and have workers cold after a start.")
+    ] = False
+
     older: Annotated[
         str, cappa.Arg(long=True, help="A commit; a soak changes between its build and this one.")
     ] = ""
@@ -74,6 +83,8 @@
         gateways, stores = size_by_seed(self.seed)
         size = (self.gateways or gateways, self.stores or stores)
         faults = LASTING_FAULTS if self.lasting else ALL_FAULTS
+        if self.places:
+            faults = PLACES_FAULTS
         older = None
         if self.older:
             faults = (*faults, *BUILD_FAULTS)
@@ -82,7 +93,14 @@
             older = build_of(self.older, home)
         told = console.print
         return HostedSoak(
-            folder, self.seed, self.soak_s, *size, told=told, only=faults, older=older
+            folder,
+            self.seed,
+            self.soak_s,
+            *size,
+            told=told,
+            only=faults,
+            older=older,
+            has_places=self.places,
         )
 
 
--- a/src/bellweir_rehearsal/hosted/deployment.py
+++ b/src/bellweir_rehearsal/hosted/deployment.py
@@ -53,6 +53,11 @@
 """Kind of the store's objects that ask for a store machine to be emptied."""
 LIVE_SLACK_S = 5.0
 """Time after its loss for which a machine may still be taken for alive."""
+COLD_S = 2.0
+"""How long workers are cold after a start, where they are at all."""
+EVACUATE_S = 5.0
+"""Time within which an evacuation must be in force."""
+PLACES_BOUNDS = {"evacuateMs": 1000 * EVACUATE_S, "coldOver": 1.5, "coldSlack": 5}
 METRICS_PORT = 9464
 """Port that the deploy file names."""
 
@@ -142,6 +147,22 @@
         return self.code == EXIT_GIVEN_UP and says_why
 
 
+class Evacuation:
+    """An evacuation of a zone, on the monotonic clock; `until_s` is None while it lasts."""
+
+    __slots__ = ("since_s", "until_s", "zone")
+
+    def __init__(self, zone: str, since_s: float) -> None:
+        self.zone = zone
+        self.since_s = since_s
+        self.until_s: float | None = None
+
+    def forbids(self, at_s: float) -> bool:
+        """Whether nothing may reach the zone's workers at a time."""
+        ended = self.until_s is not None and at_s >= self.until_s
+        return at_s > self.since_s + EVACUATE_S and not ended
+
+
 @dataclass
 class HostedDeployment:
     """Store, workers and machines; `close` ends everything that it started."""
@@ -157,6 +178,8 @@
     """Another build that machines may run; None: there is only this one."""
     status_s: float = 120
     """Time for which an ended job can be read."""
+    has_places: bool = False
+    """Whether zones may be evacuated and workers are cold after a start."""
     is_rigged: bool = False
     """Whether processes run under the rig, so that they may lose power and their clocks jump."""
     machines: dict[str, Machine] = field(default_factory=dict)
@@ -164,6 +187,8 @@
     """Machines that were stopped as planned, with their processes' exit codes."""
     emptied: list[tuple[str, list[str]]] = field(default_factory=list)
     """Machines reported emptied, with the other store machines that lived then."""
+    evacuations: list[Evacuation] = field(default_factory=list)
+    """All evacuations so far."""
     own_ends: list[OwnEnd] = field(default_factory=list)
     """Processes that ended by themselves while their disks took no change."""
     refilled: list[str] = field(default_factory=list)
@@ -186,6 +211,9 @@
             WorkerStandIn(f"llm-{number}", model="drafts", events=6) for number in range(3)
         ]
         self.scorers = [WorkerStandIn(f"app-{number}") for number in range(3)]
+        if self.has_places:
+            for worker in (*self.models, *self.scorers):
+                worker.cold_s = COLD_S
         for number in range(self.gateways):
             self._add("gateway", number, FIRST_GATEWAY)
         for _ in range(self.stores):
@@ -396,11 +424,35 @@
                     if time.monotonic() - down_since_s >= LAPSE_S:
                         self.store.records.delete("servers", worker.instance)
                     continue
-                entry = worker.entry(service, zone=ZONES[0])
+                entry = worker.entry(service, zone=self.zone_of(worker))
                 kept = self.store.records.get("servers", worker.instance)
                 if kept is None or kept.spec != entry:
                     self.store.records.put("servers", worker.instance, entry)
 
+    def zone_of(self, worker: WorkerStandIn) -> str:
+        """The zone of a worker: the first one, or one each where zones may be evacuated."""
+        workers = self.models if worker in self.models else self.scorers
+        return ZONES[workers.index(worker) % self.zones if self.has_places else 0]
+
+    def evacuate(self, zone: str) -> Evacuation | None:
+        """Evacuate a zone; None while another one is evacuated, as some must serve."""
+        with self._lock:
+            if any(one.until_s is None for one in self.evacuations):
+                return None
+            self.store.records.put("evacuations", zone, {})
+            evacuation = Evacuation(zone, time.monotonic())
+            self.evacuations.append(evacuation)
+            return evacuation
+
+    def give_back(self, evacuation: Evacuation) -> None:
+        """End an evacuation; the zone's workers have turned cold just before."""
+        for worker in (*self.models, *self.scorers):
+            if self.zone_of(worker) == evacuation.zone:
+                worker.turn_cold()
+        self.beat()
+        evacuation.until_s = time.monotonic()
+        self.store.records.delete("evacuations", evacuation.zone)
+
     def beat_for(self, seconds: float) -> None:
         """Let workers beat for a while."""
         until_s = time.monotonic() + seconds
@@ -453,6 +505,7 @@
                 "statusS": self.status_s,
                 "usageWindowS": USAGE_WINDOW_S,
                 "usageLateS": USAGE_LATE_S,
+                **(PLACES_BOUNDS if self.has_places else {}),
             },
             "limits": {"memoryMb": 300, "maxFds": 4096},
             "tolerate": {"machines": self.tolerated, "zones": 0, "regions": 0},
--- a/src/bellweir_rehearsal/hosted/platform_faults.py
+++ b/src/bellweir_rehearsal/hosted/platform_faults.py
@@ -1,6 +1,7 @@
 """Faults of a soak that strike what the platform gives: its store, workers, duties, operator."""
 
 from bellweir_rehearsal.hosted.clients import configuration
+from bellweir_rehearsal.hosted.deployment import ZONES
 from bellweir_rehearsal.hosted.fault import SoakFault
 from bellweir_rehearsal.hosted.object_store import Outage
 
@@ -77,6 +78,23 @@
             worker.start_again()
 
 
+class EvacuatedZone(SoakFault):
+    """The operator evacuates a zone; its workers are cold when it is given back."""
+
+    longest_s = 9.0
+    is_planned = True
+
+    def strike(self) -> None:
+        """Write the evacuation, unless one is in force: some zone must serve."""
+        zone = self.chance.choice(ZONES[: self.deployment.zones])
+        self._evacuation = self.deployment.evacuate(zone)
+
+    def mend(self) -> None:
+        """Take it away; the zone's workers have turned cold just before."""
+        if self._evacuation is not None:
+            self.deployment.give_back(self._evacuation)
+
+
 class LostReports(SoakFault):
     """The platform's interface for duties refuses calls, and takes some without an answer."""
 
--- a/src/bellweir_rehearsal/hosted/soak.py
+++ b/src/bellweir_rehearsal/hosted/soak.py
@@ -99,11 +99,19 @@
         only: tuple[type[SoakFault], ...] = ALL_FAULTS,
         catch_up_s: float = CATCH_UP_S,
         older: Build | None = None,
+        *,
+        has_places: bool = False,
     ) -> None:
-        """With an `older` build every second machine begins on it."""
+        """With an `older` build every second machine begins on it.
+
+        `has_places`: workers stand in all zones and are cold after a start.
+        """
         tolerated = (stores - 1) // 2
         zones = 2 if gateways >= 12 else 3
-        super().__init__(HostedDeployment(folder, gateways, stores, zones, tolerated), told)
+        deployment = HostedDeployment(
+            folder, gateways, stores, zones, tolerated, has_places=has_places
+        )
+        super().__init__(deployment, told)
         self.deployment.is_rigged = True
         self.deployment.older = older
         if older is not None:
@@ -153,12 +161,14 @@
             self.refilled,
             self.emptied,
             self.recovered,
+            self.evacuated,
+            self.cold,
         ]
 
     @property
     def may_lack_cases(self) -> list[Check]:
         """Checks of faults that a seed need not draw: without a case they are not at fault."""
-        return [self.stops, self.refilled, self.emptied]
+        return [self.stops, self.refilled, self.emptied, self.evacuated, self.cold]
 
     def holds(self, check: Check) -> bool:
         """Whether a check has held, as far as the seed gave it cases."""
@@ -186,6 +196,7 @@
         self.check_orders()
         self.check_tenants()
         self.check_usage()
+        self.check_places()
         self._check_configuration()
         self._check_ends()
 
--- a/src/bellweir_rehearsal/hosted/soak_faults.py
+++ b/src/bellweir_rehearsal/hosted/soak_faults.py
@@ -13,6 +13,7 @@
 from bellweir_rehearsal.hosted.machine_faults import AddStore, ReplaceStore, RetireStore
 from bellweir_rehearsal.hosted.platform_faults import (
     BrokenWorkers,
+    EvacuatedZone,
     ForgottenHistory,
     LostReports,
     LostWrites,
@@ -82,6 +83,18 @@
     StopStore,
 )
 """Those that strike what lasts: disks, clocks, and which machines there are."""
+PLACES_FAULTS: tuple[type[SoakFault], ...] = (
+    EvacuatedZone,
+    EvacuatedZone,
+    WorkersStartAgain,
+    WorkersStartAgain,
+    KillGateway,
+    KillStore,
+    StopGateway,
+    StopStore,
+    NewVersion,
+)
+"""Those of evacuations and cold workers, with none that cuts machines off from word of them."""
 BUILD_FAULTS: tuple[type[SoakFault], ...] = (
     ChangeBuild,
     ChangeBuild,
--- a/src/bellweir_rehearsal/hosted/worker.py
+++ b/src/bellweir_rehearsal/hosted/worker.py
@@ -70,6 +70,10 @@
 
     ran: Counter[str] = field(default_factory=Counter)
     """Runs by request id."""
+    arrived_s: list[float] = field(default_factory=list)
+    """Monotonic times at which requests came, refused ones included."""
+    cold_times: list[tuple[float, float]] = field(default_factory=list)
+    """Begin and end of each time in which it was cold."""
     orders: list[TakenOrder] = field(default_factory=list)
     refusals: int = 0
     """Requests that were not run."""
@@ -110,6 +114,8 @@
         self.silent_after: int | None = None
         """Events after which its streams stand still, without an end."""
         self.load_s = 0.1
+        self.cold_s = 0.0
+        """How long it is cold after a start; 0: it tells nothing of being cold."""
         self.told_load = ""
         """What its answers say of its load; empty: nothing."""
         self.faults = WorkerFaults()
@@ -203,8 +209,19 @@
         elif self._reachable.is_set():
             self.server.break_off()
         self.down_since_s = None
+        self.turn_cold()
         self._reachable.set()
 
+    def turn_cold(self) -> None:
+        """Be cold from now on, for `cold_s`."""
+        if self.cold_s:
+            now_s = time.monotonic()
+            self.record.cold_times.append((now_s, now_s + self.cold_s))
+
+    def _cold_left_ms(self) -> int:
+        ends_s = (end_s for _, end_s in self.record.cold_times[-1:])
+        return max(0, *(round(MS_PER_S * (end_s - time.monotonic())) for end_s in ends_s), 0)
+
     def _listen_again(self) -> None:
         host, port = self.server.server_address[:2]
         until_s = time.monotonic() + LISTEN_TIMEOUT_S
@@ -240,6 +257,7 @@
     def entry(self, service: str, zone: str = "a", state: str = "ready") -> dict[str, Any]:
         """The worker's entry in the store."""
         models = [{"name": self.model, "version": self.version}] if self.model else []
+        told = {"coldLeftMs": self._cold_left_ms()} if self.cold_s else {}
         return {
             "service": service,
             "address": self.address,
@@ -249,6 +267,7 @@
             "models": models,
             "seq": self.sequence,
             "born": self.born_ms,
+            **told,
         }
 
     def _report(self) -> dict[str, Any]:
@@ -288,6 +307,7 @@
         if expected not in (None, self.instance):
             handler.answer(421, b"", {**echo, "X-Bellweir-Not-Executed": "1"})
             return
+        self.record.arrived_s.append(time.monotonic())
         if self.faults.strikes("refuse") or time.monotonic() < self._loading_until_s:
             self.record.refusals += 1
             handler.answer(503, b"", {**echo, "X-Bellweir-Not-Executed": "1"})
