Replicas of batch jobs stand in one region where none is to be borne

Cause: replicas were spread over all zones alike, so that each entry of the log crossed the link between regions for two or three followers, and each commit waited for it.

Change: choose_voters takes candidates of one region as long as it has any, where tolerate names neither zones nor regions (ledger.one_region).

--- a/features/steps/ledger_placement_steps.py
+++ b/features/steps/ledger_placement_steps.py
@@ -7,7 +7,7 @@
 from hypothesis import given, settings
 
 from bellweir.ledger.entries import ReplicaId, ReplicaSet
-from bellweir.ledger.placement import PlacementCandidate, choose_voters
+from bellweir.ledger.placement import PlacementCandidate, choose_voters, shared_region
 from bellweir.ledger.reconfiguration import ShardView, next_replica_set
 
 zones_of_machines = st.lists(st.sampled_from("abcd"), min_size=1, max_size=13)
@@ -47,6 +47,52 @@
     even()
 
 
+REGION_OF = {"a": "north", "b": "north", "c": "south", "d": "south"}
+
+
+def with_regions(candidates):
+    return [PlacementCandidate(one.replica, one.zone, REGION_OF[one.zone]) for one in candidates]
+
+
+@then("the first voters and any replacement come from one region as long as it has machines left")
+def then_one_region(context):
+    @settings(max_examples=200)
+    @given(zones=zones_of_machines, count=st.sampled_from([3, 5]), data=st.data())
+    def together(zones, count, data):
+        alive = with_regions(machines(zones))
+        region = shared_region(alive, [])
+        voters = choose_voters(0, alive, count)
+        inside = {one.replica for one in alive if one.region == region}
+        assert len(inside & set(voters)) == min(len(inside), len(voters))
+        for _ in range(len(zones) - 1):
+            # One voter is lost for good, and the next candidate takes its place.
+            lost = data.draw(st.sampled_from(voters))
+            alive = [one for one in alive if one.replica != lost]
+            kept = [one for one in alive if one.replica in voters]
+            free = [one for one in alive if one.replica not in voters]
+            added = choose_voters(0, free, 1, kept)
+            region = shared_region(alive, kept)
+            inside = {one.replica for one in free if one.region == region}
+            assert not inside or set(added) <= inside, (region, added)
+            voters = (*(one.replica for one in kept), *added)
+
+    together()
+
+
+@then("in it they are as evenly spread over the zones as the machines allow")
+def then_even_in_region(context):
+    @settings(max_examples=200)
+    @given(zones=zones_of_machines, count=st.sampled_from([3, 5]))
+    def even(zones, count):
+        candidates = with_regions(machines(zones))
+        voters = choose_voters(0, candidates, count)
+        region = shared_region(candidates, [])
+        inside = [one for one in candidates if one.region == region]
+        assert_even(inside, [one for one in voters if one in {each.replica for each in inside}])
+
+    even()
+
+
 @then("a replacement for a lost voter comes from a zone with the fewest voters left")
 def then_replacement(context):
     @settings(max_examples=200)
--- a/src/bellweir/hosted/eligibility/cold_workers.py
+++ b/src/bellweir/hosted/eligibility/cold_workers.py
@@ -83,6 +83,11 @@
         )
         return max(until_s, doubted_since_s + ENTRY_DELAY_S)
 
+    def told_count(self) -> int:
+        """Return the number of workers whose entries tell that they are cold."""
+        now_s = self._now_s()
+        return sum(_is_cold(known, now_s) for known in list(self._known.values()))
+
     def note_unanswered(self, worker: Incarnation) -> None:
         """Note that a worker was not reached or fell silent: it may start again under its id."""
         self._unanswered_s[worker] = self._now_s()
--- a/src/bellweir/hosted/metrics_service.py
+++ b/src/bellweir/hosted/metrics_service.py
@@ -117,6 +117,17 @@
             "Workers in the list.",
             lambda: float(len(views.workers.all())),
         )
+        add(
+            "bellweir_workers_cold",
+            "Listed workers whose entries tell that they are cold.",
+            lambda: float(views.cold.told_count()),
+        )
+        self.metrics.add_gauges(
+            "bellweir_zone_evacuated",
+            "1 for each zone that the operator evacuates, as this process knows.",
+            "zone",
+            lambda: dict.fromkeys(views.evacuated.zones(), 1.0),
+        )
         self.metrics.add_unreadable_entries(views.entries)
         add(
             "bellweir_views_relayed",
--- a/src/bellweir/hosted/node_settings.py
+++ b/src/bellweir/hosted/node_settings.py
@@ -53,6 +53,7 @@
 class _Ledger:
     shards: int = 1
     replicas: int = 3
+    one_region: bool = False
     heartbeat_s: float = 0.15
     election_timeout_s: float = 0.6
     snapshot_entries: int = 2_048
@@ -89,6 +90,7 @@
         _Membership(seeds=seed_addresses(settings)),
         _Ledger(
             replicas=settings.tolerate.replicas,
+            one_region=settings.tolerate.zones == 0 and settings.tolerate.regions == 0,
             creation_least=settings.tolerate.machines + 1,
             creation_spread_s=FIRST_START_JITTER_S if node.bootstrap else 0.0,
         ),
--- a/src/bellweir/hosted/settings.py
+++ b/src/bellweir/hosted/settings.py
@@ -107,6 +107,11 @@
 
     machines: int = 1
     """Machines with a data folder whose disks may be lost at the same time."""
+    zones: int = 1
+    """Zones that may be lost at the same time."""
+    regions: int = 1
+    """Regions that may be lost at the same time. With no zone and no region to be lost, the
+    replicas of batch jobs stand in one region."""
 
     @property
     def replicas(self) -> int:
--- a/src/bellweir/ledger/keeper.py
+++ b/src/bellweir/ledger/keeper.py
@@ -409,15 +409,18 @@
         ]
 
     def _candidates(self) -> tuple[PlacementCandidate, ...]:
-        own_zone = self._membership.self_member().zone
-        found = [PlacementCandidate(self._node.own, own_zone)]
+        found = [self._candidate(self._node.own, self._membership.self_member())]
         for member in self._data_members():
             is_released = member.node in self._released & self.retiring
             replica = self._replica_on(member) if not is_released else None
             if replica is not None:
-                found.append(PlacementCandidate(replica, member.zone))
+                found.append(self._candidate(replica, member))
         return tuple(found)
 
+    def _candidate(self, replica: ReplicaId, member: Member) -> PlacementCandidate:
+        region = member.region if self._settings.one_region else ""
+        return PlacementCandidate(replica, member.zone, region)
+
     def _replica_on(self, member: Member) -> ReplicaId | None:
         """Identity of a node's replicas, by its own word; None where it does not answer."""
         if member.node not in self._disks:
--- a/src/bellweir/ledger/placement.py
+++ b/src/bellweir/ledger/placement.py
@@ -82,33 +82,51 @@
 
     replica: ReplicaId
     zone: str
+    region: str = ""
+    """Empty where replicas may stand in any region."""
 
 
 def choose_voters(
     shard: int,
     candidates: Sequence[PlacementCandidate],
     count: int,
-    taken_zones: Sequence[str] = (),
+    taken: Sequence[PlacementCandidate] = (),
 ) -> tuple[ReplicaId, ...]:
     """Choose `count` candidates for a shard by rendezvous hash, spread evenly over the zones.
 
-    Each is taken from a zone with the fewest replicas so far. `taken_zones` names the zone of
-    each replica that stays, so that a replacement fills the zone that has lost one.
+    Each is taken from a zone with the fewest replicas so far. `taken` are the candidates whose
+    replicas stay, so that a replacement fills the zone that has lost one. Where candidates name
+    regions, all are taken from one region as long as it has any (`shared_region`).
     """
+    region = shared_region(candidates, taken)
     ranked = sorted(
         candidates, key=lambda one: xxhash.xxh3_64_intdigest(f"{shard}/{one.replica.node}".encode())
     )
-    replicas_in = Counter(taken_zones)
+    replicas_in = Counter(one.zone for one in taken)
     chosen: list[ReplicaId] = []
     while ranked and len(chosen) < count:
         # The first of equals: the order of the hash decides.
-        best = min(ranked, key=lambda one: replicas_in[one.zone])
+        best = min(ranked, key=lambda one: (one.region != region, replicas_in[one.zone]))
         ranked.remove(best)
         replicas_in[best.zone] += 1
         chosen.append(best.replica)
     return tuple(chosen)
 
 
+def shared_region(
+    candidates: Sequence[PlacementCandidate], taken: Sequence[PlacementCandidate]
+) -> str:
+    """Return the region of most replicas that stay, or without any the one with most candidates.
+
+    >>> a, b = ReplicaId("a", "disk"), ReplicaId("b", "disk")
+    >>> near, far = PlacementCandidate(a, "z", "north"), PlacementCandidate(b, "y", "south")
+    >>> shared_region([near, far], [far]), shared_region([near, far], [])
+    ('south', 'north')
+    """
+    counts = Counter(one.region for one in taken or candidates)
+    return min(counts, key=lambda region: (-counts[region], region), default="")
+
+
 def first_placement(
     shard_count: int, candidates: Sequence[PlacementCandidate], replicas: int
 ) -> Placement:
--- a/src/bellweir/ledger/reconfiguration.py
+++ b/src/bellweir/ledger/reconfiguration.py
@@ -136,7 +136,7 @@
 def _with_new_learner(view: ShardView, free: list[PlacementCandidate]) -> ReplicaSet | None:
     healthy = view.healthy_voters()
     kept = [one for one in view.candidates if one.replica in healthy]
-    chosen = choose_voters(view.shard, free, 1, [one.zone for one in kept])
+    chosen = choose_voters(view.shard, free, 1, kept)
     if not chosen:
         return None
     return ReplicaSet(view.replicas.voters, (*view.replicas.learners, chosen[0]))
--- a/src/bellweir/settings/models.py
+++ b/src/bellweir/settings/models.py
@@ -109,6 +109,10 @@
     """Number of shards; fixed for the life of a cluster. Default 8."""
     replicas: int = Field(default=3, ge=1)
     """Replicas of each shard, in different zones where possible. Default 3."""
+    one_region: bool = False
+    """Whether the replicas of a shard stand in one region while it has nodes for them: commits
+    and results then don't cross regions, but the loss of that region is not tolerated. Default
+    false."""
     heartbeat_s: float = Field(default=0.4, gt=0)
     """Time between a leader's heartbeats, in seconds. Default 0.4."""
     election_timeout_s: float = Field(default=1.0, gt=0)
