Put back reasons behind constants and choices

Put back, one or two sentences each in today's names: intervals, bounds and backoffs of the views, the store's calls, shared sight, usage, scaling, routing. No code changes: the syntax trees without docstrings are equal (15 files).

--- a/src/bellweir/hosted/batches/retention.py
+++ b/src/bellweir/hosted/batches/retention.py
@@ -9,7 +9,8 @@
 
 CHECK_INTERVAL_S = 0.5
 COUNT_INTERVAL_S = 2.0
-"""Interval of clock commands; time that is not in the log is lost when all replicas restart."""
+"""Interval of clock commands; time that is not in the log is lost when all replicas restart. While
+no ended job is kept none is submitted, so that an idle shard writes nothing."""
 SUBMIT_TIMEOUT_S = 1.0
 
 
--- a/src/bellweir/hosted/scaling/policies.py
+++ b/src/bellweir/hosted/scaling/policies.py
@@ -10,7 +10,8 @@
 )
 
 REPLACEMENT_DELAY_S = 7.0
-"""Time a worker is missing before it is replaced; longer than a crashed one takes to restart."""
+"""Time a worker is missing before it is replaced; longer than a crashed one takes to restart, which
+is 3 to 5 s. A new one would come no sooner."""
 
 
 class HoldPolicy(ScalingPolicy):
--- a/src/bellweir/hosted/serving/forwarding.py
+++ b/src/bellweir/hosted/serving/forwarding.py
@@ -38,7 +38,8 @@
 MEAN_TIMEOUT_FACTOR = 4.0
 """Minimum attempt timeout as a multiple of the worker's mean latency."""
 P95_TIMEOUT_FACTOR = 2.0
-"""Attempt timeout as a multiple of the service's 95th percentile latency, where known."""
+"""Attempt timeout as a multiple of the service's 95th percentile latency, where known: 95 of 100
+requests to healthy workers take at most half of it."""
 LOCAL_MEAN_TIMEOUT_FACTOR = 2.0
 """The same for this gateway's own mean, so that a slow gateway does not blame its workers."""
 MIN_ATTEMPT_TIMEOUT_S = 0.05
--- a/src/bellweir/hosted/sight/counts.py
+++ b/src/bellweir/hosted/sight/counts.py
@@ -16,6 +16,8 @@
 from bellweir.hosted.sight.interface import ObservedOutcome
 
 HALF_LIFE_S = 8.0
+"""Longer than it takes a worker to get some requests from all gateways, and shorter than an
+incident that callers notice."""
 FIRST_BUCKET_S = 0.002
 """Upper bound of the first latency bucket."""
 BUCKET_COUNT = 36
--- a/src/bellweir/hosted/sight/exchange.py
+++ b/src/bellweir/hosted/sight/exchange.py
@@ -24,6 +24,7 @@
 from bellweir.wire.interface import Sender, Transport, WireErrorKind
 
 GOSSIP_INTERVAL_S = 0.5
+"""What one of 25 gateways of a zone observed is known to all of them 2.5 s later."""
 HANDSHAKE_TIMEOUT_S = 0.25
 UNSUPPORTED_BACKOFF_S = 30.0
 """How long a peer that does not support the messages is skipped; it may be upgraded meanwhile."""
--- a/src/bellweir/hosted/sight/outlier_detection.py
+++ b/src/bellweir/hosted/sight/outlier_detection.py
@@ -27,7 +27,8 @@
 from bellweir.hosted.sight.counts import DecayingCounts
 
 MAX_EJECTED_SHARE = 0.5
-"""Share of a service's workers; the others have to carry the load."""
+"""Share of a service's workers; the others have to carry the load. With half of the workers slow,
+the other half alone serves more than both together."""
 MIN_FAILURES = 1.8
 """Two recent failures, allowing for decay: a single one may be the fault of the request."""
 MIN_ANSWERS = 2.5
@@ -42,15 +43,18 @@
 """Divided by the square root of the number of answers: how far below 0.5 the quantile that is
 compared lies, about 1.5 standard deviations of a sample median."""
 SLOW_FACTOR = 3.0
-"""Workers on different hardware may differ by a smaller factor without being outliers."""
+"""Workers on different hardware may differ by a smaller factor without being outliers: healthy ones
+of several kinds, which batch, differ by 2 to 2.5."""
 MIN_SLOW_EXCESS_S = 0.05
 """Smaller differences do not matter to clients."""
 MIN_FAILURE_EXCESS = 0.05
 """Minimum difference of the lower bound of a worker's failure rate to the reference."""
 REFERENCE_Z = 1.0
-"""Standard deviations added to the reference failure rate."""
+"""Standard deviations added to the reference failure rate: requests that fail wherever they go hit
+one worker more often than another by chance."""
 FAILURE_Z = 2.6
-"""Standard deviations subtracted from the failure rate of the worker under test."""
+"""Standard deviations subtracted from the failure rate of the worker under test: a healthy worker
+is taken for a failing one about once in 200 times."""
 MIN_EJECTION_S = 2.0
 MAX_EJECTION_S = 30.0
 PROBE_INTERVAL_S = 1.5
--- a/src/bellweir/hosted/usage/sender.py
+++ b/src/bellweir/hosted/usage/sender.py
@@ -18,7 +18,8 @@
 from bellweir.ledger.interface import Ledger
 
 SEND_INTERVAL_S = 0.7
-"""Counts of up to this time are lost if a gateway is killed."""
+"""Counts of up to this time are lost if a gateway is killed. At 14 requests a second over 60
+gateways that is one request in six kills, below a hundredth of the 70 of a window."""
 SEND_TIMEOUT_S = 1.0
 FINAL_SEND_TIMEOUT_S = 0.4
 """Timeout at a graceful shutdown."""
--- a/src/bellweir/hosted/usage/wall_clock.py
+++ b/src/bellweir/hosted/usage/wall_clock.py
@@ -11,7 +11,8 @@
 JUMP_THRESHOLD_S = 0.25
 """Smallest offset change treated as a jump; gradual corrections (slewing) stay below it."""
 JUMP_CONFIRMATION_S = 15.0
-"""Time after which a persistent jump is adopted."""
+"""Time after which a persistent jump is adopted: three times the 5 s after which a clock that
+jumped usually returns."""
 
 
 class StableWallClock:
--- a/src/bellweir/hosted/views/follower.py
+++ b/src/bellweir/hosted/views/follower.py
@@ -40,7 +40,9 @@
 """Bounds of the exponential backoff while the store does not answer."""
 MIN_BACKOFF_WITH_READERS_S = 0.8
 MAX_BACKOFF_WITH_READERS_S = 1.5
-"""Bounds for a process with readers, which relay the recovery: rejected calls cost as well."""
+"""Bounds for a process with readers, which relay the recovery: rejected calls cost as well. With 71
+machines and a store that is busy twice for 6 s it makes 2,339 calls instead of 3,315 with the
+shorter first pause, and nothing is served worse."""
 MAX_RELAY_AGE_S = 1.5
 """Age from which on relayed updates are too old; a leaving worker must be known in 2 s."""
 MIN_OUTAGE_S = 1.0
--- a/src/bellweir/hosted/views/relay.py
+++ b/src/bellweir/hosted/views/relay.py
@@ -24,7 +24,8 @@
 SUBSCRIPTION_TTL_S = 3.5
 HEARTBEAT_INTERVAL_S = 0.4
 SEED_PHASE_S = 3.0
-"""Time after the start in which seeds are queried while membership settles."""
+"""Time after the start in which seeds are queried while membership settles; 195 nodes know each
+other after 2 s."""
 SEED_OVERLAP_S = 2.0
 """Time for which seeds are still queried after subscribing, until the readers are current."""
 SEED_WAIT_S = 0.5
@@ -40,7 +41,7 @@
 PROBE_INTERVAL_S = 2.0
 """Interval of probes of the store by a node that is cut off."""
 SOURCE_TIMEOUT_S = 1.5
-"""Time without a message after which a source counts as failed."""
+"""Time without a message after which a source counts as failed; heartbeats come each 0.4 s."""
 MIN_FORWARD_INTERVAL_S = 0.3
 """Minimum interval of forwarding updates that only confirm the state."""
 
--- a/src/bellweir/hosted/views/service.py
+++ b/src/bellweir/hosted/views/service.py
@@ -27,7 +27,8 @@
 CHECK_INTERVAL_S = 1.0
 """Interval of stale reads that check the watches, one kind at a time."""
 READER_CHECK_INTERVAL_S = 0.5
-"""Interval in which every kind is checked at a node that relays to others."""
+"""Interval in which every kind is checked at a node that relays to others: what it relays must be
+fresh."""
 COALESCE_S = 0.8
 """Pause between watches of workers, which batches their changes. Together with a heartbeat and two
 message delays it must stay below `MAX_RELAY_AGE_S`."""
--- a/src/bellweir/routing/arm_status.py
+++ b/src/bellweir/routing/arm_status.py
@@ -24,7 +24,7 @@
 FIRST_WRITE_DELAY_S = 2.0
 """Delay of a comparison's first write, to batch the reports of several nodes."""
 WRITE_INTERVAL_S = 10.0
-"""Minimum time between writes of one comparison."""
+"""Minimum time between writes of one comparison: at most 8,640 a day."""
 CONFLICT_BACKOFF_S = 1.0
 """Allows the conflicting version to become visible here."""
 _DECIMALS = 6
--- a/src/bellweir/routing/pool_table.py
+++ b/src/bellweir/routing/pool_table.py
@@ -88,7 +88,8 @@
         chosen = list(selection.subset)
         if selection.others:
             # Subsets are selected independently and may leave a worker of a large pool without a
-            # node; its owner therefore routes over it.
+            # node (428 of 3,800 workers at 340 nodes with subsets of 24); its owner therefore
+            # routes over it.
             self._has_large_pools = True
             chosen += [worker for worker in selection.others if owns(worker.name)]
         by_name = {worker.name: worker for worker in selection.workers}
--- a/src/bellweir/routing/report_publisher.py
+++ b/src/bellweir/routing/report_publisher.py
@@ -22,7 +22,8 @@
 PUSH_BYTES_PER_S = 2048
 """Bandwidth limit for periodic pushes; status changes are sent at once."""
 MAX_PUSH_INTERVAL_S = 2.0
-"""Takes precedence over the bandwidth limit, to keep reports from becoming stale."""
+"""Takes precedence over the bandwidth limit, to keep reports from becoming stale: beyond about 50
+pairs the bytes grow with the pairs."""
 MAX_SUBSCRIPTIONS = 4096
 """Limit on (subscriber, back end) pairs."""
 
--- a/src/bellweir/routing/strategies.py
+++ b/src/bellweir/routing/strategies.py
@@ -18,7 +18,8 @@
 DISTANCE_COST = {SAME_ZONE: 0.0, SAME_REGION: 0.5, OTHER_REGION: 4.0}
 """In outstanding requests."""
 MAX_EXCESS_LOAD = 8.0
-"""Outstanding requests above the least loaded engine up to which a cached prefix is preferred."""
+"""Outstanding requests above the least loaded engine up to which a cached prefix is preferred: a
+saved prefill is worth a short wait, not an overloaded engine."""
 
 
 class Strategy(ABC):
