--- a/src/bellweir/hosted/eligibility/cold_rates.py
+++ b/src/bellweir/hosted/eligibility/cold_rates.py
@@ -32,6 +32,8 @@
 """Part for jobs at services with engines, where most requests are items of jobs."""
 MIN_JOB_SHARE = 0.25
 """Part for jobs at other services: requests that score texts."""
+REFRESH_INTERVAL_S = 0.25
+"""Interval at which a gateway looks at which gateways are alive."""
 SEEN_FOR_S = 30.0
 """Time for which gateways that were seen count as existing."""
 
@@ -86,31 +88,40 @@
         self._now_s = now_s
         self._lock = threading.Lock()
         self._seen_s: dict[str, float] = {}
+        self._live: tuple[str, ...] = ()
+        """Live gateways; empty if this one sees too few of them."""
+        self._refreshed_s = float("-inf")
+        self._shares: dict[tuple[Incarnation, int], int] = {}
+        """Shares since the last look at the gateways, by worker and number of senders."""
 
     def allowed(self, worker: Incarnation, limit: ColdLimit, *, has_engines: bool) -> int:
         """Return 1 for a chosen gateway, otherwise 0."""
         count = limit.for_gateways(has_engines=has_engines)
-        live = self._live_gateways()
-        own = self._membership.self_member().node
-        if own not in live or 2 * len(live) <= self._seen_count(live):
-            return 0
-        return int(own in first_by_rendezvous(worker, live, count))
-
-    def _live_gateways(self) -> list[str]:
-        return [
+        with self._lock:
+            self._refresh_if_due()
+            share = self._shares.get((worker, count))
+            if share is None:
+                own = self._membership.self_member().node
+                share = int(own in first_by_rendezvous(worker, self._live, count))
+                self._shares[worker, count] = share
+        return share
+
+    def _refresh_if_due(self) -> None:
+        now_s = self._now_s()
+        if now_s - self._refreshed_s < REFRESH_INTERVAL_S:
+            return
+        self._refreshed_s = now_s
+        self._shares.clear()
+        live = tuple(
             member.node
             for member in self._membership.members()
             if member.gateway_address and member.state is MemberState.ALIVE
-        ]
-
-    def _seen_count(self, live: Collection[str]) -> int:
-        """Gateways seen alive lately, by this process."""
-        now_s = self._now_s()
-        with self._lock:
-            self._seen_s |= dict.fromkeys(live, now_s)
-            for node in [one for one, at_s in self._seen_s.items() if now_s - at_s > SEEN_FOR_S]:
-                del self._seen_s[node]
-            return len(self._seen_s)
+        )
+        self._seen_s |= dict.fromkeys(live, now_s)
+        self._seen_s = {
+            node: at_s for node, at_s in self._seen_s.items() if now_s - at_s <= SEEN_FOR_S
+        }
+        self._live = live if 2 * len(live) > len(self._seen_s) else ()
 
 
 def first_by_rendezvous(worker: Incarnation, nodes: Sequence[str], count: int) -> list[str]:
--- a/src/bellweir/hosted/eligibility/cold_workers.py
+++ b/src/bellweir/hosted/eligibility/cold_workers.py
@@ -118,7 +118,7 @@
 
     def retain(self, incarnations: set[Incarnation]) -> None:
         """Drop what is known of workers that are gone."""
-        for worker in [one for one in self._unanswered_s if one not in incarnations]:
+        for worker in set(self._unanswered_s) - incarnations:
             self._unanswered_s.pop(worker, None)
 
     def _apply(self, record: StoredRecord) -> None:
