Shares of cold workers by a ring; ejection leaves out evacuated and cold workers

Cause: ranking all gateways for each cold worker took 2 to 12 ms a look at 60 and 340 gateways with 24 cold workers, and grows with both. Ejection counted workers of an evacuated zone among those of which half may be ejected, so that all the rest could be, and compared cold workers with warm ones.

Change: gateways stand in a ring, made anew four times a second at most; cold workers and those of evacuated zones are neither compared nor counted, where settings limit cold workers or follow evacuations. bellweir explain names evacuations in force at the node. Without limitCold nothing is kept or logged of cold workers.

--- a/features/explanation.feature
+++ b/features/explanation.feature
@@ -13,6 +13,11 @@
       | timeout          | unknown  | the route's timeout or the client's deadline  |
       | no_configuration | refused  | had no configuration yet                      |
 
+  Scenario: A request that was refused while a zone is evacuated
+    Given log lines of a gateway that learns of evacuations and refuses a request half a minute later
+    Then the explanation names the evacuation in force, and not the one that has ended
+    And it says that the request was not sent because of the evacuation
+
   Scenario: A batch job whose group came late
     Given log lines of a job with an interrupted run, a change of leader and a late item
     Then the explanation of "j-1" says "2 of 2 items listed"
--- a/features/hosted_places.feature
+++ b/features/hosted_places.feature
@@ -57,6 +57,9 @@
     When the worker of zone "a" is cold
     Then 12 requests and 4 streams run at the worker of zone "b" alone
 
+  Scenario: Ejection while a zone is evacuated and workers are cold
+    Then of two workers left by an evacuation one at most is ejected, and a slow cold one is not
+
   Scenario: Only cold workers are left
     Given a gateway with a worker in zone "a" and one in zone "b"
     When both workers are cold and this gateway is not one of their senders
--- a/features/steps/explanation_steps.py
+++ b/features/steps/explanation_steps.py
@@ -49,6 +49,41 @@
     context.lines = [end, "  0.5 gateway-a " + attempt(2, 2, outcome), "{", attempt(1, 1, outcome)]
 
 
+@given_step(
+    "log lines of a gateway that learns of evacuations and refuses a request half a minute later"
+)
+def given_evacuated(context):
+    context.lines = [
+        line(1, "gateway-a", "evacuation_began", zone="a", revision=7),
+        line(2, "gateway-a", "evacuation_began", zone="b", revision=8),
+        line(3, "gateway-b", "evacuation_began", zone="c", revision=9),
+        line(9, "gateway-a", "evacuation_ended", zone="b", revision=8, after_s=7),
+        line(
+            31,
+            "gateway-a",
+            "request_given_up",
+            request_id="r-1",
+            status=503,
+            cause="zone_evacuated",
+            configuration=4,
+            attempts=0,
+            ms=1,
+        ),
+    ]
+
+
+@then("the explanation names the evacuation in force, and not the one that has ended")
+def then_evacuation_named(context):
+    context.explanation = explain("r-1", read_lines([context.lines]))
+    shown = [(event.event, event.text("zone")) for event in context.explanation.node_events]
+    assert shown == [("evacuation_began", "a")], shown
+
+
+@then("it says that the request was not sent because of the evacuation")
+def then_evacuation_said(context):
+    assert "the operator evacuates the zones" in context.explanation.summary
+
+
 @given_step(
     "log lines of a job that competes with other steps and cannot complete all groups in time"
 )
--- a/features/steps/hosted_places_steps.py
+++ b/features/steps/hosted_places_steps.py
@@ -29,10 +29,14 @@
 from bellweir.hosted.eligibility.evacuated_zones import EvacuatedZones
 from bellweir.hosted.eligibility.homes import Regions
 from bellweir.hosted.entries import worker_entry
+from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.interface import Listing, RecordChange, StoredRecord
 from bellweir.hosted.records import Configuration, Route, TenantEntry
 from bellweir.hosted.serving.directory import choose_gateways
 from bellweir.hosted.serving.selection import WorkerLoads
+from bellweir.hosted.sight.interface import ObservedOutcome
+from bellweir.hosted.sight.monitor import SharedWorkerMonitor
+from bellweir.hosted.sight.table import ObservationTable
 from bellweir.hosted.views.configuration import RouteTable
 from bellweir.hosted.views.follower import KindFollower
 from bellweir.hosted.views.kind_state import KindState
@@ -376,6 +380,34 @@
     assert len(at_far) < 8, at_far
 
 
+@then("of two workers left by an evacuation one at most is ejected, and a slow cold one is not")
+def then_ejected(context):
+    workers = [Incarnation(f"i-{number}") for number in range(4)]
+    kept_out, left = workers[:2], workers[2:]
+
+    def ejected(slow, excluded):
+        """Those ejected when `slow` workers fail everything and the others nothing."""
+        table = ObservationTable("g", "a", 1)
+        monitor = SharedWorkerMonitor(
+            table,
+            lambda: {"app": workers},
+            now_s=lambda: 0.0,
+            is_comparable=lambda worker: worker not in excluded,
+        )
+        for worker in workers:
+            for _ in range(30):
+                monitor.record_start("app", worker)
+                outcome = ObservedOutcome.FAILED if worker in slow else ObservedOutcome.SERVED
+                monitor.record_end(worker, outcome, 0.1)
+        monitor.refresh()
+        return [worker for worker in workers if monitor.stats(worker).is_ejected]
+
+    assert ejected(left, ()) == left, "half of the service, with the evacuated ones counted"
+    assert len(ejected(left, kept_out)) <= 1
+    assert ejected(left[:1], kept_out) == left[:1]
+    assert ejected(left[:1], left[:1]) == [], "a cold worker"
+
+
 # What is known of evacuations -------------------------------------------------------------------
 
 
--- a/src/bellweir/explanation/explanation.py
+++ b/src/bellweir/explanation/explanation.py
@@ -25,9 +25,12 @@
         "order_sent",
         "replicas_changed",
         "lines_left_out",
+        "evacuation_began",
+        "evacuation_ended",
         "retry_refused",
         "sight_alone",
         "sight_shared",
+        "worker_cold",
         "worker_returned",
         "worker_set_aside",
     }
@@ -53,7 +56,8 @@
     runs = [line for line in own_lines if line.event.startswith("item_")] or own_lines
     first_s, last_s = runs[0].seconds() - CONTEXT_WINDOW_S, runs[-1].seconds() + CONTEXT_WINDOW_S
     nodes = {line.node for line in own_lines}
-    node_events = [
+    node_events = _evacuations_in_force([line for line in lines if line.node in nodes], first_s)
+    node_events += [
         line
         for line in lines
         if line.event in NODE_EVENTS and line.node in nodes and first_s <= line.seconds() <= last_s
@@ -67,6 +71,20 @@
     return Explanation(tuple(own_lines), tuple(node_events), summary)
 
 
+def _evacuations_in_force(lines: Sequence[LogLine], at_s: float) -> list[LogLine]:
+    """Return the beginnings of evacuations that had not ended at a node at a time."""
+    began: dict[tuple[str, str], LogLine] = {}
+    for line in lines:
+        key = line.node, line.text("zone")
+        if line.seconds() >= at_s:
+            break
+        if line.event == "evacuation_began":
+            began[key] = line
+        elif line.event == "evacuation_ended":
+            began.pop(key, None)
+    return list(began.values())
+
+
 def _killed_processes(lines: Sequence[LogLine]) -> str:
     """Name processes that restarted without a shutdown line; they lost lines of their requests."""
     stopped: set[str] = set()
--- a/src/bellweir/hosted/eligibility/cold_rates.py
+++ b/src/bellweir/hosted/eligibility/cold_rates.py
@@ -2,7 +2,7 @@
 
 Processes that may be cut from each other can't count together, so each has a fixed share of the
 rate. Coordinators of jobs have a part of it, of which two may use each its own while one takes over
-from the other. The rest is for gateways: a few of them, chosen for each worker by rendezvous
+from the other. The rest is for gateways: a few of them, chosen for each worker by consistent
 hashing among those alive, send it one request a second each. A gateway that sees at most half of
 the gateways that it saw before sends none, so that one side of a split at most does.
 
@@ -16,11 +16,12 @@
 [True, True, False]
 """
 
+import bisect
 import threading
 import time
 from abc import ABC, abstractmethod
 from collections import deque
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection
 
 import xxhash
 
@@ -88,55 +89,63 @@
         self._now_s = now_s
         self._lock = threading.Lock()
         self._seen_s: dict[str, float] = {}
-        self._live: tuple[str, ...] = ()
+        self._ring = SenderRing(())
         """Live gateways; empty if this one sees too few of them."""
         self._refreshed_s = float("-inf")
-        self._shares: dict[tuple[Incarnation, int], int] = {}
-        """Shares since the last look at the gateways, by worker and number of senders."""
 
     def allowed(self, worker: Incarnation, limit: ColdLimit, *, has_engines: bool) -> int:
         """Return 1 for a chosen gateway, otherwise 0."""
         count = limit.for_gateways(has_engines=has_engines)
         with self._lock:
             self._refresh_if_due()
-            share = self._shares.get((worker, count))
-            if share is None:
-                own = self._membership.self_member().node
-                share = int(own in first_by_rendezvous(worker, self._live, count))
-                self._shares[worker, count] = share
-        return share
+            ring = self._ring
+        return int(self._membership.self_member().node in ring.senders(worker, count))
 
     def _refresh_if_due(self) -> None:
         now_s = self._now_s()
         if now_s - self._refreshed_s < REFRESH_INTERVAL_S:
             return
         self._refreshed_s = now_s
-        self._shares.clear()
-        live = tuple(
+        live = [
             member.node
             for member in self._membership.members()
             if member.gateway_address and member.state is MemberState.ALIVE
-        )
+        ]
         self._seen_s |= dict.fromkeys(live, now_s)
         self._seen_s = {
             node: at_s for node, at_s in self._seen_s.items() if now_s - at_s <= SEEN_FOR_S
         }
-        self._live = live if 2 * len(live) > len(self._seen_s) else ()
+        self._ring = SenderRing(live if 2 * len(live) > len(self._seen_s) else ())
 
 
-def first_by_rendezvous(worker: Incarnation, nodes: Sequence[str], count: int) -> list[str]:
-    """Return the `count` nodes that rank first for a worker; equal for equal sets of nodes.
+class SenderRing:
+    """Consistent hashing of workers to gateways, equal for equal sets of gateways.
 
-    >>> first_by_rendezvous(Incarnation("i-1"), ["a", "b", "c"], 1)
-    ['c']
-    >>> first_by_rendezvous(Incarnation("i-1"), ["c", "a"], 1)
-    ['c']
+    >>> ring = SenderRing(["a", "b", "c"])
+    >>> ring.senders(Incarnation("i-1"), 2) == SenderRing(["c", "b", "a"]).senders(
+    ...     Incarnation("i-1"), 2
+    ... )
+    True
+    >>> len(ring.senders(Incarnation("i-1"), 5)), SenderRing(()).senders(Incarnation("i-1"), 1)
+    (3, [])
     """
 
-    def weight(node: str) -> int:
-        return xxhash.xxh3_64_intdigest(f"{node}/{worker}".encode())
+    __slots__ = ("_hashes", "_nodes")
 
-    return sorted(nodes, key=weight)[:count]
+    def __init__(self, nodes: Collection[str]) -> None:
+        placed = sorted((xxhash.xxh3_64_intdigest(node.encode()), node) for node in nodes)
+        self._hashes = [place for place, _ in placed]
+        self._nodes = [node for _, node in placed]
+
+    def senders(self, worker: Incarnation, count: int) -> list[str]:
+        """Return the `count` gateways that follow a worker's place, fewer if there are not enough.
+
+        All incarnations of a worker have the same place.
+        """
+        place = xxhash.xxh3_64_intdigest(worker.instance.encode())
+        first = bisect.bisect(self._hashes, place)
+        following = [*self._nodes[first : first + count], *self._nodes[:first]]
+        return following[:count]
 
 
 class ColdRateLimiter:
--- a/src/bellweir/hosted/eligibility/cold_workers.py
+++ b/src/bellweir/hosted/eligibility/cold_workers.py
@@ -88,6 +88,10 @@
         now_s = self._now_s()
         return sum(_is_cold(known, now_s) for known in list(self._known.values()))
 
+    def is_told_cold(self, instance: str) -> bool:
+        """Whether a worker's entry tells that it is cold."""
+        return _is_cold(self._known.get(instance), self._now_s())
+
     def note_unanswered(self, worker: Incarnation) -> None:
         """Note that a worker was not reached or fell silent: it may start again under its id."""
         self._unanswered_s[worker] = self._now_s()
--- a/src/bellweir/hosted/sight/monitor.py
+++ b/src/bellweir/hosted/sight/monitor.py
@@ -89,12 +89,15 @@
         uses_worker_load: bool = True,
         retry_share: float = 0.0,
         count_refused: Callable[[str], None] = lambda _service: None,
+        is_comparable: Callable[[Incarnation], bool] = lambda _worker: True,
     ) -> None:
         """`count_refused` is called with the service of each retry refused by the budget.
 
         `ejects` enables outlier ejection, `uses_worker_load` the use of load that workers report.
-        `retry_share` bounds retries as a share of first attempts; 0 for no bound.
+        `retry_share` bounds retries as a share of first attempts; 0 for no bound. A worker that is
+        not `is_comparable` is neither compared with others nor counted among those of its service.
         """
+        self._is_comparable = is_comparable
         self._table = table
         self._services = services
         self._is_isolated = is_isolated
@@ -286,6 +289,7 @@
         merged: Mapping[Incarnation, DecayingCounts],
         now_s: float,
     ) -> None:
+        workers = [one for one in workers if self._is_comparable(one)]
         if not any(one in merged for one in workers):
             return
         no_counts = DecayingCounts(as_of_s=now_s)
--- a/src/bellweir/hosted/sight/service.py
+++ b/src/bellweir/hosted/sight/service.py
@@ -11,6 +11,7 @@
 from bellweir.hosted.sight.monitor import ServiceWorkers, SharedWorkerMonitor
 from bellweir.hosted.sight.table import ObservationTable
 from bellweir.hosted.views.service import ViewsService
+from bellweir.hosted.views.workers import Worker
 from bellweir.kernel import names
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
@@ -29,6 +30,8 @@
     def __init__(self, kernel: Kernel, settings: HostedSettings, platform: HostingPlatform) -> None:
         self._kernel = kernel
         self._settings = settings.sight
+        self._excluded: set[Incarnation] = set()
+        """Workers that say nothing about others and are not judged by them."""
         node = settings.node
         self._table = ObservationTable(node.name, node.zone, round(MS_PER_S * time.time()))
         self._exchange: ObservationExchange | None = None
@@ -40,12 +43,13 @@
             uses_worker_load=self._settings.use_worker_load,
             retry_share=self._settings.try_share,
             count_refused=lambda service: self._count_refused(service),
+            is_comparable=lambda worker: worker not in self._excluded,
         )
 
     def start(self) -> None:
         """Start the refreshes and, if enabled, the gossip."""
         registry = self._kernel.registry
-        self._workers = registry.find(names.VIEWS, ViewsService).workers
+        self._views = registry.find(names.VIEWS, ViewsService)
         run_task = self._kernel.executors.run_task
         if self._settings.share:
             self._exchange = ObservationExchange(
@@ -62,11 +66,18 @@
 
     def _services(self) -> ServiceWorkers:
         found: dict[str, list[Incarnation]] = {}
-        for worker in self._workers.all():
-            if worker.entry.state is WorkerState.READY:
-                found.setdefault(worker.entry.service, []).append(worker.incarnation)
+        ready = [one for one in self._views.workers.all() if one.entry.state is WorkerState.READY]
+        for worker in ready:
+            found.setdefault(worker.entry.service, []).append(worker.incarnation)
+        self._excluded = {worker.incarnation for worker in ready if self._is_excluded(worker)}
         return found
 
+    def _is_excluded(self, worker: Worker) -> bool:
+        """Whether a worker gets no work, or is slow because it has just started."""
+        views = self._views
+        is_evacuated = views.evacuated.is_evacuated(worker.entry.zone)
+        return is_evacuated or views.cold.is_told_cold(worker.instance)
+
     def _add_gauges(self, telemetry: MetricsService) -> None:
         self._count_refused = telemetry.metrics.add_counter(
             "bellweir_further_tries_refused",
--- a/src/bellweir/hosted/views/service.py
+++ b/src/bellweir/hosted/views/service.py
@@ -52,7 +52,7 @@
         """`seeds` are peers queried before the store, for at most `seed_wait_s`.
 
         `entries` filters out unusable entries that peers send. `places` tells whether evacuations
-        are followed.
+        are followed and whether it is known which workers are cold.
         """
         self._kernel = kernel
         self._seeds = seeds
@@ -63,6 +63,8 @@
         self.workers = WorkersView()
         self.evacuated = EvacuatedZones()
         self.cold = ColdWorkers(self.evacuated)
+        """Knows no worker unless the rate of cold workers is limited."""
+        self._limits_cold = places.limit_cold
         self.configuration_follower = KindFollower(
             store,
             RecordKind.CONFIGURATION,
@@ -139,15 +141,16 @@
         """The tasks end with the executors."""
 
     def _take_workers(self, listing: Listing) -> None:
-        # A worker is known to be cold before it can be chosen.
-        self.cold.apply_listing(listing)
+        if self._limits_cold:
+            # A worker is known to be cold before it can be chosen.
+            self.cold.apply_listing(listing)
         self.workers.apply_listing(listing)
 
     def _take_worker(self, change: RecordChange) -> None:
-        if not change.deleted:
+        if self._limits_cold and not change.deleted:
             self.cold.apply_change(change)
         self.workers.apply_change(change)
-        if change.deleted:
+        if self._limits_cold and change.deleted:
             self.cold.apply_change(change)
 
     def _check(self, stopping: threading.Event) -> None:
