A closed idle connection puts a worker in doubt; doubt leaves one request a second

And a gateway that doubted all workers of a small service refused for 3 s, though their entries did not say that they were cold.

Change: the pool tells of an idle connection that it finds closed before its time, which puts the worker in doubt; a request sent within the second before does not disprove it. What this process alone doubts gets one request a second from it at least; workers that tell that they are cold get the fixed shares.

--- a/features/hosted_places.feature
+++ b/features/hosted_places.feature
@@ -49,6 +49,14 @@
   Scenario: What is known of a worker's cold time
     Then entries, starts, failed connections and returned zones make workers cold for as long as they tell
 
+  Scenario: A worker that only this process doubts
+    Then a gateway that is no sender of it tries it once a second, and none that its entry calls cold
+
+  Scenario: A worker closes its idle connections
+    Given a gateway with a worker in zone "a" and one in zone "b"
+    When both have answered requests and the worker of zone "a" starts again
+    Then a request finds its connection closed, and the worker is in doubt
+
   Scenario: All processes together keep to a cold worker's rate
     Then with any splits, healed links and hand-overs no second has more requests than the bound
 
--- a/features/steps/hosted_places_steps.py
+++ b/features/steps/hosted_places_steps.py
@@ -518,6 +518,47 @@
     assert not is_cold_after(0.2, again)
 
 
+@then(
+    "a gateway that is no sender of it tries it once a second, and none that its entry calls cold"
+)
+def then_doubted(context):
+    now_s = [100.0]
+    places = Places(NoShare(), now_s=lambda: now_s[0])
+    worker, entry = worker_of("i-1")
+    places.rules.note_unanswered(worker)
+    assert places.rules.usable([worker])
+    assert [places.rules.try_start(worker) for _ in range(3)] == [True, False, False]
+    now_s[0] += WINDOW_S + 0.1
+    assert places.rules.try_start(worker)
+    places.tell_entry("i-1", entry, 2_000)
+    now_s[0] += WINDOW_S + 0.1
+    assert not places.rules.usable([worker])
+
+
+@when('both have answered requests and the worker of zone "a" starts again')
+def when_starts_again(context):
+    gateway = context.gateway
+    gateway._connections.on_stale = lambda address: context.places.rules.note_closed(
+        gateway.workers.at(address)
+    )
+    for worker in context.workers.values():
+        # Plain answers leave their connections open.
+        worker.model = ""
+    for _ in range(8):
+        gateway.send("/idempotent/x")
+    context.workers["a"].crash()
+    context.workers["a"].start_again()
+
+
+@then("a request finds its connection closed, and the worker is in doubt")
+def then_found_closed(context):
+    worker = context.gateway.workers.worker("i-a")
+    context.wait_until(
+        lambda: context.gateway.send("/idempotent/x") and context.places.rules.is_cold(worker),
+        "a worker in doubt",
+    )
+
+
 class SplitMembership:
     """Members as one side of a split sees them."""
 
--- a/src/bellweir/clients/pool.py
+++ b/src/bellweir/clients/pool.py
@@ -56,8 +56,10 @@
 class ConnectionPool:
     """Connections to one `host:port`, reused most recent first."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, on_stale: Callable[[], None] = lambda: None) -> None:
+        """`on_stale` is called when an idle connection is found closed by the peer."""
         self.address = address
+        self._on_stale = on_stale
         self._lock = threading.Lock()
         self._idle: list[tuple[CountingConnection, float]] = []
         self._busy: set[CountingConnection] = set()
@@ -158,9 +160,12 @@
                 if not self._idle:
                     return None
                 connection, until_s = self._idle.pop()
-            if time.monotonic() < until_s and not connection.deadline_socket.is_stale():
+            is_young = time.monotonic() < until_s
+            if is_young and not connection.deadline_socket.is_stale():
                 return connection
             connection.close()
+            if is_young:
+                self._on_stale()
 
     def give_back(self, connection: CountingConnection, keep_alive: str | None) -> None:
         """Keep a connection whose last answer, with this `Keep-Alive`, was read whole."""
--- a/src/bellweir/hosted/batches/service.py
+++ b/src/bellweir/hosted/batches/service.py
@@ -46,6 +46,7 @@
         registry = self._kernel.registry
         self._views = registry.find(names.VIEWS, ViewsService)
         self._views.workers.subscribe_address_changes(self._connections.renew)
+        self._connections.on_stale = self._note_stale
         ledger = registry.find(names.LEDGER, LedgerService)
         ledger.register(BatchJobs)
         self._loads = WorkerLoads(
@@ -81,6 +82,11 @@
         self._kernel.executors.run_task("batch-retention", retention.run)
         self._kernel.executors.run_task("batch-tidy", self._clean_up)
 
+    def _note_stale(self, address: str) -> None:
+        worker = self._views.workers.at(address)
+        if worker is not None:
+            self._loads.eligibility.note_closed(worker)
+
     def _add_gauges(
         self, metrics: RequestMetrics, ledger: LedgerService, coordinator: Coordinator
     ) -> None:
--- a/src/bellweir/hosted/eligibility/cold_workers.py
+++ b/src/bellweir/hosted/eligibility/cold_workers.py
@@ -1,8 +1,9 @@
 """How long workers are cold, by what is known of each.
 
 A worker tells in its entry how much longer it is cold. Until its entry can have told so, a worker
-counts as cold that may have become it: one that started without a word of it, one that was not
-reached or fell silent, and all of a zone whose evacuation has just ended.
+counts as cold that has started without a word of it, and all of a zone whose evacuation has just
+ended. One that was not reached, fell silent or closed its connections is in doubt: it may have
+started again.
 
 >>> now = [10.0]
 >>> cold = ColdWorkers(EvacuatedZones(), now_s=lambda: now[0])
@@ -35,6 +36,8 @@
 ENTRY_DELAY_S = 3.0
 """Time within which a worker's entry tells of a change here: a heartbeat, the pause between two
 watches of workers and two relays."""
+CONNECT_TIME_S = 1.0
+"""A request that finds a connection closed makes another one and is answered over that."""
 
 
 class _Known:
@@ -53,6 +56,17 @@
         """Time at which a start was seen here; `NEVER_S` for workers of the first list."""
 
 
+class _Doubt:
+    """A sign that a worker may have started again."""
+
+    __slots__ = ("disproved_before_s", "until_s")
+
+    def __init__(self, noted_s: float, slack_s: float) -> None:
+        """An answer to a request sent more than `slack_s` before the sign disproves it."""
+        self.until_s = noted_s + ENTRY_DELAY_S
+        self.disproved_before_s = noted_s - slack_s
+
+
 class ColdWorkers:
     """Cold times by worker. Reads take no lock."""
 
@@ -63,11 +77,11 @@
         self._now_s = now_s
         self._lock = threading.Lock()
         self._known: dict[str, _Known] = {}
-        self._unanswered_s: dict[Incarnation, float] = {}
+        self._doubts: dict[Incarnation, _Doubt] = {}
         self._has_list = False
 
     def cold_until_s(self, worker: Worker, cold_start_s: float) -> float:
-        """Return the monotonic time until which a worker counts as cold; in the past if warm.
+        """Return the monotonic time until which a worker counts as cold; in the past if it doesn't.
 
         `cold_start_s`: how long workers of its service are cold after a start.
         """
@@ -77,11 +91,12 @@
             until_s = known.cold_until_s
         elif known is not None:
             until_s = known.started_s + cold_start_s
-        doubted_since_s = max(
-            self._evacuated.ended_s(worker.entry.zone),
-            self._unanswered_s.get(worker.incarnation, NEVER_S),
-        )
-        return max(until_s, doubted_since_s + ENTRY_DELAY_S)
+        return max(until_s, self._evacuated.ended_s(worker.entry.zone) + ENTRY_DELAY_S)
+
+    def doubted_until_s(self, worker: Worker) -> float:
+        """Return the monotonic time until which this process doubts that a worker is warm."""
+        doubt = self._doubts.get(worker.incarnation)
+        return NEVER_S if doubt is None else doubt.until_s
 
     def told_count(self) -> int:
         """Return the number of workers whose entries tell that they are cold."""
@@ -94,13 +109,17 @@
 
     def note_unanswered(self, worker: Incarnation) -> None:
         """Note that a worker was not reached or fell silent: it may start again under its id."""
-        self._unanswered_s[worker] = self._now_s()
+        self._doubts[worker] = _Doubt(self._now_s(), 0.0)
+
+    def note_closed(self, worker: Incarnation) -> None:
+        """Note that a request found an idle connection closed by a worker."""
+        self._doubts[worker] = _Doubt(self._now_s(), CONNECT_TIME_S)
 
     def note_answer(self, worker: Incarnation, sent_s: float) -> None:
         """Note that a worker answers a request sent at a time; it has not started again since."""
-        doubted_since_s = self._unanswered_s.get(worker)
-        if doubted_since_s is not None and sent_s < doubted_since_s:
-            self._unanswered_s.pop(worker, None)
+        doubt = self._doubts.get(worker)
+        if doubt is not None and sent_s < doubt.disproved_before_s:
+            self._doubts.pop(worker, None)
 
     def apply_listing(self, listing: Listing) -> None:
         """Apply all entries; those of the first list are no starts."""
@@ -122,8 +141,8 @@
 
     def retain(self, incarnations: set[Incarnation]) -> None:
         """Drop what is known of workers that are gone."""
-        for worker in set(self._unanswered_s) - incarnations:
-            self._unanswered_s.pop(worker, None)
+        for worker in set(self._doubts) - incarnations:
+            self._doubts.pop(worker, None)
 
     def _apply(self, record: StoredRecord) -> None:
         known = self._known.get(record.name)
--- a/src/bellweir/hosted/eligibility/interface.py
+++ b/src/bellweir/hosted/eligibility/interface.py
@@ -49,6 +49,10 @@
     def note_unanswered(self, worker: Worker) -> None:
         """Note that a worker was not reached or fell silent: it may have started again, cold."""
 
+    @abstractmethod
+    def note_closed(self, worker: Worker) -> None:
+        """Note that a request found an idle connection closed by a worker."""
+
     @abstractmethod
     def note_answer(self, worker: Worker, sent_s: float) -> None:
         """Note that a worker answers a request sent at a monotonic time.
@@ -103,6 +107,9 @@
     def note_unanswered(self, worker: Worker) -> None:
         """Do nothing."""
 
+    def note_closed(self, worker: Worker) -> None:
+        """Do nothing."""
+
     def note_answer(self, worker: Worker, sent_s: float) -> None:
         """Do nothing."""
 
--- a/src/bellweir/hosted/eligibility/rules.py
+++ b/src/bellweir/hosted/eligibility/rules.py
@@ -85,6 +85,10 @@
         """Note that a worker was not reached or fell silent: it may have started again, cold."""
         self._cold.note_unanswered(worker.incarnation)
 
+    def note_closed(self, worker: Worker) -> None:
+        """Note that a request found an idle connection closed by a worker."""
+        self._cold.note_closed(worker.incarnation)
+
     def note_answer(self, worker: Worker, sent_s: float) -> None:
         """Note that a worker answers a request sent at a monotonic time."""
         self._cold.note_answer(worker.incarnation, sent_s)
@@ -105,20 +109,34 @@
 
     def _allowed(self, worker: Worker) -> int | None:
         """Requests that this process may send to a worker in any second; None if unlimited."""
-        if self._cold_left_s(worker) <= 0:
+        service = self._cold_service(worker)
+        if service is None:
+            return None
+        is_cold = self._cold.cold_until_s(worker, service.cold_start_s) > self._now_s()
+        if not is_cold and self._cold.doubted_until_s(worker) <= self._now_s():
             return None
-        service = self._services()[worker.entry.service]
         bound = self._settings.cold_over * service.cold_per_s + self._settings.cold_slack
         limit = ColdLimit(service.cold_per_s, bound)
-        return self._share.allowed(
+        share = self._share.allowed(
             worker.incarnation, limit, has_engines=service.engine is not None
         )
+        # Others may know better: what this process alone doubts is tried by it now and then.
+        return share if is_cold else max(1, share)
 
     def _cold_left_s(self, worker: Worker) -> float:
-        """Seconds for which a worker's rate is still limited; 0 or less if it isn't."""
-        if not self._settings.limit_cold:
+        """Seconds for which a worker is cold or in doubt; 0 or less if it isn't."""
+        service = self._cold_service(worker)
+        if service is None:
             return 0.0
+        until_s = max(
+            self._cold.cold_until_s(worker, service.cold_start_s),
+            self._cold.doubted_until_s(worker),
+        )
+        return until_s - self._now_s()
+
+    def _cold_service(self, worker: Worker) -> ServiceEntry | None:
+        """The service of a worker if the rate of its cold workers is limited."""
+        if not self._settings.limit_cold:
+            return None
         service = self._services().get(worker.entry.service)
-        if service is None or service.cold_per_s <= 0:
-            return 0.0
-        return self._cold.cold_until_s(worker, service.cold_start_s) - self._now_s()
+        return service if service is not None and service.cold_per_s > 0 else None
--- a/src/bellweir/hosted/serving/attempt.py
+++ b/src/bellweir/hosted/serving/attempt.py
@@ -117,6 +117,8 @@
         """`on_load` is called with the load that a worker reports in a response header."""
         self.headers = headers
         self._on_load = on_load
+        self.on_stale: Callable[[str], None] = lambda _address: None
+        """Called with an address at which an idle connection was found closed by the peer."""
         self._lock = threading.Lock()
         self._pools: dict[str, ConnectionPool] = {}
 
@@ -124,7 +126,7 @@
         """Return the pool of an address, creating it if needed."""
         with self._lock:
             if address not in self._pools:
-                self._pools[address] = ConnectionPool(address)
+                self._pools[address] = ConnectionPool(address, lambda: self.on_stale(address))
             return self._pools[address]
 
     def has_idle(self, address: str) -> bool:
--- a/src/bellweir/hosted/serving/service.py
+++ b/src/bellweir/hosted/serving/service.py
@@ -109,6 +109,7 @@
             distance_s=partial(self._distance_s, regions),
         )
         self._views.workers.subscribe_address_changes(self._connections.renew)
+        self._connections.on_stale = self._note_stale
         directory = Directory(
             membership,
             self._is_serving,
@@ -127,6 +128,11 @@
             self._apply_limits(table)
         self._kernel.executors.run_task("front-tidy", self._prune)
 
+    def _note_stale(self, address: str) -> None:
+        worker = self._views.workers.at(address)
+        if worker is not None:
+            self._loads.eligibility.note_closed(worker)
+
     def _allowed_regions_of_host(self, host: str) -> AllowedRegions:
         table = self._views.configuration.table()
         return table.allowed_regions_of_host(host) if table is not None else None
--- a/src/bellweir/hosted/views/workers.py
+++ b/src/bellweir/hosted/views/workers.py
@@ -95,6 +95,10 @@
         """Return all listed workers."""
         return tuple(self._present())
 
+    def at(self, address: str) -> Worker | None:
+        """Return the worker at `host:port`, if one is listed."""
+        return next((worker for worker in self._present() if worker.address == address), None)
+
     def ready(self, service: str) -> list[Worker]:
         """Return the workers of a service that accept requests."""
         return [
