Marks tell the checkpoints of two runs of a text apart

Cause: checkpoints of unfinished texts were joined in the ledger by their numbers of events. A former leader's checkpoint that arrives late, or one of the new leader that is lost, leaves another run's events where the number of events agrees, and a result goes on behind them.

Evidence: random courses of an item over the real committer, progress and state (features/support/lost_leaders.py).

Change: a checkpoint carries a mark, its number of events with random bits above it, where it carried the number alone; what follows names the sum of marks. The wire and stored fields are the same, replicas of older builds add up as before.

--- a/features/hosted_batches.feature
+++ b/features/hosted_batches.feature
@@ -130,6 +130,10 @@
   Scenario: Parts of texts in any order, again and again, and through snapshots
     Then the checkpoints of a text cover its events from the first one on, without gaps
 
+  # Guards against a text that is joined of two runs which know nothing of each other.
+  Scenario: A leader is lost at any moment of an item, and what it sent last arrives late
+    Then a recorded text consists of runs that each went on where they were asked to
+
   Scenario: Another leader goes on with texts in the making
     Given a leader with model workers and scorers
     And the workers stream slowly
--- a/features/steps/hosted_batches_steps.py
+++ b/features/steps/hosted_batches_steps.py
@@ -7,8 +7,10 @@
 from behave import given as given_step
 from behave import then, when
 from features.support.hosted_jobs import EVENTS, HOST, MODEL, make_job, make_leader
+from features.support.lost_leaders import History
 from hypothesis import given, settings
 
+from bellweir.hosted.batches.checkpoint_marks import events_of
 from bellweir.hosted.batches.progress import EventsMissingError, ItemProgress
 from bellweir.hosted.batches.refusals import MAX_WEIGHT_LOAD_S, REFUSAL_BACKOFF_S, RefusalBackoff
 from bellweir.hosted.batches.state import (
@@ -36,6 +38,9 @@
 
 ROUTE = Route(host=HOST, path_prefix="/draft/", kind=RouteKind.ROLLOUT, max_attempts=3)
 
+HISTORIES = 2_000
+"""Random courses of an item whose leader is lost."""
+
 
 @then("a batch job's positions never change, and each item has one position")
 def then_positions(context):
@@ -669,7 +674,7 @@
             for item, chain in chains.items():
                 found = machine.jobs["job"].checkpoints.get(f"job-{item}", ())
                 wanted = chain if chain and is_open else []
-                assert [(part.after + part.events) for part in found] == [end for end, _ in wanted]
+                assert [(part.after + part.mark) for part in found] == [end for end, _ in wanted]
                 progress = ItemProgress(
                     make_job("job", 2, 1), ROUTE, make_job("job", 2, 1).items[0]
                 )
@@ -681,6 +686,14 @@
     join()
 
 
+@then("a recorded text consists of runs that each went on where they were asked to")
+def then_runs_join(context):
+    for seed in range(HISTORIES):
+        history = History(seed)
+        fault = history.fault_of(history.play())
+        assert fault is None, f"seed {seed}: {fault}"
+
+
 @given_step("texts are checkpointed every {seconds:g} seconds")
 def given_checkpoints(context, seconds):
     context.leader.coordinator._attempts.checkpoint_interval_s = seconds
@@ -708,7 +721,7 @@
         "the former leader's attempts ended and dropped",
     )
     context.checkpointed = {
-        item_id: sum(each.events for each in checkpoints)
+        item_id: events_of(sum(each.mark for each in checkpoints))
         for item_id, checkpoints in state.checkpoints.items()
     }
     for worker in context.leader.models:
@@ -750,16 +763,16 @@
 def then_tails(context):
     assert len(context.sent) == len(context.job.items)
     for result in context.sent:
-        assert 0 < result.checkpointed_events <= EVENTS
+        assert 0 < events_of(result.checkpoint_mark) <= EVENTS
         found = next(each for each in results_of(context) if each.item_id == result.item_id)
         assert len(found.compressed_checkpoints) >= 1
-        assert found.checkpointed_events == 0
+        assert found.checkpoint_mark == 0
 
 
 @then("the results sent full texts after a first try")
 def then_full_texts(context):
     for item in context.job.items:
-        tries = [result.checkpointed_events for result in context.sent if result.item_id == item.id]
+        tries = [result.checkpoint_mark for result in context.sent if result.item_id == item.id]
         assert tries[0] > 0, "the first try did not rely on checkpoints"
         assert tries[-1] == 0
         assert tries.count(0) >= 1
--- a/features/steps/hosted_reading_steps.py
+++ b/features/steps/hosted_reading_steps.py
@@ -458,7 +458,7 @@
                 versions=(1,),
                 compressed=compress_text(text),
                 length=9,
-                checkpointed_events=behind,
+                checkpoint_mark=behind,
             )
             commands.append(RecordResults("job", (result,)))
     return commands
@@ -495,7 +495,7 @@
             progress = ItemProgress(job, ROUTE, make_job("job", 9, 1).items[number])
             progress.pieces = ["a text"]
             result = ItemResult.from_text(progress.item.id, True, "a text", (1,))
-            progress.result = msgspec.structs.replace(result, checkpointed_events=behind)
+            progress.result = msgspec.structs.replace(result, checkpoint_mark=behind)
             found.append(progress)
         committer._commit(job_id, found, threading.Event())
 
--- a/src/bellweir/hosted/batches/committer.py
+++ b/src/bellweir/hosted/batches/committer.py
@@ -100,7 +100,7 @@
                 continue
             dropped = _drop_causes(results, outcome.unwrap())
             recorded.update(each.item_id for each in results if each.item_id not in dropped)
-            if dropped and any(result.checkpointed_events for result in results):
+            if dropped and any(result.checkpoint_mark for result in results):
                 # Checkpoints may not have reached the log; results recorded already stay.
                 results = tuple(_with_full_text(each) for each in items)
                 continue
@@ -116,7 +116,7 @@
 def _with_full_text(progress: ItemProgress) -> ItemResult:
     """Return an item's result without reference to checkpoints."""
     result = progress.result
-    return progress.full_result() if result is None or result.checkpointed_events else result
+    return progress.full_result() if result is None or result.checkpoint_mark else result
 
 
 def _split_by_size(found: list[ItemProgress]) -> list[list[ItemProgress]]:
--- a/src/bellweir/hosted/batches/progress.py
+++ b/src/bellweir/hosted/batches/progress.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from bellweir.hosted.batches.checkpoint_marks import events_of, new_mark
 from bellweir.hosted.batches.state import ItemResult, Job, JobItem, TextCheckpoint
 from bellweir.hosted.batches.text_compression import compress_text, decompress_text
 from bellweir.hosted.event_stream import StreamEvent
@@ -46,8 +47,8 @@
     last_event_id: int | None = None
     events: int = 0
     """Events in the pieces; a piece from a checkpoint or an earlier job may hold several."""
-    checkpointed_events: int = 0
-    """Events of these that are in checkpoints handed to the committer."""
+    checkpoint_mark: int = 0
+    """Sum of the marks of the checkpoints handed to the committer."""
     checkpointed_pieces: int = 0
     checkpointed_s: float = 0.0
     """Monotonic time of the last checkpoint, or of the start of the attempt."""
@@ -116,23 +117,23 @@
         self.pieces.clear()
         self.versions.clear()
         self.last_event_id = None
-        self.events = self.checkpointed_events = self.checkpointed_pieces = 0
+        self.events = self.checkpoint_mark = self.checkpointed_pieces = 0
 
     def take_checkpoint(self) -> TextCheckpoint | None:
         """Return a checkpoint of the events since the last one; for the running attempt only."""
-        count = self.events - self.checkpointed_events
+        count = self.events - events_of(self.checkpoint_mark)
         if count <= 0:
             return None
         text = "\n".join(self.pieces[self.checkpointed_pieces :])
         checkpoint = TextCheckpoint(
             self.item.id,
-            self.checkpointed_events,
-            count,
+            self.checkpoint_mark,
+            new_mark(count),
             self.last_event_id,
             compress_text(text),
             tuple(self.versions),
         )
-        self.checkpointed_events = self.events
+        self.checkpoint_mark += checkpoint.mark
         self.checkpointed_pieces = len(self.pieces)
         return checkpoint
 
@@ -145,7 +146,8 @@
         self.pieces = [decompress_text(each.compressed) for each in checkpoints]
         self.versions = list(versions)
         self.last_event_id = checkpoints[-1].last_event_id
-        self.events = self.checkpointed_events = sum(each.events for each in checkpoints)
+        self.checkpoint_mark = sum(each.mark for each in checkpoints)
+        self.events = events_of(self.checkpoint_mark)
         self.checkpointed_pieces = len(self.pieces)
         return True
 
@@ -159,7 +161,7 @@
         """Set the complete result; its text starts after the last checkpoint."""
         self.stage = Stage.RESULT
         self.score = score
-        if self.checkpointed_events == 0:
+        if self.checkpoint_mark == 0:
             self.result = self.full_result()
             return
         tail = self.pieces[self.checkpointed_pieces :]
@@ -170,7 +172,7 @@
             score=score,
             compressed=compress_text("\n".join(tail)) if tail else b"",
             length=len("\n".join(self.pieces)),
-            checkpointed_events=self.checkpointed_events,
+            checkpoint_mark=self.checkpoint_mark,
         )
 
     def full_result(self) -> ItemResult:
--- a/src/bellweir/hosted/batches/state.py
+++ b/src/bellweir/hosted/batches/state.py
@@ -103,8 +103,8 @@
     """Length of the full text in characters."""
     compressed_checkpoints: tuple[bytes, ...] = msgspec.field(default=(), name="earlier")
     """Data of the checkpoints that precede `compressed`."""
-    checkpointed_events: int = msgspec.field(default=0, name="behind")
-    """In a command: events held by the item's checkpoints, which are not sent again."""
+    checkpoint_mark: int = msgspec.field(default=0, name="behind")
+    """In a command: sum of the marks of the checkpoints that the text follows."""
 
     @classmethod
     def from_text(
@@ -142,9 +142,9 @@
 
     item_id: str
     after: int
-    """Number of earlier events in the text; 0 starts the text over."""
-    events: int
-    """Number of these events."""
+    """Sum of the marks of the checkpoints before it; 0 starts the text over."""
+    mark: int = msgspec.field(name="events")
+    """Tells it from those of other runs; holds the number of its events (`events_of`)."""
     last_event_id: int | None
     compressed: bytes = msgspec.field(name="packed")
     """Data of the events, joined as in a result and compressed."""
@@ -286,14 +286,12 @@
         """
         if result.item_id in self.recorded_ids or result.item_id not in self.items:
             return False
-        if result.checkpointed_events:
-            preceding = self._checkpoints_up_to(result.item_id, result.checkpointed_events)
+        if result.checkpoint_mark:
+            preceding = self._checkpoints_up_to(result.item_id, result.checkpoint_mark)
             if preceding is None:
                 return False
             data = tuple(each.compressed for each in preceding)
-            result = msgspec.structs.replace(
-                result, compressed_checkpoints=data, checkpointed_events=0
-            )
+            result = msgspec.structs.replace(result, compressed_checkpoints=data, checkpoint_mark=0)
         self.recorded_ids.add(result.item_id)
         self.results.append(result)
         self.checkpoints.pop(result.item_id, None)
@@ -314,15 +312,19 @@
         return True
 
     def _checkpoints_up_to(self, item_id: str, wanted: int) -> tuple[TextCheckpoint, ...] | None:
-        """Return the checkpoints of an item's first `wanted` events; None if none ends there."""
+        """Return the first checkpoints of an item whose marks add up to `wanted`; None if none do.
+
+        A former leader's checkpoint may arrive after its successor's first one. The marks, unlike
+        the numbers of events, tell whether the two belong to one text.
+        """
         preceding: list[TextCheckpoint] = []
-        events = 0
+        mark = 0
         for checkpoint in self.checkpoints.get(item_id, ()):
-            if events == wanted:
+            if mark == wanted:
                 break
             preceding.append(checkpoint)
-            events += checkpoint.events
-        return tuple(preceding) if events == wanted else None
+            mark += checkpoint.mark
+        return tuple(preceding) if mark == wanted else None
 
 
 class _SavedJob(msgspec.Struct, frozen=True):
