A record of a peer that can't be read replaces the former one

Callers saw: requests sent to a worker as its former entry said, also once it was draining or elsewhere, until the node's next list.

Cause: a record that can't be decoded was left out of a peer's update, while the update's revision was taken as known, so nobody asked for it again.

Evidence: a state that holds worker d at revision 3 and gets an update to 9 whose record of d can't be decoded shows d as before; now d is absent.

Change: such a record counts as deleted. Where its name can't be read the kind's revision is not told when subscribing, so that the whole list comes.

--- a/features/hosted_entries.feature
+++ b/features/hosted_entries.feature
@@ -11,6 +11,10 @@
   Scenario: Anything in the place of one record that a peer tells
     Then with any value in place of one record sent by a peer, the others are applied
 
+  # Guards against a worker that is served as its former entry said until the next list.
+  Scenario: A record that a peer tells anew and that can't be read
+    Then a record sent by a peer that can't be read never leaves the former one in effect
+
   Scenario: An entry that does not say what its kind must say
     Then entries of any kind with a missing, mistyped or out-of-range field are rejected
 
--- a/features/steps/hosted_entries_steps.py
+++ b/features/steps/hosted_entries_steps.py
@@ -12,7 +12,7 @@
 from features.steps.hosted_views_steps import configuration, entry
 from features.support.hosted_gateway import GatewayUnderTest
 from features.support.hosted_gateway import configuration as gateway_configuration
-from hypothesis import given, settings
+from hypothesis import assume, given, settings
 from returns.result import Failure, Success
 from structlog.testing import capture_logs
 
@@ -281,6 +281,35 @@
     holds()
 
 
+@then("a record sent by a peer that can't be read never leaves the former one in effect")
+def then_former_replaced(context):
+    reported = PLAIN | wrong_specs().map(
+        lambda spec: {"kind": "servers", "name": INVALID_NAME, "revision": 4, "spec": spec}
+    )
+    unnamed = PLAIN.map(lambda name: {"kind": "servers", "name": name, "revision": "4", "spec": {}})
+
+    @settings(max_examples=300)
+    @given(bad=reported | unnamed | st.just({"name": INVALID_NAME}))
+    def holds(bad):
+        named = bad.get("name") if isinstance(bad, dict) else None
+        assume(named == INVALID_NAME or not isinstance(named, str))
+        view = WorkersView()
+        state = KindState("servers", view.apply_listing, view.apply_change)
+        former = StoredRecord("servers", INVALID_NAME, 2, entry(INVALID_NAME))
+        state.apply_listing(Listing(3, (former,)), 0.0)
+        news = KindUpdate("servers", 3, 9, (bad,), (), 0.0)
+        assert state.apply_update(news, 1.0)
+        if state.complete_revision is None:
+            # Its name can't be read: the next subscription asks for the whole list.
+            assert state.apply_update(KindUpdate("servers", None, 9, (bad,), (), 0.0), 2.0)
+            assert state.complete_revision == 9
+        shown = {record.name: record for record in state.update_since(None, 2.0).records}
+        assert shown.get(INVALID_NAME) != former, bad
+        assert (INVALID_NAME in known(view)) == (INVALID_NAME in shown), bad
+
+    holds()
+
+
 VALID_SPECS = {
     "servers": entry("x"),
     "versions": {"model": "m", "version": 3},
--- a/src/bellweir/hosted/views/kind_state.py
+++ b/src/bellweir/hosted/views/kind_state.py
@@ -58,6 +58,7 @@
     __slots__ = (
         "_entries",
         "_history_start",
+        "_lacks_record",
         "_lock",
         "_on_change",
         "_on_list",
@@ -104,6 +105,13 @@
         self._recent_changes: deque[tuple[int, str]] = deque(maxlen=MAX_RECENT_CHANGES)
         self._history_start = 0
         """Revision from which on `_recent_changes` is complete."""
+        self._lacks_record = False
+        """Whether a peer sent a record whose name can't be read, so that any may be out of date."""
+
+    @property
+    def complete_revision(self) -> int | None:
+        """Revision up to which all objects are known; None if only a whole list can tell."""
+        return None if self._lacks_record else self.revision
 
     def apply_listing(self, listing: Listing, as_of_s: float) -> bool:
         """Apply a whole list; returns False if it is older than the state."""
@@ -113,6 +121,7 @@
             if known is not None and listing.revision < known:
                 return False
             self._records = {record.name: record for record in listing.records}
+            self._lacks_record = False
             if known is None or listing.revision > known:
                 # A list does not name the objects that came and went since the known revision.
                 # A peer whose state is from between the two may hold them.
@@ -143,18 +152,23 @@
         as_of_s = now_s - update.age_s
         if update.grace_s > 0:
             self.note_recovery(now_s + update.grace_s)
-        decoded = self._decode_records(update)
+        decoded, unreadable = self._decode_records(update)
         if update.base is None:
-            self.apply_listing(
-                self._entries.validate_listing(Listing(update.revision, decoded)), as_of_s
-            )
+            listing = Listing(update.revision, decoded, unreadable)
+            self.apply_listing(self._entries.validate_listing(listing), as_of_s)
         elif self.revision is None or update.base > self.revision:
             return False
         else:
-            gone = [RecordChange(self._deleted_record(name), deleted=True) for name in update.gone]
+            # An unreadable record counts as absent, its former state must not stay.
+            absent = [one.name for one in unreadable if one.name is not None]
+            gone = [
+                RecordChange(self._deleted_record(name), deleted=True)
+                for name in (*update.gone, *absent)
+            ]
             found = [RecordChange(record, deleted=False) for record in decoded]
-            changes = Changes(update.revision, (*gone, *found))
+            changes = Changes(update.revision, (*gone, *found), unreadable)
             self.apply_changes(self._entries.validate_changes(changes), as_of_s)
+            self._lacks_record |= not changes.is_complete
         self.relayed_as_of_s = max(self.relayed_as_of_s, as_of_s)
         return True
 
@@ -210,8 +224,11 @@
             self._history_start = max(self._history_start, self._recent_changes[0][0])
         self._recent_changes.append((revision, name))
 
-    def _decode_records(self, update: KindUpdate) -> tuple[StoredRecord, ...]:
+    def _decode_records(
+        self, update: KindUpdate
+    ) -> tuple[tuple[StoredRecord, ...], tuple[UnreadableRecord, ...]]:
         found: list[StoredRecord] = []
+        unreadable: list[UnreadableRecord] = []
         for decoded in update.records:
             if isinstance(decoded, StoredRecord):
                 found.append(decoded)
@@ -220,11 +237,15 @@
                 found.append(msgspec.convert(decoded, StoredRecord))
             except msgspec.ValidationError as failure:
                 cause = validation_message(failure)
-                self._entries.log_invalid_entry(
-                    UnreadableRecord(self.kind, None, update.revision, cause)
-                )
-        return tuple(found)
+                name = _readable_name(decoded)
+                unreadable.append(UnreadableRecord(self.kind, name, update.revision, cause))
+        return tuple(found), tuple(unreadable)
 
     def _deleted_record(self, name: str) -> StoredRecord:
         known = self._records.get(name)
         return known if known is not None else StoredRecord(self.kind, name, 0, None)
+
+
+def _readable_name(decoded: object) -> str | None:
+    name = decoded.get("name") if isinstance(decoded, dict) else None
+    return name if isinstance(name, str) else None
--- a/src/bellweir/hosted/views/relay.py
+++ b/src/bellweir/hosted/views/relay.py
@@ -248,7 +248,8 @@
 
     def _known(self) -> dict[str, int]:
         states = [one.state for one in self._followers.values()]
-        return {one.kind: one.revision for one in states if one.revision is not None}
+        known = {one.kind: one.complete_revision for one in states}
+        return {kind: revision for kind, revision in known.items() if revision is not None}
 
     def _on_subscription(self, sender: Sender, message: ViewsSubscription) -> None:
         subscriber = _Subscriber(dict(message.known), self._now_s() + SUBSCRIPTION_TTL_S)
