Known subscriptions are renewed at the bound of subscriptions

Callers saw: nothing that was reported. At 4,096 pairs of subscriber and back end a node that names one new back end loses the reports of those behind it in the message once 12 s are over, and probes or misjudges them.

Cause: the first pair without a place ended the whole call.

Evidence: the new scenario failed before (no subscription of the node was alive at 15 s); all three are now. routing_reports: 9 scenarios passed, 0 failed.

--- a/features/routing_reports.feature
+++ b/features/routing_reports.feature
@@ -35,5 +35,11 @@
       | 0    |
       | 2    |
 
+  # Guards against known subscriptions that lapse because a new one finds no place.
+  Scenario: An owner at its bound of subscriptions
+    Given an owner with as many subscriptions as it may have, some of them of node "n"
+    When node "n" renews them in any order, beside new ones
+    Then all subscriptions that node "n" had are alive when they would have lapsed
+
   Scenario: An owner sends less often to more subscribers
     Then an owner's reports stay within the bandwidth limit for any number of subscriptions
--- a/features/steps/routing_reports_steps.py
+++ b/features/steps/routing_reports_steps.py
@@ -10,7 +10,9 @@
     ENTRY_BYTES,
     HEARTBEAT_INTERVAL_S,
     MAX_PUSH_INTERVAL_S,
+    MAX_SUBSCRIPTIONS,
     PUSH_BYTES_PER_S,
+    SUBSCRIPTION_TTL_S,
     ReportPublisher,
 )
 from bellweir.routing.report_subscriber import RENEWAL_INTERVAL_S
@@ -207,3 +209,24 @@
         assert len(entries) <= allowed_per_s * ticks * PERIOD_S + pairs
 
     bounded()
+
+
+@given('an owner with as many subscriptions as it may have, some of them of node "n"')
+def step_full_owner(context):
+    context.publisher = ReportPublisher(lambda address, message: True, PERIOD_S)
+    context.known = ("app-0", "app-1", "app-2")
+    context.publisher.subscribe("n", SubscribeReports(context.known, (), ()), 0.0)
+    others = tuple(f"other-{number}" for number in range(MAX_SUBSCRIPTIONS - len(context.known)))
+    context.publisher.subscribe("m", SubscribeReports(others, (), ()), 0.0)
+
+
+@when('node "n" renews them in any order, beside new ones')
+def step_renew_beside_new(context):
+    named = ("new-0", "app-0", "new-1", "app-1", "app-2", "new-2")
+    context.publisher.subscribe("n", SubscribeReports(named, (), ()), SUBSCRIPTION_TTL_S / 2)
+
+
+@then('all subscriptions that node "n" had are alive when they would have lapsed')
+def step_all_alive(context):
+    alive = context.publisher.workers(1.25 * SUBSCRIPTION_TTL_S)
+    assert sorted(alive) == sorted(context.known), alive
--- a/src/bellweir/routing/report_publisher.py
+++ b/src/bellweir/routing/report_publisher.py
@@ -76,13 +76,16 @@
             return list(self._published)
 
     def subscribe(self, address: str, message: SubscribeReports, now_s: float) -> None:
-        """Create or renew the subscriptions of the node at `address`."""
+        """Create or renew the subscriptions of the node at `address`.
+
+        At `MAX_SUBSCRIPTIONS` no new ones are created; existing ones are renewed all the same.
+        """
         interactive, fresh = set(message.interactive), set(message.fresh)
         with self._lock:
             for worker in message.workers:
                 subscription = self._subscription(worker, address, now_s)
                 if subscription is None:
-                    return
+                    continue
                 subscription.expires_s = now_s + SUBSCRIPTION_TTL_S
                 subscription.interactive = worker in interactive
                 subscription.needs_status = subscription.needs_status or worker in fresh
@@ -133,14 +136,16 @@
         return max(self._report_period_s, bounded_s)
 
     def _subscription(self, worker: str, address: str, now_s: float) -> _Subscription | None:
+        published = self._published.get(worker)
+        known = published.subscribers.get(address) if published is not None else None
+        if known is not None:
+            return known
+        if self._pairs >= MAX_SUBSCRIPTIONS:
+            return None
+        subscription = _Subscription(now_s)
         published = self._published.setdefault(worker, _PublishedBackend())
-        subscription = published.subscribers.get(address)
-        if subscription is None:
-            if self._pairs >= MAX_SUBSCRIPTIONS:
-                return None
-            subscription = _Subscription(now_s)
-            published.subscribers[address] = subscription
-            self._pairs += 1
+        published.subscribers[address] = subscription
+        self._pairs += 1
         return subscription
 
     def _drop_expired(self, now_s: float) -> None:
