Reports of a node's earlier start count once

The results of a comparison count generations twice when a node starts anew while a report of its former start is still under way and arrives twice.

Cause: the receiver remembered one start and number for each node, so that a duplicate of the former start looked like a new one, and the next report of the newer start after it, too.

--- a/features/routing_results.feature
+++ b/features/routing_results.feature
@@ -28,6 +28,10 @@
     And the comparison is deleted before its arm results are written
     Then the arm results of a new comparison of the same name start at zero
 
+  # Guards against counts of a node's earlier start that come again after its restart.
+  Scenario: A report that comes again after its sender has started anew
+    Then reports that arrive again in any order, of any start of their sender, count once
+
   Scenario: A report of unknown fate is not sent to another node
     Given arm results over 3 nodes in 1 zones
     When a node's arm results are accepted and written while all answers to it are lost
--- a/features/steps/routing_results_steps.py
+++ b/features/steps/routing_results_steps.py
@@ -11,9 +11,10 @@
 from hypothesis import strategies as st
 
 from bellweir.resources.interface import ResourceErrorKind
+from bellweir.routing.arm_counts import ArmCounts, ArmReport
 from bellweir.routing.arm_status import WRITE_INTERVAL_S
 from steps.whole_system_steps import POLICY, call, completion, gateways
-from support.arm_results_network import ResultsNetwork
+from support.arm_results_network import COMPARISON, ResultsNetwork
 
 ARMS = ("north", "south")
 COMPARISON_PATH = "/apis/bellweir.dev/v1/comparisons/trial"
@@ -322,3 +323,26 @@
     for arm in arms:
         assert arm.first_token_s >= least_s * arm.first_tokens, arm
         assert arm.whole_s >= arm.first_token_s, arm
+
+
+@then("reports that arrive again in any order, of any start of their sender, count once")
+def step_counted_once(context):
+    sent = [(start, sequence) for start in (1, 2, 3) for sequence in (1, 2)]
+
+    @settings(max_examples=100)
+    @drawn(again=st.lists(st.sampled_from(sent), max_size=12), data=st.data())
+    def check(again, data):
+        receiver = ResultsNetwork(1, 1).nodes[0]
+        arrivals = list(sent)
+        for report in again:
+            # A duplicate comes at any time behind its first arrival.
+            first = arrivals.index(report)
+            arrivals.insert(data.draw(st.integers(first + 1, len(arrivals))), report)
+        for start, sequence in arrivals:
+            counts = ArmCounts(COMPARISON, ARMS[0], completed=1)
+            report = ArmReport("sender", start, sequence, (counts,))
+            assert receiver.handlers[ArmReport](None, report).taken
+        (total,) = receiver.reports.counts_for(COMPARISON)
+        assert total.completed == len(sent), (arrivals, total)
+
+    check()
--- a/src/bellweir/routing/arm_reports.py
+++ b/src/bellweir/routing/arm_reports.py
@@ -27,7 +27,7 @@
 REPORT_INTERVAL_S = 2.0
 REPORT_TIMEOUT_S = 1.0
 MAX_TRACKED_SENDERS = 4096
-"""Limit on senders remembered for deduplication."""
+"""Limit on incarnations of senders remembered for deduplication."""
 
 
 @dataclass
@@ -64,8 +64,8 @@
         self._pending = ArmTotals()
         self._collected: dict[ArmKey, ArmCounts] = {}
         """Values of the local counters already added to the pending counts."""
-        self._last_accepted: dict[str, tuple[int, int]] = {}
-        """Incarnation and sequence number of each sender's last report."""
+        self._last_accepted: dict[tuple[str, int], int] = {}
+        """Sequence number of the last report of each sender's incarnation, the oldest first."""
         self._is_closed = False
         self._in_flight: _InFlightReport | None = None
         self._sequence = 0
@@ -147,16 +147,13 @@
         with self._lock:
             if self._is_closed:
                 return ArmReportAnswer(taken=False)
-            number = (report.incarnation, report.sequence)
-            incarnation, sequence = self._last_accepted.get(report.node, (0, 0))
-            # A duplicate may also arrive after the next report.
-            if incarnation != report.incarnation or sequence < report.sequence:
+            sender = (report.node, report.incarnation)
+            # A duplicate may also arrive after the next report, or after a restart of the sender.
+            sequence = self._last_accepted.pop(sender, 0)
+            if sequence < report.sequence:
                 self._pending.add(report.counts)
-            else:
-                number = (incarnation, sequence)
-            # Move the sender to the end, so that the least recently active one is evicted.
-            self._last_accepted.pop(report.node, None)
-            self._last_accepted[report.node] = number
+            # The last one to report stands last; the least recently active one is evicted.
+            self._last_accepted[sender] = max(sequence, report.sequence)
             if len(self._last_accepted) > MAX_TRACKED_SENDERS:
                 del self._last_accepted[next(iter(self._last_accepted))]
         return ArmReportAnswer(taken=True)
