Tasks that must go on are run again after an exception

Callers saw: nothing that was reported. After one exception in the coordinator a leader of the jobs led on and ran no item any more, and nobody took over; after one in the committer results were never recorded; shared sight ended.

Cause: work without an end was started like work that has one, and an executor forgets a task that raised.

Change: Executors.run_loop runs a task again after 0.2 to 5 s and says so (task_restarted); the committer gives its batch back, a follower lists anew.

--- a/features/hosted_batches.feature
+++ b/features/hosted_batches.feature
@@ -33,6 +33,13 @@
     Then every item has a completed result with its full text, versions and score
     And 30 of the runs went to "llm" and 10 to "llm-next"
 
+  # Guards against a leader that leads on and runs nothing any more.
+  Scenario: An exception in the coordination of jobs, and one in the commits of results
+    Given a leader with model workers and scorers
+    And one look at the workers and one commit of results raise
+    When a job of 6 items in 3 groups is accepted
+    Then every item has a completed result with its full text, versions and score
+
   Scenario: A service of a split route that has no worker
     Given a leader whose route gives 3 parts to "llm" and 1 part to "llm-none"
     When a job of 6 items in 3 groups is accepted
--- a/features/kernel.feature
+++ b/features/kernel.feature
@@ -29,6 +29,12 @@
     When a submitted call and a long-running task raise
     Then the log has one task_failed event for each
 
+  # Guards against a node that goes on without a part of its work after one exception.
+  Scenario: A task that must go on is run again after each exception
+    Given kernel executors with 2 threads and a queue of 3
+    When a loop raises twice and then goes on until the executors stop
+    Then the log has one task_restarted event for each exception, and the loop has ended
+
   Scenario: A clean stop leaves no thread
     Given kernel executors with 2 threads and a queue of 3
     When long-running tasks and calls are running and the executors stop
--- a/features/steps/hosted_batches_steps.py
+++ b/features/steps/hosted_batches_steps.py
@@ -226,6 +226,26 @@
     assert not items["llm"] & items["llm-next"], items
 
 
+@given_step("one look at the workers and one commit of results raise")
+def given_raising(context):
+    coordinator, ledger = context.leader.coordinator, context.leader.ledger
+    selector, submit = coordinator._worker_selector, ledger.submit
+    begin_round = selector.begin_round
+
+    def raise_once(*arguments):
+        selector.begin_round = begin_round
+        raise RuntimeError("made by the test")
+
+    def submit_once(key, command, timeout_s):
+        if isinstance(command, RecordResults):
+            ledger.submit = submit
+            raise RuntimeError("made by the test")
+        return submit(key, command, timeout_s)
+
+    selector.begin_round = raise_once
+    ledger.submit = submit_once
+
+
 @given_step("a worker that refuses all requests for a second")
 def given_loading(context):
     context.leader.models[0].refuse_for(1.0)
--- a/features/steps/kernel_steps.py
+++ b/features/steps/kernel_steps.py
@@ -201,6 +201,31 @@
     assert sorted(failed) == ["failing-task", "submitted call"], context.logs
 
 
+@when("a loop raises twice and then goes on until the executors stop")
+def step_loop_raises(context):
+    runs = []
+
+    def loop(stopping):
+        runs.append(stopping)
+        if len(runs) <= 2:
+            raise StartFailedError("on purpose")
+        stopping.wait()
+
+    with structlog.testing.capture_logs() as logs:
+        context.loop = context.executors.run_loop("failing-loop", loop)
+        context.wait_until(lambda: len(runs) == 3, "the loop runs again")
+        context.executors.stop()
+    context.logs = logs
+
+
+@then("the log has one task_restarted event for each exception, and the loop has ended")
+def step_restarted(context):
+    restarted = [line["task"] for line in context.logs if line["event"] == "task_restarted"]
+    assert restarted == ["failing-loop", "failing-loop"], context.logs
+    assert context.loop.done()
+    assert context.loop.exception() is None
+
+
 @when("long-running tasks and calls are running and the executors stop")
 def step_stop_executors(context):
     context.threads_before = set(threading.enumerate())
--- a/features/steps/routing_reports_steps.py
+++ b/features/steps/routing_reports_steps.py
@@ -213,7 +213,7 @@
 
 @given('an owner with as many subscriptions as it may have, some of them of node "n"')
 def step_full_owner(context):
-    context.publisher = ReportPublisher(lambda address, message: True, PERIOD_S)
+    context.publisher = ReportPublisher(lambda _address, _message: True, PERIOD_S)
     context.known = ("app-0", "app-1", "app-2")
     context.publisher.subscribe("n", SubscribeReports(context.known, (), ()), 0.0)
     others = tuple(f"other-{number}" for number in range(MAX_SUBSCRIPTIONS - len(context.known)))
--- a/features/support/hosted_jobs.py
+++ b/features/support/hosted_jobs.py
@@ -161,9 +161,9 @@
     context.cleanup.callback(connections.retain, set())
     attempts = ItemRunner(connections, loads)
     coordinator = Coordinator(ledger, view, workers, loads, attempts, executors, policy)
-    executors.run_task("coordinator", coordinator.run)
-    executors.run_task("committer", coordinator.committer.run)
-    executors.run_task("retention", JobRetention(ledger, 120.0).run)
+    executors.run_loop("coordinator", coordinator.run)
+    executors.run_loop("committer", coordinator.committer.run)
+    executors.run_loop("retention", JobRetention(ledger, 120.0).run)
     context.cleanup.callback(executors.stop)
     for worker in (*models, *scorers):
         context.cleanup.callback(worker.close)
--- a/src/bellweir/clients/service.py
+++ b/src/bellweir/clients/service.py
@@ -110,7 +110,7 @@
 
     def start(self) -> None:
         """Begin to close old connections; new ones are made when they are needed."""
-        self._kernel.executors.run_task("platform-connections", self._sweep)
+        self._kernel.executors.run_loop("platform-connections", self._sweep)
 
     def _sweep(self, stopping: threading.Event) -> None:
         while not self._kernel.clock.wait(stopping, SWEEP_PERIOD_S):
--- a/src/bellweir/hosted/batches/committer.py
+++ b/src/bellweir/hosted/batches/committer.py
@@ -60,7 +60,17 @@
             batch = [first]
             while not self._queue.empty():
                 batch.append(self._queue.get())
-            self._commit_batch(batch, stopping)
+            try:
+                self._commit_batch(batch, stopping)
+            except Exception:
+                self._release(batch)
+                raise
+
+    def _release(self, batch: list[ItemProgress | KeepParts]) -> None:
+        """Have the coordinator queue the results again; checkpoints are dropped."""
+        for each in batch:
+            if isinstance(each, ItemProgress):
+                each.is_committing = False
 
     def _commit_batch(
         self, batch: list[ItemProgress | KeepParts], stopping: threading.Event
--- a/src/bellweir/hosted/batches/service.py
+++ b/src/bellweir/hosted/batches/service.py
@@ -77,10 +77,10 @@
         self._add_gauges(
             registry.find(names.TELEMETRY, MetricsService).metrics, ledger, coordinator
         )
-        self._kernel.executors.run_task("batch-coordinator", coordinator.run)
-        self._kernel.executors.run_task("batch-committer", coordinator.committer.run)
-        self._kernel.executors.run_task("batch-retention", retention.run)
-        self._kernel.executors.run_task("batch-tidy", self._clean_up)
+        self._kernel.executors.run_loop("batch-coordinator", coordinator.run)
+        self._kernel.executors.run_loop("batch-committer", coordinator.committer.run)
+        self._kernel.executors.run_loop("batch-retention", retention.run)
+        self._kernel.executors.run_loop("batch-tidy", self._clean_up)
 
     def _note_stale(self, address: str) -> None:
         worker = self._views.workers.at(address)
--- a/src/bellweir/hosted/peer_records.py
+++ b/src/bellweir/hosted/peer_records.py
@@ -56,7 +56,7 @@
     def start(self) -> None:
         """Start the background task."""
         self._membership = self._kernel.registry.find(names.MEMBERSHIP, MembershipService)
-        self._kernel.executors.run_task("peer-records", self._run)
+        self._kernel.executors.run_loop("peer-records", self._run)
 
     def stop(self) -> None:
         """The task ends with the executors; the record stays."""
--- a/src/bellweir/hosted/retirement.py
+++ b/src/bellweir/hosted/retirement.py
@@ -69,8 +69,8 @@
             is_relayable=False,
         )
         registry.find(names.VIEWS, ViewsService).add_checked_follower(follower)
-        self._kernel.executors.run_task("follow-retirements", follower.run)
-        self._kernel.executors.run_task("retirement", self._run)
+        self._kernel.executors.run_loop("follow-retirements", follower.run)
+        self._kernel.executors.run_loop("retirement", self._run)
 
     def stop(self) -> None:
         """The tasks end with the executors."""
--- a/src/bellweir/hosted/scaling/service.py
+++ b/src/bellweir/hosted/scaling/service.py
@@ -44,7 +44,7 @@
             self._settings.node.name,
             views.workers_follower.age_s,
         )
-        self._kernel.executors.run_task("scale", self._run)
+        self._kernel.executors.run_loop("scale", self._run)
 
     def stop(self) -> None:
         """The task ends with the executors."""
--- a/src/bellweir/hosted/serving/service.py
+++ b/src/bellweir/hosted/serving/service.py
@@ -126,7 +126,7 @@
         table = self._views.configuration.table()
         if table is not None:
             self._apply_limits(table)
-        self._kernel.executors.run_task("front-tidy", self._prune)
+        self._kernel.executors.run_loop("front-tidy", self._prune)
 
     def _note_stale(self, address: str) -> None:
         worker = self._views.workers.at(address)
--- a/src/bellweir/hosted/sight/service.py
+++ b/src/bellweir/hosted/sight/service.py
@@ -50,16 +50,16 @@
         """Start the refreshes and, if enabled, the gossip."""
         registry = self._kernel.registry
         self._views = registry.find(names.VIEWS, ViewsService)
-        run_task = self._kernel.executors.run_task
+        run_loop = self._kernel.executors.run_loop
         if self._settings.share:
             self._exchange = ObservationExchange(
                 registry.find(names.TRANSPORT, Transport),  # type: ignore[type-abstract]
                 registry.find(names.MEMBERSHIP, Membership),  # type: ignore[type-abstract]
                 self._table,
             )
-            run_task("gossip-observations", self._exchange.run)
+            run_loop("gossip-observations", self._exchange.run)
         self._add_gauges(registry.find(names.TELEMETRY, MetricsService))
-        run_task("refresh-worker-stats", self.monitor.run)
+        run_loop("refresh-worker-stats", self.monitor.run)
 
     def stop(self) -> None:
         """The tasks end with the executors."""
--- a/src/bellweir/hosted/usage/sender.py
+++ b/src/bellweir/hosted/usage/sender.py
@@ -68,7 +68,7 @@
         ledger.register(UsageWindows)
         if self._is_reported:
             self._sender = UsageSender(self.counter, ledger, self._source)
-            self._kernel.executors.run_task("tell-usage", self._run)
+            self._kernel.executors.run_loop("tell-usage", self._run)
 
     def stop(self) -> None:
         """Send the remaining counts; the service that counts requests has already stopped."""
--- a/src/bellweir/hosted/usage/service.py
+++ b/src/bellweir/hosted/usage/service.py
@@ -52,7 +52,7 @@
                 "outcome",
             ),
         )
-        self._kernel.executors.run_task("report-usage", self._run)
+        self._kernel.executors.run_loop("report-usage", self._run)
 
     def stop(self) -> None:
         """The task ends with the executors."""
--- a/src/bellweir/hosted/views/follower.py
+++ b/src/bellweir/hosted/views/follower.py
@@ -108,6 +108,8 @@
 
     def run(self, stopping: threading.Event) -> None:
         """Follow until `stopping`."""
+        # Run again after an exception, only a list tells what a listener has missed.
+        self._needs_list = True
         while not stopping.is_set():
             if not self._is_wanted():
                 self._needs_list = True
--- a/src/bellweir/hosted/views/service.py
+++ b/src/bellweir/hosted/views/service.py
@@ -129,13 +129,13 @@
             self._seeds,
             self._seed_wait_s,
         )
-        run_task = self._kernel.executors.run_task
-        run_task("tell-views", self._relay.publish)
-        run_task("subscribe-views", self._relay.subscribe)
+        run_loop = self._kernel.executors.run_loop
+        run_loop("tell-views", self._relay.publish)
+        run_loop("subscribe-views", self._relay.subscribe)
         for follower in self._followers:
-            run_task(f"follow-{follower.state.kind}", follower.run)
-        run_task("copy-views", self._copy_from_peers)
-        run_task("check-views", self._check)
+            run_loop(f"follow-{follower.state.kind}", follower.run)
+        run_loop("copy-views", self._copy_from_peers)
+        run_loop("check-views", self._check)
 
     def stop(self) -> None:
         """The tasks end with the executors."""
--- a/src/bellweir/hosted/weights/service.py
+++ b/src/bellweir/hosted/weights/service.py
@@ -103,11 +103,11 @@
             "Time for which this node may surely act under the lease of roll-outs; 0 without it.",
             lambda: max(0.0, self._lease.remaining_s()),
         )
-        run_task = self._kernel.executors.run_task
+        run_loop = self._kernel.executors.run_loop
         views.add_checked_follower(follower)
-        run_task("follow-versions", follower.run)
-        run_task("rollout-lease", self._keep_lease)
-        run_task("rollout-control", self._control)
+        run_loop("follow-versions", follower.run)
+        run_loop("rollout-lease", self._keep_lease)
+        run_loop("rollout-control", self._control)
 
     def _weight_load_announcer(self, transport: Transport) -> WeightLoadAnnouncer:
         if not self._settings.rollouts.tell_loads:
--- a/src/bellweir/http_server/caller_watch.py
+++ b/src/bellweir/http_server/caller_watch.py
@@ -39,7 +39,7 @@
 
     def start(self) -> None:
         """Start looking."""
-        self._task = self._executors.run_task("caller-watch", self._run)
+        self._task = self._executors.run_loop("caller-watch", self._run)
 
     def stop(self) -> None:
         """Stop looking and cancel what still runs; its callers are about to be disconnected."""
--- a/src/bellweir/kernel/executors.py
+++ b/src/bellweir/kernel/executors.py
@@ -4,20 +4,25 @@
 """
 
 import threading
+import time
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 from concurrent.futures import wait as wait_for_futures
 from dataclasses import dataclass
 from enum import Enum
+from functools import partial
 from typing import ParamSpec, TypeVar
 
 from bellweir.events.log import emit
-from bellweir.kernel.log_events import TASK_FAILED, TASK_LEFT_RUNNING
+from bellweir.kernel.log_events import TASK_FAILED, TASK_LEFT_RUNNING, TASK_RESTARTED
 
 Parameters = ParamSpec("Parameters")
 Returned = TypeVar("Returned")
 
 TASK_STOP_TIMEOUT_S = 10.0
+FIRST_RESTART_PAUSE_S = 0.2
+LONGEST_RESTART_PAUSE_S = 5.0
+"""Pauses before a loop that raised is run again; they double while it goes on raising."""
 
 
 class WorkKind(Enum):
@@ -127,6 +132,14 @@
         future.add_done_callback(lambda done: self._task_finished(name, done, pool))
         return future
 
+    def run_loop(self, name: str, function: Callable[[threading.Event], None]) -> "Future[None]":
+        """Run a long-running task as `run_task` does, and again after each exception.
+
+        For work that must go on as long as the node. `function` keeps its state elsewhere, so that
+        it can begin anew at any point.
+        """
+        return self.run_task(name, partial(_run_until_done, name, function))
+
     def _task_finished(self, name: str, future: "Future[None]", pool: ThreadPoolExecutor) -> None:
         with self._lock:
             self._tasks.pop(future, None)
@@ -145,6 +158,24 @@
             executor.shutdown()
 
 
+def _run_until_done(
+    name: str, function: Callable[[threading.Event], None], stopping: threading.Event
+) -> None:
+    pause_s = FIRST_RESTART_PAUSE_S
+    while True:
+        began_s = time.monotonic()
+        try:
+            function(stopping)
+            return
+        except Exception as failure:
+            if time.monotonic() - began_s > LONGEST_RESTART_PAUSE_S:
+                pause_s = FIRST_RESTART_PAUSE_S
+            emit(TASK_RESTARTED, task=name, error=repr(failure), pause_s=pause_s)
+        if stopping.wait(pause_s):
+            return
+        pause_s = min(2 * pause_s, LONGEST_RESTART_PAUSE_S)
+
+
 def report_failure(name: str, future: "Future[Returned]") -> None:
     """Log the exception of a finished future, if it has one."""
     if future.cancelled():
--- a/src/bellweir/kernel/log_events.py
+++ b/src/bellweir/kernel/log_events.py
@@ -23,3 +23,10 @@
 SERVICE_DRAINED = Event(
     6, "service_drained", Level.INFO, ("service", "seconds"), "A service took its time to drain."
 )
+TASK_RESTARTED = Event(
+    8,
+    "task_restarted",
+    Level.ERROR,
+    ("task", "error", "pause_s"),
+    "A task that must go on raised; it is run again after a pause.",
+)
--- a/src/bellweir/ledger/segments_service.py
+++ b/src/bellweir/ledger/segments_service.py
@@ -84,7 +84,7 @@
         self._files = SegmentFiles(folder, self._settings.ledger.segment_retention_s)
         self._transport.register(StoreBlob, self.handle_store)
         self._transport.register(FetchBlob, self.handle_fetch)
-        self._kernel.executors.run_task("segments-cleaning", self._clean)
+        self._kernel.executors.run_loop("segments-cleaning", self._clean)
 
     def _clean(self, stopping: threading.Event) -> None:
         while not stopping.wait(CLEANING_PERIOD_S):
--- a/src/bellweir/membership/service.py
+++ b/src/bellweir/membership/service.py
@@ -77,7 +77,7 @@
         )
         self._transport = transport
         register_handlers(transport, self._node, self._now_s)
-        self._kernel.executors.run_task("membership", self._run)
+        self._kernel.executors.run_loop("membership", self._run)
 
     def stop(self) -> None:
         """Tell others that this node has stopped."""
--- a/src/bellweir/routing/views_service.py
+++ b/src/bellweir/routing/views_service.py
@@ -74,7 +74,7 @@
         self._transport.register(PushPrefixes, self._on_prefixes)
         configuration = registry.find(names.CONFIGURATION, Configuration)  # type: ignore[type-abstract]
         configuration.subscribe(self._on_configuration)
-        self._kernel.executors.run_task("backend-probes", self._run)
+        self._kernel.executors.run_loop("backend-probes", self._run)
 
     def stop(self) -> None:
         """Wake the probing task so that it ends; the kernel waits for it."""
--- a/src/bellweir/samples/service.py
+++ b/src/bellweir/samples/service.py
@@ -96,8 +96,8 @@
         transport.register(
             AskProgress, lambda _, message: parts.coordinator.progress(message.step_id)
         )
-        self._kernel.executors.run_task("samples-coordinator", parts.coordinator.run)
-        self._kernel.executors.run_task("samples-holder", parts.holder.run)
+        self._kernel.executors.run_loop("samples-coordinator", parts.coordinator.run)
+        self._kernel.executors.run_loop("samples-holder", parts.holder.run)
 
     def drain(self, deadline_s: float) -> None:
         """Let the running attempts end that soon do; other nodes go on with the rest."""
--- a/src/bellweir/weights/service.py
+++ b/src/bellweir/weights/service.py
@@ -61,7 +61,7 @@
     def start(self) -> None:
         """Begin to watch this node's engines."""
         self.connect()
-        self._kernel.executors.run_task("weights", self._run)
+        self._kernel.executors.run_loop("weights", self._run)
 
     def connect(self) -> None:
         """Find the other services and answer owners' reports, without rounds of its own."""
