Counts of waiting requests stay right when something raises

Callers saw: nothing that was reported. A service's room shrinks by one for good, so that requests wait or are refused beside free workers.

Cause: an exception behind a release (a log line, a metric) left the request counted as on its way to a worker. One behind a refusal ended a count that was another request's. One between two releases of a look lost the first ones, whose threads then waited without end.

The replayed load takes the releases of a look at once, as it did.

--- a/features/hosted_room.feature
+++ b/features/hosted_room.feature
@@ -38,6 +38,10 @@
     And the queue never exceeds its bound, and each request is released once
     And a request that can no longer meet its deadline is refused before it
 
+  # Guards against a service whose room shrinks for good, and against threads that wait for ever.
+  Scenario: Anything that raises while requests wait
+    Then whatever raises while requests wait, each of them ends and none stays counted
+
   Scenario: Who is beyond its share
     Then a tenant alone or among equals is within its share, and a flooding tenant is not until it ends
 
--- a/features/steps/hosted_room_steps.py
+++ b/features/steps/hosted_room_steps.py
@@ -7,6 +7,7 @@
 from behave import given as given_step
 from behave import then
 from features.support.alternative_policies import AppointmentRetryAfter, DeficitRoundRobin
+from features.support.raising_gate import RaisingGate
 from features.support.room_replay import Replay, burst
 from hypothesis import given, settings
 
@@ -24,6 +25,7 @@
 IN_TIME = ("in_time", "in_time_after_refusal")
 DISCIPLINES = (StartTimeFairQueueing, DeficitRoundRobin)
 BOUND = 16
+RAISING_ROUNDS = 60
 FULL = [WorkerCapacity(6, 30, 0.04)]
 EMPTY = [WorkerCapacity(6, 0, 0.04)]
 
@@ -323,3 +325,10 @@
     queue = AppointmentRetryAfter()
     booked = [queue.retry_after_s("cards", estimate, 9.0, 0.5, 0.0) for _ in range(20)]
     assert booked == sorted(set(booked)), booked
+
+
+@then("whatever raises while requests wait, each of them ends and none stays counted")
+def then_none_stays_counted(context):
+    for seed in range(RAISING_ROUNDS):
+        fault = RaisingGate(seed).play()
+        assert fault is None, f"seed {seed}: {fault}"
--- a/features/support/room_replay.py
+++ b/features/support/room_replay.py
@@ -132,7 +132,8 @@
 
     def _check_queue(self, now_s, gateway):
         queue = self.admission_queues[gateway]
-        for released in queue.release_ready(self._capacities(gateway, now_s, self.fresh_s), now_s):
+        capacities = self._capacities(gateway, now_s, self.fresh_s)
+        for released in list(queue.release_ready(capacities, now_s)):
             client = self._clients[id(released.request)][0]
             if released.cause in (ReleaseCause.ROOM, ReleaseCause.OVERDUE):
                 self._dispatch(now_s, gateway, client)
--- a/src/bellweir/hosted/queueing/admission_queue.py
+++ b/src/bellweir/hosted/queueing/admission_queue.py
@@ -1,7 +1,7 @@
 """Decides which requests for a service start, wait or are refused, and releases waiting ones."""
 
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 
 from bellweir.hosted.queueing.by_priority import displaced_request
 from bellweir.hosted.queueing.interface import (
@@ -83,23 +83,24 @@
 
     def release_ready(
         self, workers: Sequence[WorkerCapacity], now_s: float
-    ) -> list[ReleasedRequest]:
-        """Remove and return the requests that need not wait any longer, in order."""
-        released = []
+    ) -> Iterator[ReleasedRequest]:
+        """Remove and yield the requests that need not wait any longer, in order.
+
+        Each is removed when it is yielded, so that an exception loses none.
+        """
         while (first := self._discipline.peek()) is not None:
             decision = self._decide(first, workers, now_s, 0)
             if decision.action is AdmissionAction.WAIT:
                 break
             is_refused = decision.action is AdmissionAction.REFUSE
             cause = ReleaseCause.HOPELESS if is_refused else ReleaseCause.ROOM
-            released.append(self._release(first, cause, decision))
+            yield self._release(first, cause, decision)
         for request in self._discipline.all():
             if now_s >= request.wait_until_s or now_s >= request.deadline_s:
                 decision = self._decide(request, workers, now_s, 0)
                 is_refused = decision.action is AdmissionAction.REFUSE
                 cause = ReleaseCause.HOPELESS if is_refused else ReleaseCause.OVERDUE
-                released.append(self._release(request, cause, decision))
-        return released
+                yield self._release(request, cause, decision)
 
     def _release(
         self, request: QueuedRequest, cause: ReleaseCause, decision: AdmissionDecision
--- a/src/bellweir/hosted/queueing/gate.py
+++ b/src/bellweir/hosted/queueing/gate.py
@@ -56,6 +56,16 @@
             ticket.released = released
             ticket.event.set()
 
+    def withdraw(self, request: QueuedRequest, ticket: _Ticket) -> None:
+        """Forget a request whose thread ends by an exception, waiting or released."""
+        self.tickets.pop(id(request), None)
+        released = ticket.released
+        if released is None:
+            self.admissions.cancel(request)
+        elif released.cause in DISPATCH_CAUSES:
+            # Others that were released are not counted as being dispatched.
+            self.admissions.dispatch_done()
+
 
 class RequestGate:
     """Admission of this gateway's requests before they go to a worker. Safe for threads."""
@@ -132,14 +142,17 @@
                         queue.tickets.pop(id(request), None)
                         return False
                     self._release_ready(queue, workers, FRESH_TARGET_SHARE * request.target_s)
+            return self._record_release(service, request, ticket.released)
         except BaseException:
             with queue.lock:
-                queue.tickets.pop(id(request), None)
-                if not queue.admissions.cancel(request):
-                    queue.admissions.dispatch_done()
+                queue.withdraw(request, ticket)
             raise
+
+    def _record_release(
+        self, service: str, request: QueuedRequest, released: ReleasedRequest | None
+    ) -> bool:
+        """Log how a request ended its wait; return whether it may go to a worker."""
         waited_s = self._now_s() - request.arrived_s
-        released = ticket.released
         if released is None:
             return False
         self._observe_wait(service, waited_s)
