Answers of workers with folded headers are passed on

Callers saw: 500 for a request that a worker had run and answered with 200.

Cause: http.client keeps the line end of a value that a worker folds over two lines, and waitress refuses to write such a header.

Evidence: both rows of the new outline got 500 before; they get 200 with the value on one line. Applications of self-run nodes had the same fault.

--- a/features/hosted_forwarding.feature
+++ b/features/hosted_forwarding.feature
@@ -79,6 +79,18 @@
     When a client requests a stream that is not resumable
     Then its response is cut off after event 3
 
+  # Guards against an answer that is lost, and a place at the worker that stays taken.
+  Scenario Outline: A header of a worker that stands on two lines
+    Given <workers> behind the gateway
+    And the workers fold a header of their answers
+    When a client sends <request>
+    Then it gets 200 with that header on one line
+
+    Examples:
+      | workers       | request               |
+      | model workers | a streaming request   |
+      | workers       | an idempotent request |
+
   Scenario: Attempts of every outcome in every order
     Then whatever the outcomes of its attempts, a request runs no more often than its route allows, and its status is true
 
--- a/features/steps/hosted_forwarding_steps.py
+++ b/features/steps/hosted_forwarding_steps.py
@@ -44,7 +44,12 @@
     "answer unsigned": "unsigned",
     "fail": "fail",
 }
-PATHS = {"an idempotent": "/idempotent/x", "a single-run": "/single/x"}
+PATHS = {
+    "an idempotent": "/idempotent/x",
+    "a single-run": "/single/x",
+    "a streaming": "/stream/x",
+}
+LOAD_HEADER = "X-Bellweir-Server-Load"
 
 
 def start(context, workers):
@@ -66,6 +71,23 @@
     start(context, dict(zip("ab", workers, strict=True)))
 
 
+@given_step("workers behind the gateway")
+def given_workers(context):
+    """They stand there already."""
+
+
+@given_step("the workers fold a header of their answers")
+def given_folded_header(context):
+    for worker in context.workers.values():
+        worker.told_load = "one\r\n two"
+
+
+@then("it gets 200 with that header on one line")
+def then_header_unfolded(context):
+    assert context.answer.status == 200, context.answer
+    assert context.answer.headers[LOAD_HEADER] == "one two", context.answer.headers
+
+
 @given_step('worker "{name}" will {fault} once')
 def given_fault(context, name, fault):
     setattr(context.workers[name].faults, FAULTS[fault], 1)
--- a/src/bellweir/clients/application.py
+++ b/src/bellweir/clients/application.py
@@ -80,7 +80,7 @@
     if refused is not None:
         answer.drop()
         return Failure(refused)
-    headers = tuple(answer.response.headers.items())
+    headers = tuple(answer.header_pairs())
     leaving = answer.response.headers.get(LEAVING_HEADER) is not None
     return Success(ApplicationAnswer(answer.status, headers, _body(answer), leaving))
 
--- a/src/bellweir/clients/open_answer.py
+++ b/src/bellweir/clients/open_answer.py
@@ -1,6 +1,7 @@
 """An HTTP answer whose body is still to be read, and the end of its connection's use."""
 
 import http.client
+import re
 import threading
 import time
 from collections.abc import Iterator, Mapping
@@ -12,6 +13,8 @@
 """Longest line of a streamed answer."""
 MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024
 """Longest body of an answer that is read whole."""
+FOLD = re.compile(r"[\r\n]+[ \t]*")
+"""A line end inside a header's value."""
 
 
 class ConnectionOwner(Protocol):
@@ -59,6 +62,13 @@
         """Headers of the answer by lower-case name; of repeated ones the last."""
         return {name.lower(): value for name, value in self.response.headers.items()}
 
+    def header_pairs(self) -> list[tuple[str, str]]:
+        """Headers in order, as they may be passed on: a value that was folded stands on one line.
+
+        RFC 9112 section 5.2.
+        """
+        return [(name, FOLD.sub(" ", value)) for name, value in self.response.headers.items()]
+
     def set_timeout(self, timeout_s: float) -> None:
         """Let reading go on for this long from now."""
         self._connection.deadline_socket.deadline_s = time.monotonic() + timeout_s
--- a/src/bellweir/hosted/serving/attempt.py
+++ b/src/bellweir/hosted/serving/attempt.py
@@ -236,7 +236,7 @@
 
 def response_headers(opened: OpenAnswer) -> Headers:
     """Return the headers of a worker's response that are forwarded to the client."""
-    return without_hop_by_hop(list(opened.response.headers.items()))
+    return without_hop_by_hop(opened.header_pairs())
 
 
 def without_hop_by_hop(headers: Headers) -> Headers:
--- a/src/bellweir_rehearsal/hosted/worker.py
+++ b/src/bellweir_rehearsal/hosted/worker.py
@@ -323,6 +323,8 @@
         elif self.faults.strikes("fail") or request_id in self.faults.fail_ids:
             handler.answer(500, b"failed", {**echo, "X-Bellweir-Server-Stamp": "failed"})
         elif self.model:
+            if self.told_load:
+                echo = {**echo, "X-Bellweir-Server-Load": self.told_load}
             self._stream(handler, request_id, echo)
         else:
             self._answer(handler, request_id, body, echo)
