Streams that are closed unread give their place back

A worker counts as busier than it is by one request, its connection stays open and the client watched, for good.

Cause: a generator that was never begun runs nothing when it is closed, and an answer whose head can't be written was closed by nobody.

--- a/features/hosted_forwarding.feature
+++ b/features/hosted_forwarding.feature
@@ -85,12 +85,24 @@
     And the workers fold a header of their answers
     When a client sends <request>
     Then it gets 200 with that header on one line
+    And no request is in flight at a worker, and no client is watched
 
     Examples:
       | workers       | request               |
       | model workers | a streaming request   |
       | workers       | an idempotent request |
 
+  # Guards against places at workers that stay taken for good.
+  Scenario Outline: A stream of which nothing is read
+    Given model workers behind the gateway
+    When the server gets a stream's answer and <ends it>
+    Then no request is in flight at a worker, and no client is watched
+
+    Examples:
+      | ends it                        |
+      | closes it before it reads      |
+      | can't write its status line    |
+
   Scenario: Attempts of every outcome in every order
     Then whatever the outcomes of its attempts, a request runs no more often than its route allows, and its status is true
 
--- a/features/steps/hosted_forwarding_steps.py
+++ b/features/steps/hosted_forwarding_steps.py
@@ -88,6 +88,45 @@
     assert context.answer.headers[LOAD_HEADER] == "one two", context.answer.headers
 
 
+@then("no request is in flight at a worker, and no client is watched")
+def then_nothing_counted(context):
+    gateway = context.gateway
+    workers = [gateway.workers.worker(f"i-{name}").incarnation for name in context.workers]
+
+    def is_free():
+        return not any(map(gateway.loads.in_flight, workers)) and not gateway.caller_watch._watched
+
+    context.wait_until(is_free, "no request in flight and no client watched")
+
+
+@when("the server gets a stream's answer and {ends_it}")
+def when_stream_unread(context, ends_it):
+    environ = {
+        "REQUEST_METHOD": "POST",
+        "PATH_INFO": "/stream/x",
+        "REQUEST_URI": "/stream/x",
+        "QUERY_STRING": "",
+        "REMOTE_ADDR": "127.0.0.1",
+        "HTTP_HOST": HOST,
+        "HTTP_X_BELLWEIR_ATTEMPT_ID": "unread",
+        "HTTP_X_BELLWEIR_DEADLINE_MS": "5000",
+        "wsgi.input": io.BytesIO(),
+        "waitress.client_disconnected": lambda: False,
+    }
+    heads = []
+
+    def start_response(status, headers):
+        heads.append(status)
+        if ends_it == "can't write its status line":
+            raise ValueError("made by the test")
+
+    try:
+        context.gateway.application(environ, start_response).close()
+    except ValueError:
+        assert ends_it == "can't write its status line"
+    assert heads == ["200 OK"], heads
+
+
 @given_step('worker "{name}" will {fault} once')
 def given_fault(context, name, fault):
     setattr(context.workers[name].faults, FAULTS[fault], 1)
--- a/src/bellweir/gateway/application.py
+++ b/src/bellweir/gateway/application.py
@@ -83,8 +83,14 @@
             response = _failure_response(request, interface, failure)
         response.headers.append((REQUEST_ID, request.request_id))
         if response.chunks is not None:
-            start_response(response.status_line, response.headers)
-            return ResponseChunks(response, response.chunks, request, account)
+            chunks = ResponseChunks(response, response.chunks, request, account)
+            try:
+                start_response(response.status_line, response.headers)
+            except BaseException:
+                # Nobody else closes them: the server has not got them yet.
+                chunks.close()
+                raise
+            return chunks
         response.headers.append(("Content-Length", str(len(response.body))))
         start_response(response.status_line, response.headers)
         account.end(_outcome_of(response.status), response.status)
--- a/src/bellweir/hosted/serving/application.py
+++ b/src/bellweir/hosted/serving/application.py
@@ -63,8 +63,14 @@
         if request_id and not _has(response, self._names.request_id):
             response.headers.append((self._names.request_id, request_id))
         if response.chunks is not None:
-            start_response(response.status_line, response.headers)
-            return _AbortOnFailure(response.chunks, environ)
+            chunks = _AbortOnFailure(response.chunks, environ)
+            try:
+                start_response(response.status_line, response.headers)
+            except BaseException:
+                # Nobody else closes them: the server has not got them yet.
+                chunks.close()
+                raise
+            return chunks
         if not _has(response, "Content-Length"):
             response.headers.append(("Content-Length", str(len(response.body))))
         start_response(response.status_line, response.headers)
--- a/src/bellweir/hosted/serving/streams.py
+++ b/src/bellweir/hosted/serving/streams.py
@@ -42,7 +42,7 @@
 from bellweir.hosted.sight.interface import ObservedOutcome
 from bellweir.hosted.views.configuration import RouteTable
 from bellweir.hosted.views.workers import Worker
-from bellweir.http_server.caller_watch import CallerWatch
+from bellweir.http_server.caller_watch import CallerWatch, Watched
 from bellweir.http_server.http import Response
 
 SERVER_ERROR = 500
@@ -81,6 +81,32 @@
         return self.client.route.can_resume and self.client.is_replayable
 
 
+class _StreamChunks:
+    """The events of a stream as chunks of a response; `close` ends them also if none was read.
+
+    A generator that was never begun runs nothing when it is closed.
+    """
+
+    __slots__ = ("_abandon", "_events", "_is_begun")
+
+    def __init__(self, events: Generator[bytes, None, None], abandon: Callable[[], None]) -> None:
+        """`abandon` ends the stream if its events are closed unread."""
+        self._events = events
+        self._abandon = abandon
+        self._is_begun = False
+
+    def __iter__(self) -> Iterator[bytes]:
+        self._is_begun = True
+        yield from self._events
+
+    def close(self) -> None:
+        """End the stream; closing twice is no error."""
+        self._events.close()
+        if not self._is_begun:
+            self._is_begun = True
+            self._abandon()
+
+
 class StreamForwarder:
     """Serves the requests of streaming routes."""
 
@@ -112,7 +138,10 @@
             raise
         if isinstance(result, OpenAnswer):
             headers = response_headers(result)
-            chunks = self._events(stream, result, lambda: self._caller_watch.end(watched))
+            chunks = _StreamChunks(
+                self._events(stream, result, lambda: self._caller_watch.end(watched)),
+                lambda: self._abandon(stream, result, watched),
+            )
             return Response(result.status, headers, chunks=chunks, is_stream=True)
         self._caller_watch.end(watched)
         return self._end_without_stream(stream, result)
@@ -175,9 +204,16 @@
                 return worker
         return None
 
+    def _abandon(self, stream: _Stream, opened: OpenAnswer, watched: Watched) -> None:
+        """End a stream of which nothing was forwarded and nothing will be."""
+        self._caller_watch.end(watched)
+        opened.drop()
+        if stream.worker is not None:
+            self._loads.release(stream.worker.incarnation)
+
     def _events(
         self, stream: _Stream, opened: OpenAnswer, on_end: Callable[[], None]
-    ) -> Iterator[bytes]:
+    ) -> Generator[bytes, None, None]:
         try:
             current: OpenAnswer | BufferedResponse | None = opened
             while isinstance(current, OpenAnswer):
