Segments whose sync failed are written again

Bulk data of self-run nodes was acknowledged although no sync had covered it, and could go into another file.

Cause: a blob counted as held once it was written. After a failed sync the next one succeeds, but covers nothing of what the first one should have; those who waited for the first were served by the second. A closed descriptor's number stayed in use when the next file could not be opened.

--- a/features/ledger_journal.feature
+++ b/features/ledger_journal.feature
@@ -18,5 +18,11 @@
   Scenario: Bulk data after a kill in the middle of a write, and damage
     Then ledger segments cut at any byte keep all whole blobs and give no other ones
 
+  # Guards against bulk data that is acknowledged although no sync has covered it.
+  Scenario: Segments whose sync fails
+    Then a segment whose sync failed is not held, and is written again when it is put again
+    And others that waited for the same sync are not acknowledged either
+    And a next segment file that can't be opened leaves all other files alone
+
   Scenario: A node that stops while its journal is read
     Then a ledger journal closed in the middle of its reading gives everything first, and keeps it
--- a/features/steps/ledger_journal_steps.py
+++ b/features/steps/ledger_journal_steps.py
@@ -1,5 +1,6 @@
 """Properties of the ledger's files: kills and damage at any byte."""
 
+import errno
 import os
 import shutil
 import tempfile
@@ -13,6 +14,7 @@
 from features.support.ledger_simulation import Disk
 from hypothesis import given, settings
 
+from bellweir.ledger import segment_files
 from bellweir.ledger.entries import Entry, ReplicaId, ReplicaSet
 from bellweir.ledger.journal import (
     AppendEntries,
@@ -274,6 +276,93 @@
     cut()
 
 
+class FailingSystem:
+    """The calls of `os`, of which the next ones of some names fail."""
+
+    def __init__(self, **failures):
+        self._failures = failures
+
+    def __getattr__(self, name):
+        if self._failures.get(name, 0):
+            self._failures[name] -= 1
+            return self._fail
+        return getattr(os, name)
+
+    def _fail(self, *_arguments):
+        raise OSError(errno.EIO, "made by the test")
+
+
+def _put_fails(files, blob):
+    try:
+        files.append(blob)
+    except OSError:
+        return True
+    return False
+
+
+def _segments(context):
+    root = Path(tempfile.mkdtemp(prefix="ledger-segments-"))
+    context.add_cleanup(shutil.rmtree, root)
+    return root, SegmentFiles(root, 1000.0)
+
+
+@then("a segment whose sync failed is not held, and is written again when it is put again")
+def then_failed_sync(context):
+    root, files = _segments(context)
+    files.append(b"before")
+    with mock.patch.object(segment_files, "os", FailingSystem(fdatasync=1)):
+        assert _put_fails(files, b"lost")
+    assert not files.holds(digest_of(b"lost"))
+    first = next(root.glob("*.bin")).read_bytes()
+    assert b"lost" not in first, "the next start would take it for durable"
+    files.append(b"lost")
+    assert files.read(digest_of(b"lost")) == b"lost"
+    assert files.read(digest_of(b"before")) == b"before"
+    files.close()
+    again = SegmentFiles(root, 1000.0)
+    assert [again.read(digest_of(blob)) for blob in (b"before", b"lost")] == [b"before", b"lost"]
+    again.close()
+
+
+@then("others that waited for the same sync are not acknowledged either")
+def then_others_fail(context):
+    _, files = _segments(context)
+    blobs = [b"blob %d" % number for number in range(6)]
+    outcomes = {}
+
+    def put(blob):
+        outcomes[blob] = not _put_fails(files, blob)
+
+    with mock.patch.object(segment_files, "os", FailingSystem(fdatasync=1)):
+        with files._sync_lock:
+            writers = [threading.Thread(target=put, args=(blob,)) for blob in blobs]
+            for writer in writers:
+                writer.start()
+            context.wait_until(lambda: len(files._index) == len(blobs), "all are written")
+        for writer in writers:
+            writer.join()
+    assert outcomes == dict.fromkeys(blobs, False), outcomes
+    assert not any(files.holds(digest_of(blob)) for blob in blobs)
+    files.close()
+
+
+@then("a next segment file that can't be opened leaves all other files alone")
+def then_failed_open(context):
+    root, files = _segments(context)
+    files.append(b"first")
+    with mock.patch.object(segment_files, "FILE_BYTES", 1):
+        with mock.patch.object(segment_files, "os", FailingSystem(open=1)):
+            assert _put_fails(files, b"second")
+        # It gets the number of the descriptor that was closed.
+        with (root / "another").open("w+b") as another:
+            files.append(b"third")
+            another.seek(0)
+            assert another.read() == b"", "written to another file"
+    blobs = (b"first", b"second", b"third")
+    assert [files.read(digest_of(blob)) for blob in blobs] == list(blobs)
+    files.close()
+
+
 CLOSER_WAIT_S = 0.3
 """Time for which the reading waits for a closing that should wait for it."""
 
--- a/src/bellweir/ledger/segment_files.py
+++ b/src/bellweir/ledger/segment_files.py
@@ -38,6 +38,15 @@
     length: int
 
 
+@dataclass(frozen=True)
+class _Unsynced:
+    """A record that no sync has covered yet."""
+
+    digest: bytes
+    offset: int
+    end_bytes: int
+
+
 def digest_of(blob: bytes) -> bytes:
     """Digest by which a blob is known; blake2b, so that nobody can make two blobs with one."""
     return hashlib.blake2b(blob, digest_size=DIGEST_BYTES).digest()
@@ -55,6 +64,9 @@
         self._sync_lock = threading.Lock()
         self._synced_bytes = 0
         self._written_bytes = 0
+        self._lost_bytes = -1
+        """Bytes written before the last sync that failed: they count as lost."""
+        self._unsynced: list[_Unsynced] = []
         for path in self._paths():
             # A former process may have been killed before its sync, and blobs in the index count
             # as durable.
@@ -84,12 +96,20 @@
                 self._write(digest, blob)
             target_bytes = self._written_bytes
         with self._sync_lock:
+            if target_bytes <= self._lost_bytes:
+                raise OSError("a segment file could not be synced")
             if self._synced_bytes >= target_bytes:
                 return
             with self._append_lock:
                 written_bytes, descriptor = self._written_bytes, self._descriptor
-            os.fdatasync(descriptor)
+            try:
+                os.fdatasync(descriptor)
+            except OSError:
+                with self._append_lock:
+                    self._abandon_unsynced()
+                raise
             self._synced_bytes = written_bytes
+            self._unsynced = [one for one in self._unsynced if one.end_bytes > written_bytes]
             if self._is_full():
                 with self._append_lock:
                     self._roll_when_synced()
@@ -133,6 +153,8 @@
         return place.file >= self._first_file or self.read(digest) is not None
 
     def _write(self, digest: bytes, blob: bytes) -> None:
+        if self._descriptor < 0:
+            self._next_file()
         record = _header(len(blob), digest) + blob
         offset = os.lseek(self._descriptor, 0, os.SEEK_END)
         if os.write(self._descriptor, record) != len(record):
@@ -140,6 +162,29 @@
             raise OSError("a segment file took only a part of a record")
         self._index[digest] = _Place(self._file, offset + HEADER.size, len(blob))
         self._written_bytes += len(record)
+        self._unsynced.append(_Unsynced(digest, offset, self._written_bytes))
+
+    def _abandon_unsynced(self) -> None:
+        """Forget what a sync that failed should have covered, and go on in another file.
+
+        A later sync may succeed without it: the system counts pages as written once their sync has
+        failed, so that only writing them again makes them durable.
+        """
+        offset = min(one.offset for one in self._unsynced)
+        for one in self._unsynced:
+            self._index.pop(one.digest, None)
+        self._unsynced.clear()
+        self._lost_bytes = self._written_bytes
+        self._written_bytes += 1
+        self._synced_bytes = self._written_bytes
+        descriptor, self._descriptor = self._descriptor, -1
+        try:
+            # Else the next start would take the records for durable.
+            os.ftruncate(descriptor, offset)
+        except OSError:
+            emit(SEGMENT_DAMAGED, file=_file_name(self._file), offset=offset)
+        finally:
+            os.close(descriptor)
 
     def _is_full(self) -> bool:
         status = os.fstat(self._descriptor)
@@ -150,8 +195,10 @@
             self._next_file()
 
     def _next_file(self) -> None:
-        if self._descriptor >= 0:
-            os.close(self._descriptor)
+        # Its number may belong to another file once it is closed, and the next open may fail.
+        descriptor, self._descriptor = self._descriptor, -1
+        if descriptor >= 0:
+            os.close(descriptor)
         self._file += 1
         path = self._folder / _file_name(self._file)
         self._descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
