Results are split by the size of what is sent

Callers saw: nothing that was reported. With large texts whose checkpoints the log lacks, no job got a result for as long as the node led.

Cause: such results were sent again with full texts in one command, which the ledger refuses at once beyond 1 MiB; the task tried again without a pause.

--- a/features/hosted_batches.feature
+++ b/features/hosted_batches.feature
@@ -164,6 +164,14 @@
       | all   | only the text after the checkpoints |
       | none  | full texts after a first try        |
 
+  # Guards against results of all jobs that wait behind a command which is refused for ever.
+  Scenario: Results larger than one command of the ledger
+    Given a ledger whose commands have at most 1048576 bytes, and which holds no checkpoints
+    When results of 400000 bytes each, which refer to checkpoints, are committed before a small one
+    Then each has its full text in the ledger
+    When a result of 2000000 bytes is committed before a small one
+    Then the large one has failed, and the small one has its text
+
   Scenario: A node that no longer leads
     Given a leader with model workers and scorers
     And the workers stream slowly
--- a/features/steps/hosted_batches_steps.py
+++ b/features/steps/hosted_batches_steps.py
@@ -1,5 +1,7 @@
 """Batch jobs: the state machine against an oracle, the coordinator with stand-in workers."""
 
+import base64
+import random
 import threading
 
 import hypothesis.strategies as st
@@ -9,8 +11,10 @@
 from features.support.hosted_jobs import EVENTS, HOST, MODEL, make_job, make_leader
 from features.support.lost_leaders import History
 from hypothesis import given, settings
+from returns.result import Failure, Success
 
 from bellweir.hosted.batches.checkpoint_marks import events_of
+from bellweir.hosted.batches.committer import Committer
 from bellweir.hosted.batches.progress import EventsMissingError, ItemProgress
 from bellweir.hosted.batches.refusals import MAX_WEIGHT_LOAD_S, REFUSAL_BACKOFF_S, RefusalBackoff
 from bellweir.hosted.batches.state import (
@@ -33,6 +37,8 @@
 from bellweir.hosted.event_stream import EventSplitter, StreamEvent
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.records import Route, RouteKind
+from bellweir.ledger.interface import LedgerError, LedgerErrorKind
+from bellweir.ledger.machines import Codec
 from bellweir_platform.headers import HEADERS
 from bellweir_rehearsal.hosted.worker import event_of, stamp_of, text_of
 
@@ -755,6 +761,79 @@
         worker.event_pause_s = seconds
 
 
+class BoundedLedger:
+    """A ledger that refuses larger commands at once, and applies the others."""
+
+    def __init__(self, most_bytes):
+        self.machine = BatchJobs()
+        self._codec = Codec([BatchJobs])
+        self._most_bytes = most_bytes
+
+    def submit(self, _key, command, _timeout_s):
+        encoded = self._codec.encode(command)
+        if len(encoded) > self._most_bytes:
+            return Failure(LedgerError(LedgerErrorKind.UNAVAILABLE, "too large"))
+        return Success(self.machine.apply(self._codec.decode(encoded, type(command))))
+
+
+@given_step("a ledger whose commands have at most {most:d} bytes, and which holds no checkpoints")
+def given_bounded_ledger(context, most):
+    context.ledger = BoundedLedger(most)
+    context.job = make_job("job", 8, 1)
+    context.ledger.machine.apply(AcceptJob(context.job))
+    context.committer = Committer(context.ledger, lambda: True)
+    context.texts = {}
+    context.items = iter(context.job.items)
+
+
+def _commit(context, sizes, checkpointed):
+    """Commit results of texts that don't compress; ends the committer after some seconds."""
+    for size in sizes:
+        progress = ItemProgress(context.job, ROUTE, next(context.items))
+        text = random.Random(size).randbytes(size * 3 // 4)
+        progress.pieces, progress.events = [base64.b64encode(text).decode()], 1
+        progress.versions = [1]
+        if checkpointed and size > 1000:
+            progress.take_checkpoint()
+        progress.finish("")
+        context.texts[progress.item.id] = progress.pieces[0]
+        context.committer.put_result(progress)
+    stopping = threading.Event()
+    committing = threading.Thread(target=context.committer.run, args=(stopping,))
+    committing.start()
+    results = context.ledger.machine.jobs["job"].results
+    try:
+        context.wait_until(lambda: len(results) == len(context.texts), "all results")
+    finally:
+        stopping.set()
+        committing.join()
+
+
+@when(
+    "results of {size:d} bytes each, which refer to checkpoints, are committed before a small one"
+)
+def when_large_results(context, size):
+    _commit(context, [size, size + 1, size + 2, size + 3, 10], checkpointed=True)
+
+
+@then("each has its full text in the ledger")
+def then_all_full(context):
+    found = {one.item_id: one.full_text for one in context.ledger.machine.jobs["job"].results}
+    assert found == context.texts
+
+
+@when("a result of {size:d} bytes is committed before a small one")
+def when_huge_result(context, size):
+    _commit(context, [size, 20], checkpointed=False)
+
+
+@then("the large one has failed, and the small one has its text")
+def then_huge_failed(context):
+    *_, huge, small = context.ledger.machine.jobs["job"].results
+    assert (huge.is_complete, huge.full_text) == (False, "")
+    assert small.full_text == context.texts[small.item_id]
+
+
 @then("every text resumed from its checkpoints")
 def then_resumed(context):
     after = {}
--- a/src/bellweir/hosted/batches/committer.py
+++ b/src/bellweir/hosted/batches/committer.py
@@ -2,7 +2,7 @@
 
 import queue
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from returns.result import Success
 
@@ -10,6 +10,7 @@
 from bellweir.hosted.batches.progress import ItemProgress
 from bellweir.hosted.batches.state import (
     ALREADY_RECORDED,
+    CHECKPOINTS_MISSING,
     JOBS_KEY,
     ItemResult,
     KeepParts,
@@ -28,7 +29,27 @@
 """Checkpoints in one command; each holds a few seconds of generation."""
 SUBMIT_TIMEOUT_S = 2.0
 QUEUE_POLL_S = 0.2
+RETRY_PAUSE_S = 0.02
+"""Pause before a result is sent again; a submission may fail at once."""
+MAX_RESULT_BYTES = 1_000_000
+"""Size of one result; it is alone in its command then."""
 CAUSE_UNKNOWN = "unknown: the leader runs a release that reports only counts"
+LACKING_CAUSES = frozenset({CHECKPOINTS_MISSING, CAUSE_UNKNOWN})
+
+
+class _PendingResult:
+    """An item and the result that is to be recorded for it."""
+
+    __slots__ = ("progress", "result")
+
+    def __init__(self, progress: ItemProgress, result: ItemResult) -> None:
+        self.progress = progress
+        self.result = result
+
+    def may_lack_checkpoints(self, dropped: Mapping[str, str]) -> bool:
+        """Whether it may have been dropped since its checkpoints have not reached the log."""
+        cause = dropped.get(self.result.item_id)
+        return bool(self.result.checkpoint_mark) and cause in LACKING_CAUSES
 
 
 class Committer:
@@ -83,8 +104,7 @@
             else:
                 results.setdefault(each.job.id, []).append(each)
         for job_id, found in results.items():
-            for chunk in _split_by_size(found):
-                self._commit(job_id, chunk, stopping)
+            self._commit(job_id, found, stopping)
         for job_id, queued in checkpoints.items():
             for start in range(0, len(queued), MAX_COMMAND_CHECKPOINTS):
                 command = KeepParts(job_id, tuple(queued[start : start + MAX_COMMAND_CHECKPOINTS]))
@@ -93,53 +113,85 @@
                     self._ledger.submit(JOBS_KEY, command, SUBMIT_TIMEOUT_S)
 
     def _commit(self, job_id: str, items: list[ItemProgress], stopping: threading.Event) -> None:
+        """Record results; those whose checkpoints the log lacks are sent again with full texts."""
         # An item may be queued twice around a change of leader. Only its newest progress is sent:
         # if one command recorded and dropped it, its outcome would be ambiguous.
         newest = {each.item.id: each for each in items if each.result is not None}
-        items = list(newest.values())
-        results = tuple(each.result for each in items if each.result is not None)
-        # A try with an unknown outcome may have recorded what the next one finds recorded.
-        is_unsure = False
-        recorded: set[str] = set()
+        tails = [
+            _PendingResult(each, _bounded(each, each.result))
+            for each in newest.values()
+            if each.result is not None
+        ]
+        lacking: list[ItemProgress] = []
+        for chunk in _split_by_size(tails):
+            lacking += self._record(job_id, chunk, stopping)
+        whole = [_PendingResult(each, _bounded(each, each.full_result())) for each in lacking]
+        for chunk in _split_by_size(whole):
+            self._record(job_id, chunk, stopping, is_unsure=True)
+
+    def _record(
+        self,
+        job_id: str,
+        pending: list[_PendingResult],
+        stopping: threading.Event,
+        *,
+        is_unsure: bool = False,
+    ) -> list[ItemProgress]:
+        """Record results in one command; return the items whose checkpoints the log may lack.
+
+        `is_unsure`: an earlier try may have recorded what this one finds recorded.
+        """
+        results = tuple(each.result for each in pending)
         while self._leads() and not stopping.is_set():
             outcome = self._ledger.submit(
                 JOBS_KEY, RecordResults(job_id, results), SUBMIT_TIMEOUT_S
             )
             if not isinstance(outcome, Success):
                 is_unsure = True
+                self._pause.wait(RETRY_PAUSE_S)
                 continue
             dropped = _drop_causes(results, outcome.unwrap())
-            recorded.update(each.item_id for each in results if each.item_id not in dropped)
-            if dropped and any(result.checkpoint_mark for result in results):
-                # Checkpoints may not have reached the log; results recorded already stay.
-                results = tuple(_with_full_text(each) for each in items)
-                continue
-            for progress, result in zip(items, results, strict=True):
-                cause = None if result.item_id in recorded else dropped[result.item_id]
-                _log_outcome(job_id, progress, result, cause, is_unsure=is_unsure)
-            return
-        for progress in items:
+            lacking = [each for each in pending if each.may_lack_checkpoints(dropped)]
+            for each in pending:
+                if each not in lacking:
+                    cause = dropped.get(each.result.item_id)
+                    _log_outcome(job_id, each.progress, each.result, cause, is_unsure=is_unsure)
+            return [each.progress for each in lacking]
+        for each in pending:
             # The coordinator queues it again if this node leads once more.
-            progress.is_committing = False
+            each.progress.is_committing = False
+        return []
 
 
-def _with_full_text(progress: ItemProgress) -> ItemResult:
-    """Return an item's result without reference to checkpoints."""
-    result = progress.result
-    return progress.full_result() if result is None or result.checkpoint_mark else result
+def _bounded(progress: ItemProgress, result: ItemResult) -> ItemResult:
+    """Return a result that one command can hold: an item whose text is too large has failed.
+
+    Without it the command would be refused for ever, and all results behind it would wait.
+    """
+    if result.size <= MAX_RESULT_BYTES:
+        return result
+    emit(
+        ITEM_NOT_LISTED,
+        request_id=result.item_id,
+        job=progress.job.id,
+        state="completed",
+        events=progress.events,
+        cause=f"result of {result.size} bytes, at most {MAX_RESULT_BYTES}",
+    )
+    return ItemResult.from_text(result.item_id, False, "", result.versions)
 
 
-def _split_by_size(found: list[ItemProgress]) -> list[list[ItemProgress]]:
-    chunks: list[list[ItemProgress]] = [[]]
+def _split_by_size(found: list[_PendingResult]) -> list[list[_PendingResult]]:
+    chunks: list[list[_PendingResult]] = [[]]
     size = 0
-    for progress in found:
-        length = progress.result.size if progress.result else 0
+    for pending in found:
+        length = pending.result.size
         if chunks[-1] and size + length > MAX_COMMAND_BYTES:
             chunks.append([])
             size = 0
-        chunks[-1].append(progress)
+        chunks[-1].append(pending)
         size += length
-    return chunks
+    return [chunk for chunk in chunks if chunk]
 
 
 def _drop_causes(results: tuple[ItemResult, ...], reply: Reply) -> dict[str, str]:
