Soak with texts that outlast their leaders

Texts of the soak were made at once, so that no part of one was ever kept and no leader lost in its midst: the fault of "texts of two runs" could not show.

--- a/features/hosted_soak.feature
+++ b/features/hosted_soak.feature
@@ -25,6 +25,12 @@
     Then faults have struck and everything that must hold of the soak has held
     And zones were evacuated for longer than an evacuation may take, and workers were cold
 
+  # Guards against texts that are joined of runs which know nothing of each other.
+  Scenario: A soak in which leaders are lost in the middle of texts
+    When a soak of 20 seconds is played with seed 3 of long texts and lost leaders
+    Then faults have struck and everything that must hold of the soak has held
+    And texts were taken up in their middle, and all are joined as they were asked for
+
   Scenario: Losses stay within what is tolerated
     Then at any order of faults no more disks are lost at once than tolerated
     And a machine counts as whole once it has had its time to catch up, a removed one's successor too
--- a/features/steps/hosted_soak_steps.py
+++ b/features/steps/hosted_soak_steps.py
@@ -17,7 +17,7 @@
 from bellweir_rehearsal.hosted.platform_faults import NewVersion, WorkersStartAgain
 from bellweir_rehearsal.hosted.process_faults import KillGateway, KillStore
 from bellweir_rehearsal.hosted.soak import HostedSoak
-from bellweir_rehearsal.hosted.soak_faults import LASTING_FAULTS, PLACES_FAULTS
+from bellweir_rehearsal.hosted.soak_faults import LASTING_FAULTS, PLACES_FAULTS, TEXT_FAULTS
 
 
 @when(
@@ -74,6 +74,23 @@
     context.soak.play()
 
 
+@when("a soak of {seconds:d} seconds is played with seed {seed:d} of long texts and lost leaders")
+def when_texts(context, seconds, seed):
+    context.soak = HostedSoak(
+        context.folder, seed, seconds, 3, 3, only=TEXT_FAULTS, has_long_texts=True
+    )
+    context.cleanup.callback(context.soak.close)
+    context.soak.play()
+
+
+@then("texts were taken up in their middle, and all are joined as they were asked for")
+def then_joined(context):
+    records = [worker.record for worker in context.soak.deployment.models]
+    taken_up = [run for record in records for run, after in record.asked_after.items() if after]
+    assert taken_up, "no run was asked to go on in the middle"
+    assert context.soak.joins.held, context.soak.joins.faults
+
+
 @then("zones were evacuated for longer than an evacuation may take, and workers were cold")
 def then_places_seen(context):
     evacuations = context.soak.deployment.evacuations
--- a/src/bellweir_rehearsal/hosted/checks.py
+++ b/src/bellweir_rehearsal/hosted/checks.py
@@ -16,6 +16,7 @@
     configuration,
 )
 from bellweir_rehearsal.hosted.deployment import PLACES_BOUNDS, HostedDeployment
+from bellweir_rehearsal.hosted.text_runs import plain_text, wrong_join
 from bellweir_rehearsal.hosted.worker import answer_to, stamp_of, text_of
 
 READY_TIMEOUT_S = 60.0
@@ -68,6 +69,7 @@
         self.answers = Check("a client gets the whole signed answer to its own request")
         self.once = Check("a request that must not be repeated runs at most once")
         self.samples = Check("each sample is whole, scored and of the versions that made it")
+        self.joins = Check("a text goes on with runs that were asked to take it up there")
         self.positions = Check("results stay at their positions, through kills and restarts")
         self.orders = Check("orders come from one holder at a time, their fences rise")
         self.tenants = Check("what runs names its tenant, and no key reaches a worker")
@@ -145,14 +147,23 @@
         for result in step.results:
             item = result["id"]
             events = self.deployment.models[0].events
-            whole = result["state"] == "completed" and result["text"] == text_of(item, events)
+            text = plain_text(result["text"])
+            whole = result["state"] == "completed" and text == text_of(item, events)
             self.samples.expect(whole, f"{item}: {result}")
             self.samples.expect(result.get("score") == stamp_of(f"score-{item}"), f"{item}: score")
             fresh = min(result["versions"], default=0) >= step.minimum_version
             self.samples.expect(fresh, f"{item}: versions {result['versions']}")
+            if self.deployment.has_long_texts:
+                self._check_join(item, result["text"])
         ids = {result["id"] for result in step.results}
         self.samples.expect(ids == set(step.items), f"{step.job_id}: {ids}")
 
+    def _check_join(self, item: str, text: str) -> None:
+        models = self.deployment.models
+        asked_after = {run: at for one in models for run, at in one.record.asked_after.items()}
+        fault = wrong_join(text, asked_after)
+        self.joins.expect(fault is None, f"{item}: {fault}")
+
     def read_again(self, step: StepRecord) -> None:
         """Compare a step's results, read from the start, with what was read before."""
         found = self.trainer.read_again(step)
--- a/src/bellweir_rehearsal/hosted/command.py
+++ b/src/bellweir_rehearsal/hosted/command.py
@@ -19,6 +19,7 @@
     BUILD_FAULTS,
     LASTING_FAULTS,
     PLACES_FAULTS,
+    TEXT_FAULTS,
 )
 
 
@@ -50,6 +51,10 @@
         bool, cappa.Arg(long=True, help="Evacuate zones and have workers cold after a start.")
     ] = False
 
+    texts: Annotated[
+        bool, cappa.Arg(long=True, help="Have texts take seconds, and lose leaders in their midst.")
+    ] = False
+
     older: Annotated[
         str, cappa.Arg(long=True, help="A commit; a soak changes between its build and this one.")
     ] = ""
@@ -85,6 +90,8 @@
         faults = LASTING_FAULTS if self.lasting else ALL_FAULTS
         if self.places:
             faults = PLACES_FAULTS
+        if self.texts:
+            faults = TEXT_FAULTS
         older = None
         if self.older:
             faults = (*faults, *BUILD_FAULTS)
@@ -101,6 +108,7 @@
             only=faults,
             older=older,
             has_places=self.places,
+            has_long_texts=self.texts,
         )
 
 
--- a/src/bellweir_rehearsal/hosted/deployment.py
+++ b/src/bellweir_rehearsal/hosted/deployment.py
@@ -53,6 +53,9 @@
 """Kind of the store's objects that ask for a store machine to be emptied."""
 LIVE_SLACK_S = 5.0
 """Time after its loss for which a machine may still be taken for alive."""
+LONG_TEXT_EVENTS = 16
+LONG_TEXT_PAUSE_S = 0.22
+"""A text takes some 3.5 s, in which two parts of it are kept."""
 COLD_S = 2.0
 """How long workers are cold after a start, where they are at all."""
 EVACUATE_S = 5.0
@@ -180,6 +183,8 @@
     """Time for which an ended job can be read."""
     has_places: bool = False
     """Whether zones may be evacuated and workers are cold after a start."""
+    has_long_texts: bool = False
+    """Whether texts take seconds, so that parts are kept, and name the runs that made them."""
     is_rigged: bool = False
     """Whether processes run under the rig, so that they may lose power and their clocks jump."""
     machines: dict[str, Machine] = field(default_factory=dict)
@@ -210,6 +215,11 @@
         self.models = [
             WorkerStandIn(f"llm-{number}", model="drafts", events=6) for number in range(3)
         ]
+        if self.has_long_texts:
+            for worker in self.models:
+                worker.events = LONG_TEXT_EVENTS
+                worker.event_pause_s = LONG_TEXT_PAUSE_S
+                worker.names_runs = True
         self.scorers = [WorkerStandIn(f"app-{number}") for number in range(3)]
         if self.has_places:
             for worker in (*self.models, *self.scorers):
--- a/src/bellweir_rehearsal/hosted/soak.py
+++ b/src/bellweir_rehearsal/hosted/soak.py
@@ -101,15 +101,23 @@
         older: Build | None = None,
         *,
         has_places: bool = False,
+        has_long_texts: bool = False,
     ) -> None:
         """With an `older` build every second machine begins on it.
 
-        `has_places`: workers stand in all zones and are cold after a start.
+        `has_places`: workers stand in all zones and are cold after a start. `has_long_texts`:
+        texts take seconds, so that their leaders are lost in their midst.
         """
         tolerated = (stores - 1) // 2
         zones = 2 if gateways >= 12 else 3
         deployment = HostedDeployment(
-            folder, gateways, stores, zones, tolerated, has_places=has_places
+            folder,
+            gateways,
+            stores,
+            zones,
+            tolerated,
+            has_places=has_places,
+            has_long_texts=has_long_texts,
         )
         super().__init__(deployment, told)
         self.deployment.is_rigged = True
@@ -163,12 +171,13 @@
             self.recovered,
             self.evacuated,
             self.cold,
+            self.joins,
         ]
 
     @property
     def may_lack_cases(self) -> list[Check]:
         """Checks of faults that a seed need not draw: without a case they are not at fault."""
-        return [self.stops, self.refilled, self.emptied, self.evacuated, self.cold]
+        return [self.stops, self.refilled, self.emptied, self.evacuated, self.cold, self.joins]
 
     def holds(self, check: Check) -> bool:
         """Whether a check has held, as far as the seed gave it cases."""
--- a/src/bellweir_rehearsal/hosted/soak_faults.py
+++ b/src/bellweir_rehearsal/hosted/soak_faults.py
@@ -95,6 +95,20 @@
     NewVersion,
 )
 """Those of evacuations and cold workers, with none that cuts machines off from word of them."""
+TEXT_FAULTS: tuple[type[SoakFault], ...] = (
+    KillStore,
+    KillStore,
+    StopStore,
+    StopCutShort,
+    FreezeStore,
+    PowerLossOfStore,
+    PowerLossOfAll,
+    WipeStore,
+    RetireStore,
+    BrokenWorkers,
+    WorkersStartAgain,
+)
+"""Those that lose the leader of the jobs, or a run, in the middle of a text."""
 BUILD_FAULTS: tuple[type[SoakFault], ...] = (
     ChangeBuild,
     ChangeBuild,
--- a/src/bellweir_rehearsal/hosted/worker.py
+++ b/src/bellweir_rehearsal/hosted/worker.py
@@ -14,6 +14,7 @@
 
 from bellweir.hosted.incarnation import Incarnation
 from bellweir_rehearsal.hosted.http_stand_in import StandInHandler, StandInServer
+from bellweir_rehearsal.hosted.text_runs import BY_RUN
 
 STREAM_TYPE = "text/event-stream"
 SILENCE_S = 1.5
@@ -79,6 +80,8 @@
     """Requests that were not run."""
     resumed_after: dict[str, int] = field(default_factory=dict)
     """Events after which streams were asked to go on, by request id; 0 for a new one."""
+    asked_after: dict[str, int] = field(default_factory=dict)
+    """The same by name of the run."""
     ended: Counter[str] = field(default_factory=Counter)
     """Streams made to their end, by request id."""
     headers: dict[str, dict[str, str]] = field(default_factory=dict)
@@ -116,6 +119,8 @@
         self.load_s = 0.1
         self.cold_s = 0.0
         """How long it is cold after a start; 0: it tells nothing of being cold."""
+        self.names_runs = False
+        """Whether its events name the run that made them."""
         self.told_load = ""
         """What its answers say of its load; empty: nothing."""
         self.faults = WorkerFaults()
@@ -343,6 +348,9 @@
     def _stream(self, handler: StandInHandler, request_id: str, echo: dict[str, str]) -> None:
         first = int(handler.headers.get("Last-Event-Id") or 0) + 1
         self.record.resumed_after[request_id] = first - 1
+        with self._lock:
+            run = f"{self.instance}/{len(self.record.asked_after)}"
+            self.record.asked_after[run] = first - 1
         cut, self.faults.cut_after_event = self.faults.cut_after_event, None
         version = self.version
         handler.send_response(200)
@@ -354,7 +362,7 @@
         handler.send_header("Transfer-Encoding", "chunked")
         handler.end_headers()
         for number in range(first, self.events + 1):
-            event = event_of(request_id, number)
+            event = event_of(request_id, number, run if self.names_runs else "")
             if self.version != version:
                 version = self.version
                 event = b"x-bellweir-weight-versions: %d\n" % version + event
@@ -388,9 +396,15 @@
     return b"answer to %s: %d bytes" % (request_id.encode(), len(body))
 
 
-def event_of(request_id: str, number: int) -> bytes:
-    """One event of a worker's stream."""
-    return b"id: %d\ndata: piece %d of %s\n\n" % (number, number, request_id.encode())
+def event_of(request_id: str, number: int, run: str = "") -> bytes:
+    """One event of a worker's stream; names the run that made it, if there is a name."""
+    by = BY_RUN + run if run else ""
+    return b"id: %d\ndata: piece %d of %s%s\n\n" % (
+        number,
+        number,
+        request_id.encode(),
+        by.encode(),
+    )
 
 
 def text_of(request_id: str, events: int) -> str:
