Machines that can't go keep the lease of the roll-outs held

Cause: machines that are asked to go are told to keep off the lease with each look, also while they have nowhere to go. With all of them asked nobody held it; one whose removal was given up kept off for 10 s more.

--- a/features/hosted_lease.feature
+++ b/features/hosted_lease.feature
@@ -18,6 +18,11 @@
   Scenario: A holder that is to be taken away
     Then a holder that steps aside is succeeded at once if it has not operated recently
 
+  # Guards against a lease without a holder while no machine that is asked to go can go.
+  Scenario: Machines that are all to be taken away, and stay
+    Then machines are asked to step aside only while one that is to stay can hold the lease
+    And a node holds the lease within 4 s after removals are given up
+
   Scenario: A lease given back is taken without waiting for its end
     Then the successor of a holder that releases the lease operates only after the separation time
 
--- a/features/steps/hosted_lease_steps.py
+++ b/features/steps/hosted_lease_steps.py
@@ -2,6 +2,7 @@
 
 import random
 from itertools import pairwise
+from types import SimpleNamespace
 
 import hypothesis.strategies as st
 from behave import then
@@ -10,7 +11,10 @@
 from structlog.testing import capture_logs
 
 from bellweir.hosted.interface import RecordStore, StoredRecord, StoreError, StoreErrorKind
+from bellweir.hosted.retirement import RetirementService
 from bellweir.hosted.weights.lease import POLL_INTERVAL_S, Lease, LeasePhase
+from bellweir.hosted.weights.lease_messages import ABSTENTION_S
+from bellweir.membership.interface import Member, MemberState
 from bellweir_rehearsal.hosted.records import ObjectRecords, WriteRefusal
 
 LEASE_S = 5.0
@@ -217,6 +221,65 @@
     assert machines.leases[0].fencing_token > first
 
 
+@then("machines are asked to step aside only while one that is to stay can hold the lease")
+def then_asked_with_successor(context):
+    for leaving, dead, wanted in (
+        (("s-0",), (), {"s-0"}),
+        (("s-0", "s-1"), (), {"s-0", "s-1"}),
+        (("s-0", "s-1", "s-2"), (), set()),
+        (("s-0", "s-1"), ("s-2",), set()),
+    ):
+        service, asked = _retirement(leaving, dead)
+        for name in leaving:
+            service._report(service._requests[name])
+        assert set(asked) == wanted, (leaving, dead, asked)
+
+
+def _retirement(leaving, dead):
+    """A leader's service of retirements that none of the machines can end yet, and who is asked."""
+    members = {
+        name: Member(
+            name,
+            f"{name}:1",
+            "",
+            "a",
+            "",
+            name != "gateway",
+            MemberState.SUSPECT if name in dead else MemberState.ALIVE,
+            1,
+        )
+        for name in ("gateway", "s-0", "s-1", "s-2")
+    }
+    asked = []
+    service = RetirementService(None, None, SimpleNamespace(store=None))
+    service._requests = {
+        name: StoredRecord("retirements", name, 1, {}, {"state": "running"}) for name in leaving
+    }
+    service._members = SimpleNamespace(
+        members=lambda: tuple(members.values()), member=lambda name: members.get(name)
+    )
+    service._ledger = SimpleNamespace(release=lambda _name: False)
+    service._transport = SimpleNamespace(
+        send=lambda address, _message: asked.append(address.partition(":")[0])
+    )
+    return service, asked
+
+
+@then("a node holds the lease within {seconds:g} s after removals are given up")
+def then_held_again(context, seconds):
+    machines = Machines(3, 1)
+    for lease in machines.leases:
+        lease.step()
+    given_up_s = machines.now_s + 6.0
+    while machines.now_s < given_up_s + seconds:
+        machines.now_s += 0.3
+        for lease in machines.leases:
+            if machines.now_s < given_up_s:
+                lease.step_aside(ABSTENTION_S)
+            lease.step()
+    assert any(lease.is_held for lease in machines.leases)
+
+
 @then("the successor of a holder that releases the lease operates only after the separation time")
 def then_released(context):
     machines = Machines(2, 1)
--- a/src/bellweir/hosted/retirement.py
+++ b/src/bellweir/hosted/retirement.py
@@ -28,7 +28,7 @@
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
 from bellweir.ledger.service import LedgerService
-from bellweir.membership.interface import Membership
+from bellweir.membership.interface import Membership, MemberState
 from bellweir.wire.interface import Transport
 
 RUNNING = "running"
@@ -104,12 +104,27 @@
         state = _state_of(record)
         if state == COMPLETED:
             return
-        self._request_lease_release(record.name)
+        if self._has_successor():
+            self._request_lease_release(record.name)
         if self._ledger.release(record.name):
+            self._request_lease_release(record.name)
             self._write(record, COMPLETED)
         elif state != RUNNING:
             self._write(record, RUNNING)
 
+    def _has_successor(self) -> bool:
+        """Whether a machine that is to stay can hold a lease.
+
+        Machines that have nowhere to go stay for as long as they are asked to go. If all of them
+        kept off a lease meanwhile, nobody would hold it.
+        """
+        with self._lock:
+            leaving = set(self._requests)
+        return any(
+            one.has_data_folder and one.state is MemberState.ALIVE and one.node not in leaving
+            for one in self._members.members()
+        )
+
     def _request_lease_release(self, node: str) -> None:
         """Ask a machine to release its leases before it is removed."""
         member = self._members.member(node)
--- a/src/bellweir/hosted/weights/lease_messages.py
+++ b/src/bellweir/hosted/weights/lease_messages.py
@@ -33,8 +33,11 @@
     """Asks a node that is about to be removed to release its leases and to acquire none."""
 
 
-ABSTENTION_S = 10.0
-"""Time for which a node abstains after each `StepAside`."""
+ABSTENTION_S = 3.0
+"""Time for which a node abstains after each `StepAside`.
+
+Long enough for several lost messages, which come each 0.3 s, and for a change of the leader that
+sends them; short, since a removal may be given up."""
 
 
 class LeaseAnnouncer:
