Jobs whose items can't be sent or kept are refused

Callers saw: nothing that was reported. An item whose path, id or header HTTP can't carry failed at each attempt until its job ended, each time to the charge of a healthy worker; one larger than a command of the ledger was tried without a pause until the time to accept was over.

Cause: items were not checked when their job came; parts of large jobs were cut by the sizes of bodies alone.

--- a/features/hosted_batches.feature
+++ b/features/hosted_batches.feature
@@ -192,6 +192,11 @@
     Then it is accepted with 202, and again when it is resubmitted
     And the ledger's commands were all small and the job has its 40 items
 
+  # Guards against items that fail at each attempt and are charged to healthy workers.
+  Scenario: Items that can't be sent or kept are refused with their job
+    Then with any texts in an item, its job is refused or the item can be sent
+    And an item that no command of the ledger holds is refused, and larger parts are split
+
   Scenario: What a gateway has shown it shows again without the ledger
     Then reads in any order return the ledger's results, and cached positions need no ledger
 
--- a/features/steps/hosted_batches_steps.py
+++ b/features/steps/hosted_batches_steps.py
@@ -1,8 +1,12 @@
 """Batch jobs: the state machine against an oracle, the coordinator with stand-in workers."""
 
 import base64
+import http.client
+import json
 import random
 import threading
+from collections import Counter
+from unittest import mock
 
 import hypothesis.strategies as st
 import msgspec
@@ -13,8 +17,10 @@
 from hypothesis import given, settings
 from returns.result import Failure, Success
 
+from bellweir.hosted.batches.api import split_items
 from bellweir.hosted.batches.checkpoint_marks import events_of
 from bellweir.hosted.batches.committer import Committer
+from bellweir.hosted.batches.formats import decode_job
 from bellweir.hosted.batches.progress import EventsMissingError, ItemProgress
 from bellweir.hosted.batches.refusals import MAX_WEIGHT_LOAD_S, REFUSAL_BACKOFF_S, RefusalBackoff
 from bellweir.hosted.batches.state import (
@@ -26,6 +32,7 @@
     ReadItem,
     ReadResults,
     RecordResults,
+    StageItems,
     TextCheckpoint,
 )
 from bellweir.hosted.batches.text_compression import compress_text
@@ -37,6 +44,7 @@
 from bellweir.hosted.event_stream import EventSplitter, StreamEvent
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.records import Route, RouteKind
+from bellweir.http_server.http import BadRequestError
 from bellweir.ledger.interface import LedgerError, LedgerErrorKind
 from bellweir.ledger.machines import Codec
 from bellweir_platform.headers import HEADERS
@@ -761,6 +769,66 @@
         worker.event_pause_s = seconds
 
 
+def _document(**fields):
+    return {"id": "i", "path": "/draft/1", "headers": {}, "body": "", "tokens": 1} | fields
+
+
+def _decode(*items):
+    content = json.dumps({"items": items, "model": MODEL}).encode()
+    return decode_job(content, "job", HOST, "/draft/").items
+
+
+@then("with any texts in an item, its job is refused or the item can be sent")
+def then_sendable(context):
+    plain = st.text("ab-1", min_size=1, max_size=6)
+    odd = st.text(max_size=6) | st.sampled_from(("a\r\nb", "a\r\n b", "\x00", "\u00e9", "\u65e5"))
+    text = st.one_of(plain, plain, plain, plain, odd)
+    outcomes = Counter()
+
+    @settings(max_examples=300)
+    @given(request_id=text, path=text, name=text, value=text, scorer=st.none() | text)
+    def sendable(request_id, path, name, value, scorer):
+        item = _document(id=request_id, path=f"/{path}", headers={name: value})
+        if scorer is not None:
+            item["scorer"] = {"id": scorer, "host": scorer, "path": f"/{scorer}"}
+        try:
+            (found,) = _decode(item)
+        except BadRequestError:
+            outcomes["refused"] += 1
+            return
+        outcomes["accepted"] += 1
+        calls = [("POST", found.path, {"Id": found.id, **dict(found.headers)})]
+        if found.scorer is not None:
+            calls.append(("POST", found.scorer.path, {"Id": found.scorer.id, "Host": scorer}))
+        for method, path_sent, headers in calls:
+            connection = http.client.HTTPConnection("worker")
+            connection.sock = mock.Mock()
+            connection.request(method, path_sent, b"", headers)
+
+    sendable()
+    assert min(outcomes["refused"], outcomes["accepted"]) > 20, outcomes
+
+
+@then("an item that no command of the ledger holds is refused, and larger parts are split")
+def then_kept(context):
+    large = base64.b64encode(bytes(300_000)).decode()
+    scorer = {"id": "s", "host": HOST, "path": "/score", "body": large}
+    headers = {f"h-{number}": "v" * 1000 for number in range(300)}
+    item = _document(body=large, scorer=scorer, headers=headers)
+    try:
+        _decode(item | {"body": base64.b64encode(bytes(400_000)).decode()})
+    except BadRequestError as refusal:
+        assert "at most 900000" in str(refusal), refusal
+    else:
+        raise AssertionError("accepted an item of 1 MB")
+    items = _decode(*(item | {"id": f"i-{number}", "body": ""} for number in range(4)))
+    codec = Codec([BatchJobs])
+    parts = split_items(items)
+    assert [one.id for part in parts for one in part] == [one.id for one in items]
+    for number, part in enumerate(parts):
+        assert len(codec.encode(StageItems("job", number, part))) < 1 << 20
+
+
 class BoundedLedger:
     """A ledger that refuses larger commands at once, and applies the others."""
 
--- a/src/bellweir/hosted/batches/api.py
+++ b/src/bellweir/hosted/batches/api.py
@@ -38,8 +38,6 @@
 ACCEPT_TIMEOUT_S = 3.0
 MAX_PART_BYTES = 400_000
 """Size of the items in one command, which may have at most 1 MiB."""
-ITEM_OVERHEAD_BYTES = 1_024
-"""Estimated upper bound of an item's size without its body."""
 CALL_TIMEOUT_S = 1.5
 NEARBY_TIMEOUT_S = 0.15
 """Time for the replica in this zone."""
@@ -298,7 +296,7 @@
     parts: list[list[JobItem]] = [[]]
     size = 0
     for item in items:
-        length = len(item.body) + ITEM_OVERHEAD_BYTES
+        length = item.size
         if parts[-1] and size + length > MAX_PART_BYTES:
             parts.append([])
             size = 0
--- a/src/bellweir/hosted/batches/formats.py
+++ b/src/bellweir/hosted/batches/formats.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import http.client
 import time
 
 import msgspec
@@ -9,6 +10,8 @@
 from bellweir.hosted.batches.state import ItemResult, Job, JobItem, Scorer
 from bellweir.http_server.http import BadRequestError
 
+MAX_ITEM_BYTES = 900_000
+"""Size of an item that one command of the ledger, of at most 1 MiB, holds with its job."""
 COMPLETED = "completed"
 DEAD = "dead"
 
@@ -71,6 +74,8 @@
         raise BadRequestError(f"no batch job: {exc}") from exc
     if len({item.id for item in items}) != len(items):
         raise BadRequestError("two items have one id")
+    for item in items:
+        _check_item(item)
     return Job(
         id=job_id,
         host=host,
@@ -101,6 +106,27 @@
     )
 
 
+def _check_item(item: JobItem) -> None:
+    """Check that an item can be kept and sent to a worker. Raises `BadRequestError`.
+
+    Else each of its attempts would fail before it is sent, until its job ends.
+    """
+    if item.size > MAX_ITEM_BYTES:
+        raise BadRequestError(f"item {item.id!r} has {item.size} bytes, at most {MAX_ITEM_BYTES}")
+    requests = [(item.id, item.path, item.headers)]
+    if item.scorer is not None:
+        scorer = item.scorer
+        requests.append((scorer.id, scorer.path, (("Host", scorer.host),)))
+    for request_id, path, headers in requests:
+        probe = http.client.HTTPConnection("probe")
+        try:
+            probe.putrequest("POST", path)
+            for name, value in (("Id", request_id), *headers):
+                probe.putheader(name, value)
+        except (ValueError, http.client.HTTPException) as exc:
+            raise BadRequestError(f"item {item.id!r} can't be sent: {exc}") from exc
+
+
 def encode_page(total: int, after: int, results: tuple[ItemResult, ...]) -> bytes:
     """Encode a page of results from position `after` on."""
     documents = [
--- a/src/bellweir/hosted/batches/state.py
+++ b/src/bellweir/hosted/batches/state.py
@@ -17,6 +17,9 @@
 JOBS_KEY = "batch-jobs"
 """Ledger key of all jobs: one shard, so that one leader runs them in one order."""
 
+ITEM_OVERHEAD_BYTES = 128
+TEXT_OVERHEAD_BYTES = 5
+"""Estimated bytes of an item besides its bodies and texts, and of each text besides itself."""
 RESULT_OVERHEAD_BYTES = 256
 """Estimated bytes of a result besides its text."""
 NO_SUCH_JOB = "no such job"
@@ -63,6 +66,17 @@
     group: str = ""
     scorer: Scorer | None = None
 
+    @property
+    def size(self) -> int:
+        """Estimated size in a command, in bytes."""
+        texts = [self.id, self.path, self.group]
+        texts += [text for header in self.headers for text in header]
+        length = len(self.body) + ITEM_OVERHEAD_BYTES
+        if self.scorer is not None:
+            texts += [self.scorer.id, self.scorer.host, self.scorer.path]
+            length += len(self.scorer.body)
+        return length + sum(len(text.encode()) + TEXT_OVERHEAD_BYTES for text in texts)
+
 
 class Job(msgspec.Struct, frozen=True):
     """A batch job as submitted."""
