Soak: a request to a gateway whose process is still starting may go unread

Trace: that gateway's process took 7.9, 8.8 and 9.2 s to start (start_ms of its process_started; 0.1 to 0.8 s at usual load). It listens from its first moment, so that the system takes connections which nobody can read yet. It has not said that it is ready, and no answer is owed.

The check leaves out only requests that ran nowhere, on a connection made before the process had started; a request that ran, or on a later connection, is judged as before. The scenario has all three cases.

--- a/features/hosted_soak.feature
+++ b/features/hosted_soak.feature
@@ -47,5 +47,8 @@
   Scenario: A gateway that can't be sure of a key yet
     Then a gateway that says 503 for a key is asked again, and one that serves a gone key is at fault
 
+  Scenario: A gateway whose process takes seconds to start
+    Then a request that times out unread on a connection of that time is no fault, one that ran is
+
   Scenario: Store machines whose processes take long to start
     Then a machine that is back counts as lost until its process has had its time to catch up
--- a/features/steps/hosted_soak_steps.py
+++ b/features/steps/hosted_soak_steps.py
@@ -3,6 +3,8 @@
 import random
 import signal
 import time
+from collections import Counter
+from types import SimpleNamespace
 from unittest import mock
 
 import hypothesis.strategies as st
@@ -10,9 +12,11 @@
 from features.support.waiting import wait_until
 from hypothesis import given, settings
 
+from bellweir_rehearsal.hosted.checks import Check
 from bellweir_rehearsal.hosted.clients import Answer, key_of_version
 from bellweir_rehearsal.hosted.deployment import EVACUATE_S, HostedDeployment
 from bellweir_rehearsal.hosted.full_disk import FullDisk
+from bellweir_rehearsal.hosted.kept_clients import LOST_S, KeptClient
 from bellweir_rehearsal.hosted.losses import CATCH_UP_S, LossBudget
 from bellweir_rehearsal.hosted.platform_faults import NewVersion, WorkersStartAgain
 from bellweir_rehearsal.hosted.process_faults import KillGateway, KillStore
@@ -134,6 +138,20 @@
     assert budget.take(["store-0"]), "the loss is still free"
 
 
+@then("a request that times out unread on a connection of that time is no fault, one that ran is")
+def then_unread_at_start(context):
+    for has_started, ran, is_fault in ((False, 0, False), (True, 0, True), (False, 1, True)):
+        deployment = SimpleNamespace(
+            scorers=[SimpleNamespace(record=SimpleNamespace(ran=Counter({"r": ran})))],
+            touched=SimpleNamespace(left_alone=lambda *_arguments, **_planned: True),
+        )
+        check = Check("kept")
+        client = KeptClient("kept", deployment, check, random.Random(1))
+        client._has_started = has_started
+        client._judge_cut("gateway-0", "r", time.monotonic() - 2 * LOST_S, TimeoutError())
+        assert bool(check.faults) == is_fault, (has_started, ran, check.faults)
+
+
 @then("a machine that is back counts as lost until its process has had its time to catch up")
 def then_lost_until_begun(context):
     soak = HostedSoak(context.folder, 1, 1.0, 1, 3, catch_up_s=0.2)
--- a/src/bellweir_rehearsal/hosted/deployment.py
+++ b/src/bellweir_rehearsal/hosted/deployment.py
@@ -419,6 +419,11 @@
             time.sleep(STARTED_POLL_S)
         return False
 
+    def has_started(self, name: str) -> bool:
+        """Whether a machine is there and its process serves."""
+        machine = self.machines.get(name)
+        return machine is not None and machine.has_started
+
     def signal(self, name: str, number: int) -> None:
         """Send a signal to a machine's process."""
         process = self.machines[name].process
