Unsynced segments are noted under one lock

Found by reading the change once more: a record that was written while a sync ended could be left out of those whose next sync may fail. Both sides of the list hold the append lock now. By reading only; ledger_journal passes as before.

--- a/src/bellweir/ledger/segment_files.py
+++ b/src/bellweir/ledger/segment_files.py
@@ -109,7 +109,8 @@
                     self._abandon_unsynced()
                 raise
             self._synced_bytes = written_bytes
-            self._unsynced = [one for one in self._unsynced if one.end_bytes > written_bytes]
+            with self._append_lock:
+                self._unsynced = [one for one in self._unsynced if one.end_bytes > written_bytes]
             if self._is_full():
                 with self._append_lock:
                     self._roll_when_synced()
