The gossip's handshake takes the lock of what it changes

By reading; no run shows a fault: the set's operations hold the interpreter's lock. A field that nobody read is gone. hosted_sight passes as before.

--- a/src/bellweir/hosted/sight/exchange.py
+++ b/src/bellweir/hosted/sight/exchange.py
@@ -57,7 +57,6 @@
         """Addresses of peers that support the messages."""
         self._backoff_until_s: dict[str, float] = {}
         self._round = 0
-        self._last_heard_s = now_s()
         self._silence_s = 0.0
         """Time in which this node sent records and received none."""
         self._last_round_s = now_s()
@@ -115,7 +114,8 @@
         """Send the first message to a peer as a request, to learn whether it supports them."""
         match self._transport.request(address, message, HANDSHAKE_TIMEOUT_S):
             case Success(SightHeard()):
-                self._supporting.add(address)
+                with self._lock:
+                    self._supporting.add(address)
             case Failure(error) if error.kind is WireErrorKind.REFUSED:
                 self._back_off(address, UNSUPPORTED_BACKOFF_S)
             case _:
