A test's gateway has a thread for each connection that asks at once

Trace: the step's 16 clients each ask for an application's answer; its gateway had 16 threads, of which three quarters serve applications. Where 13 answers overlap, one is refused with 429 for want of a thread, as it must be.

The gateway of this scenario has 32 threads; connections, requests and checks are the same, and a failure says what it got.

--- a/features/steps/gateway_connections_steps.py
+++ b/features/steps/gateway_connections_steps.py
@@ -133,7 +133,8 @@
 
 @given("a gateway whose loop looks at a connection only after an event of its own")
 def step_no_full_look(context):
-    gateway_start(context, limits={"maintenance_period_s": 3600})
+    # Three quarters of the threads serve applications: enough for one request of each connection.
+    gateway_start(context, limits={"maintenance_period_s": 3600}, threads=32)
 
 
 @then("{count:d} gateway connections that send, pipeline and read slowly get all of their answers")
@@ -150,10 +151,12 @@
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
             for _ in range(40):
                 raw.sendall(ask_small)
-                assert read_one_answer(raw) == 16
+                length = read_one_answer(raw)
+                assert length == 16, length
             for _ in range(4):
                 raw.sendall(ask_small * 3 + ask_big + ask_small)
-                assert [read_one_answer(raw) for _ in range(5)] == [16, 16, 16, len(big), 16]
+                lengths = [read_one_answer(raw) for _ in range(5)]
+                assert lengths == [16, 16, 16, len(big), 16], lengths
 
     with ThreadPoolExecutor(count) as pool:
         talks = [pool.submit(talk) for _ in range(count)]
