Soak: a machine that is replaced is struck until it is gone

Cause: a machine that is replaced was given back to the budget before its process and folder were gone, so that a slow removal looked like an end of its own. The new scenario failed before.

--- a/features/hosted_soak.feature
+++ b/features/hosted_soak.feature
@@ -47,6 +47,10 @@
   Scenario: A gateway that can't be sure of a key yet
     Then a gateway that says 503 for a key is asked again, and one that serves a gone key is at fault
 
+  # Guards against an end by the kit's own kill that is judged as one of the process's own.
+  Scenario: A replaced store machine
+    Then a machine that is replaced is struck until it is gone
+
   Scenario: A gateway whose process takes seconds to start
     Then a request that times out unread on a connection of that time is no fault, one that ran is
 
--- a/features/steps/hosted_soak_steps.py
+++ b/features/steps/hosted_soak_steps.py
@@ -18,6 +18,7 @@
 from bellweir_rehearsal.hosted.full_disk import FullDisk
 from bellweir_rehearsal.hosted.kept_clients import LOST_S, KeptClient
 from bellweir_rehearsal.hosted.losses import CATCH_UP_S, LossBudget
+from bellweir_rehearsal.hosted.machine_faults import ReplaceStore
 from bellweir_rehearsal.hosted.platform_faults import NewVersion, WorkersStartAgain
 from bellweir_rehearsal.hosted.process_faults import KillGateway, KillStore
 from bellweir_rehearsal.hosted.soak import HostedSoak
@@ -138,6 +139,28 @@
     assert budget.take(["store-0"]), "the loss is still free"
 
 
+@then("a machine that is replaced is struck until it is gone")
+def then_struck_until_gone(context):
+    deployment = HostedDeployment(context.folder, gateways=1, stores=3)
+    context.cleanup.callback(deployment.close)
+    deployment.start_machine = lambda _name: None
+    budget = LossBudget(deployment.names("store"), 1)
+    fault = ReplaceStore(deployment, budget, random.Random(1))
+    fault.one_of = lambda _role: ["store-2"]
+    assert fault.begin()
+    remove, free = deployment.remove_machine, []
+
+    def noted(name):
+        free.append(budget.free([name]))
+        remove(name)
+
+    deployment.remove_machine = noted
+    fault.end()
+    assert free == [[]], free
+    assert "store-2" not in deployment.machines
+    assert "store-3" in deployment.machines
+
+
 @then("a request that times out unread on a connection of that time is no fault, one that ran is")
 def then_unread_at_start(context):
     for has_started, ran, is_fault in ((False, 0, False), (True, 0, True), (False, 1, True)):
--- a/src/bellweir_rehearsal/hosted/machine_faults.py
+++ b/src/bellweir_rehearsal/hosted/machine_faults.py
@@ -70,9 +70,10 @@
     def mend(self) -> None:
         """Start the successor."""
         for name in self.struck:
+            # Given up only once it is gone: else its end would count as one of its own.
+            self.deployment.remove_machine(name)
             successor = self.deployment.add_store()
             self.budget.replace(name, successor)
-            self.deployment.remove_machine(name)
             self.deployment.start_machine(successor)
         self.struck = []
 
