--- a/src/bellweir/cli/resources/wait.py
+++ b/src/bellweir/cli/resources/wait.py
@@ -18,6 +18,7 @@
     print_report,
     resource_or_exit,
 )
+from bellweir.kernel.clock import elapsed_s
 
 POLL_S = 0.25
 CONDITION_PREFIX = "condition="
@@ -46,7 +47,7 @@
         """Poll until it holds or the time is over."""
         kind, name = resource_or_exit(self.kind, self.name)
         client = client_for(self.address, self.token_file)
-        deadline_s = time.monotonic() + self.timeout
+        deadline_s = elapsed_s() + self.timeout
         while True:
             match client.get(kind, name):
                 case Success(found):
@@ -56,7 +57,7 @@
             if holds:
                 print(f"{kind}/{name}: {self.wanted}")
                 return
-            if time.monotonic() >= deadline_s:
+            if elapsed_s() >= deadline_s:
                 print_report(f"{kind}/{name}: not {self.wanted} in {self.timeout:g} s: {why}")
                 raise cappa.Exit(code=exit_codes.FAILED)
             time.sleep(POLL_S)
--- a/src/bellweir/clients/connection.py
+++ b/src/bellweir/clients/connection.py
@@ -10,9 +10,10 @@
 import select
 import socket
 import threading
-import time
 from typing import TYPE_CHECKING, Any, BinaryIO
 
+from bellweir.kernel.clock import elapsed_s
+
 if TYPE_CHECKING:
     from _typeshed import WriteableBuffer
 
@@ -77,7 +78,7 @@
 
     def _wait_to_write(self) -> None:
         """Wait until more can be written; raises `EarlyAnswerError` when an answer comes first."""
-        left_s = self.deadline_s - time.monotonic()
+        left_s = self.deadline_s - elapsed_s()
         ready = self._both_ways.poll(left_s * MS_PER_S) if left_s > 0 else []
         if not ready:
             raise TimeoutError("deadline passed")
@@ -86,7 +87,7 @@
 
     def _wait(self, poll: "select.poll") -> None:
         """Wait until the socket is ready; raises `TimeoutError` at the deadline."""
-        left_s = self.deadline_s - time.monotonic()
+        left_s = self.deadline_s - elapsed_s()
         if left_s <= 0 or not poll.poll(left_s * MS_PER_S):
             raise TimeoutError("deadline passed")
 
@@ -158,7 +159,7 @@
 
     def open(self, deadline_s: float) -> None:
         """Connect before the deadline; raises `OSError` when that fails."""
-        left_s = deadline_s - time.monotonic()
+        left_s = deadline_s - elapsed_s()
         if left_s <= 0:
             raise TimeoutError("deadline passed")
         raw = socket.create_connection((self.host, self.port), min(left_s, CONNECT_TIMEOUT_S))
--- a/src/bellweir/clients/open_answer.py
+++ b/src/bellweir/clients/open_answer.py
@@ -3,11 +3,11 @@
 import http.client
 import re
 import threading
-import time
 from collections.abc import Iterator, Mapping
 from typing import Protocol
 
 from bellweir.clients.connection import READ_BLOCK_BYTES, CountingConnection
+from bellweir.kernel.clock import elapsed_s
 
 MAXIMUM_LINE_BYTES = 8 * 1024 * 1024
 """Longest line of a streamed answer."""
@@ -71,7 +71,7 @@
 
     def set_timeout(self, timeout_s: float) -> None:
         """Let reading go on for this long from now."""
-        self._connection.deadline_socket.deadline_s = time.monotonic() + timeout_s
+        self._connection.deadline_socket.deadline_s = elapsed_s() + timeout_s
 
     def read_lines(self) -> Iterator[bytes]:
         """Read the body line by line as it arrives, without line ends; raises when it was cut."""
--- a/src/bellweir/clients/pool.py
+++ b/src/bellweir/clients/pool.py
@@ -8,7 +8,6 @@
 import http.client
 import re
 import threading
-import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import BinaryIO
@@ -22,6 +21,7 @@
 )
 from bellweir.clients.interface import ErrorKind, PlatformError
 from bellweir.clients.open_answer import OpenAnswer
+from bellweir.kernel.clock import elapsed_s
 
 IDLE_CONNECTIONS = 64
 """Idle connections kept for one address."""
@@ -81,11 +81,11 @@
         A kept-alive connection may be closed by the peer just as the request is written, so an
         unknown outcome is tried once more while time is left.
         """
-        started_s = time.monotonic()
+        started_s = elapsed_s()
         first = self.call(call)
         if isinstance(first, Success) or first.failure().kind is not ErrorKind.UNKNOWN:
             return first
-        left_s = call.timeout_s - (time.monotonic() - started_s)
+        left_s = call.timeout_s - (elapsed_s() - started_s)
         if left_s <= 0:
             return first
         again = HttpCall(call.method, call.path, left_s, call.headers, call.body)
@@ -104,7 +104,7 @@
         What reading `body` raises is raised again as it is: that is the caller's failure. The
         peer sees its request end short.
         """
-        deadline_s = time.monotonic() + call.timeout_s
+        deadline_s = elapsed_s() + call.timeout_s
         try:
             connection = self._take(deadline_s)
         except OSError as failure:
@@ -160,7 +160,7 @@
                 if not self._idle:
                     return None
                 connection, until_s = self._idle.pop()
-            is_young = time.monotonic() < until_s
+            is_young = elapsed_s() < until_s
             if is_young and not connection.deadline_socket.is_stale():
                 return connection
             connection.close()
@@ -169,7 +169,7 @@
 
     def give_back(self, connection: CountingConnection, keep_alive: str | None) -> None:
         """Keep a connection whose last answer, with this `Keep-Alive`, was read whole."""
-        until_s = time.monotonic() + _idle_lifetime_s(keep_alive)
+        until_s = elapsed_s() + _idle_lifetime_s(keep_alive)
         with self._lock:
             self._busy.discard(connection)
             is_former = connection in self._former
@@ -187,7 +187,7 @@
 
     def close_old_connections(self) -> None:
         """Close connections that have been idle for too long."""
-        now_s = time.monotonic()
+        now_s = elapsed_s()
         with self._lock:
             old = [connection for connection, until_s in self._idle if until_s <= now_s]
             self._idle = [entry for entry in self._idle if entry[1] > now_s]
@@ -197,7 +197,7 @@
     def has_idle(self) -> bool:
         """Whether a connection waits that can probably be used again."""
         with self._lock:
-            return bool(self._idle) and self._idle[-1][1] > time.monotonic()
+            return bool(self._idle) and self._idle[-1][1] > elapsed_s()
 
     def abort_calls(self) -> None:
         """Have the calls in hand fail now; the pool goes on."""
--- a/src/bellweir/events/bounded.py
+++ b/src/bellweir/events/bounded.py
@@ -7,12 +7,12 @@
 import io
 import json
 import threading
-import time
 from collections import Counter, deque
 from collections.abc import Iterator
 from typing import TextIO
 
 from bellweir.events.event import Event
+from bellweir.kernel.clock import elapsed_s
 
 MAX_LINES_PER_SECOND = 200
 """Lines of one event per second of the monotonic clock."""
@@ -38,7 +38,7 @@
         self._counted_second = 0
         self._written_counts: Counter[str] = Counter()
         self._dropped: Counter[str] = Counter()
-        self._report_due_s = time.monotonic() + REPORT_INTERVAL_S
+        self._report_due_s = elapsed_s() + REPORT_INTERVAL_S
         self._closed = False
         self._thread = threading.Thread(target=self._write_lines, name="log-writer", daemon=True)
         self._thread.start()
@@ -48,7 +48,7 @@
         with self._lock:
             if event.is_final:
                 return True
-            current_second = int(time.monotonic())
+            current_second = int(elapsed_s())
             if current_second != self._counted_second:
                 self._counted_second = current_second
                 self._written_counts.clear()
@@ -100,10 +100,10 @@
 
     def _report_dropped(self, is_last: bool) -> str:
         """Render the counts of dropped lines if due, else "". The caller holds the lock."""
-        is_due = is_last or time.monotonic() >= self._report_due_s
+        is_due = is_last or elapsed_s() >= self._report_due_s
         if not self._dropped or not is_due:
             return ""
-        self._report_due_s = time.monotonic() + REPORT_INTERVAL_S
+        self._report_due_s = elapsed_s() + REPORT_INTERVAL_S
         event = self._dropped_event
         counts = dict(self._dropped)
         self._dropped.clear()
--- a/src/bellweir/gateway/service.py
+++ b/src/bellweir/gateway/service.py
@@ -1,7 +1,6 @@
 """The gateway service: the node's HTTP interface and its planned stop."""
 
 import threading
-import time
 from collections.abc import Callable
 from concurrent.futures import Future
 
@@ -24,6 +23,7 @@
 from bellweir.http_server.caller_watch import CallerWatch
 from bellweir.http_server.server_limits import ServerLimits
 from bellweir.kernel import names
+from bellweir.kernel.clock import elapsed_s
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
 from bellweir.ledger.interface import Ledger
@@ -108,7 +108,7 @@
         server = self._server
         if server is None:
             return
-        deadline = time.monotonic() + deadline_s
+        deadline = elapsed_s() + deadline_s
         self._draining.set()
         server.closing_connections = True
         emit(GATEWAY_DRAINING, in_flight=server.busy_connections())
@@ -198,5 +198,5 @@
 
 def _wait_until(condition: Callable[[], bool], deadline: float) -> None:
     pause = threading.Event()
-    while not condition() and time.monotonic() < deadline:
+    while not condition() and elapsed_s() < deadline:
         pause.wait(DRAIN_LOOK_S)
--- a/src/bellweir/hosted/batches/api.py
+++ b/src/bellweir/hosted/batches/api.py
@@ -31,6 +31,7 @@
 from bellweir.hosted.records import Route
 from bellweir.hosted.serving.forwarding import gateway_response
 from bellweir.http_server.http import BadRequestError, Request, Response, parse_integer
+from bellweir.kernel.clock import elapsed_s
 from bellweir.ledger.interface import Ledger, LedgerError, LedgerErrorKind, Reply
 
 PAGE_BYTES = 700_000
@@ -89,7 +90,7 @@
 
         `tenant` is None if the deployment has no tenants, and empty for a job without a key.
         """
-        began_s = time.monotonic()
+        began_s = elapsed_s()
         job_id = request.header(self._names.request_id)
         if request.method != "POST" or not job_id:
             raise BadRequestError("a batch job is a POST with an id")
@@ -111,7 +112,7 @@
                     step=job.step,
                     model=job.model,
                     minimum_version=job.minimum_version,
-                    ms=round(1000 * (time.monotonic() - began_s)),
+                    ms=round(1000 * (elapsed_s() - began_s)),
                 )
                 return Response(202)
             case Failure(error):
@@ -122,13 +123,13 @@
         """Retry until the outcome is known or the deadline; the command is idempotent by job id."""
         unknown: Result[Reply, LedgerError] | None = None
         while True:
-            left_s = max(0.05, deadline_s - time.monotonic())
+            left_s = max(0.05, deadline_s - elapsed_s())
             outcome = self._submit_once(job, left_s)
             if isinstance(outcome, Success):
                 return outcome
             if outcome.failure().kind is LedgerErrorKind.UNKNOWN:
                 unknown = outcome
-            if time.monotonic() >= deadline_s:
+            if elapsed_s() >= deadline_s:
                 # After an unknown outcome, a later refusal doesn't prove that no try succeeded.
                 return unknown or outcome
 
@@ -172,14 +173,14 @@
     def _results(self, request: Request, job_id: str, tenant: str) -> Response:
         after = parse_integer("after", request.query("after") or "0")
         hold_s = min(MAX_HOLD_S, _parse_hold_s(request.header(self._names.wait_ms)))
-        until_s = time.monotonic() + hold_s
+        until_s = elapsed_s() + hold_s
         while True:
             page = self._read_page(job_id, after, tenant)
             if page is None:
                 return gateway_response(503, "no_ledger", RETRY_AFTER_S)
             if page.total is None:
                 return gateway_response(404, "no_such_job")
-            held = not page.results and time.monotonic() < until_s
+            held = not page.results and elapsed_s() < until_s
             if not held or request.caller_has_left():
                 content = encode_bounded_page(page.total, after, page.results)
                 return Response(200, [("Content-Type", "application/json")], content)
--- a/src/bellweir/hosted/batches/attempts.py
+++ b/src/bellweir/hosted/batches/attempts.py
@@ -1,7 +1,6 @@
 """Attempts of items: generation of a text by a worker, and scoring of a complete text."""
 
 import http.client
-import time
 from collections.abc import Callable, Collection
 
 from bellweir.clients.open_answer import OpenAnswer
@@ -37,6 +36,7 @@
 from bellweir.hosted.serving.failed_attempt import UNANSWERED
 from bellweir.hosted.serving.selection import WorkerLoads
 from bellweir.hosted.views.workers import Worker
+from bellweir.kernel.clock import elapsed_s
 
 FIRST_EVENT_TIMEOUT_S = 3.0
 STREAM_IDLE_TIMEOUT_S = 2.0
@@ -114,7 +114,7 @@
             version=worker.version_of(progress.job.model),
             after_event=progress.last_event_id,
         )
-        began_s = time.monotonic()
+        began_s = elapsed_s()
         progress.last_event_s = progress.checkpointed_s = began_s
         opened = self._open_generation(progress, worker, cancellation)
         if cancellation.cancelled.is_set():
@@ -195,7 +195,7 @@
             self._end_failed_stream(progress, worker, exc)
             return
         opened.finish()
-        self._loads.record_success(worker.incarnation, time.monotonic() - began_s)
+        self._loads.record_success(worker.incarnation, elapsed_s() - began_s)
         self.length_predictor.record_completed(
             progress.item.id, progress.guessed_tokens, progress.events
         )
@@ -205,7 +205,7 @@
         self, progress: ItemProgress, worker: Worker, count: int, *, is_first: bool
     ) -> None:
         """Record received events; the first ones of an attempt don't count as event times."""
-        now_s = time.monotonic()
+        now_s = elapsed_s()
         if not is_first:
             self.event_times.record_interval(
                 worker.incarnation, (now_s - progress.last_event_s) / count
@@ -237,10 +237,10 @@
             read_response(opened.opened, opened)
         if opened.state is AttemptState.REFUSED:
             self._loads.release(worker.incarnation)
-            progress.not_before_s = time.monotonic() + REFUSED_BACKOFF_S
+            progress.not_before_s = elapsed_s() + REFUSED_BACKOFF_S
         else:
             self._loads.record_failure(worker.incarnation)
-            progress.not_before_s = time.monotonic() + FAILED_BACKOFF_S
+            progress.not_before_s = elapsed_s() + FAILED_BACKOFF_S
         if opened.state in UNANSWERED:
             self._loads.eligibility.note_unanswered(worker)
         self._log_attempt_failed(progress, worker, f"{opened.state.value}: {opened.detail}")
@@ -252,7 +252,7 @@
         if opened.opened is not None:
             read_response(opened.opened, opened)
         self._loads.release(worker.incarnation)
-        progress.not_before_s = time.monotonic() + FAILED_BACKOFF_S
+        progress.not_before_s = elapsed_s() + FAILED_BACKOFF_S
         self._record_failure(progress, worker, status)
         if status == UNPROCESSABLE:
             progress.give_up()
@@ -274,7 +274,7 @@
             self._loads.release(worker.incarnation)
             progress.finish("")
             return
-        began_s = time.monotonic()
+        began_s = elapsed_s()
         call = WorkerCall("POST", scorer.path, scorer.host, scorer.id, [], scorer.body)
         outcome = self._connections.call(
             worker, call, SCORING_TIMEOUT_S, SCORING_DEADLINE_MS, cancellation
@@ -285,7 +285,7 @@
             return
         if outcome.state is AttemptState.ANSWERED and answer is not None:
             if answer.status < 300:
-                self._loads.record_success(worker.incarnation, time.monotonic() - began_s)
+                self._loads.record_success(worker.incarnation, elapsed_s() - began_s)
                 self._loads.eligibility.note_answer(worker, began_s)
                 self._record_success(worker, began_s)
                 progress.finish(_header(answer.headers, self._connections.headers.stamp))
@@ -298,7 +298,7 @@
         else:
             self._loads.record_failure(worker.incarnation)
             self._loads.eligibility.note_unanswered(worker)
-        progress.not_before_s = time.monotonic() + FAILED_BACKOFF_S
+        progress.not_before_s = elapsed_s() + FAILED_BACKOFF_S
         self._log_attempt_failed(
             progress, worker, f"scoring: {outcome.state.value} {outcome.detail}"
         )
--- a/src/bellweir/hosted/batches/coordinator.py
+++ b/src/bellweir/hosted/batches/coordinator.py
@@ -5,7 +5,6 @@
 """
 
 import threading
-import time
 from collections.abc import Iterator
 
 from bellweir.events.log import emit
@@ -24,6 +23,7 @@
 from bellweir.hosted.settings import BatchSettings
 from bellweir.hosted.views.configuration import ConfigurationView, RouteTable
 from bellweir.hosted.views.workers import WorkersView
+from bellweir.kernel.clock import elapsed_s
 from bellweir.kernel.executors import Executors, ExecutorSaturatedError, WorkKind
 from bellweir.ledger.interface import Ledger
 
@@ -183,7 +183,7 @@
         self, state: JobState, route: Route, jobs: list[JobState]
     ) -> Iterator[ItemProgress]:
         """Yield the items of a job that need an attempt now; queue results to be committed."""
-        now_s = time.monotonic()
+        now_s = elapsed_s()
         for item in state.job.items:
             key = (state.job.id, item.id)
             if item.id in state.recorded_ids or key in self._running:
@@ -225,7 +225,7 @@
             self._step_scheduler.urgency(progress) if self._policy.tell_urgency else None
         )
         key = (progress.job.id, progress.item.id)
-        run = Run(progress, worker, Cancellation(), time.monotonic())
+        run = Run(progress, worker, Cancellation(), elapsed_s())
         with self._lock:
             self._running[key] = run
         maximum = score_route(progress, table)
--- a/src/bellweir/hosted/batches/deferred_reads.py
+++ b/src/bellweir/hosted/batches/deferred_reads.py
@@ -1,11 +1,11 @@
 """Counts and logs reads of results that are deferred because their position is unknown."""
 
 import threading
-import time
 from collections.abc import Callable
 
 from bellweir.events.log import emit
 from bellweir.hosted.log_events import READING_PUT_OFF
+from bellweir.kernel.clock import elapsed_s
 
 LOG_INTERVAL_S = 1.0
 
@@ -29,7 +29,7 @@
         has the job but not the position, `no_job` if it lacks the job or did not answer.
         """
         self._count(nearby)
-        now_s = time.monotonic()
+        now_s = elapsed_s()
         with self._lock:
             if now_s < self._due_s:
                 self._suppressed += 1
--- a/src/bellweir/hosted/batches/engine_forecast.py
+++ b/src/bellweir/hosted/batches/engine_forecast.py
@@ -1,6 +1,5 @@
 """Tracks slots and memory of the engines in a scheduling round and chooses engines for texts."""
 
-import time
 from collections import defaultdict
 from collections.abc import Callable, Sequence
 
@@ -18,6 +17,7 @@
 from bellweir.hosted.settings import BatchSettings
 from bellweir.hosted.views.configuration import RouteTable
 from bellweir.hosted.views.workers import Worker
+from bellweir.kernel.clock import elapsed_s
 
 MIN_SPEED_RATIO = 1.5
 """Ratio of the slowest to the fastest time per event from which texts are placed by their predicted
@@ -32,7 +32,7 @@
         self,
         attempts: ItemRunner,
         policy: BatchSettings,
-        now_s: Callable[[], float] = time.monotonic,
+        now_s: Callable[[], float] = elapsed_s,
     ) -> None:
         self._attempts = attempts
         self._policy = policy
--- a/src/bellweir/hosted/batches/refusals.py
+++ b/src/bellweir/hosted/batches/refusals.py
@@ -14,11 +14,11 @@
 """
 
 import threading
-import time
 from collections.abc import Callable
 
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.weights.weight_load_messages import WeightLoadListener
+from bellweir.kernel.clock import elapsed_s
 
 REFUSAL_BACKOFF_S = 0.12
 MAX_WEIGHT_LOAD_S = 5.0
@@ -43,7 +43,7 @@
     `record_end`.
     """
 
-    def __init__(self, now_s: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, now_s: Callable[[], float] = elapsed_s) -> None:
         self._now_s = now_s
         self._lock = threading.Lock()
         self._backoffs: dict[tuple[Incarnation, str], _Backoff] = {}
--- a/src/bellweir/hosted/batches/retention.py
+++ b/src/bellweir/hosted/batches/retention.py
@@ -1,10 +1,10 @@
 """Removes ended jobs after the retention time, on the node that leads their shard."""
 
 import threading
-import time
 from collections.abc import Callable
 
 from bellweir.hosted.batches.state import JOBS_KEY, BatchJobs, ForgetJobs
+from bellweir.kernel.clock import elapsed_s
 from bellweir.ledger.interface import Ledger
 
 CHECK_INTERVAL_S = 0.5
@@ -35,7 +35,7 @@
         self,
         ledger: Ledger,
         status_s: float,
-        now_s: Callable[[], float] = time.monotonic,
+        now_s: Callable[[], float] = elapsed_s,
     ) -> None:
         """Keep ended jobs for `status_s` seconds on the monotonic clock `now_s`."""
         self._ledger = ledger
--- a/src/bellweir/hosted/batches/run_mover.py
+++ b/src/bellweir/hosted/batches/run_mover.py
@@ -1,6 +1,5 @@
 """Moves runs in flight to workers that would finish them sooner."""
 
-import time
 from collections.abc import Callable, Iterable, Sequence
 
 from bellweir.events.log import emit
@@ -18,6 +17,7 @@
 from bellweir.hosted.log_events import ITEM_MOVED
 from bellweir.hosted.serving.attempt import Cancellation
 from bellweir.hosted.views.workers import Worker
+from bellweir.kernel.clock import elapsed_s
 
 CHECK_INTERVAL_S = 0.1
 MOVE_COOLDOWN_S = 1.0
@@ -54,7 +54,7 @@
 class RunMover:
     """Checks runs periodically. Not thread-safe: called by the coordinator's task only."""
 
-    def __init__(self, attempts: ItemRunner, now_s: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, attempts: ItemRunner, now_s: Callable[[], float] = elapsed_s) -> None:
         self._attempts = attempts
         self._now_s = now_s
         self._next_check_s = 0.0
--- a/src/bellweir/hosted/batches/step_scheduler.py
+++ b/src/bellweir/hosted/batches/step_scheduler.py
@@ -23,6 +23,7 @@
 from bellweir.hosted.log_events import STEP_ORDERED
 from bellweir.hosted.records import Route
 from bellweir.hosted.views.configuration import RouteTable
+from bellweir.kernel.clock import elapsed_s
 
 ORDER_INTERVAL_S = 0.1
 LOG_INTERVAL_S = 1.0
@@ -78,7 +79,7 @@
         self,
         predicted_events: Callable[[ItemProgress], float | None],
         event_times_of: Callable[[str], Sequence[tuple[float, int]]],
-        now_s: Callable[[], float] = time.monotonic,
+        now_s: Callable[[], float] = elapsed_s,
         wall_s: Callable[[], float] = time.time,
     ) -> None:
         """`event_times_of` returns the time per event and the slots of each engine of a service.
--- a/src/bellweir/hosted/batches/worker_quarantine.py
+++ b/src/bellweir/hosted/batches/worker_quarantine.py
@@ -13,10 +13,10 @@
 """
 
 import threading
-import time
 from collections.abc import Callable, Collection, Sequence
 
 from bellweir.hosted.incarnation import Incarnation
+from bellweir.kernel.clock import elapsed_s
 
 MIN_FAILED_ITEMS = 2
 """Distinct items in a row; a single one may be an item that fails on every worker."""
@@ -63,7 +63,7 @@
     Every `record_start` must be followed by `record_end`.
     """
 
-    def __init__(self, now_s: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, now_s: Callable[[], float] = elapsed_s) -> None:
         self._now_s = now_s
         self._lock = threading.Lock()
         self._streaks: dict[Incarnation, _FailureStreak] = {}
--- a/src/bellweir/hosted/eligibility/cold_rates.py
+++ b/src/bellweir/hosted/eligibility/cold_rates.py
@@ -18,7 +18,6 @@
 
 import bisect
 import threading
-import time
 from abc import ABC, abstractmethod
 from collections import deque
 from collections.abc import Callable, Collection
@@ -26,6 +25,7 @@
 import xxhash
 
 from bellweir.hosted.incarnation import Incarnation
+from bellweir.kernel.clock import elapsed_s
 from bellweir.membership.interface import Membership, MemberState
 
 WINDOW_S = 1.0
@@ -84,7 +84,7 @@
 class GatewayShare(SenderShare):
     """One request a second at the workers for which this gateway is chosen."""
 
-    def __init__(self, membership: Membership, now_s: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, membership: Membership, now_s: Callable[[], float] = elapsed_s) -> None:
         self._membership = membership
         self._now_s = now_s
         self._lock = threading.Lock()
@@ -151,7 +151,7 @@
 class ColdRateLimiter:
     """Counts this process's requests to cold workers over a sliding second. Safe for threads."""
 
-    def __init__(self, now_s: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, now_s: Callable[[], float] = elapsed_s) -> None:
         self._now_s = now_s
         self._lock = threading.Lock()
         self._sent_s: dict[Incarnation, deque[float]] = {}
--- a/src/bellweir/hosted/eligibility/cold_workers.py
+++ b/src/bellweir/hosted/eligibility/cold_workers.py
@@ -22,7 +22,6 @@
 """
 
 import threading
-import time
 from collections.abc import Callable
 
 from bellweir.events.log import emit
@@ -32,6 +31,7 @@
 from bellweir.hosted.interface import Listing, RecordChange, StoredRecord
 from bellweir.hosted.log_events import WORKER_COLD
 from bellweir.hosted.views.workers import Worker
+from bellweir.kernel.clock import elapsed_s
 
 ENTRY_DELAY_S = 3.0
 """Time within which a worker's entry tells of a change here: a heartbeat, the pause between two
@@ -70,9 +70,7 @@
 class ColdWorkers:
     """Cold times by worker. Reads take no lock."""
 
-    def __init__(
-        self, evacuated: EvacuatedZones, now_s: Callable[[], float] = time.monotonic
-    ) -> None:
+    def __init__(self, evacuated: EvacuatedZones, now_s: Callable[[], float] = elapsed_s) -> None:
         self._evacuated = evacuated
         self._now_s = now_s
         self._lock = threading.Lock()
--- a/src/bellweir/hosted/eligibility/evacuated_zones.py
+++ b/src/bellweir/hosted/eligibility/evacuated_zones.py
@@ -12,13 +12,13 @@
 """
 
 import threading
-import time
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 
 from bellweir.events.log import emit
 from bellweir.hosted.interface import Listing, RecordChange, StoredRecord
 from bellweir.hosted.log_events import EVACUATION_BEGAN, EVACUATION_ENDED
+from bellweir.kernel.clock import elapsed_s
 
 NEVER_S = float("-inf")
 
@@ -37,7 +37,7 @@
 class EvacuatedZones:
     """Evacuations by zone. Reads take no lock."""
 
-    def __init__(self, now_s: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, now_s: Callable[[], float] = elapsed_s) -> None:
         self._now_s = now_s
         self._lock = threading.Lock()
         self._zones: Mapping[str, Evacuation] = MappingProxyType({})
--- a/src/bellweir/hosted/eligibility/rules.py
+++ b/src/bellweir/hosted/eligibility/rules.py
@@ -1,6 +1,5 @@
 """Applies the constraints that a deployment's settings ask for to single workers."""
 
-import time
 from collections.abc import Callable, Collection, Iterable, Mapping
 
 from bellweir.hosted.eligibility.cold_rates import ColdLimit, ColdRateLimiter, SenderShare
@@ -12,6 +11,7 @@
 from bellweir.hosted.records import ServiceEntry
 from bellweir.hosted.settings import PlacesSettings
 from bellweir.hosted.views.workers import Worker
+from bellweir.kernel.clock import elapsed_s
 
 Services = Callable[[], Mapping[str, ServiceEntry]]
 """Returns the services of the configuration in force, by name."""
@@ -28,7 +28,7 @@
         share: SenderShare,
         services: Services,
         regions: Regions | None = None,
-        now_s: Callable[[], float] = time.monotonic,
+        now_s: Callable[[], float] = elapsed_s,
     ) -> None:
         self._settings = settings
         self._regions = regions if regions is not None else Regions()
--- a/src/bellweir/hosted/metrics_service.py
+++ b/src/bellweir/hosted/metrics_service.py
@@ -2,7 +2,6 @@
 
 import socket
 import threading
-import time
 from functools import partial
 
 from bellweir.events.log import emit
@@ -16,6 +15,7 @@
 from bellweir.http_server.server import HttpServer
 from bellweir.http_server.server_limits import ServerLimits
 from bellweir.kernel import names
+from bellweir.kernel.clock import elapsed_s
 from bellweir.kernel.listeners import bind_address
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
@@ -42,7 +42,7 @@
         self._lock = threading.Lock()
         self._server: HttpServer | None = None
         self._stopped = False
-        self._started_s = time.monotonic()
+        self._started_s = elapsed_s()
 
     def start(self) -> None:
         """Add the gauges of all roles and, if an address is set, start to serve."""
@@ -147,5 +147,5 @@
         add(
             "bellweir_uptime_seconds",
             "Time since the process was composed.",
-            lambda: time.monotonic() - self._started_s,
+            lambda: elapsed_s() - self._started_s,
         )
--- a/src/bellweir/hosted/peer_records.py
+++ b/src/bellweir/hosted/peer_records.py
@@ -6,7 +6,6 @@
 
 import math
 import threading
-import time
 from collections.abc import Sequence
 from typing import Any
 
@@ -16,6 +15,7 @@
 from bellweir.hosted.interface import RecordKind, RecordStore, StoreErrorKind
 from bellweir.hosted.zone_ranking import first_of_zone
 from bellweir.kernel import names
+from bellweir.kernel.clock import elapsed_s
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
 from bellweir.membership.interface import Member
@@ -62,10 +62,10 @@
         """The task ends with the executors; the record stays."""
 
     def _run(self, stopping: threading.Event) -> None:
-        started_s = time.monotonic()
+        started_s = elapsed_s()
         stopping.wait(self._join_timeout_s)
         while not stopping.is_set():
-            is_settled = time.monotonic() - started_s >= SETTLING_TIME_S
+            is_settled = elapsed_s() - started_s >= SETTLING_TIME_S
             if self._is_isolated():
                 self._suggest_seeds()
             if not self._is_registered and (
--- a/src/bellweir/hosted/process.py
+++ b/src/bellweir/hosted/process.py
@@ -5,7 +5,6 @@
 import signal
 import sys
 import threading
-import time
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
@@ -38,6 +37,7 @@
 from bellweir.hosted.views.relay import FIRST_START_SEED_WAIT_S, SEED_WAIT_S
 from bellweir.hosted.views.service import ViewsService
 from bellweir.kernel import names
+from bellweir.kernel.clock import elapsed_s
 from bellweir.kernel.ending import EXIT_GIVEN_UP
 from bellweir.kernel.listeners import Listeners, bind_address, bind_peer_pair
 from bellweir.kernel.node import Kernel
@@ -101,7 +101,7 @@
         self.kernel.ending.listen(self._wake.set)
         self.kernel.registry.start()
         node = self._settings.node
-        start_ms = round(1000 * (time.monotonic() - started_s))
+        start_ms = round(1000 * (elapsed_s() - started_s))
         emit(PROCESS_STARTED, role=node.role, zone=node.zone, start_ms=start_ms)
         while not self._stop_requested.is_set() and self.kernel.ending.cause is None:
             self._wake.wait(1.0)
@@ -132,7 +132,7 @@
         emit(SETTINGS_RELOADED, changed=changed)
 
     def _stop(self) -> None:
-        started_s = time.monotonic()
+        started_s = elapsed_s()
         registry = self.kernel.registry
         registry.find(names.MEMBERSHIP, MembershipService).announce_leaving()
         self._store.log_calls()
@@ -140,7 +140,7 @@
         try:
             registry.stop()
         finally:
-            emit(PROCESS_STOPPED, seconds=round(time.monotonic() - started_s, 3), left_running=0)
+            emit(PROCESS_STOPPED, seconds=round(elapsed_s() - started_s, 3), left_running=0)
             self._log.close()
             # Tasks that block on the store or a worker hold no state to save.
             os._exit(EXIT_GIVEN_UP if self.kernel.ending.cause is not None else 0)
@@ -194,7 +194,7 @@
 
 def main() -> None:
     """Run the process with the settings file named by the environment."""
-    started_s = time.monotonic()
+    started_s = elapsed_s()
     log = BoundedLog(sys.stdout, LINES_LEFT_OUT)
     configure_logs("info", "json", log)
     path = Path(os.environ.get(SETTINGS_VARIABLE, "/etc/bellweir/settings.json"))
--- a/src/bellweir/hosted/queueing/gate.py
+++ b/src/bellweir/hosted/queueing/gate.py
@@ -1,7 +1,6 @@
 """Blocks the threads of requests until admission control releases them."""
 
 import threading
-import time
 from collections.abc import Callable, Sequence
 
 from bellweir.events.log import emit
@@ -21,6 +20,7 @@
 from bellweir.hosted.room.policy import ExpectedLatencyPolicy
 from bellweir.hosted.settings import RoomSettings
 from bellweir.hosted.views.workers import Worker
+from bellweir.kernel.clock import elapsed_s
 
 CHECK_INTERVAL_S = 0.005
 """Polling interval of waiting requests: capacity freed by other gateways raises no event."""
@@ -76,7 +76,7 @@
         settings: RoomSettings,
         count_refused: Callable[[str], None] = lambda _cause: None,
         observe_wait: Callable[[str, float], None] = lambda _service, _seconds: None,
-        now_s: Callable[[], float] = time.monotonic,
+        now_s: Callable[[], float] = elapsed_s,
     ) -> None:
         """`count_refused` gets the cause of each refusal, `observe_wait` a service and a wait."""
         self._capacity = capacity
--- a/src/bellweir/hosted/scaling/controller.py
+++ b/src/bellweir/hosted/scaling/controller.py
@@ -4,7 +4,6 @@
 controller waits for the workers to start, and repeats the order if they have not.
 """
 
-import time
 from collections.abc import Callable, Mapping
 
 from bellweir.events.log import emit
@@ -21,6 +20,7 @@
 from bellweir.hosted.views.configuration import ConfigurationView
 from bellweir.hosted.views.workers import WorkersView
 from bellweir.hosted.weights.lease import Lease
+from bellweir.kernel.clock import elapsed_s
 
 CALL_TIMEOUT_S = 0.5
 """Kept short, since calls must end soon after the lease does."""
@@ -46,7 +46,7 @@
         policy: ScalingPolicy,
         node: str,
         workers_age_s: Callable[[], float] = lambda: 0.0,
-        now_s: Callable[[], float] = time.monotonic,
+        now_s: Callable[[], float] = elapsed_s,
     ) -> None:
         """`workers_age_s` returns how long the list of workers may have been out of date."""
         self._lease = lease
--- a/src/bellweir/hosted/serving/attempt.py
+++ b/src/bellweir/hosted/serving/attempt.py
@@ -2,7 +2,6 @@
 
 import http.client
 import threading
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
@@ -18,6 +17,7 @@
 from bellweir.hosted.sight.worker_load import WorkerLoad, parse_load
 from bellweir.hosted.views.workers import Worker
 from bellweir.http_server.http import HOP_BY_HOP_HEADERS
+from bellweir.kernel.clock import elapsed_s
 
 Headers = list[tuple[str, str]]
 
@@ -254,7 +254,7 @@
 class Stopwatch:
     """Measures the time since its creation."""
 
-    def __init__(self, now_s: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, now_s: Callable[[], float] = elapsed_s) -> None:
         self._now_s = now_s
         self._began_s = now_s()
 
--- a/src/bellweir/hosted/serving/client_request.py
+++ b/src/bellweir/hosted/serving/client_request.py
@@ -1,7 +1,6 @@
 """Client requests: deadline, body and headers as forwarded to workers."""
 
 import io
-import time
 from dataclasses import dataclass
 from typing import BinaryIO
 
@@ -10,6 +9,7 @@
 from bellweir.hosted.serving.attempt import Headers, WorkerCall, without_hop_by_hop
 from bellweir.http_server.body_pipe import BodyPipe
 from bellweir.http_server.http import BadRequestError, Request
+from bellweir.kernel.clock import elapsed_s
 
 MAX_REPLAY_BYTES = 256 * 1024
 """Largest body that is buffered so that the request can be retried."""
@@ -72,7 +72,7 @@
 
     def left_s(self) -> float:
         """Return the seconds left until the deadline."""
-        return self.deadline_s - time.monotonic()
+        return self.deadline_s - elapsed_s()
 
     def call(self) -> WorkerCall:
         """Return the request to send to a worker."""
@@ -97,7 +97,7 @@
     With tenants, neither the client's key nor a tenant header set by the client is forwarded.
     `priority` is the tenant's; None means that of the route.
     """
-    arrived_s = time.monotonic()
+    arrived_s = elapsed_s()
     request_id = request.header(names.request_id)
     if not request_id:
         raise BadRequestError(f"{names.request_id} is missing")
--- a/src/bellweir/hosted/serving/forwarding.py
+++ b/src/bellweir/hosted/serving/forwarding.py
@@ -5,7 +5,6 @@
 and Retry-After only if the request has not run, and with 504 or 502 if it may have run.
 """
 
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -32,6 +31,7 @@
 from bellweir.hosted.views.workers import Worker, WorkersView
 from bellweir.http_server.caller_watch import CallerWatch
 from bellweir.http_server.http import Response
+from bellweir.kernel.clock import elapsed_s
 
 TARGET_TIMEOUT_SHARE = 0.6
 """Attempt timeout of idempotent requests as a fraction of the route's target latency."""
@@ -84,7 +84,7 @@
         caller_watch: CallerWatch,
         metrics: RequestMetrics,
         workers_age_s: Callable[[], float] = lambda: 0.0,
-        now_s: Callable[[], float] = time.monotonic,
+        now_s: Callable[[], float] = elapsed_s,
         usage: UsageCounter | None = None,
         gate: RequestGate | None = None,
         wait_share: float = 0.0,
--- a/src/bellweir/hosted/serving/selection.py
+++ b/src/bellweir/hosted/serving/selection.py
@@ -7,7 +7,6 @@
 
 import random
 import threading
-import time
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 
@@ -15,6 +14,7 @@
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.sight.interface import ObservedOutcome, WorkerMonitor
 from bellweir.hosted.views.workers import Worker
+from bellweir.kernel.clock import elapsed_s
 
 REFUSAL_PENALTY_S = 0.15
 """Penalty of a worker that refused a request or responded with an error."""
@@ -94,7 +94,7 @@
         For a retry (`tried` not empty) the result is also None if all remaining workers are
         ejected or, with `is_budgeted`, if the retry budget is spent.
         """
-        now_s = time.monotonic()
+        now_s = elapsed_s()
         untried = [worker for worker in workers if worker.incarnation not in tried]
         candidates = [worker for worker in untried if self.eligibility.may_start(worker)]
         candidates = self._warm_first(candidates)
@@ -135,7 +135,7 @@
     def is_penalized(self, worker: Incarnation) -> bool:
         """Return whether a worker refused or failed recently."""
         with self._lock:
-            return self._load(worker).penalized_until_s > time.monotonic()
+            return self._load(worker).penalized_until_s > elapsed_s()
 
     def record_success(self, worker: Incarnation, seconds: float) -> None:
         """End a request after a usable response that took `seconds`."""
@@ -219,7 +219,7 @@
             if failed:
                 penalty_s = min(MAX_PENALTY_S, penalty_s * 2 ** min(load.failures, MAX_DOUBLINGS))
                 load.failures += 1
-            load.penalized_until_s = time.monotonic() + penalty_s
+            load.penalized_until_s = elapsed_s() + penalty_s
 
     def _report(self, worker: Incarnation, outcome: ObservedOutcome, seconds: float = 0.0) -> None:
         if self._monitor is not None:
--- a/src/bellweir/hosted/serving/service.py
+++ b/src/bellweir/hosted/serving/service.py
@@ -2,7 +2,6 @@
 
 import random
 import threading
-import time
 from concurrent.futures import Future
 from functools import partial
 from typing import Any
@@ -37,6 +36,7 @@
 from bellweir.http_server.server import HttpServer, WsgiApplication
 from bellweir.http_server.server_limits import ServerLimits
 from bellweir.kernel import names
+from bellweir.kernel.clock import elapsed_s
 from bellweir.kernel.listeners import bind_address
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
@@ -278,20 +278,20 @@
         server = self._requests
         if server is None:
             return
-        began_s = time.monotonic()
+        began_s = elapsed_s()
         self._draining.set()
         server.closing_connections = True
         emit(PROCESS_DRAINING, in_flight=server.busy_connections())
         end_s = began_s + max(0.0, deadline_s - STOP_MARGIN_S)
         addresses_expired_s = min(began_s + ADDRESS_TTL_FACTOR * TTL_S, end_s)
-        while time.monotonic() < end_s:
-            if time.monotonic() >= addresses_expired_s and not server.busy_connections():
+        while elapsed_s() < end_s:
+            if elapsed_s() >= addresses_expired_s and not server.busy_connections():
                 break
             threading.Event().wait(DRAIN_POLL_INTERVAL_S)
         server.stop_accepting(STOP_MARGIN_S / 2)
         # Requests on the connections accepted last must be read before they count as busy.
         threading.Event().wait(DRAIN_POLL_INTERVAL_S)
-        while server.busy_connections() and time.monotonic() < end_s:
+        while server.busy_connections() and elapsed_s() < end_s:
             threading.Event().wait(DRAIN_POLL_INTERVAL_S)
 
     def stop(self) -> None:
--- a/src/bellweir/hosted/serving/streams.py
+++ b/src/bellweir/hosted/serving/streams.py
@@ -6,7 +6,6 @@
 """
 
 import http.client
-import time
 from collections.abc import Callable, Generator, Iterator
 from dataclasses import dataclass
 
@@ -44,6 +43,7 @@
 from bellweir.hosted.views.workers import Worker
 from bellweir.http_server.caller_watch import CallerWatch, Watched
 from bellweir.http_server.http import Response
+from bellweir.kernel.clock import elapsed_s
 
 SERVER_ERROR = 500
 POSSIBLY_RUN_STATES = frozenset({AttemptState.ANSWERED, AttemptState.UNKNOWN})
@@ -153,7 +153,7 @@
             stream.tried.add(worker.incarnation)
             stream.sends += 1
             left_s = stream.client.left_s()
-            began_s = time.monotonic()
+            began_s = elapsed_s()
             attempt = self._connections.open(
                 worker, _worker_call(stream), left_s, left_s * MS_PER_S, stream.cancellation
             )
@@ -163,7 +163,7 @@
                 stream.ran_at.add(worker.incarnation)
                 if attempt.opened.status < SERVER_ERROR:
                     stream.worker = worker
-                    stream.head_s = time.monotonic() - began_s
+                    stream.head_s = elapsed_s() - began_s
                     return attempt.opened
             elif attempt.state is AttemptState.UNKNOWN:
                 stream.ran_at.add(worker.incarnation)
--- a/src/bellweir/hosted/sight/exchange.py
+++ b/src/bellweir/hosted/sight/exchange.py
@@ -5,7 +5,6 @@
 """
 
 import threading
-import time
 from collections.abc import Callable, Sequence
 
 from returns.result import Failure, Success
@@ -20,6 +19,7 @@
 )
 from bellweir.hosted.sight.messages import SightHeard, SightNews
 from bellweir.hosted.sight.table import ObservationTable
+from bellweir.kernel.clock import elapsed_s
 from bellweir.membership.interface import Membership
 from bellweir.wire.interface import Sender, Transport, WireErrorKind
 
@@ -46,7 +46,7 @@
         transport: Transport,
         membership: Membership,
         table: ObservationTable,
-        now_s: Callable[[], float] = time.monotonic,
+        now_s: Callable[[], float] = elapsed_s,
     ) -> None:
         self._transport = transport
         self._membership = membership
--- a/src/bellweir/hosted/sight/monitor.py
+++ b/src/bellweir/hosted/sight/monitor.py
@@ -23,6 +23,7 @@
 from bellweir.hosted.sight.retry_budget import SharedRetryBudget
 from bellweir.hosted.sight.table import IN_FLIGHT_MIN_HALF_LIFE_S, ObservationTable
 from bellweir.hosted.sight.worker_load import WorkerLoad
+from bellweir.kernel.clock import elapsed_s
 
 REFRESH_INTERVAL_S = 0.4
 REFRESH_CPU_SHARE = 0.003
@@ -83,7 +84,7 @@
         table: ObservationTable,
         services: Callable[[], ServiceWorkers],
         is_isolated: Callable[[], bool] = lambda: False,
-        now_s: Callable[[], float] = time.monotonic,
+        now_s: Callable[[], float] = elapsed_s,
         *,
         ejects: bool = True,
         uses_worker_load: bool = True,
--- a/src/bellweir/hosted/store_calls.py
+++ b/src/bellweir/hosted/store_calls.py
@@ -12,7 +12,6 @@
 """
 
 import threading
-import time
 from collections import Counter
 from collections.abc import Callable
 from typing import Any, TypeVar
@@ -29,6 +28,7 @@
     StoreErrorKind,
 )
 from bellweir.hosted.log_events import STORE_CALLS
+from bellweir.kernel.clock import elapsed_s
 
 DONE = "done"
 """Outcome of a successful call; a failed one has the value of its error kind."""
@@ -73,16 +73,16 @@
     def __init__(self, inner: RecordStore) -> None:
         self._inner = inner
         self.counts = StoreCallCounts()
-        self._log_due_s = time.monotonic() + FIRST_LOG_DELAY_S
+        self._log_due_s = elapsed_s() + FIRST_LOG_DELAY_S
 
     def log_calls_if_due(self) -> None:
         """Log the calls if the interval has passed. Called by the process's main loop."""
-        if time.monotonic() >= self._log_due_s:
+        if elapsed_s() >= self._log_due_s:
             self.log_calls()
 
     def log_calls(self) -> None:
         """Log the calls since the last log line, if there were any."""
-        self._log_due_s = time.monotonic() + LOG_INTERVAL_S
+        self._log_due_s = elapsed_s() + LOG_INTERVAL_S
         calls = self.counts.take_increments()
         if calls:
             emit(STORE_CALLS, calls=calls)
--- a/src/bellweir/hosted/usage/wall_clock.py
+++ b/src/bellweir/hosted/usage/wall_clock.py
@@ -8,6 +8,8 @@
 import time
 from collections.abc import Callable
 
+from bellweir.kernel.clock import elapsed_s
+
 JUMP_THRESHOLD_S = 0.25
 """Smallest offset change treated as a jump; gradual corrections (slewing) stay below it."""
 JUMP_CONFIRMATION_S = 15.0
@@ -23,7 +25,7 @@
     def __init__(
         self,
         wall_s: Callable[[], float] = time.time,
-        monotonic_s: Callable[[], float] = time.monotonic,
+        monotonic_s: Callable[[], float] = elapsed_s,
     ) -> None:
         self._wall_s = wall_s
         self._monotonic_s = monotonic_s
--- a/src/bellweir/hosted/views/follower.py
+++ b/src/bellweir/hosted/views/follower.py
@@ -5,7 +5,6 @@
 
 import random
 import threading
-import time
 from collections.abc import Callable
 
 from returns.result import Success
@@ -27,6 +26,7 @@
     VIEW_RELAYED,
 )
 from bellweir.hosted.views.kind_state import KindState
+from bellweir.kernel.clock import elapsed_s
 
 WATCH_TIMEOUT_S = 25.0
 SHORT_WATCH_TIMEOUT_S = 3.0
@@ -116,7 +116,7 @@
                 stopping.wait(IDLE_POLL_INTERVAL_S)
             elif self._update_relayed():
                 stopping.wait(IDLE_POLL_INTERVAL_S)
-            elif self._needs_list and time.monotonic() < self.wait_for_peers_until_s:
+            elif self._needs_list and elapsed_s() < self.wait_for_peers_until_s:
                 stopping.wait(PEER_WAIT_POLL_INTERVAL_S)
             else:
                 self._follow(stopping)
@@ -143,7 +143,7 @@
         seen = self._revision
         if seen is None or self.is_relayed or self._unreachable_since_s is not None:
             return
-        asked_s = time.monotonic()
+        asked_s = elapsed_s()
         found = self._store.list_kind(self._kind, stale=True)
         if self._watching_since_s != watching_since_s:
             return
@@ -153,7 +153,7 @@
                 return
             if (
                 watching_since_s is None
-                or time.monotonic() - watching_since_s <= WATCH_DELIVERY_TIMEOUT_S
+                or elapsed_s() - watching_since_s <= WATCH_DELIVERY_TIMEOUT_S
             ):
                 return
         if watching_since_s is not None:
@@ -161,12 +161,12 @@
 
     def age_s(self) -> float:
         """Return the seconds since the view was last known to be current."""
-        return time.monotonic() - self.state.current_as_of_s
+        return elapsed_s() - self.state.current_as_of_s
 
     def unreachable_for_s(self) -> float:
         """Return the seconds since the store became unreachable; 0 while it is reachable."""
         unreachable_since_s = self._unreachable_since_s
-        return 0.0 if unreachable_since_s is None else time.monotonic() - unreachable_since_s
+        return 0.0 if unreachable_since_s is None else elapsed_s() - unreachable_since_s
 
     def is_store_reachable(self) -> bool:
         """Probe with one stale read whether the store serves this process."""
@@ -174,11 +174,11 @@
 
     def is_relay_fresh(self) -> bool:
         """Whether relayed updates are recent enough."""
-        return time.monotonic() - self.state.relayed_as_of_s < MAX_RELAY_AGE_S
+        return elapsed_s() - self.state.relayed_as_of_s < MAX_RELAY_AGE_S
 
     def _update_relayed(self) -> bool:
         """Update and return `is_relayed`."""
-        age_s = time.monotonic() - self.state.relayed_as_of_s
+        age_s = elapsed_s() - self.state.relayed_as_of_s
         relayed = bool(self.has_readers) and age_s < MAX_RELAY_AGE_S
         if relayed != self.is_relayed:
             self.is_relayed = relayed
@@ -199,7 +199,7 @@
         return self._watch(revision, stopping)
 
     def _list(self) -> StoreError | None:
-        asked_s = time.monotonic()
+        asked_s = elapsed_s()
         found = self._store.list_kind(self._kind)
         if not isinstance(found, Success):
             return found.failure()
@@ -213,7 +213,7 @@
         return None
 
     def _watch(self, revision: int, stopping: threading.Event) -> StoreError | None:
-        asked_s = time.monotonic()
+        asked_s = elapsed_s()
         self._watching_since_s = asked_s
         try:
             found = self._store.watch(self._kind, revision, self._watch_wait_s())
@@ -223,7 +223,7 @@
             return found.failure()
         changes = found.unwrap()
         self._record_answer()
-        self.state.apply_changes(changes, time.monotonic() if changes.changes else asked_s)
+        self.state.apply_changes(changes, elapsed_s() if changes.changes else asked_s)
         if not changes.is_complete:
             # An undecodable change may concern any object; only a list gives the current state.
             stopping.wait(
@@ -243,7 +243,7 @@
         self._backoff_s = MIN_BACKOFF_S
         if self._unreachable_since_s is None:
             return
-        now_s = time.monotonic()
+        now_s = elapsed_s()
         after_s = now_s - self._unreachable_since_s
         self._unreachable_since_s = None
         emit(STORE_REGAINED, kind=self._kind, after_s=round(after_s, 3))
@@ -253,7 +253,7 @@
     def _record_failure(self, failure: StoreError) -> None:
         if self._unreachable_since_s is not None:
             return
-        self._unreachable_since_s = time.monotonic()
+        self._unreachable_since_s = elapsed_s()
         emit(
             STORE_LOST,
             kind=self._kind,
--- a/src/bellweir/hosted/views/relay.py
+++ b/src/bellweir/hosted/views/relay.py
@@ -6,7 +6,6 @@
 
 import random
 import threading
-import time
 from collections.abc import Callable, Mapping, Sequence
 
 from returns.result import Success
@@ -17,6 +16,7 @@
 from bellweir.hosted.views.follower import KindFollower
 from bellweir.hosted.views.kind_state import NEVER_S, KindUpdate
 from bellweir.hosted.views.readers import sources_of
+from bellweir.kernel.clock import elapsed_s
 from bellweir.membership.interface import Membership
 from bellweir.wire.interface import Message, Sender, Transport
 
@@ -92,7 +92,7 @@
         followers: Sequence[KindFollower],
         seeds: Sequence[str] = (),
         seed_wait_s: float = SEED_WAIT_S,
-        now_s: Callable[[], float] = time.monotonic,
+        now_s: Callable[[], float] = elapsed_s,
     ) -> None:
         """`seeds` are the addresses (`host:port`) of peers to query first; empty on a seed.
 
--- a/src/bellweir/hosted/views/workers.py
+++ b/src/bellweir/hosted/views/workers.py
@@ -1,7 +1,6 @@
 """View of the live workers in the store."""
 
 import threading
-import time
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
 from types import MappingProxyType
@@ -23,6 +22,7 @@
     IncarnationTracker,
     IncarnationVerdict,
 )
+from bellweir.kernel.clock import elapsed_s
 
 GONE = "gone"
 
@@ -70,7 +70,7 @@
     incarnation is ignored (`incarnation_tracker`).
     """
 
-    def __init__(self, now_s: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, now_s: Callable[[], float] = elapsed_s) -> None:
         self._now_s = now_s
         self._lock = threading.Lock()
         self._workers: Mapping[str, Worker] = MappingProxyType({})
--- a/src/bellweir/hosted/weights/controller.py
+++ b/src/bellweir/hosted/weights/controller.py
@@ -3,7 +3,6 @@
 Only the lease holder sends orders, each with the fencing token and for one incarnation of a worker.
 """
 
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -24,6 +23,7 @@
 from bellweir.hosted.weights.plan import ModelTarget, plan_weight_loads
 from bellweir.hosted.weights.versions import VersionsView
 from bellweir.hosted.weights.weight_load_limit import WeightLoadLimit
+from bellweir.kernel.clock import elapsed_s
 
 ORDER_TIMEOUT_S = 0.5
 REPORT_TIMEOUT_S = 0.4
@@ -94,7 +94,7 @@
         *,
         sparse_loads: bool = True,
         announce_weight_load: AnnounceWeightLoad = _announce_to_nobody,
-        now_s: Callable[[], float] = time.monotonic,
+        now_s: Callable[[], float] = elapsed_s,
     ) -> None:
         """With `sparse_loads` the version lag that jobs allow is used to skip loads.
 
--- a/src/bellweir/hosted/weights/job_messages.py
+++ b/src/bellweir/hosted/weights/job_messages.py
@@ -8,12 +8,12 @@
 ['b', 'c']
 """
 
-import time
 from collections.abc import Callable, Iterable
 from typing import ClassVar
 
 import msgspec
 
+from bellweir.kernel.clock import elapsed_s
 from bellweir.wire.interface import Message, Sender, Transport
 
 ANNOUNCE_INTERVAL_S = 1.0
@@ -60,7 +60,7 @@
         self,
         transport: Transport,
         holder_address: Callable[[], str | None],
-        now_s: Callable[[], float] = time.monotonic,
+        now_s: Callable[[], float] = elapsed_s,
     ) -> None:
         """`holder_address` returns None while no other node is known to hold the lease."""
         self._transport = transport
@@ -86,7 +86,7 @@
 class JobReceiver:
     """Receives the newest jobs; used by the lease holder."""
 
-    def __init__(self, transport: Transport, now_s: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, transport: Transport, now_s: Callable[[], float] = elapsed_s) -> None:
         self._now_s = now_s
         self._newest: tuple[NewestJob, ...] = ()
         self._received_s = float("-inf")
--- a/src/bellweir/hosted/weights/lease.py
+++ b/src/bellweir/hosted/weights/lease.py
@@ -2,7 +2,6 @@
 
 import random
 import threading
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
@@ -19,6 +18,7 @@
     StoreErrorKind,
 )
 from bellweir.hosted.log_events import LEASE_LOST, LEASE_TAKEN, LEASE_UNANSWERED
+from bellweir.kernel.clock import elapsed_s
 
 VALIDITY_FRACTION = 0.6
 """Fraction of the lease time for which a lease is valid after a renewal."""
@@ -134,7 +134,7 @@
         node: str,
         lease_s: float,
         separation_s: float,
-        now_s: Callable[[], float] = time.monotonic,
+        now_s: Callable[[], float] = elapsed_s,
     ) -> None:
         """`separation_s`: minimum time between the operations of two holders."""
         self._store = store
--- a/src/bellweir/http_server/server.py
+++ b/src/bellweir/http_server/server.py
@@ -6,7 +6,6 @@
 
 import socket
 import threading
-import time
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -17,6 +16,7 @@
 from bellweir.http_server.loop import ConnectionLoop, WatchedSockets
 from bellweir.http_server.request_threads import RequestThreads
 from bellweir.http_server.server_limits import ServerLimits
+from bellweir.kernel.clock import elapsed_s
 
 WsgiApplication = Callable[[dict[str, Any], Callable[..., Any]], Iterable[bytes]]
 
@@ -51,7 +51,7 @@
 
     def run_until_closed(self, stopping: threading.Event) -> None:
         """Run the loop until `close_all`."""
-        self.loop.run(self._ended, time.monotonic)
+        self.loop.run(self._ended, elapsed_s)
 
     def maintenance(self, now: float) -> None:
         """Close idle connections, refuse requests that arrive too slowly, drop stalled readers."""
--- a/src/bellweir/kernel/clock.py
+++ b/src/bellweir/kernel/clock.py
@@ -1,16 +1,37 @@
-"""Clocks: the real one, and one that tests move by hand."""
+"""Clocks: the real one, and one that tests move by hand.
+
+>>> began_s = elapsed_s()
+>>> elapsed_s() >= began_s
+True
+"""
 
 import threading
 import time
 from abc import ABC, abstractmethod
 
+ELAPSED_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+"""`time.monotonic` stands still on Linux while the machine is suspended; this clock does not."""
+
+
+def elapsed_s() -> float:
+    """Return seconds on a clock that never goes back; only differences mean anything.
+
+    The time for which the machine was suspended counts, as it does for every other machine.
+    So whatever may go stale, such as a lease, a view or a deadline, is judged by this clock.
+    Time-outs of waits and sockets don't count it: they end later by as much.
+    """
+    return time.clock_gettime(ELAPSED_CLOCK)
+
 
 class Clock(ABC):
     """Source of time for services; tests pass a `ManualClock`."""
 
     @abstractmethod
     def monotonic_s(self) -> float:
-        """Seconds on a clock that never goes back; only differences mean anything."""
+        """Seconds on a clock that never goes back; only differences mean anything.
+
+        It goes on while the machine is suspended.
+        """
 
     @abstractmethod
     def wall_s(self) -> float:
@@ -25,8 +46,8 @@
     """The machine's own clocks."""
 
     def monotonic_s(self) -> float:
-        """Seconds of `time.monotonic`."""
-        return time.monotonic()
+        """Seconds of `elapsed_s`."""
+        return elapsed_s()
 
     def wall_s(self) -> float:
         """Seconds of `time.time`."""
--- a/src/bellweir/kernel/executors.py
+++ b/src/bellweir/kernel/executors.py
@@ -4,7 +4,6 @@
 """
 
 import threading
-import time
 from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 from concurrent.futures import wait as wait_for_futures
@@ -14,6 +13,7 @@
 from typing import ParamSpec, TypeVar
 
 from bellweir.events.log import emit
+from bellweir.kernel.clock import elapsed_s
 from bellweir.kernel.log_events import TASK_FAILED, TASK_LEFT_RUNNING, TASK_RESTARTED
 
 Parameters = ParamSpec("Parameters")
@@ -163,12 +163,12 @@
 ) -> None:
     pause_s = FIRST_RESTART_PAUSE_S
     while True:
-        began_s = time.monotonic()
+        began_s = elapsed_s()
         try:
             function(stopping)
             return
         except Exception as failure:
-            if time.monotonic() - began_s > LONGEST_RESTART_PAUSE_S:
+            if elapsed_s() - began_s > LONGEST_RESTART_PAUSE_S:
                 pause_s = FIRST_RESTART_PAUSE_S
             emit(TASK_RESTARTED, task=name, error=repr(failure), pause_s=pause_s)
         if stopping.wait(pause_s):
--- a/src/bellweir/kernel/registry.py
+++ b/src/bellweir/kernel/registry.py
@@ -1,10 +1,10 @@
 """Registry in which services find each other by name through typed interfaces."""
 
 import threading
-import time
 from typing import TypeVar
 
 from bellweir.events.log import emit
+from bellweir.kernel.clock import elapsed_s
 from bellweir.kernel.log_events import SERVICE_DRAINED
 from bellweir.kernel.service import Service
 
@@ -76,11 +76,11 @@
 
     def drain(self, deadline_s: float) -> None:
         """Drain the started services, dependants first, sharing one deadline in seconds."""
-        deadline = time.monotonic() + deadline_s
+        deadline = elapsed_s() + deadline_s
         for service in reversed(self._started):
-            began = time.monotonic()
+            began = elapsed_s()
             service.drain(max(0.0, deadline - began))
-            drained_s = time.monotonic() - began
+            drained_s = elapsed_s() - began
             if drained_s > SLOW_DRAIN_S:
                 emit(SERVICE_DRAINED, service=service.name, seconds=round(drained_s, 3))
 
--- a/src/bellweir/ledger/locator.py
+++ b/src/bellweir/ledger/locator.py
@@ -2,12 +2,11 @@
 
 import random
 import threading
-import time
 from collections.abc import Sequence
 
 from returns.result import Success
 
-from bellweir.kernel.clock import Clock
+from bellweir.kernel.clock import Clock, elapsed_s
 from bellweir.ledger.keeper import PLACEMENT_TIMEOUT_S, REFRESH_PERIOD_S, PlacementKeeper
 from bellweir.ledger.messages import PlacementAnswer, PlacementRequest
 from bellweir.ledger.placement import Placement
@@ -76,7 +75,7 @@
 
         Takes no longer than `patience_s`: a client's call waits for it.
         """
-        if self._keeper is None and time.monotonic() - self._asked_s > REFRESH_PERIOD_S:
+        if self._keeper is None and elapsed_s() - self._asked_s > REFRESH_PERIOD_S:
             self._ask(patience_s)
 
     def candidates(self, shard: int) -> list[str]:
@@ -105,10 +104,10 @@
 
     def _ask(self, patience_s: float) -> None:
         """Ask one node after the other until one tells, for `patience_s` in all."""
-        began_s = self._asked_s = time.monotonic()
+        began_s = self._asked_s = elapsed_s()
         for node in self.likely_first(self._data_nodes()):
             member = self._membership.member(node)
-            left_s = patience_s - (time.monotonic() - began_s)
+            left_s = patience_s - (elapsed_s() - began_s)
             if member is None or left_s <= 0:
                 continue
             answer = self._transport.request(
--- a/src/bellweir/ledger/nearby.py
+++ b/src/bellweir/ledger/nearby.py
@@ -9,11 +9,11 @@
 agree with anybody on anything new, but it still knows what was agreed on.
 """
 
-import time
 from collections.abc import Callable
 
 from returns.result import Success
 
+from bellweir.kernel.clock import elapsed_s
 from bellweir.ledger.interface import Query, Reply
 from bellweir.ledger.locator import PlacementLocator
 from bellweir.ledger.machines import Codec
@@ -69,10 +69,10 @@
         replica = self._node.replica(shard) if self._node else None
         if replica is not None:
             return replica.peek(query)
-        began_s = time.monotonic()
+        began_s = elapsed_s()
         # Store machines that are silent must not hold up the question to the leader.
         address = self._address(shard, timeout_s / 2)
-        left_s = timeout_s - (time.monotonic() - began_s)
+        left_s = timeout_s - (elapsed_s() - began_s)
         return self._peek(address, shard, query, left_s) if address and left_s > 0 else None
 
     def ask_all(self, shard: int, query: Query, timeout_s: float) -> tuple[Reply, ...]:
--- a/src/bellweir/ledger/tasks.py
+++ b/src/bellweir/ledger/tasks.py
@@ -1,12 +1,12 @@
 """The tasks of a node with replicas: a fixed few, and one for each peer it replicates to."""
 
 import threading
-import time
 from collections.abc import Callable
 from functools import partial
 from typing import TYPE_CHECKING
 
 from bellweir.events.log import emit
+from bellweir.kernel.clock import elapsed_s
 from bellweir.kernel.executors import Executors
 from bellweir.ledger.journal import JournalFailedError
 from bellweir.ledger.keeper import PlacementKeeper
@@ -80,8 +80,8 @@
     def leave(self, deadline_s: float) -> None:
         """Stand for no election, and wait until others lead the shards led here."""
         self._leaving.set()
-        limit_s = time.monotonic() + min(deadline_s, HAND_OVER_LIMIT_S)
-        while time.monotonic() < limit_s and self._hand_over_once():
+        limit_s = elapsed_s() + min(deadline_s, HAND_OVER_LIMIT_S)
+        while elapsed_s() < limit_s and self._hand_over_once():
             self._stop.wait(HAND_OVER_POLL_S)
 
     def _hand_over_once(self) -> bool:
@@ -186,13 +186,13 @@
     def _serve(self, peer: str, news: threading.Event) -> None:
         """Send news at once, in batches of whatever came up meanwhile, and heartbeats in time."""
         heartbeat_s = self._settings.heartbeat_s
-        due_s = time.monotonic()
+        due_s = elapsed_s()
         while not self._stop.is_set() and peer in self._node.peers():
-            news.wait(max(0.0, due_s - time.monotonic()))
+            news.wait(max(0.0, due_s - elapsed_s()))
             news.clear()
-            is_due = time.monotonic() >= due_s
+            is_due = elapsed_s() >= due_s
             if is_due:
-                due_s = time.monotonic() + heartbeat_s
+                due_s = elapsed_s() + heartbeat_s
             if not self._replicate(peer, is_due):
                 self._stop.wait(heartbeat_s)
             elif self._node.has_news(peer):
--- a/src/bellweir/resources/service.py
+++ b/src/bellweir/resources/service.py
@@ -1,7 +1,6 @@
 """The resource service: reads from the configuration in force, compare-and-set writes."""
 
 import threading
-import time
 from collections.abc import Iterator, Mapping
 from concurrent.futures import Future, wait
 from typing import Any, ClassVar
@@ -17,6 +16,7 @@
 )
 from bellweir.configuration.interface import Configuration, RevisionCensus
 from bellweir.kernel import names
+from bellweir.kernel.clock import elapsed_s
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
 from bellweir.resources.documents import public_document
@@ -117,9 +117,9 @@
         if kind not in KINDS:
             yield Failure(no_kind(kind))
             return
-        deadline_s = time.monotonic() + timeout_s
+        deadline_s = elapsed_s() + timeout_s
         seen = from_revision
-        while time.monotonic() < deadline_s:
+        while elapsed_s() < deadline_s:
             try:
                 revision, changes = self._documents().changes_after(seen)
             except HistoryCompactedError as failure:
@@ -129,7 +129,7 @@
                 if change.kind == kind:
                     yield Success(_served_change(change))
             seen = max(seen, revision)
-            remaining_s = max(0.0, deadline_s - time.monotonic())
+            remaining_s = max(0.0, deadline_s - elapsed_s())
             self._documents().wait_for(seen + 1, min(WATCH_STEP_S, remaining_s))
             if self._stopping.is_set():
                 return
--- a/src/bellweir/wire/accepted_connection.py
+++ b/src/bellweir/wire/accepted_connection.py
@@ -2,10 +2,10 @@
 
 import socket
 import threading
-import time
 from collections.abc import Callable, Mapping
 
 from bellweir.events.log import emit
+from bellweir.kernel.clock import elapsed_s
 from bellweir.kernel.executors import ExecutorSaturatedError
 from bellweir.wire.codec import UnknownMessageError
 from bellweir.wire.connection_parts import ConnectionParts
@@ -113,7 +113,7 @@
         if handler is None:
             self._refuse(frame, f"no handler for {type(message).__name__}")
             return
-        received_s = time.monotonic()
+        received_s = elapsed_s()
         try:
             self._pools.submit(
                 frame.hop, lambda: self._handle(sender, frame, message, handler, received_s)
@@ -129,7 +129,7 @@
         handler: Handler,
         received_s: float,
     ) -> None:
-        expired = isinstance(frame, Request) and time.monotonic() - received_s > frame.timeout_s
+        expired = isinstance(frame, Request) and elapsed_s() - received_s > frame.timeout_s
         if expired:
             self._refuse(frame, "expired before it was handled")
             return
--- a/src/bellweir/wire/connection_parts.py
+++ b/src/bellweir/wire/connection_parts.py
@@ -1,9 +1,9 @@
 """What the connections of one node share."""
 
 import threading
-import time
 from dataclasses import dataclass, field
 
+from bellweir.kernel.clock import elapsed_s
 from bellweir.kernel.executors import Executors
 from bellweir.wire.codec import MessageCodec
 from bellweir.wire.faults import NetworkFaults
@@ -35,5 +35,5 @@
             return False
         # Counted from when the frame was queued, so that frames in a row overlap their delays.
         due_s = frame.queued_s + self.faults.stream_delay_s(rule)
-        self.closing.wait(max(0.0, due_s - time.monotonic()))
+        self.closing.wait(max(0.0, due_s - elapsed_s()))
         return True
--- a/src/bellweir/wire/faults.py
+++ b/src/bellweir/wire/faults.py
@@ -7,13 +7,13 @@
 
 import random
 import threading
-import time
 from dataclasses import dataclass
 from pathlib import Path
 
 import msgspec
 
 from bellweir.events.log import emit
+from bellweir.kernel.clock import elapsed_s
 from bellweir.wire.log_events import NETWORK_FAULTS_ACTIVE, NETWORK_FAULTS_UNREADABLE
 
 CHECK_PERIOD_S = 0.2
@@ -107,7 +107,7 @@
         return delay_s
 
     def _read_again_if_changed(self, file: Path) -> None:
-        now_s = time.monotonic()
+        now_s = elapsed_s()
         if now_s < self._next_check_s:
             return
         with self._lock:
--- a/src/bellweir/wire/frames.py
+++ b/src/bellweir/wire/frames.py
@@ -7,12 +7,13 @@
 
 import socket
 import struct
-import time
 from typing import Any, TypeVar
 
 import cbor2
 import msgspec
 
+from bellweir.kernel.clock import elapsed_s
+
 MAXIMUM_FRAME_BYTES = 16 * 1024 * 1024
 """Longest frame of an authenticated peer."""
 MAXIMUM_HANDSHAKE_FRAME_BYTES = 1024
@@ -157,7 +158,7 @@
     received = bytearray()
     while len(received) < count:
         if deadline_s is not None:
-            connection.settimeout(max(SHORTEST_TIMEOUT_S, deadline_s - time.monotonic()))
+            connection.settimeout(max(SHORTEST_TIMEOUT_S, deadline_s - elapsed_s()))
         chunk = connection.recv(min(RECEIVE_CHUNK_BYTES, count - len(received)))
         if not chunk and at_boundary and not received:
             raise ConnectionClosedError("closed by the other end")
--- a/src/bellweir/wire/handshake.py
+++ b/src/bellweir/wire/handshake.py
@@ -7,12 +7,12 @@
 
 import os
 import socket
-import time
 from dataclasses import dataclass
 from typing import TypeVar
 
 import msgspec
 
+from bellweir.kernel.clock import elapsed_s
 from bellweir.wire.frames import (
     MAXIMUM_HANDSHAKE_FRAME_BYTES,
     FrameError,
@@ -97,7 +97,7 @@
     Raises `HandshakeError`, or `OSError` as the socket does.
     """
     connection.settimeout(HANDSHAKE_TIMEOUT_S)
-    deadline_s = time.monotonic() + HANDSHAKE_TIMEOUT_S
+    deadline_s = elapsed_s() + HANDSHAKE_TIMEOUT_S
     hello = ClientHello(PROTOCOL, local.name, local.address, os.urandom(NONCE_BYTES), local.level)
     try:
         _write(connection, hello)
@@ -119,7 +119,7 @@
     Raises `HandshakeError`, or `OSError` as the socket does.
     """
     connection.settimeout(HANDSHAKE_TIMEOUT_S)
-    deadline_s = time.monotonic() + HANDSHAKE_TIMEOUT_S
+    deadline_s = elapsed_s() + HANDSHAKE_TIMEOUT_S
     try:
         hello = _read(connection, ClientHello, deadline_s)
         _check_hello(hello)
--- a/src/bellweir/wire/keys.py
+++ b/src/bellweir/wire/keys.py
@@ -3,12 +3,12 @@
 import hashlib
 import hmac
 import threading
-import time
 from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
 from bellweir.events.log import emit
+from bellweir.kernel.clock import elapsed_s
 from bellweir.wire.log_events import CLUSTER_KEY_UNREADABLE
 
 CHECK_PERIOD_S = 0.25
@@ -42,7 +42,7 @@
         self._keys = self._read_all()
         self.readings = 1
         """How often the files have been read."""
-        self._next_check_s = time.monotonic() + CHECK_PERIOD_S
+        self._next_check_s = elapsed_s() + CHECK_PERIOD_S
 
     @property
     def is_open(self) -> bool:
@@ -61,7 +61,7 @@
         return any(hmac.compare_digest(proof, _digest(key, parts)) for key in self._current())
 
     def _current(self) -> tuple[bytes, ...]:
-        now_s = time.monotonic()
+        now_s = elapsed_s()
         if now_s < self._next_check_s or not self._files:
             return self._keys
         with self._lock:
--- a/src/bellweir/wire/peer_link.py
+++ b/src/bellweir/wire/peer_link.py
@@ -3,12 +3,12 @@
 import itertools
 import socket
 import threading
-import time
 from collections.abc import Callable
 
 from returns.result import Failure, Success
 
 from bellweir.events.log import emit
+from bellweir.kernel.clock import elapsed_s
 from bellweir.wire.connection_parts import ConnectionParts
 from bellweir.wire.frames import (
     MAXIMUM_FRAME_BYTES,
@@ -54,7 +54,7 @@
         self._lock = threading.Lock()
         self._pending: dict[int, PendingRequest] = {}
         self._connection: socket.socket | None = None
-        self._last_used_s = time.monotonic()
+        self._last_used_s = elapsed_s()
         self.level: int | None = None
         """Level of the messages that the peer knows; None until its build has told."""
         self._has_told_level = False
@@ -135,7 +135,7 @@
                 raise ConnectionError("cut off by a rehearsal fault")
             if frame.pending is not None and not frame.pending.mark_sent():
                 continue
-            self._last_used_s = time.monotonic()
+            self._last_used_s = elapsed_s()
             connection.sendall(frame.data)
             self._parts.traffic.count_sent(len(frame.data))
 
@@ -152,7 +152,7 @@
     def _idle(self) -> bool:
         with self._lock:
             waiting = bool(self._pending)
-        return not waiting and time.monotonic() - self._last_used_s > IDLE_TIMEOUT_S
+        return not waiting and elapsed_s() - self._last_used_s > IDLE_TIMEOUT_S
 
     def _read(self, connection: socket.socket) -> None:
         reason = "closed by the peer"
--- a/src/bellweir/wire/send_queue.py
+++ b/src/bellweir/wire/send_queue.py
@@ -1,13 +1,13 @@
 """Bounded queue of frames waiting to be written to one connection."""
 
 import threading
-import time
 from collections import deque
 from concurrent.futures import Future
 from dataclasses import dataclass, field
 
 from returns.result import Failure, Result
 
+from bellweir.kernel.clock import elapsed_s
 from bellweir.wire.interface import FIRST_LEVEL, Message, WireError, WireErrorKind
 
 MAXIMUM_QUEUED_FRAMES = 4096
@@ -56,7 +56,7 @@
     pending: PendingRequest | None = None
     level: int = FIRST_LEVEL
     """Level of the message that it carries."""
-    queued_s: float = field(default_factory=time.monotonic)
+    queued_s: float = field(default_factory=elapsed_s)
 
 
 class SendQueue:
--- a/src/bellweir/wire/service.py
+++ b/src/bellweir/wire/service.py
@@ -2,13 +2,13 @@
 
 import socket
 import threading
-import time
 from concurrent.futures import TimeoutError as FutureTimeoutError
 from typing import TYPE_CHECKING, ClassVar
 
 from returns.result import Failure, Result
 
 from bellweir.kernel import names
+from bellweir.kernel.clock import elapsed_s
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
 from bellweir.wire.accepted_connection import AcceptedConnection
@@ -118,7 +118,7 @@
         self, address: str, message: Message, timeout_s: float
     ) -> Result[Message, WireError]:
         """Send a request and wait for its answer; see the interface."""
-        deadline_s = time.monotonic() + timeout_s
+        deadline_s = elapsed_s() + timeout_s
         try:
             hop = next_hop()
         except HopLimitError as failure:
@@ -129,7 +129,7 @@
             link = self._link_to(address)
             if link is None:
                 return outcome
-            left_s = max(0.0, deadline_s - time.monotonic())
+            left_s = max(0.0, deadline_s - elapsed_s())
             pending = link.new_request()
             frame = Request(pending.number, hop, left_s, body)
             try:
