Soak: machines that are suspended

A process under the rig that is halted and resumed finds its steady clock without the time in between, as on a suspended machine; its boot clock and time of day go on.

--- a/features/hosted_soak.feature
+++ b/features/hosted_soak.feature
@@ -31,6 +31,12 @@
     Then faults have struck and everything that must hold of the soak has held
     And texts were taken up in their middle, and all are joined as they were asked for
 
+  # Guards against orders of a holder whose steady clock stood still while its lease ran out.
+  Scenario: A soak in which machines are suspended
+    When a soak of 25 seconds is played with seed 4 of suspended machines
+    Then faults have struck and everything that must hold of the soak has held
+    And machines of both kinds were suspended, and a version was named
+
   Scenario: Losses stay within what is tolerated
     Then at any order of faults no more disks are lost at once than tolerated
     And a machine counts as whole once it has had its time to catch up, a removed one's successor too
--- a/features/steps/hosted_soak_steps.py
+++ b/features/steps/hosted_soak_steps.py
@@ -22,7 +22,12 @@
 from bellweir_rehearsal.hosted.platform_faults import NewVersion, WorkersStartAgain
 from bellweir_rehearsal.hosted.process_faults import KillGateway, KillStore
 from bellweir_rehearsal.hosted.soak import HostedSoak
-from bellweir_rehearsal.hosted.soak_faults import LASTING_FAULTS, PLACES_FAULTS, TEXT_FAULTS
+from bellweir_rehearsal.hosted.soak_faults import (
+    LASTING_FAULTS,
+    PLACES_FAULTS,
+    SUSPENSION_FAULTS,
+    TEXT_FAULTS,
+)
 
 
 @when(
@@ -88,6 +93,19 @@
     context.soak.play()
 
 
+@when("a soak of {seconds:d} seconds is played with seed {seed:d} of suspended machines")
+def when_suspended(context, seconds, seed):
+    context.soak = HostedSoak(context.folder, seed, seconds, 3, 3, only=SUSPENSION_FAULTS)
+    context.cleanup.callback(context.soak.close)
+    context.soak.play()
+
+
+@then("machines of both kinds were suspended, and a version was named")
+def then_suspended(context):
+    strikes = context.soak.strikes
+    assert all(strikes[name] for name in ("SuspendStore", "SuspendGateway", "NewVersion")), strikes
+
+
 @then("texts were taken up in their middle, and all are joined as they were asked for")
 def then_joined(context):
     records = [worker.record for worker in context.soak.deployment.models]
--- a/src/bellweir_rehearsal/hosted/deployment.py
+++ b/src/bellweir_rehearsal/hosted/deployment.py
@@ -23,6 +23,7 @@
 from bellweir_rehearsal.hosted.object_store import PlatformStoreStandIn
 from bellweir_rehearsal.hosted.power import lose_power
 from bellweir_rehearsal.hosted.rigged_process import FULL_MARK
+from bellweir_rehearsal.hosted.suspension_rig import note_suspension
 from bellweir_rehearsal.hosted.template import fill
 from bellweir_rehearsal.hosted.touch_log import TouchLog
 from bellweir_rehearsal.hosted.worker import WorkerStandIn
@@ -49,6 +50,7 @@
 """What a machine's process runs: the service alone, or under the rig for disks and clocks."""
 RIG_VARIABLE = "BELLWEIR_RIG"
 CLOCK_VARIABLE = "BELLWEIR_CLOCK"
+SUSPENSION_VARIABLE = "BELLWEIR_SUSPENSION"
 WISHES = "retirements"
 """Kind of the store's objects that ask for a store machine to be emptied."""
 LIVE_SLACK_S = 5.0
@@ -122,6 +124,11 @@
         """Seconds, as text, by which its time of day is off."""
         return self.folder / f"{self.name}-clock"
 
+    @property
+    def suspension_file(self) -> Path:
+        """Seconds for which it was suspended, as `suspension_rig` reads them."""
+        return self.folder / f"{self.name}-suspension"
+
     @property
     def is_running(self) -> bool:
         """Whether its process is there."""
@@ -296,6 +303,7 @@
             machine.rig_folder.mkdir(exist_ok=True)
             environment[RIG_VARIABLE] = str(machine.rig_folder)
             environment[CLOCK_VARIABLE] = str(machine.clock_file)
+            environment[SUSPENSION_VARIABLE] = str(machine.suspension_file)
         with machine.log_file.open("ab") as log:
             machine.log_begins = log.tell()
             machine.process = subprocess.Popen(
@@ -430,6 +438,13 @@
         if process is not None:
             process.send_signal(number)
 
+    def resume(self, name: str, suspended_s: float) -> None:
+        """Let a halted process go on as one whose machine was suspended; only under the rig."""
+        machine = self.machines.get(name)
+        if machine is not None:
+            note_suspension(machine.suspension_file, suspended_s)
+            self.signal(name, signal.SIGCONT)
+
     def beat(self) -> None:
         """Write every running worker's entry, where it has changed; those of others lapse."""
         for service, workers in (("llm", self.models), ("app", self.scorers)):
--- a/src/bellweir_rehearsal/hosted/process_faults.py
+++ b/src/bellweir_rehearsal/hosted/process_faults.py
@@ -190,3 +190,27 @@
     def wants(self) -> list[str]:
         """Pick the store machine."""
         return self.one_of("store")
+
+
+class SuspendGateway(FreezeGateway):
+    """Gateways' machines are suspended and resumed: their steady clocks leave the time out."""
+
+    longest_s = 8.0
+
+    def strike(self) -> None:
+        """Halt them."""
+        self._since_s = time.monotonic()
+        super().strike()
+
+    def mend(self) -> None:
+        """Let them go on."""
+        for name in self.struck:
+            self.deployment.resume(name, time.monotonic() - self._since_s)
+
+
+class SuspendStore(SuspendGateway):
+    """The same with a store machine; it may lead or hold the lease."""
+
+    def wants(self) -> list[str]:
+        """Pick the store machine."""
+        return self.one_of("store")
--- a/src/bellweir_rehearsal/hosted/rigged_process.py
+++ b/src/bellweir_rehearsal/hosted/rigged_process.py
@@ -3,7 +3,8 @@
 Runs what `python -m bellweir.hosted ROLE` runs. `BELLWEIR_RIG` names a folder in which all that
 is not synced of the data folder is noted, for `power.lose_power` after a kill; it must be outside
 of the data folder and on the same file system. `BELLWEIR_CLOCK` names a file that holds the
-seconds to add to the true time of day. Where one of them is not set, that part is left out.
+seconds to add to the true time of day, `BELLWEIR_SUSPENSION` one with the seconds for which the
+machine was suspended. Where one of them is not set, that part is left out.
 """
 
 import json
@@ -11,9 +12,11 @@
 from pathlib import Path
 
 from bellweir_rehearsal.hosted.clock_rig import ClockRig
+from bellweir_rehearsal.hosted.suspension_rig import SuspensionRig
 
 RECORDS_VARIABLE = "BELLWEIR_RIG"
 CLOCK_VARIABLE = "BELLWEIR_CLOCK"
+SUSPENSION_VARIABLE = "BELLWEIR_SUSPENSION"
 SETTINGS_VARIABLE = "BELLWEIR_CONFIG"
 FULL_MARK = "disk-full"
 """File in the rig's folder; while it is there the disk takes no change."""
@@ -41,6 +44,9 @@
 def main() -> None:
     """Install what the environment asks for and run the process."""
     clock, records = os.environ.get(CLOCK_VARIABLE), os.environ.get(RECORDS_VARIABLE)
+    suspension = os.environ.get(SUSPENSION_VARIABLE)
+    if suspension:
+        SuspensionRig(Path(suspension)).install()
     if clock:
         ClockRig(Path(clock)).install()
     folder = data_folder_of(Path(os.environ[SETTINGS_VARIABLE])) if records else None
--- a/src/bellweir_rehearsal/hosted/soak_faults.py
+++ b/src/bellweir_rehearsal/hosted/soak_faults.py
@@ -34,6 +34,8 @@
     StopCutShort,
     StopGateway,
     StopStore,
+    SuspendGateway,
+    SuspendStore,
 )
 
 MACHINE_FAULTS: tuple[type[SoakFault], ...] = (
@@ -47,6 +49,8 @@
     HangUp,
     FreezeGateway,
     FreezeStore,
+    SuspendGateway,
+    SuspendStore,
     WipeStore,
     PowerLossOfStore,
     PowerLossOfStores,
@@ -109,6 +113,15 @@
     WorkersStartAgain,
 )
 """Those that lose the leader of the jobs, or a run, in the middle of a text."""
+SUSPENSION_FAULTS: tuple[type[SoakFault], ...] = (
+    SuspendStore,
+    SuspendStore,
+    SuspendGateway,
+    NewVersion,
+    NewVersion,
+    NewConfiguration,
+)
+"""Suspended machines while there is something to order and to follow."""
 BUILD_FAULTS: tuple[type[SoakFault], ...] = (
     ChangeBuild,
     ChangeBuild,
