--- a/src/bellweir_rehearsal/hosted/command.py
+++ b/src/bellweir_rehearsal/hosted/command.py
@@ -19,6 +19,7 @@
     BUILD_FAULTS,
     LASTING_FAULTS,
     PLACES_FAULTS,
+    SUSPENSION_FAULTS,
     TEXT_FAULTS,
 )
 
@@ -55,6 +56,10 @@
         bool, cappa.Arg(long=True, help="Have texts take seconds, and lose leaders in their midst.")
     ] = False
 
+    suspensions: Annotated[
+        bool, cappa.Arg(long=True, help="Suspend machines while versions and routes change.")
+    ] = False
+
     older: Annotated[
         str, cappa.Arg(long=True, help="A commit; a soak changes between its build and this one.")
     ] = ""
@@ -92,6 +97,8 @@
             faults = PLACES_FAULTS
         if self.texts:
             faults = TEXT_FAULTS
+        if self.suspensions:
+            faults = SUSPENSION_FAULTS
         older = None
         if self.older:
             faults = (*faults, *BUILD_FAULTS)
