Views: an age is never newer than the objects beside it

Cause: KindState noted the time as of which it is current before it handed the changes to the view. A request that read the age and the routes in between, some ms for a configuration of hundreds of routes, took the former routes for current.

Change: the time is noted behind the changes, under the same lock; a list or a watch that tells nothing new notes it as before.

Evidence: the new scenario reads the age from within the listeners.

--- a/features/hosted_views.feature
+++ b/features/hosted_views.feature
@@ -81,3 +81,7 @@
 
   Scenario: Kept workers and the calendar of their return
     Then in any order of outages, lapses and returns a worker is kept for the agreed time, no longer
+
+  # Guards against a new age beside the objects of before.
+  Scenario: A view is no younger than its objects
+    Then whoever is told of a change, a list or a peer's update finds the age of before it
--- a/features/steps/hosted_views_steps.py
+++ b/features/steps/hosted_views_steps.py
@@ -10,10 +10,11 @@
 from hypothesis import given, settings
 from returns.result import Success
 
-from bellweir.hosted.interface import Listing, RecordChange, RecordKind, StoredRecord
+from bellweir.hosted.interface import Changes, Listing, RecordChange, RecordKind, StoredRecord
 from bellweir.hosted.records import RouteKind
 from bellweir.hosted.views.configuration import ConfigurationView
 from bellweir.hosted.views.follower import MIN_OUTAGE_S, RECOVERY_GRACE_S, KindFollower
+from bellweir.hosted.views.kind_state import KindState
 from bellweir.hosted.views.peer_copy import ViewsAnswer, ViewsRequest, copy_views, register_views
 from bellweir.hosted.views.workers import WorkersView
 from bellweir_platform.object_store import PlatformStore
@@ -349,3 +350,23 @@
             assert {worker.instance for worker in view.ready("app")} == expected, steps
 
     holds()
+
+
+@then("whoever is told of a change, a list or a peer's update finds the age of before it")
+def then_age_of_before(context):
+    found = []
+    state = KindState(
+        "config",
+        lambda _listing: found.append(state.current_as_of_s),
+        lambda _change: found.append(state.current_as_of_s),
+    )
+    record = StoredRecord("config", "main", 1, configuration(1))
+    state.apply_listing(Listing(1, (record,)), as_of_s=10.0)
+    newer = StoredRecord("config", "main", 2, configuration(2))
+    state.apply_changes(Changes(2, (RecordChange(newer, deleted=False),)), as_of_s=20.0)
+    teller = KindState("config", lambda _listing: None, lambda _change: None)
+    newest = StoredRecord("config", "main", 3, configuration(3))
+    teller.apply_listing(Listing(3, (newest,)), as_of_s=30.0)
+    state.apply_update(teller.update_since(None, now_s=30.0), now_s=30.0)
+    assert found == [float("-inf"), 10.0, 20.0], found
+    assert state.current_as_of_s == 30.0
--- a/src/bellweir/hosted/views/kind_state.py
+++ b/src/bellweir/hosted/views/kind_state.py
@@ -116,9 +116,9 @@
     def apply_listing(self, listing: Listing, as_of_s: float) -> bool:
         """Apply a whole list; returns False if it is older than the state."""
         with self._lock:
-            self._confirm(as_of_s)
             known = self.revision
             if known is not None and listing.revision < known:
+                self._confirm(as_of_s)
                 return False
             self._records = {record.name: record for record in listing.records}
             self._lacks_record = False
@@ -129,14 +129,16 @@
                 self._history_start = listing.revision
             self._on_list(listing)
             self.revision = listing.revision
+            # Readers without the lock must not see a new age beside the former objects.
+            self._confirm(as_of_s)
         self.on_advance()
         return True
 
     def apply_changes(self, changes: Changes, as_of_s: float) -> None:
         """Apply the changes of a watch."""
         with self._lock:
-            self._confirm(as_of_s)
             if self.revision is None or changes.revision <= self.revision:
+                self._confirm(as_of_s)
                 return
             # The watch may have started before some of its changes were relayed. Only the last
             # change of each object is certain not to be older than the state.
@@ -144,6 +146,7 @@
             for change in latest.values():
                 self._apply(change, changes.revision)
             self.revision = changes.revision
+            self._confirm(as_of_s)
         if changes.changes:
             self.on_advance()
 
