Views: a stale read is no proof that a view is current

By reading: with its watch cut in silence and stale reads seconds behind, a gateway takes a view for current that lacks the last seconds, tells other nodes so, and refuses keys and routes by it.

Cause: check() compares the view with a stale read, and where that shows nothing newer it noted the view as current as of then. The read may be as old as the view.

Change: a stale read only finds watches that deliver nothing. What proves a view current is a linearizable answer: a list, a watch, or confirm(), a watch that returns at once and brings what the other one did not deliver. A node on which others depend confirms its views once they are 0.6 s old; a node by itself when it is asked for proof.

--- a/features/hosted_views.feature
+++ b/features/hosted_views.feature
@@ -82,6 +82,13 @@
   Scenario: Kept workers and the calendar of their return
     Then in any order of outages, lapses and returns a worker is kept for the agreed time, no longer
 
+  # Guards against a view that is taken for current by a read which is as old as the view.
+  Scenario: A stale read proves nothing
+    Given a view of the configuration whose watch is silent
+    When stale reads that are as old as the view are compared with it for 1 s
+    Then the view's age has grown by 1 s
+    And a confirmation makes it current, with the change that the watch did not tell
+
   # Guards against a new age beside the objects of before.
   Scenario: A view is no younger than its objects
     Then whoever is told of a change, a list or a peer's update finds the age of before it
--- a/features/steps/hosted_views_steps.py
+++ b/features/steps/hosted_views_steps.py
@@ -352,6 +352,60 @@
     holds()
 
 
+class LaggingStore:
+    """A store whose stale reads and waiting watches show what was there at the beginning."""
+
+    def __init__(self):
+        self.record = StoredRecord(RecordKind.CONFIGURATION, "main", 7, configuration(1))
+        self.newer = StoredRecord(RecordKind.CONFIGURATION, "main", 9, configuration(2))
+
+    def list_kind(self, kind, *, stale=False):
+        return Success(Listing(7, (self.record,)))
+
+    def watch(self, kind, revision, wait_s):
+        change = RecordChange(self.newer, deleted=False)
+        return Success(Changes(9, (change,) if revision < 9 else ()))
+
+    def interrupt_watches(self, kind):
+        raise AssertionError("nothing shows that the watch is cut")
+
+
+@given_step("a view of the configuration whose watch is silent")
+def given_silent_watch(context):
+    context.view = ConfigurationView()
+    context.follower = KindFollower(
+        LaggingStore(),
+        RecordKind.CONFIGURATION,
+        context.view.apply_listing,
+        context.view.apply_change,
+    )
+    context.follower._list()
+    context.follower._watching_since_s = context.follower.state.current_as_of_s
+
+
+@when("stale reads that are as old as the view are compared with it for {seconds:g} s")
+def when_compared(context, seconds):
+    context.age_s = context.follower.age_s()
+    until_s = time.monotonic() + seconds
+    while time.monotonic() < until_s:
+        context.follower.check()
+        time.sleep(0.1)
+
+
+@then("the view's age has grown by {seconds:g} s")
+def then_grown(context, seconds):
+    grown_s = context.follower.age_s() - context.age_s
+    assert grown_s >= seconds, grown_s
+
+
+@then("a confirmation makes it current, with the change that the watch did not tell")
+def then_confirmed(context):
+    assert context.view.table().version == 1
+    assert context.follower.confirm()
+    assert context.view.table().version == 2
+    assert context.follower.age_s() < 0.5, context.follower.age_s()
+
+
 @then("whoever is told of a change, a list or a peer's update finds the age of before it")
 def then_age_of_before(context):
     found = []
--- a/features/support/relay_zone.py
+++ b/features/support/relay_zone.py
@@ -103,7 +103,7 @@
     def _check(self):
         while not self.stopping.wait(CHECK_INTERVAL_S):
             for follower in self.followers:
-                follower.check()
+                follower.check(has_dependents=self.relay.has_dependents())
 
     def turn_away(self):
         """Have the store refuse this node, its waiting watches included."""
@@ -115,7 +115,11 @@
         self.store.is_cut = False
 
     def is_fresh(self):
-        return all(one.age_s() < MAX_RELAY_AGE_S for one in self.followers)
+        """Whether each view is known to be current; a node that follows the store may ask it."""
+        return all(
+            one.age_s() < MAX_RELAY_AGE_S or (not one.is_relayed and one.confirm())
+            for one in self.followers
+        )
 
     def version(self):
         table = self.configuration.table()
--- a/src/bellweir/hosted/views/follower.py
+++ b/src/bellweir/hosted/views/follower.py
@@ -35,6 +35,11 @@
 """Used after a failure, to find out early whether the store answers again."""
 WATCH_DELIVERY_TIMEOUT_S = 0.5
 """Time within which a watch should deliver a change that a read shows."""
+RELAYED_AGE_S = 0.6
+"""Age from which a view that is relayed to others is brought up to date. With the check interval
+and a heartbeat it must stay below `MAX_RELAY_AGE_S`."""
+CONFIRMATION_WAIT_S = 0.001
+"""The shortest time that a watch may wait; it then only tells whether there is a change."""
 MIN_BACKOFF_S = 0.05
 MAX_BACKOFF_S = 0.5
 """Bounds of the exponential backoff while the store does not answer."""
@@ -131,9 +136,11 @@
             self._record_failure(failure)
             stopping.wait(self._next_backoff_s())
 
-    def check(self) -> None:
+    def check(self, *, has_dependents: bool = False) -> None:
         """Interrupt the current watch if a stale read fails or shows undelivered changes.
 
+        Where other nodes depend on the view it is also brought up to date if it may be old.
+
         A watch whose connection was silently lost looks like one without changes.
 
         A stale read may be older than the view, so only a newer revision that the watch had time
@@ -143,13 +150,14 @@
         seen = self._revision
         if seen is None or self.is_relayed or self._unreachable_since_s is not None:
             return
-        asked_s = elapsed_s()
+        if has_dependents and self.age_s() > RELAYED_AGE_S:
+            self.confirm()
         found = self._store.list_kind(self._kind, stale=True)
         if self._watching_since_s != watching_since_s:
             return
         if isinstance(found, Success):
             if found.unwrap().newest_revision <= seen:
-                self.state.confirm(asked_s)
+                # No proof that the view is current: the read may be as old as the view is.
                 return
             if (
                 watching_since_s is None
@@ -159,6 +167,32 @@
         if watching_since_s is not None:
             self._store.interrupt_watches(self._kind)
 
+    def confirm(self) -> bool:
+        """Bring the view up to date by one call; return whether it is current as of that call.
+
+        Unlike the stale read of `check` its answer is linearizable. May be called on any thread.
+        """
+        revision = self.state.revision
+        if revision is None:
+            return False
+        asked_s = elapsed_s()
+        found = self._store.watch(self._kind, revision, CONFIRMATION_WAIT_S)
+        if not isinstance(found, Success):
+            is_history_gone = found.failure().kind is StoreErrorKind.COMPACTED
+            return is_history_gone and self._confirm_by_list()
+        changes = found.unwrap()
+        if not changes.is_complete:
+            return False
+        self.state.apply_changes(changes, asked_s)
+        return True
+
+    def _confirm_by_list(self) -> bool:
+        asked_s = elapsed_s()
+        found = self._store.list_kind(self._kind)
+        if isinstance(found, Success):
+            self.state.apply_listing(found.unwrap(), asked_s)
+        return isinstance(found, Success)
+
     def age_s(self) -> float:
         """Return the seconds since the view was last known to be current."""
         return elapsed_s() - self.state.current_as_of_s
--- a/src/bellweir/hosted/views/kind_state.py
+++ b/src/bellweir/hosted/views/kind_state.py
@@ -198,11 +198,6 @@
             self.grace_until_s = until_s
         self._on_recovery(until_s)
 
-    def confirm(self, as_of_s: float) -> None:
-        """Note that the state was current at a time."""
-        with self._lock:
-            self._confirm(as_of_s)
-
     def _confirm(self, as_of_s: float) -> None:
         self.current_as_of_s = max(self.current_as_of_s, as_of_s)
 
--- a/src/bellweir/hosted/views/service.py
+++ b/src/bellweir/hosted/views/service.py
@@ -161,7 +161,7 @@
                 cycle_s = READER_CHECK_INTERVAL_S / len(self._checked)
                 if stopping.wait(cycle_s if has_dependents else CHECK_INTERVAL_S):
                     return
-                follower.check()
+                follower.check(has_dependents=has_dependents)
                 self.workers.drop_expired()
 
     def _copy_from_peers(self, stopping: threading.Event) -> None:
