Refuse for good only by a configuration that is proven current

Cause: a final refusal rested on a view of any age. 404 knew no age at all; 401 for an unknown key went by a constant of 2 s, whatever the operator allows, and for no key by nothing.

Change: CurrentConfiguration proves the configuration current, up to two thirds of the operator's bound (configMs, new setting bounds.configMs): by its age, else by one call to the store for all requests that wait, 0.25 s at most. What the call brings counts: a route that was added is served at the first try. Without proof the answer is 503 with Retry-After, and the store is asked again after 0.5 s at the earliest. A newest configuration that can't be decoded, or has parts without a name, proves nothing. Refusals log the configuration's age, and configuration_unproven tells why there was no proof.

hosted_tenants expected 401 for a request without a key at a configuration 30 s old. That was the fault: a newer one may make the route public or drop the keys. It now expects 503 there, and 401 for both once the configuration is proven.

--- a/features/hosted_tenants.feature
+++ b/features/hosted_tenants.feature
@@ -35,7 +35,8 @@
 
   Scenario: A gateway whose configuration may be old
     Given the gateway's configuration may be 30 s old
-    Then a request with a known key is served, with an unknown one gets 503, and without a key gets 401
+    Then a request with a known key is served, with an unknown one or without a key it gets 503
+    And once the configuration is proven, an unknown key and none get 401
 
   Scenario: Keys that are to be revoked strictly
     Then a known key is accepted up to the maximum age of the configuration, and undecided after it
--- a/features/support/hosted_gateway.py
+++ b/features/support/hosted_gateway.py
@@ -4,6 +4,8 @@
 import itertools
 import socket
 import threading
+import time
+from functools import partial
 from types import SimpleNamespace
 
 import msgspec
@@ -17,17 +19,18 @@
 from bellweir.hosted.serving.metrics import RequestMetrics
 from bellweir.hosted.serving.selection import WorkerLoads
 from bellweir.hosted.serving.streams import StreamForwarder
-from bellweir.hosted.settings import RoomSettings
+from bellweir.hosted.settings import BoundSettings, RoomSettings
 from bellweir.hosted.sight.interface import WorkerStats
 from bellweir.hosted.tenants.admission import KeyCheck
 from bellweir.hosted.usage.counter import UsageCounter
 from bellweir.hosted.usage.wall_clock import StableWallClock
 from bellweir.hosted.views.configuration import ConfigurationView
+from bellweir.hosted.views.current_configuration import CurrentConfiguration, max_refusal_age_s
 from bellweir.hosted.views.workers import WorkersView
 from bellweir.http_server.caller_watch import CallerWatch
 from bellweir.http_server.server import HttpServer
 from bellweir.http_server.server_limits import ServerLimits
-from bellweir.kernel.executors import Executors
+from bellweir.kernel.executors import Executors, WorkKind
 from bellweir.kernel.listeners import address_of
 from bellweir_platform.headers import HEADERS
 
@@ -106,7 +109,17 @@
         )
         streams = StreamForwarder(forwarder, self.loads, connections, self.caller_watch)
         self.configuration_age_s = 0.0
-        key_check = KeyCheck(lambda: self.configuration_age_s)
+        self.store_configuration = None
+        self.confirm = self._confirm_by_store
+        self.confirmations = 0
+        current = CurrentConfiguration(
+            self.view,
+            lambda: self.configuration_age_s,
+            lambda: self.confirm(),
+            max_refusal_age_s(BoundSettings()),
+            partial(self.executors.submit, WorkKind.INTERACTIVE),
+        )
+        key_check = KeyCheck(current.age_s)
         self.application = RequestApplication(
             HEADERS,
             self.view,
@@ -114,6 +127,7 @@
             streams,
             NoBatches(),
             key_check,
+            current,
             sends_urgency=self.room_settings.send_urgency,
         )
         listener = socket.create_server(("127.0.0.1", 0))
@@ -122,6 +136,16 @@
         self.executors.run_task("http", self.server.run_until_closed)
         self._numbers = itertools.count(1)
 
+    def _confirm_by_store(self):
+        """Take what the store has, `store_configuration`; without one it does not answer."""
+        self.confirmations += 1
+        time.sleep(0.02)
+        if self.store_configuration is None:
+            return False
+        self.view.apply(self.store_configuration, "store")
+        self.configuration_age_s = 0.0
+        return True
+
     def show_workers(self, entries):
         records = tuple(
             StoredRecord("servers", name, 1, msgspec.json.decode(msgspec.json.encode(entry)))
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -178,6 +178,7 @@
         "attempts",
         "ms",
         "workers_age_ms",
+        "configuration_age_ms",
         "ready",
     ),
     "A client's request was answered with an error by the gateway itself.",
@@ -219,6 +220,14 @@
     "A request carries no key of the configuration in force; `undecided`: a newer configuration "
     "may have it.",
 )
+CONFIGURATION_UNPROVEN = Event(
+    1447,
+    "configuration_unproven",
+    Level.WARNING,
+    ("cause", "age_s"),
+    "The store could not be asked whether the configuration is current; requests without a route "
+    "or with an unknown key get 503.",
+)
 WORKER_SET_ASIDE = Event(
     1500,
     "worker_set_aside",
--- a/src/bellweir/hosted/serving/application.py
+++ b/src/bellweir/hosted/serving/application.py
@@ -1,6 +1,7 @@
 """WSGI application for client requests and for the batch job API."""
 
 from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
 
 from waitress.channel import ClientDisconnected
 
@@ -8,13 +9,14 @@
 from bellweir.hosted.batches.api import BatchApi
 from bellweir.hosted.interface import HeaderNames
 from bellweir.hosted.log_events import REQUEST_GIVEN_UP
-from bellweir.hosted.records import RouteKind
+from bellweir.hosted.records import Route, RouteKind
 from bellweir.hosted.serving.client_request import read_client_request, with_urgency
-from bellweir.hosted.serving.forwarding import Forwarder, gateway_response
+from bellweir.hosted.serving.forwarding import MAX_LOGGED_AGE_S, Forwarder, gateway_response
 from bellweir.hosted.serving.streams import StreamForwarder
 from bellweir.hosted.tenants.admission import KeyCheck
 from bellweir.hosted.tenants.interface import Admission, Verdict
 from bellweir.hosted.views.configuration import ConfigurationView, RouteTable
+from bellweir.hosted.views.current_configuration import CurrentConfiguration
 from bellweir.http_server.body_pipe import BodyCutError
 from bellweir.http_server.http import BadRequestError, Caller, Environ, Request, Response
 from bellweir.http_server.task import ABORT_CONNECTION
@@ -25,6 +27,26 @@
 UNDECIDED_RETRY_AFTER_S = 0.1
 
 
+@dataclass(frozen=True, slots=True)
+class _Match:
+    """What a configuration says of a request."""
+
+    table: RouteTable
+    route: Route | None
+    """None also for calls of the batch job API."""
+    admission: Admission | None
+    """None without a route."""
+    is_closed: bool = False
+    """Whether the route can't be decoded."""
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether the request has no route, or its key is not allowed."""
+        if self.admission is None:
+            return not self.is_closed
+        return self.admission.verdict is not Verdict.ALLOWED
+
+
 class RequestApplication:
     """Serves client requests and calls of the batch job API."""
 
@@ -36,10 +58,12 @@
         streams: StreamForwarder,
         batches: BatchApi,
         key_check: KeyCheck,
+        current: CurrentConfiguration,
         *,
         sends_urgency: bool = False,
     ) -> None:
         """`sends_urgency`: pass the priority of each request to engines in a header."""
+        self._current = current
         self._sends_urgency = sends_urgency
         self._names = names
         self._configuration = configuration
@@ -80,21 +104,42 @@
         table = self._configuration.table()
         if table is None:
             return gateway_response(503, "no_configuration", NO_CONFIGURATION_RETRY_AFTER_S)
+        match = self._match(request, table)
+        if match.is_refused:
+            # The refusal is final, so the configuration must be current.
+            proven = self._current.proven()
+            if proven is None:
+                return self._defer_undecided(request, match)
+            if proven is not table:
+                match = self._match(request, proven)
+        if match.is_refused:
+            return self._refuse_match(request, match)
+        return self._serve(request, match)
+
+    def _match(self, request: Request, table: RouteTable) -> "_Match":
+        """Find the route of a request and judge its key, before any of its body is read."""
         host = request.header("Host") or ""
         if self._batches.is_job_request(request):
-            admission = self._admit(request, table, is_public=table.has_public_jobs(host))
-            refusal = self._refuse_unauthorized(request, admission)
-            return refusal or self._batches.serve_job_request(request, admission.tenant_name)
+            admission = self._judge(request, table, is_public=table.has_public_jobs(host))
+            return _Match(table, None, admission)
+        if table.is_closed(host, request.raw_path):
+            return _Match(table, None, None, is_closed=True)
         route = table.find(host, request.raw_path)
-        if route is None and table.is_closed(host, request.raw_path):
-            self._log_refusal(request, 503, "route_unreadable")
-            return gateway_response(503, "route_unreadable", NO_CONFIGURATION_RETRY_AFTER_S)
         if route is None:
-            return self._refuse(request, 404, "no_route")
-        admission = self._admit(request, table, is_public=route.public)
-        refusal = self._refuse_unauthorized(request, admission)
-        if refusal is not None:
-            return refusal
+            return _Match(table, None, None)
+        return _Match(table, route, self._judge(request, table, is_public=route.public))
+
+    def _judge(self, request: Request, table: RouteTable, *, is_public: bool) -> Admission:
+        authorization = request.header(self._names.authorization)
+        return self._key_check.judge(table, authorization, is_public=is_public)
+
+    def _serve(self, request: Request, match: "_Match") -> Response:
+        """Serve a request that is allowed."""
+        table, route, admission = match.table, match.route, match.admission
+        if match.is_closed or admission is None:
+            return self._defer(request, "route_unreadable", NO_CONFIGURATION_RETRY_AFTER_S)
+        if route is None:
+            return self._batches.serve_job_request(request, admission.tenant_name)
         tenant = admission.tenant_name if table.keys.are_required else None
         if route.accepts_jobs:
             return self._batches.accept(request, route, tenant)
@@ -106,19 +151,30 @@
             return self._streams.forward(client, table)
         return self._forwarder.forward(client, table)
 
-    def _admit(self, request: Request, table: RouteTable, *, is_public: bool) -> Admission:
-        """Check the request's API key before any of its body is read."""
+    def _refuse_match(self, request: Request, match: "_Match") -> Response:
+        """Refuse a request for good: its route or its key is not there."""
+        if match.admission is None:
+            return self._refuse(request, 404, "no_route")
+        if match.admission.verdict is Verdict.UNDECIDED:
+            return self._defer_undecided(request, match)
+        self._record_key_refusal(request, match, Verdict.REFUSED)
+        return self._refuse(request, 401, "unknown_key")
+
+    def _defer_undecided(self, request: Request, match: "_Match") -> Response:
+        """Refuse a request for now that a current configuration may allow."""
+        if match.admission is None:
+            return self._defer(request, "route_undecided", UNDECIDED_RETRY_AFTER_S)
+        self._record_key_refusal(request, match, Verdict.UNDECIDED)
+        return gateway_response(503, "key_undecided", UNDECIDED_RETRY_AFTER_S)
+
+    def _record_key_refusal(self, request: Request, match: "_Match", verdict: Verdict) -> None:
         authorization = request.header(self._names.authorization)
-        return self._key_check.check(
-            table, authorization, is_public=is_public, request_id=request.request_id
-        )
+        self._key_check.record_refusal(match.table, verdict, authorization, request.request_id)
 
-    def _refuse_unauthorized(self, request: Request, admission: Admission) -> Response | None:
-        if admission.verdict is Verdict.REFUSED:
-            return self._refuse(request, 401, "unknown_key")
-        if admission.verdict is Verdict.UNDECIDED:
-            return gateway_response(503, "key_undecided", UNDECIDED_RETRY_AFTER_S)
-        return None
+    def _defer(self, request: Request, cause: str, retry_after_s: float) -> Response:
+        """Refuse a request for now."""
+        self._log_refusal(request, 503, cause)
+        return gateway_response(503, cause, retry_after_s)
 
     def _refuse(self, request: Request, status: int, cause: str) -> Response:
         self._log_refusal(request, status, cause)
@@ -134,6 +190,7 @@
             request_id=request.request_id,
             route=request.raw_path[:80],
             configuration=table.version if table else None,
+            configuration_age_ms=round(1000 * min(self._current.age_s(), MAX_LOGGED_AGE_S)),
             status=status,
             cause=cause[:200],
             attempts=0,
--- a/src/bellweir/hosted/serving/service.py
+++ b/src/bellweir/hosted/serving/service.py
@@ -30,6 +30,7 @@
 from bellweir.hosted.tenants.admission import KeyCheck
 from bellweir.hosted.usage.sender import UsageCountsService
 from bellweir.hosted.views.configuration import RouteTable
+from bellweir.hosted.views.current_configuration import CurrentConfiguration, max_refusal_age_s
 from bellweir.hosted.views.service import ViewsService
 from bellweir.http_server.caller_watch import CallerWatch
 from bellweir.http_server.http import Request, Response, json_response
@@ -37,6 +38,7 @@
 from bellweir.http_server.server_limits import ServerLimits
 from bellweir.kernel import names
 from bellweir.kernel.clock import elapsed_s
+from bellweir.kernel.executors import WorkKind
 from bellweir.kernel.listeners import bind_address
 from bellweir.kernel.node import Kernel
 from bellweir.kernel.service import Service
@@ -199,6 +201,7 @@
                 "nearby",
             ),
         )
+        current = self._current_configuration()
         return RequestApplication(
             self._platform.headers,
             self._views.configuration,
@@ -206,17 +209,33 @@
             streams,
             batches,
             KeyCheck(
-                self._views.configuration_follower.age_s,
+                current.age_s,
                 metrics.add_counter(
                     "bellweir_keys_refused",
                     "Requests without a key that the configuration in force has, by verdict.",
                     "verdict",
                 ),
                 max_key_age_s(self._settings.tenants),
+                max_refusal_age_s(self._settings.bounds),
             ),
+            current,
             sends_urgency=self._settings.room.send_urgency,
         )
 
+    def _current_configuration(self) -> CurrentConfiguration:
+        follower = self._views.configuration_follower
+        longest_s = (
+            max_refusal_age_s(self._settings.bounds),
+            max_key_age_s(self._settings.tenants),
+        )
+        return CurrentConfiguration(
+            self._views.configuration,
+            follower.age_s,
+            follower.confirm,
+            min(longest_s),
+            partial(self._kernel.executors.submit, WorkKind.INTERACTIVE),
+        )
+
     def _slots_taken(self) -> dict[str, float]:
         """Return the fraction of slots in use by service, as known to this gateway."""
         table = self._views.configuration.table()
--- a/src/bellweir/hosted/settings.py
+++ b/src/bellweir/hosted/settings.py
@@ -69,6 +69,8 @@
     """Longest time in seconds for which clients cache an answer of the directory."""
     status_s: float = 120.0
     """Seconds for which a batch job can be read after it has ended."""
+    config_ms: float = 2_000.0
+    """Milliseconds within which a configuration that the store has taken is in force."""
 
 
 class TenantSettings(msgspec.Struct, frozen=True, rename="camel"):
@@ -343,6 +345,8 @@
         yield _finding("usage.windowS", str(settings.usage.window_s), "above 0")
     if settings.usage.late_s <= 0:
         yield _finding("usage.lateS", str(settings.usage.late_s), "above 0")
+    if settings.bounds.config_ms <= 0:
+        yield _finding("bounds.configMs", str(settings.bounds.config_ms), "above 0")
     if settings.bounds.grace_period_s <= 0:
         yield _finding("bounds.gracePeriodS", str(settings.bounds.grace_period_s), "above 0")
 
--- a/src/bellweir/hosted/views/configuration.py
+++ b/src/bellweir/hosted/views/configuration.py
@@ -33,10 +33,18 @@
     """
 
     def __init__(
-        self, configuration: Configuration, closed: frozenset[RouteKey] = frozenset()
+        self,
+        configuration: Configuration,
+        closed: frozenset[RouteKey] = frozenset(),
+        *,
+        lacks_parts: bool = False,
     ) -> None:
-        """`closed` are routes that cannot be decoded; their requests are not forwarded."""
+        """`closed` are routes that cannot be decoded; their requests are not forwarded.
+
+        `lacks_parts`: it has parts of which not even the name can be decoded.
+        """
         self.configuration = configuration
+        self.lacks_parts = lacks_parts
         self.closed = closed
         self.services: Mapping[str, ServiceEntry] = MappingProxyType(
             {entry.name: entry for entry in configuration.services}
@@ -109,6 +117,7 @@
         self._last_rejected: object = NOTHING_REJECTED
         self._lock = threading.Lock()
         self._table: RouteTable | None = None
+        self._is_newest_rejected = False
         self._spec: object = None
         self._listeners: list[Callable[[RouteTable], None]] = []
         self.known = threading.Event()
@@ -118,6 +127,11 @@
         """Return the active routes; None while no configuration is known."""
         return self._table
 
+    @property
+    def lacks_newest(self) -> bool:
+        """Whether parts of the newest configuration, or all of it, could not be decoded."""
+        return self._is_newest_rejected or (self._table is not None and self._table.lacks_parts)
+
     def services(self) -> Mapping[str, ServiceEntry]:
         """Return the services of the configuration in force, by name; empty without one."""
         table = self.table()
@@ -155,13 +169,15 @@
             try:
                 result = read_configuration(spec, self._spec, previous)
             except InvalidEntryError as failure:
+                self._is_newest_rejected = True
                 self._record_rejected(spec, str(failure))
                 return
             configuration = result.configuration
             if previous is not None and configuration.version <= previous.version:
                 return
-            table = RouteTable(configuration, result.closed)
+            table = RouteTable(configuration, result.closed, lacks_parts=result.lacks_parts)
             self._table = table
+            self._is_newest_rejected = False
             self._spec = spec
         self.known.set()
         for part in result.unreadable:
--- a/src/bellweir/hosted/views/configuration_parts.py
+++ b/src/bellweir/hosted/views/configuration_parts.py
@@ -54,6 +54,11 @@
     closed: frozenset[RouteKey]
     unreadable: tuple[UnreadablePart, ...]
 
+    @property
+    def lacks_parts(self) -> bool:
+        """Whether a part is left out, so that what it named is not known."""
+        return any(part.fallback == ABSENT for part in self.unreadable)
+
 
 def route_key(route: Route) -> RouteKey:
     """Return the host and prefix that identify a route."""
--- a/src/bellweir_rehearsal/hosted/deployment.py
+++ b/src/bellweir_rehearsal/hosted/deployment.py
@@ -529,6 +529,7 @@
             "dataPath": str(machine.data_folder) if machine.role == "store" else None,
             "bounds": {
                 "leaseMs": 3000,
+                "configMs": 2000,
                 "gracePeriodS": 8,
                 "ttl_max_s": 5,
                 "cancelMs": 3000,
