--- a/src/bellweir_rehearsal/hosted/worker.py
+++ b/src/bellweir_rehearsal/hosted/worker.py
@@ -45,6 +45,11 @@
     """Answer without a signature."""
     late_orders: int = 0
     """Leave orders unanswered and carry them out `late_s` later, if what they expect holds."""
+    crash_bodies: frozenset[bytes] = frozenset()
+    """Bodies of requests under which the worker ends, `crash_after_s` after it begins them."""
+    crash_after_s: float = 0.08
+    back_after_s: float = 1.5
+    """Time after such an end until it starts again."""
     late_s: float = 0.5
     delay_s: float = 0.0
 
@@ -76,6 +81,10 @@
     cold_times: list[tuple[float, float]] = field(default_factory=list)
     """Begin and end of each time in which it was cold."""
     orders: list[TakenOrder] = field(default_factory=list)
+    crashing_s: list[float] = field(default_factory=list)
+    """Monotonic times at which requests came that end the worker."""
+    crashes_s: list[float] = field(default_factory=list)
+    """Monotonic times at which it ended by them."""
     refusals: int = 0
     """Requests that were not run."""
     resumed_after: dict[str, int] = field(default_factory=dict)
@@ -192,6 +201,26 @@
         self.server.close()
         self.server.break_off()
 
+    def _crash_under(self, handler: Any) -> None:
+        """End by a request that runs, and start again later; once for all that run it."""
+        self.record.crashing_s.append(time.monotonic())
+        time.sleep(self.faults.crash_after_s)
+        with self._lock:
+            is_first = handler.start == self.starts and self.down_since_s is None
+            if is_first:
+                self.down_since_s = time.monotonic()
+        if is_first:
+            self.record.crashes_s.append(time.monotonic())
+            self.crash()
+            back = threading.Timer(self.faults.back_after_s, self._come_back)
+            back.daemon = True
+            back.start()
+        handler.close_connection = True
+
+    def _come_back(self) -> None:
+        if self.down_since_s is not None:
+            self.start_again()
+
     def go_dark(self) -> None:
         """Be cut off: nothing comes through, and connections stay open in silence."""
         self.down_since_s = time.monotonic()
@@ -322,6 +351,9 @@
             found = {name.lower(): value for name, value in handler.headers.items()}
             self.record.headers[request_id] = found
         self._on_run(request_id)
+        if body in self.faults.crash_bodies:
+            self._crash_under(handler)
+            return
         time.sleep(self.faults.delay_s)
         if self.faults.strikes("lose_answer"):
             handler.reset()
