Quarantine requests that crash the workers that run them

Cause: nothing remembered a request across its attempts. The attempts of one request are bounded; the same request came again as a new one, at any gateway, and each brought its own retries.

Change: package hosted/crashes. A broken connection is looked into: a worker whose address refuses connections, or whose entry goes or names another start, has ended under all that it ran. Ends count for a digest of the request (method, host, path with query, tenant, body), once for each incarnation, whoever reports them; a run to its end clears them. From three ends on the request is quarantined for ten minutes after the last one: 503 with the time left, at once, without a worker. From two on it is not retried by itself and runs apart from others like it. News goes to the peers at powers of two in the zone's ring and one of each other zone, and is passed on; it is repeated to one peer a second, and a node that starts or was halted asks. Streams, items of batch jobs and their scoring calls go the same way. Settings crashes.quarantine and crashes.lifted, events BW1520 to 1522, two metrics.

--- a/src/bellweir/clients/interface/errors.py
+++ b/src/bellweir/clients/interface/errors.py
@@ -35,6 +35,8 @@
     retry_after_s: float | None = None
     answered: bool = False
     """Whether the system itself has answered, with a refusal: it can be reached."""
+    ended_by_peer: bool = False
+    """Whether the peer ended the connection, rather than time running out."""
 
     @property
     def proves_not_run(self) -> bool:
--- a/src/bellweir/clients/pool.py
+++ b/src/bellweir/clients/pool.py
@@ -267,7 +267,17 @@
     return body if body is None or isinstance(body, bytes) else RequestBody(body)
 
 
+def is_end_by_peer(failure: BaseException) -> bool:
+    """Whether an exception of a call says that the peer ended the connection.
+
+    >>> is_end_by_peer(ConnectionResetError()), is_end_by_peer(TimeoutError())
+    (True, False)
+    """
+    return isinstance(failure, ConnectionError | http.client.IncompleteRead)
+
+
 def _typed_failure(failure: Exception, bytes_written: int) -> PlatformError:
     if bytes_written == 0:
         return PlatformError(ErrorKind.NOT_RUN, f"nothing written: {failure!r}")
-    return PlatformError(ErrorKind.UNKNOWN, f"no answer after a write: {failure!r}")
+    detail = f"no answer after a write: {failure!r}"
+    return PlatformError(ErrorKind.UNKNOWN, detail, ended_by_peer=is_end_by_peer(failure))
--- a/src/bellweir/hosted/batches/attempts.py
+++ b/src/bellweir/hosted/batches/attempts.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Collection
 
 from bellweir.clients.open_answer import OpenAnswer
+from bellweir.clients.pool import is_end_by_peer
 from bellweir.events.log import emit
 from bellweir.hosted.batches.event_times import WorkerEventTimes
 from bellweir.hosted.batches.length_prediction import LengthPredictor
@@ -16,6 +17,7 @@
 from bellweir.hosted.batches.refusals import RefusalBackoff
 from bellweir.hosted.batches.state import JobItem, TextCheckpoint
 from bellweir.hosted.batches.worker_quarantine import WorkerQuarantine
+from bellweir.hosted.crashes.interface import CrashGuard, NoCrashGuard, RunEnd
 from bellweir.hosted.event_stream import EventSplitter, EventTooLongError
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.interface import HeaderNames
@@ -26,6 +28,7 @@
     WORKER_SERVES_AGAIN,
 )
 from bellweir.hosted.serving.attempt import (
+    AttemptOutcome,
     AttemptState,
     Cancellation,
     OpenedAttempt,
@@ -33,7 +36,7 @@
     WorkerConnections,
     read_response,
 )
-from bellweir.hosted.serving.failed_attempt import UNANSWERED
+from bellweir.hosted.serving.failed_attempt import UNANSWERED, run_end
 from bellweir.hosted.serving.selection import WorkerLoads
 from bellweir.hosted.views.workers import Worker
 from bellweir.kernel.clock import elapsed_s
@@ -65,7 +68,14 @@
 class ItemRunner:
     """Runs attempts; each call blocks until its attempt has ended, and sets its outcome."""
 
-    def __init__(self, connections: WorkerConnections, loads: WorkerLoads) -> None:
+    def __init__(
+        self,
+        connections: WorkerConnections,
+        loads: WorkerLoads,
+        crashes: CrashGuard | None = None,
+    ) -> None:
+        """`crashes` keeps items that crash workers from further ones."""
+        self._crashes = crashes if crashes is not None else NoCrashGuard()
         self._connections = connections
         self._loads = loads
         self.refusal_backoff = RefusalBackoff()
@@ -81,6 +91,28 @@
         self.checkpoint_interval_s = 0.0
         """Time between two checkpoints of a text; 0 disables them."""
 
+    def is_quarantined(self, progress: ItemProgress) -> bool:
+        """Whether an item must be sent to no worker now, since others ended while they ran it."""
+        if self._crashes.is_idle:
+            return False
+        return self._crashes.quarantine_left_s(progress.fingerprint) > 0
+
+    def occupied(self, progress: ItemProgress) -> frozenset[Incarnation]:
+        """Return the workers that an item must not share; none unless it is suspected."""
+        return (
+            frozenset() if self._crashes.is_idle else self._crashes.occupied(progress.fingerprint)
+        )
+
+    def record_run_start(self, progress: ItemProgress, worker: Worker) -> None:
+        """Record that a worker may begin to run an item."""
+        if not self._crashes.is_idle:
+            self._crashes.record_start(progress.fingerprint, worker)
+
+    def record_run_end(self, progress: ItemProgress, worker: Worker, end: RunEnd) -> None:
+        """Record how a run of an item ended."""
+        if end is RunEnd.BROKEN or not self._crashes.is_idle:
+            self._crashes.record_end(progress.fingerprint, worker, end, progress.item.id)
+
     def note_silent(self, worker: Worker) -> None:
         """Note that a run is taken from a worker because it has fallen silent."""
         self._loads.eligibility.note_unanswered(worker)
@@ -104,6 +136,7 @@
     ) -> None:
         """Generate the text from the first missing event on."""
         progress.attempts += 1
+        self.record_run_start(progress, worker)
         emit(
             ITEM_STARTED,
             request_id=progress.item.id,
@@ -116,15 +149,21 @@
         )
         began_s = elapsed_s()
         progress.last_event_s = progress.checkpointed_s = began_s
-        opened = self._open_generation(progress, worker, cancellation)
-        if cancellation.cancelled.is_set():
-            self._end_cancelled(progress, worker, opened.opened)
-        elif opened.opened is None or opened.state is not AttemptState.ANSWERED:
-            self._handle_no_answer(progress, worker, opened)
-        elif opened.opened.status >= 300:
-            self._handle_error_answer(progress, worker, opened)
-        else:
-            self._read_events(progress, worker, opened.opened, began_s, cancellation)
+        end = RunEnd.OTHER
+        try:
+            opened = self._open_generation(progress, worker, cancellation)
+            if cancellation.cancelled.is_set():
+                self._end_cancelled(progress, worker, opened.opened)
+            elif opened.opened is None or opened.state is not AttemptState.ANSWERED:
+                end = RunEnd.BROKEN if opened.ended_by_worker else RunEnd.OTHER
+                self._handle_no_answer(progress, worker, opened)
+            elif opened.opened.status >= 300:
+                end = RunEnd.SURVIVED
+                self._handle_error_answer(progress, worker, opened)
+            else:
+                end = self._read_events(progress, worker, opened.opened, began_s, cancellation)
+        finally:
+            self.record_run_end(progress, worker, end)
 
     def _open_generation(
         self, progress: ItemProgress, worker: Worker, cancellation: Cancellation
@@ -166,7 +205,8 @@
         opened: OpenAnswer,
         began_s: float,
         cancellation: Cancellation,
-    ) -> None:
+    ) -> RunEnd:
+        """Add the events to the item's progress; return how the run ended."""
         names = self._connections.headers
         opened.ends_with_connection = False
         splitter = EventSplitter(names.weight_versions)
@@ -190,16 +230,17 @@
         except STREAM_ERRORS as exc:
             if cancellation.cancelled.is_set():
                 self._end_cancelled(progress, worker, opened)
-                return
+                return RunEnd.OTHER
             opened.drop()
             self._end_failed_stream(progress, worker, exc)
-            return
+            return RunEnd.BROKEN if is_end_by_peer(exc) else RunEnd.OTHER
         opened.finish()
         self._loads.record_success(worker.incarnation, elapsed_s() - began_s)
         self.length_predictor.record_completed(
             progress.item.id, progress.guessed_tokens, progress.events
         )
         progress.complete_generation()
+        return RunEnd.SURVIVED
 
     def _record_events(
         self, progress: ItemProgress, worker: Worker, count: int, *, is_first: bool
@@ -276,9 +317,7 @@
             return
         began_s = elapsed_s()
         call = WorkerCall("POST", scorer.path, scorer.host, scorer.id, [], scorer.body)
-        outcome = self._connections.call(
-            worker, call, SCORING_TIMEOUT_S, SCORING_DEADLINE_MS, cancellation
-        )
+        outcome = self._call_scorer(progress, worker, call, cancellation)
         answer = outcome.response
         if cancellation.cancelled.is_set() and answer is None:
             self._end_cancelled(progress, worker, None)
@@ -303,6 +342,21 @@
             progress, worker, f"scoring: {outcome.state.value} {outcome.detail}"
         )
 
+    def _call_scorer(
+        self, progress: ItemProgress, worker: Worker, call: WorkerCall, cancellation: Cancellation
+    ) -> AttemptOutcome:
+        """Make a scoring call and record how its run ended."""
+        self.record_run_start(progress, worker)
+        end = RunEnd.OTHER
+        try:
+            outcome = self._connections.call(
+                worker, call, SCORING_TIMEOUT_S, SCORING_DEADLINE_MS, cancellation
+            )
+            end = run_end(outcome, is_cancelled=cancellation.cancelled.is_set())
+        finally:
+            self.record_run_end(progress, worker, end)
+        return outcome
+
     def _handle_scoring_error(
         self, progress: ItemProgress, status: int, maximum_failures: int, worker: Worker
     ) -> None:
--- a/src/bellweir/hosted/batches/coordinator.py
+++ b/src/bellweir/hosted/batches/coordinator.py
@@ -193,7 +193,7 @@
             if progress.stage is Stage.RESULT:
                 if not progress.is_committing:
                     self.committer.put_result(progress)
-            elif progress.not_before_s <= now_s:
+            elif progress.not_before_s <= now_s and not self._attempts.is_quarantined(progress):
                 yield progress
 
     def _progress_of(
--- a/src/bellweir/hosted/batches/progress.py
+++ b/src/bellweir/hosted/batches/progress.py
@@ -3,10 +3,12 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
+from functools import cached_property
 
 from bellweir.hosted.batches.checkpoint_marks import events_of, new_mark
 from bellweir.hosted.batches.state import ItemResult, Job, JobItem, TextCheckpoint
 from bellweir.hosted.batches.text_compression import compress_text, decompress_text
+from bellweir.hosted.crashes.fingerprint import Fingerprint, fingerprint
 from bellweir.hosted.event_stream import StreamEvent
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.records import Route
@@ -78,6 +80,27 @@
     held_since_s: float | None = None
     """Monotonic time since which it waits for a better worker while others have free slots."""
 
+    @property
+    def fingerprint(self) -> Fingerprint:
+        """Digest by which the item's request of this stage is recognized, in any job."""
+        scorer = self.item.scorer
+        is_scoring = self.stage is not Stage.GENERATION and scorer is not None
+        return self._scorer_fingerprint if is_scoring else self._item_fingerprint
+
+    @cached_property
+    def _item_fingerprint(self) -> Fingerprint:
+        # Items of equal contents are judged one by one: each has an id that lasts.
+        body = self.item.id.encode() + b"\n" + self.item.body
+        return fingerprint("POST", self.job.host, self.item.path, self.job.tenant, body)
+
+    @cached_property
+    def _scorer_fingerprint(self) -> Fingerprint:
+        scorer = self.item.scorer
+        if scorer is None:
+            return self._item_fingerprint
+        body = scorer.id.encode() + b"\n" + scorer.body
+        return fingerprint("POST", scorer.host, scorer.path, self.job.tenant, body)
+
     @property
     def stage_failures(self) -> list[Incarnation]:
         """Workers that answered 500 in the current stage."""
--- a/src/bellweir/hosted/batches/service.py
+++ b/src/bellweir/hosted/batches/service.py
@@ -6,6 +6,7 @@
 from bellweir.hosted.batches.coordinator import Coordinator
 from bellweir.hosted.batches.retention import JobRetention
 from bellweir.hosted.batches.state import JOBS_KEY, BatchJobs, JobState
+from bellweir.hosted.crashes.service import CrashService
 from bellweir.hosted.eligibility.cold_rates import CoordinatorShare
 from bellweir.hosted.eligibility.homes import Regions
 from bellweir.hosted.eligibility.rules import PlacementRules
@@ -34,7 +35,13 @@
     """Runs the coordinator, its committer and the retention of ended jobs."""
 
     name = names.BATCHES
-    dependencies = (names.VIEWS, names.LEDGER, names.TELEMETRY, names.TRANSPORT)
+    dependencies = (
+        names.VIEWS,
+        names.LEDGER,
+        names.TELEMETRY,
+        names.TRANSPORT,
+        names.CRASHES,
+    )
 
     def __init__(self, kernel: Kernel, settings: HostedSettings, platform: HostingPlatform) -> None:
         self._kernel = kernel
@@ -61,7 +68,8 @@
                 Regions(self._settings.node.zones),
             ),
         )
-        self._attempts = ItemRunner(self._connections, self._loads)
+        crashes = registry.find(names.CRASHES, CrashService).guard
+        self._attempts = ItemRunner(self._connections, self._loads, crashes)
         coordinator = Coordinator(
             ledger,
             self._views.configuration,
--- a/src/bellweir/hosted/batches/worker_selection.py
+++ b/src/bellweir/hosted/batches/worker_selection.py
@@ -222,6 +222,8 @@
                 return False
         if not self._loads.eligibility.may_start(worker):
             return False
+        if worker.incarnation in self._attempts.occupied(progress):
+            return False
         return self._loads.in_flight(worker.incarnation) < worker.entry.slots
 
 
--- /dev/null
+++ b/src/bellweir/hosted/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Quarantine of requests that crash the workers that run them."""
--- /dev/null
+++ b/src/bellweir/hosted/crashes/exchange.py
@@ -0,0 +1,152 @@
+"""Spreads records of requests that crash workers among all nodes.
+
+News travels at once: a node passes what is new to it on to the peers at powers of two in its zone's
+ring and to one node of each other zone. Besides, a node with records sends some of them to one peer
+each second, so that nodes which missed news get it, and one that may have missed some asks.
+Nothing is sent while no request is suspected, except the question at a start.
+"""
+
+import threading
+from collections.abc import Callable, Mapping, Sequence
+
+from returns.result import Success
+
+from bellweir.hosted.crashes.fingerprint import Fingerprint
+from bellweir.hosted.crashes.messages import CrashAnswer, CrashNews, CrashQuestion, CrashRecord
+from bellweir.hosted.crashes.table import CrashTable
+from bellweir.hosted.sight.gossip_ring import (
+    GatewayPeer,
+    position_of,
+    remote_peer,
+    rounds_to_reach_all,
+    zone_peer,
+    zone_rings,
+)
+from bellweir.kernel.clock import elapsed_s
+from bellweir.membership.interface import Member, Membership
+from bellweir.wire.interface import Sender, Transport
+
+ROUND_S = 1.0
+"""Time between two messages that repeat records."""
+MAX_REPEATED = 16
+"""Records in a repeating message; about 1.3 KB."""
+QUESTION_TIMEOUT_S = 0.3
+QUESTION_PAUSE_S = 0.3
+ASKING_S = 10.0
+"""Time after a start for which peers are asked until one answers."""
+STALLED_S = 2.5
+"""Time between two rounds from which this node may have missed news."""
+
+
+class CrashExchange:
+    """One node's part in the exchange."""
+
+    def __init__(
+        self,
+        transport: Transport,
+        membership: Membership,
+        table: CrashTable,
+        now_s: Callable[[], float] = elapsed_s,
+    ) -> None:
+        self._transport = transport
+        self._membership = membership
+        self._table = table
+        self._now_s = now_s
+        self._lock = threading.Lock()
+        self._changed: set[Fingerprint] = set()
+        self._wake = threading.Event()
+        self._round = 0
+        self._last_round_s = now_s()
+        self._ask_until_s = now_s() + ASKING_S
+        transport.register(CrashNews, self._on_news)
+        transport.register(CrashQuestion, self._on_question)
+
+    def announce(self, request: Fingerprint) -> None:
+        """Tell the other nodes what is known of a request; returns at once."""
+        with self._lock:
+            self._changed.add(request)
+        self._wake.set()
+
+    def run(self, stopping: threading.Event) -> None:
+        """Send news and repeat records until `stopping`. Runs as one task."""
+        while not stopping.is_set():
+            is_asking = self._now_s() < self._ask_until_s
+            self._wake.wait(QUESTION_PAUSE_S if is_asking else ROUND_S)
+            self._wake.clear()
+            self.send_news()
+            self._note_stall()
+            if self._now_s() < self._ask_until_s:
+                self.ask()
+            if self._now_s() - self._last_round_s >= ROUND_S:
+                self._last_round_s = self._now_s()
+                self.repeat()
+
+    def send_news(self) -> None:
+        """Pass on what is new to this node."""
+        with self._lock:
+            changed, self._changed = self._changed, set()
+        if not changed:
+            return
+        records = self._table.records(changed)
+        for address in self._partners():
+            self._transport.send(address, CrashNews(records))
+
+    def repeat(self) -> None:
+        """Send records to one peer, the most dangerous ones first."""
+        if self._table.is_empty:
+            return
+        own, rings = self._rings()
+        number, self._round = self._round, self._round + 1
+        ring = rings.pop(own.zone, [])
+        is_remote = bool(rings) and number % 2 == 1
+        peer = (
+            remote_peer(rings, position_of(ring, own.node), number // 2)
+            if is_remote
+            else zone_peer(ring, own.node, number // 2)
+        )
+        if peer is not None:
+            self._transport.send(peer.address, CrashNews(self._table.records()[:MAX_REPEATED]))
+
+    def ask(self) -> None:
+        """Ask peers for all records until one has answered."""
+        for address in self._partners():
+            answer = self._transport.request(address, CrashQuestion(), QUESTION_TIMEOUT_S)
+            match answer:
+                case Success(CrashAnswer() as found):
+                    self._merge(found.records)
+                    self._ask_until_s = self._now_s()
+                    return
+
+    def _note_stall(self) -> None:
+        """Ask again after a time in which this node may have been halted or suspended."""
+        if self._now_s() - self._last_round_s > STALLED_S:
+            self._ask_until_s = self._now_s() + ASKING_S
+
+    def _on_news(self, sender: Sender, message: CrashNews) -> None:
+        self._merge(message.records)
+
+    def _on_question(self, sender: Sender, message: CrashQuestion) -> CrashAnswer:
+        return CrashAnswer(self._table.records())
+
+    def _merge(self, records: Sequence[CrashRecord]) -> None:
+        for record in records:
+            if self._table.receive(record):
+                self.announce(record.fingerprint)
+
+    def _rings(self) -> tuple[Member, dict[str, list[GatewayPeer]]]:
+        """Return this node and the rings of all zones."""
+        rings = zone_rings(self._membership.members(), only_gateways=False)
+        return self._membership.self_member(), rings
+
+    def _partners(self) -> list[str]:
+        """Return the addresses of the peers that news is passed on to, those of the zone first."""
+        own, rings = self._rings()
+        ring = rings.pop(own.zone, [])
+        near = [zone_peer(ring, own.node, step) for step in range(rounds_to_reach_all(len(ring)))]
+        far = _one_of_each(rings, position_of(ring, own.node))
+        found = [peer.address for peer in (*near, *far) if peer is not None]
+        return list(dict.fromkeys(found))
+
+
+def _one_of_each(rings: Mapping[str, Sequence[GatewayPeer]], position: int) -> list[GatewayPeer]:
+    return [ring[position % len(ring)] for ring in rings.values() if ring]
--- /dev/null
+++ b/src/bellweir/hosted/crashes/worker_ends.py
@@ -0,0 +1,112 @@
+"""Tells the end of a worker from a connection that broke off while the worker lives on."""
+
+import socket
+import threading
+from collections.abc import Callable
+from enum import Enum
+
+from bellweir.hosted.crashes.fingerprint import Fingerprint
+from bellweir.hosted.incarnation import Incarnation
+from bellweir.hosted.records import WorkerState
+from bellweir.hosted.views.workers import Worker, WorkersView
+from bellweir.kernel.clock import elapsed_s
+
+PROBE_TIMEOUT_S = 0.1
+"""Longest time for which a request waits to learn whether its worker has ended."""
+UNDECIDED_S = 8.0
+"""Time for which a worker that could not be told is looked for in the view: longer than three
+heartbeats after which the entry of one that has ended goes."""
+MAX_UNDECIDED = 256
+
+
+class ProbeResult(Enum):
+    """What a new connection to a worker's address showed."""
+
+    REFUSED = "refused"
+    """Nobody listens there: the process has ended."""
+    ACCEPTED = "accepted"
+    SILENT = "silent"
+
+
+def probe(address: str) -> ProbeResult:
+    """Connect to `host:port` and close the connection again."""
+    host, _, port = address.rpartition(":")
+    try:
+        with socket.create_connection((host.strip("[]"), int(port)), PROBE_TIMEOUT_S):
+            return ProbeResult.ACCEPTED
+    except ConnectionRefusedError:
+        return ProbeResult.REFUSED
+    except (OSError, ValueError):
+        return ProbeResult.SILENT
+
+
+class _Undecided:
+    """A worker whose connections broke off, and the requests that it ran then."""
+
+    __slots__ = ("requests", "since_s", "worker")
+
+    def __init__(self, worker: Worker, since_s: float) -> None:
+        self.worker = worker
+        self.since_s = since_s
+        self.requests: set[Fingerprint] = set()
+
+
+class WorkerEnds:
+    """Decides which broken runs were ends of their workers. Thread-safe.
+
+    A worker has ended if nobody listens at its address any more, or if its entry goes or names
+    another incarnation soon after. One that said before that it drains ends as planned.
+    """
+
+    def __init__(
+        self,
+        workers: WorkersView,
+        is_view_current: Callable[[], bool],
+        on_end: Callable[[Fingerprint, Worker, str], None],
+        probe_address: Callable[[str], ProbeResult] = probe,
+        now_s: Callable[[], float] = elapsed_s,
+    ) -> None:
+        """`on_end` is called with each request that an ended worker ran, and the evidence."""
+        self._workers = workers
+        self._is_view_current = is_view_current
+        self._on_end = on_end
+        self._probe = probe_address
+        self._now_s = now_s
+        self._lock = threading.Lock()
+        self._undecided: dict[Incarnation, _Undecided] = {}
+
+    def note_broken(self, request: Fingerprint, worker: Worker) -> None:
+        """Note that a run broke off. Blocks for up to `PROBE_TIMEOUT_S`."""
+        if self._probe(worker.address) is ProbeResult.REFUSED:
+            self._on_end(request, worker, "connection refused")
+            return
+        with self._lock:
+            if len(self._undecided) < MAX_UNDECIDED:
+                found = _Undecided(worker, self._now_s())
+                self._undecided.setdefault(worker.incarnation, found).requests.add(request)
+
+    def resolve(self) -> None:
+        """Look for undecided workers in the view; called periodically."""
+        if not self._undecided or not self._is_view_current():
+            return
+        with self._lock:
+            undecided = list(self._undecided.values())
+        for one in undecided:
+            evidence = self._evidence(one.worker)
+            is_over = self._now_s() - one.since_s > UNDECIDED_S
+            if evidence or is_over or self._is_draining(one.worker):
+                with self._lock:
+                    self._undecided.pop(one.worker.incarnation, None)
+            for request in one.requests if evidence else ():
+                self._on_end(request, one.worker, evidence)
+
+    def _evidence(self, worker: Worker) -> str:
+        """Return what shows that a worker has ended; empty if nothing does."""
+        present = self._workers.worker(worker.instance)
+        if present is None:
+            return "entry gone"
+        return "started again" if present.incarnation != worker.incarnation else ""
+
+    def _is_draining(self, worker: Worker) -> bool:
+        present = self._workers.worker(worker.instance)
+        return present is not None and present.entry.state is not WorkerState.READY
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -228,6 +228,27 @@
     "The store could not be asked whether the configuration is current; requests without a route "
     "or with an unknown key get 503.",
 )
+WORKER_ENDED_UNDER = Event(
+    1520,
+    "worker_ended_under",
+    Level.WARNING,
+    ("digest", "instance", "service", "ends", "quarantined", "evidence"),
+    "A worker ended while it ran a request; `digest` names the request, `ends` counts the workers.",
+)
+REQUEST_QUARANTINED = Event(
+    1521,
+    "request_quarantined",
+    Level.WARNING,
+    ("request_id", "digest", "ends", "left_s"),
+    "A request was sent to no worker, since others ended while they ran the same request.",
+)
+REQUEST_ACQUITTED = Event(
+    1522,
+    "request_acquitted",
+    Level.INFO,
+    ("request_id", "digest"),
+    "A worker answered a request under which others had ended; their ends no longer count.",
+)
 WORKER_SET_ASIDE = Event(
     1500,
     "worker_set_aside",
--- a/src/bellweir/hosted/process.py
+++ b/src/bellweir/hosted/process.py
@@ -12,6 +12,7 @@
 
 from bellweir.events.bounded import BoundedLog
 from bellweir.events.log import bind_node, configure_logs, emit
+from bellweir.hosted.crashes.service import CrashService
 from bellweir.hosted.entries import EntryValidator
 from bellweir.hosted.interface import HostingPlatform
 from bellweir.hosted.log_events import (
@@ -90,6 +91,7 @@
         add(ViewsService(kernel, store, seeds, seed_wait_s, entries, settings.places))
         add(PeerRecords(kernel, store, is_first_start=settings.node.bootstrap))
         add(MetricsService(kernel, settings, store))
+        add(CrashService(kernel, settings.crashes))
         for make in _role_services(settings.node.role):
             add(make(kernel, settings, platform))
 
@@ -121,7 +123,10 @@
         self._wake.set()
 
     def _reload(self) -> None:
-        """Validate the changed settings and log the differences; they apply from the next start."""
+        """Validate the changed settings and log the differences.
+
+        They apply from the next start, but for requests that are released from quarantine.
+        """
         try:
             loaded = load_settings(self._path)
         except SettingsError as failure:
@@ -129,6 +134,7 @@
             return
         changed = _changed_parts(self._loaded.settings, loaded.settings)
         self._loaded = loaded
+        self.kernel.registry.find(names.CRASHES, CrashService).apply(loaded.settings.crashes)
         emit(SETTINGS_RELOADED, changed=changed)
 
     def _stop(self) -> None:
--- a/src/bellweir/hosted/serving/attempt.py
+++ b/src/bellweir/hosted/serving/attempt.py
@@ -11,7 +11,7 @@
 
 from bellweir.clients.interface.errors import ErrorKind
 from bellweir.clients.open_answer import OpenAnswer
-from bellweir.clients.pool import ConnectionPool, HttpCall
+from bellweir.clients.pool import ConnectionPool, HttpCall, is_end_by_peer
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.interface import HeaderNames
 from bellweir.hosted.sight.worker_load import WorkerLoad, parse_load
@@ -58,6 +58,8 @@
     detail: str = ""
     response: BufferedResponse | None = None
     """Response of the worker, if any; refusals may have one, too."""
+    ended_by_worker: bool = False
+    """Whether the worker ended the connection before a whole response."""
 
 
 @dataclass(frozen=True)
@@ -67,6 +69,8 @@
     state: AttemptState
     opened: OpenAnswer | None
     detail: str = ""
+    ended_by_worker: bool = False
+    """Whether the worker ended the connection before a response."""
 
 
 @dataclass(frozen=True)
@@ -175,7 +179,7 @@
             error = opened.failure()
             unknown = error.kind is ErrorKind.UNKNOWN
             state = AttemptState.UNKNOWN if unknown else AttemptState.NOT_SENT
-            return OpenedAttempt(state, None, error.detail)
+            return OpenedAttempt(state, None, error.detail, error.ended_by_peer)
         self._report_load(worker.incarnation, opened.unwrap())
         return self._classify(opened.unwrap(), call.request_id)
 
@@ -215,7 +219,8 @@
         """Send a request and read the complete response."""
         attempt = self.open(worker, call, timeout_s, deadline_ms, cancellation)
         if attempt.opened is None:
-            return AttemptOutcome(attempt.state, attempt.detail)
+            ended = attempt.ended_by_worker
+            return AttemptOutcome(attempt.state, attempt.detail, ended_by_worker=ended)
         return read_response(attempt.opened, attempt)
 
 
@@ -228,7 +233,8 @@
         state = AttemptState.UNKNOWN
         if attempt.state is AttemptState.REFUSED:
             state = attempt.state
-        return AttemptOutcome(state, f"response truncated: {failure!r}")
+        detail = f"response truncated: {failure!r}"
+        return AttemptOutcome(state, detail, ended_by_worker=is_end_by_peer(failure))
     response = BufferedResponse(opened.status, response_headers(opened), body)
     opened.finish()
     return AttemptOutcome(attempt.state, attempt.detail, response)
--- a/src/bellweir/hosted/serving/client_request.py
+++ b/src/bellweir/hosted/serving/client_request.py
@@ -1,9 +1,10 @@
 """Client requests: deadline, body and headers as forwarded to workers."""
 
 import io
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import BinaryIO
 
+from bellweir.hosted.crashes.fingerprint import Fingerprint, fingerprint
 from bellweir.hosted.interface import HeaderNames
 from bellweir.hosted.records import Route
 from bellweir.hosted.serving.attempt import Headers, WorkerCall, without_hop_by_hop
@@ -22,6 +23,8 @@
     """A request body of which a prefix has already been read."""
 
     def __init__(self, beginning: bytes, rest: BodyPipe) -> None:
+        self.beginning = beginning
+        """The prefix, also once it has been read again."""
         self._beginning = beginning
         self._rest = rest
 
@@ -54,6 +57,7 @@
     """Name of the tenant that the API key belongs to; empty without one."""
     priority: int = 5
     """Priority of the tenant or else of the route; 0 is the highest."""
+    _fingerprint: Fingerprint | None = field(default=None, init=False)
 
     @property
     def target_s(self) -> float:
@@ -74,14 +78,31 @@
         """Return the seconds left until the deadline."""
         return self.deadline_s - elapsed_s()
 
+    @property
+    def fingerprint(self) -> Fingerprint:
+        """Digest by which the same request of the same caller is recognized."""
+        if self._fingerprint is None:
+            body = self.body.beginning if isinstance(self.body, PrefixedBody) else self.body
+            kept = body if isinstance(body, bytes) else b""
+            method = self.request.method
+            self._fingerprint = fingerprint(method, self.host, self.path, self.tenant, kept)
+        return self._fingerprint
+
+    @property
+    def host(self) -> str:
+        """Host that the client named, else that of the route."""
+        return self.request.header("Host") or self.route.host
+
+    @property
+    def path(self) -> str:
+        """Path with query, as the client sent it."""
+        query = self.request.raw_query
+        return f"{self.request.raw_path}?{query}" if query else self.request.raw_path
+
     def call(self) -> WorkerCall:
         """Return the request to send to a worker."""
-        request = self.request
-        path = request.raw_path
-        if request.raw_query:
-            path += f"?{request.raw_query}"
-        host = request.header("Host") or self.route.host
-        return WorkerCall(request.method, path, host, self.request_id, self.headers, self.body)
+        method = self.request.method
+        return WorkerCall(method, self.path, self.host, self.request_id, self.headers, self.body)
 
 
 def read_client_request(
--- a/src/bellweir/hosted/serving/failed_attempt.py
+++ b/src/bellweir/hosted/serving/failed_attempt.py
@@ -1,8 +1,9 @@
 """Handling of failed attempts: worker statistics, log line and cause of the failure."""
 
 from bellweir.events.log import emit
+from bellweir.hosted.crashes.interface import RunEnd
 from bellweir.hosted.log_events import ATTEMPT_FAILED
-from bellweir.hosted.serving.attempt import AttemptState
+from bellweir.hosted.serving.attempt import AttemptOutcome, AttemptState
 from bellweir.hosted.serving.selection import WorkerLoads
 from bellweir.hosted.views.workers import Worker
 
@@ -91,3 +92,11 @@
             loads.record_timeout(incarnation, self.milliseconds / MS_PER_S)
         else:
             loads.record_failure(incarnation)
+
+
+def run_end(outcome: AttemptOutcome, *, is_cancelled: bool) -> RunEnd:
+    """Return what the outcome of an attempt says of the request that it ran."""
+    if outcome.state is AttemptState.ANSWERED:
+        return RunEnd.SURVIVED
+    is_broken = outcome.state is AttemptState.UNKNOWN and outcome.ended_by_worker
+    return RunEnd.BROKEN if is_broken and not is_cancelled else RunEnd.OTHER
--- a/src/bellweir/hosted/serving/forwarding.py
+++ b/src/bellweir/hosted/serving/forwarding.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from bellweir.events.log import emit
+from bellweir.hosted.crashes.interface import CrashGuard, NoCrashGuard, RunEnd
 from bellweir.hosted.eligibility.interface import Exclusion
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.log_events import REQUEST_ANSWERED, REQUEST_GIVEN_UP
@@ -23,7 +24,7 @@
     WorkerConnections,
 )
 from bellweir.hosted.serving.client_request import MS_PER_S, ClientRequest
-from bellweir.hosted.serving.failed_attempt import FailedAttempt
+from bellweir.hosted.serving.failed_attempt import FailedAttempt, run_end
 from bellweir.hosted.serving.metrics import RequestMetrics
 from bellweir.hosted.serving.selection import WeightedRoundRobin, WorkerLoads
 from bellweir.hosted.usage.counter import UsageCounter
@@ -49,6 +50,7 @@
 RETRY_AFTER_NO_WORKER_S = 0.5
 COLD_RETRY_AFTER_S = 1.0
 NO_WORKER = "no_worker"
+QUARANTINED = "quarantined"
 FULL_CAUSES = frozenset({"workers_full", "no_room"})
 MAX_SENDS = 8
 """Maximum attempts of one request, including those that did not run."""
@@ -88,6 +90,7 @@
         usage: UsageCounter | None = None,
         gate: RequestGate | None = None,
         wait_share: float = 0.0,
+        crashes: CrashGuard | None = None,
         *,
         uses_service_latency: bool = True,
     ) -> None:
@@ -95,8 +98,10 @@
 
         `gate` decides whether requests are admitted, queued for up to `wait_share` of their target
         latency, or refused; without it all are admitted. `uses_service_latency`: derive attempt
-        timeouts from the latency of the service's workers.
+        timeouts from the latency of the service's workers. `crashes` keeps requests that crash
+        workers from further ones.
         """
+        self.crashes = crashes if crashes is not None else NoCrashGuard()
         self._gate = gate
         self._wait_share = wait_share
         self._usage = usage
@@ -132,6 +137,36 @@
             for service in self._parts.order(parts, key)
         ]
 
+    def quarantine_left_s(self, client: ClientRequest) -> float:
+        """Return the seconds for which a request is quarantined, and log it; 0 if it is not."""
+        if self.crashes.is_idle:
+            return 0.0
+        left_s = self.crashes.quarantine_left_s(client.fingerprint)
+        if left_s > 0:
+            self.crashes.record_refusal(client.fingerprint, client.request_id)
+        return left_s
+
+    def may_send_again(self, client: ClientRequest) -> bool:
+        """Whether what is known of workers' ends allows the request another run."""
+        if self.crashes.is_idle:
+            return True
+        request = client.fingerprint
+        return self.crashes.may_retry(request) and not self.crashes.quarantine_left_s(request)
+
+    def occupied(self, client: ClientRequest) -> frozenset[Incarnation]:
+        """Return the workers that the request must not share; none unless it is suspected."""
+        return frozenset() if self.crashes.is_idle else self.crashes.occupied(client.fingerprint)
+
+    def record_run_start(self, client: ClientRequest, worker: Worker) -> None:
+        """Record that a worker may begin to run the request."""
+        if not self.crashes.is_idle:
+            self.crashes.record_start(client.fingerprint, worker)
+
+    def record_run_end(self, client: ClientRequest, worker: Worker, end: RunEnd) -> None:
+        """Record how a run of the request ended."""
+        if end is RunEnd.BROKEN or not self.crashes.is_idle:
+            self.crashes.record_end(client.fingerprint, worker, end, client.request_id)
+
     def unavailability(self, client: ClientRequest, table: RouteTable) -> tuple[str, float] | None:
         """Return why no ready worker may get a request, and the Retry-After in seconds.
 
@@ -154,6 +189,10 @@
         self, client: ClientRequest, table: RouteTable, cancellation: Cancellation
     ) -> tuple[Response, Progress]:
         progress = Progress()
+        left_s = self.quarantine_left_s(client)
+        if left_s > 0:
+            progress.cause = QUARANTINED
+            return gateway_response(503, QUARANTINED, left_s), progress
         groups = self.candidates(client, table)
         unavailable = None if any(groups) else self.unavailability(client, table)
         if unavailable is not None:
@@ -252,8 +291,12 @@
             return None
         if progress.may_have_run and not self._is_idempotent(client):
             return None
+        if progress.sends and not self.may_send_again(client):
+            return None
+        occupied = self.occupied(client)
         for workers in groups:
-            worker = self._loads.choose(workers, progress.tried)
+            free = [worker for worker in workers if worker.incarnation not in occupied]
+            worker = self._loads.choose(free, progress.tried)
             if worker is not None:
                 return worker
         return None
@@ -274,18 +317,22 @@
         began_s = self._now_s()
         left_s = client.left_s()
         timeout_s = self._attempt_timeout_s(client, worker, progress, left_s)
+        self.record_run_start(client, worker)
         try:
             outcome = self._connections.call(
                 worker, client.call(), timeout_s, left_s * MS_PER_S, cancellation
             )
         except BaseException:
             self._loads.release(incarnation)
+            self.record_run_end(client, worker, RunEnd.OTHER)
             progress.may_have_run = True
             raise
         seconds = self._now_s() - began_s
         is_cancelled = cancellation.cancelled.is_set()
         is_timed_out = seconds >= TIMED_OUT_SHARE * timeout_s
         self._record_attempt(client, worker, outcome, progress, seconds, is_timed_out, is_cancelled)
+        # Last, since it may look at the worker: the attempt's place is free by then.
+        self.record_run_end(client, worker, run_end(outcome, is_cancelled=is_cancelled))
         return outcome
 
     def _attempt_timeout_s(
--- a/src/bellweir/hosted/serving/service.py
+++ b/src/bellweir/hosted/serving/service.py
@@ -9,6 +9,7 @@
 from bellweir.events.log import emit
 from bellweir.hosted.batches.api import BatchApi
 from bellweir.hosted.batches.state import BatchJobs
+from bellweir.hosted.crashes.service import CrashService
 from bellweir.hosted.eligibility.cold_rates import GatewayShare
 from bellweir.hosted.eligibility.homes import AllowedRegions, Regions
 from bellweir.hosted.eligibility.rules import PlacementRules
@@ -74,6 +75,7 @@
         names.TELEMETRY,
         names.USAGE_COUNTS,
         names.SIGHT,
+        names.CRASHES,
     )
 
     def __init__(self, kernel: Kernel, settings: HostedSettings, platform: HostingPlatform) -> None:
@@ -187,6 +189,7 @@
             uses_service_latency=self._settings.sight.patience_of_fellows,
             gate=gate,
             wait_share=self._settings.room.wait_share,
+            crashes=self._kernel.registry.find(names.CRASHES, CrashService).guard,
         )
         streams = StreamForwarder(forwarder, self._loads, self._connections, caller_watch)
         ledger.register(BatchJobs)
--- a/src/bellweir/hosted/serving/streams.py
+++ b/src/bellweir/hosted/serving/streams.py
@@ -10,7 +10,9 @@
 from dataclasses import dataclass
 
 from bellweir.clients.open_answer import OpenAnswer
+from bellweir.clients.pool import is_end_by_peer
 from bellweir.events.log import emit
+from bellweir.hosted.crashes.interface import RunEnd
 from bellweir.hosted.event_stream import EventSplitter, EventTooLongError
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.log_events import (
@@ -20,6 +22,7 @@
     STREAM_RESUMED,
 )
 from bellweir.hosted.serving.attempt import (
+    AttemptOutcome,
     AttemptState,
     BufferedResponse,
     Cancellation,
@@ -30,9 +33,10 @@
     response_headers,
 )
 from bellweir.hosted.serving.client_request import MS_PER_S, ClientRequest
-from bellweir.hosted.serving.failed_attempt import FailedAttempt
+from bellweir.hosted.serving.failed_attempt import FailedAttempt, run_end
 from bellweir.hosted.serving.forwarding import (
     MAX_SENDS,
+    QUARANTINED,
     Forwarder,
     default_retry_after_s,
     gateway_response,
@@ -124,6 +128,11 @@
 
     def forward(self, client: ClientRequest, table: RouteTable) -> Response:
         """Forward one request; events are passed on as they arrive."""
+        left_s = self._forwarder.quarantine_left_s(client)
+        if left_s > 0:
+            stream = _Stream(client, table, [], Cancellation(), set(), set())
+            stream.cause, stream.retry_after_s = QUARANTINED, left_s
+            return self._end_without_stream(stream, None)
         groups = self._forwarder.candidates(client, table)
         stream = _Stream(client, table, groups, Cancellation(), set(), set())
         unavailable = None if any(groups) else self._forwarder.unavailability(client, table)
@@ -154,9 +163,8 @@
             stream.sends += 1
             left_s = stream.client.left_s()
             began_s = elapsed_s()
-            attempt = self._connections.open(
-                worker, _worker_call(stream), left_s, left_s * MS_PER_S, stream.cancellation
-            )
+            self._forwarder.record_run_start(stream.client, worker)
+            attempt = self._open_at(stream, worker, left_s)
             if not stream.ran_at and attempt.state in POSSIBLY_RUN_STATES:
                 self._forwarder.count_usage(stream.client, began_s)
             if attempt.state is AttemptState.ANSWERED and attempt.opened is not None:
@@ -170,13 +178,23 @@
             failure = self._record_failed_attempt(stream, worker, attempt) or failure
         return failure
 
+    def _open_at(self, stream: _Stream, worker: Worker, left_s: float) -> OpenedAttempt:
+        try:
+            return self._connections.open(
+                worker, _worker_call(stream), left_s, left_s * MS_PER_S, stream.cancellation
+            )
+        except BaseException:
+            self._forwarder.record_run_end(stream.client, worker, RunEnd.OTHER)
+            raise
+
     def _record_failed_attempt(
         self, stream: _Stream, worker: Worker, attempt: OpenedAttempt
     ) -> BufferedResponse | None:
         state = attempt.state
-        response = None
+        outcome = AttemptOutcome(state, attempt.detail, ended_by_worker=attempt.ended_by_worker)
         if attempt.opened is not None:
-            response = read_response(attempt.opened, attempt).response
+            outcome = read_response(attempt.opened, attempt)
+        response = outcome.response
         failed = FailedAttempt(
             stream.client.request_id,
             stream.sends,
@@ -187,6 +205,8 @@
             is_cancelled=stream.cancellation.cancelled.is_set(),
         )
         stream.cause = failed.record(self._loads)
+        end = run_end(outcome, is_cancelled=failed.is_cancelled)
+        self._forwarder.record_run_end(stream.client, worker, end)
         return response if state is AttemptState.ANSWERED else None
 
     def _next_worker(self, stream: _Stream) -> Worker | None:
@@ -198,8 +218,12 @@
             return None
         if len(stream.ran_at) >= max(1, client.route.max_attempts):
             return None
+        if stream.sends and not self._forwarder.may_send_again(client):
+            return None
+        occupied = self._forwarder.occupied(client)
         for workers in stream.groups:
-            worker = self._loads.choose(workers, stream.tried, is_budgeted=not stream.ran_at)
+            free = [worker for worker in workers if worker.incarnation not in occupied]
+            worker = self._loads.choose(free, stream.tried, is_budgeted=not stream.ran_at)
             if worker is not None:
                 return worker
         return None
@@ -210,6 +234,7 @@
         opened.drop()
         if stream.worker is not None:
             self._loads.release(stream.worker.incarnation)
+            self._forwarder.record_run_end(stream.client, stream.worker, RunEnd.OTHER)
 
     def _events(
         self, stream: _Stream, opened: OpenAnswer, on_end: Callable[[], None]
@@ -235,6 +260,7 @@
         splitter = EventSplitter(self._connections.headers.weight_versions)
         opened.ends_with_connection = False
         is_complete = False
+        is_ended = False
         try:
             if stream.may_resume:
                 opened.set_timeout(EVENT_TIMEOUT_S)
@@ -248,10 +274,24 @@
             is_complete = splitter.is_between_events
         except (OSError, http.client.HTTPException, EventTooLongError) as failure:
             stream.cause = f"stream_broken: {failure!r}"[:120]
+            is_ended = is_end_by_peer(failure)
         finally:
             self._end_attempt(stream, worker, opened, is_complete=is_complete)
+            self._record_run_end(stream, worker, is_complete=is_complete, is_ended=is_ended)
         return is_complete
 
+    def _record_run_end(
+        self, stream: _Stream, worker: Worker | None, *, is_complete: bool, is_ended: bool
+    ) -> None:
+        if worker is None:
+            return
+        end = RunEnd.OTHER
+        if is_complete:
+            end = RunEnd.SURVIVED
+        elif is_ended and not stream.cancellation.cancelled.is_set():
+            end = RunEnd.BROKEN
+        self._forwarder.record_run_end(stream.client, worker, end)
+
     def _end_attempt(
         self, stream: _Stream, worker: Worker | None, opened: OpenAnswer, *, is_complete: bool
     ) -> None:
--- a/src/bellweir/hosted/settings.py
+++ b/src/bellweir/hosted/settings.py
@@ -4,6 +4,7 @@
 template may have, are ignored and returned so that they can be logged.
 """
 
+import re
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -20,6 +21,7 @@
 
 
 SOURCE = "settings file"
+DIGEST = re.compile(r"[0-9a-f]{40}")
 MAX_QUEUE_LENGTH = 128
 """Limits the threads of a gateway that wait for one service, so that others stay free to serve."""
 
@@ -223,6 +225,15 @@
     """What a request to a worker of another region takes longer than one in the same region."""
 
 
+class CrashSettings(msgspec.Struct, frozen=True, rename="camel"):
+    """Requests that crash the workers that run them."""
+
+    quarantine: bool = True
+    """Send a request to no worker for a while once three have ended while they ran it."""
+    lifted: tuple[str, ...] = ()
+    """Digests, as logged, of requests that are sent all the same. Changes apply on SIGHUP."""
+
+
 class HostedSettings(msgspec.Struct, frozen=True, rename="camel"):
     """All settings of a process."""
 
@@ -239,6 +250,7 @@
     sight: SightSettings = SightSettings()
     room: RoomSettings = RoomSettings()
     places: PlacesSettings = PlacesSettings()
+    crashes: CrashSettings = CrashSettings()
 
 
 @dataclass(frozen=True)
@@ -335,6 +347,9 @@
         yield _finding(
             "places.regionRoundTripMs", str(settings.places.region_round_trip_ms), "0 or more"
         )
+    for digest in settings.crashes.lifted:
+        if not DIGEST.fullmatch(digest):
+            yield _finding("crashes.lifted", digest, "40 hexadecimal digits")
     if settings.bounds.lease_ms <= 0:
         yield _finding("bounds.leaseMs", str(settings.bounds.lease_ms), "above 0")
     if settings.scaling.policy not in SCALING_POLICIES:
--- a/src/bellweir/hosted/sight/gossip_ring.py
+++ b/src/bellweir/hosted/sight/gossip_ring.py
@@ -28,11 +28,14 @@
         self.address = address
 
 
-def zone_rings(members: Iterable[Member]) -> dict[str, list[GatewayPeer]]:
-    """The live gateways of each zone in ring order."""
+def zone_rings(
+    members: Iterable[Member], *, only_gateways: bool = True
+) -> dict[str, list[GatewayPeer]]:
+    """The live gateways, or all live nodes, of each zone in ring order."""
     found: dict[str, list[GatewayPeer]] = {}
     for member in sorted(members, key=rank):
-        if member.gateway_address and member.state is MemberState.ALIVE:
+        is_included = bool(member.gateway_address) or not only_gateways
+        if is_included and member.state is MemberState.ALIVE:
             peer = GatewayPeer(member.node, member.peer_address)
             found.setdefault(member.zone, []).append(peer)
     return found
