Crashes: ends that another request explains quarantine nothing

A request is now quarantined only if no other ran at each of the workers that ended under it; where two are left, their next runs decide, each at a worker of its own, which all nodes derive alike from the requests and workers that they know. Marks of running suspects are gone.

--- a/features/support/hosted_gateway.py
+++ b/features/support/hosted_gateway.py
@@ -97,7 +97,7 @@
         self.room_settings = room_settings or RoomSettings()
         self.refused = []
         self.gate = RequestGate(room, self.room_settings, self.refused.append)
-        forwarder = Forwarder(
+        forwarder = self.forwarder = Forwarder(
             self.workers,
             self.loads,
             connections,
--- a/features/support/hosted_jobs.py
+++ b/features/support/hosted_jobs.py
@@ -127,6 +127,7 @@
     eligibility=None,
     zones="a",
     regions=(),
+    crashes=None,
 ):
     """Start a leading coordinator, `workers_each` model workers per service, and two scorers.
 
@@ -159,7 +160,7 @@
     ledger, loads = MemoryLedger(), WorkerLoads("a", eligibility=eligibility)
     connections = WorkerConnections(HEADERS)
     context.cleanup.callback(connections.retain, set())
-    attempts = ItemRunner(connections, loads)
+    attempts = ItemRunner(connections, loads, crashes)
     coordinator = Coordinator(ledger, view, workers, loads, attempts, executors, policy)
     executors.run_loop("coordinator", coordinator.run)
     executors.run_loop("committer", coordinator.committer.run)
--- a/src/bellweir/hosted/batches/attempts.py
+++ b/src/bellweir/hosted/batches/attempts.py
@@ -1,7 +1,7 @@
 """Attempts of items: generation of a text by a worker, and scoring of a complete text."""
 
 import http.client
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 
 from bellweir.clients.open_answer import OpenAnswer
 from bellweir.clients.pool import is_end_by_peer
@@ -17,6 +17,7 @@
 from bellweir.hosted.batches.refusals import RefusalBackoff
 from bellweir.hosted.batches.state import JobItem, TextCheckpoint
 from bellweir.hosted.batches.worker_quarantine import WorkerQuarantine
+from bellweir.hosted.crashes.fingerprint import Fingerprint
 from bellweir.hosted.crashes.interface import CrashGuard, NoCrashGuard, RunEnd
 from bellweir.hosted.event_stream import EventSplitter, EventTooLongError
 from bellweir.hosted.incarnation import Incarnation
@@ -97,21 +98,17 @@
             return False
         return self._crashes.quarantine_left_s(progress.fingerprint) > 0
 
-    def occupied(self, progress: ItemProgress) -> frozenset[Incarnation]:
-        """Return the workers that an item must not share; none unless it is suspected."""
-        return (
-            frozenset() if self._crashes.is_idle else self._crashes.occupied(progress.fingerprint)
-        )
-
-    def record_run_start(self, progress: ItemProgress, worker: Worker) -> None:
-        """Record that a worker may begin to run an item."""
-        if not self._crashes.is_idle:
-            self._crashes.record_start(progress.fingerprint, worker)
+    def permitted(self, progress: ItemProgress, workers: Sequence[Worker]) -> Sequence[Worker]:
+        """Return those workers of a service that may run an item."""
+        if self._crashes.is_idle:
+            return workers
+        return self._crashes.permitted(progress.fingerprint, workers)
 
-    def record_run_end(self, progress: ItemProgress, worker: Worker, end: RunEnd) -> None:
-        """Record how a run of an item ended."""
+    def _record_run_end(
+        self, request: Fingerprint, progress: ItemProgress, worker: Worker, end: RunEnd
+    ) -> None:
         if end is RunEnd.BROKEN or not self._crashes.is_idle:
-            self._crashes.record_end(progress.fingerprint, worker, end, progress.item.id)
+            self._crashes.record_end(request, worker, end, progress.item.id)
 
     def note_silent(self, worker: Worker) -> None:
         """Note that a run is taken from a worker because it has fallen silent."""
@@ -136,7 +133,6 @@
     ) -> None:
         """Generate the text from the first missing event on."""
         progress.attempts += 1
-        self.record_run_start(progress, worker)
         emit(
             ITEM_STARTED,
             request_id=progress.item.id,
@@ -149,21 +145,21 @@
         )
         began_s = elapsed_s()
         progress.last_event_s = progress.checkpointed_s = began_s
+        opened = self._open_generation(progress, worker, cancellation)
         end = RunEnd.OTHER
-        try:
-            opened = self._open_generation(progress, worker, cancellation)
-            if cancellation.cancelled.is_set():
-                self._end_cancelled(progress, worker, opened.opened)
-            elif opened.opened is None or opened.state is not AttemptState.ANSWERED:
-                end = RunEnd.BROKEN if opened.ended_by_worker else RunEnd.OTHER
-                self._handle_no_answer(progress, worker, opened)
-            elif opened.opened.status >= 300:
-                end = RunEnd.SURVIVED
-                self._handle_error_answer(progress, worker, opened)
-            else:
-                end = self._read_events(progress, worker, opened.opened, began_s, cancellation)
-        finally:
-            self.record_run_end(progress, worker, end)
+        # The item's stage, and with it its request, may change with the end of the run.
+        request = progress.fingerprint
+        if cancellation.cancelled.is_set():
+            self._end_cancelled(progress, worker, opened.opened)
+        elif opened.opened is None or opened.state is not AttemptState.ANSWERED:
+            end = RunEnd.BROKEN if opened.ended_by_worker else RunEnd.OTHER
+            self._handle_no_answer(progress, worker, opened)
+        elif opened.opened.status >= 300:
+            end = RunEnd.SURVIVED
+            self._handle_error_answer(progress, worker, opened)
+        else:
+            end = self._read_events(progress, worker, opened.opened, began_s, cancellation)
+        self._record_run_end(request, progress, worker, end)
 
     def _open_generation(
         self, progress: ItemProgress, worker: Worker, cancellation: Cancellation
@@ -346,15 +342,11 @@
         self, progress: ItemProgress, worker: Worker, call: WorkerCall, cancellation: Cancellation
     ) -> AttemptOutcome:
         """Make a scoring call and record how its run ended."""
-        self.record_run_start(progress, worker)
-        end = RunEnd.OTHER
-        try:
-            outcome = self._connections.call(
-                worker, call, SCORING_TIMEOUT_S, SCORING_DEADLINE_MS, cancellation
-            )
-            end = run_end(outcome, is_cancelled=cancellation.cancelled.is_set())
-        finally:
-            self.record_run_end(progress, worker, end)
+        outcome = self._connections.call(
+            worker, call, SCORING_TIMEOUT_S, SCORING_DEADLINE_MS, cancellation
+        )
+        end = run_end(outcome, is_cancelled=cancellation.cancelled.is_set())
+        self._record_run_end(progress.fingerprint, progress, worker, end)
         return outcome
 
     def _handle_scoring_error(
--- a/src/bellweir/hosted/batches/worker_selection.py
+++ b/src/bellweir/hosted/batches/worker_selection.py
@@ -174,7 +174,7 @@
         ]
         if self._policy.set_failing_aside:
             found = self._without_failing(found, service, progress)
-        return found
+        return list(self._attempts.permitted(progress, found))
 
     def _without_failing(
         self, workers: list[Worker], service: str, progress: ItemProgress
@@ -222,8 +222,6 @@
                 return False
         if not self._loads.eligibility.may_start(worker):
             return False
-        if worker.incarnation in self._attempts.occupied(progress):
-            return False
         return self._loads.in_flight(worker.incarnation) < worker.entry.slots
 
 
--- a/src/bellweir/hosted/crashes/guard.py
+++ b/src/bellweir/hosted/crashes/guard.py
@@ -1,20 +1,15 @@
 """The crash guard of one node."""
 
-import threading
-from collections import Counter
-from collections.abc import Callable
-from typing import TypeVar
+from collections.abc import Callable, Sequence
 
 from bellweir.events.log import emit
 from bellweir.hosted.crashes.fingerprint import Fingerprint
 from bellweir.hosted.crashes.interface import CrashGuard, RunEnd
 from bellweir.hosted.crashes.table import MAX_ENDS, CrashTable
 from bellweir.hosted.crashes.worker_ends import ProbeResult, WorkerEnds, probe
-from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.log_events import REQUEST_ACQUITTED, REQUEST_QUARANTINED, WORKER_ENDED_UNDER
 from bellweir.hosted.views.workers import Worker, WorkersView
 
-Counted = TypeVar("Counted")
 ISOLATED_ENDS = MAX_ENDS - 1
 """Ends of workers from which on a request runs apart from others with as many, and is not retried
 by itself: its next run decides. After a single end all that the worker ran are suspects alike."""
@@ -23,8 +18,8 @@
 class SharedCrashGuard(CrashGuard):
     """Guards by what this node and others know of workers' ends.
 
-    A request whose next run decides runs at no worker at which this node runs another one of the
-    kind: if that worker ended, which of the two it was would not be known.
+    Requests whose next runs decide each get a worker of their own: if one ended that runs two of
+    them, which of the two it was would not be known.
     """
 
     def __init__(
@@ -44,10 +39,6 @@
         self._on_news = on_news
         self._count = count
         self._ends = WorkerEnds(workers, is_view_current, self._record_worker_end, probe_address)
-        self._lock = threading.Lock()
-        self._isolated_at: Counter[Incarnation] = Counter()
-        """Runs of isolated requests by worker."""
-        self._marked: Counter[tuple[Fingerprint, Incarnation]] = Counter()
 
     @property
     def is_idle(self) -> bool:
@@ -62,26 +53,25 @@
         """Whether fewer workers are known to have ended under it than a request may cost."""
         return self._table.ends(request) < ISOLATED_ENDS
 
-    def occupied(self, request: Fingerprint) -> frozenset[Incarnation]:
-        """Return the workers that run requests to be isolated, for one that is to be as well."""
-        if self.is_idle or self._table.ends(request) < ISOLATED_ENDS:
-            return frozenset()
-        with self._lock:
-            return frozenset(self._isolated_at)
+    def permitted(self, request: Fingerprint, workers: Sequence[Worker]) -> Sequence[Worker]:
+        """Return all workers, or the one of a request that is to be isolated.
 
-    def record_start(self, request: Fingerprint, worker: Worker) -> None:
-        """Mark the worker of a request that is to be isolated."""
-        if self._table.ends(request) < ISOLATED_ENDS:
-            return
-        with self._lock:
-            self._marked[request, worker.incarnation] += 1
-            self._isolated_at[worker.incarnation] += 1
+        All nodes that know the same requests and workers choose the same one.
+        """
+        if self.is_idle or self._table.ends(request) < ISOLATED_ENDS:
+            return workers
+        isolated = self._table.isolated(ISOLATED_ENDS)
+        if request not in isolated:
+            # Quarantined or acquitted meanwhile.
+            return workers if self._table.ends(request) < ISOLATED_ENDS else ()
+        place = isolated.index(request)
+        ordered = sorted(workers, key=lambda worker: worker.incarnation)
+        return ordered[place : place + 1]
 
     def record_end(
         self, request: Fingerprint, worker: Worker, end: RunEnd, request_id: str
     ) -> None:
         """Weigh how a run ended."""
-        self._unmark(request, worker.incarnation)
         if end is RunEnd.BROKEN:
             self._ends.note_broken(request, worker)
         elif end is RunEnd.SURVIVED and not self.is_idle and self._table.acquit(request):
@@ -122,16 +112,3 @@
             evidence=evidence,
         )
         self._on_news(request)
-
-    def _unmark(self, request: Fingerprint, worker: Incarnation) -> None:
-        with self._lock:
-            if (request, worker) not in self._marked:
-                return
-            _decrement(self._marked, (request, worker))
-            _decrement(self._isolated_at, worker)
-
-
-def _decrement(counts: Counter[Counted], key: Counted) -> None:
-    counts[key] -= 1
-    if counts[key] <= 0:
-        del counts[key]
--- a/src/bellweir/hosted/crashes/interface.py
+++ b/src/bellweir/hosted/crashes/interface.py
@@ -1,10 +1,10 @@
 """Abstract guard against requests that crash workers, as forwarders and the coordinator use it."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Sequence
 from enum import Enum
 
 from bellweir.hosted.crashes.fingerprint import Fingerprint
-from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.views.workers import Worker
 
 
@@ -36,16 +36,12 @@
         """Whether another worker may run a request whose run has just broken off."""
 
     @abstractmethod
-    def occupied(self, request: Fingerprint) -> frozenset[Incarnation]:
-        """Return the workers that a request must not share with others under strong suspicion.
+    def permitted(self, request: Fingerprint, workers: Sequence[Worker]) -> Sequence[Worker]:
+        """Return those workers of a service that may run a request.
 
-        Empty for a request that is not under strong suspicion itself: it may run anywhere.
+        A request whose next run decides gets one that no other request of the kind gets.
         """
 
-    @abstractmethod
-    def record_start(self, request: Fingerprint, worker: Worker) -> None:
-        """Record that a run begins; `record_end` must follow."""
-
     @abstractmethod
     def record_end(
         self, request: Fingerprint, worker: Worker, end: RunEnd, request_id: str
@@ -73,12 +69,9 @@
         """Return True."""
         return True
 
-    def occupied(self, request: Fingerprint) -> frozenset[Incarnation]:
-        """Return none."""
-        return frozenset()
-
-    def record_start(self, request: Fingerprint, worker: Worker) -> None:
-        """Ignore it."""
+    def permitted(self, request: Fingerprint, workers: Sequence[Worker]) -> Sequence[Worker]:
+        """Return all."""
+        return workers
 
     def record_end(
         self, request: Fingerprint, worker: Worker, end: RunEnd, request_id: str
--- a/src/bellweir/hosted/crashes/table.py
+++ b/src/bellweir/hosted/crashes/table.py
@@ -1,7 +1,8 @@
 """Workers' ends by the request that they ran, and which requests are quarantined.
 
 Records of several nodes are merged without order: an end counts once for each incarnation of a
-worker, whoever reports it, and a run that the worker survived clears the ends before it.
+worker, whoever reports it, and a run that the worker survived clears the ends before it. A worker
+that ends takes down all that it ran: ends that another request explains quarantine nothing.
 
 >>> table = CrashTable(now_s=lambda: 100.0)
 >>> for instance in ("i-1", "i-2", "i-2", "i-3"):
@@ -15,7 +16,7 @@
 """
 
 import threading
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 from bellweir.hosted.crashes.fingerprint import Fingerprint
 from bellweir.hosted.crashes.messages import NEVER_MS, CrashRecord, EndRecord
@@ -46,10 +47,10 @@
         """Time of each worker's end."""
         self.acquitted_s = NEVER_S
 
-    def counted(self, now_s: float) -> list[float]:
-        """Times of the ends that count."""
+    def counted(self, now_s: float) -> dict[Incarnation, float]:
+        """Times of the ends that count, by worker."""
         since_s = max(self.acquitted_s, now_s - RETENTION_S)
-        return [at_s for at_s in self.ended_s.values() if at_s > since_s]
+        return {worker: at_s for worker, at_s in self.ended_s.items() if at_s > since_s}
 
     def add_end(self, worker: Incarnation, at_s: float) -> bool:
         if worker in self.ended_s:
@@ -113,6 +114,16 @@
             suspect = self._suspects.get(request)
             return self._left_s(suspect) if suspect is not None else 0.0
 
+    def isolated(self, least: int) -> list[Fingerprint]:
+        """Return the requests with that many ends which are not quarantined, in order."""
+        now_s = self._now_s()
+        with self._lock:
+            return sorted(
+                request
+                for request, suspect in self._suspects.items()
+                if len(suspect.counted(now_s)) >= least and not self._left_s(suspect)
+            )
+
     def quarantined(self) -> list[tuple[Fingerprint, str]]:
         """Return the quarantined requests with their services."""
         with self._lock:
@@ -178,13 +189,26 @@
     def _left_s(self, suspect: _Suspect) -> float:
         now_s = self._now_s()
         counted = suspect.counted(now_s)
-        if len(counted) < MAX_ENDS:
+        if len(counted) < MAX_ENDS or self._is_explained(suspect, counted, now_s):
             return 0.0
-        return max(0.0, max(counted) + HOLD_S - now_s)
+        return max(0.0, max(counted.values()) + HOLD_S - now_s)
+
+    def _is_explained(
+        self, suspect: _Suspect, counted: Mapping[Incarnation, float], now_s: float
+    ) -> bool:
+        """Whether another request ran at each of the workers, so that it may have ended them all.
+
+        Until their next runs, apart from each other, show which of the two it was.
+        """
+        return any(
+            counted.keys() <= other.counted(now_s).keys()
+            for other in self._suspects.values()
+            if other is not suspect and len(other.ended_s) >= MAX_ENDS
+        )
 
     def _danger(self, suspect: _Suspect, now_s: float) -> tuple[int, float]:
         counted = suspect.counted(now_s)
-        return min(len(counted), MAX_ENDS), max(suspect.ended_s.values(), default=NEVER_S)
+        return len(counted), max(suspect.ended_s.values(), default=NEVER_S)
 
     def _evict(self, now_s: float) -> None:
         while len(self._suspects) > MAX_REQUESTS:
--- a/src/bellweir/hosted/serving/forwarding.py
+++ b/src/bellweir/hosted/serving/forwarding.py
@@ -5,7 +5,7 @@
 and Retry-After only if the request has not run, and with 504 or 502 if it may have run.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from bellweir.events.log import emit
@@ -153,14 +153,11 @@
         request = client.fingerprint
         return self.crashes.may_retry(request) and not self.crashes.quarantine_left_s(request)
 
-    def occupied(self, client: ClientRequest) -> frozenset[Incarnation]:
-        """Return the workers that the request must not share; none unless it is suspected."""
-        return frozenset() if self.crashes.is_idle else self.crashes.occupied(client.fingerprint)
-
-    def record_run_start(self, client: ClientRequest, worker: Worker) -> None:
-        """Record that a worker may begin to run the request."""
-        if not self.crashes.is_idle:
-            self.crashes.record_start(client.fingerprint, worker)
+    def permitted(self, client: ClientRequest, workers: Sequence[Worker]) -> Sequence[Worker]:
+        """Return those workers of a service that may run the request."""
+        return (
+            workers if self.crashes.is_idle else self.crashes.permitted(client.fingerprint, workers)
+        )
 
     def record_run_end(self, client: ClientRequest, worker: Worker, end: RunEnd) -> None:
         """Record how a run of the request ended."""
@@ -293,10 +290,8 @@
             return None
         if progress.sends and not self.may_send_again(client):
             return None
-        occupied = self.occupied(client)
         for workers in groups:
-            free = [worker for worker in workers if worker.incarnation not in occupied]
-            worker = self._loads.choose(free, progress.tried)
+            worker = self._loads.choose(self.permitted(client, workers), progress.tried)
             if worker is not None:
                 return worker
         return None
@@ -317,14 +312,12 @@
         began_s = self._now_s()
         left_s = client.left_s()
         timeout_s = self._attempt_timeout_s(client, worker, progress, left_s)
-        self.record_run_start(client, worker)
         try:
             outcome = self._connections.call(
                 worker, client.call(), timeout_s, left_s * MS_PER_S, cancellation
             )
         except BaseException:
             self._loads.release(incarnation)
-            self.record_run_end(client, worker, RunEnd.OTHER)
             progress.may_have_run = True
             raise
         seconds = self._now_s() - began_s
--- a/src/bellweir/hosted/serving/streams.py
+++ b/src/bellweir/hosted/serving/streams.py
@@ -163,8 +163,9 @@
             stream.sends += 1
             left_s = stream.client.left_s()
             began_s = elapsed_s()
-            self._forwarder.record_run_start(stream.client, worker)
-            attempt = self._open_at(stream, worker, left_s)
+            attempt = self._connections.open(
+                worker, _worker_call(stream), left_s, left_s * MS_PER_S, stream.cancellation
+            )
             if not stream.ran_at and attempt.state in POSSIBLY_RUN_STATES:
                 self._forwarder.count_usage(stream.client, began_s)
             if attempt.state is AttemptState.ANSWERED and attempt.opened is not None:
@@ -178,15 +179,6 @@
             failure = self._record_failed_attempt(stream, worker, attempt) or failure
         return failure
 
-    def _open_at(self, stream: _Stream, worker: Worker, left_s: float) -> OpenedAttempt:
-        try:
-            return self._connections.open(
-                worker, _worker_call(stream), left_s, left_s * MS_PER_S, stream.cancellation
-            )
-        except BaseException:
-            self._forwarder.record_run_end(stream.client, worker, RunEnd.OTHER)
-            raise
-
     def _record_failed_attempt(
         self, stream: _Stream, worker: Worker, attempt: OpenedAttempt
     ) -> BufferedResponse | None:
@@ -220,10 +212,9 @@
             return None
         if stream.sends and not self._forwarder.may_send_again(client):
             return None
-        occupied = self._forwarder.occupied(client)
         for workers in stream.groups:
-            free = [worker for worker in workers if worker.incarnation not in occupied]
-            worker = self._loads.choose(free, stream.tried, is_budgeted=not stream.ran_at)
+            permitted = self._forwarder.permitted(client, workers)
+            worker = self._loads.choose(permitted, stream.tried, is_budgeted=not stream.ran_at)
             if worker is not None:
                 return worker
         return None
@@ -234,7 +225,6 @@
         opened.drop()
         if stream.worker is not None:
             self._loads.release(stream.worker.incarnation)
-            self._forwarder.record_run_end(stream.client, stream.worker, RunEnd.OTHER)
 
     def _events(
         self, stream: _Stream, opened: OpenAnswer, on_end: Callable[[], None]
--- a/src/bellweir_rehearsal/hosted/http_stand_in.py
+++ b/src/bellweir_rehearsal/hosted/http_stand_in.py
@@ -42,7 +42,8 @@
         self.send_response(status)
         for name, value in (headers or {}).items():
             self.send_header(name, value)
-        self.send_header("Content-Length", str(len(body)))
+        if "Content-Length" not in (headers or {}):
+            self.send_header("Content-Length", str(len(body)))
         self.end_headers()
         self.wfile.write(body)
         self.wfile.flush()
--- a/src/bellweir_rehearsal/hosted/worker.py
+++ b/src/bellweir_rehearsal/hosted/worker.py
@@ -33,6 +33,8 @@
     """Answer that the request was not run."""
     lose_answer: int = 0
     """Run it and reset the connection."""
+    cut_answers: int = 0
+    """Run it and close the connection in the middle of the answer."""
     wrong_id: int = 0
     """Answer with another request's id."""
     fail: int = 0
@@ -375,7 +377,12 @@
             echo = {**echo, "X-Bellweir-Server-Load": self.told_load}
         if not self.faults.strikes("unsigned"):
             echo = {**echo, "X-Bellweir-Server-Stamp": stamp_of(request_id)}
-        handler.answer(200, answer_to(request_id, body), echo)
+        whole = answer_to(request_id, body)
+        if self.faults.strikes("cut_answers"):
+            handler.close_connection = True
+            handler.answer(200, whole[:2], {**echo, "Content-Length": str(len(whole))})
+        else:
+            handler.answer(200, whole, echo)
 
     def _stream(self, handler: StandInHandler, request_id: str, echo: dict[str, str]) -> None:
         first = int(handler.headers.get("Last-Event-Id") or 0) + 1
