Soak: requests that crash the workers that run them

A request with its own path and body ends each application worker that runs it and comes again, also in a later strike. Runs later than contactMs after the third end are counted, from gateways that were left alone. The proof of the configuration is waited for from the call on, so that requests while the store is silent are answered at once (hosted_refusals: the next three within 0.2 s, without the pause that the test had).

--- a/features/hosted_soak.feature
+++ b/features/hosted_soak.feature
@@ -37,6 +37,11 @@
     Then faults have struck and everything that must hold of the soak has held
     And machines of both kinds were suspended, and a version was named
 
+  Scenario: A soak in which requests crash the workers that run them
+    When a soak of 25 seconds is played with seed 2 of requests that crash workers
+    Then faults have struck and everything that must hold of the soak has held
+    And requests have crashed three workers, and reached few after that
+
   Scenario: Losses stay within what is tolerated
     Then at any order of faults no more disks are lost at once than tolerated
     And a machine counts as whole once it has had its time to catch up, a removed one's successor too
--- a/features/steps/hosted_crashes_steps.py
+++ b/features/steps/hosted_crashes_steps.py
@@ -84,12 +84,12 @@
 
 def _times(context, name):
     workers = context.traffic.deployment.scorers
-    return sorted(at_s for worker in workers for at_s in getattr(worker.record, name))
+    return sorted(run.at_s for worker in workers for run in getattr(worker.record, name))
 
 
 @then("it has crashed {count:d} workers at least")
 def then_crashed(context, count):
-    context.crashes_s = _times(context, "crashes_s")
+    context.crashes_s = _times(context, "crashes")
     assert len(context.crashes_s) >= count, context.crashes_s
 
 
@@ -98,7 +98,7 @@
 )
 def then_bounded(context, seconds, most):
     context.bound_s = context.crashes_s[2] + seconds
-    late = [at_s for at_s in _times(context, "crashing_s") if at_s > context.bound_s]
+    late = [at_s for at_s in _times(context, "crashing_runs") if at_s > context.bound_s]
     told = f"{len(late)} times, {len(context.crashes_s)} crashes"
     assert len(late) <= most, told
 
--- a/features/steps/hosted_refusals_steps.py
+++ b/features/steps/hosted_refusals_steps.py
@@ -104,8 +104,6 @@
 
 @then('the next {count:d} requests to "{path}" get 503 within {seconds:g} s')
 def then_next(context, count, path, seconds):
-    # The call under way is waited for once more; it has ended after that.
-    time.sleep(2.0)
     for _ in range(count):
         then_deferred(context, path, seconds)
 
--- a/features/steps/hosted_soak_steps.py
+++ b/features/steps/hosted_soak_steps.py
@@ -23,6 +23,7 @@
 from bellweir_rehearsal.hosted.process_faults import KillGateway, KillStore
 from bellweir_rehearsal.hosted.soak import HostedSoak
 from bellweir_rehearsal.hosted.soak_faults import (
+    CRASH_FAULTS,
     LASTING_FAULTS,
     PLACES_FAULTS,
     SUSPENSION_FAULTS,
@@ -100,6 +101,18 @@
     context.soak.play()
 
 
+@when("a soak of {seconds:d} seconds is played with seed {seed:d} of requests that crash workers")
+def when_crashing(context, seconds, seed):
+    context.soak = HostedSoak(context.folder, seed, seconds, 6, 3, only=CRASH_FAULTS)
+    context.cleanup.callback(context.soak.close)
+    context.soak.play()
+
+
+@then("requests have crashed three workers, and reached few after that")
+def then_few(context):
+    assert context.soak.crashing.held, (context.soak.strikes, context.soak.crashing.faults)
+
+
 @then("machines of both kinds were suspended, and a version was named")
 def then_suspended(context):
     strikes = context.soak.strikes
--- a/src/bellweir/hosted/views/current_configuration.py
+++ b/src/bellweir/hosted/views/current_configuration.py
@@ -20,7 +20,7 @@
 """Share of the time within which a configuration must be in force that its age may be at a refusal.
 The rest is for the client's request on its way and for ages that peers tell late."""
 PROOF_TIMEOUT_S = 0.25
-"""Longest time for which a request waits for the proof."""
+"""Time from the call on for which requests wait for the proof."""
 RETRY_PAUSE_S = 0.5
 """Pause after a proof that failed; requests meanwhile are not kept waiting."""
 MS_PER_S = 1000
@@ -43,6 +43,7 @@
 
     __slots__ = (
         "_age_s",
+        "_asked_s",
         "_confirm",
         "_lock",
         "_max_age_s",
@@ -75,6 +76,8 @@
         self._now_s = now_s
         self._lock = threading.Lock()
         self._pending: Future[bool] | None = None
+        self._asked_s = float("-inf")
+        """Time of the call under way."""
         self._retry_from_s = float("-inf")
 
     def age_s(self) -> float:
@@ -100,12 +103,14 @@
                     return
                 try:
                     self._pending = self._submit(self._ask)
+                    self._asked_s = self._now_s()
                 except ExecutorSaturatedError as failure:
                     self._log_unproven(str(failure))
                     return
             pending = self._pending
+            left_s = self._asked_s + PROOF_TIMEOUT_S - self._now_s()
         try:
-            pending.result(PROOF_TIMEOUT_S)
+            pending.result(max(0.0, left_s))
         except FutureTimeoutError:
             self._log_unproven("no answer in time")
 
--- a/src/bellweir_rehearsal/hosted/command.py
+++ b/src/bellweir_rehearsal/hosted/command.py
@@ -17,6 +17,7 @@
 from bellweir_rehearsal.hosted.soak_faults import (
     ALL_FAULTS,
     BUILD_FAULTS,
+    CRASH_FAULTS,
     LASTING_FAULTS,
     PLACES_FAULTS,
     SUSPENSION_FAULTS,
@@ -60,6 +61,10 @@
         bool, cappa.Arg(long=True, help="Suspend machines while versions and routes change.")
     ] = False
 
+    crashes: Annotated[
+        bool, cappa.Arg(long=True, help="Send requests that crash the workers that run them.")
+    ] = False
+
     older: Annotated[
         str, cappa.Arg(long=True, help="A commit; a soak changes between its build and this one.")
     ] = ""
@@ -99,6 +104,8 @@
             faults = TEXT_FAULTS
         if self.suspensions:
             faults = SUSPENSION_FAULTS
+        if self.crashes:
+            faults = CRASH_FAULTS
         older = None
         if self.older:
             faults = (*faults, *BUILD_FAULTS)
--- a/src/bellweir_rehearsal/hosted/soak.py
+++ b/src/bellweir_rehearsal/hosted/soak.py
@@ -25,6 +25,7 @@
     call,
     key_of_version,
 )
+from bellweir_rehearsal.hosted.crashing_requests import check_crashing_runs
 from bellweir_rehearsal.hosted.deployment import BEAT_S, HostedDeployment
 from bellweir_rehearsal.hosted.disk_faults import LastFault
 from bellweir_rehearsal.hosted.fault import SoakFault
@@ -150,6 +151,7 @@
         self.refilled = Check("a store machine whose disk was full is whole again")
         self.emptied = Check("a store machine is emptied only while enough others live")
         self.recovered = Check("the deployment serves again soon after the last fault")
+        self.crashing = Check("a request that crashes workers reaches few after the third")
         self._reader = SecondReader(
             self.deployment, self.trainer.steps, self._is_kept, self.read, self._chance("reader")
         )
@@ -172,12 +174,21 @@
             self.evacuated,
             self.cold,
             self.joins,
+            self.crashing,
         ]
 
     @property
     def may_lack_cases(self) -> list[Check]:
         """Checks of faults that a seed need not draw: without a case they are not at fault."""
-        return [self.stops, self.refilled, self.emptied, self.evacuated, self.cold, self.joins]
+        return [
+            self.stops,
+            self.refilled,
+            self.emptied,
+            self.evacuated,
+            self.cold,
+            self.joins,
+            self.crashing,
+        ]
 
     def holds(self, check: Check) -> bool:
         """Whether a check has held, as far as the seed gave it cases."""
@@ -206,6 +217,7 @@
         self.check_tenants()
         self.check_usage()
         self.check_places()
+        check_crashing_runs(self.crashing, self.deployment, self.deployment.scorers)
         self._check_configuration()
         self._check_ends()
 
--- a/src/bellweir_rehearsal/hosted/soak_faults.py
+++ b/src/bellweir_rehearsal/hosted/soak_faults.py
@@ -1,6 +1,7 @@
 """The faults that a soak of the hosted roles draws from, by what they strike."""
 
 from bellweir_rehearsal.hosted.clock_faults import ClockStep, LongClockStep
+from bellweir_rehearsal.hosted.crashing_requests import CrashingRequests
 from bellweir_rehearsal.hosted.disk_faults import (
     DisksLostWithoutPower,
     PowerLossOfAll,
@@ -71,6 +72,7 @@
     NewConfiguration,
     NewVersion,
     LostReports,
+    CrashingRequests,
 )
 LASTING_FAULTS: tuple[type[SoakFault], ...] = (
     PowerLossOfStore,
@@ -122,6 +124,20 @@
     NewConfiguration,
 )
 """Suspended machines while there is something to order and to follow."""
+CRASH_FAULTS: tuple[type[SoakFault], ...] = (
+    CrashingRequests,
+    CrashingRequests,
+    CrashingRequests,
+    KillGateway,
+    StopGateway,
+    FreezeGateway,
+    SuspendGateway,
+    KillStore,
+    BrokenWorkers,
+    WorkersStartAgain,
+    NewConfiguration,
+)
+"""Requests that crash workers, while those that must know of them come and go."""
 BUILD_FAULTS: tuple[type[SoakFault], ...] = (
     ChangeBuild,
     ChangeBuild,
--- a/src/bellweir_rehearsal/hosted/worker.py
+++ b/src/bellweir_rehearsal/hosted/worker.py
@@ -72,6 +72,16 @@
     version: int
 
 
+@dataclass(frozen=True)
+class CrashingRun:
+    """A run of a request that ends its worker, or the end itself."""
+
+    body: bytes
+    request_id: str
+    at_s: float
+    """Monotonic time."""
+
+
 @dataclass
 class WorkerRecord:
     """What a worker has seen."""
@@ -83,10 +93,10 @@
     cold_times: list[tuple[float, float]] = field(default_factory=list)
     """Begin and end of each time in which it was cold."""
     orders: list[TakenOrder] = field(default_factory=list)
-    crashing_s: list[float] = field(default_factory=list)
-    """Monotonic times at which requests came that end the worker."""
-    crashes_s: list[float] = field(default_factory=list)
-    """Monotonic times at which it ended by them."""
+    crashing_runs: list[CrashingRun] = field(default_factory=list)
+    """Requests that came and end the worker."""
+    crashes: list[CrashingRun] = field(default_factory=list)
+    """Those under which it ended, with the times of the ends; one of several for each end."""
     refusals: int = 0
     """Requests that were not run."""
     resumed_after: dict[str, int] = field(default_factory=dict)
@@ -203,16 +213,16 @@
         self.server.close()
         self.server.break_off()
 
-    def _crash_under(self, handler: Any) -> None:
+    def _crash_under(self, handler: Any, run: CrashingRun) -> None:
         """End by a request that runs, and start again later; once for all that run it."""
-        self.record.crashing_s.append(time.monotonic())
+        self.record.crashing_runs.append(run)
         time.sleep(self.faults.crash_after_s)
         with self._lock:
             is_first = handler.start == self.starts and self.down_since_s is None
             if is_first:
                 self.down_since_s = time.monotonic()
         if is_first:
-            self.record.crashes_s.append(time.monotonic())
+            self.record.crashes.append(CrashingRun(run.body, run.request_id, time.monotonic()))
             self.crash()
             back = threading.Timer(self.faults.back_after_s, self._come_back)
             back.daemon = True
@@ -354,7 +364,7 @@
             self.record.headers[request_id] = found
         self._on_run(request_id)
         if body in self.faults.crash_bodies:
-            self._crash_under(handler)
+            self._crash_under(handler, CrashingRun(body, request_id, time.monotonic()))
             return
         time.sleep(self.faults.delay_s)
         if self.faults.strikes("lose_answer"):
