--- a/features/steps/hosted_crash_guard_steps.py
+++ b/features/steps/hosted_crash_guard_steps.py
@@ -2,6 +2,7 @@
 
 import random
 from types import SimpleNamespace
+from typing import NamedTuple
 
 import hypothesis.strategies as st
 import msgspec
@@ -30,6 +31,13 @@
 KB = 1024
 
 
+class Sent(NamedTuple):
+    """A request as the guard sees it."""
+
+    fingerprint: bytes
+    request_id: str = "r-1"
+
+
 def digest(name):
     return fingerprint("POST", "h", f"/{name}", "t", b"")
 
@@ -95,9 +103,9 @@
     def send(self, request):
         """Start a run; False if it is refused or no worker may take it."""
         guard = self.rng.choice(self.guards)
-        if guard.quarantine_left_s(request) > 0:
+        if guard.quarantine_left_s(Sent(request)) > 0:
             return False
-        permitted = guard.permitted(request, [self.worker(number) for number in self.running])
+        permitted = guard.permitted(Sent(request), [self.worker(number) for number in self.running])
         if not permitted:
             return False
         worker = self.rng.choice(list(permitted))
@@ -110,12 +118,12 @@
         if any(request == REQUEST for _, request, _ in runs):
             self.down.add(number)
             for guard, request, worker in runs:
-                guard.record_end(request, worker, RunEnd.BROKEN, "r")
+                guard.record_end(Sent(request), worker, RunEnd.BROKEN)
             self.down.discard(number)
             self.born[number] += 1
         else:
             for guard, request, worker in runs:
-                guard.record_end(request, worker, RunEnd.SURVIVED, "r")
+                guard.record_end(Sent(request), worker, RunEnd.SURVIVED)
 
     def play(self, rounds=60):
         """Send popular requests, unique ones and the crashing one."""
@@ -194,7 +202,7 @@
     before = context.before = WorkerBefore()
     if sign == "nobody listens at the worker's address":
         before.probed = ProbeResult.REFUSED
-    before.guard.record_end(REQUEST, before.worker, RunEnd.BROKEN, "r-1")
+    before.guard.record_end(Sent(REQUEST), before.worker, RunEnd.BROKEN)
     if sign == "the worker's entry goes":
         before.hide()
     elif sign == "the worker starts again under its id":
@@ -241,7 +249,7 @@
     gateway = context.gateway
     context.crashes = CrashTable()
     context.guard = SharedCrashGuard(context.crashes, gateway.workers, lambda: True)
-    gateway.forwarder.crashes = context.guard
+    gateway.forwarder.crashes = gateway.streams._crashes = context.guard
 
 
 @then("no end counts")
--- a/features/support/hosted_gateway.py
+++ b/features/support/hosted_gateway.py
@@ -107,7 +107,9 @@
             gate=self.gate,
             wait_share=self.room_settings.wait_share,
         )
-        streams = StreamForwarder(forwarder, self.loads, connections, self.caller_watch)
+        streams = self.streams = StreamForwarder(
+            forwarder, self.loads, connections, self.caller_watch
+        )
         self.configuration_age_s = 0.0
         self.store_configuration = None
         self.confirm = self._confirm_by_store
--- a/src/bellweir/hosted/batches/attempts.py
+++ b/src/bellweir/hosted/batches/attempts.py
@@ -1,7 +1,7 @@
 """Attempts of items: generation of a text by a worker, and scoring of a complete text."""
 
 import http.client
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection
 
 from bellweir.clients.open_answer import OpenAnswer
 from bellweir.clients.pool import is_end_by_peer
@@ -17,7 +17,6 @@
 from bellweir.hosted.batches.refusals import RefusalBackoff
 from bellweir.hosted.batches.state import JobItem, TextCheckpoint
 from bellweir.hosted.batches.worker_quarantine import WorkerQuarantine
-from bellweir.hosted.crashes.fingerprint import Fingerprint
 from bellweir.hosted.crashes.interface import CrashGuard, NoCrashGuard, RunEnd
 from bellweir.hosted.event_stream import EventSplitter, EventTooLongError
 from bellweir.hosted.incarnation import Incarnation
@@ -76,7 +75,7 @@
         crashes: CrashGuard | None = None,
     ) -> None:
         """`crashes` keeps items that crash workers from further ones."""
-        self._crashes = crashes if crashes is not None else NoCrashGuard()
+        self.crashes = crashes if crashes is not None else NoCrashGuard()
         self._connections = connections
         self._loads = loads
         self.refusal_backoff = RefusalBackoff()
@@ -92,24 +91,6 @@
         self.checkpoint_interval_s = 0.0
         """Time between two checkpoints of a text; 0 disables them."""
 
-    def is_quarantined(self, progress: ItemProgress) -> bool:
-        """Whether an item must be sent to no worker now, since others ended while they ran it."""
-        if self._crashes.is_idle:
-            return False
-        return self._crashes.quarantine_left_s(progress.fingerprint) > 0
-
-    def permitted(self, progress: ItemProgress, workers: Sequence[Worker]) -> Sequence[Worker]:
-        """Return those workers of a service that may run an item."""
-        if self._crashes.is_idle:
-            return workers
-        return self._crashes.permitted(progress.fingerprint, workers)
-
-    def _record_run_end(
-        self, request: Fingerprint, progress: ItemProgress, worker: Worker, end: RunEnd
-    ) -> None:
-        if end is RunEnd.BROKEN or not self._crashes.is_idle:
-            self._crashes.record_end(request, worker, end, progress.item.id)
-
     def note_silent(self, worker: Worker) -> None:
         """Note that a run is taken from a worker because it has fallen silent."""
         self._loads.eligibility.note_unanswered(worker)
@@ -147,8 +128,8 @@
         progress.last_event_s = progress.checkpointed_s = began_s
         opened = self._open_generation(progress, worker, cancellation)
         end = RunEnd.OTHER
-        # The item's stage, and with it its request, may change with the end of the run.
-        request = progress.fingerprint
+        # The stage, and with it the request, changes with the end of the run.
+        request = progress.request
         if cancellation.cancelled.is_set():
             self._end_cancelled(progress, worker, opened.opened)
         elif opened.opened is None or opened.state is not AttemptState.ANSWERED:
@@ -159,7 +140,7 @@
             self._handle_error_answer(progress, worker, opened)
         else:
             end = self._read_events(progress, worker, opened.opened, began_s, cancellation)
-        self._record_run_end(request, progress, worker, end)
+        self.crashes.record_end(request, worker, end)
 
     def _open_generation(
         self, progress: ItemProgress, worker: Worker, cancellation: Cancellation
@@ -346,7 +327,7 @@
             worker, call, SCORING_TIMEOUT_S, SCORING_DEADLINE_MS, cancellation
         )
         end = run_end(outcome, is_cancelled=cancellation.cancelled.is_set())
-        self._record_run_end(progress.fingerprint, progress, worker, end)
+        self.crashes.record_end(progress.request, worker, end)
         return outcome
 
     def _handle_scoring_error(
--- a/src/bellweir/hosted/batches/coordinator.py
+++ b/src/bellweir/hosted/batches/coordinator.py
@@ -193,9 +193,12 @@
             if progress.stage is Stage.RESULT:
                 if not progress.is_committing:
                     self.committer.put_result(progress)
-            elif progress.not_before_s <= now_s and not self._attempts.is_quarantined(progress):
+            elif progress.not_before_s <= now_s and not self._is_quarantined(progress):
                 yield progress
 
+    def _is_quarantined(self, progress: ItemProgress) -> bool:
+        return self._attempts.crashes.quarantine_left_s(progress.request) > 0
+
     def _progress_of(
         self, key: ItemKey, state: JobState, route: Route, item: JobItem, jobs: list[JobState]
     ) -> ItemProgress:
--- a/src/bellweir/hosted/batches/progress.py
+++ b/src/bellweir/hosted/batches/progress.py
@@ -37,6 +37,21 @@
     """The worker skipped events."""
 
 
+class StageRequest:
+    """The request of an item's stage, as the crash guard sees it."""
+
+    def __init__(self, request_id: str, host: str, path: str, tenant: str, body: bytes) -> None:
+        self.request_id = request_id
+        self._parts = (host, path, tenant)
+        self._body = body
+
+    @cached_property
+    def fingerprint(self) -> Fingerprint:
+        """Digest by which it is recognized, in any job."""
+        # Items of equal contents are judged one by one: each has an id that lasts.
+        return fingerprint("POST", *self._parts, self.request_id.encode() + b"\n" + self._body)
+
+
 @dataclass
 class ItemProgress:
     """State of one item, changed by its running attempt, and by the coordinator in between."""
@@ -81,25 +96,23 @@
     """Monotonic time since which it waits for a better worker while others have free slots."""
 
     @property
-    def fingerprint(self) -> Fingerprint:
-        """Digest by which the item's request of this stage is recognized, in any job."""
+    def request(self) -> "StageRequest":
+        """The request that the item needs in its stage."""
         scorer = self.item.scorer
         is_scoring = self.stage is not Stage.GENERATION and scorer is not None
-        return self._scorer_fingerprint if is_scoring else self._item_fingerprint
+        return self._scoring_request if is_scoring else self._generation_request
 
     @cached_property
-    def _item_fingerprint(self) -> Fingerprint:
-        # Items of equal contents are judged one by one: each has an id that lasts.
-        body = self.item.id.encode() + b"\n" + self.item.body
-        return fingerprint("POST", self.job.host, self.item.path, self.job.tenant, body)
+    def _generation_request(self) -> "StageRequest":
+        item = self.item
+        return StageRequest(item.id, self.job.host, item.path, self.job.tenant, item.body)
 
     @cached_property
-    def _scorer_fingerprint(self) -> Fingerprint:
+    def _scoring_request(self) -> "StageRequest":
         scorer = self.item.scorer
         if scorer is None:
-            return self._item_fingerprint
-        body = scorer.id.encode() + b"\n" + scorer.body
-        return fingerprint("POST", scorer.host, scorer.path, self.job.tenant, body)
+            return self._generation_request
+        return StageRequest(scorer.id, scorer.host, scorer.path, self.job.tenant, scorer.body)
 
     @property
     def stage_failures(self) -> list[Incarnation]:
--- a/src/bellweir/hosted/batches/worker_selection.py
+++ b/src/bellweir/hosted/batches/worker_selection.py
@@ -174,7 +174,7 @@
         ]
         if self._policy.set_failing_aside:
             found = self._without_failing(found, service, progress)
-        return list(self._attempts.permitted(progress, found))
+        return list(self._attempts.crashes.permitted(progress.request, found))
 
     def _without_failing(
         self, workers: list[Worker], service: str, progress: ItemProgress
--- a/src/bellweir/hosted/crashes/guard.py
+++ b/src/bellweir/hosted/crashes/guard.py
@@ -4,7 +4,7 @@
 
 from bellweir.events.log import emit
 from bellweir.hosted.crashes.fingerprint import Fingerprint
-from bellweir.hosted.crashes.interface import CrashGuard, RunEnd
+from bellweir.hosted.crashes.interface import CrashGuard, GuardedRequest, RunEnd
 from bellweir.hosted.crashes.table import MAX_ENDS, CrashTable
 from bellweir.hosted.crashes.worker_ends import ProbeResult, WorkerEnds, probe
 from bellweir.hosted.log_events import REQUEST_ACQUITTED, REQUEST_QUARANTINED, WORKER_ENDED_UNDER
@@ -40,54 +40,52 @@
         self._count = count
         self._ends = WorkerEnds(workers, is_view_current, self._record_worker_end, probe_address)
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether no request is suspected."""
-        return self._table.is_empty
-
-    def quarantine_left_s(self, request: Fingerprint) -> float:
+    def quarantine_left_s(self, request: GuardedRequest) -> float:
         """Return the seconds for which a request must not be sent; 0 if it may be."""
-        return 0.0 if self.is_idle else self._table.left_s(request)
+        return 0.0 if self._table.is_empty else self._table.left_s(request.fingerprint)
 
-    def may_retry(self, request: Fingerprint) -> bool:
-        """Whether fewer workers are known to have ended under it than a request may cost."""
-        return self._table.ends(request) < ISOLATED_ENDS
+    def may_send_again(self, request: GuardedRequest) -> bool:
+        """Whether too few workers have ended under it to leave its next run to a later request."""
+        return self._table.is_empty or self._table.ends(request.fingerprint) < ISOLATED_ENDS
 
-    def permitted(self, request: Fingerprint, workers: Sequence[Worker]) -> Sequence[Worker]:
+    def permitted(self, request: GuardedRequest, workers: Sequence[Worker]) -> Sequence[Worker]:
         """Return all workers, or the one of a request that is to be isolated.
 
         All nodes that know the same requests and workers choose the same one.
         """
-        if self.is_idle or self._table.ends(request) < ISOLATED_ENDS:
+        if self._table.is_empty or self._table.ends(request.fingerprint) < ISOLATED_ENDS:
             return workers
         isolated = self._table.isolated(ISOLATED_ENDS)
-        if request not in isolated:
-            # Quarantined or acquitted meanwhile.
-            return workers if self._table.ends(request) < ISOLATED_ENDS else ()
-        place = isolated.index(request)
+        if request.fingerprint not in isolated:
+            # Quarantined meanwhile.
+            return ()
+        place = isolated.index(request.fingerprint)
         ordered = sorted(workers, key=lambda worker: worker.incarnation)
         return ordered[place : place + 1]
 
-    def record_end(
-        self, request: Fingerprint, worker: Worker, end: RunEnd, request_id: str
-    ) -> None:
+    def record_end(self, request: GuardedRequest, worker: Worker, end: RunEnd) -> None:
         """Weigh how a run ended."""
         if end is RunEnd.BROKEN:
-            self._ends.note_broken(request, worker)
-        elif end is RunEnd.SURVIVED and not self.is_idle and self._table.acquit(request):
-            self._count("acquitted")
-            emit(REQUEST_ACQUITTED, request_id=request_id, digest=request.hex())
-            self._on_news(request)
+            self._ends.note_broken(request.fingerprint, worker)
+        elif end is RunEnd.SURVIVED and not self._table.is_empty:
+            self._acquit(request)
 
-    def record_refusal(self, request: Fingerprint, request_id: str) -> None:
+    def _acquit(self, request: GuardedRequest) -> None:
+        if not self._table.acquit(request.fingerprint):
+            return
+        self._count("acquitted")
+        emit(REQUEST_ACQUITTED, request_id=request.request_id, digest=request.fingerprint.hex())
+        self._on_news(request.fingerprint)
+
+    def record_refusal(self, request: GuardedRequest) -> None:
         """Log and count a request that is not sent."""
         self._count("refused")
         emit(
             REQUEST_QUARANTINED,
-            request_id=request_id,
-            digest=request.hex(),
-            ends=self._table.ends(request),
-            left_s=round(self._table.left_s(request), 1),
+            request_id=request.request_id,
+            digest=request.fingerprint.hex(),
+            ends=self._table.ends(request.fingerprint),
+            left_s=round(self._table.left_s(request.fingerprint), 1),
         )
 
     def resolve(self) -> None:
--- a/src/bellweir/hosted/crashes/interface.py
+++ b/src/bellweir/hosted/crashes/interface.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 from enum import Enum
+from typing import Protocol
 
 from bellweir.hosted.crashes.fingerprint import Fingerprint
 from bellweir.hosted.views.workers import Worker
@@ -19,64 +20,62 @@
     """Refused, timed out, cancelled or not sent: says nothing."""
 
 
-class CrashGuard(ABC):
-    """Keeps requests that crash workers from further workers. Thread-safe."""
+class GuardedRequest(Protocol):
+    """A request as the guard sees it; its digest is computed only while something is suspected."""
 
     @property
-    @abstractmethod
-    def is_idle(self) -> bool:
-        """Whether no request is suspected, so that fingerprints need not be computed."""
+    def request_id(self) -> str:
+        """Id for log lines."""
+
+    @property
+    def fingerprint(self) -> Fingerprint:
+        """Digest by which the request is recognized when it comes again."""
+
+
+class CrashGuard(ABC):
+    """Keeps requests that crash workers from further workers. Thread-safe."""
 
     @abstractmethod
-    def quarantine_left_s(self, request: Fingerprint) -> float:
+    def quarantine_left_s(self, request: GuardedRequest) -> float:
         """Return the seconds for which a request must not be sent; 0 if it may be."""
 
     @abstractmethod
-    def may_retry(self, request: Fingerprint) -> bool:
-        """Whether another worker may run a request whose run has just broken off."""
+    def may_send_again(self, request: GuardedRequest) -> bool:
+        """Whether another worker may run a request that has been sent to one."""
 
     @abstractmethod
-    def permitted(self, request: Fingerprint, workers: Sequence[Worker]) -> Sequence[Worker]:
+    def permitted(self, request: GuardedRequest, workers: Sequence[Worker]) -> Sequence[Worker]:
         """Return those workers of a service that may run a request.
 
         A request whose next run decides gets one that no other request of the kind gets.
         """
 
     @abstractmethod
-    def record_end(
-        self, request: Fingerprint, worker: Worker, end: RunEnd, request_id: str
-    ) -> None:
+    def record_end(self, request: GuardedRequest, worker: Worker, end: RunEnd) -> None:
         """Record that a run ended. Blocks shortly after a broken one to look at the worker."""
 
     @abstractmethod
-    def record_refusal(self, request: Fingerprint, request_id: str) -> None:
+    def record_refusal(self, request: GuardedRequest) -> None:
         """Log and count a request that is not sent since it is quarantined."""
 
 
 class NoCrashGuard(CrashGuard):
     """Suspects nothing."""
 
-    @property
-    def is_idle(self) -> bool:
-        """Return True."""
-        return True
-
-    def quarantine_left_s(self, request: Fingerprint) -> float:
+    def quarantine_left_s(self, request: GuardedRequest) -> float:
         """Return 0."""
         return 0.0
 
-    def may_retry(self, request: Fingerprint) -> bool:
+    def may_send_again(self, request: GuardedRequest) -> bool:
         """Return True."""
         return True
 
-    def permitted(self, request: Fingerprint, workers: Sequence[Worker]) -> Sequence[Worker]:
+    def permitted(self, request: GuardedRequest, workers: Sequence[Worker]) -> Sequence[Worker]:
         """Return all."""
         return workers
 
-    def record_end(
-        self, request: Fingerprint, worker: Worker, end: RunEnd, request_id: str
-    ) -> None:
+    def record_end(self, request: GuardedRequest, worker: Worker, end: RunEnd) -> None:
         """Ignore it."""
 
-    def record_refusal(self, request: Fingerprint, request_id: str) -> None:
+    def record_refusal(self, request: GuardedRequest) -> None:
         """Ignore it."""
--- a/src/bellweir/hosted/serving/forwarding.py
+++ b/src/bellweir/hosted/serving/forwarding.py
@@ -5,11 +5,11 @@
 and Retry-After only if the request has not run, and with 504 or 502 if it may have run.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from bellweir.events.log import emit
-from bellweir.hosted.crashes.interface import CrashGuard, NoCrashGuard, RunEnd
+from bellweir.hosted.crashes.interface import CrashGuard, NoCrashGuard
 from bellweir.hosted.eligibility.interface import Exclusion
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.log_events import REQUEST_ANSWERED, REQUEST_GIVEN_UP
@@ -137,33 +137,6 @@
             for service in self._parts.order(parts, key)
         ]
 
-    def quarantine_left_s(self, client: ClientRequest) -> float:
-        """Return the seconds for which a request is quarantined, and log it; 0 if it is not."""
-        if self.crashes.is_idle:
-            return 0.0
-        left_s = self.crashes.quarantine_left_s(client.fingerprint)
-        if left_s > 0:
-            self.crashes.record_refusal(client.fingerprint, client.request_id)
-        return left_s
-
-    def may_send_again(self, client: ClientRequest) -> bool:
-        """Whether what is known of workers' ends allows the request another run."""
-        if self.crashes.is_idle:
-            return True
-        request = client.fingerprint
-        return self.crashes.may_retry(request) and not self.crashes.quarantine_left_s(request)
-
-    def permitted(self, client: ClientRequest, workers: Sequence[Worker]) -> Sequence[Worker]:
-        """Return those workers of a service that may run the request."""
-        return (
-            workers if self.crashes.is_idle else self.crashes.permitted(client.fingerprint, workers)
-        )
-
-    def record_run_end(self, client: ClientRequest, worker: Worker, end: RunEnd) -> None:
-        """Record how a run of the request ended."""
-        if end is RunEnd.BROKEN or not self.crashes.is_idle:
-            self.crashes.record_end(client.fingerprint, worker, end, client.request_id)
-
     def unavailability(self, client: ClientRequest, table: RouteTable) -> tuple[str, float] | None:
         """Return why no ready worker may get a request, and the Retry-After in seconds.
 
@@ -186,8 +159,9 @@
         self, client: ClientRequest, table: RouteTable, cancellation: Cancellation
     ) -> tuple[Response, Progress]:
         progress = Progress()
-        left_s = self.quarantine_left_s(client)
+        left_s = self.crashes.quarantine_left_s(client)
         if left_s > 0:
+            self.crashes.record_refusal(client)
             progress.cause = QUARANTINED
             return gateway_response(503, QUARANTINED, left_s), progress
         groups = self.candidates(client, table)
@@ -288,10 +262,11 @@
             return None
         if progress.may_have_run and not self._is_idempotent(client):
             return None
-        if progress.sends and not self.may_send_again(client):
+        if progress.sends and not self.crashes.may_send_again(client):
             return None
         for workers in groups:
-            worker = self._loads.choose(self.permitted(client, workers), progress.tried)
+            permitted = self.crashes.permitted(client, workers)
+            worker = self._loads.choose(permitted, progress.tried)
             if worker is not None:
                 return worker
         return None
@@ -325,7 +300,8 @@
         is_timed_out = seconds >= TIMED_OUT_SHARE * timeout_s
         self._record_attempt(client, worker, outcome, progress, seconds, is_timed_out, is_cancelled)
         # Last, since it may look at the worker: the attempt's place is free by then.
-        self.record_run_end(client, worker, run_end(outcome, is_cancelled=is_cancelled))
+        end = run_end(outcome, is_cancelled=is_cancelled)
+        self.crashes.record_end(client, worker, end)
         return outcome
 
     def _attempt_timeout_s(
--- a/src/bellweir/hosted/serving/streams.py
+++ b/src/bellweir/hosted/serving/streams.py
@@ -122,14 +122,16 @@
         caller_watch: CallerWatch,
     ) -> None:
         self._forwarder = forwarder
+        self._crashes = forwarder.crashes
         self._loads = loads
         self._connections = connections
         self._caller_watch = caller_watch
 
     def forward(self, client: ClientRequest, table: RouteTable) -> Response:
         """Forward one request; events are passed on as they arrive."""
-        left_s = self._forwarder.quarantine_left_s(client)
+        left_s = self._crashes.quarantine_left_s(client)
         if left_s > 0:
+            self._crashes.record_refusal(client)
             stream = _Stream(client, table, [], Cancellation(), set(), set())
             stream.cause, stream.retry_after_s = QUARANTINED, left_s
             return self._end_without_stream(stream, None)
@@ -198,7 +200,7 @@
         )
         stream.cause = failed.record(self._loads)
         end = run_end(outcome, is_cancelled=failed.is_cancelled)
-        self._forwarder.record_run_end(stream.client, worker, end)
+        self._crashes.record_end(stream.client, worker, end)
         return response if state is AttemptState.ANSWERED else None
 
     def _next_worker(self, stream: _Stream) -> Worker | None:
@@ -210,10 +212,10 @@
             return None
         if len(stream.ran_at) >= max(1, client.route.max_attempts):
             return None
-        if stream.sends and not self._forwarder.may_send_again(client):
+        if stream.sends and not self._crashes.may_send_again(client):
             return None
         for workers in stream.groups:
-            permitted = self._forwarder.permitted(client, workers)
+            permitted = self._crashes.permitted(client, workers)
             worker = self._loads.choose(permitted, stream.tried, is_budgeted=not stream.ran_at)
             if worker is not None:
                 return worker
@@ -280,7 +282,7 @@
             end = RunEnd.SURVIVED
         elif is_ended and not stream.cancellation.cancelled.is_set():
             end = RunEnd.BROKEN
-        self._forwarder.record_run_end(stream.client, worker, end)
+        self._crashes.record_end(stream.client, worker, end)
 
     def _end_attempt(
         self, stream: _Stream, worker: Worker | None, opened: OpenAnswer, *, is_complete: bool
