--- a/src/bellweir/hosted/crashes/service.py
+++ b/src/bellweir/hosted/crashes/service.py
@@ -16,7 +16,7 @@
 from bellweir.membership.interface import Membership
 from bellweir.wire.interface import Transport
 
-RESOLVE_INTERVAL_S = 0.5
+RESOLVE_INTERVAL_S = 1.0
 MAX_VIEW_AGE_S = 2.0
 """Age of the workers' view up to which an entry that is gone shows an end."""
 
