Crashes: a request that an operator has released is sent again

What callers saw: a request named in crashes.lifted still got 503 at every gateway.

Cause: a released request was not quarantined, but its ends still counted: it was to run apart, and the list of those that run apart left it out as quarantined, so that no worker was permitted.

Change: nothing counts against a released request, and it takes no place among those that run apart. "How a quarantine ends" asks the guard now; it failed before.

--- a/features/steps/hosted_crash_guard_steps.py
+++ b/features/steps/hosted_crash_guard_steps.py
@@ -439,6 +439,11 @@
     table.lift([REQUEST])
     assert not table.is_quarantined(REQUEST)
     assert table.is_quarantined(other)
+    guard = SharedCrashGuard(table, WorkersView(), lambda: True)
+    workers = [SimpleNamespace(incarnation=Incarnation(f"w-{number}")) for number in range(3)]
+    assert guard.permitted(Sent(REQUEST), workers) == workers
+    assert guard.may_send_again(Sent(REQUEST))
+    assert not guard.permitted(Sent(other), workers)
 
 
 # Fingerprints
--- a/src/bellweir/hosted/crashes/table.py
+++ b/src/bellweir/hosted/crashes/table.py
@@ -97,7 +97,9 @@
         self._lifted = frozenset(lifted)
 
     def ends(self, request: Fingerprint) -> int:
-        """Return the number of workers' ends that count against a request."""
+        """Return the number of workers' ends that count against a request; 0 for a released one."""
+        if request in self._lifted:
+            return 0
         with self._lock:
             suspect = self._suspects.get(request)
             return len(suspect.counted(self._now_s())) if suspect is not None else 0
@@ -121,7 +123,9 @@
             return sorted(
                 request
                 for request, suspect in self._suspects.items()
-                if len(suspect.counted(now_s)) >= least and not self._left_s(suspect)
+                if request not in self._lifted
+                and len(suspect.counted(now_s)) >= least
+                and not self._left_s(suspect)
             )
 
     def quarantined(self) -> list[tuple[Fingerprint, str]]:
