--- a/src/bellweir/hosted/serving/application.py
+++ b/src/bellweir/hosted/serving/application.py
@@ -122,11 +122,10 @@
         if self._batches.is_job_request(request):
             admission = self._judge(request, table, is_public=table.has_public_jobs(host))
             return _Match(table, None, admission)
-        if table.is_closed(host, request.raw_path):
-            return _Match(table, None, None, is_closed=True)
         route = table.find(host, request.raw_path)
         if route is None:
-            return _Match(table, None, None)
+            is_closed = table.is_closed(host, request.raw_path)
+            return _Match(table, None, None, is_closed=is_closed)
         return _Match(table, route, self._judge(request, table, is_public=route.public))
 
     def _judge(self, request: Request, table: RouteTable, *, is_public: bool) -> Admission:
