Crashes: an end proves less the more workers end beside it, and trials acquit

What callers saw: items of a step were at no worker for seconds, with room for them (LOST), after their engines had crashed by themselves several times.

Cause: each end of a worker counted in full against all that it ran, whatever else ended at that moment, and three quarantined for 600 s. From two ends on a request was given the n-th worker for the n-th such request of all services: with more of them than workers some got none, and nobody removed those that never came again. Class: evidence without a base rate, and a place that is held by who doesn't ask.

Change: an end is weighed by the share of workers which ended within 0.1 s and ran the request; a node that sees an end looks at up to six others of the service, so that idle ones count too. A request with three ends by weight is suspended, not condemned: it has up to three single trials, each once the workers stay (1.5 times the longest pause of the series, 0.5 to 3 s), one at a time, apart from other trials, at any worker. A whole answer acquits everywhere. One gateway grants the trials of a service, a leader those of its items; trials are told like ends. One that ran on past contactMs after its third end is suspended whatever it proves, and always has one more trial. Nobody holds a place; the isolation is gone. Callers get the time to the next trial as Retry-After. New setting bounds.contactMs.

Tests that changed: the states "quarantined" of a stream, an item and a released request now take six ends, since three leave trials; what they check is the same. The flood of 5000 requests now comes a second after the quarantined one's ends: 5000 workers that end at one moment show that workers end by themselves.

--- a/features/hosted_crash_series.feature
+++ b/features/hosted_crash_series.feature
@@ -5,3 +5,12 @@
   # Guards against items that are left lying since their workers crashed by themselves.
   Scenario: Items of a step whose engines crash in series
     Then over 100 drawn courses of 5 to 9 rounds no item lacks an engine for 5 s after the last round
+
+  # Guards against one bound that is kept at the cost of the other.
+  Scenario: Items that crash engines beside engines that crash in series
+    Then over 100 drawn courses with 1 to 3 crashing items none of these runs more than 3 times later than 3 s after its third end
+    And no other item lacks an engine for 5 s after the last end
+
+  Scenario: Items that crash engines that stay otherwise
+    Then over 100 drawn courses without rounds none of 1 to 3 crashing items runs more than 3 times later than 3 s after its third end
+    And every other item is done within 20 s
--- a/features/steps/hosted_crash_guard_steps.py
+++ b/features/steps/hosted_crash_guard_steps.py
@@ -18,7 +18,8 @@
 from bellweir.hosted.crashes.fingerprint import fingerprint
 from bellweir.hosted.crashes.guard import SharedCrashGuard
 from bellweir.hosted.crashes.interface import RunEnd
-from bellweir.hosted.crashes.table import HOLD_S, MAX_ENDS, MAX_REQUESTS, CrashTable
+from bellweir.hosted.crashes.suspect import HOLD_S, MAX_ENDS, MAX_TRIALS
+from bellweir.hosted.crashes.table import MAX_REQUESTS, CrashTable
 from bellweir.hosted.crashes.worker_ends import ProbeResult
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.interface import Listing, StoredRecord
@@ -28,6 +29,8 @@
 from bellweir_rehearsal.hosted.worker import WorkerStandIn
 
 REQUEST = fingerprint("POST", "h", "/crash", "t", b"body")
+HELD_ENDS = MAX_ENDS + MAX_TRIALS
+"""Ends after which a request has no trial left."""
 KB = 1024
 
 
@@ -82,7 +85,13 @@
         self.table = CrashTable(now_s=lambda: self.now_s)
         view = WorkersView()
         self.guards = [
-            SharedCrashGuard(self.table, view, lambda: True, probe_address=self.probe)
+            SharedCrashGuard(
+                self.table,
+                view,
+                lambda: True,
+                probe_address=self.probe,
+                now_s=lambda: self.now_s,
+            )
             for _ in range(gateways)
         ]
         self.born = dict.fromkeys(range(workers), 1)
@@ -109,6 +118,8 @@
         if not permitted:
             return False
         worker = self.rng.choice(list(permitted))
+        if not guard.begin_run(Sent(request), worker):
+            return False
         self.running[int(worker.address)].append((guard, request, worker))
         return True
 
@@ -160,9 +171,12 @@
 
 @then("{count:d} requests with one end each do not evict a quarantined one")
 def then_kept(context, count):
-    table = CrashTable()
+    clock = SimpleNamespace(now_s=100.0)
+    table = CrashTable(now_s=lambda: clock.now_s)
     for number in range(MAX_ENDS):
         table.add_end(REQUEST, "app", Incarnation(f"i-{number}"))
+    # Ends at the same moment would show that the workers end by themselves.
+    clock.now_s += 1.0
     for number in range(count):
         table.add_end(digest(f"flood-{number}"), "app", Incarnation(f"w-{number}"))
     assert table.is_quarantined(REQUEST)
@@ -433,7 +447,7 @@
 @then("an operator can lift it, and only that one")
 def then_lifted(context):
     table, other = CrashTable(), digest("other")
-    for number in range(MAX_ENDS):
+    for number in range(HELD_ENDS):
         table.add_end(REQUEST, "app", Incarnation(f"i-{number}"))
         table.add_end(other, "app", Incarnation(f"j-{number}"))
     table.lift([REQUEST])
@@ -486,7 +500,7 @@
     assert context.gateway.send("/resumable/x").status == 200
     context.runs = sum(context.worker.record.ran.values())
     request = fingerprint("POST", HOST, "/resumable/x", "", b"body")
-    for number in range(MAX_ENDS):
+    for number in range(HELD_ENDS):
         context.crashes.add_end(request, "app", Incarnation(f"gone-{number}"))
 
 
@@ -508,7 +522,7 @@
     item = context.bad = context.job.items[2]
     body = item.id.encode() + b"\n" + item.body
     request = fingerprint("POST", context.job.host, item.path, context.job.tenant, body)
-    for number in range(MAX_ENDS):
+    for number in range(HELD_ENDS):
         context.crashes.add_end(request, "llm", Incarnation(f"gone-{number}"))
     context.batches.ledger.submit(JOBS_KEY, AcceptJob(context.job), 1.0)
 
--- a/features/steps/hosted_crash_series_steps.py
+++ b/features/steps/hosted_crash_series_steps.py
@@ -3,7 +3,7 @@
 import random
 
 from behave import then
-from features.support.crash_courses import MOST_LYING_S, Course, drawn_rounds
+from features.support.crash_courses import CONTACT_S, MOST_LYING_S, Course, drawn_rounds
 
 COURSE_S = 40.0
 
@@ -24,3 +24,63 @@
             longest_s = max(item.most_lying_s for item in lying)
             faults.append((seed, len(lying), round(longest_s, 1)))
     assert not faults, f"{len(faults)} of {count}: {faults[:5]}"
+
+
+@then(
+    "over {count:d} drawn courses with {least:d} to {most:d} crashing items none of these runs "
+    "more than {runs:d} times later than {seconds:g} s after its third end"
+)
+def then_bounded(context, count, least, most, runs, seconds):
+    assert seconds == CONTACT_S
+    context.courses = []
+    for seed in range(count):
+        rng = random.Random(f"both/{seed}")
+        rounds = drawn_rounds(rng, rng.randint(5, 9))
+        course = Course(seed, rounds, crashing=rng.randint(least, most))
+        course.play(COURSE_S)
+        context.courses.append(course)
+    _expect_few_late_runs(context.courses, runs)
+
+
+@then("no other item lacks an engine for {seconds:g} s after the last end")
+def then_others_run(context, seconds):
+    assert seconds == MOST_LYING_S
+    faults = [
+        (seed, [(item.number, round(item.most_lying_s, 1)) for item in course.left_lying()])
+        for seed, course in enumerate(context.courses)
+        if course.left_lying()
+    ]
+    assert not faults, f"{len(faults)} of {len(context.courses)}: {faults[:5]}"
+
+
+@then(
+    "over {count:d} drawn courses without rounds none of {least:d} to {most:d} crashing items runs "
+    "more than {runs:d} times later than {seconds:g} s after its third end"
+)
+def then_bounded_without_rounds(context, count, least, most, runs, seconds):
+    assert seconds == CONTACT_S
+    context.courses = []
+    for seed in range(count):
+        course = Course(seed, [], crashing=least + seed % (most - least + 1))
+        course.play(COURSE_S)
+        context.courses.append(course)
+    _expect_few_late_runs(context.courses, runs)
+
+
+def _expect_few_late_runs(courses, runs):
+    faults = []
+    for seed, course in enumerate(courses):
+        late = [len(course.late_runs(item)) for item in course.items if item.crashes]
+        if max(late) > runs:
+            faults.append((seed, late))
+    assert not faults, f"{len(faults)} of {len(courses)}: {faults[:8]}"
+
+
+@then("every other item is done within {seconds:g} s")
+def then_others_done(context, seconds):
+    faults = [
+        (seed, round(max(item.done_s for item in course.innocent) - course.began_s, 1))
+        for seed, course in enumerate(context.courses)
+        if max(item.done_s for item in course.innocent) > course.began_s + seconds
+    ]
+    assert not faults, f"{len(faults)} of {len(context.courses)}: {faults[:8]}"
--- a/features/support/crash_courses.py
+++ b/features/support/crash_courses.py
@@ -12,7 +12,7 @@
 from bellweir.hosted.incarnation import Incarnation
 
 SERVICE = "llm"
-STEP_S = 0.025
+STEP_S = 0.05
 CONTACT_S = 3.0
 """Time after a crash from which on the service counts as undisturbed."""
 MOST_LYING_S = 5.0
@@ -40,6 +40,7 @@
         self.since_s = 0.0
         self.starts_s = []
         self.ends_s = []
+        self.done_s = float("inf")
         self.lying_s = 0.0
         self.most_lying_s = 0.0
 
@@ -77,6 +78,7 @@
         self.slots = slots
         self.back_s = dict.fromkeys(range(workers), 0.0)
         self.born = dict.fromkeys(range(workers), 1)
+        self.down = set()
         self.table = CrashTable(now_s=lambda: self.now_s)
         self.guard = self.make_guard()
         texts = [self.rng.uniform(0.4, 5.0) for _ in range(items)]
@@ -86,14 +88,16 @@
 
     def make_guard(self):
         view = SimpleNamespace(ready=self.ready, worker=lambda _instance: None)
-        return SharedCrashGuard(self.table, view, lambda: False, probe_address=self.probe)
+        return SharedCrashGuard(
+            self.table, view, lambda: False, probe_address=self.probe, now_s=lambda: self.now_s
+        )
 
     def ready(self, _service):
         return [self.worker(number) for number in self.back_s]
 
     def worker(self, number):
         incarnation = Incarnation(f"i-{number}", self.born[number])
-        entry = SimpleNamespace(service=SERVICE, slots=self.slots)
+        entry = SimpleNamespace(service=SERVICE, slots=self.slots, zone="a")
         return SimpleNamespace(
             number=number,
             instance=incarnation.instance,
@@ -106,7 +110,12 @@
         return ProbeResult.ACCEPTED if self.is_up(int(address)) else ProbeResult.REFUSED
 
     def is_up(self, number):
-        return self.back_s[number] <= self.now_s
+        return number not in self.down
+
+    def start_again(self):
+        for number in [one for one in self.down if self.back_s[one] <= self.now_s]:
+            self.down.remove(number)
+            self.born[number] += 1
 
     def running(self, number):
         return [item for item in self.items if item.worker and item.worker.number == number]
@@ -117,12 +126,13 @@
         before = {number: self.worker(number) for number in numbers}
         for number in numbers:
             self.back_s[number] = self.now_s + down_s
-            self.born[number] += 1
+            self.down.add(number)
         for number, items in ended.items():
             for item in items:
                 item.worker = None
                 item.ends_s.append(self.now_s)
                 self.guard.record_end(item.request, before[number], RunEnd.BROKEN)
+        self.guard.look_beside()
 
     def crash_by_themselves(self):
         while self.rounds and self.rounds[0][0] <= self.now_s:
@@ -148,6 +158,7 @@
                 continue
             item.left_s -= STEP_S
             if item.is_done:
+                item.done_s = self.now_s
                 worker, item.worker = item.worker, None
                 self.guard.record_end(item.request, worker, RunEnd.SURVIVED)
 
@@ -165,8 +176,9 @@
             for one in permitted
             if self.is_up(one.number) and len(self.running(one.number)) < self.slots
         ]
-        if free:
-            item.worker = min(free, key=lambda one: len(self.running(one.number)))
+        chosen = min(free, key=lambda one: len(self.running(one.number)), default=None)
+        if chosen is not None and self.guard.begin_run(item.request, chosen):
+            item.worker = chosen
             item.since_s = self.now_s
             item.starts_s.append(self.now_s)
 
@@ -185,17 +197,20 @@
         until_s = self.now_s + seconds
         while self.now_s < until_s:
             self.now_s += STEP_S
+            self.start_again()
             self.crash_by_themselves()
             self.crash_by_requests()
             self.advance()
             self.schedule()
             self.note_lying()
 
+    @property
+    def innocent(self):
+        return [item for item in self.items if not item.crashes]
+
     def left_lying(self):
         """Innocent items that lacked a worker for too long."""
-        return [
-            item for item in self.items if not item.crashes and item.most_lying_s > MOST_LYING_S
-        ]
+        return [item for item in self.innocent if item.most_lying_s > MOST_LYING_S]
 
     def late_runs(self, item):
         """Runs of a request that began later than the contact time after its third end."""
--- a/src/bellweir/hosted/crashes/exchange.py
+++ b/src/bellweir/hosted/crashes/exchange.py
@@ -3,17 +3,28 @@
 News travels at once: a node passes what is new to it on to the peers at powers of two in its zone's
 ring and to one node of each other zone. Besides, a node with records sends some of them to one peer
 each second, so that nodes which missed news get it, and one that may have missed some asks.
-Nothing is sent while no request is suspected, except the question at a start.
+Nothing is sent while no request is suspected, except the question at a start. It also asks the
+gateway that grants the trials of a service.
 """
 
 import threading
 from collections.abc import Callable, Mapping, Sequence
 
+import xxhash
 from returns.result import Success
 
 from bellweir.hosted.crashes.fingerprint import Fingerprint
-from bellweir.hosted.crashes.messages import CrashAnswer, CrashNews, CrashQuestion, CrashRecord
+from bellweir.hosted.crashes.messages import (
+    CrashAnswer,
+    CrashNews,
+    CrashQuestion,
+    CrashRecord,
+    TrialAnswer,
+    TrialRequest,
+)
 from bellweir.hosted.crashes.table import CrashTable
+from bellweir.hosted.crashes.trials import Trials
+from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.sight.gossip_ring import (
     GatewayPeer,
     position_of,
@@ -36,6 +47,10 @@
 """Time after a start for which peers are asked until one answers."""
 STALLED_S = 2.5
 """Time between two rounds from which this node may have missed news."""
+TRIAL_TIMEOUT_S = 0.25
+UNGRANTED_WAIT_S = 1.0
+"""Time after which a trial is asked for again if the node that grants it does not answer."""
+MS_PER_S = 1000
 
 
 class CrashExchange:
@@ -47,7 +62,10 @@
         membership: Membership,
         table: CrashTable,
         now_s: Callable[[], float] = elapsed_s,
+        trials: Trials | None = None,
     ) -> None:
+        """`trials` grants trials here; without it this node grants none to others."""
+        self._trials = trials if trials is not None else Trials(table, lambda _service: 0, now_s)
         self._transport = transport
         self._membership = membership
         self._table = table
@@ -60,6 +78,7 @@
         self._ask_until_s = now_s() + ASKING_S
         transport.register(CrashNews, self._on_news)
         transport.register(CrashQuestion, self._on_question)
+        transport.register(TrialRequest, self._on_trial_request)
 
     def announce(self, request: Fingerprint) -> None:
         """Tell the other nodes what is known of a request; returns at once."""
@@ -117,6 +136,41 @@
                     self._ask_until_s = self._now_s()
                     return
 
+    def begin_trial(self, request: Fingerprint, service: str, worker: Incarnation) -> float:
+        """Take a trial at a worker; return 0, or the seconds after which to ask again.
+
+        Of all gateways one grants the trials of a service. Other nodes run what nobody else runs,
+        and grant their trials themselves.
+        """
+        granting = self._granting_peer(service)
+        if granting is None:
+            return self._trials.begin(request, service, worker)
+        message = TrialRequest(request, service, worker.instance, worker.born_ms)
+        match self._transport.request(granting.address, message, TRIAL_TIMEOUT_S):
+            case Success(TrialAnswer(wait_ms)):
+                if wait_ms == 0:
+                    self._table.add_trial(request, worker)
+                return wait_ms / MS_PER_S
+        return UNGRANTED_WAIT_S
+
+    def _granting_peer(self, service: str) -> GatewayPeer | None:
+        """Return the gateway that grants the trials of a service; None if it is this node."""
+        own = self._membership.self_member()
+        if not own.gateway_address:
+            return None
+        rings = zone_rings(self._membership.members())
+        peers = [peer for ring in rings.values() for peer in ring]
+        granting = min(peers, key=lambda peer: _rank(service, peer.node), default=None)
+        return None if granting is None or granting.node == own.node else granting
+
+    def _on_trial_request(self, sender: Sender, message: TrialRequest) -> TrialAnswer:
+        worker = Incarnation(message.instance, message.born_ms)
+        wait_s = self._trials.begin(message.fingerprint, message.service, worker)
+        if wait_s > 0:
+            return TrialAnswer(max(1, round(MS_PER_S * wait_s)))
+        self.announce(message.fingerprint)
+        return TrialAnswer(0)
+
     def _note_stall(self) -> None:
         """Ask again after a time in which this node may have been halted or suspended."""
         if self._now_s() - self._last_round_s > STALLED_S:
@@ -148,5 +202,9 @@
         return list(dict.fromkeys(found))
 
 
+def _rank(service: str, node: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{service}/{node}".encode())
+
+
 def _one_of_each(rings: Mapping[str, Sequence[GatewayPeer]], position: int) -> list[GatewayPeer]:
     return [ring[position % len(ring)] for ring in rings.values() if ring]
--- a/src/bellweir/hosted/crashes/interface.py
+++ b/src/bellweir/hosted/crashes/interface.py
@@ -43,11 +43,22 @@
     def may_send_again(self, request: GuardedRequest) -> bool:
         """Whether another worker may run a request that has been sent to one."""
 
+    @abstractmethod
+    def is_restricted(self, request: GuardedRequest) -> bool:
+        """Whether a request runs by single trials only, so that it may wait while others run."""
+
     @abstractmethod
     def permitted(self, request: GuardedRequest, workers: Sequence[Worker]) -> Sequence[Worker]:
         """Return those workers of a service that may run a request.
 
-        A request whose next run decides gets one that no other request of the kind gets.
+        A restricted request gets those at which no other one has a trial.
+        """
+
+    @abstractmethod
+    def begin_run(self, request: GuardedRequest, worker: Worker) -> bool:
+        """Note that a request is about to be sent to a worker; False if it must not be.
+
+        Must be called before each run. May ask another node, for up to a quarter of a second.
         """
 
     @abstractmethod
@@ -70,10 +81,18 @@
         """Return True."""
         return True
 
+    def is_restricted(self, request: GuardedRequest) -> bool:
+        """Return False."""
+        return False
+
     def permitted(self, request: GuardedRequest, workers: Sequence[Worker]) -> Sequence[Worker]:
         """Return all."""
         return workers
 
+    def begin_run(self, request: GuardedRequest, worker: Worker) -> bool:
+        """Return True."""
+        return True
+
     def record_end(self, request: GuardedRequest, worker: Worker, end: RunEnd) -> None:
         """Ignore it."""
 
--- a/src/bellweir/hosted/crashes/messages.py
+++ b/src/bellweir/hosted/crashes/messages.py
@@ -15,6 +15,17 @@
     born_ms: int
     age_ms: int
     """Age when the message was sent; the way is not counted."""
+    beside: int = 0
+    """Workers of the service that ended at the same moment without running the request."""
+
+
+class TrialRecord(msgspec.Struct, frozen=True, array_like=True):
+    """One run that was granted to a suspended request."""
+
+    instance: str
+    born_ms: int
+    age_ms: int
+    """Age when the message was sent; the way is not counted."""
 
 
 class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -25,6 +36,7 @@
     ends: tuple[EndRecord, ...]
     acquitted_age_ms: int = NEVER_MS
     """Age of the newest run that the worker survived; `NEVER_MS` without one."""
+    trials: tuple[TrialRecord, ...] = ()
 
 
 class CrashNews(Message, frozen=True):
@@ -45,3 +57,22 @@
 
     since_level = 3
     records: tuple[CrashRecord, ...]
+
+
+class TrialRequest(Message, frozen=True):
+    """Asks the node that grants trials of a service for a trial of a suspended request."""
+
+    since_level = 4
+    fingerprint: Fingerprint
+    service: str
+    instance: str
+    """The worker that is to run it."""
+    born_ms: int
+
+
+class TrialAnswer(Message, frozen=True):
+    """Whether a trial was granted."""
+
+    since_level = 4
+    wait_ms: int
+    """0: granted; otherwise the milliseconds after which to ask again."""
--- /dev/null
+++ b/src/bellweir/hosted/crashes/suspect.py
@@ -0,0 +1,146 @@
+"""The evidence against one request, and how often it may still run.
+
+Workers also end by themselves, several at once, so the end of a worker proves less the more workers
+of the service ended at the same moment without running the request.
+
+>>> suspect = Suspect("llm")
+>>> for number in range(3):
+...     _ = suspect.add_end(Incarnation(f"i-{number}"), 10.0 + number)
+>>> suspect.blame(13.0), suspect.trials_left(13.0, contact_s=3.0)
+(3.0, 3)
+>>> suspect.set_beside(Incarnation("i-0"), 3)
+>>> suspect.blame(13.0), suspect.trials_left(13.0, contact_s=3.0) is None
+(2.25, True)
+"""
+
+from bellweir.hosted.incarnation import Incarnation
+
+MAX_ENDS = 3
+"""Ends of workers, weighed by what they prove, from which on a request is suspended."""
+MAX_TRIALS = 3
+"""Runs that a suspended request may have, each of which may acquit it."""
+MAX_LATE_ENDS = 2
+"""Ends later than the contact time after the third one, from which on a request is suspended
+whatever the ends prove."""
+HOLD_S = 600.0
+"""Time for which a request is suspended after the last end."""
+RETENTION_S = 3_600.0
+"""Time for which ends are remembered: after the suspension one more end renews it at once."""
+SAME_MOMENT_S = 0.1
+"""Ends of workers within this time count as simultaneous."""
+TRIAL_SLOT_S = 0.4
+"""Time from the beginning of a trial within which a crashing request ends its worker."""
+MAX_KEPT_ENDS = 12
+"""Ends and trials kept for each request, the newest ones."""
+NEVER_S = float("-inf")
+ROUNDING = 1e-9
+
+
+class Suspect:
+    """What is known of one request. Times are those of the owner's clock, in seconds."""
+
+    __slots__ = ("_beside", "_beside_told", "acquitted_s", "ended_s", "service", "trials_s")
+
+    def __init__(self, service: str) -> None:
+        self.service = service
+        self.ended_s: dict[Incarnation, float] = {}
+        """Time of each worker's end."""
+        self._beside: dict[Incarnation, int] = {}
+        """Workers that ended at the moment of an end without running the request."""
+        self._beside_told: dict[Incarnation, int] = {}
+        """Those of them that ran nothing, as other nodes have told."""
+        self.trials_s: dict[Incarnation, float] = {}
+        """Time of the newest trial at each worker."""
+        self.acquitted_s = NEVER_S
+
+    def counted(self, now_s: float) -> dict[Incarnation, float]:
+        """Times of the ends that count, by worker."""
+        since_s = max(self.acquitted_s, now_s - RETENTION_S)
+        return {worker: at_s for worker, at_s in self.ended_s.items() if at_s > since_s}
+
+    def counted_trials(self, now_s: float) -> dict[Incarnation, float]:
+        """Times of the trials that count, by worker."""
+        since_s = max(self.acquitted_s, now_s - RETENTION_S)
+        return {worker: at_s for worker, at_s in self.trials_s.items() if at_s >= since_s}
+
+    def add_end(self, worker: Incarnation, at_s: float) -> bool:
+        """Add an end; False if it is known."""
+        if worker in self.ended_s:
+            return False
+        self.ended_s[worker] = at_s
+        if len(self.ended_s) > MAX_KEPT_ENDS:
+            oldest = min(self.ended_s, key=self.ended_s.__getitem__)
+            del self.ended_s[oldest]
+            self._beside.pop(oldest, None)
+            self._beside_told.pop(oldest, None)
+            return oldest != worker
+        return True
+
+    def add_trial(self, worker: Incarnation, at_s: float) -> bool:
+        """Add a trial; False if it is known."""
+        if at_s <= self.trials_s.get(worker, NEVER_S):
+            return False
+        self.trials_s[worker] = at_s
+        if len(self.trials_s) > MAX_KEPT_ENDS:
+            del self.trials_s[min(self.trials_s, key=self.trials_s.__getitem__)]
+        return True
+
+    def is_soon_after_trial(self, worker: Incarnation, at_s: float) -> bool:
+        """Whether the end of a worker at a time is put down to a trial of this request."""
+        return 0.0 <= at_s - self.trials_s.get(worker, NEVER_S) <= TRIAL_SLOT_S
+
+    def beside(self, worker: Incarnation) -> int:
+        """Return how many workers ended at the moment of an end without running the request."""
+        return max(self._beside.get(worker, 0), self._beside_told.get(worker, 0))
+
+    def set_beside(self, worker: Incarnation, count: int) -> None:
+        """Replace the count of an end by what this node sees now."""
+        self._beside[worker] = count
+
+    def hear_beside(self, worker: Incarnation, count: int) -> bool:
+        """Note a count of another node; False if as many have been told."""
+        if worker not in self.ended_s or count <= self._beside_told.get(worker, 0):
+            return False
+        self._beside_told[worker] = count
+        return True
+
+    def acquit(self, at_s: float) -> bool:
+        """Clear what came before a run that a worker survived; False if a later one is known."""
+        if at_s <= self.acquitted_s:
+            return False
+        self.acquitted_s = at_s
+        return True
+
+    def blame(self, now_s: float) -> float:
+        """Return the number of ends, each weighed by the share of workers that ran the request.
+
+        The share is that among the workers which ended at the same moment.
+        """
+        counted = self.counted(now_s)
+        total = 0.0
+        for worker, at_s in counted.items():
+            ran = sum(abs(other_s - at_s) <= SAME_MOMENT_S for other_s in counted.values())
+            total += ran / (ran + self.beside(worker))
+        return total
+
+    def trials_left(self, now_s: float, contact_s: float) -> int | None:
+        """Return how often the request may still run; None if it is not suspended.
+
+        It is suspended if the ends prove enough. One that ran on for long after its third end is
+        suspended whatever they prove, but always has one more trial.
+        """
+        if len(self.ended_s) < MAX_ENDS:
+            return None
+        counted = sorted(self.counted(now_s).values())
+        if len(counted) < MAX_ENDS or now_s >= counted[-1] + HOLD_S:
+            return None
+        trials = self.counted_trials(now_s)
+        undecided = sum(worker not in self.ended_s for worker in trials)
+        late_from_s = counted[MAX_ENDS - 1] + contact_s
+        late = sum(at_s > late_from_s for at_s in counted) + undecided
+        blame = self.blame(now_s) + ROUNDING
+        if blame < MAX_ENDS:
+            return max(1, MAX_TRIALS - late) if late >= MAX_LATE_ENDS else None
+        by_blame = MAX_TRIALS - (int(blame) - MAX_ENDS) - undecided
+        by_time = MAX_TRIALS - late if trials else max(1, MAX_TRIALS - late)
+        return max(0, min(by_blame, by_time))
--- a/src/bellweir/hosted/crashes/worker_ends.py
+++ b/src/bellweir/hosted/crashes/worker_ends.py
@@ -1,11 +1,15 @@
 """Tells the end of a worker from a connection that broke off while the worker lives on."""
 
+import random
 import socket
 import threading
+from collections import deque
 from collections.abc import Callable
 from enum import Enum
 
 from bellweir.hosted.crashes.fingerprint import Fingerprint
+from bellweir.hosted.crashes.suspect import SAME_MOMENT_S
+from bellweir.hosted.crashes.table import CrashTable
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.records import WorkerState
 from bellweir.hosted.views.workers import Worker, WorkersView
@@ -17,6 +21,10 @@
 """Time for which a worker that could not be told is looked for in the view: longer than three
 heartbeats after which the entry of one that has ended goes."""
 MAX_UNDECIDED = 256
+MAX_BESIDE = 3
+"""Workers of the same zone, and of other zones, that are looked at beside one that has ended."""
+MAX_LOOKS = 64
+"""Ended workers that wait for a look at others, and that are remembered as looked at."""
 
 
 class ProbeResult(Enum):
@@ -56,17 +64,24 @@
 
     A worker has ended if nobody listens at its address any more, or if its entry goes or names
     another incarnation soon after. One that said before that it drains ends as planned.
+
+    Beside a worker that has ended some others of its service are looked at, so that it is known how
+    many ended at the same moment.
     """
 
     def __init__(
         self,
         workers: WorkersView,
         is_view_current: Callable[[], bool],
-        on_end: Callable[[Fingerprint, Worker, str], None],
+        on_end: Callable[[Fingerprint, Worker, str, float], None],
         probe_address: Callable[[str], ProbeResult] = probe,
         now_s: Callable[[], float] = elapsed_s,
+        table: CrashTable | None = None,
     ) -> None:
-        """`on_end` is called with each request that an ended worker ran, and the evidence."""
+        """`on_end` is called with each request that an ended worker ran, the evidence and the time.
+
+        `table` gets the ends of workers that are found beside others.
+        """
         self._workers = workers
         self._is_view_current = is_view_current
         self._on_end = on_end
@@ -74,16 +89,60 @@
         self._now_s = now_s
         self._lock = threading.Lock()
         self._undecided: dict[Incarnation, _Undecided] = {}
+        self._table = table if table is not None else CrashTable(now_s=now_s)
+        self._unlooked: deque[tuple[Worker, float]] = deque(maxlen=MAX_LOOKS)
+        self._looked_at: deque[Incarnation] = deque(maxlen=MAX_LOOKS)
+        self._has_ends = threading.Event()
 
     def note_broken(self, request: Fingerprint, worker: Worker) -> None:
         """Note that a run broke off. Blocks for up to `PROBE_TIMEOUT_S`."""
-        if self._probe(worker.address) is ProbeResult.REFUSED:
-            self._on_end(request, worker, "connection refused")
+        at_s = self._now_s()
+        found = self._probe(worker.address)
+        if found is ProbeResult.REFUSED:
+            self._on_end(request, worker, "connection refused", at_s)
+            self._want_look(worker, at_s)
             return
         with self._lock:
             if len(self._undecided) < MAX_UNDECIDED:
-                found = _Undecided(worker, self._now_s())
-                self._undecided.setdefault(worker.incarnation, found).requests.add(request)
+                undecided = _Undecided(worker, at_s)
+                self._undecided.setdefault(worker.incarnation, undecided).requests.add(request)
+
+    def await_ends(self, timeout_s: float) -> None:
+        """Wait until a worker's end is to be looked into, or until the time is over."""
+        self._has_ends.wait(timeout_s)
+        self._has_ends.clear()
+
+    def look_beside(self) -> None:
+        """Look at other workers of the services of those that have just ended."""
+        while True:
+            with self._lock:
+                if not self._unlooked:
+                    return
+                worker, at_s = self._unlooked.popleft()
+            for other in self._others(worker):
+                service = other.entry.service
+                if self._table.has_ended(service, other.incarnation, at_s - SAME_MOMENT_S):
+                    continue
+                if self._probe(other.address) is ProbeResult.REFUSED:
+                    self._table.add_worker_end(service, other.incarnation, at_s)
+
+    def _want_look(self, worker: Worker, at_s: float) -> None:
+        """Have others looked at, once for each worker that has ended."""
+        with self._lock:
+            if worker.incarnation in self._looked_at:
+                return
+            self._looked_at.append(worker.incarnation)
+            self._unlooked.append((worker, at_s))
+        self._has_ends.set()
+
+    def _others(self, worker: Worker) -> list[Worker]:
+        """Return some other workers of a service, of the same zone and of others."""
+        ready = self._workers.ready(worker.entry.service)
+        others = [one for one in ready if one.incarnation != worker.incarnation]
+        random.shuffle(others)
+        near = [one for one in others if one.entry.zone == worker.entry.zone]
+        far = [one for one in others if one.entry.zone != worker.entry.zone]
+        return near[:MAX_BESIDE] + far[:MAX_BESIDE]
 
     def resolve(self) -> None:
         """Look for undecided workers in the view; called periodically."""
@@ -98,7 +157,7 @@
                 with self._lock:
                     self._undecided.pop(one.worker.incarnation, None)
             for request in one.requests if evidence else ():
-                self._on_end(request, one.worker, evidence)
+                self._on_end(request, one.worker, evidence, one.since_s)
 
     def _evidence(self, worker: Worker) -> str:
         """Return what shows that a worker has ended; empty if nothing does."""
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -232,15 +232,24 @@
     1520,
     "worker_ended_under",
     Level.WARNING,
-    ("digest", "instance", "service", "ends", "quarantined", "evidence"),
-    "A worker ended while it ran a request; `digest` names the request, `ends` counts the workers.",
+    ("digest", "instance", "service", "ends", "blame", "quarantined", "evidence"),
+    "A worker ended while it ran a request; `digest` names the request, `ends` counts the workers, "
+    "`blame` weighs each by the share of those that ended with it and ran the request too.",
 )
 REQUEST_QUARANTINED = Event(
     1521,
     "request_quarantined",
     Level.WARNING,
-    ("request_id", "digest", "ends", "left_s"),
-    "A request was sent to no worker, since others ended while they ran the same request.",
+    ("request_id", "digest", "ends", "trials_left", "left_s"),
+    "A request was sent to no worker, since others ended while they ran the same request; with "
+    "trials left it may run once more in `left_s`.",
+)
+REQUEST_TRIED = Event(
+    1523,
+    "request_tried",
+    Level.INFO,
+    ("request_id", "digest", "instance", "ends", "trials_left"),
+    "A request under which workers had ended is run once more, apart from others of the kind.",
 )
 REQUEST_ACQUITTED = Event(
     1522,
@@ -329,6 +338,21 @@
     ("request_id", "job", "attempt", "instance", "cause", "events"),
     "A run of an item ended before it was complete; the item is retried.",
 )
+ITEM_HELD = Event(
+    1448,
+    "item_held",
+    Level.WARNING,
+    ("request_id", "job", "stage", "reason", "left_s"),
+    "An item gets no engine for now; it may run again in `left_s`. At most one line an item and "
+    "5 s; others of its job and group go on.",
+)
+ITEM_GIVEN_UP = Event(
+    1449,
+    "item_given_up",
+    Level.WARNING,
+    ("request_id", "job", "cause"),
+    "An item that was held is listed as dead, since the route's longest wait is over.",
+)
 ITEM_MOVED = Event(
     1438,
     "item_moved",
--- a/src/bellweir/hosted/process.py
+++ b/src/bellweir/hosted/process.py
@@ -91,7 +91,7 @@
         add(ViewsService(kernel, store, seeds, seed_wait_s, entries, settings.places))
         add(PeerRecords(kernel, store, is_first_start=settings.node.bootstrap))
         add(MetricsService(kernel, settings, store))
-        add(CrashService(kernel, settings.crashes))
+        add(CrashService(kernel, settings.crashes, settings.bounds))
         for make in _role_services(settings.node.role):
             add(make(kernel, settings, platform))
 
--- a/src/bellweir/hosted/serving/forwarding.py
+++ b/src/bellweir/hosted/serving/forwarding.py
@@ -267,8 +267,13 @@
         for workers in groups:
             permitted = self.crashes.permitted(client, workers)
             worker = self._loads.choose(permitted, progress.tried)
-            if worker is not None:
+            if worker is not None and self.crashes.begin_run(client, worker):
                 return worker
+            if worker is not None:
+                self._loads.release(worker.incarnation)
+        if not progress.sends and self.crashes.is_restricted(client):
+            self.crashes.record_refusal(client)
+            progress.cause = QUARANTINED
         return None
 
     def _is_idempotent(self, client: ClientRequest) -> bool:
@@ -372,6 +377,8 @@
     ) -> Response:
         if not progress.may_have_run:
             after_s = self.retry_after_s(client, groups, progress.cause)
+            if progress.cause == QUARANTINED:
+                after_s = self.crashes.quarantine_left_s(client) or after_s
             if progress.cause == NO_WORKER and any(
                 self._loads.eligibility.is_cold(worker) for group in groups for worker in group
             ):
--- a/src/bellweir/hosted/serving/streams.py
+++ b/src/bellweir/hosted/serving/streams.py
@@ -217,8 +217,14 @@
         for workers in stream.groups:
             permitted = self._crashes.permitted(client, workers)
             worker = self._loads.choose(permitted, stream.tried, is_budgeted=not stream.ran_at)
-            if worker is not None:
+            if worker is not None and self._crashes.begin_run(client, worker):
                 return worker
+            if worker is not None:
+                self._loads.release(worker.incarnation)
+        if not stream.sends and self._crashes.is_restricted(client):
+            self._crashes.record_refusal(client)
+            stream.cause = QUARANTINED
+            stream.retry_after_s = self._crashes.quarantine_left_s(client) or None
         return None
 
     def _abandon(self, stream: _Stream, opened: OpenAnswer, watched: Watched) -> None:
--- a/src/bellweir/hosted/settings.py
+++ b/src/bellweir/hosted/settings.py
@@ -73,6 +73,8 @@
     """Seconds for which a batch job can be read after it has ended."""
     config_ms: float = 2_000.0
     """Milliseconds within which a configuration that the store has taken is in force."""
+    contact_ms: float = 3_000.0
+    """Milliseconds without a fault after which a node has to know what the others know."""
 
 
 class TenantSettings(msgspec.Struct, frozen=True, rename="camel"):
@@ -362,6 +364,8 @@
         yield _finding("usage.lateS", str(settings.usage.late_s), "above 0")
     if settings.bounds.config_ms <= 0:
         yield _finding("bounds.configMs", str(settings.bounds.config_ms), "above 0")
+    if settings.bounds.contact_ms <= 0:
+        yield _finding("bounds.contactMs", str(settings.bounds.contact_ms), "above 0")
     if settings.bounds.grace_period_s <= 0:
         yield _finding("bounds.gracePeriodS", str(settings.bounds.grace_period_s), "above 0")
 
--- a/src/bellweir/wire/interface.py
+++ b/src/bellweir/wire/interface.py
@@ -15,7 +15,7 @@
 
 FIRST_LEVEL = 1
 """Level of the builds that tell none: they know the messages without a level of their own."""
-LEVEL = 3
+LEVEL = 4
 """Level of this build. A build knows the messages of its own level and of those before it; raise
 this by one for the first message that is added after a release."""
 
