Batch jobs: a held item says so, holds nothing up and is given up in the end

What callers saw: an item that must not run lay until its job ended, and no line told of it. One that found no engine ended the pass for its whole job and stage, although the others of the job might run.

Change: a suspended item has constraints of its own, so that it skips only itself, takes part in no move, and asks for its trial when a worker is chosen. item_held tells reason and time left, at most once an item and 5 s. One that is still held when the route's maxWaitS has passed is listed as dead (item_given_up), counted from when the leader first saw it, which is never too early.

--- a/src/bellweir/hosted/batches/coordinator.py
+++ b/src/bellweir/hosted/batches/coordinator.py
@@ -10,19 +10,25 @@
 from bellweir.events.log import emit
 from bellweir.hosted.batches.attempts import ItemRunner
 from bellweir.hosted.batches.committer import Committer
+from bellweir.hosted.batches.held_items import SUSPENDED, HeldItems
 from bellweir.hosted.batches.progress import ItemProgress, Stage
 from bellweir.hosted.batches.run_mover import Run, RunMover
 from bellweir.hosted.batches.state import JOBS_KEY, BatchJobs, JobItem, JobState
 from bellweir.hosted.batches.step_scheduler import OpenStep, StepScheduler
 from bellweir.hosted.batches.text_cache import TextCache
 from bellweir.hosted.batches.worker_selection import WorkerSelector, score_route
-from bellweir.hosted.log_events import COORDINATION_LEFT, COORDINATION_TAKEN, ITEM_TAKEN_OVER
+from bellweir.hosted.log_events import (
+    COORDINATION_LEFT,
+    COORDINATION_TAKEN,
+    ITEM_GIVEN_UP,
+    ITEM_TAKEN_OVER,
+)
 from bellweir.hosted.records import Route
 from bellweir.hosted.serving.attempt import Cancellation
 from bellweir.hosted.serving.selection import WorkerLoads
 from bellweir.hosted.settings import BatchSettings
 from bellweir.hosted.views.configuration import ConfigurationView, RouteTable
-from bellweir.hosted.views.workers import WorkersView
+from bellweir.hosted.views.workers import Worker, WorkersView
 from bellweir.kernel.clock import elapsed_s
 from bellweir.kernel.executors import Executors, ExecutorSaturatedError, WorkKind
 from bellweir.ledger.interface import Ledger
@@ -65,6 +71,7 @@
         self._step_scheduler = StepScheduler(
             attempts.predicted_events_or_none, self._worker_selector.event_times_of
         )
+        self._held_items = HeldItems()
         self._leading = False
         self._wake = threading.Event()
 
@@ -119,6 +126,7 @@
         with self._lock:
             running = list(self._running.values())
             self._progress.clear()
+            self._held_items.clear()
             self._text_cache.clear()
         for run in running:
             run.cancellation.cancel()
@@ -139,6 +147,7 @@
             finished = [key for key in self._progress if key not in open_items]
             for key in finished:
                 progress = self._progress.pop(key)
+                self._held_items.forget(progress)
                 # A running item is added by its attempt, when this has ended.
                 if key not in self._running:
                     self._text_cache.add(progress)
@@ -193,11 +202,19 @@
             if progress.stage is Stage.RESULT:
                 if not progress.is_committing:
                     self.committer.put_result(progress)
-            elif progress.not_before_s <= now_s and not self._is_quarantined(progress):
+            elif progress.not_before_s <= now_s and not self._hold(progress, now_s):
                 yield progress
 
-    def _is_quarantined(self, progress: ItemProgress) -> bool:
-        return self._attempts.crashes.quarantine_left_s(progress.request) > 0
+    def _hold(self, progress: ItemProgress, now_s: float) -> bool:
+        """Whether an item must not run now; one that is held past its time is given up."""
+        left_s = self._attempts.crashes.quarantine_left_s(progress.request)
+        self._held_items.note(progress, left_s, now_s)
+        if left_s <= 0:
+            return False
+        if self._held_items.is_overdue(progress, now_s):
+            emit(ITEM_GIVEN_UP, request_id=progress.item.id, job=progress.job.id, cause=SUSPENDED)
+            progress.give_up()
+        return True
 
     def _progress_of(
         self, key: ItemKey, state: JobState, route: Route, item: JobItem, jobs: list[JobState]
@@ -224,6 +241,9 @@
         progress.moved_to = None
         if worker is None:
             return self._worker_selector.is_held
+        if not self._attempts.crashes.begin_run(progress.request, worker):
+            self._release(progress, worker)
+            return True
         progress.urgency = (
             self._step_scheduler.urgency(progress) if self._policy.tell_urgency else None
         )
@@ -241,14 +261,18 @@
                 maximum.max_attempts if maximum else 1,
             )
         except (ExecutorSaturatedError, RuntimeError):
-            self._loads.release(worker.incarnation)
-            self._attempts.refusal_backoff.record_end(worker.incarnation, progress.job.model)
-            self._attempts.quarantine.record_end(worker.incarnation, progress.item.id)
+            self._release(progress, worker)
             with self._lock:
                 self._running.pop(key, None)
             return False
         return True
 
+    def _release(self, progress: ItemProgress, worker: Worker) -> None:
+        """Give the slot back that an attempt has not used."""
+        self._loads.release(worker.incarnation)
+        self._attempts.refusal_backoff.record_end(worker.incarnation, progress.job.model)
+        self._attempts.quarantine.record_end(worker.incarnation, progress.item.id)
+
     def _run(self, key: ItemKey, run: Run, maximum_failures: int) -> None:
         progress, worker = run.progress, run.worker
         try:
--- a/src/bellweir/hosted/batches/progress.py
+++ b/src/bellweir/hosted/batches/progress.py
@@ -12,6 +12,7 @@
 from bellweir.hosted.event_stream import StreamEvent
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.records import Route
+from bellweir.kernel.clock import elapsed_s
 
 
 class Stage(Enum):
@@ -92,6 +93,8 @@
     """Worker that the next attempt is to use; None once it has started."""
     urgency: int | None = None
     """Urgency sent to the worker, 0 is the highest; None: the default one."""
+    known_since_s: float = field(default_factory=elapsed_s)
+    """Monotonic time since which this leader knows the item."""
     held_since_s: float | None = None
     """Monotonic time since which it waits for a better worker while others have free slots."""
 
--- a/src/bellweir/hosted/batches/worker_selection.py
+++ b/src/bellweir/hosted/batches/worker_selection.py
@@ -62,6 +62,8 @@
 
     def move_targets(self, progress: ItemProgress, service: str) -> list[tuple[Worker, int]]:
         """Workers of a service that an item's run could be moved to, with their free slots."""
+        if self._attempts.crashes.is_restricted(progress.request):
+            return []
         failing = self._attempts.quarantine.failing_workers(self._service_workers(service))
         return [
             (worker, worker.entry.slots - self._loads.in_flight(worker.incarnation))
@@ -73,6 +75,8 @@
 
     def has_own_constraints(self, progress: ItemProgress) -> bool:
         """Whether other items of the job may get a worker although this one gets none."""
+        if self._attempts.crashes.is_restricted(progress.request):
+            return True
         is_version_pinned = progress.route.single_version and bool(progress.versions)
         return bool(progress.stage_failures) or is_version_pinned or self._policy.count_memory
 
