Crashes: trials cost what they prove, and never take a service down

Further: a trial that a worker refused or that was not sent is withdrawn, twice at most; an end right after a trial's beginning counts in full, whatever else ended; the delay told by a granting gateway is kept for 2 s and only while the request is suspended; who asks for a trial tells what it knows, so that a gateway that missed the news counts too; the next gateway by rank, then the node itself, takes the place of one that doesn't answer; a slot ends with the run of its own request only; with more than eight workers ending at once the ninth counts like the eighth; an answer of 500 and above acquits nobody; an item is given up only without trials left, and item_held comes once in 5 s. Records are built for those that are sent only, and the end of a series is computed when an end is added.

hosted_crash_series and hosted_crash_guard pass; 300 courses of the guard's feature give 3 to 6 ends each.

--- a/src/bellweir/hosted/batches/attempts.py
+++ b/src/bellweir/hosted/batches/attempts.py
@@ -133,10 +133,11 @@
         if cancellation.cancelled.is_set():
             self._end_cancelled(progress, worker, opened.opened)
         elif opened.opened is None or opened.state is not AttemptState.ANSWERED:
-            end = RunEnd.BROKEN if opened.ended_by_worker else RunEnd.OTHER
+            end = _end_without_answer(opened)
             self._handle_no_answer(progress, worker, opened)
         elif opened.opened.status >= 300:
-            end = RunEnd.SURVIVED
+            has_failed = opened.opened.status >= SERVER_ERROR
+            end = RunEnd.OTHER if has_failed else RunEnd.SURVIVED
             self._handle_error_answer(progress, worker, opened)
         else:
             end = self._read_events(progress, worker, opened.opened, began_s, cancellation)
@@ -377,6 +378,12 @@
         )
 
 
+def _end_without_answer(opened: OpenedAttempt) -> RunEnd:
+    if opened.state in (AttemptState.REFUSED, AttemptState.NOT_SENT):
+        return RunEnd.NOT_RUN
+    return RunEnd.BROKEN if opened.ended_by_worker else RunEnd.OTHER
+
+
 def _no_service_workers(_worker: Worker) -> Collection[Incarnation]:
     return ()
 
--- a/src/bellweir/hosted/batches/coordinator.py
+++ b/src/bellweir/hosted/batches/coordinator.py
@@ -17,6 +17,7 @@
 from bellweir.hosted.batches.step_scheduler import OpenStep, StepScheduler
 from bellweir.hosted.batches.text_cache import TextCache
 from bellweir.hosted.batches.worker_selection import WorkerSelector, score_route
+from bellweir.hosted.crashes.interface import RunEnd
 from bellweir.hosted.log_events import (
     COORDINATION_LEFT,
     COORDINATION_TAKEN,
@@ -211,7 +212,8 @@
         self._held_items.note(progress, left_s, now_s)
         if left_s <= 0:
             return False
-        if self._held_items.is_overdue(progress, now_s):
+        is_held = self._attempts.crashes.is_held(progress.request)
+        if is_held and self._held_items.is_overdue(progress, now_s):
             emit(ITEM_GIVEN_UP, request_id=progress.item.id, job=progress.job.id, cause=SUSPENDED)
             progress.give_up()
         return True
@@ -262,6 +264,7 @@
             )
         except (ExecutorSaturatedError, RuntimeError):
             self._release(progress, worker)
+            self._attempts.crashes.record_end(progress.request, worker, RunEnd.NOT_RUN)
             with self._lock:
                 self._running.pop(key, None)
             return False
@@ -275,6 +278,8 @@
 
     def _run(self, key: ItemKey, run: Run, maximum_failures: int) -> None:
         progress, worker = run.progress, run.worker
+        # The stage, and with it the request, changes with the end of the run.
+        request = progress.request
         try:
             if progress.stage is Stage.GENERATION:
                 self._attempts.run_generation(progress, worker, run.cancellation)
@@ -283,6 +288,7 @@
         except Exception:
             # The executor reports it; the slot of the worker must not leak.
             self._loads.release(worker.incarnation)
+            self._attempts.crashes.record_end(request, worker, RunEnd.OTHER)
             raise
         finally:
             self._attempts.quarantine.record_end(worker.incarnation, progress.item.id)
--- a/src/bellweir/hosted/batches/held_items.py
+++ b/src/bellweir/hosted/batches/held_items.py
@@ -21,10 +21,7 @@
     def note(self, progress: ItemProgress, left_s: float, now_s: float) -> None:
         """Log that an item is held for `left_s` seconds; 0 if it is not."""
         key = _key(progress)
-        if left_s <= 0:
-            self._logged_s.pop(key, None)
-            return
-        if now_s < self._logged_s.get(key, float("-inf")) + LOG_INTERVAL_S:
+        if left_s <= 0 or now_s < self._logged_s.get(key, float("-inf")) + LOG_INTERVAL_S:
             return
         self._logged_s[key] = now_s
         emit(
--- a/src/bellweir/hosted/crashes/exchange.py
+++ b/src/bellweir/hosted/crashes/exchange.py
@@ -7,11 +7,12 @@
 gateway that grants the trials of a service.
 """
 
+import itertools
 import threading
 from collections.abc import Callable, Mapping, Sequence
 
 import xxhash
-from returns.result import Success
+from returns.result import Result, Success
 
 from bellweir.hosted.crashes.fingerprint import Fingerprint
 from bellweir.hosted.crashes.messages import (
@@ -35,7 +36,7 @@
 )
 from bellweir.kernel.clock import elapsed_s
 from bellweir.membership.interface import Member, Membership
-from bellweir.wire.interface import Sender, Transport
+from bellweir.wire.interface import Message, Sender, Transport, WireError
 
 ROUND_S = 1.0
 """Time between two messages that repeat records."""
@@ -48,8 +49,8 @@
 STALLED_S = 2.5
 """Time between two rounds from which this node may have missed news."""
 TRIAL_TIMEOUT_S = 0.25
-UNGRANTED_WAIT_S = 1.0
-"""Time after which a trial is asked for again if the node that grants it does not answer."""
+MAX_ASKED = 2
+"""Gateways that are asked for a trial before this node decides by itself."""
 MS_PER_S = 1000
 
 
@@ -124,7 +125,8 @@
             else zone_peer(ring, own.node, number // 2)
         )
         if peer is not None:
-            self._transport.send(peer.address, CrashNews(self._table.records()[:MAX_REPEATED]))
+            records = self._table.records(most=MAX_REPEATED)
+            self._transport.send(peer.address, CrashNews(records))
 
     def ask(self) -> None:
         """Ask peers for all records until one has answered."""
@@ -139,31 +141,42 @@
     def begin_trial(self, request: Fingerprint, service: str, worker: Incarnation) -> float:
         """Take a trial at a worker; return 0, or the seconds after which to ask again.
 
-        Of all gateways one grants the trials of a service. Other nodes run what nobody else runs,
-        and grant their trials themselves.
+        Of all gateways the first by rank grants the trials of a service; the next one and then this
+        node take its place while it does not answer. Other nodes run what nobody else runs, and
+        grant their trials themselves.
         """
-        granting = self._granting_peer(service)
-        if granting is None:
-            return self._trials.begin(request, service, worker)
-        message = TrialRequest(request, service, worker.instance, worker.born_ms)
-        match self._transport.request(granting.address, message, TRIAL_TIMEOUT_S):
-            case Success(TrialAnswer(wait_ms)):
-                if wait_ms == 0:
-                    self._table.add_trial(request, worker)
-                return wait_ms / MS_PER_S
-        return UNGRANTED_WAIT_S
-
-    def _granting_peer(self, service: str) -> GatewayPeer | None:
-        """Return the gateway that grants the trials of a service; None if it is this node."""
+        for peer in self._granting_peers(service):
+            match self._ask_for_trial(peer, request, service, worker):
+                case Success(TrialAnswer(wait_ms)):
+                    if wait_ms == 0:
+                        self._table.add_trial(request, worker)
+                    return wait_ms / MS_PER_S
+        return self._trials.begin(request, service, worker)
+
+    def _ask_for_trial(
+        self, peer: GatewayPeer, request: Fingerprint, service: str, worker: Incarnation
+    ) -> Result[Message, WireError]:
+        records = self._table.records([request])
+        message = TrialRequest(request, service, worker.instance, worker.born_ms, records)
+        return self._transport.request(peer.address, message, TRIAL_TIMEOUT_S)
+
+    def _granting_peers(self, service: str) -> list[GatewayPeer]:
+        """Return the gateways to ask for trials of a service, up to this node by rank."""
         own = self._membership.self_member()
         if not own.gateway_address:
-            return None
+            return []
         rings = zone_rings(self._membership.members())
         peers = [peer for ring in rings.values() for peer in ring]
-        granting = min(peers, key=lambda peer: _rank(service, peer.node), default=None)
-        return None if granting is None or granting.node == own.node else granting
+        peers.sort(key=lambda peer: _rank(service, peer.node))
+        before = list(itertools.takewhile(lambda peer: peer.node != own.node, peers))
+        known = [peer for peer in before if self._transport.knows(peer.address, TrialRequest)]
+        unknown = [
+            peer for peer in before if self._transport.knows(peer.address, TrialRequest) is None
+        ]
+        return (known + unknown)[:MAX_ASKED]
 
     def _on_trial_request(self, sender: Sender, message: TrialRequest) -> TrialAnswer:
+        self._merge(message.records)
         worker = Incarnation(message.instance, message.born_ms)
         wait_s = self._trials.begin(message.fingerprint, message.service, worker)
         if wait_s > 0:
--- a/src/bellweir/hosted/crashes/guard.py
+++ b/src/bellweir/hosted/crashes/guard.py
@@ -24,6 +24,8 @@
 """Ends, weighed by what they prove, from which on a request is not retried by itself."""
 MAX_DELAYED = 512
 """Requests for which the answer of the node that grants trials is kept."""
+MAX_DELAY_S = 2.0
+"""Time after which a node that had no trial left for a request is asked again."""
 
 BeginTrial = Callable[[Fingerprint, str, Incarnation], float]
 """Takes a trial at a worker of a service; returns 0, or the seconds after which to ask again."""
@@ -70,14 +72,19 @@
         if self._table.is_empty:
             return 0.0
         wait_s = self._trials.wait_s(request.fingerprint)
+        if wait_s > 0 or not self._is_suspended(request):
+            return wait_s
         with self._lock:
-            delayed_s = self._delayed_until_s.get(request.fingerprint, 0.0) - self._now_s()
-        return max(wait_s, delayed_s)
+            return max(0.0, self._delayed_until_s.get(request.fingerprint, 0.0) - self._now_s())
 
     def is_restricted(self, request: GuardedRequest) -> bool:
         """Whether a request runs by single trials only."""
         return not self._table.is_empty and self._is_suspended(request)
 
+    def is_held(self, request: GuardedRequest) -> bool:
+        """Whether a restricted request has no trial left."""
+        return not self._table.is_empty and self._table.trials_left(request.fingerprint) == 0
+
     def may_send_again(self, request: GuardedRequest) -> bool:
         """Whether too few workers have ended under it to leave its next run to a later request."""
         if self._table.is_empty:
@@ -129,8 +136,13 @@
         elif end is RunEnd.SURVIVED and not self._table.is_empty:
             self._acquit(request)
         if not self._table.is_empty:
-            self._table.end_run(request.fingerprint, worker.incarnation)
-            self._trials.end(worker.incarnation)
+            self._end_run(request.fingerprint, worker.incarnation, end)
+
+    def _end_run(self, digest: Fingerprint, worker: Incarnation, end: RunEnd) -> None:
+        self._table.end_run(digest, worker)
+        self._trials.end(digest, worker)
+        if end is RunEnd.NOT_RUN and self._table.withdraw_trial(digest, worker):
+            self._on_news(digest)
 
     def record_refusal(self, request: GuardedRequest) -> None:
         """Log and count a request that is not sent."""
@@ -169,7 +181,7 @@
     def _delay(self, digest: Fingerprint, wait_s: float) -> None:
         with self._lock:
             if len(self._delayed_until_s) < MAX_DELAYED or digest in self._delayed_until_s:
-                self._delayed_until_s[digest] = self._now_s() + wait_s
+                self._delayed_until_s[digest] = self._now_s() + min(wait_s, MAX_DELAY_S)
 
     def _acquit(self, request: GuardedRequest) -> None:
         if not self._table.acquit(request.fingerprint):
--- a/src/bellweir/hosted/crashes/interface.py
+++ b/src/bellweir/hosted/crashes/interface.py
@@ -13,11 +13,13 @@
     """How a run ended, as evidence for or against its request."""
 
     SURVIVED = "survived"
-    """The worker answered to the end."""
+    """The worker answered to the end, without failing."""
     BROKEN = "broken"
     """The worker's end of the connection was closed before its answer was whole."""
+    NOT_RUN = "not_run"
+    """Refused by the worker or not sent."""
     OTHER = "other"
-    """Refused, timed out, cancelled or not sent: says nothing."""
+    """Timed out, cancelled or failed: says nothing."""
 
 
 class GuardedRequest(Protocol):
@@ -47,6 +49,10 @@
     def is_restricted(self, request: GuardedRequest) -> bool:
         """Whether a request runs by single trials only, so that it may wait while others run."""
 
+    @abstractmethod
+    def is_held(self, request: GuardedRequest) -> bool:
+        """Whether a restricted request has no trial left."""
+
     @abstractmethod
     def permitted(self, request: GuardedRequest, workers: Sequence[Worker]) -> Sequence[Worker]:
         """Return those workers of a service that may run a request.
@@ -85,6 +91,10 @@
         """Return False."""
         return False
 
+    def is_held(self, request: GuardedRequest) -> bool:
+        """Return False."""
+        return False
+
     def permitted(self, request: GuardedRequest, workers: Sequence[Worker]) -> Sequence[Worker]:
         """Return all."""
         return workers
--- a/src/bellweir/hosted/crashes/messages.py
+++ b/src/bellweir/hosted/crashes/messages.py
@@ -26,6 +26,8 @@
     born_ms: int
     age_ms: int
     """Age when the message was sent; the way is not counted."""
+    is_withdrawn: bool = False
+    """Whether the worker did not run it."""
 
 
 class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -68,6 +70,8 @@
     instance: str
     """The worker that is to run it."""
     born_ms: int
+    records: tuple[CrashRecord, ...] = ()
+    """What the asking node knows of the request."""
 
 
 class TrialAnswer(Message, frozen=True):
--- a/src/bellweir/hosted/crashes/suspect.py
+++ b/src/bellweir/hosted/crashes/suspect.py
@@ -28,7 +28,9 @@
 """Time for which ends are remembered: after the suspension one more end renews it at once."""
 SAME_MOMENT_S = 0.1
 """Ends of workers within this time count as simultaneous."""
-TRIAL_SLOT_S = 0.4
+MAX_WITHDRAWN = 2
+"""Trials of a request that are not counted since their workers did not run them."""
+TRIAL_SLOT_S = 0.3
 """Time from the beginning of a trial within which a crashing request ends its worker."""
 MAX_KEPT_ENDS = 12
 """Ends and trials kept for each request, the newest ones."""
@@ -39,7 +41,15 @@
 class Suspect:
     """What is known of one request. Times are those of the owner's clock, in seconds."""
 
-    __slots__ = ("_beside", "_beside_told", "acquitted_s", "ended_s", "service", "trials_s")
+    __slots__ = (
+        "_beside",
+        "_beside_told",
+        "acquitted_s",
+        "ended_s",
+        "service",
+        "trials_s",
+        "withdrawn",
+    )
 
     def __init__(self, service: str) -> None:
         self.service = service
@@ -51,6 +61,8 @@
         """Those of them that ran nothing, as other nodes have told."""
         self.trials_s: dict[Incarnation, float] = {}
         """Time of the newest trial at each worker."""
+        self.withdrawn: set[Incarnation] = set()
+        """Workers that did not run the trial they were sent."""
         self.acquitted_s = NEVER_S
 
     def counted(self, now_s: float) -> dict[Incarnation, float]:
@@ -61,7 +73,11 @@
     def counted_trials(self, now_s: float) -> dict[Incarnation, float]:
         """Times of the trials that count, by worker."""
         since_s = max(self.acquitted_s, now_s - RETENTION_S)
-        return {worker: at_s for worker, at_s in self.trials_s.items() if at_s >= since_s}
+        return {
+            worker: at_s
+            for worker, at_s in self.trials_s.items()
+            if at_s >= since_s and worker not in self.withdrawn
+        }
 
     def add_end(self, worker: Incarnation, at_s: float) -> bool:
         """Add an end; False if it is known."""
@@ -85,7 +101,16 @@
             del self.trials_s[min(self.trials_s, key=self.trials_s.__getitem__)]
         return True
 
-    def is_soon_after_trial(self, worker: Incarnation, at_s: float) -> bool:
+    def withdraw_trial(self, worker: Incarnation) -> bool:
+        """Stop counting a trial that its worker did not run; False if too many were withdrawn."""
+        if worker not in self.trials_s or worker in self.withdrawn:
+            return False
+        if len(self.withdrawn) >= MAX_WITHDRAWN:
+            return False
+        self.withdrawn.add(worker)
+        return True
+
+    def ends_trial(self, worker: Incarnation, at_s: float) -> bool:
         """Whether the end of a worker at a time is put down to a trial of this request."""
         return 0.0 <= at_s - self.trials_s.get(worker, NEVER_S) <= TRIAL_SLOT_S
 
@@ -111,36 +136,45 @@
         self.acquitted_s = at_s
         return True
 
-    def blame(self, now_s: float) -> float:
-        """Return the number of ends, each weighed by the share of workers that ran the request.
+    def weights(self, now_s: float) -> dict[Incarnation, float]:
+        """Return what each end proves, from 0 to 1.
 
-        The share is that among the workers which ended at the same moment.
+        That is the share of workers that ran the request, of those that ended at the moment. An end
+        right after the beginning of a trial proves that the trial caused it.
         """
         counted = self.counted(now_s)
-        total = 0.0
+        found: dict[Incarnation, float] = {}
         for worker, at_s in counted.items():
             ran = sum(abs(other_s - at_s) <= SAME_MOMENT_S for other_s in counted.values())
-            total += ran / (ran + self.beside(worker))
-        return total
+            share = ran / (ran + self.beside(worker))
+            found[worker] = 1.0 if self.ends_trial(worker, at_s) else share
+        return found
+
+    def blame(self, now_s: float) -> float:
+        """Return the sum of what the ends prove."""
+        return sum(self.weights(now_s).values())
 
     def trials_left(self, now_s: float, contact_s: float) -> int | None:
         """Return how often the request may still run; None if it is not suspended.
 
-        It is suspended if the ends prove enough. One that ran on for long after its third end is
-        suspended whatever they prove, but always has one more trial.
+        It is suspended if its ends prove enough, or if it ran on for long after the third one.
         """
         if len(self.ended_s) < MAX_ENDS:
             return None
-        counted = sorted(self.counted(now_s).values())
-        if len(counted) < MAX_ENDS or now_s >= counted[-1] + HOLD_S:
+        counted = self.counted(now_s)
+        if len(counted) < MAX_ENDS or now_s >= max(counted.values()) + HOLD_S:
             return None
+        weights = self.weights(now_s)
+        blame = sum(weights.values()) + ROUNDING
+        late_from_s = sorted(counted.values())[MAX_ENDS - 1] + contact_s
+        late = [worker for worker, at_s in counted.items() if at_s > late_from_s]
         trials = self.counted_trials(now_s)
         undecided = sum(worker not in self.ended_s for worker in trials)
-        late_from_s = counted[MAX_ENDS - 1] + contact_s
-        late = sum(at_s > late_from_s for at_s in counted) + undecided
-        blame = self.blame(now_s) + ROUNDING
-        if blame < MAX_ENDS:
-            return max(1, MAX_TRIALS - late) if late >= MAX_LATE_ENDS else None
-        by_blame = MAX_TRIALS - (int(blame) - MAX_ENDS) - undecided
-        by_time = MAX_TRIALS - late if trials else max(1, MAX_TRIALS - late)
-        return max(0, min(by_blame, by_time))
+        is_proven = any(self.ends_trial(worker, at_s) for worker, at_s in counted.items())
+        if blame < MAX_ENDS and not is_proven:
+            late_runs = len(late) + undecided
+            return max(1, MAX_TRIALS - late_runs) if late_runs >= MAX_LATE_ENDS else None
+        late_proof = int(sum(weights[worker] for worker in late) + ROUNDING)
+        by_time = MAX_TRIALS - late_proof - undecided
+        by_blame = MAX_TRIALS - max(0, int(blame) - MAX_ENDS) - undecided
+        return max(0, min(by_blame, by_time if trials else max(1, by_time)))
--- a/src/bellweir/hosted/crashes/table.py
+++ b/src/bellweir/hosted/crashes/table.py
@@ -134,10 +134,9 @@
 
     def tried_at(self, request: Fingerprint) -> Collection[Incarnation]:
         """Return the workers that a suspended request had trials at."""
-        now_s = self._now_s()
         with self._lock:
             suspect = self._suspects.get(request)
-            return suspect.counted_trials(now_s).keys() if suspect is not None else ()
+            return tuple(suspect.trials_s) if suspect is not None else ()
 
     def service_of(self, request: Fingerprint) -> str:
         """Return the service whose workers ended under a request; empty if none did."""
@@ -150,6 +149,11 @@
         with self._lock:
             return self._worker_ends.calm_in_s(service, self._now_s())
 
+    def ended_by_trials(self, service: str, within_s: float) -> int:
+        """Return how many workers of a service trials have ended within a time until now."""
+        with self._lock:
+            return self._worker_ends.under_trials_since(service, self._now_s() - within_s)
+
     def has_ended(self, service: str, worker: Incarnation, before_s: float) -> bool:
         """Whether a worker is known to have ended before a time."""
         with self._lock:
@@ -194,6 +198,12 @@
             if suspect is not None:
                 suspect.add_trial(worker, now_s)
 
+    def withdraw_trial(self, request: Fingerprint, worker: Incarnation) -> bool:
+        """Record that a worker did not run a trial; False if there was none to withdraw."""
+        with self._lock:
+            suspect = self._suspects.get(request)
+            return suspect is not None and suspect.withdraw_trial(worker)
+
     def begin_run(self, request: Fingerprint, worker: Incarnation) -> None:
         """Note that this node sends a request to a worker."""
         with self._lock:
@@ -237,6 +247,7 @@
                 # Ages are told in whole milliseconds and lack the way.
                 is_known = worker in suspect.trials_s and at_s <= suspect.trials_s[worker] + 1.0
                 is_new |= not is_known and suspect.add_trial(worker, at_s)
+                is_new |= trial.is_withdrawn and suspect.withdraw_trial(worker)
             if record.acquitted_age_ms != NEVER_MS:
                 at_s = now_s - max(0, record.acquitted_age_ms) / MS_PER_S
                 is_new |= at_s > suspect.acquitted_s + 1.0 and suspect.acquit(at_s)
@@ -262,10 +273,13 @@
     ) -> None:
         """Log a worker's end, and weigh anew the ends at the same moment."""
         suspects = self._suspects.values()
-        is_under_trial = any(one.is_soon_after_trial(worker, at_s) for one in suspects)
+        is_under_trial = any(one.ends_trial(worker, at_s) for one in suspects)
         self._worker_ends.add(service, worker, at_s, request, is_under_trial=is_under_trial)
         together = self._worker_ends.around(service, at_s)
         if len(together) > MAX_TOGETHER:
+            suspect = self._suspects.get(request) if request is not None else None
+            if suspect is not None:
+                suspect.set_beside(worker, MAX_TOGETHER)
             return
         for ended in together:
             for one in self._worker_ends.requests_at(ended):
@@ -274,14 +288,16 @@
                     others = sum(other not in suspect.ended_s for other in together)
                     suspect.set_beside(ended, others)
 
-    def records(self, requests: Iterable[Fingerprint] | None = None) -> tuple[CrashRecord, ...]:
-        """Return the records of some requests, or of all, the most dangerous ones first."""
+    def records(
+        self, requests: Iterable[Fingerprint] | None = None, most: int = MAX_REQUESTS
+    ) -> tuple[CrashRecord, ...]:
+        """Return `most` records of some requests, or of all, the most dangerous ones first."""
         now_s = self._now_s()
         with self._lock:
             wanted = list(self._suspects) if requests is None else list(requests)
             found = [(one, self._suspects[one]) for one in wanted if one in self._suspects]
             found.sort(key=lambda pair: self._danger(pair[1], now_s), reverse=True)
-            return tuple(self._record(request, suspect, now_s) for request, suspect in found)
+            return tuple(self._record(request, suspect, now_s) for request, suspect in found[:most])
 
     def _record(self, request: Fingerprint, suspect: Suspect, now_s: float) -> CrashRecord:
         ends = tuple(
@@ -294,7 +310,12 @@
             for worker, at_s in suspect.ended_s.items()
         )
         trials = tuple(
-            TrialRecord(worker.instance, worker.born_ms, _age_ms(at_s, now_s))
+            TrialRecord(
+                worker.instance,
+                worker.born_ms,
+                _age_ms(at_s, now_s),
+                worker in suspect.withdrawn,
+            )
             for worker, at_s in suspect.trials_s.items()
         )
         acquitted_s = suspect.acquitted_s
--- a/src/bellweir/hosted/crashes/trials.py
+++ b/src/bellweir/hosted/crashes/trials.py
@@ -27,8 +27,21 @@
 """Time after the beginning of a trial for which its outcome is waited for."""
 MAX_CALM_WAIT_S = 10.0
 """Time after the request's last end from which on a trial waits no more for workers that stay."""
+LOST_S = 2.0
+"""Time for which a worker that a trial has ended counts as lost."""
 OPEN_SHARE = 0.5
-"""Share of a service's workers that may have trials at the same time; one may in any case."""
+"""Share of a service's workers that trials may occupy or cost at the same time, at least one."""
+
+
+class _OpenTrial:
+    """A trial within its slot."""
+
+    __slots__ = ("request", "service", "until_s")
+
+    def __init__(self, request: Fingerprint, service: str, until_s: float) -> None:
+        self.request = request
+        self.service = service
+        self.until_s = until_s
 
 
 class Trials:
@@ -45,8 +58,8 @@
         self._worker_count = worker_count
         self._now_s = now_s
         self._lock = threading.Lock()
-        self._open: dict[Incarnation, tuple[str, float]] = {}
-        """Service and end of the slot of the trials that may still end their workers."""
+        self._open: dict[Incarnation, _OpenTrial] = {}
+        """Trials that may still end their workers."""
 
     def wait_s(self, request: Fingerprint) -> float:
         """Return the seconds for which a request must not run; 0 if it may run now."""
@@ -72,17 +85,20 @@
                 return wait_s
             now_s = self._now_s()
             self._close_old(now_s)
-            open_here = sum(one == service for one, _ in self._open.values())
-            if worker in self._open or open_here >= self._most_open(service):
+            open_here = sum(one.service == service for one in self._open.values())
+            lost = self._table.ended_by_trials(service, LOST_S)
+            if worker in self._open or open_here + lost >= self._most_open(service):
                 return TRIAL_SLOT_S
-            self._open[worker] = (service, now_s + TRIAL_SLOT_S)
+            self._open[worker] = _OpenTrial(request, service, now_s + TRIAL_SLOT_S)
             self._table.add_trial(request, worker)
             return 0.0
 
-    def end(self, worker: Incarnation) -> None:
-        """Note that a run at a worker has ended, so that it may have another trial."""
+    def end(self, request: Fingerprint, worker: Incarnation) -> None:
+        """Note that a run has ended, so that its worker may have another trial."""
         with self._lock:
-            self._open.pop(worker, None)
+            found = self._open.get(worker)
+            if found is not None and found.request == request:
+                del self._open[worker]
 
     def apart(self, request: Fingerprint, workers: Sequence[Worker]) -> Sequence[Worker]:
         """Return the workers without a trial, untried ones if there are any."""
@@ -96,6 +112,6 @@
         return max(1, int(OPEN_SHARE * self._worker_count(service)))
 
     def _close_old(self, now_s: float) -> None:
-        for worker, (_, until_s) in list(self._open.items()):
-            if now_s >= until_s:
+        for worker, one in list(self._open.items()):
+            if now_s >= one.until_s:
                 del self._open[worker]
--- a/src/bellweir/hosted/crashes/worker_end_log.py
+++ b/src/bellweir/hosted/crashes/worker_end_log.py
@@ -33,10 +33,11 @@
     The end of a worker that ran a trial is put down to the trial: it belongs to no series.
     """
 
-    __slots__ = ("_ended_s", "_requests", "_under_trials")
+    __slots__ = ("_calm_from_s", "_ended_s", "_requests", "_under_trials")
 
     def __init__(self) -> None:
         self._ended_s: dict[str, dict[Incarnation, float]] = {}
+        self._calm_from_s: dict[str, float] = {}
         self._requests: dict[Incarnation, set[Fingerprint]] = {}
         """Requests that ran at ended workers."""
         self._under_trials: set[Incarnation] = set()
@@ -61,6 +62,7 @@
             oldest = min(ended_s, key=ended_s.__getitem__)
             del ended_s[oldest]
             self._requests.pop(oldest, None)
+        self._note_series(service)
 
     def requests_at(self, worker: Incarnation) -> Collection[Fingerprint]:
         """Return the requests that ran at a worker when it ended."""
@@ -72,12 +74,16 @@
 
     def around(self, service: str, at_s: float) -> list[Incarnation]:
         """Return the workers of a service that ended at the same moment, not under a trial."""
-        ended_s = self._untried_ends(service)
-        return [one for one, one_s in ended_s.items() if abs(one_s - at_s) <= SAME_MOMENT_S]
-
-    def _untried_ends(self, service: str) -> dict[Incarnation, float]:
+        return [
+            one
+            for one, one_s in self._ended_s.get(service, {}).items()
+            if abs(one_s - at_s) <= SAME_MOMENT_S and one not in self._under_trials
+        ]
+
+    def under_trials_since(self, service: str, since_s: float) -> int:
+        """Return how many workers of a service trials have ended since a time."""
         ended_s = self._ended_s.get(service, {})
-        return {one: at_s for one, at_s in ended_s.items() if one not in self._under_trials}
+        return sum(one in self._under_trials and at_s > since_s for one, at_s in ended_s.items())
 
     def idle_beside(self, service: str, worker: Incarnation) -> int:
         """Return how many workers that ran nothing ended at the moment of a worker's end."""
@@ -86,13 +92,20 @@
 
     def calm_in_s(self, service: str, now_s: float) -> float:
         """Return the seconds after which no further end is expected; 0 if none is now."""
-        ended_s = self._untried_ends(service).values()
-        times_s = sorted(at_s for at_s in ended_s if at_s > now_s - SERIES_S)
+        return max(0.0, self._calm_from_s.get(service, now_s) - now_s)
+
+    def _note_series(self, service: str) -> None:
+        """Note from when on no end is expected any more, by the pauses between recent ones."""
+        times_s = sorted(
+            at_s for one, at_s in self._ended_s[service].items() if one not in self._under_trials
+        )
         if not times_s:
-            return 0.0
-        longest_s = max((b - a for a, b in itertools.pairwise(times_s)), default=0.0)
+            return
+        last_s = times_s[-1]
+        recent_s = [at_s for at_s in times_s if at_s > last_s - SERIES_S]
+        longest_s = max((b - a for a, b in itertools.pairwise(recent_s)), default=0.0)
         calm_s = min(MAX_CALM_S, max(MIN_CALM_S, GAP_FACTOR * longest_s))
-        return max(0.0, times_s[-1] + calm_s - now_s)
+        self._calm_from_s[service] = last_s + calm_s
 
     def drop_old(self, now_s: float) -> None:
         """Forget ends that belong to no series any more."""
@@ -102,6 +115,7 @@
                 self._ended_s[service] = kept
             else:
                 del self._ended_s[service]
+                self._calm_from_s.pop(service, None)
         kept_workers = {worker for ended_s in self._ended_s.values() for worker in ended_s}
         self._under_trials &= kept_workers
         self._requests = {one: ran for one, ran in self._requests.items() if one in kept_workers}
--- a/src/bellweir/hosted/serving/failed_attempt.py
+++ b/src/bellweir/hosted/serving/failed_attempt.py
@@ -16,6 +16,7 @@
 """Cause reported if the last attempt ends in a state; `ANSWERED` means a 5xx of the worker."""
 UNANSWERED = frozenset({AttemptState.UNKNOWN, AttemptState.NOT_SENT})
 MAX_DETAIL_CHARS = 160
+SERVER_ERROR = 500
 MS_PER_S = 1000
 
 
@@ -97,6 +98,9 @@
 def run_end(outcome: AttemptOutcome, *, is_cancelled: bool) -> RunEnd:
     """Return what the outcome of an attempt says of the request that it ran."""
     if outcome.state is AttemptState.ANSWERED:
-        return RunEnd.SURVIVED
+        has_failed = outcome.response is not None and outcome.response.status >= SERVER_ERROR
+        return RunEnd.OTHER if has_failed else RunEnd.SURVIVED
+    if outcome.state in (AttemptState.REFUSED, AttemptState.NOT_SENT):
+        return RunEnd.NOT_RUN
     is_broken = outcome.state is AttemptState.UNKNOWN and outcome.ended_by_worker
     return RunEnd.BROKEN if is_broken and not is_cancelled else RunEnd.OTHER
--- a/src/bellweir/hosted/serving/forwarding.py
+++ b/src/bellweir/hosted/serving/forwarding.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from bellweir.events.log import emit
-from bellweir.hosted.crashes.interface import CrashGuard, NoCrashGuard
+from bellweir.hosted.crashes.interface import CrashGuard, NoCrashGuard, RunEnd
 from bellweir.hosted.eligibility.interface import Exclusion
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.log_events import REQUEST_ANSWERED, REQUEST_GIVEN_UP
@@ -24,7 +24,7 @@
     WorkerConnections,
 )
 from bellweir.hosted.serving.client_request import MS_PER_S, ClientRequest
-from bellweir.hosted.serving.failed_attempt import FailedAttempt, run_end
+from bellweir.hosted.serving.failed_attempt import SERVER_ERROR, FailedAttempt, run_end
 from bellweir.hosted.serving.metrics import RequestMetrics
 from bellweir.hosted.serving.selection import WeightedRoundRobin, WorkerLoads
 from bellweir.hosted.usage.counter import UsageCounter
@@ -54,7 +54,6 @@
 FULL_CAUSES = frozenset({"workers_full", "no_room"})
 MAX_SENDS = 8
 """Maximum attempts of one request, including those that did not run."""
-SERVER_ERROR = 500
 MAX_LOGGED_AGE_S = 1e6
 """Age logged if the list of workers has never been current."""
 
@@ -298,6 +297,7 @@
             )
         except BaseException:
             self._loads.release(incarnation)
+            self.crashes.record_end(client, worker, RunEnd.OTHER)
             progress.may_have_run = True
             raise
         seconds = self._now_s() - began_s
--- a/src/bellweir/hosted/serving/streams.py
+++ b/src/bellweir/hosted/serving/streams.py
@@ -33,7 +33,7 @@
     response_headers,
 )
 from bellweir.hosted.serving.client_request import MS_PER_S, ClientRequest
-from bellweir.hosted.serving.failed_attempt import FailedAttempt, run_end
+from bellweir.hosted.serving.failed_attempt import SERVER_ERROR, FailedAttempt, run_end
 from bellweir.hosted.serving.forwarding import (
     MAX_SENDS,
     QUARANTINED,
@@ -49,7 +49,6 @@
 from bellweir.http_server.http import Response
 from bellweir.kernel.clock import elapsed_s
 
-SERVER_ERROR = 500
 POSSIBLY_RUN_STATES = frozenset({AttemptState.ANSWERED, AttemptState.UNKNOWN})
 """Outcomes of an attempt after which the request may have run."""
 EVENT_TIMEOUT_S = 1.5
@@ -233,6 +232,7 @@
         opened.drop()
         if stream.worker is not None:
             self._loads.release(stream.worker.incarnation)
+            self._crashes.record_end(stream.client, stream.worker, RunEnd.OTHER)
 
     def _events(
         self, stream: _Stream, opened: OpenAnswer, on_end: Callable[[], None]
