Crashes: weigh the end of each of many workers that end at one moment

What callers saw: of 20 requests, each running alone at one of 20 workers that ended together three times, 12 were suspended though none had caused anything.

Cause: with more than 8 ends at one moment no weight was worked out any more, not even that of the newest end, which then counted in full.

Change: beyond 8 only the end that is added is weighed. An end under a trial still stands alone, as before.

--- a/features/hosted_crash_series.feature
+++ b/features/hosted_crash_series.feature
@@ -14,3 +14,7 @@
   Scenario: Items that crash engines that stay otherwise
     Then over 100 drawn courses without rounds none of 1 to 3 crashing items runs more than 3 times later than 3 s after its third end
     And every other item is done within 20 s
+
+  # Guards against requests that are suspended since more workers ended at one moment than are counted.
+  Scenario: Many workers that end at one moment, each under another request
+    Then none of 20 requests is suspended after 5 rounds in which all of 20 workers end
--- a/features/steps/hosted_crash_series_steps.py
+++ b/features/steps/hosted_crash_series_steps.py
@@ -1,10 +1,15 @@
 """Items on workers that crash by themselves, in series."""
 
 import random
+from types import SimpleNamespace
 
 from behave import then
 from features.support.crash_courses import CONTACT_S, MOST_LYING_S, Course, drawn_rounds
 
+from bellweir.hosted.crashes.fingerprint import fingerprint
+from bellweir.hosted.crashes.table import CrashTable
+from bellweir.hosted.incarnation import Incarnation
+
 COURSE_S = 40.0
 
 
@@ -84,3 +89,20 @@
         if max(item.done_s for item in course.innocent) > course.began_s + seconds
     ]
     assert not faults, f"{len(faults)} of {len(context.courses)}: {faults[:8]}"
+
+
+@then(
+    "none of {count:d} requests is suspended after {rounds:d} rounds in which all of {workers:d} "
+    "workers end"
+)
+def then_many_together(context, count, rounds, workers):
+    assert workers == count
+    clock = SimpleNamespace(now_s=100.0)
+    table = CrashTable(now_s=lambda: clock.now_s)
+    requests = [fingerprint("POST", "h", f"/one-{number}", "", b"") for number in range(count)]
+    for born in range(rounds):
+        clock.now_s += 1.0
+        for number, request in enumerate(requests):
+            table.add_end(request, "llm", Incarnation(f"i-{number}", born))
+    suspended = [request for request in requests if table.trials_left(request) is not None]
+    assert not suspended, len(suspended)
--- a/src/bellweir/hosted/crashes/table.py
+++ b/src/bellweir/hosted/crashes/table.py
@@ -35,7 +35,8 @@
 MAX_REQUESTS = 512
 DEFAULT_CONTACT_S = 3.0
 MAX_TOGETHER = 8
-"""Simultaneous ends of workers beyond which further ones make no difference."""
+"""Simultaneous ends of workers beyond which a further one changes the weights of those before too
+little to be worked out anew."""
 LONGEST_RUN_S = 10.0
 """Time for which a trial waits for another run of its request."""
 MS_PER_S = 1000
@@ -265,9 +266,8 @@
         is_under_trial = any(one.is_soon_after_trial(worker, at_s) for one in suspects)
         self._worker_ends.add(service, worker, at_s, request, is_under_trial=is_under_trial)
         together = self._worker_ends.around(service, at_s)
-        if len(together) > MAX_TOGETHER:
-            return
-        for ended in together:
+        is_many = len(together) > MAX_TOGETHER
+        for ended in together if not is_many else {worker}.intersection(together):
             for one in self._worker_ends.requests_at(ended):
                 suspect = self._suspects.get(one)
                 if suspect is not None:
