Test: items that the crash guard holds, at the level of the coordinator

Each clause has a scenario: what a held item leaves to the others of its job, what it logs, when it is listed as dead, its scoring, suspected requests that nobody sends any more, engines that can't take the item, and engines that crash three times and stay then (connections and probes on loopback).

--- a/features/support/hosted_jobs.py
+++ b/features/support/hosted_jobs.py
@@ -101,11 +101,12 @@
     )
 
 
-def configuration(backends=(), regions=()):
+def configuration(backends=(), regions=(), fields=None):
     routes = [
         {"host": HOST, "pathPrefix": "/draft/", "kind": "rollout", "service": "llm"}
         | ({"backends": list(backends)} if backends else {})
-        | {"allowedRegions": list(regions)},
+        | {"allowedRegions": list(regions)}
+        | (fields or {}),
         {
             "host": HOST,
             "pathPrefix": "/rewrite/",
@@ -128,12 +129,15 @@
     zones="a",
     regions=(),
     crashes=None,
+    fields=None,
+    workers=None,
 ):
     """Start a leading coordinator, `workers_each` model workers per service, and two scorers.
 
     With `backends`, the items' route is split between these services by their weights; the service
     `llm-none` has no worker. The model workers stand in `zones` by turns, the
-    scorers in the last one. `regions`: those that the items' route allows.
+    scorers in the last one. `regions`: those that the items' route allows; `fields`: others
+    of it. `workers`: the view that the crash guard looks at.
     """
     services = [each["service"] for each in backends] or ["llm"]
     service_of = {
@@ -144,8 +148,9 @@
     }
     models = [WorkerStandIn(name, model=MODEL, version=2, events=EVENTS) for name in service_of]
     scorers = [WorkerStandIn(f"app-{number}") for number in range(2)]
-    view, workers, executors = ConfigurationView(), WorkersView(), Executors()
-    view.apply(configuration(backends, regions), "test")
+    view, executors = ConfigurationView(), Executors()
+    workers = workers or WorkersView()
+    view.apply(configuration(backends, regions, fields), "test")
 
     def show():
         entries = {
