Test: connections between nodes go silent for good, before any change

Callers saw every submission of a job end in 504 for ten seconds after all connections between nodes had gone silent without a reset, although new connections worked: no gateway reached the leader of the jobs.

The feature has two transports over a relay whose open connections can go silent while new ones pass. The bound is contactMs of the settings.

--- /dev/null
+++ b/features/steps/wire_silent_links_steps.py
@@ -0,0 +1,176 @@
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+from behave import given, then, when
+from returns.pipeline import is_successful
+
+from bellweir.hosted.settings import BoundSettings
+from bellweir.wire.interface import Message, WireErrorKind
+from support.silent_relay import SilentRelay
+from support.waiting import wait_until
+from support.wire_nodes import Question, QuestionAnswer, start_wire_node
+
+CONTACT_S = BoundSettings().contact_ms / 1000
+CALL_TIMEOUT_S = CONTACT_S / 10
+"""Time-out of each of a row of requests."""
+LONG_S = 10 * CONTACT_S
+NARROW_BYTES_PER_S = 1_000_000
+
+
+class LongQuestion(Message, frozen=True):
+    pass
+
+
+class Notice(Message, frozen=True):
+    number: int
+
+
+class Bulk(Message, frozen=True):
+    data: bytes
+
+
+@given("wire nodes alpha and beta with one cluster key, beta behind a relay")
+def step_behind_relay(context):
+    key = Path(context.folder) / "cluster.key"
+    key.write_text("a cluster key for the tests")
+    context.wire = {
+        name: start_wire_node(name, (key,), context.cleanup) for name in ("alpha", "beta")
+    }
+    context.relay = SilentRelay(context.wire["beta"].address)
+    context.cleanup.callback(context.relay.stop)
+    _ask(context, Question(0), LONG_S).unwrap()
+
+
+def _ask(context, message, timeout_s):
+    return context.wire["alpha"].transport.request(context.relay.address, message, timeout_s)
+
+
+@when("the relay's connections go silent while alpha asks beta every so often")
+def step_silent(context):
+    assert is_successful(_ask(context, Question(1), LONG_S))
+    context.attempts_before = context.relay.attempts
+    context.relay.silence()
+    context.silent_since_s = time.monotonic()
+
+
+@then("wire requests are answered again within contactMs")
+def step_answered_again(context):
+    deadline_s = context.silent_since_s + CONTACT_S
+    while time.monotonic() < deadline_s:
+        if is_successful(_ask(context, Question(2), CALL_TIMEOUT_S)):
+            return
+    raise AssertionError(f"no request was answered for {CONTACT_S:g} s")
+
+
+@then("each silence cost one connection")
+def step_one_each(context):
+    assert context.relay.attempts == 3, context.relay.attempts
+
+
+@when("the relay's connections go silent while alpha only sends one-way messages")
+def step_silent_one_way(context):
+    context.notices = []
+    beta = context.wire["beta"]
+    beta.transport.register(Notice, lambda _, message: context.notices.append(message.number))
+    context.wire["alpha"].transport.send(context.relay.address, Notice(0))
+    wait_until(lambda: context.notices, "a notice arrives")
+    context.relay.silence()
+    context.silent_since_s = time.monotonic()
+
+
+@then("one-way messages arrive again within contactMs")
+def step_one_way_again(context):
+    number = 0
+    while time.monotonic() < context.silent_since_s + CONTACT_S:
+        number += 1
+        context.wire["alpha"].transport.send(context.relay.address, Notice(number))
+        time.sleep(CALL_TIMEOUT_S / 4)
+        if len(context.notices) > 1:
+            return
+    raise AssertionError(f"no notice arrived for {CONTACT_S:g} s")
+
+
+@when("the relay's connections go silent while beta handles a request that takes long")
+def step_silent_waiting(context):
+    handling, release = threading.Event(), threading.Event()
+    context.cleanup.callback(release.set)
+
+    def handle(_sender, _message):
+        handling.set()
+        release.wait(LONG_S)
+        return QuestionAnswer(0)
+
+    context.wire["beta"].transport.register(LongQuestion, handle)
+    pool = context.cleanup.enter_context(ThreadPoolExecutor(1))
+    context.asked = pool.submit(_ask, context, LongQuestion(), LONG_S)
+    assert handling.wait(LONG_S)
+    context.relay.silence()
+    context.silent_since_s = time.monotonic()
+
+
+@then("the waiting wire request fails as without an answer within contactMs")
+def step_waiting_fails(context):
+    left_s = context.silent_since_s + CONTACT_S - time.monotonic()
+    answer = context.asked.result(left_s)
+    assert answer.failure().kind is WireErrorKind.NO_ANSWER, answer
+
+
+@when("beta stands still for twice contactMs while alpha asks it")
+def step_frozen(context):
+    context.accepted = context.wire["beta"].accepted_connections()
+    context.attempts_before = context.relay.attempts
+    context.relay.freeze()
+    with ThreadPoolExecutor(1) as pool:
+        asked = pool.submit(_ask, context, Question(5), LONG_S)
+        time.sleep(2 * CONTACT_S)
+        context.attempts_meanwhile = context.relay.attempts - context.attempts_before
+        context.relay.thaw()
+        context.answer = asked.result()
+
+
+@then("that request is answered over the connection of before")
+def step_kept(context):
+    assert context.answer.unwrap() == QuestionAnswer(5)
+    assert _ask(context, Question(6), LONG_S).unwrap() == QuestionAnswer(6)
+    beta = context.wire["beta"]
+    wait_until(lambda: beta.accepted_connections() == context.accepted, "only the first is left")
+
+
+@then("alpha has opened few connections meanwhile")
+def step_few(context):
+    # One at a time, each tried for half of contactMs at least.
+    assert context.attempts_meanwhile <= 4, context.attempts_meanwhile
+
+
+@when("alpha asks beta with a message that takes longer than contactMs to arrive")
+def step_narrow(context):
+    context.wire["beta"].transport.register(Bulk, lambda *_: QuestionAnswer(9))
+    context.relay.narrow(NARROW_BYTES_PER_S)
+    began_s = time.monotonic()
+    size = int(1.5 * CONTACT_S * NARROW_BYTES_PER_S)
+    context.answer = _ask(context, Bulk(bytes(size)), LONG_S)
+    assert time.monotonic() - began_s > CONTACT_S
+
+
+@then("it is answered, and alpha has opened no further connection")
+def step_narrow_kept(context):
+    assert context.answer.unwrap() == QuestionAnswer(9)
+    assert context.relay.attempts == 1, context.relay.attempts
+
+
+@when("alpha asks beta once and nothing is sent for contactMs")
+def step_idle(context):
+    _ask(context, Question(3), LONG_S).unwrap()
+    context.sent = _messages_sent(context)
+    time.sleep(CONTACT_S)
+
+
+@then("neither node has sent anything meanwhile")
+def step_nothing_sent(context):
+    assert _messages_sent(context) == context.sent
+
+
+def _messages_sent(context):
+    return [node.transport.traffic().messages_sent for node in context.wire.values()]
