Links: one that goes silent is replaced beside the silent connection

What callers saw: for ten seconds after all connections between nodes had gone silent, no gateway reached the leader of the jobs, and each submission ended in 504, although new connections worked.

Cause: a link was given up only by TCP, after 10 s of unacknowledged bytes or by keep-alive after 14 s; every request waited on the silent link until then. Class: a time-out of the transport in place of the bound that the operator gives.

Change: a link that is owed something and hears nothing for a share of contactMs asks for a sign of life (SignOfLife, level 4), which the task that reads the connection answers. Without any byte after it a second connection is opened, one at a time with exponential pauses and jitter. Once the peer has welcomed it, and the first one is still silent, it takes the first one's place within the link: what was written there is NO_ANSWER at once, what was not is written on the second. A node that receives a long frame shows life unasked, so a narrow path is not doubted. Only time that the node has itself watched counts. New setting transport.contact_s, bounds.contactMs on the platform. Four new log events.

Swapping within the link rather than opening a second link keeps the queue, the numbers of requests and their truth in one place; nothing has to be moved.

--- a/features/steps/wire_silent_links_steps.py
+++ b/features/steps/wire_silent_links_steps.py
@@ -1,3 +1,5 @@
+import dataclasses
+import random
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -7,7 +9,9 @@
 from returns.pipeline import is_successful
 
 from bellweir.hosted.settings import BoundSettings
-from bellweir.wire.interface import Message, WireErrorKind
+from bellweir.wire.handshake import LocalNode
+from bellweir.wire.interface import LEVEL, Message, WireErrorKind
+from bellweir.wire.link_silence import LinkSilence, SilenceBounds, Step
 from support.silent_relay import SilentRelay
 from support.waiting import wait_until
 from support.wire_nodes import Question, QuestionAnswer, start_wire_node
@@ -32,17 +36,25 @@
 
 
 @given("wire nodes alpha and beta with one cluster key, beta behind a relay")
-def step_behind_relay(context):
+def step_behind_relay(context, level=LEVEL):
     key = Path(context.folder) / "cluster.key"
     key.write_text("a cluster key for the tests")
     context.wire = {
         name: start_wire_node(name, (key,), context.cleanup) for name in ("alpha", "beta")
     }
+    beta = context.wire["beta"].transport
+    local = LocalNode("beta", context.wire["beta"].address, level)
+    beta._parts = dataclasses.replace(beta._parts, local=local)
     context.relay = SilentRelay(context.wire["beta"].address)
     context.cleanup.callback(context.relay.stop)
     _ask(context, Question(0), LONG_S).unwrap()
 
 
+@given("wire nodes alpha and beta with one cluster key, beta behind a relay and of level 3")
+def step_behind_relay_older(context):
+    step_behind_relay(context, level=3)
+
+
 def _ask(context, message, timeout_s):
     return context.wire["alpha"].transport.request(context.relay.address, message, timeout_s)
 
@@ -174,3 +186,62 @@
 
 def _messages_sent(context):
     return [node.transport.traffic().messages_sent for node in context.wire.values()]
+
+
+@when("beta handles a request of alpha for twice contactMs")
+def step_long_request(context):
+    def handle(_sender, _message):
+        time.sleep(2 * CONTACT_S)
+        return QuestionAnswer(9)
+
+    context.wire["beta"].transport.register(LongQuestion, handle)
+    context.sent = context.wire["alpha"].transport.traffic().messages_sent
+    context.answer = _ask(context, LongQuestion(), LONG_S)
+
+
+@then("alpha has sent nothing else")
+def step_nothing_else(context):
+    assert context.wire["alpha"].transport.traffic().messages_sent == context.sent + 1
+
+
+@then("long gaps between looks raise no doubt before two more looks")
+def step_suspended(_context):
+    for contact_s in (0.5, CONTACT_S, 20.0):
+        bounds = SilenceBounds(contact_s)
+        silence = LinkSilence(bounds)
+        silence.note_written()
+        steps = [silence.look(100 * contact_s, False) for _ in range(2)]
+        assert Step.TRY_ANOTHER not in steps, steps
+        silence.note_received()
+        assert silence.look(100 * contact_s, True) is Step.NOTHING
+
+
+def _attempts(silence, bounds, duration_s, now_s):
+    """Moments in which one node tries a peer of which nothing comes and every attempt fails."""
+    silence.note_written()
+    attempts = []
+    while now_s < duration_s:
+        if attempts and silence._is_trying and now_s >= attempts[-1] + bounds.attempt_s:
+            silence.attempt_failed()
+        if silence.look(bounds.look_period_s, False) is Step.TRY_ANOTHER:
+            attempts.append(now_s)
+        now_s += bounds.look_period_s
+    return attempts
+
+
+@then("339 nodes try it at most every contactMs each on average, at moments of their own")
+def step_many(_context):
+    bounds = SilenceBounds(CONTACT_S)
+    drawn = random.Random(5)
+    duration_s = 20 * CONTACT_S
+    moments = []
+    for _ in range(339):
+        silence = LinkSilence(bounds)
+        silence._random.seed(drawn.random())
+        attempts = _attempts(silence, bounds, duration_s, drawn.uniform(0, bounds.look_period_s))
+        assert len(attempts) <= duration_s / CONTACT_S, len(attempts)
+        moments += attempts
+    later = [moment for moment in moments if moment > 2 * CONTACT_S]
+    periods = [int(moment / bounds.look_period_s) for moment in later]
+    busiest = max(periods.count(one) for one in set(periods))
+    assert busiest < 339 / 4, busiest
--- a/features/wire_silent_links.feature
+++ b/features/wire_silent_links.feature
@@ -36,6 +36,23 @@
     When alpha asks beta with a message that takes longer than contactMs to arrive
     Then it is answered, and alpha has opened no further connection
 
+  Scenario: A peer of a build that answers no sign of life is neither asked nor doubted
+    Given wire nodes alpha and beta with one cluster key, beta behind a relay and of level 3
+    When beta handles a request of alpha for twice contactMs
+    Then it is answered, and alpha has opened no further connection
+    And alpha has sent nothing else
+
+  Scenario: A request that takes long is no silence
+    Given wire nodes alpha and beta with one cluster key, beta behind a relay
+    When beta handles a request of alpha for twice contactMs
+    Then it is answered, and alpha has opened no further connection
+
+  Scenario: A node that was suspended doubts none of its connections
+    Then long gaps between looks raise no doubt before two more looks
+
+  Scenario: Many nodes doubt one peer that stands still
+    Then 339 nodes try it at most every contactMs each on average, at moments of their own
+
   Scenario: A connection that is not used carries nothing
     Given wire nodes alpha and beta with one cluster key, beta behind a relay
     When alpha asks beta once and nothing is sent for contactMs
--- a/src/bellweir/hosted/node_settings.py
+++ b/src/bellweir/hosted/node_settings.py
@@ -14,6 +14,7 @@
     from bellweir.settings.models import Settings
 
 
+MS_PER_S = 1000
 FIRST_START_JITTER_S = 3.0
 """Maximum random delay of store machines before they create shared objects at the first start.
 
@@ -34,6 +35,11 @@
     cluster_key_files: tuple[Path, ...] = ()
 
 
+@dataclass(frozen=True)
+class _Transport:
+    contact_s: float
+
+
 @dataclass(frozen=True)
 class _NetworkFaults:
     file: Path | None = None
@@ -73,6 +79,7 @@
 class _Settings:
     node: _Node
     trust: _Trust
+    transport: _Transport
     network_faults: _NetworkFaults
     membership: _Membership
     ledger: _Ledger
@@ -86,6 +93,7 @@
     shared = _Settings(
         _Node(node.name, node.zone, node.region, folder),
         _Trust(),
+        _Transport(settings.bounds.contact_ms / MS_PER_S),
         _NetworkFaults(),
         _Membership(seeds=seed_addresses(settings)),
         _Ledger(
--- a/src/bellweir/settings/models.py
+++ b/src/bellweir/settings/models.py
@@ -174,6 +174,13 @@
     when they change. None means an open cluster."""
 
 
+class TransportSettings(Concern):
+    """Connections between nodes."""
+
+    contact_s: float = Field(default=3.0, gt=0)
+    """Time within which a connection that went silent is replaced, in seconds. Default 3."""
+
+
 class NetworkFaultSettings(Concern):
     """Faults between nodes, for rehearsals only."""
 
@@ -203,5 +210,6 @@
     samples: SamplesSettings = Field(default_factory=SamplesSettings)
     weights: WeightsSettings = Field(default_factory=WeightsSettings)
     trust: TrustSettings = Field(default_factory=TrustSettings)
+    transport: TransportSettings = Field(default_factory=TransportSettings)
     network_faults: NetworkFaultSettings = Field(default_factory=NetworkFaultSettings)
     log: LogSettings = Field(default_factory=LogSettings)
--- a/src/bellweir/wire/accepted_connection.py
+++ b/src/bellweir/wire/accepted_connection.py
@@ -32,10 +32,13 @@
     STRANGER_REFUSED,
 )
 from bellweir.wire.send_queue import QueuedFrame, SendQueue
+from bellweir.wire.signs_of_life import LEVEL_WITH_SIGNS, SignOfLife, unasked
 from bellweir.wire.sockets import prepare, shut
 
 POLL_S = 5.0
 """The writer wakes at least this often to see that the node stops."""
+SIGN_BYTES = 4096
+"""Signs of life are shown unasked only while at least this much arrives between them."""
 
 
 class AcceptedConnection:
@@ -56,6 +59,9 @@
         self._on_end = on_end
         self._queue = SendQueue()
         self._remote = "unknown"
+        self._received_bytes = 0
+        """Bytes that arrived since the last sign of life."""
+        self._shown_s = elapsed_s()
 
     def run(self, _stopping: threading.Event) -> None:
         """Shake hands, then read until the connection ends."""
@@ -89,9 +95,10 @@
         return sender
 
     def _read(self, sender: Sender) -> None:
+        on_chunk = self._show_life if sender.level >= LEVEL_WITH_SIGNS else None
         try:
             while True:
-                payload = read_frame(self._connection, MAXIMUM_FRAME_BYTES)
+                payload = read_frame(self._connection, MAXIMUM_FRAME_BYTES, on_chunk=on_chunk)
                 self._parts.traffic.count_received(len(payload))
                 self._take(sender, decode_struct(payload, Request | OneWay))  # type: ignore[arg-type]
         except ConnectionClosedError:
@@ -102,6 +109,18 @@
             if not self._queue.closed:
                 emit(PEER_CONNECTION_LOST, peer=sender.node, reason=str(failure))
 
+    def _show_life(self, received_bytes: int) -> None:
+        """Show that much is being received, which on a narrow path takes long."""
+        self._received_bytes += received_bytes
+        if self._received_bytes < SIGN_BYTES:
+            return
+        now_s = elapsed_s()
+        if now_s - self._shown_s < self._parts.silence.sign_period_s:
+            return
+        self._received_bytes = 0
+        self._shown_s = now_s
+        self._queue.put(unasked())
+
     def _take(self, sender: Sender, frame: Request | OneWay) -> None:
         try:
             message = self._parts.codec.from_plain(frame.body)
@@ -109,6 +128,11 @@
             # A newer node may know more messages; that is no reason to lose the connection.
             self._refuse(frame, str(failure))
             return
+        if isinstance(message, SignOfLife):
+            # Not by the pools, whose handlers may all be busy.
+            if isinstance(frame, Request):
+                self._answer(frame, message, message)
+            return
         handler = self._handlers.get(type(message))
         if handler is None:
             self._refuse(frame, f"no handler for {type(message).__name__}")
--- a/src/bellweir/wire/connection_parts.py
+++ b/src/bellweir/wire/connection_parts.py
@@ -9,6 +9,7 @@
 from bellweir.wire.faults import NetworkFaults
 from bellweir.wire.handshake import LocalNode
 from bellweir.wire.keys import ClusterKeys
+from bellweir.wire.link_silence import SilenceBounds
 from bellweir.wire.send_queue import QueuedFrame
 from bellweir.wire.traffic import TrafficCounter
 
@@ -21,6 +22,7 @@
     keys: ClusterKeys
     executors: Executors
     faults: NetworkFaults
+    silence: SilenceBounds
     codec: MessageCodec = field(default_factory=MessageCodec)
     traffic: TrafficCounter = field(default_factory=TrafficCounter)
     closing: threading.Event = field(default_factory=threading.Event)
--- a/src/bellweir/wire/frames.py
+++ b/src/bellweir/wire/frames.py
@@ -7,6 +7,7 @@
 
 import socket
 import struct
+from collections.abc import Callable
 from typing import Any, TypeVar
 
 import cbor2
@@ -134,25 +135,35 @@
 
 
 def read_frame(
-    connection: socket.socket, maximum_bytes: int, deadline_s: float | None = None
+    connection: socket.socket,
+    maximum_bytes: int,
+    deadline_s: float | None = None,
+    on_chunk: Callable[[int], None] | None = None,
 ) -> bytes:
     """Read one frame's payload, until `deadline_s` on the monotonic clock when that is given.
 
+    `on_chunk` is called with the number of bytes each time some have arrived.
+
     The deadline bounds the whole frame: a socket's own time-out would begin anew with each byte
     that a slow stranger sends.
 
     Raises `ConnectionClosedError` at an end between frames, `FrameError` for a length out of
     bounds or an end within a frame, and `OSError` as the socket does.
     """
-    prefix = _read_exactly(connection, LENGTH_PREFIX.size, deadline_s, at_boundary=True)
+    prefix = _read_exactly(connection, LENGTH_PREFIX.size, deadline_s, on_chunk, at_boundary=True)
     (length,) = LENGTH_PREFIX.unpack(prefix)
     if not 0 < length <= maximum_bytes:
         raise FrameError(f"length {length} is not within 1 to {maximum_bytes}")
-    return _read_exactly(connection, length, deadline_s, at_boundary=False)
+    return _read_exactly(connection, length, deadline_s, on_chunk, at_boundary=False)
 
 
 def _read_exactly(
-    connection: socket.socket, count: int, deadline_s: float | None, *, at_boundary: bool
+    connection: socket.socket,
+    count: int,
+    deadline_s: float | None,
+    on_chunk: Callable[[int], None] | None,
+    *,
+    at_boundary: bool,
 ) -> bytes:
     # Chunks grow with what has really arrived: a length alone reserves no memory.
     received = bytearray()
@@ -165,4 +176,6 @@
         if not chunk:
             raise FrameError("the connection ended within a frame")
         received += chunk
+        if on_chunk is not None:
+            on_chunk(len(chunk))
     return bytes(received)
--- a/src/bellweir/wire/handshake.py
+++ b/src/bellweir/wire/handshake.py
@@ -90,14 +90,17 @@
 
 
 def connect_handshake(
-    connection: socket.socket, local: LocalNode, keys: ClusterKeys
+    connection: socket.socket,
+    local: LocalNode,
+    keys: ClusterKeys,
+    timeout_s: float = HANDSHAKE_TIMEOUT_S,
 ) -> AcceptingNode:
     """Run the connecting end's part; return what the other node says of itself.
 
     Raises `HandshakeError`, or `OSError` as the socket does.
     """
-    connection.settimeout(HANDSHAKE_TIMEOUT_S)
-    deadline_s = elapsed_s() + HANDSHAKE_TIMEOUT_S
+    connection.settimeout(timeout_s)
+    deadline_s = elapsed_s() + timeout_s
     hello = ClientHello(PROTOCOL, local.name, local.address, os.urandom(NONCE_BYTES), local.level)
     try:
         _write(connection, hello)
--- a/src/bellweir/wire/log_events.py
+++ b/src/bellweir/wire/log_events.py
@@ -58,6 +58,36 @@
     ("peer", "level", "needed"),
     "A peer's build knows messages up to a level; later ones are not sent on that connection.",
 )
+PEER_CONNECTION_DOUBTFUL = Event(
+    209,
+    "peer_connection_doubtful",
+    Level.INFO,
+    ("peer", "quiet_s"),
+    "A peer gave no sign of life on a connection; a second connection to it is tried.",
+)
+PEER_CONNECTION_REPLACED = Event(
+    210,
+    "peer_connection_replaced",
+    Level.WARNING,
+    ("peer", "quiet_s", "lost_requests"),
+    "A connection was silent while the peer accepted a second one, which took its place; what "
+    "waited for answers on it has none.",
+)
+PEER_CONNECTION_KEPT = Event(
+    211,
+    "peer_connection_kept",
+    Level.INFO,
+    ("peer",),
+    "A doubtful connection spoke again; the second one is not needed.",
+)
+PEER_SECOND_CONNECTION_FAILED = Event(
+    212,
+    "peer_second_connection_failed",
+    Level.INFO,
+    ("peer", "reason", "pause_s"),
+    "The second connection beside a doubtful one could not be made; the first one stays and "
+    "another is tried after the pause.",
+)
 CLUSTER_KEY_UNREADABLE = Event(
     207,
     "cluster_key_unreadable",
--- a/src/bellweir/wire/send_queue.py
+++ b/src/bellweir/wire/send_queue.py
@@ -24,6 +24,11 @@
         self._sent = False
         self._given_up = False
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether a byte of it may have been written."""
+        return self._sent
+
     def mark_sent(self) -> bool:
         """Called just before writing; False when the caller has given up and it must not go."""
         with self._lock:
--- a/src/bellweir/wire/service.py
+++ b/src/bellweir/wire/service.py
@@ -26,6 +26,8 @@
     WireErrorKind,
 )
 from bellweir.wire.keys import ClusterKeys
+from bellweir.wire.link_silence import SilenceBounds
+from bellweir.wire.link_watch import LinkWatch
 from bellweir.wire.peer_link import PeerLink
 from bellweir.wire.send_queue import PendingRequest, QueuedFrame
 from bellweir.wire.sockets import shut
@@ -63,7 +65,9 @@
             faults=NetworkFaults(
                 settings.network_faults.file, Place(node.name, address, node.zone, node.region)
             ),
+            silence=SilenceBounds(settings.transport.contact_s),
         )
+        self._watch = LinkWatch(self._parts.silence, self._open_links, self._parts.closing)
         self._pools = HandlerPools(kernel.executors)
         self._handlers: dict[type[Message], Handler] = {}
         self._lock = threading.Lock()
@@ -87,10 +91,12 @@
     def start(self) -> None:
         """Accept peers; messages of services that have not registered yet are refused."""
         self._executors.run_task("peer-accept", self._accept)
+        self._executors.run_loop("peer-watch", self._watch.run)
 
     def stop(self) -> None:
         """Close every connection; requests that wait fail."""
         self._parts.closing.set()
+        self._watch.wake()
         shut(self._listener)  # Also wakes the accepting task.
         with self._lock:
             links = list(self._links.values())
@@ -168,7 +174,7 @@
             link = self._links.get(address)
             if link is not None and not link.ended:
                 return link
-            link = PeerLink(address, self._parts, self._link_ended)
+            link = PeerLink(address, self._parts, self._watch.wake, self._link_ended)
             self._links[address] = link
         try:
             self._executors.run_task(f"peer {address}", link.run)
@@ -178,6 +184,10 @@
             return None
         return link
 
+    def _open_links(self) -> list[PeerLink]:
+        with self._lock:
+            return list(self._links.values())
+
     def _link_ended(self, link: PeerLink) -> None:
         with self._lock:
             if self._links.get(link.address) is link:
