Test: trials over several gateways, and requests at a gateway after crashes

One trial at a time and three in all, also when the granting gateway leaves after each; one that doesn't answer makes a request wait. Ordinary requests and streams whose workers crashed three times are served again within seconds and are told seconds; those that crash workers stay refused once their trials are used up, with six runs at most.

--- a/features/hosted_crash_guard.feature
+++ b/features/hosted_crash_guard.feature
@@ -62,3 +62,40 @@
   Scenario: An item that crashes engines
     When one of 6 items of a step is quarantined
     Then the other items are listed and it reaches no worker
+
+  Scenario: One gateway grants the trials of a service
+    Given 8 gateways that know of a request with 3 ends
+    When all gateways ask for a trial at once
+    Then one trial is granted
+    And 3 are granted in all, though the granting gateway leaves after each
+    And every gateway is told to wait for more than 500 s
+
+  # Guards against a trial that two nodes take since the one that grants it is away.
+  Scenario: A granting gateway that does not answer
+    Given 8 gateways that know of a request with 3 ends
+    When the granting gateway is cut off and all others ask for a trial at once
+    Then no trial is granted, and each other gateway is told to wait for 1 s
+
+  # Guards against requests that are refused for minutes since their workers crashed by themselves.
+  Scenario Outline: A request whose workers crash three times and stay then
+    Given a gateway with a guard and <workers> slow workers
+    When all workers crash 3 times under a request to <path>
+    Then it is served within 6 s, and refused with a Retry-After of 3 s at most before
+
+    Examples:
+      | workers | path        |
+      | 1       | /single/x   |
+      | 1       | /resumable/x |
+      | 2       | /idempotent/x |
+      | 2       | /stream/x   |
+
+  Scenario Outline: A request that crashes workers, again and again
+    Given a gateway with a guard and 2 slow workers
+    When a request to <path> that crashes workers is sent until it is refused for minutes
+    Then it has run 6 times at most, 3 of them later than 3 s after the third end
+    And other requests are served
+
+    Examples:
+      | path         |
+      | /single/x    |
+      | /resumable/x |
--- a/features/steps/hosted_crash_guard_steps.py
+++ b/features/steps/hosted_crash_guard_steps.py
@@ -1,16 +1,19 @@
 """What counts as the end of a worker under a request, who knows of it, and what follows."""
 
 import random
+import threading
+import time
 from types import SimpleNamespace
 from typing import NamedTuple
 
 import hypothesis.strategies as st
 import msgspec
-from behave import then, when
+from behave import given, then, when
 from features.support.hosted_gateway import HOST, GatewayUnderTest
 from features.support.hosted_jobs import make_job, make_leader
 from features.support.waiting import wait_until
-from hypothesis import given, settings
+from hypothesis import given as drawn
+from hypothesis import settings
 from returns.result import Failure, Success
 
 from bellweir.hosted.batches.state import JOBS_KEY, AcceptJob
@@ -53,7 +56,7 @@
     ends = st.lists(st.integers(0, 5), min_size=1, max_size=8)
 
     @settings(max_examples=150)
-    @given(reports=st.lists(ends, min_size=1, max_size=4), order=st.randoms(use_true_random=False))
+    @drawn(reports=st.lists(ends, min_size=1, max_size=4), order=st.randoms(use_true_random=False))
     def merged(reports, order):
         clock = SimpleNamespace(now_s=100.0)
         tables = [CrashTable(now_s=lambda: clock.now_s) for _ in reports]
@@ -478,7 +481,7 @@
     text = st.text(max_size=3)
 
     @settings(max_examples=200)
-    @given(one=st.tuples(text, text, text), two=st.tuples(text, text, text))
+    @drawn(one=st.tuples(text, text, text), two=st.tuples(text, text, text))
     def distinct(one, two):
         prints = [fingerprint("POST", h.lower(), p, t, b"") for h, p, t in (one, two)]
         same = (one[0].lower(), *one[1:]) == (two[0].lower(), *two[1:])
@@ -534,3 +537,190 @@
     wait_until(lambda: set(state.recorded_ids) == others, "the other items")
     ran = sum(worker.record.ran[context.bad.id] for worker in context.batches.models)
     assert ran == 0, ran
+
+
+# Trials of a service
+
+
+@given("{count:d} gateways that know of a request with {ends:d} ends")
+def given_gateways(context, count, ends):
+    network = context.network = Network(count + 1, 2)
+    network.run(11)
+    network.nodes["1"].crash(ends)
+    network.run(5)
+
+
+def _gateways(network):
+    return [name for name, member in network.members.items() if member.gateway_address]
+
+
+def _granting(network):
+    exchanges = {name: network.nodes[name].exchange for name in _gateways(network)}
+    (found,) = [name for name, one in exchanges.items() if one._granting_peer("app") is None]
+    return found
+
+
+def _ask_for_trials(network, names):
+    """Have gateways ask; return the seconds to wait, by name."""
+    waits = {}
+    for name in names:
+        worker = Incarnation(f"trial-{name}", round(network.now_s))
+        waits[name] = network.nodes[name].exchange.begin_trial(REQUEST, "app", worker)
+    return waits
+
+
+@when("all gateways ask for a trial at once")
+def when_ask(context):
+    context.waits = _ask_for_trials(context.network, _gateways(context.network))
+
+
+@then("one trial is granted")
+def then_one_granted(context):
+    granted = [name for name, wait_s in context.waits.items() if wait_s == 0]
+    assert len(granted) == 1, context.waits
+    assert all(0 < wait_s <= 3 for wait_s in context.waits.values() if wait_s), context.waits
+
+
+@then("{count:d} are granted in all, though the granting gateway leaves after each")
+def then_granted_in_all(context, count):
+    network, granted = context.network, 0
+    for _ in range(2 * count):
+        network.deliver()
+        (tried,) = [name for name, wait_s in context.waits.items() if wait_s == 0] or [None]
+        leaving = _granting(network)
+        if tried is not None:
+            granted += 1
+            _end_trial(network, tried)
+            network.members.pop(leaving)
+            network.nodes.pop(leaving)
+        network.run(4)
+        context.waits = _ask_for_trials(network, _gateways(network))
+    assert granted == count, granted
+
+
+def _end_trial(network, name):
+    """The worker of a gateway's trial ends, and all nodes are told."""
+    node = network.nodes[name]
+    trials = node.table._suspects[REQUEST].trials_s
+    node.table.add_end(REQUEST, "app", max(trials, key=trials.__getitem__))
+    node.exchange.announce(REQUEST)
+    node.exchange.send_news()
+    network.deliver()
+
+
+@then("every gateway is told to wait for more than {seconds:d} s")
+def then_all_wait(context, seconds):
+    assert all(wait_s > seconds for wait_s in context.waits.values()), context.waits
+
+
+@when("the granting gateway is cut off and all others ask for a trial at once")
+def when_granting_cut(context):
+    network = context.network
+    network.cut = {_granting(network)}
+    others = [name for name in _gateways(network) if name not in network.cut]
+    context.waits = _ask_for_trials(network, others)
+
+
+@then("no trial is granted, and each other gateway is told to wait for {seconds:d} s")
+def then_not_granted(context, seconds):
+    assert set(context.waits.values()) == {seconds}, context.waits
+    nodes = context.network.nodes.values()
+    assert not any(node.table.tried_at(REQUEST) for node in nodes)
+
+
+# Requests at a gateway
+
+SLOW_S = 0.3
+DOWN_S = 0.3
+
+
+@given("a gateway with a guard and {count:d} slow workers")
+def given_guarded(context, count):
+    context.workers = [WorkerStandIn(f"i-{number}") for number in range(count)]
+    for worker in context.workers:
+        worker.faults.delay_s = SLOW_S
+        context.cleanup.callback(worker.close)
+    context.gateway = GatewayUnderTest(context.workers)
+    context.cleanup.callback(context.gateway.close)
+    _guard(context)
+
+
+def _show(context):
+    entries = {worker.instance: worker.entry("app") for worker in context.workers}
+    context.gateway.show_workers(entries)
+
+
+def _set_path(context, path):
+    context.path = path
+    if path.startswith(("/stream/", "/resumable/")):
+        for worker in context.workers:
+            worker.model = "m"
+
+
+@when("all workers crash {count:d} times under a request to {path}")
+def when_crash_under(context, count, path):
+    _set_path(context, path)
+    for _ in range(count):
+        sending = threading.Thread(target=context.gateway.send, args=(path,))
+        sending.start()
+        time.sleep(SLOW_S / 2)
+        for worker in context.workers:
+            worker.crash()
+        time.sleep(DOWN_S / 2)
+        context.guard.look_beside()
+        time.sleep(DOWN_S / 2)
+        for worker in context.workers:
+            worker.start_again()
+        _show(context)
+        sending.join(10.0)
+    digest_of = fingerprint("POST", HOST, path, "", b"body")
+    assert context.crashes.ends(digest_of) >= count, context.crashes.ends(digest_of)
+
+
+@then(
+    "it is served within {seconds:d} s, and refused with a Retry-After of {most:d} s at most before"
+)
+def then_served_soon(context, seconds, most):
+    until_s = time.monotonic() + seconds
+    refusals = []
+    while (answer := context.gateway.send(context.path)).status != 200:
+        refusals.append((answer.status, answer.headers["Retry-After"]))
+        assert time.monotonic() < until_s, refusals[-3:]
+        time.sleep(0.1)
+    assert all(float(after_s) <= most for _, after_s in refusals if after_s), refusals
+
+
+@when("a request to {path} that crashes workers is sent until it is refused for minutes")
+def when_crashing(context, path):
+    _set_path(context, path)
+    for worker in context.workers:
+        worker.faults.crash_bodies = frozenset({b"bad"})
+        worker.faults.back_after_s = DOWN_S
+    until_s = time.monotonic() + 30.0
+    while True:
+        answer = context.gateway.send(path, b"bad")
+        if answer.status == 503 and float(answer.headers["Retry-After"] or 0) > HOLD_S - 60:
+            return
+        assert time.monotonic() < until_s, (answer.status, answer.headers["Retry-After"])
+        time.sleep(0.1)
+        _show(context)
+
+
+@then(
+    "it has run {most:d} times at most, {late:d} of them later than {seconds:d} s after the third "
+    "end"
+)
+def then_runs(context, most, late, seconds):
+    runs = [run.at_s for worker in context.workers for run in worker.record.crashing_runs]
+    ends = sorted(run.at_s for worker in context.workers for run in worker.record.crashes)
+    assert MAX_ENDS <= len(runs) <= most, len(runs)
+    assert sum(at_s > ends[MAX_ENDS - 1] + seconds for at_s in runs) <= late, (runs, ends)
+
+
+@then("other requests are served")
+def then_others_served(context):
+    def is_served():
+        _show(context)
+        return context.gateway.send(context.path, b"good").status == 200
+
+    wait_until(is_served, "another request", 5.0)
