Crashes: a request that is freed waits for no answer of before

What callers saw: a request that an operator had released, or that another gateway had seen survive, was refused for up to 600 s more at gateways that the granting one had told to wait so long.

Cause: the answer to a trial that was not granted was kept until its time was over, whatever became of the request.

Change: the answer counts only while the request is suspended, and is dropped once it is not.

--- a/features/hosted_crash_guard.feature
+++ b/features/hosted_crash_guard.feature
@@ -99,3 +99,14 @@
       | path         |
       | /single/x    |
       | /resumable/x |
+
+  # Guards against an operator's release that a gateway ignores for minutes.
+  Scenario Outline: A request that was told to wait is freed
+    Given a guard that another gateway has told to let a request wait for 500 s
+    When <event>
+    Then the request may run at once
+
+    Examples:
+      | event                                 |
+      | an operator releases it               |
+      | another gateway tells that it was acquitted |
--- a/features/steps/hosted_crash_guard_steps.py
+++ b/features/steps/hosted_crash_guard_steps.py
@@ -724,3 +724,44 @@
         return context.gateway.send(context.path, b"good").status == 200
 
     wait_until(is_served, "another request", 5.0)
+
+
+@given("a guard that another gateway has told to let a request wait for {seconds:d} s")
+def given_told(context, seconds):
+    clock = context.clock = SimpleNamespace(now_s=100.0)
+    table = context.crashes = CrashTable(now_s=lambda: clock.now_s)
+    context.guard = SharedCrashGuard(
+        table,
+        WorkersView(),
+        lambda: True,
+        begin_trial=lambda _request, _service, _worker: float(seconds),
+        now_s=lambda: clock.now_s,
+    )
+    for number in range(MAX_ENDS):
+        clock.now_s += 1.0
+        table.add_end(REQUEST, "app", Incarnation(f"i-{number}"))
+    clock.now_s += 5.0
+    context.worker = SimpleNamespace(
+        instance="i-9", incarnation=Incarnation("i-9"), entry=SimpleNamespace(service="app")
+    )
+    assert not context.guard.begin_run(Sent(REQUEST), context.worker)
+    assert context.guard.quarantine_left_s(Sent(REQUEST)) == seconds
+
+
+@when("an operator releases it")
+def when_released(context):
+    context.crashes.lift([REQUEST])
+
+
+@when("another gateway tells that it was acquitted")
+def when_told_acquitted(context):
+    other = CrashTable(now_s=lambda: context.clock.now_s)
+    other.receive(*context.crashes.records())
+    assert other.acquit(REQUEST)
+    assert context.crashes.receive(*other.records())
+
+
+@then("the request may run at once")
+def then_may_run(context):
+    assert context.guard.quarantine_left_s(Sent(REQUEST)) == 0
+    assert context.guard.begin_run(Sent(REQUEST), context.worker)
--- a/src/bellweir/hosted/crashes/guard.py
+++ b/src/bellweir/hosted/crashes/guard.py
@@ -72,7 +72,9 @@
         wait_s = self._trials.wait_s(request.fingerprint)
         with self._lock:
             delayed_s = self._delayed_until_s.get(request.fingerprint, 0.0) - self._now_s()
-        return max(wait_s, delayed_s)
+        if delayed_s <= wait_s or not self._is_suspended(request):
+            return wait_s
+        return delayed_s
 
     def is_restricted(self, request: GuardedRequest) -> bool:
         """Whether a request runs by single trials only."""
@@ -160,7 +162,7 @@
         now_s = self._now_s()
         with self._lock:
             for digest, until_s in list(self._delayed_until_s.items()):
-                if now_s >= until_s:
+                if now_s >= until_s or self._table.trials_left(digest) is None:
                     del self._delayed_until_s[digest]
 
     def _is_suspended(self, request: GuardedRequest) -> bool:
