Crashes: tell for as long as an end counts how many idle workers ended with it

What callers saw: a request that all other nodes knew to be innocent was suspended at a node that started 30 s or 500 s after a series.

Cause: how many idle workers ended beside one was read, for each message, from the log of workers' ends, which goes back 20 s. After that 0 was told, and the end counted in full wherever it was heard of first.

Change: the count is kept with the end, and told once the log doesn't go back that far. Until then the log is told, which also takes back what it put too high.

Evidence: the rows of 30 s and 500 s failed before (blame 3.0, suspended), the one of 1 s passed; all three pass, and hosted_crash_series and hosted_crash_guard as a whole.

--- a/features/hosted_crash_series.feature
+++ b/features/hosted_crash_series.feature
@@ -18,3 +18,15 @@
   # Guards against requests that are suspended since more workers ended at one moment than are counted.
   Scenario: Many workers that end at one moment, each under another request
     Then none of 20 requests is suspended after 5 rounds in which all of 20 workers end
+
+  # Guards against nodes that condemn, some time after a series, what the others know to be innocent.
+  Scenario Outline: A node that learns of a series later
+    Given a request that ran alone at one of 4 workers each time that all ended, 3 times
+    When a node starts <seconds> s later and is told what the others know
+    Then neither suspects the request enough to suspend it
+
+    Examples:
+      | seconds |
+      | 1       |
+      | 30      |
+      | 500     |
--- a/features/steps/hosted_crash_series_steps.py
+++ b/features/steps/hosted_crash_series_steps.py
@@ -3,7 +3,7 @@
 import random
 from types import SimpleNamespace
 
-from behave import then
+from behave import given, then, when
 from features.support.crash_courses import CONTACT_S, MOST_LYING_S, Course, drawn_rounds
 
 from bellweir.hosted.crashes.fingerprint import fingerprint
@@ -106,3 +106,37 @@
             table.add_end(request, "llm", Incarnation(f"i-{number}", born))
     suspended = [request for request in requests if table.trials_left(request) is not None]
     assert not suspended, len(suspended)
+
+
+@given(
+    "a request that ran alone at one of {workers:d} workers each time that all ended, {count:d} "
+    "times"
+)
+def given_idle_beside(context, workers, count):
+    clock = context.clock = SimpleNamespace(now_s=100.0)
+    context.table_before = CrashTable(now_s=lambda: clock.now_s)
+    context.request = fingerprint("POST", "h", "/alone", "", b"")
+    for born in range(count):
+        clock.now_s += 1.0
+        context.table_before.add_end(context.request, "llm", Incarnation("i-0", born))
+        for number in range(1, workers):
+            worker = Incarnation(f"i-{number}", born)
+            context.table_before.add_worker_end("llm", worker, clock.now_s)
+
+
+@when("a node starts {seconds:d} s later and is told what the others know")
+def when_late(context, seconds):
+    clock = context.clock
+    for _ in range(seconds):
+        clock.now_s += 1.0
+        context.table_before.drop_old()
+    context.late_table = CrashTable(now_s=lambda: clock.now_s)
+    for record in context.table_before.records():
+        context.late_table.receive(record)
+
+
+@then("neither suspects the request enough to suspend it")
+def then_neither(context):
+    for table in (context.table_before, context.late_table):
+        blame = table.blame(context.request)
+        assert table.trials_left(context.request) is None, blame
--- a/src/bellweir/hosted/crashes/suspect.py
+++ b/src/bellweir/hosted/crashes/suspect.py
@@ -39,7 +39,15 @@
 class Suspect:
     """What is known of one request. Times are those of the owner's clock, in seconds."""
 
-    __slots__ = ("_beside", "_beside_told", "acquitted_s", "ended_s", "service", "trials_s")
+    __slots__ = (
+        "_beside",
+        "_beside_told",
+        "_idle_beside",
+        "acquitted_s",
+        "ended_s",
+        "service",
+        "trials_s",
+    )
 
     def __init__(self, service: str) -> None:
         self.service = service
@@ -47,8 +55,10 @@
         """Time of each worker's end."""
         self._beside: dict[Incarnation, int] = {}
         """Workers that ended at the moment of an end without running the request."""
+        self._idle_beside: dict[Incarnation, int] = {}
+        """Those of them that ran nothing."""
         self._beside_told: dict[Incarnation, int] = {}
-        """Those of them that ran nothing, as other nodes have told."""
+        """The same, as other nodes have told."""
         self.trials_s: dict[Incarnation, float] = {}
         """Time of the newest trial at each worker."""
         self.acquitted_s = NEVER_S
@@ -72,6 +82,7 @@
             oldest = min(self.ended_s, key=self.ended_s.__getitem__)
             del self.ended_s[oldest]
             self._beside.pop(oldest, None)
+            self._idle_beside.pop(oldest, None)
             self._beside_told.pop(oldest, None)
             return oldest != worker
         return True
@@ -93,9 +104,14 @@
         """Return how many workers ended at the moment of an end without running the request."""
         return max(self._beside.get(worker, 0), self._beside_told.get(worker, 0))
 
-    def set_beside(self, worker: Incarnation, count: int) -> None:
-        """Replace the count of an end by what this node sees now."""
+    def idle_beside(self, worker: Incarnation) -> int:
+        """Return how many of them ran nothing, as far as this node has seen or been told."""
+        return max(self._idle_beside.get(worker, 0), self._beside_told.get(worker, 0))
+
+    def set_beside(self, worker: Incarnation, count: int, idle: int = 0) -> None:
+        """Replace the counts of an end by what this node sees; `idle` of `count` ran nothing."""
         self._beside[worker] = count
+        self._idle_beside[worker] = idle
 
     def hear_beside(self, worker: Incarnation, count: int) -> bool:
         """Note a count of another node; False if as many have been told."""
--- a/src/bellweir/hosted/crashes/table.py
+++ b/src/bellweir/hosted/crashes/table.py
@@ -266,13 +266,14 @@
         is_under_trial = any(one.is_soon_after_trial(worker, at_s) for one in suspects)
         self._worker_ends.add(service, worker, at_s, request, is_under_trial=is_under_trial)
         together = self._worker_ends.around(service, at_s)
+        idle = self._worker_ends.idle_among(together)
         is_many = len(together) > MAX_TOGETHER
         for ended in together if not is_many else {worker}.intersection(together):
             for one in self._worker_ends.requests_at(ended):
                 suspect = self._suspects.get(one)
                 if suspect is not None:
                     others = sum(other not in suspect.ended_s for other in together)
-                    suspect.set_beside(ended, others)
+                    suspect.set_beside(ended, others, idle)
 
     def records(self, requests: Iterable[Fingerprint] | None = None) -> tuple[CrashRecord, ...]:
         """Return the records of some requests, or of all, the most dangerous ones first."""
@@ -289,7 +290,7 @@
                 worker.instance,
                 worker.born_ms,
                 _age_ms(at_s, now_s),
-                self._worker_ends.idle_beside(suspect.service, worker),
+                self._idle_beside(suspect, worker),
             )
             for worker, at_s in suspect.ended_s.items()
         )
@@ -301,6 +302,14 @@
         acquitted_age_ms = NEVER_MS if acquitted_s == NEVER_S else _age_ms(acquitted_s, now_s)
         return CrashRecord(request, suspect.service, ends, acquitted_age_ms, trials)
 
+    def _idle_beside(self, suspect: Suspect, worker: Incarnation) -> int:
+        """Return how many workers that ran nothing ended at the moment of a worker's end."""
+        ended_s = self._worker_ends.ended_s(suspect.service, worker)
+        # The log is right while it goes back that far: what has been told may be too much.
+        if ended_s < float("inf"):
+            return self._worker_ends.idle_among(self._worker_ends.around(suspect.service, ended_s))
+        return suspect.idle_beside(worker)
+
     def drop_old(self) -> None:
         """Forget requests of which all ends are longer ago than they are remembered."""
         now_s = self._now_s()
--- a/src/bellweir/hosted/crashes/worker_end_log.py
+++ b/src/bellweir/hosted/crashes/worker_end_log.py
@@ -79,10 +79,9 @@
         ended_s = self._ended_s.get(service, {})
         return {one: at_s for one, at_s in ended_s.items() if one not in self._under_trials}
 
-    def idle_beside(self, service: str, worker: Incarnation) -> int:
-        """Return how many workers that ran nothing ended at the moment of a worker's end."""
-        together = self.around(service, self.ended_s(service, worker))
-        return sum(one not in self._requests for one in together)
+    def idle_among(self, workers: Collection[Incarnation]) -> int:
+        """Return how many of some ended workers ran nothing."""
+        return sum(one not in self._requests for one in workers)
 
     def calm_in_s(self, service: str, now_s: float) -> float:
         """Return the seconds after which no further end is expected; 0 if none is now."""
