--- a/features/steps/hosted_crash_guard_steps.py
+++ b/features/steps/hosted_crash_guard_steps.py
@@ -724,6 +724,8 @@
         return context.gateway.send(context.path, b"good").status == 200
 
     wait_until(is_served, "another request", 5.0)
+    workers = context.workers
+    wait_until(lambda: all(one.down_since_s is None for one in workers), "all workers", 5.0)
 
 
 @given("a guard that another gateway has told to let a request wait for {seconds:d} s")
