--- a/src/bellweir/hosted/crashes/guard.py
+++ b/src/bellweir/hosted/crashes/guard.py
@@ -172,7 +172,7 @@
         now_s = self._now_s()
         with self._lock:
             for digest, until_s in list(self._delayed_until_s.items()):
-                if now_s >= until_s:
+                if now_s >= until_s or self._table.trials_left(digest) is None:
                     del self._delayed_until_s[digest]
 
     def _is_suspended(self, request: GuardedRequest) -> bool:
--- a/src/bellweir/hosted/crashes/suspect.py
+++ b/src/bellweir/hosted/crashes/suspect.py
@@ -44,6 +44,7 @@
     __slots__ = (
         "_beside",
         "_beside_told",
+        "_idle_beside",
         "acquitted_s",
         "ended_s",
         "service",
@@ -57,8 +58,10 @@
         """Time of each worker's end."""
         self._beside: dict[Incarnation, int] = {}
         """Workers that ended at the moment of an end without running the request."""
+        self._idle_beside: dict[Incarnation, int] = {}
+        """Those of them that ran nothing."""
         self._beside_told: dict[Incarnation, int] = {}
-        """Those of them that ran nothing, as other nodes have told."""
+        """The same, as other nodes have told."""
         self.trials_s: dict[Incarnation, float] = {}
         """Time of the newest trial at each worker."""
         self.withdrawn: set[Incarnation] = set()
@@ -88,6 +91,7 @@
             oldest = min(self.ended_s, key=self.ended_s.__getitem__)
             del self.ended_s[oldest]
             self._beside.pop(oldest, None)
+            self._idle_beside.pop(oldest, None)
             self._beside_told.pop(oldest, None)
             return oldest != worker
         return True
@@ -118,9 +122,14 @@
         """Return how many workers ended at the moment of an end without running the request."""
         return max(self._beside.get(worker, 0), self._beside_told.get(worker, 0))
 
-    def set_beside(self, worker: Incarnation, count: int) -> None:
-        """Replace the count of an end by what this node sees now."""
+    def idle_beside(self, worker: Incarnation) -> int:
+        """Return how many of them ran nothing, as far as this node has seen or been told."""
+        return max(self._idle_beside.get(worker, 0), self._beside_told.get(worker, 0))
+
+    def set_beside(self, worker: Incarnation, count: int, idle: int = 0) -> None:
+        """Replace the counts of an end by what this node sees; `idle` of `count` ran nothing."""
         self._beside[worker] = count
+        self._idle_beside[worker] = idle
 
     def hear_beside(self, worker: Incarnation, count: int) -> bool:
         """Note a count of another node; False if as many have been told."""
