Connections: calls are lost one by one to silent connections of a pool

What callers saw: after the open connections to a worker had gone silent for good, each request took the next idle connection of its pool and waited for its whole time-out there. One that must not be repeated was lost to its caller although it never ran. A read at the platform's store spent its whole time on the first silent connection, so that no time was left for the second try.

Cause: only the end of a call told anything, and only about its own connection. The pool gives out its idle connections until the keepalive ends each of them, about 3 s later.

The peer's system acknowledges a request at once, also while the peer is still at work on it. A call without an answer after two intervals of 0.15 s, of whose written bytes none was acknowledged in the second one, is on a silent connection. Then the idle connections of this pool that are older than the call are closed, while the call itself waits on: it may still be answered, and whether it ran stays unknown. Calls that are repeated anyway give up at that point. Where three workers show it within a second, the idle connections to all workers that are older are closed; two workers may just have lost their machines. No connection is closed without such a sign.

`connection_silent` (BW1464) tells of each.

Evidence: `features/silent_connections.feature`.

--- /dev/null
+++ b/features/silent_connections.feature
@@ -0,0 +1,41 @@
+Feature: Open connections that go silent for good, while new ones work
+
+  # Guards against calls that are lost one after the other to the idle connections of one pool.
+  Scenario: A silent connection is the last of its pool that takes a call
+    Given a server behind a relay, with 4 idle connections to it
+    When the open connections of the relay go silent
+    And a call that must not be repeated is made with a time-out of 1 s
+    Then that call's outcome is "unknown" and the server has not read it
+    And the next call is answered
+
+  Scenario: Calls made while another waits on a silent connection take a new one
+    Given a server behind a relay, with 4 idle connections to it
+    When the open connections of the relay go silent
+    And a call waits on one of them until the idle ones are closed
+    Then the next call is answered before that one has ended
+
+  # Guards against a repeatable call whose whole time is spent on a silent connection.
+  Scenario: A repeatable call on a silent connection is answered within its time
+    Given a server behind a relay, with 4 idle connections to it
+    When the open connections of the relay go silent
+    Then a repeatable call with a time-out of 1.5 s is answered
+
+  Scenario: A server that takes its time is not silent
+    Given a server behind a relay, with 4 idle connections to it
+    When the server takes 0.8 s for a call
+    Then that call is answered over a connection of before
+    And the other idle connections are kept
+
+  # Guards against calls that are lost one by one to each worker's idle connections.
+  Scenario: Silent connections to several workers make those to all others doubtful
+    Given 5 workers behind relays, with an idle connection to each
+    When all open connections of the relays go silent
+    And calls to 3 of the workers have ended
+    Then no idle connection to any worker is left
+    And a connection that is used after that is kept
+
+  Scenario: A single silent worker says nothing about the others
+    Given 5 workers behind relays, with an idle connection to each
+    When the open connections of 2 relays go silent
+    And calls to 2 of the workers have ended
+    Then the idle connections to the other 3 workers are kept
--- /dev/null
+++ b/features/steps/silent_connections_steps.py
@@ -0,0 +1,178 @@
+"""Steps of `silent_connections.feature`."""
+
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import given, then, when
+from returns.result import Success
+
+from bellweir.clients.pool import ConnectionPool, HttpCall
+from bellweir.hosted.serving.attempt import (
+    AttemptState,
+    Cancellation,
+    WorkerCall,
+    WorkerConnections,
+)
+from bellweir.hosted.views.workers import Worker, WorkerEntry
+from bellweir_platform.headers import HEADERS
+from support.lossy_server import LossPoint, LossyServer
+from support.silencing_relay import SilencingRelay
+
+TIMEOUT_S = 5.0
+MANY_CALLS = 1000
+
+
+class SlowServer(LossyServer):
+    """Waits before each answer."""
+
+    pause_s = 0.0
+
+    def _answer(self):
+        time.sleep(self.pause_s)
+        return super()._answer()
+
+
+def call(timeout_s=TIMEOUT_S):
+    return HttpCall("POST", "/x", timeout_s, {}, b"body")
+
+
+def make_relayed_server(context):
+    server = SlowServer(LossPoint.NOWHERE, healthy_calls=MANY_CALLS)
+    context.cleanup.callback(server.stop)
+    relay = SilencingRelay(server.address)
+    context.cleanup.callback(relay.stop)
+    return server, relay
+
+
+def open_at_once(pool, count):
+    """Leave `count` idle connections in a pool."""
+    opened = [pool.open(call(), b"body").unwrap() for _ in range(count)]
+    for answer in opened:
+        answer.read_all()
+        answer.finish()
+
+
+@given("a server behind a relay, with {count:d} idle connections to it")
+def given_server(context, count):
+    context.server, context.relay = make_relayed_server(context)
+    context.pool = ConnectionPool(context.relay.address)
+    context.cleanup.callback(context.pool.close)
+    open_at_once(context.pool, count)
+    assert context.relay.connections_seen == count
+    context.requests_before = context.server.requests_read
+
+
+@when("the open connections of the relay go silent")
+def when_silent(context):
+    context.relay.silence()
+
+
+@when("a call that must not be repeated is made with a time-out of {seconds:g} s")
+def when_called_once(context, seconds):
+    context.result = context.pool.call(call(seconds))
+
+
+@then('that call\'s outcome is "{outcome}" and the server has not read it')
+def then_outcome(context, outcome):
+    assert context.result.failure().kind.value == outcome, context.result
+    assert context.server.requests_read == context.requests_before
+
+
+@then("the next call is answered")
+def then_next(context):
+    result = context.pool.call(call())
+    assert isinstance(result, Success), result
+
+
+@when("a call waits on one of them until the idle ones are closed")
+def when_waiting(context):
+    executor = context.cleanup.enter_context(ThreadPoolExecutor(1))
+    context.waiting = executor.submit(context.pool.call, call(2.0))
+    context.wait_until(lambda: not context.pool.has_idle(), "no idle connection")
+
+
+@then("the next call is answered before that one has ended")
+def then_next_beside(context):
+    then_next(context)
+    assert not context.waiting.done()
+
+
+@then("a repeatable call with a time-out of {timeout_s:g} s is answered")
+def then_repeatable(context, timeout_s):
+    result = context.pool.call_repeatable(call(timeout_s))
+    assert isinstance(result, Success), result
+
+
+@when("the server takes {seconds:g} s for a call")
+def when_slow(context, seconds):
+    context.server.pause_s = seconds
+    context.result = context.pool.call_repeatable(call())
+    context.server.pause_s = 0.0
+
+
+@then("that call is answered over a connection of before")
+def then_answered(context):
+    assert isinstance(context.result, Success), context.result
+    context.connections = context.relay.connections_seen
+    assert context.connections == 4
+
+
+@then("the other idle connections are kept")
+def then_kept(context):
+    open_at_once(context.pool, 4)
+    assert context.relay.connections_seen == context.connections
+
+
+@given("{count:d} workers behind relays, with an idle connection to each")
+def given_workers(context, count):
+    context.connections = WorkerConnections(HEADERS)
+    context.cleanup.callback(context.connections.retain, set())
+    context.relays, context.workers = [], []
+    for number in range(count):
+        _, relay = make_relayed_server(context)
+        entry = WorkerEntry("app", relay.address, "a", 4, "ready")
+        context.relays.append(relay)
+        context.workers.append(Worker(f"i-{number}", entry))
+        open_at_once(context.connections.pool(relay.address), 1)
+
+
+@when("all open connections of the relays go silent")
+def when_all_silent(context):
+    when_some_silent(context, len(context.relays))
+
+
+@when("the open connections of {count:d} relays go silent")
+def when_some_silent(context, count):
+    for relay in context.relays[:count]:
+        relay.silence()
+
+
+@when("calls to {count:d} of the workers have ended")
+def when_ended(context, count):
+    executor = context.cleanup.enter_context(ThreadPoolExecutor(count))
+    sent = WorkerCall("POST", "/x", "h.example", "r", [], b"body")
+    calls = [
+        executor.submit(context.connections.call, worker, sent, 2.0, 2000.0, Cancellation())
+        for worker in context.workers[:count]
+    ]
+    for each in calls:
+        assert each.result().state is AttemptState.UNKNOWN
+
+
+@then("no idle connection to any worker is left")
+def then_none_left(context):
+    left = [one.address for one in context.workers if context.connections.has_idle(one.address)]
+    assert not left, left
+
+
+@then("a connection that is used after that is kept")
+def then_used_kept(context):
+    address = context.workers[-1].address
+    open_at_once(context.connections.pool(address), 1)
+    assert context.connections.has_idle(address)
+
+
+@then("the idle connections to the other {count:d} workers are kept")
+def then_others_kept(context, count):
+    others = context.workers[-count:]
+    assert all(context.connections.has_idle(one.address) for one in others)
--- a/src/bellweir/clients/connection.py
+++ b/src/bellweir/clients/connection.py
@@ -5,11 +5,15 @@
 count of bytes handed to the operating system is what proves that a failed call has not run.
 """
 
+import fcntl
 import http.client
 import io
 import select
 import socket
+import sys
+import termios
 import threading
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, BinaryIO
 
 from bellweir.kernel.clock import elapsed_s
@@ -23,8 +27,13 @@
 WRITE_BLOCK_BYTES = 64 * 1024
 """A request's headers and the start of its body are written together up to this length."""
 MS_PER_S = 1000
+INT_BYTES = 4
+"""Size of a C int."""
 SEND_STALL_TIMEOUT_S = 3.0
 """A connection whose written bytes stay unacknowledged this long is given up."""
+SILENCE_CHECK_S = 0.15
+"""Interval of the two checks of a call without an answer; longer than a round trip. Together they
+exceed the least retransmission time-out, so that one lost packet is no silence."""
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
@@ -34,6 +43,10 @@
     """The peer has answered, and no longer reads, before the whole request was written."""
 
 
+class SilentConnectionError(TimeoutError):
+    """The peer's system acknowledges nothing on an open connection."""
+
+
 class DeadlineSocket:
     """A TCP socket whose operations end at a deadline on the monotonic clock.
 
@@ -48,6 +61,8 @@
         self.raw = raw
         self.deadline_s = deadline_s
         self.bytes_written = 0
+        self.on_silence: Callable[[], None] | None = None
+        """Called once when the peer does not acknowledge a request; its exceptions are raised."""
         self._readable = select.poll()
         self._readable.register(raw, select.POLLIN)
         self._both_ways = select.poll()
@@ -69,6 +84,7 @@
 
     def read_into(self, buffer: "WriteableBuffer") -> int:
         """Read what has come, at least one byte; 0 at the end."""
+        self._check_for_silence()
         while True:
             self._wait(self._readable)
             try:
@@ -76,6 +92,30 @@
             except BlockingIOError:
                 continue  # the kernel may wake a reader for nothing
 
+    def unacknowledged_bytes(self) -> int:
+        """Number of written bytes that the peer's system has not acknowledged."""
+        answer = fcntl.ioctl(self.raw.fileno(), termios.TIOCOUTQ, bytes(INT_BYTES))
+        return int.from_bytes(answer, sys.byteorder)
+
+    def _check_for_silence(self) -> None:
+        """Before a call's first read, call `on_silence` if no written byte is acknowledged.
+
+        The peer's system acknowledges at once while the peer is still at work.
+        """
+        on_silence, self.on_silence = self.on_silence, None
+        if on_silence is None or self._is_readable_within(SILENCE_CHECK_S):
+            return
+        before = self.unacknowledged_bytes()
+        if not before or self._is_readable_within(SILENCE_CHECK_S):
+            return
+        if self.unacknowledged_bytes() >= before:
+            on_silence()
+
+    def _is_readable_within(self, seconds: float) -> bool:
+        """Wait until there is something to read; at most until the deadline."""
+        wait_s = min(seconds, self.deadline_s - elapsed_s())
+        return bool(self._readable.poll(max(0.0, wait_s) * MS_PER_S))
+
     def _wait_to_write(self) -> None:
         """Wait until more can be written; raises `EarlyAnswerError` when an answer comes first."""
         left_s = self.deadline_s - elapsed_s()
@@ -156,6 +196,10 @@
         super().__init__(host, port)
         self._deadline_socket: DeadlineSocket | None = None
         self._unwritten = bytearray()
+        self.idle_since_s = 0.0
+        """Monotonic time at which its last answer had been read."""
+        self.begun_s = 0.0
+        """Monotonic time at which its latest call began."""
 
     def open(self, deadline_s: float) -> None:
         """Connect before the deadline; raises `OSError` when that fails."""
@@ -167,9 +211,15 @@
         self._deadline_socket = DeadlineSocket(raw, deadline_s)
         self.sock: Any = self._deadline_socket
 
-    def begin_call(self, deadline_s: float) -> None:
-        """Start a call: set its deadline and count its bytes from zero."""
+    def begin_call(self, deadline_s: float, on_silence: Callable[[], None] | None = None) -> None:
+        """Start a call: set its deadline and count its bytes from zero.
+
+        `on_silence` is called when the peer's system does not acknowledge the request. What it
+        raises ends the call.
+        """
+        self.begun_s = elapsed_s()
         self.deadline_socket.deadline_s = deadline_s
+        self.deadline_socket.on_silence = on_silence
         self.deadline_socket.bytes_written = 0
         self._unwritten.clear()
 
--- a/src/bellweir/clients/pool.py
+++ b/src/bellweir/clients/pool.py
@@ -6,10 +6,12 @@
 """
 
 import http.client
+import math
 import re
 import threading
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from functools import partial
 from typing import BinaryIO
 
 from returns.result import Failure, Result, Success
@@ -18,6 +20,7 @@
     BodyReadError,
     CountingConnection,
     RequestBody,
+    SilentConnectionError,
 )
 from bellweir.clients.interface import ErrorKind, PlatformError
 from bellweir.clients.open_answer import OpenAnswer
@@ -41,6 +44,8 @@
     timeout_s: float
     headers: Mapping[str, str] = field(default_factory=dict)
     body: bytes | None = None
+    gives_up_silent: bool = False
+    """Fail early if the connection turns out to be silent; for calls that are then repeated."""
 
 
 @dataclass(frozen=True)
@@ -56,10 +61,20 @@
 class ConnectionPool:
     """Connections to one `host:port`, reused most recent first."""
 
-    def __init__(self, address: str, on_stale: Callable[[], None] = lambda: None) -> None:
-        """`on_stale` is called when an idle connection is found closed by the peer."""
+    def __init__(
+        self,
+        address: str,
+        on_stale: Callable[[], None] = lambda: None,
+        on_silence: Callable[[float], None] = lambda _began_s: None,
+    ) -> None:
+        """`on_stale` is called when an idle connection is found closed by the peer.
+
+        `on_silence` is called when the peer's system does not acknowledge a request, with the
+        monotonic time at which its call began.
+        """
         self.address = address
         self._on_stale = on_stale
+        self._on_silence = on_silence
         self._lock = threading.Lock()
         self._idle: list[tuple[CountingConnection, float]] = []
         self._busy: set[CountingConnection] = set()
@@ -79,10 +94,11 @@
         """Make a call that does no harm when it runs twice.
 
         A kept-alive connection may be closed by the peer just as the request is written, so an
-        unknown outcome is tried once more while time is left.
+        unknown outcome is tried once more while time is left. A silent connection is given up
+        early, to leave time for that.
         """
         started_s = elapsed_s()
-        first = self.call(call)
+        first = self.call(replace(call, gives_up_silent=True))
         if isinstance(first, Success) or first.failure().kind is not ErrorKind.UNKNOWN:
             return first
         left_s = call.timeout_s - (elapsed_s() - started_s)
@@ -106,7 +122,7 @@
         """
         deadline_s = elapsed_s() + call.timeout_s
         try:
-            connection = self._take(deadline_s)
+            connection = self._take(call, deadline_s)
         except OSError as failure:
             return Failure(PlatformError(ErrorKind.NOT_RUN, f"no connection: {failure}"))
         answer = OpenAnswer(connection, self)
@@ -139,9 +155,9 @@
         opened.finish()
         return Success(answer)
 
-    def _take(self, deadline_s: float) -> CountingConnection:
+    def _take(self, call: HttpCall, deadline_s: float) -> CountingConnection:
         connection = self._take_idle() or self._connect(deadline_s)
-        connection.begin_call(deadline_s)
+        connection.begin_call(deadline_s, partial(self._note_silence, call, elapsed_s()))
         with self._lock:
             if not self._closed:
                 self._busy.add(connection)
@@ -149,6 +165,16 @@
         connection.close()
         raise ConnectionError("the pool is closed")
 
+    def _note_silence(self, call: HttpCall, began_s: float) -> None:
+        """Doubt the connections that were idle when a call began which the peer's system ignores.
+
+        Raises `SilentConnectionError` where the call gives up silent connections.
+        """
+        self.close_idle_since_before(began_s)
+        self._on_silence(began_s)
+        if call.gives_up_silent:
+            raise SilentConnectionError("no byte acknowledged")
+
     def _connect(self, deadline_s: float) -> CountingConnection:
         connection = CountingConnection(*_host_and_port(self.address))
         connection.open(deadline_s)
@@ -169,7 +195,8 @@
 
     def give_back(self, connection: CountingConnection, keep_alive: str | None) -> None:
         """Keep a connection whose last answer, with this `Keep-Alive`, was read whole."""
-        until_s = elapsed_s() + _idle_lifetime_s(keep_alive)
+        connection.idle_since_s = elapsed_s()
+        until_s = connection.idle_since_s + _idle_lifetime_s(keep_alive)
         with self._lock:
             self._busy.discard(connection)
             is_former = connection in self._former
@@ -199,10 +226,10 @@
         with self._lock:
             return bool(self._idle) and self._idle[-1][1] > elapsed_s()
 
-    def abort_calls(self) -> None:
-        """Have the calls in hand fail now; the pool goes on."""
+    def abort_calls(self, begun_before_s: float = math.inf) -> None:
+        """Have the calls in hand fail now that began before a time; the pool goes on."""
         with self._lock:
-            busy = list(self._busy)
+            busy = [one for one in self._busy if one.begun_s < begun_before_s]
         for connection in busy:
             connection.deadline_socket.abort()
 
@@ -213,6 +240,14 @@
         for connection, _ in idle:
             connection.close()
 
+    def close_idle_since_before(self, time_s: float) -> None:
+        """Close the connections that have been idle since before a monotonic time."""
+        with self._lock:
+            old = [one for one, _ in self._idle if one.idle_since_s < time_s]
+            self._idle = [entry for entry in self._idle if entry[0].idle_since_s >= time_s]
+        for connection in old:
+            connection.close()
+
     def renew(self) -> None:
         """The server has started again: use no connection of before for another call.
 
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -191,6 +191,15 @@
     ("request_id", "attempt", "instance", "address", "outcome", "detail", "ms"),
     "An attempt at a worker returned no answer that can be forwarded.",
 )
+CONNECTION_SILENT = Event(
+    1464,
+    "connection_silent",
+    Level.INFO,
+    ("address", "is_common"),
+    "A worker's system does not acknowledge a request on an open connection, so the idle "
+    "connections of before are closed: those to this worker, or to all workers if `is_common`, "
+    "when several workers have shown it within a second.",
+)
 STREAM_RESUMED = Event(
     1423,
     "stream_resumed",
--- a/src/bellweir/hosted/serving/attempt.py
+++ b/src/bellweir/hosted/serving/attempt.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from functools import partial
 from typing import BinaryIO
 
 from returns.result import Success
@@ -12,8 +13,10 @@
 from bellweir.clients.interface.errors import ErrorKind
 from bellweir.clients.open_answer import OpenAnswer
 from bellweir.clients.pool import ConnectionPool, HttpCall, is_end_by_peer
+from bellweir.events.log import emit
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.interface import HeaderNames
+from bellweir.hosted.log_events import CONNECTION_SILENT
 from bellweir.hosted.sight.worker_load import WorkerLoad, parse_load
 from bellweir.hosted.views.workers import Worker
 from bellweir.http_server.http import HOP_BY_HOP_HEADERS
@@ -27,6 +30,11 @@
 NOT_RUN_STATUSES = frozenset({421, 429})
 """Statuses that guarantee that the worker has not run the request."""
 
+SILENCE_WINDOW_S = 1.0
+COMMON_SILENCE_COUNT = 3
+"""Workers with silent connections within the window from which on the network is taken to have
+dropped its connections; fewer may be workers whose machines are gone."""
+
 
 class AttemptState(Enum):
     """Outcome of an attempt."""
@@ -110,6 +118,15 @@
             response.abort()
 
 
+@dataclass(frozen=True)
+class _Silence:
+    """A call whose connection turned out to be silent."""
+
+    address: str
+    began_s: float
+    noted_s: float
+
+
 class WorkerConnections:
     """Connection pools by worker address."""
 
@@ -125,12 +142,17 @@
         """Called with an address at which an idle connection was found closed by the peer."""
         self._lock = threading.Lock()
         self._pools: dict[str, ConnectionPool] = {}
+        self._silences: list[_Silence] = []
 
     def pool(self, address: str) -> ConnectionPool:
         """Return the pool of an address, creating it if needed."""
         with self._lock:
             if address not in self._pools:
-                self._pools[address] = ConnectionPool(address, lambda: self.on_stale(address))
+                self._pools[address] = ConnectionPool(
+                    address,
+                    lambda: self.on_stale(address),
+                    partial(self._note_silence, address),
+                )
             return self._pools[address]
 
     def has_idle(self, address: str) -> bool:
@@ -155,6 +177,23 @@
         for pool in gone.values():
             pool.close_idle()
 
+    def _note_silence(self, address: str, began_s: float) -> None:
+        """Note a connection that turned out to be silent, in a call begun at a monotonic time.
+
+        If those of several workers do within a short time, the idle connections to the others
+        are as doubtful.
+        """
+        now_s = elapsed_s()
+        with self._lock:
+            recent = [one for one in self._silences if now_s - one.noted_s <= SILENCE_WINDOW_S]
+            self._silences = [*recent, _Silence(address, began_s, now_s)]
+            began_s = min(one.began_s for one in self._silences)
+            is_common = len({one.address for one in self._silences}) >= COMMON_SILENCE_COUNT
+            pools = list(self._pools.values()) if is_common else []
+        for pool in pools:
+            pool.close_idle_since_before(began_s)
+        emit(CONNECTION_SILENT, address=address, is_common=is_common)
+
     def open(
         self,
         worker: Worker,
