Store: a watch on a silent connection hides changes for seconds

What callers saw: when a process's connections to the platform's store went silent for good, it went on by a configuration and workers of before, until the keepalive ended the watch (about 3 s after the last byte) or the stale reads, which take turns with the kinds, came to the kind in question. That is longer than the 2 s in which a change must be in force.

Cause: a watch that waits has nothing to be acknowledged, so nothing shows on its own connection. What the other calls at the same store found out about theirs was used by nobody.

A second scenario shows that calls on connections that work leave the watches alone.

--- a/features/silent_connections.feature
+++ b/features/silent_connections.feature
@@ -39,3 +39,14 @@
     When the open connections of 2 relays go silent
     And calls to 2 of the workers have ended
     Then the idle connections to the other 3 workers are kept
+
+  # Guards against a view that stays stale because its watch waits on a silent connection.
+  Scenario: A watch at the store whose connection went silent is replaced with the next call there
+    Given a process that follows the store through a relay and reads another kind there each second
+    When the relay's connections go silent and the operator writes another configuration
+    Then the process routes by it within 2 s
+
+  Scenario: A call at the store replaces no watch unless its connection is silent
+    Given a process that follows the store through a relay and reads another kind there each second
+    When the store is read 20 times
+    Then its watch is still the one of before
--- a/features/steps/silent_connections_steps.py
+++ b/features/steps/silent_connections_steps.py
@@ -1,5 +1,6 @@
 """Steps of `silent_connections.feature`."""
 
+import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 
@@ -7,14 +8,20 @@
 from returns.result import Success
 
 from bellweir.clients.pool import ConnectionPool, HttpCall
+from bellweir.hosted.interface import RecordKind
 from bellweir.hosted.serving.attempt import (
     AttemptState,
     Cancellation,
     WorkerCall,
     WorkerConnections,
 )
+from bellweir.hosted.views.configuration import ConfigurationView
+from bellweir.hosted.views.follower import KindFollower
+from bellweir.hosted.views.service import CHECK_INTERVAL_S
 from bellweir.hosted.views.workers import Worker, WorkerEntry
 from bellweir_platform.headers import HEADERS
+from bellweir_platform.object_store import PlatformStore
+from bellweir_rehearsal.hosted.object_store import PlatformStoreStandIn
 from support.lossy_server import LossPoint, LossyServer
 from support.silencing_relay import SilencingRelay
 
@@ -176,3 +183,71 @@
 def then_others_kept(context, count):
     others = context.workers[-count:]
     assert all(context.connections.has_idle(one.address) for one in others)
+
+
+@given("a process that follows the store through a relay and reads another kind there each second")
+def given_follower(context):
+    standin = PlatformStoreStandIn()
+    context.cleanup.callback(standin.close)
+    context.records = standin.records
+    # Ends the watches that the stand-in still answers.
+    context.cleanup.callback(write_configuration, context, 3)
+    context.relay = SilencingRelay(standin.address)
+    context.cleanup.callback(context.relay.stop)
+    context.store = PlatformStore(context.relay.address)
+    context.view = ConfigurationView()
+    context.follower = KindFollower(
+        context.store,
+        RecordKind.CONFIGURATION,
+        context.view.apply_listing,
+        context.view.apply_change,
+        is_relayable=False,
+    )
+    write_configuration(context, 1)
+    stopping = threading.Event()
+    executor = context.cleanup.enter_context(ThreadPoolExecutor(2))
+    context.cleanup.callback(context.store.interrupt_watches, RecordKind.CONFIGURATION)
+    context.cleanup.callback(stopping.set)
+    executor.submit(context.follower.run, stopping)
+    context.wait_until(lambda: context.follower._watching_since_s is not None, "a watch")
+    context.store.list_kind(RecordKind.CONFIGURATION, stale=True).unwrap()
+    executor.submit(read_other_kind, context.store, stopping)
+
+
+def read_other_kind(store, stopping):
+    """Read as the checks do, which take turns with the kinds."""
+    while not stopping.wait(CHECK_INTERVAL_S):
+        store.list_kind(RecordKind.WORKERS, stale=True)
+
+
+def write_configuration(context, version):
+    route = {"name": "r", "host": "h.example", "pathPrefix": "/", "service": "app"}
+    content = {"version": version, "routes": [route], "services": [{"name": "app"}]}
+    context.records.put("config", "main", content)
+
+
+@when("the relay's connections go silent and the operator writes another configuration")
+def when_silent_and_written(context):
+    context.relay.silence()
+    write_configuration(context, 2)
+
+
+@then("the process routes by it within {seconds:g} s")
+def then_routes(context, seconds):
+    def is_known():
+        table = context.view.table()
+        return table is not None and table.version == 2
+
+    context.wait_until(is_known, "the new configuration", timeout_s=seconds)
+
+
+@when("the store is read {count:d} times")
+def when_read(context, count):
+    context.watching_since_s = context.follower._watching_since_s
+    for _ in range(count):
+        context.store.list_kind(RecordKind.CONFIGURATION, stale=True).unwrap()
+
+
+@then("its watch is still the one of before")
+def then_same_watch(context):
+    assert context.follower._watching_since_s == context.watching_since_s
