Attempts: streams and items wait for seconds on a silent connection

What callers saw: a resumable stream that was opened over a connection gone silent waited for all the time that its caller had left, at most the 3 s until the system gave the connection up, and ended in 502 or 504 although another worker had room. An item of a job waited 3 s for its first event in the same way.

Cause: only the time-out of the attempt ended it. The time-out allows for the worker's own time, which says nothing here: the worker's system does not even acknowledge the request.

What must not be repeated waits on.

Evidence: two scenarios, with a relay whose connections go silent.

--- a/features/silent_connections.feature
+++ b/features/silent_connections.feature
@@ -50,3 +50,15 @@
     Given a process that follows the store through a relay and reads another kind there each second
     When the store is read 20 times
     Then its watch is still the one of before
+
+  # Guards against a stream that spends the time of its caller on a silent connection.
+  Scenario: A stream that may be resumed is opened elsewhere when its connection is silent
+    Given a gateway and two model workers behind relays, with idle connections to both
+    When the open connections to one worker go silent
+    Then each of 4 resumable streams with 2 s left is answered whole
+
+  # Guards against an item that waits seconds for its first event on a silent connection.
+  Scenario: An item is given back soon when the connection of its generation is silent
+    Given a gateway and two model workers behind relays, with idle connections to both
+    When the open connections to one worker go silent
+    Then the generation of an item at that worker ends within 1.5 s, to be tried again
--- a/features/steps/silent_connections_steps.py
+++ b/features/steps/silent_connections_steps.py
@@ -8,13 +8,17 @@
 from returns.result import Success
 
 from bellweir.clients.pool import ConnectionPool, HttpCall
+from bellweir.hosted.batches.attempts import ItemRunner
+from bellweir.hosted.batches.progress import ItemProgress
 from bellweir.hosted.interface import RecordKind
+from bellweir.hosted.records import Route, RouteKind
 from bellweir.hosted.serving.attempt import (
     AttemptState,
     Cancellation,
     WorkerCall,
     WorkerConnections,
 )
+from bellweir.hosted.serving.selection import WorkerLoads
 from bellweir.hosted.views.configuration import ConfigurationView
 from bellweir.hosted.views.follower import KindFollower
 from bellweir.hosted.views.service import CHECK_INTERVAL_S
@@ -22,6 +26,9 @@
 from bellweir_platform.headers import HEADERS
 from bellweir_platform.object_store import PlatformStore
 from bellweir_rehearsal.hosted.object_store import PlatformStoreStandIn
+from bellweir_rehearsal.hosted.worker import WorkerStandIn
+from support.hosted_gateway import GatewayUnderTest
+from support.hosted_jobs import HOST, make_job
 from support.lossy_server import LossPoint, LossyServer
 from support.silencing_relay import SilencingRelay
 
@@ -251,3 +258,54 @@
 @then("its watch is still the one of before")
 def then_same_watch(context):
     assert context.follower._watching_since_s == context.watching_since_s
+
+
+@given("a gateway and two model workers behind relays, with idle connections to both")
+def given_gateway(context):
+    standins = [WorkerStandIn(f"i-{name}", model="m", events=3) for name in "ab"]
+    context.gateway = GatewayUnderTest(standins)
+    entries = {}
+    context.relays = []
+    for standin in standins:
+        relay = SilencingRelay(standin.address)
+        context.relays.append(relay)
+        entries[standin.instance] = standin.entry("app") | {"address": relay.address}
+        context.cleanup.callback(standin.close)
+        context.cleanup.callback(relay.stop)
+    context.cleanup.callback(context.gateway.close)
+    context.gateway.show_workers(entries)
+    context.pools = [context.gateway._connections.pool(relay.address) for relay in context.relays]
+    for pool in context.pools:
+        answer = pool.open(call(), b"body").unwrap()
+        answer.read_all()
+        answer.finish()
+        assert pool.has_idle()
+
+
+@when("the open connections to one worker go silent")
+def when_one_silent(context):
+    context.relays[0].silence()
+
+
+@then("each of {count:d} resumable streams with {seconds:d} s left is answered whole")
+def then_streams(context, count, seconds):
+    for _ in range(count):
+        answer = context.gateway.send("/resumable/x", deadline_ms=1000 * seconds)
+        assert (answer.status, answer.whole) == (200, True), (answer.status, answer.body)
+
+
+@then("the generation of an item at that worker ends within {seconds:g} s, to be tried again")
+def then_given_back(context, seconds):
+    job = make_job("job", 1, 1)
+    route = Route(host=HOST, path_prefix="/draft/", kind=RouteKind.ROLLOUT)
+    loads = WorkerLoads("a")
+    attempts = ItemRunner(context.gateway._connections, loads)
+    worker = context.gateway.workers.worker("i-a")
+    progress = ItemProgress(job, route, job.items[0])
+    loads.acquire(worker)
+    began_s = time.monotonic()
+    attempts.run_generation(progress, worker, Cancellation())
+    taken_s = time.monotonic() - began_s
+    assert progress.events == 0
+    assert progress.not_before_s > 0
+    assert taken_s <= seconds, taken_s
--- a/src/bellweir/hosted/batches/attempts.py
+++ b/src/bellweir/hosted/batches/attempts.py
@@ -293,7 +293,9 @@
             progress.finish("")
             return
         began_s = elapsed_s()
-        call = WorkerCall("POST", scorer.path, scorer.host, scorer.id, [], scorer.body)
+        call = WorkerCall(
+            "POST", scorer.path, scorer.host, scorer.id, [], scorer.body, gives_up_silent=True
+        )
         outcome = self._call_scorer(progress, worker, call, cancellation)
         answer = outcome.response
         if cancellation.cancelled.is_set() and answer is None:
@@ -390,7 +392,8 @@
     if progress.last_event_id is not None:
         headers.append(("Last-Event-Id", str(progress.last_event_id)))
     item = progress.item
-    return WorkerCall("POST", item.path, progress.job.host, item.id, headers, item.body)
+    host = progress.job.host
+    return WorkerCall("POST", item.path, host, item.id, headers, item.body, gives_up_silent=True)
 
 
 def _parse_float(text: str) -> float | None:
--- a/src/bellweir/hosted/serving/attempt.py
+++ b/src/bellweir/hosted/serving/attempt.py
@@ -92,6 +92,8 @@
     request_id: str
     headers: Headers
     body: bytes | BinaryIO | None
+    gives_up_silent: bool = False
+    """End the attempt early if its connection is silent, so that another one may follow."""
 
 
 class Cancellation:
@@ -212,7 +214,9 @@
         headers[names.request_id] = call.request_id
         headers[names.deadline_ms] = str(max(1, int(deadline_ms)))
         headers[names.expect_instance] = worker.instance
-        sent = HttpCall(call.method, call.path, timeout_s, headers)
+        sent = HttpCall(
+            call.method, call.path, timeout_s, headers, gives_up_silent=call.gives_up_silent
+        )
         opened = self.pool(worker.address).open(sent, call.body, cancellation.attach)
         if not isinstance(opened, Success):
             error = opened.failure()
--- a/src/bellweir/hosted/serving/client_request.py
+++ b/src/bellweir/hosted/serving/client_request.py
@@ -99,10 +99,17 @@
         query = self.request.raw_query
         return f"{self.request.raw_path}?{query}" if query else self.request.raw_path
 
-    def call(self) -> WorkerCall:
+    def call(self, *, gives_up_silent: bool = False) -> WorkerCall:
         """Return the request to send to a worker."""
-        method = self.request.method
-        return WorkerCall(method, self.path, self.host, self.request_id, self.headers, self.body)
+        return WorkerCall(
+            self.request.method,
+            self.path,
+            self.host,
+            self.request_id,
+            self.headers,
+            self.body,
+            gives_up_silent,
+        )
 
 
 def read_client_request(
--- a/src/bellweir/hosted/serving/forwarding.py
+++ b/src/bellweir/hosted/serving/forwarding.py
@@ -292,9 +292,11 @@
         began_s = self._now_s()
         left_s = client.left_s()
         timeout_s = self._attempt_timeout_s(client, worker, progress, left_s)
+        # A shorter timeout than the time left means that another attempt may follow.
+        call = client.call(gives_up_silent=timeout_s < left_s)
         try:
             outcome = self._connections.call(
-                worker, client.call(), timeout_s, left_s * MS_PER_S, cancellation
+                worker, call, timeout_s, left_s * MS_PER_S, cancellation
             )
         except BaseException:
             self._loads.release(incarnation)
--- a/src/bellweir/hosted/serving/streams.py
+++ b/src/bellweir/hosted/serving/streams.py
@@ -7,7 +7,7 @@
 
 import http.client
 from collections.abc import Callable, Generator, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from bellweir.clients.open_answer import OpenAnswer
 from bellweir.clients.pool import is_end_by_peer
@@ -356,9 +356,11 @@
 
 
 def _worker_call(stream: _Stream) -> WorkerCall:
-    call = stream.client.call()
+    attempts_left = stream.client.route.max_attempts - len(stream.ran_at)
+    may_be_repeated = stream.may_resume and attempts_left > 1
+    call = stream.client.call(gives_up_silent=may_be_repeated)
     if stream.last_event_id is None:
         return call
     headers = [each for each in call.headers if each[0].lower() != "last-event-id"]
     headers.append(("Last-Event-Id", str(stream.last_event_id)))
-    return WorkerCall(call.method, call.path, call.host, call.request_id, headers, call.body)
+    return replace(call, headers=headers)
