Test: a long message is being written when its connection goes silent

What waits behind it is answered within contactMs; a long request is NO_ANSWER, a long one-way message arrives once.

--- a/features/steps/wire_silent_links_steps.py
+++ b/features/steps/wire_silent_links_steps.py
@@ -21,6 +21,7 @@
 """Time-out of each of a row of requests."""
 LONG_S = 10 * CONTACT_S
 NARROW_BYTES_PER_S = 1_000_000
+LONGEST_BYTES = 16_000_000
 
 
 class LongQuestion(Message, frozen=True):
@@ -129,6 +130,50 @@
     assert answer.failure().kind is WireErrorKind.NO_ANSWER, answer
 
 
+@when(
+    "the relay's connections go silent while alpha writes a long {kind} and a request waits behind"
+)
+def step_silent_long(context, kind):
+    alpha, beta = context.wire["alpha"].transport, context.wire["beta"].transport
+    context.arrived = []
+
+    def handle(_sender, message):
+        context.arrived.append(len(message.data))
+        return QuestionAnswer(9)
+
+    beta.register(Bulk, handle)
+    # Longer than what the system holds for a connection that nobody reads.
+    bulk = Bulk(bytes(LONGEST_BYTES))
+    pool = context.cleanup.enter_context(ThreadPoolExecutor(2))
+    context.relay.silence()
+    context.silent_since_s = time.monotonic()
+    if kind == "request":
+        context.long_asked = pool.submit(_ask, context, bulk, LONG_S)
+    else:
+        assert alpha.send(context.relay.address, bulk)
+    wait_until(lambda: not alpha._links[context.relay.address]._queue._frames, "it is written")
+    context.asked = pool.submit(_ask, context, Question(4), LONG_S)
+
+
+@then("what waited behind is answered within contactMs")
+def step_behind_answered(context):
+    left_s = context.silent_since_s + CONTACT_S - time.monotonic()
+    assert context.asked.result(left_s).unwrap() == QuestionAnswer(4)
+
+
+@then("of the long request the truth is told")
+def step_long_request_lost(context):
+    assert context.long_asked.result(LONG_S).failure().kind is WireErrorKind.NO_ANSWER
+    assert not context.arrived
+
+
+@then("of the long one-way message the truth is told")
+def step_long_notice_once(context):
+    wait_until(lambda: context.arrived, "it arrives")
+    _ask(context, Question(8), LONG_S).unwrap()
+    assert context.arrived == [LONGEST_BYTES], context.arrived
+
+
 @when("beta stands still for twice contactMs while alpha asks it")
 def step_frozen(context):
     context.accepted = context.wire["beta"].accepted_connections()
--- a/features/wire_silent_links.feature
+++ b/features/wire_silent_links.feature
@@ -17,6 +17,17 @@
     When the relay's connections go silent while beta handles a request that takes long
     Then the waiting wire request fails as without an answer within contactMs
 
+  Scenario Outline: A long message is being written when its connection goes silent
+    Given wire nodes alpha and beta with one cluster key, beta behind a relay
+    When the relay's connections go silent while alpha writes a long <kind> and a request waits behind
+    Then what waited behind is answered within contactMs
+    And of the long <kind> the truth is told
+
+    Examples:
+      | kind            |
+      | request         |
+      | one-way message |
+
   Scenario: Connections go silent again and again
     Given wire nodes alpha and beta with one cluster key, beta behind a relay
     When the relay's connections go silent while alpha asks beta every so often
