--- a/features/steps/wire_silent_links_steps.py
+++ b/features/steps/wire_silent_links_steps.py
@@ -151,10 +151,17 @@
         context.long_asked = pool.submit(_ask, context, bulk, LONG_S)
     else:
         assert alpha.send(context.relay.address, bulk)
-    wait_until(lambda: not alpha._links[context.relay.address]._queue._frames, "it is written")
+    link = alpha._links[context.relay.address]
+    wait_until(lambda: _is_being_written(link, kind), "it is being written")
     context.asked = pool.submit(_ask, context, Question(4), LONG_S)
 
 
+def _is_being_written(link, kind):
+    if kind == "request":
+        return any(pending.is_sent for pending in list(link._pending.values()))
+    return not link._queue._frames
+
+
 @then("what waited behind is answered within contactMs")
 def step_behind_answered(context):
     left_s = context.silent_since_s + CONTACT_S - time.monotonic()
--- a/src/bellweir/wire/peer_link.py
+++ b/src/bellweir/wire/peer_link.py
@@ -187,6 +187,9 @@
             lost = [request for request in self._pending.values() if request.is_sent]
             for request in lost:
                 del self._pending[request.number]
+        # Before the writer wakes, which would write one of them again.
+        for request in lost:
+            request.fail("the connection went silent")
         shut(silent)
         emit(
             PEER_CONNECTION_REPLACED,
@@ -194,8 +197,6 @@
             quiet_s=quiet_s,
             lost_requests=len(lost),
         )
-        for request in lost:
-            request.fail("the connection went silent")
         try:
             self._start_reading(connection)
         except RuntimeError as failure:
