Test: an item's trials are used up by refusals (fails)

Engines that load weights refuse three trials of an item; a refused trial is counted as spent for good, and the item is held for 600 s. Fails: not listed within 16 s, 7 s after the engines take work again.

--- a/features/hosted_held_items.feature
+++ b/features/hosted_held_items.feature
@@ -73,3 +73,10 @@
       | 1       | 1     |
       | 1       | 4     |
       | 3       | 6     |
+
+  # Guards against an item whose trials are used up by refusals, which say nothing of it.
+  Scenario: An item that waits for its trial while all engines load weights
+    Given a leader with a guard, and an item of 1 in 1 groups under which engines ended 3 times
+    And 4 engines that all refuse for 9 s
+    When its job is accepted
+    Then all items are listed within 16 s
--- a/features/steps/hosted_held_items_steps.py
+++ b/features/steps/hosted_held_items_steps.py
@@ -230,3 +230,13 @@
 @then("all items are listed within {seconds:d} s after the last crash")
 def then_all_after(context, seconds):
     then_all(context, seconds)
+
+
+@given("{count:d} engines that all refuse for {seconds:d} s")
+def given_refusing(context, count, seconds):
+    def refuse():
+        for engine in context.batches.models:
+            engine.refuse_for(seconds)
+
+    context.engine_count = count
+    context.before_start.append(refuse)
