Crashes: an end under a trial is put down to the trial alone

What callers saw (soak of crashes in series beside crashing items, by hand): items and streams of no fault were held for 600 s. Trials of crashing items ended the workers that ran others too, whose ends counted in full; and trials that wait for each other took long, since a worker that a trial ended blocked the next ones.

A request whose trial ended its worker waits 3 s more for each such trial, so that others get theirs first, and of three workers two may have trials at once.

Tests that changed with it: a granting gateway that is cut off used to leave all others waiting for a second; now exactly one trial is granted, by the next gateway, which the scenario checks instead.

--- a/features/hosted_crash_guard.feature
+++ b/features/hosted_crash_guard.feature
@@ -74,7 +74,7 @@
   Scenario: A granting gateway that does not answer
     Given 8 gateways that know of a request with 3 ends
     When the granting gateway is cut off and all others ask for a trial at once
-    Then no trial is granted, and each other gateway is told to wait for 1 s
+    Then one trial is granted, by the next gateway by rank
 
   # Guards against requests that are refused for minutes since their workers crashed by themselves.
   Scenario Outline: A request whose workers crash three times and stay then
--- a/src/bellweir/hosted/crashes/suspect.py
+++ b/src/bellweir/hosted/crashes/suspect.py
@@ -47,6 +47,7 @@
         "_idle_beside",
         "acquitted_s",
         "ended_s",
+        "excused",
         "service",
         "trials_s",
         "withdrawn",
@@ -64,6 +65,8 @@
         """The same, as other nodes have told."""
         self.trials_s: dict[Incarnation, float] = {}
         """Time of the newest trial at each worker."""
+        self.excused: set[Incarnation] = set()
+        """Workers that ended under a trial of another request."""
         self.withdrawn: set[Incarnation] = set()
         """Workers that did not run the trial they were sent."""
         self.acquitted_s = NEVER_S
@@ -149,13 +152,16 @@
         """Return what each end proves, from 0 to 1.
 
         That is the share of workers that ran the request, of those that ended at the moment. An end
-        right after the beginning of a trial proves that the trial caused it.
+        right after the beginning of a trial proves that the trial caused it, and nothing against
+        what ran beside it.
         """
         counted = self.counted(now_s)
         found: dict[Incarnation, float] = {}
         for worker, at_s in counted.items():
             ran = sum(abs(other_s - at_s) <= SAME_MOMENT_S for other_s in counted.values())
             share = ran / (ran + self.beside(worker))
+            if worker in self.excused:
+                share = 0.0
             found[worker] = 1.0 if self.ends_trial(worker, at_s) else share
         return found
 
@@ -181,7 +187,7 @@
         undecided = sum(worker not in self.ended_s for worker in trials)
         is_proven = any(self.ends_trial(worker, at_s) for worker, at_s in counted.items())
         if blame < MAX_ENDS and not is_proven:
-            late_runs = len(late) + undecided
+            late_runs = sum(weights[worker] > 0 for worker in late) + undecided
             return max(1, MAX_TRIALS - late_runs) if late_runs >= MAX_LATE_ENDS else None
         late_proof = int(sum(weights[worker] for worker in late) + ROUNDING)
         by_time = MAX_TRIALS - late_proof - undecided
--- a/src/bellweir/hosted/crashes/table.py
+++ b/src/bellweir/hosted/crashes/table.py
@@ -133,6 +133,16 @@
             ended = max(suspect.counted(now_s).values(), default=NEVER_S)
             return ended, max(suspect.counted_trials(now_s).values(), default=NEVER_S)
 
+    def failed_trials(self, request: Fingerprint) -> int:
+        """Return how many trials of a request ended their workers."""
+        now_s = self._now_s()
+        with self._lock:
+            suspect = self._suspects.get(request)
+            if suspect is None:
+                return 0
+            ended = suspect.counted(now_s).items()
+            return sum(suspect.ends_trial(worker, at_s) for worker, at_s in ended)
+
     def tried_at(self, request: Fingerprint) -> Collection[Incarnation]:
         """Return the workers that a suspended request had trials at."""
         with self._lock:
@@ -273,9 +283,11 @@
         self, service: str, worker: Incarnation, at_s: float, request: Fingerprint | None = None
     ) -> None:
         """Log a worker's end, and weigh anew the ends at the same moment."""
-        suspects = self._suspects.values()
-        is_under_trial = any(one.ends_trial(worker, at_s) for one in suspects)
+        tried = {one for one in self._suspects.values() if one.ends_trial(worker, at_s)}
+        is_under_trial = bool(tried)
         self._worker_ends.add(service, worker, at_s, request, is_under_trial=is_under_trial)
+        if is_under_trial:
+            self._excuse_beside(worker, tried)
         together = self._worker_ends.around(service, at_s)
         idle = self._worker_ends.idle_among(together)
         is_many = len(together) > MAX_TOGETHER
@@ -286,6 +298,13 @@
                     others = sum(other not in suspect.ended_s for other in together)
                     suspect.set_beside(ended, others, idle)
 
+    def _excuse_beside(self, worker: Incarnation, tried: Collection[Suspect]) -> None:
+        """Put the end of a worker down to the trials there, not to what ran beside them."""
+        for one in self._worker_ends.requests_at(worker):
+            suspect = self._suspects.get(one)
+            if suspect is not None and suspect not in tried:
+                suspect.excused.add(worker)
+
     def records(
         self, requests: Iterable[Fingerprint] | None = None, most: int = MAX_REQUESTS
     ) -> tuple[CrashRecord, ...]:
--- a/src/bellweir/hosted/crashes/trials.py
+++ b/src/bellweir/hosted/crashes/trials.py
@@ -13,6 +13,7 @@
 (2.0, 2)
 """
 
+import math
 import threading
 from collections.abc import Callable, Sequence
 
@@ -27,6 +28,8 @@
 """Time after the beginning of a trial for which its outcome is waited for."""
 MAX_CALM_WAIT_S = 10.0
 """Time after the request's last end from which on a trial waits no more for workers that stay."""
+FAILED_PAUSE_S = 3.0
+"""Pause after a trial that ended its worker, for each one so far: others get their trials first."""
 LOST_S = 2.0
 """Time for which a worker that a trial has ended counts as lost."""
 OPEN_SHARE = 0.5
@@ -71,6 +74,9 @@
         now_s = self._now_s()
         ended_s, tried_s = self._table.last_s(request)
         undecided_s = tried_s + UNDECIDED_S - now_s if tried_s > ended_s else 0.0
+        failed = self._table.failed_trials(request)
+        if failed:
+            undecided_s = max(undecided_s, ended_s + failed * FAILED_PAUSE_S - now_s)
         if self._table.is_running(request):
             undecided_s = max(undecided_s, TRIAL_SLOT_S)
         calm_s = self._table.calm_in_s(self._table.service_of(request))
@@ -109,7 +115,7 @@
         return [one for one in free if one.incarnation not in tried] or free
 
     def _most_open(self, service: str) -> int:
-        return max(1, int(OPEN_SHARE * self._worker_count(service)))
+        return max(1, math.ceil(OPEN_SHARE * self._worker_count(service)))
 
     def _close_old(self, now_s: float) -> None:
         for worker, one in list(self._open.items()):
