Soak: workers that crash in series, crashing streams and items, and what must hold

WorkerCrashes ends several workers of one service at the same moment, five to nine times, then leaves the service in peace for 8 s. CrashingRequests sends up to three different requests, streams or jobs with crashing items at once, new or known (a known one was never drawn before: each strike was a new object). Both are drawn together with `--worker-crashes`; texts then take 3.5 s, so that ends come amid runs.

New checks: an item that may run is at no worker for 5 s of undisturbed time at the most, while workers are under half full; each gateway serves each innocent request and stream within 5 s of undisturbed time, while crashing items are still open; a step's 30 s count undisturbed time. The bound on crashing runs holds for items and streams too. Only ends that a request caused itself count as its crashes: a worker that ends by itself and one that a request ends are told apart under the worker's lock. Ends are counted anew once no process is left that knew of them: crash records are in memory, and the last fault of a run ends every process while the items' jobs are open.

--- a/features/hosted_soak.feature
+++ b/features/hosted_soak.feature
@@ -42,6 +42,11 @@
     Then faults have struck and everything that must hold of the soak has held
     And requests have crashed three workers, and reached few after that
 
+  Scenario: A soak in which workers crash in series beside requests that crash them
+    When a soak of 25 seconds is played with seed 2 of workers that crash in series beside requests that crash them
+    Then faults have struck and everything that must hold of the soak has held
+    And workers crashed in series, and items and innocent requests were served after it
+
   Scenario: Losses stay within what is tolerated
     Then at any order of faults no more disks are lost at once than tolerated
     And a machine counts as whole once it has had its time to catch up, a removed one's successor too
--- a/features/steps/hosted_soak_steps.py
+++ b/features/steps/hosted_soak_steps.py
@@ -28,6 +28,7 @@
     PLACES_FAULTS,
     SUSPENSION_FAULTS,
     TEXT_FAULTS,
+    WORKER_CRASH_FAULTS,
 )
 
 
@@ -108,6 +109,26 @@
     context.soak.play()
 
 
+@when(
+    "a soak of {seconds:d} seconds is played with seed {seed:d} "
+    "of workers that crash in series beside requests that crash them"
+)
+def when_crashing_in_series(context, seconds, seed):
+    context.soak = HostedSoak(
+        context.folder, seed, seconds, 3, 3, only=WORKER_CRASH_FAULTS, has_long_texts=True
+    )
+    context.cleanup.callback(context.soak.close)
+    context.soak.play()
+
+
+@then("workers crashed in series, and items and innocent requests were served after it")
+def then_served_after(context):
+    soak = context.soak
+    assert all(soak.strikes[name] for name in ("WorkerCrashes", "CrashingRequests")), soak.strikes
+    for check in (soak.crashing, soak.placed, soak.served):
+        assert check.held, (check.name, check.checked, check.faults[:3])
+
+
 @then("requests have crashed three workers, and reached few after that")
 def then_few(context):
     assert context.soak.crashing.held, (context.soak.strikes, context.soak.crashing.faults)
--- a/src/bellweir_rehearsal/hosted/checks.py
+++ b/src/bellweir_rehearsal/hosted/checks.py
@@ -210,6 +210,11 @@
             for worker in self.deployment.scorers
             for request_id in worker.record.ran
             if not request_id.startswith("score-")
+        } | {
+            request_id
+            for worker in self.deployment.models
+            for request_id in worker.record.ran
+            if request_id.startswith("stream-")
         }
         reported = duties.reported(TENANT)
         self.usage.expect(reported <= len(ran), f"{reported} reported, {len(ran)} ran")
--- a/src/bellweir_rehearsal/hosted/clients.py
+++ b/src/bellweir_rehearsal/hosted/clients.py
@@ -7,7 +7,7 @@
 import math
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -17,6 +17,7 @@
 TENANT = "dealers"
 KEY = "key-of-dealers"
 """A key of the tenant that no configuration takes away."""
+PROMPT = b"prompt"
 COLD_PER_S = 4.0
 """Requests a second that a cold worker bears."""
 REQUEST_TIMEOUT_S = 5.0
@@ -196,20 +197,30 @@
         return found
 
     def _document(self, number: int, items: list[str], least: int) -> bytes:
-        requests = [
-            {
-                "id": item,
-                "path": f"/drafts/{item}",
-                "headers": {"X-Bellweir-Model": "drafts"},
-                "body": base64.b64encode(b"prompt").decode(),
-                "tokens": 20,
-                "group": f"group-{at // 2}",
-                "scorer": {"id": f"score-{item}", "host": HOST, "path": "/score/x", "body": ""},
-            }
-            for at, item in enumerate(items)
-        ]
         job = {"step": number, "model": "drafts", "minVersion": least, "wantedGroups": 3}
-        return json.dumps({**job, "items": requests}).encode()
+        return json.dumps({**job, "items": item_documents(items)}).encode()
+
+
+def item_documents(
+    items: Sequence[str], bodies: Mapping[str, bytes] | None = None
+) -> list[dict[str, Any]]:
+    """The items of a job as it is handed in, two of them in a group.
+
+    `bodies` has the bodies of some items; all others have the same one.
+    """
+    found = bodies or {}
+    return [
+        {
+            "id": item,
+            "path": f"/drafts/{item}",
+            "headers": {"X-Bellweir-Model": "drafts"},
+            "body": base64.b64encode(found.get(item, PROMPT)).decode(),
+            "tokens": 20,
+            "group": f"group-{at // 2}",
+            "scorer": {"id": f"score-{item}", "host": HOST, "path": "/score/x", "body": ""},
+        }
+        for at, item in enumerate(items)
+    ]
 
 
 def key_of_version(version: int) -> str:
@@ -226,6 +237,7 @@
         | {"public": True},
         {**common, "pathPrefix": "/price/", "kind": "idempotent", "service": "app"},
         {**common, "pathPrefix": "/bid/", "kind": "non_idempotent", "service": "app"},
+        {**common, "pathPrefix": "/lines/", "kind": "streaming", "service": "llm"},
     ]
     routes += [
         {**common, "pathPrefix": prefix, "kind": "idempotent", "service": "app"}
--- a/src/bellweir_rehearsal/hosted/command.py
+++ b/src/bellweir_rehearsal/hosted/command.py
@@ -22,6 +22,7 @@
     PLACES_FAULTS,
     SUSPENSION_FAULTS,
     TEXT_FAULTS,
+    WORKER_CRASH_FAULTS,
 )
 
 
@@ -65,6 +66,10 @@
         bool, cappa.Arg(long=True, help="Send requests that crash the workers that run them.")
     ] = False
 
+    worker_crashes: Annotated[
+        bool, cappa.Arg(long=True, help="Have workers crash in series beside such requests.")
+    ] = False
+
     older: Annotated[
         str, cappa.Arg(long=True, help="A commit; a soak changes between its build and this one.")
     ] = ""
@@ -106,6 +111,8 @@
             faults = SUSPENSION_FAULTS
         if self.crashes:
             faults = CRASH_FAULTS
+        if self.worker_crashes:
+            faults = WORKER_CRASH_FAULTS
         older = None
         if self.older:
             faults = (*faults, *BUILD_FAULTS)
@@ -122,7 +129,7 @@
             only=faults,
             older=older,
             has_places=self.places,
-            has_long_texts=self.texts,
+            has_long_texts=self.texts or self.worker_crashes,
         )
 
 
--- a/src/bellweir_rehearsal/hosted/deployment.py
+++ b/src/bellweir_rehearsal/hosted/deployment.py
@@ -19,6 +19,7 @@
 
 from bellweir.kernel.ending import EXIT_GIVEN_UP
 from bellweir_rehearsal.hosted.builds import OWN_BUILD, Build
+from bellweir_rehearsal.hosted.crashing_record import CrashingRecord
 from bellweir_rehearsal.hosted.duties import DutiesStandIn
 from bellweir_rehearsal.hosted.object_store import PlatformStoreStandIn
 from bellweir_rehearsal.hosted.power import lose_power
@@ -207,6 +208,8 @@
     """Machines whose disk was full and took changes again."""
     not_whole: list[str] = field(default_factory=list)
     """What was not right with such machines afterwards."""
+    memory_lost_s: list[float] = field(default_factory=list)
+    """Monotonic times at which no process was left, so that what only memory held was gone."""
     power_losses: list[str] = field(default_factory=list)
     """What became of each file that was not synced, at each loss of power."""
 
@@ -215,6 +218,7 @@
         # A network of its own: the port of the metrics is fixed.
         self.network = "127.{}.{}".format(*(1 + byte % 250 for byte in os.urandom(2)))
         self.touched = TouchLog()
+        self.crashing = CrashingRecord()
         self._lock = threading.Lock()
         self._next_store = 0
         self.store = PlatformStoreStandIn()
@@ -330,6 +334,7 @@
             process.kill()
         for process in found:
             process.wait()
+        self._note_memory()
 
     def empty_disk(self, name: str) -> None:
         """Lose the disk of a machine whose process does not run."""
@@ -416,8 +421,14 @@
         process.send_signal(signal.SIGTERM)
         code = process.wait(STOP_TIMEOUT_S)
         self.exit_codes.append((name, code))
+        self._note_memory()
         return code
 
+    def _note_memory(self) -> None:
+        """Note the time if no process is left."""
+        if not any(machine.is_running for machine in list(self.machines.values())):
+            self.memory_lost_s.append(time.monotonic())
+
     def await_started(self, name: str) -> bool:
         """Wait until a machine's process heeds signals; False when it does not in time."""
         until_s = time.monotonic() + READY_TIMEOUT_S
@@ -459,6 +470,11 @@
                 if kept is None or kept.spec != entry:
                     self.store.records.put("servers", worker.instance, entry)
 
+    @property
+    def workers(self) -> list[WorkerStandIn]:
+        """All workers of both services."""
+        return [*self.models, *self.scorers]
+
     def zone_of(self, worker: WorkerStandIn) -> str:
         """The zone of a worker: the first one, or one each where zones may be evacuated."""
         workers = self.models if worker in self.models else self.scorers
--- a/src/bellweir_rehearsal/hosted/soak.py
+++ b/src/bellweir_rehearsal/hosted/soak.py
@@ -6,6 +6,7 @@
 accepted; then everything is read again at each gateway.
 """
 
+import math
 import random
 import threading
 import time
@@ -20,6 +21,7 @@
 from bellweir_rehearsal.hosted.checks import Check, CheckedTraffic
 from bellweir_rehearsal.hosted.clients import (
     Answer,
+    Client,
     NoAnswerError,
     StepRecord,
     call,
@@ -29,11 +31,15 @@
 from bellweir_rehearsal.hosted.deployment import BEAT_S, HostedDeployment
 from bellweir_rehearsal.hosted.disk_faults import LastFault
 from bellweir_rehearsal.hosted.fault import SoakFault
+from bellweir_rehearsal.hosted.item_watch import LONGEST_APART_S, ItemWatch
 from bellweir_rehearsal.hosted.kept_clients import KeptClient
 from bellweir_rehearsal.hosted.losses import CATCH_UP_S, LossBudget
+from bellweir_rehearsal.hosted.peace import Peace
 from bellweir_rehearsal.hosted.second_reader import SecondReader, page_of
 from bellweir_rehearsal.hosted.soak_faults import ALL_FAULTS, BESIDE_FAULTS
 from bellweir_rehearsal.hosted.soak_report import SoakReport, memory_mb
+from bellweir_rehearsal.hosted.touch_log import CONTACT_S
+from bellweir_rehearsal.hosted.worker_crashes import WorkerCrashes
 
 DISRUPTORS = 4
 SHORTEST_PAUSE_S = 0.3
@@ -57,6 +63,10 @@
 """Time for reading everything at each gateway in the end."""
 STRIKES_NAME = "strikes.txt"
 STEP_REQUESTS = 5
+ANSWER_S = 0.2
+"""Time that application workers take, where crashes in series are to end them amid requests."""
+WATCH_PAUSE_S = 0.1
+PEACE_SLACK_S = 1.0
 KEPT_SHARE = 0.8
 """Share of the time for which ended jobs are kept in which they must be readable."""
 RECOVER_S = 12.0
@@ -123,6 +133,9 @@
         super().__init__(deployment, told)
         self.deployment.is_rigged = True
         self.deployment.older = older
+        if WorkerCrashes in only:
+            for worker in self.deployment.scorers:
+                worker.faults.delay_s = ANSWER_S
         if older is not None:
             for name in list(self.deployment.machines)[::2]:
                 self.deployment.set_build(name, older)
@@ -152,6 +165,9 @@
         self.emptied = Check("a store machine is emptied only while enough others live")
         self.recovered = Check("the deployment serves again soon after the last fault")
         self.crashing = Check("a request that crashes workers reaches few after the third")
+        self.placed = Check("an item that may run gets a worker")
+        self.served = Check("an innocent request is served again soon after crashes in series")
+        self._watch = ItemWatch(self.deployment, self._open_items)
         self._reader = SecondReader(
             self.deployment, self.trainer.steps, self._is_kept, self.read, self._chance("reader")
         )
@@ -175,6 +191,8 @@
             self.cold,
             self.joins,
             self.crashing,
+            self.placed,
+            self.served,
         ]
 
     @property
@@ -188,6 +206,8 @@
             self.cold,
             self.joins,
             self.crashing,
+            self.placed,
+            self.served,
         ]
 
     def holds(self, check: Check) -> bool:
@@ -205,10 +225,11 @@
         """Play until the time is over, strike the last fault, then look at everything again."""
         self.start()
         with self._traffic():
-            with self._disrupted():
-                until_s = time.monotonic() + self._seconds
-                while time.monotonic() < until_s:
-                    self._one_step()
+            with self._items_watched():
+                if WorkerCrashes in self._only:
+                    self._play_crashes()
+                else:
+                    self._play_steps()
             self._strike_last()
             self._read_until_s = time.monotonic() + READ_ALL_TIMEOUT_S
             for step in list(self.trainer.steps):
@@ -217,14 +238,76 @@
         self.check_tenants()
         self.check_usage()
         self.check_places()
-        check_crashing_runs(self.crashing, self.deployment, self.deployment.scorers)
+        check_crashing_runs(self.crashing, self.deployment, self.deployment.workers)
         self._check_configuration()
         self._check_ends()
 
+    def _play_steps(self) -> None:
+        with self._disrupted():
+            until_s = time.monotonic() + self._seconds
+            while time.monotonic() < until_s:
+                self._one_step()
+
+    def _play_crashes(self) -> None:
+        """Strike, then look at peace; steps go on all the while, however long one takes."""
+        over = threading.Event()
+        with ThreadPoolExecutor(1, thread_name_prefix="steps") as pool:
+            stepping = pool.submit(self._step_until, over)
+            try:
+                with self._disrupted():
+                    time.sleep(self._seconds)
+                self._look_at_peace()
+            finally:
+                over.set()
+            stepping.result()
+
+    def _step_until(self, over: threading.Event) -> None:
+        while not over.is_set():
+            self._one_step()
+
+    def _look_at_peace(self) -> None:
+        """See how things go on with nothing struck; jobs with crashing items are open still."""
+        began_s = time.monotonic()
+        client = Client(self.deployment, tries=TRIES, patience_s=PATIENCE_S)
+        peace = Peace(client, self.next_id, began_s)
+        peace.check_served(self.served)
+        until_s = began_s + CONTACT_S + LONGEST_APART_S + PEACE_SLACK_S
+        time.sleep(max(0.0, until_s - time.monotonic()))
+        peace.check_jobs(self.whole)
+
+    def _open_items(self) -> list[str]:
+        """Items of accepted jobs that crash nothing and have not all been read."""
+        steps = [each for each in list(self.trainer.steps) if not each.is_read]
+        items = [item for step in steps for item in step.items]
+        return items + [item for job in list(self.deployment.crashing.jobs) for item in job.others]
+
+    @contextmanager
+    def _items_watched(self) -> Iterator[None]:
+        """Look at open items all the while, where crashes in series are among the faults."""
+        if WorkerCrashes not in self._only:
+            yield
+            return
+        over = threading.Event()
+        with ThreadPoolExecutor(1, thread_name_prefix="items") as pool:
+            looking = pool.submit(self._look_at_items, over)
+            try:
+                yield
+            finally:
+                over.set()
+                looking.result()
+        self._watch.judge(self.placed)
+
+    def _look_at_items(self, over: threading.Event) -> None:
+        while not over.wait(WATCH_PAUSE_S):
+            self._watch.look()
+
     def _may_rest(self) -> bool:
-        """Whether more store machines went at once than tolerated, until service is owed again."""
+        """Whether no progress is owed: too many store machines went at once, or workers crash."""
         stores = self.deployment.names("store")
         touched = self.deployment.touched
+        if WorkerCrashes in self._only and touched.undisturbed_since_s() == math.inf:
+            # A text takes longer than the pauses between crashes.
+            return True
         return touched.struck_together(stores, self.deployment.tolerated, RECOVER_S)
 
     def _chance(self, name: object) -> random.Random:
--- a/src/bellweir_rehearsal/hosted/soak_faults.py
+++ b/src/bellweir_rehearsal/hosted/soak_faults.py
@@ -38,6 +38,7 @@
     SuspendGateway,
     SuspendStore,
 )
+from bellweir_rehearsal.hosted.worker_crashes import WorkerCrashes
 
 MACHINE_FAULTS: tuple[type[SoakFault], ...] = (
     KillGateway,
@@ -138,6 +139,19 @@
     NewConfiguration,
 )
 """Requests that crash workers, while those that must know of them come and go."""
+WORKER_CRASH_FAULTS: tuple[type[SoakFault], ...] = (
+    WorkerCrashes,
+    WorkerCrashes,
+    WorkerCrashes,
+    CrashingRequests,
+    CrashingRequests,
+    CrashingRequests,
+    KillGateway,
+    StopGateway,
+    BrokenWorkers,
+    NewConfiguration,
+)
+"""Workers that crash in series beside requests that crash them; no store machine is lost."""
 BUILD_FAULTS: tuple[type[SoakFault], ...] = (
     ChangeBuild,
     ChangeBuild,
--- a/src/bellweir_rehearsal/hosted/touch_log.py
+++ b/src/bellweir_rehearsal/hosted/touch_log.py
@@ -1,5 +1,6 @@
 """Which machines were struck when, so that what clients see can be judged by it."""
 
+import math
 import threading
 import time
 from collections.abc import Iterable
@@ -69,6 +70,27 @@
                 for strike in self._strikes
             )
 
+    def undisturbed_since_s(self, now_s: float | None = None) -> float:
+        """Time since which nothing unplanned has struck for `CONTACT_S`; infinite while it does.
+
+        >>> log = TouchLog()
+        >>> strike = log.begin([], now_s=10.0)
+        >>> log.undisturbed_since_s(11.0)
+        inf
+        >>> log.end(strike, now_s=12.0)
+        >>> log.undisturbed_since_s(14.0), log.undisturbed_since_s(15.5)
+        (inf, 15.0)
+        """
+        at_s = time.monotonic() if now_s is None else now_s
+        with self._lock:
+            ends_s = [
+                math.inf if strike.until_s is None else strike.until_s
+                for strike in self._strikes
+                if not strike.planned
+            ]
+        since_s = max(ends_s, default=-math.inf) + CONTACT_S
+        return since_s if since_s <= at_s else math.inf
+
     def struck_together(
         self, names: Iterable[str], most: int, within_s: float, now_s: float | None = None
     ) -> bool:
--- a/src/bellweir_rehearsal/hosted/worker.py
+++ b/src/bellweir_rehearsal/hosted/worker.py
@@ -104,7 +104,9 @@
     asked_after: dict[str, int] = field(default_factory=dict)
     """The same by name of the run."""
     ended: Counter[str] = field(default_factory=Counter)
-    """Streams made to their end, by request id."""
+    """Streams made to their end and whole answers, by request id."""
+    held_s: dict[str, float] = field(default_factory=dict)
+    """Monotonic time at which each request last began or ended to run."""
     headers: dict[str, dict[str, str]] = field(default_factory=dict)
     """Headers of what ran, by request id; names in lower case."""
 
@@ -146,6 +148,8 @@
         """What its answers say of its load; empty: nothing."""
         self.faults = WorkerFaults()
         self.record = WorkerRecord()
+        self.in_hand: Counter[str] = Counter()
+        """Runs that go on now, by request id."""
         self.sequence = 0
         self._loading_until_s = 0.0
         self._lock = threading.Lock()
@@ -213,24 +217,40 @@
         self.server.close()
         self.server.break_off()
 
+    def crash_for(self, seconds: float) -> bool:
+        """End now and start again after so many seconds; False if it is down."""
+        start = self.starts
+        if not self._take_end(start):
+            return False
+        self.crash()
+        self._come_back_after(seconds, start)
+        return True
+
     def _crash_under(self, handler: Any, run: CrashingRun) -> None:
         """End by a request that runs, and start again later; once for all that run it."""
         self.record.crashing_runs.append(run)
         time.sleep(self.faults.crash_after_s)
-        with self._lock:
-            is_first = handler.start == self.starts and self.down_since_s is None
-            if is_first:
-                self.down_since_s = time.monotonic()
-        if is_first:
+        if self._take_end(handler.start):
             self.record.crashes.append(CrashingRun(run.body, run.request_id, time.monotonic()))
             self.crash()
-            back = threading.Timer(self.faults.back_after_s, self._come_back)
-            back.daemon = True
-            back.start()
+            self._come_back_after(self.faults.back_after_s, handler.start)
         handler.close_connection = True
 
-    def _come_back(self) -> None:
-        if self.down_since_s is not None:
+    def _take_end(self, start: int) -> bool:
+        """Be the one cause of the end of a start; False if that start has ended."""
+        with self._lock:
+            if start != self.starts or self.down_since_s is not None:
+                return False
+            self.down_since_s = time.monotonic()
+            return True
+
+    def _come_back_after(self, seconds: float, start: int) -> None:
+        back = threading.Timer(seconds, self._come_back, (start,))
+        back.daemon = True
+        back.start()
+
+    def _come_back(self, start: int) -> None:
+        if self.starts == start and self.down_since_s is not None:
             self.start_again()
 
     def go_dark(self) -> None:
@@ -363,6 +383,22 @@
             found = {name.lower(): value for name, value in handler.headers.items()}
             self.record.headers[request_id] = found
         self._on_run(request_id)
+        self._count_run(request_id, 1)
+        try:
+            self._work(handler, request_id, body, echo)
+        finally:
+            self._count_run(request_id, -1)
+
+    def _count_run(self, request_id: str, change: int) -> None:
+        with self._lock:
+            self.in_hand[request_id] += change
+            if not self.in_hand[request_id]:
+                del self.in_hand[request_id]
+            self.record.held_s[request_id] = time.monotonic()
+
+    def _work(
+        self, handler: StandInHandler, request_id: str, body: bytes, echo: dict[str, str]
+    ) -> None:
         if body in self.faults.crash_bodies:
             self._crash_under(handler, CrashingRun(body, request_id, time.monotonic()))
             return
@@ -393,6 +429,7 @@
             handler.answer(200, whole[:2], {**echo, "Content-Length": str(len(whole))})
         else:
             handler.answer(200, whole, echo)
+            self.record.ended[request_id] += 1
 
     def _stream(self, handler: StandInHandler, request_id: str, echo: dict[str, str]) -> None:
         first = int(handler.headers.get("Last-Event-Id") or 0) + 1
