--- a/src/bellweir_rehearsal/hosted/soak_faults.py
+++ b/src/bellweir_rehearsal/hosted/soak_faults.py
@@ -1,7 +1,7 @@
 """The faults that a soak of the hosted roles draws from, by what they strike."""
 
 from bellweir_rehearsal.hosted.clock_faults import ClockStep, LongClockStep
-from bellweir_rehearsal.hosted.crashing_requests import CrashingRequests
+from bellweir_rehearsal.hosted.crashing_requests import CrashingRequests, CrashingWork
 from bellweir_rehearsal.hosted.disk_faults import (
     DisksLostWithoutPower,
     PowerLossOfAll,
@@ -143,9 +143,9 @@
     WorkerCrashes,
     WorkerCrashes,
     WorkerCrashes,
-    CrashingRequests,
-    CrashingRequests,
-    CrashingRequests,
+    CrashingWork,
+    CrashingWork,
+    CrashingWork,
     KillGateway,
     StopGateway,
     BrokenWorkers,
