Crashes: excused ends are bounded like the ends themselves

An end that a trial excuses was kept by worker after the end itself had been dropped, for as long as its request is remembered. It goes with the end now.

hosted_crash_guard (29 scenarios), hosted_held_items (18) pass.

--- a/src/bellweir/hosted/crashes/suspect.py
+++ b/src/bellweir/hosted/crashes/suspect.py
@@ -96,6 +96,7 @@
             self._beside.pop(oldest, None)
             self._idle_beside.pop(oldest, None)
             self._beside_told.pop(oldest, None)
+            self.excused.discard(oldest)
             return oldest != worker
         return True
 
--- a/src/bellweir/hosted/crashes/table.py
+++ b/src/bellweir/hosted/crashes/table.py
@@ -302,7 +302,7 @@
         """Put the end of a worker down to the trials there, not to what ran beside them."""
         for one in self._worker_ends.requests_at(worker):
             suspect = self._suspects.get(one)
-            if suspect is not None and suspect not in tried:
+            if suspect is not None and suspect not in tried and worker in suspect.ended_s:
                 suspect.excused.add(worker)
 
     def records(
