--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,17 +1,16 @@
-"""The workers of a service are replaced one after the other while streams run.
+"""A gateway is stopped as planned while streams run that end within its grace period.
 
-Four old workers in three zones stream. Two of them, those of one zone, are replaced one second
-apart: a new one starts, the old one says `draining`, serves on for five seconds more and ends. The
-streams that still run at the first one then are resumed by the gateways. By then the second one has
-been `draining` for four seconds, twice `drainTimeoutMs`.
+Streams are sent to one of three gateways, which gets SIGTERM half a second later. Their workers are
+sound: each works until its stream's end, or until its connection is closed. The streams would end,
+one after the other, between 5.2 s and 7.6 s after the signal; `gracePeriodS` is 8.
 """
 
 import sys
 import time
 
 from stand_ins.client import StreamRequest
-from stand_ins.deployment import DRAIN_TIMEOUT_S, CannotRunError, Deployment
-from stand_ins.engine import Engine, Plan
+from stand_ins.deployment import GRACE_PERIOD_S, ZONES, CannotRunError, Deployment
+from stand_ins.engine import Engine, Plan, Run
 from stand_ins.record import Record
 from stand_ins.runner import run_case
 
@@ -20,30 +19,27 @@
 HOST = "quotes.example"
 PREFIX = "/chat/"
 SERVICE = "draft-llm"
-EVENTS = 80
-PAUSE_S = 0.1
-"""A stream takes eight seconds."""
-STREAMS = 30
-GATEWAYS = 3
-OLD_ZONES = ("zone-a", "zone-a", "zone-b", "zone-c")
-"""Zones of the old workers; the first two are replaced."""
-REPLACED = 2
-FIRST_DRAIN_S = 0.7
-"""Time from the streams' start to the first worker's `draining`."""
-GAP_S = 1.0
-SERVES_ON_S = 5.0
-"""`drainTimeoutMs` and some seconds more."""
+STOPPED = "gateway-0"
+EVENTS = 130
+"""Events of a stream: the most that a draft has on the users' smallest site."""
+STREAMS = 48
+FIRST_END_S, LAST_END_S = 5.2, 7.6
+"""When the first and the last stream would end, in seconds after the signal."""
+SENT_BEFORE_S = 0.5
+"""When they are sent, in seconds before the signal."""
+LAST_SIXTH_S = GRACE_PERIOD_S * 5 / 6
+"""Beginning of the last sixth of the grace period, in seconds after the signal."""
 SETTLE_S = 4.0
-"""Time without a disruption before the streams: over `contactMs`."""
+"""Time without a disruption before the requests: over `contactMs`."""
+POLL_S = 0.02
 
 
 def configuration() -> dict[str, object]:
-    """The operator's configuration: one route for streams, which may be resumed."""
+    """The operator's configuration: one route for streams, which may not be resumed."""
     route = {
         "host": HOST,
         "pathPrefix": PREFIX,
         "kind": "streaming",
-        "canResume": True,
         "service": SERVICE,
         "timeoutMs": 10_000,
         "targetMs": 400,
@@ -60,92 +56,91 @@
     return {"version": 1, "routes": [route], "services": [service], "limits": limits}
 
 
-class Replacement:
-    """Replaces the first two workers, one after the other, each by a new one."""
-
-    def __init__(self, old: list[Engine], new: list[Engine]) -> None:
-        self._steps: list[tuple[float, str, Engine]] = []
-        for number, (leaving, coming) in enumerate(zip(old, new, strict=True)):
-            at_s = FIRST_DRAIN_S + number * GAP_S
-            self._steps += [
-                (at_s - 0.3, "ready", coming),
-                (at_s, "draining", leaving),
-                (at_s + SERVES_ON_S, "ends", leaving),
-            ]
-        self._steps.sort(key=lambda step: step[0])
-
-    def play(self, began_s: float) -> None:
-        """Do each step at its time after `began_s`."""
-        for at_s, what, engine in self._steps:
-            time.sleep(max(0.0, began_s + at_s - elapsed_s()))
-            if what == "ends":
-                engine.end()
-            else:
-                engine.write_entry(what)
-
-
 def play(deployment: Deployment, record: Record, has_trouble: bool) -> list[str]:
     """Play the case; what broke the rule, a line each."""
-    plan = Plan(EVENTS, PAUSE_S)
-    zones = (*OLD_ZONES, *OLD_ZONES[:REPLACED])
+    ends_s = {
+        f"stream-{number}": FIRST_END_S + number * (LAST_END_S - FIRST_END_S) / (STREAMS - 1)
+        for number in range(STREAMS)
+    }
+    pauses = {one: (SENT_BEFORE_S + end_s) / EVENTS for one, end_s in ends_s.items()}
+    plan = Plan(EVENTS, 0.05, pauses)
     engines = [
         Engine(f"i-{number}", SERVICE, plan, deployment.store, record, zone)
-        for number, zone in enumerate(zones)
+        for number, zone in enumerate(ZONES)
     ]
-    old, new = engines[: len(OLD_ZONES)], engines[len(OLD_ZONES) :]
     try:
-        for engine in old:
+        for engine in engines:
             engine.write_entry()
         deployment.store.records.put("config", "main", configuration())
         deployment.start()
         time.sleep(SETTLE_S)
-        requests = _send_all(deployment, record)
-        began_s = elapsed_s()
-        if has_trouble:
-            Replacement(old[:REPLACED], new).play(began_s)
-        for request in requests:
-            request.join(EVENTS * PAUSE_S + 4.0)
-        return _findings(engines, requests, record)
+        return _play_streams(deployment, record, engines, ends_s, has_trouble)
     finally:
         for engine in engines:
             engine.close()
 
 
-def _send_all(deployment: Deployment, record: Record) -> list[StreamRequest]:
-    """Send the streams, by turns to each gateway."""
-    requests = [
-        StreamRequest(
-            f"stream-{number}",
-            deployment.address(f"gateway-{number % GATEWAYS}"),
-            HOST,
-            f"{PREFIX}a",
-            record,
-        )
-        for number in range(STREAMS)
-    ]
+def _play_streams(
+    deployment: Deployment,
+    record: Record,
+    engines: list[Engine],
+    ends_s: dict[str, float],
+    has_trouble: bool,
+) -> list[str]:
+    address = deployment.address(STOPPED)
+    requests = [StreamRequest(one, address, HOST, f"{PREFIX}a", record) for one in ends_s]
+    began_s = elapsed_s()
     for request in requests:
         request.send()
-        time.sleep(0.01)
-    return requests
-
-
-def _findings(engines: list[Engine], requests: list[StreamRequest], record: Record) -> list[str]:
+    time.sleep(max(0.0, began_s + SENT_BEFORE_S - elapsed_s()))
+    signal_s = elapsed_s()
+    if has_trouble:
+        deployment.terminate(STOPPED)
+        record.note(f"platform: SIGTERM to {STOPPED}", signal_s)
+    for request in requests:
+        request.join(GRACE_PERIOD_S + 4.0)
+    if has_trouble:
+        _await_end(deployment, record, signal_s)
     whole = sum(one.is_whole and one.has_all(EVENTS) for one in requests)
     record.note(f"clients: {whole} of {STREAMS} streams came whole")
-    if not any(engine.runs for engine in engines):
-        raise CannotRunError("no stream reached a worker")
-    found = []
-    for engine in engines:
-        acknowledged_s = engine.draining_acknowledged_s
-        for run in engine.runs if acknowledged_s is not None else ():
-            late_s = run.began_s - acknowledged_s
-            if late_s > DRAIN_TIMEOUT_S:
-                found.append(
-                    f"{run.request_id} reached {engine.name} {late_s:.2f} s after the store had "
-                    f"taken that it drains, to go on after event {run.after_event}"
-                )
-    return found
+    runs = {run.request_id: run for engine in engines for run in engine.runs}
+    return [
+        found
+        for request in requests
+        if (
+            found := _finding(
+                request, runs.get(request.request_id), signal_s, ends_s[request.request_id]
+            )
+        )
+        is not None
+    ]
+
+
+def _await_end(deployment: Deployment, record: Record, signal_s: float) -> None:
+    """Wait for the process's end, as long as the platform would before SIGKILL."""
+    while deployment.exit_code(STOPPED) is None and elapsed_s() < signal_s + GRACE_PERIOD_S:
+        time.sleep(POLL_S)
+    after_s = elapsed_s() - signal_s
+    code = deployment.exit_code(STOPPED)
+    record.note(f"platform: {STOPPED} has exit code {code}, {after_s:.2f} s after SIGTERM")
+
+
+def _finding(request: StreamRequest, run: Run | None, signal_s: float, end_s: float) -> str | None:
+    """What broke the rule for one request; None if nothing did, or an excuse of it holds."""
+    if run is None or run.ended_s is None:
+        raise CannotRunError(f"{request.request_id} reached no worker")
+    worked_until_s = run.ended_s - signal_s
+    is_excused = run.end == "broken off" or worked_until_s >= LAST_SIXTH_S
+    if (request.is_whole and request.has_all(EVENTS)) or is_excused:
+        return None
+    place = "before" if end_s < LAST_SIXTH_S else "in"
+    return (
+        f"{request.request_id}: sent {signal_s - request.sent_s:.2f} s before SIGTERM, closed "
+        f"{request.ended_s - signal_s:.2f} s after it without its end, which its worker would "
+        f"have made at {end_s:.2f} s, {place} the last sixth; it worked until {worked_until_s:.2f} "
+        "s, then its connection was closed"
+    )
 
 
 if __name__ == "__main__":
-    sys.exit(run_case("DRAIN", __file__, play))
+    sys.exit(run_case("LOST", __file__, play))
