--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,6 +11,7 @@
 import time
 
 from stand_ins.client import StreamRequest
+from stand_ins.configuration import configuration
 from stand_ins.deployment import ZONES, CannotRunError, Deployment
 from stand_ins.engine import MODEL, SLOTS, Engine, Plan
 from stand_ins.record import Record
@@ -21,6 +22,10 @@
 HOST = "quotes.example"
 PREFIX = "/chat/"
 SERVICE = "draft-llm"
+SERVICE_ENTRY: dict[str, object] = {
+    "name": SERVICE,
+    "engine": {"slots": SLOTS, "kvCapacity": 103_490, "models": [{"name": MODEL}]},
+}
 EVENTS = 5
 PAUSE_S = 0.04
 BODY_BYTES = 300_000
@@ -39,33 +44,6 @@
 """Workers start with version 1."""
 
 
-def configuration() -> dict[str, object]:
-    """The operator's configuration: one route for streams, which may not be resumed."""
-    route = {
-        "host": HOST,
-        "pathPrefix": PREFIX,
-        "kind": "streaming",
-        "service": SERVICE,
-        "timeoutMs": 10_000,
-        "targetMs": 400,
-        "maxAttempts": 3,
-        "priority": 1,
-    }
-    service = {
-        "name": SERVICE,
-        "healthPath": "/health",
-        "maxConns": 150,
-        "engine": {"slots": SLOTS, "kvCapacity": 103_490, "models": [{"name": MODEL}]},
-    }
-    limits = {
-        "maxHeaderBytes": 16_384,
-        "maxBodyBytes": 33_554_432,
-        "headerTimeoutMs": 5_000,
-        "idleTimeoutMs": 20_000,
-    }
-    return {"version": 1, "routes": [route], "services": [service], "limits": limits}
-
-
 def play(deployment: Deployment, record: Record, has_trouble: bool) -> list[str]:
     """Play the case; what broke the rule, a line each."""
     plan = Plan(EVENTS, PAUSE_S)
@@ -76,7 +54,8 @@
     try:
         for engine in engines:
             engine.write_entry()
-        deployment.store.records.put("config", "main", configuration())
+        put = deployment.store.records.put
+        put("config", "main", configuration(SERVICE_ENTRY, HOST, PREFIX, "streaming"))
         deployment.start()
         time.sleep(SETTLE_S)
         requests = _send_all(deployment, record, has_trouble)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,6 +9,7 @@
 import time
 
 from stand_ins.client import StreamRequest
+from stand_ins.configuration import configuration
 from stand_ins.deployment import GRACE_PERIOD_S, ZONES, CannotRunError, Deployment
 from stand_ins.engine import Engine, Plan, Run
 from stand_ins.record import Record
@@ -34,28 +35,6 @@
 POLL_S = 0.02
 
 
-def configuration() -> dict[str, object]:
-    """The operator's configuration: one route for streams, which may not be resumed."""
-    route = {
-        "host": HOST,
-        "pathPrefix": PREFIX,
-        "kind": "streaming",
-        "service": SERVICE,
-        "timeoutMs": 10_000,
-        "targetMs": 400,
-        "maxAttempts": 3,
-        "priority": 1,
-    }
-    service = {"name": SERVICE, "healthPath": "/health", "maxConns": 150}
-    limits = {
-        "maxHeaderBytes": 16_384,
-        "maxBodyBytes": 33_554_432,
-        "headerTimeoutMs": 5_000,
-        "idleTimeoutMs": 20_000,
-    }
-    return {"version": 1, "routes": [route], "services": [service], "limits": limits}
-
-
 def play(deployment: Deployment, record: Record, has_trouble: bool) -> list[str]:
     """Play the case; what broke the rule, a line each."""
     ends_s = {
@@ -71,7 +50,8 @@
     try:
         for engine in engines:
             engine.write_entry()
-        deployment.store.records.put("config", "main", configuration())
+        put = deployment.store.records.put
+        put("config", "main", configuration({"name": SERVICE}, HOST, PREFIX, "streaming"))
         deployment.start()
         time.sleep(SETTLE_S)
         return _play_streams(deployment, record, engines, ends_s, has_trouble)
--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -6,7 +6,6 @@
 """
 
 import http.client
-import json
 import os
 import signal
 import socket
@@ -164,20 +163,6 @@
         finally:
             connection.close()
 
-    def resolve(self, name: str, host: str) -> list[str]:
-        """The addresses that a gateway's directory gives a client of its zone."""
-        machine = self.machines[name]
-        connection = http.client.HTTPConnection(machine.ip, self._directory, timeout=1.0)
-        try:
-            path = f"/endpoints?name={host}&region={REGION}&zone={machine.zone}"
-            connection.request("GET", path)
-            found: list[str] = json.loads(connection.getresponse().read())["addresses"]
-            return found
-        except (OSError, ValueError, KeyError, http.client.HTTPException):
-            return []
-        finally:
-            connection.close()
-
     def terminate(self, name: str) -> None:
         """Send a machine's process SIGTERM, as the platform does for a planned stop."""
         process = self.machines[name].process
