--- a/features/steps/hosted_crash_guard_steps.py
+++ b/features/steps/hosted_crash_guard_steps.py
@@ -26,6 +26,7 @@
 from bellweir.hosted.crashes.worker_ends import ProbeResult
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.interface import Listing, StoredRecord
+from bellweir.hosted.serving.next_attempt import NextAttempt
 from bellweir.hosted.views.workers import WorkersView
 from bellweir.membership.interface import Member, MemberState
 from bellweir.wire.interface import Sender, WireError, WireErrorKind
@@ -267,6 +268,7 @@
     context.crashes = CrashTable()
     context.guard = SharedCrashGuard(context.crashes, gateway.workers, lambda: True)
     gateway.forwarder.crashes = gateway.streams._crashes = context.guard
+    gateway.forwarder.next_attempt = NextAttempt(gateway.loads, context.guard)
 
 
 @then("no end counts")
--- a/src/bellweir/hosted/serving/client_request.py
+++ b/src/bellweir/hosted/serving/client_request.py
@@ -13,18 +13,24 @@
 from bellweir.kernel.clock import elapsed_s
 
 MAX_REPLAY_BYTES = 256 * 1024
-"""Largest body that is buffered so that the request can be retried."""
+"""Largest body that is buffered so that the request can be sent again."""
 MS_PER_S = 1000
 LOWEST_URGENCY = 9
 SET_BY_GATEWAY = frozenset({"host", "expect"})
 
 
+class BodySpentError(RuntimeError):
+    """A body that can be read once was to be sent again."""
+
+
 class PrefixedBody(io.RawIOBase):
-    """A request body of which a prefix has already been read."""
+    """A request body too long to be kept, of which a prefix has been read; it can be read once."""
 
     def __init__(self, beginning: bytes, rest: BodyPipe) -> None:
         self.beginning = beginning
         """The prefix, also once it has been read again."""
+        self.is_read = False
+        """Whether reading has begun, so that the body can't be sent from its first byte."""
         self._beginning = beginning
         self._rest = rest
 
@@ -34,6 +40,7 @@
 
     def read(self, size: int = -1) -> bytes:
         """Read a block. Raises `BodyCutError` if the client does not send the rest."""
+        self.is_read = True
         if self._beginning:
             size = len(self._beginning) if size < 0 else size
             block, self._beginning = self._beginning[:size], self._beginning[size:]
@@ -70,10 +77,17 @@
         return min(1.0, max(0.0, self.left_s() * MS_PER_S / max(1.0, self.route.timeout_ms)))
 
     @property
-    def is_replayable(self) -> bool:
-        """Whether the body is buffered, so that the request can be retried."""
+    def is_buffered(self) -> bool:
+        """Whether the whole body is kept, so that it can be sent any number of times."""
         return self.body is None or isinstance(self.body, bytes)
 
+    @property
+    def is_replayable(self) -> bool:
+        """Whether the body can be sent from its first byte, now."""
+        if isinstance(self.body, PrefixedBody):
+            return not self.body.is_read
+        return self.is_buffered
+
     def left_s(self) -> float:
         """Return the seconds left until the deadline."""
         return self.deadline_s - elapsed_s()
@@ -100,7 +114,9 @@
         return f"{self.request.raw_path}?{query}" if query else self.request.raw_path
 
     def call(self, *, gives_up_silent: bool = False) -> WorkerCall:
-        """Return the request to send to a worker."""
+        """Return the request to send to a worker. Raises `BodySpentError` if its body is spent."""
+        if isinstance(self.body, PrefixedBody) and self.body.is_read:
+            raise BodySpentError(f"the body of request {self.request_id!r} has been read")
         return WorkerCall(
             self.request.method,
             self.path,
--- a/src/bellweir/hosted/serving/forwarding.py
+++ b/src/bellweir/hosted/serving/forwarding.py
@@ -6,12 +6,11 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from bellweir.events.log import emit
 from bellweir.hosted.crashes.interface import CrashGuard, NoCrashGuard, RunEnd
 from bellweir.hosted.eligibility.interface import Exclusion
-from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.log_events import REQUEST_ANSWERED, REQUEST_GIVEN_UP
 from bellweir.hosted.queueing.gate import RequestGate
 from bellweir.hosted.queueing.interface import QueuedRequest
@@ -26,6 +25,7 @@
 from bellweir.hosted.serving.client_request import MS_PER_S, ClientRequest
 from bellweir.hosted.serving.failed_attempt import SERVER_ERROR, FailedAttempt, run_end
 from bellweir.hosted.serving.metrics import RequestMetrics
+from bellweir.hosted.serving.next_attempt import NO_WORKER, QUARANTINED, Attempts, NextAttempt
 from bellweir.hosted.serving.selection import WeightedRoundRobin, WorkerLoads
 from bellweir.hosted.usage.counter import UsageCounter
 from bellweir.hosted.views.configuration import RouteTable
@@ -49,27 +49,17 @@
 RETRY_AFTER_FULL_S = 0.2
 RETRY_AFTER_NO_WORKER_S = 0.5
 COLD_RETRY_AFTER_S = 1.0
-NO_WORKER = "no_worker"
-QUARANTINED = "quarantined"
 FULL_CAUSES = frozenset({"workers_full", "no_room"})
-MAX_SENDS = 8
-"""Maximum attempts of one request, including those that did not run."""
 MAX_LOGGED_AGE_S = 1e6
 """Age logged if the list of workers has never been current."""
 
 
-@dataclass
-class Progress:
+@dataclass(kw_only=True)
+class Progress(Attempts):
     """State of one request across its attempts."""
 
-    ran_at: set[Incarnation] = field(default_factory=set)
-    """Incarnations that may have run the request; they count towards the route's `max_attempts`."""
-    tried: set[Incarnation] = field(default_factory=set)
-    sends: int = 0
     failure: BufferedResponse | None = None
     """The latest 5xx response of a worker."""
-    may_have_run: bool = False
-    cause: str = NO_WORKER
     is_dispatching: bool = False
     """Whether the gate admitted the request and it is not yet counted at a worker."""
 
@@ -101,6 +91,7 @@
         workers from further ones.
         """
         self.crashes = crashes if crashes is not None else NoCrashGuard()
+        self.next_attempt = NextAttempt(loads, self.crashes)
         self._gate = gate
         self._wait_share = wait_share
         self._usage = usage
@@ -249,31 +240,10 @@
     def _next_worker(
         self, client: ClientRequest, groups: list[list[Worker]], progress: Progress
     ) -> Worker | None:
-        """Acquire the next worker; None if there is none or no further attempt is allowed."""
-        if client.left_s() <= 0:
-            progress.cause = "timeout"
-            return None
-        if progress.sends >= MAX_SENDS:
-            return None
-        if progress.sends and not client.is_replayable:
-            return None
-        if len(progress.ran_at) >= max(1, client.route.max_attempts):
-            return None
-        if progress.may_have_run and not self._is_idempotent(client):
-            return None
-        if progress.sends and not self.crashes.may_send_again(client):
-            return None
-        for workers in groups:
-            permitted = self.crashes.permitted(client, workers)
-            worker = self._loads.choose(permitted, progress.tried)
-            if worker is not None and self.crashes.begin_run(client, worker):
-                return worker
-            if worker is not None:
-                self._loads.release(worker.incarnation)
-        if not progress.sends and self.crashes.is_restricted(client):
-            self.crashes.record_refusal(client)
-            progress.cause = QUARANTINED
-        return None
+        may_run_again = self._is_idempotent(client)
+        return self.next_attempt.acquire_worker(
+            client, groups, progress, may_run_again=may_run_again
+        )
 
     def _is_idempotent(self, client: ClientRequest) -> bool:
         return client.route.kind is RouteKind.IDEMPOTENT
@@ -286,8 +256,6 @@
         cancellation: Cancellation,
     ) -> AttemptOutcome:
         incarnation = worker.incarnation
-        progress.tried.add(incarnation)
-        progress.sends += 1
         began_s = self._now_s()
         left_s = client.left_s()
         timeout_s = self._attempt_timeout_s(client, worker, progress, left_s)
@@ -300,7 +268,6 @@
         except BaseException:
             self._loads.release(incarnation)
             self.crashes.record_end(client, worker, RunEnd.OTHER)
-            progress.may_have_run = True
             raise
         seconds = self._now_s() - began_s
         is_cancelled = cancellation.cancelled.is_set()
@@ -316,7 +283,7 @@
     ) -> float:
         """Return the timeout of an attempt; all the time left if no retry is possible."""
         attempts_left = client.route.max_attempts - len(progress.ran_at)
-        if not self._is_idempotent(client) or attempts_left <= 1 or not client.is_replayable:
+        if not self._is_idempotent(client) or attempts_left <= 1 or not client.is_buffered:
             return left_s
         service = worker.entry.service
         if not self._loads.may_retry(service):
@@ -348,8 +315,7 @@
         if outcome.state in (AttemptState.ANSWERED, AttemptState.UNKNOWN):
             if not progress.may_have_run:
                 self.count_usage(client, self._now_s() - seconds)
-            progress.ran_at.add(incarnation)
-            progress.may_have_run = True
+            progress.record_possible_run(incarnation)
         response = outcome.response
         is_answered = outcome.state is AttemptState.ANSWERED
         if is_answered:
--- a/src/bellweir/hosted/serving/streams.py
+++ b/src/bellweir/hosted/serving/streams.py
@@ -7,14 +7,13 @@
 
 import http.client
 from collections.abc import Callable, Generator, Iterator
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from bellweir.clients.open_answer import OpenAnswer
 from bellweir.clients.pool import is_end_by_peer
 from bellweir.events.log import emit
 from bellweir.hosted.crashes.interface import RunEnd
 from bellweir.hosted.event_stream import EventSplitter, EventTooLongError
-from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.log_events import (
     CLIENT_LEFT,
     REQUEST_ANSWERED,
@@ -35,12 +34,11 @@
 from bellweir.hosted.serving.client_request import MS_PER_S, ClientRequest
 from bellweir.hosted.serving.failed_attempt import SERVER_ERROR, FailedAttempt, run_end
 from bellweir.hosted.serving.forwarding import (
-    MAX_SENDS,
-    QUARANTINED,
     Forwarder,
     default_retry_after_s,
     gateway_response,
 )
+from bellweir.hosted.serving.next_attempt import QUARANTINED, Attempts
 from bellweir.hosted.serving.selection import WorkerLoads
 from bellweir.hosted.sight.interface import ObservedOutcome
 from bellweir.hosted.views.configuration import RouteTable
@@ -59,19 +57,15 @@
     """The stream was interrupted and could not be resumed."""
 
 
-@dataclass
-class _Stream:
+@dataclass(kw_only=True)
+class _Stream(Attempts):
     """State of one client's stream across its attempts."""
 
     client: ClientRequest
     table: RouteTable
-    groups: list[list[Worker]]
-    cancellation: Cancellation
-    tried: set[Incarnation]
-    ran_at: set[Incarnation]
-    sends: int = 0
+    groups: list[list[Worker]] = field(default_factory=list)
+    cancellation: Cancellation = field(default_factory=Cancellation)
     last_event_id: int | None = None
-    cause: str = "no_worker"
     retry_after_s: float | None = None
     """Retry-After of a stream that has not run; None: by its cause."""
     worker: Worker | None = None
@@ -81,7 +75,7 @@
     @property
     def may_resume(self) -> bool:
         """Whether another worker may run the request although one may have started it."""
-        return self.client.route.can_resume and self.client.is_replayable
+        return self.client.route.can_resume and self.client.is_buffered
 
 
 class _StreamChunks:
@@ -131,11 +125,11 @@
         left_s = self._crashes.quarantine_left_s(client)
         if left_s > 0:
             self._crashes.record_refusal(client)
-            stream = _Stream(client, table, [], Cancellation(), set(), set())
+            stream = _Stream(client=client, table=table)
             stream.cause, stream.retry_after_s = QUARANTINED, left_s
             return self._end_without_stream(stream, None)
         groups = self._forwarder.candidates(client, table)
-        stream = _Stream(client, table, groups, Cancellation(), set(), set())
+        stream = _Stream(client=client, table=table, groups=groups)
         unavailable = None if any(groups) else self._forwarder.unavailability(client, table)
         if unavailable is not None:
             stream.cause, stream.retry_after_s = unavailable
@@ -160,23 +154,20 @@
         """Open the stream at a worker; otherwise return the last 5xx response, if any."""
         failure: BufferedResponse | None = None
         while (worker := self._next_worker(stream)) is not None:
-            stream.tried.add(worker.incarnation)
-            stream.sends += 1
             left_s = stream.client.left_s()
             began_s = elapsed_s()
             attempt = self._connections.open(
                 worker, _worker_call(stream), left_s, left_s * MS_PER_S, stream.cancellation
             )
-            if not stream.ran_at and attempt.state in POSSIBLY_RUN_STATES:
-                self._forwarder.count_usage(stream.client, began_s)
-            if attempt.state is AttemptState.ANSWERED and attempt.opened is not None:
-                stream.ran_at.add(worker.incarnation)
-                if attempt.opened.status < SERVER_ERROR:
-                    stream.worker = worker
-                    stream.head_s = elapsed_s() - began_s
-                    return attempt.opened
-            elif attempt.state is AttemptState.UNKNOWN:
-                stream.ran_at.add(worker.incarnation)
+            if attempt.state in POSSIBLY_RUN_STATES:
+                if not stream.may_have_run:
+                    self._forwarder.count_usage(stream.client, began_s)
+                stream.record_possible_run(worker.incarnation)
+            opened = attempt.opened if attempt.state is AttemptState.ANSWERED else None
+            if opened is not None and opened.status < SERVER_ERROR:
+                stream.worker = worker
+                stream.head_s = elapsed_s() - began_s
+                return opened
             failure = self._record_failed_attempt(stream, worker, attempt) or failure
         return failure
 
@@ -203,28 +194,19 @@
         return response if state is AttemptState.ANSWERED else None
 
     def _next_worker(self, stream: _Stream) -> Worker | None:
-        client = stream.client
-        on_end = stream.cancellation.cancelled.is_set() or client.left_s() <= 0
-        if on_end or stream.sends >= MAX_SENDS:
-            return None
-        if stream.ran_at and not stream.may_resume:
-            return None
-        if len(stream.ran_at) >= max(1, client.route.max_attempts):
-            return None
-        if stream.sends and not self._crashes.may_send_again(client):
+        if stream.cancellation.cancelled.is_set():
             return None
-        for workers in stream.groups:
-            permitted = self._crashes.permitted(client, workers)
-            worker = self._loads.choose(permitted, stream.tried, is_budgeted=not stream.ran_at)
-            if worker is not None and self._crashes.begin_run(client, worker):
-                return worker
-            if worker is not None:
-                self._loads.release(worker.incarnation)
-        if not stream.sends and self._crashes.is_restricted(client):
-            self._crashes.record_refusal(client)
-            stream.cause = QUARANTINED
-            stream.retry_after_s = self._crashes.quarantine_left_s(client) or None
-        return None
+        # A stream that goes on repeats no work, so it is not charged to the retry budget.
+        worker = self._forwarder.next_attempt.acquire_worker(
+            stream.client,
+            stream.groups,
+            stream,
+            may_run_again=stream.may_resume,
+            is_budgeted=not stream.may_have_run,
+        )
+        if worker is None and stream.cause == QUARANTINED:
+            stream.retry_after_s = self._crashes.quarantine_left_s(stream.client) or None
+        return worker
 
     def _abandon(self, stream: _Stream, opened: OpenAnswer, watched: Watched) -> None:
         """End a stream of which nothing was forwarded and nothing will be."""
--- a/src/bellweir_rehearsal/hosted/http_stand_in.py
+++ b/src/bellweir_rehearsal/hosted/http_stand_in.py
@@ -5,11 +5,22 @@
 import socket
 import struct
 import threading
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any, ClassVar
 from urllib.parse import parse_qs, unquote, urlsplit
 
+BLOCK_BYTES = 64 * 1024
+
+
+class BodyBrokenError(ConnectionError):
+    """A request's body ended early, or other bytes came where it was due."""
+
+    def __init__(self, what: str, found: bytes = b"") -> None:
+        super().__init__(what)
+        self.found = found
+        """Bytes that are not of the body; empty if the connection ended."""
+
 
 class StandInHandler(BaseHTTPRequestHandler):
     """One connection; answers carry a length."""
@@ -23,17 +34,36 @@
 
     def read_body(self) -> bytes:
         """The request's body, chunked or with a length."""
-        if "chunked" in self.headers.get("Transfer-Encoding", ""):
-            return self._read_chunks()
-        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
+        return b"".join(self.body_blocks())
 
-    def _read_chunks(self) -> bytes:
-        pieces = []
-        while size := int(self.rfile.readline().split(b";")[0], 16):
-            pieces.append(self.rfile.read(size))
+    def body_blocks(self) -> Iterator[bytes]:
+        """Read the request's body block by block. Raises `BodyBrokenError` where it is cut."""
+        if "chunked" in self.headers.get("Transfer-Encoding", ""):
+            yield from self._chunks()
+            return
+        left = int(self.headers.get("Content-Length") or 0)
+        while left:
+            block = self.rfile.read(min(left, BLOCK_BYTES))
+            if not block:
+                raise BodyBrokenError(f"{left} bytes are missing")
+            left -= len(block)
+            yield block
+
+    def _chunks(self) -> Iterator[bytes]:
+        while size := self._chunk_size():
+            chunk = self.rfile.read(size)
+            if len(chunk) < size:
+                raise BodyBrokenError(f"{size - len(chunk)} bytes of a chunk are missing")
             self.rfile.readline()
+            yield chunk
         self.rfile.readline()
-        return b"".join(pieces)
+
+    def _chunk_size(self) -> int:
+        line = self.rfile.readline()
+        try:
+            return int(line.split(b";")[0], 16)
+        except ValueError as exc:
+            raise BodyBrokenError(f"{line[:60]!r} in place of a chunk's size", line) from exc
 
     def answer(
         self, status: int, body: bytes = b"", headers: Mapping[str, str] | None = None
--- a/src/bellweir_rehearsal/hosted/worker.py
+++ b/src/bellweir_rehearsal/hosted/worker.py
@@ -4,16 +4,22 @@
 for whoever checks it; the worker itself knows nothing of before but its version.
 """
 
+import hashlib
 import json
 import threading
 import time
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Any
 
 from bellweir.hosted.incarnation import Incarnation
-from bellweir_rehearsal.hosted.http_stand_in import StandInHandler, StandInServer
+from bellweir_rehearsal.hosted.http_stand_in import (
+    BodyBrokenError,
+    StandInHandler,
+    StandInServer,
+)
 from bellweir_rehearsal.hosted.text_runs import BY_RUN
 
 STREAM_TYPE = "text/event-stream"
@@ -25,12 +31,27 @@
 MS_PER_S = 1000
 
 
+class EarlyEnd(Enum):
+    """What a worker does before it has read the whole body of a request."""
+
+    REFUSE = "refuses"
+    """Answer that it was not run, keep the connection and read the rest."""
+    REFUSE_AND_CLOSE = "refuses and closes"
+    RESET = "resets"
+    SILENCE = "is silent"
+    """Read no more and answer nothing until the connection ends."""
+
+
 @dataclass
 class WorkerFaults:
     """Faults in force; each number counts down with every request that it strikes."""
 
     refuse: int = 0
     """Answer that the request was not run."""
+    early: int = 0
+    """End requests before their bodies are read, as `early_end` says, after `early_bytes`."""
+    early_end: EarlyEnd = EarlyEnd.REFUSE
+    early_bytes: int = 0
     lose_answer: int = 0
     """Run it and reset the connection."""
     cut_answers: int = 0
@@ -82,6 +103,32 @@
     """Monotonic time."""
 
 
+@dataclass(frozen=True)
+class ReceivedBody:
+    """What a worker received where the body of a request was due."""
+
+    request_id: str
+    size: int
+    """Bytes."""
+    digest: str
+    """SHA-256 of these bytes, in hexadecimal."""
+
+    def is_of(self, body: bytes, *, is_whole: bool) -> bool:
+        """Whether these are the bytes of a body, or its first ones if it need not be whole."""
+        if is_whole and self.size != len(body):
+            return False
+        return self == received_body(self.request_id, body[: self.size])
+
+
+def received_body(request_id: str, body: bytes) -> ReceivedBody:
+    """Return the record of a body.
+
+    >>> received_body("a", b"text").is_of(b"text and more", is_whole=False)
+    True
+    """
+    return ReceivedBody(request_id, len(body), hashlib.sha256(body).hexdigest())
+
+
 @dataclass
 class WorkerRecord:
     """What a worker has seen."""
@@ -109,6 +156,10 @@
     """Monotonic time at which each request last began or ended to run."""
     headers: dict[str, dict[str, str]] = field(default_factory=dict)
     """Headers of what ran, by request id; names in lower case."""
+    run_bodies: list[ReceivedBody] = field(default_factory=list)
+    """Bodies of what ran."""
+    unrun_bodies: list[ReceivedBody] = field(default_factory=list)
+    """What came of the bodies of requests that were ended early or cut."""
 
 
 class FormerStartError(ConnectionError):
@@ -178,8 +229,8 @@
 
             def do_POST(self) -> None:
                 """An order or a request."""
-                body = self.read_body()
-                if not stand_in._is_heard(self):
+                body = stand_in._receive(self)
+                if body is None or not stand_in._is_heard(self):
                     return
                 if self.path == "/api/order":
                     stand_in._take_order(self, json.loads(body))
@@ -366,6 +417,50 @@
             self.record.orders.append(TakenOrder(holder, fence, order["model"], order["version"]))
             return 202
 
+    def _receive(self, handler: StandInHandler) -> bytes | None:
+        """Read a body; None if its request was ended early, or its connection."""
+        request_id = handler.headers.get("X-Bellweir-Attempt-Id", "")
+        ends_early = handler.path != "/api/order" and self.faults.strikes("early")
+        received = bytearray()
+        try:
+            blocks = handler.body_blocks()
+            while ends_early and len(received) < self.faults.early_bytes:
+                block = next(blocks, b"")
+                received += block
+                ends_early = bool(block)
+            if ends_early and not self._end_early(handler, request_id):
+                self.record.unrun_bodies.append(received_body(request_id, bytes(received)))
+                return None
+            for block in blocks:
+                received += block
+        except BodyBrokenError as exc:
+            received += exc.found
+            handler.close_connection = True
+            self.record.unrun_bodies.append(received_body(request_id, bytes(received)))
+            return None
+        if ends_early:
+            self.record.unrun_bodies.append(received_body(request_id, bytes(received)))
+            return None
+        return bytes(received)
+
+    def _end_early(self, handler: StandInHandler, request_id: str) -> bool:
+        """End a request amid its body; whether the rest of it is still read."""
+        end = self.faults.early_end
+        if end is EarlyEnd.RESET:
+            handler.reset()
+            return False
+        if end is EarlyEnd.SILENCE:
+            time.sleep(SILENCE_S)
+            handler.close_connection = True
+            return False
+        self.record.refusals += 1
+        refused = {"X-Bellweir-Attempt-Id": request_id, "X-Bellweir-Not-Executed": "1"}
+        if end is EarlyEnd.REFUSE_AND_CLOSE:
+            handler.close_connection = True
+            refused["Connection"] = "close"
+        handler.answer(503, b"", refused)
+        return end is EarlyEnd.REFUSE
+
     def _run(self, handler: StandInHandler, body: bytes) -> None:
         request_id = handler.headers.get("X-Bellweir-Attempt-Id", "")
         expected = handler.headers.get("X-Bellweir-Expect-Instance")
@@ -382,6 +477,7 @@
             self.record.ran[request_id] += 1
             found = {name.lower(): value for name, value in handler.headers.items()}
             self.record.headers[request_id] = found
+            self.record.run_bodies.append(received_body(request_id, body))
         self._on_run(request_id)
         self._count_run(request_id, 1)
         try:
