--- a/features/hosted_long_bodies.feature
+++ b/features/hosted_long_bodies.feature
@@ -51,3 +51,14 @@
       | workers       | route  |
       | workers       | single |
       | model workers | stream |
+
+  # Guards against a connection that is used again although a body on it ended early.
+  Scenario Outline: A body that does not have the declared length
+    When a body of <size> bytes is sent to a worker with a declared length of 400000
+    Then the call fails, and the next one is answered
+
+    Examples:
+      | size   |
+      | 0      |
+      | 399999 |
+      | 400001 |
--- a/features/steps/hosted_long_bodies_steps.py
+++ b/features/steps/hosted_long_bodies_steps.py
@@ -1,13 +1,18 @@
 """Long bodies of requests at a hosted gateway whose workers end requests early."""
 
+import io
+
 import hypothesis.strategies as st
 from behave import given as given_step
 from behave import then, when
 from features.steps.hosted_forwarding_steps import prefer_first
 from hypothesis import given, settings
 
+from bellweir.clients.connection import BodyLengthError
+from bellweir.clients.pool import ConnectionPool, HttpCall
 from bellweir.hosted.serving.client_request import MAX_REPLAY_BYTES
-from bellweir_rehearsal.hosted.worker import EarlyEnd
+from bellweir_platform.headers import HEADERS
+from bellweir_rehearsal.hosted.worker import EarlyEnd, answer_to, received_body
 
 CHUNK_BYTES = 50_000
 ENDS = {end.value: end for end in EarlyEnd}
@@ -106,3 +111,27 @@
         check_bodies(context)
 
     bodies_always()
+
+
+@when("a body of {size:d} bytes is sent to a worker with a declared length of {declared:d}")
+def when_length_differs(context, size, declared):
+    worker = context.workers["a"]
+    context.pool = ConnectionPool(worker.address)
+    context.cleanup.callback(context.pool.close)
+    call = HttpCall("POST", "/single/x", 5.0, {"Content-Length": str(declared)})
+    context.failure = None
+    try:
+        context.pool.open(call, io.BytesIO(text_of_size(size)))
+    except BodyLengthError as exc:
+        context.failure = exc
+
+
+@then("the call fails, and the next one is answered")
+def then_not_used(context):
+    assert context.failure is not None
+    assert not context.pool.has_idle()
+    call = HttpCall("POST", "/single/x", 5.0, {HEADERS.request_id: "next"}, SHORT_BODY)
+    answer = context.pool.call(call).unwrap()
+    assert answer.body == answer_to("next", SHORT_BODY), answer
+    runs = context.workers["a"].record.run_bodies
+    assert runs == [received_body("next", SHORT_BODY)], runs
--- a/src/bellweir/clients/connection.py
+++ b/src/bellweir/clients/connection.py
@@ -266,15 +266,36 @@
         """What the reader raised."""
 
 
+class BodyLengthError(ValueError):
+    """A request body does not have the length that its head declares."""
+
+
 class RequestBody:
-    """A request body read from a file, whose failures are told from those of the connection."""
+    """A request body read from a file, whose failures are told from those of the connection.
+
+    With a `declared` length in bytes it ends in a failure if the file has fewer or more: what is
+    sent next on the connection would be taken for the rest of the body, or the body for a request.
+    """
 
-    def __init__(self, file: BinaryIO) -> None:
+    def __init__(self, file: BinaryIO, declared: int | None = None) -> None:
         self._file = file
+        self._declared = declared
+        self._sent = 0
 
     def read(self, size: int = -1) -> bytes:
-        """Read a block; raises `BodyReadError` when the file does."""
+        """Read a block; raises `BodyReadError` when the file does, or has another length."""
         try:
-            return self._file.read(min(size, READ_BLOCK_BYTES) if size > 0 else READ_BLOCK_BYTES)
+            block = self._file.read(min(size, READ_BLOCK_BYTES) if size > 0 else READ_BLOCK_BYTES)
+            self._count(block)
         except Exception as failure:
             raise BodyReadError(failure) from failure
+        return block
+
+    def _count(self, block: bytes) -> None:
+        self._sent += len(block)
+        declared = self._declared
+        if declared is None:
+            return
+        if self._sent > declared or (not block and self._sent < declared):
+            found = f"{self._sent} bytes, or more" if block else f"{self._sent} bytes"
+            raise BodyLengthError(f"found a body of {found}, declared {declared}")
--- a/src/bellweir/clients/pool.py
+++ b/src/bellweir/clients/pool.py
@@ -289,7 +289,7 @@
     long for it. Its answer is there to be read although writing has failed.
     """
     try:
-        connection.request(call.method, call.path, _as_sent(body), dict(call.headers))
+        connection.request(call.method, call.path, _as_sent(call, body), dict(call.headers))
         connection.flush()
     except ConnectionError:
         if not connection.deadline_socket.bytes_written:
@@ -298,8 +298,12 @@
     return True
 
 
-def _as_sent(body: BinaryIO | bytes | None) -> RequestBody | bytes | None:
-    return body if body is None or isinstance(body, bytes) else RequestBody(body)
+def _as_sent(call: HttpCall, body: BinaryIO | bytes | None) -> RequestBody | bytes | None:
+    if body is None or isinstance(body, bytes):
+        return body
+    lengths = (value for name, value in call.headers.items() if name.lower() == "content-length")
+    declared = next(lengths, None)
+    return RequestBody(body, int(declared) if declared is not None else None)
 
 
 def is_end_by_peer(failure: BaseException) -> bool:
