Streams: a client that leaves amid its long body gives its place at the worker back

What callers saw: nothing at once. Each client of a streaming route that left, or was too slow, in the middle of a body of over 256 KB kept a place at its worker taken for good at that gateway, and its run open for the crash guard: the worker got ever less work from there.

Cause: StreamForwarder._open did not release the worker when reading the client's body raises; Forwarder._attempt does.

Evidence: the rows of this test on streaming routes, on: "no request in flight at a worker" not within 30 s; the rows on plain routes passed.

Change: _open_attempt releases the worker and records the run's end when anything is raised.

Test: "A client that leaves in the middle of a long body", both framings, all kinds of route; 2 of its 4 rows failed on, 4 pass now.

--- a/features/hosted_long_bodies.feature
+++ b/features/hosted_long_bodies.feature
@@ -62,3 +62,17 @@
       | 0      |
       | 399999 |
       | 400001 |
+
+  # Guards against a place at a worker that stays taken once a client has left amid its body.
+  Scenario Outline: A client that leaves in the middle of a long body
+    Given <workers> behind the gateway
+    When a client sends <sent> of 900000 bytes <framed> to the <route> route and leaves
+    Then no request is in flight at a worker, and no client is watched
+    And no worker ran it
+
+    Examples:
+      | workers       | sent   | framed        | route      |
+      | model workers | 300000 | in chunks     | stream     |
+      | model workers | 800000 | with a length | resumable  |
+      | workers       | 300000 | in chunks     | idempotent |
+      | workers       | 800000 | with a length | single     |
--- a/features/steps/hosted_long_bodies_steps.py
+++ b/features/steps/hosted_long_bodies_steps.py
@@ -1,11 +1,13 @@
 """Long bodies of requests at a hosted gateway whose workers end requests early."""
 
 import io
+import socket
 
 import hypothesis.strategies as st
 from behave import given as given_step
 from behave import then, when
 from features.steps.hosted_forwarding_steps import prefer_first
+from features.support.hosted_jobs import HOST
 from hypothesis import given, settings
 
 from bellweir.clients.connection import BodyLengthError
@@ -135,3 +137,28 @@
     assert answer.body == answer_to("next", SHORT_BODY), answer
     runs = context.workers["a"].record.run_bodies
     assert runs == [received_body("next", SHORT_BODY)], runs
+
+
+@when("a client sends {sent:d} of {size:d} bytes {framed} to the {route} route and leaves")
+def when_left(context, sent, size, framed, route):
+    is_chunked = framed == "in chunks"
+    framing = "Transfer-Encoding: chunked" if is_chunked else f"Content-Length: {size}"
+    lines = (f"POST /{route}/x HTTP/1.1", f"Host: {HOST}", f"{HEADERS.request_id}: left", framing)
+    head = "\r\n".join((*lines, "", ""))
+    body = text_of_size(size)
+    begun = b"%x\r\n%s" % (size, body[:sent]) if is_chunked else body[:sent]
+    host, port = context.gateway.address.split(":")
+    with socket.create_connection((host, int(port))) as connection:
+        connection.sendall(head.encode() + begun)
+        context.wait_until(lambda: places_taken(context) == 1, "the request to be sent on")
+
+
+def places_taken(context):
+    loads, workers = context.gateway.loads, context.gateway.workers.all()
+    return sum(loads.in_flight(worker.incarnation) for worker in workers)
+
+
+@then("no worker ran it")
+def then_not_run(context):
+    runs = [one for worker in context.workers.values() for one in worker.record.run_bodies]
+    assert not runs, runs
--- a/src/bellweir/hosted/serving/streams.py
+++ b/src/bellweir/hosted/serving/streams.py
@@ -154,11 +154,8 @@
         """Open the stream at a worker; otherwise return the last 5xx response, if any."""
         failure: BufferedResponse | None = None
         while (worker := self._next_worker(stream)) is not None:
-            left_s = stream.client.left_s()
             began_s = elapsed_s()
-            attempt = self._connections.open(
-                worker, _worker_call(stream), left_s, left_s * MS_PER_S, stream.cancellation
-            )
+            attempt = self._open_attempt(stream, worker)
             if attempt.state in POSSIBLY_RUN_STATES:
                 if not stream.may_have_run:
                     self._forwarder.count_usage(stream.client, began_s)
@@ -171,6 +168,18 @@
             failure = self._record_failed_attempt(stream, worker, attempt) or failure
         return failure
 
+    def _open_attempt(self, stream: _Stream, worker: Worker) -> OpenedAttempt:
+        """Send the request to an acquired worker, which is released if the client's body is cut."""
+        left_s = stream.client.left_s()
+        try:
+            return self._connections.open(
+                worker, _worker_call(stream), left_s, left_s * MS_PER_S, stream.cancellation
+            )
+        except BaseException:
+            self._loads.release(worker.incarnation)
+            self._crashes.record_end(stream.client, worker, RunEnd.OTHER)
+            raise
+
     def _record_failed_attempt(
         self, stream: _Stream, worker: Worker, attempt: OpenedAttempt
     ) -> BufferedResponse | None:
