Stops: a process is gone before SIGKILL, whatever of it hangs

What callers saw: a process that was told to stop, and of which something waited (a start, a drain, a stop of one service), was killed at the end of its grace period with whatever it had in hand.

Cause: nothing bounded the whole stop. The grace period was counted from the begin of the drain, not from the signal, so a signal during the start or a reload lost that time; the drain got at least 0.5 s, however short the grace period; behind the drain stop() of each service had time-outs of its own (request threads 5 s, ledger tasks 5 s, a start of the ledger 5 s, usage 0.4 s), which add up.

Besides, the signal handlers set events, which take a lock that the interrupted main thread may hold in wait() or clear(): by reading, not seen. They now put into a SimpleQueue, which is made for it, and set plain attributes.

Change: StopTimes gives the moments of a stop by the signal and the grace period: serving ends at 7/8 of it (0.7 s before its end at most), the process at 11/12 (0.3 s at most). StopGuard is a task that ends the process at that moment, also during the start. process_stopped says so with left_running 1. A grace period of less than 1 s is refused by the settings: in 83 ms a busy machine can't be relied upon to let a process go.

Test: features/hosted_stop.feature, processes of both roles, grace periods of 1 to 4 s, a service that hangs in its start, drain or stop.

--- /dev/null
+++ b/features/hosted_stop.feature
@@ -0,0 +1,34 @@
+Feature: A planned stop uses the grace period, and no more than it
+  SIGTERM is followed by SIGKILL after `gracePeriodS`. Requests in hand are served into its last
+  sixth; the process is gone before its end, whatever hangs.
+
+  # Guards against margins that take more than a sixth of a grace period.
+  Scenario: The times of a stop
+    Then for any grace period requests are served into its last sixth, and the process is gone before its end
+
+  # Guards against store machines that outlast their grace period.
+  Scenario Outline: A store machine is stopped
+    Given hosted processes with a grace period of <grace> s
+    When the store machine that leads the batch jobs gets SIGTERM
+    Then the process is gone before the end of the grace period with exit code 0
+
+    Examples:
+      | grace |
+      | 1     |
+      | 4     |
+
+  # Guards against stops that end in SIGKILL since something in the process waits.
+  Scenario Outline: A process in which something hangs
+    Given a hosted process with a grace period of <grace> s whose service hangs in its <phase>
+    When it gets SIGTERM
+    Then the process is gone before the end of the grace period with exit code 0
+    And its log says that the stop was cut short
+
+    Examples:
+      | grace | phase |
+      | 1     | start |
+      | 2     | drain |
+      | 1.5   | stop  |
+
+  Scenario: A grace period that is too short to stop in
+    Then settings with a grace period below 1 s are refused
--- /dev/null
+++ b/features/steps/hosted_stop_steps.py
@@ -0,0 +1,150 @@
+"""Planned stops of hosted processes."""
+
+import http.client
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import hypothesis.strategies as st
+from behave import given as given_step
+from behave import then, when
+from features.steps.hosted_settings_steps import changed
+from features.support import hanging_process
+from features.support.waiting import wait_until
+from hypothesis import given, settings
+
+from bellweir.hosted.settings import MIN_GRACE_PERIOD_S, parse_settings
+from bellweir.hosted.stop_times import StopTimes
+from bellweir.settings.findings import SettingsError
+from bellweir_rehearsal.hosted.clients import Client, Trainer, configuration
+from bellweir_rehearsal.hosted.deployment import HostedDeployment
+
+LAST_SIXTH = 5 / 6
+EVENT_PAUSE_S = 0.04
+FIRST_END, LAST_END = 0.3, 0.97
+"""When the first and the last stream would end, as shares of the grace period."""
+STREAM_TIMEOUT_MS = 60_000
+STOPPED = "gateway-0"
+
+
+@then(
+    "for any grace period requests are served into its last sixth, and the process is gone "
+    "before its end"
+)
+def then_times(context):
+    @settings(max_examples=300)
+    @given(grace_s=st.floats(MIN_GRACE_PERIOD_S, 100_000.0))
+    def fits(grace_s):
+        times = StopTimes(0.0, grace_s)
+        assert LAST_SIXTH * grace_s < times.serve_until_s < times.exit_by_s < grace_s
+
+    fits()
+
+
+@given_step("hosted processes with a grace period of {grace:g} s")
+def given_processes(context, grace):
+    deployment = HostedDeployment(context.folder, 2, 3, 3, 1, grace_period_s=grace)
+    context.deployment, context.grace_s = deployment, grace
+    context.cleanup.callback(deployment.close)
+    shown = configuration(1)
+    for route in shown["routes"]:
+        if route["kind"] == "streaming":
+            route["timeoutMs"] = STREAM_TIMEOUT_MS
+    deployment.store.records.put("config", "main", shown)
+    deployment.start()
+    for name in deployment.names("gateway"):
+        wait_until(lambda name=name: is_ready(deployment.address(name, "ready")), f"{name} ready")
+
+
+def is_ready(address):
+    connection = http.client.HTTPConnection(address, timeout=1.0)
+    try:
+        connection.request("GET", "/ready")
+        return connection.getresponse().status == 200
+    except (OSError, http.client.HTTPException):
+        return False
+    finally:
+        connection.close()
+
+
+def await_end(context):
+    """Wait for the process as long as the platform would before SIGKILL."""
+    left_s = context.signalled_s + context.grace_s - time.monotonic()
+    try:
+        context.exit_code = context.process.wait(max(0.0, left_s))
+    except subprocess.TimeoutExpired:
+        context.exit_code = None
+        context.process.kill()
+
+
+@then("the process is gone before the end of the grace period with exit code 0")
+def then_gone(context):
+    assert context.exit_code == 0, f"exit code {context.exit_code}"
+
+
+@when("the store machine that leads the batch jobs gets SIGTERM")
+def when_store_stopped(context):
+    deployment = context.deployment
+    Trainer(Client(deployment)).begin_step()
+    stores = deployment.names("store")
+
+    def leader():
+        lines = {name: deployment.machines[name].log_of_life() for name in stores}
+        return next((name for name in stores if "shard_leads" in lines[name]), stores[0])
+
+    name = leader()
+    context.process = deployment.machines[name].process
+    context.signalled_s = time.monotonic()
+    deployment.signal(name, signal.SIGTERM)
+    await_end(context)
+
+
+@given_step(
+    "a hosted process with a grace period of {grace:g} s whose service hangs in its {phase}"
+)
+def given_hanging(context, grace, phase):
+    deployment = HostedDeployment(context.folder, 1, 1, 1, 0, grace_period_s=grace)
+    context.cleanup.callback(deployment.close)
+    context.grace_s, context.phase = grace, phase
+    context.log = Path(context.folder) / "hanging.log"
+    environment = {
+        **os.environ,
+        "BELLWEIR_CONFIG": str(deployment.write_settings(STOPPED)),
+        "HANGS_IN": phase,
+    }
+    with context.log.open("wb") as log:
+        context.process = subprocess.Popen(
+            [sys.executable, hanging_process.__file__], stdout=log, env=environment
+        )
+    context.cleanup.callback(context.process.kill)
+
+
+@when("it gets SIGTERM")
+def when_terminated(context):
+    wanted = hanging_process.MARKER if context.phase == "start" else "process_started"
+    wait_until(lambda: wanted in context.log.read_text(encoding="utf-8"), wanted)
+    context.signalled_s = time.monotonic()
+    context.process.send_signal(signal.SIGTERM)
+    await_end(context)
+
+
+@then("its log says that the stop was cut short")
+def then_cut_short(context):
+    lines = context.log.read_text(encoding="utf-8").splitlines()
+    (stopped,) = [line for line in lines if '"process_stopped"' in line]
+    assert '"left_running": 1' in stopped, stopped
+
+
+@then("settings with a grace period below 1 s are refused")
+def then_too_short(context):
+    for grace_s in (0, -1, 0.5, 0.99):
+        try:
+            parse_settings(changed(context, bounds__gracePeriodS=grace_s))
+        except SettingsError as exc:
+            assert [each.key_path for each in exc.findings] == ["bounds.gracePeriodS"]
+        else:
+            raise AssertionError(f"{grace_s} is accepted")
+    parse_settings(changed(context, bounds__gracePeriodS=1))
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -21,7 +21,8 @@
     "process_stopped",
     Level.INFO,
     ("seconds", "left_running"),
-    "The process exits.",
+    "The process exits, `seconds` after it was to stop; `left_running` is 1 if its stop was cut "
+    "short at the end of the grace period.",
     is_final=True,
 )
 SETTINGS_RELOADED = Event(
--- a/src/bellweir/hosted/process.py
+++ b/src/bellweir/hosted/process.py
@@ -1,7 +1,9 @@
 """Composition root of a hosted process: services of its role, signals, graceful shutdown."""
 
+import contextlib
 import importlib
 import os
+import queue
 import signal
 import sys
 import threading
@@ -10,7 +12,7 @@
 from pathlib import Path
 from types import FrameType
 
-from bellweir.events.bounded import BoundedLog
+from bellweir.events.bounded import WAIT_TIMEOUT_S, BoundedLog
 from bellweir.events.log import bind_node, configure_logs, emit
 from bellweir.hosted.crashes.service import CrashService
 from bellweir.hosted.entries import EntryValidator
@@ -33,6 +35,7 @@
     LoadedSettings,
     load_settings,
 )
+from bellweir.hosted.stop_times import StopGuard, StopTimes
 from bellweir.hosted.store_calls import CountingStore
 from bellweir.hosted.validating_store import ValidatingStore
 from bellweir.hosted.views.relay import FIRST_START_SEED_WAIT_S, SEED_WAIT_S
@@ -51,9 +54,9 @@
 SETTINGS_VARIABLE = "BELLWEIR_CONFIG"
 ADAPTER_MODULE = "bellweir_platform.adapter"
 EXIT_USAGE = 2
-EXIT_MARGIN_S = 0.7
-"""Part of the grace period reserved for the shutdown after draining."""
-
+WAKE_INTERVAL_S = 1.0
+LAST_LINES_S = 0.1
+"""Time for writing the last log lines of a stop that is cut short."""
 
 RoleService = Callable[[Kernel, HostedSettings, HostingPlatform], Service]
 
@@ -69,9 +72,11 @@
         self._path = path
         settings = loaded.settings
         self._settings = settings
-        self._stop_requested = threading.Event()
-        self._reload_requested = threading.Event()
-        self._wake = threading.Event()
+        # Signal handlers must take no lock that the interrupted thread may hold, as an event's.
+        self._wakes: queue.SimpleQueue[None] = queue.SimpleQueue()
+        self._is_reload_requested = False
+        self._guard = StopGuard(settings.bounds.grace_period_s, self._end_unfinished)
+        self._exit_lock = threading.Lock()
         self.kernel = Kernel(_bind(settings))
         self._register(settings, platform)
 
@@ -96,31 +101,45 @@
             add(make(kernel, settings, platform))
 
     def run(self, started_s: float) -> None:
-        """Start, serve until SIGTERM or a fatal service failure, then stop in the grace period."""
+        """Start, serve until SIGTERM or a fatal service failure, then stop in the grace period.
+
+        The grace period begins with the signal, also if that comes during the start.
+        """
         signal.signal(signal.SIGTERM, self._on_stop)
         signal.signal(signal.SIGINT, self._on_stop)
         signal.signal(signal.SIGHUP, self._on_reload)
-        self.kernel.ending.listen(self._wake.set)
-        self.kernel.registry.start()
+        self.kernel.ending.listen(self._wake)
+        self.kernel.executors.run_task("stop-guard", self._guard.run)
+        try:
+            self.kernel.registry.start()
+        except BaseException:
+            self._guard.cancel()
+            raise
         node = self._settings.node
         start_ms = round(1000 * (elapsed_s() - started_s))
         emit(PROCESS_STARTED, role=node.role, zone=node.zone, start_ms=start_ms)
-        while not self._stop_requested.is_set() and self.kernel.ending.cause is None:
-            self._wake.wait(1.0)
-            self._wake.clear()
+        while self._guard.times is None and self.kernel.ending.cause is None:
+            self._await_wake()
             self._store.log_calls_if_due()
-            if self._reload_requested.is_set():
-                self._reload_requested.clear()
+            if self._is_reload_requested:
+                self._is_reload_requested = False
                 self._reload()
         self._stop()
 
+    def _wake(self) -> None:
+        self._wakes.put(None)
+
+    def _await_wake(self) -> None:
+        with contextlib.suppress(queue.Empty):
+            self._wakes.get(timeout=WAKE_INTERVAL_S)
+
     def _on_stop(self, _number: int, _frame: FrameType | None) -> None:
-        self._stop_requested.set()
-        self._wake.set()
+        self._guard.signal()
+        self._wake()
 
     def _on_reload(self, _number: int, _frame: FrameType | None) -> None:
-        self._reload_requested.set()
-        self._wake.set()
+        self._is_reload_requested = True
+        self._wake()
 
     def _reload(self) -> None:
         """Validate the changed settings and log the differences.
@@ -138,18 +157,29 @@
         emit(SETTINGS_RELOADED, changed=changed)
 
     def _stop(self) -> None:
-        started_s = elapsed_s()
+        times = self._guard.signal()
         registry = self.kernel.registry
         registry.find(names.MEMBERSHIP, MembershipService).announce_leaving()
         self._store.log_calls()
-        registry.drain(max(0.5, self._settings.bounds.grace_period_s - EXIT_MARGIN_S))
+        registry.drain(max(0.0, times.serve_until_s - elapsed_s()))
         try:
             registry.stop()
         finally:
-            emit(PROCESS_STOPPED, seconds=round(elapsed_s() - started_s, 3), left_running=0)
-            self._log.close()
-            # Tasks that block on the store or a worker hold no state to save.
-            os._exit(EXIT_GIVEN_UP if self.kernel.ending.cause is not None else 0)
+            self._exit(times, left_running=0)
+
+    def _end_unfinished(self) -> None:
+        """End the process at its last moment, with the stop unfinished."""
+        self._exit(self._guard.signal(), left_running=1)
+
+    def _exit(self, times: StopTimes, left_running: int) -> None:
+        """End the process; only the first thread that comes does."""
+        if not self._exit_lock.acquire(blocking=False):
+            return
+        seconds = round(elapsed_s() - times.signalled_s, 3)
+        emit(PROCESS_STOPPED, seconds=seconds, left_running=left_running)
+        self._log.close(LAST_LINES_S if left_running else WAIT_TIMEOUT_S)
+        # Tasks that block on the store or a worker hold no state to save.
+        os._exit(EXIT_GIVEN_UP if self.kernel.ending.cause is not None else 0)
 
 
 def _role_services(role: str) -> tuple[RoleService, ...]:
@@ -198,7 +228,7 @@
     ]
 
 
-def main() -> None:
+def main(make_process: type[HostedProcess] = HostedProcess) -> None:
     """Run the process with the settings file named by the environment."""
     started_s = elapsed_s()
     log = BoundedLog(sys.stdout, LINES_LEFT_OUT)
@@ -215,4 +245,4 @@
         emit(SETTINGS_UNKNOWN, keys=list(loaded.unknown_keys))
     make_platform = importlib.import_module(ADAPTER_MODULE).make_platform
     platform = make_platform(loaded.settings.store.address)
-    HostedProcess(loaded, path, platform, log).run(started_s)
+    make_process(loaded, path, platform, log).run(started_s)
--- a/src/bellweir/hosted/settings.py
+++ b/src/bellweir/hosted/settings.py
@@ -21,6 +21,8 @@
 
 
 SOURCE = "settings file"
+MIN_GRACE_PERIOD_S = 1.0
+"""In less a process can't be relied upon to stop before SIGKILL."""
 DIGEST = re.compile(r"[0-9a-f]{40}")
 MAX_QUEUE_LENGTH = 128
 """Limits the threads of a gateway that wait for one service, so that others stay free to serve."""
@@ -366,8 +368,9 @@
         yield _finding("bounds.configMs", str(settings.bounds.config_ms), "above 0")
     if settings.bounds.contact_ms <= 0:
         yield _finding("bounds.contactMs", str(settings.bounds.contact_ms), "above 0")
-    if settings.bounds.grace_period_s <= 0:
-        yield _finding("bounds.gracePeriodS", str(settings.bounds.grace_period_s), "above 0")
+    if settings.bounds.grace_period_s < MIN_GRACE_PERIOD_S:
+        allowed = f"{MIN_GRACE_PERIOD_S:g} or more"
+        yield _finding("bounds.gracePeriodS", str(settings.bounds.grace_period_s), allowed)
 
 
 def _check_addresses(settings: HostedSettings) -> Iterator[Finding]:
--- a/src/bellweir_rehearsal/hosted/deployment.py
+++ b/src/bellweir_rehearsal/hosted/deployment.py
@@ -40,6 +40,7 @@
 READY_TIMEOUT_S = 30.0
 STARTED_POLL_S = 0.05
 STOP_TIMEOUT_S = 12.0
+STOP_TIMEOUT_FACTOR = 1.5
 PORTS = 4
 SEEDS = 3
 """Machines whose addresses the settings name."""
@@ -158,6 +159,18 @@
         return self.code == EXIT_GIVEN_UP and says_why
 
 
+class PlannedStop:
+    """SIGTERM to a machine's process; times are of the monotonic clock."""
+
+    __slots__ = ("ended_s", "name", "signalled_s")
+
+    def __init__(self, name: str, signalled_s: float) -> None:
+        self.name = name
+        self.signalled_s = signalled_s
+        self.ended_s: float | None = None
+        """When the process was gone; None while it runs."""
+
+
 class Evacuation:
     """An evacuation of a zone, on the monotonic clock; `until_s` is None while it lasts."""
 
@@ -189,6 +202,8 @@
     """Another build that machines may run; None: there is only this one."""
     status_s: float = 120
     """Time for which an ended job can be read."""
+    grace_period_s: float = 8.0
+    """Time between SIGTERM and SIGKILL."""
     has_places: bool = False
     """Whether zones may be evacuated and workers are cold after a start."""
     has_long_texts: bool = False
@@ -198,6 +213,8 @@
     machines: dict[str, Machine] = field(default_factory=dict)
     exit_codes: list[tuple[str, int]] = field(default_factory=list)
     """Machines that were stopped as planned, with their processes' exit codes."""
+    stops: list[PlannedStop] = field(default_factory=list)
+    """Signals of planned stops, with their times."""
     emptied: list[tuple[str, list[str]]] = field(default_factory=list)
     """Machines reported emptied, with the other store machines that lived then."""
     evacuations: list[Evacuation] = field(default_factory=list)
@@ -415,8 +432,11 @@
         process = self.machines[name].process
         if process is None:
             return 0
+        stop = PlannedStop(name, time.monotonic())
+        self.stops.append(stop)
         process.send_signal(signal.SIGTERM)
-        code = process.wait(STOP_TIMEOUT_S)
+        code = process.wait(max(STOP_TIMEOUT_S, STOP_TIMEOUT_FACTOR * self.grace_period_s))
+        stop.ended_s = time.monotonic()
         self.exit_codes.append((name, code))
         return code
 
@@ -537,7 +557,7 @@
             "bounds": {
                 "leaseMs": 3000,
                 "configMs": 2000,
-                "gracePeriodS": 8,
+                "gracePeriodS": self.grace_period_s,
                 "ttl_max_s": 5,
                 "cancelMs": 3000,
                 "statusS": self.status_s,
