--- a/features/hosted_stop.feature
+++ b/features/hosted_stop.feature
@@ -6,6 +6,19 @@
   Scenario: The times of a stop
     Then for any grace period requests are served into its last sixth, and the process is gone before its end
 
+  # Guards against streams that a gateway cuts long before its grace period is over.
+  Scenario Outline: Streams in hand when a gateway is stopped
+    Given hosted processes with a grace period of <grace> s
+    When <streams> streams that end one after the other run at a gateway, and it gets <signals>
+    Then no stream is cut before the last sixth of the grace period
+    And the process is gone before the end of the grace period with exit code 0
+
+    Examples:
+      | grace | streams | signals                         |
+      | 1     | 6       | SIGTERM                         |
+      | 2.5   | 12      | SIGHUP, SIGTERM, SIGHUP         |
+      | 5     | 24      | SIGTERM, SIGTERM                |
+
   # Guards against store machines that outlast their grace period.
   Scenario Outline: A store machine is stopped
     Given hosted processes with a grace period of <grace> s
--- a/features/steps/hosted_stop_steps.py
+++ b/features/steps/hosted_stop_steps.py
@@ -1,12 +1,15 @@
 """Planned stops of hosted processes."""
 
 import http.client
+import math
 import os
 import signal
 import subprocess
 import sys
 import time
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from types import SimpleNamespace
 
 import hypothesis.strategies as st
 from behave import given as given_step
@@ -19,7 +22,8 @@
 from bellweir.hosted.settings import MIN_GRACE_PERIOD_S, parse_settings
 from bellweir.hosted.stop_times import StopTimes
 from bellweir.settings.findings import SettingsError
-from bellweir_rehearsal.hosted.clients import Client, Trainer, configuration
+from bellweir_platform.headers import HEADERS
+from bellweir_rehearsal.hosted.clients import HOST, KEY, Client, Trainer, configuration
 from bellweir_rehearsal.hosted.deployment import HostedDeployment
 
 LAST_SIXTH = 5 / 6
@@ -70,6 +74,60 @@
         connection.close()
 
 
+def read_stream(address, request_id):
+    """Read a stream to its end; return when it ended, and whether it came whole."""
+    connection = http.client.HTTPConnection(address, timeout=30.0)
+    headers = {
+        "Host": HOST,
+        "Authorization": f"Bearer {KEY}",
+        HEADERS.request_id: request_id,
+        HEADERS.deadline_ms: str(STREAM_TIMEOUT_MS),
+    }
+    try:
+        connection.request("POST", "/lines/x", b"body", headers)
+        answer = connection.getresponse()
+        assert answer.status == 200, answer.status
+        answer.read()
+        is_whole = True
+    except (OSError, http.client.HTTPException):
+        is_whole = False
+    finally:
+        connection.close()
+    return SimpleNamespace(request_id=request_id, ended_s=time.monotonic(), is_whole=is_whole)
+
+
+def await_run(deployment, request_id):
+    runs = [worker.record.ran for worker in deployment.models]
+    wait_until(lambda: any(ran[request_id] for ran in runs), f"{request_id} runs")
+
+
+@when("{count:d} streams that end one after the other run at a gateway, and it gets {signals}")
+def when_stopped_under_streams(context, count, signals):
+    deployment = context.deployment
+    address = deployment.address(STOPPED, "front")
+    for worker in deployment.models:
+        worker.event_pause_s = EVENT_PAUSE_S
+    with ThreadPoolExecutor(count) as pool:
+        reading = []
+        for number in range(count):
+            end_s = context.grace_s * (
+                FIRST_END + (LAST_END - FIRST_END) * number / max(1, count - 1)
+            )
+            for worker in deployment.models:
+                worker.events = math.ceil(end_s / EVENT_PAUSE_S)
+            request_id = f"stream-{number}"
+            reading.append(pool.submit(read_stream, address, request_id))
+            await_run(deployment, request_id)
+        context.signalled_s = None
+        for name in signals.split(", "):
+            if name == "SIGTERM" and context.signalled_s is None:
+                context.signalled_s = time.monotonic()
+            deployment.signal(STOPPED, getattr(signal, name))
+        context.process = deployment.machines[STOPPED].process
+        await_end(context)
+        context.streams = [one.result() for one in reading]
+
+
 def await_end(context):
     """Wait for the process as long as the platform would before SIGKILL."""
     left_s = context.signalled_s + context.grace_s - time.monotonic()
@@ -80,6 +138,15 @@
         context.process.kill()
 
 
+@then("no stream is cut before the last sixth of the grace period")
+def then_not_cut(context):
+    assert any(one.is_whole for one in context.streams)
+    for one in context.streams:
+        after_s = one.ended_s - context.signalled_s
+        told = f"{one.request_id} was cut {after_s:.2f} s after SIGTERM"
+        assert one.is_whole or after_s >= LAST_SIXTH * context.grace_s, told
+
+
 @then("the process is gone before the end of the grace period with exit code 0")
 def then_gone(context):
     assert context.exit_code == 0, f"exit code {context.exit_code}"
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -47,6 +47,13 @@
     ("keys",),
     "The settings file has keys that this version does not know; they are ignored.",
 )
+PROCESS_DRAINED = Event(
+    1408,
+    "process_drained",
+    Level.INFO,
+    ("in_flight", "seconds"),
+    "The drain ended; the clients of the `in_flight` requests in hand are disconnected.",
+)
 STORE_LOST = Event(
     1410,
     "store_lost",
--- a/src/bellweir/hosted/serving/service.py
+++ b/src/bellweir/hosted/serving/service.py
@@ -3,6 +3,7 @@
 import random
 import threading
 from concurrent.futures import Future
+from concurrent.futures import wait as wait_for_futures
 from functools import partial
 from typing import Any
 
@@ -14,7 +15,7 @@
 from bellweir.hosted.eligibility.homes import AllowedRegions, Regions
 from bellweir.hosted.eligibility.rules import PlacementRules
 from bellweir.hosted.interface import HostingPlatform
-from bellweir.hosted.log_events import PROCESS_DRAINING
+from bellweir.hosted.log_events import PROCESS_DRAINED, PROCESS_DRAINING
 from bellweir.hosted.metrics_service import MetricsService
 from bellweir.hosted.queueing.gate import RequestGate
 from bellweir.hosted.room.observed import ObservedCapacity
@@ -53,8 +54,10 @@
 DRAIN_POLL_INTERVAL_S = 0.05
 ADDRESS_TTL_FACTOR = 3.5
 """Clients cache addresses for up to three times the directory's TTL."""
-STOP_MARGIN_S = 1.0
-"""Reserve before the end of the grace period."""
+LONGEST_ACCEPT_SHARE = 0.5
+"""Largest share of a drain in which clients are accepted; the rest is for their requests."""
+CLOSE_TIMEOUT_S = 0.2
+"""Time for the listeners to close, and for threads to end once the drain is over."""
 PRUNE_INTERVAL_S = 2.0
 IDLE_MARGIN_S = 1.0
 
@@ -296,32 +299,38 @@
             self._connections.retain({worker.address for worker in workers})
 
     def drain(self, deadline_s: float) -> None:
-        """Stop attracting new clients and serve until cached addresses have expired."""
+        """Serve until cached addresses have expired and nothing is in hand, or to the deadline."""
         server = self._requests
         if server is None:
             return
         began_s = elapsed_s()
+        end_s = began_s + deadline_s
+        accept_s = min(ADDRESS_TTL_FACTOR * TTL_S, LONGEST_ACCEPT_SHARE * deadline_s)
         self._draining.set()
         server.closing_connections = True
         emit(PROCESS_DRAINING, in_flight=server.busy_connections())
-        end_s = began_s + max(0.0, deadline_s - STOP_MARGIN_S)
-        addresses_expired_s = min(began_s + ADDRESS_TTL_FACTOR * TTL_S, end_s)
-        while elapsed_s() < end_s:
-            if elapsed_s() >= addresses_expired_s and not server.busy_connections():
-                break
-            threading.Event().wait(DRAIN_POLL_INTERVAL_S)
-        server.stop_accepting(STOP_MARGIN_S / 2)
+        _sleep_until(began_s + accept_s)
+        server.stop_accepting(min(CLOSE_TIMEOUT_S, max(0.0, end_s - elapsed_s())))
         # Requests on the connections accepted last must be read before they count as busy.
-        threading.Event().wait(DRAIN_POLL_INTERVAL_S)
+        _sleep_until(min(end_s, elapsed_s() + DRAIN_POLL_INTERVAL_S))
         while server.busy_connections() and elapsed_s() < end_s:
-            threading.Event().wait(DRAIN_POLL_INTERVAL_S)
+            _sleep_until(min(end_s, elapsed_s() + DRAIN_POLL_INTERVAL_S))
+        emit(
+            PROCESS_DRAINED,
+            in_flight=server.busy_connections(),
+            seconds=round(elapsed_s() - began_s, 3),
+        )
 
     def stop(self) -> None:
-        """Close all connections and stop all threads."""
+        """Close all connections; threads that don't end soon are left to the process's end."""
         servers, self._servers = self._servers, []
         for server in servers:
-            server.close_all()
-        for loop in self._loops:
-            loop.result(STOP_MARGIN_S)
+            server.close_all(CLOSE_TIMEOUT_S)
+        wait_for_futures(self._loops, CLOSE_TIMEOUT_S)
         for server in servers:
             server.release()
+
+
+def _sleep_until(time_s: float) -> None:
+    """Sleep until a time of `elapsed_s`."""
+    threading.Event().wait(max(0.0, time_s - elapsed_s()))
--- a/src/bellweir/http_server/server.py
+++ b/src/bellweir/http_server/server.py
@@ -78,12 +78,15 @@
         self.trigger.pull_trigger(close_listener)
         closed.wait(timeout_s)
 
-    def close_all(self) -> None:
-        """Disconnect every caller, end the threads and the loop; closing twice is no error."""
+    def close_all(self, timeout_s: float = THREADS_STOP_TIMEOUT_S) -> None:
+        """Disconnect every caller, end the threads and the loop; closing twice is no error.
+
+        Waits for the threads for at most `timeout_s`.
+        """
         if self._ended.is_set():
             return
         self.trigger.pull_trigger(self._disconnect_all)
-        self._threads.shutdown(THREADS_STOP_TIMEOUT_S)
+        self._threads.shutdown(timeout_s)
         self._ended.set()
         self.pull_trigger()
 
