LOST: late in a drain no request is taken that could be cut at its end

Cause: a draining gateway took every request until it closed, whatever its time-out.

Change: from 0.8 of the time in which clients are accepted (2.8 s of 8) on, a request is served only if its deadline, the client's or the route's, lies before the end of the drain. Any other one gets 503 with Retry-After 0 and "stopping" at once, before its body is read, on a connection that closes: it has not run, and other gateways can serve it now. Before that moment all are served: most streams end long before the grace period does.

Test: "Requests that come late in a drain".

--- a/features/hosted_stop.feature
+++ b/features/hosted_stop.feature
@@ -43,5 +43,15 @@
       | 2     | drain |
       | 1.5   | stop  |
 
+  # Guards against requests that a stopping gateway takes and then cuts.
+  Scenario: Requests that come late in a drain
+    Given workers "a" and "b" behind a gateway
+    And model workers behind the gateway
+    And clients with open connections
+    When the gateway drains for 4 s with a stream of 3 s in hand
+    Then a request that may outlast the drain is refused at once, to be sent elsewhere
+    And a request that can't outlast it is served
+    And the stream in hand comes whole
+
   Scenario: A grace period that is too short to stop in
     Then settings with a grace period below 1 s are refused
--- a/features/steps/hosted_stop_steps.py
+++ b/features/steps/hosted_stop_steps.py
@@ -19,6 +19,7 @@
 from features.support.waiting import wait_until
 from hypothesis import given, settings
 
+from bellweir.hosted.serving.service import FrontService
 from bellweir.hosted.settings import MIN_GRACE_PERIOD_S, parse_settings
 from bellweir.hosted.stop_times import StopTimes
 from bellweir.settings.findings import SettingsError
@@ -205,6 +206,64 @@
     assert '"left_running": 1' in stopped, stopped
 
 
+def make_front(context, *servers):
+    node = SimpleNamespace(node=SimpleNamespace(zone="a"))
+    front = FrontService(SimpleNamespace(), node, SimpleNamespace(headers=HEADERS))
+    front._requests, front._servers = servers[0], list(servers)
+    return front
+
+
+@given_step("clients with open connections")
+def given_connections(context):
+    context.connections = [context.gateway.connect() for _ in range(2)]
+    for connection in context.connections:
+        context.cleanup.callback(connection.close)
+
+
+@when("the gateway drains for {drain_s:d} s with a stream of {stream_s:d} s in hand")
+def when_drained(context, drain_s, stream_s):
+    front = context.front = make_front(context, context.gateway.server)
+    context.gateway.can_be_served = front._can_be_served
+    for worker in context.workers.values():
+        worker.event_pause_s = stream_s / worker.events
+    pool = ThreadPoolExecutor(2)
+    context.cleanup.callback(pool.shutdown)
+    context.stream = pool.submit(context.gateway.send, "/stream/x", deadline_ms=60_000)
+    server = context.gateway.server
+    wait_until(lambda: server.busy_connections() == 1, "the stream")
+    pool.submit(front.drain, float(drain_s))
+    wait_until(lambda: math.isfinite(front._serve_until_s), "the late part of the drain")
+
+
+def ran(context, request_id):
+    return sum(worker.record.ran[request_id] for worker in context.workers.values())
+
+
+@then("a request that may outlast the drain is refused at once, to be sent elsewhere")
+def then_late_refused(context):
+    first = context.connections[0]
+    answer = context.gateway.send("/stream/x", deadline_ms=60_000, connection=first)
+    assert (answer.status, answer.headers["Retry-After"]) == (503, "0"), answer
+    assert answer.headers["Connection"] == "close"
+    assert b"stopping" in answer.body
+    assert ran(context, answer.request_id) == 0
+
+
+@then("a request that can't outlast it is served")
+def then_short_served(context):
+    for worker in context.workers.values():
+        worker.event_pause_s = 0.0
+    last = context.connections[1]
+    answer = context.gateway.send("/stream/x", deadline_ms=500, connection=last)
+    assert (answer.status, answer.whole) == (200, True), answer
+
+
+@then("the stream in hand comes whole")
+def then_stream_whole(context):
+    answer = context.stream.result(20.0)
+    assert (answer.status, answer.whole) == (200, True), answer
+
+
 @then("settings with a grace period below 1 s are refused")
 def then_too_short(context):
     for grace_s in (0, -1, 0.5, 0.99):
--- a/features/support/hosted_gateway.py
+++ b/features/support/hosted_gateway.py
@@ -110,6 +110,7 @@
         streams = self.streams = StreamForwarder(
             forwarder, self.loads, connections, self.caller_watch
         )
+        self.can_be_served = lambda _deadline_s: True
         self.configuration_age_s = 0.0
         self.store_configuration = None
         self.confirm = self._confirm_by_store
@@ -131,6 +132,7 @@
             key_check,
             current,
             sends_urgency=self.room_settings.send_urgency,
+            can_be_served=lambda deadline_s: self.can_be_served(deadline_s),
         )
         listener = socket.create_server(("127.0.0.1", 0))
         self.address = address_of(listener)
@@ -164,10 +166,19 @@
         self.executors.stop()
         self._connections.retain(set())
 
-    def send(self, path, body=b"body", deadline_ms=5_000, host=HOST, more=()):
-        """Send one request; return status, headers, body and whether the body is complete."""
-        request_id = f"request-{next(self._numbers)}"
+    def connect(self):
+        """Return an open connection of a client."""
         connection = http.client.HTTPConnection(self.address, timeout=20.0)
+        connection.connect()
+        return connection
+
+    def send(self, path, body=b"body", deadline_ms=5_000, host=HOST, more=(), connection=None):
+        """Send one request; return status, headers, body and whether the body is complete.
+
+        Without a `connection` it is sent on a new one.
+        """
+        request_id = f"request-{next(self._numbers)}"
+        connection = connection or self.connect()
         headers = {
             "Host": host,
             HEADERS.request_id: request_id,
--- a/src/bellweir/hosted/serving/application.py
+++ b/src/bellweir/hosted/serving/application.py
@@ -10,7 +10,11 @@
 from bellweir.hosted.interface import HeaderNames
 from bellweir.hosted.log_events import REQUEST_GIVEN_UP
 from bellweir.hosted.records import Route, RouteKind
-from bellweir.hosted.serving.client_request import read_client_request, with_urgency
+from bellweir.hosted.serving.client_request import (
+    read_client_request,
+    request_deadline_s,
+    with_urgency,
+)
 from bellweir.hosted.serving.forwarding import MAX_LOGGED_AGE_S, Forwarder, gateway_response
 from bellweir.hosted.serving.streams import StreamForwarder
 from bellweir.hosted.tenants.admission import KeyCheck
@@ -25,6 +29,8 @@
 
 NO_CONFIGURATION_RETRY_AFTER_S = 0.5
 UNDECIDED_RETRY_AFTER_S = 0.1
+STOPPING_RETRY_AFTER_S = 0.0
+"""Other gateways can serve the request at once."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,8 +67,14 @@
         current: CurrentConfiguration,
         *,
         sends_urgency: bool = False,
+        can_be_served: Callable[[float], bool] = lambda _deadline_s: True,
     ) -> None:
-        """`sends_urgency`: pass the priority of each request to engines in a header."""
+        """`sends_urgency`: pass the priority of each request to engines in a header.
+
+        `can_be_served` returns whether a request with a deadline, in seconds of `elapsed_s`, can
+        be served to its end by this process.
+        """
+        self._can_be_served = can_be_served
         self._current = current
         self._sends_urgency = sends_urgency
         self._names = names
@@ -139,6 +151,8 @@
             return self._defer(request, "route_unreadable", NO_CONFIGURATION_RETRY_AFTER_S)
         if route is None:
             return self._batches.serve_job_request(request, admission.tenant_name)
+        if not self._can_be_served(request_deadline_s(request, route, self._names)):
+            return self._defer(request, "stopping", STOPPING_RETRY_AFTER_S)
         tenant = admission.tenant_name if table.keys.are_required else None
         if route.accepts_jobs:
             return self._batches.accept(request, route, tenant)
--- a/src/bellweir/hosted/serving/client_request.py
+++ b/src/bellweir/hosted/serving/client_request.py
@@ -145,9 +145,7 @@
     request_id = request.header(names.request_id)
     if not request_id:
         raise BadRequestError(f"{names.request_id} is missing")
-    deadline_ms = request.header(names.deadline_ms)
-    left_s = _parse_ms(deadline_ms, names.deadline_ms) / MS_PER_S if deadline_ms else float("inf")
-    timeout_s = route.timeout_ms / MS_PER_S
+    deadline_s = request_deadline_s(request, route, names)
     body, length = _read_body(request)
     headers = _forwarded_headers(request)
     if tenant is not None:
@@ -159,7 +157,7 @@
         route=route,
         request_id=request_id,
         arrived_s=arrived_s,
-        deadline_s=arrived_s + min(left_s, timeout_s),
+        deadline_s=deadline_s,
         body=body,
         headers=headers,
         tenant=tenant or "",
@@ -167,6 +165,16 @@
     )
 
 
+def request_deadline_s(request: Request, route: Route, names: HeaderNames) -> float:
+    """Return the deadline of a request that has just arrived. Raises `BadRequestError`.
+
+    It is the earlier of the client's deadline and the route's timeout, in seconds of `elapsed_s`.
+    """
+    text = request.header(names.deadline_ms)
+    left_ms = _parse_ms(text, names.deadline_ms) if text else float("inf")
+    return elapsed_s() + min(left_ms, route.timeout_ms) / MS_PER_S
+
+
 def with_tenant(headers: Headers, tenant: str, names: HeaderNames) -> Headers:
     """Replace the API key in the headers by the tenant's name."""
     dropped = names.client_only
--- a/src/bellweir/hosted/serving/service.py
+++ b/src/bellweir/hosted/serving/service.py
@@ -1,5 +1,6 @@
 """Service `front`: the gateway's listeners, graceful shutdown and metrics."""
 
+import math
 import random
 import threading
 from concurrent.futures import Future
@@ -56,6 +57,8 @@
 """Clients cache addresses for up to three times the directory's TTL."""
 LONGEST_ACCEPT_SHARE = 0.5
 """Largest share of a drain in which clients are accepted; the rest is for their requests."""
+LATE_SHARE = 0.8
+"""Share of that time after which requests that could outlast the drain are refused."""
 CLOSE_TIMEOUT_S = 0.2
 """Time for the listeners to close, and for threads to end once the drain is over."""
 PRUNE_INTERVAL_S = 2.0
@@ -90,6 +93,8 @@
         self._loops: list[Future[None]] = []
         self._requests: HttpServer | None = None
         self._draining = threading.Event()
+        self._serve_until_s = math.inf
+        """Time by which requests that come now must end; finite late in a drain."""
 
     def start(self) -> None:
         """Start listening on all configured addresses."""
@@ -226,6 +231,7 @@
             ),
             current,
             sends_urgency=self._settings.room.send_urgency,
+            can_be_served=self._can_be_served,
         )
 
     def _current_configuration(self) -> CurrentConfiguration:
@@ -309,6 +315,8 @@
         self._draining.set()
         server.closing_connections = True
         emit(PROCESS_DRAINING, in_flight=server.busy_connections())
+        _sleep_until(began_s + LATE_SHARE * accept_s)
+        self._serve_until_s = end_s
         _sleep_until(began_s + accept_s)
         server.stop_accepting(min(CLOSE_TIMEOUT_S, max(0.0, end_s - elapsed_s())))
         # Requests on the connections accepted last must be read before they count as busy.
@@ -321,6 +329,10 @@
             seconds=round(elapsed_s() - began_s, 3),
         )
 
+    def _can_be_served(self, deadline_s: float) -> bool:
+        """Whether a request that comes now will surely have ended before this process does."""
+        return deadline_s <= self._serve_until_s
+
     def stop(self) -> None:
         """Close all connections; threads that don't end soon are left to the process's end."""
         servers, self._servers = self._servers, []
