LOST: look-ups at the directory of a gateway that stops are answered

What callers saw: a client that asked the directory of a gateway just as it closed got no answer.

Cause: the drain looked at the listener for requests alone; that of the directory and the one for readiness were closed with whatever they had in hand, and kept connections were not asked to close.

Change: the drain stops accepting at all listeners, asks all connections to close, and waits until nothing is in hand at any of them.

Test: "Look-ups at the directory of a gateway that stops", a directory that takes 200 ms.

--- a/features/hosted_stop.feature
+++ b/features/hosted_stop.feature
@@ -53,5 +53,12 @@
     And a request that can't outlast it is served
     And the stream in hand comes whole
 
+  # Guards against look-ups that are cut as the gateway closes.
+  Scenario: Look-ups at the directory of a gateway that stops
+    Given workers "a" and "b" behind a gateway
+    And a directory that takes 200 ms to answer
+    When the gateway drains for 1 s while clients look up one after the other
+    Then each look-up that was accepted is answered
+
   Scenario: A grace period that is too short to stop in
     Then settings with a grace period below 1 s are refused
--- a/features/steps/hosted_stop_steps.py
+++ b/features/steps/hosted_stop_steps.py
@@ -4,8 +4,10 @@
 import math
 import os
 import signal
+import socket
 import subprocess
 import sys
+import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
@@ -20,8 +22,13 @@
 from hypothesis import given, settings
 
 from bellweir.hosted.serving.service import FrontService
+from bellweir.hosted.serving.simple_application import SimpleApplication
 from bellweir.hosted.settings import MIN_GRACE_PERIOD_S, parse_settings
 from bellweir.hosted.stop_times import StopTimes
+from bellweir.http_server.http import json_response
+from bellweir.http_server.server import HttpServer
+from bellweir.http_server.server_limits import ServerLimits
+from bellweir.kernel.listeners import address_of
 from bellweir.settings.findings import SettingsError
 from bellweir_platform.headers import HEADERS
 from bellweir_rehearsal.hosted.clients import HOST, KEY, Client, Trainer, configuration
@@ -264,6 +271,57 @@
     assert (answer.status, answer.whole) == (200, True), answer
 
 
+@given_step("a directory that takes {milliseconds:d} ms to answer")
+def given_directory(context, milliseconds):
+    def answer(_request):
+        time.sleep(milliseconds / 1000)
+        return json_response(200, {"addresses": []})
+
+    listener = socket.create_server(("127.0.0.1", 0))
+    context.directory_address = address_of(listener)
+    context.directory = HttpServer(SimpleApplication(answer), listener, ServerLimits(4, 1 << 16))
+    context.gateway.executors.run_task("directory", context.directory.run_until_closed)
+    context.cleanup.callback(context.directory.close_all)
+
+
+@when("the gateway drains for {drain_s:d} s while clients look up one after the other")
+def when_looked_up(context, drain_s):
+    front = make_front(context, context.gateway.server, context.directory)
+    context.cut, context.answered = [], 0
+
+    def look_up():
+        while True:
+            connection = http.client.HTTPConnection(context.directory_address, timeout=5.0)
+            try:
+                connection.connect()
+            except OSError:
+                return
+            try:
+                connection.request("GET", "/endpoints")
+                connection.getresponse().read()
+                context.answered += 1
+            except (OSError, http.client.HTTPException) as exc:
+                context.cut.append(exc)
+                return
+            finally:
+                connection.close()
+
+    clients = [threading.Thread(target=look_up, daemon=True) for _ in range(3)]
+    for client in clients:
+        client.start()
+    wait_until(lambda: context.answered > 0, "the first answer")
+    front.drain(float(drain_s))
+    front.stop()
+    for client in clients:
+        client.join(10.0)
+
+
+@then("each look-up that was accepted is answered")
+def then_looked_up(context):
+    assert context.answered > 0
+    assert not context.cut, context.cut
+
+
 @then("settings with a grace period below 1 s are refused")
 def then_too_short(context):
     for grace_s in (0, -1, 0.5, 0.99):
--- a/src/bellweir/hosted/serving/service.py
+++ b/src/bellweir/hosted/serving/service.py
@@ -313,21 +313,23 @@
         end_s = began_s + deadline_s
         accept_s = min(ADDRESS_TTL_FACTOR * TTL_S, LONGEST_ACCEPT_SHARE * deadline_s)
         self._draining.set()
-        server.closing_connections = True
+        for each in self._servers:
+            each.closing_connections = True
         emit(PROCESS_DRAINING, in_flight=server.busy_connections())
         _sleep_until(began_s + LATE_SHARE * accept_s)
         self._serve_until_s = end_s
         _sleep_until(began_s + accept_s)
-        server.stop_accepting(min(CLOSE_TIMEOUT_S, max(0.0, end_s - elapsed_s())))
+        for each in self._servers:
+            each.stop_accepting(min(CLOSE_TIMEOUT_S, max(0.0, end_s - elapsed_s())))
         # Requests on the connections accepted last must be read before they count as busy.
         _sleep_until(min(end_s, elapsed_s() + DRAIN_POLL_INTERVAL_S))
-        while server.busy_connections() and elapsed_s() < end_s:
+        while self._in_flight() and elapsed_s() < end_s:
             _sleep_until(min(end_s, elapsed_s() + DRAIN_POLL_INTERVAL_S))
-        emit(
-            PROCESS_DRAINED,
-            in_flight=server.busy_connections(),
-            seconds=round(elapsed_s() - began_s, 3),
-        )
+        emit(PROCESS_DRAINED, in_flight=self._in_flight(), seconds=round(elapsed_s() - began_s, 3))
+
+    def _in_flight(self) -> int:
+        """Connections of all listeners with a request in hand."""
+        return sum(server.busy_connections() for server in self._servers)
 
     def _can_be_served(self, deadline_s: float) -> bool:
         """Whether a request that comes now will surely have ended before this process does."""
