Relays: a gateway that leaves takes no call of another one on

What callers saw: a client of a gateway that was cut off from the store machines waited for the whole time of a call (a batch job handed in, a reading) and got 504, when the gateway that had taken the call on was stopped meanwhile.

Cause: RelayedCalls asked every member without a data folder, leaving ones too, and a leaving one took calls on until its end. What it has taken on dies with it, and the caller waits for an outcome that nobody sends. Found by asking of every path what a planned stop of the other end does to it.

Change: leaving members aren't asked, and a node that leaves refuses calls: the refusal may be heard before the word of its leaving.

Test: "A node that leaves takes no call on", both where the others know of it and where they don't.

--- a/features/ledger_relay.feature
+++ b/features/ledger_relay.feature
@@ -15,6 +15,18 @@
     Then a command is surely not appended, and that is said within its time
     And their calls go their own way again once the cut has healed
 
+  # Guards against calls that end without an outcome since the gateway that took them on is gone.
+  Scenario Outline: A node that leaves takes no call on
+    When two of the nodes without data folders are cut off from the ledger
+    And another one leaves, and the others <know> it
+    Then each of them appends commands and reads them, each applied once
+    And the one that leaves has taken on no call
+
+    Examples:
+      | know        |
+      | know        |
+      | don't know  |
+
   Scenario: A commit that takes longer than a leader is looked for
     Given outcomes of calls come 1.5 seconds late
     Then a command is applied once, on its own way, and its caller is told so
--- a/features/steps/ledger_relay_steps.py
+++ b/features/steps/ledger_relay_steps.py
@@ -2,6 +2,7 @@
 
 import itertools
 from concurrent.futures import Future
+from dataclasses import replace
 from types import SimpleNamespace
 
 import hypothesis.strategies as st
@@ -65,6 +66,23 @@
     cut(context, context.cut)
 
 
+@when("another one leaves, and the others {know} it")
+def when_leaves(context, know):
+    name = OTHERS[2]
+    leaving = replace(context.network.members[name], state=MemberState.LEAVING)
+    if know == "know":
+        context.network.members[name] = leaving
+    relayed = context.nodes[name].ledger._relayed
+    relayed._membership = SimpleNamespace(self_member=lambda: leaving, members=lambda: ())
+    context.taken_on = []
+    relayed._make_for = lambda *call: context.taken_on.append(call)
+
+
+@then("the one that leaves has taken on no call")
+def then_none_taken(context):
+    assert not context.taken_on, context.taken_on
+
+
 @when("all nodes without data folders are cut off from the ledger")
 def when_all(context):
     context.cut = OTHERS
--- a/src/bellweir/ledger/relayed_calls.py
+++ b/src/bellweir/ledger/relayed_calls.py
@@ -27,7 +27,7 @@
 from bellweir.ledger.log_events import LEDGER_CUT_OFF, LEDGER_REACHED
 from bellweir.ledger.machines import Codec
 from bellweir.ledger.messages import CallAccepted, CallOutcome, CallRefused, RelayedCall
-from bellweir.membership.interface import Member, Membership
+from bellweir.membership.interface import Member, Membership, MemberState
 from bellweir.wire.interface import FIRST_LEVEL, Sender, Transport, WireErrorKind
 
 DIRECT_SEARCH_S = 0.8
@@ -154,11 +154,14 @@
         return None
 
     def _peers(self) -> list[Member]:
+        """Return the gateways that may take a call on; one that leaves could end before it does."""
         own = self._membership.self_member().node
         return [
             member
             for member in self._membership.members()
-            if member.node != own and not member.has_data_folder
+            if member.node != own
+            and not member.has_data_folder
+            and member.state is not MemberState.LEAVING
         ]
 
     def _relay_by(
@@ -199,7 +202,9 @@
             self._reach.answered()
 
     def handle_call(self, sender: Sender, message: RelayedCall) -> CallAccepted | CallRefused:
-        """Take on a call of another node, unless this one is cut off itself."""
+        """Take on a call of another node, unless this one is cut off itself or leaves."""
+        if self._membership.self_member().state is MemberState.LEAVING:
+            return CallRefused(None)
         if self._reach.is_cut_off:
             self._look_in_background()
             return CallRefused(None)
