Soak: planned stops and workers that refuse, under long streams with bodies of all lengths

Gateways and store machines are stopped as planned, amid reloads and further signals; workers refuse requests before, in and behind their bodies, and load versions. The seed draws a grace period of 2, 5 or 8 s. Three checks: a stream that was begun comes whole, but for those that a stop may cut in the last sixth of its grace period; a worker receives a body whole, or the beginning of it; a planned stop is over before the end of its grace period (in all soaks).

--- a/features/hosted_soak.feature
+++ b/features/hosted_soak.feature
@@ -47,6 +47,12 @@
     Then faults have struck and everything that must hold of the soak has held
     And workers crashed in series, and items and innocent requests were served after it
 
+  # Guards against streams that a planned stop cuts, and long bodies that arrive without a part.
+  Scenario: A soak in which machines are stopped and workers refuse under long streams
+    When a soak of 20 seconds is played with seed 2 of planned stops and refusals under long streams
+    Then faults have struck and everything that must hold of the soak has held
+    And gateways were stopped with streams in hand, and workers refused amid long bodies
+
   Scenario: Losses stay within what is tolerated
     Then at any order of faults no more disks are lost at once than tolerated
     And a machine counts as whole once it has had its time to catch up, a removed one's successor too
--- a/features/steps/hosted_soak_steps.py
+++ b/features/steps/hosted_soak_steps.py
@@ -1,5 +1,6 @@
 """The soak of the hosted roles, and the budget of its losses."""
 
+import json
 import random
 import signal
 import time
@@ -12,6 +13,7 @@
 from features.support.waiting import wait_until
 from hypothesis import given, settings
 
+from bellweir.hosted.serving.client_request import MAX_REPLAY_BYTES
 from bellweir_rehearsal.hosted.checks import Check
 from bellweir_rehearsal.hosted.clients import Answer, key_of_version
 from bellweir_rehearsal.hosted.deployment import EVACUATE_S, HostedDeployment
@@ -26,6 +28,7 @@
     CRASH_FAULTS,
     LASTING_FAULTS,
     PLACES_FAULTS,
+    STREAM_FAULTS,
     SUSPENSION_FAULTS,
     TEXT_FAULTS,
     WORKER_CRASH_FAULTS,
@@ -95,6 +98,37 @@
     context.soak.play()
 
 
+@when(
+    "a soak of {seconds:d} seconds is played with seed {seed:d} "
+    "of planned stops and refusals under long streams"
+)
+def when_streams(context, seconds, seed):
+    context.soak = HostedSoak(
+        context.folder,
+        seed,
+        seconds,
+        3,
+        3,
+        only=STREAM_FAULTS,
+        has_long_texts=True,
+        has_streams=True,
+    )
+    context.cleanup.callback(context.soak.close)
+    context.soak.play()
+
+
+@then("gateways were stopped with streams in hand, and workers refused amid long bodies")
+def then_streams_stopped(context):
+    soak = context.soak
+    stopped = [stop.name for stop in soak.deployment.stops if stop.name.startswith("gateway")]
+    logs = [soak.deployment.machines[name].log_file.read_text() for name in set(stopped)]
+    draining = [line for log in logs for line in log.splitlines() if '"process_draining"' in line]
+    assert any(json.loads(line)["in_flight"] for line in draining), draining
+    sizes = {name: size for each in soak._stream_clients for name, size in each.sizes.items()}
+    unrun = [one for worker in soak.deployment.models for one in worker.record.unrun_bodies]
+    assert any(sizes.get(one.request_id, 0) > MAX_REPLAY_BYTES for one in unrun), unrun
+
+
 @when("a soak of {seconds:d} seconds is played with seed {seed:d} of suspended machines")
 def when_suspended(context, seconds, seed):
     context.soak = HostedSoak(context.folder, seed, seconds, 3, 3, only=SUSPENSION_FAULTS)
--- a/src/bellweir_rehearsal/hosted/checks.py
+++ b/src/bellweir_rehearsal/hosted/checks.py
@@ -21,6 +21,8 @@
 
 READY_TIMEOUT_S = 60.0
 BODY = b"body"
+STREAM_IDS = ("stream-", "story-")
+"""What the ids of streaming requests begin with."""
 COLD_BOUND = PLACES_BOUNDS["coldOver"] * COLD_PER_S + PLACES_BOUNDS["coldSlack"]
 """Most requests that a cold worker may get in a second."""
 
@@ -214,7 +216,7 @@
             request_id
             for worker in self.deployment.models
             for request_id in worker.record.ran
-            if request_id.startswith("stream-")
+            if request_id.startswith(STREAM_IDS)
         }
         reported = duties.reported(TENANT)
         self.usage.expect(reported <= len(ran), f"{reported} reported, {len(ran)} ran")
--- a/src/bellweir_rehearsal/hosted/clients.py
+++ b/src/bellweir_rehearsal/hosted/clients.py
@@ -21,6 +21,8 @@
 COLD_PER_S = 4.0
 """Requests a second that a cold worker bears."""
 REQUEST_TIMEOUT_S = 5.0
+STORY_TIMEOUT_MS = 20_000
+"""Time-out of the routes of long streams."""
 TRIES = 12
 TRY_PAUSE_S = 0.3
 READ_PAUSE_S = 0.3
@@ -238,6 +240,10 @@
         {**common, "pathPrefix": "/price/", "kind": "idempotent", "service": "app"},
         {**common, "pathPrefix": "/bid/", "kind": "non_idempotent", "service": "app"},
         {**common, "pathPrefix": "/lines/", "kind": "streaming", "service": "llm"},
+        {**common, "pathPrefix": "/stories/", "kind": "streaming", "service": "llm"}
+        | {"timeoutMs": STORY_TIMEOUT_MS},
+        {**common, "pathPrefix": "/serials/", "kind": "streaming", "service": "llm"}
+        | {"timeoutMs": STORY_TIMEOUT_MS, "canResume": True},
     ]
     routes += [
         {**common, "pathPrefix": prefix, "kind": "idempotent", "service": "app"}
--- a/src/bellweir_rehearsal/hosted/command.py
+++ b/src/bellweir_rehearsal/hosted/command.py
@@ -20,6 +20,7 @@
     CRASH_FAULTS,
     LASTING_FAULTS,
     PLACES_FAULTS,
+    STREAM_FAULTS,
     SUSPENSION_FAULTS,
     TEXT_FAULTS,
     WORKER_CRASH_FAULTS,
@@ -70,6 +71,11 @@
         bool, cappa.Arg(long=True, help="Have workers crash in series beside such requests.")
     ] = False
 
+    streams: Annotated[
+        bool,
+        cappa.Arg(long=True, help="Stop machines and have workers refuse under long streams."),
+    ] = False
+
     older: Annotated[
         str, cappa.Arg(long=True, help="A commit; a soak changes between its build and this one.")
     ] = ""
@@ -113,6 +119,8 @@
             faults = CRASH_FAULTS
         if self.worker_crashes:
             faults = WORKER_CRASH_FAULTS
+        if self.streams:
+            faults = STREAM_FAULTS
         older = None
         if self.older:
             faults = (*faults, *BUILD_FAULTS)
@@ -129,7 +137,8 @@
             only=faults,
             older=older,
             has_places=self.places,
-            has_long_texts=self.texts or self.worker_crashes,
+            has_long_texts=self.texts or self.worker_crashes or self.streams,
+            has_streams=self.streams,
         )
 
 
--- a/src/bellweir_rehearsal/hosted/deployment.py
+++ b/src/bellweir_rehearsal/hosted/deployment.py
@@ -162,10 +162,11 @@
 class PlannedStop:
     """SIGTERM to a machine's process; times are of the monotonic clock."""
 
-    __slots__ = ("ended_s", "name", "signalled_s")
+    __slots__ = ("ended_s", "name", "process", "signalled_s")
 
-    def __init__(self, name: str, signalled_s: float) -> None:
+    def __init__(self, name: str, process: "subprocess.Popen[bytes]", signalled_s: float) -> None:
         self.name = name
+        self.process = process
         self.signalled_s = signalled_s
         self.ended_s: float | None = None
         """When the process was gone; None while it runs."""
@@ -214,7 +215,7 @@
     exit_codes: list[tuple[str, int]] = field(default_factory=list)
     """Machines that were stopped as planned, with their processes' exit codes."""
     stops: list[PlannedStop] = field(default_factory=list)
-    """Signals of planned stops, with their times."""
+    """First signals of planned stops, with their times."""
     emptied: list[tuple[str, list[str]]] = field(default_factory=list)
     """Machines reported emptied, with the other store machines that lived then."""
     evacuations: list[Evacuation] = field(default_factory=list)
@@ -432,14 +433,23 @@
         process = self.machines[name].process
         if process is None:
             return 0
-        stop = PlannedStop(name, time.monotonic())
-        self.stops.append(stop)
+        stop = self._note_stop(name, process)
         process.send_signal(signal.SIGTERM)
         code = process.wait(max(STOP_TIMEOUT_S, STOP_TIMEOUT_FACTOR * self.grace_period_s))
         stop.ended_s = time.monotonic()
         self.exit_codes.append((name, code))
         return code
 
+    def _note_stop(self, name: str, process: "subprocess.Popen[bytes]") -> PlannedStop:
+        """Note the first signal of a process's stop; return its note."""
+        with self._lock:
+            for stop in self.stops:
+                if stop.process is process:
+                    return stop
+            stop = PlannedStop(name, process, time.monotonic())
+            self.stops.append(stop)
+            return stop
+
     def await_started(self, name: str) -> bool:
         """Wait until a machine's process heeds signals; False when it does not in time."""
         until_s = time.monotonic() + READY_TIMEOUT_S
@@ -458,6 +468,8 @@
         """Send a signal to a machine's process."""
         process = self.machines[name].process
         if process is not None:
+            if number == signal.SIGTERM:
+                self._note_stop(name, process)
             process.send_signal(number)
 
     def resume(self, name: str, suspended_s: float) -> None:
--- a/src/bellweir_rehearsal/hosted/platform_faults.py
+++ b/src/bellweir_rehearsal/hosted/platform_faults.py
@@ -4,6 +4,11 @@
 from bellweir_rehearsal.hosted.deployment import ZONES
 from bellweir_rehearsal.hosted.fault import SoakFault
 from bellweir_rehearsal.hosted.object_store import Outage
+from bellweir_rehearsal.hosted.worker import EarlyEnd
+
+MOST_REFUSED = 6
+LONGEST_BODY_BYTES = 2_000_000
+"""More than any body of a soak has."""
 
 
 class StoreOutage(SoakFault):
@@ -129,3 +134,25 @@
     def strike(self) -> None:
         """Name it."""
         self.deployment.name_next_version()
+
+
+class RefusingWorkers(SoakFault):
+    """Workers refuse some requests before, in or behind their bodies, as while they load."""
+
+    longest_s = 1.0
+    is_planned = True
+    repeats = True
+
+    def strike(self) -> None:
+        """Refuse the next requests that come to some workers."""
+        models = self.deployment.models
+        for worker in self.chance.sample(models, self.chance.randint(1, len(models))):
+            faults = worker.faults
+            faults.early_end = self.chance.choice((EarlyEnd.REFUSE, EarlyEnd.REFUSE_AND_CLOSE))
+            faults.early_bytes = self.chance.choice((0, 100_000, 280_000, LONGEST_BODY_BYTES))
+            faults.early = self.chance.randint(1, MOST_REFUSED)
+
+    def mend(self) -> None:
+        """Take the next request again."""
+        for worker in self.deployment.models:
+            worker.faults.early = 0
--- a/src/bellweir_rehearsal/hosted/soak.py
+++ b/src/bellweir_rehearsal/hosted/soak.py
@@ -38,6 +38,7 @@
 from bellweir_rehearsal.hosted.second_reader import SecondReader, page_of
 from bellweir_rehearsal.hosted.soak_faults import ALL_FAULTS, BESIDE_FAULTS
 from bellweir_rehearsal.hosted.soak_report import SoakReport, memory_mb
+from bellweir_rehearsal.hosted.stream_clients import StreamClient
 from bellweir_rehearsal.hosted.touch_log import CONTACT_S
 from bellweir_rehearsal.hosted.worker_crashes import WorkerCrashes
 
@@ -53,6 +54,8 @@
 LONGEST_SERIES_PAUSE_S = 0.8
 LONGEST_SERIES_FAULT_S = 1.0
 MOST_KEPT_CLIENTS = 8
+STREAM_CLIENTS = 12
+GRACE_PERIODS_S = (8.0, 2.0, 5.0)
 SECOND_READERS = 2
 TRIES = 120
 """Tries of a client's call; all processes may be down for a while."""
@@ -113,9 +116,12 @@
         *,
         has_places: bool = False,
         has_long_texts: bool = False,
+        has_streams: bool = False,
     ) -> None:
         """With an `older` build every second machine begins on it.
 
+        `has_streams`: clients read long streams, and the seed draws the grace period.
+
         `has_places`: workers stand in all zones and are cold after a start. `has_long_texts`:
         texts take seconds, so that their leaders are lost in their midst.
         """
@@ -132,6 +138,9 @@
         )
         super().__init__(deployment, told)
         self.deployment.is_rigged = True
+        self._has_streams = has_streams
+        if has_streams:
+            self.deployment.grace_period_s = GRACE_PERIODS_S[seed % len(GRACE_PERIODS_S)]
         self.deployment.older = older
         if WorkerCrashes in only:
             for worker in self.deployment.scorers:
@@ -167,6 +176,13 @@
         self.crashing = Check("a request that crashes workers reaches few after the third")
         self.placed = Check("an item that may run gets a worker")
         self.served = Check("an innocent request is served again soon after crashes in series")
+        self.streams = Check("a stream that was begun comes whole, into the end of a grace period")
+        self.bodies = Check("a worker receives a request's body whole, or the beginning of it")
+        self.in_time = Check("a planned stop is over before the end of its grace period")
+        self._stream_clients = [
+            StreamClient(f"story-{each}", deployment, self.streams, self._chance(f"story/{each}"))
+            for each in range(STREAM_CLIENTS if has_streams else 0)
+        ]
         self._watch = ItemWatch(self.deployment, self._open_items)
         self._reader = SecondReader(
             self.deployment, self.trainer.steps, self._is_kept, self.read, self._chance("reader")
@@ -193,6 +209,9 @@
             self.crashing,
             self.placed,
             self.served,
+            self.streams,
+            self.bodies,
+            self.in_time,
         ]
 
     @property
@@ -208,6 +227,8 @@
             self.crashing,
             self.placed,
             self.served,
+            self.in_time,
+            *(() if self._has_streams else (self.streams, self.bodies)),
         ]
 
     def holds(self, check: Check) -> bool:
@@ -239,6 +260,8 @@
         self.check_usage()
         self.check_places()
         check_crashing_runs(self.crashing, self.deployment, self.deployment.workers)
+        for client in self._stream_clients:
+            client.check_bodies(self.bodies, self.deployment.models)
         self._check_configuration()
         self._check_ends()
 
@@ -316,6 +339,7 @@
     def _check_ends(self) -> None:
         for name, code in self.deployment.exit_codes:
             self.stops.expect(code == 0, f"{name}: exit code {code}")
+        self._check_stop_times()
         for end in self.deployment.own_ends:
             self.own_ends.expect(end.is_owed, f"{end.name}: exit code {end.code}, disk full")
         for name in self.deployment.refilled:
@@ -327,6 +351,17 @@
             told = f"{name} while {len(others)} others lived: {others}"
             self.emptied.expect(len(others) >= needed, told)
 
+    def _check_stop_times(self) -> None:
+        """Look at stops that nothing unplanned disturbed."""
+        grace_s = self.deployment.grace_period_s
+        for stop in self.deployment.stops:
+            if stop.ended_s is None or not self.deployment.touched.left_alone(
+                [stop.name], stop.signalled_s, stop.ended_s, planned_too=False
+            ):
+                continue
+            took_s = stop.ended_s - stop.signalled_s
+            self.in_time.expect(took_s <= grace_s, f"{stop.name}: {took_s:.2f} s of {grace_s:g} s")
+
     def _is_kept(self, step: StepRecord) -> bool:
         """Whether a step must be readable still."""
         kept_s = KEPT_SHARE * self.deployment.status_s
@@ -393,11 +428,12 @@
     def _traffic(self) -> Iterator[None]:
         """Clients with open connections, second readers and the workers' beat, until the end."""
         clients = min(MOST_KEPT_CLIENTS, self.deployment.gateways)
-        with ThreadPoolExecutor(clients + SECOND_READERS + 2) as pool:
+        with ThreadPoolExecutor(clients + STREAM_CLIENTS + SECOND_READERS + 2) as pool:
             tasks: list[Future[None]] = [
                 pool.submit(self._kept_client(number).run, self._stopping)
                 for number in range(clients)
             ]
+            tasks += [pool.submit(one.run, self._stopping) for one in self._stream_clients]
             tasks += [pool.submit(self._reader.run, self._stopping) for _ in range(SECOND_READERS)]
             tasks += [pool.submit(self._beat), pool.submit(self._look_at_processes)]
             try:
--- a/src/bellweir_rehearsal/hosted/soak_faults.py
+++ b/src/bellweir_rehearsal/hosted/soak_faults.py
@@ -20,6 +20,7 @@
     LostWrites,
     NewConfiguration,
     NewVersion,
+    RefusingWorkers,
     StoreOutage,
     WorkersStartAgain,
 )
@@ -152,6 +153,18 @@
     NewConfiguration,
 )
 """Workers that crash in series beside requests that crash them; no store machine is lost."""
+STREAM_FAULTS: tuple[type[SoakFault], ...] = (
+    StopGateway,
+    StopGateway,
+    StopAmidSignals,
+    HangUp,
+    RefusingWorkers,
+    RefusingWorkers,
+    NewVersion,
+    NewConfiguration,
+    StopStore,
+)
+"""Planned stops and workers that refuse, under long streams with bodies of all lengths."""
 BUILD_FAULTS: tuple[type[SoakFault], ...] = (
     ChangeBuild,
     ChangeBuild,
