Soak: one loop for both kinds of clients that keep their connections

The clients of long streams repeated the loop of those of short requests; both are now subclasses of ConnectionClient. What they send and judge is as before.

--- a/src/bellweir_rehearsal/hosted/kept_clients.py
+++ b/src/bellweir_rehearsal/hosted/kept_clients.py
@@ -7,9 +7,11 @@
 """
 
 import http.client
+import itertools
 import random
 import threading
 import time
+from abc import ABC, abstractmethod
 
 from bellweir_rehearsal.hosted.checks import Check
 from bellweir_rehearsal.hosted.clients import HOST, KEY
@@ -26,23 +28,13 @@
 BODY = b"body"
 
 
-class KeptClient:
-    """One client; `run` goes on until `stopping` is set.
+class ConnectionClient(ABC):
+    """A client that uses one connection after the other; `run` goes on until `stopping` is set."""
 
-    What it saw stands in the check. A request is judged only if nothing unplanned struck its
-    gateway lately.
-    """
+    __slots__ = ("_chance", "_check", "_deployment", "_has_started", "_name", "_numbers")
 
-    __slots__ = (
-        "_chance",
-        "_check",
-        "_deployment",
-        "_has_started",
-        "_name",
-        "_number",
-        "crossed",
-        "served",
-    )
+    longest_pause_s = LONGEST_PAUSE_S
+    answer_timeout_s = ANSWER_TIMEOUT_S
 
     def __init__(
         self, name: str, deployment: HostedDeployment, check: Check, chance: random.Random
@@ -51,12 +43,9 @@
         self._deployment = deployment
         self._check = check
         self._chance = chance
-        self._number = 0
+        self._numbers = itertools.count(1)
         self._has_started = True
         """Whether the gateway's process had started when the connection was made."""
-        self.served = 0
-        self.crossed = 0
-        """Requests that crossed a close and were not read."""
 
     def run(self, stopping: threading.Event) -> None:
         """Use one connection after the other."""
@@ -67,27 +56,62 @@
                 continue
             gateway = self._chance.choice(running)
             address = self._deployment.address(gateway, "front")
-            connection = http.client.HTTPConnection(address, timeout=ANSWER_TIMEOUT_S)
+            connection = http.client.HTTPConnection(address, timeout=self.answer_timeout_s)
             try:
                 self._has_started = self._deployment.has_started(gateway)
                 connection.connect()
                 while not stopping.is_set() and self._send(gateway, connection):
-                    stopping.wait(self._chance.uniform(0.0, LONGEST_PAUSE_S))
+                    stopping.wait(self._chance.uniform(0.0, self.longest_pause_s))
             except OSError:
                 stopping.wait(NONE_RUNNING_PAUSE_S)
             finally:
                 connection.close()
 
+    @abstractmethod
     def _send(self, gateway: str, connection: http.client.HTTPConnection) -> bool:
         """Send the next request; whether the connection can be used for another one."""
-        self._number += 1
-        request_id = f"{self._name}-{self._number}"
-        headers = {
+
+    def _next_id(self) -> str:
+        return f"{self._name}-{next(self._numbers)}"
+
+    def _headers(self, request_id: str, deadline_ms: int) -> dict[str, str]:
+        return {
             "Host": HOST,
             "Authorization": f"Bearer {KEY}",
             "X-Bellweir-Attempt-Id": request_id,
-            "X-Bellweir-Deadline-Ms": str(DEADLINE_MS),
+            "X-Bellweir-Deadline-Ms": str(deadline_ms),
         }
+
+    def _is_judged(self, gateway: str, began_s: float, now_s: float) -> bool:
+        """Whether nothing unplanned struck the gateway lately."""
+        return self._deployment.touched.left_alone([gateway], began_s, now_s, planned_too=False)
+
+    def _was_read(self, ran: int, seconds: float) -> bool:
+        """Whether a request that got no answer within so long had been read."""
+        return ran > 0 or (self._has_started and seconds > LOST_S)
+
+
+class KeptClient(ConnectionClient):
+    """A client of short requests.
+
+    What it saw stands in the check. A request is judged only if nothing unplanned struck its
+    gateway lately.
+    """
+
+    __slots__ = ("crossed", "served")
+
+    def __init__(
+        self, name: str, deployment: HostedDeployment, check: Check, chance: random.Random
+    ) -> None:
+        super().__init__(name, deployment, check, chance)
+        self.served = 0
+        self.crossed = 0
+        """Requests that crossed a close and were not read."""
+
+    def _send(self, gateway: str, connection: http.client.HTTPConnection) -> bool:
+        """Send the next request; whether the connection can be used for another one."""
+        request_id = self._next_id()
+        headers = self._headers(request_id, DEADLINE_MS)
         began_s = time.monotonic()
         try:
             connection.request("POST", "/price/kept", BODY, headers)
@@ -112,11 +136,10 @@
 
     def _judge_cut(self, gateway: str, request_id: str, began_s: float, failure: Exception) -> None:
         now_s = time.monotonic()
-        touched = self._deployment.touched
-        if not touched.left_alone([gateway], began_s, now_s, planned_too=False):
+        if not self._is_judged(gateway, began_s, now_s):
             return
         ran = sum(worker.record.ran[request_id] for worker in self._deployment.scorers)
-        was_read = ran > 0 or (self._has_started and now_s - began_s > LOST_S)
+        was_read = self._was_read(ran, now_s - began_s)
         self.crossed += not was_read
         told = f"{request_id} at {gateway}: ran {ran} times, {now_s - began_s:.2f} s, {failure!r}"
         self._check.expect(not was_read, told)
--- a/src/bellweir_rehearsal/hosted/stream_clients.py
+++ b/src/bellweir_rehearsal/hosted/stream_clients.py
@@ -5,26 +5,21 @@
 """
 
 import http.client
-import itertools
 import random
 import re
-import threading
 import time
 from collections.abc import Iterator
 
 from bellweir_rehearsal.hosted.checks import Check
-from bellweir_rehearsal.hosted.clients import HOST, KEY
 from bellweir_rehearsal.hosted.deployment import HostedDeployment
-from bellweir_rehearsal.hosted.kept_clients import LOST_S, NONE_RUNNING_PAUSE_S
+from bellweir_rehearsal.hosted.kept_clients import ConnectionClient
 from bellweir_rehearsal.hosted.worker import WorkerStandIn
 
 DEADLINE_MS = 15_000
-ANSWER_TIMEOUT_S = 20.0
 PREFIXES = ("/stories/", "/serials/")
 """Streaming routes; streams of the second one may be resumed."""
 BODY_SIZES = (10, 70_000, 262_144, 262_145, 300_000, 900_000)
 CHUNK_BYTES = 40_000
-LONGEST_PAUSE_S = 0.3
 EXCUSED_SHARE = 5 / 6
 """A planned stop may cut a stream in the last sixth of the grace period."""
 EXCUSED_SENT_S = 3.0
@@ -44,59 +39,31 @@
     return b"".join(pieces)[:size]
 
 
-class StreamClient:
-    """One client; `run` goes on until `stopping` is set.
+class StreamClient(ConnectionClient):
+    """A client of long streams.
 
     What it saw stands in the check. A cut stream is judged only if nothing unplanned struck its
     gateway lately.
     """
 
-    __slots__ = ("_chance", "_check", "_deployment", "_has_started", "_name", "_numbers", "sizes")
+    __slots__ = ("sizes",)
+
+    longest_pause_s = 0.3
+    answer_timeout_s = 20.0
 
     def __init__(
         self, name: str, deployment: HostedDeployment, check: Check, chance: random.Random
     ) -> None:
-        self._name = name
-        self._deployment = deployment
-        self._check = check
-        self._chance = chance
-        self._numbers = itertools.count(1)
-        self._has_started = True
-        """Whether the gateway's process had started when the connection was made."""
+        super().__init__(name, deployment, check, chance)
         self.sizes: dict[str, int] = {}
         """Length of the body of each request that was sent, by its id."""
 
-    def run(self, stopping: threading.Event) -> None:
-        """Use one connection after the other."""
-        while not stopping.is_set():
-            running = self._deployment.running("gateway")
-            if not running:
-                stopping.wait(NONE_RUNNING_PAUSE_S)
-                continue
-            gateway = self._chance.choice(running)
-            address = self._deployment.address(gateway, "front")
-            connection = http.client.HTTPConnection(address, timeout=ANSWER_TIMEOUT_S)
-            try:
-                self._has_started = self._deployment.has_started(gateway)
-                connection.connect()
-                while not stopping.is_set() and self._send(gateway, connection):
-                    stopping.wait(self._chance.uniform(0.0, LONGEST_PAUSE_S))
-            except OSError:
-                stopping.wait(NONE_RUNNING_PAUSE_S)
-            finally:
-                connection.close()
-
     def _send(self, gateway: str, connection: http.client.HTTPConnection) -> bool:
         """Send the next request; whether the connection can be used for another one."""
-        request_id = f"{self._name}-{next(self._numbers)}"
+        request_id = self._next_id()
         size = self.sizes[request_id] = self._chance.choice(BODY_SIZES)
         body = body_of(request_id, size)
-        headers = {
-            "Host": HOST,
-            "Authorization": f"Bearer {KEY}",
-            "X-Bellweir-Attempt-Id": request_id,
-            "X-Bellweir-Deadline-Ms": str(DEADLINE_MS),
-        }
+        headers = self._headers(request_id, DEADLINE_MS)
         is_chunked = self._chance.random() < 0.5
         sent: bytes | Iterator[bytes] = _pieces(body) if is_chunked else body
         path = f"{self._chance.choice(PREFIXES)}x"
@@ -122,13 +89,12 @@
 
     def _judge_cut(self, gateway: str, request_id: str, began_s: float, failure: Exception) -> None:
         now_s = time.monotonic()
-        touched = self._deployment.touched
-        if not touched.left_alone([gateway], began_s, now_s, planned_too=False):
+        if not self._is_judged(gateway, began_s, now_s):
             return
         if self._is_excused(gateway, began_s, now_s):
             return
         ran = sum(worker.record.ran[request_id] for worker in self._deployment.models)
-        was_read = ran > 0 or (self._has_started and now_s - began_s > LOST_S)
+        was_read = self._was_read(ran, now_s - began_s)
         told = f"{request_id} at {gateway}: ran {ran} times, {now_s - began_s:.2f} s, {failure!r}"
         self._check.expect(not was_read, told)
 
