Stops: a process whose output nobody reads is gone before SIGKILL

What callers saw: none of it at a gateway that had drained; but a process whose collector of logs stands still outlasted a short grace period, since its end waits 1 s for its last lines.

Change: they get half of what is left of the grace period, 1 s at most.

Test: "A process whose output nobody reads", a grace period of 1 s and a pipe that is full; it was still there at its end before, and is gone now.

--- a/features/hosted_stop.feature
+++ b/features/hosted_stop.feature
@@ -43,6 +43,12 @@
       | 2     | drain |
       | 1.5   | stop  |
 
+  # Guards against a stop that waits for somebody to read its last lines.
+  Scenario: A process whose output nobody reads
+    Given a hosted process with a grace period of 1 s, whose output is full
+    When it gets SIGTERM
+    Then the process is gone before the end of the grace period with exit code 0
+
   # Guards against requests that a stopping gateway takes and then cuts.
   Scenario: Requests that come late in a drain
     Given workers "a" and "b" behind a gateway
--- a/features/steps/hosted_stop_steps.py
+++ b/features/steps/hosted_stop_steps.py
@@ -31,7 +31,7 @@
 from bellweir.kernel.listeners import address_of
 from bellweir.settings.findings import SettingsError
 from bellweir_platform.headers import HEADERS
-from bellweir_rehearsal.hosted.clients import HOST, KEY, Client, Trainer, configuration
+from bellweir_rehearsal.hosted.clients import HOST, KEY, Client, Trainer, call, configuration
 from bellweir_rehearsal.hosted.deployment import HostedDeployment
 
 LAST_SIXTH = 5 / 6
@@ -40,6 +40,7 @@
 """When the first and the last stream would end, as shares of the grace period."""
 STREAM_TIMEOUT_MS = 60_000
 STOPPED = "gateway-0"
+PIPE_BLOCK_BYTES = 1
 
 
 @then(
@@ -72,14 +73,8 @@
 
 
 def is_ready(address):
-    connection = http.client.HTTPConnection(address, timeout=1.0)
-    try:
-        connection.request("GET", "/ready")
-        return connection.getresponse().status == 200
-    except (OSError, http.client.HTTPException):
-        return False
-    finally:
-        connection.close()
+    answer = call(address, "GET", "/ready")
+    return answer is not None and answer.status == 200
 
 
 def read_stream(address, request_id):
@@ -155,9 +150,15 @@
         assert one.is_whole or after_s >= LAST_SIXTH * context.grace_s, told
 
 
+def last_lines(context):
+    """The last log lines of the deployment's processes, for a message."""
+    logs = sorted(Path(context.folder).glob("*.log"))
+    return [line for log in logs for line in log.read_text(encoding="utf-8").splitlines()[-4:]]
+
+
 @then("the process is gone before the end of the grace period with exit code 0")
 def then_gone(context):
-    assert context.exit_code == 0, f"exit code {context.exit_code}"
+    assert context.exit_code == 0, (context.exit_code, last_lines(context))
 
 
 @when("the store machine that leads the batch jobs gets SIGTERM")
@@ -192,20 +193,54 @@
     }
     with context.log.open("wb") as log:
         context.process = subprocess.Popen(
-            [sys.executable, hanging_process.__file__], stdout=log, env=environment
+            [sys.executable, hanging_process.__file__],
+            stdout=log,
+            env=environment,
         )
     context.cleanup.callback(context.process.kill)
 
 
+@given_step("a hosted process with a grace period of {grace:g} s, whose output is full")
+def given_unread(context, grace):
+    deployment = HostedDeployment(context.folder, 1, 1, 1, 0, grace_period_s=grace)
+    context.cleanup.callback(deployment.close)
+    context.grace_s, context.phase = grace, None
+    deployment.store.records.put("config", "main", configuration(1))
+    reader, writer = os.pipe()
+    context.cleanup.callback(os.close, reader)
+    environment = {**os.environ, "BELLWEIR_CONFIG": str(deployment.write_settings(STOPPED))}
+    context.process = subprocess.Popen(
+        [sys.executable, "-m", "bellweir.hosted", "gateway"], stdout=writer, env=environment
+    )
+    context.cleanup.callback(context.process.kill)
+    ready = deployment.address(STOPPED, "ready")
+    wait_until(lambda: is_ready(ready), "the gateway is ready")
+    # What the process writes from now on waits for a reader that never comes.
+    os.set_blocking(writer, False)
+    while True:
+        try:
+            os.write(writer, b" " * PIPE_BLOCK_BYTES)
+        except BlockingIOError:
+            break
+    os.set_blocking(writer, True)
+    os.close(writer)
+
+
 @when("it gets SIGTERM")
 def when_terminated(context):
-    wanted = hanging_process.MARKER if context.phase == "start" else "process_started"
-    wait_until(lambda: wanted in context.log.read_text(encoding="utf-8"), wanted)
+    await_phase(context)
     context.signalled_s = time.monotonic()
     context.process.send_signal(signal.SIGTERM)
     await_end(context)
 
 
+def await_phase(context):
+    """Wait until the process hangs in its start, or has started."""
+    if context.phase is not None:
+        wanted = hanging_process.MARKER if context.phase == "start" else "process_started"
+        wait_until(lambda: wanted in context.log.read_text(encoding="utf-8"), wanted)
+
+
 @then("its log says that the stop was cut short")
 def then_cut_short(context):
     lines = context.log.read_text(encoding="utf-8").splitlines()
--- a/src/bellweir/hosted/process.py
+++ b/src/bellweir/hosted/process.py
@@ -55,8 +55,8 @@
 ADAPTER_MODULE = "bellweir_platform.adapter"
 EXIT_USAGE = 2
 WAKE_INTERVAL_S = 1.0
-LAST_LINES_S = 0.1
-"""Time for writing the last log lines of a stop that is cut short."""
+LAST_LINES_SHARE = 0.5
+"""Share of what is left of the grace period in which the last log lines are written."""
 
 RoleService = Callable[[Kernel, HostedSettings, HostingPlatform], Service]
 
@@ -175,9 +175,14 @@
         """End the process; only the first thread that comes does."""
         if not self._exit_lock.acquire(blocking=False):
             return
-        seconds = round(elapsed_s() - times.signalled_s, 3)
-        emit(PROCESS_STOPPED, seconds=seconds, left_running=left_running)
-        self._log.close(LAST_LINES_S if left_running else WAIT_TIMEOUT_S)
+        now_s = elapsed_s()
+        emit(
+            PROCESS_STOPPED,
+            seconds=round(now_s - times.signalled_s, 3),
+            left_running=left_running,
+        )
+        left_s = max(0.0, times.end_s - now_s)
+        self._log.close(min(WAIT_TIMEOUT_S, LAST_LINES_SHARE * left_s))
         # Tasks that block on the store or a worker hold no state to save.
         os._exit(EXIT_GIVEN_UP if self.kernel.ending.cause is not None else 0)
 
--- a/src/bellweir/hosted/stop_times.py
+++ b/src/bellweir/hosted/stop_times.py
@@ -18,7 +18,7 @@
     """Moments of a planned stop, in seconds of `elapsed_s`.
 
     Requests in hand are served until `serve_until_s`. The process ends at `exit_by_s`, whatever is
-    left to do. Both are counted from the signal, not from the begin of the drain.
+    left to do; at `end_s` it is killed. All are counted from the signal.
 
     >>> times = StopTimes(100.0, 8.0)
     >>> round(times.serve_until_s, 3), round(times.exit_by_s, 3)
@@ -28,13 +28,13 @@
     (100.875, 100.917)
     """
 
-    __slots__ = ("exit_by_s", "serve_until_s", "signalled_s")
+    __slots__ = ("end_s", "exit_by_s", "serve_until_s", "signalled_s")
 
     def __init__(self, signalled_s: float, grace_period_s: float) -> None:
         self.signalled_s = signalled_s
-        end_s = signalled_s + grace_period_s
-        self.serve_until_s = end_s - min(LONGEST_STOP_S, STOP_SHARE * grace_period_s)
-        self.exit_by_s = end_s - min(LONGEST_LAST_S, LAST_SHARE * grace_period_s)
+        self.end_s = signalled_s + grace_period_s
+        self.serve_until_s = self.end_s - min(LONGEST_STOP_S, STOP_SHARE * grace_period_s)
+        self.exit_by_s = self.end_s - min(LONGEST_LAST_S, LAST_SHARE * grace_period_s)
 
 
 class StopGuard:
