Stops: a signal that another thread receives is noticed at once

What callers saw: a gateway that got SIGTERM right after SIGHUP began to drain up to 1 s late and was killed at the end of its grace period; one that still started did not notice until it had started.

Cause: the system hands a signal to the main thread, but to any other one while a signal is pending there. Python runs handlers on the main thread alone, once that executes code again: it waited for up to 1 s in its loop, without a bound in a start.

Change: SignalInbox writes each signal to a pipe (set_wakeup_fd) and runs what it asks for on a task of its own, so that handlers need no care for locks and the guard counts from the signal.

Test: "A signal that another thread than the main one receives", during a start and during a drain; both were still there at the end of their grace period before, and are gone now.

--- a/features/hosted_stop.feature
+++ b/features/hosted_stop.feature
@@ -43,6 +43,19 @@
       | 2     | drain |
       | 1.5   | stop  |
 
+  # Guards against a signal that is noticed late, or never during a start: the system gives it to any
+  # thread while another signal is pending.
+  Scenario Outline: A signal that another thread than the main one receives
+    Given a hosted process with a grace period of 2 s whose service hangs in its <phase>
+    When another thread of it receives SIGTERM
+    Then the process is gone before the end of the grace period with exit code 0
+    And its log says that the stop was cut short
+
+    Examples:
+      | phase |
+      | start |
+      | drain |
+
   # Guards against a stop that waits for somebody to read its last lines.
   Scenario: A process whose output nobody reads
     Given a hosted process with a grace period of 1 s, whose output is full
--- a/features/steps/hosted_stop_steps.py
+++ b/features/steps/hosted_stop_steps.py
@@ -190,10 +190,12 @@
         **os.environ,
         "BELLWEIR_CONFIG": str(deployment.write_settings(STOPPED)),
         "HANGS_IN": phase,
+        hanging_process.TAKES_SIGNAL: "1",
     }
     with context.log.open("wb") as log:
         context.process = subprocess.Popen(
             [sys.executable, hanging_process.__file__],
+            stdin=subprocess.PIPE,
             stdout=log,
             env=environment,
         )
@@ -234,6 +236,15 @@
     await_end(context)
 
 
+@when("another thread of it receives SIGTERM")
+def when_thread_signalled(context):
+    await_phase(context)
+    context.signalled_s = time.monotonic()
+    context.process.stdin.write(b"now\n")
+    context.process.stdin.close()
+    await_end(context)
+
+
 def await_phase(context):
     """Wait until the process hangs in its start, or has started."""
     if context.phase is not None:
--- a/features/support/hanging_process.py
+++ b/features/support/hanging_process.py
@@ -4,12 +4,16 @@
 """
 
 import os
+import signal
+import sys
 import threading
 
 from bellweir.hosted.process import HostedProcess, main
 from bellweir.kernel.service import Service
 
 HANG_S = 60.0
+TAKES_SIGNAL = "TAKES_SIGNAL"
+"""Set: a line of input makes another thread than the main one receive SIGTERM."""
 MARKER = "service hangs"
 PHASE = os.environ.get("HANGS_IN", "")
 
@@ -20,6 +24,11 @@
         threading.Event().wait(HANG_S)
 
 
+def take_signal():
+    sys.stdin.readline()
+    signal.pthread_kill(threading.get_ident(), signal.SIGTERM)
+
+
 class HangingService(Service):
     name = "hanging"
 
@@ -40,4 +49,6 @@
 
 
 if __name__ == "__main__":
+    if os.environ.get(TAKES_SIGNAL):
+        threading.Thread(target=take_signal, daemon=True).start()
     main(HangingProcess)
--- a/src/bellweir/hosted/process.py
+++ b/src/bellweir/hosted/process.py
@@ -1,16 +1,13 @@
 """Composition root of a hosted process: services of its role, signals, graceful shutdown."""
 
-import contextlib
 import importlib
 import os
-import queue
 import signal
 import sys
 import threading
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
-from types import FrameType
 
 from bellweir.events.bounded import WAIT_TIMEOUT_S, BoundedLog
 from bellweir.events.log import bind_node, configure_logs, emit
@@ -35,6 +32,7 @@
     LoadedSettings,
     load_settings,
 )
+from bellweir.hosted.signal_inbox import SignalInbox
 from bellweir.hosted.stop_times import StopGuard, StopTimes
 from bellweir.hosted.store_calls import CountingStore
 from bellweir.hosted.validating_store import ValidatingStore
@@ -72,9 +70,15 @@
         self._path = path
         settings = loaded.settings
         self._settings = settings
-        # Signal handlers must take no lock that the interrupted thread may hold, as an event's.
-        self._wakes: queue.SimpleQueue[None] = queue.SimpleQueue()
-        self._is_reload_requested = False
+        self._reload_requested = threading.Event()
+        self._wake = threading.Event()
+        self._signals = SignalInbox(
+            {
+                signal.SIGTERM: self._request_stop,
+                signal.SIGINT: self._request_stop,
+                signal.SIGHUP: self._request_reload,
+            }
+        )
         self._guard = StopGuard(settings.bounds.grace_period_s, self._end_unfinished)
         self._exit_lock = threading.Lock()
         self.kernel = Kernel(_bind(settings))
@@ -105,41 +109,35 @@
 
         The grace period begins with the signal, also if that comes during the start.
         """
-        signal.signal(signal.SIGTERM, self._on_stop)
-        signal.signal(signal.SIGINT, self._on_stop)
-        signal.signal(signal.SIGHUP, self._on_reload)
-        self.kernel.ending.listen(self._wake)
+        self._signals.install()
+        self.kernel.ending.listen(self._wake.set)
+        self.kernel.executors.run_task("signals", self._signals.run)
         self.kernel.executors.run_task("stop-guard", self._guard.run)
         try:
             self.kernel.registry.start()
         except BaseException:
+            self._signals.close()
             self._guard.cancel()
             raise
         node = self._settings.node
         start_ms = round(1000 * (elapsed_s() - started_s))
         emit(PROCESS_STARTED, role=node.role, zone=node.zone, start_ms=start_ms)
         while self._guard.times is None and self.kernel.ending.cause is None:
-            self._await_wake()
+            self._wake.wait(WAKE_INTERVAL_S)
+            self._wake.clear()
             self._store.log_calls_if_due()
-            if self._is_reload_requested:
-                self._is_reload_requested = False
+            if self._reload_requested.is_set():
+                self._reload_requested.clear()
                 self._reload()
         self._stop()
 
-    def _wake(self) -> None:
-        self._wakes.put(None)
-
-    def _await_wake(self) -> None:
-        with contextlib.suppress(queue.Empty):
-            self._wakes.get(timeout=WAKE_INTERVAL_S)
-
-    def _on_stop(self, _number: int, _frame: FrameType | None) -> None:
+    def _request_stop(self) -> None:
         self._guard.signal()
-        self._wake()
+        self._wake.set()
 
-    def _on_reload(self, _number: int, _frame: FrameType | None) -> None:
-        self._is_reload_requested = True
-        self._wake()
+    def _request_reload(self) -> None:
+        self._reload_requested.set()
+        self._wake.set()
 
     def _reload(self) -> None:
         """Validate the changed settings and log the differences.
--- a/src/bellweir/hosted/stop_times.py
+++ b/src/bellweir/hosted/stop_times.py
@@ -38,27 +38,26 @@
 
 
 class StopGuard:
-    """Ends the process before SIGKILL would, also while it still starts or its stop hangs.
+    """Ends the process before SIGKILL would, also while it still starts or its stop hangs."""
 
-    `signal` may be called by a signal handler: it takes no lock.
-    """
-
-    __slots__ = ("_end_process", "_grace_period_s", "_signals", "times")
+    __slots__ = ("_end_process", "_grace_period_s", "_lock", "_signals", "times")
 
     def __init__(self, grace_period_s: float, end_process: Callable[[], None]) -> None:
         """`end_process` is called on the guard's task at `StopTimes.exit_by_s`."""
         self._grace_period_s = grace_period_s
         self._end_process = end_process
+        self._lock = threading.Lock()
         self._signals: queue.SimpleQueue[StopTimes | None] = queue.SimpleQueue()
         self.times: StopTimes | None = None
         """Set by the first signal."""
 
     def signal(self) -> StopTimes:
         """Note that the process is to stop, and return its times; only the first call counts."""
-        if self.times is None:
-            self.times = StopTimes(elapsed_s(), self._grace_period_s)
-            self._signals.put(self.times)
-        return self.times
+        with self._lock:
+            if self.times is None:
+                self.times = StopTimes(elapsed_s(), self._grace_period_s)
+                self._signals.put(self.times)
+            return self.times
 
     def cancel(self) -> None:
         """End the guard's task without a stop."""
