--- a/features/hosted_stop.feature
+++ b/features/hosted_stop.feature
@@ -43,8 +43,7 @@
       | 2     | drain |
       | 1.5   | stop  |
 
-  # Guards against a signal that is noticed late, or never during a start: the system gives it to any
-  # thread while another signal is pending.
+  # Guards against a signal that is noticed late, or not before the end of a start.
   Scenario Outline: A signal that another thread than the main one receives
     Given a hosted process with a grace period of 2 s whose service hangs in its <phase>
     When another thread of it receives SIGTERM
