Test: workers of requests are chosen in serving/next_attempt.py alone

"Everything that sends to workers asks whether it may" compares the modules that choose workers with a list. It names the one module now; the comparison is for equality as before, so a second place that chooses fails it still.

--- a/features/steps/hosted_places_steps.py
+++ b/features/steps/hosted_places_steps.py
@@ -46,8 +46,7 @@
 
 SOURCE = Path(__file__).resolve().parents[2] / "src" / "bellweir" / "hosted"
 SENDERS = {
-    "serving/forwarding.py": {"choose"},
-    "serving/streams.py": {"choose"},
+    "serving/next_attempt.py": {"choose"},
     "batches/worker_selection.py": {"choose", "acquire"},
 }
 """Modules that take workers to send to, and by which methods of `WorkerLoads`."""
