Streams: the comment on the retry budget says what the code does

It said that a stream that goes on repeats no work; one whose first attempt had an unknown outcome may begin anew and isn't charged either. No change of behaviour.

--- a/src/bellweir/hosted/serving/streams.py
+++ b/src/bellweir/hosted/serving/streams.py
@@ -205,7 +205,7 @@
     def _next_worker(self, stream: _Stream) -> Worker | None:
         if stream.cancellation.cancelled.is_set():
             return None
-        # A stream that goes on repeats no work, so it is not charged to the retry budget.
+        # Once the stream may have run, further attempts are not charged to the retry budget.
         worker = self._forwarder.next_attempt.acquire_worker(
             stream.client,
             stream.groups,
