A body that grows too long behind its answer ends its connection

What callers saw: a request that is refused while its body comes in chunks, and whose body then grows past the limit, hung. The caller could neither send on nor did it see the end; it gave up by its own time limit.

Cause: `ServerChannel._stop_receiving` stops reading and leaves it to the request's thread to end the connection. If the request was answered before, that thread has gone, and nobody ends it.

Change: a channel whose request was answered already is ended by the loop.

--- a/src/bellweir/http_server/channel.py
+++ b/src/bellweir/http_server/channel.py
@@ -155,6 +155,9 @@
         self.out_of_step = True
         self.linger_after_flush()
         self.readable = _never  # type: ignore[method-assign]
+        if request not in self.requests:
+            # It was answered before its body ended, so no request thread ends the connection.
+            self.close_when_flushed = True
 
     def _is_readable_while_streaming(self) -> bool:
         # Output may wait for the caller, who may first want to send the rest of the body.
