Each connection that a server ends reads on until its caller closes

What callers saw: a reset connection or a broken pipe in place of 413 or 503, if they still sent their body: at the hosted roles with any body over the limit, and with any refusal amid a body while the process stopped; at the self-run nodes' gateway when they sent for more than 2 s after the refusal. A long answer came cut if the next request on its connection was refused.

Cause: a socket that is closed with unread input is reset, and the reset may overtake the answer. Only the answers to the gateway's parser errors asked for reading on, for 2 s in all, and not if they had to wait for output before them.

Ruled out: a race of loop and request thread (0.5 s between cutting a body and marking its connection changed nothing).

Change: the channel closes its sending side behind the last answer, then drops input until the caller closes, 5 s without input and 30 s at most. While a refused body may come the connection is busy, so that a drain waits for it.

--- a/src/bellweir/gateway/tasks.py
+++ b/src/bellweir/gateway/tasks.py
@@ -39,5 +39,4 @@
         self.response_headers.extend(response.headers)
         self.set_close_on_finish()
         self.content_length = len(response.body)
-        self.channel.linger_after_flush()
         self.write(response.body)
--- a/src/bellweir/http_server/channel.py
+++ b/src/bellweir/http_server/channel.py
@@ -63,8 +63,8 @@
     out_of_step = False
     """Whether what comes next on the connection can't be told to be a request."""
     _receiving_since_s = 0.0
-    _lingers = False
-    _linger_until_s: float | None = None
+    _lingering_since_s: float | None = None
+    _aborts = False
 
     def __init__(
         self,
@@ -153,7 +153,6 @@
         """Cut a streamed body: its thread gets an error, and the connection is of no more use."""
         request.pipe.cut(error.code, str(error.body))
         self.out_of_step = True
-        self.linger_after_flush()
         self.readable = _never  # type: ignore[method-assign]
         if request not in self.requests:
             # It was answered before its body ended, so no request thread ends the connection.
@@ -167,23 +166,29 @@
         return request is None or not request.pipe.is_full
 
     def service(self) -> None:
-        """Run one request; the connection ends with it if its body was not received whole."""
+        """Run one request; the connection ends with it if it was not received whole."""
+        if self.requests[0].error is not None:
+            self.out_of_step = True
         super().service()
         if self.out_of_step and not self.close_when_flushed:
             self.close_when_flushed = True
             self.server.pull_trigger()
 
     def is_busy(self) -> bool:
-        """Whether a request is being received, run or answered."""
+        """Whether a request is being received, run or answered.
+
+        Also while the caller may still send a body that was refused, as it reads the refusal after
+        that.
+        """
         receiving = self.request is not None
-        return bool(receiving or self.requests or self.total_outbufs_len)
+        lingering = self.out_of_step and self._lingering_since_s is not None
+        return bool(receiving or lingering or self.requests or self.total_outbufs_len)
 
     def enforce_limits(self, now_s: float, *, crowded: bool) -> None:
         """End what takes too long; called on the loop's thread about once a second."""
         limits = self.server.limits
-        if self._linger_until_s is not None:
-            if now_s >= self._linger_until_s:
-                self.handle_close()
+        if self._lingering_since_s is not None:
+            self._enforce_linger_limits(now_s - self._lingering_since_s, crowded=crowded)
             return
         if self.total_outbufs_len and now_s - self.last_activity > limits.write_stall_s:
             self._shut_down()
@@ -192,20 +197,13 @@
         elif crowded and not self.is_busy() and now_s - self.last_activity > limits.crowded_idle_s:
             self.will_close = True
 
-    def linger_after_flush(self) -> None:
-        """Read and drop input for a while after the answer, instead of closing at once.
-
-        Closing a socket with unread input resets the connection, and the reset may overtake the
-        answer: a caller still sending a long body would never see its 413.
-        """
-        self._lingers = True
-
     def abort_on_close(self) -> None:
         """Have the coming close reset the connection.
 
         An HTTP/1.0 answer without a length ends with its connection, so a cut one must not end
         like a whole one.
         """
+        self._aborts = True
         abort_at_once = struct.pack("ii", 1, 0)
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, abort_at_once)
 
@@ -222,13 +220,16 @@
         except OSError:
             self.handle_close()
             return
-        if data and self._linger_until_s is None:
+        if data:
             self.last_activity = time.time()
-            self.received(data)
-        elif not data and self.request is not None and not self.requests:
+            if self._lingering_since_s is None:
+                self.received(data)
+        elif self._lingering_since_s is not None:
+            self.handle_close()
+        elif self.request is not None and not self.requests:
             self.readable = _never  # type: ignore[method-assign]
             self._end_unfinished(BadRequest("the request ended before its end"))
-        elif not data:
+        else:
             self.handle_close()
 
     def handle_close(self) -> None:
@@ -261,15 +262,24 @@
         return self.flushed_by_loop and bool(self.total_outbufs_len)
 
     def handle_write(self) -> None:
-        """Write; instead of closing after an early refusal, begin to linger."""
-        ends = self.close_when_flushed and not self.total_outbufs_len
-        if ends and self._lingers and not self.will_close:
-            self._begin_lingering()
+        """Write; behind the last answer, linger instead of closing at once.
+
+        Closing a socket with unread input resets the connection, and the reset may overtake the
+        answer: a caller that still sends its body would never see why it was refused (RFC 9112
+        section 9.6).
+        """
+        if not self.close_when_flushed or self.will_close or self._aborts:
+            super().handle_write()
             return
+        # waitress would close the connection as soon as all output is sent.
+        self.close_when_flushed = False
         super().handle_write()
+        self.close_when_flushed = True
+        if self.connected and not self.total_outbufs_len:
+            self._begin_lingering()
 
     def _begin_lingering(self) -> None:
-        self._linger_until_s = time.time() + self.server.limits.linger_s
+        self._lingering_since_s = self.last_activity = time.time()
         self.readable = _always  # type: ignore[method-assign]
         self.writable = _never  # type: ignore[method-assign]
         try:
@@ -277,6 +287,13 @@
         except OSError:
             self.handle_close()
 
+    def _enforce_linger_limits(self, lingered_s: float, *, crowded: bool) -> None:
+        limits = self.server.limits
+        idle_s = time.time() - self.last_activity
+        longest_idle_s = limits.crowded_idle_s if crowded else limits.linger_idle_s
+        if lingered_s >= limits.linger_s or idle_s >= longest_idle_s:
+            self.handle_close()
+
     def _is_too_slow(self, now_s: float) -> bool:
         limits = self.server.limits
         elapsed_s = now_s - self._receiving_since_s
--- a/src/bellweir/http_server/server_limits.py
+++ b/src/bellweir/http_server/server_limits.py
@@ -38,8 +38,10 @@
     """A caller that takes no byte of its answer for this time is disconnected."""
     crowded_idle_s: int = 2
     """Idle time after which connections are closed while the limit is reached."""
-    linger_s: int = 2
-    """Time for which input is still read and dropped after an early refusal."""
+    linger_s: int = 30
+    """Time for which input is still read and dropped after the last answer of a connection."""
+    linger_idle_s: int = 5
+    """The same while no input comes."""
     maximum_header_bytes: int = 64 * 1024
     body_memory_bytes: int = 512 * 1024
     """Longer request bodies wait in a temporary file."""
