--- a/features/steps/hosted_starts_steps.py
+++ b/features/steps/hosted_starts_steps.py
@@ -560,7 +560,7 @@
     now_s = time.monotonic()
     client = ClientRequest(None, route, "r", now_s, now_s + 60.0, b"", [])
     former = Incarnation("i-1", 5_000)
-    progress = Progress(ran_at={former}, tried={former}, sends=1, may_have_run=True)
+    progress = Progress(ran_at={former}, tried={former}, sends=1)
     return forwarder._next_worker(client, [workers.ready("llm")], progress)
 
 
--- a/src/bellweir/hosted/serving/forwarding.py
+++ b/src/bellweir/hosted/serving/forwarding.py
@@ -315,7 +315,7 @@
         if outcome.state in (AttemptState.ANSWERED, AttemptState.UNKNOWN):
             if not progress.may_have_run:
                 self.count_usage(client, self._now_s() - seconds)
-            progress.record_possible_run(incarnation)
+            progress.ran_at.add(incarnation)
         response = outcome.response
         is_answered = outcome.state is AttemptState.ANSWERED
         if is_answered:
--- a/src/bellweir/hosted/serving/next_attempt.py
+++ b/src/bellweir/hosted/serving/next_attempt.py
@@ -23,14 +23,13 @@
     """Incarnations that may have run the request; they count towards the route's `max_attempts`."""
     tried: set[Incarnation] = field(default_factory=set)
     sends: int = 0
-    may_have_run: bool = False
     cause: str = NO_WORKER
     """Why the request has no usable response; that of the latest failed attempt."""
 
-    def record_possible_run(self, incarnation: Incarnation) -> None:
-        """Record that a worker may have run the request."""
-        self.ran_at.add(incarnation)
-        self.may_have_run = True
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a worker may have run the request."""
+        return bool(self.ran_at)
 
 
 class NextAttempt:
--- a/src/bellweir/hosted/serving/streams.py
+++ b/src/bellweir/hosted/serving/streams.py
@@ -159,7 +159,7 @@
             if attempt.state in POSSIBLY_RUN_STATES:
                 if not stream.may_have_run:
                     self._forwarder.count_usage(stream.client, began_s)
-                stream.record_possible_run(worker.incarnation)
+                stream.ran_at.add(worker.incarnation)
             opened = attempt.opened if attempt.state is AttemptState.ANSWERED else None
             if opened is not None and opened.status < SERVER_ERROR:
                 stream.worker = worker
