--- a/review/5/case.py
+++ b/review/5/case.py
@@ -6,6 +6,7 @@
 """
 
 import os
+import signal
 import sys
 import time
 from pathlib import Path
@@ -15,7 +16,8 @@
 
 from bellweir_rehearsal.hosted.worker import WorkerStandIn
 
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+HELD, BROKEN, NOT_RUN = 0, 10, 2
+"""Exit statuses; `run.sh` gives 1 for `BROKEN`, and 2 for an exception that nobody caught."""
 HOST = "studio.example"
 SERVICE = "engines"
 WORKERS = 6
@@ -145,11 +147,7 @@
     record.note(f"streams cut: {len(cut)}; of these had been resumed at {leaving.instance}: {lost}")
     resumed = {key: after for key, after in leaving.record.resumed_after.items() if after}
     record.note(f"{leaving.instance}: streams that went on here, after event: {resumed}")
-    ended = [
-        name
-        for name, machine in deployment.machines.items()
-        if machine.process is None or machine.process.poll() is not None
-    ]
+    ended = deployment.ended()
     if ended or not whole:
         record.note(f"could not run: ended by themselves: {ended}")
         return NOT_RUN
@@ -159,6 +157,8 @@
 
 def main() -> int:
     """Run the case as the environment says."""
+    # A time-out has to end the processes as well.
+    signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(NOT_RUN))
     record = Record(Path(__file__).parent / "record.txt")
     try:
         return play(record, has_trouble=os.environ.get("TROUBLE") != "0")
--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -187,6 +187,14 @@
             process.send_signal(number)
             self.record.note(f"platform: {number.name} to {name}")
 
+    def ended(self) -> list[str]:
+        """Return the machines whose processes do not run."""
+        return [
+            name
+            for name, machine in self.machines.items()
+            if machine.process is None or machine.process.poll() is not None
+        ]
+
     def log_of(self, name: str) -> str:
         """Return what a machine's process has logged."""
         return (self.folder / f"{name}.log").read_text(encoding="utf-8", errors="replace")
