Answered requests say how long the body was and what ended it

What callers saw: a 200 whose body was shorter than its worker's.

request_answered now has body_bytes and framing (length, chunks, connection); bellweir_worker_answers_total counts the answers by framing. 0 bytes by the connection points to a head that was cut, more than 0 bytes by the connection to a body that was, a length to two answers read as one.

--- a/src/bellweir/clients/open_answer.py
+++ b/src/bellweir/clients/open_answer.py
@@ -4,6 +4,7 @@
 import re
 import threading
 from collections.abc import Iterator, Mapping
+from enum import Enum
 from typing import Protocol
 
 from bellweir.clients.connection import READ_BLOCK_BYTES, CountingConnection
@@ -17,6 +18,16 @@
 """A line end inside a header's value."""
 
 
+class Framing(Enum):
+    """What ends the body of an answer."""
+
+    LENGTH = "length"
+    """The declared number of bytes, also where the status allows no body."""
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+    """The end of the connection: a body that is cut can't be told from a whole one."""
+
+
 class ConnectionOwner(Protocol):
     """Where a connection goes once its answer has ended."""
 
@@ -57,6 +68,13 @@
         """HTTP status code."""
         return self.response.status
 
+    @property
+    def framing(self) -> Framing:
+        """What ends the body; to be asked before the body is read."""
+        if self.response.chunked:
+            return Framing.CHUNKS
+        return Framing.CONNECTION if self.response.length is None else Framing.LENGTH
+
     @property
     def headers(self) -> Mapping[str, str]:
         """Headers of the answer by lower-case name; of repeated ones the last."""
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -170,8 +170,12 @@
         "attempts",
         "ms",
         "workers_age_ms",
+        "body_bytes",
+        "framing",
     ),
-    "A client's request was answered by a worker.",
+    "A client's request was answered by a worker. `framing` tells what ended the worker's body: "
+    "its `length`, its `chunks` or the end of its `connection`, after which a cut body can't be "
+    "told from a whole one.",
 )
 REQUEST_GIVEN_UP = Event(
     1421,
--- a/src/bellweir/hosted/serving/attempt.py
+++ b/src/bellweir/hosted/serving/attempt.py
@@ -11,7 +11,7 @@
 from returns.result import Success
 
 from bellweir.clients.interface.errors import ErrorKind
-from bellweir.clients.open_answer import OpenAnswer
+from bellweir.clients.open_answer import Framing, OpenAnswer
 from bellweir.clients.pool import ConnectionPool, HttpCall, is_end_by_peer
 from bellweir.events.log import emit
 from bellweir.hosted.incarnation import Incarnation
@@ -56,6 +56,8 @@
     status: int
     headers: Headers
     body: bytes
+    framing: Framing = Framing.LENGTH
+    """What ended the body on the worker's connection."""
 
 
 @dataclass(frozen=True)
@@ -269,6 +271,7 @@
 
 def read_response(opened: OpenAnswer, attempt: OpenedAttempt) -> AttemptOutcome:
     """Read the rest of a response; the outcome of a truncated one is unknown unless refused."""
+    framing = opened.framing
     try:
         body = opened.read_all()
     except (OSError, http.client.HTTPException, ValueError) as failure:
@@ -278,7 +281,7 @@
             state = attempt.state
         detail = f"response truncated: {failure!r}"
         return AttemptOutcome(state, detail, ended_by_worker=is_end_by_peer(failure))
-    response = BufferedResponse(opened.status, response_headers(opened), body)
+    response = BufferedResponse(opened.status, response_headers(opened), body, framing)
     opened.finish()
     return AttemptOutcome(attempt.state, attempt.detail, response)
 
--- a/src/bellweir/hosted/serving/forwarding.py
+++ b/src/bellweir/hosted/serving/forwarding.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from bellweir.clients.open_answer import Framing
 from bellweir.events.log import emit
 from bellweir.hosted.crashes.interface import CrashGuard, NoCrashGuard, RunEnd
 from bellweir.hosted.eligibility.interface import Exclusion
@@ -60,6 +61,8 @@
 
     failure: BufferedResponse | None = None
     """The latest 5xx response of a worker."""
+    framing: Framing | None = None
+    """What ended the body of the latest response of a worker."""
     is_dispatching: bool = False
     """Whether the gate admitted the request and it is not yet counted at a worker."""
 
@@ -320,6 +323,9 @@
         is_answered = outcome.state is AttemptState.ANSWERED
         if is_answered:
             self._loads.eligibility.note_answer(worker, self._now_s() - seconds)
+        if response is not None:
+            progress.framing = response.framing
+            self._metrics.answer_read(response.framing.value)
         if is_answered and (response is None or response.status < SERVER_ERROR):
             self._loads.record_success(incarnation, seconds)
             return
@@ -374,7 +380,11 @@
         }
         if answered:
             emit(
-                REQUEST_ANSWERED, instance=sorted(one.instance for one in progress.ran_at), **fields
+                REQUEST_ANSWERED,
+                instance=sorted(one.instance for one in progress.ran_at),
+                body_bytes=len(response.body),
+                framing=progress.framing.value if progress.framing else None,
+                **fields,
             )
         else:
             ready = sum(
--- a/src/bellweir/hosted/serving/metrics.py
+++ b/src/bellweir/hosted/serving/metrics.py
@@ -33,6 +33,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=self._registry,
         )
+        self._answers = Counter(
+            "bellweir_worker_answers",
+            "Answers of workers that were read whole, by what ended their bodies.",
+            ("framing",),
+            registry=self._registry,
+        )
 
     def request_ended(self, route: str, status: int, seconds: float) -> None:
         """Record a completed client request."""
@@ -42,6 +48,10 @@
         """Record a completed attempt at a worker."""
         self._attempts.labels(service, outcome).observe(seconds)
 
+    def answer_read(self, framing: str) -> None:
+        """Record an answer of a worker whose body was read to its end."""
+        self._answers.labels(framing).inc()
+
     def add_counter(self, name: str, meaning: str, label: str) -> Callable[[str], None]:
         """Add a counter with one label; the returned function increments it for a label value."""
         counter = Counter(name, meaning, (label,), registry=self._registry)
