Answers are read by one strict parser: a head that is cut or joined is refused

Cause: answers were read by http.client's reader, which is lenient where one answer ends and another begins. The end of the connection ended a head as an empty line does, so that an answer cut behind its stamp had no Content-Length and was ended, by the same end of the connection, as a whole one of 0 bytes. Of two lengths the first was taken, of two ids the last; a status line inside a field or a reason was text; a chunk's size could be anything that int() reads, its line end anything at all, and the end of the connection ended a trailer. A 103 was taken for the answer.

Change: clients/answer_head.py parses a head, clients/answer_reader.py reads an answer, for every caller of ConnectionPool: requests, streams, items, scores, reports and orders, the metadata store, and the engines, applications and scorers of self-run nodes. What RFC 9112 does not allow is no answer: the call's outcome is unknown, as that of any lost answer, and its connection is closed. WorkerConnections names the platform's headers that stand once in an answer.

--- a/src/bellweir/clients/application.py
+++ b/src/bellweir/clients/application.py
@@ -81,20 +81,20 @@
         answer.drop()
         return Failure(refused)
     headers = tuple(answer.header_pairs())
-    leaving = answer.response.headers.get(LEAVING_HEADER) is not None
+    leaving = answer.headers.get(LEAVING_HEADER.lower()) is not None
     return Success(ApplicationAnswer(answer.status, headers, _body(answer), leaving))
 
 
 def _refusal(answer: OpenAnswer) -> PlatformError | None:
     if answer.status != STATUS_UNAVAILABLE:
         return None
-    reason = answer.response.headers.get(NOT_RUN_HEADER)
+    reason = answer.headers.get(NOT_RUN_HEADER.lower())
     if reason is None:
         return None
     kind = _REFUSALS.get(reason, ErrorKind.NOT_RUN)
     detail = f"refused by the worker: {reason}"
     return PlatformError(
-        kind, detail, parse_retry_after_s(answer.response.headers.get("Retry-After")), answered=True
+        kind, detail, parse_retry_after_s(answer.headers.get("retry-after")), answered=True
     )
 
 
--- a/src/bellweir/clients/connection.py
+++ b/src/bellweir/clients/connection.py
@@ -14,8 +14,11 @@
 import termios
 import threading
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any, BinaryIO
+from functools import partial
+from typing import TYPE_CHECKING, Any, BinaryIO, cast
 
+from bellweir.clients.answer_head import SINGLE_FIELDS
+from bellweir.clients.answer_reader import READ_BLOCK_BYTES, AnswerReader
 from bellweir.kernel.clock import elapsed_s
 
 if TYPE_CHECKING:
@@ -23,7 +26,6 @@
 
 CONNECT_TIMEOUT_S = 1.0
 """Longest wait for a TCP connection; zones are a few milliseconds apart."""
-READ_BLOCK_BYTES = 64 * 1024
 WRITE_BLOCK_BYTES = 64 * 1024
 """A request's headers and the start of its body are written together up to this length."""
 MS_PER_S = 1000
@@ -131,13 +133,13 @@
         if left_s <= 0 or not poll.poll(left_s * MS_PER_S):
             raise TimeoutError("deadline passed")
 
-    def makefile(self, mode: str) -> io.BufferedReader:
-        """Return a buffered reader; only mode `rb` is known."""
-        if mode != "rb":
-            raise ValueError(f"mode {mode!r} is not supported")
+    def makefile(self, mode: str, buffering: int) -> io.RawIOBase:
+        """Return a reader without a buffer; only mode `rb` is known."""
+        if mode != "rb" or buffering:
+            raise ValueError(f"mode {mode!r} with a buffer of {buffering} bytes is not supported")
         with self._lock:
             self._open_files += 1
-        return io.BufferedReader(_DeadlineReader(self), READ_BLOCK_BYTES)
+        return _DeadlineReader(self)
 
     def close(self) -> None:
         """Close once the last file is closed."""
@@ -190,10 +192,12 @@
 
 
 class CountingConnection(http.client.HTTPConnection):
-    """An `http.client` connection over a `DeadlineSocket`."""
+    """An `http.client` connection over a `DeadlineSocket`, with a reader of its own."""
 
-    def __init__(self, host: str, port: int) -> None:
+    def __init__(self, host: str, port: int, single_fields: frozenset[str] = SINGLE_FIELDS) -> None:
+        """`single_fields` are headers of which an answer has one value, by lower-case name."""
         super().__init__(host, port)
+        self.response_class: Any = partial(AnswerReader, single_fields=single_fields)
         self._deadline_socket: DeadlineSocket | None = None
         self._unwritten = bytearray()
         self.idle_since_s = 0.0
@@ -223,6 +227,10 @@
         self.deadline_socket.bytes_written = 0
         self._unwritten.clear()
 
+    def read_answer(self) -> AnswerReader:
+        """Read the head of the answer; raises `OSError` or `http.client.HTTPException`."""
+        return cast(AnswerReader, self.getresponse())
+
     @property
     def deadline_socket(self) -> DeadlineSocket:
         """The socket; raises `ConnectionError` when there is none."""
--- a/src/bellweir/clients/open_answer.py
+++ b/src/bellweir/clients/open_answer.py
@@ -1,31 +1,19 @@
 """An HTTP answer whose body is still to be read, and the end of its connection's use."""
 
 import http.client
-import re
 import threading
 from collections.abc import Iterator, Mapping
-from enum import Enum
 from typing import Protocol
 
-from bellweir.clients.connection import READ_BLOCK_BYTES, CountingConnection
+from bellweir.clients.answer_head import Framing, MalformedAnswerError
+from bellweir.clients.answer_reader import AnswerReader
+from bellweir.clients.connection import CountingConnection
 from bellweir.kernel.clock import elapsed_s
 
 MAXIMUM_LINE_BYTES = 8 * 1024 * 1024
 """Longest line of a streamed answer."""
 MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024
 """Longest body of an answer that is read whole."""
-FOLD = re.compile(r"[\r\n]+[ \t]*")
-"""A line end inside a header's value."""
-
-
-class Framing(Enum):
-    """What ends the body of an answer."""
-
-    LENGTH = "length"
-    """The declared number of bytes, also where the status allows no body."""
-    CHUNKS = "chunks"
-    CONNECTION = "connection"
-    """The end of the connection: a body that is cut can't be told from a whole one."""
 
 
 class ConnectionOwner(Protocol):
@@ -48,44 +36,41 @@
         """Whether the connection may serve another call after this one."""
         self.ends_with_connection = False
         """Whether the end of the connection may end a body that declares no length."""
-        self._response: http.client.HTTPResponse | None = None
+        self._reader: AnswerReader | None = None
         self._lock = threading.Lock()
         self._released = False
 
     def read_headers(self) -> None:
         """Read status and headers; raises `OSError` or `HTTPException`."""
-        self._response = self._connection.getresponse()
+        self._reader = self._connection.read_answer()
 
     @property
-    def response(self) -> http.client.HTTPResponse:
-        """The `http.client` answer."""
-        if self._response is None:
+    def _answer(self) -> AnswerReader:
+        if self._reader is None:
             raise ConnectionError("no answer yet")
-        return self._response
+        return self._reader
 
     @property
     def status(self) -> int:
         """HTTP status code."""
-        return self.response.status
+        return self._answer.head.status
 
     @property
     def framing(self) -> Framing:
-        """What ends the body; to be asked before the body is read."""
-        if self.response.chunked:
-            return Framing.CHUNKS
-        return Framing.CONNECTION if self.response.length is None else Framing.LENGTH
+        """What ends the body."""
+        return self._answer.framing
 
     @property
     def headers(self) -> Mapping[str, str]:
         """Headers of the answer by lower-case name; of repeated ones the last."""
-        return {name.lower(): value for name, value in self.response.headers.items()}
+        return self._answer.head.values
 
     def header_pairs(self) -> list[tuple[str, str]]:
         """Headers in order, as they may be passed on: a value that was folded stands on one line.
 
         RFC 9112 section 5.2.
         """
-        return [(name, FOLD.sub(" ", value)) for name, value in self.response.headers.items()]
+        return list(self._answer.head.fields)
 
     def set_timeout(self, timeout_s: float) -> None:
         """Let reading go on for this long from now."""
@@ -97,42 +82,39 @@
         for block in self.read_blocks():
             *lines, pending = (pending + block).split(b"\n")
             if len(pending) > MAXIMUM_LINE_BYTES:
-                raise http.client.LineTooLong("answer line")
+                raise MalformedAnswerError(f"a line of over {MAXIMUM_LINE_BYTES} bytes")
             yield from lines
         if pending:
             raise http.client.IncompleteRead(pending)
 
     def read_blocks(self) -> Iterator[bytes]:
         """Read the body as it arrives; raises when it was cut."""
-        while block := self.response.read1(READ_BLOCK_BYTES):
+        self._check_framing()
+        while block := self._answer.read_block():
             yield block
-        self._check_length()
 
     def read_all(self) -> bytes:
         """Read the whole body, at most `MAXIMUM_ANSWER_BYTES`."""
-        body = self.response.read(MAXIMUM_ANSWER_BYTES + 1)
-        if len(body) > MAXIMUM_ANSWER_BYTES:
-            raise http.client.HTTPException("answer too long")
-        self._check_length()
-        return body
-
-    def _check_length(self) -> None:
-        response = self.response
-        if response.length:
-            raise http.client.IncompleteRead(b"", response.length)
-        unframed = response.length is None and not response.chunked
-        if unframed and not self.ends_with_connection:
-            raise http.client.HTTPException("body has neither a length nor an end marker")
-        if not response.isclosed():
-            response.read()  # releases the connection after the last byte
+        blocks: list[bytes] = []
+        length = 0
+        for block in self.read_blocks():
+            blocks.append(block)
+            length += len(block)
+            if length > MAXIMUM_ANSWER_BYTES:
+                raise MalformedAnswerError(f"an answer of over {MAXIMUM_ANSWER_BYTES} bytes")
+        return b"".join(blocks)
+
+    def _check_framing(self) -> None:
+        if self.framing is Framing.CONNECTION and not self.ends_with_connection:
+            raise MalformedAnswerError("a body with neither a length nor chunks")
 
     def finish(self) -> None:
         """Give the connection back when the answer was read to its end, else close it."""
-        whole = self._response is not None and self._response.isclosed()
-        if not whole or self.response.will_close or not self.reusable:
+        reader = self._reader
+        if reader is None or not self.reusable or not reader.is_whole or reader.will_close:
             self.drop()
         elif self._release():
-            self._owner.give_back(self._connection, self.response.headers.get("Keep-Alive"))
+            self._owner.give_back(self._connection, reader.head.values.get("keep-alive"))
 
     def abort(self) -> None:
         """Have the reading thread fail; from any thread. That thread drops the answer."""
--- a/src/bellweir/clients/pool.py
+++ b/src/bellweir/clients/pool.py
@@ -16,6 +16,7 @@
 
 from returns.result import Failure, Result, Success
 
+from bellweir.clients.answer_head import SINGLE_FIELDS
 from bellweir.clients.connection import (
     BodyReadError,
     CountingConnection,
@@ -66,13 +67,16 @@
         address: str,
         on_stale: Callable[[], None] = lambda: None,
         on_silence: Callable[[float], None] = lambda _began_s: None,
+        single_fields: frozenset[str] = SINGLE_FIELDS,
     ) -> None:
         """`on_stale` is called when an idle connection is found closed by the peer.
 
         `on_silence` is called when the peer's system does not acknowledge a request, with the
-        monotonic time at which its call began.
+        monotonic time at which its call began. `single_fields` are headers of which an answer has
+        one value, by lower-case name.
         """
         self.address = address
+        self._single_fields = single_fields
         self._on_stale = on_stale
         self._on_silence = on_silence
         self._lock = threading.Lock()
@@ -176,7 +180,7 @@
             raise SilentConnectionError("no byte acknowledged")
 
     def _connect(self, deadline_s: float) -> CountingConnection:
-        connection = CountingConnection(*_host_and_port(self.address))
+        connection = CountingConnection(*_host_and_port(self.address), self._single_fields)
         connection.open(deadline_s)
         return connection
 
--- a/src/bellweir/hosted/interface.py
+++ b/src/bellweir/hosted/interface.py
@@ -37,6 +37,18 @@
     server_load: str
     """On a worker's response: running and waiting requests, slots and current service times."""
 
+    @property
+    def of_answers(self) -> frozenset[str]:
+        """Lower-case names of headers of workers' answers, each of which has one value."""
+        names = (
+            self.request_id,
+            self.not_executed,
+            self.stamp,
+            self.weight_versions,
+            self.server_load,
+        )
+        return frozenset(name.lower() for name in names)
+
     @property
     def client_only(self) -> frozenset[str]:
         """Lower-case names of headers that are not forwarded if tenants are configured."""
--- a/src/bellweir/hosted/serving/attempt.py
+++ b/src/bellweir/hosted/serving/attempt.py
@@ -10,8 +10,9 @@
 
 from returns.result import Success
 
+from bellweir.clients.answer_head import SINGLE_FIELDS, Framing
 from bellweir.clients.interface.errors import ErrorKind
-from bellweir.clients.open_answer import Framing, OpenAnswer
+from bellweir.clients.open_answer import OpenAnswer
 from bellweir.clients.pool import ConnectionPool, HttpCall, is_end_by_peer
 from bellweir.events.log import emit
 from bellweir.hosted.incarnation import Incarnation
@@ -141,6 +142,7 @@
     ) -> None:
         """`on_load` is called with the load that a worker reports in a response header."""
         self.headers = headers
+        self._single_fields = SINGLE_FIELDS | headers.of_answers
         self._on_load = on_load
         self.on_stale: Callable[[str], None] = lambda _address: None
         """Called with an address at which an idle connection was found closed by the peer."""
@@ -156,6 +158,7 @@
                     address,
                     lambda: self.on_stale(address),
                     partial(self._note_silence, address),
+                    self._single_fields,
                 )
             return self._pools[address]
 
@@ -271,7 +274,6 @@
 
 def read_response(opened: OpenAnswer, attempt: OpenedAttempt) -> AttemptOutcome:
     """Read the rest of a response; the outcome of a truncated one is unknown unless refused."""
-    framing = opened.framing
     try:
         body = opened.read_all()
     except (OSError, http.client.HTTPException, ValueError) as failure:
@@ -281,7 +283,7 @@
             state = attempt.state
         detail = f"response truncated: {failure!r}"
         return AttemptOutcome(state, detail, ended_by_worker=is_end_by_peer(failure))
-    response = BufferedResponse(opened.status, response_headers(opened), body, framing)
+    response = BufferedResponse(opened.status, response_headers(opened), body, opened.framing)
     opened.finish()
     return AttemptOutcome(attempt.state, attempt.detail, response)
 
--- a/src/bellweir/hosted/serving/forwarding.py
+++ b/src/bellweir/hosted/serving/forwarding.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from bellweir.clients.open_answer import Framing
+from bellweir.clients.answer_head import Framing
 from bellweir.events.log import emit
 from bellweir.hosted.crashes.interface import CrashGuard, NoCrashGuard, RunEnd
 from bellweir.hosted.eligibility.interface import Exclusion
