A call that this process aborts is never a whole answer

An attempt that was cancelled amid a body without a length counted as a whole answer of the bytes that had come (300 of 800), also in the worker's statistics.

Cause: an abort shuts the socket down, so that the thread that reads sees the same end of the connection as if the peer had closed, and a body may end with its connection.

Change: behind an abort a read raises CallAbortedError. It is no ConnectionError, so it is not taken for the peer's end either (is_end_by_peer).

--- a/src/bellweir/clients/connection.py
+++ b/src/bellweir/clients/connection.py
@@ -45,6 +45,10 @@
     """The peer has answered, and no longer reads, before the whole request was written."""
 
 
+class CallAbortedError(OSError):
+    """This process ended the call; its peer may have more to say."""
+
+
 class SilentConnectionError(TimeoutError):
     """The peer's system acknowledges nothing on an open connection."""
 
@@ -72,6 +76,7 @@
         self._lock = threading.Lock()
         self._open_files = 0
         self._closing = False
+        self._aborted = False
 
     def write(self, data: memoryview) -> None:
         """Write all of `data`, counting what the operating system has accepted."""
@@ -85,14 +90,20 @@
             data = data[sent:]
 
     def read_into(self, buffer: "WriteableBuffer") -> int:
-        """Read what has come, at least one byte; 0 at the end."""
+        """Read what has come, at least one byte; 0 where the peer has ended its side.
+
+        Raises `CallAbortedError` behind an `abort`.
+        """
         self._check_for_silence()
         while True:
             self._wait(self._readable)
             try:
-                return self.raw.recv_into(buffer)
+                length = self.raw.recv_into(buffer)
             except BlockingIOError:
                 continue  # the kernel may wake a reader for nothing
+            if self._aborted:
+                raise CallAbortedError("the call was aborted")
+            return length
 
     def unacknowledged_bytes(self) -> int:
         """Number of written bytes that the peer's system has not acknowledged."""
@@ -158,7 +169,8 @@
             self.raw.close()
 
     def abort(self) -> None:
-        """End both directions at once, so that a reader in another thread wakes up."""
+        """End both directions at once, so that a reader in another thread wakes up and fails."""
+        self._aborted = True
         try:
             self.raw.shutdown(socket.SHUT_RDWR)
         except OSError:
