A body without a length counts as whole only behind a whole request

What callers saw: 200 with a part of the body (MIXED), where a worker answered a long request early, without a length, and reset the connection.

Cause: a write that fails with a reset consumes the socket's error, so that the read behind what has arrived finds an end like that of a peer that closes; a body may end with its connection, so the rest was given up without a word.

Change: an answer knows whether its request was written whole; if not, it needs a length or chunks.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -116,6 +116,11 @@
     Then both get their answers, each over a connection of its own
 
   # Guards against a cut body without a length that passes for a whole one.
+  Scenario: A reset that the failed write of a request has consumed
+    Given a worker that resets the connection amid a long request and a body without a length
+    When the request is sent and its answer is read
+    Then it is not taken for an answer
+
   Scenario: A call that this process ends amid a body without a length
     Given a worker whose answers have no length, and pause in their middle
     When a call is aborted in that pause
--- a/features/steps/answers_steps.py
+++ b/features/steps/answers_steps.py
@@ -29,6 +29,8 @@
 OTHER_ID = b"request-0"
 TIMEOUT_S = 5.0
 HOST = "shop.example"
+LONG_REQUEST_BYTES = 32 << 20
+"""More than the sockets' buffers hold."""
 EVENTS = b"id: 1\ndata: one\n\nid: 2\ndata: two\n\n"
 REPORT = b'{"models":[],"inFlight":false,"seq":2}'
 LISTING = b'{"items":[],"at":7,"hasMore":false}'
@@ -52,13 +54,13 @@
     )
 
 
-def worker_call(request_id=REQUEST_ID):
-    return WorkerCall("GET", "/x", HOST, request_id.decode(), [], b"")
+def worker_call(method="GET", body=b""):
+    return WorkerCall(method, "/x", HOST, REQUEST_ID.decode(), [], body)
 
 
-def call(context):
+def call(context, method="GET", body=b""):
     return context.connections.call(
-        context.worker, worker_call(), TIMEOUT_S, TIMEOUT_S * 1000, Cancellation()
+        context.worker, worker_call(method, body), TIMEOUT_S, TIMEOUT_S * 1000, Cancellation()
     )
 
 
@@ -286,6 +288,16 @@
     start_worker(context, answer)
 
 
+@given("a worker that resets the connection amid a long request and a body without a length")
+def given_reset_amid_request(context):
+    start_worker(context, lambda found: head_of(found) + BODY[:300], resets=True)
+
+
+@when("the request is sent and its answer is read")
+def when_long_request(context):
+    context.outcome = call(context, "POST", b"x" * LONG_REQUEST_BYTES)
+
+
 @given("a worker whose answers have {head}")
 def given_head(context, head):
     start_worker(context, HEADS[head], keeps_open=True)
--- a/src/bellweir/clients/connection.py
+++ b/src/bellweir/clients/connection.py
@@ -46,7 +46,7 @@
 
 
 class CallAbortedError(OSError):
-    """This process ended the call; its peer may have more to say."""
+    """A call that was ended here; its peer may have more to say."""
 
 
 class SilentConnectionError(TimeoutError):
--- a/src/bellweir/clients/open_answer.py
+++ b/src/bellweir/clients/open_answer.py
@@ -36,6 +36,9 @@
         """Whether the connection may serve another call after this one."""
         self.ends_with_connection = False
         """Whether the end of the connection may end a body that declares no length."""
+        self.is_request_sent = False
+        """Whether the whole request was written; a failed write may have consumed a reset, behind
+        which a read finds the same end as behind the peer's close."""
         self._reader: AnswerReader | None = None
         self._lock = threading.Lock()
         self._released = False
@@ -105,17 +108,25 @@
         return b"".join(blocks)
 
     def _check_framing(self) -> None:
-        if self.framing is Framing.CONNECTION and not self.ends_with_connection:
+        if self.framing is not Framing.CONNECTION:
+            return
+        if not self.ends_with_connection:
             raise MalformedAnswerError("a body with neither a length nor chunks")
+        if not self.is_request_sent:
+            raise MalformedAnswerError("a body without a length, and the request was not all sent")
 
     def finish(self) -> None:
         """Give the connection back when the answer was read to its end, else close it."""
         reader = self._reader
-        if reader is None or not self.reusable or not reader.is_whole or reader.will_close:
+        if reader is None or not self._may_be_reused(reader):
             self.drop()
         elif self._release():
             self._owner.give_back(self._connection, reader.head.values.get("keep-alive"))
 
+    def _may_be_reused(self, reader: AnswerReader) -> bool:
+        is_ended = reader.is_whole and not reader.will_close
+        return is_ended and self.reusable and self.is_request_sent
+
     def abort(self) -> None:
         """Have the reading thread fail; from any thread. That thread drops the answer."""
         with self._lock:
--- a/src/bellweir/clients/pool.py
+++ b/src/bellweir/clients/pool.py
@@ -135,7 +135,7 @@
         # answer to the next request.
         answer.reusable = call.method != "HEAD"
         try:
-            answer.reusable &= _send(connection, call, body)
+            answer.is_request_sent = _send(connection, call, body)
             answer.read_headers()
         except (OSError, http.client.HTTPException, ValueError) as failure:
             written = connection.deadline_socket.bytes_written
