Bytes behind a whole answer end its connection

What callers saw: an answer lost to its request, or the rest of a surplus answer in the slot of the next one (one of the two ways to a joined head).

Cause: the reader of an answer read up to 64 KB ahead, and what lay behind the answer was dropped with its buffer; only bytes that arrived later were seen, by the look at an idle connection before its next call. The next reader began in the midst of the surplus.

Change: the reader knows what has arrived behind its answer; such a connection is closed and surplus_bytes (BW1210) is logged.

--- a/src/bellweir/clients/open_answer.py
+++ b/src/bellweir/clients/open_answer.py
@@ -8,6 +8,8 @@
 from bellweir.clients.answer_head import Framing, MalformedAnswerError
 from bellweir.clients.answer_reader import AnswerReader
 from bellweir.clients.connection import CountingConnection
+from bellweir.clients.log_events import SURPLUS_BYTES
+from bellweir.events.log import emit
 from bellweir.kernel.clock import elapsed_s
 
 MAXIMUM_LINE_BYTES = 8 * 1024 * 1024
@@ -124,6 +126,9 @@
             self._owner.give_back(self._connection, reader.head.values.get("keep-alive"))
 
     def _may_be_reused(self, reader: AnswerReader) -> bool:
+        if reader.has_surplus:
+            emit(SURPLUS_BYTES, address=f"{self._connection.host}:{self._connection.port}")
+            return False
         is_ended = reader.is_whole and not reader.will_close
         return is_ended and self.reusable and self.is_request_sent
 
