Answers hold no more memory than the process allows for them

Cause: each answer had a bound of its own (64 MiB), and all together none; a length of 100 MB was waited for; the splitter of events copied and searched all that was pending with each block; any bytes put off the time-out of a text or a stream, also empty lines.

Change: what answers hold beyond 256 KiB each is taken from one total of the process (memory.answersShare of memory.limitMb, gauge bellweir_answer_bytes_held). One that finds too little left, or declares more, is broken, so that endless answers fail and short ones beside them are served. The splitter searches only new bytes. A text's and a resumable stream's time-out begins anew with an event, not with a comment or an empty line.

--- a/src/bellweir/clients/answer_reader.py
+++ b/src/bellweir/clients/answer_reader.py
@@ -84,6 +84,11 @@
         """Whether more than the answer has arrived."""
         return self.is_whole and bool(self._buffer)
 
+    @property
+    def declared_left(self) -> int:
+        """Bytes that are still to come by the length of the body, or of the present chunk."""
+        return self._left
+
     def begin(self) -> None:
         """Read the head of the answer proper; interim answers before it are dropped."""
         self.head = self._read_final_head()
@@ -147,10 +152,11 @@
 
     def _skip_trailer(self) -> None:
         """Read the fields behind the last chunk, which are dropped, and their empty line."""
-        left = MAXIMUM_HEAD_BYTES
-        while line := self._read_line(left):
+        length = 0
+        while line := self._read_line(MAXIMUM_HEAD_BYTES):
             parse_fields([line])
-            left -= len(line) + 1
+            length += len(line)
+            self._check_length(length, MAXIMUM_HEAD_BYTES)
 
     def _read_final_head(self) -> AnswerHead:
         for _ in range(MAXIMUM_INTERIM_ANSWERS + 1):
--- a/src/bellweir/clients/open_answer.py
+++ b/src/bellweir/clients/open_answer.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from bellweir.clients.answer_head import Framing, MalformedAnswerError
+from bellweir.clients.answer_memory import PROCESS_MEMORY, AnswerHolding, AnswerMemory
 from bellweir.clients.answer_reader import AnswerReader
 from bellweir.clients.connection import CountingConnection
 from bellweir.clients.log_events import SURPLUS_BYTES
@@ -14,8 +15,6 @@
 
 MAXIMUM_LINE_BYTES = 8 * 1024 * 1024
 """Longest line of a streamed answer."""
-MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024
-"""Longest body of an answer that is read whole."""
 
 
 class ConnectionOwner(Protocol):
@@ -31,9 +30,16 @@
 class OpenAnswer:
     """An answer whose headers have been read; the body is read from it."""
 
-    def __init__(self, connection: CountingConnection, owner: ConnectionOwner) -> None:
+    def __init__(
+        self,
+        connection: CountingConnection,
+        owner: ConnectionOwner,
+        memory: AnswerMemory = PROCESS_MEMORY,
+    ) -> None:
+        """`memory` bounds what this answer and others hold of their bodies."""
         self._connection = connection
         self._owner = owner
+        self._holding = AnswerHolding(memory)
         self.reusable = True
         """Whether the connection may serve another call after this one."""
         self.ends_with_connection = False
@@ -83,14 +89,18 @@
 
     def read_lines(self) -> Iterator[bytes]:
         """Read the body line by line as it arrives, without line ends; raises when it was cut."""
-        pending = b""
+        pending = bytearray()
         for block in self.read_blocks():
-            *lines, pending = (pending + block).split(b"\n")
+            *lines, rest = block.split(b"\n")
+            for line in lines:
+                yield bytes(pending + line)
+                pending.clear()
+            pending += rest
             if len(pending) > MAXIMUM_LINE_BYTES:
                 raise MalformedAnswerError(f"a line of over {MAXIMUM_LINE_BYTES} bytes")
-            yield from lines
+            self.hold(len(pending))
         if pending:
-            raise http.client.IncompleteRead(pending)
+            raise http.client.IncompleteRead(bytes(pending))
 
     def read_blocks(self) -> Iterator[bytes]:
         """Read the body as it arrives; raises when it was cut."""
@@ -99,16 +109,20 @@
             yield block
 
     def read_all(self) -> bytes:
-        """Read the whole body, at most `MAXIMUM_ANSWER_BYTES`."""
+        """Read the whole body; raises `AnswerTooLongError` where there is no memory for it."""
         blocks: list[bytes] = []
         length = 0
+        self.hold(self._answer.declared_left)
         for block in self.read_blocks():
             blocks.append(block)
             length += len(block)
-            if length > MAXIMUM_ANSWER_BYTES:
-                raise MalformedAnswerError(f"an answer of over {MAXIMUM_ANSWER_BYTES} bytes")
+            self.hold(length + self._answer.declared_left)
         return b"".join(blocks)
 
+    def hold(self, length: int) -> None:
+        """Count `length` bytes of this answer as kept; raises `AnswerTooLongError`."""
+        self._holding.resize(length)
+
     def _check_framing(self) -> None:
         if self.framing is not Framing.CONNECTION:
             return
@@ -150,4 +164,5 @@
         # pool, a late `drop` from another thread would cut somebody else's call.
         with self._lock:
             released, self._released = self._released, True
+        self._holding.release()
         return not released
--- a/src/bellweir/clients/pool.py
+++ b/src/bellweir/clients/pool.py
@@ -17,6 +17,7 @@
 from returns.result import Failure, Result, Success
 
 from bellweir.clients.answer_head import SINGLE_FIELDS
+from bellweir.clients.answer_memory import PROCESS_MEMORY, AnswerMemory
 from bellweir.clients.connection import (
     BodyReadError,
     CountingConnection,
@@ -68,13 +69,15 @@
         on_stale: Callable[[], None] = lambda: None,
         on_silence: Callable[[float], None] = lambda _began_s: None,
         single_fields: frozenset[str] = SINGLE_FIELDS,
+        memory: AnswerMemory = PROCESS_MEMORY,
     ) -> None:
         """`on_stale` is called when an idle connection is found closed by the peer.
 
         `on_silence` is called when the peer's system does not acknowledge a request, with the
         monotonic time at which its call began. `single_fields` are headers of which an answer has
-        one value, by lower-case name.
+        one value, by lower-case name. `memory` bounds what answers hold while they are read.
         """
+        self._memory = memory
         self.address = address
         self._single_fields = single_fields
         self._on_stale = on_stale
@@ -129,7 +132,7 @@
             connection = self._take(call, deadline_s)
         except OSError as failure:
             return Failure(PlatformError(ErrorKind.NOT_RUN, f"no connection: {failure}"))
-        answer = OpenAnswer(connection, self)
+        answer = OpenAnswer(connection, self, self._memory)
         begun(answer)
         # Some servers send a body to HEAD: left on the connection, it would be taken for the
         # answer to the next request.
--- a/src/bellweir/hosted/batches/attempts.py
+++ b/src/bellweir/hosted/batches/attempts.py
@@ -192,7 +192,7 @@
         try:
             is_first = True
             for block in opened.read_blocks():
-                events = splitter.feed(block)
+                events = [event for event in splitter.feed(block) if event.is_progress]
                 for event in events:
                     version = event.weight_version or version
                     progress.add_event(event, version)
@@ -202,7 +202,8 @@
                         self._record_success(worker, began_s)
                     self._record_events(progress, worker, len(events), is_first=is_first)
                     is_first = False
-                opened.set_timeout(STREAM_IDLE_TIMEOUT_S)
+                    opened.set_timeout(STREAM_IDLE_TIMEOUT_S)
+                opened.hold(splitter.pending_bytes)
             if not splitter.is_between_events:
                 raise http.client.HTTPException("stream ended in the middle of an event")
         except STREAM_ERRORS as exc:
--- a/src/bellweir/hosted/event_stream.py
+++ b/src/bellweir/hosted/event_stream.py
@@ -4,7 +4,10 @@
 from dataclasses import dataclass
 
 MAX_EVENT_BYTES = 8 << 20
-EVENT_END = re.compile(rb"\r?\n\r?\n")
+EVENT_END = re.compile(rb"\r?\n(?:\r?\n)+")
+"""The end of an event, with further empty lines behind it."""
+UNFINISHED_END_BYTES = 3
+"""Most bytes of an end that has not ended an event yet."""
 
 
 class EventTooLongError(ValueError):
@@ -16,20 +19,31 @@
     """One complete event."""
 
     raw: bytes
-    """All of its bytes, including the terminating empty line."""
+    """All of its bytes, including the terminating empty lines."""
     event_id: int | None
     data: bytes
     """Its data lines, joined by line feeds."""
     weight_version: int | None
     """The new weight version that the event announces, if any."""
 
+    @property
+    def is_progress(self) -> bool:
+        """Whether it holds an id, data or a version, unlike a comment or an empty line."""
+        has_number = self.event_id is not None or self.weight_version is not None
+        return has_number or bool(self.data)
+
 
 class EventSplitter:
     """Incremental parser of an event stream."""
 
     def __init__(self, version_field: str) -> None:
         self._version_field = version_field.lower().encode()
-        self._pending = b""
+        self._pending = bytearray()
+
+    @property
+    def pending_bytes(self) -> int:
+        """Length of the incomplete event that is buffered."""
+        return len(self._pending)
 
     @property
     def is_between_events(self) -> bool:
@@ -38,11 +52,14 @@
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes; return the events completed by them. Raises `EventTooLongError`."""
-        pending = self._pending + data
+        pending = self._pending
+        # The end of an event may have begun in what came before.
+        scanned = max(0, len(pending) - UNFINISHED_END_BYTES)
+        pending += data
         events: list[StreamEvent] = []
         start = 0
-        for end in EVENT_END.finditer(pending):
-            events.append(self._parse(pending[start : end.end()]))
+        for end in EVENT_END.finditer(pending, scanned):
+            events.append(self._parse(bytes(pending[start : end.end()])))
             start = end.end()
         self._pending = pending[start:]
         if len(self._pending) > MAX_EVENT_BYTES:
--- a/src/bellweir/hosted/metrics_service.py
+++ b/src/bellweir/hosted/metrics_service.py
@@ -4,6 +4,7 @@
 import threading
 from functools import partial
 
+from bellweir.clients.answer_memory import PROCESS_MEMORY
 from bellweir.events.log import emit
 from bellweir.hosted.log_events import METRICS_UNAVAILABLE
 from bellweir.hosted.serving.metrics import RequestMetrics
@@ -97,6 +98,11 @@
             "Version of the configuration in force; 0 without one.",
             lambda: float(configuration.version) if (configuration := table()) else 0.0,
         )
+        add(
+            "bellweir_answer_bytes_held",
+            "Bytes of long answers of workers and the platform that are held while they are read.",
+            lambda: float(PROCESS_MEMORY.held_bytes),
+        )
         add(
             "bellweir_configuration_age_seconds",
             "Time since the configuration was last known to be the store's.",
--- a/src/bellweir/hosted/process.py
+++ b/src/bellweir/hosted/process.py
@@ -9,6 +9,7 @@
 from dataclasses import replace
 from pathlib import Path
 
+from bellweir.clients.answer_memory import PROCESS_MEMORY
 from bellweir.events.bounded import WAIT_TIMEOUT_S, BoundedLog
 from bellweir.events.log import bind_node, configure_logs, emit
 from bellweir.hosted.crashes.service import CrashService
@@ -70,6 +71,7 @@
         self._path = path
         settings = loaded.settings
         self._settings = settings
+        PROCESS_MEMORY.total_bytes = settings.memory.answer_bytes
         self._reload_requested = threading.Event()
         self._wake = threading.Event()
         self._signals = SignalInbox(
--- a/src/bellweir/hosted/serving/attempt.py
+++ b/src/bellweir/hosted/serving/attempt.py
@@ -11,6 +11,7 @@
 from returns.result import Success
 
 from bellweir.clients.answer_head import SINGLE_FIELDS, Framing
+from bellweir.clients.answer_memory import PROCESS_MEMORY, AnswerMemory
 from bellweir.clients.interface.errors import ErrorKind
 from bellweir.clients.open_answer import OpenAnswer
 from bellweir.clients.pool import ConnectionPool, HttpCall, is_end_by_peer
@@ -139,8 +140,13 @@
         self,
         headers: HeaderNames,
         on_load: Callable[[Incarnation, WorkerLoad], None] = lambda _worker, _load: None,
+        memory: AnswerMemory = PROCESS_MEMORY,
     ) -> None:
-        """`on_load` is called with the load that a worker reports in a response header."""
+        """`on_load` is called with the load that a worker reports in a response header.
+
+        `memory` bounds what responses hold while they are read.
+        """
+        self._memory = memory
         self.headers = headers
         self._single_fields = SINGLE_FIELDS | headers.of_answers
         self._on_load = on_load
@@ -159,6 +165,7 @@
                     lambda: self.on_stale(address),
                     partial(self._note_silence, address),
                     self._single_fields,
+                    self._memory,
                 )
             return self._pools[address]
 
--- a/src/bellweir/hosted/serving/streams.py
+++ b/src/bellweir/hosted/serving/streams.py
@@ -254,11 +254,14 @@
             if stream.may_resume:
                 opened.set_timeout(EVENT_TIMEOUT_S)
             for block in opened.read_blocks():
+                has_progressed = False
                 for event in splitter.feed(block):
                     yield event.raw
+                    has_progressed = has_progressed or event.is_progress
                     if event.event_id is not None:
                         stream.last_event_id = event.event_id
-                if stream.may_resume:
+                opened.hold(splitter.pending_bytes)
+                if stream.may_resume and has_progressed:
                     opened.set_timeout(min(EVENT_TIMEOUT_S, max(0.0, stream.client.left_s())))
             is_complete = splitter.is_between_events
         except (OSError, http.client.HTTPException, EventTooLongError) as failure:
--- a/src/bellweir/hosted/settings.py
+++ b/src/bellweir/hosted/settings.py
@@ -238,6 +238,21 @@
     """Digests, as logged, of requests that are sent all the same. Changes apply on SIGHUP."""
 
 
+class MemorySettings(msgspec.Struct, frozen=True, rename="camel"):
+    """Memory of the process."""
+
+    limit_mb: float = 512.0
+    """Memory in MiB beyond which the platform ends the process."""
+    answers_share: float = 0.125
+    """Share of it that answers of workers and of the platform may hold while they are read; one
+    that finds too little of it left counts as broken."""
+
+    @property
+    def answer_bytes(self) -> int:
+        """Bytes that answers may hold together."""
+        return int(self.answers_share * self.limit_mb * (1 << 20))
+
+
 class HostedSettings(msgspec.Struct, frozen=True, rename="camel"):
     """All settings of a process."""
 
@@ -255,6 +270,7 @@
     room: RoomSettings = RoomSettings()
     places: PlacesSettings = PlacesSettings()
     crashes: CrashSettings = CrashSettings()
+    memory: MemorySettings = MemorySettings()
 
 
 @dataclass(frozen=True)
@@ -351,6 +367,12 @@
         yield _finding(
             "places.regionRoundTripMs", str(settings.places.region_round_trip_ms), "0 or more"
         )
+    if settings.memory.limit_mb <= 0:
+        yield _finding("memory.limitMb", str(settings.memory.limit_mb), "above 0")
+    if not 0 < settings.memory.answers_share <= 1:
+        yield _finding(
+            "memory.answersShare", str(settings.memory.answers_share), "above 0, up to 1"
+        )
     for digest in settings.crashes.lifted:
         if not DIGEST.fullmatch(digest):
             yield _finding("crashes.lifted", digest, "40 hexadecimal digits")
