Commands read their answers with the same strict parser

What callers saw: a watch of the command line whose connection ended early ended as if its time was over, without an error.

Change: GatewayClient reads with AnswerReader; the lines of a body are cut in one place (split_lines).

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -34,6 +34,17 @@
       | another request |
       | the request     |
 
+  # Guards against a watch that ends as if its time was over.
+  Scenario Outline: A command's answer that ends with its connection
+    Given a node that closes amid the answers to commands
+    When the answer to <command>, cut at each byte, is read
+    Then none of them is taken for an answer
+
+    Examples:
+      | command |
+      | a watch |
+      | a get   |
+
   # Guards against bodies of the wrong length.
   Scenario Outline: A head that is not that of one answer
     Given a worker whose answers have <head>
--- a/features/steps/answers_steps.py
+++ b/features/steps/answers_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 from returns.result import Success
 
+from bellweir.cli.resources.client import GatewayClient
 from bellweir.hosted.batches.attempts import ItemRunner
 from bellweir.hosted.batches.progress import ItemProgress, Stage
 from bellweir.hosted.incarnation import Incarnation
@@ -32,6 +33,7 @@
 LONG_REQUEST_BYTES = 32 << 20
 """More than the sockets' buffers hold."""
 EVENTS = b"id: 1\ndata: one\n\nid: 2\ndata: two\n\n"
+WATCH_LINES = b'{"type":"ADDED","object":{}}\n{"type":"DELETED","object":{}}\n'
 REPORT = b'{"models":[],"inFlight":false,"seq":2}'
 LISTING = b'{"items":[],"at":7,"hasMore":false}'
 LENGTH = b"Content-Length: %d" % len(BODY)
@@ -195,6 +197,34 @@
     assert not taken, f"taken for an answer, by bytes of the surplus: {taken}"
 
 
+@given("a node that closes amid the answers to commands")
+def given_node(context):
+    start_worker(context, lambda _id: b"")
+
+
+def is_watch_whole(context):
+    events = list(GatewayClient(context.raw.address, None).watch("Pool", None, TIMEOUT_S))
+    return all(isinstance(each, Success) for each in events)
+
+
+def is_gotten(context):
+    return isinstance(GatewayClient(context.raw.address, None).get("Pool", "one"), Success)
+
+
+COMMANDS = {
+    "a watch": (lambda found: chunked_answer_of(found, WATCH_LINES), is_watch_whole),
+    "a get": (lambda found: answer_of(found, b'{"kind":"Pool"}'), is_gotten),
+}
+
+
+@when("the answer to {command}, cut at each byte, is read")
+def when_command(context, command):
+    whole, read = COMMANDS[command]
+    context.raw.answer = whole
+    assert read(context), "the whole answer is not taken for one"
+    read_cut(context, whole, read, range(len(whole(b""))))
+
+
 def with_fields(*fields, body=BODY, status=b"200 OK"):
     return lambda found: head_of(found, *fields, status=status) + body
 
--- a/src/bellweir/cli/resources/client.py
+++ b/src/bellweir/cli/resources/client.py
@@ -5,11 +5,12 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from enum import Enum
-from typing import Any
+from typing import Any, cast
 from urllib.parse import quote, urlencode
 
 from returns.result import Failure, Result, Success
 
+from bellweir.clients.answer_reader import AnswerReader, split_lines
 from bellweir.resources.interface import ResourceFinding
 from bellweir.resources.reference import plural_of
 
@@ -106,10 +107,10 @@
         connection = self._connection(timeout_s + WATCH_MARGIN_S)
         try:
             answer = self._send(connection, call)
-            if answer.status != http.client.OK:
-                yield Failure(_error(answer.status, answer.read()))
+            if answer.head.status != http.client.OK:
+                yield Failure(_error(answer.head.status, b"".join(answer.read_blocks())))
                 return
-            while line := answer.readline():
+            for line in split_lines(answer.read_blocks()):
                 yield Success(json.loads(line))
         except (OSError, http.client.HTTPException, ValueError) as failure:
             yield Failure(CallError(CallFailure.UNREACHABLE, f"{self._address}: {failure!r}"))
@@ -131,19 +132,21 @@
     def _answer(self, connection: http.client.HTTPConnection, call: Call) -> Answer:
         try:
             answer = self._send(connection, call)
-            body = answer.read()
-            if answer.status < http.client.MULTIPLE_CHOICES:
+            body = b"".join(answer.read_blocks())
+            if answer.head.status < http.client.MULTIPLE_CHOICES:
                 return Success(json.loads(body))
-            return Failure(_error(answer.status, body))
+            return Failure(_error(answer.head.status, body))
         except (OSError, http.client.HTTPException, ValueError) as failure:
             reads = call.method == "GET" or call.query.get("dryRun") == "true"
             kind = CallFailure.UNREACHABLE if reads else CallFailure.UNKNOWN
             return Failure(CallError(kind, f"{self._address}: answer lost: {failure!r}"))
 
     def _connection(self, timeout_s: float) -> http.client.HTTPConnection:
-        return http.client.HTTPConnection(self._address, timeout=timeout_s)
+        connection = http.client.HTTPConnection(self._address, timeout=timeout_s)
+        connection.response_class = cast("type[http.client.HTTPResponse]", AnswerReader)
+        return connection
 
-    def _send(self, connection: http.client.HTTPConnection, call: Call) -> http.client.HTTPResponse:
+    def _send(self, connection: http.client.HTTPConnection, call: Call) -> AnswerReader:
         headers = {"Accept": "application/json"}
         if self._token is not None:
             headers["Authorization"] = f"Bearer {self._token}"
@@ -153,7 +156,7 @@
             body = json.dumps(call.document, default=str).encode()
         path = f"{call.path}?{urlencode(call.query)}" if call.query else call.path
         connection.request(call.method, path, body, headers)
-        return connection.getresponse()
+        return cast(AnswerReader, connection.getresponse())
 
 
 def _path(kind: str, name: str | None = None) -> str:
--- a/src/bellweir/clients/answer_reader.py
+++ b/src/bellweir/clients/answer_reader.py
@@ -3,6 +3,7 @@
 import http.client
 import io
 import re
+from collections.abc import Callable, Iterable, Iterator
 from typing import Protocol
 
 from bellweir.clients.answer_head import (
@@ -24,6 +25,8 @@
 SWITCHING_PROTOCOLS = 101
 HEAD_END = re.compile(rb"\n\r?\n")
 HEAD_BEGINNING = b"HTTP/1."
+MAXIMUM_LINE_BYTES = 8 * 1024 * 1024
+"""Longest line of a streamed body."""
 SHOWN_BYTES = 40
 """Bytes of malformed input that an error shows."""
 CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,15})[\t ]*(?:;[\t -~\x80-\xff]*)?")
@@ -112,6 +115,16 @@
                 return b""
         return self._read_declared()
 
+    def read_blocks(self, *, may_end_with_connection: bool = False) -> Iterator[bytes]:
+        """Read the body as it arrives; raises what `read_block` does.
+
+        `may_end_with_connection`: whether it needs neither a length nor chunks.
+        """
+        if self.framing is Framing.CONNECTION and not may_end_with_connection:
+            raise MalformedAnswerError("a body with neither a length nor chunks")
+        while block := self.read_block():
+            yield block
+
     def isclosed(self) -> bool:
         """Whether nothing more is read; the name is that of `http.client`."""
         return self._file.closed
@@ -219,3 +232,28 @@
         found = bytes(self._buffer[:length])
         del self._buffer[:length]
         return found
+
+
+def split_lines(
+    blocks: Iterable[bytes], hold: Callable[[int], None] = lambda _length: None
+) -> Iterator[bytes]:
+    r"""Yield the lines of a body, without their ends, as its blocks arrive.
+
+    `hold` is called with the length of what is kept. Raises `MalformedAnswerError` for a line that
+    is too long, and `http.client.IncompleteRead` for one without an end.
+
+    >>> list(split_lines([b"one\ntw", b"o\n"]))
+    [b'one', b'two']
+    """
+    pending = bytearray()
+    for block in blocks:
+        *lines, rest = block.split(b"\n")
+        for line in lines:
+            yield bytes(pending + line)
+            pending.clear()
+        pending += rest
+        if len(pending) > MAXIMUM_LINE_BYTES:
+            raise MalformedAnswerError(f"a line of over {MAXIMUM_LINE_BYTES} bytes")
+        hold(len(pending))
+    if pending:
+        raise http.client.IncompleteRead(bytes(pending))
--- a/src/bellweir/clients/open_answer.py
+++ b/src/bellweir/clients/open_answer.py
@@ -1,21 +1,17 @@
 """An HTTP answer whose body is still to be read, and the end of its connection's use."""
 
-import http.client
 import threading
 from collections.abc import Iterator, Mapping
 from typing import Protocol
 
-from bellweir.clients.answer_head import Framing, MalformedAnswerError
+from bellweir.clients.answer_head import Framing
 from bellweir.clients.answer_memory import PROCESS_MEMORY, AnswerHolding, AnswerMemory
-from bellweir.clients.answer_reader import AnswerReader
+from bellweir.clients.answer_reader import AnswerReader, split_lines
 from bellweir.clients.connection import CountingConnection
 from bellweir.clients.log_events import SURPLUS_BYTES
 from bellweir.events.log import emit
 from bellweir.kernel.clock import elapsed_s
 
-MAXIMUM_LINE_BYTES = 8 * 1024 * 1024
-"""Longest line of a streamed answer."""
-
 
 class ConnectionOwner(Protocol):
     """Where a connection goes once its answer has ended."""
@@ -89,24 +85,12 @@
 
     def read_lines(self) -> Iterator[bytes]:
         """Read the body line by line as it arrives, without line ends; raises when it was cut."""
-        pending = bytearray()
-        for block in self.read_blocks():
-            *lines, rest = block.split(b"\n")
-            for line in lines:
-                yield bytes(pending + line)
-                pending.clear()
-            pending += rest
-            if len(pending) > MAXIMUM_LINE_BYTES:
-                raise MalformedAnswerError(f"a line of over {MAXIMUM_LINE_BYTES} bytes")
-            self.hold(len(pending))
-        if pending:
-            raise http.client.IncompleteRead(bytes(pending))
+        return split_lines(self.read_blocks(), self.hold)
 
     def read_blocks(self) -> Iterator[bytes]:
         """Read the body as it arrives; raises when it was cut."""
-        self._check_framing()
-        while block := self._answer.read_block():
-            yield block
+        may_end = self.ends_with_connection and self.is_request_sent
+        return self._answer.read_blocks(may_end_with_connection=may_end)
 
     def read_all(self) -> bytes:
         """Read the whole body; raises `AnswerTooLongError` where there is no memory for it."""
@@ -123,14 +107,6 @@
         """Count `length` bytes of this answer as kept; raises `AnswerTooLongError`."""
         self._holding.resize(length)
 
-    def _check_framing(self) -> None:
-        if self.framing is not Framing.CONNECTION:
-            return
-        if not self.ends_with_connection:
-            raise MalformedAnswerError("a body with neither a length nor chunks")
-        if not self.is_request_sent:
-            raise MalformedAnswerError("a body without a length, and the request was not all sent")
-
     def finish(self) -> None:
         """Give the connection back when the answer was read to its end, else close it."""
         reader = self._reader
