--- a/src/bellweir_rehearsal/hosted/checks.py
+++ b/src/bellweir_rehearsal/hosted/checks.py
@@ -21,7 +21,7 @@
 
 READY_TIMEOUT_S = 60.0
 BODY = b"body"
-STREAM_IDS = ("stream-", "story-")
+STREAM_IDS = ("stream-", "story-", "serial-")
 """What the ids of streaming requests begin with."""
 COLD_BOUND = PLACES_BOUNDS["coldOver"] * COLD_PER_S + PLACES_BOUNDS["coldSlack"]
 """Most requests that a cold worker may get in a second."""
@@ -155,7 +155,7 @@
             self.samples.expect(result.get("score") == stamp_of(f"score-{item}"), f"{item}: score")
             fresh = min(result["versions"], default=0) >= step.minimum_version
             self.samples.expect(fresh, f"{item}: versions {result['versions']}")
-            if self.deployment.has_long_texts:
+            if self.deployment.models[0].names_runs:
                 self._check_join(item, result["text"])
         ids = {result["id"] for result in step.results}
         self.samples.expect(ids == set(step.items), f"{step.job_id}: {ids}")
--- a/src/bellweir_rehearsal/hosted/command.py
+++ b/src/bellweir_rehearsal/hosted/command.py
@@ -16,6 +16,7 @@
 from bellweir_rehearsal.hosted.soak import HostedSoak, size_by_seed
 from bellweir_rehearsal.hosted.soak_faults import (
     ALL_FAULTS,
+    ANSWER_FAULTS,
     BUILD_FAULTS,
     CRASH_FAULTS,
     LASTING_FAULTS,
@@ -76,6 +77,11 @@
         cappa.Arg(long=True, help="Stop machines and have workers refuse under long streams."),
     ] = False
 
+    broken_answers: Annotated[
+        bool,
+        cappa.Arg(long=True, help="Have workers break answers: cut, doubled, garbled, endless."),
+    ] = False
+
     older: Annotated[
         str, cappa.Arg(long=True, help="A commit; a soak changes between its build and this one.")
     ] = ""
@@ -121,6 +127,8 @@
             faults = WORKER_CRASH_FAULTS
         if self.streams:
             faults = STREAM_FAULTS
+        if self.broken_answers:
+            faults = ANSWER_FAULTS
         older = None
         if self.older:
             faults = (*faults, *BUILD_FAULTS)
@@ -139,6 +147,7 @@
             has_places=self.places,
             has_long_texts=self.texts or self.worker_crashes or self.streams,
             has_streams=self.streams,
+            has_broken_answers=self.broken_answers,
         )
 
 
--- a/src/bellweir_rehearsal/hosted/kept_clients.py
+++ b/src/bellweir_rehearsal/hosted/kept_clients.py
@@ -86,6 +86,10 @@
         """Whether nothing unplanned struck the gateway lately."""
         return self._deployment.touched.left_alone([gateway], began_s, now_s, planned_too=False)
 
+    def _was_broken(self, request_id: str) -> bool:
+        """Whether a worker broke its answer to a request."""
+        return any(request_id in one.breaker.broken_ids for one in self._deployment.workers)
+
     def _was_read(self, ran: int, seconds: float) -> bool:
         """Whether a request that got no answer within so long had been read."""
         return ran > 0 or (self._has_started and seconds > LOST_S)
@@ -136,7 +140,7 @@
 
     def _judge_cut(self, gateway: str, request_id: str, began_s: float, failure: Exception) -> None:
         now_s = time.monotonic()
-        if not self._is_judged(gateway, began_s, now_s):
+        if not self._is_judged(gateway, began_s, now_s) or self._was_broken(request_id):
             return
         ran = sum(worker.record.ran[request_id] for worker in self._deployment.scorers)
         was_read = self._was_read(ran, now_s - began_s)
--- a/src/bellweir_rehearsal/hosted/platform_faults.py
+++ b/src/bellweir_rehearsal/hosted/platform_faults.py
@@ -1,5 +1,7 @@
 """Faults of a soak that strike what the platform gives: its store, workers, duties, operator."""
 
+import random
+
 from bellweir_rehearsal.hosted.clients import configuration
 from bellweir_rehearsal.hosted.deployment import EVACUATE_S, ZONES
 from bellweir_rehearsal.hosted.fault import SoakFault
@@ -9,6 +11,8 @@
 MOST_REFUSED = 6
 LONGEST_BODY_BYTES = 2_000_000
 """More than any body of a soak has."""
+LEAST_BROKEN_SHARE = 0.1
+GREATEST_BROKEN_SHARE = 0.6
 
 
 class StoreOutage(SoakFault):
@@ -161,3 +165,25 @@
         """Take the next request again."""
         for worker in self.deployment.models:
             worker.faults.early = 0
+
+
+class BrokenAnswers(SoakFault):
+    """Some workers break a share of their answers, each in a drawn way."""
+
+    repeats = True
+
+    def strike(self) -> None:
+        """Begin at one to all workers of each service."""
+        share = self.chance.uniform(LEAST_BROKEN_SHARE, GREATEST_BROKEN_SHARE)
+        self._breaking = [
+            worker
+            for workers in (self.deployment.models, self.deployment.scorers)
+            for worker in self.chance.sample(workers, self.chance.randint(1, len(workers)))
+        ]
+        for worker in self._breaking:
+            worker.breaker.begin(share, random.Random(self.chance.getrandbits(32)))
+
+    def mend(self) -> None:
+        """End it."""
+        for worker in self._breaking:
+            worker.breaker.end()
--- a/src/bellweir_rehearsal/hosted/soak_faults.py
+++ b/src/bellweir_rehearsal/hosted/soak_faults.py
@@ -13,6 +13,7 @@
 from bellweir_rehearsal.hosted.full_disk import FullDisk
 from bellweir_rehearsal.hosted.machine_faults import AddStore, ReplaceStore, RetireStore
 from bellweir_rehearsal.hosted.platform_faults import (
+    BrokenAnswers,
     BrokenWorkers,
     EvacuatedZone,
     ForgottenHistory,
@@ -165,6 +166,20 @@
     StopStore,
 )
 """Planned stops and workers that refuse, under long streams with bodies of all lengths."""
+ANSWER_FAULTS: tuple[type[SoakFault], ...] = (
+    BrokenAnswers,
+    BrokenAnswers,
+    BrokenAnswers,
+    BrokenAnswers,
+    StopGateway,
+    StopAmidSignals,
+    HangUp,
+    KillGateway,
+    NewConfiguration,
+    NewVersion,
+    StopStore,
+)
+"""Workers that break answers, in any overlap with stops, reloads and new configurations."""
 BUILD_FAULTS: tuple[type[SoakFault], ...] = (
     ChangeBuild,
     ChangeBuild,
--- a/src/bellweir_rehearsal/hosted/stream_clients.py
+++ b/src/bellweir_rehearsal/hosted/stream_clients.py
@@ -71,15 +71,20 @@
         try:
             connection.request("POST", path, sent, headers, encode_chunked=is_chunked)
             answer = connection.getresponse()
-            text = answer.read()
+            text = self._read(request_id, answer)
         except (OSError, http.client.HTTPException) as failure:
             self._judge_cut(gateway, request_id, began_s, failure)
             return False
-        self._judge(request_id, answer.status, text)
+        self._judge(request_id, answer, text)
         return answer.getheader("Connection", "").lower() != "close"
 
-    def _judge(self, request_id: str, status: int, text: bytes) -> None:
+    def _read(self, request_id: str, answer: http.client.HTTPResponse) -> bytes:
+        """Read the whole body."""
+        return answer.read()
+
+    def _judge(self, request_id: str, answer: http.client.HTTPResponse, text: bytes) -> None:
         """A whole answer is a worker's stream with each event once, or a failure of its own."""
+        status = answer.status
         if status != 200:
             self._check.expect(status in OWN_STATUSES, f"{request_id}: {status} {text[:60]!r}")
             return
@@ -89,7 +94,7 @@
 
     def _judge_cut(self, gateway: str, request_id: str, began_s: float, failure: Exception) -> None:
         now_s = time.monotonic()
-        if not self._is_judged(gateway, began_s, now_s):
+        if not self._is_judged(gateway, began_s, now_s) or self._was_broken(request_id):
             return
         if self._is_excused(gateway, began_s, now_s):
             return
