--- a/src/bellweir_rehearsal/hosted/answer_clients.py
+++ b/src/bellweir_rehearsal/hosted/answer_clients.py
@@ -32,7 +32,7 @@
 class AnswerClient(KeptClient):
     """A client of short requests whose answers differ in status and length."""
 
-    __slots__ = ("_mixed", "_once", "single_ids")
+    __slots__ = ("_mixed", "refused_ids", "single_ids")
 
     longest_pause_s = 0.05
 
@@ -48,6 +48,8 @@
         self._mixed = mixed
         self.single_ids: list[str] = []
         """Requests that must not be repeated."""
+        self.refused_ids: list[str] = []
+        """Requests that the gateway refused."""
 
     def _send(self, gateway: str, connection: http.client.HTTPConnection) -> bool:
         """Send the next request; whether the connection can be used for another one."""
@@ -75,6 +77,8 @@
         told = f"{request_id}: {answer.status} {stamp} {len(body)} bytes {body[:SHOWN_BYTES]!r}"
         if stamp is None and answer.status >= 300:
             self._mixed.expect(answer.status in OWN_STATUSES, told)
+            if answer.status in REFUSALS:
+                self.refused_ids.append(request_id)
             return
         found = MeantAnswer(answer.status, stamp, body)
         meant = [
@@ -90,8 +94,14 @@
     def check_once(self, once: Check) -> None:
         """Compare how often requests ran with what is allowed."""
         for request_id in self.single_ids:
-            ran = sum(worker.record.ran[request_id] for worker in self._deployment.scorers)
+            ran = self._runs(request_id)
             once.expect(ran <= 1, f"{request_id} ran {ran} times")
+        for request_id in self.refused_ids:
+            ran = self._runs(request_id)
+            once.expect(ran == 0, f"{request_id} ran {ran} times although it was refused")
+
+    def _runs(self, request_id: str) -> int:
+        return sum(worker.record.ran[request_id] for worker in self._deployment.scorers)
 
 
 class SerialClient(StreamClient):
