--- a/features/hosted_soak.feature
+++ b/features/hosted_soak.feature
@@ -53,6 +53,16 @@
     Then faults have struck and everything that must hold of the soak has held
     And gateways were stopped with streams in hand, and workers refused amid long bodies
 
+  # Guards against answers that are cut in their head, or doubled, and look whole to a client.
+  Scenario: A soak in which workers break answers
+    When a soak of 15 seconds is played with seed 1 of broken answers, planned stops and reloads
+    Then faults have struck and everything that must hold of the soak has held
+    And answers of both services were broken in every way, and whole ones were compared
+
+  Scenario: The oracle of answers
+    Then an answer with another request's status, stamp, id or body is at fault, a meant one is not
+    And a stream with an event lost, repeated, mixed or changed is at fault, a cut one is not
+
   Scenario: Losses stay within what is tolerated
     Then at any order of faults no more disks are lost at once than tolerated
     And a machine counts as whole once it has had its time to catch up, a removed one's successor too
--- a/features/steps/hosted_soak_steps.py
+++ b/features/steps/hosted_soak_steps.py
@@ -14,6 +14,8 @@
 from hypothesis import given, settings
 
 from bellweir.hosted.serving.client_request import MAX_REPLAY_BYTES
+from bellweir_rehearsal.hosted.answer_clients import AnswerClient, wrong_event
+from bellweir_rehearsal.hosted.broken_answers import BREAKS, AnswerBreaker
 from bellweir_rehearsal.hosted.checks import Check
 from bellweir_rehearsal.hosted.clients import Answer, key_of_version
 from bellweir_rehearsal.hosted.deployment import EVACUATE_S, HostedDeployment
@@ -25,6 +27,7 @@
 from bellweir_rehearsal.hosted.process_faults import KillGateway, KillStore
 from bellweir_rehearsal.hosted.soak import HostedSoak
 from bellweir_rehearsal.hosted.soak_faults import (
+    ANSWER_FAULTS,
     CRASH_FAULTS,
     LASTING_FAULTS,
     PLACES_FAULTS,
@@ -33,6 +36,7 @@
     TEXT_FAULTS,
     WORKER_CRASH_FAULTS,
 )
+from bellweir_rehearsal.hosted.worker import MeantAnswer, event_of, stamp_of
 
 
 @when(
@@ -129,6 +133,79 @@
     assert any(sizes.get(one.request_id, 0) > MAX_REPLAY_BYTES for one in unrun), unrun
 
 
+@when(
+    "a soak of {seconds:d} seconds is played with seed {seed:d} "
+    "of broken answers, planned stops and reloads"
+)
+def when_broken_answers(context, seconds, seed):
+    context.soak = HostedSoak(
+        context.folder, seed, seconds, 3, 3, only=ANSWER_FAULTS, has_broken_answers=True
+    )
+    context.cleanup.callback(context.soak.close)
+    context.soak.play()
+
+
+@then("answers of both services were broken in every way, and whole ones were compared")
+def then_broken(context):
+    soak = context.soak
+    kinds = {kind.__name__ for kind in BREAKS}
+    for workers in (soak.deployment.models, soak.deployment.scorers):
+        broken = sum((worker.breaker.broken for worker in workers), Counter())
+        assert set(broken) == kinds, broken
+    for check in (soak.mixed, soak.memory, soak.streams, soak.kept):
+        assert check.held, (check.name, check.checked, check.faults[:3])
+
+
+@then("an answer with another request's status, stamp, id or body is at fault, a meant one is not")
+def then_oracle_judges(context):
+    meant = MeantAnswer(409, stamp_of("answer-1"), b"whole")
+    worker = SimpleNamespace(record=SimpleNamespace(meant={"answer-1": [meant]}))
+    check = Check("whole")
+    client = AnswerClient(
+        "answer", SimpleNamespace(scorers=[worker]), Check("kept"), check, random.Random(1)
+    )
+    own = {"X-Bellweir-Attempt-Id": "answer-1", "X-Bellweir-Server-Stamp": meant.stamp}
+    unstamped = {"X-Bellweir-Attempt-Id": "answer-1"}
+    for status, headers, body in (
+        (200, own, b"whole"),
+        (409, {**own, "X-Bellweir-Attempt-Id": "answer-2"}, b"whole"),
+        (409, {**own, "X-Bellweir-Server-Stamp": stamp_of("answer-2")}, b"whole"),
+        (409, own, b"whol"),
+        (200, unstamped, b"whole"),
+        (409, unstamped, b"whole"),
+    ):
+        before = len(check.faults)
+        client._judge("answer-1", _answer_like(status, headers), body)
+        assert len(check.faults) == before + 1, (status, headers, body)
+    faults = len(check.faults)
+    client._judge("answer-1", _answer_like(409, own), b"whole")
+    client._judge("answer-1", _answer_like(502, {}), b"")
+    assert len(check.faults) == faults, check.faults
+
+
+def _answer_like(status, headers):
+    return SimpleNamespace(
+        status=status, getheader=lambda name, default=None: headers.get(name, default)
+    )
+
+
+@then("a stream with an event lost, repeated, mixed or changed is at fault, a cut one is not")
+def then_streams_judged(context):
+    events = [event_of("serial-1", number, "llm-0/1") for number in range(1, 5)]
+    other = event_of("serial-2", 2, "llm-0/1")
+    assert wrong_event("serial-1", b"".join(events)) is None
+    for length in range(len(b"".join(events))):
+        assert wrong_event("serial-1", b"".join(events)[:length]) is None, length
+    for wrong in (
+        [events[0], events[2]],
+        [events[0], events[0]],
+        [events[0], other],
+        [events[0], events[1].replace(b"piece", b"peace")],
+        [events[0], b"x" + events[1]],
+    ):
+        assert wrong_event("serial-1", b"".join(wrong)) is not None, wrong
+
+
 @when("a soak of {seconds:d} seconds is played with seed {seed:d} of suspended machines")
 def when_suspended(context, seconds, seed):
     context.soak = HostedSoak(context.folder, seed, seconds, 3, 3, only=SUSPENSION_FAULTS)
@@ -251,8 +328,11 @@
 @then("a request that times out unread on a connection of that time is no fault, one that ran is")
 def then_unread_at_start(context):
     for has_started, ran, is_fault in ((False, 0, False), (True, 0, True), (False, 1, True)):
+        record = SimpleNamespace(ran=Counter({"r": ran}))
+        worker = SimpleNamespace(record=record, breaker=AnswerBreaker())
         deployment = SimpleNamespace(
-            scorers=[SimpleNamespace(record=SimpleNamespace(ran=Counter({"r": ran})))],
+            workers=[worker],
+            scorers=[worker],
             touched=SimpleNamespace(left_alone=lambda *_arguments, **_planned: True),
         )
         check = Check("kept")
--- a/src/bellweir_rehearsal/hosted/answer_clients.py
+++ b/src/bellweir_rehearsal/hosted/answer_clients.py
@@ -49,7 +49,7 @@
         self.single_ids: list[str] = []
         """Requests that must not be repeated."""
         self.refused_ids: list[str] = []
-        """Requests that the gateway refused."""
+        """Those of them that the gateway refused."""
 
     def _send(self, gateway: str, connection: http.client.HTTPConnection) -> bool:
         """Send the next request; whether the connection can be used for another one."""
@@ -77,7 +77,7 @@
         told = f"{request_id}: {answer.status} {stamp} {len(body)} bytes {body[:SHOWN_BYTES]!r}"
         if stamp is None and answer.status >= 300:
             self._mixed.expect(answer.status in OWN_STATUSES, told)
-            if answer.status in REFUSALS:
+            if answer.status in REFUSALS and request_id in self.single_ids[-1:]:
                 self.refused_ids.append(request_id)
             return
         found = MeantAnswer(answer.status, stamp, body)
--- a/src/bellweir_rehearsal/hosted/soak.py
+++ b/src/bellweir_rehearsal/hosted/soak.py
@@ -296,6 +296,8 @@
         check_crashing_runs(self.crashing, self.deployment, self.deployment.workers)
         for client in self._stream_clients:
             client.check_bodies(self.bodies, self.deployment.models)
+        for stream_client in self._stream_clients:
+            stream_client.check_once(self.once)
         for answer_client in self._answer_clients:
             answer_client.check_once(self.once)
         self._note_broken()
--- a/src/bellweir_rehearsal/hosted/stream_clients.py
+++ b/src/bellweir_rehearsal/hosted/stream_clients.py
@@ -46,7 +46,7 @@
     gateway lately.
     """
 
-    __slots__ = ("sizes",)
+    __slots__ = ("single_ids", "sizes")
 
     longest_pause_s = 0.3
     answer_timeout_s = 20.0
@@ -57,6 +57,8 @@
         super().__init__(name, deployment, check, chance)
         self.sizes: dict[str, int] = {}
         """Length of the body of each request that was sent, by its id."""
+        self.single_ids: list[str] = []
+        """Requests that must not be repeated."""
 
     def _send(self, gateway: str, connection: http.client.HTTPConnection) -> bool:
         """Send the next request; whether the connection can be used for another one."""
@@ -66,10 +68,12 @@
         headers = self._headers(request_id, DEADLINE_MS)
         is_chunked = self._chance.random() < 0.5
         sent: bytes | Iterator[bytes] = _pieces(body) if is_chunked else body
-        path = f"{self._chance.choice(PREFIXES)}x"
+        prefix = self._chance.choice(PREFIXES)
+        if prefix == PREFIXES[0]:
+            self.single_ids.append(request_id)
         began_s = time.monotonic()
         try:
-            connection.request("POST", path, sent, headers, encode_chunked=is_chunked)
+            connection.request("POST", f"{prefix}x", sent, headers, encode_chunked=is_chunked)
             answer = connection.getresponse()
             text = self._read(request_id, answer)
         except (OSError, http.client.HTTPException) as failure:
@@ -113,6 +117,12 @@
             for stop in list(self._deployment.stops)
         )
 
+    def check_once(self, check: Check) -> None:
+        """Compare how often requests ran that must not be repeated with what is allowed."""
+        for request_id in self.single_ids:
+            ran = sum(worker.record.ran[request_id] for worker in self._deployment.models)
+            check.expect(ran <= 1, f"{request_id} ran {ran} times")
+
     def check_bodies(self, check: Check, workers: list[WorkerStandIn]) -> None:
         """Compare what workers received with the bodies that were sent."""
         for worker in workers:
