--- a/features/steps/hosted_soak_steps.py
+++ b/features/steps/hosted_soak_steps.py
@@ -159,11 +159,11 @@
 @then("an answer with another request's status, stamp, id or body is at fault, a meant one is not")
 def then_oracle_judges(context):
     meant = MeantAnswer(409, stamp_of("answer-1"), b"whole")
-    worker = SimpleNamespace(record=SimpleNamespace(meant={"answer-1": [meant]}))
+    record = SimpleNamespace(meant={"answer-1": [meant]})
+    worker = SimpleNamespace(record=record, breaker=AnswerBreaker())
+    deployment = SimpleNamespace(workers=[worker], scorers=[worker])
     check = Check("whole")
-    client = AnswerClient(
-        "answer", SimpleNamespace(scorers=[worker]), Check("kept"), check, random.Random(1)
-    )
+    client = AnswerClient("answer", deployment, Check("kept"), check, random.Random(1))
     own = {"X-Bellweir-Attempt-Id": "answer-1", "X-Bellweir-Server-Stamp": meant.stamp}
     unstamped = {"X-Bellweir-Attempt-Id": "answer-1"}
     for status, headers, body in (
--- a/src/bellweir_rehearsal/hosted/answer_clients.py
+++ b/src/bellweir_rehearsal/hosted/answer_clients.py
@@ -88,7 +88,8 @@
         ]
         is_own = answer.getheader(ID_FIELD) == request_id and stamp == stamp_of(request_id)
         shown = [(each.status, each.stamp, len(each.body)) for each in meant]
-        self._mixed.expect(is_own and found in meant, f"{told}, meant {shown}")
+        shown_breaks = self._breaks(request_id)
+        self._mixed.expect(is_own and found in meant, f"{told}, meant {shown}, {shown_breaks}")
         self.served += 1
 
     def check_once(self, once: Check) -> None:
@@ -134,7 +135,7 @@
                     raise http.client.HTTPException("a stream without end")
         finally:
             fault = wrong_event(request_id, bytes(found)) or self._wrong_join(bytes(found))
-            self._mixed.expect(fault is None, f"{request_id}: {fault}")
+            self._mixed.expect(fault is None, f"{request_id}: {fault}, {self._breaks(request_id)}")
         return bytes(found)
 
     def _judge(self, request_id: str, answer: http.client.HTTPResponse, text: bytes) -> None:
--- a/src/bellweir_rehearsal/hosted/broken_answers.py
+++ b/src/bellweir_rehearsal/hosted/broken_answers.py
@@ -350,8 +350,8 @@
     def __init__(self) -> None:
         self.broken: Counter[str] = Counter()
         """Broken answers by kind."""
-        self.broken_ids: set[str] = set()
-        """Requests whose answers were broken, or came behind surplus bytes."""
+        self.broken_ids: dict[str, list[str]] = {}
+        """Kinds by request whose answers were broken, or came behind surplus bytes."""
         self._share = 0.0
         self._chance = random.Random(0)
         self._lock = threading.Lock()
@@ -406,10 +406,10 @@
     def _draw(self, request_id: str, *, is_behind: bool) -> AnswerBreak | None:
         with self._lock:
             if is_behind:
-                self.broken_ids.add(request_id)
+                self.broken_ids.setdefault(request_id, []).append("behind surplus")
             if self._chance.random() >= self._share:
                 return None
             broken = self._chance.choice(BREAKS)(self._chance)
             self.broken[broken.name] += 1
-            self.broken_ids.add(request_id)
+            self.broken_ids.setdefault(request_id, []).append(broken.name)
             return broken
--- a/src/bellweir_rehearsal/hosted/kept_clients.py
+++ b/src/bellweir_rehearsal/hosted/kept_clients.py
@@ -88,7 +88,12 @@
 
     def _was_broken(self, request_id: str) -> bool:
         """Whether a worker broke its answer to a request."""
-        return any(request_id in one.breaker.broken_ids for one in self._deployment.workers)
+        return bool(self._breaks(request_id))
+
+    def _breaks(self, request_id: str) -> list[str]:
+        """How workers broke their answers to a request."""
+        breakers = [worker.breaker for worker in self._deployment.workers]
+        return [kind for one in breakers for kind in one.broken_ids.get(request_id, ())]
 
     def _was_read(self, ran: int, seconds: float) -> bool:
         """Whether a request that got no answer within so long had been read."""
