--- a/src/bellweir_rehearsal/hosted/soak.py
+++ b/src/bellweir_rehearsal/hosted/soak.py
@@ -196,7 +196,7 @@
             StreamClient(f"story-{each}", deployment, self.streams, self._chance(f"story/{each}"))
             for each in range(STREAM_CLIENTS if has_streams else 0)
         ]
-        self.mixed = Check("an answer that is whole is the one that its worker meant, byte by byte")
+        self.mixed = Check("no answer is mixed: a whole one is what its worker meant, byte by byte")
         self.memory = Check("a process stays below the memory that its settings allow")
         self._answer_clients = [
             AnswerClient(
