--- a/src/bellweir_rehearsal/hosted/stream_clients.py
+++ b/src/bellweir_rehearsal/hosted/stream_clients.py
@@ -46,7 +46,7 @@
     gateway lately.
     """
 
-    __slots__ = ("sizes",)
+    __slots__ = ("single_ids", "sizes")
 
     longest_pause_s = 0.3
     answer_timeout_s = 20.0
@@ -57,6 +57,8 @@
         super().__init__(name, deployment, check, chance)
         self.sizes: dict[str, int] = {}
         """Length of the body of each request that was sent, by its id."""
+        self.single_ids: list[str] = []
+        """Requests that must not be repeated."""
 
     def _send(self, gateway: str, connection: http.client.HTTPConnection) -> bool:
         """Send the next request; whether the connection can be used for another one."""
@@ -66,20 +68,27 @@
         headers = self._headers(request_id, DEADLINE_MS)
         is_chunked = self._chance.random() < 0.5
         sent: bytes | Iterator[bytes] = _pieces(body) if is_chunked else body
-        path = f"{self._chance.choice(PREFIXES)}x"
+        prefix = self._chance.choice(PREFIXES)
+        if prefix == PREFIXES[0]:
+            self.single_ids.append(request_id)
         began_s = time.monotonic()
         try:
-            connection.request("POST", path, sent, headers, encode_chunked=is_chunked)
+            connection.request("POST", f"{prefix}x", sent, headers, encode_chunked=is_chunked)
             answer = connection.getresponse()
-            text = answer.read()
+            text = self._read(request_id, answer)
         except (OSError, http.client.HTTPException) as failure:
             self._judge_cut(gateway, request_id, began_s, failure)
             return False
-        self._judge(request_id, answer.status, text)
+        self._judge(request_id, answer, text)
         return answer.getheader("Connection", "").lower() != "close"
 
-    def _judge(self, request_id: str, status: int, text: bytes) -> None:
+    def _read(self, request_id: str, answer: http.client.HTTPResponse) -> bytes:
+        """Read the whole body."""
+        return answer.read()
+
+    def _judge(self, request_id: str, answer: http.client.HTTPResponse, text: bytes) -> None:
         """A whole answer is a worker's stream with each event once, or a failure of its own."""
+        status = answer.status
         if status != 200:
             self._check.expect(status in OWN_STATUSES, f"{request_id}: {status} {text[:60]!r}")
             return
@@ -89,7 +98,7 @@
 
     def _judge_cut(self, gateway: str, request_id: str, began_s: float, failure: Exception) -> None:
         now_s = time.monotonic()
-        if not self._is_judged(gateway, began_s, now_s):
+        if not self._is_judged(gateway, began_s, now_s) or self._was_broken(request_id):
             return
         if self._is_excused(gateway, began_s, now_s):
             return
@@ -108,6 +117,12 @@
             for stop in list(self._deployment.stops)
         )
 
+    def check_once(self, check: Check) -> None:
+        """Compare how often requests ran that must not be repeated with what is allowed."""
+        for request_id in self.single_ids:
+            ran = sum(worker.record.ran[request_id] for worker in self._deployment.models)
+            check.expect(ran <= 1, f"{request_id} ran {ran} times")
+
     def check_bodies(self, check: Check, workers: list[WorkerStandIn]) -> None:
         """Compare what workers received with the bodies that were sent."""
         for worker in workers:
