An entry that no peer can decode is left out before it is relayed

What callers saw: nothing yet; reported from another system. One worker's entry with an integer beyond 64 bits in any field, or with 27 levels or more in its spec or status, is taken by the node that reads the store and told to every subscriber. Each of them ends the connection that it came on (FrameError), with all other messages on it, and gets the same again when it subscribes anew; its views age, and it goes over to the store.

Cause: the checks bounded the depth of a spec only (32 levels), and no integer. Frames between nodes take 32 levels, of which 6 are around an entry, and no cbor tags, as which cbor2 writes larger integers.

Change: invalid_reason checks revision, spec and status, whatever the kind, for what peers decode: 24 levels, integers of 64 bits.

--- /dev/null
+++ b/features/steps/odd_entries_steps.py
@@ -0,0 +1,172 @@
+"""Odd entries beside valid ones: read from lists and watches, relayed to peers and used."""
+
+import json
+from types import SimpleNamespace
+
+import hypothesis.strategies as st
+from behave import then
+from features.steps.hosted_entries_steps import (
+    INVALID_NAME,
+    VALID_NAMES,
+    event_text,
+    events_body,
+    known,
+    list_body,
+    store_answering,
+    stored,
+    text_of,
+    valid_texts,
+)
+from features.steps.hosted_views_steps import entry
+from hypothesis import given, settings
+
+from bellweir.hosted.eligibility.cold_workers import ColdWorkers
+from bellweir.hosted.eligibility.evacuated_zones import EvacuatedZones
+from bellweir.hosted.entries import EntryValidator
+from bellweir.hosted.interface import Listing, RecordKind, StoredRecord
+from bellweir.hosted.validating_store import ValidatingStore
+from bellweir.hosted.views.follower import KindFollower
+from bellweir.hosted.views.kind_state import KindState
+from bellweir.hosted.views.peer_copy import ViewsAnswer
+from bellweir.hosted.views.relay import ViewsNews
+from bellweir.hosted.views.workers import WorkersView
+from bellweir.wire.codec import MessageCodec
+from bellweir.wire.frames import OneWay, decode_struct, encode_struct
+
+MARK = "odd value"
+LIST_REVISION = 20
+PLACES = (
+    *[("spec", field) for field in ("service", "address", "zone", "slots", "state")],
+    *[("spec", field) for field in ("version", "coldLeftMs", "seq", "born", "stage", "models")],
+    ("spec", "unknown"),
+    ("spec",),
+    ("status",),
+    ("status", "unknown"),
+    ("metadata",),
+    ("metadata", "name"),
+    ("metadata", "revision"),
+    ("metadata", "finalizers"),
+    ("unknown",),
+)
+NUMBERS = (
+    *["9" * digits for digits in (16, 19, 20, 30, 100, 308, 400, 4_300, 5_000, 100_000)],
+    *["-" + "9" * digits for digits in (19, 20, 400, 5_000)],
+    *[str(2**bits + more) for bits in (31, 63, 64) for more in (-1, 0)],
+    *["1e400", "-1e400", "1e5000000", "1.7976931348623157e308", "1e300", "1e18", "1e-400"],
+    *["-0", "-0.0", "-1", "0", "0.5", "NaN", "Infinity", "-Infinity", "01", "1e", "0x10"],
+)
+DEPTHS = (10, 1_000, 10_000, 50_000, 500_000)
+"""The last fills the megabyte that the platform's store takes for an entry."""
+HOWS = ("list", "watch", "again", "deletion")
+"""How a follower reads an odd entry; `again` by a list, then by a watch."""
+
+
+def nested_text(depth, *, is_object):
+    opening, closing = ('{"a":', "}") if is_object else ("[", "]")
+    return opening * depth + "1" + closing * depth
+
+
+ODD_TEXTS = st.sampled_from(NUMBERS) | st.builds(
+    nested_text, st.integers(1, 60) | st.sampled_from((399, 401, 900)), is_object=st.booleans()
+)
+
+
+def odd_entry(place, text):
+    """The text of a worker's entry with a JSON text in one place."""
+    plain = stored(INVALID_NAME, 4, entry(INVALID_NAME))
+    inner = plain
+    for key in place[:-1]:
+        if not isinstance(inner.get(key), dict):
+            inner[key] = {}
+        inner = inner[key]
+    inner[place[-1]] = MARK
+    return text_of(plain).replace(json.dumps(MARK).encode(), text.encode())
+
+
+def followed(odd, how):
+    """Follow a store with an odd entry by a list or a watch; return the follower and its view."""
+    if how == "list":
+        bodies = [list_body([*valid_texts(), odd], at=LIST_REVISION)]
+    elif how == "again":
+        events = [event_text(each) for each in (odd, *valid_texts())]
+        bodies = [list_body([odd], at=5), events_body(events, at=LIST_REVISION)]
+        bodies.append(list_body([*valid_texts(), odd], at=LIST_REVISION))
+    else:
+        former = text_of(stored(INVALID_NAME, 4, entry(INVALID_NAME)))
+        event = event_text(odd, b"true" if how == "deletion" else b"false")
+        events = [event, *[event_text(each) for each in valid_texts()]]
+        again = list_body([*valid_texts(), former], at=LIST_REVISION)
+        bodies = [list_body([former], at=5), events_body(events, at=LIST_REVISION), again]
+    view, cold = WorkersView(), ColdWorkers(EvacuatedZones())
+
+    def on_list(listing):
+        view.apply_listing(listing)
+        cold.apply_listing(listing)
+
+    def on_change(change):
+        view.apply_change(change)
+        cold.apply_change(change)
+
+    validator = EntryValidator()
+    store = ValidatingStore(store_answering(*bodies), validator)
+    follower = KindFollower(store, RecordKind.WORKERS, on_list, on_change, entries=validator)
+    stopping = SimpleNamespace(wait=lambda _s: False, is_set=lambda: False)
+    for number in range(len(bodies)):
+        if number < 2 or follower._revision is None:
+            assert follower._step(stopping) is None, "the list or watch was not read"
+    return follower, view
+
+
+def over_the_wire(message):
+    """A message as a peer decodes it from the frame that it is sent in."""
+    codec = MessageCodec()
+    frame = decode_struct(encode_struct(OneWay(0, codec.to_plain(message))), OneWay)
+    return codec.from_plain(frame.body)
+
+
+def check_others_reach_peers(odd, how):
+    follower, view = followed(odd, how)
+    assert set(VALID_NAMES) <= known(view)
+    for base in (None, 5):
+        peer = WorkersView()
+        state = KindState(RecordKind.WORKERS, peer.apply_listing, peer.apply_change)
+        if base is not None:
+            former = StoredRecord(RecordKind.WORKERS, INVALID_NAME, 4, entry(INVALID_NAME))
+            state.apply_listing(Listing(base, (former,)), 0.0)
+        news = ViewsNews((follower.state.update_since(base, 1.0),))
+        for update in over_the_wire(news).kinds:
+            assert state.apply_update(update, 1.0)
+        assert known(peer) >= set(VALID_NAMES)
+        assert base is not None or known(peer) == known(view)
+    copied = over_the_wire(ViewsAnswer(None, view.specs())).workers
+    checks = EntryValidator()
+    usable = {
+        name
+        for name, spec in copied.items()
+        if checks.is_usable(StoredRecord(RecordKind.WORKERS, name, 0, spec))
+    }
+    assert usable == known(view)
+
+
+@then("with any odd value in any place of one worker's entry, the others reach each peer")
+def then_odd_values(context):
+    @settings(max_examples=600)
+    @given(
+        place=st.sampled_from(PLACES),
+        text=ODD_TEXTS,
+        how=st.sampled_from(HOWS),
+    )
+    def holds(place, text, how):
+        check_others_reach_peers(odd_entry(place, text), how)
+
+    holds()
+
+
+@then("with any depth in any place of one worker's entry, the others reach each peer")
+def then_odd_depths(context):
+    places = (("spec", "unknown"), ("status",), ("metadata", "finalizers"), ("unknown",))
+    for number, depth in enumerate(DEPTHS):
+        for is_object in (False, True):
+            odd = odd_entry(places[number % len(places)], nested_text(depth, is_object=is_object))
+            for how in HOWS if depth < max(DEPTHS) else ("list",):
+                check_others_reach_peers(odd, how)
--- a/src/bellweir/hosted/entries.py
+++ b/src/bellweir/hosted/entries.py
@@ -31,6 +31,10 @@
 
 MAX_NESTING_DEPTH = 32
 """Entries with deeper nesting are rejected before recursion becomes a risk."""
+MAX_RELAYED_DEPTH = 24
+"""Peers decode frames of 32 levels, of which the message around an entry takes 6."""
+MAX_RELAYED_INTEGER = 2**63 - 1
+"""Peers decode no integers beyond 64 bits."""
 MAX_LOGGED_ENTRIES = 1_024
 """Entries whose last logged revision is kept; beyond it the least recent is logged again."""
 MAX_LOGGED_NAME_LENGTH = 128
@@ -166,12 +170,29 @@
     """Return why a record is invalid; None for a valid one."""
     check = CHECKS.get(record.kind, lambda _spec: None)
     try:
+        _check_relayable([record.revision, record.spec, record.status])
         check(record.spec)
     except InvalidEntryError as failure:
         return str(failure)
     return None
 
 
+def _check_relayable(value: Any, depth: int = -1) -> None:
+    """Check that peers can decode a value. Raises `InvalidEntryError`.
+
+    A frame that can't be decoded ends the connection, and all that waits on it is lost.
+    """
+    if type(value) is int:
+        if abs(value) > MAX_RELAYED_INTEGER:
+            raise InvalidEntryError("integer out of range")
+    elif isinstance(value, dict | list):
+        if depth >= MAX_RELAYED_DEPTH:
+            raise InvalidEntryError("nested too deeply")
+        for each in value.values() if isinstance(value, dict) else value:
+            if type(each) is not str:
+                _check_relayable(each, depth + 1)
+
+
 class EntryValidator:
     """Drops, logs and counts invalid entries. Thread-safe."""
 
