An address that no socket call takes is rejected, and fails as one that reaches nobody

What callers saw: a 500 (internal_error) for a request whose worker's entry names such an address: a port with leading zeros and more than 65,535 behind them, a host with an empty label or one of more than 63 characters, a long name outside ASCII. Probes of a worker's end raised as well.

Cause: the check of an entry read the first 6 digits of the port only, and took nearly any host. Calls and probes split the address by code of their own; OverflowError, ValueError and UnicodeError of the socket call, which are no OSErrors, went past their handlers. A port of up to 64 bits was taken modulo 65,536: the call reached another port.

Change: kernel/addresses.py splits an address, for the check of entries, the connection pools and the probes. AddressError is an OSError, so that calls fail as NOT_RUN and probes as silent. A probe of port 0 tells no longer that the worker has ended.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -8,3 +8,11 @@
 
   Scenario: A worker's entry with up to half a million levels
     Then with any depth in any place of one worker's entry, the others reach each peer
+
+  # Guards against a call that raises past the handlers of its connection, or reaches another port.
+  Scenario: An address that no socket call takes
+    Then each odd address is rejected, and a call or probe of it fails like one that reaches nobody
+
+  Scenario: A gateway with odd entries among those of its workers
+    Given a gateway whose store lists odd entries beside a sound worker
+    Then each request is served by the sound worker
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 import hypothesis.strategies as st
+from behave import given as given_step
 from behave import then
 from features.steps.hosted_entries_steps import (
     INVALID_NAME,
@@ -18,11 +19,16 @@
     valid_texts,
 )
 from features.steps.hosted_views_steps import entry
+from features.support.hosted_gateway import GatewayUnderTest
 from hypothesis import given, settings
+from returns.result import Failure
 
+from bellweir.clients.interface import ErrorKind
+from bellweir.clients.pool import ConnectionPool, HttpCall
+from bellweir.hosted.crashes.worker_ends import ProbeResult, probe
 from bellweir.hosted.eligibility.cold_workers import ColdWorkers
 from bellweir.hosted.eligibility.evacuated_zones import EvacuatedZones
-from bellweir.hosted.entries import EntryValidator
+from bellweir.hosted.entries import EntryValidator, invalid_reason
 from bellweir.hosted.interface import Listing, RecordKind, StoredRecord
 from bellweir.hosted.validating_store import ValidatingStore
 from bellweir.hosted.views.follower import KindFollower
@@ -32,6 +38,7 @@
 from bellweir.hosted.views.workers import WorkersView
 from bellweir.wire.codec import MessageCodec
 from bellweir.wire.frames import OneWay, decode_struct, encode_struct
+from bellweir_rehearsal.hosted.worker import WorkerStandIn
 
 MARK = "odd value"
 LIST_REVISION = 20
@@ -60,6 +67,18 @@
 HOWS = ("list", "watch", "again", "deletion")
 """How a follower reads an odd entry; `again` by a list, then by a watch."""
 
+ODD_ADDRESSES = (
+    *[f"127.0.0.1:{port}" for port in ("0", "-1", "65536", "99999", "9" * 20, "x", "", "+80")],
+    *["127.0.0.1:" + "0" * 5 + "1" + "9" * digits for digits in (4, 5, 20, 5_000)],
+    *["127.0.0.1: 80", "127.0.0.1:8 0", "127.0.0.1:8_0", "127.0.0.1:\u0661", "127.0.0.1:\u00b2"],
+    *["127.0.0.1:80\r\nX: y", "127.0.0.1\r\nX: y:80", "127.0.0.1\x00:80", "127.0.0.1\t:80"],
+    *[":80", "80", "", "a..b:80", ".a:80", "x" * 64 + ":80", "x" * 10_000 + ":80"],
+    *["\u00fc" * 70 + ":80", "\u06f1:80", "a@127.0.0.1:80", "http://127.0.0.1:80", "a/b:80"],
+    *["a?b:80", "a#b:80", "a\\b:80", "[::1:80", "::1]:80", "[]:80", "[[::1]]:80", "a\u00a0:80"],
+)
+SOUND_ADDRESSES = ("127.0.0.1:1", "10.1.0.38:65535", "h:80", "a-b.c_d.example:80", "[::1]:80")
+CALL_TIMEOUT_S = 0.3
+
 
 def nested_text(depth, *, is_object):
     opening, closing = ('{"a":', "}") if is_object else ("[", "]")
@@ -170,3 +189,54 @@
             odd = odd_entry(places[number % len(places)], nested_text(depth, is_object=is_object))
             for how in HOWS if depth < max(DEPTHS) else ("list",):
                 check_others_reach_peers(odd, how)
+
+
+def has_port(address):
+    port = address.rpartition(":")[2]
+    return port.isascii() and port.isdigit() and len(port) <= 5 and 0 < int(port) < 65_536
+
+
+@then("each odd address is rejected, and a call or probe of it fails like one that reaches nobody")
+def then_addresses(context):
+    for address in SOUND_ADDRESSES:
+        record = StoredRecord("servers", "d", 1, {**entry("d"), "address": address})
+        assert invalid_reason(record) is None, address
+    for address in ODD_ADDRESSES:
+        shown = ascii(address[:40])
+        record = StoredRecord("servers", "d", 1, {**entry("d"), "address": address})
+        assert invalid_reason(record), shown
+        node = {"peerAddress": address, "zone": "a"}
+        assert invalid_reason(StoredRecord("bellweir-nodes", "d", 1, node)), shown
+        if has_port(address) and address[0] not in "127":
+            continue  # A name of this form would be looked up.
+        made = ConnectionPool(address).call(HttpCall("GET", "/", CALL_TIMEOUT_S))
+        assert isinstance(made, Failure), shown
+        assert made.failure().kind is ErrorKind.NOT_RUN, shown
+        assert probe(address) is ProbeResult.SILENT, shown
+
+
+@given_step("a gateway whose store lists odd entries beside a sound worker")
+def given_gateway(context):
+    worker = WorkerStandIn("i-sound")
+    context.cleanup.callback(worker.close)
+    context.gateway = GatewayUnderTest([worker])
+    context.cleanup.callback(context.gateway.close)
+    odd = [{**entry("d"), "address": address} for address in ODD_ADDRESSES if address[:3] == "127"]
+    texts = [text_of(stored(f"odd-{at}", 4, spec)) for at, spec in enumerate(odd)]
+    for field in ("slots", "born", "coldLeftMs", "unknown"):
+        for digits in (20, 400, 5_000):
+            odd_name = f'"odd-{field}-{digits}"'.encode()
+            text = odd_entry(("spec", field), "9" * digits)
+            texts.append(text.replace(b'"name": "d"', b'"name": ' + odd_name))
+    texts.append(odd_entry(("status",), nested_text(300, is_object=True)))
+    sound = json.loads(json.dumps(worker.entry("app")))
+    texts.insert(len(texts) // 2, text_of(stored("i-sound", 4, sound)))
+    store = ValidatingStore(store_answering(list_body(texts)), EntryValidator())
+    context.gateway.workers.apply_listing(store.list_kind("servers").unwrap())
+
+
+@then("each request is served by the sound worker")
+def then_served(context):
+    for path in ("/idempotent/x", "/single/x") * 10:
+        answer = context.gateway.send(path)
+        assert answer.status == 200, (path, answer)
--- a/src/bellweir/clients/pool.py
+++ b/src/bellweir/clients/pool.py
@@ -26,6 +26,7 @@
 )
 from bellweir.clients.interface import ErrorKind, PlatformError
 from bellweir.clients.open_answer import OpenAnswer
+from bellweir.kernel.addresses import split_address
 from bellweir.kernel.clock import elapsed_s
 
 IDLE_CONNECTIONS = 64
@@ -183,7 +184,7 @@
             raise SilentConnectionError("no byte acknowledged")
 
     def _connect(self, deadline_s: float) -> CountingConnection:
-        connection = CountingConnection(*_host_and_port(self.address), self._single_fields)
+        connection = CountingConnection(*split_address(self.address), self._single_fields)
         connection.open(deadline_s)
         return connection
 
@@ -281,14 +282,6 @@
     return min(IDLE_LIFETIME_S, int(told.group(1)) - IDLE_MARGIN_S)
 
 
-def _host_and_port(address: str) -> tuple[str, int]:
-    """Split `host:port`; raises `OSError`, since nobody can be reached at anything else."""
-    host, _, port = address.rpartition(":")
-    if not host or not port.isascii() or not port.isdigit():
-        raise OSError(f"{address!r} is no host:port")
-    return host.strip("[]"), int(port)
-
-
 def _send(connection: CountingConnection, call: HttpCall, body: BinaryIO | bytes | None) -> bool:
     """Send a request; returns whether all of it was sent.
 
--- a/src/bellweir/hosted/crashes/worker_ends.py
+++ b/src/bellweir/hosted/crashes/worker_ends.py
@@ -13,6 +13,7 @@
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.records import WorkerState
 from bellweir.hosted.views.workers import Worker, WorkersView
+from bellweir.kernel.addresses import split_address
 from bellweir.kernel.clock import elapsed_s
 
 PROBE_TIMEOUT_S = 0.1
@@ -38,13 +39,12 @@
 
 def probe(address: str) -> ProbeResult:
     """Connect to `host:port` and close the connection again."""
-    host, _, port = address.rpartition(":")
     try:
-        with socket.create_connection((host.strip("[]"), int(port)), PROBE_TIMEOUT_S):
+        with socket.create_connection(split_address(address), PROBE_TIMEOUT_S):
             return ProbeResult.ACCEPTED
     except ConnectionRefusedError:
         return ProbeResult.REFUSED
-    except (OSError, ValueError):
+    except OSError:
         return ProbeResult.SILENT
 
 
--- a/src/bellweir/hosted/entries.py
+++ b/src/bellweir/hosted/entries.py
@@ -28,6 +28,7 @@
 )
 from bellweir.hosted.log_events import ENTRY_UNREADABLE
 from bellweir.hosted.records import NamedVersion, WorkerEntry, WorkerModel, WorkerState
+from bellweir.kernel.addresses import AddressError, split_address
 
 MAX_NESTING_DEPTH = 32
 """Entries with deeper nesting are rejected before recursion becomes a risk."""
@@ -40,7 +41,6 @@
 MAX_LOGGED_NAME_LENGTH = 128
 SCALAR_TYPES = frozenset({str, int, float, bool})
 """Types that need no recursive call."""
-MAX_PORT = 65_535
 
 NonEmptyStr = Annotated[str, msgspec.Meta(min_length=1)]
 NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
@@ -138,11 +138,10 @@
 
 def check_address(address: str) -> None:
     """Check that an address has the form HOST:PORT. Raises `InvalidEntryError`."""
-    host, _, port = address.rpartition(":")
-    is_valid_host = host != "" and host.isprintable() and not any(char in host for char in " /@")
-    is_valid_port = port.isascii() and port.isdigit() and 0 < int(port[:6]) <= MAX_PORT
-    if not is_valid_host or not is_valid_port:
-        raise InvalidEntryError("address is not HOST:PORT")
+    try:
+        split_address(address)
+    except AddressError as failure:
+        raise InvalidEntryError(str(failure)) from None
 
 
 def _check_node(spec: Any) -> None:
