--- a/src/bellweir_rehearsal/hosted/soak.py
+++ b/src/bellweir_rehearsal/hosted/soak.py
@@ -175,6 +175,7 @@
         self._read_until_s = 0.0
         self.strikes: Counter[str] = Counter()
         self.peak_mb = 0.0
+        self._peak_of_one_mb = 0.0
         self.served_again_s: float | None = None
         self.whole = Check("each step that was accepted comes whole")
         self.configured = Check("the newest configuration is in force everywhere in the end")
@@ -525,10 +526,12 @@
     def _look_at_memory(self, machine: Machine) -> None:
         if machine.is_running and machine.process is not None:
             used_mb = memory_of_mb(machine.process.pid)
+            self._peak_of_one_mb = max(self._peak_of_one_mb, used_mb)
             self.memory.expect(used_mb < MEMORY_MB, f"{machine.name}: {used_mb:.0f} MB")
 
     def _note_broken(self) -> None:
-        """Keep how many answers were broken in which way."""
+        """Keep how many answers were broken in which way, and the most memory of a process."""
+        self._note(f"most memory of a process: {self._peak_of_one_mb:.0f} MB")
         for worker in self.deployment.workers:
             if worker.breaker.broken:
                 self._note(f"{worker.instance} broke {dict(sorted(worker.breaker.broken.items()))}")
