Soak: a stop's end is noted at the moment at which its process is gone

Popen.wait with a time-out polls every 50 ms, and StopAmidSignals looks only behind a pause of up to 0.2 s; a process with 2 s of grace ends itself at 1.83 s. The bound stays; the end is taken from a pidfd now.

--- a/src/bellweir_rehearsal/hosted/deployment.py
+++ b/src/bellweir_rehearsal/hosted/deployment.py
@@ -6,6 +6,7 @@
 
 import os
 import random
+import select
 import shutil
 import signal
 import socket
@@ -65,6 +66,7 @@
 EVACUATE_S = 5.0
 """Time within which an evacuation must be in force."""
 PLACES_BOUNDS = {"evacuateMs": 1000 * EVACUATE_S, "coldOver": 1.5, "coldSlack": 5}
+WATCH_TIMEOUT_S = 2.0
 MEMORY_MB = 300
 """Memory after which the platform ends a process."""
 METRICS_PORT = 9464
@@ -164,14 +166,36 @@
 class PlannedStop:
     """SIGTERM to a machine's process; times are of the monotonic clock."""
 
-    __slots__ = ("ended_s", "name", "process", "signalled_s")
+    __slots__ = ("_watching", "ended_s", "gone_s", "name", "process", "signalled_s")
 
     def __init__(self, name: str, process: "subprocess.Popen[bytes]", signalled_s: float) -> None:
         self.name = name
         self.process = process
         self.signalled_s = signalled_s
         self.ended_s: float | None = None
-        """When the process was gone; None while it runs."""
+        """When the process was gone, once the stop was waited for."""
+        self.gone_s: float | None = None
+        """When the process was gone, however it ended."""
+        self._watching = threading.Thread(target=self._watch, daemon=True)
+        self._watching.start()
+
+    def _watch(self) -> None:
+        """Note the moment of the end, which a waiter that polls learns late."""
+        try:
+            file = os.pidfd_open(self.process.pid)
+        except ProcessLookupError:
+            self.gone_s = time.monotonic()
+            return
+        ends = select.poll()
+        ends.register(file, select.POLLIN)
+        ends.poll()
+        self.gone_s = time.monotonic()
+        os.close(file)
+
+    def note_end(self) -> None:
+        """Note the end of the process, which is gone."""
+        self._watching.join(WATCH_TIMEOUT_S)
+        self.ended_s = self.gone_s or time.monotonic()
 
 
 class Evacuation:
@@ -438,7 +462,7 @@
         stop = self._note_stop(name, process)
         process.send_signal(signal.SIGTERM)
         code = process.wait(max(STOP_TIMEOUT_S, STOP_TIMEOUT_FACTOR * self.grace_period_s))
-        stop.ended_s = time.monotonic()
+        stop.note_end()
         self.exit_codes.append((name, code))
         return code
 
