--- a/src/bellweir/hosted/event_stream.py
+++ b/src/bellweir/hosted/event_stream.py
@@ -61,8 +61,8 @@
         for end in EVENT_END.finditer(pending, scanned):
             events.append(self._parse(bytes(pending[start : end.end()])))
             start = end.end()
-        self._pending = pending[start:]
-        if len(self._pending) > MAX_EVENT_BYTES:
+        del pending[:start]
+        if len(pending) > MAX_EVENT_BYTES:
             raise EventTooLongError(f"event exceeds {MAX_EVENT_BYTES} bytes")
         return events
 
