Answers hold memory for bytes that have arrived, not for those declared

Change: a length beyond all memory is refused at once; else only what has arrived counts.

Evidence: answers_elsewhere.feature, 'A body that is declared and not sent', failed before; 21 of 21 scenarios of endless_answers.feature hold.

--- a/src/bellweir/clients/answer_memory.py
+++ b/src/bellweir/clients/answer_memory.py
@@ -76,6 +76,13 @@
             self._memory.change(self._held, wanted)
             self._held = wanted
 
+    def check_declared(self, length: int) -> None:
+        """Raise `AnswerTooLongError` for a length that all of the memory would not do for."""
+        if length > self._memory.total_bytes + FREE_BYTES:
+            raise AnswerTooLongError(
+                f"{length} bytes declared, {self._memory.total_bytes} for all answers"
+            )
+
     def release(self) -> None:
         """Hold nothing more."""
         self.resize(0)
--- a/src/bellweir/clients/open_answer.py
+++ b/src/bellweir/clients/open_answer.py
@@ -96,11 +96,11 @@
         """Read the whole body; raises `AnswerTooLongError` where there is no memory for it."""
         blocks: list[bytes] = []
         length = 0
-        self.hold(self._answer.declared_left)
+        self._holding.check_declared(self._answer.declared_left)
         for block in self.read_blocks():
             blocks.append(block)
             length += len(block)
-            self.hold(length + self._answer.declared_left)
+            self.hold(length)
         return b"".join(blocks)
 
     def hold(self, length: int) -> None:
