Only a 200 begins or continues a stream

A 400 or 404 of the first worker came as a reset, and the request ran at a second worker.

Cause: any status below 500 was read as a stream; a body without events that ends by its length counts as ended between events.

Change: another status than 200 is read whole. The first worker's 3xx or 4xx goes to the client with its stamp; behind a stream that has begun it is a failed attempt, and the next worker resumes.

Evidence: answers_elsewhere.feature, 8 scenarios of two outlines failed before, all pass; 98 scenarios of four features of streams and items pass.

--- a/src/bellweir/hosted/serving/streams.py
+++ b/src/bellweir/hosted/serving/streams.py
@@ -49,6 +49,8 @@
 
 POSSIBLY_RUN_STATES = frozenset({AttemptState.ANSWERED, AttemptState.UNKNOWN})
 """Outcomes of an attempt after which the request may have run."""
+STREAM_STATUS = 200
+"""Status of a response whose body is a stream; others are passed on whole."""
 EVENT_TIMEOUT_S = 1.5
 """Time without data after which a resumable stream is considered broken."""
 
@@ -72,6 +74,11 @@
     head_s: float = 0.0
     """Time to the headers of the latest response."""
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether a worker's headers have been passed on to the client."""
+        return self.worker is not None
+
     @property
     def may_resume(self) -> bool:
         """Whether another worker may run the request although one may have started it."""
@@ -151,7 +158,10 @@
         return self._end_without_stream(stream, result)
 
     def _open(self, stream: _Stream) -> OpenAnswer | BufferedResponse | None:
-        """Open the stream at a worker; otherwise return the last 5xx response, if any."""
+        """Open the stream at a worker; otherwise return the response for the client, if any.
+
+        That is a worker's 3xx or 4xx, unless the stream has begun, or else the last 5xx.
+        """
         failure: BufferedResponse | None = None
         while (worker := self._next_worker(stream)) is not None:
             began_s = elapsed_s()
@@ -161,11 +171,17 @@
                     self._forwarder.count_usage(stream.client, began_s)
                 stream.ran_at.add(worker.incarnation)
             opened = attempt.opened if attempt.state is AttemptState.ANSWERED else None
-            if opened is not None and opened.status < SERVER_ERROR:
+            if opened is not None and opened.status == STREAM_STATUS:
                 stream.worker = worker
                 stream.head_s = elapsed_s() - began_s
                 return opened
-            failure = self._record_failed_attempt(stream, worker, attempt) or failure
+            response = self._record_attempt_without_stream(stream, worker, attempt, began_s)
+            if response is not None and response.status < SERVER_ERROR:
+                if not stream.has_begun:
+                    return response
+                stream.cause = f"resumed with status {response.status}"
+                continue
+            failure = response or failure
         return failure
 
     def _open_attempt(self, stream: _Stream, worker: Worker) -> OpenedAttempt:
@@ -180,14 +196,20 @@
             self._crashes.record_end(stream.client, worker, RunEnd.OTHER)
             raise
 
-    def _record_failed_attempt(
-        self, stream: _Stream, worker: Worker, attempt: OpenedAttempt
+    def _record_attempt_without_stream(
+        self, stream: _Stream, worker: Worker, attempt: OpenedAttempt, began_s: float
     ) -> BufferedResponse | None:
+        """Record an attempt that opened no stream; return the worker's whole response, if any."""
         state = attempt.state
         outcome = AttemptOutcome(state, attempt.detail, ended_by_worker=attempt.ended_by_worker)
         if attempt.opened is not None:
             outcome = read_response(attempt.opened, attempt)
         response = outcome.response
+        is_answered = state is AttemptState.ANSWERED
+        if is_answered and response is not None and response.status < SERVER_ERROR:
+            self._loads.record_success(worker.incarnation, elapsed_s() - began_s)
+            self._crashes.record_end(stream.client, worker, run_end(outcome, is_cancelled=False))
+            return response
         failed = FailedAttempt(
             stream.client.request_id,
             stream.sends,
@@ -200,7 +222,7 @@
         stream.cause = failed.record(self._loads)
         end = run_end(outcome, is_cancelled=failed.is_cancelled)
         self._crashes.record_end(stream.client, worker, end)
-        return response if state is AttemptState.ANSWERED else None
+        return response if is_answered else None
 
     def _next_worker(self, stream: _Stream) -> Worker | None:
         if stream.cancellation.cancelled.is_set():
