A text without an event is a broken run

Cause: the end of a body between two events counted as the end of the text, also before the first one.

Change: a text's stream is a 200 and has an event, in this run or an earlier one.

Evidence: answers_elsewhere.feature, 'A text without an event', 3 scenarios failed before.

--- a/src/bellweir/hosted/batches/attempts.py
+++ b/src/bellweir/hosted/batches/attempts.py
@@ -52,6 +52,8 @@
 FAILED_BACKOFF_S = 0.02
 CANCELLED = "ended here"
 """Logged cause of an attempt that was cancelled because its job ended or leadership was lost."""
+STREAM_STATUS = 200
+"""Status of a response whose body is a text's stream."""
 UNPROCESSABLE = 422
 SERVER_ERROR = 500
 
@@ -135,7 +137,7 @@
         elif opened.opened is None or opened.state is not AttemptState.ANSWERED:
             end = _end_without_answer(opened)
             self._handle_no_answer(progress, worker, opened)
-        elif opened.opened.status >= 300:
+        elif opened.opened.status != STREAM_STATUS:
             has_failed = opened.opened.status >= SERVER_ERROR
             end = RunEnd.OTHER if has_failed else RunEnd.SURVIVED
             self._handle_error_answer(progress, worker, opened)
@@ -206,6 +208,8 @@
                 opened.hold(splitter.pending_bytes)
             if not splitter.is_between_events:
                 raise http.client.HTTPException("stream ended in the middle of an event")
+            if not progress.events:
+                raise http.client.HTTPException("stream ended without an event")
         except STREAM_ERRORS as exc:
             if cancellation.cancelled.is_set():
                 self._end_cancelled(progress, worker, opened)
