A body into which the next answer was cut is refused where it shows

What callers saw: 200 with a part of the body and the head of the same answer behind it, where a worker breaks an answer off in its body and sends it again (MIXED).

Cause: the length was filled with whatever came next.

Change: where more bytes than the answer have come, a status line in the body tells that two answers were joined. A body that is cut and filled to its length by bytes without a status line, or with nothing behind it, can't be told from a whole one.

Evidence: answers_elsewhere.feature, 3 scenarios failed before.

--- a/src/bellweir/clients/open_answer.py
+++ b/src/bellweir/clients/open_answer.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator, Mapping
 from typing import Protocol
 
-from bellweir.clients.answer_head import Framing
+from bellweir.clients.answer_head import STATUS_LINE_INSIDE, Framing, MalformedAnswerError
 from bellweir.clients.answer_memory import PROCESS_MEMORY, AnswerHolding, AnswerMemory
 from bellweir.clients.answer_reader import AnswerReader, split_lines
 from bellweir.clients.connection import CountingConnection
@@ -101,7 +101,10 @@
             blocks.append(block)
             length += len(block)
             self.hold(length)
-        return b"".join(blocks)
+        body = b"".join(blocks)
+        if self._answer.has_surplus and STATUS_LINE_INSIDE.search(body):
+            raise MalformedAnswerError("a second answer begins in the body and goes on behind it")
+        return body
 
     def hold(self, length: int) -> None:
         """Count `length` bytes of this answer as kept; raises `AnswerTooLongError`."""
