A second answer within the framing of chunks or in a trailer is refused

What callers saw: an answer in chunks that its worker broke off behind the last byte of its body, in the extension of the last chunk or in the fields behind it, was taken for a whole one where another answer followed at once. The head of that other answer was dropped as a trailer; where it had no body its connection went on as if nothing had come.

Cause: only heads were searched for a second status line. The extension of a chunk may hold any text, and the fields of the other answer are fields of a trailer as well.

Change: a line of the framing with a status line in it is refused, as in a head.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -103,6 +103,8 @@
       | a size that is too large           |
       | no line end behind them            |
       | no empty line behind the last one  |
+      | an answer in the last one's size   |
+      | an answer in the fields behind     |
 
   Scenario: Chunks that are cut at any byte
     Given a worker that closes its connection amid the chunks of its answers
--- a/features/steps/answers_steps.py
+++ b/features/steps/answers_steps.py
@@ -262,6 +262,8 @@
     "a size that is too large": (b"190", b"f" * 17),
     "no line end behind them": (b"\r\n190", b"xx190"),
     "no empty line behind the last one": (b"0\r\n\r\n", b"0\r\none two\r\n\r\n"),
+    "an answer in the last one's size": (b"0\r\n\r\n", b"0;las" + answer_of(OTHER_ID)),
+    "an answer in the fields behind": (b"0\r\n\r\n", b"0\r\nDigest: o" + answer_of(OTHER_ID)),
 }
 
 
--- a/src/bellweir/clients/answer_reader.py
+++ b/src/bellweir/clients/answer_reader.py
@@ -7,6 +7,7 @@
 
 from bellweir.clients.answer_head import (
     SINGLE_FIELDS,
+    STATUS_LINE_INSIDE,
     AnswerHead,
     Framing,
     MalformedAnswerError,
@@ -185,12 +186,15 @@
             raise MalformedAnswerError(f"bytes that begin no answer: {beginning!r}")
 
     def _read_line(self, maximum_bytes: int) -> bytes:
-        """Read a line; returns it without its end."""
+        """Read a line of chunked framing or of a trailer; returns it without its end."""
         while (end := self._buffer.find(b"\n")) < 0:
             self._check_length(len(self._buffer), maximum_bytes)
             self._fill()
         self._check_length(end, maximum_bytes)
-        return self._cut(end + 1)[:-1].removesuffix(b"\r")
+        line = self._cut(end + 1)[:-1].removesuffix(b"\r")
+        if STATUS_LINE_INSIDE.search(line):
+            raise MalformedAnswerError(f"a status line behind chunks: {line[:SHOWN_BYTES]!r}")
+        return line
 
     def _check_length(self, found: int, maximum_bytes: int) -> None:
         if found > maximum_bytes:
