No-break spaces and next-line bytes in fields are part of their values

What callers saw: 0xA0 or 0x85 at the ends of a folded value was missing from what went on to the client. `Transfer-Encoding: chunked` with 0xA0 behind it was read as chunks.

Cause: values are decoded as Latin-1 and were then stripped of all that Python calls white space; by RFC 9110 section 5.6.3 only spaces and tabs are.

Change: the one constant of white space is used for folded values and list elements as well.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -52,6 +52,7 @@
       | two versions of weights                   |
       | a transfer coding that is unknown         |
       | a transfer coding behind chunks           |
+      | a no-break space behind a transfer coding |
       | chunks in HTTP/1.0                        |
       | a status line in a field                  |
       | a status line in a folded field           |
@@ -86,6 +87,12 @@
       | an empty field                      |
       | chunks, and fields behind them      |
 
+  Scenario: A no-break space before a folded value
+    Given a worker whose answers have a no-break space before a folded value
+    When an answer to a request is read
+    Then it is taken for the whole answer
+    And the no-break space is passed on
+
   # Guards against bodies that end early, or that hold what is no part of them.
   Scenario Outline: Chunks that are none
     Given a worker whose answers have chunks with <fault>
--- a/features/steps/answers_steps.py
+++ b/features/steps/answers_steps.py
@@ -221,6 +221,8 @@
     "a transfer coding behind chunks": with_fields(
         CHUNKED, b"Transfer-Encoding: identity", body=CHUNKS
     ),
+    "a no-break space behind a transfer coding": with_fields(CHUNKED + b"\xa0", body=CHUNKS),
+    "a no-break space before a folded value": with_fields(b"X-Note: \xa0one\r\n two", LENGTH),
     "chunks in HTTP/1.0": replaced(b"HTTP/1.1", b"HTTP/1.0", chunked_answer_of),
     "a status line in a field": with_fields(b"Server: oneHTTP/1.1 200 OK", LENGTH),
     "a status line in a folded field": with_fields(b"Server: one\r\n HTTP/1.1 200 OK", LENGTH),
@@ -328,6 +330,11 @@
     assert context.outcome.response.body == BODY
 
 
+@then("the no-break space is passed on")
+def then_passed_on(context):
+    assert ("X-Note", "\xa0one two") in context.outcome.response.headers, context.outcome
+
+
 @given("a worker that closes its connection amid the chunks of its answers")
 def given_cut_chunks(context):
     start_worker(context, chunked_answer_of)
--- a/src/bellweir/clients/answer_head.py
+++ b/src/bellweir/clients/answer_head.py
@@ -13,7 +13,7 @@
 FIELD_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t -~\x80-\xff]*)")
 FOLDED_LINE = re.compile(rb"[\t ][\t -~\x80-\xff]*")
 LENGTH = re.compile(r"[0-9]{1,18}")
-WHITESPACE = b" \t"
+WHITESPACE = " \t"
 SINGLE_FIELDS = frozenset({"content-length", "content-type", "date", "retry-after"})
 """Fields of which an answer has one value; in two answers read as one they often differ."""
 NO_BODY_STATUSES = frozenset({204, 304})
@@ -89,7 +89,7 @@
         if lower_name not in self.values:
             return []
         values = [value for name, value in self.fields if name.lower() == lower_name]
-        return [each.strip().lower() for each in ",".join(values).split(",")]
+        return [each.strip(WHITESPACE).lower() for each in ",".join(values).split(",")]
 
 
 def parse_head(text: bytes, single_fields: frozenset[str] = SINGLE_FIELDS) -> AnswerHead:
@@ -130,14 +130,14 @@
             fields.append((name.decode("ascii"), _text(value)))
         elif fields and FOLDED_LINE.fullmatch(line):
             name_of_folded, before = fields[-1]
-            fields[-1] = (name_of_folded, f"{before} {_text(line)}".strip())
+            fields[-1] = (name_of_folded, f"{before} {_text(line)}".strip(WHITESPACE))
         else:
             raise MalformedAnswerError(f"field line {line[:40]!r}")
     return fields
 
 
 def _text(value: bytes) -> str:
-    return value.strip(WHITESPACE).decode("latin-1")
+    return value.decode("latin-1").strip(WHITESPACE)
 
 
 def _check_single(fields: list[tuple[str, str]], single_fields: frozenset[str]) -> None:
