Bytes that are no answer behind an interim one end the call at once

What callers saw: where a worker sent an interim answer and, in the same segment, bytes that begin no answer, the call went on until its deadline; in two segments it failed at once.

Cause: the look at the beginning of a head came only after more bytes had arrived, and what had arrived behind an interim answer was passed over.

Evidence: the fuzz test of the parser found it (the same bytes in other segments gave another error). answers.feature, 'Bytes that are no answer, right behind an interim answer' failed before with TimeoutError('deadline passed') and passes now.

Change: what has arrived is looked at before more is waited for.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -118,6 +118,13 @@
     When its answers, cut at each byte behind the head, are read as answers to requests
     Then none of them is taken for an answer
 
+  # Guards against a call that waits for the rest of bytes that are no answer.
+  Scenario: Bytes that are no answer, right behind an interim answer
+    Given a worker that sends an interim answer and other bytes at once, and no more
+    When an answer to a request is read
+    Then it is not taken for an answer
+    And the call ended before its deadline
+
   # Guards against the rest of one answer in the slot of the next one.
   Scenario: Bytes behind a whole answer
     Given a worker that sends more bytes behind its answers
--- a/features/steps/answers_steps.py
+++ b/features/steps/answers_steps.py
@@ -348,6 +348,17 @@
     read_cut(context, chunked_answer_of, is_answered, range(head_length, len(whole)))
 
 
+@given("a worker that sends an interim answer and other bytes at once, and no more")
+def given_bytes_behind_interim(context):
+    interim = b"HTTP/1.1 103 Early Hints\r\nLink: one\r\n\r\n"
+    start_worker(context, lambda _id: interim + b"bytes", keeps_open=True)
+
+
+@then("the call ended before its deadline")
+def then_before_deadline(context):
+    assert "TimeoutError" not in context.outcome.detail, context.outcome
+
+
 @given("a worker that sends more bytes behind its answers")
 def given_more(context):
     start_worker(context, lambda found: answer_of(found) + answer_of(OTHER_ID), keeps_open=True)
--- a/src/bellweir/clients/answer_reader.py
+++ b/src/bellweir/clients/answer_reader.py
@@ -172,10 +172,10 @@
         """Read up to and including the next empty line."""
         scanned = 0
         while (end := HEAD_END.search(self._buffer, scanned)) is None:
+            self._check_beginning()
             scanned = max(0, len(self._buffer) - 2)
             self._check_length(len(self._buffer), MAXIMUM_HEAD_BYTES)
             self._fill()
-            self._check_beginning()
         self._check_length(end.end(), MAXIMUM_HEAD_BYTES)
         return self._cut(end.end())
 
