--- a/features/answers.feature
+++ b/features/answers.feature
@@ -63,6 +63,7 @@
       | two versions of weights                   |
       | a transfer coding that is unknown         |
       | a transfer coding behind chunks           |
+      | a no-break space behind a transfer coding |
       | chunks in HTTP/1.0                        |
       | a status line in a field                  |
       | a status line in a folded field           |
@@ -97,6 +98,12 @@
       | an empty field                      |
       | chunks, and fields behind them      |
 
+  Scenario: A no-break space before a folded value
+    Given a worker whose answers have a no-break space before a folded value
+    When an answer to a request is read
+    Then it is taken for the whole answer
+    And the no-break space is passed on
+
   # Guards against bodies that end early, or that hold what is no part of them.
   Scenario Outline: Chunks that are none
     Given a worker whose answers have chunks with <fault>
@@ -114,12 +121,21 @@
       | a size that is too large           |
       | no line end behind them            |
       | no empty line behind the last one  |
+      | an answer in the last one's size   |
+      | an answer in the fields behind     |
 
   Scenario: Chunks that are cut at any byte
     Given a worker that closes its connection amid the chunks of its answers
     When its answers, cut at each byte behind the head, are read as answers to requests
     Then none of them is taken for an answer
 
+  # Guards against a call that waits for the rest of bytes that are no answer.
+  Scenario: Bytes that are no answer, right behind an interim answer
+    Given a worker that sends an interim answer and other bytes at once, and no more
+    When an answer to a request is read
+    Then it is not taken for an answer
+    And the call ended before its deadline
+
   # Guards against the rest of one answer in the slot of the next one.
   Scenario: Bytes behind a whole answer
     Given a worker that sends more bytes behind its answers
--- a/features/steps/answers_steps.py
+++ b/features/steps/answers_steps.py
@@ -251,6 +251,8 @@
     "a transfer coding behind chunks": with_fields(
         CHUNKED, b"Transfer-Encoding: identity", body=CHUNKS
     ),
+    "a no-break space behind a transfer coding": with_fields(CHUNKED + b"\xa0", body=CHUNKS),
+    "a no-break space before a folded value": with_fields(b"X-Note: \xa0one\r\n two", LENGTH),
     "chunks in HTTP/1.0": replaced(b"HTTP/1.1", b"HTTP/1.0", chunked_answer_of),
     "a status line in a field": with_fields(b"Server: oneHTTP/1.1 200 OK", LENGTH),
     "a status line in a folded field": with_fields(b"Server: one\r\n HTTP/1.1 200 OK", LENGTH),
@@ -292,6 +294,8 @@
     "a size that is too large": (b"190", b"f" * 17),
     "no line end behind them": (b"\r\n190", b"xx190"),
     "no empty line behind the last one": (b"0\r\n\r\n", b"0\r\none two\r\n\r\n"),
+    "an answer in the last one's size": (b"0\r\n\r\n", b"0;las" + answer_of(OTHER_ID)),
+    "an answer in the fields behind": (b"0\r\n\r\n", b"0\r\nDigest: o" + answer_of(OTHER_ID)),
 }
 
 
@@ -356,6 +360,11 @@
     assert context.outcome.response.body == BODY
 
 
+@then("the no-break space is passed on")
+def then_passed_on(context):
+    assert ("X-Note", "\xa0one two") in context.outcome.response.headers, context.outcome
+
+
 @given("a worker that closes its connection amid the chunks of its answers")
 def given_cut_chunks(context):
     start_worker(context, chunked_answer_of)
@@ -369,6 +378,17 @@
     read_cut(context, chunked_answer_of, is_answered, range(head_length, len(whole)))
 
 
+@given("a worker that sends an interim answer and other bytes at once, and no more")
+def given_bytes_behind_interim(context):
+    interim = b"HTTP/1.1 103 Early Hints\r\nLink: one\r\n\r\n"
+    start_worker(context, lambda _id: interim + b"bytes", keeps_open=True)
+
+
+@then("the call ended before its deadline")
+def then_before_deadline(context):
+    assert "TimeoutError" not in context.outcome.detail, context.outcome
+
+
 @given("a worker that sends more bytes behind its answers")
 def given_more(context):
     start_worker(context, lambda found: answer_of(found) + answer_of(OTHER_ID), keeps_open=True)
