An odd status takes no entry away

What callers saw: nothing yet. With the check of what peers can decode, an entry with a sound spec counted as absent if its status had 25 levels or an integer beyond 64 bits: a worker got nothing more, and a retirement, whose status the system itself replaces, was not seen at all.

Cause: the status was checked as a part of the entry.

Change: a status that peers can't decode is left out by itself, logged and counted.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -16,3 +16,7 @@
   Scenario: A gateway with odd entries among those of its workers
     Given a gateway whose store lists odd entries beside a sound worker
     Then each request is served by the sound worker
+
+  # Guards against a retirement that is never done, as its status can't be relayed.
+  Scenario: An entry whose status no peer can decode
+    Then an odd status takes away nothing but itself
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -240,3 +240,24 @@
     for path in ("/idempotent/x", "/single/x") * 10:
         answer = context.gateway.send(path)
         assert answer.status == 200, (path, answer)
+
+
+@then("an odd status takes away nothing but itself")
+def then_odd_status(context):
+    texts = ("9" * 20, nested_text(25, is_object=False), nested_text(300, is_object=True))
+    for text in texts:
+        odd = odd_entry(("status",), text)
+        for how in ("list", "watch", "again"):
+            follower, view = followed(odd, how)
+            assert INVALID_NAME in known(view), how
+            shown = {each.name: each for each in follower.state.update_since(None, 1.0).records}
+            assert shown[INVALID_NAME].status is None, how
+            check_others_reach_peers(odd, how)
+        retirement = stored("node-1", 4, {"durationS": 10})
+        retirement["status"] = json.loads(text)
+        validator = EntryValidator()
+        store = ValidatingStore(store_answering(list_body([text_of(retirement)])), validator)
+        for _ in range(2):
+            found = store.list_kind("retirements").unwrap()
+            assert [(each.name, each.status) for each in found.records] == [("node-1", None)]
+        assert validator.counts() == {"retirements": 1}
--- a/src/bellweir/hosted/entries.py
+++ b/src/bellweir/hosted/entries.py
@@ -169,14 +169,15 @@
     """Return why a record is invalid; None for a valid one."""
     check = CHECKS.get(record.kind, lambda _spec: None)
     try:
-        _check_relayable([record.revision, record.spec, record.status])
+        _check_relayable(record.revision)
+        _check_relayable(record.spec)
         check(record.spec)
     except InvalidEntryError as failure:
         return str(failure)
     return None
 
 
-def _check_relayable(value: Any, depth: int = -1) -> None:
+def _check_relayable(value: Any, depth: int = 0) -> None:
     """Check that peers can decode a value. Raises `InvalidEntryError`.
 
     A frame that can't be decoded ends the connection, and all that waits on it is lost.
@@ -214,6 +215,7 @@
 
     def validate_listing(self, listing: Listing) -> Listing:
         """Return a listing whose invalid entries are moved to `unreadable`."""
+        listing = self._without_odd_statuses(listing)
         invalid = {
             record.name: cause for record in listing.records if (cause := invalid_reason(record))
         }
@@ -270,9 +272,25 @@
         )
 
     def _validate_change(self, change: RecordChange) -> RecordChange:
-        if change.deleted or self.is_usable(change.record):
+        if change.deleted:
             return change
-        return RecordChange(change.record, deleted=True)
+        record = self._without_odd_status(change.record)
+        return RecordChange(record, deleted=not self.is_usable(record))
+
+    def _without_odd_statuses(self, listing: Listing) -> Listing:
+        records = tuple(self._without_odd_status(record) for record in listing.records)
+        return Listing(listing.revision, records, listing.unreadable)
+
+    def _without_odd_status(self, record: StoredRecord) -> StoredRecord:
+        """Return a record without a status that peers can't decode; its spec stays in effect."""
+        try:
+            _check_relayable(record.status)
+        except InvalidEntryError as failure:
+            cause = f"status: {failure}"
+            found = UnreadableRecord(record.kind, record.name, record.revision, cause)
+            self.log_invalid_entry(found)
+            return msgspec.structs.replace(record, status=None)
+        return record
 
 
 def _loggable(name: str | None) -> str | None:
