--- a/features/steps/answers_elsewhere_steps.py
+++ b/features/steps/answers_elsewhere_steps.py
@@ -109,7 +109,8 @@
     found = context.answer
     assert found.status in (400, 404), vars(found)
     assert found.headers[HEADERS.stamp], vars(found)
-    assert found.whole and found.body == TEXT, vars(found)
+    assert found.whole, vars(found)
+    assert found.body == TEXT, vars(found)
 
 
 @given("a worker that declares nearly all memory for answers and sends 1 byte")
