Items under which workers ended stay owed

Cause: an item had the bound of a client's request that crashes workers, three trials and then 600 s without any; with maxWaitS it was listed as dead. Items that are handed in for later are never such requests, the users say now.

Change: a guarded request tells whether it is_owed. An owed one is suspended while ends are recent; it has trials without limit, its pause after a trial that ended its worker stays at 3 s, and 3 s after its last end it runs as any other unless a trial of it ended its worker. Single trials, half of the service's workers at most and the wait for workers that stay are as before. The leader of the jobs grants these trials itself. Nothing is given up for ends: item_given_up is gone. Requests of clients are guarded as before.

Test: hosted_owed_items.

--- a/features/steps/hosted_crash_guard_steps.py
+++ b/features/steps/hosted_crash_guard_steps.py
@@ -43,6 +43,7 @@
 
     fingerprint: bytes
     request_id: str = "r-1"
+    is_owed: bool = False
 
 
 def digest(name):
--- a/features/steps/hosted_crash_series_steps.py
+++ b/features/steps/hosted_crash_series_steps.py
@@ -4,7 +4,13 @@
 from types import SimpleNamespace
 
 from behave import given, then, when
-from features.support.crash_courses import CONTACT_S, MOST_LYING_S, Course, drawn_rounds
+from features.support.crash_courses import (
+    CONTACT_S,
+    MOST_LYING_S,
+    Course,
+    drawn_bursts,
+    drawn_rounds,
+)
 
 from bellweir.hosted.crashes.fingerprint import fingerprint
 from bellweir.hosted.crashes.table import CrashTable
@@ -140,3 +146,25 @@
     for table in (context.table_before, context.late_table):
         blame = table.blame(context.request)
         assert table.trials_left(context.request) is None, blame
+
+
+@then(
+    "over {count:d} drawn courses of {bursts:d} bursts of {crashes:d} crashes of {workers:d} "
+    "workers no item handed in for later lacks an engine for {seconds:g} s after the last crash"
+)
+def then_owed_run(context, count, bursts, crashes, workers, seconds):
+    assert seconds == MOST_LYING_S
+    faults = []
+    for seed in range(count):
+        rng = random.Random(f"bursts/{seed}")
+        rounds = drawn_bursts(rng, bursts, crashes)
+        course = Course(seed, rounds, workers=workers, items=12 * workers, owed=True)
+        # Texts that meet each crash.
+        for item in course.items:
+            item.left_s *= 4.0
+        course.play(COURSE_S)
+        lying = course.left_lying()
+        if lying:
+            longest_s = max(item.most_lying_s for item in lying)
+            faults.append((seed, len(lying), round(longest_s, 1)))
+    assert not faults, f"{len(faults)} of {count}: {faults[:5]}"
--- a/features/steps/hosted_held_items_steps.py
+++ b/features/steps/hosted_held_items_steps.py
@@ -2,12 +2,13 @@
 
 import time
 from collections.abc import Callable
+from typing import NamedTuple
 
 from behave import given, then, when
 from features.support.hosted_jobs import make_job, make_leader
 from features.support.waiting import wait_until
 
-from bellweir.hosted.batches import held_items
+from bellweir.hosted.batches import attempts, held_items
 from bellweir.hosted.batches.progress import Stage
 from bellweir.hosted.batches.state import JOBS_KEY, AcceptJob
 from bellweir.hosted.crashes.fingerprint import fingerprint
@@ -22,6 +23,17 @@
 """Position of the item that is held."""
 DOWN_S = 0.25
 CRASH_GAP_S = 0.4
+TRIAL_GAP_S = 4.0
+TRIAL_END_S = 0.1
+"""Time after the beginning of a trial at which its worker ends: the trial has ended it."""
+
+
+class ClientSent(NamedTuple):
+    """A client's request as the guard sees it."""
+
+    fingerprint: bytes
+    request_id: str = "r-1"
+    is_owed: bool = False
 
 
 class Clock:
@@ -46,13 +58,17 @@
         context.suspects.add_end(request, service, worker)
 
 
-def _make_guard(context):
-    context.clock = Clock()
+def _use_guard(context):
     context.suspects = CrashTable(now_s=context.clock)
     context.view = WorkersView()
     context.guard = SharedCrashGuard(
         context.suspects, context.view, lambda: True, now_s=context.clock
     )
+
+
+def _make_guard(context):
+    context.clock = Clock()
+    _use_guard(context)
     context.fields = {}
     context.engine_count = 2
     context.before_start: list[Callable[[], None]] = []
@@ -61,6 +77,14 @@
     def emit(event, **fields):
         context.lines.append((time.monotonic(), event.name, fields))
 
+    def emit_run(event, **fields):
+        if event.name == "item_started":
+            context.started.append((time.monotonic(), fields["request_id"]))
+        emit_attempt(event, **fields)
+
+    context.started = []
+    emit_attempt, attempts.emit = attempts.emit, emit_run
+    context.cleanup.callback(setattr, attempts, "emit", emit_attempt)
     original, held_items.emit = held_items.emit, emit
     context.cleanup.callback(setattr, held_items, "emit", original)
 
@@ -240,3 +264,57 @@
 
     context.engine_count = count
     context.before_start.append(refuse)
+
+
+@given("{count:d} trials of the item have ended their engines")
+def given_failed_trials(context, count):
+    request = _generation(context.job, context.bad)
+    for number in range(count):
+        context.clock.lead_s += TRIAL_GAP_S
+        worker = Incarnation(f"tried-{number}")
+        context.suspects.add_trial(request, worker)
+        context.clock.lead_s += TRIAL_END_S
+        context.suspects.add_end(request, "llm", worker)
+    assert context.suspects.failed_trials(request) == count
+
+
+@given("{count:d} trials of the item were refused")
+def given_refused_trials(context, count):
+    request = _generation(context.job, context.bad)
+    for number in range(count):
+        worker = Incarnation(f"refused-{number}")
+        context.suspects.add_trial(request, worker)
+        context.suspects.withdraw_trial(request, worker)
+    assert context.suspects.trials_left(request) == 0
+
+
+@given("another node leads from now on, which was told all that")
+def given_another_leader(context):
+    records = context.suspects.records()
+    _use_guard(context)
+    for record in records:
+        assert context.suspects.receive(record)
+
+
+@given(
+    "a leader with a guard, and {count:d} items under each of which engines ended {ends:d} times"
+)
+def given_items(context, count, ends):
+    _make_guard(context)
+    _make_job(context, count, 2)
+    for item in context.job.items:
+        _add_ends(context, _generation(context.job, item), "llm", ends)
+
+
+@then("the item reached a worker within {seconds:d} s")
+def then_reached(context, seconds):
+    runs = [at_s for at_s, request_id in context.started if request_id == context.bad.id]
+    assert runs, context.started
+    assert runs[0] <= context.accepted_s + seconds, runs[0] - context.accepted_s
+
+
+@then("a client's request under which as many workers ended is held for more than {seconds:d} s")
+def then_client_held(context, seconds):
+    request = ClientSent(fingerprint("POST", "h", "/client", "", b""))
+    _add_ends(context, request.fingerprint, "llm", 6)
+    assert context.guard.quarantine_left_s(request) > seconds
--- a/features/support/crash_courses.py
+++ b/features/support/crash_courses.py
@@ -26,14 +26,17 @@
 
     fingerprint: bytes
     request_id: str = "r-1"
+    is_owed: bool = False
+    """Whether it was handed in for later."""
 
 
 class Item:
     """A text to generate; it keeps what was generated when a worker ends."""
 
-    def __init__(self, number, text_s, *, crashes=False):
+    def __init__(self, number, text_s, *, crashes=False, is_owed=False):
         self.number = number
-        self.request = Sent(fingerprint("POST", "h", f"/item-{number}", "", b""), f"item-{number}")
+        digest = fingerprint("POST", "h", f"/item-{number}", "", b"")
+        self.request = Sent(digest, f"item-{number}", is_owed)
         self.left_s = text_s
         self.crashes = crashes
         self.worker = None
@@ -66,10 +69,21 @@
     return rounds
 
 
+def drawn_bursts(rng, bursts=3, crashes=5):
+    """Bursts of crashes 0.4 s apart, some seconds between them, each of three workers in ten."""
+    rounds, at_s = [], 1.0
+    for _ in range(bursts):
+        for _ in range(crashes):
+            rounds.append(Round(at_s, 0.3, 0.4))
+            at_s += 0.4
+        at_s += rng.uniform(2.0, 6.0)
+    return rounds
+
+
 class Course:
     """Workers of one service, its items, and a scheduler that asks the guard as a leader does."""
 
-    def __init__(self, seed, rounds, *, workers=4, slots=8, items=24, crashing=0):
+    def __init__(self, seed, rounds, *, workers=4, slots=8, items=24, crashing=0, owed=False):
         self.rng = random.Random(seed)
         self.now_s = 100.0
         self.began_s = self.now_s
@@ -82,7 +96,7 @@
         self.table = CrashTable(now_s=lambda: self.now_s)
         self.guard = self.make_guard()
         texts = [self.rng.uniform(0.4, 5.0) for _ in range(items)]
-        self.items = [Item(number, text_s) for number, text_s in enumerate(texts)]
+        self.items = [Item(number, text_s, is_owed=owed) for number, text_s in enumerate(texts)]
         for number in range(crashing):
             self.items.insert(0, Item(f"crash-{number}", 1.0, crashes=True))
 
--- a/src/bellweir/hosted/batches/coordinator.py
+++ b/src/bellweir/hosted/batches/coordinator.py
@@ -10,7 +10,7 @@
 from bellweir.events.log import emit
 from bellweir.hosted.batches.attempts import ItemRunner
 from bellweir.hosted.batches.committer import Committer
-from bellweir.hosted.batches.held_items import SUSPENDED, HeldItems
+from bellweir.hosted.batches.held_items import HeldItems
 from bellweir.hosted.batches.progress import ItemProgress, Stage
 from bellweir.hosted.batches.run_mover import Run, RunMover
 from bellweir.hosted.batches.state import JOBS_KEY, BatchJobs, JobItem, JobState
@@ -21,7 +21,6 @@
 from bellweir.hosted.log_events import (
     COORDINATION_LEFT,
     COORDINATION_TAKEN,
-    ITEM_GIVEN_UP,
     ITEM_TAKEN_OVER,
 )
 from bellweir.hosted.records import Route
@@ -207,16 +206,10 @@
                 yield progress
 
     def _hold(self, progress: ItemProgress, now_s: float) -> bool:
-        """Whether an item must not run now; one that is held past its time is given up."""
+        """Whether an item must not run now, since workers ended under it a moment ago."""
         left_s = self._attempts.crashes.quarantine_left_s(progress.request)
         self._held_items.note(progress, left_s, now_s)
-        if left_s <= 0:
-            return False
-        is_held = self._attempts.crashes.is_held(progress.request)
-        if is_held and self._held_items.is_overdue(progress, now_s):
-            emit(ITEM_GIVEN_UP, request_id=progress.item.id, job=progress.job.id, cause=SUSPENDED)
-            progress.give_up()
-        return True
+        return left_s > 0
 
     def _progress_of(
         self, key: ItemKey, state: JobState, route: Route, item: JobItem, jobs: list[JobState]
--- a/src/bellweir/hosted/batches/held_items.py
+++ b/src/bellweir/hosted/batches/held_items.py
@@ -1,4 +1,4 @@
-"""Items that must not run for a while: what is logged of them, and when they are given up."""
+"""Items that must not run for a while: what is logged of them."""
 
 from bellweir.events.log import emit
 from bellweir.hosted.batches.progress import ItemProgress
@@ -33,15 +33,6 @@
             left_s=round(left_s, 1),
         )
 
-    def is_overdue(self, progress: ItemProgress, now_s: float) -> bool:
-        """Whether the route's `max_wait_s` has passed, after which an item may be abandoned.
-
-        It is counted from when this leader first saw the item: never too early, whatever the
-        clocks of the nodes that accepted its job and led before.
-        """
-        longest_s = progress.route.max_wait_s
-        return longest_s is not None and now_s >= progress.known_since_s + longest_s
-
     def forget(self, progress: ItemProgress) -> None:
         """Drop what is known of an item that needs no attempt any more."""
         self._logged_s.pop(_key(progress), None)
--- a/src/bellweir/hosted/batches/progress.py
+++ b/src/bellweir/hosted/batches/progress.py
@@ -12,7 +12,6 @@
 from bellweir.hosted.event_stream import StreamEvent
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.records import Route
-from bellweir.kernel.clock import elapsed_s
 
 
 class Stage(Enum):
@@ -41,6 +40,8 @@
 class StageRequest:
     """The request of an item's stage, as the crash guard sees it."""
 
+    is_owed = True
+
     def __init__(self, request_id: str, host: str, path: str, tenant: str, body: bytes) -> None:
         self.request_id = request_id
         self._parts = (host, path, tenant)
@@ -93,8 +94,6 @@
     """Worker that the next attempt is to use; None once it has started."""
     urgency: int | None = None
     """Urgency sent to the worker, 0 is the highest; None: the default one."""
-    known_since_s: float = field(default_factory=elapsed_s)
-    """Monotonic time since which this leader knows the item."""
     held_since_s: float | None = None
     """Monotonic time since which it waits for a better worker while others have free slots."""
 
--- a/src/bellweir/hosted/crashes/guard.py
+++ b/src/bellweir/hosted/crashes/guard.py
@@ -71,7 +71,7 @@
         """Return the seconds for which a request must not be sent; 0 if it may be."""
         if self._table.is_empty:
             return 0.0
-        wait_s = self._trials.wait_s(request.fingerprint)
+        wait_s = self._trials.wait_s(request.fingerprint, is_owed=request.is_owed)
         if wait_s > 0 or not self._is_suspended(request):
             return wait_s
         with self._lock:
@@ -81,10 +81,6 @@
         """Whether a request runs by single trials only."""
         return not self._table.is_empty and self._is_suspended(request)
 
-    def is_held(self, request: GuardedRequest) -> bool:
-        """Whether a restricted request has no trial left."""
-        return not self._table.is_empty and self._table.trials_left(request.fingerprint) == 0
-
     def may_send_again(self, request: GuardedRequest) -> bool:
         """Whether too few workers have ended under it to leave its next run to a later request."""
         if self._table.is_empty:
@@ -105,7 +101,7 @@
         if self._table.is_empty:
             return True
         digest = request.fingerprint
-        if self._table.trials_left(digest) is not None and not self._try(request, worker):
+        if self._is_suspended(request) and not self._try(request, worker):
             return False
         self._table.begin_run(digest, worker.incarnation)
         return True
@@ -113,7 +109,7 @@
     def _try(self, request: GuardedRequest, worker: Worker) -> bool:
         """Take a trial at a worker; False if it is not granted now."""
         digest = request.fingerprint
-        wait_s = self._begin_trial(digest, worker.entry.service, worker.incarnation)
+        wait_s = self._ask_for_trial(request, worker)
         if wait_s > 0:
             self._delay(digest, wait_s)
             return False
@@ -124,11 +120,21 @@
             digest=digest.hex(),
             instance=worker.instance,
             ends=self._table.ends(digest),
-            trials_left=self._table.trials_left(digest),
+            trials_left=self._trials_left(request),
         )
         self._on_news(digest)
         return True
 
+    def _ask_for_trial(self, request: GuardedRequest, worker: Worker) -> float:
+        """Return 0 once a trial is taken, or the seconds after which to ask again.
+
+        Nobody else runs what is owed, so this node grants its trials.
+        """
+        digest, service = request.fingerprint, worker.entry.service
+        if request.is_owed:
+            return self._trials.begin(digest, service, worker.incarnation, is_owed=True)
+        return self._begin_trial(digest, service, worker.incarnation)
+
     def record_end(self, request: GuardedRequest, worker: Worker, end: RunEnd) -> None:
         """Weigh how a run ended."""
         if end is RunEnd.BROKEN:
@@ -152,7 +158,7 @@
             request_id=request.request_id,
             digest=request.fingerprint.hex(),
             ends=self._table.ends(request.fingerprint),
-            trials_left=self._table.trials_left(request.fingerprint),
+            trials_left=self._trials_left(request),
             left_s=round(self.quarantine_left_s(request), 1),
         )
 
@@ -176,7 +182,10 @@
                     del self._delayed_until_s[digest]
 
     def _is_suspended(self, request: GuardedRequest) -> bool:
-        return self._table.trials_left(request.fingerprint) is not None
+        return self._trials_left(request) is not None
+
+    def _trials_left(self, request: GuardedRequest) -> int | None:
+        return self._table.trials_left(request.fingerprint, is_owed=request.is_owed)
 
     def _delay(self, digest: Fingerprint, wait_s: float) -> None:
         with self._lock:
--- a/src/bellweir/hosted/crashes/interface.py
+++ b/src/bellweir/hosted/crashes/interface.py
@@ -33,6 +33,10 @@
     def fingerprint(self) -> Fingerprint:
         """Digest by which the request is recognized when it comes again."""
 
+    @property
+    def is_owed(self) -> bool:
+        """Whether it was handed in for later: it may have to wait, and is never held for good."""
+
 
 class CrashGuard(ABC):
     """Keeps requests that crash workers from further workers. Thread-safe."""
@@ -49,10 +53,6 @@
     def is_restricted(self, request: GuardedRequest) -> bool:
         """Whether a request runs by single trials only, so that it may wait while others run."""
 
-    @abstractmethod
-    def is_held(self, request: GuardedRequest) -> bool:
-        """Whether a restricted request has no trial left."""
-
     @abstractmethod
     def permitted(self, request: GuardedRequest, workers: Sequence[Worker]) -> Sequence[Worker]:
         """Return those workers of a service that may run a request.
@@ -91,10 +91,6 @@
         """Return False."""
         return False
 
-    def is_held(self, request: GuardedRequest) -> bool:
-        """Return False."""
-        return False
-
     def permitted(self, request: GuardedRequest, workers: Sequence[Worker]) -> Sequence[Worker]:
         """Return all."""
         return workers
--- a/src/bellweir/hosted/crashes/suspect.py
+++ b/src/bellweir/hosted/crashes/suspect.py
@@ -24,6 +24,9 @@
 whatever the ends prove."""
 HOLD_S = 600.0
 """Time for which a request is suspended after the last end."""
+OWED_HOLD_S = 3.0
+"""Time for which a request that is owed is suspended after the last end, unless a trial of it ended
+its worker."""
 RETENTION_S = 3_600.0
 """Time for which ends are remembered: after the suspension one more end renews it at once."""
 SAME_MOMENT_S = 0.1
@@ -142,6 +145,10 @@
         self._beside_told[worker] = count
         return True
 
+    def failed_trials(self, now_s: float) -> int:
+        """Return how many trials ended their workers."""
+        return sum(self.ends_trial(one, at_s) for one, at_s in self.counted(now_s).items())
+
     def acquit(self, at_s: float) -> bool:
         """Clear what came before a run that a worker survived; False if a later one is known."""
         if at_s <= self.acquitted_s:
@@ -186,7 +193,7 @@
         late = [worker for worker, at_s in counted.items() if at_s > late_from_s]
         trials = self.counted_trials(now_s)
         undecided = sum(worker not in self.ended_s for worker in trials)
-        is_proven = any(self.ends_trial(worker, at_s) for worker, at_s in counted.items())
+        is_proven = self.failed_trials(now_s) > 0
         if blame < MAX_ENDS and not is_proven:
             late_runs = sum(weights[worker] > 0 for worker in late) + undecided
             return max(1, MAX_TRIALS - late_runs) if late_runs >= MAX_LATE_ENDS else None
@@ -194,3 +201,16 @@
         by_time = MAX_TRIALS - late_proof - undecided
         by_blame = MAX_TRIALS - max(0, int(blame) - MAX_ENDS) - undecided
         return max(0, min(by_blame, by_time if trials else max(1, by_time)))
+
+    def owed_trials_left(self, now_s: float, contact_s: float) -> int | None:
+        """Return the same for a request that is owed, which always may run once more.
+
+        Ends suspend it while they are recent; after that, only those under its trials do.
+        """
+        left = self.trials_left(now_s, contact_s)
+        if left is None:
+            return None
+        last_s = max(self.counted(now_s).values())
+        if now_s >= last_s + OWED_HOLD_S and not self.failed_trials(now_s):
+            return None
+        return max(1, left)
--- a/src/bellweir/hosted/crashes/table.py
+++ b/src/bellweir/hosted/crashes/table.py
@@ -105,14 +105,19 @@
             suspect = self._suspects.get(request)
             return self._left_s(suspect) if suspect is not None else 0.0
 
-    def trials_left(self, request: Fingerprint) -> int | None:
-        """Return how often a suspended request may still run; None if it is not suspended."""
+    def trials_left(self, request: Fingerprint, *, is_owed: bool = False) -> int | None:
+        """Return how often a suspended request may still run; None if it is not suspended.
+
+        One that `is_owed` always may once more.
+        """
         if request in self._lifted:
             return None
         with self._lock:
             suspect = self._suspects.get(request)
             if suspect is None:
                 return None
+            if is_owed:
+                return suspect.owed_trials_left(self._now_s(), self._contact_s)
             return suspect.trials_left(self._now_s(), self._contact_s)
 
     def hold_left_s(self, request: Fingerprint) -> float:
@@ -140,8 +145,7 @@
             suspect = self._suspects.get(request)
             if suspect is None:
                 return 0
-            ended = suspect.counted(now_s).items()
-            return sum(suspect.ends_trial(worker, at_s) for worker, at_s in ended)
+            return suspect.failed_trials(now_s)
 
     def tried_at(self, request: Fingerprint) -> Collection[Incarnation]:
         """Return the workers that a suspended request had trials at."""
--- a/src/bellweir/hosted/crashes/trials.py
+++ b/src/bellweir/hosted/crashes/trials.py
@@ -64,9 +64,12 @@
         self._open: dict[Incarnation, _OpenTrial] = {}
         """Trials that may still end their workers."""
 
-    def wait_s(self, request: Fingerprint) -> float:
-        """Return the seconds for which a request must not run; 0 if it may run now."""
-        left = self._table.trials_left(request)
+    def wait_s(self, request: Fingerprint, *, is_owed: bool = False) -> float:
+        """Return the seconds for which a request must not run; 0 if it may run now.
+
+        One that `is_owed` gets trials without end, and pauses that don't grow.
+        """
+        left = self._table.trials_left(request, is_owed=is_owed)
         if left is None:
             return 0.0
         if left == 0:
@@ -75,6 +78,8 @@
         ended_s, tried_s = self._table.last_s(request)
         undecided_s = tried_s + UNDECIDED_S - now_s if tried_s > ended_s else 0.0
         failed = self._table.failed_trials(request)
+        if is_owed:
+            failed = min(1, failed)
         if failed:
             undecided_s = max(undecided_s, ended_s + failed * FAILED_PAUSE_S - now_s)
         if self._table.is_running(request):
@@ -83,11 +88,18 @@
         calm_s = min(calm_s, ended_s + MAX_CALM_WAIT_S - now_s)
         return max(0.0, undecided_s, calm_s)
 
-    def begin(self, request: Fingerprint, service: str, worker: Incarnation) -> float:
+    def begin(
+        self,
+        request: Fingerprint,
+        service: str,
+        worker: Incarnation,
+        *,
+        is_owed: bool = False,
+    ) -> float:
         """Take a trial at a worker; return 0, or the seconds after which to ask again."""
         with self._lock:
-            wait_s = self.wait_s(request)
-            if wait_s > 0 or self._table.trials_left(request) is None:
+            wait_s = self.wait_s(request, is_owed=is_owed)
+            if wait_s > 0 or self._table.trials_left(request, is_owed=is_owed) is None:
                 return wait_s
             now_s = self._now_s()
             self._close_old(now_s)
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -367,13 +367,6 @@
     "An item gets no engine for now; it may run again in `left_s`. At most one line an item and "
     "5 s; others of its job and group go on.",
 )
-ITEM_GIVEN_UP = Event(
-    1449,
-    "item_given_up",
-    Level.WARNING,
-    ("request_id", "job", "cause"),
-    "An item that was held is listed as dead, since the route's longest wait is over.",
-)
 ITEM_MOVED = Event(
     1438,
     "item_moved",
--- a/src/bellweir/hosted/serving/client_request.py
+++ b/src/bellweir/hosted/serving/client_request.py
@@ -92,6 +92,11 @@
         """Return the seconds left until the deadline."""
         return self.deadline_s - elapsed_s()
 
+    @property
+    def is_owed(self) -> bool:
+        """Return False: its client waits for the answer."""
+        return False
+
     @property
     def fingerprint(self) -> Fingerprint:
         """Digest by which the same request of the same caller is recognized."""
