--- a/features/answers_elsewhere.feature
+++ b/features/answers_elsewhere.feature
@@ -67,7 +67,7 @@
       | two reports |
 
   # Guards against a cut HTTP/1.0 answer, whose end is that of its connection.
-  Scenario Outline: A stream to an HTTP/1.0 client that is cut by <cause>
+  Scenario Outline: A cut stream to an HTTP/1.0 client
     Given a gateway that streams to an HTTP/1.0 client
     When the stream is cut by <cause>
     Then the client's connection is reset
