--- a/src/bellweir_rehearsal/hosted/answer_clients.py
+++ b/src/bellweir_rehearsal/hosted/answer_clients.py
@@ -151,7 +151,7 @@
     def _wrong_join(self, text: bytes) -> str | None:
         models = self._deployment.models
         asked_after = {
-            run: at for one in models for run, at in list(one.record.asked_after.items())
+            run: at for one in models for run, at in one.record.asked_after.copy().items()
         }
         *events, _cut = text.split(b"\n\n")
         pieces = [event.partition(b"data: ")[2].decode(errors="replace") for event in events]
