--- a/features/steps/answer_fuzz_steps.py
+++ b/features/steps/answer_fuzz_steps.py
@@ -107,6 +107,8 @@
             cut = 0
         segments = split(surplus.head[:cut] + due.sent, rng)
         context.raw.answer = lambda _id: iter(segments)
+        # The worker's close behind its former answer would race with a call on that connection.
+        context.connections.renew(context.raw.address)
         outcome = call(context)
         is_taken = outcome.state in TAKEN_STATES
         assert is_taken == (cut == 0), (outcome, segments)
