--- a/src/bellweir/hosted/batches/attempts.py
+++ b/src/bellweir/hosted/batches/attempts.py
@@ -28,6 +28,7 @@
     WORKER_SERVES_AGAIN,
 )
 from bellweir.hosted.serving.attempt import (
+    STREAM_STATUS,
     AttemptOutcome,
     AttemptState,
     Cancellation,
@@ -52,8 +53,6 @@
 FAILED_BACKOFF_S = 0.02
 CANCELLED = "ended here"
 """Logged cause of an attempt that was cancelled because its job ended or leadership was lost."""
-STREAM_STATUS = 200
-"""Status of a response whose body is a text's stream."""
 UNPROCESSABLE = 422
 SERVER_ERROR = 500
 
--- a/src/bellweir/hosted/serving/attempt.py
+++ b/src/bellweir/hosted/serving/attempt.py
@@ -29,6 +29,8 @@
 HOP_BY_HOP = HOP_BY_HOP_HEADERS | {"content-length", "date", "server"}
 """Hop-by-hop headers, and headers that the server sets itself."""
 SUCCESS_STATUSES = range(200, 300)
+STREAM_STATUS = 200
+"""Status of a response whose body is a stream of events; the bodies of others are read whole."""
 NOT_RUN_STATUSES = frozenset({421, 429})
 """Statuses that guarantee that the worker has not run the request."""
 
--- a/src/bellweir/hosted/serving/streams.py
+++ b/src/bellweir/hosted/serving/streams.py
@@ -21,6 +21,7 @@
     STREAM_RESUMED,
 )
 from bellweir.hosted.serving.attempt import (
+    STREAM_STATUS,
     AttemptOutcome,
     AttemptState,
     BufferedResponse,
@@ -49,8 +50,6 @@
 
 POSSIBLY_RUN_STATES = frozenset({AttemptState.ANSWERED, AttemptState.UNKNOWN})
 """Outcomes of an attempt after which the request may have run."""
-STREAM_STATUS = 200
-"""Status of a response whose body is a stream; others are passed on whole."""
 EVENT_TIMEOUT_S = 1.5
 """Time without data after which a resumable stream is considered broken."""
 
