--- /dev/null
+++ b/features/hosted_budgets.feature
@@ -0,0 +1,44 @@
+Feature: Bounds that hold over all processes
+  A bound on the runs of one item or one request counts what every process has seen of it. Processes
+  are lost and start again meanwhile.
+
+  # Guards against leaders that each count the failures of an item from zero.
+  Scenario Outline: An item that fails at each run while its leaders are lost one after the other
+    Given a leader with model workers and scorers
+    And the first item fails at every worker in its <stage>
+    When a job of 4 items in 2 groups is accepted, and another node leads after each <answers> answers of 500
+    Then the first item is listed as dead, and the others as completed
+    And the first item was sent 9 times at most in its <stage>
+
+    Examples:
+      | stage | answers |
+      | text  | 1       |
+      | text  | 2       |
+      | score | 1       |
+      | score | 2       |
+
+  # Guards against the same on processes: their leader is killed while an item fails.
+  Scenario Outline: An item that fails at each run while the processes of its leaders are killed
+    Given hosted processes, 3 gateways and 3 store machines
+    And an item that answers 500 at each run in its <stage>
+    When its job is accepted, and the leader of the jobs is killed 5 times, after each 2 answers of 500
+    Then the item is listed as dead
+    And it has been sent 9 times at most
+
+    Examples:
+      | stage |
+      | text  |
+      | score |
+
+  # Guards against gateways that start without what the others know of a request.
+  Scenario Outline: A request that crashes workers while gateways are killed and start again
+    Given hosted processes, 3 gateways and 3 store machines
+    And a gateway is killed and started again each <pause> s, drawn by seed <seed>
+    When a request to "/price/x" that crashes its worker comes each 0.4 s at any gateway for 25 s
+    Then it has crashed 3 workers at least
+    And later than 3 s after the third crash all gateways have sent it 3 times at most
+
+    Examples:
+      | seed | pause |
+      | 1    | 3     |
+      | 5    | 4.5   |
--- a/features/steps/hosted_crashes_steps.py
+++ b/features/steps/hosted_crashes_steps.py
@@ -64,9 +64,11 @@
 def _send_one(context, path, body, drawn):
     deployment = context.traffic.deployment
     gateways = deployment.running("gateway")
-    address = deployment.address(gateways[int(drawn * len(gateways))], "front")
+    gateway = gateways[int(drawn * len(gateways))]
+    address = deployment.address(gateway, "front")
     headers = {
-        "X-Bellweir-Attempt-Id": context.traffic.next_id("sent"),
+        # The id tells the gateway when the run is judged.
+        "X-Bellweir-Attempt-Id": f"{gateway}/{context.traffic.next_id('sent')}",
         "X-Bellweir-Deadline-Ms": "1500",
     }
     return call(address, "POST", path, body, headers)
