All leaders of the jobs count an item's answers of 500 together

An item that answers 500 at each run was run 18 times while its leader was killed five times, 15 and 27 times while leadership was lost after each answer and each second one; three times its attempts, 9, are allowed. Its reward call likewise.

Cause: the count stood in the memory of one leader, and each successor began at zero. The bound of half of the allowed answers for each leader was right for two leaders only, and for three attempts not even for these (5 and 5).

Change: each answer of 500 is recorded in the ledger, with stage and worker, before its item runs again (KeepParts.failures; a random mark makes it count once). A leader counts what is recorded beside its own, also what a former leader's command brings late; a node that no longer leads tries once to record what it has seen. Half of the allowed answers end an item, for all leaders; the other half is for answers that are lost with the leader that got them. Replicas of earlier releases pass over the new field: with a leader of one it is as before.

--- a/features/steps/hosted_batches_steps.py
+++ b/features/steps/hosted_batches_steps.py
@@ -27,6 +27,7 @@
     AcceptJob,
     BatchJobs,
     EndJob,
+    ItemFailure,
     ItemResult,
     KeepParts,
     ReadItem,
@@ -275,9 +276,12 @@
             context.unplaced.add(progress.item.id)
         if progress.item.id not in context.unplaced:
             return acquire_worker(progress, table)
-        progress.generation_failures = [
-            Incarnation(each.instance) for each in context.leader.models
-        ]
+        progress.count_recorded(
+            [
+                ItemFailure(progress.item.id, progress.stage.value, each.instance, 0, mark)
+                for mark, each in enumerate(context.leader.models)
+            ]
+        )
         return None
 
     choice.acquire_worker = take
--- a/features/steps/hosted_budgets_steps.py
+++ b/features/steps/hosted_budgets_steps.py
@@ -41,14 +41,14 @@
 )
 def when_led_by_others(context, items, groups, answers):
     ledger, coordinator = context.leader.ledger, context.leader.coordinator
+    received = _note_failures(coordinator._attempts)
     ledger.submit(JOBS_KEY, AcceptJob(make_job("job", items, groups)), 1.0)
     context.state = ledger.machine.jobs["job"]
     for _ in range(LEADERS):
-        wanted = _count(context.workers, context.failing) + answers
+        wanted = len(received) + answers
         wait_until(
             lambda wanted=wanted: (
-                FIRST_ITEM in context.state.recorded_ids
-                or _count(context.workers, context.failing) >= wanted
+                FIRST_ITEM in context.state.recorded_ids or len(received) >= wanted
             ),
             "answers of 500 or a result",
         )
@@ -63,6 +63,19 @@
         ledger.leading = True
 
 
+def _note_failures(attempts):
+    """Return a list that grows with each answer of 500 to the first item that a leader gets."""
+    received, record = [], attempts._record_failure
+
+    def note(progress, worker, status):
+        record(progress, worker, status)
+        if progress.item.id == FIRST_ITEM:
+            received.append(status)
+
+    attempts._record_failure = note
+    return received
+
+
 @then("the first item is listed as dead, and the others as completed")
 def then_listed(context):
     wait_until(lambda: len(context.state.results) == len(context.state.items), "a result of each")
--- a/src/bellweir/hosted/batches/attempts.py
+++ b/src/bellweir/hosted/batches/attempts.py
@@ -280,7 +280,7 @@
         if status == UNPROCESSABLE:
             progress.give_up()
         elif status == SERVER_ERROR:
-            progress.generation_failures.append(worker.incarnation)
+            progress.add_failure(worker.incarnation)
             self._fail_if_exhausted(progress, progress.route.max_attempts, worker)
         self._log_attempt_failed(progress, worker, f"status {status}")
 
@@ -342,7 +342,7 @@
     ) -> None:
         self._record_failure(progress, worker, status)
         if status == SERVER_ERROR:
-            progress.scoring_failures.append(worker.incarnation)
+            progress.add_failure(worker.incarnation)
             self._fail_if_exhausted(progress, maximum_failures, worker)
 
     def _record_success(self, worker: Worker, began_s: float) -> None:
--- a/src/bellweir/hosted/batches/committer.py
+++ b/src/bellweir/hosted/batches/committer.py
@@ -1,4 +1,4 @@
-"""Commits results and checkpoints to the ledger in batches."""
+"""Commits results, checkpoints and failures to the ledger in batches."""
 
 import queue
 import threading
@@ -12,6 +12,7 @@
     ALREADY_RECORDED,
     CHECKPOINTS_MISSING,
     JOBS_KEY,
+    ItemFailure,
     ItemResult,
     KeepParts,
     RecordResults,
@@ -53,7 +54,10 @@
 
 
 class Committer:
-    """A single task. Commits with an unknown outcome are retried: the first result counts."""
+    """A single task. Commits with an unknown outcome are retried.
+
+    The first result of an item counts, and each failure once.
+    """
 
     def __init__(self, ledger: Ledger, leads: Callable[[], bool]) -> None:
         self._ledger = ledger
@@ -66,6 +70,11 @@
         progress.is_committing = True
         self._queue.put(progress)
 
+    def put_failures(self, progress: ItemProgress) -> None:
+        """Queue the unrecorded failures of an item; it must not run until they are recorded."""
+        progress.is_committing = True
+        self._queue.put(progress)
+
     def put_checkpoint(self, progress: ItemProgress, checkpoint: TextCheckpoint) -> None:
         """Queue a checkpoint of an unfinished text; it is dropped if this node no longer leads."""
         self._queue.put(KeepParts(progress.job.id, (checkpoint,)))
@@ -97,14 +106,19 @@
         self, batch: list[ItemProgress | KeepParts], stopping: threading.Event
     ) -> None:
         results: dict[str, list[ItemProgress]] = {}
+        failed: dict[str, list[ItemProgress]] = {}
         checkpoints: dict[str, list[TextCheckpoint]] = {}
         for each in batch:
             if isinstance(each, KeepParts):
                 checkpoints.setdefault(each.job_id, []).extend(each.parts)
+            elif each.result is None:
+                failed.setdefault(each.job.id, []).append(each)
             else:
                 results.setdefault(each.job.id, []).append(each)
         for job_id, found in results.items():
             self._commit(job_id, found, stopping)
+        for job_id, found in failed.items():
+            self._record_failures(job_id, found, stopping)
         for job_id, queued in checkpoints.items():
             for start in range(0, len(queued), MAX_COMMAND_CHECKPOINTS):
                 command = KeepParts(job_id, tuple(queued[start : start + MAX_COMMAND_CHECKPOINTS]))
@@ -112,6 +126,29 @@
                 if self._leads():
                     self._ledger.submit(JOBS_KEY, command, SUBMIT_TIMEOUT_S)
 
+    def _record_failures(
+        self, job_id: str, items: list[ItemProgress], stopping: threading.Event
+    ) -> None:
+        """Record failures, and let their items run again.
+
+        Also tried once by a node that no longer leads: its successor has to count them.
+        """
+        failures: list[ItemFailure] = [
+            failure for each in items for failure in each.unrecorded_failures
+        ]
+        command = KeepParts(job_id, failures=tuple(failures))
+        leads = True
+        while failures and leads and not stopping.is_set():
+            leads = self._leads()
+            if isinstance(self._ledger.submit(JOBS_KEY, command, SUBMIT_TIMEOUT_S), Success):
+                for each in items:
+                    each.unrecorded_failures.clear()
+                break
+            self._pause.wait(RETRY_PAUSE_S)
+        for each in items:
+            # If they are not recorded, the coordinator queues them again once this node leads.
+            each.is_committing = False
+
     def _commit(self, job_id: str, items: list[ItemProgress], stopping: threading.Event) -> None:
         """Record results; those whose checkpoints the log lacks are sent again with full texts."""
         # An item may be queued twice around a change of leader. Only its newest progress is sent:
--- a/src/bellweir/hosted/batches/coordinator.py
+++ b/src/bellweir/hosted/batches/coordinator.py
@@ -199,12 +199,21 @@
                 continue
             progress = self._progress_of(key, state, route, item, jobs)
             progress.route = route
-            if progress.stage is Stage.RESULT:
-                if not progress.is_committing:
-                    self.committer.put_result(progress)
+            progress.count_recorded(state.failures.get(item.id, ()))
+            if progress.stage is Stage.RESULT or progress.unrecorded_failures:
+                self._commit(progress)
             elif progress.not_before_s <= now_s and not self._hold(progress, now_s):
                 yield progress
 
+    def _commit(self, progress: ItemProgress) -> None:
+        """Queue an item's result, or the failures after which it may run again."""
+        if progress.is_committing:
+            return
+        if progress.stage is Stage.RESULT:
+            self.committer.put_result(progress)
+        elif progress.unrecorded_failures:
+            self.committer.put_failures(progress)
+
     def _hold(self, progress: ItemProgress, now_s: float) -> bool:
         """Whether an item must not run now, since workers ended under it a moment ago."""
         left_s = self._attempts.crashes.quarantine_left_s(progress.request)
@@ -221,9 +230,16 @@
             return known
         progress = ItemProgress(state.job, route, item)
         progress.guessed_tokens = self._attempts.guessed_tokens(item)
+        failures = state.failures.get(item.id, ())
         is_known = progress.resume_from(state.checkpoints.get(item.id, ()))
-        if is_known:
-            emit(ITEM_TAKEN_OVER, request_id=item.id, job=state.job.id, events=progress.events)
+        if is_known or failures:
+            emit(
+                ITEM_TAKEN_OVER,
+                request_id=item.id,
+                job=state.job.id,
+                events=progress.events,
+                failures=len(failures),
+            )
         with self._lock:
             if not is_known and self._policy.carry_texts:
                 self._text_cache.restore(progress, jobs)
@@ -290,6 +306,6 @@
                 is_wanted = self._progress.get(key) is progress
                 if not is_wanted and self._leading:
                     self._text_cache.add(progress)
-            if is_wanted and progress.stage is Stage.RESULT and not progress.is_committing:
-                self.committer.put_result(progress)
+            if is_wanted or progress.unrecorded_failures:
+                self._commit(progress)
             self._wake.set()
--- a/src/bellweir/hosted/batches/state.py
+++ b/src/bellweir/hosted/batches/state.py
@@ -166,6 +166,19 @@
     """Weight versions that generated the text so far, in order of their first event."""
 
 
+class ItemFailure(msgspec.Struct, frozen=True):
+    """An answer of 500 to an item, so that all leaders together keep its bound."""
+
+    item_id: str
+    stage: str
+    """Value of the item's `Stage`."""
+    instance: str
+    born_ms: int
+    """Worker that answered, and its start."""
+    mark: int
+    """Random; a failure that is recorded again counts once."""
+
+
 class AcceptJob(Command, frozen=True):
     """Accept a job; idempotent by the job's id."""
 
@@ -191,10 +204,14 @@
 
 
 class KeepParts(Command, frozen=True):
-    """Store checkpoints of items that have no result yet, while the job is open."""
+    """Store checkpoints and failures of items that have no result yet, while the job is open.
+
+    Replicas of earlier releases pass over the failures; a leader of one counts from zero.
+    """
 
     job_id: str
-    parts: tuple[TextCheckpoint, ...]
+    parts: tuple[TextCheckpoint, ...] = ()
+    failures: tuple[ItemFailure, ...] = ()
 
 
 class EndJob(Command, frozen=True):
@@ -231,7 +248,10 @@
 
 
 class ResultsRecorded(Reply, frozen=True):
-    """Number of results or checkpoints that were added, and why the others were dropped."""
+    """Number of results or checkpoints that were added, and why the others were dropped.
+
+    Failures are not counted.
+    """
 
     count: int
     dropped: dict[str, str] = {}
@@ -287,6 +307,8 @@
         self.items = {item.id: item for item in job.items}
         self.checkpoints: dict[str, tuple[TextCheckpoint, ...]] = {}
         """Checkpoints of unfinished texts, by item, in order and without gaps."""
+        self.failures: dict[str, tuple[ItemFailure, ...]] = {}
+        """Failures of items without a result, by item."""
 
     @property
     def is_open(self) -> bool:
@@ -309,6 +331,16 @@
         self.recorded_ids.add(result.item_id)
         self.results.append(result)
         self.checkpoints.pop(result.item_id, None)
+        self.failures.pop(result.item_id, None)
+        return True
+
+    def add_failure(self, failure: ItemFailure) -> bool:
+        """Add a failure of an item without a result; False if it is known."""
+        item_id = failure.item_id
+        known = self.failures.get(item_id, ())
+        if item_id in self.recorded_ids or item_id not in self.items or failure in known:
+            return False
+        self.failures[item_id] = (*known, failure)
         return True
 
     def add_checkpoint(self, checkpoint: TextCheckpoint) -> bool:
@@ -348,6 +380,7 @@
     checkpoints: dict[str, tuple[TextCheckpoint, ...]] = msgspec.field(
         default_factory=dict, name="parts"
     )
+    failures: dict[str, tuple[ItemFailure, ...]] = {}
 
 
 class _SavedState(msgspec.Struct, frozen=True):
@@ -386,8 +419,8 @@
                 return self._stage(job_id, part, items)
             case RecordResults(job_id, results):
                 return self._record(job_id, results)
-            case KeepParts(job_id, checkpoints):
-                return self._store_checkpoints(job_id, checkpoints)
+            case KeepParts(job_id, checkpoints, failures):
+                return self._store_parts(job_id, checkpoints, failures)
             case EndJob(job_id, at_s, tenant):
                 return self._end(job_id, at_s, tenant)
             case ForgetJobs():
@@ -428,10 +461,17 @@
                 dropped[result.item_id] = CHECKPOINTS_MISSING if is_known else NO_SUCH_ITEM
         return ResultsRecorded(len(results) - len(dropped), dropped)
 
-    def _store_checkpoints(self, job_id: str, checkpoints: tuple[TextCheckpoint, ...]) -> Reply:
+    def _store_parts(
+        self,
+        job_id: str,
+        checkpoints: tuple[TextCheckpoint, ...],
+        failures: tuple[ItemFailure, ...],
+    ) -> Reply:
         state = self.jobs.get(job_id)
         if state is None or not state.is_open:
             return ResultsRecorded(0)
+        for failure in failures:
+            state.add_failure(failure)
         return ResultsRecorded(sum(state.add_checkpoint(each) for each in checkpoints))
 
     def _visible_job(self, job_id: str, tenant: str) -> JobState | None:
@@ -446,6 +486,7 @@
         if state.is_open:
             state.ended_at_s = at_s
             state.checkpoints.clear()
+            state.failures.clear()
         return JobEnded(True)
 
     def _remove(self, command: ForgetJobs) -> Reply:
@@ -480,7 +521,13 @@
     def save(self) -> bytes:
         """Serialize the state."""
         saved = [
-            _SavedJob(state.job, tuple(state.results), state.ended_at_s, dict(state.checkpoints))
+            _SavedJob(
+                state.job,
+                tuple(state.results),
+                state.ended_at_s,
+                dict(state.checkpoints),
+                dict(state.failures),
+            )
             for state in self.jobs.values()
         ]
         saved_state = _SavedState(tuple(saved), self.staged, self.retention_clock)
@@ -499,4 +546,5 @@
                 job.add_result(result)
             job.ended_at_s = saved.ended_at_s
             job.checkpoints = dict(saved.checkpoints)
+            job.failures = dict(saved.failures)
             self.jobs[saved.job.id] = job
--- a/src/bellweir/hosted/batches/worker_quarantine.py
+++ b/src/bellweir/hosted/batches/worker_quarantine.py
@@ -12,6 +12,7 @@
 False
 """
 
+import math
 import threading
 from collections.abc import Callable, Collection, Sequence
 
@@ -29,8 +30,9 @@
 MAX_BACKOFF_S = 4.0
 MAX_SERVER_ERRORS_FACTOR = 3
 """An item gets at most this multiple of its allowed responses of 500, over all leaders."""
-LEADERS = 2
-"""Successive leaders that together keep the limit; each one starts counting at zero."""
+RECORDED_SHARE = 1 / 2
+"""Share of them after which an item is given up; the others are for responses that leaders were
+lost before they recorded."""
 
 
 class _FailureStreak:
@@ -195,9 +197,9 @@
 
 
 def max_server_errors(allowed: int) -> int:
-    """Return the responses of 500, from any worker, after which one leader gives an item up.
+    """Return the responses of 500, from any worker, after which an item is given up.
 
     >>> [max_server_errors(allowed) for allowed in (1, 2, 3, 4)]
     [2, 3, 5, 6]
     """
-    return -(-MAX_SERVER_ERRORS_FACTOR * allowed // LEADERS)
+    return math.ceil(RECORDED_SHARE * MAX_SERVER_ERRORS_FACTOR * allowed)
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -389,8 +389,9 @@
     1439,
     "item_taken_over",
     Level.INFO,
-    ("request_id", "job", "events"),
-    "A new leader resumes an item from the checkpoint that the previous leader stored.",
+    ("request_id", "job", "events", "failures"),
+    "A new leader resumes an item from the checkpoint that the previous leader stored, and counts "
+    "the answers of 500 that the leaders before it recorded.",
 )
 ITEM_LISTED = Event(
     1435,
