A process learns which requests crash workers before it serves

A request that ends each worker that runs it was sent 6 to 8 times later than contactMs after the third end while gateways were killed and started again each 3 or 4.5 s; 3 are allowed. Some tries ran it twice.

Cause: what ends are known of stands in each process's memory. One that starts asked its peers 0.3 s after its start, while it served already; and it took the first answer, also of a peer that had itself just started and knew nothing.

Change: the question comes before the process serves, for 0.5 s at most, at once where there is nobody to ask. An answer tells whether its sender is informed; one that is not does not end the questions, unless all asked are in the same state. A process that was halted counts as not informed again. crash_records_learnt tells what a start has learnt, and in what time.

--- a/features/hosted_crash_guard.feature
+++ b/features/hosted_crash_guard.feature
@@ -43,6 +43,8 @@
     Then each of 340 nodes in 8 zones knows of a quarantine once messages have passed
     And a node sends 20 messages at most for each end
     And a node that was cut off, one that starts and one that was halted know within 3 s
+    And nodes that start one right after another know before they serve
+    And a node that starts without anyone to ask does not wait
     And a node sends 3 KB a second at most while 512 requests are suspected
     And nothing is sent while no request is suspected
 
--- a/features/steps/hosted_crash_guard_steps.py
+++ b/features/steps/hosted_crash_guard_steps.py
@@ -399,6 +399,27 @@
         assert network.nodes[name].table.is_quarantined(REQUEST), name
 
 
+# Guards against a node that starts and is asked before it has learnt anything itself.
+@then("nodes that start one right after another know before they serve")
+def then_starters(context):
+    network = context.network
+    names = [f"start-{number}" for number in range(4)]
+    for name in names:
+        network.add(name, "zone-2")
+    for name in reversed(names):
+        network.nodes[name].exchange.learn()
+        assert network.nodes[name].table.is_quarantined(REQUEST), name
+    for name in names:
+        del network.nodes[name], network.members[name]
+
+
+@then("a node that starts without anyone to ask does not wait")
+def then_alone(context):
+    network = Network(1, 1)
+    (node,) = network.nodes.values()
+    node.exchange.learn()
+
+
 @then("a node sends {most:d} KB a second at most while {count:d} requests are suspected")
 def then_bytes(context, most, count):
     network = context.network
--- a/src/bellweir/hosted/crashes/exchange.py
+++ b/src/bellweir/hosted/crashes/exchange.py
@@ -3,8 +3,8 @@
 News travels at once: a node passes what is new to it on to the peers at powers of two in its zone's
 ring and to one node of each other zone. Besides, a node with records sends some of them to one peer
 each second, so that nodes which missed news get it, and one that may have missed some asks.
-Nothing is sent while no request is suspected, except the question at a start. It also asks the
-gateway that grants the trials of a service.
+Nothing is sent while no request is suspected, except the question at a start, which is asked before
+the node serves. It also asks the gateway that grants the trials of a service.
 """
 
 import itertools
@@ -14,6 +14,7 @@
 import xxhash
 from returns.result import Result, Success
 
+from bellweir.events.log import emit
 from bellweir.hosted.crashes.fingerprint import Fingerprint
 from bellweir.hosted.crashes.messages import (
     CrashAnswer,
@@ -26,6 +27,7 @@
 from bellweir.hosted.crashes.table import CrashTable
 from bellweir.hosted.crashes.trials import Trials
 from bellweir.hosted.incarnation import Incarnation
+from bellweir.hosted.log_events import CRASH_RECORDS_LEARNT
 from bellweir.hosted.sight.gossip_ring import (
     GatewayPeer,
     position_of,
@@ -45,7 +47,11 @@
 QUESTION_TIMEOUT_S = 0.3
 QUESTION_PAUSE_S = 0.3
 ASKING_S = 10.0
-"""Time after a start for which peers are asked until one answers."""
+"""Time after a start for which peers are asked until one that is informed answers."""
+START_WAIT_S = 0.5
+"""Longest part of it for which a start waits."""
+START_PAUSE_S = 0.05
+"""Pause between two rounds of questions in that time: a question may fail at once."""
 STALLED_S = 2.5
 """Time between two rounds from which this node may have missed news."""
 TRIAL_TIMEOUT_S = 0.25
@@ -77,6 +83,7 @@
         self._round = 0
         self._last_round_s = now_s()
         self._ask_until_s = now_s() + ASKING_S
+        self._is_informed = False
         transport.register(CrashNews, self._on_news)
         transport.register(CrashQuestion, self._on_question)
         transport.register(TrialRequest, self._on_trial_request)
@@ -87,6 +94,27 @@
             self._changed.add(request)
         self._wake.set()
 
+    def learn(self) -> None:
+        """Ask what others know before this node serves; returns after `START_WAIT_S` at the latest.
+
+        Returns at once where there is nobody to ask.
+        """
+        began_s = self._now_s()
+        until_s = began_s + START_WAIT_S
+        peers = self._partners()
+        while peers and not self._is_informed and self._now_s() < until_s:
+            self.ask(until_s)
+            if not self._is_informed:
+                self._wake.wait(START_PAUSE_S)
+            peers = self._partners()
+        emit(
+            CRASH_RECORDS_LEARNT,
+            peers=len(peers),
+            informed=self._is_informed,
+            records=len(self._table.records()),
+            ms=round(MS_PER_S * (self._now_s() - began_s)),
+        )
+
     def run(self, stopping: threading.Event) -> None:
         """Send news and repeat records until `stopping`. Runs as one task."""
         while not stopping.is_set():
@@ -128,15 +156,25 @@
             records = self._table.records(most=MAX_REPEATED)
             self._transport.send(peer.address, CrashNews(records))
 
-    def ask(self) -> None:
-        """Ask peers for all records until one has answered."""
-        for address in self._partners():
-            answer = self._transport.request(address, CrashQuestion(), QUESTION_TIMEOUT_S)
-            match answer:
-                case Success(CrashAnswer() as found):
-                    self._merge(found.records)
-                    self._ask_until_s = self._now_s()
-                    return
+    def ask(self, until_s: float = float("inf")) -> None:
+        """Ask peers for all records until one that is informed has answered.
+
+        Where all answer and none is, they have started together: there is nothing else to learn.
+        """
+        peers = self._partners()
+        answered = 0
+        for address in peers:
+            timeout_s = min(QUESTION_TIMEOUT_S, until_s - self._now_s())
+            if timeout_s <= 0:
+                return
+            match self._transport.request(address, CrashQuestion(), timeout_s):
+                case Success(CrashAnswer(records, is_informed)):
+                    answered += 1
+                    self._merge(records)
+                    if is_informed or answered == len(peers):
+                        self._is_informed = True
+                        self._ask_until_s = self._now_s()
+                        return
 
     def begin_trial(self, request: Fingerprint, service: str, worker: Incarnation) -> float:
         """Take a trial at a worker; return 0, or the seconds after which to ask again.
@@ -187,13 +225,15 @@
     def _note_stall(self) -> None:
         """Ask again after a time in which this node may have been halted or suspended."""
         if self._now_s() - self._last_round_s > STALLED_S:
+            self._is_informed = False
             self._ask_until_s = self._now_s() + ASKING_S
 
     def _on_news(self, sender: Sender, message: CrashNews) -> None:
         self._merge(message.records)
 
     def _on_question(self, sender: Sender, message: CrashQuestion) -> CrashAnswer:
-        return CrashAnswer(self._table.records())
+        is_informed = self._is_informed or self._now_s() >= self._ask_until_s
+        return CrashAnswer(self._table.records(), is_informed)
 
     def _merge(self, records: Sequence[CrashRecord]) -> None:
         for record in records:
--- a/src/bellweir/hosted/crashes/messages.py
+++ b/src/bellweir/hosted/crashes/messages.py
@@ -59,6 +59,8 @@
 
     since_level = 3
     records: tuple[CrashRecord, ...]
+    is_informed: bool = True
+    """Whether it has heard since its start what others know."""
 
 
 class TrialRequest(Message, frozen=True):
--- a/src/bellweir/hosted/crashes/service.py
+++ b/src/bellweir/hosted/crashes/service.py
@@ -70,6 +70,7 @@
             lambda: float(len(self._table.quarantined())),
         )
         self.guard = self._guard
+        exchange.learn()
         self._kernel.executors.run_loop("crash-news", exchange.run)
         self._kernel.executors.run_loop("crash-ends", self._resolve)
         self._kernel.executors.run_loop("crash-looks", self._look_beside)
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -279,6 +279,14 @@
     ("request_id", "digest"),
     "A worker answered a request under which others had ended; their ends no longer count.",
 )
+CRASH_RECORDS_LEARNT = Event(
+    1524,
+    "crash_records_learnt",
+    Level.INFO,
+    ("peers", "informed", "records", "ms"),
+    "A process that starts has asked its peers which requests crash workers; where it is not "
+    "`informed` it goes on asking while it serves.",
+)
 WORKER_SET_ASIDE = Event(
     1500,
     "worker_set_aside",
