After its hold a crashing request gets one trial of all nodes together

What callers would have seen: ten minutes after the last end a request that crashes workers was free at every gateway at the same moment, so that its copies could end as many workers as there are gateways.

Cause: once the hold was over a request counted as not suspended, so nobody asked for a trial.

Change: it stays suspended while its ends are remembered (an hour), and has one more trial, granted as all others are. A run that its worker survives frees it everywhere, one more end renews the hold.

--- a/features/hosted_crash_guard.feature
+++ b/features/hosted_crash_guard.feature
@@ -78,6 +78,12 @@
     When the granting gateway is cut off and all others ask for a trial at once
     Then one trial is granted, by the next gateway by rank
 
+  # Guards against a run at each gateway once the hold that all of them know is over.
+  Scenario: The end of a hold at all gateways
+    Given 8 gateways that know of a request with 3 ends
+    When 601 s have passed and all gateways ask for a trial at once
+    Then one trial is granted
+
   # Guards against requests that are refused for minutes since their workers crashed by themselves.
   Scenario Outline: A request whose workers crash three times and stay then
     Given a gateway with a guard and <workers> slow workers
--- a/features/steps/hosted_crash_guard_steps.py
+++ b/features/steps/hosted_crash_guard_steps.py
@@ -601,6 +601,12 @@
     context.waits = _ask_for_trials(context.network, _gateways(context.network))
 
 
+@when("{seconds:d} s have passed and all gateways ask for a trial at once")
+def when_ask_late(context, seconds):
+    context.network.run(seconds)
+    when_ask(context)
+
+
 @then("one trial is granted")
 def then_one_granted(context):
     granted = [name for name, wait_s in context.waits.items() if wait_s == 0]
--- a/src/bellweir/hosted/crashes/suspect.py
+++ b/src/bellweir/hosted/crashes/suspect.py
@@ -13,6 +13,8 @@
 (2.25, True)
 """
 
+from collections.abc import Mapping
+
 from bellweir.hosted.incarnation import Incarnation
 
 MAX_ENDS = 3
@@ -181,12 +183,21 @@
         """Return how often the request may still run; None if it is not suspended.
 
         It is suspended if its ends prove enough, or if it ran on for long after the third one.
+        After `HOLD_S` it may run once more, by all processes together.
         """
         if len(self.ended_s) < MAX_ENDS:
             return None
         counted = self.counted(now_s)
-        if len(counted) < MAX_ENDS or now_s >= max(counted.values()) + HOLD_S:
+        if len(counted) < MAX_ENDS:
             return None
+        left = self._trials_left(counted, now_s, contact_s)
+        is_over = now_s >= max(counted.values()) + HOLD_S
+        return max(1, left) if left is not None and is_over else left
+
+    def _trials_left(
+        self, counted: Mapping[Incarnation, float], now_s: float, contact_s: float
+    ) -> int | None:
+        """Return how often it may still run before the hold is over."""
         weights = self.weights(now_s)
         blame = sum(weights.values()) + ROUNDING
         late_from_s = sorted(counted.values())[MAX_ENDS - 1] + contact_s
