A request whose long body ends late in a drain is refused

Cause: whether a request can still be served was asked when its head was read. A long body is read after that, for as long as the client takes.

--- a/features/hosted_stop.feature
+++ b/features/hosted_stop.feature
@@ -71,6 +71,20 @@
     And a request that can't outlast it is served
     And the stream in hand comes whole
 
+  # Guards against requests that are passed on late since their bodies end late.
+  Scenario Outline: A body that ends late in a drain
+    Given workers "a" and "b" behind a gateway
+    And model workers behind the gateway
+    And a client that has sent half of a body of <bytes> bytes to <path>
+    When the gateway drains for 4 s, and the other half is sent late
+    Then it is refused to be sent elsewhere, and has not run
+
+    Examples:
+      | bytes  | path          |
+      | 2000   | /idempotent/x |
+      | 2000   | /stream/x     |
+      | 400000 | /single/x     |
+
   # Guards against look-ups that are cut as the gateway closes.
   Scenario: Look-ups at the directory of a gateway that stops
     Given workers "a" and "b" behind a gateway
--- a/features/steps/hosted_stop_steps.py
+++ b/features/steps/hosted_stop_steps.py
@@ -288,6 +288,42 @@
     wait_until(lambda: math.isfinite(front._serve_until_s), "the late part of the drain")
 
 
+@given_step("a client that has sent half of a body of {size:d} bytes to {path}")
+def given_half_sent(context, size, path):
+    context.half = b"x" * (size // 2)
+    host, port = context.gateway.address.rsplit(":", 1)
+    context.slow = socket.create_connection((host, int(port)))
+    context.cleanup.callback(context.slow.close)
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Bellweir-Attempt-Id: slow\r\n"
+        f"X-Bellweir-Deadline-Ms: 60000\r\nContent-Length: {size}\r\n\r\n"
+    )
+    context.slow.sendall(head.encode() + context.half)
+    server = context.gateway.server
+    wait_until(lambda: server.busy_connections() == 1, "the head is read")
+
+
+@when("the gateway drains for {drain_s:d} s, and the other half is sent late")
+def when_sent_late(context, drain_s):
+    front = make_front(context, context.gateway.server)
+    context.gateway.can_be_served = front._can_be_served
+    pool = ThreadPoolExecutor(1)
+    context.cleanup.callback(pool.shutdown)
+    pool.submit(front.drain, float(drain_s))
+    wait_until(lambda: math.isfinite(front._serve_until_s), "the late part of the drain")
+    context.slow.sendall(context.half)
+
+
+@then("it is refused to be sent elsewhere, and has not run")
+def then_half_refused(context):
+    answer = http.client.HTTPResponse(context.slow)
+    answer.begin()
+    body = answer.read()
+    assert (answer.status, answer.getheader("Retry-After")) == (503, "0"), (answer.status, body)
+    assert b"stopping" in body, body
+    assert ran(context, "slow") == 0
+
+
 def ran(context, request_id):
     return sum(worker.record.ran[request_id] for worker in context.workers.values())
 
--- a/src/bellweir/hosted/serving/application.py
+++ b/src/bellweir/hosted/serving/application.py
@@ -158,6 +158,9 @@
             return self._batches.accept(request, route, tenant)
         priority = admission.tenant.priority if admission.tenant is not None else None
         client = read_client_request(request, route, self._names, tenant, priority)
+        if not self._can_be_served(client.deadline_s):
+            # Its body came so slowly that the process stops meanwhile.
+            return self._defer(request, "stopping", STOPPING_RETRY_AFTER_S)
         if self._sends_urgency and table.has_engines(route):
             client.headers = with_urgency(client.headers, client.priority, self._names)
         if route.kind is RouteKind.STREAMING:
