Requests that a drain ends are answered before their connections close

What callers saw: requests still in hand at the end of a planned stop ended with their connection, with no answer, though the process knew whether they may have run.

Cause: at the end of the drain connections were closed, whatever was in hand; requests that waited for a thread began to run at that moment.

Change: at the end of a drain the requests in hand are given up (Forwarder.end_all): 502 where a worker may have run it, 503 where none has. 0.15 s at most are waited for it; streams end as before.

--- a/features/hosted_stop.feature
+++ b/features/hosted_stop.feature
@@ -85,6 +85,18 @@
       | 2000   | /stream/x     |
       | 400000 | /single/x     |
 
+  # Guards against requests that end with their connection, with no answer.
+  Scenario Outline: A request whose worker outlasts a drain
+    Given workers "a" and "b" behind a gateway
+    When the gateway drains for 1 s with <count> requests to <path> in hand that take 3 s, and stops
+    Then each is answered: with 502 if it has run, with 503 if it has not
+
+    Examples:
+      | count | path          |
+      | 1     | /single/x     |
+      | 40    | /single/x     |
+      | 40    | /idempotent/x |
+
   # Guards against look-ups that are cut as the gateway closes.
   Scenario: Look-ups at the directory of a gateway that stops
     Given workers "a" and "b" behind a gateway
--- a/features/steps/hosted_stop_steps.py
+++ b/features/steps/hosted_stop_steps.py
@@ -353,6 +353,37 @@
     assert (answer.status, answer.whole) == (200, True), answer
 
 
+@when(
+    "the gateway drains for {drain_s:d} s with {count:d} requests to {path} in hand "
+    "that take {seconds:d} s, and stops"
+)
+def when_outlasted(context, drain_s, count, path, seconds):
+    front = make_front(context, context.gateway.server)
+    front._forwarder = context.gateway.forwarder
+    context.gateway.can_be_served = front._can_be_served
+    for worker in context.workers.values():
+        worker.faults.delay_s = float(seconds)
+    pool = ThreadPoolExecutor(count)
+    context.cleanup.callback(pool.shutdown)
+    context.path = path
+    context.sent = [
+        pool.submit(context.gateway.send, path, deadline_ms=60_000) for _ in range(count)
+    ]
+    server = context.gateway.server
+    wait_until(lambda: server.busy_connections() == count, "the requests")
+    front.drain(float(drain_s))
+    front.stop()
+
+
+@then("each is answered: with 502 if it has run, with 503 if it has not")
+def then_answered_late(context):
+    answers = [sent.result(20.0) for sent in context.sent]
+    runs = [ran(context, answer.request_id) for answer in answers]
+    assert sum(runs) > 0
+    assert [answer.status for answer in answers] == [502 if run else 503 for run in runs], answers
+    assert max(runs) == 1 or context.path.startswith("/idempotent/"), runs
+
+
 @given_step("a directory that takes {milliseconds:d} ms to answer")
 def given_directory(context, milliseconds):
     def answer(_request):
--- a/src/bellweir/hosted/serving/forwarding.py
+++ b/src/bellweir/hosted/serving/forwarding.py
@@ -5,6 +5,7 @@
 and Retry-After only if the request has not run, and with 504 or 502 if it may have run.
 """
 
+import threading
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -107,18 +108,31 @@
         self._workers_age_s = workers_age_s
         self._parts = WeightedRoundRobin()
         self._now_s = now_s
+        self._lock = threading.Lock()
+        self._in_hand: set[Cancellation] = set()
 
     def forward(self, client: ClientRequest, table: RouteTable) -> Response:
         """Forward one request and return the response."""
         cancellation = Cancellation()
         watched = self._caller_watch.begin(client.request, cancellation.cancel)
+        with self._lock:
+            self._in_hand.add(cancellation)
         try:
             response, progress = self._serve(client, table, cancellation)
         finally:
             self._caller_watch.end(watched)
+            with self._lock:
+                self._in_hand.discard(cancellation)
         self._record_outcome(client, table, response, progress)
         return response
 
+    def end_all(self) -> None:
+        """Give all requests in hand up: each gets an answer that says whether it may have run."""
+        with self._lock:
+            in_hand = list(self._in_hand)
+        for cancellation in in_hand:
+            cancellation.cancel()
+
     def candidates(self, client: ClientRequest, table: RouteTable) -> list[list[Worker]]:
         """Return the usable workers of each service of the route, in the order to try them."""
         route = client.route
--- a/src/bellweir/hosted/serving/service.py
+++ b/src/bellweir/hosted/serving/service.py
@@ -53,6 +53,9 @@
 DEFAULT_MAX_BODY_BYTES = 32 << 20
 """Limit until the first configuration is read."""
 DRAIN_POLL_INTERVAL_S = 0.05
+LAST_ANSWERS_S = 0.15
+"""Longest time after a drain for the answers to requests that are given up."""
+LAST_POLL_INTERVAL_S = 0.01
 ADDRESS_TTL_FACTOR = 3.5
 """Clients cache addresses for up to three times the directory's TTL."""
 LONGEST_ACCEPT_SHARE = 0.5
@@ -92,6 +95,7 @@
         self._servers: list[HttpServer] = []
         self._loops: list[Future[None]] = []
         self._requests: HttpServer | None = None
+        self._forwarder: Forwarder | None = None
         self._draining = threading.Event()
         self._serve_until_s = math.inf
         """Time by which requests that come now must end; finite late in a drain."""
@@ -186,7 +190,7 @@
             "service",
             self._slots_taken,
         )
-        forwarder = Forwarder(
+        forwarder = self._forwarder = Forwarder(
             self._views.workers,
             self._loads,
             self._connections,
@@ -325,8 +329,18 @@
         _sleep_until(min(end_s, elapsed_s() + DRAIN_POLL_INTERVAL_S))
         while self._in_flight() and elapsed_s() < end_s:
             _sleep_until(min(end_s, elapsed_s() + DRAIN_POLL_INTERVAL_S))
+        self._end_unfinished()
         emit(PROCESS_DRAINED, in_flight=self._in_flight(), seconds=round(elapsed_s() - began_s, 3))
 
+    def _end_unfinished(self) -> None:
+        """Answer the requests that did not end in time, before their connections are closed."""
+        if self._forwarder is None:
+            return
+        self._forwarder.end_all()
+        until_s = elapsed_s() + LAST_ANSWERS_S
+        while self._in_flight() and elapsed_s() < until_s:
+            _sleep_until(min(until_s, elapsed_s() + LAST_POLL_INTERVAL_S))
+
     def _in_flight(self) -> int:
         """Connections of all listeners with a request in hand."""
         return sum(server.busy_connections() for server in self._servers)
