A worker that an item gives up is waited for longer the next time

Cause: three times with the same length for each attempt: 3 s to the first event, 1 s for a reward call, and the time without an event after which a run is moved. What an attempt has cost the worker is forgotten by the next one.

Change: these times double with each attempt since the last event that was given up (24 s and 5 s at most for the first two), so that an answer is waited for in the end, and counted.

--- a/features/hosted_budgets.feature
+++ b/features/hosted_budgets.feature
@@ -17,6 +17,22 @@
       | score | 1       |
       | score | 2       |
 
+  # Guards against runs whose answers of 500 come when their leader has ceased to wait.
+  Scenario Outline: An item that fails at each run, later than its leader waits at first
+    Given a leader with model workers and scorers
+    And the first item fails at every worker in its <stage>
+    And it does so after <factor> times the time that a leader waits at first
+    When a job of 4 items in 2 groups is accepted
+    Then the first item is listed as dead, and the others as completed
+    And the first item was sent 9 times at most in its <stage>
+
+    Examples:
+      | stage | factor |
+      | text  | 1.5    |
+      | text  | 6      |
+      | score | 1.5    |
+      | score | 4      |
+
   # Guards against the same on processes: their leader is killed while an item fails.
   Scenario Outline: An item that fails at each run while the processes of its leaders are killed
     Given hosted processes, 3 gateways and 3 store machines
--- a/features/steps/hosted_budgets_steps.py
+++ b/features/steps/hosted_budgets_steps.py
@@ -3,11 +3,13 @@
 import json
 import random
 import threading
+from unittest import mock
 
 from behave import given, then, when
 from features.support.hosted_jobs import make_job
 from features.support.waiting import wait_until
 
+from bellweir.hosted.batches import attempts
 from bellweir.hosted.batches.state import JOBS_KEY, AcceptJob
 from bellweir_rehearsal.hosted.clients import call, item_documents
 
@@ -18,6 +20,7 @@
 """Leaders that are lost at most."""
 FAILS_AT = {"text": FIRST_ITEM, "score": f"score-{FIRST_ITEM}"}
 """Id of the request that fails, by stage."""
+FIRST_WAIT_S = 0.3
 JOB = "failing"
 RUN_S = 0.15
 """Time of a run, so that the leader can be killed between two of them."""
@@ -35,6 +38,14 @@
         worker.faults.fail_ids = frozenset({context.failing})
 
 
+@given("it does so after {factor:g} times the time that a leader waits at first")
+def given_late(context, factor):
+    for name in ("FIRST_EVENT_TIMEOUT_S", "SCORING_TIMEOUT_S"):
+        context.cleanup.enter_context(mock.patch.object(attempts, name, FIRST_WAIT_S))
+    for worker in context.workers:
+        worker.faults.fail_after_s = factor * FIRST_WAIT_S
+
+
 @when(
     "a job of {items:d} items in {groups:d} groups is accepted, "
     "and another node leads after each {answers:d} answers of 500"
@@ -78,6 +89,7 @@
 
 @then("the first item is listed as dead, and the others as completed")
 def then_listed(context):
+    context.state = context.leader.ledger.machine.jobs["job"]
     wait_until(lambda: len(context.state.results) == len(context.state.items), "a result of each")
     dead = {result.item_id for result in context.state.results if not result.is_complete}
     assert dead == {FIRST_ITEM}, dead
@@ -126,7 +138,7 @@
             ),
             "answers of 500 or a result",
         )
-        leader = _leader(deployment)
+        leader = deployment.jobs_leader()
         if leader is None or _is_listed(context, address):
             break
         deployment.kill(leader)
@@ -134,17 +146,6 @@
     context.address = address
 
 
-def _leader(deployment):
-    """The store machine that took the jobs last, by the processes' logs."""
-    found = [
-        (line["timestamp"], name)
-        for name in deployment.running("store")
-        for line in map(json.loads, deployment.machines[name].log_of_life().splitlines())
-        if line.get("event") == "coordination_taken"
-    ]
-    return max(found)[1] if found else None
-
-
 def _results(address):
     answer = call(address, "GET", f"/api/lots/{JOB}?after=0")
     return json.loads(answer.body)["results"] if answer and answer.status == 200 else []
--- a/src/bellweir/hosted/batches/attempts.py
+++ b/src/bellweir/hosted/batches/attempts.py
@@ -43,12 +43,18 @@
 from bellweir.kernel.clock import elapsed_s
 
 FIRST_EVENT_TIMEOUT_S = 3.0
+"""Doubled with each attempt that it ends, up to `LONGEST_FIRST_EVENT_TIMEOUT_S`."""
+LONGEST_FIRST_EVENT_TIMEOUT_S = 24.0
 STREAM_IDLE_TIMEOUT_S = 2.0
 """Time without an event after which another worker continues; longer than a load of weights."""
 GENERATION_DEADLINE_MS = 60_000.0
 """Time that a worker may spend on a generation."""
 SCORING_TIMEOUT_S = 1.0
+"""Doubled with each attempt that it ends, up to `SCORING_DEADLINE_MS`."""
 SCORING_DEADLINE_MS = 5_000.0
+MS_PER_S = 1000
+TIMED_OUT_SHARE = 0.95
+"""Share of its timeout from which on an attempt without an answer counts as ended by it."""
 REFUSED_BACKOFF_S = 0.05
 FAILED_BACKOFF_S = 0.02
 CANCELLED = "ended here"
@@ -127,7 +133,8 @@
         )
         began_s = elapsed_s()
         progress.last_event_s = progress.checkpointed_s = began_s
-        opened = self._open_generation(progress, worker, cancellation)
+        timeout_s = min(LONGEST_FIRST_EVENT_TIMEOUT_S, progress.patience * FIRST_EVENT_TIMEOUT_S)
+        opened = self._open_generation(progress, worker, timeout_s, cancellation)
         end = RunEnd.OTHER
         # The stage, and with it the request, changes with the end of the run.
         request = progress.request
@@ -135,6 +142,7 @@
             self._end_cancelled(progress, worker, opened.opened)
         elif opened.opened is None or opened.state is not AttemptState.ANSWERED:
             end = _end_without_answer(opened)
+            _note_timeout(progress, began_s, timeout_s)
             self._handle_no_answer(progress, worker, opened)
         elif opened.opened.status != STREAM_STATUS:
             has_failed = opened.opened.status >= SERVER_ERROR
@@ -145,7 +153,11 @@
         self.crashes.record_end(request, worker, end)
 
     def _open_generation(
-        self, progress: ItemProgress, worker: Worker, cancellation: Cancellation
+        self,
+        progress: ItemProgress,
+        worker: Worker,
+        timeout_s: float,
+        cancellation: Cancellation,
     ) -> OpenedAttempt:
         """Send the generation request, and record whether the worker accepted it."""
         model = progress.job.model
@@ -154,7 +166,7 @@
             opened = self._connections.open(
                 worker,
                 _generation_call(progress, self._connections.headers),
-                FIRST_EVENT_TIMEOUT_S,
+                timeout_s,
                 GENERATION_DEADLINE_MS,
                 cancellation,
             )
@@ -301,7 +313,8 @@
         call = WorkerCall(
             "POST", scorer.path, scorer.host, scorer.id, [], scorer.body, gives_up_silent=True
         )
-        outcome = self._call_scorer(progress, worker, call, cancellation)
+        timeout_s = min(SCORING_DEADLINE_MS / MS_PER_S, progress.patience * SCORING_TIMEOUT_S)
+        outcome = self._call_scorer(progress, worker, call, timeout_s, cancellation)
         answer = outcome.response
         if cancellation.cancelled.is_set() and answer is None:
             self._end_cancelled(progress, worker, None)
@@ -319,6 +332,7 @@
         elif outcome.state is AttemptState.REFUSED:
             self._loads.record_refusal(worker.incarnation)
         else:
+            _note_timeout(progress, began_s, timeout_s)
             self._loads.record_failure(worker.incarnation)
             self._loads.eligibility.note_unanswered(worker)
         progress.not_before_s = elapsed_s() + FAILED_BACKOFF_S
@@ -327,12 +341,15 @@
         )
 
     def _call_scorer(
-        self, progress: ItemProgress, worker: Worker, call: WorkerCall, cancellation: Cancellation
+        self,
+        progress: ItemProgress,
+        worker: Worker,
+        call: WorkerCall,
+        timeout_s: float,
+        cancellation: Cancellation,
     ) -> AttemptOutcome:
         """Make a scoring call and record how its run ended."""
-        outcome = self._connections.call(
-            worker, call, SCORING_TIMEOUT_S, SCORING_DEADLINE_MS, cancellation
-        )
+        outcome = self._connections.call(worker, call, timeout_s, SCORING_DEADLINE_MS, cancellation)
         end = run_end(outcome, is_cancelled=cancellation.cancelled.is_set())
         self.crashes.record_end(progress.request, worker, end)
         return outcome
@@ -384,6 +401,11 @@
         )
 
 
+def _note_timeout(progress: ItemProgress, began_s: float, timeout_s: float) -> None:
+    """Count an attempt without an answer if its time was over."""
+    progress.timeouts += elapsed_s() - began_s >= TIMED_OUT_SHARE * timeout_s
+
+
 def _end_without_answer(opened: OpenedAttempt) -> RunEnd:
     if opened.state in (AttemptState.REFUSED, AttemptState.NOT_SENT):
         return RunEnd.NOT_RUN
--- a/src/bellweir/hosted/batches/move_planning.py
+++ b/src/bellweir/hosted/batches/move_planning.py
@@ -34,7 +34,7 @@
 class RunForecast(Generic[Key]):
     """A run in flight and its predicted remaining work."""
 
-    __slots__ = ("key", "remaining_events", "silent_s", "time_per_event_s", "worker")
+    __slots__ = ("key", "patience", "remaining_events", "silent_s", "time_per_event_s", "worker")
 
     def __init__(
         self,
@@ -43,17 +43,21 @@
         time_per_event_s: float,
         silent_s: float,
         remaining_events: float,
+        patience: float = 1.0,
     ) -> None:
+        """`patience`: factor on the time without an event after which it counts as silent."""
         self.key = key
         self.worker = worker
         self.time_per_event_s = time_per_event_s
         self.silent_s = silent_s
         self.remaining_events = remaining_events
+        self.patience = patience
 
     @property
     def is_silent(self) -> bool:
         """Whether its next event is overdue."""
-        return self.silent_s > max(MIN_SILENCE_S, SILENCE_EVENT_TIMES * self.time_per_event_s)
+        usual_s = max(MIN_SILENCE_S, SILENCE_EVENT_TIMES * self.time_per_event_s)
+        return self.silent_s > self.patience * usual_s
 
     @property
     def remaining_s(self) -> float:
--- a/src/bellweir/hosted/batches/progress.py
+++ b/src/bellweir/hosted/batches/progress.py
@@ -13,6 +13,9 @@
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.records import Route
 
+MAX_DOUBLINGS = 8
+"""Of the times for which an item's workers are waited for."""
+
 
 class Stage(Enum):
     """What an item needs next."""
@@ -77,6 +80,8 @@
     """Each status 500 of its requests, by mark: those of this leader and of others."""
     unrecorded_failures: list[ItemFailure] = field(default_factory=list)
     """Failures that the log may lack; no attempt starts before it has them."""
+    timeouts: int = 0
+    """Attempts since the last event that were given up before their worker had answered."""
     score: str = ""
     attempts: int = 0
     not_before_s: float = 0.0
@@ -97,6 +102,15 @@
     held_since_s: float | None = None
     """Monotonic time since which it waits for a better worker while others have free slots."""
 
+    @property
+    def patience(self) -> float:
+        """Factor on the times for which a worker is waited for.
+
+        A worker that is given up may still run the request: with the same times for each attempt,
+        one that takes longer would run without end, and no answer of 500 would be counted.
+        """
+        return 2.0 ** min(self.timeouts, MAX_DOUBLINGS)
+
     @property
     def request(self) -> "StageRequest":
         """The request that the item needs in its stage."""
@@ -152,6 +166,7 @@
             self._add_version(version)
         self.pieces.append(event.data.decode("utf-8", "surrogateescape"))
         self.events += 1
+        self.timeouts = 0
         if event.event_id is not None:
             self.last_event_id = event.event_id
 
@@ -208,6 +223,7 @@
     def complete_generation(self) -> None:
         """Enter the next stage after the last event."""
         self.stage = Stage.SCORING if self.item.scorer is not None else Stage.RESULT
+        self.timeouts = 0
         if self.stage is Stage.RESULT:
             self.finish("")
 
--- a/src/bellweir/hosted/batches/run_mover.py
+++ b/src/bellweir/hosted/batches/run_mover.py
@@ -130,7 +130,14 @@
         time_per_event_s = self._attempts.event_times.of(run.worker.incarnation)
         # Events that arrived while this process was stalled are not read yet.
         silent_s = now_s - run.last_event_s - self._stalls.total_since(run.last_event_s)
-        return RunForecast(run, run.worker.incarnation, time_per_event_s, silent_s, remaining)
+        return RunForecast(
+            run,
+            run.worker.incarnation,
+            time_per_event_s,
+            silent_s,
+            remaining,
+            progress.patience,
+        )
 
     def _move(self, move: PlannedMove[Run], now_s: float) -> None:
         forecast, run = move.forecast, move.forecast.key
@@ -149,6 +156,7 @@
             target_pace_ms=round(1000 * self._attempts.event_times.of(move.target)),
         )
         if move.cause == SILENT:
+            progress.timeouts += 1
             self._attempts.note_silent(run.worker)
         progress.moved_to = move.target
         progress.moved_s = now_s
