Soak: the leader of the jobs is killed while items fail slowly

Runs that fail take 0, 0.3 or 1 s, and the leader is killed rather than any store machine. Two soaks handed their jobs in by code of their own; they share it now.

--- a/src/bellweir_rehearsal/hosted/clients.py
+++ b/src/bellweir_rehearsal/hosted/clients.py
@@ -6,6 +6,7 @@
 import json
 import math
 import random
+import threading
 import time
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
@@ -26,6 +27,7 @@
 TRIES = 12
 TRY_PAUSE_S = 0.3
 READ_PAUSE_S = 0.3
+HAND_IN_PAUSE_S = 0.2
 
 
 class NoAnswerError(RuntimeError):
@@ -225,6 +227,26 @@
     ]
 
 
+def hand_in(
+    deployment: HostedDeployment,
+    job_id: str,
+    content: bytes,
+    chance: random.Random,
+    stopping: threading.Event,
+) -> bool:
+    """Hand a job in at any gateway until it is accepted; False if `stopping` is set before."""
+    headers = {"X-Bellweir-Attempt-Id": job_id, "Content-Type": "application/json"}
+    while not stopping.wait(HAND_IN_PAUSE_S):
+        gateways = deployment.running("gateway")
+        if not gateways:
+            continue
+        address = deployment.address(chance.choice(gateways), "front")
+        answer = call(address, "POST", f"/drafts/{job_id}", content, headers)
+        if answer is not None and answer.status == 202:
+            return True
+    return False
+
+
 def key_of_version(version: int) -> str:
     """Return the key that one version of the configuration has, and the next takes away."""
     return f"key-of-version-{version}"
--- a/src/bellweir_rehearsal/hosted/crashing_requests.py
+++ b/src/bellweir_rehearsal/hosted/crashing_requests.py
@@ -9,7 +9,7 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 
 from bellweir_rehearsal.hosted.checks import Check
-from bellweir_rehearsal.hosted.clients import call, item_documents
+from bellweir_rehearsal.hosted.clients import call, hand_in, item_documents
 from bellweir_rehearsal.hosted.crashing_record import CrashingCall, CrashingJob
 from bellweir_rehearsal.hosted.deployment import HostedDeployment
 from bellweir_rehearsal.hosted.fault import SoakFault
@@ -127,17 +127,8 @@
 
     def _hand_in(self, job: CrashingJob, chance: random.Random, stopping: threading.Event) -> None:
         """Hand a job in until it is accepted."""
-        content = _document(job)
-        headers = {"X-Bellweir-Attempt-Id": job.job_id, "Content-Type": "application/json"}
-        while not stopping.wait(PAUSE_S):
-            gateways = self.deployment.running("gateway")
-            if not gateways:
-                continue
-            address = self.deployment.address(chance.choice(gateways), "front")
-            answer = call(address, "POST", f"/drafts/{job.job_id}", content, headers)
-            if answer is not None and answer.status == 202:
-                self.deployment.crashing.jobs.append(job)
-                return
+        if hand_in(self.deployment, job.job_id, _document(job), chance, stopping):
+            self.deployment.crashing.jobs.append(job)
 
 
 class CrashingWork(CrashingRequests):
--- a/src/bellweir_rehearsal/hosted/deployment.py
+++ b/src/bellweir_rehearsal/hosted/deployment.py
@@ -4,6 +4,7 @@
 platform. Settings come from the deploy folder's template, filled as the platform fills it.
 """
 
+import json
 import os
 import random
 import select
@@ -561,6 +562,16 @@
         """`host:port` of one of a machine's interfaces."""
         return f"{self.machines[name].ip}:{self._listen()[interface]}"
 
+    def jobs_leader(self) -> str | None:
+        """Return the running store machine that took the batch jobs last, by the logs."""
+        found = [
+            (json.loads(line)["timestamp"], name)
+            for name in self.running("store")
+            for line in self.machines[name].log_of_life().splitlines()
+            if '"coordination_taken"' in line
+        ]
+        return max(found)[1] if found else None
+
     def running(self, role: str) -> list[str]:
         """Names of the machines of a role whose processes run."""
         machines = list(self.machines.values())
--- a/src/bellweir_rehearsal/hosted/failing_items.py
+++ b/src/bellweir_rehearsal/hosted/failing_items.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 
 from bellweir_rehearsal.hosted.checks import Check
-from bellweir_rehearsal.hosted.clients import call, item_documents
+from bellweir_rehearsal.hosted.clients import call, hand_in, item_documents
 from bellweir_rehearsal.hosted.deployment import HostedDeployment
 from bellweir_rehearsal.hosted.failing_record import FailingJob
 from bellweir_rehearsal.hosted.fault import SoakFault
@@ -20,9 +20,8 @@
 """Attempts of the routes."""
 MOST_FAILURES = 3 * MOST_ATTEMPTS
 """Answers of 500 after which an item must reach no worker any more."""
-RUN_S = (0.0, 0.05, 0.3)
+RUN_S = (0.0, 0.3, 1.0)
 """Times that a run takes, of which a strike draws one."""
-TRY_PAUSE_S = 0.2
 LISTED_TIMEOUT_S = 30.0
 READ_PAUSE_S = 0.2
 
@@ -62,16 +61,8 @@
     def _hand_in(self, job: FailingJob, chance: random.Random) -> None:
         document = {"step": 0, "model": "drafts", "minVersion": 1}
         content = json.dumps({**document, "items": item_documents(job.items)}).encode()
-        headers = {"X-Bellweir-Attempt-Id": job.job_id, "Content-Type": "application/json"}
-        while not self._stopping.wait(TRY_PAUSE_S):
-            gateways = self.deployment.running("gateway")
-            if not gateways:
-                continue
-            address = self.deployment.address(chance.choice(gateways), "front")
-            answer = call(address, "POST", f"/drafts/{job.job_id}", content, headers)
-            if answer is not None and answer.status == 202:
-                self.deployment.failing.jobs.append(job)
-                return
+        if hand_in(self.deployment, job.job_id, content, chance, self._stopping):
+            self.deployment.failing.jobs.append(job)
 
 
 def check_failing_items(
--- a/src/bellweir_rehearsal/hosted/process_faults.py
+++ b/src/bellweir_rehearsal/hosted/process_faults.py
@@ -38,6 +38,17 @@
         return self.one_of("store")
 
 
+class KillLeader(KillStore):
+    """The process that leads the batch jobs is killed and comes back with its disk."""
+
+    longest_s = 1.0
+
+    def wants(self) -> list[str]:
+        """Pick the leader."""
+        leader = self.deployment.jobs_leader()
+        return [leader] if leader is not None else []
+
+
 class KillAll(KillGateway):
     """Every process is killed at once; disks are kept."""
 
