Known red: bounds on the runs of an item that comes again in later jobs

An item or reward call that answers 500 at each run is run three times by each batch job that hands it in under the same id: 27 runs in 9 jobs where 9 are allowed, 26 on processes, 28 with two leaders killed. One that answers 422 is run once by each. A reward call that answers 422 is repeated each 20 ms and its item is never listed.

--- a/features/hosted_budgets.feature
+++ b/features/hosted_budgets.feature
@@ -46,6 +46,44 @@
       | text  |
       | score |
 
+  # Guards against jobs that each count the failures of an item from zero.
+  Scenario Outline: An item that fails at each run and comes again in later jobs
+    Given a leader with model workers and scorers
+    And the first item is answered <status> after 0.1 s at every worker in its <stage>
+    When the same items come in 8 jobs, each ended <end>
+    And they come in a last job
+    Then the first item is listed as dead, and the others as completed
+    And the first item was sent <fewest> to <most> times in its <stage>, and never in the last job
+
+    Examples:
+      | stage | status | end                 | fewest | most |
+      | text  | 500    | 0.35 s later        | 3      | 9    |
+      | text  | 500    | once it is listed   | 3      | 9    |
+      | text  | 500    | as its run ends     | 3      | 9    |
+      | score | 500    | 0.35 s later        | 3      | 9    |
+      | score | 500    | once it is listed   | 3      | 9    |
+      | text  | 422    | 0.35 s later        | 1      | 3    |
+      | text  | 422    | once it is listed   | 1      | 3    |
+      | score | 422    | 0.35 s later        | 1      | 3    |
+      | score | 422    | once it is listed   | 1      | 3    |
+
+  # Guards against the same on processes, whose leader is killed or not while jobs come and end.
+  Scenario Outline: An item that fails at each run and comes again in later jobs of processes
+    Given hosted processes, 3 gateways and 3 store machines
+    And an item that answers <status> at each run in its <stage>
+    When it comes in 8 jobs that end after 0.35 to 0.6 s, and their leader is killed <kills> times
+    And it comes in a last job
+    Then the item is listed as dead
+    And it has been sent <fewest> to <most> times
+
+    Examples:
+      | stage | status | kills | fewest | most |
+      | text  | 500    | 0     | 3      | 9    |
+      | score | 500    | 0     | 3      | 9    |
+      | text  | 500    | 2     | 3      | 9    |
+      | text  | 422    | 0     | 1      | 3    |
+      | score | 422    | 0     | 1      | 3    |
+
   # Guards against gateways that start without what the others know of a request.
   Scenario Outline: A request that crashes workers while gateways are killed and start again
     Given hosted processes, 3 gateways and 3 store machines
--- a/features/steps/hosted_budgets_steps.py
+++ b/features/steps/hosted_budgets_steps.py
@@ -101,8 +101,8 @@
     assert ALLOWED <= sent <= most, sent
 
 
-@given("an item that answers 500 at each run in its {stage}")
-def given_failing_item(context, stage):
+@given("an item that answers {status:d} at each run in its {stage}")
+def given_failing_item(context, status, stage):
     deployment = context.traffic.deployment
     context.item = "item-that-fails"
     (context.document,) = item_documents([context.item])
@@ -111,6 +111,7 @@
     for worker in deployment.workers:
         worker.faults.fail_ids = frozenset({fails})
         worker.faults.fail_after_s = RUN_S
+        worker.faults.fail_status = status
 
 
 @when(
--- a/src/bellweir_rehearsal/hosted/worker.py
+++ b/src/bellweir_rehearsal/hosted/worker.py
@@ -66,8 +66,9 @@
     fail: int = 0
     """Answer 500."""
     fail_ids: frozenset[str] = frozenset()
-    """Requests that are answered 500 whenever they come, after `fail_after_s`."""
+    """Requests that are answered `fail_status` whenever they come, after `fail_after_s`."""
     fail_after_s: float = 0.0
+    fail_status: int = 500
     cut_after_event: int | None = None
     """Break the next stream off behind so many events, in the middle of the next one."""
     unsigned: int = 0
@@ -525,7 +526,8 @@
             handler.reset()
         elif request_id in self.faults.fail_ids:
             time.sleep(self.faults.fail_after_s)
-            handler.answer(500, b"failed", {**echo, "X-Bellweir-Server-Stamp": "failed"})
+            status = self.faults.fail_status
+            handler.answer(status, b"failed", {**echo, "X-Bellweir-Server-Stamp": "failed"})
         elif self.faults.strikes("fail"):
             handler.answer(500, b"failed", {**echo, "X-Bellweir-Server-Stamp": "failed"})
         elif self.model:
