item_failed tells each answer of 500 or 422, and how many its leader had counted

No log line told how many answers of 500 the leader of an item had counted, nor that an answer came to a run that had been cancelled, so that the hypotheses of the incident could not be told apart.

--- a/src/bellweir/hosted/batches/attempts.py
+++ b/src/bellweir/hosted/batches/attempts.py
@@ -23,6 +23,7 @@
 from bellweir.hosted.interface import HeaderNames
 from bellweir.hosted.log_events import (
     ITEM_BROKEN,
+    ITEM_FAILED,
     ITEM_STARTED,
     WORKER_FAILS_ALL,
     WORKER_SERVES_AGAIN,
@@ -61,6 +62,8 @@
 """Logged cause of an attempt that was cancelled because its job ended or leadership was lost."""
 UNPROCESSABLE = 422
 SERVER_ERROR = 500
+FAILURES = (SERVER_ERROR, UNPROCESSABLE)
+"""Statuses of requests that ran and failed."""
 
 STREAM_ERRORS = (
     OSError,
@@ -138,6 +141,8 @@
         end = RunEnd.OTHER
         # The stage, and with it the request, changes with the end of the run.
         request = progress.request
+        if opened.opened is not None:
+            self._log_failure(progress, worker, opened.opened.status, cancellation)
         if cancellation.cancelled.is_set():
             self._end_cancelled(progress, worker, opened.opened)
         elif opened.opened is None or opened.state is not AttemptState.ANSWERED:
@@ -320,6 +325,7 @@
             self._end_cancelled(progress, worker, None)
             return
         if outcome.state is AttemptState.ANSWERED and answer is not None:
+            self._log_failure(progress, worker, answer.status, cancellation)
             if answer.status < 300:
                 self._loads.record_success(worker.incarnation, elapsed_s() - began_s)
                 self._loads.eligibility.note_answer(worker, began_s)
@@ -362,6 +368,23 @@
             progress.add_failure(worker.incarnation)
             self._fail_if_exhausted(progress, maximum_failures, worker)
 
+    def _log_failure(
+        self, progress: ItemProgress, worker: Worker, status: int, cancellation: Cancellation
+    ) -> None:
+        """Log an answer of 500 or 422; others pass."""
+        if status not in FAILURES:
+            return
+        emit(
+            ITEM_FAILED,
+            request_id=progress.request.request_id,
+            job=progress.job.id,
+            stage=progress.stage.value,
+            instance=worker.instance,
+            status=status,
+            failures=len(progress.stage_failures),
+            cancelled=cancellation.cancelled.is_set(),
+        )
+
     def _record_success(self, worker: Worker, began_s: float) -> None:
         if self.quarantine.record_success(worker.incarnation, began_s):
             emit(WORKER_SERVES_AGAIN, instance=worker.instance)
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -401,6 +401,14 @@
     "A new leader resumes an item from the checkpoint that the previous leader stored, and counts "
     "the answers of 500 that the leaders before it recorded.",
 )
+ITEM_FAILED = Event(
+    1465,
+    "item_failed",
+    Level.INFO,
+    ("request_id", "job", "stage", "instance", "status", "failures", "cancelled"),
+    "A worker answered an item or its reward call 500 or 422. `failures` counts such answers "
+    "before it; `cancelled`: the run had been cancelled when the answer was read.",
+)
 ITEM_LISTED = Event(
     1435,
     "item_listed",
