Failures of an item count over all jobs that hand it in

Callers saw an item, or its reward call, run again in each batch job that handed it in: three answers of 500 a job, 27 in 9 jobs where 9 are allowed (26 on processes, 28 with two leaders killed), and an answer of 422 a job, 9 where 3 are allowed; also by jobs that had listed it as dead.

Cause: recorded answers stood in the state of one job and went with the item's result or the job's end; a later job looked for kept texts only.

Recorded failures now stand beside the jobs, by tenant and id, told apart by the digest that also recognizes requests that crash workers. Each answer of 500 or 422 is recorded before its item runs again or is listed; the coordinator alone decides, from all that is recorded, when an item is given up.

The test notes answers through a method that has one more argument now; steps that called methods which are gone call their successors.

--- a/features/hosted_budgets.feature
+++ b/features/hosted_budgets.feature
@@ -67,6 +67,14 @@
       | score | 422    | 0.35 s later        | 1      | 3    |
       | score | 422    | once it is listed   | 1      | 3    |
 
+  Scenario: An item that failed too often is completed in a later job, once what failed it is mended
+    Given a leader with model workers and scorers
+    And the first item is answered 500 after 0.1 s at every worker in its text
+    When the same items come in 1 jobs, each ended once it is listed
+    And no item fails any more
+    And they come in a last job
+    Then all items are listed as completed
+
   # Guards against the same on processes, whose leader is killed or not while jobs come and end.
   Scenario Outline: An item that fails at each run and comes again in later jobs of processes
     Given hosted processes, 3 gateways and 3 store machines
--- a/features/steps/answers_steps.py
+++ b/features/steps/answers_steps.py
@@ -98,7 +98,7 @@
         runner.run_generation(progress, context.worker, cancellation)
     else:
         progress.complete_generation()
-        runner.run_scoring(progress, context.worker, 3, cancellation)
+        runner.run_scoring(progress, context.worker, cancellation)
     return progress
 
 
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -194,7 +194,7 @@
         runner.run_generation(progress, context.worker, Cancellation())
     else:
         progress.complete_generation()
-        runner.run_scoring(progress, context.worker, 3, Cancellation())
+        runner.run_scoring(progress, context.worker, Cancellation())
     return progress.stage is not stage
 
 
--- a/features/steps/hosted_batches_steps.py
+++ b/features/steps/hosted_batches_steps.py
@@ -20,6 +20,7 @@
 from bellweir.hosted.batches.api import split_items
 from bellweir.hosted.batches.checkpoint_marks import events_of
 from bellweir.hosted.batches.committer import Committer
+from bellweir.hosted.batches.failed_requests import ItemFailure
 from bellweir.hosted.batches.formats import decode_job
 from bellweir.hosted.batches.progress import EventsMissingError, ItemProgress
 from bellweir.hosted.batches.refusals import MAX_WEIGHT_LOAD_S, REFUSAL_BACKOFF_S, RefusalBackoff
@@ -27,7 +28,6 @@
     AcceptJob,
     BatchJobs,
     EndJob,
-    ItemFailure,
     ItemResult,
     KeepParts,
     ReadItem,
@@ -869,7 +869,7 @@
             progress.take_checkpoint()
         progress.finish("")
         context.texts[progress.item.id] = progress.pieces[0]
-        context.committer.put_result(progress)
+        context.committer.put(progress)
     stopping = threading.Event()
     committing = threading.Thread(target=context.committer.run, args=(stopping,))
     committing.start()
--- a/features/steps/hosted_budgets_steps.py
+++ b/features/steps/hosted_budgets_steps.py
@@ -78,8 +78,8 @@
     """Return a list that grows with each answer of 500 to the first item that a leader gets."""
     received, record = [], attempts._record_failure
 
-    def note(progress, worker, status):
-        record(progress, worker, status)
+    def note(progress, worker, status, cancellation):
+        record(progress, worker, status, cancellation)
         if progress.item.id == FIRST_ITEM:
             received.append(status)
 
--- a/features/steps/hosted_returning_items_steps.py
+++ b/features/steps/hosted_returning_items_steps.py
@@ -85,6 +85,66 @@
     assert sent == context.sent_before, f"{sent - context.sent_before} runs in the last job"
 
 
+@when("no item fails any more")
+def when_mended(context):
+    for worker in context.workers:
+        worker.faults.fail_ids = frozenset()
+
+
+@then("all items are listed as completed")
+def then_all_completed(context):
+    state = context.leader.ledger.machine.jobs[LAST_JOB]
+    wait_until(lambda: len(state.results) == ITEMS, "a result of each item")
+    assert all(result.is_complete for result in state.results), state.results
+
+
+@when("the same items come in {jobs:d} jobs that stay open")
+def when_open(context, jobs):
+    context.states = [_accept(context, f"{JOB}-{number}") for number in range(jobs)]
+
+
+@then("all jobs list the first item as dead, and the others as completed")
+def then_all_dead(context):
+    for state in context.states:
+        wait_until(lambda state=state: len(state.results) == ITEMS, "a result of each item")
+        dead = [result.item_id for result in state.results if not result.is_complete]
+        assert dead == [FIRST_ITEM], (state.job.id, dead)
+
+
+@then("the first item was sent {fewest:d} to {most:d} times")
+def then_sent_in_all(context, fewest, most):
+    sent = _sent(context)
+    assert fewest <= sent <= most, sent
+
+
+@when("its job ends between an answer and its reading")
+def when_cancelled(context):
+    ledger, coordinator = context.leader.ledger, context.leader.coordinator
+    runner = coordinator._attempts
+    open_generation = runner._open_generation
+
+    def open_and_cancel(progress, worker, timeout_s, cancellation):
+        opened = open_generation(progress, worker, timeout_s, cancellation)
+        if progress.item.id == FIRST_ITEM and opened.opened is not None:
+            ledger.submit(JOBS_KEY, EndJob(JOB, time.time()), 1.0)
+            wait_until(cancellation.cancelled.is_set, "the run is cancelled")
+        return opened
+
+    runner._open_generation = open_and_cancel
+    _accept(context, JOB)
+    wait_until(lambda: not ledger.machine.jobs[JOB].is_open, "the job has ended")
+    wait_until(lambda: not coordinator.running_count(), "its runs have ended")
+
+
+@then("{count:d} failure of the first item is recorded")
+def then_recorded(context, count):
+    machine = context.leader.ledger.machine
+    job = machine.jobs[JOB].job
+    request = job.generation_request(job.items[0])
+    wait_until(lambda: machine.failed_requests.failures_of(request), "a failure is recorded")
+    assert len(machine.failed_requests.failures_of(request)) == count
+
+
 def _content(context):
     step = {"step": 0, "model": "drafts", "minVersion": 1, "items": [context.document]}
     return json.dumps(step).encode()
--- a/features/support/lost_leaders.py
+++ b/features/support/lost_leaders.py
@@ -90,7 +90,7 @@
             self.receive_event()
         self.progress.finish("score")
         self.ledger.is_reliable = True
-        self.committer.put_result(self.progress)
+        self.committer.put(self.progress)
         self._commit_queued()
 
     def _commit_queued(self):
--- a/src/bellweir/hosted/batches/attempts.py
+++ b/src/bellweir/hosted/batches/attempts.py
@@ -11,6 +11,7 @@
 from bellweir.hosted.batches.progress import (
     EventsMissingError,
     ItemProgress,
+    Stage,
     VersionMixedError,
     VersionTooOldError,
 )
@@ -62,8 +63,6 @@
 """Logged cause of an attempt that was cancelled because its job ended or leadership was lost."""
 UNPROCESSABLE = 422
 SERVER_ERROR = 500
-FAILURES = (SERVER_ERROR, UNPROCESSABLE)
-"""Statuses of requests that ran and failed."""
 
 STREAM_ERRORS = (
     OSError,
@@ -141,8 +140,6 @@
         end = RunEnd.OTHER
         # The stage, and with it the request, changes with the end of the run.
         request = progress.request
-        if opened.opened is not None:
-            self._log_failure(progress, worker, opened.opened.status, cancellation)
         if cancellation.cancelled.is_set():
             self._end_cancelled(progress, worker, opened.opened)
         elif opened.opened is None or opened.state is not AttemptState.ANSWERED:
@@ -150,9 +147,8 @@
             _note_timeout(progress, began_s, timeout_s)
             self._handle_no_answer(progress, worker, opened)
         elif opened.opened.status != STREAM_STATUS:
-            has_failed = opened.opened.status >= SERVER_ERROR
-            end = RunEnd.OTHER if has_failed else RunEnd.SURVIVED
-            self._handle_error_answer(progress, worker, opened)
+            end = RunEnd.OTHER if _status(opened) >= SERVER_ERROR else RunEnd.SURVIVED
+            self._handle_error_answer(progress, worker, opened, cancellation)
         else:
             end = self._read_events(progress, worker, opened.opened, began_s, cancellation)
         self.crashes.record_end(request, worker, end)
@@ -286,26 +282,24 @@
         self._log_attempt_failed(progress, worker, f"{opened.state.value}: {opened.detail}")
 
     def _handle_error_answer(
-        self, progress: ItemProgress, worker: Worker, opened: OpenedAttempt
+        self,
+        progress: ItemProgress,
+        worker: Worker,
+        opened: OpenedAttempt,
+        cancellation: Cancellation,
     ) -> None:
-        status = opened.opened.status if opened.opened is not None else SERVER_ERROR
+        status = _status(opened)
         if opened.opened is not None:
             read_response(opened.opened, opened)
         self._loads.release(worker.incarnation)
         progress.not_before_s = elapsed_s() + FAILED_BACKOFF_S
-        self._record_failure(progress, worker, status)
-        if status == UNPROCESSABLE:
-            progress.give_up()
-        elif status == SERVER_ERROR:
-            progress.add_failure(worker.incarnation)
-            self._fail_if_exhausted(progress, progress.route.max_attempts, worker)
+        self._record_failure(progress, worker, status, cancellation)
         self._log_attempt_failed(progress, worker, f"status {status}")
 
     def run_scoring(
         self,
         progress: ItemProgress,
         worker: Worker,
-        maximum_failures: int,
         cancellation: Cancellation,
     ) -> None:
         """Score the complete text."""
@@ -325,7 +319,6 @@
             self._end_cancelled(progress, worker, None)
             return
         if outcome.state is AttemptState.ANSWERED and answer is not None:
-            self._log_failure(progress, worker, answer.status, cancellation)
             if answer.status < 300:
                 self._loads.record_success(worker.incarnation, elapsed_s() - began_s)
                 self._loads.eligibility.note_answer(worker, began_s)
@@ -334,7 +327,7 @@
                 return
             # The duration of a failure must not count as latency of the worker.
             self._loads.release(worker.incarnation)
-            self._handle_scoring_error(progress, answer.status, maximum_failures, worker)
+            self._record_failure(progress, worker, answer.status, cancellation)
         elif outcome.state is AttemptState.REFUSED:
             self._loads.record_refusal(worker.incarnation)
         else:
@@ -360,20 +353,26 @@
         self.crashes.record_end(progress.request, worker, end)
         return outcome
 
-    def _handle_scoring_error(
-        self, progress: ItemProgress, status: int, maximum_failures: int, worker: Worker
+    def _record_success(self, worker: Worker, began_s: float) -> None:
+        if self.quarantine.record_success(worker.incarnation, began_s):
+            emit(WORKER_SERVES_AGAIN, instance=worker.instance)
+
+    def _record_failure(
+        self, progress: ItemProgress, worker: Worker, status: int, cancellation: Cancellation
     ) -> None:
-        self._record_failure(progress, worker, status)
-        if status == SERVER_ERROR:
-            progress.add_failure(worker.incarnation)
-            self._fail_if_exhausted(progress, maximum_failures, worker)
+        """Record an error status, against the request where it ran and against the worker."""
+        is_final = status == UNPROCESSABLE and progress.stage is Stage.GENERATION
+        if status == SERVER_ERROR or is_final:
+            progress.add_failure(worker.incarnation, is_final=is_final)
+            self._log_failure(progress, worker, status, cancellation)
+        # Client errors say nothing about the worker.
+        if status >= SERVER_ERROR:
+            self._record_worker_failure(progress, worker, status)
 
     def _log_failure(
         self, progress: ItemProgress, worker: Worker, status: int, cancellation: Cancellation
     ) -> None:
-        """Log an answer of 500 or 422; others pass."""
-        if status not in FAILURES:
-            return
+        failures = progress.failures_in(progress.stage)
         emit(
             ITEM_FAILED,
             request_id=progress.request.request_id,
@@ -381,18 +380,12 @@
             stage=progress.stage.value,
             instance=worker.instance,
             status=status,
-            failures=len(progress.stage_failures),
+            failures=len(failures),
+            earlier=sum(failure.job_id != progress.job.id for failure in failures),
             cancelled=cancellation.cancelled.is_set(),
         )
 
-    def _record_success(self, worker: Worker, began_s: float) -> None:
-        if self.quarantine.record_success(worker.incarnation, began_s):
-            emit(WORKER_SERVES_AGAIN, instance=worker.instance)
-
-    def _record_failure(self, progress: ItemProgress, worker: Worker, status: int) -> None:
-        """Record an error status; client errors (below 500) say nothing about the worker."""
-        if status < SERVER_ERROR:
-            return
+    def _record_worker_failure(self, progress: ItemProgress, worker: Worker, status: int) -> None:
         failures = self.quarantine.record_failure(worker.incarnation, progress.item.id)
         service_workers = self.service_workers_of(worker)
         failing = self.quarantine.failing_workers(service_workers)
@@ -406,11 +399,6 @@
                 cause=f"status {status}",
             )
 
-    def _fail_if_exhausted(self, progress: ItemProgress, allowed: int, worker: Worker) -> None:
-        service_workers = self.service_workers_of(worker)
-        if self.quarantine.has_exhausted_retries(progress.stage_failures, allowed, service_workers):
-            progress.give_up()
-
     def _log_attempt_failed(self, progress: ItemProgress, worker: Worker, cause: str) -> None:
         self.length_predictor.record_events(progress.item.id, progress.events)
         emit(
@@ -429,6 +417,12 @@
     progress.timeouts += elapsed_s() - began_s >= TIMED_OUT_SHARE * timeout_s
 
 
+def _status(opened: OpenedAttempt) -> int:
+    """Return the status of an answer that was read; 0 without one."""
+    is_answered = opened.state is AttemptState.ANSWERED and opened.opened is not None
+    return opened.opened.status if is_answered and opened.opened is not None else 0
+
+
 def _end_without_answer(opened: OpenedAttempt) -> RunEnd:
     if opened.state in (AttemptState.REFUSED, AttemptState.NOT_SENT):
         return RunEnd.NOT_RUN
--- a/src/bellweir/hosted/batches/committer.py
+++ b/src/bellweir/hosted/batches/committer.py
@@ -7,19 +7,19 @@
 from returns.result import Success
 
 from bellweir.events.log import emit
+from bellweir.hosted.batches.failed_requests import ItemFailure
 from bellweir.hosted.batches.progress import ItemProgress
 from bellweir.hosted.batches.state import (
     ALREADY_RECORDED,
     CHECKPOINTS_MISSING,
     JOBS_KEY,
-    ItemFailure,
     ItemResult,
     KeepParts,
     RecordResults,
     ResultsRecorded,
     TextCheckpoint,
 )
-from bellweir.hosted.log_events import ITEM_LISTED, ITEM_NOT_LISTED
+from bellweir.hosted.log_events import ITEM_FAILURES_LOST, ITEM_LISTED, ITEM_NOT_LISTED
 from bellweir.ledger.interface import Ledger, Reply
 
 GATHER_DELAY_S = 0.005
@@ -65,13 +65,8 @@
         self._queue: queue.SimpleQueue[ItemProgress | KeepParts] = queue.SimpleQueue()
         self._pause = threading.Event()
 
-    def put_result(self, progress: ItemProgress) -> None:
-        """Queue the result of an item."""
-        progress.is_committing = True
-        self._queue.put(progress)
-
-    def put_failures(self, progress: ItemProgress) -> None:
-        """Queue the unrecorded failures of an item; it must not run until they are recorded."""
+    def put(self, progress: ItemProgress) -> None:
+        """Queue the result of an item, or failures after which it must not run until recorded."""
         progress.is_committing = True
         self._queue.put(progress)
 
@@ -133,16 +128,18 @@
 
         Also tried once by a node that no longer leads: its successor has to count them.
         """
-        failures: list[ItemFailure] = [
-            failure for each in items for failure in each.unrecorded_failures
-        ]
+        failures = [failure for each in items for failure in each.unrecorded_failures]
         command = KeepParts(job_id, failures=tuple(failures))
-        leads = True
-        while failures and leads and not stopping.is_set():
-            leads = self._leads()
+        while failures and not stopping.is_set():
+            may_retry = self._leads()
             if isinstance(self._ledger.submit(JOBS_KEY, command, SUBMIT_TIMEOUT_S), Success):
                 for each in items:
-                    each.unrecorded_failures.clear()
+                    each.unrecorded_failures = [
+                        one for one in each.unrecorded_failures if one not in failures
+                    ]
+                break
+            if not may_retry:
+                _log_lost(job_id, failures)
                 break
             self._pause.wait(RETRY_PAUSE_S)
         for each in items:
@@ -244,6 +241,12 @@
     return dict.fromkeys((each.item_id for each in results), CAUSE_UNKNOWN)
 
 
+def _log_lost(job_id: str, failures: list[ItemFailure]) -> None:
+    for item_id in dict.fromkeys(failure.item_id for failure in failures):
+        count = sum(failure.item_id == item_id for failure in failures)
+        emit(ITEM_FAILURES_LOST, request_id=item_id, job=job_id, failures=count)
+
+
 def _log_outcome(
     job_id: str,
     progress: ItemProgress,
--- a/src/bellweir/hosted/batches/coordinator.py
+++ b/src/bellweir/hosted/batches/coordinator.py
@@ -10,8 +10,10 @@
 from bellweir.events.log import emit
 from bellweir.hosted.batches.attempts import ItemRunner
 from bellweir.hosted.batches.committer import Committer
+from bellweir.hosted.batches.failed_requests import FailedRequests, ItemFailure
 from bellweir.hosted.batches.held_items import HeldItems
 from bellweir.hosted.batches.progress import ItemProgress, Stage
+from bellweir.hosted.batches.retry_limit import RetryLimit
 from bellweir.hosted.batches.run_mover import Run, RunMover
 from bellweir.hosted.batches.state import JOBS_KEY, BatchJobs, JobItem, JobState
 from bellweir.hosted.batches.step_scheduler import OpenStep, StepScheduler
@@ -67,6 +69,8 @@
         self._running: dict[ItemKey, Run] = {}
         self._text_cache = TextCache()
         self._worker_selector = WorkerSelector(workers, loads, attempts, policy)
+        self._retry_limit = RetryLimit(attempts.quarantine, self._worker_selector.workers_of)
+        self._failed_requests = FailedRequests()
         self._mover = RunMover(attempts)
         self._step_scheduler = StepScheduler(
             attempts.predicted_events_or_none, self._worker_selector.event_times_of
@@ -83,6 +87,7 @@
             machine = self._ledger.local_machine(JOBS_KEY, BatchJobs)
             leads = self._ledger.leads(JOBS_KEY)
             if leads and isinstance(machine, BatchJobs):
+                self._failed_requests = machine.failed_requests
                 self._run_pass(list(machine.jobs.values()))
             elif self._leading:
                 self._step_down()
@@ -167,7 +172,7 @@
             route = table.find(state.job.host, state.job.path_prefix) if state.is_open else None
             if route is not None:
                 steps.append(OpenStep(state, route))
-                found = list(self._waiting_in(state, route, jobs))
+                found = list(self._waiting_in(state, route, jobs, table))
                 waiting += (
                     sorted(found, key=self._order_in_job) if self._policy.long_first else found
                 )
@@ -189,7 +194,7 @@
         return progress.stage is Stage.GENERATION, not progress.moved_to, -expected
 
     def _waiting_in(
-        self, state: JobState, route: Route, jobs: list[JobState]
+        self, state: JobState, route: Route, jobs: list[JobState], table: RouteTable
     ) -> Iterator[ItemProgress]:
         """Yield the items of a job that need an attempt now; queue results to be committed."""
         now_s = elapsed_s()
@@ -199,20 +204,37 @@
                 continue
             progress = self._progress_of(key, state, route, item, jobs)
             progress.route = route
-            progress.count_recorded(state.failures.get(item.id, ()))
-            if progress.stage is Stage.RESULT or progress.unrecorded_failures:
+            if progress.unrecorded_failures or self._has_result(progress, table):
                 self._commit(progress)
             elif progress.not_before_s <= now_s and not self._hold(progress, now_s):
                 yield progress
 
+    def _has_result(self, progress: ItemProgress, table: RouteTable) -> bool:
+        """Whether an item has a result; gives it up if it has failed too often."""
+        if progress.stage is Stage.RESULT:
+            return True
+        progress.count_recorded(self._recorded_failures(progress))
+        if not progress.failures:
+            return False
+        is_reached = self._retry_limit.is_reached(progress, score_route(progress, table))
+        if is_reached:
+            progress.give_up()
+        return is_reached
+
+    def _recorded_failures(self, progress: ItemProgress) -> list[ItemFailure]:
+        """Return the failures of an item's requests, in all jobs."""
+        if not len(self._failed_requests):
+            return []
+        return [
+            failure
+            for request in progress.requests
+            for failure in self._failed_requests.failures_of(request)
+        ]
+
     def _commit(self, progress: ItemProgress) -> None:
         """Queue an item's result, or the failures after which it may run again."""
-        if progress.is_committing:
-            return
-        if progress.stage is Stage.RESULT:
-            self.committer.put_result(progress)
-        elif progress.unrecorded_failures:
-            self.committer.put_failures(progress)
+        if not progress.is_committing:
+            self.committer.put(progress)
 
     def _hold(self, progress: ItemProgress, now_s: float) -> bool:
         """Whether an item must not run now, since workers ended under it a moment ago."""
@@ -230,7 +252,7 @@
             return known
         progress = ItemProgress(state.job, route, item)
         progress.guessed_tokens = self._attempts.guessed_tokens(item)
-        failures = state.failures.get(item.id, ())
+        failures = self._recorded_failures(progress)
         is_known = progress.resume_from(state.checkpoints.get(item.id, ()))
         if is_known or failures:
             emit(
@@ -239,6 +261,7 @@
                 job=state.job.id,
                 events=progress.events,
                 failures=len(failures),
+                earlier=sum(failure.job_id != state.job.id for failure in failures),
             )
         with self._lock:
             if not is_known and self._policy.carry_texts:
@@ -262,15 +285,8 @@
         run = Run(progress, worker, Cancellation(), elapsed_s())
         with self._lock:
             self._running[key] = run
-        maximum = score_route(progress, table)
         try:
-            self._executors.submit(
-                WorkKind.GENERATION,
-                self._run,
-                key,
-                run,
-                maximum.max_attempts if maximum else 1,
-            )
+            self._executors.submit(WorkKind.GENERATION, self._run, key, run)
         except (ExecutorSaturatedError, RuntimeError):
             self._release(progress, worker)
             self._attempts.crashes.record_end(progress.request, worker, RunEnd.NOT_RUN)
@@ -285,7 +301,7 @@
         self._attempts.refusal_backoff.record_end(worker.incarnation, progress.job.model)
         self._attempts.quarantine.record_end(worker.incarnation, progress.item.id)
 
-    def _run(self, key: ItemKey, run: Run, maximum_failures: int) -> None:
+    def _run(self, key: ItemKey, run: Run) -> None:
         progress, worker = run.progress, run.worker
         # The stage, and with it the request, changes with the end of the run.
         request = progress.request
@@ -293,7 +309,7 @@
             if progress.stage is Stage.GENERATION:
                 self._attempts.run_generation(progress, worker, run.cancellation)
             else:
-                self._attempts.run_scoring(progress, worker, maximum_failures, run.cancellation)
+                self._attempts.run_scoring(progress, worker, run.cancellation)
         except Exception:
             # The executor reports it; the slot of the worker must not leak.
             self._loads.release(worker.incarnation)
@@ -306,6 +322,7 @@
                 is_wanted = self._progress.get(key) is progress
                 if not is_wanted and self._leading:
                     self._text_cache.add(progress)
-            if is_wanted or progress.unrecorded_failures:
+            has_result = is_wanted and progress.stage is Stage.RESULT
+            if has_result or progress.unrecorded_failures:
                 self._commit(progress)
             self._wake.set()
--- a/src/bellweir/hosted/batches/progress.py
+++ b/src/bellweir/hosted/batches/progress.py
@@ -1,14 +1,21 @@
 """Progress of items that have no recorded result yet."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from functools import cached_property
 
 from bellweir.hosted.batches.checkpoint_marks import events_of, new_mark
-from bellweir.hosted.batches.state import ItemFailure, ItemResult, Job, JobItem, TextCheckpoint
+from bellweir.hosted.batches.failed_requests import ItemFailure
+from bellweir.hosted.batches.stage_request import StageRequest
+from bellweir.hosted.batches.state import (
+    SCORING_STAGE,
+    ItemResult,
+    Job,
+    JobItem,
+    TextCheckpoint,
+)
 from bellweir.hosted.batches.text_compression import compress_text, decompress_text
-from bellweir.hosted.crashes.fingerprint import Fingerprint, fingerprint
 from bellweir.hosted.event_stream import StreamEvent
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.records import Route
@@ -22,7 +29,7 @@
 
     GENERATION = "text"
     """Generate the text, or the rest of it."""
-    SCORING = "score"
+    SCORING = SCORING_STAGE
     """Score the complete text."""
     RESULT = "result"
     """Commit the result."""
@@ -40,23 +47,6 @@
     """The worker skipped events."""
 
 
-class StageRequest:
-    """The request of an item's stage, as the crash guard sees it."""
-
-    is_owed = True
-
-    def __init__(self, request_id: str, host: str, path: str, tenant: str, body: bytes) -> None:
-        self.request_id = request_id
-        self._parts = (host, path, tenant)
-        self._body = body
-
-    @cached_property
-    def fingerprint(self) -> Fingerprint:
-        """Digest by which it is recognized, in any job."""
-        # Items of equal contents are judged one by one: each has an id that lasts.
-        return fingerprint("POST", *self._parts, self.request_id.encode() + b"\n" + self._body)
-
-
 @dataclass
 class ItemProgress:
     """State of one item, changed by its running attempt, and by the coordinator in between."""
@@ -77,7 +67,7 @@
     versions: list[int] = field(default_factory=list)
     """Weight versions that generated the events, in order of their first one."""
     failures: dict[int, ItemFailure] = field(default_factory=dict)
-    """Each status 500 of its requests, by mark: those of this leader and of others."""
+    """Each status 500 or 422 of its requests, by mark: those of this job and of others."""
     unrecorded_failures: list[ItemFailure] = field(default_factory=list)
     """Failures that the log may lack; no attempt starts before it has them."""
     timeouts: int = 0
@@ -112,44 +102,53 @@
         return 2.0 ** min(self.timeouts, MAX_DOUBLINGS)
 
     @property
-    def request(self) -> "StageRequest":
+    def request(self) -> StageRequest:
         """The request that the item needs in its stage."""
-        scorer = self.item.scorer
-        is_scoring = self.stage is not Stage.GENERATION and scorer is not None
-        return self._scoring_request if is_scoring else self._generation_request
+        is_scoring = self.stage is not Stage.GENERATION
+        return (self._scoring_request if is_scoring else None) or self._generation_request
+
+    @property
+    def requests(self) -> Iterator[StageRequest]:
+        """The requests of all stages."""
+        yield self._generation_request
+        if self._scoring_request is not None:
+            yield self._scoring_request
 
     @cached_property
-    def _generation_request(self) -> "StageRequest":
-        item = self.item
-        return StageRequest(item.id, self.job.host, item.path, self.job.tenant, item.body)
+    def _generation_request(self) -> StageRequest:
+        return self.job.generation_request(self.item)
 
     @cached_property
-    def _scoring_request(self) -> "StageRequest":
-        scorer = self.item.scorer
-        if scorer is None:
-            return self._generation_request
-        return StageRequest(scorer.id, scorer.host, scorer.path, self.job.tenant, scorer.body)
+    def _scoring_request(self) -> StageRequest | None:
+        return self.job.scoring_request(self.item)
 
     @property
     def stage_failures(self) -> list[Incarnation]:
-        """Workers that answered 500 in the current stage."""
-        return [
-            Incarnation(failure.instance, failure.born_ms)
-            for failure in self.failures.values()
-            if failure.stage == self.stage.value
-        ]
-
-    def add_failure(self, worker: Incarnation) -> None:
-        """Count an answer of 500 in the current stage."""
-        stage, instance, born_ms = self.stage.value, worker.instance, worker.born_ms
-        failure = ItemFailure(self.item.id, stage, instance, born_ms, new_mark(0))
+        """Workers at which the request of the current stage failed."""
+        return [failure.worker for failure in self.failures_in(self.stage)]
+
+    def failures_in(self, stage: Stage) -> list[ItemFailure]:
+        """Failures of the request of a stage."""
+        return [each for each in list(self.failures.values()) if each.stage == stage.value]
+
+    def add_failure(self, worker: Incarnation, *, is_final: bool = False) -> None:
+        """Count an answer of 500 in the current stage, or of 422 if it `is_final`."""
+        failure = ItemFailure(
+            self.item.id,
+            self.stage.value,
+            worker.instance,
+            worker.born_ms,
+            new_mark(0),
+            self.job.id,
+            is_final,
+        )
         self.failures[failure.mark] = failure
         self.unrecorded_failures.append(failure)
 
-    def count_recorded(self, failures: Sequence[ItemFailure]) -> None:
-        """Count recorded failures; those of a former leader may be recorded late."""
-        if len(failures) > len(self.failures):
-            self.failures |= {failure.mark: failure for failure in failures}
+    def count_recorded(self, failures: Iterable[ItemFailure]) -> None:
+        """Count recorded failures: those of former leaders, also late ones, and of other jobs."""
+        for failure in failures:
+            self.failures.setdefault(failure.mark, failure)
 
     def add_event(self, event: StreamEvent, version: int | None) -> None:
         """Append an event generated by weight version `version`; duplicates are dropped.
--- a/src/bellweir/hosted/batches/state.py
+++ b/src/bellweir/hosted/batches/state.py
@@ -4,13 +4,15 @@
 first result of an item is final, so a position never changes.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from typing import Any
 
 import cbor2
 import msgspec
 
+from bellweir.hosted.batches.failed_requests import FailedRequest, FailedRequests, ItemFailure
 from bellweir.hosted.batches.retention_clock import RetentionClock
+from bellweir.hosted.batches.stage_request import StageRequest
 from bellweir.hosted.batches.text_compression import compress_text, decompress_text
 from bellweir.ledger.interface import Command, Query, Reply, StateMachine
 
@@ -27,6 +29,8 @@
 NO_SUCH_ITEM = "no such item"
 ALREADY_RECORDED = "listed before"
 CHECKPOINTS_MISSING = "parts missing"
+SCORING_STAGE = "score"
+"""Value of the stage of failures that are a reward call's."""
 MAX_STAGED_JOBS = 16
 """Jobs with staged parts; beyond it the oldest is evicted, since clients may give up."""
 
@@ -100,6 +104,24 @@
         """Whether a tenant may see the job; for all others it does not exist."""
         return not self.tenant or self.tenant == tenant
 
+    def generation_request(self, item: JobItem) -> StageRequest:
+        """Return the request that generates an item's text."""
+        return StageRequest(item.id, self.host, item.path, self.tenant, item.body)
+
+    def scoring_request(self, item: JobItem) -> StageRequest | None:
+        """Return the request that scores an item's text; None if it is not scored."""
+        scorer = item.scorer
+        if scorer is None:
+            return None
+        return StageRequest(scorer.id, scorer.host, scorer.path, self.tenant, scorer.body)
+
+    def requests_of(self, item: JobItem) -> Iterator[StageRequest]:
+        """Yield the requests of an item."""
+        yield self.generation_request(item)
+        scoring = self.scoring_request(item)
+        if scoring is not None:
+            yield scoring
+
 
 class ItemResult(msgspec.Struct, frozen=True):
     """Result of one item."""
@@ -166,19 +188,6 @@
     """Weight versions that generated the text so far, in order of their first event."""
 
 
-class ItemFailure(msgspec.Struct, frozen=True):
-    """An answer of 500 to an item, so that all leaders together keep its bound."""
-
-    item_id: str
-    stage: str
-    """Value of the item's `Stage`."""
-    instance: str
-    born_ms: int
-    """Worker that answered, and its start."""
-    mark: int
-    """Random; a failure that is recorded again counts once."""
-
-
 class AcceptJob(Command, frozen=True):
     """Accept a job; idempotent by the job's id."""
 
@@ -204,9 +213,10 @@
 
 
 class KeepParts(Command, frozen=True):
-    """Store checkpoints and failures of items that have no result yet, while the job is open.
+    """Store checkpoints of items that have no result yet, while the job is open, and failures.
 
-    Replicas of earlier releases pass over the failures; a leader of one counts from zero.
+    Failures count for later jobs, so they are stored as long as the job is kept. Replicas of
+    earlier releases pass over them or drop them with the job; a leader of one counts from zero.
     """
 
     job_id: str
@@ -307,8 +317,6 @@
         self.items = {item.id: item for item in job.items}
         self.checkpoints: dict[str, tuple[TextCheckpoint, ...]] = {}
         """Checkpoints of unfinished texts, by item, in order and without gaps."""
-        self.failures: dict[str, tuple[ItemFailure, ...]] = {}
-        """Failures of items without a result, by item."""
 
     @property
     def is_open(self) -> bool:
@@ -331,16 +339,6 @@
         self.recorded_ids.add(result.item_id)
         self.results.append(result)
         self.checkpoints.pop(result.item_id, None)
-        self.failures.pop(result.item_id, None)
-        return True
-
-    def add_failure(self, failure: ItemFailure) -> bool:
-        """Add a failure of an item without a result; False if it is known."""
-        item_id = failure.item_id
-        known = self.failures.get(item_id, ())
-        if item_id in self.recorded_ids or item_id not in self.items or failure in known:
-            return False
-        self.failures[item_id] = (*known, failure)
         return True
 
     def add_checkpoint(self, checkpoint: TextCheckpoint) -> bool:
@@ -381,12 +379,14 @@
         default_factory=dict, name="parts"
     )
     failures: dict[str, tuple[ItemFailure, ...]] = {}
+    """Written by earlier releases only."""
 
 
 class _SavedState(msgspec.Struct, frozen=True):
     jobs: tuple[_SavedJob, ...]
     staged: dict[str, dict[int, tuple[JobItem, ...]]]
     retention_clock: RetentionClock = msgspec.field(default_factory=RetentionClock, name="kept")
+    failed_requests: tuple[FailedRequest, ...] = ()
 
 
 class BatchJobs(StateMachine):
@@ -397,6 +397,7 @@
         self.staged: dict[str, dict[int, tuple[JobItem, ...]]] = {}
         """Staged items by job and part number, the oldest job first."""
         self.retention_clock = RetentionClock()
+        self.failed_requests = FailedRequests()
 
     def command_types(self) -> tuple[type[Command], ...]:
         """Command types that `apply` takes."""
@@ -438,6 +439,10 @@
             items = tuple(item for part in range(parts) for item in staged[part])
             job = msgspec.structs.replace(job, items=items)
         self.jobs[job.id] = JobState(job)
+        if self.failed_requests:
+            for item in job.items:
+                for request in job.requests_of(item):
+                    self.failed_requests.hold(request, job.id)
         return JobAccepted(True)
 
     def _stage(self, job_id: str, part: int, items: tuple[JobItem, ...]) -> Reply:
@@ -456,11 +461,19 @@
         for result in results:
             if result.item_id in state.recorded_ids:
                 dropped[result.item_id] = ALREADY_RECORDED
-            elif not state.add_result(result):
+            elif state.add_result(result):
+                self._forget_failures(state, result)
+            else:
                 is_known = result.item_id in state.items
                 dropped[result.item_id] = CHECKPOINTS_MISSING if is_known else NO_SUCH_ITEM
         return ResultsRecorded(len(results) - len(dropped), dropped)
 
+    def _forget_failures(self, state: JobState, result: ItemResult) -> None:
+        """Drop the failures of an item that has succeeded."""
+        if result.is_complete:
+            for request in state.job.requests_of(state.items[result.item_id]):
+                self.failed_requests.forget(request)
+
     def _store_parts(
         self,
         job_id: str,
@@ -468,12 +481,32 @@
         failures: tuple[ItemFailure, ...],
     ) -> Reply:
         state = self.jobs.get(job_id)
-        if state is None or not state.is_open:
+        if state is None:
+            return ResultsRecorded(0)
+        self._store_failures(state, failures)
+        if not state.is_open:
             return ResultsRecorded(0)
-        for failure in failures:
-            state.add_failure(failure)
         return ResultsRecorded(sum(state.add_checkpoint(each) for each in checkpoints))
 
+    def _store_failures(self, state: JobState, failures: Sequence[ItemFailure]) -> None:
+        for failure in failures:
+            item = state.items.get(failure.item_id)
+            if item is None:
+                continue
+            is_scoring = failure.stage == SCORING_STAGE
+            request = (
+                state.job.scoring_request(item)
+                if is_scoring
+                else state.job.generation_request(item)
+            )
+            if request is not None:
+                self.failed_requests.add(request, state.job.id, failure)
+        self.failed_requests.evict(self._is_open)
+
+    def _is_open(self, job_id: str) -> bool:
+        state = self.jobs.get(job_id)
+        return state is not None and state.is_open
+
     def _visible_job(self, job_id: str, tenant: str) -> JobState | None:
         """Return a job if the tenant may see it."""
         state = self.jobs.get(job_id)
@@ -486,7 +519,6 @@
         if state.is_open:
             state.ended_at_s = at_s
             state.checkpoints.clear()
-            state.failures.clear()
         return JobEnded(True)
 
     def _remove(self, command: ForgetJobs) -> Reply:
@@ -526,11 +558,12 @@
                 tuple(state.results),
                 state.ended_at_s,
                 dict(state.checkpoints),
-                dict(state.failures),
             )
             for state in self.jobs.values()
         ]
-        saved_state = _SavedState(tuple(saved), self.staged, self.retention_clock)
+        saved_state = _SavedState(
+            tuple(saved), self.staged, self.retention_clock, self.failed_requests.saved()
+        )
         return cbor2.dumps(msgspec.to_builtins(saved_state, builtin_types=(bytes,)))
 
     def load(self, state: bytes) -> None:
@@ -540,11 +573,14 @@
         saved_state = msgspec.convert(plain, _SavedState)
         self.staged = saved_state.staged
         self.retention_clock = saved_state.retention_clock
+        self.failed_requests = FailedRequests()
+        self.failed_requests.load(saved_state.failed_requests)
         for saved in saved_state.jobs:
             job = JobState(saved.job)
             for result in saved.results:
                 job.add_result(result)
             job.ended_at_s = saved.ended_at_s
             job.checkpoints = dict(saved.checkpoints)
-            job.failures = dict(saved.failures)
             self.jobs[saved.job.id] = job
+            for failures in saved.failures.values():
+                self._store_failures(job, failures)
--- a/src/bellweir/hosted/batches/worker_quarantine.py
+++ b/src/bellweir/hosted/batches/worker_quarantine.py
@@ -29,10 +29,10 @@
 MAX_DOUBLINGS = 8
 MAX_BACKOFF_S = 4.0
 MAX_SERVER_ERRORS_FACTOR = 3
-"""An item gets at most this multiple of its allowed responses of 500, over all leaders."""
+"""An item gets at most this multiple of its allowed responses of 500, over all leaders and jobs."""
 RECORDED_SHARE = 1 / 2
-"""Share of them after which an item is given up; the others are for responses that leaders were
-lost before they recorded."""
+"""Share of them after which an item is given up for good; the others are for responses that leaders
+were lost before they recorded."""
 
 
 class _FailureStreak:
@@ -147,16 +147,25 @@
         return streak.probe_item is None and self._now_s() >= streak.probe_from_s
 
     def has_exhausted_retries(
-        self, failed_at: Sequence[Incarnation], allowed: int, service: Collection[Incarnation]
+        self,
+        failed_at: Sequence[Incarnation],
+        allowed: int,
+        service: Collection[Incarnation],
+        *,
+        has_failed_now: bool = True,
     ) -> bool:
         """Return whether an item has failed too often.
 
         `failed_at` has the worker of each response of 500; `allowed` is the number of such
-        responses from workers that are not failing.
+        responses from workers that are not failing. Without one in its present job
+        (`has_failed_now`) an item that used up these runs gets another one, since what failed it
+        may have passed.
         """
+        if len(failed_at) >= max_server_errors(allowed):
+            return True
         failing = self.failing_workers(service)
         counted = sum(worker not in failing for worker in failed_at)
-        return counted >= allowed or len(failed_at) >= max_server_errors(allowed)
+        return has_failed_now and counted >= allowed
 
     def retain(self, incarnations: Collection[Incarnation]) -> None:
         """Drop the state of all other workers."""
--- a/src/bellweir/hosted/batches/worker_selection.py
+++ b/src/bellweir/hosted/batches/worker_selection.py
@@ -199,6 +199,16 @@
         kept = kept or [one for one in workers if failing.may_probe(one.incarnation)]
         return [worker for worker in kept if worker.incarnation not in failed_at] or kept
 
+    def workers_of(self, route: Route) -> Collection[Incarnation]:
+        """Workers of a route's services; empty if workers that fail all runs are not set aside."""
+        if not self._policy.set_failing_aside:
+            return ()
+        return [
+            worker
+            for part in route.effective_backends
+            for worker in self._service_workers(part.service)
+        ]
+
     def _service_workers(self, service: str) -> Collection[Incarnation]:
         return [worker.incarnation for worker in self._usable(service)]
 
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -397,17 +397,36 @@
     1439,
     "item_taken_over",
     Level.INFO,
-    ("request_id", "job", "events", "failures"),
-    "A new leader resumes an item from the checkpoint that the previous leader stored, and counts "
-    "the answers of 500 that the leaders before it recorded.",
+    ("request_id", "job", "events", "failures", "earlier"),
+    "A leader begins with an item of which it knows something: it resumes after the checkpoint "
+    "that the previous leader stored, and counts the answers of 500 and 422 that were recorded, "
+    "`earlier` of them in other jobs.",
 )
 ITEM_FAILED = Event(
     1465,
     "item_failed",
     Level.INFO,
-    ("request_id", "job", "stage", "instance", "status", "failures", "cancelled"),
-    "A worker answered an item or its reward call 500 or 422. `failures` counts such answers "
-    "before it; `cancelled`: the run had been cancelled when the answer was read.",
+    (
+        "request_id",
+        "job",
+        "stage",
+        "instance",
+        "status",
+        "failures",
+        "earlier",
+        "cancelled",
+    ),
+    "A worker answered an item or its reward call 500 or 422. `failures` counts such answers with "
+    "this one, `earlier` those of them in other jobs; `cancelled`: the run had been cancelled when "
+    "the answer was read.",
+)
+ITEM_FAILURES_LOST = Event(
+    1466,
+    "item_failures_lost",
+    Level.WARNING,
+    ("request_id", "job", "failures"),
+    "Answers of 500 or 422 to an item could not be recorded after this node had ceased to lead; "
+    "its successors don't count them.",
 )
 ITEM_LISTED = Event(
     1435,
