A reward call that is answered 422 ends its item

Callers saw an item whose reward call answers 422 run it each 20 ms, and never listed. The status was neither 500 nor an end: only an answer of 500 counted against a reward call. One method now records the failures of both stages, and 422 is final in both.

--- a/src/bellweir/hosted/batches/attempts.py
+++ b/src/bellweir/hosted/batches/attempts.py
@@ -11,7 +11,6 @@
 from bellweir.hosted.batches.progress import (
     EventsMissingError,
     ItemProgress,
-    Stage,
     VersionMixedError,
     VersionTooOldError,
 )
@@ -63,6 +62,8 @@
 """Logged cause of an attempt that was cancelled because its job ended or leadership was lost."""
 UNPROCESSABLE = 422
 SERVER_ERROR = 500
+FAILURES = (SERVER_ERROR, UNPROCESSABLE)
+"""Statuses of requests that ran and failed."""
 
 STREAM_ERRORS = (
     OSError,
@@ -361,9 +362,8 @@
         self, progress: ItemProgress, worker: Worker, status: int, cancellation: Cancellation
     ) -> None:
         """Record an error status, against the request where it ran and against the worker."""
-        is_final = status == UNPROCESSABLE and progress.stage is Stage.GENERATION
-        if status == SERVER_ERROR or is_final:
-            progress.add_failure(worker.incarnation, is_final=is_final)
+        if status in FAILURES:
+            progress.add_failure(worker.incarnation, is_final=status == UNPROCESSABLE)
             self._log_failure(progress, worker, status, cancellation)
         # Client errors say nothing about the worker.
         if status >= SERVER_ERROR:
