An answer of 500 or 422 counts although its run was cancelled

Callers saw an item run once more in each job that ended between a worker's answer and its reading: a cancelled attempt dropped an answer that it held. Such an answer is now recorded as any other.

--- a/features/hosted_budgets.feature
+++ b/features/hosted_budgets.feature
@@ -67,6 +67,18 @@
       | score | 422    | 0.35 s later        | 1      | 3    |
       | score | 422    | once it is listed   | 1      | 3    |
 
+  # Guards against an answer that is dropped since its run had been cancelled when it was read.
+  Scenario Outline: A failure that is read by a run whose job has ended
+    Given a leader with model workers and scorers
+    And the first item is answered <status> after 0.1 s at every worker in its text
+    When its job ends between an answer and its reading
+    Then 1 failure of the first item is recorded
+
+    Examples:
+      | status |
+      | 500    |
+      | 422    |
+
   Scenario: An item that failed too often is completed in a later job, once what failed it is mended
     Given a leader with model workers and scorers
     And the first item is answered 500 after 0.1 s at every worker in its text
--- a/src/bellweir/hosted/batches/attempts.py
+++ b/src/bellweir/hosted/batches/attempts.py
@@ -141,7 +141,9 @@
         end = RunEnd.OTHER
         # The stage, and with it the request, changes with the end of the run.
         request = progress.request
-        if cancellation.cancelled.is_set():
+        has_failed = _status(opened) in FAILURES
+        # A failure counts although its run was cancelled: the request has run.
+        if cancellation.cancelled.is_set() and not has_failed:
             self._end_cancelled(progress, worker, opened.opened)
         elif opened.opened is None or opened.state is not AttemptState.ANSWERED:
             end = _end_without_answer(opened)
