An item runs in one of its open jobs at a time

An item that several open jobs hold ran in all of them before its first answer of 500 was counted: 20 runs in 20 jobs, 9 allowed. A run now waits while another job of the tenant runs the same item; 3 to 9 runs in the same test, and all jobs list the item as dead.

--- a/features/hosted_budgets.feature
+++ b/features/hosted_budgets.feature
@@ -79,6 +79,14 @@
       | 500    |
       | 422    |
 
+  # Guards against runs of one item in several jobs that begin before the first failure is counted.
+  Scenario: An item that fails at each run, in 20 open jobs at once
+    Given a leader with 12 model workers and scorers
+    And the first item is answered 500 after 0.1 s at every worker in its text
+    When the same items come in 20 jobs that stay open
+    Then all jobs list the first item as dead, and the others as completed
+    And the first item was sent 3 to 9 times
+
   Scenario: An item that failed too often is completed in a later job, once what failed it is mended
     Given a leader with model workers and scorers
     And the first item is answered 500 after 0.1 s at every worker in its text
--- a/src/bellweir/hosted/batches/coordinator.py
+++ b/src/bellweir/hosted/batches/coordinator.py
@@ -271,6 +271,8 @@
 
     def _start(self, progress: ItemProgress, table: RouteTable) -> bool:
         """Start an item's next attempt unless it has to wait; False if no slot is free."""
+        if self._runs_in_another_job(progress):
+            return True
         worker = self._worker_selector.acquire_worker(progress, table)
         progress.moved_to = None
         if worker is None:
@@ -295,6 +297,14 @@
             return False
         return True
 
+    def _runs_in_another_job(self, progress: ItemProgress) -> bool:
+        """Whether another open job runs the same item: its failure would be counted too late."""
+        with self._lock:
+            running = [
+                run.progress for (_, item), run in self._running.items() if item == progress.item.id
+            ]
+        return any(each.job.tenant == progress.job.tenant for each in running)
+
     def _release(self, progress: ItemProgress, worker: Worker) -> None:
         """Give the slot back that an attempt has not used."""
         self._loads.release(worker.incarnation)
