A leader that lost its place tries for 8 s to record failures

An answer of 500 that came as leadership was lost had one try to be recorded, and was gone if nobody led at that moment (an election takes a second or more). It is tried for 8 s now, and item_failures_lost tells what could not be recorded.

--- a/features/hosted_failed_requests.feature
+++ b/features/hosted_failed_requests.feature
@@ -48,3 +48,15 @@
 
   Scenario: Jobs, failures, results, ends and snapshots in any order
     Then each request has the failures that were recorded since it last succeeded
+
+  # Guards against failures that go with a leader which had one try to record them.
+  Scenario Outline: A leader is lost, and nobody else leads for a while
+    Given a leader that has lost its place with 2 failures that it has not recorded
+    When the ledger answers that <answer> 5 times, and then records
+    Then 2 failures of its first item count there
+
+    Examples:
+      | answer                    |
+      | nobody leads              |
+      | the outcome is not known  |
+      | it is not known but holds |
--- a/features/steps/hosted_failed_requests_steps.py
+++ b/features/steps/hosted_failed_requests_steps.py
@@ -1,14 +1,18 @@
 """The replicated record of failed requests of items."""
 
+import threading
+
 import cbor2
 import msgspec
 from behave import given, then, when
-from features.support.hosted_jobs import make_job
+from features.support.hosted_jobs import HOST, MemoryLedger, make_job
 from hypothesis import given as given_values
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from bellweir.hosted.batches.committer import Committer
 from bellweir.hosted.batches.failed_requests import MAX_REQUEST_IDS, ItemFailure
+from bellweir.hosted.batches.progress import ItemProgress
 from bellweir.hosted.batches.state import (
     AcceptJob,
     BatchJobs,
@@ -17,10 +21,14 @@
     KeepParts,
     RecordResults,
 )
+from bellweir.hosted.incarnation import Incarnation
+from bellweir.hosted.records import Route, RouteKind
+from bellweir.ledger.interface import LedgerErrorKind
 
 FIRST_ITEM = "job-0"
 TENANT = "dealers"
 COURSES = 300
+ROUTE = Route(host=HOST, path_prefix="/draft/", kind=RouteKind.ROLLOUT, max_attempts=3)
 
 
 def _job(job_id, items=2):
@@ -216,3 +224,30 @@
             assert _counted(machine, _job("any")) == oracle.failures, (steps, mark)
 
     course()
+
+
+@given("a leader that has lost its place with {count:d} failures that it has not recorded")
+def given_lost_leader(context, count):
+    context.ledger, context.job = MemoryLedger(), _job("job-a")
+    context.ledger.leading = False
+    context.machine = context.ledger.machine
+    context.machine.apply(AcceptJob(context.job))
+    context.progress = ItemProgress(context.job, ROUTE, context.job.items[0])
+    for number in range(count):
+        context.progress.add_failure(Incarnation(f"i-{number}"))
+
+
+ANSWERS = {
+    "nobody leads": (LedgerErrorKind.UNAVAILABLE, False),
+    "the outcome is not known": (LedgerErrorKind.UNKNOWN, False),
+    "it is not known but holds": (LedgerErrorKind.UNKNOWN, True),
+}
+
+
+@when("the ledger answers that {answer} {times:d} times, and then records")
+def when_unavailable(context, answer, times):
+    context.ledger.failures = [ANSWERS[answer]] * times
+    committer = Committer(context.ledger, lambda: context.ledger.leading)
+    context.progress.is_committing = True
+    committer._commit_batch([context.progress], threading.Event())
+    assert not context.progress.unrecorded_failures
--- a/src/bellweir/hosted/batches/committer.py
+++ b/src/bellweir/hosted/batches/committer.py
@@ -20,6 +20,7 @@
     TextCheckpoint,
 )
 from bellweir.hosted.log_events import ITEM_FAILURES_LOST, ITEM_LISTED, ITEM_NOT_LISTED
+from bellweir.kernel.clock import elapsed_s
 from bellweir.ledger.interface import Ledger, Reply
 
 GATHER_DELAY_S = 0.005
@@ -29,6 +30,8 @@
 MAX_COMMAND_CHECKPOINTS = 24
 """Checkpoints in one command; each holds a few seconds of generation."""
 SUBMIT_TIMEOUT_S = 2.0
+RECORD_FAILURES_S = 8.0
+"""Time for which a node that no longer leads tries to record failures; an election is shorter."""
 QUEUE_POLL_S = 0.2
 RETRY_PAUSE_S = 0.02
 """Pause before a result is sent again; a submission may fail at once."""
@@ -126,12 +129,13 @@
     ) -> None:
         """Record failures, and let their items run again.
 
-        Also tried once by a node that no longer leads: its successor has to count them.
+        Also tried for a while by a node that no longer leads: its successor has to count them.
         """
         failures = [failure for each in items for failure in each.unrecorded_failures]
         command = KeepParts(job_id, failures=tuple(failures))
+        given_up_s = elapsed_s() + RECORD_FAILURES_S
         while failures and not stopping.is_set():
-            may_retry = self._leads()
+            may_retry = self._leads() or elapsed_s() < given_up_s
             if isinstance(self._ledger.submit(JOBS_KEY, command, SUBMIT_TIMEOUT_S), Success):
                 for each in items:
                     each.unrecorded_failures = [
