Soak: items that fail at each run come again in up to seven jobs, with 500 or 422

Answers are counted at the workers, to callers that had not left: 9 of 500 and 3 of 422 at most, in all jobs.

--- a/src/bellweir_rehearsal/hosted/worker.py
+++ b/src/bellweir_rehearsal/hosted/worker.py
@@ -6,6 +6,8 @@
 
 import hashlib
 import json
+import select
+import socket
 import threading
 import time
 from collections import Counter
@@ -69,6 +71,8 @@
     """Requests that are answered `fail_status` whenever they come, after `fail_after_s`."""
     fail_after_s: float = 0.0
     fail_status: int = 500
+    fail_statuses: dict[str, int] = field(default_factory=dict)
+    """The same with a status each."""
     cut_after_event: int | None = None
     """Break the next stream off behind so many events, in the middle of the next one."""
     unsigned: int = 0
@@ -151,6 +155,8 @@
 
     ran: Counter[str] = field(default_factory=Counter)
     """Runs by request id."""
+    failed: Counter[str] = field(default_factory=Counter)
+    """Answers of requests that fail at each run, to callers that had not left, by request id."""
     arrived_s: list[float] = field(default_factory=list)
     """Monotonic times at which requests came, refused ones included."""
     cold_times: list[tuple[float, float]] = field(default_factory=list)
@@ -524,9 +530,10 @@
         time.sleep(self.faults.delay_s)
         if self.faults.strikes("lose_answer"):
             handler.reset()
-        elif request_id in self.faults.fail_ids:
+        elif request_id in self.faults.fail_ids or request_id in self.faults.fail_statuses:
             time.sleep(self.faults.fail_after_s)
-            status = self.faults.fail_status
+            status = self.faults.fail_statuses.get(request_id, self.faults.fail_status)
+            self.record.failed[request_id] += not _has_left(handler)
             handler.answer(status, b"failed", {**echo, "X-Bellweir-Server-Stamp": "failed"})
         elif self.faults.strikes("fail"):
             handler.answer(500, b"failed", {**echo, "X-Bellweir-Server-Stamp": "failed"})
@@ -599,6 +606,15 @@
     handler.wfile.flush()
 
 
+def _has_left(handler: StandInHandler) -> bool:
+    """Whether the caller has closed its connection."""
+    readable, _, _ = select.select([handler.connection], [], [], 0)
+    try:
+        return bool(readable) and not handler.connection.recv(1, socket.MSG_PEEK)
+    except OSError:
+        return True
+
+
 def stamp_of(request_id: str) -> str:
     """A worker's signature of its answer to a request."""
     return f"signed.{request_id}"
