A batch job holds to the route that accepted it

Cause: the coordinator looked the job's route up by the longest prefix that matches now, so that another route took the items over. It now takes the route under just the job's prefix, if that still accepts jobs. A job names the configuration that accepted it: once a configuration that is not older lacks the route, waiting texts end as dead (job_route_ended); whole texts are still scored, by the reward call's own route, and runs go on where they are. While the route may only be unknown or unreadable, items wait.

--- a/src/bellweir/hosted/batches/api.py
+++ b/src/bellweir/hosted/batches/api.py
@@ -85,9 +85,12 @@
         """Whether a request is for the batch job API, not for a route."""
         return request.raw_path.startswith((self._paths.batch_job, self._paths.batch_item))
 
-    def accept(self, request: Request, route: Route, tenant: str | None = None) -> Response:
+    def accept(
+        self, request: Request, route: Route, version: int, tenant: str | None = None
+    ) -> Response:
         """Accept a job; respond with 202 once it is durable.
 
+        `version` is that of the configuration that holds the route.
         `tenant` is None if the deployment has no tenants, and empty for a job without a key.
         """
         began_s = elapsed_s()
@@ -95,6 +98,7 @@
         if request.method != "POST" or not job_id:
             raise BadRequestError("a batch job is a POST with an id")
         job = decode_job(request.body.read(), job_id, route.host, route.path_prefix)
+        job = msgspec.structs.replace(job, configuration_version=version)
         if tenant is not None:
             job = assign_tenant(job, tenant, self._names)
         outcome = self._submit_job(job, began_s + self.accept_timeout_s)
--- a/src/bellweir/hosted/batches/coordinator.py
+++ b/src/bellweir/hosted/batches/coordinator.py
@@ -15,7 +15,7 @@
 from bellweir.hosted.batches.progress import ItemProgress, Stage
 from bellweir.hosted.batches.retry_limit import RetryLimit
 from bellweir.hosted.batches.run_mover import Run, RunMover
-from bellweir.hosted.batches.state import JOBS_KEY, BatchJobs, JobItem, JobState
+from bellweir.hosted.batches.state import JOBS_KEY, BatchJobs, Job, JobItem, JobState
 from bellweir.hosted.batches.step_scheduler import OpenStep, StepScheduler
 from bellweir.hosted.batches.text_cache import TextCache
 from bellweir.hosted.batches.worker_selection import WorkerSelector, score_route
@@ -24,6 +24,7 @@
     COORDINATION_LEFT,
     COORDINATION_TAKEN,
     ITEM_TAKEN_OVER,
+    JOB_ROUTE_ENDED,
 )
 from bellweir.hosted.records import Route
 from bellweir.hosted.serving.attempt import Cancellation
@@ -111,7 +112,8 @@
                 running = list(self._running.values())
             self._worker_selector.begin_round(running, table)
             if self._policy.move_runs:
-                self._mover.move_runs(running, self._worker_selector.move_targets)
+                movable = [run for run in running if _route_of(run.progress.job, table)]
+                self._mover.move_runs(movable, self._worker_selector.move_targets)
             self._start_waiting(jobs, table)
 
     def _start_waiting(self, jobs: list[JobState], table: RouteTable) -> None:
@@ -169,8 +171,12 @@
         steps = []
         waiting: list[ItemProgress] = []
         for state in jobs:
-            route = table.find(state.job.host, state.job.path_prefix) if state.is_open else None
-            if route is not None:
+            if not state.is_open:
+                continue
+            route = _route_of(state.job, table)
+            if route is None:
+                waiting += self._without_route(state, jobs, table)
+            else:
                 steps.append(OpenStep(state, route))
                 found = list(self._waiting_in(state, route, jobs, table))
                 waiting += (
@@ -183,6 +189,32 @@
             waiting.sort(key=self._rank)
         return waiting
 
+    def _without_route(
+        self, state: JobState, jobs: list[JobState], table: RouteTable
+    ) -> list[ItemProgress]:
+        """Give up the waiting texts of a job whose route has ended; return items to be scored.
+
+        Nothing is given up while the route may only be unknown here, or unreadable.
+        """
+        job = state.job
+        if not table.has_ended(job.host, job.path_prefix, job.configuration_version):
+            return []
+        ended = Route(job.host, job.path_prefix)
+        waiting = list(self._waiting_in(state, ended, jobs, table))
+        texts = [progress for progress in waiting if progress.stage is Stage.GENERATION]
+        for progress in texts:
+            progress.give_up()
+            self._commit(progress)
+        if texts:
+            emit(
+                JOB_ROUTE_ENDED,
+                job=job.id,
+                route=job.path_prefix,
+                configuration=table.version,
+                items=len(texts),
+            )
+        return [progress for progress in waiting if progress.stage is Stage.SCORING]
+
     def _rank(self, progress: ItemProgress) -> int:
         """Sort key among the items of all jobs: items already started go first."""
         is_started = progress.stage is not Stage.GENERATION or progress.moved_to is not None
@@ -336,3 +368,8 @@
             if has_result or progress.unrecorded_failures:
                 self._commit(progress)
             self._wake.set()
+
+
+def _route_of(job: Job, table: RouteTable) -> Route | None:
+    """Return the route that accepted a job, as it is now; None if it accepts no jobs any more."""
+    return table.job_route(job.host, job.path_prefix)
--- a/src/bellweir/hosted/batches/state.py
+++ b/src/bellweir/hosted/batches/state.py
@@ -99,6 +99,8 @@
     minimum_version: int = 0
     tenant: str = ""
     """Owner; empty for a job submitted without a key, which anyone may read and end."""
+    configuration_version: int = 0
+    """Version of the configuration whose route accepted it; 0: accepted by an earlier release."""
 
     def is_visible_to(self, tenant: str) -> bool:
         """Whether a tenant may see the job; for all others it does not exist."""
--- a/src/bellweir/hosted/log_events.py
+++ b/src/bellweir/hosted/log_events.py
@@ -428,6 +428,14 @@
     "Answers of 500 or 422 to an item could not be recorded after this node had ceased to lead; "
     "its successors don't count them.",
 )
+JOB_ROUTE_ENDED = Event(
+    1467,
+    "job_route_ended",
+    Level.WARNING,
+    ("job", "route", "configuration", "items"),
+    "The route that accepted a batch job is gone or takes no jobs any more: `items` of its items "
+    "that waited are given up. Those that run go on.",
+)
 ITEM_LISTED = Event(
     1435,
     "item_listed",
--- a/src/bellweir/hosted/views/configuration.py
+++ b/src/bellweir/hosted/views/configuration.py
@@ -76,6 +76,27 @@
         route = self._longest_match(host, path)
         return route is not None and route_key(route) in self.closed
 
+    def job_route(self, host: str, path_prefix: str) -> Route | None:
+        """Return the route that accepts batch jobs under just this prefix; None without one.
+
+        >>> routes = Route("h", "/a/", RouteKind.ROLLOUT), Route("h", "/", RouteKind.ROLLOUT)
+        >>> table = RouteTable(Configuration(1, routes))
+        >>> table.job_route("h", "/a/").path_prefix, table.job_route("h", "/a/b/")
+        ('/a/', None)
+        """
+        found = (route for route in self._routes_of(host) if route.path_prefix == path_prefix)
+        route = next(found, None)
+        if route is None or not route.accepts_jobs or route_key(route) in self.closed:
+            return None
+        return route
+
+    def has_ended(self, host: str, path_prefix: str, known_since: int) -> bool:
+        """Whether a route of batch jobs that configuration `known_since` had is surely gone."""
+        if self.lacks_parts or (host.lower(), path_prefix) in self.closed:
+            return False
+        is_newer = 0 < known_since <= self.version
+        return is_newer and self.job_route(host, path_prefix) is None
+
     def _longest_match(self, host: str, path: str) -> Route | None:
         routes = self._routes_of(host)
         return next((route for route in routes if path.startswith(route.path_prefix)), None)
