Workers are looked up anew for each attempt

A stream, a retry and a request that had waited in the queue chose among the workers that were ready when the request came; a worker that had come meanwhile was passed over.

--- a/features/hosted_forwarding.feature
+++ b/features/hosted_forwarding.feature
@@ -73,6 +73,19 @@
     When a client requests a resumable stream
     Then it gets every event once and in order
 
+  # Guards against attempts among the workers that were ready when the request came.
+  Scenario Outline: A further attempt when a worker has begun to drain meanwhile
+    Given model workers behind the gateway
+    And worker "a" is tried first, takes 0.4 s and <breaks>
+    And as it runs, worker "b" begins to drain and worker "c" gets ready
+    When a client sends <kind> request
+    Then it gets status 200, "b" ran nothing, and "c" ran it
+
+    Examples:
+      | breaks                             | kind          |
+      | breaks its stream in the 4th event | a resumable   |
+      | loses its answer                   | an idempotent |
+
   Scenario: A stream that may not be resumed ends short
     Given model workers behind the gateway
     And the next stream breaks in the middle of event 4
--- a/features/steps/hosted_forwarding_steps.py
+++ b/features/steps/hosted_forwarding_steps.py
@@ -48,6 +48,7 @@
     "an idempotent": "/idempotent/x",
     "a single-run": "/single/x",
     "a streaming": "/stream/x",
+    "a resumable": "/resumable/x",
 }
 LOAD_HEADER = "X-Bellweir-Server-Load"
 
@@ -169,6 +170,45 @@
     prefer_first(context)
 
 
+BREAKS = {
+    "breaks its stream in the 4th event": ("cut_after_event", 3),
+    "loses its answer": ("lose_answer", 1),
+}
+
+
+@given_step('worker "a" is tried first, takes {seconds:g} s and {breaks}')
+def given_breaking(context, seconds, breaks):
+    first = context.workers["a"]
+    first.faults.delay_s = seconds
+    setattr(first.faults, *BREAKS[breaks])
+    prefer_first(context)
+
+
+@given_step('as it runs, worker "b" begins to drain and worker "c" gets ready')
+def given_drain_meanwhile(context):
+    workers = context.workers
+    workers["c"] = WorkerStandIn("i-c", model="m", events=EVENTS)
+    context.cleanup.callback(workers["c"].close)
+
+    def change(_request_id):
+        states = {"a": "ready", "b": "draining", "c": "ready"}
+        context.gateway.show_workers(
+            {f"i-{name}": workers[name].entry("app", state=state) for name, state in states.items()}
+        )
+
+    workers["a"]._on_run = change
+
+
+@then('it gets status {status:d}, "b" ran nothing, and "c" ran it')
+def then_not_at_draining(context, status):
+    assert context.answer.status == status, context.answer
+    ran = {
+        name: worker.record.ran[context.answer.request_id]
+        for name, worker in context.workers.items()
+    }
+    assert ran == {"a": 1, "b": 0, "c": 1}, ran
+
+
 @when("a client sends {kind} request")
 def when_sent(context, kind):
     context.answer = context.gateway.send(PATHS[kind])
--- a/src/bellweir/hosted/serving/forwarding.py
+++ b/src/bellweir/hosted/serving/forwarding.py
@@ -24,6 +24,7 @@
     Cancellation,
     WorkerConnections,
 )
+from bellweir.hosted.serving.candidates import Candidates
 from bellweir.hosted.serving.client_request import MS_PER_S, ClientRequest
 from bellweir.hosted.serving.failed_attempt import SERVER_ERROR, FailedAttempt, run_end
 from bellweir.hosted.serving.metrics import RequestMetrics
@@ -133,16 +134,16 @@
         for cancellation in in_hand:
             cancellation.cancel()
 
-    def candidates(self, client: ClientRequest, table: RouteTable) -> list[list[Worker]]:
-        """Return the usable workers of each service of the route, in the order to try them."""
+    def candidates(self, client: ClientRequest, table: RouteTable) -> Candidates:
+        """Return the usable workers of the route's services, in the order to try these."""
         route = client.route
         parts = tuple((part.service, part.weight) for part in route.effective_backends)
         key = (table.version, route.host, route.path_prefix)
         allowed = table.allowed_regions(route, client.tenant)
-        return [
-            self._loads.eligibility.usable(self._workers.ready(service), allowed)
-            for service in self._parts.order(parts, key)
-        ]
+        return Candidates(
+            self._parts.order(parts, key),
+            lambda service: self._loads.eligibility.usable(self._workers.ready(service), allowed),
+        )
 
     def unavailability(self, client: ClientRequest, table: RouteTable) -> tuple[str, float] | None:
         """Return why no ready worker may get a request, and the Retry-After in seconds.
@@ -171,34 +172,34 @@
             self.crashes.record_refusal(client)
             progress.cause = QUARANTINED
             return gateway_response(503, QUARANTINED, left_s), progress
-        groups = self.candidates(client, table)
-        unavailable = None if any(groups) else self.unavailability(client, table)
+        candidates = self.candidates(client, table)
+        unavailable = None if candidates.all() else self.unavailability(client, table)
         if unavailable is not None:
             progress.cause, after_s = unavailable
             return gateway_response(503, progress.cause, after_s), progress
-        if not self._is_admitted(client, groups, cancellation):
+        if not self._is_admitted(client, candidates, cancellation):
             progress.cause = "client_left" if cancellation.cancelled.is_set() else "no_room"
-            return self._error_response(client, progress, groups), progress
+            return self._error_response(client, progress, candidates), progress
         progress.is_dispatching = self._is_gated(client)
         try:
-            response = self._send_with_retries(client, groups, progress, cancellation)
+            response = self._send_with_retries(client, candidates, progress, cancellation)
         finally:
             # In any case, or the gate would count the request against the capacity forever.
             self._end_dispatch(client, progress)
         if response is not None:
             return _to_response(response), progress
-        return self._error_response(client, progress, groups), progress
+        return self._error_response(client, progress, candidates), progress
 
     def _send_with_retries(
         self,
         client: ClientRequest,
-        groups: list[list[Worker]],
+        candidates: Candidates,
         progress: Progress,
         cancellation: Cancellation,
     ) -> BufferedResponse | None:
         """Send the request to workers until one responds; None if none does."""
         while not cancellation.cancelled.is_set():
-            worker = self._next_worker(client, groups, progress)
+            worker = self._next_worker(client, candidates, progress)
             self._end_dispatch(client, progress)
             if worker is None:
                 break
@@ -211,7 +212,7 @@
         return progress.failure
 
     def _is_admitted(
-        self, client: ClientRequest, groups: list[list[Worker]], cancellation: Cancellation
+        self, client: ClientRequest, candidates: Candidates, cancellation: Cancellation
     ) -> bool:
         """Whether the gate admits the request; blocks while the request is queued."""
         if self._gate is None or not self._is_gated(client):
@@ -225,7 +226,7 @@
             client.deadline_s,
             target_s=client.target_s,
         )
-        workers = [worker for group in groups for worker in group]
+        workers = candidates.all()
         return self._gate.admit(_queue_of(client), waiting, workers, cancellation.cancelled.is_set)
 
     def _end_dispatch(self, client: ClientRequest, progress: Progress) -> None:
@@ -234,11 +235,11 @@
             progress.is_dispatching = False
             self._gate.dispatch_done(_queue_of(client))
 
-    def retry_after_s(self, client: ClientRequest, groups: list[list[Worker]], cause: str) -> float:
+    def retry_after_s(self, client: ClientRequest, candidates: Candidates, cause: str) -> float:
         """Return the Retry-After of a refused request, in seconds."""
         if not self._is_gated(client):
             return default_retry_after_s(cause)
-        workers = [worker for group in groups for worker in group]
+        workers = candidates.all()
         after_s = None
         if self._gate is not None:
             after_s = self._gate.retry_after_s(
@@ -255,11 +256,11 @@
         return self._gate is not None and len(client.route.effective_backends) == 1
 
     def _next_worker(
-        self, client: ClientRequest, groups: list[list[Worker]], progress: Progress
+        self, client: ClientRequest, candidates: Candidates, progress: Progress
     ) -> Worker | None:
         may_run_again = self._is_idempotent(client)
         return self.next_attempt.acquire_worker(
-            client, groups, progress, may_run_again=may_run_again
+            client, candidates, progress, may_run_again=may_run_again
         )
 
     def _is_idempotent(self, client: ClientRequest) -> bool:
@@ -361,14 +362,14 @@
             self._usage.record_start(client.tenant, at_s)
 
     def _error_response(
-        self, client: ClientRequest, progress: Progress, groups: list[list[Worker]]
+        self, client: ClientRequest, progress: Progress, candidates: Candidates
     ) -> Response:
         if not progress.may_have_run:
-            after_s = self.retry_after_s(client, groups, progress.cause)
+            after_s = self.retry_after_s(client, candidates, progress.cause)
             if progress.cause == QUARANTINED:
                 after_s = self.crashes.quarantine_left_s(client) or after_s
             if progress.cause == NO_WORKER and any(
-                self._loads.eligibility.is_cold(worker) for group in groups for worker in group
+                self._loads.eligibility.is_cold(worker) for worker in candidates.all()
             ):
                 # Cold workers whose requests of this second are used up take more in the next one.
                 progress.cause = Exclusion.COLD.value
--- a/src/bellweir/hosted/serving/next_attempt.py
+++ b/src/bellweir/hosted/serving/next_attempt.py
@@ -4,6 +4,7 @@
 
 from bellweir.hosted.crashes.interface import CrashGuard
 from bellweir.hosted.incarnation import Incarnation
+from bellweir.hosted.serving.candidates import Candidates
 from bellweir.hosted.serving.client_request import ClientRequest
 from bellweir.hosted.serving.selection import WorkerLoads
 from bellweir.hosted.views.workers import Worker
@@ -44,7 +45,7 @@
     def acquire_worker(
         self,
         client: ClientRequest,
-        groups: list[list[Worker]],
+        candidates: Candidates,
         attempts: Attempts,
         *,
         may_run_again: bool,
@@ -52,7 +53,7 @@
     ) -> Worker | None:
         """Acquire the next worker; None if there is none or no further attempt is allowed.
 
-        `groups` are the usable workers of each service, in the order to try them.
+        `candidates` are looked up anew for each attempt.
         `may_run_again`: whether a request that may have run may be sent once more.
         `is_budgeted`: whether a further attempt counts towards the service's retry budget.
         """
@@ -61,7 +62,7 @@
             return None
         if attempts.sends and not self._may_follow(client, attempts, may_run_again):
             return None
-        for workers in groups:
+        for workers in candidates.groups():
             permitted = self._crashes.permitted(client, workers)
             worker = self._loads.choose(permitted, attempts.tried, is_budgeted=is_budgeted)
             if worker is not None and self._crashes.begin_run(client, worker):
--- a/src/bellweir/hosted/serving/streams.py
+++ b/src/bellweir/hosted/serving/streams.py
@@ -32,6 +32,7 @@
     read_response,
     response_headers,
 )
+from bellweir.hosted.serving.candidates import Candidates
 from bellweir.hosted.serving.client_request import MS_PER_S, ClientRequest
 from bellweir.hosted.serving.failed_attempt import SERVER_ERROR, FailedAttempt, run_end
 from bellweir.hosted.serving.forwarding import (
@@ -64,7 +65,7 @@
 
     client: ClientRequest
     table: RouteTable
-    groups: list[list[Worker]] = field(default_factory=list)
+    candidates: Candidates
     cancellation: Cancellation = field(default_factory=Cancellation)
     last_event_id: int | None = None
     retry_after_s: float | None = None
@@ -128,15 +129,14 @@
 
     def forward(self, client: ClientRequest, table: RouteTable) -> Response:
         """Forward one request; events are passed on as they arrive."""
+        candidates = self._forwarder.candidates(client, table)
+        stream = _Stream(client=client, table=table, candidates=candidates)
         left_s = self._crashes.quarantine_left_s(client)
         if left_s > 0:
             self._crashes.record_refusal(client)
-            stream = _Stream(client=client, table=table)
             stream.cause, stream.retry_after_s = QUARANTINED, left_s
             return self._end_without_stream(stream, None)
-        groups = self._forwarder.candidates(client, table)
-        stream = _Stream(client=client, table=table, groups=groups)
-        unavailable = None if any(groups) else self._forwarder.unavailability(client, table)
+        unavailable = None if candidates.all() else self._forwarder.unavailability(client, table)
         if unavailable is not None:
             stream.cause, stream.retry_after_s = unavailable
             return self._end_without_stream(stream, None)
@@ -229,7 +229,7 @@
         # Once the stream may have run, further attempts are not charged to the retry budget.
         worker = self._forwarder.next_attempt.acquire_worker(
             stream.client,
-            stream.groups,
+            stream.candidates,
             stream,
             may_run_again=stream.may_resume,
             is_budgeted=not stream.may_have_run,
