Error answers that are no failure are asked for again after longer and longer pauses

An item or reward call whose worker answers 4xx but 422, or 5xx but 500, ran each 20 ms without end: 110 to 113 runs in 3 s. It may not be given up for these answers, so maxAttempts does not bound them; the pause now doubles from 20 ms to 2.56 s with each one in a row, below the 5 s for which an item may be at no worker. 'An item whose workers answer an error that is no failure': 4 of 4 examples failed before, hold now.

--- a/features/hosted_budgets.feature
+++ b/features/hosted_budgets.feature
@@ -95,6 +95,22 @@
     And they come in a last job
     Then all items are listed as completed
 
+  # Guards against runs each 20 ms after answers that neither end an item nor count.
+  Scenario Outline: An item whose workers answer an error that is no failure
+    Given a leader with model workers and scorers
+    And the first item is answered <status> after 0 s at every worker in its <stage>
+    When the same items come in 1 jobs that stay open
+    And no item fails any more after 3 s
+    Then the first item was sent 4 to 10 times
+    And all jobs list all items as completed
+
+    Examples:
+      | stage | status |
+      | text  | 404    |
+      | text  | 502    |
+      | score | 403    |
+      | score | 503    |
+
   # Guards against the same on processes, whose leader is killed or not while jobs come and end.
   Scenario Outline: An item that fails at each run and comes again in later jobs of processes
     Given hosted processes, 3 gateways and 3 store machines
--- a/features/steps/hosted_returning_items_steps.py
+++ b/features/steps/hosted_returning_items_steps.py
@@ -91,6 +91,19 @@
         worker.faults.fail_ids = frozenset()
 
 
+@when("no item fails any more after {seconds:g} s")
+def when_mended_later(context, seconds):
+    time.sleep(seconds)
+    when_mended(context)
+
+
+@then("all jobs list all items as completed")
+def then_all_jobs_completed(context):
+    for state in context.states:
+        wait_until(lambda state=state: len(state.results) == ITEMS, "a result of each item")
+        assert all(result.is_complete for result in state.results), state.results
+
+
 @then("all items are listed as completed")
 def then_all_completed(context):
     state = context.leader.ledger.machine.jobs[LAST_JOB]
--- a/src/bellweir/hosted/batches/attempts.py
+++ b/src/bellweir/hosted/batches/attempts.py
@@ -58,6 +58,8 @@
 """Share of its timeout from which on an attempt without an answer counts as ended by it."""
 REFUSED_BACKOFF_S = 0.05
 FAILED_BACKOFF_S = 0.02
+"""Doubled with each further error answer that is no failure, up to `MAX_ERROR_DOUBLINGS` times."""
+MAX_ERROR_DOUBLINGS = 7
 CANCELLED = "ended here"
 """Logged cause of an attempt that was cancelled because its job ended or leadership was lost."""
 UNPROCESSABLE = 422
@@ -295,8 +297,8 @@
         if opened.opened is not None:
             read_response(opened.opened, opened)
         self._loads.release(worker.incarnation)
-        progress.not_before_s = elapsed_s() + FAILED_BACKOFF_S
         self._record_failure(progress, worker, status, cancellation)
+        progress.not_before_s = elapsed_s() + _error_backoff_s(progress)
         self._log_attempt_failed(progress, worker, f"status {status}")
 
     def run_scoring(
@@ -337,7 +339,7 @@
             _note_timeout(progress, began_s, timeout_s)
             self._loads.record_failure(worker.incarnation)
             self._loads.eligibility.note_unanswered(worker)
-        progress.not_before_s = elapsed_s() + FAILED_BACKOFF_S
+        progress.not_before_s = elapsed_s() + _error_backoff_s(progress)
         self._log_attempt_failed(
             progress, worker, f"scoring: {outcome.state.value} {outcome.detail}"
         )
@@ -367,6 +369,9 @@
         if status in FAILURES:
             progress.add_failure(worker.incarnation, is_final=status == UNPROCESSABLE)
             self._log_failure(progress, worker, status, cancellation)
+            progress.error_answers = 0
+        else:
+            progress.error_answers += 1
         # Client errors say nothing about the worker.
         if status >= SERVER_ERROR:
             self._record_worker_failure(progress, worker, status)
@@ -419,6 +424,15 @@
     progress.timeouts += elapsed_s() - began_s >= TIMED_OUT_SHARE * timeout_s
 
 
+def _error_backoff_s(progress: ItemProgress) -> float:
+    """Return the pause after an attempt; only the first of several error answers is short.
+
+    An item can't be given up for them, so that without it they would be asked for without end.
+    """
+    doublings = min(MAX_ERROR_DOUBLINGS, max(0, progress.error_answers - 1))
+    return FAILED_BACKOFF_S * 2.0**doublings
+
+
 def _status(opened: OpenedAttempt) -> int:
     """Return the status of an answer that was read; 0 without one."""
     is_answered = opened.state is AttemptState.ANSWERED and opened.opened is not None
--- a/src/bellweir/hosted/batches/progress.py
+++ b/src/bellweir/hosted/batches/progress.py
@@ -72,6 +72,8 @@
     """Failures that the log may lack; no attempt starts before it has them."""
     timeouts: int = 0
     """Attempts since the last event that were given up before their worker had answered."""
+    error_answers: int = 0
+    """Error answers in a row that say neither that the request failed nor that it has not run."""
     score: str = ""
     attempts: int = 0
     not_before_s: float = 0.0
@@ -165,7 +167,7 @@
             self._add_version(version)
         self.pieces.append(event.data.decode("utf-8", "surrogateescape"))
         self.events += 1
-        self.timeouts = 0
+        self.timeouts = self.error_answers = 0
         if event.event_id is not None:
             self.last_event_id = event.event_id
 
@@ -222,7 +224,7 @@
     def complete_generation(self) -> None:
         """Enter the next stage after the last event."""
         self.stage = Stage.SCORING if self.item.scorer is not None else Stage.RESULT
-        self.timeouts = 0
+        self.timeouts = self.error_answers = 0
         if self.stage is Stage.RESULT:
             self.finish("")
 
