--- a/features/explanation.feature
+++ b/features/explanation.feature
@@ -25,6 +25,10 @@
     And the explanation of "j-1" says "1 x OSError"
     And the explanation of "j-1" says "moved meanwhile to store-b"
 
+  Scenario: An item that is given up without a run
+    Given log lines of an item that failed 5 times in earlier jobs and is listed as dead
+    Then the explanation of "i-1" says "listed dead without a run; 5 answers of 500 or 422"
+
   Scenario: A batch job whose groups were held up
     Given log lines of a job with a group that waited, one that was moved and one that never completed
     Then the explanation of "j-4" says "group g-1 was complete after 4.0 s (waited 3.0 s for a slot"
--- a/features/steps/explanation_steps.py
+++ b/features/steps/explanation_steps.py
@@ -49,6 +49,17 @@
     context.lines = [end, "  0.5 gateway-a " + attempt(2, 2, outcome), "{", attempt(1, 1, outcome)]
 
 
+@given_step(
+    "log lines of an item that failed {count:d} times in earlier jobs and is listed as dead"
+)
+def given_item_without_run(context, count):
+    item = {"request_id": "i-1", "job": "j-1", "events": 0}
+    context.lines = [
+        line(1, "store-a", "item_taken_over", failures=count, earlier=count, **item),
+        line(2, "store-a", "item_listed", state="dead", versions=[], cause=None, **item),
+    ]
+
+
 @given_step(
     "log lines of a gateway that learns of evacuations and refuses a request half a minute later"
 )
--- a/src/bellweir/explanation/summary.py
+++ b/src/bellweir/explanation/summary.py
@@ -137,6 +137,13 @@
     tail = f"; broken runs: {cause_counts}" if broken else ""
     if listed is None:
         return f"Item {identifier} was started {starts} times and is not listed{tail}."
+    if not starts:
+        taken_over = [line for line in lines if line.event == "item_taken_over"]
+        earlier = taken_over[-1].text("earlier") if taken_over else 0
+        return (
+            f"Item {identifier} is listed {listed.text('state')} without a run; {earlier} answers "
+            "of 500 or 422 in earlier jobs count."
+        )
     seconds = listed.seconds() - lines[0].seconds()
     state = f"is listed {listed.text('state')} with versions {listed.text('versions')}"
     return (
