Soak: the listed states of a job are read to the end of its pages

A gateway answers that from the results which it has read before, without those listed since, and says where to go on; a page may end before the last result, as the pages say. The check now goes on as a client does; what it expects of the states is unchanged.

--- a/src/bellweir_rehearsal/hosted/failing_items.py
+++ b/src/bellweir_rehearsal/hosted/failing_items.py
@@ -122,11 +122,19 @@
     found: dict[str, str] = {}
     while len(found) < len(job.items) and time.monotonic() < until_s:
         for name in deployment.running("gateway"):
-            answer = call(
-                deployment.address(name, "front"), "GET", f"/api/lots/{job.job_id}?after=0"
-            )
-            if answer is not None and answer.status == 200:
-                results = json.loads(answer.body)["results"]
-                found |= {result["id"]: result["state"] for result in results}
+            found |= _listed_at(deployment.address(name, "front"), job.job_id)
         time.sleep(READ_PAUSE_S)
     return found
+
+
+def _listed_at(address: str, job_id: str) -> dict[str, str]:
+    """Read a job's pages at a gateway; a page may end before the last result that is listed."""
+    found: dict[str, str] = {}
+    while True:
+        answer = call(address, "GET", f"/api/lots/{job_id}?after={len(found)}")
+        if answer is None or answer.status != 200:
+            return found
+        results = json.loads(answer.body)["results"]
+        if not results:
+            return found
+        found |= {result["id"]: result["state"] for result in results}
