The version of a job's configuration is optional where a job is accepted

Steps of hosted_tenants and hosted_batch_calls accept jobs without one; a step of hosted_starts passes candidates as the forwarder takes them now, and an example in a doc comment lacked its import.

--- a/features/steps/hosted_starts_steps.py
+++ b/features/steps/hosted_starts_steps.py
@@ -20,6 +20,7 @@
 from bellweir.hosted.interface import Listing, RecordChange, StoredRecord
 from bellweir.hosted.records import Route, RouteKind
 from bellweir.hosted.serving.attempt import Cancellation
+from bellweir.hosted.serving.candidates import Candidates
 from bellweir.hosted.serving.client_request import ClientRequest
 from bellweir.hosted.serving.forwarding import Forwarder, Progress
 from bellweir.hosted.serving.metrics import RequestMetrics
@@ -561,7 +562,7 @@
     client = ClientRequest(None, route, "r", now_s, now_s + 60.0, b"", [])
     former = Incarnation("i-1", 5_000)
     progress = Progress(ran_at={former}, tried={former}, sends=1)
-    return forwarder._next_worker(client, [workers.ready("llm")], progress)
+    return forwarder._next_worker(client, Candidates(["llm"], workers.ready), progress)
 
 
 @then("it is sent to the new incarnation only if it is idempotent")
--- a/src/bellweir/hosted/batches/api.py
+++ b/src/bellweir/hosted/batches/api.py
@@ -86,11 +86,11 @@
         return request.raw_path.startswith((self._paths.batch_job, self._paths.batch_item))
 
     def accept(
-        self, request: Request, route: Route, version: int, tenant: str | None = None
+        self, request: Request, route: Route, tenant: str | None = None, *, version: int = 0
     ) -> Response:
         """Accept a job; respond with 202 once it is durable.
 
-        `version` is that of the configuration that holds the route.
+        `version` is that of the configuration that holds the route; 0 if it is not known.
         `tenant` is None if the deployment has no tenants, and empty for a job without a key.
         """
         began_s = elapsed_s()
--- a/src/bellweir/hosted/serving/application.py
+++ b/src/bellweir/hosted/serving/application.py
@@ -155,7 +155,7 @@
             return self._defer(request, "stopping", STOPPING_RETRY_AFTER_S)
         tenant = admission.tenant_name if table.keys.are_required else None
         if route.accepts_jobs:
-            return self._batches.accept(request, route, table.version, tenant)
+            return self._batches.accept(request, route, tenant, version=table.version)
         priority = admission.tenant.priority if admission.tenant is not None else None
         client = read_client_request(request, route, self._names, tenant, priority)
         if not self._can_be_served(client.deadline_s):
--- a/src/bellweir/hosted/views/configuration.py
+++ b/src/bellweir/hosted/views/configuration.py
@@ -79,6 +79,7 @@
     def job_route(self, host: str, path_prefix: str) -> Route | None:
         """Return the route that accepts batch jobs under just this prefix; None without one.
 
+        >>> from bellweir.hosted.records import RouteKind
         >>> routes = Route("h", "/a/", RouteKind.ROLLOUT), Route("h", "/", RouteKind.ROLLOUT)
         >>> table = RouteTable(Configuration(1, routes))
         >>> table.job_route("h", "/a/").path_prefix, table.job_route("h", "/a/b/")
