What failed before a text was whole no longer ends its item

An item whose text is whole, from an earlier job or another leader, was given up for failures of that text, though only its reward call was left. By reading, with an example of RetryLimit for each stage.

--- a/features/hosted_failed_requests.feature
+++ b/features/hosted_failed_requests.feature
@@ -49,6 +49,19 @@
   Scenario: Jobs, failures, results, ends and snapshots in any order
     Then each request has the failures that were recorded since it last succeeded
 
+  Scenario Outline: Which failures end an item
+    Given an item whose text failed <texts> times and its reward call <scores> times, 3 attempts each
+    When it is in its stage <stage>
+    Then its retry limit says that it <ends>
+
+    Examples:
+      | texts | scores | stage | ends     |
+      | 2     | 2      | text  | goes on  |
+      | 3     | 0      | text  | is ended |
+      | 0     | 3      | text  | is ended |
+      | 3     | 2      | score | goes on  |
+      | 3     | 3      | score | is ended |
+
   # Guards against failures that go with a leader which had one try to record them.
   Scenario Outline: A leader is lost, and nobody else leads for a while
     Given a leader that has lost its place with 2 failures that it has not recorded
--- a/features/steps/hosted_failed_requests_steps.py
+++ b/features/steps/hosted_failed_requests_steps.py
@@ -12,7 +12,8 @@
 
 from bellweir.hosted.batches.committer import Committer
 from bellweir.hosted.batches.failed_requests import MAX_REQUEST_IDS, ItemFailure
-from bellweir.hosted.batches.progress import ItemProgress
+from bellweir.hosted.batches.progress import ItemProgress, Stage
+from bellweir.hosted.batches.retry_limit import RetryLimit
 from bellweir.hosted.batches.state import (
     AcceptJob,
     BatchJobs,
@@ -21,6 +22,7 @@
     KeepParts,
     RecordResults,
 )
+from bellweir.hosted.batches.worker_quarantine import WorkerQuarantine
 from bellweir.hosted.incarnation import Incarnation
 from bellweir.hosted.records import Route, RouteKind
 from bellweir.ledger.interface import LedgerErrorKind
@@ -251,3 +253,28 @@
     context.progress.is_committing = True
     committer._commit_batch([context.progress], threading.Event())
     assert not context.progress.unrecorded_failures
+
+
+@given(
+    "an item whose text failed {texts:d} times and its reward call {scores:d} times, "
+    "{attempts:d} attempts each"
+)
+def given_failures(context, texts, scores, attempts):
+    job = _job("job-a")
+    context.route = msgspec.structs.replace(ROUTE, max_attempts=attempts)
+    context.progress = ItemProgress(job, context.route, job.items[0])
+    for stage, count in ((Stage.GENERATION, texts), (Stage.SCORING, scores)):
+        context.progress.stage = stage
+        for _ in range(count):
+            context.progress.add_failure(Incarnation("i-1"))
+
+
+@when("it is in its stage {stage}")
+def when_in_stage(context, stage):
+    context.progress.stage = Stage(stage)
+
+
+@then("its retry limit says that it {ends}")
+def then_ends(context, ends):
+    limit = RetryLimit(WorkerQuarantine(), lambda _route: ())
+    assert limit.is_reached(context.progress, context.route) == (ends == "is ended")
--- a/src/bellweir/hosted/batches/coordinator.py
+++ b/src/bellweir/hosted/batches/coordinator.py
@@ -255,7 +255,7 @@
 
     def _recorded_failures(self, progress: ItemProgress) -> list[ItemFailure]:
         """Return the failures of an item's requests, in all jobs."""
-        if not len(self._failed_requests):
+        if not self._failed_requests:
             return []
         return [
             failure
--- a/src/bellweir/hosted/batches/retry_limit.py
+++ b/src/bellweir/hosted/batches/retry_limit.py
@@ -21,10 +21,15 @@
         self._workers_of = workers_of
 
     def is_reached(self, progress: ItemProgress, scored_by: Route | None) -> bool:
-        """Return whether an item must not run again; `scored_by` is its reward call's route."""
-        return self._is_reached_in(progress, Stage.GENERATION, progress.route) or (
-            self._is_reached_in(progress, Stage.SCORING, scored_by)
-        )
+        """Return whether an item must not run again; `scored_by` is its reward call's route.
+
+        A reward call that may not be made again ends an item before its text is generated; what
+        failed before a text was whole no longer matters.
+        """
+        if self._is_reached_in(progress, Stage.SCORING, scored_by):
+            return True
+        is_whole = progress.stage is not Stage.GENERATION
+        return not is_whole and self._is_reached_in(progress, Stage.GENERATION, progress.route)
 
     def _is_reached_in(self, progress: ItemProgress, stage: Stage, route: Route | None) -> bool:
         failures = progress.failures_in(stage)
