--- a/features/hosted_job_routes.feature
+++ b/features/hosted_job_routes.feature
@@ -27,3 +27,18 @@
       | is older than the job's and lacks its route |
       | lacks its route, which can not be read      |
       | lacks its route, and the job names none     |
+
+  Scenario: The route of a job moves to another service while items wait
+    Given a leader with a slow model worker, and a route "/" to the scorers' service
+    When a job of 20 items is accepted, and all 8 places of the worker are taken
+    And a configuration comes that moves its route to the scorers' service
+    Then the model worker runs no item that had not begun by then
+
+  Scenario: The limit of a job's route is raised between two jobs
+    Given a leader with model workers and scorers
+    And the first item is answered 500 after 0.05 s at every worker in its text
+    When the same items come in 8 jobs, each ended once it is listed
+    And a configuration comes that allows 9 attempts
+    And they come in a last job
+    Then the first item is listed as dead, and the others as completed
+    And it ran in the last job again, 9 times in all
--- a/features/steps/hosted_job_routes_steps.py
+++ b/features/steps/hosted_job_routes_steps.py
@@ -100,3 +100,39 @@
 def then_not_elsewhere(context):
     for scorer in context.leader.scorers:
         assert not set(scorer.record.ran) & set(context.state.items), scorer.record.ran
+
+
+@when("a job of {items:d} items is accepted, and all {places:d} places of the worker are taken")
+def when_all_taken(context, items, places):
+    _accept(context, items, JOB_VERSION)
+    ran = context.leader.models[0].record.ran
+    wait_until(lambda: len(ran) == places, "a run at each place")
+
+
+@when("a configuration comes that moves its route to the scorers' service")
+def when_moved(context):
+    context.begun = set(context.leader.models[0].record.ran)
+    context.view.apply(_configuration(NEXT_VERSION, {"service": "app"}), "test")
+
+
+@then("the model worker runs no item that had not begun by then")
+def then_moved(context):
+    scorers = context.leader.scorers
+    wait_until(
+        lambda: any(set(each.record.ran) & set(context.state.items) for each in scorers),
+        "an item runs at the other service",
+    )
+    assert set(context.leader.models[0].record.ran) == context.begun
+
+
+@when("a configuration comes that allows {attempts:d} attempts")
+def when_raised(context, attempts):
+    view = context.leader.coordinator._configuration
+    view.apply(_configuration(NEXT_VERSION, {"maxAttempts": attempts}), "test")
+
+
+@then("it ran in the last job again, {count:d} times in all")
+def then_ran_again(context, count):
+    sent = sum(worker.record.ran[context.failing] for worker in context.workers)
+    assert sent == count, sent
+    assert sent > context.sent_before, sent
