--- a/src/bellweir_rehearsal/hosted/worker.py
+++ b/src/bellweir_rehearsal/hosted/worker.py
@@ -607,11 +607,12 @@
 
 
 def _has_left(handler: StandInHandler) -> bool:
-    """Whether the caller has closed its connection."""
-    readable, _, _ = select.select([handler.connection], [], [], 0)
+    """Whether the caller has closed its connection, or the worker's own end has."""
     try:
+        readable, _, _ = select.select([handler.connection], [], [], 0)
         return bool(readable) and not handler.connection.recv(1, socket.MSG_PEEK)
-    except OSError:
+    except (OSError, ValueError):
+        # A closed socket has no valid descriptor.
         return True
 
 
